--- /dev/null
+++ b/lib/kernel/frame.c
@@ -0,0 +1,739 @@
+#include "kernel/frame.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kernel/address.h"
+#include "kernel/crypt.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+#define HEADER_BYTES         8
+#define READ_CHUNK_BYTES     (256u * 1024)
+#define PING_INTERVAL_MS     1000
+#define HANDSHAKE_TIMEOUT_MS 5000
+#define QUEUE_MAX_BYTES      (64u << 20)
+#define LISTEN_BACKLOG       512
+#define ACCEPTS_PER_TURN     64
+
+DL_METRIC (metric_sent,
+           DL_METRIC_COUNTER,
+           "daisy_frame_sent_bytes",
+           "Bytes written to framed connections.")
+DL_METRIC (metric_received,
+           DL_METRIC_COUNTER,
+           "daisy_frame_received_bytes",
+           "Bytes read from framed connections.")
+DL_METRIC (metric_open,
+           DL_METRIC_GAUGE,
+           "daisy_frame_connections",
+           "Framed connections now open or opening.")
+
+typedef enum
+{
+  CONN_CONNECTING,
+  CONN_AWAIT_CHALLENGE, /* dialling side */
+  CONN_AWAIT_WELCOME,   /* dialling side */
+  CONN_AWAIT_HELLO,     /* accepting side */
+  CONN_OPEN,
+  CONN_CLOSED,
+} ConnState;
+
+struct DlConn
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  int fd;
+  ConnState state;
+  bool paused;
+  bool *freed; /* set when the connection is freed under a callback */
+  const DlIdentity *identity;
+  Daisyloft__Wire__Purpose purpose;
+  DlPeer peer;
+  uint8_t nonce[DL_NONCE_BYTES];
+  DlListener *listener; /* accepting side, until it is handed over */
+  DlConnHandler handler;
+  void *data;
+  DlBuffer *in;
+  DlBuffer *out;
+  size_t low_water;
+  bool above_low_water;
+  uint64_t last_read_ms;
+  uint64_t last_write_ms;
+  DlTimer *timer;
+  ev_io reader;
+  ev_io writer;
+};
+
+struct DlListener
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  int fd;
+  ev_io watcher;
+  const DlIdentity *identity;
+  unsigned max_connections;
+  GHashTable *connections; /* set of DlConn, those handed over too */
+  DlAcceptFunc on_accept;
+  void *data;
+};
+
+static void conn_fail (DlConn *conn, int error);
+
+/* -------- life of a connection -------- */
+
+static void
+conn_release (DlConn *conn)
+{
+  if (conn->fd >= 0)
+    {
+      ev_io_stop (conn->loop, &conn->reader);
+      ev_io_stop (conn->loop, &conn->writer);
+      close (conn->fd);
+      conn->fd = -1;
+      dl_metric_add (&metric_open, -1);
+    }
+  if (conn->listener != NULL)
+    g_hash_table_remove (conn->listener->connections, conn);
+  conn->listener = NULL;
+  TALLOC_FREE (conn->timer);
+  conn->state = CONN_CLOSED;
+}
+
+static int
+conn_destroy (DlConn *conn)
+{
+  conn_release (conn);
+  if (conn->freed != NULL)
+    *conn->freed = true;
+  return 0;
+}
+
+void
+dl_conn_close (DlConn *conn)
+{
+  conn_release (conn);
+}
+
+static void
+conn_fail (DlConn *conn, int error)
+{
+  bool handed_over = conn->handler.on_closed != NULL;
+
+  if (conn->state == CONN_CLOSED)
+    return;
+  dl_log (DL_EVENT_CONNECTION_CLOSED, DL_TEXT ("peer", conn->peer.name),
+          DL_ERRNO (error));
+  conn_release (conn);
+  if (handed_over)
+    conn->handler.on_closed (conn, error, conn->data);
+  else
+    talloc_free (conn);
+}
+
+static void on_readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void on_writable (struct ev_loop *loop, ev_io *watcher, int events);
+
+static void
+on_conn_timer (DlTimer *timer, void *data)
+{
+  DlConn *conn = data;
+  uint64_t now = dl_clock_ms ();
+  uint64_t limit = conn->state == CONN_OPEN ? DL_FRAME_IDLE_MS : HANDSHAKE_TIMEOUT_MS;
+
+  if (!conn->paused && now - conn->last_read_ms > limit)
+    {
+      conn_fail (conn, -ETIMEDOUT);
+      return;
+    }
+  if (conn->state == CONN_OPEN && now - conn->last_write_ms >= PING_INTERVAL_MS
+      && conn->out->length == 0)
+    {
+      Daisyloft__Wire__Ping ping = DAISYLOFT__WIRE__PING__INIT;
+      DlEnvelope envelope = DL_ENVELOPE (PING, ping, &ping);
+
+      dl_conn_send (conn, &envelope, dl_str_bytes (NULL, 0));
+    }
+}
+
+static DlConn *
+conn_new (DlTask *task, const void *owner, int fd, const DlIdentity *identity)
+{
+  DlConn *conn = talloc_zero (owner, DlConn);
+  int one = 1;
+
+  g_assert (conn != NULL);
+  conn->task = task;
+  conn->loop = dl_kernel_loop (dl_task_kernel (task));
+  conn->fd = fd;
+  conn->identity = identity;
+  conn->in = dl_buffer_new (conn, 0);
+  conn->out = dl_buffer_new (conn, QUEUE_MAX_BYTES);
+  conn->last_read_ms = conn->last_write_ms = dl_clock_ms ();
+  conn->timer = dl_timer_subscribe (task, conn, PING_INTERVAL_MS, PING_INTERVAL_MS,
+                                    on_conn_timer, conn);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  ev_io_init (&conn->reader, on_readable, fd, EV_READ);
+  conn->reader.data = conn;
+  ev_io_init (&conn->writer, on_writable, fd, EV_WRITE);
+  conn->writer.data = conn;
+  dl_metric_add (&metric_open, 1);
+  talloc_set_destructor (conn, conn_destroy);
+  return conn;
+}
+
+/* -------- sending -------- */
+
+static int
+conn_flush (DlConn *conn)
+{
+  while (conn->out->length > 0)
+    {
+      DlStr view = dl_buffer_view (conn->out);
+      ssize_t n = send (conn->fd, view.data, view.length, MSG_NOSIGNAL);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        {
+          ev_io_start (conn->loop, &conn->writer);
+          return 0;
+        }
+      if (n < 0)
+        return -errno;
+      dl_metric_add (&metric_sent, n);
+      conn->last_write_ms = dl_clock_ms ();
+      dl_buffer_consume (conn->out, (size_t)n);
+    }
+  ev_io_stop (conn->loop, &conn->writer);
+  return 0;
+}
+
+static void
+conn_tell_writable (DlConn *conn)
+{
+  if (!conn->above_low_water || conn->out->length > conn->low_water)
+    return;
+  conn->above_low_water = false;
+  if (conn->handler.on_writable != NULL)
+    conn->handler.on_writable (conn, conn->data);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  DlConn *conn = watcher->data;
+  int error;
+
+  if (conn->state == CONN_CONNECTING)
+    {
+      socklen_t length = sizeof error;
+
+      getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+      if (error != 0)
+        {
+          conn_fail (conn, -error);
+          return;
+        }
+      conn->state = CONN_AWAIT_CHALLENGE;
+      ev_io_stop (loop, &conn->writer);
+      ev_io_start (loop, &conn->reader);
+      return;
+    }
+  error = conn_flush (conn);
+  if (error < 0)
+    conn_fail (conn, error);
+  else
+    conn_tell_writable (conn);
+}
+
+int
+dl_conn_send (DlConn *conn, const DlEnvelope *envelope, DlStr payload)
+{
+  size_t size = protobuf_c_message_get_packed_size (&envelope->base);
+  uint32_t header[2] = { htonl ((uint32_t)size), htonl ((uint32_t)payload.length) };
+  uint8_t small[512];
+  uint8_t *packed = size <= sizeof small ? small : g_malloc (size);
+  int error;
+
+  if (conn->state == CONN_CLOSED || conn->state == CONN_CONNECTING)
+    error = DL_ERR_CLOSED;
+  else if (size > DL_FRAME_ENVELOPE_MAX_BYTES
+           || payload.length > DL_FRAME_PAYLOAD_MAX_BYTES
+           || conn->out->length + HEADER_BYTES + size + payload.length > QUEUE_MAX_BYTES)
+    error = DL_ERR_TOO_LARGE;
+  else
+    {
+      protobuf_c_message_pack (&envelope->base, packed);
+      dl_buffer_append (conn->out, header, sizeof header);
+      dl_buffer_append (conn->out, packed, size);
+      dl_buffer_append (conn->out, payload.data, payload.length);
+      if (conn->out->length > conn->low_water)
+        conn->above_low_water = true;
+      /* Written by the loop's next turn, so that small frames go out together and a
+       * failing write never calls back into the sender. */
+      ev_io_start (conn->loop, &conn->writer);
+      error = 0;
+    }
+  if (packed != small)
+    g_free (packed);
+  return error;
+}
+
+/* -------- handshake -------- */
+
+static DlDigest
+hello_mac (const DlIdentity *identity,
+           const uint8_t *nonce,
+           const char *name,
+           int purpose)
+{
+  char *text = g_strdup_printf ("%d:%s", purpose, name);
+  GString *data = g_string_new_len ((const char *)nonce, DL_NONCE_BYTES);
+  DlDigest mac;
+
+  g_string_append (data, text);
+  mac = dl_mac (dl_str (identity->key), dl_str_bytes (data->str, data->len));
+  g_string_free (data, TRUE);
+  g_free (text);
+  return mac;
+}
+
+static void
+send_challenge (DlConn *conn)
+{
+  Daisyloft__Wire__Challenge challenge = DAISYLOFT__WIRE__CHALLENGE__INIT;
+  DlEnvelope envelope = DL_ENVELOPE (CHALLENGE, challenge, &challenge);
+
+  dl_random_bytes (conn->nonce, sizeof conn->nonce);
+  challenge.protocol = DL_FRAME_PROTOCOL;
+  challenge.nonce = DL_BYTES (dl_str_bytes (conn->nonce, sizeof conn->nonce));
+  dl_conn_send (conn, &envelope, dl_str_bytes (NULL, 0));
+}
+
+static int
+answer_challenge (DlConn *conn, const DlEnvelope *envelope)
+{
+  const DlIdentity *id = conn->identity;
+  Daisyloft__Wire__Hello hello = DAISYLOFT__WIRE__HELLO__INIT;
+  DlEnvelope answer = DL_ENVELOPE (HELLO, hello, &hello);
+  DlDigest mac;
+
+  if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_CHALLENGE
+      || envelope->challenge->protocol != DL_FRAME_PROTOCOL
+      || envelope->challenge->nonce.len != DL_NONCE_BYTES)
+    return DL_ERR_MALFORMED;
+  mac = hello_mac (id, envelope->challenge->nonce.data, id->name, (int)conn->purpose);
+  hello.name = (char *)id->name;
+  hello.role = id->role;
+  hello.purpose = conn->purpose;
+  hello.region = (char *)id->region;
+  hello.data_center = (char *)id->data_center;
+  hello.address = (char *)id->address;
+  hello.incarnation = id->incarnation;
+  hello.mac = DL_BYTES (dl_str_bytes (mac.bytes, sizeof mac.bytes));
+  conn->state = CONN_AWAIT_WELCOME;
+  return dl_conn_send (conn, &answer, dl_str_bytes (NULL, 0));
+}
+
+static int
+check_hello (DlConn *conn, const DlEnvelope *envelope)
+{
+  const Daisyloft__Wire__Hello *hello = envelope->hello;
+  Daisyloft__Wire__Welcome welcome = DAISYLOFT__WIRE__WELCOME__INIT;
+  DlEnvelope answer = DL_ENVELOPE (WELCOME, welcome, &welcome);
+  DlDigest mac;
+
+  if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_HELLO)
+    return DL_ERR_MALFORMED;
+  mac = hello_mac (conn->identity, conn->nonce, hello->name, (int)hello->purpose);
+  if (!dl_secret_equal (dl_str_bytes (mac.bytes, sizeof mac.bytes),
+                        DL_BYTES_STR (hello->mac)))
+    {
+      dl_log (DL_EVENT_CONNECTION_REFUSED, DL_TEXT ("peer", hello->name));
+      return DL_ERR_UNAUTHORIZED;
+    }
+  conn->peer = (DlPeer){
+    .name = talloc_strdup (conn, hello->name),
+    .role = hello->role,
+    .purpose = hello->purpose,
+    .region = talloc_strdup (conn, hello->region),
+    .data_center = talloc_strdup (conn, hello->data_center),
+    .address = talloc_strdup (conn, hello->address),
+    .incarnation = hello->incarnation,
+  };
+  conn->state = CONN_OPEN;
+  welcome.name = (char *)conn->identity->name;
+  welcome.incarnation = conn->identity->incarnation;
+  return dl_conn_send (conn, &answer, dl_str_bytes (NULL, 0));
+}
+
+/* Hands an accepted connection over; frees it when nobody takes it. */
+static void
+conn_hand_over (DlConn *conn)
+{
+  DlListener *listener = conn->listener;
+
+  dl_log (DL_EVENT_CONNECTION_OPEN, DL_TEXT ("peer", conn->peer.name));
+  listener->on_accept (conn, listener->data);
+  if (conn->freed != NULL && *conn->freed)
+    return;
+  if (conn->state != CONN_CLOSED && conn->handler.on_closed == NULL)
+    talloc_free (conn);
+}
+
+static int
+take_welcome (DlConn *conn, const DlEnvelope *envelope)
+{
+  if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_WELCOME)
+    return DL_ERR_MALFORMED;
+  conn->peer.name = talloc_strdup (conn, envelope->welcome->name);
+  conn->peer.incarnation = envelope->welcome->incarnation;
+  conn->peer.purpose = conn->purpose;
+  conn->state = CONN_OPEN;
+  dl_log (DL_EVENT_CONNECTION_OPEN, DL_TEXT ("peer", conn->peer.name));
+  if (conn->handler.on_open != NULL)
+    conn->handler.on_open (conn, conn->data);
+  return 0;
+}
+
+/* -------- receiving -------- */
+
+/* Takes one frame.  May free CONN (watch conn->freed). */
+static int
+conn_take_frame (DlConn *conn, const DlEnvelope *envelope, DlStr payload)
+{
+  int error;
+
+  switch (conn->state)
+    {
+    case CONN_AWAIT_CHALLENGE:
+      return answer_challenge (conn, envelope);
+    case CONN_AWAIT_WELCOME:
+      return take_welcome (conn, envelope);
+    case CONN_AWAIT_HELLO:
+      error = check_hello (conn, envelope);
+      if (error == 0)
+        conn_hand_over (conn);
+      return error;
+    case CONN_OPEN:
+      if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_PING
+          && conn->handler.on_frame != NULL)
+        conn->handler.on_frame (conn, envelope, payload, conn->data);
+      return 0;
+    case CONN_CONNECTING:
+    case CONN_CLOSED:
+      return 0;
+    }
+  return DL_ERR_MALFORMED;
+}
+
+/* Parses what has arrived; returns 0, or an error that ends the connection. */
+static int
+conn_parse (DlConn *conn, bool *freed)
+{
+  while (!conn->paused && conn->state != CONN_CLOSED && conn->in->length >= HEADER_BYTES)
+    {
+      DlStr view = dl_buffer_view (conn->in);
+      uint32_t lengths[2];
+      uint32_t envelope_bytes;
+      uint32_t payload_bytes;
+      DlEnvelope *envelope;
+      int error;
+
+      memcpy (lengths, view.data, sizeof lengths);
+      envelope_bytes = ntohl (lengths[0]);
+      payload_bytes = ntohl (lengths[1]);
+      if (envelope_bytes > DL_FRAME_ENVELOPE_MAX_BYTES
+          || payload_bytes > DL_FRAME_PAYLOAD_MAX_BYTES)
+        return DL_ERR_TOO_LARGE;
+      if (view.length - HEADER_BYTES < (size_t)envelope_bytes + payload_bytes)
+        return 0;
+      envelope
+          = daisyloft__wire__envelope__unpack (NULL, envelope_bytes,
+                                               (const uint8_t *)view.data + HEADER_BYTES);
+      if (envelope == NULL
+          || envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY__NOT_SET)
+        {
+          dl_log (DL_EVENT_FRAME_MALFORMED, DL_TEXT ("peer", conn->peer.name));
+          if (envelope != NULL)
+            daisyloft__wire__envelope__free_unpacked (envelope, NULL);
+          return DL_ERR_MALFORMED;
+        }
+      error = conn_take_frame (conn, envelope,
+                               dl_str_bytes (view.data + HEADER_BYTES + envelope_bytes,
+                                             payload_bytes));
+      daisyloft__wire__envelope__free_unpacked (envelope, NULL);
+      if (*freed)
+        return 0;
+      if (error < 0)
+        return error;
+      if (conn->state != CONN_CLOSED)
+        dl_buffer_consume (conn->in, HEADER_BYTES + envelope_bytes + payload_bytes);
+    }
+  return 0;
+}
+
+static int
+conn_read (DlConn *conn)
+{
+  static uint8_t chunk[READ_CHUNK_BYTES];
+  ssize_t n = recv (conn->fd, chunk, sizeof chunk, 0);
+
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+    return 0;
+  if (n < 0)
+    return -errno;
+  if (n == 0)
+    return DL_ERR_CLOSED;
+  dl_metric_add (&metric_received, n);
+  conn->last_read_ms = dl_clock_ms ();
+  dl_buffer_append (conn->in, chunk, (size_t)n);
+  return (int)MIN (n, G_MAXINT);
+}
+
+/* Parses under a guard against the connection being freed by its owner meanwhile. */
+static void
+conn_parse_guarded (DlConn *conn)
+{
+  bool freed = false;
+  bool *outer = conn->freed;
+  int error;
+
+  conn->freed = &freed;
+  error = conn_parse (conn, &freed);
+  if (freed)
+    {
+      if (outer != NULL)
+        *outer = true;
+      return;
+    }
+  conn->freed = outer;
+  if (error < 0)
+    conn_fail (conn, error);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  DlConn *conn = watcher->data;
+  int n = conn_read (conn);
+
+  if (n < 0)
+    conn_fail (conn, n);
+  else
+    conn_parse_guarded (conn);
+}
+
+void
+dl_conn_pause (DlConn *conn, bool paused)
+{
+  if (conn->state == CONN_CLOSED || conn->paused == paused)
+    return;
+  conn->paused = paused;
+  conn->last_read_ms = dl_clock_ms ();
+  if (paused)
+    {
+      ev_io_stop (conn->loop, &conn->reader);
+      return;
+    }
+  ev_io_start (conn->loop, &conn->reader);
+  /* Frames may stand in the buffer already: have them parsed by the loop's next turn. */
+  if (conn->in->length > 0 && conn->freed == NULL)
+    ev_feed_event (conn->loop, &conn->reader, EV_READ);
+}
+
+/* -------- dialling -------- */
+
+static void
+on_dial_failed (DlTimer *timer, void *data)
+{
+  conn_fail (data, DL_ERR_UNAVAILABLE);
+}
+
+DlConn *
+dl_conn_dial (DlTask *task,
+              const void *owner,
+              DlStr address,
+              const DlIdentity *identity,
+              Daisyloft__Wire__Purpose purpose,
+              const DlConnHandler *handler,
+              void *data)
+{
+  struct sockaddr_in to;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  DlConn *conn = conn_new (task, owner, fd, identity);
+
+  conn->purpose = purpose;
+  conn->handler = *handler;
+  conn->data = data;
+  conn->state = CONN_CONNECTING;
+  if (fd < 0 || dl_address_parse (address, &to) < 0
+      || (connect (fd, (struct sockaddr *)&to, sizeof to) < 0 && errno != EINPROGRESS))
+    {
+      /* Told by a timer, so that no callback comes before the dial returns. */
+      dl_timer_subscribe (task, conn, 0, 0, on_dial_failed, conn);
+      return conn;
+    }
+  ev_io_start (conn->loop, &conn->writer);
+  return conn;
+}
+
+void
+dl_conn_set_handler (DlConn *conn, const DlConnHandler *handler, void *data)
+{
+  conn->handler = *handler;
+  conn->data = data;
+}
+
+void
+dl_conn_set_owner (DlConn *conn, const void *owner)
+{
+  talloc_steal (owner, conn);
+}
+
+const DlPeer *
+dl_conn_peer (const DlConn *conn)
+{
+  return &conn->peer;
+}
+
+bool
+dl_conn_is_open (const DlConn *conn)
+{
+  return conn->state == CONN_OPEN;
+}
+
+size_t
+dl_conn_queued (const DlConn *conn)
+{
+  return conn->out->length;
+}
+
+void
+dl_conn_set_low_water (DlConn *conn, size_t bytes)
+{
+  conn->low_water = bytes;
+}
+
+/* -------- listening -------- */
+
+static int
+accept_one (DlListener *listener)
+{
+  int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  DlConn *conn;
+
+  if (fd < 0)
+    return -errno;
+  if (g_hash_table_size (listener->connections) >= listener->max_connections)
+    {
+      dl_log (DL_EVENT_CONNECTION_LIMIT,
+              DL_UINT ("max_connections", listener->max_connections));
+      close (fd);
+      return 0;
+    }
+  conn = conn_new (listener->task, listener, fd, listener->identity);
+  conn->listener = listener;
+  g_hash_table_add (listener->connections, conn);
+  conn->state = CONN_AWAIT_HELLO;
+  ev_io_start (conn->loop, &conn->reader);
+  send_challenge (conn);
+  return 0;
+}
+
+static void
+on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  for (int i = 0; i < ACCEPTS_PER_TURN; i++)
+    {
+      int error = accept_one (watcher->data);
+
+      if (error == -EAGAIN || error == -EINTR || error == -ECONNABORTED)
+        return;
+      if (error < 0)
+        {
+          dl_log (DL_EVENT_ACCEPT_FAILED, DL_ERRNO (error));
+          return;
+        }
+    }
+}
+
+void
+dl_listener_close (DlListener *listener)
+{
+  if (listener->fd < 0)
+    return;
+  ev_io_stop (listener->loop, &listener->watcher);
+  close (listener->fd);
+  listener->fd = -1;
+}
+
+static int
+listener_destroy (DlListener *listener)
+{
+  GHashTableIter iter;
+  gpointer conn;
+
+  dl_listener_close (listener);
+  g_hash_table_iter_init (&iter, listener->connections);
+  while (g_hash_table_iter_next (&iter, &conn, NULL))
+    ((DlConn *)conn)->listener = NULL;
+  g_hash_table_destroy (listener->connections);
+  return 0;
+}
+
+int
+dl_listener_new (DlTask *task,
+                 const void *owner,
+                 DlStr address,
+                 const DlIdentity *identity,
+                 unsigned max_connections,
+                 DlAcceptFunc on_accept,
+                 void *data,
+                 DlListener **listener)
+{
+  struct sockaddr_in at;
+  int one = 1;
+  int error = dl_address_parse (address, &at);
+  int fd;
+  DlListener *l;
+
+  if (error < 0)
+    return error;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -errno;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&at, sizeof at) < 0 || listen (fd, LISTEN_BACKLOG) < 0)
+    {
+      error = -errno;
+      close (fd);
+      return error;
+    }
+  l = talloc_zero (owner, DlListener);
+  g_assert (l != NULL);
+  l->task = task;
+  l->loop = dl_kernel_loop (dl_task_kernel (task));
+  l->fd = fd;
+  l->identity = identity;
+  l->max_connections = max_connections;
+  l->connections = g_hash_table_new (NULL, NULL);
+  l->on_accept = on_accept;
+  l->data = data;
+  ev_io_init (&l->watcher, on_acceptable, fd, EV_READ);
+  l->watcher.data = l;
+  ev_io_start (l->loop, &l->watcher);
+  talloc_set_destructor (l, listener_destroy);
+  *listener = l;
+  return 0;
+}
--- /dev/null
+++ b/lib/kernel/http_client.c
@@ -0,0 +1,415 @@
+#include "kernel/http_client.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/error.h"
+
+#define BODY_DEFAULT_MAX_BYTES     (1u << 20)
+#define CONNECT_DEFAULT_TIMEOUT_MS 2000
+#define CONNECTIONS_KEPT           256
+#define MILLISECONDS_PER_SECOND    1000.0
+
+struct DlHttpClient
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timeout;
+  GHashTable *calls; /* set of DlHttpCall */
+};
+
+struct DlHttpCall
+{
+  DlHttpClient *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  DlBuffer *request_body;
+  DlBuffer *body;
+  DlHttpCallOptions options;
+  bool head_given;
+  bool too_large;
+  bool paused;
+  bool in_callback;
+  bool freed_in_callback;
+  DlTimer *resume;
+};
+
+typedef struct
+{
+  DlHttpClient *client;
+  ev_io watcher;
+} SocketWatch;
+
+/* -------- curl's sockets and timer on the loop -------- */
+
+static void check_done (DlHttpClient *client);
+
+static void
+on_socket_event (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  SocketWatch *watch = watcher->data;
+  DlHttpClient *client = watch->client;
+  int running;
+  int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
+             | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+
+  curl_multi_socket_action (client->multi, watcher->fd, mask, &running);
+  check_done (client);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  DlHttpClient *client = data;
+  SocketWatch *watch = socket_data;
+  int events = 0;
+
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (watch != NULL)
+        {
+          ev_io_stop (client->loop, &watch->watcher);
+          g_free (watch);
+          curl_multi_assign (client->multi, fd, NULL);
+        }
+      return 0;
+    }
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    events |= EV_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    events |= EV_WRITE;
+  if (watch == NULL)
+    {
+      watch = g_new0 (SocketWatch, 1);
+      watch->client = client;
+      curl_multi_assign (client->multi, fd, watch);
+    }
+  else
+    ev_io_stop (client->loop, &watch->watcher);
+  ev_io_init (&watch->watcher, on_socket_event, fd, events);
+  watch->watcher.data = watch;
+  ev_io_start (client->loop, &watch->watcher);
+  return 0;
+}
+
+static void
+on_curl_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  DlHttpClient *client = watcher->data;
+  int running;
+
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  check_done (client);
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  DlHttpClient *client = data;
+
+  ev_timer_stop (client->loop, &client->timeout);
+  if (timeout_ms >= 0)
+    {
+      ev_timer_set (&client->timeout, (double)timeout_ms / MILLISECONDS_PER_SECOND, 0.0);
+      ev_timer_start (client->loop, &client->timeout);
+    }
+  return 0;
+}
+
+/* -------- one call -------- */
+
+static void
+call_give_head (DlHttpCall *call)
+{
+  long status = 0;
+
+  if (call->head_given)
+    return;
+  call->head_given = true;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (call->options.on_head != NULL)
+    call->options.on_head (call, (unsigned)status, call->options.data);
+}
+
+static size_t
+call_take (DlHttpCall *call, DlStr bytes)
+{
+  call_give_head (call);
+  if (call->freed_in_callback)
+    return CURL_WRITEFUNC_ERROR;
+  if (call->paused)
+    return CURL_WRITEFUNC_PAUSE;
+  if (call->options.on_data != NULL)
+    call->options.on_data (call, bytes, call->options.data);
+  else if (dl_buffer_append (call->body, bytes.data, bytes.length) < 0)
+    {
+      call->too_large = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
+  return call->freed_in_callback ? CURL_WRITEFUNC_ERROR : bytes.length;
+}
+
+static size_t
+on_write (char *data, size_t size, size_t n, void *user)
+{
+  DlHttpCall *call = user;
+  size_t taken;
+
+  call->in_callback = true;
+  taken = call_take (call, dl_str_bytes (data, size * n));
+  call->in_callback = false;
+  return taken;
+}
+
+static size_t
+on_read (char *out, size_t size, size_t n, void *user)
+{
+  DlHttpCall *call = user;
+  DlStr view = dl_buffer_view (call->request_body);
+  size_t length = MIN (size * n, view.length);
+
+  if (length > 0)
+    memcpy (out, view.data, length);
+  dl_buffer_consume (call->request_body, length);
+  return length;
+}
+
+static void
+call_release (DlHttpCall *call)
+{
+  if (call->easy == NULL)
+    return;
+  g_hash_table_remove (call->client->calls, call);
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  call->easy = NULL;
+}
+
+/* Freed by its owner inside a callback, the call lives on until curl has left it. */
+static int
+call_destroy (DlHttpCall *call)
+{
+  if (call->in_callback && !call->freed_in_callback)
+    {
+      call->freed_in_callback = true;
+      talloc_steal (call->client, call);
+      return -1;
+    }
+  call_release (call);
+  return 0;
+}
+
+static int
+curl_error (CURLcode code, const DlHttpCall *call)
+{
+  if (call->too_large)
+    return DL_ERR_TOO_LARGE;
+  switch (code)
+    {
+    case CURLE_OK:
+      return 0;
+    case CURLE_COULDNT_CONNECT:
+      return DL_ERR_UNAVAILABLE;
+    case CURLE_OPERATION_TIMEDOUT:
+      return -ETIMEDOUT;
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_CONTENT_ENCODING:
+      return DL_ERR_MALFORMED;
+    case CURLE_URL_MALFORMAT:
+      return -EINVAL;
+    default:
+      return DL_ERR_CLOSED;
+    }
+}
+
+static void
+call_done (DlHttpCall *call, CURLcode code)
+{
+  long status = 0;
+  long request_bytes = 0;
+  DlHttpResult result = { .error = curl_error (code, call) };
+
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  call->in_callback = true;
+  if (!call->freed_in_callback && code == CURLE_OK)
+    call_give_head (call);
+  result.status = (unsigned)status;
+  result.sent = request_bytes > 0;
+  result.body = dl_buffer_view (call->body);
+  if (!call->freed_in_callback)
+    call->options.on_done (call, &result, call->options.data);
+  call->in_callback = false;
+  call->freed_in_callback = true;
+  talloc_free (call);
+}
+
+static void
+check_done (DlHttpClient *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    if (message->msg == CURLMSG_DONE)
+      {
+        DlHttpCall *call = NULL;
+
+        curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+        call_done (call, message->data.result);
+      }
+}
+
+static void
+call_set_method (DlHttpCall *call)
+{
+  const DlHttpCallOptions *o = &call->options;
+
+  if (o->method == NULL || strcmp (o->method, "GET") == 0)
+    return;
+  if (o->body.length > 0 || strcmp (o->method, "POST") == 0
+      || strcmp (o->method, "PUT") == 0)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_UPLOAD, 1L);
+      curl_easy_setopt (call->easy, CURLOPT_READFUNCTION, on_read);
+      curl_easy_setopt (call->easy, CURLOPT_READDATA, call);
+      curl_easy_setopt (call->easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)o->body.length);
+    }
+  curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, o->method);
+}
+
+static void
+call_set_limits (DlHttpCall *call)
+{
+  const DlHttpCallOptions *o = &call->options;
+  uint64_t connect_ms
+      = o->connect_timeout_ms > 0 ? o->connect_timeout_ms : CONNECT_DEFAULT_TIMEOUT_MS;
+
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
+  if (o->stall_timeout_ms > 0)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+      curl_easy_setopt (call->easy, CURLOPT_LOW_SPEED_TIME,
+                        (long)((o->stall_timeout_ms + 999) / 1000));
+    }
+  if (o->single_use)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+}
+
+DlHttpCall *
+dl_http_call (DlHttpClient *client, const void *owner, const DlHttpCallOptions *options)
+{
+  DlHttpCall *call = talloc_zero (owner, DlHttpCall);
+
+  g_assert (call != NULL && options->on_done != NULL);
+  call->client = client;
+  call->options = *options;
+  call->request_body = dl_buffer_new (call, 0);
+  dl_buffer_append (call->request_body, options->body.data, options->body.length);
+  call->body = dl_buffer_new (call, options->max_body_bytes > 0 ? options->max_body_bytes
+                                                                : BODY_DEFAULT_MAX_BYTES);
+  call->easy = curl_easy_init ();
+  g_assert (call->easy != NULL);
+  call->headers = curl_slist_append (NULL, "Expect:");
+  for (size_t i = 0; options->headers != NULL && options->headers[i] != NULL; i++)
+    call->headers = curl_slist_append (call->headers, options->headers[i]);
+  curl_easy_setopt (call->easy, CURLOPT_URL, options->url);
+  curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_write);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  call_set_method (call);
+  call_set_limits (call);
+  talloc_set_destructor (call, call_destroy);
+  g_hash_table_add (client->calls, call);
+  curl_multi_add_handle (client->multi, call->easy);
+  return call;
+}
+
+const char *
+dl_http_call_header (DlHttpCall *call, const char *name)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (call->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+/* Resuming may hand out buffered bytes at once, so it is done from the loop. */
+static void
+on_resume (DlTimer *timer, void *data)
+{
+  DlHttpCall *call = data;
+
+  TALLOC_FREE (call->resume);
+  if (!call->paused && call->easy != NULL)
+    {
+      curl_easy_pause (call->easy, CURLPAUSE_CONT);
+      check_done (call->client);
+    }
+}
+
+void
+dl_http_call_pause (DlHttpCall *call, bool paused)
+{
+  if (call->paused == paused)
+    return;
+  call->paused = paused;
+  if (!paused && call->resume == NULL)
+    call->resume = dl_timer_subscribe (call->client->task, call, 0, 0, on_resume, call);
+}
+
+/* -------- the client -------- */
+
+static int
+client_destroy (DlHttpClient *client)
+{
+  GList *calls = g_hash_table_get_keys (client->calls);
+
+  for (GList *l = calls; l != NULL; l = l->next)
+    call_release (l->data);
+  g_list_free (calls);
+  g_hash_table_destroy (client->calls);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timeout);
+  return 0;
+}
+
+DlHttpClient *
+dl_http_client_new (DlTask *task, const void *owner)
+{
+  static bool initialised;
+  DlHttpClient *client = talloc_zero (owner, DlHttpClient);
+
+  g_assert (client != NULL);
+  if (!initialised)
+    curl_global_init (CURL_GLOBAL_DEFAULT);
+  initialised = true;
+  client->task = task;
+  client->loop = dl_kernel_loop (dl_task_kernel (task));
+  client->multi = curl_multi_init ();
+  client->calls = g_hash_table_new (NULL, NULL);
+  ev_timer_init (&client->timeout, on_curl_timeout, 0.0, 0.0);
+  client->timeout.data = client;
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_KEPT);
+  talloc_set_destructor (client, client_destroy);
+  return client;
+}
--- /dev/null
+++ b/lib/kernel/http_server.c
@@ -0,0 +1,552 @@
+#include "kernel/http_server.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <microhttpd.h>
+#include <stdarg.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+#include "kernel/address.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+#define STREAM_BLOCK_BYTES      (32u * 1024)
+#define CALLER_CHECK_MS         100
+#define MILLISECONDS_PER_SECOND 1000.0
+#define CONNECTION_EXTRA_BYTES  (32u * 1024) /* the library's own need per connection */
+
+DL_METRIC (metric_requests,
+           DL_METRIC_COUNTER,
+           "daisy_http_requests_total",
+           "HTTP requests received.")
+DL_METRIC (metric_running,
+           DL_METRIC_GAUGE,
+           "daisy_http_requests_running",
+           "HTTP requests not yet answered in full.")
+DL_METRIC (metric_gone,
+           DL_METRIC_COUNTER,
+           "daisy_http_callers_gone_total",
+           "HTTP callers that went away before their answer was whole.")
+
+struct DlHttpServer
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  DlHttpLimits limits;
+  DlHttpHandler handler;
+  void *data;
+  ev_io watcher;
+  ev_timer timeout;
+  ev_prepare prepare;
+  bool need_run; /* a connection was resumed since the daemon last ran */
+  bool quiesced;
+  unsigned running;
+  GHashTable *suspended; /* set of DlHttpRequest */
+  DlTimer *caller_check;
+};
+
+struct DlHttpRequest
+{
+  DlHttpServer *server;
+  struct MHD_Connection *connection;
+  char *method;
+  char *path;
+  DlBuffer *body;
+  bool too_large;
+  bool handled; /* the handler has been called */
+  bool in_handler;
+  bool suspended;
+  bool answered; /* response or stream has been given */
+  struct MHD_Response *response;
+  unsigned status;
+  DlBuffer *stream; /* bytes not yet taken; NULL for a plain answer */
+  bool stream_ended;
+  bool stream_complete;
+  DlHttpTakenFunc on_taken;
+  void *taken_data;
+  DlHttpClosedFunc on_closed;
+  void *closed_data;
+};
+
+/* -------- suspending and resuming -------- */
+
+static void
+request_suspend (DlHttpRequest *r)
+{
+  if (r->suspended)
+    return;
+  r->suspended = true;
+  g_hash_table_add (r->server->suspended, r);
+  MHD_suspend_connection (r->connection);
+}
+
+static void
+request_resume (DlHttpRequest *r)
+{
+  if (!r->suspended)
+    return;
+  r->suspended = false;
+  g_hash_table_remove (r->server->suspended, r);
+  r->server->need_run = true;
+  MHD_resume_connection (r->connection);
+}
+
+/* -------- answering -------- */
+
+static void
+response_add_headers (struct MHD_Response *response,
+                      const char *content_type,
+                      const DlHttpHeader *headers)
+{
+  if (content_type != NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+  for (const DlHttpHeader *h = headers; h != NULL && h->name != NULL; h++)
+    MHD_add_response_header (response, h->name, h->value);
+}
+
+static void
+request_set_response (DlHttpRequest *r, unsigned status, struct MHD_Response *response)
+{
+  g_assert (!r->answered && response != NULL);
+  r->answered = true;
+  r->status = status;
+  r->response = response;
+  request_resume (r);
+}
+
+void
+dl_http_reply (DlHttpRequest *request,
+               unsigned status,
+               const char *content_type,
+               DlStr body,
+               const DlHttpHeader *headers)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (body.length, (void *)body.data,
+                                         MHD_RESPMEM_MUST_COPY);
+
+  response_add_headers (response, content_type, headers);
+  request_set_response (request, status, response);
+}
+
+void
+dl_http_reply_json (DlHttpRequest *request, unsigned status, json_object *object)
+{
+  dl_http_reply (request, status, "application/json",
+                 dl_str (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN)),
+                 NULL);
+  json_object_put (object);
+}
+
+void
+dl_http_reply_error (DlHttpRequest *request,
+                     unsigned status,
+                     uint64_t retry_after_ms,
+                     const char *format,
+                     ...)
+{
+  json_object *object = json_object_new_object ();
+  char seconds[24];
+  DlHttpHeader headers[2] = { { 0 } };
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = talloc_vasprintf (request, format, args);
+  va_end (args);
+  json_object_object_add (object, "error", json_object_new_string (text));
+  if (retry_after_ms > 0)
+    {
+      uint64_t s = (retry_after_ms + 999) / 1000;
+
+      g_snprintf (seconds, sizeof seconds, "%" PRIu64, s);
+      headers[0] = (DlHttpHeader){ .name = "Retry-After", .value = seconds };
+      json_object_object_add (object, "retry_after_ms",
+                              json_object_new_uint64 (retry_after_ms));
+    }
+  dl_http_reply (request, status, "application/json",
+                 dl_str (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN)),
+                 headers);
+  json_object_put (object);
+}
+
+static ssize_t
+stream_read (void *data, uint64_t position, char *out, size_t max)
+{
+  DlHttpRequest *r = data;
+  DlStr view = dl_buffer_view (r->stream);
+  size_t n = MIN (max, view.length);
+
+  if (n > 0)
+    {
+      memcpy (out, view.data, n);
+      dl_buffer_consume (r->stream, n);
+      if (r->on_taken != NULL)
+        r->on_taken (r, n, r->taken_data);
+      return (ssize_t)n;
+    }
+  if (r->stream_ended)
+    return r->stream_complete ? MHD_CONTENT_READER_END_OF_STREAM
+                              : MHD_CONTENT_READER_END_WITH_ERROR;
+  request_suspend (r);
+  return 0;
+}
+
+void
+dl_http_stream_begin (DlHttpRequest *request,
+                      unsigned status,
+                      const char *content_type,
+                      const DlHttpHeader *headers)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+                                           stream_read, request, NULL);
+
+  request->stream = dl_buffer_new (request, 0);
+  response_add_headers (response, content_type, headers);
+  request_set_response (request, status, response);
+}
+
+void
+dl_http_stream_write (DlHttpRequest *request, DlStr data)
+{
+  g_assert (request->stream != NULL && !request->stream_ended);
+  dl_buffer_append (request->stream, data.data, data.length);
+  request_resume (request);
+}
+
+void
+dl_http_stream_end (DlHttpRequest *request, bool complete)
+{
+  g_assert (request->stream != NULL && !request->stream_ended);
+  request->stream_ended = true;
+  request->stream_complete = complete;
+  request_resume (request);
+}
+
+size_t
+dl_http_stream_queued (const DlHttpRequest *request)
+{
+  return request->stream != NULL ? request->stream->length : 0;
+}
+
+void
+dl_http_stream_on_taken (DlHttpRequest *request, DlHttpTakenFunc func, void *data)
+{
+  request->on_taken = func;
+  request->taken_data = data;
+}
+
+/* -------- receiving -------- */
+
+const char *
+dl_http_request_method (const DlHttpRequest *request)
+{
+  return request->method;
+}
+
+const char *
+dl_http_request_path (const DlHttpRequest *request)
+{
+  return request->path;
+}
+
+DlStr
+dl_http_request_body (const DlHttpRequest *request)
+{
+  return dl_buffer_view (request->body);
+}
+
+const char *
+dl_http_request_header (const DlHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+dl_http_request_query (const DlHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+dl_http_request_on_closed (DlHttpRequest *request, DlHttpClosedFunc func, void *data)
+{
+  request->on_closed = func;
+  request->closed_data = data;
+}
+
+static DlHttpRequest *
+request_new (DlHttpServer *server,
+             struct MHD_Connection *connection,
+             const char *path,
+             const char *method)
+{
+  DlHttpRequest *r = talloc_zero (server, DlHttpRequest);
+
+  g_assert (r != NULL);
+  r->server = server;
+  r->connection = connection;
+  r->method = talloc_strdup (r, method);
+  r->path = talloc_strdup (r, path);
+  r->body = dl_buffer_new (r, server->limits.max_body_bytes);
+  server->running++;
+  dl_metric_add (&metric_requests, 1);
+  dl_metric_add (&metric_running, 1);
+  return r;
+}
+
+static enum MHD_Result
+request_answer (DlHttpRequest *r)
+{
+  enum MHD_Result result = MHD_queue_response (r->connection, r->status, r->response);
+
+  MHD_destroy_response (r->response);
+  r->response = NULL;
+  return result;
+}
+
+static enum MHD_Result
+on_access (void *data,
+           struct MHD_Connection *connection,
+           const char *path,
+           const char *method,
+           const char *version,
+           const char *upload,
+           size_t *upload_size,
+           void **state)
+{
+  DlHttpServer *server = data;
+  DlHttpRequest *r = *state;
+
+  if (r == NULL)
+    {
+      *state = request_new (server, connection, path, method);
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      if (dl_buffer_append (r->body, upload, *upload_size) < 0)
+        r->too_large = true;
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (!r->handled)
+    {
+      r->handled = true;
+      if (r->too_large)
+        dl_http_reply_error (r, MHD_HTTP_CONTENT_TOO_LARGE, 0,
+                             "the body is longer than %zu bytes",
+                             server->limits.max_body_bytes);
+      else
+        server->handler (r, server->data);
+    }
+  if (r->answered && r->response != NULL)
+    return request_answer (r);
+  request_suspend (r);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *data,
+              struct MHD_Connection *connection,
+              void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  DlHttpServer *server = data;
+  DlHttpRequest *r = *state;
+  bool answered;
+
+  if (r == NULL)
+    return;
+  *state = NULL;
+  answered = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+  if (!answered)
+    dl_metric_add (&metric_gone, 1);
+  g_hash_table_remove (server->suspended, r);
+  if (r->on_closed != NULL)
+    r->on_closed (r, answered, r->closed_data);
+  if (r->response != NULL)
+    MHD_destroy_response (r->response);
+  server->running--;
+  dl_metric_add (&metric_running, -1);
+  talloc_free (r);
+}
+
+/*
+ * The library does not watch suspended connections, so a caller that went away while its
+ * request waits is found by looking.  The connection is resumed then, and the library
+ * closes it.
+ */
+static bool
+caller_is_gone (DlHttpRequest *r)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+  ssize_t n;
+
+  if (info == NULL)
+    return false;
+  n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+static void
+on_caller_check (DlTimer *timer, void *data)
+{
+  DlHttpServer *server = data;
+  GList *requests = g_hash_table_get_keys (server->suspended);
+
+  for (GList *l = requests; l != NULL; l = l->next)
+    {
+      DlHttpRequest *r = l->data;
+
+      if (!g_hash_table_contains (server->suspended, r) || !caller_is_gone (r))
+        continue;
+      if (!r->answered)
+        dl_http_reply_error (r, MHD_HTTP_REQUEST_TIMEOUT, 0, "the caller went away");
+      else if (!r->stream_ended)
+        dl_http_stream_end (r, false);
+      else
+        request_resume (r);
+    }
+  g_list_free (requests);
+}
+
+/* -------- the daemon on the loop -------- */
+
+static void
+server_run (DlHttpServer *server)
+{
+  MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+  server->need_run = false;
+  MHD_run (server->daemon);
+  ev_timer_stop (server->loop, &server->timeout);
+  if (MHD_get_timeout (server->daemon, &timeout_ms) == MHD_YES)
+    {
+      ev_timer_set (&server->timeout, (double)timeout_ms / MILLISECONDS_PER_SECOND, 0.0);
+      ev_timer_start (server->loop, &server->timeout);
+    }
+}
+
+static void
+on_daemon_event (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  server_run (watcher->data);
+}
+
+static void
+on_daemon_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  server_run (watcher->data);
+}
+
+static void
+on_daemon_prepare (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  DlHttpServer *server = watcher->data;
+
+  if (server->need_run)
+    server_run (server);
+}
+
+void
+dl_http_server_quiesce (DlHttpServer *server)
+{
+  MHD_socket fd;
+
+  if (server->quiesced)
+    return;
+  server->quiesced = true;
+  fd = MHD_quiesce_daemon (server->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+unsigned
+dl_http_server_running (const DlHttpServer *server)
+{
+  return server->running;
+}
+
+static int
+server_destroy (DlHttpServer *server)
+{
+  GList *requests = g_hash_table_get_keys (server->suspended);
+
+  /* The library wants no connection suspended when it stops. */
+  for (GList *l = requests; l != NULL; l = l->next)
+    request_resume (l->data);
+  g_list_free (requests);
+  ev_io_stop (server->loop, &server->watcher);
+  ev_timer_stop (server->loop, &server->timeout);
+  ev_prepare_stop (server->loop, &server->prepare);
+  MHD_stop_daemon (server->daemon);
+  g_hash_table_destroy (server->suspended);
+  return 0;
+}
+
+int
+dl_http_server_new (DlTask *task,
+                    const void *owner,
+                    DlStr address,
+                    const DlHttpLimits *limits,
+                    DlHttpHandler handler,
+                    void *data,
+                    DlHttpServer **result)
+{
+  struct sockaddr_in at;
+  int error = dl_address_parse (address, &at);
+  DlHttpServer *server;
+
+  if (error < 0)
+    return error;
+  server = talloc_zero (owner, DlHttpServer);
+  g_assert (server != NULL);
+  server->task = task;
+  server->loop = dl_kernel_loop (dl_task_kernel (task));
+  server->limits = *limits;
+  server->handler = handler;
+  server->data = data;
+  errno = 0;
+  server->daemon
+      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs (at.sin_port),
+                          NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR, &at,
+                          MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+                          MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
+                          MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+                          limits->max_connections_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
+                          limits->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                          (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
+                          MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+                          MHD_OPTION_LISTEN_BACKLOG_SIZE, 512u, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    {
+      error = errno != 0 ? -errno : -EADDRINUSE;
+      talloc_free (server);
+      return error;
+    }
+  server->suspended = g_hash_table_new (NULL, NULL);
+  ev_io_init (&server->watcher, on_daemon_event,
+              MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd,
+              EV_READ);
+  server->watcher.data = server;
+  ev_io_start (server->loop, &server->watcher);
+  ev_timer_init (&server->timeout, on_daemon_timeout, 0.0, 0.0);
+  server->timeout.data = server;
+  ev_prepare_init (&server->prepare, on_daemon_prepare);
+  server->prepare.data = server;
+  ev_prepare_start (server->loop, &server->prepare);
+  server->caller_check = dl_timer_subscribe (task, server, CALLER_CHECK_MS,
+                                             CALLER_CHECK_MS, on_caller_check, server);
+  talloc_set_destructor (server, server_destroy);
+  *result = server;
+  return 0;
+}
--- /dev/null
+++ b/lib/kernel/kernel.c
@@ -0,0 +1,509 @@
+#include "kernel/kernel.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+#define DRAIN_DEFAULT_MS        30000
+#define MESSAGES_PER_TURN       256
+#define MESSAGE_TYPES           64
+#define NANOSECONDS_PER_MS      1000000
+#define NANOSECONDS_PER_US      1000
+#define MICROSECONDS_PER_MS     1000
+#define MILLISECONDS_PER_SECOND 1000.0
+
+struct DlTask
+{
+  DlKernel *kernel;
+  const DlPlugin *plugin;
+  void *state;
+  bool started;
+  bool drained;
+  DlTask *next;
+};
+
+typedef struct
+{
+  DlTask *task;
+  DlMessage *message;
+} Delivery;
+
+struct DlKernel
+{
+  struct ev_loop *loop;
+  char *name;
+  char *program;
+  const void *settings;
+  uint64_t incarnation;
+  uint64_t drain_ms;
+  DlTask *tasks; /* in starting order */
+  GQueue mailbox;
+  bool stopping;
+  ev_prepare prepare;
+  ev_idle idle;
+  ev_signal sigterm, sigint, sigusr1;
+  ev_timer drain_timer;
+};
+
+struct DlTimer
+{
+  ev_timer watcher;
+  struct ev_loop *loop;
+  DlTimerFunc func;
+  void *data;
+};
+
+static DlPlugin *registered_plugins;
+
+void
+dl_plugin_register (DlPlugin *plugin)
+{
+  DlPlugin **at = &registered_plugins;
+
+  while (*at != NULL && (*at)->order <= plugin->order)
+    at = &(*at)->next;
+  plugin->next = *at;
+  *at = plugin;
+}
+
+/* -------- clocks -------- */
+
+static uint64_t
+clock_ns (clockid_t id)
+{
+  struct timespec ts;
+
+  g_assert (clock_gettime (id, &ts) == 0);
+  return (uint64_t)ts.tv_sec * 1000 * NANOSECONDS_PER_MS + (uint64_t)ts.tv_nsec;
+}
+
+uint64_t
+dl_clock_ms (void)
+{
+  return clock_ns (CLOCK_BOOTTIME) / NANOSECONDS_PER_MS;
+}
+
+uint64_t
+dl_clock_us (void)
+{
+  return clock_ns (CLOCK_BOOTTIME) / NANOSECONDS_PER_US;
+}
+
+uint64_t
+dl_wall_clock_ms (void)
+{
+  return clock_ns (CLOCK_REALTIME) / NANOSECONDS_PER_MS;
+}
+
+/* -------- messages -------- */
+
+void *
+dl_message_new (int type, size_t size)
+{
+  DlMessage *message = talloc_zero_size (NULL, size);
+
+  g_assert (message != NULL && size >= sizeof *message);
+  g_assert (type >= 0 && type < MESSAGE_TYPES);
+  message->type = type;
+  message->references = 1;
+  return message;
+}
+
+void *
+dl_message_ref (void *message)
+{
+  ((DlMessage *)message)->references++;
+  return message;
+}
+
+void
+dl_message_unref (void *message)
+{
+  DlMessage *m = message;
+
+  g_assert (m->references > 0);
+  if (--m->references == 0)
+    talloc_free (m);
+}
+
+void
+dl_task_post (DlTask *task, void *message)
+{
+  Delivery *d = g_new (Delivery, 1);
+
+  *d = (Delivery){ .task = task, .message = message };
+  g_queue_push_tail (&task->kernel->mailbox, d);
+}
+
+void
+dl_kernel_publish (DlKernel *kernel, void *message)
+{
+  DlMessage *m = message;
+
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if ((t->plugin->subscriptions & (UINT64_C (1) << m->type)) != 0)
+      dl_task_post (t, dl_message_ref (m));
+  dl_message_unref (m);
+}
+
+static void
+deliver_messages (DlKernel *kernel)
+{
+  for (int i = 0; i < MESSAGES_PER_TURN; i++)
+    {
+      Delivery *d = g_queue_pop_head (&kernel->mailbox);
+
+      if (d == NULL)
+        return;
+      if (d->task->started && d->task->plugin->handle != NULL)
+        d->task->plugin->handle (d->task, d->message);
+      dl_message_unref (d->message);
+      g_free (d);
+    }
+}
+
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  DlKernel *kernel = watcher->data;
+
+  deliver_messages (kernel);
+  if (g_queue_is_empty (&kernel->mailbox))
+    ev_idle_stop (loop, &kernel->idle);
+  else
+    ev_idle_start (loop, &kernel->idle); /* keeps the loop from sleeping */
+}
+
+static void
+on_idle (struct ev_loop *loop, ev_idle *watcher, int events)
+{
+}
+
+/* -------- planned stop -------- */
+
+static void
+stop_when_drained (DlKernel *kernel)
+{
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if (!t->drained)
+      return;
+  ev_break (kernel->loop, EVBREAK_ALL);
+}
+
+static void
+on_drain_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  dl_log (DL_EVENT_DRAIN_TIMEOUT);
+  ev_break (loop, EVBREAK_ALL);
+}
+
+void
+dl_kernel_stop (DlKernel *kernel)
+{
+  if (kernel->stopping)
+    return;
+  kernel->stopping = true;
+  dl_log (DL_EVENT_STOPPING);
+  ev_timer_set (&kernel->drain_timer, (double)kernel->drain_ms / MILLISECONDS_PER_SECOND,
+                0.0);
+  ev_timer_start (kernel->loop, &kernel->drain_timer);
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    {
+      if (t->plugin->drain != NULL)
+        t->plugin->drain (t);
+      else
+        t->drained = true;
+    }
+  stop_when_drained (kernel);
+}
+
+void
+dl_task_drained (DlTask *task)
+{
+  if (task->drained || !task->kernel->stopping)
+    return;
+  task->drained = true;
+  stop_when_drained (task->kernel);
+}
+
+static void
+on_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  DlKernel *kernel = watcher->data;
+
+  if (kernel->stopping)
+    ev_break (loop, EVBREAK_ALL);
+  else
+    dl_kernel_stop (kernel);
+}
+
+static void
+on_dump_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  json_object *dump = dl_kernel_dump (watcher->data);
+
+  dl_log (DL_EVENT_DUMP);
+  fprintf (stderr, "%s\n",
+           json_object_to_json_string_ext (dump, JSON_C_TO_STRING_PRETTY));
+  json_object_put (dump);
+}
+
+/* -------- the kernel -------- */
+
+DlKernel *
+dl_kernel_new (const char *program, const char *name, const void *settings)
+{
+  DlKernel *kernel = talloc_zero (NULL, DlKernel);
+
+  g_assert (kernel != NULL && sodium_init () >= 0);
+  kernel->loop = ev_default_loop (EVFLAG_AUTO);
+  g_assert (kernel->loop != NULL);
+  kernel->program = talloc_strdup (kernel, program);
+  kernel->name = talloc_strdup (kernel, name);
+  kernel->settings = settings;
+  kernel->drain_ms = DRAIN_DEFAULT_MS;
+  randombytes_buf (&kernel->incarnation, sizeof kernel->incarnation);
+  g_queue_init (&kernel->mailbox);
+  return kernel;
+}
+
+static int
+start_tasks (DlKernel *kernel)
+{
+  DlTask **end = &kernel->tasks;
+
+  for (const DlPlugin *p = registered_plugins; p != NULL; p = p->next)
+    {
+      DlTask *task = talloc_zero (kernel, DlTask);
+
+      g_assert (task != NULL);
+      task->kernel = kernel;
+      task->plugin = p;
+      *end = task;
+      end = &task->next;
+    }
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    {
+      int error = t->plugin->start != NULL ? t->plugin->start (t) : 0;
+
+      if (error < 0)
+        {
+          dl_log (DL_EVENT_START_FAILED, DL_TEXT ("plugin", t->plugin->name),
+                  DL_ERRNO (error));
+          return error;
+        }
+      t->started = true;
+    }
+  return 0;
+}
+
+static void
+start_signal (DlKernel *kernel,
+              ev_signal *watcher,
+              int signum,
+              void (*func) (struct ev_loop *, ev_signal *, int))
+{
+  ev_signal_init (watcher, func, signum);
+  watcher->data = kernel;
+  ev_signal_start (kernel->loop, watcher);
+}
+
+static void
+drop_mailbox (DlKernel *kernel)
+{
+  Delivery *d;
+
+  while ((d = g_queue_pop_head (&kernel->mailbox)) != NULL)
+    {
+      dl_message_unref (d->message);
+      g_free (d);
+    }
+}
+
+/* Frees the tasks' states, the last started first. */
+static void
+stop_tasks (DlKernel *kernel)
+{
+  GPtrArray *tasks = g_ptr_array_new ();
+
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    g_ptr_array_add (tasks, t);
+  for (guint i = tasks->len; i > 0; i--)
+    {
+      DlTask *t = g_ptr_array_index (tasks, i - 1);
+
+      t->started = false;
+      talloc_free (t->state);
+      t->state = NULL;
+    }
+  g_ptr_array_free (tasks, TRUE);
+}
+
+int
+dl_kernel_run (DlKernel *kernel)
+{
+  int error;
+
+  signal (SIGPIPE, SIG_IGN);
+  start_signal (kernel, &kernel->sigterm, SIGTERM, on_stop_signal);
+  start_signal (kernel, &kernel->sigint, SIGINT, on_stop_signal);
+  start_signal (kernel, &kernel->sigusr1, SIGUSR1, on_dump_signal);
+  ev_init (&kernel->drain_timer, on_drain_timeout);
+  ev_prepare_init (&kernel->prepare, on_prepare);
+  kernel->prepare.data = kernel;
+  ev_prepare_start (kernel->loop, &kernel->prepare);
+  ev_idle_init (&kernel->idle, on_idle);
+
+  error = start_tasks (kernel);
+  if (error == 0)
+    {
+      dl_log (DL_EVENT_STARTED);
+      ev_run (kernel->loop, 0);
+    }
+  stop_tasks (kernel);
+  drop_mailbox (kernel);
+  if (error == 0)
+    dl_log (DL_EVENT_STOPPED);
+  return error;
+}
+
+void
+dl_kernel_set_drain_ms (DlKernel *kernel, uint64_t drain_ms)
+{
+  kernel->drain_ms = drain_ms;
+}
+
+bool
+dl_kernel_stopping (const DlKernel *kernel)
+{
+  return kernel->stopping;
+}
+
+struct ev_loop *
+dl_kernel_loop (DlKernel *kernel)
+{
+  return kernel->loop;
+}
+
+const void *
+dl_kernel_settings (const DlKernel *kernel)
+{
+  return kernel->settings;
+}
+
+const char *
+dl_kernel_name (const DlKernel *kernel)
+{
+  return kernel->name;
+}
+
+uint64_t
+dl_kernel_incarnation (const DlKernel *kernel)
+{
+  return kernel->incarnation;
+}
+
+json_object *
+dl_kernel_dump (DlKernel *kernel)
+{
+  json_object *dump = json_object_new_object ();
+  json_object *tasks = json_object_new_object ();
+
+  json_object_object_add (dump, "program", json_object_new_string (kernel->program));
+  json_object_object_add (dump, "name", json_object_new_string (kernel->name));
+  json_object_object_add (dump, "incarnation",
+                          json_object_new_uint64 (kernel->incarnation));
+  json_object_object_add (dump, "stopping", json_object_new_boolean (kernel->stopping));
+  json_object_object_add (dump, "mailbox_length",
+                          json_object_new_int64 (g_queue_get_length (&kernel->mailbox)));
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if (t->plugin->dump != NULL && t->started)
+      json_object_object_add (tasks, t->plugin->name, t->plugin->dump (t));
+  json_object_object_add (dump, "tasks", tasks);
+  json_object_object_add (dump, "metrics", dl_metrics_dump ());
+  return dump;
+}
+
+DlTask *
+dl_kernel_task (DlKernel *kernel, const char *plugin_name)
+{
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if (strcmp (t->plugin->name, plugin_name) == 0)
+      return t;
+  return NULL;
+}
+
+DlKernel *
+dl_task_kernel (DlTask *task)
+{
+  return task->kernel;
+}
+
+void
+dl_task_set_state (DlTask *task, void *state)
+{
+  task->state = state;
+}
+
+void *
+dl_task_state (DlTask *task)
+{
+  return task->state;
+}
+
+/* -------- the timer service -------- */
+
+static int
+timer_destroy (DlTimer *timer)
+{
+  ev_timer_stop (timer->loop, &timer->watcher);
+  return 0;
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  DlTimer *timer = watcher->data;
+
+  timer->func (timer, timer->data);
+}
+
+DlTimer *
+dl_timer_subscribe (DlTask *task,
+                    const void *owner,
+                    uint64_t first_ms,
+                    uint64_t repeat_ms,
+                    DlTimerFunc func,
+                    void *data)
+{
+  DlTimer *timer = talloc_zero (owner, DlTimer);
+
+  g_assert (timer != NULL);
+  timer->loop = task->kernel->loop;
+  timer->func = func;
+  timer->data = data;
+  ev_timer_init (&timer->watcher, on_timer, (double)first_ms / MILLISECONDS_PER_SECOND,
+                 (double)repeat_ms / MILLISECONDS_PER_SECOND);
+  timer->watcher.data = timer;
+  ev_timer_start (timer->loop, &timer->watcher);
+  talloc_set_destructor (timer, timer_destroy);
+  return timer;
+}
+
+void
+dl_timer_restart (DlTimer *timer, uint64_t first_ms)
+{
+  double repeat = timer->watcher.repeat;
+
+  ev_timer_stop (timer->loop, &timer->watcher);
+  ev_timer_set (&timer->watcher, (double)first_ms / MILLISECONDS_PER_SECOND, repeat);
+  ev_timer_start (timer->loop, &timer->watcher);
+}
--- /dev/null
+++ b/lib/kernel/object_client.h
@@ -0,0 +1,104 @@
+/*
+ * Client of the platform's versioned object API.
+ *
+ * The protocol, as the stand-in of the test tree speaks it too (bodies are JSON):
+ *
+ *   GET    /v1/objects/KIND/NAME   200 {"kind","name","revision","created","value"} or
+ * 404 PUT    /v1/objects/KIND/NAME   body: the value.  "If-Match: REVISION" replaces only
+ *                                  that revision, "If-None-Match: *" only creates.
+ *                                  200 {"revision","created"}; 412 on a conflict
+ *   DELETE /v1/objects/KIND/NAME   "If-Match: REVISION"; 200 or 412 or 404
+ *   GET    /v1/objects?kinds=A,B   200 {"revision", "objects": [as GET]}
+ *   GET    /v1/watch?kinds=A,B&after=REVISION&wait_ms=N
+ *                                  waits for a change after REVISION; 200 {"revision",
+ *                                  "objects": [..., {"kind","name","revision",
+ *                                  "deleted": true}]}; 410 when REVISION is too old
+ *   GET    /v1/hosts               200 {"revision","hosts":[...]} (see members.h)
+ *
+ * 429 and 503 carry Retry-After.  Revisions rise over the whole store; "created" is the
+ * revision that created the object.
+ */
+#ifndef DL_OBJECT_CLIENT_H
+#define DL_OBJECT_CLIENT_H
+
+#include "kernel/http_client.h"
+#include "kernel/kernel.h"
+
+#define DL_OBJECT_VALUE_MAX_BYTES (1u << 20)
+
+typedef struct DlObjectClient DlObjectClient;
+
+/* One object; below the result's context. */
+typedef struct
+{
+  char *kind;
+  char *name;
+  uint64_t revision;
+  uint64_t created;
+  bool deleted;
+  json_object *value; /* NULL when deleted */
+} DlObject;
+
+typedef struct
+{
+  /* 0, DL_ERR_CONFLICT, DL_ERR_NOT_FOUND, DL_ERR_RATE_LIMITED, DL_ERR_UNAVAILABLE (the
+   * call certainly took no effect), DL_ERR_UNKNOWN (a write may have taken effect: read
+   * back), DL_ERR_GONE, DL_ERR_MALFORMED */
+  int error;
+  uint64_t retry_after_ms; /* with RATE_LIMITED or UNAVAILABLE; 0 when not told */
+  uint64_t revision;       /* of the written object, or of the list or watch */
+  uint64_t created;
+  size_t count;
+  DlObject *objects;
+} DlObjectResult;
+
+/* RESULT ends with the call; keep what is needed (json_object_get, talloc_steal). */
+typedef void (*DlObjectFunc) (const DlObjectResult *result, void *data);
+
+/* ADDRESS is the platform's "IP:PORT". */
+DlObjectClient *dl_object_client_new (DlTask *task,
+                                      const void *owner,
+                                      const char *address,
+                                      uint64_t timeout_ms);
+/* Each call is a talloc child of OWNER, freed after FUNC; freeing OWNER earlier cancels
+ * it without a callback. */
+void dl_object_get (DlObjectClient *client,
+                    const void *owner,
+                    const char *kind,
+                    const char *name,
+                    DlObjectFunc func,
+                    void *data);
+/* Writes VALUE (borrowed).  REVISION 0 creates; another replaces just that revision. */
+void dl_object_put (DlObjectClient *client,
+                    const void *owner,
+                    const char *kind,
+                    const char *name,
+                    uint64_t revision,
+                    json_object *value,
+                    DlObjectFunc func,
+                    void *data);
+void dl_object_delete (DlObjectClient *client,
+                       const void *owner,
+                       const char *kind,
+                       const char *name,
+                       uint64_t revision,
+                       DlObjectFunc func,
+                       void *data);
+/* KINDS: comma-separated. */
+void dl_object_list (DlObjectClient *client,
+                     const void *owner,
+                     const char *kinds,
+                     DlObjectFunc func,
+                     void *data);
+void dl_object_watch (DlObjectClient *client,
+                      const void *owner,
+                      const char *kinds,
+                      uint64_t after,
+                      uint64_t wait_ms,
+                      DlObjectFunc func,
+                      void *data);
+
+/* True for names that the API takes: 1 to 128 of [A-Za-z0-9._-], not starting with "." */
+bool dl_object_name_is_valid (DlStr name);
+
+#endif
