--- /dev/null
+++ b/lib/policy/budget.h
@@ -0,0 +1,37 @@
+/*
+ * Link budgets: a token bucket in bytes.
+ *
+ * A sender may start while the bucket is not in debt and is charged in full afterwards,
+ * so that a chunk larger than the burst can be sent and the rate still holds over time.
+ * Times are microseconds of a clock that never goes back.
+ */
+#ifndef DL_BUDGET_H
+#define DL_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define DL_BUDGET_FULL_PERMILLE 1000
+
+typedef struct
+{
+  uint64_t bytes_per_s; /* 0: no limit */
+  uint64_t burst_bytes;
+  uint32_t share_permille; /* part of the rate that may be used now */
+  double tokens;           /* bytes; below 0 is debt */
+  uint64_t filled_us;      /* when tokens were last added */
+} DlBudget;
+
+void dl_budget_init (DlBudget *budget,
+                     uint64_t bytes_per_s,
+                     uint64_t burst_bytes,
+                     uint64_t now_us);
+/* Changes the part of the rate in use; what was earned until now is kept. */
+void dl_budget_set_share (DlBudget *budget, uint32_t permille, uint64_t now_us);
+/* True when a sender may start. */
+bool dl_budget_ready (DlBudget *budget, uint64_t now_us);
+void dl_budget_charge (DlBudget *budget, uint64_t bytes, uint64_t now_us);
+/* Microseconds until the budget is ready; 0 when it is. */
+uint64_t dl_budget_wait_us (DlBudget *budget, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/lib/policy/swarm_rank.c
@@ -0,0 +1,154 @@
+/*
+ * Rankings of the hosts for each chunk, and the neighbours on the rings.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "policy/rendezvous.h"
+#include "policy/swarm_private.h"
+
+/* -------- rankings -------- */
+
+static void
+insert_ranked (Host *ranked[SWARM_RANKED],
+               uint64_t scores[SWARM_RANKED],
+               Host *host,
+               uint64_t score)
+{
+  int at = SWARM_RANKED;
+
+  while (at > 0 && (ranked[at - 1] == NULL || scores[at - 1] < score))
+    at--;
+  if (at == SWARM_RANKED)
+    return;
+  memmove (&ranked[at + 1], &ranked[at], sizeof *ranked * (SWARM_RANKED - 1 - at));
+  memmove (&scores[at + 1], &scores[at], sizeof *scores * (SWARM_RANKED - 1 - at));
+  ranked[at] = host;
+  scores[at] = score;
+}
+
+static void
+rank_group (DlSwarm *swarm, uint32_t group)
+{
+  Ranking *ranking = &swarm->rankings[group];
+  uint64_t own_scores[SWARM_RANKED];
+  uint64_t home_scores[SWARM_RANKED];
+  char key[64];
+  int length = g_snprintf (key, sizeof key, "chunk %u", group);
+
+  *ranking = (Ranking){ 0 };
+  for (guint i = 0; i < swarm->hosts->len; i++)
+    {
+      Host *host = g_ptr_array_index (swarm->hosts, i);
+      uint64_t score;
+
+      if (!host->live)
+        continue;
+      score
+          = dl_rendezvous_score (dl_str_bytes (key, (size_t)length), dl_str (host->name));
+      if (host->same_region)
+        insert_ranked (ranking->own, own_scores, host, score);
+      if (strcmp (host->region, swarm->options.home_region) == 0)
+        insert_ranked (ranking->home, home_scores, host, score);
+    }
+}
+
+void
+swarm_rank_groups (DlSwarm *swarm, uint32_t first)
+{
+  swarm->ranking_count = MIN (swarm->count, SWARM_GROUPS);
+  swarm->rankings
+      = talloc_realloc (swarm, swarm->rankings, Ranking, swarm->ranking_count);
+  for (uint32_t group = first; group < swarm->ranking_count; group++)
+    rank_group (swarm, group);
+}
+
+Host *
+swarm_first (DlSwarm *swarm, Host *const ranking[SWARM_RANKED], uint64_t now, int *place)
+{
+  Host *first = NULL;
+  int at = 0;
+
+  if (place != NULL)
+    *place = SWARM_RANKED;
+  for (int i = 0; i < SWARM_RANKED && ranking[i] != NULL; i++)
+    {
+      Host *host = ranking[i];
+
+      if (!host->live || (host != swarm->self && host->down_until_us > now))
+        continue;
+      if (first == NULL)
+        first = host;
+      if (host == swarm->self && place != NULL)
+        *place = at;
+      at++;
+    }
+  return first;
+}
+
+/* -------- rings -------- */
+
+typedef struct
+{
+  Host *host;
+  uint64_t score;
+} RingPlace;
+
+static int
+compare_places (const void *a, const void *b)
+{
+  const RingPlace *x = a;
+  const RingPlace *y = b;
+
+  if (x->score != y->score)
+    return x->score < y->score ? -1 : 1;
+  return strcmp (x->host->name, y->host->name);
+}
+
+static void
+walk_ring (DlSwarm *swarm, GArray *places, unsigned ring)
+{
+  char key[32];
+  int length = g_snprintf (key, sizeof key, "ring %u", ring);
+  guint n = places->len;
+
+  for (guint i = 0; i < n; i++)
+    {
+      RingPlace *place = &g_array_index (places, RingPlace, i);
+
+      place->score = dl_rendezvous_score (dl_str_bytes (key, (size_t)length),
+                                          dl_str (place->host->name));
+    }
+  g_array_sort (places, compare_places);
+  for (guint i = 0; i < n; i++)
+    {
+      if (g_array_index (places, RingPlace, i).host != swarm->self)
+        continue;
+      g_array_index (places, RingPlace, (i + 1) % n).host->neighbour = true;
+      g_array_index (places, RingPlace, (i + n - 1) % n).host->neighbour = true;
+    }
+}
+
+void
+swarm_choose_neighbours (DlSwarm *swarm)
+{
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (RingPlace));
+  Host *self = swarm->self;
+
+  for (guint i = 0; i < swarm->hosts->len; i++)
+    {
+      Host *host = g_ptr_array_index (swarm->hosts, i);
+
+      host->neighbour = false;
+      if (host->same_region && (host->live || host == self))
+        {
+          RingPlace place = { .host = host };
+
+          g_array_append_val (places, place);
+        }
+    }
+  for (unsigned ring = 0; ring < SWARM_RINGS; ring++)
+    walk_ring (swarm, places, ring);
+  self->neighbour = false;
+  g_array_free (places, TRUE);
+}
--- /dev/null
+++ b/lib/policy/swarm_serve.c
@@ -0,0 +1,205 @@
+/*
+ * Requests of other hosts: the queue of uploads, and what this host announces.
+ */
+#include "policy/swarm_private.h"
+
+#define REFUSE_RETRY_MS 50
+
+static void
+refuse (DlSwarm *swarm, const Host *host, uint32_t position, uint32_t retry_ms)
+{
+  swarm_act (swarm, (DlSwarmAction){ .type = DL_SWARM_REFUSE,
+                                     .host = host->name,
+                                     .refuse = { .index = index_of (position),
+                                                 .retry_ms = retry_ms } });
+}
+
+/* Takes the host's request for the position from the list; returns whether it was there.
+ */
+static bool
+remove_request (GArray *list, const Host *host, uint32_t position)
+{
+  for (guint i = 0; i < list->len; i++)
+    {
+      const Upload *upload = &g_array_index (list, Upload, i);
+
+      if (upload->host != host || upload->position != position)
+        continue;
+      g_array_remove_index (list, i);
+      return true;
+    }
+  return false;
+}
+
+void
+dl_swarm_peer_wants (
+    DlSwarm *swarm, const char *name, uint32_t index, bool wait, uint64_t now_us)
+{
+  Host *host = swarm_host (swarm, name);
+  uint32_t position = position_of (index);
+  Upload upload
+      = { .host = host, .position = position, .wait = wait, .since_us = now_us };
+
+  if (!host->up)
+    return;
+  if (swarm->has_manifest && position >= swarm->count)
+    {
+      refuse (swarm, host, position, 0);
+      return;
+    }
+  remove_request (swarm->uploads, host, position);
+  remove_request (swarm->waiters, host, position);
+  if (dl_swarm_holds (swarm, index))
+    {
+      if (wait || swarm->uploads->len < QUEUE_MAX)
+        g_array_append_val (swarm->uploads, upload);
+      else
+        refuse (swarm, host, position, REFUSE_RETRY_MS);
+    }
+  else if (wait && !swarm->unusable)
+    g_array_append_val (swarm->waiters, upload);
+  else
+    refuse (swarm, host, position, 0);
+}
+
+void
+dl_swarm_peer_cancels (DlSwarm *swarm, const char *name, uint32_t index)
+{
+  Host *host = swarm_host (swarm, name);
+
+  remove_request (swarm->uploads, host, position_of (index));
+  remove_request (swarm->waiters, host, position_of (index));
+}
+
+void
+swarm_forget_requests (DlSwarm *swarm, const Host *host)
+{
+  for (guint i = swarm->uploads->len; i > 0; i--)
+    if (g_array_index (swarm->uploads, Upload, i - 1).host == host)
+      g_array_remove_index (swarm->uploads, i - 1);
+  for (guint i = swarm->waiters->len; i > 0; i--)
+    if (g_array_index (swarm->waiters, Upload, i - 1).host == host)
+      g_array_remove_index (swarm->waiters, i - 1);
+}
+
+void
+swarm_waiters_ready (DlSwarm *swarm, uint32_t position)
+{
+  for (guint i = 0; i < swarm->waiters->len;)
+    {
+      Upload upload = g_array_index (swarm->waiters, Upload, i);
+
+      if (upload.position != position)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (swarm->waiters, i);
+      g_array_append_val (swarm->uploads, upload);
+    }
+}
+
+void
+swarm_refuse_waiters (DlSwarm *swarm, uint32_t retry_ms)
+{
+  for (guint i = 0; i < swarm->waiters->len; i++)
+    {
+      const Upload *upload = &g_array_index (swarm->waiters, Upload, i);
+
+      refuse (swarm, upload->host, upload->position, retry_ms);
+    }
+  g_array_set_size (swarm->waiters, 0);
+}
+
+/* True when A is to be sent before B: a chunk that another region waits for, then the one
+ * with the fewest known copies, then the older request. */
+static bool
+upload_before (const DlSwarm *swarm, const Upload *a, const Upload *b)
+{
+  bool a_crosses = !a->host->same_region;
+  bool b_crosses = !b->host->same_region;
+  uint32_t a_copies = swarm->chunks[a->position].copies;
+  uint32_t b_copies = swarm->chunks[b->position].copies;
+
+  if (a_crosses != b_crosses)
+    return a_crosses;
+  if (a_copies != b_copies)
+    return a_copies < b_copies;
+  return a->since_us < b->since_us;
+}
+
+/* Index of the next upload that the region budget allows; the length when none. */
+static guint
+choose_upload (DlSwarm *swarm, uint64_t now_us)
+{
+  bool may_cross = dl_budget_ready (swarm->options.budgets.region_up, now_us);
+  guint best = swarm->uploads->len;
+
+  for (guint i = 0; i < swarm->uploads->len; i++)
+    {
+      const Upload *upload = &g_array_index (swarm->uploads, Upload, i);
+
+      if (!upload->host->same_region && !may_cross)
+        continue;
+      if (best == swarm->uploads->len
+          || upload_before (swarm, upload, &g_array_index (swarm->uploads, Upload, best)))
+        best = i;
+    }
+  return best;
+}
+
+static void
+send_upload (DlSwarm *swarm, guint at, uint64_t now_us)
+{
+  Upload upload = g_array_index (swarm->uploads, Upload, at);
+  uint32_t bytes = swarm->chunks[upload.position].bytes;
+
+  g_array_remove_index (swarm->uploads, at);
+  dl_budget_charge (swarm->options.budgets.up, bytes, now_us);
+  if (!upload.host->same_region)
+    dl_budget_charge (swarm->options.budgets.region_up, bytes, now_us);
+  swarm_act (swarm, (DlSwarmAction){ .type = DL_SWARM_SEND,
+                                     .host = upload.host->name,
+                                     .send = { .index = index_of (upload.position),
+                                               .queue = swarm->uploads->len } });
+  /* The receiver will hold it: it need not be told of it, and counts as a copy. */
+  dl_swarm_peer_has (swarm, upload.host->name, index_of (upload.position));
+}
+
+uint64_t
+swarm_run_uploads (DlSwarm *swarm, uint64_t now_us)
+{
+  while (swarm->uploads->len > 0 && dl_budget_ready (swarm->options.budgets.up, now_us))
+    {
+      guint at = choose_upload (swarm, now_us);
+
+      if (at == swarm->uploads->len)
+        return now_us + dl_budget_wait_us (swarm->options.budgets.region_up, now_us);
+      send_upload (swarm, at, now_us);
+    }
+  if (swarm->uploads->len == 0)
+    return SWARM_NEVER;
+  return now_us + dl_budget_wait_us (swarm->options.budgets.up, now_us);
+}
+
+/* Tells every connected host what was verified since it was last told. */
+void
+swarm_run_haves (DlSwarm *swarm)
+{
+  for (guint h = 0; h < swarm->hosts->len; h++)
+    {
+      Host *host = g_ptr_array_index (swarm->hosts, h);
+
+      if (!host->up || !host->same_region || (host->announced && host->unsaid->len == 0))
+        continue;
+      for (uint32_t i = 0; i < swarm->count && !host->announced; i++)
+        {
+          uint32_t index = index_of (i);
+
+          if (swarm->chunks[i].state == CHUNK_HELD)
+            g_array_append_val (host->unsaid, index);
+        }
+      host->announced = true;
+      swarm_act (swarm, (DlSwarmAction){ .type = DL_SWARM_HAVE, .host = host->name });
+    }
+}
