--- a/daisyslotd/daisyslotd.h
+++ b/daisyslotd/daisyslotd.h
@@ -85,7 +85,8 @@
   DlMessage base;
   union
   {
-    /* CONNECTION: posted to one task, which takes the connection over. */
+    /* CONNECTION: posted to one task, which takes the connection over by
+     * dl_conn_set_owner and dl_conn_set_handler; it is unread until then. */
     struct
     {
       DlConn *connection;
@@ -127,6 +128,7 @@
     {
       bool reachable;
       DlDigest serving; /* zero: none */
+      bool draining;    /* out of rotation, waiting for requests in progress */
       bool loading;
       uint32_t running;
       uint32_t queued;
--- /dev/null
+++ b/daisyslotd/relays.c
@@ -0,0 +1,545 @@
+/*
+ * relays: connections to the relay entries of the data centre.
+ *
+ * A slot starts with the seeds of its settings, learns the members from whichever entry
+ * answers, and from then on holds a connection to each relay of its data centre.  What
+ * the relays say is taken in only when it is newer than what is known: a relay may lag,
+ * or may have been frozen.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daisyslotd.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "policy/loader.h"
+#include "status.h"
+
+#define MAINTAIN_MS      250
+#define STATUS_MS        250  /* least time between two reports */
+#define HEARTBEAT_MS     2000 /* most time between two reports */
+#define DIAL_WAIT_MIN_MS 250
+#define DIAL_WAIT_MAX_MS 2000
+#define SEED_AFTER_MS    3000 /* without a relay, seeds are asked again */
+#define DRAIN_CHECK_MS   100
+#define LINKS_MAX        (DL_RELAYS + 1) /* the relays, and a seed */
+
+/* A connection to one address, dialled again when it breaks. */
+typedef struct
+{
+  char *address;
+  DlConn *conn;
+  bool wanted;
+  uint64_t dial_at_ms;
+  uint64_t dial_wait_ms;
+} Link;
+
+typedef struct
+{
+  DlTask *task;
+  const SlotSettings *settings;
+  Link links[LINKS_MAX];
+  size_t next_seed;
+  const DlMembers *members;
+  uint64_t fleet_revision;
+  SlotDirective *directive;
+  SlotFacts facts;
+  bool in_contact;
+  uint64_t contact_since_ms;
+  bool status_due;
+  uint64_t status_sent_ms;
+  uint64_t maintained_ms;
+  DlTimer *maintain;
+  DlTimer *drain_check;
+} Relays;
+
+static void links_maintain (Relays *r);
+
+/* -------- what relays say -------- */
+
+static void
+publish_contact (Relays *r)
+{
+  SlotMessage *m = dl_message_new (SLOT_MSG_CONTACT, sizeof *m);
+
+  m->contact.in_contact = r->in_contact;
+  m->contact.since_ms = r->contact_since_ms;
+  dl_kernel_publish (dl_task_kernel (r->task), m);
+}
+
+static void
+update_contact (Relays *r)
+{
+  bool in_contact = false;
+
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].conn != NULL && dl_conn_is_open (r->links[i].conn))
+      in_contact = true;
+  if (in_contact == r->in_contact)
+    return;
+  r->in_contact = in_contact;
+  r->contact_since_ms = dl_clock_ms ();
+  publish_contact (r);
+}
+
+static void
+take_members (Relays *r, const Daisyloft__Wire__Members *wire)
+{
+  SlotMessage *m;
+  DlMembers *members;
+
+  if (r->members != NULL && wire->revision <= r->members->revision)
+    return;
+  m = dl_message_new (SLOT_MSG_MEMBERS, sizeof *m);
+  if (dl_members_from_wire (m, wire, &members) < 0)
+    {
+      dl_log (DL_EVENT_SLOT_MEMBERS_INVALID);
+      dl_message_unref (m);
+      return;
+    }
+  talloc_unlink (r, (void *)r->members);
+  r->members = talloc_reference (r, members);
+  m->members.members = members;
+  dl_kernel_publish (dl_task_kernel (r->task), m);
+  links_maintain (r);
+}
+
+static void
+take_fleet (Relays *r, uint64_t revision, DlStr text)
+{
+  SlotMessage *m;
+  DlFleet *fleet;
+  char *error = NULL;
+
+  if (revision <= r->fleet_revision)
+    return;
+  m = dl_message_new (SLOT_MSG_FLEET, sizeof *m);
+  if (dl_fleet_parse (m, "relay", text, &fleet, &error) < 0)
+    {
+      dl_log (DL_EVENT_SLOT_FLEET_INVALID, DL_UINT ("revision", revision),
+              DL_TEXT ("reason", error));
+      dl_message_unref (m);
+      return;
+    }
+  r->fleet_revision = revision;
+  dl_log (DL_EVENT_SLOT_FLEET_APPLIED, DL_UINT ("revision", revision));
+  m->fleet.revision = revision;
+  m->fleet.fleet = fleet;
+  dl_kernel_publish (dl_task_kernel (r->task), m);
+}
+
+static SlotDirective *
+directive_from_wire (const void *context, const Daisyloft__Wire__Directive *wire)
+{
+  SlotDirective *d = talloc_zero (context, SlotDirective);
+
+  g_assert (d != NULL);
+  if (dl_digest_from_bytes (DL_BYTES_STR (wire->version), &d->version) < 0)
+    {
+      talloc_free (d);
+      return NULL;
+    }
+  d->rollout = talloc_strdup (d, wire->rollout);
+  d->sequence = wire->sequence;
+  d->revision = wire->revision;
+  d->fence = wire->fence;
+  d->state = wire->state;
+  d->manifest_bytes = wire->manifest_bytes;
+  d->may_load = wire->may_load;
+  d->weigh_origin_bytes = wire->weigh_origin_bytes;
+  d->home_region = talloc_strdup (d, wire->home_region);
+  d->target_count = wire->n_targets;
+  d->targets = talloc_array (d, char *, MAX (wire->n_targets, 1));
+  for (size_t i = 0; i < wire->n_targets; i++)
+    d->targets[i] = talloc_strdup (d->targets, wire->targets[i]);
+  return d;
+}
+
+/*
+ * Of two rollouts the one created later holds; within one, the higher revision, written
+ * under a fence that never falls.  This refuses the words of a relay that lags and of a
+ * lease holder that woke after its lease had passed on.
+ */
+static bool
+directive_is_newer (const Relays *r, const Daisyloft__Wire__Directive *wire)
+{
+  const SlotDirective *d = r->directive;
+
+  if (d == NULL || wire->sequence > d->sequence)
+    return true;
+  if (wire->sequence < d->sequence || wire->revision <= d->revision)
+    return false;
+  return wire->fence >= d->fence;
+}
+
+static void
+take_directive (Relays *r, const Daisyloft__Wire__Directive *wire)
+{
+  SlotMessage *m;
+  SlotDirective *directive;
+
+  if (*wire->rollout == '\0')
+    return; /* nothing for this host; a directive taken earlier stays */
+  if (!directive_is_newer (r, wire))
+    {
+      if (wire->revision < r->directive->revision)
+        dl_log (DL_EVENT_SLOT_DIRECTIVE_REFUSED, DL_TEXT ("rollout", wire->rollout),
+                DL_UINT ("revision", wire->revision), DL_UINT ("fence", wire->fence));
+      return;
+    }
+  m = dl_message_new (SLOT_MSG_DIRECTIVE, sizeof *m);
+  directive = directive_from_wire (m, wire);
+  if (directive == NULL)
+    {
+      dl_message_unref (m);
+      return;
+    }
+  talloc_unlink (r, r->directive);
+  r->directive = talloc_reference (r, directive);
+  r->facts.directive = directive;
+  r->status_due = true;
+  dl_log (DL_EVENT_SLOT_DIRECTIVE_TAKEN, DL_TEXT ("rollout", directive->rollout),
+          DL_UINT ("revision", directive->revision), DL_INT ("state", directive->state),
+          DL_INT ("may_load", directive->may_load));
+  m->directive.directive = directive;
+  dl_kernel_publish (dl_task_kernel (r->task), m);
+}
+
+static void
+on_relay_frame (DlConn *conn, const DlEnvelope *envelope, DlStr payload, void *data)
+{
+  Relays *r = data;
+
+  switch (envelope->body_case)
+    {
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_MEMBERS:
+      take_members (r, envelope->members);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_FLEET_SETTINGS:
+      take_fleet (r, envelope->fleet_settings->revision, payload);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_DIRECTIVE:
+      take_directive (r, envelope->directive);
+      break;
+    default:
+      break; /* of a later version of the protocol */
+    }
+}
+
+/* -------- status -------- */
+
+static void
+send_status (Relays *r, DlConn *conn, Daisyloft__Wire__SlotStatus *status)
+{
+  DlEnvelope envelope = DL_ENVELOPE (SLOT_STATUS, slot_status, status);
+
+  dl_conn_send (conn, &envelope, dl_str_bytes (NULL, 0));
+}
+
+static void
+report_status (Relays *r)
+{
+  SlotMessage *m = dl_message_new (SLOT_MSG_STATUS, sizeof *m);
+  Daisyloft__Wire__SlotStatus *status = slot_facts_status (&r->facts, m);
+
+  r->status_due = false;
+  r->status_sent_ms = dl_clock_ms ();
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].conn != NULL && dl_conn_is_open (r->links[i].conn))
+      send_status (r, r->links[i].conn, status);
+  m->status.status = status;
+  dl_kernel_publish (dl_task_kernel (r->task), m);
+}
+
+static void
+report_status_when_due (Relays *r)
+{
+  uint64_t passed = dl_clock_ms () - r->status_sent_ms;
+
+  if (passed >= HEARTBEAT_MS || (r->status_due && passed >= STATUS_MS))
+    report_status (r);
+}
+
+/* -------- links -------- */
+
+static Link *
+find_link (Relays *r, const DlConn *conn)
+{
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].conn == conn)
+      return &r->links[i];
+  return NULL;
+}
+
+static void
+on_relay_open (DlConn *conn, void *data)
+{
+  Relays *r = data;
+  Link *link = find_link (r, conn);
+  Daisyloft__Wire__SlotStatus *status = slot_facts_status (&r->facts, r);
+
+  dl_log (DL_EVENT_SLOT_RELAY_CONNECTED, DL_TEXT ("relay", dl_conn_peer (conn)->name));
+  if (link != NULL)
+    link->dial_wait_ms = DIAL_WAIT_MIN_MS;
+  send_status (r, conn, status);
+  talloc_free (status);
+  update_contact (r);
+}
+
+static void
+on_relay_closed (DlConn *conn, int error, void *data)
+{
+  Relays *r = data;
+  Link *link = find_link (r, conn);
+  const char *name = dl_conn_peer (conn)->name;
+
+  if (name != NULL)
+    dl_log (DL_EVENT_SLOT_RELAY_LOST, DL_TEXT ("relay", name), DL_ERRNO (error));
+  if (link != NULL)
+    {
+      uint64_t jitter = dl_random_uint64 () % DIAL_WAIT_MIN_MS;
+
+      link->conn = NULL;
+      link->dial_at_ms = dl_clock_ms () + link->dial_wait_ms + jitter;
+      link->dial_wait_ms = MIN (link->dial_wait_ms * 2, DIAL_WAIT_MAX_MS);
+    }
+  talloc_free (conn);
+  update_contact (r);
+}
+
+static const DlConnHandler relay_handler = {
+  .on_open = on_relay_open,
+  .on_frame = on_relay_frame,
+  .on_closed = on_relay_closed,
+};
+
+static void
+link_dial (Relays *r, Link *link)
+{
+  link->conn = dl_conn_dial (r->task, r, dl_str (link->address), slot_identity (r->task),
+                             DAISYLOFT__WIRE__PURPOSE__PURPOSE_RELAY, &relay_handler, r);
+}
+
+static void
+link_drop (Link *link)
+{
+  talloc_free (link->conn);
+  talloc_free (link->address);
+  *link = (Link){ 0 };
+}
+
+/* Keeps or takes a link to ADDRESS. */
+static void
+want_link (Relays *r, const char *address)
+{
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].address != NULL && strcmp (r->links[i].address, address) == 0)
+      {
+        r->links[i].wanted = true;
+        return;
+      }
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].address == NULL)
+      {
+        r->links[i] = (Link){
+          .address = talloc_strdup (r, address),
+          .wanted = true,
+          .dial_wait_ms = DIAL_WAIT_MIN_MS,
+        };
+        return;
+      }
+}
+
+static bool
+any_link_is_open_or_wanted (const Relays *r)
+{
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].wanted && r->links[i].conn != NULL
+        && dl_conn_is_open (r->links[i].conn))
+      return true;
+  return false;
+}
+
+/* A seed is asked while nothing is known, or when the known relays have all been silent.
+ */
+static void
+want_seed (Relays *r)
+{
+  const char **seeds = r->settings->seeds.items;
+  Link *spare = &r->links[LINKS_MAX - 1];
+
+  if (any_link_is_open_or_wanted (r))
+    return;
+  if (r->members != NULL && dl_clock_ms () - r->contact_since_ms < SEED_AFTER_MS)
+    return;
+  if (spare->address != NULL && spare->conn != NULL)
+    {
+      spare->wanted = true;
+      return;
+    }
+  if (spare->address != NULL && dl_clock_ms () < spare->dial_at_ms)
+    {
+      spare->wanted = true;
+      return;
+    }
+  if (spare->address != NULL)
+    link_drop (spare);
+  *spare = (Link){
+    .address = talloc_strdup (r, seeds[r->next_seed++ % r->settings->seeds.count]),
+    .wanted = true,
+    .dial_wait_ms = DIAL_WAIT_MIN_MS,
+  };
+}
+
+static void
+links_maintain (Relays *r)
+{
+  const DlMember *relays[DL_RELAYS];
+  uint64_t now = dl_clock_ms ();
+  size_t count = 0;
+
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    r->links[i].wanted = false;
+  if (r->members != NULL)
+    count = dl_members_relays (r->members, r->settings->region, r->settings->data_center,
+                               relays);
+  for (size_t i = 0; i < count; i++)
+    want_link (r, relays[i]->address);
+  want_seed (r);
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    {
+      Link *link = &r->links[i];
+
+      /* A link no longer wanted goes only when another one is open. */
+      if (link->address != NULL && !link->wanted && any_link_is_open_or_wanted (r))
+        link_drop (link);
+      else if (link->wanted && link->conn == NULL && now >= link->dial_at_ms)
+        link_dial (r, link);
+    }
+  update_contact (r);
+}
+
+/* After a pause of the process what the relays said before may no longer hold: contact
+ * begins anew, and every relay says again what is in force. */
+static void
+drop_links_after_pause (Relays *r)
+{
+  uint64_t now = dl_clock_ms ();
+
+  if (r->maintained_ms > 0 && now - r->maintained_ms > DL_LOADER_PAUSE_MS)
+    {
+      for (size_t i = 0; i < LINKS_MAX; i++)
+        if (r->links[i].address != NULL)
+          link_drop (&r->links[i]);
+      update_contact (r);
+    }
+  r->maintained_ms = now;
+}
+
+static void
+on_maintain (DlTimer *timer, void *data)
+{
+  Relays *r = data;
+
+  drop_links_after_pause (r);
+  links_maintain (r);
+  report_status_when_due (r);
+}
+
+/* -------- the task -------- */
+
+static int
+relays_start (DlTask *task)
+{
+  Relays *r = talloc_zero (NULL, Relays);
+
+  g_assert (r != NULL);
+  dl_task_set_state (task, r);
+  r->task = task;
+  r->settings = slot_settings (task);
+  r->contact_since_ms = dl_clock_ms ();
+  r->next_seed = dl_random_uint64 () % r->settings->seeds.count;
+  r->facts.settings = r->settings;
+  r->facts.incarnation = dl_kernel_incarnation (dl_task_kernel (task));
+  r->maintain = dl_timer_subscribe (task, r, 0, MAINTAIN_MS, on_maintain, r);
+  return 0;
+}
+
+static void
+relays_handle (DlTask *task, const DlMessage *message)
+{
+  Relays *r = dl_task_state (task);
+
+  slot_facts_take (&r->facts, r, (const SlotMessage *)message);
+  r->status_due = true;
+}
+
+static void
+on_drain_check (DlTimer *timer, void *data)
+{
+  Relays *r = data;
+
+  if (r->facts.requests_running == 0)
+    dl_task_drained (r->task);
+}
+
+/* The slot's own word that it leaves goes out at once, ahead of the platform's list. */
+static void
+relays_drain (DlTask *task)
+{
+  Relays *r = dl_task_state (task);
+
+  r->facts.leaving = true;
+  report_status (r);
+  r->drain_check
+      = dl_timer_subscribe (task, r, DRAIN_CHECK_MS, DRAIN_CHECK_MS, on_drain_check, r);
+}
+
+static json_object *
+relays_dump (DlTask *task)
+{
+  Relays *r = dl_task_state (task);
+  json_object *dump = json_object_new_object ();
+  json_object *links = json_object_new_array ();
+
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].address != NULL)
+      {
+        json_object *link = json_object_new_object ();
+        bool open = r->links[i].conn != NULL && dl_conn_is_open (r->links[i].conn);
+
+        json_object_object_add (link, "address",
+                                json_object_new_string (r->links[i].address));
+        json_object_object_add (link, "open", json_object_new_boolean (open));
+        json_object_array_add (links, link);
+      }
+  json_object_object_add (dump, "links", links);
+  json_object_object_add (dump, "in_contact", json_object_new_boolean (r->in_contact));
+  json_object_object_add (dump, "members",
+                          json_object_new_uint64 (r->members != NULL ? r->members->count
+                                                                     : 0));
+  json_object_object_add (dump, "fleet_revision",
+                          json_object_new_uint64 (r->fleet_revision));
+  if (r->directive != NULL)
+    {
+      json_object_object_add (dump, "rollout",
+                              json_object_new_string (r->directive->rollout));
+      json_object_object_add (dump, "directive_revision",
+                              json_object_new_uint64 (r->directive->revision));
+    }
+  return dump;
+}
+
+static DlPlugin relays_plugin = {
+  .name = "relays",
+  .order = 20,
+  .subscriptions = SLOT_SUBSCRIBE (SLOT_MSG_TRANSFER) | SLOT_SUBSCRIBE (SLOT_MSG_ENGINE)
+                   | SLOT_SUBSCRIBE (SLOT_MSG_LOAD) | SLOT_SUBSCRIBE (SLOT_MSG_ROTATION)
+                   | SLOT_SUBSCRIBE (SLOT_MSG_FLEET),
+  .start = relays_start,
+  .handle = relays_handle,
+  .drain = relays_drain,
+  .dump = relays_dump,
+};
+DL_PLUGIN_REGISTER (relays_plugin)
--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -55,7 +55,8 @@
   int fd;
   ConnState state;
   bool paused;
-  bool *freed; /* set when the connection is freed under a callback */
+  bool detached; /* waits, unread, for an owner to set a handler */
+  bool *freed;   /* set when the connection is freed under a callback */
   const DlIdentity *identity;
   Daisyloft__Wire__Purpose purpose;
   DlPeer peer;
@@ -387,7 +388,7 @@
   listener->on_accept (conn, listener->data);
   if (conn->freed != NULL && *conn->freed)
     return;
-  if (conn->state != CONN_CLOSED && conn->handler.on_closed == NULL)
+  if (conn->state != CONN_CLOSED && conn->handler.on_closed == NULL && !conn->detached)
     talloc_free (conn);
 }
 
@@ -588,11 +589,21 @@
   return conn;
 }
 
+void
+dl_conn_detach (DlConn *conn)
+{
+  conn->detached = true;
+  dl_conn_pause (conn, true);
+}
+
 void
 dl_conn_set_handler (DlConn *conn, const DlConnHandler *handler, void *data)
 {
   conn->handler = *handler;
   conn->data = data;
+  if (conn->detached)
+    dl_conn_pause (conn, false);
+  conn->detached = false;
 }
 
 void
--- a/lib/kernel/frame.h
+++ b/lib/kernel/frame.h
@@ -66,7 +66,8 @@
 } DlConnHandler;
 
 /* An accepted connection whose handshake ended well.  The owner takes it over by setting
- * a handler with dl_conn_set_handler; left without one, it is closed. */
+ * a handler with dl_conn_set_handler, or detaches it for another task to take over; left
+ * with neither, it is closed. */
 typedef void (*DlAcceptFunc) (DlConn *conn, void *data);
 
 /* Listens on ADDRESS ("IP:PORT").  Returns 0 or a negative error. */
@@ -89,6 +90,8 @@
                       Daisyloft__Wire__Purpose purpose,
                       const DlConnHandler *handler,
                       void *data);
+/* Leaves the connection unread until somebody sets a handler. */
+void dl_conn_detach (DlConn *conn);
 void dl_conn_set_handler (DlConn *conn, const DlConnHandler *handler, void *data);
 /* Moves the connection below another talloc owner. */
 void dl_conn_set_owner (DlConn *conn, const void *owner);
--- /dev/null
+++ b/lib/policy/loader.c
@@ -0,0 +1,158 @@
+#include "policy/loader.h"
+
+#include "kernel/error.h"
+
+#define FORGET_MS    10000
+#define RETRY_MIN_MS 250
+#define RETRY_MAX_MS 8000
+#define DRAIN_MIN_MS \
+  100 /* until the task that takes requests has surely left the rotation */
+
+void
+dl_loader_init (DlLoader *loader, uint64_t now_ms, uint64_t guard_ms, uint64_t drain_ms)
+{
+  *loader = (DlLoader){
+    .guard_ms = guard_ms,
+    .drain_ms = drain_ms,
+    .forget_ms = FORGET_MS,
+    .started_ms = now_ms,
+    .stepped_ms = now_ms,
+    .retry_ms = RETRY_MIN_MS,
+  };
+}
+
+static void
+set_phase (DlLoader *l, DlLoaderPhase phase, uint64_t now_ms)
+{
+  l->phase = phase;
+  l->since_ms = now_ms;
+}
+
+/* Gives up the present try; the next one comes after a growing wait. */
+static void
+fail (DlLoader *l, uint64_t now_ms, const char *failure)
+{
+  l->failure = failure;
+  l->retry_at_ms = now_ms + l->retry_ms;
+  l->retry_ms = l->retry_ms * 2 < RETRY_MAX_MS ? l->retry_ms * 2 : RETRY_MAX_MS;
+  set_phase (l, DL_LOADER_IDLE, now_ms);
+}
+
+static void
+succeed (DlLoader *l, uint64_t now_ms)
+{
+  l->failure = NULL;
+  l->retry_ms = RETRY_MIN_MS;
+  l->retry_at_ms = 0;
+  set_phase (l, DL_LOADER_IDLE, now_ms);
+}
+
+/* A predecessor on this host may still order until its own guard has run out; only an
+ * engine that has seen an order can have had one. */
+static bool
+predecessor_is_silent (const DlLoader *l, const DlLoaderFacts *f)
+{
+  return f->engine_fence == 0 || f->now_ms - l->started_ms >= l->guard_ms;
+}
+
+static bool
+order_is_allowed (const DlLoader *l, const DlLoaderFacts *f)
+{
+  bool serves_nothing = dl_digest_is_zero (&f->serving);
+
+  return f->has_directive && f->wanted && f->whole && f->in_contact && !f->stopping
+         && f->engine_reachable && (f->may_load || serves_nothing)
+         && f->contact_since_ms >= l->woke_ms && predecessor_is_silent (l, f)
+         && f->engine_fence <= f->fence;
+}
+
+static DlLoaderAction
+step_idle (DlLoader *l, const DlLoaderFacts *f)
+{
+  if (!order_is_allowed (l, f) || f->now_ms < l->retry_at_ms)
+    return DL_LOADER_NOTHING;
+  l->version = f->version;
+  set_phase (l, DL_LOADER_DRAINING, f->now_ms);
+  return DL_LOADER_NOTHING;
+}
+
+static DlLoaderAction
+step_draining (DlLoader *l, const DlLoaderFacts *f)
+{
+  if (!order_is_allowed (l, f) || !dl_digest_equal (&l->version, &f->version))
+    {
+      set_phase (l, DL_LOADER_IDLE, f->now_ms);
+      return DL_LOADER_NOTHING;
+    }
+  if (f->requests_running == 0 && f->now_ms - l->since_ms >= DRAIN_MIN_MS)
+    {
+      set_phase (l, DL_LOADER_ORDERING, f->now_ms);
+      return DL_LOADER_ORDER;
+    }
+  if (f->now_ms - l->since_ms > l->drain_ms)
+    fail (l, f->now_ms, "requests in progress did not finish in time");
+  return DL_LOADER_NOTHING;
+}
+
+static DlLoaderAction
+step_loading (DlLoader *l, const DlLoaderFacts *f)
+{
+  if (f->now_ms - l->since_ms <= l->forget_ms)
+    return DL_LOADER_NOTHING;
+  if (dl_digest_equal (&f->loading, &l->version))
+    l->since_ms = f->now_ms; /* slow, not forgotten */
+  else
+    fail (l, f->now_ms, "the engine forgot or failed the order");
+  return DL_LOADER_NOTHING;
+}
+
+DlLoaderAction
+dl_loader_step (DlLoader *loader, const DlLoaderFacts *f)
+{
+  if (f->now_ms - loader->stepped_ms > DL_LOADER_PAUSE_MS)
+    loader->woke_ms = f->now_ms;
+  loader->stepped_ms = f->now_ms;
+  if (f->engine_reachable && f->has_directive
+      && dl_digest_equal (&f->serving, &f->version)
+      && loader->phase != DL_LOADER_ORDERING)
+    {
+      if (loader->phase != DL_LOADER_IDLE || loader->failure != NULL)
+        succeed (loader, f->now_ms);
+      return DL_LOADER_NOTHING;
+    }
+  switch (loader->phase)
+    {
+    case DL_LOADER_IDLE:
+      return step_idle (loader, f);
+    case DL_LOADER_DRAINING:
+      return step_draining (loader, f);
+    case DL_LOADER_ORDERING:
+      return DL_LOADER_NOTHING;
+    case DL_LOADER_LOADING:
+      return step_loading (loader, f);
+    }
+  return DL_LOADER_NOTHING;
+}
+
+void
+dl_loader_answer (DlLoader *loader, uint64_t now_ms, int error)
+{
+  if (loader->phase != DL_LOADER_ORDERING)
+    return;
+  if (error == 0 || error == DL_ERR_UNKNOWN)
+    set_phase (loader, DL_LOADER_LOADING, now_ms);
+  else if (error == DL_ERR_FENCED)
+    fail (loader, now_ms, "the engine has seen a newer fencing number");
+  else
+    fail (loader, now_ms, "the engine refused the order");
+}
+
+bool
+dl_loader_accepts (const DlLoader *loader, const DlLoaderFacts *f)
+{
+  bool heard = f->in_contact
+               || (f->contact_since_ms > 0
+                   && f->now_ms - f->contact_since_ms < DL_LOADER_CONTACT_MS);
+
+  return loader->phase == DL_LOADER_IDLE && heard && !f->stopping;
+}
--- /dev/null
+++ b/regress/unit/test_loader.c
@@ -0,0 +1,216 @@
+/* Loader: when a slot orders its engine. */
+#include <string.h>
+
+#include "kernel/error.h"
+#include "policy/loader.h"
+#include "unit.h"
+
+#define GUARD_MS 6000
+#define DRAIN_MS 30000
+#define START_MS 1000000
+
+static const DlDigest old_version = { .bytes = { 1 } };
+static const DlDigest new_version = { .bytes = { 2 } };
+
+/* Everything speaks for an order. */
+static DlLoaderFacts
+ready_facts (uint64_t now_ms)
+{
+  return (DlLoaderFacts){
+    .now_ms = now_ms,
+    .in_contact = true,
+    .contact_since_ms = now_ms,
+    .has_directive = true,
+    .wanted = true,
+    .may_load = true,
+    .version = new_version,
+    .fence = 3,
+    .whole = true,
+    .engine_reachable = true,
+    .serving = old_version,
+    .engine_fence = 0,
+  };
+}
+
+/* Steps every 250 ms for SPAN_MS; returns how many orders were given. */
+static int
+run_steps (DlLoader *loader, DlLoaderFacts *facts, uint64_t span_ms)
+{
+  int orders = 0;
+
+  for (uint64_t passed = 0; passed < span_ms; passed += DL_LOADER_STEP_MS)
+    {
+      facts->now_ms += DL_LOADER_STEP_MS;
+      if (dl_loader_step (loader, facts) == DL_LOADER_ORDER)
+        orders++;
+    }
+  return orders;
+}
+
+typedef struct
+{
+  const char *name;
+  void (*change) (DlLoaderFacts *facts);
+  int orders; /* within two seconds */
+} OrderCase;
+
+static void
+change_nothing (DlLoaderFacts *f)
+{
+}
+
+static void
+change_not_whole (DlLoaderFacts *f)
+{
+  f->whole = false;
+}
+
+static void
+change_not_in_wave (DlLoaderFacts *f)
+{
+  f->may_load = false;
+}
+
+static void
+change_serves_nothing (DlLoaderFacts *f)
+{
+  f->may_load = false;
+  f->serving = (DlDigest){ 0 };
+}
+
+static void
+change_no_contact (DlLoaderFacts *f)
+{
+  f->in_contact = false;
+}
+
+static void
+change_called_off (DlLoaderFacts *f)
+{
+  f->wanted = false;
+}
+
+static void
+change_older_fence (DlLoaderFacts *f)
+{
+  f->engine_fence = 4;
+}
+
+static void
+change_predecessor (DlLoaderFacts *f)
+{
+  f->engine_fence = 2;
+}
+
+static void
+change_busy (DlLoaderFacts *f)
+{
+  f->requests_running = 1;
+}
+
+static void
+change_stopping (DlLoaderFacts *f)
+{
+  f->stopping = true;
+}
+
+static const OrderCase order_cases[] = {
+  { "all ready", change_nothing, 1 },
+  { "not whole", change_not_whole, 0 },
+  { "not in the wave", change_not_in_wave, 0 },
+  { "serves nothing, needs no wave", change_serves_nothing, 1 },
+  { "hears no relay", change_no_contact, 0 },
+  { "rollout called off", change_called_off, 0 },
+  { "engine saw a newer fence", change_older_fence, 0 },
+  { "a predecessor may still order", change_predecessor, 0 },
+  { "requests in progress", change_busy, 0 },
+  { "stopping", change_stopping, 0 },
+};
+
+static void
+test_order_cases (void)
+{
+  for (size_t i = 0; i < sizeof order_cases / sizeof order_cases[0]; i++)
+    {
+      DlLoader loader;
+      DlLoaderFacts facts = ready_facts (START_MS);
+
+      dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+      order_cases[i].change (&facts);
+      CU_ASSERT_EQUAL (run_steps (&loader, &facts, 2000), order_cases[i].orders);
+    }
+}
+
+static void
+test_predecessor_is_waited_for (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.engine_fence = 2;
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, GUARD_MS - 500), 0);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 2000), 1);
+}
+
+static void
+test_no_order_after_a_pause (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.requests_running = 1;
+  run_steps (&loader, &facts, 1000);
+  facts.requests_running = 0;
+  facts.now_ms += 20000; /* frozen; what it knows is old */
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 2000), 0);
+  facts.contact_since_ms = facts.now_ms; /* contact began anew */
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 2000), 1);
+}
+
+static void
+test_forgotten_order_is_repeated (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  dl_loader_answer (&loader, facts.now_ms, 0);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 9000), 0);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 4000), 1);
+  dl_loader_answer (&loader, facts.now_ms, DL_ERR_UNAVAILABLE);
+  CU_ASSERT_PTR_NOT_NULL (loader.failure);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+  facts.serving = new_version;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_PTR_NULL (loader.failure);
+  CU_ASSERT_EQUAL (loader.phase, DL_LOADER_IDLE);
+}
+
+static void
+test_called_off_while_draining (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.requests_running = 1;
+  run_steps (&loader, &facts, 1000);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.wanted = false;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+static const CU_TestInfo loader_tests[] = {
+  { "order cases", test_order_cases },
+  { "predecessor", test_predecessor_is_waited_for },
+  { "pause", test_no_order_after_a_pause },
+  { "forgotten order", test_forgotten_order_is_repeated },
+  { "called off", test_called_off_while_draining },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("loader", loader_tests)
