Settings errors stay on one line

Cause: an unknown key's own bytes went into the error text, newlines included; found by the parser test (3 of 12,000 asserts). Control characters are replaced now; the same test passes.

--- a/lib/kernel/fleet.c
+++ b/lib/kernel/fleet.c
@@ -157,6 +157,7 @@
       char **error)
 {
   *error = talloc_asprintf (context, "%s: %s: \"%s\" %s", source, key, value, reason);
+  dl_text_make_printable (*error);
   return -EINVAL;
 }
 
--- a/lib/kernel/settings.c
+++ b/lib/kernel/settings.c
@@ -33,10 +33,12 @@
   reason = talloc_vasprintf (reader->context, format, args);
   va_end (args);
   if (reader->error != NULL)
-    *reader->error = key != NULL ? talloc_asprintf (reader->context, "%s: %s: %s",
-                                                    reader->source, key, reason)
-                                 : talloc_asprintf (reader->context, "%s: %s",
-                                                    reader->source, reason);
+    {
+      *reader->error
+          = talloc_asprintf (reader->context, "%s: %s%s%s", reader->source,
+                             key != NULL ? key : "", key != NULL ? ": " : "", reason);
+      dl_text_make_printable (*reader->error);
+    }
   talloc_free (reason);
   return -EINVAL;
 }
--- a/lib/kernel/str.c
+++ b/lib/kernel/str.c
@@ -61,6 +61,14 @@
   return copy;
 }
 
+void
+dl_text_make_printable (char *text)
+{
+  for (char *c = text; *c != '\0'; c++)
+    if (g_ascii_iscntrl (*c))
+      *c = '?';
+}
+
 int
 dl_str_to_uint64 (DlStr text, uint64_t *value)
 {
--- a/lib/kernel/str.h
+++ b/lib/kernel/str.h
@@ -32,6 +32,8 @@
 bool dl_str_has_prefix (DlStr text, DlStr prefix);
 /* Copies into a NUL-terminated talloc string below CONTEXT. */
 char *dl_str_dup (const void *context, DlStr text);
+/* Replaces control characters by "?", so that foreign text stays on one line. */
+void dl_text_make_printable (char *text);
 /* Parses a decimal number without sign; returns 0, -EINVAL or -ERANGE. */
 int dl_str_to_uint64 (DlStr text, uint64_t *value);
 
