HTTP server: a caller that went away is told apart from an answered one

Cause: the answer to a caller that had closed its side could still be written, so the library reported the request as completed. Seen by the new loopback test of the kernel (gone_seen false before, true after); ruled out: the library's termination code alone.

--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -365,7 +365,7 @@
   if (r == NULL)
     return;
   *state = NULL;
-  answered = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+  answered = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !r->caller_gone;
   if (!answered)
     dl_metric_add (&metric_gone, 1);
   g_hash_table_remove (server->suspended, r);
@@ -409,6 +409,7 @@
 
       if (!g_hash_table_contains (server->suspended, r) || !caller_is_gone (r))
         continue;
+      r->caller_gone = true;
       if (!r->answered)
         dl_http_reply_error (r, MHD_HTTP_REQUEST_TIMEOUT, 0, "the caller went away");
       else if (!r->stream_ended)
