--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -62,6 +62,7 @@
   bool in_handler;
   bool suspended;
   bool answered; /* response or stream has been given */
+  bool caller_gone;
   struct MHD_Response *response;
   unsigned status;
   DlBuffer *stream; /* bytes not yet taken; NULL for a plain answer */
