--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -175,6 +175,18 @@
   json_object_put (object);
 }
 
+/* The library has no call for it: on a socket that is shut, its answer goes nowhere. */
+void
+dl_http_abort (DlHttpRequest *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  if (info != NULL)
+    shutdown (info->connect_fd, SHUT_RDWR);
+  dl_http_reply (request, MHD_HTTP_REQUEST_TIMEOUT, NULL, DL_STR_LITERAL (""), NULL);
+}
+
 static ssize_t
 stream_read (void *data, uint64_t position, char *out, size_t max)
 {
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -87,6 +87,9 @@
                           const char *format,
                           ...) __attribute__ ((format (printf, 4, 5)));
 
+/* Closes the connection without an answer. */
+void dl_http_abort (DlHttpRequest *request);
+
 /* Begins a streamed answer. */
 void dl_http_stream_begin (DlHttpRequest *request,
                            unsigned status,
