--- a/lib/kernel/program.c
+++ b/lib/kernel/program.c
@@ -75,10 +75,11 @@
 int
 dl_program_run (const DlProgram *program, int argc, char **argv)
 {
-  void *context = talloc_new (NULL);
   char *path = NULL;
   bool only_check;
+  /* --help ends the process in here, so nothing is allocated before. */
   int status = parse_options (program, &argc, &argv, &path, &only_check);
+  void *context = talloc_new (NULL);
 
   if (status != 0)
     status = status < 0 ? DL_EXIT_OK : status;
--- a/lib/policy/swarm_rank.c
+++ b/lib/policy/swarm_rank.c
@@ -21,8 +21,11 @@
     at--;
   if (at == SWARM_RANKED)
     return;
-  memmove (&ranked[at + 1], &ranked[at], sizeof *ranked * (SWARM_RANKED - 1 - at));
-  memmove (&scores[at + 1], &scores[at], sizeof *scores * (SWARM_RANKED - 1 - at));
+  for (int i = SWARM_RANKED - 1; i > at; i--)
+    {
+      ranked[i] = ranked[i - 1];
+      scores[i] = scores[i - 1];
+    }
   ranked[at] = host;
   scores[at] = score;
 }
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,6 +22,10 @@
 }
 "$bin/unit"
 verdict unit $?
+for t in regress/*-check.sh; do
+	sh "$t" "$bin"
+	verdict "$(basename "$t" .sh)" $?
+done
 if [ -x "$bin/scenario" ]; then
 	for f in regress/scenarios/*.scn; do
 		[ -e "$f" ] || continue
