--- /dev/null
+++ b/daisyentryd/directive.c
@@ -0,0 +1,216 @@
+#include "directive.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/log.h"
+
+typedef struct
+{
+  uint64_t targets_hash;
+  uint64_t manifest_bytes;
+} RolloutExtra;
+
+struct DirectiveTable
+{
+  uint64_t snapshot_revision;
+  uint64_t stamp; /* of the rollouts and versions that the table was made from */
+  DlRolloutSet set;
+  RolloutExtra *extras; /* in the order of SET */
+};
+
+/* Changes with every write, creation and deletion of an object of KIND. */
+static uint64_t
+kind_stamp (const EntrySnapshot *snapshot, const char *kind)
+{
+  size_t count;
+  const DlObject *objects = entry_snapshot_kind (snapshot, kind, &count);
+  uint64_t stamp = count;
+
+  for (size_t i = 0; i < count; i++)
+    stamp = stamp * 1099511628211u + objects[i].revision;
+  return stamp;
+}
+
+static uint64_t
+snapshot_stamp (const EntrySnapshot *snapshot)
+{
+  return kind_stamp (snapshot, ENTRY_KIND_ROLLOUT) * 31
+         + kind_stamp (snapshot, ENTRY_KIND_VERSION);
+}
+
+static uint64_t
+manifest_bytes (const EntrySnapshot *snapshot, const char *version)
+{
+  const DlObject *o = entry_snapshot_find (snapshot, ENTRY_KIND_VERSION, version);
+  json_object *bytes;
+
+  if (o == NULL || !json_object_object_get_ex (o->value, "manifest_bytes", &bytes))
+    return 0;
+  return json_object_get_uint64 (bytes);
+}
+
+static uint64_t
+hash_names (const DlNames *names)
+{
+  uint64_t hash = names->count;
+
+  for (size_t i = 0; i < names->count; i++)
+    hash = hash * 1099511628211u + g_str_hash (names->names[i]);
+  return hash;
+}
+
+static void
+parse_rollouts (DirectiveTable *table, const EntrySnapshot *snapshot)
+{
+  size_t count;
+  const DlObject *objects = entry_snapshot_kind (snapshot, ENTRY_KIND_ROLLOUT, &count);
+
+  table->set.rollouts = talloc_array (table, DlRollout *, MAX (count, 1));
+  for (size_t i = 0; i < count; i++)
+    {
+      char *error = NULL;
+
+      if (dl_rollout_from_json (table, objects[i].name, objects[i].revision,
+                                objects[i].created, objects[i].value,
+                                &table->set.rollouts[table->set.count], &error)
+          == 0)
+        table->set.count++;
+      else
+        dl_log (DL_EVENT_ROLLOUT_INVALID, DL_TEXT ("reason", error));
+    }
+  dl_rollout_set_sort (&table->set);
+}
+
+DirectiveTable *
+directive_table_new (const void *context, const EntrySnapshot *snapshot)
+{
+  DirectiveTable *table = talloc_zero (context, DirectiveTable);
+
+  g_assert (table != NULL);
+  table->snapshot_revision = snapshot->revision;
+  table->stamp = snapshot_stamp (snapshot);
+  parse_rollouts (table, snapshot);
+  table->extras = talloc_zero_array (table, RolloutExtra, MAX (table->set.count, 1));
+  for (size_t i = 0; i < table->set.count; i++)
+    table->extras[i] = (RolloutExtra){
+      .targets_hash = hash_names (&table->set.rollouts[i]->targets),
+      .manifest_bytes = manifest_bytes (snapshot, table->set.rollouts[i]->version),
+    };
+  return table;
+}
+
+bool
+directive_table_is_current (const DirectiveTable *table, const EntrySnapshot *snapshot)
+{
+  return table->stamp == snapshot_stamp (snapshot);
+}
+
+const DlRolloutSet *
+directive_table_rollouts (const DirectiveTable *table)
+{
+  return &table->set;
+}
+
+/* -------- one directive -------- */
+
+static const Daisyloft__Wire__RolloutState wire_states[] = {
+  [DL_ROLLOUT_DISTRIBUTING] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_DISTRIBUTING,
+  [DL_ROLLOUT_LOADING] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_LOADING,
+  [DL_ROLLOUT_COMPLETE] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_COMPLETE,
+  [DL_ROLLOUT_PAUSED] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_PAUSED,
+  [DL_ROLLOUT_CALLED_OFF] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_CALLED_OFF,
+  [DL_ROLLOUT_REPLACED] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_REPLACED,
+  [DL_ROLLOUT_FAILED] = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_FAILED,
+};
+
+static bool
+weighs_origin_bytes (const DlRollout *r, const DlFleet *fleet)
+{
+  if (r->weigh[0] != '\0')
+    return strcmp (r->weigh, "origin-bytes") == 0;
+  return fleet != NULL && fleet->weigh == DL_WEIGH_ORIGIN_BYTES;
+}
+
+static bool
+may_load (const DlRollout *r, const char *host)
+{
+  return r->state == DL_ROLLOUT_LOADING && dl_names_contains (&r->wave, host);
+}
+
+static void
+fill (const void *context,
+      const DlRollout *r,
+      const RolloutExtra *extra,
+      const DlFleet *fleet,
+      const char *host,
+      DirectiveOut *out)
+{
+  const DlRolloutNote *note = dl_rollout_find_note (r, host);
+  Daisyloft__Wire__Directive *d = &out->wire;
+
+  d->rollout = r->name;
+  d->sequence = r->created;
+  d->revision = r->revision;
+  d->fence = r->fence;
+  d->state = wire_states[r->state];
+  if (dl_digest_from_hex (dl_str (r->version), &out->version) == 0)
+    d->version = DL_BYTES (dl_str_bytes (out->version.bytes, DL_DIGEST_BYTES));
+  d->manifest_bytes = extra->manifest_bytes;
+  d->may_load = may_load (r, host);
+  d->weigh_origin_bytes = weighs_origin_bytes (r, fleet);
+  d->home_region = fleet != NULL ? (char *)fleet->home_region : "";
+  d->n_targets = r->targets.count;
+  d->targets = r->targets.names;
+  out->key
+      = talloc_asprintf (context,
+                         "%s %s %d %" PRIu64 " %d %d %s %" PRIu64 " %" PRIx64 " %" PRIu64,
+                         r->name, r->version, (int)d->state, r->fence, d->may_load,
+                         d->weigh_origin_bytes, d->home_region,
+                         note != NULL ? note->since : 0, extra->targets_hash,
+                         extra->manifest_bytes);
+}
+
+static void
+fill_none (const void *context, const DirectiveTable *table, DirectiveOut *out)
+{
+  daisyloft__wire__directive__init (&out->wire);
+  out->wire.revision = table->snapshot_revision;
+  out->key = talloc_strdup (context, "none");
+}
+
+void
+directive_for_host (const void *context,
+                    const DirectiveTable *table,
+                    const DlFleet *fleet,
+                    const char *host,
+                    DirectiveOut *out)
+{
+  const DlRollout *r = dl_rollout_for_host (&table->set, host);
+
+  fill_none (context, table, out);
+  for (size_t i = 0; r != NULL && i < table->set.count; i++)
+    if (table->set.rollouts[i] == r && table->extras[i].manifest_bytes > 0)
+      fill (context, r, &table->extras[i], fleet, host, out);
+}
+
+void
+directive_of_rollout (const void *context,
+                      const DirectiveTable *table,
+                      const DlFleet *fleet,
+                      const char *host,
+                      const char *rollout,
+                      DirectiveOut *out)
+{
+  fill_none (context, table, out);
+  for (size_t i = 0; i < table->set.count; i++)
+    if (strcmp (table->set.rollouts[i]->name, rollout) == 0)
+      {
+        fill (context, table->set.rollouts[i], &table->extras[i], fleet, host, out);
+        return;
+      }
+  out->wire.rollout = (char *)rollout;
+  out->wire.state = DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_CALLED_OFF;
+}
--- /dev/null
+++ b/daisyentryd/relay_status.c
@@ -0,0 +1,709 @@
+/*
+ * What slots and entries report, and the objects status/DATA_CENTER made of it.
+ *
+ * Every relay of a data centre collects; the first in rank that is heard writes, at most
+ * once a second and only when something changed.  What changes with every request (load)
+ * never causes a write, and progress does so more rarely, so that the bytes that all
+ * watchers get together stay bounded as the fleet grows.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/crypt.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "relay.h"
+
+/* A slot reports every 2 s; one that has not for this long is lost. */
+#define SLOT_LOST_MS 4500
+/* A relay that has just started waits this long for the slots before it writes. */
+#define GRACE_MS 3000
+/* A higher-ranked relay that is not connected for this long does not write any more. */
+#define RANK_SILENT_MS     3000
+#define WRITE_INTERVAL_MS  1000
+#define PROGRESS_MIN_MS    2000
+#define PROGRESS_BYTES_S   50000 /* of progress, over all data centres */
+#define READ_BACK_DELAY_MS 300
+
+DL_METRIC (metric_writes,
+           DL_METRIC_COUNTER,
+           "daisy_status_writes_total",
+           "Status objects written.")
+DL_METRIC (metric_slots,
+           DL_METRIC_GAUGE,
+           "daisy_slots_heard",
+           "Slots that report to this relay.")
+
+/* What a change is worth: how soon it is written. */
+typedef enum
+{
+  CHANGE_NONE,
+  CHANGE_PROGRESS,
+  CHANGE_STATE,
+} Change;
+
+typedef struct
+{
+  char *host;
+  char *data_center;
+  char *region;
+  char *service;
+  Daisyloft__Wire__SlotStatus *status; /* NULL: never heard */
+  uint64_t heard_ms;
+  bool lost;
+} SlotRow;
+
+typedef struct
+{
+  Daisyloft__Wire__EntryStatus *status;
+  uint64_t heard_ms;
+} EntryRow;
+
+/* The object of one data centre. */
+typedef struct
+{
+  StatusBoard *board;
+  char *region;
+  char *data_center;
+  char *name; /* of the object */
+  Change change;
+  void *call; /* owner of the call in progress; NULL for none */
+  bool busy;
+  bool unsure; /* read back before the next write */
+  uint64_t revision;
+  uint64_t call_ended_ms;
+  uint64_t written_ms;
+  size_t written_bytes;
+  uint64_t silent_since_ms; /* a higher-ranked relay is not heard since; 0: heard */
+} Writer;
+
+struct StatusBoard
+{
+  Relay *relay;
+  DlObjectClient *client;
+  uint64_t started_ms;
+  GHashTable *slots;   /* name to SlotRow */
+  GHashTable *entries; /* name to EntryRow */
+  GPtrArray *writers;  /* of Writer: the data centres that this entry relays for */
+};
+
+/* -------- rows as JSON -------- */
+
+static json_object *
+enum_to_json (const ProtobufCFieldDescriptor *field, int value)
+{
+  const ProtobufCEnumValue *v
+      = protobuf_c_enum_descriptor_get_value (field->descriptor, value);
+  const char *name = v != NULL ? strchr (v->name, '_') : NULL;
+  char *lower = g_ascii_strdown (name != NULL ? name + 1 : "", -1);
+  json_object *json = json_object_new_string (lower);
+
+  g_free (lower);
+  return json;
+}
+
+static json_object *
+bytes_to_json (const ProtobufCBinaryData *bytes)
+{
+  char hex[DL_DIGEST_HEX_BYTES] = "";
+  DlDigest digest;
+
+  if (dl_digest_from_bytes (DL_BYTES_STR (*bytes), &digest) == 0)
+    dl_digest_to_hex (&digest, hex);
+  return json_object_new_string (hex);
+}
+
+static json_object *
+field_to_json (const ProtobufCMessage *message, const ProtobufCFieldDescriptor *field)
+{
+  const void *at = (const char *)message + field->offset;
+
+  switch (field->type)
+    {
+    case PROTOBUF_C_TYPE_STRING:
+      return json_object_new_string (*(char *const *)at);
+    case PROTOBUF_C_TYPE_BYTES:
+      return bytes_to_json (at);
+    case PROTOBUF_C_TYPE_ENUM:
+      return enum_to_json (field, *(const int *)at);
+    case PROTOBUF_C_TYPE_BOOL:
+      return json_object_new_boolean (*(const protobuf_c_boolean *)at);
+    case PROTOBUF_C_TYPE_UINT32:
+      return json_object_new_uint64 (*(const uint32_t *)at);
+    case PROTOBUF_C_TYPE_UINT64:
+      return json_object_new_uint64 (*(const uint64_t *)at);
+    default:
+      return NULL;
+    }
+}
+
+static json_object *
+message_to_json (const ProtobufCMessage *message)
+{
+  const ProtobufCMessageDescriptor *d = message->descriptor;
+  json_object *row = json_object_new_object ();
+
+  for (unsigned i = 0; i < d->n_fields; i++)
+    json_object_object_add (row, d->fields[i].name,
+                            field_to_json (message, &d->fields[i]));
+  return row;
+}
+
+static json_object *
+slot_row_to_json (const SlotRow *row)
+{
+  Daisyloft__Wire__SlotStatus unheard = DAISYLOFT__WIRE__SLOT_STATUS__INIT;
+  json_object *json;
+
+  unheard.host = row->host;
+  unheard.service = row->service;
+  unheard.region = row->region;
+  unheard.data_center = row->data_center;
+  json = message_to_json (row->status != NULL ? &row->status->base : &unheard.base);
+  json_object_object_add (json, "lost", json_object_new_boolean (row->lost));
+  return json;
+}
+
+/* -------- writing -------- */
+
+static int
+compare_rows (const void *a, const void *b)
+{
+  return strcmp ((*(const SlotRow *const *)a)->host, (*(const SlotRow *const *)b)->host);
+}
+
+static json_object *
+hosts_to_json (const Writer *w)
+{
+  json_object *list = json_object_new_array ();
+  GPtrArray *rows = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer row;
+
+  g_hash_table_iter_init (&iter, w->board->slots);
+  while (g_hash_table_iter_next (&iter, NULL, &row))
+    if (strcmp (((SlotRow *)row)->data_center, w->data_center) == 0)
+      g_ptr_array_add (rows, row);
+  g_ptr_array_sort (rows, compare_rows);
+  for (guint i = 0; i < rows->len; i++)
+    json_object_array_add (list, slot_row_to_json (g_ptr_array_index (rows, i)));
+  g_ptr_array_free (rows, TRUE);
+  return list;
+}
+
+static json_object *
+own_entry_to_json (const Relay *relay)
+{
+  const EntrySettings *settings = entry_settings (relay->task);
+  Daisyloft__Wire__EntryStatus status = DAISYLOFT__WIRE__ENTRY_STATUS__INIT;
+
+  status.host = (char *)settings->name;
+  status.region = (char *)settings->region;
+  status.data_center = (char *)settings->data_center;
+  status.settings_revision = relay->fleet != NULL ? relay->fleet->fleet.revision : 0;
+  status.leaving = relay->leaving;
+  return message_to_json (&status.base);
+}
+
+static json_object *
+entries_to_json (const Writer *w)
+{
+  const Relay *relay = w->board->relay;
+  json_object *list = json_object_new_array ();
+  GHashTableIter iter;
+  gpointer row;
+
+  if (strcmp (entry_settings (relay->task)->data_center, w->data_center) == 0)
+    json_object_array_add (list, own_entry_to_json (relay));
+  g_hash_table_iter_init (&iter, w->board->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &row))
+    if (strcmp (((EntryRow *)row)->status->data_center, w->data_center) == 0)
+      json_object_array_add (list, message_to_json (&((EntryRow *)row)->status->base));
+  return list;
+}
+
+static json_object *
+writer_value (const Writer *w)
+{
+  json_object *value = json_object_new_object ();
+  const char *self = entry_settings (w->board->relay->task)->name;
+
+  json_object_object_add (value, "writer", json_object_new_string (self));
+  json_object_object_add (value, "hosts", hosts_to_json (w));
+  json_object_object_add (value, "entries", entries_to_json (w));
+  return value;
+}
+
+static void
+writer_done (Writer *w)
+{
+  w->busy = false;
+  w->call_ended_ms = dl_clock_ms ();
+}
+
+static void
+on_read_back (const DlObjectResult *result, void *data)
+{
+  Writer *w = data;
+
+  writer_done (w);
+  if (result->error == 0)
+    w->revision = result->objects[0].revision;
+  else if (result->error == DL_ERR_NOT_FOUND)
+    w->revision = 0;
+  else
+    return;
+  w->unsure = false;
+}
+
+static void
+on_written (const DlObjectResult *result, void *data)
+{
+  Writer *w = data;
+
+  writer_done (w);
+  if (result->error == 0)
+    {
+      w->revision = result->revision;
+      dl_metric_add (&metric_writes, 1);
+      return;
+    }
+  w->change = CHANGE_STATE;
+  w->unsure = result->error == DL_ERR_CONFLICT || result->error == DL_ERR_UNKNOWN;
+  if (!w->unsure)
+    dl_log (DL_EVENT_STATUS_REFUSED, DL_TEXT ("name", w->name), DL_ERRNO (result->error));
+}
+
+static void
+writer_call (Writer *w)
+{
+  json_object *value;
+
+  TALLOC_FREE (w->call);
+  w->call = talloc_new (w);
+  w->busy = true;
+  if (w->unsure)
+    {
+      dl_object_get (w->board->client, w->call, ENTRY_KIND_STATUS, w->name, on_read_back,
+                     w);
+      return;
+    }
+  value = writer_value (w);
+  w->change = CHANGE_NONE;
+  w->written_ms = dl_clock_ms ();
+  w->written_bytes
+      = strlen (json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN));
+  dl_object_put (w->board->client, w->call, ENTRY_KIND_STATUS, w->name, w->revision,
+                 value, on_written, w);
+  json_object_put (value);
+}
+
+/* A relay of higher rank writes while it is heard. */
+static bool
+is_first_heard (Writer *w)
+{
+  Relay *relay = w->board->relay;
+  const DlMember *relays[DL_RELAYS];
+  const char *self = entry_settings (relay->task)->name;
+  size_t count = dl_members_relays (relay->members->members.members, w->region,
+                                    w->data_center, relays);
+  uint64_t now = dl_clock_ms ();
+
+  for (size_t i = 0; i < count && strcmp (relays[i]->name, self) != 0; i++)
+    if (relay_link_find (relay, relays[i]->name) != NULL)
+      {
+        w->silent_since_ms = 0;
+        return false;
+      }
+    else if (w->silent_since_ms == 0)
+      w->silent_since_ms = now;
+  return w->silent_since_ms == 0 || now - w->silent_since_ms >= RANK_SILENT_MS;
+}
+
+static uint64_t
+change_interval_ms (const Writer *w)
+{
+  uint64_t spread;
+
+  switch (w->change)
+    {
+    case CHANGE_STATE:
+      return WRITE_INTERVAL_MS;
+    case CHANGE_PROGRESS:
+      spread = w->written_bytes * w->board->writers->len * 1000 / PROGRESS_BYTES_S;
+      return MAX (spread, PROGRESS_MIN_MS);
+    case CHANGE_NONE:
+      break;
+    }
+  return UINT64_MAX;
+}
+
+static void
+writer_tick (Writer *w, uint64_t now)
+{
+  if (w->busy || w->board->relay->leaving || now - w->call_ended_ms < READ_BACK_DELAY_MS)
+    return;
+  if (w->change == CHANGE_NONE || now - w->written_ms < change_interval_ms (w))
+    return;
+  if (now - w->board->started_ms >= GRACE_MS && is_first_heard (w))
+    writer_call (w);
+}
+
+/* -------- reports -------- */
+
+static void
+note_change (StatusBoard *board, const char *data_center, Change change)
+{
+  for (guint i = 0; i < board->writers->len; i++)
+    {
+      Writer *w = g_ptr_array_index (board->writers, i);
+
+      if (strcmp (w->data_center, data_center) == 0 && w->change < change)
+        w->change = change;
+    }
+}
+
+static bool
+bytes_equal (ProtobufCBinaryData a, ProtobufCBinaryData b)
+{
+  return dl_str_equal (DL_BYTES_STR (a), DL_BYTES_STR (b));
+}
+
+static Change
+compare_status (const Daisyloft__Wire__SlotStatus *a,
+                const Daisyloft__Wire__SlotStatus *b)
+{
+  if (a->state != b->state || a->accepts_requests != b->accepts_requests
+      || a->settings_revision != b->settings_revision || a->incarnation != b->incarnation
+      || a->directive_revision != b->directive_revision
+      || strcmp (a->rollout, b->rollout) != 0 || strcmp (a->failure, b->failure) != 0
+      || strcmp (a->service, b->service) != 0
+      || !bytes_equal (a->serving_version, b->serving_version)
+      || !bytes_equal (a->target_version, b->target_version)
+      || (a->chunks_verified == a->chunks_total)
+             != (b->chunks_verified == b->chunks_total))
+    return CHANGE_STATE;
+  if (a->chunks_verified != b->chunks_verified || a->chunks_total != b->chunks_total
+      || a->origin_bytes != b->origin_bytes || a->received_bytes != b->received_bytes)
+    return CHANGE_PROGRESS;
+  return CHANGE_NONE;
+}
+
+static Daisyloft__Wire__SlotStatus *
+copy_slot_status (const Daisyloft__Wire__SlotStatus *from)
+{
+  size_t size = daisyloft__wire__slot_status__get_packed_size (from);
+  uint8_t *packed = talloc_size (NULL, size + 1);
+  Daisyloft__Wire__SlotStatus *copy;
+
+  daisyloft__wire__slot_status__pack (from, packed);
+  copy = daisyloft__wire__slot_status__unpack (NULL, size, packed);
+  talloc_free (packed);
+  return copy;
+}
+
+static int
+slot_row_destroy (SlotRow *row)
+{
+  if (row->status != NULL)
+    daisyloft__wire__slot_status__free_unpacked (row->status, NULL);
+  return 0;
+}
+
+static SlotRow *
+slot_row_get (StatusBoard *board, const char *host)
+{
+  SlotRow *row = g_hash_table_lookup (board->slots, host);
+
+  if (row != NULL)
+    return row;
+  row = talloc_zero (board, SlotRow);
+  row->host = talloc_strdup (row, host);
+  talloc_set_destructor (row, slot_row_destroy);
+  g_hash_table_insert (board->slots, row->host, row);
+  return row;
+}
+
+static void
+slot_row_place (SlotRow *row,
+                const char *region,
+                const char *data_center,
+                const char *service)
+{
+  talloc_free (row->region);
+  talloc_free (row->data_center);
+  talloc_free (row->service);
+  row->region = talloc_strdup (row, region);
+  row->data_center = talloc_strdup (row, data_center);
+  row->service = talloc_strdup (row, service);
+}
+
+void
+status_board_take_slot (StatusBoard *board, const Daisyloft__Wire__SlotStatus *status)
+{
+  SlotRow *row = slot_row_get (board, status->host);
+  Change change = row->status == NULL || row->lost ? CHANGE_STATE
+                                                   : compare_status (row->status, status);
+
+  if (row->status == NULL || row->lost)
+    {
+      dl_log (DL_EVENT_HOST_HEARD, DL_TEXT ("host", status->host));
+      slot_row_place (row, status->region, status->data_center, status->service);
+    }
+  if (row->status != NULL)
+    daisyloft__wire__slot_status__free_unpacked (row->status, NULL);
+  row->status = copy_slot_status (status);
+  row->heard_ms = dl_clock_ms ();
+  row->lost = false;
+  note_change (board, row->data_center, change);
+}
+
+static int
+entry_row_destroy (EntryRow *row)
+{
+  if (row->status != NULL)
+    daisyloft__wire__entry_status__free_unpacked (row->status, NULL);
+  return 0;
+}
+
+static Daisyloft__Wire__EntryStatus *
+copy_entry_status (const Daisyloft__Wire__EntryStatus *from)
+{
+  size_t size = daisyloft__wire__entry_status__get_packed_size (from);
+  uint8_t *packed = talloc_size (NULL, size + 1);
+  Daisyloft__Wire__EntryStatus *copy;
+
+  daisyloft__wire__entry_status__pack (from, packed);
+  copy = daisyloft__wire__entry_status__unpack (NULL, size, packed);
+  talloc_free (packed);
+  return copy;
+}
+
+void
+status_board_take_entry (StatusBoard *board, const Daisyloft__Wire__EntryStatus *status)
+{
+  EntryRow *row = g_hash_table_lookup (board->entries, status->host);
+  bool same = row != NULL && row->status->settings_revision == status->settings_revision
+              && row->status->leaving == status->leaving;
+
+  if (row == NULL)
+    {
+      row = talloc_zero (board, EntryRow);
+      talloc_set_destructor (row, entry_row_destroy);
+    }
+  else
+    {
+      g_hash_table_steal (board->entries, row->status->host);
+      daisyloft__wire__entry_status__free_unpacked (row->status, NULL);
+    }
+  row->status = copy_entry_status (status);
+  row->heard_ms = dl_clock_ms ();
+  g_hash_table_insert (board->entries, row->status->host, row);
+  if (!same)
+    note_change (board, status->data_center, CHANGE_STATE);
+}
+
+void
+status_board_own_changed (StatusBoard *board)
+{
+  note_change (board, entry_settings (board->relay->task)->data_center, CHANGE_STATE);
+}
+
+/* -------- members -------- */
+
+static Writer *
+find_writer (const StatusBoard *board, const char *data_center)
+{
+  for (guint i = 0; i < board->writers->len; i++)
+    {
+      Writer *w = g_ptr_array_index (board->writers, i);
+
+      if (strcmp (w->data_center, data_center) == 0)
+        return w;
+    }
+  return NULL;
+}
+
+static Writer *
+writer_new (StatusBoard *board, const ControlPlace *place)
+{
+  Writer *w = talloc_zero (board, Writer);
+
+  w->board = board;
+  w->region = talloc_strdup (w, place->region);
+  w->data_center = talloc_strdup (w, place->data_center);
+  w->name = talloc_strdup (w, place->data_center);
+  w->unsure = true;
+  w->change = CHANGE_STATE;
+  return w;
+}
+
+static void
+update_writers (StatusBoard *board, const DlMembers *members)
+{
+  GPtrArray *writers = g_ptr_array_new ();
+  char *names = talloc_strdup (NULL, "");
+  size_t count;
+  ControlPlace *places = control_places (names, members, &count);
+  guint before = board->writers->len;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      Writer *w;
+
+      if (!control_is_relay_of (members, entry_settings (board->relay->task)->name,
+                                places[i].region, places[i].data_center))
+        continue;
+      w = find_writer (board, places[i].data_center);
+      if (w != NULL)
+        g_ptr_array_remove (board->writers, w);
+      g_ptr_array_add (writers, w != NULL ? w : writer_new (board, &places[i]));
+    }
+  for (guint i = 0; i < board->writers->len; i++)
+    talloc_free (g_ptr_array_index (board->writers, i));
+  g_ptr_array_free (board->writers, TRUE);
+  board->writers = writers;
+  if (writers->len != before)
+    dl_log (DL_EVENT_RELAY_ROLE, DL_UINT ("data_centers", writers->len));
+  talloc_free (names);
+}
+
+/* Rows of listed slots stand also when they were never heard. */
+static void
+add_listed (StatusBoard *board, const DlMembers *members)
+{
+  for (size_t i = 0; i < members->count; i++)
+    {
+      const DlMember *m = &members->members[i];
+      SlotRow *row;
+
+      if (m->role != DAISYLOFT__WIRE__ROLE__ROLE_SLOT
+          || find_writer (board, m->data_center) == NULL
+          || g_hash_table_lookup (board->slots, m->name) != NULL)
+        continue;
+      row = slot_row_get (board, m->name);
+      slot_row_place (row, m->region, m->data_center, m->service);
+      row->heard_ms = dl_clock_ms ();
+    }
+}
+
+void
+status_board_members_changed (StatusBoard *board)
+{
+  const DlMembers *members = board->relay->members->members.members;
+
+  update_writers (board, members);
+  add_listed (board, members);
+}
+
+/* -------- ticks -------- */
+
+static void
+lose_slots (StatusBoard *board, uint64_t now)
+{
+  const DlMembers *members = board->relay->members->members.members;
+  GHashTableIter iter;
+  gpointer value;
+  int64_t heard = 0;
+
+  g_hash_table_iter_init (&iter, board->slots);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SlotRow *row = value;
+
+      if (now - row->heard_ms <= SLOT_LOST_MS)
+        {
+          heard += row->status != NULL;
+          continue;
+        }
+      if (!row->lost)
+        {
+          row->lost = true;
+          dl_log (DL_EVENT_HOST_LOST, DL_TEXT ("host", row->host));
+          note_change (board, row->data_center, CHANGE_STATE);
+        }
+      if (dl_members_find (members, row->host) == NULL)
+        {
+          note_change (board, row->data_center, CHANGE_STATE);
+          g_hash_table_iter_remove (&iter);
+          talloc_free (row);
+        }
+    }
+  dl_metric_set (&metric_slots, heard);
+}
+
+static void
+lose_entries (StatusBoard *board, uint64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, board->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      EntryRow *row = value;
+
+      if (now - row->heard_ms <= SLOT_LOST_MS)
+        continue;
+      note_change (board, row->status->data_center, CHANGE_STATE);
+      g_hash_table_iter_remove (&iter);
+      talloc_free (row);
+    }
+}
+
+void
+status_board_tick (StatusBoard *board)
+{
+  uint64_t now = dl_clock_ms ();
+
+  if (board->relay->members == NULL)
+    return;
+  lose_slots (board, now);
+  lose_entries (board, now);
+  for (guint i = 0; i < board->writers->len; i++)
+    writer_tick (g_ptr_array_index (board->writers, i), now);
+}
+
+/* -------- life -------- */
+
+static int
+status_board_destroy (StatusBoard *board)
+{
+  g_hash_table_destroy (board->slots);
+  g_hash_table_destroy (board->entries);
+  g_ptr_array_free (board->writers, TRUE);
+  return 0;
+}
+
+StatusBoard *
+status_board_new (Relay *relay)
+{
+  const EntrySettings *settings = entry_settings (relay->task);
+  StatusBoard *board = talloc_zero (relay, StatusBoard);
+
+  g_assert (board != NULL);
+  board->relay = relay;
+  board->started_ms = dl_clock_ms ();
+  board->slots = g_hash_table_new (g_str_hash, g_str_equal);
+  board->entries = g_hash_table_new (g_str_hash, g_str_equal);
+  board->writers = g_ptr_array_new ();
+  board->client = dl_object_client_new (relay->task, board, settings->platform,
+                                        settings->platform_timeout_ms);
+  talloc_set_destructor (board, status_board_destroy);
+  return board;
+}
+
+json_object *
+status_board_dump (const StatusBoard *board)
+{
+  json_object *dump = json_object_new_object ();
+
+  for (guint i = 0; i < board->writers->len; i++)
+    {
+      const Writer *w = g_ptr_array_index (board->writers, i);
+
+      json_object_object_add (dump, w->data_center, writer_value (w));
+    }
+  return dump;
+}
--- /dev/null
+++ b/daisyentryd/steer_facts.c
@@ -0,0 +1,119 @@
+#include "steer_facts.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+static const char *
+get_text (json_object *row, const char *key)
+{
+  json_object *value;
+
+  if (!json_object_object_get_ex (row, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return "";
+  return json_object_get_string (value);
+}
+
+static uint64_t
+get_uint (json_object *row, const char *key)
+{
+  json_object *value;
+
+  return json_object_object_get_ex (row, key, &value) ? json_object_get_uint64 (value)
+                                                      : 0;
+}
+
+static bool
+get_bool (json_object *row, const char *key)
+{
+  json_object *value;
+
+  return json_object_object_get_ex (row, key, &value) && json_object_get_boolean (value);
+}
+
+static void
+add_rows (GHashTable *rows, json_object *status)
+{
+  json_object *hosts;
+
+  if (!json_object_object_get_ex (status, "hosts", &hosts)
+      || !json_object_is_type (hosts, json_type_array))
+    return;
+  for (size_t i = 0; i < json_object_array_length (hosts); i++)
+    {
+      json_object *row = json_object_array_get_idx (hosts, i);
+
+      g_hash_table_insert (rows, (char *)get_text (row, "host"), row);
+    }
+}
+
+/* Host name to row, over all status objects. */
+static GHashTable *
+index_rows (const EntrySnapshot *snapshot)
+{
+  GHashTable *rows = g_hash_table_new (g_str_hash, g_str_equal);
+  size_t count;
+  const DlObject *objects = entry_snapshot_kind (snapshot, ENTRY_KIND_STATUS, &count);
+
+  for (size_t i = 0; i < count; i++)
+    add_rows (rows, objects[i].value);
+  return rows;
+}
+
+static void
+fill_from_row (DlRolloutHost *host, json_object *row)
+{
+  uint64_t total = get_uint (row, "chunks_total");
+  const char *state = get_text (row, "state");
+
+  host->heard = !get_bool (row, "lost");
+  host->leaving |= strcmp (state, "leaving") == 0;
+  host->accepts = get_bool (row, "accepts_requests");
+  host->failed = strcmp (state, "failed") == 0;
+  host->failure = get_text (row, "failure");
+  host->serving = get_text (row, "serving_version");
+  host->target_version = get_text (row, "target_version");
+  host->whole = total > 0 && get_uint (row, "chunks_verified") == total;
+  host->rollout = get_text (row, "rollout");
+  host->directive_revision = get_uint (row, "directive_revision");
+}
+
+DlRolloutHost *
+steer_hosts (const void *context,
+             const EntrySnapshot *snapshot,
+             const DlMembers *members,
+             const char *service,
+             size_t *count)
+{
+  GHashTable *rows = index_rows (snapshot);
+  DlRolloutHost *hosts = talloc_array (context, DlRolloutHost, members->count + 1);
+
+  *count = 0;
+  for (size_t i = 0; i < members->count; i++)
+    {
+      const DlMember *m = &members->members[i];
+      DlRolloutHost *h = &hosts[*count];
+      json_object *row;
+
+      if (m->role != DAISYLOFT__WIRE__ROLE__ROLE_SLOT
+          || strcmp (m->service, service) != 0)
+        continue;
+      *h = (DlRolloutHost){
+        .name = m->name,
+        .region = m->region,
+        .leaving = m->leaving,
+        .drained = entry_snapshot_find (snapshot, ENTRY_KIND_DRAIN, m->name) != NULL,
+        .failure = "",
+        .serving = "",
+        .target_version = "",
+        .rollout = "",
+      };
+      row = g_hash_table_lookup (rows, m->name);
+      if (row != NULL)
+        fill_from_row (h, row);
+      (*count)++;
+    }
+  g_hash_table_destroy (rows);
+  return hosts;
+}
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -457,6 +457,141 @@
   assert(message->base.descriptor == &daisyloft__wire__entry_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisyloft__wire__freshness__init
+                     (Daisyloft__Wire__Freshness         *message)
+{
+  static const Daisyloft__Wire__Freshness init_value = DAISYLOFT__WIRE__FRESHNESS__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__freshness__get_packed_size
+                     (const Daisyloft__Wire__Freshness *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__freshness__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__freshness__pack
+                     (const Daisyloft__Wire__Freshness *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__freshness__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__freshness__pack_to_buffer
+                     (const Daisyloft__Wire__Freshness *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__freshness__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__Freshness *
+       daisyloft__wire__freshness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__Freshness *)
+     protobuf_c_message_unpack (&daisyloft__wire__freshness__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__freshness__free_unpacked
+                     (Daisyloft__Wire__Freshness *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__freshness__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisyloft__wire__objects_want__init
+                     (Daisyloft__Wire__ObjectsWant         *message)
+{
+  static const Daisyloft__Wire__ObjectsWant init_value = DAISYLOFT__WIRE__OBJECTS_WANT__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__objects_want__get_packed_size
+                     (const Daisyloft__Wire__ObjectsWant *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__objects_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__objects_want__pack
+                     (const Daisyloft__Wire__ObjectsWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__objects_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__objects_want__pack_to_buffer
+                     (const Daisyloft__Wire__ObjectsWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__objects_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__ObjectsWant *
+       daisyloft__wire__objects_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__ObjectsWant *)
+     protobuf_c_message_unpack (&daisyloft__wire__objects_want__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__objects_want__free_unpacked
+                     (Daisyloft__Wire__ObjectsWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__objects_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisyloft__wire__objects__init
+                     (Daisyloft__Wire__Objects         *message)
+{
+  static const Daisyloft__Wire__Objects init_value = DAISYLOFT__WIRE__OBJECTS__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__objects__get_packed_size
+                     (const Daisyloft__Wire__Objects *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__objects__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__objects__pack
+                     (const Daisyloft__Wire__Objects *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__objects__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__objects__pack_to_buffer
+                     (const Daisyloft__Wire__Objects *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__objects__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__Objects *
+       daisyloft__wire__objects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__Objects *)
+     protobuf_c_message_unpack (&daisyloft__wire__objects__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__objects__free_unpacked
+                     (Daisyloft__Wire__Objects *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__objects__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__request_open__init
                      (Daisyloft__Wire__RequestOpen         *message)
 {
@@ -2059,6 +2194,185 @@
   (ProtobufCMessageInit) daisyloft__wire__entry_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisyloft__wire__freshness__field_descriptors[4] =
+{
+  {
+    "settings_revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Freshness, settings_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects_revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Freshness, objects_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Freshness, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reaches_store",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Freshness, reaches_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__freshness__field_indices_by_name[] = {
+  1,   /* field[1] = objects_revision */
+  3,   /* field[3] = reaches_store */
+  0,   /* field[0] = settings_revision */
+  2,   /* field[2] = store_age_ms */
+};
+static const ProtobufCIntRange daisyloft__wire__freshness__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__freshness__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.Freshness",
+  "Freshness",
+  "Daisyloft__Wire__Freshness",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__Freshness),
+  4,
+  daisyloft__wire__freshness__field_descriptors,
+  daisyloft__wire__freshness__field_indices_by_name,
+  1,  daisyloft__wire__freshness__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__freshness__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisyloft__wire__objects_want__field_descriptors[2] =
+{
+  {
+    "wanted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__ObjectsWant, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__ObjectsWant, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__objects_want__field_indices_by_name[] = {
+  1,   /* field[1] = after */
+  0,   /* field[0] = wanted */
+};
+static const ProtobufCIntRange daisyloft__wire__objects_want__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__objects_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.ObjectsWant",
+  "ObjectsWant",
+  "Daisyloft__Wire__ObjectsWant",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__ObjectsWant),
+  2,
+  daisyloft__wire__objects_want__field_descriptors,
+  daisyloft__wire__objects_want__field_indices_by_name,
+  1,  daisyloft__wire__objects_want__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__objects_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisyloft__wire__objects__field_descriptors[2] =
+{
+  {
+    "after",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Objects, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Objects, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__objects__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange daisyloft__wire__objects__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__objects__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.Objects",
+  "Objects",
+  "Daisyloft__Wire__Objects",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__Objects),
+  2,
+  daisyloft__wire__objects__field_descriptors,
+  daisyloft__wire__objects__field_indices_by_name,
+  1,  daisyloft__wire__objects__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__objects__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__request_open__field_descriptors[9] =
 {
   {
@@ -2723,7 +3037,7 @@
   (ProtobufCMessageInit) daisyloft__wire__chunk_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor daisyloft__wire__envelope__field_descriptors[24] =
 {
   {
     "stream",
@@ -2977,6 +3291,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "freshness",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__Envelope, body_case),
+    offsetof(Daisyloft__Wire__Envelope, freshness),
+    &daisyloft__wire__freshness__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects_want",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__Envelope, body_case),
+    offsetof(Daisyloft__Wire__Envelope, objects_want),
+    &daisyloft__wire__objects_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__Envelope, body_case),
+    offsetof(Daisyloft__Wire__Envelope, objects),
+    &daisyloft__wire__objects__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__envelope__field_indices_by_name[] = {
   1,   /* field[1] = challenge */
@@ -2988,8 +3338,11 @@
   7,   /* field[7] = directive */
   9,   /* field[9] = entry_status */
   6,   /* field[6] = fleet_settings */
+  21,   /* field[21] = freshness */
   2,   /* field[2] = hello */
   5,   /* field[5] = members */
+  23,   /* field[23] = objects */
+  22,   /* field[22] = objects_want */
   4,   /* field[4] = ping */
   15,   /* field[15] = request_cancel */
   10,   /* field[10] = request_open */
@@ -3001,10 +3354,11 @@
   0,   /* field[0] = stream */
   3,   /* field[3] = welcome */
 };
-static const ProtobufCIntRange daisyloft__wire__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisyloft__wire__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 40, 21 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__envelope__descriptor =
 {
@@ -3014,10 +3368,10 @@
   "Daisyloft__Wire__Envelope",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Envelope),
-  21,
+  24,
   daisyloft__wire__envelope__field_descriptors,
   daisyloft__wire__envelope__field_indices_by_name,
-  1,  daisyloft__wire__envelope__number_ranges,
+  2,  daisyloft__wire__envelope__number_ranges,
   (ProtobufCMessageInit) daisyloft__wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -25,6 +25,9 @@
 typedef struct Daisyloft__Wire__Directive Daisyloft__Wire__Directive;
 typedef struct Daisyloft__Wire__SlotStatus Daisyloft__Wire__SlotStatus;
 typedef struct Daisyloft__Wire__EntryStatus Daisyloft__Wire__EntryStatus;
+typedef struct Daisyloft__Wire__Freshness Daisyloft__Wire__Freshness;
+typedef struct Daisyloft__Wire__ObjectsWant Daisyloft__Wire__ObjectsWant;
+typedef struct Daisyloft__Wire__Objects Daisyloft__Wire__Objects;
 typedef struct Daisyloft__Wire__RequestOpen Daisyloft__Wire__RequestOpen;
 typedef struct Daisyloft__Wire__ResponseHead Daisyloft__Wire__ResponseHead;
 typedef struct Daisyloft__Wire__ResponseData Daisyloft__Wire__ResponseData;
@@ -348,6 +351,63 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * Sent every second between entries, so that each knows how old its facts are.
+ */
+struct  Daisyloft__Wire__Freshness
+{
+  ProtobufCMessage base;
+  uint64_t settings_revision;
+  uint64_t objects_revision;
+  /*
+   * how long ago the sender's source was in touch with the store
+   */
+  uint32_t store_age_ms;
+  /*
+   * the sender watches the platform itself
+   */
+  protobuf_c_boolean reaches_store;
+};
+#define DAISYLOFT__WIRE__FRESHNESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__freshness__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * From an entry to a relay: whether it wants the platform's objects, and from which
+ * revision on.
+ */
+struct  Daisyloft__Wire__ObjectsWant
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean wanted;
+  /*
+   * 0: none are held
+   */
+  uint64_t after;
+};
+#define DAISYLOFT__WIRE__OBJECTS_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__objects_want__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * The platform's objects at one revision, as the payload: a JSON list as of the watch call.
+ */
+struct  Daisyloft__Wire__Objects
+{
+  ProtobufCMessage base;
+  /*
+   * changes since this revision; 0: all objects
+   */
+  uint64_t after;
+  uint64_t revision;
+};
+#define DAISYLOFT__WIRE__OBJECTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__objects__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Opens a request on an entry-to-slot connection; the body is the payload.
  */
@@ -533,7 +593,10 @@
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_WANT = 18,
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_DATA = 19,
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_REFUSE = 20,
-  DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_CANCEL = 21
+  DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_CANCEL = 21,
+  DAISYLOFT__WIRE__ENVELOPE__BODY_FRESHNESS = 40,
+  DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS_WANT = 41,
+  DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS = 42
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DAISYLOFT__WIRE__ENVELOPE__BODY__CASE)
 } Daisyloft__Wire__Envelope__BodyCase;
 
@@ -563,6 +626,9 @@
     Daisyloft__Wire__ChunkData *chunk_data;
     Daisyloft__Wire__ChunkRefuse *chunk_refuse;
     Daisyloft__Wire__ChunkCancel *chunk_cancel;
+    Daisyloft__Wire__Freshness *freshness;
+    Daisyloft__Wire__ObjectsWant *objects_want;
+    Daisyloft__Wire__Objects *objects;
   };
 };
 #define DAISYLOFT__WIRE__ENVELOPE__INIT \
@@ -760,6 +826,63 @@
 void   daisyloft__wire__entry_status__free_unpacked
                      (Daisyloft__Wire__EntryStatus *message,
                       ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__Freshness methods */
+void   daisyloft__wire__freshness__init
+                     (Daisyloft__Wire__Freshness         *message);
+size_t daisyloft__wire__freshness__get_packed_size
+                     (const Daisyloft__Wire__Freshness   *message);
+size_t daisyloft__wire__freshness__pack
+                     (const Daisyloft__Wire__Freshness   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__freshness__pack_to_buffer
+                     (const Daisyloft__Wire__Freshness   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__Freshness *
+       daisyloft__wire__freshness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__freshness__free_unpacked
+                     (Daisyloft__Wire__Freshness *message,
+                      ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__ObjectsWant methods */
+void   daisyloft__wire__objects_want__init
+                     (Daisyloft__Wire__ObjectsWant         *message);
+size_t daisyloft__wire__objects_want__get_packed_size
+                     (const Daisyloft__Wire__ObjectsWant   *message);
+size_t daisyloft__wire__objects_want__pack
+                     (const Daisyloft__Wire__ObjectsWant   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__objects_want__pack_to_buffer
+                     (const Daisyloft__Wire__ObjectsWant   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__ObjectsWant *
+       daisyloft__wire__objects_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__objects_want__free_unpacked
+                     (Daisyloft__Wire__ObjectsWant *message,
+                      ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__Objects methods */
+void   daisyloft__wire__objects__init
+                     (Daisyloft__Wire__Objects         *message);
+size_t daisyloft__wire__objects__get_packed_size
+                     (const Daisyloft__Wire__Objects   *message);
+size_t daisyloft__wire__objects__pack
+                     (const Daisyloft__Wire__Objects   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__objects__pack_to_buffer
+                     (const Daisyloft__Wire__Objects   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__Objects *
+       daisyloft__wire__objects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__objects__free_unpacked
+                     (Daisyloft__Wire__Objects *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__RequestOpen methods */
 void   daisyloft__wire__request_open__init
                      (Daisyloft__Wire__RequestOpen         *message);
@@ -1020,6 +1143,15 @@
 typedef void (*Daisyloft__Wire__EntryStatus_Closure)
                  (const Daisyloft__Wire__EntryStatus *message,
                   void *closure_data);
+typedef void (*Daisyloft__Wire__Freshness_Closure)
+                 (const Daisyloft__Wire__Freshness *message,
+                  void *closure_data);
+typedef void (*Daisyloft__Wire__ObjectsWant_Closure)
+                 (const Daisyloft__Wire__ObjectsWant *message,
+                  void *closure_data);
+typedef void (*Daisyloft__Wire__Objects_Closure)
+                 (const Daisyloft__Wire__Objects *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__RequestOpen_Closure)
                  (const Daisyloft__Wire__RequestOpen *message,
                   void *closure_data);
@@ -1077,6 +1209,9 @@
 extern const ProtobufCMessageDescriptor daisyloft__wire__directive__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__slot_status__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__entry_status__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__freshness__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__objects_want__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__objects__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__request_open__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__response_head__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__response_data__descriptor;
--- /dev/null
+++ b/lib/policy/rollout.c
@@ -0,0 +1,569 @@
+#include "policy/rollout.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Lines of history kept; the first stays. */
+#define HISTORY_MAX_LINES 100
+/* Host names that one line of history gives. */
+#define HISTORY_MAX_NAMES 8
+#define PERCENT           100
+
+/* -------- history -------- */
+
+static void
+add_history (DlRollout *r, const DlRolloutFacts *facts, const char *what)
+{
+  json_object *line = json_object_new_object ();
+
+  json_object_object_add (line, "at_ms", json_object_new_uint64 (facts->wall_ms));
+  json_object_object_add (line, "by", json_object_new_string (facts->by));
+  json_object_object_add (line, "command", json_object_new_string (""));
+  json_object_object_add (line, "what", json_object_new_string (what));
+  json_object_array_add (r->history, line);
+  if (json_object_array_length (r->history) > HISTORY_MAX_LINES)
+    json_object_array_del_idx (r->history, 1, 1);
+}
+
+/* Adds the line "WHAT N hosts: a, b, ..." when NAMES are not empty. */
+static void
+add_names_history (DlRollout *r,
+                   const DlRolloutFacts *facts,
+                   const char *what,
+                   const DlNames *names)
+{
+  char *line;
+
+  if (names->count == 0)
+    return;
+  line = talloc_asprintf (NULL, "%s %zu host%s:", what, names->count,
+                          names->count == 1 ? "" : "s");
+  for (size_t i = 0; i < names->count && i < HISTORY_MAX_NAMES; i++)
+    line = talloc_asprintf_append (line, "%s %s", i > 0 ? "," : "", names->names[i]);
+  if (names->count > HISTORY_MAX_NAMES)
+    line = talloc_strdup_append (line, ", ...");
+  add_history (r, facts, line);
+  talloc_free (line);
+}
+
+static bool
+set_reason (DlRollout *r, const char *reason)
+{
+  if (strcmp (r->reason, reason) == 0)
+    return false;
+  talloc_free (r->reason);
+  r->reason = talloc_strdup (r, reason);
+  return true;
+}
+
+/* -------- hosts -------- */
+
+static int
+compare_host (const void *key, const void *element)
+{
+  return strcmp (key, ((const DlRolloutHost *)element)->name);
+}
+
+static const DlRolloutHost *
+find_host (const DlRolloutFacts *facts, const char *name)
+{
+  if (facts->host_count == 0)
+    return NULL;
+  return bsearch (name, facts->hosts, facts->host_count, sizeof facts->hosts[0],
+                  compare_host);
+}
+
+static bool
+covers_region (const DlRollout *r, const char *region)
+{
+  return r->regions.count == 0 || dl_names_contains (&r->regions, region);
+}
+
+/* A newer rollout that the host belongs to, or NULL. */
+static const DlRollout *
+newer_claim (const DlRollout *r, const DlRolloutSet *set, const DlRolloutHost *host)
+{
+  for (size_t i = 0; i < set->count; i++)
+    {
+      const DlRollout *other = set->rollouts[i];
+
+      if (other->created <= r->created || strcmp (other->service, r->service) != 0)
+        continue;
+      if (dl_rollout_has_ended (other) ? dl_names_contains (&other->loaded, host->name)
+                                       : covers_region (other, host->region))
+        return other;
+    }
+  return NULL;
+}
+
+/* An older rollout has not let go of the host yet. */
+static bool
+is_held_by_older (const DlRollout *r, const DlRolloutSet *set, const char *host)
+{
+  for (size_t i = 0; i < set->count; i++)
+    {
+      const DlRollout *other = set->rollouts[i];
+
+      if (other->created < r->created && dl_rollout_is_active (other)
+          && dl_names_contains (&other->targets, host))
+        return true;
+    }
+  return false;
+}
+
+static bool
+serves_version (const DlRollout *r, const DlRolloutHost *host)
+{
+  return host->heard && strcmp (host->serving, r->version) == 0;
+}
+
+/* The host's report was made after the last decision about it had reached it. */
+static bool
+knows_decision (const DlRollout *r, const DlRolloutHost *host)
+{
+  const DlRolloutNote *note = dl_rollout_find_note (r, host->name);
+
+  return host->heard && strcmp (host->rollout, r->name) == 0
+         && (note == NULL || host->directive_revision > note->since);
+}
+
+/* -------- targets -------- */
+
+static bool
+belongs (const DlRollout *r, const DlRolloutFacts *facts, const DlRolloutHost *host)
+{
+  return !host->leaving && covers_region (r, host->region)
+         && newer_claim (r, facts->set, host) == NULL;
+}
+
+static void
+drop_target (DlRollout *r, const char *name)
+{
+  DlRolloutNote *note = dl_rollout_note (r, name);
+  size_t at = (size_t)(note - r->notes);
+
+  memmove (note, note + 1, (r->note_count - at - 1) * sizeof *note);
+  r->note_count--;
+  dl_names_remove (&r->wave, name);
+  dl_names_remove (&r->loaded, name);
+  dl_names_remove (&r->targets, name);
+}
+
+/* Drops targets that left the list or belong to a newer rollout, which *NEWER gets. */
+static bool
+drop_targets (DlRollout *r, const DlRolloutFacts *facts, const DlRollout **newer)
+{
+  void *scratch = talloc_new (NULL);
+  DlNames gone = { 0 };
+  DlNames claimed = { 0 };
+
+  for (size_t i = 0; i < r->targets.count; i++)
+    {
+      const char *name = r->targets.names[i];
+      const DlRolloutHost *host = find_host (facts, name);
+      const DlRollout *claim = host != NULL ? newer_claim (r, facts->set, host) : NULL;
+
+      if (claim != NULL)
+        {
+          *newer = claim;
+          dl_names_add (scratch, &claimed, name);
+        }
+      else if (host == NULL || host->leaving)
+        dl_names_add (scratch, &gone, name);
+    }
+  for (size_t i = 0; i < gone.count; i++)
+    drop_target (r, gone.names[i]);
+  for (size_t i = 0; i < claimed.count; i++)
+    drop_target (r, claimed.names[i]);
+  add_names_history (r, facts, "dropped, gone from the list,", &gone);
+  add_names_history (r, facts, "gave to a newer rollout", &claimed);
+  talloc_free (scratch);
+  return gone.count + claimed.count > 0;
+}
+
+static bool
+add_targets (DlRollout *r, const DlRolloutFacts *facts)
+{
+  void *scratch = talloc_new (NULL);
+  DlNames added = { 0 };
+  bool changed;
+
+  for (size_t i = 0; i < facts->host_count; i++)
+    if (belongs (r, facts, &facts->hosts[i])
+        && dl_names_add (r, &r->targets, facts->hosts[i].name))
+      dl_names_add (scratch, &added, facts->hosts[i].name);
+  add_names_history (r, facts, "added", &added);
+  changed = added.count > 0;
+  talloc_free (scratch);
+  return changed;
+}
+
+/* -------- the wave -------- */
+
+static bool
+set_failure (DlRollout *r, const char *host, const char *failure)
+{
+  DlRolloutNote *note = dl_rollout_note (r, host);
+
+  talloc_free (note->failure);
+  note->failure = failure != NULL ? talloc_strdup (r->notes, failure) : NULL;
+  return true;
+}
+
+/* Takes the host out of the wave after a failed load. */
+static void
+withdraw (DlRollout *r, const DlRolloutFacts *facts, const DlRolloutHost *host)
+{
+  const char *failure = host->failure[0] != '\0' ? host->failure : "load failed";
+  DlRolloutNote *note;
+  char *line;
+
+  set_failure (r, host->name, failure);
+  note = dl_rollout_note (r, host->name);
+  note->tries++;
+  note->since = r->revision;
+  dl_names_remove (&r->wave, host->name);
+  line = talloc_asprintf (NULL, "%s failed to load, try %" PRIu64 " of %d: %s",
+                          host->name, note->tries, DL_ROLLOUT_TRIES_MAX, failure);
+  add_history (r, facts, line);
+  talloc_free (line);
+}
+
+static bool
+settle_host (DlRollout *r, const DlRolloutFacts *facts, const DlRolloutHost *host)
+{
+  const DlRolloutNote *note = dl_rollout_find_note (r, host->name);
+  bool changed = false;
+
+  if (serves_version (r, host) && host->accepts)
+    {
+      changed |= dl_names_remove (&r->wave, host->name);
+      changed |= dl_names_add (r, &r->loaded, host->name);
+      if (note != NULL && note->failure != NULL)
+        changed |= set_failure (r, host->name, NULL);
+      return changed;
+    }
+  if (host->heard && !serves_version (r, host))
+    changed |= dl_names_remove (&r->loaded, host->name);
+  if (dl_names_contains (&r->wave, host->name) && host->failed
+      && knows_decision (r, host))
+    {
+      withdraw (r, facts, host);
+      changed = true;
+    }
+  return changed;
+}
+
+static bool
+settle_hosts (DlRollout *r, const DlRolloutFacts *facts)
+{
+  bool changed = false;
+
+  for (size_t i = 0; i < facts->host_count; i++)
+    if (dl_names_contains (&r->targets, facts->hosts[i].name))
+      changed |= settle_host (r, facts, &facts->hosts[i]);
+  return changed;
+}
+
+/* The host takes no requests, or may stop to do so by what it was last told. */
+static bool
+is_out (const DlRollout *r, const DlRolloutHost *host)
+{
+  if (!host->heard || !host->accepts || host->drained || host->leaving)
+    return true;
+  if (!dl_names_contains (&r->targets, host->name))
+    return false;
+  return dl_names_contains (&r->wave, host->name) || !knows_decision (r, host);
+}
+
+/* Hosts of the region, how many of them may be out, and how many are. */
+typedef struct
+{
+  size_t allowed;
+  size_t out;
+  bool blocked; /* an older rollout has not let go of its hosts */
+} Room;
+
+static Room
+count_room (const DlRollout *r, const DlRolloutFacts *facts, const char *region)
+{
+  uint64_t percent = r->wave_percent > 0 ? r->wave_percent : facts->wave_percent;
+  Room room = { 0 };
+  size_t hosts = 0;
+
+  for (size_t i = 0; i < facts->host_count; i++)
+    {
+      const DlRolloutHost *h = &facts->hosts[i];
+
+      if (strcmp (h->region, region) != 0)
+        continue;
+      hosts++;
+      if (is_out (r, h))
+        room.out++;
+      if (dl_names_contains (&r->targets, h->name)
+          && is_held_by_older (r, facts->set, h->name))
+        room.blocked = true;
+    }
+  room.allowed = hosts * percent / PERCENT;
+  if (room.allowed == 0)
+    room.allowed = 1;
+  return room;
+}
+
+static uint64_t
+tries_of (const DlRollout *r, const char *host)
+{
+  const DlRolloutNote *note = dl_rollout_find_note (r, host);
+
+  return note != NULL ? note->tries : 0;
+}
+
+static bool
+is_ready (const DlRollout *r, const DlRolloutHost *host)
+{
+  return dl_names_contains (&r->targets, host->name)
+         && !dl_names_contains (&r->loaded, host->name)
+         && !dl_names_contains (&r->wave, host->name) && knows_decision (r, host)
+         && host->whole && strcmp (host->target_version, r->version) == 0
+         && tries_of (r, host->name) < DL_ROLLOUT_TRIES_MAX;
+}
+
+static void
+grant (DlRollout *r, const DlRolloutHost *host)
+{
+  dl_names_add (r, &r->wave, host->name);
+  dl_rollout_note (r, host->name)->since = r->revision;
+}
+
+/* Grants the ready hosts of one region what room there is.  A host that is out already
+ * takes no room.  Returns whether one was granted; *STUCK when nothing could be and no
+ * load of this rollout is in progress there. */
+static bool
+grant_region (DlRollout *r, const DlRolloutFacts *facts, const char *region, bool *stuck)
+{
+  Room room = count_room (r, facts, region);
+  bool granted = false;
+  bool waiting = false;
+  bool loading = false;
+
+  for (uint64_t tries = 0; tries < DL_ROLLOUT_TRIES_MAX; tries++)
+    for (size_t i = 0; i < facts->host_count; i++)
+      {
+        const DlRolloutHost *h = &facts->hosts[i];
+
+        if (strcmp (h->region, region) != 0)
+          continue;
+        loading |= dl_names_contains (&r->wave, h->name);
+        if (tries_of (r, h->name) != tries || !is_ready (r, h))
+          continue;
+        if (room.blocked || (!is_out (r, h) && room.out >= room.allowed))
+          {
+            waiting = true;
+            continue;
+          }
+        if (!is_out (r, h))
+          room.out++;
+        grant (r, h);
+        granted = true;
+      }
+  *stuck = waiting && !loading && !granted;
+  return granted;
+}
+
+/* True for the first host of each region. */
+static bool
+is_first_of_region (const DlRolloutFacts *facts, size_t at)
+{
+  for (size_t i = 0; i < at; i++)
+    if (strcmp (facts->hosts[i].region, facts->hosts[at].region) == 0)
+      return false;
+  return true;
+}
+
+static bool
+grant_loads (DlRollout *r, const DlRolloutFacts *facts)
+{
+  char *reason = talloc_strdup (NULL, "");
+  bool changed = false;
+
+  for (size_t i = 0; i < facts->host_count; i++)
+    {
+      bool stuck;
+
+      if (!is_first_of_region (facts, i))
+        continue;
+      changed |= grant_region (r, facts, facts->hosts[i].region, &stuck);
+      if (stuck)
+        reason = talloc_asprintf_append (reason, "%sno room in the wave in %s",
+                                         reason[0] != '\0' ? "; " : "",
+                                         facts->hosts[i].region);
+    }
+  if (changed && r->state == DL_ROLLOUT_DISTRIBUTING)
+    {
+      r->state = DL_ROLLOUT_LOADING;
+      add_history (r, facts, "loading");
+    }
+  changed |= set_reason (r, reason);
+  talloc_free (reason);
+  return changed;
+}
+
+/* -------- ends -------- */
+
+static bool
+end (DlRollout *r, const DlRolloutFacts *facts, DlRolloutState state, const char *reason)
+{
+  char *line = talloc_asprintf (NULL, "%s%s%s", dl_rollout_state_name (state),
+                                reason[0] != '\0' ? ": " : "", reason);
+
+  r->state = state;
+  set_reason (r, reason);
+  add_history (r, facts, line);
+  talloc_free (line);
+  return true;
+}
+
+static bool
+replace (DlRollout *r, const DlRolloutFacts *facts, const DlRollout *newer)
+{
+  char *reason = talloc_asprintf (NULL, "by %s", newer->name);
+
+  end (r, facts, DL_ROLLOUT_REPLACED, reason);
+  talloc_free (reason);
+  return true;
+}
+
+/* Every host that does not serve the version was given up. */
+static bool
+fail_when_given_up (DlRollout *r, const DlRolloutFacts *facts)
+{
+  const DlRolloutNote *first = NULL;
+  size_t failed = 0;
+  char *reason;
+
+  for (size_t i = 0; i < r->targets.count; i++)
+    {
+      const char *name = r->targets.names[i];
+
+      if (dl_names_contains (&r->loaded, name))
+        continue;
+      if (tries_of (r, name) < DL_ROLLOUT_TRIES_MAX)
+        return false;
+      if (first == NULL)
+        first = dl_rollout_find_note (r, name);
+      failed++;
+    }
+  if (first == NULL)
+    return false;
+  reason = talloc_asprintf (NULL, "%zu of %zu hosts failed to load; %s: %s", failed,
+                            r->targets.count, first->host, first->failure);
+  end (r, facts, DL_ROLLOUT_FAILED, reason);
+  talloc_free (reason);
+  return true;
+}
+
+static bool
+judge (DlRollout *r, const DlRolloutFacts *facts)
+{
+  if (r->loaded.count == r->targets.count)
+    return end (r, facts, DL_ROLLOUT_COMPLETE, "");
+  return fail_when_given_up (r, facts);
+}
+
+/* -------- steps -------- */
+
+/* A host of a complete rollout that lacks the version: new, or replaced and empty. */
+static bool
+needs_reopening (const DlRollout *r, const DlRolloutFacts *facts)
+{
+  for (size_t i = 0; i < facts->host_count; i++)
+    {
+      const DlRolloutHost *h = &facts->hosts[i];
+
+      if (h->heard && !serves_version (r, h) && belongs (r, facts, h))
+        return true;
+    }
+  return false;
+}
+
+/* A newer rollout holds for every host that this one could target. */
+static bool
+is_superseded (const DlRollout *r, const DlRolloutSet *set)
+{
+  for (size_t i = 0; i < set->count; i++)
+    {
+      const DlRollout *other = set->rollouts[i];
+      size_t covered = 0;
+
+      if (other->created <= r->created || dl_rollout_has_ended (other)
+          || strcmp (other->service, r->service) != 0)
+        continue;
+      if (other->regions.count == 0)
+        return true;
+      for (size_t j = 0; j < r->regions.count; j++)
+        covered += dl_names_contains (&other->regions, r->regions.names[j]);
+      if (r->regions.count > 0 && covered == r->regions.count)
+        return true;
+    }
+  return false;
+}
+
+bool
+dl_rollout_may_want_steering (const DlRollout *rollout, const DlRolloutSet *set)
+{
+  if (rollout->state == DL_ROLLOUT_COMPLETE)
+    return !is_superseded (rollout, set);
+  return dl_rollout_is_active (rollout);
+}
+
+bool
+dl_rollout_wants_steering (const DlRollout *rollout, const DlRolloutFacts *facts)
+{
+  if (!dl_rollout_may_want_steering (rollout, facts->set))
+    return false;
+  return rollout->state != DL_ROLLOUT_COMPLETE || needs_reopening (rollout, facts);
+}
+
+static bool
+step_active (DlRollout *r, const DlRolloutFacts *facts)
+{
+  const DlRollout *newer = NULL;
+  bool changed = false;
+
+  if (facts->host_count > 0)
+    {
+      changed |= drop_targets (r, facts, &newer);
+      changed |= add_targets (r, facts);
+    }
+  if (r->targets.count == 0 && newer != NULL)
+    return replace (r, facts, newer);
+  changed |= settle_hosts (r, facts);
+  if (r->state == DL_ROLLOUT_PAUSED)
+    return changed;
+  if (r->targets.count == 0)
+    return set_reason (r, "no host of the service in the target regions") || changed;
+  changed |= grant_loads (r, facts);
+  changed |= judge (r, facts);
+  return changed;
+}
+
+bool
+dl_rollout_step (DlRollout *rollout, const DlRolloutFacts *facts)
+{
+  bool changed;
+
+  if (!dl_rollout_wants_steering (rollout, facts))
+    return false;
+  changed = rollout->fence != facts->fence;
+  rollout->fence = facts->fence;
+  if (rollout->state == DL_ROLLOUT_COMPLETE)
+    {
+      rollout->state = DL_ROLLOUT_DISTRIBUTING;
+      add_history (rollout, facts, "opened again for hosts without the version");
+      changed = true;
+    }
+  changed |= step_active (rollout, facts);
+  return changed;
+}
--- /dev/null
+++ b/lib/policy/rollout_set.c
@@ -0,0 +1,107 @@
+/* Notes of one rollout, and which of all rollouts holds for a host. */
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "policy/rollout.h"
+
+/* Index of the first note that is not before HOST. */
+static size_t
+note_index (const DlRollout *rollout, const char *host)
+{
+  size_t low = 0;
+  size_t high = rollout->note_count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+
+      if (strcmp (rollout->notes[middle].host, host) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+const DlRolloutNote *
+dl_rollout_find_note (const DlRollout *rollout, const char *host)
+{
+  size_t at = note_index (rollout, host);
+
+  if (at < rollout->note_count && strcmp (rollout->notes[at].host, host) == 0)
+    return &rollout->notes[at];
+  return NULL;
+}
+
+DlRolloutNote *
+dl_rollout_note (DlRollout *rollout, const char *host)
+{
+  size_t at = note_index (rollout, host);
+
+  if (at < rollout->note_count && strcmp (rollout->notes[at].host, host) == 0)
+    return &rollout->notes[at];
+  rollout->notes
+      = talloc_realloc (rollout, rollout->notes, DlRolloutNote, rollout->note_count + 1);
+  memmove (&rollout->notes[at + 1], &rollout->notes[at],
+           (rollout->note_count - at) * sizeof (DlRolloutNote));
+  rollout->note_count++;
+  rollout->notes[at] = (DlRolloutNote){ .host = talloc_strdup (rollout->notes, host) };
+  return &rollout->notes[at];
+}
+
+bool
+dl_rollout_has_ended (const DlRollout *rollout)
+{
+  switch (rollout->state)
+    {
+    case DL_ROLLOUT_CALLED_OFF:
+    case DL_ROLLOUT_REPLACED:
+    case DL_ROLLOUT_FAILED:
+      return true;
+    case DL_ROLLOUT_DISTRIBUTING:
+    case DL_ROLLOUT_LOADING:
+    case DL_ROLLOUT_COMPLETE:
+    case DL_ROLLOUT_PAUSED:
+      return false;
+    }
+  return false;
+}
+
+bool
+dl_rollout_is_active (const DlRollout *rollout)
+{
+  return !dl_rollout_has_ended (rollout) && rollout->state != DL_ROLLOUT_COMPLETE;
+}
+
+static int
+compare_created (const void *a, const void *b)
+{
+  const DlRollout *x = *(const DlRollout *const *)a;
+  const DlRollout *y = *(const DlRollout *const *)b;
+
+  if (x->created != y->created)
+    return x->created > y->created ? -1 : 1;
+  return strcmp (x->name, y->name);
+}
+
+void
+dl_rollout_set_sort (DlRolloutSet *set)
+{
+  if (set->count > 0)
+    qsort (set->rollouts, set->count, sizeof set->rollouts[0], compare_created);
+}
+
+const DlRollout *
+dl_rollout_for_host (const DlRolloutSet *set, const char *host)
+{
+  for (size_t i = 0; i < set->count; i++)
+    {
+      const DlRollout *r = set->rollouts[i];
+      const DlNames *held = dl_rollout_has_ended (r) ? &r->loaded : &r->targets;
+
+      if (dl_names_contains (held, host))
+        return r;
+    }
+  return NULL;
+}
