--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -62,6 +62,7 @@
   bool in_handler;
   bool suspended;
   bool answered; /* response or stream has been given */
+  bool caller_gone;
   struct MHD_Response *response;
   unsigned status;
   DlBuffer *stream; /* bytes not yet taken; NULL for a plain answer */
@@ -175,6 +176,18 @@
   json_object_put (object);
 }
 
+/* The library has no call for it: on a socket that is shut, its answer goes nowhere. */
+void
+dl_http_abort (DlHttpRequest *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  if (info != NULL)
+    shutdown (info->connect_fd, SHUT_RDWR);
+  dl_http_reply (request, MHD_HTTP_REQUEST_TIMEOUT, NULL, DL_STR_LITERAL (""), NULL);
+}
+
 static ssize_t
 stream_read (void *data, uint64_t position, char *out, size_t max)
 {
@@ -365,7 +378,7 @@
   if (r == NULL)
     return;
   *state = NULL;
-  answered = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+  answered = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !r->caller_gone;
   if (!answered)
     dl_metric_add (&metric_gone, 1);
   g_hash_table_remove (server->suspended, r);
@@ -409,6 +422,7 @@
 
       if (!g_hash_table_contains (server->suspended, r) || !caller_is_gone (r))
         continue;
+      r->caller_gone = true;
       if (!r->answered)
         dl_http_reply_error (r, MHD_HTTP_REQUEST_TIMEOUT, 0, "the caller went away");
       else if (!r->stream_ended)
