--- a/daisyentryd/daisyentryd.h
+++ b/daisyentryd/daisyentryd.h
@@ -13,6 +13,7 @@
 #ifndef DAISYENTRYD_H
 #define DAISYENTRYD_H
 
+#include "kernel/crypt.h"
 #include "kernel/fleet.h"
 #include "kernel/frame.h"
 #include "kernel/kernel.h"
@@ -51,6 +52,8 @@
   ENTRY_SLOT_STATUS,
   ENTRY_CONTACT,
   ENTRY_ENTRY_STATUS,
+  ENTRY_REQUEST,
+  ENTRY_RESPONSE,
 } EntryMessageType;
 
 #define ENTRY_SUBSCRIBE(type) (UINT64_C (1) << (type))
@@ -70,6 +73,41 @@
 const DlObject *
 entry_snapshot_find (const EntrySnapshot *snapshot, const char *kind, const char *name);
 
+/* One try of a request at one upstream. */
+typedef struct
+{
+  const char *service;
+  const char *organisation;
+  const char *region; /* the caller's */
+  const char *method;
+  const char *path;
+  const char *content_type;
+  const char *request_id; /* differs with every try */
+  const char *avoid;      /* upstream that failed the try before; NULL for none */
+  unsigned priority;      /* 0: most urgent */
+  bool model;
+  bool single_use;         /* must not be sent twice */
+  DlDigest version;        /* upstreams of no other version will do; zero: any */
+  uint64_t prefix;         /* hash of the prompt's prefix; 0: none */
+  uint32_t resume_from;    /* tokens that the caller already has */
+  uint64_t dispatch_by_ms; /* dl_clock_ms after which it must not be sent; 0: none */
+  DlStr body;
+} EntryRequest;
+
+typedef enum
+{
+  ENTRY_REQUEST_OPEN,
+  ENTRY_REQUEST_CREDIT,
+  ENTRY_REQUEST_CANCEL,
+} EntryRequestKind;
+
+typedef enum
+{
+  ENTRY_RESPONSE_HEAD,
+  ENTRY_RESPONSE_DATA,
+  ENTRY_RESPONSE_END,
+} EntryResponseKind;
+
 typedef struct
 {
   DlMessage base;
@@ -112,6 +150,28 @@
     {
       const Daisyloft__Wire__EntryStatus *status; /* owned by the message's destructor */
     } entry_status;
+    /* REQUEST: posted to upstreams.  ID names the try; callers choose it. */
+    struct
+    {
+      EntryRequestKind kind;
+      uint64_t id;
+      const EntryRequest *open; /* OPEN: talloc child of the message */
+      uint32_t credit;          /* CREDIT: response bytes that the caller took */
+    } request;
+    /* RESPONSE: posted to callers.  Nothing follows END. */
+    struct
+    {
+      EntryResponseKind kind;
+      uint64_t id;
+      unsigned status;                   /* HEAD */
+      const char *content_type;          /* HEAD: talloc child of the message */
+      DlDigest version;                  /* HEAD: that answers; zero for plain services */
+      DlStr data;                        /* DATA: talloc child of the message */
+      Daisyloft__Wire__EndReason reason; /* END */
+      uint64_t retry_after_ms;           /* END */
+      const char *upstream; /* END: talloc child of the message; NULL: never handed on */
+      const char *detail;   /* END: talloc child of the message */
+    } response;
   };
 } EntryMessage;
 
--- a/daisyslotd/daisyslotd.h
+++ b/daisyslotd/daisyslotd.h
@@ -133,10 +133,12 @@
       uint32_t capacity;
       const char *failure; /* of the last order */
     } engine;
-    /* LOAD: requests in progress in the requests task. */
+    /* LOAD: requests in progress in the requests task, and the smoothed delay of their
+     * first response byte, for what yields to live requests; 0: none measured yet. */
     struct
     {
       uint32_t running;
+      uint64_t first_byte_us;
     } load;
     /* ROTATION: asked by the engine task: take no new requests (they are refused as not
      * run) while the engine loads; requests in progress finish. */
--- /dev/null
+++ b/daisyslotd/requests.c
@@ -0,0 +1,357 @@
+/*
+ * The requests task: takes request connections from entries, tells them the slot's status,
+ * and passes their requests to the engine or plain service.
+ *
+ * The slot is the only way to its upstream, so its count of requests in progress is exact.
+ * It refuses, as not run, what goes beyond the upstream's capacity and the service's
+ * queue, whatever the entries believe of its load.
+ */
+#include "requests.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+#define LOAD_INTERVAL_MS     200
+#define STATUS_INTERVAL_MS   1000
+#define LIMIT_UNKNOWN        256 /* requests at once while no capacity is known */
+#define RETRY_AFTER_MIN_MS   100
+#define RETRY_AFTER_MAX_MS   10000
+#define MICROSECONDS_PER_MS  1000
+#define SMOOTHING            8 /* weight of the past in smoothed values */
+
+DL_METRIC (metric_running,
+           DL_METRIC_GAUGE,
+           "daisy_slot_requests_running",
+           "Requests in progress at the engine or service.")
+
+/* -------- limits -------- */
+
+static const DlService *
+own_service (const RequestsTask *t)
+{
+  return t->fleet != NULL ? dl_fleet_service (t->fleet->fleet.fleet, t->settings->service)
+                          : NULL;
+}
+
+/* Requests that run at once without queueing; 0: not known. */
+static unsigned
+capacity (const RequestsTask *t)
+{
+  const DlService *service = own_service (t);
+
+  if (service != NULL && service->capacity > 0)
+    return (unsigned)service->capacity;
+  return t->engine != NULL ? t->engine->engine.capacity : 0;
+}
+
+unsigned
+requests_limit (const RequestsTask *t)
+{
+  const DlService *service = own_service (t);
+  unsigned at_once = capacity (t);
+
+  if (at_once == 0)
+    return LIMIT_UNKNOWN;
+  return at_once + (service != NULL ? (unsigned)service->queue : 0);
+}
+
+uint32_t
+requests_retry_after_ms (const RequestsTask *t)
+{
+  unsigned at_once = MAX (capacity (t), 1);
+  unsigned waiting = t->running >= at_once ? t->running - at_once + 1 : 1;
+  uint64_t wait_ms = t->mean_duration_us * waiting / at_once / MICROSECONDS_PER_MS;
+
+  return (uint32_t)CLAMP (wait_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+}
+
+/* -------- status to entries -------- */
+
+/* The status as the relays task made it, or what is known before it made one. */
+static Daisyloft__Wire__SlotStatus
+base_status (RequestsTask *t)
+{
+  Daisyloft__Wire__SlotStatus status = DAISYLOFT__WIRE__SLOT_STATUS__INIT;
+  const SlotMessage *engine = t->engine;
+
+  if (t->status != NULL)
+    return *t->status->status.status;
+  status.host = (char *)t->settings->name;
+  status.service = (char *)t->settings->service;
+  status.region = (char *)t->settings->region;
+  status.data_center = (char *)t->settings->data_center;
+  status.incarnation = dl_kernel_incarnation (dl_task_kernel (t->task));
+  status.state = DAISYLOFT__WIRE__SLOT_STATE__SLOT_SERVING;
+  status.accepts_requests = t->settings->kind == DL_SERVICE_PLAIN;
+  if (engine != NULL && engine->engine.reachable
+      && !dl_digest_is_zero (&engine->engine.serving))
+    {
+      status.serving_version
+          = DL_BYTES (dl_str_bytes (engine->engine.serving.bytes, DL_DIGEST_BYTES));
+      status.accepts_requests = true;
+    }
+  return status;
+}
+
+static void
+send_status (RequestsTask *t, RequestPeer *peer)
+{
+  Daisyloft__Wire__SlotStatus status = base_status (t);
+  DlEnvelope envelope = DL_ENVELOPE (SLOT_STATUS, slot_status, &status);
+  unsigned at_once = capacity (t);
+
+  status.capacity = at_once;
+  status.requests_running = at_once > 0 ? MIN (t->running, at_once) : t->running;
+  status.requests_queued = t->running - status.requests_running;
+  if (!t->accept || t->stopping)
+    status.accepts_requests = false;
+  if (t->stopping)
+    status.state = DAISYLOFT__WIRE__SLOT_STATE__SLOT_LEAVING;
+  dl_conn_send (peer->conn, &envelope, dl_str_bytes (NULL, 0));
+}
+
+static void
+send_status_to_all (RequestsTask *t)
+{
+  GHashTableIter iter;
+  gpointer peer;
+
+  t->reported_running = t->running;
+  g_hash_table_iter_init (&iter, t->peers);
+  while (g_hash_table_iter_next (&iter, &peer, NULL))
+    send_status (t, peer);
+}
+
+static void
+on_status_timer (DlTimer *timer, void *data)
+{
+  RequestsTask *t = data;
+
+  if (t->reported_running != t->running)
+    send_status_to_all (t);
+}
+
+static void
+on_load_timer (DlTimer *timer, void *data)
+{
+  RequestsTask *t = data;
+  SlotMessage *message;
+
+  dl_metric_set (&metric_running, t->running);
+  if (t->published_running == t->running)
+    return;
+  t->published_running = t->running;
+  message = dl_message_new (SLOT_MSG_LOAD, sizeof *message);
+  message->load.running = t->running;
+  message->load.first_byte_us = t->mean_first_byte_us;
+  dl_kernel_publish (dl_task_kernel (t->task), message);
+}
+
+/* -------- planned stop -------- */
+
+static void
+drained_when_idle (RequestsTask *t)
+{
+  if (t->stopping && t->running == 0)
+    dl_task_drained (t->task);
+}
+
+void
+requests_ended (RequestsTask *t, uint64_t duration_us)
+{
+  g_assert (t->running > 0);
+  t->running--;
+  if (duration_us > 0)
+    t->mean_duration_us = t->mean_duration_us == 0
+                              ? duration_us
+                              : (t->mean_duration_us * (SMOOTHING - 1) + duration_us)
+                                    / SMOOTHING;
+  drained_when_idle (t);
+}
+
+static void
+requests_drain (DlTask *task)
+{
+  RequestsTask *t = dl_task_state (task);
+
+  t->stopping = true;
+  dl_log (DL_EVENT_REQUESTS_LEAVING, DL_UINT ("running", t->running));
+  send_status_to_all (t);
+  drained_when_idle (t);
+}
+
+/* -------- connections -------- */
+
+static void
+on_frame (DlConn *conn, const DlEnvelope *envelope, DlStr payload, void *data)
+{
+  RequestPeer *peer = data;
+  uint64_t stream = envelope->stream;
+  SlotRequest *request = g_hash_table_lookup (peer->streams, &stream);
+
+  switch (envelope->body_case)
+    {
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_REQUEST_OPEN:
+      slot_request_open (peer, stream, envelope->request_open, payload);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_RESPONSE_CREDIT:
+      if (request != NULL)
+        slot_request_credit (request, envelope->response_credit->bytes);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_REQUEST_CANCEL:
+      if (request != NULL)
+        slot_request_cancel (request);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_closed (DlConn *conn, int error, void *data)
+{
+  RequestPeer *peer = data;
+  GList *streams = g_hash_table_get_values (peer->streams);
+
+  dl_log (DL_EVENT_REQUESTS_PEER_GONE, DL_TEXT ("entry", dl_conn_peer (conn)->name),
+          DL_UINT ("requests", g_hash_table_size (peer->streams)), DL_ERRNO (error));
+  g_hash_table_remove_all (peer->streams);
+  for (GList *l = streams; l != NULL; l = l->next)
+    slot_request_orphan (l->data);
+  g_list_free (streams);
+  g_hash_table_remove (peer->requests->peers, peer);
+  talloc_free (peer);
+}
+
+static int
+peer_destroy (RequestPeer *peer)
+{
+  g_hash_table_destroy (peer->streams);
+  return 0;
+}
+
+static void
+take_connection (RequestsTask *t, DlConn *conn)
+{
+  static const DlConnHandler handler = { .on_frame = on_frame, .on_closed = on_closed };
+  RequestPeer *peer = talloc_zero (t, RequestPeer);
+
+  g_assert (peer != NULL);
+  peer->requests = t;
+  peer->conn = conn;
+  peer->streams = g_hash_table_new (g_int64_hash, g_int64_equal);
+  talloc_set_destructor (peer, peer_destroy);
+  dl_conn_set_handler (conn, &handler, peer);
+  dl_conn_set_owner (conn, peer);
+  g_hash_table_add (t->peers, peer);
+  send_status (t, peer);
+}
+
+/* -------- messages -------- */
+
+static void
+keep (const SlotMessage **kept, const SlotMessage *message)
+{
+  if (*kept != NULL)
+    dl_message_unref ((void *)*kept);
+  *kept = dl_message_ref ((void *)message);
+}
+
+static void
+requests_handle (DlTask *task, const DlMessage *base)
+{
+  RequestsTask *t = dl_task_state (task);
+  const SlotMessage *message = (const SlotMessage *)base;
+
+  switch ((SlotMessageType)base->type)
+    {
+    case SLOT_MSG_CONNECTION:
+      take_connection (t, message->connection.connection);
+      break;
+    case SLOT_MSG_STATUS:
+      keep (&t->status, message);
+      send_status_to_all (t);
+      break;
+    case SLOT_MSG_FLEET:
+      keep (&t->fleet, message);
+      break;
+    case SLOT_MSG_ENGINE:
+      keep (&t->engine, message);
+      if (t->status == NULL)
+        send_status_to_all (t);
+      break;
+    case SLOT_MSG_ROTATION:
+      if (t->accept == message->rotation.accept)
+        break;
+      t->accept = message->rotation.accept;
+      dl_log (DL_EVENT_REQUESTS_ROTATION, DL_INT ("accept", t->accept));
+      send_status_to_all (t);
+      break;
+    default:
+      break;
+    }
+}
+
+static json_object *
+requests_dump (DlTask *task)
+{
+  const RequestsTask *t = dl_task_state (task);
+  json_object *dump = json_object_new_object ();
+
+  json_object_object_add (dump, "accept", json_object_new_boolean (t->accept));
+  json_object_object_add (dump, "stopping", json_object_new_boolean (t->stopping));
+  json_object_object_add (dump, "running", json_object_new_int64 (t->running));
+  json_object_object_add (dump, "limit", json_object_new_int64 (requests_limit (t)));
+  json_object_object_add (dump, "entries",
+                          json_object_new_int64 (g_hash_table_size (t->peers)));
+  json_object_object_add (dump, "mean_duration_us",
+                          json_object_new_uint64 (t->mean_duration_us));
+  json_object_object_add (dump, "mean_first_byte_us",
+                          json_object_new_uint64 (t->mean_first_byte_us));
+  return dump;
+}
+
+static int
+requests_destroy (RequestsTask *t)
+{
+  const SlotMessage *kept[] = { t->status, t->fleet, t->engine };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (kept); i++)
+    if (kept[i] != NULL)
+      dl_message_unref ((void *)kept[i]);
+  g_hash_table_destroy (t->peers);
+  return 0;
+}
+
+static int
+requests_start (DlTask *task)
+{
+  RequestsTask *t = talloc_zero (NULL, RequestsTask);
+
+  g_assert (t != NULL);
+  t->task = task;
+  t->settings = slot_settings (task);
+  t->http = dl_http_client_new (task, t);
+  t->peers = g_hash_table_new (NULL, NULL);
+  t->accept = true;
+  talloc_set_destructor (t, requests_destroy);
+  dl_timer_subscribe (task, t, LOAD_INTERVAL_MS, LOAD_INTERVAL_MS, on_load_timer, t);
+  dl_timer_subscribe (task, t, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, on_status_timer, t);
+  dl_task_set_state (task, t);
+  return 0;
+}
+
+static DlPlugin requests_plugin = {
+  .name = "requests",
+  .order = 40,
+  .subscriptions = SLOT_SUBSCRIBE (SLOT_MSG_STATUS) | SLOT_SUBSCRIBE (SLOT_MSG_FLEET)
+                   | SLOT_SUBSCRIBE (SLOT_MSG_ENGINE) | SLOT_SUBSCRIBE (SLOT_MSG_ROTATION),
+  .start = requests_start,
+  .handle = requests_handle,
+  .drain = requests_drain,
+  .dump = requests_dump,
+};
+DL_PLUGIN_REGISTER (requests_plugin)
--- a/lib/kernel/frame.h
+++ b/lib/kernel/frame.h
@@ -21,6 +21,8 @@
 #define DL_FRAME_PAYLOAD_MAX_BYTES  (8u << 20)
 #define DL_FRAME_PROTOCOL           1
 #define DL_FRAME_IDLE_MS            4000
+/* Response bytes that a slot may send on a request's stream before any ResponseCredit. */
+#define DL_STREAM_WINDOW_BYTES (64u << 10)
 
 typedef Daisyloft__Wire__Envelope DlEnvelope;
 
--- /dev/null
+++ b/lib/policy/route.c
@@ -0,0 +1,178 @@
+#include "policy/route.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define CAPACITY_UNKNOWN 64 /* assumed of an upstream that does not report one */
+
+/* A subset of the candidates, described by its filter. */
+typedef struct
+{
+  const DlRouteCandidate *candidates;
+  size_t count;
+  const DlRouteQuery *query;
+  bool need_prefix;
+  bool need_room;    /* less loaded than its capacity: no queueing there */
+  bool spare_avoid;  /* leave out the upstream to avoid */
+  bool heed_breaker; /* leave out upstreams whose breaker is open */
+  DlDistance farthest;
+} Pool;
+
+static unsigned
+capacity (const DlRouteCandidate *c)
+{
+  return c->capacity > 0 ? c->capacity : CAPACITY_UNKNOWN;
+}
+
+unsigned
+dl_route_load (const DlRouteCandidate *c)
+{
+  unsigned load = c->reported;
+
+  if (c->own > c->own_at_report)
+    load += c->own - c->own_at_report;
+  else if (load > c->own_at_report - c->own)
+    load -= c->own_at_report - c->own;
+  else
+    load = 0;
+  return load > c->own ? load : c->own;
+}
+
+bool
+dl_route_is_full (const DlRouteCandidate *c)
+{
+  return dl_route_load (c) >= capacity (c) + c->queue;
+}
+
+static bool
+serves (const DlRouteCandidate *c, const DlRouteQuery *q)
+{
+  return c->connected && c->accepts
+         && (dl_digest_is_zero (&q->version) || dl_digest_equal (&c->version, &q->version));
+}
+
+static bool
+is_in (const Pool *pool, const DlRouteCandidate *c)
+{
+  if (!serves (c, pool->query) || dl_route_is_full (c) || c->distance > pool->farthest)
+    return false;
+  if (pool->need_prefix && !c->has_prefix)
+    return false;
+  if (pool->need_room && dl_route_load (c) >= capacity (c))
+    return false;
+  if (pool->heed_breaker && !c->allowed)
+    return false;
+  return !(pool->spare_avoid && pool->query->avoid != NULL
+           && strcmp (c->name, pool->query->avoid) == 0);
+}
+
+static size_t
+pool_size (const Pool *pool)
+{
+  size_t size = 0;
+
+  for (size_t i = 0; i < pool->count; i++)
+    size += is_in (pool, &pool->candidates[i]);
+  return size;
+}
+
+/* Index of the pool's member with the given RANK. */
+static size_t
+pool_member (const Pool *pool, size_t rank)
+{
+  size_t i = 0;
+
+  while (!is_in (pool, &pool->candidates[i]) || rank-- > 0)
+    i++;
+  return i;
+}
+
+static bool
+is_less_loaded (const DlRouteCandidate *a, const DlRouteCandidate *b)
+{
+  uint64_t a_load = (uint64_t)dl_route_load (a) * capacity (b);
+  uint64_t b_load = (uint64_t)dl_route_load (b) * capacity (a);
+
+  if (a_load != b_load)
+    return a_load < b_load;
+  return a->distance < b->distance;
+}
+
+/* The less loaded of two different members drawn at random; -ENOENT for an empty pool. */
+static int
+pool_choose (const Pool *pool)
+{
+  size_t size = pool_size (pool);
+  uint64_t random = pool->query->random;
+  size_t first;
+  size_t second;
+
+  if (size == 0)
+    return -ENOENT;
+  first = pool_member (pool, random % size);
+  if (size == 1)
+    return (int)first;
+  second = pool_member (pool, (random % size + 1 + (random >> 32) % (size - 1)) % size);
+  return (int)(is_less_loaded (&pool->candidates[second], &pool->candidates[first])
+                   ? second
+                   : first);
+}
+
+/* From the best kind of candidates to the last resort. */
+static int
+choose_widening (Pool pool)
+{
+  int chosen;
+
+  pool.need_room = true;
+  pool.need_prefix = true;
+  pool.farthest = DL_DISTANCE_REGION;
+  chosen = pool_choose (&pool);
+  pool.need_prefix = false;
+  for (int d = 0; d < DL_DISTANCES && chosen < 0; d++)
+    {
+      pool.farthest = (DlDistance)d;
+      chosen = pool_choose (&pool);
+    }
+  pool.need_room = false;
+  return chosen >= 0 ? chosen : pool_choose (&pool);
+}
+
+int
+dl_route_choose (const DlRouteCandidate *candidates,
+                 size_t count,
+                 const DlRouteQuery *query)
+{
+  Pool pool = {
+    .candidates = candidates,
+    .count = count,
+    .query = query,
+    .spare_avoid = true,
+    .heed_breaker = true,
+    .farthest = DL_DISTANCE_FAR,
+  };
+  int chosen = choose_widening (pool);
+
+  if (chosen >= 0)
+    return chosen;
+  pool.spare_avoid = false;
+  chosen = choose_widening (pool);
+  if (chosen >= 0)
+    return chosen;
+  for (size_t i = 0; i < count; i++)
+    if (serves (&candidates[i], query))
+      return -EBUSY;
+  return -ENOENT;
+}
+
+DlDistance
+dl_route_distance (const char *region_a,
+                   const char *data_center_a,
+                   const char *region_b,
+                   const char *data_center_b)
+{
+  if (strcmp (region_a, region_b) != 0)
+    return DL_DISTANCE_FAR;
+  return strcmp (data_center_a, data_center_b) == 0 ? DL_DISTANCE_DATA_CENTER
+                                                    : DL_DISTANCE_REGION;
+}
