--- /dev/null
+++ b/daisyentryd/callers_address.c
@@ -0,0 +1,110 @@
+/*
+ * Which entries callers should use: the nearest that are neither leaving nor drowning,
+ * begun at a random one of equals so that callers spread.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "callers.h"
+#include "policy/route.h"
+
+#define ADDRESSES_MAX     4
+#define DROWNING_REQUESTS 512 /* in progress at an entry; more, and it is named last */
+
+typedef struct
+{
+  const DlMember *member;
+  DlDistance distance;
+  bool drowning;
+  uint64_t random;
+} RankedEntry;
+
+static gint
+compare_entries (gconstpointer a, gconstpointer b)
+{
+  const RankedEntry *x = a;
+  const RankedEntry *y = b;
+
+  if (x->drowning != y->drowning)
+    return x->drowning ? 1 : -1;
+  if (x->distance != y->distance)
+    return x->distance < y->distance ? -1 : 1;
+  if (x->random == y->random)
+    return 0;
+  return x->random < y->random ? -1 : 1;
+}
+
+/* The caller's region as it says, or this entry's. */
+static DlDistance
+distance_to_caller (const CallersTask *t, const char *region, const DlMember *m)
+{
+  if (region != NULL && strcmp (region, t->settings->region) != 0)
+    return strcmp (region, m->region) == 0 ? DL_DISTANCE_REGION : DL_DISTANCE_FAR;
+  return dl_route_distance (t->settings->region, t->settings->data_center, m->region,
+                            m->data_center);
+}
+
+/* Each data centre of the caller's region serves it about equally well, and only the
+ * entry's own status says how busy it is, so nearness counts by region. */
+static RankedEntry
+rank_entry (const CallersTask *t, const char *region, const DlMember *m)
+{
+  const EntryMessage *status = g_hash_table_lookup (t->entry_status, m->name);
+  DlDistance distance = distance_to_caller (t, region, m);
+  RankedEntry r = {
+    .member = m,
+    .distance = MAX (distance, DL_DISTANCE_REGION),
+    .random = dl_random_uint64 (),
+  };
+
+  if (status != NULL)
+    r.drowning = status->entry_status.status->requests_running > DROWNING_REQUESTS
+                 || status->entry_status.status->leaving;
+  return r;
+}
+
+static GArray *
+rank_entries (const CallersTask *t, const char *region)
+{
+  GArray *ranked = g_array_new (FALSE, FALSE, sizeof (RankedEntry));
+  const DlMembers *members = t->members != NULL ? t->members->members.members : NULL;
+
+  for (size_t i = 0; members != NULL && i < members->count; i++)
+    {
+      const DlMember *m = &members->members[i];
+      RankedEntry r;
+
+      if (m->role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY || m->leaving || *m->http == '\0')
+        continue;
+      /* The list lags: this entry knows better of itself. */
+      if (t->stopping && strcmp (m->name, t->settings->name) == 0)
+        continue;
+      r = rank_entry (t, region, m);
+      g_array_append_val (ranked, r);
+    }
+  g_array_sort (ranked, compare_entries);
+  return ranked;
+}
+
+void
+callers_answer_address (CallersTask *t, DlHttpRequest *http)
+{
+  GArray *ranked = rank_entries (t, dl_http_request_header (http, "X-Region"));
+  json_object *answer = json_object_new_object ();
+  json_object *addresses = json_object_new_array ();
+  uint64_t keep_s = t->fleet != NULL ? t->fleet->fleet.fleet->address_keep_s : 1;
+
+  for (guint i = 0; i < ranked->len && i < ADDRESSES_MAX; i++)
+    {
+      const RankedEntry *r = &g_array_index (ranked, RankedEntry, i);
+
+      json_object_array_add (addresses, json_object_new_string (r->member->http));
+    }
+  if (ranked->len == 0 && !t->stopping)
+    json_object_array_add (addresses,
+                           json_object_new_string (t->settings->callers_advertise));
+  g_array_free (ranked, TRUE);
+  json_object_object_add (answer, "addresses", addresses);
+  json_object_object_add (answer, "keep_s", json_object_new_uint64 (keep_s));
+  dl_http_reply_json (http, 200, answer);
+}
--- /dev/null
+++ b/daisyentryd/upstreams.c
@@ -0,0 +1,479 @@
+/*
+ * The upstreams task: connects to a bounded part of the slots of each service, keeps what
+ * each last said of itself, and carries requests to them.
+ *
+ * Which slots an entry connects to follows from a rendezvous hash of the two names, near
+ * ones first, so that the connections of a large fleet spread evenly and a slot that comes
+ * or goes moves few of them.  A few far slots are among them for when the near ones fail.
+ */
+#include "upstreams.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "policy/rendezvous.h"
+
+#define NEAR_MAX           24 /* connections for each service to the nearest slots */
+#define FAR_MAX            8  /* and to others */
+#define BACKOFF_MIN_MS     100
+#define BACKOFF_MAX_MS     3000
+#define SWEEP_INTERVAL_MS  1000
+
+DL_METRIC (metric_connected,
+           DL_METRIC_GAUGE,
+           "daisy_entry_upstreams_connected",
+           "Slots that a request connection is open to.")
+
+static void upstream_dial (Upstream *u);
+
+/* -------- services -------- */
+
+static int
+service_destroy (UpstreamService *s)
+{
+  g_hash_table_destroy (s->holders);
+  return 0;
+}
+
+UpstreamService *
+upstreams_service (UpstreamsTask *t, const char *name)
+{
+  UpstreamService *s = g_hash_table_lookup (t->services, name);
+
+  if (s != NULL)
+    return s;
+  s = talloc_zero (t, UpstreamService);
+  g_assert (s != NULL);
+  s->name = talloc_strdup (s, name);
+  s->holders = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (s, service_destroy);
+  g_hash_table_insert (t->services, s->name, s);
+  return s;
+}
+
+/* -------- status -------- */
+
+static int
+status_message_destroy (EntryMessage *m)
+{
+  if (m->slot_status.status != NULL)
+    daisyloft__wire__slot_status__free_unpacked (
+        (Daisyloft__Wire__SlotStatus *)m->slot_status.status, NULL);
+  return 0;
+}
+
+/* The codec's way to copy a message. */
+static Daisyloft__Wire__SlotStatus *
+copy_status (const Daisyloft__Wire__SlotStatus *status)
+{
+  size_t size = daisyloft__wire__slot_status__get_packed_size (status);
+  uint8_t *packed = g_malloc (size);
+  Daisyloft__Wire__SlotStatus *copy;
+
+  daisyloft__wire__slot_status__pack (status, packed);
+  copy = daisyloft__wire__slot_status__unpack (NULL, size, packed);
+  g_free (packed);
+  return copy;
+}
+
+static void
+publish_status (Upstream *u, const Daisyloft__Wire__SlotStatus *status)
+{
+  EntryMessage *m = dl_message_new (ENTRY_SLOT_STATUS, sizeof *m);
+
+  talloc_set_destructor (m, status_message_destroy);
+  m->slot_status.connected = status != NULL;
+  m->slot_status.host = talloc_strdup (m, u->name);
+  if (status != NULL)
+    m->slot_status.status = copy_status (status);
+  dl_kernel_publish (dl_task_kernel (u->upstreams->task), m);
+}
+
+static void
+take_status (Upstream *u, const Daisyloft__Wire__SlotStatus *status)
+{
+  DlDigest version = { 0 };
+  bool accepted = u->accepts;
+
+  dl_digest_from_bytes (DL_BYTES_STR (status->serving_version), &version);
+  if (!dl_digest_equal (&version, &u->version) || status->incarnation != u->incarnation)
+    dl_prefix_drop_upstream (u->upstreams->prefixes, u->hash);
+  u->reported = true;
+  u->accepts = status->accepts_requests;
+  u->leaving = status->state == DAISYLOFT__WIRE__SLOT_STATE__SLOT_LEAVING;
+  u->version = version;
+  u->incarnation = status->incarnation;
+  u->capacity = status->capacity;
+  u->load = status->requests_running + status->requests_queued;
+  u->own_at_report = u->own;
+  if (accepted && (!u->accepts || u->leaving))
+    dl_log (DL_EVENT_UPSTREAM_LEAVING, DL_TEXT ("upstream", u->name),
+            DL_INT ("leaving", u->leaving));
+  publish_status (u, status);
+}
+
+/* -------- connections -------- */
+
+static void
+on_open (DlConn *conn, void *data)
+{
+  Upstream *u = data;
+
+  u->open = true;
+  u->backoff_ms = BACKOFF_MIN_MS;
+  dl_metric_add (&metric_connected, 1);
+  dl_log (DL_EVENT_UPSTREAM_UP, DL_TEXT ("upstream", u->name));
+}
+
+static void
+on_frame (DlConn *conn, const DlEnvelope *envelope, DlStr payload, void *data)
+{
+  Upstream *u = data;
+
+  if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS)
+    take_status (u, envelope->slot_status);
+  else
+    upstream_stream_frame (u, envelope, payload);
+}
+
+static void
+on_redial (DlTimer *timer, void *data)
+{
+  Upstream *u = data;
+
+  TALLOC_FREE (u->redial);
+  if (u->wanted && u->conn == NULL)
+    upstream_dial (u);
+}
+
+static void
+upstream_disconnect (Upstream *u)
+{
+  bool was_open = u->open;
+
+  u->open = false;
+  u->reported = false;
+  u->accepts = false;
+  TALLOC_FREE (u->conn);
+  if (!was_open)
+    return;
+  dl_metric_add (&metric_connected, -1);
+  upstream_streams_lost (u);
+  publish_status (u, NULL);
+}
+
+static void
+on_closed (DlConn *conn, int error, void *data)
+{
+  Upstream *u = data;
+
+  if (u->open)
+    dl_log (DL_EVENT_UPSTREAM_DOWN, DL_TEXT ("upstream", u->name), DL_ERRNO (error));
+  upstream_disconnect (u);
+  if (!u->wanted)
+    return;
+  u->redial = dl_timer_subscribe (u->upstreams->task, u,
+                                  u->backoff_ms + dl_random_uint64 () % u->backoff_ms, 0,
+                                  on_redial, u);
+  u->backoff_ms = MIN (u->backoff_ms * 2, BACKOFF_MAX_MS);
+}
+
+static void
+upstream_dial (Upstream *u)
+{
+  static const DlConnHandler handler
+      = { .on_open = on_open, .on_frame = on_frame, .on_closed = on_closed };
+
+  u->conn
+      = dl_conn_dial (u->upstreams->task, u, dl_str (u->address),
+                      entry_identity (u->upstreams->task),
+                      DAISYLOFT__WIRE__PURPOSE__PURPOSE_REQUEST, &handler, u);
+}
+
+/* -------- which slots -------- */
+
+static Upstream *
+upstream_new (UpstreamsTask *t, const DlMember *member)
+{
+  Upstream *u = talloc_zero (t, Upstream);
+
+  g_assert (u != NULL);
+  u->upstreams = t;
+  u->name = talloc_strdup (u, member->name);
+  u->service = talloc_strdup (u, member->service);
+  u->address = talloc_strdup (u, member->address);
+  u->hash = dl_rendezvous_score (dl_str ("upstream"), dl_str (member->name));
+  u->backoff_ms = BACKOFF_MIN_MS;
+  g_hash_table_insert (t->upstreams, u->name, u);
+  return u;
+}
+
+static void
+upstream_free (Upstream *u)
+{
+  upstream_disconnect (u);
+  g_hash_table_remove (u->upstreams->upstreams, u->name);
+  talloc_free (u);
+}
+
+typedef struct
+{
+  const DlMember *member;
+  DlDistance distance;
+  uint64_t score;
+} RankedSlot;
+
+static gint
+compare_ranked (gconstpointer a, gconstpointer b)
+{
+  const RankedSlot *x = a;
+  const RankedSlot *y = b;
+  int order = strcmp (x->member->service, y->member->service);
+
+  if (order != 0)
+    return order;
+  if (x->distance != y->distance)
+    return x->distance < y->distance ? -1 : 1;
+  if (x->score != y->score)
+    return x->score > y->score ? -1 : 1;
+  return strcmp (x->member->name, y->member->name);
+}
+
+/* All slots by service, then nearness, then rank. */
+static GArray *
+rank_slots (const UpstreamsTask *t, const DlMembers *members)
+{
+  GArray *ranked = g_array_new (FALSE, FALSE, sizeof (RankedSlot));
+
+  for (size_t i = 0; i < members->count; i++)
+    {
+      const DlMember *m = &members->members[i];
+      RankedSlot r = {
+        .member = m,
+        .distance = dl_route_distance (t->settings->region, t->settings->data_center,
+                                       m->region, m->data_center),
+        .score = dl_rendezvous_score (dl_str (t->settings->name), dl_str (m->name)),
+      };
+
+      if (m->role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT)
+        g_array_append_val (ranked, r);
+    }
+  g_array_sort (ranked, compare_ranked);
+  return ranked;
+}
+
+static void
+want_slot (UpstreamsTask *t, const RankedSlot *r)
+{
+  Upstream *u = g_hash_table_lookup (t->upstreams, r->member->name);
+
+  if (u != NULL
+      && (strcmp (u->address, r->member->address) != 0
+          || strcmp (u->service, r->member->service) != 0))
+    {
+      upstream_free (u); /* a replaced host of the same name */
+      u = NULL;
+    }
+  if (u == NULL)
+    u = upstream_new (t, r->member);
+  u->wanted = true;
+  u->distance = r->distance;
+  u->listed_leaving = r->member->leaving;
+  if (u->conn == NULL && u->redial == NULL)
+    upstream_dial (u);
+}
+
+/* The nearest first, then the far ones that rank first. */
+static void
+want_slots_of_service (UpstreamsTask *t, const RankedSlot *ranked, size_t count)
+{
+  size_t taken = MIN (count, NEAR_MAX);
+  size_t others = 0;
+
+  for (size_t i = 0; i < taken; i++)
+    want_slot (t, &ranked[i]);
+  for (size_t i = taken; i < count && others < FAR_MAX; i++)
+    if (ranked[i].distance == DL_DISTANCE_FAR)
+      {
+        want_slot (t, &ranked[i]);
+        others++;
+      }
+}
+
+static void
+sweep_unwanted (UpstreamsTask *t)
+{
+  GList *all = g_hash_table_get_values (t->upstreams);
+
+  for (GList *l = all; l != NULL; l = l->next)
+    {
+      Upstream *u = l->data;
+
+      if (!u->wanted && u->own == 0)
+        upstream_free (u);
+    }
+  g_list_free (all);
+}
+
+static void
+follow_members (UpstreamsTask *t, const DlMembers *members)
+{
+  GArray *ranked = rank_slots (t, members);
+  const RankedSlot *slots = (const RankedSlot *)(void *)ranked->data;
+  GHashTableIter iter;
+  gpointer upstream;
+  size_t i = 0;
+
+  g_hash_table_iter_init (&iter, t->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &upstream))
+    ((Upstream *)upstream)->wanted = false;
+  while (i < ranked->len)
+    {
+      size_t end = i;
+
+      while (end < ranked->len
+             && strcmp (slots[end].member->service, slots[i].member->service) == 0)
+        end++;
+      want_slots_of_service (t, &slots[i], end - i);
+      i = end;
+    }
+  g_array_free (ranked, TRUE);
+  sweep_unwanted (t);
+}
+
+static void
+on_sweep (DlTimer *timer, void *data)
+{
+  sweep_unwanted (data);
+}
+
+/* -------- the task -------- */
+
+static void
+keep (const EntryMessage **kept, const EntryMessage *message)
+{
+  if (*kept != NULL)
+    dl_message_unref ((void *)*kept);
+  *kept = dl_message_ref ((void *)message);
+}
+
+static void
+upstreams_handle (DlTask *task, const DlMessage *base)
+{
+  UpstreamsTask *t = dl_task_state (task);
+  const EntryMessage *message = (const EntryMessage *)base;
+
+  switch ((EntryMessageType)base->type)
+    {
+    case ENTRY_MEMBERS:
+      keep (&t->members, message);
+      follow_members (t, message->members.members);
+      break;
+    case ENTRY_FLEET:
+      keep (&t->fleet, message);
+      break;
+    case ENTRY_REQUEST:
+      upstream_stream_handle (t, message);
+      break;
+    default:
+      break;
+    }
+}
+
+static json_object *
+dump_upstream (const Upstream *u)
+{
+  static const char *const breaker_states[] = {
+    [DL_BREAKER_CLOSED] = "closed",
+    [DL_BREAKER_OPEN] = "open",
+    [DL_BREAKER_PROBING] = "probing",
+  };
+  json_object *dump = json_object_new_object ();
+  char version[DL_DIGEST_HEX_BYTES];
+
+  dl_digest_to_hex (&u->version, version);
+  json_object_object_add (dump, "service", json_object_new_string (u->service));
+  json_object_object_add (dump, "address", json_object_new_string (u->address));
+  json_object_object_add (dump, "distance", json_object_new_int ((int)u->distance));
+  json_object_object_add (dump, "connected", json_object_new_boolean (u->open));
+  json_object_object_add (dump, "accepts", json_object_new_boolean (u->accepts));
+  json_object_object_add (dump, "leaving",
+                          json_object_new_boolean (u->leaving || u->listed_leaving));
+  json_object_object_add (dump, "version", json_object_new_string (version));
+  json_object_object_add (dump, "capacity", json_object_new_int64 (u->capacity));
+  json_object_object_add (dump, "load", json_object_new_int64 (u->load));
+  json_object_object_add (dump, "own", json_object_new_int64 (u->own));
+  json_object_object_add (dump, "breaker",
+                          json_object_new_string (breaker_states[u->breaker.state]));
+  json_object_object_add (dump, "delay_us", json_object_new_uint64 (u->breaker.delay_us));
+  return dump;
+}
+
+static json_object *
+upstreams_dump (DlTask *task)
+{
+  const UpstreamsTask *t = dl_task_state (task);
+  json_object *dump = json_object_new_object ();
+  json_object *list = json_object_new_object ();
+  GHashTableIter iter;
+  gpointer upstream;
+
+  g_hash_table_iter_init (&iter, t->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &upstream))
+    json_object_object_add (list, ((Upstream *)upstream)->name, dump_upstream (upstream));
+  json_object_object_add (dump, "upstreams", list);
+  json_object_object_add (dump, "streams",
+                          json_object_new_int64 (g_hash_table_size (t->streams)));
+  json_object_object_add (dump, "prefixes",
+                          json_object_new_uint64 (dl_prefix_count (t->prefixes)));
+  return dump;
+}
+
+/* Streams go first: they count themselves out of their service and upstream. */
+static int
+upstreams_destroy (UpstreamsTask *t)
+{
+  GList *streams = g_hash_table_get_values (t->streams);
+
+  for (GList *l = streams; l != NULL; l = l->next)
+    talloc_free (l->data);
+  g_list_free (streams);
+  if (t->members != NULL)
+    dl_message_unref ((void *)t->members);
+  if (t->fleet != NULL)
+    dl_message_unref ((void *)t->fleet);
+  g_hash_table_destroy (t->streams);
+  g_hash_table_destroy (t->upstreams);
+  g_hash_table_destroy (t->services);
+  return 0;
+}
+
+static int
+upstreams_start (DlTask *task)
+{
+  UpstreamsTask *t = talloc_zero (NULL, UpstreamsTask);
+
+  g_assert (t != NULL);
+  t->task = task;
+  t->settings = entry_settings (task);
+  t->upstreams = g_hash_table_new (g_str_hash, g_str_equal);
+  t->services = g_hash_table_new (g_str_hash, g_str_equal);
+  t->streams = g_hash_table_new (g_int64_hash, g_int64_equal);
+  t->prefixes = dl_prefix_new (t);
+  talloc_set_destructor (t, upstreams_destroy);
+  dl_timer_subscribe (task, t, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, on_sweep, t);
+  dl_task_set_state (task, t);
+  return 0;
+}
+
+static DlPlugin upstreams_plugin = {
+  .name = "upstreams",
+  .order = 40,
+  .subscriptions = ENTRY_SUBSCRIBE (ENTRY_MEMBERS) | ENTRY_SUBSCRIBE (ENTRY_FLEET),
+  .start = upstreams_start,
+  .handle = upstreams_handle,
+  .dump = upstreams_dump,
+};
+DL_PLUGIN_REGISTER (upstreams_plugin)
--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -624,6 +624,12 @@
   return conn->state == CONN_OPEN;
 }
 
+uint64_t
+dl_conn_silent_ms (const DlConn *conn)
+{
+  return dl_clock_ms () - conn->last_read_ms;
+}
+
 size_t
 dl_conn_queued (const DlConn *conn)
 {
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -62,6 +62,7 @@
   bool in_handler;
   bool suspended;
   bool answered; /* response or stream has been given */
+  bool gone;     /* the caller went away; what is still written is dropped */
   bool caller_gone;
   struct MHD_Response *response;
   unsigned status;
@@ -113,7 +114,13 @@
 static void
 request_set_response (DlHttpRequest *r, unsigned status, struct MHD_Response *response)
 {
-  g_assert (!r->answered && response != NULL);
+  g_assert (response != NULL);
+  if (r->gone)
+    {
+      MHD_destroy_response (response);
+      return;
+    }
+  g_assert (!r->answered);
   r->answered = true;
   r->status = status;
   r->response = response;
@@ -216,6 +223,8 @@
 void
 dl_http_stream_write (DlHttpRequest *request, DlStr data)
 {
+  if (request->gone)
+    return;
   g_assert (request->stream != NULL && !request->stream_ended);
   dl_buffer_append (request->stream, data.data, data.length);
   request_resume (request);
@@ -224,6 +233,8 @@
 void
 dl_http_stream_end (DlHttpRequest *request, bool complete)
 {
+  if (request->gone)
+    return;
   g_assert (request->stream != NULL && !request->stream_ended);
   request->stream_ended = true;
   request->stream_complete = complete;
@@ -275,6 +286,37 @@
   return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
 }
 
+static enum MHD_Result
+append_argument (void *data,
+                 enum MHD_ValueKind kind,
+                 const char *key,
+                 const char *value)
+{
+  GString *query = data;
+
+  if (query->len > 0)
+    g_string_append_c (query, '&');
+  g_string_append_uri_escaped (query, key, NULL, FALSE);
+  if (value == NULL)
+    return MHD_YES;
+  g_string_append_c (query, '=');
+  g_string_append_uri_escaped (query, value, NULL, FALSE);
+  return MHD_YES;
+}
+
+char *
+dl_http_request_query_string (const DlHttpRequest *request, const void *context)
+{
+  GString *query = g_string_new (NULL);
+  char *copy;
+
+  MHD_get_connection_values (request->connection, MHD_GET_ARGUMENT_KIND, append_argument,
+                             query);
+  copy = talloc_strdup (context, query->str);
+  g_string_free (query, TRUE);
+  return copy;
+}
+
 void
 dl_http_request_on_closed (DlHttpRequest *request, DlHttpClosedFunc func, void *data)
 {
@@ -417,6 +459,7 @@
         dl_http_stream_end (r, false);
       else
         request_resume (r);
+      r->gone = true;
     }
   g_list_free (requests);
 }
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -64,6 +64,8 @@
 /* NULL when absent. */
 const char *dl_http_request_header (const DlHttpRequest *request, const char *name);
 const char *dl_http_request_query (const DlHttpRequest *request, const char *name);
+/* The whole query, escaped, without "?"; below CONTEXT. */
+char *dl_http_request_query_string (const DlHttpRequest *request, const void *context);
 
 /* Called when the request is over for any reason, just before it is freed; ANSWERED is
  * false when the caller went away or the server stopped before the answer was whole. */
--- /dev/null
+++ b/lib/policy/claim.c
@@ -0,0 +1,291 @@
+#include "policy/claim.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+static const char *const end_names[] = {
+  [DL_CLAIM_CLAIMED] = "claimed",
+  [DL_CLAIM_DONE] = "done",
+  [DL_CLAIM_NOT_RUN] = "not_run",
+  [DL_CLAIM_UNKNOWN] = "unknown",
+};
+
+const char *
+dl_claim_end_name (DlClaimEnd end)
+{
+  return end_names[end];
+}
+
+int
+dl_claim_end_parse (const char *name, DlClaimEnd *end)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (end_names); i++)
+    if (strcmp (name, end_names[i]) == 0)
+      {
+        *end = (DlClaimEnd)i;
+        return 0;
+      }
+  return -EINVAL;
+}
+
+/* Digest of the parts, each with its length before it, so that no two lists of parts give
+ * the same bytes. */
+static DlDigest
+digest_parts (const DlStr *parts, size_t count)
+{
+  GByteArray *bytes = g_byte_array_new ();
+  DlDigest digest;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      guint64 length = GUINT64_TO_BE (parts[i].length);
+
+      g_byte_array_append (bytes, (const guint8 *)&length, sizeof length);
+      g_byte_array_append (bytes, (const guint8 *)parts[i].data, (guint)parts[i].length);
+    }
+  digest = dl_digest (dl_str_bytes (bytes->data, bytes->len));
+  g_byte_array_free (bytes, TRUE);
+  return digest;
+}
+
+void
+dl_claim_name (DlStr organisation, DlStr service, DlStr key, char *name)
+{
+  const DlStr parts[] = { organisation, service, key };
+  DlDigest digest = digest_parts (parts, G_N_ELEMENTS (parts));
+
+  dl_digest_to_hex (&digest, name);
+}
+
+DlDigest
+dl_claim_body_digest (DlStr method, DlStr path, DlStr body)
+{
+  const DlStr parts[] = { method, path, body };
+
+  return digest_parts (parts, G_N_ELEMENTS (parts));
+}
+
+void
+dl_claim_init (DlClaim *claim, const char *nonce, const DlDigest *body)
+{
+  *claim = (DlClaim){ .phase = DL_CLAIM_IS_NEW, .body = *body };
+  g_strlcpy (claim->nonce, nonce, sizeof claim->nonce);
+}
+
+static uint64_t
+pause_ms (unsigned tries)
+{
+  unsigned doublings = MIN (tries, 10);
+
+  return MIN ((uint64_t)DL_CLAIM_PAUSE_MS << doublings, DL_CLAIM_PAUSE_MAX_MS);
+}
+
+static DlClaimAction
+finish (DlClaim *c, DlClaimActionType answer)
+{
+  c->phase = DL_CLAIM_IS_FINISHED;
+  return (DlClaimAction){ .type = answer };
+}
+
+/* -------- claiming -------- */
+
+static DlClaimAction
+write_claim (DlClaim *c, uint64_t now_ms)
+{
+  c->phase = DL_CLAIM_IS_WRITING;
+  /* Never later than the first write: that one may be what took effect. */
+  if (c->dispatch_by_ms == 0)
+    c->dispatch_by_ms = now_ms + DL_CLAIM_DISPATCH_MS;
+  if (c->over_revision > 0)
+    return (DlClaimAction){ .type = DL_CLAIM_ACT_REPLACE, .revision = c->over_revision };
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_CREATE };
+}
+
+static DlClaimAction
+read_claim (DlClaim *c)
+{
+  c->phase = DL_CLAIM_IS_READING;
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_READ };
+}
+
+/* The platform did not answer, or said that it cannot now.  Giving up is truthful: this
+ * attempt has dispatched nothing and never will. */
+static DlClaimAction
+try_later (DlClaim *c, uint64_t now_ms, DlClaimPhase phase)
+{
+  c->tries++;
+  if (c->tries >= DL_CLAIM_STORE_TRIES
+      || (c->dispatch_by_ms > 0 && now_ms >= c->dispatch_by_ms))
+    return finish (c, DL_CLAIM_ACT_SAY_NOT_RUN);
+  c->phase = phase;
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_PAUSE, .pause_ms = pause_ms (c->tries) };
+}
+
+static DlClaimAction
+record_end (DlClaim *c)
+{
+  c->phase = DL_CLAIM_IS_RECORDING;
+  return (DlClaimAction){
+    .type = DL_CLAIM_ACT_RECORD,
+    .revision = c->revision,
+    .end = c->end,
+  };
+}
+
+/* The claim is this attempt's for certain. */
+static DlClaimAction
+dispatch (DlClaim *c, uint64_t revision, uint64_t now_ms)
+{
+  c->revision = revision;
+  c->tries = 0;
+  if (now_ms >= c->dispatch_by_ms)
+    {
+      c->fenced = true;
+      c->end = DL_CLAIM_NOT_RUN;
+      return record_end (c);
+    }
+  c->phase = DL_CLAIM_IS_DISPATCHED;
+  c->dispatched = true;
+  return (DlClaimAction){
+    .type = DL_CLAIM_ACT_DISPATCH,
+    .dispatch_by_ms = c->dispatch_by_ms,
+  };
+}
+
+/* Another attempt's claim. */
+static DlClaimAction
+judge_other (DlClaim *c, const DlClaimEvent *e)
+{
+  const DlClaimRecord *r = &e->record;
+
+  if (!dl_digest_equal (&r->body, &c->body))
+    return finish (c, DL_CLAIM_ACT_OTHER_BODY);
+  switch (r->state)
+    {
+    case DL_CLAIM_DONE:
+      return finish (c, DL_CLAIM_ACT_GIVE_RECORD);
+    case DL_CLAIM_UNKNOWN:
+      return finish (c, DL_CLAIM_ACT_SAY_UNKNOWN);
+    case DL_CLAIM_CLAIMED:
+      return finish (c, e->now_ms - e->seen_ms > DL_CLAIM_IN_PROGRESS_MS
+                            ? DL_CLAIM_ACT_SAY_UNKNOWN
+                            : DL_CLAIM_ACT_IN_PROGRESS);
+    case DL_CLAIM_NOT_RUN:
+      break;
+    }
+  if (++c->tries >= DL_CLAIM_STORE_TRIES)
+    return finish (c, DL_CLAIM_ACT_SAY_NOT_RUN);
+  /* A write over another revision lost for certain, so that the time counts anew. */
+  if (c->over_revision != r->revision)
+    c->dispatch_by_ms = 0;
+  c->over_revision = r->revision;
+  return write_claim (c, e->now_ms);
+}
+
+static DlClaimAction
+judge_record (DlClaim *c, const DlClaimEvent *e)
+{
+  if (strcmp (e->record.nonce, c->nonce) != 0)
+    return judge_other (c, e);
+  if (e->record.state == DL_CLAIM_CLAIMED)
+    return dispatch (c, e->record.revision, e->now_ms);
+  return finish (c, DL_CLAIM_ACT_SAY_UNKNOWN); /* no other writer uses this nonce */
+}
+
+static DlClaimAction
+step_claiming (DlClaim *c, const DlClaimEvent *e)
+{
+  switch (e->type)
+    {
+    case DL_CLAIM_EV_START:
+      return write_claim (c, e->now_ms);
+    case DL_CLAIM_EV_WRITTEN:
+      return dispatch (c, e->revision, e->now_ms);
+    case DL_CLAIM_EV_CONFLICT:
+    case DL_CLAIM_EV_WRITE_LOST:
+      return read_claim (c);
+    case DL_CLAIM_EV_UNAVAILABLE:
+      return try_later (c, e->now_ms,
+                        c->phase == DL_CLAIM_IS_READING ? DL_CLAIM_IS_READ_AGAIN
+                                                        : DL_CLAIM_IS_PAUSED);
+    case DL_CLAIM_EV_READ:
+      return judge_record (c, e);
+    case DL_CLAIM_EV_ABSENT:
+      c->over_revision = 0;
+      return try_later (c, e->now_ms, DL_CLAIM_IS_PAUSED);
+    case DL_CLAIM_EV_PAUSE_OVER:
+      return c->phase == DL_CLAIM_IS_READ_AGAIN ? read_claim (c)
+                                                : write_claim (c, e->now_ms);
+    case DL_CLAIM_EV_ENDED:
+      break;
+    }
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_NOTHING };
+}
+
+/* -------- recording the end -------- */
+
+static DlClaimAction
+record_later (DlClaim *c)
+{
+  if (++c->tries >= DL_CLAIM_RECORD_TRIES)
+    return finish (c, DL_CLAIM_ACT_LOST_RECORD);
+  c->phase = DL_CLAIM_IS_RECORD_PAUSED;
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_PAUSE, .pause_ms = pause_ms (c->tries) };
+}
+
+static DlClaimAction
+step_recording (DlClaim *c, const DlClaimEvent *e)
+{
+  switch (e->type)
+    {
+    case DL_CLAIM_EV_WRITTEN:
+      return finish (c, DL_CLAIM_ACT_FINISHED);
+    case DL_CLAIM_EV_CONFLICT:
+    case DL_CLAIM_EV_WRITE_LOST:
+      c->phase = DL_CLAIM_IS_RECORD_READING;
+      return (DlClaimAction){ .type = DL_CLAIM_ACT_READ };
+    case DL_CLAIM_EV_READ:
+      /* Only this attempt writes over its own claim, but for one that it ended. */
+      if (strcmp (e->record.nonce, c->nonce) != 0 || e->record.state == c->end)
+        return finish (c, DL_CLAIM_ACT_FINISHED);
+      c->revision = e->record.revision;
+      return record_later (c);
+    case DL_CLAIM_EV_ABSENT:
+      return finish (c, DL_CLAIM_ACT_FINISHED); /* expired */
+    case DL_CLAIM_EV_UNAVAILABLE:
+      return record_later (c);
+    case DL_CLAIM_EV_PAUSE_OVER:
+      return record_end (c);
+    case DL_CLAIM_EV_START:
+    case DL_CLAIM_EV_ENDED:
+      break;
+    }
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_NOTHING };
+}
+
+DlClaimAction
+dl_claim_step (DlClaim *claim, const DlClaimEvent *event)
+{
+  switch (claim->phase)
+    {
+    case DL_CLAIM_IS_NEW:
+    case DL_CLAIM_IS_WRITING:
+    case DL_CLAIM_IS_READING:
+    case DL_CLAIM_IS_PAUSED:
+    case DL_CLAIM_IS_READ_AGAIN:
+      return step_claiming (claim, event);
+    case DL_CLAIM_IS_DISPATCHED:
+      if (event->type != DL_CLAIM_EV_ENDED)
+        break;
+      claim->end = event->end;
+      return record_end (claim);
+    case DL_CLAIM_IS_RECORDING:
+    case DL_CLAIM_IS_RECORD_PAUSED:
+    case DL_CLAIM_IS_RECORD_READING:
+      return step_recording (claim, event);
+    case DL_CLAIM_IS_FINISHED:
+      break;
+    }
+  return (DlClaimAction){ .type = DL_CLAIM_ACT_NOTHING };
+}
