--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -15,12 +15,12 @@
 #include "kernel/metrics.h"
 #include "policy/resume.h"
 
-#define TRIES_MAX           3 /* of a request whose answer has not begun */
-#define RESUMES_MAX         4 /* of one stream */
-#define RESUME_PAUSE_MS     150
-#define CREDIT_MIN_BYTES    (DL_STREAM_WINDOW_BYTES / 4)
-#define HTTP_OK             200
-#define HTTP_UNAVAILABLE    503
+#define TRIES_MAX            3 /* of a request whose answer has not begun */
+#define RESUMES_MAX          4 /* of one stream */
+#define RESUME_PAUSE_MS      150
+#define CREDIT_MIN_BYTES     (DL_STREAM_WINDOW_BYTES / 4)
+#define HTTP_OK              200
+#define HTTP_UNAVAILABLE     503
 #define HTTP_GATEWAY_TIMEOUT 504
 
 DL_METRIC (metric_answered,
@@ -57,7 +57,7 @@
   bool trying;
   unsigned tries;
   unsigned resumes;
-  char *avoid; /* upstream of the last try that failed */
+  char *avoid;      /* upstream of the last try that failed */
   DlDigest version; /* pinned with the first head */
   bool begun;       /* the caller has the head */
   bool streaming;   /* the current try gives JSON lines of a model's answer */
--- a/lib/policy/admit.c
+++ b/lib/policy/admit.c
@@ -44,8 +44,9 @@
 {
   uint64_t size_u = bucket_size_u (share);
   uint64_t elapsed_ms = now_ms > b->updated_ms ? now_ms - b->updated_ms : 0;
-  double tokens_u = (double)b->tokens_u
-                    + (double)elapsed_ms * (double)dl_admit_share_rate_u (share) / MS_PER_S;
+  double tokens_u
+      = (double)b->tokens_u
+        + (double)elapsed_ms * (double)dl_admit_share_rate_u (share) / MS_PER_S;
 
   if (!b->filled || tokens_u > (double)size_u)
     tokens_u = (double)size_u;
@@ -101,8 +102,8 @@
 fair_share (const DlAdmitPlace *p)
 {
   uint64_t free_places = p->places > p->used ? p->places - p->used : 0;
-  uint64_t share = (p->own_used + free_places) * p->weight
-                   / at_least_one (p->active_weight);
+  uint64_t share
+      = (p->own_used + free_places) * p->weight / at_least_one (p->active_weight);
 
   return at_least_one (share);
 }
--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -47,12 +47,15 @@
   set_phase (l, DL_LOADER_IDLE, now_ms);
 }
 
-/* A predecessor on this host may still order until its own guard has run out; only an
- * engine that has seen an order can have had one. */
+/* A predecessor on this host may still order until its own guard has run out; an engine
+ * that holds nothing and has seen no fence has never had an order. */
 static bool
 predecessor_is_silent (const DlLoader *l, const DlLoaderFacts *f)
 {
-  return f->engine_fence == 0 || f->now_ms - l->started_ms >= l->guard_ms;
+  bool never_ordered = f->engine_fence == 0 && dl_digest_is_zero (&f->serving)
+                       && dl_digest_is_zero (&f->loading);
+
+  return never_ordered || f->now_ms - l->started_ms >= l->guard_ms;
 }
 
 static bool
