--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -13,24 +13,24 @@
 #include "kernel/metrics.h"
 #include "policy/prefix.h"
 
-#define DEMAND_INTERVAL_MS   1000
-#define DRAIN_CHECK_MS       50
-#define SEEN_MAX_AGE_MS      600000
-#define NO_CONTACT_RETRY_MS  3000
-#define STOPPING_RETRY_MS    1000
-#define MS_PER_S             1000
-#define KEY_MAX_BYTES        256
-#define IDLE_TIMEOUT_S       60
-#define HEADER_MAX_BYTES     (32u << 10)
-#define SERVICES_PATH        "/v1/services/"
-#define GENERATE_PATH        "generate"
-#define CALL_PATH            "call/"
-#define HTTP_BAD_REQUEST     400
-#define HTTP_FORBIDDEN       403
-#define HTTP_NOT_FOUND       404
-#define HTTP_BAD_METHOD      405
-#define HTTP_TOO_MANY        429
-#define HTTP_UNAVAILABLE     503
+#define DEMAND_INTERVAL_MS  1000
+#define DRAIN_CHECK_MS      50
+#define SEEN_MAX_AGE_MS     600000
+#define NO_CONTACT_RETRY_MS 3000
+#define STOPPING_RETRY_MS   1000
+#define MS_PER_S            1000
+#define KEY_MAX_BYTES       256
+#define IDLE_TIMEOUT_S      60
+#define HEADER_MAX_BYTES    (32u << 10)
+#define SERVICES_PATH       "/v1/services/"
+#define GENERATE_PATH       "generate"
+#define CALL_PATH           "call/"
+#define HTTP_BAD_REQUEST    400
+#define HTTP_FORBIDDEN      403
+#define HTTP_NOT_FOUND      404
+#define HTTP_BAD_METHOD     405
+#define HTTP_TOO_MANY       429
+#define HTTP_UNAVAILABLE    503
 
 DL_METRIC (metric_asked,
            DL_METRIC_COUNTER,
@@ -296,7 +296,8 @@
 
 /* Splits "NAME/generate" or "NAME/call/PATH"; returns 0 or -EINVAL. */
 static int
-split_path (const void *context, const char *path, char **service, bool *model, char **rest)
+split_path (
+    const void *context, const char *path, char **service, bool *model, char **rest)
 {
   const char *slash = strchr (path, '/');
 
@@ -356,8 +357,9 @@
            || !json_object_is_type (value, json_type_string))
     error = "prompt: must be a string";
   else
-    ask->prefix = dl_prefix_hash (dl_str_bytes (
-        json_object_get_string (value), (size_t)json_object_get_string_len (value)));
+    ask->prefix
+        = dl_prefix_hash (dl_str_bytes (json_object_get_string (value),
+                                        (size_t)json_object_get_string_len (value)));
   if (error == NULL && json_object_object_get_ex (body, "resume_from", &value))
     {
       int64_t from = json_object_get_int64 (value);
@@ -582,8 +584,7 @@
     {
       const CallerOrganisation *o = value;
 
-      json_object_object_add (organisations, o->name,
-                              json_object_new_int64 (o->demand));
+      json_object_object_add (organisations, o->name, json_object_new_int64 (o->demand));
     }
   json_object_object_add (dump, "in_contact", json_object_new_boolean (t->in_contact));
   json_object_object_add (dump, "stopping", json_object_new_boolean (t->stopping));
@@ -655,7 +656,8 @@
       talloc_free (t);
       return error;
     }
-  dl_timer_subscribe (task, t, DEMAND_INTERVAL_MS, DEMAND_INTERVAL_MS, on_demand_timer, t);
+  dl_timer_subscribe (task, t, DEMAND_INTERVAL_MS, DEMAND_INTERVAL_MS, on_demand_timer,
+                      t);
   dl_task_set_state (task, t);
   return 0;
 }
--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -102,7 +102,8 @@
 CallerAsk *callers_copy_ask (const void *context, const CallerAsk *ask);
 
 void callers_answer_address (CallersTask *callers, DlHttpRequest *http);
-void caller_request_start (CallersTask *callers, DlHttpRequest *http, const CallerAsk *ask);
+void
+caller_request_start (CallersTask *callers, DlHttpRequest *http, const CallerAsk *ask);
 void caller_claim_start (CallersTask *callers, DlHttpRequest *http, const CallerAsk *ask);
 
 #endif
--- a/daisyentryd/callers_claim.c
+++ b/daisyentryd/callers_claim.c
@@ -3,8 +3,8 @@
  * (policy/claim.h) decides, against the platform, the upstream and the caller.
  *
  * The caller is answered as soon as the call has ended; the end is recorded at the same
- * time, and the planned stop of the entry waits for that.  A caller that goes away changes
- * nothing: the call goes on, and its key gets the recorded answer later.
+ * time, and the planned stop of the entry waits for that.  A caller that goes away
+ * changes nothing: the call goes on, and its key gets the recorded answer later.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -16,15 +16,15 @@
 #include "kernel/metrics.h"
 #include "policy/claim.h"
 
-#define ANSWER_MAX_BYTES       (512u << 10) /* recorded; the platform holds 1 MiB */
-#define IN_PROGRESS_RETRY_MS   1000
-#define NOT_RUN_RETRY_MS       2000
-#define UNKNOWN_RETRY_MS       0 /* invites no repeat */
-#define HTTP_CONFLICT          409
-#define HTTP_UNPROCESSABLE     422
-#define HTTP_BAD_GATEWAY       502
-#define HTTP_UNAVAILABLE       503
-#define HTTP_GATEWAY_TIMEOUT   504
+#define ANSWER_MAX_BYTES     (512u << 10) /* recorded; the platform holds 1 MiB */
+#define IN_PROGRESS_RETRY_MS 1000
+#define NOT_RUN_RETRY_MS     2000
+#define UNKNOWN_RETRY_MS     0 /* invites no repeat */
+#define HTTP_CONFLICT        409
+#define HTTP_UNPROCESSABLE   422
+#define HTTP_BAD_GATEWAY     502
+#define HTTP_UNAVAILABLE     503
+#define HTTP_GATEWAY_TIMEOUT 504
 
 DL_METRIC (metric_dispatched,
            DL_METRIC_COUNTER,
@@ -87,10 +87,10 @@
   if (c->answer_too_long)
     return;
   if (g_utf8_validate_len (answer.data != NULL ? answer.data : "", answer.length, NULL))
-    json_object_object_add (
-        object, "answer",
-        json_object_new_string_len (answer.data != NULL ? answer.data : "",
-                                    (int)answer.length));
+    json_object_object_add (object, "answer",
+                            json_object_new_string_len (answer.data != NULL ? answer.data
+                                                                            : "",
+                                                        (int)answer.length));
   else
     {
       char *text = g_base64_encode ((const guchar *)answer.data, answer.length);
--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -15,12 +15,12 @@
 #include "kernel/metrics.h"
 #include "policy/resume.h"
 
-#define TRIES_MAX           3 /* of a request whose answer has not begun */
-#define RESUMES_MAX         4 /* of one stream */
-#define RESUME_PAUSE_MS     150
-#define CREDIT_MIN_BYTES    (DL_STREAM_WINDOW_BYTES / 4)
-#define HTTP_OK             200
-#define HTTP_UNAVAILABLE    503
+#define TRIES_MAX            3 /* of a request whose answer has not begun */
+#define RESUMES_MAX          4 /* of one stream */
+#define RESUME_PAUSE_MS      150
+#define CREDIT_MIN_BYTES     (DL_STREAM_WINDOW_BYTES / 4)
+#define HTTP_OK              200
+#define HTTP_UNAVAILABLE     503
 #define HTTP_GATEWAY_TIMEOUT 504
 
 DL_METRIC (metric_answered,
@@ -57,7 +57,7 @@
   bool trying;
   unsigned tries;
   unsigned resumes;
-  char *avoid; /* upstream of the last try that failed */
+  char *avoid;      /* upstream of the last try that failed */
   DlDigest version; /* pinned with the first head */
   bool begun;       /* the caller has the head */
   bool streaming;   /* the current try gives JSON lines of a model's answer */
@@ -258,6 +258,13 @@
                             callers_retry_percent (r->callers));
 }
 
+/* A model's answer says itself that it is whole. */
+static bool
+is_whole (const CallerRequest *r, bool complete)
+{
+  return r->resume != NULL ? r->resume->state == DL_RESUME_DONE : complete;
+}
+
 static void
 take_end (CallerRequest *r, const EntryMessage *m)
 {
@@ -269,9 +276,7 @@
       talloc_free (r->avoid);
       r->avoid = talloc_strdup (r, m->response.upstream);
     }
-  if (r->begun && r->resume != NULL && r->resume->state == DL_RESUME_DONE)
-    answer_whole (r);
-  else if (r->begun && r->resume == NULL && complete)
+  if (r->begun && is_whole (r, complete))
     answer_whole (r);
   else if (r->begun)
     resume_or_cut_off (r, complete ? "the upstream's stream ended early"
--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -3,8 +3,9 @@
  * each last said of itself, and carries requests to them.
  *
  * Which slots an entry connects to follows from a rendezvous hash of the two names, near
- * ones first, so that the connections of a large fleet spread evenly and a slot that comes
- * or goes moves few of them.  A few far slots are among them for when the near ones fail.
+ * ones first, so that the connections of a large fleet spread evenly and a slot that
+ * comes or goes moves few of them.  A few far slots are among them for when the near ones
+ * fail.
  */
 #include "upstreams.h"
 
@@ -15,11 +16,11 @@
 #include "kernel/metrics.h"
 #include "policy/rendezvous.h"
 
-#define NEAR_MAX           24 /* connections for each service to the nearest slots */
-#define FAR_MAX            8  /* and to others */
-#define BACKOFF_MIN_MS     100
-#define BACKOFF_MAX_MS     3000
-#define SWEEP_INTERVAL_MS  1000
+#define NEAR_MAX          24 /* connections for each service to the nearest slots */
+#define FAR_MAX           8  /* and to others */
+#define BACKOFF_MIN_MS    100
+#define BACKOFF_MAX_MS    3000
+#define SWEEP_INTERVAL_MS 1000
 
 DL_METRIC (metric_connected,
            DL_METRIC_GAUGE,
@@ -186,10 +187,9 @@
   static const DlConnHandler handler
       = { .on_open = on_open, .on_frame = on_frame, .on_closed = on_closed };
 
-  u->conn
-      = dl_conn_dial (u->upstreams->task, u, dl_str (u->address),
-                      entry_identity (u->upstreams->task),
-                      DAISYLOFT__WIRE__PURPOSE__PURPOSE_REQUEST, &handler, u);
+  u->conn = dl_conn_dial (u->upstreams->task, u, dl_str (u->address),
+                          entry_identity (u->upstreams->task),
+                          DAISYLOFT__WIRE__PURPOSE__PURPOSE_REQUEST, &handler, u);
 }
 
 /* -------- which slots -------- */
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -28,19 +28,19 @@
 typedef struct
 {
   char *name;
-  GHashTable *holders;     /* by organisation, of UpstreamHolder */
-  unsigned own_used;       /* requests of this entry at its upstreams */
-  uint64_t duration_us;    /* smoothed, of whole requests */
-  uint64_t first_byte_us;  /* smoothed, over all its upstreams */
+  GHashTable *holders;    /* by organisation, of UpstreamHolder */
+  unsigned own_used;      /* requests of this entry at its upstreams */
+  uint64_t duration_us;   /* smoothed, of whole requests */
+  uint64_t first_byte_us; /* smoothed, over all its upstreams */
 } UpstreamService;
 
 typedef struct
 {
   DlTask *task;
   const EntrySettings *settings;
-  GHashTable *upstreams; /* by name */
-  GHashTable *services;  /* by name, of UpstreamService */
-  GHashTable *streams;   /* uint64_t id to UpstreamStream */
+  GHashTable *upstreams;       /* by name */
+  GHashTable *services;        /* by name, of UpstreamService */
+  GHashTable *streams;         /* uint64_t id to UpstreamStream */
   const EntryMessage *members; /* last MEMBERS; NULL before the first */
   const EntryMessage *fleet;
   DlPrefixIndex *prefixes;
--- a/daisyentryd/upstreams_stream.c
+++ b/daisyentryd/upstreams_stream.c
@@ -2,8 +2,9 @@
  * One try of a request: asks admission for a place, chooses an upstream, and carries the
  * request and its answer as a stream on the connection to the upstream's slot.
  *
- * A try ends as NOT_RUN only when it was never sent or the slot said so.  A connection that
- * goes with the request on it leaves it unknown, or cut off once its answer had begun.
+ * A try ends as NOT_RUN only when it was never sent or the slot said so.  A connection
+ * that goes with the request on it leaves it unknown, or cut off once its answer had
+ * begun.
  */
 #include <errno.h>
 #include <inttypes.h>
@@ -15,12 +16,12 @@
 #include "policy/admit.h"
 #include "upstreams.h"
 
-#define CANDIDATES_MAX      256
-#define SILENCE_MAX_MS      2000 /* longer, and an upstream gets no new requests */
+#define CANDIDATES_MAX       256
+#define SILENCE_MAX_MS       2000 /* longer, and an upstream gets no new requests */
 #define NO_UPSTREAM_RETRY_MS 1000
-#define MICROSECONDS_PER_MS 1000
-#define SMOOTHING           8 /* weight of the past in smoothed values */
-#define HTTP_SERVER_ERROR   500
+#define MICROSECONDS_PER_MS  1000
+#define SMOOTHING            8 /* weight of the past in smoothed values */
+#define HTTP_SERVER_ERROR    500
 
 DL_METRIC (metric_sent,
            DL_METRIC_COUNTER,
@@ -185,8 +186,8 @@
 {
   DlRouteCandidate c = candidate_of (u, 0);
 
-  /* An upstream that refuses although it has room is in trouble; one that is full has only
-   * more load than was known here. */
+  /* An upstream that refuses although it has room is in trouble; one that is full has
+   * only more load than was known here. */
   if (u->accepts && !dl_route_is_full (&c))
     note_failure (u);
   else
@@ -431,7 +432,8 @@
     }
   if (u == NULL)
     {
-      post_end (t, id, DAISYLOFT__WIRE__END_REASON__END_NOT_RUN, retry_after_ms, NULL, why);
+      post_end (t, id, DAISYLOFT__WIRE__END_REASON__END_NOT_RUN, retry_after_ms, NULL,
+                why);
       return;
     }
   stream_new (u, service, id, request->organisation);
--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -1,10 +1,10 @@
 /*
- * The requests task: takes request connections from entries, tells them the slot's status,
- * and passes their requests to the engine or plain service.
+ * The requests task: takes request connections from entries, tells them the slot's
+ * status, and passes their requests to the engine or plain service.
  *
- * The slot is the only way to its upstream, so its count of requests in progress is exact.
- * It refuses, as not run, what goes beyond the upstream's capacity and the service's
- * queue, whatever the entries believe of its load.
+ * The slot is the only way to its upstream, so its count of requests in progress is
+ * exact. It refuses, as not run, what goes beyond the upstream's capacity and the
+ * service's queue, whatever the entries believe of its load.
  */
 #include "requests.h"
 
@@ -14,13 +14,13 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
-#define LOAD_INTERVAL_MS     200
-#define STATUS_INTERVAL_MS   1000
-#define LIMIT_UNKNOWN        256 /* requests at once while no capacity is known */
-#define RETRY_AFTER_MIN_MS   100
-#define RETRY_AFTER_MAX_MS   10000
-#define MICROSECONDS_PER_MS  1000
-#define SMOOTHING            8 /* weight of the past in smoothed values */
+#define LOAD_INTERVAL_MS    200
+#define STATUS_INTERVAL_MS  1000
+#define LIMIT_UNKNOWN       256 /* requests at once while no capacity is known */
+#define RETRY_AFTER_MIN_MS  100
+#define RETRY_AFTER_MAX_MS  10000
+#define MICROSECONDS_PER_MS 1000
+#define SMOOTHING           8 /* weight of the past in smoothed values */
 
 DL_METRIC (metric_running,
            DL_METRIC_GAUGE,
@@ -61,7 +61,8 @@
 uint32_t
 requests_retry_after_ms (const RequestsTask *t)
 {
-  unsigned at_once = MAX (capacity (t), 1);
+  unsigned known = capacity (t);
+  unsigned at_once = known > 0 ? known : 1;
   unsigned waiting = t->running >= at_once ? t->running - at_once + 1 : 1;
   uint64_t wait_ms = t->mean_duration_us * waiting / at_once / MICROSECONDS_PER_MS;
 
@@ -165,10 +166,10 @@
   g_assert (t->running > 0);
   t->running--;
   if (duration_us > 0)
-    t->mean_duration_us = t->mean_duration_us == 0
-                              ? duration_us
-                              : (t->mean_duration_us * (SMOOTHING - 1) + duration_us)
-                                    / SMOOTHING;
+    t->mean_duration_us
+        = t->mean_duration_us == 0
+              ? duration_us
+              : (t->mean_duration_us * (SMOOTHING - 1) + duration_us) / SMOOTHING;
   drained_when_idle (t);
 }
 
@@ -339,7 +340,8 @@
   t->accept = true;
   talloc_set_destructor (t, requests_destroy);
   dl_timer_subscribe (task, t, LOAD_INTERVAL_MS, LOAD_INTERVAL_MS, on_load_timer, t);
-  dl_timer_subscribe (task, t, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, on_status_timer, t);
+  dl_timer_subscribe (task, t, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, on_status_timer,
+                      t);
   dl_task_set_state (task, t);
   return 0;
 }
@@ -348,7 +350,8 @@
   .name = "requests",
   .order = 40,
   .subscriptions = SLOT_SUBSCRIBE (SLOT_MSG_STATUS) | SLOT_SUBSCRIBE (SLOT_MSG_FLEET)
-                   | SLOT_SUBSCRIBE (SLOT_MSG_ENGINE) | SLOT_SUBSCRIBE (SLOT_MSG_ROTATION),
+                   | SLOT_SUBSCRIBE (SLOT_MSG_ENGINE)
+                   | SLOT_SUBSCRIBE (SLOT_MSG_ROTATION),
   .start = requests_start,
   .handle = requests_handle,
   .drain = requests_drain,
--- a/daisyslotd/requests.h
+++ b/daisyslotd/requests.h
@@ -27,8 +27,8 @@
   const SlotMessage *status; /* last STATUS; NULL before the first */
   const SlotMessage *fleet;
   const SlotMessage *engine;
-  unsigned running;           /* requests in progress, also those whose entry is gone */
-  uint64_t mean_duration_us;  /* smoothed, of requests that ended */
+  unsigned running;          /* requests in progress, also those whose entry is gone */
+  uint64_t mean_duration_us; /* smoothed, of requests that ended */
   uint64_t mean_first_byte_us;
   unsigned published_running; /* in the last LOAD */
   unsigned reported_running;  /* in the last status to entries */
--- a/daisyslotd/requests_stream.c
+++ b/daisyslotd/requests_stream.c
@@ -263,7 +263,9 @@
 /* Adds to the caller's body what the engine must know.  Returns NULL for a body that is
  * not a JSON object. */
 static json_object *
-engine_body (const Daisyloft__Wire__RequestOpen *open, const DlDigest *version, DlStr body)
+engine_body (const Daisyloft__Wire__RequestOpen *open,
+             const DlDigest *version,
+             DlStr body)
 {
   struct json_tokener *tokener = json_tokener_new ();
   json_object *object = json_tokener_parse_ex (tokener, body.data, (int)body.length);
@@ -284,16 +286,19 @@
 }
 
 static void
-start_call (SlotRequest *r, const char *method, const char *path, const char *type, DlStr body)
+start_call (
+    SlotRequest *r, const char *method, const char *path, const char *type, DlStr body)
 {
   const RequestsTask *requests = r->requests;
   char *url = talloc_asprintf (r, "http://%s%s", requests->settings->engine, path);
   char *id_header = talloc_asprintf (r, "X-Request-Id: %s", r->id);
-  char *type_header = *type != '\0' ? talloc_asprintf (r, "Content-Type: %s", type) : NULL;
+  char *type_header
+      = *type != '\0' ? talloc_asprintf (r, "Content-Type: %s", type) : NULL;
   const char *headers[] = { id_header, type_header, NULL };
 
   r->begun_us = dl_clock_us ();
-  r->stall = dl_timer_subscribe (requests->task, r, FIRST_BYTE_TIMEOUT_MS, 0, on_stalled, r);
+  r->stall
+      = dl_timer_subscribe (requests->task, r, FIRST_BYTE_TIMEOUT_MS, 0, on_stalled, r);
   r->call = dl_http_call (requests->http, r,
                           &(DlHttpCallOptions){
                               .method = method,
@@ -419,8 +424,8 @@
   json_tokener_free (tokener);
   if (json_object_is_type (object, json_type_object)
       && json_object_object_get_ex (object, "ran", &ran))
-    confirmed = json_object_is_type (ran, json_type_boolean)
-                && !json_object_get_boolean (ran);
+    confirmed
+        = json_object_is_type (ran, json_type_boolean) && !json_object_get_boolean (ran);
   json_object_put (object);
   return confirmed;
 }
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -299,10 +299,7 @@
 }
 
 static enum MHD_Result
-append_argument (void *data,
-                 enum MHD_ValueKind kind,
-                 const char *key,
-                 const char *value)
+append_argument (void *data, enum MHD_ValueKind kind, const char *key, const char *value)
 {
   GString *query = data;
 
--- a/lib/policy/admit.c
+++ b/lib/policy/admit.c
@@ -16,12 +16,12 @@
 share_of (const DlAdmitShare *share, uint64_t amount_u)
 {
   uint64_t even = amount_u / at_least_one (share->entries);
+  double by_demand;
 
   if (share->all_demand == 0 || share->own_demand > share->all_demand)
     return even;
-  return even / 2
-         + (uint64_t)((double)(amount_u / 2) * (double)share->own_demand
-                      / (double)share->all_demand);
+  by_demand = (double)amount_u * (double)share->own_demand / (double)share->all_demand;
+  return even / 2 + (uint64_t)(by_demand / 2);
 }
 
 uint64_t
@@ -44,8 +44,9 @@
 {
   uint64_t size_u = bucket_size_u (share);
   uint64_t elapsed_ms = now_ms > b->updated_ms ? now_ms - b->updated_ms : 0;
-  double tokens_u = (double)b->tokens_u
-                    + (double)elapsed_ms * (double)dl_admit_share_rate_u (share) / MS_PER_S;
+  double tokens_u
+      = (double)b->tokens_u
+        + (double)elapsed_ms * (double)dl_admit_share_rate_u (share) / MS_PER_S;
 
   if (!b->filled || tokens_u > (double)size_u)
     tokens_u = (double)size_u;
@@ -101,8 +102,8 @@
 fair_share (const DlAdmitPlace *p)
 {
   uint64_t free_places = p->places > p->used ? p->places - p->used : 0;
-  uint64_t share = (p->own_used + free_places) * p->weight
-                   / at_least_one (p->active_weight);
+  uint64_t share
+      = (p->own_used + free_places) * p->weight / at_least_one (p->active_weight);
 
   return at_least_one (share);
 }
--- a/lib/policy/admit.h
+++ b/lib/policy/admit.h
@@ -59,15 +59,15 @@
 /* Who asks for a place at the upstreams of a service. */
 typedef struct
 {
-  unsigned places;          /* capacity and queues of the connected upstreams */
-  unsigned used;            /* of them, by all entries, as far as is known */
-  unsigned own_used;        /* of them, by this entry */
-  unsigned held;            /* by the organisation, through this entry */
-  uint64_t weight;          /* of the organisation */
-  uint64_t active_weight;   /* of all organisations that hold places, and this one */
-  unsigned priority;        /* 0: most urgent */
-  unsigned priorities;      /* how many there are */
-  uint64_t duration_ms;     /* usual duration of a request */
+  unsigned places;        /* capacity and queues of the connected upstreams */
+  unsigned used;          /* of them, by all entries, as far as is known */
+  unsigned own_used;      /* of them, by this entry */
+  unsigned held;          /* by the organisation, through this entry */
+  uint64_t weight;        /* of the organisation */
+  uint64_t active_weight; /* of all organisations that hold places, and this one */
+  unsigned priority;      /* 0: most urgent */
+  unsigned priorities;    /* how many there are */
+  uint64_t duration_ms;   /* usual duration of a request */
 } DlAdmitPlace;
 
 typedef enum
--- a/lib/policy/claim.h
+++ b/lib/policy/claim.h
@@ -3,21 +3,21 @@
  *
  * A claim is an object of the platform's service, named by the digest of organisation,
  * service and key.  An attempt creates it, only if absent, with a nonce of its own, and
- * dispatches the call only after the platform has confirmed that creation and only until a
- * deadline on the monotonic clock, counted from before the write was sent.  An entry that
- * was frozen in between finds the deadline passed and records that the call did not run.
- * Nothing is dispatched twice by one attempt, and no attempt takes over the claim of
+ * dispatches the call only after the platform has confirmed that creation and only until
+ * a deadline on the monotonic clock, counted from before the write was sent.  An entry
+ * that was frozen in between finds the deadline passed and records that the call did not
+ * run. Nothing is dispatched twice by one attempt, and no attempt takes over the claim of
  * another unless that one recorded `not_run`; the take-over is a write conditional on the
  * very revision that says so.
  *
- * A write whose answer was lost is resolved by reading back and comparing the nonce.  When
+ * A write whose answer was lost is resolved by reading back and comparing the nonce. When
  * nothing is found, the same creation is sent again: it can only meet itself or lose.
  *
  * A claim that stays `claimed` belongs to an entry that is still at work or gone; nobody
  * can know which, so that a repeat of the key is told "in progress" while that may be and
  * "unknown" after.  A claim is kept for DL_CLAIM_KEEP_MS after its creation, far longer
- * than any dispatch deadline, and may be deleted then: a key that is used again later is a
- * new call.
+ * than any dispatch deadline, and may be deleted then: a key that is used again later is
+ * a new call.
  *
  * The machine is told of events and returns the next action; it keeps no clock.
  */
@@ -29,12 +29,12 @@
 
 #include "kernel/crypt.h"
 
-#define DL_CLAIM_DISPATCH_MS    2000 /* after the claim's write was sent */
+#define DL_CLAIM_DISPATCH_MS    2000  /* after the claim's write was sent */
 #define DL_CLAIM_IN_PROGRESS_MS 90000 /* a claim seen for longer is unknown */
 #define DL_CLAIM_KEEP_MS        (UINT64_C (24) * 3600 * 1000)
-#define DL_CLAIM_STORE_TRIES    4    /* calls to the platform before giving up */
-#define DL_CLAIM_RECORD_TRIES   30   /* of recording the end */
-#define DL_CLAIM_PAUSE_MS       100  /* before the second try; doubles */
+#define DL_CLAIM_STORE_TRIES    4   /* calls to the platform before giving up */
+#define DL_CLAIM_RECORD_TRIES   30  /* of recording the end */
+#define DL_CLAIM_PAUSE_MS       100 /* before the second try; doubles */
 #define DL_CLAIM_PAUSE_MAX_MS   5000
 #define DL_CLAIM_NONCE_BYTES    (2 * DL_NONCE_BYTES + 1)
 
@@ -65,7 +65,7 @@
   DL_CLAIM_EV_READ,        /* RECORD */
   DL_CLAIM_EV_ABSENT,      /* a read found nothing */
   DL_CLAIM_EV_PAUSE_OVER,
-  DL_CLAIM_EV_ENDED,       /* the dispatched call ended: END */
+  DL_CLAIM_EV_ENDED, /* the dispatched call ended: END */
 } DlClaimEventType;
 
 typedef struct
@@ -81,8 +81,8 @@
 typedef enum
 {
   DL_CLAIM_ACT_NOTHING,
-  DL_CLAIM_ACT_CREATE,      /* write the claim if there is none */
-  DL_CLAIM_ACT_REPLACE,     /* write the claim over REVISION */
+  DL_CLAIM_ACT_CREATE,  /* write the claim if there is none */
+  DL_CLAIM_ACT_REPLACE, /* write the claim over REVISION */
   DL_CLAIM_ACT_READ,
   DL_CLAIM_ACT_PAUSE,       /* tell PAUSE_OVER after PAUSE_MS */
   DL_CLAIM_ACT_DISPATCH,    /* not after DISPATCH_BY_MS */
@@ -124,8 +124,8 @@
   DlClaimPhase phase;
   char nonce[DL_CLAIM_NONCE_BYTES];
   DlDigest body;
-  uint64_t revision;       /* of the claim, once it is this attempt's */
-  uint64_t over_revision;  /* of a `not_run` record to be replaced; 0: create */
+  uint64_t revision;      /* of the claim, once it is this attempt's */
+  uint64_t over_revision; /* of a `not_run` record to be replaced; 0: create */
   uint64_t dispatch_by_ms;
   unsigned tries;
   DlClaimEnd end;
--- a/lib/policy/prefix.h
+++ b/lib/policy/prefix.h
@@ -2,9 +2,10 @@
  * Which upstreams are thought to hold which prompt prefixes in their cache.
  *
  * Engines tell of what they cache and drop late, and some of it never arrives.  An entry
- * of the index is therefore only a hint that ages out: an upstream whose events have a gap
- * loses all it is thought to hold, and what was neither told again nor used for a while is
- * forgotten.  An entry also notes where it sent a prefix itself, ahead of the event.
+ * of the index is therefore only a hint that ages out: an upstream whose events have a
+ * gap loses all it is thought to hold, and what was neither told again nor used for a
+ * while is forgotten.  An entry also notes where it sent a prefix itself, ahead of the
+ * event.
  */
 #ifndef DL_PREFIX_H
 #define DL_PREFIX_H
@@ -15,9 +16,9 @@
 
 #include "kernel/str.h"
 
-#define DL_PREFIX_BYTES     256 /* of the prompt, that its prefix digest covers */
-#define DL_PREFIX_HOLDERS   4   /* upstreams remembered for each prefix */
-#define DL_PREFIX_MAX       16384
+#define DL_PREFIX_BYTES      256 /* of the prompt, that its prefix digest covers */
+#define DL_PREFIX_HOLDERS    4   /* upstreams remembered for each prefix */
+#define DL_PREFIX_MAX        16384
 #define DL_PREFIX_MAX_AGE_MS 120000
 
 typedef struct DlPrefixIndex DlPrefixIndex;
--- a/lib/policy/resume.h
+++ b/lib/policy/resume.h
@@ -1,11 +1,11 @@
 /*
  * Token accounting of one streamed answer.
  *
- * An answer is JSON lines {"token": I, ...} with I rising by one from 0, then {"done": true,
- * "tokens": N}.  When the upstream breaks, the stream goes on at another one of the same
- * version from the token that the caller needs next.  Only whole lines are passed on; a
- * token that the caller has already had is dropped, and a gap or a wrong count breaks the
- * stream, so that no token is lost or doubled.
+ * An answer is JSON lines {"token": I, ...} with I rising by one from 0, then {"done":
+ * true, "tokens": N}.  When the upstream breaks, the stream goes on at another one of the
+ * same version from the token that the caller needs next.  Only whole lines are passed
+ * on; a token that the caller has already had is dropped, and a gap or a wrong count
+ * breaks the stream, so that no token is lost or doubled.
  */
 #ifndef DL_RESUME_H
 #define DL_RESUME_H
--- a/lib/policy/retry.h
+++ b/lib/policy/retry.h
@@ -3,8 +3,8 @@
  *
  * Each first try earns a fraction of a retry, each retry spends a whole one, and the
  * balance is capped.  Over any stretch of time the retries are at most the percentage of
- * the first tries plus the cap, so that retries cannot multiply the load on upstreams that
- * fail together.
+ * the first tries plus the cap, so that retries cannot multiply the load on upstreams
+ * that fail together.
  */
 #ifndef DL_RETRY_H
 #define DL_RETRY_H
--- a/lib/policy/route.c
+++ b/lib/policy/route.c
@@ -48,7 +48,8 @@
 serves (const DlRouteCandidate *c, const DlRouteQuery *q)
 {
   return c->connected && c->accepts
-         && (dl_digest_is_zero (&q->version) || dl_digest_equal (&c->version, &q->version));
+         && (dl_digest_is_zero (&q->version)
+             || dl_digest_equal (&c->version, &q->version));
 }
 
 static bool
--- a/lib/policy/route.h
+++ b/lib/policy/route.h
@@ -1,11 +1,11 @@
 /*
  * Choice of an upstream for one try of a request.
  *
- * The load that upstreams report lags, so that an entry adds what it sent itself since the
- * report.  Among upstreams that hold the prompt's prefix, or else among the nearest that
- * have room, two drawn at random are compared and the less loaded one is taken: with many
- * entries choosing on old reports, taking the least loaded of all would send every entry
- * to the same upstream.
+ * The load that upstreams report lags, so that an entry adds what it sent itself since
+ * the report.  Among upstreams that hold the prompt's prefix, or else among the nearest
+ * that have room, two drawn at random are compared and the less loaded one is taken: with
+ * many entries choosing on old reports, taking the least loaded of all would send every
+ * entry to the same upstream.
  */
 #ifndef DL_ROUTE_H
 #define DL_ROUTE_H
