--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -258,6 +258,13 @@
                             callers_retry_percent (r->callers));
 }
 
+/* A model's answer says itself that it is whole. */
+static bool
+is_whole (const CallerRequest *r, bool complete)
+{
+  return r->resume != NULL ? r->resume->state == DL_RESUME_DONE : complete;
+}
+
 static void
 take_end (CallerRequest *r, const EntryMessage *m)
 {
@@ -269,9 +276,7 @@
       talloc_free (r->avoid);
       r->avoid = talloc_strdup (r, m->response.upstream);
     }
-  if (r->begun && r->resume != NULL && r->resume->state == DL_RESUME_DONE)
-    answer_whole (r);
-  else if (r->begun && r->resume == NULL && complete)
+  if (r->begun && is_whole (r, complete))
     answer_whole (r);
   else if (r->begun)
     resume_or_cut_off (r, complete ? "the upstream's stream ended early"
--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -61,7 +61,8 @@
 uint32_t
 requests_retry_after_ms (const RequestsTask *t)
 {
-  unsigned at_once = MAX (capacity (t), 1);
+  unsigned known = capacity (t);
+  unsigned at_once = known > 0 ? known : 1;
   unsigned waiting = t->running >= at_once ? t->running - at_once + 1 : 1;
   uint64_t wait_ms = t->mean_duration_us * waiting / at_once / MICROSECONDS_PER_MS;
 
--- a/lib/policy/admit.c
+++ b/lib/policy/admit.c
@@ -16,12 +16,12 @@
 share_of (const DlAdmitShare *share, uint64_t amount_u)
 {
   uint64_t even = amount_u / at_least_one (share->entries);
+  double by_demand;
 
   if (share->all_demand == 0 || share->own_demand > share->all_demand)
     return even;
-  return even / 2
-         + (uint64_t)((double)(amount_u / 2) * (double)share->own_demand
-                      / (double)share->all_demand);
+  by_demand = (double)amount_u * (double)share->own_demand / (double)share->all_demand;
+  return even / 2 + (uint64_t)(by_demand / 2);
 }
 
 uint64_t
