--- a/daisyentryd/snapshot.c
+++ b/daisyentryd/snapshot.c
@@ -101,6 +101,20 @@
   return snapshot;
 }
 
+/* Orders the next object and the next change; what has run out comes last. */
+static int
+compare_heads (const EntrySnapshot *old,
+               size_t i,
+               const SnapshotChanges *changes,
+               size_t j)
+{
+  if (i >= old->count)
+    return 1;
+  if (j >= changes->count)
+    return -1;
+  return compare_objects (&old->objects[i], &changes->objects[j]);
+}
+
 EntrySnapshot *
 snapshot_apply (const void *context,
                 const EntrySnapshot *old,
@@ -116,16 +130,18 @@
   sort_changes (changes);
   while (i < old->count || j < changes->count)
     {
-      const DlObject *have = i < old->count ? &old->objects[i] : NULL;
-      const DlObject *change = j < changes->count ? &changes->objects[j] : NULL;
-      int order = have == NULL ? 1 : change == NULL ? -1 : compare_objects (have, change);
-      bool newer = order >= 0 && (order > 0 || change->revision > have->revision);
-
-      if (newer && !change->deleted)
-        append (snapshot, change, false);
-      else if (order <= 0 && !newer)
+      int order = compare_heads (old, i, changes, j);
+      const DlObject *have = &old->objects[i];
+      const DlObject *change = &changes->objects[j];
+
+      if (order < 0 || (order == 0 && change->revision <= have->revision))
         append (snapshot, have, true);
-      changed |= newer && (order == 0 || !change->deleted);
+      else
+        {
+          if (!change->deleted)
+            append (snapshot, change, false);
+          changed |= order == 0 || !change->deleted;
+        }
       i += order <= 0;
       j += order >= 0;
     }
