--- /dev/null
+++ b/daisyentryd/operators.c
@@ -0,0 +1,393 @@
+/*
+ * Plug-in "operators": queries, commands, dump and metrics for operators over HTTP.
+ *
+ * Queries are answered from the snapshots that the replica publishes, without a call to
+ * the platform.  The last few snapshots are kept, so that a screen can ask for several
+ * tables of one revision.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/crypt.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "operators.h"
+#include "query/json_get.h"
+#include "query/render.h"
+
+#define SNAPSHOTS_KEPT          32
+#define CONNECTIONS_MAX         256
+#define CONNECTIONS_PER_IP_MAX  64
+#define BODY_MAX_BYTES          (2u << 20) /* settings of the largest size, and a margin */
+#define HEADER_MAX_BYTES        (16u << 10)
+#define IDLE_TIMEOUT_S          30
+#define BEARER                  "Bearer "
+#define HTTP_OK                 200
+#define HTTP_BAD_REQUEST        400
+#define HTTP_UNAUTHORIZED       401
+#define HTTP_NOT_FOUND          404
+#define HTTP_METHOD_NOT_ALLOWED 405
+#define HTTP_GONE               410
+#define HTTP_UNAVAILABLE        503
+
+DL_METRIC (metric_queries,
+           DL_METRIC_COUNTER,
+           "daisy_operator_queries_total",
+           "Queries of operators that were answered.")
+DL_METRIC (metric_unauthorized,
+           DL_METRIC_COUNTER,
+           "daisy_operator_unauthorized_total",
+           "Operators' requests without the right key.")
+DL_METRIC (metric_revision,
+           DL_METRIC_GAUGE,
+           "daisy_operator_revision",
+           "Newest revision of the platform's objects that queries are answered from.")
+DL_METRIC (metric_query_time,
+           DL_METRIC_HISTOGRAM,
+           "daisy_operator_query_ms",
+           "Time to evaluate a query.")
+
+/* -------- snapshots -------- */
+
+static const EntrySnapshot *
+message_snapshot (const void *message)
+{
+  return ((const EntryMessage *)message)->snapshot.snapshot;
+}
+
+static DlQuerySource
+as_source (const EntrySnapshot *snapshot)
+{
+  return (DlQuerySource){
+    .revision = snapshot->revision,
+    .count = snapshot->count,
+    .objects = snapshot->objects,
+  };
+}
+
+static void
+keep_snapshot (Operators *o, const EntryMessage *message)
+{
+  uint64_t revision = message->snapshot.snapshot->revision;
+  const EntryMessage *newest = g_queue_peek_head (o->snapshots);
+
+  /* A screen never goes back to an older revision. */
+  if (newest != NULL && message_snapshot (newest)->revision >= revision)
+    return;
+  g_queue_push_head (o->snapshots, dl_message_ref ((void *)message));
+  if (g_queue_get_length (o->snapshots) > SNAPSHOTS_KEPT)
+    dl_message_unref (g_queue_pop_tail (o->snapshots));
+  dl_metric_set (&metric_revision, (int64_t)revision);
+}
+
+bool
+operators_source_at (Operators *operators, uint64_t revision, DlQuerySource *source)
+{
+  for (GList *l = operators->snapshots->head; l != NULL; l = l->next)
+    if (message_snapshot (l->data)->revision == revision)
+      {
+        *source = as_source (message_snapshot (l->data));
+        return true;
+      }
+  return false;
+}
+
+/* How long ago this entry's source was in touch with the platform. */
+static uint64_t
+age_ms (const Operators *o)
+{
+  if (o->contact_ms == 0 || o->store_age_ms == UINT64_MAX)
+    return UINT64_MAX;
+  return o->store_age_ms + (dl_clock_ms () - o->contact_ms);
+}
+
+/* -------- queries -------- */
+
+void
+operators_reply_syntax (DlHttpRequest *request, const DlSyntaxError *error)
+{
+  json_object *object = json_object_new_object ();
+
+  dl_json_add_text (object, "error", error->text);
+  dl_json_add_uint (object, "position", error->position);
+  dl_http_reply_json (request, HTTP_BAD_REQUEST, object);
+}
+
+/* Answers that REVISION is not kept, and returns false; else sets SOURCE. */
+static bool
+find_source (Operators *o,
+             DlHttpRequest *request,
+             uint64_t revision,
+             DlQuerySource *source)
+{
+  const EntryMessage *newest = g_queue_peek_head (o->snapshots);
+  const EntryMessage *oldest = g_queue_peek_tail (o->snapshots);
+
+  if (newest == NULL)
+    {
+      dl_http_reply_error (request, HTTP_UNAVAILABLE, OPERATORS_RETRY_MS,
+                           "no revision is known here yet");
+      return false;
+    }
+  *source = as_source (message_snapshot (newest));
+  if (revision == 0 || operators_source_at (o, revision, source))
+    return true;
+  if (revision > source->revision)
+    dl_http_reply_error (request, HTTP_NOT_FOUND, OPERATORS_RETRY_MS,
+                         "revision %" PRIu64 " is not known here yet; the newest is "
+                         "%" PRIu64,
+                         revision, source->revision);
+  else
+    dl_http_reply_error (request, HTTP_GONE, 0,
+                         "revision %" PRIu64 " is not kept; revisions from %" PRIu64
+                         " to %" PRIu64 " are, but for some between",
+                         revision, message_snapshot (oldest)->revision, source->revision);
+  return false;
+}
+
+static void
+answer_query (Operators *o,
+              DlHttpRequest *request,
+              const DlStatement *statement,
+              uint64_t revision)
+{
+  DlQuerySource source;
+  uint64_t begun_us = dl_clock_us ();
+  uint64_t age = age_ms (o);
+  json_object *answer;
+
+  if (!find_source (o, request, revision, &source))
+    return;
+  answer = dl_render_json (dl_query_evaluate (request, statement, &source));
+  json_object_object_add (answer, "age_ms",
+                          age == UINT64_MAX ? NULL : json_object_new_uint64 (age));
+  dl_json_add_text (answer, "entry", entry_settings (o->task)->name);
+  dl_metric_add (&metric_queries, 1);
+  dl_metric_observe_us (&metric_query_time, dl_clock_us () - begun_us);
+  dl_http_reply_json (request, HTTP_OK, answer);
+}
+
+static bool
+is_evaluable (const DlStatement *statement)
+{
+  return statement->type == DL_STATEMENT_SHOW || statement->type == DL_STATEMENT_COUNT
+         || statement->type == DL_STATEMENT_IN_FORCE;
+}
+
+static void
+handle_query (Operators *o, DlHttpRequest *request)
+{
+  json_object *body = NULL;
+  char *error = NULL;
+  DlStatement *statement = NULL;
+  DlSyntaxError syntax = { 0 };
+
+  if (dl_json_parse (request, "body", dl_http_request_body (request), &body, &error) < 0)
+    dl_http_reply_error (request, HTTP_BAD_REQUEST, 0, "%s", error);
+  else if (dl_statement_parse (request, dl_str (dl_json_text (body, "text")), &statement,
+                               &syntax)
+           < 0)
+    operators_reply_syntax (request, &syntax);
+  else if (!is_evaluable (statement))
+    operators_reply_syntax (request, &(DlSyntaxError){ .text = "this is not a query" });
+  else
+    answer_query (o, request, statement, dl_json_uint (body, "revision"));
+  json_object_put (body);
+}
+
+/* -------- requests -------- */
+
+static bool
+is_authorized (Operators *o, const DlHttpRequest *request)
+{
+  const char *header = dl_http_request_header (request, "Authorization");
+
+  return header != NULL && g_str_has_prefix (header, BEARER)
+         && dl_secret_equal (dl_str (header + strlen (BEARER)),
+                             dl_str (entry_settings (o->task)->operator_key));
+}
+
+static void
+handle_dump (Operators *o, DlHttpRequest *request)
+{
+  dl_http_reply_json (request, HTTP_OK, dl_kernel_dump (dl_task_kernel (o->task)));
+}
+
+static void
+handle_metrics (Operators *o, DlHttpRequest *request)
+{
+  DlBuffer *buffer = dl_buffer_new (request, 0);
+
+  dl_metrics_write (buffer);
+  dl_http_reply (request, HTTP_OK, "text/plain; version=0.0.4", dl_buffer_view (buffer),
+                 NULL);
+}
+
+typedef struct
+{
+  const char *method;
+  const char *path;
+  void (*handle) (Operators *o, DlHttpRequest *request);
+} Route;
+
+static const Route routes[] = {
+  { "POST", "/v1/query", handle_query },
+  { "POST", "/v1/command", operators_command },
+  { "GET", "/v1/dump", handle_dump },
+  { "GET", "/metrics", handle_metrics },
+};
+
+static const Route *
+find_route (const char *path)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    if (strcmp (routes[i].path, path) == 0)
+      return &routes[i];
+  return NULL;
+}
+
+static void
+on_request (DlHttpRequest *request, void *data)
+{
+  Operators *o = data;
+  const char *path = dl_http_request_path (request);
+  const Route *route;
+
+  if (!is_authorized (o, request))
+    {
+      dl_metric_add (&metric_unauthorized, 1);
+      dl_log (DL_EVENT_OPERATOR_UNAUTHORIZED, DL_TEXT ("path", path));
+      dl_http_reply_error (request, HTTP_UNAUTHORIZED, 0,
+                           "the operator key is missing or wrong");
+      return;
+    }
+  route = find_route (path);
+  if (route == NULL)
+    dl_http_reply_error (request, HTTP_NOT_FOUND, 0, "there is no %s", path);
+  else if (strcmp (route->method, dl_http_request_method (request)) != 0)
+    dl_http_reply_error (request, HTTP_METHOD_NOT_ALLOWED, 0, "%s takes %s", path,
+                         route->method);
+  else
+    route->handle (o, request);
+}
+
+/* -------- the task -------- */
+
+static int
+release_snapshots (Operators *o)
+{
+  g_queue_free_full (o->snapshots, dl_message_unref);
+  return 0;
+}
+
+static int
+operators_start (DlTask *task)
+{
+  const EntrySettings *settings = entry_settings (task);
+  Operators *o = talloc_zero (task, Operators);
+  const DlHttpLimits limits = {
+    .max_connections = CONNECTIONS_MAX,
+    .max_connections_per_ip = CONNECTIONS_PER_IP_MAX,
+    .max_body_bytes = BODY_MAX_BYTES,
+    .max_header_bytes = HEADER_MAX_BYTES,
+    .idle_timeout_s = IDLE_TIMEOUT_S,
+  };
+
+  o->task = task;
+  o->snapshots = g_queue_new ();
+  o->platform_reachable = true;
+  talloc_set_destructor (o, release_snapshots);
+  o->client
+      = dl_object_client_new (task, o, settings->platform, settings->platform_timeout_ms);
+  dl_task_set_state (task, o);
+  return dl_http_server_new (task, o, dl_str (settings->operators_listen), &limits,
+                             on_request, o, &o->server);
+}
+
+static void
+operators_handle (DlTask *task, const DlMessage *message)
+{
+  Operators *o = dl_task_state (task);
+  const EntryMessage *m = (const EntryMessage *)message;
+
+  switch ((EntryMessageType)message->type)
+    {
+    case ENTRY_SNAPSHOT:
+      keep_snapshot (o, m);
+      break;
+    case ENTRY_CONTACT:
+      o->platform_reachable = m->contact.platform_reachable;
+      o->store_age_ms = m->contact.store_age_ms;
+      o->contact_ms = dl_clock_ms ();
+      break;
+    default:
+      break;
+    }
+}
+
+/* The caller's answer of the last command is still on its way when the command ends; the
+ * kernel's drain timeout bounds the wait. */
+static void
+check_drained (DlTimer *timer, void *data)
+{
+  Operators *o = data;
+
+  if (o->commands > 0 || dl_http_server_running (o->server) > 0)
+    return;
+  talloc_free (timer);
+  dl_task_drained (o->task);
+}
+
+#define DRAIN_CHECK_MS 50
+
+static void
+operators_drain (DlTask *task)
+{
+  Operators *o = dl_task_state (task);
+
+  o->draining = true;
+  dl_http_server_quiesce (o->server);
+  dl_timer_subscribe (task, o, 1, DRAIN_CHECK_MS, check_drained, o);
+}
+
+void
+operators_command_ended (Operators *operators)
+{
+  g_assert (operators->commands > 0);
+  operators->commands--;
+}
+
+static json_object *
+operators_dump (DlTask *task)
+{
+  Operators *o = dl_task_state (task);
+  json_object *dump = json_object_new_object ();
+  json_object *kept = json_object_new_array ();
+  uint64_t age = age_ms (o);
+
+  for (GList *l = o->snapshots->head; l != NULL; l = l->next)
+    json_object_array_add (kept,
+                           json_object_new_uint64 (message_snapshot (l->data)->revision));
+  json_object_object_add (dump, "revisions_kept", kept);
+  json_object_object_add (dump, "age_ms",
+                          age == UINT64_MAX ? NULL : json_object_new_uint64 (age));
+  json_object_object_add (dump, "platform_reachable",
+                          json_object_new_boolean (o->platform_reachable));
+  dl_json_add_uint (dump, "commands_running", o->commands);
+  dl_json_add_uint (dump, "requests_running", dl_http_server_running (o->server));
+  return dump;
+}
+
+static DlPlugin operators_plugin = {
+  .name = "operators",
+  .order = 90,
+  .subscriptions = ENTRY_SUBSCRIBE (ENTRY_SNAPSHOT) | ENTRY_SUBSCRIBE (ENTRY_CONTACT),
+  .start = operators_start,
+  .handle = operators_handle,
+  .drain = operators_drain,
+  .dump = operators_dump,
+};
+DL_PLUGIN_REGISTER (operators_plugin)
--- /dev/null
+++ b/daisyentryd/operators_command.c
@@ -0,0 +1,607 @@
+/*
+ * Runs operators' commands.
+ *
+ * A command first creates the object command/ID with the outcome "pending".  Then it
+ * reads the objects, asks lib/query/plan.h for the next conditional write and does it,
+ * until the plan says how the command ended; last, it records the outcome in command/ID.
+ * Whoever meets a pending command of the same id takes it up from what the objects show,
+ * so that a command whose answer was lost can be asked about and never runs twice.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/crypt.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "operators.h"
+#include "query/json_get.h"
+#include "query/plan.h"
+
+#define COMMANDS_MAX      64 /* in progress at once */
+#define BY_MAX_BYTES      64
+#define RETRY_MS          100
+#define DEADLINE_TIMEOUTS 3 /* of the platform, until the outcome is told as unknown */
+#define EXPIRY_MS         (UINT64_C (24) * 3600 * 1000) /* of recorded outcomes */
+#define EXPIRED_PER_RUN   4
+#define PENDING           "pending"
+#define HTTP_OK           200
+#define HTTP_BAD_REQUEST  400
+#define HTTP_UNAVAILABLE  503
+
+DL_METRIC (metric_applied,
+           DL_METRIC_COUNTER,
+           "daisy_operator_commands_applied_total",
+           "Operators' commands that took effect.")
+DL_METRIC (metric_refused,
+           DL_METRIC_COUNTER,
+           "daisy_operator_commands_refused_total",
+           "Operators' commands that were refused and had no effect.")
+DL_METRIC (metric_unknown,
+           DL_METRIC_COUNTER,
+           "daisy_operator_commands_unknown_total",
+           "Operators' commands whose outcome could not be told in time.")
+DL_METRIC (metric_not_run,
+           DL_METRIC_COUNTER,
+           "daisy_operator_commands_not_run_total",
+           "Operators' commands that were not run because the platform was away.")
+
+/* One command in progress, a talloc child of the task's state. */
+typedef struct
+{
+  Operators *operators;
+  DlHttpRequest *request; /* NULL once the caller has gone */
+  char *id;
+  char *by;
+  char *text;
+  json_object *value;
+  DlStatement *statement;
+  uint64_t at_ms;
+  uint64_t at_revision;
+  uint64_t intent_revision;  /* that created command/ID */
+  uint64_t command_revision; /* of command/ID now */
+  uint64_t deadline_ms;
+  bool resumed;       /* an earlier try or write may have taken effect */
+  bool write_unknown; /* a write of this run was sent and its answer lost */
+  uint64_t retry_after_ms;
+  DlTimer *retry;
+  DlPlan *plan;
+} Command;
+
+static void create_intent (Command *c);
+static void read_recorded (Command *c);
+static void read_objects (Command *c);
+static void record_outcome (Command *c);
+
+/* -------- ends -------- */
+
+static int
+command_destroy (Command *c)
+{
+  if (c->request != NULL)
+    dl_http_request_on_closed (c->request, NULL, NULL);
+  json_object_put (c->value);
+  operators_command_ended (c->operators);
+  return 0;
+}
+
+static void
+count_outcome (const char *outcome)
+{
+  if (strcmp (outcome, "applied") == 0)
+    dl_metric_add (&metric_applied, 1);
+  else if (strcmp (outcome, "refused") == 0)
+    dl_metric_add (&metric_refused, 1);
+  else if (strcmp (outcome, "not-run") == 0)
+    dl_metric_add (&metric_not_run, 1);
+  else
+    dl_metric_add (&metric_unknown, 1);
+}
+
+static void
+log_outcome (const Command *c, const char *outcome, const char *detail)
+{
+  DlEvent event = DL_EVENT_COMMAND_ENDED;
+
+  if (strcmp (outcome, "unknown") == 0)
+    event = DL_EVENT_COMMAND_UNKNOWN;
+  else if (strcmp (outcome, "not-run") == 0)
+    event = DL_EVENT_COMMAND_NOT_RUN;
+  dl_log (event, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by),
+          DL_TEXT ("command", c->text), DL_TEXT ("outcome", outcome),
+          DL_TEXT ("detail", detail));
+}
+
+/* Answers the caller and frees the command. */
+static void
+finish (Command *c, const char *outcome, const char *detail, uint64_t revision)
+{
+  json_object *answer = json_object_new_object ();
+
+  count_outcome (outcome);
+  log_outcome (c, outcome, detail);
+  dl_json_add_text (answer, "outcome", outcome);
+  dl_json_add_text (answer, "detail", detail);
+  dl_json_add_uint (answer, "revision", revision);
+  dl_json_add_text (answer, "id", c->id);
+  if (c->request != NULL)
+    dl_http_reply_json (c->request, HTTP_OK, answer);
+  else
+    json_object_put (answer);
+  talloc_free (c);
+}
+
+/* The command had no effect and will have none unless it is given again. */
+static void
+finish_not_run (Command *c, const char *detail)
+{
+  uint64_t retry_ms = MAX (c->retry_after_ms, OPERATORS_RETRY_MS);
+  json_object *answer = json_object_new_object ();
+  char seconds[24];
+  DlHttpHeader headers[] = { { "Retry-After", seconds }, { 0 } };
+
+  c->operators->away_until_ms = dl_clock_ms () + OPERATORS_RETRY_MS;
+  count_outcome ("not-run");
+  log_outcome (c, "not-run", detail);
+  g_snprintf (seconds, sizeof seconds, "%" PRIu64, (retry_ms + 999) / 1000);
+  dl_json_add_text (answer, "outcome", "not-run");
+  dl_json_add_text (answer, "error", detail);
+  dl_json_add_text (answer, "id", c->id);
+  dl_json_add_uint (answer, "retry_after_ms", retry_ms);
+  if (c->request != NULL)
+    dl_http_reply (c->request, HTTP_UNAVAILABLE, "application/json",
+                   dl_str (
+                       json_object_to_json_string_ext (answer, JSON_C_TO_STRING_PLAIN)),
+                   headers);
+  json_object_put (answer);
+  talloc_free (c);
+}
+
+static void
+finish_late (Command *c)
+{
+  if (c->resumed || c->write_unknown)
+    finish (c, "unknown",
+            "the platform's service does not answer; ask again with the same id", 0);
+  else
+    finish_not_run (c, "the platform's service is away; nothing was changed");
+}
+
+/* -------- retries -------- */
+
+typedef void (*StepFunc) (Command *c);
+
+typedef struct
+{
+  Command *command;
+  StepFunc step;
+} Retry;
+
+static void
+on_retry (DlTimer *timer, void *data)
+{
+  Retry *retry = data;
+  Command *c = retry->command;
+  StepFunc step = retry->step;
+
+  talloc_free (retry);
+  c->retry = NULL;
+  step (c);
+}
+
+/* Does STEP again after a while, or ends the command when its time is over. */
+static void
+retry_later (Command *c, StepFunc step, uint64_t retry_after_ms)
+{
+  uint64_t delay_ms = MAX (retry_after_ms, RETRY_MS);
+  Retry *retry;
+
+  c->retry_after_ms = retry_after_ms;
+  if (dl_clock_ms () + delay_ms > c->deadline_ms)
+    {
+      finish_late (c);
+      return;
+    }
+  retry = talloc_zero (c, Retry);
+  *retry = (Retry){ .command = c, .step = step };
+  c->retry = dl_timer_subscribe (c->operators->task, retry, delay_ms, 0, on_retry, retry);
+}
+
+/* -------- command/ID -------- */
+
+static json_object *
+command_value (const Command *c,
+               const char *outcome,
+               const char *detail,
+               uint64_t revision)
+{
+  json_object *value = json_object_new_object ();
+
+  dl_json_add_text (value, "text", c->text);
+  dl_json_add_text (value, "by", c->by);
+  dl_json_add_uint (value, "at_ms", c->at_ms);
+  dl_json_add_text (value, "outcome", outcome);
+  dl_json_add_text (value, "detail", detail);
+  dl_json_add_uint (value, "revision", revision);
+  dl_json_add_text (value, "entry", entry_settings (c->operators->task)->name);
+  return value;
+}
+
+static void
+on_intent_created (const DlObjectResult *result, void *data)
+{
+  Command *c = data;
+
+  switch (result->error)
+    {
+    case 0:
+      c->intent_revision = result->revision;
+      c->command_revision = result->revision;
+      read_objects (c);
+      break;
+    case DL_ERR_CONFLICT:
+    case DL_ERR_UNKNOWN:
+      read_recorded (c);
+      break;
+    default:
+      retry_later (c, create_intent, result->retry_after_ms);
+      break;
+    }
+}
+
+static void
+create_intent (Command *c)
+{
+  json_object *value = command_value (c, PENDING, "", 0);
+
+  dl_object_put (c->operators->client, c, ENTRY_KIND_COMMAND, c->id, 0, value,
+                 on_intent_created, c);
+  json_object_put (value);
+}
+
+/* The id is known already: from this command's own lost write, or an earlier try. */
+static void
+take_up_recorded (Command *c, const DlObject *object)
+{
+  const char *outcome = dl_json_text (object->value, "outcome");
+
+  if (strcmp (dl_json_text (object->value, "text"), c->text) != 0
+      || strcmp (dl_json_text (object->value, "by"), c->by) != 0)
+    {
+      finish (c, "refused",
+              talloc_asprintf (c, "id %s belongs to another command: \"%s\" by %s", c->id,
+                               dl_json_text (object->value, "text"),
+                               dl_json_text (object->value, "by")),
+              0);
+      return;
+    }
+  if (strcmp (outcome, PENDING) != 0)
+    {
+      char *kept = talloc_strdup (c, outcome);
+      char *detail = talloc_strdup (c, dl_json_text (object->value, "detail"));
+
+      finish (c, kept, detail, dl_json_uint (object->value, "revision"));
+      return;
+    }
+  c->resumed = true;
+  c->intent_revision = object->created;
+  c->command_revision = object->revision;
+  read_objects (c);
+}
+
+static void
+on_recorded (const DlObjectResult *result, void *data)
+{
+  Command *c = data;
+
+  switch (result->error)
+    {
+    case 0:
+      take_up_recorded (c, &result->objects[0]);
+      break;
+    case DL_ERR_NOT_FOUND:
+      retry_later (c, create_intent, 0);
+      break;
+    default:
+      retry_later (c, read_recorded, result->retry_after_ms);
+      break;
+    }
+}
+
+static void
+read_recorded (Command *c)
+{
+  dl_object_get (c->operators->client, c, ENTRY_KIND_COMMAND, c->id, on_recorded, c);
+}
+
+static void
+on_outcome_recorded (const DlObjectResult *result, void *data)
+{
+  Command *c = data;
+  const DlPlan *plan = c->plan;
+
+  if (result->error == 0)
+    {
+      finish (c, plan->type == DL_PLAN_APPLIED ? "applied" : "refused", plan->end.detail,
+              plan->end.revision);
+      return;
+    }
+  /* Another try of the same id recorded it first, or this write did. */
+  if (result->error == DL_ERR_CONFLICT || result->error == DL_ERR_UNKNOWN)
+    {
+      read_recorded (c);
+      return;
+    }
+  /* What took effect shows in its object; a refusal holds only once it is recorded. */
+  if (plan->type == DL_PLAN_APPLIED)
+    finish (c, "applied", plan->end.detail, plan->end.revision);
+  else
+    retry_later (c, record_outcome, result->retry_after_ms);
+}
+
+static void
+record_outcome (Command *c)
+{
+  const DlPlan *plan = c->plan;
+  json_object *value
+      = command_value (c, plan->type == DL_PLAN_APPLIED ? "applied" : "refused",
+                       plan->end.detail, plan->end.revision);
+
+  dl_object_put (c->operators->client, c, ENTRY_KIND_COMMAND, c->id, c->command_revision,
+                 value, on_outcome_recorded, c);
+  json_object_put (value);
+}
+
+/* -------- reading, planning, writing -------- */
+
+static void
+on_written (const DlObjectResult *result, void *data)
+{
+  Command *c = data;
+
+  switch (result->error)
+    {
+    case 0:
+      c->resumed = true;
+      read_objects (c);
+      break;
+    case DL_ERR_CONFLICT:
+    case DL_ERR_NOT_FOUND:
+      read_objects (c);
+      break;
+    case DL_ERR_UNKNOWN:
+      c->resumed = true;
+      c->write_unknown = true;
+      retry_later (c, read_objects, result->retry_after_ms);
+      break;
+    default:
+      retry_later (c, read_objects, result->retry_after_ms);
+      break;
+    }
+}
+
+static void
+do_write (Command *c)
+{
+  const DlPlan *plan = c->plan;
+  DlObjectClient *client = c->operators->client;
+
+  if (plan->write.value == NULL)
+    dl_object_delete (client, c, plan->write.kind, plan->write.name, plan->write.base,
+                      on_written, c);
+  else
+    dl_object_put (client, c, plan->write.kind, plan->write.name, plan->write.base,
+                   plan->write.value, on_written, c);
+}
+
+static void
+follow_plan (Command *c)
+{
+  switch (c->plan->type)
+    {
+    case DL_PLAN_WRITE:
+      do_write (c);
+      break;
+    case DL_PLAN_APPLIED:
+    case DL_PLAN_REFUSED:
+      record_outcome (c);
+      break;
+    case DL_PLAN_UNKNOWN:
+      finish (c, "unknown", c->plan->end.detail, 0);
+      break;
+    }
+}
+
+static int
+compare_objects (const void *a, const void *b)
+{
+  const DlObject *x = a;
+  const DlObject *y = b;
+  int order = strcmp (x->kind, y->kind);
+
+  return order != 0 ? order : strcmp (x->name, y->name);
+}
+
+static void
+plan_next (Command *c, const DlObjectResult *result)
+{
+  DlQuerySource now = {
+    .revision = result->revision,
+    .count = result->count,
+    .objects = result->objects,
+  };
+  DlQuerySource then;
+  bool then_kept = operators_source_at (c->operators, c->at_revision, &then);
+  DlCommand command = {
+    .id = c->id,
+    .by = c->by,
+    .at_ms = c->at_ms,
+    .at_revision = c->at_revision,
+    .intent_revision = c->intent_revision,
+    .resumed = c->resumed,
+    .value = c->value,
+    .then = then_kept ? &then : NULL,
+  };
+
+  if (result->count > 1)
+    qsort (result->objects, result->count, sizeof *result->objects, compare_objects);
+  talloc_free (c->plan);
+  c->plan = dl_plan_command (c, c->statement, &command, &now);
+  follow_plan (c);
+}
+
+static void
+on_objects (const DlObjectResult *result, void *data)
+{
+  Command *c = data;
+
+  if (result->error == 0)
+    plan_next (c, result);
+  else
+    retry_later (c, read_objects, result->retry_after_ms);
+}
+
+static void
+read_objects (Command *c)
+{
+  if (dl_clock_ms () > c->deadline_ms)
+    {
+      finish_late (c);
+      return;
+    }
+  dl_object_list (c->operators->client, c, dl_plan_kinds (c->statement), on_objects, c);
+}
+
+/* -------- expiry of recorded outcomes -------- */
+
+static void
+on_expired (const DlObjectResult *result, void *data)
+{
+}
+
+/* Deletes a few outcomes of long ago, so that the work grows with the commands. */
+static void
+expire_commands (Operators *o)
+{
+  const EntryMessage *newest = g_queue_peek_head (o->snapshots);
+  uint64_t now_ms = dl_wall_clock_ms ();
+  unsigned expired = 0;
+  size_t count;
+  const DlObject *objects;
+
+  if (newest == NULL)
+    return;
+  objects = entry_snapshot_kind (newest->snapshot.snapshot, ENTRY_KIND_COMMAND, &count);
+  for (size_t i = 0; i < count && expired < EXPIRED_PER_RUN; i++)
+    if (dl_json_uint (objects[i].value, "at_ms") + EXPIRY_MS < now_ms)
+      {
+        dl_object_delete (o->client, o, ENTRY_KIND_COMMAND, objects[i].name,
+                          objects[i].revision, on_expired, NULL);
+        expired++;
+      }
+}
+
+/* -------- requests -------- */
+
+static void
+on_caller_gone (DlHttpRequest *request, bool answered, void *data)
+{
+  Command *c = data;
+
+  c->request = NULL;
+}
+
+static bool
+is_printable (const char *text)
+{
+  for (const char *t = text; *t != '\0'; t++)
+    if ((unsigned char)*t < ' ')
+      return false;
+  return true;
+}
+
+/* Returns why the body cannot be a command, or NULL. */
+static const char *
+check_body (json_object *body)
+{
+  const char *by = dl_json_text (body, "by");
+
+  if (!dl_object_name_is_valid (dl_str (dl_json_text (body, "id"))))
+    return "id: must be 1 to 128 letters, digits, \".\", \"_\" or \"-\"";
+  if (by[0] == '\0' || strlen (by) > BY_MAX_BYTES || !is_printable (by)
+      || !g_utf8_validate (by, -1, NULL))
+    return "by: must name the operator in up to 64 bytes of printable text";
+  return NULL;
+}
+
+static Command *
+command_new (Operators *o,
+             DlHttpRequest *request,
+             json_object *body,
+             DlStatement *statement)
+{
+  Command *c = talloc_zero (o, Command);
+  uint64_t timeout_ms = entry_settings (o->task)->platform_timeout_ms;
+
+  c->operators = o;
+  c->request = request;
+  c->id = talloc_strdup (c, dl_json_text (body, "id"));
+  c->by = talloc_strdup (c, dl_json_text (body, "by"));
+  c->text = talloc_strdup (c, dl_json_text (body, "text"));
+  c->value = json_object_get (dl_json_object (body, "value"));
+  c->statement = talloc_steal (c, statement);
+  c->at_ms = dl_wall_clock_ms ();
+  c->at_revision = statement->at_revision > 0 ? statement->at_revision
+                                              : dl_json_uint (body, "revision");
+  c->deadline_ms = dl_clock_ms () + DEADLINE_TIMEOUTS * timeout_ms;
+  o->commands++;
+  talloc_set_destructor (c, command_destroy);
+  dl_http_request_on_closed (request, on_caller_gone, c);
+  return c;
+}
+
+static void
+begin (Operators *o, DlHttpRequest *request, json_object *body, DlStatement *statement)
+{
+  Command *c = command_new (o, request, body, statement);
+
+  if (!o->platform_reachable || dl_clock_ms () < o->away_until_ms)
+    {
+      finish_not_run (c, "the platform's service is away; nothing was changed");
+      return;
+    }
+  dl_log (DL_EVENT_COMMAND_BEGUN, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by),
+          DL_TEXT ("command", c->text));
+  expire_commands (o);
+  create_intent (c);
+}
+
+void
+operators_command (Operators *operators, DlHttpRequest *request)
+{
+  json_object *body = NULL;
+  char *error = NULL;
+  const char *reason;
+  DlStatement *statement = NULL;
+  DlSyntaxError syntax = { 0 };
+
+  if (dl_json_parse (request, "body", dl_http_request_body (request), &body, &error) < 0)
+    dl_http_reply_error (request, HTTP_BAD_REQUEST, 0, "%s", error);
+  else if ((reason = check_body (body)) != NULL)
+    dl_http_reply_error (request, HTTP_BAD_REQUEST, 0, "%s", reason);
+  else if (dl_statement_parse (request, dl_str (dl_json_text (body, "text")), &statement,
+                               &syntax)
+           < 0)
+    operators_reply_syntax (request, &syntax);
+  else if (dl_statement_is_query (statement))
+    operators_reply_syntax (request, &(DlSyntaxError){ .text = "this is not a command" });
+  else if (operators->commands >= COMMANDS_MAX)
+    dl_http_reply_error (request, HTTP_UNAVAILABLE, OPERATORS_RETRY_MS,
+                         "%d commands are in progress", COMMANDS_MAX);
+  else
+    begin (operators, request, body, statement);
+  json_object_put (body);
+}
--- a/lib/kernel/fleet.c
+++ b/lib/kernel/fleet.c
@@ -9,6 +9,7 @@
 #define ORGANISATIONS_MAX 10000
 #define PRIORITIES_MAX    16
 #define RATE_MAX          1000000
+#define HISTORY_MAX       64 /* acceptances remembered */
 
 static const char *const service_kinds[] = { "model", "plain", NULL };
 static const char *const weigh_choices[] = { "time", "origin-bytes", NULL };
@@ -83,6 +84,34 @@
   { 0 },
 };
 
+static const DlSettingSpec change_specs[] = {
+  {
+      .key = "at_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlSettingsChange, at_ms),
+      .required = true,
+  },
+  {
+      .key = "by",
+      .type = DL_SETTING_STRING,
+      .offset = offsetof (DlSettingsChange, by),
+      .required = true,
+  },
+  {
+      .key = "command",
+      .type = DL_SETTING_STRING,
+      .offset = offsetof (DlSettingsChange, command),
+      .required = true,
+  },
+  {
+      .key = "what",
+      .type = DL_SETTING_STRING,
+      .offset = offsetof (DlSettingsChange, what),
+      .required = true,
+  },
+  { 0 },
+};
+
 static const DlSettingSpec fleet_specs[] = {
   {
       .key = "services",
@@ -145,6 +174,14 @@
       .offset = offsetof (DlFleet, home_region),
       .required = true,
   },
+  {
+      .key = "history",
+      .type = DL_SETTING_OBJECTS,
+      .offset = offsetof (DlFleet, history),
+      .maximum = HISTORY_MAX,
+      .fields = change_specs,
+      .element_bytes = sizeof (DlSettingsChange),
+  },
   { 0 },
 };
 
--- a/lib/kernel/fleet.h
+++ b/lib/kernel/fleet.h
@@ -42,6 +42,15 @@
   DL_WEIGH_ORIGIN_BYTES,
 } DlWeigh;
 
+/* One acceptance of settings; entries write these, operators do not. */
+typedef struct
+{
+  uint64_t at_ms; /* since 1970 */
+  const char *by;
+  const char *command; /* id of the command that applied them */
+  const char *what;
+} DlSettingsChange;
+
 typedef struct
 {
   DlSettingList services;      /* of DlService */
@@ -52,6 +61,7 @@
   int weigh;                   /* DlWeigh, for rollouts that do not say */
   uint64_t wave_percent; /* of the upstreams of a service and region that load at once */
   const char *home_region; /* where the origin stands */
+  DlSettingList history;   /* of DlSettingsChange, oldest first */
 } DlFleet;
 
 /* Returns 0 or -EINVAL with a one-line *ERROR below CONTEXT.  Contradictions between keys
--- /dev/null
+++ b/lib/query/plan.c
@@ -0,0 +1,923 @@
+#include "query/plan.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "kernel/fleet.h"
+#include "query/flatten.h"
+#include "query/json_get.h"
+
+#define KIND_ROLLOUT "rollout"
+#define KIND_VERSION "version"
+#define KIND_COMMAND "command"
+#define KIND_DRAIN   "drain"
+#define KIND_STATUS  "status"
+
+#define MS_PER_S          1000
+#define TIME_BYTES        32
+#define DIGEST_PREFIX_MIN 8 /* hexadecimal digits that name a version */
+
+/* What the plan of one command is made from. */
+typedef struct
+{
+  const void *context;
+  const DlStatement *statement;
+  const DlCommand *command;
+  const DlQuerySource *now;
+} Planner;
+
+/* -------- ends and writes -------- */
+
+static DlPlan *
+end (const Planner *p, DlPlanType type, uint64_t revision, const char *detail)
+{
+  DlPlan *plan = talloc_zero (p->context, DlPlan);
+
+  *plan = (DlPlan){ .type = type, .end = { .detail = detail, .revision = revision } };
+  return plan;
+}
+
+static DlPlan *__attribute__ ((format (printf, 2, 3)))
+refuse (const Planner *p, const char *format, ...)
+{
+  va_list args;
+  char *detail;
+
+  va_start (args, format);
+  detail = talloc_vasprintf (p->context, format, args);
+  va_end (args);
+  return end (p, DL_PLAN_REFUSED, 0, detail);
+}
+
+static DlPlan *__attribute__ ((format (printf, 3, 4)))
+applied (const Planner *p, uint64_t revision, const char *format, ...)
+{
+  va_list args;
+  char *detail;
+
+  va_start (args, format);
+  detail = talloc_vasprintf (p->context, format, args);
+  va_end (args);
+  return end (p, DL_PLAN_APPLIED, revision, detail);
+}
+
+static int
+put_value (DlPlan *plan)
+{
+  json_object_put (plan->write.value);
+  return 0;
+}
+
+/* Takes over VALUE. */
+static DlPlan *
+write_object (const Planner *p,
+              const char *kind,
+              const char *name,
+              uint64_t base,
+              json_object *value)
+{
+  DlPlan *plan = talloc_zero (p->context, DlPlan);
+
+  *plan = (DlPlan){
+    .type = DL_PLAN_WRITE,
+    .write = {
+      .kind = kind,
+      .name = talloc_strdup (plan, name),
+      .base = base,
+      .value = value,
+    },
+  };
+  talloc_set_destructor (plan, put_value);
+  return plan;
+}
+
+/* -------- histories -------- */
+
+static const char *
+format_time (const Planner *p, uint64_t at_ms)
+{
+  time_t seconds = (time_t)(at_ms / MS_PER_S);
+  char text[TIME_BYTES];
+  struct tm tm;
+
+  if (at_ms == 0 || gmtime_r (&seconds, &tm) == NULL
+      || strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &tm) == 0)
+    return "an unknown time";
+  return talloc_strdup (p->context, text);
+}
+
+/* "by NAME at TIME" of an object or history entry with these members. */
+static const char *
+describe_author (const Planner *p, json_object *entry)
+{
+  const char *by = dl_json_text (entry, "by");
+
+  return talloc_asprintf (p->context, "by %s at %s", by[0] != '\0' ? by : "someone",
+                          format_time (p, dl_json_uint (entry, "at_ms")));
+}
+
+static json_object *
+last_entry (json_object *value)
+{
+  json_object *history = dl_json_array (value, "history");
+  size_t length = dl_json_array_length (history);
+
+  return length > 0 ? json_object_array_get_idx (history, length - 1) : NULL;
+}
+
+/* The last change that a history tells of. */
+static const char *
+describe_last (const Planner *p, json_object *value)
+{
+  json_object *entry = last_entry (value);
+  const char *what = dl_json_text (entry, "what");
+
+  if (entry == NULL)
+    return "nobody knows by whom";
+  return talloc_asprintf (p->context, "%s %s", what[0] != '\0' ? what : "changed",
+                          describe_author (p, entry));
+}
+
+static bool
+history_has_command (json_object *value, const char *id)
+{
+  json_object *history = dl_json_array (value, "history");
+
+  for (size_t i = 0; i < dl_json_array_length (history); i++)
+    if (strcmp (dl_json_text (json_object_array_get_idx (history, i), "command"), id)
+        == 0)
+      return true;
+  return false;
+}
+
+static json_object *
+new_entry (const Planner *p, const char *what)
+{
+  json_object *entry = json_object_new_object ();
+
+  dl_json_add_uint (entry, "at_ms", p->command->at_ms);
+  dl_json_add_text (entry, "by", p->command->by);
+  dl_json_add_text (entry, "command", p->command->id);
+  dl_json_add_text (entry, "what", what);
+  return entry;
+}
+
+/* A new history: the last entries of OLD (may be NULL) and this command's. */
+static json_object *
+extend_history (const Planner *p, json_object *old, const char *what)
+{
+  json_object *history = json_object_new_array ();
+  size_t length = dl_json_array_length (old);
+  size_t first = length >= DL_HISTORY_MAX ? length - DL_HISTORY_MAX + 1 : 0;
+
+  for (size_t i = first; i < length; i++)
+    json_object_array_add (history, json_object_get (json_object_array_get_idx (old, i)));
+  json_object_array_add (history, new_entry (p, what));
+  return history;
+}
+
+/* Copies the members of VALUE, which is shared and must not change. */
+static json_object *
+copy_members (json_object *value)
+{
+  json_object *copy = json_object_new_object ();
+
+  json_object_object_foreach (value, key, member)
+    {
+      json_object_object_add (copy, key, json_object_get (member));
+    }
+  return copy;
+}
+
+/* -------- preconditions -------- */
+
+/* What the steering entry writes as it goes on is no change that an operator's decision
+ * hangs on; a new state or a new line of history is. */
+static bool
+differs_for_operators (json_object *now, json_object *then)
+{
+  json_object *a = dl_json_array (now, "history");
+  json_object *b = dl_json_array (then, "history");
+
+  if (a == NULL && b == NULL)
+    return true;
+  return strcmp (dl_json_text (now, "state"), dl_json_text (then, "state")) != 0
+         || dl_json_array_length (a) != dl_json_array_length (b)
+         || !json_object_equal (last_entry (now), last_entry (then));
+}
+
+/* Returns a refusal when KIND/NAME changed after the revision that the command names;
+ * else NULL. */
+static DlPlan *
+check_precondition (const Planner *p, const char *kind, const char *name)
+{
+  uint64_t at = p->command->at_revision;
+  const DlObject *now = dl_query_source_find (p->now, kind, name);
+  const DlObject *then = NULL;
+  const char *how;
+
+  if (at == 0)
+    return NULL;
+  if (p->command->then != NULL)
+    then = dl_query_source_find (p->command->then, kind, name);
+  if (now == NULL && then == NULL)
+    return NULL;
+  if (now == NULL)
+    return refuse (p, "%s %s was deleted after revision %" PRIu64, kind, name, at);
+  if (now->revision <= at)
+    return NULL;
+  if (then != NULL && !differs_for_operators (now->value, then->value))
+    return NULL;
+  how = dl_json_array (now->value, "history") != NULL ? describe_last (p, now->value)
+                                                      : describe_author (p, now->value);
+  return refuse (p,
+                 "%s %s changed after revision %" PRIu64 ": %s (now at revision %" PRIu64
+                 ")",
+                 kind, name, at, how, now->revision);
+}
+
+/* -------- publish -------- */
+
+static json_object *
+new_version (const Planner *p)
+{
+  json_object *value = json_object_new_object ();
+
+  dl_json_add_text (value, "model", p->statement->publish.model);
+  dl_json_add_text (value, "label", p->statement->publish.label);
+  dl_json_add_uint (value, "manifest_bytes", p->statement->publish.manifest_bytes);
+  dl_json_add_uint (value, "total_bytes", p->statement->publish.total_bytes);
+  dl_json_add_uint (value, "chunk_count", p->statement->publish.chunk_count);
+  dl_json_add_text (value, "by", p->command->by);
+  dl_json_add_uint (value, "at_ms", p->command->at_ms);
+  dl_json_add_text (value, "command", p->command->id);
+  return value;
+}
+
+/* The version that has LABEL, or NULL; *COUNT says how many have it. */
+static const DlObject *
+find_label (const Planner *p, const char *label, size_t *count)
+{
+  size_t length;
+  const DlObject *versions = dl_query_source_kind (p->now, KIND_VERSION, &length);
+  const DlObject *found = NULL;
+
+  *count = 0;
+  for (size_t i = 0; i < length; i++)
+    if (strcmp (dl_json_text (versions[i].value, "label"), label) == 0)
+      {
+        found = &versions[i];
+        (*count)++;
+      }
+  return found;
+}
+
+static DlPlan *
+plan_publish (const Planner *p)
+{
+  const char *digest = p->statement->publish.version;
+  const char *label = p->statement->publish.label;
+  const DlObject *object = dl_query_source_find (p->now, KIND_VERSION, digest);
+  size_t count;
+  const DlObject *other;
+
+  if (object != NULL && strcmp (dl_json_text (object->value, "label"), label) == 0)
+    return applied (p, object->revision, "version %s is published as %s, %s", digest,
+                    label, describe_author (p, object->value));
+  if (object != NULL)
+    return refuse (p, "version %s was published as %s %s", digest,
+                   dl_json_text (object->value, "label"),
+                   describe_author (p, object->value));
+  other = find_label (p, label, &count);
+  if (other != NULL)
+    return refuse (p, "label %s names version %s, published %s", label, other->name,
+                   describe_author (p, other->value));
+  return write_object (p, KIND_VERSION, digest, 0, new_version (p));
+}
+
+/* -------- rollout start -------- */
+
+static int
+compare_names (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+static bool
+wants_region (const DlStatement *statement, const char *region)
+{
+  for (size_t i = 0; i < statement->start.region_count; i++)
+    if (strcmp (statement->start.regions[i], region) == 0)
+      return true;
+  return statement->start.region_count == 0;
+}
+
+/* Adds the hosts of one data centre that the rollout is for. */
+static size_t
+add_targets (const Planner *p, json_object *hosts, const char ***names, size_t count)
+{
+  size_t length = dl_json_array_length (hosts);
+
+  *names = talloc_realloc (p->context, *names, const char *, count + length + 1);
+  for (size_t i = 0; i < length; i++)
+    {
+      json_object *host = json_object_array_get_idx (hosts, i);
+
+      if (strcmp (dl_json_text (host, "service"), p->statement->start.service) == 0
+          && wants_region (p->statement, dl_json_text (host, "region"))
+          && dl_json_text (host, "host")[0] != '\0')
+        (*names)[count++] = dl_json_text (host, "host");
+    }
+  return count;
+}
+
+/* Names of all slots of the service in the regions, sorted and without repeats. */
+static json_object *
+choose_targets (const Planner *p)
+{
+  json_object *targets = json_object_new_array ();
+  const char **names = NULL;
+  size_t count = 0;
+  size_t status_count;
+  const DlObject *status = dl_query_source_kind (p->now, KIND_STATUS, &status_count);
+
+  for (size_t i = 0; i < status_count; i++)
+    count = add_targets (p, dl_json_array (status[i].value, "hosts"), &names, count);
+  if (count > 0)
+    qsort (names, count, sizeof *names, compare_names);
+  for (size_t i = 0; i < count; i++)
+    if (i == 0 || strcmp (names[i], names[i - 1]) != 0)
+      json_object_array_add (targets, json_object_new_string (names[i]));
+  return targets;
+}
+
+static bool
+is_live (json_object *rollout)
+{
+  static const char *const states[] = { "distributing", "loading", "paused" };
+  const char *state = dl_json_text (rollout, "state");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    if (strcmp (state, states[i]) == 0)
+      return true;
+  return false;
+}
+
+/* Both lists are sorted. */
+static bool
+targets_overlap (json_object *a, json_object *b)
+{
+  size_t i = 0;
+  size_t j = 0;
+
+  while (i < dl_json_array_length (a) && j < dl_json_array_length (b))
+    {
+      const char *x = json_object_get_string (json_object_array_get_idx (a, i));
+      const char *y = json_object_get_string (json_object_array_get_idx (b, j));
+      int order = g_strcmp0 (x, y);
+
+      if (order == 0)
+        return true;
+      if (order < 0)
+        i++;
+      else
+        j++;
+    }
+  return false;
+}
+
+/* The first live rollout, from index *AT on, that shares a host with TARGETS and was
+ * created before revision BEFORE. */
+static const DlObject *
+next_overlapping (const Planner *p, json_object *targets, uint64_t before, size_t *at)
+{
+  size_t count;
+  const DlObject *rollouts = dl_query_source_kind (p->now, KIND_ROLLOUT, &count);
+
+  for (; *at < count; (*at)++)
+    {
+      const DlObject *r = &rollouts[*at];
+
+      if (r->created < before && is_live (r->value)
+          && targets_overlap (targets, dl_json_array (r->value, "targets")))
+        return &rollouts[(*at)++];
+    }
+  return NULL;
+}
+
+/* "a, b" of the rollouts that TARGETS replaces; NULL when there are none. */
+static char *
+list_overlapping (const Planner *p, json_object *targets)
+{
+  const DlObject *r;
+  char *text = NULL;
+  size_t at = 0;
+
+  while ((r = next_overlapping (p, targets, UINT64_MAX, &at)) != NULL)
+    text = text == NULL ? talloc_strdup (p->context, r->name)
+                        : talloc_asprintf_append (text, ", %s", r->name);
+  return text;
+}
+
+/* Finds the version by label, digest or the start of a digest.  Returns a refusal or
+ * NULL. */
+static DlPlan *
+find_version (const Planner *p, const char *text, const DlObject **version)
+{
+  size_t count;
+  const DlObject *found = find_label (p, text, &count);
+  const DlObject *versions;
+  size_t length;
+
+  if (count > 1)
+    return refuse (p, "label %s names %zu versions; give the digest", text, count);
+  versions = dl_query_source_kind (p->now, KIND_VERSION, &length);
+  for (size_t i = 0; count == 0 && i < length; i++)
+    if (strlen (text) >= DIGEST_PREFIX_MIN && g_str_has_prefix (versions[i].name, text))
+      {
+        if (found != NULL)
+          return refuse (p, "%s begins more than one digest", text);
+        found = &versions[i];
+      }
+  if (found == NULL)
+    return refuse (p, "no version is published as %s", text);
+  *version = found;
+  return NULL;
+}
+
+static DlFleet *
+read_fleet (const Planner *p)
+{
+  const DlObject *object = dl_query_source_find (p->now, DL_FLEET_KIND, DL_FLEET_NAME);
+  DlFleet *fleet = NULL;
+  char *error = NULL;
+
+  if (object == NULL
+      || dl_fleet_parse (p->context, "settings",
+                         dl_str (json_object_to_json_string (object->value)), &fleet,
+                         &error)
+             < 0)
+    return dl_fleet_default (p->context);
+  return fleet;
+}
+
+static const char *
+weigh_text (DlRolloutWeigh weigh, const DlFleet *fleet)
+{
+  switch (weigh)
+    {
+    case DL_ROLLOUT_WEIGH_TIME:
+      return "time";
+    case DL_ROLLOUT_WEIGH_ORIGIN_BYTES:
+      return "origin-bytes";
+    case DL_ROLLOUT_WEIGH_DEFAULT:
+      break;
+    }
+  return fleet->weigh == DL_WEIGH_ORIGIN_BYTES ? "origin-bytes" : "time";
+}
+
+static json_object *
+region_array (const DlStatement *statement)
+{
+  json_object *regions = json_object_new_array ();
+
+  for (size_t i = 0; i < statement->start.region_count; i++)
+    json_object_array_add (regions, json_object_new_string (statement->start.regions[i]));
+  return regions;
+}
+
+/* Takes over TARGETS. */
+static json_object *
+new_rollout (const Planner *p,
+             const DlObject *version,
+             const DlFleet *fleet,
+             json_object *targets)
+{
+  json_object *value = json_object_new_object ();
+  uint64_t wave = p->statement->start.wave_percent;
+  const char *replaced = list_overlapping (p, targets);
+  const char *what = "started";
+
+  if (replaced != NULL)
+    what = talloc_asprintf (p->context, "started; replaces %s", replaced);
+  dl_json_add_text (value, "version", version->name);
+  dl_json_add_text (value, "label", dl_json_text (version->value, "label"));
+  dl_json_add_text (value, "service", p->statement->start.service);
+  json_object_object_add (value, "regions", region_array (p->statement));
+  dl_json_add_text (value, "weigh", weigh_text (p->statement->start.weigh, fleet));
+  dl_json_add_uint (value, "wave_percent", wave > 0 ? wave : fleet->wave_percent);
+  dl_json_add_text (value, "state", "distributing");
+  dl_json_add_text (value, "paused_from", "");
+  dl_json_add_text (value, "reason", "");
+  dl_json_add_uint (value, "fence", 0);
+  json_object_object_add (value, "targets", targets);
+  json_object_object_add (value, "wave", json_object_new_array ());
+  json_object_object_add (value, "loaded", json_object_new_array ());
+  json_object_object_add (value, "failures", json_object_new_object ());
+  json_object_object_add (value, "history", extend_history (p, NULL, what));
+  return value;
+}
+
+/* Refuses when a rollout that this one would replace changed after the revision on which
+ * the command was decided. */
+static DlPlan *
+check_overlapping (const Planner *p, json_object *targets)
+{
+  const DlObject *r;
+  size_t at = 0;
+
+  while ((r = next_overlapping (p, targets, UINT64_MAX, &at)) != NULL)
+    {
+      DlPlan *refusal = check_precondition (p, KIND_ROLLOUT, r->name);
+
+      if (refusal != NULL)
+        return refusal;
+    }
+  return NULL;
+}
+
+static DlPlan *
+plan_create_rollout (const Planner *p)
+{
+  const char *service = p->statement->start.service;
+  DlFleet *fleet = read_fleet (p);
+  const DlService *known = dl_fleet_service (fleet, service);
+  const DlObject *version = NULL;
+  DlPlan *refusal = find_version (p, p->statement->start.version, &version);
+  json_object *targets;
+
+  if (refusal != NULL)
+    return refusal;
+  g_assert (version != NULL);
+  if (known != NULL && known->kind != DL_SERVICE_MODEL)
+    return refuse (p, "service %s is plain and carries no model", service);
+  targets = choose_targets (p);
+  if (json_object_array_length (targets) == 0)
+    refusal = refuse (p, "no slot of service %s is known in %s", service,
+                      p->statement->start.region_count > 0 ? "the named regions"
+                                                           : "any region");
+  else
+    refusal = check_overlapping (p, targets);
+  if (refusal != NULL)
+    {
+      json_object_put (targets);
+      return refusal;
+    }
+  return write_object (p, KIND_ROLLOUT, p->statement->start.name, 0,
+                       new_rollout (p, version, fleet, targets));
+}
+
+/* Marks ROLLOUT as replaced by the one that this command started. */
+static DlPlan *
+plan_replace (const Planner *p, const DlObject *rollout)
+{
+  json_object *value = copy_members (rollout->value);
+  char *what = talloc_asprintf (p->context, "replaced by %s", p->statement->start.name);
+
+  dl_json_add_text (value, "state", "replaced");
+  dl_json_add_text (value, "reason", what);
+  json_object_object_add (value, "history",
+                          extend_history (p, dl_json_array (rollout->value, "history"),
+                                          what));
+  return write_object (p, KIND_ROLLOUT, rollout->name, rollout->revision, value);
+}
+
+static DlPlan *
+plan_start (const Planner *p)
+{
+  const char *name = p->statement->start.name;
+  const DlObject *own = dl_query_source_find (p->now, KIND_ROLLOUT, name);
+  const DlObject *older;
+  json_object *targets;
+  size_t at = 0;
+
+  if (own == NULL)
+    return plan_create_rollout (p);
+  if (!history_has_command (own->value, p->command->id))
+    return refuse (p, "rollout %s exists: %s", name, describe_last (p, own->value));
+  targets = dl_json_array (own->value, "targets");
+  older = is_live (own->value) ? next_overlapping (p, targets, own->created, &at) : NULL;
+  if (older != NULL)
+    return plan_replace (p, older);
+  return applied (p, own->revision, "rollout %s started for %zu hosts%s%s", name,
+                  dl_json_array_length (targets), is_live (own->value) ? "" : "; since: ",
+                  is_live (own->value) ? "" : describe_last (p, own->value));
+}
+
+/* -------- rollout pause, resume, call off -------- */
+
+/* Why the rollout's state does not allow the change; NULL when it does. */
+static const char *
+state_obstacle (const Planner *p, json_object *rollout)
+{
+  const char *state = dl_json_text (rollout, "state");
+  bool paused = strcmp (state, "paused") == 0;
+
+  if (!is_live (rollout))
+    return talloc_asprintf (p->context, "is %s", state);
+  if (p->statement->type == DL_STATEMENT_ROLLOUT_PAUSE && paused)
+    return "is paused already";
+  if (p->statement->type == DL_STATEMENT_ROLLOUT_RESUME && !paused)
+    return talloc_asprintf (p->context, "is not paused but %s", state);
+  return NULL;
+}
+
+/* Makes the change in VALUE, and returns its name for the history. */
+static const char *
+change_state (const Planner *p, json_object *value)
+{
+  char *before = talloc_strdup (p->context, dl_json_text (value, "state"));
+  char *paused_from = talloc_strdup (p->context, dl_json_text (value, "paused_from"));
+
+  switch (p->statement->type)
+    {
+    case DL_STATEMENT_ROLLOUT_PAUSE:
+      dl_json_add_text (value, "paused_from", before);
+      dl_json_add_text (value, "state", "paused");
+      return "paused";
+    case DL_STATEMENT_ROLLOUT_RESUME:
+      dl_json_add_text (value, "state",
+                        paused_from[0] != '\0' ? paused_from : "distributing");
+      dl_json_add_text (value, "paused_from", "");
+      return "resumed";
+    case DL_STATEMENT_ROLLOUT_CALL_OFF:
+      dl_json_add_text (value, "state", "called-off");
+      dl_json_add_text (value, "reason",
+                        talloc_asprintf (p->context, "called off by %s", p->command->by));
+      return "called off";
+    default:
+      g_assert_not_reached ();
+    }
+}
+
+static const char *
+change_name (DlStatementType type)
+{
+  if (type == DL_STATEMENT_ROLLOUT_PAUSE)
+    return "paused";
+  return type == DL_STATEMENT_ROLLOUT_RESUME ? "resumed" : "called off";
+}
+
+static DlPlan *
+plan_change (const Planner *p)
+{
+  const char *name = p->statement->name;
+  const DlObject *object = dl_query_source_find (p->now, KIND_ROLLOUT, name);
+  DlPlan *refusal;
+  const char *obstacle;
+  const char *what;
+  json_object *value;
+
+  if (object == NULL)
+    return refuse (p, "there is no rollout %s", name);
+  if (history_has_command (object->value, p->command->id))
+    return applied (p, object->revision, "rollout %s %s", name,
+                    change_name (p->statement->type));
+  refusal = check_precondition (p, KIND_ROLLOUT, name);
+  if (refusal != NULL)
+    return refusal;
+  obstacle = state_obstacle (p, object->value);
+  if (obstacle != NULL)
+    return refuse (p, "rollout %s %s: %s", name, obstacle,
+                   describe_last (p, object->value));
+  value = copy_members (object->value);
+  what = change_state (p, value);
+  json_object_object_add (value, "history",
+                          extend_history (p, dl_json_array (object->value, "history"),
+                                          what));
+  return write_object (p, KIND_ROLLOUT, name, object->revision, value);
+}
+
+/* -------- drain, undrain -------- */
+
+static json_object *
+new_drain (const Planner *p)
+{
+  json_object *value = json_object_new_object ();
+
+  dl_json_add_text (value, "by", p->command->by);
+  dl_json_add_uint (value, "at_ms", p->command->at_ms);
+  dl_json_add_text (value, "command", p->command->id);
+  return value;
+}
+
+static bool
+is_undrain_of (const Planner *p, json_object *command, const char *host)
+{
+  DlStatement *statement = NULL;
+  DlSyntaxError error;
+
+  if (strcmp (dl_json_text (command, "outcome"), "refused") == 0
+      || strstr (dl_json_text (command, "text"), host) == NULL
+      || dl_statement_parse (p->context, dl_str (dl_json_text (command, "text")),
+                             &statement, &error)
+             < 0)
+    return false;
+  return statement->type == DL_STATEMENT_UNDRAIN && strcmp (statement->name, host) == 0;
+}
+
+/* The latest command of another id, created after revision AFTER, to put the host back;
+ * or NULL. */
+static const DlObject *
+find_undrain (const Planner *p, const char *host, uint64_t after)
+{
+  size_t count;
+  const DlObject *commands = dl_query_source_kind (p->now, KIND_COMMAND, &count);
+  const DlObject *found = NULL;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const DlObject *c = &commands[i];
+
+      if (c->created > after && strcmp (c->name, p->command->id) != 0
+          && (found == NULL || c->created > found->created)
+          && is_undrain_of (p, c->value, host))
+        found = c;
+    }
+  return found;
+}
+
+static DlPlan *
+plan_drain (const Planner *p)
+{
+  const char *host = p->statement->name;
+  const DlObject *object = dl_query_source_find (p->now, KIND_DRAIN, host);
+  const DlObject *undrain;
+  DlPlan *refusal;
+
+  if (object != NULL
+      && strcmp (dl_json_text (object->value, "command"), p->command->id) == 0)
+    return applied (p, object->revision, "host %s takes no new requests", host);
+  if (object != NULL)
+    return refuse (p, "host %s was drained already, %s", host,
+                   describe_author (p, object->value));
+  refusal = check_precondition (p, KIND_DRAIN, host);
+  if (refusal != NULL)
+    return refusal;
+  undrain
+      = p->command->resumed ? find_undrain (p, host, p->command->intent_revision) : NULL;
+  if (undrain != NULL)
+    return end (p, DL_PLAN_UNKNOWN, 0,
+                talloc_asprintf (p->context,
+                                 "host %s is not drained now; an undrain was given %s; "
+                                 "whether it was drained before is not known",
+                                 host, describe_author (p, undrain->value)));
+  return write_object (p, KIND_DRAIN, host, 0, new_drain (p));
+}
+
+static DlPlan *
+plan_undrain (const Planner *p)
+{
+  const char *host = p->statement->name;
+  const DlObject *object = dl_query_source_find (p->now, KIND_DRAIN, host);
+  const DlObject *own = dl_query_source_find (p->now, KIND_COMMAND, p->command->id);
+  const DlObject *other;
+  DlPlan *refusal;
+
+  if (object == NULL && p->command->resumed)
+    return applied (p, own != NULL ? own->revision : 0, "host %s is not drained", host);
+  if (object == NULL)
+    {
+      other = find_undrain (p, host, 0);
+      if (other == NULL)
+        return refuse (p, "host %s is not drained", host);
+      return refuse (p, "host %s is not drained; the last undrain was given %s", host,
+                     describe_author (p, other->value));
+    }
+  /* Drained again since: this command's own delete can only have met the older object. */
+  if (p->command->resumed && object->created > p->command->intent_revision)
+    return end (p, DL_PLAN_UNKNOWN, 0,
+                talloc_asprintf (p->context,
+                                 "host %s was drained %s, after this command was given; "
+                                 "whether the command ran before is not known",
+                                 host, describe_author (p, object->value)));
+  refusal = check_precondition (p, KIND_DRAIN, host);
+  if (refusal != NULL)
+    return refusal;
+  return write_object (p, KIND_DRAIN, host, object->revision, NULL);
+}
+
+/* -------- settings -------- */
+
+/* True when both are equal but for their histories. */
+static bool
+settings_equal (const Planner *p, json_object *a, json_object *b)
+{
+  size_t a_count;
+  size_t b_count;
+  DlFlatSetting *x = dl_settings_flatten (p->context, a, &a_count);
+  DlFlatSetting *y = dl_settings_flatten (p->context, b, &b_count);
+
+  if (a_count != b_count)
+    return false;
+  for (size_t i = 0; i < a_count; i++)
+    if (strcmp (x[i].key, y[i].key) != 0 || strcmp (x[i].value, y[i].value) != 0)
+      return false;
+  return true;
+}
+
+static DlPlan *
+plan_write_settings (const Planner *p, const DlObject *object)
+{
+  json_object *old = object != NULL ? dl_json_array (object->value, "history") : NULL;
+  json_object *value = copy_members (p->command->value);
+
+  json_object_object_add (value, DL_SETTINGS_HISTORY,
+                          extend_history (p, old, "accepted"));
+  return write_object (p, DL_FLEET_KIND, DL_FLEET_NAME,
+                       object != NULL ? object->revision : 0, value);
+}
+
+static DlPlan *
+plan_settings (const Planner *p)
+{
+  const DlObject *object = dl_query_source_find (p->now, DL_FLEET_KIND, DL_FLEET_NAME);
+  DlFleet *fleet = NULL;
+  char *error = NULL;
+  DlPlan *refusal;
+
+  if (object != NULL && history_has_command (object->value, p->command->id))
+    return applied (p, object->revision, "settings accepted as revision %" PRIu64,
+                    object->revision);
+  if (!json_object_is_type (p->command->value, json_type_object))
+    return refuse (p, "the command came without settings");
+  if (dl_fleet_parse (p->context, p->statement->name,
+                      dl_str (json_object_to_json_string (p->command->value)), &fleet,
+                      &error)
+      < 0)
+    return refuse (p, "%s", error);
+  refusal = check_precondition (p, DL_FLEET_KIND, DL_FLEET_NAME);
+  if (refusal != NULL)
+    return refusal;
+  if (object != NULL && settings_equal (p, object->value, p->command->value))
+    return applied (p, object->revision, "no change from revision %" PRIu64,
+                    object->revision);
+  /* A whole replacement: never over one that was accepted after this was given. */
+  if (object != NULL && object->revision > p->command->intent_revision)
+    return refuse (p,
+                   "settings changed while the command ran: %s (now at revision %" PRIu64
+                   ")",
+                   describe_last (p, object->value), object->revision);
+  return plan_write_settings (p, object);
+}
+
+/* -------- */
+
+const char *
+dl_plan_kinds (const DlStatement *statement)
+{
+  switch (statement->type)
+    {
+    case DL_STATEMENT_PUBLISH:
+      return KIND_VERSION;
+    case DL_STATEMENT_ROLLOUT_START:
+      return KIND_ROLLOUT "," KIND_VERSION "," KIND_STATUS "," DL_FLEET_KIND;
+    case DL_STATEMENT_ROLLOUT_PAUSE:
+    case DL_STATEMENT_ROLLOUT_RESUME:
+    case DL_STATEMENT_ROLLOUT_CALL_OFF:
+      return KIND_ROLLOUT;
+    case DL_STATEMENT_DRAIN:
+    case DL_STATEMENT_UNDRAIN:
+      return KIND_DRAIN "," KIND_COMMAND;
+    default:
+      return DL_FLEET_KIND;
+    }
+}
+
+DlPlan *
+dl_plan_command (const void *context,
+                 const DlStatement *statement,
+                 const DlCommand *command,
+                 const DlQuerySource *now)
+{
+  Planner planner = {
+    .context = context,
+    .statement = statement,
+    .command = command,
+    .now = now,
+  };
+
+  switch (statement->type)
+    {
+    case DL_STATEMENT_PUBLISH:
+      return plan_publish (&planner);
+    case DL_STATEMENT_ROLLOUT_START:
+      return plan_start (&planner);
+    case DL_STATEMENT_ROLLOUT_PAUSE:
+    case DL_STATEMENT_ROLLOUT_RESUME:
+    case DL_STATEMENT_ROLLOUT_CALL_OFF:
+      return plan_change (&planner);
+    case DL_STATEMENT_DRAIN:
+      return plan_drain (&planner);
+    case DL_STATEMENT_UNDRAIN:
+      return plan_undrain (&planner);
+    case DL_STATEMENT_SETTINGS_APPLY:
+      return plan_settings (&planner);
+    default:
+      return refuse (&planner, "this is not a command");
+    }
+}
--- /dev/null
+++ b/lib/query/schema.h
@@ -0,0 +1,211 @@
+/*
+ * Tables of the operators' language and their columns.
+ */
+#ifndef DL_SCHEMA_H
+#define DL_SCHEMA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+typedef enum
+{
+  DL_TABLE_HOSTS,
+  DL_TABLE_ROLLOUTS,
+  DL_TABLE_VERSIONS,
+  DL_TABLE_UPSTREAMS,
+  DL_TABLE_ENTRIES,
+  DL_TABLE_LEASES,
+  DL_TABLE_SETTINGS,
+  DL_TABLE_FAILURES,
+  DL_TABLE_COMMANDS,
+  DL_TABLE_DRAINS,
+  DL_TABLE_IN_FORCE, /* "settings in force" */
+  DL_TABLES,
+} DlTableId;
+
+typedef enum
+{
+  DL_COLUMN_TEXT,
+  DL_COLUMN_NUMBER,
+  DL_COLUMN_RATIO,   /* number with two decimals */
+  DL_COLUMN_FLAG,    /* yes or no */
+  DL_COLUMN_VERSION, /* shown as its label, or the start of its digest */
+  DL_COLUMN_TIME,    /* milliseconds since 1970, shown in UTC */
+} DlColumnType;
+
+typedef struct
+{
+  const char *name;
+  DlColumnType type;
+  bool shown; /* without a "columns" clause */
+} DlColumn;
+
+typedef struct
+{
+  const char *name; /* NULL: not a word of the language */
+  size_t column_count;
+  const DlColumn *columns;
+} DlTable;
+
+extern const DlTable dl_tables[DL_TABLES];
+
+/* Returns the table's id, or -ENOENT. */
+int dl_table_find (const char *name);
+/* Returns the column's index, or -ENOENT. */
+int dl_table_find_column (const DlTable *table, const char *name);
+
+/* Columns by index, in the order of the tables' definitions. */
+enum
+{
+  DL_HOST_HOST,
+  DL_HOST_REGION,
+  DL_HOST_DATA_CENTER,
+  DL_HOST_SERVICE,
+  DL_HOST_STATE,
+  DL_HOST_VERSION,
+  DL_HOST_DIGEST,
+  DL_HOST_TARGET,
+  DL_HOST_ROLLOUT,
+  DL_HOST_PERCENT,
+  DL_HOST_CHUNKS,
+  DL_HOST_CHUNKS_TOTAL,
+  DL_HOST_ORIGIN_BYTES,
+  DL_HOST_REGION_BYTES,
+  DL_HOST_RECEIVED_BYTES,
+  DL_HOST_DUPLICATE_BYTES,
+  DL_HOST_RUNNING,
+  DL_HOST_QUEUED,
+  DL_HOST_CAPACITY,
+  DL_HOST_SETTINGS,
+  DL_HOST_ACCEPTS,
+  DL_HOST_DRAINED,
+  DL_HOST_LOST,
+  DL_HOST_FAILURE,
+  DL_HOST_COLUMNS,
+};
+enum
+{
+  DL_ROLLOUT_NAME,
+  DL_ROLLOUT_VERSION,
+  DL_ROLLOUT_DIGEST,
+  DL_ROLLOUT_SERVICE,
+  DL_ROLLOUT_REGIONS,
+  DL_ROLLOUT_STATE,
+  DL_ROLLOUT_TARGETS,
+  DL_ROLLOUT_FETCHING,
+  DL_ROLLOUT_WHOLE,
+  DL_ROLLOUT_LOADING,
+  DL_ROLLOUT_SERVING,
+  DL_ROLLOUT_FAILED,
+  DL_ROLLOUT_LOST,
+  DL_ROLLOUT_PERCENT,
+  DL_ROLLOUT_ORIGIN_COPIES,
+  DL_ROLLOUT_SECONDS_LEFT,
+  DL_ROLLOUT_WEIGH,
+  DL_ROLLOUT_WAVE,
+  DL_ROLLOUT_FENCE,
+  DL_ROLLOUT_BY,
+  DL_ROLLOUT_STARTED,
+  DL_ROLLOUT_LAST,
+  DL_ROLLOUT_LAST_BY,
+  DL_ROLLOUT_LAST_AT,
+  DL_ROLLOUT_REASON,
+  DL_ROLLOUT_REVISION,
+  DL_ROLLOUT_COLUMNS,
+};
+enum
+{
+  DL_VERSION_LABEL,
+  DL_VERSION_DIGEST,
+  DL_VERSION_MODEL,
+  DL_VERSION_TOTAL_BYTES,
+  DL_VERSION_CHUNKS,
+  DL_VERSION_MANIFEST_BYTES,
+  DL_VERSION_SERVING,
+  DL_VERSION_BY,
+  DL_VERSION_AT,
+  DL_VERSION_COLUMNS,
+};
+enum
+{
+  DL_UPSTREAM_HOST,
+  DL_UPSTREAM_SERVICE,
+  DL_UPSTREAM_REGION,
+  DL_UPSTREAM_DATA_CENTER,
+  DL_UPSTREAM_VERSION,
+  DL_UPSTREAM_ACCEPTS,
+  DL_UPSTREAM_DRAINED,
+  DL_UPSTREAM_RUNNING,
+  DL_UPSTREAM_QUEUED,
+  DL_UPSTREAM_CAPACITY,
+  DL_UPSTREAM_LOST,
+  DL_UPSTREAM_COLUMNS,
+};
+enum
+{
+  DL_ENTRY_HOST,
+  DL_ENTRY_REGION,
+  DL_ENTRY_DATA_CENTER,
+  DL_ENTRY_SETTINGS,
+  DL_ENTRY_RUNNING,
+  DL_ENTRY_LEAVING,
+  DL_ENTRY_LOST,
+  DL_ENTRY_COLUMNS,
+};
+enum
+{
+  DL_LEASE_NAME,
+  DL_LEASE_HOLDER,
+  DL_LEASE_FENCE,
+  DL_LEASE_TTL_MS,
+  DL_LEASE_REVISION,
+  DL_LEASE_COLUMNS,
+};
+enum
+{
+  DL_SETTING_KEY,
+  DL_SETTING_VALUE,
+  DL_SETTING_REVISION,
+  DL_SETTING_COLUMNS,
+};
+enum
+{
+  DL_FAILURE_HOST,
+  DL_FAILURE_ROLLOUT,
+  DL_FAILURE_SOURCE,
+  DL_FAILURE_REASON,
+  DL_FAILURE_COLUMNS,
+};
+enum
+{
+  DL_COMMAND_ID,
+  DL_COMMAND_BY,
+  DL_COMMAND_AT,
+  DL_COMMAND_OUTCOME,
+  DL_COMMAND_TEXT,
+  DL_COMMAND_DETAIL,
+  DL_COMMAND_REVISION,
+  DL_COMMAND_COLUMNS,
+};
+enum
+{
+  DL_DRAIN_HOST,
+  DL_DRAIN_BY,
+  DL_DRAIN_AT,
+  DL_DRAIN_COLUMNS,
+};
+enum
+{
+  DL_IN_FORCE_DATA_CENTER,
+  DL_IN_FORCE_ROLE,
+  DL_IN_FORCE_NODES,
+  DL_IN_FORCE_MINIMUM,
+  DL_IN_FORCE_MAXIMUM,
+  DL_IN_FORCE_BEHIND,
+  DL_IN_FORCE_UNHEARD,
+  DL_IN_FORCE_REVISION,
+  DL_IN_FORCE_IN_FORCE,
+  DL_IN_FORCE_COLUMNS,
+};
+
+#endif
