--- a/lib/policy/rollout_set.c
+++ b/lib/policy/rollout_set.c
@@ -89,7 +89,7 @@
 dl_rollout_set_sort (DlRolloutSet *set)
 {
   if (set->count > 0)
-    qsort (set->rollouts, set->count, sizeof set->rollouts[0], compare_created);
+    qsort (set->rollouts, set->count, sizeof (DlRollout *), compare_created);
 }
 
 const DlRollout *
