Slot status owns what it names

Cause: the report pointed at the directive's text, and the requests task keeps the report after the directive was replaced; AddressSanitizer saw the read in one of two runs of the whole path with five upstreams. Ruled out: the message's life, which ends after its last receiver.

--- a/daisyslotd/status.h
+++ b/daisyslotd/status.h
@@ -37,7 +37,8 @@
 /* Takes a TRANSFER, ENGINE, LOAD, ROTATION or FLEET message into FACTS, whose texts are
  * below CONTEXT.  Other messages are passed over. */
 void slot_facts_take (SlotFacts *facts, const void *context, const SlotMessage *message);
-/* The report below CONTEXT; it points into FACTS and its settings. */
+/* The report below CONTEXT.  It owns what may change; the rest points into the settings,
+ * so that it may outlive FACTS' present state. */
 Daisyloft__Wire__SlotStatus *slot_facts_status (const SlotFacts *facts,
                                                 const void *context);
 
