--- /dev/null
+++ b/regress/scenario/load.c
@@ -0,0 +1,735 @@
+/*
+ * Live callers in the background: each asks an entry for an address, sends its request
+ * there, and checks that the answer is whole and its own.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/crypt.h"
+#include "scenario.h"
+
+#define ANSWER_TIMEOUT_MS  60000
+#define ADDRESS_TIMEOUT_MS 2000
+#define ADDRESS_TRIES      12
+#define RETRY_PAUSE_MS     200
+#define TOKENS_DEFAULT     20
+#define RATE_DEFAULT       10
+#define PREFIX_BYTES       256
+#define TEXT_HEX_BYTES     16
+#define MICROSECONDS       1000.0
+#define TURN_MS            20
+
+typedef struct
+{
+  const char *name;
+  double value;
+} Counter;
+
+/* Counters that checks and figures read; the order is that of the names below. */
+enum
+{
+  SENT,
+  ANSWERED,
+  REFUSED,   /* told "not run" */
+  REJECTED,  /* 4xx other than 429 */
+  UNCERTAIN, /* told "unknown" */
+  CUT_OFF,   /* told that the stream was cut off */
+  BROKEN,    /* the connection broke before the end */
+  LOST,      /* seemed whole and was not, or never came */
+  MIXED,     /* text that is not of the version named */
+  CROSSED,   /* another request's answer */
+  CHANGED,   /* a repeated key got another answer */
+  UNSERVED,  /* no entry could be reached */
+  COUNTERS,
+};
+
+static const char *const counter_names[COUNTERS] = {
+  "sent",   "answered", "refused", "rejected", "uncertain", "cut_off",
+  "broken", "lost",     "mixed",   "crossed",  "changed",   "unserved",
+};
+
+struct Load
+{
+  Scenario *scenario;
+  char *name;
+  char *service;
+  char *method; /* of a plain call; NULL: generate */
+  char *path;
+  char *organisation;
+  char *priority;
+  uint64_t rate_per_s;
+  uint64_t tokens;
+  uint64_t prefixes; /* prompts share one of so many prefixes; 0: none */
+  uint64_t racing;   /* copies of a keyed call at the same time */
+  uint64_t retries;  /* repeats of a keyed call that was not answered */
+  bool keyed;
+  uint64_t left; /* requests still to make; UINT64_MAX: until stopped */
+  uint64_t next_us;
+  uint64_t number;
+  bool stopped;
+  char **addresses; /* as an entry told them; NULL: none */
+  uint64_t keep_until_ms;
+  GPtrArray *open; /* of Request */
+  double counters[COUNTERS];
+  GArray *first_ms; /* of double: time to the first byte of the answered ones */
+  GArray *total_ms;
+};
+
+typedef struct
+{
+  Load *load;
+  char *tag; /* the key of a keyed call */
+  char *body;
+  char *prompt;
+  char *address; /* where the request went */
+  HttpCall *call;
+  unsigned tries;
+  unsigned repeats;
+  bool addressed;
+  uint64_t pause_until_ms; /* 0: none */
+} Request;
+
+/* -------- what was told -------- */
+
+static Told *
+told_get (Scenario *s, const char *tag)
+{
+  Told *told = g_hash_table_lookup (s->told, tag);
+
+  if (told == NULL)
+    {
+      told = g_new0 (Told, 1);
+      g_hash_table_insert (s->told, g_strdup (tag), told);
+    }
+  return told;
+}
+
+static void
+count (Request *r, int counter)
+{
+  Told *told = told_get (r->load->scenario, r->tag);
+
+  r->load->counters[counter]++;
+  told->non_idempotent = r->load->keyed;
+  switch (counter)
+    {
+    case SENT:
+      told->sent++;
+      break;
+    case ANSWERED:
+      told->answered++;
+      break;
+    case REFUSED:
+      told->not_run++;
+      break;
+    case UNCERTAIN:
+    case CUT_OFF:
+    case BROKEN:
+    case LOST:
+    case MIXED:
+    case CROSSED:
+      told->uncertain++;
+      break;
+    default:
+      break;
+    }
+}
+
+/* -------- checking answers -------- */
+
+static const char *
+json_text (json_object *object, const char *key)
+{
+  json_object *value;
+
+  return json_object_object_get_ex (object, key, &value) ? json_object_get_string (value)
+                                                         : "";
+}
+
+/* The text that an engine with the weights VERSION makes as token INDEX. */
+static bool
+token_is_right (const char *text, const char *version, const char *prompt, uint64_t index)
+{
+  DlDigest digest = dl_digest (dl_str (prompt));
+  char hex[DL_DIGEST_HEX_BYTES];
+  char line[256];
+
+  dl_digest_to_hex (&digest, hex);
+  g_snprintf (line, sizeof line, "%s\n%s\n%" PRIu64, version, hex, index);
+  digest = dl_digest (dl_str (line));
+  dl_digest_to_hex (&digest, hex);
+  return strlen (text) == TEXT_HEX_BYTES && strncmp (text, hex, TEXT_HEX_BYTES) == 0;
+}
+
+/* Judges the lines of a stream that ended well. */
+static int
+judge_lines (Request *r, const char *version, char **lines)
+{
+  uint64_t next = 0;
+  bool done = false;
+  int verdict = -1;
+
+  for (unsigned i = 0; lines[i] != NULL && verdict < 0; i++)
+    {
+      json_object *line = *lines[i] != '\0' ? json_tokener_parse (lines[i]) : NULL;
+      json_object *value;
+
+      if (line == NULL)
+        continue;
+      if (json_object_object_get_ex (line, "cut_off", NULL))
+        verdict = CUT_OFF;
+      else if (json_object_object_get_ex (line, "done", NULL))
+        done = true;
+      else if (done || !json_object_object_get_ex (line, "token", &value)
+               || json_object_get_uint64 (value) != next)
+        verdict = LOST;
+      else if (!token_is_right (json_text (line, "text"), version, r->prompt, next))
+        verdict = MIXED;
+      next++;
+      json_object_put (line);
+    }
+  if (verdict >= 0)
+    return verdict;
+  return done && next == r->load->tokens + 1 ? ANSWERED : LOST;
+}
+
+static int
+judge_stream (Request *r)
+{
+  const char *version = http_header (r->call, "X-Version");
+  char **lines;
+  int verdict;
+
+  if (version == NULL)
+    return LOST;
+  lines = g_strsplit (r->call->body->str, "\n", -1);
+  verdict = judge_lines (r, version, lines);
+  g_strfreev (lines);
+  return verdict;
+}
+
+static int
+judge_plain (Request *r)
+{
+  json_object *answer = json_tokener_parse (r->call->body->str);
+  Told *told = told_get (r->load->scenario, r->tag);
+  int verdict = ANSWERED;
+
+  if (answer == NULL)
+    return LOST;
+  if (strcmp (json_text (answer, "key"), r->tag) != 0)
+    verdict = CROSSED;
+  else if (told->answer == NULL)
+    told->answer = g_strdup (r->call->body->str);
+  else if (r->load->keyed && strcmp (told->answer, r->call->body->str) != 0)
+    verdict = CHANGED;
+  json_object_put (answer);
+  return verdict;
+}
+
+static int
+judge_refusal (Request *r)
+{
+  json_object *body = json_tokener_parse (r->call->body->str);
+  const char *outcome = body != NULL ? json_text (body, "outcome") : "";
+  int verdict = REJECTED;
+
+  if (strcmp (outcome, "not_run") == 0)
+    verdict = REFUSED;
+  else if (r->call->status >= 500 || strcmp (outcome, "unknown") == 0)
+    verdict = UNCERTAIN;
+  json_object_put (body);
+  return verdict;
+}
+
+static int
+judge (Request *r)
+{
+  if (r->call->code == CURLE_OPERATION_TIMEDOUT)
+    return LOST;
+  if (r->call->code != CURLE_OK)
+    return BROKEN;
+  if (r->call->status != 200)
+    return judge_refusal (r);
+  return r->load->method != NULL ? judge_plain (r) : judge_stream (r);
+}
+
+static void
+note_times (Request *r)
+{
+  const HttpCall *c = r->call;
+  double first = (double)(c->first_byte_us - c->started_us) / MICROSECONDS;
+  double total = (double)(c->done_us - c->started_us) / MICROSECONDS;
+
+  g_array_append_val (r->load->first_ms, first);
+  g_array_append_val (r->load->total_ms, total);
+}
+
+/* -------- making requests -------- */
+
+static void request_ask (Request *r);
+
+static void
+request_free (gpointer data)
+{
+  Request *r = data;
+
+  if (r->call != NULL)
+    http_free (r->load->scenario, r->call);
+  g_free (r->tag);
+  g_free (r->body);
+  g_free (r->prompt);
+  g_free (r->address);
+  g_free (r);
+}
+
+static void
+request_end (Request *r, int verdict)
+{
+  Load *load = r->load;
+
+  count (r, verdict);
+  if (verdict == ANSWERED)
+    note_times (r);
+  if (load->keyed && verdict != ANSWERED && verdict != REJECTED
+      && r->repeats < load->retries)
+    {
+      r->repeats++;
+      r->tries = 0;
+      r->pause_until_ms = scn_now_ms () + RETRY_PAUSE_MS;
+      http_free (load->scenario, r->call);
+      r->call = NULL;
+      return;
+    }
+  g_ptr_array_remove_fast (load->open, r);
+}
+
+/* Tries again elsewhere after a step that certainly did not hand the request on. */
+static void
+request_retry (Request *r)
+{
+  if (r->call != NULL)
+    http_free (r->load->scenario, r->call);
+  r->call = NULL;
+  g_strfreev (r->load->addresses);
+  r->load->addresses = NULL;
+  if (++r->tries < ADDRESS_TRIES)
+    r->pause_until_ms = scn_now_ms () + RETRY_PAUSE_MS;
+  else
+    {
+      r->load->counters[UNSERVED]++;
+      g_ptr_array_remove_fast (r->load->open, r);
+    }
+}
+
+static void
+on_answer (HttpCall *call, void *data)
+{
+  Request *r = data;
+  int verdict;
+
+  if (call->code == CURLE_COULDNT_CONNECT)
+    {
+      request_retry (r);
+      return;
+    }
+  verdict = judge (r);
+  if (verdict == LOST || verdict == MIXED || verdict == CROSSED || verdict == CHANGED
+      || verdict == REJECTED)
+    g_print ("%s: %s from %s: curl %d, status %ld: %.300s\n", counter_names[verdict],
+             r->tag, r->address, (int)call->code, call->status, call->body->str);
+  request_end (r, verdict);
+}
+
+static void
+request_send (Request *r)
+{
+  Load *load = r->load;
+  unsigned length = g_strv_length (load->addresses);
+  char *headers[8] = { 0 };
+  char *url;
+  unsigned n = 0;
+
+  g_free (r->address);
+  r->address = g_strdup (
+      load->addresses[g_rand_int_range (load->scenario->random, 0, (gint32)length)]);
+  headers[n++] = g_strdup_printf ("X-Organisation: %s", load->organisation);
+  headers[n++] = g_strdup ("Content-Type: application/json");
+  if (load->priority != NULL)
+    headers[n++] = g_strdup_printf ("X-Priority: %s", load->priority);
+  if (load->keyed)
+    headers[n++] = g_strdup_printf ("Idempotency-Key: %s", r->tag);
+  url = load->method == NULL ? g_strdup_printf ("http://%s/v1/services/%s/generate",
+                                                r->address, load->service)
+                             : g_strdup_printf ("http://%s/v1/services/%s/call%s",
+                                                r->address, load->service, load->path);
+  count (r, SENT);
+  r->call
+      = http_start (load->scenario, load->method != NULL ? load->method : "POST", url,
+                    headers, r->body, strlen (r->body), ANSWER_TIMEOUT_MS, on_answer, r);
+  for (unsigned i = 0; i < n; i++)
+    g_free (headers[i]);
+  g_free (url);
+}
+
+static void
+take_addresses (Load *load, json_object *body)
+{
+  json_object *list = json_at (body, "addresses");
+  json_object *keep = json_at (body, "keep_s");
+  size_t length = list != NULL ? json_object_array_length (list) : 0;
+
+  if (length == 0)
+    return;
+  load->addresses = g_new0 (char *, length + 1);
+  for (size_t i = 0; i < length; i++)
+    load->addresses[i]
+        = g_strdup (json_object_get_string (json_object_array_get_idx (list, i)));
+  load->keep_until_ms
+      = scn_now_ms () + (keep != NULL ? json_object_get_uint64 (keep) : 1) * 1000;
+}
+
+static void
+on_address (HttpCall *call, void *data)
+{
+  Request *r = data;
+  Load *load = r->load;
+  json_object *body = NULL;
+
+  if (call->code == CURLE_OK && call->status == 200)
+    body = json_tokener_parse (call->body->str);
+  if (body != NULL)
+    {
+      g_strfreev (load->addresses);
+      load->addresses = NULL;
+      take_addresses (load, body);
+      json_object_put (body);
+    }
+  if (body == NULL || load->addresses == NULL)
+    {
+      request_retry (r);
+      return;
+    }
+  http_free (load->scenario, call);
+  r->call = NULL;
+  request_send (r);
+}
+
+/* A caller knows all entries; which of them are alive it finds out. */
+static Process *
+any_entry (Scenario *s)
+{
+  GPtrArray *entries = g_ptr_array_new ();
+  Process *entry = NULL;
+
+  for (unsigned i = 0; i < s->processes->len; i++)
+    {
+      Process *p = g_ptr_array_index (s->processes, i);
+
+      if (p->kind == PROCESS_ENTRY && p->started)
+        g_ptr_array_add (entries, p);
+    }
+  if (entries->len > 0)
+    entry = g_ptr_array_index (entries,
+                               g_rand_int_range (s->random, 0, (gint32)entries->len));
+  g_ptr_array_free (entries, TRUE);
+  return entry;
+}
+
+/* Asks for an address, unless one is known that may still be used. */
+static void
+request_ask (Request *r)
+{
+  Load *load = r->load;
+  Process *entry;
+  char *url;
+
+  if (load->addresses != NULL && scn_now_ms () < load->keep_until_ms && load->racing <= 1)
+    {
+      request_send (r);
+      return;
+    }
+  entry = any_entry (load->scenario);
+  if (entry == NULL)
+    {
+      request_retry (r);
+      return;
+    }
+  url = g_strdup_printf ("http://%s/v1/address?service=%s", entry->http, load->service);
+  r->call = http_start (load->scenario, "GET", url, NULL, NULL, 0, ADDRESS_TIMEOUT_MS,
+                        on_address, r);
+  g_free (url);
+}
+
+static Request *
+request_new (Load *load)
+{
+  Request *r = g_new0 (Request, 1);
+
+  r->load = load;
+  r->tag = g_strdup_printf ("%s-%" PRIu64, load->name, load->number);
+  if (load->method != NULL)
+    r->body = g_strdup (r->tag);
+  else
+    {
+      char *prefix = g_strnfill (load->prefixes > 0 ? PREFIX_BYTES : 0,
+                                 (char)('a' + load->number % MAX (load->prefixes, 1)));
+
+      r->prompt = g_strdup_printf ("%s %s", prefix, r->tag);
+      r->body = g_strdup_printf ("{\"prompt\": \"%s\", \"tokens\": %" PRIu64 "}",
+                                 r->prompt, load->tokens);
+      g_free (prefix);
+    }
+  g_ptr_array_add (load->open, r);
+  return r;
+}
+
+static void
+load_make (Load *load)
+{
+  load->number++;
+  if (load->left != UINT64_MAX)
+    load->left--;
+  for (uint64_t i = 0; i < MAX (load->racing, 1); i++)
+    request_ask (request_new (load));
+}
+
+static void
+load_resume_paused (Load *load)
+{
+  for (unsigned i = load->open->len; i-- > 0;)
+    {
+      Request *r = g_ptr_array_index (load->open, i);
+
+      if (r->pause_until_ms == 0 || scn_now_ms () < r->pause_until_ms)
+        continue;
+      r->pause_until_ms = 0;
+      request_ask (r);
+    }
+}
+
+void
+load_turn (Scenario *s)
+{
+  uint64_t now = (uint64_t)g_get_monotonic_time ();
+
+  for (unsigned i = 0; i < s->loads->len; i++)
+    {
+      Load *load = g_ptr_array_index (s->loads, i);
+
+      load_resume_paused (load);
+      while (!load->stopped && load->left > 0 && load->next_us <= now)
+        {
+          load_make (load);
+          load->next_us += G_USEC_PER_SEC / load->rate_per_s;
+        }
+    }
+}
+
+int
+load_wait_ms (Scenario *s, int limit)
+{
+  uint64_t now = (uint64_t)g_get_monotonic_time ();
+
+  for (unsigned i = 0; i < s->loads->len; i++)
+    {
+      const Load *load = g_ptr_array_index (s->loads, i);
+
+      if (!load->stopped && load->left > 0)
+        limit = load->next_us <= now
+                    ? 0
+                    : MIN (limit, (int)MIN ((load->next_us - now) / 1000 + 1, 1000));
+    }
+  return limit;
+}
+
+/* -------- counters -------- */
+
+static Load *
+load_find (Scenario *s, const char *name)
+{
+  for (unsigned i = 0; i < s->loads->len; i++)
+    {
+      Load *load = g_ptr_array_index (s->loads, i);
+
+      if (strcmp (load->name, name) == 0)
+        return load;
+    }
+  return NULL;
+}
+
+static gint
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+static double
+percentile (GArray *values, unsigned percent)
+{
+  if (values->len == 0)
+    return 0;
+  g_array_sort (values, compare_doubles);
+  return g_array_index (values, double,
+                        MIN (values->len - 1, values->len * percent / 100));
+}
+
+bool
+load_counter (Scenario *s, const char *name, const char *counter, double *value)
+{
+  Load *load = load_find (s, name);
+  uint64_t percent = 0;
+
+  if (load == NULL)
+    return false;
+  for (unsigned i = 0; i < COUNTERS; i++)
+    if (strcmp (counter_names[i], counter) == 0)
+      {
+        *value = load->counters[i];
+        return true;
+      }
+  if (strcmp (counter, "open") == 0)
+    *value = load->open->len;
+  else if (g_str_has_prefix (counter, "first_p")
+           && scn_parse_uint (counter + strlen ("first_p"), &percent))
+    *value = percentile (load->first_ms, (unsigned)percent);
+  else if (g_str_has_prefix (counter, "total_p")
+           && scn_parse_uint (counter + strlen ("total_p"), &percent))
+    *value = percentile (load->total_ms, (unsigned)percent);
+  else
+    return false;
+  return true;
+}
+
+double
+load_sum (Scenario *s, const char *counter)
+{
+  double sum = 0;
+  double value;
+
+  for (unsigned i = 0; i < s->loads->len; i++)
+    if (load_counter (s, ((Load *)g_ptr_array_index (s->loads, i))->name, counter,
+                      &value))
+      sum += value;
+  return sum;
+}
+
+void
+load_free (gpointer data)
+{
+  Load *load = data;
+
+  g_ptr_array_free (load->open, TRUE);
+  g_array_free (load->first_ms, TRUE);
+  g_array_free (load->total_ms, TRUE);
+  g_strfreev (load->addresses);
+  g_free (load->name);
+  g_free (load->service);
+  g_free (load->method);
+  g_free (load->path);
+  g_free (load->organisation);
+  g_free (load->priority);
+  g_free (load);
+}
+
+/* -------- the statement -------- */
+
+/* load stop NAME: no new requests, and waits for the answers of those that are open. */
+static bool
+load_stop (Scenario *s, const char *name)
+{
+  Load *load = load_find (s, name);
+  uint64_t deadline = scn_now_ms () + ANSWER_TIMEOUT_MS;
+
+  if (load == NULL)
+    return scn_fail (s, "no load is named %s", name);
+  load->stopped = true;
+  while (load->open->len > 0 && scn_now_ms () < deadline && !s->failed)
+    scn_turn (s, TURN_MS);
+  load->counters[LOST] += load->open->len;
+  return !s->failed;
+}
+
+static bool
+load_option (Scenario *s, Load *load, const char *key, const char *value)
+{
+  const struct
+  {
+    const char *key;
+    uint64_t *number;
+    char **text;
+  } options[] = {
+    { "rate", &load->rate_per_s, NULL },  { "tokens", &load->tokens, NULL },
+    { "count", &load->left, NULL },       { "prefixes", &load->prefixes, NULL },
+    { "racing", &load->racing, NULL },    { "retries", &load->retries, NULL },
+    { "org", NULL, &load->organisation }, { "priority", NULL, &load->priority },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (options); i++)
+    {
+      if (strcmp (options[i].key, key) != 0)
+        continue;
+      if (options[i].number != NULL)
+        return scn_parse_uint (value, options[i].number)
+               || scn_fail (s, "%s is no number", value);
+      g_free (*options[i].text);
+      *options[i].text = g_strdup (value);
+      return true;
+    }
+  return scn_fail (s, "a load has no option %s", key);
+}
+
+static bool
+load_options (Scenario *s, Load *load, char **words, unsigned length)
+{
+  for (unsigned i = 0; i < length; i++)
+    if (strcmp (words[i], "keyed") == 0)
+      load->keyed = true;
+    else if (i + 1 == length)
+      return scn_fail (s, "%s needs a value", words[i]);
+    else if (strcmp (words[i], "call") == 0)
+      {
+        char **parts = g_strsplit (words[++i], " ", 2);
+
+        load->method = g_strdup (parts[0]);
+        load->path = g_strdup (parts[1] != NULL ? parts[1] : "/");
+        g_strfreev (parts);
+      }
+    else if (!load_option (s, load, words[i], words[i + 1]))
+      return false;
+    else
+      i++;
+  if (load->rate_per_s == 0 || load->rate_per_s > G_USEC_PER_SEC)
+    return scn_fail (s, "a load needs a rate");
+  return true;
+}
+
+/* load NAME SERVICE [call "METHOD PATH"] [keyed] [rate N] [tokens N] [count N] ... */
+bool
+statement_load (Scenario *s, char **words, unsigned length)
+{
+  Load *load;
+
+  if (strcmp (words[1], "stop") == 0)
+    return load_stop (s, words[2]);
+  if (load_find (s, words[1]) != NULL)
+    return scn_fail (s, "the load %s stands twice", words[1]);
+  load = g_new0 (Load, 1);
+  load->scenario = s;
+  load->name = g_strdup (words[1]);
+  load->service = g_strdup (words[2]);
+  load->organisation = g_strdup ("istota");
+  load->rate_per_s = RATE_DEFAULT;
+  load->tokens = TOKENS_DEFAULT;
+  load->left = UINT64_MAX;
+  load->next_us = (uint64_t)g_get_monotonic_time ();
+  load->open = g_ptr_array_new_with_free_func (request_free);
+  load->first_ms = g_array_new (FALSE, FALSE, sizeof (double));
+  load->total_ms = g_array_new (FALSE, FALSE, sizeof (double));
+  g_ptr_array_add (s->loads, load);
+  return load_options (s, load, words + 3, length - 3);
+}
--- a/regress/standin/engine.c
+++ b/regress/standin/engine.c
@@ -22,7 +22,7 @@
 #define FETCH_TIMEOUT_MS     10000
 #define RETRY_MS             500
 #define TOKENS_MAX           100000
-#define TAG_BYTES            64
+#define TAG_BYTES            64 /* of the end of a prompt, in the records */
 #define PREFIX_BYTES         256
 #define STREAM_HIGH_BYTES    (64u << 10)
 #define TEXT_HEX_BYTES       16
@@ -315,9 +315,11 @@
 {
   uint64_t period = 1000 / CLAMP (tokens_per_s, 1, 1000);
   uint64_t first = cache_use (stream->prompt) ? 0 : prefill_ms;
+  const char *prompt = stream->prompt.data;
+  size_t length = stream->prompt.length;
   char tag[TAG_BYTES + 1];
 
-  g_snprintf (tag, sizeof tag, "%.*s", DL_STR_ARG (stream->prompt));
+  g_strlcpy (tag, prompt + length - MIN (length, TAG_BYTES), sizeof tag);
   stream->running = true;
   stream->cut = standin_take (&cut_streams);
   streams = g_list_prepend (streams, stream);
