--- a/daisyslotd/transfer_peer.c
+++ b/daisyslotd/transfer_peer.c
@@ -40,16 +40,13 @@
 static void
 forget_connection (TransferPeer *peer)
 {
-  bool was_up = peer->up;
-
   TALLOC_FREE (peer->conn);
   peer->up = false;
   peer->dialled = false;
   peer->version = (DlDigest){ 0 };
   if (peer->transfer->swarm == NULL)
     return;
-  if (was_up)
-    dl_swarm_peer_down (peer->transfer->swarm, peer->name, dl_clock_us ());
+  dl_swarm_peer_down (peer->transfer->swarm, peer->name, dl_clock_us ());
   transfer_kick (peer->transfer);
 }
 
@@ -59,6 +56,12 @@
   TransferPeer *peer = data;
   Transfer *transfer = peer->transfer;
 
+  if (strcmp (dl_conn_peer (conn)->name, peer->name) != 0)
+    {
+      /* Another process answers at the address that the list gives. */
+      forget_connection (peer);
+      return;
+    }
   peer->up = true;
   if (transfer->swarm != NULL)
     dl_swarm_peer_up (transfer->swarm, peer->name, dl_clock_us ());
@@ -68,10 +71,7 @@
 static void
 on_peer_closed (DlConn *conn, int error, void *data)
 {
-  TransferPeer *peer = data;
-
-  peer->up = true; /* also a dial that failed is told */
-  forget_connection (peer);
+  forget_connection (data);
 }
 
 void
@@ -101,11 +101,17 @@
   TransferPeer *peer;
 
   if (strcmp (other->name, own_name) == 0)
-    return;
+    {
+      talloc_free (conn);
+      return;
+    }
   peer = transfer_peer (transfer, other->name);
   if (peer->conn != NULL && peer->dialled && !dl_conn_is_open (peer->conn)
       && strcmp (own_name, other->name) < 0)
-    return;
+    {
+      talloc_free (conn);
+      return;
+    }
   if (peer->conn != NULL)
     forget_connection (peer);
   dl_conn_set_owner (conn, transfer);
--- a/lib/policy/swarm.c
+++ b/lib/policy/swarm.c
@@ -99,6 +99,7 @@
   g_array_free (swarm->uploads, TRUE);
   g_array_free (swarm->waiters, TRUE);
   g_array_free (swarm->said, TRUE);
+  g_ptr_array_free (swarm->regions, TRUE);
   return 0;
 }
 
@@ -145,6 +146,7 @@
   swarm->hosts = g_ptr_array_new ();
   swarm->uploads = g_array_new (FALSE, FALSE, sizeof (Upload));
   swarm->waiters = g_array_new (FALSE, FALSE, sizeof (Upload));
+  swarm->regions = g_ptr_array_new ();
   swarm->said = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   g_queue_init (&swarm->actions);
   talloc_set_destructor (swarm, swarm_destroy);
@@ -178,42 +180,6 @@
 
 /* -------- hosts -------- */
 
-static int
-compare_texts (const void *a, const void *b)
-{
-  return strcmp (*(char *const *)a, *(char *const *)b);
-}
-
-/* Counts the regions other than the home region, and finds this host's among them. */
-static void
-count_regions (DlSwarm *swarm)
-{
-  GPtrArray *regions = g_ptr_array_new ();
-  const char *last = swarm->options.home_region;
-
-  for (guint i = 0; i < swarm->hosts->len; i++)
-    {
-      Host *host = g_ptr_array_index (swarm->hosts, i);
-
-      if (host->live && strcmp (host->region, swarm->options.home_region) != 0)
-        g_ptr_array_add (regions, host->region);
-    }
-  g_ptr_array_sort (regions, compare_texts);
-  swarm->other_regions = 0;
-  for (guint i = 0; i < regions->len; i++)
-    {
-      const char *region = g_ptr_array_index (regions, i);
-
-      if (strcmp (region, last) == 0)
-        continue;
-      if (strcmp (region, swarm->options.region) == 0)
-        swarm->region_index = swarm->other_regions;
-      swarm->other_regions++;
-      last = region;
-    }
-  g_ptr_array_free (regions, TRUE);
-}
-
 /* Counts anew what hosts of this region hold. */
 static void
 count_copies (DlSwarm *swarm)
@@ -255,7 +221,6 @@
       if (host->neighbour && !host->up && strcmp (swarm->self->name, host->name) > 0)
         host->dial_after_us = MAX (host->dial_after_us, now + NEIGHBOUR_PATIENCE_US);
     }
-  count_regions (swarm);
   swarm_rank_groups (swarm, 0);
   count_copies (swarm);
 }
--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -6,9 +6,9 @@
 
 #include "policy/swarm_private.h"
 
-#define WINDOW             4 /* requests to neighbours at a time */
+#define WINDOW             8 /* requests to neighbours at a time */
 #define DRAWS_MAX          2
-#define QUEUE_TOLERATED    3 /* uploads waiting at a host that is still asked */
+#define QUEUE_TOLERATED    2 /* uploads waiting at a host that is still asked */
 #define STEP_IN_US         (2000 * US_PER_MS) /* for each place in the ranking */
 #define WANT_TIMEOUT_US    (2000 * US_PER_MS)
 #define WANT_TIMEOUT_SENDS 16 /* times the time that a chunk takes on the link */
@@ -69,15 +69,12 @@
 
 /* -------- bringing chunks into the region -------- */
 
-/* In the home region from the origin.  With time weighed, each other region draws its
- * share of the chunks too, so that the origin gives at most two copies. */
+/* The home region draws every chunk.  With time weighed, one other region draws it too,
+ * so that the origin gives at most two copies. */
 static bool
-draws_from_origin (const DlSwarm *swarm, uint32_t position)
+draws_from_origin (const DlSwarm *swarm, const Ranking *ranking)
 {
-  if (swarm->is_home)
-    return true;
-  return !swarm->options.weigh_origin_bytes && swarm->other_regions > 0
-         && position % swarm->other_regions == swarm->region_index;
+  return swarm->is_home || (ranking->from_origin && !swarm->options.weigh_origin_bytes);
 }
 
 static void
@@ -98,7 +95,7 @@
 static void
 ask_first (DlSwarm *swarm, uint32_t position, Host *host, uint64_t now_us)
 {
-  if (host == NULL || host_avoided (host))
+  if (host == NULL)
     return;
   if (host->up)
     want (swarm, position, host, true, now_us);
@@ -106,6 +103,15 @@
     swarm_dial (swarm, host, now_us);
 }
 
+/* The host of another region that the chunk is requested from. */
+static Host *
+source_host (DlSwarm *swarm, const Ranking *ranking, uint64_t now_us)
+{
+  Host *host = swarm_first (swarm, ranking->source, now_us, NULL);
+
+  return host != NULL ? host : swarm_first (swarm, ranking->home, now_us, NULL);
+}
+
 static void
 bring (DlSwarm *swarm, uint32_t position, uint64_t now_us)
 {
@@ -115,11 +121,10 @@
 
   if (place == 0)
     {
-      if (draws_from_origin (swarm, position))
+      if (draws_from_origin (swarm, ranking))
         draw (swarm, position, now_us);
       else if (dl_budget_ready (swarm->options.budgets.region_down, now_us))
-        ask_first (swarm, position, swarm_first (swarm, ranking->home, now_us, NULL),
-                   now_us);
+        ask_first (swarm, position, source_host (swarm, ranking, now_us), now_us);
     }
   else if (place < SWARM_RANKED
            && now_us >= swarm->settled_us + (uint64_t)place * STEP_IN_US)
--- a/lib/policy/swarm_private.h
+++ b/lib/policy/swarm_private.h
@@ -75,8 +75,10 @@
 
 typedef struct
 {
-  Host *own[SWARM_RANKED];  /* in this host's region */
-  Host *home[SWARM_RANKED]; /* in the home region */
+  Host *own[SWARM_RANKED];    /* in this host's region */
+  Host *source[SWARM_RANKED]; /* in the region that this one gets the chunk from */
+  Host *home[SWARM_RANKED];   /* in the home region */
+  bool from_origin;           /* a host of this region draws it, with time weighed */
 } Ranking;
 
 struct DlSwarm
@@ -86,9 +88,8 @@
   GPtrArray *hosts; /* Host; never shrinks */
   Host *self;
   bool is_home;
-  uint32_t other_regions; /* with live hosts, other than the home region */
-  uint32_t region_index;  /* of this host's among those */
-  uint32_t count;         /* positions */
+  GPtrArray *regions; /* names of the others than home with live hosts, sorted */
+  uint32_t count;     /* positions */
   Chunk *chunks;
   Ranking *rankings;
   uint32_t ranking_count;
@@ -147,8 +148,8 @@
 /* swarm_rank.c */
 void swarm_rank_groups (DlSwarm *swarm, uint32_t first);
 void swarm_choose_neighbours (DlSwarm *swarm);
-/* First host of the ranking that is live and not down; NULL when there is none.  PLACE,
- * when not NULL, gets SELF's place among those, or SWARM_RANKED. */
+/* First host of the ranking that is live, not avoided and not down; NULL when there is
+ * none.  PLACE, when not NULL, gets SELF's place among those, or SWARM_RANKED. */
 Host *
 swarm_first (DlSwarm *swarm, Host *const ranking[SWARM_RANKED], uint64_t now, int *place);
 
--- a/lib/policy/swarm_rank.c
+++ b/lib/policy/swarm_rank.c
@@ -7,6 +7,9 @@
 #include "policy/rendezvous.h"
 #include "policy/swarm_private.h"
 
+/* With time weighed, one group in so many is drawn by another region too. */
+#define DRAWN_TWICE 2
+
 /* -------- rankings -------- */
 
 static void
@@ -27,16 +30,71 @@
   scores[at] = score;
 }
 
+static int
+compare_texts (const void *a, const void *b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+/* Lists the regions other than the home region that have live hosts. */
+static void
+list_regions (DlSwarm *swarm)
+{
+  GPtrArray *regions = swarm->regions;
+
+  g_ptr_array_set_size (regions, 0);
+  for (guint i = 0; i < swarm->hosts->len; i++)
+    {
+      Host *host = g_ptr_array_index (swarm->hosts, i);
+
+      if (host->live && strcmp (host->region, swarm->options.home_region) != 0)
+        g_ptr_array_add (regions, host->region);
+    }
+  g_ptr_array_sort (regions, compare_texts);
+  for (guint i = regions->len; i > 1; i--)
+    if (strcmp (g_ptr_array_index (regions, i - 1), g_ptr_array_index (regions, i - 2))
+        == 0)
+      g_ptr_array_remove_index (regions, i - 1);
+}
+
+/*
+ * A group's chunks go from the home region to the others along a binary tree, whose order
+ * is turned by one from group to group, so that no region sends more than the others.
+ * Returns this region's place in the tree, and its parent in *SOURCE.
+ */
+static guint
+place_in_tree (const DlSwarm *swarm, uint32_t group, const char **source)
+{
+  guint n = swarm->regions->len;
+  guint place = 0;
+
+  *source = swarm->options.home_region;
+  if (swarm->is_home || n == 0)
+    return 0;
+  while (place < n - 1
+         && strcmp (g_ptr_array_index (swarm->regions, (place + group) % n),
+                    swarm->options.region)
+                != 0)
+    place++;
+  if (place > 0)
+    *source = g_ptr_array_index (swarm->regions, ((place - 1) / 2 + group) % n);
+  return place;
+}
+
 static void
 rank_group (DlSwarm *swarm, uint32_t group)
 {
   Ranking *ranking = &swarm->rankings[group];
   uint64_t own_scores[SWARM_RANKED];
+  uint64_t source_scores[SWARM_RANKED];
   uint64_t home_scores[SWARM_RANKED];
+  const char *source;
   char key[64];
   int length = g_snprintf (key, sizeof key, "chunk %u", group);
 
   *ranking = (Ranking){ 0 };
+  ranking->from_origin = place_in_tree (swarm, group, &source) == 0
+                         && group / MAX (swarm->regions->len, 1) % DRAWN_TWICE == 0;
   for (guint i = 0; i < swarm->hosts->len; i++)
     {
       Host *host = g_ptr_array_index (swarm->hosts, i);
@@ -48,6 +106,8 @@
           = dl_rendezvous_score (dl_str_bytes (key, (size_t)length), dl_str (host->name));
       if (host->same_region)
         insert_ranked (ranking->own, own_scores, host, score);
+      if (strcmp (host->region, source) == 0)
+        insert_ranked (ranking->source, source_scores, host, score);
       if (strcmp (host->region, swarm->options.home_region) == 0)
         insert_ranked (ranking->home, home_scores, host, score);
     }
@@ -56,6 +116,7 @@
 void
 swarm_rank_groups (DlSwarm *swarm, uint32_t first)
 {
+  list_regions (swarm);
   swarm->ranking_count = MIN (swarm->count, SWARM_GROUPS);
   swarm->rankings
       = talloc_realloc (swarm, swarm->rankings, Ranking, swarm->ranking_count);
@@ -75,7 +136,8 @@
     {
       Host *host = ranking[i];
 
-      if (!host->live || (host != swarm->self && host->down_until_us > now))
+      if (!host->live || host_avoided (host)
+          || (host != swarm->self && host->down_until_us > now))
         continue;
       if (first == NULL)
         first = host;
