--- a/lib/kernel/frame.h
+++ b/lib/kernel/frame.h
@@ -21,6 +21,8 @@
 #define DL_FRAME_PAYLOAD_MAX_BYTES  (8u << 20)
 #define DL_FRAME_PROTOCOL           1
 #define DL_FRAME_IDLE_MS            4000
+/* Response bytes that a slot may send on a request's stream before any ResponseCredit. */
+#define DL_STREAM_WINDOW_BYTES (64u << 10)
 
 typedef Daisyloft__Wire__Envelope DlEnvelope;
 
@@ -99,6 +101,8 @@
 bool dl_conn_is_open (const DlConn *conn);
 /* Queues a frame.  Returns 0, DL_ERR_CLOSED or DL_ERR_TOO_LARGE. */
 int dl_conn_send (DlConn *conn, const DlEnvelope *envelope, DlStr payload);
+/* Milliseconds since anything arrived; an open peer sends at least every second. */
+uint64_t dl_conn_silent_ms (const DlConn *conn);
 /* Bytes queued and not yet taken by the system. */
 size_t dl_conn_queued (const DlConn *conn);
 void dl_conn_set_low_water (DlConn *conn, size_t bytes);
