--- a/daisyentryd/daisyentryd.c
+++ b/daisyentryd/daisyentryd.c
@@ -9,6 +9,7 @@
 #include <talloc.h>
 
 #include "kernel/program.h"
+#include "query/query.h"
 
 #define DRAIN_DEFAULT_MS            30000
 #define PLATFORM_TIMEOUT_DEFAULT_MS 2000
@@ -238,6 +239,18 @@
   return NULL;
 }
 
+bool
+entry_host_is_drained (const EntrySnapshot *snapshot, const char *host)
+{
+  const DlQuerySource source = {
+    .revision = snapshot->revision,
+    .count = snapshot->count,
+    .objects = snapshot->objects,
+  };
+
+  return dl_host_is_drained (&source, host);
+}
+
 int
 main (int argc, char **argv)
 {
--- a/daisyentryd/daisyentryd.h
+++ b/daisyentryd/daisyentryd.h
@@ -72,6 +72,8 @@
 entry_snapshot_kind (const EntrySnapshot *snapshot, const char *kind, size_t *count);
 const DlObject *
 entry_snapshot_find (const EntrySnapshot *snapshot, const char *kind, const char *name);
+/* True when operators have taken the host out of rotation. */
+bool entry_host_is_drained (const EntrySnapshot *snapshot, const char *host);
 
 /* One try of a request at one upstream. */
 typedef struct
--- a/daisyentryd/operators_command.c
+++ b/daisyentryd/operators_command.c
@@ -26,7 +26,7 @@
 #define RETRY_MS          100
 #define DEADLINE_TIMEOUTS 3 /* of the platform, until the outcome is told as unknown */
 #define EXPIRY_MS         (UINT64_C (24) * 3600 * 1000) /* of recorded outcomes */
-#define EXPIRED_PER_RUN   4
+#define EXPIRED_PER_RUN   4                             /* of a kind, with each command */
 #define PENDING           "pending"
 #define HTTP_OK           200
 #define HTTP_BAD_REQUEST  400
@@ -482,28 +482,47 @@
 {
 }
 
-/* Deletes a few outcomes of long ago, so that the work grows with the commands. */
+static bool
+is_expired (const DlObject *object, uint64_t now_ms)
+{
+  const char *state = dl_json_text (object->value, "state");
+
+  if (strcmp (object->kind, ENTRY_KIND_DRAIN) == 0
+      && strcmp (state, DL_DRAIN_IN_SERVICE) != 0)
+    return false;
+  return dl_json_uint (object->value, "at_ms") + EXPIRY_MS < now_ms;
+}
+
 static void
-expire_commands (Operators *o)
+expire_kind (Operators *o, const EntrySnapshot *snapshot, const char *kind)
 {
-  const EntryMessage *newest = g_queue_peek_head (o->snapshots);
   uint64_t now_ms = dl_wall_clock_ms ();
   unsigned expired = 0;
   size_t count;
-  const DlObject *objects;
+  const DlObject *objects = entry_snapshot_kind (snapshot, kind, &count);
 
-  if (newest == NULL)
-    return;
-  objects = entry_snapshot_kind (newest->snapshot.snapshot, ENTRY_KIND_COMMAND, &count);
   for (size_t i = 0; i < count && expired < EXPIRED_PER_RUN; i++)
-    if (dl_json_uint (objects[i].value, "at_ms") + EXPIRY_MS < now_ms)
+    if (is_expired (&objects[i], now_ms))
       {
-        dl_object_delete (o->client, o, ENTRY_KIND_COMMAND, objects[i].name,
-                          objects[i].revision, on_expired, NULL);
+        dl_object_delete (o->client, o, kind, objects[i].name, objects[i].revision,
+                          on_expired, NULL);
         expired++;
       }
 }
 
+/* Deletes a few outcomes and ended drains of long ago, so that the work grows with the
+ * commands. */
+static void
+expire_objects (Operators *o)
+{
+  const EntryMessage *newest = g_queue_peek_head (o->snapshots);
+
+  if (newest == NULL)
+    return;
+  expire_kind (o, newest->snapshot.snapshot, ENTRY_KIND_COMMAND);
+  expire_kind (o, newest->snapshot.snapshot, ENTRY_KIND_DRAIN);
+}
+
 /* -------- requests -------- */
 
 static void
@@ -575,7 +594,7 @@
     }
   dl_log (DL_EVENT_COMMAND_BEGUN, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by),
           DL_TEXT ("command", c->text));
-  expire_commands (o);
+  expire_objects (o);
   create_intent (c);
 }
 
--- a/daisyentryd/relay_status.c
+++ b/daisyentryd/relay_status.c
@@ -230,6 +230,7 @@
   const char *self = entry_settings (w->board->relay->task)->name;
 
   json_object_object_add (value, "writer", json_object_new_string (self));
+  json_object_object_add (value, "at_ms", json_object_new_uint64 (dl_wall_clock_ms ()));
   json_object_object_add (value, "hosts", hosts_to_json (w));
   json_object_object_add (value, "entries", entries_to_json (w));
   return value;
--- a/lib/query/plan.c
+++ b/lib/query/plan.c
@@ -13,7 +13,6 @@
 
 #define KIND_ROLLOUT "rollout"
 #define KIND_VERSION "version"
-#define KIND_COMMAND "command"
 #define KIND_DRAIN   "drain"
 #define KIND_STATUS  "status"
 
@@ -694,111 +693,44 @@
 
 /* -------- drain, undrain -------- */
 
-static json_object *
-new_drain (const Planner *p)
+/* The object stays when the host is put back: once it were deleted, a delayed creation of
+ * an earlier drain could take effect again. */
+static DlPlan *
+plan_write_drain (const Planner *p, const DlObject *object, bool drained)
 {
+  json_object *old = object != NULL ? dl_json_array (object->value, "history") : NULL;
   json_object *value = json_object_new_object ();
 
+  dl_json_add_text (value, "state", drained ? DL_DRAIN_DRAINED : DL_DRAIN_IN_SERVICE);
   dl_json_add_text (value, "by", p->command->by);
   dl_json_add_uint (value, "at_ms", p->command->at_ms);
-  dl_json_add_text (value, "command", p->command->id);
-  return value;
-}
-
-static bool
-is_undrain_of (const Planner *p, json_object *command, const char *host)
-{
-  DlStatement *statement = NULL;
-  DlSyntaxError error;
-
-  if (strcmp (dl_json_text (command, "outcome"), "refused") == 0
-      || strstr (dl_json_text (command, "text"), host) == NULL
-      || dl_statement_parse (p->context, dl_str (dl_json_text (command, "text")),
-                             &statement, &error)
-             < 0)
-    return false;
-  return statement->type == DL_STATEMENT_UNDRAIN && strcmp (statement->name, host) == 0;
-}
-
-/* The latest command of another id, created after revision AFTER, to put the host back;
- * or NULL. */
-static const DlObject *
-find_undrain (const Planner *p, const char *host, uint64_t after)
-{
-  size_t count;
-  const DlObject *commands = dl_query_source_kind (p->now, KIND_COMMAND, &count);
-  const DlObject *found = NULL;
-
-  for (size_t i = 0; i < count; i++)
-    {
-      const DlObject *c = &commands[i];
-
-      if (c->created > after && strcmp (c->name, p->command->id) != 0
-          && (found == NULL || c->created > found->created)
-          && is_undrain_of (p, c->value, host))
-        found = c;
-    }
-  return found;
-}
-
-static DlPlan *
-plan_drain (const Planner *p)
-{
-  const char *host = p->statement->name;
-  const DlObject *object = dl_query_source_find (p->now, KIND_DRAIN, host);
-  const DlObject *undrain;
-  DlPlan *refusal;
-
-  if (object != NULL
-      && strcmp (dl_json_text (object->value, "command"), p->command->id) == 0)
-    return applied (p, object->revision, "host %s takes no new requests", host);
-  if (object != NULL)
-    return refuse (p, "host %s was drained already, %s", host,
-                   describe_author (p, object->value));
-  refusal = check_precondition (p, KIND_DRAIN, host);
-  if (refusal != NULL)
-    return refusal;
-  undrain
-      = p->command->resumed ? find_undrain (p, host, p->command->intent_revision) : NULL;
-  if (undrain != NULL)
-    return end (p, DL_PLAN_UNKNOWN, 0,
-                talloc_asprintf (p->context,
-                                 "host %s is not drained now; an undrain was given %s; "
-                                 "whether it was drained before is not known",
-                                 host, describe_author (p, undrain->value)));
-  return write_object (p, KIND_DRAIN, host, 0, new_drain (p));
+  json_object_object_add (value, "history",
+                          extend_history (p, old, drained ? "drained" : "put back"));
+  return write_object (p, KIND_DRAIN, p->statement->name,
+                       object != NULL ? object->revision : 0, value);
 }
 
 static DlPlan *
-plan_undrain (const Planner *p)
+plan_drain (const Planner *p, bool drain)
 {
   const char *host = p->statement->name;
   const DlObject *object = dl_query_source_find (p->now, KIND_DRAIN, host);
-  const DlObject *own = dl_query_source_find (p->now, KIND_COMMAND, p->command->id);
-  const DlObject *other;
+  bool drained = dl_host_is_drained (p->now, host);
   DlPlan *refusal;
 
-  if (object == NULL && p->command->resumed)
-    return applied (p, own != NULL ? own->revision : 0, "host %s is not drained", host);
-  if (object == NULL)
-    {
-      other = find_undrain (p, host, 0);
-      if (other == NULL)
-        return refuse (p, "host %s is not drained", host);
-      return refuse (p, "host %s is not drained; the last undrain was given %s", host,
-                     describe_author (p, other->value));
-    }
-  /* Drained again since: this command's own delete can only have met the older object. */
-  if (p->command->resumed && object->created > p->command->intent_revision)
-    return end (p, DL_PLAN_UNKNOWN, 0,
-                talloc_asprintf (p->context,
-                                 "host %s was drained %s, after this command was given; "
-                                 "whether the command ran before is not known",
-                                 host, describe_author (p, object->value)));
+  if (object != NULL && history_has_command (object->value, p->command->id))
+    return applied (p, object->revision, "host %s %s", host,
+                    drain ? "takes no new requests" : "is not drained");
+  if (object != NULL && drain == drained)
+    return refuse (p, "host %s %s: %s", host,
+                   drained ? "is drained already" : "is not drained",
+                   describe_last (p, object->value));
+  if (object == NULL && !drain)
+    return refuse (p, "host %s is not drained", host);
   refusal = check_precondition (p, KIND_DRAIN, host);
   if (refusal != NULL)
     return refusal;
-  return write_object (p, KIND_DRAIN, host, object->revision, NULL);
+  return plan_write_drain (p, object, drain);
 }
 
 /* -------- settings -------- */
@@ -882,12 +814,74 @@
       return KIND_ROLLOUT;
     case DL_STATEMENT_DRAIN:
     case DL_STATEMENT_UNDRAIN:
-      return KIND_DRAIN "," KIND_COMMAND;
+      return KIND_DRAIN;
     default:
       return DL_FLEET_KIND;
     }
 }
 
+/* The object that shows whether the command took effect. */
+static const DlObject *
+find_target (const Planner *p)
+{
+  switch (p->statement->type)
+    {
+    case DL_STATEMENT_PUBLISH:
+      return dl_query_source_find (p->now, KIND_VERSION, p->statement->publish.version);
+    case DL_STATEMENT_ROLLOUT_START:
+      return dl_query_source_find (p->now, KIND_ROLLOUT, p->statement->start.name);
+    case DL_STATEMENT_ROLLOUT_PAUSE:
+    case DL_STATEMENT_ROLLOUT_RESUME:
+    case DL_STATEMENT_ROLLOUT_CALL_OFF:
+      return dl_query_source_find (p->now, KIND_ROLLOUT, p->statement->name);
+    case DL_STATEMENT_DRAIN:
+    case DL_STATEMENT_UNDRAIN:
+      return dl_query_source_find (p->now, KIND_DRAIN, p->statement->name);
+    default:
+      return dl_query_source_find (p->now, DL_FLEET_KIND, DL_FLEET_NAME);
+    }
+}
+
+static DlPlan *
+plan_statement (const Planner *p)
+{
+  switch (p->statement->type)
+    {
+    case DL_STATEMENT_PUBLISH:
+      return plan_publish (p);
+    case DL_STATEMENT_ROLLOUT_START:
+      return plan_start (p);
+    case DL_STATEMENT_ROLLOUT_PAUSE:
+    case DL_STATEMENT_ROLLOUT_RESUME:
+    case DL_STATEMENT_ROLLOUT_CALL_OFF:
+      return plan_change (p);
+    case DL_STATEMENT_DRAIN:
+      return plan_drain (p, true);
+    case DL_STATEMENT_UNDRAIN:
+      return plan_drain (p, false);
+    case DL_STATEMENT_SETTINGS_APPLY:
+      return plan_settings (p);
+    default:
+      return refuse (p, "this is not a command");
+    }
+}
+
+/* True while an earlier write of the command can still take effect after a refusal: one
+ * that creates, as long as the object does not exist, and one that replaces, unless the
+ * refusal shows that the object has changed since. */
+static bool
+may_still_write (const Planner *p)
+{
+  if (!p->command->resumed)
+    return false;
+  if (find_target (p) == NULL)
+    return p->statement->type == DL_STATEMENT_PUBLISH
+           || p->statement->type == DL_STATEMENT_ROLLOUT_START
+           || p->statement->type == DL_STATEMENT_DRAIN
+           || p->statement->type == DL_STATEMENT_SETTINGS_APPLY;
+  return p->command->at_revision > 0 && p->command->then == NULL;
+}
+
 DlPlan *
 dl_plan_command (const void *context,
                  const DlStatement *statement,
@@ -900,24 +894,14 @@
     .command = command,
     .now = now,
   };
+  DlPlan *plan = plan_statement (&planner);
 
-  switch (statement->type)
+  if (plan->type == DL_PLAN_REFUSED && may_still_write (&planner))
     {
-    case DL_STATEMENT_PUBLISH:
-      return plan_publish (&planner);
-    case DL_STATEMENT_ROLLOUT_START:
-      return plan_start (&planner);
-    case DL_STATEMENT_ROLLOUT_PAUSE:
-    case DL_STATEMENT_ROLLOUT_RESUME:
-    case DL_STATEMENT_ROLLOUT_CALL_OFF:
-      return plan_change (&planner);
-    case DL_STATEMENT_DRAIN:
-      return plan_drain (&planner);
-    case DL_STATEMENT_UNDRAIN:
-      return plan_undrain (&planner);
-    case DL_STATEMENT_SETTINGS_APPLY:
-      return plan_settings (&planner);
-    default:
-      return refuse (&planner, "this is not a command");
+      plan->type = DL_PLAN_UNKNOWN;
+      plan->end.detail = talloc_asprintf (
+          context, "an earlier try may still take effect; now it would be refused: %s",
+          plan->end.detail);
     }
+  return plan;
 }
--- a/lib/query/query.h
+++ b/lib/query/query.h
@@ -26,6 +26,13 @@
 const DlObject *
 dl_query_source_find (const DlQuerySource *source, const char *kind, const char *name);
 
+/* "state" of an object drain/HOST. */
+#define DL_DRAIN_DRAINED    "drained"
+#define DL_DRAIN_IN_SERVICE "in-service"
+
+/* True when operators have taken the host out of rotation. */
+bool dl_host_is_drained (const DlQuerySource *source, const char *host);
+
 typedef struct
 {
   const char *text;   /* TEXT; of VERSION the label or the start of its digest */
--- a/lib/query/tables.c
+++ b/lib/query/tables.c
@@ -197,10 +197,13 @@
 
 /* -------- hosts, upstreams, entries -------- */
 
-static bool
-is_drained (const DlQuerySource *source, const char *host)
+bool
+dl_host_is_drained (const DlQuerySource *source, const char *host)
 {
-  return dl_query_source_find (source, "drain", host) != NULL;
+  const DlObject *object = dl_query_source_find (source, "drain", host);
+
+  return object != NULL
+         && strcmp (dl_json_text (object->value, "state"), DL_DRAIN_IN_SERVICE) != 0;
 }
 
 static DlCell
@@ -242,7 +245,7 @@
   row[DL_HOST_CAPACITY] = number_cell (dl_json_uint (v, "capacity"));
   row[DL_HOST_SETTINGS] = number_cell (dl_json_uint (v, "settings_revision"));
   row[DL_HOST_ACCEPTS] = number_cell (dl_json_flag (v, "accepts_requests"));
-  row[DL_HOST_DRAINED] = number_cell (is_drained (source, s->host));
+  row[DL_HOST_DRAINED] = number_cell (dl_host_is_drained (source, s->host));
   row[DL_HOST_LOST] = number_cell (dl_json_flag (v, "lost"));
   row[DL_HOST_FAILURE] = text_cell (rows, dl_json_text (v, "failure"));
 }
@@ -273,7 +276,7 @@
   row[DL_UPSTREAM_DATA_CENTER] = text_cell (rows, s->data_center);
   row[DL_UPSTREAM_VERSION] = version_cell (rows, source, version);
   row[DL_UPSTREAM_ACCEPTS] = number_cell (dl_json_flag (v, "accepts_requests"));
-  row[DL_UPSTREAM_DRAINED] = number_cell (is_drained (source, s->host));
+  row[DL_UPSTREAM_DRAINED] = number_cell (dl_host_is_drained (source, s->host));
   row[DL_UPSTREAM_RUNNING] = number_cell (dl_json_uint (v, "requests_running"));
   row[DL_UPSTREAM_QUEUED] = number_cell (dl_json_uint (v, "requests_queued"));
   row[DL_UPSTREAM_CAPACITY] = number_cell (dl_json_uint (v, "capacity"));
@@ -725,8 +728,11 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      DlCell *row = next_row (rows);
+      DlCell *row;
 
+      if (!dl_host_is_drained (source, objects[i].name))
+        continue;
+      row = next_row (rows);
       row[DL_DRAIN_HOST] = text_cell (rows, objects[i].name);
       row[DL_DRAIN_BY] = text_cell (rows, dl_json_text (objects[i].value, "by"));
       row[DL_DRAIN_AT] = time_cell (dl_json_uint (objects[i].value, "at_ms"));
--- /dev/null
+++ b/regress/unit/sample.h
@@ -0,0 +1,34 @@
+/*
+ * Platform objects for tests of queries and commands.
+ */
+#ifndef SAMPLE_H
+#define SAMPLE_H
+
+#include "query/query.h"
+
+/* A store that tests read and write as the platform would be. */
+typedef struct
+{
+  uint64_t revision;
+  size_t count;
+  DlObject *objects; /* sorted by kind, then name */
+} Sample;
+
+/* Two data centres with five hosts, a rollout in progress, two versions, settings. */
+Sample *sample_new (const void *context);
+Sample *sample_empty (const void *context);
+DlQuerySource sample_source (const Sample *sample);
+/* A conditional write; VALUE NULL deletes.  Returns 0, DL_ERR_CONFLICT or
+ * DL_ERR_NOT_FOUND. */
+int sample_write (Sample *sample,
+                  const char *kind,
+                  const char *name,
+                  uint64_t base,
+                  json_object *value);
+/* An unconditional write of JSON text. */
+void sample_set (Sample *sample, const char *kind, const char *name, const char *text);
+
+extern const char sample_digest_1[];
+extern const char sample_digest_2[];
+
+#endif
--- /dev/null
+++ b/regress/unit/test_plan.c
@@ -0,0 +1,440 @@
+/* Plans of operators' commands: outcomes in a table, and runs under random faults. */
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/error.h"
+#include "query/json_get.h"
+#include "query/plan.h"
+#include "sample.h"
+#include "unit.h"
+
+#define SCHEDULES 300
+#define STEPS     400
+#define SEED      7
+#define COMMANDS  8 /* ids in play */
+#define LATE_MAX  8 /* writes that land late */
+
+static DlStatement *
+parse (const void *context, const char *text)
+{
+  DlStatement *statement = NULL;
+  DlSyntaxError error = { 0 };
+
+  CU_ASSERT_EQUAL_FATAL (dl_statement_parse (context, dl_str (text), &statement, &error),
+                         0);
+  return statement;
+}
+
+/* Follows the plan to its end, and returns that plan. */
+static DlPlan *
+run (const void *context, Sample *sample, const char *text, DlCommand *command)
+{
+  for (;;)
+    {
+      DlQuerySource now = sample_source (sample);
+      DlPlan *plan = dl_plan_command (context, parse (context, text), command, &now);
+
+      if (plan->type != DL_PLAN_WRITE)
+        return plan;
+      CU_ASSERT_EQUAL_FATAL (sample_write (sample, plan->write.kind, plan->write.name,
+                                           plan->write.base, plan->write.value),
+                             0);
+      command->resumed = true;
+    }
+}
+
+typedef struct
+{
+  const char *before; /* a command that another operator gave first; NULL for none */
+  const char *text;
+  uint64_t at_revision;
+  DlPlanType type;
+  const char *detail;
+} PlanCase;
+
+#define AT "2023-11-14T22:13:2"
+
+static const PlanCase plan_cases[] = {
+  { NULL, "rollout pause r1", 0, DL_PLAN_APPLIED, "rollout r1 paused" },
+  { NULL, "rollout resume r1", 0, DL_PLAN_REFUSED,
+    "rollout r1 is not paused but distributing: started by ana at " AT "2Z" },
+  { "rollout pause r1", "rollout pause r1", 0, DL_PLAN_REFUSED,
+    "rollout r1 is paused already: paused by bob at " AT "9Z" },
+  { "rollout pause r1", "rollout resume r1", 0, DL_PLAN_APPLIED, "rollout r1 resumed" },
+  { "rollout call off r1", "rollout pause r1", 0, DL_PLAN_REFUSED,
+    "rollout r1 is called-off: called off by bob at " AT "9Z" },
+  { "rollout pause r1", "rollout call off r1", 10, DL_PLAN_REFUSED,
+    "rollout r1 changed after revision 10: paused by bob at " AT
+    "9Z (now at revision 11)" },
+  { NULL, "rollout call off r1", 10, DL_PLAN_APPLIED, "rollout r1 called off" },
+  { NULL, "rollout pause r9", 0, DL_PLAN_REFUSED, "there is no rollout r9" },
+  { NULL, "rollout start r2 service draft version v1", 0, DL_PLAN_APPLIED,
+    "rollout r2 started for 5 hosts" },
+  { NULL, "rollout start r2 service draft version v1 in region kosice wave 50%", 0,
+    DL_PLAN_APPLIED, "rollout r2 started for 2 hosts" },
+  { NULL, "rollout start r1 service draft version v1", 0, DL_PLAN_REFUSED,
+    "rollout r1 exists: started by ana at " AT "2Z" },
+  { NULL, "rollout start r2 service draft version v9", 0, DL_PLAN_REFUSED,
+    "no version is published as v9" },
+  { NULL, "rollout start r2 service draft version v1 in region wien", 0, DL_PLAN_REFUSED,
+    "no slot of service draft is known in the named regions" },
+  { NULL, "rollout start r2 service ledger version v1", 0, DL_PLAN_REFUSED,
+    "service ledger is plain and carries no model" },
+  { "rollout pause r1", "rollout start r2 service draft version v1", 10, DL_PLAN_REFUSED,
+    "rollout r1 changed after revision 10: paused by bob at " AT
+    "9Z (now at revision 11)" },
+  { NULL, "drain h1", 0, DL_PLAN_APPLIED, "host h1 takes no new requests" },
+  { NULL, "drain h2", 0, DL_PLAN_REFUSED,
+    "host h2 is drained already: drained by bob at " AT "3Z" },
+  { NULL, "undrain h2", 0, DL_PLAN_APPLIED, "host h2 is not drained" },
+  { NULL, "undrain h1", 0, DL_PLAN_REFUSED, "host h1 is not drained" },
+  { "undrain h2", "undrain h2", 0, DL_PLAN_REFUSED,
+    "host h2 is not drained: put back by bob at " AT "9Z" },
+  { "drain h1", "undrain h1", 10, DL_PLAN_REFUSED,
+    "drain h1 changed after revision 10: drained by bob at " AT
+    "9Z (now at revision 11)" },
+  { NULL,
+    "publish 1111111111111111111111111111111111111111111111111111111111111111 as v9 "
+    "model m manifest-bytes 1 total-bytes 1 chunks 1",
+    0, DL_PLAN_REFUSED,
+    "version 1111111111111111111111111111111111111111111111111111111111111111 was "
+    "published as v1 by ana at " AT "0Z" },
+  { NULL,
+    "publish 3333333333333333333333333333333333333333333333333333333333333333 as v1 "
+    "model m manifest-bytes 1 total-bytes 1 chunks 1",
+    0, DL_PLAN_REFUSED,
+    "label v1 names version "
+    "1111111111111111111111111111111111111111111111111111111111111111, published by ana "
+    "at " AT "0Z" },
+  { NULL, "settings apply f", 0, DL_PLAN_REFUSED, "the command came without settings" },
+};
+
+static void
+test_plans (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (plan_cases); i++)
+    {
+      const PlanCase *c = &plan_cases[i];
+      void *context = talloc_new (NULL);
+      Sample *sample = sample_new (context);
+      Sample *then = sample_new (context);
+      DlQuerySource then_source = sample_source (then);
+      DlCommand first = { .id = "f", .by = "bob", .at_ms = 1700000009000 };
+      DlCommand command = {
+        .id = "x",
+        .by = "eva",
+        .at_ms = 1700000010000,
+        .at_revision = c->at_revision,
+        .intent_revision = sample->revision,
+        .then = &then_source,
+      };
+      DlPlan *plan;
+
+      if (c->before != NULL)
+        run (context, sample, c->before, &first);
+      plan = run (context, sample, c->text, &command);
+      CU_ASSERT_EQUAL (plan->type, c->type);
+      unit_assert_text (plan->end.detail, c->detail);
+      talloc_free (context);
+    }
+}
+
+static json_object *
+rollout_value (const Sample *sample, const char *name)
+{
+  DlQuerySource source = sample_source (sample);
+  const DlObject *object = dl_query_source_find (&source, "rollout", name);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (object);
+  return object->value;
+}
+
+static const char *
+last_line (json_object *value)
+{
+  json_object *history = dl_json_array (value, "history");
+
+  return dl_json_text (json_object_array_get_idx (history,
+                                                  dl_json_array_length (history) - 1),
+                       "what");
+}
+
+/* A newer rollout replaces an older one that it overlaps, and both histories say so. */
+static void
+test_replaces_overlapping (void)
+{
+  void *context = talloc_new (NULL);
+  Sample *sample = sample_new (context);
+  DlCommand command = { .id = "x", .by = "eva", .at_ms = 1 };
+
+  run (context, sample, "rollout start r2 service draft version v1", &command);
+  unit_assert_text (dl_json_text (rollout_value (sample, "r1"), "state"), "replaced");
+  unit_assert_text (last_line (rollout_value (sample, "r1")), "replaced by r2");
+  unit_assert_text (last_line (rollout_value (sample, "r2")), "started; replaces r1");
+  unit_assert_text (json_object_to_json_string_ext (
+                        dl_json_array (rollout_value (sample, "r2"), "targets"),
+                        JSON_C_TO_STRING_PLAIN),
+                    "[\"h1\",\"h2\",\"h3\",\"h4\",\"h5\"]");
+  talloc_free (context);
+}
+
+/* What the steering entry writes meanwhile does not refuse a decision; settings that
+ * were accepted meanwhile do. */
+static void
+test_preconditions (void)
+{
+  void *context = talloc_new (NULL);
+  Sample *sample = sample_new (context);
+  Sample *then = sample_new (context);
+  DlQuerySource then_source = sample_source (then);
+  json_object *rollout = json_object_get (rollout_value (sample, "r1"));
+  json_object *copy = json_tokener_parse (json_object_to_json_string (rollout));
+  json_object *settings = json_tokener_parse (
+      "{\"services\":[],\"organisations\":[],\"priorities\":[\"p\"],"
+      "\"home_region\":\"a\"}");
+  DlCommand command = { .id = "x",
+                        .by = "eva",
+                        .at_ms = 1,
+                        .at_revision = 10,
+                        .intent_revision = 10,
+                        .value = settings,
+                        .then = &then_source };
+  DlCommand racing
+      = { .id = "y", .by = "bob", .at_ms = 1700000009000, .value = settings };
+
+  dl_json_add_uint (copy, "fence", 4);
+  sample_set (sample, "rollout", "r1", json_object_to_json_string (copy));
+  CU_ASSERT_EQUAL (run (context, sample, "rollout pause r1", &command)->type,
+                   DL_PLAN_APPLIED);
+  racing.intent_revision = sample->revision;
+  CU_ASSERT_EQUAL (run (context, sample, "settings apply f", &racing)->type,
+                   DL_PLAN_APPLIED);
+  command.id = "z";
+  command.at_revision = 0;
+  command.value = json_tokener_parse (
+      "{\"services\":[],\"organisations\":[],\"priorities\":[\"q\"],"
+      "\"home_region\":\"a\"}");
+  unit_assert_text (run (context, sample, "settings apply f", &command)->end.detail,
+                    "settings changed while the command ran: accepted by bob at "
+                    "2023-11-14T22:13:29Z (now at revision 13)");
+  json_object_put (command.value);
+  json_object_put (settings);
+  json_object_put (copy);
+  json_object_put (rollout);
+  talloc_free (context);
+}
+
+/* -------- random schedules -------- */
+
+typedef struct
+{
+  char id[8];
+  const char *text;
+  uint64_t intent_revision;
+  bool begun;
+  DlPlanType told; /* last outcome that was told */
+  bool ended;
+} Given;
+
+/* A write that was sent and whose answer the sender does not wait for. */
+typedef struct
+{
+  char *kind;
+  char *name;
+  uint64_t base;
+  json_object *value;
+} LateWrite;
+
+typedef struct
+{
+  void *context;
+  Sample *sample;
+  GRand *random;
+  Given given[COMMANDS];
+  LateWrite late[LATE_MAX];
+  unsigned late_count;
+  GHashTable *effects; /* command id to the writes that carried it and took effect */
+} World;
+
+static void
+count_effect (World *w, const char *kind, const char *id)
+{
+  char *key = talloc_asprintf (w->context, "%s/%s", kind, id);
+  gpointer n = g_hash_table_lookup (w->effects, key);
+
+  g_hash_table_insert (w->effects, key, GINT_TO_POINTER (GPOINTER_TO_INT (n) + 1));
+}
+
+/* The id of the command that wrote VALUE last. */
+static const char *
+author (json_object *value)
+{
+  json_object *history = dl_json_array (value, "history");
+  size_t length = dl_json_array_length (history);
+
+  if (length == 0)
+    return dl_json_text (value, "command");
+  return dl_json_text (json_object_array_get_idx (history, length - 1), "command");
+}
+
+static int
+apply_write (
+    World *w, const char *kind, const char *name, uint64_t base, json_object *value)
+{
+  int status = sample_write (w->sample, kind, name, base, value);
+
+  if (status == 0 && value != NULL)
+    count_effect (w, talloc_asprintf (w->context, "%s/%s", kind, name), author (value));
+  return status;
+}
+
+static void
+send_late (World *w, const DlPlan *plan)
+{
+  if (w->late_count == LATE_MAX)
+    return; /* lost on the way */
+  w->late[w->late_count++] = (LateWrite){
+    .kind = talloc_strdup (w->context, plan->write.kind),
+    .name = talloc_strdup (w->context, plan->write.name),
+    .base = plan->write.base,
+    .value = json_object_get (plan->write.value),
+  };
+}
+
+static void
+land_late (World *w)
+{
+  unsigned i;
+
+  if (w->late_count == 0)
+    return;
+  i = (unsigned)g_rand_int_range (w->random, 0, (gint32)w->late_count);
+  apply_write (w, w->late[i].kind, w->late[i].name, w->late[i].base, w->late[i].value);
+  json_object_put (w->late[i].value);
+  w->late[i] = w->late[--w->late_count];
+}
+
+/* One read, plan and write of a command by some entry, which may then be gone: the next
+ * one takes the command up without knowing how far it came. */
+static void
+step_command (World *w, Given *g)
+{
+  DlCommand command = {
+    .id = g->id,
+    .by = "ana",
+    .at_ms = 1,
+    .intent_revision = g->intent_revision,
+    .resumed = g->begun,
+  };
+  DlQuerySource now;
+  DlPlan *plan;
+
+  if (!g->begun)
+    {
+      w->sample->revision++;
+      command.intent_revision = g->intent_revision = w->sample->revision;
+      g->begun = true;
+    }
+  now = sample_source (w->sample);
+  plan = dl_plan_command (w->context, parse (w->context, g->text), &command, &now);
+  if (plan->type == DL_PLAN_WRITE)
+    {
+      if (g_rand_int_range (w->random, 0, 4) == 0)
+        send_late (w, plan);
+      else
+        apply_write (w, plan->write.kind, plan->write.name, plan->write.base,
+                     plan->write.value);
+      return;
+    }
+  g->told = plan->type;
+  g->ended = plan->type != DL_PLAN_UNKNOWN;
+}
+
+/* No command took effect twice on one object; one told as applied did; one
+ * told as refused never did. */
+static void
+check_world (World *w)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer count;
+  bool seen[COMMANDS] = { false };
+
+  g_hash_table_iter_init (&iter, w->effects);
+  while (g_hash_table_iter_next (&iter, &key, &count))
+    {
+      CU_ASSERT_EQUAL (GPOINTER_TO_INT (count), 1);
+      for (unsigned i = 0; i < COMMANDS; i++)
+        if (g_str_has_suffix (key, w->given[i].id))
+          seen[i] = true;
+    }
+  for (unsigned i = 0; i < COMMANDS; i++)
+    {
+      const Given *g = &w->given[i];
+
+      if (g->ended && g->told == DL_PLAN_REFUSED)
+        CU_ASSERT_FALSE (seen[i]);
+      if (g->ended && g->told == DL_PLAN_APPLIED)
+        CU_ASSERT_TRUE (seen[i]);
+    }
+}
+
+static void
+run_schedule (unsigned seed)
+{
+  static const char *const texts[] = { "rollout pause r1",
+                                       "rollout resume r1",
+                                       "rollout call off r1",
+                                       "drain h1",
+                                       "undrain h1",
+                                       "rollout start r2 service draft "
+                                       "version v1",
+                                       "rollout start r3 service draft version v2" };
+  World w = {
+    .context = talloc_new (NULL),
+    .random = g_rand_new_with_seed (seed),
+    .effects = g_hash_table_new (g_str_hash, g_str_equal),
+  };
+
+  w.sample = sample_new (w.context);
+  for (unsigned i = 0; i < COMMANDS; i++)
+    {
+      g_snprintf (w.given[i].id, sizeof w.given[i].id, "#%u", i);
+      w.given[i].text
+          = texts[g_rand_int_range (w.random, 0, (gint32)G_N_ELEMENTS (texts))];
+    }
+  for (unsigned step = 0; step < STEPS; step++)
+    {
+      Given *g = &w.given[g_rand_int_range (w.random, 0, COMMANDS)];
+
+      if (g_rand_int_range (w.random, 0, 5) == 0)
+        land_late (&w);
+      else if (!g->ended)
+        step_command (&w, g);
+    }
+  while (w.late_count > 0)
+    land_late (&w);
+  check_world (&w);
+  g_hash_table_destroy (w.effects);
+  g_rand_free (w.random);
+  talloc_free (w.context);
+}
+
+static void
+test_random_schedules (void)
+{
+  g_printerr ("  seeds %d to %d\n", SEED, SEED + SCHEDULES - 1);
+  for (unsigned i = 0; i < SCHEDULES; i++)
+    run_schedule (SEED + i);
+}
+
+static const CU_TestInfo plan_tests[] = {
+  { "outcomes", test_plans },
+  { "replaces overlapping", test_replaces_overlapping },
+  { "preconditions", test_preconditions },
+  { "random schedules", test_random_schedules },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("plan", plan_tests)
