Rollouts: ended ones keep only hosts that serve them; a new grant clears old failures

A slot whose rollout has ended now takes a directive of an older rollout that was written after that, else a host that was replaced after a call-off would never get weights again. The slot's loader forgets earlier failures when it is granted anew, else the failure of the last try would be counted against the new grant before the engine was asked.

--- a/daisyslotd/engine.c
+++ b/daisyslotd/engine.c
@@ -307,6 +307,8 @@
     e->facts.whole = false; /* until the transfer says so of this version */
   e->facts.version = d->version;
   e->facts.fence = d->fence;
+  if (d->may_load && !e->facts.may_load)
+    dl_loader_grant (&e->loader);
   e->facts.may_load = d->may_load;
   e->facts.wanted = directive_is_wanted (d);
 }
--- a/daisyslotd/relays.c
+++ b/daisyslotd/relays.c
@@ -156,8 +156,17 @@
   return d;
 }
 
+static bool
+has_ended (const SlotDirective *d)
+{
+  return d->state == DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_CALLED_OFF
+         || d->state == DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_REPLACED
+         || d->state == DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_FAILED;
+}
+
 /*
- * Of two rollouts the one created later holds; within one, the higher revision, written
+ * Of two rollouts the one created later holds, until it has ended: then an older one that
+ * was written after that may hold again.  Within one, the higher revision holds, written
  * under a fence that never falls.  This refuses the words of a relay that lags and of a
  * lease holder that woke after its lease had passed on.
  */
@@ -168,8 +177,10 @@
 
   if (d == NULL || wire->sequence > d->sequence)
     return true;
-  if (wire->sequence < d->sequence || wire->revision <= d->revision)
+  if (wire->revision <= d->revision)
     return false;
+  if (wire->sequence < d->sequence)
+    return has_ended (d);
   return wire->fence >= d->fence;
 }
 
--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -47,6 +47,14 @@
   set_phase (l, DL_LOADER_IDLE, now_ms);
 }
 
+void
+dl_loader_grant (DlLoader *loader)
+{
+  loader->failure = NULL;
+  loader->retry_ms = RETRY_MIN_MS;
+  loader->retry_at_ms = 0;
+}
+
 /* A predecessor on this host may still order until its own guard has run out; only an
  * engine that has seen an order can have had one. */
 static bool
--- a/lib/policy/loader.h
+++ b/lib/policy/loader.h
@@ -72,6 +72,8 @@
 /* Called on every change, and at least every DL_LOADER_STEP_MS. */
 #define DL_LOADER_STEP_MS 250
 DlLoaderAction dl_loader_step (DlLoader *loader, const DlLoaderFacts *facts);
+/* The rollout grants this host a load anew: earlier failures no longer count. */
+void dl_loader_grant (DlLoader *loader);
 /* The engine's answer to an order: 0 taken, DL_ERR_FENCED, or another error.  With
  * DL_ERR_UNKNOWN the engine may have taken it; its state will tell. */
 void dl_loader_answer (DlLoader *loader, uint64_t now_ms, int error);
--- a/lib/policy/rollout.c
+++ b/lib/policy/rollout.c
@@ -91,7 +91,7 @@
 
       if (other->created <= r->created || strcmp (other->service, r->service) != 0)
         continue;
-      if (dl_rollout_has_ended (other) ? dl_names_contains (&other->loaded, host->name)
+      if (dl_rollout_has_ended (other) ? dl_rollout_keeps (other, host->name)
                                        : covers_region (other, host->region))
         return other;
     }
@@ -267,11 +267,19 @@
   return changed;
 }
 
-/* The host takes no requests, or may stop to do so by what it was last told. */
+/* The host serves no requests. */
+static bool
+is_absent (const DlRolloutHost *host)
+{
+  return !host->heard || !host->accepts || host->serving[0] == '\0' || host->drained
+         || host->leaving;
+}
+
+/* The host serves no requests, or may stop to do so by what it was last told. */
 static bool
 is_out (const DlRollout *r, const DlRolloutHost *host)
 {
-  if (!host->heard || !host->accepts || host->drained || host->leaving)
+  if (is_absent (host))
     return true;
   if (!dl_names_contains (&r->targets, host->name))
     return false;
@@ -283,7 +291,8 @@
 {
   size_t allowed;
   size_t out;
-  bool blocked; /* an older rollout has not let go of its hosts */
+  size_t absent; /* of OUT, those that serve no requests now */
+  bool blocked;  /* an older rollout has not let go of its hosts */
 } Room;
 
 static Room
@@ -302,6 +311,8 @@
       hosts++;
       if (is_out (r, h))
         room.out++;
+      if (is_absent (h))
+        room.absent++;
       if (dl_names_contains (&r->targets, h->name)
           && is_held_by_older (r, facts->set, h->name))
         room.blocked = true;
@@ -338,8 +349,8 @@
 }
 
 /* Grants the ready hosts of one region what room there is.  A host that is out already
- * takes no room.  Returns whether one was granted; *STUCK when nothing could be and no
- * load of this rollout is in progress there. */
+ * takes no room.  Returns whether one was granted; *STUCK when none could be, because too
+ * many hosts serve no requests for other reasons than this rollout. */
 static bool
 grant_region (DlRollout *r, const DlRolloutFacts *facts, const char *region, bool *stuck)
 {
@@ -368,7 +379,7 @@
         grant (r, h);
         granted = true;
       }
-  *stuck = waiting && !loading && !granted;
+  *stuck = waiting && !loading && !granted && room.absent >= room.allowed;
   return granted;
 }
 
@@ -513,9 +524,58 @@
 bool
 dl_rollout_may_want_steering (const DlRollout *rollout, const DlRolloutSet *set)
 {
-  if (rollout->state == DL_ROLLOUT_COMPLETE)
-    return !is_superseded (rollout, set);
-  return dl_rollout_is_active (rollout);
+  if (dl_rollout_is_active (rollout))
+    return true;
+  if (dl_rollout_has_ended (rollout) && rollout->wave.count + rollout->loaded.count == 0)
+    return false;
+  return !is_superseded (rollout, set);
+}
+
+/* An ended rollout keeps a host that serves its version or is about to: one that does not
+ * any more falls back to the rollout before. */
+static bool
+is_kept_in_vain (const DlRollout *r, const DlRolloutHost *host)
+{
+  return dl_rollout_keeps (r, host->name) && host->heard && host->accepts
+         && strcmp (host->rollout, r->name) == 0 && !serves_version (r, host);
+}
+
+/* Brings what an ended rollout keeps up to date. */
+static bool
+settle_ended (DlRollout *r, const DlRolloutFacts *facts)
+{
+  bool changed = false;
+
+  for (size_t i = 0; i < facts->host_count; i++)
+    {
+      const DlRolloutHost *h = &facts->hosts[i];
+
+      if (is_kept_in_vain (r, h))
+        {
+          changed |= dl_names_remove (&r->wave, h->name);
+          changed |= dl_names_remove (&r->loaded, h->name);
+        }
+      else if (dl_names_contains (&r->wave, h->name) && serves_version (r, h))
+        {
+          changed |= dl_names_remove (&r->wave, h->name);
+          changed |= dl_names_add (r, &r->loaded, h->name);
+        }
+    }
+  return changed;
+}
+
+static bool
+needs_settling (const DlRollout *r, const DlRolloutFacts *facts)
+{
+  for (size_t i = 0; i < facts->host_count; i++)
+    {
+      const DlRolloutHost *h = &facts->hosts[i];
+
+      if (is_kept_in_vain (r, h)
+          || (dl_names_contains (&r->wave, h->name) && serves_version (r, h)))
+        return true;
+    }
+  return false;
 }
 
 bool
@@ -523,7 +583,9 @@
 {
   if (!dl_rollout_may_want_steering (rollout, facts->set))
     return false;
-  return rollout->state != DL_ROLLOUT_COMPLETE || needs_reopening (rollout, facts);
+  if (rollout->state == DL_ROLLOUT_COMPLETE)
+    return needs_reopening (rollout, facts);
+  return !dl_rollout_has_ended (rollout) || needs_settling (rollout, facts);
 }
 
 static bool
@@ -558,6 +620,8 @@
     return false;
   changed = rollout->fence != facts->fence;
   rollout->fence = facts->fence;
+  if (dl_rollout_has_ended (rollout))
+    return settle_ended (rollout, facts) || changed;
   if (rollout->state == DL_ROLLOUT_COMPLETE)
     {
       rollout->state = DL_ROLLOUT_DISTRIBUTING;
--- a/lib/policy/rollout.h
+++ b/lib/policy/rollout.h
@@ -90,9 +90,11 @@
 const char *dl_rollout_state_name (DlRolloutState state);
 /* Returns 0 or -EINVAL. */
 int dl_rollout_state_parse (const char *text, DlRolloutState *state);
-/* Called off, replaced or failed: nothing is steered any more. */
+/* Called off, replaced or failed: no host is loaded any more. */
 bool dl_rollout_has_ended (const DlRollout *rollout);
 bool dl_rollout_is_active (const DlRollout *rollout);
+/* The host serves the version or was granted to load it. */
+bool dl_rollout_keeps (const DlRollout *rollout, const char *host);
 
 /* All rollouts, the newest first. */
 typedef struct
@@ -103,7 +105,7 @@
 
 void dl_rollout_set_sort (DlRolloutSet *set);
 /* The rollout that holds for a host: the newest that targets it; of those that ended,
- * only what they loaded counts.  NULL for none. */
+ * only the hosts that they keep count.  NULL for none. */
 const DlRollout *dl_rollout_for_host (const DlRolloutSet *set, const char *host);
 
 /* What is known of one host of the rollout's service. */
@@ -140,7 +142,8 @@
 bool dl_rollout_step (DlRollout *rollout, const DlRolloutFacts *facts);
 /* False when no report of a host could make the rollout want steering. */
 bool dl_rollout_may_want_steering (const DlRollout *rollout, const DlRolloutSet *set);
-/* True when the rollout is active, or complete with a host to load again. */
+/* True when the rollout is active, complete with a host to load again, or ended and keeps
+ * a host that does not serve the version. */
 bool dl_rollout_wants_steering (const DlRollout *rollout, const DlRolloutFacts *facts);
 
 #endif
--- a/lib/policy/rollout_set.c
+++ b/lib/policy/rollout_set.c
@@ -74,6 +74,13 @@
   return !dl_rollout_has_ended (rollout) && rollout->state != DL_ROLLOUT_COMPLETE;
 }
 
+bool
+dl_rollout_keeps (const DlRollout *rollout, const char *host)
+{
+  return dl_names_contains (&rollout->loaded, host)
+         || dl_names_contains (&rollout->wave, host);
+}
+
 static int
 compare_created (const void *a, const void *b)
 {
@@ -98,9 +105,9 @@
   for (size_t i = 0; i < set->count; i++)
     {
       const DlRollout *r = set->rollouts[i];
-      const DlNames *held = dl_rollout_has_ended (r) ? &r->loaded : &r->targets;
 
-      if (dl_names_contains (held, host))
+      if (dl_rollout_has_ended (r) ? dl_rollout_keeps (r, host)
+                                   : dl_names_contains (&r->targets, host))
         return r;
     }
   return NULL;
