--- a/lib/policy/revision.c
+++ b/lib/policy/revision.c
@@ -3,7 +3,7 @@
 bool
 dl_settings_is_newer (const DlSettingsRevision *state, uint64_t revision)
 {
-  return revision > state->in_force && revision > state->refused;
+  return revision > state->in_force && revision != state->refused;
 }
 
 DlSettingsVerdict
--- a/lib/policy/revision.h
+++ b/lib/policy/revision.h
@@ -32,14 +32,16 @@
 typedef enum
 {
   DL_SETTINGS_APPLY,
-  DL_SETTINGS_STALE,   /* not newer than what is in force or was refused */
+  DL_SETTINGS_STALE,   /* not newer than what is in force, or refused before */
   DL_SETTINGS_INVALID, /* newer, but the check refused it */
 } DlSettingsVerdict;
 
+/* A revision that was refused does not keep an older one out that is newer than what is
+ * in force: a process that saw them in another order must end with the same one. */
 typedef struct
 {
   uint64_t in_force; /* revision; 0: none was ever applied */
-  uint64_t refused;  /* the newest that did not pass the check */
+  uint64_t refused;  /* the last that did not pass the check */
 } DlSettingsRevision;
 
 /* True when REVISION is worth checking. */
--- /dev/null
+++ b/regress/unit/test_revision.c
@@ -0,0 +1,150 @@
+/* Settings in force and contact: tables, and random schedules of lagging sources. */
+#include <glib.h>
+#include <stdio.h>
+
+#include "policy/revision.h"
+#include "unit.h"
+
+static void
+test_offers (void)
+{
+  static const struct
+  {
+    uint64_t revision;
+    bool valid;
+    DlSettingsVerdict verdict;
+    uint64_t in_force;
+  } offers[] = {
+    { 5, true, DL_SETTINGS_APPLY, 5 },    { 5, true, DL_SETTINGS_STALE, 5 },
+    { 4, true, DL_SETTINGS_STALE, 5 },    { 7, false, DL_SETTINGS_INVALID, 5 },
+    { 7, false, DL_SETTINGS_STALE, 5 },   { 6, true, DL_SETTINGS_APPLY, 6 },
+    { 8, true, DL_SETTINGS_APPLY, 8 },    { 0, true, DL_SETTINGS_STALE, 8 },
+    { 9, false, DL_SETTINGS_INVALID, 8 }, { 10, true, DL_SETTINGS_APPLY, 10 },
+  };
+  DlSettingsRevision state = { 0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (offers); i++)
+    {
+      CU_ASSERT_EQUAL (dl_settings_offer (&state, offers[i].revision, offers[i].valid),
+                       offers[i].verdict);
+      CU_ASSERT_EQUAL (state.in_force, offers[i].in_force);
+    }
+}
+
+static void
+test_contact (void)
+{
+  DlContact c = { .started_ms = 1000, .has_peers = true };
+  DlContactVerdict v = dl_contact_judge (&c, 1000);
+
+  CU_ASSERT (!v.in_contact);
+  CU_ASSERT_EQUAL (v.store_age_ms, UINT64_MAX);
+  /* A first answer may be stale: a peer's word or a short wait is needed as well. */
+  dl_contact_hear_store (&c, 1100);
+  c.knows_settings = true;
+  CU_ASSERT (!dl_contact_judge (&c, 1100).in_contact);
+  CU_ASSERT (dl_contact_judge (&c, 3000).in_contact);
+  dl_contact_hear_peer (&c, 1200, 50);
+  CU_ASSERT (dl_contact_judge (&c, 1200).in_contact);
+  /* Hears nobody. */
+  CU_ASSERT (dl_contact_judge (&c, 1200 + DL_CONTACT_TIMEOUT_MS).in_contact);
+  CU_ASSERT (!dl_contact_judge (&c, 1201 + DL_CONTACT_TIMEOUT_MS).in_contact);
+  /* Hears a peer, and no one reaches the store: goes on, and tells the age. */
+  dl_contact_hear_peer (&c, 20000, 18000);
+  v = dl_contact_judge (&c, 20000);
+  CU_ASSERT (v.in_contact);
+  CU_ASSERT (!v.platform_reachable);
+  CU_ASSERT_EQUAL (v.store_age_ms, 18000 + DL_CONTACT_HOP_MS);
+  dl_contact_hear_peer (&c, 20100, UINT64_MAX);
+  CU_ASSERT_EQUAL (dl_contact_judge (&c, 20100).store_age_ms, 18200);
+}
+
+/* Two processes that only hear each other must not make their facts look younger. */
+static void
+test_age_is_not_lost_between_peers (void)
+{
+  DlContact a = { .started_ms = 1, .knows_settings = true };
+  DlContact b = a;
+  uint64_t now = 1000;
+
+  dl_contact_hear_store (&a, now);
+  for (int i = 0; i < 100; i++)
+    {
+      uint64_t age = dl_contact_judge (&a, now).store_age_ms;
+
+      now += 20; /* on the way */
+      dl_contact_hear_peer (&b, now, age);
+      age = dl_contact_judge (&b, now).store_age_ms;
+      now += 20;
+      dl_contact_hear_peer (&a, now, age);
+      now += 500;
+    }
+  CU_ASSERT (dl_contact_judge (&a, now).store_age_ms >= now - 1000);
+  CU_ASSERT (dl_contact_judge (&b, now).store_age_ms >= now - 1000);
+}
+
+/* Nodes hear a store of rising revisions, some invalid, by stale reads and from peers. */
+static void
+run_schedule (guint32 seed)
+{
+  GRand *rand = g_rand_new_with_seed (seed);
+  DlSettingsRevision nodes[5] = { 0 };
+  uint64_t store = 1;
+
+  for (int step = 0; step < 2000; step++)
+    {
+      DlSettingsRevision *n = &nodes[g_rand_int_range (rand, 0, 5)];
+      uint64_t before = n->in_force;
+      uint64_t offered = n->in_force;
+
+      switch (g_rand_int_range (rand, 0, 4))
+        {
+        case 0:
+          store++;
+          break;
+        case 1:
+          offered = store;
+          break;
+        case 2: /* stale read */
+          offered = (uint64_t)g_rand_int_range (rand, 0, (gint32)store + 1);
+          break;
+        default:
+          offered = nodes[g_rand_int_range (rand, 0, 5)].in_force;
+          break;
+        }
+      dl_settings_offer (n, offered, offered % 7 != 0);
+      CU_ASSERT (n->in_force >= before);
+      CU_ASSERT (n->in_force <= store);
+      CU_ASSERT (n->in_force == 0 || n->in_force % 7 != 0);
+    }
+  for (int i = 0; i < 5; i++)
+    {
+      uint64_t newest = store % 7 != 0 ? store : store - 1;
+
+      dl_settings_offer (&nodes[i], newest, true);
+      CU_ASSERT (nodes[i].in_force >= newest);
+    }
+  g_rand_free (rand);
+}
+
+static void
+test_schedules (void)
+{
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      unsigned before = CU_get_number_of_failures ();
+
+      run_schedule (seed);
+      if (CU_get_number_of_failures () > before)
+        fprintf (stderr, "  settings schedule failed with seed %u\n", seed);
+    }
+}
+
+static const CU_TestInfo revision_tests[] = {
+  { "offers", test_offers },
+  { "contact", test_contact },
+  { "age between peers", test_age_is_not_lost_between_peers },
+  { "random schedules", test_schedules },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("revision", revision_tests)
