--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -230,6 +230,8 @@
 {
   bool late = false;
 
+  if (!swarm->self->live)
+    return; /* the list of hosts is not known yet */
   for (guint i = 0; i < swarm->hosts->len; i++)
     {
       const Host *host = g_ptr_array_index (swarm->hosts, i);
--- a/lib/policy/swarm_rank.c
+++ b/lib/policy/swarm_rank.c
@@ -88,9 +88,9 @@
 rank_group (DlSwarm *swarm, uint32_t group)
 {
   Ranking *ranking = &swarm->rankings[group];
-  uint64_t own_scores[SWARM_RANKED];
-  uint64_t source_scores[SWARM_RANKED];
-  uint64_t home_scores[SWARM_RANKED];
+  uint64_t own_scores[SWARM_RANKED] = { 0 };
+  uint64_t source_scores[SWARM_RANKED] = { 0 };
+  uint64_t home_scores[SWARM_RANKED] = { 0 };
   const char *source;
   char key[64];
   int length = g_snprintf (key, sizeof key, "chunk %u", group);
--- a/regress/unit/swarm_driver.c
+++ b/regress/unit/swarm_driver.c
@@ -213,11 +213,17 @@
 static void
 carry_out (Driver *d, Node *node, const DlSwarmAction *a)
 {
-  Node *to = a->host != NULL ? find_node (d, a->host) : NULL;
+  Node *to;
   uint64_t us;
   Event *event;
 
+  if (a->type == DL_SWARM_DRAW)
+    {
+      draw (d, node, a->draw.index);
+      return;
+    }
   d->messages++;
+  to = find_node (d, a->host);
   switch (a->type)
     {
     case DL_SWARM_DIAL:
@@ -252,7 +258,6 @@
       event->number = a->send.queue;
       break;
     case DL_SWARM_DRAW:
-      draw (d, node, a->draw.index);
       break;
     }
 }
