thin.scn: the whole path; the slot's status owns its texts

Three entries, five slots, publish and rollout by daisyctl, live generates and keyed calls. It met a use after free in daisyslotd: the STATUS message pointed into the directive, which a newer one freed while the requests task still held the message. The status now owns copies. In the runner: a signal to a process reaped meanwhile went to the runner's own group (pid 0).

--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -113,12 +113,14 @@
 }
 
 static ProtobufCBinaryData
-digest_bytes (const DlDigest *digest)
+digest_bytes (const void *context, const DlDigest *digest)
 {
   if (dl_digest_is_zero (digest))
     return (ProtobufCBinaryData){ 0 };
-  return (ProtobufCBinaryData){ .len = DL_DIGEST_BYTES,
-                                .data = (uint8_t *)digest->bytes };
+  return (ProtobufCBinaryData){
+    .len = DL_DIGEST_BYTES,
+    .data = talloc_memdup (context, digest->bytes, DL_DIGEST_BYTES),
+  };
 }
 
 static void
@@ -132,6 +134,7 @@
   s->duplicate_bytes = f->duplicate_bytes;
 }
 
+/* The status outlives the directive and the facts: receivers hold its message. */
 Daisyloft__Wire__SlotStatus *
 slot_facts_status (const SlotFacts *f, const void *context)
 {
@@ -145,8 +148,8 @@
   s->service = (char *)f->settings->service;
   s->incarnation = f->incarnation;
   s->state = slot_state (f);
-  s->serving_version = digest_bytes (&f->serving);
-  s->failure = (char *)failure_text (f);
+  s->serving_version = digest_bytes (s, &f->serving);
+  s->failure = talloc_strdup (s, failure_text (f));
   s->requests_running = f->requests_running;
   s->requests_queued = f->engine_queued;
   s->capacity = f->engine_capacity;
@@ -154,8 +157,8 @@
   s->accepts_requests = f->accepting && !f->leaving && f->engine_reachable;
   if (f->directive != NULL)
     {
-      s->rollout = f->directive->rollout;
-      s->target_version = digest_bytes (&f->directive->version);
+      s->rollout = talloc_strdup (s, f->directive->rollout);
+      s->target_version = digest_bytes (s, &f->directive->version);
       s->directive_revision = f->directive->revision;
       if (transfer_is_current (f))
         fill_transfer (f, s);
--- a/regress/scenario/process.c
+++ b/regress/scenario/process.c
@@ -398,13 +398,21 @@
     }
 }
 
+/* A process may have been reaped just now, and 0 would mean the runner's own group. */
+static void
+send_signal (const Process *p, int number)
+{
+  if (p->pid > 0)
+    kill (p->pid, number);
+}
+
 void
 process_freeze (Process *p, bool frozen)
 {
   if (p->pid == 0 || p->frozen == frozen)
     return;
   p->frozen = frozen;
-  kill (p->pid, frozen ? SIGSTOP : SIGCONT);
+  send_signal (p, frozen ? SIGSTOP : SIGCONT);
 }
 
 static void
@@ -426,18 +434,18 @@
 
   if (p->pid == 0)
     return true;
-  if (p->kind == PROCESS_ENGINE || p->kind == PROCESS_SERVICE)
+  if (!p->ending && (p->kind == PROCESS_ENGINE || p->kind == PROCESS_SERVICE))
     archive_records (s, p);
   if (p->kind == PROCESS_ENTRY && signal_number == SIGKILL)
     s->entry_ended = true;
   p->ending = true;
-  kill (p->pid, signal_number);
+  send_signal (p, signal_number);
   process_freeze (p, false);
   while (p->pid != 0)
     {
       if (scn_now_ms () > deadline)
         {
-          kill (p->pid, SIGKILL);
+          send_signal (p, SIGKILL);
           return scn_fail (s, "%s did not end within %d ms", p->name, SCN_READY_MS);
         }
       scn_turn (s, TURN_MS);
@@ -464,7 +472,7 @@
           if (p->kind != order[k] || p->pid == 0)
             continue;
           p->ending = true;
-          kill (p->pid, SIGTERM);
+          send_signal (p, SIGTERM);
           process_freeze (p, false);
         }
       for (unsigned i = 0; i < s->processes->len; i++)
@@ -486,11 +494,15 @@
     {
       const Process *p = g_ptr_array_index (s->processes, i);
       char *text = NULL;
+      const char *fault;
       gsize length;
 
       if (!g_file_get_contents (p->log_path, &text, &length, NULL))
         continue;
-      if (!is_standin (p) || strstr (text, "ERROR") != NULL)
+      fault = strstr (text, "==ERROR");
+      if (fault != NULL)
+        printf ("---- %s\n%.*s\n", p->name, LOG_TAIL, fault);
+      else if (!is_standin (p))
         printf ("---- %s\n%s\n", p->name,
                 length > LOG_TAIL ? text + length - LOG_TAIL : text);
       g_free (text);
--- a/regress/scenario/truth.c
+++ b/regress/scenario/truth.c
@@ -177,6 +177,33 @@
   return result;
 }
 
+/* known:SERVICE, how many of its hosts the entries have reported as heard. */
+static Value
+operand_known (Scenario *s, char **parts)
+{
+  Process *p = process_find (s, "platform");
+  char *url = g_strdup_printf ("http://%s/v1/objects?kinds=status", p->address);
+  json_object *answer = http_json (s, url);
+  json_object *list = answer != NULL ? json_at (answer, "objects") : NULL;
+  double count = 0;
+
+  for (size_t i = 0; list != NULL && i < json_object_array_length (list); i++)
+    {
+      json_object *hosts = json_at (json_object_array_get_idx (list, i), "value.hosts");
+
+      for (size_t j = 0; hosts != NULL && j < json_object_array_length (hosts); j++)
+        {
+          json_object *host = json_object_array_get_idx (hosts, j);
+
+          count += strcmp (text_at (host, "service"), parts[1]) == 0
+                   && !json_object_get_boolean (json_at (host, "lost"));
+        }
+    }
+  json_object_put (answer);
+  g_free (url);
+  return list != NULL ? number_value (count) : (Value){ 0 };
+}
+
 /* load:NAME:COUNTER; all:COUNTER sums over the loads. */
 static Value
 operand_load (Scenario *s, char **parts)
@@ -270,9 +297,10 @@
   { "serving", 2, operand_serving }, { "running", 2, operand_running },
   { "size", 2, operand_size },       { "record", 3, operand_record },
   { "drawn", 2, operand_drawn },     { "object", 3, operand_object },
-  { "load", 3, operand_load },       { "all", 2, operand_all },
-  { "elapsed", 2, operand_elapsed }, { "cpu", 2, operand_cpu },
-  { "memory", 2, operand_memory },   { "metric", 3, operand_metric },
+  { "known", 2, operand_known },     { "load", 3, operand_load },
+  { "all", 2, operand_all },         { "elapsed", 2, operand_elapsed },
+  { "cpu", 2, operand_cpu },         { "memory", 2, operand_memory },
+  { "metric", 3, operand_metric },
 };
 
 static Value
@@ -650,14 +678,22 @@
   { "orders", check_orders },
 };
 
+static bool (*find_property (const char *name)) (Scenario *s)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (properties); i++)
+    if (strcmp (properties[i].name, name) == 0)
+      return properties[i].check;
+  return NULL;
+}
+
 /* check PROPERTY..., or check CONDITION */
 bool
 statement_check (Scenario *s, char **words, unsigned count)
 {
-  char *seen;
-  bool held;
+  char *seen = NULL;
+  bool held = true;
 
-  if (count >= 4)
+  if (find_property (words[1]) == NULL)
     {
       held = condition_holds (s, words + 1, &seen);
       if (!held)
@@ -665,18 +701,14 @@
       g_free (seen);
       return held;
     }
-  for (unsigned i = 1; i < count; i++)
+  for (unsigned i = 1; held && i < count; i++)
     {
-      unsigned j = 0;
-
-      while (j < G_N_ELEMENTS (properties) && strcmp (properties[j].name, words[i]) != 0)
-        j++;
-      if (j == G_N_ELEMENTS (properties))
-        return scn_fail (s, "no property is named %s", words[i]);
-      if (!properties[j].check (s))
-        return false;
+      bool (*check) (Scenario *) = find_property (words[i]);
+
+      held
+          = check != NULL ? check (s) : scn_fail (s, "no property is named %s", words[i]);
     }
-  return true;
+  return held;
 }
 
 /* figure NAME EXPRESSION UNIT */
