--- /dev/null
+++ b/regress/unit/test_admit.c
@@ -0,0 +1,239 @@
+/* Admission and the retry budget. */
+#include <glib.h>
+#include <stdio.h>
+
+#include "policy/admit.h"
+#include "policy/retry.h"
+#include "unit.h"
+
+#define ENTRIES 8
+#define LIMIT   100
+#define SPAN_MS 10000
+
+/* The shares of entries that agree add up to the limit. */
+static void
+test_shares (void)
+{
+  static const uint64_t demands[ENTRIES] = { 0, 1, 2, 500, 0, 7, 90, 400 };
+  uint64_t sum_u = 0;
+
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      const DlAdmitShare share = {
+        .limit_per_s = LIMIT,
+        .entries = ENTRIES,
+        .own_demand = demands[i],
+        .all_demand = 1000,
+      };
+
+      sum_u += dl_admit_share_rate_u (&share);
+    }
+  CU_ASSERT (sum_u <= LIMIT * 1000000ull + ENTRIES);
+  CU_ASSERT (sum_u >= LIMIT * 1000000ull - 1000);
+}
+
+/* Over a span no more is admitted than the burst and the rate allow, and a refusal's time
+ * to come back is kept: at that time there is a token. */
+static void
+test_bucket (void)
+{
+  const DlAdmitShare share = { .limit_per_s = LIMIT, .burst = 50, .entries = 1 };
+  DlAdmitBucket bucket = { 0 };
+  unsigned admitted = 0;
+
+  for (uint64_t now = 0; now < SPAN_MS; now++)
+    {
+      uint64_t wait_ms = dl_admit_take (&bucket, &share, now);
+      DlAdmitBucket later = bucket;
+
+      if (wait_ms == 0)
+        admitted++;
+      else
+        CU_ASSERT_EQUAL (dl_admit_take (&later, &share, now + wait_ms), 0);
+    }
+  CU_ASSERT (admitted <= 50 + LIMIT * SPAN_MS / 1000);
+  CU_ASSERT (admitted >= LIMIT * SPAN_MS / 1000);
+}
+
+static void
+test_small_share_admits_some (void)
+{
+  const DlAdmitShare share = { .limit_per_s = 1, .burst = 1, .entries = 400 };
+  DlAdmitBucket bucket = { 0 };
+
+  CU_ASSERT_EQUAL (dl_admit_take (&bucket, &share, 0), 0);
+  CU_ASSERT (dl_admit_take (&bucket, &share, 1) > 0);
+}
+
+typedef struct
+{
+  const char *name;
+  DlAdmitPlace place;
+  DlAdmitVerdict verdict;
+} PlaceCase;
+
+#define PLACES 100
+
+static const PlaceCase place_cases[] = {
+  { "no upstream", { .places = 0, .weight = 1 }, DL_ADMIT_FULL },
+  { "idle",
+    { .places = PLACES, .weight = 1, .active_weight = 2, .priorities = 3 },
+    DL_ADMIT_YES },
+  { "one organisation may use idle places",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 60,
+      .own_used = 60,
+      .held = 60 },
+    DL_ADMIT_YES },
+  { "its share under contention",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 80,
+      .own_used = 80,
+      .held = 50 },
+    DL_ADMIT_SHARE },
+  { "another one's share",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 80,
+      .own_used = 80,
+      .held = 30 },
+    DL_ADMIT_YES },
+  { "alone under contention",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 1,
+      .priorities = 3,
+      .used = 80,
+      .own_used = 80,
+      .held = 80 },
+    DL_ADMIT_YES },
+  { "by weight",
+    { .places = PLACES,
+      .weight = 3,
+      .active_weight = 4,
+      .priorities = 3,
+      .used = 80,
+      .own_used = 80,
+      .held = 60 },
+    DL_ADMIT_YES },
+  { "least urgent",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 86,
+      .priority = 2 },
+    DL_ADMIT_PRIORITY },
+  { "middle",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 86,
+      .priority = 1 },
+    DL_ADMIT_YES },
+  { "most urgent",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 99,
+      .priority = 0 },
+    DL_ADMIT_YES },
+  { "full for all",
+    { .places = PLACES,
+      .weight = 1,
+      .active_weight = 2,
+      .priorities = 3,
+      .used = 100,
+      .priority = 0 },
+    DL_ADMIT_FULL },
+};
+
+static void
+test_places (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (place_cases); i++)
+    {
+      const PlaceCase *c = &place_cases[i];
+      DlAdmitVerdict verdict = dl_admit_place (&c->place);
+
+      if (verdict != c->verdict)
+        fprintf (stderr, "  case \"%s\": got %d\n", c->name, (int)verdict);
+      CU_ASSERT_EQUAL (verdict, c->verdict);
+    }
+}
+
+/* One organisation asks without end, another now and then: the second gets places. */
+static void
+test_burst_starves_nobody (void)
+{
+  unsigned held[2] = { 0, 0 };
+  unsigned refused = 0;
+
+  for (unsigned i = 0; i < 5000; i++)
+    {
+      unsigned who = i % 20 == 0;
+      const DlAdmitPlace place = {
+        .places = 40,
+        .used = held[0] + held[1],
+        .own_used = held[0] + held[1],
+        .held = held[who],
+        .weight = 1,
+        .active_weight = 1 + (who == 1 || held[1] > 0),
+        .priorities = 1,
+      };
+
+      if (dl_admit_place (&place) == DL_ADMIT_YES)
+        held[who]++;
+      else
+        refused += who;
+      /* One request ends for every second one asked: an overload. */
+      if (i % 2 == 0)
+        {
+          unsigned ends = held[1] > 0 && i % 20 == 10;
+
+          held[ends] -= held[ends] > 0;
+        }
+    }
+  CU_ASSERT (refused * 10 < 5000 / 20);
+}
+
+static void
+test_retry_budget (void)
+{
+  DlRetryBudget budget;
+  unsigned retries = 0;
+
+  dl_retry_init (&budget);
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      dl_retry_first_try (&budget, 10);
+      /* Every try fails, and would be tried twice more. */
+      retries += dl_retry_spend (&budget, 10);
+      retries += dl_retry_spend (&budget, 10);
+    }
+  CU_ASSERT (retries <= 1000 / 10 + DL_RETRY_CAP);
+  CU_ASSERT (retries >= 1000 / 10);
+  dl_retry_init (&budget);
+  CU_ASSERT_FALSE (dl_retry_spend (&budget, 0));
+}
+
+static const CU_TestInfo admit_tests[] = {
+  { "shares of the limit", test_shares },
+  { "token bucket", test_bucket },
+  { "smallest share", test_small_share_admits_some },
+  { "places", test_places },
+  { "a burst starves nobody", test_burst_starves_nobody },
+  { "retry budget", test_retry_budget },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("admit", admit_tests)
--- /dev/null
+++ b/regress/unit/test_claim.c
@@ -0,0 +1,418 @@
+/*
+ * Claims: at most one run for a key, whatever happens to the entries, to the platform's
+ * answers and to the order of things.
+ *
+ * A schedule drives several attempts at one key, each on its own entry, against a
+ * modelled platform and upstream.  Calls are refused, lost, or applied with their answer
+ * lost, also late; entries freeze and crash.  The properties are checked at every step.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "policy/claim.h"
+#include "unit.h"
+
+#define SCHEDULES     4000
+#define SEED_FIRST    1
+#define STEPS         600
+#define ATTEMPTS      6
+#define CALLS_MAX     128
+#define STEP_MAX_MS   60
+#define FREEZE_MAX_MS 6000
+#define LATE_MAX_MS   4000
+#define CALL_MAX_MS   30
+
+/* A call to the modelled platform; REVISION 0 and WRITE creates. */
+typedef struct
+{
+  bool used;
+  bool write;
+  unsigned attempt;
+  uint64_t revision;
+  DlClaimEnd end;
+  bool applies;
+  bool applied;
+  uint64_t apply_ms;
+  bool answered;
+  uint64_t answer_ms;
+  bool answer_is_lost; /* told as such, whether it applies or not */
+  DlClaimEvent answer;
+} Call;
+
+typedef struct
+{
+  DlClaim claim;
+  bool started;
+  bool crashed;
+  uint64_t frozen_until_ms;
+  uint64_t written_revision; /* that its claim's write is conditional on */
+  uint64_t written_ms;       /* when that write was first sent */
+  uint64_t wake_ms;          /* end of a pause; 0: none */
+  bool dispatched;
+  bool ran;
+  bool said_not_run;
+  uint64_t end_ms; /* when the dispatched call ends; 0: none */
+  DlClaimEnd end;
+} Attempt;
+
+typedef struct
+{
+  uint64_t random;
+  uint64_t now_ms;
+  uint64_t revision;
+  DlClaimRecord record; /* revision 0: absent */
+  Attempt attempts[ATTEMPTS];
+  Call calls[CALLS_MAX];
+  unsigned runs;
+  bool failed;
+} World;
+
+static uint64_t
+draw (World *w, uint64_t below)
+{
+  w->random ^= w->random << 13;
+  w->random ^= w->random >> 7;
+  w->random ^= w->random << 17;
+  return w->random % below;
+}
+
+static bool
+chance (World *w, unsigned permille)
+{
+  return draw (w, 1000) < permille;
+}
+
+static void
+check (World *w, bool holds, const char *property)
+{
+  if (holds)
+    return;
+  fprintf (stderr, "  broken: %s\n", property);
+  w->failed = true;
+}
+
+/* -------- the platform -------- */
+
+/* Draws what will become of a call. */
+static void
+draw_fate (World *w, Call *c)
+{
+  uint64_t fate = draw (w, 10);
+
+  c->applies = true;
+  c->apply_ms = w->now_ms + draw (w, CALL_MAX_MS);
+  c->answer_ms = c->apply_ms + draw (w, CALL_MAX_MS);
+  c->answer.type = DL_CLAIM_EV_UNAVAILABLE;
+  if (fate <= 2)
+    c->applies = false;
+  if (fate == 2 || fate == 3)
+    c->answer_is_lost = true;
+  if (fate == 3 && c->write)
+    c->apply_ms = w->now_ms + draw (w, LATE_MAX_MS);
+}
+
+static void
+send_call (World *w, unsigned attempt, bool write, uint64_t revision, DlClaimEnd end)
+{
+  for (int i = 0; i < CALLS_MAX; i++)
+    if (!w->calls[i].used)
+      {
+        w->calls[i] = (Call){
+          .used = true,
+          .write = write,
+          .attempt = attempt,
+          .revision = revision,
+          .end = end,
+        };
+        draw_fate (w, &w->calls[i]);
+        return;
+      }
+  check (w, false, "the model has room for its calls");
+}
+
+static void
+apply_write (World *w, Call *c)
+{
+  const Attempt *a = &w->attempts[c->attempt];
+
+  c->answer.type = DL_CLAIM_EV_CONFLICT;
+  if (w->record.revision != c->revision)
+    return;
+  w->record = (DlClaimRecord){
+    .revision = ++w->revision,
+    .body = a->claim.body,
+    .state = c->end,
+  };
+  memcpy (w->record.nonce, a->claim.nonce, sizeof w->record.nonce);
+  c->answer.type = DL_CLAIM_EV_WRITTEN;
+  c->answer.revision = w->revision;
+}
+
+static void
+apply_call (World *w, Call *c)
+{
+  c->applied = true;
+  if (c->write)
+    {
+      apply_write (w, c);
+      return;
+    }
+  c->answer.type = w->record.revision > 0 ? DL_CLAIM_EV_READ : DL_CLAIM_EV_ABSENT;
+  c->answer.record = w->record;
+  c->answer.seen_ms = w->now_ms;
+}
+
+/* -------- an attempt -------- */
+
+static void
+dispatch (World *w, Attempt *a)
+{
+  check (w, !a->dispatched, "an attempt dispatches once");
+  check (w, w->now_ms < a->written_ms + DL_CLAIM_DISPATCH_MS,
+         "nothing is dispatched after the deadline");
+  check (w, !a->said_not_run, "what was told not run never runs");
+  a->dispatched = true;
+  a->end_ms = w->now_ms + 1 + draw (w, 300);
+  a->end
+      = (DlClaimEnd[]){ DL_CLAIM_NOT_RUN, DL_CLAIM_UNKNOWN, DL_CLAIM_DONE }[draw (w, 3)];
+  if (a->end == DL_CLAIM_NOT_RUN)
+    return;
+  a->ran = true;
+  check (w, ++w->runs == 1, "at most one run for the key");
+}
+
+static void
+write_claim (World *w, unsigned index, uint64_t revision)
+{
+  Attempt *a = &w->attempts[index];
+
+  if (a->written_ms == 0 || a->written_revision != revision)
+    a->written_ms = w->now_ms;
+  a->written_revision = revision;
+  send_call (w, index, true, revision, DL_CLAIM_CLAIMED);
+}
+
+static void
+act (World *w, unsigned index, const DlClaimAction *action)
+{
+  Attempt *a = &w->attempts[index];
+
+  switch (action->type)
+    {
+    case DL_CLAIM_ACT_CREATE:
+    case DL_CLAIM_ACT_REPLACE:
+      write_claim (w, index, action->revision);
+      break;
+    case DL_CLAIM_ACT_READ:
+      send_call (w, index, false, 0, DL_CLAIM_CLAIMED);
+      break;
+    case DL_CLAIM_ACT_PAUSE:
+      a->wake_ms = w->now_ms + action->pause_ms;
+      break;
+    case DL_CLAIM_ACT_DISPATCH:
+      dispatch (w, a);
+      break;
+    case DL_CLAIM_ACT_RECORD:
+      check (w, !a->ran || action->end != DL_CLAIM_NOT_RUN,
+             "what ran is not recorded as not run");
+      a->said_not_run = a->said_not_run || !a->dispatched;
+      send_call (w, index, true, action->revision, action->end);
+      break;
+    case DL_CLAIM_ACT_SAY_NOT_RUN:
+      check (w, !a->ran, "what was told not run did not run");
+      a->said_not_run = true;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+give_event (World *w, unsigned index, DlClaimEvent event)
+{
+  DlClaimAction action;
+
+  event.now_ms = w->now_ms;
+  action = dl_claim_step (&w->attempts[index].claim, &event);
+  act (w, index, &action);
+}
+
+static void
+start_attempt (World *w, unsigned index)
+{
+  char nonce[DL_CLAIM_NONCE_BYTES];
+  DlDigest body = dl_digest (dl_str ("body"));
+
+  g_snprintf (nonce, sizeof nonce, "attempt%u", index);
+  dl_claim_init (&w->attempts[index].claim, nonce, &body);
+  w->attempts[index].started = true;
+  give_event (w, index, (DlClaimEvent){ .type = DL_CLAIM_EV_START });
+}
+
+static bool
+is_awake (const World *w, const Attempt *a)
+{
+  return !a->crashed && w->now_ms >= a->frozen_until_ms;
+}
+
+static void
+step_attempt (World *w, unsigned index)
+{
+  Attempt *a = &w->attempts[index];
+
+  if (!a->started)
+    {
+      if (chance (w, 30))
+        start_attempt (w, index);
+      return;
+    }
+  if (chance (w, 2))
+    a->crashed = true;
+  if (chance (w, 10))
+    a->frozen_until_ms = w->now_ms + draw (w, FREEZE_MAX_MS);
+  if (!is_awake (w, a))
+    return;
+  if (a->wake_ms > 0 && w->now_ms >= a->wake_ms)
+    {
+      a->wake_ms = 0;
+      give_event (w, index, (DlClaimEvent){ .type = DL_CLAIM_EV_PAUSE_OVER });
+    }
+  if (a->end_ms > 0 && w->now_ms >= a->end_ms)
+    {
+      a->end_ms = 0;
+      give_event (w, index, (DlClaimEvent){ .type = DL_CLAIM_EV_ENDED, .end = a->end });
+    }
+}
+
+static void
+step_call (World *w, Call *c)
+{
+  if (!c->used)
+    return;
+  if (c->applies && !c->applied && w->now_ms >= c->apply_ms)
+    apply_call (w, c);
+  if (!c->answered && w->now_ms >= c->answer_ms && is_awake (w, &w->attempts[c->attempt]))
+    {
+      c->answered = true;
+      if (c->answer_is_lost)
+        c->answer.type = c->write ? DL_CLAIM_EV_WRITE_LOST : DL_CLAIM_EV_UNAVAILABLE;
+      give_event (w, c->attempt, c->answer);
+    }
+  if (c->answered && (c->applied || !c->applies))
+    c->used = false;
+}
+
+static bool
+run_schedule (uint64_t seed, unsigned *runs)
+{
+  static World w;
+
+  w = (World){ .random = seed * 0x9e3779b97f4a7c15u + 1, .now_ms = 1 };
+  for (int i = 0; i < STEPS && !w.failed; i++)
+    {
+      w.now_ms += draw (&w, STEP_MAX_MS);
+      for (unsigned a = 0; a < ATTEMPTS; a++)
+        step_attempt (&w, a);
+      for (int c = 0; c < CALLS_MAX; c++)
+        step_call (&w, &w.calls[c]);
+    }
+  if (w.failed)
+    fprintf (stderr, "  claim schedule of seed %lu\n", (unsigned long)seed);
+  *runs += w.runs;
+  return !w.failed;
+}
+
+static void
+test_schedules (void)
+{
+  const char *text = g_getenv ("DAISYLOFT_SEED");
+  uint64_t first = text != NULL ? g_ascii_strtoull (text, NULL, 10) : SEED_FIRST;
+  unsigned runs = 0;
+  bool holds = true;
+
+  printf ("  claim schedules of seeds %lu to %lu\n", (unsigned long)first,
+          (unsigned long)first + SCHEDULES - 1);
+  for (uint64_t seed = first; seed < first + SCHEDULES && holds; seed++)
+    holds = run_schedule (seed, &runs);
+  CU_ASSERT (holds);
+  /* A machine that never dispatches would keep every property. */
+  CU_ASSERT (runs > SCHEDULES / 2);
+}
+
+/* -------- tables -------- */
+
+typedef struct
+{
+  const char *name;
+  DlClaimEnd state;
+  bool same_body;
+  uint64_t age_ms;
+  DlClaimActionType action;
+} RepeatCase;
+
+static const RepeatCase repeat_cases[] = {
+  { "done", DL_CLAIM_DONE, true, 0, DL_CLAIM_ACT_GIVE_RECORD },
+  { "unknown", DL_CLAIM_UNKNOWN, true, 0, DL_CLAIM_ACT_SAY_UNKNOWN },
+  { "in progress", DL_CLAIM_CLAIMED, true, DL_CLAIM_IN_PROGRESS_MS,
+    DL_CLAIM_ACT_IN_PROGRESS },
+  { "abandoned", DL_CLAIM_CLAIMED, true, DL_CLAIM_IN_PROGRESS_MS + 1,
+    DL_CLAIM_ACT_SAY_UNKNOWN },
+  { "not run", DL_CLAIM_NOT_RUN, true, 0, DL_CLAIM_ACT_REPLACE },
+  { "other body, done", DL_CLAIM_DONE, false, 0, DL_CLAIM_ACT_OTHER_BODY },
+  { "other body, not run", DL_CLAIM_NOT_RUN, false, 0, DL_CLAIM_ACT_OTHER_BODY },
+};
+
+static void
+test_repeats (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (repeat_cases); i++)
+    {
+      const RepeatCase *c = &repeat_cases[i];
+      DlDigest body = dl_digest (dl_str ("body"));
+      DlDigest other = dl_digest (dl_str ("other"));
+      DlClaim claim;
+      DlClaimAction action;
+
+      dl_claim_init (&claim, "mine", &body);
+      dl_claim_step (&claim, &(DlClaimEvent){ .type = DL_CLAIM_EV_START, .now_ms = 1 });
+      dl_claim_step (&claim,
+                     &(DlClaimEvent){ .type = DL_CLAIM_EV_CONFLICT, .now_ms = 2 });
+      action = dl_claim_step (&claim, &(DlClaimEvent){
+                                          .type = DL_CLAIM_EV_READ,
+                                          .now_ms = 3 + c->age_ms,
+                                          .seen_ms = 3,
+                                          .record = {
+                                              .revision = 7,
+                                              .nonce = "other",
+                                              .body = c->same_body ? body : other,
+                                              .state = c->state,
+                                          },
+                                      });
+      if (action.type != c->action)
+        fprintf (stderr, "  case \"%s\"\n", c->name);
+      CU_ASSERT_EQUAL (action.type, c->action);
+      CU_ASSERT (action.type != DL_CLAIM_ACT_REPLACE || action.revision == 7);
+    }
+}
+
+static void
+test_names (void)
+{
+  char a[DL_DIGEST_HEX_BYTES];
+  char b[DL_DIGEST_HEX_BYTES];
+
+  dl_claim_name (dl_str ("ab"), dl_str ("c"), dl_str ("d"), a);
+  dl_claim_name (dl_str ("a"), dl_str ("bc"), dl_str ("d"), b);
+  CU_ASSERT (strcmp (a, b) != 0);
+  dl_claim_name (dl_str ("ab"), dl_str ("c"), dl_str ("d"), b);
+  unit_assert_text (a, b);
+}
+
+static const CU_TestInfo claim_tests[] = {
+  { "seeded schedules", test_schedules },
+  { "repeated keys", test_repeats },
+  { "object names", test_names },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("claim", claim_tests)
