--- a/regress/unit/test_plan.c
+++ b/regress/unit/test_plan.c
@@ -14,6 +14,7 @@
 #define STEPS     400
 #define SEED      7
 #define COMMANDS  8 /* ids in play */
+#define START_2   "rollout start r2 service draft version v1"
 #define LATE_MAX  8 /* writes that land late */
 
 static DlStatement *
@@ -147,7 +148,7 @@
   DlQuerySource source = sample_source (sample);
   const DlObject *object = dl_query_source_find (&source, "rollout", name);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (object);
+  g_assert (object != NULL);
   return object->value;
 }
 
@@ -389,8 +390,7 @@
                                        "rollout call off r1",
                                        "drain h1",
                                        "undrain h1",
-                                       "rollout start r2 service draft "
-                                       "version v1",
+                                       START_2,
                                        "rollout start r3 service draft version v2" };
   World w = {
     .context = talloc_new (NULL),
