--- a/lib/policy/rollout.c
+++ b/lib/policy/rollout.c
@@ -151,9 +151,24 @@
   dl_names_remove (&r->targets, name);
 }
 
-/* Drops targets that left the list or belong to a newer rollout, which *NEWER gets. */
+/* A newer rollout that has taken the hosts of this one; NULL for none. */
+static const DlRollout *
+taker (const DlRollout *r, const DlRolloutFacts *facts)
+{
+  for (size_t i = 0; i < facts->host_count; i++)
+    {
+      const DlRolloutHost *h = &facts->hosts[i];
+      const DlRollout *newer = newer_claim (r, facts->set, h);
+
+      if (newer != NULL && covers_region (r, h->region))
+        return newer;
+    }
+  return NULL;
+}
+
+/* Drops targets that left the list or belong to a newer rollout. */
 static bool
-drop_targets (DlRollout *r, const DlRolloutFacts *facts, const DlRollout **newer)
+drop_targets (DlRollout *r, const DlRolloutFacts *facts)
 {
   void *scratch = talloc_new (NULL);
   DlNames gone = { 0 };
@@ -163,13 +178,9 @@
     {
       const char *name = r->targets.names[i];
       const DlRolloutHost *host = find_host (facts, name);
-      const DlRollout *claim = host != NULL ? newer_claim (r, facts->set, host) : NULL;
 
-      if (claim != NULL)
-        {
-          *newer = claim;
-          dl_names_add (scratch, &claimed, name);
-        }
+      if (host != NULL && newer_claim (r, facts->set, host) != NULL)
+        dl_names_add (scratch, &claimed, name);
       else if (host == NULL || host->leaving)
         dl_names_add (scratch, &gone, name);
     }
@@ -411,10 +422,11 @@
                                          reason[0] != '\0' ? "; " : "",
                                          facts->hosts[i].region);
     }
-  if (changed && r->state == DL_ROLLOUT_DISTRIBUTING)
+  if (r->wave.count > 0 && r->state == DL_ROLLOUT_DISTRIBUTING)
     {
       r->state = DL_ROLLOUT_LOADING;
       add_history (r, facts, "loading");
+      changed = true;
     }
   changed |= set_reason (r, reason);
   talloc_free (reason);
@@ -591,16 +603,15 @@
 static bool
 step_active (DlRollout *r, const DlRolloutFacts *facts)
 {
-  const DlRollout *newer = NULL;
   bool changed = false;
 
   if (facts->host_count > 0)
     {
-      changed |= drop_targets (r, facts, &newer);
+      changed |= drop_targets (r, facts);
       changed |= add_targets (r, facts);
     }
-  if (r->targets.count == 0 && newer != NULL)
-    return replace (r, facts, newer);
+  if (r->targets.count == 0 && taker (r, facts) != NULL)
+    return replace (r, facts, taker (r, facts));
   changed |= settle_hosts (r, facts);
   if (r->state == DL_ROLLOUT_PAUSED)
     return changed;
