Rollouts: no separate wait for an older overlapping rollout

With it off the random schedules stayed green, and rightly: a host counts as out until its own report names this rollout, and one that holds this rollout takes no grant of an older one. The code for it is gone.

--- a/lib/policy/rollout.c
+++ b/lib/policy/rollout.c
@@ -98,21 +98,6 @@
   return NULL;
 }
 
-/* An older rollout has not let go of the host yet. */
-static bool
-is_held_by_older (const DlRollout *r, const DlRolloutSet *set, const char *host)
-{
-  for (size_t i = 0; i < set->count; i++)
-    {
-      const DlRollout *other = set->rollouts[i];
-
-      if (other->created < r->created && dl_rollout_is_active (other)
-          && dl_names_contains (&other->targets, host))
-        return true;
-    }
-  return false;
-}
-
 static bool
 serves_version (const DlRollout *r, const DlRolloutHost *host)
 {
@@ -303,7 +288,6 @@
   size_t allowed;
   size_t out;
   size_t absent; /* of OUT, those that serve no requests now */
-  bool blocked;  /* an older rollout has not let go of its hosts */
 } Room;
 
 static Room
@@ -324,9 +308,6 @@
         room.out++;
       if (is_absent (h))
         room.absent++;
-      if (dl_names_contains (&r->targets, h->name)
-          && is_held_by_older (r, facts->set, h->name))
-        room.blocked = true;
     }
   room.allowed = hosts * percent / PERCENT;
   if (room.allowed == 0)
@@ -380,7 +361,7 @@
         loading |= dl_names_contains (&r->wave, h->name);
         if (tries_of (r, h->name) != tries || !is_ready (r, h))
           continue;
-        if (room.blocked || (!is_out (r, h) && room.out >= room.allowed))
+        if (!is_out (r, h) && room.out >= room.allowed)
           {
             waiting = true;
             continue;
