--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -117,8 +117,10 @@
 {
   if (dl_digest_is_zero (digest))
     return (ProtobufCBinaryData){ 0 };
-  return (ProtobufCBinaryData){ .len = DL_DIGEST_BYTES,
-                                .data = (uint8_t *)digest->bytes };
+  return (ProtobufCBinaryData){
+    .len = DL_DIGEST_BYTES,
+    .data = talloc_memdup (context, digest->bytes, DL_DIGEST_BYTES),
+  };
 }
 
 static void
@@ -132,6 +134,7 @@
   s->duplicate_bytes = f->duplicate_bytes;
 }
 
+/* The status outlives the directive and the facts: receivers hold its message. */
 Daisyloft__Wire__SlotStatus *
 slot_facts_status (const SlotFacts *f, const void *context)
 {
