--- a/daisyslotd/daisyslotd.c
+++ b/daisyslotd/daisyslotd.c
@@ -138,6 +138,12 @@
       .offset = offsetof (SlotSettings, region_bytes_per_s),
       .maximum = RATE_MAX,
   },
+  {
+      .key = "exchange",
+      .type = DL_SETTING_BOOL,
+      .offset = offsetof (SlotSettings, exchange),
+      .fallback = true,
+  },
   {
       .key = "guard_ms",
       .type = DL_SETTING_UINT,
--- a/daisyslotd/daisyslotd.h
+++ b/daisyslotd/daisyslotd.h
@@ -43,6 +43,7 @@
   uint64_t download_bytes_per_s;
   bool link_shared;            /* both directions draw on download_bytes_per_s */
   uint64_t region_bytes_per_s; /* of this host's part in links to other regions; 0 none */
+  bool exchange;               /* false: every chunk is drawn from the origin */
   uint64_t guard_ms;           /* a slot that hears nobody for this long gives no orders;
                                   a new slot waits this long before its first */
 } SlotSettings;
--- a/daisyslotd/transfer.c
+++ b/daisyslotd/transfer.c
@@ -170,6 +170,7 @@
                           .version = directive->version,
                           .manifest_bytes = directive->manifest_bytes,
                           .weigh_origin_bytes = directive->weigh_origin_bytes,
+                          .alone = !settings->exchange,
                           .seed = dl_random_uint64 (),
                           .budgets = { .up = settings->link_shared ? &transfer->down
                                                                    : &transfer->up,
--- a/lib/policy/swarm.c
+++ b/lib/policy/swarm.c
@@ -212,7 +212,8 @@
         }
       host->same_region = strcmp (host->region, swarm->options.region) == 0;
     }
-  swarm_choose_neighbours (swarm);
+  if (!swarm->options.alone)
+    swarm_choose_neighbours (swarm);
   for (guint i = 0; i < swarm->hosts->len; i++)
     {
       Host *host = g_ptr_array_index (swarm->hosts, i);
@@ -481,7 +482,7 @@
 uint64_t
 dl_swarm_run (DlSwarm *swarm, uint64_t now_us)
 {
-  uint64_t next = run_dials (swarm, now_us);
+  uint64_t next = swarm->options.alone ? SWARM_NEVER : run_dials (swarm, now_us);
 
   next = MIN (next, swarm_run_fetch (swarm, now_us));
   next = MIN (next, swarm_run_uploads (swarm, now_us));
--- a/lib/policy/swarm.h
+++ b/lib/policy/swarm.h
@@ -43,6 +43,7 @@
   DlDigest version;
   uint64_t manifest_bytes;
   bool weigh_origin_bytes; /* else time is weighed */
+  bool alone;              /* exchanges nothing: every chunk is drawn from the origin */
   uint64_t seed;           /* of tie-breaks and jitter */
   DlSwarmBudgets budgets;
 } DlSwarmOptions;
--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -6,9 +6,10 @@
 
 #include "policy/swarm_private.h"
 
-#define WINDOW             8 /* requests to neighbours at a time */
-#define DRAWS_MAX          2
-#define QUEUE_TOLERATED    2 /* uploads waiting at a host that is still asked */
+#define WINDOW             8  /* requests to neighbours at a time */
+#define DRAWS_MAX          4  /* at a time, when few hosts draw */
+#define REGION_DRAWS       16 /* at a time, of all hosts of the region together */
+#define QUEUE_TOLERATED    2  /* uploads waiting at a host that is still asked */
 #define STEP_IN_US         (2000 * US_PER_MS) /* for each place in the ranking */
 #define WANT_TIMEOUT_US    (2000 * US_PER_MS)
 #define WANT_TIMEOUT_SENDS 16 /* times the time that a chunk takes on the link */
@@ -77,10 +78,18 @@
   return swarm->is_home || (ranking->from_origin && !swarm->options.weigh_origin_bytes);
 }
 
+/* Many draws at a time share the origin's link and all end late: the more hosts draw, the
+ * fewer each has in progress. */
+static uint32_t
+draws_allowed (const DlSwarm *swarm)
+{
+  return CLAMP (REGION_DRAWS / MAX (swarm->region_hosts, 1), 1, DRAWS_MAX);
+}
+
 static void
 draw (DlSwarm *swarm, uint32_t position, uint64_t now_us)
 {
-  if (swarm->draws >= DRAWS_MAX || swarm->draw_after_us > now_us
+  if (swarm->draws >= draws_allowed (swarm) || swarm->draw_after_us > now_us
       || !dl_budget_ready (swarm->options.budgets.down, now_us)
       || (!swarm->is_home
           && !dl_budget_ready (swarm->options.budgets.region_down, now_us)))
@@ -119,9 +128,9 @@
   int place;
   Host *first = swarm_first (swarm, ranking->own, now_us, &place);
 
-  if (place == 0)
+  if (place == 0 || swarm->options.alone)
     {
-      if (draws_from_origin (swarm, ranking))
+      if (swarm->options.alone || draws_from_origin (swarm, ranking))
         draw (swarm, position, now_us);
       else if (dl_budget_ready (swarm->options.budgets.region_down, now_us))
         ask_first (swarm, position, source_host (swarm, ranking, now_us), now_us);
--- a/lib/policy/swarm_private.h
+++ b/lib/policy/swarm_private.h
@@ -88,8 +88,9 @@
   GPtrArray *hosts; /* Host; never shrinks */
   Host *self;
   bool is_home;
-  GPtrArray *regions; /* names of the others than home with live hosts, sorted */
-  uint32_t count;     /* positions */
+  GPtrArray *regions;    /* names of the others than home with live hosts, sorted */
+  uint32_t region_hosts; /* live hosts in this host's region */
+  uint32_t count;        /* positions */
   Chunk *chunks;
   Ranking *rankings;
   uint32_t ranking_count;
--- a/lib/policy/swarm_rank.c
+++ b/lib/policy/swarm_rank.c
@@ -39,17 +39,20 @@
   return strcmp (*(char *const *)a, *(char *const *)b);
 }
 
-/* Lists the regions other than the home region that have live hosts. */
+/* Lists the regions other than the home region that have live hosts, and counts the live
+ * hosts of this host's region. */
 static void
 list_regions (DlSwarm *swarm)
 {
   GPtrArray *regions = swarm->regions;
 
   g_ptr_array_set_size (regions, 0);
+  swarm->region_hosts = 0;
   for (guint i = 0; i < swarm->hosts->len; i++)
     {
       Host *host = g_ptr_array_index (swarm->hosts, i);
 
+      swarm->region_hosts += host->live && host->same_region ? 1 : 0;
       if (host->live && strcmp (host->region, swarm->options.home_region) != 0)
         g_ptr_array_add (regions, host->region);
     }
--- /dev/null
+++ b/scripts/bench-transfer.sh
@@ -0,0 +1,69 @@
+#!/bin/sh
+# Measures transfers of new weights with the programs in the folder $1.
+# The time runs from the first slot's start of the transfer to the last slot's whole replica,
+# as the slots log them; copies drawn from the origin are the stand-in's record.
+# Environment: HOSTS (numbers of hosts), POLICIES, CASES (plain shared baseline faults).
+set -eu
+bin=$1
+hosts=${HOSTS:-16 32 64 128}
+policies=${POLICIES:-origin-bytes time}
+cases=${CASES:-plain shared baseline faults}
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+
+# Prints the figures of one run: NAME COPY_MS COPY_BYTES; slot logs on standard input.
+figures() {
+	awk -v name="$1" -v copy_ms="$2" -v bytes="$3" '
+	function field(key) {
+		if (!match($0, "\"" key "\":[0-9]+"))
+			return 0
+		return substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3) + 0
+	}
+	/"event":700,/ { t = field("time_ms"); if (first == 0 || t < first) first = t }
+	/"event":701,/ {
+		t = field("time_ms"); if (t > last) last = t
+		received += field("received_bytes"); duplicate += field("duplicate_bytes")
+		region += field("region_bytes"); whole++
+	}
+	END {
+		printf "figure %s_hosts %d hosts\n", name, whole
+		printf "figure %s_time %.3f copy-times\n", name, (last - first) / copy_ms
+		printf "figure %s_region %.3f copies\n", name, region / bytes / 2
+		printf "figure %s_duplicates %.4f part\n", name, duplicate / received
+	}'
+}
+
+run() { # NAME BYTES RATE VARIABLES...
+	name=$1
+	bytes=$2
+	rate=$3
+	shift 3
+	if ! "$bin/scenario" --bin "$bin" --limit 600 --quiet --keep \
+		--set bytes="$bytes" --set rate="$rate" --set origin_rate=$((rate * 2)) \
+		"$@" regress/bench/transfer.scn >"$log" 2>&1; then
+		grep -E 'scn:|FAILED' "$log" | sed "s/^/$name: /"
+	fi
+	folder=$(sed -n 's/^kept: //p' "$log")
+	sed -n "s/^figure drawn /figure ${name}_origin /p" "$log"
+	cat "$folder"/draft-*.log | figures "$name" $((bytes * 1000 / rate)) "$bytes"
+	rm -rf "$folder"
+}
+
+for policy in $policies; do
+	p=$(echo "$policy" | tr - _)
+	for n in $hosts; do
+		for c in $cases; do
+			case $c in
+			plain) run "transfer_${p}_$n" 8388608 2097152 \
+				--set hosts="$n" --set weigh="$policy" ;;
+			shared) run "transfer_${p}_${n}_shared" 8388608 2097152 \
+				--set hosts="$n" --set weigh="$policy" --set shared=true ;;
+			faults) run "transfer_${p}_${n}_faults" 8388608 2097152 \
+				--set hosts="$n" --set weigh="$policy" --set faults=1 ;;
+			baseline) [ "$policy" = origin-bytes ] &&
+				run "transfer_baseline_$n" 2097152 2097152 \
+					--set hosts="$n" --set exchange=false ;;
+			esac
+		done
+	done
+done
