--- a/lib/policy/swarm_serve.c
+++ b/lib/policy/swarm_serve.c
@@ -31,6 +31,46 @@
   return false;
 }
 
+/* True when A is to be sent before B: a chunk that another region waits for, then one
+ * that few of the known hosts hold, then to the host that holds the fewest chunks, so
+ * that none falls behind, then the older request. */
+static bool
+upload_before (const DlSwarm *swarm, const Upload *a, const Upload *b)
+{
+  bool a_crosses = !a->host->same_region;
+  bool b_crosses = !b->host->same_region;
+  uint32_t a_copies = swarm->chunks[a->position].copies;
+  uint32_t b_copies = swarm->chunks[b->position].copies;
+
+  if (a_crosses != b_crosses)
+    return a_crosses;
+  if (a_copies != b_copies)
+    return a_copies < b_copies;
+  if (a->host->have_count != b->host->have_count)
+    return a->host->have_count < b->host->have_count;
+  return a->since_us < b->since_us;
+}
+
+/* Queues the request; of too many, the one that would be sent last is refused. */
+static void
+queue_upload (DlSwarm *swarm, const Upload *upload)
+{
+  guint last = 0;
+
+  g_array_append_vals (swarm->uploads, upload, 1);
+  if (swarm->uploads->len <= QUEUE_MAX)
+    return;
+  for (guint i = 1; i < swarm->uploads->len; i++)
+    if (!upload_before (swarm, &g_array_index (swarm->uploads, Upload, i),
+                        &g_array_index (swarm->uploads, Upload, last)))
+      last = i;
+  if (g_array_index (swarm->uploads, Upload, last).wait)
+    return;
+  refuse (swarm, g_array_index (swarm->uploads, Upload, last).host,
+          g_array_index (swarm->uploads, Upload, last).position, REFUSE_RETRY_MS);
+  g_array_remove_index (swarm->uploads, last);
+}
+
 void
 dl_swarm_peer_wants (
     DlSwarm *swarm, const char *name, uint32_t index, bool wait, uint64_t now_us)
@@ -50,12 +90,7 @@
   remove_request (swarm->uploads, host, position);
   remove_request (swarm->waiters, host, position);
   if (dl_swarm_holds (swarm, index))
-    {
-      if (wait || swarm->uploads->len < QUEUE_MAX)
-        g_array_append_val (swarm->uploads, upload);
-      else
-        refuse (swarm, host, position, REFUSE_RETRY_MS);
-    }
+    queue_upload (swarm, &upload);
   else if (wait && !swarm->unusable)
     g_array_append_val (swarm->waiters, upload);
   else
@@ -111,23 +146,6 @@
   g_array_set_size (swarm->waiters, 0);
 }
 
-/* True when A is to be sent before B: a chunk that another region waits for, then the one
- * with the fewest known copies, then the older request. */
-static bool
-upload_before (const DlSwarm *swarm, const Upload *a, const Upload *b)
-{
-  bool a_crosses = !a->host->same_region;
-  bool b_crosses = !b->host->same_region;
-  uint32_t a_copies = swarm->chunks[a->position].copies;
-  uint32_t b_copies = swarm->chunks[b->position].copies;
-
-  if (a_crosses != b_crosses)
-    return a_crosses;
-  if (a_copies != b_copies)
-    return a_copies < b_copies;
-  return a->since_us < b->since_us;
-}
-
 /* Index of the next upload that the region budget allows; the length when none. */
 static guint
 choose_upload (DlSwarm *swarm, uint64_t now_us)
