Swarm: draws before requests, early requests kept, a quarter drawn twice with time weighed

Causes found with the arrivals of late hosts: a request that waits, sent to a host that had not turned to the version yet, was refused for 1 s, and a whole region was late by that; it is kept now until the host turns (5 s at most). An earlier step-in (0.25, 0.5 s) was tried and was no faster.

--- a/daisyslotd/transfer.h
+++ b/daisyslotd/transfer.h
@@ -33,6 +33,9 @@
   bool has_manifest;
   GByteArray *bitmap;
   uint32_t queue;
+  /* Requests that wait, of a version that this host has not turned to yet. */
+  DlDigest early_version;
+  GArray *early_wants; /* uint32_t indexes */
 } TransferPeer;
 
 /* Bytes received for the target version. */
--- a/daisyslotd/transfer_peer.c
+++ b/daisyslotd/transfer_peer.c
@@ -19,6 +19,7 @@
   peer->transfer = transfer;
   peer->name = talloc_strdup (peer, name);
   peer->bitmap = g_byte_array_new ();
+  peer->early_wants = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   g_hash_table_insert (transfer->peers, peer->name, peer);
   return peer;
 }
@@ -31,7 +32,12 @@
 
   g_hash_table_iter_init (&iter, transfer->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_byte_array_free (((TransferPeer *)value)->bitmap, TRUE);
+    {
+      TransferPeer *peer = value;
+
+      g_byte_array_free (peer->bitmap, TRUE);
+      g_array_free (peer->early_wants, TRUE);
+    }
   g_hash_table_destroy (transfer->peers);
 }
 
@@ -44,6 +50,7 @@
   peer->up = false;
   peer->dialled = false;
   peer->version = (DlDigest){ 0 };
+  g_array_set_size (peer->early_wants, 0);
   if (peer->transfer->swarm == NULL)
     return;
   dl_swarm_peer_down (peer->transfer->swarm, peer->name, dl_clock_us ());
@@ -201,6 +208,20 @@
     dl_swarm_peer_queue (transfer->swarm, peer->name, have->queue, dl_clock_us ());
 }
 
+/* Hands requests that came before this host turned to their version to the swarm. */
+static void
+replay_wants (TransferPeer *peer)
+{
+  Transfer *transfer = peer->transfer;
+
+  if (dl_digest_equal (&peer->early_version, &transfer->directive->version))
+    for (guint i = 0; i < peer->early_wants->len; i++)
+      dl_swarm_peer_wants (transfer->swarm, peer->name,
+                           g_array_index (peer->early_wants, uint32_t, i), true,
+                           dl_clock_us ());
+  g_array_set_size (peer->early_wants, 0);
+}
+
 void
 transfer_peers_replay (Transfer *transfer)
 {
@@ -217,6 +238,7 @@
       dl_swarm_peer_up (transfer->swarm, peer->name, dl_clock_us ());
       if (dl_digest_equal (&peer->version, &transfer->directive->version))
         tell_holdings (peer);
+      replay_wants (peer);
     }
 }
 
@@ -229,17 +251,27 @@
                                         DL_DIGEST_BYTES));
 }
 
-#define OTHER_VERSION_RETRY_MS 1000
-
+/* A request that waits is kept for the time when this host turns to the version, which is
+ * usually about to happen; another is refused. */
 static void
-refuse_other_version (TransferPeer *peer, const Daisyloft__Wire__ChunkWant *want)
+on_other_version_want (TransferPeer *peer, const Daisyloft__Wire__ChunkWant *want)
 {
+  DlDigest version;
   Daisyloft__Wire__ChunkRefuse refuse = DAISYLOFT__WIRE__CHUNK_REFUSE__INIT;
   DlEnvelope envelope = DL_ENVELOPE (CHUNK_REFUSE, chunk_refuse, &refuse);
 
+  if (dl_digest_from_bytes (DL_BYTES_STR (want->version), &version) < 0)
+    return;
+  if (want->wait && peer->early_wants->len < DL_MANIFEST_MAX_CHUNKS)
+    {
+      if (!dl_digest_equal (&version, &peer->early_version))
+        g_array_set_size (peer->early_wants, 0);
+      peer->early_version = version;
+      g_array_append_val (peer->early_wants, want->index);
+      return;
+    }
   refuse.version = want->version;
   refuse.index = want->index;
-  refuse.retry_ms = OTHER_VERSION_RETRY_MS;
   transfer_peer_send (peer, &envelope, dl_str_bytes (NULL, 0));
 }
 
@@ -272,7 +304,7 @@
         dl_swarm_peer_wants (transfer->swarm, peer->name, envelope->chunk_want->index,
                              envelope->chunk_want->wait, now);
       else
-        refuse_other_version (peer, envelope->chunk_want);
+        on_other_version_want (peer, envelope->chunk_want);
       break;
     case DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_DATA:
       on_chunk_data (peer, envelope->chunk_data, payload);
--- a/lib/policy/budget.c
+++ b/lib/policy/budget.c
@@ -42,12 +42,18 @@
 }
 
 bool
-dl_budget_ready (DlBudget *budget, uint64_t now_us)
+dl_budget_ready_within (DlBudget *budget, uint64_t debt_bytes, uint64_t now_us)
 {
   if (budget->bytes_per_s == 0)
     return true;
   fill (budget, now_us);
-  return budget->tokens >= 0;
+  return budget->tokens >= -(double)debt_bytes;
+}
+
+bool
+dl_budget_ready (DlBudget *budget, uint64_t now_us)
+{
+  return dl_budget_ready_within (budget, 0, now_us);
 }
 
 void
--- a/lib/policy/budget.h
+++ b/lib/policy/budget.h
@@ -30,6 +30,8 @@
 void dl_budget_set_share (DlBudget *budget, uint32_t permille, uint64_t now_us);
 /* True when a sender may start. */
 bool dl_budget_ready (DlBudget *budget, uint64_t now_us);
+/* The same, with up to DEBT_BYTES still owed. */
+bool dl_budget_ready_within (DlBudget *budget, uint64_t debt_bytes, uint64_t now_us);
 void dl_budget_charge (DlBudget *budget, uint64_t bytes, uint64_t now_us);
 /* Microseconds until the budget is ready; 0 when it is. */
 uint64_t dl_budget_wait_us (DlBudget *budget, uint64_t now_us);
--- a/lib/policy/swarm.c
+++ b/lib/policy/swarm.c
@@ -7,7 +7,6 @@
 
 #define SETTLE_US             (1000 * US_PER_MS)
 #define NEIGHBOUR_PATIENCE_US (2000 * US_PER_MS)
-#define REFUSALS_MAX          5
 #define GOLDEN_RATIO_64       UINT64_C (0x9e3779b97f4a7c15)
 
 /* -------- helpers -------- */
@@ -434,13 +433,8 @@
         dl_swarm_peer_queue (swarm, name, QUEUE_MAX, now_us);
       return;
     }
-  chunk->retry_us = now_us + retry_ms * US_PER_MS;
   /* The first of the ranking does not bring the chunk: the next one is to step in. */
-  if (retry_ms == 0 || ++chunk->refusals >= REFUSALS_MAX)
-    {
-      chunk->refusals = 0;
-      host->down_until_us = now_us + HOST_DOWN_US;
-    }
+  host->down_until_us = now_us + HOST_DOWN_US;
 }
 
 void
--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -11,6 +11,7 @@
 #define REGION_DRAWS       16 /* at a time, of all hosts of the region together */
 #define QUEUE_TOLERATED    2  /* uploads waiting at a host that is still asked */
 #define STEP_IN_US         (2000 * US_PER_MS) /* for each place in the ranking */
+#define OTHER_VERSION_US   (5000 * US_PER_MS) /* that a host may take to turn to ours */
 #define WANT_TIMEOUT_US    (2000 * US_PER_MS)
 #define WANT_TIMEOUT_SENDS 16 /* times the time that a chunk takes on the link */
 #define TIMEOUTS_MAX       3  /* in a row; the host is asked less */
@@ -28,9 +29,8 @@
   chunk->state = CHUNK_WANTED;
   chunk->from = host;
   chunk->waiting = wait;
-  chunk->deadline_us
-      = wait ? SWARM_NEVER
-             : now_us + WANT_TIMEOUT_US + WANT_TIMEOUT_SENDS * swarm->chunk_us;
+  chunk->deadline_us = now_us + WANT_TIMEOUT_SENDS * swarm->chunk_us
+                       + (wait ? OTHER_VERSION_US : WANT_TIMEOUT_US);
   if (!wait)
     {
       host->outstanding++;
@@ -47,19 +47,22 @@
 {
   uint64_t next = SWARM_NEVER;
 
-  for (uint32_t i = 0; i < swarm->count && swarm->wants > 0; i++)
+  for (uint32_t i = 0; i < swarm->count; i++)
     {
       Chunk *chunk = &swarm->chunks[i];
       Host *host = chunk->from;
 
-      if (chunk->state != CHUNK_WANTED || chunk->waiting)
+      if (chunk->state != CHUNK_WANTED || (chunk->waiting && host->heard))
         continue;
       if (chunk->deadline_us > now_us)
         {
           next = MIN (next, chunk->deadline_us);
           continue;
         }
-      host->timeouts++;
+      if (chunk->waiting)
+        host->down_until_us = now_us + HOST_DOWN_US;
+      else
+        host->timeouts++;
       swarm_release (swarm, chunk);
       swarm_act (swarm, (DlSwarmAction){ .type = DL_SWARM_CANCEL,
                                          .host = host->name,
@@ -90,7 +93,9 @@
 draw (DlSwarm *swarm, uint32_t position, uint64_t now_us)
 {
   if (swarm->draws >= draws_allowed (swarm) || swarm->draw_after_us > now_us
-      || !dl_budget_ready (swarm->options.budgets.down, now_us)
+      || !dl_budget_ready_within (swarm->options.budgets.down,
+                                  (uint64_t)WINDOW * swarm->chunks[position].bytes,
+                                  now_us)
       || (!swarm->is_home
           && !dl_budget_ready (swarm->options.budgets.region_down, now_us)))
     return;
@@ -266,12 +271,11 @@
   next = run_timeouts (swarm, now_us);
   if (!swarm->settled)
     check_settled (swarm, now_us);
-  run_wants (swarm, now_us);
   for (uint32_t i = 0; i < swarm->count && swarm->settled && swarm->settled_us <= now_us;
        i++)
-    if (swarm->chunks[i].state == CHUNK_MISSING && swarm->chunks[i].copies == 0
-        && swarm->chunks[i].retry_us <= now_us)
+    if (swarm->chunks[i].state == CHUNK_MISSING && swarm->chunks[i].copies == 0)
       bring (swarm, i, now_us);
+  run_wants (swarm, now_us);
   next = MIN (next, now_us + POLL_US);
   if (!dl_budget_ready (swarm->options.budgets.down, now_us))
     next = MIN (next, now_us + dl_budget_wait_us (swarm->options.budgets.down, now_us));
--- a/lib/policy/swarm_private.h
+++ b/lib/policy/swarm_private.h
@@ -59,9 +59,7 @@
   uint32_t copies; /* hosts that are up and hold it */
   uint32_t bytes;
   Host *from;           /* WANTED */
-  uint64_t deadline_us; /* WANTED */
-  uint64_t retry_us;    /* not brought into the region before */
-  uint32_t refusals;    /* by the first of its ranking, in a row */
+  uint64_t deadline_us; /* WANTED; when WAITING, for the host to tell what it holds */
   uint64_t order;       /* seeded tie-break */
 } Chunk;
 
--- a/lib/policy/swarm_rank.c
+++ b/lib/policy/swarm_rank.c
@@ -8,7 +8,7 @@
 #include "policy/swarm_private.h"
 
 /* With time weighed, one group in so many is drawn by another region too. */
-#define DRAWN_TWICE 2
+#define DRAWN_TWICE 4
 
 /* -------- rankings -------- */
 
--- a/lib/policy/swarm_serve.c
+++ b/lib/policy/swarm_serve.c
@@ -200,7 +200,8 @@
   return now_us + dl_budget_wait_us (swarm->options.budgets.up, now_us);
 }
 
-/* Tells every connected host what was verified since it was last told. */
+/* Tells every connected host what was verified since it was last told; one of another
+ * region only that this host has turned to the version. */
 void
 swarm_run_haves (DlSwarm *swarm)
 {
@@ -208,9 +209,9 @@
     {
       Host *host = g_ptr_array_index (swarm->hosts, h);
 
-      if (!host->up || !host->same_region || (host->announced && host->unsaid->len == 0))
+      if (!host->up || (host->announced && host->unsaid->len == 0))
         continue;
-      for (uint32_t i = 0; i < swarm->count && !host->announced; i++)
+      for (uint32_t i = 0; i < swarm->count && host->same_region && !host->announced; i++)
         {
           uint32_t index = index_of (i);
 
--- a/scripts/bench-transfer.sh
+++ b/scripts/bench-transfer.sh
@@ -20,7 +20,8 @@
 		return substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3) + 0
 	}
 	/"event":700,/ { t = field("time_ms"); if (first == 0 || t < first) first = t }
-	/"event":701,/ {
+	/"event":701,/ && !($0 in seen) {
+		seen[$0] = 1
 		t = field("time_ms"); if (t > last) last = t
 		received += field("received_bytes"); duplicate += field("duplicate_bytes")
 		region += field("region_bytes"); whole++
@@ -33,14 +34,15 @@
 	}'
 }
 
-run() { # NAME BYTES RATE VARIABLES...
+run() { # NAME BYTES RATE FILE VARIABLES...
 	name=$1
 	bytes=$2
 	rate=$3
-	shift 3
+	file=$4
+	shift 4
 	if ! "$bin/scenario" --bin "$bin" --limit 600 --quiet --keep \
 		--set bytes="$bytes" --set rate="$rate" --set origin_rate=$((rate * 2)) \
-		"$@" regress/bench/transfer.scn >"$log" 2>&1; then
+		"$@" "regress/bench/$file.scn" >"$log" 2>&1; then
 		grep -E 'scn:|FAILED' "$log" | sed "s/^/$name: /"
 	fi
 	folder=$(sed -n 's/^kept: //p' "$log")
@@ -54,14 +56,14 @@
 	for n in $hosts; do
 		for c in $cases; do
 			case $c in
-			plain) run "transfer_${p}_$n" 8388608 2097152 \
+			plain) run "transfer_${p}_$n" 8388608 2097152 transfer \
 				--set hosts="$n" --set weigh="$policy" ;;
-			shared) run "transfer_${p}_${n}_shared" 8388608 2097152 \
+			shared) run "transfer_${p}_${n}_shared" 8388608 2097152 transfer \
 				--set hosts="$n" --set weigh="$policy" --set shared=true ;;
-			faults) run "transfer_${p}_${n}_faults" 8388608 2097152 \
-				--set hosts="$n" --set weigh="$policy" --set faults=1 ;;
+			faults) run "transfer_${p}_${n}_faults" 8388608 2097152 transfer-faults \
+				--set hosts="$n" --set weigh="$policy" ;;
 			baseline) [ "$policy" = origin-bytes ] &&
-				run "transfer_baseline_$n" 2097152 2097152 \
+				run "transfer_baseline_$n" 2097152 2097152 transfer \
 					--set hosts="$n" --set exchange=false ;;
 			esac
 		done
