--- a/daisyslotd/transfer_source.c
+++ b/daisyslotd/transfer_source.c
@@ -8,6 +8,7 @@
 
 #define SOURCES           2
 #define STALL_TIMEOUT_MS  2000
+#define STALL_CHECK_MS    250
 #define BACKOFF_FIRST_MS  200
 #define BACKOFF_LAST_MS   10000
 #define RETRY_AFTER_MAX_S 60
@@ -42,6 +43,8 @@
   uint32_t index;
   DlDigest digest;
   uint64_t retry_after_ms;
+  DlBuffer *body;
+  uint64_t progress_ms; /* when the last byte came */
 } Draw;
 
 TransferSources *
@@ -142,7 +145,7 @@
     return DL_ERR_RATE_LIMITED;
   if (result->status != HTTP_OK)
     return DL_ERR_NOT_FOUND;
-  digest = dl_digest (result->body);
+  digest = dl_digest (dl_buffer_view (draw->body));
   return dl_digest_equal (&digest, &draw->digest) ? 0 : DL_ERR_DIGEST;
 }
 
@@ -165,17 +168,16 @@
           DL_TEXT ("source", source->address), DL_ERRNO (error));
 }
 
+/* Reports the end of the draw, and frees it. */
 static void
-on_done (DlHttpCall *call, const DlHttpResult *result, void *data)
+end_draw (Draw *draw, int error)
 {
-  Draw *draw = data;
   TransferSources *sources = draw->sources;
-  int error = judge (draw, result);
   TransferDraw outcome = {
     .index = draw->index,
     .error = error,
-    .body = result->body,
-    .bytes = result->body.length,
+    .body = dl_buffer_view (draw->body),
+    .bytes = draw->body->length,
   };
 
   note_outcome (draw, error);
@@ -188,6 +190,32 @@
   talloc_free (draw);
 }
 
+static void
+on_data (DlHttpCall *call, DlStr bytes, void *data)
+{
+  Draw *draw = data;
+
+  draw->progress_ms = dl_clock_ms ();
+  /* Bytes beyond the blob's length are dropped; the digest shows it. */
+  dl_buffer_append (draw->body, bytes.data, bytes.length);
+}
+
+static void
+on_done (DlHttpCall *call, const DlHttpResult *result, void *data)
+{
+  end_draw (data, judge (data, result));
+}
+
+/* The library's own limit is on an average over seconds, and finds a stall late. */
+static void
+on_stall_check (DlTimer *timer, void *data)
+{
+  Draw *draw = data;
+
+  if (dl_clock_ms () - draw->progress_ms >= STALL_TIMEOUT_MS)
+    end_draw (draw, -ETIMEDOUT);
+}
+
 static void
 on_no_source (DlTimer *timer, void *data)
 {
@@ -230,12 +258,15 @@
     }
   dl_digest_to_hex (digest, hex);
   url = talloc_asprintf (draw, "http://%s/v1/blobs/%s", draw->source->address, hex);
+  draw->body = dl_buffer_new (draw, max_bytes);
+  draw->progress_ms = now;
+  dl_timer_subscribe (sources->task, draw, STALL_CHECK_MS, STALL_CHECK_MS, on_stall_check,
+                      draw);
   dl_http_call (sources->client, draw,
                 &(DlHttpCallOptions){
                     .url = url,
-                    .stall_timeout_ms = STALL_TIMEOUT_MS,
-                    .max_body_bytes = max_bytes,
                     .on_head = on_head,
+                    .on_data = on_data,
                     .on_done = on_done,
                     .data = draw,
                 });
