--- a/daisyentryd/callers_address.c
+++ b/daisyentryd/callers_address.c
@@ -86,8 +86,16 @@
   return ranked;
 }
 
-void
-callers_answer_address (CallersTask *t, DlHttpRequest *http)
+/* A caller that names a service is told at once when there is none of that name. */
+static bool
+service_is_unknown (const CallersTask *t, const char *service)
+{
+  return service != NULL && t->fleet != NULL
+         && dl_fleet_service (t->fleet->fleet.fleet, service) == NULL;
+}
+
+static void
+answer_address (CallersTask *t, DlHttpRequest *http)
 {
   GArray *ranked = rank_entries (t, dl_http_request_header (http, "X-Region"));
   json_object *answer = json_object_new_object ();
@@ -108,3 +116,16 @@
   json_object_object_add (answer, "keep_s", json_object_new_uint64 (keep_s));
   dl_http_reply_json (http, 200, answer);
 }
+
+void
+callers_answer_address (CallersTask *t, DlHttpRequest *http)
+{
+  const char *service = dl_http_request_query (http, "service");
+
+  if (strcmp (dl_http_request_method (http), "GET") != 0)
+    dl_http_reply_error (http, 405, 0, "/v1/address takes GET");
+  else if (service_is_unknown (t, service))
+    dl_http_reply_error (http, 404, 0, "there is no service %s", service);
+  else
+    answer_address (t, http);
+}
--- a/regress/scenario/truth.c
+++ b/regress/scenario/truth.c
@@ -823,7 +823,8 @@
       g_ptr_array_add (headers, words[i + 1]);
     else
       body = words[i + 1];
-  if (g_str_has_suffix (words[2], ".operators"))
+  /* The operators' side gets the key, unless the statement gives another header. */
+  if (g_str_has_suffix (words[2], ".operators") && headers->len == 0)
     g_ptr_array_add (headers, (char *)"Authorization: Bearer " OPERATOR_KEY);
   g_ptr_array_add (headers, NULL);
   url = g_strdup_printf ("http://%s%s", address != NULL ? address : "", words[3]);
