--- a/daisyctl/client.c
+++ b/daisyctl/client.c
@@ -13,14 +13,22 @@
 #define HTTP_UNAUTHORIZED 401
 
 static Answer
-post (const Options *options, const char *entry, const char *path, json_object *body)
+ask (const Options *options,
+     const char *method,
+     const char *entry,
+     const char *path,
+     json_object *body)
 {
+  const char *text = "";
+
+  if (body != NULL)
+    text = json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN);
   return http_call (&(Request){
-      .method = "POST",
+      .method = method,
       .address = entry,
       .path = path,
       .key = options->key,
-      .body = dl_str (json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN)),
+      .body = dl_str (text),
   });
 }
 
@@ -59,7 +67,7 @@
     dl_json_add_uint (body, "revision", revision);
   for (char **e = options->entries; *e != NULL && !is_final (&best); e++)
     {
-      Answer answer = post (options, *e, "/v1/query", body);
+      Answer answer = ask (options, "POST", *e, "/v1/query", body);
 
       if (is_final (&answer))
         {
@@ -82,14 +90,40 @@
   return is_final (answer) && strcmp (outcome, "unknown") != 0;
 }
 
+/* Asks the entries until one tells the outcome; an unknown one is kept meanwhile. */
+static Answer
+ask_outcome (const Options *options,
+             const char *method,
+             const char *path,
+             json_object *body)
+{
+  Answer best = { .error = "no entry is given" };
+
+  for (char **e = options->entries; *e != NULL && !is_outcome (&best); e++)
+    {
+      Answer answer = ask (options, method, *e, path, body);
+
+      if (is_final (&answer))
+        {
+          answer_clear (&best);
+          best = answer;
+        }
+      else if (!is_final (&best))
+        keep_better (&best, &answer);
+      else
+        answer_clear (&answer);
+    }
+  return best;
+}
+
 Answer
 client_command (const Options *options,
                 const char *text,
                 const char *id,
                 json_object *value)
 {
-  Answer best = { .error = "no entry is given" };
   json_object *body = json_object_new_object ();
+  Answer answer;
 
   dl_json_add_text (body, "text", text);
   dl_json_add_text (body, "id", id);
@@ -98,20 +132,19 @@
     dl_json_add_uint (body, "revision", options->at);
   if (value != NULL)
     json_object_object_add (body, "value", json_object_get (value));
-  for (char **e = options->entries; *e != NULL && !is_outcome (&best); e++)
-    {
-      Answer answer = post (options, *e, "/v1/command", body);
-
-      if (is_outcome (&answer) || is_final (&answer))
-        {
-          answer_clear (&best);
-          best = answer;
-        }
-      else
-        keep_better (&best, &answer);
-    }
+  answer = ask_outcome (options, "POST", "/v1/command", body);
   json_object_put (body);
-  return best;
+  return answer;
+}
+
+Answer
+client_ask (const Options *options, const char *id)
+{
+  char *path = talloc_asprintf (NULL, "/v1/command?id=%s", id);
+  Answer answer = ask_outcome (options, "GET", path, NULL);
+
+  talloc_free (path);
+  return answer;
 }
 
 ExitStatus
--- a/daisyctl/daisyctl.h
+++ b/daisyctl/daisyctl.h
@@ -69,6 +69,8 @@
                        const char *text,
                        const char *id,
                        json_object *value);
+/* Asks for the outcome of a command that was given before. */
+Answer client_ask (const Options *options, const char *id);
 /* Says why there is no good answer; returns the exit status. */
 ExitStatus client_report_failure (const Answer *answer);
 
@@ -90,5 +92,7 @@
 
 ExitStatus prompt_run (const Options *options);
 ExitStatus screen_run (const Options *options);
+/* Checks that all entries show the same of one revision. */
+ExitStatus compare_run (const Options *options);
 
 #endif
--- a/daisyctl/prompt.c
+++ b/daisyctl/prompt.c
@@ -18,7 +18,7 @@
   "in",     "force",        "apply",    "check",   "diff",     "start",   "pause",
   "resume", "call",         "off",      "service", "version",  "region",  "weigh",
   "time",   "origin-bytes", "wave",     "at",      "revision", "columns", "as",
-  "ask",    "dump",         "screen",   "quit",
+  "ask",    "dump",         "screen",   "compare", "quit",
 };
 
 /* All words that completion offers: keywords, tables and columns. */
--- a/daisyctl/run.c
+++ b/daisyctl/run.c
@@ -11,6 +11,7 @@
 #include "daisyctl.h"
 #include "kernel/crypt.h"
 #include "kernel/fleet.h"
+#include "kernel/object_client.h"
 #include "query/flatten.h"
 #include "query/json_get.h"
 #include "query/render.h"
@@ -140,71 +141,20 @@
   return status;
 }
 
-/* -------- ask -------- */
-
-/* A cell of the first row of an answer, as text. */
-static const char *
-first_row_text (json_object *answer, const char *column)
-{
-  json_object *columns = dl_json_array (answer, "columns");
-  json_object *row = json_object_array_get_idx (dl_json_array (answer, "rows"), 0);
-
-  for (size_t i = 0; i < dl_json_array_length (columns); i++)
-    if (g_strcmp0 (json_object_get_string (json_object_array_get_idx (columns, i)),
-                   column)
-        == 0)
-      {
-        const char *text = json_object_get_string (json_object_array_get_idx (row, i));
-
-        return text != NULL ? text : "";
-      }
-  return "";
-}
-
-/* A pending command is taken up under its own id and name, which never runs it twice. */
 static ExitStatus
-take_up (const Options *options, const char *id, json_object *answer)
-{
-  Options as_given = *options;
-
-  as_given.id = (char *)id;
-  as_given.by = (char *)first_row_text (answer, "by");
-  as_given.at = 0;
-  return run_command (&as_given, first_row_text (answer, "text"), NULL);
-}
-
-static ExitStatus
-report_asked (const Options *options, const char *id, json_object *answer)
+run_ask (const Options *options, const char *id)
 {
-  const char *outcome = first_row_text (answer, "outcome");
+  Answer answer;
+  ExitStatus status;
 
-  if (dl_json_array_length (dl_json_array (answer, "rows")) == 0)
+  if (!dl_object_name_is_valid (dl_str (id)))
     {
-      fprintf (stderr, "unknown: no command %s is recorded at revision %" PRIu64 "\n", id,
-               dl_json_uint (answer, "revision"));
-      return EXIT_UNKNOWN;
+      fprintf (stderr, "daisyctl: %s is no id\n", id);
+      return EXIT_USAGE;
     }
-  if (strcmp (outcome, "pending") == 0
-      && !g_str_has_prefix (first_row_text (answer, "text"), "settings"))
-    return take_up (options, id, answer);
-  if (options->json)
-    print_json (answer);
-  else
-    printf ("%s: %s (by %s at %s)\n", outcome, first_row_text (answer, "detail"),
-            first_row_text (answer, "by"), first_row_text (answer, "at"));
-  return outcome_status (outcome);
-}
-
-static ExitStatus
-run_ask (const Options *options, const char *id)
-{
-  char *text = g_strdup_printf ("show commands where id = '%s'", id);
-  Answer answer = client_query (options, text, 0);
-  ExitStatus status = answer.status == HTTP_OK ? report_asked (options, id, answer.body)
-                                               : client_report_failure (&answer);
-
+  answer = client_ask (options, id);
+  status = report_outcome (options, &answer, id);
   answer_clear (&answer);
-  g_free (text);
   return status;
 }
 
@@ -268,10 +218,17 @@
 accepted_setting (json_object *rows, size_t index)
 {
   json_object *row = json_object_array_get_idx (rows, index);
+  const char *key = NULL;
+  const char *value = NULL;
 
+  if (json_object_is_type (row, json_type_array))
+    {
+      key = json_object_get_string (json_object_array_get_idx (row, 0));
+      value = json_object_get_string (json_object_array_get_idx (row, 1));
+    }
   return (DlFlatSetting){
-    .key = json_object_get_string (json_object_array_get_idx (row, 0)),
-    .value = json_object_get_string (json_object_array_get_idx (row, 1)),
+    .key = key != NULL ? key : "",
+    .value = value != NULL ? value : "",
   };
 }
 
@@ -407,6 +364,8 @@
       }
   if (count == 1 && strcmp (words[0], "screen") == 0)
     *status = screen_run (options);
+  else if (count == 1 && strcmp (words[0], "compare") == 0)
+    *status = compare_run (options);
   else if (count == 2 && strcmp (words[0], "dump") == 0)
     *status = run_dump (options, words[1]);
   else if (count == 2 && strcmp (words[0], "ask") == 0)
--- a/daisyctl/screen.c
+++ b/daisyctl/screen.c
@@ -15,24 +15,32 @@
 #include <unistd.h>
 
 #include "daisyctl.h"
+#include "kernel/crypt.h"
 #include "kernel/kernel.h"
 #include "query/json_get.h"
 #include "query/screen.h"
 
-#define REFRESH_MS     1000
-#define OLD_MS         5000 /* from this age on the screen says that it is old */
-#define WIDTH_DEFAULT  160
-#define HEIGHT_DEFAULT 60
-#define FRAME_TRIES    3 /* a revision can leave an entry's history in between */
-#define HTTP_OK        200
-#define CLEAR_SCREEN   "\033[H\033[2J"
-#define REVERSE_VIDEO  "\033[7m"
-#define NORMAL_VIDEO   "\033[0m"
+#define REFRESH_MS        1000
+#define OLD_MS            5000 /* from this age on the screen says that it is old */
+#define WIDTH_DEFAULT     160
+#define HEIGHT_DEFAULT    60
+#define FRAME_TRIES       3 /* a revision can leave an entry's history in between */
+#define COMPARE_MS        10000
+#define COMPARE_PAUSE_MS  100
+#define HTTP_OK           200
+#define HTTP_UNAUTHORIZED 401
+#define HTTP_NOT_FOUND    404
+#define HTTP_CONFLICT     409
+#define HTTP_GONE         410
+#define CLEAR_SCREEN      "\033[H\033[2J"
+#define REVERSE_VIDEO     "\033[7m"
+#define NORMAL_VIDEO      "\033[0m"
 
 /* What is on the display. */
 typedef struct
 {
   char *body;
+  char digest[DL_DIGEST_HEX_BYTES]; /* of the body */
   uint64_t revision;
   char *entry;
   uint64_t age_ms; /* when it was asked; UINT64_MAX: not known */
@@ -102,18 +110,26 @@
     json_object_put (answers[i]);
 }
 
+static void
+clear_frame (Frame *frame)
+{
+  g_free (frame->body);
+  g_free (frame->entry);
+  *frame = (Frame){ 0 };
+}
+
 static void
 set_frame (Frame *frame, json_object *answers[DL_SCREEN_QUERIES], const Answer *first)
 {
   DlBuffer *buffer = dl_buffer_new (NULL, 0);
   json_object *age = NULL;
+  DlDigest digest;
   unsigned width;
   unsigned height;
 
   display_size (&width, &height);
   dl_screen_body (buffer, answers, width, height);
-  g_free (frame->body);
-  g_free (frame->entry);
+  clear_frame (frame);
   json_object_object_get_ex (answers[0], "age_ms", &age);
   *frame = (Frame){
     .body = g_strndup (dl_buffer_view (buffer).data, dl_buffer_view (buffer).length),
@@ -122,42 +138,59 @@
     .age_ms = age != NULL ? json_object_get_uint64 (age) : UINT64_MAX,
     .asked_ms = dl_clock_ms (),
   };
+  digest = dl_digest (dl_buffer_view (buffer));
+  dl_digest_to_hex (&digest, frame->digest);
   talloc_free (buffer);
 }
 
-/* Returns EXIT_OK when FRAME was renewed. */
-static ExitStatus
-renew (const Options *options, Frame *frame, bool report)
+/* Makes FRAME of one entry's or the first good entry's answers; 0 for its newest
+ * revision. Returns the HTTP status, 0 for no answer; with REPORT, says what is wrong. */
+static unsigned
+ask_frame (const Options *options, uint64_t revision, Frame *frame, bool report)
 {
-  ExitStatus status = EXIT_UNREACHABLE;
+  json_object *answers[DL_SCREEN_QUERIES] = { 0 };
+  Answer first = { 0 };
+  bool good = ask_parts (options, revision, answers, &first);
+  unsigned status = first.status;
 
-  for (int i = 0; i < FRAME_TRIES && status != EXIT_OK; i++)
+  /* An entry that lags behind the last one does not turn the screen back. */
+  if (good && (revision > 0 || dl_json_uint (answers[0], "revision") >= frame->revision))
+    set_frame (frame, answers, &first);
+  else if (good)
+    status = HTTP_GONE;
+  else
     {
-      json_object *answers[DL_SCREEN_QUERIES] = { 0 };
-      Answer first = { 0 };
-
-      if (ask_parts (options, options->at, answers, &first))
-        {
-          /* An entry that lags behind the last one does not turn the screen back. */
-          if (options->at > 0 || dl_json_uint (answers[0], "revision") >= frame->revision)
-            {
-              set_frame (frame, answers, &first);
-              status = EXIT_OK;
-            }
-        }
-      else
-        {
-          if (report && i + 1 == FRAME_TRIES)
-            status = client_report_failure (&first);
-          answer_clear (&first);
-        }
-      clear_answers (answers);
-      if (status == EXIT_UNAUTHORIZED)
-        break;
+      if (report)
+        client_report_failure (&first);
+      answer_clear (&first);
     }
+  clear_answers (answers);
   return status;
 }
 
+static ExitStatus
+frame_status (unsigned status)
+{
+  if (status == HTTP_OK)
+    return EXIT_OK;
+  if (status == HTTP_UNAUTHORIZED)
+    return EXIT_UNAUTHORIZED;
+  return status == HTTP_GONE || status == HTTP_NOT_FOUND ? EXIT_REFUSED
+                                                         : EXIT_UNREACHABLE;
+}
+
+/* Returns EXIT_OK when FRAME was renewed. */
+static ExitStatus
+renew (const Options *options, Frame *frame, bool report)
+{
+  unsigned status = 0;
+
+  for (int i = 0; i < FRAME_TRIES && status != HTTP_OK && status != HTTP_UNAUTHORIZED;
+       i++)
+    status = ask_frame (options, options->at, frame, report && i + 1 == FRAME_TRIES);
+  return frame_status (status);
+}
+
 static void
 print_age (FILE *out, const Frame *frame, bool terminal)
 {
@@ -180,24 +213,118 @@
     fputs (NORMAL_VIDEO, out);
 }
 
+static void
+print_json_frame (const Frame *frame)
+{
+  json_object *object = json_object_new_object ();
+
+  dl_json_add_uint (object, "revision", frame->revision);
+  dl_json_add_text (object, "entry", frame->entry);
+  json_object_object_add (object, "age_ms",
+                          frame->age_ms != UINT64_MAX
+                              ? json_object_new_uint64 (frame->age_ms)
+                              : NULL);
+  dl_json_add_text (object, "digest", frame->digest);
+  dl_json_add_text (object, "body", frame->body);
+  puts (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PRETTY
+                                                    | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (object);
+}
+
 static ExitStatus
 run_once (const Options *options)
 {
   Frame frame = { 0 };
   ExitStatus status = renew (options, &frame, true);
 
-  if (status == EXIT_OK)
+  if (status == EXIT_OK && options->json)
+    print_json_frame (&frame);
+  else if (status == EXIT_OK)
     {
       fputs (frame.body, stdout);
       fflush (stdout);
       print_age (stderr, &frame, false);
       fputc ('\n', stderr);
     }
-  g_free (frame.body);
-  g_free (frame.entry);
+  clear_frame (&frame);
   return status;
 }
 
+/* -------- compare -------- */
+
+/* Asks one entry only. */
+static unsigned
+ask_entry (const Options *options, char *entry, uint64_t revision, Frame *frame)
+{
+  char *one[] = { entry, NULL };
+  Options only = *options;
+
+  only.entries = one;
+  return ask_frame (&only, revision, frame, false);
+}
+
+/* Asks all entries for the revision that the first one holds.  Returns HTTP_OK when every
+ * one showed the same, HTTP_CONFLICT when one showed something else, or the status of the
+ * one that has it not. */
+static unsigned
+compare_round (const Options *options, uint64_t *revision)
+{
+  Frame first = { 0 };
+  unsigned status = ask_entry (options, options->entries[0], options->at, &first);
+
+  *revision = first.revision;
+  for (char **e = options->entries + 1; *e != NULL && status == HTTP_OK; e++)
+    {
+      Frame other = { 0 };
+
+      status = ask_entry (options, *e, first.revision, &other);
+      if (status == HTTP_OK && strcmp (first.digest, other.digest) != 0)
+        {
+          printf ("revision %" PRIu64 " differs\n-- %s\n%s-- %s\n%s", first.revision,
+                  first.entry, first.body, other.entry, other.body);
+          status = HTTP_CONFLICT;
+        }
+      clear_frame (&other);
+    }
+  clear_frame (&first);
+  return status;
+}
+
+ExitStatus
+compare_run (const Options *options)
+{
+  uint64_t deadline_ms = dl_clock_ms () + COMPARE_MS;
+  uint64_t revision = 0;
+  unsigned status = HTTP_GONE;
+
+  if (options->entries[0] == NULL || options->entries[1] == NULL)
+    {
+      fprintf (stderr, "daisyctl: comparing needs two entries\n");
+      return EXIT_USAGE;
+    }
+  /* Entries may hold different revisions at a moment; one in common is soon found. */
+  while (dl_clock_ms () < deadline_ms)
+    {
+      status = compare_round (options, &revision);
+      if (status == HTTP_OK || status == HTTP_CONFLICT || status == HTTP_UNAUTHORIZED)
+        break;
+      g_usleep (COMPARE_PAUSE_MS * 1000);
+    }
+  if (status == HTTP_OK)
+    printf ("revision %" PRIu64 ": %u entries show the same\n", revision,
+            g_strv_length (options->entries));
+  else if (status == HTTP_GONE || status == HTTP_NOT_FOUND)
+    {
+      fprintf (stderr, "daisyctl: the entries hold no revision in common\n");
+      return EXIT_UNKNOWN;
+    }
+  else if (status != HTTP_CONFLICT)
+    fprintf (stderr, "daisyctl: an entry does not answer\n");
+  return status == HTTP_CONFLICT ? EXIT_REFUSED : frame_status (status);
+}
+
+/* -------- live -------- */
+
 ExitStatus
 screen_run (const Options *options)
 {
@@ -220,7 +347,6 @@
       g_usleep (REFRESH_MS * 1000);
     }
   putchar ('\n');
-  g_free (frame.body);
-  g_free (frame.entry);
+  clear_frame (&frame);
   return status == EXIT_UNAUTHORIZED ? status : EXIT_OK;
 }
--- a/daisyentryd/operators.c
+++ b/daisyentryd/operators.c
@@ -234,19 +234,22 @@
 } Route;
 
 static const Route routes[] = {
-  { "POST", "/v1/query", handle_query },
-  { "POST", "/v1/command", operators_command },
-  { "GET", "/v1/dump", handle_dump },
+  { "POST", "/v1/query", handle_query },   { "POST", "/v1/command", operators_command },
+  { "GET", "/v1/command", operators_ask }, { "GET", "/v1/dump", handle_dump },
   { "GET", "/metrics", handle_metrics },
 };
 
+/* The route of PATH, with METHOD if there is one; NULL for an unknown path. */
 static const Route *
-find_route (const char *path)
+find_route (const char *path, const char *method)
 {
+  const Route *found = NULL;
+
   for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
-    if (strcmp (routes[i].path, path) == 0)
-      return &routes[i];
-  return NULL;
+    if (strcmp (routes[i].path, path) == 0
+        && (found == NULL || strcmp (routes[i].method, method) == 0))
+      found = &routes[i];
+  return found;
 }
 
 static void
@@ -264,7 +267,7 @@
                            "the operator key is missing or wrong");
       return;
     }
-  route = find_route (path);
+  route = find_route (path, dl_http_request_method (request));
   if (route == NULL)
     dl_http_reply_error (request, HTTP_NOT_FOUND, 0, "there is no %s", path);
   else if (strcmp (route->method, dl_http_request_method (request)) != 0)
--- a/daisyentryd/operators.h
+++ b/daisyentryd/operators.h
@@ -27,6 +27,8 @@
 
 /* Runs the command of a POST to /v1/command and answers REQUEST, at once or later. */
 void operators_command (Operators *operators, DlHttpRequest *request);
+/* Answers GET /v1/command?id=ID with the recorded outcome; takes up a pending command. */
+void operators_ask (Operators *operators, DlHttpRequest *request);
 /* The kept objects as of REVISION; false when that revision is not kept. */
 bool operators_source_at (Operators *operators, uint64_t revision, DlQuerySource *source);
 /* Answers 400 with the reason and the byte that it is about. */
--- a/daisyentryd/operators_command.c
+++ b/daisyentryd/operators_command.c
@@ -55,9 +55,10 @@
   Operators *operators;
   DlHttpRequest *request; /* NULL once the caller has gone */
   char *id;
-  char *by;
-  char *text;
+  char *by;   /* NULL while a command that is asked about has not been read */
+  char *text; /* the same */
   json_object *value;
+  char value_digest[DL_DIGEST_HEX_BYTES]; /* "" without a value */
   DlStatement *statement;
   uint64_t at_ms;
   uint64_t at_revision;
@@ -110,9 +111,9 @@
     event = DL_EVENT_COMMAND_UNKNOWN;
   else if (strcmp (outcome, "not-run") == 0)
     event = DL_EVENT_COMMAND_NOT_RUN;
-  dl_log (event, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by),
-          DL_TEXT ("command", c->text), DL_TEXT ("outcome", outcome),
-          DL_TEXT ("detail", detail));
+  dl_log (event, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by != NULL ? c->by : ""),
+          DL_TEXT ("command", c->text != NULL ? c->text : "asked about"),
+          DL_TEXT ("outcome", outcome), DL_TEXT ("detail", detail));
 }
 
 /* Answers the caller and frees the command. */
@@ -163,7 +164,7 @@
 static void
 finish_late (Command *c)
 {
-  if (c->resumed || c->write_unknown)
+  if (c->resumed || c->write_unknown || c->text == NULL)
     finish (c, "unknown",
             "the platform's service does not answer; ask again with the same id", 0);
   else
@@ -226,6 +227,8 @@
   dl_json_add_text (value, "outcome", outcome);
   dl_json_add_text (value, "detail", detail);
   dl_json_add_uint (value, "revision", revision);
+  dl_json_add_uint (value, "at_revision", c->at_revision);
+  dl_json_add_text (value, "value_digest", c->value_digest);
   dl_json_add_text (value, "entry", entry_settings (c->operators->task)->name);
   return value;
 }
@@ -262,34 +265,60 @@
   json_object_put (value);
 }
 
-/* The id is known already: from this command's own lost write, or an earlier try. */
-static void
-take_up_recorded (Command *c, const DlObject *object)
+/* Refuses, and returns false, when the recorded command is another one. */
+static bool
+check_recorded (Command *c, json_object *recorded)
 {
-  const char *outcome = dl_json_text (object->value, "outcome");
+  const char *text = dl_json_text (recorded, "text");
+  const char *by = dl_json_text (recorded, "by");
 
-  if (strcmp (dl_json_text (object->value, "text"), c->text) != 0
-      || strcmp (dl_json_text (object->value, "by"), c->by) != 0)
-    {
-      finish (c, "refused",
-              talloc_asprintf (c, "id %s belongs to another command: \"%s\" by %s", c->id,
-                               dl_json_text (object->value, "text"),
-                               dl_json_text (object->value, "by")),
-              0);
-      return;
-    }
-  if (strcmp (outcome, PENDING) != 0)
-    {
-      char *kept = talloc_strdup (c, outcome);
-      char *detail = talloc_strdup (c, dl_json_text (object->value, "detail"));
+  if (c->text == NULL
+      || (strcmp (text, c->text) == 0 && strcmp (by, c->by) == 0
+          && strcmp (dl_json_text (recorded, "value_digest"), c->value_digest) == 0))
+    return true;
+  finish (c, "refused",
+          talloc_asprintf (c, "id %s belongs to another command: \"%s\" by %s", c->id,
+                           text, by),
+          0);
+  return false;
+}
 
-      finish (c, kept, detail, dl_json_uint (object->value, "revision"));
-      return;
-    }
+/* Goes on with a command as it was first given. */
+static void
+take_up_pending (Command *c, const DlObject *object)
+{
+  DlSyntaxError error;
+
+  c->by = talloc_strdup (c, dl_json_text (object->value, "by"));
+  c->text = talloc_strdup (c, dl_json_text (object->value, "text"));
+  g_strlcpy (c->value_digest, dl_json_text (object->value, "value_digest"),
+             sizeof c->value_digest);
+  c->at_ms = dl_json_uint (object->value, "at_ms");
+  c->at_revision = dl_json_uint (object->value, "at_revision");
   c->resumed = true;
   c->intent_revision = object->created;
   c->command_revision = object->revision;
-  read_objects (c);
+  if (c->statement == NULL
+      && dl_statement_parse (c, dl_str (c->text), &c->statement, &error) < 0)
+    finish (c, "unknown", "the recorded command is not understood", 0);
+  else
+    read_objects (c);
+}
+
+/* The id is known already: from this command's own lost write, or an earlier try. */
+static void
+take_up_recorded (Command *c, const DlObject *object)
+{
+  const char *outcome = dl_json_text (object->value, "outcome");
+
+  if (!check_recorded (c, object->value))
+    return;
+  if (strcmp (outcome, PENDING) == 0)
+    take_up_pending (c, object);
+  else
+    finish (c, talloc_strdup (c, outcome),
+            talloc_strdup (c, dl_json_text (object->value, "detail")),
+            dl_json_uint (object->value, "revision"));
 }
 
 static void
@@ -303,7 +332,10 @@
       take_up_recorded (c, &result->objects[0]);
       break;
     case DL_ERR_NOT_FOUND:
-      retry_later (c, create_intent, 0);
+      if (c->text == NULL)
+        finish (c, "unknown", "no command of this id is recorded", 0);
+      else
+        retry_later (c, create_intent, 0);
       break;
     default:
       retry_later (c, read_recorded, result->retry_after_ms);
@@ -557,24 +589,15 @@
 }
 
 static Command *
-command_new (Operators *o,
-             DlHttpRequest *request,
-             json_object *body,
-             DlStatement *statement)
+command_new (Operators *o, DlHttpRequest *request, const char *id)
 {
   Command *c = talloc_zero (o, Command);
   uint64_t timeout_ms = entry_settings (o->task)->platform_timeout_ms;
 
   c->operators = o;
   c->request = request;
-  c->id = talloc_strdup (c, dl_json_text (body, "id"));
-  c->by = talloc_strdup (c, dl_json_text (body, "by"));
-  c->text = talloc_strdup (c, dl_json_text (body, "text"));
-  c->value = json_object_get (dl_json_object (body, "value"));
-  c->statement = talloc_steal (c, statement);
+  c->id = talloc_strdup (c, id);
   c->at_ms = dl_wall_clock_ms ();
-  c->at_revision = statement->at_revision > 0 ? statement->at_revision
-                                              : dl_json_uint (body, "revision");
   c->deadline_ms = dl_clock_ms () + DEADLINE_TIMEOUTS * timeout_ms;
   o->commands++;
   talloc_set_destructor (c, command_destroy);
@@ -583,21 +606,60 @@
 }
 
 static void
-begin (Operators *o, DlHttpRequest *request, json_object *body, DlStatement *statement)
+set_body (Command *c, json_object *body, DlStatement *statement)
 {
-  Command *c = command_new (o, request, body, statement);
-
-  if (!o->platform_reachable || dl_clock_ms () < o->away_until_ms)
+  c->by = talloc_strdup (c, dl_json_text (body, "by"));
+  c->text = talloc_strdup (c, dl_json_text (body, "text"));
+  c->value = json_object_get (dl_json_object (body, "value"));
+  c->statement = talloc_steal (c, statement);
+  c->at_revision = statement->at_revision > 0 ? statement->at_revision
+                                              : dl_json_uint (body, "revision");
+  if (c->value != NULL)
     {
-      finish_not_run (c, "the platform's service is away; nothing was changed");
-      return;
+      DlDigest digest = dl_digest (
+          dl_str (json_object_to_json_string_ext (c->value, JSON_C_TO_STRING_PLAIN)));
+
+      dl_digest_to_hex (&digest, c->value_digest);
     }
+}
+
+/* Answers, and returns true, when nothing can be asked of the platform now. */
+static bool
+refuse_while_away (Command *c)
+{
+  Operators *o = c->operators;
+
+  if (o->platform_reachable && dl_clock_ms () >= o->away_until_ms)
+    return false;
+  finish_not_run (c, "the platform's service is away; nothing was changed");
+  return true;
+}
+
+static void
+begin (Operators *o, DlHttpRequest *request, json_object *body, DlStatement *statement)
+{
+  Command *c = command_new (o, request, dl_json_text (body, "id"));
+
+  set_body (c, body, statement);
+  if (refuse_while_away (c))
+    return;
   dl_log (DL_EVENT_COMMAND_BEGUN, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by),
           DL_TEXT ("command", c->text));
   expire_objects (o);
   create_intent (c);
 }
 
+/* Answers, and returns true, when no more commands can be taken. */
+static bool
+refuse_when_full (const Operators *o, DlHttpRequest *request)
+{
+  if (o->commands < COMMANDS_MAX)
+    return false;
+  dl_http_reply_error (request, HTTP_UNAVAILABLE, OPERATORS_RETRY_MS,
+                       "%d commands are in progress", COMMANDS_MAX);
+  return true;
+}
+
 void
 operators_command (Operators *operators, DlHttpRequest *request)
 {
@@ -617,10 +679,25 @@
     operators_reply_syntax (request, &syntax);
   else if (dl_statement_is_query (statement))
     operators_reply_syntax (request, &(DlSyntaxError){ .text = "this is not a command" });
-  else if (operators->commands >= COMMANDS_MAX)
-    dl_http_reply_error (request, HTTP_UNAVAILABLE, OPERATORS_RETRY_MS,
-                         "%d commands are in progress", COMMANDS_MAX);
-  else
+  else if (!refuse_when_full (operators, request))
     begin (operators, request, body, statement);
   json_object_put (body);
 }
+
+void
+operators_ask (Operators *operators, DlHttpRequest *request)
+{
+  const char *id = dl_http_request_query (request, "id");
+  Command *c;
+
+  if (id == NULL || !dl_object_name_is_valid (dl_str (id)))
+    {
+      dl_http_reply_error (request, HTTP_BAD_REQUEST, 0, "id: missing or no valid id");
+      return;
+    }
+  if (refuse_when_full (operators, request))
+    return;
+  c = command_new (operators, request, id);
+  if (!refuse_while_away (c))
+    read_recorded (c);
+}
--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -117,8 +117,10 @@
 {
   if (dl_digest_is_zero (digest))
     return (ProtobufCBinaryData){ 0 };
-  return (ProtobufCBinaryData){ .len = DL_DIGEST_BYTES,
-                                .data = (uint8_t *)digest->bytes };
+  return (ProtobufCBinaryData){
+    .len = DL_DIGEST_BYTES,
+    .data = talloc_memdup (context, digest->bytes, DL_DIGEST_BYTES),
+  };
 }
 
 static void
--- a/lib/query/plan.c
+++ b/lib/query/plan.c
@@ -775,6 +775,10 @@
   if (object != NULL && history_has_command (object->value, p->command->id))
     return applied (p, object->revision, "settings accepted as revision %" PRIu64,
                     object->revision);
+  if (p->command->value == NULL && p->command->resumed)
+    return end (p, DL_PLAN_UNKNOWN, 0,
+                "the settings were not accepted so far; give the command again with its "
+                "id and its file");
   if (!json_object_is_type (p->command->value, json_type_object))
     return refuse (p, "the command came without settings");
   if (dl_fleet_parse (p->context, p->statement->name,
--- a/regress/scenario/scenario.c
+++ b/regress/scenario/scenario.c
@@ -477,6 +477,18 @@
   return true;
 }
 
+/* file NAME TEXT */
+static bool
+statement_file (Scenario *s, char **words, unsigned count)
+{
+  char *path = g_build_filename (s->folder, words[1], NULL);
+  bool ok = g_file_set_contents (path, words[2], -1, NULL)
+            || scn_fail (s, "cannot write %s", path);
+
+  g_free (path);
+  return ok;
+}
+
 static bool
 statement_mark (Scenario *s, char **words, unsigned count)
 {
@@ -557,6 +569,7 @@
   { "figure", 4, statement_figure },
   { "wait", 2, statement_wait },
   { "say", 2, statement_say },
+  { "file", 3, statement_file },
   { "mark", 2, statement_mark },
   { "set", 3, statement_set },
   { "default", 3, statement_set },
--- a/regress/scenario/truth.c
+++ b/regress/scenario/truth.c
@@ -814,12 +814,34 @@
   return ok;
 }
 
-/* ctl ENTRY WORDS... [=> STATUS [CHECK...]] */
+/* Adds an --entry option for each of NAMES, separated by commas.  Returns how many, or 0
+ * when one is no entry. */
+static unsigned
+add_entries (Scenario *s, const char *names, char **argv, unsigned max)
+{
+  char **list = g_strsplit (names, ",", -1);
+  unsigned n = 0;
+
+  for (char **name = list; *name != NULL; name++)
+    {
+      Process *entry = process_find (s, *name);
+
+      if (entry == NULL || entry->operators == NULL || n == max)
+        {
+          n = 0;
+          break;
+        }
+      argv[n++] = g_strdup_printf ("--entry=%s", entry->operators);
+    }
+  g_strfreev (list);
+  return n;
+}
+
+/* ctl ENTRY[,ENTRY...] WORDS... [=> STATUS [CHECK...]] */
 bool
 statement_ctl (Scenario *s, char **words, unsigned count)
 {
   unsigned arrow = find_arrow (words, count);
-  Process *entry = process_find (s, words[1]);
   char *argv[CTL_WORDS_MAX] = { 0 };
   uint64_t expected = 0;
   char *output = NULL;
@@ -827,12 +849,13 @@
   unsigned n = 0;
   bool ok;
 
-  if (entry == NULL || entry->operators == NULL || arrow > CTL_WORDS_MAX - 8)
-    return scn_fail (s, "no entry is named %s", words[1]);
   if (arrow + 1 < count && !scn_parse_uint (words[arrow + 1], &expected))
     return scn_fail (s, "%s is no status", words[arrow + 1]);
-  argv[n++] = g_strdup_printf ("%s/daisyctl", s->bin);
-  argv[n++] = g_strdup_printf ("--entry=%s", entry->operators);
+  n = arrow <= CTL_WORDS_MAX - 16 ? add_entries (s, words[1], argv + 1, 8) : 0;
+  if (n == 0)
+    return scn_fail (s, "no entry is named %s", words[1]);
+  argv[0] = g_strdup_printf ("%s/daisyctl", s->bin);
+  n++;
   argv[n++] = g_strdup_printf ("--key-file=%s/operator.key", s->folder);
   for (unsigned i = 2; i < arrow; i++)
     argv[n++] = g_strdup (words[i]);
