--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -349,6 +349,24 @@
   sweep_unwanted (data);
 }
 
+/* Takes hosts out of rotation, or puts them back, as operators have said. */
+static void
+follow_drains (UpstreamsTask *t)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (t->snapshot == NULL)
+    return;
+  g_hash_table_iter_init (&iter, t->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Upstream *u = value;
+
+      u->drained = entry_host_is_drained (t->snapshot->snapshot.snapshot, u->name);
+    }
+}
+
 /* -------- the task -------- */
 
 static void
@@ -370,6 +388,11 @@
     case ENTRY_MEMBERS:
       keep (&t->members, message);
       follow_members (t, message->members.members);
+      follow_drains (t);
+      break;
+    case ENTRY_SNAPSHOT:
+      keep (&t->snapshot, message);
+      follow_drains (t);
       break;
     case ENTRY_FLEET:
       keep (&t->fleet, message);
@@ -401,6 +424,7 @@
   json_object_object_add (dump, "accepts", json_object_new_boolean (u->accepts));
   json_object_object_add (dump, "leaving",
                           json_object_new_boolean (u->leaving || u->listed_leaving));
+  json_object_object_add (dump, "drained", json_object_new_boolean (u->drained));
   json_object_object_add (dump, "version", json_object_new_string (version));
   json_object_object_add (dump, "capacity", json_object_new_int64 (u->capacity));
   json_object_object_add (dump, "load", json_object_new_int64 (u->load));
@@ -444,6 +468,8 @@
     dl_message_unref ((void *)t->members);
   if (t->fleet != NULL)
     dl_message_unref ((void *)t->fleet);
+  if (t->snapshot != NULL)
+    dl_message_unref ((void *)t->snapshot);
   g_hash_table_destroy (t->streams);
   g_hash_table_destroy (t->upstreams);
   g_hash_table_destroy (t->services);
@@ -471,7 +497,8 @@
 static DlPlugin upstreams_plugin = {
   .name = "upstreams",
   .order = 40,
-  .subscriptions = ENTRY_SUBSCRIBE (ENTRY_MEMBERS) | ENTRY_SUBSCRIBE (ENTRY_FLEET),
+  .subscriptions = ENTRY_SUBSCRIBE (ENTRY_MEMBERS) | ENTRY_SUBSCRIBE (ENTRY_FLEET)
+                   | ENTRY_SUBSCRIBE (ENTRY_SNAPSHOT),
   .start = upstreams_start,
   .handle = upstreams_handle,
   .dump = upstreams_dump,
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -43,6 +43,7 @@
   GHashTable *streams;         /* uint64_t id to UpstreamStream */
   const EntryMessage *members; /* last MEMBERS; NULL before the first */
   const EntryMessage *fleet;
+  const EntryMessage *snapshot; /* NULL before the first */
   DlPrefixIndex *prefixes;
 } UpstreamsTask;
 
@@ -57,6 +58,7 @@
   DlDistance distance;
   bool wanted;         /* in the subset that this entry connects to */
   bool listed_leaving; /* by the lagging list */
+  bool drained;        /* by operators */
   DlConn *conn;        /* NULL between dials */
   bool open;
   DlTimer *redial;
