--- a/regress/unit/main.c
+++ b/regress/unit/main.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "unit.h"
@@ -27,6 +28,16 @@
   CU_ASSERT (equal);
 }
 
+uint32_t
+unit_first_seed (const char *what, uint32_t fallback)
+{
+  const char *given = getenv ("UNIT_SEED");
+  uint32_t seed = given != NULL ? (uint32_t)strtoul (given, NULL, 10) : fallback;
+
+  printf ("\n  %s: seeds from UNIT_SEED=%u on ", what, seed);
+  return seed;
+}
+
 static int
 add_suite (const UnitSuite *suite)
 {
--- a/regress/unit/test_claim.c
+++ b/regress/unit/test_claim.c
@@ -326,13 +326,10 @@
 static void
 test_schedules (void)
 {
-  const char *text = g_getenv ("DAISYLOFT_SEED");
-  uint64_t first = text != NULL ? g_ascii_strtoull (text, NULL, 10) : SEED_FIRST;
+  uint64_t first = unit_first_seed ("claim schedules", SEED_FIRST);
   unsigned runs = 0;
   bool holds = true;
 
-  printf ("  claim schedules of seeds %lu to %lu\n", (unsigned long)first,
-          (unsigned long)first + SCHEDULES - 1);
   for (uint64_t seed = first; seed < first + SCHEDULES && holds; seed++)
     holds = run_schedule (seed, &runs);
   CU_ASSERT (holds);
--- a/regress/unit/test_lease.c
+++ b/regress/unit/test_lease.c
@@ -192,8 +192,7 @@
 static void
 test_schedules (void)
 {
-  const char *given = g_getenv ("UNIT_SEED");
-  guint32 seed = given != NULL ? (guint32)g_ascii_strtoull (given, NULL, 10) : 1;
+  guint32 seed = unit_first_seed ("lease schedules", 1);
   unsigned changes = 0;
 
   for (guint32 i = 0; i < SCHEDULES; i++)
--- a/regress/unit/test_parsers.c
+++ b/regress/unit/test_parsers.c
@@ -130,7 +130,7 @@
 static void
 run_rounds (ParseFunc parse, DlStr text)
 {
-  GRand *rand = g_rand_new_with_seed (SEED);
+  GRand *rand = g_rand_new_with_seed (unit_first_seed ("changed input", SEED));
 
   for (int i = 0; i < ROUNDS; i++)
     {
@@ -147,7 +147,6 @@
 static void
 test_json_parsers (void)
 {
-  printf ("\n  seed %d ", SEED);
   run_rounds (parse_fleet, dl_str (fleet_text));
   run_rounds (parse_members, dl_str (members_text));
   run_rounds (parse_manifest, dl_str (manifest_text));
--- a/regress/unit/test_plan.c
+++ b/regress/unit/test_plan.c
@@ -425,9 +425,10 @@
 static void
 test_random_schedules (void)
 {
-  g_printerr ("  seeds %d to %d\n", SEED, SEED + SCHEDULES - 1);
+  unsigned seed = unit_first_seed ("command schedules", SEED);
+
   for (unsigned i = 0; i < SCHEDULES; i++)
-    run_schedule (SEED + i);
+    run_schedule (seed + i);
 }
 
 static const CU_TestInfo plan_tests[] = {
--- a/regress/unit/test_query.c
+++ b/regress/unit/test_query.c
@@ -136,13 +136,13 @@
 static void
 test_random_sentences (void)
 {
-  GRand *random = g_rand_new_with_seed (RANDOM_SEED);
+  GRand *random
+      = g_rand_new_with_seed (unit_first_seed ("random sentences", RANDOM_SEED));
   char *deep = g_strdup_printf ("show hosts where %*s", 9000, "");
   void *context = talloc_new (NULL);
   DlStatement *statement = NULL;
   DlSyntaxError error = { 0 };
 
-  g_printerr ("  seed %d\n", RANDOM_SEED);
   for (unsigned i = 0; i < RANDOM_TRIES; i++)
     parse_random (random);
   memset (deep + strlen ("show hosts where "), '(', 9000);
--- a/regress/unit/test_resume.c
+++ b/regress/unit/test_resume.c
@@ -41,7 +41,9 @@
 static void
 test_schedules (void)
 {
-  for (guint32 seed = 1; seed <= SCHEDULES; seed++)
+  guint32 first = unit_first_seed ("resumed streams", 1);
+
+  for (guint32 seed = first; seed < first + SCHEDULES; seed++)
     {
       void *context = talloc_new (NULL);
       GRand *random = g_rand_new_with_seed (seed);
--- a/regress/unit/test_rollout.c
+++ b/regress/unit/test_rollout.c
@@ -383,8 +383,7 @@
 static void
 test_schedules (void)
 {
-  const char *given = g_getenv ("UNIT_SEED");
-  guint32 seed = given != NULL ? (guint32)g_ascii_strtoull (given, NULL, 10) : 1;
+  guint32 seed = unit_first_seed ("rollout schedules", 1);
 
   for (guint32 i = 0; i < SCHEDULES; i++)
     {
--- a/regress/unit/test_swarm.c
+++ b/regress/unit/test_swarm.c
@@ -91,8 +91,10 @@
 static void
 test_cases (void)
 {
+  uint64_t first = unit_first_seed ("swarm cases", 1);
+
   for (size_t i = 0; i < sizeof swarm_cases / sizeof swarm_cases[0]; i++)
-    for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    for (uint64_t seed = first; seed < first + SEEDS; seed++)
       run_case (&swarm_cases[i], seed);
 }
 
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -5,6 +5,7 @@
 #define UNIT_H
 
 #include <CUnit/CUnit.h>
+#include <stdint.h>
 
 typedef struct UnitSuite
 {
@@ -15,6 +16,10 @@
 
 void unit_register (UnitSuite *suite);
 
+/* First seed of a run of random schedules: the number in UNIT_SEED, else FALLBACK.
+ * Printed, so that a run can be repeated; make soak sets it. */
+uint32_t unit_first_seed (const char *what, uint32_t fallback);
+
 /* Fails the running test unless both texts are equal; NULL equals only NULL. */
 void unit_assert_text (const char *actual, const char *expected);
 
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# Runs the seeded schedules and the scenarios with more seeds than CI does.  ROUNDS sets how
+# many times (20), FIRST the first seed (100000); a failure prints its seed.
+set -u
+bin=$1
+rounds=${ROUNDS:-20}
+seed=${FIRST:-100000}
+while [ "$rounds" -gt 0 ]; do
+	echo "soak: UNIT_SEED=$seed"
+	UNIT_SEED=$seed "$bin/unit" >/dev/null || { echo "FAILED: UNIT_SEED=$seed $bin/unit"; exit 1; }
+	for f in regress/scenarios/*.scn; do
+		[ "${SCENARIOS:-no}" = yes ] || break
+		"$bin/scenario" --quiet --bin "$bin" --seed "$seed" "$f" ||
+			{ echo "FAILED: seed $seed $f"; exit 1; }
+	done
+	seed=$((seed + 10000))
+	rounds=$((rounds - 1))
+done
+echo "soak: ok"
