--- a/lib/policy/lease.c
+++ b/lib/policy/lease.c
@@ -8,8 +8,10 @@
 static void
 copy_text (char *to, const char *from)
 {
-  strncpy (to, from, DL_LEASE_TEXT_BYTES - 1);
-  to[DL_LEASE_TEXT_BYTES - 1] = '\0';
+  size_t length = strnlen (from, DL_LEASE_TEXT_BYTES - 1);
+
+  memcpy (to, from, length);
+  memset (to + length, 0, DL_LEASE_TEXT_BYTES - length);
 }
 
 void
--- a/regress/scenario/scenario.c
+++ b/regress/scenario/scenario.c
@@ -555,6 +555,7 @@
   { "during", 4, statement_during },
   { "check", 2, statement_check },
   { "figure", 4, statement_figure },
+  { "save", 3, statement_save },
   { "wait", 2, statement_wait },
   { "say", 2, statement_say },
   { "mark", 2, statement_mark },
--- a/regress/scenario/scenario.h
+++ b/regress/scenario/scenario.h
@@ -240,6 +240,7 @@
 bool statement_expect (Scenario *s, char **words, unsigned count);
 bool statement_during (Scenario *s, char **words, unsigned count);
 bool statement_check (Scenario *s, char **words, unsigned count);
+bool statement_save (Scenario *s, char **words, unsigned count);
 bool statement_figure (Scenario *s, char **words, unsigned count);
 bool statement_call (Scenario *s, char **words, unsigned count);
 bool statement_ctl (Scenario *s, char **words, unsigned count);
--- a/regress/scenario/truth.c
+++ b/regress/scenario/truth.c
@@ -732,6 +732,18 @@
   return true;
 }
 
+/* save VARIABLE EXPRESSION */
+bool
+statement_save (Scenario *s, char **words, unsigned count)
+{
+  char **at = words + 2;
+  Value value = read_expression (s, &at);
+
+  g_hash_table_replace (s->variables, g_strdup (words[1]), value_text (&value));
+  g_free (value.text);
+  return value.known || scn_fail (s, "%s is unknown", words[2]);
+}
+
 /* -------- calls and commands -------- */
 
 /* Checks an answer against [has TEXT] [lacks TEXT] [json PATH VALUE] [save NAME [PATH]].
@@ -750,6 +762,8 @@
         ok = strstr (text, words[i + 1]) != NULL;
       else if (strcmp (what, "lacks") == 0)
         ok = strstr (text, words[i + 1]) == NULL;
+      else if (strcmp (what, "print") == 0)
+        printf ("%s", text);
       else if (strcmp (what, "json") == 0 && i + 2 < count)
         {
           json_object *found = json != NULL ? json_at (json, words[i + 1]) : NULL;
