--- a/lib/policy/lease.c
+++ b/lib/policy/lease.c
@@ -10,8 +10,8 @@
 {
   size_t length = strnlen (from, DL_LEASE_TEXT_BYTES - 1);
 
-  memcpy (to, from, length);
-  memset (to + length, 0, DL_LEASE_TEXT_BYTES - length);
+  memmove (to, from, length);
+  to[length] = '\0';
 }
 
 void
