--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -57,11 +57,12 @@
   bool trying;
   unsigned tries;
   unsigned resumes;
-  char *avoid;      /* upstream of the last try that failed */
-  DlDigest version; /* pinned with the first head */
-  bool begun;       /* the caller has the head */
-  bool streaming;   /* the current try gives JSON lines of a model's answer */
-  DlResume *resume; /* NULL for a plain service's answer */
+  char *avoid;       /* upstream of the last try that failed */
+  DlDigest version;  /* pinned with the first head */
+  bool may_have_run; /* by a try before the current one */
+  bool begun;        /* the caller has the head */
+  bool streaming;    /* the current try gives JSON lines of a model's answer */
+  DlResume *resume;  /* NULL for a plain service's answer */
   DlBuffer *out;
   size_t received; /* of the current try */
   size_t credited;
@@ -141,14 +142,15 @@
       json_object_put (line);
       dl_http_stream_write (r->http, dl_buffer_view (r->out));
     }
-  dl_http_stream_end (r->http, false);
+  /* A model's caller has been told by the last line; another one sees the break. */
+  dl_http_stream_end (r->http, r->resume != NULL);
   talloc_free (r);
 }
 
 static void
 refuse (CallerRequest *r, const EntryMessage *end)
 {
-  bool not_run = end->response.reason == DAISYLOFT__WIRE__END_REASON__END_NOT_RUN;
+  bool not_run = !r->may_have_run;
 
   dl_metric_add (not_run ? &metric_refused : &metric_unknown, 1);
   callers_refuse (r->callers, r->http, not_run ? HTTP_UNAVAILABLE : HTTP_GATEWAY_TIMEOUT,
@@ -271,6 +273,8 @@
   bool complete = m->response.reason == DAISYLOFT__WIRE__END_REASON__END_COMPLETE;
 
   r->trying = false;
+  if (m->response.reason != DAISYLOFT__WIRE__END_REASON__END_NOT_RUN)
+    r->may_have_run = true;
   if (m->response.upstream != NULL)
     {
       talloc_free (r->avoid);
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -22,6 +22,7 @@
 {
   char *organisation;
   unsigned count;
+  uint64_t asked_ms; /* when it last asked for one */
 } UpstreamHolder;
 
 /* What the entry knows of the requests of one service. */
@@ -70,7 +71,8 @@
   uint64_t incarnation;
   unsigned own_at_report;
   unsigned own;
-  uint64_t last_cache_event;
+  unsigned headless;          /* own requests whose answer has not begun */
+  uint64_t headless_since_ms; /* nothing has begun since, and some wait */
   DlBreaker breaker;
 };
 
--- a/daisyentryd/upstreams_stream.c
+++ b/daisyentryd/upstreams_stream.c
@@ -17,6 +17,8 @@
 #include "upstreams.h"
 
 #define CANDIDATES_MAX       256
+#define STUCK_MIN_MS         1500 /* without any answer begun, and it is stuck */
+#define STUCK_FACTOR         8    /* the same as a multiple of the usual delay */
 #define SILENCE_MAX_MS       2000 /* longer, and an upstream gets no new requests */
 #define NO_UPSTREAM_RETRY_MS 1000
 #define MICROSECONDS_PER_MS  1000
@@ -47,6 +49,7 @@
   UpstreamService *service;
   UpstreamHolder *holder;
   uint64_t sent_us;
+  bool queued; /* the upstream was at its capacity when it was sent */
   bool head_seen;
   bool cancelled; /* callers want to hear no more of it */
 };
@@ -116,9 +119,19 @@
   return h;
 }
 
+/* An answer of the upstream has begun, or a request that waited for one is over. */
+static void
+headless_progress (UpstreamStream *s)
+{
+  s->upstream->headless--;
+  s->upstream->headless_since_ms = dl_clock_ms ();
+}
+
 static int
 stream_destroy (UpstreamStream *s)
 {
+  if (!s->head_seen)
+    headless_progress (s);
   g_assert (s->holder->count > 0 && s->upstream->own > 0 && s->service->own_used > 0);
   s->holder->count--;
   s->service->own_used--;
@@ -145,6 +158,8 @@
   s->holder->count++;
   service->own_used++;
   upstream->own++;
+  if (upstream->headless++ == 0)
+    upstream->headless_since_ms = dl_clock_ms ();
   g_hash_table_insert (t->streams, &s->id, s);
   talloc_set_destructor (s, stream_destroy);
   return s;
@@ -172,8 +187,9 @@
   uint64_t delay_us = dl_clock_us () - s->sent_us;
   UpstreamService *service = s->service;
 
-  if (dl_breaker_succeeded (&s->upstream->breaker, dl_clock_ms (), delay_us,
-                            service->first_byte_us, dl_random_uint64 ()))
+  if (dl_breaker_succeeded (&s->upstream->breaker, dl_clock_ms (),
+                            s->queued ? 0 : delay_us, service->first_byte_us,
+                            dl_random_uint64 ()))
     dl_log (DL_EVENT_UPSTREAM_EJECTED, DL_TEXT ("upstream", s->upstream->name),
             DL_TEXT ("reason", "slow"));
   service->first_byte_us = smooth (service->first_byte_us, delay_us);
@@ -242,6 +258,19 @@
   return s != NULL ? (unsigned)s->queue : 0;
 }
 
+/* Requests wait there and none has begun for long: the engine may be frozen behind a slot
+ * that still speaks. */
+static bool
+is_stuck (const Upstream *u)
+{
+  const UpstreamService *service = upstreams_service (u->upstreams, u->service);
+  uint64_t usual_ms = service->first_byte_us / MICROSECONDS_PER_MS;
+
+  return u->headless > 0
+         && dl_clock_ms () - u->headless_since_ms
+                > MAX (STUCK_MIN_MS, usual_ms * STUCK_FACTOR);
+}
+
 static DlRouteCandidate
 candidate_of (const Upstream *u, unsigned queue)
 {
@@ -250,7 +279,7 @@
     .distance = u->distance,
     .connected = u->open && u->reported && dl_conn_silent_ms (u->conn) < SILENCE_MAX_MS,
     .accepts = u->accepts && !u->leaving && !u->listed_leaving,
-    .allowed = dl_breaker_allows (&u->breaker, dl_clock_ms ()),
+    .allowed = dl_breaker_allows (&u->breaker, dl_clock_ms ()) && !is_stuck (u),
     .version = u->version,
     .capacity = u->capacity,
     .queue = queue,
@@ -293,7 +322,7 @@
   return o != NULL ? o->weight : 1;
 }
 
-/* Weight of the organisations that hold places, and of ASKING. */
+/* Weight of the active organisations, ASKING included. */
 static uint64_t
 active_weight (const UpstreamsTask *t,
                const UpstreamService *service,
@@ -301,6 +330,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  uint64_t now_ms = dl_clock_ms ();
   uint64_t sum = 0;
 
   g_hash_table_iter_init (&iter, service->holders);
@@ -308,7 +338,7 @@
     {
       const UpstreamHolder *h = value;
 
-      if (h->count > 0 || h == asking)
+      if (h->count > 0 || h == asking || now_ms - h->asked_ms < DL_ADMIT_ACTIVE_MS)
         sum += organisation_weight (t, h->organisation);
     }
   return sum;
@@ -320,7 +350,7 @@
            const EntryRequest *request,
            const CandidateList *list)
 {
-  const UpstreamHolder *holder = holder_of (service, request->organisation);
+  UpstreamHolder *holder = holder_of (service, request->organisation);
   DlAdmitPlace place = {
     .own_used = service->own_used,
     .held = holder->count,
@@ -332,6 +362,7 @@
     .duration_ms = service->duration_us / MICROSECONDS_PER_MS,
   };
 
+  holder->asked_ms = dl_clock_ms ();
   for (size_t i = 0; i < list->count; i++)
     {
       const DlRouteCandidate *c = &list->candidates[i];
@@ -339,6 +370,7 @@
       if (!c->connected || !c->accepts)
         continue;
       /* A capacity that is not known sets no limit. */
+      place.capacity += c->capacity > 0 ? c->capacity : UINT16_MAX;
       place.places += c->capacity > 0 ? c->capacity + c->queue : UINT16_MAX;
       place.used += dl_route_load (c);
     }
@@ -415,6 +447,7 @@
   uint64_t retry_after_ms = 0;
   const char *why = NULL;
   Upstream *u = choose (t, service, request, &retry_after_ms, &why);
+  DlRouteCandidate c;
 
   if (u != NULL && request->dispatch_by_ms > 0
       && dl_clock_ms () >= request->dispatch_by_ms)
@@ -436,7 +469,9 @@
                 why);
       return;
     }
-  stream_new (u, service, id, request->organisation);
+  c = candidate_of (u, 0);
+  stream_new (u, service, id, request->organisation)->queued
+      = u->capacity > 0 && dl_route_load (&c) >= u->capacity;
   dl_breaker_sent (&u->breaker, dl_clock_ms ());
   dl_prefix_add (t->prefixes, request->prefix, u->hash, dl_clock_ms ());
   dl_metric_add (&metric_sent, 1);
@@ -495,6 +530,7 @@
 
   if (s->head_seen)
     return;
+  headless_progress (s);
   s->head_seen = true;
   if (head->status >= HTTP_SERVER_ERROR)
     note_failure (s->upstream);
--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -47,8 +47,9 @@
   return t->engine != NULL ? t->engine->engine.capacity : 0;
 }
 
-unsigned
-requests_limit (const RequestsTask *t)
+/* Requests that may be in progress at once. */
+static unsigned
+limit (const RequestsTask *t)
 {
   const DlService *service = own_service (t);
   unsigned at_once = capacity (t);
@@ -58,6 +59,68 @@
   return at_once + (service != NULL ? (unsigned)service->queue : 0);
 }
 
+/* Organisations are few and set by operators: a holder is never dropped. */
+RequestHolder *
+requests_holder (RequestsTask *t, const char *organisation)
+{
+  RequestHolder *h = g_hash_table_lookup (t->holders, organisation);
+
+  if (h != NULL)
+    return h;
+  h = talloc_zero (t, RequestHolder);
+  g_assert (h != NULL);
+  h->organisation = talloc_strdup (h, organisation);
+  g_hash_table_insert (t->holders, h->organisation, h);
+  return h;
+}
+
+static uint64_t
+organisation_weight (const RequestsTask *t, const char *name)
+{
+  const DlOrganisation *o
+      = t->fleet != NULL ? dl_fleet_organisation (t->fleet->fleet.fleet, name) : NULL;
+
+  return o != NULL ? o->weight : 1;
+}
+
+static uint64_t
+active_weight (const RequestsTask *t, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t sum = 0;
+
+  g_hash_table_iter_init (&iter, t->holders);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const RequestHolder *h = value;
+
+      if (h->count > 0 || now_ms - h->asked_ms < DL_ADMIT_ACTIVE_MS)
+        sum += organisation_weight (t, h->organisation);
+    }
+  return sum;
+}
+
+DlAdmitVerdict
+requests_admit (RequestsTask *t, RequestHolder *holder, unsigned priority)
+{
+  unsigned at_once = capacity (t);
+
+  holder->asked_ms = dl_clock_ms ();
+  return dl_admit_place (&(DlAdmitPlace){
+      .places = limit (t),
+      .capacity = at_once > 0 ? at_once : LIMIT_UNKNOWN,
+      .used = t->running,
+      .own_used = t->running,
+      .held = holder->count,
+      .weight = organisation_weight (t, holder->organisation),
+      .active_weight = active_weight (t, holder->asked_ms),
+      .priority = priority,
+      .priorities
+      = t->fleet != NULL ? (unsigned)t->fleet->fleet.fleet->priorities.count : 1,
+  });
+}
+
 uint32_t
 requests_retry_after_ms (const RequestsTask *t)
 {
@@ -136,9 +199,8 @@
 }
 
 static void
-on_load_timer (DlTimer *timer, void *data)
+publish_load (RequestsTask *t)
 {
-  RequestsTask *t = data;
   SlotMessage *message;
 
   dl_metric_set (&metric_running, t->running);
@@ -151,6 +213,12 @@
   dl_kernel_publish (dl_task_kernel (t->task), message);
 }
 
+static void
+on_load_timer (DlTimer *timer, void *data)
+{
+  publish_load (data);
+}
+
 /* -------- planned stop -------- */
 
 static void
@@ -253,6 +321,34 @@
 
 /* -------- messages -------- */
 
+static void
+give_up_peer (RequestPeer *peer)
+{
+  GList *streams = g_hash_table_get_values (peer->streams);
+
+  for (GList *l = streams; l != NULL; l = l->next)
+    slot_request_give_up (l->data);
+  g_list_free (streams);
+}
+
+/* An engine that fell silent holds its streams open: the entries take them elsewhere. */
+static void
+give_up_streams (RequestsTask *t)
+{
+  GHashTableIter iter;
+  gpointer peer;
+
+  g_hash_table_iter_init (&iter, t->peers);
+  while (g_hash_table_iter_next (&iter, &peer, NULL))
+    give_up_peer (peer);
+}
+
+static bool
+fell_silent (const SlotMessage *before, const SlotMessage *now)
+{
+  return before != NULL && before->engine.reachable && !now->engine.reachable;
+}
+
 static void
 keep (const SlotMessage **kept, const SlotMessage *message)
 {
@@ -280,6 +376,8 @@
       keep (&t->fleet, message);
       break;
     case SLOT_MSG_ENGINE:
+      if (fell_silent (t->engine, message))
+        give_up_streams (t);
       keep (&t->engine, message);
       if (t->status == NULL)
         send_status_to_all (t);
@@ -289,6 +387,8 @@
         break;
       t->accept = message->rotation.accept;
       dl_log (DL_EVENT_REQUESTS_ROTATION, DL_INT ("accept", t->accept));
+      /* The engine task orders a load only when it has heard that nothing runs. */
+      publish_load (t);
       send_status_to_all (t);
       break;
     default:
@@ -305,7 +405,7 @@
   json_object_object_add (dump, "accept", json_object_new_boolean (t->accept));
   json_object_object_add (dump, "stopping", json_object_new_boolean (t->stopping));
   json_object_object_add (dump, "running", json_object_new_int64 (t->running));
-  json_object_object_add (dump, "limit", json_object_new_int64 (requests_limit (t)));
+  json_object_object_add (dump, "limit", json_object_new_int64 (limit (t)));
   json_object_object_add (dump, "entries",
                           json_object_new_int64 (g_hash_table_size (t->peers)));
   json_object_object_add (dump, "mean_duration_us",
@@ -324,6 +424,7 @@
     if (kept[i] != NULL)
       dl_message_unref ((void *)kept[i]);
   g_hash_table_destroy (t->peers);
+  g_hash_table_destroy (t->holders);
   return 0;
 }
 
@@ -337,6 +438,7 @@
   t->settings = slot_settings (task);
   t->http = dl_http_client_new (task, t);
   t->peers = g_hash_table_new (NULL, NULL);
+  t->holders = g_hash_table_new (g_str_hash, g_str_equal);
   t->accept = true;
   talloc_set_destructor (t, requests_destroy);
   dl_timer_subscribe (task, t, LOAD_INTERVAL_MS, LOAD_INTERVAL_MS, on_load_timer, t);
--- a/daisyslotd/requests.h
+++ b/daisyslotd/requests.h
@@ -12,17 +12,28 @@
 #include "daisyslotd.h"
 #include "kernel/http_client.h"
 
+#include "policy/admit.h"
+
 typedef struct RequestPeer RequestPeer;
 typedef struct SlotRequest SlotRequest;
 
+/* Requests in progress of one organisation, over all entries. */
+typedef struct
+{
+  char *organisation;
+  unsigned count;
+  uint64_t asked_ms; /* when it last asked for one */
+} RequestHolder;
+
 /* State of the requests task. */
 typedef struct
 {
   DlTask *task;
   const SlotSettings *settings;
   DlHttpClient *http;
-  GHashTable *peers; /* set of RequestPeer */
-  bool accept;       /* in rotation */
+  GHashTable *peers;   /* set of RequestPeer */
+  GHashTable *holders; /* by organisation, of RequestHolder */
+  bool accept;         /* in rotation */
   bool stopping;
   const SlotMessage *status; /* last STATUS; NULL before the first */
   const SlotMessage *fleet;
@@ -55,8 +66,13 @@
 /* The entry is gone.  A call that must not be sent twice runs on to its end. */
 void slot_request_orphan (SlotRequest *request);
 
-/* Requests that may be in progress at once. */
-unsigned requests_limit (const RequestsTask *requests);
+/* The engine answers no more: ends the request as broken. */
+void slot_request_give_up (SlotRequest *request);
+
+RequestHolder *requests_holder (RequestsTask *requests, const char *organisation);
+/* Whether one more request of HOLDER may be taken. */
+DlAdmitVerdict
+requests_admit (RequestsTask *requests, RequestHolder *holder, unsigned priority);
 /* When a refused request should come back. */
 uint32_t requests_retry_after_ms (const RequestsTask *requests);
 /* A request has ended; DURATION_US is 0 when it never reached the engine. */
--- a/daisyslotd/requests_stream.c
+++ b/daisyslotd/requests_stream.c
@@ -16,7 +16,7 @@
 
 #define CALL_CONNECT_TIMEOUT_MS 1000
 #define CANCEL_TIMEOUT_MS       2000
-#define STALL_TIMEOUT_MS        10000 /* between two bytes of a begun answer */
+#define STALL_TIMEOUT_MS        5000 /* between two bytes of a begun answer */
 #define FIRST_BYTE_TIMEOUT_MS   60000
 #define HTTP_OK                 200
 #define HTTP_CONFLICT           409
@@ -50,6 +50,7 @@
   RequestsTask *requests;
   RequestPeer *peer; /* NULL once the entry is gone */
   uint64_t stream;
+  RequestHolder *holder;
   char *id;
   bool model;
   bool single_use;
@@ -127,6 +128,7 @@
   if (r->peer != NULL)
     g_hash_table_remove (r->peer->streams, &r->stream);
   r->peer = NULL;
+  r->holder->count--;
   requests_ended (r->requests, reason == DAISYLOFT__WIRE__END_REASON__END_COMPLETE
                                    ? dl_clock_us () - r->begun_us
                                    : 0);
@@ -170,15 +172,26 @@
          && dl_digest_equal (&version, &r->version);
 }
 
+/* Ends a request whose call was broken off: what became of it is not known. */
 static void
-on_stalled (DlTimer *timer, void *data)
+end_broken (SlotRequest *r, const char *detail)
 {
-  SlotRequest *r = data;
-
   request_end (r,
                r->head_sent ? DAISYLOFT__WIRE__END_REASON__END_CUT_OFF
                             : DAISYLOFT__WIRE__END_REASON__END_UNKNOWN,
-               "the upstream stopped answering");
+               detail);
+}
+
+static void
+on_stalled (DlTimer *timer, void *data)
+{
+  end_broken (data, "the upstream stopped answering");
+}
+
+void
+slot_request_give_up (SlotRequest *request)
+{
+  end_broken (request, "the engine does not answer");
 }
 
 static void
@@ -316,6 +329,27 @@
 
 /* -------- opening -------- */
 
+static const char *
+admit_refusal (RequestsTask *requests, const Daisyloft__Wire__RequestOpen *open)
+{
+  RequestHolder *holder = requests_holder (requests, open->organisation);
+  /* A stream that goes on elsewhere has been admitted already. */
+  bool resumed = open->resume_from > 0;
+
+  switch (requests_admit (requests, holder, resumed ? 0 : open->priority))
+    {
+    case DL_ADMIT_YES:
+      return NULL;
+    case DL_ADMIT_FULL:
+      return "the upstream is full";
+    case DL_ADMIT_PRIORITY:
+      return "the upstream is kept for more urgent requests";
+    case DL_ADMIT_SHARE:
+      return resumed ? NULL : "the organisation has its share of the upstream";
+    }
+  return NULL;
+}
+
 /* Why the request cannot be taken now; NULL when it can. */
 static const char *
 refusal (const RequestsTask *requests, const DlDigest *version)
@@ -326,8 +360,6 @@
     return "the upstream is leaving";
   if (!requests->accept)
     return "the upstream is out of rotation";
-  if (requests->running >= requests_limit (requests))
-    return "the upstream is full";
   if (requests->settings->kind == DL_SERVICE_MODEL && engine != NULL
       && engine->engine.reachable && !dl_digest_equal (&engine->engine.serving, version))
     return "the upstream serves another version";
@@ -344,6 +376,8 @@
   r->peer = peer;
   r->stream = stream;
   r->id = talloc_strdup (r, open->request_id);
+  r->holder = requests_holder (r->requests, open->organisation);
+  r->holder->count++;
   r->model = peer->requests->settings->kind == DL_SERVICE_MODEL;
   r->single_use = open->single_use;
   r->credit = DL_STREAM_WINDOW_BYTES;
@@ -383,6 +417,8 @@
   dl_metric_add (&metric_opened, 1);
   dl_digest_from_bytes (DL_BYTES_STR (open->version), &version);
   why = refusal (requests, &version);
+  if (why == NULL)
+    why = admit_refusal (requests, open);
   if (g_hash_table_contains (peer->streams, &stream))
     return;
   if (why != NULL)
@@ -438,10 +474,7 @@
   if (cancel_confirmed (result))
     request_end (r, DAISYLOFT__WIRE__END_REASON__END_NOT_RUN, "cancelled before it ran");
   else
-    request_end (r,
-                 r->head_sent ? DAISYLOFT__WIRE__END_REASON__END_CUT_OFF
-                              : DAISYLOFT__WIRE__END_REASON__END_UNKNOWN,
-                 "cancelled");
+    end_broken (r, "cancelled");
 }
 
 static void
@@ -475,10 +508,7 @@
   if (request->model)
     cancel_at_engine (request);
   else
-    request_end (request,
-                 request->head_sent ? DAISYLOFT__WIRE__END_REASON__END_CUT_OFF
-                                    : DAISYLOFT__WIRE__END_REASON__END_UNKNOWN,
-                 "cancelled");
+    end_broken (request, "cancelled");
 }
 
 void
--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -118,7 +118,8 @@
   if (dl_digest_is_zero (digest))
     return (ProtobufCBinaryData){ 0 };
   return (ProtobufCBinaryData){ .len = DL_DIGEST_BYTES,
-                                .data = (uint8_t *)digest->bytes };
+                                .data
+                                = talloc_memdup (context, digest, DL_DIGEST_BYTES) };
 }
 
 static void
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -96,6 +96,11 @@
   g_hash_table_remove (r->server->suspended, r);
   r->server->need_run = true;
   MHD_resume_connection (r->connection);
+  /* Messages are handled just before the loop sleeps, perhaps after this server's turn: a
+   * timer that is due keeps the loop from sleeping on the answer. */
+  ev_timer_stop (r->server->loop, &r->server->timeout);
+  ev_timer_set (&r->server->timeout, 0.0, 0.0);
+  ev_timer_start (r->server->loop, &r->server->timeout);
 }
 
 /* -------- answering -------- */
--- a/lib/policy/admit.c
+++ b/lib/policy/admit.c
@@ -108,6 +108,14 @@
   return at_least_one (share);
 }
 
+static bool
+is_contended (const DlAdmitPlace *p)
+{
+  unsigned queues = p->places - p->capacity;
+
+  return p->used >= p->capacity + queues * DL_ADMIT_CONTENTION_PERCENT / PERCENT;
+}
+
 DlAdmitVerdict
 dl_admit_place (const DlAdmitPlace *p)
 {
@@ -115,8 +123,7 @@
     return DL_ADMIT_FULL;
   if (p->used >= places_of_priority (p))
     return DL_ADMIT_PRIORITY;
-  if (p->used * PERCENT >= p->places * DL_ADMIT_CONTENTION_PERCENT
-      && p->held >= fair_share (p))
+  if (is_contended (p) && p->held >= fair_share (p))
     return DL_ADMIT_SHARE;
   return DL_ADMIT_YES;
 }
--- a/lib/policy/admit.h
+++ b/lib/policy/admit.h
@@ -11,11 +11,14 @@
  * figures add up to the limit; while they disagree, for the few seconds that a status
  * takes, the sum can exceed it by at most half.
  *
- * Under contention, when the upstreams of a service are near full, an organisation may
- * hold at most its weight's share of the places, counted over the organisations that hold
- * any, and the less urgent priorities may not use the last places.  Without contention
- * neither limit applies: idle capacity is not kept from anybody.  The queue is the
- * upstreams' own, bounded by the service's settings; the entry holds no request back.
+ * Under contention, when the upstreams of a service have begun to queue, an organisation
+ * may hold at most its weight's share of the places, counted over the organisations that
+ * hold any or asked lately, and the less urgent priorities may not use the last places.
+ * Without contention neither limit applies: idle capacity is not kept from anybody.  The
+ * queue is the upstreams' own, bounded by the service's settings; the entry holds no
+ * request back.  The slot decides the same way with exact counts of its own upstream, so
+ * that entries need not agree; an entry decides ahead by what it knows, so that most
+ * refusals cost the upstream nothing.
  */
 #ifndef DL_ADMIT_H
 #define DL_ADMIT_H
@@ -26,8 +29,10 @@
 
 #define DL_ADMIT_RETRY_MIN_MS 100
 #define DL_ADMIT_RETRY_MAX_MS 60000
-/* Part of the places, in percent, beyond which a service is under contention. */
-#define DL_ADMIT_CONTENTION_PERCENT 70
+/* Part of the queues, in percent, beyond which a service is under contention. */
+#define DL_ADMIT_CONTENTION_PERCENT 25
+/* An organisation that asked within this time counts as active. */
+#define DL_ADMIT_ACTIVE_MS 5000
 /* Part of the places, in percent, that the least urgent priority may use. */
 #define DL_ADMIT_LEAST_PERCENT 85
 
@@ -60,11 +65,12 @@
 typedef struct
 {
   unsigned places;        /* capacity and queues of the connected upstreams */
+  unsigned capacity;      /* of the places, those that run at once */
   unsigned used;          /* of them, by all entries, as far as is known */
   unsigned own_used;      /* of them, by this entry */
   unsigned held;          /* by the organisation, through this entry */
   uint64_t weight;        /* of the organisation */
-  uint64_t active_weight; /* of all organisations that hold places, and this one */
+  uint64_t active_weight; /* of the active organisations, this one included */
   unsigned priority;      /* 0: most urgent */
   unsigned priorities;    /* how many there are */
   uint64_t duration_ms;   /* usual duration of a request */
--- a/lib/policy/breaker.c
+++ b/lib/policy/breaker.c
@@ -69,6 +69,8 @@
     }
   if (b->state != DL_BREAKER_CLOSED)
     return false; /* the answer of a request sent before it opened */
+  if (delay_us == 0)
+    return false;
   b->delay_us = b->samples == 0 ? delay_us
                                 : (b->delay_us * (SMOOTHING - 1) + delay_us) / SMOOTHING;
   b->samples++;
--- a/lib/policy/breaker.h
+++ b/lib/policy/breaker.h
@@ -16,7 +16,7 @@
 #define DL_BREAKER_BACKOFF_MS     1000
 #define DL_BREAKER_BACKOFF_MAX_MS 30000
 #define DL_BREAKER_SLOW_FACTOR    4      /* times the peers' delay, that opens it */
-#define DL_BREAKER_SLOW_MIN_US    100000 /* a delay below this is never slow */
+#define DL_BREAKER_SLOW_MIN_US    250000 /* a delay below this is never slow */
 #define DL_BREAKER_SLOW_SAMPLES   10
 
 typedef enum
@@ -40,9 +40,9 @@
 bool dl_breaker_allows (const DlBreaker *breaker, uint64_t now_ms);
 /* A request was sent; begins the probe when the back-off has passed. */
 void dl_breaker_sent (DlBreaker *breaker, uint64_t now_ms);
-/* The upstream answered after DELAY_US; PEERS_DELAY_US is the usual delay of the other
- * upstreams of its service, 0 when unknown.  Returns true when this opened the breaker.
- */
+/* The upstream answered after DELAY_US, 0 when the delay says nothing because the request
+ * had to queue there; PEERS_DELAY_US is the usual delay of the other upstreams of its
+ * service, 0 when unknown.  Returns true when this opened the breaker. */
 bool dl_breaker_succeeded (DlBreaker *breaker,
                            uint64_t now_ms,
                            uint64_t delay_us,
