--- a/daisyctl/screen.c
+++ b/daisyctl/screen.c
@@ -267,34 +267,51 @@
  * one showed the same, HTTP_CONFLICT when one showed something else, or the status of the
  * one that has it not. */
 static unsigned
-compare_round (const Options *options, uint64_t *revision)
+compare_round (const Options *options, Frame *first)
 {
-  Frame first = { 0 };
-  unsigned status = ask_entry (options, options->entries[0], options->at, &first);
+  unsigned status = ask_entry (options, options->entries[0], options->at, first);
 
-  *revision = first.revision;
   for (char **e = options->entries + 1; *e != NULL && status == HTTP_OK; e++)
     {
       Frame other = { 0 };
 
-      status = ask_entry (options, *e, first.revision, &other);
-      if (status == HTTP_OK && strcmp (first.digest, other.digest) != 0)
+      status = ask_entry (options, *e, first->revision, &other);
+      if (status == HTTP_OK && strcmp (first->digest, other.digest) != 0)
         {
-          printf ("revision %" PRIu64 " differs\n-- %s\n%s-- %s\n%s", first.revision,
-                  first.entry, first.body, other.entry, other.body);
+          printf ("revision %" PRIu64 " differs\n-- %s\n%s-- %s\n%s", first->revision,
+                  first->entry, first->body, other.entry, other.body);
           status = HTTP_CONFLICT;
         }
       clear_frame (&other);
     }
-  clear_frame (&first);
   return status;
 }
 
+static void
+print_agreement (const Options *options, const Frame *frame)
+{
+  unsigned entries = g_strv_length (options->entries);
+  json_object *object;
+
+  if (!options->json)
+    {
+      printf ("revision %" PRIu64 ": %u entries show the same\n", frame->revision,
+              entries);
+      return;
+    }
+  object = json_object_new_object ();
+  dl_json_add_uint (object, "revision", frame->revision);
+  dl_json_add_uint (object, "entries", entries);
+  dl_json_add_text (object, "digest", frame->digest);
+  puts (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PRETTY));
+  json_object_put (object);
+}
+
 ExitStatus
 compare_run (const Options *options)
 {
   uint64_t deadline_ms = dl_clock_ms () + COMPARE_MS;
-  uint64_t revision = 0;
+  Frame frame = { 0 };
   unsigned status = HTTP_GONE;
 
   if (options->entries[0] == NULL || options->entries[1] == NULL)
@@ -305,20 +322,23 @@
   /* Entries may hold different revisions at a moment; one in common is soon found. */
   while (dl_clock_ms () < deadline_ms)
     {
-      status = compare_round (options, &revision);
+      clear_frame (&frame);
+      status = compare_round (options, &frame);
       if (status == HTTP_OK || status == HTTP_CONFLICT || status == HTTP_UNAUTHORIZED)
         break;
       g_usleep (COMPARE_PAUSE_MS * 1000);
     }
   if (status == HTTP_OK)
-    printf ("revision %" PRIu64 ": %u entries show the same\n", revision,
-            g_strv_length (options->entries));
-  else if (status == HTTP_GONE || status == HTTP_NOT_FOUND)
+    print_agreement (options, &frame);
+  clear_frame (&frame);
+  if (status == HTTP_OK)
+    return EXIT_OK;
+  if (status == HTTP_GONE || status == HTTP_NOT_FOUND)
     {
       fprintf (stderr, "daisyctl: the entries hold no revision in common\n");
       return EXIT_UNKNOWN;
     }
-  else if (status != HTTP_CONFLICT)
+  if (status != HTTP_CONFLICT)
     fprintf (stderr, "daisyctl: an entry does not answer\n");
   return status == HTTP_CONFLICT ? EXIT_REFUSED : frame_status (status);
 }
--- a/lib/query/schema.c
+++ b/lib/query/schema.c
@@ -101,7 +101,6 @@
   [DL_ENTRY_SETTINGS] = SHOWN ("settings", NUMBER),
   [DL_ENTRY_RUNNING] = SHOWN ("running", NUMBER),
   [DL_ENTRY_LEAVING] = SHOWN ("leaving", FLAG),
-  [DL_ENTRY_LOST] = SHOWN ("lost", FLAG),
 };
 
 static const DlColumn lease_columns[DL_LEASE_COLUMNS] = {
--- a/lib/query/tables.c
+++ b/lib/query/tables.c
@@ -311,7 +311,6 @@
       row[DL_ENTRY_SETTINGS] = number_cell (dl_json_uint (v, "settings_revision"));
       row[DL_ENTRY_RUNNING] = number_cell (dl_json_uint (v, "requests_running"));
       row[DL_ENTRY_LEAVING] = number_cell (dl_json_flag (v, "leaving"));
-      row[DL_ENTRY_LOST] = number_cell (dl_json_flag (v, "lost"));
     }
   return rows;
 }
