Slot status owns its digests

A report kept by the requests task pointed into a directive that was freed when the next rollout came: five of nine slots ended by a heap-use-after-free at the second rollout. The texts were copied already, the digests were not.

--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -112,13 +112,16 @@
   return f->engine_reachable ? "" : "the engine does not answer";
 }
 
+/* Copied: a report outlives the facts that it was made from. */
 static ProtobufCBinaryData
 digest_bytes (const void *context, const DlDigest *digest)
 {
   if (dl_digest_is_zero (digest))
     return (ProtobufCBinaryData){ 0 };
-  return (ProtobufCBinaryData){ .len = DL_DIGEST_BYTES,
-                                .data = (uint8_t *)digest->bytes };
+  return (ProtobufCBinaryData){
+    .len = DL_DIGEST_BYTES,
+    .data = talloc_memdup (context, digest->bytes, DL_DIGEST_BYTES),
+  };
 }
 
 static void
