--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -135,6 +135,7 @@
   s->duplicate_bytes = f->duplicate_bytes;
 }
 
+/* The status outlives the directive and the facts: receivers hold its message. */
 Daisyloft__Wire__SlotStatus *
 slot_facts_status (const SlotFacts *f, const void *context)
 {
