--- a/daisyslotd/status.c
+++ b/daisyslotd/status.c
@@ -112,6 +112,7 @@
   return f->engine_reachable ? "" : "the engine does not answer";
 }
 
+/* Copied: a report outlives the facts that it was made from. */
 static ProtobufCBinaryData
 digest_bytes (const void *context, const DlDigest *digest)
 {
