--- a/regress/scenario/load.c
+++ b/regress/scenario/load.c
@@ -3,6 +3,7 @@
  * there, and checks that the answer is whole and its own.
  */
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -331,12 +332,13 @@
 
   if (call->code == CURLE_COULDNT_CONNECT)
     {
+      r->load->counters[SENT]--; /* it was not */
+      told_get (r->load->scenario, r->tag)->sent--;
       request_retry (r);
       return;
     }
   verdict = judge (r);
-  if (verdict == LOST || verdict == MIXED || verdict == CROSSED || verdict == CHANGED
-      || verdict == REJECTED)
+  if (verdict != ANSWERED && verdict != REFUSED && verdict != CUT_OFF)
     g_print ("%s: %s from %s: curl %d, status %ld: %.300s\n", counter_names[verdict],
              r->tag, r->address, (int)call->code, call->status, call->body->str);
   request_end (r, verdict);
@@ -618,6 +620,21 @@
   return sum;
 }
 
+void
+load_print (Scenario *s)
+{
+  for (unsigned i = 0; i < s->loads->len; i++)
+    {
+      const Load *load = g_ptr_array_index (s->loads, i);
+
+      printf ("load %s:", load->name);
+      for (unsigned j = 0; j < COUNTERS; j++)
+        if (load->counters[j] > 0)
+          printf (" %s=%.0f", counter_names[j], load->counters[j]);
+      printf (" open=%u\n", load->open->len);
+    }
+}
+
 void
 load_free (gpointer data)
 {
--- a/regress/scenario/scenario.c
+++ b/regress/scenario/scenario.c
@@ -768,6 +768,8 @@
     }
   ok = run_file (s, path);
   ok = process_end_all (s) && ok && !s->failed;
+  if (!ok)
+    load_print (s);
   if (!ok && !quiet)
     process_print_logs (s);
   printf ("%s: %s (seed %" G_GUINT64_FORMAT ")\n", path, ok ? "passed" : "FAILED",
--- a/regress/scenario/scenario.h
+++ b/regress/scenario/scenario.h
@@ -221,6 +221,8 @@
 /* A counter of the load; false when there is none of that name. */
 bool load_counter (Scenario *s, const char *load, const char *counter, double *value);
 double load_sum (Scenario *s, const char *counter);
+/* Prints the counters of all loads. */
+void load_print (Scenario *s);
 void load_free (gpointer load);
 bool statement_load (Scenario *s, char **words, unsigned count);
 
