Requests: routing by cached prefixes, bench of live requests

The slot reads the engine's cache events every second and passes their net effect to the entries (new frame CacheEvents); entries route prompts to upstreams that hold their prefix and have room.

scripts/bench-requests.sh prints the figures of one entry; daisybench prints figure lines.

--- a/daisybench/daisybench.c
+++ b/daisybench/daisybench.c
@@ -29,6 +29,7 @@
   char *region;
   char *call;
   char *report;
+  char *name;
   double rate;
   double duration;
   gint64 streams;
@@ -74,7 +75,9 @@
     { "seed", 'S', 0, G_OPTION_ARG_INT64, &line->seed, "Seed of arrivals and prompts",
       "N" },
     { "report", 'R', 0, G_OPTION_ARG_STRING, &line->report, "How to print the figures",
-      "text|json" },
+      "text|json|figures" },
+    { "name", 'N', 0, G_OPTION_ARG_STRING, &line->name, "Begin of the figures' names",
+      "NAME" },
     { "version", 'V', 0, G_OPTION_ARG_NONE, &line->version, "Print the version and exit",
       NULL },
     { 0 },
@@ -118,6 +121,8 @@
 static const char *
 check_command_line (const CommandLine *line)
 {
+  static const char *const reports[] = { "text", "json", "figures", NULL };
+
   if ((line->entries == NULL) == (line->direct == NULL))
     return "give either --entry or --direct";
   if (!addresses_are_valid (line->entries))
@@ -136,8 +141,8 @@
     return "--prompt-bytes: must be from 0 to 524288";
   if (line->prefixes < 0 || line->seed < 0)
     return "--prefixes and --seed must not be below 0";
-  if (strcmp (line->report, "text") != 0 && strcmp (line->report, "json") != 0)
-    return "--report: must be text or json";
+  if (!g_strv_contains (reports, line->report))
+    return "--report: must be text, json or figures";
   return NULL;
 }
 
@@ -177,6 +182,8 @@
 
   if (error == 0 && strcmp (line->report, "json") == 0)
     report_json (&options, &figures);
+  else if (error == 0 && strcmp (line->report, "figures") == 0)
+    report_figures (line->name, &figures);
   else if (error == 0)
     report_text (&options, &figures);
   g_array_free (figures.first_us, TRUE);
@@ -203,6 +210,7 @@
   g_free (line->region);
   g_free (line->call);
   g_free (line->report);
+  g_free (line->name);
 }
 
 int
@@ -234,6 +242,7 @@
       set_default (&line.service, "draft");
       set_default (&line.organisation, "bench");
       set_default (&line.report, "text");
+      set_default (&line.name, "load");
       wrong = check_command_line (&line);
     }
   if (wrong != NULL)
--- a/daisybench/daisybench.h
+++ b/daisybench/daisybench.h
@@ -62,5 +62,7 @@
 uint64_t report_quantile_us (GArray *samples, double quantile);
 void report_text (const LoadOptions *options, LoadFigures *figures);
 void report_json (const LoadOptions *options, LoadFigures *figures);
+/* Lines "figure NAME_... VALUE UNIT". */
+void report_figures (const char *name, LoadFigures *figures);
 
 #endif
--- a/daisybench/report.c
+++ b/daisybench/report.c
@@ -109,3 +109,27 @@
   printf ("%s\n", json_object_to_json_string_ext (report, JSON_C_TO_STRING_PLAIN));
   json_object_put (report);
 }
+
+static void
+print_delay_figures (const char *name, const char *kind, GArray *samples)
+{
+  for (size_t i = 0; samples->len > 0 && i < G_N_ELEMENTS (quantiles); i++)
+    printf ("figure %s_%s_%s %.3f ms\n", name, kind, quantiles[i].name,
+            (double)report_quantile_us (samples, quantiles[i].quantile)
+                / MICROSECONDS_PER_MS);
+}
+
+void
+report_figures (const char *name, LoadFigures *figures)
+{
+  printf ("figure %s_arrivals %" PRIu64 " requests\n", name, figures->arrivals);
+  printf ("figure %s_skipped %" PRIu64 " requests\n", name, figures->skipped);
+  for (int i = 0; i < LOAD_OUTCOMES; i++)
+    printf ("figure %s_%s %" PRIu64 " requests\n", name, outcome_names[i],
+            figures->counts[i]);
+  printf ("figure %s_goodput %.1f requests/s\n", name,
+          per_second (figures, figures->counts[LOAD_ANSWERED]));
+  print_delay_figures (name, "first", figures->first_us);
+  print_delay_figures (name, "total", figures->total_us);
+  print_delay_figures (name, "refusal", figures->refusal_us);
+}
--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -115,6 +115,17 @@
   publish_status (u, status);
 }
 
+static void
+take_cache_events (Upstream *u, const Daisyloft__Wire__CacheEvents *events)
+{
+  DlPrefixIndex *prefixes = u->upstreams->prefixes;
+
+  for (size_t i = 0; i < events->n_cached; i++)
+    dl_prefix_add (prefixes, events->cached[i], u->hash, dl_clock_ms ());
+  for (size_t i = 0; i < events->n_dropped; i++)
+    dl_prefix_drop (prefixes, events->dropped[i], u->hash);
+}
+
 /* -------- connections -------- */
 
 static void
@@ -133,10 +144,18 @@
 {
   Upstream *u = data;
 
-  if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS)
-    take_status (u, envelope->slot_status);
-  else
-    upstream_stream_frame (u, envelope, payload);
+  switch (envelope->body_case)
+    {
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS:
+      take_status (u, envelope->slot_status);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_CACHE_EVENTS:
+      take_cache_events (u, envelope->cache_events);
+      break;
+    default:
+      upstream_stream_frame (u, envelope, payload);
+      break;
+    }
 }
 
 static void
--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -15,6 +15,7 @@
 #include "kernel/metrics.h"
 
 #define LOAD_INTERVAL_MS    200
+#define CACHE_INTERVAL_MS   1000
 #define STATUS_INTERVAL_MS  1000
 #define LIMIT_UNKNOWN       256 /* requests at once while no capacity is known */
 #define RETRY_AFTER_MIN_MS  100
@@ -219,6 +220,15 @@
   publish_load (data);
 }
 
+static void
+on_cache_timer (DlTimer *timer, void *data)
+{
+  RequestsTask *t = data;
+
+  if (t->cache_poll == NULL && g_hash_table_size (t->peers) > 0)
+    requests_poll_cache (t);
+}
+
 /* -------- planned stop -------- */
 
 static void
@@ -378,6 +388,8 @@
     case SLOT_MSG_ENGINE:
       if (fell_silent (t->engine, message))
         give_up_streams (t);
+      if (!message->engine.reachable)
+        t->last_cache_event = 0; /* a restarted engine counts anew */
       keep (&t->engine, message);
       if (t->status == NULL)
         send_status_to_all (t);
@@ -444,6 +456,8 @@
   dl_timer_subscribe (task, t, LOAD_INTERVAL_MS, LOAD_INTERVAL_MS, on_load_timer, t);
   dl_timer_subscribe (task, t, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, on_status_timer,
                       t);
+  if (t->settings->kind == DL_SERVICE_MODEL)
+    dl_timer_subscribe (task, t, CACHE_INTERVAL_MS, CACHE_INTERVAL_MS, on_cache_timer, t);
   dl_task_set_state (task, t);
   return 0;
 }
--- a/daisyslotd/requests.h
+++ b/daisyslotd/requests.h
@@ -3,6 +3,7 @@
  *
  *   requests.c         the task: connections from entries, status, planned stop
  *   requests_stream.c  one request: the call to the engine or service and its stream
+ *   requests_cache.c   the engine's cache events, passed on to the entries
  */
 #ifndef REQUESTS_H
 #define REQUESTS_H
@@ -38,6 +39,8 @@
   const SlotMessage *status; /* last STATUS; NULL before the first */
   const SlotMessage *fleet;
   const SlotMessage *engine;
+  uint64_t last_cache_event; /* that the engine told */
+  DlHttpCall *cache_poll;    /* NULL between polls */
   unsigned running;          /* requests in progress, also those whose entry is gone */
   uint64_t mean_duration_us; /* smoothed, of requests that ended */
   uint64_t mean_first_byte_us;
@@ -78,4 +81,7 @@
 /* A request has ended; DURATION_US is 0 when it never reached the engine. */
 void requests_ended (RequestsTask *requests, uint64_t duration_us);
 
+/* Asks the engine for cache events after the last one, and tells the entries. */
+void requests_poll_cache (RequestsTask *requests);
+
 #endif
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &daisyloft__wire__request_cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisyloft__wire__cache_events__init
+                     (Daisyloft__Wire__CacheEvents         *message)
+{
+  static const Daisyloft__Wire__CacheEvents init_value = DAISYLOFT__WIRE__CACHE_EVENTS__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__cache_events__get_packed_size
+                     (const Daisyloft__Wire__CacheEvents *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__cache_events__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__cache_events__pack
+                     (const Daisyloft__Wire__CacheEvents *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__cache_events__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__cache_events__pack_to_buffer
+                     (const Daisyloft__Wire__CacheEvents *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__cache_events__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__CacheEvents *
+       daisyloft__wire__cache_events__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__CacheEvents *)
+     protobuf_c_message_unpack (&daisyloft__wire__cache_events__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__cache_events__free_unpacked
+                     (Daisyloft__Wire__CacheEvents *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__cache_events__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__chunk_have__init
                      (Daisyloft__Wire__ChunkHave         *message)
 {
@@ -2717,6 +2762,57 @@
   (ProtobufCMessageInit) daisyloft__wire__request_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisyloft__wire__cache_events__field_descriptors[2] =
+{
+  {
+    "cached",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Daisyloft__Wire__CacheEvents, n_cached),
+    offsetof(Daisyloft__Wire__CacheEvents, cached),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dropped",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Daisyloft__Wire__CacheEvents, n_dropped),
+    offsetof(Daisyloft__Wire__CacheEvents, dropped),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__cache_events__field_indices_by_name[] = {
+  0,   /* field[0] = cached */
+  1,   /* field[1] = dropped */
+};
+static const ProtobufCIntRange daisyloft__wire__cache_events__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__cache_events__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.CacheEvents",
+  "CacheEvents",
+  "Daisyloft__Wire__CacheEvents",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__CacheEvents),
+  2,
+  daisyloft__wire__cache_events__field_descriptors,
+  daisyloft__wire__cache_events__field_indices_by_name,
+  1,  daisyloft__wire__cache_events__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__cache_events__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__chunk_have__field_descriptors[4] =
 {
   {
@@ -3037,7 +3133,7 @@
   (ProtobufCMessageInit) daisyloft__wire__chunk_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__envelope__field_descriptors[24] =
+static const ProtobufCFieldDescriptor daisyloft__wire__envelope__field_descriptors[25] =
 {
   {
     "stream",
@@ -3327,8 +3423,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cache_events",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__Envelope, body_case),
+    offsetof(Daisyloft__Wire__Envelope, cache_events),
+    &daisyloft__wire__cache_events__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__envelope__field_indices_by_name[] = {
+  24,   /* field[24] = cache_events */
   1,   /* field[1] = challenge */
   20,   /* field[20] = chunk_cancel */
   18,   /* field[18] = chunk_data */
@@ -3358,7 +3467,7 @@
 {
   { 1, 0 },
   { 40, 21 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__envelope__descriptor =
 {
@@ -3368,7 +3477,7 @@
   "Daisyloft__Wire__Envelope",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Envelope),
-  24,
+  25,
   daisyloft__wire__envelope__field_descriptors,
   daisyloft__wire__envelope__field_indices_by_name,
   2,  daisyloft__wire__envelope__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Daisyloft__Wire__ResponseCredit Daisyloft__Wire__ResponseCredit;
 typedef struct Daisyloft__Wire__ResponseEnd Daisyloft__Wire__ResponseEnd;
 typedef struct Daisyloft__Wire__RequestCancel Daisyloft__Wire__RequestCancel;
+typedef struct Daisyloft__Wire__CacheEvents Daisyloft__Wire__CacheEvents;
 typedef struct Daisyloft__Wire__ChunkHave Daisyloft__Wire__ChunkHave;
 typedef struct Daisyloft__Wire__ChunkWant Daisyloft__Wire__ChunkWant;
 typedef struct Daisyloft__Wire__ChunkData Daisyloft__Wire__ChunkData;
@@ -496,6 +497,23 @@
      }
 
 
+/*
+ * Prompt prefixes that the engine's cache gained and dropped: the first eight bytes of their
+ * digests.  Late and with gaps, as the engine tells them.
+ */
+struct  Daisyloft__Wire__CacheEvents
+{
+  ProtobufCMessage base;
+  size_t n_cached;
+  uint64_t *cached;
+  size_t n_dropped;
+  uint64_t *dropped;
+};
+#define DAISYLOFT__WIRE__CACHE_EVENTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__cache_events__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /*
  * Peer messages.  Index 0xffffffff is the manifest itself.
  */
@@ -596,7 +614,8 @@
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_CANCEL = 21,
   DAISYLOFT__WIRE__ENVELOPE__BODY_FRESHNESS = 40,
   DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS_WANT = 41,
-  DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS = 42
+  DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS = 42,
+  DAISYLOFT__WIRE__ENVELOPE__BODY_CACHE_EVENTS = 43
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DAISYLOFT__WIRE__ENVELOPE__BODY__CASE)
 } Daisyloft__Wire__Envelope__BodyCase;
 
@@ -629,6 +648,7 @@
     Daisyloft__Wire__Freshness *freshness;
     Daisyloft__Wire__ObjectsWant *objects_want;
     Daisyloft__Wire__Objects *objects;
+    Daisyloft__Wire__CacheEvents *cache_events;
   };
 };
 #define DAISYLOFT__WIRE__ENVELOPE__INIT \
@@ -997,6 +1017,25 @@
 void   daisyloft__wire__request_cancel__free_unpacked
                      (Daisyloft__Wire__RequestCancel *message,
                       ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__CacheEvents methods */
+void   daisyloft__wire__cache_events__init
+                     (Daisyloft__Wire__CacheEvents         *message);
+size_t daisyloft__wire__cache_events__get_packed_size
+                     (const Daisyloft__Wire__CacheEvents   *message);
+size_t daisyloft__wire__cache_events__pack
+                     (const Daisyloft__Wire__CacheEvents   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__cache_events__pack_to_buffer
+                     (const Daisyloft__Wire__CacheEvents   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__CacheEvents *
+       daisyloft__wire__cache_events__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__cache_events__free_unpacked
+                     (Daisyloft__Wire__CacheEvents *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__ChunkHave methods */
 void   daisyloft__wire__chunk_have__init
                      (Daisyloft__Wire__ChunkHave         *message);
@@ -1170,6 +1209,9 @@
 typedef void (*Daisyloft__Wire__RequestCancel_Closure)
                  (const Daisyloft__Wire__RequestCancel *message,
                   void *closure_data);
+typedef void (*Daisyloft__Wire__CacheEvents_Closure)
+                 (const Daisyloft__Wire__CacheEvents *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__ChunkHave_Closure)
                  (const Daisyloft__Wire__ChunkHave *message,
                   void *closure_data);
@@ -1218,6 +1260,7 @@
 extern const ProtobufCMessageDescriptor daisyloft__wire__response_credit__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__response_end__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__request_cancel__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__cache_events__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__chunk_have__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__chunk_want__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__chunk_data__descriptor;
--- a/lib/policy/prefix.h
+++ b/lib/policy/prefix.h
@@ -1,11 +1,11 @@
 /*
  * Which upstreams are thought to hold which prompt prefixes in their cache.
  *
- * Engines tell of what they cache and drop late, and some of it never arrives.  An entry
- * of the index is therefore only a hint that ages out: an upstream whose events have a
- * gap loses all it is thought to hold, and what was neither told again nor used for a
- * while is forgotten.  An entry also notes where it sent a prefix itself, ahead of the
- * event.
+ * Engines tell of what they cache and drop late, and some of it never arrives.  What the
+ * index holds is therefore only a hint: a wrong one costs the time of a prefill.  It ages
+ * out when it is neither told again nor used for a while, and an upstream that restarted
+ * or changed its version loses all that it is thought to hold.  An entry also notes where
+ * it sent a prefix itself, ahead of the event.
  */
 #ifndef DL_PREFIX_H
 #define DL_PREFIX_H
@@ -30,8 +30,7 @@
 void
 dl_prefix_add (DlPrefixIndex *index, uint64_t prefix, uint64_t upstream, uint64_t now_ms);
 void dl_prefix_drop (DlPrefixIndex *index, uint64_t prefix, uint64_t upstream);
-/* Forgets all that UPSTREAM holds: it restarted, loaded another version, or events of it
- * were lost. */
+/* Forgets all that UPSTREAM holds: it restarted or loaded another version. */
 void dl_prefix_drop_upstream (DlPrefixIndex *index, uint64_t upstream);
 bool dl_prefix_holds (const DlPrefixIndex *index,
                       uint64_t prefix,
--- a/regress/unit/test_route.c
+++ b/regress/unit/test_route.c
@@ -245,7 +245,7 @@
   CU_ASSERT_FALSE (dl_prefix_holds (index, 0, 1, 20));
   dl_prefix_drop (index, p, 1);
   CU_ASSERT_FALSE (dl_prefix_holds (index, p, 1, 20));
-  /* Not told again for long, or events lost. */
+  /* Not told again for long, or restarted. */
   CU_ASSERT_FALSE (dl_prefix_holds (index, p, 2, 21 + DL_PREFIX_MAX_AGE_MS));
   dl_prefix_drop_upstream (index, 2);
   CU_ASSERT_FALSE (dl_prefix_holds (index, p, 2, 20));
--- /dev/null
+++ b/scripts/bench-requests.sh
@@ -0,0 +1,76 @@
+#!/bin/sh
+# Measures live requests with the programs in the folder $1: the delay that one entry adds
+# against the same client straight at the engine, the rate that it carries, and what it does
+# at twice the load that its engines carry.
+# Environment: RATES (requests a second to try), SECONDS_EACH.
+set -eu
+bin=$1
+rates=${RATES:-250 500 1000 2000 3000}
+each=${SECONDS_EACH:-6}
+log=$(mktemp)
+trap 'rm -f "$log" "$log.f"' EXIT
+
+# Starts the fleet in the background: SECONDS VARIABLES...
+fleet() {
+	seconds=$1
+	shift
+	: >"$log"
+	"$bin/scenario" --bin "$bin" --limit 600 --quiet --set seconds="$seconds" "$@" \
+		regress/bench/requests.scn >"$log" 2>&1 &
+	fleet=$!
+	tries=0
+	until grep -q '^ready ' "$log"; do
+		tries=$((tries + 1))
+		if [ "$tries" -gt 600 ] || ! kill -0 "$fleet" 2>/dev/null; then
+			cat "$log"
+			exit 1
+		fi
+		sleep 0.2
+	done
+	read -r _ entry engine _ <<-EOF
+		$(grep '^ready ' "$log")
+	EOF
+}
+
+fleet_end() {
+	wait "$fleet" || grep -E 'scn:|FAILED' "$log" || true
+}
+
+load() { # NAME OPTIONS...
+	name=$1
+	shift
+	"$bin/daisybench" load -R figures -N "$name" -o bench -d "$each" -n 20000 "$@" |
+		tee "$log.f"
+}
+
+value() { # the last load's figure whose name ends with $1
+	sed -n "s/^figure [a-z0-9_]*_$1 \([0-9.]*\) .*/\1/p" "$log.f"
+}
+
+# The delay of one entry.
+fleet $((each * 2 + 4))
+load direct -D "$engine" -r 200 -t 10
+direct=$(value first_p50)/$(value first_p95)/$(value first_p99)
+load entry -f -e "$entry" -r 200 -t 10
+echo "$direct/$(value first_p50)/$(value first_p95)/$(value first_p99)" | awk -F/ '{
+	printf "figure entry_added_p50 %.3f ms\nfigure entry_added_p95 %.3f ms\nfigure entry_added_p99 %.3f ms\n",
+		$4 - $1, $5 - $2, $6 - $3 }'
+fleet_end
+
+# The rate that one entry carries: short answers, more and more a second.
+for rate in $rates; do
+	fleet $((each + 3))
+	load "rate_$rate" -f -e "$entry" -r "$rate" -t 1
+	fleet_end
+done
+
+# Twice the load that the engines carry; what one carries is measured at it directly.
+fleet $((each * 2 + 8)) --set capacity=8 --set tokens_per_s=200 --set queue=8
+load carried -D "$engine" -r 300 -t 20
+carried=$(value goodput)
+load overload -f -e "$entry" -r "$(awk -v c="$carried" 'BEGIN { printf "%d", c * 4 }')" -t 20
+awk -v c="$carried" -v g="$(value goodput)" \
+	'BEGIN { printf "figure overload_goodput_ratio %.3f part\n", g / (c * 2) }'
+fleet_end
+
+"$bin/scenario" --bin "$bin" --quiet regress/bench/requests-calls.scn | grep '^figure '
