--- a/daisybench/daisybench.h
+++ b/daisybench/daisybench.h
@@ -37,10 +37,11 @@
 typedef enum
 {
   LOAD_ANSWERED,
-  LOAD_REFUSED, /* told that it did not run, with a time to come back or not */
-  LOAD_INVALID, /* refused for what the caller must change */
-  LOAD_CUT_OFF, /* broke after the answer had begun */
-  LOAD_UNKNOWN, /* may or may not have run */
+  LOAD_REFUSED,   /* told that it did not run, with a time to come back or not */
+  LOAD_INVALID,   /* refused for what the caller must change */
+  LOAD_CUT_OFF,   /* broke after the answer had begun */
+  LOAD_UNKNOWN,   /* may or may not have run */
+  LOAD_UNREACHED, /* nobody took the connection */
   LOAD_OUTCOMES,
 } LoadOutcome;
 
--- a/daisybench/load.c
+++ b/daisybench/load.c
@@ -142,7 +142,7 @@
 outcome_of (const Request *r, const DlHttpResult *result)
 {
   if (result->error != 0 && !result->sent)
-    return LOAD_REFUSED;
+    return LOAD_UNREACHED;
   if (result->error != 0 && r->first_us == 0)
     return LOAD_UNKNOWN;
   if (r->status != HTTP_OK)
--- a/daisybench/report.c
+++ b/daisybench/report.c
@@ -7,8 +7,9 @@
 #define MICROSECONDS_PER_MS 1000.0
 
 static const char *const outcome_names[LOAD_OUTCOMES] = {
-  [LOAD_ANSWERED] = "answered", [LOAD_REFUSED] = "refused", [LOAD_INVALID] = "invalid",
-  [LOAD_CUT_OFF] = "cut_off",   [LOAD_UNKNOWN] = "unknown",
+  [LOAD_ANSWERED] = "answered", [LOAD_REFUSED] = "refused",
+  [LOAD_INVALID] = "invalid",   [LOAD_CUT_OFF] = "cut_off",
+  [LOAD_UNKNOWN] = "unknown",   [LOAD_UNREACHED] = "unreached",
 };
 
 static const struct
--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -286,6 +286,7 @@
       o->demand = o->tried_now;
       o->tried_now = 0;
     }
+  callers_expire (t);
   g_hash_table_iter_init (&iter, t->claims_seen);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (dl_clock_ms () - *(uint64_t *)value > SEEN_MAX_AGE_MS)
@@ -593,6 +594,8 @@
   json_object_object_add (dump, "tries",
                           json_object_new_int64 (g_hash_table_size (t->tries)));
   json_object_object_add (dump, "claims", json_object_new_int64 (t->claims));
+  json_object_object_add (dump, "claims_kept",
+                          json_object_new_int64 (t->expiries.length));
   json_object_object_add (dump, "demand_per_s", organisations);
   return dump;
 }
@@ -611,6 +614,7 @@
   g_hash_table_destroy (t->budgets);
   g_hash_table_destroy (t->entry_status);
   g_hash_table_destroy (t->claims_seen);
+  callers_expiries_clear (t);
   return 0;
 }
 
@@ -641,6 +645,7 @@
   t->task = task;
   t->settings = entry_settings (task);
   t->in_contact = true;
+  g_queue_init (&t->expiries);
   t->objects = dl_object_client_new (task, t, t->settings->platform,
                                      t->settings->platform_timeout_ms);
   t->organisations = g_hash_table_new (g_str_hash, g_str_equal);
--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -5,6 +5,7 @@
  *   callers_address.c  which entries callers should use
  *   callers_request.c  one request: tries, retries, resumed streams
  *   callers_claim.c    one claimed call that must run at most once
+ *   callers_expiry.c   deletes claims when their time has passed
  */
 #ifndef CALLERS_H
 #define CALLERS_H
@@ -44,6 +45,7 @@
   const EntryMessage *fleet;
   bool in_contact;
   bool stopping;
+  GQueue expiries; /* of ClaimExpiry, the first one due first */
   unsigned claims; /* in progress or being recorded */
   uint64_t next_id;
 } CallersTask;
@@ -106,4 +108,10 @@
 caller_request_start (CallersTask *callers, DlHttpRequest *http, const CallerAsk *ask);
 void caller_claim_start (CallersTask *callers, DlHttpRequest *http, const CallerAsk *ask);
 
+/* The claim NAME has its end recorded at REVISION: it is to be deleted later. */
+void callers_expire_later (CallersTask *callers, const char *name, uint64_t revision);
+/* Deletes claims that are due, a few each second. */
+void callers_expire (CallersTask *callers);
+void callers_expiries_clear (CallersTask *callers);
+
 #endif
--- a/daisyentryd/callers_claim.c
+++ b/daisyentryd/callers_claim.c
@@ -440,6 +440,7 @@
       talloc_free (c);
       break;
     case DL_CLAIM_ACT_FINISHED:
+      callers_expire_later (c->callers, c->name, c->claim.revision);
       talloc_free (c);
       break;
     case DL_CLAIM_ACT_GIVE_RECORD:
--- a/daisyentryd/daisyentryd.c
+++ b/daisyentryd/daisyentryd.c
@@ -16,6 +16,9 @@
 #define HOST_LIST_DEFAULT_MS        2000
 #define LEASE_DEFAULT_MS            5000
 #define LEASE_MINIMUM_MS            500
+#define CLAIM_KEEP_DEFAULT_MS       86400000
+#define CLAIM_KEEP_MINIMUM_MS       10000
+#define CLAIM_KEEP_MAXIMUM_MS       2592000000
 #define CALLERS_DEFAULT             10000
 #define BODY_DEFAULT_BYTES          (1u << 20)
 #define BODY_MAX_BYTES              (64u << 20)
@@ -131,6 +134,14 @@
       .maximum = 600000,
       .fallback = LEASE_DEFAULT_MS,
   },
+  {
+      .key = "claim_keep_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (EntrySettings, claim_keep_ms),
+      .minimum = CLAIM_KEEP_MINIMUM_MS,
+      .maximum = CLAIM_KEEP_MAXIMUM_MS,
+      .fallback = CLAIM_KEEP_DEFAULT_MS,
+  },
   {
       .key = "max_callers",
       .type = DL_SETTING_UINT,
--- a/daisyentryd/daisyentryd.h
+++ b/daisyentryd/daisyentryd.h
@@ -40,6 +40,7 @@
   uint64_t platform_timeout_ms;
   uint64_t host_list_interval_ms;
   uint64_t lease_ms;
+  uint64_t claim_keep_ms;  /* claims of calls that ended */
   uint64_t max_callers;    /* caller connections */
   uint64_t max_body_bytes; /* of a caller's request */
 } EntrySettings;
--- a/lib/policy/claim.c
+++ b/lib/policy/claim.c
@@ -240,6 +240,7 @@
   switch (e->type)
     {
     case DL_CLAIM_EV_WRITTEN:
+      c->revision = e->revision;
       return finish (c, DL_CLAIM_ACT_FINISHED);
     case DL_CLAIM_EV_CONFLICT:
     case DL_CLAIM_EV_WRITE_LOST:
@@ -247,9 +248,11 @@
       return (DlClaimAction){ .type = DL_CLAIM_ACT_READ };
     case DL_CLAIM_EV_READ:
       /* Only this attempt writes over its own claim, but for one that it ended. */
-      if (strcmp (e->record.nonce, c->nonce) != 0 || e->record.state == c->end)
+      if (strcmp (e->record.nonce, c->nonce) != 0)
         return finish (c, DL_CLAIM_ACT_FINISHED);
       c->revision = e->record.revision;
+      if (e->record.state == c->end)
+        return finish (c, DL_CLAIM_ACT_FINISHED);
       return record_later (c);
     case DL_CLAIM_EV_ABSENT:
       return finish (c, DL_CLAIM_ACT_FINISHED); /* expired */
--- a/lib/policy/claim.h
+++ b/lib/policy/claim.h
@@ -31,10 +31,9 @@
 
 #define DL_CLAIM_DISPATCH_MS    2000  /* after the claim's write was sent */
 #define DL_CLAIM_IN_PROGRESS_MS 90000 /* a claim seen for longer is unknown */
-#define DL_CLAIM_KEEP_MS        (UINT64_C (24) * 3600 * 1000)
-#define DL_CLAIM_STORE_TRIES    4   /* calls to the platform before giving up */
-#define DL_CLAIM_RECORD_TRIES   30  /* of recording the end */
-#define DL_CLAIM_PAUSE_MS       100 /* before the second try; doubles */
+#define DL_CLAIM_STORE_TRIES    4     /* calls to the platform before giving up */
+#define DL_CLAIM_RECORD_TRIES   30    /* of recording the end */
+#define DL_CLAIM_PAUSE_MS       100   /* before the second try; doubles */
 #define DL_CLAIM_PAUSE_MAX_MS   5000
 #define DL_CLAIM_NONCE_BYTES    (2 * DL_NONCE_BYTES + 1)
 
--- a/scripts/bench-requests.sh
+++ b/scripts/bench-requests.sh
@@ -15,7 +15,7 @@
 	seconds=$1
 	shift
 	: >"$log"
-	"$bin/scenario" --bin "$bin" --limit 600 --quiet --set seconds="$seconds" "$@" \
+	"$bin/scenario" --bin "$bin" --limit 600 --quiet --set time="${seconds}s" "$@" \
 		regress/bench/requests.scn >"$log" 2>&1 &
 	fleet=$!
 	tries=0
