--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -20,6 +20,7 @@
 #define FAR_MAX           8  /* and to others */
 #define BACKOFF_MIN_MS    100
 #define BACKOFF_MAX_MS    3000
+#define MS_PER_S          1000.0
 #define SWEEP_INTERVAL_MS 1000
 
 DL_METRIC (metric_connected,
@@ -450,6 +451,10 @@
   json_object_object_add (dump, "own", json_object_new_int64 (u->own));
   json_object_object_add (dump, "breaker",
                           json_object_new_string (breaker_states[u->breaker.state]));
+  if (u->sent_ms > 0)
+    json_object_object_add (dump, "last_sent_s_ago",
+                            json_object_new_double ((double)(dl_clock_ms () - u->sent_ms)
+                                                    / MS_PER_S));
   json_object_object_add (dump, "delay_us", json_object_new_uint64 (u->breaker.delay_us));
   return dump;
 }
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -73,6 +73,7 @@
   uint64_t incarnation;
   unsigned own_at_report;
   unsigned own;
+  uint64_t sent_ms;           /* when the last request was sent; 0: none yet */
   unsigned headless;          /* own requests whose answer has not begun */
   uint64_t headless_since_ms; /* nothing has begun since, and some wait */
   DlBreaker breaker;
--- a/daisyentryd/upstreams_stream.c
+++ b/daisyentryd/upstreams_stream.c
@@ -472,7 +472,8 @@
   c = candidate_of (u, 0);
   stream_new (u, service, id, request->organisation)->queued
       = u->capacity > 0 && dl_route_load (&c) >= u->capacity;
-  dl_breaker_sent (&u->breaker, dl_clock_ms ());
+  u->sent_ms = dl_clock_ms ();
+  dl_breaker_sent (&u->breaker, u->sent_ms);
   dl_prefix_add (t->prefixes, request->prefix, u->hash, dl_clock_ms ());
   dl_metric_add (&metric_sent, 1);
 }
--- a/regress/standin/engine.c
+++ b/regress/standin/engine.c
@@ -342,7 +342,7 @@
   const Stream *x = a;
   const Stream *y = b;
 
-  return x->priority < y->priority ? -1 : 1;
+  return x->priority <= y->priority ? -1 : 1; /* equals in order of arrival */
 }
 
 static void
