--- a/daisyentryd/callers_address.c
+++ b/daisyentryd/callers_address.c
@@ -44,6 +44,13 @@
                             m->data_center);
 }
 
+/* More than half of its callers' connections have a request in progress. */
+static bool
+is_drowning_self (const CallersTask *t)
+{
+  return (uint64_t)dl_http_server_running (t->server) * 2 > t->settings->max_callers;
+}
+
 /* Each data centre of the caller's region serves it about equally well, and only the
  * entry's own status says how busy it is, so nearness counts by region. */
 static RankedEntry
@@ -60,6 +67,8 @@
   if (status != NULL)
     r.drowning = status->entry_status.status->requests_running > DROWNING_REQUESTS
                  || status->entry_status.status->leaving;
+  if (strcmp (m->name, t->settings->name) == 0)
+    r.drowning = is_drowning_self (t);
   return r;
 }
 
--- a/scripts/bench-requests.sh
+++ b/scripts/bench-requests.sh
@@ -73,4 +73,6 @@
 	'BEGIN { printf "figure overload_goodput_ratio %.3f part\n", g / (c * 2) }'
 fleet_end
 
-"$bin/scenario" --bin "$bin" --quiet regress/bench/requests-calls.scn | grep '^figure '
+for f in requests-calls requests-gone; do
+	"$bin/scenario" --bin "$bin" --quiet "regress/bench/$f.scn" | grep -E '^figure |FAILED'
+done
