--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -20,6 +20,7 @@
 #define FAR_MAX           8  /* and to others */
 #define BACKOFF_MIN_MS    100
 #define BACKOFF_MAX_MS    3000
+#define MS_PER_S          1000.0
 #define SWEEP_INTERVAL_MS 1000
 
 DL_METRIC (metric_connected,
@@ -115,6 +116,17 @@
   publish_status (u, status);
 }
 
+static void
+take_cache_events (Upstream *u, const Daisyloft__Wire__CacheEvents *events)
+{
+  DlPrefixIndex *prefixes = u->upstreams->prefixes;
+
+  for (size_t i = 0; i < events->n_cached; i++)
+    dl_prefix_add (prefixes, events->cached[i], u->hash, dl_clock_ms ());
+  for (size_t i = 0; i < events->n_dropped; i++)
+    dl_prefix_drop (prefixes, events->dropped[i], u->hash);
+}
+
 /* -------- connections -------- */
 
 static void
@@ -133,10 +145,18 @@
 {
   Upstream *u = data;
 
-  if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS)
-    take_status (u, envelope->slot_status);
-  else
-    upstream_stream_frame (u, envelope, payload);
+  switch (envelope->body_case)
+    {
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS:
+      take_status (u, envelope->slot_status);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_CACHE_EVENTS:
+      take_cache_events (u, envelope->cache_events);
+      break;
+    default:
+      upstream_stream_frame (u, envelope, payload);
+      break;
+    }
 }
 
 static void
@@ -431,6 +451,10 @@
   json_object_object_add (dump, "own", json_object_new_int64 (u->own));
   json_object_object_add (dump, "breaker",
                           json_object_new_string (breaker_states[u->breaker.state]));
+  if (u->sent_ms > 0)
+    json_object_object_add (dump, "last_sent_s_ago",
+                            json_object_new_double ((double)(dl_clock_ms () - u->sent_ms)
+                                                    / MS_PER_S));
   json_object_object_add (dump, "delay_us", json_object_new_uint64 (u->breaker.delay_us));
   return dump;
 }
