Swarm: a rollout without targets in the origin's region completes

The first region with live hosts draws in its place. Scenarios: settings with an entry cut off, overlapping rollouts, a rollout called off.

--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -70,12 +70,12 @@
 
 /* -------- bringing chunks into the region -------- */
 
-/* The home region draws every chunk.  With time weighed, one other region draws it too,
+/* The root region draws every chunk.  With time weighed, one other region draws it too,
  * so that the origin gives at most two copies. */
 static bool
 draws_from_origin (const DlSwarm *swarm, const Ranking *ranking)
 {
-  return swarm->is_home || (ranking->from_origin && !swarm->options.weigh_origin_bytes);
+  return swarm->is_root || (ranking->from_origin && !swarm->options.weigh_origin_bytes);
 }
 
 /* Many draws at a time share the origin's link and all end late: the more hosts draw, the
--- a/lib/policy/swarm_private.h
+++ b/lib/policy/swarm_private.h
@@ -77,7 +77,7 @@
 {
   Host *own[SWARM_RANKED];    /* in this host's region */
   Host *source[SWARM_RANKED]; /* in the region that this one gets the chunk from */
-  Host *home[SWARM_RANKED];   /* in the home region */
+  Host *home[SWARM_RANKED];   /* in the root region */
   bool from_origin;           /* a host of this region draws it, with time weighed */
 } Ranking;
 
@@ -88,7 +88,11 @@
   GPtrArray *hosts; /* Host; never shrinks */
   Host *self;
   bool is_home;
-  GPtrArray *regions;    /* names of the others than home with live hosts, sorted */
+  /* The region that draws every chunk: that of the origin, or the first with live hosts
+   * when none lives there. */
+  const char *root;
+  bool is_root;
+  GPtrArray *regions;    /* names of the others than ROOT with live hosts, sorted */
   uint32_t region_hosts; /* live hosts in this host's region */
   uint32_t count;        /* positions */
   Chunk *chunks;
--- a/lib/policy/swarm_rank.c
+++ b/lib/policy/swarm_rank.c
@@ -39,12 +39,13 @@
   return strcmp (*(char *const *)a, *(char *const *)b);
 }
 
-/* Lists the regions other than the home region that have live hosts, and counts the live
+/* Chooses the root region, lists the others that have live hosts, and counts the live
  * hosts of this host's region. */
 static void
 list_regions (DlSwarm *swarm)
 {
   GPtrArray *regions = swarm->regions;
+  bool home_lives = false;
 
   g_ptr_array_set_size (regions, 0);
   swarm->region_hosts = 0;
@@ -55,16 +56,22 @@
       swarm->region_hosts += host->live && host->same_region ? 1 : 0;
       if (host->live && strcmp (host->region, swarm->options.home_region) != 0)
         g_ptr_array_add (regions, host->region);
+      else if (host->live)
+        home_lives = true;
     }
   g_ptr_array_sort (regions, compare_texts);
   for (guint i = regions->len; i > 1; i--)
     if (strcmp (g_ptr_array_index (regions, i - 1), g_ptr_array_index (regions, i - 2))
         == 0)
       g_ptr_array_remove_index (regions, i - 1);
+  swarm->root = swarm->options.home_region;
+  if (!home_lives && regions->len > 0)
+    swarm->root = g_ptr_array_remove_index (regions, 0);
+  swarm->is_root = strcmp (swarm->options.region, swarm->root) == 0;
 }
 
 /*
- * A group's chunks go from the home region to the others along a binary tree, whose order
+ * A group's chunks go from the root region to the others along a binary tree, whose order
  * is turned by one from group to group, so that no region sends more than the others.
  * Returns this region's place in the tree, and its parent in *SOURCE.
  */
@@ -74,8 +81,8 @@
   guint n = swarm->regions->len;
   guint place = 0;
 
-  *source = swarm->options.home_region;
-  if (swarm->is_home || n == 0)
+  *source = swarm->root;
+  if (swarm->is_root || n == 0)
     return 0;
   while (place < n - 1
          && strcmp (g_ptr_array_index (swarm->regions, (place + group) % n),
@@ -114,7 +121,7 @@
         insert_ranked (ranking->own, own_scores, host, score);
       if (strcmp (host->region, source) == 0)
         insert_ranked (ranking->source, source_scores, host, score);
-      if (strcmp (host->region, swarm->options.home_region) == 0)
+      if (strcmp (host->region, swarm->root) == 0)
         insert_ranked (ranking->home, home_scores, host, score);
     }
 }
