--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -20,6 +20,7 @@
 #define FAR_MAX           8  /* and to others */
 #define BACKOFF_MIN_MS    100
 #define BACKOFF_MAX_MS    3000
+#define MS_PER_S          1000.0
 #define SWEEP_INTERVAL_MS 1000
 
 DL_METRIC (metric_connected,
@@ -115,6 +116,17 @@
   publish_status (u, status);
 }
 
+static void
+take_cache_events (Upstream *u, const Daisyloft__Wire__CacheEvents *events)
+{
+  DlPrefixIndex *prefixes = u->upstreams->prefixes;
+
+  for (size_t i = 0; i < events->n_cached; i++)
+    dl_prefix_add (prefixes, events->cached[i], u->hash, dl_clock_ms ());
+  for (size_t i = 0; i < events->n_dropped; i++)
+    dl_prefix_drop (prefixes, events->dropped[i], u->hash);
+}
+
 /* -------- connections -------- */
 
 static void
@@ -133,10 +145,18 @@
 {
   Upstream *u = data;
 
-  if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS)
-    take_status (u, envelope->slot_status);
-  else
-    upstream_stream_frame (u, envelope, payload);
+  switch (envelope->body_case)
+    {
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_SLOT_STATUS:
+      take_status (u, envelope->slot_status);
+      break;
+    case DAISYLOFT__WIRE__ENVELOPE__BODY_CACHE_EVENTS:
+      take_cache_events (u, envelope->cache_events);
+      break;
+    default:
+      upstream_stream_frame (u, envelope, payload);
+      break;
+    }
 }
 
 static void
@@ -349,6 +369,24 @@
   sweep_unwanted (data);
 }
 
+/* Takes hosts out of rotation, or puts them back, as operators have said. */
+static void
+follow_drains (UpstreamsTask *t)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (t->snapshot == NULL)
+    return;
+  g_hash_table_iter_init (&iter, t->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Upstream *u = value;
+
+      u->drained = entry_host_is_drained (t->snapshot->snapshot.snapshot, u->name);
+    }
+}
+
 /* -------- the task -------- */
 
 static void
@@ -370,6 +408,11 @@
     case ENTRY_MEMBERS:
       keep (&t->members, message);
       follow_members (t, message->members.members);
+      follow_drains (t);
+      break;
+    case ENTRY_SNAPSHOT:
+      keep (&t->snapshot, message);
+      follow_drains (t);
       break;
     case ENTRY_FLEET:
       keep (&t->fleet, message);
@@ -401,12 +444,17 @@
   json_object_object_add (dump, "accepts", json_object_new_boolean (u->accepts));
   json_object_object_add (dump, "leaving",
                           json_object_new_boolean (u->leaving || u->listed_leaving));
+  json_object_object_add (dump, "drained", json_object_new_boolean (u->drained));
   json_object_object_add (dump, "version", json_object_new_string (version));
   json_object_object_add (dump, "capacity", json_object_new_int64 (u->capacity));
   json_object_object_add (dump, "load", json_object_new_int64 (u->load));
   json_object_object_add (dump, "own", json_object_new_int64 (u->own));
   json_object_object_add (dump, "breaker",
                           json_object_new_string (breaker_states[u->breaker.state]));
+  if (u->sent_ms > 0)
+    json_object_object_add (dump, "last_sent_s_ago",
+                            json_object_new_double ((double)(dl_clock_ms () - u->sent_ms)
+                                                    / MS_PER_S));
   json_object_object_add (dump, "delay_us", json_object_new_uint64 (u->breaker.delay_us));
   return dump;
 }
@@ -444,6 +492,8 @@
     dl_message_unref ((void *)t->members);
   if (t->fleet != NULL)
     dl_message_unref ((void *)t->fleet);
+  if (t->snapshot != NULL)
+    dl_message_unref ((void *)t->snapshot);
   g_hash_table_destroy (t->streams);
   g_hash_table_destroy (t->upstreams);
   g_hash_table_destroy (t->services);
@@ -471,7 +521,8 @@
 static DlPlugin upstreams_plugin = {
   .name = "upstreams",
   .order = 40,
-  .subscriptions = ENTRY_SUBSCRIBE (ENTRY_MEMBERS) | ENTRY_SUBSCRIBE (ENTRY_FLEET),
+  .subscriptions = ENTRY_SUBSCRIBE (ENTRY_MEMBERS) | ENTRY_SUBSCRIBE (ENTRY_FLEET)
+                   | ENTRY_SUBSCRIBE (ENTRY_SNAPSHOT),
   .start = upstreams_start,
   .handle = upstreams_handle,
   .dump = upstreams_dump,
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -22,6 +22,7 @@
 {
   char *organisation;
   unsigned count;
+  uint64_t asked_ms; /* when it last asked for one */
 } UpstreamHolder;
 
 /* What the entry knows of the requests of one service. */
@@ -43,6 +44,7 @@
   GHashTable *streams;         /* uint64_t id to UpstreamStream */
   const EntryMessage *members; /* last MEMBERS; NULL before the first */
   const EntryMessage *fleet;
+  const EntryMessage *snapshot; /* NULL before the first */
   DlPrefixIndex *prefixes;
 } UpstreamsTask;
 
@@ -57,6 +59,7 @@
   DlDistance distance;
   bool wanted;         /* in the subset that this entry connects to */
   bool listed_leaving; /* by the lagging list */
+  bool drained;        /* by operators */
   DlConn *conn;        /* NULL between dials */
   bool open;
   DlTimer *redial;
@@ -70,7 +73,9 @@
   uint64_t incarnation;
   unsigned own_at_report;
   unsigned own;
-  uint64_t last_cache_event;
+  uint64_t sent_ms;           /* when the last request was sent; 0: none yet */
+  unsigned headless;          /* own requests whose answer has not begun */
+  uint64_t headless_since_ms; /* nothing has begun since, and some wait */
   DlBreaker breaker;
 };
 
--- a/regress/scenario/truth.c
+++ b/regress/scenario/truth.c
@@ -732,6 +732,18 @@
   return true;
 }
 
+/* save VARIABLE EXPRESSION */
+bool
+statement_save (Scenario *s, char **words, unsigned count)
+{
+  char **at = words + 2;
+  Value value = read_expression (s, &at);
+
+  g_hash_table_replace (s->variables, g_strdup (words[1]), value_text (&value));
+  g_free (value.text);
+  return value.known || scn_fail (s, "%s is unknown", words[2]);
+}
+
 /* -------- calls and commands -------- */
 
 /* Checks an answer against [has TEXT] [lacks TEXT] [json PATH VALUE] [save NAME [PATH]].
@@ -750,6 +762,8 @@
         ok = strstr (text, words[i + 1]) != NULL;
       else if (strcmp (what, "lacks") == 0)
         ok = strstr (text, words[i + 1]) == NULL;
+      else if (strcmp (what, "print") == 0)
+        printf ("%s", text);
       else if (strcmp (what, "json") == 0 && i + 2 < count)
         {
           json_object *found = json != NULL ? json_at (json, words[i + 1]) : NULL;
@@ -823,7 +837,8 @@
       g_ptr_array_add (headers, words[i + 1]);
     else
       body = words[i + 1];
-  if (g_str_has_suffix (words[2], ".operators"))
+  /* The operators' side gets the key, unless the statement gives another header. */
+  if (g_str_has_suffix (words[2], ".operators") && headers->len == 0)
     g_ptr_array_add (headers, (char *)"Authorization: Bearer " OPERATOR_KEY);
   g_ptr_array_add (headers, NULL);
   url = g_strdup_printf ("http://%s%s", address != NULL ? address : "", words[3]);
@@ -846,12 +861,34 @@
   return ok;
 }
 
-/* ctl ENTRY WORDS... [=> STATUS [CHECK...]] */
+/* Adds an --entry option for each of NAMES, separated by commas.  Returns how many, or 0
+ * when one is no entry. */
+static unsigned
+add_entries (Scenario *s, const char *names, char **argv, unsigned max)
+{
+  char **list = g_strsplit (names, ",", -1);
+  unsigned n = 0;
+
+  for (char **name = list; *name != NULL; name++)
+    {
+      Process *entry = process_find (s, *name);
+
+      if (entry == NULL || entry->operators == NULL || n == max)
+        {
+          n = 0;
+          break;
+        }
+      argv[n++] = g_strdup_printf ("--entry=%s", entry->operators);
+    }
+  g_strfreev (list);
+  return n;
+}
+
+/* ctl ENTRY[,ENTRY...] WORDS... [=> STATUS [CHECK...]] */
 bool
 statement_ctl (Scenario *s, char **words, unsigned count)
 {
   unsigned arrow = find_arrow (words, count);
-  Process *entry = process_find (s, words[1]);
   char *argv[CTL_WORDS_MAX] = { 0 };
   uint64_t expected = 0;
   char *output = NULL;
@@ -859,12 +896,13 @@
   unsigned n = 0;
   bool ok;
 
-  if (entry == NULL || entry->operators == NULL || arrow > CTL_WORDS_MAX - 8)
-    return scn_fail (s, "no entry is named %s", words[1]);
   if (arrow + 1 < count && !scn_parse_uint (words[arrow + 1], &expected))
     return scn_fail (s, "%s is no status", words[arrow + 1]);
-  argv[n++] = g_strdup_printf ("%s/daisyctl", s->bin);
-  argv[n++] = g_strdup_printf ("--entry=%s", entry->operators);
+  n = arrow <= CTL_WORDS_MAX - 16 ? add_entries (s, words[1], argv + 1, 8) : 0;
+  if (n == 0)
+    return scn_fail (s, "no entry is named %s", words[1]);
+  argv[0] = g_strdup_printf ("%s/daisyctl", s->bin);
+  n++;
   argv[n++] = g_strdup_printf ("--key-file=%s/operator.key", s->folder);
   for (unsigned i = 2; i < arrow; i++)
     argv[n++] = g_strdup (words[i]);
