Weights yield to live requests by the requests' own delay

AIMD on the share of the link budgets: the delay of the first byte, as the requests task publishes it in LOAD (now also when only the delay changed), against the delay without a transfer.

--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -205,9 +205,11 @@
   SlotMessage *message;
 
   dl_metric_set (&metric_running, t->running);
-  if (t->published_running == t->running)
+  if (t->published_running == t->running
+      && t->published_first_byte_us == t->mean_first_byte_us)
     return;
   t->published_running = t->running;
+  t->published_first_byte_us = t->mean_first_byte_us;
   message = dl_message_new (SLOT_MSG_LOAD, sizeof *message);
   message->load.running = t->running;
   message->load.first_byte_us = t->mean_first_byte_us;
--- a/daisyslotd/requests.h
+++ b/daisyslotd/requests.h
@@ -45,7 +45,8 @@
   uint64_t mean_duration_us; /* smoothed, of requests that ended */
   uint64_t mean_first_byte_us;
   unsigned published_running; /* in the last LOAD */
-  unsigned reported_running;  /* in the last status to entries */
+  uint64_t published_first_byte_us;
+  unsigned reported_running; /* in the last status to entries */
 } RequestsTask;
 
 /* A connection from an entry. */
--- a/daisyslotd/transfer.c
+++ b/daisyslotd/transfer.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 #include "transfer_blobs.h"
 
 #define REPORT_INTERVAL_MS 250
@@ -11,6 +12,11 @@
 #define MS_PER_S           1000
 #define RETAINED_VERSIONS  2
 
+DL_METRIC (metric_share,
+           DL_METRIC_GAUGE,
+           "daisy_transfer_share_permille",
+           "Part of the link budgets that the live requests leave to the weights.")
+
 /* -------- reports -------- */
 
 static void
@@ -233,6 +239,33 @@
   retain (transfer);
 }
 
+/* -------- live requests -------- */
+
+static void
+on_load (Transfer *transfer, const SlotMessage *message)
+{
+  bool transferring = transfer->swarm != NULL && !dl_swarm_is_idle (transfer->swarm);
+
+  dl_yield_sample (&transfer->yield,
+                   message->load.running > 0 ? message->load.first_byte_us : 0,
+                   transferring);
+}
+
+void
+transfer_yield (Transfer *transfer)
+{
+  uint64_t now = dl_clock_us ();
+  uint32_t share = dl_yield_share (&transfer->yield, now);
+
+  if (share == transfer->down.share_permille)
+    return;
+  dl_metric_set (&metric_share, share);
+  dl_budget_set_share (&transfer->up, share, now);
+  dl_budget_set_share (&transfer->down, share, now);
+  dl_budget_set_share (&transfer->region_up, share, now);
+  dl_budget_set_share (&transfer->region_down, share, now);
+}
+
 /* -------- the task -------- */
 
 static void
@@ -269,6 +302,8 @@
                               transfer_on_draw, transfer);
   transfer->report_timer
       = dl_timer_subscribe (task, transfer, 0, 0, on_report_timer, transfer);
+  dl_yield_init (&transfer->yield, dl_clock_us ());
+  dl_metric_set (&metric_share, transfer->yield.share_permille);
   init_budget (&transfer->up, settings->upload_bytes_per_s);
   init_budget (&transfer->down, settings->download_bytes_per_s);
   init_budget (&transfer->region_up, settings->region_bytes_per_s);
@@ -299,6 +334,9 @@
     case SLOT_MSG_ENGINE:
       on_engine (transfer, message);
       break;
+    case SLOT_MSG_LOAD:
+      on_load (transfer, message);
+      break;
     default:
       break;
     }
@@ -344,6 +382,8 @@
                           json_object_new_uint64 (transfer->counts.duplicate_bytes));
   json_object_object_add (dump, "corrupt_bytes",
                           json_object_new_uint64 (transfer->counts.corrupt_bytes));
+  json_object_object_add (dump, "share_permille",
+                          json_object_new_int64 (transfer->yield.share_permille));
   json_object_object_add (dump, "sent_bytes",
                           json_object_new_uint64 (transfer->counts.sent_bytes));
   json_object_object_add (dump, "replica_bytes",
@@ -356,7 +396,7 @@
   .name = "transfer",
   .order = 40,
   .subscriptions = SLOT_SUBSCRIBE (SLOT_MSG_MEMBERS) | SLOT_SUBSCRIBE (SLOT_MSG_DIRECTIVE)
-                   | SLOT_SUBSCRIBE (SLOT_MSG_ENGINE),
+                   | SLOT_SUBSCRIBE (SLOT_MSG_ENGINE) | SLOT_SUBSCRIBE (SLOT_MSG_LOAD),
   .start = transfer_start,
   .handle = transfer_handle,
   .dump = transfer_dump,
--- a/daisyslotd/transfer.h
+++ b/daisyslotd/transfer.h
@@ -15,6 +15,7 @@
 
 #include "daisyslotd.h"
 #include "policy/swarm.h"
+#include "policy/yield.h"
 #include "transfer_source.h"
 #include "transfer_store.h"
 
@@ -64,6 +65,7 @@
   const DlManifest *manifest;     /* of the directive's version; NULL until known */
   GHashTable *same;               /* digest to the list of indexes that repeat it */
   DlBudget up, down, region_up, region_down;
+  DlYield yield; /* what the live requests leave of the budgets */
   TransferCounts counts;
   char *failure;
   uint64_t started_ms;
@@ -78,6 +80,8 @@
 const DlMember *transfer_member (const Transfer *transfer, const char *name);
 /* Reports progress soon; at once when WHOLE has just become true. */
 void transfer_report (Transfer *transfer, bool at_once);
+/* Sets the part of the budgets that the live requests leave. */
+void transfer_yield (Transfer *transfer);
 /* Takes a verified manifest of the directive's version into use. */
 void transfer_use_manifest (Transfer *transfer, const DlManifest *manifest);
 
--- a/daisyslotd/transfer_run.c
+++ b/daisyslotd/transfer_run.c
@@ -200,6 +200,7 @@
   transfer->run_at_ms = UINT64_MAX;
   if (transfer->swarm == NULL)
     return;
+  transfer_yield (transfer);
   next_us = dl_swarm_run (transfer->swarm, now_us);
   while (dl_swarm_take (transfer->swarm, &action))
     carry_out (transfer, &action);
--- a/lib/policy/swarm.c
+++ b/lib/policy/swarm.c
@@ -520,6 +520,12 @@
   return swarm->has_manifest && swarm->held == swarm->count;
 }
 
+bool
+dl_swarm_is_idle (const DlSwarm *swarm)
+{
+  return swarm->wants == 0 && swarm->draws == 0 && swarm->uploads->len == 0;
+}
+
 bool
 dl_swarm_holds (const DlSwarm *swarm, uint32_t index)
 {
--- a/lib/policy/swarm.h
+++ b/lib/policy/swarm.h
@@ -172,6 +172,8 @@
 /* -------- state -------- */
 
 bool dl_swarm_is_whole (const DlSwarm *swarm);
+/* True when nothing is on its way to or from this host. */
+bool dl_swarm_is_idle (const DlSwarm *swarm);
 bool dl_swarm_holds (const DlSwarm *swarm, uint32_t index);
 DlSwarmCounts dl_swarm_counts (const DlSwarm *swarm);
 /* True when HOST has sent corrupt chunks and is not asked any more. */
--- /dev/null
+++ b/lib/policy/yield.c
@@ -0,0 +1,58 @@
+#include "policy/yield.h"
+
+#define INTERVAL_US      200000
+#define FULL_PERMILLE    1000
+#define FLOOR_PERMILLE   100
+#define STEP_PERMILLE    40
+#define FALL_NUMERATOR   7 /* the share falls to 7/10 */
+#define FALL_DENOMINATOR 10
+/* A delay counts as raised above 1.15 times the base and 2 ms. */
+#define RAISED_PERCENT  115
+#define RAISED_LEAST_US 2000
+#define BASE_SMOOTHING  16
+
+void
+dl_yield_init (DlYield *yield, uint64_t now_us)
+{
+  *yield = (DlYield){ .share_permille = FULL_PERMILLE, .changed_us = now_us };
+}
+
+/* The base follows the delay slowly without a transfer, and only down during one. */
+void
+dl_yield_sample (DlYield *yield, uint64_t delay_us, bool transferring)
+{
+  yield->delay_us = delay_us;
+  if (delay_us == 0)
+    return;
+  if (yield->base_us == 0 || (transferring && delay_us < yield->base_us))
+    yield->base_us = delay_us;
+  else if (!transferring)
+    yield->base_us = (yield->base_us * (BASE_SMOOTHING - 1) + delay_us) / BASE_SMOOTHING;
+}
+
+static bool
+is_raised (const DlYield *yield)
+{
+  return yield->delay_us > yield->base_us + RAISED_LEAST_US
+         && yield->delay_us * 100 > yield->base_us * RAISED_PERCENT;
+}
+
+uint32_t
+dl_yield_share (DlYield *yield, uint64_t now_us)
+{
+  uint32_t share = yield->share_permille;
+
+  if (now_us - yield->changed_us < INTERVAL_US)
+    return share;
+  yield->changed_us = now_us;
+  if (is_raised (yield))
+    share = share * FALL_NUMERATOR / FALL_DENOMINATOR;
+  else
+    share += STEP_PERMILLE;
+  if (share < FLOOR_PERMILLE)
+    share = FLOOR_PERMILLE;
+  if (share > FULL_PERMILLE)
+    share = FULL_PERMILLE;
+  yield->share_permille = share;
+  return share;
+}
