--- a/lib/policy/swarm.c
+++ b/lib/policy/swarm.c
@@ -58,6 +58,14 @@
   swarm_act (swarm, (DlSwarmAction){ .type = DL_SWARM_DIAL, .host = host->name });
 }
 
+void
+swarm_mark_down (Host *host, uint64_t now_us)
+{
+  if (host->down_until_us <= now_us)
+    host->down_since_us = now_us;
+  host->down_until_us = now_us + HOST_DOWN_US;
+}
+
 void
 swarm_release (DlSwarm *swarm, Chunk *chunk)
 {
@@ -265,7 +273,7 @@
 
   host->dialled = false;
   host->dial_after_us = now_us + DIAL_RETRY_US + swarm_random (swarm) % DIAL_RETRY_US;
-  host->down_until_us = now_us + HOST_DOWN_US;
+  swarm_mark_down (host, now_us);
   if (!host->up)
     return;
   host->up = false;
@@ -434,7 +442,7 @@
       return;
     }
   /* The first of the ranking does not bring the chunk: the next one is to step in. */
-  host->down_until_us = now_us + HOST_DOWN_US;
+  swarm_mark_down (host, now_us);
 }
 
 void
--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -12,6 +12,7 @@
 #define QUEUE_TOLERATED    2  /* uploads waiting at a host that is still asked */
 #define STEP_IN_US         (2000 * US_PER_MS) /* for each place in the ranking */
 #define OTHER_VERSION_US   (5000 * US_PER_MS) /* that a host may take to turn to ours */
+#define TAKE_OVER_US       (2000 * US_PER_MS) /* that a host is down before */
 #define WANT_TIMEOUT_US    (2000 * US_PER_MS)
 #define WANT_TIMEOUT_SENDS 16 /* times the time that a chunk takes on the link */
 #define TIMEOUTS_MAX       3  /* in a row; the host is asked less */
@@ -60,7 +61,7 @@
           continue;
         }
       if (chunk->waiting)
-        host->down_until_us = now_us + HOST_DOWN_US;
+        swarm_mark_down (host, now_us);
       else
         host->timeouts++;
       swarm_release (swarm, chunk);
@@ -126,6 +127,24 @@
   return host != NULL ? host : swarm_first (swarm, ranking->home, now_us, NULL);
 }
 
+/* True while a host ranked before this one has been down for a short time only: it may be
+ * out of this host's reach alone, and its chunks arrive through others. */
+static bool
+may_be_brought (const DlSwarm *swarm, const Ranking *ranking, uint64_t now_us)
+{
+  for (int i = 0; i < SWARM_RANKED && ranking->own[i] != swarm->self; i++)
+    {
+      const Host *host = ranking->own[i];
+
+      if (host == NULL)
+        return false;
+      if (host->live && !host_avoided (host) && host->down_until_us > now_us
+          && now_us - host->down_since_us < TAKE_OVER_US)
+        return true;
+    }
+  return false;
+}
+
 static void
 bring (DlSwarm *swarm, uint32_t position, uint64_t now_us)
 {
@@ -133,6 +152,9 @@
   int place;
   Host *first = swarm_first (swarm, ranking->own, now_us, &place);
 
+  if (place == 0 && swarm->options.weigh_origin_bytes
+      && may_be_brought (swarm, ranking, now_us))
+    return;
   if (place == 0 || swarm->options.alone)
     {
       if (swarm->options.alone || draws_from_origin (swarm, ranking))
--- a/lib/policy/swarm_private.h
+++ b/lib/policy/swarm_private.h
@@ -31,7 +31,8 @@
   bool dialled; /* a dial is in progress */
   uint64_t dial_after_us;
   uint64_t down_until_us; /* passed over in rankings */
-  uint8_t *have;          /* bit for each position; grows */
+  uint64_t down_since_us;
+  uint8_t *have; /* bit for each position; grows */
   size_t have_bytes;
   uint32_t have_count;
   uint32_t queue;       /* uploads waiting there, as told */
@@ -145,6 +146,8 @@
 void swarm_act (DlSwarm *swarm, DlSwarmAction action);
 uint64_t swarm_random (DlSwarm *swarm);
 void swarm_dial (DlSwarm *swarm, Host *host, uint64_t now_us);
+/* The host is passed over in rankings for a time. */
+void swarm_mark_down (Host *host, uint64_t now_us);
 /* Ends the request for the chunk, so that it can be requested anew. */
 void swarm_release (DlSwarm *swarm, Chunk *chunk);
 
