--- a/daisyslotd/transfer.h
+++ b/daisyslotd/transfer.h
@@ -97,6 +97,7 @@
 
 /* transfer_peer.c */
 TransferPeer *transfer_peer (Transfer *transfer, const char *name);
+void transfer_peer_hang_up (TransferPeer *peer);
 void transfer_peer_dial (Transfer *transfer, TransferPeer *peer);
 /* Takes over a connection that the listener accepted. */
 void transfer_peer_accept (Transfer *transfer, DlConn *conn);
--- a/daisyslotd/transfer_peer.c
+++ b/daisyslotd/transfer_peer.c
@@ -45,16 +45,22 @@
 
 static void
 forget_connection (TransferPeer *peer)
+{
+  transfer_peer_hang_up (peer);
+  if (peer->transfer->swarm == NULL)
+    return;
+  dl_swarm_peer_down (peer->transfer->swarm, peer->name, dl_clock_us ());
+  transfer_kick (peer->transfer);
+}
+
+void
+transfer_peer_hang_up (TransferPeer *peer)
 {
   TALLOC_FREE (peer->conn);
   peer->up = false;
   peer->dialled = false;
   peer->version = (DlDigest){ 0 };
   g_array_set_size (peer->early_wants, 0);
-  if (peer->transfer->swarm == NULL)
-    return;
-  dl_swarm_peer_down (peer->transfer->swarm, peer->name, dl_clock_us ());
-  transfer_kick (peer->transfer);
 }
 
 static void
--- a/daisyslotd/transfer_run.c
+++ b/daisyslotd/transfer_run.c
@@ -166,6 +166,9 @@
     case DL_SWARM_DIAL:
       transfer_peer_dial (transfer, peer);
       break;
+    case DL_SWARM_HANG_UP:
+      transfer_peer_hang_up (peer);
+      break;
     case DL_SWARM_HAVE:
       send_have (transfer, peer, action);
       break;
--- a/lib/policy/swarm.c
+++ b/lib/policy/swarm.c
@@ -249,6 +249,7 @@
   host->up = true;
   host->dialled = false;
   host->announced = host->heard = false;
+  host->message_us = now_us;
   host->timeouts = 0;
   host->down_until_us = 0;
   swarm->up++;
@@ -317,9 +318,19 @@
 
   host->queue = queue;
   host->queue_us = now_us;
+  host->message_us = now_us;
   host->heard = true;
 }
 
+void
+swarm_hang_up (DlSwarm *swarm, Host *host, uint64_t now_us)
+{
+  swarm_act (swarm, (DlSwarmAction){ .type = DL_SWARM_HANG_UP, .host = host->name });
+  dl_swarm_peer_down (swarm, host->name, now_us);
+  /* The host itself may be well: it stays first in its rankings. */
+  host->down_until_us = 0;
+}
+
 /* -------- chunks -------- */
 
 static void
@@ -390,7 +401,10 @@
 
   charge_receipt (swarm, host, bytes, now_us);
   if (host != NULL)
-    host->timeouts = 0;
+    {
+      host->timeouts = 0;
+      host->message_us = now_us;
+    }
   else
     swarm->unusable = false;
   if (position >= swarm->count || swarm->chunks[position].state == CHUNK_HELD)
@@ -429,6 +443,7 @@
   Chunk *chunk = position < swarm->count ? &swarm->chunks[position] : NULL;
   bool waited;
 
+  host->message_us = now_us;
   if (chunk == NULL || chunk->state != CHUNK_WANTED || chunk->from != host)
     return;
   waited = chunk->waiting;
--- a/lib/policy/swarm.h
+++ b/lib/policy/swarm.h
@@ -56,13 +56,14 @@
 
 typedef enum
 {
-  DL_SWARM_DIAL,   /* connect to the host */
-  DL_SWARM_HAVE,   /* tell the host of newly verified chunks */
-  DL_SWARM_WANT,   /* request a chunk from the host */
-  DL_SWARM_CANCEL, /* take the request back */
-  DL_SWARM_SEND,   /* send a chunk to the host */
-  DL_SWARM_REFUSE, /* refuse the host's request */
-  DL_SWARM_DRAW,   /* fetch a chunk from the origin or the weight store */
+  DL_SWARM_DIAL,    /* connect to the host */
+  DL_SWARM_HANG_UP, /* close a connection on which nothing arrives; no event follows */
+  DL_SWARM_HAVE,    /* tell the host of newly verified chunks */
+  DL_SWARM_WANT,    /* request a chunk from the host */
+  DL_SWARM_CANCEL,  /* take the request back */
+  DL_SWARM_SEND,    /* send a chunk to the host */
+  DL_SWARM_REFUSE,  /* refuse the host's request */
+  DL_SWARM_DRAW,    /* fetch a chunk from the origin or the weight store */
 } DlSwarmActionType;
 
 typedef struct
--- a/lib/policy/swarm_fetch.c
+++ b/lib/policy/swarm_fetch.c
@@ -13,6 +13,7 @@
 #define STEP_IN_US         (2000 * US_PER_MS) /* for each place in the ranking */
 #define OTHER_VERSION_US   (5000 * US_PER_MS) /* that a host may take to turn to ours */
 #define TAKE_OVER_US       (2000 * US_PER_MS) /* that a host is down before */
+#define SILENCE_US         (6000 * US_PER_MS) /* of a host that is to answer */
 #define WANT_TIMEOUT_US    (2000 * US_PER_MS)
 #define WANT_TIMEOUT_SENDS 16 /* times the time that a chunk takes on the link */
 #define TIMEOUTS_MAX       3  /* in a row; the host is asked less */
@@ -53,7 +54,14 @@
       Chunk *chunk = &swarm->chunks[i];
       Host *host = chunk->from;
 
-      if (chunk->state != CHUNK_WANTED || (chunk->waiting && host->heard))
+      if (chunk->state != CHUNK_WANTED)
+        continue;
+      if (now_us - host->message_us > SILENCE_US)
+        {
+          swarm_hang_up (swarm, host, now_us);
+          continue;
+        }
+      if (chunk->waiting && host->heard)
         continue;
       if (chunk->deadline_us > now_us)
         {
--- a/lib/policy/swarm_private.h
+++ b/lib/policy/swarm_private.h
@@ -32,7 +32,8 @@
   uint64_t dial_after_us;
   uint64_t down_until_us; /* passed over in rankings */
   uint64_t down_since_us;
-  uint8_t *have; /* bit for each position; grows */
+  uint64_t message_us; /* when it last said anything */
+  uint8_t *have;       /* bit for each position; grows */
   size_t have_bytes;
   uint32_t have_count;
   uint32_t queue;       /* uploads waiting there, as told */
@@ -148,6 +149,8 @@
 void swarm_dial (DlSwarm *swarm, Host *host, uint64_t now_us);
 /* The host is passed over in rankings for a time. */
 void swarm_mark_down (Host *host, uint64_t now_us);
+/* Gives up a connection on which requests stay without an answer. */
+void swarm_hang_up (DlSwarm *swarm, Host *host, uint64_t now_us);
 /* Ends the request for the chunk, so that it can be requested anew. */
 void swarm_release (DlSwarm *swarm, Chunk *chunk);
 
--- a/lib/policy/swarm_serve.c
+++ b/lib/policy/swarm_serve.c
@@ -80,6 +80,7 @@
   Upload upload
       = { .host = host, .position = position, .wait = wait, .since_us = now_us };
 
+  host->message_us = now_us;
   if (!host->up)
     return;
   if (swarm->has_manifest && position >= swarm->count)
--- a/regress/unit/swarm_driver.c
+++ b/regress/unit/swarm_driver.c
@@ -231,6 +231,9 @@
       if (!to->dead && !to->stalled)
         post (d, EVENT_UP, node, to, latency (d));
       break;
+    case DL_SWARM_HANG_UP:
+      post (d, EVENT_DOWN, node, to, latency (d));
+      break;
     case DL_SWARM_HAVE:
       event = post (d, EVENT_HAVE, node, to, latency (d));
       event->indexes = g_memdup2 (a->have.indexes, a->have.count * sizeof (uint32_t));
