--- a/regress/scenario/process.c
+++ b/regress/scenario/process.c
@@ -16,7 +16,8 @@
 
 #define FLEET_KEY     "scenario-fleet-key-0123456789"
 #define OPERATOR_KEY  "scenario-operator-key-0123456789"
-#define LOG_TAIL      4000 /* bytes of a log that are printed */
+#define LOG_TAIL      12000 /* bytes of a log that are printed */
+#define DUMP_TURNS    50
 #define HOSTS_PER_NET 250
 #define TURN_MS       10
 
@@ -445,8 +446,12 @@
     {
       if (scn_now_ms () > deadline)
         {
+          scn_fail (s, "%s did not end within %d ms", p->name, SCN_READY_MS);
+          send_signal (p, SIGUSR1); /* its dump goes into its log */
+          for (unsigned i = 0; i < DUMP_TURNS; i++)
+            scn_turn (s, TURN_MS);
           send_signal (p, SIGKILL);
-          return scn_fail (s, "%s did not end within %d ms", p->name, SCN_READY_MS);
+          return false;
         }
       scn_turn (s, TURN_MS);
     }
