--- a/daisyentryd/operators.c
+++ b/daisyentryd/operators.c
@@ -18,7 +18,7 @@
 #include "query/json_get.h"
 #include "query/render.h"
 
-#define SNAPSHOTS_KEPT          32
+#define SNAPSHOTS_KEPT          16
 #define CONNECTIONS_MAX         256
 #define CONNECTIONS_PER_IP_MAX  64
 #define BODY_MAX_BYTES          (2u << 20) /* settings of the largest size, and a margin */
