daisyctl: a frozen entry costs a query three seconds, once

Cause: a query to an entry that accepts and does not answer waited 20 s, and a screen asks five of them for a frame. Queries time out after 3 s, and the entry that answered last is asked first. Settings of no node are not in force.

--- a/daisyctl/client.c
+++ b/daisyctl/client.c
@@ -1,6 +1,7 @@
 /*
  * Asks entries: the next one when one is down or cannot answer.
  */
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -8,16 +9,34 @@
 #include "daisyctl.h"
 #include "query/json_get.h"
 
+#define QUERY_TIMEOUT_MS  3000L
 #define HTTP_OK           200
 #define HTTP_BAD_REQUEST  400
 #define HTTP_UNAUTHORIZED 401
 
+/* Index of the entry that answered last: it is asked first, so that one that is down or
+ * frozen costs a screen its timeout only once. */
+static size_t preferred;
+
+static char *
+entry_at (const Options *options, size_t index)
+{
+  return options->entries[(preferred + index) % g_strv_length (options->entries)];
+}
+
+static void
+prefer (const Options *options, size_t index)
+{
+  preferred = (preferred + index) % g_strv_length (options->entries);
+}
+
 static Answer
 ask (const Options *options,
      const char *method,
      const char *entry,
      const char *path,
-     json_object *body)
+     json_object *body,
+     long timeout_ms)
 {
   const char *text = "";
 
@@ -29,6 +48,7 @@
       .path = path,
       .key = options->key,
       .body = dl_str (text),
+      .timeout_ms = timeout_ms,
   });
 }
 
@@ -61,18 +81,21 @@
 {
   Answer best = { .error = "no entry is given" };
   json_object *body = json_object_new_object ();
+  size_t count = g_strv_length (options->entries);
 
   dl_json_add_text (body, "text", text);
   if (revision > 0)
     dl_json_add_uint (body, "revision", revision);
-  for (char **e = options->entries; *e != NULL && !is_final (&best); e++)
+  for (size_t i = 0; i < count && !is_final (&best); i++)
     {
-      Answer answer = ask (options, "POST", *e, "/v1/query", body);
+      Answer answer = ask (options, "POST", entry_at (options, i), "/v1/query", body,
+                           QUERY_TIMEOUT_MS);
 
       if (is_final (&answer))
         {
           answer_clear (&best);
           best = answer;
+          prefer (options, i);
         }
       else
         keep_better (&best, &answer);
@@ -98,10 +121,11 @@
              json_object *body)
 {
   Answer best = { .error = "no entry is given" };
+  size_t count = g_strv_length (options->entries);
 
-  for (char **e = options->entries; *e != NULL && !is_outcome (&best); e++)
+  for (size_t i = 0; i < count && !is_outcome (&best); i++)
     {
-      Answer answer = ask (options, method, *e, path, body);
+      Answer answer = ask (options, method, entry_at (options, i), path, body, 0);
 
       if (is_final (&answer))
         {
--- a/daisyctl/daisyctl.h
+++ b/daisyctl/daisyctl.h
@@ -54,6 +54,7 @@
   const char *path;
   const char *key; /* NULL: no authorization */
   DlStr body;
+  long timeout_ms; /* of the whole call; 0 for the default, which suits commands */
 } Request;
 
 /* Makes one call and waits for its answer. */
--- a/daisyctl/http.c
+++ b/daisyctl/http.c
@@ -10,7 +10,7 @@
 #include "daisyctl.h"
 
 #define CONNECT_TIMEOUT_MS 2000L
-#define TIMEOUT_MS         20000L
+#define TIMEOUT_MS         10000L
 #define ANSWER_MAX_BYTES   (256u << 20)
 
 static size_t
@@ -56,7 +56,8 @@
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    request->timeout_ms > 0 ? request->timeout_ms : TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_write);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, buffer);
   /* The library repeats a request on a kept connection that dies. */
--- a/lib/query/tables.c
+++ b/lib/query/tables.c
@@ -780,7 +780,8 @@
   row[DL_IN_FORCE_BEHIND] = number_cell (g->behind);
   row[DL_IN_FORCE_UNHEARD] = number_cell (g->nodes - g->heard);
   row[DL_IN_FORCE_REVISION] = number_cell (revision);
-  row[DL_IN_FORCE_IN_FORCE] = number_cell (g->behind == 0 && g->heard == g->nodes);
+  row[DL_IN_FORCE_IN_FORCE] = number_cell (revision > 0 && g->nodes > 0 && g->behind == 0
+                                           && g->heard == g->nodes);
 }
 
 static void
