--- a/daisybench/daisybench.h
+++ b/daisybench/daisybench.h
@@ -37,10 +37,11 @@
 typedef enum
 {
   LOAD_ANSWERED,
-  LOAD_REFUSED, /* told that it did not run, with a time to come back or not */
-  LOAD_INVALID, /* refused for what the caller must change */
-  LOAD_CUT_OFF, /* broke after the answer had begun */
-  LOAD_UNKNOWN, /* may or may not have run */
+  LOAD_REFUSED,   /* told that it did not run, with a time to come back or not */
+  LOAD_INVALID,   /* refused for what the caller must change */
+  LOAD_CUT_OFF,   /* broke after the answer had begun */
+  LOAD_UNKNOWN,   /* may or may not have run */
+  LOAD_UNREACHED, /* nobody took the connection */
   LOAD_OUTCOMES,
 } LoadOutcome;
 
@@ -62,5 +63,7 @@
 uint64_t report_quantile_us (GArray *samples, double quantile);
 void report_text (const LoadOptions *options, LoadFigures *figures);
 void report_json (const LoadOptions *options, LoadFigures *figures);
+/* Lines "figure NAME_... VALUE UNIT". */
+void report_figures (const char *name, LoadFigures *figures);
 
 #endif
