--- a/daisyentryd/members.c
+++ b/daisyentryd/members.c
@@ -11,6 +11,10 @@
 #include "control.h"
 #include "kernel/log.h"
 
+/* An entry's word that it leaves holds this long; by then the list knows, or the entry
+ * has been replaced by a process that told only some of its peers. */
+#define LEAVING_HOLD_MS 30000
+
 typedef struct
 {
   DlTask *task;
@@ -19,7 +23,7 @@
   char *url;
   DlTimer *next;
   EntryMessage *members; /* held; NULL before the first */
-  GHashTable *leaving;   /* names of entries that said so */
+  GHashTable *leaving;   /* names of entries that said so, to when (uint64_t, ms) */
   size_t open_links;
 } Members;
 
@@ -56,8 +60,13 @@
 mark_leaving (const Members *s, DlMembers *members)
 {
   for (size_t i = 0; i < members->count; i++)
-    if (g_hash_table_contains (s->leaving, members->members[i].name))
-      members->members[i].leaving = true;
+    {
+      const uint64_t *said_ms
+          = g_hash_table_lookup (s->leaving, members->members[i].name);
+
+      if (said_ms != NULL && dl_clock_ms () - *said_ms < LEAVING_HOLD_MS)
+        members->members[i].leaving = true;
+    }
 }
 
 /* Takes over M, whose list is new. */
@@ -215,7 +224,7 @@
   s->task = task;
   s->http = dl_http_client_new (task, s);
   s->url = talloc_asprintf (s, "http://%s/v1/hosts", entry_settings (task)->platform);
-  s->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   s->next = dl_timer_subscribe (task, s, 0, 0, start_poll, s);
   talloc_set_destructor (s, members_destroy);
   dl_task_set_state (task, s);
--- a/daisyentryd/replica.c
+++ b/daisyentryd/replica.c
@@ -103,7 +103,7 @@
 {
   const DlObject *o = entry_snapshot_find (snapshot, DL_FLEET_KIND, DL_FLEET_NAME);
 
-  if (o != NULL)
+  if (o != NULL && dl_settings_is_newer (&r->settings, o->revision))
     offer_settings (r, o->revision,
                     json_object_to_json_string_ext (o->value, JSON_C_TO_STRING_PLAIN));
 }
