--- a/daisyentryd/members.c
+++ b/daisyentryd/members.c
@@ -176,10 +176,18 @@
 take_entry_status (Members *s, const Daisyloft__Wire__EntryStatus *status)
 {
   EntryMessage *m;
-  bool changed = status->leaving ? g_hash_table_add (s->leaving, g_strdup (status->host))
-                                 : g_hash_table_remove (s->leaving, status->host);
+  bool known = g_hash_table_contains (s->leaving, status->host);
 
-  if (!changed || s->members == NULL)
+  if (status->leaving)
+    {
+      uint64_t *now = g_new (uint64_t, 1);
+
+      *now = dl_clock_ms ();
+      g_hash_table_replace (s->leaving, g_strdup (status->host), now);
+    }
+  else
+    g_hash_table_remove (s->leaving, status->host);
+  if (known == (status->leaving != 0) || s->members == NULL)
     return;
   m = dl_message_new (ENTRY_MEMBERS, sizeof *m);
   publish (s, m, copy_members (m, current (s)));
