--- a/daisyentryd/daisyentryd.c
+++ b/daisyentryd/daisyentryd.c
@@ -201,53 +201,16 @@
 
 /* -------- snapshots -------- */
 
-static int
-compare_objects (const DlObject *object, const char *kind, const char *name)
-{
-  int order = strcmp (object->kind, kind);
-
-  return order != 0 ? order : strcmp (object->name, name);
-}
-
-/* Index of the first object that is not before KIND and NAME. */
-static size_t
-lower_bound (const EntrySnapshot *snapshot, const char *kind, const char *name)
-{
-  size_t low = 0;
-  size_t high = snapshot->count;
-
-  while (low < high)
-    {
-      size_t middle = low + (high - low) / 2;
-
-      if (compare_objects (&snapshot->objects[middle], kind, name) < 0)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
-}
-
 const DlObject *
 entry_snapshot_kind (const EntrySnapshot *snapshot, const char *kind, size_t *count)
 {
-  size_t first = lower_bound (snapshot, kind, "");
-  size_t end = first;
-
-  while (end < snapshot->count && strcmp (snapshot->objects[end].kind, kind) == 0)
-    end++;
-  *count = end - first;
-  return &snapshot->objects[first];
+  return dl_objects_kind (snapshot->objects, snapshot->count, kind, count);
 }
 
 const DlObject *
 entry_snapshot_find (const EntrySnapshot *snapshot, const char *kind, const char *name)
 {
-  size_t at = lower_bound (snapshot, kind, name);
-
-  if (at < snapshot->count && compare_objects (&snapshot->objects[at], kind, name) == 0)
-    return &snapshot->objects[at];
-  return NULL;
+  return dl_objects_find (snapshot->objects, snapshot->count, kind, name);
 }
 
 bool
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -98,6 +98,18 @@
                       DlObjectFunc func,
                       void *data);
 
+/*
+ * Searches in COUNT objects sorted by kind, then name.
+ */
+/* First object of KIND and how many there are; NULL when there is none. */
+const DlObject *
+dl_objects_kind (const DlObject *objects, size_t count, const char *kind, size_t *found);
+/* NULL when absent. */
+const DlObject *dl_objects_find (const DlObject *objects,
+                                 size_t count,
+                                 const char *kind,
+                                 const char *name);
+
 /* True for names that the API takes: 1 to 128 of [A-Za-z0-9._-], not starting with "." */
 bool dl_object_name_is_valid (DlStr name);
 
--- a/lib/query/tables.c
+++ b/lib/query/tables.c
@@ -15,53 +15,16 @@
 
 /* -------- the objects of a revision -------- */
 
-static int
-compare_object (const DlObject *object, const char *kind, const char *name)
-{
-  int order = strcmp (object->kind, kind);
-
-  return order != 0 ? order : strcmp (object->name, name);
-}
-
-/* Index of the first object that is not before KIND and NAME. */
-static size_t
-lower_bound (const DlQuerySource *source, const char *kind, const char *name)
-{
-  size_t low = 0;
-  size_t high = source->count;
-
-  while (low < high)
-    {
-      size_t middle = low + (high - low) / 2;
-
-      if (compare_object (&source->objects[middle], kind, name) < 0)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
-}
-
 const DlObject *
 dl_query_source_kind (const DlQuerySource *source, const char *kind, size_t *count)
 {
-  size_t first = lower_bound (source, kind, "");
-  size_t end = first;
-
-  while (end < source->count && strcmp (source->objects[end].kind, kind) == 0)
-    end++;
-  *count = end - first;
-  return *count > 0 ? &source->objects[first] : NULL;
+  return dl_objects_kind (source->objects, source->count, kind, count);
 }
 
 const DlObject *
 dl_query_source_find (const DlQuerySource *source, const char *kind, const char *name)
 {
-  size_t at = lower_bound (source, kind, name);
-
-  if (at < source->count && compare_object (&source->objects[at], kind, name) == 0)
-    return &source->objects[at];
-  return NULL;
+  return dl_objects_find (source->objects, source->count, kind, name);
 }
 
 /* -------- rows of status objects -------- */
