--- a/daisybench/daisybench.h
+++ b/daisybench/daisybench.h
@@ -4,6 +4,7 @@
  *   daisybench.c  options and the program's start
  *   load.c        arrivals, calls and what became of each
  *   report.c      percentiles, and the report as text or JSON
+ *   hash.c        what the digest of a byte costs
  */
 #ifndef DAISYBENCH_H
 #define DAISYBENCH_H
@@ -66,4 +67,8 @@
 /* Lines "figure NAME_... VALUE UNIT". */
 void report_figures (const char *name, LoadFigures *figures);
 
+/* Processor time, in nanoseconds, that the digest of one byte takes in chunks of
+ * CHUNK_BYTES; runs for SECONDS of processor time. */
+double hash_ns_per_byte (size_t chunk_bytes, double seconds);
+
 #endif
--- /dev/null
+++ b/daisybench/hash.c
@@ -0,0 +1,42 @@
+/*
+ * What verifying a byte of weights costs at least: the digest alone.
+ */
+#include <talloc.h>
+#include <time.h>
+
+#include "daisybench.h"
+#include "kernel/crypt.h"
+
+#define NANOSECONDS_PER_SECOND 1e9
+
+static double
+cpu_seconds (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return (double)ts.tv_sec + (double)ts.tv_nsec / NANOSECONDS_PER_SECOND;
+}
+
+double
+hash_ns_per_byte (size_t chunk_bytes, double seconds)
+{
+  uint8_t *chunk = talloc_size (NULL, chunk_bytes);
+  double begun;
+  double passed;
+  uint64_t bytes = 0;
+
+  dl_random_bytes (chunk, chunk_bytes);
+  begun = cpu_seconds ();
+  do
+    {
+      DlDigest digest = dl_digest (dl_str_bytes (chunk, chunk_bytes));
+
+      chunk[0] = digest.bytes[0]; /* keeps the compiler from dropping the work */
+      bytes += chunk_bytes;
+      passed = cpu_seconds () - begun;
+    }
+  while (passed < seconds);
+  talloc_free (chunk);
+  return passed * NANOSECONDS_PER_SECOND / (double)bytes;
+}
