--- a/daisyslotd/requests_stream.c
+++ b/daisyslotd/requests_stream.c
@@ -416,11 +416,11 @@
 
   dl_metric_add (&metric_opened, 1);
   dl_digest_from_bytes (DL_BYTES_STR (open->version), &version);
+  if (g_hash_table_contains (peer->streams, &stream))
+    return; /* the stream that runs must not be ended by another's refusal */
   why = refusal (requests, &version);
   if (why == NULL)
     why = admit_refusal (requests, open);
-  if (g_hash_table_contains (peer->streams, &stream))
-    return;
   if (why != NULL)
     {
       send_end (peer, stream, DAISYLOFT__WIRE__END_REASON__END_NOT_RUN,
