--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -2,6 +2,7 @@
  * The callers' side of the entry: what the parts of the callers task share.
  *
  *   callers.c          the task: listener, admission, refusals, planned stop
+ *   callers_ask.c      what a request must bring
  *   callers_address.c  which entries callers should use
  *   callers_request.c  one request: tries, retries, resumed streams
  *   callers_claim.c    one claimed call that must run at most once
@@ -103,6 +104,13 @@
 /* Copies ASK with its texts below CONTEXT; the service is kept by the name only. */
 CallerAsk *callers_copy_ask (const void *context, const CallerAsk *ask);
 
+/* Reads the request for PATH, after "/v1/services/", into ASK, whose texts are HTTP's.
+ * Returns NULL, or what the caller must change, with the HTTP status that says so. */
+const char *callers_read_ask (const DlFleet *fleet,
+                              DlHttpRequest *http,
+                              const char *path,
+                              CallerAsk *ask,
+                              unsigned *status);
 void callers_answer_address (CallersTask *callers, DlHttpRequest *http);
 void
 caller_request_start (CallersTask *callers, DlHttpRequest *http, const CallerAsk *ask);
