--- a/daisyentryd/relay_status.c
+++ b/daisyentryd/relay_status.c
@@ -138,6 +138,29 @@
     }
 }
 
+/* Fields with their default value are left out: most of a row's are at rest. */
+static bool
+has_value (const ProtobufCMessage *message, const ProtobufCFieldDescriptor *field)
+{
+  const void *at = (const char *)message + field->offset;
+
+  switch (field->type)
+    {
+    case PROTOBUF_C_TYPE_STRING:
+      return (*(char *const *)at)[0] != '\0';
+    case PROTOBUF_C_TYPE_BYTES:
+      return ((const ProtobufCBinaryData *)at)->len > 0;
+    case PROTOBUF_C_TYPE_BOOL:
+      return *(const protobuf_c_boolean *)at;
+    case PROTOBUF_C_TYPE_UINT32:
+      return *(const uint32_t *)at != 0;
+    case PROTOBUF_C_TYPE_UINT64:
+      return *(const uint64_t *)at != 0;
+    default:
+      return true;
+    }
+}
+
 static json_object *
 message_to_json (const ProtobufCMessage *message)
 {
@@ -145,8 +168,9 @@
   json_object *row = json_object_new_object ();
 
   for (unsigned i = 0; i < d->n_fields; i++)
-    json_object_object_add (row, d->fields[i].name,
-                            field_to_json (message, &d->fields[i]));
+    if (has_value (message, &d->fields[i]))
+      json_object_object_add (row, d->fields[i].name,
+                              field_to_json (message, &d->fields[i]));
   return row;
 }
 
--- a/daisyentryd/snapshot.c
+++ b/daisyentryd/snapshot.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "kernel/error.h"
+#include "query/json_get.h"
 
 static int
 compare_objects (const DlObject *a, const DlObject *b)
@@ -198,43 +199,20 @@
   return list;
 }
 
-static const char *
-get_text (json_object *from, const char *key)
-{
-  json_object *value;
-
-  if (!json_object_object_get_ex (from, key, &value)
-      || !json_object_is_type (value, json_type_string))
-    return NULL;
-  return json_object_get_string (value);
-}
-
-static uint64_t
-get_uint (json_object *from, const char *key)
-{
-  json_object *value;
-
-  return json_object_object_get_ex (from, key, &value) ? json_object_get_uint64 (value)
-                                                       : 0;
-}
-
 static int
 change_from_json (json_object *from, DlObject *object)
 {
-  json_object *deleted;
-
   if (!json_object_is_type (from, json_type_object))
     return DL_ERR_MALFORMED;
   *object = (DlObject){
-    .kind = (char *)get_text (from, "kind"),
-    .name = (char *)get_text (from, "name"),
-    .revision = get_uint (from, "revision"),
-    .created = get_uint (from, "created"),
-    .deleted = json_object_object_get_ex (from, "deleted", &deleted)
-               && json_object_get_boolean (deleted),
+    .kind = (char *)dl_json_text (from, "kind"),
+    .name = (char *)dl_json_text (from, "name"),
+    .revision = dl_json_uint (from, "revision"),
+    .created = dl_json_uint (from, "created"),
+    .deleted = dl_json_flag (from, "deleted"),
   };
   json_object_object_get_ex (from, "value", &object->value);
-  if (object->kind == NULL || object->name == NULL || object->revision == 0
+  if (object->kind[0] == '\0' || object->name[0] == '\0' || object->revision == 0
       || (!object->deleted && !json_object_is_type (object->value, json_type_object)))
     return DL_ERR_MALFORMED;
   return 0;
--- a/daisyentryd/steer_facts.c
+++ b/daisyentryd/steer_facts.c
@@ -4,33 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
-static const char *
-get_text (json_object *row, const char *key)
-{
-  json_object *value;
-
-  if (!json_object_object_get_ex (row, key, &value)
-      || !json_object_is_type (value, json_type_string))
-    return "";
-  return json_object_get_string (value);
-}
-
-static uint64_t
-get_uint (json_object *row, const char *key)
-{
-  json_object *value;
-
-  return json_object_object_get_ex (row, key, &value) ? json_object_get_uint64 (value)
-                                                      : 0;
-}
-
-static bool
-get_bool (json_object *row, const char *key)
-{
-  json_object *value;
-
-  return json_object_object_get_ex (row, key, &value) && json_object_get_boolean (value);
-}
+#include "query/json_get.h"
 
 static void
 add_rows (GHashTable *rows, json_object *status)
@@ -44,7 +18,7 @@
     {
       json_object *row = json_object_array_get_idx (hosts, i);
 
-      g_hash_table_insert (rows, (char *)get_text (row, "host"), row);
+      g_hash_table_insert (rows, (char *)dl_json_text (row, "host"), row);
     }
 }
 
@@ -64,19 +38,19 @@
 static void
 fill_from_row (DlRolloutHost *host, json_object *row)
 {
-  uint64_t total = get_uint (row, "chunks_total");
-  const char *state = get_text (row, "state");
+  uint64_t total = dl_json_uint (row, "chunks_total");
+  const char *state = dl_json_text (row, "state");
 
-  host->heard = !get_bool (row, "lost");
+  host->heard = !dl_json_flag (row, "lost");
   host->leaving |= strcmp (state, "leaving") == 0;
-  host->accepts = get_bool (row, "accepts_requests");
+  host->accepts = dl_json_flag (row, "accepts_requests");
   host->failed = strcmp (state, "failed") == 0;
-  host->failure = get_text (row, "failure");
-  host->serving = get_text (row, "serving_version");
-  host->target_version = get_text (row, "target_version");
-  host->whole = total > 0 && get_uint (row, "chunks_verified") == total;
-  host->rollout = get_text (row, "rollout");
-  host->directive_revision = get_uint (row, "directive_revision");
+  host->failure = dl_json_text (row, "failure");
+  host->serving = dl_json_text (row, "serving_version");
+  host->target_version = dl_json_text (row, "target_version");
+  host->whole = total > 0 && dl_json_uint (row, "chunks_verified") == total;
+  host->rollout = dl_json_text (row, "rollout");
+  host->directive_revision = dl_json_uint (row, "directive_revision");
 }
 
 DlRolloutHost *
