Directives carry the list of targets once a connection, until it changes

Cause: a directive named all targets at each of about five changes of a rollout, from each of two relays: worked out as 14 KB each at 1,200 hosts (docs/CAPACITY.md). Ruled out: deriving the targets from the member list, which lags and does not know the rollout's drops.

--- a/daisyentryd/directive.c
+++ b/daisyentryd/directive.c
@@ -164,6 +164,7 @@
   d->home_region = fleet != NULL ? (char *)fleet->home_region : "";
   d->n_targets = r->targets.count;
   d->targets = r->targets.names;
+  d->targets_hash = r->targets.count > 0 ? extra->targets_hash : 0;
   out->key
       = talloc_asprintf (context,
                          "%s %s %d %" PRIu64 " %d %d %s %" PRIu64 " %" PRIx64 " %" PRIu64,
--- a/daisyentryd/relay.h
+++ b/daisyentryd/relay.h
@@ -49,6 +49,7 @@
   uint64_t fleet_revision;
   char *directive_key; /* NULL: none */
   char *directive_rollout;
+  uint64_t targets_hash;       /* of the last target list that it carried; 0: none */
   EntryMessage *sent_snapshot; /* held */
   uint64_t status_sent_ms;
   bool wants_objects;
--- a/daisyentryd/relay_push.c
+++ b/daisyentryd/relay_push.c
@@ -58,12 +58,21 @@
   return r->fleet != NULL ? r->fleet->fleet.fleet : NULL;
 }
 
+/* The targets are most of a directive and change seldom: a connection carries them again
+ * only when they differ from its last ones. */
 static int
 send_directive (Link *link, DirectiveOut *out)
 {
-  DlEnvelope envelope = DL_ENVELOPE (DIRECTIVE, directive, &out->wire);
-
-  return dl_conn_send (link->conn, &envelope, no_payload);
+  Daisyloft__Wire__Directive wire = out->wire;
+  DlEnvelope envelope = DL_ENVELOPE (DIRECTIVE, directive, &wire);
+  int error;
+
+  if (wire.targets_hash == link->targets_hash)
+    wire.n_targets = 0;
+  error = dl_conn_send (link->conn, &envelope, no_payload);
+  if (error == 0 && wire.targets_hash != 0)
+    link->targets_hash = wire.targets_hash;
+  return error;
 }
 
 void
--- a/daisyslotd/relays.c
+++ b/daisyslotd/relays.c
@@ -33,6 +33,10 @@
   bool wanted;
   uint64_t dial_at_ms;
   uint64_t dial_wait_ms;
+  /* The last target list that the connection carried. */
+  uint64_t targets_hash; /* 0: none */
+  char **targets;        /* talloc array and texts */
+  size_t target_count;
 } Link;
 
 typedef struct
@@ -58,6 +62,15 @@
 
 /* -------- what relays say -------- */
 
+static Link *
+find_link (Relays *r, const DlConn *conn)
+{
+  for (size_t i = 0; i < LINKS_MAX; i++)
+    if (r->links[i].conn == conn)
+      return &r->links[i];
+  return NULL;
+}
+
 static void
 publish_contact (Relays *r)
 {
@@ -129,8 +142,38 @@
   dl_kernel_publish (dl_task_kernel (r->task), m);
 }
 
+static void
+copy_targets (const void *context, SlotDirective *d, char *const *targets, size_t count)
+{
+  d->target_count = count;
+  d->targets = talloc_array (context, char *, MAX (count, 1));
+  for (size_t i = 0; i < count; i++)
+    d->targets[i] = talloc_strdup (d->targets, targets[i]);
+}
+
+/* Keeps the list for the directives that leave it out.  Returns 0 or DL_ERR_MALFORMED
+ * when one leaves out a list that the connection has not carried. */
+static int
+link_take_targets (Link *link, const Daisyloft__Wire__Directive *wire)
+{
+  SlotDirective list = { 0 };
+
+  if (wire->n_targets == 0)
+    return wire->targets_hash == 0 || wire->targets_hash == link->targets_hash
+               ? 0
+               : DL_ERR_MALFORMED;
+  talloc_free (link->targets);
+  copy_targets (link->address, &list, wire->targets, wire->n_targets);
+  link->targets = list.targets;
+  link->target_count = list.target_count;
+  link->targets_hash = wire->targets_hash;
+  return 0;
+}
+
 static SlotDirective *
-directive_from_wire (const void *context, const Daisyloft__Wire__Directive *wire)
+directive_from_wire (const void *context,
+                     const Link *link,
+                     const Daisyloft__Wire__Directive *wire)
 {
   SlotDirective *d = talloc_zero (context, SlotDirective);
 
@@ -149,10 +192,8 @@
   d->may_load = wire->may_load;
   d->weigh_origin_bytes = wire->weigh_origin_bytes;
   d->home_region = talloc_strdup (d, wire->home_region);
-  d->target_count = wire->n_targets;
-  d->targets = talloc_array (d, char *, MAX (wire->n_targets, 1));
-  for (size_t i = 0; i < wire->n_targets; i++)
-    d->targets[i] = talloc_strdup (d->targets, wire->targets[i]);
+  if (wire->targets_hash != 0)
+    copy_targets (d, d, link->targets, link->target_count);
   return d;
 }
 
@@ -185,11 +226,13 @@
 }
 
 static void
-take_directive (Relays *r, const Daisyloft__Wire__Directive *wire)
+take_directive (Relays *r, Link *link, const Daisyloft__Wire__Directive *wire)
 {
   SlotMessage *m;
   SlotDirective *directive;
 
+  if (link == NULL || link_take_targets (link, wire) < 0)
+    return;
   if (*wire->rollout == '\0')
     return; /* nothing for this host; a directive taken earlier stays */
   if (!directive_is_newer (r, wire))
@@ -200,7 +243,7 @@
       return;
     }
   m = dl_message_new (SLOT_MSG_DIRECTIVE, sizeof *m);
-  directive = directive_from_wire (m, wire);
+  directive = directive_from_wire (m, link, wire);
   if (directive == NULL)
     {
       dl_message_unref (m);
@@ -231,7 +274,7 @@
       take_fleet (r, envelope->fleet_settings->revision, payload);
       break;
     case DAISYLOFT__WIRE__ENVELOPE__BODY_DIRECTIVE:
-      take_directive (r, envelope->directive);
+      take_directive (r, find_link (r, conn), envelope->directive);
       break;
     default:
       break; /* of a later version of the protocol */
@@ -274,15 +317,6 @@
 
 /* -------- links -------- */
 
-static Link *
-find_link (Relays *r, const DlConn *conn)
-{
-  for (size_t i = 0; i < LINKS_MAX; i++)
-    if (r->links[i].conn == conn)
-      return &r->links[i];
-  return NULL;
-}
-
 static void
 on_relay_open (DlConn *conn, void *data)
 {
@@ -312,6 +346,7 @@
       uint64_t jitter = dl_random_uint64 () % DIAL_WAIT_MIN_MS;
 
       link->conn = NULL;
+      link->targets_hash = 0;
       link->dial_at_ms = dl_clock_ms () + link->dial_wait_ms + jitter;
       link->dial_wait_ms = MIN (link->dial_wait_ms * 2, DIAL_WAIT_MAX_MS);
     }
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1657,7 +1657,7 @@
   (ProtobufCMessageInit) daisyloft__wire__fleet_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__directive__field_descriptors[11] =
+static const ProtobufCFieldDescriptor daisyloft__wire__directive__field_descriptors[12] =
 {
   {
     "rollout",
@@ -1791,6 +1791,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "targets_hash",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Directive, targets_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__directive__field_indices_by_name[] = {
   3,   /* field[3] = fence */
@@ -1802,13 +1814,14 @@
   1,   /* field[1] = sequence */
   4,   /* field[4] = state */
   10,   /* field[10] = targets */
+  11,   /* field[11] = targets_hash */
   5,   /* field[5] = version */
   8,   /* field[8] = weigh_origin_bytes */
 };
 static const ProtobufCIntRange daisyloft__wire__directive__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__directive__descriptor =
 {
@@ -1818,7 +1831,7 @@
   "Daisyloft__Wire__Directive",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Directive),
-  11,
+  12,
   daisyloft__wire__directive__field_descriptors,
   daisyloft__wire__directive__field_indices_by_name,
   1,  daisyloft__wire__directive__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -278,14 +278,19 @@
    */
   char *home_region;
   /*
-   * names of the target hosts, sorted
+   * Names of the target hosts, sorted.  Left out when the connection has already carried
+   * a list of the same targets_hash as its last one.
    */
   size_t n_targets;
   char **targets;
+  /*
+   * of the list; 0 for an empty one
+   */
+  uint64_t targets_hash;
 };
 #define DAISYLOFT__WIRE__DIRECTIVE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__directive__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_UNSPECIFIED, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_UNSPECIFIED, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /*
