Relays: an unwanted link serves until a wanted one is open

An entry whose relays were all dead dropped the seed that it heard, since the seed was not a relay, and dialled it again: in and out of contact until the list named new relays. The flapping itself was read from the code, not brought about.

--- a/daisyentryd/relay_links.c
+++ b/daisyentryd/relay_links.c
@@ -123,6 +123,20 @@
                       DAISYLOFT__WIRE__PURPOSE__PURPOSE_RELAY, &relay_link_handler, link);
 }
 
+static bool
+hears_wanted (const Relay *relay, const DlNames *wanted)
+{
+  for (guint i = 0; i < relay->links->len; i++)
+    {
+      const Link *link = g_ptr_array_index (relay->links, i);
+
+      if (link->address != NULL && link->open
+          && dl_names_contains (wanted, link->address))
+        return true;
+    }
+  return false;
+}
+
 static void
 drop_unwanted (Relay *relay, const DlNames *wanted)
 {
@@ -142,7 +156,8 @@
   DlNames wanted = { 0 };
 
   want_links (relay, scratch, &wanted);
-  if (relay->members != NULL && relay->open_links > 0)
+  /* A link that is not wanted any more serves until a wanted one is open. */
+  if (relay->members != NULL && hears_wanted (relay, &wanted))
     drop_unwanted (relay, &wanted);
   for (size_t i = 0; i < wanted.count; i++)
     if (!has_link (relay, wanted.names[i]))
