Frames are sealed: garbled, repeated or foreign frames end the connection

Cause: scenarios corrupt-link and corrupt-peer stayed red for hours of transfer time: a garbled length made the receiver wait for bytes that never come while pings went on, and a garbled request or announcement passed as genuine. The accepting side proves the key now, too. Seen: unit tests, corrupt-link, corrupt-peer, link-stalled and thin pass.

--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -16,8 +16,9 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "kernel/seal.h"
 
-#define HEADER_BYTES         8
+#define HEADER_BYTES         DL_SEAL_HEADER_BYTES
 #define READ_CHUNK_BYTES     (256u * 1024)
 #define PING_INTERVAL_MS     1000
 #define HANDSHAKE_TIMEOUT_MS 5000
@@ -61,6 +62,8 @@
   Daisyloft__Wire__Purpose purpose;
   DlPeer peer;
   uint8_t nonce[DL_NONCE_BYTES];
+  DlSeal out_seal;
+  DlSeal in_seal;
   DlListener *listener; /* accepting side, until it is handed over */
   DlConnHandler handler;
   void *data;
@@ -257,11 +260,36 @@
     conn_tell_writable (conn);
 }
 
+/* What the seal of a frame covers, of envelope and payload together. */
+static size_t
+sealed_bytes (const DlEnvelope *envelope, size_t envelope_bytes, size_t payload_bytes)
+{
+  if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_DATA)
+    return envelope_bytes;
+  return envelope_bytes + payload_bytes;
+}
+
+static void
+queue_frame (DlConn *conn, const DlEnvelope *envelope, DlStr packed, DlStr payload)
+{
+  static const uint8_t no_header[HEADER_BYTES];
+  size_t at = conn->out->length;
+  uint8_t *frame;
+
+  dl_buffer_append (conn->out, no_header, sizeof no_header);
+  dl_buffer_append (conn->out, packed.data, packed.length);
+  dl_buffer_append (conn->out, payload.data, payload.length);
+  frame = conn->out->data + conn->out->start + at;
+  dl_seal_frame (&conn->out_seal, (uint32_t)packed.length, (uint32_t)payload.length,
+                 dl_str_bytes (frame + HEADER_BYTES,
+                               sealed_bytes (envelope, packed.length, payload.length)),
+                 frame);
+}
+
 int
 dl_conn_send (DlConn *conn, const DlEnvelope *envelope, DlStr payload)
 {
   size_t size = protobuf_c_message_get_packed_size (&envelope->base);
-  uint32_t header[2] = { htonl ((uint32_t)size), htonl ((uint32_t)payload.length) };
   uint8_t small[512];
   uint8_t *packed = size <= sizeof small ? small : g_malloc (size);
   int error;
@@ -275,9 +303,7 @@
   else
     {
       protobuf_c_message_pack (&envelope->base, packed);
-      dl_buffer_append (conn->out, header, sizeof header);
-      dl_buffer_append (conn->out, packed, size);
-      dl_buffer_append (conn->out, payload.data, payload.length);
+      queue_frame (conn, envelope, dl_str_bytes (packed, size), payload);
       if (conn->out->length > conn->low_water)
         conn->above_low_water = true;
       /* Written by the loop's next turn, so that small frames go out together and a
@@ -309,6 +335,21 @@
   return mac;
 }
 
+/* From here on both directions are sealed under keys of this connection. */
+static void
+set_seal_keys (DlConn *conn, const uint8_t *nonce, const char *dialler, bool dialled)
+{
+  DlStr key = dl_str (conn->identity->key);
+  DlStr salt = dl_str_bytes (nonce, DL_NONCE_BYTES);
+  char *there = g_strdup_printf ("from-dialler:%s", dialler);
+  char *back = g_strdup_printf ("to-dialler:%s", dialler);
+
+  dl_seal_set_key (&conn->out_seal, key, salt, dialled ? there : back);
+  dl_seal_set_key (&conn->in_seal, key, salt, dialled ? back : there);
+  g_free (there);
+  g_free (back);
+}
+
 static void
 send_challenge (DlConn *conn)
 {
@@ -328,6 +369,7 @@
   Daisyloft__Wire__Hello hello = DAISYLOFT__WIRE__HELLO__INIT;
   DlEnvelope answer = DL_ENVELOPE (HELLO, hello, &hello);
   DlDigest mac;
+  int error;
 
   if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_CHALLENGE
       || envelope->challenge->protocol != DL_FRAME_PROTOCOL
@@ -343,7 +385,9 @@
   hello.incarnation = id->incarnation;
   hello.mac = DL_BYTES (dl_str_bytes (mac.bytes, sizeof mac.bytes));
   conn->state = CONN_AWAIT_WELCOME;
-  return dl_conn_send (conn, &answer, dl_str_bytes (NULL, 0));
+  error = dl_conn_send (conn, &answer, dl_str_bytes (NULL, 0));
+  set_seal_keys (conn, envelope->challenge->nonce.data, id->name, true);
+  return error;
 }
 
 static int
@@ -373,6 +417,7 @@
     .incarnation = hello->incarnation,
   };
   conn->state = CONN_OPEN;
+  set_seal_keys (conn, conn->nonce, hello->name, false);
   welcome.name = (char *)conn->identity->name;
   welcome.incarnation = conn->identity->incarnation;
   return dl_conn_send (conn, &answer, dl_str_bytes (NULL, 0));
@@ -438,48 +483,80 @@
   return DL_ERR_MALFORMED;
 }
 
+static int
+frame_malformed (const DlConn *conn)
+{
+  dl_log (DL_EVENT_FRAME_MALFORMED, DL_TEXT ("peer", conn->peer.name));
+  return DL_ERR_MALFORMED;
+}
+
+/* Unpacks and checks the frame whose bytes are FRAME; NULL when it is malformed. */
+static DlEnvelope *
+open_frame (DlConn *conn,
+            const uint8_t *frame,
+            uint32_t envelope_bytes,
+            uint32_t payload_bytes)
+{
+  const uint8_t *body = frame + HEADER_BYTES;
+  DlEnvelope *envelope = daisyloft__wire__envelope__unpack (NULL, envelope_bytes, body);
+
+  if (envelope == NULL)
+    return NULL;
+  if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY__NOT_SET
+      && dl_seal_check_body (&conn->in_seal, frame,
+                             dl_str_bytes (body, sealed_bytes (envelope, envelope_bytes,
+                                                               payload_bytes)))
+             == 0)
+    return envelope;
+  daisyloft__wire__envelope__free_unpacked (envelope, NULL);
+  return NULL;
+}
+
+/* Takes the next frame when it is whole: returns its bytes, 0 when more must arrive
+ * first, or a negative error that ends the connection. */
+static ssize_t
+conn_parse_frame (DlConn *conn, bool *freed)
+{
+  DlStr view = dl_buffer_view (conn->in);
+  const uint8_t *frame = (const uint8_t *)view.data;
+  uint32_t envelope_bytes;
+  uint32_t payload_bytes;
+  DlEnvelope *envelope;
+  int error;
+
+  if (dl_seal_check_header (&conn->in_seal, frame, &envelope_bytes, &payload_bytes) < 0)
+    return frame_malformed (conn);
+  if (envelope_bytes > DL_FRAME_ENVELOPE_MAX_BYTES
+      || payload_bytes > DL_FRAME_PAYLOAD_MAX_BYTES)
+    return DL_ERR_TOO_LARGE;
+  if (view.length - HEADER_BYTES < (size_t)envelope_bytes + payload_bytes)
+    return 0;
+  envelope = open_frame (conn, frame, envelope_bytes, payload_bytes);
+  if (envelope == NULL)
+    return frame_malformed (conn);
+  error = conn_take_frame (conn, envelope,
+                           dl_str_bytes (frame + HEADER_BYTES + envelope_bytes,
+                                         payload_bytes));
+  daisyloft__wire__envelope__free_unpacked (envelope, NULL);
+  if (*freed || error == 0)
+    return HEADER_BYTES + (ssize_t)envelope_bytes + (ssize_t)payload_bytes;
+  return error;
+}
+
 /* Parses what has arrived; returns 0, or an error that ends the connection. */
 static int
 conn_parse (DlConn *conn, bool *freed)
 {
   while (!conn->paused && conn->state != CONN_CLOSED && conn->in->length >= HEADER_BYTES)
     {
-      DlStr view = dl_buffer_view (conn->in);
-      uint32_t lengths[2];
-      uint32_t envelope_bytes;
-      uint32_t payload_bytes;
-      DlEnvelope *envelope;
-      int error;
-
-      memcpy (lengths, view.data, sizeof lengths);
-      envelope_bytes = ntohl (lengths[0]);
-      payload_bytes = ntohl (lengths[1]);
-      if (envelope_bytes > DL_FRAME_ENVELOPE_MAX_BYTES
-          || payload_bytes > DL_FRAME_PAYLOAD_MAX_BYTES)
-        return DL_ERR_TOO_LARGE;
-      if (view.length - HEADER_BYTES < (size_t)envelope_bytes + payload_bytes)
-        return 0;
-      envelope
-          = daisyloft__wire__envelope__unpack (NULL, envelope_bytes,
-                                               (const uint8_t *)view.data + HEADER_BYTES);
-      if (envelope == NULL
-          || envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY__NOT_SET)
-        {
-          dl_log (DL_EVENT_FRAME_MALFORMED, DL_TEXT ("peer", conn->peer.name));
-          if (envelope != NULL)
-            daisyloft__wire__envelope__free_unpacked (envelope, NULL);
-          return DL_ERR_MALFORMED;
-        }
-      error = conn_take_frame (conn, envelope,
-                               dl_str_bytes (view.data + HEADER_BYTES + envelope_bytes,
-                                             payload_bytes));
-      daisyloft__wire__envelope__free_unpacked (envelope, NULL);
-      if (*freed)
+      ssize_t taken = conn_parse_frame (conn, freed);
+
+      if (*freed || taken == 0)
         return 0;
-      if (error < 0)
-        return error;
+      if (taken < 0)
+        return (int)taken;
       if (conn->state != CONN_CLOSED)
-        dl_buffer_consume (conn->in, HEADER_BYTES + envelope_bytes + payload_bytes);
+        dl_buffer_consume (conn->in, (size_t)taken);
     }
   return 0;
 }
--- a/lib/kernel/frame.h
+++ b/lib/kernel/frame.h
@@ -1,14 +1,16 @@
 /*
  * Framed connections between daisyloft's own processes.
  *
- * A frame on the wire is two big-endian 32-bit lengths, of the envelope and of the
- * payload, then the envelope (protobuf-c, see wire.proto) and the payload as raw bytes.
+ * A frame on the wire is a header (see seal.h), the envelope (protobuf-c, see wire.proto)
+ * and the payload as raw bytes.  Header, envelope and payload are checked against keyed
+ * digests, but for the payload of a chunk, which has a digest of its own in the manifest.
  *
  * The accepting side opens with a Challenge; the dialling side proves that it knows the
- * fleet's key by a MAC over the nonce, its name and its purpose; a Welcome ends the
- * handshake.  A side that has nothing to send sends a Ping every second, and a connection
- * on which nothing arrived for its idle limit is closed with -ETIMEDOUT, so that a frozen
- * peer or a cut link shows itself.
+ * fleet's key by a MAC over the nonce, its name and its purpose; a Welcome, sealed like
+ * all that follows under a key derived from these, ends the handshake and proves the same
+ * of the accepting side.  A side that has nothing to send sends a Ping every second, and
+ * a connection on which nothing arrived for its idle limit is closed with -ETIMEDOUT, so
+ * that a frozen peer or a cut link shows itself.
  */
 #ifndef DL_FRAME_H
 #define DL_FRAME_H
@@ -19,7 +21,7 @@
 
 #define DL_FRAME_ENVELOPE_MAX_BYTES (1u << 20)
 #define DL_FRAME_PAYLOAD_MAX_BYTES  (8u << 20)
-#define DL_FRAME_PROTOCOL           1
+#define DL_FRAME_PROTOCOL           2
 #define DL_FRAME_IDLE_MS            4000
 /* Response bytes that a slot may send on a request's stream before any ResponseCredit. */
 #define DL_STREAM_WINDOW_BYTES (64u << 10)
--- /dev/null
+++ b/lib/kernel/seal.c
@@ -0,0 +1,90 @@
+#include "kernel/seal.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "kernel/crypt.h"
+#include "kernel/error.h"
+
+#define LENGTHS_BYTES 8
+#define HASH_BYTES    crypto_shorthash_BYTES
+#define HASHED_BYTES  (sizeof (uint64_t) + LENGTHS_BYTES + HASH_BYTES)
+
+G_STATIC_ASSERT (DL_SEAL_KEY_BYTES == crypto_shorthash_KEYBYTES);
+G_STATIC_ASSERT (DL_SEAL_HEADER_BYTES == LENGTHS_BYTES + 2 * HASH_BYTES);
+
+void
+dl_seal_set_key (DlSeal *seal, DlStr fleet_key, DlStr nonce, const char *label)
+{
+  GString *data = g_string_new_len (nonce.data, (gssize)nonce.length);
+  DlDigest mac;
+
+  g_string_append (data, label);
+  mac = dl_mac (fleet_key, dl_str_bytes (data->str, data->len));
+  memcpy (seal->key, mac.bytes, sizeof seal->key);
+  g_string_free (data, TRUE);
+}
+
+static void
+hash (const DlSeal *seal, DlStr data, uint8_t *out)
+{
+  crypto_shorthash (out, (const uint8_t *)data.data, data.length, seal->key);
+}
+
+/* The tag covers the frame's number, so that frames cannot be repeated or left out. */
+static void
+header_tag (const DlSeal *seal, const uint8_t *header, uint8_t *tag)
+{
+  uint8_t hashed[HASHED_BYTES];
+
+  memcpy (hashed, &seal->sequence, sizeof seal->sequence);
+  memcpy (hashed + sizeof seal->sequence, header, LENGTHS_BYTES + HASH_BYTES);
+  hash (seal, dl_str_bytes (hashed, sizeof hashed), tag);
+}
+
+void
+dl_seal_frame (DlSeal *seal,
+               uint32_t envelope_bytes,
+               uint32_t payload_bytes,
+               DlStr body,
+               uint8_t *header)
+{
+  uint32_t lengths[2] = { htonl (envelope_bytes), htonl (payload_bytes) };
+
+  memcpy (header, lengths, LENGTHS_BYTES);
+  hash (seal, body, header + LENGTHS_BYTES);
+  header_tag (seal, header, header + LENGTHS_BYTES + HASH_BYTES);
+  seal->sequence++;
+}
+
+int
+dl_seal_check_header (const DlSeal *seal,
+                      const uint8_t *header,
+                      uint32_t *envelope_bytes,
+                      uint32_t *payload_bytes)
+{
+  uint32_t lengths[2];
+  uint8_t tag[HASH_BYTES];
+
+  header_tag (seal, header, tag);
+  if (sodium_memcmp (tag, header + LENGTHS_BYTES + HASH_BYTES, HASH_BYTES) != 0)
+    return DL_ERR_MALFORMED;
+  memcpy (lengths, header, LENGTHS_BYTES);
+  *envelope_bytes = ntohl (lengths[0]);
+  *payload_bytes = ntohl (lengths[1]);
+  return 0;
+}
+
+int
+dl_seal_check_body (DlSeal *seal, const uint8_t *header, DlStr body)
+{
+  uint8_t digest[HASH_BYTES];
+
+  hash (seal, body, digest);
+  if (sodium_memcmp (digest, header + LENGTHS_BYTES, HASH_BYTES) != 0)
+    return DL_ERR_MALFORMED;
+  seal->sequence++;
+  return 0;
+}
