--- a/lib/policy/rollout.c
+++ b/lib/policy/rollout.c
@@ -529,8 +529,8 @@
 static bool
 is_kept_in_vain (const DlRollout *r, const DlRolloutHost *host)
 {
-  return dl_rollout_keeps (r, host->name) && host->heard && host->accepts
-         && strcmp (host->rollout, r->name) == 0 && !serves_version (r, host);
+  return dl_rollout_keeps (r, host->name) && knows_decision (r, host) && host->accepts
+         && !serves_version (r, host);
 }
 
 /* Brings what an ended rollout keeps up to date. */
--- a/lib/query/plan.c
+++ b/lib/query/plan.c
@@ -625,9 +625,32 @@
   return NULL;
 }
 
+/* What hosts of the wave reported before they knew of this change, which is made at
+ * REVISION, does not count any more (see "since" in policy/rollout.h). */
+static void
+mark_wave (json_object *value, uint64_t revision)
+{
+  json_object *wave = NULL;
+  json_object *since = NULL;
+
+  json_object_object_get_ex (value, "wave", &wave);
+  json_object_object_get_ex (value, "since", &since);
+  if (!json_object_is_type (wave, json_type_array))
+    return;
+  if (!json_object_is_type (since, json_type_object))
+    {
+      since = json_object_new_object ();
+      json_object_object_add (value, "since", since);
+    }
+  for (size_t i = 0; i < json_object_array_length (wave); i++)
+    json_object_object_add (since,
+                            json_object_get_string (json_object_array_get_idx (wave, i)),
+                            json_object_new_uint64 (revision));
+}
+
 /* Makes the change in VALUE, and returns its name for the history. */
 static const char *
-change_state (const Planner *p, json_object *value)
+change_state (const Planner *p, json_object *value, uint64_t revision)
 {
   char *before = talloc_strdup (p->context, dl_json_text (value, "state"));
   char *paused_from = talloc_strdup (p->context, dl_json_text (value, "paused_from"));
@@ -644,6 +667,7 @@
       dl_json_add_text (value, "paused_from", "");
       return "resumed";
     case DL_STATEMENT_ROLLOUT_CALL_OFF:
+      mark_wave (value, revision);
       dl_json_add_text (value, "state", "called-off");
       dl_json_add_text (value, "reason",
                         talloc_asprintf (p->context, "called off by %s", p->command->by));
@@ -684,7 +708,7 @@
     return refuse (p, "rollout %s %s: %s", name, obstacle,
                    describe_last (p, object->value));
   value = copy_members (object->value);
-  what = change_state (p, value);
+  what = change_state (p, value, object->revision);
   json_object_object_add (value, "history",
                           extend_history (p, dl_json_array (object->value, "history"),
                                           what));
