--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -265,6 +265,21 @@
   return dl_admit_take (&o->bucket, &share, dl_clock_ms ());
 }
 
+/* Peers name an entry with many requests in progress last. */
+static void
+publish_load (CallersTask *t)
+{
+  uint32_t running = dl_http_server_running (t->server);
+  EntryMessage *m;
+
+  if (running == t->published_running)
+    return;
+  t->published_running = running;
+  m = dl_message_new (ENTRY_LOAD, sizeof *m);
+  m->load.running = running;
+  dl_kernel_publish (dl_task_kernel (t->task), m);
+}
+
 static void
 on_demand_timer (DlTimer *timer, void *data)
 {
@@ -272,6 +287,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  publish_load (t);
   g_hash_table_iter_init (&iter, t->organisations);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -40,6 +40,7 @@
   GHashTable *organisations;   /* by name, of CallerOrganisation */
   GHashTable *budgets;         /* by service name, of DlRetryBudget */
   GHashTable *tries;           /* uint64_t id to CallerTry */
+  uint32_t published_running;  /* of the last LOAD */
   GHashTable *entry_status;    /* by host, of EntryMessage ENTRY_STATUS */
   GHashTable *claims_seen;     /* char * object name to uint64_t first seen, ms */
   const EntryMessage *members; /* last MEMBERS; NULL before the first */
--- a/daisyentryd/callers_address.c
+++ b/daisyentryd/callers_address.c
@@ -1,5 +1,5 @@
 /*
- * Which entries callers should use: the nearest that are neither leaving nor drowning,
+ * Which entries callers should use: the nearest that are neither leaving nor overloaded,
  * begun at a random one of equals so that callers spread.
  */
 #include <string.h>
@@ -9,13 +9,13 @@
 #include "policy/route.h"
 
 #define ADDRESSES_MAX     4
-#define DROWNING_REQUESTS 512 /* in progress at an entry; more, and it is named last */
+#define OVERLOAD_REQUESTS 512 /* in progress at an entry; more, and it is named last */
 
 typedef struct
 {
   const DlMember *member;
   DlDistance distance;
-  bool drowning;
+  bool overloaded;
   uint64_t random;
 } RankedEntry;
 
@@ -25,8 +25,8 @@
   const RankedEntry *x = a;
   const RankedEntry *y = b;
 
-  if (x->drowning != y->drowning)
-    return x->drowning ? 1 : -1;
+  if (x->overloaded != y->overloaded)
+    return x->overloaded ? 1 : -1;
   if (x->distance != y->distance)
     return x->distance < y->distance ? -1 : 1;
   if (x->random == y->random)
@@ -46,7 +46,7 @@
 
 /* More than half of its callers' connections have a request in progress. */
 static bool
-is_drowning_self (const CallersTask *t)
+is_overloaded_self (const CallersTask *t)
 {
   return (uint64_t)dl_http_server_running (t->server) * 2 > t->settings->max_callers;
 }
@@ -65,10 +65,10 @@
   };
 
   if (status != NULL)
-    r.drowning = status->entry_status.status->requests_running > DROWNING_REQUESTS
-                 || status->entry_status.status->leaving;
+    r.overloaded = status->entry_status.status->requests_running > OVERLOAD_REQUESTS
+                   || status->entry_status.status->leaving;
   if (strcmp (m->name, t->settings->name) == 0)
-    r.drowning = is_drowning_self (t);
+    r.overloaded = is_overloaded_self (t);
   return r;
 }
 
--- a/daisyentryd/daisyentryd.h
+++ b/daisyentryd/daisyentryd.h
@@ -55,6 +55,7 @@
   ENTRY_ENTRY_STATUS,
   ENTRY_REQUEST,
   ENTRY_RESPONSE,
+  ENTRY_LOAD,
 } EntryMessageType;
 
 #define ENTRY_SUBSCRIBE(type) (UINT64_C (1) << (type))
@@ -153,6 +154,11 @@
     {
       const Daisyloft__Wire__EntryStatus *status; /* owned by the message's destructor */
     } entry_status;
+    /* LOAD: callers' requests in progress at this entry, each second when it changed. */
+    struct
+    {
+      uint32_t running;
+    } load;
     /* REQUEST: posted to upstreams.  ID names the try; callers choose it. */
     struct
     {
--- a/daisyentryd/relay.c
+++ b/daisyentryd/relay.c
@@ -361,6 +361,9 @@
     case ENTRY_CONTACT:
       take_contact (relay, (const EntryMessage *)message);
       return;
+    case ENTRY_LOAD:
+      relay->requests_running = ((const EntryMessage *)message)->load.running;
+      return;
     case CONTROL_STORE:
       relay->reaches_store = ((const ControlMessage *)message)->store.direct;
       return;
@@ -458,7 +461,7 @@
   .order = 30,
   .subscriptions = ENTRY_SUBSCRIBE (ENTRY_SNAPSHOT) | ENTRY_SUBSCRIBE (ENTRY_FLEET)
                    | ENTRY_SUBSCRIBE (ENTRY_MEMBERS) | ENTRY_SUBSCRIBE (ENTRY_CONTACT)
-                   | ENTRY_SUBSCRIBE (CONTROL_STORE),
+                   | ENTRY_SUBSCRIBE (ENTRY_LOAD) | ENTRY_SUBSCRIBE (CONTROL_STORE),
   .start = relay_start,
   .handle = relay_handle,
   .drain = relay_drain,
--- a/daisyentryd/relay.h
+++ b/daisyentryd/relay.h
@@ -27,6 +27,7 @@
   uint64_t members_generation; /* rises with every MEMBERS message */
   DirectiveTable *directives;  /* NULL before the first snapshot */
   uint64_t source_ms;          /* when the store was last in touch; 0: never */
+  uint32_t requests_running;   /* callers' requests in progress here */
   bool reaches_store;
   bool leaving;
   GPtrArray *links; /* of Link */
--- a/daisyentryd/relay_push.c
+++ b/daisyentryd/relay_push.c
@@ -251,6 +251,7 @@
   wire.data_center = (char *)settings->data_center;
   wire.settings_revision = r->fleet != NULL ? r->fleet->fleet.revision : 0;
   wire.leaving = r->leaving;
+  wire.requests_running = r->requests_running;
   dl_conn_send (link->conn, &envelope, no_payload);
 }
 
--- a/daisyslotd/transfer.h
+++ b/daisyslotd/transfer.h
@@ -63,7 +63,6 @@
   DlSwarm *swarm;                 /* of the directive's version; NULL without one */
   void *draws;                    /* owner of the draws in progress for SWARM */
   const DlManifest *manifest;     /* of the directive's version; NULL until known */
-  GHashTable *same;               /* digest to the list of indexes that repeat it */
   DlBudget up, down, region_up, region_down;
   DlYield yield; /* what the live requests leave of the budgets */
   TransferCounts counts;
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -292,12 +292,6 @@
 
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
-  if (o->stall_timeout_ms > 0)
-    {
-      curl_easy_setopt (call->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
-      curl_easy_setopt (call->easy, CURLOPT_LOW_SPEED_TIME,
-                        (long)((o->stall_timeout_ms + 999) / 1000));
-    }
   if (o->single_use)
     {
       curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -29,10 +29,9 @@
   const char *const *headers; /* "Name: value", ending with NULL; may be NULL */
   DlStr body;                 /* copied */
   uint64_t connect_timeout_ms;
-  uint64_t timeout_ms;       /* of the whole call; 0 for none */
-  uint64_t stall_timeout_ms; /* without a byte (whole seconds, rounded up); 0 for none */
-  size_t max_body_bytes;     /* without on_data; 0 for 1 MiB */
-  bool single_use;           /* must not be sent twice */
+  uint64_t timeout_ms;   /* of the whole call; 0 for none */
+  size_t max_body_bytes; /* without on_data; 0 for 1 MiB */
+  bool single_use;       /* must not be sent twice */
   /* The status and the headers have arrived. */
   void (*on_head) (DlHttpCall *call, unsigned status, void *data);
   /* Body bytes; without it the body is collected. */
