No order without a lease's fence; the runner notices an unread handshake

The unit case is red without the condition by construction of the table (1 order instead of 0 expected). The runner fails a scenario whose relays cannot read a Hello: links silently did nothing when the frame's header had changed (found by control-cut-off).

--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -71,8 +71,9 @@
 {
   bool serves_nothing = dl_digest_is_zero (&f->serving);
 
-  return f->has_directive && f->wanted && f->whole && f->in_contact && !f->stopping
-         && f->engine_reachable && (f->may_load || serves_nothing)
+  /* Fence 0: nobody has steered the rollout under a lease yet. */
+  return f->has_directive && f->fence > 0 && f->wanted && f->whole && f->in_contact
+         && !f->stopping && f->engine_reachable && (f->may_load || serves_nothing)
          && f->contact_since_ms >= l->woke_ms && predecessor_is_silent (l, f)
          && f->engine_fence <= f->fence;
 }
--- a/regress/scenario/relay.c
+++ b/regress/scenario/relay.c
@@ -303,15 +303,16 @@
   if (size <= HELLO_MAX_BYTES && link->hello->len < HEADER_BYTES + size)
     return;
   link->known = true;
-  if (size > HELLO_MAX_BYTES)
-    return;
-  envelope
-      = daisyloft__wire__envelope__unpack (NULL, size, link->hello->data + HEADER_BYTES);
-  if (envelope == NULL)
-    return;
-  if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_HELLO)
+  envelope = size <= HELLO_MAX_BYTES
+                 ? daisyloft__wire__envelope__unpack (NULL, size,
+                                                      link->hello->data + HEADER_BYTES)
+                 : NULL;
+  if (envelope != NULL && envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_HELLO)
     link->source = process_find (s, envelope->hello->name);
-  daisyloft__wire__envelope__free_unpacked (envelope, NULL);
+  else
+    scn_fail (s, "a connection through a relay does not begin with a Hello");
+  if (envelope != NULL)
+    daisyloft__wire__envelope__free_unpacked (envelope, NULL);
 }
 
 static void
--- a/regress/unit/test_loader.c
+++ b/regress/unit/test_loader.c
@@ -99,6 +99,12 @@
   f->wanted = false;
 }
 
+static void
+change_no_fence (DlLoaderFacts *f)
+{
+  f->fence = 0;
+}
+
 static void
 change_older_fence (DlLoaderFacts *f)
 {
@@ -124,6 +130,7 @@
   { "serves nothing, needs no wave", change_serves_nothing, 1 },
   { "hears no relay", change_no_contact, 0 },
   { "rollout called off", change_called_off, 0 },
+  { "not steered under a lease yet", change_no_fence, 0 },
   { "engine saw a newer fence", change_older_fence, 0 },
   { "requests in progress", change_busy, 0 },
   { "stopping", change_stopping, 0 },
