--- a/Makefile
+++ b/Makefile
@@ -4,18 +4,26 @@
 # make bench   prints the figures of docs/MEASUREMENTS.md
 # make format  rewrites the sources in the project's format
 BUILD	?= check
-PROGS	:= daisyentryd daisyslotd daisyctl daisybench
+OUT	?= build
+DIRECT	:= daisydirectd daisystaged
+PROGS	:= daisyentryd daisyslotd daisyctl daisybench $(DIRECT)
 TESTS	:= regress/standin regress/scenario regress/unit
 DIRS	:= $(foreach d,$(PROGS) $(TESTS),$(if $(wildcard $(d)/*.c),$(d)))
 SOURCES	:= $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.')
 
-all: lib $(DIRS)
+all: lib platform $(DIRS)
+
+# What runs on the users' platform, without the tests.
+direct: lib platform $(DIRECT)
 
 lib:
-	$(MAKE) -C lib BUILD=$(BUILD)
+	$(MAKE) -C lib BUILD=$(BUILD) OUT=$(OUT)
+
+platform:
+	$(MAKE) -C platform BUILD=$(BUILD) OUT=$(OUT)
 
-$(DIRS): lib
-	$(MAKE) -C $@ BUILD=$(BUILD)
+$(DIRS): lib platform
+	$(MAKE) -C $@ BUILD=$(BUILD) OUT=$(OUT)
 
 deps:
 	@sh scripts/deps.sh
@@ -52,4 +60,4 @@
 clean:
 	rm -rf build
 
-.PHONY: all lib deps check demo bench soak format format-check lint wire clean $(DIRS)
+.PHONY: all lib platform direct deps check demo bench soak format format-check lint wire clean $(DIRS)
--- /dev/null
+++ b/daisydirectd/attempt.c
@@ -0,0 +1,392 @@
+/*
+ * One try of a request at one upstream.
+ *
+ * Every try has a connection of its own, so that no late or additional answer of another
+ * request can be taken for this one's, and the library never repeats one by itself.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "platform.h"
+#include "requests.h"
+
+#define CONNECT_TIMEOUT_MS 350
+#define ANSWER_MAX_BYTES   (8u << 20)
+/* A caller that reads slowly holds the upstream's stream beyond this. */
+#define STREAM_AHEAD_BYTES (256u << 10)
+/* Latency targets, or pause targets, after which a silent upstream is given up. */
+#define STALL_TARGETS 2
+#define STALL_MIN_MS  700
+#define STATUS_OK     200
+#define STATUS_MULTIPLE_CHOICES 300
+#define STATUS_SERVER_ERROR     500
+
+DL_METRIC (metric_tries,
+           DL_METRIC_COUNTER,
+           "daisy_direct_tries_total",
+           "Requests sent to upstreams, repeats among them.")
+DL_METRIC (metric_first_event,
+           DL_METRIC_HISTOGRAM,
+           "daisy_direct_first_event_ms",
+           "Time from a try's start to the first event or the whole answer.")
+DL_METRIC (metric_gap,
+           DL_METRIC_HISTOGRAM,
+           "daisy_direct_event_gap_ms",
+           "Pauses between events of streams.")
+
+struct Attempt
+{
+  Request *request;
+  DirectUpstream *upstream;
+  DlHttpCall *call;
+  DlAnswerHead head;
+  unsigned status;
+  uint64_t sent_ms;
+  uint64_t progress_ms; /* when bytes last arrived; the start before */
+  uint64_t prompt_tokens;
+  bool started; /* the upstream works on it: bytes of its body arrived */
+  bool sent;    /* counts as sent to the upstream */
+  bool ended;
+  bool broken; /* what arrives now is not used; ends as soon as the library allows */
+  DlTimer *later;
+  DlBuffer *body; /* of an answer that is no stream */
+};
+
+static bool
+is_success (const Attempt *attempt)
+{
+  return attempt->status >= STATUS_OK && attempt->status < STATUS_MULTIPLE_CHOICES;
+}
+
+static bool
+is_stream (const Attempt *attempt)
+{
+  return attempt->head.is_events && is_success (attempt) && attempt->head.is_sealed
+         && !attempt->head.is_foreign;
+}
+
+/* The upstream's books are closed for this try. */
+static void
+release_upstream (Attempt *attempt, DirectTryEnd end)
+{
+  if (attempt->ended)
+    return;
+  attempt->ended = true;
+  direct_upstream_ended (attempt->upstream, attempt->prompt_tokens, attempt->started, end,
+                         dl_clock_ms ());
+}
+
+static int
+attempt_destroy (Attempt *attempt)
+{
+  release_upstream (attempt, DIRECT_TRY_NEUTRAL);
+  return 0;
+}
+
+/* Ends the try; what comes next is decided elsewhere. */
+static void
+finish (Attempt *attempt, DirectTryEnd end)
+{
+  Request *r = attempt->request;
+
+  release_upstream (attempt, end);
+  r->attempt = NULL;
+  talloc_free (attempt);
+}
+
+static void
+finish_and_go_on (Attempt *attempt, DirectTryEnd try_end, DirectAttemptEnd end)
+{
+  Request *r = attempt->request;
+  char *id = talloc_strdup (r, attempt->upstream->id);
+
+  finish (attempt, try_end);
+  direct_dispatch_after (r, end, id);
+}
+
+/* -------- the answer arrives -------- */
+
+static void
+on_head (DlHttpCall *call, unsigned status, void *data)
+{
+  Attempt *attempt = data;
+
+  attempt->status = status;
+  attempt->progress_ms = dl_clock_ms ();
+  platform_read_answer (call, status, attempt->request->in.id, &attempt->head);
+  if (attempt->head.has_load)
+    direct_upstream_told_load (attempt->upstream,
+                               attempt->head.running + attempt->head.waiting,
+                               attempt->head.slots, attempt->progress_ms);
+}
+
+static void
+note_started (Attempt *attempt, uint64_t now_ms)
+{
+  if (attempt->started)
+    return;
+  attempt->started = true;
+  direct_upstream_started (attempt->upstream, attempt->prompt_tokens);
+  dl_metric_observe_us (&metric_first_event, (now_ms - attempt->sent_ms) * 1000);
+}
+
+static void
+begin_reply (Attempt *attempt)
+{
+  Request *r = attempt->request;
+  const char *type;
+  const DlHttpHeader *headers = platform_answer_headers (attempt, attempt->call, &type);
+
+  r->replying = true;
+  dl_http_stream_begin (r->http, attempt->status, type, headers);
+}
+
+static void
+on_taken (DlHttpRequest *http, size_t taken, void *data)
+{
+  Request *r = data;
+
+  if (r->attempt != NULL && dl_http_stream_queued (http) < STREAM_AHEAD_BYTES)
+    dl_http_call_pause (r->attempt->call, false);
+}
+
+static void
+on_broken (DlTimer *timer, void *data)
+{
+  finish_and_go_on (data, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+}
+
+/* The library takes no new call while it hands out bytes: the try ends from the loop. */
+static void
+set_broken (Attempt *attempt)
+{
+  attempt->broken = true;
+  attempt->later = dl_timer_subscribe (attempt->request->owner->task, attempt, 0, 0,
+                                       on_broken, attempt);
+}
+
+/* Passes whole events on; a stream that does not follow on ends the try. */
+static void
+take_events (Attempt *attempt, DlStr bytes)
+{
+  Request *r = attempt->request;
+  uint64_t now_ms = dl_clock_ms ();
+  DlBuffer *out = dl_buffer_new (attempt, 0);
+  int error = dl_event_stream_feed (r->events, bytes, out);
+
+  if (attempt->started)
+    dl_metric_observe_us (&metric_gap, (now_ms - attempt->progress_ms) * 1000);
+  if (out->length > 0)
+    {
+      note_started (attempt, now_ms);
+      r->may_have_run = true;
+      if (!r->replying)
+        {
+          begin_reply (attempt);
+          dl_http_stream_on_taken (r->http, on_taken, r);
+        }
+      dl_http_stream_write (r->http, dl_buffer_view (out));
+    }
+  attempt->progress_ms = now_ms;
+  talloc_free (out);
+  if (error < 0)
+    set_broken (attempt);
+  else if (dl_http_stream_queued (r->http) > STREAM_AHEAD_BYTES)
+    dl_http_call_pause (attempt->call, true);
+}
+
+static void
+on_data (DlHttpCall *call, DlStr bytes, void *data)
+{
+  Attempt *attempt = data;
+
+  if (attempt->broken)
+    return;
+  if (is_stream (attempt))
+    {
+      take_events (attempt, bytes);
+      return;
+    }
+  attempt->progress_ms = dl_clock_ms ();
+  if (dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
+    set_broken (attempt);
+}
+
+/* -------- the try ends -------- */
+
+static void
+end_stream (Attempt *attempt, const DlHttpResult *result)
+{
+  Request *r = attempt->request;
+
+  if (result->error < 0 || !dl_event_stream_is_between_events (r->events))
+    {
+      finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+      return;
+    }
+  if (!r->replying)
+    begin_reply (attempt);
+  finish (attempt, DIRECT_TRY_SERVED);
+  direct_request_end_stream (r);
+}
+
+/* An answer that must not reach the caller: it is not the upstream's own, or a success
+ * without its proof. */
+static bool
+is_unusable (const Attempt *attempt)
+{
+  return attempt->head.is_foreign || (is_success (attempt) && !attempt->head.is_sealed);
+}
+
+/* A failure of the upstream that another one may do better. */
+static bool
+is_worth_another (const Attempt *attempt)
+{
+  const Request *r = attempt->request;
+
+  return attempt->status >= STATUS_SERVER_ERROR && !r->replying
+         && dl_routing_is_repeatable (r->route) && r->sent < r->route->attempts_max;
+}
+
+static void
+pass_answer (Attempt *attempt)
+{
+  Request *r = attempt->request;
+  const char *type;
+  const DlHttpHeader *headers = platform_answer_headers (r, attempt->call, &type);
+  DlBuffer *body = talloc_steal (r, attempt->body);
+  unsigned status = attempt->status;
+
+  finish (attempt, status >= STATUS_SERVER_ERROR ? DIRECT_TRY_FAILED : DIRECT_TRY_SERVED);
+  direct_request_answer (r, status, type, dl_buffer_view (body), headers);
+}
+
+static void
+end_answer (Attempt *attempt, const DlHttpResult *result)
+{
+  if (attempt->head.not_run)
+    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_NOT_RUN);
+  else if (result->error < 0 || is_unusable (attempt) || attempt->request->replying)
+    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+  else if (is_worth_another (attempt))
+    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+  else
+    {
+      note_started (attempt, dl_clock_ms ());
+      pass_answer (attempt);
+    }
+}
+
+static void
+on_done (DlHttpCall *call, const DlHttpResult *result, void *data)
+{
+  Attempt *attempt = data;
+
+  if (attempt->broken)
+    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+  else if (result->status == 0 && !result->sent)
+    finish_and_go_on (attempt, DIRECT_TRY_SILENT, DIRECT_END_UNREACHED);
+  else if (result->status == 0)
+    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+  else if (is_stream (attempt))
+    end_stream (attempt, result);
+  else
+    end_answer (attempt, result);
+}
+
+/* -------- starting and cancelling -------- */
+
+static uint64_t
+stream_position (const Request *r)
+{
+  if (r->events != NULL && r->events->last_id > r->in.last_event_id)
+    return r->events->last_id;
+  return 0;
+}
+
+static void
+prepare_events (Request *r)
+{
+  if (r->route->kind != DL_ROUTE_STREAM)
+    return;
+  if (r->events == NULL)
+    r->events = dl_event_stream_new (r, r->in.last_event_id);
+  else
+    dl_event_stream_restart (r->events);
+}
+
+void
+direct_attempt_start (Request *r, DirectUpstream *upstream)
+{
+  Attempt *attempt = talloc_zero (r, Attempt);
+  uint64_t now_ms = dl_clock_ms ();
+  char *url;
+
+  g_assert (attempt != NULL && r->attempt == NULL);
+  prepare_events (r);
+  attempt->request = r;
+  attempt->upstream = upstream;
+  attempt->sent_ms = now_ms;
+  attempt->progress_ms = now_ms;
+  attempt->prompt_tokens = r->in.prompt_tokens;
+  attempt->body = dl_buffer_new (attempt, ANSWER_MAX_BYTES);
+  r->attempt = attempt;
+  r->sent++;
+  direct_upstream_sent (upstream, attempt->prompt_tokens, now_ms);
+  talloc_set_destructor (attempt, attempt_destroy);
+  dl_metric_add (&metric_tries, 1);
+  url = talloc_asprintf (attempt, "http://%s/", upstream->address);
+  attempt->call = dl_http_call (
+      r->owner->client, attempt,
+      &(DlHttpCallOptions){
+          .method = dl_http_request_method (r->http),
+          .url = url,
+          .target = dl_http_request_target (r->http),
+          .headers = platform_forward_headers (
+              attempt, r->http,
+              &(DlForward){
+                  .remaining_ms = direct_request_remaining_ms (r, now_ms),
+                  .organisation = r->organisation != NULL ? r->organisation->name : NULL,
+                  .upstream = upstream->id,
+                  .version = r->service_entry->has_engine
+                                 ? direct_upstreams_required_version (r->owner->upstreams,
+                                                                      now_ms)
+                                 : 0,
+                  .last_event_id = stream_position (r),
+              }),
+          .body = dl_http_request_body (r->http),
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .single_use = true,
+          .on_head = on_head,
+          .on_data = on_data,
+          .on_done = on_done,
+          .data = attempt,
+      });
+}
+
+void
+direct_attempt_cancel (Attempt *attempt, DirectTryEnd end)
+{
+  finish (attempt, end);
+}
+
+bool
+direct_attempt_is_stalled (const Attempt *attempt, uint64_t now_ms)
+{
+  const DlRouteEntry *route = attempt->request->route;
+  uint64_t target_ms = attempt->started && route->target_gap_ms > 0 ? route->target_gap_ms
+                                                                    : route->target_ms;
+
+  return now_ms
+         > attempt->progress_ms + MAX (target_ms * STALL_TARGETS, (uint64_t)STALL_MIN_MS);
+}
+
+const DirectUpstream *
+direct_attempt_upstream (const Attempt *attempt)
+{
+  return attempt->upstream;
+}
--- /dev/null
+++ b/daisydirectd/daisydirectd.c
@@ -0,0 +1,47 @@
+/*
+ * daisydirectd: settings and the program's start.
+ */
+#include "daisydirectd.h"
+
+#include "kernel/program.h"
+
+/* Time that a request may take from the check of its key to the upstream. */
+#define STALE_RESERVE_MS 500
+
+static DlNodeSettings settings;
+
+const DlNodeSettings *
+direct_settings (DlTask *task)
+{
+  return dl_kernel_settings (dl_task_kernel (task));
+}
+
+uint64_t
+direct_stale_ms (const DlNodeSettings *s)
+{
+  return s->revoke_ms - STALE_RESERVE_MS;
+}
+
+static int
+check_settings (const void *context, char **error)
+{
+  return dl_node_settings_check (context, &settings, true, error);
+}
+
+int
+main (int argc, char **argv)
+{
+  return dl_program_run (
+      &(DlProgram){
+          .program = "daisydirectd",
+          .summary = "Takes callers' requests and sends them to upstreams.",
+          .specs = dl_node_specs,
+          .settings = &settings,
+          .check = check_settings,
+          .name = &settings.name,
+          .json_logs = &settings.json_logs,
+          .drain_ms = &settings.drain_ms,
+          .logs_to_stdout = true,
+      },
+      argc, argv);
+}
--- /dev/null
+++ b/daisydirectd/daisydirectd.h
@@ -0,0 +1,69 @@
+/*
+ * daisydirectd: an entry that sends requests to upstreams directly.
+ *
+ * Tasks: "state" follows the platform's store and the other nodes, "requests" serves
+ * callers, "directory" tells callers which entries to use and whether this one is ready.
+ */
+#ifndef DAISYDIRECTD_H
+#define DAISYDIRECTD_H
+
+#include "kernel/kernel.h"
+#include "node/node.h"
+#include "node/upstream_entry.h"
+#include "policy/routing.h"
+
+typedef enum
+{
+  DIRECT_ROUTING,       /* a new routing table */
+  DIRECT_UPSTREAM,      /* an upstream is on the list, or its entry changed */
+  DIRECT_UPSTREAM_GONE, /* it is off the list */
+  DIRECT_ENGINE,        /* an engine's stager told how it is */
+  DIRECT_VERSION,       /* weights were named */
+  DIRECT_FRESH,         /* the routing table was current as of then */
+  DIRECT_ENTRIES,       /* which entries take requests */
+} DirectMessageType;
+
+/* How an engine is, as the stager on its host saw it. */
+typedef struct
+{
+  const char *address; /* "IP:PORT" of the engine */
+  bool serves;         /* false while it is down or takes new weights */
+  unsigned running;
+  unsigned waiting;
+  double pace;
+  uint64_t version; /* of its weights; 0 for none */
+} DirectEngine;
+
+typedef struct
+{
+  DlMessage head;
+  union
+  {
+    const DlRouting *routing; /* below the message */
+    DlUpstreamEntry upstream; /* texts below the message */
+    const char *gone_id;      /* of an upstream */
+    DirectEngine engine;      /* texts below the message */
+    struct
+    {
+      const char *model;
+      uint64_t version;
+      uint64_t learned_ms; /* when this entry learned of it */
+    } version;
+    uint64_t fresh_ms; /* as of when the routing table is current */
+    struct
+    {
+      const char **near; /* addresses for requests, in this entry's region */
+      size_t near_count;
+      const char **far; /* in other regions */
+      size_t far_count;
+      bool is_ready; /* this entry */
+    } entries;
+  };
+} DirectMessage;
+
+/* Settings, which live as long as the process. */
+const DlNodeSettings *direct_settings (DlTask *task);
+/* A routing table older than this proves no key. */
+uint64_t direct_stale_ms (const DlNodeSettings *settings);
+
+#endif
--- /dev/null
+++ b/daisydirectd/directory.c
@@ -0,0 +1,160 @@
+/*
+ * Task "directory": tells callers which entries to use, and the platform whether this one
+ * is ready.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daisydirectd.h"
+#include "kernel/http_server.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "platform.h"
+
+/* Callers keep an answer for three times this, some of them. */
+#define TTL_S 1.0
+/* With fewer ready entries in its region, a caller gets those of all regions. */
+#define NEAR_LEAST     2
+#define ADDRESSES_MAX  64
+#define CONNECTIONS    600
+#define HEADER_BYTES   (8u << 10)
+#define IDLE_TIMEOUT_S 30
+#define STATUS_OK      200
+#define NOT_FOUND      404
+#define UNAVAILABLE    503
+
+DL_METRIC (metric_questions,
+           DL_METRIC_COUNTER,
+           "daisy_direct_directory_questions_total",
+           "Questions which entries to use.")
+
+typedef struct
+{
+  const DlNodeSettings *settings;
+  DlKernel *kernel;
+  DirectMessage *entries; /* the last DIRECT_ENTRIES; NULL before the first */
+  DlHttpServer *questions;
+  DlHttpServer *readiness;
+} Directory;
+
+static void
+add_addresses (GPtrArray *to, const char **addresses, size_t count)
+{
+  for (size_t i = 0; i < count && to->len < ADDRESSES_MAX; i++)
+    g_ptr_array_add (to, (gpointer)addresses[i]);
+}
+
+/* Addresses for a caller of REGION: this entry's region first, when it is the caller's. */
+static void
+choose_addresses (const Directory *directory, const char *region, GPtrArray *to)
+{
+  const DirectMessage *m = directory->entries;
+  bool near
+      = region == NULL || strcmp (region, directory->settings->region) == 0;
+
+  add_addresses (to, m->entries.near, m->entries.near_count);
+  if (!near || m->entries.near_count < NEAR_LEAST)
+    add_addresses (to, m->entries.far, m->entries.far_count);
+}
+
+static void
+on_question (DlHttpRequest *http, void *data)
+{
+  const Directory *directory = data;
+  const char *region;
+  const char *data_center;
+  GPtrArray *addresses;
+
+  if (!platform_read_directory_question (http, &region, &data_center))
+    {
+      platform_reply_own (http, NOT_FOUND, 0, "no such question");
+      return;
+    }
+  dl_metric_add (&metric_questions, 1);
+  addresses = g_ptr_array_new ();
+  if (directory->entries != NULL)
+    choose_addresses (directory, region, addresses);
+  if (addresses->len == 0)
+    platform_reply_own (http, UNAVAILABLE, 0, "no entry is known to be ready");
+  else
+    platform_reply_directory (http, (const char *const *)addresses->pdata, addresses->len,
+                              MIN (TTL_S, directory->settings->directory_ttl_s));
+  g_ptr_array_free (addresses, TRUE);
+}
+
+static void
+on_ready_question (DlHttpRequest *http, void *data)
+{
+  const Directory *directory = data;
+  bool ready = directory->entries != NULL && directory->entries->entries.is_ready
+               && !dl_kernel_stopping (directory->kernel);
+
+  if (!platform_is_ready_question (http))
+    platform_reply_own (http, NOT_FOUND, 0, "no such question");
+  else if (ready)
+    dl_http_reply (http, STATUS_OK, "text/plain", DL_STR_LITERAL ("ready\n"), NULL);
+  else
+    platform_reply_own (http, UNAVAILABLE, 0, "not ready");
+}
+
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  Directory *directory = dl_task_state (task);
+
+  if (directory->entries != NULL)
+    dl_message_unref (directory->entries);
+  directory->entries = dl_message_ref ((void *)head);
+}
+
+static int
+directory_destroy (Directory *directory)
+{
+  if (directory->entries != NULL)
+    dl_message_unref (directory->entries);
+  return 0;
+}
+
+static int
+serve (DlTask *task,
+       Directory *directory,
+       const char *address,
+       DlHttpHandler handler,
+       DlHttpServer **server)
+{
+  DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
+
+  limits.max_connections = CONNECTIONS;
+  limits.max_header_bytes = HEADER_BYTES;
+  limits.idle_timeout_s = IDLE_TIMEOUT_S;
+  return dl_http_server_new (task, directory, dl_str (address), &limits, handler,
+                             directory, server);
+}
+
+static int
+start (DlTask *task)
+{
+  Directory *directory = talloc_zero (NULL, Directory);
+  int error;
+
+  dl_task_set_state (task, directory);
+  directory->kernel = dl_task_kernel (task);
+  directory->settings = direct_settings (task);
+  talloc_set_destructor (directory, directory_destroy);
+  error = serve (task, directory, directory->settings->directory, on_question,
+                 &directory->questions);
+  if (error < 0)
+    return error;
+  return serve (task, directory, directory->settings->ready, on_ready_question,
+                &directory->readiness);
+}
+
+static DlPlugin directory_plugin = {
+  .name = "directory",
+  .order = 20,
+  .subscriptions = UINT64_C (1) << DIRECT_ENTRIES,
+  .start = start,
+  .handle = handle,
+};
+DL_PLUGIN_REGISTER (directory_plugin)
--- /dev/null
+++ b/daisydirectd/requests.c
@@ -0,0 +1,499 @@
+/*
+ * Task "requests": takes callers' requests in and gives each its final answer.
+ */
+#include "requests.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/crypt.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "platform.h"
+
+#define SWEEP_MS          40
+#define SUMMARY_MS        5000
+#define CONNECTIONS_MAX   3000
+#define HEADER_BYTES_MAX  (20u << 10)
+#define BODY_BYTES_MAX    (8u << 20)
+#define IDLE_TIMEOUT_S    120
+/* After a planned stop began, callers that have not heard of it are still served. */
+#define STOP_ACCEPT_MS    3200
+#define STOP_CHECK_MS     100
+/* Refused for want of a proof that its key still holds: the store may be back soon. */
+#define STALE_RETRY_MS    900
+#define STOPPING_RETRY_MS 100
+
+#define STATUS_UNAUTHORIZED     401
+#define STATUS_NOT_FOUND        404
+#define STATUS_TOO_LARGE        413
+#define STATUS_HEADER_TOO_LARGE 431
+#define STATUS_BAD_GATEWAY      502
+#define STATUS_UNAVAILABLE      503
+#define STATUS_GATEWAY_TIMEOUT  504
+
+DL_METRIC (metric_requests,
+           DL_METRIC_COUNTER,
+           "daisy_direct_requests_total",
+           "Requests of callers.")
+DL_METRIC (metric_served,
+           DL_METRIC_COUNTER,
+           "daisy_direct_served_total",
+           "Requests answered with an upstream's whole answer.")
+DL_METRIC (metric_refused,
+           DL_METRIC_COUNTER,
+           "daisy_direct_refused_total",
+           "Requests refused; none of them has run.")
+DL_METRIC (metric_failed,
+           DL_METRIC_COUNTER,
+           "daisy_direct_failed_total",
+           "Requests that failed after they were sent.")
+DL_METRIC (metric_denied,
+           DL_METRIC_COUNTER,
+           "daisy_direct_denied_total",
+           "Requests denied: no route, no key, too large.")
+DL_METRIC (metric_cancelled,
+           DL_METRIC_COUNTER,
+           "daisy_direct_cancelled_total",
+           "Requests whose caller went away.")
+DL_METRIC (metric_duration,
+           DL_METRIC_HISTOGRAM,
+           "daisy_direct_request_ms",
+           "Time from a request's arrival to its final answer.")
+
+/* -------- the life of a request -------- */
+
+static void
+link_request (Requests *requests, Request *r)
+{
+  r->next = requests->first;
+  if (r->next != NULL)
+    r->next->link = &r->next;
+  r->link = &requests->first;
+  requests->first = r;
+}
+
+static void
+unlink_request (Request *r)
+{
+  if (r->link == NULL)
+    return;
+  *r->link = r->next;
+  if (r->next != NULL)
+    r->next->link = r->link;
+  r->link = NULL;
+}
+
+/* Nothing is in progress for the request any more. */
+static void
+release (Request *r)
+{
+  direct_dispatch_forget (r);
+  if (r->attempt != NULL)
+    direct_attempt_cancel (r->attempt, DIRECT_TRY_NEUTRAL);
+  if (r->link != NULL)
+    dl_metric_observe_us (&metric_duration, (dl_clock_ms () - r->arrived_ms) * 1000);
+  unlink_request (r);
+}
+
+static int
+request_destroy (Request *r)
+{
+  release (r);
+  if (r->routing != NULL)
+    dl_message_unref (r->routing);
+  return 0;
+}
+
+static void
+on_closed (DlHttpRequest *http, bool answered, void *data)
+{
+  Request *r = data;
+  Service *service = r->service;
+
+  if (r->link == NULL)
+    return;
+  dl_metric_add (&metric_cancelled, 1);
+  dl_log (DL_EVENT_REQUEST_CANCELLED, DL_TEXT ("request", r->in.id),
+          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent));
+  release (r);
+  if (service != NULL)
+    direct_dispatch_run (service);
+}
+
+uint64_t
+direct_request_remaining_ms (const Request *r, uint64_t now_ms)
+{
+  return r->deadline_ms > now_ms ? r->deadline_ms - now_ms : 0;
+}
+
+/* -------- final answers -------- */
+
+void
+direct_request_refuse (Request *r, uint64_t retry_ms, const char *reason)
+{
+  dl_metric_add (&metric_refused, 1);
+  dl_log (DL_EVENT_REQUEST_REFUSED, DL_TEXT ("request", r->in.id),
+          DL_TEXT ("reason", reason),
+          DL_TEXT ("route", r->route != NULL ? r->route->name : ""),
+          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
+          DL_UINT ("waiting",
+                   r->service != NULL ? dl_wait_queue_length (r->service->queue) : 0),
+          DL_UINT ("retry_ms", retry_ms),
+          DL_UINT ("routing", r->routing != NULL ? r->routing->routing->version : 0));
+  release (r);
+  platform_reply_own (r->http, STATUS_UNAVAILABLE, retry_ms, reason);
+}
+
+void
+direct_request_fail (Request *r, unsigned status, const char *cause)
+{
+  dl_metric_add (&metric_failed, 1);
+  dl_log (DL_EVENT_REQUEST_FAILED, DL_TEXT ("request", r->in.id),
+          DL_TEXT ("cause", cause), DL_TEXT ("route", r->route->name),
+          DL_TEXT ("upstream", r->avoid != NULL ? r->avoid : ""),
+          DL_UINT ("status", r->replying ? 0 : status),
+          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
+  release (r);
+  if (r->replying)
+    dl_http_stream_end (r->http, false);
+  else
+    platform_reply_own (r->http, status, 0, cause);
+}
+
+void
+direct_request_answer (Request *r,
+                       unsigned status,
+                       const char *content_type,
+                       DlStr body,
+                       const DlHttpHeader *headers)
+{
+  dl_metric_add (&metric_served, 1);
+  release (r);
+  dl_http_reply (r->http, status, content_type, body, headers);
+  direct_dispatch_run (r->service);
+}
+
+void
+direct_request_end_stream (Request *r)
+{
+  dl_metric_add (&metric_served, 1);
+  release (r);
+  dl_http_stream_end (r->http, true);
+  direct_dispatch_run (r->service);
+}
+
+/* The request asks for what the routing table does not allow. */
+static void
+deny (Request *r, unsigned status, const char *reason)
+{
+  dl_metric_add (&metric_denied, 1);
+  dl_log (DL_EVENT_REQUEST_DENIED, DL_TEXT ("request", r->in.id),
+          DL_UINT ("status", status), DL_TEXT ("reason", reason),
+          DL_UINT ("routing", r->routing->routing->version),
+          DL_UINT ("routing_age_ms", dl_clock_ms () - r->owner->fresh_ms));
+  release (r);
+  platform_reply_own (r->http, status, 0, reason);
+}
+
+/* -------- admission -------- */
+
+static bool
+is_stale (const Requests *requests)
+{
+  return requests->fresh_ms == 0
+         || dl_clock_ms () - requests->fresh_ms >= direct_stale_ms (requests->settings);
+}
+
+/* Checks what a caller may send; false after a final answer. */
+static bool
+check_limits (Request *r)
+{
+  const DlCallerLimits *limits = &r->routing->routing->limits;
+
+  if (limits->header_bytes_max > 0 && r->in.header_bytes > limits->header_bytes_max)
+    deny (r, STATUS_HEADER_TOO_LARGE, "the headers are too large");
+  else if (limits->body_bytes_max > 0
+           && dl_http_request_body (r->http).length > limits->body_bytes_max)
+    deny (r, STATUS_TOO_LARGE, "the body is too large");
+  else
+    return true;
+  return false;
+}
+
+/* Finds whose request it is; false after a final answer. */
+static bool
+check_key (Request *r)
+{
+  const DlRouting *routing = r->routing->routing;
+
+  if (!routing->has_organisations || r->route->open)
+    return true;
+  if (is_stale (r->owner))
+    {
+      direct_request_refuse (r, STALE_RETRY_MS, "no fresh word whether its key holds");
+      return false;
+    }
+  if (r->in.key != NULL)
+    r->organisation = dl_routing_key_owner (routing, r->in.key);
+  if (r->organisation != NULL)
+    return true;
+  deny (r, STATUS_UNAUTHORIZED, "unknown key");
+  return false;
+}
+
+static void
+set_deadline (Request *r)
+{
+  uint64_t limit_ms = r->route->timeout_ms;
+
+  if (r->in.remaining_ms > 0)
+    limit_ms = MIN (limit_ms, r->in.remaining_ms);
+  r->deadline_ms = r->arrived_ms + limit_ms;
+}
+
+static void
+admit (Request *r)
+{
+  const DlRouting *routing = r->routing->routing;
+  const char *service;
+
+  r->route = dl_routing_match (routing, r->in.host, r->in.path);
+  if (r->route == NULL)
+    {
+      deny (r, STATUS_NOT_FOUND, "no such route");
+      return;
+    }
+  if (!check_limits (r) || !check_key (r))
+    return;
+  set_deadline (r);
+  service = dl_routing_draw_target (r->route, dl_random_uint64 ());
+  r->service_entry = service != NULL ? dl_routing_service (routing, service) : NULL;
+  if (r->service_entry == NULL)
+    {
+      direct_request_refuse (r, STALE_RETRY_MS, "the route names no known service");
+      return;
+    }
+  r->service = direct_service_get (r->owner, service);
+  direct_dispatch_place (r);
+}
+
+static void
+on_request (DlHttpRequest *http, void *data)
+{
+  Requests *requests = data;
+  Request *r = talloc_zero (http, Request);
+
+  g_assert (r != NULL);
+  dl_metric_add (&metric_requests, 1);
+  r->owner = requests;
+  r->http = http;
+  r->arrived_ms = dl_clock_ms ();
+  platform_read_request (http, &r->in);
+  link_request (requests, r);
+  talloc_set_destructor (r, request_destroy);
+  dl_http_request_on_closed (http, on_closed, r);
+  if (requests->stop_ms != 0 && r->arrived_ms > requests->stop_ms + STOP_ACCEPT_MS)
+    direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
+  else if (requests->routing == NULL)
+    direct_request_refuse (r, STALE_RETRY_MS, "no routing table yet");
+  else
+    {
+      r->routing = dl_message_ref (requests->routing);
+      admit (r);
+    }
+}
+
+/* -------- time -------- */
+
+/* Gives up a try at a silent upstream when another may take over. */
+static void
+move_stalled (Request *r, uint64_t now_ms)
+{
+  const DirectUpstream *upstream;
+  char *id;
+
+  if (!dl_routing_is_repeatable (r->route) || r->sent >= r->route->attempts_max
+      || !direct_attempt_is_stalled (r->attempt, now_ms))
+    return;
+  upstream = direct_attempt_upstream (r->attempt);
+  id = talloc_strdup (r, upstream->id);
+  direct_attempt_cancel (r->attempt, DIRECT_TRY_FAILED);
+  direct_dispatch_after (r, DIRECT_END_SILENT, id);
+}
+
+static void
+sweep_request (Request *r, uint64_t now_ms)
+{
+  if (now_ms < r->deadline_ms)
+    {
+      if (r->attempt != NULL)
+        move_stalled (r, now_ms);
+      return;
+    }
+  if (r->sent == 0)
+    direct_request_refuse (r, STALE_RETRY_MS, "its time ran out before a place was free");
+  else
+    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, "its time ran out");
+}
+
+static void
+on_sweep (DlTimer *timer, void *data)
+{
+  Requests *requests = data;
+  uint64_t now_ms = dl_clock_ms ();
+  Request *next;
+
+  direct_dispatch_run_all (requests);
+  direct_dispatch_expire (requests, now_ms);
+  for (Request *r = requests->first; r != NULL; r = next)
+    {
+      next = r->next;
+      /* Answering one request may have ended the next. */
+      if (r->link != NULL)
+        sweep_request (r, now_ms);
+    }
+}
+
+static void
+on_summary (DlTimer *timer, void *data)
+{
+  const Requests *requests = data;
+
+  dl_log (DL_EVENT_REQUESTS_SUMMARY, DL_INT ("requests", metric_requests.value),
+          DL_INT ("served", metric_served.value), DL_INT ("refused", metric_refused.value),
+          DL_INT ("failed", metric_failed.value), DL_INT ("denied", metric_denied.value),
+          DL_INT ("cancelled", metric_cancelled.value),
+          DL_UINT ("running", dl_http_server_running (requests->server)),
+          DL_UINT ("entries", requests->entries),
+          DL_UINT ("routing_age_ms", dl_clock_ms () - requests->fresh_ms));
+}
+
+/* -------- the task -------- */
+
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  Requests *requests = dl_task_state (task);
+  const DirectMessage *m = (const DirectMessage *)head;
+
+  switch ((DirectMessageType)head->type)
+    {
+    case DIRECT_ROUTING:
+      if (requests->routing != NULL)
+        dl_message_unref (requests->routing);
+      requests->routing = dl_message_ref ((void *)m);
+      break;
+    case DIRECT_UPSTREAM:
+      direct_upstreams_set (requests->upstreams, &m->upstream);
+      break;
+    case DIRECT_UPSTREAM_GONE:
+      direct_upstreams_gone (requests->upstreams, m->gone_id);
+      break;
+    case DIRECT_ENGINE:
+      direct_upstreams_engine (requests->upstreams, &m->engine, dl_clock_ms ());
+      direct_dispatch_run_all (requests);
+      break;
+    case DIRECT_VERSION:
+      direct_upstreams_version (requests->upstreams, m->version.version,
+                                m->version.learned_ms);
+      break;
+    case DIRECT_FRESH:
+      requests->fresh_ms = m->fresh_ms;
+      break;
+    case DIRECT_ENTRIES:
+      direct_dispatch_set_entries (
+          requests, (unsigned)(m->entries.near_count + m->entries.far_count));
+      break;
+    }
+}
+
+static int
+requests_destroy (Requests *requests)
+{
+  g_hash_table_destroy (requests->services);
+  if (requests->routing != NULL)
+    dl_message_unref (requests->routing);
+  return 0;
+}
+
+static int
+start (DlTask *task)
+{
+  Requests *requests = talloc_zero (NULL, Requests);
+  DlHttpLimits limits = {
+    .max_connections = CONNECTIONS_MAX,
+    .max_body_bytes = BODY_BYTES_MAX,
+    .max_header_bytes = HEADER_BYTES_MAX,
+    .idle_timeout_s = IDLE_TIMEOUT_S,
+  };
+
+  dl_task_set_state (task, requests);
+  requests->task = task;
+  requests->settings = direct_settings (task);
+  requests->entries = 1;
+  requests->services = g_hash_table_new (g_str_hash, g_str_equal);
+  requests->upstreams = direct_upstreams_new (requests, requests->settings);
+  requests->client = dl_http_client_new (task, requests);
+  talloc_set_destructor (requests, requests_destroy);
+  dl_timer_subscribe (task, requests, SWEEP_MS, SWEEP_MS, on_sweep, requests);
+  dl_timer_subscribe (task, requests, SUMMARY_MS, SUMMARY_MS, on_summary, requests);
+  return dl_http_server_new (task, requests, dl_str (requests->settings->listen), &limits,
+                             on_request, requests, &requests->server);
+}
+
+static void
+on_stop_check (DlTimer *timer, void *data)
+{
+  Requests *requests = data;
+
+  if (dl_clock_ms () < requests->stop_ms + STOP_ACCEPT_MS)
+    return;
+  dl_http_server_quiesce (requests->server);
+  if (dl_http_server_running (requests->server) == 0)
+    dl_task_drained (requests->task);
+}
+
+static void
+drain (DlTask *task)
+{
+  Requests *requests = dl_task_state (task);
+
+  requests->stop_ms = dl_clock_ms ();
+  dl_http_server_close_connections (requests->server);
+  requests->stop_timer = dl_timer_subscribe (task, requests, STOP_CHECK_MS, STOP_CHECK_MS,
+                                             on_stop_check, requests);
+}
+
+static json_object *
+dump (DlTask *task)
+{
+  const Requests *requests = dl_task_state (task);
+  json_object *object = json_object_new_object ();
+
+  json_object_object_add (
+      object, "running",
+      json_object_new_int ((int)dl_http_server_running (requests->server)));
+  json_object_object_add (object, "entries", json_object_new_int ((int)requests->entries));
+  json_object_object_add (object, "upstreams",
+                          direct_upstreams_dump (requests->upstreams));
+  return object;
+}
+
+#define MESSAGE(type) (UINT64_C (1) << (type))
+
+static DlPlugin requests_plugin = {
+  .name = "requests",
+  .order = 10,
+  .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_UPSTREAM)
+                   | MESSAGE (DIRECT_UPSTREAM_GONE) | MESSAGE (DIRECT_ENGINE)
+                   | MESSAGE (DIRECT_VERSION) | MESSAGE (DIRECT_FRESH)
+                   | MESSAGE (DIRECT_ENTRIES),
+  .start = start,
+  .handle = handle,
+  .drain = drain,
+  .dump = dump,
+};
+DL_PLUGIN_REGISTER (requests_plugin)
--- /dev/null
+++ b/daisydirectd/state.c
@@ -0,0 +1,512 @@
+/*
+ * Task "state": what the store and the other nodes say, published to the other tasks.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daisydirectd.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "node/metrics_page.h"
+#include "node/object_watch.h"
+#include "node/peers.h"
+#include "platform.h"
+#include "policy/lapse.h"
+
+#define STORE_TIMEOUT_MS     900
+#define ROUTING_WAIT_MS      1300
+#define UPSTREAMS_WAIT_MS    1500
+#define UPSTREAMS_PAUSE_MS   250
+#define VERSIONS_WAIT_MS     3000
+#define ROUTING_RETRY_MS     400
+#define RETRY_MS             1000
+#define TICK_MS              250
+#define STATUS_EVERY_TICKS   2
+
+DL_METRIC (metric_age,
+           DL_METRIC_HISTOGRAM,
+           "daisy_direct_routing_age_ms",
+           "Age of the routing table's proof when it was renewed.")
+DL_METRIC (metric_ready, DL_METRIC_GAUGE, "daisy_direct_ready", "1 when ready.")
+
+/* One upstream on the list. */
+typedef struct
+{
+  char *id;
+  bool leaving;
+  uint64_t keep_until_ms; /* off the list, but kept until then; 0: on the list */
+} Listed;
+
+typedef struct
+{
+  DlTask *task;
+  DlKernel *kernel;
+  const DlNodeSettings *settings;
+  DlObjectClient *store;
+  DlObjectWatch *routing_watch;
+  DlObjectWatch *upstreams_watch;
+  DlPeers *peers;
+  GHashTable *listed; /* id to Listed */
+  DlLapse lapse;
+  uint64_t routing_version; /* 0: none yet */
+  char *named_model;
+  uint64_t named_version;
+  bool ready;
+  unsigned ticks;
+} State;
+
+static DirectMessage *
+message_new (DirectMessageType type)
+{
+  return dl_message_new ((int)type, sizeof (DirectMessage));
+}
+
+/* -------- routing -------- */
+
+static void
+on_routing (const DlObject *object, void *data)
+{
+  State *state = data;
+  DirectMessage *message;
+  DlRouting *routing;
+  const char *error = "the object was deleted";
+
+  if (strcmp (object->name, platform_routing_name) != 0)
+    return;
+  message = message_new (DIRECT_ROUTING);
+  if (object->deleted
+      || platform_read_routing (message, object->value, &routing, &error) < 0)
+    {
+      dl_log (DL_EVENT_ROUTING_INVALID, DL_UINT ("revision", object->revision),
+              DL_TEXT ("reason", error));
+      dl_message_unref (message);
+      return;
+    }
+  if (routing->version < state->routing_version)
+    {
+      dl_log (DL_EVENT_ROUTING_INVALID, DL_UINT ("version", routing->version),
+              DL_TEXT ("reason", "an older version than the one in force"));
+      dl_message_unref (message);
+      return;
+    }
+  state->routing_version = routing->version;
+  dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
+          DL_UINT ("revision", object->revision), DL_UINT ("routes", routing->route_count),
+          DL_UINT ("organisations", routing->organisation_count));
+  message->routing = routing;
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_routing_proven (void *data)
+{
+  State *state = data;
+  uint64_t proven_ms = dl_object_watch_proven_ms (state->routing_watch);
+  DirectMessage *message = message_new (DIRECT_FRESH);
+
+  dl_metric_observe_us (&metric_age, (dl_clock_ms () - proven_ms) * 1000);
+  message->fresh_ms = proven_ms;
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_routing_contact (int error, void *data)
+{
+  if (error < 0)
+    dl_log (DL_EVENT_STORE_LOST, DL_ERRNO (error));
+  else
+    dl_log (DL_EVENT_STORE_FOUND);
+}
+
+/* -------- upstreams -------- */
+
+static void
+free_listed (gpointer data)
+{
+  talloc_free (data);
+}
+
+static void
+publish_gone (State *state, const char *id)
+{
+  DirectMessage *message = message_new (DIRECT_UPSTREAM_GONE);
+
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_GONE, DL_TEXT ("upstream", id));
+  message->gone_id = talloc_strdup (message, id);
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_upstream_absent (State *state, const char *id)
+{
+  Listed *listed = g_hash_table_lookup (state->listed, id);
+
+  if (listed == NULL || listed->keep_until_ms != 0)
+    return;
+  listed->keep_until_ms
+      = dl_lapse_keep_until (&state->lapse, listed->leaving, dl_clock_ms ());
+  if (listed->keep_until_ms != 0)
+    {
+      dl_log (DL_EVENT_DIRECT_UPSTREAM_SUSPECT, DL_TEXT ("upstream", id));
+      return;
+    }
+  publish_gone (state, id);
+  g_hash_table_remove (state->listed, id);
+}
+
+/* What cannot be read names no upstream to use. */
+static void
+on_upstream_malformed (State *state, const DlObject *object)
+{
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_MALFORMED, DL_TEXT ("upstream", object->name),
+          DL_UINT ("revision", object->revision));
+  if (g_hash_table_contains (state->listed, object->name))
+    {
+      publish_gone (state, object->name);
+      g_hash_table_remove (state->listed, object->name);
+    }
+}
+
+static void
+note_listed (State *state, const DlUpstreamEntry *entry, uint64_t revision)
+{
+  Listed *listed = g_hash_table_lookup (state->listed, entry->id);
+
+  if (listed == NULL)
+    {
+      listed = talloc_zero (state, Listed);
+      listed->id = talloc_strdup (listed, entry->id);
+      g_hash_table_insert (state->listed, listed->id, listed);
+      dl_log (DL_EVENT_DIRECT_UPSTREAM_ADDED, DL_TEXT ("upstream", entry->id),
+              DL_TEXT ("address", entry->address), DL_TEXT ("service", entry->service),
+              DL_UINT ("slots", entry->slots), DL_UINT ("weights", entry->version),
+              DL_UINT ("revision", revision));
+    }
+  listed->keep_until_ms = 0;
+  if (entry->leaving && !listed->leaving)
+    dl_log (DL_EVENT_DIRECT_UPSTREAM_LEAVING, DL_TEXT ("upstream", entry->id),
+            DL_UINT ("revision", revision));
+  listed->leaving = entry->leaving;
+}
+
+static void
+on_upstream (const DlObject *object, void *data)
+{
+  State *state = data;
+  DirectMessage *message;
+
+  if (object->deleted)
+    {
+      on_upstream_absent (state, object->name);
+      return;
+    }
+  message = message_new (DIRECT_UPSTREAM);
+  if (platform_read_upstream (message, object->name, object->value, &message->upstream)
+      < 0)
+    {
+      on_upstream_malformed (state, object);
+      dl_message_unref (message);
+      return;
+    }
+  note_listed (state, &message->upstream, object->revision);
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_upstreams_proven (void *data)
+{
+  State *state = data;
+
+  dl_lapse_answered (&state->lapse, dl_clock_ms ());
+}
+
+/* Drops upstreams that did not come back on the list in time. */
+static void
+drop_lapsed (State *state)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->listed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Listed *listed = value;
+
+      if (listed->keep_until_ms == 0 || now_ms < listed->keep_until_ms)
+        continue;
+      publish_gone (state, listed->id);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* -------- versions -------- */
+
+static void
+on_version (const DlObject *object, void *data)
+{
+  State *state = data;
+  DirectMessage *message;
+
+  if (object->deleted)
+    return;
+  message = message_new (DIRECT_VERSION);
+  if (platform_read_version (message, object->value, &message->version.model,
+                             &message->version.version)
+      < 0)
+    {
+      dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
+      dl_message_unref (message);
+      return;
+    }
+  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", message->version.model),
+          DL_UINT ("version", message->version.version),
+          DL_UINT ("revision", object->revision));
+  TALLOC_FREE (state->named_model);
+  state->named_model = talloc_strdup (state, message->version.model);
+  state->named_version = message->version.version;
+  message->version.learned_ms = dl_clock_ms ();
+  dl_kernel_publish (state->kernel, message);
+}
+
+/* -------- other nodes -------- */
+
+static void
+on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
+{
+  State *state = data;
+  const Daisyloft__Wire__EngineStatus *engine = status->engine;
+  DirectMessage *message;
+
+  if (engine == NULL)
+    return;
+  message = message_new (DIRECT_ENGINE);
+  message->engine = (DirectEngine){
+    .address = talloc_strdup (message, engine->address),
+    .serves = !engine->loading,
+    .running = engine->running,
+    .waiting = engine->waiting,
+    .pace = engine->pace,
+    .version = engine->version,
+  };
+  dl_kernel_publish (state->kernel, message);
+}
+
+static bool
+is_ready (const State *state)
+{
+  uint64_t proven_ms = dl_object_watch_proven_ms (state->routing_watch);
+
+  return !dl_kernel_stopping (state->kernel) && state->routing_version > 0
+         && dl_object_watch_proven_ms (state->upstreams_watch) > 0
+         && dl_clock_ms () - proven_ms < direct_stale_ms (state->settings);
+}
+
+static void
+send_status (State *state)
+{
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__Named named = DAISYLOFT__WIRE__NAMED__INIT;
+
+  status.ready = state->ready;
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
+  if (state->named_model == NULL)
+    return;
+  named.model = state->named_model;
+  named.version = state->named_version;
+  status.named = &named;
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
+}
+
+typedef struct
+{
+  const DlNodeSettings *settings;
+  DirectMessage *message;
+  GPtrArray *near;
+  GPtrArray *far;
+} EntryCollection;
+
+static void
+collect_entry (const DlPeer *peer, void *data)
+{
+  EntryCollection *c = data;
+  bool near = strcmp (peer->region, c->settings->region) == 0;
+
+  if (peer->ready)
+    g_ptr_array_add (near ? c->near : c->far, talloc_strdup (c->message, peer->listen));
+}
+
+static const char **
+copy_pointers (const void *context, GPtrArray *array)
+{
+  const char **copy = talloc_array (context, const char *, array->len + 1);
+
+  memcpy (copy, array->pdata, array->len * sizeof *copy);
+  return copy;
+}
+
+static void
+publish_entries (State *state)
+{
+  DirectMessage *message = message_new (DIRECT_ENTRIES);
+  EntryCollection c = {
+    .settings = state->settings,
+    .message = message,
+    .near = g_ptr_array_new (),
+    .far = g_ptr_array_new (),
+  };
+
+  if (state->ready)
+    g_ptr_array_add (c.near, (gpointer)state->settings->listen);
+  dl_peers_each_alive (state->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, collect_entry, &c);
+  message->entries.near = copy_pointers (message, c.near);
+  message->entries.near_count = c.near->len;
+  message->entries.far = copy_pointers (message, c.far);
+  message->entries.far_count = c.far->len;
+  message->entries.is_ready = state->ready;
+  g_ptr_array_free (c.near, TRUE);
+  g_ptr_array_free (c.far, TRUE);
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+refresh_readiness (State *state)
+{
+  bool ready = is_ready (state);
+
+  if (ready != state->ready)
+    {
+      state->ready = ready;
+      dl_metric_set (&metric_ready, ready);
+      dl_log (DL_EVENT_READINESS, DL_TEXT ("ready", ready ? "yes" : "no"),
+              DL_UINT ("routing_age_ms",
+                       dl_clock_ms () - dl_object_watch_proven_ms (state->routing_watch)));
+      send_status (state);
+    }
+  publish_entries (state);
+}
+
+static void
+on_tick (DlTimer *timer, void *data)
+{
+  State *state = data;
+
+  drop_lapsed (state);
+  refresh_readiness (state);
+  if (++state->ticks % STATUS_EVERY_TICKS == 0)
+    send_status (state);
+}
+
+/* -------- the task -------- */
+
+static int
+state_destroy (State *state)
+{
+  g_hash_table_destroy (state->listed);
+  return 0;
+}
+
+static void
+start_watches (State *state)
+{
+  state->routing_watch = dl_object_watch_new (state->task, state, state->store,
+                                              &(DlObjectWatchOptions){
+                                                  .kind = platform_kind_routing,
+                                                  .wait_ms = ROUTING_WAIT_MS,
+                                                  .retry_max_ms = ROUTING_RETRY_MS,
+                                                  .on_object = on_routing,
+                                                  .on_proven = on_routing_proven,
+                                                  .on_contact = on_routing_contact,
+                                                  .data = state,
+                                              });
+  state->upstreams_watch = dl_object_watch_new (state->task, state, state->store,
+                                                &(DlObjectWatchOptions){
+                                                    .kind = platform_kind_upstreams,
+                                                    .wait_ms = UPSTREAMS_WAIT_MS,
+                                                    .pause_ms = UPSTREAMS_PAUSE_MS,
+                                                    .retry_max_ms = ROUTING_RETRY_MS,
+                                                    .on_object = on_upstream,
+                                                    .on_proven = on_upstreams_proven,
+                                                    .data = state,
+                                                });
+  dl_object_watch_new (state->task, state, state->store,
+                       &(DlObjectWatchOptions){
+                           .kind = platform_kind_versions,
+                           .wait_ms = VERSIONS_WAIT_MS,
+                           .retry_max_ms = RETRY_MS,
+                           .on_object = on_version,
+                           .data = state,
+                       });
+}
+
+static int
+start (DlTask *task)
+{
+  State *state = talloc_zero (NULL, State);
+  int error;
+
+  dl_task_set_state (task, state);
+  state->task = task;
+  state->kernel = dl_task_kernel (task);
+  state->settings = direct_settings (task);
+  state->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_listed);
+  talloc_set_destructor (state, state_destroy);
+  state->store
+      = dl_object_client_new_with (task, state, state->settings->store, STORE_TIMEOUT_MS,
+                                   &platform_store_protocol);
+  error = dl_peers_new (task, state,
+                        &(DlPeersOptions){
+                            .settings = state->settings,
+                            .role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY,
+                            .store = state->store,
+                            .kind = platform_kind_nodes,
+                            .on_status = on_status,
+                            .data = state,
+                        },
+                        &state->peers);
+  if (error < 0)
+    return error;
+  error = dl_metrics_page_new (task, state, state->settings->metrics);
+  if (error < 0)
+    return error;
+  start_watches (state);
+  dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
+  return 0;
+}
+
+static void
+drain (DlTask *task)
+{
+  refresh_readiness (dl_task_state (task));
+  dl_task_drained (task);
+}
+
+static json_object *
+dump (DlTask *task)
+{
+  const State *state = dl_task_state (task);
+  json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "routing_version",
+                          json_object_new_uint64 (state->routing_version));
+  json_object_object_add (
+      object, "routing_age_ms",
+      json_object_new_uint64 (dl_clock_ms ()
+                              - dl_object_watch_proven_ms (state->routing_watch)));
+  json_object_object_add (object, "upstreams",
+                          json_object_new_int (
+                              (int)g_hash_table_size (state->listed)));
+  json_object_object_add (object, "ready", json_object_new_boolean (state->ready));
+  return object;
+}
+
+static DlPlugin state_plugin = {
+  .name = "state",
+  .order = 30,
+  .start = start,
+  .drain = drain,
+  .dump = dump,
+};
+DL_PLUGIN_REGISTER (state_plugin)
--- /dev/null
+++ b/daisydirectd/upstreams.c
@@ -0,0 +1,313 @@
+#include "upstreams.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/crypt.h"
+#include "kernel/log.h"
+
+/* From this long before a named version must be in force, only it may begin requests. */
+#define VERSION_RESERVE_MS 700
+/* Word of a stager is preferred to an answer's for this long. */
+#define TOLD_FRESH_MS 400
+/* Silent upstreams get no request for this long, at first. */
+#define SILENT_FAILURES DL_BREAKER_FAILURES
+
+struct DirectUpstreams
+{
+  const DlNodeSettings *settings;
+  DirectUpstream *first;
+  unsigned entries; /* ready ones, this one among them */
+  uint64_t version; /* newest named one; 0 for none */
+  uint64_t version_ms;
+};
+
+DirectUpstreams *
+direct_upstreams_new (const void *context, const DlNodeSettings *settings)
+{
+  DirectUpstreams *upstreams = talloc_zero (context, DirectUpstreams);
+
+  g_assert (upstreams != NULL);
+  upstreams->settings = settings;
+  upstreams->entries = 1;
+  return upstreams;
+}
+
+static DirectUpstream *
+find (const DirectUpstreams *upstreams, const char *id)
+{
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    if (!u->gone && strcmp (u->id, id) == 0)
+      return u;
+  return NULL;
+}
+
+static void
+free_when_unused (DirectUpstream *u)
+{
+  if (!u->gone || u->tries > 0)
+    return;
+  for (DirectUpstream **at = &u->owner->first; *at != NULL; at = &(*at)->next)
+    if (*at == u)
+      {
+        *at = u->next;
+        break;
+      }
+  talloc_free (u);
+}
+
+static void
+set_gone (DirectUpstream *u)
+{
+  u->gone = true;
+  free_when_unused (u);
+}
+
+/* An address has one upstream: a new one there means that the others have ended. */
+static void
+drop_others_at (DirectUpstreams *upstreams, const char *id, const char *address)
+{
+  DirectUpstream *next;
+
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = next)
+    {
+      next = u->next;
+      if (!u->gone && strcmp (u->address, address) == 0 && strcmp (u->id, id) != 0)
+        set_gone (u);
+    }
+}
+
+static void
+set_text (DirectUpstream *u, char **member, const char *text)
+{
+  if (*member != NULL && strcmp (*member, text) == 0)
+    return;
+  talloc_free (*member);
+  *member = talloc_strdup (u, text);
+}
+
+void
+direct_upstreams_set (DirectUpstreams *upstreams, const DlUpstreamEntry *entry)
+{
+  DirectUpstream *u = find (upstreams, entry->id);
+
+  if (u == NULL)
+    {
+      drop_others_at (upstreams, entry->id, entry->address);
+      u = talloc_zero (upstreams, DirectUpstream);
+      g_assert (u != NULL);
+      u->owner = upstreams;
+      u->id = talloc_strdup (u, entry->id);
+      u->next = upstreams->first;
+      upstreams->first = u;
+    }
+  set_text (u, &u->service, entry->service);
+  set_text (u, &u->address, entry->address);
+  u->near = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
+  u->leaving = entry->leaving;
+  u->load.capacity = entry->slots;
+  if (u->told_ms == 0)
+    u->version = entry->version;
+}
+
+void
+direct_upstreams_gone (DirectUpstreams *upstreams, const char *id)
+{
+  DirectUpstream *u = find (upstreams, id);
+
+  if (u != NULL)
+    set_gone (u);
+}
+
+void
+direct_upstreams_engine (DirectUpstreams *upstreams,
+                         const DirectEngine *engine,
+                         uint64_t now_ms)
+{
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    {
+      if (u->gone || strcmp (u->address, engine->address) != 0)
+        continue;
+      u->loading = !engine->serves;
+      u->version = engine->version;
+      u->told_ms = now_ms;
+      u->load.pace = engine->pace;
+      dl_balance_report (&u->load, engine->running + engine->waiting, now_ms);
+      return;
+    }
+}
+
+void
+direct_upstreams_version (DirectUpstreams *upstreams,
+                          uint64_t version,
+                          uint64_t learned_ms)
+{
+  upstreams->version = version;
+  upstreams->version_ms = learned_ms;
+}
+
+void
+direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned entries)
+{
+  upstreams->entries = MAX (entries, 1);
+}
+
+uint64_t
+direct_upstreams_required_version (const DirectUpstreams *upstreams, uint64_t now_ms)
+{
+  uint64_t limit_ms = upstreams->settings->version_ms - VERSION_RESERVE_MS;
+
+  if (upstreams->version == 0 || now_ms < upstreams->version_ms + limit_ms)
+    return 0;
+  return upstreams->version;
+}
+
+/* -------- choosing -------- */
+
+static bool
+serves (const DirectUpstreams *upstreams,
+        const DirectUpstream *u,
+        const DirectUpstreamQuery *query)
+{
+  uint64_t required;
+
+  if (u->gone || u->leaving || strcmp (u->service, query->service->name) != 0)
+    return false;
+  if (!query->service->has_engine)
+    return true;
+  required = direct_upstreams_required_version (upstreams, query->now_ms);
+  return !u->loading && u->version > 0 && u->version >= required;
+}
+
+DirectUpstream *
+direct_upstreams_choose (const DirectUpstreams *upstreams,
+                         const DirectUpstreamQuery *query,
+                         int *error)
+{
+  g_autoptr (GArray) candidates
+      = g_array_new (FALSE, FALSE, sizeof (DlBalanceCandidate));
+  g_autoptr (GPtrArray) chosen_from = g_ptr_array_new ();
+  int chosen;
+
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    if (serves (upstreams, u, query))
+      {
+        DlBalanceCandidate c = {
+          .load = &u->load,
+          .near = u->near,
+          .allowed = dl_breaker_allows (&u->breaker, query->now_ms),
+          .avoided = query->avoid != NULL && strcmp (query->avoid, u->id) == 0,
+        };
+
+        g_array_append_val (candidates, c);
+        g_ptr_array_add (chosen_from, u);
+      }
+  chosen = dl_balance_choose (
+      (const DlBalanceCandidate *)candidates->data, candidates->len,
+      &(DlBalanceQuery){
+          .entries = upstreams->entries,
+          .usual_prompt_tokens
+          = query->service->has_engine
+                ? (double)query->service->engine.usual_prompt_tokens
+                : 0,
+          .now_ms = query->now_ms,
+          .random = dl_random_uint64 (),
+      });
+  *error = MIN (chosen, 0);
+  return chosen >= 0 ? g_ptr_array_index (chosen_from, (guint)chosen) : NULL;
+}
+
+/* -------- tries -------- */
+
+void
+direct_upstream_sent (DirectUpstream *u, uint64_t prompt_tokens, uint64_t now_ms)
+{
+  u->tries++;
+  dl_balance_sent (&u->load, prompt_tokens);
+  dl_breaker_sent (&u->breaker, now_ms);
+}
+
+void
+direct_upstream_started (DirectUpstream *u, uint64_t prompt_tokens)
+{
+  dl_balance_started (&u->load, prompt_tokens);
+}
+
+static void
+note_failures (DirectUpstream *u, unsigned failures, uint64_t now_ms)
+{
+  for (unsigned i = 0; i < failures; i++)
+    if (dl_breaker_failed (&u->breaker, now_ms, dl_random_uint64 ()))
+      {
+        dl_log (DL_EVENT_DIRECT_UPSTREAM_EJECTED, DL_TEXT ("upstream", u->id),
+                DL_UINT ("own_requests", u->load.own));
+        return;
+      }
+}
+
+void
+direct_upstream_ended (DirectUpstream *u,
+                       uint64_t prompt_tokens,
+                       bool started,
+                       DirectTryEnd end,
+                       uint64_t now_ms)
+{
+  bool failed = end == DIRECT_TRY_FAILED || end == DIRECT_TRY_SILENT;
+
+  dl_balance_ended (&u->load, prompt_tokens, started, failed);
+  switch (end)
+    {
+    case DIRECT_TRY_SERVED:
+      dl_breaker_succeeded (&u->breaker, now_ms, 0, 0, dl_random_uint64 ());
+      break;
+    case DIRECT_TRY_FAILED:
+      note_failures (u, 1, now_ms);
+      break;
+    case DIRECT_TRY_SILENT:
+      note_failures (u, SILENT_FAILURES, now_ms);
+      break;
+    case DIRECT_TRY_NEUTRAL:
+      dl_breaker_neutral (&u->breaker, now_ms);
+      break;
+    }
+  u->tries--;
+  free_when_unused (u);
+}
+
+void
+direct_upstream_told_load (DirectUpstream *u,
+                           unsigned requests,
+                           unsigned slots,
+                           uint64_t now_ms)
+{
+  if (u->told_ms != 0 && now_ms - u->told_ms < TOLD_FRESH_MS)
+    return;
+  u->load.capacity = slots > 0 ? slots : u->load.capacity;
+  dl_balance_report (&u->load, requests, now_ms);
+}
+
+json_object *
+direct_upstreams_dump (const DirectUpstreams *upstreams)
+{
+  json_object *list = json_object_new_array ();
+
+  for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    {
+      json_object *o = json_object_new_object ();
+
+      json_object_object_add (o, "id", json_object_new_string (u->id));
+      json_object_object_add (o, "service", json_object_new_string (u->service));
+      json_object_object_add (o, "address", json_object_new_string (u->address));
+      json_object_object_add (o, "leaving", json_object_new_boolean (u->leaving));
+      json_object_object_add (o, "gone", json_object_new_boolean (u->gone));
+      json_object_object_add (o, "loading", json_object_new_boolean (u->loading));
+      json_object_object_add (o, "version", json_object_new_uint64 (u->version));
+      json_object_object_add (o, "own", json_object_new_int ((int)u->load.own));
+      json_object_object_add (o, "reported", json_object_new_int ((int)u->load.reported));
+      json_object_object_add (o, "breaker", json_object_new_int ((int)u->breaker.state));
+      json_object_array_add (list, o);
+    }
+  return list;
+}
--- /dev/null
+++ b/daisydirectd/upstreams.h
@@ -0,0 +1,87 @@
+/*
+ * The upstreams that the task "requests" may send to, with their load as it knows it.
+ */
+#ifndef DIRECT_UPSTREAMS_H
+#define DIRECT_UPSTREAMS_H
+
+#include "daisydirectd.h"
+#include "policy/balance.h"
+#include "policy/breaker.h"
+#include "policy/routing.h"
+
+typedef struct DirectUpstreams DirectUpstreams;
+
+/* One upstream.  It stays while tries refer to it, also after it left the list. */
+typedef struct DirectUpstream
+{
+  char *id;
+  char *service;
+  char *address;
+  bool near; /* in this entry's region */
+  bool leaving;
+  bool gone;      /* off the list */
+  bool loading;   /* down or taking new weights, by its stager */
+  uint64_t version;
+  uint64_t told_ms; /* when its stager last told of it; 0 for never */
+  unsigned tries;   /* that refer to it */
+  DlUpstreamLoad load;
+  DlBreaker breaker;
+  DirectUpstreams *owner;
+  struct DirectUpstream *next;
+} DirectUpstream;
+
+DirectUpstreams *direct_upstreams_new (const void *context,
+                                       const DlNodeSettings *settings);
+void direct_upstreams_set (DirectUpstreams *upstreams, const DlUpstreamEntry *entry);
+void direct_upstreams_gone (DirectUpstreams *upstreams, const char *id);
+void direct_upstreams_engine (DirectUpstreams *upstreams,
+                              const DirectEngine *engine,
+                              uint64_t now_ms);
+void direct_upstreams_version (DirectUpstreams *upstreams,
+                               uint64_t version,
+                               uint64_t learned_ms);
+void direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned entries);
+
+typedef struct
+{
+  const DlServiceEntry *service;
+  const char *avoid; /* id of an upstream that failed the request; NULL for none */
+  uint64_t now_ms;
+} DirectUpstreamQuery;
+
+/* The upstream to send to; NULL with *ERROR -EBUSY when all places are taken, -ENOENT
+ * when none serves. */
+DirectUpstream *direct_upstreams_choose (const DirectUpstreams *upstreams,
+                                         const DirectUpstreamQuery *query,
+                                         int *error);
+/* The version that only may begin a request now; 0 for any. */
+uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
+                                            uint64_t now_ms);
+
+/* A try begins, got its first bytes, and ended.  ENDED may free the upstream. */
+void direct_upstream_sent (DirectUpstream *upstream,
+                           uint64_t prompt_tokens,
+                           uint64_t now_ms);
+void direct_upstream_started (DirectUpstream *upstream, uint64_t prompt_tokens);
+
+typedef enum
+{
+  DIRECT_TRY_SERVED,
+  DIRECT_TRY_FAILED,  /* by the upstream's fault */
+  DIRECT_TRY_SILENT,  /* the upstream is out of reach or does not answer */
+  DIRECT_TRY_NEUTRAL, /* says nothing of the upstream */
+} DirectTryEnd;
+
+void direct_upstream_ended (DirectUpstream *upstream,
+                            uint64_t prompt_tokens,
+                            bool started,
+                            DirectTryEnd end,
+                            uint64_t now_ms);
+/* The upstream's answer told its load. */
+void direct_upstream_told_load (DirectUpstream *upstream,
+                                unsigned requests,
+                                unsigned slots,
+                                uint64_t now_ms);
+json_object *direct_upstreams_dump (const DirectUpstreams *upstreams);
+
+#endif
--- /dev/null
+++ b/daisystaged/engine.c
@@ -0,0 +1,123 @@
+/*
+ * Task "engine": asks the engine on this host how it is, several times a second.
+ */
+#include <glib.h>
+#include <talloc.h>
+
+#include "daisystaged.h"
+#include "kernel/http_client.h"
+#include "kernel/log.h"
+#include "platform.h"
+
+#define REPORT_EVERY_MS   100
+#define REPORT_TIMEOUT_MS 400
+/* Answers missed in a row before the engine is taken as down. */
+#define MISSES_MAX 2
+#define STATUS_OK  200
+
+typedef struct
+{
+  DlTask *task;
+  DlHttpClient *client;
+  const char *address;
+  unsigned layers; /* of whole weights; 0 until known */
+  unsigned misses;
+  bool silent;
+  DlTimer *timer;
+} Engine;
+
+static void ask (Engine *engine);
+
+static void
+on_timer (DlTimer *timer, void *data)
+{
+  ask (data);
+}
+
+static void
+ask_later (Engine *engine)
+{
+  dl_timer_restart (engine->timer, REPORT_EVERY_MS);
+}
+
+static void
+set_silent (Engine *engine, bool silent)
+{
+  if (silent != engine->silent)
+    dl_log_fields (silent ? DL_EVENT_STAGE_ENGINE_SILENT : DL_EVENT_STAGE_ENGINE_FOUND,
+                   (const DlField[]){ DL_TEXT ("engine", engine->address), { .key = 0 } });
+  engine->silent = silent;
+}
+
+static void
+on_missed (Engine *engine)
+{
+  if (++engine->misses < MISSES_MAX)
+    return;
+  set_silent (engine, true);
+  dl_kernel_publish (dl_task_kernel (engine->task), stage_message_new (STAGE_SILENT));
+}
+
+static void
+on_report (DlHttpCall *call, const DlHttpResult *result, void *data)
+{
+  Engine *engine = data;
+  StageMessage *message = stage_message_new (STAGE_REPORT);
+
+  if (result->error == 0 && result->status == STATUS_OK
+      && platform_read_report (message, result->body, engine->layers, &message->report)
+             == 0)
+    {
+      engine->misses = 0;
+      set_silent (engine, false);
+      dl_kernel_publish (dl_task_kernel (engine->task), message);
+    }
+  else
+    {
+      dl_message_unref (message);
+      on_missed (engine);
+    }
+  ask_later (engine);
+}
+
+static void
+ask (Engine *engine)
+{
+  platform_call_report (engine->client, engine, engine->address,
+                        &(DlHttpCallOptions){
+                            .connect_timeout_ms = REPORT_TIMEOUT_MS,
+                            .timeout_ms = REPORT_TIMEOUT_MS,
+                            .on_done = on_report,
+                            .data = engine,
+                        });
+}
+
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  Engine *engine = dl_task_state (task);
+
+  engine->layers = ((const StageMessage *)head)->source.layers;
+}
+
+static int
+start (DlTask *task)
+{
+  Engine *engine = talloc_zero (NULL, Engine);
+
+  dl_task_set_state (task, engine);
+  engine->task = task;
+  engine->address = stage_settings (task)->engine;
+  engine->client = dl_http_client_new (task, engine);
+  engine->timer = dl_timer_subscribe (task, engine, 0, 0, on_timer, engine);
+  return 0;
+}
+
+static DlPlugin engine_plugin = {
+  .name = "engine",
+  .order = 30,
+  .subscriptions = UINT64_C (1) << STAGE_SOURCE,
+  .start = start,
+  .handle = handle,
+};
+DL_PLUGIN_REGISTER (engine_plugin)
--- /dev/null
+++ b/daisystaged/state.c
@@ -0,0 +1,370 @@
+/*
+ * Task "state": what the store and the other nodes say, and what they are told.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daisystaged.h"
+#include "kernel/log.h"
+#include "node/metrics_page.h"
+#include "node/object_watch.h"
+#include "node/peers.h"
+#include "platform.h"
+#include "policy/routing.h"
+
+#define STORE_TIMEOUT_MS  900
+#define ROUTING_WAIT_MS   25000
+#define ROUTING_PAUSE_MS  2000
+#define VERSIONS_WAIT_MS  4000
+#define RETRY_MAX_MS      1500
+#define TICK_MS           100
+/* Word goes out this often when nothing changes. */
+#define ENTRIES_EVERY_MS    500
+#define STAGERS_EVERY_MS    900
+#define FAR_STAGERS_EVERY_MS 300
+
+typedef struct
+{
+  DlTask *task;
+  DlKernel *kernel;
+  const DlNodeSettings *settings;
+  DlPeers *peers;
+  char *named_model;
+  uint64_t named_version;
+  Daisyloft__Wire__EngineStatus engine; /* texts below this */
+  bool engine_known;
+  bool engine_changed;
+  StageMessage *holding; /* the last STAGE_HOLDING; NULL before the first */
+  bool holding_changed;
+  uint64_t told_entries_ms;
+  uint64_t told_near_ms;
+  uint64_t told_far_ms;
+} State;
+
+/* -------- the store -------- */
+
+static void
+on_routing (const DlObject *object, void *data)
+{
+  State *state = data;
+  StageMessage *message;
+  DlRouting *routing;
+  const DlServiceEntry *service;
+  const char *error;
+
+  if (strcmp (object->name, platform_routing_name) != 0 || object->deleted)
+    return;
+  message = stage_message_new (STAGE_SOURCE);
+  if (platform_read_routing (message, object->value, &routing, &error) < 0)
+    {
+      dl_log (DL_EVENT_ROUTING_INVALID, DL_UINT ("revision", object->revision),
+              DL_TEXT ("reason", error));
+      dl_message_unref (message);
+      return;
+    }
+  for (size_t i = 0; i < routing->service_count; i++)
+    if (routing->services[i].origin != NULL)
+      message->source.origin = routing->services[i].origin;
+  service = dl_routing_service (routing, state->settings->service);
+  if (service != NULL && service->has_engine)
+    {
+      message->source.model = service->engine.model;
+      message->source.layers = service->engine.layers;
+    }
+  dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
+          DL_UINT ("revision", object->revision),
+          DL_TEXT ("origin", message->source.origin));
+  dl_kernel_publish (state->kernel, message);
+}
+
+/* A version that the store or an entry names. */
+static void
+learn_named (State *state, const char *model, uint64_t version, const char *from)
+{
+  StageMessage *message;
+
+  if (state->named_model != NULL && strcmp (state->named_model, model) == 0
+      && version <= state->named_version)
+    return;
+  talloc_free (state->named_model);
+  state->named_model = talloc_strdup (state, model);
+  state->named_version = version;
+  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", model), DL_UINT ("version", version),
+          DL_TEXT ("from", from));
+  message = stage_message_new (STAGE_NAMED);
+  message->named.model = talloc_strdup (message, model);
+  message->named.version = version;
+  message->named.learned_ms = dl_clock_ms ();
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_version (const DlObject *object, void *data)
+{
+  State *state = data;
+  void *context;
+  const char *model;
+  uint64_t version;
+
+  if (object->deleted)
+    return;
+  context = talloc_new (state);
+  if (platform_read_version (context, object->value, &model, &version) == 0)
+    learn_named (state, model, version, "store");
+  else
+    dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
+  talloc_free (context);
+}
+
+/* -------- other nodes -------- */
+
+static void
+on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
+{
+  State *state = data;
+  StageMessage *message;
+
+  if (status->named != NULL)
+    learn_named (state, status->named->model, status->named->version, peer->name);
+  if (peer->role != DAISYLOFT__WIRE__ROLE__ROLE_SLOT)
+    return;
+  message = stage_message_new (STAGE_PEER);
+  message->peer.name = talloc_strdup (message, peer->name);
+  message->peer.region = talloc_strdup (message, peer->region);
+  message->peer.address = talloc_strdup (message, peer->address);
+  if (status->holding != NULL)
+    {
+      ProtobufCBinaryData chunks = status->holding->chunks;
+
+      message->peer.model = talloc_strdup (message, status->holding->model);
+      message->peer.version = status->holding->version;
+      message->peer.chunks
+          = dl_str_bytes (talloc_memdup (message, chunks.data, chunks.len), chunks.len);
+    }
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_gone (const DlPeer *peer, void *data)
+{
+  State *state = data;
+  StageMessage *message = stage_message_new (STAGE_PEER_GONE);
+
+  message->peer.name = talloc_strdup (message, peer->name);
+  dl_kernel_publish (state->kernel, message);
+}
+
+/* -------- telling -------- */
+
+static bool
+is_loading (const State *state)
+{
+  return state->holding != NULL && state->holding->holding.loading;
+}
+
+static void
+tell_entries (State *state, uint64_t now_ms)
+{
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__EngineStatus engine = state->engine;
+
+  if (!state->engine_known)
+    return;
+  engine.loading = engine.loading || is_loading (state);
+  status.ready = !engine.loading;
+  status.engine = &engine;
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
+  state->engine_changed = false;
+  state->told_entries_ms = now_ms;
+}
+
+static void
+tell_stagers (State *state, bool near_only)
+{
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__Holding holding = DAISYLOFT__WIRE__HOLDING__INIT;
+  const StageMessage *m = state->holding;
+
+  status.ready = true;
+  if (m != NULL && m->holding.model != NULL)
+    {
+      holding.model = (char *)m->holding.model;
+      holding.version = m->holding.version;
+      holding.chunks.data = (uint8_t *)m->holding.chunks.data;
+      holding.chunks.len = m->holding.chunks.length;
+      status.holding = &holding;
+    }
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, near_only);
+}
+
+static void
+on_tick (DlTimer *timer, void *data)
+{
+  State *state = data;
+  uint64_t now_ms = dl_clock_ms ();
+  uint64_t far_ms = state->holding_changed ? FAR_STAGERS_EVERY_MS : STAGERS_EVERY_MS;
+
+  if (state->engine_changed || now_ms - state->told_entries_ms >= ENTRIES_EVERY_MS)
+    tell_entries (state, now_ms);
+  if (now_ms - state->told_far_ms >= far_ms)
+    {
+      tell_stagers (state, false);
+      state->holding_changed = false;
+      state->told_far_ms = now_ms;
+      state->told_near_ms = now_ms;
+    }
+  else if (state->holding_changed && now_ms - state->told_near_ms >= TICK_MS)
+    {
+      tell_stagers (state, true);
+      state->told_near_ms = now_ms;
+    }
+}
+
+/* -------- what the other tasks say -------- */
+
+static void
+take_report (State *state, const DlEngineReport *report)
+{
+  Daisyloft__Wire__EngineStatus *e = &state->engine;
+  Daisyloft__Wire__EngineStatus before = *e;
+
+  e->running = report->running;
+  e->waiting = report->waiting;
+  e->loading = report->busy;
+  e->pace = report->pace;
+  e->version = report->version;
+  state->engine_known = true;
+  if (before.running != e->running || before.waiting != e->waiting
+      || before.loading != e->loading || before.version != e->version)
+    state->engine_changed = true;
+}
+
+static void
+take_silence (State *state)
+{
+  Daisyloft__Wire__EngineStatus *e = &state->engine;
+
+  state->engine_changed = state->engine_changed || !e->loading;
+  state->engine_known = true;
+  e->loading = true;
+  e->running = 0;
+  e->waiting = 0;
+}
+
+static void
+take_holding (State *state, const StageMessage *message)
+{
+  bool was_loading = is_loading (state);
+
+  if (state->holding != NULL)
+    dl_message_unref (state->holding);
+  state->holding = dl_message_ref ((void *)message);
+  state->holding_changed = state->holding_changed || message->holding.changed;
+  if (is_loading (state) != was_loading)
+    tell_entries (state, dl_clock_ms ());
+}
+
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  State *state = dl_task_state (task);
+  const StageMessage *message = (const StageMessage *)head;
+
+  switch ((StageMessageType)head->type)
+    {
+    case STAGE_REPORT:
+      take_report (state, &message->report);
+      break;
+    case STAGE_SILENT:
+      take_silence (state);
+      break;
+    case STAGE_HOLDING:
+      take_holding (state, message);
+      break;
+    case STAGE_SOURCE:
+    case STAGE_NAMED:
+    case STAGE_PEER:
+    case STAGE_PEER_GONE:
+      break;
+    }
+}
+
+/* -------- the task -------- */
+
+static int
+state_destroy (State *state)
+{
+  if (state->holding != NULL)
+    dl_message_unref (state->holding);
+  return 0;
+}
+
+static void
+start_watches (State *state, DlObjectClient *store)
+{
+  dl_object_watch_new (state->task, state, store,
+                       &(DlObjectWatchOptions){
+                           .kind = platform_kind_routing,
+                           .wait_ms = ROUTING_WAIT_MS,
+                           .pause_ms = ROUTING_PAUSE_MS,
+                           .retry_max_ms = RETRY_MAX_MS,
+                           .on_object = on_routing,
+                           .data = state,
+                       });
+  dl_object_watch_new (state->task, state, store,
+                       &(DlObjectWatchOptions){
+                           .kind = platform_kind_versions,
+                           .wait_ms = VERSIONS_WAIT_MS,
+                           .retry_max_ms = RETRY_MAX_MS,
+                           .on_object = on_version,
+                           .data = state,
+                       });
+}
+
+static int
+start (DlTask *task)
+{
+  State *state = talloc_zero (NULL, State);
+  DlObjectClient *store;
+  int error;
+
+  dl_task_set_state (task, state);
+  state->task = task;
+  state->kernel = dl_task_kernel (task);
+  state->settings = stage_settings (task);
+  daisyloft__wire__engine_status__init (&state->engine);
+  state->engine.address = (char *)state->settings->engine;
+  talloc_set_destructor (state, state_destroy);
+  store = dl_object_client_new_with (task, state, state->settings->store,
+                                     STORE_TIMEOUT_MS, &platform_store_protocol);
+  error = dl_peers_new (task, state,
+                        &(DlPeersOptions){
+                            .settings = state->settings,
+                            .role = DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
+                            .store = store,
+                            .kind = platform_kind_nodes,
+                            .on_status = on_status,
+                            .on_gone = on_gone,
+                            .data = state,
+                        },
+                        &state->peers);
+  if (error < 0)
+    return error;
+  error = dl_metrics_page_new (task, state, state->settings->metrics);
+  if (error < 0)
+    return error;
+  start_watches (state, store);
+  dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
+  return 0;
+}
+
+static DlPlugin state_plugin = {
+  .name = "state",
+  .order = 10,
+  .subscriptions = UINT64_C (1) << STAGE_REPORT | UINT64_C (1) << STAGE_SILENT
+                   | UINT64_C (1) << STAGE_HOLDING,
+  .start = start,
+  .handle = handle,
+};
+DL_PLUGIN_REGISTER (state_plugin)
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -325,6 +325,8 @@
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_write);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  if (options->target != NULL)
+    curl_easy_setopt (call->easy, CURLOPT_REQUEST_TARGET, options->target);
   call_set_method (call);
   call_set_limits (call);
   talloc_set_destructor (call, call_destroy);
@@ -343,6 +345,15 @@
   return header->value;
 }
 
+void
+dl_http_call_each_header (DlHttpCall *call, DlHttpCallHeaderFunc func, void *data)
+{
+  struct curl_header *header = NULL;
+
+  while ((header = curl_easy_nextheader (call->easy, CURLH_HEADER, -1, header)) != NULL)
+    func (header->name, header->value, data);
+}
+
 /* Resuming may hand out buffered bytes at once, so it is done from the loop. */
 static void
 on_resume (DlTimer *timer, void *data)
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -26,6 +26,7 @@
 {
   const char *method; /* NULL for GET */
   const char *url;
+  const char *target;         /* request target to send in place of URL's; may be NULL */
   const char *const *headers; /* "Name: value", ending with NULL; may be NULL */
   DlStr body;                 /* copied */
   uint64_t connect_timeout_ms;
@@ -47,6 +48,10 @@
 dl_http_call (DlHttpClient *client, const void *owner, const DlHttpCallOptions *options);
 /* A response header; NULL when absent.  Valid from on_head on. */
 const char *dl_http_call_header (DlHttpCall *call, const char *name);
+/* Calls FUNC for each response header, in order; from on_head on. */
+typedef void (*DlHttpCallHeaderFunc) (const char *name, const char *value, void *data);
+void
+dl_http_call_each_header (DlHttpCall *call, DlHttpCallHeaderFunc func, void *data);
 /* Stops or resumes receiving, for back-pressure. */
 void dl_http_call_pause (DlHttpCall *call, bool paused);
 
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -45,6 +45,7 @@
   ev_prepare prepare;
   bool need_run; /* a connection was resumed since the daemon last ran */
   bool quiesced;
+  bool closing; /* answers carry "Connection: close" */
   unsigned running;
   GHashTable *suspended; /* set of DlHttpRequest */
   DlTimer *caller_check;
@@ -54,7 +55,8 @@
 {
   DlHttpServer *server;
   struct MHD_Connection *connection;
-  char *method;
+  char *target; /* as the caller wrote it */
+  char *method; /* NULL until the headers have been read */
   char *path;
   DlBuffer *body;
   bool too_large;
@@ -106,7 +108,8 @@
 /* -------- answering -------- */
 
 static void
-response_add_headers (struct MHD_Response *response,
+response_add_headers (const DlHttpRequest *request,
+                      struct MHD_Response *response,
                       const char *content_type,
                       const DlHttpHeader *headers)
 {
@@ -114,6 +117,8 @@
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
   for (const DlHttpHeader *h = headers; h != NULL && h->name != NULL; h++)
     MHD_add_response_header (response, h->name, h->value);
+  if (request->server->closing)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
 static void
@@ -143,7 +148,7 @@
       = MHD_create_response_from_buffer (body.length, (void *)body.data,
                                          MHD_RESPMEM_MUST_COPY);
 
-  response_add_headers (response, content_type, headers);
+  response_add_headers (request, response, content_type, headers);
   request_set_response (request, status, response);
 }
 
@@ -233,7 +238,7 @@
                                            stream_read, request, NULL);
 
   request->stream = dl_buffer_new (request, 0);
-  response_add_headers (response, content_type, headers);
+  response_add_headers (request, response, content_type, headers);
   request_set_response (request, status, response);
 }
 
@@ -279,6 +284,12 @@
   return request->method;
 }
 
+const char *
+dl_http_request_target (const DlHttpRequest *request)
+{
+  return request->target;
+}
+
 const char *
 dl_http_request_path (const DlHttpRequest *request)
 {
@@ -338,26 +349,56 @@
   request->closed_data = data;
 }
 
-static DlHttpRequest *
-request_new (DlHttpServer *server,
-             struct MHD_Connection *connection,
-             const char *path,
-             const char *method)
+typedef struct
+{
+  DlHttpHeaderFunc func;
+  void *data;
+} HeaderVisit;
+
+static enum MHD_Result
+visit_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  const HeaderVisit *visit = data;
+
+  visit->func (name, value != NULL ? value : "", visit->data);
+  return MHD_YES;
+}
+
+void
+dl_http_request_each_header (const DlHttpRequest *request,
+                             DlHttpHeaderFunc func,
+                             void *data)
+{
+  HeaderVisit visit = { .func = func, .data = data };
+
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND, visit_header, &visit);
+}
+
+/* The request line has been read: the library hands out its target only here. */
+static void *
+on_target (void *data, const char *target, struct MHD_Connection *connection)
 {
+  DlHttpServer *server = data;
   DlHttpRequest *r = talloc_zero (server, DlHttpRequest);
 
   g_assert (r != NULL);
   r->server = server;
   r->connection = connection;
-  r->method = talloc_strdup (r, method);
-  r->path = talloc_strdup (r, path);
-  r->body = dl_buffer_new (r, server->limits.max_body_bytes);
+  r->target = talloc_strdup (r, target);
   server->running++;
   dl_metric_add (&metric_requests, 1);
   dl_metric_add (&metric_running, 1);
   return r;
 }
 
+static void
+request_begin (DlHttpRequest *r, const char *path, const char *method)
+{
+  r->method = talloc_strdup (r, method);
+  r->path = talloc_strdup (r, path);
+  r->body = dl_buffer_new (r, r->server->limits.max_body_bytes);
+}
+
 static enum MHD_Result
 request_answer (DlHttpRequest *r)
 {
@@ -381,9 +422,9 @@
   DlHttpServer *server = data;
   DlHttpRequest *r = *state;
 
-  if (r == NULL)
+  if (r->method == NULL)
     {
-      *state = request_new (server, connection, path, method);
+      request_begin (r, path, method);
       return MHD_YES;
     }
   if (*upload_size > 0)
@@ -516,6 +557,12 @@
     server_run (server);
 }
 
+void
+dl_http_server_close_connections (DlHttpServer *server)
+{
+  server->closing = true;
+}
+
 void
 dl_http_server_quiesce (DlHttpServer *server)
 {
@@ -584,6 +631,7 @@
                           limits->max_connections_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
                           limits->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                           (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
+                          MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
                           MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
                           MHD_OPTION_LISTEN_BACKLOG_SIZE, 512u, MHD_OPTION_END);
   if (server->daemon == NULL)
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -54,10 +54,14 @@
                         DlHttpServer **server);
 /* Stops accepting; requests in progress go on. */
 void dl_http_server_quiesce (DlHttpServer *server);
+/* Tells callers with every answer from now on that their connection closes. */
+void dl_http_server_close_connections (DlHttpServer *server);
 /* Requests that are not yet answered in full. */
 unsigned dl_http_server_running (const DlHttpServer *server);
 
 const char *dl_http_request_method (const DlHttpRequest *request);
+/* Path and query as the caller wrote them, escapes untouched. */
+const char *dl_http_request_target (const DlHttpRequest *request);
 /* The path without its query. */
 const char *dl_http_request_path (const DlHttpRequest *request);
 DlStr dl_http_request_body (const DlHttpRequest *request);
@@ -67,6 +71,12 @@
 /* The whole query, escaped, without "?"; below CONTEXT. */
 char *dl_http_request_query_string (const DlHttpRequest *request, const void *context);
 
+/* Calls FUNC for each header of the request, in order. */
+typedef void (*DlHttpHeaderFunc) (const char *name, const char *value, void *data);
+void dl_http_request_each_header (const DlHttpRequest *request,
+                                  DlHttpHeaderFunc func,
+                                  void *data);
+
 /* Called when the request is over for any reason, just before it is freed; ANSWERED is
  * false when the caller went away or the server stopped before the answer was whole. */
 typedef void (*DlHttpClosedFunc) (DlHttpRequest *request, bool answered, void *data);
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -49,7 +49,7 @@
   bool stopping;
   ev_prepare prepare;
   ev_idle idle;
-  ev_signal sigterm, sigint, sigusr1;
+  ev_signal sigterm, sigint, sighup, sigusr1;
   ev_timer drain_timer;
 };
 
@@ -256,6 +256,17 @@
   json_object_put (dump);
 }
 
+static void
+on_reload_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  DlKernel *kernel = watcher->data;
+
+  dl_log (DL_EVENT_RELOADED);
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if (t->plugin->reload != NULL && t->started)
+      t->plugin->reload (t);
+}
+
 /* -------- the kernel -------- */
 
 DlKernel *
@@ -355,6 +366,7 @@
   signal (SIGPIPE, SIG_IGN);
   start_signal (kernel, &kernel->sigterm, SIGTERM, on_stop_signal);
   start_signal (kernel, &kernel->sigint, SIGINT, on_stop_signal);
+  start_signal (kernel, &kernel->sighup, SIGHUP, on_reload_signal);
   start_signal (kernel, &kernel->sigusr1, SIGUSR1, on_dump_signal);
   ev_init (&kernel->drain_timer, on_drain_timeout);
   ev_prepare_init (&kernel->prepare, on_prepare);
--- a/lib/kernel/log.c
+++ b/lib/kernel/log.c
@@ -1,14 +1,21 @@
 #include "kernel/log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 #include <glib.h>
 
 #include "kernel/error.h"
 
-#define LINE_BYTES 4096
+#define LINE_BYTES      4096
+#define LINES_PER_S     40
+#define LINES_BURST     200
+#define MS_PER_S        1000
+#define DROPPED_TELL_MS 5000
 
 typedef struct
 {
@@ -36,6 +43,11 @@
   char name[128];
   bool json;
   bool debug;
+  bool to_stdout;
+  double lines_left;    /* that may be written now; grows by LINES_PER_S */
+  uint64_t filled_ms;   /* when lines_left was last raised */
+  uint64_t dropped;     /* lines, since the last LOG_DROPPED */
+  uint64_t dropped_ms;  /* when the first of them was */
 } log_state = { .program = "daisyloft" };
 
 static const EventInfo *
@@ -47,6 +59,77 @@
   g_assert_not_reached ();
 }
 
+static uint64_t
+steady_clock_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (uint64_t)ts.tv_sec * MS_PER_S + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+/* True when the rate lets one more line out. */
+static bool
+take_line (uint64_t now_ms)
+{
+  uint64_t passed_ms = now_ms - log_state.filled_ms;
+
+  log_state.lines_left += (double)passed_ms * LINES_PER_S / MS_PER_S;
+  log_state.lines_left = MIN (log_state.lines_left, LINES_BURST);
+  log_state.filled_ms = now_ms;
+  if (log_state.lines_left < 1)
+    return false;
+  log_state.lines_left -= 1;
+  return true;
+}
+
+/* A line goes out whole or not at all, as far as the output allows. */
+static bool
+write_line (const char *text)
+{
+  char line[LINE_BYTES];
+  int length = snprintf (line, sizeof line, "%s\n", text);
+
+  if (length >= (int)sizeof line)
+    {
+      length = sizeof line;
+      line[length - 1] = '\n';
+    }
+  return write (STDOUT_FILENO, line, (size_t)length) == length;
+}
+
+static void
+write_stdout (const char *text)
+{
+  uint64_t now_ms = steady_clock_ms ();
+
+  if (!take_line (now_ms) || !write_line (text))
+    {
+      if (log_state.dropped++ == 0)
+        log_state.dropped_ms = now_ms;
+      return;
+    }
+  if (log_state.dropped > 0 && now_ms - log_state.dropped_ms >= DROPPED_TELL_MS)
+    {
+      uint64_t lines = log_state.dropped;
+
+      log_state.dropped = 0;
+      dl_log (DL_EVENT_LOG_DROPPED, DL_UINT ("lines", lines));
+    }
+}
+
+void
+dl_log_use_stdout (void)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  log_state.to_stdout = true;
+  log_state.lines_left = LINES_BURST;
+  log_state.filled_ms = steady_clock_ms ();
+}
+
 static GLogWriterOutput
 log_writer (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
@@ -54,7 +137,12 @@
     return G_LOG_WRITER_HANDLED;
   for (gsize i = 0; i < n; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
-      fprintf (stderr, "%s\n", (const char *)fields[i].value);
+      {
+        if (log_state.to_stdout)
+          write_stdout (fields[i].value);
+        else
+          fprintf (stderr, "%s\n", (const char *)fields[i].value);
+      }
   return G_LOG_WRITER_HANDLED;
 }
 
--- a/lib/kernel/log.h
+++ b/lib/kernel/log.h
@@ -56,6 +56,9 @@
 
 void dl_log_fields (DlEvent event, const DlField *fields);
 
+/* Writes to standard output from now on, without ever blocking: a line that the output
+ * does not take, or beyond a rate, is dropped and counted (LOG_DROPPED). */
+void dl_log_use_stdout (void);
 /* Sets how events are written; PROGRAM and NAME (the instance) stand in every event. */
 void dl_log_open (const char *program, const char *name, bool json);
 
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -27,20 +27,13 @@
   DlHttpClient *http;
   char *address;
   uint64_t timeout_ms;
+  const DlObjectProtocol *protocol;
 };
 
-typedef enum
-{
-  CALL_GET,
-  CALL_PUT,
-  CALL_DELETE,
-  CALL_LIST,
-  CALL_WATCH,
-} CallKind;
-
 typedef struct
 {
-  CallKind kind;
+  const DlObjectProtocol *protocol;
+  DlObjectRequest request; /* without its value */
   DlObjectFunc func;
   void *data;
   uint64_t retry_after_ms;
@@ -118,25 +111,25 @@
 }
 
 static int
-read_answer (const void *context,
-             CallKind kind,
-             json_object *body,
-             DlObjectResult *result)
+native_decode (const void *context,
+               const DlObjectRequest *request,
+               json_object *body,
+               DlObjectResult *result)
 {
   result->revision = get_uint (body, "revision");
   result->created = get_uint (body, "created");
-  switch (kind)
+  switch (request->action)
     {
-    case CALL_GET:
+    case DL_OBJECT_GET:
       result->count = 1;
       result->objects = talloc_zero (context, DlObject);
       return read_object (context, body, result->objects);
-    case CALL_LIST:
-    case CALL_WATCH:
+    case DL_OBJECT_LIST:
+    case DL_OBJECT_WATCH:
       return read_objects (context, body, result);
-    case CALL_PUT:
+    case DL_OBJECT_PUT:
       return result->revision > 0 ? 0 : DL_ERR_MALFORMED;
-    case CALL_DELETE:
+    case DL_OBJECT_DELETE:
       return 0;
     }
   return DL_ERR_MALFORMED;
@@ -148,6 +141,7 @@
   switch (status)
     {
     case 200:
+    case 201:
       return 0;
     case 404:
       return DL_ERR_NOT_FOUND;
@@ -166,16 +160,16 @@
 }
 
 static bool
-is_write (CallKind kind)
+is_write (DlObjectAction action)
 {
-  return kind == CALL_PUT || kind == CALL_DELETE;
+  return action == DL_OBJECT_PUT || action == DL_OBJECT_DELETE;
 }
 
 /* An answer lost after the request left may hide a write that took effect. */
 static int
 transport_error (const ObjectCall *call, const DlHttpResult *http)
 {
-  if (http->sent && is_write (call->kind))
+  if (http->sent && is_write (call->request.action))
     return DL_ERR_UNKNOWN;
   return DL_ERR_UNAVAILABLE;
 }
@@ -209,9 +203,9 @@
       body = json_tokener_parse_ex (tokener, answer->body.data, (int)answer->body.length);
       json_tokener_free (tokener);
       result.error = body != NULL && json_object_is_type (body, json_type_object)
-                         ? read_answer (http, call->kind, body, &result)
+                         ? call->protocol->decode (http, &call->request, body, &result)
                          : DL_ERR_MALFORMED;
-      if (result.error < 0 && is_write (call->kind))
+      if (result.error < 0 && is_write (call->request.action))
         result.error = DL_ERR_UNKNOWN;
     }
   if (result.error < 0 && result.error != DL_ERR_CONFLICT
@@ -223,57 +217,104 @@
 
 /* -------- making calls -------- */
 
-typedef struct
+static void
+native_encode (const void *context,
+               const char *address,
+               const DlObjectRequest *request,
+               DlObjectHttp *http)
 {
-  CallKind kind;
-  const char *method;
-  const char *url;
-  const char *header; /* a condition, or NULL */
-  json_object *value;
-  uint64_t timeout_ms;
-} CallSpec;
+  switch (request->action)
+    {
+    case DL_OBJECT_LIST:
+      http->method = "GET";
+      http->url
+          = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s", address, request->kinds);
+      return;
+    case DL_OBJECT_WATCH:
+      http->method = "GET";
+      http->url = talloc_asprintf (
+          context, "http://%s/v1/watch?kinds=%s&after=%" PRIu64 "&wait_ms=%" PRIu64, address,
+          request->kinds, request->revision, request->wait_ms);
+      return;
+    case DL_OBJECT_GET:
+      http->method = "GET";
+      break;
+    case DL_OBJECT_PUT:
+      http->method = "PUT";
+      http->body = json_object_get (request->value);
+      http->header = request->revision > 0
+                         ? talloc_asprintf (context, "If-Match: %" PRIu64, request->revision)
+                         : talloc_strdup (context, "If-None-Match: *");
+      break;
+    case DL_OBJECT_DELETE:
+      http->method = "DELETE";
+      http->header = talloc_asprintf (context, "If-Match: %" PRIu64, request->revision);
+      break;
+    }
+  http->url = talloc_asprintf (context, "http://%s/v1/objects/%s/%s", address,
+                               request->kinds, request->name);
+}
+
+static const DlObjectProtocol native_protocol
+    = { .encode = native_encode, .decode = native_decode };
+
+static uint64_t
+call_timeout_ms (const DlObjectClient *client, const DlObjectRequest *request)
+{
+  return request->action == DL_OBJECT_WATCH ? request->wait_ms + WATCH_MARGIN_MS
+                                            : client->timeout_ms;
+}
 
 static void
 start_call (DlObjectClient *client,
             const void *owner,
-            const CallSpec *spec,
+            const DlObjectRequest *request,
             DlObjectFunc func,
             void *data)
 {
   ObjectCall *call = talloc_zero (owner, ObjectCall);
-  const char *headers[] = { "Content-Type: application/json", spec->header, NULL };
+  DlObjectHttp wire = { 0 };
+  const char *headers[] = { "Content-Type: application/json", NULL, NULL };
   DlStr body = { 0 };
   DlHttpCall *http;
 
-  call->kind = spec->kind;
+  call->protocol = client->protocol;
+  call->request = *request;
+  call->request.value = NULL;
+  call->request.kinds = talloc_strdup (call, request->kinds);
+  call->request.name = talloc_strdup (call, request->name);
+  call->request.after = NULL;
   call->func = func;
   call->data = data;
-  if (spec->value != NULL)
-    body = dl_str (json_object_to_json_string_ext (spec->value, JSON_C_TO_STRING_PLAIN));
+  client->protocol->encode (call, client->address, request, &wire);
+  headers[1] = wire.header;
+  if (wire.body != NULL)
+    body = dl_str (json_object_to_json_string_ext (wire.body, JSON_C_TO_STRING_PLAIN));
   dl_metric_add (&metric_calls, 1);
-  http
-      = dl_http_call (client->http, owner,
-                      &(DlHttpCallOptions){
-                          .method = spec->method,
-                          .url = spec->url,
-                          .headers = headers,
-                          .body = body,
-                          .timeout_ms = spec->timeout_ms,
-                          .max_body_bytes = LIST_MAX_BYTES,
-                          /* A repeated conditional write would meet its own first try. */
-                          .single_use = is_write (spec->kind),
-                          .on_head = on_call_head,
-                          .on_done = on_call_done,
-                          .data = call,
-                      });
+  http = dl_http_call (client->http, owner,
+                       &(DlHttpCallOptions){
+                           .method = wire.method,
+                           .url = wire.url,
+                           .headers = headers,
+                           .body = body,
+                           .timeout_ms = call_timeout_ms (client, request),
+                           .max_body_bytes = LIST_MAX_BYTES,
+                           /* A repeated conditional write would meet its own first try. */
+                           .single_use = is_write (request->action),
+                           .on_head = on_call_head,
+                           .on_done = on_call_done,
+                           .data = call,
+                       });
+  json_object_put (wire.body);
   talloc_steal (http, call);
 }
 
 DlObjectClient *
-dl_object_client_new (DlTask *task,
-                      const void *owner,
-                      const char *address,
-                      uint64_t timeout_ms)
+dl_object_client_new_with (DlTask *task,
+                           const void *owner,
+                           const char *address,
+                           uint64_t timeout_ms,
+                           const DlObjectProtocol *protocol)
 {
   DlObjectClient *client = talloc_zero (owner, DlObjectClient);
 
@@ -282,9 +323,19 @@
   client->http = dl_http_client_new (task, client);
   client->address = talloc_strdup (client, address);
   client->timeout_ms = timeout_ms;
+  client->protocol = protocol;
   return client;
 }
 
+DlObjectClient *
+dl_object_client_new (DlTask *task,
+                      const void *owner,
+                      const char *address,
+                      uint64_t timeout_ms)
+{
+  return dl_object_client_new_with (task, owner, address, timeout_ms, &native_protocol);
+}
+
 void
 dl_object_get (DlObjectClient *client,
                const void *owner,
@@ -293,14 +344,9 @@
                DlObjectFunc func,
                void *data)
 {
-  char *url = talloc_asprintf (client, "http://%s/v1/objects/%s/%s", client->address,
-                               kind, name);
-
   start_call (client, owner,
-              &(CallSpec){
-                  .kind = CALL_GET, .url = url, .timeout_ms = client->timeout_ms },
+              &(DlObjectRequest){ .action = DL_OBJECT_GET, .kinds = kind, .name = name },
               func, data);
-  talloc_free (url);
 }
 
 void
@@ -313,22 +359,15 @@
                DlObjectFunc func,
                void *data)
 {
-  char *url = talloc_asprintf (client, "http://%s/v1/objects/%s/%s", client->address,
-                               kind, name);
-  char *header = revision > 0 ? talloc_asprintf (url, "If-Match: %" PRIu64, revision)
-                              : talloc_strdup (url, "If-None-Match: *");
-
   start_call (client, owner,
-              &(CallSpec){
-                  .kind = CALL_PUT,
-                  .method = "PUT",
-                  .url = url,
-                  .header = header,
+              &(DlObjectRequest){
+                  .action = DL_OBJECT_PUT,
+                  .kinds = kind,
+                  .name = name,
+                  .revision = revision,
                   .value = value,
-                  .timeout_ms = client->timeout_ms,
               },
               func, data);
-  talloc_free (url);
 }
 
 void
@@ -340,20 +379,14 @@
                   DlObjectFunc func,
                   void *data)
 {
-  char *url = talloc_asprintf (client, "http://%s/v1/objects/%s/%s", client->address,
-                               kind, name);
-  char *header = talloc_asprintf (url, "If-Match: %" PRIu64, revision);
-
   start_call (client, owner,
-              &(CallSpec){
-                  .kind = CALL_DELETE,
-                  .method = "DELETE",
-                  .url = url,
-                  .header = header,
-                  .timeout_ms = client->timeout_ms,
+              &(DlObjectRequest){
+                  .action = DL_OBJECT_DELETE,
+                  .kinds = kind,
+                  .name = name,
+                  .revision = revision,
               },
               func, data);
-  talloc_free (url);
 }
 
 void
@@ -363,14 +396,21 @@
                 DlObjectFunc func,
                 void *data)
 {
-  char *url
-      = talloc_asprintf (client, "http://%s/v1/objects?kinds=%s", client->address, kinds);
+  dl_object_list_after (client, owner, kinds, NULL, func, data);
+}
 
-  start_call (client, owner,
-              &(CallSpec){
-                  .kind = CALL_LIST, .url = url, .timeout_ms = client->timeout_ms },
-              func, data);
-  talloc_free (url);
+void
+dl_object_list_after (DlObjectClient *client,
+                      const void *owner,
+                      const char *kinds,
+                      const char *after,
+                      DlObjectFunc func,
+                      void *data)
+{
+  start_call (
+      client, owner,
+      &(DlObjectRequest){ .action = DL_OBJECT_LIST, .kinds = kinds, .after = after },
+      func, data);
 }
 
 void
@@ -382,17 +422,12 @@
                  DlObjectFunc func,
                  void *data)
 {
-  char *url
-      = talloc_asprintf (client,
-                         "http://%s/v1/watch?kinds=%s&after=%" PRIu64 "&wait_ms=%" PRIu64,
-                         client->address, kinds, after, wait_ms);
-
   start_call (client, owner,
-              &(CallSpec){
-                  .kind = CALL_WATCH,
-                  .url = url,
-                  .timeout_ms = wait_ms + WATCH_MARGIN_MS,
+              &(DlObjectRequest){
+                  .action = DL_OBJECT_WATCH,
+                  .kinds = kinds,
+                  .revision = after,
+                  .wait_ms = wait_ms,
               },
               func, data);
-  talloc_free (url);
 }
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -1,7 +1,9 @@
 /*
  * Client of the platform's versioned object API.
  *
- * The protocol, as the stand-in of the test tree speaks it too (bodies are JSON):
+ * How a call is written on the wire and its answer read is a DlObjectProtocol; what
+ * outcomes mean is the client's.  The protocol that dl_object_client_new takes, as the
+ * stand-in of the test tree speaks it too (bodies are JSON):
  *
  *   GET    /v1/objects/KIND/NAME   200 {"kind","name","revision","created","value"} or
  * 404 PUT    /v1/objects/KIND/NAME   body: the value.  "If-Match: REVISION" replaces only
@@ -50,8 +52,55 @@
   uint64_t created;
   size_t count;
   DlObject *objects;
+  bool more; /* a list goes on after its last object */
 } DlObjectResult;
 
+typedef enum
+{
+  DL_OBJECT_GET,
+  DL_OBJECT_PUT,
+  DL_OBJECT_DELETE,
+  DL_OBJECT_LIST,
+  DL_OBJECT_WATCH,
+} DlObjectAction;
+
+/* One call, before it is written for the wire. */
+typedef struct
+{
+  DlObjectAction action;
+  const char *kinds;  /* one kind, or comma-separated ones to list or watch */
+  const char *name;   /* NULL to list or watch */
+  const char *after;  /* name that a list goes on after; NULL from the start */
+  uint64_t revision;  /* expected one of a write (0: must not exist), or watched from */
+  uint64_t wait_ms;   /* of a watch */
+  json_object *value; /* of a PUT */
+} DlObjectRequest;
+
+/* The same call as HTTP. */
+typedef struct
+{
+  const char *method;
+  char *url;
+  char *header;      /* one more header, or NULL */
+  json_object *body; /* owned; NULL for none */
+} DlObjectHttp;
+
+/* One way of speaking to an object API. */
+typedef struct
+{
+  /* Writes REQUEST for the API at ADDRESS; texts are below CONTEXT. */
+  void (*encode) (const void *context,
+                  const char *address,
+                  const DlObjectRequest *request,
+                  DlObjectHttp *http);
+  /* Reads the body of a successful answer into RESULT, below CONTEXT.  Returns 0 or
+   * DL_ERR_MALFORMED. */
+  int (*decode) (const void *context,
+                 const DlObjectRequest *request,
+                 json_object *body,
+                 DlObjectResult *result);
+} DlObjectProtocol;
+
 /* RESULT ends with the call; keep what is needed (json_object_get, talloc_steal). */
 typedef void (*DlObjectFunc) (const DlObjectResult *result, void *data);
 
@@ -60,6 +109,12 @@
                                       const void *owner,
                                       const char *address,
                                       uint64_t timeout_ms);
+/* The same with another PROTOCOL, which must outlive the client. */
+DlObjectClient *dl_object_client_new_with (DlTask *task,
+                                           const void *owner,
+                                           const char *address,
+                                           uint64_t timeout_ms,
+                                           const DlObjectProtocol *protocol);
 /* Each call is a talloc child of OWNER, freed after FUNC; freeing OWNER earlier cancels
  * it without a callback. */
 void dl_object_get (DlObjectClient *client,
@@ -90,6 +145,13 @@
                      const char *kinds,
                      DlObjectFunc func,
                      void *data);
+/* Goes on with a list whose result said MORE; AFTER is its last object's name. */
+void dl_object_list_after (DlObjectClient *client,
+                           const void *owner,
+                           const char *kinds,
+                           const char *after,
+                           DlObjectFunc func,
+                           void *data);
 void dl_object_watch (DlObjectClient *client,
                       const void *owner,
                       const char *kinds,
--- a/lib/kernel/program.c
+++ b/lib/kernel/program.c
@@ -89,6 +89,8 @@
     {
       DlKernel *kernel;
 
+      if (program->logs_to_stdout)
+        dl_log_use_stdout ();
       dl_log_open (program->program, *program->name, *program->json_logs);
       kernel = dl_kernel_new (program->program, *program->name, program->settings);
       dl_kernel_set_drain_ms (kernel, *program->drain_ms);
--- a/lib/kernel/program.h
+++ b/lib/kernel/program.h
@@ -25,6 +25,7 @@
   const char *const *name;  /* in SETTINGS: the instance's name */
   const bool *json_logs;    /* in SETTINGS */
   const uint64_t *drain_ms; /* in SETTINGS */
+  bool logs_to_stdout;      /* rather than to standard error */
 } DlProgram;
 
 /* Parses the options, reads and checks the settings, and runs the plug-ins.  Returns the
--- a/lib/kernel/settings.c
+++ b/lib/kernel/settings.c
@@ -294,6 +294,13 @@
       return read_string (reader, spec, value, at);
     case DL_SETTING_UINT:
       return read_uint (reader, spec, value, at);
+    case DL_SETTING_NUMBER:
+      if ((!json_object_is_type (value, json_type_double)
+           && !json_object_is_type (value, json_type_int))
+          || !(json_object_get_double (value) >= 0))
+        return reader_fail (reader, spec->key, "must be a number of 0 or more");
+      *(double *)at = json_object_get_double (value);
+      return 0;
     case DL_SETTING_BOOL:
       if (!json_object_is_type (value, json_type_boolean))
         return reader_fail (reader, spec->key, "must be true or false");
@@ -322,6 +329,9 @@
     case DL_SETTING_UINT:
       *(uint64_t *)at = spec->fallback;
       break;
+    case DL_SETTING_NUMBER:
+      *(double *)at = (double)spec->fallback;
+      break;
     case DL_SETTING_BOOL:
       *(bool *)at = spec->fallback != 0;
       break;
--- a/lib/kernel/settings.h
+++ b/lib/kernel/settings.h
@@ -19,6 +19,7 @@
   DL_SETTING_STRING,  /* const char * */
   DL_SETTING_ADDRESS, /* const char *, "IP:PORT" */
   DL_SETTING_UINT,    /* uint64_t */
+  DL_SETTING_NUMBER,  /* double, not negative */
   DL_SETTING_BOOL,    /* bool */
   DL_SETTING_CHOICE,  /* int, an index into CHOICES */
   DL_SETTING_STRINGS, /* DlSettingList of const char * */
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -7,6 +7,186 @@
 #endif
 
 #include "wire.pb-c.h"
+void   daisyloft__wire__node_status__init
+                     (Daisyloft__Wire__NodeStatus         *message)
+{
+  static const Daisyloft__Wire__NodeStatus init_value = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__node_status__get_packed_size
+                     (const Daisyloft__Wire__NodeStatus *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__node_status__pack
+                     (const Daisyloft__Wire__NodeStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__node_status__pack_to_buffer
+                     (const Daisyloft__Wire__NodeStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__NodeStatus *
+       daisyloft__wire__node_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__NodeStatus *)
+     protobuf_c_message_unpack (&daisyloft__wire__node_status__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__node_status__free_unpacked
+                     (Daisyloft__Wire__NodeStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisyloft__wire__engine_status__init
+                     (Daisyloft__Wire__EngineStatus         *message)
+{
+  static const Daisyloft__Wire__EngineStatus init_value = DAISYLOFT__WIRE__ENGINE_STATUS__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__engine_status__get_packed_size
+                     (const Daisyloft__Wire__EngineStatus *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__engine_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__engine_status__pack
+                     (const Daisyloft__Wire__EngineStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__engine_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__engine_status__pack_to_buffer
+                     (const Daisyloft__Wire__EngineStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__engine_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__EngineStatus *
+       daisyloft__wire__engine_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__EngineStatus *)
+     protobuf_c_message_unpack (&daisyloft__wire__engine_status__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__engine_status__free_unpacked
+                     (Daisyloft__Wire__EngineStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__engine_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisyloft__wire__holding__init
+                     (Daisyloft__Wire__Holding         *message)
+{
+  static const Daisyloft__Wire__Holding init_value = DAISYLOFT__WIRE__HOLDING__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__holding__get_packed_size
+                     (const Daisyloft__Wire__Holding *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__holding__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__holding__pack
+                     (const Daisyloft__Wire__Holding *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__holding__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__holding__pack_to_buffer
+                     (const Daisyloft__Wire__Holding *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__holding__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__Holding *
+       daisyloft__wire__holding__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__Holding *)
+     protobuf_c_message_unpack (&daisyloft__wire__holding__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__holding__free_unpacked
+                     (Daisyloft__Wire__Holding *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__holding__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisyloft__wire__named__init
+                     (Daisyloft__Wire__Named         *message)
+{
+  static const Daisyloft__Wire__Named init_value = DAISYLOFT__WIRE__NAMED__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__named__get_packed_size
+                     (const Daisyloft__Wire__Named *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__named__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__named__pack
+                     (const Daisyloft__Wire__Named *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__named__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__named__pack_to_buffer
+                     (const Daisyloft__Wire__Named *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__named__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__Named *
+       daisyloft__wire__named__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__Named *)
+     protobuf_c_message_unpack (&daisyloft__wire__named__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__named__free_unpacked
+                     (Daisyloft__Wire__Named *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__named__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__challenge__init
                      (Daisyloft__Wire__Challenge         *message)
 {
@@ -1177,6 +1357,366 @@
   assert(message->base.descriptor == &daisyloft__wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[8] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, role),
+    &daisyloft__wire__role__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, engine),
+    &daisyloft__wire__engine_status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holding",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, holding),
+    &daisyloft__wire__holding__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, named),
+    &daisyloft__wire__named__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__node_status__field_indices_by_name[] = {
+  5,   /* field[5] = engine */
+  6,   /* field[6] = holding */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+  7,   /* field[7] = named */
+  2,   /* field[2] = number */
+  4,   /* field[4] = ready */
+  3,   /* field[3] = role */
+};
+static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.NodeStatus",
+  "NodeStatus",
+  "Daisyloft__Wire__NodeStatus",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__NodeStatus),
+  8,
+  daisyloft__wire__node_status__field_descriptors,
+  daisyloft__wire__node_status__field_indices_by_name,
+  1,  daisyloft__wire__node_status__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__node_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisyloft__wire__engine_status__field_descriptors[7] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loading",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, loading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__engine_status__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  3,   /* field[3] = loading */
+  5,   /* field[5] = model */
+  4,   /* field[4] = pace */
+  1,   /* field[1] = running */
+  6,   /* field[6] = version */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange daisyloft__wire__engine_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__engine_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.EngineStatus",
+  "EngineStatus",
+  "Daisyloft__Wire__EngineStatus",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__EngineStatus),
+  7,
+  daisyloft__wire__engine_status__field_descriptors,
+  daisyloft__wire__engine_status__field_indices_by_name,
+  1,  daisyloft__wire__engine_status__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__engine_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisyloft__wire__holding__field_descriptors[3] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Holding, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Holding, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunks",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Holding, chunks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__holding__field_indices_by_name[] = {
+  2,   /* field[2] = chunks */
+  0,   /* field[0] = model */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange daisyloft__wire__holding__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__holding__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.Holding",
+  "Holding",
+  "Daisyloft__Wire__Holding",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__Holding),
+  3,
+  daisyloft__wire__holding__field_descriptors,
+  daisyloft__wire__holding__field_indices_by_name,
+  1,  daisyloft__wire__holding__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__holding__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisyloft__wire__named__field_descriptors[2] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Named, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Named, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__named__field_indices_by_name[] = {
+  0,   /* field[0] = model */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange daisyloft__wire__named__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__named__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.Named",
+  "Named",
+  "Daisyloft__Wire__Named",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__Named),
+  2,
+  daisyloft__wire__named__field_descriptors,
+  daisyloft__wire__named__field_indices_by_name,
+  1,  daisyloft__wire__named__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__named__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__challenge__field_descriptors[2] =
 {
   {
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -15,6 +15,10 @@
 #endif
 
 
+typedef struct Daisyloft__Wire__NodeStatus Daisyloft__Wire__NodeStatus;
+typedef struct Daisyloft__Wire__EngineStatus Daisyloft__Wire__EngineStatus;
+typedef struct Daisyloft__Wire__Holding Daisyloft__Wire__Holding;
+typedef struct Daisyloft__Wire__Named Daisyloft__Wire__Named;
 typedef struct Daisyloft__Wire__Challenge Daisyloft__Wire__Challenge;
 typedef struct Daisyloft__Wire__Hello Daisyloft__Wire__Hello;
 typedef struct Daisyloft__Wire__Welcome Daisyloft__Wire__Welcome;
@@ -121,6 +125,104 @@
 
 /* --- messages --- */
 
+/*
+ * A datagram that a direct entry or a stager sends to the others: what it is and does now.
+ */
+struct  Daisyloft__Wire__NodeStatus
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * differs with every start of the process
+   */
+  uint64_t incarnation;
+  /*
+   * rises with every datagram of an incarnation
+   */
+  uint64_t number;
+  Daisyloft__Wire__Role role;
+  /*
+   * takes requests
+   */
+  protobuf_c_boolean ready;
+  /*
+   * of the engine on a stager's host
+   */
+  Daisyloft__Wire__EngineStatus *engine;
+  /*
+   * of weights
+   */
+  Daisyloft__Wire__Holding *holding;
+  /*
+   * newest version that the sender knows of
+   */
+  Daisyloft__Wire__Named *named;
+};
+#define DAISYLOFT__WIRE__NODE_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, NULL, NULL }
+
+
+/*
+ * What a stager saw of the engine on its host.
+ */
+struct  Daisyloft__Wire__EngineStatus
+{
+  ProtobufCMessage base;
+  /*
+   * "IP:PORT"
+   */
+  char *address;
+  uint32_t running;
+  uint32_t waiting;
+  /*
+   * takes or is about to take new weights; serves nothing new
+   */
+  protobuf_c_boolean loading;
+  /*
+   * over 1: slower than usual
+   */
+  double pace;
+  char *model;
+  /*
+   * of the weights that it serves; 0 for none
+   */
+  uint64_t version;
+};
+#define DAISYLOFT__WIRE__ENGINE_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__engine_status__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Chunks of one version that the sender gives out.
+ */
+struct  Daisyloft__Wire__Holding
+{
+  ProtobufCMessage base;
+  char *model;
+  uint64_t version;
+  /*
+   * bitmap, from the lowest bit of the first byte on
+   */
+  ProtobufCBinaryData chunks;
+};
+#define DAISYLOFT__WIRE__HOLDING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__holding__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
+struct  Daisyloft__Wire__Named
+{
+  ProtobufCMessage base;
+  char *model;
+  uint64_t version;
+};
+#define DAISYLOFT__WIRE__NAMED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__named__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * First frame of the accepting side.
  */
@@ -661,6 +763,82 @@
     , 0, DAISYLOFT__WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
+/* Daisyloft__Wire__NodeStatus methods */
+void   daisyloft__wire__node_status__init
+                     (Daisyloft__Wire__NodeStatus         *message);
+size_t daisyloft__wire__node_status__get_packed_size
+                     (const Daisyloft__Wire__NodeStatus   *message);
+size_t daisyloft__wire__node_status__pack
+                     (const Daisyloft__Wire__NodeStatus   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__node_status__pack_to_buffer
+                     (const Daisyloft__Wire__NodeStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__NodeStatus *
+       daisyloft__wire__node_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__node_status__free_unpacked
+                     (Daisyloft__Wire__NodeStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__EngineStatus methods */
+void   daisyloft__wire__engine_status__init
+                     (Daisyloft__Wire__EngineStatus         *message);
+size_t daisyloft__wire__engine_status__get_packed_size
+                     (const Daisyloft__Wire__EngineStatus   *message);
+size_t daisyloft__wire__engine_status__pack
+                     (const Daisyloft__Wire__EngineStatus   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__engine_status__pack_to_buffer
+                     (const Daisyloft__Wire__EngineStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__EngineStatus *
+       daisyloft__wire__engine_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__engine_status__free_unpacked
+                     (Daisyloft__Wire__EngineStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__Holding methods */
+void   daisyloft__wire__holding__init
+                     (Daisyloft__Wire__Holding         *message);
+size_t daisyloft__wire__holding__get_packed_size
+                     (const Daisyloft__Wire__Holding   *message);
+size_t daisyloft__wire__holding__pack
+                     (const Daisyloft__Wire__Holding   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__holding__pack_to_buffer
+                     (const Daisyloft__Wire__Holding   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__Holding *
+       daisyloft__wire__holding__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__holding__free_unpacked
+                     (Daisyloft__Wire__Holding *message,
+                      ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__Named methods */
+void   daisyloft__wire__named__init
+                     (Daisyloft__Wire__Named         *message);
+size_t daisyloft__wire__named__get_packed_size
+                     (const Daisyloft__Wire__Named   *message);
+size_t daisyloft__wire__named__pack
+                     (const Daisyloft__Wire__Named   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__named__pack_to_buffer
+                     (const Daisyloft__Wire__Named   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__Named *
+       daisyloft__wire__named__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__named__free_unpacked
+                     (Daisyloft__Wire__Named *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__Challenge methods */
 void   daisyloft__wire__challenge__init
                      (Daisyloft__Wire__Challenge         *message);
@@ -1157,6 +1335,18 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Daisyloft__Wire__NodeStatus_Closure)
+                 (const Daisyloft__Wire__NodeStatus *message,
+                  void *closure_data);
+typedef void (*Daisyloft__Wire__EngineStatus_Closure)
+                 (const Daisyloft__Wire__EngineStatus *message,
+                  void *closure_data);
+typedef void (*Daisyloft__Wire__Holding_Closure)
+                 (const Daisyloft__Wire__Holding *message,
+                  void *closure_data);
+typedef void (*Daisyloft__Wire__Named_Closure)
+                 (const Daisyloft__Wire__Named *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__Challenge_Closure)
                  (const Daisyloft__Wire__Challenge *message,
                   void *closure_data);
@@ -1246,6 +1436,10 @@
 extern const ProtobufCEnumDescriptor    daisyloft__wire__rollout_state__descriptor;
 extern const ProtobufCEnumDescriptor    daisyloft__wire__slot_state__descriptor;
 extern const ProtobufCEnumDescriptor    daisyloft__wire__end_reason__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__engine_status__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__holding__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__named__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__challenge__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__hello__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__welcome__descriptor;
--- /dev/null
+++ b/lib/node/node.c
@@ -0,0 +1,97 @@
+#include "node/node.h"
+
+#include <errno.h>
+#include <talloc.h>
+
+#define MS_PER_S            1000
+#define STOP_RESERVE_MS     400
+#define HOUR_MS             3600000
+#define REVOKE_DEFAULT_MS   5000
+#define VERSION_DEFAULT_MS  8000
+#define GRACE_DEFAULT_S     8
+#define TTL_DEFAULT_S       2
+
+#define TEXT(member, is_required)                   \
+  {                                                 \
+    .key = #member, .type = DL_SETTING_STRING,      \
+    .offset = offsetof (DlNodeSettings, member),    \
+    .required = (is_required),                      \
+  }
+#define ADDRESS(member, is_required)                \
+  {                                                 \
+    .key = #member, .type = DL_SETTING_ADDRESS,     \
+    .offset = offsetof (DlNodeSettings, member),    \
+    .required = (is_required),                      \
+  }
+#define NUMBER(member, default_value)               \
+  {                                                 \
+    .key = #member, .type = DL_SETTING_NUMBER,      \
+    .offset = offsetof (DlNodeSettings, member),    \
+    .fallback = (default_value),                    \
+  }
+
+const DlSettingSpec dl_node_specs[] = {
+  TEXT (name, true),
+  TEXT (region, true),
+  TEXT (data_center, true),
+  ADDRESS (address, true),
+  ADDRESS (store, true),
+  ADDRESS (listen, false),
+  ADDRESS (ready, false),
+  ADDRESS (directory, false),
+  ADDRESS (metrics, false),
+  ADDRESS (engine, false),
+  TEXT (service, false),
+  {
+      .key = "json_logs",
+      .type = DL_SETTING_BOOL,
+      .offset = offsetof (DlNodeSettings, json_logs),
+  },
+  {
+      .key = "revoke_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, revoke_ms),
+      .minimum = MS_PER_S,
+      .maximum = HOUR_MS,
+      .fallback = REVOKE_DEFAULT_MS,
+  },
+  {
+      .key = "version_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, version_ms),
+      .minimum = MS_PER_S,
+      .maximum = HOUR_MS,
+      .fallback = VERSION_DEFAULT_MS,
+  },
+  NUMBER (grace_s, GRACE_DEFAULT_S),
+  NUMBER (retry_ratio, 0),
+  NUMBER (retry_slack, 0),
+  NUMBER (directory_ttl_s, TTL_DEFAULT_S),
+  { 0 },
+};
+
+int
+dl_node_settings_check (const void *context,
+                        DlNodeSettings *settings,
+                        bool is_entry,
+                        char **error)
+{
+  double grace_ms = settings->grace_s * MS_PER_S;
+
+  settings->drain_ms = grace_ms > 2 * STOP_RESERVE_MS
+                           ? (uint64_t)grace_ms - STOP_RESERVE_MS
+                           : (uint64_t)(grace_ms / 2);
+  if (is_entry
+      && (settings->listen == NULL || settings->ready == NULL
+          || settings->directory == NULL))
+    {
+      *error = talloc_strdup (context, "listen, ready and directory are required");
+      return -EINVAL;
+    }
+  if (!is_entry && (settings->engine == NULL || settings->service == NULL))
+    {
+      *error = talloc_strdup (context, "engine and service are required");
+      return -EINVAL;
+    }
+  return 0;
+}
--- /dev/null
+++ b/lib/node/object_watch.c
@@ -0,0 +1,281 @@
+#include "node/object_watch.h"
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "kernel/crypt.h"
+#include "kernel/error.h"
+
+#define RETRY_FIRST_MS 150
+/* Pause after a watch that returned nothing long before its time. */
+#define EARLY_PAUSE_MS 100
+
+struct DlObjectWatch
+{
+  DlTask *task;
+  DlObjectClient *client;
+  DlObjectWatchOptions options;
+  GHashTable *revisions; /* object name to its revision, as uint64_t in a pointer */
+  GHashTable *listed;    /* names seen by the list under way; NULL while watching */
+  char *list_after;      /* the list goes on after this name; NULL at its start */
+  uint64_t list_revision;
+  uint64_t revision;
+  uint64_t sent_ms;   /* of the call under way; of a list, of its first page */
+  uint64_t proven_ms; /* 0: nothing known yet */
+  uint64_t retry_ms;
+  bool lost; /* the platform did not answer last time */
+  DlTimer *timer;
+};
+
+static void send_list (DlObjectWatch *watch);
+static void send_watch (DlObjectWatch *watch);
+
+/* -------- what is known -------- */
+
+static uint64_t
+known_revision (const DlObjectWatch *watch, const char *name)
+{
+  return (uint64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (watch->revisions, name));
+}
+
+static void
+tell_deleted (DlObjectWatch *watch, const char *name, uint64_t revision)
+{
+  DlObject object = {
+    .kind = (char *)watch->options.kind,
+    .name = (char *)name,
+    .revision = revision,
+    .deleted = true,
+  };
+
+  watch->options.on_object (&object, watch->options.data);
+}
+
+static void
+take_object (DlObjectWatch *watch, const DlObject *object)
+{
+  if (object->revision <= known_revision (watch, object->name))
+    return;
+  if (object->deleted)
+    {
+      if (g_hash_table_remove (watch->revisions, object->name))
+        tell_deleted (watch, object->name, object->revision);
+      return;
+    }
+  g_hash_table_insert (watch->revisions, g_strdup (object->name),
+                       GSIZE_TO_POINTER ((gsize)object->revision));
+  watch->options.on_object (object, watch->options.data);
+}
+
+/* Drops what a whole list did not show any more. */
+static void
+drop_unlisted (DlObjectWatch *watch)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, watch->revisions);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!g_hash_table_contains (watch->listed, name))
+      {
+        char *copy = g_strdup (name);
+
+        g_hash_table_iter_remove (&iter);
+        tell_deleted (watch, copy, watch->list_revision);
+        g_free (copy);
+      }
+}
+
+static void
+set_contact (DlObjectWatch *watch, int error)
+{
+  bool lost = error < 0;
+
+  if (watch->lost == lost)
+    return;
+  watch->lost = lost;
+  if (watch->options.on_contact != NULL)
+    watch->options.on_contact (error, watch->options.data);
+}
+
+static void
+proven (DlObjectWatch *watch)
+{
+  watch->proven_ms = watch->sent_ms;
+  watch->retry_ms = 0;
+  set_contact (watch, 0);
+  if (watch->options.on_proven != NULL)
+    watch->options.on_proven (watch->options.data);
+}
+
+/* -------- calls -------- */
+
+static void
+on_timer (DlTimer *timer, void *data)
+{
+  DlObjectWatch *watch = data;
+
+  if (watch->proven_ms == 0 || watch->listed != NULL)
+    send_list (watch);
+  else
+    send_watch (watch);
+}
+
+static void
+run_after (DlObjectWatch *watch, uint64_t delay_ms)
+{
+  if (watch->timer == NULL)
+    watch->timer
+        = dl_timer_subscribe (watch->task, watch, delay_ms, 0, on_timer, watch);
+  else
+    dl_timer_restart (watch->timer, delay_ms);
+}
+
+static void
+retry_later (DlObjectWatch *watch, const DlObjectResult *result)
+{
+  uint64_t doubled = MAX (watch->retry_ms * 2, RETRY_FIRST_MS);
+
+  set_contact (watch, result->error);
+  watch->retry_ms = MIN (doubled, watch->options.retry_max_ms);
+  run_after (watch, watch->retry_ms / 2 + dl_random_uint64 () % (watch->retry_ms / 2 + 1));
+}
+
+static void
+restart_list (DlObjectWatch *watch)
+{
+  if (watch->listed != NULL)
+    g_hash_table_destroy (watch->listed);
+  watch->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  TALLOC_FREE (watch->list_after);
+}
+
+static void
+end_list (DlObjectWatch *watch)
+{
+  drop_unlisted (watch);
+  g_hash_table_destroy (watch->listed);
+  watch->listed = NULL;
+  TALLOC_FREE (watch->list_after);
+  watch->revision = watch->list_revision;
+  proven (watch);
+  send_watch (watch);
+}
+
+static void
+on_list (const DlObjectResult *result, void *data)
+{
+  DlObjectWatch *watch = data;
+
+  if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
+    {
+      restart_list (watch);
+      retry_later (watch, result);
+      return;
+    }
+  /* What changes while later pages are read comes by the watch from the first page's
+   * revision on. */
+  if (watch->list_after == NULL)
+    watch->list_revision = result->revision;
+  for (size_t i = 0; i < result->count; i++)
+    {
+      g_hash_table_add (watch->listed, g_strdup (result->objects[i].name));
+      take_object (watch, &result->objects[i]);
+    }
+  if (!result->more || result->count == 0)
+    {
+      end_list (watch);
+      return;
+    }
+  TALLOC_FREE (watch->list_after);
+  watch->list_after
+      = talloc_strdup (watch, result->objects[result->count - 1].name);
+  send_list (watch);
+}
+
+static void
+send_list (DlObjectWatch *watch)
+{
+  if (watch->listed == NULL)
+    restart_list (watch);
+  if (watch->list_after == NULL)
+    watch->sent_ms = dl_clock_ms ();
+  dl_object_list_after (watch->client, watch, watch->options.kind, watch->list_after,
+                        on_list, watch);
+}
+
+static void
+on_watch (const DlObjectResult *result, void *data)
+{
+  DlObjectWatch *watch = data;
+
+  if (result->error == DL_ERR_GONE)
+    {
+      restart_list (watch);
+      send_list (watch);
+      return;
+    }
+  if (result->error < 0)
+    {
+      retry_later (watch, result);
+      return;
+    }
+  for (size_t i = 0; i < result->count; i++)
+    take_object (watch, &result->objects[i]);
+  watch->revision = MAX (watch->revision, result->revision);
+  proven (watch);
+  if (result->count > 0 && watch->options.pause_ms > 0)
+    run_after (watch, watch->options.pause_ms);
+  else if (result->count == 0
+           && dl_clock_ms () - watch->sent_ms < watch->options.wait_ms / 2)
+    run_after (watch, EARLY_PAUSE_MS);
+  else
+    send_watch (watch);
+}
+
+static void
+send_watch (DlObjectWatch *watch)
+{
+  watch->sent_ms = dl_clock_ms ();
+  dl_object_watch (watch->client, watch, watch->options.kind, watch->revision,
+                   watch->options.wait_ms, on_watch, watch);
+}
+
+static int
+watch_destroy (DlObjectWatch *watch)
+{
+  g_hash_table_destroy (watch->revisions);
+  if (watch->listed != NULL)
+    g_hash_table_destroy (watch->listed);
+  return 0;
+}
+
+DlObjectWatch *
+dl_object_watch_new (DlTask *task,
+                     const void *owner,
+                     DlObjectClient *client,
+                     const DlObjectWatchOptions *options)
+{
+  DlObjectWatch *watch = talloc_zero (owner, DlObjectWatch);
+
+  g_assert (watch != NULL && options->on_object != NULL);
+  watch->task = task;
+  watch->client = client;
+  watch->options = *options;
+  watch->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  talloc_set_destructor (watch, watch_destroy);
+  send_list (watch);
+  return watch;
+}
+
+uint64_t
+dl_object_watch_proven_ms (const DlObjectWatch *watch)
+{
+  return watch->proven_ms;
+}
+
+uint64_t
+dl_object_watch_revision (const DlObjectWatch *watch)
+{
+  return watch->revision;
+}
--- /dev/null
+++ b/lib/node/object_watch.h
@@ -0,0 +1,44 @@
+/*
+ * Following all objects of one kind: a list, then watches, from then on.
+ *
+ * The owner is told of each object that appears, changes or vanishes, never of an older
+ * state after a newer one.  When the platform is away or has dropped its history, the
+ * watch goes on by itself, listing again where needed.
+ *
+ * A watch that returns nothing proves that nothing had changed when it was sent.  The
+ * time of that sending is dl_object_watch_proven_ms, from which the owner tells how old
+ * what it knows may be.
+ */
+#ifndef DL_OBJECT_WATCH_H
+#define DL_OBJECT_WATCH_H
+
+#include "kernel/object_client.h"
+
+typedef struct DlObjectWatch DlObjectWatch;
+
+typedef struct
+{
+  const char *kind;
+  uint64_t wait_ms;      /* longest time that one watch waits */
+  uint64_t pause_ms;     /* between an event and the next watch, so that events gather */
+  uint64_t retry_max_ms; /* longest pause between tries while the platform is away */
+  /* An object is as OBJECT says; its value is NULL once it is deleted. */
+  void (*on_object) (const DlObject *object, void *data);
+  /* What the owner knows is as current as dl_object_watch_proven_ms now says. */
+  void (*on_proven) (void *data);
+  /* The platform stopped (ERROR below 0) or began again (0) to answer. */
+  void (*on_contact) (int error, void *data);
+  void *data;
+} DlObjectWatchOptions;
+
+/* OPTIONS is copied, its texts are not. */
+DlObjectWatch *dl_object_watch_new (DlTask *task,
+                                    const void *owner,
+                                    DlObjectClient *client,
+                                    const DlObjectWatchOptions *options);
+/* Time (dl_clock_ms) as of which everything known is current; 0 before the first list. */
+uint64_t dl_object_watch_proven_ms (const DlObjectWatch *watch);
+/* Revision that everything known is current as of. */
+uint64_t dl_object_watch_revision (const DlObjectWatch *watch);
+
+#endif
--- /dev/null
+++ b/lib/policy/balance.c
@@ -0,0 +1,156 @@
+#include "policy/balance.h"
+
+#include <errno.h>
+#include <glib.h>
+
+/* Weight of the newest outcome in the smoothed failure rate. */
+#define FAILURE_WEIGHT 0.15
+/* Requests that an upstream may seem longer for, relative to others, in the comparison. */
+#define FAR_PENALTY     1.2
+#define FAILURE_PENALTY 24.0
+/* A prompt being read delays the next first event about as much as this many requests. */
+#define PROMPT_PENALTY 1.5
+
+void
+dl_balance_report (DlUpstreamLoad *load, unsigned reported, uint64_t now_ms)
+{
+  load->reported = reported;
+  load->reported_ms = now_ms;
+  load->sent_since = 0;
+  load->ended_since = 0;
+}
+
+void
+dl_balance_sent (DlUpstreamLoad *load, uint64_t prompt_tokens)
+{
+  load->own++;
+  load->sent_since++;
+  load->prompt_tokens += prompt_tokens;
+}
+
+static void
+forget_prompt (DlUpstreamLoad *load, uint64_t prompt_tokens)
+{
+  load->prompt_tokens -= MIN (prompt_tokens, load->prompt_tokens);
+}
+
+void
+dl_balance_started (DlUpstreamLoad *load, uint64_t prompt_tokens)
+{
+  forget_prompt (load, prompt_tokens);
+}
+
+void
+dl_balance_ended (DlUpstreamLoad *load, uint64_t prompt_tokens, bool started, bool failed)
+{
+  if (!started)
+    forget_prompt (load, prompt_tokens);
+  if (load->own > 0)
+    load->own--;
+  load->ended_since++;
+  load->failure_rate
+      += FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - load->failure_rate);
+}
+
+double
+dl_balance_estimate (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms)
+{
+  double estimate;
+
+  if (load->reported_ms == 0
+      || now_ms > load->reported_ms + DL_BALANCE_REPORT_MAX_AGE_MS)
+    return (double)load->own * MAX (entries, 1);
+  estimate = (double)load->reported + load->sent_since - load->ended_since;
+  return MAX (estimate, (double)load->own);
+}
+
+bool
+dl_balance_has_room (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms)
+{
+  return dl_balance_estimate (load, entries, now_ms) < (double)MAX (load->capacity, 1);
+}
+
+/* Lower is better: the share of the places that is taken, made worse by what delays the
+ * request there. */
+static double
+score (const DlBalanceCandidate *c, const DlBalanceQuery *query)
+{
+  const DlUpstreamLoad *l = c->load;
+  double requests = dl_balance_estimate (l, query->entries, query->now_ms);
+
+  if (query->usual_prompt_tokens > 0)
+    requests
+        += PROMPT_PENALTY * (double)l->prompt_tokens / query->usual_prompt_tokens;
+  if (!c->near)
+    requests += FAR_PENALTY;
+  requests += FAILURE_PENALTY * l->failure_rate;
+  return (requests + 1) * MAX (l->pace, 1.0) / MAX (l->capacity, 1);
+}
+
+/* Indexes of the candidates that may be taken, in OUT; returns how many. */
+static size_t
+eligible (const DlBalanceCandidate *candidates,
+          size_t count,
+          const DlBalanceQuery *query,
+          bool take_avoided,
+          size_t *out)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const DlBalanceCandidate *c = &candidates[i];
+
+      if (c->allowed && (take_avoided || !c->avoided)
+          && dl_balance_has_room (c->load, query->entries, query->now_ms))
+        out[n++] = i;
+    }
+  return n;
+}
+
+/* The best of DL_BALANCE_DRAWS different indexes drawn from POOL. */
+static int
+best_of_draws (const DlBalanceCandidate *candidates,
+               size_t *pool,
+               size_t count,
+               const DlBalanceQuery *query)
+{
+  uint64_t random = query->random;
+  size_t draws = MIN (count, DL_BALANCE_DRAWS);
+  int best = -1;
+  double best_score = 0;
+
+  for (size_t d = 0; d < draws; d++)
+    {
+      size_t at = d + (size_t)(random % (count - d));
+      size_t drawn = pool[at];
+      double s = score (&candidates[drawn], query);
+
+      pool[at] = pool[d];
+      random /= count - d;
+      if (best < 0 || s < best_score)
+        {
+          best = (int)drawn;
+          best_score = s;
+        }
+    }
+  return best;
+}
+
+int
+dl_balance_choose (const DlBalanceCandidate *candidates,
+                   size_t count,
+                   const DlBalanceQuery *query)
+{
+  g_autofree size_t *pool = g_new (size_t, MAX (count, 1));
+  size_t n = eligible (candidates, count, query, false, pool);
+
+  if (n == 0)
+    n = eligible (candidates, count, query, true, pool);
+  if (n > 0)
+    return best_of_draws (candidates, pool, n, query);
+  for (size_t i = 0; i < count; i++)
+    if (candidates[i].allowed)
+      return -EBUSY;
+  return -ENOENT;
+}
--- /dev/null
+++ b/lib/policy/fetch_plan.c
@@ -0,0 +1,337 @@
+#include "policy/fetch_plan.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "policy/rendezvous.h"
+
+#define BITS_PER_BYTE 8
+
+typedef struct Peer
+{
+  char *host;
+  char *region;
+  bool near; /* in this host's region */
+  uint8_t *holds;
+  unsigned fetching; /* from it, at present */
+  uint64_t away_until_ms;
+  struct Peer *next;
+} Peer;
+
+typedef enum
+{
+  CHUNK_MISSING,
+  CHUNK_FETCHING,
+  CHUNK_HELD,
+} ChunkState;
+
+typedef struct
+{
+  ChunkState state;
+  Peer *peer; /* that it is fetched from; NULL for the origin */
+} Chunk;
+
+struct DlFetchPlan
+{
+  char *host;
+  char *region;
+  char *key; /* of the version */
+  unsigned count;
+  uint64_t started_ms;
+  Chunk *chunks;
+  uint8_t *bitmap;
+  Peer *peers;
+  unsigned fetching;
+  unsigned fetching_origin;
+  uint64_t origin_away_until_ms;
+  unsigned missing;
+};
+
+static size_t
+bitmap_bytes (const DlFetchPlan *plan)
+{
+  return (plan->count + BITS_PER_BYTE - 1) / BITS_PER_BYTE;
+}
+
+static bool
+has_bit (const uint8_t *bitmap, unsigned index)
+{
+  return (bitmap[index / BITS_PER_BYTE] >> (index % BITS_PER_BYTE) & 1) != 0;
+}
+
+static void
+set_bit (uint8_t *bitmap, unsigned index, bool value)
+{
+  uint8_t mask = (uint8_t)(1u << (index % BITS_PER_BYTE));
+
+  if (value)
+    bitmap[index / BITS_PER_BYTE] |= mask;
+  else
+    bitmap[index / BITS_PER_BYTE] &= (uint8_t)~mask;
+}
+
+DlFetchPlan *
+dl_fetch_plan_new (const void *context, const DlFetchPlanOptions *options)
+{
+  DlFetchPlan *plan = talloc_zero (context, DlFetchPlan);
+
+  g_assert (plan != NULL && options->chunks > 0);
+  plan->host = talloc_strdup (plan, options->host);
+  plan->region = talloc_strdup (plan, options->region);
+  plan->key = talloc_asprintf (plan, "%s:%" G_GUINT64_FORMAT, options->model,
+                               options->version);
+  plan->count = options->chunks;
+  plan->missing = options->chunks;
+  plan->started_ms = options->started_ms;
+  plan->chunks = talloc_zero_array (plan, Chunk, options->chunks);
+  plan->bitmap = talloc_zero_array (plan, uint8_t, bitmap_bytes (plan));
+  return plan;
+}
+
+static Peer *
+find_peer (const DlFetchPlan *plan, const char *host)
+{
+  for (Peer *p = plan->peers; p != NULL; p = p->next)
+    if (strcmp (p->host, host) == 0)
+      return p;
+  return NULL;
+}
+
+void
+dl_fetch_plan_peer (DlFetchPlan *plan, const char *host, const char *region, DlStr holds)
+{
+  Peer *p = find_peer (plan, host);
+
+  if (p == NULL)
+    {
+      p = talloc_zero (plan, Peer);
+      p->host = talloc_strdup (p, host);
+      p->region = talloc_strdup (p, region);
+      p->near = strcmp (region, plan->region) == 0;
+      p->holds = talloc_zero_array (p, uint8_t, bitmap_bytes (plan));
+      p->next = plan->peers;
+      plan->peers = p;
+    }
+  memset (p->holds, 0, bitmap_bytes (plan));
+  memcpy (p->holds, holds.data, MIN (holds.length, bitmap_bytes (plan)));
+}
+
+static void
+fetch_ended (DlFetchPlan *plan, unsigned index)
+{
+  Chunk *c = &plan->chunks[index];
+
+  if (c->state != CHUNK_FETCHING)
+    return;
+  plan->fetching--;
+  if (c->peer != NULL)
+    c->peer->fetching--;
+  else
+    plan->fetching_origin--;
+  c->peer = NULL;
+  c->state = CHUNK_MISSING;
+}
+
+void
+dl_fetch_plan_peer_gone (DlFetchPlan *plan, const char *host)
+{
+  for (Peer **at = &plan->peers; *at != NULL; at = &(*at)->next)
+    {
+      Peer *p = *at;
+
+      if (strcmp (p->host, host) != 0)
+        continue;
+      for (unsigned i = 0; i < plan->count; i++)
+        if (plan->chunks[i].peer == p)
+          fetch_ended (plan, i);
+      *at = p->next;
+      talloc_free (p);
+      return;
+    }
+}
+
+void
+dl_fetch_plan_arrived (DlFetchPlan *plan, unsigned index)
+{
+  fetch_ended (plan, index);
+  if (plan->chunks[index].state == CHUNK_HELD)
+    return;
+  plan->chunks[index].state = CHUNK_HELD;
+  set_bit (plan->bitmap, index, true);
+  plan->missing--;
+}
+
+void
+dl_fetch_plan_lost (DlFetchPlan *plan, unsigned index)
+{
+  if (plan->chunks[index].state != CHUNK_HELD)
+    return;
+  plan->chunks[index].state = CHUNK_MISSING;
+  set_bit (plan->bitmap, index, false);
+  plan->missing++;
+}
+
+void
+dl_fetch_plan_failed (DlFetchPlan *plan, unsigned index, uint64_t away_ms, uint64_t now_ms)
+{
+  const Chunk *c = &plan->chunks[index];
+
+  if (c->state != CHUNK_FETCHING)
+    return;
+  if (c->peer != NULL)
+    c->peer->away_until_ms = now_ms + away_ms;
+  else
+    plan->origin_away_until_ms = now_ms + away_ms;
+  fetch_ended (plan, index);
+}
+
+/* Position of this host for chunk INDEX among the live hosts, of its region alone if
+ * NEAR_ONLY; 0 is the one that is to fetch it. */
+static unsigned
+rank (const DlFetchPlan *plan, unsigned index, bool near_only)
+{
+  g_autofree char *key = g_strdup_printf ("%s:%u", plan->key, index);
+  uint64_t own = dl_rendezvous_score (dl_str (key), dl_str (plan->host));
+  unsigned before = 0;
+
+  for (const Peer *p = plan->peers; p != NULL; p = p->next)
+    if ((p->near || !near_only)
+        && dl_rendezvous_score (dl_str (key), dl_str (p->host)) > own)
+      before++;
+  return before;
+}
+
+static bool
+is_usable (const Peer *p, unsigned index, uint64_t now_ms)
+{
+  return has_bit (p->holds, index) && p->fetching == 0 && now_ms >= p->away_until_ms;
+}
+
+/* A holder of the chunk, drawn at random; NULL when none is free. */
+static Peer *
+draw_holder (const DlFetchPlan *plan,
+             unsigned index,
+             bool near_only,
+             uint64_t now_ms,
+             uint64_t random)
+{
+  unsigned holders = 0;
+
+  for (Peer *p = plan->peers; p != NULL; p = p->next)
+    holders += (p->near || !near_only) && is_usable (p, index, now_ms);
+  if (holders == 0)
+    return NULL;
+  random %= holders;
+  for (Peer *p = plan->peers; p != NULL; p = p->next)
+    if ((p->near || !near_only) && is_usable (p, index, now_ms) && random-- == 0)
+      return p;
+  return NULL;
+}
+
+static bool
+is_held_by (const DlFetchPlan *plan, unsigned index, bool near_only)
+{
+  for (const Peer *p = plan->peers; p != NULL; p = p->next)
+    if ((p->near || !near_only) && has_bit (p->holds, index))
+      return true;
+  return false;
+}
+
+/* True when the host ranked RANK may step in for those before it. */
+static bool
+may_step_in (const DlFetchPlan *plan, unsigned r, uint64_t now_ms)
+{
+  return r == 0
+         || now_ms >= plan->started_ms + DL_FETCH_STEP_IN_MS
+                          + (uint64_t)(r - 1) * DL_FETCH_STEP_NEXT_MS;
+}
+
+/* Chooses a source for chunk INDEX; false when there is none now. */
+static bool
+choose_source (
+    const DlFetchPlan *plan, unsigned index, uint64_t now_ms, uint64_t random, Peer **peer)
+{
+  *peer = draw_holder (plan, index, true, now_ms, random);
+  if (*peer != NULL)
+    return true;
+  if (is_held_by (plan, index, true))
+    return false;
+  if (is_held_by (plan, index, false))
+    {
+      if (!may_step_in (plan, rank (plan, index, true), now_ms))
+        return false;
+      *peer = draw_holder (plan, index, false, now_ms, random);
+      return *peer != NULL;
+    }
+  return plan->fetching_origin < DL_FETCH_PARALLEL_ORIGIN
+         && now_ms >= plan->origin_away_until_ms
+         && may_step_in (plan, rank (plan, index, false), now_ms);
+}
+
+static unsigned
+near_holders (const DlFetchPlan *plan, unsigned index)
+{
+  unsigned holders = 0;
+
+  for (const Peer *p = plan->peers; p != NULL; p = p->next)
+    holders += p->near && has_bit (p->holds, index);
+  return holders;
+}
+
+bool
+dl_fetch_plan_next (DlFetchPlan *plan, uint64_t now_ms, uint64_t random, DlFetch *fetch)
+{
+  unsigned best_holders = 0;
+  Peer *best_peer = NULL;
+  bool found = false;
+
+  if (plan->fetching >= DL_FETCH_PARALLEL || plan->missing == plan->fetching)
+    return false;
+  for (unsigned n = 0; n < plan->count; n++)
+    {
+      unsigned index = (unsigned)((n + random) % plan->count);
+      unsigned holders;
+      Peer *peer;
+
+      if (plan->chunks[index].state != CHUNK_MISSING)
+        continue;
+      holders = near_holders (plan, index);
+      if (found && holders >= best_holders)
+        continue;
+      if (!choose_source (plan, index, now_ms, random >> 16, &peer))
+        continue;
+      found = true;
+      best_holders = holders;
+      best_peer = peer;
+      fetch->index = index;
+    }
+  if (!found)
+    return false;
+  fetch->peer = best_peer != NULL ? best_peer->host : NULL;
+  plan->chunks[fetch->index] = (Chunk){ .state = CHUNK_FETCHING, .peer = best_peer };
+  plan->fetching++;
+  if (best_peer != NULL)
+    best_peer->fetching++;
+  else
+    plan->fetching_origin++;
+  return true;
+}
+
+bool
+dl_fetch_plan_holds (const DlFetchPlan *plan, unsigned index)
+{
+  return index < plan->count && plan->chunks[index].state == CHUNK_HELD;
+}
+
+unsigned
+dl_fetch_plan_missing (const DlFetchPlan *plan)
+{
+  return plan->missing;
+}
+
+DlStr
+dl_fetch_plan_bitmap (const DlFetchPlan *plan)
+{
+  return dl_str_bytes (plan->bitmap, bitmap_bytes (plan));
+}
--- /dev/null
+++ b/lib/policy/fetch_plan.h
@@ -0,0 +1,79 @@
+/*
+ * Where one host gets the next chunk of a version from.
+ *
+ * The load this answers: all hosts want the same few megabytes within seconds, over small
+ * host links, an origin whose link carries a few copies in that time, and costly links
+ * between regions.  Each chunk has one host that draws it from the origin and, in each
+ * other region, one that brings it there; a hash over the live hosts tells which, so that
+ * nobody is in charge.  Inside a region hosts take chunks from each other, those with the
+ * fewest holders first.  A chunk that does not come in time is fetched by others too, one
+ * after the other in the order of the hash.
+ *
+ * Pure: times are milliseconds that the caller gives.
+ */
+#ifndef DL_FETCH_PLAN_H
+#define DL_FETCH_PLAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "kernel/str.h"
+
+/* Fetches at once, in all and from the origin. */
+#define DL_FETCH_PARALLEL        4
+#define DL_FETCH_PARALLEL_ORIGIN 2
+/* A chunk that should have come by its own way is fetched by the next in rank after this
+ * long, and by each further one after the step. */
+#define DL_FETCH_STEP_IN_MS   1200
+#define DL_FETCH_STEP_NEXT_MS 400
+/* A source that failed or was busy is left alone for this long. */
+#define DL_FETCH_BUSY_MS   120
+#define DL_FETCH_FAILED_MS 700
+
+typedef struct DlFetchPlan DlFetchPlan;
+
+typedef struct
+{
+  const char *host;   /* this one */
+  const char *region; /* of it */
+  const char *model;
+  uint64_t version;
+  unsigned chunks;
+  uint64_t started_ms; /* when the version was learned of */
+} DlFetchPlanOptions;
+
+DlFetchPlan *dl_fetch_plan_new (const void *context, const DlFetchPlanOptions *options);
+
+/* HOST is alive.  HOLDS is a bitmap of the chunks of this version that it has, one bit
+ * for each from the lowest bit of the first byte on; empty when it has none. */
+void dl_fetch_plan_peer (DlFetchPlan *plan,
+                         const char *host,
+                         const char *region,
+                         DlStr holds);
+void dl_fetch_plan_peer_gone (DlFetchPlan *plan, const char *host);
+/* Chunk INDEX is here and verified. */
+void dl_fetch_plan_arrived (DlFetchPlan *plan, unsigned index);
+/* Chunk INDEX turned out to be lost or spoilt here. */
+void dl_fetch_plan_lost (DlFetchPlan *plan, unsigned index);
+/* The fetch of chunk INDEX ended without it; its source is left alone for AWAY_MS. */
+void dl_fetch_plan_failed (DlFetchPlan *plan,
+                           unsigned index,
+                           uint64_t away_ms,
+                           uint64_t now_ms);
+
+typedef struct
+{
+  unsigned index;
+  const char *peer; /* belongs to the plan; NULL for the origin */
+} DlFetch;
+
+/* Takes the next fetch to start; false when none should start now. */
+bool
+dl_fetch_plan_next (DlFetchPlan *plan, uint64_t now_ms, uint64_t random, DlFetch *fetch);
+bool dl_fetch_plan_holds (const DlFetchPlan *plan, unsigned index);
+unsigned dl_fetch_plan_missing (const DlFetchPlan *plan);
+/* The chunks that are here, as a bitmap; belongs to the plan. */
+DlStr dl_fetch_plan_bitmap (const DlFetchPlan *plan);
+
+#endif
--- /dev/null
+++ b/lib/policy/lapse.h
@@ -0,0 +1,34 @@
+/*
+ * When an upstream that vanished from the platform's list is taken as gone.
+ *
+ * The load this answers: the store is away for seconds, and the entries of living
+ * upstreams run out meanwhile.  They are written anew within DL_LAPSE_RETURN_MS of the
+ * store's return, so that until then an absent entry says nothing.  An entry that
+ * vanishes while the store is well, or that had said it was leaving, is gone at once.
+ *
+ * Pure: times are milliseconds that the caller gives.
+ */
+#ifndef DL_LAPSE_H
+#define DL_LAPSE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The store was away when it answered nothing for this long. */
+#define DL_LAPSE_OUTAGE_MS 1000
+/* Living upstreams are on the list again this long after the store's return. */
+#define DL_LAPSE_RETURN_MS 2300
+
+typedef struct
+{
+  uint64_t answered_ms; /* when the store last answered; 0 for never */
+  uint64_t returned_ms; /* when it last came back after an outage; 0 for never */
+} DlLapse;
+
+/* The store answered a call that was sent at SENT_MS. */
+void dl_lapse_answered (DlLapse *lapse, uint64_t now_ms);
+/* An entry is absent at NOW.  Returns the time until which its upstream is kept, 0 when
+ * it is gone at once.  LEAVING: it had said so. */
+uint64_t dl_lapse_keep_until (const DlLapse *lapse, bool leaving, uint64_t now_ms);
+
+#endif
--- a/lib/policy/retry.c
+++ b/lib/policy/retry.c
@@ -1,19 +1,25 @@
 #include "policy/retry.h"
 
-#define BALANCE_MAX ((uint64_t)DL_RETRY_CAP * DL_RETRY_SCALE)
-
 void
 dl_retry_init (DlRetryBudget *budget)
 {
-  budget->balance = BALANCE_MAX;
+  budget->cap = (uint64_t)DL_RETRY_CAP * DL_RETRY_SCALE;
+  budget->balance = budget->cap;
+}
+
+void
+dl_retry_init_share (DlRetryBudget *budget, uint64_t cap)
+{
+  budget->cap = cap * DL_RETRY_SCALE;
+  budget->balance = 0;
 }
 
 void
 dl_retry_first_try (DlRetryBudget *budget, uint64_t percent)
 {
   budget->balance += percent;
-  if (budget->balance > BALANCE_MAX)
-    budget->balance = BALANCE_MAX;
+  if (budget->balance > budget->cap)
+    budget->balance = budget->cap;
 }
 
 bool
--- /dev/null
+++ b/lib/policy/routing.c
@@ -0,0 +1,113 @@
+#include "policy/routing.h"
+
+#include <string.h>
+#include <talloc.h>
+
+static int
+routing_destroy (DlRouting *routing)
+{
+  g_hash_table_destroy (routing->keys);
+  return 0;
+}
+
+DlRouting *
+dl_routing_new (const void *context)
+{
+  DlRouting *routing = talloc_zero (context, DlRouting);
+
+  g_assert (routing != NULL);
+  routing->keys = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (routing, routing_destroy);
+  return routing;
+}
+
+void
+dl_routing_add_key (DlRouting *routing, const char *key, DlOrganisation *owner)
+{
+  g_hash_table_insert (routing->keys, (gpointer)key, owner);
+}
+
+static DlStr
+without_port (DlStr host)
+{
+  const char *colon = memchr (host.data, ':', host.length);
+
+  if (colon != NULL)
+    host.length = (size_t)(colon - host.data);
+  return host;
+}
+
+static bool
+same_host (DlStr a, DlStr b)
+{
+  return a.length == b.length && g_ascii_strncasecmp (a.data, b.data, a.length) == 0;
+}
+
+const DlRouteEntry *
+dl_routing_match (const DlRouting *routing, DlStr host, DlStr path)
+{
+  const DlRouteEntry *best = NULL;
+
+  if (host.length == 0)
+    return NULL;
+  host = without_port (host);
+  for (size_t i = 0; i < routing->route_count; i++)
+    {
+      const DlRouteEntry *r = &routing->routes[i];
+
+      if (best != NULL && r->prefix.length <= best->prefix.length)
+        continue;
+      if (dl_str_has_prefix (path, r->prefix) && same_host (r->host, host))
+        best = r;
+    }
+  return best;
+}
+
+const DlOrganisation *
+dl_routing_key_owner (const DlRouting *routing, const char *key)
+{
+  return g_hash_table_lookup (routing->keys, key);
+}
+
+const DlServiceEntry *
+dl_routing_service (const DlRouting *routing, const char *name)
+{
+  for (size_t i = 0; i < routing->service_count; i++)
+    if (strcmp (routing->services[i].name, name) == 0)
+      return &routing->services[i];
+  return NULL;
+}
+
+const char *
+dl_routing_draw_target (const DlRouteEntry *route, uint64_t random)
+{
+  uint64_t total = 0;
+
+  for (size_t i = 0; i < route->target_count; i++)
+    total += route->targets[i].weight;
+  if (total == 0)
+    return NULL;
+  random %= total;
+  for (size_t i = 0; i < route->target_count; i++)
+    {
+      if (random < route->targets[i].weight)
+        return route->targets[i].service;
+      random -= route->targets[i].weight;
+    }
+  return NULL;
+}
+
+bool
+dl_routing_is_repeatable (const DlRouteEntry *route)
+{
+  switch (route->kind)
+    {
+    case DL_ROUTE_SAFE:
+      return true;
+    case DL_ROUTE_ONCE:
+      return false;
+    case DL_ROUTE_STREAM:
+      return route->resumable;
+    }
+  return false;
+}
