--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -108,6 +108,17 @@
   direct_dispatch_after (r, end, id);
 }
 
+/* The same when a repeat has been paid for already. */
+static void
+finish_and_repeat (Attempt *attempt)
+{
+  Request *r = attempt->request;
+  char *id = talloc_strdup (r, attempt->upstream->id);
+
+  finish (attempt, DIRECT_TRY_FAILED);
+  direct_dispatch_repeat (r, DIRECT_END_BROKEN, id);
+}
+
 /* -------- the answer arrives -------- */
 
 static void
@@ -246,10 +257,8 @@
 static bool
 is_worth_another (const Attempt *attempt)
 {
-  const Request *r = attempt->request;
-
-  return attempt->status >= STATUS_SERVER_ERROR && !r->replying
-         && dl_routing_is_repeatable (r->route) && r->sent < r->route->attempts_max;
+  return attempt->status >= STATUS_SERVER_ERROR
+         && direct_dispatch_may_repeat (attempt->request, DIRECT_END_BROKEN);
 }
 
 static void
@@ -273,7 +282,12 @@
   else if (result->error < 0 || is_unusable (attempt) || attempt->request->replying)
     finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
   else if (is_worth_another (attempt))
-    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+    {
+      Request *r = attempt->request;
+
+      finish_and_repeat (attempt);
+      direct_dispatch_run (r->service);
+    }
   else
     {
       note_started (attempt, dl_clock_ms ());
@@ -319,6 +333,17 @@
     dl_event_stream_restart (r->events);
 }
 
+/* While old weights may not begin requests, the upstream must still have the version that
+ * it was chosen for. */
+static uint64_t
+pinned_version (const Request *r, const DirectUpstream *upstream, uint64_t now_ms)
+{
+  if (!r->service_entry->has_engine
+      || direct_upstreams_required_version (r->owner->upstreams, now_ms) == 0)
+    return 0;
+  return upstream->version;
+}
+
 void
 direct_attempt_start (Request *r, DirectUpstream *upstream)
 {
@@ -352,10 +377,7 @@
                   .remaining_ms = direct_request_remaining_ms (r, now_ms),
                   .organisation = r->organisation != NULL ? r->organisation->name : NULL,
                   .upstream = upstream->id,
-                  .version = r->service_entry->has_engine
-                                 ? direct_upstreams_required_version (r->owner->upstreams,
-                                                                      now_ms)
-                                 : 0,
+                  .version = pinned_version (r, upstream, now_ms),
                   .last_event_id = stream_position (r),
               }),
           .body = dl_http_request_body (r->http),
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -226,8 +226,8 @@
 
 /* -------- after a try without an answer -------- */
 
-static bool
-may_try_again (Request *r, DirectAttemptEnd end)
+bool
+direct_dispatch_may_repeat (Request *r, DirectAttemptEnd end)
 {
   bool has_time
       = direct_request_remaining_ms (r, dl_clock_ms ()) >= TRY_LEAST_MS;
@@ -284,11 +284,9 @@
                                     { .key = 0 } });
 }
 
-void
-direct_dispatch_after (Request *r, DirectAttemptEnd end, const char *upstream)
+static void
+note_end (Request *r, DirectAttemptEnd end, const char *upstream)
 {
-  Service *service = r->service;
-
   if (end == DIRECT_END_UNREACHED)
     {
       r->sent--;
@@ -298,13 +296,28 @@
     r->may_have_run = true;
   talloc_free (r->avoid);
   r->avoid = talloc_strdup (r, upstream);
-  if (may_try_again (r, end))
+}
+
+void
+direct_dispatch_repeat (Request *r, DirectAttemptEnd end, const char *upstream)
+{
+  note_end (r, end, upstream);
+  log_next_try (r, end, upstream);
+  dl_metric_add (&metric_repeats, 1);
+  direct_dispatch_place (r);
+}
+
+void
+direct_dispatch_after (Request *r, DirectAttemptEnd end, const char *upstream)
+{
+  Service *service = r->service;
+
+  if (direct_dispatch_may_repeat (r, end))
+    direct_dispatch_repeat (r, end, upstream);
+  else
     {
-      log_next_try (r, end, upstream);
-      dl_metric_add (&metric_repeats, 1);
-      direct_dispatch_place (r);
+      note_end (r, end, upstream);
+      give_up (r, end_text (end), retry_ms (r));
     }
-  else
-    give_up (r, end_text (end), retry_ms (r));
   direct_dispatch_run (service);
 }
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -110,6 +110,11 @@
   DIRECT_END_SILENT,    /* the same, with the upstream silent */
 } DirectAttemptEnd;
 
+/* True when the request may go to one more upstream after END; pays for it from the retry
+ * budget. */
+bool direct_dispatch_may_repeat (Request *request, DirectAttemptEnd end);
+/* Sends it to one more, as direct_dispatch_may_repeat allowed. */
+void direct_dispatch_repeat (Request *request, DirectAttemptEnd end, const char *upstream);
 /* Decides how the request goes on: another try, or its final answer. */
 void direct_dispatch_after (Request *request, DirectAttemptEnd end, const char *upstream);
 
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -7,9 +7,8 @@
 
 #include "kernel/crypt.h"
 #include "kernel/log.h"
+#include "policy/version_floor.h"
 
-/* From this long before a named version must be in force, only it may begin requests. */
-#define VERSION_RESERVE_MS 700
 /* Word of a stager is preferred to an answer's for this long. */
 #define TOLD_FRESH_MS 400
 /* Silent upstreams get no request for this long, at first. */
@@ -20,8 +19,7 @@
   const DlNodeSettings *settings;
   DirectUpstream *first;
   unsigned entries; /* ready ones, this one among them */
-  uint64_t version; /* newest named one; 0 for none */
-  uint64_t version_ms;
+  DlVersionFloor floor;
 };
 
 DirectUpstreams *
@@ -144,8 +142,7 @@
                           uint64_t version,
                           uint64_t learned_ms)
 {
-  upstreams->version = version;
-  upstreams->version_ms = learned_ms;
+  dl_version_floor_named (&upstreams->floor, version, learned_ms);
 }
 
 void
@@ -157,11 +154,7 @@
 uint64_t
 direct_upstreams_required_version (const DirectUpstreams *upstreams, uint64_t now_ms)
 {
-  uint64_t limit_ms = upstreams->settings->version_ms - VERSION_RESERVE_MS;
-
-  if (upstreams->version == 0 || now_ms < upstreams->version_ms + limit_ms)
-    return 0;
-  return upstreams->version;
+  return dl_version_floor_at (&upstreams->floor, upstreams->settings->version_ms, now_ms);
 }
 
 /* -------- choosing -------- */
@@ -254,7 +247,11 @@
                        DirectTryEnd end,
                        uint64_t now_ms)
 {
-  bool failed = end == DIRECT_TRY_FAILED || end == DIRECT_TRY_SILENT;
+  bool failed;
+
+  if (u->loading && end == DIRECT_TRY_FAILED)
+    end = DIRECT_TRY_NEUTRAL; /* cut off for new weights */
+  failed = end == DIRECT_TRY_FAILED || end == DIRECT_TRY_SILENT;
 
   dl_balance_ended (&u->load, prompt_tokens, started, failed);
   switch (end)
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -54,7 +54,7 @@
 DirectUpstream *direct_upstreams_choose (const DirectUpstreams *upstreams,
                                          const DirectUpstreamQuery *query,
                                          int *error);
-/* The version that only may begin a request now; 0 for any. */
+/* The lowest version that may begin a request now; 0 for any. */
 uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
                                             uint64_t now_ms);
 
--- a/daisystaged/fetch.c
+++ b/daisystaged/fetch.c
@@ -1,7 +1,6 @@
 /*
- * Getting chunks from other stagers and the origin, and giving them out.
+ * Getting manifests and chunks from other stagers and the origin.
  */
-#include <glib.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
@@ -16,17 +15,15 @@
 #define CONNECT_TIMEOUT_MS  500
 #define PEER_TIMEOUT_MS     1500
 #define ORIGIN_TIMEOUT_MS   3000
-#define MANIFEST_TIMEOUT_MS 1000
+#define MANIFEST_TIMEOUT_MS 900
+#define MANIFEST_RETRY_MS   300
 #define MANIFEST_MAX_BYTES  (1u << 20)
+#define MANIFEST_CHUNKS_MAX 65536
 #define CHUNK_MAX_BYTES     (1u << 20)
-/* Chunks given out at once; more would only slow each other on the host's link. */
-#define UPLOADS_MAX        3
-#define UPLOAD_CONNECTIONS 200
-#define UPLOAD_HEADERS     (2u << 10)
-#define UPLOAD_IDLE_S      20
-#define STATUS_OK          200
-#define STATUS_NOT_FOUND   404
-#define STATUS_UNAVAILABLE 503
+/* Requests of callers come over the same link, behind what was sent for a chunk. */
+#define RECEIVE_BUFFER_BYTES (12u << 10)
+#define STATUS_OK           200
+#define STATUS_UNAVAILABLE  503
 
 DL_METRIC (metric_origin,
            DL_METRIC_COUNTER,
@@ -36,77 +33,134 @@
            DL_METRIC_COUNTER,
            "daisy_stage_peer_bytes_total",
            "Chunk bytes got from other stagers.")
-DL_METRIC (metric_given,
-           DL_METRIC_COUNTER,
-           "daisy_stage_given_bytes_total",
-           "Chunk bytes given to other stagers.")
 
 /* -------- the manifest -------- */
 
-static Bundle *
-bundle_new (Weights *weights, uint64_t version, const char **digests, unsigned count)
+static void
+on_manifest_missed (const Bundle *b, const DlHttpResult *result, const char *source)
 {
-  Bundle *b = talloc_zero (weights, Bundle);
-
-  g_assert (b != NULL);
-  b->owner = weights;
-  b->model = talloc_strdup (b, weights->model);
-  b->version = version;
-  b->count = count;
-  b->digests = talloc_steal (b, digests);
-  b->chunks = talloc_zero_array (b, ChunkCopy, count);
-  b->plan = dl_fetch_plan_new (b, &(DlFetchPlanOptions){
-                                      .host = weights->settings->name,
-                                      .region = weights->settings->region,
-                                      .model = weights->model,
-                                      .version = version,
-                                      .chunks = count,
-                                      .started_ms = dl_clock_ms (),
-                                  });
-  return b;
+  dl_log (DL_EVENT_STAGE_FETCH_FAILED, DL_TEXT ("what", "manifest"),
+          DL_UINT ("version", b->version), DL_TEXT ("source", source),
+          DL_UINT ("status", result->status), DL_ERRNO (result->error));
 }
 
 static void
-on_manifest (DlHttpCall *call, const DlHttpResult *result, void *data)
+on_origin_manifest (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
-  Weights *weights = data;
+  Bundle *b = data;
   const char **digests = NULL;
   uint64_t version = 0;
   int count = DL_ERR_UNAVAILABLE;
 
-  if (weights->phase != PHASE_MANIFEST)
+  if (b->count > 0)
     return;
   if (result->error == 0 && result->status == STATUS_OK)
-    count = platform_read_manifest (weights, result->body, weights->model, &version,
-                                    &digests);
-  if (count < 0 || (weights->version > 0 && version != weights->version))
+    count = platform_read_manifest (b, result->body, b->model, &version, &digests);
+  if (count < 0 || (b->version > 0 && version != b->version))
     {
-      dl_log (DL_EVENT_STAGE_FETCH_FAILED, DL_TEXT ("what", "manifest"),
-              DL_UINT ("status", result->status), DL_ERRNO (result->error));
       talloc_free (digests);
-      return; /* asked again later */
+      on_manifest_missed (b, result, "origin");
+      return;
+    }
+  b->version = version;
+  weights_manifest_arrived (b, digests, (unsigned)count);
+}
+
+/* Reads a line for each digest; NULL when there are none or too many. */
+static const char **
+read_lines (const void *context, DlStr text, unsigned *count)
+{
+  const char **lines = talloc_zero_array (context, const char *, MANIFEST_CHUNKS_MAX);
+  const char *end = text.data + text.length;
+  const char *newline;
+
+  *count = 0;
+  for (const char *at = text.data; at < end; at = newline + 1)
+    {
+      newline = memchr (at, '\n', (size_t)(end - at));
+      if (newline == NULL || *count == MANIFEST_CHUNKS_MAX)
+        {
+          talloc_free (lines);
+          return NULL;
+        }
+      lines[(*count)++] = dl_str_dup (lines, dl_str_bytes (at, (size_t)(newline - at)));
+    }
+  return lines;
+}
+
+static void
+on_peer_manifest (DlHttpCall *call, const DlHttpResult *result, void *data)
+{
+  Bundle *b = data;
+  const char **digests = NULL;
+  unsigned count = 0;
+
+  if (b->count > 0)
+    return;
+  if (result->error == 0 && result->status == STATUS_OK)
+    digests = read_lines (b, result->body, &count);
+  if (count == 0)
+    {
+      talloc_free (digests);
+      on_manifest_missed (b, result, "another stager");
+      return;
+    }
+  weights_manifest_arrived (b, digests, count);
+}
+
+/* A neighbour that holds chunks of the version, so that it has the manifest too; one of
+ * the own region if there is any.  NULL for none. */
+static const Neighbour *
+manifest_holder (const Bundle *b)
+{
+  const Neighbour *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (b->version == 0)
+    return NULL;
+  g_hash_table_iter_init (&iter, b->owner->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Neighbour *n = value;
+      bool near = strcmp (n->region, b->owner->settings->region) == 0;
+
+      if (weights_held_by (b, n).length > 0 && (best == NULL || near))
+        best = n;
     }
-  weights->bundle = bundle_new (weights, version, digests, (unsigned)count);
-  dl_log (DL_EVENT_STAGE_STARTED, DL_TEXT ("model", weights->model),
-          DL_UINT ("version", version), DL_INT ("chunks", count));
-  weights_enter (weights, weights->recovered ? PHASE_FETCH : PHASE_RECOVER);
-  weights_run (weights);
+  return best;
 }
 
 void
-fetch_manifest (Weights *weights)
+fetch_manifest (Bundle *b)
 {
-  if (weights->origin == NULL)
+  Weights *w = b->owner;
+  uint64_t now_ms = dl_clock_ms ();
+  const Neighbour *holder = manifest_holder (b);
+  DlHttpCallOptions options = {
+    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .timeout_ms = MANIFEST_TIMEOUT_MS,
+    .max_body_bytes = MANIFEST_MAX_BYTES,
+    .on_done = holder != NULL ? on_peer_manifest : on_origin_manifest,
+    .data = b,
+  };
+
+  if (b->asked_ms != 0 && now_ms - b->asked_ms < MANIFEST_RETRY_MS)
+    return;
+  if (holder == NULL && w->origin == NULL)
     return;
-  platform_call_manifest (weights->client, weights, weights->origin, weights->model,
-                          weights->version,
-                          &(DlHttpCallOptions){
-                              .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                              .timeout_ms = MANIFEST_TIMEOUT_MS,
-                              .max_body_bytes = MANIFEST_MAX_BYTES,
-                              .on_done = on_manifest,
-                              .data = weights,
-                          });
+  b->asked_ms = now_ms;
+  if (holder != NULL)
+    {
+      char *url = talloc_asprintf (b, "http://%s/manifest?model=%s&version=%" PRIu64,
+                                   holder->address, b->model, b->version);
+
+      options.url = url;
+      dl_http_call (w->client, b, &options);
+      talloc_free (url);
+    }
+  else
+    platform_call_manifest (w->client, b, w->origin, b->model, b->version, &options);
 }
 
 /* -------- chunks -------- */
@@ -172,6 +226,7 @@
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = next->peer != NULL ? PEER_TIMEOUT_MS : ORIGIN_TIMEOUT_MS,
     .max_body_bytes = CHUNK_MAX_BYTES,
+    .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
     .on_done = on_chunk,
     .data = fetch,
   };
@@ -201,50 +256,8 @@
 {
   DlFetch next;
 
+  if (b->owner->origin == NULL)
+    return;
   while (dl_fetch_plan_next (b->plan, dl_clock_ms (), dl_random_uint64 (), &next))
     start_fetch (b, &next);
 }
-
-/* -------- giving chunks out -------- */
-
-static uint64_t
-query_uint (const DlHttpRequest *http, const char *name)
-{
-  const char *text = dl_http_request_query (http, name);
-
-  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : 0;
-}
-
-static void
-on_request (DlHttpRequest *http, void *data)
-{
-  const Weights *w = data;
-  const Bundle *b = w->bundle;
-  const char *model = dl_http_request_query (http, "model");
-  uint64_t index = query_uint (http, "index");
-
-  if (strcmp (dl_http_request_path (http), "/chunk") != 0 || b == NULL || model == NULL
-      || strcmp (model, b->model) != 0 || query_uint (http, "version") != b->version
-      || index >= b->count || b->chunks[index].bytes.length == 0)
-    dl_http_reply_error (http, STATUS_NOT_FOUND, 0, "no such chunk here");
-  else if (dl_http_server_running (w->server) > UPLOADS_MAX)
-    dl_http_reply_error (http, STATUS_UNAVAILABLE, 0, "busy with other stagers");
-  else
-    {
-      dl_metric_add (&metric_given, (int64_t)b->chunks[index].bytes.length);
-      dl_http_reply (http, STATUS_OK, "application/octet-stream", b->chunks[index].bytes,
-                     NULL);
-    }
-}
-
-int
-fetch_serve (Weights *weights)
-{
-  DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
-
-  limits.max_connections = UPLOAD_CONNECTIONS;
-  limits.max_header_bytes = UPLOAD_HEADERS;
-  limits.idle_timeout_s = UPLOAD_IDLE_S;
-  return dl_http_server_new (weights->task, weights, dl_str (weights->settings->address),
-                             &limits, on_request, weights, &weights->server);
-}
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -184,7 +184,8 @@
     dl_log (DL_EVENT_STAGE_ORDERED,
             DL_UINT ("version", w->bundle != NULL ? w->bundle->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
-            DL_UINT ("named_ms_ago", dl_clock_ms () - w->named_ms));
+            DL_UINT ("named_ms_ago",
+                     w->bundle != NULL ? dl_clock_ms () - w->bundle->named_ms : 0));
   else
     dl_log (DL_EVENT_STAGE_ORDER_REFUSED,
             DL_UINT ("version", w->bundle != NULL ? w->bundle->version : 0),
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -16,13 +16,14 @@
 #define STORE_TIMEOUT_MS  900
 #define ROUTING_WAIT_MS   25000
 #define ROUTING_PAUSE_MS  2000
-#define VERSIONS_WAIT_MS  4000
+#define VERSIONS_WAIT_MS  20000
 #define RETRY_MAX_MS      1500
-#define TICK_MS           100
+#define BITS_PER_BYTE     8
+#define TICK_MS           30
 /* Word goes out this often when nothing changes. */
-#define ENTRIES_EVERY_MS    500
-#define STAGERS_EVERY_MS    900
-#define FAR_STAGERS_EVERY_MS 300
+#define ENTRIES_EVERY_MS     500
+#define STAGERS_EVERY_MS     900
+#define FAR_STAGERS_EVERY_MS 100
 
 typedef struct
 {
@@ -32,6 +33,7 @@
   DlPeers *peers;
   char *named_model;
   uint64_t named_version;
+  bool told_unnamed;
   Daisyloft__Wire__EngineStatus engine; /* texts below this */
   bool engine_known;
   bool engine_changed;
@@ -44,6 +46,15 @@
 
 /* -------- the store -------- */
 
+/* Microseconds that the origin's link takes for one chunk. */
+static uint64_t
+draw_us (const DlServiceEntry *origin, const DlEngineTraits *engine)
+{
+  if (origin == NULL || origin->origin_mbps <= 0)
+    return 0;
+  return (uint64_t)((double)engine->chunk_bytes * BITS_PER_BYTE / origin->origin_mbps);
+}
+
 static void
 on_routing (const DlObject *object, void *data)
 {
@@ -51,6 +62,7 @@
   StageMessage *message;
   DlRouting *routing;
   const DlServiceEntry *service;
+  const DlServiceEntry *origin = NULL;
   const char *error;
 
   if (strcmp (object->name, platform_routing_name) != 0 || object->deleted)
@@ -65,12 +77,15 @@
     }
   for (size_t i = 0; i < routing->service_count; i++)
     if (routing->services[i].origin != NULL)
-      message->source.origin = routing->services[i].origin;
+      origin = &routing->services[i];
+  if (origin != NULL)
+    message->source.origin = origin->origin;
   service = dl_routing_service (routing, state->settings->service);
   if (service != NULL && service->has_engine)
     {
       message->source.model = service->engine.model;
       message->source.layers = service->engine.layers;
+      message->source.draw_us = draw_us (origin, &service->engine);
     }
   dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
           DL_UINT ("revision", object->revision),
@@ -117,6 +132,16 @@
   talloc_free (context);
 }
 
+static void
+on_versions_proven (void *data)
+{
+  State *state = data;
+
+  if (state->named_model == NULL && !state->told_unnamed)
+    dl_kernel_publish (state->kernel, stage_message_new (STAGE_UNNAMED));
+  state->told_unnamed = true;
+}
+
 /* -------- other nodes -------- */
 
 static void
@@ -133,14 +158,16 @@
   message->peer.name = talloc_strdup (message, peer->name);
   message->peer.region = talloc_strdup (message, peer->region);
   message->peer.address = talloc_strdup (message, peer->address);
-  if (status->holding != NULL)
+  for (size_t i = 0; i < MIN (status->n_holding, STAGE_HOLDINGS_MAX); i++)
     {
-      ProtobufCBinaryData chunks = status->holding->chunks;
-
-      message->peer.model = talloc_strdup (message, status->holding->model);
-      message->peer.version = status->holding->version;
-      message->peer.chunks
-          = dl_str_bytes (talloc_memdup (message, chunks.data, chunks.len), chunks.len);
+      const Daisyloft__Wire__Holding *h = status->holding[i];
+
+      message->peer.holdings.items[message->peer.holdings.count++] = stage_holding_copy (
+          message, &(StageHolding){
+                       .model = h->model,
+                       .version = h->version,
+                       .chunks = dl_str_bytes (h->chunks.data, h->chunks.len),
+                   });
     }
   dl_kernel_publish (state->kernel, message);
 }
@@ -183,17 +210,23 @@
 tell_stagers (State *state, bool near_only)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  Daisyloft__Wire__Holding holding = DAISYLOFT__WIRE__HOLDING__INIT;
+  Daisyloft__Wire__Holding holdings[STAGE_HOLDINGS_MAX];
+  Daisyloft__Wire__Holding *pointers[STAGE_HOLDINGS_MAX];
   const StageMessage *m = state->holding;
 
   status.ready = true;
-  if (m != NULL && m->holding.model != NULL)
+  status.holding = pointers;
+  for (size_t i = 0; m != NULL && i < m->holding.holdings.count; i++)
     {
-      holding.model = (char *)m->holding.model;
-      holding.version = m->holding.version;
-      holding.chunks.data = (uint8_t *)m->holding.chunks.data;
-      holding.chunks.len = m->holding.chunks.length;
-      status.holding = &holding;
+      const StageHolding *h = &m->holding.holdings.items[i];
+
+      daisyloft__wire__holding__init (&holdings[i]);
+      holdings[i].model = (char *)h->model;
+      holdings[i].version = h->version;
+      holdings[i].chunks.data = (uint8_t *)h->chunks.data;
+      holdings[i].chunks.len = h->chunks.length;
+      pointers[i] = &holdings[i];
+      status.n_holding++;
     }
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, near_only);
 }
@@ -284,6 +317,7 @@
       break;
     case STAGE_SOURCE:
     case STAGE_NAMED:
+    case STAGE_UNNAMED:
     case STAGE_PEER:
     case STAGE_PEER_GONE:
       break;
@@ -318,6 +352,7 @@
                            .wait_ms = VERSIONS_WAIT_MS,
                            .retry_max_ms = RETRY_MAX_MS,
                            .on_object = on_version,
+                           .on_proven = on_versions_proven,
                            .data = state,
                        });
 }
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
 
 #include "kernel/error.h"
@@ -283,6 +284,17 @@
   curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, o->method);
 }
 
+/* Bounds the window that the peer may fill, from the connection's start on. */
+static int
+on_socket_made (void *data, curl_socket_t fd, curlsocktype purpose)
+{
+  const DlHttpCall *call = data;
+  int bytes = (int)call->options.receive_buffer_bytes;
+
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
 call_set_limits (DlHttpCall *call)
 {
@@ -292,6 +304,11 @@
 
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
+  if (o->receive_buffer_bytes > 0)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+      curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
+    }
   if (o->single_use)
     {
       curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -33,6 +33,7 @@
   uint64_t timeout_ms;   /* of the whole call; 0 for none */
   size_t max_body_bytes; /* without on_data; 0 for 1 MiB */
   bool single_use;       /* must not be sent twice */
+  unsigned receive_buffer_bytes; /* bounds what is on its way here; 0: the system's */
   /* The status and the headers have arrived. */
   void (*on_head) (DlHttpCall *call, unsigned status, void *data);
   /* Body bytes; without it the body is collected. */
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1434,9 +1434,9 @@
   {
     "holding",
     7,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, n_holding),
     offsetof(Daisyloft__Wire__NodeStatus, holding),
     &daisyloft__wire__holding__descriptor,
     NULL,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -152,7 +152,8 @@
   /*
    * of weights
    */
-  Daisyloft__Wire__Holding *holding;
+  size_t n_holding;
+  Daisyloft__Wire__Holding **holding;
   /*
    * newest version that the sender knows of
    */
@@ -160,7 +161,7 @@
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL }
 
 
 /*
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -17,7 +17,7 @@
 #define DATAGRAM_MAX_BYTES 1400
 #define READS_AT_ONCE      64 /* so that datagrams do not keep the loop */
 #define WATCH_WAIT_MS      20000
-#define WATCH_PAUSE_MS     1000
+#define WATCH_PAUSE_MS     300
 #define WATCH_RETRY_MAX_MS 2000
 #define REGISTER_RETRY_MS  700
 #define FORGET_SILENT_MS   60000
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -6,7 +6,7 @@
 /* Weight of the newest outcome in the smoothed failure rate. */
 #define FAILURE_WEIGHT 0.15
 /* Requests that an upstream may seem longer for, relative to others, in the comparison. */
-#define FAR_PENALTY     1.2
+#define FAR_PENALTY     2.5
 #define FAILURE_PENALTY 24.0
 /* A prompt being read delays the next first event about as much as this many requests. */
 #define PROMPT_PENALTY 1.5
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -29,7 +29,9 @@
 typedef struct
 {
   ChunkState state;
-  Peer *peer; /* that it is fetched from; NULL for the origin */
+  Peer *peer;     /* that it is fetched from; NULL for the origin */
+  unsigned rank;      /* of this host among all for this chunk; 0 is to draw it */
+  unsigned near_rank; /* the same among those of its region */
 } Chunk;
 
 struct DlFetchPlan
@@ -39,8 +41,10 @@
   char *key; /* of the version */
   unsigned count;
   uint64_t started_ms;
+  uint64_t draw_us;
   Chunk *chunks;
   uint8_t *bitmap;
+  bool ranked; /* the chunks' ranks are those of the present peers */
   Peer *peers;
   unsigned fetching;
   unsigned fetching_origin;
@@ -84,6 +88,7 @@
   plan->count = options->chunks;
   plan->missing = options->chunks;
   plan->started_ms = options->started_ms;
+  plan->draw_us = options->draw_us;
   plan->chunks = talloc_zero_array (plan, Chunk, options->chunks);
   plan->bitmap = talloc_zero_array (plan, uint8_t, bitmap_bytes (plan));
   return plan;
@@ -112,6 +117,7 @@
       p->holds = talloc_zero_array (p, uint8_t, bitmap_bytes (plan));
       p->next = plan->peers;
       plan->peers = p;
+      plan->ranked = false;
     }
   memset (p->holds, 0, bitmap_bytes (plan));
   memcpy (p->holds, holds.data, MIN (holds.length, bitmap_bytes (plan)));
@@ -147,6 +153,7 @@
           fetch_ended (plan, i);
       *at = p->next;
       talloc_free (p);
+      plan->ranked = false;
       return;
     }
 }
@@ -186,20 +193,32 @@
   fetch_ended (plan, index);
 }
 
-/* Position of this host for chunk INDEX among the live hosts, of its region alone if
- * NEAR_ONLY; 0 is the one that is to fetch it. */
-static unsigned
-rank (const DlFetchPlan *plan, unsigned index, bool near_only)
+static void
+rank_chunk (DlFetchPlan *plan, unsigned index)
 {
+  Chunk *c = &plan->chunks[index];
   g_autofree char *key = g_strdup_printf ("%s:%u", plan->key, index);
   uint64_t own = dl_rendezvous_score (dl_str (key), dl_str (plan->host));
-  unsigned before = 0;
 
+  c->rank = 0;
+  c->near_rank = 0;
   for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    if ((p->near || !near_only)
-        && dl_rendezvous_score (dl_str (key), dl_str (p->host)) > own)
-      before++;
-  return before;
+    {
+      if (dl_rendezvous_score (dl_str (key), dl_str (p->host)) <= own)
+        continue;
+      c->rank++;
+      c->near_rank += p->near;
+    }
+}
+
+static void
+rank_chunks (DlFetchPlan *plan)
+{
+  if (plan->ranked)
+    return;
+  for (unsigned i = 0; i < plan->count; i++)
+    rank_chunk (plan, i);
+  plan->ranked = true;
 }
 
 static bool
@@ -238,13 +257,23 @@
   return false;
 }
 
-/* True when the host ranked RANK may step in for those before it. */
+/* When chunk INDEX is drawn by the host that is first for it. */
+static uint64_t
+draw_ms (const DlFetchPlan *plan, unsigned index)
+{
+  return plan->started_ms + index * plan->draw_us / 1000;
+}
+
+/* True when the host ranked RANK may fetch the chunk now: the first at its time, the
+ * others in the place of those before them. */
 static bool
-may_step_in (const DlFetchPlan *plan, unsigned r, uint64_t now_ms)
+may_step_in (const DlFetchPlan *plan, unsigned index, unsigned r, uint64_t now_ms)
 {
-  return r == 0
-         || now_ms >= plan->started_ms + DL_FETCH_STEP_IN_MS
-                          + (uint64_t)(r - 1) * DL_FETCH_STEP_NEXT_MS;
+  uint64_t at_ms = draw_ms (plan, index);
+
+  if (r > 0)
+    at_ms += DL_FETCH_STEP_IN_MS + (uint64_t)(r - 1) * DL_FETCH_STEP_NEXT_MS;
+  return now_ms >= at_ms;
 }
 
 /* Chooses a source for chunk INDEX; false when there is none now. */
@@ -259,60 +288,39 @@
     return false;
   if (is_held_by (plan, index, false))
     {
-      if (!may_step_in (plan, rank (plan, index, true), now_ms))
+      if (!may_step_in (plan, index, plan->chunks[index].near_rank, now_ms))
         return false;
       *peer = draw_holder (plan, index, false, now_ms, random);
       return *peer != NULL;
     }
   return plan->fetching_origin < DL_FETCH_PARALLEL_ORIGIN
          && now_ms >= plan->origin_away_until_ms
-         && may_step_in (plan, rank (plan, index, false), now_ms);
-}
-
-static unsigned
-near_holders (const DlFetchPlan *plan, unsigned index)
-{
-  unsigned holders = 0;
-
-  for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    holders += p->near && has_bit (p->holds, index);
-  return holders;
+         && may_step_in (plan, index, plan->chunks[index].rank, now_ms);
 }
 
 bool
 dl_fetch_plan_next (DlFetchPlan *plan, uint64_t now_ms, uint64_t random, DlFetch *fetch)
 {
-  unsigned best_holders = 0;
-  Peer *best_peer = NULL;
+  Peer *source = NULL;
   bool found = false;
 
   if (plan->fetching >= DL_FETCH_PARALLEL || plan->missing == plan->fetching)
     return false;
-  for (unsigned n = 0; n < plan->count; n++)
+  rank_chunks (plan);
+  for (unsigned n = 0; n < plan->count && !found; n++)
     {
-      unsigned index = (unsigned)((n + random) % plan->count);
-      unsigned holders;
-      Peer *peer;
-
-      if (plan->chunks[index].state != CHUNK_MISSING)
-        continue;
-      holders = near_holders (plan, index);
-      if (found && holders >= best_holders)
-        continue;
-      if (!choose_source (plan, index, now_ms, random >> 16, &peer))
-        continue;
-      found = true;
-      best_holders = holders;
-      best_peer = peer;
-      fetch->index = index;
+      fetch->index = (unsigned)((n + random) % plan->count);
+      found = plan->chunks[fetch->index].state == CHUNK_MISSING
+              && choose_source (plan, fetch->index, now_ms, random >> 16, &source);
     }
   if (!found)
     return false;
-  fetch->peer = best_peer != NULL ? best_peer->host : NULL;
-  plan->chunks[fetch->index] = (Chunk){ .state = CHUNK_FETCHING, .peer = best_peer };
+  fetch->peer = source != NULL ? source->host : NULL;
+  plan->chunks[fetch->index].state = CHUNK_FETCHING;
+  plan->chunks[fetch->index].peer = source;
   plan->fetching++;
-  if (best_peer != NULL)
-    best_peer->fetching++;
+  if (source != NULL)
+    source->fetching++;
   else
     plan->fetching_origin++;
   return true;
--- a/lib/policy/fetch_plan.h
+++ b/lib/policy/fetch_plan.h
@@ -5,8 +5,9 @@
  * host links, an origin whose link carries a few copies in that time, and costly links
  * between regions.  Each chunk has one host that draws it from the origin and, in each
  * other region, one that brings it there; a hash over the live hosts tells which, so that
- * nobody is in charge.  Inside a region hosts take chunks from each other, those with the
- * fewest holders first.  A chunk that does not come in time is fetched by others too, one
+ * nobody is in charge.  Inside a region hosts take chunks from each other in random order,
+ * so that those that have just come are not all asked of their first holder at once.  Draws begin one after the other, as the origin's link takes them,
+ * so that the first chunks spread while the last are drawn.  A chunk that does not come in time is fetched by others too, one
  * after the other in the order of the hash.
  *
  * Pure: times are milliseconds that the caller gives.
@@ -21,8 +22,8 @@
 #include "kernel/str.h"
 
 /* Fetches at once, in all and from the origin. */
-#define DL_FETCH_PARALLEL        4
-#define DL_FETCH_PARALLEL_ORIGIN 2
+#define DL_FETCH_PARALLEL        2
+#define DL_FETCH_PARALLEL_ORIGIN 1
 /* A chunk that should have come by its own way is fetched by the next in rank after this
  * long, and by each further one after the step. */
 #define DL_FETCH_STEP_IN_MS   1200
@@ -41,6 +42,7 @@
   uint64_t version;
   unsigned chunks;
   uint64_t started_ms; /* when the version was learned of */
+  uint64_t draw_us;    /* time that the origin's link takes for one chunk; 0: no matter */
 } DlFetchPlanOptions;
 
 DlFetchPlan *dl_fetch_plan_new (const void *context, const DlFetchPlanOptions *options);
--- a/lib/policy/reload_turn.c
+++ b/lib/policy/reload_turn.c
@@ -21,19 +21,18 @@
 uint64_t
 dl_reload_turn_start_ms (const DlReloadTurn *turn)
 {
-  size_t hosts = turn->other_count + 1;
-  uint64_t group = rank (turn) * DL_RELOAD_GROUPS / hosts;
-  uint64_t reserved_ms = DL_RELOAD_DURATION_MS + DL_RELOAD_MARGIN_MS;
-  uint64_t spread_ms
-      = turn->limit_ms > reserved_ms ? turn->limit_ms - reserved_ms : 0;
+  uint64_t last_ms
+      = turn->limit_ms > DL_RELOAD_LAST_MS ? turn->limit_ms - DL_RELOAD_LAST_MS : 0;
+  uint64_t first_ms = MIN (DL_RELOAD_FIRST_MS, last_ms);
 
   if (turn->is_empty)
     return turn->named_ms;
-  return turn->named_ms + spread_ms * (group + 1) / DL_RELOAD_GROUPS;
+  return turn->named_ms + first_ms
+         + (last_ms - first_ms) * rank (turn) / (turn->other_count + 1);
 }
 
 bool
-dl_reload_turn_must_preempt (const DlReloadTurn *turn, uint64_t now_ms)
+dl_reload_turn_may_order (uint64_t emptying_ms, unsigned running, uint64_t now_ms)
 {
-  return now_ms + DL_RELOAD_PREEMPT_MS >= turn->named_ms + turn->limit_ms;
+  return running == 0 || now_ms >= emptying_ms + DL_RELOAD_EMPTY_MS;
 }
--- a/lib/policy/reload_turn.h
+++ b/lib/policy/reload_turn.h
@@ -1,12 +1,16 @@
 /*
- * When an upstream takes new weights.
+ * When an upstream takes new weights, and how long it is emptied first.
  *
- * The load this answers: a version must be in force on every upstream within seconds,
- * each upstream serves nothing while what runs on it ends and the weights load, and
- * requests go on meanwhile.  All at once would be a hole in service; rounds steered
- * through the store would not fit into the time.  So every slot works out its turn from
- * what all of them know: the upstreams' names and the version.  A hash of both orders
- * them, and the order is cut into groups that start one after the other.
+ * The load this answers: a version must be in force on every upstream within seconds, an
+ * upstream that takes weights serves nothing meanwhile, and requests go on.  All at once
+ * would be a hole in service; rounds steered through the store would not fit into the
+ * time.  So every slot works out its turn from what all of them know: the upstreams'
+ * names and the version.  A hash of both orders them, and their turns are spread evenly
+ * over the time that the transfer leaves.
+ *
+ * Waiting for the longest request that runs would keep a nearly empty upstream out of
+ * service for seconds.  It is emptied for a short time, in which most requests end; the
+ * streams that still run are cut off and go on elsewhere.
  *
  * An upstream without any weights serves nothing anyway and takes them at once.
  *
@@ -21,14 +25,12 @@
 
 #include "kernel/str.h"
 
-/* Groups that the upstreams of a version are cut into. */
-#define DL_RELOAD_GROUPS 3
-/* Time that a load needs at the most: what runs ends, then the weights are taken. */
-#define DL_RELOAD_DURATION_MS 3000
-/* What is left of the limit after the last group, for clocks, messages and retries. */
-#define DL_RELOAD_MARGIN_MS 600
-/* From this long before the limit on, what still runs is cut off. */
-#define DL_RELOAD_PREEMPT_MS 1600
+/* Turns begin this long after the name: most transfers are whole by then. */
+#define DL_RELOAD_FIRST_MS 2600
+/* The last turn begins this long before the limit. */
+#define DL_RELOAD_LAST_MS 1900
+/* Time for which an upstream is emptied before its requests are cut off. */
+#define DL_RELOAD_EMPTY_MS 700
 
 typedef struct
 {
@@ -42,9 +44,11 @@
   bool is_empty;     /* serves no version now */
 } DlReloadTurn;
 
-/* The time from which this upstream may take the version. */
+/* The time from which this upstream may be emptied to take the version. */
 uint64_t dl_reload_turn_start_ms (const DlReloadTurn *turn);
-/* True when what runs must be cut off at NOW, for the version to be in force in time. */
-bool dl_reload_turn_must_preempt (const DlReloadTurn *turn, uint64_t now_ms);
+/* True when an upstream that is emptied since EMPTYING_MS, with RUNNING requests left, may
+ * be ordered to take the version. */
+bool
+dl_reload_turn_may_order (uint64_t emptying_ms, unsigned running, uint64_t now_ms);
 
 #endif
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -69,6 +69,7 @@
   bool has_engine;
   DlEngineTraits engine;
   const char *origin; /* "IP:PORT" when the service gives out weights, else NULL */
+  double origin_mbps; /* of its link; 0 when not told */
 } DlServiceEntry;
 
 typedef struct
--- /dev/null
+++ b/lib/policy/version_floor.h
@@ -0,0 +1,36 @@
+/*
+ * The oldest weights that may still begin a request.
+ *
+ * The load this answers: versions are named in quick succession, each must be in force a
+ * fixed time after it was named, and a newer name does not give an older one more time.
+ *
+ * Pure: times are milliseconds that the caller gives.
+ */
+#ifndef DL_VERSION_FLOOR_H
+#define DL_VERSION_FLOOR_H
+
+#include <stdint.h>
+
+/* Names that are remembered; the oldest is in force long before it is forgotten. */
+#define DL_VERSION_FLOOR_NAMES 8
+/* A request that is sent just before the limit may begin this much later. */
+#define DL_VERSION_FLOOR_RESERVE_MS 1300
+
+typedef struct
+{
+  struct
+  {
+    uint64_t version;
+    uint64_t named_ms;
+  } names[DL_VERSION_FLOOR_NAMES]; /* rising versions */
+  unsigned count;
+} DlVersionFloor;
+
+/* VERSION was named at NAMED_MS; an older or known one changes nothing. */
+void dl_version_floor_named (DlVersionFloor *floor, uint64_t version, uint64_t named_ms);
+/* The lowest version that may begin a request at NOW, with LIMIT_MS from the name until
+ * it must be in force; 0: any. */
+uint64_t
+dl_version_floor_at (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms);
+
+#endif
