--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -8,6 +8,7 @@
 #define DAISYDIRECTD_H
 
 #include "kernel/kernel.h"
+#include "node/holding.h"
 #include "node/node.h"
 #include "node/upstream_entry.h"
 #include "policy/routing.h"
@@ -21,6 +22,10 @@
   DIRECT_VERSION,       /* weights were named */
   DIRECT_FRESH,         /* the routing table was current as of then */
   DIRECT_ENTRIES,       /* which entries take requests */
+  DIRECT_UNNAMED,       /* the store was read, and no weights are named */
+  DIRECT_HOLDER,        /* another node told which chunks it holds */
+  DIRECT_NODE_GONE,     /* another node is not registered any more */
+  DIRECT_HOLDING,       /* which chunks this entry holds */
 } DirectMessageType;
 
 /* How an engine is, as the stager on its host saw it. */
@@ -49,6 +54,9 @@
       uint64_t version;
       uint64_t learned_ms; /* when this entry learned of it */
     } version;
+    DlHolder holder;      /* texts below the message */
+    DlHoldings holdings;  /* the same */
+    const char *gone_node;
     uint64_t fresh_ms; /* as of when the routing table is current */
     struct
     {
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -407,6 +407,11 @@
       direct_dispatch_set_entries (
           requests, (unsigned)(m->entries.near_count + m->entries.far_count));
       break;
+    case DIRECT_UNNAMED:
+    case DIRECT_HOLDER:
+    case DIRECT_NODE_GONE:
+    case DIRECT_HOLDING:
+      break;
     }
 }
 
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -24,6 +24,7 @@
 #define RETRY_MS             1000
 #define TICK_MS              250
 #define STATUS_EVERY_TICKS   2
+#define HOLDING_TICK_MS      40
 
 DL_METRIC (metric_age,
            DL_METRIC_HISTOGRAM,
@@ -53,6 +54,9 @@
   uint64_t routing_version; /* 0: none yet */
   char *named_model;
   uint64_t named_version;
+  bool told_unnamed;
+  DirectMessage *holding; /* the last DIRECT_HOLDING; NULL before the first */
+  bool holding_changed;
   bool ready;
   unsigned ticks;
 } State;
@@ -244,6 +248,16 @@
 
 /* -------- versions -------- */
 
+static void
+on_versions_proven (void *data)
+{
+  State *state = data;
+
+  if (state->named_model == NULL && !state->told_unnamed)
+    dl_kernel_publish (state->kernel, message_new (DIRECT_UNNAMED));
+  state->told_unnamed = true;
+}
+
 static void
 on_version (const DlObject *object, void *data)
 {
@@ -273,6 +287,27 @@
 
 /* -------- other nodes -------- */
 
+static void
+publish_holder (State *state,
+                const DlPeer *peer,
+                const Daisyloft__Wire__NodeStatus *status)
+{
+  DirectMessage *message = message_new (DIRECT_HOLDER);
+
+  message->holder = dl_holder_read (message, peer, status);
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_gone (const DlPeer *peer, void *data)
+{
+  State *state = data;
+  DirectMessage *message = message_new (DIRECT_NODE_GONE);
+
+  message->gone_node = talloc_strdup (message, peer->name);
+  dl_kernel_publish (state->kernel, message);
+}
+
 static void
 on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
 {
@@ -280,6 +315,8 @@
   const Daisyloft__Wire__EngineStatus *engine = status->engine;
   DirectMessage *message;
 
+  if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
+    publish_holder (state, peer, status);
   if (engine == NULL)
     return;
   message = message_new (DIRECT_ENGINE);
@@ -309,15 +346,21 @@
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   Daisyloft__Wire__Named named = DAISYLOFT__WIRE__NAMED__INIT;
+  void *context = talloc_new (state);
 
   status.ready = state->ready;
+  if (state->holding != NULL)
+    dl_holdings_write (context, &state->holding->holdings, &status);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
-  if (state->named_model == NULL)
-    return;
-  named.model = state->named_model;
-  named.version = state->named_version;
-  status.named = &named;
+  if (state->named_model != NULL)
+    {
+      named.model = state->named_model;
+      named.version = state->named_version;
+      status.named = &named;
+    }
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
+  talloc_free (context);
+  state->holding_changed = false;
 }
 
 typedef struct
@@ -388,6 +431,16 @@
   publish_entries (state);
 }
 
+/* New chunks are told soon, so that others can take them from here. */
+static void
+on_holding_tick (DlTimer *timer, void *data)
+{
+  State *state = data;
+
+  if (state->holding_changed)
+    send_status (state);
+}
+
 static void
 on_tick (DlTimer *timer, void *data)
 {
@@ -401,9 +454,22 @@
 
 /* -------- the task -------- */
 
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  State *state = dl_task_state (task);
+
+  if (state->holding != NULL)
+    dl_message_unref (state->holding);
+  state->holding = dl_message_ref ((void *)head);
+  state->holding_changed = true;
+}
+
 static int
 state_destroy (State *state)
 {
+  if (state->holding != NULL)
+    dl_message_unref (state->holding);
   g_hash_table_destroy (state->listed);
   return 0;
 }
@@ -437,6 +503,7 @@
                            .wait_ms = VERSIONS_WAIT_MS,
                            .retry_max_ms = RETRY_MS,
                            .on_object = on_version,
+                           .on_proven = on_versions_proven,
                            .data = state,
                        });
 }
@@ -463,6 +530,7 @@
                             .store = state->store,
                             .kind = platform_kind_nodes,
                             .on_status = on_status,
+                            .on_gone = on_gone,
                             .data = state,
                         },
                         &state->peers);
@@ -473,6 +541,8 @@
     return error;
   start_watches (state);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
+  dl_timer_subscribe (task, state, HOLDING_TICK_MS, HOLDING_TICK_MS, on_holding_tick,
+                      state);
   return 0;
 }
 
@@ -505,7 +575,9 @@
 static DlPlugin state_plugin = {
   .name = "state",
   .order = 30,
+  .subscriptions = UINT64_C (1) << DIRECT_HOLDING,
   .start = start,
+  .handle = handle,
   .drain = drain,
   .dump = dump,
 };
--- /dev/null
+++ b/daisydirectd/weights.c
@@ -0,0 +1,164 @@
+/*
+ * Task "weights": the entry as a hub, which fetches new weights once and gives them out to
+ * the stagers of its region and to entries of others.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "daisydirectd.h"
+#include "node/depot.h"
+#include "platform.h"
+
+#define TICK_MS     40
+#define UPLOADS_MAX 32
+/* Nothing of a version came for this long: it gives way to a newer one. */
+#define STUCK_MS 1500
+
+typedef struct
+{
+  DlTask *task;
+  DlDepot *depot;
+  char *default_model; /* to hold when nothing was named; NULL until known */
+  bool unnamed;        /* the store was read, and no version is named */
+  DlBundle *older;     /* NULL for none */
+  DlBundle *newest;    /* NULL for none */
+} Weights;
+
+static void
+run (Weights *w)
+{
+  if (w->newest == NULL && w->unnamed && w->default_model != NULL)
+    w->newest = dl_bundle_open (w->depot, w->default_model, 0, dl_clock_ms ());
+  if (w->older != NULL)
+    dl_bundle_run (w->older);
+  /* The older version is due first. */
+  if (w->newest != NULL && (w->older == NULL || dl_bundle_is_whole (w->older)))
+    dl_bundle_run (w->newest);
+}
+
+static void
+on_progress (void *data)
+{
+  run (data);
+}
+
+static void
+take_named (Weights *w, const char *model, uint64_t version, uint64_t learned_ms)
+{
+  if (dl_depot_find (w->depot, model, version) != NULL)
+    return;
+  if (w->older != NULL)
+    dl_bundle_close (w->older);
+  w->older = w->newest;
+  w->newest = dl_bundle_open (w->depot, model, version, learned_ms);
+}
+
+/* A version that cannot be had any more must not keep back the one after it. */
+static void
+drop_stuck (Weights *w)
+{
+  if (w->older == NULL || dl_bundle_is_whole (w->older)
+      || dl_clock_ms () - w->older->progress_ms < STUCK_MS)
+    return;
+  dl_bundle_close (w->older);
+  w->older = NULL;
+}
+
+static void
+tell_holding (Weights *w)
+{
+  DirectMessage *m = dl_message_new (DIRECT_HOLDING, sizeof (DirectMessage));
+  DlHolder own = { .holdings = dl_depot_holdings (w->depot) };
+
+  m->holdings = dl_holder_copy (m, &own).holdings;
+  dl_kernel_publish (dl_task_kernel (w->task), m);
+}
+
+static void
+on_tick (DlTimer *timer, void *data)
+{
+  Weights *w = data;
+
+  dl_depot_drop_silent (w->depot);
+  drop_stuck (w);
+  run (w);
+  if (dl_depot_take_changed (w->depot))
+    tell_holding (w);
+}
+
+static void
+take_routing (Weights *w, const DlRouting *routing)
+{
+  DlWeightSource source = dl_weight_source (routing, NULL);
+
+  dl_depot_set_source (w->depot, &source);
+  talloc_free (w->default_model);
+  w->default_model = talloc_strdup (w, source.model);
+}
+
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  Weights *w = dl_task_state (task);
+  const DirectMessage *m = (const DirectMessage *)head;
+
+  switch ((DirectMessageType)head->type)
+    {
+    case DIRECT_ROUTING:
+      take_routing (w, m->routing);
+      break;
+    case DIRECT_VERSION:
+      take_named (w, m->version.model, m->version.version, m->version.learned_ms);
+      break;
+    case DIRECT_UNNAMED:
+      w->unnamed = true;
+      break;
+    case DIRECT_HOLDER:
+      dl_depot_set_holder (w->depot, &m->holder);
+      break;
+    case DIRECT_NODE_GONE:
+      dl_depot_remove_holder (w->depot, m->gone_node);
+      break;
+    case DIRECT_UPSTREAM:
+    case DIRECT_UPSTREAM_GONE:
+    case DIRECT_ENGINE:
+    case DIRECT_FRESH:
+    case DIRECT_ENTRIES:
+    case DIRECT_HOLDING:
+      break;
+    }
+  run (w);
+}
+
+static int
+start (DlTask *task)
+{
+  Weights *w = talloc_zero (NULL, Weights);
+
+  dl_task_set_state (task, w);
+  w->task = task;
+  dl_timer_subscribe (task, w, TICK_MS, TICK_MS, on_tick, w);
+  return dl_depot_new (task, w,
+                       &(DlDepotOptions){
+                           .settings = direct_settings (task),
+                           .origin = &platform_origin_calls,
+                           .is_hub = true,
+                           .uploads_max = UPLOADS_MAX,
+                           .on_progress = on_progress,
+                           .data = w,
+                       },
+                       &w->depot);
+}
+
+#define MESSAGE(type) (UINT64_C (1) << (type))
+
+static DlPlugin weights_plugin = {
+  .name = "weights",
+  .order = 25,
+  .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_VERSION)
+                   | MESSAGE (DIRECT_UNNAMED) | MESSAGE (DIRECT_HOLDER)
+                   | MESSAGE (DIRECT_NODE_GONE),
+  .start = start,
+  .handle = handle,
+};
+DL_PLUGIN_REGISTER (weights_plugin)
--- a/daisystaged/daisystaged.c
+++ b/daisystaged/daisystaged.c
@@ -3,8 +3,6 @@
  */
 #include "daisystaged.h"
 
-#include <talloc.h>
-
 #include "kernel/program.h"
 
 static DlNodeSettings settings;
@@ -21,20 +19,6 @@
   return dl_message_new ((int)type, sizeof (StageMessage));
 }
 
-StageHolding
-stage_holding_copy (const void *context, const StageHolding *holding)
-{
-  size_t length = holding->chunks.length;
-  const void *bytes
-      = length > 0 ? talloc_memdup (context, holding->chunks.data, length) : NULL;
-
-  return (StageHolding){
-    .model = talloc_strdup (context, holding->model),
-    .version = holding->version,
-    .chunks = dl_str_bytes (bytes, length),
-  };
-}
-
 static int
 check_settings (const void *context, char **error)
 {
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -21,18 +21,18 @@
 
 typedef struct
 {
-  Bundle *bundle;
+  Staging *staging;
   unsigned index;
 } StageCall;
 
 static StageCall *
-stage_call_new (Bundle *b, unsigned index)
+stage_call_new (Staging *s, unsigned index)
 {
-  StageCall *c = talloc_zero (b, StageCall);
+  StageCall *c = talloc_zero (s, StageCall);
 
-  c->bundle = b;
+  c->staging = s;
   c->index = index;
-  b->working++;
+  s->working++;
   return c;
 }
 
@@ -55,37 +55,37 @@
 on_written (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   StageCall *c = data;
-  Bundle *b = c->bundle;
+  Staging *s = c->staging;
   bool done = result->error == 0
               && (result->status == STATUS_OK || result->status == STATUS_CREATED
                   || result->status == STATUS_NO_CONTENT);
 
-  b->chunks[c->index].staged = done ? STAGED_WRITTEN : STAGED_NOT;
-  b->working--;
+  s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_NOT;
+  s->working--;
   talloc_free (c);
-  weights_run (b->owner);
+  weights_run (s->owner);
 }
 
 void
-stage_write (Bundle *b)
+stage_write (Staging *s)
 {
-  Weights *w = b->owner;
+  Weights *w = s->owner;
+  const DlBundle *b = s->bundle;
 
   if (dl_clock_ms () < w->hold_staging_ms)
     return;
-  for (unsigned i = 0; i < b->count && b->working < STAGE_PARALLEL; i++)
+  for (unsigned i = 0; i < b->count && s->working < STAGE_PARALLEL; i++)
     {
-      ChunkCopy *chunk = &b->chunks[i];
       StageCall *c;
       DlHttpCallOptions options;
 
-      if (chunk->staged != STAGED_NOT || chunk->bytes.length == 0)
+      if (s->copies[i].state != STAGED_NOT || b->chunks[i].length == 0)
         continue;
-      chunk->staged = STAGED_WRITING;
-      c = stage_call_new (b, i);
+      s->copies[i].state = STAGED_WRITING;
+      c = stage_call_new (s, i);
       options = stage_options (c, on_written);
-      platform_call_stage_put (w->client, b, w->settings->engine, b->model, i,
-                               chunk->bytes, &options);
+      platform_call_stage_put (w->client, s, w->settings->engine, b->model, i,
+                               b->chunks[i], &options);
     }
 }
 
@@ -95,58 +95,59 @@
 on_read_back (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   StageCall *c = data;
-  Bundle *b = c->bundle;
-  ChunkCopy *chunk = &b->chunks[c->index];
+  Staging *s = c->staging;
+  DlBundle *b = s->bundle;
   unsigned index = c->index;
 
-  chunk->staged = STAGED_NOT;
+  s->copies[index].state = STAGED_NOT;
   if (result->error == 0 && result->status == STATUS_OK
-      && fetch_is_genuine (b, index, result->body))
+      && dl_bundle_is_genuine (b, index, result->body))
     {
-      chunk->staged = STAGED_SOUND;
-      chunk->sound_ms = dl_clock_ms ();
-      if (chunk->bytes.length == 0)
-        weights_chunk_arrived (b, index, result->body);
+      s->copies[index].state = STAGED_SOUND;
+      s->copies[index].sound_ms = dl_clock_ms ();
+      if (b->chunks[index].length == 0)
+        dl_bundle_take (b, index, result->body);
     }
-  b->working--;
+  s->working--;
   talloc_free (c);
-  weights_run (b->owner);
+  weights_run (s->owner);
 }
 
 static bool
-is_sound (const ChunkCopy *chunk, uint64_t since_ms)
+is_sound (const StagedCopy *copy, uint64_t since_ms)
 {
-  return chunk->staged == STAGED_SOUND && chunk->sound_ms >= since_ms;
+  return copy->state == STAGED_SOUND && copy->sound_ms >= since_ms;
 }
 
 static bool
-can_be_read (const ChunkCopy *chunk, uint64_t since_ms)
+can_be_read (const StagedCopy *copy, uint64_t since_ms)
 {
-  return chunk->staged == STAGED_WRITTEN
-         || (chunk->staged == STAGED_SOUND && chunk->sound_ms < since_ms);
+  return copy->state == STAGED_WRITTEN
+         || (copy->state == STAGED_SOUND && copy->sound_ms < since_ms);
 }
 
 bool
-stage_check (Bundle *b, uint64_t since_ms)
+stage_check (Staging *s, uint64_t since_ms)
 {
+  const Weights *w = s->owner;
   unsigned sound = 0;
 
-  for (unsigned i = 0; i < b->count; i++)
+  for (unsigned i = 0; i < s->bundle->count; i++)
     {
-      ChunkCopy *chunk = &b->chunks[i];
+      StagedCopy *copy = &s->copies[i];
       StageCall *c;
       DlHttpCallOptions options;
 
-      sound += is_sound (chunk, since_ms);
-      if (b->working >= STAGE_PARALLEL || !can_be_read (chunk, since_ms))
+      sound += is_sound (copy, since_ms);
+      if (s->working >= STAGE_PARALLEL || !can_be_read (copy, since_ms))
         continue;
-      chunk->staged = STAGED_READING;
-      c = stage_call_new (b, i);
+      copy->state = STAGED_READING;
+      c = stage_call_new (s, i);
       options = stage_options (c, on_read_back);
-      platform_call_stage_get (b->owner->client, b, b->owner->settings->engine, b->model,
-                               i, &options);
+      platform_call_stage_get (w->client, s, w->settings->engine, s->bundle->model, i,
+                               &options);
     }
-  return sound == b->count;
+  return sound == s->bundle->count;
 }
 
 /* -------- the order -------- */
@@ -176,19 +177,19 @@
 on_ordered (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   Weights *w = data;
+  const DlBundle *b = w->staging != NULL ? w->staging->bundle : NULL;
   DlOrderOutcome outcome = platform_read_order (result);
 
   w->hold_staging_ms
       = outcome == DL_ORDER_UNKNOWN ? dl_clock_ms () + ORDER_UNKNOWN_HOLD_MS : 0;
   if (outcome == DL_ORDER_BEGUN || outcome == DL_ORDER_IN_EFFECT)
     dl_log (DL_EVENT_STAGE_ORDERED,
-            DL_UINT ("version", w->bundle != NULL ? w->bundle->version : 0),
+            DL_UINT ("version", b != NULL ? b->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
-            DL_UINT ("named_ms_ago",
-                     w->bundle != NULL ? dl_clock_ms () - w->bundle->named_ms : 0));
+            DL_UINT ("named_ms_ago", b != NULL ? dl_clock_ms () - b->named_ms : 0));
   else
     dl_log (DL_EVENT_STAGE_ORDER_REFUSED,
-            DL_UINT ("version", w->bundle != NULL ? w->bundle->version : 0),
+            DL_UINT ("version", b != NULL ? b->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
             DL_UINT ("status", result->status));
   if (w->phase == PHASE_ORDER)
@@ -197,13 +198,14 @@
 }
 
 void
-stage_order (Bundle *b, bool preempt)
+stage_order (Staging *s, bool preempt)
 {
-  Weights *w = b->owner;
+  Weights *w = s->owner;
 
   w->hold_staging_ms = dl_clock_ms () + ORDER_TIMEOUT_MS + ORDER_UNKNOWN_HOLD_MS;
   weights_enter (w, PHASE_ORDER);
-  platform_call_load (w->client, w, w->settings->engine, b->model, b->version, preempt,
+  platform_call_load (w->client, w, w->settings->engine, s->bundle->model,
+                      s->bundle->version, preempt,
                       &(DlHttpCallOptions){
                           .connect_timeout_ms = ORDER_TIMEOUT_MS,
                           .timeout_ms = ORDER_TIMEOUT_MS,
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -18,12 +18,11 @@
 #define ROUTING_PAUSE_MS  2000
 #define VERSIONS_WAIT_MS  20000
 #define RETRY_MAX_MS      1500
-#define BITS_PER_BYTE     8
-#define TICK_MS           30
+#define TICK_MS           50
 /* Word goes out this often when nothing changes. */
 #define ENTRIES_EVERY_MS     500
 #define STAGERS_EVERY_MS     900
-#define FAR_STAGERS_EVERY_MS 100
+#define FAR_STAGERS_EVERY_MS 300
 
 typedef struct
 {
@@ -46,23 +45,12 @@
 
 /* -------- the store -------- */
 
-/* Microseconds that the origin's link takes for one chunk. */
-static uint64_t
-draw_us (const DlServiceEntry *origin, const DlEngineTraits *engine)
-{
-  if (origin == NULL || origin->origin_mbps <= 0)
-    return 0;
-  return (uint64_t)((double)engine->chunk_bytes * BITS_PER_BYTE / origin->origin_mbps);
-}
-
 static void
 on_routing (const DlObject *object, void *data)
 {
   State *state = data;
   StageMessage *message;
   DlRouting *routing;
-  const DlServiceEntry *service;
-  const DlServiceEntry *origin = NULL;
   const char *error;
 
   if (strcmp (object->name, platform_routing_name) != 0 || object->deleted)
@@ -75,18 +63,7 @@
       dl_message_unref (message);
       return;
     }
-  for (size_t i = 0; i < routing->service_count; i++)
-    if (routing->services[i].origin != NULL)
-      origin = &routing->services[i];
-  if (origin != NULL)
-    message->source.origin = origin->origin;
-  service = dl_routing_service (routing, state->settings->service);
-  if (service != NULL && service->has_engine)
-    {
-      message->source.model = service->engine.model;
-      message->source.layers = service->engine.layers;
-      message->source.draw_us = draw_us (origin, &service->engine);
-    }
+  message->source = dl_weight_source (routing, state->settings->service);
   dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
           DL_UINT ("revision", object->revision),
           DL_TEXT ("origin", message->source.origin));
@@ -152,23 +129,8 @@
 
   if (status->named != NULL)
     learn_named (state, status->named->model, status->named->version, peer->name);
-  if (peer->role != DAISYLOFT__WIRE__ROLE__ROLE_SLOT)
-    return;
-  message = stage_message_new (STAGE_PEER);
-  message->peer.name = talloc_strdup (message, peer->name);
-  message->peer.region = talloc_strdup (message, peer->region);
-  message->peer.address = talloc_strdup (message, peer->address);
-  for (size_t i = 0; i < MIN (status->n_holding, STAGE_HOLDINGS_MAX); i++)
-    {
-      const Daisyloft__Wire__Holding *h = status->holding[i];
-
-      message->peer.holdings.items[message->peer.holdings.count++] = stage_holding_copy (
-          message, &(StageHolding){
-                       .model = h->model,
-                       .version = h->version,
-                       .chunks = dl_str_bytes (h->chunks.data, h->chunks.len),
-                   });
-    }
+  message = stage_message_new (STAGE_HOLDER);
+  message->holder = dl_holder_read (message, peer, status);
   dl_kernel_publish (state->kernel, message);
 }
 
@@ -176,9 +138,9 @@
 on_gone (const DlPeer *peer, void *data)
 {
   State *state = data;
-  StageMessage *message = stage_message_new (STAGE_PEER_GONE);
+  StageMessage *message = stage_message_new (STAGE_GONE);
 
-  message->peer.name = talloc_strdup (message, peer->name);
+  message->gone = talloc_strdup (message, peer->name);
   dl_kernel_publish (state->kernel, message);
 }
 
@@ -210,25 +172,13 @@
 tell_stagers (State *state, bool near_only)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  Daisyloft__Wire__Holding holdings[STAGE_HOLDINGS_MAX];
-  Daisyloft__Wire__Holding *pointers[STAGE_HOLDINGS_MAX];
-  const StageMessage *m = state->holding;
+  void *context = talloc_new (state);
 
   status.ready = true;
-  status.holding = pointers;
-  for (size_t i = 0; m != NULL && i < m->holding.holdings.count; i++)
-    {
-      const StageHolding *h = &m->holding.holdings.items[i];
-
-      daisyloft__wire__holding__init (&holdings[i]);
-      holdings[i].model = (char *)h->model;
-      holdings[i].version = h->version;
-      holdings[i].chunks.data = (uint8_t *)h->chunks.data;
-      holdings[i].chunks.len = h->chunks.length;
-      pointers[i] = &holdings[i];
-      status.n_holding++;
-    }
+  if (state->holding != NULL)
+    dl_holdings_write (context, &state->holding->holding.holdings, &status);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, near_only);
+  talloc_free (context);
 }
 
 static void
@@ -318,8 +268,8 @@
     case STAGE_SOURCE:
     case STAGE_NAMED:
     case STAGE_UNNAMED:
-    case STAGE_PEER:
-    case STAGE_PEER_GONE:
+    case STAGE_HOLDER:
+    case STAGE_GONE:
       break;
     }
 }
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -8,11 +8,11 @@
 #include <talloc.h>
 
 #include "kernel/log.h"
+#include "platform.h"
 #include "policy/reload_turn.h"
 
-#define TICK_MS             30
-#define NEIGHBOUR_SILENT_MS 3000
-/* A bundle of which nothing came for this long gives way to a newer one. */
+#define TICK_MS 30
+/* A version of which nothing came for this long gives way to a newer one. */
 #define STUCK_MS 1500
 /* What was read back sound before this is read again before an order. */
 #define SOUND_MAX_AGE_MS 1800
@@ -20,6 +20,8 @@
 #define LOAD_RETRY_MS 700
 /* Entries hear that no more requests may come before the order goes out. */
 #define TELL_AHEAD_MS 60
+/* Live answers share the host's link with what is given out. */
+#define UPLOADS_MAX 1
 
 void
 weights_enter (Weights *w, Phase phase)
@@ -30,30 +32,15 @@
 
 /* -------- telling the other tasks -------- */
 
-static void
-add_holding (StageMessage *m, const Bundle *b)
-{
-  StageHoldings *holdings = &m->holding.holdings;
-
-  if (b == NULL || b->plan == NULL)
-    return;
-  holdings->items[holdings->count++]
-      = stage_holding_copy (m, &(StageHolding){
-                                   .model = b->model,
-                                   .version = b->version,
-                                   .chunks = dl_fetch_plan_bitmap (b->plan),
-                               });
-}
-
 static void
 tell_holding (Weights *w, bool changed)
 {
   StageMessage *m = stage_message_new (STAGE_HOLDING);
+  DlHolder own = { .holdings = dl_depot_holdings (w->depot) };
 
   m->holding.loading = w->told_loading;
   m->holding.changed = changed;
-  add_holding (m, w->bundle);
-  add_holding (m, w->next);
+  m->holding.holdings = dl_holder_copy (m, &own).holdings;
   dl_kernel_publish (dl_task_kernel (w->task), m);
 }
 
@@ -66,275 +53,129 @@
   tell_holding (w, false);
 }
 
-/* -------- neighbours -------- */
-
-DlStr
-weights_held_by (const Bundle *b, const Neighbour *n)
-{
-  for (size_t i = 0; i < n->holdings.count; i++)
-    {
-      const StageHolding *h = &n->holdings.items[i];
-
-      if (h->version == b->version && strcmp (h->model, b->model) == 0)
-        return h->chunks;
-    }
-  return DL_STR_LITERAL ("");
-}
-
-static void
-add_to_plan (const Bundle *b, const Neighbour *n)
-{
-  if (b != NULL && b->plan != NULL)
-    dl_fetch_plan_peer (b->plan, n->name, n->region, weights_held_by (b, n));
-}
-
-static void
-add_all_to_plan (const Bundle *b)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, b->owner->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    add_to_plan (b, value);
-}
-
-static void
-free_neighbour (gpointer data)
-{
-  talloc_free (data);
-}
-
-static void
-take_neighbour (Weights *w, const StageMessage *m)
-{
-  Neighbour *n = talloc_zero (w, Neighbour);
-
-  n->name = talloc_strdup (n, m->peer.name);
-  n->region = talloc_strdup (n, m->peer.region);
-  n->address = talloc_strdup (n, m->peer.address);
-  n->holdings.count = m->peer.holdings.count;
-  for (size_t i = 0; i < n->holdings.count; i++)
-    n->holdings.items[i] = stage_holding_copy (n, &m->peer.holdings.items[i]);
-  n->heard_ms = dl_clock_ms ();
-  g_hash_table_replace (w->neighbours, n->name, n);
-  add_to_plan (w->bundle, n);
-  add_to_plan (w->next, n);
-}
-
-static void
-drop_from_plan (const Bundle *b, const char *name)
-{
-  if (b != NULL && b->plan != NULL)
-    dl_fetch_plan_peer_gone (b->plan, name);
-}
-
-static void
-drop_silent_neighbours (Weights *w)
-{
-  uint64_t now_ms = dl_clock_ms ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, w->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Neighbour *n = value;
-
-      if (now_ms - n->heard_ms < NEIGHBOUR_SILENT_MS)
-        continue;
-      drop_from_plan (w->bundle, n->name);
-      drop_from_plan (w->next, n->name);
-      g_hash_table_iter_remove (&iter);
-    }
-}
-
-static void
-drop_neighbour (Weights *w, const char *name)
-{
-  drop_from_plan (w->bundle, name);
-  drop_from_plan (w->next, name);
-  g_hash_table_remove (w->neighbours, name);
-}
-
 /* -------- what to bring -------- */
 
-static Bundle *
-bundle_new (Weights *w, const char *model, uint64_t version, uint64_t named_ms)
-{
-  Bundle *b = talloc_zero (w, Bundle);
-
-  g_assert (b != NULL);
-  b->owner = w;
-  b->model = talloc_strdup (b, model);
-  b->version = version;
-  b->named_ms = named_ms;
-  b->due_from_ms = named_ms;
-  b->progress_ms = dl_clock_ms ();
-  return b;
-}
-
-static bool
-is_same (const Bundle *b, const char *model, uint64_t version)
-{
-  return b != NULL && b->version == version && strcmp (b->model, model) == 0;
-}
-
-Bundle *
-weights_find (const Weights *w, const char *model, uint64_t version)
-{
-  if (is_same (w->bundle, model, version))
-    return w->bundle;
-  return is_same (w->next, model, version) ? w->next : NULL;
-}
-
+/* True when the engine serves the bundle's version or a newer one. */
 static bool
-is_whole (const Bundle *b)
+is_in_force (const Weights *w, const DlBundle *b)
 {
-  return b != NULL && b->plan != NULL && dl_fetch_plan_missing (b->plan) == 0;
+  return w->engine_known && b->version > 0 && w->engine.version >= b->version;
 }
 
-/* True when the engine serves the bundle's version or a newer one. */
-static bool
-is_in_force (const Weights *w, const Bundle *b)
+static int
+staging_destroy (Staging *s)
 {
-  return w->engine_known && b->version > 0 && w->engine.version >= b->version;
+  dl_bundle_close (s->bundle);
+  return 0;
 }
 
 /* The bundle becomes the present one. */
 static void
-set_present (Weights *w, Bundle *b)
-{
-  talloc_free (w->bundle);
-  w->bundle = b;
+set_present (Weights *w, DlBundle *b, uint64_t due_from_ms)
+{
+  talloc_free (w->staging);
+  w->staging = talloc_zero (w, Staging);
+  g_assert (w->staging != NULL);
+  w->staging->owner = w;
+  w->staging->bundle = b;
+  w->staging->due_from_ms = due_from_ms;
+  talloc_set_destructor (w->staging, staging_destroy);
   set_loading (w, false);
   weights_enter (w, w->recovered ? PHASE_FETCH : PHASE_RECOVER);
-  tell_holding (w, true);
 }
 
-/* The newer bundle takes the place of the present one, and its time too when that never
+/* The newer version takes the place of the present one, and its time too when that never
  * came into force. */
 static void
 promote_next (Weights *w)
 {
-  Bundle *b = w->next;
+  DlBundle *b = w->next;
+  uint64_t due_from_ms = w->next_due_from_ms;
 
-  if (!is_in_force (w, w->bundle))
-    b->due_from_ms = MIN (b->due_from_ms, w->bundle->due_from_ms);
+  if (!is_in_force (w, w->staging->bundle))
+    due_from_ms = MIN (due_from_ms, w->staging->due_from_ms);
   w->next = NULL;
-  set_present (w, b);
+  set_present (w, b, due_from_ms);
 }
 
 static void
-set_next (Weights *w, Bundle *b)
+set_next (Weights *w, const StageMessage *m)
 {
+  uint64_t due_from_ms = m->named.learned_ms;
+
   if (w->next != NULL)
-    b->due_from_ms = MIN (b->due_from_ms, w->next->due_from_ms);
-  talloc_free (w->next);
-  w->next = b;
+    {
+      due_from_ms = MIN (due_from_ms, w->next_due_from_ms);
+      dl_bundle_close (w->next);
+    }
+  w->next
+      = dl_bundle_open (w->depot, m->named.model, m->named.version, m->named.learned_ms);
+  w->next_due_from_ms = due_from_ms;
 }
 
 static void
 take_named (Weights *w, const StageMessage *m)
 {
-  Bundle *known = weights_find (w, m->named.model, m->named.version);
+  DlBundle *known = dl_depot_find (w->depot, m->named.model, m->named.version);
 
   if (known != NULL)
-    {
-      known->named_ms = m->named.learned_ms;
-      return;
-    }
-  known = bundle_new (w, m->named.model, m->named.version, m->named.learned_ms);
-  if (w->bundle == NULL)
-    set_present (w, known);
+    known->named_ms = m->named.learned_ms;
+  else if (w->staging != NULL)
+    set_next (w, m);
   else
-    set_next (w, known);
+    set_present (w,
+                 dl_bundle_open (w->depot, m->named.model, m->named.version,
+                                 m->named.learned_ms),
+                 m->named.learned_ms);
 }
 
 static void
 take_source (Weights *w, const StageMessage *m)
 {
-  talloc_free (w->origin);
+  dl_depot_set_source (w->depot, &m->source);
   talloc_free (w->default_model);
-  w->draw_us = m->source.draw_us;
-  w->origin = talloc_strdup (w, m->source.origin);
   w->default_model = talloc_strdup (w, m->source.model);
 }
 
 static void
 take_report (Weights *w, const DlEngineReport *report)
 {
-  if (w->engine_known && report->born_ms != w->engine.born_ms && w->bundle != NULL)
+  Staging *s = w->staging;
+
+  if (w->engine_known && report->born_ms != w->engine.born_ms && s != NULL
+      && s->copies != NULL)
     /* The engine started anew; what was staged may be gone with its host's power. */
-    for (unsigned i = 0; i < w->bundle->count; i++)
-      if (w->bundle->chunks[i].staged == STAGED_SOUND)
-        w->bundle->chunks[i].staged = STAGED_WRITTEN;
+    for (unsigned i = 0; i < s->bundle->count; i++)
+      if (s->copies[i].state == STAGED_SOUND)
+        s->copies[i].state = STAGED_WRITTEN;
   w->engine_known = true;
   w->engine = *report;
   w->engine.model = NULL; /* it ends with the message */
 }
 
-void
-weights_manifest_arrived (Bundle *b, const char **digests, unsigned count)
-{
-  Weights *w = b->owner;
-
-  b->progress_ms = dl_clock_ms ();
-  b->count = count;
-  b->digests = digests;
-  b->chunks = talloc_zero_array (b, ChunkCopy, count);
-  b->plan = dl_fetch_plan_new (b, &(DlFetchPlanOptions){
-                                      .host = w->settings->name,
-                                      .region = w->settings->region,
-                                      .model = b->model,
-                                      .version = b->version,
-                                      .chunks = count,
-                                      .started_ms = dl_clock_ms (),
-                                      .draw_us = w->draw_us,
-                                  });
-  add_all_to_plan (b);
-  dl_log (DL_EVENT_STAGE_STARTED, DL_TEXT ("model", b->model),
-          DL_UINT ("version", b->version), DL_UINT ("chunks", count),
-          DL_UINT ("named_ms_ago", dl_clock_ms () - b->named_ms));
-  weights_run (w);
-}
+/* -------- steps -------- */
 
-void
-weights_chunk_arrived (Bundle *b, unsigned index, DlStr bytes)
+static void
+add_stager (const DlHolder *holder, void *data)
 {
-  ChunkCopy *chunk = &b->chunks[index];
-
-  if (chunk->bytes.length == 0)
-    chunk->bytes
-        = dl_str_bytes (talloc_memdup (b, bytes.data, bytes.length), bytes.length);
-  b->progress_ms = dl_clock_ms ();
-  dl_fetch_plan_arrived (b->plan, index);
-  b->owner->holding_changed = true;
-  if (dl_fetch_plan_missing (b->plan) == 0)
-    dl_log (DL_EVENT_STAGE_WHOLE, DL_UINT ("version", b->version),
-            DL_UINT ("named_ms_ago", dl_clock_ms () - b->named_ms));
+  if (!holder->is_hub)
+    g_ptr_array_add (data, (gpointer)holder->name);
 }
 
-/* -------- steps -------- */
-
 static bool
 is_turn (const Weights *w)
 {
   g_autoptr (GPtrArray) others = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
   DlReloadTurn turn;
 
-  g_hash_table_iter_init (&iter, w->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_ptr_array_add (others, ((Neighbour *)value)->name);
+  dl_depot_each_holder (w->depot, add_stager, others);
   turn = (DlReloadTurn){
     .host = w->settings->name,
     .others = (const char *const *)others->pdata,
     .other_count = others->len,
-    .model = w->bundle->model,
-    .version = w->bundle->version,
-    .named_ms = w->bundle->due_from_ms,
+    .model = w->staging->bundle->model,
+    .version = w->staging->bundle->version,
+    .named_ms = w->staging->due_from_ms,
     .limit_ms = w->settings->version_ms,
     .is_empty = w->engine.version == 0,
   };
@@ -343,64 +184,73 @@
 
 /* All chunks have been looked for beside the engine. */
 static bool
-is_looked_through (const Bundle *b)
+is_looked_through (const Staging *s)
 {
-  for (unsigned i = 0; i < b->count; i++)
-    if (b->chunks[i].staged == STAGED_WRITTEN || b->chunks[i].staged == STAGED_READING)
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_WRITTEN || s->copies[i].state == STAGED_READING)
       return false;
   return true;
 }
 
 /* Takes every chunk for staged, so that reading them back shows which are. */
 static void
-begin_recovery (Bundle *b)
+begin_recovery (Staging *s)
 {
-  for (unsigned i = 0; i < b->count; i++)
-    b->chunks[i].staged = STAGED_WRITTEN;
-  b->owner->recovered = true;
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    s->copies[i].state = STAGED_WRITTEN;
+  s->owner->recovered = true;
 }
 
 static void
 run_idle (Weights *w)
 {
   if (w->default_model != NULL && w->unnamed)
-    set_present (w, bundle_new (w, w->default_model, 0, dl_clock_ms ()));
+    set_present (w, dl_bundle_open (w->depot, w->default_model, 0, dl_clock_ms ()),
+                 dl_clock_ms ());
+}
+
+/* The manifest may not be here yet; false then. */
+static bool
+prepare_copies (Staging *s)
+{
+  if (s->copies == NULL && s->bundle->count > 0)
+    s->copies = talloc_zero_array (s, StagedCopy, s->bundle->count);
+  return s->copies != NULL;
 }
 
 static void
 run_recover (Weights *w)
 {
-  if (w->bundle->plan == NULL)
+  Staging *s = w->staging;
+
+  if (!prepare_copies (s))
     {
-      fetch_manifest (w->bundle);
+      dl_bundle_run (s->bundle);
       return;
     }
   if (!w->recovered)
-    begin_recovery (w->bundle);
-  stage_check (w->bundle, 0);
-  if (is_looked_through (w->bundle))
+    begin_recovery (s);
+  stage_check (s, 0);
+  if (is_looked_through (s))
     weights_enter (w, PHASE_FETCH);
 }
 
 static void
 run_fetch (Weights *w)
 {
-  if (w->bundle->plan == NULL)
-    {
-      fetch_manifest (w->bundle);
-      return;
-    }
-  fetch_run (w->bundle);
-  stage_write (w->bundle);
-  if (is_whole (w->bundle))
+  dl_bundle_run (w->staging->bundle);
+  if (!prepare_copies (w->staging))
+    return;
+  stage_write (w->staging);
+  if (dl_bundle_is_whole (w->staging->bundle))
     weights_enter (w, PHASE_WAIT);
 }
 
 static void
 run_wait (Weights *w)
 {
-  stage_write (w->bundle);
-  if (is_in_force (w, w->bundle))
+  stage_write (w->staging);
+  if (is_in_force (w, w->staging->bundle))
     {
       weights_enter (w, PHASE_DONE);
       return;
@@ -418,20 +268,22 @@
   uint64_t since_ms = now_ms > SOUND_MAX_AGE_MS ? now_ms - SOUND_MAX_AGE_MS : 0;
   bool sound;
 
-  stage_write (w->bundle);
-  sound = stage_check (w->bundle, since_ms);
+  stage_write (w->staging);
+  sound = stage_check (w->staging, since_ms);
   if (sound && now_ms >= w->phase_ms + TELL_AHEAD_MS
       && dl_reload_turn_may_order (w->phase_ms, w->engine.running, now_ms))
-    stage_order (w->bundle, w->engine.running > 0);
+    stage_order (w->staging, w->engine.running > 0);
 }
 
 static void
 run_load (Weights *w)
 {
-  if (is_in_force (w, w->bundle) && !w->engine.busy)
+  const DlBundle *b = w->staging->bundle;
+
+  if (is_in_force (w, b) && !w->engine.busy)
     {
-      dl_log (DL_EVENT_STAGE_IN_FORCE, DL_UINT ("version", w->bundle->version),
-              DL_UINT ("named_ms_ago", dl_clock_ms () - w->bundle->named_ms));
+      dl_log (DL_EVENT_STAGE_IN_FORCE, DL_UINT ("version", b->version),
+              DL_UINT ("named_ms_ago", dl_clock_ms () - b->named_ms));
       set_loading (w, false);
       weights_enter (w, PHASE_DONE);
     }
@@ -443,7 +295,7 @@
 static void
 run_done (Weights *w)
 {
-  if (w->engine_known && !is_in_force (w, w->bundle))
+  if (w->engine_known && !is_in_force (w, w->staging->bundle))
     weights_enter (w, PHASE_WAIT);
 }
 
@@ -478,37 +330,33 @@
     }
 }
 
-/* True when nothing of the present bundle has come for long. */
+/* True when nothing of the present version has come for long. */
 static bool
 is_stuck (const Weights *w)
 {
-  return !is_whole (w->bundle) && dl_clock_ms () - w->bundle->progress_ms >= STUCK_MS;
+  const DlBundle *b = w->staging->bundle;
+
+  return !dl_bundle_is_whole (b) && dl_clock_ms () - b->progress_ms >= STUCK_MS;
 }
 
-/* True when the engine is not being given the present bundle right now. */
+/* True when the engine is not being given the present version right now. */
 static bool
 may_promote (const Weights *w)
 {
   return w->phase != PHASE_EMPTY && w->phase != PHASE_ORDER && w->phase != PHASE_LOAD;
 }
 
-/* The newer bundle is fetched once the present one is whole, or cannot be had. */
+/* The newer version is fetched once the present one is whole, or cannot be had. */
 static void
 run_next (Weights *w)
 {
   if (w->next == NULL)
     return;
-  if (may_promote (w) && (is_whole (w->next) || w->phase == PHASE_DONE || is_stuck (w)))
-    {
-      promote_next (w);
-      return;
-    }
-  if (!is_whole (w->bundle))
-    return;
-  if (w->next->plan == NULL)
-    fetch_manifest (w->next);
-  else
-    fetch_run (w->next);
+  if (may_promote (w)
+      && (dl_bundle_is_whole (w->next) || w->phase == PHASE_DONE || is_stuck (w)))
+    promote_next (w);
+  else if (dl_bundle_is_whole (w->staging->bundle))
+    dl_bundle_run (w->next);
 }
 
 void
@@ -518,16 +366,21 @@
   run_next (w);
 }
 
+static void
+on_progress (void *data)
+{
+  weights_run (data);
+}
+
 static void
 on_tick (DlTimer *timer, void *data)
 {
   Weights *w = data;
 
-  drop_silent_neighbours (w);
+  dl_depot_drop_silent (w->depot);
   weights_run (w);
-  if (w->holding_changed)
+  if (dl_depot_take_changed (w->depot))
     tell_holding (w, true);
-  w->holding_changed = false;
 }
 
 /* -------- the task -------- */
@@ -549,11 +402,11 @@
     case STAGE_UNNAMED:
       w->unnamed = true;
       break;
-    case STAGE_PEER:
-      take_neighbour (w, m);
+    case STAGE_HOLDER:
+      dl_depot_set_holder (w->depot, &m->holder);
       break;
-    case STAGE_PEER_GONE:
-      drop_neighbour (w, m->peer.name);
+    case STAGE_GONE:
+      dl_depot_remove_holder (w->depot, m->gone);
       break;
     case STAGE_REPORT:
       take_report (w, &m->report);
@@ -567,13 +420,6 @@
   weights_run (w);
 }
 
-static int
-weights_destroy (Weights *w)
-{
-  g_hash_table_destroy (w->neighbours);
-  return 0;
-}
-
 static int
 start (DlTask *task)
 {
@@ -583,11 +429,17 @@
   w->task = task;
   w->settings = stage_settings (task);
   w->client = dl_http_client_new (task, w);
-  w->neighbours = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
-  talloc_set_destructor (w, weights_destroy);
   weights_enter (w, PHASE_IDLE);
   dl_timer_subscribe (task, w, TICK_MS, TICK_MS, on_tick, w);
-  return give_start (w);
+  return dl_depot_new (task, w,
+                       &(DlDepotOptions){
+                           .settings = w->settings,
+                           .origin = &platform_origin_calls,
+                           .uploads_max = UPLOADS_MAX,
+                           .on_progress = on_progress,
+                           .data = w,
+                       },
+                       &w->depot);
 }
 
 static json_object *
@@ -601,13 +453,14 @@
   json_object_object_add (object, "phase", json_object_new_string (phases[w->phase]));
   json_object_object_add (object, "engine_version",
                           json_object_new_uint64 (w->engine.version));
-  if (w->bundle != NULL && w->bundle->plan != NULL)
+  if (w->staging != NULL && w->staging->bundle->plan != NULL)
     {
-      json_object_object_add (object, "version",
-                              json_object_new_uint64 (w->bundle->version));
+      const DlBundle *b = w->staging->bundle;
+
+      json_object_object_add (object, "version", json_object_new_uint64 (b->version));
       json_object_object_add (
           object, "missing",
-          json_object_new_int ((int)dl_fetch_plan_missing (w->bundle->plan)));
+          json_object_new_int ((int)dl_fetch_plan_missing (b->plan)));
     }
   return object;
 }
@@ -618,8 +471,8 @@
   .name = "weights",
   .order = 20,
   .subscriptions = MESSAGE (STAGE_SOURCE) | MESSAGE (STAGE_NAMED)
-                   | MESSAGE (STAGE_UNNAMED) | MESSAGE (STAGE_PEER)
-                   | MESSAGE (STAGE_PEER_GONE) | MESSAGE (STAGE_REPORT)
+                   | MESSAGE (STAGE_UNNAMED) | MESSAGE (STAGE_HOLDER)
+                   | MESSAGE (STAGE_GONE) | MESSAGE (STAGE_REPORT)
                    | MESSAGE (STAGE_SILENT),
   .start = start,
   .handle = handle,
--- a/daisystaged/fetch.c
+++ b/lib/node/depot_fetch.c
@@ -1,6 +1,8 @@
 /*
- * Getting manifests and chunks from other stagers and the origin.
+ * Getting manifests and chunks from other nodes and the origin.
  */
+#include "node/depot_private.h"
+
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
@@ -9,18 +11,18 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
-#include "platform.h"
-#include "weights.h"
 
 #define CONNECT_TIMEOUT_MS  500
 #define PEER_TIMEOUT_MS     1500
 #define ORIGIN_TIMEOUT_MS   3000
 #define MANIFEST_TIMEOUT_MS 900
 #define MANIFEST_RETRY_MS   300
+#define MANIFEST_PATIENCE_MS 700
 #define MANIFEST_MAX_BYTES  (1u << 20)
 #define MANIFEST_CHUNKS_MAX 65536
 #define CHUNK_MAX_BYTES     (1u << 20)
-/* Requests of callers come over the same link, behind what was sent for a chunk. */
+/* Requests of callers come to an upstream over its host's link, behind what was sent for a
+ * chunk. */
 #define RECEIVE_BUFFER_BYTES (12u << 10)
 #define STATUS_OK           200
 #define STATUS_UNAVAILABLE  503
@@ -32,12 +34,12 @@
 DL_METRIC (metric_peer,
            DL_METRIC_COUNTER,
            "daisy_stage_peer_bytes_total",
-           "Chunk bytes got from other stagers.")
+           "Chunk bytes got from other nodes.")
 
 /* -------- the manifest -------- */
 
 static void
-on_manifest_missed (const Bundle *b, const DlHttpResult *result, const char *source)
+on_manifest_missed (const DlBundle *b, const DlHttpResult *result, const char *source)
 {
   dl_log (DL_EVENT_STAGE_FETCH_FAILED, DL_TEXT ("what", "manifest"),
           DL_UINT ("version", b->version), DL_TEXT ("source", source),
@@ -47,7 +49,7 @@
 static void
 on_origin_manifest (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
-  Bundle *b = data;
+  DlBundle *b = data;
   const char **digests = NULL;
   uint64_t version = 0;
   int count = DL_ERR_UNAVAILABLE;
@@ -55,7 +57,8 @@
   if (b->count > 0)
     return;
   if (result->error == 0 && result->status == STATUS_OK)
-    count = platform_read_manifest (b, result->body, b->model, &version, &digests);
+    count = b->depot->options.origin->read_manifest (b, result->body, b->model, &version,
+                                                     &digests);
   if (count < 0 || (b->version > 0 && version != b->version))
     {
       talloc_free (digests);
@@ -63,7 +66,7 @@
       return;
     }
   b->version = version;
-  weights_manifest_arrived (b, digests, (unsigned)count);
+  dl_bundle_set_manifest (b, digests, (unsigned)count);
 }
 
 /* Reads a line for each digest; NULL when there are none or too many. */
@@ -91,7 +94,7 @@
 static void
 on_peer_manifest (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
-  Bundle *b = data;
+  DlBundle *b = data;
   const char **digests = NULL;
   unsigned count = 0;
 
@@ -102,85 +105,91 @@
   if (count == 0)
     {
       talloc_free (digests);
-      on_manifest_missed (b, result, "another stager");
+      on_manifest_missed (b, result, "another node");
       return;
     }
-  weights_manifest_arrived (b, digests, count);
+  dl_bundle_set_manifest (b, digests, count);
 }
 
-/* A neighbour that holds chunks of the version, so that it has the manifest too; one of
- * the own region if there is any.  NULL for none. */
-static const Neighbour *
-manifest_holder (const Bundle *b)
+/* A holder of chunks of the version, so that it has the manifest too; a hub of the own
+ * region if there is any.  NULL for none. */
+static const DlHolder *
+manifest_holder (const DlBundle *b)
 {
-  const Neighbour *best = NULL;
+  const DlHolder *best = NULL;
   GHashTableIter iter;
   gpointer value;
 
   if (b->version == 0)
     return NULL;
-  g_hash_table_iter_init (&iter, b->owner->neighbours);
+  g_hash_table_iter_init (&iter, b->depot->holders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Neighbour *n = value;
-      bool near = strcmp (n->region, b->owner->settings->region) == 0;
+      const DlHolder *h = &((const DlDepotHolder *)value)->holder;
+      bool near = strcmp (h->region, b->depot->options.settings->region) == 0;
 
-      if (weights_held_by (b, n).length > 0 && (best == NULL || near))
-        best = n;
+      if (dl_depot_held_by (b, h).length > 0 && (best == NULL || (near && h->is_hub)))
+        best = h;
     }
   return best;
 }
 
+static void
+ask_holder (DlBundle *b, const DlHolder *holder, const DlHttpCallOptions *options)
+{
+  DlHttpCallOptions o = *options;
+  char *url = talloc_asprintf (b, "http://%s/manifest?model=%s&version=%" PRIu64,
+                               holder->address, b->model, b->version);
+
+  o.url = url;
+  o.on_done = on_peer_manifest;
+  dl_http_call (b->depot->client, b, &o);
+  talloc_free (url);
+}
+
+/* Leaves the origin to the hubs at first, whose word arrives soon. */
+static bool
+is_left_to_hubs (const DlBundle *b, uint64_t now_ms)
+{
+  return !b->depot->options.is_hub && b->version > 0
+         && now_ms - b->progress_ms < MANIFEST_PATIENCE_MS;
+}
+
 void
-fetch_manifest (Bundle *b)
+dl_bundle_fetch_manifest (DlBundle *b)
 {
-  Weights *w = b->owner;
+  DlDepot *depot = b->depot;
   uint64_t now_ms = dl_clock_ms ();
-  const Neighbour *holder = manifest_holder (b);
-  DlHttpCallOptions options = {
+  const DlHolder *holder = manifest_holder (b);
+  const DlHttpCallOptions options = {
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = MANIFEST_TIMEOUT_MS,
     .max_body_bytes = MANIFEST_MAX_BYTES,
-    .on_done = holder != NULL ? on_peer_manifest : on_origin_manifest,
+    .on_done = on_origin_manifest,
     .data = b,
   };
 
   if (b->asked_ms != 0 && now_ms - b->asked_ms < MANIFEST_RETRY_MS)
     return;
-  if (holder == NULL && w->origin == NULL)
+  if (holder == NULL && (depot->origin == NULL || is_left_to_hubs (b, now_ms)))
     return;
   b->asked_ms = now_ms;
   if (holder != NULL)
-    {
-      char *url = talloc_asprintf (b, "http://%s/manifest?model=%s&version=%" PRIu64,
-                                   holder->address, b->model, b->version);
-
-      options.url = url;
-      dl_http_call (w->client, b, &options);
-      talloc_free (url);
-    }
+    ask_holder (b, holder, &options);
   else
-    platform_call_manifest (w->client, b, w->origin, b->model, b->version, &options);
+    depot->options.origin->manifest (depot->client, b, depot->origin, b->model,
+                                     b->version, &options);
 }
 
 /* -------- chunks -------- */
 
 typedef struct
 {
-  Bundle *bundle;
+  DlBundle *bundle;
   unsigned index;
   char *peer; /* NULL for the origin */
 } Fetch;
 
-bool
-fetch_is_genuine (const Bundle *bundle, unsigned index, DlStr bytes)
-{
-  g_autofree char *digest = g_compute_checksum_for_data (
-      G_CHECKSUM_SHA256, (const guchar *)bytes.data, bytes.length);
-
-  return g_ascii_strcasecmp (digest, bundle->digests[index]) == 0;
-}
-
 static void
 on_chunk_failed (const Fetch *fetch, const DlHttpResult *result, bool spoilt)
 {
@@ -202,61 +211,61 @@
 on_chunk (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   Fetch *fetch = data;
-  Bundle *b = fetch->bundle;
+  DlBundle *b = fetch->bundle;
   bool whole = result->error == 0 && result->status == STATUS_OK;
 
-  if (whole && fetch_is_genuine (b, fetch->index, result->body))
+  if (whole && dl_bundle_is_genuine (b, fetch->index, result->body))
     {
       dl_metric_add (fetch->peer != NULL ? &metric_peer : &metric_origin,
                      (int64_t)result->body.length);
-      weights_chunk_arrived (b, fetch->index, result->body);
+      dl_bundle_take (b, fetch->index, result->body);
     }
   else
     on_chunk_failed (fetch, result, whole);
   talloc_free (fetch);
-  weights_run (b->owner);
+  b->depot->options.on_progress (b->depot->options.data);
 }
 
 static void
-start_fetch (Bundle *b, const DlFetch *next)
+start_fetch (DlBundle *b, const DlFetch *next)
 {
-  Weights *w = b->owner;
+  DlDepot *depot = b->depot;
   Fetch *fetch = talloc_zero (b, Fetch);
   DlHttpCallOptions options = {
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = next->peer != NULL ? PEER_TIMEOUT_MS : ORIGIN_TIMEOUT_MS,
     .max_body_bytes = CHUNK_MAX_BYTES,
-    .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
+    .receive_buffer_bytes = depot->options.is_hub ? 0 : RECEIVE_BUFFER_BYTES,
     .on_done = on_chunk,
     .data = fetch,
   };
-  const Neighbour *n;
+  const DlDepotHolder *h;
   char *url;
 
   fetch->bundle = b;
   fetch->index = next->index;
   if (next->peer == NULL)
     {
-      platform_call_chunk (w->client, b, w->origin, b->model, b->version, next->index,
-                           &options);
+      depot->options.origin->chunk (depot->client, b, depot->origin, b->model, b->version,
+                                    next->index, &options);
       return;
     }
   fetch->peer = talloc_strdup (fetch, next->peer);
-  n = g_hash_table_lookup (w->neighbours, next->peer);
-  g_assert (n != NULL);
+  h = g_hash_table_lookup (depot->holders, next->peer);
+  g_assert (h != NULL);
   url = talloc_asprintf (b, "http://%s/chunk?model=%s&version=%" PRIu64 "&index=%u",
-                         n->address, b->model, b->version, next->index);
+                         h->holder.address, b->model, b->version, next->index);
   options.url = url;
-  dl_http_call (w->client, b, &options);
+  dl_http_call (depot->client, b, &options);
   talloc_free (url);
 }
 
 void
-fetch_run (Bundle *b)
+dl_bundle_fetch_chunks (DlBundle *b)
 {
   DlFetch next;
 
-  if (b->owner->origin == NULL)
+  if (b->depot->origin == NULL)
     return;
   while (dl_fetch_plan_next (b->plan, dl_clock_ms (), dl_random_uint64 (), &next))
     start_fetch (b, &next);
--- a/daisystaged/give.c
+++ b/lib/node/depot_give.c
@@ -1,16 +1,17 @@
 /*
- * Giving manifests and chunks to other stagers.
+ * Giving manifests and chunks to other nodes.
  *
- * Live answers share the host's link.  Chunks go out one at a time, so that an event of a
- * stream waits behind one chunk at the most; other stagers' requests wait here meanwhile.
+ * Live answers share a small host's link.  Few chunks go out at a time there, so that an
+ * event of a stream waits behind one at the most; other requests wait here meanwhile.
  */
+#include "node/depot_private.h"
+
 #include <string.h>
 #include <talloc.h>
 
 #include "kernel/metrics.h"
-#include "weights.h"
 
-#define UPLOADS_WAITING_MAX 3
+#define UPLOADS_WAITING_MAX 4
 #define UPLOAD_CONNECTIONS  200
 #define UPLOAD_HEADERS      (2u << 10)
 #define UPLOAD_IDLE_S       20
@@ -21,7 +22,7 @@
 DL_METRIC (metric_given,
            DL_METRIC_COUNTER,
            "daisy_stage_given_bytes_total",
-           "Chunk bytes given to other stagers.")
+           "Chunk bytes given to other nodes.")
 
 static uint64_t
 query_uint (const DlHttpRequest *http, const char *name)
@@ -31,20 +32,20 @@
   return text != NULL ? g_ascii_strtoull (text, NULL, 10) : 0;
 }
 
-static Bundle *
-asked_bundle (const Weights *w, const DlHttpRequest *http)
+static DlBundle *
+asked_bundle (const DlDepot *depot, const DlHttpRequest *http)
 {
   const char *model = dl_http_request_query (http, "model");
 
-  return model != NULL ? weights_find (w, model, query_uint (http, "version")) : NULL;
+  return model != NULL ? dl_depot_find (depot, model, query_uint (http, "version")) : NULL;
 }
 
 /* -------- manifests: a line for each digest -------- */
 
 static void
-give_manifest (const Weights *w, DlHttpRequest *http)
+give_manifest (const DlDepot *depot, DlHttpRequest *http)
 {
-  const Bundle *b = asked_bundle (w, http);
+  const DlBundle *b = asked_bundle (depot, http);
   DlBuffer *text;
 
   if (b == NULL || b->count == 0)
@@ -60,59 +61,59 @@
 
 /* -------- chunks -------- */
 
-static void upload_next (Weights *w);
+static void upload_next (DlDepot *depot);
 
 static void
 on_upload_closed (DlHttpRequest *http, bool answered, void *data)
 {
-  Weights *w = data;
+  DlDepot *depot = data;
 
-  if (g_queue_remove (&w->uploads, http))
+  if (g_queue_remove (&depot->waiting, http))
     return; /* it was still waiting */
-  w->uploading = false;
-  upload_next (w);
+  depot->giving--;
+  upload_next (depot);
 }
 
 static void
-upload (Weights *w, DlHttpRequest *http)
+upload (DlDepot *depot, DlHttpRequest *http)
 {
-  const Bundle *b = asked_bundle (w, http);
+  const DlBundle *b = asked_bundle (depot, http);
   uint64_t index = query_uint (http, "index");
 
-  w->uploading = true;
-  if (b == NULL || index >= b->count || b->chunks[index].bytes.length == 0)
+  depot->giving++;
+  if (b == NULL || index >= b->count || b->chunks[index].length == 0)
     {
       dl_http_reply_error (http, STATUS_NOT_FOUND, 0, "no such chunk here");
       return;
     }
-  dl_metric_add (&metric_given, (int64_t)b->chunks[index].bytes.length);
-  dl_http_reply (http, STATUS_OK, "application/octet-stream", b->chunks[index].bytes,
+  dl_metric_add (&metric_given, (int64_t)b->chunks[index].length);
+  dl_http_reply (http, STATUS_OK, "application/octet-stream", b->chunks[index],
                  NULL);
 }
 
 static void
-upload_next (Weights *w)
+upload_next (DlDepot *depot)
 {
   DlHttpRequest *http;
 
-  if (w->uploading)
+  if (depot->giving >= depot->options.uploads_max)
     return;
-  http = g_queue_pop_head (&w->uploads);
+  http = g_queue_pop_head (&depot->waiting);
   if (http != NULL)
-    upload (w, http);
+    upload (depot, http);
 }
 
 static void
-give_chunk (Weights *w, DlHttpRequest *http)
+give_chunk (DlDepot *depot, DlHttpRequest *http)
 {
-  if (g_queue_get_length (&w->uploads) >= UPLOADS_WAITING_MAX)
+  if (g_queue_get_length (&depot->waiting) >= UPLOADS_WAITING_MAX)
     {
-      dl_http_reply_error (http, STATUS_UNAVAILABLE, 0, "busy with other stagers");
+      dl_http_reply_error (http, STATUS_UNAVAILABLE, 0, "busy with other nodes");
       return;
     }
-  dl_http_request_on_closed (http, on_upload_closed, w);
-  g_queue_push_tail (&w->uploads, http);
-  upload_next (w);
+  dl_http_request_on_closed (http, on_upload_closed, depot);
+  g_queue_push_tail (&depot->waiting, http);
+  upload_next (depot);
 }
 
 static void
@@ -129,14 +130,15 @@
 }
 
 int
-give_start (Weights *w)
+dl_depot_give_start (DlDepot *depot)
 {
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
 
   limits.max_connections = UPLOAD_CONNECTIONS;
   limits.max_header_bytes = UPLOAD_HEADERS;
   limits.idle_timeout_s = UPLOAD_IDLE_S;
-  g_queue_init (&w->uploads);
-  return dl_http_server_new (w->task, w, dl_str (w->settings->address), &limits,
-                             on_request, w, &w->server);
+  g_queue_init (&depot->waiting);
+  return dl_http_server_new (depot->task, depot,
+                             dl_str (depot->options.settings->address), &limits,
+                             on_request, depot, &depot->server);
 }
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -13,6 +13,7 @@
   char *host;
   char *region;
   bool near; /* in this host's region */
+  bool is_hub;
   uint8_t *holds;
   unsigned fetching; /* from it, at present */
   uint64_t away_until_ms;
@@ -40,6 +41,7 @@
   char *region;
   char *key; /* of the version */
   unsigned count;
+  bool is_hub;
   uint64_t started_ms;
   uint64_t draw_us;
   Chunk *chunks;
@@ -86,6 +88,7 @@
   plan->key = talloc_asprintf (plan, "%s:%" G_GUINT64_FORMAT, options->model,
                                options->version);
   plan->count = options->chunks;
+  plan->is_hub = options->is_hub;
   plan->missing = options->chunks;
   plan->started_ms = options->started_ms;
   plan->draw_us = options->draw_us;
@@ -104,7 +107,11 @@
 }
 
 void
-dl_fetch_plan_peer (DlFetchPlan *plan, const char *host, const char *region, DlStr holds)
+dl_fetch_plan_peer (DlFetchPlan *plan,
+                    const char *host,
+                    const char *region,
+                    bool is_hub,
+                    DlStr holds)
 {
   Peer *p = find_peer (plan, host);
 
@@ -114,6 +121,7 @@
       p->host = talloc_strdup (p, host);
       p->region = talloc_strdup (p, region);
       p->near = strcmp (region, plan->region) == 0;
+      p->is_hub = is_hub;
       p->holds = talloc_zero_array (p, uint8_t, bitmap_bytes (plan));
       p->next = plan->peers;
       plan->peers = p;
@@ -204,7 +212,8 @@
   c->near_rank = 0;
   for (const Peer *p = plan->peers; p != NULL; p = p->next)
     {
-      if (dl_rendezvous_score (dl_str (key), dl_str (p->host)) <= own)
+      if (p->is_hub != plan->is_hub
+          || dl_rendezvous_score (dl_str (key), dl_str (p->host)) <= own)
         continue;
       c->rank++;
       c->near_rank += p->near;
@@ -221,38 +230,66 @@
   plan->ranked = true;
 }
 
+/* Which holders of a chunk are looked at. */
+typedef struct
+{
+  bool near_only;
+  bool hubs_only;
+} Circle;
+
+static bool
+is_in (const Peer *p, Circle circle)
+{
+  return (p->near || !circle.near_only) && (p->is_hub || !circle.hubs_only);
+}
+
 static bool
 is_usable (const Peer *p, unsigned index, uint64_t now_ms)
 {
-  return has_bit (p->holds, index) && p->fetching == 0 && now_ms >= p->away_until_ms;
+  return has_bit (p->holds, index) && p->fetching < DL_FETCH_PARALLEL_PEER
+         && now_ms >= p->away_until_ms;
 }
 
-/* A holder of the chunk, drawn at random; NULL when none is free. */
+/* The holder of the chunk with the fewest fetches from it, of several one at random; NULL
+ * when none is free. */
 static Peer *
 draw_holder (const DlFetchPlan *plan,
              unsigned index,
-             bool near_only,
+             Circle circle,
              uint64_t now_ms,
              uint64_t random)
 {
-  unsigned holders = 0;
+  Peer *best = NULL;
+  unsigned alike = 0;
 
   for (Peer *p = plan->peers; p != NULL; p = p->next)
-    holders += (p->near || !near_only) && is_usable (p, index, now_ms);
-  if (holders == 0)
-    return NULL;
-  random %= holders;
-  for (Peer *p = plan->peers; p != NULL; p = p->next)
-    if ((p->near || !near_only) && is_usable (p, index, now_ms) && random-- == 0)
-      return p;
-  return NULL;
+    {
+      if (!is_in (p, circle) || !is_usable (p, index, now_ms))
+        continue;
+      if (best == NULL || p->fetching < best->fetching)
+        alike = 0;
+      else if (p->fetching > best->fetching)
+        continue;
+      if (random % ++alike == 0)
+        best = p;
+    }
+  return best;
 }
 
 static bool
-is_held_by (const DlFetchPlan *plan, unsigned index, bool near_only)
+has_near_hub (const DlFetchPlan *plan)
 {
   for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    if ((p->near || !near_only) && has_bit (p->holds, index))
+    if (p->near && p->is_hub)
+      return true;
+  return false;
+}
+
+static bool
+is_held_by (const DlFetchPlan *plan, unsigned index, Circle circle)
+{
+  for (const Peer *p = plan->peers; p != NULL; p = p->next)
+    if (is_in (p, circle) && has_bit (p->holds, index))
       return true;
   return false;
 }
@@ -276,44 +313,83 @@
   return now_ms >= at_ms;
 }
 
+static bool
+may_draw (const DlFetchPlan *plan, unsigned index, uint64_t now_ms)
+{
+  unsigned limit
+      = plan->is_hub ? DL_FETCH_PARALLEL_ORIGIN_HUB : DL_FETCH_PARALLEL_ORIGIN;
+
+  return plan->fetching_origin < limit && now_ms >= plan->origin_away_until_ms
+         && may_step_in (plan, index, plan->chunks[index].rank, now_ms);
+}
+
 /* Chooses a source for chunk INDEX; false when there is none now. */
 static bool
 choose_source (
     const DlFetchPlan *plan, unsigned index, uint64_t now_ms, uint64_t random, Peer **peer)
 {
-  *peer = draw_holder (plan, index, true, now_ms, random);
+  Circle near = { .near_only = true, .hubs_only = true };
+  Circle all = { 0 };
+
+  *peer = draw_holder (plan, index, near, now_ms, random);
   if (*peer != NULL)
     return true;
-  if (is_held_by (plan, index, true))
+  if (!plan->is_hub && has_near_hub (plan)
+      && now_ms < draw_ms (plan, index) + DL_FETCH_HUB_PATIENCE_MS)
     return false;
-  if (is_held_by (plan, index, false))
+  near.hubs_only = plan->is_hub;
+  *peer = draw_holder (plan, index, near, now_ms, random);
+  if (*peer != NULL)
+    return true;
+  if (is_held_by (plan, index, near))
+    return false;
+  all.hubs_only = plan->is_hub;
+  if (!is_held_by (plan, index, all))
+    return may_draw (plan, index, now_ms);
+  if (!may_step_in (plan, index, plan->chunks[index].near_rank, now_ms))
+    return false;
+  *peer = draw_holder (plan, index, all, now_ms, random);
+  return *peer != NULL;
+}
+
+/* True when it falls to this host to bring chunk INDEX, so that others wait for it. */
+static bool
+is_first_for (const DlFetchPlan *plan, unsigned index)
+{
+  return plan->chunks[index].rank == 0 || plan->chunks[index].near_rank == 0;
+}
+
+/* The next chunk to fetch and its source; what others wait for comes first. */
+static bool
+find_fetch (const DlFetchPlan *plan,
+            bool first_only,
+            uint64_t now_ms,
+            uint64_t random,
+            unsigned *index,
+            Peer **source)
+{
+  for (unsigned n = 0; n < plan->count; n++)
     {
-      if (!may_step_in (plan, index, plan->chunks[index].near_rank, now_ms))
-        return false;
-      *peer = draw_holder (plan, index, false, now_ms, random);
-      return *peer != NULL;
+      *index = first_only ? n : (unsigned)((n + random) % plan->count);
+      if (plan->chunks[*index].state == CHUNK_MISSING
+          && (!first_only || is_first_for (plan, *index))
+          && choose_source (plan, *index, now_ms, random >> 16, source))
+        return true;
     }
-  return plan->fetching_origin < DL_FETCH_PARALLEL_ORIGIN
-         && now_ms >= plan->origin_away_until_ms
-         && may_step_in (plan, index, plan->chunks[index].rank, now_ms);
+  return false;
 }
 
 bool
 dl_fetch_plan_next (DlFetchPlan *plan, uint64_t now_ms, uint64_t random, DlFetch *fetch)
 {
   Peer *source = NULL;
-  bool found = false;
+  unsigned limit = plan->is_hub ? DL_FETCH_PARALLEL_HUB : DL_FETCH_PARALLEL;
 
-  if (plan->fetching >= DL_FETCH_PARALLEL || plan->missing == plan->fetching)
+  if (plan->fetching >= limit || plan->missing == plan->fetching)
     return false;
   rank_chunks (plan);
-  for (unsigned n = 0; n < plan->count && !found; n++)
-    {
-      fetch->index = (unsigned)((n + random) % plan->count);
-      found = plan->chunks[fetch->index].state == CHUNK_MISSING
-              && choose_source (plan, fetch->index, now_ms, random >> 16, &source);
-    }
-  if (!found)
+  if (!find_fetch (plan, true, now_ms, random, &fetch->index, &source)
+      && !find_fetch (plan, false, now_ms, random, &fetch->index, &source))
     return false;
   fetch->peer = source != NULL ? source->host : NULL;
   plan->chunks[fetch->index].state = CHUNK_FETCHING;
--- a/lib/policy/fetch_plan.h
+++ b/lib/policy/fetch_plan.h
@@ -1,14 +1,18 @@
 /*
  * Where one host gets the next chunk of a version from.
  *
- * The load this answers: all hosts want the same few megabytes within seconds, over small
- * host links, an origin whose link carries a few copies in that time, and costly links
- * between regions.  Each chunk has one host that draws it from the origin and, in each
- * other region, one that brings it there; a hash over the live hosts tells which, so that
- * nobody is in charge.  Inside a region hosts take chunks from each other in random order,
- * so that those that have just come are not all asked of their first holder at once.  Draws begin one after the other, as the origin's link takes them,
- * so that the first chunks spread while the last are drawn.  A chunk that does not come in time is fetched by others too, one
- * after the other in the order of the hash.
+ * The load this answers: all upstream hosts want the same few megabytes within seconds,
+ * while live answers share their small links; the origin's link carries a few copies in
+ * that time, and links between regions are costly.  What an upstream host gives to another
+ * delays answers on both, so that it only receives: entry hosts, whose links are large,
+ * are hubs that fetch every chunk once and give it out.
+ *
+ * Each chunk has one hub that draws it from the origin and, in each other region, one that
+ * brings it there; a hash over the live hubs tells which, so that nobody is in charge.
+ * Draws begin one after the other, as the origin's link takes them, so that the first
+ * chunks spread while the last are drawn.  A chunk that does not come in time is fetched
+ * by others too, one after the other in the order of the hash; without hubs the other
+ * hosts do all this among themselves.
  *
  * Pure: times are milliseconds that the caller gives.
  */
@@ -21,9 +25,16 @@
 
 #include "kernel/str.h"
 
-/* Fetches at once, in all and from the origin. */
-#define DL_FETCH_PARALLEL        2
-#define DL_FETCH_PARALLEL_ORIGIN 1
+/* Fetches at once of a host that is no hub, and of a hub. */
+#define DL_FETCH_PARALLEL     2
+#define DL_FETCH_PARALLEL_HUB 8
+/* The same from the origin alone. */
+#define DL_FETCH_PARALLEL_ORIGIN     1
+#define DL_FETCH_PARALLEL_ORIGIN_HUB 4
+/* Fetches at once from one other host. */
+#define DL_FETCH_PARALLEL_PEER 2
+/* A host that is no hub waits this long for the hubs of its region. */
+#define DL_FETCH_HUB_PATIENCE_MS 1300
 /* A chunk that should have come by its own way is fetched by the next in rank after this
  * long, and by each further one after the step. */
 #define DL_FETCH_STEP_IN_MS   1200
@@ -41,6 +52,7 @@
   const char *model;
   uint64_t version;
   unsigned chunks;
+  bool is_hub;
   uint64_t started_ms; /* when the version was learned of */
   uint64_t draw_us;    /* time that the origin's link takes for one chunk; 0: no matter */
 } DlFetchPlanOptions;
@@ -52,6 +64,7 @@
 void dl_fetch_plan_peer (DlFetchPlan *plan,
                          const char *host,
                          const char *region,
+                         bool is_hub,
                          DlStr holds);
 void dl_fetch_plan_peer_gone (DlFetchPlan *plan, const char *host);
 /* Chunk INDEX is here and verified. */
