--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -52,7 +52,7 @@
     {
       const char *model;
       uint64_t version;
-      uint64_t learned_ms; /* when this entry learned of it */
+      uint64_t named_ms;
     } version;
     DlHolder holder;      /* texts below the message */
     DlHoldings holdings;  /* the same */
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -398,7 +398,7 @@
       break;
     case DIRECT_VERSION:
       direct_upstreams_version (requests->upstreams, m->version.version,
-                                m->version.learned_ms);
+                                m->version.named_ms);
       break;
     case DIRECT_FRESH:
       requests->fresh_ms = m->fresh_ms;
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -10,6 +10,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "node/metrics_page.h"
+#include "node/named.h"
 #include "node/object_watch.h"
 #include "node/peers.h"
 #include "platform.h"
@@ -52,8 +53,8 @@
   GHashTable *listed; /* id to Listed */
   DlLapse lapse;
   uint64_t routing_version; /* 0: none yet */
-  char *named_model;
-  uint64_t named_version;
+  DlObjectWatch *versions_watch;
+  DlNamed named;
   bool told_unnamed;
   DirectMessage *holding; /* the last DIRECT_HOLDING; NULL before the first */
   bool holding_changed;
@@ -226,6 +227,17 @@
   dl_lapse_answered (&state->lapse, dl_clock_ms ());
 }
 
+static void
+on_upstreams_contact (int error, void *data)
+{
+  State *state = data;
+
+  if (error < 0)
+    dl_lapse_failed (&state->lapse);
+  else
+    dl_lapse_answered (&state->lapse, dl_clock_ms ());
+}
+
 /* Drops upstreams that did not come back on the list in time. */
 static void
 drop_lapsed (State *state)
@@ -248,12 +260,27 @@
 
 /* -------- versions -------- */
 
+static void
+publish_named (State *state, const char *from)
+{
+  DirectMessage *message = message_new (DIRECT_VERSION);
+
+  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", state->named.model),
+          DL_UINT ("version", state->named.version), DL_TEXT ("from", from),
+          DL_UINT ("age_ms", dl_clock_ms () - state->named.named_ms),
+          DL_TEXT ("witnessed", state->named.witnessed ? "yes" : "no"));
+  message->version.model = talloc_strdup (message, state->named.model);
+  message->version.version = state->named.version;
+  message->version.named_ms = state->named.named_ms;
+  dl_kernel_publish (state->kernel, message);
+}
+
 static void
 on_versions_proven (void *data)
 {
   State *state = data;
 
-  if (state->named_model == NULL && !state->told_unnamed)
+  if (state->named.model == NULL && !state->told_unnamed)
     dl_kernel_publish (state->kernel, message_new (DIRECT_UNNAMED));
   state->told_unnamed = true;
 }
@@ -262,27 +289,20 @@
 on_version (const DlObject *object, void *data)
 {
   State *state = data;
-  DirectMessage *message;
+  void *context;
+  const char *model;
+  uint64_t version;
 
   if (object->deleted)
     return;
-  message = message_new (DIRECT_VERSION);
-  if (platform_read_version (message, object->value, &message->version.model,
-                             &message->version.version)
-      < 0)
-    {
-      dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
-      dl_message_unref (message);
-      return;
-    }
-  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", message->version.model),
-          DL_UINT ("version", message->version.version),
-          DL_UINT ("revision", object->revision));
-  TALLOC_FREE (state->named_model);
-  state->named_model = talloc_strdup (state, message->version.model);
-  state->named_version = message->version.version;
-  message->version.learned_ms = dl_clock_ms ();
-  dl_kernel_publish (state->kernel, message);
+  context = talloc_new (state);
+  if (platform_read_version (context, object->value, &model, &version) < 0)
+    dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
+  else if (dl_named_by_store (state, &state->named, model, version,
+                              dl_object_watch_is_unbroken (state->versions_watch),
+                              dl_clock_ms ()))
+    publish_named (state, "store");
+  talloc_free (context);
 }
 
 /* -------- other nodes -------- */
@@ -315,6 +335,9 @@
   const Daisyloft__Wire__EngineStatus *engine = status->engine;
   DirectMessage *message;
 
+  if (status->named != NULL
+      && dl_named_by_node (state, &state->named, status->named, dl_clock_ms ()))
+    publish_named (state, peer->name);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     publish_holder (state, peer, status);
   if (engine == NULL)
@@ -345,19 +368,15 @@
 send_status (State *state)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  Daisyloft__Wire__Named named = DAISYLOFT__WIRE__NAMED__INIT;
+  Daisyloft__Wire__Named named;
   void *context = talloc_new (state);
 
   status.ready = state->ready;
   if (state->holding != NULL)
     dl_holdings_write (context, &state->holding->holdings, &status);
+  if (dl_named_write (&state->named, &named, dl_clock_ms ()))
+    status.named = &named;
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
-  if (state->named_model != NULL)
-    {
-      named.model = state->named_model;
-      named.version = state->named_version;
-      status.named = &named;
-    }
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
   talloc_free (context);
   state->holding_changed = false;
@@ -495,17 +514,18 @@
                                                     .retry_max_ms = ROUTING_RETRY_MS,
                                                     .on_object = on_upstream,
                                                     .on_proven = on_upstreams_proven,
+                                                    .on_contact = on_upstreams_contact,
                                                     .data = state,
                                                 });
-  dl_object_watch_new (state->task, state, state->store,
-                       &(DlObjectWatchOptions){
-                           .kind = platform_kind_versions,
-                           .wait_ms = VERSIONS_WAIT_MS,
-                           .retry_max_ms = RETRY_MS,
-                           .on_object = on_version,
-                           .on_proven = on_versions_proven,
-                           .data = state,
-                       });
+  state->versions_watch = dl_object_watch_new (state->task, state, state->store,
+                                               &(DlObjectWatchOptions){
+                                                   .kind = platform_kind_versions,
+                                                   .wait_ms = VERSIONS_WAIT_MS,
+                                                   .retry_max_ms = RETRY_MS,
+                                                   .on_object = on_version,
+                                                   .on_proven = on_versions_proven,
+                                                   .data = state,
+                                               });
 }
 
 static int
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -140,9 +140,9 @@
 void
 direct_upstreams_version (DirectUpstreams *upstreams,
                           uint64_t version,
-                          uint64_t learned_ms)
+                          uint64_t named_ms)
 {
-  dl_version_floor_named (&upstreams->floor, version, learned_ms);
+  dl_version_floor_named (&upstreams->floor, version, named_ms);
 }
 
 void
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -39,7 +39,7 @@
                               uint64_t now_ms);
 void direct_upstreams_version (DirectUpstreams *upstreams,
                                uint64_t version,
-                               uint64_t learned_ms);
+                               uint64_t named_ms);
 void direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned entries);
 
 typedef struct
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -43,14 +43,14 @@
 }
 
 static void
-take_named (Weights *w, const char *model, uint64_t version, uint64_t learned_ms)
+take_named (Weights *w, const char *model, uint64_t version, uint64_t named_ms)
 {
   if (dl_depot_find (w->depot, model, version) != NULL)
     return;
   if (w->older != NULL)
     dl_bundle_close (w->older);
   w->older = w->newest;
-  w->newest = dl_bundle_open (w->depot, model, version, learned_ms);
+  w->newest = dl_bundle_open (w->depot, model, version, named_ms);
 }
 
 /* A version that cannot be had any more must not keep back the one after it. */
@@ -108,7 +108,7 @@
       take_routing (w, m->routing);
       break;
     case DIRECT_VERSION:
-      take_named (w, m->version.model, m->version.version, m->version.learned_ms);
+      take_named (w, m->version.model, m->version.version, m->version.named_ms);
       break;
     case DIRECT_UNNAMED:
       w->unnamed = true;
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -8,6 +8,7 @@
 #include "daisystaged.h"
 #include "kernel/log.h"
 #include "node/metrics_page.h"
+#include "node/named.h"
 #include "node/object_watch.h"
 #include "node/peers.h"
 #include "platform.h"
@@ -30,8 +31,8 @@
   DlKernel *kernel;
   const DlNodeSettings *settings;
   DlPeers *peers;
-  char *named_model;
-  uint64_t named_version;
+  DlObjectWatch *versions_watch;
+  DlNamed named;
   bool told_unnamed;
   Daisyloft__Wire__EngineStatus engine; /* texts below this */
   bool engine_known;
@@ -70,24 +71,18 @@
   dl_kernel_publish (state->kernel, message);
 }
 
-/* A version that the store or an entry names. */
 static void
-learn_named (State *state, const char *model, uint64_t version, const char *from)
+publish_named (State *state, const char *from)
 {
-  StageMessage *message;
-
-  if (state->named_model != NULL && strcmp (state->named_model, model) == 0
-      && version <= state->named_version)
-    return;
-  talloc_free (state->named_model);
-  state->named_model = talloc_strdup (state, model);
-  state->named_version = version;
-  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", model), DL_UINT ("version", version),
-          DL_TEXT ("from", from));
-  message = stage_message_new (STAGE_NAMED);
-  message->named.model = talloc_strdup (message, model);
-  message->named.version = version;
-  message->named.learned_ms = dl_clock_ms ();
+  StageMessage *message = stage_message_new (STAGE_NAMED);
+
+  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", state->named.model),
+          DL_UINT ("version", state->named.version), DL_TEXT ("from", from),
+          DL_UINT ("age_ms", dl_clock_ms () - state->named.named_ms),
+          DL_TEXT ("witnessed", state->named.witnessed ? "yes" : "no"));
+  message->named.model = talloc_strdup (message, state->named.model);
+  message->named.version = state->named.version;
+  message->named.named_ms = state->named.named_ms;
   dl_kernel_publish (state->kernel, message);
 }
 
@@ -102,10 +97,12 @@
   if (object->deleted)
     return;
   context = talloc_new (state);
-  if (platform_read_version (context, object->value, &model, &version) == 0)
-    learn_named (state, model, version, "store");
-  else
+  if (platform_read_version (context, object->value, &model, &version) < 0)
     dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
+  else if (dl_named_by_store (state, &state->named, model, version,
+                              dl_object_watch_is_unbroken (state->versions_watch),
+                              dl_clock_ms ()))
+    publish_named (state, "store");
   talloc_free (context);
 }
 
@@ -114,7 +111,7 @@
 {
   State *state = data;
 
-  if (state->named_model == NULL && !state->told_unnamed)
+  if (state->named.model == NULL && !state->told_unnamed)
     dl_kernel_publish (state->kernel, stage_message_new (STAGE_UNNAMED));
   state->told_unnamed = true;
 }
@@ -127,8 +124,9 @@
   State *state = data;
   StageMessage *message;
 
-  if (status->named != NULL)
-    learn_named (state, status->named->model, status->named->version, peer->name);
+  if (status->named != NULL
+      && dl_named_by_node (state, &state->named, status->named, dl_clock_ms ()))
+    publish_named (state, peer->name);
   message = stage_message_new (STAGE_HOLDER);
   message->holder = dl_holder_read (message, peer, status);
   dl_kernel_publish (state->kernel, message);
@@ -157,9 +155,12 @@
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   Daisyloft__Wire__EngineStatus engine = state->engine;
+  Daisyloft__Wire__Named named;
 
   if (!state->engine_known)
     return;
+  if (dl_named_write (&state->named, &named, now_ms))
+    status.named = &named;
   engine.loading = engine.loading || is_loading (state);
   status.ready = !engine.loading;
   status.engine = &engine;
@@ -296,15 +297,15 @@
                            .on_object = on_routing,
                            .data = state,
                        });
-  dl_object_watch_new (state->task, state, store,
-                       &(DlObjectWatchOptions){
-                           .kind = platform_kind_versions,
-                           .wait_ms = VERSIONS_WAIT_MS,
-                           .retry_max_ms = RETRY_MAX_MS,
-                           .on_object = on_version,
-                           .on_proven = on_versions_proven,
-                           .data = state,
-                       });
+  state->versions_watch = dl_object_watch_new (state->task, state, store,
+                                               &(DlObjectWatchOptions){
+                                                   .kind = platform_kind_versions,
+                                                   .wait_ms = VERSIONS_WAIT_MS,
+                                                   .retry_max_ms = RETRY_MAX_MS,
+                                                   .on_object = on_version,
+                                                   .on_proven = on_versions_proven,
+                                                   .data = state,
+                                               });
 }
 
 static int
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -101,7 +101,7 @@
 static void
 set_next (Weights *w, const StageMessage *m)
 {
-  uint64_t due_from_ms = m->named.learned_ms;
+  uint64_t due_from_ms = m->named.named_ms;
 
   if (w->next != NULL)
     {
@@ -109,24 +109,36 @@
       dl_bundle_close (w->next);
     }
   w->next
-      = dl_bundle_open (w->depot, m->named.model, m->named.version, m->named.learned_ms);
+      = dl_bundle_open (w->depot, m->named.model, m->named.version, m->named.named_ms);
   w->next_due_from_ms = due_from_ms;
 }
 
+/* Other nodes know better when the version was named. */
+static void
+set_named_ms (Weights *w, DlBundle *b, uint64_t named_ms)
+{
+  uint64_t *due_from_ms
+      = b == w->next ? &w->next_due_from_ms : &w->staging->due_from_ms;
+
+  if (*due_from_ms == b->named_ms)
+    *due_from_ms = named_ms;
+  b->named_ms = named_ms;
+}
+
 static void
 take_named (Weights *w, const StageMessage *m)
 {
   DlBundle *known = dl_depot_find (w->depot, m->named.model, m->named.version);
 
   if (known != NULL)
-    known->named_ms = m->named.learned_ms;
+    set_named_ms (w, known, m->named.named_ms);
   else if (w->staging != NULL)
     set_next (w, m);
   else
     set_present (w,
                  dl_bundle_open (w->depot, m->named.model, m->named.version,
-                                 m->named.learned_ms),
-                 m->named.learned_ms);
+                                 m->named.named_ms),
+                 m->named.named_ms);
 }
 
 static void
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1666,7 +1666,7 @@
   (ProtobufCMessageInit) daisyloft__wire__holding__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__named__field_descriptors[2] =
+static const ProtobufCFieldDescriptor daisyloft__wire__named__field_descriptors[4] =
 {
   {
     "model",
@@ -1692,15 +1692,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Named, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "witnessed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Named, witnessed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__named__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
   0,   /* field[0] = model */
   1,   /* field[1] = version */
+  3,   /* field[3] = witnessed */
 };
 static const ProtobufCIntRange daisyloft__wire__named__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__named__descriptor =
 {
@@ -1710,7 +1736,7 @@
   "Daisyloft__Wire__Named",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Named),
-  2,
+  4,
   daisyloft__wire__named__field_descriptors,
   daisyloft__wire__named__field_indices_by_name,
   1,  daisyloft__wire__named__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -218,10 +218,18 @@
   ProtobufCMessage base;
   char *model;
   uint64_t version;
+  /*
+   * since it was named
+   */
+  uint64_t age_ms;
+  /*
+   * the age is from a node that saw it being named
+   */
+  protobuf_c_boolean witnessed;
 };
 #define DAISYLOFT__WIRE__NAMED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__named__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/lib/node/depot_fetch.c
+++ b/lib/node/depot_fetch.c
@@ -111,6 +111,26 @@
   dl_bundle_set_manifest (b, digests, count);
 }
 
+/* The newest version of the bundle's model that any hub holds; 0 for none. */
+static uint64_t
+newest_of_hubs (const DlBundle *b)
+{
+  uint64_t newest = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->depot->holders);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DlHolder *h = &((const DlDepotHolder *)value)->holder;
+
+      for (size_t i = 0; h->is_hub && i < h->holdings.count; i++)
+        if (strcmp (h->holdings.items[i].model, b->model) == 0)
+          newest = MAX (newest, h->holdings.items[i].version);
+    }
+  return newest;
+}
+
 /* A holder of chunks of the version, so that it has the manifest too; a hub of the own
  * region if there is any.  NULL for none. */
 static const DlHolder *
@@ -120,8 +140,6 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (b->version == 0)
-    return NULL;
   g_hash_table_iter_init (&iter, b->depot->holders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -147,12 +165,22 @@
   talloc_free (url);
 }
 
+/* The origin takes few connections from all nodes together, so that none is kept. */
+static void
+ask_origin (DlBundle *b, const DlHttpCallOptions *options)
+{
+  DlHttpCallOptions o = *options;
+
+  o.single_use = true;
+  b->depot->options.origin->manifest (b->depot->client, b, b->depot->origin, b->model,
+                                      b->version, &o);
+}
+
 /* Leaves the origin to the hubs at first, whose word arrives soon. */
 static bool
 is_left_to_hubs (const DlBundle *b, uint64_t now_ms)
 {
-  return !b->depot->options.is_hub && b->version > 0
-         && now_ms - b->progress_ms < MANIFEST_PATIENCE_MS;
+  return !b->depot->options.is_hub && now_ms - b->progress_ms < MANIFEST_PATIENCE_MS;
 }
 
 void
@@ -160,7 +188,7 @@
 {
   DlDepot *depot = b->depot;
   uint64_t now_ms = dl_clock_ms ();
-  const DlHolder *holder = manifest_holder (b);
+  const DlHolder *holder;
   const DlHttpCallOptions options = {
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = MANIFEST_TIMEOUT_MS,
@@ -171,14 +199,16 @@
 
   if (b->asked_ms != 0 && now_ms - b->asked_ms < MANIFEST_RETRY_MS)
     return;
+  if (b->version == 0)
+    b->version = newest_of_hubs (b);
+  holder = b->version > 0 ? manifest_holder (b) : NULL;
   if (holder == NULL && (depot->origin == NULL || is_left_to_hubs (b, now_ms)))
     return;
   b->asked_ms = now_ms;
   if (holder != NULL)
     ask_holder (b, holder, &options);
   else
-    depot->options.origin->manifest (depot->client, b, depot->origin, b->model,
-                                     b->version, &options);
+    ask_origin (b, &options);
 }
 
 /* -------- chunks -------- */
@@ -246,6 +276,7 @@
   fetch->index = next->index;
   if (next->peer == NULL)
     {
+      options.single_use = true;
       depot->options.origin->chunk (depot->client, b, depot->origin, b->model, b->version,
                                     next->index, &options);
       return;
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -9,6 +9,8 @@
 #define RETRY_FIRST_MS 150
 /* Pause after a watch that returned nothing long before its time. */
 #define EARLY_PAUSE_MS 100
+/* An answer of a watch may take this long beyond its wait. */
+#define UNBROKEN_SLACK_MS 1000
 
 struct DlObjectWatch
 {
@@ -103,7 +105,6 @@
 {
   watch->proven_ms = watch->sent_ms;
   watch->retry_ms = 0;
-  set_contact (watch, 0);
   if (watch->options.on_proven != NULL)
     watch->options.on_proven (watch->options.data);
 }
@@ -173,6 +174,7 @@
       retry_later (watch, result);
       return;
     }
+  set_contact (watch, 0);
   /* What changes while later pages are read comes by the watch from the first page's
    * revision on. */
   if (watch->list_after == NULL)
@@ -220,6 +222,7 @@
       retry_later (watch, result);
       return;
     }
+  set_contact (watch, 0);
   for (size_t i = 0; i < result->count; i++)
     take_object (watch, &result->objects[i]);
   watch->revision = MAX (watch->revision, result->revision);
@@ -274,6 +277,13 @@
   return watch->proven_ms;
 }
 
+bool
+dl_object_watch_is_unbroken (const DlObjectWatch *watch)
+{
+  return watch->proven_ms != 0 && watch->listed == NULL && !watch->lost
+         && dl_clock_ms () - watch->sent_ms <= watch->options.wait_ms + UNBROKEN_SLACK_MS;
+}
+
 uint64_t
 dl_object_watch_revision (const DlObjectWatch *watch)
 {
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -51,6 +51,7 @@
   unsigned fetching;
   unsigned fetching_origin;
   uint64_t origin_away_until_ms;
+  uint64_t origin_failed_ms; /* when a draw last failed; 0 for never */
   unsigned missing;
 };
 
@@ -197,7 +198,10 @@
   if (c->peer != NULL)
     c->peer->away_until_ms = now_ms + away_ms;
   else
-    plan->origin_away_until_ms = now_ms + away_ms;
+    {
+      plan->origin_away_until_ms = now_ms + away_ms;
+      plan->origin_failed_ms = now_ms;
+    }
   fetch_ended (plan, index);
 }
 
@@ -308,6 +312,9 @@
 {
   uint64_t at_ms = draw_ms (plan, index);
 
+  /* While the origin is away, nobody is late. */
+  if (r > 0)
+    at_ms = MAX (at_ms, plan->origin_failed_ms);
   if (r > 0)
     at_ms += DL_FETCH_STEP_IN_MS + (uint64_t)(r - 1) * DL_FETCH_STEP_NEXT_MS;
   return now_ms >= at_ms;
--- a/lib/policy/lapse.c
+++ b/lib/policy/lapse.c
@@ -1,10 +1,18 @@
 #include "policy/lapse.h"
 
+void
+dl_lapse_failed (DlLapse *lapse)
+{
+  lapse->failed = true;
+}
+
 void
 dl_lapse_answered (DlLapse *lapse, uint64_t now_ms)
 {
-  if (lapse->answered_ms != 0 && now_ms - lapse->answered_ms > DL_LAPSE_OUTAGE_MS)
+  if (lapse->failed && lapse->answered_ms != 0
+      && now_ms - lapse->answered_ms > DL_LAPSE_OUTAGE_MS)
     lapse->returned_ms = now_ms;
+  lapse->failed = false;
   lapse->answered_ms = now_ms;
 }
 
--- a/lib/policy/lapse.h
+++ b/lib/policy/lapse.h
@@ -14,18 +14,21 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* The store was away when it answered nothing for this long. */
-#define DL_LAPSE_OUTAGE_MS 1000
+/* The store was away when calls failed and none was answered for this long. */
+#define DL_LAPSE_OUTAGE_MS 2000
 /* Living upstreams are on the list again this long after the store's return. */
 #define DL_LAPSE_RETURN_MS 2300
 
 typedef struct
 {
   uint64_t answered_ms; /* when the store last answered; 0 for never */
+  bool failed;          /* a call failed since */
   uint64_t returned_ms; /* when it last came back after an outage; 0 for never */
 } DlLapse;
 
-/* The store answered a call that was sent at SENT_MS. */
+/* A call to the store failed. */
+void dl_lapse_failed (DlLapse *lapse);
+/* The store answered. */
 void dl_lapse_answered (DlLapse *lapse, uint64_t now_ms);
 /* An entry is absent at NOW.  Returns the time until which its upstream is kept, 0 when
  * it is gone at once.  LEAVING: it had said so. */
--- a/lib/policy/version_floor.c
+++ b/lib/policy/version_floor.c
@@ -5,6 +5,8 @@
 void
 dl_version_floor_named (DlVersionFloor *floor, uint64_t version, uint64_t named_ms)
 {
+  if (floor->count > 0 && version == floor->names[floor->count - 1].version)
+    floor->names[floor->count - 1].named_ms = named_ms;
   if (floor->count > 0 && version <= floor->names[floor->count - 1].version)
     return;
   if (floor->count == DL_VERSION_FLOOR_NAMES)
--- a/lib/policy/version_floor.h
+++ b/lib/policy/version_floor.h
@@ -26,7 +26,8 @@
   unsigned count;
 } DlVersionFloor;
 
-/* VERSION was named at NAMED_MS; an older or known one changes nothing. */
+/* VERSION was named at NAMED_MS; an older one changes nothing, the newest one gets the
+ * new time. */
 void dl_version_floor_named (DlVersionFloor *floor, uint64_t version, uint64_t named_ms);
 /* The lowest version that may begin a request at NOW, with LIMIT_MS from the name until
  * it must be in force; 0: any. */
