--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -19,9 +19,9 @@
 /* A caller that reads slowly holds the upstream's stream beyond this. */
 #define STREAM_AHEAD_BYTES (256u << 10)
 /* Latency targets, or pause targets, after which a silent upstream is given up. */
-#define STALL_TARGETS 2
-#define STALL_MIN_MS  700
-#define STATUS_OK     200
+#define STALL_TARGETS           2
+#define STALL_MIN_MS            700
+#define STATUS_OK               200
 #define STATUS_MULTIPLE_CHOICES 300
 #define STATUS_SERVER_ERROR     500
 
@@ -277,10 +277,11 @@
 static void
 end_answer (Attempt *attempt, const DlHttpResult *result)
 {
-  if (attempt->head.not_run)
-    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_NOT_RUN);
-  else if (result->error < 0 || is_unusable (attempt) || attempt->request->replying)
-    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
+  bool broken = result->error < 0 || is_unusable (attempt) || attempt->request->replying;
+
+  if (attempt->head.not_run || broken)
+    finish_and_go_on (attempt, DIRECT_TRY_FAILED,
+                      attempt->head.not_run ? DIRECT_END_NOT_RUN : DIRECT_END_BROKEN);
   else if (is_worth_another (attempt))
     {
       Request *r = attempt->request;
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -54,8 +54,8 @@
       uint64_t version;
       uint64_t named_ms;
     } version;
-    DlHolder holder;      /* texts below the message */
-    DlHoldings holdings;  /* the same */
+    DlHolder holder;     /* texts below the message */
+    DlHoldings holdings; /* the same */
     const char *gone_node;
     uint64_t fresh_ms; /* as of when the routing table is current */
     struct
--- a/daisydirectd/directory.c
+++ b/daisydirectd/directory.c
@@ -45,13 +45,13 @@
     g_ptr_array_add (to, (gpointer)addresses[i]);
 }
 
-/* Addresses for a caller of REGION: this entry's region first, when it is the caller's. */
+/* Addresses for a caller of REGION: this entry's region first, when it is the caller's.
+ */
 static void
 choose_addresses (const Directory *directory, const char *region, GPtrArray *to)
 {
   const DirectMessage *m = directory->entries;
-  bool near
-      = region == NULL || strcmp (region, directory->settings->region) == 0;
+  bool near = region == NULL || strcmp (region, directory->settings->region) == 0;
 
   add_addresses (to, m->entries.near, m->entries.near_count);
   if (!near || m->entries.near_count < NEAR_LEAST)
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -21,7 +21,7 @@
 /* A try needs at least this long to be worth sending. */
 #define TRY_LEAST_MS 100
 /* Nobody serves: callers come back after this. */
-#define NOBODY_RETRY_MS 900
+#define NOBODY_RETRY_MS    900
 #define STATUS_BAD_GATEWAY 502
 
 DL_METRIC (metric_waited,
@@ -229,8 +229,7 @@
 bool
 direct_dispatch_may_repeat (Request *r, DirectAttemptEnd end)
 {
-  bool has_time
-      = direct_request_remaining_ms (r, dl_clock_ms ()) >= TRY_LEAST_MS;
+  bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= TRY_LEAST_MS;
 
   if (!has_time)
     return false;
@@ -275,13 +274,13 @@
 log_next_try (const Request *r, DirectAttemptEnd end, const char *upstream)
 {
   dl_log_fields (r->replying ? DL_EVENT_REQUEST_RESUMED : DL_EVENT_REQUEST_RETRIED,
-                 (const DlField[]){ DL_TEXT ("request", r->in.id),
-                                    DL_TEXT ("upstream", upstream),
-                                    DL_TEXT ("cause", end_text (end)),
-                                    DL_UINT ("sent", r->sent),
-                                    DL_UINT ("last_event",
-                                             r->events != NULL ? r->events->last_id : 0),
-                                    { .key = 0 } });
+                 (const DlField[]){
+                     DL_TEXT ("request", r->in.id),
+                     DL_TEXT ("upstream", upstream),
+                     DL_TEXT ("cause", end_text (end)),
+                     DL_UINT ("sent", r->sent),
+                     DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+                     { .key = 0 } });
 }
 
 static void
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -12,15 +12,15 @@
 #include "kernel/metrics.h"
 #include "platform.h"
 
-#define SWEEP_MS          40
-#define SUMMARY_MS        5000
-#define CONNECTIONS_MAX   3000
-#define HEADER_BYTES_MAX  (20u << 10)
-#define BODY_BYTES_MAX    (8u << 20)
-#define IDLE_TIMEOUT_S    120
+#define SWEEP_MS         40
+#define SUMMARY_MS       5000
+#define CONNECTIONS_MAX  3000
+#define HEADER_BYTES_MAX (20u << 10)
+#define BODY_BYTES_MAX   (8u << 20)
+#define IDLE_TIMEOUT_S   120
 /* After a planned stop began, callers that have not heard of it are still served. */
-#define STOP_ACCEPT_MS    3200
-#define STOP_CHECK_MS     100
+#define STOP_ACCEPT_MS 3200
+#define STOP_CHECK_MS  100
 /* Refused for want of a proof that its key still holds: the store may be back soon. */
 #define STALE_RETRY_MS    900
 #define STOPPING_RETRY_MS 100
@@ -363,7 +363,8 @@
   const Requests *requests = data;
 
   dl_log (DL_EVENT_REQUESTS_SUMMARY, DL_INT ("requests", metric_requests.value),
-          DL_INT ("served", metric_served.value), DL_INT ("refused", metric_refused.value),
+          DL_INT ("served", metric_served.value),
+          DL_INT ("refused", metric_refused.value),
           DL_INT ("failed", metric_failed.value), DL_INT ("denied", metric_denied.value),
           DL_INT ("cancelled", metric_cancelled.value),
           DL_UINT ("running", dl_http_server_running (requests->server)),
@@ -404,8 +405,8 @@
       requests->fresh_ms = m->fresh_ms;
       break;
     case DIRECT_ENTRIES:
-      direct_dispatch_set_entries (
-          requests, (unsigned)(m->entries.near_count + m->entries.far_count));
+      direct_dispatch_set_entries (requests, (unsigned)(m->entries.near_count
+                                                        + m->entries.far_count));
       break;
     case DIRECT_UNNAMED:
     case DIRECT_HOLDER:
@@ -478,10 +479,11 @@
   const Requests *requests = dl_task_state (task);
   json_object *object = json_object_new_object ();
 
-  json_object_object_add (
-      object, "running",
-      json_object_new_int ((int)dl_http_server_running (requests->server)));
-  json_object_object_add (object, "entries", json_object_new_int ((int)requests->entries));
+  json_object_object_add (object, "running",
+                          json_object_new_int (
+                              (int)dl_http_server_running (requests->server)));
+  json_object_object_add (object, "entries",
+                          json_object_new_int ((int)requests->entries));
   json_object_object_add (object, "upstreams",
                           direct_upstreams_dump (requests->upstreams));
   return object;
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -59,13 +59,13 @@
   const DlServiceEntry *service_entry;
   Service *service;
   uint64_t arrived_ms;
-  uint64_t deadline_ms; /* final answer at the latest */
-  unsigned sent;        /* upstreams that it was sent to */
-  unsigned unreached;   /* upstreams that could not be connected to */
-  bool waiting;         /* in the service's queue */
-  bool may_have_run;    /* no refusal may say that it did not */
-  bool replying;        /* the caller has the head of a stream */
-  char *avoid;          /* id of the upstream that failed it last */
+  uint64_t deadline_ms;  /* final answer at the latest */
+  unsigned sent;         /* upstreams that it was sent to */
+  unsigned unreached;    /* upstreams that could not be connected to */
+  bool waiting;          /* in the service's queue */
+  bool may_have_run;     /* no refusal may say that it did not */
+  bool replying;         /* the caller has the head of a stream */
+  char *avoid;           /* id of the upstream that failed it last */
   DlEventStream *events; /* of a stream; NULL before its first try */
   Attempt *attempt;      /* the try in progress; NULL while waiting */
   Request *next;
@@ -114,7 +114,8 @@
  * budget. */
 bool direct_dispatch_may_repeat (Request *request, DirectAttemptEnd end);
 /* Sends it to one more, as direct_dispatch_may_repeat allowed. */
-void direct_dispatch_repeat (Request *request, DirectAttemptEnd end, const char *upstream);
+void
+direct_dispatch_repeat (Request *request, DirectAttemptEnd end, const char *upstream);
 /* Decides how the request goes on: another try, or its final answer. */
 void direct_dispatch_after (Request *request, DirectAttemptEnd end, const char *upstream);
 
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -16,16 +16,16 @@
 #include "platform.h"
 #include "policy/lapse.h"
 
-#define STORE_TIMEOUT_MS     900
-#define ROUTING_WAIT_MS      1300
-#define UPSTREAMS_WAIT_MS    1500
-#define UPSTREAMS_PAUSE_MS   250
-#define VERSIONS_WAIT_MS     3000
-#define ROUTING_RETRY_MS     400
-#define RETRY_MS             1000
-#define TICK_MS              250
-#define STATUS_EVERY_TICKS   2
-#define HOLDING_TICK_MS      40
+#define STORE_TIMEOUT_MS   900
+#define ROUTING_WAIT_MS    1300
+#define UPSTREAMS_WAIT_MS  1500
+#define UPSTREAMS_PAUSE_MS 250
+#define VERSIONS_WAIT_MS   3000
+#define ROUTING_RETRY_MS   400
+#define RETRY_MS           1000
+#define TICK_MS            250
+#define STATUS_EVERY_TICKS 2
+#define HOLDING_TICK_MS    40
 
 DL_METRIC (metric_age,
            DL_METRIC_HISTOGRAM,
@@ -98,7 +98,8 @@
     }
   state->routing_version = routing->version;
   dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
-          DL_UINT ("revision", object->revision), DL_UINT ("routes", routing->route_count),
+          DL_UINT ("revision", object->revision),
+          DL_UINT ("routes", routing->route_count),
           DL_UINT ("organisations", routing->organisation_count));
   message->routing = routing;
   dl_kernel_publish (state->kernel, message);
@@ -422,7 +423,8 @@
 
   if (state->ready)
     g_ptr_array_add (c.near, (gpointer)state->settings->listen);
-  dl_peers_each_alive (state->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, collect_entry, &c);
+  dl_peers_each_alive (state->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, collect_entry,
+                       &c);
   message->entries.near = copy_pointers (message, c.near);
   message->entries.near_count = c.near->len;
   message->entries.far = copy_pointers (message, c.far);
@@ -444,7 +446,8 @@
       dl_metric_set (&metric_ready, ready);
       dl_log (DL_EVENT_READINESS, DL_TEXT ("ready", ready ? "yes" : "no"),
               DL_UINT ("routing_age_ms",
-                       dl_clock_ms () - dl_object_watch_proven_ms (state->routing_watch)));
+                       dl_clock_ms ()
+                           - dl_object_watch_proven_ms (state->routing_watch)));
       send_status (state);
     }
   publish_entries (state);
@@ -540,9 +543,8 @@
   state->settings = direct_settings (task);
   state->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_listed);
   talloc_set_destructor (state, state_destroy);
-  state->store
-      = dl_object_client_new_with (task, state, state->settings->store, STORE_TIMEOUT_MS,
-                                   &platform_store_protocol);
+  state->store = dl_object_client_new_with (task, state, state->settings->store,
+                                            STORE_TIMEOUT_MS, &platform_store_protocol);
   error = dl_peers_new (task, state,
                         &(DlPeersOptions){
                             .settings = state->settings,
@@ -581,13 +583,12 @@
 
   json_object_object_add (object, "routing_version",
                           json_object_new_uint64 (state->routing_version));
-  json_object_object_add (
-      object, "routing_age_ms",
-      json_object_new_uint64 (dl_clock_ms ()
+  json_object_object_add (object, "routing_age_ms",
+                          json_object_new_uint64 (
+                              dl_clock_ms ()
                               - dl_object_watch_proven_ms (state->routing_watch)));
   json_object_object_add (object, "upstreams",
-                          json_object_new_int (
-                              (int)g_hash_table_size (state->listed)));
+                          json_object_new_int ((int)g_hash_table_size (state->listed)));
   json_object_object_add (object, "ready", json_object_new_boolean (state->ready));
   return object;
 }
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -132,15 +132,14 @@
       u->version = engine->version;
       u->told_ms = now_ms;
       u->load.pace = engine->pace;
-      dl_balance_report (&u->load, engine->running + engine->waiting, now_ms);
+      dl_balance_report (&u->load, engine->running + engine->waiting, upstreams->entries,
+                         dl_random_uint64 (), now_ms);
       return;
     }
 }
 
 void
-direct_upstreams_version (DirectUpstreams *upstreams,
-                          uint64_t version,
-                          uint64_t named_ms)
+direct_upstreams_version (DirectUpstreams *upstreams, uint64_t version, uint64_t named_ms)
 {
   dl_version_floor_named (&upstreams->floor, version, named_ms);
 }
@@ -179,8 +178,7 @@
                          const DirectUpstreamQuery *query,
                          int *error)
 {
-  g_autoptr (GArray) candidates
-      = g_array_new (FALSE, FALSE, sizeof (DlBalanceCandidate));
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (DlBalanceCandidate));
   g_autoptr (GPtrArray) chosen_from = g_ptr_array_new ();
   int chosen;
 
@@ -197,17 +195,17 @@
         g_array_append_val (candidates, c);
         g_ptr_array_add (chosen_from, u);
       }
-  chosen = dl_balance_choose (
-      (const DlBalanceCandidate *)candidates->data, candidates->len,
-      &(DlBalanceQuery){
-          .entries = upstreams->entries,
-          .usual_prompt_tokens
-          = query->service->has_engine
-                ? (double)query->service->engine.usual_prompt_tokens
-                : 0,
-          .now_ms = query->now_ms,
-          .random = dl_random_uint64 (),
-      });
+  chosen
+      = dl_balance_choose ((const DlBalanceCandidate *)candidates->data, candidates->len,
+                           &(DlBalanceQuery){
+                               .entries = upstreams->entries,
+                               .usual_prompt_tokens
+                               = query->service->has_engine
+                                     ? (double)query->service->engine.usual_prompt_tokens
+                                     : 0,
+                               .now_ms = query->now_ms,
+                               .random = dl_random_uint64 (),
+                           });
   *error = MIN (chosen, 0);
   return chosen >= 0 ? g_ptr_array_index (chosen_from, (guint)chosen) : NULL;
 }
@@ -282,7 +280,7 @@
   if (u->told_ms != 0 && now_ms - u->told_ms < TOLD_FRESH_MS)
     return;
   u->load.capacity = slots > 0 ? slots : u->load.capacity;
-  dl_balance_report (&u->load, requests, now_ms);
+  dl_balance_report (&u->load, requests, u->owner->entries, dl_random_uint64 (), now_ms);
 }
 
 json_object *
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -19,8 +19,8 @@
   char *address;
   bool near; /* in this entry's region */
   bool leaving;
-  bool gone;      /* off the list */
-  bool loading;   /* down or taking new weights, by its stager */
+  bool gone;    /* off the list */
+  bool loading; /* down or taking new weights, by its stager */
   uint64_t version;
   uint64_t told_ms; /* when its stager last told of it; 0 for never */
   unsigned tries;   /* that refer to it */
@@ -59,9 +59,8 @@
                                             uint64_t now_ms);
 
 /* A try begins, got its first bytes, and ended.  ENDED may free the upstream. */
-void direct_upstream_sent (DirectUpstream *upstream,
-                           uint64_t prompt_tokens,
-                           uint64_t now_ms);
+void
+direct_upstream_sent (DirectUpstream *upstream, uint64_t prompt_tokens, uint64_t now_ms);
 void direct_upstream_started (DirectUpstream *upstream, uint64_t prompt_tokens);
 
 typedef enum
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -1,6 +1,6 @@
 /*
- * Task "weights": the entry as a hub, which fetches new weights once and gives them out to
- * the stagers of its region and to entries of others.
+ * Task "weights": the entry as a hub, which fetches new weights once and gives them out
+ * to the stagers of its region and to entries of others.
  */
 #include <string.h>
 #include <talloc.h>
--- a/daisystaged/daisystaged.h
+++ b/daisystaged/daisystaged.h
@@ -15,14 +15,14 @@
 
 typedef enum
 {
-  STAGE_SOURCE,    /* where weights come from */
-  STAGE_NAMED,     /* a version was named */
-  STAGE_UNNAMED,   /* the store was read, and no version is named */
-  STAGE_HOLDER,    /* another node told what it holds */
-  STAGE_GONE,      /* another node is not registered any more */
-  STAGE_REPORT,    /* how the engine is */
-  STAGE_SILENT,    /* the engine does not answer */
-  STAGE_HOLDING,   /* what this stager holds and does */
+  STAGE_SOURCE,  /* where weights come from */
+  STAGE_NAMED,   /* a version was named */
+  STAGE_UNNAMED, /* the store was read, and no version is named */
+  STAGE_HOLDER,  /* another node told what it holds */
+  STAGE_GONE,    /* another node is not registered any more */
+  STAGE_REPORT,  /* how the engine is */
+  STAGE_SILENT,  /* the engine does not answer */
+  STAGE_HOLDING, /* what this stager holds and does */
 } StageMessageType;
 
 typedef struct
@@ -37,8 +37,8 @@
       uint64_t version;
       uint64_t named_ms;
     } named;
-    DlHolder holder;       /* texts below the message */
-    const char *gone;      /* name of a node */
+    DlHolder holder;  /* texts below the message */
+    const char *gone; /* name of a node */
     DlEngineReport report;
     struct
     {
--- a/daisystaged/engine.c
+++ b/daisystaged/engine.c
@@ -45,7 +45,8 @@
 {
   if (silent != engine->silent)
     dl_log_fields (silent ? DL_EVENT_STAGE_ENGINE_SILENT : DL_EVENT_STAGE_ENGINE_FOUND,
-                   (const DlField[]){ DL_TEXT ("engine", engine->address), { .key = 0 } });
+                   (const DlField[]){ DL_TEXT ("engine", engine->address),
+                                      { .key = 0 } });
   engine->silent = silent;
 }
 
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -14,12 +14,12 @@
 #include "platform.h"
 #include "policy/routing.h"
 
-#define STORE_TIMEOUT_MS  900
-#define ROUTING_WAIT_MS   25000
-#define ROUTING_PAUSE_MS  2000
-#define VERSIONS_WAIT_MS  20000
-#define RETRY_MAX_MS      1500
-#define TICK_MS           50
+#define STORE_TIMEOUT_MS 900
+#define ROUTING_WAIT_MS  25000
+#define ROUTING_PAUSE_MS 2000
+#define VERSIONS_WAIT_MS 20000
+#define RETRY_MAX_MS     1500
+#define TICK_MS          50
 /* Word goes out this often when nothing changes. */
 #define ENTRIES_EVERY_MS     500
 #define STAGERS_EVERY_MS     900
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -117,8 +117,7 @@
 static void
 set_named_ms (Weights *w, DlBundle *b, uint64_t named_ms)
 {
-  uint64_t *due_from_ms
-      = b == w->next ? &w->next_due_from_ms : &w->staging->due_from_ms;
+  uint64_t *due_from_ms = b == w->next ? &w->next_due_from_ms : &w->staging->due_from_ms;
 
   if (*due_from_ms == b->named_ms)
     *due_from_ms = named_ms;
@@ -470,9 +469,8 @@
       const DlBundle *b = w->staging->bundle;
 
       json_object_object_add (object, "version", json_object_new_uint64 (b->version));
-      json_object_object_add (
-          object, "missing",
-          json_object_new_int ((int)dl_fetch_plan_missing (b->plan)));
+      json_object_object_add (object, "missing",
+                              json_object_new_int ((int)dl_fetch_plan_missing (b->plan)));
     }
   return object;
 }
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -30,9 +30,9 @@
   const char *const *headers; /* "Name: value", ending with NULL; may be NULL */
   DlStr body;                 /* copied */
   uint64_t connect_timeout_ms;
-  uint64_t timeout_ms;   /* of the whole call; 0 for none */
-  size_t max_body_bytes; /* without on_data; 0 for 1 MiB */
-  bool single_use;       /* must not be sent twice */
+  uint64_t timeout_ms;           /* of the whole call; 0 for none */
+  size_t max_body_bytes;         /* without on_data; 0 for 1 MiB */
+  bool single_use;               /* must not be sent twice */
   unsigned receive_buffer_bytes; /* bounds what is on its way here; 0: the system's */
   /* The status and the headers have arrived. */
   void (*on_head) (DlHttpCall *call, unsigned status, void *data);
@@ -51,8 +51,7 @@
 const char *dl_http_call_header (DlHttpCall *call, const char *name);
 /* Calls FUNC for each response header, in order; from on_head on. */
 typedef void (*DlHttpCallHeaderFunc) (const char *name, const char *value, void *data);
-void
-dl_http_call_each_header (DlHttpCall *call, DlHttpCallHeaderFunc func, void *data);
+void dl_http_call_each_header (DlHttpCall *call, DlHttpCallHeaderFunc func, void *data);
 /* Stops or resumes receiving, for back-pressure. */
 void dl_http_call_pause (DlHttpCall *call, bool paused);
 
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -67,8 +67,8 @@
 DlKernel *dl_kernel_new (const char *program, const char *name, const void *settings);
 /* Starts the plug-ins and runs until a planned stop has ended.  Returns 0 or the negative
  * error of a plug-in that could not start.  SIGTERM and SIGINT begin a planned stop, a
- * second one ends it at once; SIGHUP tells the plug-ins to reload; SIGUSR1 writes the dump
- * to standard error. */
+ * second one ends it at once; SIGHUP tells the plug-ins to reload; SIGUSR1 writes the
+ * dump to standard error. */
 int dl_kernel_run (DlKernel *kernel);
 /* Begins a planned stop; work in progress has DRAIN_MS to finish. */
 void dl_kernel_stop (DlKernel *kernel);
--- a/lib/kernel/log.c
+++ b/lib/kernel/log.c
@@ -44,10 +44,10 @@
   bool json;
   bool debug;
   bool to_stdout;
-  double lines_left;    /* that may be written now; grows by LINES_PER_S */
-  uint64_t filled_ms;   /* when lines_left was last raised */
-  uint64_t dropped;     /* lines, since the last LOG_DROPPED */
-  uint64_t dropped_ms;  /* when the first of them was */
+  double lines_left;   /* that may be written now; grows by LINES_PER_S */
+  uint64_t filled_ms;  /* when lines_left was last raised */
+  uint64_t dropped;    /* lines, since the last LOG_DROPPED */
+  uint64_t dropped_ms; /* when the first of them was */
 } log_state = { .program = "daisyloft" };
 
 static const EventInfo *
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -227,14 +227,16 @@
     {
     case DL_OBJECT_LIST:
       http->method = "GET";
-      http->url
-          = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s", address, request->kinds);
+      http->url = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s", address,
+                                   request->kinds);
       return;
     case DL_OBJECT_WATCH:
       http->method = "GET";
-      http->url = talloc_asprintf (
-          context, "http://%s/v1/watch?kinds=%s&after=%" PRIu64 "&wait_ms=%" PRIu64, address,
-          request->kinds, request->revision, request->wait_ms);
+      http->url = talloc_asprintf (context,
+                                   "http://%s/v1/watch?kinds=%s&after=%" PRIu64
+                                   "&wait_ms=%" PRIu64,
+                                   address, request->kinds, request->revision,
+                                   request->wait_ms);
       return;
     case DL_OBJECT_GET:
       http->method = "GET";
@@ -242,9 +244,10 @@
     case DL_OBJECT_PUT:
       http->method = "PUT";
       http->body = json_object_get (request->value);
-      http->header = request->revision > 0
-                         ? talloc_asprintf (context, "If-Match: %" PRIu64, request->revision)
-                         : talloc_strdup (context, "If-None-Match: *");
+      http->header
+          = request->revision > 0
+                ? talloc_asprintf (context, "If-Match: %" PRIu64, request->revision)
+                : talloc_strdup (context, "If-None-Match: *");
       break;
     case DL_OBJECT_DELETE:
       http->method = "DELETE";
@@ -291,20 +294,21 @@
   if (wire.body != NULL)
     body = dl_str (json_object_to_json_string_ext (wire.body, JSON_C_TO_STRING_PLAIN));
   dl_metric_add (&metric_calls, 1);
-  http = dl_http_call (client->http, owner,
-                       &(DlHttpCallOptions){
-                           .method = wire.method,
-                           .url = wire.url,
-                           .headers = headers,
-                           .body = body,
-                           .timeout_ms = call_timeout_ms (client, request),
-                           .max_body_bytes = LIST_MAX_BYTES,
-                           /* A repeated conditional write would meet its own first try. */
-                           .single_use = is_write (request->action),
-                           .on_head = on_call_head,
-                           .on_done = on_call_done,
-                           .data = call,
-                       });
+  http
+      = dl_http_call (client->http, owner,
+                      &(DlHttpCallOptions){
+                          .method = wire.method,
+                          .url = wire.url,
+                          .headers = headers,
+                          .body = body,
+                          .timeout_ms = call_timeout_ms (client, request),
+                          .max_body_bytes = LIST_MAX_BYTES,
+                          /* A repeated conditional write would meet its own first try. */
+                          .single_use = is_write (request->action),
+                          .on_head = on_call_head,
+                          .on_done = on_call_done,
+                          .data = call,
+                      });
   json_object_put (wire.body);
   talloc_steal (http, call);
 }
@@ -407,10 +411,10 @@
                       DlObjectFunc func,
                       void *data)
 {
-  start_call (
-      client, owner,
-      &(DlObjectRequest){ .action = DL_OBJECT_LIST, .kinds = kinds, .after = after },
-      func, data);
+  start_call (client, owner,
+              &(DlObjectRequest){
+                  .action = DL_OBJECT_LIST, .kinds = kinds, .after = after },
+              func, data);
 }
 
 void
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -13,7 +13,7 @@
 /* Texts belong to the HTTP request. */
 typedef struct
 {
-  const char *id; /* of this try of the caller; "" when it sent none */
+  const char *id;  /* of this try of the caller; "" when it sent none */
   const char *key; /* NULL when it sent none */
   DlStr host;
   DlStr path;             /* as the caller wrote it, without the query */
--- a/lib/node/depot.c
+++ b/lib/node/depot.c
@@ -241,8 +241,9 @@
 bool
 dl_bundle_is_genuine (const DlBundle *bundle, unsigned index, DlStr bytes)
 {
-  g_autofree char *digest = g_compute_checksum_for_data (
-      G_CHECKSUM_SHA256, (const guchar *)bytes.data, bytes.length);
+  g_autofree char *digest
+      = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *)bytes.data,
+                                     bytes.length);
 
   return g_ascii_strcasecmp (digest, bundle->digests[index]) == 0;
 }
--- a/lib/node/depot.h
+++ b/lib/node/depot.h
@@ -85,16 +85,13 @@
 /* True once after something changed in what is held. */
 bool dl_depot_take_changed (DlDepot *depot);
 /* NULL when there is none. */
-DlBundle *
-dl_depot_find (const DlDepot *depot, const char *model, uint64_t version);
+DlBundle *dl_depot_find (const DlDepot *depot, const char *model, uint64_t version);
 DlHttpClient *dl_depot_client (const DlDepot *depot);
 
 /* A bundle to be fetched; VERSION 0: the newest that the origin names.  At most
  * DL_HOLDINGS_MAX may be open. */
-DlBundle *dl_bundle_open (DlDepot *depot,
-                          const char *model,
-                          uint64_t version,
-                          uint64_t named_ms);
+DlBundle *
+dl_bundle_open (DlDepot *depot, const char *model, uint64_t version, uint64_t named_ms);
 void dl_bundle_close (DlBundle *bundle);
 /* Starts the fetches that can be started now. */
 void dl_bundle_run (DlBundle *bundle);
--- a/lib/node/depot_fetch.c
+++ b/lib/node/depot_fetch.c
@@ -12,20 +12,20 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
-#define CONNECT_TIMEOUT_MS  500
-#define PEER_TIMEOUT_MS     1500
-#define ORIGIN_TIMEOUT_MS   3000
-#define MANIFEST_TIMEOUT_MS 900
-#define MANIFEST_RETRY_MS   300
+#define CONNECT_TIMEOUT_MS   500
+#define PEER_TIMEOUT_MS      1500
+#define ORIGIN_TIMEOUT_MS    3000
+#define MANIFEST_TIMEOUT_MS  900
+#define MANIFEST_RETRY_MS    300
 #define MANIFEST_PATIENCE_MS 700
-#define MANIFEST_MAX_BYTES  (1u << 20)
-#define MANIFEST_CHUNKS_MAX 65536
-#define CHUNK_MAX_BYTES     (1u << 20)
-/* Requests of callers come to an upstream over its host's link, behind what was sent for a
- * chunk. */
+#define MANIFEST_MAX_BYTES   (1u << 20)
+#define MANIFEST_CHUNKS_MAX  65536
+#define CHUNK_MAX_BYTES      (1u << 20)
+/* Requests of callers come to an upstream over its host's link, behind what was sent for
+ * a chunk. */
 #define RECEIVE_BUFFER_BYTES (12u << 10)
-#define STATUS_OK           200
-#define STATUS_UNAVAILABLE  503
+#define STATUS_OK            200
+#define STATUS_UNAVAILABLE   503
 
 DL_METRIC (metric_origin,
            DL_METRIC_COUNTER,
@@ -223,10 +223,13 @@
 static void
 on_chunk_failed (const Fetch *fetch, const DlHttpResult *result, bool spoilt)
 {
-  uint64_t away_ms
-      = result->status == STATUS_UNAVAILABLE ? DL_FETCH_BUSY_MS : DL_FETCH_FAILED_MS;
+  uint64_t away_ms = DL_FETCH_FAILED_MS;
   const char *source = fetch->peer != NULL ? fetch->peer : "origin";
 
+  if (fetch->peer == NULL)
+    away_ms = DL_FETCH_ORIGIN_AWAY_MS;
+  else if (result->status == STATUS_UNAVAILABLE)
+    away_ms = DL_FETCH_BUSY_MS;
   if (spoilt)
     dl_log (DL_EVENT_STAGE_CHUNK_BAD, DL_UINT ("chunk", fetch->index),
             DL_TEXT ("source", source));
--- a/lib/node/depot_give.c
+++ b/lib/node/depot_give.c
@@ -37,7 +37,8 @@
 {
   const char *model = dl_http_request_query (http, "model");
 
-  return model != NULL ? dl_depot_find (depot, model, query_uint (http, "version")) : NULL;
+  return model != NULL ? dl_depot_find (depot, model, query_uint (http, "version"))
+                       : NULL;
 }
 
 /* -------- manifests: a line for each digest -------- */
@@ -87,8 +88,7 @@
       return;
     }
   dl_metric_add (&metric_given, (int64_t)b->chunks[index].length);
-  dl_http_reply (http, STATUS_OK, "application/octet-stream", b->chunks[index],
-                 NULL);
+  dl_http_reply (http, STATUS_OK, "application/octet-stream", b->chunks[index], NULL);
 }
 
 static void
--- a/lib/node/depot_private.h
+++ b/lib/node/depot_private.h
@@ -1,6 +1,6 @@
 /*
- * Parts of the depot that its files share: depot.c keeps, depot_fetch.c gets, depot_give.c
- * gives out.
+ * Parts of the depot that its files share: depot.c keeps, depot_fetch.c gets,
+ * depot_give.c gives out.
  */
 #ifndef DL_DEPOT_PRIVATE_H
 #define DL_DEPOT_PRIVATE_H
--- a/lib/node/holding.h
+++ b/lib/node/holding.h
@@ -48,8 +48,8 @@
   unsigned layers;    /* of whole weights; 0 when not known */
 } DlWeightSource;
 
-/* The source that ROUTING names for the engines of SERVICE; for SERVICE NULL, of the first
- * service with engines.  Texts belong to ROUTING. */
+/* The source that ROUTING names for the engines of SERVICE; for SERVICE NULL, of the
+ * first service with engines.  Texts belong to ROUTING. */
 DlWeightSource dl_weight_source (const DlRouting *routing, const char *service);
 /* A copy, its texts and bytes below CONTEXT. */
 DlHolder dl_holder_copy (const void *context, const DlHolder *holder);
--- a/lib/node/metrics_page.c
+++ b/lib/node/metrics_page.c
@@ -22,8 +22,8 @@
       DlBuffer *text = dl_buffer_new (http, 0);
 
       dl_metrics_write (text);
-      dl_http_reply (http, STATUS_OK, "text/plain; version=0.0.4",
-                     dl_buffer_view (text), NULL);
+      dl_http_reply (http, STATUS_OK, "text/plain; version=0.0.4", dl_buffer_view (text),
+                     NULL);
     }
   else if (strcmp (path, "/dump") == 0)
     dl_http_reply_json (http, STATUS_OK, dl_kernel_dump (dl_task_kernel (task)));
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -3,31 +3,28 @@
 #include <errno.h>
 #include <talloc.h>
 
-#define MS_PER_S            1000
-#define STOP_RESERVE_MS     400
-#define HOUR_MS             3600000
-#define REVOKE_DEFAULT_MS   5000
-#define VERSION_DEFAULT_MS  8000
-#define GRACE_DEFAULT_S     8
-#define TTL_DEFAULT_S       2
+#define MS_PER_S           1000
+#define STOP_RESERVE_MS    400
+#define HOUR_MS            3600000
+#define REVOKE_DEFAULT_MS  5000
+#define VERSION_DEFAULT_MS 8000
+#define GRACE_DEFAULT_S    8
+#define TTL_DEFAULT_S      2
 
-#define TEXT(member, is_required)                   \
-  {                                                 \
-    .key = #member, .type = DL_SETTING_STRING,      \
-    .offset = offsetof (DlNodeSettings, member),    \
-    .required = (is_required),                      \
+#define TEXT(member, is_required)                                           \
+  {                                                                         \
+    .key = #member, .type = DL_SETTING_STRING,                              \
+    .offset = offsetof (DlNodeSettings, member), .required = (is_required), \
   }
-#define ADDRESS(member, is_required)                \
-  {                                                 \
-    .key = #member, .type = DL_SETTING_ADDRESS,     \
-    .offset = offsetof (DlNodeSettings, member),    \
-    .required = (is_required),                      \
+#define ADDRESS(member, is_required)                                        \
+  {                                                                         \
+    .key = #member, .type = DL_SETTING_ADDRESS,                             \
+    .offset = offsetof (DlNodeSettings, member), .required = (is_required), \
   }
-#define NUMBER(member, default_value)               \
-  {                                                 \
-    .key = #member, .type = DL_SETTING_NUMBER,      \
-    .offset = offsetof (DlNodeSettings, member),    \
-    .fallback = (default_value),                    \
+#define NUMBER(member, default_value)                                         \
+  {                                                                           \
+    .key = #member, .type = DL_SETTING_NUMBER,                                \
+    .offset = offsetof (DlNodeSettings, member), .fallback = (default_value), \
   }
 
 const DlSettingSpec dl_node_specs[] = {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -15,14 +15,14 @@
   const char *name;
   const char *region;
   const char *data_center;
-  const char *address;    /* "IP:PORT" for datagrams and HTTP between nodes */
-  const char *store;      /* "IP:PORT" of the platform's store */
-  const char *listen;     /* of a direct entry: for requests */
-  const char *ready;      /* the same: for questions whether it is ready */
-  const char *directory;  /* the same: for questions which entries to use */
-  const char *metrics;    /* "IP:PORT" for counters and the dump; NULL for none */
-  const char *engine;     /* of a stager: "IP:PORT" of the engine on its host */
-  const char *service;    /* the same: the engine's service */
+  const char *address;   /* "IP:PORT" for datagrams and HTTP between nodes */
+  const char *store;     /* "IP:PORT" of the platform's store */
+  const char *listen;    /* of a direct entry: for requests */
+  const char *ready;     /* the same: for questions whether it is ready */
+  const char *directory; /* the same: for questions which entries to use */
+  const char *metrics;   /* "IP:PORT" for counters and the dump; NULL for none */
+  const char *engine;    /* of a stager: "IP:PORT" of the engine on its host */
+  const char *service;   /* the same: the engine's service */
   bool json_logs;
   uint64_t revoke_ms;     /* a key that was taken away runs nothing after this long */
   uint64_t version_ms;    /* a named version is in force everywhere after this long */
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -126,8 +126,7 @@
 run_after (DlObjectWatch *watch, uint64_t delay_ms)
 {
   if (watch->timer == NULL)
-    watch->timer
-        = dl_timer_subscribe (watch->task, watch, delay_ms, 0, on_timer, watch);
+    watch->timer = dl_timer_subscribe (watch->task, watch, delay_ms, 0, on_timer, watch);
   else
     dl_timer_restart (watch->timer, delay_ms);
 }
@@ -139,7 +138,8 @@
 
   set_contact (watch, result->error);
   watch->retry_ms = MIN (doubled, watch->options.retry_max_ms);
-  run_after (watch, watch->retry_ms / 2 + dl_random_uint64 () % (watch->retry_ms / 2 + 1));
+  run_after (watch,
+             watch->retry_ms / 2 + dl_random_uint64 () % (watch->retry_ms / 2 + 1));
 }
 
 static void
@@ -190,8 +190,7 @@
       return;
     }
   TALLOC_FREE (watch->list_after);
-  watch->list_after
-      = talloc_strdup (watch, result->objects[result->count - 1].name);
+  watch->list_after = talloc_strdup (watch, result->objects[result->count - 1].name);
   send_list (watch);
 }
 
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -26,8 +26,8 @@
   void (*on_object) (const DlObject *object, void *data);
   /* What the owner knows is as current as dl_object_watch_proven_ms now says. */
   void (*on_proven) (void *data);
-  /* The platform stopped (ERROR below 0) or began again (0) to answer; told before what the
-   * answer says. */
+  /* The platform stopped (ERROR below 0) or began again (0) to answer; told before what
+   * the answer says. */
   void (*on_contact) (int error, void *data);
   void *data;
 } DlObjectWatchOptions;
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -67,8 +67,7 @@
   const DlNodeSettings *s = peers->options.settings;
   json_object *object = json_object_new_object ();
 
-  json_object_object_add (object, "role",
-                          json_object_new_int ((int)peers->options.role));
+  json_object_object_add (object, "role", json_object_new_int ((int)peers->options.role));
   json_object_object_add (object, "region", json_object_new_string (s->region));
   json_object_object_add (object, "data_center", json_object_new_string (s->data_center));
   json_object_object_add (object, "address", json_object_new_string (s->address));
@@ -228,8 +227,8 @@
       if (now_ms - node->seen_ms < FORGET_SILENT_MS)
         continue;
       dl_log (DL_EVENT_NODE_FORGOTTEN, DL_TEXT ("node", node->peer.name));
-      dl_object_delete (peers->options.store, peers, peers->options.kind,
-                        node->peer.name, node->revision, ignore_result, peers);
+      dl_object_delete (peers->options.store, peers, peers->options.kind, node->peer.name,
+                        node->revision, ignore_result, peers);
     }
 }
 
@@ -336,7 +335,7 @@
 
   for (int i = 0; i < READS_AT_ONCE; i++)
     {
-      struct sockaddr_in from;
+      struct sockaddr_in from = { 0 };
       socklen_t from_length = sizeof from;
       ssize_t n = recvfrom (peers->fd, bytes, sizeof bytes, MSG_DONTWAIT,
                             (struct sockaddr *)&from, &from_length);
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -26,10 +26,10 @@
   Daisyloft__Wire__Role role;
   const char *region;
   const char *data_center;
-  const char *address;  /* "IP:PORT" for datagrams and HTTP between nodes */
-  const char *listen;   /* of an entry: for requests */
-  uint64_t heard_ms;    /* when its last datagram arrived; 0 for never */
-  bool ready;           /* by its last datagram */
+  const char *address; /* "IP:PORT" for datagrams and HTTP between nodes */
+  const char *listen;  /* of an entry: for requests */
+  uint64_t heard_ms;   /* when its last datagram arrived; 0 for never */
+  bool ready;          /* by its last datagram */
 } DlPeer;
 
 typedef struct
--- a/lib/node/upstream_entry.h
+++ b/lib/node/upstream_entry.h
@@ -14,9 +14,9 @@
   const char *service;
   const char *address; /* "IP:PORT" */
   const char *data_center;
-  unsigned slots;   /* requests at once */
-  bool leaving;     /* to get no new requests */
-  uint64_t born_ms; /* wall clock at its start; 0 when not told */
+  unsigned slots;    /* requests at once */
+  bool leaving;      /* to get no new requests */
+  uint64_t born_ms;  /* wall clock at its start; 0 when not told */
   const char *model; /* NULL without weights */
   uint64_t version;  /* of the whole weights it serves; 0 for none */
 } DlUpstreamEntry;
@@ -42,7 +42,7 @@
   DL_ORDER_CONFLICT,  /* it does not fit the engine's state */
   DL_ORDER_FENCED,    /* it came with an older fencing number than one seen */
   DL_ORDER_INVALID,
-  DL_ORDER_UNKNOWN,   /* no answer: it may have been accepted */
+  DL_ORDER_UNKNOWN, /* no answer: it may have been accepted */
 } DlOrderOutcome;
 
 #endif
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -5,15 +5,24 @@
 
 /* Weight of the newest outcome in the smoothed failure rate. */
 #define FAILURE_WEIGHT 0.15
-/* Requests that an upstream may seem longer for, relative to others, in the comparison. */
+/* Requests that an upstream may seem longer for, relative to others, in the comparison.
+ */
 #define FAR_PENALTY     2.5
 #define FAILURE_PENALTY 24.0
 /* A prompt being read delays the next first event about as much as this many requests. */
 #define PROMPT_PENALTY 1.5
 
 void
-dl_balance_report (DlUpstreamLoad *load, unsigned reported, uint64_t now_ms)
+dl_balance_report (DlUpstreamLoad *load,
+                   unsigned reported,
+                   unsigned entries,
+                   uint64_t random,
+                   uint64_t now_ms)
 {
+  unsigned places = load->capacity > reported ? load->capacity - reported : 0;
+
+  entries = MAX (entries, 1);
+  load->share = places / entries + (random % entries < places % entries);
   load->reported = reported;
   load->reported_ms = now_ms;
   load->sent_since = 0;
@@ -48,8 +57,14 @@
   if (load->own > 0)
     load->own--;
   load->ended_since++;
-  load->failure_rate
-      += FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - load->failure_rate);
+  load->failure_rate += FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - load->failure_rate);
+}
+
+static bool
+is_reported (const DlUpstreamLoad *load, uint64_t now_ms)
+{
+  return load->reported_ms != 0
+         && now_ms <= load->reported_ms + DL_BALANCE_REPORT_MAX_AGE_MS;
 }
 
 double
@@ -57,8 +72,7 @@
 {
   double estimate;
 
-  if (load->reported_ms == 0
-      || now_ms > load->reported_ms + DL_BALANCE_REPORT_MAX_AGE_MS)
+  if (!is_reported (load, now_ms))
     return (double)load->own * MAX (entries, 1);
   estimate = (double)load->reported + load->sent_since - load->ended_since;
   return MAX (estimate, (double)load->own);
@@ -67,6 +81,8 @@
 bool
 dl_balance_has_room (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms)
 {
+  if (is_reported (load, now_ms))
+    return load->sent_since < load->share + load->ended_since;
   return dl_balance_estimate (load, entries, now_ms) < (double)MAX (load->capacity, 1);
 }
 
@@ -79,8 +95,7 @@
   double requests = dl_balance_estimate (l, query->entries, query->now_ms);
 
   if (query->usual_prompt_tokens > 0)
-    requests
-        += PROMPT_PENALTY * (double)l->prompt_tokens / query->usual_prompt_tokens;
+    requests += PROMPT_PENALTY * (double)l->prompt_tokens / query->usual_prompt_tokens;
   if (!c->near)
     requests += FAR_PENALTY;
   requests += FAILURE_PENALTY * l->failure_rate;
@@ -142,15 +157,17 @@
                    size_t count,
                    const DlBalanceQuery *query)
 {
-  g_autofree size_t *pool = g_new (size_t, MAX (count, 1));
+  size_t *pool = g_new (size_t, MAX (count, 1));
+  int chosen = -ENOENT;
   size_t n = eligible (candidates, count, query, false, pool);
 
   if (n == 0)
     n = eligible (candidates, count, query, true, pool);
   if (n > 0)
-    return best_of_draws (candidates, pool, n, query);
-  for (size_t i = 0; i < count; i++)
+    chosen = best_of_draws (candidates, pool, n, query);
+  g_free (pool);
+  for (size_t i = 0; i < count && chosen == -ENOENT; i++)
     if (candidates[i].allowed)
-      return -EBUSY;
-  return -ENOENT;
+      chosen = -EBUSY;
+  return chosen;
 }
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -4,11 +4,12 @@
  * The load this answers: requests that hold a place of an upstream for a second or so,
  * taken by several entries at once that each learn of an upstream's load a tenth of a
  * second late.  An upstream works on CAPACITY requests at once; one more waits in its
- * queue, out of reach, and misses its latency target there.  So an entry estimates each
- * upstream's load from its last report and from what it sent and finished itself since,
- * places a request only where a place is free, and lets the others wait with it.  Among
- * upstreams with a free place a few are drawn at random and the best of them is taken, so
- * that entries with the same reports do not all pick the same one.
+ * queue, out of reach, and misses its latency target there.  So an entry places a request
+ * only where a place is free, and lets the others wait with it.  Of the places that a
+ * report shows as free, each entry takes its share, rounded at random, and besides those
+ * that its own requests left since: entries that see the same hole do not fill it several
+ * times over.  Among upstreams with a free place a few are drawn at random and the best
+ * of them is taken, so that entries with the same reports do not all pick the same one.
  *
  * Pure: no clock, no sockets; times are milliseconds that the caller gives.
  */
@@ -20,7 +21,7 @@
 #include <stdint.h>
 
 /* A report older than this says nothing any more. */
-#define DL_BALANCE_REPORT_MAX_AGE_MS 1500
+#define DL_BALANCE_REPORT_MAX_AGE_MS 700
 /* Draws among the upstreams with room. */
 #define DL_BALANCE_DRAWS 4
 
@@ -30,6 +31,7 @@
   unsigned capacity;      /* requests at once */
   unsigned reported;      /* running and waiting there, by its last report */
   uint64_t reported_ms;   /* when the report was taken; 0 for never */
+  unsigned share;         /* of the free places of the report, that this entry may take */
   unsigned own;           /* this entry's requests there now */
   unsigned sent_since;    /* of them, sent after the report */
   unsigned ended_since;   /* of those in the report, ended after it */
@@ -38,8 +40,13 @@
   double failure_rate;    /* smoothed share of own requests that failed there, 0 to 1 */
 } DlUpstreamLoad;
 
-/* The upstream told its load: REPORTED requests, as of NOW. */
-void dl_balance_report (DlUpstreamLoad *load, unsigned reported, uint64_t now_ms);
+/* The upstream told its load: REPORTED requests, as of NOW.  ENTRIES is how many entries
+ * send requests, RANDOM fresh for each report. */
+void dl_balance_report (DlUpstreamLoad *load,
+                        unsigned reported,
+                        unsigned entries,
+                        uint64_t random,
+                        uint64_t now_ms);
 /* A request was sent there. */
 void dl_balance_sent (DlUpstreamLoad *load, uint64_t prompt_tokens);
 /* Its first event or answer arrived, so that its prompt has been read. */
@@ -52,12 +59,12 @@
                        bool failed);
 
 /* Requests there now, as far as the entry can know.  ENTRIES is how many entries send
- * requests: without a fresh report, the others are thought to send as much as this one. */
+ * requests: without a fresh report, the others are thought to send as much as this one.
+ */
 double
 dl_balance_estimate (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms);
 /* True when one more request would find a free place. */
-bool
-dl_balance_has_room (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms);
+bool dl_balance_has_room (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms);
 
 /* One upstream that may take the request. */
 typedef struct
@@ -70,8 +77,8 @@
 
 typedef struct
 {
-  unsigned entries;             /* entries that send requests, this one among them */
-  double usual_prompt_tokens;   /* mean; 0 when the service has no engine */
+  unsigned entries;           /* entries that send requests, this one among them */
+  double usual_prompt_tokens; /* mean; 0 when the service has no engine */
   uint64_t now_ms;
   uint64_t random; /* fresh for each choice */
 } DlBalanceQuery;
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -30,7 +30,7 @@
 typedef struct
 {
   ChunkState state;
-  Peer *peer;     /* that it is fetched from; NULL for the origin */
+  Peer *peer;         /* that it is fetched from; NULL for the origin */
   unsigned rank;      /* of this host among all for this chunk; 0 is to draw it */
   unsigned near_rank; /* the same among those of its region */
 } Chunk;
@@ -86,8 +86,8 @@
   g_assert (plan != NULL && options->chunks > 0);
   plan->host = talloc_strdup (plan, options->host);
   plan->region = talloc_strdup (plan, options->region);
-  plan->key = talloc_asprintf (plan, "%s:%" G_GUINT64_FORMAT, options->model,
-                               options->version);
+  plan->key
+      = talloc_asprintf (plan, "%s:%" G_GUINT64_FORMAT, options->model, options->version);
   plan->count = options->chunks;
   plan->is_hub = options->is_hub;
   plan->missing = options->chunks;
@@ -108,11 +108,8 @@
 }
 
 void
-dl_fetch_plan_peer (DlFetchPlan *plan,
-                    const char *host,
-                    const char *region,
-                    bool is_hub,
-                    DlStr holds)
+dl_fetch_plan_peer (
+    DlFetchPlan *plan, const char *host, const char *region, bool is_hub, DlStr holds)
 {
   Peer *p = find_peer (plan, host);
 
@@ -189,7 +186,10 @@
 }
 
 void
-dl_fetch_plan_failed (DlFetchPlan *plan, unsigned index, uint64_t away_ms, uint64_t now_ms)
+dl_fetch_plan_failed (DlFetchPlan *plan,
+                      unsigned index,
+                      uint64_t away_ms,
+                      uint64_t now_ms)
 {
   const Chunk *c = &plan->chunks[index];
 
@@ -281,10 +281,10 @@
 }
 
 static bool
-has_near_hub (const DlFetchPlan *plan)
+has_hub (const DlFetchPlan *plan, Circle circle)
 {
   for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    if (p->near && p->is_hub)
+    if (p->is_hub && is_in (p, circle))
       return true;
   return false;
 }
@@ -305,26 +305,27 @@
   return plan->started_ms + index * plan->draw_us / 1000;
 }
 
-/* True when the host ranked RANK may fetch the chunk now: the first at its time, the
- * others in the place of those before them. */
+/* True when the host ranked R may fetch the chunk now: the first at its time, the others
+ * in the place of those before them, and hosts that are no hubs after all hubs. */
 static bool
 may_step_in (const DlFetchPlan *plan, unsigned index, unsigned r, uint64_t now_ms)
 {
   uint64_t at_ms = draw_ms (plan, index);
 
-  /* While the origin is away, nobody is late. */
-  if (r > 0)
-    at_ms = MAX (at_ms, plan->origin_failed_ms);
-  if (r > 0)
-    at_ms += DL_FETCH_STEP_IN_MS + (uint64_t)(r - 1) * DL_FETCH_STEP_NEXT_MS;
+  if (!plan->is_hub && has_hub (plan, (Circle){ 0 }))
+    at_ms += DL_FETCH_HUB_PATIENCE_MS;
+  else if (r == 0)
+    return now_ms >= at_ms;
+  /* While the origin is away nobody is late, and afterwards the draws begin anew. */
+  at_ms = MAX (at_ms, plan->origin_failed_ms + index * plan->draw_us / 1000);
+  at_ms += DL_FETCH_STEP_IN_MS + (uint64_t)r * DL_FETCH_STEP_NEXT_MS;
   return now_ms >= at_ms;
 }
 
 static bool
 may_draw (const DlFetchPlan *plan, unsigned index, uint64_t now_ms)
 {
-  unsigned limit
-      = plan->is_hub ? DL_FETCH_PARALLEL_ORIGIN_HUB : DL_FETCH_PARALLEL_ORIGIN;
+  unsigned limit = plan->is_hub ? DL_FETCH_PARALLEL_ORIGIN_HUB : DL_FETCH_PARALLEL_ORIGIN;
 
   return plan->fetching_origin < limit && now_ms >= plan->origin_away_until_ms
          && may_step_in (plan, index, plan->chunks[index].rank, now_ms);
@@ -332,8 +333,11 @@
 
 /* Chooses a source for chunk INDEX; false when there is none now. */
 static bool
-choose_source (
-    const DlFetchPlan *plan, unsigned index, uint64_t now_ms, uint64_t random, Peer **peer)
+choose_source (const DlFetchPlan *plan,
+               unsigned index,
+               uint64_t now_ms,
+               uint64_t random,
+               Peer **peer)
 {
   Circle near = { .near_only = true, .hubs_only = true };
   Circle all = { 0 };
@@ -341,7 +345,7 @@
   *peer = draw_holder (plan, index, near, now_ms, random);
   if (*peer != NULL)
     return true;
-  if (!plan->is_hub && has_near_hub (plan)
+  if (!plan->is_hub && has_hub (plan, near)
       && now_ms < draw_ms (plan, index) + DL_FETCH_HUB_PATIENCE_MS)
     return false;
   near.hubs_only = plan->is_hub;
--- a/lib/policy/fetch_plan.h
+++ b/lib/policy/fetch_plan.h
@@ -3,16 +3,16 @@
  *
  * The load this answers: all upstream hosts want the same few megabytes within seconds,
  * while live answers share their small links; the origin's link carries a few copies in
- * that time, and links between regions are costly.  What an upstream host gives to another
- * delays answers on both, so that it only receives: entry hosts, whose links are large,
- * are hubs that fetch every chunk once and give it out.
+ * that time, and links between regions are costly.  What an upstream host gives to
+ * another delays answers on both, so that it only receives: entry hosts, whose links are
+ * large, are hubs that fetch every chunk once and give it out.
  *
- * Each chunk has one hub that draws it from the origin and, in each other region, one that
- * brings it there; a hash over the live hubs tells which, so that nobody is in charge.
- * Draws begin one after the other, as the origin's link takes them, so that the first
- * chunks spread while the last are drawn.  A chunk that does not come in time is fetched
- * by others too, one after the other in the order of the hash; without hubs the other
- * hosts do all this among themselves.
+ * Each chunk has one hub that draws it from the origin and, in each other region, one
+ * that brings it there; a hash over the live hubs tells which, so that nobody is in
+ * charge. Draws begin one after the other, as the origin's link takes them, so that the
+ * first chunks spread while the last are drawn.  A chunk that does not come in time is
+ * fetched by others too, one after the other in the order of the hash; without hubs the
+ * other hosts do all this among themselves.
  *
  * Pure: times are milliseconds that the caller gives.
  */
@@ -42,6 +42,9 @@
 /* A source that failed or was busy is left alone for this long. */
 #define DL_FETCH_BUSY_MS   120
 #define DL_FETCH_FAILED_MS 700
+/* The origin is tried again after this, so that those who are first for a chunk come
+ * before those who step in. */
+#define DL_FETCH_ORIGIN_AWAY_MS 300
 
 typedef struct DlFetchPlan DlFetchPlan;
 
@@ -61,11 +64,8 @@
 
 /* HOST is alive.  HOLDS is a bitmap of the chunks of this version that it has, one bit
  * for each from the lowest bit of the first byte on; empty when it has none. */
-void dl_fetch_plan_peer (DlFetchPlan *plan,
-                         const char *host,
-                         const char *region,
-                         bool is_hub,
-                         DlStr holds);
+void dl_fetch_plan_peer (
+    DlFetchPlan *plan, const char *host, const char *region, bool is_hub, DlStr holds);
 void dl_fetch_plan_peer_gone (DlFetchPlan *plan, const char *host);
 /* Chunk INDEX is here and verified. */
 void dl_fetch_plan_arrived (DlFetchPlan *plan, unsigned index);
--- a/lib/policy/reload_turn.h
+++ b/lib/policy/reload_turn.h
@@ -46,9 +46,8 @@
 
 /* The time from which this upstream may be emptied to take the version. */
 uint64_t dl_reload_turn_start_ms (const DlReloadTurn *turn);
-/* True when an upstream that is emptied since EMPTYING_MS, with RUNNING requests left, may
- * be ordered to take the version. */
-bool
-dl_reload_turn_may_order (uint64_t emptying_ms, unsigned running, uint64_t now_ms);
+/* True when an upstream that is emptied since EMPTYING_MS, with RUNNING requests left,
+ * may be ordered to take the version. */
+bool dl_reload_turn_may_order (uint64_t emptying_ms, unsigned running, uint64_t now_ms);
 
 #endif
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -54,11 +54,11 @@
   uint64_t usual_prompt_tokens; /* mean */
   uint64_t usual_answer_tokens; /* mean */
   unsigned layers;
-  unsigned chunks;       /* pieces of one version's weights */
-  uint64_t chunk_bytes;  /* of each piece */
+  unsigned chunks;      /* pieces of one version's weights */
+  uint64_t chunk_bytes; /* of each piece */
   uint64_t report_lag_ms;
-  const char *model;     /* that the engines serve; NULL when not told */
-  bool checks_fence;     /* refuses orders with an older fencing number */
+  const char *model; /* that the engines serve; NULL when not told */
+  bool checks_fence; /* refuses orders with an older fencing number */
 } DlEngineTraits;
 
 typedef struct
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -8,7 +8,7 @@
 typedef struct
 {
   void *item;
-  uint64_t order_ms;   /* arrival, moved by priority */
+  uint64_t order_ms; /* arrival, moved by priority */
   uint64_t expires_ms;
 } Waiting;
 
--- /dev/null
+++ b/regress/unit/test_balance.c
@@ -0,0 +1,405 @@
+/*
+ * Placing and queueing: tables, and the heaviest load of the first site played against
+ * several entries that share upstreams.
+ */
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "policy/balance.h"
+#include "policy/wait_queue.h"
+#include "unit.h"
+
+#define CAPACITY 4
+#define NOW_MS   10000
+
+/* -------- tables -------- */
+
+typedef struct
+{
+  const char *name;
+  DlUpstreamLoad load;
+  double estimate; /* with two entries */
+  bool has_room;
+} LoadCase;
+
+static const LoadCase load_cases[] = {
+  { "never reported", { .capacity = CAPACITY, .own = 1 }, 2, true },
+  { "never reported, the others' share fills it",
+    { .capacity = CAPACITY, .own = 2 },
+    4,
+    false },
+  { "reported",
+    { .capacity = CAPACITY, .reported = 3, .share = 1, .reported_ms = NOW_MS - 100 },
+    3,
+    true },
+  { "reported, the free place is another entry's",
+    { .capacity = CAPACITY, .reported = 3, .reported_ms = NOW_MS - 100 },
+    3,
+    false },
+  { "sent since the report",
+    { .capacity = CAPACITY,
+      .reported = 3,
+      .share = 1,
+      .reported_ms = NOW_MS,
+      .own = 1,
+      .sent_since = 1 },
+    4,
+    false },
+  { "ended since the report",
+    { .capacity = CAPACITY, .reported = 4, .reported_ms = NOW_MS, .ended_since = 2 },
+    2,
+    true },
+  { "never fewer than its own",
+    { .capacity = CAPACITY, .reported = 0, .share = 1, .reported_ms = NOW_MS, .own = 3 },
+    3,
+    true },
+  { "an old report says nothing",
+    { .capacity = CAPACITY,
+      .reported = 4,
+      .reported_ms = NOW_MS - DL_BALANCE_REPORT_MAX_AGE_MS - 1 },
+    0,
+    true },
+};
+
+static void
+test_estimates (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (load_cases); i++)
+    {
+      const LoadCase *c = &load_cases[i];
+
+      CU_ASSERT_EQUAL (dl_balance_estimate (&c->load, 2, NOW_MS), c->estimate);
+      CU_ASSERT_EQUAL (dl_balance_has_room (&c->load, 2, NOW_MS), c->has_room);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  DlUpstreamLoad loads[3];
+  DlBalanceCandidate candidates[3]; /* without their loads */
+  int chosen;
+} ChoiceCase;
+
+#define FREE                                                \
+  {                                                         \
+    .capacity = CAPACITY, .share = 1, .reported_ms = NOW_MS \
+  }
+#define FULL                                                          \
+  {                                                                   \
+    .capacity = CAPACITY, .reported = CAPACITY, .reported_ms = NOW_MS \
+  }
+
+static const ChoiceCase choice_cases[] = {
+  { "the free one",
+    { FULL, FREE, FULL },
+    { { .allowed = true }, { .allowed = true }, { .allowed = true } },
+    1 },
+  { "none free",
+    { FULL, FULL, FULL },
+    { { .allowed = true }, { .allowed = true }, { .allowed = true } },
+    -EBUSY },
+  { "none allowed", { FREE, FREE, FREE }, { { 0 } }, -ENOENT },
+  { "the near one",
+    { FREE, FREE, FREE },
+    { { .allowed = true }, { .allowed = true }, { .allowed = true, .near = true } },
+    2 },
+  { "not the one that failed it",
+    { FREE, FULL, FULL },
+    { { .allowed = true, .avoided = true, .near = true },
+      { .allowed = true },
+      { .allowed = true } },
+    0 },
+  { "another than the one that failed it",
+    { FREE, FREE, FULL },
+    { { .allowed = true, .avoided = true, .near = true },
+      { .allowed = true },
+      { .allowed = true } },
+    1 },
+  { "not the one that fails often",
+    { { .capacity = CAPACITY, .share = 1, .reported_ms = NOW_MS, .failure_rate = 0.4 },
+      { .capacity = CAPACITY, .reported = 2, .share = 1, .reported_ms = NOW_MS },
+      FULL },
+    { { .allowed = true }, { .allowed = true }, { .allowed = true } },
+    1 },
+  { "not the slow one",
+    { { .capacity = CAPACITY, .share = 1, .reported_ms = NOW_MS, .pace = 5 },
+      { .capacity = CAPACITY, .reported = 2, .share = 1, .reported_ms = NOW_MS },
+      FULL },
+    { { .allowed = true }, { .allowed = true }, { .allowed = true } },
+    1 },
+};
+
+static void
+test_choices (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (choice_cases); i++)
+    for (uint64_t random = 0; random < 50; random++)
+      {
+        const ChoiceCase *c = &choice_cases[i];
+        DlBalanceCandidate candidates[3];
+
+        for (size_t k = 0; k < 3; k++)
+          {
+            candidates[k] = c->candidates[k];
+            candidates[k].load = &c->loads[k];
+          }
+        CU_ASSERT_EQUAL (dl_balance_choose (candidates, 3,
+                                            &(DlBalanceQuery){ .entries = 1,
+                                                               .now_ms = NOW_MS,
+                                                               .random = random * 7919 }),
+                         c->chosen);
+      }
+}
+
+/* -------- the queue -------- */
+
+static void
+test_queue_order (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  int first, second, urgent;
+
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &first, 2, 3000, 1000), DL_WAIT_QUEUED);
+  for (uint64_t i = 0; i < 50; i++)
+    dl_wait_queue_placed (queue, 1000);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &second, 2, 3000, 1005), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 3000, 1010), DL_WAIT_QUEUED);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &urgent);
+  dl_wait_queue_remove (queue, &urgent);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &first);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, 1999));
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 2000), &first);
+  CU_ASSERT_EQUAL (dl_wait_queue_length (queue), 1);
+  talloc_free (queue);
+}
+
+/* What would wait too long is refused when it comes. */
+static void
+test_queue_refuses_at_once (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  int items[200];
+  unsigned queued = 0;
+
+  for (unsigned i = 0; i < 100; i++) /* ten places came free in the last second */
+    if (i % 10 == 0)
+      dl_wait_queue_placed (queue, 2000 + i * 10);
+  for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
+    queued += dl_wait_queue_push (queue, &items[i], 1, 1200, 3000) == DL_WAIT_QUEUED;
+  /* A third of the target is 400 ms, in which four come free. */
+  CU_ASSERT (queued >= 4 && queued <= 6);
+  CU_ASSERT (dl_wait_queue_retry_ms (queue, 0, 3000) >= DL_WAIT_RETRY_MIN_MS);
+  CU_ASSERT (dl_wait_queue_retry_ms (queue, 12345, 3000) <= DL_WAIT_RETRY_MAX_MS);
+  talloc_free (queue);
+}
+
+/* -------- the heaviest load -------- */
+
+#define ENTRIES    8
+#define UPSTREAMS  16
+#define PLACES     16
+#define WORK_MS    1000 /* that a request holds a place */
+#define RATE_PER_S 330  /* over 1.25 times what the places serve */
+#define RUN_MS     15000
+#define REPORT_MS  100
+#define TARGET_MS  400
+
+typedef struct
+{
+  unsigned running;
+  unsigned queued_at_most; /* requests beyond its places */
+} Upstream;
+
+typedef struct
+{
+  unsigned upstream;
+  unsigned entry;
+  uint64_t ends_ms;
+} Running;
+
+typedef struct
+{
+  DlUpstreamLoad loads[UPSTREAMS];
+  DlWaitQueue *queue;
+} Entry;
+
+typedef struct
+{
+  GRand *random;
+  Upstream upstreams[UPSTREAMS];
+  Entry entries[ENTRIES];
+  GArray *running; /* of Running */
+  uint64_t arrivals[RUN_MS / 1000 * RATE_PER_S + RATE_PER_S];
+  unsigned arrived, served, refused, held_long;
+  bool least_loaded; /* baseline: always the least loaded by the last report */
+} Load;
+
+static int
+place (Load *load, Entry *e, uint64_t now_ms)
+{
+  DlBalanceCandidate candidates[UPSTREAMS];
+  int best = -EBUSY;
+
+  for (unsigned u = 0; u < UPSTREAMS; u++)
+    {
+      candidates[u] = (DlBalanceCandidate){ .load = &e->loads[u], .allowed = true };
+      if (load->least_loaded && e->loads[u].reported < PLACES
+          && (best < 0 || e->loads[u].reported < e->loads[best].reported))
+        best = (int)u;
+    }
+  if (load->least_loaded)
+    return best;
+  return dl_balance_choose (candidates, UPSTREAMS,
+                            &(DlBalanceQuery){ .entries = ENTRIES,
+                                               .now_ms = now_ms,
+                                               .random = g_rand_int (load->random) });
+}
+
+static bool
+serve (Load *load, unsigned entry, uint64_t now_ms)
+{
+  Entry *e = &load->entries[entry];
+  int u = place (load, e, now_ms);
+  Running r = { .entry = entry, .ends_ms = now_ms + WORK_MS };
+
+  if (u < 0)
+    return false;
+  r.upstream = (unsigned)u;
+  dl_balance_sent (&e->loads[u], 0);
+  dl_wait_queue_placed (e->queue, now_ms);
+  load->upstreams[u].running++;
+  load->upstreams[u].queued_at_most
+      = MAX (load->upstreams[u].queued_at_most, load->upstreams[u].running > PLACES
+                                                    ? load->upstreams[u].running - PLACES
+                                                    : 0);
+  g_array_append_val (load->running, r);
+  load->served++;
+  return true;
+}
+
+static void
+arrive (Load *load, uint64_t now_ms)
+{
+  unsigned entry = (unsigned)g_rand_int_range (load->random, 0, ENTRIES);
+  uint64_t *at = &load->arrivals[load->arrived++];
+
+  *at = now_ms;
+  if (dl_wait_queue_length (load->entries[entry].queue) == 0
+      && serve (load, entry, now_ms))
+    return;
+  if (dl_wait_queue_push (load->entries[entry].queue, at, 1, TARGET_MS, now_ms)
+      == DL_WAIT_REFUSED)
+    load->refused++;
+}
+
+static void
+end_running (Load *load, uint64_t now_ms)
+{
+  for (guint i = 0; i < load->running->len;)
+    {
+      const Running *r = &g_array_index (load->running, Running, i);
+
+      if (r->ends_ms > now_ms)
+        {
+          i++;
+          continue;
+        }
+      load->upstreams[r->upstream].running--;
+      dl_balance_ended (&load->entries[r->entry].loads[r->upstream], 0, true, false);
+      g_array_remove_index_fast (load->running, i);
+    }
+}
+
+static void
+step (Load *load, uint64_t now_ms)
+{
+  end_running (load, now_ms);
+  for (unsigned e = 0; e < ENTRIES; e++)
+    {
+      DlWaitQueue *queue = load->entries[e].queue;
+      uint64_t *at;
+
+      for (unsigned u = 0; now_ms % REPORT_MS == e && u < UPSTREAMS; u++)
+        dl_balance_report (&load->entries[e].loads[u], load->upstreams[u].running,
+                           ENTRIES, g_rand_int (load->random), now_ms);
+      while ((at = dl_wait_queue_peek (queue)) != NULL && serve (load, e, now_ms))
+        dl_wait_queue_remove (queue, at);
+      while ((at = dl_wait_queue_expired (queue, now_ms)) != NULL)
+        {
+          load->refused++;
+          load->held_long += now_ms - *at > TARGET_MS / 2;
+        }
+    }
+}
+
+static void
+play (Load *load, uint32_t seed)
+{
+  void *context = talloc_new (NULL);
+
+  load->random = g_rand_new_with_seed (seed);
+  load->running = g_array_new (FALSE, FALSE, sizeof (Running));
+  for (unsigned e = 0; e < ENTRIES; e++)
+    {
+      load->entries[e].queue = dl_wait_queue_new (context);
+      for (unsigned u = 0; u < UPSTREAMS; u++)
+        load->entries[e].loads[u].capacity = PLACES;
+    }
+  for (uint64_t now_ms = 1; now_ms < RUN_MS; now_ms++)
+    {
+      step (load, now_ms);
+      if (g_rand_int_range (load->random, 0, 1000) < RATE_PER_S)
+        arrive (load, now_ms);
+    }
+  g_array_free (load->running, TRUE);
+  g_rand_free (load->random);
+  talloc_free (context);
+}
+
+static unsigned
+worst_queue (const Load *load)
+{
+  unsigned worst = 0;
+
+  for (unsigned u = 0; u < UPSTREAMS; u++)
+    worst = MAX (worst, load->upstreams[u].queued_at_most);
+  return worst;
+}
+
+/* Nearly all places are used, hardly anybody waits at an upstream, and nobody is refused
+ * late.  Always taking the least loaded sends all entries to the same one. */
+static void
+test_heaviest_load (void)
+{
+  uint32_t seed = unit_first_seed ("balance", 1);
+  Load *load = g_new0 (Load, 1);
+  Load *baseline = g_new0 (Load, 1);
+  const double most = UPSTREAMS * PLACES * (RUN_MS / (double)WORK_MS);
+
+  play (load, seed);
+  baseline->least_loaded = true;
+  play (baseline, seed);
+  if (worst_queue (load) > PLACES / 4 || load->served <= 0.9 * most)
+    g_print ("served %u of %g, at most %u beyond the places (baseline %u)\n",
+             load->served, most, worst_queue (load), worst_queue (baseline));
+  CU_ASSERT (load->served > 0.9 * most);
+  CU_ASSERT (worst_queue (load) <= PLACES / 4);
+  CU_ASSERT (worst_queue (baseline) > worst_queue (load));
+  CU_ASSERT_EQUAL (load->held_long, 0);
+  CU_ASSERT (load->served + load->refused + ENTRIES * 8 >= load->arrived);
+  g_free (load);
+  g_free (baseline);
+}
+
+static const CU_TestInfo tests[] = {
+  { "estimates of load", test_estimates },
+  { "choices", test_choices },
+  { "order of the queue", test_queue_order },
+  { "refused at once", test_queue_refuses_at_once },
+  { "the heaviest load", test_heaviest_load },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("balance", tests)
--- /dev/null
+++ b/regress/unit/test_platform.c
@@ -0,0 +1,319 @@
+/* The adapter of the users' platform: what its pages say, read and written. */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/error.h"
+#include "platform.h"
+#include "unit.h"
+
+static json_object *
+parse (const char *text)
+{
+  json_object *object = json_tokener_parse (text);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (object);
+  return object;
+}
+
+/* -------- the store -------- */
+
+typedef struct
+{
+  DlObjectRequest request;
+  const char *method;
+  const char *url;
+  const char *body; /* NULL for none */
+} EncodeCase;
+
+static const EncodeCase encode_cases[] = {
+  { { .action = DL_OBJECT_LIST, .kinds = "servers" },
+    "GET",
+    "http://1.2.3.4:5/-/objects/servers",
+    NULL },
+  { { .action = DL_OBJECT_LIST, .kinds = "servers", .after = "i-9" },
+    "GET",
+    "http://1.2.3.4:5/-/objects/servers?after=i-9",
+    NULL },
+  { { .action = DL_OBJECT_WATCH, .kinds = "config", .revision = 7, .wait_ms = 1500 },
+    "GET",
+    "http://1.2.3.4:5/-/objects/config?watch=7&wait_ms=1500",
+    NULL },
+  { { .action = DL_OBJECT_GET, .kinds = "config", .name = "main" },
+    "GET",
+    "http://1.2.3.4:5/-/objects/config/main",
+    NULL },
+  { { .action = DL_OBJECT_PUT, .kinds = "k", .name = "n" },
+    "POST",
+    "http://1.2.3.4:5/-/objects/k",
+    "{\"metadata\":{\"name\":\"n\"},\"spec\":{\"a\":1}}" },
+  { { .action = DL_OBJECT_PUT, .kinds = "k", .name = "n", .revision = 5 },
+    "PUT",
+    "http://1.2.3.4:5/-/objects/k/n",
+    "{\"metadata\":{\"name\":\"n\",\"revision\":5},\"spec\":{\"a\":1}}" },
+  { { .action = DL_OBJECT_DELETE, .kinds = "k", .name = "n", .revision = 5 },
+    "DELETE",
+    "http://1.2.3.4:5/-/objects/k/n?revision=5",
+    NULL },
+};
+
+static void
+test_store_calls (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (encode_cases); i++)
+    {
+      void *context = talloc_new (NULL);
+      DlObjectRequest request = encode_cases[i].request;
+      DlObjectHttp http = { 0 };
+
+      request.value = parse ("{\"a\":1}");
+      platform_store_protocol.encode (context, "1.2.3.4:5", &request, &http);
+      unit_assert_text (http.method, encode_cases[i].method);
+      unit_assert_text (http.url, encode_cases[i].url);
+      unit_assert_text (http.body != NULL
+                            ? json_object_to_json_string_ext (http.body,
+                                                              JSON_C_TO_STRING_PLAIN)
+                            : NULL,
+                        encode_cases[i].body);
+      json_object_put (http.body);
+      json_object_put (request.value);
+      talloc_free (context);
+    }
+}
+
+static void
+test_store_answers (void)
+{
+  static const char list[]
+      = "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4},\"spec\":{\"x\":1}},"
+        "{\"spec\":{}},17,{\"metadata\":{\"name\":\"b\",\"revision\":5},\"spec\":null}],"
+        "\"has_more\":true,\"current_rev\":9}";
+  static const char watch[]
+      = "{\"events\":[{\"object\":{\"metadata\":{\"name\":\"a\",\"revision\":10},"
+        "\"spec\":{}},\"deleted\":true}],\"current_rev\":11}";
+  void *context = talloc_new (NULL);
+  json_object *body = parse (list);
+  DlObjectRequest request = { .action = DL_OBJECT_LIST, .kinds = "k" };
+  DlObjectResult result = { 0 };
+
+  CU_ASSERT_EQUAL (platform_store_protocol.decode (context, &request, body, &result), 0);
+  CU_ASSERT_EQUAL (result.count, 2); /* what cannot be read is passed over */
+  unit_assert_text (result.objects[1].name, "b");
+  CU_ASSERT_TRUE (result.more);
+  CU_ASSERT_EQUAL (result.revision, 9);
+  json_object_put (body);
+
+  body = parse (watch);
+  request.action = DL_OBJECT_WATCH;
+  result = (DlObjectResult){ 0 };
+  CU_ASSERT_EQUAL (platform_store_protocol.decode (context, &request, body, &result), 0);
+  CU_ASSERT_TRUE (result.objects[0].deleted);
+  CU_ASSERT_PTR_NULL (result.objects[0].value);
+  CU_ASSERT_EQUAL (result.revision, 11);
+  CU_ASSERT_EQUAL (platform_store_protocol.decode (context,
+                                                   &(DlObjectRequest){ .kinds = "k" },
+                                                   body, &result),
+                   DL_ERR_MALFORMED);
+  json_object_put (body);
+  talloc_free (context);
+}
+
+/* -------- routing tables -------- */
+
+static const char config[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"r1\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/\","
+      "\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,"
+      "\"priority\":1,\"backend\":\"m\",\"max_attempts\":2,\"public\":false,"
+      "\"resumable\":true,\"target_gap_ms\":400},"
+      "{\"name\":\"r2\",\"hostname\":\"h.example\",\"path_prefix\":\"/b/\","
+      "\"kind\":\"unsafe\",\"weighted_backends\":[{\"backend\":\"p\",\"weight\":9},"
+      "{\"backend\":\"q\",\"weight\":1}]},"
+      "{\"name\":\"bad\",\"hostname\":\"h.example\",\"path_prefix\":\"/c/\","
+      "\"kind\":\"new\"},{\"name\":4}],"
+      "\"services\":[{\"name\":\"m\",\"max_connections\":434,\"engine\":{\"layers\":16,"
+      "\"chunks\":64,\"chunk_bytes\":32768,\"read_per_s\":20700.0,"
+      "\"models\":[{\"name\":\"big\"}],\"usual\":{\"prompt\":979,\"answer\":92}}},"
+      "{\"name\":\"w\",\"origin\":\"9.9.9.9:1\",\"link_mbps\":9.9}],"
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304},"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":3}]}";
+
+static void
+test_routing (void)
+{
+  json_object *value = parse (config);
+  DlRouting *routing = NULL;
+  const char *error = NULL;
+
+  CU_ASSERT_EQUAL_FATAL (platform_read_routing (NULL, value, &routing, &error), 0);
+  CU_ASSERT_EQUAL (routing->version, 7);
+  CU_ASSERT_EQUAL (routing->route_count, 2); /* the others cannot be read */
+  CU_ASSERT_EQUAL (routing->routes[0].kind, DL_ROUTE_STREAM);
+  CU_ASSERT_TRUE (routing->routes[0].resumable);
+  CU_ASSERT_EQUAL (routing->routes[0].attempts_max, 2);
+  CU_ASSERT_EQUAL (routing->routes[1].kind, DL_ROUTE_ONCE);
+  CU_ASSERT_EQUAL (routing->routes[1].target_count, 2);
+  CU_ASSERT_EQUAL (routing->routes[1].attempts_max, 1);
+  CU_ASSERT_EQUAL (routing->services[0].engine.usual_prompt_tokens, 979);
+  unit_assert_text (routing->services[0].engine.model, "big");
+  unit_assert_text (routing->services[1].origin, "9.9.9.9:1");
+  CU_ASSERT_EQUAL (routing->limits.header_bytes_max, 16384);
+  unit_assert_text (dl_routing_key_owner (routing, "k2")->name, "t");
+  CU_ASSERT_PTR_NULL (dl_routing_key_owner (routing, "k3"));
+  json_object_put (value);
+  talloc_free (routing);
+}
+
+static void
+test_routing_is_refused_whole (void)
+{
+  static const char *const texts[]
+      = { "{}", "[]", "{\"version\":0,\"routes\":[],\"services\":[]}",
+          "{\"version\":3,\"routes\":{},\"services\":[]}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      json_object *value = parse (texts[i]);
+      DlRouting *routing;
+      const char *error = NULL;
+
+      CU_ASSERT_EQUAL (platform_read_routing (NULL, value, &routing, &error),
+                       DL_ERR_MALFORMED);
+      CU_ASSERT_PTR_NOT_NULL (error);
+      json_object_put (value);
+    }
+}
+
+/* -------- upstreams -------- */
+
+typedef struct
+{
+  const char *text;
+  int result;
+  bool leaving;
+  uint64_t version;
+} EntryCase;
+
+#define ENTRY_HEAD \
+  "{\"backend\":\"m\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":16,"
+
+static const EntryCase entry_cases[] = {
+  { ENTRY_HEAD "\"state\":\"ready\",\"models\":[{\"name\":\"b\",\"version\":1}]}", 0,
+    false, 1 },
+  { ENTRY_HEAD "\"state\":\"draining\",\"models\":[]}", 0, true, 0 },
+  { ENTRY_HEAD "\"state\":\"ready\",\"models\":[{\"name\":\"b\",\"version\":1}],"
+               "\"layers\":{\"from\":0,\"target\":16,\"version\":3}}",
+    0, false, 3 },
+  { ENTRY_HEAD "\"state\":\"ready\",\"models\":[{\"name\":\"b\",\"version\":1}],"
+               "\"layers\":{\"from\":4,\"target\":16,\"version\":3}}",
+    0, false, 0 },
+  { ENTRY_HEAD "\"state\":\"odd\"}", DL_ERR_MALFORMED, false, 0 },
+  { ENTRY_HEAD "\"state\":5}", DL_ERR_MALFORMED, false, 0 },
+  { "{\"state\":\"ready\"}", DL_ERR_MALFORMED, false, 0 },
+  { "{\"backend\":\"m\",\"address\":\"there\",\"zone\":\"z\",\"slots\":16,\"state\":"
+    "\"ready\"}",
+    DL_ERR_MALFORMED, false, 0 },
+  { "[]", DL_ERR_MALFORMED, false, 0 },
+};
+
+static void
+test_upstream_entries (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (entry_cases); i++)
+    {
+      void *context = talloc_new (NULL);
+      json_object *value = parse (entry_cases[i].text);
+      DlUpstreamEntry entry;
+
+      CU_ASSERT_EQUAL (platform_read_upstream (context, "i-1", value, &entry),
+                       entry_cases[i].result);
+      if (entry_cases[i].result == 0)
+        {
+          CU_ASSERT_EQUAL (entry.leaving, entry_cases[i].leaving);
+          CU_ASSERT_EQUAL (entry.version, entry_cases[i].version);
+        }
+      json_object_put (value);
+      talloc_free (context);
+    }
+}
+
+static void
+test_engine_reports (void)
+{
+  void *context = talloc_new (NULL);
+  DlEngineReport report;
+
+  CU_ASSERT_EQUAL (
+      platform_read_report (
+          context,
+          dl_str ("{\"models\":[{\"name\":\"b\",\"version\":2}],\"busy\":true,"
+                  "\"layers\":{\"from\":0,\"target\":16,\"version\":2},\"sequence\":4,"
+                  "\"waiting\":1,\"running\":12,\"pace\":1.5,\"born\":77}"),
+          16, &report),
+      0);
+  CU_ASSERT_TRUE (report.busy);
+  CU_ASSERT_EQUAL (report.version, 2);
+  CU_ASSERT_EQUAL (report.running, 12);
+  CU_ASSERT_EQUAL (report.pace, 1.5);
+  CU_ASSERT_EQUAL (platform_read_report (context, dl_str ("not JSON"), 16, &report),
+                   DL_ERR_MALFORMED);
+  talloc_free (context);
+}
+
+static void
+test_order_outcomes (void)
+{
+  static const struct
+  {
+    DlHttpResult result;
+    DlOrderOutcome outcome;
+  } cases[] = {
+    { { .status = 202 }, DL_ORDER_BEGUN },
+    { { .status = 200 }, DL_ORDER_IN_EFFECT },
+    { { .status = 409 }, DL_ORDER_CONFLICT },
+    { { .status = 412 }, DL_ORDER_FENCED },
+    { { .status = 400 }, DL_ORDER_INVALID },
+    { { .status = 503 }, DL_ORDER_UNKNOWN },
+    { { .status = 202, .error = DL_ERR_CLOSED }, DL_ORDER_UNKNOWN },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (platform_read_order (&cases[i].result), cases[i].outcome);
+}
+
+static void
+test_manifests (void)
+{
+  void *context = talloc_new (NULL);
+  const char **digests;
+  uint64_t version = 0;
+  static const char text[]
+      = "{\"model\":\"b\",\"version\":2,\"digests\":[\"aa\",\"bb\"]}";
+
+  CU_ASSERT_EQUAL (platform_read_manifest (context, dl_str (text), "b", &version,
+                                           &digests),
+                   2);
+  CU_ASSERT_EQUAL (version, 2);
+  unit_assert_text (digests[1], "bb");
+  CU_ASSERT_EQUAL (platform_read_manifest (context, dl_str (text), "c", &version,
+                                           &digests),
+                   DL_ERR_MALFORMED);
+  CU_ASSERT_EQUAL (platform_read_manifest (context,
+                                           dl_str ("{\"model\":\"b\",\"version\":2}"),
+                                           "b", &version, &digests),
+                   DL_ERR_MALFORMED);
+  talloc_free (context);
+}
+
+static const CU_TestInfo tests[] = {
+  { "calls to the store", test_store_calls },
+  { "answers of the store", test_store_answers },
+  { "routing tables", test_routing },
+  { "routing tables that cannot be read", test_routing_is_refused_whole },
+  { "entries of upstreams", test_upstream_entries },
+  { "reports of engines", test_engine_reports },
+  { "outcomes of orders", test_order_outcomes },
+  { "manifests", test_manifests },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("platform", tests)
