--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -51,26 +51,27 @@
   s->queue = dl_wait_queue_new (s);
   dl_retry_init_share (&s->budget, 0);
   g_hash_table_insert (requests->services, s->name, s);
-  direct_dispatch_set_entries (requests, requests->entries);
+  direct_dispatch_set_entries (requests, requests->near_entries, requests->far_entries);
   return s;
 }
 
 /* Each entry may save up its own part of the shared allowance. */
 void
-direct_dispatch_set_entries (Requests *requests, unsigned entries)
+direct_dispatch_set_entries (Requests *requests, unsigned near, unsigned far)
 {
   double slack = requests->settings->retry_slack * SLACK_SHARE;
   GHashTableIter iter;
   gpointer value;
 
-  requests->entries = MAX (entries, 1);
-  direct_upstreams_set_entries (requests->upstreams, requests->entries);
+  requests->near_entries = MAX (near, 1);
+  requests->far_entries = far;
+  direct_upstreams_set_entries (requests->upstreams, near, far);
   g_hash_table_iter_init (&iter, requests->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       DlRetryBudget *budget = &((Service *)value)->budget;
 
-      budget->cap = (uint64_t)(slack * DL_RETRY_SCALE / requests->entries);
+      budget->cap = (uint64_t)(slack * DL_RETRY_SCALE / (requests->near_entries + far));
       budget->balance = MIN (budget->balance, budget->cap);
     }
 }
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -368,7 +368,7 @@
           DL_INT ("failed", metric_failed.value), DL_INT ("denied", metric_denied.value),
           DL_INT ("cancelled", metric_cancelled.value),
           DL_UINT ("running", dl_http_server_running (requests->server)),
-          DL_UINT ("entries", requests->entries),
+          DL_UINT ("entries", requests->near_entries + requests->far_entries),
           DL_UINT ("routing_age_ms", dl_clock_ms () - requests->fresh_ms));
 }
 
@@ -405,8 +405,8 @@
       requests->fresh_ms = m->fresh_ms;
       break;
     case DIRECT_ENTRIES:
-      direct_dispatch_set_entries (requests, (unsigned)(m->entries.near_count
-                                                        + m->entries.far_count));
+      direct_dispatch_set_entries (requests, (unsigned)m->entries.near_count,
+                                   (unsigned)m->entries.far_count);
       break;
     case DIRECT_UNNAMED:
     case DIRECT_HOLDER:
@@ -439,7 +439,7 @@
   dl_task_set_state (task, requests);
   requests->task = task;
   requests->settings = direct_settings (task);
-  requests->entries = 1;
+  requests->near_entries = 1;
   requests->services = g_hash_table_new (g_str_hash, g_str_equal);
   requests->upstreams = direct_upstreams_new (requests, requests->settings);
   requests->client = dl_http_client_new (task, requests);
@@ -483,7 +483,8 @@
                           json_object_new_int (
                               (int)dl_http_server_running (requests->server)));
   json_object_object_add (object, "entries",
-                          json_object_new_int ((int)requests->entries));
+                          json_object_new_int (
+                              (int)(requests->near_entries + requests->far_entries)));
   json_object_object_add (object, "upstreams",
                           direct_upstreams_dump (requests->upstreams));
   return object;
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -39,10 +39,11 @@
   DirectMessage *routing; /* the table in force; NULL before the first */
   uint64_t fresh_ms;      /* as of when it is current; 0 before the first proof */
   DirectUpstreams *upstreams;
-  GHashTable *services; /* name to Service */
-  Request *first;       /* of all requests in progress */
-  unsigned entries;     /* ready ones, this one among them */
-  uint64_t stop_ms;     /* when the planned stop began; 0 while running */
+  GHashTable *services;  /* name to Service */
+  Request *first;        /* of all requests in progress */
+  unsigned near_entries; /* that take requests, this one among them */
+  unsigned far_entries;
+  uint64_t stop_ms; /* when the planned stop began; 0 while running */
   DlTimer *stop_timer;
 };
 
@@ -99,7 +100,7 @@
 void direct_dispatch_forget (Request *request);
 /* Refuses what has waited too long. */
 void direct_dispatch_expire (Requests *requests, uint64_t now_ms);
-void direct_dispatch_set_entries (Requests *requests, unsigned entries);
+void direct_dispatch_set_entries (Requests *requests, unsigned near, unsigned far);
 
 /* Why a try ended without an answer for the caller. */
 typedef enum
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -9,6 +9,8 @@
 #include "kernel/log.h"
 #include "policy/version_floor.h"
 
+/* An entry of another region counts as one over this where places are shared. */
+#define FAR_ENTRY_SHARE 4
 /* Word of a stager is preferred to an answer's for this long. */
 #define TOLD_FRESH_MS 400
 /* Silent upstreams get no request for this long, at first. */
@@ -18,7 +20,8 @@
 {
   const DlNodeSettings *settings;
   DirectUpstream *first;
-  unsigned entries; /* ready ones, this one among them */
+  unsigned near_entries; /* that take requests, this one among them */
+  unsigned far_entries;
   DlVersionFloor floor;
 };
 
@@ -29,7 +32,7 @@
 
   g_assert (upstreams != NULL);
   upstreams->settings = settings;
-  upstreams->entries = 1;
+  upstreams->near_entries = 1;
   return upstreams;
 }
 
@@ -119,6 +122,17 @@
     set_gone (u);
 }
 
+/* Entries that share the upstream's free places; those of other regions have nearer ones
+ * and come here now and then. */
+static unsigned
+sharers (const DirectUpstream *u)
+{
+  const DirectUpstreams *all = u->owner;
+
+  return u->near ? all->near_entries + all->far_entries / FAR_ENTRY_SHARE
+                 : all->near_entries + all->far_entries;
+}
+
 void
 direct_upstreams_engine (DirectUpstreams *upstreams,
                          const DirectEngine *engine,
@@ -132,7 +146,7 @@
       u->version = engine->version;
       u->told_ms = now_ms;
       u->load.pace = engine->pace;
-      dl_balance_report (&u->load, engine->running + engine->waiting, upstreams->entries,
+      dl_balance_report (&u->load, engine->running + engine->waiting, sharers (u),
                          dl_random_uint64 (), now_ms);
       return;
     }
@@ -145,9 +159,10 @@
 }
 
 void
-direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned entries)
+direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned near, unsigned far)
 {
-  upstreams->entries = MAX (entries, 1);
+  upstreams->near_entries = MAX (near, 1);
+  upstreams->far_entries = far;
 }
 
 uint64_t
@@ -195,17 +210,16 @@
         g_array_append_val (candidates, c);
         g_ptr_array_add (chosen_from, u);
       }
-  chosen
-      = dl_balance_choose ((const DlBalanceCandidate *)candidates->data, candidates->len,
-                           &(DlBalanceQuery){
-                               .entries = upstreams->entries,
-                               .usual_prompt_tokens
-                               = query->service->has_engine
+  chosen = dl_balance_choose (
+      (const DlBalanceCandidate *)candidates->data, candidates->len,
+      &(DlBalanceQuery){
+          .entries = upstreams->near_entries + upstreams->far_entries,
+          .usual_prompt_tokens = query->service->has_engine
                                      ? (double)query->service->engine.usual_prompt_tokens
                                      : 0,
-                               .now_ms = query->now_ms,
-                               .random = dl_random_uint64 (),
-                           });
+          .now_ms = query->now_ms,
+          .random = dl_random_uint64 (),
+      });
   *error = MIN (chosen, 0);
   return chosen >= 0 ? g_ptr_array_index (chosen_from, (guint)chosen) : NULL;
 }
@@ -280,7 +294,7 @@
   if (u->told_ms != 0 && now_ms - u->told_ms < TOLD_FRESH_MS)
     return;
   u->load.capacity = slots > 0 ? slots : u->load.capacity;
-  dl_balance_report (&u->load, requests, u->owner->entries, dl_random_uint64 (), now_ms);
+  dl_balance_report (&u->load, requests, sharers (u), dl_random_uint64 (), now_ms);
 }
 
 json_object *
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -40,7 +40,10 @@
 void direct_upstreams_version (DirectUpstreams *upstreams,
                                uint64_t version,
                                uint64_t named_ms);
-void direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned entries);
+/* How many entries take requests: in this one's region, itself among them, and in others.
+ */
+void
+direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned near, unsigned far);
 
 typedef struct
 {
--- a/lib/policy/lapse.c
+++ b/lib/policy/lapse.c
@@ -19,9 +19,8 @@
 uint64_t
 dl_lapse_keep_until (const DlLapse *lapse, bool leaving, uint64_t now_ms)
 {
-  uint64_t until_ms = lapse->returned_ms + DL_LAPSE_RETURN_MS;
-
-  if (leaving || lapse->returned_ms == 0 || now_ms >= until_ms)
+  if (leaving || lapse->returned_ms == 0
+      || now_ms >= lapse->returned_ms + DL_LAPSE_FIRST_MS)
     return 0;
-  return until_ms;
+  return lapse->returned_ms + DL_LAPSE_RETURN_MS;
 }
--- a/lib/policy/lapse.h
+++ b/lib/policy/lapse.h
@@ -3,8 +3,9 @@
  *
  * The load this answers: the store is away for seconds, and the entries of living
  * upstreams run out meanwhile.  They are written anew within DL_LAPSE_RETURN_MS of the
- * store's return, so that until then an absent entry says nothing.  An entry that
- * vanishes while the store is well, or that had said it was leaving, is gone at once.
+ * store's return, so that until then an entry that the return showed to be absent says
+ * nothing.  An entry that vanishes while the store is well, later after its return, or
+ * that had said it was leaving, is gone at once.
  *
  * Pure: times are milliseconds that the caller gives.
  */
@@ -17,7 +18,9 @@
 /* The store was away when calls failed and none was answered for this long. */
 #define DL_LAPSE_OUTAGE_MS 2000
 /* Living upstreams are on the list again this long after the store's return. */
-#define DL_LAPSE_RETURN_MS 2300
+#define DL_LAPSE_RETURN_MS 2100
+/* What vanished during the outage is told this soon after the return. */
+#define DL_LAPSE_FIRST_MS 400
 
 typedef struct
 {
