--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 OUT	?= build
 DIRECT	:= daisydirectd daisystaged
 PROGS	:= daisyentryd daisyslotd daisyctl daisybench $(DIRECT)
-TESTS	:= regress/standin regress/scenario regress/unit
+TESTS	:= regress/standin regress/scenario regress/direct regress/unit
 DIRS	:= $(foreach d,$(PROGS) $(TESTS),$(if $(wildcard $(d)/*.c),$(d)))
 SOURCES	:= $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.')
 
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -16,8 +16,10 @@
 #include "platform.h"
 #include "policy/lapse.h"
 
-#define STORE_TIMEOUT_MS   900
-#define ROUTING_WAIT_MS    1300
+#define STORE_TIMEOUT_MS 900
+/* A proof is renewed this often within the time that it holds: one is used while the next
+ * is waited for, and one may be lost. */
+#define ROUTING_PROOFS     4
 #define UPSTREAMS_WAIT_MS  1500
 #define UPSTREAMS_PAUSE_MS 250
 #define VERSIONS_WAIT_MS   3000
@@ -406,7 +408,8 @@
 {
   const char **copy = talloc_array (context, const char *, array->len + 1);
 
-  memcpy (copy, array->pdata, array->len * sizeof *copy);
+  if (array->len > 0)
+    memcpy (copy, array->pdata, array->len * sizeof *copy);
   return copy;
 }
 
@@ -499,16 +502,18 @@
 static void
 start_watches (State *state)
 {
-  state->routing_watch = dl_object_watch_new (state->task, state, state->store,
-                                              &(DlObjectWatchOptions){
-                                                  .kind = platform_kind_routing,
-                                                  .wait_ms = ROUTING_WAIT_MS,
-                                                  .retry_max_ms = ROUTING_RETRY_MS,
-                                                  .on_object = on_routing,
-                                                  .on_proven = on_routing_proven,
-                                                  .on_contact = on_routing_contact,
-                                                  .data = state,
-                                              });
+  state->routing_watch
+      = dl_object_watch_new (state->task, state, state->store,
+                             &(DlObjectWatchOptions){
+                                 .kind = platform_kind_routing,
+                                 .wait_ms
+                                 = direct_stale_ms (state->settings) / ROUTING_PROOFS,
+                                 .retry_max_ms = ROUTING_RETRY_MS,
+                                 .on_object = on_routing,
+                                 .on_proven = on_routing_proven,
+                                 .on_contact = on_routing_contact,
+                                 .data = state,
+                             });
   state->upstreams_watch = dl_object_watch_new (state->task, state, state->store,
                                                 &(DlObjectWatchOptions){
                                                     .kind = platform_kind_upstreams,
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -188,6 +188,18 @@
   return !u->loading && u->version > 0 && u->version >= required;
 }
 
+/* When every upstream of a service has failed lately, none is known to be better than
+ * another, and all may be tried. */
+static void
+allow_all_when_none_is (GArray *candidates)
+{
+  for (guint i = 0; i < candidates->len; i++)
+    if (g_array_index (candidates, DlBalanceCandidate, i).allowed)
+      return;
+  for (guint i = 0; i < candidates->len; i++)
+    g_array_index (candidates, DlBalanceCandidate, i).allowed = true;
+}
+
 DirectUpstream *
 direct_upstreams_choose (const DirectUpstreams *upstreams,
                          const DirectUpstreamQuery *query,
@@ -210,6 +222,7 @@
         g_array_append_val (candidates, c);
         g_ptr_array_add (chosen_from, u);
       }
+  allow_all_when_none_is (candidates);
   chosen = dl_balance_choose (
       (const DlBalanceCandidate *)candidates->data, candidates->len,
       &(DlBalanceQuery){
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -276,11 +276,12 @@
 run_empty (Weights *w)
 {
   uint64_t now_ms = dl_clock_ms ();
-  uint64_t since_ms = now_ms > SOUND_MAX_AGE_MS ? now_ms - SOUND_MAX_AGE_MS : 0;
+  uint64_t oldest_ms = now_ms > SOUND_MAX_AGE_MS ? now_ms - SOUND_MAX_AGE_MS : 0;
   bool sound;
 
   stage_write (w->staging);
-  sound = stage_check (w->staging, since_ms);
+  /* The host may have lost power since the last look, and the staged chunks with it. */
+  sound = stage_check (w->staging, MAX (oldest_ms, w->phase_ms));
   if (sound && now_ms >= w->phase_ms + TELL_AHEAD_MS
       && dl_reload_turn_may_order (w->phase_ms, w->engine.running, now_ms))
     stage_order (w->staging, w->engine.running > 0);
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -126,7 +126,8 @@
       plan->ranked = false;
     }
   memset (p->holds, 0, bitmap_bytes (plan));
-  memcpy (p->holds, holds.data, MIN (holds.length, bitmap_bytes (plan)));
+  if (holds.length > 0)
+    memcpy (p->holds, holds.data, MIN (holds.length, bitmap_bytes (plan)));
 }
 
 static void
--- /dev/null
+++ b/regress/direct/direct.h
@@ -0,0 +1,99 @@
+/*
+ * Tests of direct operation with the real programs, against stand-ins of the users'
+ * platform on loopback.
+ */
+#ifndef DIRECT_H
+#define DIRECT_H
+
+#include <json-c/json.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kernel/str.h"
+
+#define SERVERS 3 /* two with weights, and a plain one */
+#define ENTRIES 2
+
+/* A process that the runner started. */
+typedef struct
+{
+  char *name;
+  char **argv;
+  char *log; /* file that its output goes to */
+  int pid;   /* 0: does not run */
+} Process;
+
+typedef struct
+{
+  const char *bin;
+  char *folder;
+  char *subnet; /* "127.A.B": addresses of this run */
+  char *store;  /* "IP:PORT" */
+  char *origin;
+  char *server[SERVERS];
+  char *entry[ENTRIES];     /* for requests */
+  char *ready[ENTRIES];     /* for the question whether it is ready */
+  char *directory[ENTRIES]; /* for the question which entries to use */
+  Process store_process;
+  Process origin_process;
+  Process server_process[SERVERS];
+  Process entry_process[ENTRIES];
+  Process stager_process[SERVERS - 1];
+  uint64_t config_version;
+} World;
+
+/* -------- world.c -------- */
+
+/* Starts everything and waits until both entries are ready; false on failure. */
+bool world_start (World *world, const char *bin);
+/* Ends what runs; prints the logs when FAILED. */
+void world_stop (World *world, bool failed);
+bool process_start (Process *process);
+/* Sends SIGNUM and waits for the end; returns the wait status, -1 when none came. */
+int process_end (Process *process, int signum);
+/* Writes a new version of the configuration, without the second key if WITHOUT_KEY. */
+bool world_configure (World *world, bool without_key);
+/* Writes the entry of server INDEX. */
+bool world_list_server (World *world, unsigned index, const char *state);
+bool world_name_version (World *world, uint64_t version);
+/* Creates or replaces an object. */
+bool world_put (World *world, const char *kind, const char *name, const char *spec);
+
+/* -------- http.c -------- */
+
+typedef struct
+{
+  int status; /* 0: no answer */
+  bool whole; /* the answer ended as it should */
+  char *body;
+  char *headers;
+} Answer;
+
+typedef struct
+{
+  const char *method; /* NULL for GET */
+  const char *address;
+  const char *target;
+  const char *host;     /* NULL for none */
+  const char *id;       /* of the request; NULL for none */
+  const char *key;      /* NULL for none */
+  const char *header;   /* one more; NULL for none */
+  const char *body;     /* NULL for none */
+  unsigned deadline_ms; /* told to the system; 0 for none */
+  unsigned leave_ms;    /* the caller goes away after this; 0: stays */
+} Call;
+
+Answer call (const Call *options);
+void answer_free (Answer *answer);
+/* The value of header NAME, without case; below the answer, NULL when absent. */
+char *answer_header (const Answer *answer, const char *name);
+/* What the stand-in at ADDRESS records; the caller puts it. */
+json_object *records (const char *address);
+/* A number that it records, by path with dots; 0 when absent. */
+uint64_t recorded (const char *address, const char *path);
+bool set_fault (const char *address, const char *knob, uint64_t value);
+
+/* Calls CHECK until it is true; false when it never was within a generous time. */
+bool eventually (bool (*check) (World *world), World *world);
+
+#endif
--- /dev/null
+++ b/regress/direct/http.c
@@ -0,0 +1,159 @@
+/* Calls of the runner, and what the stand-ins record. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+
+#include "direct.h"
+
+#define CALL_TIMEOUT_MS     20000
+#define EVENTUALLY_TRIES    600
+#define EVENTUALLY_PAUSE_US 50000
+
+static size_t
+append (char *data, size_t size, size_t n, void *user)
+{
+  g_string_append_len (user, data, (gssize)(size * n));
+  return size * n;
+}
+
+static struct curl_slist *
+add_header (struct curl_slist *list, const char *name, const char *value)
+{
+  char *line;
+
+  if (value == NULL)
+    return list;
+  line = g_strdup_printf ("%s: %s", name, value);
+  list = curl_slist_append (list, line);
+  g_free (line);
+  return list;
+}
+
+static struct curl_slist *
+call_headers (const Call *c)
+{
+  struct curl_slist *list = curl_slist_append (NULL, "Expect:");
+  char *key = c->key != NULL ? g_strdup_printf ("Token %s", c->key) : NULL;
+  char *deadline = c->deadline_ms > 0 ? g_strdup_printf ("%u", c->deadline_ms) : NULL;
+
+  list = add_header (list, "Host", c->host);
+  list = add_header (list, "X-Request-Id", c->id);
+  list = add_header (list, "Authorization", key);
+  list = add_header (list, "X-Deadline-Ms", deadline);
+  if (c->header != NULL)
+    list = curl_slist_append (list, c->header);
+  g_free (key);
+  g_free (deadline);
+  return list;
+}
+
+Answer
+call (const Call *c)
+{
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *headers = call_headers (c);
+  GString *body = g_string_new (NULL);
+  GString *head = g_string_new (NULL);
+  char *url = g_strdup_printf ("http://%s/", c->address);
+  long status = 0;
+  CURLcode code;
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, c->target);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, body);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, head);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)(c->leave_ms > 0 ? c->leave_ms : CALL_TIMEOUT_MS));
+  if (c->body != NULL)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, c->body);
+  if (c->method != NULL)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, c->method);
+  code = curl_easy_perform (easy);
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_cleanup (easy);
+  curl_slist_free_all (headers);
+  g_free (url);
+  return (Answer){
+    .status = (int)status,
+    .whole = code == CURLE_OK,
+    .body = g_string_free (body, FALSE),
+    .headers = g_string_free (head, FALSE),
+  };
+}
+
+void
+answer_free (Answer *answer)
+{
+  g_free (answer->body);
+  g_free (answer->headers);
+  *answer = (Answer){ 0 };
+}
+
+char *
+answer_header (const Answer *answer, const char *name)
+{
+  char **lines = g_strsplit (answer->headers, "\r\n", -1);
+  size_t length = strlen (name);
+  char *value = NULL;
+
+  for (char **l = lines; *l != NULL && value == NULL; l++)
+    if (g_ascii_strncasecmp (*l, name, length) == 0 && (*l)[length] == ':')
+      value = g_strstrip (g_strdup (*l + length + 1));
+  g_strfreev (lines);
+  return value;
+}
+
+json_object *
+records (const char *address)
+{
+  Answer a = call (&(Call){ .address = address, .target = "/test/records" });
+  json_object *object = a.status == 200 ? json_tokener_parse (a.body) : NULL;
+
+  answer_free (&a);
+  return object;
+}
+
+uint64_t
+recorded (const char *address, const char *path)
+{
+  json_object *object = records (address);
+  json_object *at = object;
+  char **keys = g_strsplit (path, ".", -1);
+  uint64_t value;
+
+  for (char **k = keys; *k != NULL; k++)
+    at = json_object_object_get (at, *k);
+  value = json_object_get_uint64 (at);
+  g_strfreev (keys);
+  json_object_put (object);
+  return value;
+}
+
+bool
+set_fault (const char *address, const char *knob, uint64_t value)
+{
+  char *body = g_strdup_printf ("{\"%s\": %" G_GUINT64_FORMAT "}", knob, value);
+  Answer a = call (&(Call){ .address = address, .target = "/test/fault", .body = body });
+  bool done = a.status == 200;
+
+  answer_free (&a);
+  g_free (body);
+  return done;
+}
+
+bool
+eventually (bool (*check) (World *world), World *world)
+{
+  for (int i = 0; i < EVENTUALLY_TRIES; i++)
+    {
+      if (check (world))
+        return true;
+      g_usleep (EVENTUALLY_PAUSE_US);
+    }
+  return false;
+}
--- /dev/null
+++ b/regress/standin/objects.c
@@ -0,0 +1,446 @@
+/*
+ * The stand-in of the users' platform's store, as its pages describe it: objects by kind
+ * and name with conditional writes, lists by pages, watches, rates and a bounded history.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "standin.h"
+
+#define PREFIX          "/-/objects/"
+#define HISTORY_DEFAULT 1000
+#define PAGE_DEFAULT    50
+#define WATCH_MAX_MS    30000
+#define CHECK_MS        20
+
+/* A watch that waits for a change. */
+typedef struct
+{
+  DlHttpRequest *request;
+  char *kind;
+  uint64_t after;
+  uint64_t until_ms;
+} Watch;
+
+static uint64_t writes_per_s;
+static uint64_t reads_per_s;
+static uint64_t history_max = HISTORY_DEFAULT; /* changes that a watch can go back */
+static uint64_t page = PAGE_DEFAULT;           /* objects that a list gives at once */
+static uint64_t lose_writes;                   /* done, then the answer is cut */
+static uint64_t deaf;                          /* 1: watches hear nothing */
+
+static uint64_t revision = 100;
+static GTree *objects;                /* "kind/name" to its JSON */
+static GQueue history = G_QUEUE_INIT; /* of events with "kind", oldest first */
+static uint64_t forgotten;            /* revision up to which changes are not known */
+static GList *watches;
+static StandinBucket write_bucket;
+static StandinBucket read_bucket;
+static uint64_t reads;
+static uint64_t writes;
+
+static const StandinKnob objects_knobs[] = {
+  { "writes_per_s", &writes_per_s },
+  { "reads_per_s", &reads_per_s },
+  { "history", &history_max },
+  { "page", &page },
+  { "lose_writes", &lose_writes },
+  { "deaf", &deaf },
+  { 0 },
+};
+
+static void
+release_json (gpointer object)
+{
+  json_object_put (object);
+}
+
+static int
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  return strcmp (a, b);
+}
+
+/* -------- watches -------- */
+
+static json_object *
+event_new (json_object *object, bool deleted)
+{
+  json_object *event = json_object_new_object ();
+
+  json_object_object_add (event, "object", json_object_get (object));
+  json_object_object_add (event, "deleted", json_object_new_boolean (deleted));
+  return event;
+}
+
+static uint64_t
+object_revision (json_object *object)
+{
+  return standin_json_uint (json_object_object_get (object, "metadata"), "revision");
+}
+
+static json_object *
+events_after (const char *kind, uint64_t after)
+{
+  json_object *events = json_object_new_array ();
+
+  for (GList *l = history.head; l != NULL; l = l->next)
+    {
+      json_object *entry = l->data;
+
+      if (standin_json_uint (entry, "revision") > after
+          && strcmp (standin_json_text (entry, "kind"), kind) == 0)
+        json_object_array_add (events,
+                               json_object_get (json_object_object_get (entry, "event")));
+    }
+  return events;
+}
+
+static void
+reply_events (DlHttpRequest *request, json_object *events)
+{
+  json_object *answer = json_object_new_object ();
+
+  json_object_object_add (answer, "events", events);
+  standin_json_set_uint (answer, "current_rev", revision);
+  dl_http_reply_json (request, 200, answer);
+}
+
+/* Answers the watch when something happened or its time is over. */
+static bool
+answer_watch (const Watch *w, bool at_end)
+{
+  json_object *events;
+
+  if (w->after < forgotten)
+    {
+      dl_http_reply_error (w->request, 410, 0, "this history is gone");
+      return true;
+    }
+  events = deaf != 0 ? json_object_new_array () : events_after (w->kind, w->after);
+  if (json_object_array_length (events) == 0 && !at_end)
+    {
+      json_object_put (events);
+      return false;
+    }
+  reply_events (w->request, events);
+  return true;
+}
+
+static void
+remove_watch (Watch *w)
+{
+  watches = g_list_remove (watches, w);
+  g_free (w->kind);
+  g_free (w);
+}
+
+static void
+on_watch_closed (DlHttpRequest *request, bool answered, void *data)
+{
+  if (g_list_find (watches, data) != NULL)
+    remove_watch (data);
+}
+
+static void
+answer_watches (void)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  GList *next;
+
+  for (GList *l = watches; l != NULL; l = next)
+    {
+      Watch *w = l->data;
+
+      next = l->next;
+      if (answer_watch (w, now_ms >= w->until_ms))
+        remove_watch (w);
+    }
+}
+
+static void
+on_check (DlTimer *timer, void *data)
+{
+  answer_watches ();
+}
+
+static void
+handle_watch (DlHttpRequest *request, const char *kind)
+{
+  const char *after = dl_http_request_query (request, "watch");
+  const char *wait = dl_http_request_query (request, "wait_ms");
+  Watch *w = g_new0 (Watch, 1);
+
+  w->request = request;
+  w->kind = g_strdup (kind);
+  w->after = g_ascii_strtoull (after, NULL, 10);
+  w->until_ms
+      = dl_clock_ms ()
+        + MIN (wait != NULL ? g_ascii_strtoull (wait, NULL, 10) : 0, WATCH_MAX_MS);
+  watches = g_list_prepend (watches, w);
+  dl_http_request_on_closed (request, on_watch_closed, w);
+  if (answer_watch (w, false))
+    remove_watch (w);
+}
+
+/* -------- reading -------- */
+
+typedef struct
+{
+  const char *prefix; /* "kind/" */
+  const char *after;
+  json_object *items;
+  bool more;
+} Listing;
+
+static gboolean
+list_object (gpointer key, gpointer value, gpointer data)
+{
+  Listing *listing = data;
+  size_t length = strlen (listing->prefix);
+
+  if (strncmp (key, listing->prefix, length) != 0
+      || (listing->after != NULL && strcmp ((char *)key + length, listing->after) <= 0))
+    return FALSE;
+  listing->more = json_object_array_length (listing->items) >= page;
+  if (!listing->more)
+    json_object_array_add (listing->items, json_object_get (value));
+  return listing->more;
+}
+
+static void
+handle_list (DlHttpRequest *request, const char *kind)
+{
+  char *prefix = g_strdup_printf ("%s/", kind);
+  Listing listing = {
+    .prefix = prefix,
+    .after = dl_http_request_query (request, "after"),
+    .items = json_object_new_array (),
+  };
+  json_object *answer = json_object_new_object ();
+
+  g_tree_foreach (objects, list_object, &listing);
+  json_object_object_add (answer, "items", listing.items);
+  json_object_object_add (answer, "has_more", json_object_new_boolean (listing.more));
+  standin_json_set_uint (answer, "current_rev", revision);
+  dl_http_reply_json (request, 200, answer);
+  g_free (prefix);
+}
+
+/* -------- writing -------- */
+
+static void
+remember (const char *kind, json_object *object, bool deleted)
+{
+  json_object *entry = json_object_new_object ();
+
+  standin_json_set_text (entry, "kind", kind);
+  standin_json_set_uint (entry, "revision", revision);
+  json_object_object_add (entry, "event", event_new (object, deleted));
+  g_queue_push_tail (&history, entry);
+  while (g_queue_get_length (&history) > history_max)
+    {
+      json_object *oldest = g_queue_pop_head (&history);
+
+      forgotten = standin_json_uint (oldest, "revision");
+      json_object_put (oldest);
+    }
+}
+
+static json_object *
+object_new (const char *name, uint64_t created, json_object *spec)
+{
+  json_object *object = json_object_new_object ();
+  json_object *metadata = json_object_new_object ();
+
+  revision++;
+  standin_json_set_text (metadata, "name", name);
+  standin_json_set_uint (metadata, "revision", revision);
+  standin_json_set_uint (metadata, "created", created != 0 ? created : revision);
+  json_object_object_add (object, "metadata", metadata);
+  json_object_object_add (object, "spec", json_object_get (spec));
+  return object;
+}
+
+static void
+reply_written (DlHttpRequest *request, json_object *object)
+{
+  if (standin_take (&lose_writes))
+    dl_http_abort (request);
+  else
+    dl_http_reply_json (request, 200, json_object_get (object));
+}
+
+static void
+store_object (const char *kind, const char *name, json_object *object)
+{
+  g_tree_insert (objects, g_strdup_printf ("%s/%s", kind, name), object);
+  remember (kind, object, false);
+  answer_watches ();
+}
+
+static void
+handle_create (DlHttpRequest *request, const char *kind, json_object *body)
+{
+  const char *name
+      = standin_json_text (json_object_object_get (body, "metadata"), "name");
+  char *key = g_strdup_printf ("%s/%s", kind, name);
+  json_object *present = g_tree_lookup (objects, key);
+
+  if (name[0] == '\0')
+    dl_http_reply_error (request, 400, 0, "an object needs a name");
+  else if (present != NULL)
+    dl_http_reply_json (request, 409, json_object_get (present));
+  else
+    {
+      json_object *object = object_new (name, 0, json_object_object_get (body, "spec"));
+
+      store_object (kind, name, object);
+      reply_written (request, object);
+    }
+  g_free (key);
+}
+
+static void
+handle_replace (DlHttpRequest *request,
+                const char *kind,
+                const char *name,
+                json_object *body)
+{
+  char *key = g_strdup_printf ("%s/%s", kind, name);
+  json_object *present = g_tree_lookup (objects, key);
+  uint64_t expected
+      = standin_json_uint (json_object_object_get (body, "metadata"), "revision");
+
+  if (present == NULL)
+    dl_http_reply_error (request, 404, 0, "no such object");
+  else if (expected != 0 && expected != object_revision (present))
+    dl_http_reply_json (request, 409, json_object_get (present));
+  else
+    {
+      json_object *object = object_new (name, 0, json_object_object_get (body, "spec"));
+
+      store_object (kind, name, object);
+      reply_written (request, object);
+    }
+  g_free (key);
+}
+
+static void
+handle_delete (DlHttpRequest *request, const char *kind, const char *name)
+{
+  char *key = g_strdup_printf ("%s/%s", kind, name);
+  json_object *present = g_tree_lookup (objects, key);
+  const char *expected = dl_http_request_query (request, "revision");
+
+  if (present == NULL)
+    dl_http_reply_error (request, 404, 0, "no such object");
+  else if (expected != NULL
+           && g_ascii_strtoull (expected, NULL, 10) != object_revision (present))
+    dl_http_reply_json (request, 409, json_object_get (present));
+  else
+    {
+      json_object *gone = object_new (name, 0, NULL);
+
+      g_tree_remove (objects, key);
+      remember (kind, gone, true);
+      answer_watches ();
+      dl_http_reply_json (request, 200, gone);
+    }
+  g_free (key);
+}
+
+/* -------- the kind -------- */
+
+static bool
+admit (DlHttpRequest *request, bool write)
+{
+  (*(write ? &writes : &reads))++;
+  if (write ? standin_bucket_take (&write_bucket, writes_per_s)
+            : standin_bucket_take (&read_bucket, reads_per_s))
+    return true;
+  dl_http_reply_error (request, 429, 1000, "too many calls a second");
+  return false;
+}
+
+static void
+handle_write (DlHttpRequest *request, const char *kind, const char *name)
+{
+  const char *method = dl_http_request_method (request);
+  json_object *body;
+
+  if (strcmp (method, "DELETE") == 0)
+    {
+      handle_delete (request, kind, name);
+      return;
+    }
+  body = standin_body (request);
+  if (body == NULL)
+    return;
+  if (strcmp (method, "POST") == 0)
+    handle_create (request, kind, body);
+  else
+    handle_replace (request, kind, name, body);
+  json_object_put (body);
+}
+
+static void
+objects_handle (DlHttpRequest *request)
+{
+  const char *path = dl_http_request_path (request);
+  bool write = strcmp (dl_http_request_method (request), "GET") != 0;
+  char **parts;
+
+  if (!g_str_has_prefix (path, PREFIX))
+    {
+      dl_http_reply_error (request, 404, 0, "no such call");
+      return;
+    }
+  if (!admit (request, write))
+    return;
+  parts = g_strsplit (path + strlen (PREFIX), "/", 2);
+  if (write)
+    handle_write (request, parts[0], parts[1] != NULL ? parts[1] : "");
+  else if (parts[1] != NULL)
+    {
+      json_object *present = g_tree_lookup (objects, path + strlen (PREFIX));
+
+      if (present != NULL)
+        dl_http_reply_json (request, 200, json_object_get (present));
+      else
+        dl_http_reply_error (request, 404, 0, "no such object");
+    }
+  else if (dl_http_request_query (request, "watch") != NULL)
+    handle_watch (request, parts[0]);
+  else
+    handle_list (request, parts[0]);
+  g_strfreev (parts);
+}
+
+static json_object *
+objects_records (void)
+{
+  json_object *records = json_object_new_object ();
+
+  standin_json_set_uint (records, "revision", revision);
+  standin_json_set_uint (records, "reads", reads);
+  standin_json_set_uint (records, "writes", writes);
+  return records;
+}
+
+static void
+objects_start (DlTask *task)
+{
+  objects = g_tree_new_full (compare_keys, NULL, g_free, release_json);
+  dl_timer_subscribe (task, task, CHECK_MS, CHECK_MS, on_check, NULL);
+}
+
+static StandinKind objects_kind = {
+  .name = "objects",
+  .knobs = objects_knobs,
+  .start = objects_start,
+  .handle = objects_handle,
+  .records = objects_records,
+};
+STANDIN_REGISTER (objects_kind)
--- /dev/null
+++ b/regress/standin/server.c
@@ -0,0 +1,415 @@
+/*
+ * The stand-in of the platform's servers: a model server with staging, orders and streams
+ * of events, or, without weights, a plain service.  It records what truly ran.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "standin.h"
+#include "weights.h"
+
+#define STREAM_PREFIX  "/s/"
+#define EVENTS_DEFAULT 10
+#define EVENT_MS       20
+#define WARM_MS        100
+#define NAME_BYTES     32
+
+/* A stream that is being answered. */
+typedef struct
+{
+  DlHttpRequest *request;
+  uint64_t next; /* id of the next event */
+  bool cut;      /* breaks off in the middle of its third event */
+  DlTimer *timer;
+} Stream;
+
+static uint64_t instance = 1; /* its id is "i-N" */
+static uint64_t version = 1;  /* of its weights; 0: it holds none */
+static uint64_t events = EVENTS_DEFAULT;
+static uint64_t event_ms = EVENT_MS;
+static uint64_t shed; /* the next N are refused and not run */
+static uint64_t fail; /* the next N are answered 500 */
+static uint64_t lose; /* the next N are run, and the connection closed unanswered */
+static uint64_t cut;  /* the next N streams break off in the middle of an event */
+static uint64_t cut_resumed; /* the same of streams that go on after an event */
+static uint64_t foreign;     /* the next N answers carry another request's id */
+static uint64_t unsealed;    /* the next N answers lack the seal */
+static uint64_t silent;      /* the next N are run and never answered */
+static uint64_t rot;         /* 1: the next staged chunk that is read turns bad */
+static uint64_t slots = 16;
+
+static DlTask *task;
+static GHashTable *staged; /* index to a copy of its bytes */
+static bool loading;
+static uint64_t orders;
+static uint64_t running;
+static uint64_t cancelled;     /* streams whose caller left */
+static uint64_t mixed;         /* orders taken while the staged chunks were not whole */
+static uint64_t keys_seen;     /* requests that carried a caller's key */
+static uint64_t wrong_version; /* refused for the version that they expected */
+static GHashTable *runs;       /* request id to how often it ran */
+static char *last_target;
+static char *last_organisation;
+static char *last_body;
+
+static const StandinKnob server_knobs[] = {
+  { "instance", &instance },
+  { "version", &version },
+  { "events", &events },
+  { "event_ms", &event_ms },
+  { "shed", &shed },
+  { "fail", &fail },
+  { "lose", &lose },
+  { "cut", &cut },
+  { "foreign", &foreign },
+  { "unsealed", &unsealed },
+  { "silent", &silent },
+  { "rot", &rot },
+  { "slots", &slots },
+  { "cut_resumed", &cut_resumed },
+  { 0 },
+};
+
+static void
+server_start (DlTask *standin)
+{
+  task = standin;
+  staged = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static const char *
+header (DlHttpRequest *request, const char *name)
+{
+  const char *value = dl_http_request_header (request, name);
+
+  return value != NULL ? value : "";
+}
+
+static void
+set_text (char **member, const char *text)
+{
+  g_free (*member);
+  *member = g_strdup (text);
+}
+
+/* -------- staging and orders -------- */
+
+static unsigned
+query_num (DlHttpRequest *request)
+{
+  const char *num = dl_http_request_query (request, "num");
+
+  return num != NULL ? (unsigned)g_ascii_strtoull (num, NULL, 10) : WEIGHTS_CHUNKS;
+}
+
+static void
+stage_put (DlHttpRequest *request)
+{
+  DlStr body = dl_http_request_body (request);
+
+  if (body.length != WEIGHTS_CHUNK_BYTES || query_num (request) >= WEIGHTS_CHUNKS)
+    {
+      dl_http_reply_error (request, 400, 0, "no chunk");
+      return;
+    }
+  g_hash_table_replace (staged, GUINT_TO_POINTER (query_num (request)),
+                        g_memdup2 (body.data, body.length));
+  standin_reply_status (request, 200);
+}
+
+static void
+stage_get (DlHttpRequest *request)
+{
+  char *bytes = g_hash_table_lookup (staged, GUINT_TO_POINTER (query_num (request)));
+
+  if (bytes == NULL)
+    {
+      dl_http_reply_error (request, 404, 0, "not staged");
+      return;
+    }
+  if (standin_take (&rot))
+    bytes[1] ^= 1;
+  dl_http_reply (request, 200, "application/octet-stream",
+                 dl_str_bytes (bytes, WEIGHTS_CHUNK_BYTES), NULL);
+}
+
+static bool
+staged_is_whole (uint64_t of)
+{
+  for (unsigned i = 0; i < WEIGHTS_CHUNKS; i++)
+    {
+      const char *bytes = g_hash_table_lookup (staged, GUINT_TO_POINTER (i));
+
+      if (bytes == NULL
+          || !weights_is_chunk (of, i, dl_str_bytes (bytes, WEIGHTS_CHUNK_BYTES)))
+        return false;
+    }
+  return true;
+}
+
+static void
+on_loaded (DlTimer *timer, void *data)
+{
+  talloc_free (timer);
+  loading = false;
+  version = (uint64_t)GPOINTER_TO_SIZE (data);
+}
+
+static void
+take_order (DlHttpRequest *request)
+{
+  json_object *body = standin_body (request);
+  uint64_t ordered;
+
+  if (body == NULL)
+    return;
+  ordered = standin_json_uint (body, "version");
+  if (strcmp (standin_json_text (body, "operation"), "start") != 0)
+    standin_reply_status (request, 400);
+  else if (loading)
+    standin_reply_status (request, 409);
+  else if (ordered == version)
+    standin_reply_status (request, 200);
+  else
+    {
+      orders++;
+      mixed += !staged_is_whole (ordered);
+      loading = true;
+      dl_timer_subscribe (task, task, WARM_MS, 0, on_loaded,
+                          GSIZE_TO_POINTER ((gsize)ordered));
+      standin_reply_status (request, 202);
+    }
+  json_object_put (body);
+}
+
+static void
+reply_report (DlHttpRequest *request)
+{
+  json_object *report = json_object_new_object ();
+  json_object *models = json_object_new_array ();
+  json_object *model = json_object_new_object ();
+  json_object *layers = json_object_new_object ();
+
+  if (version > 0)
+    {
+      standin_json_set_text (model, "name", WEIGHTS_MODEL);
+      standin_json_set_uint (model, "version", version);
+      json_object_array_add (models, json_object_get (model));
+      standin_json_set_uint (layers, "from", 0);
+      standin_json_set_uint (layers, "target", WEIGHTS_LAYERS);
+      standin_json_set_uint (layers, "version", version);
+      json_object_object_add (report, "layers", json_object_get (layers));
+    }
+  json_object_put (model);
+  json_object_put (layers);
+  json_object_object_add (report, "models", models);
+  json_object_object_add (report, "busy", json_object_new_boolean (loading));
+  standin_json_set_uint (report, "sequence", orders);
+  standin_json_set_uint (report, "running", running);
+  standin_json_set_uint (report, "waiting", 0);
+  standin_json_set_uint (report, "born", instance);
+  dl_http_reply_json (request, 200, report);
+}
+
+/* -------- requests -------- */
+
+typedef struct
+{
+  char id[NAME_BYTES * 4];
+  char seal[NAME_BYTES];
+  char versions[NAME_BYTES];
+  DlHttpHeader headers[4];
+} AnswerHeaders;
+
+static const DlHttpHeader *
+answer_headers (DlHttpRequest *request, AnswerHeaders *h)
+{
+  size_t count = 0;
+
+  g_strlcpy (h->id,
+             standin_take (&foreign) ? "another" : header (request, "X-Request-Id"),
+             sizeof h->id);
+  g_snprintf (h->seal, sizeof h->seal, "seal-of-i-%" PRIu64, instance);
+  g_snprintf (h->versions, sizeof h->versions, "%" PRIu64, version);
+  h->headers[count++] = (DlHttpHeader){ .name = "X-Request-Id", .value = h->id };
+  h->headers[count++]
+      = (DlHttpHeader){ .name = "X-Weight-Versions", .value = h->versions };
+  if (!standin_take (&unsealed))
+    h->headers[count++] = (DlHttpHeader){ .name = "X-Response-Seal", .value = h->seal };
+  h->headers[count] = (DlHttpHeader){ 0 };
+  return h->headers;
+}
+
+static void
+note_run (DlHttpRequest *request)
+{
+  const char *id = header (request, "X-Request-Id");
+  gpointer count = g_hash_table_lookup (runs, id);
+
+  g_hash_table_replace (runs, g_strdup (id),
+                        GSIZE_TO_POINTER (GPOINTER_TO_SIZE (count) + 1));
+  keys_seen += dl_http_request_header (request, "Authorization") != NULL;
+  set_text (&last_target, dl_http_request_target (request));
+  set_text (&last_organisation, header (request, "X-Tenant-Id"));
+  g_free (last_body);
+  last_body = g_strndup (dl_http_request_body (request).data,
+                         dl_http_request_body (request).length);
+}
+
+static void
+on_stream_closed (DlHttpRequest *request, bool answered, void *data)
+{
+  Stream *s = data;
+
+  running--;
+  cancelled += !answered && !s->cut;
+}
+
+static void
+on_event (DlTimer *timer, void *data)
+{
+  Stream *s = data;
+  char *event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "\n\n", s->next,
+                                 s->next);
+
+  if (s->cut && s->next >= 3)
+    {
+      dl_http_stream_write (s->request, dl_str_bytes (event, strlen (event) / 2));
+      dl_http_stream_end (s->request, false);
+      TALLOC_FREE (s->timer);
+    }
+  else
+    {
+      dl_http_stream_write (s->request, dl_str (event));
+      if (s->next++ >= events)
+        {
+          dl_http_stream_end (s->request, true);
+          TALLOC_FREE (s->timer);
+        }
+    }
+  g_free (event);
+}
+
+static void
+start_stream (DlHttpRequest *request)
+{
+  Stream *s = talloc_zero (request, Stream);
+  AnswerHeaders headers;
+
+  running++;
+  s->request = request;
+  s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
+  s->cut = standin_take (s->next == 1 ? &cut : &cut_resumed);
+  dl_http_request_on_closed (request, on_stream_closed, s);
+  dl_http_stream_begin (request, 200, "text/event-stream",
+                        answer_headers (request, &headers));
+  s->timer = dl_timer_subscribe (task, s, event_ms, event_ms, on_event, s);
+}
+
+static void
+refuse (DlHttpRequest *request, unsigned status)
+{
+  const DlHttpHeader headers[] = { { "X-Not-Executed", "1" }, { 0 } };
+
+  dl_http_reply (request, status, NULL, DL_STR_LITERAL (""), headers);
+}
+
+static bool
+expects_another (DlHttpRequest *request)
+{
+  const char *expected = dl_http_request_header (request, "X-Expect-Instance");
+  const char *weights = dl_http_request_header (request, "X-Expect-Version");
+  char own[NAME_BYTES];
+
+  g_snprintf (own, sizeof own, "i-%" PRIu64, instance);
+  if (weights != NULL && g_ascii_strtoull (weights, NULL, 10) != version)
+    {
+      wrong_version++;
+      return true;
+    }
+  return expected != NULL && strcmp (expected, own) != 0;
+}
+
+static void
+run (DlHttpRequest *request)
+{
+  AnswerHeaders headers;
+
+  if (expects_another (request))
+    {
+      refuse (request, 421);
+      return;
+    }
+  if (loading || standin_take (&shed))
+    {
+      refuse (request, 503);
+      return;
+    }
+  note_run (request);
+  if (standin_take (&silent))
+    return;
+  if (standin_take (&lose))
+    dl_http_abort (request);
+  else if (g_str_has_prefix (dl_http_request_path (request), STREAM_PREFIX))
+    start_stream (request);
+  else
+    dl_http_reply (request, standin_take (&fail) ? 500 : 200, "text/plain",
+                   DL_STR_LITERAL ("done"), answer_headers (request, &headers));
+}
+
+static void
+server_handle (DlHttpRequest *request)
+{
+  const char *path = dl_http_request_path (request);
+
+  if (strcmp (path, "/-/report") == 0)
+    reply_report (request);
+  else if (strcmp (path, "/-/order") == 0)
+    take_order (request);
+  else if (g_str_has_prefix (path, "/-/stage-put/"))
+    stage_put (request);
+  else if (g_str_has_prefix (path, "/-/stage-get/"))
+    stage_get (request);
+  else
+    run (request);
+}
+
+static json_object *
+server_records (void)
+{
+  json_object *records = json_object_new_object ();
+  json_object *ran = json_object_new_object ();
+  GHashTableIter iter;
+  gpointer id;
+  gpointer count;
+
+  g_hash_table_iter_init (&iter, runs);
+  while (g_hash_table_iter_next (&iter, &id, &count))
+    standin_json_set_uint (ran, id, GPOINTER_TO_SIZE (count));
+  json_object_object_add (records, "runs", ran);
+  standin_json_set_uint (records, "ran", g_hash_table_size (runs));
+  standin_json_set_uint (records, "version", version);
+  standin_json_set_uint (records, "orders", orders);
+  standin_json_set_uint (records, "mixed", mixed);
+  standin_json_set_uint (records, "running", running);
+  standin_json_set_uint (records, "cancelled", cancelled);
+  standin_json_set_uint (records, "keys_seen", keys_seen);
+  standin_json_set_uint (records, "wrong_version", wrong_version);
+  standin_json_set_text (records, "target", last_target != NULL ? last_target : "");
+  standin_json_set_text (records, "organisation",
+                         last_organisation != NULL ? last_organisation : "");
+  standin_json_set_text (records, "body", last_body != NULL ? last_body : "");
+  return records;
+}
+
+static StandinKind server_kind = {
+  .name = "server",
+  .knobs = server_knobs,
+  .start = server_start,
+  .handle = server_handle,
+  .records = server_records,
+};
+STANDIN_REGISTER (server_kind)
--- /dev/null
+++ b/regress/standin/weights.c
@@ -0,0 +1,135 @@
+/*
+ * The stand-in of the service that gives out weights, by manifest and chunk.
+ */
+#include "weights.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "standin.h"
+
+#define MANIFEST_PREFIX "/-/manifest/"
+#define PIECE_PREFIX    "/-/piece/"
+
+static uint64_t newest = 1; /* version that is named last */
+static uint64_t corrupt;    /* the next N chunks carry a wrong byte */
+static uint64_t drawn;      /* bytes given out */
+static uint64_t manifests;
+
+static const StandinKnob weights_knobs[] = {
+  { "newest", &newest },
+  { "corrupt", &corrupt },
+  { 0 },
+};
+
+void
+weights_fill (uint64_t version, unsigned index, char *bytes)
+{
+  for (size_t i = 0; i < WEIGHTS_CHUNK_BYTES; i++)
+    bytes[i] = (char)(version * 31 + index * 7 + i % 251);
+}
+
+bool
+weights_is_chunk (uint64_t version, unsigned index, DlStr bytes)
+{
+  char right[WEIGHTS_CHUNK_BYTES];
+
+  weights_fill (version, index, right);
+  return dl_str_equal (bytes, dl_str_bytes (right, sizeof right));
+}
+
+static uint64_t
+asked_version (DlHttpRequest *request)
+{
+  const char *version = dl_http_request_query (request, "version");
+
+  return version != NULL ? g_ascii_strtoull (version, NULL, 10) : newest;
+}
+
+static void
+reply_manifest (DlHttpRequest *request, uint64_t version)
+{
+  json_object *manifest = json_object_new_object ();
+  json_object *digests = json_object_new_array ();
+
+  manifests++;
+  for (unsigned i = 0; i < WEIGHTS_CHUNKS; i++)
+    {
+      char bytes[WEIGHTS_CHUNK_BYTES];
+      char *digest;
+
+      weights_fill (version, i, bytes);
+      digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)bytes,
+                                            sizeof bytes);
+      json_object_array_add (digests, json_object_new_string (digest));
+      g_free (digest);
+    }
+  standin_json_set_text (manifest, "model", WEIGHTS_MODEL);
+  standin_json_set_uint (manifest, "version", version);
+  standin_json_set_uint (manifest, "chunk_bytes", WEIGHTS_CHUNK_BYTES);
+  standin_json_set_uint (manifest, "layers", WEIGHTS_LAYERS);
+  json_object_object_add (manifest, "digests", digests);
+  dl_http_reply_json (request, 200, manifest);
+}
+
+static void
+reply_piece (DlHttpRequest *request, uint64_t version)
+{
+  const char *num = dl_http_request_query (request, "num");
+  uint64_t index = num != NULL ? g_ascii_strtoull (num, NULL, 10) : WEIGHTS_CHUNKS;
+  char bytes[WEIGHTS_CHUNK_BYTES];
+
+  if (index >= WEIGHTS_CHUNKS)
+    {
+      dl_http_reply_error (request, 404, 0, "no such chunk");
+      return;
+    }
+  weights_fill (version, (unsigned)index, bytes);
+  if (standin_take (&corrupt))
+    bytes[0] ^= 1;
+  drawn += sizeof bytes;
+  dl_http_reply (request, 200, "application/octet-stream",
+                 dl_str_bytes (bytes, sizeof bytes), NULL);
+}
+
+static void
+weights_handle (DlHttpRequest *request)
+{
+  const char *path = dl_http_request_path (request);
+  uint64_t version = asked_version (request);
+
+  if (version == 0 || version > newest)
+    dl_http_reply_error (request, 404, 0, "no such version");
+  else if (version + 2 <= newest)
+    dl_http_reply_error (request, 410, 0, "this version is gone");
+  else if (strcmp (path, MANIFEST_PREFIX WEIGHTS_MODEL) == 0)
+    reply_manifest (request, version);
+  else if (strcmp (path, PIECE_PREFIX WEIGHTS_MODEL) == 0)
+    reply_piece (request, version);
+  else
+    dl_http_reply_error (request, 404, 0, "no such call");
+}
+
+static json_object *
+weights_records (void)
+{
+  json_object *records = json_object_new_object ();
+
+  standin_json_set_uint (records, "drawn", drawn);
+  standin_json_set_uint (records, "manifests", manifests);
+  return records;
+}
+
+static void
+weights_start (DlTask *task)
+{
+}
+
+static StandinKind weights_kind = {
+  .name = "weights",
+  .knobs = weights_knobs,
+  .start = weights_start,
+  .handle = weights_handle,
+  .records = weights_records,
+};
+STANDIN_REGISTER (weights_kind)
