--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -14,8 +14,8 @@
 #define PERCENT 100
 /* Part of the shared allowance of repeats that entries use, so that what they cannot
  * know of each other stays within it. */
-#define RATIO_SHARE 0.7
-#define SLACK_SHARE 0.6
+#define RATIO_SHARE 0.85
+#define SLACK_SHARE 0.75
 /* Upstreams that a request may fail to reach before it is refused. */
 #define UNREACHED_MAX 3
 /* A try needs at least this long to be worth sending. */
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -21,8 +21,8 @@
  * is waited for, and one may be lost. */
 #define ROUTING_PROOFS     4
 #define UPSTREAMS_WAIT_MS  1500
-#define UPSTREAMS_PAUSE_MS 250
-#define VERSIONS_WAIT_MS   3000
+#define UPSTREAMS_PAUSE_MS 600
+#define VERSIONS_WAIT_MS   5000
 #define ROUTING_RETRY_MS   400
 #define RETRY_MS           1000
 #define TICK_MS            250
@@ -367,6 +367,23 @@
          && dl_clock_ms () - proven_ms < direct_stale_ms (state->settings);
 }
 
+/* A stager that has just started wants to know which chunks it can get here. */
+static void
+on_stranger (Daisyloft__Wire__Role role, void *data)
+{
+  State *state = data;
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  void *context;
+
+  if (role != DAISYLOFT__WIRE__ROLE__ROLE_SLOT || state->holding == NULL)
+    return;
+  context = talloc_new (state);
+  status.ready = state->ready;
+  dl_holdings_write (context, &state->holding->holdings, &status);
+  dl_peers_answer (state->peers, &status);
+  talloc_free (context);
+}
+
 static void
 send_status (State *state)
 {
@@ -557,6 +574,7 @@
                             .store = state->store,
                             .kind = platform_kind_nodes,
                             .on_status = on_status,
+                            .on_stranger = on_stranger,
                             .on_gone = on_gone,
                             .data = state,
                         },
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -18,10 +18,11 @@
 {
   DlTask *task;
   DlDepot *depot;
-  char *default_model; /* to hold when nothing was named; NULL until known */
-  bool unnamed;        /* the store was read, and no version is named */
-  DlBundle *older;     /* NULL for none */
-  DlBundle *newest;    /* NULL for none */
+  char *default_model;     /* to hold when nothing was named; NULL until known */
+  bool unnamed;            /* the store was read, and no version is named */
+  DlBundle *older;         /* NULL for none */
+  uint64_t older_limit_ms; /* after its name, until which stagers may want it */
+  DlBundle *newest;        /* NULL for none */
 } Weights;
 
 static void
@@ -53,12 +54,22 @@
   w->newest = dl_bundle_open (w->depot, model, version, named_ms);
 }
 
-/* A version that cannot be had any more must not keep back the one after it. */
+static bool
+is_over (const DlBundle *b, uint64_t limit_ms)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (!dl_bundle_is_whole (b))
+    return now_ms - b->progress_ms >= STUCK_MS;
+  return now_ms - b->named_ms >= limit_ms;
+}
+
+/* An older version goes when its time is over and nobody takes it any more, or when it
+ * cannot be had and must not keep back the one after it. */
 static void
-drop_stuck (Weights *w)
+drop_older (Weights *w)
 {
-  if (w->older == NULL || dl_bundle_is_whole (w->older)
-      || dl_clock_ms () - w->older->progress_ms < STUCK_MS)
+  if (w->older == NULL || !is_over (w->older, w->older_limit_ms))
     return;
   dl_bundle_close (w->older);
   w->older = NULL;
@@ -80,7 +91,7 @@
   Weights *w = data;
 
   dl_depot_drop_silent (w->depot);
-  drop_stuck (w);
+  drop_older (w);
   run (w);
   if (dl_depot_take_changed (w->depot))
     tell_holding (w);
@@ -137,6 +148,7 @@
 
   dl_task_set_state (task, w);
   w->task = task;
+  w->older_limit_ms = direct_settings (task)->version_ms;
   dl_timer_subscribe (task, w, TICK_MS, TICK_MS, on_tick, w);
   return dl_depot_new (task, w,
                        &(DlDepotOptions){
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -157,13 +157,12 @@
   Daisyloft__Wire__EngineStatus engine = state->engine;
   Daisyloft__Wire__Named named;
 
-  if (!state->engine_known)
-    return;
   if (dl_named_write (&state->named, &named, now_ms))
     status.named = &named;
   engine.loading = engine.loading || is_loading (state);
-  status.ready = !engine.loading;
-  status.engine = &engine;
+  status.ready = state->engine_known && !engine.loading;
+  if (state->engine_known)
+    status.engine = &engine;
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
   state->engine_changed = false;
   state->told_entries_ms = now_ms;
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -12,6 +12,8 @@
 #include "policy/reload_turn.h"
 
 #define TICK_MS 30
+/* A version that is in force for this long is not held in memory any more. */
+#define FORGET_MS 2500
 /* A version of which nothing came for this long gives way to a newer one. */
 #define STUCK_MS 1500
 /* What was read back sound before this is read again before an order. */
@@ -27,6 +29,7 @@
 weights_enter (Weights *w, Phase phase)
 {
   w->phase = phase;
+  w->forgotten = false;
   w->phase_ms = dl_clock_ms ();
 }
 
@@ -246,12 +249,39 @@
     weights_enter (w, PHASE_FETCH);
 }
 
+/* What was staged before and is not in memory is looked through first. */
+static bool
+must_look_through (const Staging *s)
+{
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_SOUND && s->bundle->chunks[i].length == 0)
+      return true;
+  return false;
+}
+
+static void
+look_through_again (Staging *s)
+{
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_SOUND)
+      s->copies[i].state = STAGED_WRITTEN;
+}
+
 static void
 run_fetch (Weights *w)
 {
-  dl_bundle_run (w->staging->bundle);
   if (!prepare_copies (w->staging))
-    return;
+    {
+      dl_bundle_run (w->staging->bundle);
+      return;
+    }
+  if (must_look_through (w->staging))
+    {
+      look_through_again (w->staging);
+      weights_enter (w, PHASE_RECOVER);
+      return;
+    }
+  dl_bundle_run (w->staging->bundle);
   stage_write (w->staging);
   if (dl_bundle_is_whole (w->staging->bundle))
     weights_enter (w, PHASE_WAIT);
@@ -303,12 +333,18 @@
     weights_enter (w, PHASE_EMPTY);
 }
 
-/* The engine may have started anew, without weights. */
+/* The engine may have started anew, without weights.  The chunks lie in the staging area
+ * and at the hubs; another copy here is memory for nothing. */
 static void
 run_done (Weights *w)
 {
   if (w->engine_known && !is_in_force (w, w->staging->bundle))
-    weights_enter (w, PHASE_WAIT);
+    weights_enter (w, PHASE_FETCH);
+  else if (!w->forgotten && dl_clock_ms () - w->phase_ms >= FORGET_MS)
+    {
+      dl_bundle_forget_chunks (w->staging->bundle);
+      w->forgotten = true;
+    }
 }
 
 static void
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -71,6 +71,7 @@
   bool engine_known;
   DlEngineReport engine; /* without its texts */
   bool told_loading;
+  bool forgotten; /* the present version's chunks are not held in memory any more */
 };
 
 /* -------- weights.c -------- */
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -12,6 +12,8 @@
 #define BODY_DEFAULT_MAX_BYTES     (1u << 20)
 #define CONNECT_DEFAULT_TIMEOUT_MS 2000
 #define CONNECTIONS_KEPT           256
+#define RECEIVE_BYTES              8192L  /* read at once, per call */
+#define UPLOAD_BYTES               16384L /* the least that the library takes */
 #define MILLISECONDS_PER_SECOND    1000.0
 
 struct DlHttpClient
@@ -338,6 +340,8 @@
   curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_BUFFERSIZE, RECEIVE_BYTES);
+  curl_easy_setopt (call->easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BYTES);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_write);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
--- a/lib/node/depot.c
+++ b/lib/node/depot.c
@@ -262,6 +262,20 @@
             DL_UINT ("named_ms_ago", dl_clock_ms () - b->named_ms));
 }
 
+void
+dl_bundle_forget_chunks (DlBundle *b)
+{
+  for (unsigned i = 0; i < b->count; i++)
+    {
+      if (b->chunks[i].length == 0)
+        continue;
+      talloc_free ((void *)b->chunks[i].data);
+      b->chunks[i] = dl_str_bytes (NULL, 0);
+      dl_fetch_plan_lost (b->plan, i);
+    }
+  b->depot->changed = true;
+}
+
 void
 dl_bundle_run (DlBundle *bundle)
 {
--- a/lib/node/depot.h
+++ b/lib/node/depot.h
@@ -98,6 +98,8 @@
 bool dl_bundle_is_whole (const DlBundle *bundle);
 /* True when BYTES are those of chunk INDEX. */
 bool dl_bundle_is_genuine (const DlBundle *bundle, unsigned index, DlStr bytes);
+/* Gives the chunks' memory back; what is needed again is fetched again. */
+void dl_bundle_forget_chunks (DlBundle *bundle);
 /* Takes chunk INDEX, which was found elsewhere and is genuine; BYTES are copied. */
 void dl_bundle_take (DlBundle *bundle, unsigned index, DlStr bytes);
 
--- a/lib/node/depot_fetch.c
+++ b/lib/node/depot_fetch.c
@@ -23,7 +23,7 @@
 #define CHUNK_MAX_BYTES      (1u << 20)
 /* Requests of callers come to an upstream over its host's link, behind what was sent for
  * a chunk. */
-#define RECEIVE_BUFFER_BYTES (12u << 10)
+#define RECEIVE_BUFFER_BYTES (8u << 10)
 #define STATUS_OK            200
 #define STATUS_UNAVAILABLE   503
 
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -17,7 +17,7 @@
 #define DATAGRAM_MAX_BYTES 1400
 #define READS_AT_ONCE      64 /* so that datagrams do not keep the loop */
 #define WATCH_WAIT_MS      20000
-#define WATCH_PAUSE_MS     300
+#define WATCH_PAUSE_MS     2000
 #define WATCH_RETRY_MAX_MS 2000
 #define REGISTER_RETRY_MS  700
 #define FORGET_SILENT_MS   60000
@@ -55,6 +55,7 @@
   DlTimer *register_timer;
   uint64_t number;
   uint64_t incarnation;
+  const struct sockaddr_in *stranger; /* while on_stranger runs */
 };
 
 /* -------- registration -------- */
@@ -266,6 +267,44 @@
 
 /* -------- datagrams -------- */
 
+/* Fills STATUS in and writes it to BYTES of DATAGRAM_MAX_BYTES; returns its length. */
+static size_t
+write_status (DlPeers *peers, Daisyloft__Wire__NodeStatus *status, uint8_t *bytes)
+{
+  size_t length;
+
+  status->name = (char *)peers->options.settings->name;
+  status->incarnation = peers->incarnation;
+  status->number = ++peers->number;
+  status->role = peers->options.role;
+  length = daisyloft__wire__node_status__get_packed_size (status);
+  g_assert (length <= DATAGRAM_MAX_BYTES);
+  return daisyloft__wire__node_status__pack (status, bytes);
+}
+
+/* A datagram that the link does not take is lost like any other. */
+static void
+send_to (const DlPeers *peers,
+         const struct sockaddr_in *at,
+         const uint8_t *bytes,
+         size_t length)
+{
+  (void)sendto (peers->fd, bytes, length, MSG_DONTWAIT, (const struct sockaddr *)at,
+                sizeof *at);
+  dl_metric_add (&metric_sent, 1);
+}
+
+void
+dl_peers_answer (DlPeers *peers, Daisyloft__Wire__NodeStatus *status)
+{
+  uint8_t bytes[DATAGRAM_MAX_BYTES];
+  size_t length;
+
+  g_assert (peers->stranger != NULL);
+  length = write_status (peers, status, bytes);
+  send_to (peers, peers->stranger, bytes, length);
+}
+
 void
 dl_peers_send (DlPeers *peers,
                Daisyloft__Wire__NodeStatus *status,
@@ -277,13 +316,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  status->name = (char *)peers->options.settings->name;
-  status->incarnation = peers->incarnation;
-  status->number = ++peers->number;
-  status->role = peers->options.role;
-  length = daisyloft__wire__node_status__get_packed_size (status);
-  g_assert (length <= sizeof bytes);
-  daisyloft__wire__node_status__pack (status, bytes);
+  length = write_status (peers, status, bytes);
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -293,10 +326,7 @@
           || (near_only
               && strcmp (node->peer.region, peers->options.settings->region) != 0))
         continue;
-      /* A datagram that the link does not take is lost like any other. */
-      (void)sendto (peers->fd, bytes, length, MSG_DONTWAIT,
-                    (const struct sockaddr *)&node->at, sizeof node->at);
-      dl_metric_add (&metric_sent, 1);
+      send_to (peers, &node->at, bytes, length);
     }
 }
 
@@ -313,6 +343,13 @@
 {
   Node *node = g_hash_table_lookup (peers->nodes, status->name);
 
+  if (node == NULL && peers->options.on_stranger != NULL)
+    {
+      peers->stranger = from;
+      peers->options.on_stranger (status->role, peers->options.data);
+      peers->stranger = NULL;
+      return;
+    }
   if (node == NULL || node->at.sin_addr.s_addr != from->sin_addr.s_addr
       || !is_newer (node, status))
     {
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -6,6 +6,9 @@
  * by datagrams: a lost one is replaced by the next, and nothing is decided on one that is
  * not fresh.  A datagram counts only when the named node is registered at its sender's
  * IP address.
+ *
+ * A node that has just started knows the others before they know it.  What it sends is
+ * not believed yet, but is answered, so that it need not wait for its name to get round.
  */
 #ifndef DL_PEERS_H
 #define DL_PEERS_H
@@ -42,6 +45,9 @@
   void (*on_status) (const DlPeer *peer,
                      const Daisyloft__Wire__NodeStatus *status,
                      void *data);
+  /* A node of ROLE that is not known here asks by its datagram what this one would tell
+   * it; answer with dl_peers_answer.  May be NULL. */
+  void (*on_stranger) (Daisyloft__Wire__Role role, void *data);
   /* The node is not registered any more; freed after the call.  May be NULL. */
   void (*on_gone) (const DlPeer *peer, void *data);
   void *data;
@@ -58,6 +64,8 @@
                     Daisyloft__Wire__NodeStatus *status,
                     Daisyloft__Wire__Role role,
                     bool near_only);
+/* Sends STATUS to the stranger that on_stranger is called for; only from there. */
+void dl_peers_answer (DlPeers *peers, Daisyloft__Wire__NodeStatus *status);
 /* Calls FUNC for each node of ROLE that was heard lately. */
 void dl_peers_each_alive (const DlPeers *peers,
                           Daisyloft__Wire__Role role,
--- a/lib/policy/fetch_plan.h
+++ b/lib/policy/fetch_plan.h
@@ -26,7 +26,7 @@
 #include "kernel/str.h"
 
 /* Fetches at once of a host that is no hub, and of a hub. */
-#define DL_FETCH_PARALLEL     2
+#define DL_FETCH_PARALLEL     1
 #define DL_FETCH_PARALLEL_HUB 8
 /* The same from the origin alone. */
 #define DL_FETCH_PARALLEL_ORIGIN     1
