--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -10,9 +10,9 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "node/metrics_page.h"
-#include "node/named.h"
 #include "node/object_watch.h"
 #include "node/peers.h"
+#include "node/versions.h"
 #include "platform.h"
 #include "policy/lapse.h"
 
@@ -55,9 +55,7 @@
   GHashTable *listed; /* id to Listed */
   DlLapse lapse;
   uint64_t routing_version; /* 0: none yet */
-  DlObjectWatch *versions_watch;
-  DlNamed named;
-  bool told_unnamed;
+  DlVersions *versions;
   DirectMessage *holding; /* the last DIRECT_HOLDING; NULL before the first */
   bool holding_changed;
   bool ready;
@@ -264,48 +262,23 @@
 /* -------- versions -------- */
 
 static void
-publish_named (State *state, const char *from)
+on_named (const DlNamed *named, void *data)
 {
+  State *state = data;
   DirectMessage *message = message_new (DIRECT_VERSION);
 
-  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", state->named.model),
-          DL_UINT ("version", state->named.version), DL_TEXT ("from", from),
-          DL_UINT ("age_ms", dl_clock_ms () - state->named.named_ms),
-          DL_TEXT ("witnessed", state->named.witnessed ? "yes" : "no"));
-  message->version.model = talloc_strdup (message, state->named.model);
-  message->version.version = state->named.version;
-  message->version.named_ms = state->named.named_ms;
+  message->version.model = talloc_strdup (message, named->model);
+  message->version.version = named->version;
+  message->version.named_ms = named->named_ms;
   dl_kernel_publish (state->kernel, message);
 }
 
 static void
-on_versions_proven (void *data)
-{
-  State *state = data;
-
-  if (state->named.model == NULL && !state->told_unnamed)
-    dl_kernel_publish (state->kernel, message_new (DIRECT_UNNAMED));
-  state->told_unnamed = true;
-}
-
-static void
-on_version (const DlObject *object, void *data)
+on_unnamed (void *data)
 {
   State *state = data;
-  void *context;
-  const char *model;
-  uint64_t version;
 
-  if (object->deleted)
-    return;
-  context = talloc_new (state);
-  if (platform_read_version (context, object->value, &model, &version) < 0)
-    dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
-  else if (dl_named_by_store (state, &state->named, model, version,
-                              dl_object_watch_is_unbroken (state->versions_watch),
-                              dl_clock_ms ()))
-    publish_named (state, "store");
-  talloc_free (context);
+  dl_kernel_publish (state->kernel, message_new (DIRECT_UNNAMED));
 }
 
 /* -------- other nodes -------- */
@@ -338,9 +311,7 @@
   const Daisyloft__Wire__EngineStatus *engine = status->engine;
   DirectMessage *message;
 
-  if (status->named != NULL
-      && dl_named_by_node (state, &state->named, status->named, dl_clock_ms ()))
-    publish_named (state, peer->name);
+  dl_versions_told (state->versions, status->named, peer->name);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     publish_holder (state, peer, status);
   if (engine == NULL)
@@ -394,8 +365,7 @@
   status.ready = state->ready;
   if (state->holding != NULL)
     dl_holdings_write (context, &state->holding->holdings, &status);
-  if (dl_named_write (&state->named, &named, dl_clock_ms ()))
-    status.named = &named;
+  status.named = dl_versions_write (state->versions, &named);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
   talloc_free (context);
@@ -542,15 +512,17 @@
                                                     .on_contact = on_upstreams_contact,
                                                     .data = state,
                                                 });
-  state->versions_watch = dl_object_watch_new (state->task, state, state->store,
-                                               &(DlObjectWatchOptions){
-                                                   .kind = platform_kind_versions,
-                                                   .wait_ms = VERSIONS_WAIT_MS,
-                                                   .retry_max_ms = RETRY_MS,
-                                                   .on_object = on_version,
-                                                   .on_proven = on_versions_proven,
-                                                   .data = state,
-                                               });
+  state->versions = dl_versions_new (state->task, state,
+                                     &(DlVersionsOptions){
+                                         .store = state->store,
+                                         .kind = platform_kind_versions,
+                                         .wait_ms = VERSIONS_WAIT_MS,
+                                         .retry_max_ms = RETRY_MS,
+                                         .read = platform_read_version,
+                                         .on_named = on_named,
+                                         .on_unnamed = on_unnamed,
+                                         .data = state,
+                                     });
 }
 
 static int
--- a/daisystaged/engine.c
+++ b/daisystaged/engine.c
@@ -10,6 +10,8 @@
 #include "platform.h"
 
 #define REPORT_EVERY_MS   100
+/* While the engine is being given weights, when each report takes the next step. */
+#define REPORT_LOADING_MS 30
 #define REPORT_TIMEOUT_MS 400
 /* Answers missed in a row before the engine is taken as down. */
 #define MISSES_MAX 2
@@ -21,6 +23,7 @@
   DlHttpClient *client;
   const char *address;
   unsigned layers; /* of whole weights; 0 until known */
+  bool loading; /* it is being given weights */
   unsigned misses;
   bool silent;
   DlTimer *timer;
@@ -37,7 +40,8 @@
 static void
 ask_later (Engine *engine)
 {
-  dl_timer_restart (engine->timer, REPORT_EVERY_MS);
+  dl_timer_restart (engine->timer,
+                    engine->loading ? REPORT_LOADING_MS : REPORT_EVERY_MS);
 }
 
 static void
@@ -98,7 +102,12 @@
 {
   Engine *engine = dl_task_state (task);
 
-  engine->layers = ((const StageMessage *)head)->source.layers;
+  const StageMessage *message = (const StageMessage *)head;
+
+  if (head->type == STAGE_SOURCE)
+    engine->layers = message->source.layers;
+  else
+    engine->loading = message->holding.loading;
 }
 
 static int
@@ -117,7 +126,7 @@
 static DlPlugin engine_plugin = {
   .name = "engine",
   .order = 30,
-  .subscriptions = UINT64_C (1) << STAGE_SOURCE,
+  .subscriptions = UINT64_C (1) << STAGE_SOURCE | UINT64_C (1) << STAGE_HOLDING,
   .start = start,
   .handle = handle,
 };
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -8,9 +8,9 @@
 #include "daisystaged.h"
 #include "kernel/log.h"
 #include "node/metrics_page.h"
-#include "node/named.h"
 #include "node/object_watch.h"
 #include "node/peers.h"
+#include "node/versions.h"
 #include "platform.h"
 #include "policy/routing.h"
 
@@ -31,9 +31,7 @@
   DlKernel *kernel;
   const DlNodeSettings *settings;
   DlPeers *peers;
-  DlObjectWatch *versions_watch;
-  DlNamed named;
-  bool told_unnamed;
+  DlVersions *versions;
   Daisyloft__Wire__EngineStatus engine; /* texts below this */
   bool engine_known;
   bool engine_changed;
@@ -72,48 +70,23 @@
 }
 
 static void
-publish_named (State *state, const char *from)
+on_named (const DlNamed *named, void *data)
 {
+  State *state = data;
   StageMessage *message = stage_message_new (STAGE_NAMED);
 
-  dl_log (DL_EVENT_VERSION_NAMED, DL_TEXT ("model", state->named.model),
-          DL_UINT ("version", state->named.version), DL_TEXT ("from", from),
-          DL_UINT ("age_ms", dl_clock_ms () - state->named.named_ms),
-          DL_TEXT ("witnessed", state->named.witnessed ? "yes" : "no"));
-  message->named.model = talloc_strdup (message, state->named.model);
-  message->named.version = state->named.version;
-  message->named.named_ms = state->named.named_ms;
+  message->named.model = talloc_strdup (message, named->model);
+  message->named.version = named->version;
+  message->named.named_ms = named->named_ms;
   dl_kernel_publish (state->kernel, message);
 }
 
 static void
-on_version (const DlObject *object, void *data)
-{
-  State *state = data;
-  void *context;
-  const char *model;
-  uint64_t version;
-
-  if (object->deleted)
-    return;
-  context = talloc_new (state);
-  if (platform_read_version (context, object->value, &model, &version) < 0)
-    dl_log (DL_EVENT_VERSION_MALFORMED, DL_TEXT ("object", object->name));
-  else if (dl_named_by_store (state, &state->named, model, version,
-                              dl_object_watch_is_unbroken (state->versions_watch),
-                              dl_clock_ms ()))
-    publish_named (state, "store");
-  talloc_free (context);
-}
-
-static void
-on_versions_proven (void *data)
+on_unnamed (void *data)
 {
   State *state = data;
 
-  if (state->named.model == NULL && !state->told_unnamed)
-    dl_kernel_publish (state->kernel, stage_message_new (STAGE_UNNAMED));
-  state->told_unnamed = true;
+  dl_kernel_publish (state->kernel, stage_message_new (STAGE_UNNAMED));
 }
 
 /* -------- other nodes -------- */
@@ -124,9 +97,7 @@
   State *state = data;
   StageMessage *message;
 
-  if (status->named != NULL
-      && dl_named_by_node (state, &state->named, status->named, dl_clock_ms ()))
-    publish_named (state, peer->name);
+  dl_versions_told (state->versions, status->named, peer->name);
   message = stage_message_new (STAGE_HOLDER);
   message->holder = dl_holder_read (message, peer, status);
   dl_kernel_publish (state->kernel, message);
@@ -157,8 +128,7 @@
   Daisyloft__Wire__EngineStatus engine = state->engine;
   Daisyloft__Wire__Named named;
 
-  if (dl_named_write (&state->named, &named, now_ms))
-    status.named = &named;
+  status.named = dl_versions_write (state->versions, &named);
   engine.loading = engine.loading || is_loading (state);
   status.ready = state->engine_known && !engine.loading;
   if (state->engine_known)
@@ -218,8 +188,9 @@
   e->pace = report->pace;
   e->version = report->version;
   state->engine_known = true;
-  if (before.running != e->running || before.waiting != e->waiting
-      || before.loading != e->loading || before.version != e->version)
+  if (before.loading != e->loading || before.version != e->version)
+    tell_entries (state, dl_clock_ms ());
+  else if (before.running != e->running || before.waiting != e->waiting)
     state->engine_changed = true;
 }
 
@@ -296,15 +267,17 @@
                            .on_object = on_routing,
                            .data = state,
                        });
-  state->versions_watch = dl_object_watch_new (state->task, state, store,
-                                               &(DlObjectWatchOptions){
-                                                   .kind = platform_kind_versions,
-                                                   .wait_ms = VERSIONS_WAIT_MS,
-                                                   .retry_max_ms = RETRY_MAX_MS,
-                                                   .on_object = on_version,
-                                                   .on_proven = on_versions_proven,
-                                                   .data = state,
-                                               });
+  state->versions = dl_versions_new (state->task, state,
+                                     &(DlVersionsOptions){
+                                         .store = store,
+                                         .kind = platform_kind_versions,
+                                         .wait_ms = VERSIONS_WAIT_MS,
+                                         .retry_max_ms = RETRY_MAX_MS,
+                                         .read = platform_read_version,
+                                         .on_named = on_named,
+                                         .on_unnamed = on_unnamed,
+                                         .data = state,
+                                     });
 }
 
 static int
--- a/lib/node/named.c
+++ b/lib/node/named.c
@@ -7,6 +7,14 @@
 /* Names that two nodes saw differ by less than this. */
 #define SAME_MS 300
 
+DlNamedHow
+dl_named_how (const DlObjectWatch *watch)
+{
+  if (dl_object_watch_proven_ms (watch) == 0)
+    return DL_NAMED_AT_START;
+  return dl_object_watch_is_unbroken (watch) ? DL_NAMED_SEEN : DL_NAMED_AFTER_GAP;
+}
+
 static uint64_t
 before (uint64_t now_ms, uint64_t age_ms)
 {
@@ -33,14 +41,15 @@
                    DlNamed *named,
                    const char *model,
                    uint64_t version,
-                   bool witnessed,
+                   DlNamedHow how,
                    uint64_t now_ms)
 {
   if (!is_newer (named, model, version))
     return false;
   adopt (owner, named, model, version);
-  named->witnessed = witnessed;
-  named->named_ms = witnessed ? now_ms : before (now_ms, DL_NAMED_ASSUMED_AGE_MS);
+  named->witnessed = how == DL_NAMED_SEEN;
+  named->named_ms
+      = how == DL_NAMED_AT_START ? before (now_ms, DL_NAMED_ASSUMED_AGE_MS) : now_ms;
   return true;
 }
 
--- a/lib/node/named.h
+++ b/lib/node/named.h
@@ -2,8 +2,10 @@
  * The newest version of weights that was named, and when.
  *
  * The time in which a version must be in force counts from its name.  A node that watches
- * the store sees the name arrive.  One that has just started only finds it there, and
- * takes it for older than it may be, until another node that saw it tells its age.
+ * the store sees the name arrive.  One that did not reach the store meanwhile counts from
+ * when it does again, as nobody could be told before, unless another node that saw the
+ * name tells its age.  One that has just started only finds the name there, and takes it
+ * for older than it may be until it is told.
  */
 #ifndef DL_NAMED_H
 #define DL_NAMED_H
@@ -12,6 +14,7 @@
 #include <stdint.h>
 
 #include "kernel/wire.pb-c.h"
+#include "node/object_watch.h"
 
 /* Age that is assumed of a name that was found. */
 #define DL_NAMED_ASSUMED_AGE_MS 5000
@@ -24,14 +27,23 @@
   bool witnessed; /* a node saw it being named */
 } DlNamed;
 
-/* The store names VERSION at NOW.  WITNESSED: it arrived by a watch that had heard the
- * store all the time before.  Returns true when NAMED changed. */
+/* How a node came to know of a name. */
+typedef enum
+{
+  DL_NAMED_SEEN,      /* by a watch that had heard the store all the time before */
+  DL_NAMED_AFTER_GAP, /* when the store was heard again */
+  DL_NAMED_AT_START,  /* it was there when the node started */
+} DlNamedHow;
+
+/* The store names VERSION at NOW.  Returns true when NAMED changed. */
 bool dl_named_by_store (const void *owner,
                         DlNamed *named,
                         const char *model,
                         uint64_t version,
-                        bool witnessed,
+                        DlNamedHow how,
                         uint64_t now_ms);
+/* How what WATCH tells of now came to be known. */
+DlNamedHow dl_named_how (const DlObjectWatch *watch);
 /* Another node tells.  Returns true when NAMED changed. */
 bool dl_named_by_node (const void *owner,
                        DlNamed *named,
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -39,8 +39,8 @@
                                     const DlObjectWatchOptions *options);
 /* Time (dl_clock_ms) as of which everything known is current; 0 before the first list. */
 uint64_t dl_object_watch_proven_ms (const DlObjectWatch *watch);
-/* True when the watch has heard the platform without a gap that its waits do not
- * explain, so that what arrives now has just happened. */
+/* True when the watch has heard the platform without a gap that its waits do not explain,
+ * so that what arrives now has just happened. */
 bool dl_object_watch_is_unbroken (const DlObjectWatch *watch);
 /* Revision that everything known is current as of. */
 uint64_t dl_object_watch_revision (const DlObjectWatch *watch);
--- a/regress/unit/test_direct.c
+++ b/regress/unit/test_direct.c
@@ -122,7 +122,7 @@
   DlNamed named = { 0 };
   Daisyloft__Wire__Named told = DAISYLOFT__WIRE__NAMED__INIT;
 
-  CU_ASSERT_TRUE (dl_named_by_store (owner, &named, "m", 3, false, 20000));
+  CU_ASSERT_TRUE (dl_named_by_store (owner, &named, "m", 3, DL_NAMED_AT_START, 20000));
   CU_ASSERT_EQUAL (named.named_ms, 20000 - DL_NAMED_ASSUMED_AGE_MS);
   told.model = "m";
   told.version = 3;
@@ -135,7 +135,29 @@
   CU_ASSERT_FALSE (dl_named_by_node (owner, &named, &told, 20110));
   told.version = 2;
   CU_ASSERT_FALSE (dl_named_by_node (owner, &named, &told, 20200));
-  CU_ASSERT_FALSE (dl_named_by_store (owner, &named, "m", 3, true, 30000));
+  CU_ASSERT_FALSE (dl_named_by_store (owner, &named, "m", 3, DL_NAMED_SEEN, 30000));
+  talloc_free (owner);
+}
+
+/* An entry that did not reach the store counts from when it does again, unless another
+ * one saw the name. */
+static void
+test_age_after_an_outage (void)
+{
+  void *owner = talloc_new (NULL);
+  DlNamed named = { 0 };
+  Daisyloft__Wire__Named told = DAISYLOFT__WIRE__NAMED__INIT;
+
+  CU_ASSERT_TRUE (
+      dl_named_by_store (owner, &named, "m", 3, DL_NAMED_AFTER_GAP, 20000));
+  CU_ASSERT_EQUAL (named.named_ms, 20000);
+  CU_ASSERT_FALSE (named.witnessed);
+  told.model = "m";
+  told.version = 3;
+  told.age_ms = 4000;
+  told.witnessed = true;
+  CU_ASSERT_TRUE (dl_named_by_node (owner, &named, &told, 20100));
+  CU_ASSERT_EQUAL (named.named_ms, 16100);
   talloc_free (owner);
 }
 
@@ -330,6 +352,7 @@
   { "a newer version gives the older one no time", test_floor_of_two_names },
   { "old names are forgotten", test_floor_forgets_the_oldest },
   { "age of a name that was found", test_age_of_a_found_name },
+  { "age of a name after an outage", test_age_after_an_outage },
   { "turns of a version", test_turns_are_spread },
   { "how long an upstream is emptied", test_emptying },
   { "a quiet store is not away", test_lapse_of_a_quiet_store },
