--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -387,6 +387,14 @@
   return !dl_bundle_is_whole (b) && dl_clock_ms () - b->progress_ms >= STUCK_MS;
 }
 
+/* True when the newer version comes soon enough to take the place of the present one. */
+static bool
+is_skipped (const Weights *w)
+{
+  return !dl_bundle_is_whole (w->staging->bundle)
+         && dl_reload_turn_skips (w->staging->due_from_ms, w->next->named_ms);
+}
+
 /* True when the engine is not being given the present version right now. */
 static bool
 may_promote (const Weights *w)
@@ -401,7 +409,8 @@
   if (w->next == NULL)
     return;
   if (may_promote (w)
-      && (dl_bundle_is_whole (w->next) || w->phase == PHASE_DONE || is_stuck (w)))
+      && (dl_bundle_is_whole (w->next) || w->phase == PHASE_DONE || is_stuck (w)
+          || is_skipped (w)))
     promote_next (w);
   else if (dl_bundle_is_whole (w->staging->bundle))
     dl_bundle_run (w->next);
--- a/lib/policy/reload_turn.c
+++ b/lib/policy/reload_turn.c
@@ -36,3 +36,9 @@
 {
   return running == 0 || now_ms >= emptying_ms + DL_RELOAD_EMPTY_MS;
 }
+
+bool
+dl_reload_turn_skips (uint64_t due_from_ms, uint64_t newer_ms)
+{
+  return newer_ms <= due_from_ms + DL_RELOAD_SKIP_MS;
+}
--- a/regress/unit/test_direct.c
+++ b/regress/unit/test_direct.c
@@ -219,6 +219,15 @@
   CU_ASSERT_TRUE (dl_reload_turn_may_order (1000, 3, 1000 + DL_RELOAD_EMPTY_MS));
 }
 
+/* Names that come together after an outage: only the newest is brought. */
+static void
+test_skipped_versions (void)
+{
+  CU_ASSERT_TRUE (dl_reload_turn_skips (1000, 1000));
+  CU_ASSERT_TRUE (dl_reload_turn_skips (1000, 1000 + DL_RELOAD_SKIP_MS));
+  CU_ASSERT_FALSE (dl_reload_turn_skips (1000, 1001 + DL_RELOAD_SKIP_MS));
+}
+
 /* -------- outages of the store -------- */
 
 /* A watch that simply waits is no outage: an upstream that leaves then is gone at once.
@@ -355,6 +364,7 @@
   { "age of a name after an outage", test_age_after_an_outage },
   { "turns of a version", test_turns_are_spread },
   { "how long an upstream is emptied", test_emptying },
+  { "versions that are skipped", test_skipped_versions },
   { "a quiet store is not away", test_lapse_of_a_quiet_store },
   { "entries that lapsed in an outage", test_lapse_after_an_outage },
   { "whole events only", test_events },
