--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -19,7 +19,10 @@
 /* A caller that reads slowly holds the upstream's stream beyond this. */
 #define STREAM_AHEAD_BYTES (256u << 10)
 /* Latency targets, or pause targets, after which a silent upstream is given up. */
-#define STALL_TARGETS           2
+#define STALL_TARGETS 2
+/* The same for an upstream whose stager says that it works: it is busy rather than gone,
+ * and the request would not start sooner elsewhere. */
+#define STALL_TARGETS_HEARD     4
 #define STALL_MIN_MS            700
 #define STATUS_OK               200
 #define STATUS_MULTIPLE_CHOICES 300
@@ -403,9 +406,12 @@
   const DlRouteEntry *route = attempt->request->route;
   uint64_t target_ms = attempt->started && route->target_gap_ms > 0 ? route->target_gap_ms
                                                                     : route->target_ms;
+  uint64_t targets = direct_upstream_is_heard (attempt->upstream, now_ms)
+                         ? STALL_TARGETS_HEARD
+                         : STALL_TARGETS;
 
   return now_ms
-         > attempt->progress_ms + MAX (target_ms * STALL_TARGETS, (uint64_t)STALL_MIN_MS);
+         > attempt->progress_ms + MAX (target_ms * targets, (uint64_t)STALL_MIN_MS);
 }
 
 const DirectUpstream *
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -155,8 +155,7 @@
   dl_metric_add (&metric_failed, 1);
   dl_log (DL_EVENT_REQUEST_FAILED, DL_TEXT ("request", r->in.id),
           DL_TEXT ("cause", cause), DL_TEXT ("route", r->route->name),
-          DL_TEXT ("upstream", upstream),
-          DL_UINT ("status", r->replying ? 0 : status),
+          DL_TEXT ("upstream", upstream), DL_UINT ("status", r->replying ? 0 : status),
           DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
   release (r);
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -298,6 +298,13 @@
   free_when_unused (u);
 }
 
+bool
+direct_upstream_is_heard (const DirectUpstream *u, uint64_t now_ms)
+{
+  return !u->loading && u->told_ms != 0
+         && now_ms - u->told_ms <= DL_BALANCE_REPORT_MAX_AGE_MS;
+}
+
 void
 direct_upstream_told_load (DirectUpstream *u,
                            unsigned requests,
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -79,6 +79,8 @@
                             bool started,
                             DirectTryEnd end,
                             uint64_t now_ms);
+/* True when its stager told just now that the upstream works. */
+bool direct_upstream_is_heard (const DirectUpstream *upstream, uint64_t now_ms);
 /* The upstream's answer told its load. */
 void direct_upstream_told_load (DirectUpstream *upstream,
                                 unsigned requests,
--- a/daisystaged/engine.c
+++ b/daisystaged/engine.c
@@ -9,7 +9,7 @@
 #include "kernel/log.h"
 #include "platform.h"
 
-#define REPORT_EVERY_MS   100
+#define REPORT_EVERY_MS 100
 /* While the engine is being given weights, when each report takes the next step. */
 #define REPORT_LOADING_MS 30
 #define REPORT_TIMEOUT_MS 400
@@ -23,7 +23,7 @@
   DlHttpClient *client;
   const char *address;
   unsigned layers; /* of whole weights; 0 until known */
-  bool loading; /* it is being given weights */
+  bool loading;    /* it is being given weights */
   unsigned misses;
   bool silent;
   DlTimer *timer;
@@ -40,8 +40,7 @@
 static void
 ask_later (Engine *engine)
 {
-  dl_timer_restart (engine->timer,
-                    engine->loading ? REPORT_LOADING_MS : REPORT_EVERY_MS);
+  dl_timer_restart (engine->timer, engine->loading ? REPORT_LOADING_MS : REPORT_EVERY_MS);
 }
 
 static void
--- a/lib/node/versions.c
+++ b/lib/node/versions.c
@@ -59,8 +59,7 @@
                   const Daisyloft__Wire__Named *told,
                   const char *from)
 {
-  if (told != NULL
-      && dl_named_by_node (versions, &versions->named, told, dl_clock_ms ()))
+  if (told != NULL && dl_named_by_node (versions, &versions->named, told, dl_clock_ms ()))
     tell (versions, from);
 }
 
--- a/lib/node/versions.h
+++ b/lib/node/versions.h
@@ -35,7 +35,7 @@
                        const Daisyloft__Wire__Named *told,
                        const char *from);
 /* What to tell other nodes, in TOLD; NULL when nothing is named. */
-Daisyloft__Wire__Named *
-dl_versions_write (const DlVersions *versions, Daisyloft__Wire__Named *told);
+Daisyloft__Wire__Named *dl_versions_write (const DlVersions *versions,
+                                           Daisyloft__Wire__Named *told);
 
 #endif
--- a/lib/policy/reload_turn.h
+++ b/lib/policy/reload_turn.h
@@ -35,7 +35,8 @@
 /* Time for which an upstream is emptied before its requests are cut off. */
 #define DL_RELOAD_EMPTY_MS 700
 
-/* A version named this soon after another makes it needless, unless it is here already. */
+/* A version named this soon after another makes it needless, unless it is here already.
+ */
 #define DL_RELOAD_SKIP_MS 1500
 
 typedef struct
@@ -56,8 +57,8 @@
  * may be ordered to take the version. */
 bool dl_reload_turn_may_order (uint64_t emptying_ms, unsigned running, uint64_t now_ms);
 
-/* True when a version that is not whole yet, and whose time counts from DUE_FROM_MS, gives
- * way at once to a newer one that was named at NEWER_MS. */
+/* True when a version that is not whole yet, and whose time counts from DUE_FROM_MS,
+ * gives way at once to a newer one that was named at NEWER_MS. */
 bool dl_reload_turn_skips (uint64_t due_from_ms, uint64_t newer_ms);
 
 #endif
--- a/regress/unit/test_direct.c
+++ b/regress/unit/test_direct.c
@@ -148,8 +148,7 @@
   DlNamed named = { 0 };
   Daisyloft__Wire__Named told = DAISYLOFT__WIRE__NAMED__INIT;
 
-  CU_ASSERT_TRUE (
-      dl_named_by_store (owner, &named, "m", 3, DL_NAMED_AFTER_GAP, 20000));
+  CU_ASSERT_TRUE (dl_named_by_store (owner, &named, "m", 3, DL_NAMED_AFTER_GAP, 20000));
   CU_ASSERT_EQUAL (named.named_ms, 20000);
   CU_ASSERT_FALSE (named.witnessed);
   told.model = "m";
