--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -89,6 +89,13 @@
   *member = talloc_strdup (u, text);
 }
 
+static void
+set_slots (DirectUpstream *u, unsigned slots)
+{
+  u->slots = slots;
+  u->load.capacity = u->has_engine ? dl_balance_usable_places (slots) : slots;
+}
+
 void
 direct_upstreams_set (DirectUpstreams *upstreams, const DlUpstreamEntry *entry)
 {
@@ -108,7 +115,8 @@
   set_text (u, &u->address, entry->address);
   u->near = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
   u->leaving = entry->leaving;
-  u->load.capacity = entry->slots;
+  u->has_engine = u->has_engine || entry->model != NULL;
+  set_slots (u, entry->slots);
   if (u->told_ms == 0)
     u->version = entry->version;
 }
@@ -142,6 +150,8 @@
     {
       if (u->gone || strcmp (u->address, engine->address) != 0)
         continue;
+      u->has_engine = true;
+      set_slots (u, u->slots);
       u->loading = !engine->serves;
       u->version = engine->version;
       u->told_ms = now_ms;
@@ -313,7 +323,8 @@
 {
   if (u->told_ms != 0 && now_ms - u->told_ms < TOLD_FRESH_MS)
     return;
-  u->load.capacity = slots > 0 ? slots : u->load.capacity;
+  if (slots > 0)
+    set_slots (u, slots);
   dl_balance_report (&u->load, requests, sharers (u), dl_random_uint64 (), now_ms);
 }
 
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -12,6 +12,14 @@
 /* A prompt being read delays the next first event about as much as this many requests. */
 #define PROMPT_PENALTY 1.5
 
+unsigned
+dl_balance_usable_places (unsigned slots)
+{
+  unsigned headroom = slots * DL_BALANCE_HEADROOM_PERCENT / 100;
+
+  return MAX (slots - headroom, 1);
+}
+
 void
 dl_balance_report (DlUpstreamLoad *load,
                    unsigned reported,
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -25,6 +25,13 @@
 /* Draws among the upstreams with room. */
 #define DL_BALANCE_DRAWS 4
 
+/* Part of an engine's places that is left free: entries know of each other's requests a
+ * little late, and a request that waits in the engine's own queue misses its target. */
+#define DL_BALANCE_HEADROOM_PERCENT 13
+
+/* Places of an engine with SLOTS that entries fill. */
+unsigned dl_balance_usable_places (unsigned slots);
+
 /* Load of one upstream as one entry knows it. */
 typedef struct
 {
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -23,7 +23,7 @@
 #include <stdint.h>
 
 /* Share of the latency target that a request may wait, as a divisor. */
-#define DL_WAIT_TARGET_SHARE 3
+#define DL_WAIT_TARGET_SHARE 5
 /* How much earlier each step of priority counts as an arrival. */
 #define DL_WAIT_PRIORITY_MS 20
 /* Priorities beyond this one are alike. */
--- a/regress/settings-check.sh
+++ b/regress/settings-check.sh
@@ -51,4 +51,15 @@
 refused daisyslotd shared 'link_shared: needs download_bytes_per_s'
 printf '{' >"$dir/truncated"
 refused daisyslotd truncated 'not JSON: unexpected end of data'
+# Direct operation: one form of settings for both programs.
+example daisydirectd/daisyloft-node.json.5 >"$dir/node.json"
+"$bin/daisydirectd" -n -f "$dir/node.json" || fail "daisydirectd: the example is refused"
+refused daisystaged node.json 'engine and service are required'
+sed 's/"listen":.*//' "$dir/node.json" >"$dir/node-listen"
+refused daisydirectd node-listen 'listen, ready and directory are required'
+sed 's/"store"/"stoer"/' "$dir/node.json" >"$dir/node-unknown"
+refused daisydirectd node-unknown 'stoer: unknown key'
+sed 's/"retry_ratio": 0.2/"retry_ratio": -1/' "$dir/node.json" >"$dir/node-number"
+refused daisydirectd node-number 'retry_ratio: must be a number of 0 or more'
+
 exit $failed
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -160,6 +160,7 @@
 test_queue_order (void)
 {
   DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  const uint64_t patience_ms = 3000 / DL_WAIT_TARGET_SHARE;
   int first, second, urgent;
 
   CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &first, 2, 3000, 1000), DL_WAIT_QUEUED);
@@ -170,8 +171,8 @@
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &urgent);
   dl_wait_queue_remove (queue, &urgent);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &first);
-  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, 1999));
-  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 2000), &first);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, 999 + patience_ms));
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 1000 + patience_ms), &first);
   CU_ASSERT_EQUAL (dl_wait_queue_length (queue), 1);
   talloc_free (queue);
 }
@@ -188,8 +189,8 @@
     if (i % 10 == 0)
       dl_wait_queue_placed (queue, 2000 + i * 10);
   for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
-    queued += dl_wait_queue_push (queue, &items[i], 1, 1200, 3000) == DL_WAIT_QUEUED;
-  /* A third of the target is 400 ms, in which four come free. */
+    queued += dl_wait_queue_push (queue, &items[i], 1, 2000, 3000) == DL_WAIT_QUEUED;
+  /* A fifth of the target is 400 ms, in which four come free. */
   CU_ASSERT (queued >= 4 && queued <= 6);
   CU_ASSERT (dl_wait_queue_retry_ms (queue, 0, 3000) >= DL_WAIT_RETRY_MIN_MS);
   CU_ASSERT (dl_wait_queue_retry_ms (queue, 12345, 3000) <= DL_WAIT_RETRY_MAX_MS);
@@ -394,9 +395,20 @@
   g_free (baseline);
 }
 
+/* A few places of an engine stay free, none of a small one. */
+static void
+test_usable_places (void)
+{
+  CU_ASSERT_EQUAL (dl_balance_usable_places (16), 14);
+  CU_ASSERT_EQUAL (dl_balance_usable_places (12), 11);
+  CU_ASSERT_EQUAL (dl_balance_usable_places (4), 4);
+  CU_ASSERT_EQUAL (dl_balance_usable_places (0), 1);
+}
+
 static const CU_TestInfo tests[] = {
   { "estimates of load", test_estimates },
   { "choices", test_choices },
+  { "places that are left free", test_usable_places },
   { "order of the queue", test_queue_order },
   { "refused at once", test_queue_refuses_at_once },
   { "the heaviest load", test_heaviest_load },
