--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -120,6 +120,7 @@
 
   finish (attempt, DIRECT_TRY_FAILED);
   direct_dispatch_repeat (r, DIRECT_END_BROKEN, id);
+  direct_dispatch_run (r->service);
 }
 
 /* -------- the answer arrives -------- */
@@ -283,32 +284,29 @@
   bool broken = result->error < 0 || is_unusable (attempt) || attempt->request->replying;
 
   if (attempt->head.not_run || broken)
-    finish_and_go_on (attempt, DIRECT_TRY_FAILED,
-                      attempt->head.not_run ? DIRECT_END_NOT_RUN : DIRECT_END_BROKEN);
-  else if (is_worth_another (attempt))
     {
-      Request *r = attempt->request;
-
-      finish_and_repeat (attempt);
-      direct_dispatch_run (r->service);
+      finish_and_go_on (attempt, DIRECT_TRY_FAILED,
+                        attempt->head.not_run ? DIRECT_END_NOT_RUN : DIRECT_END_BROKEN);
+      return;
     }
-  else
+  if (is_worth_another (attempt))
     {
-      note_started (attempt, dl_clock_ms ());
-      pass_answer (attempt);
+      finish_and_repeat (attempt);
+      return;
     }
+  note_started (attempt, dl_clock_ms ());
+  pass_answer (attempt);
 }
 
 static void
 on_done (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   Attempt *attempt = data;
+  bool answered = result->status != 0 && !attempt->broken;
 
-  if (attempt->broken)
-    finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
-  else if (result->status == 0 && !result->sent)
+  if (!answered && !result->sent)
     finish_and_go_on (attempt, DIRECT_TRY_SILENT, DIRECT_END_UNREACHED);
-  else if (result->status == 0)
+  else if (!answered)
     finish_and_go_on (attempt, DIRECT_TRY_FAILED, DIRECT_END_BROKEN);
   else if (is_stream (attempt))
     end_stream (attempt, result);
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -20,6 +20,7 @@
   DIRECT_UPSTREAM_GONE, /* it is off the list */
   DIRECT_ENGINE,        /* an engine's stager told how it is */
   DIRECT_VERSION,       /* weights were named */
+  DIRECT_FLOOR,         /* another entry holds the version floor higher */
   DIRECT_FRESH,         /* the routing table was current as of then */
   DIRECT_ENTRIES,       /* which entries take requests */
   DIRECT_UNNAMED,       /* the store was read, and no weights are named */
@@ -57,6 +58,7 @@
     DlHolder holder;     /* texts below the message */
     DlHoldings holdings; /* the same */
     const char *gone_node;
+    uint64_t floor;    /* a version */
     uint64_t fresh_ms; /* as of when the routing table is current */
     struct
     {
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -403,6 +403,9 @@
       direct_upstreams_version (requests->upstreams, m->version.version,
                                 m->version.named_ms);
       break;
+    case DIRECT_FLOOR:
+      direct_upstreams_raise_floor (requests->upstreams, m->floor);
+      break;
     case DIRECT_FRESH:
       requests->fresh_ms = m->fresh_ms;
       break;
@@ -500,7 +503,7 @@
   .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_UPSTREAM)
                    | MESSAGE (DIRECT_UPSTREAM_GONE) | MESSAGE (DIRECT_ENGINE)
                    | MESSAGE (DIRECT_VERSION) | MESSAGE (DIRECT_FRESH)
-                   | MESSAGE (DIRECT_ENTRIES),
+                   | MESSAGE (DIRECT_FLOOR) | MESSAGE (DIRECT_ENTRIES),
   .start = start,
   .handle = handle,
   .drain = drain,
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -15,6 +15,7 @@
 #include "node/versions.h"
 #include "platform.h"
 #include "policy/lapse.h"
+#include "policy/version_floor.h"
 
 #define STORE_TIMEOUT_MS 900
 /* A proof is renewed this often within the time that it holds: one is used while the next
@@ -56,6 +57,7 @@
   DlLapse lapse;
   uint64_t routing_version; /* 0: none yet */
   DlVersions *versions;
+  DlVersionFloor floor;   /* as other entries are told it */
   DirectMessage *holding; /* the last DIRECT_HOLDING; NULL before the first */
   bool holding_changed;
   bool ready;
@@ -270,6 +272,7 @@
   message->version.model = talloc_strdup (message, named->model);
   message->version.version = named->version;
   message->version.named_ms = named->named_ms;
+  dl_version_floor_named (&state->floor, named->version, named->named_ms);
   dl_kernel_publish (state->kernel, message);
 }
 
@@ -304,6 +307,19 @@
   dl_kernel_publish (state->kernel, message);
 }
 
+/* An entry that saw names which this one did not knows what is due. */
+static void
+take_floor (State *state, uint64_t floor)
+{
+  DirectMessage *message;
+
+  if (!dl_version_floor_raise (&state->floor, floor))
+    return;
+  message = message_new (DIRECT_FLOOR);
+  message->floor = floor;
+  dl_kernel_publish (state->kernel, message);
+}
+
 static void
 on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
 {
@@ -312,6 +328,7 @@
   DirectMessage *message;
 
   dl_versions_told (state->versions, status->named, peer->name);
+  take_floor (state, status->version_floor);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     publish_holder (state, peer, status);
   if (engine == NULL)
@@ -366,6 +383,8 @@
   if (state->holding != NULL)
     dl_holdings_write (context, &state->holding->holdings, &status);
   status.named = dl_versions_write (state->versions, &named);
+  status.version_floor
+      = dl_version_floor_at (&state->floor, state->settings->version_ms, dl_clock_ms ());
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
   talloc_free (context);
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -162,6 +162,12 @@
     }
 }
 
+void
+direct_upstreams_raise_floor (DirectUpstreams *upstreams, uint64_t version)
+{
+  dl_version_floor_raise (&upstreams->floor, version);
+}
+
 void
 direct_upstreams_version (DirectUpstreams *upstreams, uint64_t version, uint64_t named_ms)
 {
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -39,6 +39,8 @@
 void direct_upstreams_engine (DirectUpstreams *upstreams,
                               const DirectEngine *engine,
                               uint64_t now_ms);
+/* Another entry holds the version floor at VERSION. */
+void direct_upstreams_raise_floor (DirectUpstreams *upstreams, uint64_t version);
 void direct_upstreams_version (DirectUpstreams *upstreams,
                                uint64_t version,
                                uint64_t named_ms);
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -140,6 +140,7 @@
     case DIRECT_UPSTREAM:
     case DIRECT_UPSTREAM_GONE:
     case DIRECT_ENGINE:
+    case DIRECT_FLOOR:
     case DIRECT_FRESH:
     case DIRECT_ENTRIES:
     case DIRECT_HOLDING:
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -158,10 +158,14 @@
    * newest version that the sender knows of
    */
   Daisyloft__Wire__Named *named;
+  /*
+   * lowest version that may begin a request; 0: any
+   */
+  uint64_t version_floor;
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0 }
 
 
 /*
--- a/lib/policy/version_floor.c
+++ b/lib/policy/version_floor.c
@@ -1,5 +1,6 @@
 #include "policy/version_floor.h"
 
+#include <glib.h>
 #include <string.h>
 
 void
@@ -20,13 +21,22 @@
   floor->count++;
 }
 
+bool
+dl_version_floor_raise (DlVersionFloor *floor, uint64_t version)
+{
+  if (version <= floor->raised)
+    return false;
+  floor->raised = version;
+  return true;
+}
+
 uint64_t
 dl_version_floor_at (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms)
 {
-  uint64_t lowest = 0;
+  uint64_t lowest = floor->raised;
 
   for (unsigned i = 0; i < floor->count; i++)
     if (now_ms + DL_VERSION_FLOOR_RESERVE_MS >= floor->names[i].named_ms + limit_ms)
-      lowest = floor->names[i].version;
+      lowest = MAX (lowest, floor->names[i].version);
   return lowest;
 }
--- a/regress/unit/test_direct.c
+++ b/regress/unit/test_direct.c
@@ -102,6 +102,22 @@
   CU_ASSERT_EQUAL (dl_version_floor_at (&floor, LIMIT_MS, second_ms), 2);
 }
 
+/* An entry that started after both names were told finds the newer one only; the older
+ * one's time is told by others. */
+static void
+test_floor_of_a_late_starter (void)
+{
+  DlVersionFloor floor = { 0 };
+
+  dl_version_floor_named (&floor, 3, 3000);
+  CU_ASSERT_EQUAL (dl_version_floor_at (&floor, LIMIT_MS, 9000), 0);
+  CU_ASSERT_TRUE (dl_version_floor_raise (&floor, 2));
+  CU_ASSERT_FALSE (dl_version_floor_raise (&floor, 2));
+  CU_ASSERT_FALSE (dl_version_floor_raise (&floor, 1));
+  CU_ASSERT_EQUAL (dl_version_floor_at (&floor, LIMIT_MS, 9000), 2);
+  CU_ASSERT_EQUAL (dl_version_floor_at (&floor, LIMIT_MS, 11000), 3);
+}
+
 static void
 test_floor_forgets_the_oldest (void)
 {
@@ -358,6 +374,7 @@
   { "service of a split route", test_draw_target },
   { "what may be repeated", test_repeatable },
   { "a newer version gives the older one no time", test_floor_of_two_names },
+  { "the floor of an entry that starts late", test_floor_of_a_late_starter },
   { "old names are forgotten", test_floor_forgets_the_oldest },
   { "age of a name that was found", test_age_of_a_found_name },
   { "age of a name after an outage", test_age_after_an_outage },
