--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -13,7 +13,7 @@
 #define FAR_ENTRY_SHARE 4
 /* Word of a stager is preferred to an answer's for this long. */
 #define TOLD_FRESH_MS 400
-/* Silent upstreams get no request for this long, at first. */
+/* A silent upstream counts as failed this often in a row: it is ejected at once. */
 #define SILENT_FAILURES DL_BREAKER_FAILURES
 
 struct DirectUpstreams
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -19,9 +19,9 @@
   char *address;
   bool near; /* in this entry's region */
   bool leaving;
-  bool gone; /* off the list */
-  bool has_engine;
-  bool loading; /* down or taking new weights, by its stager */
+  bool gone;       /* off the list */
+  bool has_engine; /* by its entry or its stager */
+  bool loading;    /* down or taking new weights, by its stager */
   uint64_t version;
   unsigned slots;   /* requests that it works on at once */
   uint64_t told_ms; /* when its stager last told of it; 0 for never */
--- a/lib/kernel/log.c
+++ b/lib/kernel/log.c
@@ -1,15 +1,14 @@
 #include "kernel/log.h"
 
-#include <errno.h>
 #include <fcntl.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 #include <glib.h>
 
 #include "kernel/error.h"
+#include "kernel/kernel.h"
 
 #define LINE_BYTES      4096
 #define LINES_PER_S     40
@@ -59,15 +58,6 @@
   g_assert_not_reached ();
 }
 
-static uint64_t
-steady_clock_ms (void)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_MONOTONIC, &ts);
-  return (uint64_t)ts.tv_sec * MS_PER_S + (uint64_t)ts.tv_nsec / 1000000;
-}
-
 /* True when the rate lets one more line out. */
 static bool
 take_line (uint64_t now_ms)
@@ -101,7 +91,7 @@
 static void
 write_stdout (const char *text)
 {
-  uint64_t now_ms = steady_clock_ms ();
+  uint64_t now_ms = dl_clock_ms ();
 
   if (!take_line (now_ms) || !write_line (text))
     {
@@ -127,7 +117,7 @@
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   log_state.to_stdout = true;
   log_state.lines_left = LINES_BURST;
-  log_state.filled_ms = steady_clock_ms ();
+  log_state.filled_ms = dl_clock_ms ();
 }
 
 static GLogWriterOutput
@@ -160,22 +150,14 @@
   opened = true;
 }
 
-static uint64_t
-wall_clock_ms (void)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_REALTIME, &ts);
-  return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
 static char *
 format_json (const EventInfo *info, const DlField *fields)
 {
   json_object *object = json_object_new_object ();
   char *line;
 
-  json_object_object_add (object, "time_ms", json_object_new_uint64 (wall_clock_ms ()));
+  json_object_object_add (object, "time_ms",
+                          json_object_new_uint64 (dl_wall_clock_ms ()));
   json_object_object_add (object, "program", json_object_new_string (log_state.program));
   json_object_object_add (object, "name", json_object_new_string (log_state.name));
   json_object_object_add (object, "event", json_object_new_int ((int)info->event));
