Logs that explain: late answers, what was known of upstreams, a reserve; daisyctl explain

Cause: a request that was served late had no line, lines of a refusal did not tell how the upstreams were, and there was no way to gather one request's lines across processes. The count of dropped lines was itself dropped while the rate was used up: the line that tells it took a line of the same rate, and its count was zeroed before.

Change: event 1008 for late answers with where the time went; 1000 to 1003 carry what the entry knew of the upstream and how old that was; the rate is a module of its own (lib/kernel/log_rate) that keeps a reserve for lines that are not about one request, tells dropped lines beside the rate, and is asked before a line is formatted. Final answers move from requests.c to outcome.c. daisyctl explain ID FILE... and lib/query/explain.

The test of explain failed first where an upstream's address was told long before.

--- a/daisyctl/daisyctl.h
+++ b/daisyctl/daisyctl.h
@@ -89,6 +89,11 @@
 /* Uploads the model in PATH (a folder, or a manifest) and publishes it as LABEL. */
 ExitStatus publish_path (const Options *options, const char *path, const char *label);
 
+/* -------- explain.c -------- */
+
+/* Prints what the log files PATHS, ending with NULL, say of request ID. */
+ExitStatus explain_run (const char *id, char *const *paths);
+
 /* -------- prompt.c, screen.c -------- */
 
 ExitStatus prompt_run (const Options *options);
--- /dev/null
+++ b/daisyctl/explain.c
@@ -0,0 +1,66 @@
+/*
+ * Explains a request from the log files that are given.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daisyctl.h"
+#include "query/explain.h"
+
+typedef void (*LineFunc) (DlExplain *explain, DlStr line);
+
+/* Calls FUNC for each line of the file; false when it cannot be read. */
+static bool
+each_line (const char *path, DlExplain *explain, LineFunc func)
+{
+  FILE *file = fopen (path, "re");
+  char *line = NULL;
+  size_t size = 0;
+  ssize_t length;
+  bool good;
+
+  if (file == NULL)
+    {
+      perror (path);
+      return false;
+    }
+  while ((length = getline (&line, &size, file)) >= 0)
+    func (explain, dl_str_bytes (line, (size_t)length));
+  good = ferror (file) == 0;
+  if (!good)
+    fprintf (stderr, "daisyctl: %s: cannot be read to its end\n", path);
+  free (line);
+  fclose (file);
+  return good;
+}
+
+static bool
+each_file (char *const *paths, DlExplain *explain, LineFunc func)
+{
+  for (; *paths != NULL; paths++)
+    if (!each_line (*paths, explain, func))
+      return false;
+  return true;
+}
+
+ExitStatus
+explain_run (const char *id, char *const *paths)
+{
+  DlExplain *explain = dl_explain_new (NULL, id);
+  DlBuffer *out = dl_buffer_new (explain, 0);
+  ExitStatus status = EXIT_USAGE;
+
+  /* Addresses of upstreams may stand in a later file than the lines that need them. */
+  if (each_file (paths, explain, dl_explain_find)
+      && each_file (paths, explain, dl_explain_note)
+      && each_file (paths, explain, dl_explain_gather))
+    {
+      status = dl_explain_write (explain, out) ? EXIT_OK : EXIT_REFUSED;
+      fwrite (dl_buffer_view (out).data, 1, dl_buffer_view (out).length, stdout);
+    }
+  talloc_free (explain);
+  return status;
+}
--- a/daisyctl/run.c
+++ b/daisyctl/run.c
@@ -344,6 +344,20 @@
   return EXIT_USAGE;
 }
 
+/* WORDS: the request's id, then log files. */
+static ExitStatus
+run_explain (char **words, guint count)
+{
+  char **paths = g_new0 (char *, count);
+  ExitStatus status;
+
+  for (guint i = 1; i < count; i++)
+    paths[i - 1] = words[i];
+  status = explain_run (words[0], paths);
+  g_free (paths);
+  return status;
+}
+
 /* What this program does by itself, without being part of the language.  Returns false
  * when TEXT is none of it. */
 static bool
@@ -370,6 +384,8 @@
     *status = run_dump (options, words[1]);
   else if (count == 2 && strcmp (words[0], "ask") == 0)
     *status = run_ask (options, words[1]);
+  else if (count >= 3 && strcmp (words[0], "explain") == 0)
+    *status = run_explain (words + 1, count - 1);
   else if (count == 4 && strcmp (words[0], "publish") == 0 && strcmp (words[2], "as") == 0
            && dl_digest_from_hex (dl_str (words[1]), &digest) < 0)
     *status = publish_path (options, words[1], words[3]);
--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -205,6 +205,7 @@
           dl_http_stream_on_taken (r->http, on_taken, r);
         }
       dl_http_stream_write (r->http, dl_buffer_view (out));
+      direct_request_note_event (r, now_ms);
     }
   attempt->progress_ms = now_ms;
   talloc_free (out);
@@ -346,6 +347,17 @@
   return upstream->version;
 }
 
+static void
+note_sent (Request *r, const DirectUpstream *upstream, uint64_t now_ms)
+{
+  if (r->first_sent_ms == 0)
+    r->first_sent_ms = now_ms;
+  r->last_sent_ms = now_ms;
+  r->belief = direct_upstream_belief (upstream, now_ms);
+  talloc_free (r->last_upstream);
+  r->last_upstream = talloc_strdup (r, upstream->id);
+}
+
 void
 direct_attempt_start (Request *r, DirectUpstream *upstream)
 {
@@ -363,6 +375,7 @@
   attempt->body = dl_buffer_new (attempt, ANSWER_MAX_BYTES);
   r->attempt = attempt;
   r->sent++;
+  note_sent (r, upstream, now_ms);
   direct_upstream_sent (upstream, attempt->prompt_tokens, now_ms);
   talloc_set_destructor (attempt, attempt_destroy);
   dl_metric_add (&metric_tries, 1);
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -281,6 +281,8 @@
                      DL_TEXT ("cause", end_text (end)),
                      DL_UINT ("sent", r->sent),
                      DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+                     DL_UINT ("upstream_requests", r->belief.requests),
+                     DL_INT ("report_age_ms", r->belief.report_age_ms),
                      { .key = 0 } });
 }
 
--- /dev/null
+++ b/daisydirectd/outcome.c
@@ -0,0 +1,173 @@
+/*
+ * Final answers of requests, and the log line of each.
+ */
+#include <glib.h>
+#include <talloc.h>
+
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "platform.h"
+#include "requests.h"
+
+#define STATUS_UNAVAILABLE 503
+
+DL_METRIC (metric_served,
+           DL_METRIC_COUNTER,
+           "daisy_direct_served_total",
+           "Requests answered with an upstream's whole answer.")
+DL_METRIC (metric_refused,
+           DL_METRIC_COUNTER,
+           "daisy_direct_refused_total",
+           "Requests refused; none of them has run.")
+DL_METRIC (metric_failed,
+           DL_METRIC_COUNTER,
+           "daisy_direct_failed_total",
+           "Requests that failed after they were sent.")
+DL_METRIC (metric_denied,
+           DL_METRIC_COUNTER,
+           "daisy_direct_denied_total",
+           "Requests denied: no route, no key, too large.")
+DL_METRIC (metric_late,
+           DL_METRIC_COUNTER,
+           "daisy_direct_late_total",
+           "Requests served in full, but over a latency target of their route.")
+
+DirectOutcomes
+direct_outcomes (void)
+{
+  return (DirectOutcomes){
+    .served = metric_served.value,
+    .late = metric_late.value,
+    .refused = metric_refused.value,
+    .failed = metric_failed.value,
+    .denied = metric_denied.value,
+  };
+}
+
+/* -------- not run -------- */
+
+void
+direct_request_refuse (Request *r, uint64_t retry_ms, const char *reason)
+{
+  DirectUpstreamCount count = { 0 };
+
+  if (r->service_entry != NULL)
+    count = direct_upstreams_count (r->owner->upstreams, r->service_entry->name,
+                                    dl_clock_ms ());
+  dl_metric_add (&metric_refused, 1);
+  dl_log (DL_EVENT_REQUEST_REFUSED, DL_TEXT ("request", r->in.id),
+          DL_TEXT ("reason", reason),
+          DL_TEXT ("route", r->route != NULL ? r->route->name : ""),
+          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
+          DL_UINT ("waiting",
+                   r->service != NULL ? dl_wait_queue_length (r->service->queue) : 0),
+          DL_UINT ("upstreams", count.listed), DL_UINT ("loading", count.loading),
+          DL_UINT ("ejected", count.ejected), DL_UINT ("retry_ms", retry_ms),
+          DL_UINT ("routing", r->routing != NULL ? r->routing->routing->version : 0));
+  direct_request_release (r);
+  platform_reply_own (r->http, STATUS_UNAVAILABLE, retry_ms, reason);
+}
+
+void
+direct_request_deny (Request *r, unsigned status, const char *reason)
+{
+  dl_metric_add (&metric_denied, 1);
+  dl_log (DL_EVENT_REQUEST_DENIED, DL_TEXT ("request", r->in.id),
+          DL_UINT ("status", status), DL_TEXT ("reason", reason),
+          DL_UINT ("routing", r->routing->routing->version),
+          DL_UINT ("routing_age_ms", dl_clock_ms () - r->owner->fresh_ms));
+  direct_request_release (r);
+  platform_reply_own (r->http, status, 0, reason);
+}
+
+/* -------- sent, and failed -------- */
+
+void
+direct_request_fail (Request *r, unsigned status, const char *cause)
+{
+  const char *upstream
+      = r->attempt != NULL ? direct_attempt_upstream (r->attempt)->id : r->avoid;
+
+  dl_metric_add (&metric_failed, 1);
+  dl_log (DL_EVENT_REQUEST_FAILED, DL_TEXT ("request", r->in.id),
+          DL_TEXT ("cause", cause), DL_TEXT ("route", r->route->name),
+          DL_TEXT ("upstream", upstream), DL_UINT ("status", r->replying ? 0 : status),
+          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_UINT ("upstream_requests", r->belief.requests),
+          DL_INT ("report_age_ms", r->belief.report_age_ms));
+  direct_request_release (r);
+  if (r->replying)
+    dl_http_stream_end (r->http, false);
+  else
+    platform_reply_own (r->http, status, 0, cause);
+}
+
+/* -------- served -------- */
+
+static bool
+is_late (const Request *r)
+{
+  const DlRouteEntry *route = r->route;
+
+  if (r->first_event_ms - r->arrived_ms > route->target_ms)
+    return true;
+  return route->target_gap_ms > 0 && r->gap_max_ms > route->target_gap_ms;
+}
+
+/* Counts a request that is served in full; a late one has a line that tells where the
+ * time went. */
+static void
+note_served (const Request *r)
+{
+  dl_metric_add (&metric_served, 1);
+  if (!is_late (r))
+    return;
+  dl_metric_add (&metric_late, 1);
+  dl_log (DL_EVENT_REQUEST_LATE, DL_TEXT ("request", r->in.id),
+          DL_TEXT ("route", r->route->name), DL_TEXT ("upstream", r->last_upstream),
+          DL_UINT ("target_ms", r->route->target_ms),
+          DL_UINT ("first_ms", r->first_event_ms - r->arrived_ms),
+          DL_UINT ("queued_ms", r->first_sent_ms - r->arrived_ms),
+          DL_UINT ("other_tries_ms", r->last_sent_ms - r->first_sent_ms),
+          DL_UINT ("longest_gap_ms", r->gap_max_ms),
+          DL_UINT ("gap_target_ms", r->route->target_gap_ms), DL_UINT ("sent", r->sent),
+          DL_UINT ("upstream_requests", r->belief.requests),
+          DL_INT ("report_age_ms", r->belief.report_age_ms),
+          DL_UINT ("routing", r->routing->routing->version));
+}
+
+void
+direct_request_answer (Request *r,
+                       unsigned status,
+                       const char *content_type,
+                       DlStr body,
+                       const DlHttpHeader *headers)
+{
+  direct_request_note_event (r, dl_clock_ms ());
+  note_served (r);
+  direct_request_release (r);
+  dl_http_reply (r->http, status, content_type, body, headers);
+  direct_dispatch_run (r->service);
+}
+
+void
+direct_request_end_stream (Request *r)
+{
+  if (r->first_event_ms == 0)
+    direct_request_note_event (r, dl_clock_ms ()); /* a stream without events */
+  note_served (r);
+  direct_request_release (r);
+  dl_http_stream_end (r->http, true);
+  direct_dispatch_run (r->service);
+}
+
+void
+direct_request_note_event (Request *r, uint64_t now_ms)
+{
+  if (r->first_event_ms == 0)
+    r->first_event_ms = now_ms;
+  else
+    r->gap_max_ms = MAX (r->gap_max_ms, now_ms - r->last_event_ms);
+  r->last_event_ms = now_ms;
+}
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -29,30 +29,12 @@
 #define STATUS_NOT_FOUND        404
 #define STATUS_TOO_LARGE        413
 #define STATUS_HEADER_TOO_LARGE 431
-#define STATUS_BAD_GATEWAY      502
-#define STATUS_UNAVAILABLE      503
 #define STATUS_GATEWAY_TIMEOUT  504
 
 DL_METRIC (metric_requests,
            DL_METRIC_COUNTER,
            "daisy_direct_requests_total",
            "Requests of callers.")
-DL_METRIC (metric_served,
-           DL_METRIC_COUNTER,
-           "daisy_direct_served_total",
-           "Requests answered with an upstream's whole answer.")
-DL_METRIC (metric_refused,
-           DL_METRIC_COUNTER,
-           "daisy_direct_refused_total",
-           "Requests refused; none of them has run.")
-DL_METRIC (metric_failed,
-           DL_METRIC_COUNTER,
-           "daisy_direct_failed_total",
-           "Requests that failed after they were sent.")
-DL_METRIC (metric_denied,
-           DL_METRIC_COUNTER,
-           "daisy_direct_denied_total",
-           "Requests denied: no route, no key, too large.")
 DL_METRIC (metric_cancelled,
            DL_METRIC_COUNTER,
            "daisy_direct_cancelled_total",
@@ -85,9 +67,8 @@
   r->link = NULL;
 }
 
-/* Nothing is in progress for the request any more. */
-static void
-release (Request *r)
+void
+direct_request_release (Request *r)
 {
   direct_dispatch_forget (r);
   if (r->attempt != NULL)
@@ -100,7 +81,7 @@
 static int
 request_destroy (Request *r)
 {
-  release (r);
+  direct_request_release (r);
   if (r->routing != NULL)
     dl_message_unref (r->routing);
   return 0;
@@ -117,7 +98,7 @@
   dl_metric_add (&metric_cancelled, 1);
   dl_log (DL_EVENT_REQUEST_CANCELLED, DL_TEXT ("request", r->in.id),
           DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent));
-  release (r);
+  direct_request_release (r);
   if (service != NULL)
     direct_dispatch_run (service);
 }
@@ -128,78 +109,6 @@
   return r->deadline_ms > now_ms ? r->deadline_ms - now_ms : 0;
 }
 
-/* -------- final answers -------- */
-
-void
-direct_request_refuse (Request *r, uint64_t retry_ms, const char *reason)
-{
-  dl_metric_add (&metric_refused, 1);
-  dl_log (DL_EVENT_REQUEST_REFUSED, DL_TEXT ("request", r->in.id),
-          DL_TEXT ("reason", reason),
-          DL_TEXT ("route", r->route != NULL ? r->route->name : ""),
-          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
-          DL_UINT ("waiting",
-                   r->service != NULL ? dl_wait_queue_length (r->service->queue) : 0),
-          DL_UINT ("retry_ms", retry_ms),
-          DL_UINT ("routing", r->routing != NULL ? r->routing->routing->version : 0));
-  release (r);
-  platform_reply_own (r->http, STATUS_UNAVAILABLE, retry_ms, reason);
-}
-
-void
-direct_request_fail (Request *r, unsigned status, const char *cause)
-{
-  const char *upstream
-      = r->attempt != NULL ? direct_attempt_upstream (r->attempt)->id : r->avoid;
-
-  dl_metric_add (&metric_failed, 1);
-  dl_log (DL_EVENT_REQUEST_FAILED, DL_TEXT ("request", r->in.id),
-          DL_TEXT ("cause", cause), DL_TEXT ("route", r->route->name),
-          DL_TEXT ("upstream", upstream), DL_UINT ("status", r->replying ? 0 : status),
-          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms), DL_UINT ("sent", r->sent),
-          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
-  release (r);
-  if (r->replying)
-    dl_http_stream_end (r->http, false);
-  else
-    platform_reply_own (r->http, status, 0, cause);
-}
-
-void
-direct_request_answer (Request *r,
-                       unsigned status,
-                       const char *content_type,
-                       DlStr body,
-                       const DlHttpHeader *headers)
-{
-  dl_metric_add (&metric_served, 1);
-  release (r);
-  dl_http_reply (r->http, status, content_type, body, headers);
-  direct_dispatch_run (r->service);
-}
-
-void
-direct_request_end_stream (Request *r)
-{
-  dl_metric_add (&metric_served, 1);
-  release (r);
-  dl_http_stream_end (r->http, true);
-  direct_dispatch_run (r->service);
-}
-
-/* The request asks for what the routing table does not allow. */
-static void
-deny (Request *r, unsigned status, const char *reason)
-{
-  dl_metric_add (&metric_denied, 1);
-  dl_log (DL_EVENT_REQUEST_DENIED, DL_TEXT ("request", r->in.id),
-          DL_UINT ("status", status), DL_TEXT ("reason", reason),
-          DL_UINT ("routing", r->routing->routing->version),
-          DL_UINT ("routing_age_ms", dl_clock_ms () - r->owner->fresh_ms));
-  release (r);
-  platform_reply_own (r->http, status, 0, reason);
-}
-
 /* -------- admission -------- */
 
 static bool
@@ -216,10 +125,10 @@
   const DlCallerLimits *limits = &r->routing->routing->limits;
 
   if (limits->header_bytes_max > 0 && r->in.header_bytes > limits->header_bytes_max)
-    deny (r, STATUS_HEADER_TOO_LARGE, "the headers are too large");
+    direct_request_deny (r, STATUS_HEADER_TOO_LARGE, "the headers are too large");
   else if (limits->body_bytes_max > 0
            && dl_http_request_body (r->http).length > limits->body_bytes_max)
-    deny (r, STATUS_TOO_LARGE, "the body is too large");
+    direct_request_deny (r, STATUS_TOO_LARGE, "the body is too large");
   else
     return true;
   return false;
@@ -242,7 +151,7 @@
     r->organisation = dl_routing_key_owner (routing, r->in.key);
   if (r->organisation != NULL)
     return true;
-  deny (r, STATUS_UNAUTHORIZED, "unknown key");
+  direct_request_deny (r, STATUS_UNAUTHORIZED, "unknown key");
   return false;
 }
 
@@ -265,7 +174,7 @@
   r->route = dl_routing_match (routing, r->in.host, r->in.path);
   if (r->route == NULL)
     {
-      deny (r, STATUS_NOT_FOUND, "no such route");
+      direct_request_deny (r, STATUS_NOT_FOUND, "no such route");
       return;
     }
   if (!check_limits (r) || !check_key (r))
@@ -364,10 +273,12 @@
 {
   const Requests *requests = data;
 
+  DirectOutcomes outcomes = direct_outcomes ();
+
   dl_log (DL_EVENT_REQUESTS_SUMMARY, DL_INT ("requests", metric_requests.value),
-          DL_INT ("served", metric_served.value),
-          DL_INT ("refused", metric_refused.value),
-          DL_INT ("failed", metric_failed.value), DL_INT ("denied", metric_denied.value),
+          DL_INT ("served", outcomes.served), DL_INT ("late", outcomes.late),
+          DL_INT ("refused", outcomes.refused), DL_INT ("failed", outcomes.failed),
+          DL_INT ("denied", outcomes.denied),
           DL_INT ("cancelled", metric_cancelled.value),
           DL_UINT ("running", dl_http_server_running (requests->server)),
           DL_UINT ("entries", requests->near_entries + requests->far_entries),
@@ -474,8 +385,8 @@
 
   requests->stop_ms = dl_clock_ms ();
   dl_http_server_close_connections (requests->server);
-  requests->stop_timer = dl_timer_subscribe (task, requests, STOP_CHECK_MS, STOP_CHECK_MS,
-                                             on_stop_check, requests);
+  dl_timer_subscribe (task, requests, STOP_CHECK_MS, STOP_CHECK_MS, on_stop_check,
+                      requests);
 }
 
 static json_object *
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -1,8 +1,8 @@
 /*
  * Parts of the task "requests" that its files share.
  *
- * requests.c takes requests in and gives final answers, dispatch.c finds them a place,
- * attempt.c carries one try at one upstream.
+ * requests.c takes requests in, dispatch.c finds them a place, attempt.c carries one try
+ * at one upstream, outcome.c gives final answers.
  */
 #ifndef DIRECT_REQUESTS_H
 #define DIRECT_REQUESTS_H
@@ -44,7 +44,6 @@
   unsigned near_entries; /* that take requests, this one among them */
   unsigned far_entries;
   uint64_t stop_ms; /* when the planned stop began; 0 while running */
-  DlTimer *stop_timer;
 };
 
 /* One request of a caller, from its arrival to its final answer; below its HTTP
@@ -60,13 +59,20 @@
   const DlServiceEntry *service_entry;
   Service *service;
   uint64_t arrived_ms;
-  uint64_t deadline_ms;  /* final answer at the latest */
-  unsigned sent;         /* upstreams that it was sent to */
-  unsigned unreached;    /* upstreams that could not be connected to */
-  bool waiting;          /* in the service's queue */
-  bool may_have_run;     /* no refusal may say that it did not */
-  bool replying;         /* the caller has the head of a stream */
-  char *avoid;           /* id of the upstream that failed it last */
+  uint64_t deadline_ms; /* final answer at the latest */
+  unsigned sent;        /* upstreams that it was sent to */
+  unsigned unreached;   /* upstreams that could not be connected to */
+  bool waiting;         /* in the service's queue */
+  bool may_have_run;    /* no refusal may say that it did not */
+  bool replying;        /* the caller has the head of a stream */
+  char *avoid;          /* id of the upstream that failed it last */
+  char *last_upstream;  /* id of the one that it was sent to last */
+  DirectBelief belief;  /* what was known of that one then */
+  uint64_t first_sent_ms;
+  uint64_t last_sent_ms;
+  uint64_t first_event_ms; /* when the first event or the whole answer came; 0 before */
+  uint64_t last_event_ms;
+  uint64_t gap_max_ms;   /* longest pause between events */
   DlEventStream *events; /* of a stream; NULL before its first try */
   Attempt *attempt;      /* the try in progress; NULL while waiting */
   Request *next;
@@ -75,8 +81,17 @@
 
 /* -------- requests.c -------- */
 
+/* Nothing is in progress for the request any more. */
+void direct_request_release (Request *request);
+/* Time left until the request's deadline. */
+uint64_t direct_request_remaining_ms (const Request *request, uint64_t now_ms);
+
+/* -------- outcome.c -------- */
+
 /* Final answers; each ends the request's life here. */
 void direct_request_refuse (Request *request, uint64_t retry_ms, const char *reason);
+/* It asks for what the routing table does not allow. */
+void direct_request_deny (Request *request, unsigned status, const char *reason);
 /* STATUS is 502 or 504.  A stream that has begun is cut instead. */
 void direct_request_fail (Request *request, unsigned status, const char *cause);
 /* The upstream's whole answer goes to the caller. */
@@ -86,8 +101,20 @@
                             DlStr body,
                             const DlHttpHeader *headers);
 void direct_request_end_stream (Request *request);
-/* Time left until the request's deadline. */
-uint64_t direct_request_remaining_ms (const Request *request, uint64_t now_ms);
+/* Events went to the caller. */
+void direct_request_note_event (Request *request, uint64_t now_ms);
+
+/* Final answers since the process started. */
+typedef struct
+{
+  int64_t served;
+  int64_t late; /* of those served */
+  int64_t refused;
+  int64_t failed;
+  int64_t denied;
+} DirectOutcomes;
+
+DirectOutcomes direct_outcomes (void);
 
 /* -------- dispatch.c -------- */
 
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -253,6 +253,38 @@
   return chosen >= 0 ? g_ptr_array_index (chosen_from, (guint)chosen) : NULL;
 }
 
+/* -------- what is known, for logs -------- */
+
+DirectBelief
+direct_upstream_belief (const DirectUpstream *u, uint64_t now_ms)
+{
+  unsigned entries = u->owner->near_entries + u->owner->far_entries;
+
+  return (DirectBelief){
+    .requests = (unsigned)dl_balance_estimate (&u->load, entries, now_ms),
+    .report_age_ms
+    = u->load.reported_ms != 0 ? (int64_t)(now_ms - u->load.reported_ms) : -1,
+  };
+}
+
+DirectUpstreamCount
+direct_upstreams_count (const DirectUpstreams *upstreams,
+                        const char *service,
+                        uint64_t now_ms)
+{
+  DirectUpstreamCount count = { 0 };
+
+  for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    {
+      if (u->gone || u->leaving || strcmp (u->service, service) != 0)
+        continue;
+      count.listed++;
+      count.loading += u->loading;
+      count.ejected += !dl_breaker_allows (&u->breaker, now_ms);
+    }
+  return count;
+}
+
 /* -------- tries -------- */
 
 void
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -65,6 +65,27 @@
 uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
                                             uint64_t now_ms);
 
+/* What this entry knows of an upstream at some time. */
+typedef struct
+{
+  unsigned requests;     /* there, as far as this entry can know */
+  int64_t report_age_ms; /* -1 without a report */
+} DirectBelief;
+
+DirectBelief direct_upstream_belief (const DirectUpstream *upstream, uint64_t now_ms);
+
+/* How the upstreams of one service are. */
+typedef struct
+{
+  unsigned listed;  /* and not leaving */
+  unsigned loading; /* of these, down or taking new weights */
+  unsigned ejected; /* of these, failing or silent */
+} DirectUpstreamCount;
+
+DirectUpstreamCount direct_upstreams_count (const DirectUpstreams *upstreams,
+                                            const char *service,
+                                            uint64_t now_ms);
+
 /* A try begins, got its first bytes, and ended.  ENDED may free the upstream. */
 void
 direct_upstream_sent (DirectUpstream *upstream, uint64_t prompt_tokens, uint64_t now_ms);
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -183,11 +183,13 @@
   w->hold_staging_ms
       = outcome == DL_ORDER_UNKNOWN ? dl_clock_ms () + ORDER_UNKNOWN_HOLD_MS : 0;
   if (outcome == DL_ORDER_BEGUN || outcome == DL_ORDER_IN_EFFECT)
-    dl_log (DL_EVENT_STAGE_ORDERED, DL_UINT ("version", b != NULL ? b->version : 0),
+    dl_log (DL_EVENT_STAGE_ORDERED, DL_TEXT ("engine", w->settings->engine),
+            DL_UINT ("version", b != NULL ? b->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
             DL_UINT ("named_ms_ago", b != NULL ? dl_clock_ms () - b->named_ms : 0));
   else
-    dl_log (DL_EVENT_STAGE_ORDER_REFUSED, DL_UINT ("version", b != NULL ? b->version : 0),
+    dl_log (DL_EVENT_STAGE_ORDER_REFUSED, DL_TEXT ("engine", w->settings->engine),
+            DL_UINT ("version", b != NULL ? b->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
             DL_UINT ("status", result->status));
   if (w->phase == PHASE_ORDER)
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -324,7 +324,8 @@
 
   if (is_in_force (w, b) && !w->engine.busy)
     {
-      dl_log (DL_EVENT_STAGE_IN_FORCE, DL_UINT ("version", b->version),
+      dl_log (DL_EVENT_STAGE_IN_FORCE, DL_TEXT ("engine", w->settings->engine),
+              DL_UINT ("version", b->version),
               DL_UINT ("named_ms_ago", dl_clock_ms () - b->named_ms));
       set_loading (w, false);
       weights_enter (w, PHASE_DONE);
--- a/lib/kernel/log.c
+++ b/lib/kernel/log.c
@@ -9,12 +9,19 @@
 
 #include "kernel/error.h"
 #include "kernel/kernel.h"
+#include "kernel/log_rate.h"
+#include "kernel/metrics.h"
 
-#define LINE_BYTES      4096
-#define LINES_PER_S     40
-#define LINES_BURST     200
-#define MS_PER_S        1000
-#define DROPPED_TELL_MS 5000
+#define LINE_BYTES 4096
+
+DL_METRIC (metric_lines,
+           DL_METRIC_COUNTER,
+           "daisy_log_lines_total",
+           "Log lines written to standard output.")
+DL_METRIC (metric_dropped,
+           DL_METRIC_COUNTER,
+           "daisy_log_dropped_total",
+           "Log lines dropped: over the rate, or the output was full.")
 
 typedef struct
 {
@@ -43,10 +50,7 @@
   bool json;
   bool debug;
   bool to_stdout;
-  double lines_left;   /* that may be written now; grows by LINES_PER_S */
-  uint64_t filled_ms;  /* when lines_left was last raised */
-  uint64_t dropped;    /* lines, since the last LOG_DROPPED */
-  uint64_t dropped_ms; /* when the first of them was */
+  DlLogRate rate;
 } log_state = { .program = "daisyloft" };
 
 static const EventInfo *
@@ -58,21 +62,6 @@
   g_assert_not_reached ();
 }
 
-/* True when the rate lets one more line out. */
-static bool
-take_line (uint64_t now_ms)
-{
-  uint64_t passed_ms = now_ms - log_state.filled_ms;
-
-  log_state.lines_left += (double)passed_ms * LINES_PER_S / MS_PER_S;
-  log_state.lines_left = MIN (log_state.lines_left, LINES_BURST);
-  log_state.filled_ms = now_ms;
-  if (log_state.lines_left < 1)
-    return false;
-  log_state.lines_left -= 1;
-  return true;
-}
-
 /* A line goes out whole or not at all, as far as the output allows. */
 static bool
 write_line (const char *text)
@@ -88,26 +77,6 @@
   return write (STDOUT_FILENO, line, (size_t)length) == length;
 }
 
-static void
-write_stdout (const char *text)
-{
-  uint64_t now_ms = dl_clock_ms ();
-
-  if (!take_line (now_ms) || !write_line (text))
-    {
-      if (log_state.dropped++ == 0)
-        log_state.dropped_ms = now_ms;
-      return;
-    }
-  if (log_state.dropped > 0 && now_ms - log_state.dropped_ms >= DROPPED_TELL_MS)
-    {
-      uint64_t lines = log_state.dropped;
-
-      log_state.dropped = 0;
-      dl_log (DL_EVENT_LOG_DROPPED, DL_UINT ("lines", lines));
-    }
-}
-
 void
 dl_log_use_stdout (void)
 {
@@ -116,8 +85,7 @@
   if (flags >= 0)
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   log_state.to_stdout = true;
-  log_state.lines_left = LINES_BURST;
-  log_state.filled_ms = dl_clock_ms ();
+  dl_log_rate_init (&log_state.rate, dl_clock_ms ());
 }
 
 static GLogWriterOutput
@@ -127,12 +95,7 @@
     return G_LOG_WRITER_HANDLED;
   for (gsize i = 0; i < n; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
-      {
-        if (log_state.to_stdout)
-          write_stdout (fields[i].value);
-        else
-          fprintf (stderr, "%s\n", (const char *)fields[i].value);
-      }
+      fprintf (stderr, "%s\n", (const char *)fields[i].value);
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -220,17 +183,66 @@
   return g_string_free (line, FALSE);
 }
 
-void
-dl_log_fields (DlEvent event, const DlField *fields)
+/* -------- writing -------- */
+
+static char *
+format (const EventInfo *info, const DlField *fields)
+{
+  return log_state.json ? format_json (info, fields) : format_text (info, fields);
+}
+
+static bool
+write_event (DlEvent event, const DlField *fields)
+{
+  char *line = format (event_info (event), fields);
+  bool written = write_line (line);
+
+  g_free (line);
+  dl_metric_add (written ? &metric_lines : &metric_dropped, 1);
+  return written;
+}
+
+static bool
+is_about_request (const DlField *fields)
+{
+  return fields[0].key != NULL && strcmp (fields[0].key, "request") == 0;
+}
+
+/* Tells how many lines were dropped; this line is not counted against the rate. */
+static void
+tell_dropped (uint64_t now_ms)
+{
+  uint64_t lines = dl_log_rate_tell (&log_state.rate, now_ms);
+
+  if (lines > 0
+      && !write_event (DL_EVENT_LOG_DROPPED,
+                       (const DlField[]){ DL_UINT ("lines", lines), { .key = 0 } }))
+    dl_log_rate_drop (&log_state.rate, lines, now_ms);
+}
+
+/* What is over the rate is dropped before it costs anything. */
+static void
+log_to_stdout (DlEvent event, const DlField *fields)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (!dl_log_rate_take (&log_state.rate, is_about_request (fields), now_ms))
+    {
+      dl_metric_add (&metric_dropped, 1);
+      dl_log_rate_drop (&log_state.rate, 1, now_ms);
+    }
+  else if (!write_event (event, fields))
+    dl_log_rate_drop (&log_state.rate, 1, now_ms);
+  tell_dropped (now_ms);
+}
+
+static void
+log_to_glib (const EventInfo *info, const DlField *fields)
 {
-  const EventInfo *info = event_info (event);
   char number[16];
-  char *line;
+  char *line = format (info, fields);
 
-  if (info->level == G_LOG_LEVEL_DEBUG && !log_state.debug)
-    return;
-  line = log_state.json ? format_json (info, fields) : format_text (info, fields);
-  snprintf (number, sizeof number, "%d", (int)event);
+  snprintf (number, sizeof number, "%d", (int)info->event);
   g_log_structured_array (info->level,
                           (GLogField[]){
                               { .key = "MESSAGE", .value = line, .length = -1 },
@@ -239,3 +251,16 @@
                           2);
   g_free (line);
 }
+
+void
+dl_log_fields (DlEvent event, const DlField *fields)
+{
+  const EventInfo *info = event_info (event);
+
+  if (info->level == G_LOG_LEVEL_DEBUG && !log_state.debug)
+    return;
+  if (log_state.to_stdout)
+    log_to_stdout (event, fields);
+  else
+    log_to_glib (info, fields);
+}
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -16,9 +16,7 @@
 static unsigned failures;
 static unsigned checks;
 
-#define CHECK(condition) check ((condition), #condition, __func__, __LINE__)
-
-static void
+void
 check (bool holds, const char *text, const char *where, int line)
 {
   checks++;
@@ -28,8 +26,7 @@
   g_print ("direct: %s:%d: does not hold: %s\n", where, line, text);
 }
 
-/* A request of the usual caller. */
-static Call
+Call
 request (const World *w, const char *target, const char *id)
 {
   return (Call){
@@ -54,8 +51,7 @@
   return runs;
 }
 
-/* Sets a fault at both servers with weights. */
-static void
+void
 set_both (World *w, const char *knob, uint64_t value)
 {
   for (unsigned i = 0; i < SERVERS - 1; i++)
@@ -650,6 +646,7 @@
   test_caller_leaves,
   test_silent_server,
   test_too_large,
+  test_explained,
   test_key_taken_away,
   test_bad_configuration,
   test_server_leaves,
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -93,7 +93,25 @@
 uint64_t recorded (const char *address, const char *path);
 bool set_fault (const char *address, const char *knob, uint64_t value);
 
-/* Calls CHECK until it is true; false when it never was within a generous time. */
-bool eventually (bool (*check) (World *world), World *world);
+/* -------- direct.c -------- */
+
+/* Counts a check; one that does not hold is printed and fails the run. */
+void check (bool holds, const char *text, const char *where, int line);
+#define CHECK(condition) check ((condition), #condition, __func__, __LINE__)
+
+/* A request of the usual caller. */
+Call request (const World *world, const char *target, const char *id);
+/* Sets a fault at both servers with weights. */
+void set_both (World *world, const char *knob, uint64_t value);
+
+/* -------- explained.c -------- */
+
+/* Follows the paths of docs/OPERATIONS.md from a failed request's id to its cause. */
+void test_explained (World *world);
+
+/* -------- http.c -------- */
+
+/* Calls IS_SO until it is true; false when it never was within a generous time. */
+bool eventually (bool (*is_so) (World *world), World *world);
 
 #endif
--- a/regress/direct/http.c
+++ b/regress/direct/http.c
@@ -147,11 +147,11 @@
 }
 
 bool
-eventually (bool (*check) (World *world), World *world)
+eventually (bool (*is_so) (World *world), World *world)
 {
   for (int i = 0; i < EVENTUALLY_TRIES; i++)
     {
-      if (check (world))
+      if (is_so (world))
         return true;
       g_usleep (EVENTUALLY_PAUSE_US);
     }
--- /dev/null
+++ b/regress/unit/test_log_rate.c
@@ -0,0 +1,87 @@
+/* The bound on log lines. */
+#include "kernel/log_rate.h"
+#include "unit.h"
+
+#define START_MS 1000
+#define S_MS     1000
+
+/* Drops what the rate does not let out, as the log does. */
+static unsigned
+write_lines (DlLogRate *rate, unsigned lines, bool about_request, uint64_t now_ms)
+{
+  unsigned written = 0;
+
+  for (unsigned i = 0; i < lines; i++)
+    if (dl_log_rate_take (rate, about_request, now_ms))
+      written++;
+    else
+      dl_log_rate_drop (rate, 1, now_ms);
+  return written;
+}
+
+static void
+test_bound (void)
+{
+  DlLogRate rate;
+  unsigned written = 0;
+
+  dl_log_rate_init (&rate, START_MS);
+  for (unsigned s = 0; s < 60; s++)
+    written += write_lines (&rate, 500, false, START_MS + s * S_MS);
+  CU_ASSERT (written <= DL_LOG_LINES_BURST + 60 * DL_LOG_LINES_PER_S);
+  CU_ASSERT (written >= 59 * DL_LOG_LINES_PER_S);
+}
+
+/* A storm of lines about requests does not hide the line that explains it. */
+static void
+test_reserve (void)
+{
+  DlLogRate rate;
+
+  dl_log_rate_init (&rate, START_MS);
+  for (unsigned s = 0; s < 30; s++)
+    {
+      write_lines (&rate, 500, true, START_MS + s * S_MS);
+      CU_ASSERT_TRUE (dl_log_rate_take (&rate, false, START_MS + s * S_MS));
+    }
+}
+
+/* Every line was written or is told as dropped, also while the rate is used up. */
+static void
+test_dropped_are_told (void)
+{
+  DlLogRate rate;
+  uint64_t written = 0;
+  uint64_t told = 0;
+
+  dl_log_rate_init (&rate, START_MS);
+  for (unsigned s = 0; s < 60; s++)
+    {
+      written += write_lines (&rate, 500, s % 2 == 0, START_MS + s * S_MS);
+      told += dl_log_rate_tell (&rate, START_MS + s * S_MS);
+    }
+  CU_ASSERT (told > 0);
+  CU_ASSERT_EQUAL (written + told + rate.dropped, 60 * 500);
+}
+
+static void
+test_nothing_to_tell (void)
+{
+  DlLogRate rate;
+
+  dl_log_rate_init (&rate, START_MS);
+  CU_ASSERT_EQUAL (dl_log_rate_tell (&rate, START_MS + 60 * S_MS), 0);
+  dl_log_rate_drop (&rate, 1, START_MS);
+  CU_ASSERT_EQUAL (dl_log_rate_tell (&rate, START_MS + DL_LOG_TELL_MS - 1), 0);
+  CU_ASSERT_EQUAL (dl_log_rate_tell (&rate, START_MS + DL_LOG_TELL_MS), 1);
+  CU_ASSERT_EQUAL (dl_log_rate_tell (&rate, START_MS + 2 * DL_LOG_TELL_MS), 0);
+}
+
+static const CU_TestInfo tests[] = {
+  { "lines are bounded", test_bound },
+  { "requests leave room for the rest", test_reserve },
+  { "dropped lines are told", test_dropped_are_told },
+  { "nothing dropped, nothing told", test_nothing_to_tell },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("log rate", tests)
