A soak of direct operation: random faults from outside overlap while callers press

regress/direct takes a seed and seconds: loopback proxies before the store, the origin, the servers and the entries delay, refuse, reset, silence and cut one way; processes are killed, stopped as planned and suspended; the store loses answers, is away, deaf or forgets; servers cut, refuse, fail and garble; settings, servers and versions change meanwhile. What callers were told is checked against what the stand-ins recorded.

Two findings of the first runs were the runner's own: it wrote to a store that it had taken away itself, and took its own lost answer for a fault.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -1,5 +1,5 @@
 /*
- * Cases of direct operation, one after the other in one world.
+ * Cases of direct operation, one after the other in one world; or, with a seed, a soak.
  *
  * Results are read from what callers got and from what the stand-ins recorded.  Nothing
  * is asserted about time but the order of things; waits end when what they wait for is
@@ -10,6 +10,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -538,6 +539,60 @@
   return ready_status (w) == 503;
 }
 
+/* Index of the entry that asks the other in place of the store; ENTRIES for none. */
+static unsigned
+find_follower (World *w)
+{
+  unsigned follower = ENTRIES;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      Answer a = call (&(Call){ .address = w->metrics[i], .target = "/metrics" });
+      const char *line = strstr (a.body, "\ndaisy_node_relay_answers_total ");
+
+      /* The other one answers it. */
+      if (line != NULL && atoi (strchr (line + 1, ' ')) > 0)
+        follower = 1 - i;
+      answer_free (&a);
+    }
+  return follower;
+}
+
+static bool
+has_follower (World *w)
+{
+  return find_follower (w) < ENTRIES;
+}
+
+static unsigned follower;
+
+static bool
+follower_knows_key2 (World *w)
+{
+  return status_with_key (w, follower, "key2") == 200;
+}
+
+static bool
+follower_has_lost_key2 (World *w)
+{
+  return status_with_key (w, follower, "key2") == 401;
+}
+
+/* An entry that asks another one goes on by itself when that one is silent. */
+static void
+test_reader_is_silent (World *w)
+{
+  CHECK (eventually (has_follower, w));
+  follower = find_follower (w);
+  CHECK (world_configure (w, false));
+  CHECK (eventually (follower_knows_key2, w));
+  kill (w->entry_process[1 - follower].pid, SIGSTOP);
+  CHECK (world_configure (w, true));
+  CHECK (eventually (follower_has_lost_key2, w));
+  kill (w->entry_process[1 - follower].pid, SIGCONT);
+  CHECK (eventually (key2_is_unknown, w));
+}
+
 /* Without fresh word of the store a key proves nothing; what needs none is served. */
 static void
 test_store_away (World *w)
@@ -654,27 +709,51 @@
   test_version_with_faults,
   test_versions_in_succession,
   test_server_starts_anew,
+  test_reader_is_silent,
   test_store_away,
   test_planned_stop,
   test_reload,
   test_all_killed,
 };
 
-int
-main (int argc, char **argv)
+static void
+run_cases (const char *bin)
 {
   World world = { 0 };
 
-  if (argc != 2)
-    {
-      g_printerr ("usage: direct BIN\n");
-      return 2;
-    }
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  CHECK (world_start (&world, argv[1]));
+  CHECK (world_start (&world, bin, false));
   for (size_t i = 0; i < G_N_ELEMENTS (tests) && failures == 0; i++)
     tests[i](&world);
   world_stop (&world, failures > 0);
   g_print ("direct: %u checks, %u failed\n", checks, failures);
+}
+
+static void
+run_soak (const char *bin, uint32_t seed, unsigned seconds)
+{
+  World world = { 0 };
+  unsigned broken = 1;
+
+  if (world_start (&world, bin, true))
+    broken = soak_run (&world, seed, seconds);
+  failures += broken;
+  world_stop (&world, broken > 0);
+  g_print ("soak: seed %u: %u broken\n", seed, broken);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc != 2 && argc != 4)
+    {
+      g_printerr ("usage: direct BIN [SEED SECONDS]\n");
+      return 2;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (argc == 2)
+    run_cases (argv[1]);
+  else
+    run_soak (argv[1], (uint32_t)g_ascii_strtoull (argv[2], NULL, 10),
+              (unsigned)g_ascii_strtoull (argv[3], NULL, 10));
   return failures > 0;
 }
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -5,11 +5,13 @@
 #ifndef DIRECT_H
 #define DIRECT_H
 
+#include <glib.h>
 #include <json-c/json.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "kernel/str.h"
+#include "proxy.h"
 
 #define SERVERS 3 /* two with weights, and a plain one */
 #define ENTRIES 2
@@ -31,9 +33,16 @@
   char *store;  /* "IP:PORT" */
   char *origin;
   char *server[SERVERS];
-  char *entry[ENTRIES];     /* for requests */
+  char *entry[ENTRIES]; /* for requests */
+  /* Where others reach these: the same, or a proxy before it. */
+  char *via_store;
+  char *via_origin;
+  char *via_server[SERVERS];
+  char *via_entry[ENTRIES];
+  GPtrArray *proxies;       /* of Proxy; NULL without */
   char *ready[ENTRIES];     /* for the question whether it is ready */
   char *directory[ENTRIES]; /* for the question which entries to use */
+  char *metrics[ENTRIES];   /* for counters, and for other entries */
   Process store_process;
   Process origin_process;
   Process server_process[SERVERS];
@@ -44,8 +53,9 @@
 
 /* -------- world.c -------- */
 
-/* Starts everything and waits until both entries are ready; false on failure. */
-bool world_start (World *world, const char *bin);
+/* Starts everything, WITH_PROXIES before the stand-ins and the entries, and waits until
+ * both entries are ready; false on failure. */
+bool world_start (World *world, const char *bin, bool with_proxies);
 /* Ends what runs; prints the logs when FAILED. */
 void world_stop (World *world, bool failed);
 bool process_start (Process *process);
@@ -81,6 +91,7 @@
   const char *body;     /* NULL for none */
   unsigned deadline_ms; /* told to the system; 0 for none */
   unsigned leave_ms;    /* the caller goes away after this; 0: stays */
+  void *kept;           /* CURL handle whose connections are used again; NULL for none */
 } Call;
 
 Answer call (const Call *options);
@@ -109,6 +120,13 @@
 /* Follows the paths of docs/OPERATIONS.md from a failed request's id to its cause. */
 void test_explained (World *world);
 
+/* -------- soak.c -------- */
+
+/* Lets random faults overlap for SECONDS while callers press, then checks what callers
+ * were told against what ran.  Returns the number of broken promises, which are printed.
+ */
+unsigned soak_run (World *world, uint32_t seed, unsigned seconds);
+
 /* -------- http.c -------- */
 
 /* Calls IS_SO until it is true; false when it never was within a generous time. */
--- a/regress/direct/http.c
+++ b/regress/direct/http.c
@@ -50,7 +50,7 @@
 Answer
 call (const Call *c)
 {
-  CURL *easy = curl_easy_init ();
+  CURL *easy = c->kept != NULL ? c->kept : curl_easy_init ();
   struct curl_slist *headers = call_headers (c);
   GString *body = g_string_new (NULL);
   GString *head = g_string_new (NULL);
@@ -75,7 +75,10 @@
     curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, c->method);
   code = curl_easy_perform (easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_cleanup (easy);
+  if (c->kept != NULL)
+    curl_easy_reset (easy); /* its connections stay */
+  else
+    curl_easy_cleanup (easy);
   curl_slist_free_all (headers);
   g_free (url);
   return (Answer){
--- a/regress/direct/world.c
+++ b/regress/direct/world.c
@@ -11,6 +11,7 @@
 
 #define PORT         8001
 #define NODE_PORT    7700
+#define PROXY_HOST   101
 #define END_TRIES    400
 #define END_PAUSE_US 50000
 /* A subnet of loopback for each run, by the runner's process id. */
@@ -81,6 +82,22 @@
   return g_strdup_printf ("%s.%u:%u", w->subnet, host, port);
 }
 
+/* The address by which AT is reached: its own, or that of a proxy before it. */
+static char *
+reach (World *w, const char *at)
+{
+  char *via;
+  Proxy *proxy;
+
+  if (w->proxies == NULL)
+    return g_strdup (at);
+  via = address (w, PROXY_HOST + w->proxies->len, PORT);
+  proxy = proxy_new (via, at);
+  if (proxy != NULL)
+    g_ptr_array_add (w->proxies, proxy);
+  return via;
+}
+
 static char **
 standin_argv (const World *w, const char *kind, const char *listen, const char *knob)
 {
@@ -158,7 +175,7 @@
                                                                                                                                                                                          "{\"name\":\"w\",\"origin\":\"%s\",\"link_mbps\":10}],"
                                                                                                                                                                                          "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":100000},"
                                                                                                                                                                                          "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]}]}",
-      ++w->config_version, w->origin, without_key ? "" : ",\"key2\"");
+      ++w->config_version, w->via_origin, without_key ? "" : ",\"key2\"");
   bool done = world_put (w, "config", "main", spec);
 
   g_free (spec);
@@ -172,7 +189,7 @@
   char *spec = g_strdup_printf (
       "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"d1\",\"slots\":4,"
       "\"state\":\"%s\",\"models\":[%s]}",
-      index < SERVERS - 1 ? "m" : "p", w->server[index], state,
+      index < SERVERS - 1 ? "m" : "p", w->via_server[index], state,
       index < SERVERS - 1 ? "{\"name\":\"big\",\"version\":1}" : "");
   bool done = world_put (w, "servers", name, spec);
 
@@ -200,7 +217,7 @@
   return g_strdup_printf ("{\"name\":\"%s\",\"region\":\"r1\",\"data_center\":\"d1\","
                           "\"address\":\"%s.%u:%u\",\"store\":\"%s\",\"revoke_ms\":3000,"
                           "\"version_ms\":8000,\"grace_s\":8,%s,\"json_logs\":true}",
-                          name, w->subnet, host, NODE_PORT, w->store, more);
+                          name, w->subnet, host, NODE_PORT, w->via_store, more);
 }
 
 static void
@@ -212,11 +229,13 @@
   char *settings;
 
   w->entry[i] = address (w, host, PORT);
+  w->via_entry[i] = reach (w, w->entry[i]);
   w->ready[i] = address (w, host, PORT + 1);
   w->directory[i] = address (w, host, PORT + 2);
+  w->metrics[i] = address (w, host, PORT + 3);
   more = g_strdup_printf ("\"listen\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\","
-                          "\"retry_ratio\":1.0,\"retry_slack\":50",
-                          w->entry[i], w->ready[i], w->directory[i]);
+                          "\"metrics\":\"%s\",\"retry_ratio\":1.0,\"retry_slack\":50",
+                          w->entry[i], w->ready[i], w->directory[i], w->metrics[i]);
   settings = node_settings (w, name, host, more);
   process_set (w, &w->entry_process[i], name,
                program_argv (w, "daisydirectd", name, settings));
@@ -232,6 +251,7 @@
   char *knob = g_strdup_printf ("instance=%u", i + 1);
 
   w->server[i] = address (w, 11 + i, PORT);
+  w->via_server[i] = reach (w, w->server[i]);
   process_set (w, &w->server_process[i], name,
                standin_argv (w, "server", w->server[i], knob));
   g_free (knob);
@@ -242,7 +262,7 @@
 declare_stager (World *w, unsigned i)
 {
   char *name = g_strdup_printf ("stager-%u", i + 1);
-  char *more = g_strdup_printf ("\"engine\":\"%s\",\"service\":\"m\"", w->server[i]);
+  char *more = g_strdup_printf ("\"engine\":\"%s\",\"service\":\"m\"", w->via_server[i]);
   char *settings = node_settings (w, name, 11 + i, more);
 
   process_set (w, &w->stager_process[i], name,
@@ -262,6 +282,8 @@
                                1 + pid % OCTETS);
   w->store = address (w, 1, PORT);
   w->origin = address (w, 2, PORT);
+  w->via_store = reach (w, w->store);
+  w->via_origin = reach (w, w->origin);
   process_set (w, &w->store_process, "store",
                standin_argv (w, "objects", w->store, NULL));
   process_set (w, &w->origin_process, "origin",
@@ -309,11 +331,12 @@
 }
 
 bool
-world_start (World *w, const char *bin)
+world_start (World *w, const char *bin, bool with_proxies)
 {
   bool done;
 
   w->bin = bin;
+  w->proxies = with_proxies ? g_ptr_array_new () : NULL;
   declare_all (w);
   done = process_start (&w->store_process) && process_start (&w->origin_process);
   for (unsigned i = 0; i < SERVERS; i++)
@@ -354,6 +377,8 @@
       g_free (w->entry[i]);
       g_free (w->ready[i]);
       g_free (w->directory[i]);
+      g_free (w->metrics[i]);
+      g_free (w->via_entry[i]);
     }
   for (unsigned i = 0; i < SERVERS - 1; i++)
     release (&w->stager_process[i], failed);
@@ -361,9 +386,16 @@
     {
       release (&w->server_process[i], false);
       g_free (w->server[i]);
+      g_free (w->via_server[i]);
     }
   release (&w->store_process, false);
   release (&w->origin_process, false);
+  for (guint i = 0; w->proxies != NULL && i < w->proxies->len; i++)
+    proxy_free (g_ptr_array_index (w->proxies, i));
+  if (w->proxies != NULL)
+    g_ptr_array_free (w->proxies, TRUE);
+  g_free (w->via_store);
+  g_free (w->via_origin);
   rmdir (w->folder);
   g_free (w->folder);
   g_free (w->subnet);
