A few entries of a region read the store for the others; the manifest is asked for in turns

Ruled out: datagrams that carry the age of a proof. One that waits in the buffer of a suspended process is taken for fresh, and a key that was taken away runs.

Change: lib/policy/readers chooses one reader for ten entries of a region; lib/node/object_relay gives out what a reader knows, with the age of its proof; an asker counts the proof from when it asked, and asks the store itself as soon as the reader is silent, lost the store or is older than 1.2 s. The manifest's askers take turns by a hash (lib/policy/fetch_plan). The list of upstreams moves from state.c to listed.c. Unused: dl_peers_find, dl_object_watch_revision.

--- a/daisydirectd/daisydirectd.c
+++ b/daisydirectd/daisydirectd.c
@@ -16,6 +16,12 @@
   return dl_kernel_settings (dl_task_kernel (task));
 }
 
+DirectMessage *
+direct_message_new (DirectMessageType type)
+{
+  return dl_message_new ((int)type, sizeof (DirectMessage));
+}
+
 uint64_t
 direct_stale_ms (const DlNodeSettings *s)
 {
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -71,6 +71,7 @@
   };
 } DirectMessage;
 
+DirectMessage *direct_message_new (DirectMessageType type);
 /* Settings, which live as long as the process. */
 const DlNodeSettings *direct_settings (DlTask *task);
 /* A routing table older than this proves no key. */
--- /dev/null
+++ b/daisydirectd/listed.c
@@ -0,0 +1,168 @@
+#include "listed.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kernel/log.h"
+#include "platform.h"
+#include "policy/lapse.h"
+
+/* One upstream on the list. */
+typedef struct
+{
+  char *id;
+  bool leaving;
+  uint64_t keep_until_ms; /* off the list, but kept until then; 0: on the list */
+} Listed;
+
+struct DirectListed
+{
+  DlKernel *kernel;
+  GHashTable *upstreams; /* id to Listed */
+  DlLapse lapse;
+};
+
+static void
+free_listed (gpointer data)
+{
+  talloc_free (data);
+}
+
+static void
+publish_gone (DirectListed *list, const char *id)
+{
+  DirectMessage *message = direct_message_new (DIRECT_UPSTREAM_GONE);
+
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_GONE, DL_TEXT ("upstream", id));
+  message->gone_id = talloc_strdup (message, id);
+  dl_kernel_publish (list->kernel, message);
+}
+
+static void
+on_upstream_absent (DirectListed *list, const char *id)
+{
+  Listed *listed = g_hash_table_lookup (list->upstreams, id);
+
+  if (listed == NULL || listed->keep_until_ms != 0)
+    return;
+  listed->keep_until_ms
+      = dl_lapse_keep_until (&list->lapse, listed->leaving, dl_clock_ms ());
+  if (listed->keep_until_ms != 0)
+    {
+      dl_log (DL_EVENT_DIRECT_UPSTREAM_SUSPECT, DL_TEXT ("upstream", id));
+      return;
+    }
+  publish_gone (list, id);
+  g_hash_table_remove (list->upstreams, id);
+}
+
+/* What cannot be read names no upstream to use. */
+static void
+on_upstream_malformed (DirectListed *list, const DlObject *object)
+{
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_MALFORMED, DL_TEXT ("upstream", object->name),
+          DL_UINT ("revision", object->revision));
+  if (g_hash_table_contains (list->upstreams, object->name))
+    {
+      publish_gone (list, object->name);
+      g_hash_table_remove (list->upstreams, object->name);
+    }
+}
+
+static void
+note_listed (DirectListed *list, const DlUpstreamEntry *entry, uint64_t revision)
+{
+  Listed *listed = g_hash_table_lookup (list->upstreams, entry->id);
+
+  if (listed == NULL)
+    {
+      listed = talloc_zero (list, Listed);
+      listed->id = talloc_strdup (listed, entry->id);
+      g_hash_table_insert (list->upstreams, listed->id, listed);
+      dl_log (DL_EVENT_DIRECT_UPSTREAM_ADDED, DL_TEXT ("upstream", entry->id),
+              DL_TEXT ("address", entry->address), DL_TEXT ("service", entry->service),
+              DL_UINT ("slots", entry->slots), DL_UINT ("weights", entry->version),
+              DL_UINT ("revision", revision));
+    }
+  listed->keep_until_ms = 0;
+  if (entry->leaving && !listed->leaving)
+    dl_log (DL_EVENT_DIRECT_UPSTREAM_LEAVING, DL_TEXT ("upstream", entry->id),
+            DL_UINT ("revision", revision));
+  listed->leaving = entry->leaving;
+}
+
+void
+direct_listed_take (DirectListed *list, const DlObject *object)
+{
+  DirectMessage *message;
+
+  if (object->deleted)
+    {
+      on_upstream_absent (list, object->name);
+      return;
+    }
+  message = direct_message_new (DIRECT_UPSTREAM);
+  if (platform_read_upstream (message, object->name, object->value, &message->upstream)
+      < 0)
+    {
+      on_upstream_malformed (list, object);
+      dl_message_unref (message);
+      return;
+    }
+  note_listed (list, &message->upstream, object->revision);
+  dl_kernel_publish (list->kernel, message);
+}
+
+void
+direct_listed_contact (DirectListed *list, int error)
+{
+  if (error < 0)
+    dl_lapse_failed (&list->lapse);
+  else
+    dl_lapse_answered (&list->lapse, dl_clock_ms ());
+}
+
+void
+direct_listed_sweep (DirectListed *list)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, list->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Listed *listed = value;
+
+      if (listed->keep_until_ms == 0 || now_ms < listed->keep_until_ms)
+        continue;
+      publish_gone (list, listed->id);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+unsigned
+direct_listed_count (const DirectListed *list)
+{
+  return g_hash_table_size (list->upstreams);
+}
+
+static int
+list_destroy (DirectListed *list)
+{
+  g_hash_table_destroy (list->upstreams);
+  return 0;
+}
+
+DirectListed *
+direct_listed_new (DlKernel *kernel, const void *owner)
+{
+  DirectListed *list = talloc_zero (owner, DirectListed);
+
+  g_assert (list != NULL);
+  list->kernel = kernel;
+  list->upstreams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_listed);
+  talloc_set_destructor (list, list_destroy);
+  return list;
+}
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "daisydirectd.h"
+#include "listed.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -14,7 +15,6 @@
 #include "node/peers.h"
 #include "node/versions.h"
 #include "platform.h"
-#include "policy/lapse.h"
 #include "policy/version_floor.h"
 
 #define STORE_TIMEOUT_MS 900
@@ -25,6 +25,11 @@
 #define UPSTREAMS_PAUSE_MS 600
 #define VERSIONS_WAIT_MS   5000
 #define ROUTING_RETRY_MS   400
+/* An entry that reads the store for others asks this often, and what it knows is given
+ * out for so long after it was proven: others then ask the store themselves, well within
+ * the time in which a routing table has to be in force. */
+#define READER_WAIT_MS     500
+#define RELAYED_AGE_MAX_MS 1200
 #define RETRY_MS           1000
 #define TICK_MS            250
 #define STATUS_EVERY_TICKS 2
@@ -36,14 +41,6 @@
            "Age of the routing table's proof when it was renewed.")
 DL_METRIC (metric_ready, DL_METRIC_GAUGE, "daisy_direct_ready", "1 when ready.")
 
-/* One upstream on the list. */
-typedef struct
-{
-  char *id;
-  bool leaving;
-  uint64_t keep_until_ms; /* off the list, but kept until then; 0: on the list */
-} Listed;
-
 typedef struct
 {
   DlTask *task;
@@ -53,8 +50,9 @@
   DlObjectWatch *routing_watch;
   DlObjectWatch *upstreams_watch;
   DlPeers *peers;
-  GHashTable *listed; /* id to Listed */
-  DlLapse lapse;
+  DirectListed *listed;
+  DlRelaySource *source;
+  DlObjectRelay *relay;
   uint64_t routing_version; /* 0: none yet */
   DlVersions *versions;
   DlVersionFloor floor;   /* as other entries are told it */
@@ -64,12 +62,6 @@
   unsigned ticks;
 } State;
 
-static DirectMessage *
-message_new (DirectMessageType type)
-{
-  return dl_message_new ((int)type, sizeof (DirectMessage));
-}
-
 /* -------- routing -------- */
 
 static void
@@ -82,7 +74,7 @@
 
   if (strcmp (object->name, platform_routing_name) != 0)
     return;
-  message = message_new (DIRECT_ROUTING);
+  message = direct_message_new (DIRECT_ROUTING);
   if (object->deleted
       || platform_read_routing (message, object->value, &routing, &error) < 0)
     {
@@ -112,7 +104,7 @@
 {
   State *state = data;
   uint64_t proven_ms = dl_object_watch_proven_ms (state->routing_watch);
-  DirectMessage *message = message_new (DIRECT_FRESH);
+  DirectMessage *message = direct_message_new (DIRECT_FRESH);
 
   dl_metric_observe_us (&metric_age, (dl_clock_ms () - proven_ms) * 1000);
   message->fresh_ms = proven_ms;
@@ -130,96 +122,12 @@
 
 /* -------- upstreams -------- */
 
-static void
-free_listed (gpointer data)
-{
-  talloc_free (data);
-}
-
-static void
-publish_gone (State *state, const char *id)
-{
-  DirectMessage *message = message_new (DIRECT_UPSTREAM_GONE);
-
-  dl_log (DL_EVENT_DIRECT_UPSTREAM_GONE, DL_TEXT ("upstream", id));
-  message->gone_id = talloc_strdup (message, id);
-  dl_kernel_publish (state->kernel, message);
-}
-
-static void
-on_upstream_absent (State *state, const char *id)
-{
-  Listed *listed = g_hash_table_lookup (state->listed, id);
-
-  if (listed == NULL || listed->keep_until_ms != 0)
-    return;
-  listed->keep_until_ms
-      = dl_lapse_keep_until (&state->lapse, listed->leaving, dl_clock_ms ());
-  if (listed->keep_until_ms != 0)
-    {
-      dl_log (DL_EVENT_DIRECT_UPSTREAM_SUSPECT, DL_TEXT ("upstream", id));
-      return;
-    }
-  publish_gone (state, id);
-  g_hash_table_remove (state->listed, id);
-}
-
-/* What cannot be read names no upstream to use. */
-static void
-on_upstream_malformed (State *state, const DlObject *object)
-{
-  dl_log (DL_EVENT_DIRECT_UPSTREAM_MALFORMED, DL_TEXT ("upstream", object->name),
-          DL_UINT ("revision", object->revision));
-  if (g_hash_table_contains (state->listed, object->name))
-    {
-      publish_gone (state, object->name);
-      g_hash_table_remove (state->listed, object->name);
-    }
-}
-
-static void
-note_listed (State *state, const DlUpstreamEntry *entry, uint64_t revision)
-{
-  Listed *listed = g_hash_table_lookup (state->listed, entry->id);
-
-  if (listed == NULL)
-    {
-      listed = talloc_zero (state, Listed);
-      listed->id = talloc_strdup (listed, entry->id);
-      g_hash_table_insert (state->listed, listed->id, listed);
-      dl_log (DL_EVENT_DIRECT_UPSTREAM_ADDED, DL_TEXT ("upstream", entry->id),
-              DL_TEXT ("address", entry->address), DL_TEXT ("service", entry->service),
-              DL_UINT ("slots", entry->slots), DL_UINT ("weights", entry->version),
-              DL_UINT ("revision", revision));
-    }
-  listed->keep_until_ms = 0;
-  if (entry->leaving && !listed->leaving)
-    dl_log (DL_EVENT_DIRECT_UPSTREAM_LEAVING, DL_TEXT ("upstream", entry->id),
-            DL_UINT ("revision", revision));
-  listed->leaving = entry->leaving;
-}
-
 static void
 on_upstream (const DlObject *object, void *data)
 {
   State *state = data;
-  DirectMessage *message;
 
-  if (object->deleted)
-    {
-      on_upstream_absent (state, object->name);
-      return;
-    }
-  message = message_new (DIRECT_UPSTREAM);
-  if (platform_read_upstream (message, object->name, object->value, &message->upstream)
-      < 0)
-    {
-      on_upstream_malformed (state, object);
-      dl_message_unref (message);
-      return;
-    }
-  note_listed (state, &message->upstream, object->revision);
-  dl_kernel_publish (state->kernel, message);
+  direct_listed_take (state->listed, object);
 }
 
 static void
@@ -227,7 +135,7 @@
 {
   State *state = data;
 
-  dl_lapse_answered (&state->lapse, dl_clock_ms ());
+  direct_listed_contact (state->listed, 0);
 }
 
 static void
@@ -235,30 +143,7 @@
 {
   State *state = data;
 
-  if (error < 0)
-    dl_lapse_failed (&state->lapse);
-  else
-    dl_lapse_answered (&state->lapse, dl_clock_ms ());
-}
-
-/* Drops upstreams that did not come back on the list in time. */
-static void
-drop_lapsed (State *state)
-{
-  uint64_t now_ms = dl_clock_ms ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, state->listed);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Listed *listed = value;
-
-      if (listed->keep_until_ms == 0 || now_ms < listed->keep_until_ms)
-        continue;
-      publish_gone (state, listed->id);
-      g_hash_table_iter_remove (&iter);
-    }
+  direct_listed_contact (state->listed, error);
 }
 
 /* -------- versions -------- */
@@ -267,7 +152,7 @@
 on_named (const DlNamed *named, void *data)
 {
   State *state = data;
-  DirectMessage *message = message_new (DIRECT_VERSION);
+  DirectMessage *message = direct_message_new (DIRECT_VERSION);
 
   message->version.model = talloc_strdup (message, named->model);
   message->version.version = named->version;
@@ -281,7 +166,7 @@
 {
   State *state = data;
 
-  dl_kernel_publish (state->kernel, message_new (DIRECT_UNNAMED));
+  dl_kernel_publish (state->kernel, direct_message_new (DIRECT_UNNAMED));
 }
 
 /* -------- other nodes -------- */
@@ -291,7 +176,7 @@
                 const DlPeer *peer,
                 const Daisyloft__Wire__NodeStatus *status)
 {
-  DirectMessage *message = message_new (DIRECT_HOLDER);
+  DirectMessage *message = direct_message_new (DIRECT_HOLDER);
 
   message->holder = dl_holder_read (message, peer, status);
   dl_kernel_publish (state->kernel, message);
@@ -301,7 +186,7 @@
 on_gone (const DlPeer *peer, void *data)
 {
   State *state = data;
-  DirectMessage *message = message_new (DIRECT_NODE_GONE);
+  DirectMessage *message = direct_message_new (DIRECT_NODE_GONE);
 
   message->gone_node = talloc_strdup (message, peer->name);
   dl_kernel_publish (state->kernel, message);
@@ -315,7 +200,7 @@
 
   if (!dl_version_floor_raise (&state->floor, floor))
     return;
-  message = message_new (DIRECT_FLOOR);
+  message = direct_message_new (DIRECT_FLOOR);
   message->floor = floor;
   dl_kernel_publish (state->kernel, message);
 }
@@ -333,7 +218,7 @@
     publish_holder (state, peer, status);
   if (engine == NULL)
     return;
-  message = message_new (DIRECT_ENGINE);
+  message = direct_message_new (DIRECT_ENGINE);
   message->engine = (DirectEngine){
     .address = talloc_strdup (message, engine->address),
     .serves = !engine->loading,
@@ -422,7 +307,7 @@
 static void
 publish_entries (State *state)
 {
-  DirectMessage *message = message_new (DIRECT_ENTRIES);
+  DirectMessage *message = direct_message_new (DIRECT_ENTRIES);
   EntryCollection c = {
     .settings = state->settings,
     .message = message,
@@ -477,7 +362,7 @@
 {
   State *state = data;
 
-  drop_lapsed (state);
+  direct_listed_sweep (state->listed);
   refresh_readiness (state);
   if (++state->ticks % STATUS_EVERY_TICKS == 0)
     send_status (state);
@@ -501,10 +386,21 @@
 {
   if (state->holding != NULL)
     dl_message_unref (state->holding);
-  g_hash_table_destroy (state->listed);
   return 0;
 }
 
+/* What is read of the store is shared with the region's other entries. */
+static void
+start_sharing (State *state)
+{
+  state->source = dl_relay_source_new (state->task, state, state->settings);
+  state->relay = dl_object_relay_new (state->task, state);
+  dl_object_relay_add_kind (state->relay, platform_kind_routing, RELAYED_AGE_MAX_MS);
+  dl_object_relay_add_kind (state->relay, platform_kind_upstreams, RELAYED_AGE_MAX_MS);
+  dl_object_relay_add_kind (state->relay, platform_kind_versions,
+                            VERSIONS_WAIT_MS + RELAYED_AGE_MAX_MS);
+}
+
 static void
 start_watches (State *state)
 {
@@ -514,6 +410,9 @@
                                  .kind = platform_kind_routing,
                                  .wait_ms
                                  = direct_stale_ms (state->settings) / ROUTING_PROOFS,
+                                 .reader_wait_ms = READER_WAIT_MS,
+                                 .source = state->source,
+                                 .relay = state->relay,
                                  .retry_max_ms = ROUTING_RETRY_MS,
                                  .on_object = on_routing,
                                  .on_proven = on_routing_proven,
@@ -524,6 +423,9 @@
                                                 &(DlObjectWatchOptions){
                                                     .kind = platform_kind_upstreams,
                                                     .wait_ms = UPSTREAMS_WAIT_MS,
+                                                    .reader_wait_ms = READER_WAIT_MS,
+                                                    .source = state->source,
+                                                    .relay = state->relay,
                                                     .pause_ms = UPSTREAMS_PAUSE_MS,
                                                     .retry_max_ms = ROUTING_RETRY_MS,
                                                     .on_object = on_upstream,
@@ -536,6 +438,8 @@
                                          .store = state->store,
                                          .kind = platform_kind_versions,
                                          .wait_ms = VERSIONS_WAIT_MS,
+                                         .source = state->source,
+                                         .relay = state->relay,
                                          .retry_max_ms = RETRY_MS,
                                          .read = platform_read_version,
                                          .on_named = on_named,
@@ -554,10 +458,11 @@
   state->task = task;
   state->kernel = dl_task_kernel (task);
   state->settings = direct_settings (task);
-  state->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_listed);
+  state->listed = direct_listed_new (state->kernel, state);
   talloc_set_destructor (state, state_destroy);
   state->store = dl_object_client_new_with (task, state, state->settings->store,
                                             STORE_TIMEOUT_MS, &platform_store_protocol);
+  start_sharing (state);
   error = dl_peers_new (task, state,
                         &(DlPeersOptions){
                             .settings = state->settings,
@@ -572,7 +477,8 @@
                         &state->peers);
   if (error < 0)
     return error;
-  error = dl_metrics_page_new (task, state, state->settings->metrics);
+  dl_relay_source_set_peers (state->source, state->peers);
+  error = dl_metrics_page_new (task, state, state->settings->metrics, state->relay);
   if (error < 0)
     return error;
   start_watches (state);
@@ -602,7 +508,7 @@
                               dl_clock_ms ()
                               - dl_object_watch_proven_ms (state->routing_watch)));
   json_object_object_add (object, "upstreams",
-                          json_object_new_int ((int)g_hash_table_size (state->listed)));
+                          json_object_new_int ((int)direct_listed_count (state->listed)));
   json_object_object_add (object, "ready", json_object_new_boolean (state->ready));
   return object;
 }
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -309,7 +309,7 @@
                         &state->peers);
   if (error < 0)
     return error;
-  error = dl_metrics_page_new (task, state, state->settings->metrics);
+  error = dl_metrics_page_new (task, state, state->settings->metrics, NULL);
   if (error < 0)
     return error;
   start_watches (state, store);
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -27,6 +27,7 @@
   DlHttpClient *http;
   char *address;
   uint64_t timeout_ms;
+  uint64_t margin_ms; /* of a watch, beyond its wait */
   const DlObjectProtocol *protocol;
 };
 
@@ -118,6 +119,7 @@
 {
   result->revision = get_uint (body, "revision");
   result->created = get_uint (body, "created");
+  result->age_ms = get_uint (body, "age_ms");
   switch (request->action)
     {
     case DL_OBJECT_GET:
@@ -264,7 +266,7 @@
 static uint64_t
 call_timeout_ms (const DlObjectClient *client, const DlObjectRequest *request)
 {
-  return request->action == DL_OBJECT_WATCH ? request->wait_ms + WATCH_MARGIN_MS
+  return request->action == DL_OBJECT_WATCH ? request->wait_ms + client->margin_ms
                                             : client->timeout_ms;
 }
 
@@ -313,6 +315,12 @@
   talloc_steal (http, call);
 }
 
+void
+dl_object_client_set_margin (DlObjectClient *client, uint64_t margin_ms)
+{
+  client->margin_ms = margin_ms;
+}
+
 DlObjectClient *
 dl_object_client_new_with (DlTask *task,
                            const void *owner,
@@ -328,6 +336,7 @@
   client->address = talloc_strdup (client, address);
   client->timeout_ms = timeout_ms;
   client->protocol = protocol;
+  client->margin_ms = WATCH_MARGIN_MS;
   return client;
 }
 
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -53,6 +53,9 @@
   size_t count;
   DlObject *objects;
   bool more; /* a list goes on after its last object */
+  /* How long before the answer this was the platform's newest state, where another
+   * process answers in its place; 0 from the platform itself. */
+  uint64_t age_ms;
 } DlObjectResult;
 
 typedef enum
@@ -115,6 +118,8 @@
                                            const char *address,
                                            uint64_t timeout_ms,
                                            const DlObjectProtocol *protocol);
+/* A watch is given up this long after its wait, in place of the usual time. */
+void dl_object_client_set_margin (DlObjectClient *client, uint64_t margin_ms);
 /* Each call is a talloc child of OWNER, freed after FUNC; freeing OWNER earlier cancels
  * it without a callback. */
 void dl_object_get (DlObjectClient *client,
--- a/lib/node/depot_fetch.c
+++ b/lib/node/depot_fetch.c
@@ -3,6 +3,7 @@
  */
 #include "node/depot_private.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
@@ -12,15 +13,13 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
-#define CONNECT_TIMEOUT_MS   500
-#define PEER_TIMEOUT_MS      1500
-#define ORIGIN_TIMEOUT_MS    3000
-#define MANIFEST_TIMEOUT_MS  900
-#define MANIFEST_RETRY_MS    300
-#define MANIFEST_PATIENCE_MS 700
-#define MANIFEST_MAX_BYTES   (1u << 20)
-#define MANIFEST_CHUNKS_MAX  65536
-#define CHUNK_MAX_BYTES      (1u << 20)
+#define CONNECT_TIMEOUT_MS  500
+#define PEER_TIMEOUT_MS     1500
+#define ORIGIN_TIMEOUT_MS   3000
+#define MANIFEST_TIMEOUT_MS 900
+#define MANIFEST_MAX_BYTES  (1u << 20)
+#define MANIFEST_CHUNKS_MAX 65536
+#define CHUNK_MAX_BYTES     (1u << 20)
 /* Requests of callers come to an upstream over its host's link, behind what was sent for
  * a chunk. */
 #define RECEIVE_BUFFER_BYTES (8u << 10)
@@ -176,17 +175,52 @@
                                       b->version, &o);
 }
 
-/* Leaves the origin to the hubs at first, whose word arrives soon. */
+typedef struct
+{
+  bool is_hub; /* the kind of hosts that are looked for */
+  GPtrArray *names;
+  bool has_hubs;
+} SameKind;
+
+static void
+add_same_kind (const DlHolder *holder, void *data)
+{
+  SameKind *s = data;
+
+  s->has_hubs = s->has_hubs || holder->is_hub;
+  if (holder->is_hub == s->is_hub)
+    g_ptr_array_add (s->names, (gpointer)holder->name);
+}
+
+/* True when it is this host's turn to ask the origin. */
 static bool
-is_left_to_hubs (const DlBundle *b, uint64_t now_ms)
+is_turn_at_origin (const DlBundle *b, uint64_t now_ms)
 {
-  return !b->depot->options.is_hub && now_ms - b->progress_ms < MANIFEST_PATIENCE_MS;
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+  bool is_hub = b->depot->options.is_hub;
+  SameKind same = { .is_hub = is_hub, .names = names, .has_hubs = is_hub };
+  DlManifestTurn turn;
+
+  if (b->depot->origin == NULL)
+    return false;
+  dl_depot_each_holder (b->depot, add_same_kind, &same);
+  turn = (DlManifestTurn){
+    .host = b->depot->options.settings->name,
+    .is_hub = is_hub,
+    .others = (const char *const *)names->pdata,
+    .other_count = names->len,
+    .has_hubs = same.has_hubs,
+    .model = b->model,
+    .version = b->version,
+  };
+  if (b->asked_ms != 0)
+    return now_ms - b->asked_ms >= dl_manifest_turn_pause_ms (&turn);
+  return now_ms - b->progress_ms >= dl_manifest_turn_first_ms (&turn);
 }
 
 void
 dl_bundle_fetch_manifest (DlBundle *b)
 {
-  DlDepot *depot = b->depot;
   uint64_t now_ms = dl_clock_ms ();
   const DlHolder *holder;
   const DlHttpCallOptions options = {
@@ -197,12 +231,12 @@
     .data = b,
   };
 
-  if (b->asked_ms != 0 && now_ms - b->asked_ms < MANIFEST_RETRY_MS)
+  if (b->asked_ms != 0 && now_ms - b->asked_ms < DL_MANIFEST_RETRY_MS)
     return;
   if (b->version == 0)
     b->version = newest_of_hubs (b);
   holder = b->version > 0 ? manifest_holder (b) : NULL;
-  if (holder == NULL && (depot->origin == NULL || is_left_to_hubs (b, now_ms)))
+  if (holder == NULL && !is_turn_at_origin (b, now_ms))
     return;
   b->asked_ms = now_ms;
   if (holder != NULL)
--- a/lib/node/metrics_page.c
+++ b/lib/node/metrics_page.c
@@ -1,20 +1,28 @@
 #include "node/metrics_page.h"
 
 #include <string.h>
+#include <talloc.h>
 
 #include "kernel/http_server.h"
 #include "kernel/metrics.h"
 
-#define CONNECTIONS      8
+/* The operators', and three of each entry that asks the relay. */
+#define CONNECTIONS      128
 #define HEADER_BYTES     (4u << 10)
 #define IDLE_TIMEOUT_S   10
 #define STATUS_OK        200
 #define STATUS_NOT_FOUND 404
 
+typedef struct
+{
+  DlTask *task;
+  DlObjectRelay *relay;
+} Page;
+
 static void
 on_request (DlHttpRequest *http, void *data)
 {
-  DlTask *task = data;
+  const Page *page = data;
   const char *path = dl_http_request_path (http);
 
   if (strcmp (path, "/metrics") == 0)
@@ -26,22 +34,29 @@
                      NULL);
     }
   else if (strcmp (path, "/dump") == 0)
-    dl_http_reply_json (http, STATUS_OK, dl_kernel_dump (dl_task_kernel (task)));
-  else
+    dl_http_reply_json (http, STATUS_OK, dl_kernel_dump (dl_task_kernel (page->task)));
+  else if (page->relay == NULL || !dl_object_relay_handle (page->relay, http))
     dl_http_reply_error (http, STATUS_NOT_FOUND, 0, "no such page");
 }
 
 int
-dl_metrics_page_new (DlTask *task, const void *owner, const char *address)
+dl_metrics_page_new (DlTask *task,
+                     const void *owner,
+                     const char *address,
+                     DlObjectRelay *relay)
 {
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
   DlHttpServer *server;
+  Page *page;
 
   if (address == NULL)
     return 0;
+  page = talloc_zero (owner, Page);
+  page->task = task;
+  page->relay = relay;
   limits.max_connections = CONNECTIONS;
   limits.max_header_bytes = HEADER_BYTES;
   limits.idle_timeout_s = IDLE_TIMEOUT_S;
-  return dl_http_server_new (task, owner, dl_str (address), &limits, on_request, task,
+  return dl_http_server_new (task, owner, dl_str (address), &limits, on_request, page,
                              &server);
 }
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -11,6 +11,9 @@
 #define EARLY_PAUSE_MS 100
 /* An answer of a watch may take this long beyond its wait. */
 #define UNBROKEN_SLACK_MS 1000
+/* Readers tell of each new proof; without one their answer comes this long after it was
+ * due. */
+#define RELAY_WAIT_SLACK_MS 100
 
 struct DlObjectWatch
 {
@@ -21,11 +24,14 @@
   GHashTable *listed;    /* names seen by the list under way; NULL while watching */
   char *list_after;      /* the list goes on after this name; NULL at its start */
   uint64_t list_revision;
+  DlObjectClient *list_client; /* that gives the pages */
   uint64_t revision;
-  uint64_t sent_ms;   /* of the call under way; of a list, of its first page */
-  uint64_t proven_ms; /* 0: nothing known yet */
+  uint64_t sent_wait_ms; /* of the watch under way */
+  uint64_t sent_ms;      /* of the call under way; of a list, of its first page */
+  uint64_t proven_ms;    /* 0: nothing known yet */
   uint64_t retry_ms;
-  bool lost; /* the platform did not answer last time */
+  bool lost;      /* the platform did not answer last time */
+  bool via_relay; /* the call under way goes to another entry */
   DlTimer *timer;
 };
 
@@ -40,6 +46,14 @@
   return (uint64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (watch->revisions, name));
 }
 
+static void
+tell (DlObjectWatch *watch, const DlObject *object)
+{
+  if (watch->options.relay != NULL)
+    dl_object_relay_take (watch->options.relay, object);
+  watch->options.on_object (object, watch->options.data);
+}
+
 static void
 tell_deleted (DlObjectWatch *watch, const char *name, uint64_t revision)
 {
@@ -50,7 +64,7 @@
     .deleted = true,
   };
 
-  watch->options.on_object (&object, watch->options.data);
+  tell (watch, &object);
 }
 
 static void
@@ -66,7 +80,7 @@
     }
   g_hash_table_insert (watch->revisions, g_strdup (object->name),
                        GSIZE_TO_POINTER ((gsize)object->revision));
-  watch->options.on_object (object, watch->options.data);
+  tell (watch, object);
 }
 
 /* Drops what a whole list did not show any more. */
@@ -96,15 +110,22 @@
   if (watch->lost == lost)
     return;
   watch->lost = lost;
+  if (lost && watch->options.relay != NULL)
+    dl_object_relay_lost (watch->options.relay, watch->options.kind);
   if (watch->options.on_contact != NULL)
     watch->options.on_contact (error, watch->options.data);
 }
 
+/* What is known was current AGE_MS before the call was sent, or later. */
 static void
-proven (DlObjectWatch *watch)
+proven (DlObjectWatch *watch, uint64_t age_ms)
 {
-  watch->proven_ms = watch->sent_ms;
+  if (watch->sent_ms > age_ms)
+    watch->proven_ms = MAX (watch->proven_ms, watch->sent_ms - age_ms);
   watch->retry_ms = 0;
+  if (watch->options.relay != NULL)
+    dl_object_relay_proven (watch->options.relay, watch->options.kind, watch->revision,
+                            watch->proven_ms);
   if (watch->options.on_proven != NULL)
     watch->options.on_proven (watch->options.data);
 }
@@ -151,15 +172,35 @@
   TALLOC_FREE (watch->list_after);
 }
 
+/* The other entry does not answer, or has no fresh proof: goes on without it. */
 static void
-end_list (DlObjectWatch *watch)
+leave_relay (DlObjectWatch *watch)
+{
+  dl_relay_source_failed (watch->options.source);
+  on_timer (NULL, watch);
+}
+
+/* The client to ask now. */
+static DlObjectClient *
+choose_client (DlObjectWatch *watch)
+{
+  DlObjectClient *relay = NULL;
+
+  if (watch->options.source != NULL)
+    relay = dl_relay_source_choose (watch->options.source);
+  watch->via_relay = relay != NULL;
+  return relay != NULL ? relay : watch->client;
+}
+
+static void
+end_list (DlObjectWatch *watch, uint64_t age_ms)
 {
   drop_unlisted (watch);
   g_hash_table_destroy (watch->listed);
   watch->listed = NULL;
   TALLOC_FREE (watch->list_after);
   watch->revision = watch->list_revision;
-  proven (watch);
+  proven (watch, age_ms);
   send_watch (watch);
 }
 
@@ -168,6 +209,12 @@
 {
   DlObjectWatch *watch = data;
 
+  if (result->error < 0 && watch->via_relay)
+    {
+      restart_list (watch);
+      leave_relay (watch);
+      return;
+    }
   if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
     {
       restart_list (watch);
@@ -186,7 +233,7 @@
     }
   if (!result->more || result->count == 0)
     {
-      end_list (watch);
+      end_list (watch, result->age_ms);
       return;
     }
   TALLOC_FREE (watch->list_after);
@@ -200,8 +247,11 @@
   if (watch->listed == NULL)
     restart_list (watch);
   if (watch->list_after == NULL)
-    watch->sent_ms = dl_clock_ms ();
-  dl_object_list_after (watch->client, watch, watch->options.kind, watch->list_after,
+    {
+      watch->sent_ms = dl_clock_ms ();
+      watch->list_client = choose_client (watch);
+    }
+  dl_object_list_after (watch->list_client, watch, watch->options.kind, watch->list_after,
                         on_list, watch);
 }
 
@@ -216,6 +266,11 @@
       send_list (watch);
       return;
     }
+  if (result->error < 0 && watch->via_relay)
+    {
+      leave_relay (watch);
+      return;
+    }
   if (result->error < 0)
     {
       retry_later (watch, result);
@@ -225,22 +280,40 @@
   for (size_t i = 0; i < result->count; i++)
     take_object (watch, &result->objects[i]);
   watch->revision = MAX (watch->revision, result->revision);
-  proven (watch);
-  if (result->count > 0 && watch->options.pause_ms > 0)
+  proven (watch, result->age_ms);
+  if (watch->via_relay)
+    send_watch (watch);
+  else if (result->count > 0 && watch->options.pause_ms > 0)
     run_after (watch, watch->options.pause_ms);
   else if (result->count == 0
-           && dl_clock_ms () - watch->sent_ms < watch->options.wait_ms / 2)
+           && dl_clock_ms () - watch->sent_ms < watch->sent_wait_ms / 2)
     run_after (watch, EARLY_PAUSE_MS);
   else
     send_watch (watch);
 }
 
+/* How long the next watch waits. */
+static uint64_t
+wait_ms (const DlObjectWatch *watch)
+{
+  const DlObjectWatchOptions *o = &watch->options;
+
+  if (watch->via_relay)
+    return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
+  if (o->source != NULL && dl_relay_source_is_reader (o->source))
+    return o->reader_wait_ms;
+  return o->wait_ms;
+}
+
 static void
 send_watch (DlObjectWatch *watch)
 {
+  DlObjectClient *client = choose_client (watch);
+
   watch->sent_ms = dl_clock_ms ();
-  dl_object_watch (watch->client, watch, watch->options.kind, watch->revision,
-                   watch->options.wait_ms, on_watch, watch);
+  watch->sent_wait_ms = wait_ms (watch);
+  dl_object_watch (client, watch, watch->options.kind, watch->revision,
+                   watch->sent_wait_ms, on_watch, watch);
 }
 
 static int
@@ -280,11 +353,5 @@
 dl_object_watch_is_unbroken (const DlObjectWatch *watch)
 {
   return watch->proven_ms != 0 && watch->listed == NULL && !watch->lost
-         && dl_clock_ms () - watch->sent_ms <= watch->options.wait_ms + UNBROKEN_SLACK_MS;
-}
-
-uint64_t
-dl_object_watch_revision (const DlObjectWatch *watch)
-{
-  return watch->revision;
+         && dl_clock_ms () - watch->sent_ms <= watch->sent_wait_ms + UNBROKEN_SLACK_MS;
 }
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -12,7 +12,8 @@
 #ifndef DL_OBJECT_WATCH_H
 #define DL_OBJECT_WATCH_H
 
-#include "kernel/object_client.h"
+#include "node/object_relay.h"
+#include "node/relay_source.h"
 
 typedef struct DlObjectWatch DlObjectWatch;
 
@@ -30,6 +31,11 @@
    * the answer says. */
   void (*on_contact) (int error, void *data);
   void *data;
+  /* Other entries are asked in the platform's place where SOURCE names one, and are told
+   * through RELAY what is known here.  Both NULL to do neither. */
+  DlRelaySource *source;
+  DlObjectRelay *relay;
+  uint64_t reader_wait_ms; /* in place of wait_ms while others ask this process */
 } DlObjectWatchOptions;
 
 /* OPTIONS is copied, its texts are not. */
@@ -42,7 +48,4 @@
 /* True when the watch has heard the platform without a gap that its waits do not explain,
  * so that what arrives now has just happened. */
 bool dl_object_watch_is_unbroken (const DlObjectWatch *watch);
-/* Revision that everything known is current as of. */
-uint64_t dl_object_watch_revision (const DlObjectWatch *watch);
-
 #endif
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -74,6 +74,8 @@
   json_object_object_add (object, "address", json_object_new_string (s->address));
   if (s->listen != NULL)
     json_object_object_add (object, "listen", json_object_new_string (s->listen));
+  if (s->listen != NULL && s->metrics != NULL)
+    json_object_object_add (object, "relay", json_object_new_string (s->metrics));
   return object;
 }
 
@@ -166,6 +168,7 @@
   p->data_center = member_text (node, object->value, "data_center");
   p->address = member_text (node, object->value, "address");
   p->listen = member_text (node, object->value, "listen");
+  p->relay = member_text (node, object->value, "relay");
   node->revision = object->revision;
   return p->region != NULL && p->data_center != NULL && p->address != NULL
          && dl_address_parse (dl_str (p->address), &node->at) == 0
@@ -239,12 +242,6 @@
   return peer->heard_ms != 0 && now_ms - peer->heard_ms <= DL_PEER_SILENT_MS;
 }
 
-const DlPeer *
-dl_peers_find (const DlPeers *peers, const char *name)
-{
-  return g_hash_table_lookup (peers->nodes, name);
-}
-
 void
 dl_peers_each_alive (const DlPeers *peers,
                      Daisyloft__Wire__Role role,
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -31,6 +31,7 @@
   const char *data_center;
   const char *address; /* "IP:PORT" for datagrams and HTTP between nodes */
   const char *listen;  /* of an entry: for requests */
+  const char *relay;   /* the same: gives out what it knows of the store; may be NULL */
   uint64_t heard_ms;   /* when its last datagram arrived; 0 for never */
   bool ready;          /* by its last datagram */
 } DlPeer;
@@ -71,8 +72,6 @@
                           Daisyloft__Wire__Role role,
                           void (*func) (const DlPeer *peer, void *data),
                           void *data);
-/* NULL when no such node is registered. */
-const DlPeer *dl_peers_find (const DlPeers *peers, const char *name);
 bool dl_peer_is_alive (const DlPeer *peer, uint64_t now_ms);
 
 #endif
--- a/lib/node/versions.c
+++ b/lib/node/versions.c
@@ -80,6 +80,9 @@
                                          &(DlObjectWatchOptions){
                                              .kind = options->kind,
                                              .wait_ms = options->wait_ms,
+                                             .reader_wait_ms = options->wait_ms,
+                                             .source = options->source,
+                                             .relay = options->relay,
                                              .retry_max_ms = options->retry_max_ms,
                                              .on_object = on_object,
                                              .on_proven = on_proven,
--- a/lib/node/versions.h
+++ b/lib/node/versions.h
@@ -14,6 +14,8 @@
   const char *kind;      /* of the objects that name versions */
   uint64_t wait_ms;      /* longest time that one watch waits */
   uint64_t retry_max_ms; /* longest pause between tries while the store is away */
+  DlRelaySource *source; /* as in DlObjectWatchOptions; NULL for none */
+  DlObjectRelay *relay;
   /* Reads an object's value below CONTEXT; returns 0 or a negative error. */
   int (*read) (const void *context,
                json_object *value,
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -431,3 +431,27 @@
 {
   return dl_str_bytes (plan->bitmap, bitmap_bytes (plan));
 }
+
+/* -------- the manifest -------- */
+
+uint64_t
+dl_manifest_turn_first_ms (const DlManifestTurn *t)
+{
+  g_autofree char *key = g_strdup_printf ("%s:%" G_GUINT64_FORMAT, t->model, t->version);
+  uint64_t own = dl_rendezvous_score (dl_str (key), dl_str (t->host));
+  uint64_t at_ms = 0;
+
+  if (!t->is_hub)
+    at_ms = t->has_hubs ? DL_MANIFEST_HUBS_MS : DL_MANIFEST_NO_HUBS_MS;
+  for (size_t i = 0; i < t->other_count; i++)
+    if (dl_rendezvous_score (dl_str (key), dl_str (t->others[i])) > own)
+      at_ms += DL_MANIFEST_STEP_MS;
+  return at_ms;
+}
+
+uint64_t
+dl_manifest_turn_pause_ms (const DlManifestTurn *t)
+{
+  return MAX ((t->other_count + 1) * DL_MANIFEST_PAUSE_MS,
+              (uint64_t)DL_MANIFEST_RETRY_MS);
+}
--- a/lib/policy/fetch_plan.h
+++ b/lib/policy/fetch_plan.h
@@ -10,9 +10,11 @@
  * Each chunk has one hub that draws it from the origin and, in each other region, one
  * that brings it there; a hash over the live hubs tells which, so that nobody is in
  * charge. Draws begin one after the other, as the origin's link takes them, so that the
- * first chunks spread while the last are drawn.  A chunk that does not come in time is
- * fetched by others too, one after the other in the order of the hash; without hubs the
- * other hosts do all this among themselves.
+ * first chunks spread while the last are drawn.  The manifest is asked for in the order
+ * of a hash too: the origin takes few connections, and a host that has the manifest gives
+ * it to the others.  A chunk that does not come in time is fetched by others too, one
+ * after the other in the order of the hash; without hubs the other hosts do all this
+ * among themselves.
  *
  * Pure: times are milliseconds that the caller gives.
  */
@@ -39,6 +41,15 @@
  * long, and by each further one after the step. */
 #define DL_FETCH_STEP_IN_MS   1200
 #define DL_FETCH_STEP_NEXT_MS 400
+/* Each host asks the origin for the manifest this long after the one before it, and all
+ * of them together once in this time. */
+#define DL_MANIFEST_STEP_MS  150
+#define DL_MANIFEST_PAUSE_MS 60
+#define DL_MANIFEST_RETRY_MS 300
+/* Hosts that are no hubs leave it to the hubs for this long. */
+#define DL_MANIFEST_HUBS_MS 3000
+/* The same when no hub is known yet. */
+#define DL_MANIFEST_NO_HUBS_MS 700
 /* A source that failed or was busy is left alone for this long. */
 #define DL_FETCH_BUSY_MS   120
 #define DL_FETCH_FAILED_MS 700
@@ -62,6 +73,23 @@
 
 DlFetchPlan *dl_fetch_plan_new (const void *context, const DlFetchPlanOptions *options);
 
+/* Who asks the origin for a version's manifest, as nobody has it yet. */
+typedef struct
+{
+  const char *host; /* this one */
+  bool is_hub;
+  const char *const *others; /* names of the live hosts of the same kind, hubs or not */
+  size_t other_count;
+  bool has_hubs; /* there are live hubs, this host or others */
+  const char *model;
+  uint64_t version;
+} DlManifestTurn;
+
+/* Time after the version was learned of until this host asks. */
+uint64_t dl_manifest_turn_first_ms (const DlManifestTurn *turn);
+/* Pause between its questions, so that all together ask at a bounded rate. */
+uint64_t dl_manifest_turn_pause_ms (const DlManifestTurn *turn);
+
 /* HOST is alive.  HOLDS is a bitmap of the chunks of this version that it has, one bit
  * for each from the lowest bit of the first byte on; empty when it has none. */
 void dl_fetch_plan_peer (
--- a/regress/unit/test_fetch_plan.c
+++ b/regress/unit/test_fetch_plan.c
@@ -270,7 +270,77 @@
   talloc_free (plan);
 }
 
+/* -------- the manifest -------- */
+
+#define ASKERS_MAX 64
+#define FAST_MS    200
+
+/* How often hosts of one kind ask, from the version's name until UNTIL_MS, as the origin
+ * never answers. */
+static unsigned
+count_asks (bool is_hub, bool has_hubs, unsigned hosts_of_kind, uint64_t until_ms)
+{
+  char names[ASKERS_MAX][16];
+  unsigned asks = 0;
+
+  for (unsigned i = 0; i < hosts_of_kind; i++)
+    g_snprintf (names[i], sizeof names[i], "host-%u", i);
+  for (unsigned i = 0; i < hosts_of_kind; i++)
+    {
+      const char *others[ASKERS_MAX];
+      DlManifestTurn turn = {
+        .host = names[i],
+        .is_hub = is_hub,
+        .others = others,
+        .has_hubs = has_hubs,
+        .model = "m",
+        .version = 2,
+      };
+
+      for (unsigned k = 0; k < hosts_of_kind; k++)
+        if (k != i)
+          others[turn.other_count++] = names[k];
+      for (uint64_t at_ms = dl_manifest_turn_first_ms (&turn); at_ms < until_ms;
+           at_ms += dl_manifest_turn_pause_ms (&turn))
+        asks++;
+    }
+  return asks;
+}
+
+typedef struct
+{
+  bool is_hub;
+  bool has_hubs;
+  unsigned hosts_of_kind;
+  uint64_t until_ms;
+  unsigned asks_max;
+} AskCase;
+
+/* The origin takes 48 connections, and an ask of one that is down holds one for half a
+ * second. */
+static const AskCase ask_cases[] = {
+  { true, true, 42, FAST_MS, 2 },      { true, true, 8, FAST_MS, 2 },
+  { true, true, 42, 60000, 60 * 20 },  { true, true, 8, 60000, 60 * 20 },
+  { true, true, 1, 60000, 60 * 20 },   { false, true, 58, 3000, 0 },
+  { false, true, 58, 60000, 60 * 20 }, { false, false, 58, 700, 0 },
+};
+
+static void
+test_manifest_turns (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (ask_cases); i++)
+    {
+      const AskCase *c = &ask_cases[i];
+
+      CU_ASSERT (count_asks (c->is_hub, c->has_hubs, c->hosts_of_kind, c->until_ms)
+                 <= c->asks_max);
+    }
+  CU_ASSERT_EQUAL (count_asks (true, true, 42, 1), 1);
+  CU_ASSERT (count_asks (false, false, 58, 2 * DL_MANIFEST_NO_HUBS_MS) > 0);
+}
+
 static const CU_TestInfo tests[] = {
+  { "who asks for the manifest", test_manifest_turns },
   { "many hosts against each other", test_worlds },
   { "a lost chunk", test_lost_chunk_is_fetched_again },
   CU_TEST_INFO_NULL,
--- /dev/null
+++ b/regress/unit/test_readers.c
@@ -0,0 +1,116 @@
+/* Which entries of a region read the store for the others. */
+#include <stdio.h>
+#include <string.h>
+
+#include "policy/readers.h"
+#include "unit.h"
+
+#define ENTRIES_MAX 40
+#define NAME_BYTES  24
+
+typedef struct
+{
+  char names[ENTRIES_MAX][NAME_BYTES];
+  unsigned count;
+} Region;
+
+static void
+fill (Region *r, unsigned count)
+{
+  r->count = count;
+  for (unsigned i = 0; i < count; i++)
+    snprintf (r->names[i], NAME_BYTES, "entry-%u", i);
+}
+
+/* Name of the entry that entry I asks; its own when it reads the store itself.  ABSENT is
+ * down; -1 for none. */
+static const char *
+choice (const Region *r, unsigned i, int absent)
+{
+  const char *others[ENTRIES_MAX];
+  size_t count = 0;
+  int chosen;
+
+  for (unsigned k = 0; k < r->count; k++)
+    if (k != i && (int)k != absent)
+      others[count++] = r->names[k];
+  chosen = dl_readers_choose (
+      &(DlReadersQuery){ .self = r->names[i], .others = others, .other_count = count });
+  return chosen < 0 ? r->names[i] : others[chosen];
+}
+
+static bool
+is_reader (const Region *r, unsigned i, int absent)
+{
+  return strcmp (choice (r, i, absent), r->names[i]) == 0;
+}
+
+static void
+test_one_reader_for_ten (void)
+{
+  Region r;
+
+  for (unsigned count = 1; count <= ENTRIES_MAX; count++)
+    {
+      unsigned readers = 0;
+
+      fill (&r, count);
+      for (unsigned i = 0; i < count; i++)
+        readers += is_reader (&r, i, -1);
+      CU_ASSERT_EQUAL (readers, (count + DL_READERS_SHARE - 1) / DL_READERS_SHARE);
+    }
+}
+
+/* Whoever is asked reads the store itself: there are no chains. */
+static void
+test_followers_ask_readers (void)
+{
+  Region r;
+  unsigned asked[ENTRIES_MAX] = { 0 };
+
+  fill (&r, ENTRIES_MAX);
+  for (unsigned i = 0; i < r.count; i++)
+    for (unsigned k = 0; k < r.count; k++)
+      if (k != i && strcmp (choice (&r, i, -1), r.names[k]) == 0)
+        {
+          CU_ASSERT_TRUE (is_reader (&r, k, -1));
+          asked[k]++;
+        }
+  for (unsigned k = 0; k < r.count; k++)
+    CU_ASSERT (!is_reader (&r, k, -1) || (asked[k] > 0 && asked[k] < ENTRIES_MAX / 2));
+}
+
+/* When a reader goes, another takes its place, and few others change whom they ask. */
+static void
+test_a_reader_goes (void)
+{
+  Region r;
+
+  fill (&r, ENTRIES_MAX);
+  for (unsigned gone = 0; gone < r.count; gone++)
+    {
+      unsigned readers = 0;
+      unsigned changed = 0;
+
+      if (!is_reader (&r, gone, -1))
+        continue;
+      for (unsigned i = 0; i < r.count; i++)
+        {
+          if (i == gone)
+            continue;
+          readers += is_reader (&r, i, (int)gone);
+          changed += strcmp (choice (&r, i, -1), choice (&r, i, (int)gone)) != 0;
+          CU_ASSERT_STRING_NOT_EQUAL (choice (&r, i, (int)gone), r.names[gone]);
+        }
+      CU_ASSERT_EQUAL (readers, 4);
+      CU_ASSERT (changed < ENTRIES_MAX / 2 + 5);
+    }
+}
+
+static const CU_TestInfo tests[] = {
+  { "one reader for ten entries", test_one_reader_for_ten },
+  { "followers ask readers", test_followers_ask_readers },
+  { "a reader goes", test_a_reader_goes },
+  CU_TEST_INFO_NULL,
+};
+UNIT_SUITE ("readers", tests)
