--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,13 +1,17 @@
 #!/bin/sh
-# Runs the seeded schedules and the scenarios with more seeds than CI does.  ROUNDS sets how
-# many times (20), FIRST the first seed (100000); a failure prints its seed.
+# Runs the seeded schedules, the soak of direct operation and the scenarios with more seeds
+# than CI does.  ROUNDS sets how many times (20), FIRST the first seed (100000), SECONDS_EACH
+# how long one soak lasts (15), UNITS=no leaves the schedules out; a failure prints its seed.
 set -u
 bin=$1
 rounds=${ROUNDS:-20}
 seed=${FIRST:-100000}
 while [ "$rounds" -gt 0 ]; do
 	echo "soak: UNIT_SEED=$seed"
-	UNIT_SEED=$seed "$bin/unit" >/dev/null || { echo "FAILED: UNIT_SEED=$seed $bin/unit"; exit 1; }
+	[ "${UNITS:-yes}" = no ] || UNIT_SEED=$seed "$bin/unit" >/dev/null ||
+		{ echo "FAILED: UNIT_SEED=$seed $bin/unit"; exit 1; }
+	"$bin/direct" "$bin" "$seed" "${SECONDS_EACH:-15}" ||
+		{ echo "FAILED: $bin/direct $bin $seed ${SECONDS_EACH:-15}"; exit 1; }
 	for f in regress/scenarios/*.scn; do
 		[ "${SCENARIOS:-no}" = yes ] || break
 		"$bin/scenario" --quiet --bin "$bin" --seed "$seed" "$f" ||
