A reader's proof is used for two waits; the log tells which kind a reader lacks

Change: the age up to which a reader gives out is two waits and its pause; readers pause for 200 ms after events.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -25,15 +25,17 @@
 #define UPSTREAMS_PAUSE_MS 600
 #define VERSIONS_WAIT_MS   5000
 #define ROUTING_RETRY_MS   400
-/* An entry that reads the store for others asks this often, and what it knows is given
- * out for so long after it was proven: others then ask the store themselves, well within
- * the time in which a routing table has to be in force. */
-#define READER_WAIT_MS     500
-#define RELAYED_AGE_MAX_MS 1200
-#define RETRY_MS           1000
-#define TICK_MS            250
-#define STATUS_EVERY_TICKS 2
-#define HOLDING_TICK_MS    40
+/* An entry that reads the store for others asks this often. */
+#define READER_WAIT_MS  500
+#define READER_PAUSE_MS 200
+/* What it knows is given out for so long after it was proven: others then ask the store
+ * themselves, within the time in which a change has to be in force.  An answer proves the
+ * state as of its question, so that a proof is used for two waits. */
+#define RELAYED_AGE_MAX_MS(wait_ms) (2 * (wait_ms) + READER_PAUSE_MS + 200)
+#define RETRY_MS                    1000
+#define TICK_MS                     250
+#define STATUS_EVERY_TICKS          2
+#define HOLDING_TICK_MS             40
 
 DL_METRIC (metric_age,
            DL_METRIC_HISTOGRAM,
@@ -395,10 +397,12 @@
 {
   state->source = dl_relay_source_new (state->task, state, state->settings);
   state->relay = dl_object_relay_new (state->task, state);
-  dl_object_relay_add_kind (state->relay, platform_kind_routing, RELAYED_AGE_MAX_MS);
-  dl_object_relay_add_kind (state->relay, platform_kind_upstreams, RELAYED_AGE_MAX_MS);
+  dl_object_relay_add_kind (state->relay, platform_kind_routing,
+                            RELAYED_AGE_MAX_MS (READER_WAIT_MS));
+  dl_object_relay_add_kind (state->relay, platform_kind_upstreams,
+                            RELAYED_AGE_MAX_MS (READER_WAIT_MS));
   dl_object_relay_add_kind (state->relay, platform_kind_versions,
-                            VERSIONS_WAIT_MS + RELAYED_AGE_MAX_MS);
+                            RELAYED_AGE_MAX_MS (VERSIONS_WAIT_MS));
 }
 
 static void
@@ -427,6 +431,7 @@
                                                     .source = state->source,
                                                     .relay = state->relay,
                                                     .pause_ms = UPSTREAMS_PAUSE_MS,
+                                                    .reader_pause_ms = READER_PAUSE_MS,
                                                     .retry_max_ms = ROUTING_RETRY_MS,
                                                     .on_object = on_upstream,
                                                     .on_proven = on_upstreams_proven,
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -174,9 +174,9 @@
 
 /* The other entry does not answer, or has no fresh proof: goes on without it. */
 static void
-leave_relay (DlObjectWatch *watch)
+leave_relay (DlObjectWatch *watch, int error)
 {
-  dl_relay_source_failed (watch->options.source);
+  dl_relay_source_failed (watch->options.source, watch->options.kind, error);
   on_timer (NULL, watch);
 }
 
@@ -212,7 +212,7 @@
   if (result->error < 0 && watch->via_relay)
     {
       restart_list (watch);
-      leave_relay (watch);
+      leave_relay (watch, result->error);
       return;
     }
   if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
@@ -255,6 +255,31 @@
                         on_list, watch);
 }
 
+static bool
+is_reader (const DlObjectWatch *watch)
+{
+  return watch->options.source != NULL
+         && dl_relay_source_is_reader (watch->options.source);
+}
+
+/* How long the next watch waits. */
+static uint64_t
+wait_ms (const DlObjectWatch *watch)
+{
+  const DlObjectWatchOptions *o = &watch->options;
+
+  if (watch->via_relay)
+    return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
+  return is_reader (watch) ? o->reader_wait_ms : o->wait_ms;
+}
+
+/* Pause between an event and the next watch. */
+static uint64_t
+pause_ms (const DlObjectWatch *watch)
+{
+  return is_reader (watch) ? watch->options.reader_pause_ms : watch->options.pause_ms;
+}
+
 static void
 on_watch (const DlObjectResult *result, void *data)
 {
@@ -268,7 +293,7 @@
     }
   if (result->error < 0 && watch->via_relay)
     {
-      leave_relay (watch);
+      leave_relay (watch, result->error);
       return;
     }
   if (result->error < 0)
@@ -283,8 +308,8 @@
   proven (watch, result->age_ms);
   if (watch->via_relay)
     send_watch (watch);
-  else if (result->count > 0 && watch->options.pause_ms > 0)
-    run_after (watch, watch->options.pause_ms);
+  else if (result->count > 0 && pause_ms (watch) > 0)
+    run_after (watch, pause_ms (watch));
   else if (result->count == 0
            && dl_clock_ms () - watch->sent_ms < watch->sent_wait_ms / 2)
     run_after (watch, EARLY_PAUSE_MS);
@@ -292,19 +317,6 @@
     send_watch (watch);
 }
 
-/* How long the next watch waits. */
-static uint64_t
-wait_ms (const DlObjectWatch *watch)
-{
-  const DlObjectWatchOptions *o = &watch->options;
-
-  if (watch->via_relay)
-    return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
-  if (o->source != NULL && dl_relay_source_is_reader (o->source))
-    return o->reader_wait_ms;
-  return o->wait_ms;
-}
-
 static void
 send_watch (DlObjectWatch *watch)
 {
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -35,7 +35,9 @@
    * through RELAY what is known here.  Both NULL to do neither. */
   DlRelaySource *source;
   DlObjectRelay *relay;
-  uint64_t reader_wait_ms; /* in place of wait_ms while others ask this process */
+  /* In place of wait_ms and pause_ms while others ask this process. */
+  uint64_t reader_wait_ms;
+  uint64_t reader_pause_ms;
 } DlObjectWatchOptions;
 
 /* OPTIONS is copied, its texts are not. */
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -115,10 +115,11 @@
 }
 
 void
-dl_relay_source_failed (DlRelaySource *source)
+dl_relay_source_failed (DlRelaySource *source, const char *kind, int error)
 {
   if (dl_clock_ms () >= source->avoid_until_ms)
-    dl_log (DL_EVENT_READER_FAILED, DL_TEXT ("reader", source->reader));
+    dl_log (DL_EVENT_READER_FAILED, DL_TEXT ("reader", source->reader),
+            DL_TEXT ("kind", kind), DL_ERRNO (error));
   source->avoid_until_ms = dl_clock_ms () + DL_RELAY_AVOID_MS;
 }
 
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -20,7 +20,7 @@
 DlObjectClient *dl_relay_source_choose (DlRelaySource *source);
 /* True when this entry reads the store for others. */
 bool dl_relay_source_is_reader (DlRelaySource *source);
-/* The reader that was chosen did not answer, or has no fresh proof. */
-void dl_relay_source_failed (DlRelaySource *source);
+/* The reader that was chosen did not answer, or has no fresh proof of KIND. */
+void dl_relay_source_failed (DlRelaySource *source, const char *kind, int error);
 
 #endif
