Stagers and node lists go through readers too; idle connections do not pile up

Change: dl_readers_choose for nodes that are no entries; a watch is answered for a newer proof only in the second half of its wait. With more than 600 connections each answer closes its own, and 1,500 is the most.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -14,7 +14,8 @@
 
 #define SWEEP_MS         40
 #define SUMMARY_MS       5000
-#define CONNECTIONS_MAX  3000
+#define CONNECTIONS_MAX  1500
+#define CONNECTIONS_MANY 600
 #define HEADER_BYTES_MAX (20u << 10)
 #define BODY_BYTES_MAX   (8u << 20)
 #define IDLE_TIMEOUT_S   120
@@ -347,6 +348,7 @@
   Requests *requests = talloc_zero (NULL, Requests);
   DlHttpLimits limits = {
     .max_connections = CONNECTIONS_MAX,
+    .many_connections = CONNECTIONS_MANY,
     .max_body_bytes = BODY_BYTES_MAX,
     .max_header_bytes = HEADER_BYTES_MAX,
     .idle_timeout_s = IDLE_TIMEOUT_S,
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -395,7 +395,7 @@
 static void
 start_sharing (State *state)
 {
-  state->source = dl_relay_source_new (state->task, state, state->settings);
+  state->source = dl_relay_source_new (state->task, state, state->settings, true);
   state->relay = dl_object_relay_new (state->task, state);
   dl_object_relay_add_kind (state->relay, platform_kind_routing,
                             RELAYED_AGE_MAX_MS (READER_WAIT_MS));
@@ -403,6 +403,8 @@
                             RELAYED_AGE_MAX_MS (READER_WAIT_MS));
   dl_object_relay_add_kind (state->relay, platform_kind_versions,
                             RELAYED_AGE_MAX_MS (VERSIONS_WAIT_MS));
+  dl_object_relay_add_kind (state->relay, platform_kind_nodes,
+                            RELAYED_AGE_MAX_MS (DL_PEERS_READER_WAIT_MS));
 }
 
 static void
@@ -443,6 +445,7 @@
                                          .store = state->store,
                                          .kind = platform_kind_versions,
                                          .wait_ms = VERSIONS_WAIT_MS,
+                                         .reader_wait_ms = VERSIONS_WAIT_MS,
                                          .source = state->source,
                                          .relay = state->relay,
                                          .retry_max_ms = RETRY_MS,
@@ -474,6 +477,8 @@
                             .role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY,
                             .store = state->store,
                             .kind = platform_kind_nodes,
+                            .source = state->source,
+                            .relay = state->relay,
                             .on_status = on_status,
                             .on_stranger = on_stranger,
                             .on_gone = on_gone,
@@ -482,7 +487,6 @@
                         &state->peers);
   if (error < 0)
     return error;
-  dl_relay_source_set_peers (state->source, state->peers);
   error = dl_metrics_page_new (task, state, state->settings->metrics, state->relay);
   if (error < 0)
     return error;
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -18,8 +18,10 @@
 #define ROUTING_WAIT_MS  25000
 #define ROUTING_PAUSE_MS 2000
 #define VERSIONS_WAIT_MS 20000
-#define RETRY_MAX_MS     1500
-#define TICK_MS          50
+/* Of a watch at an entry, in place of the store. */
+#define RELAY_WAIT_MS 5000
+#define RETRY_MAX_MS  1500
+#define TICK_MS       50
 /* Word goes out this often when nothing changes. */
 #define ENTRIES_EVERY_MS     500
 #define STAGERS_EVERY_MS     900
@@ -256,13 +258,15 @@
 }
 
 static void
-start_watches (State *state, DlObjectClient *store)
+start_watches (State *state, DlObjectClient *store, DlRelaySource *source)
 {
   dl_object_watch_new (state->task, state, store,
                        &(DlObjectWatchOptions){
                            .kind = platform_kind_routing,
                            .wait_ms = ROUTING_WAIT_MS,
                            .pause_ms = ROUTING_PAUSE_MS,
+                           .reader_wait_ms = RELAY_WAIT_MS,
+                           .source = source,
                            .retry_max_ms = RETRY_MAX_MS,
                            .on_object = on_routing,
                            .data = state,
@@ -272,6 +276,8 @@
                                          .store = store,
                                          .kind = platform_kind_versions,
                                          .wait_ms = VERSIONS_WAIT_MS,
+                                         .reader_wait_ms = RELAY_WAIT_MS,
+                                         .source = source,
                                          .retry_max_ms = RETRY_MAX_MS,
                                          .read = platform_read_version,
                                          .on_named = on_named,
@@ -285,6 +291,7 @@
 {
   State *state = talloc_zero (NULL, State);
   DlObjectClient *store;
+  DlRelaySource *source;
   int error;
 
   dl_task_set_state (task, state);
@@ -296,12 +303,14 @@
   talloc_set_destructor (state, state_destroy);
   store = dl_object_client_new_with (task, state, state->settings->store,
                                      STORE_TIMEOUT_MS, &platform_store_protocol);
+  source = dl_relay_source_new (task, state, state->settings, false);
   error = dl_peers_new (task, state,
                         &(DlPeersOptions){
                             .settings = state->settings,
                             .role = DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
                             .store = store,
                             .kind = platform_kind_nodes,
+                            .source = source,
                             .on_status = on_status,
                             .on_gone = on_gone,
                             .data = state,
@@ -312,7 +321,7 @@
   error = dl_metrics_page_new (task, state, state->settings->metrics, NULL);
   if (error < 0)
     return error;
-  start_watches (state, store);
+  start_watches (state, store, source);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
   return 0;
 }
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -107,6 +107,18 @@
 
 /* -------- answering -------- */
 
+/* Callers that are refused and come back on a new connection would leave the old ones
+ * here, each with its memory. */
+static bool
+has_many_connections (const DlHttpServer *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+  return server->limits.many_connections > 0 && info != NULL
+         && info->num_connections > server->limits.many_connections;
+}
+
 static void
 response_add_headers (const DlHttpRequest *request,
                       struct MHD_Response *response,
@@ -117,7 +129,7 @@
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
   for (const DlHttpHeader *h = headers; h != NULL && h->name != NULL; h++)
     MHD_add_response_header (response, h->name, h->value);
-  if (request->server->closing)
+  if (request->server->closing || has_many_connections (request->server))
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -20,6 +20,7 @@
 {
   unsigned max_connections;
   unsigned max_connections_per_ip; /* 0 for no limit */
+  unsigned many_connections;       /* with more, each answer closes its own; 0: never */
   size_t max_body_bytes;           /* longer bodies are refused with 413 */
   size_t max_header_bytes;         /* longer headers are refused by the library */
   unsigned idle_timeout_s;         /* of a connection that sends nothing */
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -35,6 +35,7 @@
   DlHttpRequest *http;
   uint64_t after;
   uint64_t until_ms;
+  uint64_t half_ms; /* from then on a newer proof is worth an answer */
   uint64_t seen_ms; /* proof that its asker has been told of */
 } Waiter;
 
@@ -158,7 +159,8 @@
 is_due (const Waiter *w, uint64_t now_ms)
 {
   return now_ms >= w->until_ms || !is_fresh (w->kind, now_ms)
-         || w->kind->proven_ms > w->seen_ms || w->kind->newest > w->after;
+         || (w->kind->proven_ms > w->seen_ms && now_ms >= w->half_ms)
+         || w->kind->newest > w->after;
 }
 
 static void
@@ -196,6 +198,7 @@
 {
   uint64_t now_ms = dl_clock_ms ();
   uint64_t after = query_uint (http, "after");
+  uint64_t wait_ms = query_uint (http, "wait_ms");
   Waiter *w;
 
   if (after < k->forgotten)
@@ -212,7 +215,8 @@
   w->kind = k;
   w->http = http;
   w->after = after;
-  w->until_ms = now_ms + query_uint (http, "wait_ms");
+  w->until_ms = now_ms + wait_ms;
+  w->half_ms = now_ms + wait_ms / 2;
   w->seen_ms = k->proven_ms;
   k->waiters = g_list_append (k->waiters, w);
   dl_http_request_on_closed (http, on_closed, w);
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -3,7 +3,8 @@
  *
  * Speaks the list and watch of the project's own object API (kernel/object_client.h); an
  * answer carries "age_ms", how old the proof is that it shows the newest state.  A watch
- * is answered when something changes, when a newer proof comes, or after its wait.  What
+ * is answered when something changes, when a newer proof comes in the second half of its
+ * wait, or after it.  What
  * has no fresh proof is not given out: 503 tells the asker to ask the store itself.
  */
 #ifndef DL_OBJECT_RELAY_H
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -18,6 +18,7 @@
 #define READS_AT_ONCE      64 /* so that datagrams do not keep the loop */
 #define WATCH_WAIT_MS      20000
 #define WATCH_PAUSE_MS     2000
+#define READER_PAUSE_MS    500
 #define WATCH_RETRY_MAX_MS 2000
 #define REGISTER_RETRY_MS  700
 #define FORGET_SILENT_MS   60000
@@ -453,11 +454,17 @@
                                       &(DlObjectWatchOptions){
                                           .kind = options->kind,
                                           .wait_ms = WATCH_WAIT_MS,
+                                          .reader_wait_ms = DL_PEERS_READER_WAIT_MS,
+                                          .reader_pause_ms = READER_PAUSE_MS,
+                                          .source = options->source,
+                                          .relay = options->relay,
                                           .pause_ms = WATCH_PAUSE_MS,
                                           .retry_max_ms = WATCH_RETRY_MAX_MS,
                                           .on_object = on_object,
                                           .data = peers,
                                       });
+  if (options->source != NULL)
+    dl_relay_source_set_peers (options->source, peers);
   if (options->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     dl_timer_subscribe (task, peers, FORGET_CHECK_MS, FORGET_CHECK_MS, on_forget, peers);
   *result = peers;
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -16,9 +16,13 @@
 #include "kernel/object_client.h"
 #include "kernel/wire.pb-c.h"
 #include "node/node.h"
+#include "node/object_relay.h"
+#include "node/relay_source.h"
 
 /* A node that was not heard for this long is taken as down. */
 #define DL_PEER_SILENT_MS 1700
+/* A reader asks the store for nodes this often while others ask it. */
+#define DL_PEERS_READER_WAIT_MS 5000
 
 typedef struct DlPeers DlPeers;
 
@@ -41,7 +45,9 @@
   const DlNodeSettings *settings;
   Daisyloft__Wire__Role role;
   DlObjectClient *store;
-  const char *kind; /* of the objects in the store */
+  const char *kind;      /* of the objects in the store */
+  DlRelaySource *source; /* as in DlObjectWatchOptions; it is told of the peers */
+  DlObjectRelay *relay;
   /* A datagram arrived; STATUS ends with the call. */
   void (*on_status) (const DlPeer *peer,
                      const Daisyloft__Wire__NodeStatus *status,
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "kernel/log.h"
+#include "node/peers.h"
 #include "policy/readers.h"
 
 #define TIMEOUT_MS 900
@@ -15,6 +16,7 @@
 {
   DlTask *task;
   const DlNodeSettings *settings;
+  bool is_entry;
   const DlPeers *peers; /* NULL until they are there */
   GHashTable *clients;  /* relay address to DlObjectClient */
   const char *reader;   /* that was chosen last, a key of CLIENTS; NULL before */
@@ -56,6 +58,7 @@
   dl_peers_each_alive (source->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, add_entry, &e);
   chosen = dl_readers_choose (&(DlReadersQuery){
       .self = source->settings->name,
+      .is_entry = source->is_entry,
       .others = (const char *const *)e.names->pdata,
       .other_count = e.names->len,
   });
@@ -111,7 +114,8 @@
 {
   unsigned others = 0;
 
-  return source->peers != NULL && choose_relay (source, &others) == NULL && others > 0;
+  return source->is_entry && source->peers != NULL
+         && choose_relay (source, &others) == NULL && others > 0;
 }
 
 void
@@ -137,13 +141,17 @@
 }
 
 DlRelaySource *
-dl_relay_source_new (DlTask *task, const void *owner, const DlNodeSettings *settings)
+dl_relay_source_new (DlTask *task,
+                     const void *owner,
+                     const DlNodeSettings *settings,
+                     bool is_entry)
 {
   DlRelaySource *source = talloc_zero (owner, DlRelaySource);
 
   g_assert (source != NULL);
   source->task = task;
   source->settings = settings;
+  source->is_entry = is_entry;
   source->clients = g_hash_table_new (g_str_hash, g_str_equal);
   talloc_set_destructor (source, source_destroy);
   return source;
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -1,21 +1,27 @@
 /*
- * Whom an entry asks for the store's objects: the store, or a reader of its region.
+ * Whom a node asks for the store's objects: the store, or a reader of its region.
  */
 #ifndef DL_RELAY_SOURCE_H
 #define DL_RELAY_SOURCE_H
 
 #include "kernel/object_client.h"
-#include "node/peers.h"
+#include "node/node.h"
+
+/* node/peers.h */
+struct DlPeers;
 
 /* A reader that failed is not asked again for this long. */
 #define DL_RELAY_AVOID_MS 4000
 
 typedef struct DlRelaySource DlRelaySource;
 
-DlRelaySource *
-dl_relay_source_new (DlTask *task, const void *owner, const DlNodeSettings *settings);
+/* IS_ENTRY: this node may be a reader itself. */
+DlRelaySource *dl_relay_source_new (DlTask *task,
+                                    const void *owner,
+                                    const DlNodeSettings *settings,
+                                    bool is_entry);
 /* PEERS, which come up after the source, tell who the region's entries are. */
-void dl_relay_source_set_peers (DlRelaySource *source, const DlPeers *peers);
+void dl_relay_source_set_peers (DlRelaySource *source, const struct DlPeers *peers);
 /* The reader to ask; NULL to ask the store. */
 DlObjectClient *dl_relay_source_choose (DlRelaySource *source);
 /* True when this entry reads the store for others. */
--- a/lib/node/versions.c
+++ b/lib/node/versions.c
@@ -80,7 +80,7 @@
                                          &(DlObjectWatchOptions){
                                              .kind = options->kind,
                                              .wait_ms = options->wait_ms,
-                                             .reader_wait_ms = options->wait_ms,
+                                             .reader_wait_ms = options->reader_wait_ms,
                                              .source = options->source,
                                              .relay = options->relay,
                                              .retry_max_ms = options->retry_max_ms,
--- a/lib/node/versions.h
+++ b/lib/node/versions.h
@@ -14,8 +14,9 @@
   const char *kind;      /* of the objects that name versions */
   uint64_t wait_ms;      /* longest time that one watch waits */
   uint64_t retry_max_ms; /* longest pause between tries while the store is away */
-  DlRelaySource *source; /* as in DlObjectWatchOptions; NULL for none */
+  DlRelaySource *source; /* this and what follows as in DlObjectWatchOptions */
   DlObjectRelay *relay;
+  uint64_t reader_wait_ms;
   /* Reads an object's value below CONTEXT; returns 0 or a negative error. */
   int (*read) (const void *context,
                json_object *value,
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -18,7 +18,7 @@
 rank (const DlReadersQuery *q, const char *name)
 {
   uint64_t score = rank_score (name);
-  size_t before = rank_score (q->self) > score;
+  size_t before = q->is_entry && rank_score (q->self) > score;
 
   for (size_t i = 0; i < q->other_count; i++)
     before += rank_score (q->others[i]) > score;
@@ -28,11 +28,12 @@
 int
 dl_readers_choose (const DlReadersQuery *q)
 {
-  size_t readers = (q->other_count + 1 + DL_READERS_SHARE - 1) / DL_READERS_SHARE;
+  size_t entries = q->other_count + q->is_entry;
+  size_t readers = (entries + DL_READERS_SHARE - 1) / DL_READERS_SHARE;
   int chosen = -1;
   uint64_t best = 0;
 
-  if (rank (q, q->self) < readers)
+  if (q->is_entry && rank (q, q->self) < readers)
     return -1;
   /* Followers spread over the readers by a hash of their own. */
   for (size_t i = 0; i < q->other_count; i++)
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -21,12 +21,13 @@
 
 typedef struct
 {
-  const char *self;          /* this entry's name */
+  const char *self;          /* this node's name */
+  bool is_entry;             /* it may be a reader itself */
   const char *const *others; /* names of the other entries of the region that are up */
   size_t other_count;
 } DlReadersQuery;
 
-/* Index in OTHERS of the entry to ask; -1 when this entry reads the store itself. */
+/* Index in OTHERS of the entry to ask; -1 when this node reads the store itself. */
 int dl_readers_choose (const DlReadersQuery *query);
 
 #endif
--- a/regress/unit/test_readers.c
+++ b/regress/unit/test_readers.c
@@ -34,8 +34,8 @@
   for (unsigned k = 0; k < r->count; k++)
     if (k != i && (int)k != absent)
       others[count++] = r->names[k];
-  chosen = dl_readers_choose (
-      &(DlReadersQuery){ .self = r->names[i], .others = others, .other_count = count });
+  chosen = dl_readers_choose (&(DlReadersQuery){
+      .self = r->names[i], .is_entry = true, .others = others, .other_count = count });
   return chosen < 0 ? r->names[i] : others[chosen];
 }
 
@@ -107,7 +107,31 @@
     }
 }
 
+/* A stager asks readers too, and reads the store itself only without any entry. */
+static void
+test_stagers_ask_readers (void)
+{
+  Region r;
+  const char *names[ENTRIES_MAX];
+
+  fill (&r, ENTRIES_MAX);
+  for (unsigned i = 0; i < r.count; i++)
+    names[i] = r.names[i];
+  for (unsigned n = 0; n < 20; n++)
+    {
+      char self[NAME_BYTES];
+      int chosen;
+
+      snprintf (self, sizeof self, "stager-%u", n);
+      chosen = dl_readers_choose (
+          &(DlReadersQuery){ .self = self, .others = names, .other_count = r.count });
+      CU_ASSERT_TRUE (chosen >= 0 && is_reader (&r, (unsigned)chosen, -1));
+      CU_ASSERT_EQUAL (dl_readers_choose (&(DlReadersQuery){ .self = self }), -1);
+    }
+}
+
 static const CU_TestInfo tests[] = {
+  { "stagers ask readers", test_stagers_ask_readers },
   { "one reader for ten entries", test_one_reader_for_ten },
   { "followers ask readers", test_followers_ask_readers },
   { "a reader goes", test_a_reader_goes },
