--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -12,7 +12,11 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
+
+#include "kernel/address.h"
 
 static unsigned failures;
 static unsigned checks;
@@ -539,6 +543,52 @@
   return ready_status (w) == 503;
 }
 
+/* More than an entry keeps open beside those that it answers. */
+#define IDLE_CONNECTIONS 650
+
+static int
+connect_to (const char *text)
+{
+  struct sockaddr_in at;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (dl_address_parse (dl_str (text), &at) < 0
+      || connect (fd, (struct sockaddr *)&at, sizeof at) < 0)
+    {
+      close (fd);
+      return -1;
+    }
+  return fd;
+}
+
+static bool
+closes_connection (World *w)
+{
+  Call c = request (w, "/r/x", "many");
+  Answer a = call (&c);
+  char *connection = answer_header (&a, "Connection");
+  bool closes = a.status == 200 && g_strcmp0 (connection, "close") == 0;
+
+  g_free (connection);
+  answer_free (&a);
+  return closes;
+}
+
+/* Idle connections do not pile up: answers close theirs while there are many. */
+static void
+test_many_connections (World *w)
+{
+  int fds[IDLE_CONNECTIONS];
+
+  CHECK (!closes_connection (w));
+  for (unsigned i = 0; i < IDLE_CONNECTIONS; i++)
+    fds[i] = connect_to (w->entry[0]);
+  CHECK (fds[IDLE_CONNECTIONS - 1] >= 0);
+  CHECK (eventually (closes_connection, w));
+  for (unsigned i = 0; i < IDLE_CONNECTIONS; i++)
+    close (fds[i]);
+}
+
 /* Index of the entry that asks the other in place of the store; ENTRIES for none. */
 static unsigned
 find_follower (World *w)
@@ -709,6 +759,7 @@
   test_version_with_faults,
   test_versions_in_succession,
   test_server_starts_anew,
+  test_many_connections,
   test_reader_is_silent,
   test_store_away,
   test_planned_stop,
