Stagers tell entries of other regions of their load three times a second, not ten

Cause: 58 stagers times 28 far entries times 10 datagrams a second are a fifth of a link between regions. Changes of weights and of loading still go to all at once.

--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -24,6 +24,7 @@
 #define TICK_MS       50
 /* Word goes out this often when nothing changes. */
 #define ENTRIES_EVERY_MS     500
+#define FAR_ENTRIES_EVERY_MS 300
 #define STAGERS_EVERY_MS     900
 #define FAR_STAGERS_EVERY_MS 300
 
@@ -39,6 +40,7 @@
   bool engine_changed;
   StageMessage *holding; /* the last STAGE_HOLDING; NULL before the first */
   bool holding_changed;
+  uint64_t told_far_entries_ms;
   uint64_t told_entries_ms;
   uint64_t told_near_ms;
   uint64_t told_far_ms;
@@ -124,7 +126,7 @@
 }
 
 static void
-tell_entries (State *state, uint64_t now_ms)
+tell_entries (State *state, bool near_only, uint64_t now_ms)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   Daisyloft__Wire__EngineStatus engine = state->engine;
@@ -135,9 +137,25 @@
   status.ready = state->engine_known && !engine.loading;
   if (state->engine_known)
     status.engine = &engine;
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, near_only);
   state->engine_changed = false;
   state->told_entries_ms = now_ms;
+  if (!near_only)
+    state->told_far_entries_ms = now_ms;
+}
+
+/* Entries of other regions send few requests here, and are told of the load less often.
+ */
+static void
+tell_entries_if_due (State *state, uint64_t now_ms)
+{
+  uint64_t far_ago_ms = now_ms - state->told_far_entries_ms;
+  bool far_due = state->told_far_entries_ms != state->told_entries_ms
+                 && far_ago_ms >= FAR_ENTRIES_EVERY_MS;
+
+  if (state->engine_changed || far_due
+      || now_ms - state->told_entries_ms >= ENTRIES_EVERY_MS)
+    tell_entries (state, far_ago_ms < FAR_ENTRIES_EVERY_MS, now_ms);
 }
 
 static void
@@ -160,8 +178,7 @@
   uint64_t now_ms = dl_clock_ms ();
   uint64_t far_ms = state->holding_changed ? FAR_STAGERS_EVERY_MS : STAGERS_EVERY_MS;
 
-  if (state->engine_changed || now_ms - state->told_entries_ms >= ENTRIES_EVERY_MS)
-    tell_entries (state, now_ms);
+  tell_entries_if_due (state, now_ms);
   if (now_ms - state->told_far_ms >= far_ms)
     {
       tell_stagers (state, false);
@@ -191,7 +208,7 @@
   e->version = report->version;
   state->engine_known = true;
   if (before.loading != e->loading || before.version != e->version)
-    tell_entries (state, dl_clock_ms ());
+    tell_entries (state, false, dl_clock_ms ());
   else if (before.running != e->running || before.waiting != e->waiting)
     state->engine_changed = true;
 }
@@ -218,7 +235,7 @@
   state->holding = dl_message_ref ((void *)message);
   state->holding_changed = state->holding_changed || message->holding.changed;
   if (is_loading (state) != was_loading)
-    tell_entries (state, dl_clock_ms ());
+    tell_entries (state, false, dl_clock_ms ());
 }
 
 static void
