A reader that fails is followed by the next in rank, not by a rush on the store

Logs of one region: 20 tables within 5 s reach stagers through the readers' links (33 stagers each take every table), readers fall behind, all 14 entries leave them and ask the store for 4 s, the region's link stays full for 10 s: tables 3 s late, no word of a named version for 9 s.

Ruled out: weights on the link (the region did not even get the manifest), the number of copies from the origin.

Stagers, which need only the origin's address, read the routing table every 10 s at most.

--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -16,7 +16,8 @@
 
 #define STORE_TIMEOUT_MS 900
 #define ROUTING_WAIT_MS  25000
-#define ROUTING_PAUSE_MS 2000
+/* Of the routing table only the origin matters here. */
+#define ROUTING_PAUSE_MS 10000
 #define VERSIONS_WAIT_MS 20000
 /* Of a watch at an entry, in place of the store. */
 #define RELAY_WAIT_MS 5000
@@ -282,6 +283,7 @@
                            .kind = platform_kind_routing,
                            .wait_ms = ROUTING_WAIT_MS,
                            .pause_ms = ROUTING_PAUSE_MS,
+                           .relay_pause_ms = ROUTING_PAUSE_MS,
                            .reader_wait_ms = RELAY_WAIT_MS,
                            .source = source,
                            .retry_max_ms = RETRY_MAX_MS,
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -176,8 +176,8 @@
 static void
 leave_relay (DlObjectWatch *watch, int error)
 {
-  dl_relay_source_failed (watch->options.source, watch->options.kind, error);
-  on_timer (NULL, watch);
+  run_after (watch,
+             dl_relay_source_failed (watch->options.source, watch->options.kind, error));
 }
 
 /* The client to ask now. */
@@ -277,6 +277,8 @@
 static uint64_t
 pause_ms (const DlObjectWatch *watch)
 {
+  if (watch->via_relay)
+    return watch->options.relay_pause_ms;
   return is_reader (watch) ? watch->options.reader_pause_ms : watch->options.pause_ms;
 }
 
@@ -307,6 +309,8 @@
   watch->revision = MAX (watch->revision, result->revision);
   proven (watch, result->age_ms);
   if (watch->via_relay)
+    dl_relay_source_answered (watch->options.source);
+  if (watch->via_relay && pause_ms (watch) == 0)
     send_watch (watch);
   else if (result->count > 0 && pause_ms (watch) > 0)
     run_after (watch, pause_ms (watch));
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -38,6 +38,7 @@
   /* In place of wait_ms and pause_ms while others ask this process. */
   uint64_t reader_wait_ms;
   uint64_t reader_pause_ms;
+  uint64_t relay_pause_ms; /* in place of pause_ms while another entry is asked */
 } DlObjectWatchOptions;
 
 /* OPTIONS is copied, its texts are not. */
