--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -31,7 +31,7 @@
 /* What it knows is given out for so long after it was proven: others then ask the store
  * themselves, within the time in which a change has to be in force.  An answer proves the
  * state as of its question, so that a proof is used for two waits. */
-#define RELAYED_AGE_MAX_MS(wait_ms) (2 * (wait_ms) + READER_PAUSE_MS + 200)
+#define RELAYED_AGE_MAX_MS(wait_ms) (2 * (wait_ms) + READER_PAUSE_MS + 400)
 #define RETRY_MS                    1000
 #define TICK_MS                     250
 #define STATUS_EVERY_TICKS          2
