What failed readers mean is a decision of its own; lists come from the store once something is known

Cause, found by reading: a reader that ends fails four watches of an entry; the second and third were counted against the reader that had been chosen since, so that one silent reader turned an entry to the store. And a list from another entry that knows less than this one showed upstreams that had gone, and lacked new ones, until the next watch.

Change: lib/policy/readers keeps which readers failed (unit tests of it); a watch tells whom it had asked; after the first list, lists are the store's. dl_readers_choose hashes each name once, not once for each pair.

--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -315,6 +315,12 @@
   talloc_steal (http, call);
 }
 
+const char *
+dl_object_client_address (const DlObjectClient *client)
+{
+  return client->address;
+}
+
 void
 dl_object_client_set_margin (DlObjectClient *client, uint64_t margin_ms)
 {
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -118,6 +118,8 @@
                                            const char *address,
                                            uint64_t timeout_ms,
                                            const DlObjectProtocol *protocol);
+/* "IP:PORT" of whom it asks; lives as long as the client. */
+const char *dl_object_client_address (const DlObjectClient *client);
 /* A watch is given up this long after its wait, in place of the usual time. */
 void dl_object_client_set_margin (DlObjectClient *client, uint64_t margin_ms);
 /* Each call is a talloc child of OWNER, freed after FUNC; freeing OWNER earlier cancels
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -24,14 +24,14 @@
   GHashTable *listed;    /* names seen by the list under way; NULL while watching */
   char *list_after;      /* the list goes on after this name; NULL at its start */
   uint64_t list_revision;
-  DlObjectClient *list_client; /* that gives the pages */
   uint64_t revision;
   uint64_t sent_wait_ms; /* of the watch under way */
   uint64_t sent_ms;      /* of the call under way; of a list, of its first page */
   uint64_t proven_ms;    /* 0: nothing known yet */
   uint64_t retry_ms;
-  bool lost;      /* the platform did not answer last time */
-  bool via_relay; /* the call under way goes to another entry */
+  bool lost;             /* the platform did not answer last time */
+  bool via_relay;        /* the call under way goes to another entry */
+  DlObjectClient *asked; /* by the call under way */
   DlTimer *timer;
 };
 
@@ -176,20 +176,34 @@
 static void
 leave_relay (DlObjectWatch *watch, int error)
 {
-  run_after (watch,
-             dl_relay_source_failed (watch->options.source, watch->options.kind, error));
+  run_after (watch, dl_relay_source_failed (watch->options.source, watch->asked,
+                                            watch->options.kind, error));
 }
 
-/* The client to ask now. */
-static DlObjectClient *
-choose_client (DlObjectWatch *watch)
+/* Chooses whom to ask now. */
+static void
+choose_asked (DlObjectWatch *watch)
 {
   DlObjectClient *relay = NULL;
 
   if (watch->options.source != NULL)
     relay = dl_relay_source_choose (watch->options.source);
   watch->via_relay = relay != NULL;
-  return relay != NULL ? relay : watch->client;
+  watch->asked = relay != NULL ? relay : watch->client;
+}
+
+/* The same for a list.  Another entry may know less than this one does already: its list
+ * would show what has gone, and lack what is new. */
+static void
+choose_asked_for_list (DlObjectWatch *watch)
+{
+  if (watch->proven_ms == 0)
+    {
+      choose_asked (watch);
+      return;
+    }
+  watch->via_relay = false;
+  watch->asked = watch->client;
 }
 
 static void
@@ -249,9 +263,9 @@
   if (watch->list_after == NULL)
     {
       watch->sent_ms = dl_clock_ms ();
-      watch->list_client = choose_client (watch);
+      choose_asked_for_list (watch);
     }
-  dl_object_list_after (watch->list_client, watch, watch->options.kind, watch->list_after,
+  dl_object_list_after (watch->asked, watch, watch->options.kind, watch->list_after,
                         on_list, watch);
 }
 
@@ -324,11 +338,10 @@
 static void
 send_watch (DlObjectWatch *watch)
 {
-  DlObjectClient *client = choose_client (watch);
-
+  choose_asked (watch);
   watch->sent_ms = dl_clock_ms ();
   watch->sent_wait_ms = wait_ms (watch);
-  dl_object_watch (client, watch, watch->options.kind, watch->revision,
+  dl_object_watch (watch->asked, watch, watch->options.kind, watch->revision,
                    watch->sent_wait_ms, on_watch, watch);
 }
 
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -21,10 +21,7 @@
   const DlPeers *peers; /* NULL until they are there */
   GHashTable *clients;  /* relay address to DlObjectClient */
   const char *reader;   /* that was chosen last, a key of CLIENTS; NULL before */
-  GHashTable
-      *avoided;      /* relay address to the time, in ms, until which it is left alone */
-  unsigned failures; /* in a row */
-  uint64_t store_until_ms; /* until which the store is asked; 0: readers are */
+  DlReaderTrust *trust;
 };
 
 /* Entries of the region that may be asked, by name and relay address. */
@@ -35,20 +32,13 @@
   GPtrArray *relays;
 } Entries;
 
-static bool
-is_avoided (const DlRelaySource *source, const char *relay)
-{
-  const uint64_t *until_ms = g_hash_table_lookup (source->avoided, relay);
-
-  return until_ms != NULL && dl_clock_ms () < *until_ms;
-}
-
 static void
 add_entry (const DlPeer *peer, void *data)
 {
   Entries *e = data;
 
-  if (!peer->ready || peer->relay == NULL || is_avoided (e->source, peer->relay)
+  if (!peer->ready || peer->relay == NULL
+      || !dl_reader_trust_allows (e->source->trust, peer->relay, dl_clock_ms ())
       || strcmp (peer->region, e->source->settings->region) != 0)
     return;
   g_ptr_array_add (e->names, (gpointer)peer->name);
@@ -105,7 +95,7 @@
   const char *relay;
   unsigned others;
 
-  if (source->peers == NULL || dl_clock_ms () < source->store_until_ms)
+  if (source->peers == NULL || dl_reader_trust_asks_store (source->trust, dl_clock_ms ()))
     return NULL;
   relay = choose_relay (source, &others);
   if (relay == NULL)
@@ -131,44 +121,27 @@
          && choose_relay (source, &others) == NULL && others > 0;
 }
 
-/* Several watches may find the same reader silent. */
-static bool
-avoid (DlRelaySource *source, uint64_t now_ms)
-{
-  uint64_t *until_ms;
-
-  if (source->reader == NULL || is_avoided (source, source->reader))
-    return false;
-  until_ms = g_new (uint64_t, 1);
-  *until_ms = now_ms + DL_RELAY_AVOID_MS;
-  g_hash_table_replace (source->avoided, g_strdup (source->reader), until_ms);
-  return true;
-}
-
 uint64_t
-dl_relay_source_failed (DlRelaySource *source, const char *kind, int error)
+dl_relay_source_failed (DlRelaySource *source,
+                        const DlObjectClient *reader,
+                        const char *kind,
+                        int error)
 {
-  uint64_t now_ms = dl_clock_ms ();
-
-  if (avoid (source, now_ms))
-    {
-      dl_log (DL_EVENT_READER_FAILED, DL_TEXT ("reader", source->reader),
-              DL_TEXT ("kind", kind), DL_ERRNO (error));
-      source->failures++;
-    }
-  if (!source->is_entry)
-    return DL_RELAY_PATIENCE_MS;
-  if (source->failures < DL_RELAY_FAILURES_MAX)
-    return DL_RELAY_PAUSE_MS;
-  source->failures = 0;
-  source->store_until_ms = now_ms + DL_RELAY_AVOID_MS;
-  return dl_random_uint64 () % DL_RELAY_SPREAD_MS;
+  const char *relay = dl_object_client_address (reader);
+  bool is_new;
+  uint64_t pause_ms = dl_reader_trust_failed (source->trust, relay, dl_random_uint64 (),
+                                              dl_clock_ms (), &is_new);
+
+  if (is_new)
+    dl_log (DL_EVENT_READER_FAILED, DL_TEXT ("reader", relay), DL_TEXT ("kind", kind),
+            DL_ERRNO (error));
+  return pause_ms;
 }
 
 void
 dl_relay_source_answered (DlRelaySource *source)
 {
-  source->failures = 0;
+  dl_reader_trust_answered (source->trust);
 }
 
 void
@@ -181,7 +154,6 @@
 source_destroy (DlRelaySource *source)
 {
   g_hash_table_destroy (source->clients);
-  g_hash_table_destroy (source->avoided);
   return 0;
 }
 
@@ -198,7 +170,7 @@
   source->settings = settings;
   source->is_entry = is_entry;
   source->clients = g_hash_table_new (g_str_hash, g_str_equal);
-  source->avoided = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  source->trust = dl_reader_trust_new (source, is_entry);
   talloc_set_destructor (source, source_destroy);
   return source;
 }
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -1,6 +1,7 @@
 #include "policy/readers.h"
 
 #include <glib.h>
+#include <talloc.h>
 
 #include "policy/rendezvous.h"
 
@@ -13,37 +14,152 @@
   return dl_rendezvous_score (dl_str (READERS_KEY), dl_str (name));
 }
 
-/* How many of the region's entries come before NAME. */
-static size_t
-rank (const DlReadersQuery *q, const char *name)
+/* The region's entries, by their scores. */
+typedef struct
 {
-  uint64_t score = rank_score (name);
-  size_t before = q->is_entry && rank_score (q->self) > score;
+  const DlReadersQuery *query;
+  uint64_t *others;
+  uint64_t self; /* 0 when this node is no entry */
+} Scores;
 
+static Scores
+score_entries (const DlReadersQuery *q)
+{
+  Scores s = { .query = q, .others = g_new (uint64_t, MAX (q->other_count, 1)) };
+
+  if (q->is_entry)
+    s.self = rank_score (q->self);
   for (size_t i = 0; i < q->other_count; i++)
-    before += rank_score (q->others[i]) > score;
-  return before;
+    s.others[i] = rank_score (q->others[i]);
+  return s;
 }
 
-int
-dl_readers_choose (const DlReadersQuery *q)
+/* True when fewer than READERS entries come before the one with SCORE. */
+static bool
+is_reader (const Scores *s, uint64_t score, size_t readers)
 {
-  size_t entries = q->other_count + q->is_entry;
-  size_t readers = (entries + DL_READERS_SHARE - 1) / DL_READERS_SHARE;
+  size_t before = s->self > score;
+
+  for (size_t i = 0; i < s->query->other_count; i++)
+    before += s->others[i] > score;
+  return before < readers;
+}
+
+/* Followers spread over the readers by a hash of their own. */
+static int
+choose_reader (const Scores *s, size_t readers)
+{
+  const DlReadersQuery *q = s->query;
   int chosen = -1;
   uint64_t best = 0;
 
-  if (q->is_entry && rank (q, q->self) < readers)
-    return -1;
-  /* Followers spread over the readers by a hash of their own. */
   for (size_t i = 0; i < q->other_count; i++)
     {
-      uint64_t score = dl_rendezvous_score (dl_str (q->self), dl_str (q->others[i]));
+      uint64_t score;
 
-      if (rank (q, q->others[i]) >= readers || (chosen >= 0 && score <= best))
+      if (!is_reader (s, s->others[i], readers))
         continue;
-      chosen = (int)i;
-      best = score;
+      score = dl_rendezvous_score (dl_str (q->self), dl_str (q->others[i]));
+      if (chosen < 0 || score > best)
+        {
+          chosen = (int)i;
+          best = score;
+        }
     }
   return chosen;
 }
+
+int
+dl_readers_choose (const DlReadersQuery *q)
+{
+  size_t entries = q->other_count + q->is_entry;
+  size_t readers = (entries + DL_READERS_SHARE - 1) / DL_READERS_SHARE;
+  Scores scores = score_entries (q);
+  int chosen = -1;
+
+  if (!q->is_entry || !is_reader (&scores, scores.self, readers))
+    chosen = choose_reader (&scores, readers);
+  g_free (scores.others);
+  return chosen;
+}
+
+/* -------- readers that failed -------- */
+
+struct DlReaderTrust
+{
+  bool is_entry;
+  GHashTable *avoided; /* reader to the time until which it is left alone */
+  unsigned failures;   /* in a row */
+  uint64_t store_until_ms;
+};
+
+static int
+trust_destroy (DlReaderTrust *trust)
+{
+  g_hash_table_destroy (trust->avoided);
+  return 0;
+}
+
+DlReaderTrust *
+dl_reader_trust_new (const void *context, bool is_entry)
+{
+  DlReaderTrust *trust = talloc_zero (context, DlReaderTrust);
+
+  g_assert (trust != NULL);
+  trust->is_entry = is_entry;
+  trust->avoided = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  talloc_set_destructor (trust, trust_destroy);
+  return trust;
+}
+
+bool
+dl_reader_trust_allows (const DlReaderTrust *trust, const char *reader, uint64_t now_ms)
+{
+  const uint64_t *until_ms = g_hash_table_lookup (trust->avoided, reader);
+
+  return until_ms == NULL || now_ms >= *until_ms;
+}
+
+bool
+dl_reader_trust_asks_store (const DlReaderTrust *trust, uint64_t now_ms)
+{
+  return now_ms < trust->store_until_ms;
+}
+
+static void
+avoid (DlReaderTrust *trust, const char *reader, uint64_t now_ms)
+{
+  uint64_t *until_ms = g_new (uint64_t, 1);
+
+  *until_ms = now_ms + DL_READER_AVOID_MS;
+  g_hash_table_replace (trust->avoided, g_strdup (reader), until_ms);
+  trust->failures++;
+}
+
+uint64_t
+dl_reader_trust_failed (DlReaderTrust *trust,
+                        const char *reader,
+                        uint64_t random,
+                        uint64_t now_ms,
+                        bool *is_new)
+{
+  *is_new = dl_reader_trust_allows (trust, reader, now_ms);
+  if (*is_new)
+    avoid (trust, reader, now_ms);
+  if (!trust->is_entry)
+    return DL_READER_PATIENCE_MS;
+  if (trust->failures >= DL_READER_FAILURES_MAX)
+    {
+      trust->failures = 0;
+      trust->store_until_ms = now_ms + DL_READER_AVOID_MS;
+    }
+  if (dl_reader_trust_asks_store (trust, now_ms))
+    return random % DL_READER_SPREAD_MS;
+  return DL_READER_PAUSE_MS;
+}
+
+void
+dl_reader_trust_answered (DlReaderTrust *trust)
+{
+  trust->failures = 0;
+}
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -8,13 +8,14 @@
  * of these.  All rank the entries alike, by hashing; entries that do not agree for a
  * moment on who is up only ask the store, or each other, once too often.
  *
- * Pure: no clock, no sockets.
+ * Pure: no sockets; times are milliseconds that the caller gives.
  */
 #ifndef DL_READERS_H
 #define DL_READERS_H
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /* Entries for each of which there is one reader. */
 #define DL_READERS_SHARE 10
@@ -30,4 +31,35 @@
 /* Index in OTHERS of the entry to ask; -1 when this node reads the store itself. */
 int dl_readers_choose (const DlReadersQuery *query);
 
+/* A reader that failed is not asked again for this long; the next in rank is. */
+#define DL_READER_AVOID_MS 4000
+/* After so many failed in a row the cause is not a reader: the store is asked for the
+ * same time. */
+#define DL_READER_FAILURES_MAX 3
+/* Pause before the next one is asked, which may have just begun to read the store. */
+#define DL_READER_PAUSE_MS 150
+/* Entries that all turn to the store spread over this time, since a link on which it is
+ * late for one of them does not carry it to all. */
+#define DL_READER_SPREAD_MS 1200
+/* The pause of nodes that are no entries, which can wait. */
+#define DL_READER_PATIENCE_MS 2000
+
+/* Which readers failed lately. */
+typedef struct DlReaderTrust DlReaderTrust;
+
+DlReaderTrust *dl_reader_trust_new (const void *context, bool is_entry);
+/* READER did not answer, or has no fresh proof.  Returns the pause before the next call;
+ * *IS_NEW tells whether this was not known yet, as several calls may find it. */
+uint64_t dl_reader_trust_failed (DlReaderTrust *trust,
+                                 const char *reader,
+                                 uint64_t random,
+                                 uint64_t now_ms,
+                                 bool *is_new);
+void dl_reader_trust_answered (DlReaderTrust *trust);
+/* True when READER may be asked. */
+bool
+dl_reader_trust_allows (const DlReaderTrust *trust, const char *reader, uint64_t now_ms);
+/* True when no reader should be asked now. */
+bool dl_reader_trust_asks_store (const DlReaderTrust *trust, uint64_t now_ms);
+
 #endif
--- a/regress/unit/test_readers.c
+++ b/regress/unit/test_readers.c
@@ -1,6 +1,7 @@
 /* Which entries of a region read the store for the others. */
 #include <stdio.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "policy/readers.h"
 #include "unit.h"
@@ -130,7 +131,73 @@
     }
 }
 
+/* -------- readers that failed -------- */
+
+#define NOW_MS 5000
+
+/* Fails READER as seen by COUNT calls; returns the last pause. */
+static uint64_t
+fail (DlReaderTrust *trust, const char *reader, unsigned count, uint64_t now_ms)
+{
+  uint64_t pause_ms = 0;
+  bool is_new;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      pause_ms = dl_reader_trust_failed (trust, reader, 777, now_ms, &is_new);
+      CU_ASSERT_EQUAL (is_new, i == 0);
+    }
+  return pause_ms;
+}
+
+/* All watches of an entry lose a reader at once: that is one failure. */
+static void
+test_one_reader_fails (void)
+{
+  DlReaderTrust *trust = dl_reader_trust_new (NULL, true);
+
+  CU_ASSERT_EQUAL (fail (trust, "a", 4, NOW_MS), DL_READER_PAUSE_MS);
+  CU_ASSERT_FALSE (dl_reader_trust_asks_store (trust, NOW_MS));
+  CU_ASSERT_FALSE (dl_reader_trust_allows (trust, "a", NOW_MS));
+  CU_ASSERT_TRUE (dl_reader_trust_allows (trust, "b", NOW_MS));
+  CU_ASSERT_TRUE (dl_reader_trust_allows (trust, "a", NOW_MS + DL_READER_AVOID_MS));
+  talloc_free (trust);
+}
+
+static void
+test_readers_fail_in_a_row (void)
+{
+  DlReaderTrust *trust = dl_reader_trust_new (NULL, true);
+
+  fail (trust, "a", 2, NOW_MS);
+  fail (trust, "b", 2, NOW_MS);
+  dl_reader_trust_answered (trust);
+  fail (trust, "c", 1, NOW_MS);
+  CU_ASSERT_FALSE (dl_reader_trust_asks_store (trust, NOW_MS));
+  fail (trust, "d", 1, NOW_MS);
+  CU_ASSERT_EQUAL (fail (trust, "e", 3, NOW_MS), 777);
+  CU_ASSERT_TRUE (dl_reader_trust_asks_store (trust, NOW_MS));
+  CU_ASSERT_FALSE (dl_reader_trust_asks_store (trust, NOW_MS + DL_READER_AVOID_MS));
+  talloc_free (trust);
+}
+
+/* However many fail, stagers do not rush to the store. */
+static void
+test_stagers_wait (void)
+{
+  DlReaderTrust *trust = dl_reader_trust_new (NULL, false);
+  static const char *const names[] = { "a", "b", "c", "d", "e" };
+
+  for (unsigned i = 0; i < sizeof names / sizeof *names; i++)
+    CU_ASSERT_EQUAL (fail (trust, names[i], 1, NOW_MS), DL_READER_PATIENCE_MS);
+  CU_ASSERT_FALSE (dl_reader_trust_asks_store (trust, NOW_MS));
+  talloc_free (trust);
+}
+
 static const CU_TestInfo tests[] = {
+  { "one reader fails", test_one_reader_fails },
+  { "readers fail in a row", test_readers_fail_in_a_row },
+  { "stagers wait", test_stagers_wait },
   { "stagers ask readers", test_stagers_ask_readers },
   { "one reader for ten entries", test_one_reader_for_ten },
   { "followers ask readers", test_followers_ask_readers },
