A line for what an upstream failed; refusals tell how many upstreams have old weights

Two never reached an entry; two ended with an upstream's own 500 after a repeat and had no last line; one was refused with 27 upstreams, none loading and none ejected, and the line did not say that all had weights that were due to be replaced.

Change: event 1009, and old_weights in 1000. Test: regress/direct, a failure passed on (251 checks); it could not pass before, as there was no line.

--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -9,7 +9,8 @@
 #include "platform.h"
 #include "requests.h"
 
-#define STATUS_UNAVAILABLE 503
+#define STATUS_SERVER_ERROR 500
+#define STATUS_UNAVAILABLE  503
 
 DL_METRIC (metric_served,
            DL_METRIC_COUNTER,
@@ -62,7 +63,8 @@
           DL_UINT ("waiting",
                    r->service != NULL ? dl_wait_queue_length (r->service->queue) : 0),
           DL_UINT ("upstreams", count.listed), DL_UINT ("loading", count.loading),
-          DL_UINT ("ejected", count.ejected), DL_UINT ("retry_ms", retry_ms),
+          DL_UINT ("ejected", count.ejected), DL_UINT ("old_weights", count.old),
+          DL_UINT ("retry_ms", retry_ms),
           DL_UINT ("routing", r->routing != NULL ? r->routing->routing->version : 0));
   direct_request_release (r);
   platform_reply_own (r->http, STATUS_UNAVAILABLE, retry_ms, reason);
@@ -137,6 +139,17 @@
           DL_UINT ("routing", r->routing->routing->version));
 }
 
+/* The upstream's own failure goes to the caller as it is. */
+static void
+note_upstream_failure (const Request *r, unsigned status)
+{
+  dl_metric_add (&metric_failed, 1);
+  dl_log (DL_EVENT_REQUEST_FAILED_UPSTREAM, DL_TEXT ("request", r->in.id),
+          DL_TEXT ("route", r->route->name), DL_TEXT ("upstream", r->last_upstream),
+          DL_UINT ("status", status), DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms),
+          DL_UINT ("sent", r->sent));
+}
+
 void
 direct_request_answer (Request *r,
                        unsigned status,
@@ -145,7 +158,10 @@
                        const DlHttpHeader *headers)
 {
   direct_request_note_event (r, dl_clock_ms ());
-  note_served (r);
+  if (status >= STATUS_SERVER_ERROR)
+    note_upstream_failure (r, status);
+  else
+    note_served (r);
   direct_request_release (r);
   dl_http_reply (r->http, status, content_type, body, headers);
   direct_dispatch_run (r->service);
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -272,6 +272,7 @@
                         const char *service,
                         uint64_t now_ms)
 {
+  uint64_t required = direct_upstreams_required_version (upstreams, now_ms);
   DirectUpstreamCount count = { 0 };
 
   for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
@@ -281,6 +282,7 @@
       count.listed++;
       count.loading += u->loading;
       count.ejected += !dl_breaker_allows (&u->breaker, now_ms);
+      count.old += u->has_engine && u->version < required;
     }
   return count;
 }
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -80,6 +80,7 @@
   unsigned listed;  /* and not leaving */
   unsigned loading; /* of these, down or taking new weights */
   unsigned ejected; /* of these, failing or silent */
+  unsigned old;     /* of these, with weights that may not begin a request any more */
 } DirectUpstreamCount;
 
 DirectUpstreamCount direct_upstreams_count (const DirectUpstreams *upstreams,
