--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -296,10 +296,22 @@
   return is_reader (watch) ? watch->options.reader_pause_ms : watch->options.pause_ms;
 }
 
+/* Pause before the next watch, after one that returned COUNT objects. */
+static uint64_t
+next_pause_ms (const DlObjectWatch *watch, size_t count)
+{
+  uint64_t lasted_ms = dl_clock_ms () - watch->sent_ms;
+
+  if (count > 0 || (watch->via_relay && pause_ms (watch) == 0))
+    return pause_ms (watch);
+  return lasted_ms < watch->sent_wait_ms / 2 ? EARLY_PAUSE_MS : 0;
+}
+
 static void
 on_watch (const DlObjectResult *result, void *data)
 {
   DlObjectWatch *watch = data;
+  uint64_t next_ms;
 
   if (result->error == DL_ERR_GONE)
     {
@@ -324,13 +336,9 @@
   proven (watch, result->age_ms);
   if (watch->via_relay)
     dl_relay_source_answered (watch->options.source);
-  if (watch->via_relay && pause_ms (watch) == 0)
-    send_watch (watch);
-  else if (result->count > 0 && pause_ms (watch) > 0)
-    run_after (watch, pause_ms (watch));
-  else if (result->count == 0
-           && dl_clock_ms () - watch->sent_ms < watch->sent_wait_ms / 2)
-    run_after (watch, EARLY_PAUSE_MS);
+  next_ms = next_pause_ms (watch, result->count);
+  if (next_ms > 0)
+    run_after (watch, next_ms);
   else
     send_watch (watch);
 }
