A watch asks once whom to read from, and whether others read from it

Found on reading the change again: each watch chose its reader when it was sent and then twice more only to learn whether this entry is a reader itself, hashing the region's entries each time; that stands on the path of every watch, two a second and kind at a reader. The choice now tells both. The reader chosen last is its client, in place of a second copy of its address.

--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -31,6 +31,7 @@
   uint64_t retry_ms;
   bool lost;             /* the platform did not answer last time */
   bool via_relay;        /* the call under way goes to another entry */
+  bool is_reader;        /* others ask this process meanwhile */
   DlObjectClient *asked; /* by the call under way */
   DlTimer *timer;
 };
@@ -187,7 +188,7 @@
   DlObjectClient *relay = NULL;
 
   if (watch->options.source != NULL)
-    relay = dl_relay_source_choose (watch->options.source);
+    relay = dl_relay_source_choose (watch->options.source, &watch->is_reader);
   watch->via_relay = relay != NULL;
   watch->asked = relay != NULL ? relay : watch->client;
 }
@@ -269,13 +270,6 @@
                         on_list, watch);
 }
 
-static bool
-is_reader (const DlObjectWatch *watch)
-{
-  return watch->options.source != NULL
-         && dl_relay_source_is_reader (watch->options.source);
-}
-
 /* How long the next watch waits. */
 static uint64_t
 wait_ms (const DlObjectWatch *watch)
@@ -284,7 +278,7 @@
 
   if (watch->via_relay)
     return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
-  return is_reader (watch) ? o->reader_wait_ms : o->wait_ms;
+  return watch->is_reader ? o->reader_wait_ms : o->wait_ms;
 }
 
 /* Pause between an event and the next watch. */
@@ -293,7 +287,7 @@
 {
   if (watch->via_relay)
     return watch->options.relay_pause_ms;
-  return is_reader (watch) ? watch->options.reader_pause_ms : watch->options.pause_ms;
+  return watch->is_reader ? watch->options.reader_pause_ms : watch->options.pause_ms;
 }
 
 /* Pause before the next watch, after one that returned COUNT objects. */
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -18,9 +18,9 @@
   DlTask *task;
   const DlNodeSettings *settings;
   bool is_entry;
-  const DlPeers *peers; /* NULL until they are there */
-  GHashTable *clients;  /* relay address to DlObjectClient */
-  const char *reader;   /* that was chosen last, a key of CLIENTS; NULL before */
+  const DlPeers *peers;   /* NULL until they are there */
+  GHashTable *clients;    /* relay address to DlObjectClient */
+  DlObjectClient *chosen; /* the last one; NULL before */
   DlReaderTrust *trust;
 };
 
@@ -84,43 +84,32 @@
     return client;
   client = dl_object_client_new (source->task, source, relay, TIMEOUT_MS);
   dl_object_client_set_margin (client, MARGIN_MS);
-  g_hash_table_insert (source->clients, talloc_strdup (client, relay), client);
+  g_hash_table_insert (source->clients, (gpointer)dl_object_client_address (client),
+                       client);
   return client;
 }
 
 DlObjectClient *
-dl_relay_source_choose (DlRelaySource *source)
+dl_relay_source_choose (DlRelaySource *source, bool *is_reader)
 {
   DlObjectClient *client;
   const char *relay;
   unsigned others;
 
-  if (source->peers == NULL || dl_reader_trust_asks_store (source->trust, dl_clock_ms ()))
+  *is_reader = false;
+  if (source->peers == NULL)
     return NULL;
   relay = choose_relay (source, &others);
-  if (relay == NULL)
+  *is_reader = source->is_entry && relay == NULL && others > 0;
+  if (relay == NULL || dl_reader_trust_asks_store (source->trust, dl_clock_ms ()))
     return NULL;
   client = get_client (source, relay);
-  if (source->reader == NULL || strcmp (source->reader, relay) != 0)
-    {
-      gpointer key = NULL;
-
-      g_hash_table_lookup_extended (source->clients, relay, &key, NULL);
-      source->reader = key;
-      dl_log (DL_EVENT_READER_CHOSEN, DL_TEXT ("reader", relay));
-    }
+  if (client != source->chosen)
+    dl_log (DL_EVENT_READER_CHOSEN, DL_TEXT ("reader", relay));
+  source->chosen = client;
   return client;
 }
 
-bool
-dl_relay_source_is_reader (DlRelaySource *source)
-{
-  unsigned others = 0;
-
-  return source->is_entry && source->peers != NULL
-         && choose_relay (source, &others) == NULL && others > 0;
-}
-
 uint64_t
 dl_relay_source_failed (DlRelaySource *source,
                         const DlObjectClient *reader,
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -19,10 +19,9 @@
                                     bool is_entry);
 /* PEERS, which come up after the source, tell who the region's entries are. */
 void dl_relay_source_set_peers (DlRelaySource *source, const struct DlPeers *peers);
-/* The reader to ask; NULL to ask the store. */
-DlObjectClient *dl_relay_source_choose (DlRelaySource *source);
-/* True when this entry reads the store for others. */
-bool dl_relay_source_is_reader (DlRelaySource *source);
+/* The reader to ask; NULL to ask the store.  *IS_READER tells whether this entry reads
+ * the store for others. */
+DlObjectClient *dl_relay_source_choose (DlRelaySource *source, bool *is_reader);
 /* READER, which was chosen, did not answer, or has no fresh proof of KIND.  Returns the
  * pause, in milliseconds, before the next call. */
 uint64_t dl_relay_source_failed (DlRelaySource *source,
