--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -20,8 +20,7 @@
   uint64_t remaining_ms;  /* that the caller will still wait; 0 when not told */
   uint64_t last_event_id; /* that it already has of a stream; 0 for none */
   uint64_t prompt_tokens;
-  uint64_t answer_tokens; /* at the most */
-  size_t header_bytes;    /* of all headers */
+  size_t header_bytes; /* of all headers */
 } DlCallerRequest;
 
 /* What one try of a request carries beyond what the caller sent. */
--- a/lib/node/depot.c
+++ b/lib/node/depot.c
@@ -139,12 +139,6 @@
   return NULL;
 }
 
-DlHttpClient *
-dl_depot_client (const DlDepot *depot)
-{
-  return depot->client;
-}
-
 static int
 depot_destroy (DlDepot *depot)
 {
--- a/lib/node/depot.h
+++ b/lib/node/depot.h
@@ -86,7 +86,6 @@
 bool dl_depot_take_changed (DlDepot *depot);
 /* NULL when there is none. */
 DlBundle *dl_depot_find (const DlDepot *depot, const char *model, uint64_t version);
-DlHttpClient *dl_depot_client (const DlDepot *depot);
 
 /* A bundle to be fetched; VERSION 0: the newest that the origin names.  At most
  * DL_HOLDINGS_MAX may be open. */
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -46,26 +46,19 @@
   size_t target_count;
 } DlRouteEntry;
 
-/* How fast a model engine works. */
+/* What a model engine serves, and how its weights come. */
 typedef struct
 {
-  double step_ms;               /* of one token for all running requests */
-  double prompt_tokens_per_s;   /* prefill rate */
   uint64_t usual_prompt_tokens; /* mean */
-  uint64_t usual_answer_tokens; /* mean */
   unsigned layers;
   unsigned chunks;      /* pieces of one version's weights */
   uint64_t chunk_bytes; /* of each piece */
-  uint64_t report_lag_ms;
-  const char *model; /* that the engines serve; NULL when not told */
-  bool checks_fence; /* refuses orders with an older fencing number */
+  const char *model;    /* that the engines serve; NULL when not told */
 } DlEngineTraits;
 
 typedef struct
 {
   const char *name;
-  const char *health_path;
-  unsigned connections_max; /* to one upstream, from all callers; 0 when not told */
   bool has_engine;
   DlEngineTraits engine;
   const char *origin; /* "IP:PORT" when the service gives out weights, else NULL */
@@ -84,8 +77,6 @@
 {
   uint64_t header_bytes_max;
   uint64_t body_bytes_max;
-  uint64_t header_timeout_ms;
-  uint64_t idle_timeout_ms;
 } DlCallerLimits;
 
 typedef struct
