How many entries there are is kept once in an entry

The requests task kept the numbers that its upstreams keep too, and making a service set the budgets of all. The number is asked of the upstreams, and a new service gets its own cap. A service's pointer to its owner was never read.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -37,6 +37,17 @@
            "daisy_direct_repeats_denied_total",
            "Repeats that the retry budget did not allow.")
 
+/* Each entry may save up its own part of the shared allowance of repeats; in units of
+ * 1 / DL_RETRY_SCALE of a repeat. */
+static uint64_t
+budget_cap (const Requests *requests)
+{
+  double slack = requests->settings->retry_slack * SLACK_SHARE;
+
+  return (uint64_t)(slack * DL_RETRY_SCALE
+                    / direct_upstreams_entries (requests->upstreams));
+}
+
 Service *
 direct_service_get (Requests *requests, const char *name)
 {
@@ -46,32 +57,27 @@
     return s;
   s = talloc_zero (requests, Service);
   g_assert (s != NULL);
-  s->owner = requests;
   s->name = talloc_strdup (s, name);
   s->queue = dl_wait_queue_new (s);
   dl_retry_init_share (&s->budget, 0);
+  s->budget.cap = budget_cap (requests);
   g_hash_table_insert (requests->services, s->name, s);
-  direct_dispatch_set_entries (requests, requests->near_entries, requests->far_entries);
   return s;
 }
 
-/* Each entry may save up its own part of the shared allowance. */
 void
 direct_dispatch_set_entries (Requests *requests, unsigned near, unsigned far)
 {
-  double slack = requests->settings->retry_slack * SLACK_SHARE;
   GHashTableIter iter;
   gpointer value;
 
-  requests->near_entries = MAX (near, 1);
-  requests->far_entries = far;
   direct_upstreams_set_entries (requests->upstreams, near, far);
   g_hash_table_iter_init (&iter, requests->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       DlRetryBudget *budget = &((Service *)value)->budget;
 
-      budget->cap = (uint64_t)(slack * DL_RETRY_SCALE / (requests->near_entries + far));
+      budget->cap = budget_cap (requests);
       budget->balance = MIN (budget->balance, budget->cap);
     }
 }
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -282,7 +282,7 @@
           DL_INT ("denied", outcomes.denied),
           DL_INT ("cancelled", metric_cancelled.value),
           DL_UINT ("running", dl_http_server_running (requests->server)),
-          DL_UINT ("entries", requests->near_entries + requests->far_entries),
+          DL_UINT ("entries", direct_upstreams_entries (requests->upstreams)),
           DL_UINT ("routing_age_ms", dl_clock_ms () - requests->fresh_ms));
 }
 
@@ -357,7 +357,6 @@
   dl_task_set_state (task, requests);
   requests->task = task;
   requests->settings = direct_settings (task);
-  requests->near_entries = 1;
   requests->services = g_hash_table_new (g_str_hash, g_str_equal);
   requests->upstreams = direct_upstreams_new (requests, requests->settings);
   requests->client = dl_http_client_new (task, requests);
@@ -402,7 +401,7 @@
                               (int)dl_http_server_running (requests->server)));
   json_object_object_add (object, "entries",
                           json_object_new_int (
-                              (int)(requests->near_entries + requests->far_entries)));
+                              (int)direct_upstreams_entries (requests->upstreams)));
   json_object_object_add (object, "upstreams",
                           direct_upstreams_dump (requests->upstreams));
   return object;
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -27,7 +27,6 @@
   char *name;
   DlWaitQueue *queue; /* of Request */
   DlRetryBudget budget;
-  Requests *owner;
 };
 
 struct Requests
@@ -39,11 +38,9 @@
   DirectMessage *routing; /* the table in force; NULL before the first */
   uint64_t fresh_ms;      /* as of when it is current; 0 before the first proof */
   DirectUpstreams *upstreams;
-  GHashTable *services;  /* name to Service */
-  Request *first;        /* of all requests in progress */
-  unsigned near_entries; /* that take requests, this one among them */
-  unsigned far_entries;
-  uint64_t stop_ms; /* when the planned stop began; 0 while running */
+  GHashTable *services; /* name to Service */
+  Request *first;       /* of all requests in progress */
+  uint64_t stop_ms;     /* when the planned stop began; 0 while running */
 };
 
 /* One request of a caller, from its arrival to its final answer; below its HTTP
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -138,7 +138,7 @@
   const DirectUpstreams *all = u->owner;
 
   return u->near ? all->near_entries + all->far_entries / FAR_ENTRY_SHARE
-                 : all->near_entries + all->far_entries;
+                 : direct_upstreams_entries (all);
 }
 
 void
@@ -181,6 +181,12 @@
   upstreams->far_entries = far;
 }
 
+unsigned
+direct_upstreams_entries (const DirectUpstreams *upstreams)
+{
+  return upstreams->near_entries + upstreams->far_entries;
+}
+
 uint64_t
 direct_upstreams_required_version (const DirectUpstreams *upstreams, uint64_t now_ms)
 {
@@ -239,16 +245,17 @@
         g_ptr_array_add (chosen_from, u);
       }
   allow_all_when_none_is (candidates);
-  chosen = dl_balance_choose (
-      (const DlBalanceCandidate *)candidates->data, candidates->len,
-      &(DlBalanceQuery){
-          .entries = upstreams->near_entries + upstreams->far_entries,
-          .usual_prompt_tokens = query->service->has_engine
+  chosen
+      = dl_balance_choose ((const DlBalanceCandidate *)candidates->data, candidates->len,
+                           &(DlBalanceQuery){
+                               .entries = direct_upstreams_entries (upstreams),
+                               .usual_prompt_tokens
+                               = query->service->has_engine
                                      ? (double)query->service->engine.usual_prompt_tokens
                                      : 0,
-          .now_ms = query->now_ms,
-          .random = dl_random_uint64 (),
-      });
+                               .now_ms = query->now_ms,
+                               .random = dl_random_uint64 (),
+                           });
   *error = MIN (chosen, 0);
   return chosen >= 0 ? g_ptr_array_index (chosen_from, (guint)chosen) : NULL;
 }
@@ -258,7 +265,7 @@
 DirectBelief
 direct_upstream_belief (const DirectUpstream *u, uint64_t now_ms)
 {
-  unsigned entries = u->owner->near_entries + u->owner->far_entries;
+  unsigned entries = direct_upstreams_entries (u->owner);
 
   return (DirectBelief){
     .requests = (unsigned)dl_balance_estimate (&u->load, entries, now_ms),
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -48,6 +48,8 @@
  */
 void
 direct_upstreams_set_entries (DirectUpstreams *upstreams, unsigned near, unsigned far);
+/* All of them together; at least 1. */
+unsigned direct_upstreams_entries (const DirectUpstreams *upstreams);
 
 typedef struct
 {
