The tests of direct operation in smaller files; what they wrote again

The proxy parsed addresses by itself where lib/kernel/address does it, the soak built the text of a stream that direct.c builds too, and the configuration of the world was one expression that could not be read.

--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -118,10 +118,24 @@
 /* Sets a fault at both servers with weights. */
 void set_both (World *world, const char *knob, uint64_t value);
 
-/* -------- explained.c -------- */
-
-/* Follows the paths of docs/OPERATIONS.md from a failed request's id to its cause. */
-void test_explained (World *world);
+/* How often the servers ran the request. */
+uint64_t runs_of (World *world, const char *id);
+/* Events FIRST to LAST as a server sends them; g_free it. */
+char *events_text (unsigned first, unsigned last);
+/* True for events FIRST to LAST, each once and in order. */
+bool has_events (const char *body, unsigned first, unsigned last);
+/* True when the stand-in at ADDRESS records TEXT as MEMBER. */
+bool has_text (const char *address, const char *member, const char *text);
+
+/* -------- requests.c, explained.c, changes.c -------- */
+
+typedef void (*TestFunc) (World *world);
+
+/* In the order in which they run, since they share one world; each ends with NULL. */
+extern const TestFunc request_tests[];
+/* The paths of docs/OPERATIONS.md, from a failed request's id to its cause. */
+extern const TestFunc explain_tests[];
+extern const TestFunc change_tests[];
 
 /* -------- soak.c -------- */
 
--- a/regress/direct/explained.c
+++ b/regress/direct/explained.c
@@ -132,14 +132,15 @@
   answer_free (&a);
 }
 
-void
-test_explained (World *w)
+static void
+test_unnamed (World *w)
 {
   char *text = explain (w, "never-sent");
 
   CHECK (g_str_has_prefix (text, "no line names never-sent"));
   g_free (text);
-  test_single_faults (w);
-  test_broken_stream (w);
-  test_late_stream (w);
 }
+
+const TestFunc explain_tests[] = {
+  test_unnamed, test_single_faults, test_broken_stream, test_late_stream, NULL,
+};
--- a/regress/direct/proxy.c
+++ b/regress/direct/proxy.c
@@ -1,18 +1,18 @@
 /* One thread polls all connections of one proxy. */
 #include "proxy.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdbool.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "kernel/address.h"
+
 #define TURN_MS     5
 #define PIECE_BYTES 16384
 #define BACKLOG     64
@@ -48,18 +48,6 @@
   GPtrArray *active; /* of Connection; the thread's own */
 };
 
-static bool
-parse (const char *text, struct sockaddr_in *address)
-{
-  char **parts = g_strsplit (text, ":", 2);
-
-  *address = (struct sockaddr_in){ .sin_family = AF_INET };
-  inet_pton (AF_INET, parts[0], &address->sin_addr);
-  address->sin_port = htons ((uint16_t)atoi (parts[1]));
-  g_strfreev (parts);
-  return address->sin_port != 0;
-}
-
 /* Closing with this option sends a reset. */
 static void
 set_abrupt (int fd)
@@ -248,7 +236,8 @@
 
   p->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   setsockopt (p->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (!parse (listen_at, &own) || !parse (target, &p->target)
+  if (dl_address_parse (dl_str (listen_at), &own) < 0
+      || dl_address_parse (dl_str (target), &p->target) < 0
       || bind (p->listener, (struct sockaddr *)&own, sizeof own) < 0
       || listen (p->listener, BACKLOG) < 0)
     {
--- a/regress/direct/world.c
+++ b/regress/direct/world.c
@@ -151,34 +151,61 @@
   return done;
 }
 
-#define ROUTE(name, prefix, kind, more)                                         \
-  "{\"name\":\"" name "\",\"hostname\":\"x.example\",\"path_prefix\":\"" prefix \
-  "\",\"kind\":\"" kind "\",\"timeout_ms\":4000,\"target_latency_ms\":400," more "}"
+typedef struct
+{
+  const char *name;
+  const char *prefix;
+  const char *kind;
+  const char *more; /* further members */
+} RouteSpec;
+
+/* Service "m" has engines, "p" is plain, "w" is the origin of weights. */
+static const RouteSpec route_specs[] = {
+  { "stream", "/s/", "streaming",
+    "\"backend\":\"m\",\"max_attempts\":2,\"resumable\":true,\"target_gap_ms\":400" },
+  { "once", "/o/", "unsafe", "\"backend\":\"p\",\"max_attempts\":1" },
+  { "safe", "/r/", "safe", "\"backend\":\"m\",\"max_attempts\":2" },
+  { "open", "/p/", "safe", "\"backend\":\"p\",\"public\":true" },
+};
+
+static const char services_spec[]
+    = "{\"name\":\"m\",\"engine\":{\"layers\":4,\"chunks\":16,\"chunk_bytes\":4096,"
+      "\"models\":[{\"name\":\"big\"}],\"usual\":{\"prompt\":100,\"answer\":10}}},"
+      "{\"name\":\"p\"}";
+
+static void
+append_routes (GString *spec)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (route_specs); i++)
+    {
+      const RouteSpec *r = &route_specs[i];
+
+      g_string_append_printf (spec,
+                              "%s{\"name\":\"%s\",\"hostname\":\"x.example\","
+                              "\"path_prefix\":\"%s\",\"kind\":\"%s\","
+                              "\"timeout_ms\":4000,\"target_latency_ms\":400,%s}",
+                              i > 0 ? "," : "", r->name, r->prefix, r->kind, r->more);
+    }
+}
 
 bool
 world_configure (World *w, bool without_key)
 {
-  char *spec = g_strdup_printf (
-      "{\"version\":%" PRIu64 ",\"routes\":[" ROUTE (
-          "stream", "/s/", "streaming",
-          "\"backend\":\"m\",\"max_attempts\":2,\"resumable\":true,"
-          "\"target_gap_ms\":400") "," ROUTE ("once", "/o/", "unsafe",
-                                              "\"backend\":\"p\",\"max_attempts\":1") "," ROUTE ("safe",
-                                                                                                 "/r/",
-                                                                                                 "safe",
-                                                                                                 "\"backend\":\"m\",\"max_attempts\":2") "," ROUTE ("open",
-                                                                                                                                                    "/p/",
-                                                                                                                                                    "safe",
-                                                                                                                                                    "\"backend\":\"p\",\"public\":true") "],\"services\":[{\"name\":\"m\",\"engine\":{\"layers\":4,\"chunks\":16,"
-                                                                                                                                                                                         "\"chunk_bytes\":4096,\"models\":[{\"name\":\"big\"}],"
-                                                                                                                                                                                         "\"usual\":{\"prompt\":100,\"answer\":10}}},{\"name\":\"p\"},"
-                                                                                                                                                                                         "{\"name\":\"w\",\"origin\":\"%s\",\"link_mbps\":10}],"
-                                                                                                                                                                                         "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":100000},"
-                                                                                                                                                                                         "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]}]}",
-      ++w->config_version, w->via_origin, without_key ? "" : ",\"key2\"");
-  bool done = world_put (w, "config", "main", spec);
+  GString *spec = g_string_new (NULL);
+  bool done;
 
-  g_free (spec);
+  g_string_append_printf (spec, "{\"version\":%" PRIu64 ",\"routes\":[",
+                          ++w->config_version);
+  append_routes (spec);
+  g_string_append_printf (spec,
+                          "],\"services\":[%s,{\"name\":\"w\",\"origin\":\"%s\","
+                          "\"link_mbps\":10}],"
+                          "\"limits\":{\"max_header_bytes\":8192,"
+                          "\"max_body_bytes\":100000},"
+                          "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]}]}",
+                          services_spec, w->via_origin, without_key ? "" : ",\"key2\"");
+  done = world_put (w, "config", "main", spec->str);
+  g_string_free (spec, TRUE);
   return done;
 }
 
