--- a/regress/direct-check.sh
+++ b/regress/direct-check.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Tests of direct operation: the real programs, in the folder $1, run against stand-ins of
 # the users' platform.
-"$1/direct" "$1"
+"$1/direct" "$1" cases
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -1,6 +1,6 @@
 /*
- * Runner of the tests of direct operation: runs all tests one after the other against the
- * same processes; or, with a seed, a soak.
+ * Runner of the tests of direct operation: runs a group of tests one after the other
+ * against the same processes; or, with a seed, a soak.
  *
  * Tests check the responses that callers got and the records of the stand-ins.  They
  * check the order of events, never durations, and wait by polling for a condition.
@@ -96,17 +96,36 @@
     (*tests) (testbed);
 }
 
+/* The name of a group and its tests. */
+typedef struct
+{
+  const char *name;
+  const TestFunc *tests[3];
+} TestGroup;
+
+static const TestGroup groups[] = {
+  { "cases", { request_tests, explain_tests, change_tests } },
+};
+
+static const TestGroup *
+find_group (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (groups); i++)
+    if (strcmp (groups[i].name, name) == 0)
+      return &groups[i];
+  return NULL;
+}
+
 static void
-run_cases (const char *bin)
+run_group (const char *bin, const TestGroup *group)
 {
   Testbed testbed = { 0 };
 
   CHECK (testbed_start (&testbed, bin, false));
-  run_until_failure (&testbed, request_tests);
-  run_until_failure (&testbed, explain_tests);
-  run_until_failure (&testbed, change_tests);
+  for (size_t i = 0; i < G_N_ELEMENTS (group->tests) && group->tests[i] != NULL; i++)
+    run_until_failure (&testbed, group->tests[i]);
   testbed_stop (&testbed, failures > 0);
-  g_print ("direct: %u checks, %u failed\n", checks, failures);
+  g_print ("direct %s: %u checks, %u failed\n", group->name, checks, failures);
 }
 
 static void
@@ -125,14 +144,16 @@
 int
 main (int argc, char **argv)
 {
-  if (argc != 2 && argc != 4)
+  const TestGroup *group = argc == 3 ? find_group (argv[2]) : NULL;
+
+  if (argc != 4 && group == NULL)
     {
-      g_printerr ("usage: direct BIN [SEED SECONDS]\n");
+      g_printerr ("usage: direct BIN GROUP, or direct BIN SEED SECONDS\n");
       return 2;
     }
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (argc == 2)
-    run_cases (argv[1]);
+  if (group != NULL)
+    run_group (argv[1], group);
   else
     run_soak (argv[1], (uint32_t)g_ascii_strtoull (argv[2], NULL, 10),
               (unsigned)g_ascii_strtoull (argv[3], NULL, 10));
