--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -344,9 +344,25 @@
     }
 }
 
+static void
+log_abandoned (const Request *r)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  dl_log (DL_EVENT_REQUEST_ABANDONED, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("route", r->route != NULL ? r->route->name : ""),
+          DL_UINT ("age_ms", now_ms - r->arrived_ms),
+          DL_INT ("after_stop_ms", (int64_t)(r->arrived_ms - r->owner->stop_began_ms)),
+          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
+          DL_UINT ("sent", r->attempt_count),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
+}
+
 static int
 requests_destroy (Requests *requests)
 {
+  for (const Request *r = requests->first; r != NULL; r = r->next)
+    log_abandoned (r);
   g_hash_table_destroy (requests->services);
   if (requests->routing != NULL)
     dl_message_unref (requests->routing);
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -47,6 +47,7 @@
   DlTask *tasks; /* in the order of starting */
   GQueue mailbox;
   bool stopping;
+  uint64_t stop_began_ms; /* 0 while running */
   ev_prepare prepare;
   ev_idle idle;
   ev_signal sigterm, sigint, sighup, sigusr1;
@@ -211,6 +212,7 @@
   if (kernel->stopping)
     return;
   kernel->stopping = true;
+  kernel->stop_began_ms = dl_clock_ms ();
   dl_log (DL_EVENT_STOPPING);
   ev_timer_set (&kernel->drain_timer, (double)kernel->drain_ms / MILLISECONDS_PER_SECOND,
                 0.0);
@@ -239,10 +241,14 @@
 {
   DlKernel *kernel = watcher->data;
 
-  if (kernel->stopping)
-    ev_break (loop, EVBREAK_ALL);
-  else
-    dl_kernel_stop (kernel);
+  if (!kernel->stopping)
+    {
+      dl_kernel_stop (kernel);
+      return;
+    }
+  dl_log (DL_EVENT_STOP_SIGNAL_REPEATED, DL_INT ("signal", watcher->signum),
+          DL_UINT ("stopping_ms", dl_clock_ms () - kernel->stop_began_ms));
+  ev_break (loop, EVBREAK_ALL);
 }
 
 static void
