--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -144,6 +144,10 @@
 extern const TestFunc explain_tests[];
 extern const TestFunc change_tests[];
 
+/* -------- stopping.c -------- */
+
+extern const TestFunc stop_tests[];
+
 /* -------- soak.c -------- */
 
 /* Injects random, overlapping faults for SECONDS while callers send requests, then checks
--- /dev/null
+++ b/regress/direct/stopping.c
@@ -0,0 +1,195 @@
+/* Tests of planned stops: what callers get from an entry between SIGTERM and its end. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "direct.h"
+
+#define SLOW_EVENT_MS    550 /* a stream of ten events then lasts 5.5 s */
+#define DEFAULT_EVENT_MS 20
+#define LATE_MS          2900
+#define LONG_DEADLINE_MS 20000
+#define SIGNAL_PAUSE_MS  300
+#define US_PER_MS        1000
+#define MS_PER_S         1000
+
+/* A request that is sent from a thread of its own. */
+typedef struct
+{
+  Call call;
+  Response response;
+  GThread *thread;
+} Background;
+
+static gpointer
+run_background (gpointer data)
+{
+  Background *b = data;
+
+  b->response = call (&b->call);
+  return NULL;
+}
+
+static void
+background_start (Background *b, const Call *options)
+{
+  b->call = *options;
+  b->thread = g_thread_new (options->id, run_background, b);
+}
+
+static void
+background_join (Background *b)
+{
+  g_thread_join (b->thread);
+}
+
+static const char *awaited_id;
+
+static bool
+awaited_runs (Testbed *tb)
+{
+  return runs_of (tb, awaited_id) > 0;
+}
+
+static void
+wait_until_it_runs (Testbed *tb, const char *id)
+{
+  awaited_id = id;
+  CHECK (eventually (awaited_runs, tb));
+}
+
+static bool
+entries_serve (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      Call c = default_call (tb, "/r/x", "serve");
+      Response r;
+      int status;
+
+      c.address = tb->entry[i];
+      r = call (&c);
+      status = r.status;
+      response_free (&r);
+      if (status != 200)
+        return false;
+    }
+  return true;
+}
+
+/* Waits for the end of the first entry, which must exit with status 0, and starts it
+ * again. */
+static void
+restart_first_entry (Testbed *tb)
+{
+  int status = process_end (&tb->entry_process[0], 0);
+
+  CHECK (status != -1 && WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  CHECK (process_start (&tb->entry_process[0]));
+  CHECK (eventually (entries_serve, tb));
+}
+
+static Call
+slow_stream (const Testbed *tb, const char *id)
+{
+  Call c = default_call (tb, "/s/slow/x", id);
+
+  c.deadline_ms = 6000;
+  return c;
+}
+
+static void
+test_stream_late_in_a_stop_is_not_cut (Testbed *tb)
+{
+  Call c = slow_stream (tb, "late-1");
+  Response r;
+
+  set_fault_on_both (tb, "event_ms", SLOW_EVENT_MS);
+  kill (tb->entry_process[0].pid, SIGTERM);
+  g_usleep (LATE_MS * US_PER_MS);
+  r = call (&c);
+  CHECK ((r.status == 200 && r.complete && has_events (r.body, 1, 10))
+         || (r.status == 503 && r.complete && runs_of (tb, "late-1") == 0));
+  response_free (&r);
+  set_fault_on_both (tb, "event_ms", DEFAULT_EVENT_MS);
+  restart_first_entry (tb);
+}
+
+static void
+test_second_sigterm_cuts_nothing (Testbed *tb)
+{
+  Call c = slow_stream (tb, "twice-1");
+  Background b;
+
+  set_fault_on_both (tb, "event_ms", SLOW_EVENT_MS);
+  background_start (&b, &c);
+  wait_until_it_runs (tb, "twice-1");
+  kill (tb->entry_process[0].pid, SIGTERM);
+  g_usleep (SIGNAL_PAUSE_MS * US_PER_MS);
+  kill (tb->entry_process[0].pid, SIGTERM);
+  background_join (&b);
+  CHECK (b.response.status == 200 && b.response.complete
+         && has_events (b.response.body, 1, 10));
+  response_free (&b.response);
+  set_fault_on_both (tb, "event_ms", DEFAULT_EVENT_MS);
+  restart_first_entry (tb);
+}
+
+static void
+test_request_that_outlasts_a_stop_is_answered (Testbed *tb)
+{
+  Call c = default_call (tb, "/o/long/x", "outlast-1");
+  Background b;
+
+  c.deadline_ms = LONG_DEADLINE_MS;
+  c.body = "x";
+  CHECK (set_fault (tb->server[SERVERS - 1], "silent", 1));
+  background_start (&b, &c);
+  wait_until_it_runs (tb, "outlast-1");
+  kill (tb->entry_process[0].pid, SIGTERM);
+  background_join (&b);
+  CHECK (b.response.status == 502 || b.response.status == 504);
+  CHECK (b.response.complete && runs_of (tb, "outlast-1") == 1);
+  response_free (&b.response);
+  restart_first_entry (tb);
+}
+
+/* Sends requests on kept connections until the process is gone; each that ran must have
+ * been answered. */
+static void
+test_kept_connections_lose_no_request (Testbed *tb)
+{
+  CURL *curl = curl_easy_init ();
+  int64_t end_us = g_get_monotonic_time () + 10 * MS_PER_S * US_PER_MS;
+  unsigned lost = 0;
+
+  kill (tb->entry_process[0].pid, SIGTERM);
+  for (unsigned i = 0; g_get_monotonic_time () < end_us; i++)
+    {
+      char *id = g_strdup_printf ("kept-%u", i);
+      Call c = default_call (tb, "/r/x", id);
+      Response r;
+
+      c.curl = curl;
+      r = call (&c);
+      if (!r.complete && runs_of (tb, id) > 0)
+        lost++;
+      if (r.status == 0)
+        g_usleep (10 * US_PER_MS);
+      response_free (&r);
+      g_free (id);
+    }
+  CHECK (lost == 0);
+  curl_easy_cleanup (curl);
+  restart_first_entry (tb);
+}
+
+const TestFunc stop_tests[] = {
+  test_stream_late_in_a_stop_is_not_cut,
+  test_second_sigterm_cuts_nothing,
+  test_request_that_outlasts_a_stop_is_answered,
+  test_kept_connections_lose_no_request,
+  NULL,
+};
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -16,9 +16,10 @@
 #define END_PAUSE_US 50000
 /* Each run chooses a subnet of loopback by the runner's process id, so that runs at the
  * same time use different ones. */
-#define SUBNET_FIRST 64
-#define SUBNET_COUNT 63
-#define OCTETS       250
+#define SUBNET_FIRST       64
+#define SUBNET_COUNT       63
+#define OCTETS             250
+#define TIMEOUT_DEFAULT_MS 4000 /* of a route */
 
 /* -------- processes -------- */
 
@@ -160,7 +161,8 @@
   const char *name;
   const char *prefix;
   const char *kind;
-  const char *more; /* further members */
+  const char *more;    /* further members */
+  unsigned timeout_ms; /* 0: TIMEOUT_DEFAULT_MS */
 } RouteSpec;
 
 /* Service "m" has model servers, "p" is plain, "w" is the origin of weights. */
@@ -170,6 +172,9 @@
   { "once", "/o/", "unsafe", "\"backend\":\"p\",\"max_attempts\":1" },
   { "safe", "/r/", "safe", "\"backend\":\"m\",\"max_attempts\":2" },
   { "open", "/p/", "safe", "\"backend\":\"p\",\"public\":true" },
+  { "slow-stream", "/s/slow/", "streaming",
+    "\"backend\":\"m\",\"max_attempts\":2,\"resumable\":true", 6000 },
+  { "long", "/o/long/", "unsafe", "\"backend\":\"p\",\"max_attempts\":1", 20000 },
 };
 
 static const char services_spec[]
@@ -187,8 +192,10 @@
       g_string_append_printf (spec,
                               "%s{\"name\":\"%s\",\"hostname\":\"x.example\","
                               "\"path_prefix\":\"%s\",\"kind\":\"%s\","
-                              "\"timeout_ms\":4000,\"target_latency_ms\":400,%s}",
-                              i > 0 ? "," : "", r->name, r->prefix, r->kind, r->more);
+                              "\"timeout_ms\":%u,\"target_latency_ms\":400,%s}",
+                              i > 0 ? "," : "", r->name, r->prefix, r->kind,
+                              r->timeout_ms > 0 ? r->timeout_ms : TIMEOUT_DEFAULT_MS,
+                              r->more);
     }
 }
 
