--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -361,8 +361,11 @@
 static int
 requests_destroy (Requests *requests)
 {
-  for (const Request *r = requests->first; r != NULL; r = r->next)
-    log_abandoned (r);
+  while (requests->first != NULL)
+    {
+      log_abandoned (requests->first);
+      direct_request_release (requests->first);
+    }
   g_hash_table_destroy (requests->services);
   if (requests->routing != NULL)
     dl_message_unref (requests->routing);
