A repeated SIGTERM no longer ends a stop at once

What callers saw: everything in progress was cut, 0.3 s after the stop began, without an answer. Cause: the kernel took any second signal for a wish to end at once, also a SIGTERM that overlaps an earlier stop, which a supervisor or two overlapping changes send. A further SIGINT still ends at once, for a person at a terminal.

--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -248,7 +248,9 @@
     }
   dl_log (DL_EVENT_STOP_SIGNAL_REPEATED, DL_INT ("signal", watcher->signum),
           DL_UINT ("stopping_ms", dl_clock_ms () - kernel->stop_began_ms));
-  ev_break (loop, EVBREAK_ALL);
+  /* Supervisors may repeat SIGTERM; only a person at a terminal asks twice on purpose. */
+  if (watcher->signum == SIGINT)
+    ev_break (loop, EVBREAK_ALL);
 }
 
 static void
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -74,7 +74,7 @@
 DlKernel *dl_kernel_new (const char *program, const char *name, const void *settings);
 /* Starts the plug-ins and runs until a shutdown has ended.  Returns 0, or the negative
  * error of a plug-in that could not start.  SIGTERM and SIGINT begin a graceful shutdown;
- * a second one ends it at once.  SIGHUP makes the plug-ins reload their settings.
+ * a further SIGTERM changes nothing, a further SIGINT ends it at once.  SIGHUP makes the plug-ins reload their settings.
  * SIGUSR1 writes the state dump to standard error. */
 int dl_kernel_run (DlKernel *kernel);
 /* Begins a graceful shutdown: work in progress has the time set by dl_kernel_set_drain_ms
