What a stop cannot finish gets its final response before the process ends

What callers saw: a request that was still in progress when the time of a stop was over got neither an answer nor a refusal; its connection closed. Cause: at its limit the kernel left the loop, and the connections were closed with the process.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -21,16 +21,16 @@
 #define HEADER_BYTES_MAX          (20u << 10)
 #define BODY_BYTES_MAX            (8u << 20)
 #define IDLE_TIMEOUT_S            120
-/* Requests are still accepted for this long after a graceful shutdown began, until
+/* New connections are still accepted for this long after a graceful shutdown began, until
  * callers have learnt of it. */
-#define STOP_ACCEPT_MS 3200
+#define STOP_LISTEN_MS 3200
 #define STOP_CHECK_MS  100
 /* Retry-After of requests refused because the routing table is missing, too old to check
  * a key, or names an unknown service (the store may be back soon), or because no request
  * slot became free in time. */
 #define STALE_RETRY_MS 900
-/* Retry-After of requests refused because this entry stops. */
-#define STOPPING_RETRY_MS 100
+/* Retry-After of requests refused because this entry stops: others can serve them now. */
+#define STOPPING_RETRY_MS 10
 
 #define STATUS_UNAUTHORIZED     401
 #define STATUS_NOT_FOUND        404
@@ -217,7 +217,7 @@
   talloc_set_destructor (r, request_destroy);
   dl_http_request_on_closed (http, on_closed, r);
   if (requests->stop_began_ms != 0
-      && r->arrived_ms > requests->stop_began_ms + STOP_ACCEPT_MS)
+      && r->arrived_ms > requests->stop_began_ms + STOP_LISTEN_MS)
     direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
   else if (requests->routing == NULL)
     direct_request_refuse (r, STALE_RETRY_MS, "no routing table yet");
@@ -263,6 +263,16 @@
     direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, "its time ran out");
 }
 
+/* Sends the final response of a request that this entry cannot finish before it ends. */
+static void
+abandon_request (Request *r)
+{
+  if (r->attempt_count == 0)
+    direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
+  else
+    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, "this entry ended before it");
+}
+
 static void
 on_sweep (DlTimer *timer, void *data)
 {
@@ -402,7 +412,7 @@
 {
   Requests *requests = data;
 
-  if (dl_clock_ms () < requests->stop_began_ms + STOP_ACCEPT_MS)
+  if (dl_clock_ms () < requests->stop_began_ms + STOP_LISTEN_MS)
     return;
   dl_http_server_quiesce (requests->server);
   if (dl_http_server_active_requests (requests->server) == 0)
@@ -420,6 +430,18 @@
                       requests);
 }
 
+static void
+abandon (DlTask *task)
+{
+  Requests *requests = dl_task_state (task);
+
+  while (requests->first != NULL)
+    {
+      log_abandoned (requests->first);
+      abandon_request (requests->first);
+    }
+}
+
 static json_object *
 dump (DlTask *task)
 {
@@ -449,6 +471,7 @@
   .start = start,
   .handle = handle,
   .drain = drain,
+  .abandon = abandon,
   .dump = dump,
 };
 DL_PLUGIN_REGISTER (requests_plugin)
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -48,6 +48,7 @@
   GQueue mailbox;
   bool stopping;
   uint64_t stop_began_ms; /* 0 while running */
+  bool abandoned;         /* the shutdown's time is over; only last responses are sent */
   ev_prepare prepare;
   ev_idle idle;
   ev_signal sigterm, sigint, sighup, sigusr1;
@@ -199,11 +200,40 @@
   ev_break (kernel->loop, EVBREAK_ALL);
 }
 
+/* Time from the start of a shutdown until what is still in progress is abandoned. */
+static uint64_t
+working_ms (const DlKernel *kernel)
+{
+  return kernel->drain_ms - MIN (kernel->drain_ms / 2, DL_STOP_FINAL_MS);
+}
+
+static void
+restart_drain_timer (DlKernel *kernel, uint64_t after_ms)
+{
+  ev_timer_set (&kernel->drain_timer, (double)after_ms / MILLISECONDS_PER_SECOND, 0.0);
+  ev_timer_start (kernel->loop, &kernel->drain_timer);
+}
+
 static void
-on_drain_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+abandon_work (DlKernel *kernel)
 {
+  kernel->abandoned = true;
   dl_log (DL_EVENT_DRAIN_TIMEOUT);
-  ev_break (loop, EVBREAK_ALL);
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if (!t->drained && t->plugin->abandon != NULL)
+      t->plugin->abandon (t);
+  restart_drain_timer (kernel, kernel->drain_ms - working_ms (kernel));
+}
+
+static void
+on_drain_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  DlKernel *kernel = watcher->data;
+
+  if (kernel->abandoned)
+    ev_break (loop, EVBREAK_ALL);
+  else
+    abandon_work (kernel);
 }
 
 void
@@ -214,9 +244,7 @@
   kernel->stopping = true;
   kernel->stop_began_ms = dl_clock_ms ();
   dl_log (DL_EVENT_STOPPING);
-  ev_timer_set (&kernel->drain_timer, (double)kernel->drain_ms / MILLISECONDS_PER_SECOND,
-                0.0);
-  ev_timer_start (kernel->loop, &kernel->drain_timer);
+  restart_drain_timer (kernel, working_ms (kernel));
   for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
     {
       if (t->plugin->drain != NULL)
@@ -376,7 +404,8 @@
   start_signal (kernel, &kernel->sigint, SIGINT, on_stop_signal);
   start_signal (kernel, &kernel->sighup, SIGHUP, on_reload_signal);
   start_signal (kernel, &kernel->sigusr1, SIGUSR1, on_dump_signal);
-  ev_init (&kernel->drain_timer, on_drain_timeout);
+  ev_init (&kernel->drain_timer, on_drain_timer);
+  kernel->drain_timer.data = kernel;
   ev_prepare_init (&kernel->prepare, on_prepare);
   kernel->prepare.data = kernel;
   ev_prepare_start (kernel->loop, &kernel->prepare);
@@ -401,6 +430,12 @@
   kernel->drain_ms = drain_ms;
 }
 
+uint64_t
+dl_kernel_abandon_ms (const DlKernel *kernel)
+{
+  return kernel->stopping ? kernel->stop_began_ms + working_ms (kernel) : 0;
+}
+
 bool
 dl_kernel_stopping (const DlKernel *kernel)
 {
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -38,6 +38,9 @@
 /* Drops a reference; the last one frees the message. */
 void dl_message_unref (void *message);
 
+/* Time at the end of a graceful shutdown for sending the last responses. */
+#define DL_STOP_FINAL_MS 200
+
 /* A part of a program, run as one task. */
 typedef struct DlPlugin
 {
@@ -51,6 +54,9 @@
   /* A graceful shutdown began.  The task calls dl_task_drained once it has nothing in
    * progress.  NULL: the shutdown does not wait for this task. */
   void (*drain) (DlTask *task);
+  /* The shutdown's time is over.  The task ends what is still in progress and sends its
+   * final responses, for which it has DL_STOP_FINAL_MS.  May be NULL. */
+  void (*abandon) (DlTask *task);
   /* SIGHUP arrived: the settings file may have changed.  May be NULL. */
   void (*reload) (DlTask *task);
   /* Returns the task's state for the dump; the result belongs to the kernel.  May be
@@ -74,14 +80,17 @@
 DlKernel *dl_kernel_new (const char *program, const char *name, const void *settings);
 /* Starts the plug-ins and runs until a shutdown has ended.  Returns 0, or the negative
  * error of a plug-in that could not start.  SIGTERM and SIGINT begin a graceful shutdown;
- * a further SIGTERM changes nothing, a further SIGINT ends it at once.  SIGHUP makes the plug-ins reload their settings.
- * SIGUSR1 writes the state dump to standard error. */
+ * a further SIGTERM changes nothing, a further SIGINT ends it at once.  SIGHUP makes the
+ * plug-ins reload their settings. SIGUSR1 writes the state dump to standard error. */
 int dl_kernel_run (DlKernel *kernel);
 /* Begins a graceful shutdown: work in progress has the time set by dl_kernel_set_drain_ms
  * (30 s by default) to finish. */
 void dl_kernel_stop (DlKernel *kernel);
 /* Sets the longest time of a graceful shutdown. */
 void dl_kernel_set_drain_ms (DlKernel *kernel, uint64_t drain_ms);
+/* Time (dl_clock_ms) at which work that is still in progress is abandoned; 0 before a
+ * shutdown has begun. */
+uint64_t dl_kernel_abandon_ms (const DlKernel *kernel);
 /* True once a shutdown has begun. */
 bool dl_kernel_stopping (const DlKernel *kernel);
 /* The loop, the settings and the name live as long as the kernel. */
