A stopping entry takes only requests that it can finish before it ends

Cause: for 3.2 s after the signal everything was admitted, whatever its deadline; a request may last 6 s, the process 7.6 s. The class: work is accepted that the process's remaining life cannot cover. Why this works: a request is admitted when its deadline, which already ends it in any case, comes before the time at which work is abandoned; so nothing admitted can be in progress then. The connection stays open as long as before, so that callers with an old list get an answer. There is no second constant to keep in step with grace_s any more.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -175,6 +175,15 @@
   r->deadline_ms = r->arrived_ms + limit_ms;
 }
 
+/* True when this entry may end before the request's deadline. */
+static bool
+outlasts_stop (const Request *r)
+{
+  uint64_t abandon_ms = dl_kernel_abandon_ms (dl_task_kernel (r->owner->task));
+
+  return abandon_ms != 0 && r->deadline_ms > abandon_ms;
+}
+
 static void
 admit (Request *r)
 {
@@ -190,6 +199,11 @@
   if (!check_limits (r) || !check_key (r))
     return;
   set_deadline (r);
+  if (outlasts_stop (r))
+    {
+      direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
+      return;
+    }
   service = dl_routing_pick_target (r->route, dl_random_uint64 ());
   r->service_entry = service != NULL ? dl_routing_service (routing, service) : NULL;
   if (r->service_entry == NULL)
@@ -216,10 +230,7 @@
   link_request (requests, r);
   talloc_set_destructor (r, request_destroy);
   dl_http_request_on_closed (http, on_closed, r);
-  if (requests->stop_began_ms != 0
-      && r->arrived_ms > requests->stop_began_ms + STOP_LISTEN_MS)
-    direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
-  else if (requests->routing == NULL)
+  if (requests->routing == NULL)
     direct_request_refuse (r, STALE_RETRY_MS, "no routing table yet");
   else
     {
