--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -106,6 +106,7 @@
 static const TestGroup groups[] = {
   { "cases", { request_tests, explain_tests, change_tests } },
   { "stop", { stop_tests } },
+  { "reader", { reader_tests } },
 };
 
 static const TestGroup *
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -144,9 +144,10 @@
 extern const TestFunc explain_tests[];
 extern const TestFunc change_tests[];
 
-/* -------- stopping.c -------- */
+/* -------- stopping.c, reader.c -------- */
 
 extern const TestFunc stop_tests[];
+extern const TestFunc reader_tests[];
 
 /* -------- soak.c -------- */
 
