A reader's copy knows no removals from before its list

A process that has just started, or that listed again, has no tombstones from before the list, but answered as if it had. The asker took over its revision and never learnt of the removal: the accepted change was lost there until the process ended. Ruled out: a late or silent store (no 903 near these times), old proofs (they were fresh). Fix: a complete list sets the revision before which removals are not known; a watch from before it gets 410, and the asker lists at the store, as it does when the store itself has dropped its history.

--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -47,7 +47,7 @@
   uint64_t revision;   /* all changes up to it are known; 0 before the first sync */
   uint64_t synced_ms;  /* when that was current; 0 while the store does not answer */
   uint64_t newest;     /* revision of the last change */
-  uint64_t dropped;    /* newest revision of a tombstone that was dropped */
+  uint64_t dropped;    /* deletions up to this revision may be missing in records */
   unsigned tombstones; /* number in records */
   GHashTable *records; /* name to Record */
   GList *pending;
@@ -292,6 +292,15 @@
   g_hash_table_replace (k->records, g_strdup (object->name), r);
 }
 
+void
+dl_object_relay_set_listed (DlObjectRelay *relay, const char *kind, uint64_t revision)
+{
+  Kind *k = find_kind (relay, kind);
+
+  g_assert (k != NULL);
+  k->dropped = MAX (k->dropped, revision);
+}
+
 void
 dl_object_relay_set_synced (DlObjectRelay *relay,
                             const char *kind,
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -22,6 +22,10 @@
 dl_object_relay_add_kind (DlObjectRelay *relay, const char *kind, uint64_t max_age_ms);
 /* Stores OBJECT, which may be a deletion; ignored unless its kind was added. */
 void dl_object_relay_update (DlObjectRelay *relay, const DlObject *object);
+/* A complete list of KIND was read at REVISION.  It does not show what was deleted
+ * before, so that watches from an earlier revision are told to list again. */
+void
+dl_object_relay_set_listed (DlObjectRelay *relay, const char *kind, uint64_t revision);
 /* The objects of KIND are complete up to REVISION, and were current at SYNCED_MS. Answers
  * the watches that this makes due. */
 void dl_object_relay_set_synced (DlObjectRelay *relay,
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -217,6 +217,9 @@
   watch->listed = NULL;
   TALLOC_FREE (watch->list_after);
   watch->revision = watch->list_revision;
+  if (watch->options.relay != NULL)
+    dl_object_relay_set_listed (watch->options.relay, watch->options.kind,
+                                watch->revision);
   set_synced (watch, age_ms);
   send_watch (watch);
 }
--- a/regress/direct/reader.c
+++ b/regress/direct/reader.c
@@ -9,6 +9,7 @@
 #define KIND_TARGET  "/v1/objects?kinds=servers"
 #define SPARE_OBJECT "i-90"
 #define GONE         410
+#define UNAVAILABLE  503
 
 /* Revision of the upstreams that the second entry gives out; 0 while it refuses. */
 static uint64_t
@@ -49,7 +50,9 @@
 static bool
 copy_is_fresh (Testbed *tb)
 {
-  return watch_status (tb, watched_revision) != 503;
+  int status = watch_status (tb, watched_revision);
+
+  return status != 0 && status != UNAVAILABLE;
 }
 
 static bool
