The product's own entry, too, gives a final response to what its stop cannot finish

The same cause, looked for elsewhere: daisyentryd refuses new work from the signal on, so that it admits nothing that it cannot finish, but what was in progress at the limit of its stop was cut with the process: no line, no status. Left: a stream that waits between two attempts (some hundred ms) at that moment has no attempt to end and is still cut without its line.

--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -410,6 +410,34 @@
   dl_timer_subscribe (task, t, DRAIN_CHECK_MS, DRAIN_CHECK_MS, on_drain_check, t);
 }
 
+/* Ends each attempt as if its upstream had been lost, so that its caller gets a final
+ * response. */
+static void
+callers_abandon (DlTask *task)
+{
+  CallersTask *t = dl_task_state (task);
+  GList *ids = NULL;
+  GHashTableIter iter;
+  gpointer id;
+
+  t->abandoned = true;
+  g_hash_table_iter_init (&iter, t->attempts);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    ids = g_list_prepend (ids, g_memdup2 (id, sizeof (uint64_t)));
+  for (GList *l = ids; l != NULL; l = l->next)
+    {
+      EntryMessage *m = dl_message_new (ENTRY_RESPONSE, sizeof *m);
+
+      m->response.kind = ENTRY_RESPONSE_END;
+      m->response.id = *(uint64_t *)l->data;
+      m->response.reason = DAISYLOFT__WIRE__END_REASON__END_UNKNOWN;
+      m->response.detail = "this entry ended before it";
+      handle_response (t, m);
+      dl_message_unref (m);
+    }
+  g_list_free_full (ids, g_free);
+}
+
 /* -------- the task -------- */
 
 static void
@@ -567,6 +595,7 @@
   .start = callers_start,
   .handle = callers_handle,
   .drain = callers_drain,
+  .abandon = callers_abandon,
   .dump = callers_dump,
 };
 DL_PLUGIN_REGISTER (callers_plugin)
--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -47,6 +47,7 @@
   const EntryMessage *fleet;
   bool in_contact;
   bool stopping;
+  bool abandoned;         /* the time of the stop is over: no attempt is started */
   GQueue expiries;        /* of ClaimExpiry, in the order of their times */
   unsigned active_claims; /* calls in progress and outcomes being recorded */
   uint64_t next_id;
--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -203,7 +203,7 @@
 static void
 resume_or_cut_off (CallerRequest *r, const char *reason)
 {
-  if (r->resume == NULL || r->resume_count >= RESUMES_MAX)
+  if (r->resume == NULL || r->resume_count >= RESUMES_MAX || r->callers->abandoned)
     {
       cut_off (r, reason);
       return;
