--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -53,6 +53,7 @@
   Process entry_process[ENTRIES];
   Process stager_process[SERVERS - 1];
   uint64_t config_version;
+  uint64_t server_started[SERVERS]; /* start time of the instance that is listed */
 } Testbed;
 
 /* -------- testbed.c -------- */
@@ -71,6 +72,10 @@
 bool testbed_configure (Testbed *testbed, bool without_key);
 /* Writes the store's object for server INDEX, with STATE "ready" or "draining". */
 bool testbed_list_server (Testbed *testbed, unsigned index, const char *state);
+/* Lists server INDEX as a new instance that started under the same id. */
+bool testbed_restart_server (Testbed *testbed, unsigned index);
+/* Removes server INDEX from the store's list. */
+bool testbed_unlist_server (Testbed *testbed, unsigned index);
 /* Publishes VERSION at the origin and announces it in the store as the target version. */
 bool testbed_announce_version (Testbed *testbed, uint64_t version);
 /* Creates or replaces an object of the store; SPEC is JSON. */
@@ -134,7 +139,7 @@
 /* True if the stand-in at ADDRESS has recorded TEXT as MEMBER. */
 bool has_recorded_text (const char *address, const char *member, const char *text);
 
-/* -------- requests.c, explained.c, changes.c -------- */
+/* -------- requests.c, explained.c, changes.c, leaving.c -------- */
 
 typedef void (*TestFunc) (Testbed *testbed);
 
@@ -143,6 +148,8 @@
 /* The ways in docs/OPERATIONS.md that lead from a failed request's id to its cause. */
 extern const TestFunc explain_tests[];
 extern const TestFunc change_tests[];
+/* Upstreams that say in their responses that they leave, or when they want requests. */
+extern const TestFunc leaving_tests[];
 
 /* -------- soak.c -------- */
 
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -219,8 +219,9 @@
   char *name = g_strdup_printf ("i-%u", index + 1);
   char *spec = g_strdup_printf (
       "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"d1\",\"slots\":4,"
-      "\"state\":\"%s\",\"models\":[%s]}",
+      "\"state\":\"%s\",\"born\":%" PRIu64 ",\"models\":[%s]}",
       index < SERVERS - 1 ? "m" : "p", tb->via_server[index], state,
+      tb->server_started[index],
       index < SERVERS - 1 ? "{\"name\":\"big\",\"version\":1}" : "");
   bool done = testbed_put (tb, "servers", name, spec);
 
@@ -229,6 +230,27 @@
   return done;
 }
 
+bool
+testbed_restart_server (Testbed *tb, unsigned index)
+{
+  tb->server_started[index]++;
+  return set_fault (tb->server[index], "born", tb->server_started[index])
+         && testbed_list_server (tb, index, "ready");
+}
+
+bool
+testbed_unlist_server (Testbed *tb, unsigned index)
+{
+  char *target = g_strdup_printf ("/-/objects/servers/i-%u", index + 1);
+  Response r
+      = call (&(Call){ .method = "DELETE", .address = tb->store, .target = target });
+  bool done = r.status == 200;
+
+  response_free (&r);
+  g_free (target);
+  return done;
+}
+
 bool
 testbed_announce_version (Testbed *tb, uint64_t version)
 {
@@ -281,6 +303,7 @@
   char *name = g_strdup_printf ("server-%u", i + 1);
   char *knob = g_strdup_printf ("instance=%u", i + 1);
 
+  tb->server_started[i] = i + 1;
   tb->server[i] = address (tb, 11 + i, PORT);
   tb->via_server[i] = reachable_address (tb, tb->server[i]);
   process_set (tb, &tb->server_process[i], name,
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -15,6 +15,7 @@
 #define EVENTS_DEFAULT 10
 #define EVENT_MS       20
 #define LOAD_MS        100
+#define MS_PER_S       1000.0
 #define NAME_BYTES     32
 
 /* A stream of events that is being sent. */
@@ -40,12 +41,18 @@
 static uint64_t silent;      /* the next N are run without a response ever */
 static uint64_t rot;         /* the next N reads of staged chunks corrupt the chunk */
 static uint64_t slots = 16;
+static uint64_t born;           /* start time in its report; 0: the number of INSTANCE */
+static uint64_t leaving;        /* responses to requests say that it leaves */
+static uint64_t report_leaving; /* its reports say that it leaves */
+static uint64_t retry_after_ms; /* Retry-After of refusals; 0: none */
+static uint64_t unmarked;       /* refusals do not say that the request was not run */
 
 static DlTask *task;
 static GHashTable *staged; /* index of a chunk to its bytes */
 static bool loading;
 static uint64_t load_commands;
 static uint64_t running;
+static uint64_t received;      /* requests, also those that were refused */
 static uint64_t cancelled;     /* streams whose caller disconnected */
 static uint64_t mixed;         /* loads accepted with missing or wrong chunks */
 static uint64_t keys_seen;     /* requests that carried a caller's key */
@@ -70,6 +77,11 @@
   { "rot", &rot },
   { "slots", &slots },
   { "cut_resumed", &cut_resumed },
+  { "born", &born },
+  { "leaving", &leaving },
+  { "report_leaving", &report_leaving },
+  { "retry_after_ms", &retry_after_ms },
+  { "unmarked", &unmarked },
   { 0 },
 };
 
@@ -193,6 +205,8 @@
   json_object *models = json_object_new_array ();
   json_object *model = json_object_new_object ();
   json_object *layers = json_object_new_object ();
+  const DlHttpHeader headers[]
+      = { { report_leaving ? "Server-Leaving" : NULL, "1" }, { 0 } };
 
   if (version > 0)
     {
@@ -211,8 +225,11 @@
   standin_json_set_uint (report, "sequence", load_commands);
   standin_json_set_uint (report, "running", running);
   standin_json_set_uint (report, "waiting", 0);
-  standin_json_set_uint (report, "born", instance);
-  dl_http_reply_json (request, 200, report);
+  standin_json_set_uint (report, "born", born > 0 ? born : instance);
+  dl_http_reply (request, 200, "application/json",
+                 dl_str (json_object_to_json_string_ext (report, JSON_C_TO_STRING_PLAIN)),
+                 headers);
+  json_object_put (report);
 }
 
 /* -------- requests -------- */
@@ -222,7 +239,7 @@
   char id[NAME_BYTES * 4];
   char seal[NAME_BYTES];
   char versions[NAME_BYTES];
-  DlHttpHeader headers[4];
+  DlHttpHeader headers[5];
 } ResponseHeaders;
 
 static const DlHttpHeader *
@@ -240,6 +257,8 @@
       = (DlHttpHeader){ .name = "X-Weight-Versions", .value = h->versions };
   if (!standin_count_down (&unsealed))
     h->headers[count++] = (DlHttpHeader){ .name = "X-Response-Seal", .value = h->seal };
+  if (leaving)
+    h->headers[count++] = (DlHttpHeader){ .name = "Server-Leaving", .value = "1" };
   h->headers[count] = (DlHttpHeader){ 0 };
   return h->headers;
 }
@@ -313,8 +332,19 @@
 static void
 refuse (DlHttpRequest *request, unsigned status)
 {
-  const DlHttpHeader headers[] = { { "X-Not-Executed", "1" }, { 0 } };
+  char seconds[NAME_BYTES];
+  DlHttpHeader headers[4] = { { 0 } };
+  size_t count = 0;
 
+  if (!unmarked)
+    headers[count++] = (DlHttpHeader){ .name = "X-Not-Executed", .value = "1" };
+  if (leaving)
+    headers[count++] = (DlHttpHeader){ .name = "Server-Leaving", .value = "1" };
+  if (retry_after_ms > 0)
+    {
+      g_snprintf (seconds, sizeof seconds, "%.3f", (double)retry_after_ms / MS_PER_S);
+      headers[count] = (DlHttpHeader){ .name = "Retry-After", .value = seconds };
+    }
   dl_http_reply (request, status, NULL, DL_STR_LITERAL (""), headers);
 }
 
@@ -339,6 +369,7 @@
 {
   ResponseHeaders headers;
 
+  received++;
   if (expectation_fails (request))
     {
       refuse (request, 421);
@@ -392,6 +423,7 @@
     standin_json_set_uint (ran, id, GPOINTER_TO_SIZE (count));
   json_object_object_add (records, "runs", ran);
   standin_json_set_uint (records, "ran", g_hash_table_size (runs));
+  standin_json_set_uint (records, "received", received);
   standin_json_set_uint (records, "version", version);
   standin_json_set_uint (records, "orders", load_commands);
   standin_json_set_uint (records, "mixed", mixed);
