Send nothing new to an upstream that says in a response that it leaves

Cause: the header was forwarded to the caller but not read. Requests in progress there go on. With no other upstream the caller is refused with 503 as before for a service without upstreams.

It holds for the instance: it outlives the removal of the list entry and its return (10 minutes), and ends with an entry of the same id and a later start. An entry with an earlier start is taken for an outdated one: a store that comes back from a copy may list it.

The header is still forwarded to callers, like all others.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -138,6 +138,8 @@
   attempt->progress_ms = dl_clock_ms ();
   platform_read_response_head (call, status, attempt->request->incoming.id,
                                &attempt->head);
+  if (attempt->head.leaving)
+    direct_upstream_announced_leaving (attempt->upstream);
   if (attempt->head.has_load)
     direct_upstream_update_load (attempt->upstream,
                                  attempt->head.running + attempt->head.waiting,
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -313,10 +313,10 @@
       requests->routing = dl_message_ref ((void *)m);
       break;
     case DIRECT_UPSTREAM:
-      direct_upstreams_set (requests->upstreams, &m->upstream);
+      direct_upstreams_set (requests->upstreams, &m->upstream, dl_clock_ms ());
       break;
     case DIRECT_UPSTREAM_REMOVED:
-      direct_upstreams_remove (requests->upstreams, m->removed_upstream);
+      direct_upstreams_remove (requests->upstreams, m->removed_upstream, dl_clock_ms ());
       break;
     case DIRECT_ENGINE:
       direct_upstreams_update_engine (requests->upstreams, &m->engine, dl_clock_ms ());
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -7,6 +7,7 @@
 
 #include "kernel/crypt.h"
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 #include "policy/version_floor.h"
 
 /* This many entries of other regions count as one where request slots are shared, because
@@ -17,6 +18,14 @@
 /* Failures counted when an upstream cannot be connected to: enough to eject it at once.
  */
 #define UNREACHABLE_FAILURES DL_BREAKER_FAILURES
+/* What a removed upstream announced is remembered for this long, in case that an entry
+ * of it returns to the list. */
+#define REMEMBER_REMOVED_MS 600000
+
+DL_METRIC (metric_leaving,
+           DL_METRIC_COUNTER,
+           "daisy_direct_upstreams_leaving_total",
+           "Upstreams that said in a response that they leave, before the store did.")
 
 struct DirectUpstreams
 {
@@ -38,19 +47,27 @@
   return upstreams;
 }
 
+/* The newest known instance of upstream ID, listed or removed; NULL for none. */
 static DirectUpstream *
 find (const DirectUpstreams *upstreams, const char *id)
 {
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
-    if (!u->removed && strcmp (u->id, id) == 0)
+    if (strcmp (u->id, id) == 0)
       return u;
   return NULL;
 }
 
+static bool
+is_remembered (const DirectUpstream *u, uint64_t now_ms)
+{
+  return dl_availability_is_restricted (&u->availability)
+         && now_ms < u->removed_ms + REMEMBER_REMOVED_MS;
+}
+
 static void
-free_when_unused (DirectUpstream *u)
+free_when_unused (DirectUpstream *u, uint64_t now_ms)
 {
-  if (!u->removed || u->attempts > 0)
+  if (!u->removed || u->attempts > 0 || is_remembered (u, now_ms))
     return;
   for (DirectUpstream **at = &u->owner->first; *at != NULL; at = &(*at)->next)
     if (*at == u)
@@ -62,16 +79,32 @@
 }
 
 static void
-mark_removed (DirectUpstream *u)
+mark_removed (DirectUpstream *u, uint64_t now_ms)
 {
   u->removed = true;
-  free_when_unused (u);
+  u->removed_ms = now_ms;
+  free_when_unused (u, now_ms);
+}
+
+static void
+free_forgotten (DirectUpstreams *upstreams, uint64_t now_ms)
+{
+  DirectUpstream *next;
+
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = next)
+    {
+      next = u->next;
+      free_when_unused (u, now_ms);
+    }
 }
 
 /* Only one upstream can run at an address: when a new one is listed there, the others
  * have ended. */
 static void
-remove_others_at (DirectUpstreams *upstreams, const char *id, const char *address)
+remove_others_at (DirectUpstreams *upstreams,
+                  const char *id,
+                  const char *address,
+                  uint64_t now_ms)
 {
   DirectUpstream *next;
 
@@ -79,7 +112,7 @@
     {
       next = u->next;
       if (!u->removed && strcmp (u->address, address) == 0 && strcmp (u->id, id) != 0)
-        mark_removed (u);
+        mark_removed (u, now_ms);
     }
 }
 
@@ -99,21 +132,49 @@
   u->load.capacity = u->has_engine ? dl_balance_usable_slots (slots) : slots;
 }
 
-void
-direct_upstreams_set (DirectUpstreams *upstreams, const DlUpstreamEntry *entry)
+static DirectUpstream *
+add (DirectUpstreams *upstreams, const char *id)
+{
+  DirectUpstream *u = talloc_zero (upstreams, DirectUpstream);
+
+  g_assert (u != NULL);
+  u->owner = upstreams;
+  u->id = talloc_strdup (u, id);
+  u->next = upstreams->first;
+  upstreams->first = u;
+  return u;
+}
+
+/* The instance that ENTRY lists: the known one, which may have been removed before, or a
+ * new one. */
+static DirectUpstream *
+listed_instance (DirectUpstreams *upstreams,
+                 const DlUpstreamEntry *entry,
+                 uint64_t now_ms)
 {
   DirectUpstream *u = find (upstreams, entry->id);
 
-  if (u == NULL)
+  if (u != NULL && dl_availability_is_new_instance (u->started_ms, entry->started_ms))
     {
-      remove_others_at (upstreams, entry->id, entry->address);
-      u = talloc_zero (upstreams, DirectUpstream);
-      g_assert (u != NULL);
-      u->owner = upstreams;
-      u->id = talloc_strdup (u, entry->id);
-      u->next = upstreams->first;
-      upstreams->first = u;
+      mark_removed (u, now_ms);
+      u = NULL;
     }
+  if (u == NULL || u->removed)
+    remove_others_at (upstreams, entry->id, entry->address, now_ms);
+  if (u == NULL)
+    u = add (upstreams, entry->id);
+  u->removed = false;
+  u->started_ms = MAX (u->started_ms, entry->started_ms);
+  return u;
+}
+
+void
+direct_upstreams_set (DirectUpstreams *upstreams,
+                      const DlUpstreamEntry *entry,
+                      uint64_t now_ms)
+{
+  DirectUpstream *u = listed_instance (upstreams, entry, now_ms);
+
   set_text (u, &u->service, entry->service);
   set_text (u, &u->address, entry->address);
   u->same_data_center
@@ -126,12 +187,13 @@
 }
 
 void
-direct_upstreams_remove (DirectUpstreams *upstreams, const char *id)
+direct_upstreams_remove (DirectUpstreams *upstreams, const char *id, uint64_t now_ms)
 {
   DirectUpstream *u = find (upstreams, id);
 
-  if (u != NULL)
-    mark_removed (u);
+  if (u != NULL && !u->removed)
+    mark_removed (u, now_ms);
+  free_forgotten (upstreams, now_ms);
 }
 
 /* Number of entries among which the free request slots of U are divided.  For an upstream
@@ -212,7 +274,8 @@
 {
   uint64_t required;
 
-  if (u->removed || u->leaving || strcmp (u->service, query->service->name) != 0)
+  if (u->removed || u->leaving || strcmp (u->service, query->service->name) != 0
+      || !dl_availability_allows (&u->availability))
     return false;
   if (!query->service->has_engine)
     return true;
@@ -295,7 +358,8 @@
 
   for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     {
-      if (u->removed || u->leaving || strcmp (u->service, service) != 0)
+      if (u->removed || u->leaving || u->availability.leaving
+          || strcmp (u->service, service) != 0)
         continue;
       count.listed++;
       count.loading += u->loading;
@@ -363,7 +427,17 @@
       break;
     }
   u->attempts--;
-  free_when_unused (u);
+  free_when_unused (u, now_ms);
+}
+
+void
+direct_upstream_announced_leaving (DirectUpstream *u)
+{
+  if (!dl_availability_leave (&u->availability) || u->leaving)
+    return;
+  dl_metric_add (&metric_leaving, 1);
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_SAID_LEAVING, DL_TEXT ("upstream", u->id),
+          DL_UINT ("own_requests", u->load.in_flight));
 }
 
 bool
@@ -400,7 +474,9 @@
       json_object_object_add (o, "id", json_object_new_string (u->id));
       json_object_object_add (o, "service", json_object_new_string (u->service));
       json_object_object_add (o, "address", json_object_new_string (u->address));
-      json_object_object_add (o, "leaving", json_object_new_boolean (u->leaving));
+      json_object_object_add (o, "leaving",
+                              json_object_new_boolean (u->leaving
+                                                       || u->availability.leaving));
       json_object_object_add (o, "gone", json_object_new_boolean (u->removed));
       json_object_object_add (o, "loading", json_object_new_boolean (u->loading));
       json_object_object_add (o, "version", json_object_new_uint64 (u->version));
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -5,27 +5,32 @@
 #define DIRECT_UPSTREAMS_H
 
 #include "daisydirectd.h"
+#include "policy/availability.h"
 #include "policy/balance.h"
 #include "policy/breaker.h"
 #include "policy/routing.h"
 
 typedef struct DirectUpstreams DirectUpstreams;
 
-/* One upstream.  After it was removed from the list it is freed with its last attempt. */
+/* One instance of an upstream.  After it was removed from the list it is freed with its
+ * last attempt, or later when what it announced is to be remembered. */
 typedef struct DirectUpstream
 {
   char *id;
   char *service;
   char *address;
-  bool same_data_center;     /* as this entry */
-  bool leaving;              /* gets no new requests */
-  bool removed;              /* no longer listed */
-  bool has_engine;           /* according to its list entry or its stager */
-  bool loading;              /* down or loading weights, according to its stager */
-  uint64_t version;          /* of the weights that it serves; 0 for none */
-  unsigned slots;            /* request slots */
-  uint64_t stager_report_ms; /* when its stager last reported on it; 0 for never */
-  unsigned attempts;         /* in progress at it */
+  bool same_data_center;       /* as this entry */
+  uint64_t started_ms;         /* wall clock at its start; 0 when unknown */
+  bool leaving;                /* according to its list entry; gets no new requests */
+  DlAvailability availability; /* according to its own responses */
+  bool removed;                /* no longer listed */
+  uint64_t removed_ms;         /* when it was removed from the list */
+  bool has_engine;             /* according to its list entry or its stager */
+  bool loading;                /* down or loading weights, according to its stager */
+  uint64_t version;            /* of the weights that it serves; 0 for none */
+  unsigned slots;              /* request slots */
+  uint64_t stager_report_ms;   /* when its stager last reported on it; 0 for never */
+  unsigned attempts;           /* in progress at it */
   DlUpstreamLoad load;
   DlBreaker breaker;
   DirectUpstreams *owner;
@@ -35,10 +40,14 @@
 /* Returns an empty set, a talloc child of CONTEXT; SETTINGS is not copied. */
 DirectUpstreams *direct_upstreams_new (const void *context,
                                        const DlNodeSettings *settings);
-/* Adds the upstream of ENTRY, or updates the one with its id. */
-void direct_upstreams_set (DirectUpstreams *upstreams, const DlUpstreamEntry *entry);
+/* Adds the upstream of ENTRY, or updates the one with its id.  An instance that started
+ * later than the known one of this id replaces it. */
+void direct_upstreams_set (DirectUpstreams *upstreams,
+                           const DlUpstreamEntry *entry,
+                           uint64_t now_ms);
 /* The upstream ID is no longer listed; nothing happens when it is not known. */
-void direct_upstreams_remove (DirectUpstreams *upstreams, const char *id);
+void
+direct_upstreams_remove (DirectUpstreams *upstreams, const char *id, uint64_t now_ms);
 /* Updates the upstream at the engine's address, if there is one, from its stager's
  * report. */
 void direct_upstreams_update_engine (DirectUpstreams *upstreams,
@@ -123,6 +132,9 @@
                             bool started,
                             DirectAttemptOutcome outcome,
                             uint64_t now_ms);
+/* A response of the upstream said that it leaves: it gets no new requests, also when it
+ * is listed as ready or listed again.  Requests in progress there go on. */
+void direct_upstream_announced_leaving (DirectUpstream *upstream);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
 /* A response of the upstream carried its load: REQUESTS running or queued, SLOTS, 0 when
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -40,6 +40,7 @@
   bool is_mismatched; /* has another request's id, or is content-encoded */
   bool has_seal;      /* carries the upstream's seal of its response */
   bool is_event_stream;
+  bool leaving;     /* the upstream announces that it leaves */
   bool has_load;    /* the next three members are set */
   unsigned running; /* requests */
   unsigned waiting; /* requests */
