Stagers tell entries when their engine says that it leaves

What upstreams saw: an upstream whose reports said that it leaves went on getting requests from entries that had had no response of its own since.

Cause: the stager on its host reads a report ten times a second, but not this header. It now tells the entries in its status, at once, with the engine's start time, so that a late datagram does not close the instance that came after it.

--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -42,6 +42,8 @@
   unsigned waiting;    /* requests */
   double pace;         /* as in DlUpstreamLoad */
   uint64_t version;    /* of its weights; 0 for none */
+  bool leaving;        /* announced that it leaves */
+  uint64_t started_ms; /* wall clock at its start; 0 when unknown */
 } DirectEngineStatus;
 
 /* A message between the tasks.  The type in HEAD determines which member of the union is
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -234,6 +234,8 @@
     .waiting = engine->waiting,
     .pace = engine->pace,
     .version = engine->version,
+    .leaving = engine->leaving,
+    .started_ms = engine->started_ms,
   };
   dl_kernel_publish (state->kernel, message);
 }
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -224,6 +224,9 @@
       u->version = engine->version;
       u->stager_report_ms = now_ms;
       u->load.pace = engine->pace;
+      if (engine->leaving
+          && dl_availability_is_same_instance (u->started_ms, engine->started_ms))
+        direct_upstream_announced_leaving (u);
       dl_balance_report (&u->load, engine->running + engine->waiting, sharing_entries (u),
                          dl_random_uint64 (), now_ms);
       return;
--- a/daisystaged/engine.c
+++ b/daisystaged/engine.c
@@ -74,6 +74,7 @@
       && platform_read_report (message, result->body, engine->layers, &message->report)
              == 0)
     {
+      message->report.leaving = platform_is_leaving (call);
       engine->misses = 0;
       set_unresponsive (engine, false);
       dl_kernel_publish (dl_task_kernel (engine->task), message);
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -211,8 +211,11 @@
   e->loading = report->busy;
   e->pace = report->pace;
   e->version = report->version;
+  e->leaving = report->leaving;
+  e->started_ms = report->started_ms;
   state->engine_known = true;
-  if (before.loading != e->loading || before.version != e->version)
+  if (before.loading != e->loading || before.version != e->version
+      || before.leaving != e->leaving)
     send_to_entries (state, false, dl_clock_ms ());
   else if (before.running != e->running || before.waiting != e->waiting)
     state->engine_changed = true;
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1499,7 +1499,7 @@
   (ProtobufCMessageInit) daisyloft__wire__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__engine_status__field_descriptors[7] =
+static const ProtobufCFieldDescriptor daisyloft__wire__engine_status__field_descriptors[9] =
 {
   {
     "address",
@@ -1585,20 +1585,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__engine_status__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  7,   /* field[7] = leaving */
   3,   /* field[3] = loading */
   5,   /* field[5] = model */
   4,   /* field[4] = pace */
   1,   /* field[1] = running */
+  8,   /* field[8] = started_ms */
   6,   /* field[6] = version */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange daisyloft__wire__engine_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__engine_status__descriptor =
 {
@@ -1608,7 +1634,7 @@
   "Daisyloft__Wire__EngineStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__EngineStatus),
-  7,
+  9,
   daisyloft__wire__engine_status__field_descriptors,
   daisyloft__wire__engine_status__field_indices_by_name,
   1,  daisyloft__wire__engine_status__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -194,10 +194,18 @@
    * of the weights that it serves; 0: none
    */
   uint64_t version;
+  /*
+   * said in its last report that it leaves
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * wall clock at its start; 0: unknown
+   */
+  uint64_t started_ms;
 };
 #define DAISYLOFT__WIRE__ENGINE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__engine_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/lib/node/upstream_entry.h
+++ b/lib/node/upstream_entry.h
@@ -33,6 +33,7 @@
   unsigned waiting;  /* requests */
   double pace; /* duration of work relative to normal; over 1 is slower; 0 when unknown */
   uint64_t started_ms; /* wall clock at its start; 0 when unknown */
+  bool leaving;        /* takes no new requests any more */
 } DlEngineReport;
 
 /* How an engine answered a load command. */
