Honour the hold-off that an upstream asks for when it sheds a request

What callers saw: with all upstreams of a service in a hold-off their requests were sent anyway, or refused with a Retry-After of 0.4 to 1.9 s that had nothing to do with it.

Cause: the header was only read to be dropped or forwarded. It is now read in platform/ from a 503, with the mark that nothing ran or without: a decimal number of seconds, fractions allowed, anything else is no hold-off. direct_upstreams_choose leaves the upstream out until the end of that time; requests, retries, resumes, the breaker's probes and the queue all go through it, and the fallback for all-ejected upstreams sees only the others. It belongs to the instance, like leaving.

With all upstreams that could serve in a hold-off the caller is refused at once, and queued requests too, with Retry-After at the first one's end, spread over 0.3 s. A shed request that gets no retry is told the same.

For the circuit breaker and the failure rate it counts neither way: the upstream is not at fault, the time that it names replaces a guessed backoff, and it is used again at the end of it instead of seconds later.

Events: 1016 at the start of each hold-off; 1000 tells held_off.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -117,12 +117,12 @@
 
 /* Ends the attempt and retries the request; the retry has been reserved before. */
 static void
-finish_and_retry (Attempt *attempt)
+finish_and_retry (Attempt *attempt, DirectAttemptOutcome outcome)
 {
   Request *r = attempt->request;
   char *id = talloc_strdup (r, attempt->upstream->id);
 
-  finish (attempt, DIRECT_ATTEMPT_FAILED);
+  finish (attempt, outcome);
   direct_dispatch_retry (r, DIRECT_FAILURE_BROKEN, id);
   direct_dispatch_run_queue (r->service);
 }
@@ -140,6 +140,9 @@
                                &attempt->head);
   if (attempt->head.leaving)
     direct_upstream_announced_leaving (attempt->upstream);
+  if (attempt->head.hold_off_ms > 0)
+    direct_upstream_asked_hold_off (attempt->upstream, attempt->head.hold_off_ms,
+                                    attempt->progress_ms);
   if (attempt->head.has_load)
     direct_upstream_update_load (attempt->upstream,
                                  attempt->head.running + attempt->head.waiting,
@@ -276,6 +279,14 @@
          && direct_dispatch_reserve_retry (attempt->request, DIRECT_FAILURE_BROKEN);
 }
 
+/* How an error response counts for the upstream.  One that asks for a hold-off is no
+ * fault of it, and gets the hold-off instead of an open circuit breaker. */
+static DirectAttemptOutcome
+error_outcome (const Attempt *attempt)
+{
+  return attempt->head.hold_off_ms > 0 ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED;
+}
+
 static void
 forward_response (Attempt *attempt)
 {
@@ -285,8 +296,8 @@
   DlBuffer *body = talloc_steal (r, attempt->body);
   unsigned status = attempt->status;
 
-  finish (attempt,
-          status >= STATUS_SERVER_ERROR ? DIRECT_ATTEMPT_FAILED : DIRECT_ATTEMPT_SERVED);
+  finish (attempt, status >= STATUS_SERVER_ERROR ? error_outcome (attempt)
+                                                 : DIRECT_ATTEMPT_SERVED);
   direct_request_reply (r, status, type, dl_buffer_view (body), headers);
 }
 
@@ -297,14 +308,14 @@
 
   if (attempt->head.not_run || broken)
     {
-      finish_failed (attempt, DIRECT_ATTEMPT_FAILED,
+      finish_failed (attempt, error_outcome (attempt),
                      attempt->head.not_run ? DIRECT_FAILURE_NOT_RUN
                                            : DIRECT_FAILURE_BROKEN);
       return;
     }
   if (reserve_retry_of_error (attempt))
     {
-      finish_and_retry (attempt);
+      finish_and_retry (attempt, error_outcome (attempt));
       return;
     }
   note_started (attempt, dl_clock_ms ());
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -91,16 +91,32 @@
   return (uint64_t)(requests->settings->retry_ratio * RETRY_RATIO_SHARE * PERCENT);
 }
 
+static DirectUpstreamQuery
+upstream_query (const Request *r)
+{
+  return (DirectUpstreamQuery){
+    .service = r->service_entry,
+    .avoid_upstream = r->avoid_upstream,
+    .now_ms = dl_clock_ms (),
+  };
+}
+
 static DirectUpstream *
 choose (const Request *r, int *error)
 {
-  return direct_upstreams_choose (r->owner->upstreams,
-                                  &(DirectUpstreamQuery){
-                                      .service = r->service_entry,
-                                      .avoid_upstream = r->avoid_upstream,
-                                      .now_ms = dl_clock_ms (),
-                                  },
-                                  error);
+  DirectUpstreamQuery query = upstream_query (r);
+
+  return direct_upstreams_choose (r->owner->upstreams, &query, error);
+}
+
+/* Time until an upstream of the request's service takes requests again, when all of them
+ * hold off; 0 when that is not the case. */
+static uint64_t
+hold_ms (const Request *r)
+{
+  DirectUpstreamQuery query = upstream_query (r);
+
+  return direct_upstreams_hold_ms (r->owner->upstreams, &query);
 }
 
 static void
@@ -138,9 +154,23 @@
 static uint64_t
 retry_ms (const Request *r)
 {
+  uint64_t held_ms = hold_ms (r);
+
+  if (held_ms > 0)
+    return dl_availability_retry_ms (held_ms, dl_random_uint64 ());
   return dl_wait_queue_retry_ms (r->service->queue, dl_random_uint64 (), dl_clock_ms ());
 }
 
+/* Sends the final response of a request that no upstream of its service takes. */
+static void
+refuse_or_fail_without_upstream (Request *r)
+{
+  if (hold_ms (r) > 0)
+    refuse_or_fail (r, "all upstreams of the service asked to hold off", retry_ms (r));
+  else
+    refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
+}
+
 static void
 enqueue (Request *r)
 {
@@ -171,7 +201,7 @@
   else if (error == -EBUSY)
     enqueue (r);
   else
-    refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
+    refuse_or_fail_without_upstream (r);
 }
 
 void
@@ -199,8 +229,7 @@
       if (upstream != NULL)
         send_to (r, upstream);
       else
-        refuse_or_fail (r, "no upstream of the service takes requests",
-                        NO_UPSTREAM_RETRY_MS);
+        refuse_or_fail_without_upstream (r);
     }
 }
 
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -26,6 +26,10 @@
            DL_METRIC_COUNTER,
            "daisy_direct_upstreams_leaving_total",
            "Upstreams that said in a response that they leave, before the store did.")
+DL_METRIC (metric_hold_offs,
+           DL_METRIC_COUNTER,
+           "daisy_direct_hold_offs_total",
+           "Hold-offs that upstreams asked for when they shed a request.")
 
 struct DirectUpstreams
 {
@@ -60,7 +64,7 @@
 static bool
 is_remembered (const DirectUpstream *u, uint64_t now_ms)
 {
-  return dl_availability_is_restricted (&u->availability)
+  return !dl_availability_allows (&u->availability, now_ms)
          && now_ms < u->removed_ms + REMEMBER_REMOVED_MS;
 }
 
@@ -270,6 +274,7 @@
 
 /* -------- choosing -------- */
 
+/* Whether the upstream serves such requests, though not during a hold-off. */
 static bool
 can_serve (const DirectUpstreams *upstreams,
            const DirectUpstream *u,
@@ -278,7 +283,7 @@
   uint64_t required;
 
   if (u->removed || u->leaving || strcmp (u->service, query->service->name) != 0
-      || !dl_availability_allows (&u->availability))
+      || u->availability.leaving)
     return false;
   if (!query->service->has_engine)
     return true;
@@ -308,7 +313,8 @@
   int chosen;
 
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
-    if (can_serve (upstreams, u, query))
+    if (can_serve (upstreams, u, query)
+        && dl_availability_allows (&u->availability, query->now_ms))
       {
         DlBalanceCandidate c = {
           .load = &u->load,
@@ -337,6 +343,19 @@
   return chosen >= 0 ? g_ptr_array_index (candidate_upstreams, (guint)chosen) : NULL;
 }
 
+uint64_t
+direct_upstreams_hold_ms (const DirectUpstreams *upstreams,
+                          const DirectUpstreamQuery *query)
+{
+  uint64_t first_ms = UINT64_MAX;
+
+  for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    if (can_serve (upstreams, u, query))
+      first_ms
+          = MIN (first_ms, dl_availability_hold_ms (&u->availability, query->now_ms));
+  return first_ms != UINT64_MAX ? first_ms : 0;
+}
+
 /* -------- estimates and counts, for logs -------- */
 
 DirectLoadEstimate
@@ -367,6 +386,7 @@
       count.listed++;
       count.loading += u->loading;
       count.ejected += !dl_breaker_allows (&u->breaker, now_ms);
+      count.held_off += dl_availability_hold_ms (&u->availability, now_ms) > 0;
       count.outdated += u->has_engine && u->version < required;
     }
   return count;
@@ -433,6 +453,17 @@
   free_when_unused (u, now_ms);
 }
 
+void
+direct_upstream_asked_hold_off (DirectUpstream *u, uint64_t duration_ms, uint64_t now_ms)
+{
+  if (!dl_availability_hold_off (&u->availability, duration_ms, now_ms))
+    return;
+  dl_metric_add (&metric_hold_offs, 1);
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_HOLDS_OFF, DL_TEXT ("upstream", u->id),
+          DL_UINT ("hold_off_ms", dl_availability_hold_ms (&u->availability, now_ms)),
+          DL_UINT ("own_requests", u->load.in_flight));
+}
+
 void
 direct_upstream_announced_leaving (DirectUpstream *u)
 {
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -82,6 +82,10 @@
 DirectUpstream *direct_upstreams_choose (const DirectUpstreams *upstreams,
                                          const DirectUpstreamQuery *query,
                                          int *error);
+/* Time until the first upstream that could serve the request takes requests again, when
+ * all of them hold off; 0 when that is not the case. */
+uint64_t direct_upstreams_hold_ms (const DirectUpstreams *upstreams,
+                                   const DirectUpstreamQuery *query);
 /* The lowest version of weights that may start a request at NOW_MS; 0 for any. */
 uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
                                             uint64_t now_ms);
@@ -104,6 +108,7 @@
   unsigned loading;  /* of these, down or loading weights */
   unsigned ejected;  /* of these, with an open circuit breaker */
   unsigned outdated; /* of these, with weights too old to start a request */
+  unsigned held_off; /* of these, in a hold-off that they asked for */
 } DirectUpstreamCount;
 
 DirectUpstreamCount direct_upstreams_count (const DirectUpstreams *upstreams,
@@ -135,6 +140,11 @@
 /* A response of the upstream said that it leaves: it gets no new requests, also when it
  * is listed as ready or listed again.  Requests in progress there go on. */
 void direct_upstream_announced_leaving (DirectUpstream *upstream);
+/* A response of the upstream asked for no requests for DURATION_MS.  Requests in progress
+ * there go on. */
+void direct_upstream_asked_hold_off (DirectUpstream *upstream,
+                                     uint64_t duration_ms,
+                                     uint64_t now_ms);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
 /* A response of the upstream carried its load: REQUESTS running or queued, SLOTS, 0 when
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -40,11 +40,12 @@
   bool is_mismatched; /* has another request's id, or is content-encoded */
   bool has_seal;      /* carries the upstream's seal of its response */
   bool is_event_stream;
-  bool leaving;     /* the upstream announces that it leaves */
-  bool has_load;    /* the next three members are set */
-  unsigned running; /* requests */
-  unsigned waiting; /* requests */
-  unsigned slots;   /* requests that it runs at once */
+  bool leaving;         /* the upstream announces that it leaves */
+  uint64_t hold_off_ms; /* it sheds requests and wants none for this long; 0 for none */
+  bool has_load;        /* the next three members are set */
+  unsigned running;     /* requests */
+  unsigned waiting;     /* requests */
+  unsigned slots;       /* requests that it runs at once */
 } DlResponseHead;
 
 #endif
--- a/lib/policy/availability.c
+++ b/lib/policy/availability.c
@@ -1,5 +1,9 @@
 #include "policy/availability.h"
 
+#include <glib.h>
+
+#define RETRY_SPREAD_MS 300
+
 bool
 dl_availability_leave (DlAvailability *availability)
 {
@@ -10,15 +14,35 @@
 }
 
 bool
-dl_availability_allows (const DlAvailability *availability)
+dl_availability_hold_off (DlAvailability *availability,
+                          uint64_t duration_ms,
+                          uint64_t now_ms)
+{
+  bool first = dl_availability_hold_ms (availability, now_ms) == 0;
+  uint64_t until_ms = now_ms + MIN (duration_ms, DL_HOLD_OFF_MAX_MS);
+
+  availability->hold_until_ms = MAX (availability->hold_until_ms, until_ms);
+  return first && duration_ms > 0;
+}
+
+uint64_t
+dl_availability_hold_ms (const DlAvailability *availability, uint64_t now_ms)
 {
-  return !availability->leaving;
+  uint64_t until_ms = availability->hold_until_ms;
+
+  return until_ms > now_ms ? until_ms - now_ms : 0;
 }
 
 bool
-dl_availability_is_restricted (const DlAvailability *availability)
+dl_availability_allows (const DlAvailability *availability, uint64_t now_ms)
+{
+  return !availability->leaving && dl_availability_hold_ms (availability, now_ms) == 0;
+}
+
+uint64_t
+dl_availability_retry_ms (uint64_t hold_ms, uint64_t random)
 {
-  return availability->leaving;
+  return hold_ms + random % RETRY_SPREAD_MS;
 }
 
 bool
--- a/lib/policy/availability.h
+++ b/lib/policy/availability.h
@@ -1,6 +1,9 @@
 /*
  * Whether an upstream takes new requests, by what it announces in its own responses.
  *
+ * An upstream that sheds a request may ask for a hold-off: a time for which it wants no
+ * requests from this entry.
+ *
  * An instance of an upstream that leaves says so in all its responses, at times before
  * the store lists it as leaving, and stays so until its end.  One that starts again under
  * the same id is another instance, of which nothing is known yet.
@@ -16,16 +19,29 @@
 /* What one instance of an upstream has announced.  Starts zeroed. */
 typedef struct
 {
-  bool leaving; /* takes no new requests any more */
+  bool leaving;           /* takes no new requests any more */
+  uint64_t hold_until_ms; /* end of its hold-off; 0: it asked for none */
 } DlAvailability;
 
+/* A longer hold-off counts as this; the request that is sent after it asks again. */
+#define DL_HOLD_OFF_MAX_MS 3600000
+
 /* The instance announced that it leaves.  Returns true for the first time. */
 bool dl_availability_leave (DlAvailability *availability);
-/* True when new requests may be sent to the instance. */
-bool dl_availability_allows (const DlAvailability *availability);
-/* True when something was announced that still holds, so that it must be remembered if
- * the instance is no longer listed: it may be listed again. */
-bool dl_availability_is_restricted (const DlAvailability *availability);
+/* The instance asked for a hold-off of DURATION_MS; one that ends later stays.  Returns
+ * true when none was in progress. */
+bool dl_availability_hold_off (DlAvailability *availability,
+                               uint64_t duration_ms,
+                               uint64_t now_ms);
+/* Time until the end of the hold-off in progress; 0 for none. */
+uint64_t dl_availability_hold_ms (const DlAvailability *availability, uint64_t now_ms);
+/* True when new requests may be sent to the instance.  If not, this must be remembered
+ * when the instance is no longer listed, as it may be listed again. */
+bool dl_availability_allows (const DlAvailability *availability, uint64_t now_ms);
+
+/* Retry-After of a request that is refused because all upstreams hold off, the first of
+ * them for HOLD_MS more.  RANDOM spreads the callers. */
+uint64_t dl_availability_retry_ms (uint64_t hold_ms, uint64_t random);
 
 /* True when the list entry of an upstream, started at LISTED_MS, is of a later instance
  * than the known one, started at KNOWN_MS; both by the wall clock of the upstream, 0 when
--- a/regress/direct/leaving.c
+++ b/regress/direct/leaving.c
@@ -15,6 +15,7 @@
 #define LONG_HOLD_MS 60000
 
 static unsigned next_id;
+static int parallel_id;
 
 /* Sends a request of its own to TARGET; the caller frees the response. */
 static Response
@@ -261,17 +262,67 @@
 
 /* -------- holding off -------- */
 
+/* More streams than the usable servers have request slots. */
+#define STREAMS 12
+
+static gpointer
+stream_is_served (gpointer data)
+{
+  char *id = g_strdup_printf ("parallel-%d", g_atomic_int_add (&parallel_id, 1));
+  Call c = default_call (data, "/s/x", id);
+  Response r = call (&c);
+  gboolean served = r.status == 200 && r.complete;
+
+  response_free (&r);
+  g_free (id);
+  return GINT_TO_POINTER (served);
+}
+
+/* Sends streams at the same time, so that no usable server is left out for others being
+ * better; returns how many were served. */
+static unsigned
+send_streams (Testbed *tb)
+{
+  GThread *threads[STREAMS];
+  unsigned served = 0;
+
+  for (unsigned i = 0; i < STREAMS; i++)
+    threads[i] = g_thread_new ("stream", stream_is_served, tb);
+  for (unsigned i = 0; i < STREAMS; i++)
+    served += GPOINTER_TO_INT (g_thread_join (threads[i])) != 0;
+  return served;
+}
+
+/* Sends streams; some are served and none reaches SERVER. */
+static void
+check_holds_off (Testbed *tb, unsigned server)
+{
+  uint64_t before = received (tb, server);
+
+  CHECK (send_streams (tb) > 0);
+  CHECK (received (tb, server) == before);
+}
+
+static bool
+streams_reach_first_server (Testbed *tb)
+{
+  uint64_t before = received (tb, 0);
+
+  send_streams (tb);
+  return received (tb, 0) > before;
+}
+
 static void
 test_upstream_got_requests_during_hold_off (Testbed *tb)
 {
   CHECK (set_fault (tb->server[0], "retry_after_ms", LONG_HOLD_MS));
   CHECK (set_fault (tb->server[0], "shed", 1));
   send_until_received (tb, 0);
-  check_avoided (tb, 0);
+  check_holds_off (tb, 0);
   CHECK (testbed_unlist_server (tb, 0));
-  check_avoided (tb, 0);
+  check_holds_off (tb, 0);
   CHECK (testbed_list_server (tb, 0, "ready"));
-  check_avoided (tb, 0);
+  check_holds_off (tb, 0);
   restart_servers (tb);
 }
 
@@ -281,7 +332,7 @@
   CHECK (set_fault (tb->server[0], "retry_after_ms", 700));
   CHECK (set_fault (tb->server[0], "shed", 1));
   send_until_received (tb, 0);
-  CHECK (eventually (all_servers_are_used, tb));
+  CHECK (eventually (streams_reach_first_server, tb));
   restart_servers (tb);
 }
 
@@ -292,7 +343,7 @@
   CHECK (set_fault (tb->server[0], "unmarked", 1));
   CHECK (set_fault (tb->server[0], "shed", 1));
   send_until_received (tb, 0);
-  check_avoided (tb, 0);
+  check_holds_off (tb, 0);
   restart_servers (tb);
 }
 
--- a/regress/unit/test_availability.c
+++ b/regress/unit/test_availability.c
@@ -4,17 +4,61 @@
 #include "policy/availability.h"
 #include "unit.h"
 
+#define NOW_MS 10000
+
 static void
 test_leaving (void)
 {
   DlAvailability a = { 0 };
 
-  CU_ASSERT_TRUE (dl_availability_allows (&a));
-  CU_ASSERT_FALSE (dl_availability_is_restricted (&a));
+  CU_ASSERT_TRUE (dl_availability_allows (&a, NOW_MS));
   CU_ASSERT_TRUE (dl_availability_leave (&a));
   CU_ASSERT_FALSE (dl_availability_leave (&a));
-  CU_ASSERT_FALSE (dl_availability_allows (&a));
-  CU_ASSERT_TRUE (dl_availability_is_restricted (&a));
+  CU_ASSERT_FALSE (dl_availability_allows (&a, NOW_MS));
+}
+
+typedef struct
+{
+  uint64_t until_ms; /* end of the hold-off before */
+  uint64_t asked_ms;
+  bool began;
+  uint64_t left_ms;
+} HoldOffCase;
+
+static const HoldOffCase hold_off_cases[] = {
+  { 0, 0, false, 0 },
+  { 0, 1, true, 1 },
+  { 0, 5000, true, 5000 },
+  { NOW_MS, 200, true, 200 },
+  { NOW_MS + 1, 200, false, 200 },
+  { NOW_MS + 900, 200, false, 900 },
+  { 0, DL_HOLD_OFF_MAX_MS + 1, true, DL_HOLD_OFF_MAX_MS },
+  { 0, UINT64_MAX, true, DL_HOLD_OFF_MAX_MS },
+};
+
+static void
+test_hold_off (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (hold_off_cases); i++)
+    {
+      const HoldOffCase *c = &hold_off_cases[i];
+      DlAvailability a = { .hold_until_ms = c->until_ms };
+
+      CU_ASSERT_EQUAL (dl_availability_hold_off (&a, c->asked_ms, NOW_MS), c->began);
+      CU_ASSERT_EQUAL (dl_availability_hold_ms (&a, NOW_MS), c->left_ms);
+      CU_ASSERT_EQUAL (dl_availability_allows (&a, NOW_MS), c->left_ms == 0);
+      CU_ASSERT_TRUE (dl_availability_allows (&a, NOW_MS + c->left_ms));
+    }
+}
+
+/* Callers are told to return after the end of the hold-off, not all at once. */
+static void
+test_retry_after_hold_off (void)
+{
+  CU_ASSERT_EQUAL (dl_availability_retry_ms (700, 0), 700);
+  CU_ASSERT_NOT_EQUAL (dl_availability_retry_ms (700, 1),
+                       dl_availability_retry_ms (700, 2));
+  CU_ASSERT_TRUE (dl_availability_retry_ms (700, UINT64_MAX) < 1700);
 }
 
 typedef struct
@@ -46,6 +90,8 @@
 
 static const CU_TestInfo tests[] = {
   { "leaving", test_leaving },
+  { "hold-off", test_hold_off },
+  { "retry after a hold-off", test_retry_after_hold_off },
   { "instances", test_instances },
   CU_TEST_INFO_NULL,
 };
--- a/regress/unit/test_platform.c
+++ b/regress/unit/test_platform.c
@@ -306,6 +306,40 @@
   talloc_free (context);
 }
 
+/* -------- responses -------- */
+
+typedef struct
+{
+  const char *text;
+  uint64_t ms;
+} RetryCase;
+
+static const RetryCase retry_cases[] = {
+  { NULL, 0 },
+  { "", 0 },
+  { "0", 0 },
+  { "2", 2000 },
+  { "0.25", 250 },
+  { "1.0001", 1001 },
+  { ".5", 500 },
+  { "-1", 0 },
+  { "1.2.3", 0 },
+  { "nan", 0 },
+  { "inf", 0 },
+  { "0x10", 0 },
+  { "1e3", 0 },
+  { "2 s", 0 },
+  { "Fri, 04 Dec 2026 09:00:00 GMT", 0 },
+  { "99999999999999999999", G_MAXUINT32 },
+};
+
+static void
+test_retry_after (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (retry_cases); i++)
+    CU_ASSERT_EQUAL (platform_read_retry_after (retry_cases[i].text), retry_cases[i].ms);
+}
+
 static const CU_TestInfo tests[] = {
   { "requests to the store", test_store_requests },
   { "responses of the store", test_store_responses },
@@ -315,6 +349,7 @@
   { "reports of engines", test_engine_reports },
   { "outcomes of load commands", test_load_outcomes },
   { "manifests", test_manifests },
+  { "when to retry", test_retry_after },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("platform", tests)
