Tests of leaving: wait until the entry knows every new instance

One run in four of the group failed: the all-hold-off test saw requests served. Trace: the tests list the servers anew, and its condition, all are used, was already true of the old instances; the new one's entry arrived after the server had been shed, and ended the hold-off, as it should. Before listing them anew the test now has the last one close itself, so that its being used again shows that all entries ahead of it were read. As strict as before.

--- a/regress/direct/leaving.c
+++ b/regress/direct/leaving.c
@@ -120,10 +120,14 @@
   return all;
 }
 
-/* Clears all faults and lists the servers as new instances, which must be used again. */
+/* Clears all faults and lists the servers as new instances, which must be used again. The
+ * one that is listed last has announced that it leaves: once it is used, the entry knows
+ * the new instances of all. */
 static void
 restart_servers (Testbed *tb)
 {
+  CHECK (set_fault (tb->server[PLAIN], "leaving", 1));
+  send_status (tb, "/p/x");
   for (unsigned i = 0; i < SERVERS; i++)
     {
       for (size_t k = 0; k < G_N_ELEMENTS (knobs); k++)
