An upstream that was listed as leaving stays so until it starts again

What upstreams would see: requests again, when a list entry that is older than the one that said they leave is read, as from a store that comes back from a copy.

Cause: the entry took over whether an upstream leaves from each list entry. It is now the same state as what the upstream says itself: it belongs to the instance and ends with an entry of a later start. Two tests listed a draining server as ready again without a restart, which upstreams never do; they now list it as a new instance, with the same checks.

--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -183,7 +183,8 @@
   set_text (u, &u->address, entry->address);
   u->same_data_center
       = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
-  u->leaving = entry->leaving;
+  if (entry->leaving)
+    dl_availability_leave (&u->availability);
   u->has_engine = u->has_engine || entry->model != NULL;
   set_slots (u, entry->slots);
   if (u->stager_report_ms == 0)
@@ -282,8 +283,8 @@
 {
   uint64_t required;
 
-  if (u->removed || u->leaving || strcmp (u->service, query->service->name) != 0
-      || u->availability.leaving)
+  if (u->removed || u->availability.leaving
+      || strcmp (u->service, query->service->name) != 0)
     return false;
   if (!query->service->has_engine)
     return true;
@@ -380,8 +381,7 @@
 
   for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     {
-      if (u->removed || u->leaving || u->availability.leaving
-          || strcmp (u->service, service) != 0)
+      if (u->removed || u->availability.leaving || strcmp (u->service, service) != 0)
         continue;
       count.listed++;
       count.loading += u->loading;
@@ -467,7 +467,7 @@
 void
 direct_upstream_announced_leaving (DirectUpstream *u)
 {
-  if (!dl_availability_leave (&u->availability) || u->leaving)
+  if (!dl_availability_leave (&u->availability))
     return;
   dl_metric_add (&metric_leaving, 1);
   dl_log (DL_EVENT_DIRECT_UPSTREAM_SAID_LEAVING, DL_TEXT ("upstream", u->id),
@@ -509,8 +509,7 @@
       json_object_object_add (o, "service", json_object_new_string (u->service));
       json_object_object_add (o, "address", json_object_new_string (u->address));
       json_object_object_add (o, "leaving",
-                              json_object_new_boolean (u->leaving
-                                                       || u->availability.leaving));
+                              json_object_new_boolean (u->availability.leaving));
       json_object_object_add (o, "gone", json_object_new_boolean (u->removed));
       json_object_object_add (o, "loading", json_object_new_boolean (u->loading));
       json_object_object_add (o, "version", json_object_new_uint64 (u->version));
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -21,8 +21,7 @@
   char *address;
   bool same_data_center;       /* as this entry */
   uint64_t started_ms;         /* wall clock at its start; 0 when unknown */
-  bool leaving;                /* according to its list entry; gets no new requests */
-  DlAvailability availability; /* according to its own responses */
+  DlAvailability availability; /* as it announced in responses or in the list */
   bool removed;                /* no longer listed */
   uint64_t removed_ms;         /* when it was removed from the list */
   bool has_engine;             /* according to its list entry or its stager */
--- a/lib/policy/availability.h
+++ b/lib/policy/availability.h
@@ -1,12 +1,14 @@
 /*
- * Whether an upstream takes new requests, by what it announces in its own responses.
+ * Whether an upstream takes new requests, by what it announces in its responses and its
+ * list entry.
  *
  * An upstream that sheds a request may ask for a hold-off: a time for which it wants no
  * requests from this entry.
  *
- * An instance of an upstream that leaves says so in all its responses, at times before
- * the store lists it as leaving, and stays so until its end.  One that starts again under
- * the same id is another instance, of which nothing is known yet.
+ * An instance of an upstream that leaves says so in its list entry, and in all its
+ * responses, at times before.  It stays so until its end, even if an older list entry
+ * shows it as ready again.  One that starts again under the same id is another instance,
+ * of which nothing is known yet.
  *
  * Pure: times are milliseconds given by the caller.
  */
--- a/regress/direct/changes.c
+++ b/regress/direct/changes.c
@@ -83,7 +83,7 @@
   CHECK (testbed_put (tb, "servers", "i-78", "\"not an entry\""));
   CHECK (testbed_list_server (tb, 0, "draining"));
   CHECK (eventually (first_server_gets_no_requests, tb));
-  CHECK (testbed_list_server (tb, 0, "ready"));
+  CHECK (testbed_restart_server (tb, 0));
 }
 
 /* -------- weights -------- */
--- a/regress/direct/leaving.c
+++ b/regress/direct/leaving.c
@@ -120,20 +120,39 @@
   return all;
 }
 
-/* Clears all faults and lists the servers as new instances, which must be used again. The
- * one that is listed last has announced that it leaves: once it is used, the entry knows
- * the new instances of all. */
 static void
-restart_servers (Testbed *tb)
+start_anew (Testbed *tb, unsigned server)
+{
+  for (size_t k = 0; k < G_N_ELEMENTS (knobs); k++)
+    CHECK (set_fault (tb->server[server], knobs[k], 0));
+  CHECK (testbed_restart_server (tb, server));
+  CHECK (set_fault (tb->server[server], "born", tb->server_started[server]));
+}
+
+static bool
+plain_server_is_used (Testbed *tb)
+{
+  return send_status (tb, "/p/x") == 200;
+}
+
+/* Waits until the entry has read what was written to the list before: the plain server
+ * announces that it leaves, and is used again once its later entry was read. */
+static void
+wait_for_list (Testbed *tb)
 {
   CHECK (set_fault (tb->server[PLAIN], "leaving", 1));
   send_status (tb, "/p/x");
-  for (unsigned i = 0; i < SERVERS; i++)
-    {
-      for (size_t k = 0; k < G_N_ELEMENTS (knobs); k++)
-        CHECK (set_fault (tb->server[i], knobs[k], 0));
-      CHECK (testbed_restart_server (tb, i));
-    }
+  start_anew (tb, PLAIN);
+  CHECK (eventually (plain_server_is_used, tb));
+}
+
+/* Clears all faults and lists the servers as new instances, which must be used again. */
+static void
+restart_servers (Testbed *tb)
+{
+  for (unsigned i = 0; i < PLAIN; i++)
+    start_anew (tb, i);
+  wait_for_list (tb);
   CHECK (eventually (all_servers_are_used, tb));
 }
 
@@ -154,10 +173,33 @@
   CHECK (set_fault (tb->server[0], "leaving", 1));
   send_until_received (tb, 0);
   CHECK (testbed_unlist_server (tb, 0));
+  wait_for_list (tb);
   check_avoided (tb, 0);
   CHECK (testbed_list_server (tb, 0, "ready"));
-  for (unsigned i = 0; i < 4; i++)
-    check_avoided (tb, 0);
+  wait_for_list (tb);
+  check_avoided (tb, 0);
+  restart_servers (tb);
+}
+
+static bool
+first_server_is_avoided (Testbed *tb)
+{
+  uint64_t before = received (tb, 0);
+
+  for (unsigned i = 0; i < PROBES && received (tb, 0) == before; i++)
+    send_status (tb, "/r/x");
+  return received (tb, 0) == before;
+}
+
+/* As a store shows it that comes back from an older copy. */
+static void
+test_draining_upstream_listed_again_as_ready_got_requests (Testbed *tb)
+{
+  CHECK (testbed_list_server (tb, 0, "draining"));
+  CHECK (eventually (first_server_is_avoided, tb));
+  CHECK (testbed_list_server (tb, 0, "ready"));
+  wait_for_list (tb);
+  check_avoided (tb, 0);
   restart_servers (tb);
 }
 
@@ -245,16 +287,6 @@
   restart_servers (tb);
 }
 
-static bool
-first_server_is_avoided (Testbed *tb)
-{
-  uint64_t before = received (tb, 0);
-
-  for (unsigned i = 0; i < PROBES && received (tb, 0) == before; i++)
-    send_status (tb, "/r/x");
-  return received (tb, 0) == before;
-}
-
 static void
 test_report_of_leaving_upstream_was_ignored (Testbed *tb)
 {
@@ -324,8 +356,10 @@
   send_until_received (tb, 0);
   check_holds_off (tb, 0);
   CHECK (testbed_unlist_server (tb, 0));
+  wait_for_list (tb);
   check_holds_off (tb, 0);
   CHECK (testbed_list_server (tb, 0, "ready"));
+  wait_for_list (tb);
   check_holds_off (tb, 0);
   restart_servers (tb);
 }
@@ -387,6 +421,7 @@
 const TestFunc leaving_tests[] = {
   test_leaving_upstream_listed_as_ready_got_requests,
   test_leaving_upstream_listed_again_got_requests,
+  test_draining_upstream_listed_again_as_ready_got_requests,
   test_error_response_of_leaving_upstream_was_ignored,
   test_leaving_upstream_got_requests_beside_its_stream,
   test_leaving_upstream_got_requests_while_store_was_away,
--- a/regress/direct/soak_faults.c
+++ b/regress/direct/soak_faults.c
@@ -237,7 +237,7 @@
 list_server (Soak *soak, unsigned index)
 {
   for (unsigned i = 0; i < WRITE_TRIES; i++)
-    if (testbed_list_server (soak->testbed, index, "ready"))
+    if (testbed_restart_server (soak->testbed, index))
       return;
   soak_report_violation (soak, "store",
                          "accepts no write of a server, though it is available");
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -234,8 +234,7 @@
 testbed_restart_server (Testbed *tb, unsigned index)
 {
   tb->server_started[index]++;
-  return set_fault (tb->server[index], "born", tb->server_started[index])
-         && testbed_list_server (tb, index, "ready");
+  return testbed_list_server (tb, index, "ready");
 }
 
 bool
