--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -5,27 +5,31 @@
 #define DIRECT_UPSTREAMS_H
 
 #include "daisydirectd.h"
+#include "policy/availability.h"
 #include "policy/balance.h"
 #include "policy/breaker.h"
 #include "policy/routing.h"
 
 typedef struct DirectUpstreams DirectUpstreams;
 
-/* One upstream.  After it was removed from the list it is freed with its last attempt. */
+/* One instance of an upstream.  After it was removed from the list it is freed with its
+ * last attempt, or later when what it announced is to be remembered. */
 typedef struct DirectUpstream
 {
   char *id;
   char *service;
   char *address;
-  bool same_data_center;     /* as this entry */
-  bool leaving;              /* gets no new requests */
-  bool removed;              /* no longer listed */
-  bool has_engine;           /* according to its list entry or its stager */
-  bool loading;              /* down or loading weights, according to its stager */
-  uint64_t version;          /* of the weights that it serves; 0 for none */
-  unsigned slots;            /* request slots */
-  uint64_t stager_report_ms; /* when its stager last reported on it; 0 for never */
-  unsigned attempts;         /* in progress at it */
+  bool same_data_center;       /* as this entry */
+  uint64_t started_ms;         /* wall clock at its start; 0 when unknown */
+  DlAvailability availability; /* as it announced in responses or in the list */
+  bool removed;                /* no longer listed */
+  uint64_t removed_ms;         /* when it was removed from the list */
+  bool has_engine;             /* according to its list entry or its stager */
+  bool loading;                /* down or loading weights, according to its stager */
+  uint64_t version;            /* of the weights that it serves; 0 for none */
+  unsigned slots;              /* request slots */
+  uint64_t stager_report_ms;   /* when its stager last reported on it; 0 for never */
+  unsigned attempts;           /* in progress at it */
   DlUpstreamLoad load;
   DlBreaker breaker;
   DirectUpstreams *owner;
@@ -35,10 +39,14 @@
 /* Returns an empty set, a talloc child of CONTEXT; SETTINGS is not copied. */
 DirectUpstreams *direct_upstreams_new (const void *context,
                                        const DlNodeSettings *settings);
-/* Adds the upstream of ENTRY, or updates the one with its id. */
-void direct_upstreams_set (DirectUpstreams *upstreams, const DlUpstreamEntry *entry);
+/* Adds the upstream of ENTRY, or updates the one with its id.  An instance that started
+ * later than the known one of this id replaces it. */
+void direct_upstreams_set (DirectUpstreams *upstreams,
+                           const DlUpstreamEntry *entry,
+                           uint64_t now_ms);
 /* The upstream ID is no longer listed; nothing happens when it is not known. */
-void direct_upstreams_remove (DirectUpstreams *upstreams, const char *id);
+void
+direct_upstreams_remove (DirectUpstreams *upstreams, const char *id, uint64_t now_ms);
 /* Updates the upstream at the engine's address, if there is one, from its stager's
  * report. */
 void direct_upstreams_update_engine (DirectUpstreams *upstreams,
@@ -73,6 +81,10 @@
 DirectUpstream *direct_upstreams_choose (const DirectUpstreams *upstreams,
                                          const DirectUpstreamQuery *query,
                                          int *error);
+/* Time until the first upstream that could serve the request takes requests again, when
+ * all of them hold off; 0 when that is not the case. */
+uint64_t direct_upstreams_hold_ms (const DirectUpstreams *upstreams,
+                                   const DirectUpstreamQuery *query);
 /* The lowest version of weights that may start a request at NOW_MS; 0 for any. */
 uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
                                             uint64_t now_ms);
@@ -95,6 +107,7 @@
   unsigned loading;  /* of these, down or loading weights */
   unsigned ejected;  /* of these, with an open circuit breaker */
   unsigned outdated; /* of these, with weights too old to start a request */
+  unsigned held_off; /* of these, in a hold-off that they asked for */
 } DirectUpstreamCount;
 
 DirectUpstreamCount direct_upstreams_count (const DirectUpstreams *upstreams,
@@ -123,6 +136,14 @@
                             bool started,
                             DirectAttemptOutcome outcome,
                             uint64_t now_ms);
+/* A response of the upstream said that it leaves: it gets no new requests, also when it
+ * is listed as ready or listed again.  Requests in progress there go on. */
+void direct_upstream_announced_leaving (DirectUpstream *upstream);
+/* A response of the upstream asked for no requests for DURATION_MS.  Requests in progress
+ * there go on. */
+void direct_upstream_asked_hold_off (DirectUpstream *upstream,
+                                     uint64_t duration_ms,
+                                     uint64_t now_ms);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
 /* A response of the upstream carried its load: REQUESTS running or queued, SLOTS, 0 when
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -107,6 +107,7 @@
   { "cases", { request_tests, explain_tests, change_tests } },
   { "stop", { stop_tests } },
   { "reader", { reader_tests } },
+  { "leaving", { leaving_tests } },
 };
 
 static const TestGroup *
