HTTP client: limits for heads, trailers and chunk framing

Callers saw 504 at their deadline while a peer's trailers filled the entry: +607904 kB in 3.6 s, and a whole core was spent (4100 ms of processor); a chunk's extension without end took 3400 ms of processor, header lines 3 to 6.5 MB a request. Cause: libcurl bounds one line (100 KiB), but not all lines of heads and trailers together below 300 KB, trailers not at all, and skips a chunk's extension without telling us. Heads, interim heads and trailers of a call are now counted in a header callback (32 KiB, 256 lines), and received bytes without a byte of the body in between in the debug callback, which sees them before the framing is removed (32 KiB). Bytes that are not HTTP were refused before; now the log says so.

--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -8,14 +8,25 @@
 #include <talloc.h>
 
 #include "kernel/error.h"
-
-#define BODY_DEFAULT_MAX_BYTES     (1u << 20)
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+#define BODY_DEFAULT_MAX_BYTES (1u << 20)
+#define HEAD_DEFAULT_MAX_BYTES (32u << 10)
+#define HEAD_MAX_LINES         256u
+/* Bytes of chunk lengths and extensions with no body byte in between. */
+#define FRAMING_MAX_BYTES          (32u << 10)
 #define CONNECT_DEFAULT_TIMEOUT_MS 2000
 #define IDLE_CONNECTIONS_MAX       256
 #define RECEIVE_BUFFER_BYTES       8192L  /* receive buffer of each call */
 #define UPLOAD_BUFFER_BYTES        16384L /* libcurl's minimum */
 #define MILLISECONDS_PER_SECOND    1000.0
 
+DL_METRIC (metric_invalid,
+           DL_METRIC_COUNTER,
+           "daisy_http_invalid_responses_total",
+           "Responses given up because what a peer sent cannot be one.")
+
 struct DlHttpClient
 {
   DlTask *task;
@@ -33,8 +44,13 @@
   DlBuffer *request_body;
   DlBuffer *body;
   DlHttpCallOptions options;
+  char *id;             /* as in the options */
+  size_t head_bytes;    /* of the heads and trailers so far */
+  unsigned head_lines;  /* the same in lines */
+  size_t framing_bytes; /* received since the last byte of the head or the body */
+  int error;            /* why the response was given up; 0: it was not */
+  DlTimer *give_up;
   bool head_reported;
-  bool too_large;
   bool paused;
   bool in_callback;
   bool freed_in_callback;
@@ -123,6 +139,74 @@
   return 0;
 }
 
+/* -------- limits -------- */
+
+void
+dl_http_call_report_invalid (DlHttpCall *call, const char *what)
+{
+  char *ip = NULL;
+  long port = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_PRIMARY_IP, &ip);
+  curl_easy_getinfo (call->easy, CURLINFO_PRIMARY_PORT, &port);
+  dl_metric_add (&metric_invalid, 1);
+  dl_log (DL_EVENT_HTTP_INVALID, DL_TEXT ("peer", ip != NULL ? ip : ""),
+          DL_INT ("port", port), DL_TEXT ("what", what),
+          DL_TEXT ("request", call->id != NULL ? call->id : ""));
+}
+
+/* Notes, once, that the response is given up. */
+static void
+call_note_invalid (DlHttpCall *call, int error, const char *what)
+{
+  if (call->error != 0)
+    return;
+  call->error = error;
+  if (!call->freed_in_callback)
+    dl_http_call_report_invalid (call, what);
+}
+
+static size_t
+on_header (char *data, size_t size, size_t n, void *user)
+{
+  DlHttpCall *call = user;
+  size_t limit = call->options.max_head_bytes > 0 ? call->options.max_head_bytes
+                                                  : HEAD_DEFAULT_MAX_BYTES;
+
+  call->framing_bytes = 0;
+  call->head_bytes += size * n;
+  call->head_lines++;
+  if (call->head_bytes <= limit && call->head_lines <= HEAD_MAX_LINES)
+    return size * n;
+  call_note_invalid (call, DL_ERR_TOO_LARGE, "heads or trailers over the limit");
+  return CURL_WRITEFUNC_ERROR;
+}
+
+static void call_done (DlHttpCall *call, CURLcode code);
+
+static void
+on_give_up (DlTimer *timer, void *data)
+{
+  call_done (data, CURLE_RECV_ERROR);
+}
+
+/* libcurl reports body bytes here before it removes the framing of chunks.  It accepts no
+ * error from this callback, so the call is ended from the loop. */
+static int
+on_debug (CURL *easy, curl_infotype type, char *data, size_t length, void *user)
+{
+  DlHttpCall *call = user;
+
+  if (type != CURLINFO_DATA_IN || call->freed_in_callback)
+    return 0;
+  call->framing_bytes += length;
+  if (call->framing_bytes <= FRAMING_MAX_BYTES || call->error != 0)
+    return 0;
+  call_note_invalid (call, DL_ERR_MALFORMED, "chunk framing without end");
+  call->give_up = dl_timer_subscribe (call->client->task, call, 0, 0, on_give_up, call);
+  return 0;
+}
+
 /* -------- calls -------- */
 
 static void
@@ -141,6 +225,7 @@
 static size_t
 call_receive (DlHttpCall *call, DlStr bytes)
 {
+  call->framing_bytes = 0;
   call_report_head (call);
   if (call->freed_in_callback)
     return CURL_WRITEFUNC_ERROR;
@@ -150,7 +235,7 @@
     call->options.on_data (call, bytes, call->options.data);
   else if (dl_buffer_append (call->body, bytes.data, bytes.length) < 0)
     {
-      call->too_large = true;
+      call_note_invalid (call, DL_ERR_TOO_LARGE, "a body over the limit");
       return CURL_WRITEFUNC_ERROR;
     }
   return call->freed_in_callback ? CURL_WRITEFUNC_ERROR : bytes.length;
@@ -210,8 +295,8 @@
 static int
 curl_error (CURLcode code, const DlHttpCall *call)
 {
-  if (call->too_large)
-    return DL_ERR_TOO_LARGE;
+  if (call->error != 0)
+    return call->error;
   switch (code)
     {
     case CURLE_OK:
@@ -220,7 +305,6 @@
       return DL_ERR_UNAVAILABLE;
     case CURLE_OPERATION_TIMEDOUT:
       return -ETIMEDOUT;
-    case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_BAD_CONTENT_ENCODING:
       return DL_ERR_MALFORMED;
     case CURLE_URL_MALFORMAT:
@@ -235,8 +319,13 @@
 {
   long status = 0;
   long request_bytes = 0;
-  DlHttpResult result = { .error = curl_error (code, call) };
+  DlHttpResult result = { 0 };
 
+  if (code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY)
+    call_note_invalid (call, DL_ERR_MALFORMED, "bytes that are not HTTP");
+  else if (code == CURLE_OUT_OF_MEMORY) /* over libcurl's own limit of 100 KiB */
+    call_note_invalid (call, DL_ERR_TOO_LARGE, "a line of the head without end");
+  result.error = curl_error (code, call);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   call->in_callback = true;
@@ -326,6 +415,7 @@
   g_assert (call != NULL && options->on_done != NULL);
   call->client = client;
   call->options = *options;
+  call->id = talloc_strdup (call, options->id);
   call->request_body = dl_buffer_new (call, 0);
   dl_buffer_append (call->request_body, options->body.data, options->body.length);
   call->body = dl_buffer_new (call, options->max_body_bytes > 0 ? options->max_body_bytes
@@ -343,6 +433,11 @@
   curl_easy_setopt (call->easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
   curl_easy_setopt (call->easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_DEBUGFUNCTION, on_debug);
+  curl_easy_setopt (call->easy, CURLOPT_DEBUGDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_VERBOSE, 1L); /* calls on_debug */
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_write);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -4,6 +4,11 @@
  * libcurl retries a request by itself when a reused connection breaks before the response
  * begins.  A call marked SINGLE_USE, which must not be sent twice, therefore gets a new
  * connection, which is closed after the call.
+ *
+ * A peer may send bytes that are no response, without end.  The call then ends with
+ * DL_ERR_MALFORMED or DL_ERR_TOO_LARGE, and its connection is closed, as soon as its
+ * heads and trailers, the framing of its chunks, or the body that it collects exceed
+ * their limits.
  */
 #ifndef DL_HTTP_CLIENT_H
 #define DL_HTTP_CLIENT_H
@@ -34,6 +39,8 @@
   uint64_t connect_timeout_ms;
   uint64_t timeout_ms;           /* for the whole call; 0 for none */
   size_t max_body_bytes;         /* of a body that is collected; 0 for 1 MiB */
+  size_t max_head_bytes;         /* of all heads and trailers; 0 for 32 KiB */
+  const char *id;                /* of the request, for logs; NULL for none */
   bool single_use;               /* must not be sent twice */
   unsigned receive_buffer_bytes; /* limits the data in flight to us; 0: system default */
   /* The status line and the headers have arrived. */
@@ -57,6 +64,9 @@
 /* Calls FUNC for each response header, in order.  To be called in or after on_head. */
 typedef void (*DlHttpCallHeaderFunc) (const char *name, const char *value, void *data);
 void dl_http_call_each_header (DlHttpCall *call, DlHttpCallHeaderFunc func, void *data);
+/* Logs and counts that what the peer sent cannot be a response; WHAT says why.  For
+ * callers that judge the body themselves; the call goes on. */
+void dl_http_call_report_invalid (DlHttpCall *call, const char *what);
 /* Stops or resumes receiving, to apply back-pressure to the server. */
 void dl_http_call_pause (DlHttpCall *call, bool paused);
 
