Entry: bodies that cannot be an answer are given up early, collected ones bounded

An upstream that sent a body without end cost 18.6 MB of the entry's memory a request (37 MB where it is sent twice), as up to 8 MiB were collected for each. Sent slowly, it kept the request until its deadline (504 after 3.5 s): each byte counted as progress, so a safe request was not repeated, and a success without seal or for another request was collected although it can never be passed on. Now such a response ends the attempt with its first byte of body, as does one that says that the request did not run; others are bounded at 512 KiB each, and beyond 64 KiB each at 32 MiB together; and only each further 4 KiB count as progress.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -15,7 +15,12 @@
 #include "requests.h"
 
 #define CONNECT_TIMEOUT_MS 350
-#define RESPONSE_MAX_BYTES (8u << 20)
+#define RESPONSE_MAX_BYTES (512u << 10)
+/* With more than this collected by all attempts, each may collect only its share. */
+#define RESPONSES_MAX_BYTES      (32u << 20)
+#define RESPONSE_SHARE_MAX_BYTES (64u << 10)
+/* A response that is no stream makes progress when this many more bytes have arrived. */
+#define PROGRESS_BYTES (4u << 10)
 /* With more bytes than this queued for a slow caller, the upstream's stream is paused. */
 #define STREAM_QUEUED_MAX_BYTES (256u << 10)
 /* An attempt is stalled when the upstream has sent nothing for this many times the
@@ -50,14 +55,15 @@
   DlResponseHead head;
   unsigned status;
   uint64_t sent_ms;
-  uint64_t progress_ms; /* when bytes last arrived; the start time before that */
+  uint64_t progress_ms; /* when it last made progress; the start time before that */
   uint64_t prompt_tokens;
   bool started; /* a whole event or a whole response arrived */
   bool sent;    /* not used */
   bool ended;   /* its end was reported to the upstream */
   bool aborted; /* further bytes are dropped; ABORT_TIMER ends the attempt */
   DlTimer *abort_timer;
-  DlBuffer *body; /* of a response that is no stream */
+  DlBuffer *body;    /* of a response that is no stream */
+  size_t body_bytes; /* of it, counted in the owner's collected_bytes */
 };
 
 static bool
@@ -74,6 +80,14 @@
          && !attempt->head.is_mismatched;
 }
 
+/* True for a response that must not be forwarded: it does not belong to the request, or
+ * it reports success without the upstream's seal. */
+static bool
+is_unusable (const Attempt *attempt)
+{
+  return attempt->head.is_mismatched || (is_success (attempt) && !attempt->head.has_seal);
+}
+
 /* Reports the attempt's end to its upstream, once. */
 static void
 release_upstream (Attempt *attempt, DirectAttemptOutcome outcome)
@@ -88,6 +102,7 @@
 static int
 attempt_destroy (Attempt *attempt)
 {
+  attempt->request->owner->collected_bytes -= attempt->body_bytes;
   release_upstream (attempt, DIRECT_ATTEMPT_NEUTRAL);
   return 0;
 }
@@ -175,17 +190,27 @@
     dl_http_call_pause (r->attempt->call, false);
 }
 
+/* Ends an attempt without a response that can be used. */
+static void
+finish_broken (Attempt *attempt)
+{
+  finish_failed (attempt, DIRECT_ATTEMPT_FAILED,
+                 attempt->head.not_run ? DIRECT_FAILURE_NOT_RUN : DIRECT_FAILURE_BROKEN);
+}
+
 static void
 on_abort (DlTimer *timer, void *data)
 {
-  finish_failed (data, DIRECT_ATTEMPT_FAILED, DIRECT_FAILURE_BROKEN);
+  finish_broken (data);
 }
 
 /* Ends the attempt from the event loop, as the HTTP library allows no new call from its
- * data callback. */
+ * data callback.  WHAT is logged; NULL: nothing is. */
 static void
-abort_attempt (Attempt *attempt)
+abort_attempt (Attempt *attempt, const char *what)
 {
+  if (what != NULL)
+    dl_http_call_report_invalid (attempt->call, what);
   attempt->aborted = true;
   attempt->abort_timer = dl_timer_subscribe (attempt->request->owner->task, attempt, 0, 0,
                                              on_abort, attempt);
@@ -218,11 +243,42 @@
   attempt->progress_ms = now_ms;
   talloc_free (out);
   if (error < 0)
-    abort_attempt (attempt);
+    abort_attempt (attempt, error == DL_ERR_TOO_LARGE ? "a stream without an event"
+                                                      : "an event out of order");
   else if (dl_http_stream_queued (r->http) > STREAM_QUEUED_MAX_BYTES)
     dl_http_call_pause (attempt->call, true);
 }
 
+/* False when the attempt would collect more than it may. */
+static bool
+has_room (const Attempt *attempt, size_t extra)
+{
+  return attempt->body_bytes + extra <= RESPONSE_SHARE_MAX_BYTES
+         || attempt->request->owner->collected_bytes + extra <= RESPONSES_MAX_BYTES;
+}
+
+/* Collects a response that is no stream.  One that will not be forwarded is not. */
+static void
+collect (Attempt *attempt, DlStr bytes)
+{
+  size_t before = attempt->body_bytes;
+
+  if (attempt->head.not_run)
+    abort_attempt (attempt, NULL);
+  else if (is_unusable (attempt))
+    abort_attempt (attempt, "a success without seal, or for another request");
+  else if (!has_room (attempt, bytes.length)
+           || dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
+    abort_attempt (attempt, "a body over the limit");
+  else
+    {
+      attempt->body_bytes += bytes.length;
+      attempt->request->owner->collected_bytes += bytes.length;
+      if (before == 0 || attempt->body_bytes / PROGRESS_BYTES > before / PROGRESS_BYTES)
+        attempt->progress_ms = dl_clock_ms ();
+    }
+}
+
 static void
 on_data (DlHttpCall *call, DlStr bytes, void *data)
 {
@@ -235,9 +291,7 @@
       forward_events (attempt, bytes);
       return;
     }
-  attempt->progress_ms = dl_clock_ms ();
-  if (dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
-    abort_attempt (attempt);
+  collect (attempt, bytes);
 }
 
 /* -------- the end of the attempt -------- */
@@ -258,14 +312,6 @@
   direct_request_end_stream (r);
 }
 
-/* True for a response that must not be forwarded: it does not belong to the request, or
- * it reports success without the upstream's seal. */
-static bool
-is_unusable (const Attempt *attempt)
-{
-  return attempt->head.is_mismatched || (is_success (attempt) && !attempt->head.has_seal);
-}
-
 /* True for an error response that is to be retried instead of forwarded; the retry is
  * then reserved. */
 static bool
@@ -296,9 +342,7 @@
 
   if (attempt->head.not_run || broken)
     {
-      finish_failed (attempt, DIRECT_ATTEMPT_FAILED,
-                     attempt->head.not_run ? DIRECT_FAILURE_NOT_RUN
-                                           : DIRECT_FAILURE_BROKEN);
+      finish_broken (attempt);
       return;
     }
   if (reserve_retry_of_error (attempt))
@@ -319,7 +363,7 @@
   if (!responded && !result->sent)
     finish_failed (attempt, DIRECT_ATTEMPT_UNREACHABLE, DIRECT_FAILURE_CONNECT);
   else if (!responded)
-    finish_failed (attempt, DIRECT_ATTEMPT_FAILED, DIRECT_FAILURE_BROKEN);
+    finish_broken (attempt);
   else if (is_stream (attempt))
     complete_stream (attempt, result);
   else
@@ -412,6 +456,7 @@
           .body = dl_http_request_body (r->http),
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .single_use = true,
+          .id = r->incoming.id,
           .on_head = on_head,
           .on_data = on_data,
           .on_done = on_done,
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -42,6 +42,7 @@
   DirectUpstreams *upstreams;
   GHashTable *services;   /* name to Service */
   Request *first;         /* list of all requests in progress */
+  size_t collected_bytes; /* of responses that attempts in progress collect */
   uint64_t stop_began_ms; /* when a graceful shutdown began; 0 while running */
 };
 
