Streams: what is no event is held back and is no progress

A stream of blank lines, comments or fields without an id passed for events: callers got 200 and junk until the deadline, the entry grew by 140 to 193 MB and spent 3.4 s of processor in 3.5 s. One line without end, sent slowly, kept the request from being repeated until its deadline. Cause: any block of lines ended by a blank line was an event, and each byte was progress. The bytes that a caller gets of a sound stream are the same. The splitter no longer reads pending bytes again with each part.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -226,10 +226,11 @@
   DlBuffer *out = dl_buffer_new (attempt, 0);
   int error = dl_event_stream_feed (r->events, bytes, out);
 
-  if (attempt->started)
-    dl_metric_observe_us (&metric_gap, (now_ms - attempt->progress_ms) * 1000);
   if (out->length > 0)
     {
+      if (attempt->started)
+        dl_metric_observe_us (&metric_gap, (now_ms - attempt->progress_ms) * 1000);
+      attempt->progress_ms = now_ms;
       note_started (attempt, now_ms);
       r->may_have_run = true;
       if (!r->head_sent)
@@ -240,7 +241,6 @@
       dl_http_stream_write (r->http, dl_buffer_view (out));
       direct_request_record_event (r, now_ms);
     }
-  attempt->progress_ms = now_ms;
   talloc_free (out);
   if (error < 0)
     abort_attempt (attempt, error == DL_ERR_TOO_LARGE ? "a stream without an event"
@@ -300,14 +300,17 @@
 complete_stream (Attempt *attempt, const DlHttpResult *result)
 {
   Request *r = attempt->request;
+  DlBuffer *rest = dl_buffer_new (attempt, 0);
 
-  if (result->error < 0 || !dl_event_stream_is_between_events (r->events))
+  if (result->error < 0 || dl_event_stream_finish (r->events, rest) < 0)
     {
       finish_failed (attempt, DIRECT_ATTEMPT_FAILED, DIRECT_FAILURE_BROKEN);
       return;
     }
   if (!r->head_sent)
     begin_reply (attempt);
+  if (rest->length > 0)
+    dl_http_stream_write (r->http, dl_buffer_view (rest));
   finish (attempt, DIRECT_ATTEMPT_SERVED);
   direct_request_end_stream (r);
 }
--- a/lib/policy/event_stream.c
+++ b/lib/policy/event_stream.c
@@ -17,26 +17,6 @@
   return stream;
 }
 
-/* Length of the first complete event, with the blank line that ends it; 0 when there is
- * none yet. */
-static size_t
-event_length (DlStr bytes)
-{
-  size_t line_start = 0;
-
-  for (size_t i = 0; i < bytes.length; i++)
-    {
-      size_t length = i - line_start;
-
-      if (bytes.data[i] != '\n')
-        continue;
-      if (length == 0 || (length == 1 && bytes.data[line_start] == '\r'))
-        return i + 1;
-      line_start = i + 1;
-    }
-  return 0;
-}
-
 /* Parses a line "id: NUMBER"; false when LINE is another one. */
 static bool
 parse_id_line (DlStr line, uint64_t *id)
@@ -69,39 +49,103 @@
   return false;
 }
 
+static bool
+is_blank (DlStr line)
+{
+  return line.length == 0 || (line.length == 1 && line.data[0] == '\r');
+}
+
+/* Reads pending bytes up to the end of the next block of lines.  Returns the length up to
+ * there, or 0 when there is no whole block yet. */
+static size_t
+read_block (DlEventStream *stream)
+{
+  DlStr pending = dl_buffer_view (stream->pending);
+  const char *newline;
+
+  while ((newline
+          = memchr (pending.data + stream->line, '\n', pending.length - stream->line))
+         != NULL)
+    {
+      size_t end = (size_t)(newline - pending.data);
+      DlStr line = dl_str_bytes (pending.data + stream->line, end - stream->line);
+
+      stream->line = end + 1;
+      if (is_blank (line))
+        return end + 1;
+    }
+  return 0;
+}
+
+/* Passes on the pending bytes up to END, which complete an event with ID. */
+static int
+pass_on_event (DlEventStream *stream, size_t end, uint64_t id, DlBuffer *out)
+{
+  if (id <= stream->last_id && stream->last_id > 0)
+    return DL_ERR_MALFORMED;
+  stream->last_id = id;
+  stream->events++;
+  dl_buffer_append (out, dl_buffer_view (stream->pending).data, end);
+  dl_buffer_consume (stream->pending, end);
+  stream->line = 0;
+  stream->block = 0;
+  return 0;
+}
+
+/* Takes BYTES, which fit into the pending ones. */
+static int
+feed_part (DlEventStream *stream, DlStr bytes, DlBuffer *out)
+{
+  size_t end;
+  int error = dl_buffer_append (stream->pending, bytes.data, bytes.length);
+
+  while (error == 0 && (end = read_block (stream)) > 0)
+    {
+      DlStr block = dl_str_bytes (dl_buffer_view (stream->pending).data + stream->block,
+                                  end - stream->block);
+      uint64_t id;
+
+      stream->block = end;
+      if (find_event_id (block, &id))
+        error = pass_on_event (stream, end, id, out);
+    }
+  return error;
+}
+
 int
 dl_event_stream_feed (DlEventStream *stream, DlStr bytes, DlBuffer *out)
 {
-  size_t length;
+  int error = 0;
 
-  if (dl_buffer_append (stream->pending, bytes.data, bytes.length) < 0)
-    return DL_ERR_TOO_LARGE;
-  while ((length = event_length (dl_buffer_view (stream->pending))) > 0)
+  while (bytes.length > 0 && error == 0)
     {
-      DlStr event = dl_str_bytes (dl_buffer_view (stream->pending).data, length);
-      uint64_t id;
+      size_t space = DL_EVENT_MAX_BYTES - stream->pending->length;
+      size_t length = MIN (space, bytes.length);
 
-      if (find_event_id (event, &id))
-        {
-          if (id <= stream->last_id && stream->last_id > 0)
-            return DL_ERR_MALFORMED;
-          stream->last_id = id;
-        }
-      stream->events++;
-      dl_buffer_append (out, event.data, event.length);
-      dl_buffer_consume (stream->pending, length);
+      if (length == 0)
+        return DL_ERR_TOO_LARGE;
+      error = feed_part (stream, dl_str_bytes (bytes.data, length), out);
+      bytes = dl_str_bytes (bytes.data + length, bytes.length - length);
     }
-  return 0;
+  return error;
 }
 
-bool
-dl_event_stream_is_between_events (const DlEventStream *stream)
+int
+dl_event_stream_finish (DlEventStream *stream, DlBuffer *out)
 {
-  return stream->pending->length == 0;
+  DlStr pending = dl_buffer_view (stream->pending);
+
+  if (stream->block < pending.length)
+    return DL_ERR_CLOSED;
+  dl_buffer_append (out, pending.data, pending.length);
+  dl_event_stream_restart (stream);
+  return 0;
 }
 
 void
 dl_event_stream_restart (DlEventStream *stream)
 {
   dl_buffer_clear (stream->pending);
+  stream->line = 0;
+  stream->block = 0;
 }
