Test what a store, an origin or an engine's report without end cost, red

A second group, endless-peers, plays 12 answers in the place of the store, the origin and the reports of an engine, and reads the peak memory and processor time of an entry and a stager, how long connections stayed open, and whether requests are served afterwards. Processes of these groups start with a small sanitizer quarantine, as freed memory that it keeps would hide what they hold.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -107,6 +107,7 @@
 static const TestGroup groups[] = {
   { "cases", { request_tests, explain_tests, change_tests }, false },
   { "endless", { endless_tests }, true },
+  { "endless-peers", { endless_peer_tests }, true },
 };
 
 static const TestGroup *
@@ -123,6 +124,10 @@
 {
   Testbed testbed = { 0 };
 
+  /* Freed memory that a sanitizer keeps would hide what a process holds. */
+  if (group->with_proxies)
+    g_setenv ("ASAN_OPTIONS", "quarantine_size_mb=1:thread_local_quarantine_size_kb=64",
+              FALSE);
   CHECK (testbed_start (&testbed, bin, group->with_proxies));
   for (size_t i = 0; i < G_N_ELEMENTS (group->tests) && group->tests[i] != NULL; i++)
     run_until_failure (&testbed, group->tests[i]);
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -143,8 +143,9 @@
 /* The ways in docs/OPERATIONS.md that lead from a failed request's id to its cause. */
 extern const TestFunc explain_tests[];
 extern const TestFunc change_tests[];
-/* Peers whose bytes never end; needs proxies. */
+/* Upstreams, and other peers, whose bytes never end; both need proxies. */
 extern const TestFunc endless_tests[];
+extern const TestFunc endless_peer_tests[];
 
 /* -------- soak.c -------- */
 
--- a/regress/direct/endless.c
+++ b/regress/direct/endless.c
@@ -400,4 +400,129 @@
       play_repeat (tb, &cases[i]);
 }
 
+/* -------- other peers -------- */
+
+typedef struct
+{
+  const char *name;
+  unsigned proxy;
+  EndlessAnswer answer;
+  uint64_t closed_ms;
+  uint64_t growth_kb; /* bound of a process's growth; 0 for GROWTH_MAX_KB */
+} PeerCase;
+
+#define PLAIN_HEAD   "HTTP/1.1 200 OK\r\n"
+#define OBJECTS      "/-/objects"
+#define PEER_PLAY_US 2500000
+/* Lists and watches of all kinds run at once. */
+#define STORE_GROWTH_KB 32768
+#define STORE_MS        4000
+#define REPORT_MS       600
+#define ORIGIN_MS       3300
+
+static const PeerCase peer_cases[] = {
+  { "report, no HTTP", PROXY_SERVERS, { "", BYTES, false, "/-/report" }, REPORT_MS },
+  { "report, head",
+    PROXY_SERVERS,
+    { PLAIN_HEAD, "X-More: a\r\n", false, "/-/report" },
+    REPORT_MS },
+  { "report, body",
+    PROXY_SERVERS,
+    { PLAIN_HEAD "\r\n", BYTES, false, "/-/report" },
+    REPORT_MS },
+  { "report, body, slowly",
+    PROXY_SERVERS,
+    { PLAIN_HEAD "\r\n", BYTES, true, "/-/report" },
+    REPORT_MS },
+  { "origin, body", PROXY_ORIGIN, { PLAIN_HEAD "\r\n", BYTES, false, "/-/" }, ORIGIN_MS },
+  { "origin, body, slowly",
+    PROXY_ORIGIN,
+    { PLAIN_HEAD "\r\n", BYTES, true, "/-/" },
+    ORIGIN_MS },
+  { "origin, trailers",
+    PROXY_ORIGIN,
+    { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: a\r\n", false,
+      "/-/" },
+    ORIGIN_MS },
+  { "store, no HTTP", PROXY_STORE, { "", BYTES, false, OBJECTS }, STORE_MS },
+  { "store, head",
+    PROXY_STORE,
+    { PLAIN_HEAD, "X-More: a\r\n", false, OBJECTS },
+    STORE_MS },
+  { "store, body",
+    PROXY_STORE,
+    { PLAIN_HEAD "\r\n", BYTES, false, OBJECTS },
+    STORE_MS,
+    STORE_GROWTH_KB },
+  { "store, body, slowly",
+    PROXY_STORE,
+    { PLAIN_HEAD "\r\n", BYTES, true, OBJECTS },
+    STORE_MS },
+  { "store, more after an answer",
+    PROXY_STORE,
+    { PLAIN_HEAD "Content-Length: 2\r\n\r\n{}", BYTES, false, OBJECTS },
+    STORE_MS },
+};
+
+static bool
+is_served_again (Testbed *tb)
+{
+  Response r = send_request (tb, SAFE);
+  bool served = is_served (&r, SAFE);
+
+  response_free (&r);
+  return served;
+}
+
+static void
+check_cost (const PeerCase *c, const char *process, const Cost *cost)
+{
+  EndlessCase named = { .name = c->name, .target = process };
+
+  g_print ("endless: %-32s %-7s +%" G_GUINT64_FORMAT " kB, %" G_GUINT64_FORMAT
+           " ms of processor\n",
+           c->name, process, cost->peak_kb, cost->cpu_ms);
+  check_case (&named, cost->peak_kb <= (c->growth_kb > 0 ? c->growth_kb : GROWTH_MAX_KB),
+              "memory");
+  check_case (&named, cost->cpu_ms <= CPU_MAX_MS, "processor");
+}
+
+static void
+play_peer (Testbed *tb, const PeerCase *c, uint64_t version)
+{
+  int entry = tb->entry_process[0].pid;
+  int stager = tb->stager_process[0].pid;
+  Cost entry_cost = cost_begin (entry);
+  Cost stager_cost = cost_begin (stager);
+  EndlessCase named = { .name = c->name, .target = "peer" };
+  EndlessRecord seen;
+
+  set_peer (tb, c->proxy, &c->answer);
+  if (c->proxy == PROXY_ORIGIN)
+    CHECK (testbed_announce_version (tb, version));
+  g_usleep (PEER_PLAY_US);
+  entry_cost = cost_since (entry, &entry_cost);
+  stager_cost = cost_since (stager, &stager_cost);
+  g_usleep ((gulong)c->closed_ms * 1000);
+  seen = records (tb, c->proxy, c->proxy + 1);
+  set_peer (tb, c->proxy, NULL);
+  g_print ("endless: %-32s %u answered so, open %" G_GUINT64_FORMAT
+           " ms, %" G_GUINT64_FORMAT " kB sent\n",
+           c->name, seen.requests, seen.open_ms, seen.bytes / 1024);
+  check_cost (c, "entry", &entry_cost);
+  check_cost (c, "stager", &stager_cost);
+  check_case (&named, seen.requests > 0, "asked");
+  check_case (&named, seen.open_ms <= c->closed_ms, "connections closed");
+  check_case (&named, eventually (is_served_again, tb), "requests are served again");
+}
+
+/* The store, the origin or an engine's reports: what it costs those that ask. */
+static void
+test_other_peers (Testbed *tb)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (peer_cases); i++)
+    play_peer (tb, &peer_cases[i], 2 + i);
+}
+
 const TestFunc endless_tests[] = { test_upstreams, test_served_elsewhere, NULL };
+const TestFunc endless_peer_tests[] = { test_other_peers, NULL };
