Bound what is read of the store, of nodes that read it, and of engines' reports

A store whose body never ends filled an entry by 192 MB and a stager by 73 MB within 2.5 s: a list was read up to 64 MiB, four kinds at once.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -479,6 +479,7 @@
   state->store
       = dl_object_client_new_with_protocol (task, state, state->settings->store,
                                             STORE_TIMEOUT_MS, &platform_store_protocol);
+  dl_object_client_set_max_body (state->store, DL_NODE_LIST_MAX_BYTES);
   start_relay (state);
   error = dl_peers_new (task, state,
                         &(DlPeersOptions){
--- a/daisystaged/engine.c
+++ b/daisystaged/engine.c
@@ -14,8 +14,9 @@
 #define REPORT_LOADING_MS 30
 #define REPORT_TIMEOUT_MS 400
 /* Reports missed in a row after which the engine counts as unresponsive. */
-#define MISSES_MAX 2
-#define STATUS_OK  200
+#define MISSES_MAX       2
+#define REPORT_MAX_BYTES (64u << 10)
+#define STATUS_OK        200
 
 typedef struct
 {
@@ -93,6 +94,7 @@
                         &(DlHttpCallOptions){
                             .connect_timeout_ms = REPORT_TIMEOUT_MS,
                             .timeout_ms = REPORT_TIMEOUT_MS,
+                            .max_body_bytes = REPORT_MAX_BYTES,
                             .on_done = on_report,
                             .data = engine,
                         });
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -326,6 +326,7 @@
   talloc_set_destructor (state, state_destroy);
   store = dl_object_client_new_with_protocol (task, state, state->settings->store,
                                               STORE_TIMEOUT_MS, &platform_store_protocol);
+  dl_object_client_set_max_body (store, DL_NODE_LIST_MAX_BYTES);
   source = dl_relay_source_new (task, state, state->settings, false);
   error = dl_peers_new (task, state,
                         &(DlPeersOptions){
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -29,6 +29,7 @@
   char *address;
   uint64_t timeout_ms;
   uint64_t margin_ms; /* timeout of a watch beyond its wait_ms */
+  size_t max_body_bytes;
   const DlObjectProtocol *protocol;
 };
 
@@ -306,7 +307,7 @@
           .headers = headers,
           .body = body,
           .timeout_ms = call_timeout_ms (client, request),
-          .max_body_bytes = LIST_MAX_BYTES,
+          .max_body_bytes = client->max_body_bytes,
           /* A conditional write sent twice would conflict with its own first attempt. */
           .single_use = is_write (request->action),
           .on_head = on_call_head,
@@ -329,6 +330,12 @@
   client->margin_ms = margin_ms;
 }
 
+void
+dl_object_client_set_max_body (DlObjectClient *client, size_t bytes)
+{
+  client->max_body_bytes = bytes;
+}
+
 DlObjectClient *
 dl_object_client_new_with_protocol (DlTask *task,
                                     const void *owner,
@@ -345,6 +352,7 @@
   client->timeout_ms = timeout_ms;
   client->protocol = protocol;
   client->margin_ms = WATCH_MARGIN_MS;
+  client->max_body_bytes = LIST_MAX_BYTES;
   return client;
 }
 
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -129,6 +129,8 @@
 const char *dl_object_client_address (const DlObjectClient *client);
 /* Sets how long after its WAIT_MS a watch times out; by default 2 s. */
 void dl_object_client_set_watch_margin (DlObjectClient *client, uint64_t margin_ms);
+/* Sets the largest response that is read, 64 MiB at first. */
+void dl_object_client_set_max_body (DlObjectClient *client, size_t bytes);
 /* Each of the following calls is a talloc child of OWNER and is freed after FUNC was
  * called.  Freeing OWNER earlier cancels the call without calling FUNC. */
 void dl_object_get (DlObjectClient *client,
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -10,6 +10,9 @@
 
 #include "kernel/settings.h"
 
+/* Largest response of the store or of a node that reads it: four times a full page. */
+#define DL_NODE_LIST_MAX_BYTES (4u << 20)
+
 /* Settings of one entry or stager. */
 typedef struct
 {
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -86,6 +86,7 @@
     return client;
   client = dl_object_client_new (source->task, source, relay, TIMEOUT_MS);
   dl_object_client_set_watch_margin (client, MARGIN_MS);
+  dl_object_client_set_max_body (client, DL_NODE_LIST_MAX_BYTES);
   g_hash_table_insert (source->clients, (gpointer)dl_object_client_address (client),
                        client);
   return client;
