--- a/regress/direct/endless_peer.c
+++ b/regress/direct/endless_peer.c
@@ -162,7 +162,7 @@
       size_t n = MIN (step, length - at);
 
       open = send_all (s, block + at, n, total);
-      at = (at + n) % length;
+      at = at + n < length ? at + n : 0;
       if (s->answer.trickle)
         g_usleep (TRICKLE_US);
     }
