--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -101,6 +101,7 @@
 {
   const char *name;
   const TestFunc *tests[3];
+  bool with_proxies;
 } TestGroup;
 
 static const TestGroup groups[] = {
@@ -108,6 +109,8 @@
   { "stop", { stop_tests } },
   { "reader", { reader_tests } },
   { "leaving", { leaving_tests } },
+  { "endless", { endless_tests }, .with_proxies = true },
+  { "endless-peers", { endless_peer_tests }, .with_proxies = true },
 };
 
 static const TestGroup *
@@ -124,7 +127,11 @@
 {
   Testbed testbed = { 0 };
 
-  CHECK (testbed_start (&testbed, bin, false));
+  /* Freed memory that a sanitizer keeps would hide what a process holds. */
+  if (group->with_proxies)
+    g_setenv ("ASAN_OPTIONS", "quarantine_size_mb=1:thread_local_quarantine_size_kb=64",
+              FALSE);
+  CHECK (testbed_start (&testbed, bin, group->with_proxies));
   for (size_t i = 0; i < G_N_ELEMENTS (group->tests) && group->tests[i] != NULL; i++)
     run_until_failure (&testbed, group->tests[i]);
   testbed_stop (&testbed, failures > 0);
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -139,7 +139,7 @@
 /* True if the stand-in at ADDRESS has recorded TEXT as MEMBER. */
 bool has_recorded_text (const char *address, const char *member, const char *text);
 
-/* -------- requests.c, explained.c, changes.c, leaving.c -------- */
+/* -------- requests.c, explained.c, changes.c, leaving.c, endless.c -------- */
 
 typedef void (*TestFunc) (Testbed *testbed);
 
@@ -155,6 +155,9 @@
 
 extern const TestFunc stop_tests[];
 extern const TestFunc reader_tests[];
+/* Upstreams, and other peers, whose bytes never end; both need proxies. */
+extern const TestFunc endless_tests[];
+extern const TestFunc endless_peer_tests[];
 
 /* -------- soak.c -------- */
 
