Test of silent upstreams, known red: a sound stream is given up for nothing

Callers saw a stream cut, or a 502, at an entry that had an upstream at work on it: the upstream was silent for two seconds and would have gone on. The group "silence" makes a stand-in fall silent in the middle of a stream and before its first event, with the retry budget empty, with the other server full, and with the other server leaving. Red on this code:

check_outlasts_silence:123: check failed: r.status == 200 && r.complete event 1001 "request failed after it was sent", cause "the upstream was silent", status 0, age_ms 861, last_event 3 (budget empty, middle of the stream) event 1001, status 502, age_ms 803, last_event 0 (budget empty, before the first event) check_outlasts_silence:125: check failed: runs_of (tb, c->id) == 1 event 1003 "stream goes on at another upstream", which is the same one (others full; others leaving)

Each of the four was run alone and is red; the fifth needs the counters of the fix. Five runs of the whole group: red each time, at the first test.

The stand-in server gets the knobs pauses, pause_before and pause_ms, and others: requests of others that its report counts, so that it looks full.

--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -143,6 +143,8 @@
 /* The ways in docs/OPERATIONS.md that lead from a failed request's id to its cause. */
 extern const TestFunc explain_tests[];
 extern const TestFunc change_tests[];
+/* silence.c; the first two tests need processes that were just started. */
+extern const TestFunc silence_tests[];
 
 /* -------- soak.c -------- */
 
--- /dev/null
+++ b/regress/direct/silence.c
@@ -0,0 +1,239 @@
+/* Tests of upstreams that fall silent, or break off, while no other may take over. */
+#include <glib.h>
+#include <string.h>
+
+#include "direct.h"
+
+#define EVENTS       10
+#define OTHERS       8    /* requests of others: more than a server has slots */
+#define SILENCE_MS   2000 /* over four latency targets, within the deadline */
+#define ENDLESS_MS   20000
+#define BUDGET_TRIES 4 /* requests that earn more than one retry */
+
+/* -------- what the first entry knows -------- */
+
+static json_object *
+fetch_dump (const Testbed *tb)
+{
+  Response r = call (&(Call){ .address = tb->metrics[0], .target = "/dump" });
+  json_object *dump = r.status == 200 ? json_tokener_parse (r.body) : NULL;
+
+  response_free (&r);
+  return dump;
+}
+
+static uint64_t
+metric (const Testbed *tb, const char *name)
+{
+  json_object *dump = fetch_dump (tb);
+  json_object *metrics = json_object_object_get (dump, "metrics");
+  uint64_t value = json_object_get_uint64 (json_object_object_get (metrics, name));
+
+  json_object_put (dump);
+  return value;
+}
+
+/* MEMBER of the upstream ID, as a number. */
+static uint64_t
+upstream_number (const Testbed *tb, const char *id, const char *member)
+{
+  json_object *dump = fetch_dump (tb);
+  json_object *tasks = json_object_object_get (dump, "tasks");
+  json_object *list
+      = json_object_object_get (json_object_object_get (tasks, "requests"), "upstreams");
+  uint64_t value = 0;
+
+  for (size_t i = 0; list != NULL && i < json_object_array_length (list); i++)
+    {
+      json_object *u = json_object_array_get_idx (list, i);
+
+      if (strcmp (json_object_get_string (json_object_object_get (u, "id")), id) == 0)
+        value = json_object_get_uint64 (json_object_object_get (u, member));
+    }
+  json_object_put (dump);
+  return value;
+}
+
+static bool
+second_is_full (Testbed *tb)
+{
+  return upstream_number (tb, "i-2", "reported") >= OTHERS;
+}
+
+static bool
+second_is_leaving (Testbed *tb)
+{
+  return upstream_number (tb, "i-2", "leaving") == 1;
+}
+
+static bool
+second_takes_requests (Testbed *tb)
+{
+  return !second_is_leaving (tb) && !second_is_full (tb);
+}
+
+static void
+fill_second (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[1], "others", OTHERS));
+  CHECK (eventually (second_is_full, tb));
+}
+
+static void
+free_second (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[1], "others", 0));
+  CHECK (eventually (second_takes_requests, tb));
+}
+
+static void
+earn_retries (Testbed *tb)
+{
+  for (unsigned i = 0; i < BUDGET_TRIES; i++)
+    {
+      Call c = default_call (tb, "/r/x", "earn");
+      Response r = call (&c);
+
+      CHECK (r.status == 200);
+      response_free (&r);
+    }
+}
+
+/* -------- silence -------- */
+
+/* Makes the servers' next streams fall silent before event BEFORE for MS. */
+static void
+set_pause (Testbed *tb, uint64_t before, uint64_t ms)
+{
+  set_fault_on_both (tb, "pause_before", before);
+  set_fault_on_both (tb, "pause_ms", ms);
+  set_fault_on_both (tb, "pauses", 1);
+}
+
+/* Checks that the stream of call C falls silent before event BEFORE, and reaches the
+ * caller whole from the only run. */
+static void
+check_outlasts_silence (Testbed *tb, const Call *c, uint64_t before)
+{
+  Response r;
+
+  set_pause (tb, before, SILENCE_MS);
+  r = call (c);
+  set_fault_on_both (tb, "pauses", 0);
+  CHECK (r.status == 200 && r.complete);
+  CHECK (has_events (r.body, 1, EVENTS));
+  CHECK (runs_of (tb, c->id) == 1);
+  response_free (&r);
+}
+
+/* The first request of a process earns less than one retry. */
+static void
+test_silent_stream_is_kept_without_budget (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "silent-budget");
+
+  check_outlasts_silence (tb, &c, 4);
+}
+
+static void
+test_silent_prompt_is_kept_without_budget (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "silent-budget-first");
+
+  c.address = tb->entry[1];
+  check_outlasts_silence (tb, &c, 1);
+}
+
+static void
+test_silent_stream_is_kept_while_others_are_full (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "silent-full");
+
+  earn_retries (tb);
+  fill_second (tb);
+  check_outlasts_silence (tb, &c, 4);
+  free_second (tb);
+}
+
+static void
+test_silent_stream_is_kept_while_others_leave (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "silent-leaving");
+
+  earn_retries (tb);
+  CHECK (testbed_list_server (tb, 1, "draining"));
+  CHECK (eventually (second_is_leaving, tb));
+  check_outlasts_silence (tb, &c, 4);
+  CHECK (testbed_list_server (tb, 1, "ready"));
+  CHECK (eventually (second_takes_requests, tb));
+}
+
+/* -------- streams that need another upstream -------- */
+
+/* A call that a thread waits for. */
+typedef struct
+{
+  Call options;
+  Response response;
+  GThread *thread;
+} Background;
+
+static gpointer
+run_call (gpointer data)
+{
+  Background *b = data;
+
+  b->response = call (&b->options);
+  return NULL;
+}
+
+static void
+start_call (Background *b, const Call *options)
+{
+  b->options = *options;
+  b->thread = g_thread_new ("call", run_call, b);
+}
+
+/* Waits for the response and checks that it is all events, of two runs. */
+static void
+check_resumed (Testbed *tb, Background *b)
+{
+  g_thread_join (b->thread);
+  CHECK (b->response.status == 200 && b->response.complete);
+  CHECK (has_events (b->response.body, 1, EVENTS));
+  CHECK (runs_of (tb, b->options.id) == 2);
+  response_free (&b->response);
+}
+
+static bool
+has_kept_a_silent_one (Testbed *tb)
+{
+  return metric (tb, "daisy_direct_silent_kept_total") > 0;
+}
+
+static void
+test_kept_stream_is_resumed_once_another_has_a_place (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "silent-resumed");
+  Background b;
+  uint64_t left = metric (tb, "daisy_direct_silent_left_total");
+
+  earn_retries (tb);
+  fill_second (tb);
+  set_pause (tb, 4, ENDLESS_MS);
+  CHECK (set_fault (tb->server[1], "pauses", 0));
+  start_call (&b, &c);
+  CHECK (eventually (has_kept_a_silent_one, tb));
+  free_second (tb);
+  check_resumed (tb, &b);
+  CHECK (metric (tb, "daisy_direct_silent_left_total") == left + 1);
+}
+
+const TestFunc silence_tests[] = {
+  test_silent_stream_is_kept_without_budget,
+  test_silent_prompt_is_kept_without_budget,
+  test_silent_stream_is_kept_while_others_are_full,
+  test_silent_stream_is_kept_while_others_leave,
+  test_kept_stream_is_resumed_once_another_has_a_place,
+  NULL,
+};
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -23,6 +23,7 @@
   DlHttpRequest *request;
   uint64_t next; /* id of the next event */
   bool cut;      /* breaks off in the middle of its third event */
+  bool pauses;   /* falls silent before event PAUSE_BEFORE, then goes on */
   DlTimer *timer;
 } Stream;
 
@@ -40,6 +41,10 @@
 static uint64_t silent;      /* the next N are run without a response ever */
 static uint64_t rot;         /* the next N reads of staged chunks corrupt the chunk */
 static uint64_t slots = 16;
+static uint64_t pauses;           /* the next N streams fall silent once */
+static uint64_t pause_before = 1; /* id of the event before which they do */
+static uint64_t pause_ms;         /* for how long */
+static uint64_t others;           /* running requests of others that it reports */
 
 static DlTask *task;
 static GHashTable *staged; /* index of a chunk to its bytes */
@@ -70,6 +75,10 @@
   { "rot", &rot },
   { "slots", &slots },
   { "cut_resumed", &cut_resumed },
+  { "pauses", &pauses },
+  { "pause_before", &pause_before },
+  { "pause_ms", &pause_ms },
+  { "others", &others },
   { 0 },
 };
 
@@ -209,7 +218,7 @@
   json_object_object_add (report, "models", models);
   json_object_object_add (report, "busy", json_object_new_boolean (loading));
   standin_json_set_uint (report, "sequence", load_commands);
-  standin_json_set_uint (report, "running", running);
+  standin_json_set_uint (report, "running", running + others);
   standin_json_set_uint (report, "waiting", 0);
   standin_json_set_uint (report, "born", instance);
   dl_http_reply_json (request, 200, report);
@@ -269,13 +278,30 @@
   cancelled += !answered && !s->cut;
 }
 
+static void on_event (DlTimer *timer, void *data);
+
+/* Sends the next event after FIRST_MS and the others at the usual pace. */
+static void
+schedule_events (Stream *s, uint64_t first_ms)
+{
+  talloc_free (s->timer);
+  s->timer = dl_timer_subscribe (task, s, first_ms, event_ms, on_event, s);
+}
+
 static void
 on_event (DlTimer *timer, void *data)
 {
   Stream *s = data;
-  char *event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "\n\n", s->next,
-                                 s->next);
+  char *event;
 
+  if (s->pauses && s->next >= pause_before)
+    {
+      s->pauses = false;
+      schedule_events (s, pause_ms);
+      return;
+    }
+  event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "\n\n", s->next,
+                           s->next);
   if (s->cut && s->next >= 3)
     {
       dl_http_stream_write (s->request, dl_str_bytes (event, strlen (event) / 2));
@@ -304,10 +330,11 @@
   s->request = request;
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
+  s->pauses = standin_count_down (&pauses);
   dl_http_request_on_closed (request, on_stream_closed, s);
   dl_http_stream_begin (request, 200, "text/event-stream",
                         response_headers (request, &headers));
-  s->timer = dl_timer_subscribe (task, s, event_ms, event_ms, on_event, s);
+  schedule_events (s, event_ms);
 }
 
 static void
