A silent upstream is left only for a replacement that is certain

Callers saw a stream cut in the middle, or a 502, though their upstream was sound: it sent nothing for a second or two and would have gone on.

The retry budget could then be empty, or the queue full, and the caller was left with nothing; or the "other" upstream that was chosen was the silent one itself, whose place the cancelled attempt had just vacated, so that a retry was spent on running the request twice at the same place.

Now lib/policy/silence.c decides from the facts (silence, targets, route, attempts, time, budget), and the dispatcher leaves the attempt only once it has chosen another upstream with a free place; the budget is spent at that moment. The upstream that holds the request is never chosen, nor one with an open breaker because all have one. Otherwise the attempt is kept until the deadline and looked at again whenever places are given out, before the queue, as its caller has waited longest. Events 1020 (kept, once an attempt, with the reason) and 1021 (left), and a counter of each.

Ruled out: counting silence only at the attempt's end. A host that is away would go on getting requests up to its places while it holds the ones it has, since no attempt fails any more; so an attempt that is kept counts once as a failure for the breaker, as its cancelling did.

With the silence not counted for the breaker, test_kept_streams_count_against_their_upstream fails (10 of 118 checks). "cases" has 251 checks, 0 failed, as before.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -18,13 +18,6 @@
 #define RESPONSE_MAX_BYTES (8u << 20)
 /* With more bytes than this queued for a slow caller, the upstream's stream is paused. */
 #define STREAM_QUEUED_MAX_BYTES (256u << 10)
-/* An attempt is stalled when the upstream has sent nothing for this many times the
- * route's latency target, or its target for gaps between events. */
-#define STALL_TARGETS 2
-/* The same for an upstream whose stager reports that it serves: it is busy rather than
- * down, and the request would not start sooner elsewhere. */
-#define STALL_TARGETS_REPORTED  4
-#define STALL_MIN_MS            700
 #define STATUS_OK               200
 #define STATUS_MULTIPLE_CHOICES 300
 #define STATUS_SERVER_ERROR     500
@@ -52,10 +45,12 @@
   uint64_t sent_ms;
   uint64_t progress_ms; /* when bytes last arrived; the start time before that */
   uint64_t prompt_tokens;
-  bool started; /* a whole event or a whole response arrived */
-  bool sent;    /* not used */
-  bool ended;   /* its end was reported to the upstream */
-  bool aborted; /* further bytes are dropped; ABORT_TIMER ends the attempt */
+  bool started;         /* a whole event or a whole response arrived */
+  bool sent;            /* not used */
+  bool kept;            /* though its upstream was silent for long */
+  bool failure_counted; /* that silence was, for the upstream's circuit breaker */
+  bool ended;           /* its end was reported to the upstream */
+  bool aborted;         /* further bytes are dropped; ABORT_TIMER ends the attempt */
   DlTimer *abort_timer;
   DlBuffer *body; /* of a response that is no stream */
 };
@@ -424,18 +419,41 @@
   finish (attempt, outcome);
 }
 
+DlSilence
+direct_attempt_silence (const Attempt *attempt, uint64_t now_ms)
+{
+  const Request *r = attempt->request;
+  const DlRouteEntry *route = r->route;
+
+  return (DlSilence){
+    .silent_ms = now_ms - MIN (attempt->progress_ms, now_ms),
+    .target_ms = attempt->started && route->target_gap_ms > 0 ? route->target_gap_ms
+                                                              : route->target_ms,
+    .reported_up = direct_upstream_is_reported_up (attempt->upstream, now_ms),
+    .remaining_ms = direct_request_remaining_ms (r, now_ms),
+    .may_retry = dl_routing_may_retry (route),
+    .attempts = r->attempt_count,
+    .attempts_max = route->attempts_max,
+  };
+}
+
 bool
-direct_attempt_is_stalled (const Attempt *attempt, uint64_t now_ms)
+direct_attempt_note_kept (Attempt *attempt, bool counts)
 {
-  const DlRouteEntry *route = attempt->request->route;
-  uint64_t target_ms = attempt->started && route->target_gap_ms > 0 ? route->target_gap_ms
-                                                                    : route->target_ms;
-  uint64_t targets = direct_upstream_is_reported_up (attempt->upstream, now_ms)
-                         ? STALL_TARGETS_REPORTED
-                         : STALL_TARGETS;
+  if (attempt->kept)
+    return false;
+  attempt->kept = true;
+  attempt->failure_counted = counts;
+  if (counts)
+    direct_upstream_silent (attempt->upstream, dl_clock_ms ());
+  return true;
+}
 
-  return now_ms
-         > attempt->progress_ms + MAX (target_ms * targets, (uint64_t)STALL_MIN_MS);
+void
+direct_attempt_leave (Attempt *attempt)
+{
+  finish (attempt,
+          attempt->failure_counted ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED);
 }
 
 const DirectUpstream *
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -19,8 +19,6 @@
 #define RETRY_SLACK_SHARE 0.75
 /* Attempts of a request that may fail to connect before it is refused or fails. */
 #define CONNECT_FAILURES_MAX 3
-/* A retry is not sent with less time than this left until the deadline. */
-#define ATTEMPT_MIN_MS 100
 /* Retry-After of requests refused because no upstream serves the service. */
 #define NO_UPSTREAM_RETRY_MS 900
 #define STATUS_BAD_GATEWAY   502
@@ -37,6 +35,14 @@
            DL_METRIC_COUNTER,
            "daisy_direct_repeats_denied_total",
            "Retries that the retry budget did not allow.")
+DL_METRIC (metric_silent_kept,
+           DL_METRIC_COUNTER,
+           "daisy_direct_silent_kept_total",
+           "Attempts kept at a silent upstream for want of a replacement.")
+DL_METRIC (metric_silent_left,
+           DL_METRIC_COUNTER,
+           "daisy_direct_silent_left_total",
+           "Attempts at a silent upstream that were replaced.")
 
 /* This entry's share of the retry slack of all entries, the cap of its retry budgets, in
  * units of 1 / DL_RETRY_SCALE of a retry. */
@@ -58,6 +64,7 @@
     return s;
   s = talloc_zero (requests, Service);
   g_assert (s != NULL);
+  s->owner = requests;
   s->name = talloc_strdup (s, name);
   s->queue = dl_wait_queue_new (s);
   dl_retry_init_share (&s->budget, 0);
@@ -91,13 +98,16 @@
   return (uint64_t)(requests->settings->retry_ratio * RETRY_RATIO_SHARE * PERCENT);
 }
 
+/* Chooses an upstream for the request, in place of the one with the id REPLACED, which
+ * has it; NULL for none. */
 static DirectUpstream *
-choose (const Request *r, int *error)
+choose (const Request *r, const char *replaced, int *error)
 {
   return direct_upstreams_choose (r->owner->upstreams,
                                   &(DirectUpstreamQuery){
                                       .service = r->service_entry,
                                       .avoid_upstream = r->avoid_upstream,
+                                      .replaced_upstream = replaced,
                                       .now_ms = dl_clock_ms (),
                                   },
                                   error);
@@ -163,7 +173,7 @@
 
   /* Queued requests go first, except before retries. */
   if (dl_wait_queue_length (r->service->queue) == 0 || r->attempt_count > 0)
-    upstream = choose (r, &error);
+    upstream = choose (r, NULL, &error);
   else
     error = -EBUSY;
   if (upstream != NULL)
@@ -183,15 +193,18 @@
   r->waiting = false;
 }
 
+static void replace_silent (Service *service);
+
 void
 direct_dispatch_run_queue (Service *service)
 {
   Request *r;
 
+  replace_silent (service); /* first: their callers have waited longest */
   while ((r = dl_wait_queue_peek (service->queue)) != NULL)
     {
       int error;
-      DirectUpstream *upstream = choose (r, &error);
+      DirectUpstream *upstream = choose (r, NULL, &error);
 
       if (upstream == NULL && error == -EBUSY)
         return;
@@ -240,7 +253,7 @@
 bool
 direct_dispatch_reserve_retry (Request *r, DirectAttemptFailure failure)
 {
-  bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= ATTEMPT_MIN_MS;
+  bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= DL_ATTEMPT_MIN_MS;
 
   if (!has_time)
     return false;
@@ -310,12 +323,18 @@
   r->avoid_upstream = talloc_strdup (r, upstream);
 }
 
-void
-direct_dispatch_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
+static void
+note_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
 {
   note_failure (r, failure, upstream);
   log_retry (r, failure, upstream);
   dl_metric_add (&metric_retries, 1);
+}
+
+void
+direct_dispatch_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
+{
+  note_retry (r, failure, upstream);
   direct_dispatch_request (r);
 }
 
@@ -335,3 +354,67 @@
     }
   direct_dispatch_run_queue (service);
 }
+
+/* -------- silent upstreams -------- */
+
+static void
+keep_silent (Request *r, uint64_t silent_ms, DlSilenceDecision decision)
+{
+  if (!direct_attempt_note_kept (r->attempt, decision != DL_SILENCE_KEEP_ROUTE))
+    return;
+  dl_metric_add (&metric_silent_kept, 1);
+  dl_log (DL_EVENT_SILENT_UPSTREAM_KEPT, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", direct_attempt_upstream (r->attempt)->id),
+          DL_UINT ("silent_ms", silent_ms),
+          DL_TEXT ("reason", dl_silence_kept_text (decision)),
+          DL_UINT ("sent", r->attempt_count),
+          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())));
+}
+
+static void
+leave_silent (Request *r, uint64_t silent_ms, DirectUpstream *next)
+{
+  char *id = talloc_strdup (r, direct_attempt_upstream (r->attempt)->id);
+  bool spent = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
+
+  g_assert (spent);
+  dl_metric_add (&metric_silent_left, 1);
+  dl_log (DL_EVENT_SILENT_UPSTREAM_LEFT, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", id), DL_UINT ("silent_ms", silent_ms),
+          DL_TEXT ("next", next->id));
+  direct_attempt_leave (r->attempt);
+  note_retry (r, DIRECT_FAILURE_STALLED, id);
+  send_to (r, next);
+}
+
+/* Sends the request to another upstream if its own has been silent for long and the
+ * replacement is certain; otherwise keeps the attempt. */
+static void
+check_silence (Request *r, uint64_t now_ms)
+{
+  DlSilence silence = direct_attempt_silence (r->attempt, now_ms);
+  DlSilenceDecision decision;
+  DirectUpstream *next = NULL;
+  int error;
+
+  silence.has_budget = dl_retry_allows (&r->service->budget, retry_percent (r->owner));
+  decision = dl_silence_decide (&silence);
+  if (decision == DL_SILENCE_WITHIN_LIMIT)
+    return;
+  if (decision == DL_SILENCE_REPLACE)
+    next = choose (r, direct_attempt_upstream (r->attempt)->id, &error);
+  if (next != NULL)
+    leave_silent (r, silence.silent_ms, next);
+  else
+    keep_silent (r, silence.silent_ms, decision);
+}
+
+static void
+replace_silent (Service *service)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  for (Request *r = service->owner->first; r != NULL; r = r->next)
+    if (r->service == service && r->attempt != NULL)
+      check_silence (r, now_ms);
+}
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -12,7 +12,7 @@
 #include "kernel/metrics.h"
 #include "platform.h"
 
-/* Interval of the check of queues, deadlines and stalled attempts. */
+/* Interval of the check of queues, deadlines and silent upstreams. */
 #define SWEEP_MS        40
 #define SUMMARY_MS      5000
 #define CONNECTIONS_MAX 1500
@@ -230,33 +230,12 @@
 
 /* -------- timers -------- */
 
-/* Cancels a stalled attempt if the route allows another one.  The request is then
- * retried, or ends when the retry budget does not allow it. */
-static void
-cancel_if_stalled (Request *r, uint64_t now_ms)
-{
-  const DirectUpstream *upstream;
-  char *id;
-
-  if (!dl_routing_may_retry (r->route) || r->attempt_count >= r->route->attempts_max
-      || !direct_attempt_is_stalled (r->attempt, now_ms))
-    return;
-  upstream = direct_attempt_upstream (r->attempt);
-  id = talloc_strdup (r, upstream->id);
-  direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_FAILED);
-  direct_dispatch_attempt_failed (r, DIRECT_FAILURE_STALLED, id);
-}
-
-/* Ends a request whose deadline has passed; otherwise checks its attempt. */
+/* Ends a request whose deadline has passed. */
 static void
 sweep_request (Request *r, uint64_t now_ms)
 {
   if (now_ms < r->deadline_ms)
-    {
-      if (r->attempt != NULL)
-        cancel_if_stalled (r, now_ms);
-      return;
-    }
+    return;
   if (r->attempt_count == 0)
     direct_request_refuse (r, STALE_RETRY_MS, "its time ran out before a place was free");
   else
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -14,6 +14,7 @@
 #include "node/caller_request.h"
 #include "policy/event_stream.h"
 #include "policy/retry.h"
+#include "policy/silence.h"
 #include "policy/wait_queue.h"
 #include "upstreams.h"
 
@@ -25,6 +26,7 @@
 /* State of one service, kept when the routing table is replaced. */
 struct Service
 {
+  Requests *owner;
   char *name;
   DlWaitQueue *queue; /* of Request */
   DlRetryBudget budget;
@@ -131,7 +133,8 @@
 /* Sends the request to an upstream, or queues it, or sends an error as its final
  * response. */
 void direct_dispatch_request (Request *request);
-/* Sends queued requests while upstreams have free request slots. */
+/* Replaces silent upstreams and sends queued requests while upstreams have free request
+ * slots. */
 void direct_dispatch_run_queue (Service *service);
 /* The same for all services. */
 void direct_dispatch_run_queues (Requests *requests);
@@ -175,9 +178,14 @@
 /* Ends the attempt and frees it; the caller is sent nothing.  OUTCOME is counted for the
  * upstream. */
 void direct_attempt_cancel (Attempt *attempt, DirectAttemptOutcome outcome);
-/* True when the upstream has sent nothing for so long that the request should be retried
- * elsewhere. */
-bool direct_attempt_is_stalled (const Attempt *attempt, uint64_t now_ms);
+/* Facts for the decision whether the attempt's upstream has been silent for too long. */
+DlSilence direct_attempt_silence (const Attempt *attempt, uint64_t now_ms);
+/* Notes that the attempt is kept though its upstream is silent; false when that was noted
+ * before.  The silence counts as a failure of the upstream if COUNTS, so that it gets no
+ * further requests while it holds this one. */
+bool direct_attempt_note_kept (Attempt *attempt, bool counts);
+/* Ends and frees the attempt at a silent upstream; the caller is sent nothing. */
+void direct_attempt_leave (Attempt *attempt);
 /* The upstream that the request was sent to. */
 const DirectUpstream *direct_attempt_upstream (const Attempt *attempt);
 
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -205,6 +205,12 @@
 
 /* -------- choosing -------- */
 
+static bool
+is_upstream (const DirectUpstream *u, const char *id)
+{
+  return id != NULL && strcmp (id, u->id) == 0;
+}
+
 static bool
 can_serve (const DirectUpstreams *upstreams,
            const DirectUpstream *u,
@@ -248,14 +254,15 @@
           .load = &u->load,
           .same_data_center = u->same_data_center,
           .allowed = dl_breaker_allows (&u->breaker, query->now_ms),
-          .avoided
-          = query->avoid_upstream != NULL && strcmp (query->avoid_upstream, u->id) == 0,
+          .avoided = is_upstream (u, query->avoid_upstream),
+          .replaced = is_upstream (u, query->replaced_upstream),
         };
 
         g_array_append_val (candidates, c);
         g_ptr_array_add (candidate_upstreams, u);
       }
-  allow_all_if_all_ejected (candidates);
+  if (query->replaced_upstream == NULL)
+    allow_all_if_all_ejected (candidates);
   chosen
       = dl_balance_choose ((const DlBalanceCandidate *)candidates->data, candidates->len,
                            &(DlBalanceQuery){
@@ -366,6 +373,13 @@
   free_when_unused (u);
 }
 
+void
+direct_upstream_silent (DirectUpstream *u, uint64_t now_ms)
+{
+  if (!u->loading)
+    note_failures (u, 1, now_ms);
+}
+
 bool
 direct_upstream_is_reported_up (const DirectUpstream *u, uint64_t now_ms)
 {
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -65,6 +65,9 @@
   /* Id of an upstream at which the request failed, chosen only if no other has a free
    * request slot; NULL for none. */
   const char *avoid_upstream;
+  /* Id of an upstream that holds the request and is to be replaced: neither it nor one
+   * with an open circuit breaker is chosen.  NULL for none. */
+  const char *replaced_upstream;
   uint64_t now_ms;
 } DirectUpstreamQuery;
 
@@ -123,6 +126,9 @@
                             bool started,
                             DirectAttemptOutcome outcome,
                             uint64_t now_ms);
+/* An attempt is kept though the upstream has been silent for long, which counts as a
+ * failure for its circuit breaker. */
+void direct_upstream_silent (DirectUpstream *upstream, uint64_t now_ms);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
 /* A response of the upstream carried its load: REQUESTS running or queued, SLOTS, 0 when
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -82,6 +82,7 @@
   bool same_data_center; /* as the entry */
   bool allowed;          /* by its circuit breaker */
   bool avoided;          /* it failed this request before */
+  bool replaced;         /* it holds this request now; never chosen */
 } DlBalanceCandidate;
 
 /* What a choice depends on besides the candidates. */
--- a/lib/policy/retry.c
+++ b/lib/policy/retry.c
@@ -22,10 +22,16 @@
     budget->balance = budget->cap;
 }
 
+bool
+dl_retry_allows (const DlRetryBudget *budget, uint64_t percent)
+{
+  return percent > 0 && budget->balance >= DL_RETRY_SCALE;
+}
+
 bool
 dl_retry_spend (DlRetryBudget *budget, uint64_t percent)
 {
-  if (percent == 0 || budget->balance < DL_RETRY_SCALE)
+  if (!dl_retry_allows (budget, percent))
     return false;
   budget->balance -= DL_RETRY_SCALE;
   return true;
--- a/lib/policy/retry.h
+++ b/lib/policy/retry.h
@@ -29,6 +29,8 @@
 void dl_retry_init_share (DlRetryBudget *budget, uint64_t cap);
 /* Earns PERCENT hundredths of a retry for a first attempt. */
 void dl_retry_first_attempt (DlRetryBudget *budget, uint64_t percent);
+/* True when a retry can be spent. */
+bool dl_retry_allows (const DlRetryBudget *budget, uint64_t percent);
 /* Spends one retry; false when the budget has none left, or PERCENT is 0. */
 bool dl_retry_spend (DlRetryBudget *budget, uint64_t percent);
 
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -229,11 +229,52 @@
   CHECK (metric (tb, "daisy_direct_silent_left_total") == left + 1);
 }
 
+static uint64_t awaited_running;
+
+static bool
+first_runs_awaited (Testbed *tb)
+{
+  return upstream_number (tb, "i-1", "reported") >= awaited_running;
+}
+
+static bool
+has_ejected_the_first (Testbed *tb)
+{
+  return upstream_number (tb, "i-1", "breaker") != 0;
+}
+
+static void
+test_kept_streams_count_against_their_upstream (Testbed *tb)
+{
+  static const char *const ids[] = { "dead-1", "dead-2", "dead-3" };
+  Background b[G_N_ELEMENTS (ids)];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    earn_retries (tb);
+  fill_second (tb);
+  set_pause (tb, 4, ENDLESS_MS);
+  CHECK (set_fault (tb->server[0], "pauses", G_N_ELEMENTS (ids)));
+  CHECK (set_fault (tb->server[1], "pauses", 0));
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      Call c = default_call (tb, "/s/x", ids[i]);
+
+      start_call (&b[i], &c);
+      awaited_running = i + 1;
+      CHECK (eventually (first_runs_awaited, tb));
+    }
+  CHECK (eventually (has_ejected_the_first, tb));
+  free_second (tb);
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    check_resumed (tb, &b[i]);
+}
+
 const TestFunc silence_tests[] = {
   test_silent_stream_is_kept_without_budget,
   test_silent_prompt_is_kept_without_budget,
   test_silent_stream_is_kept_while_others_are_full,
   test_silent_stream_is_kept_while_others_leave,
   test_kept_stream_is_resumed_once_another_has_a_place,
+  test_kept_streams_count_against_their_upstream,
   NULL,
 };
