What may have run waits for another upstream as long as its caller does

Callers saw a stream cut, or a 502 on a request that may be repeated, 80 ms after its upstream broke off, though a place elsewhere came free a moment later.

Cause: a request that lost its upstream waited in the queue under the rule for new ones, a fifth of the target (for streams: of the target for gaps), or was turned away at once because the queue was long. That rule is made for what can be refused: its caller comes back. What may have run cannot be refused any more; ending it leaves the caller with nothing, while callers wait for the next event for 2 s, four targets or eight targets for gaps, whichever is longest.

Now such a request waits up to that limit, counted from the last event, never beyond its deadline less the least time of an attempt (lib/policy/patience.h); before all that has not begun; and also while no upstream of the service takes requests, as one may be back in time. What has no time or attempts left is ended at once, as before. Event 1022 tells that it waits, and there is a counter. New requests wait and are refused as before.

The same class in the budget: a retry was spent when it was decided, and was gone if the request was then ended in the queue, or could not be connected. Now it goes back.

Unit tables: the limits, the order in the queue, the returned retry.

Ruled out: a longer wait for all retries. One that its upstream did not run can be refused, and its caller then finds another entry sooner than by waiting here.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -35,6 +35,10 @@
            DL_METRIC_COUNTER,
            "daisy_direct_repeats_denied_total",
            "Retries that the retry budget did not allow.")
+DL_METRIC (metric_begun_queued,
+           DL_METRIC_COUNTER,
+           "daisy_direct_begun_queued_total",
+           "Requests that may have run and waited for another upstream.")
 DL_METRIC (metric_silent_kept,
            DL_METRIC_COUNTER,
            "daisy_direct_silent_kept_total",
@@ -120,6 +124,7 @@
 
   if (r->attempt_count == 0)
     dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
+  r->retry_reserved = false;
   dl_wait_queue_dispatched (r->service->queue, now_ms);
   dl_metric_observe_us (&metric_waited, (now_ms - r->arrived_ms) * 1000);
   direct_attempt_start (r, upstream);
@@ -154,17 +159,53 @@
 static void
 enqueue (Request *r)
 {
-  uint64_t target_ms = r->head_sent && r->route->target_gap_ms > 0
-                           ? r->route->target_gap_ms
-                           : r->route->target_ms;
-
-  if (dl_wait_queue_push (r->service->queue, r, priority (r), target_ms, dl_clock_ms ())
+  if (dl_wait_queue_push (r->service->queue, r, priority (r), r->route->target_ms,
+                          dl_clock_ms ())
       == DL_WAIT_QUEUED)
     r->waiting = true;
   else
     refuse_or_fail (r, "all places are taken and the queue is long", retry_ms (r));
 }
 
+/* Queues a request that may have run for as long as its caller waits. */
+static void
+enqueue_begun (Request *r)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  uint64_t until_ms = dl_patience_until_ms (&(DlPatience){
+      .target_ms = r->route->target_ms,
+      .target_gap_ms = r->route->target_gap_ms,
+      .received_ms = r->last_event_ms != 0 ? r->last_event_ms : r->arrived_ms,
+      .deadline_ms = r->deadline_ms,
+  });
+
+  if (until_ms <= now_ms)
+    {
+      refuse_or_fail (r, "no place is free and its caller waits no longer", 0);
+      return;
+    }
+  dl_wait_queue_push_begun (r->service->queue, r, until_ms, now_ms);
+  r->waiting = true;
+  dl_metric_add (&metric_begun_queued, 1);
+  dl_log (DL_EVENT_REQUEST_WAITS, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", r->avoid_upstream), DL_UINT ("sent", r->attempt_count),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_UINT ("waiting", dl_wait_queue_length (r->service->queue)),
+          DL_UINT ("for_ms", until_ms - now_ms));
+}
+
+/* Queues or ends a request for which no upstream was found because of ERROR. */
+static void
+wait_or_end (Request *r, int error)
+{
+  if (r->may_have_run)
+    enqueue_begun (r);
+  else if (error == -EBUSY)
+    enqueue (r);
+  else
+    refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
+}
+
 void
 direct_dispatch_request (Request *r)
 {
@@ -178,10 +219,8 @@
     error = -EBUSY;
   if (upstream != NULL)
     send_to (r, upstream);
-  else if (error == -EBUSY)
-    enqueue (r);
   else
-    refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
+    wait_or_end (r, error);
 }
 
 void
@@ -199,15 +238,21 @@
 direct_dispatch_run_queue (Service *service)
 {
   Request *r;
+  Request *passed = NULL; /* the last one that waits on while others are served */
 
   replace_silent (service); /* first: their callers have waited longest */
-  while ((r = dl_wait_queue_peek (service->queue)) != NULL)
+  while ((r = dl_wait_queue_after (service->queue, passed)) != NULL)
     {
       int error;
       DirectUpstream *upstream = choose (r, NULL, &error);
 
       if (upstream == NULL && error == -EBUSY)
         return;
+      if (upstream == NULL && r->may_have_run)
+        {
+          passed = r; /* an upstream may come back while its caller waits */
+          continue;
+        }
       direct_dispatch_dequeue (r);
       if (upstream != NULL)
         send_to (r, upstream);
@@ -250,6 +295,15 @@
 
 /* -------- retries -------- */
 
+void
+direct_dispatch_return_retry (Request *r)
+{
+  if (!r->retry_reserved)
+    return;
+  r->retry_reserved = false;
+  dl_retry_return (&r->service->budget);
+}
+
 bool
 direct_dispatch_reserve_retry (Request *r, DirectAttemptFailure failure)
 {
@@ -271,7 +325,8 @@
     }
   if (r->attempt_count >= r->route->attempts_max)
     return false;
-  if (dl_retry_spend (&r->service->budget, retry_percent (r->owner)))
+  r->retry_reserved = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
+  if (r->retry_reserved)
     return true;
   dl_metric_add (&metric_budget_empty, 1);
   return false;
@@ -316,6 +371,7 @@
     {
       r->attempt_count--;
       r->connect_failures++;
+      r->retry_reserved = r->attempt_count > 0; /* what could not be sent was a retry */
     }
   if (failure == DIRECT_FAILURE_BROKEN || failure == DIRECT_FAILURE_STALLED)
     r->may_have_run = true;
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -78,6 +78,7 @@
 direct_request_release (Request *r)
 {
   direct_dispatch_dequeue (r);
+  direct_dispatch_return_retry (r);
   if (r->attempt != NULL)
     direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL);
   if (r->link != NULL)
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -13,6 +13,7 @@
 #include "kernel/http_server.h"
 #include "node/caller_request.h"
 #include "policy/event_stream.h"
+#include "policy/patience.h"
 #include "policy/retry.h"
 #include "policy/silence.h"
 #include "policy/wait_queue.h"
@@ -64,6 +65,7 @@
   unsigned attempt_count;    /* attempts so far, except those that could not connect */
   unsigned connect_failures; /* attempts that could not connect */
   bool waiting;              /* in the service's queue */
+  bool retry_reserved;       /* a retry of the budget was spent and not sent yet */
   bool may_have_run; /* an upstream may have executed it; it must not be refused then */
   bool head_sent;    /* the head of a streamed response was sent to the caller */
   char *avoid_upstream;        /* id of the upstream of the last failed attempt */
@@ -140,6 +142,8 @@
 void direct_dispatch_run_queues (Requests *requests);
 /* Removes the request from its service's queue, if it is queued. */
 void direct_dispatch_dequeue (Request *request);
+/* Returns the request's retry to the budget, if it has one that was not sent. */
+void direct_dispatch_return_retry (Request *request);
 /* Refuses or fails requests that have been queued for too long. */
 void direct_dispatch_expire (Requests *requests, uint64_t now_ms);
 /* Sets how many entries accept requests, in this entry's region, itself included, and in
--- a/lib/policy/retry.c
+++ b/lib/policy/retry.c
@@ -36,3 +36,11 @@
   budget->balance -= DL_RETRY_SCALE;
   return true;
 }
+
+void
+dl_retry_return (DlRetryBudget *budget)
+{
+  budget->balance += DL_RETRY_SCALE;
+  if (budget->balance > budget->cap)
+    budget->balance = budget->cap;
+}
--- a/lib/policy/retry.h
+++ b/lib/policy/retry.h
@@ -33,5 +33,7 @@
 bool dl_retry_allows (const DlRetryBudget *budget, uint64_t percent);
 /* Spends one retry; false when the budget has none left, or PERCENT is 0. */
 bool dl_retry_spend (DlRetryBudget *budget, uint64_t percent);
+/* Returns a retry that was spent but not sent. */
+void dl_retry_return (DlRetryBudget *budget);
 
 #endif
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -8,6 +8,7 @@
 typedef struct
 {
   void *item;
+  bool begun;        /* it may have run; before all that have not */
   uint64_t order_ms; /* arrival, shifted by priority */
   uint64_t expires_ms;
 } WaitingItem;
@@ -66,6 +67,8 @@
   const WaitingItem *x = a;
   const WaitingItem *y = b;
 
+  if (x->begun != y->begun)
+    return x->begun ? -1 : 1;
   return x->order_ms <= y->order_ms ? -1 : 1;
 }
 
@@ -91,12 +94,44 @@
   return DL_WAIT_QUEUED;
 }
 
+void
+dl_wait_queue_push_begun (DlWaitQueue *queue,
+                          void *item,
+                          uint64_t expires_ms,
+                          uint64_t now_ms)
+{
+  WaitingItem *w = g_new0 (WaitingItem, 1);
+
+  w->item = item;
+  w->begun = true;
+  w->order_ms = now_ms;
+  w->expires_ms = expires_ms;
+  g_queue_insert_sorted (&queue->items, w, compare_order, NULL);
+}
+
+/* The item of LINK; NULL for none. */
+static void *
+item_of (const GList *link)
+{
+  return link != NULL ? ((const WaitingItem *)link->data)->item : NULL;
+}
+
 void *
 dl_wait_queue_peek (const DlWaitQueue *queue)
 {
-  const WaitingItem *w = queue->items.head != NULL ? queue->items.head->data : NULL;
+  return item_of (queue->items.head);
+}
+
+void *
+dl_wait_queue_after (const DlWaitQueue *queue, const void *item)
+{
+  const GList *l = queue->items.head;
 
-  return w != NULL ? w->item : NULL;
+  if (item == NULL)
+    return item_of (l);
+  while (l != NULL && item_of (l) != item)
+    l = l->next;
+  return l != NULL ? item_of (l->next) : NULL;
 }
 
 static void
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -10,6 +10,9 @@
  * refused then.  The retry time given to refused callers grows with the queue and is
  * spread over a second, so that they do not return at the same moment.
  *
+ * A request that may have run cannot be refused any more: it waits for as long as its
+ * caller does, before all others.
+ *
  * Requests wait in order of arrival.  A more urgent priority counts as an earlier
  * arrival, but only by a bounded time, so that no organisation is starved.
  *
@@ -53,8 +56,17 @@
                                    unsigned priority,
                                    uint64_t target_ms,
                                    uint64_t now_ms);
+/* Queues ITEM, which may have run, until EXPIRES_MS, after others of this kind and before
+ * all items that were pushed by dl_wait_queue_push. */
+void dl_wait_queue_push_begun (DlWaitQueue *queue,
+                               void *item,
+                               uint64_t expires_ms,
+                               uint64_t now_ms);
 /* Returns the next item, which stays queued; NULL when the queue is empty. */
 void *dl_wait_queue_peek (const DlWaitQueue *queue);
+/* Returns the item behind ITEM, which is queued; the first one for NULL.  NULL when there
+ * is none. */
+void *dl_wait_queue_after (const DlWaitQueue *queue, const void *item);
 /* Removes ITEM; does nothing when it is not queued. */
 void dl_wait_queue_remove (DlWaitQueue *queue, void *item);
 /* Removes and returns an item whose waiting time is over; NULL when there is none. */
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -1,14 +1,16 @@
 /* Tests of upstreams that fall silent, or break off, while no other may take over. */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "direct.h"
 
-#define EVENTS       10
-#define OTHERS       8    /* requests of others: more than a server has slots */
-#define SILENCE_MS   2000 /* over four latency targets, within the deadline */
-#define ENDLESS_MS   20000
-#define BUDGET_TRIES 4 /* requests that earn more than one retry */
+#define EVENTS        10
+#define OTHERS        8    /* requests of others: more than a server has slots */
+#define SILENCE_MS    2000 /* over four latency targets, within the deadline */
+#define ENDLESS_MS    20000
+#define PLACE_WAIT_US 300000
+#define BUDGET_TRIES  4 /* requests that earn more than one retry */
 
 /* -------- what the first entry knows -------- */
 
@@ -269,12 +271,71 @@
     check_resumed (tb, &b[i]);
 }
 
+static uint64_t awaited_events;
+
+static bool
+first_sent_awaited (Testbed *tb)
+{
+  return recorded (tb->server[0], "events_sent") >= awaited_events;
+}
+
+static bool
+first_responds (Testbed *tb)
+{
+  json_object *records = fetch_records (tb->server[0]);
+  bool responds = records != NULL;
+
+  json_object_put (records);
+  return responds;
+}
+
+/* The breaker of the first has closed; the second must be full. */
+static bool
+first_serves (Testbed *tb)
+{
+  Call c = default_call (tb, "/r/x", "probe");
+  Response r = call (&c);
+  bool served = r.status == 200;
+
+  response_free (&r);
+  return served;
+}
+
+/* Lasts longer than a fifth of the route's targets. */
+static void
+test_lost_stream_waits_for_a_place (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "lost-place");
+  Background b;
+
+  earn_retries (tb);
+  fill_second (tb);
+  set_pause (tb, 4, ENDLESS_MS);
+  awaited_events = recorded (tb->server[0], "events_sent") + 3;
+  start_call (&b, &c);
+  CHECK (eventually (first_sent_awaited, tb));
+  set_fault_on_both (tb, "pauses", 0);
+  process_end (&tb->server_process[0], SIGKILL);
+  CHECK (eventually (has_ejected_the_first, tb));
+  g_usleep (PLACE_WAIT_US);
+  free_second (tb);
+  g_thread_join (b.thread);
+  CHECK (b.response.status == 200 && b.response.complete);
+  CHECK (has_events (b.response.body, 1, EVENTS));
+  response_free (&b.response);
+  CHECK (process_start (&tb->server_process[0]) && eventually (first_responds, tb));
+  fill_second (tb);
+  CHECK (eventually (first_serves, tb));
+  free_second (tb);
+}
+
 const TestFunc silence_tests[] = {
   test_silent_stream_is_kept_without_budget,
   test_silent_prompt_is_kept_without_budget,
   test_silent_stream_is_kept_while_others_are_full,
   test_silent_stream_is_kept_while_others_leave,
   test_kept_stream_is_resumed_once_another_has_a_place,
+  test_lost_stream_waits_for_a_place,
   test_kept_streams_count_against_their_upstream,
   NULL,
 };
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -51,6 +51,7 @@
 static bool loading;
 static uint64_t load_commands;
 static uint64_t running;
+static uint64_t events_sent;
 static uint64_t cancelled;     /* streams whose caller disconnected */
 static uint64_t mixed;         /* loads accepted with missing or wrong chunks */
 static uint64_t keys_seen;     /* requests that carried a caller's key */
@@ -311,6 +312,7 @@
   else
     {
       dl_http_stream_write (s->request, dl_str (event));
+      events_sent++;
       if (s->next++ >= events)
         {
           dl_http_stream_end (s->request, true);
@@ -423,6 +425,7 @@
   standin_json_set_uint (records, "orders", load_commands);
   standin_json_set_uint (records, "mixed", mixed);
   standin_json_set_uint (records, "running", running);
+  standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -213,6 +213,29 @@
   talloc_free (queue);
 }
 
+/* Requests that may have run are never refused, go first and keep their own limit. */
+static void
+test_queue_of_begun (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  int fresh, urgent, lost, lost_later;
+
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &fresh, 1, 400, 1000), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 400, 1000), DL_WAIT_REFUSED);
+  dl_wait_queue_push_begun (queue, &lost, 4000, 1010);
+  dl_wait_queue_push_begun (queue, &lost_later, 3000, 1020);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &lost);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &lost);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, &lost), &lost_later);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, &lost_later), &fresh);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_after (queue, &fresh));
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 1100), &fresh);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, 2999));
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 3000), &lost_later);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 4000), &lost);
+  talloc_free (queue);
+}
+
 /* -------- the heaviest load -------- */
 
 #define ENTRIES    8
@@ -427,6 +450,7 @@
   { "slots that are left free", test_usable_slots },
   { "order of the queue", test_queue_order },
   { "refused at once", test_queue_refuses_at_once },
+  { "queue: requests that may have run go first", test_queue_of_begun },
   { "the heaviest load", test_heaviest_load },
   CU_TEST_INFO_NULL,
 };
--- a/regress/unit/test_silence.c
+++ b/regress/unit/test_silence.c
@@ -1,6 +1,7 @@
 /* Tests of the decision what to do about a silent upstream. */
 #include <glib.h>
 
+#include "policy/patience.h"
 #include "policy/retry.h"
 #include "policy/silence.h"
 #include "unit.h"
@@ -89,9 +90,59 @@
   CU_ASSERT_FALSE (dl_retry_allows (&budget, 100));
 }
 
+typedef struct
+{
+  const char *name;
+  DlPatience patience;
+  uint64_t until_ms;
+} PatienceCase;
+
+static const PatienceCase patience_cases[] = {
+  { "two seconds at least",
+    { .target_ms = 200, .received_ms = 5000, .deadline_ms = 20000 },
+    7000 },
+  { "four targets",
+    { .target_ms = 600, .target_gap_ms = 200, .received_ms = 5000, .deadline_ms = 20000 },
+    7400 },
+  { "eight targets for gaps",
+    { .target_ms = 500, .target_gap_ms = 400, .received_ms = 5000, .deadline_ms = 20000 },
+    8200 },
+  { "never beyond the last start",
+    { .target_ms = 500, .target_gap_ms = 400, .received_ms = 5000, .deadline_ms = 7000 },
+    7000 - DL_ATTEMPT_MIN_MS },
+  { "no time at all", { .target_ms = 500, .received_ms = 10, .deadline_ms = 50 }, 0 },
+};
+
+static void
+test_patience (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (patience_cases); i++)
+    CU_ASSERT_EQUAL (dl_patience_until_ms (&patience_cases[i].patience),
+                     patience_cases[i].until_ms);
+}
+
+/* A retry that was reserved and not sent is there for another request. */
+static void
+test_returned_retry (void)
+{
+  DlRetryBudget budget;
+
+  dl_retry_init_share (&budget, 1);
+  dl_retry_first_attempt (&budget, 100);
+  CU_ASSERT_TRUE (dl_retry_spend (&budget, 100));
+  dl_retry_return (&budget);
+  CU_ASSERT_TRUE (dl_retry_spend (&budget, 100));
+  dl_retry_return (&budget);
+  dl_retry_return (&budget);
+  CU_ASSERT_TRUE (dl_retry_spend (&budget, 100));
+  CU_ASSERT_FALSE (dl_retry_spend (&budget, 100));
+}
+
 static const CU_TestInfo tests[] = {
   { "a silent upstream is kept or left", test_decisions },
   { "asking the retry budget is free", test_asking_is_free },
+  { "how long a caller waits", test_patience },
+  { "a retry that was not sent", test_returned_retry },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("silence", tests)
