A retry is not sent back at once to the upstream that failed it

Callers saw a stream cut 60 ms after it began although another server came free shortly after.

Cause: under load the only free place that an entry knows of is the one that its own failed attempt has just left. So the retry went to the very upstream that had broken off; an engine that begins to load cuts what runs, refuses what comes next, and its stager's report arrives later. The attempts were then used up. "stream goes on at another upstream" in the log named the same one twice.

Now for half a second (DL_BALANCE_AVOID_MS; reports come ten times a second) a retry waits for another upstream that may get requests, and takes the one that failed it only if there is no other at all. In the queue those behind such a request are served past it, as they may use the place that it avoids.

Rows in the table of choices; the row "the one that failed it when no other is free" stays, for a request that no longer waits for others.

Ruled out: never going back. With one server of a service, or all others ejected, that would end requests that a server of sound mind would take.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -102,17 +102,27 @@
   return (uint64_t)(requests->settings->retry_ratio * RETRY_RATIO_SHARE * PERCENT);
 }
 
+/* True while the request waits for another upstream than the one that failed it. */
+static bool
+is_selective (const Request *r, uint64_t now_ms)
+{
+  return r->failed_ms != 0 && now_ms < r->failed_ms + DL_BALANCE_AVOID_MS;
+}
+
 /* Chooses an upstream for the request, in place of the one with the id REPLACED, which
  * has it; NULL for none. */
 static DirectUpstream *
 choose (const Request *r, const char *replaced, int *error)
 {
+  uint64_t now_ms = dl_clock_ms ();
+
   return direct_upstreams_choose (r->owner->upstreams,
                                   &(DirectUpstreamQuery){
                                       .service = r->service_entry,
                                       .avoid_upstream = r->avoid_upstream,
                                       .replaced_upstream = replaced,
-                                      .now_ms = dl_clock_ms (),
+                                      .wait_for_others = is_selective (r, now_ms),
+                                      .now_ms = now_ms,
                                   },
                                   error);
 }
@@ -246,11 +256,13 @@
       int error;
       DirectUpstream *upstream = choose (r, NULL, &error);
 
-      if (upstream == NULL && error == -EBUSY)
+      if (upstream == NULL && error == -EBUSY && !is_selective (r, dl_clock_ms ()))
         return;
-      if (upstream == NULL && r->may_have_run)
+      /* Those behind it may use what it avoids; and an upstream may come back while its
+       * caller waits. */
+      if (upstream == NULL && (error == -EBUSY || r->may_have_run))
         {
-          passed = r; /* an upstream may come back while its caller waits */
+          passed = r;
           continue;
         }
       direct_dispatch_dequeue (r);
@@ -375,6 +387,7 @@
     }
   if (failure == DIRECT_FAILURE_BROKEN || failure == DIRECT_FAILURE_STALLED)
     r->may_have_run = true;
+  r->failed_ms = dl_clock_ms ();
   talloc_free (r->avoid_upstream);
   r->avoid_upstream = talloc_strdup (r, upstream);
 }
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -69,6 +69,7 @@
   bool may_have_run; /* an upstream may have executed it; it must not be refused then */
   bool head_sent;    /* the head of a streamed response was sent to the caller */
   char *avoid_upstream;        /* id of the upstream of the last failed attempt */
+  uint64_t failed_ms;          /* when it failed; 0 before */
   char *last_upstream;         /* id of the upstream of the last attempt */
   DirectLoadEstimate estimate; /* of that upstream's load at that time */
   uint64_t first_sent_ms;      /* start of the first attempt; 0 before */
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -271,6 +271,7 @@
                                = query->service->has_engine
                                      ? (double)query->service->engine.usual_prompt_tokens
                                      : 0,
+                               .wait_for_others = query->wait_for_others,
                                .now_ms = query->now_ms,
                                .random = dl_random_uint64 (),
                            });
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -65,6 +65,7 @@
   /* Id of an upstream at which the request failed, chosen only if no other has a free
    * request slot; NULL for none. */
   const char *avoid_upstream;
+  bool wait_for_others; /* or even then, unless no other may get requests at all */
   /* Id of an upstream that holds the request and is to be replaced: neither it nor one
    * with an open circuit breaker is chosen.  NULL for none. */
   const char *replaced_upstream;
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -161,6 +161,16 @@
   return best;
 }
 
+/* True if an upstream other than the avoided ones may get the request, now or later. */
+static bool
+has_other (const DlBalanceCandidate *candidates, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (candidates[i].allowed && !candidates[i].avoided && !candidates[i].replaced)
+      return true;
+  return false;
+}
+
 int
 dl_balance_choose (const DlBalanceCandidate *candidates,
                    size_t count,
@@ -170,7 +180,7 @@
   int chosen = -ENOENT;
   size_t n = list_eligible (candidates, count, query, false, pool);
 
-  if (n == 0)
+  if (n == 0 && !(query->wait_for_others && has_other (candidates, count)))
     n = list_eligible (candidates, count, query, true, pool);
   if (n > 0)
     chosen = best_of_sample (candidates, pool, n, query);
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -35,6 +35,11 @@
 /* Number of an engine's SLOTS request slots that entries fill; at least 1. */
 unsigned dl_balance_usable_slots (unsigned slots);
 
+/* A retry waits this long for another upstream than the one that just failed the request.
+ * That one has often a free request slot, as the request has just left it, and it may be
+ * down or loading before its stager has told so. */
+#define DL_BALANCE_AVOID_MS 500
+
 /* The load of one upstream, as one entry knows it. */
 typedef struct
 {
@@ -90,6 +95,9 @@
 {
   unsigned entries;           /* entries that send requests, this one included */
   double usual_prompt_tokens; /* mean of the service; 0 when it has no engine */
+  /* An avoided candidate is chosen only if no other is allowed; otherwise, if no other
+   * has a free request slot. */
+  bool wait_for_others;
   uint64_t now_ms;
   uint64_t random; /* a new value for each choice */
 } DlBalanceQuery;
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -271,6 +271,14 @@
     check_resumed (tb, &b[i]);
 }
 
+static uint64_t awaited_waits;
+
+static bool
+waits_as_awaited (Testbed *tb)
+{
+  return metric (tb, "daisy_direct_begun_queued_total") >= awaited_waits;
+}
+
 static uint64_t awaited_events;
 
 static bool
@@ -289,6 +297,26 @@
   return responds;
 }
 
+/* The server breaks its stream off and refuses what comes next, as an engine does that
+ * begins to load. */
+static void
+test_lost_stream_is_not_sent_back (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "lost-back");
+  Background b;
+
+  earn_retries (tb);
+  fill_second (tb);
+  CHECK (set_fault (tb->server[0], "cut", 1));
+  CHECK (set_fault (tb->server[0], "shed_resumed", 1));
+  awaited_waits = metric (tb, "daisy_direct_begun_queued_total") + 1;
+  start_call (&b, &c);
+  CHECK (eventually (waits_as_awaited, tb));
+  free_second (tb);
+  check_resumed (tb, &b);
+  CHECK (set_fault (tb->server[0], "shed_resumed", 0));
+}
+
 /* The breaker of the first has closed; the second must be full. */
 static bool
 first_serves (Testbed *tb)
@@ -335,6 +363,7 @@
   test_silent_stream_is_kept_while_others_are_full,
   test_silent_stream_is_kept_while_others_leave,
   test_kept_stream_is_resumed_once_another_has_a_place,
+  test_lost_stream_is_not_sent_back,
   test_lost_stream_waits_for_a_place,
   test_kept_streams_count_against_their_upstream,
   NULL,
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -31,15 +31,16 @@
 static uint64_t version = 1;  /* of the weights that it serves; 0: none */
 static uint64_t events = EVENTS_DEFAULT;
 static uint64_t event_ms = EVENT_MS;
-static uint64_t shed;        /* the next N requests are refused and not run */
-static uint64_t fail;        /* the next N requests get the response 500 */
-static uint64_t lose;        /* the next N are run, then the connection is closed */
-static uint64_t cut;         /* the next N streams break off in the middle of an event */
-static uint64_t cut_resumed; /* the same for streams that resume after an event */
-static uint64_t foreign;     /* the next N responses have another request's id */
-static uint64_t unsealed;    /* the next N responses lack the seal */
-static uint64_t silent;      /* the next N are run without a response ever */
-static uint64_t rot;         /* the next N reads of staged chunks corrupt the chunk */
+static uint64_t shed;         /* the next N requests are refused and not run */
+static uint64_t fail;         /* the next N requests get the response 500 */
+static uint64_t lose;         /* the next N are run, then the connection is closed */
+static uint64_t cut;          /* the next N streams break off in the middle of an event */
+static uint64_t cut_resumed;  /* the same for streams that resume after an event */
+static uint64_t shed_resumed; /* the next N streams that resume are refused, not run */
+static uint64_t foreign;      /* the next N responses have another request's id */
+static uint64_t unsealed;     /* the next N responses lack the seal */
+static uint64_t silent;       /* the next N are run without a response ever */
+static uint64_t rot;          /* the next N reads of staged chunks corrupt the chunk */
 static uint64_t slots = 16;
 static uint64_t pauses;           /* the next N streams fall silent once */
 static uint64_t pause_before = 1; /* id of the event before which they do */
@@ -76,6 +77,7 @@
   { "rot", &rot },
   { "slots", &slots },
   { "cut_resumed", &cut_resumed },
+  { "shed_resumed", &shed_resumed },
   { "pauses", &pauses },
   { "pause_before", &pause_before },
   { "pause_ms", &pause_ms },
@@ -373,7 +375,9 @@
       refuse (request, 421);
       return;
     }
-  if (loading || standin_count_down (&shed))
+  if (loading || standin_count_down (&shed)
+      || (dl_http_request_header (request, "Last-Event-Id") != NULL
+          && standin_count_down (&shed_resumed)))
     {
       refuse (request, 503);
       return;
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -85,6 +85,7 @@
   DlUpstreamLoad loads[3];
   DlBalanceCandidate candidates[3]; /* without their loads */
   int chosen;
+  bool wait_for_others;
 } ChoiceCase;
 
 #define FREE                                                \
@@ -124,6 +125,16 @@
       { .allowed = true },
       { .allowed = true } },
     1 },
+  { "waits for another than the one that failed it",
+    { FREE, FULL, FULL },
+    { { .allowed = true, .avoided = true }, { .allowed = true }, { .allowed = true } },
+    -EBUSY,
+    .wait_for_others = true },
+  { "the one that failed it when no other may get requests",
+    { FREE, FREE, FULL },
+    { { .allowed = true, .avoided = true }, { 0 }, { 0 } },
+    0,
+    .wait_for_others = true },
   { "not the one that holds it, even if no other is free",
     { FREE, FULL, FULL },
     { { .allowed = true, .replaced = true }, { .allowed = true }, { .allowed = true } },
@@ -165,6 +176,8 @@
         CU_ASSERT_EQUAL (dl_balance_choose (candidates, 3,
                                             &(DlBalanceQuery){ .entries = 1,
                                                                .now_ms = NOW_MS,
+                                                               .wait_for_others
+                                                               = c->wait_for_others,
                                                                .random = random * 7919 }),
                          c->chosen);
       }
