An upstream that the entry itself has paused is not silent

Cause: with 256 KB queued for a caller the entry stops reading from the upstream. Its silence from then on is the entry's own doing, but was counted against the upstream, and for its breaker. Now a paused attempt is not silent, and its silence counts anew from when it goes on.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -50,6 +50,7 @@
   bool kept;            /* though its upstream was silent for long */
   bool failure_counted; /* that silence was, for the upstream's circuit breaker */
   bool ended;           /* its end was reported to the upstream */
+  bool paused;          /* by this entry, as its caller reads slowly */
   bool aborted;         /* further bytes are dropped; ABORT_TIMER ends the attempt */
   DlTimer *abort_timer;
   DlBuffer *body; /* of a response that is no stream */
@@ -160,13 +161,25 @@
   dl_http_stream_begin (r->http, attempt->status, type, headers);
 }
 
+/* Pauses the upstream's stream or lets it go on.  What it does not send meanwhile is no
+ * silence of its own. */
+static void
+set_paused (Attempt *attempt, bool paused)
+{
+  if (attempt->paused == paused)
+    return;
+  attempt->paused = paused;
+  attempt->progress_ms = dl_clock_ms ();
+  dl_http_call_pause (attempt->call, paused);
+}
+
 static void
 on_stream_consumed (DlHttpRequest *http, size_t consumed, void *data)
 {
   Request *r = data;
 
   if (r->attempt != NULL && dl_http_stream_queued (http) < STREAM_QUEUED_MAX_BYTES)
-    dl_http_call_pause (r->attempt->call, false);
+    set_paused (r->attempt, false);
 }
 
 static void
@@ -214,7 +227,7 @@
   if (error < 0)
     abort_attempt (attempt);
   else if (dl_http_stream_queued (r->http) > STREAM_QUEUED_MAX_BYTES)
-    dl_http_call_pause (attempt->call, true);
+    set_paused (attempt, true);
 }
 
 static void
@@ -426,7 +439,7 @@
   const DlRouteEntry *route = r->route;
 
   return (DlSilence){
-    .silent_ms = now_ms - MIN (attempt->progress_ms, now_ms),
+    .silent_ms = attempt->paused ? 0 : now_ms - MIN (attempt->progress_ms, now_ms),
     .target_ms = attempt->started && route->target_gap_ms > 0 ? route->target_gap_ms
                                                               : route->target_ms,
     .reported_up = direct_upstream_is_reported_up (attempt->upstream, now_ms),
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -92,12 +92,13 @@
   const char *method; /* NULL for GET, or POST with a body */
   const char *address;
   const char *target;
-  const char *host;       /* NULL for none */
-  const char *id;         /* request id; NULL for none */
-  const char *key;        /* NULL for none */
-  const char *header;     /* a further one, "NAME: VALUE"; NULL for none */
-  const char *body;       /* NULL for none */
-  unsigned deadline_ms;   /* sent in X-Deadline-Ms; 0 for none */
+  const char *host;     /* NULL for none */
+  const char *id;       /* request id; NULL for none */
+  const char *key;      /* NULL for none */
+  const char *header;   /* a further one, "NAME: VALUE"; NULL for none */
+  const char *body;     /* NULL for none */
+  unsigned deadline_ms; /* sent in X-Deadline-Ms; 0 for none */
+  unsigned stall_ms;    /* the caller reads nothing for this long once the body begins */
   unsigned disconnect_ms; /* the caller disconnects after this; 0: after 20 s */
   void *curl;             /* CURL handle whose connections are reused; NULL: new ones */
 } Call;
--- a/regress/direct/http.c
+++ b/regress/direct/http.c
@@ -16,6 +16,23 @@
   return size * n;
 }
 
+/* A body being received. */
+typedef struct
+{
+  GString *bytes;
+  unsigned stall_ms;
+} Receiver;
+
+static size_t
+receive (char *data, size_t size, size_t n, void *user)
+{
+  Receiver *receiver = user;
+
+  if (receiver->bytes->len == 0)
+    g_usleep ((gulong)receiver->stall_ms * 1000);
+  return append (data, size, n, receiver->bytes);
+}
+
 static struct curl_slist *
 add_header (struct curl_slist *list, const char *name, const char *value)
 {
@@ -54,6 +71,7 @@
   struct curl_slist *headers = call_headers (c);
   GString *body = g_string_new (NULL);
   GString *head = g_string_new (NULL);
+  Receiver receiver = { .bytes = body, .stall_ms = c->stall_ms };
   char *url = g_strdup_printf ("http://%s/", c->address);
   long status = 0;
   CURLcode code;
@@ -63,8 +81,8 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, body);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, receive);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &receiver);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, append);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, head);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -8,6 +8,9 @@
 #define EVENTS        10
 #define OTHERS        8    /* requests of others: more than a server has slots */
 #define SILENCE_MS    2000 /* over four latency targets, within the deadline */
+#define LARGE_EVENT   250000
+#define LARGE_EVENTS  30
+#define READ_LATE_MS  2600
 #define ENDLESS_MS    20000
 #define PLACE_WAIT_US 300000
 #define BUDGET_TRIES  4 /* requests that earn more than one retry */
@@ -170,6 +173,28 @@
   CHECK (eventually (second_takes_requests, tb));
 }
 
+/* The events are larger than what the entry and the sockets hold for the caller. */
+static void
+test_caller_that_reads_late_keeps_its_upstream (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "late-reader");
+  Response r;
+  unsigned count = 0;
+
+  earn_retries (tb);
+  set_fault_on_both (tb, "event_bytes", LARGE_EVENT);
+  set_fault_on_both (tb, "events", LARGE_EVENTS);
+  c.stall_ms = READ_LATE_MS;
+  r = call (&c);
+  set_fault_on_both (tb, "events", EVENTS);
+  set_fault_on_both (tb, "event_bytes", 0);
+  for (const char *at = r.body; (at = strstr (at, "data: event")) != NULL; at++)
+    count++;
+  CHECK (r.status == 200 && r.complete && count == LARGE_EVENTS);
+  CHECK (runs_of (tb, c.id) == 1);
+  response_free (&r);
+}
+
 /* -------- streams that need another upstream -------- */
 
 /* A call that a thread waits for. */
@@ -362,6 +387,7 @@
   test_silent_prompt_is_kept_without_budget,
   test_silent_stream_is_kept_while_others_are_full,
   test_silent_stream_is_kept_while_others_leave,
+  test_caller_that_reads_late_keeps_its_upstream,
   test_kept_stream_is_resumed_once_another_has_a_place,
   test_lost_stream_is_not_sent_back,
   test_lost_stream_waits_for_a_place,
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -45,6 +45,7 @@
 static uint64_t pauses;           /* the next N streams fall silent once */
 static uint64_t pause_before = 1; /* id of the event before which they do */
 static uint64_t pause_ms;         /* for how long */
+static uint64_t event_bytes;      /* filler in each event */
 static uint64_t others;           /* running requests of others that it reports */
 
 static DlTask *task;
@@ -82,6 +83,7 @@
   { "pause_before", &pause_before },
   { "pause_ms", &pause_ms },
   { "others", &others },
+  { "event_bytes", &event_bytes },
   { 0 },
 };
 
@@ -296,6 +298,7 @@
 {
   Stream *s = data;
   char *event;
+  char *filler;
 
   if (s->pauses && s->next >= pause_before)
     {
@@ -303,8 +306,10 @@
       schedule_events (s, pause_ms);
       return;
     }
-  event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "\n\n", s->next,
-                           s->next);
+  filler = g_strnfill (event_bytes, 'x');
+  event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "%s\n\n", s->next,
+                           s->next, filler);
+  g_free (filler);
   if (s->cut && s->next >= 3)
     {
       dl_http_stream_write (s->request, dl_str_bytes (event, strlen (event) / 2));
