--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -19,8 +19,6 @@
 #define RETRY_SLACK_SHARE 0.75
 /* Attempts of a request that may fail to connect before it is refused or fails. */
 #define CONNECT_FAILURES_MAX 3
-/* A retry is not sent with less time than this left until the deadline. */
-#define ATTEMPT_MIN_MS 100
 /* Retry-After of requests refused because no upstream serves the service. */
 #define NO_UPSTREAM_RETRY_MS 900
 #define STATUS_BAD_GATEWAY   502
@@ -37,6 +35,18 @@
            DL_METRIC_COUNTER,
            "daisy_direct_repeats_denied_total",
            "Retries that the retry budget did not allow.")
+DL_METRIC (metric_begun_queued,
+           DL_METRIC_COUNTER,
+           "daisy_direct_begun_queued_total",
+           "Requests that may have run and waited for another upstream.")
+DL_METRIC (metric_silent_kept,
+           DL_METRIC_COUNTER,
+           "daisy_direct_silent_kept_total",
+           "Attempts kept at a silent upstream for want of a replacement.")
+DL_METRIC (metric_silent_left,
+           DL_METRIC_COUNTER,
+           "daisy_direct_silent_left_total",
+           "Attempts at a silent upstream that were replaced.")
 
 /* This entry's share of the retry slack of all entries, the cap of its retry budgets, in
  * units of 1 / DL_RETRY_SCALE of a retry. */
@@ -58,6 +68,7 @@
     return s;
   s = talloc_zero (requests, Service);
   g_assert (s != NULL);
+  s->owner = requests;
   s->name = talloc_strdup (s, name);
   s->queue = dl_wait_queue_new (s);
   dl_retry_init_share (&s->budget, 0);
@@ -91,20 +102,33 @@
   return (uint64_t)(requests->settings->retry_ratio * RETRY_RATIO_SHARE * PERCENT);
 }
 
+/* True while the request waits for another upstream than the one that failed it. */
+static bool
+is_selective (const Request *r, uint64_t now_ms)
+{
+  return r->failed_ms != 0 && now_ms < r->failed_ms + DL_BALANCE_AVOID_MS;
+}
+
+/* What an upstream for the request must be like, in place of the one with the id
+ * REPLACED, which has it; NULL for none. */
 static DirectUpstreamQuery
-upstream_query (const Request *r)
+upstream_query (const Request *r, const char *replaced)
 {
+  uint64_t now_ms = dl_clock_ms ();
+
   return (DirectUpstreamQuery){
     .service = r->service_entry,
     .avoid_upstream = r->avoid_upstream,
-    .now_ms = dl_clock_ms (),
+    .replaced_upstream = replaced,
+    .wait_for_others = is_selective (r, now_ms),
+    .now_ms = now_ms,
   };
 }
 
 static DirectUpstream *
-choose (const Request *r, int *error)
+choose (const Request *r, const char *replaced, int *error)
 {
-  DirectUpstreamQuery query = upstream_query (r);
+  DirectUpstreamQuery query = upstream_query (r, replaced);
 
   return direct_upstreams_choose (r->owner->upstreams, &query, error);
 }
@@ -114,7 +138,7 @@
 static uint64_t
 hold_ms (const Request *r)
 {
-  DirectUpstreamQuery query = upstream_query (r);
+  DirectUpstreamQuery query = upstream_query (r, NULL);
 
   return direct_upstreams_hold_ms (r->owner->upstreams, &query);
 }
@@ -126,6 +150,7 @@
 
   if (r->attempt_count == 0)
     dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
+  r->retry_reserved = false;
   dl_wait_queue_dispatched (r->service->queue, now_ms);
   dl_metric_observe_us (&metric_waited, (now_ms - r->arrived_ms) * 1000);
   direct_attempt_start (r, upstream);
@@ -174,17 +199,53 @@
 static void
 enqueue (Request *r)
 {
-  uint64_t target_ms = r->head_sent && r->route->target_gap_ms > 0
-                           ? r->route->target_gap_ms
-                           : r->route->target_ms;
-
-  if (dl_wait_queue_push (r->service->queue, r, priority (r), target_ms, dl_clock_ms ())
+  if (dl_wait_queue_push (r->service->queue, r, priority (r), r->route->target_ms,
+                          dl_clock_ms ())
       == DL_WAIT_QUEUED)
     r->waiting = true;
   else
     refuse_or_fail (r, "all places are taken and the queue is long", retry_ms (r));
 }
 
+/* Queues a request that may have run for as long as its caller waits. */
+static void
+enqueue_begun (Request *r)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  uint64_t until_ms = dl_patience_until_ms (&(DlPatience){
+      .target_ms = r->route->target_ms,
+      .target_gap_ms = r->route->target_gap_ms,
+      .received_ms = r->last_event_ms != 0 ? r->last_event_ms : r->arrived_ms,
+      .deadline_ms = r->deadline_ms,
+  });
+
+  if (until_ms <= now_ms)
+    {
+      refuse_or_fail (r, "no place is free and its caller waits no longer", 0);
+      return;
+    }
+  dl_wait_queue_push_begun (r->service->queue, r, until_ms, now_ms);
+  r->waiting = true;
+  dl_metric_add (&metric_begun_queued, 1);
+  dl_log (DL_EVENT_REQUEST_WAITS, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", r->avoid_upstream), DL_UINT ("sent", r->attempt_count),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_UINT ("waiting", dl_wait_queue_length (r->service->queue)),
+          DL_UINT ("for_ms", until_ms - now_ms));
+}
+
+/* Queues or ends a request for which no upstream was found because of ERROR. */
+static void
+wait_or_end (Request *r, int error)
+{
+  if (r->may_have_run)
+    enqueue_begun (r);
+  else if (error == -EBUSY)
+    enqueue (r);
+  else
+    refuse_or_fail_without_upstream (r);
+}
+
 void
 direct_dispatch_request (Request *r)
 {
@@ -193,15 +254,13 @@
 
   /* Queued requests go first, except before retries. */
   if (dl_wait_queue_length (r->service->queue) == 0 || r->attempt_count > 0)
-    upstream = choose (r, &error);
+    upstream = choose (r, NULL, &error);
   else
     error = -EBUSY;
   if (upstream != NULL)
     send_to (r, upstream);
-  else if (error == -EBUSY)
-    enqueue (r);
   else
-    refuse_or_fail_without_upstream (r);
+    wait_or_end (r, error);
 }
 
 void
@@ -213,18 +272,29 @@
   r->waiting = false;
 }
 
+static void replace_silent (Service *service);
+
 void
 direct_dispatch_run_queue (Service *service)
 {
   Request *r;
+  Request *passed = NULL; /* the last one that waits on while others are served */
 
-  while ((r = dl_wait_queue_peek (service->queue)) != NULL)
+  replace_silent (service); /* first: their callers have waited longest */
+  while ((r = dl_wait_queue_after (service->queue, passed)) != NULL)
     {
       int error;
-      DirectUpstream *upstream = choose (r, &error);
+      DirectUpstream *upstream = choose (r, NULL, &error);
 
-      if (upstream == NULL && error == -EBUSY)
+      if (upstream == NULL && error == -EBUSY && !is_selective (r, dl_clock_ms ()))
         return;
+      /* Those behind it may use what it avoids; and an upstream may come back while its
+       * caller waits. */
+      if (upstream == NULL && (error == -EBUSY || r->may_have_run))
+        {
+          passed = r;
+          continue;
+        }
       direct_dispatch_dequeue (r);
       if (upstream != NULL)
         send_to (r, upstream);
@@ -266,10 +336,19 @@
 
 /* -------- retries -------- */
 
+void
+direct_dispatch_return_retry (Request *r)
+{
+  if (!r->retry_reserved)
+    return;
+  r->retry_reserved = false;
+  dl_retry_return (&r->service->budget);
+}
+
 bool
 direct_dispatch_reserve_retry (Request *r, DirectAttemptFailure failure)
 {
-  bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= ATTEMPT_MIN_MS;
+  bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= DL_ATTEMPT_MIN_MS;
 
   if (!has_time)
     return false;
@@ -287,7 +366,8 @@
     }
   if (r->attempt_count >= r->route->attempts_max)
     return false;
-  if (dl_retry_spend (&r->service->budget, retry_percent (r->owner)))
+  r->retry_reserved = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
+  if (r->retry_reserved)
     return true;
   dl_metric_add (&metric_budget_empty, 1);
   return false;
@@ -332,19 +412,27 @@
     {
       r->attempt_count--;
       r->connect_failures++;
+      r->retry_reserved = r->attempt_count > 0; /* what could not be sent was a retry */
     }
   if (failure == DIRECT_FAILURE_BROKEN || failure == DIRECT_FAILURE_STALLED)
     r->may_have_run = true;
+  r->failed_ms = dl_clock_ms ();
   talloc_free (r->avoid_upstream);
   r->avoid_upstream = talloc_strdup (r, upstream);
 }
 
-void
-direct_dispatch_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
+static void
+note_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
 {
   note_failure (r, failure, upstream);
   log_retry (r, failure, upstream);
   dl_metric_add (&metric_retries, 1);
+}
+
+void
+direct_dispatch_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
+{
+  note_retry (r, failure, upstream);
   direct_dispatch_request (r);
 }
 
@@ -364,3 +452,67 @@
     }
   direct_dispatch_run_queue (service);
 }
+
+/* -------- silent upstreams -------- */
+
+static void
+keep_silent (Request *r, uint64_t silent_ms, DlSilenceDecision decision)
+{
+  if (!direct_attempt_note_kept (r->attempt, decision != DL_SILENCE_KEEP_ROUTE))
+    return;
+  dl_metric_add (&metric_silent_kept, 1);
+  dl_log (DL_EVENT_SILENT_UPSTREAM_KEPT, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", direct_attempt_upstream (r->attempt)->id),
+          DL_UINT ("silent_ms", silent_ms),
+          DL_TEXT ("reason", dl_silence_kept_text (decision)),
+          DL_UINT ("sent", r->attempt_count),
+          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())));
+}
+
+static void
+leave_silent (Request *r, uint64_t silent_ms, DirectUpstream *next)
+{
+  char *id = talloc_strdup (r, direct_attempt_upstream (r->attempt)->id);
+  bool spent = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
+
+  g_assert (spent);
+  dl_metric_add (&metric_silent_left, 1);
+  dl_log (DL_EVENT_SILENT_UPSTREAM_LEFT, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", id), DL_UINT ("silent_ms", silent_ms),
+          DL_TEXT ("next", next->id));
+  direct_attempt_leave (r->attempt);
+  note_retry (r, DIRECT_FAILURE_STALLED, id);
+  send_to (r, next);
+}
+
+/* Sends the request to another upstream if its own has been silent for long and the
+ * replacement is certain; otherwise keeps the attempt. */
+static void
+check_silence (Request *r, uint64_t now_ms)
+{
+  DlSilence silence = direct_attempt_silence (r->attempt, now_ms);
+  DlSilenceDecision decision;
+  DirectUpstream *next = NULL;
+  int error;
+
+  silence.has_budget = dl_retry_allows (&r->service->budget, retry_percent (r->owner));
+  decision = dl_silence_decide (&silence);
+  if (decision == DL_SILENCE_WITHIN_LIMIT)
+    return;
+  if (decision == DL_SILENCE_REPLACE)
+    next = choose (r, direct_attempt_upstream (r->attempt)->id, &error);
+  if (next != NULL)
+    leave_silent (r, silence.silent_ms, next);
+  else
+    keep_silent (r, silence.silent_ms, decision);
+}
+
+static void
+replace_silent (Service *service)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  for (Request *r = service->owner->first; r != NULL; r = r->next)
+    if (r->service == service && r->attempt != NULL)
+      check_silence (r, now_ms);
+}
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -13,7 +13,9 @@
 #include "kernel/http_server.h"
 #include "node/caller_request.h"
 #include "policy/event_stream.h"
+#include "policy/patience.h"
 #include "policy/retry.h"
+#include "policy/silence.h"
 #include "policy/wait_queue.h"
 #include "upstreams.h"
 
@@ -25,6 +27,7 @@
 /* State of one service, kept when the routing table is replaced. */
 struct Service
 {
+  Requests *owner;
   char *name;
   DlWaitQueue *queue; /* of Request */
   DlRetryBudget budget;
@@ -63,9 +66,11 @@
   unsigned attempt_count;    /* attempts so far, except those that could not connect */
   unsigned connect_failures; /* attempts that could not connect */
   bool waiting;              /* in the service's queue */
+  bool retry_reserved;       /* a retry of the budget was spent and not sent yet */
   bool may_have_run; /* an upstream may have executed it; it must not be refused then */
   bool head_sent;    /* the head of a streamed response was sent to the caller */
   char *avoid_upstream;        /* id of the upstream of the last failed attempt */
+  uint64_t failed_ms;          /* when it failed; 0 before */
   char *last_upstream;         /* id of the upstream of the last attempt */
   DirectLoadEstimate estimate; /* of that upstream's load at that time */
   uint64_t first_sent_ms;      /* start of the first attempt; 0 before */
@@ -132,12 +137,15 @@
 /* Sends the request to an upstream, or queues it, or sends an error as its final
  * response. */
 void direct_dispatch_request (Request *request);
-/* Sends queued requests while upstreams have free request slots. */
+/* Replaces silent upstreams and sends queued requests while upstreams have free request
+ * slots. */
 void direct_dispatch_run_queue (Service *service);
 /* The same for all services. */
 void direct_dispatch_run_queues (Requests *requests);
 /* Removes the request from its service's queue, if it is queued. */
 void direct_dispatch_dequeue (Request *request);
+/* Returns the request's retry to the budget, if it has one that was not sent. */
+void direct_dispatch_return_retry (Request *request);
 /* Refuses or fails requests that have been queued for too long. */
 void direct_dispatch_expire (Requests *requests, uint64_t now_ms);
 /* Sets how many entries accept requests, in this entry's region, itself included, and in
@@ -176,9 +184,14 @@
 /* Ends the attempt and frees it; the caller is sent nothing.  OUTCOME is counted for the
  * upstream. */
 void direct_attempt_cancel (Attempt *attempt, DirectAttemptOutcome outcome);
-/* True when the upstream has sent nothing for so long that the request should be retried
- * elsewhere. */
-bool direct_attempt_is_stalled (const Attempt *attempt, uint64_t now_ms);
+/* Facts for the decision whether the attempt's upstream has been silent for too long. */
+DlSilence direct_attempt_silence (const Attempt *attempt, uint64_t now_ms);
+/* Notes that the attempt is kept though its upstream is silent; false when that was noted
+ * before.  The silence counts as a failure of the upstream if COUNTS, so that it gets no
+ * further requests while it holds this one. */
+bool direct_attempt_note_kept (Attempt *attempt, bool counts);
+/* Ends and frees the attempt at a silent upstream; the caller is sent nothing. */
+void direct_attempt_leave (Attempt *attempt);
 /* The upstream that the request was sent to. */
 const DirectUpstream *direct_attempt_upstream (const Attempt *attempt);
 
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -111,6 +111,7 @@
   { "leaving", { leaving_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
+  { "silence", { silence_tests } },
 };
 
 static const TestGroup *
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -97,12 +97,13 @@
   const char *method; /* NULL for GET, or POST with a body */
   const char *address;
   const char *target;
-  const char *host;       /* NULL for none */
-  const char *id;         /* request id; NULL for none */
-  const char *key;        /* NULL for none */
-  const char *header;     /* a further one, "NAME: VALUE"; NULL for none */
-  const char *body;       /* NULL for none */
-  unsigned deadline_ms;   /* sent in X-Deadline-Ms; 0 for none */
+  const char *host;     /* NULL for none */
+  const char *id;       /* request id; NULL for none */
+  const char *key;      /* NULL for none */
+  const char *header;   /* a further one, "NAME: VALUE"; NULL for none */
+  const char *body;     /* NULL for none */
+  unsigned deadline_ms; /* sent in X-Deadline-Ms; 0 for none */
+  unsigned stall_ms;    /* the caller reads nothing for this long once the body begins */
   unsigned disconnect_ms; /* the caller disconnects after this; 0: after 20 s */
   void *curl;             /* CURL handle whose connections are reused; NULL: new ones */
 } Call;
@@ -158,6 +159,8 @@
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
 extern const TestFunc endless_tests[];
 extern const TestFunc endless_peer_tests[];
+/* silence.c; the first two tests need processes that were just started. */
+extern const TestFunc silence_tests[];
 
 /* -------- soak.c -------- */
 
--- a/regress/direct/endless.c
+++ b/regress/direct/endless.c
@@ -13,6 +13,7 @@
 #define PROXY_SERVERS 2
 #define TRIES         150
 #define PAUSE_US      50000
+#define EARN_TRIES    800  /* with the pause, longer than an upstream is ejected for */
 #define GROWTH_MAX_KB 4096 /* of a process's memory while one peer answers so */
 #define CPU_MAX_MS    1500 /* of a process's time for a case, with sanitizers */
 #define CLOSED_MS     1200 /* an answer that cannot be one ends the connection by then */
@@ -356,16 +357,28 @@
     play_case (tb, &cases[i]);
 }
 
-/* Requests that are served add to what the service may repeat. */
+/* Sends sound requests, which add to what the service may repeat, until each model server
+ * has run one: then neither is ejected for what it sent before. */
 static void
 earn_repeats (Testbed *tb)
 {
-  for (int i = 0; i < 3; i++)
+  uint64_t before[SERVERS - 1];
+  unsigned served = 0;
+
+  for (unsigned i = 0; i < SERVERS - 1; i++)
+    before[i] = recorded (tb->server[i], "ran");
+  for (int n = 0; n < EARN_TRIES && served < SERVERS - 1; n++)
     {
       Response r = send_request (tb, SAFE);
 
       response_free (&r);
+      served = 0;
+      for (unsigned i = 0; i < SERVERS - 1; i++)
+        served += recorded (tb->server[i], "ran") > before[i];
+      if (n > 2)
+        g_usleep (PAUSE_US);
     }
+  CHECK (served == SERVERS - 1);
 }
 
 /* The upstream that is asked first answers so and the other is sound: the request is
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -24,6 +24,7 @@
   DlHttpRequest *request;
   uint64_t next; /* id of the next event */
   bool cut;      /* breaks off in the middle of its third event */
+  bool pauses;   /* falls silent before event PAUSE_BEFORE, then goes on */
   DlTimer *timer;
 } Stream;
 
@@ -31,28 +32,35 @@
 static uint64_t version = 1;  /* of the weights that it serves; 0: none */
 static uint64_t events = EVENTS_DEFAULT;
 static uint64_t event_ms = EVENT_MS;
-static uint64_t shed;        /* the next N requests are refused and not run */
-static uint64_t fail;        /* the next N requests get the response 500 */
-static uint64_t lose;        /* the next N are run, then the connection is closed */
-static uint64_t cut;         /* the next N streams break off in the middle of an event */
-static uint64_t cut_resumed; /* the same for streams that resume after an event */
-static uint64_t foreign;     /* the next N responses have another request's id */
-static uint64_t unsealed;    /* the next N responses lack the seal */
-static uint64_t silent;      /* the next N are run without a response ever */
-static uint64_t rot;         /* the next N reads of staged chunks corrupt the chunk */
+static uint64_t shed;         /* the next N requests are refused and not run */
+static uint64_t fail;         /* the next N requests get the response 500 */
+static uint64_t lose;         /* the next N are run, then the connection is closed */
+static uint64_t cut;          /* the next N streams break off in the middle of an event */
+static uint64_t cut_resumed;  /* the same for streams that resume after an event */
+static uint64_t shed_resumed; /* the next N streams that resume are refused, not run */
+static uint64_t foreign;      /* the next N responses have another request's id */
+static uint64_t unsealed;     /* the next N responses lack the seal */
+static uint64_t silent;       /* the next N are run without a response ever */
+static uint64_t rot;          /* the next N reads of staged chunks corrupt the chunk */
 static uint64_t slots = 16;
 static uint64_t born;           /* start time in its report; 0: the number of INSTANCE */
 static uint64_t leaving;        /* responses to requests say that it leaves */
 static uint64_t report_leaving; /* its reports say that it leaves */
 static uint64_t retry_after_ms; /* Retry-After of refusals; 0: none */
 static uint64_t unmarked;       /* refusals do not say that the request was not run */
+static uint64_t pauses;         /* the next N streams fall silent once */
+static uint64_t pause_before = 1; /* id of the event before which they do */
+static uint64_t pause_ms;         /* for how long */
+static uint64_t event_bytes;      /* filler in each event */
+static uint64_t others;           /* running requests of others that it reports */
 
 static DlTask *task;
 static GHashTable *staged; /* index of a chunk to its bytes */
 static bool loading;
 static uint64_t load_commands;
 static uint64_t running;
-static uint64_t received;      /* requests, also those that were refused */
+static uint64_t received; /* requests, also those that were refused */
+static uint64_t events_sent;
 static uint64_t cancelled;     /* streams whose caller disconnected */
 static uint64_t mixed;         /* loads accepted with missing or wrong chunks */
 static uint64_t keys_seen;     /* requests that carried a caller's key */
@@ -82,6 +90,12 @@
   { "report_leaving", &report_leaving },
   { "retry_after_ms", &retry_after_ms },
   { "unmarked", &unmarked },
+  { "shed_resumed", &shed_resumed },
+  { "pauses", &pauses },
+  { "pause_before", &pause_before },
+  { "pause_ms", &pause_ms },
+  { "others", &others },
+  { "event_bytes", &event_bytes },
   { 0 },
 };
 
@@ -223,7 +237,7 @@
   json_object_object_add (report, "models", models);
   json_object_object_add (report, "busy", json_object_new_boolean (loading));
   standin_json_set_uint (report, "sequence", load_commands);
-  standin_json_set_uint (report, "running", running);
+  standin_json_set_uint (report, "running", running + others);
   standin_json_set_uint (report, "waiting", 0);
   standin_json_set_uint (report, "born", born > 0 ? born : instance);
   dl_http_reply (request, 200, "application/json",
@@ -288,13 +302,33 @@
   cancelled += !answered && !s->cut;
 }
 
+static void on_event (DlTimer *timer, void *data);
+
+/* Sends the next event after FIRST_MS and the others at the usual pace. */
+static void
+schedule_events (Stream *s, uint64_t first_ms)
+{
+  talloc_free (s->timer);
+  s->timer = dl_timer_subscribe (task, s, first_ms, event_ms, on_event, s);
+}
+
 static void
 on_event (DlTimer *timer, void *data)
 {
   Stream *s = data;
-  char *event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "\n\n", s->next,
-                                 s->next);
+  char *event;
+  char *filler;
 
+  if (s->pauses && s->next >= pause_before)
+    {
+      s->pauses = false;
+      schedule_events (s, pause_ms);
+      return;
+    }
+  filler = g_strnfill (event_bytes, 'x');
+  event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "%s\n\n", s->next,
+                           s->next, filler);
+  g_free (filler);
   if (s->cut && s->next >= 3)
     {
       dl_http_stream_write (s->request, dl_str_bytes (event, strlen (event) / 2));
@@ -304,6 +338,7 @@
   else
     {
       dl_http_stream_write (s->request, dl_str (event));
+      events_sent++;
       if (s->next++ >= events)
         {
           dl_http_stream_end (s->request, true);
@@ -323,10 +358,11 @@
   s->request = request;
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
+  s->pauses = standin_count_down (&pauses);
   dl_http_request_on_closed (request, on_stream_closed, s);
   dl_http_stream_begin (request, 200, "text/event-stream",
                         response_headers (request, &headers));
-  s->timer = dl_timer_subscribe (task, s, event_ms, event_ms, on_event, s);
+  schedule_events (s, event_ms);
 }
 
 static void
@@ -375,7 +411,9 @@
       refuse (request, 421);
       return;
     }
-  if (loading || standin_count_down (&shed))
+  if (loading || standin_count_down (&shed)
+      || (dl_http_request_header (request, "Last-Event-Id") != NULL
+          && standin_count_down (&shed_resumed)))
     {
       refuse (request, 503);
       return;
@@ -428,6 +466,7 @@
   standin_json_set_uint (records, "orders", load_commands);
   standin_json_set_uint (records, "mixed", mixed);
   standin_json_set_uint (records, "running", running);
+  standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -85,6 +85,7 @@
   DlUpstreamLoad loads[3];
   DlBalanceCandidate candidates[3]; /* without their loads */
   int chosen;
+  bool wait_for_others;
 } ChoiceCase;
 
 #define FREE                                                \
@@ -124,6 +125,26 @@
       { .allowed = true },
       { .allowed = true } },
     1 },
+  { "waits for another than the one that failed it",
+    { FREE, FULL, FULL },
+    { { .allowed = true, .avoided = true }, { .allowed = true }, { .allowed = true } },
+    -EBUSY,
+    .wait_for_others = true },
+  { "the one that failed it when no other may get requests",
+    { FREE, FREE, FULL },
+    { { .allowed = true, .avoided = true }, { 0 }, { 0 } },
+    0,
+    .wait_for_others = true },
+  { "not the one that holds it, even if no other is free",
+    { FREE, FULL, FULL },
+    { { .allowed = true, .replaced = true }, { .allowed = true }, { .allowed = true } },
+    -EBUSY },
+  { "one that failed it rather than the one that holds it",
+    { FREE, FREE, FULL },
+    { { .allowed = true, .replaced = true },
+      { .allowed = true, .avoided = true },
+      { .allowed = true } },
+    1 },
   { "not the one that fails often",
     { { .capacity = CAPACITY, .share = 1, .reported_ms = NOW_MS, .failure_rate = 0.4 },
       { .capacity = CAPACITY, .reported = 2, .share = 1, .reported_ms = NOW_MS },
@@ -155,6 +176,8 @@
         CU_ASSERT_EQUAL (dl_balance_choose (candidates, 3,
                                             &(DlBalanceQuery){ .entries = 1,
                                                                .now_ms = NOW_MS,
+                                                               .wait_for_others
+                                                               = c->wait_for_others,
                                                                .random = random * 7919 }),
                          c->chosen);
       }
@@ -203,6 +226,29 @@
   talloc_free (queue);
 }
 
+/* Requests that may have run are never refused, go first and keep their own limit. */
+static void
+test_queue_of_begun (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  int fresh, urgent, lost, lost_later;
+
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &fresh, 1, 400, 1000), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 400, 1000), DL_WAIT_REFUSED);
+  dl_wait_queue_push_begun (queue, &lost, 4000, 1010);
+  dl_wait_queue_push_begun (queue, &lost_later, 3000, 1020);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &lost);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &lost);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, &lost), &lost_later);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, &lost_later), &fresh);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_after (queue, &fresh));
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 1100), &fresh);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, 2999));
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 3000), &lost_later);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 4000), &lost);
+  talloc_free (queue);
+}
+
 /* -------- the heaviest load -------- */
 
 #define ENTRIES    8
@@ -417,6 +463,7 @@
   { "slots that are left free", test_usable_slots },
   { "order of the queue", test_queue_order },
   { "refused at once", test_queue_refuses_at_once },
+  { "queue: requests that may have run go first", test_queue_of_begun },
   { "the heaviest load", test_heaviest_load },
   CU_TEST_INFO_NULL,
 };
