Red test: a store that comes back from a copy some seconds old

The stand-in store can take a copy and go back to it: watches lose their connections, revisions go back and are given out again, a watch from a revision that it does not have gets 410, and the header Store-Era, in all its answers, rises by one. The group era of the direct tests plays what the lost writes may have been.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -105,6 +105,7 @@
 
 static const TestGroup groups[] = {
   { "cases", { request_tests, explain_tests, change_tests } },
+  { "era", { era_tests } },
 };
 
 static const TestGroup *
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -134,7 +134,7 @@
 /* True if the stand-in at ADDRESS has recorded TEXT as MEMBER. */
 bool has_recorded_text (const char *address, const char *member, const char *text);
 
-/* -------- requests.c, explained.c, changes.c -------- */
+/* -------- requests.c, explained.c, changes.c, era.c -------- */
 
 typedef void (*TestFunc) (Testbed *testbed);
 
@@ -143,6 +143,7 @@
 /* The ways in docs/OPERATIONS.md that lead from a failed request's id to its cause. */
 extern const TestFunc explain_tests[];
 extern const TestFunc change_tests[];
+extern const TestFunc era_tests[];
 
 /* -------- soak.c -------- */
 
--- a/regress/standin/objects.c
+++ b/regress/standin/objects.c
@@ -1,9 +1,11 @@
 /*
  * The stand-in of the object store of the users' platform, as its documentation describes
  * it: objects by kind and name, conditional writes, paged lists, watches, rate limits and
- * a bounded history.
+ * a bounded history.  It can go back to a copy that was taken before, which begins a new
+ * era; every response says which era it is from.
  */
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -30,6 +32,10 @@
 static uint64_t page = PAGE_DEFAULT;           /* objects on a page of a list */
 static uint64_t lose_writes; /* the next N creations and updates are done unanswered */
 static uint64_t deaf;        /* 1: watches get no events */
+static uint64_t era = 1;     /* sent in every response; 0: in none */
+static uint64_t snapshot;    /* 1: takes a copy */
+static uint64_t restore;     /* 1: goes back to the copy */
+static uint64_t skip;        /* the next N revisions are given to changes of no object */
 
 static uint64_t revision = 100;
 static GTree *objects;                /* "kind/name" to its JSON */
@@ -41,6 +47,15 @@
 static uint64_t reads;
 static uint64_t writes;
 
+/* The state to which the store can go back. */
+static struct
+{
+  GTree *objects; /* NULL before the first copy */
+  GQueue *history;
+  uint64_t history_after;
+  uint64_t revision;
+} copy;
+
 static const StandinKnob objects_knobs[] = {
   { "writes_per_s", &writes_per_s },
   { "reads_per_s", &reads_per_s },
@@ -48,6 +63,10 @@
   { "page", &page },
   { "lose_writes", &lose_writes },
   { "deaf", &deaf },
+  { "era", &era },
+  { "snapshot", &snapshot },
+  { "restore", &restore },
+  { "skip", &skip },
   { 0 },
 };
 
@@ -63,6 +82,31 @@
   return strcmp (a, b);
 }
 
+/* -------- responses -------- */
+
+/* Responds with OBJECT as JSON and releases the reference to OBJECT. */
+static void
+reply_json (DlHttpRequest *request, unsigned status, json_object *object)
+{
+  char *number = g_strdup_printf ("%" PRIu64, era);
+  const DlHttpHeader headers[] = { { "Store-Era", number }, { 0 } };
+
+  dl_http_reply (request, status, "application/json",
+                 dl_str (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN)),
+                 era != 0 ? headers : NULL);
+  json_object_put (object);
+  g_free (number);
+}
+
+static void
+reply_error (DlHttpRequest *request, unsigned status, const char *text)
+{
+  json_object *object = json_object_new_object ();
+
+  standin_json_set_text (object, "error", text);
+  reply_json (request, status, object);
+}
+
 /* -------- watches -------- */
 
 static json_object *
@@ -105,19 +149,19 @@
 
   json_object_object_add (response, "events", events);
   standin_json_set_uint (response, "current_rev", revision);
-  dl_http_reply_json (request, 200, response);
+  reply_json (request, 200, response);
 }
 
-/* Replies to the watch if there is an event for it, its revision is no longer in the
- * history or AT_END.  Returns whether it replied. */
+/* Replies to the watch if there is an event for it, its revision is not in the history
+ * or AT_END.  Returns whether it replied. */
 static bool
 reply_watch (const Watch *w, bool at_end)
 {
   json_object *events;
 
-  if (w->after < history_after)
+  if (w->after < history_after || w->after > revision)
     {
-      dl_http_reply_error (w->request, 410, 0, "this history is gone");
+      reply_error (w->request, 410, "this history is gone");
       return true;
     }
   events = deaf != 0 ? json_object_new_array () : events_after (w->kind, w->after);
@@ -226,7 +270,7 @@
   json_object_object_add (response, "items", listing.items);
   json_object_object_add (response, "has_more", json_object_new_boolean (listing.more));
   standin_json_set_uint (response, "current_rev", revision);
-  dl_http_reply_json (request, 200, response);
+  reply_json (request, 200, response);
   g_free (prefix);
 }
 
@@ -271,7 +315,7 @@
   if (standin_count_down (&lose_writes))
     dl_http_abort (request);
   else
-    dl_http_reply_json (request, 200, json_object_get (object));
+    reply_json (request, 200, json_object_get (object));
 }
 
 static void
@@ -291,9 +335,9 @@
   json_object *current = g_tree_lookup (objects, key);
 
   if (name[0] == '\0')
-    dl_http_reply_error (request, 400, 0, "an object needs a name");
+    reply_error (request, 400, "an object needs a name");
   else if (current != NULL)
-    dl_http_reply_json (request, 409, json_object_get (current));
+    reply_json (request, 409, json_object_get (current));
   else
     {
       json_object *object = object_new (name, 0, json_object_object_get (body, "spec"));
@@ -316,9 +360,9 @@
       = standin_json_uint (json_object_object_get (body, "metadata"), "revision");
 
   if (current == NULL)
-    dl_http_reply_error (request, 404, 0, "no such object");
+    reply_error (request, 404, "no such object");
   else if (expected != 0 && expected != object_revision (current))
-    dl_http_reply_json (request, 409, json_object_get (current));
+    reply_json (request, 409, json_object_get (current));
   else
     {
       json_object *object = object_new (name, 0, json_object_object_get (body, "spec"));
@@ -337,10 +381,10 @@
   const char *expected = dl_http_request_query (request, "revision");
 
   if (current == NULL)
-    dl_http_reply_error (request, 404, 0, "no such object");
+    reply_error (request, 404, "no such object");
   else if (expected != NULL
            && g_ascii_strtoull (expected, NULL, 10) != object_revision (current))
-    dl_http_reply_json (request, 409, json_object_get (current));
+    reply_json (request, 409, json_object_get (current));
   else
     {
       json_object *deleted = object_new (name, 0, NULL);
@@ -348,7 +392,7 @@
       g_tree_remove (objects, key);
       record_change (kind, deleted, true);
       reply_watches ();
-      dl_http_reply_json (request, 200, deleted);
+      reply_json (request, 200, deleted);
     }
   g_free (key);
 }
@@ -362,7 +406,7 @@
   if (write ? standin_bucket_take (&write_bucket, writes_per_s)
             : standin_bucket_take (&read_bucket, reads_per_s))
     return true;
-  dl_http_reply_error (request, 429, 1000, "too many calls a second");
+  reply_error (request, 429, "too many calls a second");
   return false;
 }
 
@@ -396,7 +440,7 @@
 
   if (!g_str_has_prefix (path, PREFIX))
     {
-      dl_http_reply_error (request, 404, 0, "no such call");
+      reply_error (request, 404, "no such call");
       return;
     }
   if (!admit (request, write))
@@ -409,9 +453,9 @@
       json_object *current = g_tree_lookup (objects, path + strlen (PREFIX));
 
       if (current != NULL)
-        dl_http_reply_json (request, 200, json_object_get (current));
+        reply_json (request, 200, json_object_get (current));
       else
-        dl_http_reply_error (request, 404, 0, "no such object");
+        reply_error (request, 404, "no such object");
     }
   else if (dl_http_request_query (request, "watch") != NULL)
     handle_watch (request, parts[0]);
@@ -420,6 +464,76 @@
   g_strfreev (parts);
 }
 
+/* -------- going back to a copy -------- */
+
+static gboolean
+copy_object (gpointer key, gpointer value, gpointer data)
+{
+  g_tree_insert (data, g_strdup (key), json_object_get (value));
+  return FALSE;
+}
+
+static GTree *
+copy_objects (GTree *from)
+{
+  GTree *tree = g_tree_new_full (compare_keys, NULL, g_free, release_json);
+
+  g_tree_foreach (from, copy_object, tree);
+  return tree;
+}
+
+static void
+take_copy (void)
+{
+  if (copy.objects != NULL)
+    {
+      g_tree_unref (copy.objects);
+      g_queue_free_full (copy.history, release_json);
+    }
+  copy.objects = copy_objects (objects);
+  copy.history = g_queue_new ();
+  for (GList *l = history.head; l != NULL; l = l->next)
+    g_queue_push_tail (copy.history, json_object_get (l->data));
+  copy.history_after = history_after;
+  copy.revision = revision;
+}
+
+/* Goes back to the copy and begins a new era; watches lose their connections. */
+static void
+restore_copy (void)
+{
+  g_tree_unref (objects);
+  objects = copy_objects (copy.objects);
+  g_queue_clear_full (&history, release_json);
+  for (GList *l = copy.history->head; l != NULL; l = l->next)
+    g_queue_push_tail (&history, json_object_get (l->data));
+  history_after = copy.history_after;
+  revision = copy.revision;
+  era++;
+  while (watches != NULL)
+    {
+      Watch *w = watches->data;
+
+      dl_http_abort (w->request);
+      remove_watch (w);
+    }
+}
+
+static void
+objects_changed (void)
+{
+  if (snapshot != 0)
+    take_copy ();
+  if (restore != 0 && copy.objects != NULL)
+    restore_copy ();
+  revision += skip;
+  snapshot = 0;
+  restore = 0;
+  skip = 0;
+}
+
+/* -------- the records -------- */
+
 static json_object *
 objects_records (void)
 {
@@ -442,6 +556,7 @@
   .name = "objects",
   .knobs = objects_knobs,
   .start = objects_start,
+  .changed = objects_changed,
   .handle = objects_handle,
   .records = objects_records,
 };
