Era tests: wait for one return to be over before the next

Each case waits until both entries' proof of the routing table is recent before it takes the copy, and the group runs with revoke_ms 5000, as all of the platform's sheets say, in place of the other groups' 3000: after a return the proof of the table is withheld for up to 2.1 s, so that with 3000, or with two returns within 2 s, keys are refused for a moment by design.

The checks are the same.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -96,16 +96,20 @@
     (*tests) (testbed);
 }
 
+/* As on the users' platform; longer than lost objects take to be written again. */
+#define ERA_REVOKE_MS 5000
+
 /* The name of a group and its tests. */
 typedef struct
 {
   const char *name;
   const TestFunc *tests[3];
+  unsigned revoke_ms; /* as in Testbed */
 } TestGroup;
 
 static const TestGroup groups[] = {
   { "cases", { request_tests, explain_tests, change_tests } },
-  { "era", { era_tests } },
+  { "era", { era_tests }, ERA_REVOKE_MS },
 };
 
 static const TestGroup *
@@ -120,7 +124,7 @@
 static void
 run_group (const char *bin, const TestGroup *group)
 {
-  Testbed testbed = { 0 };
+  Testbed testbed = { .revoke_ms = group->revoke_ms };
 
   CHECK (testbed_start (&testbed, bin, false));
   for (size_t i = 0; i < G_N_ELEMENTS (group->tests) && group->tests[i] != NULL; i++)
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -16,8 +16,9 @@
 /* Starts the line that the runner writes to a process's log before each start. */
 #define PROCESS_LOG_MARK "--- "
 
-#define SERVERS 3 /* two model servers and, last, a plain service */
-#define ENTRIES 2
+#define SERVERS           3 /* two model servers and, last, a plain service */
+#define ENTRIES           2
+#define REVOKE_DEFAULT_MS 3000
 
 /* A process that the runner controls; it can be started again after its end. */
 typedef struct
@@ -53,6 +54,7 @@
   Process entry_process[ENTRIES];
   Process stager_process[SERVERS - 1];
   uint64_t config_version;
+  unsigned revoke_ms; /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
 } Testbed;
 
 /* -------- testbed.c -------- */
--- a/regress/direct/era.c
+++ b/regress/direct/era.c
@@ -17,10 +17,36 @@
 /* More than the revisions that were given out between a copy and the return to it. */
 #define SKIPPED_REVISIONS 500
 
+/* Age of the routing table's proof, in milliseconds, below which a return before is
+ * over. */
+#define RECENT_MS 1500
+
+static bool
+has_recent_table (Testbed *tb, unsigned entry)
+{
+  Response r = call (&(Call){ .address = tb->metrics[entry], .target = "/dump" });
+  json_object *dump = r.body != NULL ? json_tokener_parse (r.body) : NULL;
+  json_object *age = NULL;
+  bool is_recent = json_pointer_get (dump, "/tasks/state/routing_age_ms", &age) == 0
+                   && json_object_get_uint64 (age) < RECENT_MS;
+
+  json_object_put (dump);
+  response_free (&r);
+  return is_recent;
+}
+
+static bool
+tables_are_recent (Testbed *tb)
+{
+  return has_recent_table (tb, 0) && has_recent_table (tb, 1);
+}
+
+/* Waits until the entries have got over a return before, so that the next one counts
+ * alone. */
 static bool
 take_copy (Testbed *tb)
 {
-  return set_fault (tb->store, "snapshot", 1);
+  return eventually (tables_are_recent, tb) && set_fault (tb->store, "snapshot", 1);
 }
 
 static bool
@@ -266,11 +292,12 @@
 
   end_nodes (tb);
   delete_nodes (tb);
-  CHECK (take_copy (tb));
+  CHECK (set_fault (tb->store, "snapshot", 1));
   start_nodes (tb);
   CHECK (eventually (all_nodes_are_registered, tb));
   CHECK (eventually (both_list_both_entries, tb));
   CHECK (eventually (requests_are_served, tb));
+  CHECK (eventually (tables_are_recent, tb));
   drawn = recorded (tb->origin, "drawn");
   CHECK (return_to_copy (tb));
   for (unsigned i = 0; i < WATCHED_POLLS; i++)
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -246,9 +246,10 @@
 node_settings (const Testbed *tb, const char *name, unsigned host, const char *more)
 {
   return g_strdup_printf ("{\"name\":\"%s\",\"region\":\"r1\",\"data_center\":\"d1\","
-                          "\"address\":\"%s.%u:%u\",\"store\":\"%s\",\"revoke_ms\":3000,"
+                          "\"address\":\"%s.%u:%u\",\"store\":\"%s\",\"revoke_ms\":%u,"
                           "\"version_ms\":8000,\"grace_s\":8,%s,\"json_logs\":true}",
-                          name, tb->subnet, host, NODE_PORT, tb->via_store, more);
+                          name, tb->subnet, host, NODE_PORT, tb->via_store,
+                          tb->revoke_ms != 0 ? tb->revoke_ms : REVOKE_DEFAULT_MS, more);
 }
 
 static void
