Store eras: revisions of an earlier era are void

Seen by callers: after the store came back from a copy some seconds old, a configuration written again, and those after it, took no effect on any entry until its revision passed the one that had been lost; with revisions that had overtaken the known one, never.

Cause: watches keep revisions across the return. Objects at or below a known revision are ignored, and a watch from the old revision is answered without 410 when the store has given that many out again.

Fix: the client reads the store's era (the header is named in platform/ only) from every response, errors too, and keeps the newest in a DlObjectEra that all clients of one store share, those of readers included. On a rise each watch gives up its request, whatever it would answer, voids its revisions and lists the kind again from the store; a list whose pages span two eras starts over, since the response that tells the new era ends the request. A response of an earlier era fails, and a watch sent in one counts as gone. The relay tells its era: it refuses an asker that knows a newer one, tells one that knows an older one without objects, and lets watches wait while it lists again, so that followers do not avoid it for 4 s. Lists are spread over 0.3 s (routing table, upstreams) or 1.2 s and more, for the store's rate. Without the member or header the era is 0, as in the product's own API, where nothing changes.

Ruled out: relying on 410 (test_revisions_overtake_without_410); reading the first list of an era at a reader (it has just lost its own copy).

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -35,9 +35,13 @@
  * age of two waits. */
 #define RELAYED_AGE_MAX_MS(wait_ms) (2 * (wait_ms) + READER_PAUSE_MS + 400)
 #define RETRY_MS                    1000
-#define TICK_MS                     250
-#define STATUS_EVERY_TICKS          2
-#define HOLDINGS_TICK_MS            40
+/* When the store came back from an older copy, the entries list its objects again within
+ * this time. */
+#define RELIST_SPREAD_MS   300
+#define VERSIONS_SPREAD_MS 1200
+#define TICK_MS            250
+#define STATUS_EVERY_TICKS 2
+#define HOLDINGS_TICK_MS   40
 
 DL_METRIC (metric_age,
            DL_METRIC_HISTOGRAM,
@@ -403,7 +407,8 @@
 static void
 start_relay (State *state)
 {
-  state->source = dl_relay_source_new (state->task, state, state->settings, true);
+  state->source = dl_relay_source_new (state->task, state, state->settings,
+                                       dl_object_client_era (state->store), true);
   state->relay = dl_object_relay_new (state->task, state);
   dl_object_relay_add_kind (state->relay, platform_kind_routing,
                             RELAYED_AGE_MAX_MS (READER_WAIT_MS));
@@ -431,6 +436,7 @@
                                  .on_object = on_routing,
                                  .on_synced = on_routing_synced,
                                  .on_contact = on_routing_contact,
+                                 .relist_spread_ms = RELIST_SPREAD_MS,
                                  .data = state,
                              });
   state->upstreams_watch = dl_object_watch_new (state->task, state, state->store,
@@ -446,6 +452,7 @@
                                                     .on_object = on_upstream,
                                                     .on_synced = on_upstreams_synced,
                                                     .on_contact = on_upstreams_contact,
+                                                    .relist_spread_ms = RELIST_SPREAD_MS,
                                                     .data = state,
                                                 });
   state->versions = dl_version_watch_new (state->task, state,
@@ -457,6 +464,7 @@
                                               .source = state->source,
                                               .relay = state->relay,
                                               .retry_max_ms = RETRY_MS,
+                                              .relist_spread_ms = VERSIONS_SPREAD_MS,
                                               .read = platform_read_version,
                                               .on_target = on_target_version,
                                               .on_no_target = on_no_target,
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -22,7 +22,10 @@
 /* Wait of a watch that is sent to a reader instead of the store. */
 #define RELAY_WAIT_MS 5000
 #define RETRY_MAX_MS  1500
-#define TICK_MS       50
+/* When the store came back from an older copy, stagers list its objects again within this
+ * time. */
+#define RELIST_SPREAD_MS 1500
+#define TICK_MS          50
 /* Interval of the status to entries when nothing changes. */
 #define ENTRIES_EVERY_MS 500
 /* A change of the load goes to entries of other regions at most this often. */
@@ -291,6 +294,7 @@
                            .reader_wait_ms = RELAY_WAIT_MS,
                            .source = source,
                            .retry_max_ms = RETRY_MAX_MS,
+                           .relist_spread_ms = RELIST_SPREAD_MS,
                            .on_object = on_routing,
                            .data = state,
                        });
@@ -302,6 +306,7 @@
                                               .reader_wait_ms = RELAY_WAIT_MS,
                                               .source = source,
                                               .retry_max_ms = RETRY_MAX_MS,
+                                              .relist_spread_ms = RELIST_SPREAD_MS,
                                               .read = platform_read_version,
                                               .on_target = on_target,
                                               .on_no_target = on_no_target,
@@ -326,7 +331,8 @@
   talloc_set_destructor (state, state_destroy);
   store = dl_object_client_new_with_protocol (task, state, state->settings->store,
                                               STORE_TIMEOUT_MS, &platform_store_protocol);
-  source = dl_relay_source_new (task, state, state->settings, false);
+  source = dl_relay_source_new (task, state, state->settings,
+                                dl_object_client_era (store), false);
   error = dl_peers_new (task, state,
                         &(DlPeersOptions){
                             .settings = state->settings,
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -30,6 +30,7 @@
   uint64_t timeout_ms;
   uint64_t margin_ms; /* timeout of a watch beyond its wait_ms */
   const DlObjectProtocol *protocol;
+  DlObjectEra *era;
 };
 
 typedef struct
@@ -39,6 +40,9 @@
   DlObjectFunc func;
   void *data;
   uint64_t retry_after_ms;
+  DlObjectEra *era;    /* that of the client */
+  uint64_t header_era; /* from the header that the protocol names */
+  bool has_header_era;
 } ObjectCall;
 
 bool
@@ -121,6 +125,7 @@
   result->revision = get_uint (body, "revision");
   result->created = get_uint (body, "created");
   result->age_ms = get_uint (body, "age_ms");
+  result->era = get_uint (body, "era");
   switch (request->action)
     {
     case DL_OBJECT_GET:
@@ -177,6 +182,16 @@
   return DL_ERR_UNAVAILABLE;
 }
 
+static void
+read_era_header (ObjectCall *call, DlHttpCall *http)
+{
+  const char *name = call->protocol->era_header;
+  const char *text = name != NULL ? dl_http_call_header (http, name) : NULL;
+
+  call->has_header_era
+      = text != NULL && dl_str_to_uint64 (dl_str (text), &call->header_era) == 0;
+}
+
 static void
 on_call_head (DlHttpCall *http, unsigned status, void *data)
 {
@@ -186,6 +201,30 @@
 
   if (retry_after != NULL && dl_str_to_uint64 (dl_str (retry_after), &seconds) == 0)
     call->retry_after_ms = seconds * 1000;
+  read_era_header (call, http);
+}
+
+/* True when RESULT tells the era, if only by telling none. */
+static bool
+tells_era (const ObjectCall *call, const DlObjectResult *result)
+{
+  return call->protocol->era_header != NULL ? call->has_header_era : result->error == 0;
+}
+
+/* Fails a response that is from an earlier era than others, or a watch that was sent in
+ * one. */
+static void
+check_era (const ObjectCall *call, DlObjectResult *result)
+{
+  if (call->has_header_era)
+    result->era = call->header_era;
+  if (!tells_era (call, result))
+    return;
+  if (!dl_object_era_observe (call->era, result->era))
+    result->error = is_write (call->request.action) ? DL_ERR_UNKNOWN : DL_ERR_UNAVAILABLE;
+  else if (result->error == 0 && call->request.action == DL_OBJECT_WATCH
+           && call->request.era != result->era)
+    result->error = DL_ERR_GONE;
 }
 
 static void
@@ -212,6 +251,8 @@
       if (result.error < 0 && is_write (call->request.action))
         result.error = DL_ERR_UNKNOWN;
     }
+  if (response->error == 0)
+    check_era (call, &result);
   if (result.error < 0 && result.error != DL_ERR_CONFLICT
       && result.error != DL_ERR_NOT_FOUND)
     dl_metric_add (&metric_failed, 1);
@@ -221,6 +262,15 @@
 
 /* -------- encoding and starting calls -------- */
 
+/* The parameter that tells the era, as a talloc child of CONTEXT; empty without one. */
+static const char *
+era_parameter (const void *context, const DlObjectRequest *request)
+{
+  if (request->era == 0)
+    return "";
+  return talloc_asprintf (context, "&era=%" PRIu64, request->era);
+}
+
 static void
 native_encode (const void *context,
                const char *address,
@@ -231,16 +281,16 @@
     {
     case DL_OBJECT_LIST:
       http->method = "GET";
-      http->url = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s", address,
-                                   request->kinds);
+      http->url = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s%s", address,
+                                   request->kinds, era_parameter (context, request));
       return;
     case DL_OBJECT_WATCH:
       http->method = "GET";
       http->url = talloc_asprintf (context,
                                    "http://%s/v1/watch?kinds=%s&after=%" PRIu64
-                                   "&wait_ms=%" PRIu64,
+                                   "&wait_ms=%" PRIu64 "%s",
                                    address, request->kinds, request->revision,
-                                   request->wait_ms);
+                                   request->wait_ms, era_parameter (context, request));
       return;
     case DL_OBJECT_GET:
       http->method = "GET";
@@ -275,7 +325,7 @@
 static void
 start_call (DlObjectClient *client,
             const void *owner,
-            const DlObjectRequest *request,
+            DlObjectRequest *request,
             DlObjectFunc func,
             void *data)
 {
@@ -285,7 +335,9 @@
   DlStr body = { 0 };
   DlHttpCall *http;
 
+  request->era = dl_object_era_current (client->era);
   call->protocol = client->protocol;
+  call->era = client->era;
   call->request = *request;
   call->request.value = NULL;
   call->request.kinds = talloc_strdup (call, request->kinds);
@@ -323,6 +375,18 @@
   return client->address;
 }
 
+DlObjectEra *
+dl_object_client_era (const DlObjectClient *client)
+{
+  return client->era;
+}
+
+void
+dl_object_client_share_era (DlObjectClient *client, DlObjectEra *era)
+{
+  client->era = era;
+}
+
 void
 dl_object_client_set_watch_margin (DlObjectClient *client, uint64_t margin_ms)
 {
@@ -345,6 +409,7 @@
   client->timeout_ms = timeout_ms;
   client->protocol = protocol;
   client->margin_ms = WATCH_MARGIN_MS;
+  client->era = dl_object_era_new (client);
   return client;
 }
 
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -20,6 +20,10 @@
  *   GET /v1/hosts
  *       200 {"revision", "hosts": [...]}; see members.h.
  *
+ * A process that relays the platform's objects adds "era" to the responses to lists and
+ * watches, and such a request may carry "era=N" (kernel/object_era.h).  Without it the
+ * era is 0.
+ *
  * 429 and 503 carry Retry-After.  Revisions increase across the whole store; "created" is
  * the revision that created the object.
  */
@@ -28,6 +32,7 @@
 
 #include "kernel/http_client.h"
 #include "kernel/kernel.h"
+#include "kernel/object_era.h"
 
 #define DL_OBJECT_VALUE_MAX_BYTES (1u << 20)
 
@@ -60,6 +65,7 @@
   /* When another process responds in place of the platform: how long ago this was the
    * platform's newest state.  0 from the platform itself. */
   uint64_t age_ms;
+  uint64_t era; /* of the store when it responded; 0 when not told */
 } DlObjectResult;
 
 /* The calls of the API. */
@@ -82,6 +88,7 @@
   uint64_t revision;  /* PUT, DELETE: expected (0: none exists); WATCH: changes after */
   uint64_t wait_ms;   /* WATCH: how long to wait for a change */
   json_object *value; /* PUT */
+  uint64_t era;       /* newest that was known when the call was sent */
 } DlObjectRequest;
 
 /* A call encoded as HTTP. */
@@ -108,6 +115,8 @@
                  const DlObjectRequest *request,
                  json_object *body,
                  DlObjectResult *result);
+  /* Response header with the era's number; NULL when it is in the body. */
+  const char *era_header;
 } DlObjectProtocol;
 
 /* RESULT is valid only during the call; parts can be kept with json_object_get and
@@ -127,6 +136,13 @@
                                                     const DlObjectProtocol *protocol);
 /* The "IP:PORT" that the client calls; lives as long as the client. */
 const char *dl_object_client_address (const DlObjectClient *client);
+/* The era that the client compares responses with.  A response from an earlier one fails
+ * with DL_ERR_UNAVAILABLE, or DL_ERR_UNKNOWN for a write; a watch that was sent in an
+ * earlier one fails with DL_ERR_GONE. */
+DlObjectEra *dl_object_client_era (const DlObjectClient *client);
+/* Shares ERA with the other clients through which this process reads the same store; ERA
+ * must outlive the client. */
+void dl_object_client_share_era (DlObjectClient *client, DlObjectEra *era);
 /* Sets how long after its WAIT_MS a watch times out; by default 2 s. */
 void dl_object_client_set_watch_margin (DlObjectClient *client, uint64_t margin_ms);
 /* Each of the following calls is a talloc child of OWNER and is freed after FUNC was
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -16,6 +16,8 @@
 #define STATUS_BAD_REQUEST 400
 #define STATUS_GONE        410
 #define STATUS_UNAVAILABLE 503
+/* In place of a revision: requests no objects. */
+#define AFTER_ALL UINT64_MAX
 
 DL_METRIC (metric_responses,
            DL_METRIC_COUNTER,
@@ -34,6 +36,7 @@
 {
   struct Kind *kind;
   DlHttpRequest *http;
+  uint64_t era;           /* that the client knows */
   uint64_t after;         /* revision after which changes are requested */
   uint64_t until_ms;      /* end of the wait */
   uint64_t early_ms;      /* from then on a newer sync ends the wait */
@@ -44,6 +47,8 @@
 {
   char *name;
   uint64_t max_age_ms;
+  uint64_t era;        /* of the store when the copy was read */
+  bool is_relisting;   /* a new era has begun, whose objects are not known yet */
   uint64_t revision;   /* all changes up to it are known; 0 before the first sync */
   uint64_t synced_ms;  /* when that was current; 0 while the store does not answer */
   uint64_t newest;     /* revision of the last change */
@@ -109,8 +114,9 @@
   gpointer value;
 
   dl_buffer_printf (body,
-                    "{\"revision\":%" PRIu64 ",\"age_ms\":%" PRIu64 ",\"objects\":[",
-                    k->revision, dl_clock_ms () - k->synced_ms);
+                    "{\"era\":%" PRIu64 ",\"revision\":%" PRIu64 ",\"age_ms\":%" PRIu64
+                    ",\"objects\":[",
+                    k->era, k->revision, dl_clock_ms () - k->synced_ms);
   g_hash_table_iter_init (&iter, k->records);
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
@@ -151,7 +157,7 @@
   k->pending = g_list_remove (k->pending, w);
   dl_http_request_on_closed (w->http, NULL, NULL);
   if (is_fresh (k, now_ms))
-    send_objects (k, w->http, w->after, true);
+    send_objects (k, w->http, w->era == k->era ? w->after : AFTER_ALL, true);
   else
     refuse_stale (w->http);
 }
@@ -159,7 +165,9 @@
 static bool
 is_due (const PendingWatch *w, uint64_t now_ms)
 {
-  return now_ms >= w->until_ms || !is_fresh (w->kind, now_ms)
+  if (w->kind->is_relisting)
+    return now_ms >= w->until_ms;
+  return w->era != w->kind->era || now_ms >= w->until_ms || !is_fresh (w->kind, now_ms)
          || (w->kind->synced_ms > w->known_sync_ms && now_ms >= w->early_ms)
          || w->kind->newest > w->after;
 }
@@ -195,7 +203,7 @@
 }
 
 static void
-handle_watch (Kind *k, DlHttpRequest *http)
+handle_watch (Kind *k, DlHttpRequest *http, uint64_t era)
 {
   uint64_t now_ms = dl_clock_ms ();
   uint64_t after = query_uint (http, "after");
@@ -207,7 +215,7 @@
       dl_http_reply_error (http, STATUS_GONE, 0, "deletions since then are forgotten");
       return;
     }
-  if (k->newest > after)
+  if (k->newest > after && era == k->era)
     {
       send_objects (k, http, after, true);
       return;
@@ -215,6 +223,7 @@
   w = talloc_zero (http, PendingWatch);
   w->kind = k;
   w->http = http;
+  w->era = era;
   w->after = after;
   w->until_ms = now_ms + wait_ms;
   w->early_ms = now_ms + wait_ms / 2;
@@ -223,6 +232,21 @@
   dl_http_request_on_closed (http, on_closed, w);
 }
 
+/* A watch also waits while the objects of a new era are being listed. */
+static void
+handle_kind (Kind *k, DlHttpRequest *http, bool is_watch)
+{
+  uint64_t era = query_uint (http, "era");
+  bool can_serve = is_fresh (k, dl_clock_ms ()) || (is_watch && k->is_relisting);
+
+  if (!can_serve || era > k->era)
+    refuse_stale (http);
+  else if (is_watch)
+    handle_watch (k, http, era != 0 ? era : k->era);
+  else
+    send_objects (k, http, era != 0 && era < k->era ? AFTER_ALL : 0, false);
+}
+
 bool
 dl_object_relay_handle (DlObjectRelay *relay, DlHttpRequest *http)
 {
@@ -235,12 +259,8 @@
   k = find_kind (relay, dl_http_request_query (http, "kinds"));
   if (k == NULL)
     dl_http_reply_error (http, STATUS_BAD_REQUEST, 0, "no such kind");
-  else if (!is_fresh (k, dl_clock_ms ()))
-    refuse_stale (http);
-  else if (is_watch)
-    handle_watch (k, http);
   else
-    send_objects (k, http, 0, false);
+    handle_kind (k, http, is_watch);
   return true;
 }
 
@@ -292,15 +312,33 @@
   g_hash_table_replace (k->records, g_strdup (object->name), r);
 }
 
+void
+dl_object_relay_begin_era (DlObjectRelay *relay, const char *kind, uint64_t era)
+{
+  Kind *k = find_kind (relay, kind);
+
+  g_assert (k != NULL);
+  k->era = era;
+  k->is_relisting = true;
+  k->revision = 0;
+  k->newest = 0;
+  k->dropped = 0;
+  k->tombstones = 0;
+  g_hash_table_remove_all (k->records);
+}
+
 void
 dl_object_relay_set_synced (DlObjectRelay *relay,
                             const char *kind,
+                            uint64_t era,
                             uint64_t revision,
                             uint64_t synced_ms)
 {
   Kind *k = find_kind (relay, kind);
 
   g_assert (k != NULL);
+  k->era = era;
+  k->is_relisting = false;
   k->revision = revision;
   k->synced_ms = synced_ms;
   drop_old_tombstones (k);
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -6,6 +6,11 @@
  * sync time).  A watch is answered when an object changes, when the copy has been synced
  * again in the second half of the watch's wait, or at the end of the wait.  A copy that
  * was synced too long ago is not served: status 503 tells the client to ask the store.
+ *
+ * A response also carries "era", that of the store when the copy was read
+ * (kernel/object_era.h).  A client that knows a newer one is refused with 503, and one
+ * that knows an older one gets a response without objects.  While the objects of a new
+ * era are being listed, watches wait.
  */
 #ifndef DL_OBJECT_RELAY_H
 #define DL_OBJECT_RELAY_H
@@ -22,10 +27,14 @@
 dl_object_relay_add_kind (DlObjectRelay *relay, const char *kind, uint64_t max_age_ms);
 /* Stores OBJECT, which may be a deletion; ignored unless its kind was added. */
 void dl_object_relay_update (DlObjectRelay *relay, const DlObject *object);
-/* The objects of KIND are complete up to REVISION, and were current at SYNCED_MS. Answers
- * the watches that this makes due. */
+/* The store has begun ERA: drops the copy of KIND, which is served again from the next
+ * sync on. */
+void dl_object_relay_begin_era (DlObjectRelay *relay, const char *kind, uint64_t era);
+/* The objects of KIND are complete up to REVISION of ERA, and were current at SYNCED_MS.
+ * Answers the watches that this makes due. */
 void dl_object_relay_set_synced (DlObjectRelay *relay,
                                  const char *kind,
+                                 uint64_t era,
                                  uint64_t revision,
                                  uint64_t synced_ms);
 /* The store does not answer: refuses KIND until the next sync, so that clients ask the
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -5,6 +5,7 @@
 
 #include "kernel/crypt.h"
 #include "kernel/error.h"
+#include "kernel/log.h"
 
 #define RETRY_FIRST_MS 150
 /* Pause after a watch that returned no object in the first half of its wait. */
@@ -29,13 +30,25 @@
   uint64_t sent_ms; /* when the request in progress was sent; of a list, the first page */
   uint64_t synced_ms;     /* 0 before the first list is complete */
   uint64_t retry_ms;      /* backoff; 0 while requests succeed */
+  bool is_refreshing;     /* the next watch request does not wait */
   bool lost;              /* the store did not answer last time */
   bool via_relay;         /* the request in progress goes to a reader */
   bool is_reader;         /* this process reads the store for others */
   DlObjectClient *server; /* that the request in progress was sent to */
+  uint64_t number;   /* of the last request; the responses to earlier ones are ignored */
+  bool is_relisting; /* the list in progress is the first of a new era */
+  uint64_t era;      /* of the store when the revisions were read */
+  uint64_t revision_before; /* the last one known of the era before */
   DlTimer *timer;
 };
 
+/* A request to a server. */
+typedef struct
+{
+  DlObjectWatch *watch;
+  uint64_t number;
+} Request;
+
 static void send_list (DlObjectWatch *watch);
 static void send_watch (DlObjectWatch *watch);
 
@@ -84,12 +97,13 @@
   notify (watch, object);
 }
 
-/* Deletes the objects that a complete list did not show. */
-static void
+/* Deletes the objects that a complete list did not show; returns their number. */
+static unsigned
 drop_unlisted (DlObjectWatch *watch)
 {
   GHashTableIter iter;
   gpointer name;
+  unsigned dropped = 0;
 
   g_hash_table_iter_init (&iter, watch->revisions);
   while (g_hash_table_iter_next (&iter, &name, NULL))
@@ -100,7 +114,9 @@
         g_hash_table_iter_remove (&iter);
         notify_deleted (watch, copy, watch->list_revision);
         g_free (copy);
+        dropped++;
       }
+  return dropped;
 }
 
 static void
@@ -125,7 +141,7 @@
     watch->synced_ms = MAX (watch->synced_ms, watch->sent_ms - age_ms);
   watch->retry_ms = 0;
   if (watch->options.relay != NULL)
-    dl_object_relay_set_synced (watch->options.relay, watch->options.kind,
+    dl_object_relay_set_synced (watch->options.relay, watch->options.kind, watch->era,
                                 watch->revision, watch->synced_ms);
   if (watch->options.on_synced != NULL)
     watch->options.on_synced (watch->options.data);
@@ -133,6 +149,26 @@
 
 /* -------- requests -------- */
 
+static Request *
+request_new (DlObjectWatch *watch)
+{
+  Request *request = talloc_zero (watch, Request);
+
+  request->watch = watch;
+  request->number = ++watch->number;
+  return request;
+}
+
+/* Frees REQUEST, which has ended, and returns whether its response is still wanted. */
+static bool
+request_end (Request *request)
+{
+  bool is_wanted = request->number == request->watch->number;
+
+  talloc_free (request);
+  return is_wanted;
+}
+
 static void
 on_timer (DlTimer *timer, void *data)
 {
@@ -200,7 +236,7 @@
 static void
 choose_list_server (DlObjectWatch *watch)
 {
-  if (watch->synced_ms == 0)
+  if (watch->synced_ms == 0 && !watch->is_relisting)
     {
       choose_server (watch);
       return;
@@ -209,10 +245,28 @@
   watch->server = watch->client;
 }
 
+/* The list in the new era is complete; UNLISTED objects of the era before are not in it.
+ */
+static void
+end_relisting (DlObjectWatch *watch, unsigned unlisted)
+{
+  uint64_t era = dl_object_era_current (dl_object_client_era (watch->client));
+
+  dl_log (DL_EVENT_STORE_ERA, DL_TEXT ("kind", watch->options.kind),
+          DL_UINT ("era_before", watch->era), DL_UINT ("era", era),
+          DL_UINT ("revision_before", watch->revision_before),
+          DL_UINT ("revision", watch->list_revision), DL_UINT ("unlisted", unlisted));
+  watch->is_relisting = false;
+}
+
 static void
 end_list (DlObjectWatch *watch, uint64_t age_ms)
 {
-  drop_unlisted (watch);
+  unsigned unlisted = drop_unlisted (watch);
+
+  if (watch->is_relisting)
+    end_relisting (watch, unlisted);
+  watch->era = dl_object_era_current (dl_object_client_era (watch->client));
   g_hash_table_destroy (watch->listed);
   watch->listed = NULL;
   TALLOC_FREE (watch->list_after);
@@ -224,8 +278,11 @@
 static void
 on_list (const DlObjectResult *result, void *data)
 {
-  DlObjectWatch *watch = data;
+  Request *request = data;
+  DlObjectWatch *watch = request->watch;
 
+  if (!request_end (request))
+    return;
   if (result->error < 0 && watch->via_relay)
     {
       restart_list (watch);
@@ -269,7 +326,7 @@
       choose_list_server (watch);
     }
   dl_object_list_after (watch->server, watch, watch->options.kind, watch->list_after,
-                        on_list, watch);
+                        on_list, request_new (watch));
 }
 
 /* The wait of the next watch. */
@@ -278,6 +335,8 @@
 {
   const DlObjectWatchOptions *o = &watch->options;
 
+  if (watch->is_refreshing)
+    return 0;
   if (watch->via_relay)
     return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
   return watch->is_reader ? o->reader_wait_ms : o->wait_ms;
@@ -306,9 +365,12 @@
 static void
 on_watch (const DlObjectResult *result, void *data)
 {
-  DlObjectWatch *watch = data;
+  Request *request = data;
+  DlObjectWatch *watch = request->watch;
   uint64_t next_ms;
 
+  if (!request_end (request))
+    return;
   if (result->error == DL_ERR_GONE)
     {
       restart_list (watch);
@@ -345,8 +407,44 @@
   choose_server (watch);
   watch->sent_ms = dl_clock_ms ();
   watch->sent_wait_ms = wait_ms (watch);
+  watch->is_refreshing = false;
   dl_object_watch (watch->server, watch, watch->options.kind, watch->revision,
-                   watch->sent_wait_ms, on_watch, watch);
+                   watch->sent_wait_ms, on_watch, request_new (watch));
+}
+
+/* -------- eras -------- */
+
+/* Voids the known revisions, but not the names, which the next list is compared with. */
+static void
+void_revisions (DlObjectWatch *watch)
+{
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, watch->revisions);
+  while (g_hash_table_iter_next (&iter, NULL, NULL))
+    g_hash_table_iter_replace (&iter, NULL);
+}
+
+/* Gives up the request in progress and lists the objects again. */
+static void
+on_new_era (void *data)
+{
+  DlObjectWatch *watch = data;
+  uint64_t spread_ms = watch->options.relist_spread_ms;
+
+  watch->number++;
+  void_revisions (watch);
+  restart_list (watch);
+  if (!watch->is_relisting)
+    watch->revision_before = watch->revision;
+  watch->is_relisting = true;
+  if (watch->options.relay != NULL)
+    dl_object_relay_begin_era (watch->options.relay, watch->options.kind,
+                               dl_object_era_current (
+                                   dl_object_client_era (watch->client)));
+  if (watch->options.on_new_era != NULL)
+    watch->options.on_new_era (watch->options.data);
+  run_after (watch, spread_ms > 0 ? dl_random_uint64 () % spread_ms : 0);
 }
 
 static int
@@ -372,19 +470,37 @@
   watch->options = *options;
   watch->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (watch, watch_destroy);
+  dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
   send_list (watch);
   return watch;
 }
 
+void
+dl_object_watch_refresh (DlObjectWatch *watch)
+{
+  if (!dl_object_watch_is_current (watch) || watch->retry_ms != 0)
+    return;
+  /* The request in progress is given up. */
+  watch->number++;
+  watch->is_refreshing = true;
+  run_after (watch, 0);
+}
+
 uint64_t
 dl_object_watch_synced_ms (const DlObjectWatch *watch)
 {
   return watch->synced_ms;
 }
 
+bool
+dl_object_watch_is_current (const DlObjectWatch *watch)
+{
+  return watch->synced_ms != 0 && watch->listed == NULL;
+}
+
 bool
 dl_object_watch_is_continuous (const DlObjectWatch *watch)
 {
-  return watch->synced_ms != 0 && watch->listed == NULL && !watch->lost
+  return dl_object_watch_is_current (watch) && !watch->lost
          && dl_clock_ms () - watch->sent_ms <= watch->sent_wait_ms + CONTINUOUS_SLACK_MS;
 }
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -5,6 +5,10 @@
  * older state after a newer one.  When the store cannot be reached or has dropped its
  * history, the watch recovers by itself, listing again where needed.
  *
+ * When the store comes back from an older copy (kernel/object_era.h), the known revisions
+ * mean nothing any more: the objects are listed again, all listed ones are notified even
+ * when they are unchanged or older, and those that the list does not show as deleted.
+ *
  * A response shows the store's state at the time when its request was sent, or later.
  * That time is dl_object_watch_synced_ms, from which the owner computes the maximum age
  * of its copy of the objects.
@@ -31,6 +35,9 @@
   /* The store stopped answering (ERROR below 0), or answers again (0); called before
    * on_object for that response.  May be NULL. */
   void (*on_contact) (int error, void *data);
+  /* The store came back from an older copy.  The notifications up to the next on_synced
+   * are of the list in the new era.  May be NULL. */
+  void (*on_new_era) (void *data);
   void *data;
   /* SOURCE chooses an entry to ask in place of the store; RELAY serves the known objects
    * to other nodes.  Either may be NULL. */
@@ -40,6 +47,9 @@
   uint64_t reader_wait_ms;
   uint64_t reader_pause_ms;
   uint64_t relay_pause_ms; /* in place of pause_ms while another entry is asked */
+  /* The list in a new era is sent at a random time within this, so that the nodes do not
+   * all send theirs at once. */
+  uint64_t relist_spread_ms;
 } DlObjectWatchOptions;
 
 /* Starts a watch, a talloc child of OWNER; CLIENT is that of the store.  OPTIONS is
@@ -48,9 +58,14 @@
                                     const void *owner,
                                     DlObjectClient *client,
                                     const DlObjectWatchOptions *options);
+/* Requests the present state at once, unless a list is in progress or a request failed.
+ */
+void dl_object_watch_refresh (DlObjectWatch *watch);
 /* Time (dl_clock_ms) as of which the known objects are current; 0 before the first list
  * is complete. */
 uint64_t dl_object_watch_synced_ms (const DlObjectWatch *watch);
+/* True unless a list is in progress, so that the known objects may be incomplete. */
+bool dl_object_watch_is_current (const DlObjectWatch *watch);
 /* True when the watch has been in contact without a gap, so that a change that arrives
  * now has just happened. */
 bool dl_object_watch_is_continuous (const DlObjectWatch *watch);
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -18,6 +18,7 @@
 {
   DlTask *task;
   const DlNodeSettings *settings;
+  DlObjectEra *era; /* shared with the client of the store */
   bool is_entry;
   const DlPeers *peers;   /* NULL until they are set */
   GHashTable *clients;    /* relay address to DlObjectClient */
@@ -86,6 +87,7 @@
     return client;
   client = dl_object_client_new (source->task, source, relay, TIMEOUT_MS);
   dl_object_client_set_watch_margin (client, MARGIN_MS);
+  dl_object_client_share_era (client, source->era);
   g_hash_table_insert (source->clients, (gpointer)dl_object_client_address (client),
                        client);
   return client;
@@ -154,6 +156,7 @@
 dl_relay_source_new (DlTask *task,
                      const void *owner,
                      const DlNodeSettings *settings,
+                     DlObjectEra *era,
                      bool is_entry)
 {
   DlRelaySource *source = talloc_zero (owner, DlRelaySource);
@@ -161,6 +164,7 @@
   g_assert (source != NULL);
   source->task = task;
   source->settings = settings;
+  source->era = era;
   source->is_entry = is_entry;
   source->clients = g_hash_table_new (g_str_hash, g_str_equal);
   source->reader_health = dl_reader_health_new (source, is_entry);
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -16,10 +16,12 @@
 typedef struct DlRelaySource DlRelaySource;
 
 /* Creates a source, a talloc child of OWNER, which chooses the store until its peers are
- * set.  IS_ENTRY: this node may be a reader itself. */
+ * set.  ERA is that of the store's client.  IS_ENTRY: this node may be a reader itself.
+ */
 DlRelaySource *dl_relay_source_new (DlTask *task,
                                     const void *owner,
                                     const DlNodeSettings *settings,
+                                    DlObjectEra *era,
                                     bool is_entry);
 /* Sets the peers, among which the readers are chosen; they are created after the source.
  */
--- a/lib/node/version_watch.h
+++ b/lib/node/version_watch.h
@@ -15,9 +15,10 @@
   const char *kind;      /* of the objects that announce versions */
   uint64_t wait_ms;      /* longest time that one watch request waits */
   uint64_t retry_max_ms; /* longest backoff while the store cannot be reached */
-  DlRelaySource *source; /* this and the next two as in DlObjectWatchOptions */
+  DlRelaySource *source; /* this and the next three as in DlObjectWatchOptions */
   DlObjectRelay *relay;
   uint64_t reader_wait_ms;
+  uint64_t relist_spread_ms;
   /* Reads an object's VALUE; *MODEL is a talloc child of CONTEXT.  Returns 0 or a
    * negative error. */
   int (*read) (const void *context,
