Nodes: an older copy of the store forgets no node that is heard

Seen by callers: after the store came back from a copy that lacked the nodes' own objects, the directory of each entry lost the other one, and no node registered again: readers, hubs and load reports were gone until a restart.

Cause: objects missing from the list are taken for deleted, and a node writes its object once, when it starts.

Fix: a node that the first list of a new era lacks is kept with its state, as every node is dropped after 60 s without a datagram anyway; without an object it is dropped here only, with no conditional delete by a revision of the old era. A node whose own object is missing from that list, or differs, or is deleted at any time, registers again, spread over 1 s: hundreds of nodes stay well below the store's 400 writes/s. An object that says what is known already no longer replaces the node, which had lost its last datagram and its holdings with it.

Ruled out: keeping nodes for a fixed time (datagrams tell better); counting the spread from the era's rise instead of the list (a node need not write when the copy has its object).

--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "kernel/address.h"
+#include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -21,6 +22,10 @@
 #define READER_PAUSE_MS    500
 #define WATCH_RETRY_MAX_MS 2000
 #define REGISTER_RETRY_MS  700
+/* After the store came back from an older copy, nodes list its objects, and those that
+ * are not registered any more write their own, spread over this time. */
+#define RELIST_SPREAD_MS   1200
+#define REGISTER_SPREAD_MS 1000
 /* A node that sent no datagram for this long is deleted from the store. */
 #define EXPIRY_MS       60000
 #define EXPIRY_CHECK_MS 20000
@@ -39,7 +44,8 @@
   DlPeer peer; /* first: a Node pointer also serves as a DlPeer */
   DlPeers *owner;
   struct sockaddr_in at; /* peer.address, parsed */
-  uint64_t revision;     /* of its object in the store */
+  json_object *value;    /* of its object in the store */
+  uint64_t revision;     /* of that object; 0 while an older copy of the store lacks it */
   uint64_t incarnation;  /* of its last datagram */
   uint64_t number;       /* sequence number of its last datagram */
   uint64_t seen_ms;      /* when it was registered or last sent a datagram */
@@ -55,8 +61,10 @@
   GHashTable *nodes; /* name to Node */
   DlObjectWatch *watch;
   DlTimer *register_timer;
-  uint64_t number;                          /* sequence number of the last datagram */
-  uint64_t incarnation;                     /* of this process */
+  bool is_relisting;    /* the list from an older copy of the store is in progress */
+  bool is_listed;       /* that list shows this node's object as it would write it */
+  uint64_t number;      /* sequence number of the last datagram */
+  uint64_t incarnation; /* of this process */
   const struct sockaddr_in *unknown_sender; /* sender, while on_unknown_node runs */
 };
 
@@ -88,13 +96,26 @@
 }
 
 static void
-register_later (DlPeers *peers)
+register_after (DlPeers *peers, uint64_t delay_ms)
 {
   if (peers->register_timer == NULL)
-    peers->register_timer = dl_timer_subscribe (peers->task, peers, REGISTER_RETRY_MS, 0,
-                                                on_register_timer, peers);
+    peers->register_timer
+        = dl_timer_subscribe (peers->task, peers, delay_ms, 0, on_register_timer, peers);
   else
-    dl_timer_restart (peers->register_timer, REGISTER_RETRY_MS);
+    dl_timer_restart (peers->register_timer, delay_ms);
+}
+
+static void
+register_later (DlPeers *peers)
+{
+  register_after (peers, REGISTER_RETRY_MS);
+}
+
+/* This node's object is gone from the store, as many others may be. */
+static void
+register_again (DlPeers *peers)
+{
+  register_after (peers, 1 + dl_random_uint64 () % REGISTER_SPREAD_MS);
 }
 
 static bool
@@ -182,9 +203,48 @@
 {
   if (node->owner != NULL && node->owner->options.on_removed != NULL)
     node->owner->options.on_removed (&node->peer, node->owner->options.data);
+  json_object_put (node->value);
   return 0;
 }
 
+static void
+on_own_object (DlPeers *peers, const DlObject *object)
+{
+  peers->is_listed = !object->deleted && is_own_object (peers, object->value);
+  if (object->deleted && !peers->is_relisting)
+    register_again (peers);
+}
+
+/* A node that an older copy of the store lacks registers again.  It is kept until then,
+ * and deleted if it is not heard for long. */
+static void
+on_node_deleted (DlPeers *peers, const char *name)
+{
+  Node *node = g_hash_table_lookup (peers->nodes, name);
+
+  if (node == NULL)
+    return;
+  if (!peers->is_relisting)
+    {
+      g_hash_table_remove (peers->nodes, name);
+      return;
+    }
+  node->revision = 0;
+  dl_log (DL_EVENT_NODE_KEPT, DL_TEXT ("node", name));
+}
+
+/* True when OBJECT says of its node what is known already. */
+static bool
+is_known_node (DlPeers *peers, const DlObject *object)
+{
+  Node *node = g_hash_table_lookup (peers->nodes, object->name);
+
+  if (node == NULL || json_object_equal (node->value, object->value) == 0)
+    return false;
+  node->revision = object->revision;
+  return true;
+}
+
 static void
 on_object (const DlObject *object, void *data)
 {
@@ -192,12 +252,17 @@
   Node *node;
 
   if (strcmp (object->name, peers->options.settings->name) == 0)
-    return;
+    {
+      on_own_object (peers, object);
+      return;
+    }
   if (object->deleted)
     {
-      g_hash_table_remove (peers->nodes, object->name);
+      on_node_deleted (peers, object->name);
       return;
     }
+  if (is_known_node (peers, object))
+    return;
   node = talloc_zero (peers, Node);
   if (!parse_node (node, object))
     {
@@ -206,18 +271,38 @@
       return;
     }
   node->owner = peers;
+  node->value = json_object_get (object->value);
   node->seen_ms = dl_clock_ms ();
   talloc_set_destructor (node, node_destroy);
   g_hash_table_replace (peers->nodes, (gpointer)node->peer.name, node);
 }
 
+static void
+on_new_era (void *data)
+{
+  DlPeers *peers = data;
+
+  peers->is_relisting = true;
+  peers->is_listed = false;
+}
+
+static void
+on_synced (void *data)
+{
+  DlPeers *peers = data;
+
+  if (peers->is_relisting && !peers->is_listed)
+    register_again (peers);
+  peers->is_relisting = false;
+}
+
 static void
 ignore_result (const DlObjectResult *result, void *data)
 {
 }
 
-/* Deletes the objects of nodes that have timed out.  Several entries may do so for one
- * node, so results are ignored. */
+/* Deletes the objects of nodes that have timed out, and the nodes without one.  Several
+ * entries may delete one object, so results are ignored. */
 static void
 on_expiry_check (DlTimer *timer, void *data)
 {
@@ -233,6 +318,13 @@
 
       if (now_ms - node->seen_ms < EXPIRY_MS)
         continue;
+      if (node->revision == 0)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      if (peers->options.role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY || peers->is_relisting)
+        continue;
       dl_log (DL_EVENT_NODE_FORGOTTEN, DL_TEXT ("node", node->peer.name));
       dl_object_delete (peers->options.store, peers, peers->options.kind, node->peer.name,
                         node->revision, ignore_result, peers);
@@ -462,14 +554,16 @@
                                           .relay = options->relay,
                                           .pause_ms = WATCH_PAUSE_MS,
                                           .retry_max_ms = WATCH_RETRY_MAX_MS,
+                                          .relist_spread_ms = RELIST_SPREAD_MS,
                                           .on_object = on_object,
+                                          .on_new_era = on_new_era,
+                                          .on_synced = on_synced,
                                           .data = peers,
                                       });
   if (options->source != NULL)
     dl_relay_source_set_peers (options->source, peers);
-  if (options->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
-    dl_timer_subscribe (task, peers, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, on_expiry_check,
-                        peers);
+  dl_timer_subscribe (task, peers, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, on_expiry_check,
+                      peers);
   *result = peers;
   return 0;
 }
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -10,6 +10,9 @@
  * A node that has just started knows the others before they know it.  Its datagrams are
  * not accepted yet, but can be replied to (on_unknown_node), so that it need not wait
  * until its registration has reached the other nodes.
+ *
+ * When the store comes back from an older copy, nodes that it lacks stay known while
+ * their datagrams arrive, and each node registers again if its object is missing.
  */
 #ifndef DL_PEERS_H
 #define DL_PEERS_H
