--- a/regress/direct/era.c
+++ b/regress/direct/era.c
@@ -187,6 +187,7 @@
 static void
 test_server_removed_after_the_copy (Testbed *tb)
 {
+  CHECK (testbed_list_server (tb, 1, "draining"));
   CHECK (take_copy (tb));
   CHECK (delete_object (tb, "servers", "i-1"));
   return_to_copy_with_first_server (tb);
