Upstreams: an older copy of the store neither removes nor revives one

Seen by callers: after the store came back from a copy, an upstream registered since got no requests until it wrote its entry again (503 where it was the only one), and one that had been removed since got requests again. With revisions voided, one that had announced that it leaves would have got them too.

Cause: the first list of a new era was taken for news, but an entry in a copy says nothing about what happened since, and neither does its absence.

One that was leaving, or was removed within the last minute, stays so until its entry changes by an event, shows a later start, or a minute is over: servers go on for a while after their removal, and the bound on requests to them counts from the first acknowledgement. The minute bounds a removal that was wrong.

Ignoring such entries for good: a server that wrote its entry before the list was read would never be used again.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -146,7 +146,15 @@
 {
   State *state = data;
 
-  direct_upstream_list_note_store (state->upstream_list, 0);
+  direct_upstream_list_synced (state->upstream_list);
+}
+
+static void
+on_upstreams_new_era (void *data)
+{
+  State *state = data;
+
+  direct_upstream_list_store_returned (state->upstream_list);
 }
 
 static void
@@ -452,6 +460,7 @@
                                                     .on_object = on_upstream,
                                                     .on_synced = on_upstreams_synced,
                                                     .on_contact = on_upstreams_contact,
+                                                    .on_new_era = on_upstreams_new_era,
                                                     .relist_spread_ms = RELIST_SPREAD_MS,
                                                     .data = state,
                                                 });
