Routing table: an older copy of the store proves nothing about keys

Seen by callers: an entry that was started right after the store came back from a copy served a key that had been revoked shortly before; the running entries, which knew the newer table, took the copy for a proof that no later one exists.

Cause: a response was a proof that the table in effect is the newest. That does not hold for a copy some seconds old: a revocation that the store had acknowledged may be lost, read here or not, and the bound counts from that acknowledgement, for all hosts, in touch or not.

When the time is over, the state is requested at once instead of after the watch's wait. Entries tell each other the highest version (NodeStatus.routing_version); one that has just started, whose store tells eras, waits 0.9 s for it before its first proof counts, and is not ready until then. Stagers no longer go back to an older table either.

Ruled out: trusting the version alone (the lost table may be one that nobody had read, and an entry cut off just then would serve the key past the bound); voiding proofs when another entry tells a newer version (that is so for a moment at each change; keys would be refused); giving up waiting for the version after a time (a lost revocation would then be undone).

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "daisydirectd.h"
+#include "routing_table.h"
 #include "upstream_list.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
@@ -43,10 +44,6 @@
 #define STATUS_EVERY_TICKS 2
 #define HOLDINGS_TICK_MS   40
 
-DL_METRIC (metric_age,
-           DL_METRIC_HISTOGRAM,
-           "daisy_direct_routing_age_ms",
-           "Age of the routing table when it was found current.")
 DL_METRIC (metric_ready,
            DL_METRIC_GAUGE,
            "daisy_direct_ready",
@@ -64,7 +61,7 @@
   DirectUpstreamList *upstream_list;
   DlRelaySource *source;
   DlObjectRelay *relay;
-  uint64_t routing_version; /* 0 before the first table */
+  DirectRoutingTable *routing_table;
   DlVersionWatch *versions;
   DlVersionFloor floor;            /* reported to other entries */
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
@@ -79,47 +76,27 @@
 on_routing (const DlObject *object, void *data)
 {
   State *state = data;
-  DirectMessage *message;
-  DlRouting *routing;
-  const char *error = "the object was deleted";
 
-  if (strcmp (object->name, platform_routing_name) != 0)
-    return;
-  message = direct_message_new (DIRECT_ROUTING);
-  if (object->deleted
-      || platform_read_routing (message, object->value, &routing, &error) < 0)
-    {
-      dl_log (DL_EVENT_ROUTING_INVALID, DL_UINT ("revision", object->revision),
-              DL_TEXT ("reason", error));
-      dl_message_unref (message);
-      return;
-    }
-  if (routing->version < state->routing_version)
-    {
-      dl_log (DL_EVENT_ROUTING_INVALID, DL_UINT ("version", routing->version),
-              DL_TEXT ("reason", "older than the version in effect"));
-      dl_message_unref (message);
-      return;
-    }
-  state->routing_version = routing->version;
-  dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
-          DL_UINT ("revision", object->revision),
-          DL_UINT ("routes", routing->route_count),
-          DL_UINT ("organisations", routing->organisation_count));
-  message->routing = routing;
-  dl_kernel_publish (state->kernel, message);
+  direct_routing_table_update (state->routing_table, object);
 }
 
 static void
 on_routing_synced (void *data)
 {
   State *state = data;
-  uint64_t synced_ms = dl_object_watch_synced_ms (state->routing_watch);
-  DirectMessage *message = direct_message_new (DIRECT_ROUTING_SYNCED);
 
-  dl_metric_observe_us (&metric_age, (dl_clock_ms () - synced_ms) * 1000);
-  message->routing_synced_ms = synced_ms;
-  dl_kernel_publish (state->kernel, message);
+  direct_routing_table_synced (state->routing_table,
+                               dl_object_watch_synced_ms (state->routing_watch),
+                               dl_object_era_current (
+                                   dl_object_client_era (state->store)));
+}
+
+static void
+on_routing_new_era (void *data)
+{
+  State *state = data;
+
+  direct_routing_table_store_returned (state->routing_table);
 }
 
 static void
@@ -234,6 +211,7 @@
 
   dl_version_watch_receive (state->versions, status->named, peer->name);
   raise_floor (state, status->version_floor);
+  direct_routing_table_told (state->routing_table, status->routing_version);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     publish_holder (state, peer, status);
   if (engine == NULL)
@@ -253,11 +231,12 @@
 static bool
 is_ready (const State *state)
 {
-  uint64_t synced_ms = dl_object_watch_synced_ms (state->routing_watch);
+  uint64_t proven_ms = direct_routing_table_proven_ms (state->routing_table);
 
-  return !dl_kernel_stopping (state->kernel) && state->routing_version > 0
+  return !dl_kernel_stopping (state->kernel)
+         && direct_routing_table_version (state->routing_table) > 0
          && dl_object_watch_synced_ms (state->upstreams_watch) > 0
-         && dl_clock_ms () - synced_ms < direct_routing_max_age_ms (state->settings);
+         && dl_clock_ms () - proven_ms < direct_routing_max_age_ms (state->settings);
 }
 
 /* Sends this entry's status to a stager that is not registered here yet, so that it
@@ -291,6 +270,7 @@
   status.named = dl_version_watch_to_wire (state->versions, &target);
   status.version_floor
       = dl_version_floor_at (&state->floor, state->settings->version_ms, dl_clock_ms ());
+  status.routing_version = direct_routing_table_highest (state->routing_table);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
   talloc_free (context);
@@ -363,7 +343,7 @@
       dl_log (DL_EVENT_READINESS, DL_TEXT ("ready", ready ? "yes" : "no"),
               DL_UINT ("routing_age_ms",
                        dl_clock_ms ()
-                           - dl_object_watch_synced_ms (state->routing_watch)));
+                           - direct_routing_table_proven_ms (state->routing_table)));
       send_status (state);
     }
   publish_entries (state);
@@ -379,12 +359,25 @@
     send_status (state);
 }
 
+/* Adopts the proof of the routing table when the time that it was withheld for is over.
+ */
+static void
+check_routing_proof (State *state)
+{
+  if (!dl_object_watch_is_current (state->routing_watch))
+    return;
+  on_routing_synced (state);
+  if (direct_routing_table_needs_proof (state->routing_table))
+    dl_object_watch_refresh (state->routing_watch);
+}
+
 static void
 on_tick (DlTimer *timer, void *data)
 {
   State *state = data;
 
   direct_upstream_list_expire (state->upstream_list);
+  check_routing_proof (state);
   refresh_readiness (state);
   if (++state->ticks % STATUS_EVERY_TICKS == 0)
     send_status (state);
@@ -444,6 +437,7 @@
                                  .on_object = on_routing,
                                  .on_synced = on_routing_synced,
                                  .on_contact = on_routing_contact,
+                                 .on_new_era = on_routing_new_era,
                                  .relist_spread_ms = RELIST_SPREAD_MS,
                                  .data = state,
                              });
@@ -491,6 +485,7 @@
   state->task = task;
   state->kernel = dl_task_kernel (task);
   state->settings = direct_settings (task);
+  state->routing_table = direct_routing_table_new (state->kernel, state);
   state->upstream_list = direct_upstream_list_new (state->kernel, state);
   talloc_set_destructor (state, state_destroy);
   state->store
@@ -537,11 +532,12 @@
   json_object *object = json_object_new_object ();
 
   json_object_object_add (object, "routing_version",
-                          json_object_new_uint64 (state->routing_version));
+                          json_object_new_uint64 (
+                              direct_routing_table_version (state->routing_table)));
   json_object_object_add (object, "routing_age_ms",
                           json_object_new_uint64 (
                               dl_clock_ms ()
-                              - dl_object_watch_synced_ms (state->routing_watch)));
+                              - direct_routing_table_proven_ms (state->routing_table)));
   json_object_object_add (object, "upstreams",
                           json_object_new_int (
                               (int)direct_upstream_list_count (state->upstream_list)));
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -41,6 +41,7 @@
   const DlNodeSettings *settings;
   DlPeers *peers;
   DlVersionWatch *versions;
+  uint64_t routing_version; /* of the newest routing table; 0 before the first */
   Daisyloft__Wire__EngineStatus engine; /* for the status to entries */
   bool engine_known;
   bool engine_changed;
@@ -74,6 +75,14 @@
       dl_message_unref (message);
       return;
     }
+  if (routing->version < state->routing_version)
+    {
+      dl_log (DL_EVENT_ROUTING_INVALID, DL_UINT ("version", routing->version),
+              DL_TEXT ("reason", "older than the version in effect"));
+      dl_message_unref (message);
+      return;
+    }
+  state->routing_version = routing->version;
   message->source = dl_weight_source_from_routing (routing, state->settings->service);
   dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
           DL_UINT ("revision", object->revision),
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1357,7 +1357,7 @@
   assert(message->base.descriptor == &daisyloft__wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[9] =
+static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[10] =
 {
   {
     "name",
@@ -1467,6 +1467,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "routing_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, routing_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__node_status__field_indices_by_name[] = {
   5,   /* field[5] = engine */
@@ -1477,12 +1489,13 @@
   2,   /* field[2] = number */
   4,   /* field[4] = ready */
   3,   /* field[3] = role */
+  9,   /* field[9] = routing_version */
   8,   /* field[8] = version_floor */
 };
 static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor =
 {
@@ -1492,7 +1505,7 @@
   "Daisyloft__Wire__NodeStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__NodeStatus),
-  9,
+  10,
   daisyloft__wire__node_status__field_descriptors,
   daisyloft__wire__node_status__field_indices_by_name,
   1,  daisyloft__wire__node_status__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -163,10 +163,14 @@
    * lowest version that may start a request; 0: any
    */
   uint64_t version_floor;
+  /*
+   * highest version of the routing table known; 0: none
+   */
+  uint64_t routing_version;
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0 }
 
 
 /*
