Soak: planned work alone, with a check that what ran is answered

The soak did not find the requests lost at stopping entries: each entry got one SIGTERM at a time, streams lasted 0.2 s, connections were closed with their requests, and no check said that a request which ran must be answered, since a fault could explain each cut.

After the faults there is now a phase in which only planned work happens: SIGTERMs in series, overlapping and repeated, SIGHUPs, changes of keys, servers and weights, starts right after an end. Ten callers keep their connections until the process is gone. A request that ran must get a response, one that was refused must not have run, and a response whose head came must be complete unless its deadline has passed.

libcurl sends a request again by itself when a reused connection ends, which hides the loss; callers now forbid this, so that requests that may not be repeated use kept connections too.

--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -100,6 +100,7 @@
   unsigned deadline_ms;   /* sent in X-Deadline-Ms; 0 for none */
   unsigned disconnect_ms; /* the caller disconnects after this; 0: after 20 s */
   void *curl;             /* CURL handle whose connections are reused; NULL: new ones */
+  bool once;              /* not sent again by libcurl when a reused connection ends */
 } Call;
 
 /* Sends a request and waits for the end of the response. */
--- a/regress/direct/http.c
+++ b/regress/direct/http.c
@@ -2,6 +2,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "direct.h"
 
@@ -47,6 +48,34 @@
   return list;
 }
 
+/* Notes in *USER that the request has been sent. */
+static int
+on_debug (CURL *easy, curl_infotype type, char *data, size_t size, void *user)
+{
+  if (type == CURLINFO_HEADER_OUT)
+    *(bool *)user = true;
+  return 0;
+}
+
+/* Opens no connection once the request has been sent, which would send it again. */
+static curl_socket_t
+open_socket (void *user, curlsocktype purpose, struct curl_sockaddr *at)
+{
+  if (*(bool *)user)
+    return CURL_SOCKET_BAD;
+  return socket (at->family, at->socktype | SOCK_CLOEXEC, at->protocol);
+}
+
+static void
+send_once (CURL *easy, bool *sent)
+{
+  curl_easy_setopt (easy, CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt (easy, CURLOPT_DEBUGFUNCTION, on_debug);
+  curl_easy_setopt (easy, CURLOPT_DEBUGDATA, sent);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, sent);
+}
+
 Response
 call (const Call *c)
 {
@@ -56,6 +85,7 @@
   GString *head = g_string_new (NULL);
   char *url = g_strdup_printf ("http://%s/", c->address);
   long status = 0;
+  bool sent = false;
   CURLcode code;
 
   curl_easy_setopt (easy, CURLOPT_URL, url);
@@ -73,6 +103,8 @@
     curl_easy_setopt (easy, CURLOPT_POSTFIELDS, c->body);
   if (c->method != NULL)
     curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, c->method);
+  if (c->once)
+    send_once (easy, &sent);
   code = curl_easy_perform (easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   if (c->curl != NULL)
--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -8,13 +8,18 @@
  * refuse requests, fail and send invalid responses; meanwhile the configuration, the
  * servers and the version of the weights change.  Datagrams between nodes are disturbed
  * only by suspending the nodes.
+ *
+ * After the faults, a phase with stricter checks follows: planned work alone, in which
+ * each request that ran must be answered.
  */
 #include "soak.h"
 
 #include <glib.h>
 #include <string.h>
 
-#define REVOKE_MS 3000 /* equals revoke_ms in the nodes' settings */
+#define LONG_EVENT_MS 200                  /* a stream of ten events then lasts 2 s */
+#define REVOKE_MS     3000                 /* equals revoke_ms in the nodes' settings */
+#define SETTLE_US     (3 * G_USEC_PER_SEC) /* after the last fault, before planned work */
 
 gint64
 soak_now_ms (void)
@@ -31,6 +36,14 @@
   g_mutex_unlock (&soak->lock);
 }
 
+void
+soak_log_event (Soak *soak, const char *what, unsigned index)
+{
+  g_string_append_printf (soak->history, "  %6.2f s  %s %u\n",
+                          (double)(soak_now_ms () - soak->start_ms) / 1000.0, what,
+                          index);
+}
+
 /* -------- checks after the faults -------- */
 
 static bool
@@ -100,8 +113,8 @@
   return revoked;
 }
 
-static uint64_t
-runs_in (json_object *object, const char *id)
+uint64_t
+soak_runs_in (json_object *object, const char *id)
 {
   json_object *runs = json_object_object_get (object, "runs");
 
@@ -117,7 +130,7 @@
   for (guint i = 0; i < soak->requests->len; i++)
     {
       const SentRequest *req = g_ptr_array_index (soak->requests, i);
-      uint64_t runs = runs_in (plain, req->id);
+      uint64_t runs = soak_runs_in (plain, req->id);
 
       if (req->kind == REQUEST_UNSAFE && runs > 1)
         soak_report_violation (soak, req->id, "ran more than once");
@@ -132,6 +145,22 @@
   json_object_put (plain);
 }
 
+/* The phases in which nothing happens that a fault explains. */
+static void
+run_strict_phases (Soak *soak, unsigned seconds)
+{
+  SoakKept kept;
+
+  soak_heal (soak);
+  g_usleep (SETTLE_US);
+  if (!eventually (entries_serve, soak->testbed))
+    soak_report_violation (soak, "entries", "do not serve after the faults");
+  soak_start_kept (soak, &kept);
+  soak_plan_work (soak, seconds);
+  soak_end_kept (soak, &kept);
+  soak_set_event_ms (soak, SOAK_EVENT_MS);
+}
+
 static void
 sent_request_free (gpointer data)
 {
@@ -156,6 +185,7 @@
   SoakCaller callers[SOAK_CALLERS];
   GThread *threads[SOAK_CALLERS];
 
+  set_fault (testbed->server[SERVERS - 2], "event_ms", LONG_EVENT_MS);
   for (unsigned i = 0; i < SOAK_CALLERS; i++)
     {
       callers[i] = (SoakCaller){ &soak, i, g_rand_int (soak.random) };
@@ -165,6 +195,7 @@
   g_atomic_int_set (&soak.stop, 1);
   for (unsigned i = 0; i < SOAK_CALLERS; i++)
     g_thread_join (threads[i]);
+  run_strict_phases (&soak, seconds);
   check_recovery (&soak);
   check_requests (&soak);
   if (soak.complete == 0)
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -3,7 +3,8 @@
  *
  * soak_callers.c sends requests and checks each response, soak_faults.c injects faults
  * and makes changes, soak.c starts both and afterwards checks all responses against the
- * records of the stand-ins.
+ * records of the stand-ins.  Then soak_planned.c does only planned work, under the
+ * stricter checks of soak_kept.c.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -11,6 +12,8 @@
 #include "direct.h"
 
 #define SOAK_CALLERS 6
+/* Between two events of a stream, unless it is to last long. */
+#define SOAK_EVENT_MS 20
 /* Pause between two checks for faults that are due to start or end. */
 #define SOAK_POLL_US 20000
 
@@ -30,6 +33,9 @@
   char *id;
   RequestKind kind;
   bool with_key2;
+  bool kept; /* sent while only planned work happened: must be answered */
+  bool complete;
+  unsigned deadline_ms;
   int status; /* 0: no response */
   gint64 sent_ms;
   gint64 done_ms;
@@ -77,7 +83,8 @@
   /* SIGTERM was sent before the process logged its start. */
   bool stopped_before_start[ENTRIES];
   uint64_t version;
-  gint stop; /* atomic */
+  gint stop;      /* atomic */
+  gint kept_stop; /* atomic */
   GMutex lock;
   /* The rest is guarded by LOCK. */
   GPtrArray *requests; /* of SentRequest */
@@ -91,6 +98,35 @@
 /* Counts and prints a violated guarantee: WHO is the request or process, WHAT the
  * violation.  May be called from any thread. */
 void soak_report_violation (Soak *soak, const char *who, const char *what);
+/* Adds a line to the history. */
+void soak_log_event (Soak *soak, const char *what, unsigned index);
+/* How often request ID ran by RECORDS of a server. */
+uint64_t soak_runs_in (json_object *records, const char *id);
+
+/* -------- soak_faults.c -------- */
+
+/* Injects overlapping faults for SECONDS, then ends them all. */
+void soak_inject_faults (Soak *soak, unsigned seconds);
+/* Checks the records of model server SERVER; call it before its process ends, as the
+ * records are lost with it. */
+void soak_check_engine (Soak *soak, unsigned server);
+/* Ends the effects of faults that have no end of their own: knobs that count down and
+ * connections that are stalled. */
+void soak_heal (Soak *soak);
+/* Sets the time between two events of the model servers' streams. */
+void soak_set_event_ms (Soak *soak, uint64_t event_ms);
+/* True if PROCESS has logged its start, from when on it handles signals. */
+bool soak_has_started (const Process *process);
+/* Reports and restarts a process that has ended by itself. */
+void soak_check_process (Soak *soak, Process *process);
+/* Sends SIGTERM to entry INDEX. */
+void soak_stop_entry (Soak *soak, unsigned index);
+/* Checks that entry INDEX, which ended with wait status STATUS after SIGTERM, exited with
+ * status 0, or was ended by the signal if that came before it handled signals. */
+void soak_check_exit (Soak *soak, unsigned index, int status);
+/* Revokes the second key, or gives it back. */
+void soak_change_keys (Soak *soak);
+void soak_announce_version (Soak *soak);
 
 /* -------- soak_callers.c -------- */
 
@@ -104,12 +140,27 @@
 /* Thread function; CALLER is a SoakCaller.  Sends requests until the soak's stop. */
 gpointer soak_run_caller (gpointer caller);
 
-/* -------- soak_faults.c -------- */
+/* -------- soak_kept.c -------- */
 
-/* Injects overlapping faults for SECONDS, then ends them all. */
-void soak_inject_faults (Soak *soak, unsigned seconds);
-/* Checks the records of model server SERVER; call it before its process ends, as the
- * records are lost with it. */
-void soak_check_engine (Soak *soak, unsigned server);
+#define SOAK_KEPT_CALLERS 10
+
+typedef struct
+{
+  SoakCaller callers[SOAK_KEPT_CALLERS];
+  GThread *threads[SOAK_KEPT_CALLERS];
+} SoakKept;
+
+/* Starts callers that keep their connections to an entry until its process is gone. */
+void soak_start_kept (Soak *soak, SoakKept *kept);
+/* Ends the callers and checks each of their requests against the servers' records: one
+ * that ran must have been answered, a refused one must not have run, and a response whose
+ * head came must be complete unless its time ran out. */
+void soak_end_kept (Soak *soak, SoakKept *kept);
+
+/* -------- soak_planned.c -------- */
+
+/* For SECONDS only planned work happens: stops of entries in series and overlapping, with
+ * repeated signals, and changes beside them. */
+void soak_plan_work (Soak *soak, unsigned seconds);
 
 #endif
--- a/regress/direct/soak_callers.c
+++ b/regress/direct/soak_callers.c
@@ -80,8 +80,8 @@
     .deadline_ms = DEADLINE_MS,
     .body = req->kind == REQUEST_UNSAFE ? "x" : NULL,
     .disconnect_ms = g_rand_int_range (random, 0, 10) == 0 ? 300 : DEADLINE_MS + 2500,
-    /* libcurl may resend a request by itself on a reused connection. */
-    .curl = req->kind == REQUEST_UNSAFE ? NULL : curl,
+    .curl = curl,
+    .once = true,
   };
   req->sent_ms = soak_now_ms ();
   r = call (&c);
--- a/regress/direct/soak_faults.c
+++ b/regress/direct/soak_faults.c
@@ -54,9 +54,8 @@
   process_start (find_process (soak->testbed, index));
 }
 
-/* True if the process has logged its start, from when on it handles signals. */
-static bool
-has_started (const Process *p)
+bool
+soak_has_started (const Process *p)
 {
   char *text = NULL;
   const char *start;
@@ -69,28 +68,33 @@
   return started;
 }
 
-static void
-stop_entry (Soak *soak, unsigned index)
+void
+soak_stop_entry (Soak *soak, unsigned index)
 {
   Process *p = &soak->testbed->entry_process[index];
 
-  soak->stopped_before_start[index] = !has_started (p);
+  soak->stopped_before_start[index] = !soak_has_started (p);
   kill (p->pid, SIGTERM);
 }
 
-/* Checks that the process has exited with status 0 in time after SIGTERM, or was ended by
- * the signal if that came before the process handled it; then starts it again. */
-static void
-restart_entry (Soak *soak, unsigned index)
+void
+soak_check_exit (Soak *soak, unsigned index, int status)
 {
-  Process *p = &soak->testbed->entry_process[index];
-  int status = process_end (p, 0);
   bool good = status != -1 && WIFEXITED (status) && WEXITSTATUS (status) == 0;
   bool early = status != -1 && soak->stopped_before_start[index] && WIFSIGNALED (status)
                && WTERMSIG (status) == SIGTERM;
 
   if (!good && !early)
-    soak_report_violation (soak, p->name, "did not exit with status 0 after SIGTERM");
+    soak_report_violation (soak, soak->testbed->entry_process[index].name,
+                           "did not exit with status 0 after SIGTERM");
+}
+
+static void
+restart_entry (Soak *soak, unsigned index)
+{
+  Process *p = &soak->testbed->entry_process[index];
+
+  soak_check_exit (soak, index, process_end (p, 0));
   process_start (p);
 }
 
@@ -210,9 +214,8 @@
 
 /* -------- changes -------- */
 
-/* Revokes the second key, or gives it back. */
-static void
-change_configuration (Soak *soak, unsigned index)
+void
+soak_change_keys (Soak *soak)
 {
   KeyChange change = { .has_key2 = !soak->key2, .begun_ms = soak_now_ms () };
   bool done = testbed_configure (soak->testbed, soak->key2);
@@ -226,6 +229,12 @@
     g_array_append_val (soak->keys, change);
 }
 
+static void
+change_configuration (Soak *soak, unsigned index)
+{
+  soak_change_keys (soak);
+}
+
 static void
 drain_server (Soak *soak, unsigned index)
 {
@@ -243,13 +252,40 @@
                          "accepts no write of a server, though it is available");
 }
 
-static void
-announce_version (Soak *soak, unsigned index)
+void
+soak_announce_version (Soak *soak)
 {
   if (testbed_announce_version (soak->testbed, soak->version + 1))
     soak->version++;
 }
 
+static void
+announce_version (Soak *soak, unsigned index)
+{
+  soak_announce_version (soak);
+}
+
+void
+soak_set_event_ms (Soak *soak, uint64_t event_ms)
+{
+  for (unsigned i = 0; i < SERVERS - 1; i++)
+    set_fault (soak->testbed->server[i], "event_ms", event_ms);
+}
+
+void
+soak_heal (Soak *soak)
+{
+  Testbed *tb = soak->testbed;
+
+  set_fault (tb->store, "lose_writes", 0);
+  set_fault (tb->origin, "corrupt", 0);
+  for (unsigned i = 0; i < SERVERS; i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (server_knobs); k++)
+      set_fault (tb->server[i], server_knobs[k], 0);
+  for (guint i = 0; i < tb->proxies->len; i++)
+    proxy_reset (g_ptr_array_index (tb->proxies, i));
+}
+
 #define PROCESSES (ENTRIES + 2 * (SERVERS - 1))
 #define PROXIES   (2 + SERVERS + ENTRIES)
 /* Only the first model server is drained, so that another one is left. */
@@ -257,7 +293,7 @@
 
 static const FaultKind kinds[] = {
   { "kill", kill_process, start_process, PROCESSES, 'p' },
-  { "graceful shutdown", stop_entry, restart_entry, ENTRIES, 'p' },
+  { "graceful shutdown", soak_stop_entry, restart_entry, ENTRIES, 'p' },
   { "suspend", suspend_process, resume_process, PROCESSES, 'p' },
   { "suspend the store", suspend_store, resume_store, 1, 's' },
   { "disturb proxy", disturb_proxy, restore_proxy, PROXIES, 'x' },
@@ -311,9 +347,10 @@
 static void
 log_fault (Soak *soak, const char *what, const Fault *f)
 {
-  g_string_append_printf (soak->history, "  %6.2f s  %s: %s %u\n",
-                          (double)(soak_now_ms () - soak->start_ms) / 1000.0, what,
-                          f->kind->name, f->index);
+  char *text = g_strdup_printf ("%s: %s", what, f->kind->name);
+
+  soak_log_event (soak, text, f->index);
+  g_free (text);
 }
 
 static void
@@ -351,9 +388,8 @@
     }
 }
 
-/* Reports and restarts a process that has ended by itself. */
-static void
-check_process (Soak *soak, Process *p)
+void
+soak_check_process (Soak *soak, Process *p)
 {
   int status;
 
@@ -369,7 +405,7 @@
 {
   for (unsigned i = 0; i < PROCESSES; i++)
     if (!is_fault_active (soak, &kinds[0], i))
-      check_process (soak, find_process (soak->testbed, i));
+      soak_check_process (soak, find_process (soak->testbed, i));
 }
 
 /* -------- running -------- */
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -12,6 +12,7 @@
 #include "weights.h"
 
 #define STREAM_PREFIX  "/s/"
+#define LONG_PART      "/long/" /* of paths whose response takes ANSWER_MS */
 #define EVENTS_DEFAULT 10
 #define EVENT_MS       20
 #define LOAD_MS        100
@@ -30,6 +31,7 @@
 static uint64_t version = 1;  /* of the weights that it serves; 0: none */
 static uint64_t events = EVENTS_DEFAULT;
 static uint64_t event_ms = EVENT_MS;
+static uint64_t answer_ms;   /* how long a request of a LONG_PART path runs */
 static uint64_t shed;        /* the next N requests are refused and not run */
 static uint64_t fail;        /* the next N requests get the response 500 */
 static uint64_t lose;        /* the next N are run, then the connection is closed */
@@ -60,6 +62,7 @@
   { "version", &version },
   { "events", &events },
   { "event_ms", &event_ms },
+  { "answer_ms", &answer_ms },
   { "shed", &shed },
   { "fail", &fail },
   { "lose", &lose },
@@ -335,10 +338,24 @@
 }
 
 static void
-run_request (DlHttpRequest *request)
+reply_done (DlHttpRequest *request)
 {
   ResponseHeaders headers;
 
+  dl_http_reply (request, standin_count_down (&fail) ? 500 : 200, "text/plain",
+                 DL_STR_LITERAL ("done"), response_headers (request, &headers));
+}
+
+static void
+on_answer_due (DlTimer *timer, void *data)
+{
+  talloc_free (timer);
+  reply_done (data);
+}
+
+static void
+run_request (DlHttpRequest *request)
+{
   if (expectation_fails (request))
     {
       refuse (request, 421);
@@ -356,9 +373,10 @@
     dl_http_abort (request);
   else if (g_str_has_prefix (dl_http_request_path (request), STREAM_PREFIX))
     start_stream (request);
+  else if (answer_ms > 0 && strstr (dl_http_request_path (request), LONG_PART) != NULL)
+    dl_timer_subscribe (task, request, answer_ms, 0, on_answer_due, request);
   else
-    dl_http_reply (request, standin_count_down (&fail) ? 500 : 200, "text/plain",
-                   DL_STR_LITERAL ("done"), response_headers (request, &headers));
+    reply_done (request);
 }
 
 static void
