--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -9,8 +9,8 @@
  * servers and the version of the weights change.  Datagrams between nodes are disturbed
  * only by suspending the nodes.
  *
- * After the faults, a phase with stricter checks follows: planned work alone, in which
- * each request that ran must be answered.
+ * After the faults, phases with stricter checks follow: planned work alone, in which each
+ * request that ran must be answered, and a loss of power.
  */
 #include "soak.h"
 
@@ -159,6 +159,7 @@
   soak_plan_work (soak, seconds);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
+  soak_cut_power (soak);
 }
 
 static void
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -3,8 +3,9 @@
  *
  * soak_callers.c sends requests and checks each response, soak_faults.c injects faults
  * and makes changes, soak.c starts both and afterwards checks all responses against the
- * records of the stand-ins.  Then soak_planned.c does only planned work, under the
- * stricter checks of soak_kept.c.
+ * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
+ * only planned work, under the callers of soak_kept.c, and soak_power.c cuts the power of
+ * all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -163,4 +164,10 @@
  * repeated signals, and changes beside them. */
 void soak_plan_work (Soak *soak, unsigned seconds);
 
+/* -------- soak_power.c -------- */
+
+/* Kills entries, stagers and model servers at once beside a write to the store, starts
+ * them again and checks what must be true soon after. */
+void soak_cut_power (Soak *soak);
+
 #endif
