--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -10,7 +10,8 @@
  * only by suspending the nodes.
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
- * request that ran must be answered, and a loss of power.
+ * request that ran must be answered, model servers that are silent for a while, and a
+ * loss of power.
  */
 #include "soak.h"
 
@@ -158,6 +159,9 @@
   soak_start_kept (soak, &kept);
   soak_plan_work (soak, seconds);
   soak_end_kept (soak, &kept);
+  soak_start_kept (soak, &kept);
+  soak_silence_servers (soak);
+  soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
   soak_cut_power (soak);
 }
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -4,8 +4,8 @@
  * soak_callers.c sends requests and checks each response, soak_faults.c injects faults
  * and makes changes, soak.c starts both and afterwards checks all responses against the
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
- * only planned work, under the callers of soak_kept.c, and soak_power.c cuts the power of
- * all hosts.
+ * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
+ * silent under the same callers, and soak_power.c cuts the power of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -164,6 +164,12 @@
  * repeated signals, and changes beside them. */
 void soak_plan_work (Soak *soak, unsigned seconds);
 
+/* -------- soak_silence.c -------- */
+
+/* Model servers are silent for a while and go on, one after the other; their streams must
+ * be complete all the same. */
+void soak_silence_servers (Soak *soak);
+
 /* -------- soak_power.c -------- */
 
 /* Kills entries, stagers and model servers at once beside a write to the store, starts
