--- a/regress/direct/soak_silence.c
+++ b/regress/direct/soak_silence.c
@@ -15,6 +15,7 @@
 void
 soak_silence_servers (Soak *soak)
 {
+  set_fault (soak->testbed->server[SERVERS - 1], "answer_ms", 0);
   soak_set_event_ms (soak, (uint64_t)g_rand_int_range (soak->random, EVENT_MIN_MS,
                                                        EVENT_MAX_MS));
   g_usleep (SILENCE_GAP_MS * US_PER_MS);
