Soak: requests that outlast a stop, and those that wait without a response

Half of the time streams last over 4.5 s and long requests over 4 s, so that some are taken late in a stop. A connection that closes later than 200 ms after its request was sent, without a response, is a violation too.

--- a/regress/direct/soak_kept.c
+++ b/regress/direct/soak_kept.c
@@ -13,7 +13,9 @@
 #define GIVE_UP_MS         1500 /* a caller's patience after the deadline */
 /* Clocks of caller and entry count the time from different moments. */
 #define DEADLINE_SLACK_MS 50
-#define EVENTS            10
+/* A request that comes as the entry closes the connection may get no response. */
+#define LOSS_SLACK_MS 200
+#define EVENTS        10
 
 typedef struct
 {
@@ -26,6 +28,7 @@
   { REQUEST_STREAM, "/s/slow/x", STREAM_DEADLINE_MS },
   { REQUEST_STREAM, "/s/slow/x", STREAM_DEADLINE_MS },
   { REQUEST_UNSAFE, "/o/long/x", LONG_DEADLINE_MS },
+  { REQUEST_UNSAFE, "/o/long/x", LONG_DEADLINE_MS },
   { REQUEST_UNSAFE, "/o/x", SHORT_DEADLINE_MS },
   { REQUEST_SAFE, "/r/x", SHORT_DEADLINE_MS },
   { REQUEST_SAFE, "/r/x", SHORT_DEADLINE_MS },
@@ -135,6 +138,9 @@
     report_request (soak, req, runs, "was held past its time without a response");
   else if (req->status == 0 && runs > 0 && !expired)
     report_request (soak, req, runs, "ran and its connection closed without a response");
+  else if (req->status == 0 && took_ms > LOSS_SLACK_MS && !expired)
+    report_request (soak, req, runs,
+                    "waited and its connection closed without a response");
   else if (req->status != 0 && !req->complete && !expired)
     report_request (soak, req, runs, "its response was cut");
   if ((req->status == 503 || req->status == 429) && runs > 0)
--- a/regress/direct/soak_planned.c
+++ b/regress/direct/soak_planned.c
@@ -7,10 +7,11 @@
 #include "soak.h"
 
 #define PLAN_POLL_US      10000
-#define EVENT_MIN_MS      150 /* a stream of ten events then lasts 1.5 s */
-#define EVENT_MAX_MS      560
-#define ANSWER_MIN_MS     500
-#define ANSWER_MAX_MS     7500
+#define LONG_EVENT_MS     450 /* a stream of ten events then lasts 4.5 s or more */
+#define EVENT_SPREAD_MS   100
+#define LONG_ANSWER_MS    4000
+#define ANSWER_SPREAD_MS  3500
+#define DURATIONS_MS      4000
 #define STOP_GAP_MAX_MS   5000
 #define SIGNAL_GAP_MAX_MS 4000
 #define START_GAP_MAX_MS  200
@@ -149,18 +150,31 @@
     }
 }
 
+/* Chooses anew how long requests run: half of the time, some outlast a stop's limit if
+ * they begin late in it. */
+static void
+choose_durations (Soak *soak)
+{
+  bool last_long = g_rand_boolean (soak->random);
+  gint32 event_ms = g_rand_int_range (soak->random, 0, EVENT_SPREAD_MS);
+  gint32 answer_ms = g_rand_int_range (soak->random, 0, ANSWER_SPREAD_MS);
+
+  soak_log_event (soak, "planned: requests last long:", last_long);
+  soak_set_event_ms (soak,
+                     (uint64_t)(event_ms + (last_long ? LONG_EVENT_MS : SOAK_EVENT_MS)));
+  set_fault (soak->testbed->server[SERVERS - 1], "answer_ms",
+             (uint64_t)(answer_ms + (last_long ? LONG_ANSWER_MS : 0)));
+}
+
 void
 soak_plan_work (Soak *soak, unsigned seconds)
 {
   PlannedEntry entries[ENTRIES] = { 0 };
   gint64 end = soak_now_ms () + (gint64)seconds * 1000;
   gint64 change_ms = random_due (soak, CHANGE_GAP_MAX_MS);
+  gint64 durations_ms = 0;
   bool active = true;
 
-  soak_set_event_ms (soak, (uint64_t)g_rand_int_range (soak->random, EVENT_MIN_MS,
-                                                       EVENT_MAX_MS));
-  set_fault (soak->testbed->server[SERVERS - 1], "answer_ms",
-             (uint64_t)g_rand_int_range (soak->random, ANSWER_MIN_MS, ANSWER_MAX_MS));
   for (unsigned i = 0; i < ENTRIES; i++)
     entries[i].next_ms = random_due (soak, STOP_GAP_MAX_MS);
   while (active)
@@ -173,6 +187,11 @@
           advance_entry (soak, &entries[i], i, in_time);
           active = active || entries[i].state != ENTRY_RUNS;
         }
+      if (in_time && soak_now_ms () >= durations_ms)
+        {
+          choose_durations (soak);
+          durations_ms = soak_now_ms () + DURATIONS_MS;
+        }
       for (unsigned i = 0; i < SERVERS - 1; i++)
         soak_check_process (soak, &soak->testbed->stager_process[i]);
       if (in_time && soak_now_ms () >= change_ms)
