--- a/regress/direct/soak_planned.c
+++ b/regress/direct/soak_planned.c
@@ -156,14 +156,14 @@
 choose_durations (Soak *soak)
 {
   bool last_long = g_rand_int_range (soak->random, 0, 4) > 0;
-  gint32 event_ms = g_rand_int_range (soak->random, 0, EVENT_SPREAD_MS);
-  gint32 answer_ms = g_rand_int_range (soak->random, 0, ANSWER_SPREAD_MS);
+  uint64_t event_ms = (uint64_t)g_rand_int_range (soak->random, 0, EVENT_SPREAD_MS);
+  uint64_t answer_ms = (uint64_t)g_rand_int_range (soak->random, 0, ANSWER_SPREAD_MS);
 
+  event_ms += last_long ? LONG_EVENT_MS : SOAK_EVENT_MS;
+  answer_ms += last_long ? LONG_ANSWER_MS : 0;
   soak_log_event (soak, "planned: requests last long:", last_long);
-  soak_set_event_ms (soak,
-                     (uint64_t)(event_ms + (last_long ? LONG_EVENT_MS : SOAK_EVENT_MS)));
-  set_fault (soak->testbed->server[SERVERS - 1], "answer_ms",
-             (uint64_t)(answer_ms + (last_long ? LONG_ANSWER_MS : 0)));
+  soak_set_event_ms (soak, event_ms);
+  set_fault (soak->testbed->server[SERVERS - 1], "answer_ms", answer_ms);
 }
 
 void
