--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -108,6 +108,7 @@
   unsigned stall_ms;    /* the caller reads nothing for this long once the body begins */
   unsigned disconnect_ms; /* the caller disconnects after this; 0: after 20 s */
   void *curl;             /* CURL handle whose connections are reused; NULL: new ones */
+  bool once;              /* not sent again by libcurl when a reused connection ends */
 } Call;
 
 /* Sends a request and waits for the end of the response. */
