--- a/regress/direct/changes.c
+++ b/regress/direct/changes.c
@@ -15,21 +15,6 @@
 
 /* -------- configuration, servers -------- */
 
-static int
-status_with_key (Testbed *tb, unsigned entry, const char *key)
-{
-  Call c = default_call (tb, "/r/x", "key");
-  Response r;
-  int status;
-
-  c.address = tb->entry[entry];
-  c.key = key;
-  r = call (&c);
-  status = r.status;
-  response_free (&r);
-  return status;
-}
-
 static bool
 key2_is_unknown (Testbed *tb)
 {
@@ -150,12 +135,6 @@
   return status_with_key (tb, 0, "key1") == 503;
 }
 
-static bool
-requests_are_served (Testbed *tb)
-{
-  return status_with_key (tb, 0, "key1") == 200 && status_with_key (tb, 1, "key1") == 200;
-}
-
 static int
 ready_status (Testbed *tb)
 {
@@ -291,16 +270,6 @@
   CHECK (eventually (requests_are_served, tb));
 }
 
-static gpointer
-long_stream (gpointer data)
-{
-  Call c = default_call (data, "/s/x", "long-1");
-  Response *r = g_new0 (Response, 1);
-
-  *r = call (&c);
-  return r;
-}
-
 static bool
 long_stream_runs (Testbed *tb)
 {
@@ -311,19 +280,19 @@
 static void
 test_graceful_shutdown (Testbed *tb)
 {
-  GThread *thread;
-  Response *r;
+  Call c = default_call (tb, "/s/x", "long-1");
+  Background b;
   int status;
 
   set_fault_on_both (tb, "event_ms", 100);
-  thread = g_thread_new ("stream", long_stream, tb);
+  background_start (&b, &c);
   CHECK (eventually (long_stream_runs, tb));
   status = process_end (&tb->entry_process[0], SIGTERM);
-  r = g_thread_join (thread);
-  CHECK (r->status == 200 && r->complete && has_events (r->body, 1, 10));
+  background_join (&b);
+  CHECK (b.response.status == 200 && b.response.complete
+         && has_events (b.response.body, 1, 10));
   CHECK (WIFEXITED (status) && WEXITSTATUS (status) == 0);
-  response_free (r);
-  g_free (r);
+  response_free (&b.response);
   set_fault_on_both (tb, "event_ms", 20);
   CHECK (process_start (&tb->entry_process[0]));
   CHECK (eventually (requests_are_served, tb));
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -37,6 +37,30 @@
   };
 }
 
+int
+status_with_key (const Testbed *tb, unsigned entry, const char *key)
+{
+  Call c = default_call (tb, "/r/x", "key");
+  Response r;
+  int status;
+
+  c.address = tb->entry[entry];
+  c.key = key;
+  r = call (&c);
+  status = r.status;
+  response_free (&r);
+  return status;
+}
+
+bool
+requests_are_served (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    if (status_with_key (tb, i, "key1") != 200)
+      return false;
+  return true;
+}
+
 uint64_t
 runs_of (Testbed *tb, const char *id)
 {
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -82,6 +82,8 @@
 bool testbed_announce_version (Testbed *testbed, uint64_t version);
 /* Creates or replaces an object of the store; SPEC is JSON. */
 bool testbed_put (Testbed *testbed, const char *kind, const char *name, const char *spec);
+/* Deletes an object of the store. */
+bool testbed_delete (Testbed *testbed, const char *kind, const char *name);
 
 /* -------- http.c -------- */
 
@@ -114,6 +116,19 @@
 /* Sends a request and waits for the end of the response. */
 Response call (const Call *options);
 void response_free (Response *response);
+
+/* A request that a thread of its own sends. */
+typedef struct
+{
+  Call options;
+  Response response; /* valid after background_join */
+  GThread *thread;
+} Background;
+
+/* Sends OPTIONS, which is copied, from a thread. */
+void background_start (Background *background, const Call *options);
+/* Waits for the end of the response. */
+void background_join (Background *background);
 /* The value of header NAME in any case, for g_free; NULL when absent. */
 char *response_header (const Response *response, const char *name);
 /* The records of the stand-in at ADDRESS, NULL on failure; the caller releases them. */
@@ -131,6 +146,10 @@
 
 /* A request to the first entry with a valid key and a deadline. */
 Call default_call (const Testbed *testbed, const char *target, const char *id);
+/* Status of a safe request with KEY to ENTRY. */
+int status_with_key (const Testbed *testbed, unsigned entry, const char *key);
+/* True when both entries serve a safe request. */
+bool requests_are_served (Testbed *testbed);
 /* Sets a knob of both model servers. */
 void set_fault_on_both (Testbed *testbed, const char *knob, uint64_t value);
 
--- a/regress/direct/era.c
+++ b/regress/direct/era.c
@@ -55,21 +55,6 @@
   return set_fault (tb->store, "restore", 1);
 }
 
-static int
-status_with_key (Testbed *tb, unsigned entry, const char *key)
-{
-  Call c = default_call (tb, "/r/x", "era-key");
-  Response r;
-  int status;
-
-  c.address = tb->entry[entry];
-  c.key = key;
-  r = call (&c);
-  status = r.status;
-  response_free (&r);
-  return status;
-}
-
 static bool
 key2_is_known (Testbed *tb)
 {
@@ -82,12 +67,6 @@
   return status_with_key (tb, 0, "key2") == 401 && status_with_key (tb, 1, "key2") == 401;
 }
 
-static bool
-requests_are_served (Testbed *tb)
-{
-  return status_with_key (tb, 0, "key1") == 200 && status_with_key (tb, 1, "key1") == 200;
-}
-
 /* -------- configuration -------- */
 
 /* Writes VERSIONS configurations, each without "key2". */
@@ -146,19 +125,6 @@
          && recorded (tb->server[0], "ran") == before;
 }
 
-static bool
-delete_object (Testbed *tb, const char *kind, const char *name)
-{
-  char *target = g_strdup_printf ("/-/objects/%s/%s", kind, name);
-  Response r
-      = call (&(Call){ .method = "DELETE", .address = tb->store, .target = target });
-  bool done = r.status == 200;
-
-  response_free (&r);
-  g_free (target);
-  return done;
-}
-
 /* The copy lists the first server, which has left; it must get no requests. */
 static void
 return_to_copy_with_first_server (Testbed *tb)
@@ -189,7 +155,7 @@
 {
   CHECK (testbed_list_server (tb, 1, "draining"));
   CHECK (take_copy (tb));
-  CHECK (delete_object (tb, "servers", "i-1"));
+  CHECK (testbed_delete (tb, "servers", "i-1"));
   return_to_copy_with_first_server (tb);
   CHECK (testbed_list_server (tb, 0, "draining"));
   CHECK (testbed_restart_server (tb, 0));
@@ -200,7 +166,7 @@
 static void
 test_server_registered_after_the_copy (Testbed *tb)
 {
-  CHECK (delete_object (tb, "servers", "i-2"));
+  CHECK (testbed_delete (tb, "servers", "i-2"));
   CHECK (take_copy (tb));
   CHECK (testbed_list_server (tb, 0, "draining"));
   CHECK (eventually (no_request_is_served, tb));
@@ -283,7 +249,7 @@
   static const char *const names[] = { "entry-1", "entry-2", "stager-1", "stager-2" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
-    CHECK (delete_object (tb, "daisyloft-nodes", names[i]));
+    CHECK (testbed_delete (tb, "daisyloft-nodes", names[i]));
 }
 
 static void
--- a/regress/direct/http.c
+++ b/regress/direct/http.c
@@ -147,6 +147,28 @@
   *response = (Response){ 0 };
 }
 
+static gpointer
+run_background (gpointer data)
+{
+  Background *b = data;
+
+  b->response = call (&b->options);
+  return NULL;
+}
+
+void
+background_start (Background *b, const Call *options)
+{
+  b->options = *options;
+  b->thread = g_thread_new ("call", run_background, b);
+}
+
+void
+background_join (Background *b)
+{
+  g_thread_join (b->thread);
+}
+
 char *
 response_header (const Response *response, const char *name)
 {
--- a/regress/direct/reader.c
+++ b/regress/direct/reader.c
@@ -55,17 +55,6 @@
   return status != 0 && status != UNAVAILABLE;
 }
 
-static bool
-delete_object (Testbed *tb, const char *target)
-{
-  Response r
-      = call (&(Call){ .method = "DELETE", .address = tb->store, .target = target });
-  bool done = r.status == 200;
-
-  response_free (&r);
-  return done;
-}
-
 static void
 test_reader_that_has_just_started_knows_no_removals (Testbed *tb)
 {
@@ -75,7 +64,7 @@
   CHECK (eventually (spare_is_relayed, tb));
   watched_revision = relayed_revision (tb);
   process_end (&tb->entry_process[1], SIGKILL);
-  CHECK (delete_object (tb, "/-/objects/servers/" SPARE_OBJECT));
+  CHECK (testbed_delete (tb, "servers", SPARE_OBJECT));
   CHECK (process_start (&tb->entry_process[1]));
   CHECK (eventually (copy_is_fresh, tb));
   CHECK (watch_status (tb, watched_revision) == GONE);
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -202,35 +202,11 @@
 
 /* -------- streams that need another upstream -------- */
 
-/* A call that a thread waits for. */
-typedef struct
-{
-  Call options;
-  Response response;
-  GThread *thread;
-} Background;
-
-static gpointer
-run_call (gpointer data)
-{
-  Background *b = data;
-
-  b->response = call (&b->options);
-  return NULL;
-}
-
-static void
-start_call (Background *b, const Call *options)
-{
-  b->options = *options;
-  b->thread = g_thread_new ("call", run_call, b);
-}
-
 /* Waits for the response and checks that it is all events, of two runs. */
 static void
 check_resumed (Testbed *tb, Background *b)
 {
-  g_thread_join (b->thread);
+  background_join (b);
   CHECK (b->response.status == 200 && b->response.complete);
   CHECK (has_events (b->response.body, 1, EVENTS));
   CHECK (runs_of (tb, b->options.id) == 2);
@@ -254,7 +230,7 @@
   fill_second (tb);
   set_pause (tb, 4, ENDLESS_MS);
   CHECK (set_fault (tb->server[1], "pauses", 0));
-  start_call (&b, &c);
+  background_start (&b, &c);
   CHECK (eventually (has_kept_a_silent_one, tb));
   free_second (tb);
   check_resumed (tb, &b);
@@ -291,7 +267,7 @@
     {
       Call c = default_call (tb, "/s/x", ids[i]);
 
-      start_call (&b[i], &c);
+      background_start (&b[i], &c);
       awaited_running = i + 1;
       CHECK (eventually (first_runs_awaited, tb));
     }
@@ -340,7 +316,7 @@
   CHECK (set_fault (tb->server[0], "cut", 1));
   CHECK (set_fault (tb->server[0], "shed_resumed", 1));
   awaited_waits = metric (tb, "daisy_direct_begun_queued_total") + 1;
-  start_call (&b, &c);
+  background_start (&b, &c);
   CHECK (eventually (waits_as_awaited, tb));
   free_second (tb);
   check_resumed (tb, &b);
@@ -370,14 +346,14 @@
   fill_second (tb);
   set_pause (tb, 4, ENDLESS_MS);
   awaited_events = recorded (tb->server[0], "events_sent") + 3;
-  start_call (&b, &c);
+  background_start (&b, &c);
   CHECK (eventually (first_sent_awaited, tb));
   set_fault_on_both (tb, "pauses", 0);
   process_end (&tb->server_process[0], SIGKILL);
   CHECK (eventually (has_ejected_the_first, tb));
   g_usleep (PLACE_WAIT_US);
   free_second (tb);
-  g_thread_join (b.thread);
+  background_join (&b);
   CHECK (b.response.status == 200 && b.response.complete);
   CHECK (has_events (b.response.body, 1, EVENTS));
   response_free (&b.response);
--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -15,36 +15,6 @@
 #define US_PER_MS        1000
 #define MS_PER_S         1000
 
-/* A request that is sent from a thread of its own. */
-typedef struct
-{
-  Call call;
-  Response response;
-  GThread *thread;
-} Background;
-
-static gpointer
-run_background (gpointer data)
-{
-  Background *b = data;
-
-  b->response = call (&b->call);
-  return NULL;
-}
-
-static void
-background_start (Background *b, const Call *options)
-{
-  b->call = *options;
-  b->thread = g_thread_new (options->id, run_background, b);
-}
-
-static void
-background_join (Background *b)
-{
-  g_thread_join (b->thread);
-}
-
 static const char *awaited_id;
 
 static bool
@@ -60,25 +30,6 @@
   CHECK (eventually (awaited_runs, tb));
 }
 
-static bool
-entries_serve (Testbed *tb)
-{
-  for (unsigned i = 0; i < ENTRIES; i++)
-    {
-      Call c = default_call (tb, "/r/x", "serve");
-      Response r;
-      int status;
-
-      c.address = tb->entry[i];
-      r = call (&c);
-      status = r.status;
-      response_free (&r);
-      if (status != 200)
-        return false;
-    }
-  return true;
-}
-
 /* Waits for the end of the first entry, which must exit with status 0, and starts it
  * again. */
 static void
@@ -88,7 +39,7 @@
 
   CHECK (status != -1 && WIFEXITED (status) && WEXITSTATUS (status) == 0);
   CHECK (process_start (&tb->entry_process[0]));
-  CHECK (eventually (entries_serve, tb));
+  CHECK (eventually (requests_are_served, tb));
 }
 
 static Call
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -156,6 +156,19 @@
   return done;
 }
 
+bool
+testbed_delete (Testbed *tb, const char *kind, const char *name)
+{
+  char *target = g_strdup_printf ("/-/objects/%s/%s", kind, name);
+  Response r
+      = call (&(Call){ .method = "DELETE", .address = tb->store, .target = target });
+  bool done = r.status == 200;
+
+  response_free (&r);
+  g_free (target);
+  return done;
+}
+
 typedef struct
 {
   const char *name;
@@ -247,13 +260,10 @@
 bool
 testbed_unlist_server (Testbed *tb, unsigned index)
 {
-  char *target = g_strdup_printf ("/-/objects/servers/i-%u", index + 1);
-  Response r
-      = call (&(Call){ .method = "DELETE", .address = tb->store, .target = target });
-  bool done = r.status == 200;
+  char *name = g_strdup_printf ("i-%u", index + 1);
+  bool done = testbed_delete (tb, "servers", name);
 
-  response_free (&r);
-  g_free (target);
+  g_free (name);
   return done;
 }
 
