--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -11,6 +11,8 @@
 #define LARGE_EVENT    60000
 #define LARGE_EVENTS   125
 #define LARGE_EVENT_MS 4
+#define SLOW_EVENT_MS  150
+#define SUSPENSION_US  1300000
 #define EVENT_MS       20
 #define READ_LATE_MS   2600
 #define ENDLESS_MS     20000
@@ -363,6 +365,57 @@
   free_second (tb);
 }
 
+static void
+test_suspended_entry_keeps_sound_upstream (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "suspended-entry");
+  Background b;
+
+  earn_retries (tb);
+  set_fault_on_both (tb, "event_ms", SLOW_EVENT_MS);
+  background_start (&b, &c);
+  g_usleep (PLACE_WAIT_US);
+  kill (tb->entry_process[0].pid, SIGSTOP);
+  g_usleep (SUSPENSION_US);
+  kill (tb->entry_process[0].pid, SIGCONT);
+  background_join (&b);
+  set_fault_on_both (tb, "event_ms", EVENT_MS);
+  CHECK (b.response.status == 200 && b.response.complete);
+  CHECK (has_events (b.response.body, 1, EVENTS));
+  CHECK (runs_of (tb, c.id) == 1);
+  response_free (&b.response);
+}
+
+static uint64_t begun_queued;
+
+static bool
+a_lost_stream_waits (Testbed *tb)
+{
+  return metric (tb, "daisy_direct_begun_queued_total") > begun_queued;
+}
+
+static void
+test_waiting_stream_keeps_no_other_from_a_free_place (Testbed *tb)
+{
+  Call lost = default_call (tb, "/s/x", "waiting-stream");
+  Call other = default_call (tb, "/r/x", "other-request");
+  Background b;
+  Response r;
+
+  earn_retries (tb);
+  fill_second (tb);
+  begun_queued = metric (tb, "daisy_direct_begun_queued_total");
+  CHECK (set_fault (tb->server[0], "cut", 1));
+  background_start (&b, &lost);
+  CHECK (eventually (a_lost_stream_waits, tb));
+  r = call (&other);
+  CHECK (r.status == 200);
+  response_free (&r);
+  free_second (tb);
+  background_join (&b);
+  response_free (&b.response);
+}
+
 const TestFunc silence_tests[] = {
   test_silent_stream_is_kept_without_budget,
   test_silent_prompt_is_kept_without_budget,
@@ -373,5 +426,7 @@
   test_lost_stream_is_not_sent_back,
   test_lost_stream_waits_for_a_place,
   test_kept_streams_count_against_their_upstream,
+  test_suspended_entry_keeps_sound_upstream,
+  test_waiting_stream_keeps_no_other_from_a_free_place,
   NULL,
 };
--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -137,10 +137,29 @@
   restart_first_entry (tb);
 }
 
+static void
+test_request_read_after_a_pause_in_a_stop_is_answered (Testbed *tb)
+{
+  Call c = default_call (tb, "/r/x", "paused-stop");
+  Background b;
+
+  kill (tb->entry_process[0].pid, SIGTERM);
+  g_usleep (LATE_MS * US_PER_MS);
+  kill (tb->entry_process[0].pid, SIGSTOP);
+  background_start (&b, &c);
+  g_usleep (2 * SIGNAL_PAUSE_MS * US_PER_MS);
+  kill (tb->entry_process[0].pid, SIGCONT);
+  background_join (&b);
+  CHECK (b.response.complete && (b.response.status == 200 || b.response.status == 503));
+  response_free (&b.response);
+  restart_first_entry (tb);
+}
+
 const TestFunc stop_tests[] = {
   test_stream_late_in_a_stop_is_not_cut,
   test_second_sigterm_cuts_nothing,
   test_request_that_outlasts_a_stop_is_answered,
   test_kept_connections_lose_no_request,
+  test_request_read_after_a_pause_in_a_stop_is_answered,
   NULL,
 };
