--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -499,9 +499,10 @@
 {
   const Request *r = attempt->request;
   const DlRouteEntry *route = r->route;
+  uint64_t since_ms = MAX (attempt->progress_ms, r->owner->resumed_ms);
 
   return (DlSilence){
-    .silent_ms = attempt->paused ? 0 : now_ms - MIN (attempt->progress_ms, now_ms),
+    .silent_ms = attempt->paused ? 0 : now_ms - MIN (since_ms, now_ms),
     .target_ms = attempt->started && route->target_gap_ms > 0 ? route->target_gap_ms
                                                               : route->target_ms,
     .reported_up = direct_upstream_is_reported_up (attempt->upstream, now_ms),
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -47,6 +47,8 @@
   Request *first;         /* list of all requests in progress */
   size_t collected_bytes; /* of responses that attempts in progress collect */
   uint64_t stop_began_ms; /* when a graceful shutdown began; 0 while running */
+  uint64_t checked_ms;    /* last check of silent upstreams; 0 before the first */
+  uint64_t resumed_ms;    /* end of the last pause of this process; 0 for none */
 };
 
 /* One request of a caller, from its arrival to its final response.  A talloc child of its
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -384,6 +384,7 @@
   CHECK (has_events (b.response.body, 1, EVENTS));
   CHECK (runs_of (tb, c.id) == 1);
   response_free (&b.response);
+  CHECK (eventually (requests_are_served, tb));
 }
 
 static uint64_t begun_queued;
