A request is not refused for one that waits for other upstreams

What callers saw: while a stream that had lost its upstream waited for another one, every new request of the service was refused ('all places are taken') or queued, though the upstream that the stream avoids had free places. Cause: a queue that is not empty kept new requests from choosing; running the queue passed such a stream, admission did not. The test's first place in the group was behind one that ejects its upstream; it stands before it.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -248,6 +248,19 @@
     refuse_or_fail_without_upstream (r);
 }
 
+/* True while a queued request would take the next free place at any upstream. */
+static bool
+is_place_claimed (const Service *service)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  const Request *r = NULL;
+
+  while ((r = dl_wait_queue_after (service->queue, r)) != NULL)
+    if (!is_selective (r, now_ms))
+      return true;
+  return false;
+}
+
 void
 direct_dispatch_request (Request *r)
 {
@@ -255,7 +268,7 @@
   DirectUpstream *upstream = NULL;
 
   /* Queued requests go first, except before retries. */
-  if (dl_wait_queue_length (r->service->queue) == 0 || r->attempt_count > 0)
+  if (r->attempt_count > 0 || !is_place_claimed (r->service))
     upstream = choose (r, NULL, &error);
   else
     error = -EBUSY;
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -423,11 +423,11 @@
   test_silent_stream_is_kept_while_others_are_full,
   test_silent_stream_is_kept_while_others_leave,
   test_caller_that_reads_late_keeps_its_upstream,
+  test_waiting_stream_keeps_no_other_from_a_free_place,
   test_kept_stream_is_resumed_once_another_has_a_place,
   test_lost_stream_is_not_sent_back,
   test_lost_stream_waits_for_a_place,
   test_kept_streams_count_against_their_upstream,
   test_suspended_entry_keeps_sound_upstream,
-  test_waiting_stream_keeps_no_other_from_a_free_place,
   NULL,
 };
