A stopping entry reads what arrived during a pause before it exits

What callers saw: a request that reached a stopping entry while it was suspended, half a second before its exit, got no answer: the timer that ends the process runs before connections are accepted and read. Tried and dropped: two checks in a row; after a pause the timer fires twice at once, and the test stayed red.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -398,12 +398,19 @@
                              on_request, requests, &requests->server);
 }
 
+/* Exits once nothing is in progress.  What arrived during a pause of this process is
+ * accepted and read first. */
 static void
 on_stop_check (DlTimer *timer, void *data)
 {
   Requests *requests = data;
+  uint64_t now_ms = dl_clock_ms ();
 
-  if (dl_clock_ms () < requests->stop_began_ms + STOP_LISTEN_MS)
+  if (now_ms > requests->stop_checked_ms + 2 * STOP_CHECK_MS)
+    requests->stop_resumed_ms = now_ms;
+  requests->stop_checked_ms = now_ms;
+  if (now_ms < requests->stop_began_ms + STOP_LISTEN_MS
+      || now_ms < requests->stop_resumed_ms + STOP_CHECK_MS)
     return;
   dl_http_server_quiesce (requests->server);
   if (dl_http_server_active_requests (requests->server) == 0)
@@ -416,6 +423,7 @@
   Requests *requests = dl_task_state (task);
 
   requests->stop_began_ms = dl_clock_ms ();
+  requests->stop_checked_ms = requests->stop_began_ms;
   dl_http_server_disable_keepalive (requests->server);
   dl_timer_subscribe (task, requests, STOP_CHECK_MS, STOP_CHECK_MS, on_stop_check,
                       requests);
