Only streams are given up by their callers before the deadline

What callers saw: a request that is no stream, whose first upstream broke off after 2 s, was failed at once when no place was free, though its caller waits for the deadline. Cause: the users' rule on gaps between events was applied to every kind of route.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -215,6 +215,7 @@
 {
   uint64_t now_ms = dl_clock_ms ();
   uint64_t until_ms = dl_patience_until_ms (&(DlPatience){
+      .is_stream = r->route->kind == DL_ROUTE_STREAM,
       .target_ms = r->route->target_ms,
       .target_gap_ms = r->route->target_gap_ms,
       .received_ms = r->last_event_ms != 0 ? r->last_event_ms : r->arrived_ms,
--- a/lib/policy/patience.c
+++ b/lib/policy/patience.c
@@ -12,6 +12,8 @@
   uint64_t last_start_ms
       = p->deadline_ms > DL_ATTEMPT_MIN_MS ? p->deadline_ms - DL_ATTEMPT_MIN_MS : 0;
 
+  if (!p->is_stream)
+    return last_start_ms;
   gap_ms = MAX (gap_ms, (uint64_t)DL_PATIENCE_MIN_MS);
   return MIN (p->received_ms + gap_ms, last_start_ms);
 }
--- a/lib/policy/patience.h
+++ b/lib/policy/patience.h
@@ -10,6 +10,7 @@
 #ifndef DL_PATIENCE_H
 #define DL_PATIENCE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* A caller waits for the next event for this time, or for this many latency targets, or
@@ -21,6 +22,7 @@
 /* What the caller's patience depends on. */
 typedef struct
 {
+  bool is_stream; /* callers give up only streams early; others wait for the deadline */
   uint64_t target_ms;
   uint64_t target_gap_ms; /* 0: none */
   uint64_t
