A garbled era of the store locks no entry out

Cause: any higher number was taken over. Left: a garbled first answer, and a garbled step of up to 1,000.

--- a/lib/kernel/object_era.c
+++ b/lib/kernel/object_era.c
@@ -3,8 +3,13 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "kernel/log.h"
 #include "kernel/metrics.h"
 
+/* Eras rise one at a time; more than this at once comes from a garbled answer, which
+ * would make every later one look old. */
+#define STEP_MAX 1000
+
 DL_METRIC (metric_eras,
            DL_METRIC_COUNTER,
            "daisy_object_eras_total",
@@ -49,6 +54,12 @@
   era->observed = true;
   if (number <= era->current)
     return number == era->current;
+  if (!is_first && number - era->current > STEP_MAX)
+    {
+      dl_log (DL_EVENT_OBJECT_ERA_REFUSED, DL_UINT ("era", era->current),
+              DL_UINT ("told", number));
+      return false;
+    }
   era->current = number;
   if (is_first)
     return true;
--- a/regress/unit/test_era.c
+++ b/regress/unit/test_era.c
@@ -50,6 +50,19 @@
 }
 
 /* The subscriber may outlive the era. */
+static void
+test_garbled_era_locks_nothing_out (void)
+{
+  DlObjectEra *era = dl_object_era_new (NULL);
+
+  CU_ASSERT (dl_object_era_observe (era, 7));
+  CU_ASSERT (!dl_object_era_observe (era, 1000007));
+  CU_ASSERT (dl_object_era_observe (era, 7));
+  CU_ASSERT (dl_object_era_observe (era, 8));
+  CU_ASSERT_EQUAL (dl_object_era_current (era), 8);
+  talloc_free (era);
+}
+
 static void
 test_era_freed_first (void)
 {
@@ -249,6 +262,7 @@
 static const CU_TestInfo tests[] = {
   { "the first response's era is no new one", test_era_of_first_response },
   { "a new era is notified once", test_new_era },
+  { "a garbled era locks nothing out", test_garbled_era_locks_nothing_out },
   { "an era that is freed before its subscribers", test_era_freed_first },
   { "an older copy proves nothing yet", test_copy_proves_nothing_until_rewritten_by },
   { "a table written after a return is a proof", test_rewritten_table_proves },
