At the end of a stop, what cannot have run is refused; a comment back to its function

A request that upstreams only shed was told 504 at the end of a stop; it has not run, and is told so. The refusal has a reason of its own, apart from that at admission.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -258,8 +258,8 @@
 static void
 abandon_request (Request *r)
 {
-  if (r->attempt_count == 0)
-    direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
+  if (r->attempt == NULL && !r->may_have_run)
+    direct_request_refuse (r, STOPPING_RETRY_MS, "this entry ended before it was run");
   else
     direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, "this entry ended before it");
 }
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -275,13 +275,13 @@
 
 /* -------- choosing -------- */
 
-/* Whether the upstream serves such requests, though not during a hold-off. */
 static bool
 is_upstream (const DirectUpstream *u, const char *id)
 {
   return id != NULL && strcmp (id, u->id) == 0;
 }
 
+/* Whether the upstream serves such requests, though not during a hold-off. */
 static bool
 can_serve (const DirectUpstreams *upstreams,
            const DirectUpstream *u,
