Entries log which prompt parts a request had that its upstream broke off

Nothing is decided by them yet. Ruled out: logging the parts of every request, which is not bounded by faults.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -378,12 +378,39 @@
   forward_response (attempt);
 }
 
+static char *
+parts_text (const void *context, const DlPromptParts *parts)
+{
+  char *text = talloc_strdup (context, "");
+
+  for (size_t i = 0; i < parts->count; i++)
+    text = talloc_asprintf_append (text, "%s%.*s", i > 0 ? "," : "",
+                                   (int)parts->ids[i].length, parts->ids[i].data);
+  return text;
+}
+
+/* The upstream closed the connection, or lost it, before the response was complete. */
+static void
+note_broken_off (Attempt *attempt)
+{
+  const Request *r = attempt->request;
+
+  dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", attempt->upstream->id),
+          DL_UINT ("status", attempt->status),
+          DL_UINT ("after_ms", dl_clock_ms () - attempt->sent_ms),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_TEXT ("parts", parts_text (attempt, &r->incoming.parts)));
+}
+
 static void
 on_done (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   Attempt *attempt = data;
   bool responded = result->status != 0 && !attempt->aborted;
 
+  if (result->sent && result->error < 0 && !attempt->aborted)
+    note_broken_off (attempt);
   if (!responded && !result->sent)
     finish_failed (attempt, DIRECT_ATTEMPT_UNREACHABLE, DIRECT_FAILURE_CONNECT);
   else if (!responded)
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -9,6 +9,7 @@
 
 #include "kernel/http_server.h"
 #include "kernel/str.h"
+#include "node/prompt_parts.h"
 
 /* A caller's request; strings belong to the HTTP request. */
 typedef struct
@@ -20,6 +21,7 @@
   uint64_t remaining_ms;  /* time that the caller will still wait; 0 when unknown */
   uint64_t last_event_id; /* last event of a stream that the caller has; 0 for none */
   uint64_t prompt_tokens;
+  DlPromptParts parts; /* of its prompt; none when it has no prompt */
   size_t header_bytes; /* size of all headers */
 } DlCallerRequest;
 
