--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -140,6 +140,7 @@
   { "endless", { endless_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "silence", { silence_tests } },
+  { "quarantine", { quarantine_tests } },
   { "era", { era_tests }, .revoke_ms = ERA_REVOKE_MS },
 };
 
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -174,6 +174,8 @@
 /* Upstreams that say in their responses that they leave, or when they want requests. */
 extern const TestFunc leaving_tests[];
 
+/* Prompt parts that crash the upstreams that process them. */
+extern const TestFunc quarantine_tests[];
 /* Planned stops of entries. */
 extern const TestFunc stop_tests[];
 /* Entries that read the store for others. */
--- /dev/null
+++ b/regress/direct/quarantine.c
@@ -0,0 +1,180 @@
+/*
+ * Tests of prompt parts that crash the upstreams that process them.  What reached an
+ * upstream is read from its own records.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "direct.h"
+
+#define MODEL_SERVERS (SERVERS - 1)
+#define BAD_PART      0xbad
+/* Stated by the users: after this many crashes and this time, at most so many more
+ * requests with the part may reach upstreams. */
+#define CRASHES          5
+#define STABLE_WINDOW_MS 3000
+#define SENT_MAX         3
+#define PROBES           12 /* requests with the part that are sent after it */
+#define SOUND_REQUESTS   8
+#define POISON_MAX       20 /* requests that may be needed for CRASHES */
+
+static unsigned next_id;
+
+/* Sends a stream with MIDDLE among the parts of its prompt; FIRST is shared by all, and
+ * the last part belongs to the request.  The caller frees *ID and the response. */
+static Response
+send_stream (Testbed *tb, unsigned entry, const char *middle, char **id)
+{
+  char *header;
+  Call c;
+  Response r;
+
+  *id = g_strdup_printf ("part-%u", ++next_id);
+  header = g_strdup_printf ("X-Prompt-Prefix: f1:40,%s:100,e%u:10", middle, next_id);
+  c = default_call (tb, "/s/x", *id);
+  c.address = tb->entry[entry];
+  c.header = header;
+  r = call (&c);
+  g_free (header);
+  return r;
+}
+
+/* True if a stream with the part MIDDLE is served. */
+static bool
+is_served (Testbed *tb, unsigned entry, const char *middle)
+{
+  char *id;
+  Response r = send_stream (tb, entry, middle, &id);
+  bool served = r.status == 200 && r.complete;
+
+  response_free (&r);
+  g_free (id);
+  return served;
+}
+
+/* Requests that reached the model servers. */
+static uint64_t
+received_count (Testbed *tb)
+{
+  uint64_t count = 0;
+
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    count += recorded (tb->server[i], "received");
+  return count;
+}
+
+/* Sends a request with the bad part; returns how often it reached an upstream.  When it
+ * did not, it must have been refused with a time to come back. */
+static uint64_t
+send_poison (Testbed *tb, unsigned entry)
+{
+  uint64_t before = received_count (tb);
+  char *id;
+  Response r = send_stream (tb, entry, "bad", &id);
+  uint64_t sent = received_count (tb) - before;
+  char *retry = response_header (&r, "Retry-After");
+
+  CHECK (sent > 0 || (r.status == 503 && retry != NULL));
+  CHECK (runs_of (tb, id) == 0 || r.status != 503);
+  g_free (retry);
+  g_free (id);
+  response_free (&r);
+  return sent;
+}
+
+static uint64_t
+crash_count (Testbed *tb)
+{
+  uint64_t count = 0;
+
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    count += recorded (tb->server[i], "crashes");
+  return count;
+}
+
+static bool
+both_entries_serve (Testbed *tb)
+{
+  return is_served (tb, 0, "50") && is_served (tb, 1, "51");
+}
+
+/* Lists the servers that crashed as new instances and waits until they are used. */
+static void
+replace_crashed (Testbed *tb, uint64_t *seen)
+{
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    {
+      uint64_t count = recorded (tb->server[i], "crashes");
+
+      if (count == seen[i])
+        continue;
+      seen[i] = count;
+      CHECK (testbed_restart_server (tb, i));
+      CHECK (set_fault (tb->server[i], "born", tb->server_started[i]));
+    }
+  CHECK (eventually (both_entries_serve, tb));
+}
+
+static void
+read_crashes (Testbed *tb, uint64_t *seen)
+{
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    seen[i] = recorded (tb->server[i], "crashes");
+}
+
+/* Sends requests with the bad part, at one entry after the other, until it has crashed
+ * upstreams CRASHES times or such a request is refused. */
+static void
+crash_upstreams (Testbed *tb)
+{
+  uint64_t seen[MODEL_SERVERS];
+  uint64_t before = crash_count (tb);
+
+  set_fault_on_both (tb, "crash_part", BAD_PART);
+  read_crashes (tb, seen);
+  for (unsigned i = 0; i < POISON_MAX && crash_count (tb) < before + CRASHES; i++)
+    {
+      if (send_poison (tb, i % ENTRIES) == 0)
+        return;
+      replace_crashed (tb, seen);
+      for (unsigned n = 0; n < SOUND_REQUESTS; n++)
+        CHECK (is_served (tb, n % ENTRIES, "52"));
+    }
+}
+
+/* Stops the fault and waits until the part is served again. */
+static bool
+bad_part_is_served (Testbed *tb)
+{
+  return is_served (tb, 0, "bad") || is_served (tb, 1, "bad");
+}
+
+static void
+heal (Testbed *tb)
+{
+  uint64_t seen[MODEL_SERVERS] = { 0 };
+
+  set_fault_on_both (tb, "crash_part", 0);
+  replace_crashed (tb, seen);
+  CHECK (eventually (bad_part_is_served, tb));
+}
+
+static void
+test_part_that_crashed_five_upstreams_was_sent_on (Testbed *tb)
+{
+  uint64_t sent = 0;
+
+  crash_upstreams (tb);
+  g_usleep (STABLE_WINDOW_MS * 1000);
+  for (unsigned i = 0; i < PROBES; i++)
+    sent += send_poison (tb, i % ENTRIES);
+  CHECK (sent <= SENT_MAX);
+  CHECK (eventually (both_entries_serve, tb));
+  heal (tb);
+}
+
+const TestFunc quarantine_tests[] = {
+  test_part_that_crashed_five_upstreams_was_sent_on,
+  NULL,
+};
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -25,6 +25,7 @@
   DlHttpRequest *request;
   uint64_t next; /* id of the next event */
   bool cut;      /* breaks off in the middle of its third event */
+  bool poisoned; /* crashes the server when it begins to write */
   bool pauses;   /* falls silent before event PAUSE_BEFORE, then goes on */
   DlTimer *timer;
 } Stream;
@@ -55,12 +56,17 @@
 static uint64_t pause_ms;         /* for how long */
 static uint64_t event_bytes;      /* filler in each event */
 static uint64_t others;           /* running requests of others that it reports */
+static uint64_t crash_part;       /* id of the prompt part that crashes it; 0: none */
+static uint64_t crash_ms = 200;   /* how long it is down after a crash */
 
 static DlTask *task;
 static GHashTable *staged; /* index of a chunk to its bytes */
 static bool loading;
 static uint64_t load_commands;
 static uint64_t running;
+static GList *streams;      /* of Stream that are being sent */
+static uint64_t up_from_ms; /* end of the time that it is down after a crash */
+static uint64_t crashes;
 static uint64_t received; /* requests, also those that were refused */
 static uint64_t events_sent;
 static uint64_t cancelled;     /* streams whose caller disconnected */
@@ -99,6 +105,8 @@
   { "pause_ms", &pause_ms },
   { "others", &others },
   { "event_bytes", &event_bytes },
+  { "crash_part", &crash_part },
+  { "crash_ms", &crash_ms },
   { 0 },
 };
 
@@ -302,6 +310,7 @@
   Stream *s = data;
 
   running--;
+  streams = g_list_remove (streams, s);
   cancelled += !answered && !s->cut;
 }
 
@@ -315,6 +324,25 @@
   s->timer = dl_timer_subscribe (task, s, first_ms, event_ms, on_event, s);
 }
 
+/* All requests in progress end, and none is taken for CRASH_MS. */
+static void
+crash (void)
+{
+  GList *cut_off = g_list_copy (streams);
+
+  crashes++;
+  up_from_ms = dl_clock_ms () + crash_ms;
+  for (GList *at = cut_off; at != NULL; at = at->next)
+    {
+      Stream *s = at->data;
+
+      s->cut = true;
+      TALLOC_FREE (s->timer);
+      dl_http_stream_end (s->request, false);
+    }
+  g_list_free (cut_off);
+}
+
 static void
 on_event (DlTimer *timer, void *data)
 {
@@ -322,6 +350,11 @@
   char *event;
   char *filler;
 
+  if (s->poisoned)
+    {
+      crash ();
+      return;
+    }
   if (s->pauses && s->next >= pause_before)
     {
       s->pauses = false;
@@ -351,6 +384,18 @@
   g_free (event);
 }
 
+/* True if a part of the request's prompt, except the last, is CRASH_PART. */
+static bool
+has_crash_part (DlHttpRequest *request)
+{
+  const char *at = header (request, "X-Prompt-Prefix");
+
+  for (const char *comma; (comma = strchr (at, ',')) != NULL; at = comma + 1)
+    if (crash_part != 0 && g_ascii_strtoull (at, NULL, 16) == crash_part)
+      return true;
+  return false;
+}
+
 static void
 start_stream (DlHttpRequest *request)
 {
@@ -362,6 +407,8 @@
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
   s->pauses = standin_count_down (&pauses);
+  s->poisoned = has_crash_part (request);
+  streams = g_list_prepend (streams, s);
   dl_http_request_on_closed (request, on_stream_closed, s);
   dl_http_stream_begin (request, 200, "text/event-stream",
                         response_headers (request, &headers));
@@ -453,7 +500,12 @@
 {
   const char *path = dl_http_request_path (request);
 
-  if (strcmp (path, "/-/report") == 0)
+  if (dl_clock_ms () < up_from_ms)
+    {
+      received += !g_str_has_prefix (path, "/-/");
+      dl_http_abort (request);
+    }
+  else if (strcmp (path, "/-/report") == 0)
     reply_report (request);
   else if (strcmp (path, "/-/order") == 0)
     handle_load_command (request);
@@ -485,6 +537,7 @@
   standin_json_set_uint (records, "mixed", mixed);
   standin_json_set_uint (records, "running", running);
   standin_json_set_uint (records, "events_sent", events_sent);
+  standin_json_set_uint (records, "crashes", crashes);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
