Soak: a prompt part that crashes the model servers; shared parts in its streams

The soak had no request with a prompt. Its streams have shared parts now, and a phase after the silent servers plays a part that crashes each server that begins to write on it: at most 3 requests with it later than 3 s after the fifth crash, sound ones served at least every second time, and the part served again once it is sound.

--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -10,8 +10,8 @@
  * only by suspending the nodes.
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
- * request that ran must be answered, model servers that are silent for a while, and a
- * loss of power.
+ * request that ran must be answered, model servers that are silent for a while, a prompt
+ * part that crashes them, and a loss of power.
  */
 #include "soak.h"
 
@@ -163,6 +163,7 @@
   soak_silence_servers (soak);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
+  soak_poison_servers (soak);
   soak_cut_power (soak);
 }
 
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -5,7 +5,8 @@
  * and makes changes, soak.c starts both and afterwards checks all responses against the
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
- * silent under the same callers, and soak_power.c cuts the power of all hosts.
+ * silent under the same callers, soak_poison.c crashes them by a prompt part, and
+ * soak_power.c cuts the power of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -170,6 +171,12 @@
  * be complete all the same. */
 void soak_silence_servers (Soak *soak);
 
+/* -------- soak_poison.c -------- */
+
+/* Requests with one prompt part crash the model servers, until entries refuse them; sound
+ * ones must go on being served, and the part once it is sound. */
+void soak_poison_servers (Soak *soak);
+
 /* -------- soak_power.c -------- */
 
 /* Kills entries, stagers and model servers at once beside a write to the store, starts
--- a/regress/direct/soak_callers.c
+++ b/regress/direct/soak_callers.c
@@ -8,6 +8,7 @@
 #define CALL_PAUSE_US       30000
 #define DEADLINE_MS         3500
 #define EVENTS              10
+#define SOUND_PARTS         8
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND    404
 
@@ -63,9 +64,12 @@
 {
   Soak *soak = caller->soak;
   SentRequest *req = g_new0 (SentRequest, 1);
+  char parts[48];
   Call c;
   Response r;
 
+  g_snprintf (parts, sizeof parts, "X-Prompt-Prefix: f1:40,a%d:100,e:10",
+              g_rand_int_range (random, 0, SOUND_PARTS));
   req->id = g_strdup_printf ("s%u-%u", caller->number, n);
   req->kind = (RequestKind)g_rand_int_range (random, 0, REQUEST_KINDS);
   req->with_key2 = req->kind != REQUEST_PUBLIC && g_rand_int_range (random, 0, 3) == 0;
@@ -78,6 +82,7 @@
            : req->with_key2            ? "key2"
                                        : "key1",
     .deadline_ms = DEADLINE_MS,
+    .header = parts,
     .body = req->kind == REQUEST_UNSAFE ? "x" : NULL,
     .disconnect_ms = g_rand_int_range (random, 0, 10) == 0 ? 300 : DEADLINE_MS + 2500,
     .curl = curl,
--- /dev/null
+++ b/regress/direct/soak_poison.c
@@ -0,0 +1,144 @@
+/*
+ * The soak's prompt parts: requests with one part crash the model servers, one after the
+ * other, while sound requests with other parts go on.
+ */
+#include <glib.h>
+
+#include "soak.h"
+
+#define BAD_PART 0xbad
+/* Stated by the users: later than this after so many crashes, at most so many requests
+ * with the part may reach servers; and from twice the time on, sound requests must be
+ * served at least half as often as without the fault. */
+#define STABLE_WINDOW_MS 3000
+#define CRASHES          5
+#define SENT_MAX         3
+#define DURATION_MS      10000
+#define RELEASE_MS       60000
+#define PAUSE_MIN_MS     20
+#define PAUSE_MAX_MS     250
+#define CRASH_MIN_MS     100 /* how long a server is down after a crash */
+#define CRASH_MAX_MS     1500
+#define US_PER_MS        1000
+#define SOUND_PARTS      8
+
+/* A phase of the soak and what it has seen. */
+typedef struct
+{
+  Soak *soak;
+  gint64 fifth_ms;   /* when the fifth crash was seen; 0 before */
+  gint64 window_ms;  /* when SENT_BEFORE was read; 0 before */
+  uint64_t before;   /* requests with the part that servers had received then */
+  unsigned sound;    /* sound requests from twice the window on */
+  unsigned complete; /* of those, served */
+} Poison;
+
+static uint64_t
+sum_of_records (Soak *soak, const char *name)
+{
+  uint64_t sum = 0;
+
+  for (unsigned i = 0; i < SERVERS - 1; i++)
+    sum += recorded (soak->testbed->server[i], name);
+  return sum;
+}
+
+static void
+set_on_both (Soak *soak, const char *knob, uint64_t value)
+{
+  for (unsigned i = 0; i < SERVERS - 1; i++)
+    set_fault (soak->testbed->server[i], knob, value);
+}
+
+/* Sends a stream with MIDDLE among its prompt's parts; true when it is served. */
+static bool
+stream_is_served (Soak *soak, const char *middle)
+{
+  static unsigned count;
+  char *id = g_strdup_printf ("poison-%u", ++count);
+  char *header = g_strdup_printf ("X-Prompt-Prefix: f1:40,%s:100,e%u:10", middle, count);
+  Call c = default_call (soak->testbed, "/s/x", id);
+  Response r;
+  bool served;
+
+  c.address = soak->testbed->via_entry[g_rand_int_range (soak->random, 0, ENTRIES)];
+  c.header = header;
+  r = call (&c);
+  served = r.status == 200 && r.complete;
+  response_free (&r);
+  g_free (header);
+  g_free (id);
+  return served;
+}
+
+static void
+note_progress (Poison *p)
+{
+  gint64 now_ms = soak_now_ms ();
+
+  if (p->fifth_ms == 0 && sum_of_records (p->soak, "crashes") >= CRASHES)
+    p->fifth_ms = now_ms;
+  if (p->fifth_ms == 0 || p->window_ms != 0 || now_ms < p->fifth_ms + STABLE_WINDOW_MS)
+    return;
+  p->window_ms = now_ms;
+  p->before = sum_of_records (p->soak, "poisoned");
+}
+
+static void
+send_sound (Poison *p)
+{
+  char part[16];
+  bool counts = p->window_ms != 0 && soak_now_ms () > p->window_ms + STABLE_WINDOW_MS;
+  bool served;
+
+  g_snprintf (part, sizeof part, "a%d",
+              g_rand_int_range (p->soak->random, 0, SOUND_PARTS));
+  served = stream_is_served (p->soak, part);
+  p->sound += counts;
+  p->complete += counts && served;
+}
+
+static void
+check_released (Soak *soak)
+{
+  gint64 end_ms = soak_now_ms () + RELEASE_MS;
+
+  while (soak_now_ms () < end_ms)
+    {
+      if (stream_is_served (soak, "bad"))
+        return;
+      g_usleep (PAUSE_MAX_MS * US_PER_MS);
+    }
+  soak_report_violation (soak, "entries", "do not release a part that is sound again");
+}
+
+void
+soak_poison_servers (Soak *soak)
+{
+  Poison p = { .soak = soak };
+  gint64 end_ms = soak_now_ms () + DURATION_MS;
+  uint64_t sent;
+
+  soak_set_event_ms (soak, SOAK_EVENT_MS);
+  soak_log_event (soak, "bad prompt part", BAD_PART);
+  set_on_both (soak, "crash_ms",
+               (uint64_t)g_rand_int_range (soak->random, CRASH_MIN_MS, CRASH_MAX_MS));
+  set_on_both (soak, "crash_part", BAD_PART);
+  while (soak_now_ms () < end_ms)
+    {
+      stream_is_served (soak, "bad");
+      note_progress (&p);
+      send_sound (&p);
+      g_usleep ((gulong)g_rand_int_range (soak->random, PAUSE_MIN_MS, PAUSE_MAX_MS)
+                * US_PER_MS);
+    }
+  sent = sum_of_records (soak, "poisoned") - p.before;
+  if (p.window_ms != 0 && sent > SENT_MAX)
+    soak_report_violation (soak, "entries",
+                           "went on sending a part that crashes servers");
+  if (p.complete * 2 < p.sound)
+    soak_report_violation (soak, "entries", "refused sound parts beside a bad one");
+  set_on_both (soak, "crash_part", 0);
+  soak_log_event (soak, "end of bad prompt part", BAD_PART);
+  check_released (soak);
+}
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -68,6 +68,7 @@
 static GList *streams;      /* of Stream that are being sent */
 static uint64_t up_from_ms; /* end of the time that it is down after a crash */
 static uint64_t crashes;
+static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
 static uint64_t received; /* requests, also those that were refused */
 static uint64_t events_sent;
 static uint64_t cancelled;     /* streams whose caller disconnected */
@@ -502,6 +503,7 @@
 {
   const char *path = dl_http_request_path (request);
 
+  poisoned += has_crash_part (request);
   if (dl_clock_ms () < up_from_ms)
     {
       received += !g_str_has_prefix (path, "/-/");
@@ -540,6 +542,7 @@
   standin_json_set_uint (records, "running", running);
   standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "crashes", crashes);
+  standin_json_set_uint (records, "poisoned", poisoned);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
