A stream that ends with its connection and has no event is broken off

Callers saw: none reported. An upstream that ends so before its first event gave its caller an empty, complete 200. Cause: the end of the connection was taken for the proper end of any stream that ended between events, also when nothing else marks the end and no event had come. Change: such a stream is broken off and goes on at another upstream. Test: group undelimited of regress/direct, ten cases against peers that end or reset their connections; 'stream without an event' failed before (status 200, body ""), the other nine passed before and after.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -326,14 +326,53 @@
     direct_quarantine_served (attempt->request);
 }
 
+static char *
+parts_text (const void *context, const DlPromptParts *parts)
+{
+  char *text = talloc_strdup (context, "");
+
+  for (size_t i = 0; i < parts->count; i++)
+    text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "", parts->ids[i].text);
+  return text;
+}
+
+/* The upstream closed the connection, or lost it, before the response was complete. */
+static void
+note_broken_off (Attempt *attempt)
+{
+  Request *r = attempt->request;
+
+  dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", attempt->upstream->id),
+          DL_UINT ("status", attempt->status),
+          DL_UINT ("after_ms", dl_clock_ms () - attempt->sent_ms),
+          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_TEXT ("parts", parts_text (attempt, &r->incoming.parts)));
+  direct_quarantine_broken_off (r, attempt->upstream);
+}
+
+/* True when the stream ended before its proper end: inside an event, or, when only the
+ * end of the connection marks the end, without any.  REST receives what follows the last
+ * event.
+ */
+static bool
+is_cut_off (const Attempt *attempt, const DlHttpResult *result, DlBuffer *rest)
+{
+  if (result->error < 0 || dl_event_stream_finish (attempt->request->events, rest) < 0)
+    return true;
+  return !attempt->head.is_delimited && !attempt->started;
+}
+
 static void
 complete_stream (Attempt *attempt, const DlHttpResult *result)
 {
   Request *r = attempt->request;
   DlBuffer *rest = dl_buffer_new (attempt, 0);
 
-  if (result->error < 0 || dl_event_stream_finish (r->events, rest) < 0)
+  if (is_cut_off (attempt, result, rest))
     {
+      if (result->error == 0)
+        note_broken_off (attempt);
       finish_failed (attempt, DIRECT_ATTEMPT_FAILED, DIRECT_FAILURE_BROKEN);
       return;
     }
@@ -390,31 +429,6 @@
   forward_response (attempt);
 }
 
-static char *
-parts_text (const void *context, const DlPromptParts *parts)
-{
-  char *text = talloc_strdup (context, "");
-
-  for (size_t i = 0; i < parts->count; i++)
-    text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "", parts->ids[i].text);
-  return text;
-}
-
-/* The upstream closed the connection, or lost it, before the response was complete. */
-static void
-note_broken_off (Attempt *attempt)
-{
-  Request *r = attempt->request;
-
-  dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("upstream", attempt->upstream->id),
-          DL_UINT ("status", attempt->status),
-          DL_UINT ("after_ms", dl_clock_ms () - attempt->sent_ms),
-          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
-          DL_TEXT ("parts", parts_text (attempt, &r->incoming.parts)));
-  direct_quarantine_broken_off (r, attempt->upstream);
-}
-
 static void
 on_done (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -139,6 +139,7 @@
   { "leaving", { leaving_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
+  { "undelimited", { undelimited_tests }, .with_proxies = true },
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
   { "era", { era_tests }, .revoke_ms = ERA_REVOKE_MS },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -183,6 +183,8 @@
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
 extern const TestFunc endless_tests[];
 extern const TestFunc endless_peer_tests[];
+/* Responses that end with their connection; needs proxies. */
+extern const TestFunc undelimited_tests[];
 /* Upstreams that fall silent; the first two tests need processes that were just started.
  */
 extern const TestFunc silence_tests[];
--- a/regress/direct/endless.h
+++ b/regress/direct/endless.h
@@ -1,5 +1,6 @@
 /*
- * A peer that answers requests with bytes without end.  It serves connections in the
+ * A peer that answers requests with bytes without end, or with a few and the end of the
+ * connection.  It serves connections in the
  * place of a proxy's target.
  */
 #ifndef DIRECT_ENDLESS_H
@@ -13,11 +14,12 @@
 typedef struct
 {
   const char *head; /* sent once; "%s" stands for the id of the request; may be "" */
-  const char *unit; /* sent again and again */
+  const char *unit; /* sent again and again; NULL: the connection ends after HEAD */
   bool trickle;     /* a few bytes at a time, and a pause after each */
   const char
-      *path; /* start of the targets that are answered so; others reach the target */
-  int *left; /* how many requests are answered so, counted down; NULL: all */
+      *path;  /* start of the targets that are answered so; others reach the target */
+  int *left;  /* how many requests are answered so, counted down; NULL: all */
+  bool reset; /* without a unit: the connection ends by a reset */
 } EndlessAnswer;
 
 /* What a peer saw since it was told what to send. */
--- a/regress/direct/endless_peer.c
+++ b/regress/direct/endless_peer.c
@@ -8,11 +8,12 @@
 
 #include "endless.h"
 
-#define WAIT_MS       20
-#define BLOCK_BYTES   16384
-#define TRICKLE_BYTES 5
-#define TRICKLE_US    50000
-#define REQUEST_BYTES 65536
+#define WAIT_MS        20
+#define BLOCK_BYTES    16384
+#define TRICKLE_BYTES  5
+#define TRICKLE_US     50000
+#define RESET_DELAY_US 50000
+#define REQUEST_BYTES  65536
 
 struct EndlessPeer
 {
@@ -145,19 +146,40 @@
   return length;
 }
 
+/* Sends the head.  Returns false when the connection is to end. */
+static bool
+send_head (const Serving *s, uint64_t *total)
+{
+  char **parts = g_strsplit (s->answer.head, "%s", 2);
+  char *id = request_id (s);
+  char *head = g_strjoinv (id, parts);
+  bool open = send_all (s, head, strlen (head), total);
+
+  g_strfreev (parts);
+  g_free (head);
+  g_free (id);
+  return open && s->answer.unit != NULL;
+}
+
+/* Makes the end of the connection a reset, once the peer has read what was sent. */
+static void
+reset_at_close (const Serving *s)
+{
+  struct linger linger = { .l_onoff = 1 };
+
+  g_usleep (RESET_DELAY_US);
+  setsockopt (s->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 static void
 send_without_end (const Serving *s, uint64_t *total)
 {
   char block[BLOCK_BYTES];
   size_t length = fill_block (&s->answer, block);
   size_t step = s->answer.trickle ? TRICKLE_BYTES : length;
-  char **parts = g_strsplit (s->answer.head, "%s", 2);
-  char *id = request_id (s);
-  char *head = g_strjoinv (id, parts);
   size_t at = 0;
-  bool open = send_all (s, head, strlen (head), total);
 
-  while (open)
+  for (bool open = true; open;)
     {
       size_t n = MIN (step, length - at);
 
@@ -166,9 +188,6 @@
       if (s->answer.trickle)
         g_usleep (TRICKLE_US);
     }
-  g_strfreev (parts);
-  g_free (head);
-  g_free (id);
 }
 
 static void
@@ -182,7 +201,10 @@
   p->record.requests++;
   p->record.open++;
   g_mutex_unlock (&p->lock);
-  send_without_end (s, &total);
+  if (send_head (s, &total))
+    send_without_end (s, &total);
+  else if (s->answer.reset)
+    reset_at_close (s);
   g_mutex_lock (&p->lock);
   if (s->set == p->set)
     {
