--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -21,6 +21,7 @@
 /* What a removed upstream announced is remembered for this long, in case that an entry
  * of it returns to the list. */
 #define REMEMBER_REMOVED_MS 600000
+#define MILLIS_PER_UNIT     1000
 
 DL_METRIC (metric_leaving,
            DL_METRIC_COUNTER,
@@ -144,6 +145,7 @@
   g_assert (u != NULL);
   u->owner = upstreams;
   u->id = talloc_strdup (u, id);
+  u->limit_per_s = DIRECT_NO_LIMIT;
   u->next = upstreams->first;
   upstreams->first = u;
   return u;
@@ -472,6 +474,18 @@
           DL_UINT ("own_requests", u->load.in_flight));
 }
 
+void
+direct_upstream_named_limit (DirectUpstream *u, double limit_per_s)
+{
+  if (u->limit_per_s == limit_per_s)
+    return;
+  u->limit_per_s = limit_per_s;
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_LIMIT, DL_TEXT ("upstream", u->id),
+          DL_INT ("limit_millis",
+                  limit_per_s < 0 ? -1 : (int64_t)(limit_per_s * MILLIS_PER_UNIT)),
+          DL_UINT ("own_requests", u->load.in_flight));
+}
+
 void
 direct_upstream_announced_leaving (DirectUpstream *u)
 {
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -10,6 +10,8 @@
 #include "policy/breaker.h"
 #include "policy/routing.h"
 
+#define DIRECT_NO_LIMIT (-1.0) /* in place of requests a second */
+
 typedef struct DirectUpstreams DirectUpstreams;
 
 /* One instance of an upstream.  After it was removed from the list it is freed with its
@@ -19,8 +21,9 @@
   char *id;
   char *service;
   char *address;
-  bool same_data_center;       /* as this entry */
-  uint64_t started_ms;         /* wall clock at its start; 0 when unknown */
+  bool same_data_center; /* as this entry */
+  uint64_t started_ms;   /* wall clock at its start; 0 when unknown */
+  double limit_per_s; /* requests a second from all entries together; below 0: no limit */
   DlAvailability availability; /* as it announced in responses or in the list */
   bool removed;                /* no longer listed */
   uint64_t removed_ms;         /* when it was removed from the list */
@@ -140,6 +143,8 @@
                             bool started,
                             DirectAttemptOutcome outcome,
                             uint64_t now_ms);
+/* A response of the upstream names LIMIT_PER_S, or no limit: DIRECT_NO_LIMIT. */
+void direct_upstream_named_limit (DirectUpstream *upstream, double limit_per_s);
 /* A response of the upstream said that it leaves: it gets no new requests, also when it
  * is listed as ready or listed again.  Requests in progress there go on. */
 void direct_upstream_announced_leaving (DirectUpstream *upstream);
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -44,6 +44,8 @@
   bool is_delimited;  /* has a length or chunks; otherwise it ends with its connection */
   bool is_event_stream;
   bool leaving;         /* the upstream announces that it leaves */
+  bool has_limit;       /* it names how many requests it takes */
+  double limit_per_s;   /* requests a second, from all entries together */
   uint64_t hold_off_ms; /* it sheds requests and wants none for this long; 0 for none */
   bool has_load;        /* the next three members are set */
   unsigned running;     /* requests */
