--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -11,13 +11,16 @@
 #include "standin.h"
 #include "weights.h"
 
-#define STREAM_PREFIX  "/s/"
-#define LONG_PART      "/long/" /* of paths whose response takes ANSWER_MS */
-#define EVENTS_DEFAULT 10
-#define EVENT_MS       20
-#define LOAD_MS        100
-#define MS_PER_S       1000.0
-#define NAME_BYTES     32
+#define STREAM_PREFIX   "/s/"
+#define LONG_PART       "/long/" /* of paths whose response takes ANSWER_MS */
+#define EVENTS_DEFAULT  10
+#define EVENT_MS        20
+#define LOAD_MS         100
+#define MS_PER_S        1000.0
+#define NAME_BYTES      32
+#define MILLIS_PER_UNIT 1000.0
+#define LIMIT_AFTER_MS  3000
+#define LIMIT_WINDOW_MS 4000
 
 /* A stream of events that is being sent. */
 typedef struct
@@ -56,6 +59,7 @@
 static uint64_t pause_ms;         /* for how long */
 static uint64_t event_bytes;      /* filler in each event */
 static uint64_t others;           /* running requests of others that it reports */
+static uint64_t limit_millis;     /* limit that its responses name; 0: none */
 static uint64_t crash_part;       /* id of the prompt part that crashes it; 0: none */
 static uint64_t crash_streams;    /* the next N streams crash it when they begin */
 static uint64_t crash_ms = 200;   /* how long it is down after a crash */
@@ -68,6 +72,9 @@
 static GList *streams;      /* of Stream that are being sent */
 static uint64_t up_from_ms; /* end of the time that it is down after a crash */
 static uint64_t crashes;
+static uint64_t limit_named_ms; /* when a response first named the limit; 0: none did */
+static GArray *limited_ms;      /* arrivals of the last LIMIT_WINDOW_MS since */
+static uint64_t limited_most;   /* most of them at once */
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
 static uint64_t received; /* requests, also those that were refused */
 static uint64_t events_sent;
@@ -109,6 +116,7 @@
   { "event_bytes", &event_bytes },
   { "crash_part", &crash_part },
   { "crash_ms", &crash_ms },
+  { "limit_millis", &limit_millis },
   { "crash_streams", &crash_streams },
   { 0 },
 };
@@ -119,6 +127,7 @@
   task = standin;
   staged = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  limited_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 }
 
 static const char *
@@ -267,9 +276,37 @@
   char id[NAME_BYTES * 4];
   char seal[NAME_BYTES];
   char versions[NAME_BYTES];
-  DlHttpHeader headers[5];
+  char limit[NAME_BYTES];
+  DlHttpHeader headers[6];
 } ResponseHeaders;
 
+/* The header that names the limit, with its value in TEXT of NAME_BYTES. */
+static DlHttpHeader
+limit_header (char *text)
+{
+  if (limit_named_ms == 0)
+    limit_named_ms = dl_clock_ms ();
+  g_snprintf (text, NAME_BYTES, "%.3f", (double)limit_millis / MILLIS_PER_UNIT);
+  return (DlHttpHeader){ .name = "Server-Limit", .value = text };
+}
+
+/* Counts a request towards the most that came within LIMIT_WINDOW_MS, from LIMIT_AFTER_MS
+ * after the limit was first named. */
+static void
+count_limited (void)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (limit_millis == 0)
+    limit_named_ms = 0;
+  if (limit_named_ms == 0 || now_ms < limit_named_ms + LIMIT_AFTER_MS)
+    return;
+  g_array_append_val (limited_ms, now_ms);
+  while (g_array_index (limited_ms, uint64_t, 0) + LIMIT_WINDOW_MS < now_ms)
+    g_array_remove_index (limited_ms, 0);
+  limited_most = MAX (limited_most, limited_ms->len);
+}
+
 static const DlHttpHeader *
 response_headers (DlHttpRequest *request, ResponseHeaders *h)
 {
@@ -287,6 +324,8 @@
     h->headers[count++] = (DlHttpHeader){ .name = "X-Response-Seal", .value = h->seal };
   if (leaving)
     h->headers[count++] = (DlHttpHeader){ .name = "Server-Leaving", .value = "1" };
+  if (limit_millis > 0)
+    h->headers[count++] = limit_header (h->limit);
   h->headers[count] = (DlHttpHeader){ 0 };
   return h->headers;
 }
@@ -422,7 +461,8 @@
 refuse (DlHttpRequest *request, unsigned status)
 {
   char seconds[NAME_BYTES];
-  DlHttpHeader headers[4] = { { 0 } };
+  char limit[NAME_BYTES];
+  DlHttpHeader headers[5] = { { 0 } };
   size_t count = 0;
 
   if (!unmarked)
@@ -432,8 +472,10 @@
   if (retry_after_ms > 0)
     {
       g_snprintf (seconds, sizeof seconds, "%.3f", (double)retry_after_ms / MS_PER_S);
-      headers[count] = (DlHttpHeader){ .name = "Retry-After", .value = seconds };
+      headers[count++] = (DlHttpHeader){ .name = "Retry-After", .value = seconds };
     }
+  if (limit_millis > 0)
+    headers[count] = limit_header (limit);
   dl_http_reply (request, status, NULL, DL_STR_LITERAL (""), headers);
 }
 
@@ -473,6 +515,7 @@
 run_request (DlHttpRequest *request)
 {
   received++;
+  count_limited ();
   if (expectation_fails (request))
     {
       refuse (request, 421);
@@ -542,6 +585,7 @@
   standin_json_set_uint (records, "running", running);
   standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "crashes", crashes);
+  standin_json_set_uint (records, "limited_most", limited_most);
   standin_json_set_uint (records, "poisoned", poisoned);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
