Entries share the limit of requests that an upstream names

Callers saw: none reported.

Cause: no code read the limit. Class: a limit that holds for all entries together needs to be divided, as the retry budget is; a limit kept by each entry alone would be exceeded eightfold.

Change: lib/policy/rate_limit. Each entry spaces its requests by its share of the limit. As each may have one request due at any time, at most 2 x limit + 5 entries hold a share, which keeps any 4 s within one and a half times the limit and 5 whatever their phases. Entries that have requests go first, then the order is by rendezvous; a share begins at a random part of its interval, so that entries which get one together do not send together. Every attempt counts: first ones, retries, trials. Entries tell each other in their status what they heard and whether they have requests; an entry without a share so learns of the end, and may try by itself when nobody heard for 15 s. Where nothing else takes a request, it is queued if the next one may be sent within 150 ms, else refused at once with the time until then.

Ruled out: a token bucket an entry (n entries have n saved tokens); one entry that grants permits (its loss is one more case, its clock one more delay); shares only by demand, which change at once when entries wake: the fleets of the unit test sent 8 in a window that allows 6, so that a share counts only after the others have been told, and begins at a random part of its interval.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -155,10 +155,8 @@
   if (attempt->head.hold_off_ms > 0)
     direct_upstream_asked_hold_off (attempt->upstream, attempt->head.hold_off_ms,
                                     attempt->progress_ms);
-  if (attempt->head.has_seal || attempt->head.has_limit)
-    direct_upstream_named_limit (attempt->upstream, attempt->head.has_limit
-                                                        ? attempt->head.limit_per_s
-                                                        : DIRECT_NO_LIMIT);
+  direct_limits_heard (attempt->request->owner->limits, attempt->upstream, &attempt->head,
+                       attempt->sent_ms);
   if (attempt->head.has_load)
     direct_upstream_update_load (attempt->upstream,
                                  attempt->head.running + attempt->head.waiting,
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -193,7 +193,8 @@
 refuse_or_fail_without_upstream (Request *r)
 {
   if (hold_ms (r) > 0)
-    refuse_or_fail (r, "all upstreams of the service asked to hold off", retry_ms (r));
+    refuse_or_fail (r, "all upstreams of the service hold off or are at their limit",
+                    retry_ms (r));
   else
     refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
 }
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -10,7 +10,6 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "policy/availability.h"
-#include "policy/rendezvous.h"
 #include "requests.h"
 
 #define EXPIRE_MS          1000
@@ -61,14 +60,6 @@
     log_released (&id, r->incoming.id);
 }
 
-/* Identifies an instance of an upstream in the same way at all entries. */
-static uint64_t
-instance_key (const DirectUpstream *u)
-{
-  return dl_rendezvous_score (dl_str (u->id),
-                              dl_str_bytes (&u->started_ms, sizeof u->started_ms));
-}
-
 void
 direct_quarantine_broken_off (Request *r, const DirectUpstream *upstream)
 {
@@ -79,8 +70,8 @@
   /* A load aborts what runs. */
   if (parts->count == 0 || upstream->loading)
     return;
-  if (!dl_quarantine_broken_off (requests->quarantine, parts, instance_key (upstream),
-                                 now_ms))
+  if (!dl_quarantine_broken_off (requests->quarantine, parts,
+                                 direct_upstream_key (upstream), now_ms))
     return;
   requests->quarantine_grew = true;
   log_quarantined (dl_quarantine_find (requests->quarantine, parts), r->incoming.id,
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -213,6 +213,7 @@
       return;
     }
   r->service = direct_service_get (r->owner, service);
+  direct_limits_note_request (r->service, r->arrived_ms);
   if (direct_quarantine_admit (r))
     direct_dispatch_request (r);
 }
@@ -273,6 +274,7 @@
   Request *next;
 
   direct_quarantine_tick (requests, now_ms);
+  direct_limits_tick (requests->limits, now_ms);
   direct_dispatch_run_queues (requests);
   direct_dispatch_expire (requests, now_ms);
   for (Request *r = requests->first; r != NULL; r = next)
@@ -339,15 +341,20 @@
       direct_dispatch_set_entries (requests, (unsigned)m->entries.same_region_count,
                                    (unsigned)m->entries.other_region_count);
       direct_quarantine_set_entries (requests, m);
+      direct_limits_set_entries (requests->limits, m);
       break;
     case DIRECT_PEER_PART_RECORDS:
       direct_quarantine_merge (requests, m->part_records);
       break;
+    case DIRECT_PEER_LIMIT_RECORDS:
+      direct_limits_merge (requests->limits, m->limit_records);
+      break;
     case DIRECT_NO_TARGET:
     case DIRECT_HOLDER:
     case DIRECT_NODE_REMOVED:
     case DIRECT_HOLDINGS:
     case DIRECT_PART_RECORDS:
+    case DIRECT_LIMIT_RECORDS:
       break;
     }
 }
@@ -398,6 +405,7 @@
   requests->services = g_hash_table_new (g_str_hash, g_str_equal);
   requests->upstreams = direct_upstreams_new (requests, requests->settings);
   requests->quarantine = dl_quarantine_new (requests);
+  requests->limits = direct_limits_new (requests);
   requests->client = dl_http_client_new (task, requests);
   talloc_set_destructor (requests, requests_destroy);
   dl_timer_subscribe (task, requests, SWEEP_MS, SWEEP_MS, on_sweep, requests);
@@ -475,7 +483,8 @@
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
                    | MESSAGE (DIRECT_TARGET_VERSION) | MESSAGE (DIRECT_ROUTING_SYNCED)
                    | MESSAGE (DIRECT_VERSION_FLOOR) | MESSAGE (DIRECT_ENTRIES)
-                   | MESSAGE (DIRECT_PEER_PART_RECORDS),
+                   | MESSAGE (DIRECT_PEER_PART_RECORDS)
+                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS),
   .start = start,
   .handle = handle,
   .drain = drain,
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -24,6 +24,7 @@
 typedef struct Service Service;
 typedef struct Request Request;
 typedef struct Attempt Attempt;
+typedef struct DirectLimits DirectLimits;
 
 /* State of one service, kept when the routing table is replaced. */
 struct Service
@@ -32,6 +33,8 @@
   char *name;
   DlWaitQueue *queue; /* of Request */
   DlRetryBudget budget;
+  uint64_t wanted_ms;       /* arrival of the last request for it; 0: none */
+  uint64_t wanted_since_ms; /* of the first one after a long time without any */
 };
 
 /* State of the task. */
@@ -50,6 +53,7 @@
   uint64_t stop_began_ms;   /* when a graceful shutdown began; 0 while running */
   uint64_t stop_checked_ms; /* last check of the shutdown */
   uint64_t stop_resumed_ms; /* end of the last pause of this process in it; 0 for none */
+  DirectLimits *limits;
   DlQuarantine *quarantine;
   bool quarantine_grew;           /* a part was quarantined since the last tick */
   uint64_t quarantine_expired_ms; /* when its old records were last removed */
@@ -206,6 +210,25 @@
 /* The upstream that the request was sent to. */
 const DirectUpstream *direct_attempt_upstream (const Attempt *attempt);
 
+/* -------- limits.c -------- */
+
+/* Returns the sharing of limits, a talloc child of REQUESTS. */
+DirectLimits *direct_limits_new (Requests *requests);
+/* Adopts the entries of MESSAGE, which is DIRECT_ENTRIES. */
+void direct_limits_set_entries (DirectLimits *limits, const DirectMessage *message);
+/* A request for SERVICE has arrived. */
+void direct_limits_note_request (Service *service, uint64_t now_ms);
+/* The response of UPSTREAM to a request sent at SENT_MS has HEAD. */
+void direct_limits_heard (DirectLimits *limits,
+                          DirectUpstream *upstream,
+                          const DlResponseHead *head,
+                          uint64_t sent_ms);
+/* Merges what another entry told. */
+void direct_limits_merge (DirectLimits *limits, const DlLimitRecords *records);
+/* Computes this entry's shares, and publishes what others are to know.  To be called with
+ * every sweep. */
+void direct_limits_tick (DirectLimits *limits, uint64_t now_ms);
+
 /* -------- quarantine.c -------- */
 
 /* Returns true when the request may be sent.  Otherwise a part of its prompt is
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -13,6 +13,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "node/metrics_page.h"
+#include "node/limit_record.h"
 #include "node/object_watch.h"
 #include "node/part_record.h"
 #include "node/peers.h"
@@ -66,8 +67,9 @@
   DlVersionWatch *versions;
   DlVersionFloor floor;            /* reported to other entries */
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
-  DirectMessage *part_records_message; /* the last DIRECT_PART_RECORDS; NULL before */
-  bool status_changed;                 /* and not sent yet */
+  DirectMessage *part_records_message;  /* the last DIRECT_PART_RECORDS; NULL before */
+  DirectMessage *limit_records_message; /* the last DIRECT_LIMIT_RECORDS; NULL before */
+  bool status_changed;                  /* and not sent yet */
   bool ready;
   unsigned ticks;
 } State;
@@ -182,6 +184,22 @@
   dl_kernel_publish (state->kernel, message);
 }
 
+static void
+publish_limit_records (State *state,
+                       const DlPeer *peer,
+                       const Daisyloft__Wire__NodeStatus *status)
+{
+  DirectMessage *message;
+
+  if (status->n_limit_record == 0)
+    return;
+  message = direct_message_new (DIRECT_PEER_LIMIT_RECORDS);
+  message->limit_records = talloc_zero (message, DlLimitRecords);
+  message->limit_records->entry = talloc_strdup (message, peer->listen);
+  dl_limit_records_from_status (status, dl_clock_ms (), message->limit_records);
+  dl_kernel_publish (state->kernel, message);
+}
+
 static void
 publish_holder (State *state,
                 const DlPeer *peer,
@@ -231,6 +249,7 @@
     {
       publish_holder (state, peer, status);
       publish_part_records (state, status);
+      publish_limit_records (state, peer, status);
     }
   if (engine == NULL)
     return;
@@ -268,6 +287,16 @@
     dl_holdings_to_status (context, &state->holdings_message->holdings, status);
 }
 
+static void
+add_limit_records (const State *state,
+                   const void *context,
+                   Daisyloft__Wire__NodeStatus *status)
+{
+  if (state->limit_records_message != NULL)
+    dl_limit_records_to_status (context, state->limit_records_message->limit_records,
+                                dl_clock_ms (), status);
+}
+
 static void
 add_part_records (const State *state,
                   const void *context,
@@ -291,7 +320,10 @@
   status.ready = state->ready;
   add_holdings (state, context, &status);
   if (role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
-    add_part_records (state, context, &status);
+    {
+      add_limit_records (state, context, &status);
+      add_part_records (state, context, &status);
+    }
   dl_peers_reply (state->peers, &status);
   talloc_free (context);
 }
@@ -310,6 +342,7 @@
       = dl_version_floor_at (&state->floor, state->settings->version_ms, dl_clock_ms ());
   status.routing_version = direct_routing_table_highest (state->routing_table);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
+  add_limit_records (state, context, &status);
   add_part_records (state, context, &status);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
   talloc_free (context);
@@ -425,17 +458,37 @@
 
 /* -------- the task -------- */
 
+/* Keeps the message at HEAD in place of the one at KEPT; IS_NEWS: its content is to reach
+ * the other nodes soon. */
 static void
-handle (DlTask *task, const DlMessage *head)
+keep_message (State *state, DirectMessage **kept, const DlMessage *head, bool is_news)
 {
-  State *state = dl_task_state (task);
-  DirectMessage **kept = head->type == DIRECT_HOLDINGS ? &state->holdings_message
-                                                       : &state->part_records_message;
-
   if (*kept != NULL)
     dl_message_unref (*kept);
   *kept = dl_message_ref ((void *)head);
-  state->status_changed = true;
+  state->status_changed = state->status_changed || is_news;
+}
+
+static bool
+limits_differ (const State *state, const DirectMessage *message)
+{
+  return state->limit_records_message == NULL
+         || dl_limit_records_differ (state->limit_records_message->limit_records,
+                                     message->limit_records);
+}
+
+static void
+handle (DlTask *task, const DlMessage *head)
+{
+  State *state = dl_task_state (task);
+
+  if (head->type == DIRECT_HOLDINGS)
+    keep_message (state, &state->holdings_message, head, true);
+  else if (head->type == DIRECT_PART_RECORDS)
+    keep_message (state, &state->part_records_message, head, true);
+  else
+    keep_message (state, &state->limit_records_message, head,
+                  limits_differ (state, (const DirectMessage *)head));
 }
 
 static int
@@ -445,6 +498,8 @@
     dl_message_unref (state->holdings_message);
   if (state->part_records_message != NULL)
     dl_message_unref (state->part_records_message);
+  if (state->limit_records_message != NULL)
+    dl_message_unref (state->limit_records_message);
   return 0;
 }
 
@@ -593,7 +648,8 @@
 static DlPlugin state_plugin = {
   .name = "state",
   .order = 30,
-  .subscriptions = UINT64_C (1) << DIRECT_HOLDINGS | UINT64_C (1) << DIRECT_PART_RECORDS,
+  .subscriptions = UINT64_C (1) << DIRECT_HOLDINGS | UINT64_C (1) << DIRECT_PART_RECORDS
+                   | UINT64_C (1) << DIRECT_LIMIT_RECORDS,
   .start = start,
   .handle = handle,
   .drain = drain,
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -8,6 +8,7 @@
 #include "kernel/crypt.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "policy/rendezvous.h"
 #include "policy/version_floor.h"
 
 /* This many entries of other regions count as one where request slots are shared, because
@@ -21,7 +22,8 @@
 /* What a removed upstream announced is remembered for this long, in case that an entry
  * of it returns to the list. */
 #define REMEMBER_REMOVED_MS 600000
-#define MILLIS_PER_UNIT     1000
+/* Requests may be queued for an upstream that takes the next one within this time. */
+#define LIMIT_QUEUE_MS 150
 
 DL_METRIC (metric_leaving,
            DL_METRIC_COUNTER,
@@ -137,6 +139,13 @@
   u->load.capacity = u->has_engine ? dl_balance_usable_slots (slots) : slots;
 }
 
+static int
+upstream_destroy (DirectUpstream *u)
+{
+  g_hash_table_destroy (u->idle_entries);
+  return 0;
+}
+
 static DirectUpstream *
 add (DirectUpstreams *upstreams, const char *id)
 {
@@ -145,7 +154,9 @@
   g_assert (u != NULL);
   u->owner = upstreams;
   u->id = talloc_strdup (u, id);
-  u->limit_per_s = DIRECT_NO_LIMIT;
+  u->limit = dl_rate_limit_init ();
+  u->idle_entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  talloc_set_destructor (u, upstream_destroy);
   u->next = upstreams->first;
   upstreams->first = u;
   return u;
@@ -275,6 +286,23 @@
   return dl_version_floor_at (&upstreams->floor, upstreams->settings->version_ms, now_ms);
 }
 
+void
+direct_upstreams_foreach (const DirectUpstreams *upstreams,
+                          void (*func) (DirectUpstream *upstream, void *data),
+                          void *data)
+{
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    if (!u->removed)
+      func (u, data);
+}
+
+uint64_t
+direct_upstream_key (const DirectUpstream *u)
+{
+  return dl_rendezvous_score (dl_str (u->id),
+                              dl_str_bytes (&u->started_ms, sizeof u->started_ms));
+}
+
 /* -------- choosing -------- */
 
 static bool
@@ -300,6 +328,17 @@
   return !u->loading && u->version > 0 && u->version >= required;
 }
 
+/* Time until the upstream takes a request again, when it holds off or is at its limit; 0
+ * when it is worth to wait for it. */
+static uint64_t
+closed_ms (const DirectUpstream *u, uint64_t now_ms)
+{
+  uint64_t hold_ms = dl_availability_hold_ms (&u->availability, now_ms);
+  uint64_t limit_ms = dl_rate_limit_wait_ms (&u->limit, now_ms);
+
+  return MAX (hold_ms, limit_ms > LIMIT_QUEUE_MS ? limit_ms : 0);
+}
+
 /* When the circuit breakers of all candidates are open, none is known to be better than
  * another, so that all are allowed. */
 static void
@@ -323,7 +362,8 @@
 
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     if (can_serve (upstreams, u, query)
-        && dl_availability_allows (&u->availability, query->now_ms))
+        && dl_availability_allows (&u->availability, query->now_ms)
+        && closed_ms (u, query->now_ms) == 0)
       {
         DlBalanceCandidate c = {
           .load = &u->load,
@@ -331,6 +371,7 @@
           .allowed = dl_breaker_allows (&u->breaker, query->now_ms),
           .avoided = is_upstream (u, query->avoid_upstream),
           .replaced = is_upstream (u, query->replaced_upstream),
+          .paced = dl_rate_limit_wait_ms (&u->limit, query->now_ms) > 0,
         };
 
         g_array_append_val (candidates, c);
@@ -362,8 +403,7 @@
 
   for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     if (can_serve (upstreams, u, query))
-      first_ms
-          = MIN (first_ms, dl_availability_hold_ms (&u->availability, query->now_ms));
+      first_ms = MIN (first_ms, closed_ms (u, query->now_ms));
   return first_ms != UINT64_MAX ? first_ms : 0;
 }
 
@@ -408,6 +448,7 @@
 direct_upstream_sent (DirectUpstream *u, uint64_t prompt_tokens, uint64_t now_ms)
 {
   u->attempts++;
+  dl_rate_limit_sent (&u->limit, now_ms);
   dl_balance_sent (&u->load, prompt_tokens);
   dl_breaker_sent (&u->breaker, now_ms);
 }
@@ -474,18 +515,6 @@
           DL_UINT ("own_requests", u->load.in_flight));
 }
 
-void
-direct_upstream_named_limit (DirectUpstream *u, double limit_per_s)
-{
-  if (u->limit_per_s == limit_per_s)
-    return;
-  u->limit_per_s = limit_per_s;
-  dl_log (DL_EVENT_DIRECT_UPSTREAM_LIMIT, DL_TEXT ("upstream", u->id),
-          DL_INT ("limit_millis",
-                  limit_per_s < 0 ? -1 : (int64_t)(limit_per_s * MILLIS_PER_UNIT)),
-          DL_UINT ("own_requests", u->load.in_flight));
-}
-
 void
 direct_upstream_announced_leaving (DirectUpstream *u)
 {
@@ -537,6 +566,9 @@
       json_object_object_add (o, "id", json_object_new_string (u->id));
       json_object_object_add (o, "service", json_object_new_string (u->service));
       json_object_object_add (o, "address", json_object_new_string (u->address));
+      if (u->limit.limit_per_s >= 0)
+        json_object_object_add (o, "limit_per_s",
+                                json_object_new_double (u->limit.limit_per_s));
       json_object_object_add (o, "leaving",
                               json_object_new_boolean (u->availability.leaving));
       json_object_object_add (o, "gone", json_object_new_boolean (u->removed));
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -4,14 +4,15 @@
 #ifndef DIRECT_UPSTREAMS_H
 #define DIRECT_UPSTREAMS_H
 
+#include <glib.h>
+
 #include "daisydirectd.h"
 #include "policy/availability.h"
 #include "policy/balance.h"
 #include "policy/breaker.h"
+#include "policy/rate_limit.h"
 #include "policy/routing.h"
 
-#define DIRECT_NO_LIMIT (-1.0) /* in place of requests a second */
-
 typedef struct DirectUpstreams DirectUpstreams;
 
 /* One instance of an upstream.  After it was removed from the list it is freed with its
@@ -21,9 +22,11 @@
   char *id;
   char *service;
   char *address;
-  bool same_data_center; /* as this entry */
-  uint64_t started_ms;   /* wall clock at its start; 0 when unknown */
-  double limit_per_s; /* requests a second from all entries together; below 0: no limit */
+  bool same_data_center;       /* as this entry */
+  uint64_t started_ms;         /* wall clock at its start; 0 when unknown */
+  DlRateLimit limit;           /* of requests that it takes from all entries */
+  GHashTable *idle_entries;    /* address of an entry to when it told that it has no
+                                * requests for the service */
   DlAvailability availability; /* as it announced in responses or in the list */
   bool removed;                /* no longer listed */
   uint64_t removed_ms;         /* when it was removed from the list */
@@ -69,6 +72,13 @@
 /* Number of entries that accept requests, in all regions; at least 1. */
 unsigned direct_upstreams_entry_count (const DirectUpstreams *upstreams);
 
+/* Calls FUNC for each listed upstream. */
+void direct_upstreams_foreach (const DirectUpstreams *upstreams,
+                               void (*func) (DirectUpstream *upstream, void *data),
+                               void *data);
+/* Identifies the instance of the upstream, alike at all entries. */
+uint64_t direct_upstream_key (const DirectUpstream *upstream);
+
 /* What to choose an upstream for. */
 typedef struct
 {
@@ -89,7 +99,7 @@
                                          const DirectUpstreamQuery *query,
                                          int *error);
 /* Time until the first upstream that could serve the request takes requests again, when
- * all of them hold off; 0 when that is not the case. */
+ * all of them hold off or are at their limit; 0 when that is not the case. */
 uint64_t direct_upstreams_hold_ms (const DirectUpstreams *upstreams,
                                    const DirectUpstreamQuery *query);
 /* The lowest version of weights that may start a request at NOW_MS; 0 for any. */
@@ -143,8 +153,6 @@
                             bool started,
                             DirectAttemptOutcome outcome,
                             uint64_t now_ms);
-/* A response of the upstream names LIMIT_PER_S, or no limit: DIRECT_NO_LIMIT. */
-void direct_upstream_named_limit (DirectUpstream *upstream, double limit_per_s);
 /* A response of the upstream said that it leaves: it gets no new requests, also when it
  * is listed as ready or listed again.  Requests in progress there go on. */
 void direct_upstream_announced_leaving (DirectUpstream *upstream);
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -152,6 +152,8 @@
     case DIRECT_HOLDINGS:
     case DIRECT_PART_RECORDS:
     case DIRECT_PEER_PART_RECORDS:
+    case DIRECT_LIMIT_RECORDS:
+    case DIRECT_PEER_LIMIT_RECORDS:
       break;
     }
   run (w);
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisyloft__wire__limit_record__init
+                     (Daisyloft__Wire__LimitRecord         *message)
+{
+  static const Daisyloft__Wire__LimitRecord init_value = DAISYLOFT__WIRE__LIMIT_RECORD__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__limit_record__get_packed_size
+                     (const Daisyloft__Wire__LimitRecord *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__limit_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__limit_record__pack
+                     (const Daisyloft__Wire__LimitRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__limit_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__limit_record__pack_to_buffer
+                     (const Daisyloft__Wire__LimitRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__limit_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__LimitRecord *
+       daisyloft__wire__limit_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__LimitRecord *)
+     protobuf_c_message_unpack (&daisyloft__wire__limit_record__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__limit_record__free_unpacked
+                     (Daisyloft__Wire__LimitRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__limit_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__part_record__init
                      (Daisyloft__Wire__PartRecord         *message)
 {
@@ -1447,7 +1492,7 @@
   assert(message->base.descriptor == &daisyloft__wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[11] =
+static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[12] =
 {
   {
     "name",
@@ -1581,11 +1626,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_record",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__NodeStatus, n_limit_record),
+    offsetof(Daisyloft__Wire__NodeStatus, limit_record),
+    &daisyloft__wire__limit_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__node_status__field_indices_by_name[] = {
   5,   /* field[5] = engine */
   6,   /* field[6] = holding */
   1,   /* field[1] = incarnation */
+  11,   /* field[11] = limit_record */
   0,   /* field[0] = name */
   7,   /* field[7] = named */
   2,   /* field[2] = number */
@@ -1598,7 +1656,7 @@
 static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor =
 {
@@ -1608,13 +1666,116 @@
   "Daisyloft__Wire__NodeStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__NodeStatus),
-  11,
+  12,
   daisyloft__wire__node_status__field_descriptors,
   daisyloft__wire__node_status__field_indices_by_name,
   1,  daisyloft__wire__node_status__number_ranges,
   (ProtobufCMessageInit) daisyloft__wire__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisyloft__wire__limit_record__field_descriptors[6] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__LimitRecord, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__LimitRecord, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__LimitRecord, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__LimitRecord, heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__LimitRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__LimitRecord, wants),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__limit_record__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  3,   /* field[3] = heard */
+  2,   /* field[2] = limit_per_s */
+  1,   /* field[1] = limited */
+  0,   /* field[0] = upstream */
+  5,   /* field[5] = wants */
+};
+static const ProtobufCIntRange daisyloft__wire__limit_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__limit_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.LimitRecord",
+  "LimitRecord",
+  "Daisyloft__Wire__LimitRecord",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__LimitRecord),
+  6,
+  daisyloft__wire__limit_record__field_descriptors,
+  daisyloft__wire__limit_record__field_indices_by_name,
+  1,  daisyloft__wire__limit_record__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__limit_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__part_record__field_descriptors[6] =
 {
   {
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Daisyloft__Wire__NodeStatus Daisyloft__Wire__NodeStatus;
+typedef struct Daisyloft__Wire__LimitRecord Daisyloft__Wire__LimitRecord;
 typedef struct Daisyloft__Wire__PartRecord Daisyloft__Wire__PartRecord;
 typedef struct Daisyloft__Wire__PartCrash Daisyloft__Wire__PartCrash;
 typedef struct Daisyloft__Wire__EngineStatus Daisyloft__Wire__EngineStatus;
@@ -171,10 +172,42 @@
   uint64_t routing_version;
   size_t n_part_record;
   Daisyloft__Wire__PartRecord **part_record;
+  size_t n_limit_record;
+  Daisyloft__Wire__LimitRecord **limit_record;
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * The limit that an upstream names for the requests of all entries together.
+ */
+struct  Daisyloft__Wire__LimitRecord
+{
+  ProtobufCMessage base;
+  /*
+   * identifies the instance
+   */
+  uint64_t upstream;
+  /*
+   * false: it names none any more
+   */
+  protobuf_c_boolean limited;
+  double limit_per_s;
+  /*
+   * the sender heard it from the upstream, AGE_MS ago
+   */
+  protobuf_c_boolean heard;
+  uint64_t age_ms;
+  /*
+   * the sender has requests for the upstream's service
+   */
+  protobuf_c_boolean wants;
+};
+#define DAISYLOFT__WIRE__LIMIT_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__limit_record__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -866,6 +899,25 @@
 void   daisyloft__wire__node_status__free_unpacked
                      (Daisyloft__Wire__NodeStatus *message,
                       ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__LimitRecord methods */
+void   daisyloft__wire__limit_record__init
+                     (Daisyloft__Wire__LimitRecord         *message);
+size_t daisyloft__wire__limit_record__get_packed_size
+                     (const Daisyloft__Wire__LimitRecord   *message);
+size_t daisyloft__wire__limit_record__pack
+                     (const Daisyloft__Wire__LimitRecord   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__limit_record__pack_to_buffer
+                     (const Daisyloft__Wire__LimitRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__LimitRecord *
+       daisyloft__wire__limit_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__limit_record__free_unpacked
+                     (Daisyloft__Wire__LimitRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__PartRecord methods */
 void   daisyloft__wire__part_record__init
                      (Daisyloft__Wire__PartRecord         *message);
@@ -1460,6 +1512,9 @@
 typedef void (*Daisyloft__Wire__NodeStatus_Closure)
                  (const Daisyloft__Wire__NodeStatus *message,
                   void *closure_data);
+typedef void (*Daisyloft__Wire__LimitRecord_Closure)
+                 (const Daisyloft__Wire__LimitRecord *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__PartRecord_Closure)
                  (const Daisyloft__Wire__PartRecord *message,
                   void *closure_data);
@@ -1565,6 +1620,7 @@
 extern const ProtobufCEnumDescriptor    daisyloft__wire__slot_state__descriptor;
 extern const ProtobufCEnumDescriptor    daisyloft__wire__end_reason__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__limit_record__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__part_record__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__part_crash__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__engine_status__descriptor;
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -124,7 +124,7 @@
     {
       const DlBalanceCandidate *c = &candidates[i];
 
-      if (c->allowed && !c->replaced && (allow_avoided || !c->avoided)
+      if (c->allowed && !c->replaced && !c->paced && (allow_avoided || !c->avoided)
           && dl_balance_has_room (c->load, query->entries, query->now_ms))
         out[n++] = i;
     }
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -88,6 +88,7 @@
   bool allowed;          /* by its circuit breaker */
   bool avoided;          /* it failed this request before */
   bool replaced;         /* it holds this request now; never chosen */
+  bool paced;            /* it takes its next request soon, but none now */
 } DlBalanceCandidate;
 
 /* What a choice depends on besides the candidates. */
--- a/regress/direct/limit.c
+++ b/regress/direct/limit.c
@@ -12,6 +12,7 @@
 #define LIMIT_MILLIS 1200
 #define LOAD_MS      12000
 #define PAUSE_US     20000
+#define LEARN_MS     4000
 #define CALLERS      4
 #define US_PER_MS    1000
 /* Stated by the users: at most one and a half times what the limit allows in four
@@ -112,7 +113,67 @@
   set_limit (tb, 0, 0);
 }
 
+/* Entries that stop, die and start do not add to what the others send. */
+static void
+test_restarted_entry_broke_the_limit (Testbed *tb)
+{
+  Load load = { .testbed = tb, .target = "/r/x" };
+  GThread *threads[CALLERS];
+
+  set_limit (tb, 1, LIMIT_MILLIS);
+  load_start (&load, threads);
+  g_usleep (LEARN_MS * US_PER_MS);
+  process_end (&tb->entry_process[1], SIGKILL);
+  g_usleep (LOAD_MS / 4 * US_PER_MS);
+  CHECK (process_start (&tb->entry_process[1]));
+  g_usleep (LOAD_MS / 2 * US_PER_MS);
+  kill (tb->entry_process[1].pid, SIGTERM);
+  process_end (&tb->entry_process[1], 0);
+  CHECK (process_start (&tb->entry_process[1]));
+  g_usleep (LOAD_MS / 2 * US_PER_MS);
+  load_stop (&load, threads);
+  CHECK (limited_most (tb, 1) <= LIMITED_MAX);
+  set_limit (tb, 1, 0);
+  CHECK (eventually (requests_are_served, tb));
+}
+
+static void
+test_request_waited_for_an_upstream_at_its_limit (Testbed *tb)
+{
+  Load load = { .testbed = tb, .target = "/p/x" };
+  GThread *threads[CALLERS];
+
+  set_limit (tb, PLAIN, LIMIT_MILLIS);
+  load_start (&load, threads);
+  g_usleep (LOAD_MS * US_PER_MS);
+  load_stop (&load, threads);
+  CHECK (limited_most (tb, PLAIN) <= LIMITED_MAX);
+  CHECK (load.served >= LOAD_MS / 1000 * LIMIT_MILLIS / 1000 / 2);
+  CHECK (load.failed == 0 && load.slow_refused == 0);
+}
+
+static bool
+plain_server_is_used_freely (Testbed *tb)
+{
+  Load load = { .testbed = tb, .target = "/p/x" };
+
+  for (unsigned n = 0; n < 5 * ENTRIES; n++)
+    send_one (&load, n);
+  return load.served == 5 * ENTRIES;
+}
+
+static void
+test_entry_did_not_learn_that_the_limit_ended (Testbed *tb)
+{
+  CHECK (!plain_server_is_used_freely (tb)); /* it has the limit of the test before */
+  set_limit (tb, PLAIN, 0);
+  CHECK (eventually (plain_server_is_used_freely, tb));
+}
+
 const TestFunc limit_tests[] = {
   test_entries_together_sent_more_than_the_limit,
+  test_restarted_entry_broke_the_limit,
+  test_request_waited_for_an_upstream_at_its_limit,
+  test_entry_did_not_learn_that_the_limit_ended,
   NULL,
 };
