Quarantine: a part's crashes are not taken for others', and its hold grows with trials only

Twelve bad requests a second crash upstreams faster than the eight remembered crashes of a part cover; its older crashes then counted as those of other requests, which weakened the evidence. Sixteen are remembered now, of which the newest eight are told. With that the hold, which grew with each crash, would be two minutes at once when many requests are on their way; it now grows with trials that crash, and the crashes alone justify 9 s at the most.

--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -71,7 +71,7 @@
   if (parts->count == 0 || upstream->loading)
     return;
   if (!dl_quarantine_broken_off (requests->quarantine, parts,
-                                 direct_upstream_key (upstream), now_ms))
+                                 direct_upstream_key (upstream), r->is_trial, now_ms))
     return;
   requests->quarantine_grew = true;
   log_quarantined (dl_quarantine_find (requests->quarantine, parts), r->incoming.id,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -235,10 +235,14 @@
    * time until a trial may be made
    */
   uint64_t hold_ms;
+  /*
+   * of the quarantine
+   */
+  uint32_t level;
 };
 #define DAISYLOFT__WIRE__PART_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__part_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Daisyloft__Wire__PartCrash
--- a/lib/node/part_record.c
+++ b/lib/node/part_record.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <talloc.h>
 
+/* The newest crashes of a part are told; the others know the rest from before. */
+#define TOLD_CRASHES_MAX 8
+
 /* The time AGE_MS ago; 1 at the earliest, as 0 stands for "never". */
 static uint64_t
 time_of_age (uint64_t age_ms, uint64_t now_ms)
@@ -16,21 +19,27 @@
 {
   Daisyloft__Wire__PartRecord *wire = talloc (context, Daisyloft__Wire__PartRecord);
   Daisyloft__Wire__PartCrash *crashes
-      = talloc_array (wire, Daisyloft__Wire__PartCrash, DL_PART_CRASHES_MAX);
+      = talloc_array (wire, Daisyloft__Wire__PartCrash, TOLD_CRASHES_MAX);
+  size_t first = record->crash_count > TOLD_CRASHES_MAX
+                     ? record->crash_count - TOLD_CRASHES_MAX
+                     : 0;
 
   daisyloft__wire__part_record__init (wire);
   wire->id = talloc_strdup (wire, record->id.text);
   wire->served = record->served_ms != 0;
   wire->served_age_ms = wire->served ? now_ms - record->served_ms : 0;
   wire->quarantined = record->hold_ms != 0;
+  wire->level = record->level;
   wire->hold_ms = record->hold_ms > now_ms ? record->hold_ms - now_ms : 0;
-  wire->crash = talloc_array (wire, Daisyloft__Wire__PartCrash *, DL_PART_CRASHES_MAX);
-  wire->n_crash = record->crash_count;
-  for (size_t i = 0; i < record->crash_count; i++)
+  wire->crash = talloc_array (wire, Daisyloft__Wire__PartCrash *, TOLD_CRASHES_MAX);
+  wire->n_crash = record->crash_count - first;
+  for (size_t i = 0; i < wire->n_crash; i++)
     {
+      const DlPartCrash *crash = &record->crashes[first + i];
+
       daisyloft__wire__part_crash__init (&crashes[i]);
-      crashes[i].upstream = record->crashes[i].upstream;
-      crashes[i].age_ms = (uint32_t)(now_ms - record->crashes[i].at_ms);
+      crashes[i].upstream = crash->upstream;
+      crashes[i].age_ms = (uint32_t)(now_ms - crash->at_ms);
       wire->crash[i] = &crashes[i];
     }
   return wire;
@@ -66,6 +75,7 @@
   *record = (DlPartRecord){ .id = dl_part_id (dl_str (wire->id)) };
   if (wire->served)
     record->served_ms = time_of_age (wire->served_age_ms, now_ms);
+  record->level = wire->level;
   if (wire->quarantined)
     record->hold_ms = now_ms + MIN (wire->hold_ms, DL_QUARANTINE_HOLD_MAX_MS);
   for (size_t i = 0; i < MIN (wire->n_crash, DL_PART_CRASHES_MAX); i++)
--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -18,11 +18,14 @@
 #define EPISODE_MS 250
 /* Reports of one upstream's crash within this time are of the same crash. */
 #define SAME_CRASH_MS 2000
-/* The hold after three crashes, and its growth with each further one. */
-#define HOLD_MIN_MS    1000
-#define HOLD_FACTOR    3
-#define HOLD_FROM      3
-#define FORGET_HELD_MS 600000 /* a quarantined part that no request had for so long */
+/* The hold of the lowest level, and how much longer that of the next one is. */
+#define HOLD_MIN_MS 1000
+#define HOLD_FACTOR 3
+/* Crashes of the lowest level, and those that justify no higher one: many requests may be
+ * on their way when the part is quarantined. */
+#define LEVEL_CRASHES_MIN 3
+#define LEVEL_CRASHES_MAX 5
+#define FORGET_HELD_MS    600000 /* a quarantined part that no request had for so long */
 /* How requests fare is counted over the current and the previous period. */
 #define PERIOD_MS  5000
 #define BREAKS_MAX 64
@@ -173,15 +176,22 @@
 }
 
 static uint64_t
-hold_duration_ms (unsigned crashes)
+hold_duration_ms (unsigned level)
 {
   uint64_t hold_ms = HOLD_MIN_MS;
 
-  for (unsigned i = HOLD_FROM; i < crashes && hold_ms < DL_QUARANTINE_HOLD_MAX_MS; i++)
+  for (unsigned i = 0; i < level && hold_ms < DL_QUARANTINE_HOLD_MAX_MS; i++)
     hold_ms *= HOLD_FACTOR;
   return MIN (hold_ms, DL_QUARANTINE_HOLD_MAX_MS);
 }
 
+/* The level that the number of crashes alone justifies. */
+static unsigned
+level_of_crashes (unsigned crashes)
+{
+  return CLAMP (crashes, LEVEL_CRASHES_MIN, LEVEL_CRASHES_MAX) - LEVEL_CRASHES_MIN;
+}
+
 /* Releases a part of which a request was served after its last crash; otherwise
  * quarantines it if the evidence suffices.  Returns true when it is quarantined now and
  * was not before. */
@@ -189,11 +199,17 @@
 judge (DlQuarantine *q, DlPartRecord *r, bool was_held, uint64_t now_ms)
 {
   if (count_crashes (r) == 0)
-    r->hold_ms = 0;
+    {
+      r->hold_ms = 0;
+      r->level = 0;
+    }
   else if (r->hold_ms == 0
            && count_episodes (r, now_ms) * evidence_per_crash (q, r, now_ms)
                   >= log (ODDS_QUARANTINED) - ROUNDING)
-    r->hold_ms = newest_crash_ms (r) + hold_duration_ms (count_crashes (r));
+    {
+      r->level = level_of_crashes (count_crashes (r));
+      r->hold_ms = newest_crash_ms (r) + hold_duration_ms (r->level);
+    }
   if ((r->hold_ms != 0) != was_held)
     {
       r->changed_ms = now_ms;
@@ -230,6 +246,14 @@
   return true;
 }
 
+/* A quarantined part was in another crash; IS_TRIAL: with a request that was a trial. */
+static void
+extend_hold (DlPartRecord *r, bool is_trial, uint64_t now_ms)
+{
+  r->level = MAX (r->level + is_trial, level_of_crashes (count_crashes (r)));
+  r->hold_ms = MAX (r->hold_ms, now_ms + hold_duration_ms (r->level));
+}
+
 /* -------- how requests end -------- */
 
 static void
@@ -277,6 +301,7 @@
 dl_quarantine_broken_off (DlQuarantine *q,
                           const DlPromptParts *parts,
                           uint64_t upstream,
+                          bool is_trial,
                           uint64_t now_ms)
 {
   bool quarantined = false;
@@ -292,7 +317,7 @@
         continue;
       q->changed = true;
       if (was_held)
-        r->hold_ms = MAX (r->hold_ms, now_ms + hold_duration_ms (count_crashes (r)));
+        extend_hold (r, is_trial, now_ms);
       quarantined = judge (q, r, was_held, now_ms) || quarantined;
     }
   return quarantined;
@@ -322,7 +347,7 @@
   uint64_t since_ms = now_ms - r->hold_ms;
   unsigned turns = MIN (q->entries, TURNS_MAX);
 
-  if (count_crashes (r) < DL_QUARANTINE_TURNS_FROM)
+  if (r->level < DL_QUARANTINE_TURNS_LEVEL)
     return true;
   return q->position >= 0
          && since_ms / DL_QUARANTINE_TURN_MS % turns == (unsigned)q->position % turns
@@ -380,6 +405,7 @@
       r->served_ms = record->served_ms;
     }
   r->hold_ms = MAX (r->hold_ms, record->hold_ms);
+  r->level = MAX (r->level, record->level);
   q->changed = q->changed || is_news;
   return judge (q, r, was_held, now_ms);
 }
--- a/lib/policy/quarantine.h
+++ b/lib/policy/quarantine.h
@@ -8,9 +8,9 @@
  * moment, as of a lost rack, count once.  So a part that many requests share is cleared
  * by those that are served, and faults that end requests of all kinds blame none.
  *
- * Requests with a quarantined part are refused.  After a hold, which grows with the
- * number of crashes, one request is a trial: the part is released if that is served, and
- * held for longer if its upstream crashes.
+ * Requests with a quarantined part are refused.  After a hold, which is longer after more
+ * crashes, one request is a trial: the part is released if that is served, and held
+ * three times as long if its upstream crashes.
  *
  * Entries tell each other the records of suspected parts, as the crashes of one part are
  * seen by different entries.  Merging records is idempotent and does not depend on their
@@ -27,15 +27,15 @@
 #include "policy/prompt_parts.h"
 
 /* Crashes of one part that are remembered. */
-#define DL_PART_CRASHES_MAX 8
+#define DL_PART_CRASHES_MAX 16
 /* Records that entries tell each other at once. */
 #define DL_PART_RECORDS_MAX 16
 /* A trial without an outcome for this long may be followed by another. */
 #define DL_QUARANTINE_TRIAL_MS 3000
-/* From this many crashes on, entries take turns with trials, so that two do not make one
- * at the same time. */
-#define DL_QUARANTINE_TURNS_FROM 5
-#define DL_QUARANTINE_TURN_MS    500
+/* From this level on, entries take turns with trials, so that two do not make one at the
+ * same time. */
+#define DL_QUARANTINE_TURNS_LEVEL 2
+#define DL_QUARANTINE_TURN_MS     500
 /* Longest hold. */
 #define DL_QUARANTINE_HOLD_MAX_MS 120000
 /* A crash is evidence for this long. */
@@ -53,6 +53,7 @@
 {
   DlPartId id;
   uint64_t served_ms; /* when a request with it was last served; 0: not known */
+  unsigned level;     /* of the quarantine: each one holds three times as long */
   uint64_t hold_ms; /* quarantined, with a trial from this time on; 0: not quarantined */
   uint64_t changed_ms; /* when it was last quarantined or released; 0: never */
   size_t crash_count;
@@ -86,11 +87,12 @@
 void dl_quarantine_served (DlQuarantine *quarantine,
                            const DlPromptParts *parts,
                            uint64_t now_ms);
-/* UPSTREAM broke off a request with PARTS, as it does when it crashes.  Returns true when
- * a part is quarantined for it. */
+/* UPSTREAM broke off a request with PARTS, as it does when it crashes; IS_TRIAL: the
+ * request was a trial.  Returns true when a part is quarantined for it. */
 bool dl_quarantine_broken_off (DlQuarantine *quarantine,
                                const DlPromptParts *parts,
                                uint64_t upstream,
+                               bool is_trial,
                                uint64_t now_ms);
 /* Decides on a new request with PARTS.  For a refused one *PART is its quarantined part
  * and *RETRY_MS the time until a trial may be made.  After DL_QUARANTINE_TRIAL the
--- a/regress/unit/test_quarantine.c
+++ b/regress/unit/test_quarantine.c
@@ -45,7 +45,7 @@
 {
   DlPromptParts parts = parts_of (first, second);
 
-  return dl_quarantine_broken_off (q, &parts, upstream, now_ms);
+  return dl_quarantine_broken_off (q, &parts, upstream, false, now_ms);
 }
 
 static bool
@@ -167,6 +167,30 @@
   talloc_free (q);
 }
 
+static void
+trial_crashes (DlQuarantine *q, uint64_t upstream, uint64_t now_ms)
+{
+  DlPromptParts parts = parts_of ("first", "bad");
+
+  dl_quarantine_broken_off (q, &parts, upstream, true, now_ms);
+}
+
+/* Requests that were on their way when the part was quarantined do not add to the hold.
+ */
+static void
+test_many_crashes_at_once_hold_the_part_no_longer_than_five (void)
+{
+  DlQuarantine *q = quarantine_new ();
+  uint64_t last_ms = START_MS + 11 * 300;
+
+  for (unsigned i = 0; i < 12; i++)
+    break_off (q, "first", "bad", 1 + i, START_MS + i * 300);
+  dl_quarantine_set_turns (q, 0, 1);
+  CU_ASSERT_EQUAL (admit (q, "bad", last_ms + 8999), DL_QUARANTINE_REFUSE);
+  CU_ASSERT_EQUAL (admit (q, "bad", last_ms + 9000), DL_QUARANTINE_TRIAL);
+  talloc_free (q);
+}
+
 static void
 test_crashed_trial_holds_the_part_for_longer (void)
 {
@@ -174,9 +198,13 @@
 
   crash_with_bad (q, 3);
   CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 3000), DL_QUARANTINE_TRIAL);
-  break_off (q, "first", "bad", 4, START_MS + 3100);
+  trial_crashes (q, 4, START_MS + 3100);
   CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 6099), DL_QUARANTINE_REFUSE);
   CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 6100), DL_QUARANTINE_TRIAL);
+  trial_crashes (q, 5, START_MS + 6200);
+  trial_crashes (q, 6, START_MS + 15200);
+  CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 15200 + 26999), DL_QUARANTINE_REFUSE);
+  CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 15200 + 27000), DL_QUARANTINE_TRIAL);
   talloc_free (q);
 }
 
@@ -318,6 +346,7 @@
 {
   bool used;
   bool is_poison;
+  bool is_trial;
   unsigned entry;
   unsigned upstream;
   uint64_t began_ms;
@@ -352,7 +381,7 @@
         continue;
       r->used = false;
       dl_quarantine_broken_off (f->entries[r->entry], &r->parts, f->instance[upstream],
-                                f->now_ms);
+                                r->is_trial, f->now_ms);
     }
   f->instance[upstream] = ++f->instances;
 }
@@ -377,6 +406,7 @@
   char first[16];
   RunningRequest r = { .used = true, .is_poison = is_poison, .began_ms = f->now_ms };
   int upstream = fleet_pick (f);
+  DlQuarantineDecision decision;
   const DlPartId *part;
   uint64_t retry_ms;
 
@@ -385,8 +415,10 @@
   r.parts = parts_of (first, is_poison ? "bad" : "");
   r.entry = (unsigned)g_rand_int_range (f->random, 0, ENTRIES);
   f->sound += !is_poison;
-  if (dl_quarantine_admit (f->entries[r.entry], &r.parts, f->now_ms, &part, &retry_ms)
-      == DL_QUARANTINE_REFUSE)
+  decision
+      = dl_quarantine_admit (f->entries[r.entry], &r.parts, f->now_ms, &part, &retry_ms);
+  r.is_trial = decision == DL_QUARANTINE_TRIAL;
+  if (decision == DL_QUARANTINE_REFUSE)
     {
       f->refused += !is_poison;
       return;
@@ -559,6 +591,7 @@
   { "served part", test_served_part_is_not_blamed },
   { "served trial", test_served_trial_releases_the_part },
   { "crashed trial", test_crashed_trial_holds_the_part_for_longer },
+  { "many crashes at once", test_many_crashes_at_once_hold_the_part_no_longer_than_five },
   { "trial without outcome", test_trial_without_outcome_is_followed_by_another },
   { "turns with trials", test_entries_take_turns_with_trials },
   { "crashes seen by different entries", test_crashes_seen_by_different_entries_add_up },
