--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -11,7 +11,7 @@
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
  * request that ran must be answered, model servers that are silent for a while, a prompt
- * part that crashes them, and a loss of power.
+ * part that crashes them, limits of requests, and a loss of power.
  */
 #include "soak.h"
 
@@ -164,6 +164,7 @@
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
   soak_poison_servers (soak);
+  soak_limit_servers (soak);
   soak_cut_power (soak);
 }
 
@@ -190,6 +191,7 @@
   };
   SoakCaller callers[SOAK_CALLERS];
   GThread *threads[SOAK_CALLERS];
+  SoakLimits *limits = soak_start_limits (&soak, seed);
 
   set_fault (testbed->server[SERVERS - 2], "event_ms", LONG_EVENT_MS);
   for (unsigned i = 0; i < SOAK_CALLERS; i++)
@@ -201,6 +203,7 @@
   g_atomic_int_set (&soak.stop, 1);
   for (unsigned i = 0; i < SOAK_CALLERS; i++)
     g_thread_join (threads[i]);
+  soak_end_limits (limits);
   run_strict_phases (&soak, seconds);
   check_recovery (&soak);
   check_requests (&soak);
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -5,7 +5,8 @@
  * and makes changes, soak.c starts both and afterwards checks all responses against the
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
- * silent under the same callers, soak_poison.c crashes them by a prompt part, and
+ * silent under the same callers, soak_poison.c crashes them by a prompt part,
+ * soak_limit.c lets them limit their requests, and
  * soak_power.c cuts the power of all hosts.
  */
 #ifndef DIRECT_SOAK_H
@@ -177,6 +178,18 @@
  * ones must go on being served, and the part once it is sound. */
 void soak_poison_servers (Soak *soak);
 
+/* -------- soak_limit.c -------- */
+
+typedef struct SoakLimits SoakLimits;
+
+/* Starts to set and end limits of servers, and to crash them, beside other faults, until
+ * the soak's stop. */
+SoakLimits *soak_start_limits (Soak *soak, uint32_t seed);
+/* Ends that after the soak's stop; all servers are without a limit then. */
+void soak_end_limits (SoakLimits *limits);
+/* All servers name limits, which the entries together must keep. */
+void soak_limit_servers (Soak *soak);
+
 /* -------- soak_power.c -------- */
 
 /* Kills entries, stagers and model servers at once beside a write to the store, starts
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -286,7 +286,11 @@
 limit_header (char *text)
 {
   if (limit_named_ms == 0)
-    limit_named_ms = dl_clock_ms ();
+    {
+      limit_named_ms = dl_clock_ms ();
+      limited_most = 0;
+      g_array_set_size (limited_ms, 0);
+    }
   g_snprintf (text, NAME_BYTES, "%.3f", (double)limit_millis / MILLIS_PER_UNIT);
   return (DlHttpHeader){ .name = "Server-Limit", .value = text };
 }
