Scenarios: hosts have fixed ports

Cause: the runner asked the kernel for a free port, closed the socket and handed the number on; the kernel may give the same number to the host's next address, or to any other socket, before the process binds it. Change: each host has an address of its own, so that fixed ports do; they are below the kernel's range. Ruled out: SO_REUSEADDR, which does not help against another listener; drawing all ports of a host before closing any, which leaves the race with other sockets.

--- a/regress/scenario/process.c
+++ b/regress/scenario/process.c
@@ -97,20 +97,20 @@
                           1 + host % HOSTS_PER_NET);
 }
 
-/* Returns an address on IP with a port that is free at the time of the call. */
-static char *
-new_address (const char *ip)
+/* Ports of a host's servers.  They are below those that the kernel gives to other
+ * sockets, so that none of these can have one when a process starts. */
+typedef enum
 {
-  struct sockaddr_in at = { .sin_family = AF_INET };
-  socklen_t length = sizeof at;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  PORT_FRAMES = 7001,
+  PORT_HTTP,
+  PORT_OPERATORS,
+  PORT_WEIGHTS,
+} HostPort;
 
-  inet_pton (AF_INET, ip, &at.sin_addr);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&at, sizeof at) < 0
-      || getsockname (fd, (struct sockaddr *)&at, &length) < 0)
-    g_error ("no free port on %s: %s", ip, g_strerror (errno));
-  close (fd);
-  return g_strdup_printf ("%s:%u", ip, ntohs (at.sin_port));
+static char *
+host_address (const char *ip, HostPort port)
+{
+  return g_strdup_printf ("%s:%d", ip, (int)port);
 }
 
 Process *
@@ -129,14 +129,14 @@
   p->data_center = data_center;
   p->service = g_strdup ("");
   p->settings = json_object_new_object ();
-  p->address = new_address (ip);
+  p->address = host_address (ip, PORT_FRAMES);
   if (kind == PROCESS_ENTRY)
     {
-      p->http = new_address (ip);
-      p->operators = new_address (ip);
+      p->http = host_address (ip, PORT_HTTP);
+      p->operators = host_address (ip, PORT_OPERATORS);
     }
   if (kind == PROCESS_SLOT)
-    p->weights = new_address (ip);
+    p->weights = host_address (ip, PORT_WEIGHTS);
   p->log_path = g_strdup_printf ("%s/%s.log", s->folder, name);
   g_hash_table_replace (s->variables, g_strdelimit (g_strdup (name), "-.", '_'),
                         g_strdup (p->http != NULL ? p->http : p->address));
