--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -63,6 +63,17 @@
   return r;
 }
 
+/* Returns false for a crash that is known. */
+static bool
+add_crash (DlQuarantine *q, DlPartRecord *r, DlPartCrash crash)
+{
+  if (!quarantine_add_crash (r, crash))
+    return false;
+  q->crashed_ms = MAX (q->crashed_ms, crash.at_ms);
+  q->changed = true;
+  return true;
+}
+
 /* Releases the part if that is due, and notes it. */
 static void
 release_if_served (DlQuarantine *q,
@@ -112,10 +123,8 @@
       DlPartRecord *r = get_record (q, &parts->ids[i]);
 
       r->broken_count++;
-      if (!quarantine_add_crash (r,
-                                 (DlPartCrash){ .upstream = upstream, .at_ms = now_ms }))
+      if (!add_crash (q, r, (DlPartCrash){ .upstream = upstream, .at_ms = now_ms }))
         continue;
-      q->changed = true;
       if (r->hold_ms != 0)
         quarantine_extend_hold (r, is_trial, now_ms);
     }
@@ -191,20 +200,17 @@
 static void
 merge_record (DlQuarantine *q, DlPartRecord *r, const DlPartRecord *told)
 {
-  bool is_news = false;
-
   for (size_t i = 0; i < told->crash_count; i++)
-    is_news = quarantine_add_crash (r, told->crashes[i]) || is_news;
+    add_crash (q, r, told->crashes[i]);
   if (told->served_ms > r->served_ms)
     {
-      is_news = is_news || quarantine_count_crashes (r) > 0;
+      q->changed = q->changed || quarantine_count_crashes (r) > 0;
       r->served_ms = told->served_ms;
     }
   r->hold_ms = MAX (r->hold_ms, told->hold_ms);
   r->level = MAX (r->level, told->level);
   r->served_count = MAX (r->served_count, MIN (told->served_count, SERVED_COUNT_MAX));
   r->broken_count = MAX (r->broken_count, told->broken_count);
-  q->changed = q->changed || is_news;
 }
 
 void
--- a/lib/policy/quarantine_judge.c
+++ b/lib/policy/quarantine_judge.c
@@ -284,6 +284,8 @@
   DlPartRecord *guilty;
 
   *news = (DlQuarantineNews){ 0 };
+  if (now_ms > q->crashed_ms + DL_QUARANTINE_EVIDENCE_MS)
+    return;
   while (news->quarantined_count < DL_PART_RECORDS_MAX
          && (guilty = find_guilty (q, now_ms)) != NULL)
     {
--- a/lib/policy/quarantine_private.h
+++ b/lib/policy/quarantine_private.h
@@ -25,6 +25,7 @@
   QuarantineBreak breaks[QUARANTINE_BREAKS_MAX];
   size_t next_break;
   DlServedCount served; /* of all requests */
+  uint64_t crashed_ms;  /* newest crash of any part */
   int position;
   unsigned entries;
   bool changed;
