Limits: a response of another upstream is not heard, and the status stays within its size

Read before the landing: a 421 comes from whoever has the address now, and its limit, or lack of one, would have been taken for the expected upstream's; limits were added to the status without regard to its size.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -25,6 +25,7 @@
 #define STREAM_QUEUED_MAX_BYTES (256u << 10)
 #define STATUS_OK               200
 #define STATUS_MULTIPLE_CHOICES 300
+#define STATUS_MISDIRECTED      421
 #define STATUS_SERVER_ERROR     500
 
 DL_METRIC (metric_attempts,
@@ -155,8 +156,10 @@
   if (attempt->head.hold_off_ms > 0)
     direct_upstream_asked_hold_off (attempt->upstream, attempt->head.hold_off_ms,
                                     attempt->progress_ms);
-  direct_limits_heard (attempt->request->owner->limits, attempt->upstream, &attempt->head,
-                       attempt->sent_ms);
+  /* Otherwise another upstream may have responded. */
+  if (!attempt->head.is_mismatched && status != STATUS_MISDIRECTED)
+    direct_limits_heard (attempt->request->owner->limits, attempt->upstream,
+                         &attempt->head, attempt->sent_ms);
   if (attempt->head.has_load)
     direct_upstream_update_load (attempt->upstream,
                                  attempt->head.running + attempt->head.waiting,
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -294,7 +294,7 @@
 {
   if (state->limit_records_message != NULL)
     dl_limit_records_to_status (context, state->limit_records_message->limit_records,
-                                dl_clock_ms (), status);
+                                DL_PEER_STATUS_MAX_BYTES, dl_clock_ms (), status);
 }
 
 static void
--- a/lib/node/limit_record.c
+++ b/lib/node/limit_record.c
@@ -6,30 +6,40 @@
 
 #include "policy/rate_limit.h"
 
+static Daisyloft__Wire__LimitRecord *
+record_to_wire (const void *context, const DlLimitRecord *record, uint64_t now_ms)
+{
+  Daisyloft__Wire__LimitRecord *wire = talloc (context, Daisyloft__Wire__LimitRecord);
+
+  daisyloft__wire__limit_record__init (wire);
+  wire->upstream = record->upstream;
+  wire->limited = record->limit_per_s >= 0;
+  wire->limit_per_s = wire->limited ? record->limit_per_s : 0;
+  wire->heard = record->named_ms != 0;
+  wire->age_ms = wire->heard ? now_ms - record->named_ms : 0;
+  wire->wants = record->wants;
+  return wire;
+}
+
 void
 dl_limit_records_to_status (const void *context,
                             const DlLimitRecords *records,
+                            size_t max_bytes,
                             uint64_t now_ms,
                             Daisyloft__Wire__NodeStatus *status)
 {
-  Daisyloft__Wire__LimitRecord *items
-      = talloc_array (context, Daisyloft__Wire__LimitRecord, DL_LIMIT_RECORDS_MAX);
-
+  status->n_limit_record = 0;
   status->limit_record
       = talloc_array (context, Daisyloft__Wire__LimitRecord *, DL_LIMIT_RECORDS_MAX);
-  status->n_limit_record = records->count;
   for (size_t i = 0; i < records->count; i++)
     {
-      const DlLimitRecord *r = &records->items[i];
-
-      daisyloft__wire__limit_record__init (&items[i]);
-      items[i].upstream = r->upstream;
-      items[i].limited = r->limit_per_s >= 0;
-      items[i].limit_per_s = items[i].limited ? r->limit_per_s : 0;
-      items[i].heard = r->named_ms != 0;
-      items[i].age_ms = items[i].heard ? now_ms - r->named_ms : 0;
-      items[i].wants = r->wants;
-      status->limit_record[i] = &items[i];
+      status->limit_record[status->n_limit_record++]
+          = record_to_wire (context, &records->items[i], now_ms);
+      if (daisyloft__wire__node_status__get_packed_size (status) > max_bytes)
+        {
+          status->n_limit_record--;
+          return;
+        }
     }
 }
 
--- a/lib/node/limit_record.h
+++ b/lib/node/limit_record.h
@@ -30,9 +30,11 @@
   DlLimitRecord items[DL_LIMIT_RECORDS_MAX];
 } DlLimitRecords;
 
-/* Sets the limits of STATUS, which are talloc children of CONTEXT. */
+/* Adds as many of RECORDS to STATUS as leave it at most MAX_BYTES long when packed.  What
+ * is added are talloc children of CONTEXT. */
 void dl_limit_records_to_status (const void *context,
                                  const DlLimitRecords *records,
+                                 size_t max_bytes,
                                  uint64_t now_ms,
                                  Daisyloft__Wire__NodeStatus *status);
 /* Reads the limits of STATUS, which was received at NOW_MS; the entry is left out. */
