Quarantine: a crash is evidence for two minutes

Read before the landing: with 30 s a part of which a request comes every quarter minute or less often was never quarantined, however many upstreams it crashed. Change: two minutes; others are told of a part that was in one crash for 10 s only, so that the status stays short; that a part was served is still remembered for 30 s.

--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -12,6 +12,10 @@
 #define NEWS_MS 5000
 /* For this long after a crash, others are told that its part was served since. */
 #define TELL_SERVED_MS 3000
+/* For this long they are told of a part that was in one crash only. */
+#define TELL_ONCE_MS 10000
+/* That a part was served is remembered for this long. */
+#define SERVED_MEMORY_MS 30000
 /* Many entries share turns, so that each turn comes soon. */
 #define TURNS_MAX 8
 /* No trials at the start of a turn, when another entry may take it for its own. */
@@ -247,10 +251,14 @@
 static bool
 is_worth_telling (const DlPartRecord *r, uint64_t now_ms)
 {
+  unsigned crashes = quarantine_count_crashes (r);
+  uint64_t newest_ms = quarantine_newest_crash_ms (r);
+
   if (r->crash_count == 0)
     return false;
-  return is_recent_news (r, now_ms) || quarantine_count_crashes (r) > 0
-         || now_ms <= quarantine_newest_crash_ms (r) + TELL_SERVED_MS;
+  return is_recent_news (r, now_ms) || crashes > 1
+         || (crashes == 1 && now_ms <= newest_ms + TELL_ONCE_MS)
+         || now_ms <= newest_ms + TELL_SERVED_MS;
 }
 
 typedef struct
@@ -326,7 +334,7 @@
   if (r->hold_ms != 0)
     return now_ms > r->hold_ms + FORGET_HELD_MS;
   drop_old_crashes (r, now_ms);
-  return r->crash_count == 0 && now_ms > r->served_ms + DL_QUARANTINE_EVIDENCE_MS;
+  return r->crash_count == 0 && now_ms > r->served_ms + SERVED_MEMORY_MS;
 }
 
 void
--- a/lib/policy/quarantine.h
+++ b/lib/policy/quarantine.h
@@ -43,7 +43,7 @@
 #define DL_QUARANTINE_HOLD_MAX_MS 120000
 /* A crash is evidence once all entries know of it, and for so long. */
 #define DL_QUARANTINE_SETTLE_MS   150
-#define DL_QUARANTINE_EVIDENCE_MS 30000
+#define DL_QUARANTINE_EVIDENCE_MS 120000
 
 /* A crash of an upstream that had a request with the part. */
 typedef struct
@@ -91,14 +91,6 @@
   DL_QUARANTINE_REFUSE, /* it has a quarantined part */
 } DlQuarantineDecision;
 
-/* Records of all parts and of how requests fare. */
-typedef struct DlQuarantine DlQuarantine;
-
-/* Returns an empty one, a talloc child of CONTEXT. */
-DlQuarantine *dl_quarantine_new (const void *context);
-/* Sets how many entries take turns with trials and the position of this one among them,
- * which all know in the same order; -1: it takes no turns. */
-void dl_quarantine_set_turns (DlQuarantine *quarantine, int position, unsigned entries);
 /* Parts that were quarantined or released by what was reported. */
 typedef struct
 {
@@ -108,6 +100,14 @@
   DlPartId released[DL_PART_RECORDS_MAX];
 } DlQuarantineNews;
 
+/* Records of all parts and of how requests fare. */
+typedef struct DlQuarantine DlQuarantine;
+
+/* Returns an empty one, a talloc child of CONTEXT. */
+DlQuarantine *dl_quarantine_new (const void *context);
+/* Sets how many entries take turns with trials and the position of this one among them,
+ * which all know in the same order; -1: it takes no turns. */
+void dl_quarantine_set_turns (DlQuarantine *quarantine, int position, unsigned entries);
 /* A request with PARTS was served completely, which may release some of them. */
 void dl_quarantine_served (DlQuarantine *quarantine,
                            const DlPromptParts *parts,
--- a/regress/unit/test_quarantine.c
+++ b/regress/unit/test_quarantine.c
@@ -106,6 +106,26 @@
   talloc_free (q);
 }
 
+/* A request every half minute. */
+static void
+test_part_that_crashes_upstreams_seldom_is_quarantined (void)
+{
+  DlQuarantine *q = quarantine_new ();
+
+  for (unsigned i = 0; i < 3; i++)
+    {
+      uint64_t now_ms = START_MS + i * 30000;
+
+      for (unsigned n = 0; n < 50; n++)
+        serve (q, "other", "", now_ms - 100);
+      dl_quarantine_expire (q, now_ms - 100);
+      break_off (q, "first", "bad", 1 + i, now_ms);
+      serve (q, "first", "", now_ms + 500);
+    }
+  CU_ASSERT_TRUE (is_held (q, "bad"));
+  talloc_free (q);
+}
+
 static void
 test_one_crash_told_by_many_counts_once (void)
 {
@@ -668,6 +688,8 @@
 
 static const CU_TestInfo quarantine_tests[] = {
   { "part in every crash", test_part_in_every_crash_is_quarantined },
+  { "crashes half a minute apart",
+    test_part_that_crashes_upstreams_seldom_is_quarantined },
   { "one crash told by many", test_one_crash_told_by_many_counts_once },
   { "upstreams lost together", test_upstreams_lost_together_blame_no_part },
   { "part that fares like the others",
