Quarantine: entries tell what they saw themselves, not what they were told

Cause: each entry told all others on at once what it had just merged, so that a crash made 42 entries send each other their records again and again, and the links between regions were full. Change: a record is told for 1.2 s after this entry saw something of it itself; a served request only of a part that was in two crashes within 10 s; a quarantined part always, with its newest crash, so that a new entry learns of it.

--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -12,7 +12,7 @@
 #include "policy/availability.h"
 #include "requests.h"
 
-#define EXPIRE_MS          1000
+#define EXPIRE_MS          400 /* also until the others are told no more of the past */
 #define STATUS_BAD_GATEWAY 502
 
 DL_METRIC (metric_quarantined,
@@ -161,12 +161,13 @@
 /* -------- the other entries -------- */
 
 static void
-publish_records (Requests *requests, uint64_t now_ms)
+publish_records (Requests *requests, bool is_urgent, uint64_t now_ms)
 {
   DirectMessage *message = direct_message_new (DIRECT_PART_RECORDS);
 
   message->part_records = talloc_zero (message, DlPartRecords);
   dl_quarantine_export (requests->quarantine, now_ms, message->part_records);
+  message->part_records->is_urgent = is_urgent;
   dl_kernel_publish (dl_task_kernel (requests->task), message);
 }
 
@@ -182,13 +183,13 @@
       requests->quarantine_grew = false;
       end_held_requests (requests, now_ms);
     }
-  if (now_ms >= requests->quarantine_expired_ms + EXPIRE_MS)
-    {
-      requests->quarantine_expired_ms = now_ms;
-      dl_quarantine_expire (requests->quarantine, now_ms);
-    }
   if (dl_quarantine_take_changed (requests->quarantine))
-    publish_records (requests, now_ms);
+    publish_records (requests, true, now_ms);
+  if (now_ms < requests->quarantine_expired_ms + EXPIRE_MS)
+    return;
+  requests->quarantine_expired_ms = now_ms;
+  dl_quarantine_expire (requests->quarantine, now_ms);
+  publish_records (requests, false, now_ms);
 }
 
 static int
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -485,7 +485,8 @@
   if (head->type == DIRECT_HOLDINGS)
     keep_message (state, &state->holdings_message, head, true);
   else if (head->type == DIRECT_PART_RECORDS)
-    keep_message (state, &state->part_records_message, head, true);
+    keep_message (state, &state->part_records_message, head,
+                  ((const DirectMessage *)head)->part_records->is_urgent);
   else
     keep_message (state, &state->limit_records_message, head,
                   limits_differ (state, (const DirectMessage *)head));
--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -10,10 +10,11 @@
 #define SERVED_COUNT_MAX 1000
 /* Others are told first of what changed within this time. */
 #define NEWS_MS 5000
-/* For this long after a crash, others are told that its part was served since. */
-#define TELL_SERVED_MS 3000
-/* For this long they are told of a part that was in one crash only. */
-#define TELL_ONCE_MS 10000
+/* Others are told what this entry saw for this long, as a datagram may be lost. */
+#define TELL_MS 1200
+/* That a part with so many crashes within this time was served matters to the others. */
+#define SUSPECT_CRASHES 2
+#define SUSPECT_MS      10000
 /* That a part was served is remembered for this long. */
 #define SERVED_MEMORY_MS 30000
 /* Many entries share turns, so that each turn comes soon. */
@@ -74,10 +75,25 @@
   if (!quarantine_add_crash (r, crash))
     return false;
   q->crashed_ms = MAX (q->crashed_ms, crash.at_ms);
-  q->changed = true;
   return true;
 }
 
+/* True when the part was in several crashes lately, and not served since the last one. */
+static bool
+is_suspected (const DlPartRecord *r, uint64_t now_ms)
+{
+  return quarantine_count_crashes (r) > 0 && r->crash_count >= SUSPECT_CRASHES
+         && now_ms <= r->crashes[r->crash_count - SUSPECT_CRASHES].at_ms + SUSPECT_MS;
+}
+
+/* What this entry saw of the part is told to the others, at once and again. */
+static void
+tell (DlQuarantine *q, DlPartRecord *r, uint64_t now_ms)
+{
+  r->tell_until_ms = now_ms + TELL_MS;
+  q->changed = true;
+}
+
 /* Releases the part if that is due, and notes it. */
 static void
 release_if_served (DlQuarantine *q,
@@ -89,7 +105,6 @@
     return;
   r->changed_ms = now_ms;
   news->released[news->released_count++] = r->id;
-  q->changed = true;
 }
 
 /* -------- how requests end -------- */
@@ -106,7 +121,8 @@
     {
       DlPartRecord *r = get_record (q, &parts->ids[i]);
 
-      q->changed = q->changed || quarantine_count_crashes (r) > 0;
+      if (r->hold_ms != 0 || is_suspected (r, now_ms))
+        tell (q, r, now_ms);
       r->served_ms = now_ms;
       r->served_count = MIN (r->served_count + 1, SERVED_COUNT_MAX);
       quarantine_count_served (&r->served_lately, now_ms);
@@ -129,6 +145,7 @@
       r->broken_count++;
       if (!add_crash (q, r, (DlPartCrash){ .upstream = upstream, .at_ms = now_ms }))
         continue;
+      tell (q, r, now_ms);
       if (r->hold_ms != 0)
         quarantine_extend_hold (r, is_trial, now_ms);
     }
@@ -173,9 +190,11 @@
       DlPartRecord *r = g_hash_table_lookup (q->records, parts->ids[i].text);
 
       if (r != NULL && r->hold_ms != 0)
-        r->hold_ms = now_ms + DL_QUARANTINE_TRIAL_MS;
+        {
+          r->hold_ms = now_ms + DL_QUARANTINE_TRIAL_MS;
+          tell (q, r, now_ms);
+        }
     }
-  q->changed = true;
 }
 
 DlQuarantineDecision
@@ -206,11 +225,7 @@
 {
   for (size_t i = 0; i < told->crash_count; i++)
     add_crash (q, r, told->crashes[i]);
-  if (told->served_ms > r->served_ms)
-    {
-      q->changed = q->changed || quarantine_count_crashes (r) > 0;
-      r->served_ms = told->served_ms;
-    }
+  r->served_ms = MAX (r->served_ms, told->served_ms);
   r->hold_ms = MAX (r->hold_ms, told->hold_ms);
   r->level = MAX (r->level, told->level);
   r->served_count = MAX (r->served_count, MIN (told->served_count, SERVED_COUNT_MAX));
@@ -236,7 +251,6 @@
         {
           r->changed_ms = now_ms;
           news->quarantined[news->quarantined_count++] = r->id;
-          q->changed = true;
         }
     }
 }
@@ -247,18 +261,22 @@
   return r->hold_ms != 0 || (r->changed_ms != 0 && now_ms <= r->changed_ms + NEWS_MS);
 }
 
-/* Whether other entries may not know yet what matters of the record. */
+/* Quarantined parts are told as long as they are, so that a new entry learns of them. */
 static bool
 is_worth_telling (const DlPartRecord *r, uint64_t now_ms)
 {
-  unsigned crashes = quarantine_count_crashes (r);
-  uint64_t newest_ms = quarantine_newest_crash_ms (r);
+  return r->hold_ms != 0 || now_ms <= r->tell_until_ms;
+}
 
-  if (r->crash_count == 0)
-    return false;
-  return is_recent_news (r, now_ms) || crashes > 1
-         || (crashes == 1 && now_ms <= newest_ms + TELL_ONCE_MS)
-         || now_ms <= newest_ms + TELL_SERVED_MS;
+/* Leaves out what all but a new entry know. */
+static DlPartRecord
+shortened (DlPartRecord r, uint64_t now_ms)
+{
+  if (now_ms <= r.tell_until_ms || r.crash_count == 0)
+    return r;
+  r.crashes[0] = r.crashes[r.crash_count - 1];
+  r.crash_count = 1;
+  return r;
 }
 
 typedef struct
@@ -302,7 +320,7 @@
   g_array_sort (ranked, compare_ranked);
   records->count = MIN (ranked->len, DL_PART_RECORDS_MAX);
   for (guint i = 0; i < records->count; i++)
-    records->items[i] = *g_array_index (ranked, Ranked, i).record;
+    records->items[i] = shortened (*g_array_index (ranked, Ranked, i).record, now_ms);
 }
 
 bool
@@ -347,12 +365,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       DlPartRecord *r = value;
-      size_t crashes = r->crash_count;
-      bool forgotten = expire_record (r, now_ms);
 
-      if (forgotten ? crashes > 0 : r->crash_count != crashes)
-        q->changed = true;
-      if (forgotten)
+      if (expire_record (r, now_ms))
         g_hash_table_iter_remove (&iter);
     }
 }
--- a/lib/policy/quarantine.h
+++ b/lib/policy/quarantine.h
@@ -15,9 +15,9 @@
  * crashes, one request is a trial: the part is released if that is served, and held
  * three times as long if its upstream crashes.
  *
- * Entries tell each other the records of suspected parts, as the crashes of one part are
- * seen by different entries.  Merging records is idempotent and does not depend on their
- * order.
+ * Entries tell each other what they saw of suspected parts, as the crashes of one part
+ * are seen by different entries, and which parts are quarantined.  What one was told is
+ * not told on.  Merging records is idempotent and does not depend on their order.
  *
  * Pure: times are milliseconds given by the caller.
  */
@@ -72,13 +72,15 @@
   unsigned broken_count; /* requests with it that broke off */
   size_t crash_count;
   DlPartCrash crashes[DL_PART_CRASHES_MAX];
-  /* How its requests fared lately; other entries are not told. */
+  /* Other entries are not told of the rest. */
   DlServedCount served_lately;
+  uint64_t tell_until_ms; /* of what this entry saw, others are told until then */
 } DlPartRecord;
 
 /* Records that one entry tells others. */
 typedef struct
 {
+  bool is_urgent; /* something that this entry saw is told for the first time */
   size_t count;
   DlPartRecord items[DL_PART_RECORDS_MAX];
 } DlPartRecords;
@@ -144,7 +146,7 @@
 void dl_quarantine_export (const DlQuarantine *quarantine,
                            uint64_t now_ms,
                            DlPartRecords *records);
-/* True once after what dl_quarantine_export writes has changed. */
+/* True once after this entry saw what others should be told at once. */
 bool dl_quarantine_take_changed (DlQuarantine *quarantine);
 /* Forgets what is too old to matter.  To be called about every second. */
 void dl_quarantine_expire (DlQuarantine *quarantine, uint64_t now_ms);
--- a/lib/policy/quarantine_judge.c
+++ b/lib/policy/quarantine_judge.c
@@ -292,7 +292,7 @@
       hold (guilty);
       guilty->changed_ms = now_ms;
       news->quarantined[news->quarantined_count++] = guilty->id;
-      q->changed = true;
+      q->changed = true; /* quarantined parts are told */
     }
 }
 
