Wait queue: what responses freed counts after a quiet time

An entry that had served 7 requests in its first 0.12 s counted them as 7 a second, expected the second request to wait to need 143 ms of its 80 ms, and refused it.

Change: in the first window after a quiet time, responses over the time that has passed count as well as dispatches.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -92,6 +92,8 @@
   if (attempt->ended)
     return;
   attempt->ended = true;
+  if (outcome == DIRECT_ATTEMPT_SERVED)
+    dl_wait_queue_responded (attempt->request->service->queue);
   direct_upstream_ended (attempt->upstream, attempt->prompt_tokens, attempt->started,
                          outcome, dl_clock_ms ());
 }
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -4,6 +4,9 @@
 #include <talloc.h>
 
 #define RETRY_SPREAD_MS 1000
+#define MS_PER_S        1000
+/* The rate of responses in a window that has just begun is taken over this time. */
+#define RESPONSES_MIN_MS 100
 
 typedef struct
 {
@@ -19,6 +22,7 @@
   uint64_t window_ms;       /* start of the current window of the dispatch rate */
   unsigned dispatched;      /* in the current window */
   unsigned dispatched_last; /* in the window before it */
+  unsigned responses;       /* in the current window */
 };
 
 static int
@@ -49,16 +53,28 @@
     return;
   queue->dispatched_last = passed_ms < 2 * DL_WAIT_RATE_WINDOW_MS ? queue->dispatched : 0;
   queue->dispatched = 0;
+  queue->responses = 0;
   queue->window_ms = now_ms;
 }
 
-/* Expected time until LENGTH requests have been dispatched. */
+/* Request slots that became free by responses, per second. */
 static uint64_t
-expected_wait_ms (const DlWaitQueue *queue, size_t length)
+responses_per_s (const DlWaitQueue *queue, uint64_t now_ms)
 {
-  unsigned rate = MAX (MAX (queue->dispatched, queue->dispatched_last), 1);
+  return queue->responses * (uint64_t)MS_PER_S
+         / MAX (now_ms - queue->window_ms, RESPONSES_MIN_MS);
+}
+
+/* Expected time until LENGTH requests have been dispatched.  In the first window after a
+ * quiet time, dispatches of a whole window are not known yet. */
+static uint64_t
+expected_wait_ms (const DlWaitQueue *queue, size_t length, uint64_t now_ms)
+{
+  uint64_t per_s = MAX (MAX (queue->dispatched, queue->dispatched_last), 1);
 
-  return (uint64_t)length * DL_WAIT_RATE_WINDOW_MS / rate;
+  if (queue->dispatched_last == 0)
+    per_s = MAX (per_s, responses_per_s (queue, now_ms));
+  return length * DL_WAIT_RATE_WINDOW_MS / per_s;
 }
 
 static gint
@@ -84,7 +100,7 @@
   WaitingItem *w;
 
   advance_window (queue, now_ms);
-  if (length > 0 && expected_wait_ms (queue, length) > max_wait_ms)
+  if (length > 0 && expected_wait_ms (queue, length, now_ms) > max_wait_ms)
     return DL_WAIT_REFUSED;
   w = g_new0 (WaitingItem, 1);
   w->item = item;
@@ -177,6 +193,12 @@
   queue->dispatched++;
 }
 
+void
+dl_wait_queue_responded (DlWaitQueue *queue)
+{
+  queue->responses++;
+}
+
 size_t
 dl_wait_queue_length (const DlWaitQueue *queue)
 {
@@ -186,7 +208,7 @@
 uint64_t
 dl_wait_queue_retry_ms (const DlWaitQueue *queue, uint64_t random, uint64_t now_ms)
 {
-  uint64_t wait_ms = expected_wait_ms (queue, queue->items.length);
+  uint64_t wait_ms = expected_wait_ms (queue, queue->items.length, now_ms);
 
   wait_ms += DL_WAIT_RETRY_MIN_MS + random % RETRY_SPREAD_MS;
   return MIN (wait_ms, DL_WAIT_RETRY_MAX_MS);
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -5,10 +5,11 @@
  * and callers retry a refused request only once.  A request has its full value only if
  * its first event arrives within its latency target, so a long wait is useless, and
  * refusing late is worse than refusing at once.  The queue measures the rate at which
- * requests were dispatched recently.  A request that is expected to wait longer than its
- * share of the target is refused when it arrives; one that has waited that long anyway is
- * refused then.  The retry time given to refused callers grows with the queue and is
- * spread over a second, so that they do not return at the same moment.
+ * requests were dispatched recently and, in the first second after a quiet time, the
+ * rate at which responses made request slots free.  A request that is expected to wait
+ * longer than its share of the target is refused when it arrives; one that has waited
+ * that long anyway is refused then.  The retry time given to refused callers grows with
+ * the queue and is spread over a second, so that they do not return at the same moment.
  *
  * A request that may have run cannot be refused any more: it waits for as long as its
  * caller does, before all others.
@@ -73,6 +74,8 @@
 void *dl_wait_queue_expired (DlWaitQueue *queue, uint64_t now_ms);
 /* Counts a request that was sent to an upstream in the dispatch rate. */
 void dl_wait_queue_dispatched (DlWaitQueue *queue, uint64_t now_ms);
+/* Counts a response by which an upstream's request slot became free. */
+void dl_wait_queue_responded (DlWaitQueue *queue);
 /* Returns the number of queued items. */
 size_t dl_wait_queue_length (const DlWaitQueue *queue);
 /* Returns the time in milliseconds after which a refused caller should retry. */
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -226,6 +226,37 @@
   talloc_free (queue);
 }
 
+/* After a quiet time, request slots are expected to become free as fast as responses have
+ * made some free; without a response, as slowly as they were filled. */
+static void
+test_queue_after_quiet (void)
+{
+  const uint64_t quiet_ms = 10 * DL_WAIT_RATE_WINDOW_MS;
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  DlWaitQueue *filled = dl_wait_queue_new (NULL);
+  int items[3];
+
+  dl_wait_queue_dispatched (queue, 1000); /* long before */
+  for (unsigned i = 0; i < 6; i++)        /* requests of 20 ms */
+    {
+      dl_wait_queue_dispatched (queue, quiet_ms + i * 20);
+      dl_wait_queue_dispatched (filled, quiet_ms + i * 20);
+      dl_wait_queue_responded (queue);
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
+    {
+      CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &items[i], 1, 400, quiet_ms + 120),
+                       DL_WAIT_QUEUED);
+      CU_ASSERT_EQUAL (dl_wait_queue_push (filled, &items[i], 1, 400, quiet_ms + 120),
+                       i == 0 ? DL_WAIT_QUEUED : DL_WAIT_REFUSED);
+    }
+  /* A fifth of the target is 80 ms, in which four slots become free. */
+  CU_ASSERT (dl_wait_queue_retry_ms (queue, 0, quiet_ms + 120)
+             <= DL_WAIT_RETRY_MIN_MS + 80);
+  talloc_free (queue);
+  talloc_free (filled);
+}
+
 /* Requests that may have run are never refused, go first and keep their own limit. */
 static void
 test_queue_of_begun (void)
@@ -463,6 +494,7 @@
   { "slots that are left free", test_usable_slots },
   { "order of the queue", test_queue_order },
   { "refused at once", test_queue_refuses_at_once },
+  { "queue: requests after a quiet time", test_queue_after_quiet },
   { "queue: requests that may have run go first", test_queue_of_begun },
   { "the heaviest load", test_heaviest_load },
   CU_TEST_INFO_NULL,
