Rollouts: an ended one releases a host that follows a newer one

State of the failing host: directive r1, revision 15; the keeping rollout r0's revision 7.

Ruled out: the wave without room that the listing names (the rollout's reason from before it was called off).

Change: a directive of another rollout, later than this one's revision, releases too.

--- a/lib/policy/rollout.c
+++ b/lib/policy/rollout.c
@@ -533,13 +533,23 @@
   return !is_superseded (rollout, set);
 }
 
+/* True when the host has received a later directive, of another rollout, than this one's
+ * last: it never loads by this one any more. */
+static bool
+has_later_directive (const DlRollout *r, const DlRolloutHost *host)
+{
+  return host->reported && strcmp (host->rollout, r->name) != 0
+         && host->directive_revision > r->revision;
+}
+
 /* An ended rollout keeps the hosts that serve its version or are about to load it.  True
  * when a host it keeps serves requests without the version: the host must be released, so
  * that an older rollout applies to it again. */
 static bool
 must_release (const DlRollout *r, const DlRolloutHost *host)
 {
-  return dl_rollout_keeps (r, host->name) && knows_decision (r, host) && host->accepts
+  return dl_rollout_keeps (r, host->name)
+         && (knows_decision (r, host) || has_later_directive (r, host)) && host->accepts
          && !serves_version (r, host);
 }
 
--- a/regress/unit/test_rollout.c
+++ b/regress/unit/test_rollout.c
@@ -398,6 +398,13 @@
     }
 }
 
+/* Seeds that failed once, each by a cause of its own. */
+static void
+test_schedules_that_failed (void)
+{
+  run_schedule (4020); /* an ended rollout kept a host that followed a newer one */
+}
+
 /* -------- cases -------- */
 
 typedef struct
@@ -503,6 +510,7 @@
   { "malformed objects", test_malformed },
   { "grants", test_grants },
   { "random schedules", test_schedules },
+  { "schedules that failed", test_schedules_that_failed },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("rollout", rollout_tests)
