--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -47,6 +47,15 @@
 
 /* -------- not executed -------- */
 
+/* Time that those who wait for the request's service are expected to wait. */
+static uint64_t
+expected_wait_ms (const Request *r)
+{
+  return r->service != NULL
+             ? dl_wait_queue_expected_ms (r->service->queue, dl_clock_ms ())
+             : 0;
+}
+
 void
 direct_request_refuse (Request *r, uint64_t retry_ms, const char *reason)
 {
@@ -63,6 +72,7 @@
           DL_UINT ("sent", r->attempt_count),
           DL_UINT ("waiting",
                    r->service != NULL ? dl_wait_queue_length (r->service->queue) : 0),
+          DL_UINT ("expected_wait_ms", expected_wait_ms (r)),
           DL_UINT ("upstreams", count.listed), DL_UINT ("loading", count.loading),
           DL_UINT ("ejected", count.ejected), DL_UINT ("old_weights", count.outdated),
           DL_UINT ("held_off", count.held_off), DL_UINT ("retry_ms", retry_ms),
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -205,10 +205,16 @@
   return queue->items.length;
 }
 
+uint64_t
+dl_wait_queue_expected_ms (const DlWaitQueue *queue, uint64_t now_ms)
+{
+  return expected_wait_ms (queue, queue->items.length, now_ms);
+}
+
 uint64_t
 dl_wait_queue_retry_ms (const DlWaitQueue *queue, uint64_t random, uint64_t now_ms)
 {
-  uint64_t wait_ms = expected_wait_ms (queue, queue->items.length, now_ms);
+  uint64_t wait_ms = dl_wait_queue_expected_ms (queue, now_ms);
 
   wait_ms += DL_WAIT_RETRY_MIN_MS + random % RETRY_SPREAD_MS;
   return MIN (wait_ms, DL_WAIT_RETRY_MAX_MS);
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -78,6 +78,8 @@
 void dl_wait_queue_responded (DlWaitQueue *queue);
 /* Returns the number of queued items. */
 size_t dl_wait_queue_length (const DlWaitQueue *queue);
+/* Returns the time in milliseconds in which all queued items are expected to leave. */
+uint64_t dl_wait_queue_expected_ms (const DlWaitQueue *queue, uint64_t now_ms);
 /* Returns the time in milliseconds after which a refused caller should retry. */
 uint64_t
 dl_wait_queue_retry_ms (const DlWaitQueue *queue, uint64_t random, uint64_t now_ms);
