Wait queue and upstreams: what stood twice or was unused goes

dl_wait_queue_peek was dl_wait_queue_after with NULL and had no caller but tests; Attempt.sent was not used; closed_ms already says what dl_availability_allows did after can_serve. Two checks in test_balance.c that became the same line are one.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -52,7 +52,6 @@
   uint64_t progress_ms; /* when it last made progress; the start time before that */
   uint64_t prompt_tokens;
   bool started;         /* a whole event or a whole response arrived */
-  bool sent;            /* not used */
   bool kept;            /* though its upstream was silent for long */
   bool failure_counted; /* that silence was, for the upstream's circuit breaker */
   bool ended;           /* its end was reported to the upstream */
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -361,9 +361,7 @@
   int chosen;
 
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
-    if (can_serve (upstreams, u, query)
-        && dl_availability_allows (&u->availability, query->now_ms)
-        && closed_ms (u, query->now_ms) == 0)
+    if (can_serve (upstreams, u, query) && closed_ms (u, query->now_ms) == 0)
       {
         DlBalanceCandidate c = {
           .load = &u->load,
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -132,12 +132,6 @@
   return link != NULL ? ((const WaitingItem *)link->data)->item : NULL;
 }
 
-void *
-dl_wait_queue_peek (const DlWaitQueue *queue)
-{
-  return item_of (queue->items.head);
-}
-
 void *
 dl_wait_queue_after (const DlWaitQueue *queue, const void *item)
 {
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -63,8 +63,6 @@
                                void *item,
                                uint64_t expires_ms,
                                uint64_t now_ms);
-/* Returns the next item, which stays queued; NULL when the queue is empty. */
-void *dl_wait_queue_peek (const DlWaitQueue *queue);
 /* Returns the item behind ITEM, which is queued; the first one for NULL.  NULL when there
  * is none. */
 void *dl_wait_queue_after (const DlWaitQueue *queue, const void *item);
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -197,9 +197,9 @@
     dl_wait_queue_dispatched (queue, 1000);
   CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &second, 2, 3000, 1005), DL_WAIT_QUEUED);
   CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 3000, 1010), DL_WAIT_QUEUED);
-  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &urgent);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &urgent);
   dl_wait_queue_remove (queue, &urgent);
-  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &first);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &first);
   CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, 999 + patience_ms));
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, 1000 + patience_ms), &first);
   CU_ASSERT_EQUAL (dl_wait_queue_length (queue), 1);
@@ -268,7 +268,6 @@
   CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 400, 1000), DL_WAIT_REFUSED);
   dl_wait_queue_push_begun (queue, &lost, 4000, 1010);
   dl_wait_queue_push_begun (queue, &lost_later, 3000, 1020);
-  CU_ASSERT_PTR_EQUAL (dl_wait_queue_peek (queue), &lost);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &lost);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, &lost), &lost_later);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, &lost_later), &fresh);
@@ -408,7 +407,8 @@
       for (unsigned u = 0; now_ms % REPORT_MS == e && u < UPSTREAMS; u++)
         dl_balance_report (&sim->entries[e].loads[u], sim->upstreams[u].running, ENTRIES,
                            g_rand_int (sim->random), now_ms);
-      while ((at = dl_wait_queue_peek (queue)) != NULL && dispatch (sim, e, now_ms))
+      while ((at = dl_wait_queue_after (queue, NULL)) != NULL
+             && dispatch (sim, e, now_ms))
         dl_wait_queue_remove (queue, at);
       while ((at = dl_wait_queue_expired (queue, now_ms)) != NULL)
         {
