Slots: a fetch is stalled after checks without data, not after a pause of the slot

When it goes on, its four fetches have had no data for over 2 s by the clock, and are given up in one moment, though their data lie unread in its sockets. Four failures make the origin unusable to it, so it refuses the hosts that wait for its chunks; they take it for down, and import those chunks themselves after 2 s, just as draft-2's backoff ends. Both draw them.

Change: checks without data are counted. A check that comes late counts once.

--- a/daisyslotd/transfer_source.c
+++ b/daisyslotd/transfer_source.c
@@ -10,8 +10,8 @@
 #include "kernel/log.h"
 
 #define SOURCES                2 /* the origin and the weight store */
-#define STALL_TIMEOUT_MS       2000
 #define STALL_CHECK_MS         250
+#define STALLED_CHECKS         8 /* without data, after which a fetch has failed */
 #define BACKOFF_MIN_MS         200
 #define BACKOFF_MAX_MS         10000
 #define RETRY_AFTER_MAX_S      60
@@ -49,7 +49,7 @@
   DlDigest digest;
   uint64_t retry_after_ms; /* from the response; 0: none */
   DlBuffer *body;
-  uint64_t progress_ms; /* when data last arrived */
+  unsigned idle_checks; /* since data last arrived */
 } Fetch;
 
 TransferSources *
@@ -202,7 +202,7 @@
 {
   Fetch *fetch = data;
 
-  fetch->progress_ms = dl_clock_ms ();
+  fetch->idle_checks = 0;
   /* Data beyond max_bytes is dropped; the digest decides about the rest. */
   dl_buffer_append (fetch->body, bytes.data, bytes.length);
 }
@@ -213,13 +213,15 @@
   end_fetch (data, check_response (data, result));
 }
 
-/* libcurl limits only the average rate over seconds, which detects a stall too late. */
+/* libcurl limits only the average rate over seconds, which detects a stall too late.
+ * Checks are counted instead of time, of which the source may have used none while this
+ * process was paused: what it sent meanwhile has not been read. */
 static void
 on_stall_check (DlTimer *timer, void *data)
 {
   Fetch *fetch = data;
 
-  if (dl_clock_ms () - fetch->progress_ms >= STALL_TIMEOUT_MS)
+  if (++fetch->idle_checks >= STALLED_CHECKS)
     end_fetch (fetch, -ETIMEDOUT);
 }
 
@@ -267,7 +269,6 @@
   dl_digest_to_hex (digest, hex);
   url = talloc_asprintf (fetch, "http://%s/v1/blobs/%s", fetch->source->address, hex);
   fetch->body = dl_buffer_new (fetch, max_bytes);
-  fetch->progress_ms = now;
   dl_timer_subscribe (sources->task, fetch, STALL_CHECK_MS, STALL_CHECK_MS,
                       on_stall_check, fetch);
   dl_http_call (sources->client, fetch,
