Readers: one whose copy is too old is asked again soon, and sends nobody to the store

Ruled out: what entries tell of prompt parts (58 lines of 1030 in the region's logs, none beside the asks); the reader's own path (it had each version first).

Change: a reader that answers, if only that its copy is too old, is asked again after 1 s and is no reason to turn to the store; after three such in a row asks are 500 ms apart. One that does not answer counts as before.

--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -232,7 +232,10 @@
 on_call_done (DlHttpCall *http, const DlHttpResult *response, void *data)
 {
   ObjectCall *call = data;
-  DlObjectResult result = { .retry_after_ms = call->retry_after_ms };
+  DlObjectResult result = {
+    .responded = response->error == 0,
+    .retry_after_ms = call->retry_after_ms,
+  };
   json_object *body = NULL;
 
   if (response->error != 0)
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -56,6 +56,7 @@
    * call had no effect), DL_ERR_UNKNOWN (a write may have taken effect: read the object
    * to find out), DL_ERR_GONE or DL_ERR_MALFORMED */
   int error;
+  bool responded;          /* the server did, if only with an error */
   uint64_t retry_after_ms; /* from Retry-After; 0 when absent */
   uint64_t revision;       /* of the written object, or of the list or watch */
   uint64_t created;
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -212,10 +212,13 @@
 /* The reader does not answer, or its copy is stale: reports that and tries again later,
  * with another reader or the store. */
 static void
-retry_without_relay (DlObjectWatch *watch, int error)
+retry_without_relay (DlObjectWatch *watch, const DlObjectResult *result)
 {
   run_after (watch, dl_relay_source_report_failure (watch->options.source, watch->server,
-                                                    watch->options.kind, error));
+                                                    &(DlReaderFailure){
+                                                        .kind = watch->options.kind,
+                                                        .error = result->error,
+                                                        .is_stale = result->responded }));
 }
 
 /* Chooses between the store and a reader for the next watch. */
@@ -289,7 +292,7 @@
   if (result->error < 0 && watch->via_relay)
     {
       restart_list (watch);
-      retry_without_relay (watch, result->error);
+      retry_without_relay (watch, result);
       return;
     }
   if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
@@ -382,7 +385,7 @@
     }
   if (result->error < 0 && watch->via_relay)
     {
-      retry_without_relay (watch, result->error);
+      retry_without_relay (watch, result);
       return;
     }
   if (result->error < 0)
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "kernel/crypt.h"
+#include "kernel/error.h"
 #include "kernel/log.h"
 #include "node/peers.h"
 #include "policy/readers.h"
@@ -119,18 +120,22 @@
 uint64_t
 dl_relay_source_report_failure (DlRelaySource *source,
                                 const DlObjectClient *reader,
-                                const char *kind,
-                                int error)
+                                const DlReaderFailure *failure)
 {
   const char *relay = dl_object_client_address (reader);
   bool is_new;
   uint64_t backoff_ms
-      = dl_reader_health_failed (source->reader_health, relay, dl_random_uint64 (),
-                                 dl_clock_ms (), &is_new);
+      = failure->is_stale
+            ? dl_reader_health_stale (source->reader_health, relay, dl_clock_ms (),
+                                      &is_new)
+            : dl_reader_health_failed (source->reader_health, relay, dl_random_uint64 (),
+                                       dl_clock_ms (), &is_new);
 
   if (is_new)
-    dl_log (DL_EVENT_READER_FAILED, DL_TEXT ("reader", relay), DL_TEXT ("kind", kind),
-            DL_ERRNO (error));
+    dl_log (DL_EVENT_READER_FAILED, DL_TEXT ("reader", relay),
+            DL_TEXT ("kind", failure->kind),
+            DL_TEXT ("error", failure->is_stale ? "its copy is too old"
+                                                : dl_strerror (failure->error)));
   return backoff_ms;
 }
 
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -29,12 +29,20 @@
 /* Returns the reader to ask, owned by SOURCE; NULL to ask the store.  *IS_READER is
  * set to whether this entry reads the store for other nodes. */
 DlObjectClient *dl_relay_source_choose (DlRelaySource *source, bool *is_reader);
-/* READER, which was chosen, did not answer, or its copy of KIND is stale; ERROR is
- * logged.  Returns the backoff before the next request, in milliseconds. */
+
+/* Why a reader was of no use. */
+typedef struct
+{
+  const char *kind; /* of the objects that it was asked for */
+  int error;
+  bool is_stale; /* it answered, but its copy is too old */
+} DlReaderFailure;
+
+/* READER, which was chosen, failed so; this is logged.  Returns the backoff before the
+ * next request, in milliseconds. */
 uint64_t dl_relay_source_report_failure (DlRelaySource *source,
                                          const DlObjectClient *reader,
-                                         const char *kind,
-                                         int error);
+                                         const DlReaderFailure *failure);
 /* The reader that was chosen answered. */
 void dl_relay_source_report_success (DlRelaySource *source);
 
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -91,6 +91,7 @@
   bool is_entry;
   GHashTable *avoided; /* reader's name to the time until which it is not asked */
   unsigned failures;   /* consecutive */
+  unsigned stale;      /* consecutive, of copies that are too old */
   uint64_t store_until_ms;
 };
 
@@ -130,13 +131,12 @@
 }
 
 static void
-avoid (DlReaderHealth *health, const char *reader, uint64_t now_ms)
+avoid (DlReaderHealth *health, const char *reader, uint64_t avoid_ms, uint64_t now_ms)
 {
   uint64_t *until_ms = g_new (uint64_t, 1);
 
-  *until_ms = now_ms + DL_READER_AVOID_MS;
+  *until_ms = now_ms + avoid_ms;
   g_hash_table_replace (health->avoided, g_strdup (reader), until_ms);
-  health->failures++;
 }
 
 uint64_t
@@ -148,7 +148,10 @@
 {
   *is_new = dl_reader_health_may_ask (health, reader, now_ms);
   if (*is_new)
-    avoid (health, reader, now_ms);
+    {
+      avoid (health, reader, DL_READER_AVOID_MS, now_ms);
+      health->failures++;
+    }
   if (!health->is_entry)
     return DL_READER_NODE_BACKOFF_MS;
   if (health->failures >= DL_READER_FAILURES_MAX)
@@ -161,8 +164,27 @@
   return DL_READER_BACKOFF_MS;
 }
 
+uint64_t
+dl_reader_health_stale (DlReaderHealth *health,
+                        const char *reader,
+                        uint64_t now_ms,
+                        bool *is_new)
+{
+  *is_new = dl_reader_health_may_ask (health, reader, now_ms);
+  if (*is_new)
+    {
+      avoid (health, reader, DL_READER_STALE_AVOID_MS, now_ms);
+      health->stale++;
+    }
+  if (!health->is_entry)
+    return DL_READER_NODE_BACKOFF_MS;
+  return health->stale < DL_READER_FAILURES_MAX ? DL_READER_BACKOFF_MS
+                                                : DL_READER_STALE_BACKOFF_MS;
+}
+
 void
 dl_reader_health_succeeded (DlReaderHealth *health)
 {
   health->failures = 0;
+  health->stale = 0;
 }
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -37,6 +37,12 @@
 
 /* A reader that failed is not asked again for this long; another one is. */
 #define DL_READER_AVOID_MS 4000
+/* A reader that responded, but whose copy is too old, is asked again after this time: it
+ * waits for the store as this node would. */
+#define DL_READER_STALE_AVOID_MS 1000
+/* Backoff after DL_READER_FAILURES_MAX such in a row: then the store may be out of reach,
+ * and the nodes of a region should not ask each other all the time. */
+#define DL_READER_STALE_BACKOFF_MS 500
 /* After this many consecutive failures the readers are unlikely to be the cause: an entry
  * then asks the store for DL_READER_AVOID_MS. */
 #define DL_READER_FAILURES_MAX 3
@@ -53,7 +59,7 @@
 
 /* Returns a talloc child of CONTEXT.  IS_ENTRY: this node is an entry. */
 DlReaderHealth *dl_reader_health_new (const void *context, bool is_entry);
-/* Records that READER did not respond or that its copy is too old.  Returns the backoff
+/* Records that READER did not respond.  Returns the backoff
  * in milliseconds before the next call.  *IS_NEW is set to false when READER was already
  * being avoided: several calls may meet the same failure, which counts once. */
 uint64_t dl_reader_health_failed (DlReaderHealth *health,
@@ -61,6 +67,12 @@
                                   uint64_t random,
                                   uint64_t now_ms,
                                   bool *is_new);
+/* Records that READER responded that its copy is too old; otherwise as the above.  This
+ * is no reason to turn to the store, whose link may be what delays the reader. */
+uint64_t dl_reader_health_stale (DlReaderHealth *health,
+                                 const char *reader,
+                                 uint64_t now_ms,
+                                 bool *is_new);
 /* Records that a reader responded, which ends a run of consecutive failures. */
 void dl_reader_health_succeeded (DlReaderHealth *health);
 /* True when READER is not being avoided. */
--- a/regress/unit/test_readers.c
+++ b/regress/unit/test_readers.c
@@ -184,6 +184,34 @@
   talloc_free (health);
 }
 
+/* Readers that wait for the store themselves are asked again soon, and however many do,
+ * the store gets no further calls over the link that they wait for. */
+static void
+test_readers_are_stale (void)
+{
+  DlReaderHealth *health = dl_reader_health_new (NULL, true);
+  static const char *const names[] = { "a", "b", "c", "d", "e" };
+  bool is_new;
+
+  for (unsigned i = 0; i < sizeof names / sizeof *names; i++)
+    {
+      for (unsigned k = 0; k < 2; k++)
+        {
+          CU_ASSERT_EQUAL (dl_reader_health_stale (health, names[i], NOW_MS, &is_new),
+                           i < 2 ? DL_READER_BACKOFF_MS : DL_READER_STALE_BACKOFF_MS);
+          CU_ASSERT_EQUAL (is_new, k == 0);
+        }
+      CU_ASSERT_FALSE (dl_reader_health_may_ask (health, names[i], NOW_MS));
+      CU_ASSERT_TRUE (
+          dl_reader_health_may_ask (health, names[i], NOW_MS + DL_READER_STALE_AVOID_MS));
+    }
+  CU_ASSERT_FALSE (dl_reader_health_must_use_store (health, NOW_MS));
+  dl_reader_health_succeeded (health);
+  CU_ASSERT_EQUAL (dl_reader_health_stale (health, "f", NOW_MS, &is_new),
+                   DL_READER_BACKOFF_MS);
+  talloc_free (health);
+}
+
 /* However many readers fail, stagers do not turn to the store. */
 static void
 test_stagers_back_off (void)
@@ -200,6 +228,7 @@
 static const CU_TestInfo tests[] = {
   { "one reader fails", test_one_reader_fails },
   { "readers fail in a row", test_readers_fail_in_a_row },
+  { "readers are stale", test_readers_are_stale },
   { "stagers wait", test_stagers_back_off },
   { "stagers ask readers", test_stagers_ask_readers },
   { "one reader for ten entries", test_one_reader_for_ten },
