--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -214,11 +214,13 @@
 static void
 retry_without_relay (DlObjectWatch *watch, const DlObjectResult *result)
 {
+  bool is_stale = result->responded && result->error == DL_ERR_UNAVAILABLE;
+
   run_after (watch, dl_relay_source_report_failure (watch->options.source, watch->server,
                                                     &(DlReaderFailure){
                                                         .kind = watch->options.kind,
                                                         .error = result->error,
-                                                        .is_stale = result->responded }));
+                                                        .is_stale = is_stale }));
 }
 
 /* Chooses between the store and a reader for the next watch. */
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -59,9 +59,9 @@
 
 /* Returns a talloc child of CONTEXT.  IS_ENTRY: this node is an entry. */
 DlReaderHealth *dl_reader_health_new (const void *context, bool is_entry);
-/* Records that READER did not respond.  Returns the backoff
- * in milliseconds before the next call.  *IS_NEW is set to false when READER was already
- * being avoided: several calls may meet the same failure, which counts once. */
+/* Records that READER did not respond.  Returns the backoff in milliseconds before the
+ * next call.  *IS_NEW is set to false when READER was already being avoided: several
+ * calls may meet the same failure, which counts once. */
 uint64_t dl_reader_health_failed (DlReaderHealth *health,
                                   const char *reader,
                                   uint64_t random,
