Wait queue: one function says the expected wait

A static twin took the length of the queue from callers that all passed the queue's own, and rates stood per second and per window of a second.

--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -4,7 +4,6 @@
 #include <talloc.h>
 
 #define RETRY_SPREAD_MS 1000
-#define MS_PER_S        1000
 /* The rate of responses in a window that has just begun is taken over this time. */
 #define RESPONSES_MIN_MS 100
 
@@ -57,24 +56,23 @@
   queue->window_ms = now_ms;
 }
 
-/* Request slots that became free by responses, per second. */
+/* Request slots that responses make free in a whole window, at the rate so far. */
 static uint64_t
-responses_per_s (const DlWaitQueue *queue, uint64_t now_ms)
+response_rate (const DlWaitQueue *queue, uint64_t now_ms)
 {
-  return queue->responses * (uint64_t)MS_PER_S
+  return queue->responses * (uint64_t)DL_WAIT_RATE_WINDOW_MS
          / MAX (now_ms - queue->window_ms, RESPONSES_MIN_MS);
 }
 
-/* Expected time until LENGTH requests have been dispatched.  In the first window after a
- * quiet time, dispatches of a whole window are not known yet. */
-static uint64_t
-expected_wait_ms (const DlWaitQueue *queue, size_t length, uint64_t now_ms)
+uint64_t
+dl_wait_queue_expected_ms (const DlWaitQueue *queue, uint64_t now_ms)
 {
-  uint64_t per_s = MAX (MAX (queue->dispatched, queue->dispatched_last), 1);
+  uint64_t rate = MAX (MAX (queue->dispatched, queue->dispatched_last), 1);
 
+  /* After a quiet time, the dispatches of a whole window are not known yet. */
   if (queue->dispatched_last == 0)
-    per_s = MAX (per_s, responses_per_s (queue, now_ms));
-  return length * DL_WAIT_RATE_WINDOW_MS / per_s;
+    rate = MAX (rate, response_rate (queue, now_ms));
+  return queue->items.length * (uint64_t)DL_WAIT_RATE_WINDOW_MS / rate;
 }
 
 static gint
@@ -96,11 +94,10 @@
                     uint64_t now_ms)
 {
   uint64_t max_wait_ms = target_ms / DL_WAIT_TARGET_DIVISOR;
-  size_t length = g_queue_get_length (&queue->items);
   WaitingItem *w;
 
   advance_window (queue, now_ms);
-  if (length > 0 && expected_wait_ms (queue, length, now_ms) > max_wait_ms)
+  if (dl_wait_queue_expected_ms (queue, now_ms) > max_wait_ms)
     return DL_WAIT_REFUSED;
   w = g_new0 (WaitingItem, 1);
   w->item = item;
@@ -199,12 +196,6 @@
   return queue->items.length;
 }
 
-uint64_t
-dl_wait_queue_expected_ms (const DlWaitQueue *queue, uint64_t now_ms)
-{
-  return expected_wait_ms (queue, queue->items.length, now_ms);
-}
-
 uint64_t
 dl_wait_queue_retry_ms (const DlWaitQueue *queue, uint64_t random, uint64_t now_ms)
 {
