--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -130,13 +130,18 @@
   return now_ms < health->store_until_ms;
 }
 
-static void
+/* Returns false when the reader was being avoided already. */
+static bool
 avoid (DlReaderHealth *health, const char *reader, uint64_t avoid_ms, uint64_t now_ms)
 {
-  uint64_t *until_ms = g_new (uint64_t, 1);
+  uint64_t *until_ms;
 
+  if (!dl_reader_health_may_ask (health, reader, now_ms))
+    return false;
+  until_ms = g_new (uint64_t, 1);
   *until_ms = now_ms + avoid_ms;
   g_hash_table_replace (health->avoided, g_strdup (reader), until_ms);
+  return true;
 }
 
 uint64_t
@@ -146,12 +151,8 @@
                          uint64_t now_ms,
                          bool *is_new)
 {
-  *is_new = dl_reader_health_may_ask (health, reader, now_ms);
-  if (*is_new)
-    {
-      avoid (health, reader, DL_READER_AVOID_MS, now_ms);
-      health->failures++;
-    }
+  *is_new = avoid (health, reader, DL_READER_AVOID_MS, now_ms);
+  health->failures += *is_new;
   if (!health->is_entry)
     return DL_READER_NODE_BACKOFF_MS;
   if (health->failures >= DL_READER_FAILURES_MAX)
@@ -170,12 +171,8 @@
                         uint64_t now_ms,
                         bool *is_new)
 {
-  *is_new = dl_reader_health_may_ask (health, reader, now_ms);
-  if (*is_new)
-    {
-      avoid (health, reader, DL_READER_STALE_AVOID_MS, now_ms);
-      health->stale++;
-    }
+  *is_new = avoid (health, reader, DL_READER_STALE_AVOID_MS, now_ms);
+  health->stale += *is_new;
   if (!health->is_entry)
     return DL_READER_NODE_BACKOFF_MS;
   return health->stale < DL_READER_FAILURES_MAX ? DL_READER_BACKOFF_MS
