--- a/lib/policy/rate_limit.c
+++ b/lib/policy/rate_limit.c
@@ -67,11 +67,12 @@
 dl_rate_limit_wait_ms (const DlRateLimit *limit, uint64_t now_ms)
 {
   double per_s = MAX (limit->limit_per_s, LIMIT_MIN_PER_S);
-  double interval_ms = limit->share.divisor * MS_PER_S / per_s;
+  double interval_ms;
   uint64_t due_ms;
 
   if (limit->limit_per_s < 0)
     return 0;
+  interval_ms = limit->share.divisor * MS_PER_S / per_s;
   due_ms = limit->share.holds ? limit->share_ms + (uint64_t)(limit->phase * interval_ms)
                               : unheard_ms (limit, per_s);
   if (limit->sent_ms != 0)
