--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -22,6 +22,9 @@
 /* No trials at the start of a turn, when another entry may take it for its own. */
 #define TURN_GUARD_MS 150
 
+/* News of one request has room for all of its parts. */
+G_STATIC_ASSERT (DL_PROMPT_PARTS_MAX <= DL_PART_RECORDS_MAX);
+
 static void
 record_free (gpointer data)
 {
