Status: records are trimmed to the datagram in one place

Two loops that differed in names packed the status anew for each record. Now all are added and the last ones taken off; the same records are told, as the size grows with each. Unit tests of both kinds of record, and groups limit and quarantine, as before.

--- a/lib/node/limit_record.c
+++ b/lib/node/limit_record.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <talloc.h>
 
+#include "node/peers.h"
 #include "policy/rate_limit.h"
 
 static Daisyloft__Wire__LimitRecord *
@@ -32,15 +33,9 @@
   status->limit_record
       = talloc_array (context, Daisyloft__Wire__LimitRecord *, DL_LIMIT_RECORDS_MAX);
   for (size_t i = 0; i < records->count; i++)
-    {
-      status->limit_record[status->n_limit_record++]
-          = record_to_wire (context, &records->items[i], now_ms);
-      if (daisyloft__wire__node_status__get_packed_size (status) > max_bytes)
-        {
-          status->n_limit_record--;
-          return;
-        }
-    }
+    status->limit_record[status->n_limit_record++]
+        = record_to_wire (context, &records->items[i], now_ms);
+  dl_peer_status_trim (status, &status->n_limit_record, max_bytes);
 }
 
 static DlLimitRecord
--- a/lib/node/part_record.c
+++ b/lib/node/part_record.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "node/peers.h"
+
 /* The newest crashes of a part are told; the others know the rest from before. */
 #define TOLD_CRASHES_MAX 8
 
@@ -58,15 +60,9 @@
   status->part_record
       = talloc_array (context, Daisyloft__Wire__PartRecord *, DL_PART_RECORDS_MAX);
   for (size_t i = 0; i < records->count; i++)
-    {
-      status->part_record[status->n_part_record++]
-          = record_to_wire (context, &records->items[i], now_ms);
-      if (daisyloft__wire__node_status__get_packed_size (status) > max_bytes)
-        {
-          status->n_part_record--;
-          return;
-        }
-    }
+    status->part_record[status->n_part_record++]
+        = record_to_wire (context, &records->items[i], now_ms);
+  dl_peer_status_trim (status, &status->n_part_record, max_bytes);
 }
 
 static void
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -337,6 +337,13 @@
   return peer->received_ms != 0 && now_ms - peer->received_ms <= DL_PEER_TIMEOUT_MS;
 }
 
+void
+dl_peer_status_trim (Daisyloft__Wire__NodeStatus *status, size_t *count, size_t max_bytes)
+{
+  while (*count > 0 && daisyloft__wire__node_status__get_packed_size (status) > max_bytes)
+    (*count)--;
+}
+
 void
 dl_peers_foreach_alive (const DlPeers *peers,
                         Daisyloft__Wire__Role role,
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -84,6 +84,11 @@
 /* Does the same, but sends to the node that on_unknown_node is called for.  May only be
  * called from there. */
 void dl_peers_reply (DlPeers *peers, Daisyloft__Wire__NodeStatus *status);
+/* Lowers *COUNT, the number of elements of a repeated member of STATUS, until STATUS is
+ * at most MAX_BYTES long when packed, or none is left. */
+void dl_peer_status_trim (Daisyloft__Wire__NodeStatus *status,
+                          size_t *count,
+                          size_t max_bytes);
 /* Calls FUNC for each node of ROLE that is alive. */
 void dl_peers_foreach_alive (const DlPeers *peers,
                              Daisyloft__Wire__Role role,
