--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -32,6 +32,10 @@
            DL_METRIC_COUNTER,
            "daisy_direct_tries_total",
            "Requests sent to upstreams, including retries.")
+DL_METRIC (metric_outdated,
+           DL_METRIC_COUNTER,
+           "daisy_direct_outdated_starts_total",
+           "Requests that started on weights that should have been replaced by then.")
 DL_METRIC (metric_first_event,
            DL_METRIC_HISTOGRAM,
            "daisy_direct_first_event_ms",
@@ -167,12 +171,32 @@
                                  attempt->head.slots, attempt->progress_ms);
 }
 
+/* Reports a response from weights that should not start a request any more. */
+static void
+check_version (const Attempt *attempt, uint64_t now_ms)
+{
+  const Request *r = attempt->request;
+  uint64_t due = direct_upstreams_due_version (r->owner->upstreams, now_ms);
+
+  if (!r->service_entry->has_engine || attempt->head.version == 0
+      || attempt->head.version >= due)
+    return;
+  dl_metric_add (&metric_outdated, 1);
+  dl_log (DL_EVENT_ATTEMPT_STARTED_OUTDATED, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", attempt->upstream->id),
+          DL_UINT ("version", attempt->head.version), DL_UINT ("version_due", due),
+          DL_UINT ("after_ms", now_ms - attempt->sent_ms),
+          DL_UINT ("upstream_requests", r->estimate.requests),
+          DL_INT ("report_age_ms", r->estimate.report_age_ms));
+}
+
 static void
 note_started (Attempt *attempt, uint64_t now_ms)
 {
   if (attempt->started)
     return;
   attempt->started = true;
+  check_version (attempt, now_ms);
   direct_upstream_started (attempt->upstream, attempt->prompt_tokens);
   dl_metric_observe_us (&metric_first_event, (now_ms - attempt->sent_ms) * 1000);
 }
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -105,6 +105,8 @@
 /* The lowest version of weights that may start a request at NOW_MS; 0 for any. */
 uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
                                             uint64_t now_ms);
+/* The newest version of weights that must be in effect at NOW_MS; 0 for none. */
+uint64_t direct_upstreams_due_version (const DirectUpstreams *upstreams, uint64_t now_ms);
 
 /* Estimated load of an upstream at some time, for logs. */
 typedef struct
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -43,6 +43,7 @@
   bool has_seal;      /* carries the upstream's seal of its response */
   bool is_delimited;  /* has a length or chunks; otherwise it ends with its connection */
   bool is_event_stream;
+  uint64_t version;     /* of the weights that the request runs on; 0 when not given */
   bool leaving;         /* the upstream announces that it leaves */
   bool has_limit;       /* it names how many requests it takes */
   double limit_per_s;   /* requests a second, from all entries together */
--- a/lib/policy/version_floor.c
+++ b/lib/policy/version_floor.c
@@ -35,10 +35,19 @@
 uint64_t
 dl_version_floor_at (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms)
 {
-  uint64_t lowest = floor->peer_floor;
+  uint64_t due
+      = dl_version_floor_due (floor, limit_ms, now_ms + DL_VERSION_FLOOR_MARGIN_MS);
+
+  return MAX (due, floor->peer_floor);
+}
+
+uint64_t
+dl_version_floor_due (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms)
+{
+  uint64_t due = 0;
 
   for (unsigned i = 0; i < floor->count; i++)
-    if (now_ms + DL_VERSION_FLOOR_MARGIN_MS >= floor->versions[i].announced_ms + limit_ms)
-      lowest = MAX (lowest, floor->versions[i].version);
-  return lowest;
+    if (now_ms >= floor->versions[i].announced_ms + limit_ms)
+      due = MAX (due, floor->versions[i].version);
+  return due;
 }
--- a/lib/policy/version_floor.h
+++ b/lib/policy/version_floor.h
@@ -44,5 +44,9 @@
  * time within which a version must be in effect after its announcement. */
 uint64_t
 dl_version_floor_at (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms);
+/* Returns the newest version announced here that must be in effect at NOW_MS; 0: none.
+ * Unlike dl_version_floor_at, without a margin. */
+uint64_t
+dl_version_floor_due (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms);
 
 #endif
