Test (red): a request that waits at its upstream starts after its version's limit

Two streams are sent 1.45 s before the limit, just before the entry stops sending to the old version, to a server that keeps it and lets them wait 1.6 s; the other server is full until 0.3 s after the limit. Read from the stand-in: neither may start on the old version; the resumable one must be served by the new one, the other end with 502 and never run.

The testbed gets a shorter limit for this group (version_ms, 5 s) and a route of streams that may not be resumed.

Ruled out: that the entry learnt late (912 with age 0, 5.3 s before) and that it sent after its floor.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -162,6 +162,8 @@
 
 /* As on the users' platform; longer than lost objects take to be written again. */
 #define ERA_REVOKE_MS 5000
+/* Shorter than on the users' platform; longer than both servers take to load. */
+#define SHORT_VERSION_MS 5000
 
 /* The name of a group and its tests. */
 typedef struct
@@ -169,7 +171,8 @@
   const char *name;
   const TestFunc *tests[3];
   bool with_proxies;
-  unsigned revoke_ms; /* as in Testbed */
+  unsigned revoke_ms; /* this and the next as in Testbed */
+  unsigned version_ms;
 } TestGroup;
 
 static const TestGroup groups[] = {
@@ -183,6 +186,7 @@
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
   { "limit", { limit_tests } },
+  { "version", { version_tests }, .version_ms = SHORT_VERSION_MS },
   { "era", { era_tests }, .revoke_ms = ERA_REVOKE_MS },
 };
 
@@ -198,7 +202,7 @@
 static void
 run_group (const char *bin, const TestGroup *group)
 {
-  Testbed testbed = { .revoke_ms = group->revoke_ms };
+  Testbed testbed = { .revoke_ms = group->revoke_ms, .version_ms = group->version_ms };
 
   /* Freed memory that a sanitizer keeps would hide what a process holds. */
   if (group->with_proxies)
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -16,10 +16,11 @@
 /* Starts the line that the runner writes to a process's log before each start. */
 #define PROCESS_LOG_MARK "--- "
 
-#define SERVERS           3 /* two model servers and, last, a plain service */
-#define MODEL_SERVERS     (SERVERS - 1)
-#define ENTRIES           2
-#define REVOKE_DEFAULT_MS 3000
+#define SERVERS            3 /* two model servers and, last, a plain service */
+#define MODEL_SERVERS      (SERVERS - 1)
+#define ENTRIES            2
+#define REVOKE_DEFAULT_MS  3000
+#define VERSION_DEFAULT_MS 8000
 
 /* Stated by the users of a server that names a limit of MILLIS thousandths of a request a
  * second: at most one and a half times what that allows in four seconds, and five. */
@@ -65,7 +66,8 @@
   Process stager_process[SERVERS - 1];
   uint64_t config_version;
   uint64_t server_started[SERVERS]; /* start time of the instance that is listed */
-  unsigned revoke_ms; /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
+  unsigned revoke_ms;  /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
+  unsigned version_ms; /* within which a version is in effect; 0: VERSION_DEFAULT_MS */
 } Testbed;
 
 /* -------- testbed.c -------- */
@@ -94,6 +96,8 @@
 bool testbed_unlist_server (Testbed *testbed, unsigned index);
 /* Publishes VERSION at the origin and announces it in the store as the target version. */
 bool testbed_announce_version (Testbed *testbed, uint64_t version);
+/* Time from the announcement of a version within which it must be in effect. */
+unsigned testbed_version_ms (const Testbed *testbed);
 /* Creates or replaces an object of the store; SPEC is JSON. */
 bool testbed_put (Testbed *testbed, const char *kind, const char *name, const char *spec);
 /* Deletes an object of the store. */
@@ -215,6 +219,8 @@
 /* Upstreams that fall silent; the first two tests need processes that were just started.
  */
 extern const TestFunc silence_tests[];
+/* Requests that start on weights which should have been replaced. */
+extern const TestFunc version_tests[];
 /* A store that returns from an older copy. */
 extern const TestFunc era_tests[];
 
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -185,6 +185,8 @@
   { "once", "/o/", "unsafe", "\"backend\":\"p\",\"max_attempts\":1" },
   { "safe", "/r/", "safe", "\"backend\":\"m\",\"max_attempts\":2" },
   { "open", "/p/", "safe", "\"backend\":\"p\",\"public\":true" },
+  { "single-stream", "/s/single/", "streaming",
+    "\"backend\":\"m\",\"max_attempts\":2,\"target_gap_ms\":400" },
   { "slow-stream", "/s/slow/", "streaming",
     "\"backend\":\"m\",\"max_attempts\":2,\"resumable\":true", 6000 },
   { "long", "/o/long/", "unsafe", "\"backend\":\"p\",\"max_attempts\":1", 20000 },
@@ -300,14 +302,21 @@
 
 /* -------- the testbed -------- */
 
+unsigned
+testbed_version_ms (const Testbed *tb)
+{
+  return tb->version_ms != 0 ? tb->version_ms : VERSION_DEFAULT_MS;
+}
+
 static char *
 node_settings (const Testbed *tb, const char *name, unsigned host, const char *more)
 {
   return g_strdup_printf ("{\"name\":\"%s\",\"region\":\"r1\",\"data_center\":\"d1\","
                           "\"address\":\"%s.%u:%u\",\"store\":\"%s\",\"revoke_ms\":%u,"
-                          "\"version_ms\":8000,\"grace_s\":8,%s,\"json_logs\":true}",
+                          "\"version_ms\":%u,\"grace_s\":8,%s,\"json_logs\":true}",
                           name, tb->subnet, host, NODE_PORT, tb->via_store,
-                          tb->revoke_ms != 0 ? tb->revoke_ms : REVOKE_DEFAULT_MS, more);
+                          tb->revoke_ms != 0 ? tb->revoke_ms : REVOKE_DEFAULT_MS,
+                          testbed_version_ms (tb), more);
 }
 
 static void
