--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -14,7 +14,7 @@
 #define EARNERS   6 /* requests that earn the retries of a test */
 #define OTHERS    8 /* requests of others: more than a server has slots */
 /* Before this long before its limit a version is not required of upstreams yet. */
-#define SENT_BEFORE_MS 1450
+#define SENT_BEFORE_MS 1600
 /* Requests that wait start this long after the limit, and the other upstream has free
  * request slots this long after it. */
 #define START_AFTER_MS 150
