Requests that have not started are withdrawn before their upstream's weights are too old

Cause: an entry stops sending to upstreams with old weights 1.3 s before the limit, in the belief that a request has started by then; at a slow or full upstream it waits longer, and nothing took it back. The class is a time limit checked when something is sent and not when it takes effect. An upstream that loads counts with the version it had. Ruled out: a longer margin (any queue may be longer); telling the upstream a shorter deadline (it also cuts what has started).

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -53,7 +53,8 @@
   DlResponseHead head;
   unsigned status;
   uint64_t sent_ms;
-  uint64_t progress_ms; /* when it last made progress; the start time before that */
+  uint64_t progress_ms;  /* when it last made progress; the start time before that */
+  uint64_t sent_version; /* of the upstream's weights then; 0 for none */
   uint64_t prompt_tokens;
   bool started;         /* a whole event or a whole response arrived */
   bool kept;            /* though its upstream was silent for long */
@@ -536,6 +537,7 @@
   attempt->upstream = upstream;
   attempt->sent_ms = now_ms;
   attempt->progress_ms = now_ms;
+  attempt->sent_version = upstream->version;
   attempt->prompt_tokens = r->incoming.prompt_tokens;
   attempt->body = dl_buffer_new (attempt, RESPONSE_MAX_BYTES);
   r->attempt = attempt;
@@ -621,6 +623,14 @@
   return attempt->started;
 }
 
+uint64_t
+direct_attempt_version (const Attempt *attempt)
+{
+  uint64_t version = attempt->upstream->version;
+
+  return version != 0 ? version : attempt->sent_version;
+}
+
 const DirectUpstream *
 direct_attempt_upstream (const Attempt *attempt)
 {
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -362,14 +362,18 @@
   dl_retry_return (&r->service->budget);
 }
 
+static bool
+may_have_run (DirectAttemptFailure failure)
+{
+  return failure != DIRECT_FAILURE_CONNECT && failure != DIRECT_FAILURE_NOT_RUN;
+}
+
 /* A request with a quarantined part is sent no more, except for a trial that has not run.
  */
 static bool
 is_held (const Request *r, DirectAttemptFailure failure)
 {
-  bool has_run = failure == DIRECT_FAILURE_BROKEN || failure == DIRECT_FAILURE_STALLED;
-
-  return direct_quarantine_holds (r) && (has_run || !r->is_trial);
+  return direct_quarantine_holds (r) && (may_have_run (failure) || !r->is_trial);
 }
 
 bool
@@ -387,6 +391,7 @@
       break;
     case DIRECT_FAILURE_BROKEN:
     case DIRECT_FAILURE_STALLED:
+    case DIRECT_FAILURE_OUTDATED:
       if (!dl_routing_may_retry (r->route))
         return false;
       break;
@@ -413,6 +418,8 @@
       return "the upstream broke off or failed";
     case DIRECT_FAILURE_STALLED:
       return "the upstream was silent";
+    case DIRECT_FAILURE_OUTDATED:
+      return "it had not started when the upstream's weights became too old";
     }
   return "";
 }
@@ -441,7 +448,7 @@
       r->connect_failures++;
       r->retry_reserved = r->attempt_count > 0; /* what could not be sent was a retry */
     }
-  if (failure == DIRECT_FAILURE_BROKEN || failure == DIRECT_FAILURE_STALLED)
+  if (may_have_run (failure))
     r->may_have_run = true;
   r->failed_ms = dl_clock_ms ();
   talloc_free (r->avoid_upstream);
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -275,6 +275,7 @@
 
   direct_quarantine_tick (requests, now_ms);
   direct_limits_tick (requests->limits, now_ms);
+  direct_outdated_withdraw (requests, now_ms);
   direct_dispatch_run_queues (requests);
   direct_dispatch_expire (requests, now_ms);
   for (Request *r = requests->first; r != NULL; r = next)
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -2,8 +2,8 @@
  * Internal interfaces of the task "requests".
  *
  * requests.c admits callers' requests, dispatch.c assigns them to upstreams, queues or
- * retries them, attempt.c sends a request to one upstream, and outcome.c sends the final
- * response.
+ * retries them, attempt.c sends a request to one upstream, outdated.c withdraws it when
+ * that upstream's weights become too old, and outcome.c sends the final response.
  */
 #ifndef DIRECT_REQUESTS_H
 #define DIRECT_REQUESTS_H
@@ -170,10 +170,11 @@
 /* Why an attempt ended without a response for the caller. */
 typedef enum
 {
-  DIRECT_FAILURE_CONNECT, /* no connection; nothing was sent */
-  DIRECT_FAILURE_NOT_RUN, /* the upstream says that it did not execute the request */
-  DIRECT_FAILURE_BROKEN,  /* no complete, usable response; may have run */
-  DIRECT_FAILURE_STALLED, /* no progress for too long; may have run */
+  DIRECT_FAILURE_CONNECT,  /* no connection; nothing was sent */
+  DIRECT_FAILURE_NOT_RUN,  /* the upstream says that it did not execute the request */
+  DIRECT_FAILURE_BROKEN,   /* no complete, usable response; may have run */
+  DIRECT_FAILURE_STALLED,  /* no progress for too long; may have run */
+  DIRECT_FAILURE_OUTDATED, /* withdrawn before it started on outdated weights; may run */
 } DirectAttemptFailure;
 
 /* Returns true when the request may be retried after FAILURE.  The retry is then taken
@@ -190,6 +191,13 @@
                                      DirectAttemptFailure failure,
                                      const char *upstream);
 
+/* -------- outdated.c -------- */
+
+/* Withdraws requests that have not started at upstreams whose weights are about to be too
+ * old, and retries them elsewhere or sends their final responses.  To be called with
+ * every sweep. */
+void direct_outdated_withdraw (Requests *requests, uint64_t now_ms);
+
 /* -------- attempt.c -------- */
 
 /* Sends the request to UPSTREAM.  It must have no attempt in progress. */
@@ -207,6 +215,9 @@
 void direct_attempt_leave (Attempt *attempt);
 /* True when a whole event, or the whole response, has arrived. */
 bool direct_attempt_has_started (const Attempt *attempt);
+/* Version of the weights that the attempt would start on: the last one that the upstream
+ * served, as it has none while it loads others. */
+uint64_t direct_attempt_version (const Attempt *attempt);
 /* The upstream that the request was sent to. */
 const DirectUpstream *direct_attempt_upstream (const Attempt *attempt);
 
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -286,6 +286,13 @@
   return dl_version_floor_at (&upstreams->floor, upstreams->settings->version_ms, now_ms);
 }
 
+uint64_t
+direct_upstreams_unstarted_version (const DirectUpstreams *upstreams, uint64_t now_ms)
+{
+  return dl_version_floor_unstarted (&upstreams->floor, upstreams->settings->version_ms,
+                                     now_ms);
+}
+
 uint64_t
 direct_upstreams_due_version (const DirectUpstreams *upstreams, uint64_t now_ms)
 {
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -105,6 +105,10 @@
 /* The lowest version of weights that may start a request at NOW_MS; 0 for any. */
 uint64_t direct_upstreams_required_version (const DirectUpstreams *upstreams,
                                             uint64_t now_ms);
+/* The lowest version of weights at which a request that has not started may still wait at
+ * NOW_MS; 0 for any. */
+uint64_t direct_upstreams_unstarted_version (const DirectUpstreams *upstreams,
+                                             uint64_t now_ms);
 /* The newest version of weights that must be in effect at NOW_MS; 0 for none. */
 uint64_t direct_upstreams_due_version (const DirectUpstreams *upstreams, uint64_t now_ms);
 
--- a/lib/policy/version_floor.c
+++ b/lib/policy/version_floor.c
@@ -41,6 +41,28 @@
   return MAX (due, floor->peer_floor);
 }
 
+/* True when this node knows when VERSION was announced. */
+static bool
+is_known (const DlVersionFloor *floor, uint64_t version)
+{
+  for (unsigned i = 0; i < floor->count; i++)
+    if (floor->versions[i].version == version)
+      return true;
+  return false;
+}
+
+uint64_t
+dl_version_floor_unstarted (const DlVersionFloor *floor,
+                            uint64_t limit_ms,
+                            uint64_t now_ms)
+{
+  uint64_t lowest
+      = dl_version_floor_due (floor, limit_ms, now_ms + DL_VERSION_FLOOR_WITHDRAW_MS);
+
+  /* The time that is left for a version known from another node alone is not known. */
+  return is_known (floor, floor->peer_floor) ? lowest : MAX (lowest, floor->peer_floor);
+}
+
 uint64_t
 dl_version_floor_due (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms)
 {
--- a/lib/policy/version_floor.h
+++ b/lib/policy/version_floor.h
@@ -17,8 +17,12 @@
 
 /* Announcements kept; the oldest is in effect long before it is dropped. */
 #define DL_VERSION_FLOOR_HISTORY 8
-/* A request sent just before the time limit may start this much later at its upstream. */
+/* No request is sent to an older version from this long before the time limit, since most
+ * start within that time. */
 #define DL_VERSION_FLOOR_MARGIN_MS 1300
+/* One that has not started by then is withdrawn this long before the limit, as it takes
+ * time until the upstream notices. */
+#define DL_VERSION_FLOOR_WITHDRAW_MS 400
 
 /* The versions announced lately, and the floor of other nodes.  Starts zeroed. */
 typedef struct
@@ -44,6 +48,11 @@
  * time within which a version must be in effect after its announcement. */
 uint64_t
 dl_version_floor_at (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms);
+/* Returns the lowest version at which a request that was sent and has not started may
+ * still wait at NOW_MS; 0: any. */
+uint64_t dl_version_floor_unstarted (const DlVersionFloor *floor,
+                                     uint64_t limit_ms,
+                                     uint64_t now_ms);
 /* Returns the newest version announced here that must be in effect at NOW_MS; 0: none.
  * Unlike dl_version_floor_at, without a margin. */
 uint64_t
