One detector of pauses of the process, in the kernel

The kernel now notices it in each run of the event loop, before anything that arrived meanwhile is handled, and logs it (event 109).

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -584,7 +584,9 @@
 {
   const Request *r = attempt->request;
   const DlRouteEntry *route = r->route;
-  uint64_t since_ms = MAX (attempt->progress_ms, r->owner->resumed_ms);
+  /* What an upstream sent during a pause of this process has not been read. */
+  uint64_t resumed_ms = dl_kernel_resumed_ms (dl_task_kernel (r->owner->task));
+  uint64_t since_ms = MAX (attempt->progress_ms, resumed_ms);
 
   return (DlSilence){
     .silent_ms = attempt->paused ? 0 : now_ms - MIN (since_ms, now_ms),
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -22,8 +22,6 @@
 /* Retry-After of requests refused because no upstream serves the service. */
 #define NO_UPSTREAM_RETRY_MS 900
 #define STATUS_BAD_GATEWAY   502
-/* Without a check of silent upstreams for this long, the process itself was paused. */
-#define PAUSE_MIN_MS 200
 
 DL_METRIC (metric_waited,
            DL_METRIC_HISTOGRAM,
@@ -541,22 +539,11 @@
     keep_silent (r, silence.silent_ms, decision);
 }
 
-/* Notices that this process was paused: what upstreams sent meanwhile has not been read.
- */
-static void
-note_pause (Requests *requests, uint64_t now_ms)
-{
-  if (requests->checked_ms != 0 && now_ms > requests->checked_ms + PAUSE_MIN_MS)
-    requests->resumed_ms = now_ms;
-  requests->checked_ms = now_ms;
-}
-
 static void
 replace_silent (Service *service)
 {
   uint64_t now_ms = dl_clock_ms ();
 
-  note_pause (service->owner, now_ms);
   for (Request *r = service->owner->first; r != NULL; r = r->next)
     if (r->service == service && r->attempt != NULL)
       check_silence (r, now_ms);
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -422,12 +422,10 @@
 {
   Requests *requests = data;
   uint64_t now_ms = dl_clock_ms ();
+  uint64_t resumed_ms = dl_kernel_resumed_ms (dl_task_kernel (requests->task));
 
-  if (now_ms > requests->stop_checked_ms + 2 * STOP_CHECK_MS)
-    requests->stop_resumed_ms = now_ms;
-  requests->stop_checked_ms = now_ms;
   if (now_ms < requests->stop_began_ms + STOP_LISTEN_MS
-      || now_ms < requests->stop_resumed_ms + STOP_CHECK_MS)
+      || now_ms < resumed_ms + STOP_CHECK_MS)
     return;
   dl_http_server_quiesce (requests->server);
   if (dl_http_server_active_requests (requests->server) == 0)
@@ -440,7 +438,6 @@
   Requests *requests = dl_task_state (task);
 
   requests->stop_began_ms = dl_clock_ms ();
-  requests->stop_checked_ms = requests->stop_began_ms;
   dl_http_server_disable_keepalive (requests->server);
   dl_timer_subscribe (task, requests, STOP_CHECK_MS, STOP_CHECK_MS, on_stop_check,
                       requests);
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -47,18 +47,14 @@
   DirectMessage *routing;     /* the table in effect; NULL before the first */
   uint64_t routing_synced_ms; /* when it was last known to be current; 0 for never */
   DirectUpstreams *upstreams;
-  GHashTable *services;     /* name to Service */
-  Request *first;           /* list of all requests in progress */
-  size_t collected_bytes;   /* of responses that attempts in progress collect */
-  uint64_t stop_began_ms;   /* when a graceful shutdown began; 0 while running */
-  uint64_t stop_checked_ms; /* last check of the shutdown */
-  uint64_t stop_resumed_ms; /* end of the last pause of this process in it; 0 for none */
+  GHashTable *services;   /* name to Service */
+  Request *first;         /* list of all requests in progress */
+  size_t collected_bytes; /* of responses that attempts in progress collect */
+  uint64_t stop_began_ms; /* when a graceful shutdown began; 0 while running */
   DirectLimits *limits;
   DlQuarantine *quarantine;
   bool quarantine_grew;           /* a part was quarantined since the last tick */
   uint64_t quarantine_expired_ms; /* when its old records were last removed */
-  uint64_t checked_ms;            /* last check of silent upstreams; 0 before the first */
-  uint64_t resumed_ms;            /* end of the last pause of this process; 0 for none */
 };
 
 /* One request of a caller, from its arrival to its final response.  A talloc child of its
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -19,6 +19,10 @@
 #define NANOSECONDS_PER_US      1000
 #define MICROSECONDS_PER_MS     1000
 #define MILLISECONDS_PER_SECOND 1000.0
+/* The event loop runs at least this often. */
+#define HEARTBEAT_MS 100
+/* A process whose event loop did not run for this long was paused. */
+#define PAUSE_MIN_MS 200
 
 struct DlTask
 {
@@ -49,7 +53,11 @@
   bool stopping;
   uint64_t stop_began_ms; /* 0 while running */
   bool abandoned;         /* the shutdown's time is over; only last responses are sent */
+  uint64_t looped_ms;     /* last run of the event loop; 0 before the first */
+  uint64_t resumed_ms;    /* end of the last pause; 0 for none */
   ev_prepare prepare;
+  ev_check check;
+  ev_timer heartbeat;
   ev_idle idle;
   ev_signal sigterm, sigint, sighup, sigusr1;
   ev_timer drain_timer;
@@ -189,6 +197,46 @@
 {
 }
 
+/* -------- pauses -------- */
+
+/* Runs after the event loop has waited, before anything that arrived is handled. */
+static void
+on_check (struct ev_loop *loop, ev_check *watcher, int events)
+{
+  DlKernel *kernel = watcher->data;
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (kernel->looped_ms != 0 && now_ms >= kernel->looped_ms + PAUSE_MIN_MS)
+    {
+      kernel->resumed_ms = now_ms;
+      dl_log (DL_EVENT_RESUMED, DL_UINT ("paused_ms", now_ms - kernel->looped_ms));
+    }
+  kernel->looped_ms = now_ms;
+}
+
+static void
+on_heartbeat (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+}
+
+static void
+start_pause_detection (DlKernel *kernel)
+{
+  ev_check_init (&kernel->check, on_check);
+  ev_set_priority (&kernel->check, EV_MAXPRI);
+  kernel->check.data = kernel;
+  ev_check_start (kernel->loop, &kernel->check);
+  ev_timer_init (&kernel->heartbeat, on_heartbeat, 0.0,
+                 HEARTBEAT_MS / MILLISECONDS_PER_SECOND);
+  ev_timer_again (kernel->loop, &kernel->heartbeat);
+}
+
+uint64_t
+dl_kernel_resumed_ms (const DlKernel *kernel)
+{
+  return kernel->resumed_ms;
+}
+
 /* -------- shutdown -------- */
 
 static void
@@ -410,6 +458,7 @@
   kernel->prepare.data = kernel;
   ev_prepare_start (kernel->loop, &kernel->prepare);
   ev_idle_init (&kernel->idle, on_idle);
+  start_pause_detection (kernel);
 
   error = start_tasks (kernel);
   if (error == 0)
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -117,6 +117,10 @@
 /* Reports that the task has nothing in progress any more; see DlPlugin.drain. */
 void dl_task_drained (DlTask *task);
 
+/* Time (dl_clock_ms) at which the process last went on after a pause, in which it neither
+ * read nor sent anything; 0 for none.  Known before any task handles what arrived
+ * meanwhile. */
+uint64_t dl_kernel_resumed_ms (const DlKernel *kernel);
 /* A monotonic clock that also runs while the host is suspended. */
 uint64_t dl_clock_ms (void);
 uint64_t dl_clock_us (void);
