--- a/regress/unit/test_version.c
+++ b/regress/unit/test_version.c
@@ -65,8 +65,25 @@
     check_floor (&late_cases[i]);
 }
 
+static const FloorCase skipped_cases[] = {
+  { "a skipped version",
+    { { 2, 1000 }, { 4, 5000 }, { 3, 3000 } },
+    { { 2, 1000 }, { 3, 3000 }, { 4, 5000 } } },
+  { "two skipped versions, the newer one first",
+    { { 2, 1000 }, { 6, 9000 }, { 4, 5000 }, { 3, 3000 } },
+    { { 2, 1000 }, { 3, 3000 }, { 4, 5000 }, { 6, 9000 } } },
+};
+
+static void
+test_limit_of_a_skipped_version_is_unknown (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (skipped_cases); i++)
+    check_floor (&skipped_cases[i]);
+}
+
 static const CU_TestInfo tests[] = {
   { "a late copy does not extend the limit", test_late_copy_extended_the_limit },
+  { "a skipped version has its limit", test_limit_of_a_skipped_version_is_unknown },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("version", tests)
