--- a/regress/unit/test_version.c
+++ b/regress/unit/test_version.c
@@ -81,9 +81,27 @@
     check_floor (&skipped_cases[i]);
 }
 
+static const FloorCase start_cases[] = {
+  { "the newest first, then one before it",
+    { { 3, 3000 }, { 2, 1000 } },
+    { { 2, 1000 }, { 3, 3000 } } },
+  { "the newest first, then all before it",
+    { { 4, 5000 }, { 2, 1000 }, { 3, 3000 } },
+    { { 2, 1000 }, { 3, 3000 }, { 4, 5000 } } },
+};
+
+static void
+test_entry_that_has_just_started_knows_the_newest_only (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (start_cases); i++)
+    check_floor (&start_cases[i]);
+}
+
 static const CU_TestInfo tests[] = {
   { "a late copy does not extend the limit", test_late_copy_extended_the_limit },
   { "a skipped version has its limit", test_limit_of_a_skipped_version_is_unknown },
+  { "an entry that starts learns all limits",
+    test_entry_that_has_just_started_knows_the_newest_only },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("version", tests)
