Test (red): entries that were paused at two announcements count the limit from the pause's end

Version 2 is named while all entries are stopped, version 3 1.9 s later, then they go on. Streams are sent from 30 to 450 ms after the limit of version 2, before version 3 is required; the stand-in's record says on which version they started.

Both entries log version 2 with age 0 and as witnessed 1.9 s after it was named, since the response had waited in the socket, and version 3 a millisecond later, after which no other node's word on version 2 is taken. None of the starts has an event 1012: the entries do not know. It stays as a regression test.

--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -21,6 +21,11 @@
 #define FREE_AFTER_MS  300
 /* From the second announcement in quick succession to the third. */
 #define NEXT_MS 1500
+/* For so long after an announcement some processes are paused; another one follows. */
+#define LATE_MS 1900
+/* Streams are sent from and until so long after a limit. */
+#define PROBE_AFTER_MS 30
+#define PROBE_UNTIL_MS 450
 
 static uint64_t newest = 1; /* version announced */
 static uint64_t newest_ms;  /* when it was */
@@ -161,8 +166,67 @@
   bring_up_to_date (tb);
 }
 
+/* -------- entries that learn late -------- */
+
+/* Sends streams to both entries from just after DUE_MS, the limit of a version that the
+ * first server does not have, until a newer version is required anyway. */
+static void
+check_streams_after (Testbed *tb, uint64_t due_ms)
+{
+  sleep_until (due_ms + PROBE_AFTER_MS);
+  set_fault_on_both (tb, "events", 1);
+  for (unsigned n = 0; dl_clock_ms () < due_ms + PROBE_UNTIL_MS; n++)
+    {
+      char *id = g_strdup_printf ("probe-%" G_GUINT64_FORMAT "-%u", newest, n);
+      Call c = default_call (tb, "/s/x", id);
+      Response r;
+
+      c.address = tb->entry[n % ENTRIES];
+      r = call (&c);
+      CHECK (r.status == 200 || (r.status == 503 && runs_of (tb, id) == 0));
+      response_free (&r);
+      g_free (id);
+    }
+  set_fault_on_both (tb, "events", EVENTS);
+  CHECK (recorded_by_models (tb, "outdated_starts") == 0);
+}
+
+/* Two announcements, COUNT entries being paused from before the first to after the
+ * second. */
+static void
+check_paused_entries (Testbed *tb, unsigned count)
+{
+  uint64_t first_limit_ms;
+
+  keep_first_server_old (tb);
+  for (unsigned i = 0; i < count; i++)
+    kill (tb->entry_process[i].pid, SIGSTOP);
+  announce_next (tb);
+  first_limit_ms = limit_ms (tb);
+  sleep_until (newest_ms + LATE_MS);
+  announce_next (tb);
+  for (unsigned i = 0; i < count; i++)
+    kill (tb->entry_process[i].pid, SIGCONT);
+  check_streams_after (tb, first_limit_ms);
+  bring_up_to_date (tb);
+}
+
+static void
+test_entry_paused_at_two_announcements_missed_a_limit (Testbed *tb)
+{
+  check_paused_entries (tb, 1);
+}
+
+static void
+test_all_entries_paused_at_two_announcements_missed_a_limit (Testbed *tb)
+{
+  check_paused_entries (tb, ENTRIES);
+}
+
 const TestFunc version_tests[] = {
   test_waiting_request_started_after_the_limit,
   test_waiting_request_started_after_the_limit_of_a_skipped_version,
+  test_all_entries_paused_at_two_announcements_missed_a_limit,
+  test_entry_paused_at_two_announcements_missed_a_limit,
   NULL,
 };
