Test (red): a version is late everywhere when the region's reader was paused at its name

The entry that reads the store for all others is stopped for 1.9 s when version 2 is named. The test waits until nobody else watches the versions at the store (new record "watches" of the store's stand-in); find_follower moves to direct.c, unchanged.

The reader logs version 2 with age 0, as witnessed, 1.9 s late, and tells the other entry and the stagers so.

--- a/regress/direct/changes.c
+++ b/regress/direct/changes.c
@@ -197,25 +197,6 @@
     close (fds[i]);
 }
 
-/* Index of the entry that reads the other one in place of the store; ENTRIES for none. */
-static unsigned
-find_follower (Testbed *tb)
-{
-  unsigned follower = ENTRIES;
-
-  for (unsigned i = 0; i < ENTRIES; i++)
-    {
-      Response r = call (&(Call){ .address = tb->metrics[i], .target = "/metrics" });
-      const char *line = strstr (r.body, "\ndaisy_node_relay_answers_total ");
-
-      /* Entry I has answered reads of the other one. */
-      if (line != NULL && atoi (strchr (line + 1, ' ')) > 0)
-        follower = 1 - i;
-      response_free (&r);
-    }
-  return follower;
-}
-
 static bool
 follower_exists (Testbed *tb)
 {
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -9,6 +9,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 static unsigned failures;
@@ -120,6 +121,24 @@
     CHECK (set_fault (tb->server[i], knob, value));
 }
 
+unsigned
+find_follower (Testbed *tb)
+{
+  unsigned follower = ENTRIES;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      Response r = call (&(Call){ .address = tb->metrics[i], .target = "/metrics" });
+      const char *line = strstr (r.body, "\ndaisy_node_relay_answers_total ");
+
+      /* Entry I has answered reads of the other one. */
+      if (line != NULL && atoi (strchr (line + 1, ' ')) > 0)
+        follower = 1 - i;
+      response_free (&r);
+    }
+  return follower;
+}
+
 char *
 events_text (unsigned first, unsigned last)
 {
--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -223,9 +223,40 @@
   check_paused_entries (tb, ENTRIES);
 }
 
+static bool
+follower_exists (Testbed *tb)
+{
+  return find_follower (tb) < ENTRIES;
+}
+
+/* All others follow the versions through the reader. */
+static bool
+only_the_reader_watches_versions (Testbed *tb)
+{
+  return recorded (tb->store, "watches.versions") == 1;
+}
+
+static void
+test_reader_paused_at_an_announcement_made_it_late (Testbed *tb)
+{
+  int reader;
+
+  CHECK (eventually (follower_exists, tb));
+  CHECK (eventually (only_the_reader_watches_versions, tb));
+  reader = tb->entry_process[1 - find_follower (tb)].pid;
+  keep_first_server_old (tb);
+  kill (reader, SIGSTOP);
+  announce_next (tb);
+  sleep_until (newest_ms + LATE_MS);
+  kill (reader, SIGCONT);
+  check_streams_after (tb, limit_ms (tb));
+  bring_up_to_date (tb);
+}
+
 const TestFunc version_tests[] = {
   test_waiting_request_started_after_the_limit,
   test_waiting_request_started_after_the_limit_of_a_skipped_version,
+  test_reader_paused_at_an_announcement_made_it_late,
   test_all_entries_paused_at_two_announcements_missed_a_limit,
   test_entry_paused_at_two_announcements_missed_a_limit,
   NULL,
--- a/regress/standin/objects.c
+++ b/regress/standin/objects.c
@@ -534,11 +534,27 @@
 
 /* -------- the records -------- */
 
+/* Numbers of watches that wait, by kind. */
+static json_object *
+count_watches (void)
+{
+  json_object *counts = json_object_new_object ();
+
+  for (GList *l = watches; l != NULL; l = l->next)
+    {
+      const Watch *w = l->data;
+
+      standin_json_set_uint (counts, w->kind, standin_json_uint (counts, w->kind) + 1);
+    }
+  return counts;
+}
+
 static json_object *
 objects_records (void)
 {
   json_object *records = json_object_new_object ();
 
+  json_object_object_add (records, "watches", count_watches ());
   standin_json_set_uint (records, "revision", revision);
   standin_json_set_uint (records, "reads", reads);
   standin_json_set_uint (records, "writes", writes);
