--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -9,6 +9,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 static unsigned failures;
@@ -120,6 +121,24 @@
     CHECK (set_fault (tb->server[i], knob, value));
 }
 
+unsigned
+find_follower (Testbed *tb)
+{
+  unsigned follower = ENTRIES;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      Response r = call (&(Call){ .address = tb->metrics[i], .target = "/metrics" });
+      const char *line = strstr (r.body, "\ndaisy_node_relay_answers_total ");
+
+      /* Entry I has answered reads of the other one. */
+      if (line != NULL && atoi (strchr (line + 1, ' ')) > 0)
+        follower = 1 - i;
+      response_free (&r);
+    }
+  return follower;
+}
+
 char *
 events_text (unsigned first, unsigned last)
 {
@@ -163,7 +182,7 @@
 /* As on the users' platform; longer than lost objects take to be written again. */
 #define ERA_REVOKE_MS 5000
 /* Shorter than on the users' platform; longer than both servers take to load. */
-#define SHORT_VERSION_MS 5000
+#define SHORT_VERSION_MS 4000
 
 /* The name of a group and its tests. */
 typedef struct
@@ -186,7 +205,11 @@
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
   { "limit", { limit_tests } },
-  { "version", { version_tests }, .version_ms = SHORT_VERSION_MS },
+  { "version",
+    { version_tests },
+    .revoke_ms = ERA_REVOKE_MS,
+    .version_ms = SHORT_VERSION_MS },
+  { "version-start", { version_start_tests }, .revoke_ms = ERA_REVOKE_MS },
   { "era", { era_tests }, .revoke_ms = ERA_REVOKE_MS },
 };
 
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -182,6 +182,8 @@
 /* Sets a knob of both model servers. */
 void set_fault_on_both (Testbed *testbed, const char *knob, uint64_t value);
 
+/* Index of the entry that reads the other one in place of the store; ENTRIES for none. */
+unsigned find_follower (Testbed *testbed);
 /* How often the servers ran request ID, by their records. */
 uint64_t runs_of (Testbed *testbed, const char *id);
 /* Events FIRST to LAST as a server sends them, for g_free. */
@@ -221,6 +223,8 @@
 extern const TestFunc silence_tests[];
 /* Requests that start on weights which should have been replaced. */
 extern const TestFunc version_tests[];
+/* The same after entries have started, whose limit must be as on the users' platform. */
+extern const TestFunc version_start_tests[];
 /* A store that returns from an older copy. */
 extern const TestFunc era_tests[];
 
