--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -625,6 +625,14 @@
   return attempt->started;
 }
 
+bool
+direct_attempt_may_wait (const Attempt *attempt)
+{
+  bool has_head = attempt->request->events == NULL && attempt->status != 0;
+
+  return !attempt->started && !has_head;
+}
+
 uint64_t
 direct_attempt_version (const Attempt *attempt)
 {
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -468,6 +468,20 @@
   direct_dispatch_request (r);
 }
 
+void
+direct_dispatch_retry_or_end (Request *r,
+                              DirectAttemptFailure failure,
+                              const char *upstream)
+{
+  if (direct_dispatch_reserve_retry (r, failure))
+    {
+      direct_dispatch_retry (r, failure, upstream);
+      return;
+    }
+  note_failure (r, failure, upstream);
+  refuse_or_fail (r, failure_text (failure), retry_ms (r));
+}
+
 void
 direct_dispatch_attempt_failed (Request *r,
                                 DirectAttemptFailure failure,
@@ -475,13 +489,7 @@
 {
   Service *service = r->service;
 
-  if (direct_dispatch_reserve_retry (r, failure))
-    direct_dispatch_retry (r, failure, upstream);
-  else
-    {
-      note_failure (r, failure, upstream);
-      refuse_or_fail (r, failure_text (failure), retry_ms (r));
-    }
+  direct_dispatch_retry_or_end (r, failure, upstream);
   direct_dispatch_run_queue (service);
 }
 
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -183,6 +183,10 @@
                             const char *upstream);
 /* Retries the request after its attempt at UPSTREAM failed, or sends its final response
  * when it may not be retried. */
+void direct_dispatch_retry_or_end (Request *request,
+                                   DirectAttemptFailure failure,
+                                   const char *upstream);
+/* The same, and then sends queued requests. */
 void direct_dispatch_attempt_failed (Request *request,
                                      DirectAttemptFailure failure,
                                      const char *upstream);
@@ -214,6 +218,9 @@
 /* Version of the weights that the attempt would start on: the last one that the upstream
  * served, as it has none while it loads others. */
 uint64_t direct_attempt_version (const Attempt *attempt);
+/* True while the request may still wait in its upstream's queue: no event has arrived,
+ * nor, on routes without streams, the head of a response. */
+bool direct_attempt_may_wait (const Attempt *attempt);
 /* The upstream that the request was sent to. */
 const DirectUpstream *direct_attempt_upstream (const Attempt *attempt);
 
