Entries know when versions were named: late copies, pauses, and versions that were skipped

Causes, all in what an entry takes for the time of a name: - what was read late was taken for what had just happened: the store's answer or other nodes' status that had waited while the process was paused, a reader's copy, an answer after a gap. The class: the time at which something is read, used as the time at which it happened. Change: a name is observed only by a watch at the store that follows its last answer within 0.15 s, in a process not paused since; else it counts from when it was read for 1.2 s, then from the last moment at which it was known not to be there, unless an observer tells. The one floor that nodes tell each other comes from observed names only. Ruled out: trusting the peers' floor alone (nobody has it after all entries started anew). Also: versions are watched for 2 s at a time, not 5 s, which bounds how late a copy can be.

--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -17,6 +17,7 @@
 #include "node/upstream_entry.h"
 #include "policy/quarantine.h"
 #include "policy/routing.h"
+#include "policy/version_floor.h"
 
 /* Types of messages between the tasks. */
 typedef enum
@@ -26,7 +27,7 @@
   DIRECT_UPSTREAM_REMOVED,   /* an upstream is no longer listed */
   DIRECT_ENGINE,             /* a stager reported its engine's status */
   DIRECT_TARGET_VERSION,     /* the store has a new target version */
-  DIRECT_VERSION_FLOOR,      /* another entry has a higher version floor */
+  DIRECT_VERSION_FLOOR,      /* more is known of the announcements of versions */
   DIRECT_ROUTING_SYNCED,     /* time as of which the routing table is current */
   DIRECT_ENTRIES,            /* the entries that accept requests */
   DIRECT_NO_TARGET,          /* the store was read and has no target version */
@@ -74,8 +75,8 @@
     DlHoldings holdings;
     DlPartRecords *part_records;
     DlLimitRecords *limit_records;
-    const char *removed_node;   /* its name */
-    uint64_t floor;             /* lowest version that may start a request */
+    const char *removed_node; /* its name */
+    DlVersionFloor floor;
     uint64_t routing_synced_ms; /* dl_clock_ms */
     struct
     {
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -328,12 +328,8 @@
       direct_upstreams_update_engine (requests->upstreams, &m->engine, dl_clock_ms ());
       direct_dispatch_run_queues (requests);
       break;
-    case DIRECT_TARGET_VERSION:
-      direct_upstreams_add_version (requests->upstreams, m->version.version,
-                                    m->version.announced_ms);
-      break;
     case DIRECT_VERSION_FLOOR:
-      direct_upstreams_raise_floor (requests->upstreams, m->floor);
+      direct_upstreams_set_floor (requests->upstreams, &m->floor);
       break;
     case DIRECT_ROUTING_SYNCED:
       requests->routing_synced_ms = m->routing_synced_ms;
@@ -350,6 +346,7 @@
     case DIRECT_PEER_LIMIT_RECORDS:
       direct_limits_merge (requests->limits, m->limit_records);
       break;
+    case DIRECT_TARGET_VERSION:
     case DIRECT_NO_TARGET:
     case DIRECT_HOLDER:
     case DIRECT_NODE_REMOVED:
@@ -479,9 +476,8 @@
   .order = 10,
   .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_UPSTREAM)
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
-                   | MESSAGE (DIRECT_TARGET_VERSION) | MESSAGE (DIRECT_ROUTING_SYNCED)
-                   | MESSAGE (DIRECT_VERSION_FLOOR) | MESSAGE (DIRECT_ENTRIES)
-                   | MESSAGE (DIRECT_PEER_PART_RECORDS)
+                   | MESSAGE (DIRECT_ROUTING_SYNCED) | MESSAGE (DIRECT_VERSION_FLOOR)
+                   | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_PART_RECORDS)
                    | MESSAGE (DIRECT_PEER_LIMIT_RECORDS),
   .start = start,
   .handle = handle,
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -19,7 +19,6 @@
 #include "node/peers.h"
 #include "node/version_watch.h"
 #include "platform.h"
-#include "policy/version_floor.h"
 
 #define STORE_TIMEOUT_MS 900
 /* The routing table is checked this many times within its maximum age, so that the
@@ -27,7 +26,7 @@
 #define ROUTING_CHECKS_PER_MAX_AGE 4
 #define UPSTREAMS_WAIT_MS          1500
 #define UPSTREAMS_PAUSE_MS         600
-#define VERSIONS_WAIT_MS           5000
+#define VERSIONS_WAIT_MS           2000
 #define ROUTING_RETRY_MS           400
 /* Wait and pause of the watches of a reader: an entry that reads the store for others. */
 #define READER_WAIT_MS  500
@@ -65,7 +64,6 @@
   DlObjectRelay *relay;
   DirectRoutingTable *routing_table;
   DlVersionWatch *versions;
-  DlVersionFloor floor;            /* reported to other entries */
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
   DirectMessage *part_records_message;  /* the last DIRECT_PART_RECORDS; NULL before */
   DirectMessage *limit_records_message; /* the last DIRECT_LIMIT_RECORDS; NULL before */
@@ -157,7 +155,24 @@
   message->version.model = talloc_strdup (message, target->model);
   message->version.version = target->version;
   message->version.announced_ms = target->announced_ms;
-  dl_version_floor_announced (&state->floor, target->version, target->announced_ms);
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_observed_version (void *data)
+{
+  State *state = data;
+
+  state->status_changed = true;
+}
+
+static void
+on_floor (const DlVersionFloor *floor, void *data)
+{
+  State *state = data;
+  DirectMessage *message = direct_message_new (DIRECT_VERSION_FLOOR);
+
+  message->floor = *floor;
   dl_kernel_publish (state->kernel, message);
 }
 
@@ -221,20 +236,6 @@
   dl_kernel_publish (state->kernel, message);
 }
 
-/* Adopts a higher version floor of another entry, which may have seen target versions
- * that this one has not. */
-static void
-raise_floor (State *state, uint64_t floor)
-{
-  DirectMessage *message;
-
-  if (!dl_version_floor_raise (&state->floor, floor))
-    return;
-  message = direct_message_new (DIRECT_VERSION_FLOOR);
-  message->floor = floor;
-  dl_kernel_publish (state->kernel, message);
-}
-
 static void
 on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
 {
@@ -242,8 +243,7 @@
   const Daisyloft__Wire__EngineStatus *engine = status->engine;
   DirectMessage *message;
 
-  dl_version_watch_receive (state->versions, status->named, peer->name);
-  raise_floor (state, status->version_floor);
+  dl_version_watch_receive (state->versions, status, peer->name);
   direct_routing_table_told (state->routing_table, status->routing_version);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
@@ -332,14 +332,11 @@
 send_status (State *state)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  Daisyloft__Wire__Named target;
   void *context = talloc_new (state);
 
   status.ready = state->ready;
   add_holdings (state, context, &status);
-  status.named = dl_version_watch_to_wire (state->versions, &target);
-  status.version_floor
-      = dl_version_floor_at (&state->floor, state->settings->version_ms, dl_clock_ms ());
+  dl_version_watch_to_status (state->versions, context, &status);
   status.routing_version = direct_routing_table_highest (state->routing_table);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
   add_limit_records (state, context, &status);
@@ -568,8 +565,11 @@
                                               .relay = state->relay,
                                               .retry_max_ms = RETRY_MS,
                                               .relist_spread_ms = VERSIONS_SPREAD_MS,
+                                              .limit_ms = state->settings->version_ms,
                                               .read = platform_read_version,
                                               .on_target = on_target_version,
+                                              .on_floor = on_floor,
+                                              .on_observed = on_observed_version,
                                               .on_no_target = on_no_target,
                                               .data = state,
                                           });
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -9,7 +9,6 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "policy/rendezvous.h"
-#include "policy/version_floor.h"
 
 /* This many entries of other regions count as one where request slots are shared, because
  * they have upstreams closer to them. */
@@ -252,17 +251,9 @@
 }
 
 void
-direct_upstreams_raise_floor (DirectUpstreams *upstreams, uint64_t version)
+direct_upstreams_set_floor (DirectUpstreams *upstreams, const DlVersionFloor *floor)
 {
-  dl_version_floor_raise (&upstreams->floor, version);
-}
-
-void
-direct_upstreams_add_version (DirectUpstreams *upstreams,
-                              uint64_t version,
-                              uint64_t announced_ms)
-{
-  dl_version_floor_announced (&upstreams->floor, version, announced_ms);
+  upstreams->floor = *floor;
 }
 
 void
@@ -287,10 +278,10 @@
 }
 
 uint64_t
-direct_upstreams_unstarted_version (const DirectUpstreams *upstreams, uint64_t now_ms)
+direct_upstreams_waiting_version (const DirectUpstreams *upstreams, uint64_t now_ms)
 {
-  return dl_version_floor_unstarted (&upstreams->floor, upstreams->settings->version_ms,
-                                     now_ms);
+  return dl_version_floor_for_waiting (&upstreams->floor, upstreams->settings->version_ms,
+                                       now_ms);
 }
 
 uint64_t
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -58,12 +58,8 @@
 void direct_upstreams_update_engine (DirectUpstreams *upstreams,
                                      const DirectEngineStatus *engine,
                                      uint64_t now_ms);
-/* Another entry has its version floor at VERSION; this entry's is raised to it. */
-void direct_upstreams_raise_floor (DirectUpstreams *upstreams, uint64_t version);
-/* VERSION became the target version at ANNOUNCED_MS. */
-void direct_upstreams_add_version (DirectUpstreams *upstreams,
-                                   uint64_t version,
-                                   uint64_t announced_ms);
+/* Adopts FLOOR: what is known of the announcements of versions. */
+void direct_upstreams_set_floor (DirectUpstreams *upstreams, const DlVersionFloor *floor);
 /* Sets how many entries accept requests, in this entry's region, itself included, and in
  * others. */
 void direct_upstreams_set_entries (DirectUpstreams *upstreams,
@@ -107,8 +103,8 @@
                                             uint64_t now_ms);
 /* The lowest version of weights at which a request that has not started may still wait at
  * NOW_MS; 0 for any. */
-uint64_t direct_upstreams_unstarted_version (const DirectUpstreams *upstreams,
-                                             uint64_t now_ms);
+uint64_t direct_upstreams_waiting_version (const DirectUpstreams *upstreams,
+                                           uint64_t now_ms);
 /* The newest version of weights that must be in effect at NOW_MS; 0 for none. */
 uint64_t direct_upstreams_due_version (const DirectUpstreams *upstreams, uint64_t now_ms);
 
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -118,7 +118,7 @@
   State *state = data;
   StageMessage *message;
 
-  dl_version_watch_receive (state->versions, status->named, peer->name);
+  dl_version_watch_receive (state->versions, status, peer->name);
   message = stage_message_new (STAGE_HOLDER);
   message->holder = dl_holder_from_status (message, peer, status);
   dl_kernel_publish (state->kernel, message);
@@ -147,14 +147,15 @@
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   Daisyloft__Wire__EngineStatus engine = state->engine;
-  Daisyloft__Wire__Named target;
+  void *context = talloc_new (state);
 
-  status.named = dl_version_watch_to_wire (state->versions, &target);
+  dl_version_watch_to_status (state->versions, context, &status);
   engine.loading = engine.loading || is_loading (state);
   status.ready = state->engine_known && !engine.loading;
   if (state->engine_known)
     status.engine = &engine;
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, same_region);
+  talloc_free (context);
   state->engine_changed = false;
   state->entries_sent_ms = now_ms;
   if (!same_region)
@@ -319,6 +320,7 @@
                                               .source = source,
                                               .retry_max_ms = RETRY_MAX_MS,
                                               .relist_spread_ms = RELIST_SPREAD_MS,
+                                              .limit_ms = state->settings->version_ms,
                                               .read = platform_read_version,
                                               .on_target = on_target,
                                               .on_no_target = on_no_target,
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisyloft__wire__announcement__init
+                     (Daisyloft__Wire__Announcement         *message)
+{
+  static const Daisyloft__Wire__Announcement init_value = DAISYLOFT__WIRE__ANNOUNCEMENT__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__announcement__get_packed_size
+                     (const Daisyloft__Wire__Announcement *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__announcement__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__announcement__pack
+                     (const Daisyloft__Wire__Announcement *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__announcement__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__announcement__pack_to_buffer
+                     (const Daisyloft__Wire__Announcement *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__announcement__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__Announcement *
+       daisyloft__wire__announcement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__Announcement *)
+     protobuf_c_message_unpack (&daisyloft__wire__announcement__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__announcement__free_unpacked
+                     (Daisyloft__Wire__Announcement *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__announcement__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__limit_record__init
                      (Daisyloft__Wire__LimitRecord         *message)
 {
@@ -1492,7 +1537,7 @@
   assert(message->base.descriptor == &daisyloft__wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[12] =
+static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[13] =
 {
   {
     "name",
@@ -1638,8 +1683,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "announcement",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__NodeStatus, n_announcement),
+    offsetof(Daisyloft__Wire__NodeStatus, announcement),
+    &daisyloft__wire__announcement__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__node_status__field_indices_by_name[] = {
+  12,   /* field[12] = announcement */
   5,   /* field[5] = engine */
   6,   /* field[6] = holding */
   1,   /* field[1] = incarnation */
@@ -1656,7 +1714,7 @@
 static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor =
 {
@@ -1666,13 +1724,64 @@
   "Daisyloft__Wire__NodeStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__NodeStatus),
-  12,
+  13,
   daisyloft__wire__node_status__field_descriptors,
   daisyloft__wire__node_status__field_indices_by_name,
   1,  daisyloft__wire__node_status__number_ranges,
   (ProtobufCMessageInit) daisyloft__wire__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisyloft__wire__announcement__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Announcement, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Announcement, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__announcement__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange daisyloft__wire__announcement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__announcement__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.Announcement",
+  "Announcement",
+  "Daisyloft__Wire__Announcement",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__Announcement),
+  2,
+  daisyloft__wire__announcement__field_descriptors,
+  daisyloft__wire__announcement__field_indices_by_name,
+  1,  daisyloft__wire__announcement__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__announcement__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__limit_record__field_descriptors[6] =
 {
   {
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Daisyloft__Wire__NodeStatus Daisyloft__Wire__NodeStatus;
+typedef struct Daisyloft__Wire__Announcement Daisyloft__Wire__Announcement;
 typedef struct Daisyloft__Wire__LimitRecord Daisyloft__Wire__LimitRecord;
 typedef struct Daisyloft__Wire__PartRecord Daisyloft__Wire__PartRecord;
 typedef struct Daisyloft__Wire__PartCrash Daisyloft__Wire__PartCrash;
@@ -174,10 +175,29 @@
   Daisyloft__Wire__PartRecord **part_record;
   size_t n_limit_record;
   Daisyloft__Wire__LimitRecord **limit_record;
+  /*
+   * of versions, observed lately
+   */
+  size_t n_announcement;
+  Daisyloft__Wire__Announcement **announcement;
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * The announcement of one version, as a node observed it.
+ */
+struct  Daisyloft__Wire__Announcement
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  uint64_t age_ms;
+};
+#define DAISYLOFT__WIRE__ANNOUNCEMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__announcement__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -911,6 +931,25 @@
 void   daisyloft__wire__node_status__free_unpacked
                      (Daisyloft__Wire__NodeStatus *message,
                       ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__Announcement methods */
+void   daisyloft__wire__announcement__init
+                     (Daisyloft__Wire__Announcement         *message);
+size_t daisyloft__wire__announcement__get_packed_size
+                     (const Daisyloft__Wire__Announcement   *message);
+size_t daisyloft__wire__announcement__pack
+                     (const Daisyloft__Wire__Announcement   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__announcement__pack_to_buffer
+                     (const Daisyloft__Wire__Announcement   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__Announcement *
+       daisyloft__wire__announcement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__announcement__free_unpacked
+                     (Daisyloft__Wire__Announcement *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__LimitRecord methods */
 void   daisyloft__wire__limit_record__init
                      (Daisyloft__Wire__LimitRecord         *message);
@@ -1524,6 +1563,9 @@
 typedef void (*Daisyloft__Wire__NodeStatus_Closure)
                  (const Daisyloft__Wire__NodeStatus *message,
                   void *closure_data);
+typedef void (*Daisyloft__Wire__Announcement_Closure)
+                 (const Daisyloft__Wire__Announcement *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__LimitRecord_Closure)
                  (const Daisyloft__Wire__LimitRecord *message,
                   void *closure_data);
@@ -1632,6 +1674,7 @@
 extern const ProtobufCEnumDescriptor    daisyloft__wire__slot_state__descriptor;
 extern const ProtobufCEnumDescriptor    daisyloft__wire__end_reason__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__announcement__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__limit_record__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__part_record__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__part_crash__descriptor;
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -10,8 +10,11 @@
 #define RETRY_FIRST_MS 150
 /* Pause after a watch that returned no object in the first half of its wait. */
 #define EARLY_PAUSE_MS 100
-/* A response may take this long beyond the watch's wait without counting as a gap. */
-#define CONTINUOUS_SLACK_MS 1000
+/* A watch that is sent this long after the store's answer to the one before has no gap.
+ */
+#define GAP_MAX_MS 150
+/* An outage of the store is one that lasts longer than this. */
+#define OUTAGE_MIN_MS 5000
 /* A reader answers a watch when its copy is synced again, which may be just after the
  * wait that the reader itself uses; hence a watch at a reader waits this much longer. */
 #define RELAY_WAIT_SLACK_MS 100
@@ -28,12 +31,15 @@
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
   uint64_t sent_ms; /* when the request in progress was sent; of a list, the first page */
-  uint64_t synced_ms;     /* 0 before the first list is complete */
-  uint64_t retry_ms;      /* backoff; 0 while requests succeed */
-  bool is_refreshing;     /* the next watch request does not wait */
-  bool lost;              /* the store did not answer last time */
-  bool via_relay;         /* the request in progress goes to a reader */
-  bool is_reader;         /* this process reads the store for others */
+  uint64_t synced_ms; /* 0 before the first list is complete */
+  uint64_t retry_ms;  /* backoff; 0 while requests succeed */
+  bool is_refreshing; /* the next watch request does not wait */
+  bool lost;          /* the store did not answer last time */
+  bool after_outage;  /* the same, until what it shows now has been handled */
+  uint64_t
+      answered_ms; /* last answer of the store itself to a watch that goes on; or 0 */
+  bool via_relay;  /* the request in progress goes to a reader */
+  bool is_reader;  /* this process reads the store for others */
   DlObjectClient *server; /* that the request in progress was sent to */
   uint64_t number;   /* of the last request; the responses to earlier ones are ignored */
   bool is_relisting; /* the list in progress is the first of a new era */
@@ -137,6 +143,8 @@
 static void
 set_synced (DlObjectWatch *watch, uint64_t age_ms)
 {
+  watch->after_outage = false;
+  watch->answered_ms = watch->via_relay ? 0 : dl_clock_ms ();
   if (watch->sent_ms > age_ms)
     watch->synced_ms = MAX (watch->synced_ms, watch->sent_ms - age_ms);
   watch->retry_ms = 0;
@@ -195,6 +203,8 @@
   uint64_t doubled = MAX (watch->retry_ms * 2, RETRY_FIRST_MS);
 
   set_contact (watch, result->error);
+  watch->after_outage = true;
+  watch->answered_ms = 0;
   watch->retry_ms = MIN (doubled, watch->options.retry_max_ms);
   run_after (watch,
              watch->retry_ms / 2 + dl_random_uint64 () % (watch->retry_ms / 2 + 1));
@@ -216,6 +226,7 @@
 {
   bool is_stale = result->responded && result->error == DL_ERR_UNAVAILABLE;
 
+  watch->answered_ms = 0;
   run_after (watch, dl_relay_source_report_failure (watch->options.source, watch->server,
                                                     &(DlReaderFailure){
                                                         .kind = watch->options.kind,
@@ -507,8 +518,16 @@
 }
 
 bool
-dl_object_watch_is_continuous (const DlObjectWatch *watch)
+dl_object_watch_is_prompt (const DlObjectWatch *watch)
+{
+  return dl_object_watch_is_current (watch) && !watch->via_relay
+         && watch->answered_ms != 0 && watch->sent_ms <= watch->answered_ms + GAP_MAX_MS
+         && dl_kernel_resumed_ms (dl_task_kernel (watch->task)) < watch->sent_ms;
+}
+
+bool
+dl_object_watch_is_after_outage (const DlObjectWatch *watch)
 {
-  return dl_object_watch_is_current (watch) && !watch->lost
-         && dl_clock_ms () - watch->sent_ms <= watch->sent_wait_ms + CONTINUOUS_SLACK_MS;
+  return watch->is_relisting
+         || (watch->after_outage && dl_clock_ms () > watch->synced_ms + OUTAGE_MIN_MS);
 }
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -66,8 +66,12 @@
 uint64_t dl_object_watch_synced_ms (const DlObjectWatch *watch);
 /* True unless a list is in progress, so that the known objects may be incomplete. */
 bool dl_object_watch_is_current (const DlObjectWatch *watch);
-/* True when the watch has been in contact without a gap, so that a change that arrives
- * now has just happened. */
-bool dl_object_watch_is_continuous (const DlObjectWatch *watch);
+/* True when the response that is being handled came from the store itself, without a gap
+ * since its last one, to a process that was not paused: a change in it has just happened.
+ * This and the next are for use in on_object. */
+bool dl_object_watch_is_prompt (const DlObjectWatch *watch);
+/* True when the store did not answer for long before the response that is being handled,
+ * or came back from an older copy. */
+bool dl_object_watch_is_after_outage (const DlObjectWatch *watch);
 
 #endif
--- a/lib/node/target_version.c
+++ b/lib/node/target_version.c
@@ -4,16 +4,17 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Two nodes that observe the same announcement differ by less than this. */
-#define SAME_ANNOUNCEMENT_MS 300
+#include "policy/version_floor.h"
 
 DlTargetDiscovery
 dl_target_version_discovery (const DlObjectWatch *watch)
 {
   if (dl_object_watch_synced_ms (watch) == 0)
     return DL_TARGET_AT_START;
-  return dl_object_watch_is_continuous (watch) ? DL_TARGET_OBSERVED
-                                               : DL_TARGET_AFTER_OUTAGE;
+  if (dl_object_watch_is_prompt (watch))
+    return DL_TARGET_OBSERVED;
+  return dl_object_watch_is_after_outage (watch) ? DL_TARGET_AFTER_OUTAGE
+                                                 : DL_TARGET_LATE;
 }
 
 /* The time AGE_MS before NOW_MS; 1 when that is before the clock's start. */
@@ -49,9 +50,14 @@
                               DlTargetDiscovery how,
                               uint64_t now_ms)
 {
-  if (!is_newer (target, model, version))
+  bool is_news = is_newer (target, model, version);
+
+  /* Another node may have reported the version without knowing since when it is. */
+  if (!is_news
+      && (version < target->version || target->observed || how != DL_TARGET_OBSERVED))
     return false;
-  set_version (owner, target, model, version);
+  if (is_news)
+    set_version (owner, target, model, version);
   target->observed = how == DL_TARGET_OBSERVED;
   target->announced_ms = how == DL_TARGET_AT_START
                              ? time_before (now_ms, DL_TARGET_ASSUMED_AGE_MS)
@@ -71,7 +77,7 @@
     set_version (owner, target, wire->model, wire->version);
   else if (wire->version < target->version || !wire->witnessed
            || (target->observed
-               && announced_ms + SAME_ANNOUNCEMENT_MS >= target->announced_ms))
+               && announced_ms + DL_ANNOUNCEMENT_TOLERANCE_MS >= target->announced_ms))
     return false;
   target->observed = wire->witnessed;
   target->announced_ms = announced_ms;
--- a/lib/node/target_version.h
+++ b/lib/node/target_version.h
@@ -2,7 +2,8 @@
  * The target version: the newest version of weights announced in the store, and when.
  *
  * A version must be in effect within a time limit that counts from its announcement.  A
- * node that watches the store without a gap observes the announcement.  A node that could
+ * node that watches the store without a gap observes the announcement.  One that reads
+ * another node's copy of the store, or was paused, may see it late.  A node that could
  * not reach the store meanwhile counts from the time when it reaches it again, since it
  * could not learn of the version before, unless a node that observed the announcement
  * reports its age.  A node that has just started finds the version in the store and
@@ -31,13 +32,15 @@
 /* How a node learned of a version from the store. */
 typedef enum
 {
-  DL_TARGET_OBSERVED,     /* by a watch that had been in contact without a gap */
+  DL_TARGET_OBSERVED,     /* by its own watch of the store, without a gap or a pause */
+  DL_TARGET_LATE,         /* it may have been announced a while ago */
   DL_TARGET_AFTER_OUTAGE, /* when the store could be reached again */
   DL_TARGET_AT_START,     /* it was in the store when the node started */
 } DlTargetDiscovery;
 
-/* Adopts VERSION, found in the store at NOW_MS, when it is newer or of another model.
- * Returns true when TARGET changed.  MODEL is copied, as a talloc child of OWNER. */
+/* Adopts VERSION, found in the store at NOW_MS, when it is newer or of another model, or
+ * its announcement was observed here only.  Returns true when TARGET changed.  MODEL is
+ * copied, as a talloc child of OWNER. */
 bool dl_target_version_from_store (const void *owner,
                                    DlTargetVersion *target,
                                    const char *model,
--- a/lib/node/version_watch.h
+++ b/lib/node/version_watch.h
@@ -1,10 +1,12 @@
 /*
- * Follows the target version of the weights, in the store and as other nodes report it.
+ * Follows the target version of the weights, and the announcements of versions, in the
+ * store and as other nodes report them.
  */
 #ifndef DL_VERSION_WATCH_H
 #define DL_VERSION_WATCH_H
 
 #include "node/target_version.h"
+#include "policy/version_floor.h"
 
 typedef struct DlVersionWatch DlVersionWatch;
 
@@ -19,6 +21,7 @@
   DlObjectRelay *relay;
   uint64_t reader_wait_ms;
   uint64_t relist_spread_ms;
+  uint64_t limit_ms; /* within which a version must be in effect */
   /* Reads an object's VALUE; *MODEL is a talloc child of CONTEXT.  Returns 0 or a
    * negative error. */
   int (*read) (const void *context,
@@ -28,6 +31,12 @@
   /* There is a newer target version, or the time of its announcement is known better.
    * TARGET lives as long as the DlVersionWatch. */
   void (*on_target) (const DlTargetVersion *target, void *data);
+  /* More is known of the announcements.  FLOOR lives as long as the DlVersionWatch.  May
+   * be NULL. */
+  void (*on_floor) (const DlVersionFloor *floor, void *data);
+  /* This node observed an announcement, which others that read late copies should be told
+   * at once.  May be NULL. */
+  void (*on_observed) (void *data);
   /* The store was read for the first time, and no target version is known. */
   void (*on_no_target) (void *data);
   void *data;
@@ -38,14 +47,16 @@
 DlVersionWatch *dl_version_watch_new (DlTask *task,
                                       const void *owner,
                                       const DlVersionWatchOptions *options);
-/* Adopts the target version that node FROM sent, if it is newer or its announcement time
- * is better; WIRE may be NULL. */
+/* Adopts what node FROM reports in STATUS: announcements that it observed, and the target
+ * version, if it is newer or its announcement time is better.  Right after a pause of
+ * this process nothing is adopted, as STATUS may have waited for long. */
 void dl_version_watch_receive (DlVersionWatch *watch,
-                               const Daisyloft__Wire__Named *wire,
+                               const Daisyloft__Wire__NodeStatus *status,
                                const char *from);
-/* Fills in WIRE, which then refers to the watch, for sending to other nodes.  Returns
- * WIRE, or NULL when there is no target version. */
-Daisyloft__Wire__Named *dl_version_watch_to_wire (const DlVersionWatch *watch,
-                                                  Daisyloft__Wire__Named *wire);
+/* Adds to STATUS what other nodes are to know.  It refers to the watch, and to talloc
+ * children of CONTEXT. */
+void dl_version_watch_to_status (const DlVersionWatch *watch,
+                                 const void *context,
+                                 Daisyloft__Wire__NodeStatus *status);
 
 #endif
--- a/lib/policy/version_floor.h
+++ b/lib/policy/version_floor.h
@@ -4,8 +4,9 @@
  *
  * Versions can be announced in quick succession.  Each must be in effect a fixed time
  * after its own announcement, and a newer announcement does not extend the time limit of
- * an older one.  A node that has just started reads only the newest announcement from the
- * store, and learns the floor from other nodes.
+ * an older one.  The store shows only the newest one, so that a node that has just
+ * started, or that reads a late copy of the store, does not see the others, or sees them
+ * late.  Nodes report to each other what they observed.
  *
  * No I/O: times are milliseconds passed in by the caller.
  */
@@ -15,8 +16,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Announcements kept; the oldest is in effect long before it is dropped. */
-#define DL_VERSION_FLOOR_HISTORY 8
+/* Announcements kept; more are not made within the time limit of one. */
+#define DL_VERSION_FLOOR_HISTORY 16
+/* Times of one announcement that differ by less are taken as the same. */
+#define DL_ANNOUNCEMENT_TOLERANCE_MS 50
 /* No request is sent to an older version from this long before the time limit, since most
  * start within that time. */
 #define DL_VERSION_FLOOR_MARGIN_MS 1300
@@ -24,35 +27,60 @@
  * time until the upstream notices. */
 #define DL_VERSION_FLOOR_WITHDRAW_MS 400
 
+/* Within this time after a version was found, a node that observed its announcement
+ * reports it; only then the earliest possible time is used instead. */
+#define DL_VERSION_FLOOR_SETTLE_MS 1200
+
+/* How well the time of an announcement is known; a later value is better. */
+typedef enum
+{
+  DL_ANNOUNCED_GUESSED,  /* an assumed time */
+  DL_ANNOUNCED_BETWEEN,  /* between announced_ms and found_ms */
+  DL_ANNOUNCED_OBSERVED, /* by a node that follows the store without a gap */
+} DlAnnouncementSource;
+
+/* The announcement of one version. */
+typedef struct
+{
+  uint64_t version;
+  DlAnnouncementSource source;
+  uint64_t announced_ms;
+  uint64_t found_ms; /* when this node learnt of it; used with DL_ANNOUNCED_BETWEEN */
+} DlAnnouncement;
+
 /* The versions announced lately, and the floor of other nodes.  Starts zeroed. */
 typedef struct
 {
-  struct
-  {
-    uint64_t version;
-    uint64_t announced_ms;
-  } versions[DL_VERSION_FLOOR_HISTORY]; /* in ascending order of version */
+  DlAnnouncement versions[DL_VERSION_FLOOR_HISTORY]; /* in ascending order of version */
   unsigned count;
   uint64_t peer_floor; /* highest floor reported by another node */
 } DlVersionFloor;
 
-/* Records that VERSION was announced at ANNOUNCED_MS.  A version older than the newest
- * one is ignored; for the newest one itself the time is updated. */
-void dl_version_floor_announced (DlVersionFloor *floor,
+/* Adds ANNOUNCEMENT, which may be of any version, unless its time is known as well or
+ * better.  Of several observers the earliest is right, the others were late.  Returns
+ * true when FLOOR changed. */
+bool dl_version_floor_add (DlVersionFloor *floor, const DlAnnouncement *announcement);
+/* Adds an observed announcement of VERSION at ANNOUNCED_MS. */
+bool dl_version_floor_announced (DlVersionFloor *floor,
                                  uint64_t version,
                                  uint64_t announced_ms);
 /* Records that another node has its floor at VERSION; the floor never falls.  Returns
  * true when this raised the highest floor reported. */
 bool dl_version_floor_raise (DlVersionFloor *floor, uint64_t version);
+/* Returns the floor to report to other nodes: that of dl_version_floor_at by observed
+ * announcements and the reports of others alone, as it cannot be taken back. */
+uint64_t dl_version_floor_certain (const DlVersionFloor *floor,
+                                   uint64_t limit_ms,
+                                   uint64_t now_ms);
 /* Returns the lowest version that may start a request at NOW_MS; 0: any.  LIMIT_MS is the
  * time within which a version must be in effect after its announcement. */
 uint64_t
 dl_version_floor_at (const DlVersionFloor *floor, uint64_t limit_ms, uint64_t now_ms);
 /* Returns the lowest version at which a request that was sent and has not started may
  * still wait at NOW_MS; 0: any. */
-uint64_t dl_version_floor_unstarted (const DlVersionFloor *floor,
-                                     uint64_t limit_ms,
-                                     uint64_t now_ms);
+uint64_t dl_version_floor_for_waiting (const DlVersionFloor *floor,
+                                       uint64_t limit_ms,
+                                       uint64_t now_ms);
 /* Returns the newest version announced here that must be in effect at NOW_MS; 0: none.
  * Unlike dl_version_floor_at, without a margin. */
 uint64_t
