After a pause a version counts from the pause's beginning, and nodes tell each other the earliest time

Change: a call that ends after a pause of this process is no outage. A watch at the store itself had no news until the pause began, which bounds the name from below better than the last answer. Nodes tell the bounds of their own watches; the latest counts. Bounds are not passed on, as each hop adds its delay. Unit "version floor" has a case more.

--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -54,7 +54,8 @@
   uint64_t stop_began_ms; /* 0 while running */
   bool abandoned;         /* the shutdown's time is over; only last responses are sent */
   uint64_t looped_ms;     /* last run of the event loop; 0 before the first */
-  uint64_t resumed_ms;    /* end of the last pause; 0 for none */
+  uint64_t paused_ms;     /* start of the last pause; 0 for none */
+  uint64_t resumed_ms;    /* its end */
   ev_prepare prepare;
   ev_check check;
   ev_timer heartbeat;
@@ -208,6 +209,7 @@
 
   if (kernel->looped_ms != 0 && now_ms >= kernel->looped_ms + PAUSE_MIN_MS)
     {
+      kernel->paused_ms = kernel->looped_ms;
       kernel->resumed_ms = now_ms;
       dl_log (DL_EVENT_RESUMED, DL_UINT ("paused_ms", now_ms - kernel->looped_ms));
     }
@@ -237,6 +239,12 @@
   return kernel->resumed_ms;
 }
 
+uint64_t
+dl_kernel_paused_ms (const DlKernel *kernel)
+{
+  return kernel->paused_ms;
+}
+
 /* -------- shutdown -------- */
 
 static void
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -121,6 +121,8 @@
  * read nor sent anything; 0 for none.  Known before any task handles what arrived
  * meanwhile. */
 uint64_t dl_kernel_resumed_ms (const DlKernel *kernel);
+/* Time at which that pause began, or earlier; 0 for none. */
+uint64_t dl_kernel_paused_ms (const DlKernel *kernel);
 /* A monotonic clock that also runs while the host is suspended. */
 uint64_t dl_clock_ms (void);
 uint64_t dl_clock_us (void);
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1731,7 +1731,7 @@
   (ProtobufCMessageInit) daisyloft__wire__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__announcement__field_descriptors[2] =
+static const ProtobufCFieldDescriptor daisyloft__wire__announcement__field_descriptors[3] =
 {
   {
     "version",
@@ -1757,15 +1757,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "at_most",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Announcement, at_most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__announcement__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = at_most */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange daisyloft__wire__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__announcement__descriptor =
 {
@@ -1775,7 +1788,7 @@
   "Daisyloft__Wire__Announcement",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Announcement),
-  2,
+  3,
   daisyloft__wire__announcement__field_descriptors,
   daisyloft__wire__announcement__field_indices_by_name,
   1,  daisyloft__wire__announcement__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -176,7 +176,7 @@
   size_t n_limit_record;
   Daisyloft__Wire__LimitRecord **limit_record;
   /*
-   * of versions, observed lately
+   * of the versions announced lately
    */
   size_t n_announcement;
   Daisyloft__Wire__Announcement **announcement;
@@ -187,17 +187,21 @@
 
 
 /*
- * The announcement of one version, as a node observed it.
+ * The announcement of one version.
  */
 struct  Daisyloft__Wire__Announcement
 {
   ProtobufCMessage base;
   uint64_t version;
   uint64_t age_ms;
+  /*
+   * the age is AGE_MS or less; otherwise a node observed it
+   */
+  protobuf_c_boolean at_most;
 };
 #define DAISYLOFT__WIRE__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__announcement__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -13,6 +13,8 @@
 /* A watch that is sent this long after the store's answer to the one before has no gap.
  */
 #define GAP_MAX_MS 150
+/* The store answers a watch within this time after a change. */
+#define ANSWER_MAX_MS 200
 /* An outage of the store is one that lasts longer than this. */
 #define OUTAGE_MIN_MS 5000
 /* A reader answers a watch when its copy is synced again, which may be just after the
@@ -31,15 +33,15 @@
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
   uint64_t sent_ms; /* when the request in progress was sent; of a list, the first page */
-  uint64_t synced_ms; /* 0 before the first list is complete */
-  uint64_t retry_ms;  /* backoff; 0 while requests succeed */
-  bool is_refreshing; /* the next watch request does not wait */
-  bool lost;          /* the store did not answer last time */
-  bool after_outage;  /* the same, until what it shows now has been handled */
-  uint64_t
-      answered_ms; /* last answer of the store itself to a watch that goes on; or 0 */
-  bool via_relay;  /* the request in progress goes to a reader */
-  bool is_reader;  /* this process reads the store for others */
+  uint64_t synced_ms;    /* 0 before the first list is complete */
+  uint64_t retry_ms;     /* backoff; 0 while requests succeed */
+  bool is_refreshing;    /* the next watch request does not wait */
+  bool lost;             /* the store did not answer last time */
+  bool after_outage;     /* the same, until what it shows now has been handled */
+  uint64_t unchanged_ms; /* the store had no news before this, see note_unchanged */
+  uint64_t answered_ms;  /* last answer of the store itself; 0: failed, or was a reader */
+  bool via_relay;        /* the request in progress goes to a reader */
+  bool is_reader;        /* this process reads the store for others */
   DlObjectClient *server; /* that the request in progress was sent to */
   uint64_t number;   /* of the last request; the responses to earlier ones are ignored */
   bool is_relisting; /* the list in progress is the first of a new era */
@@ -177,6 +179,32 @@
   return is_wanted;
 }
 
+/* True for a request to the store itself that followed its last answer without a gap. */
+static bool
+follows_the_store (const DlObjectWatch *watch)
+{
+  return dl_object_watch_is_current (watch) && !watch->via_relay
+         && watch->answered_ms != 0 && watch->sent_ms <= watch->answered_ms + GAP_MAX_MS;
+}
+
+static bool
+was_paused (const DlObjectWatch *watch)
+{
+  return dl_kernel_resumed_ms (dl_task_kernel (watch->task)) >= watch->sent_ms;
+}
+
+/* The request in progress has ended.  If this process was paused meanwhile, the store had
+ * not answered before, so that there was no news until then. */
+static void
+note_unchanged (DlObjectWatch *watch)
+{
+  uint64_t paused_ms = dl_kernel_paused_ms (dl_task_kernel (watch->task));
+
+  if (follows_the_store (watch) && was_paused (watch)
+      && paused_ms > watch->sent_ms + ANSWER_MAX_MS)
+    watch->unchanged_ms = MAX (watch->unchanged_ms, paused_ms - ANSWER_MAX_MS);
+}
+
 static void
 on_timer (DlTimer *timer, void *data)
 {
@@ -203,7 +231,7 @@
   uint64_t doubled = MAX (watch->retry_ms * 2, RETRY_FIRST_MS);
 
   set_contact (watch, result->error);
-  watch->after_outage = true;
+  watch->after_outage = watch->after_outage || !was_paused (watch);
   watch->answered_ms = 0;
   watch->retry_ms = MIN (doubled, watch->options.retry_max_ms);
   run_after (watch,
@@ -390,6 +418,7 @@
 
   if (!request_end (request))
     return;
+  note_unchanged (watch);
   if (result->error == DL_ERR_GONE)
     {
       restart_list (watch);
@@ -520,9 +549,13 @@
 bool
 dl_object_watch_is_prompt (const DlObjectWatch *watch)
 {
-  return dl_object_watch_is_current (watch) && !watch->via_relay
-         && watch->answered_ms != 0 && watch->sent_ms <= watch->answered_ms + GAP_MAX_MS
-         && dl_kernel_resumed_ms (dl_task_kernel (watch->task)) < watch->sent_ms;
+  return follows_the_store (watch) && !was_paused (watch);
+}
+
+uint64_t
+dl_object_watch_unchanged_ms (const DlObjectWatch *watch)
+{
+  return MAX (watch->synced_ms, watch->unchanged_ms);
 }
 
 bool
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -68,8 +68,11 @@
 bool dl_object_watch_is_current (const DlObjectWatch *watch);
 /* True when the response that is being handled came from the store itself, without a gap
  * since its last one, to a process that was not paused: a change in it has just happened.
- * This and the next are for use in on_object. */
+ * This and the next two are for use in on_object. */
 bool dl_object_watch_is_prompt (const DlObjectWatch *watch);
+/* Time until which what is news in the response that is being handled had not happened.
+ */
+uint64_t dl_object_watch_unchanged_ms (const DlObjectWatch *watch);
 /* True when the store did not answer for long before the response that is being handled,
  * or came back from an older copy. */
 bool dl_object_watch_is_after_outage (const DlObjectWatch *watch);
--- a/lib/node/version_watch.c
+++ b/lib/node/version_watch.c
@@ -50,6 +50,7 @@
     .source = DL_ANNOUNCED_GUESSED,
     .announced_ms = watch->target.announced_ms,
     .found_ms = dl_clock_ms (),
+    .is_own = true,
   };
 
   if (how == DL_TARGET_OBSERVED)
@@ -57,7 +58,7 @@
   else if (how == DL_TARGET_LATE)
     {
       a.source = DL_ANNOUNCED_BETWEEN;
-      a.announced_ms = dl_object_watch_synced_ms (watch->objects);
+      a.announced_ms = dl_object_watch_unchanged_ms (watch->objects);
     }
   return a;
 }
@@ -127,7 +128,7 @@
 
 /* -------- other nodes -------- */
 
-/* Adds what the other node observed; returns true when the floor changed. */
+/* Adds what the other node knows; returns true when the floor changed. */
 static bool
 receive_announcements (DlVersionWatch *watch,
                        const Daisyloft__Wire__NodeStatus *status,
@@ -139,8 +140,15 @@
     {
       const Daisyloft__Wire__Announcement *a = status->announcement[i];
 
-      changed |= dl_version_floor_announced (&watch->floor, a->version,
-                                             now_ms - MIN (a->age_ms, now_ms));
+      changed
+          |= dl_version_floor_add (&watch->floor,
+                                   &(DlAnnouncement){
+                                       .version = a->version,
+                                       .source = a->at_most ? DL_ANNOUNCED_BETWEEN
+                                                            : DL_ANNOUNCED_OBSERVED,
+                                       .announced_ms = now_ms - MIN (a->age_ms, now_ms),
+                                       .found_ms = now_ms,
+                                   });
     }
   return changed;
 }
@@ -181,6 +189,16 @@
     notify_floor (watch);
 }
 
+/* What is only known from another node is not passed on, unless that node observed it:
+ * each hop would move the earliest possible time. */
+static bool
+is_told (const DlAnnouncement *a, uint64_t now_ms)
+{
+  return (a->source == DL_ANNOUNCED_OBSERVED
+          || (a->source == DL_ANNOUNCED_BETWEEN && a->is_own))
+         && now_ms <= a->announced_ms + TOLD_AGE_MAX_MS;
+}
+
 static void
 add_announcements (const DlVersionWatch *watch,
                    const void *context,
@@ -194,13 +212,13 @@
       const DlAnnouncement *a = &watch->floor.versions[i];
       Daisyloft__Wire__Announcement *wire;
 
-      if (a->source != DL_ANNOUNCED_OBSERVED
-          || now_ms > a->announced_ms + TOLD_AGE_MAX_MS)
+      if (!is_told (a, now_ms))
         continue;
       wire = talloc (context, Daisyloft__Wire__Announcement);
       daisyloft__wire__announcement__init (wire);
       wire->version = a->version;
       wire->age_ms = now_ms - a->announced_ms;
+      wire->at_most = a->source == DL_ANNOUNCED_BETWEEN;
       status->announcement[status->n_announcement++] = wire;
     }
 }
--- a/lib/policy/version_floor.c
+++ b/lib/policy/version_floor.c
@@ -8,8 +8,16 @@
 {
   if (a->source != known->source)
     return a->source > known->source;
-  return a->source == DL_ANNOUNCED_OBSERVED
-         && a->announced_ms + DL_ANNOUNCEMENT_TOLERANCE_MS < known->announced_ms;
+  switch (a->source)
+    {
+    case DL_ANNOUNCED_OBSERVED:
+      return a->announced_ms + DL_ANNOUNCEMENT_TOLERANCE_MS < known->announced_ms;
+    case DL_ANNOUNCED_BETWEEN:
+      return a->announced_ms > known->announced_ms + DL_ANNOUNCEMENT_TOLERANCE_MS;
+    case DL_ANNOUNCED_GUESSED:
+      break;
+    }
+  return false;
 }
 
 /* Makes room for a version at INDEX, or at the one returned, by moving the later versions
@@ -33,6 +41,7 @@
 bool
 dl_version_floor_add (DlVersionFloor *floor, const DlAnnouncement *a)
 {
+  uint64_t found_ms = a->found_ms;
   unsigned index = 0;
 
   while (index < floor->count && floor->versions[index].version < a->version)
@@ -41,12 +50,14 @@
     {
       if (!is_better (a, &floor->versions[index]))
         return false;
+      found_ms = MIN (found_ms, floor->versions[index].found_ms);
     }
   else if (index == 0 && floor->count == DL_VERSION_FLOOR_HISTORY)
     return false;
   else
     index = make_room (floor, index);
   floor->versions[index] = *a;
+  floor->versions[index].found_ms = found_ms;
   return true;
 }
 
--- a/lib/policy/version_floor.h
+++ b/lib/policy/version_floor.h
@@ -46,6 +46,7 @@
   DlAnnouncementSource source;
   uint64_t announced_ms;
   uint64_t found_ms; /* when this node learnt of it; used with DL_ANNOUNCED_BETWEEN */
+  bool is_own;       /* by its own watch of the store */
 } DlAnnouncement;
 
 /* The versions announced lately, and the floor of other nodes.  Starts zeroed. */
@@ -57,8 +58,8 @@
 } DlVersionFloor;
 
 /* Adds ANNOUNCEMENT, which may be of any version, unless its time is known as well or
- * better.  Of several observers the earliest is right, the others were late.  Returns
- * true when FLOOR changed. */
+ * better.  Of several observers the earliest is right, the others were late; of several
+ * earliest possible times the latest is the best.  Returns true when FLOOR changed. */
 bool dl_version_floor_add (DlVersionFloor *floor, const DlAnnouncement *announcement);
 /* Adds an observed announcement of VERSION at ANNOUNCED_MS. */
 bool dl_version_floor_announced (DlVersionFloor *floor,
--- a/regress/unit/test_version_floor.c
+++ b/regress/unit/test_version_floor.c
@@ -61,6 +61,21 @@
   CU_ASSERT_EQUAL (floor_at (&floor, FOUND_MS - 50 + floor_after_ms), 2);
 }
 
+/* Each node knows an earliest possible time, by when its own copy was read last. */
+static void
+test_oldest_copy_stopped_requests_too_early (void)
+{
+  DlVersionFloor floor = { 0 };
+  uint64_t settled_ms = FOUND_MS + DL_VERSION_FLOOR_SETTLE_MS;
+
+  add (&floor, 2, DL_ANNOUNCED_BETWEEN, FOUND_MS - LIMIT_MS, FOUND_MS);
+  CU_ASSERT_TRUE (add (&floor, 2, DL_ANNOUNCED_BETWEEN, FOUND_MS - 500, FOUND_MS + 600));
+  CU_ASSERT_FALSE (add (&floor, 2, DL_ANNOUNCED_BETWEEN, FOUND_MS - 3000, FOUND_MS));
+  CU_ASSERT_EQUAL (floor_at (&floor, settled_ms), 0);
+  CU_ASSERT_EQUAL (floor_at (&floor, FOUND_MS - 500 + floor_after_ms - 1), 0);
+  CU_ASSERT_EQUAL (floor_at (&floor, FOUND_MS - 500 + floor_after_ms), 2);
+}
+
 static void
 test_late_observer_extended_the_limit (void)
 {
@@ -172,6 +187,8 @@
 static const CU_TestInfo tests[] = {
   { "late copy extended the limit", test_late_copy_extended_the_limit },
   { "late copy stopped requests too early", test_late_copy_stopped_requests_too_early },
+  { "oldest copy stopped requests too early",
+    test_oldest_copy_stopped_requests_too_early },
   { "late observer extended the limit", test_late_observer_extended_the_limit },
   { "skipped version had no limit", test_skipped_version_had_no_limit },
   { "guess was reported as floor", test_guess_was_reported_as_floor },
