Test (red) of the paused reader: the same watches at the same phase in every run

The test waited for up to 20 s until the stagers' first watch of the store ended, and how late the other entry learnt depended on where its watch at the reader stood. Now an object that announces nothing ends all watches first, and the pause is longer than a watch at a reader may take.

--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -23,6 +23,9 @@
 #define NEXT_MS 1500
 /* For so long after an announcement some processes are paused; another one follows. */
 #define LATE_MS 1900
+/* Longer than a watch at a reader may take, after which the store is asked. */
+#define READER_PAUSE_MS 2800
+#define WATCHES_SENT_MS 150
 /* Entries end so long after an announcement, and learn what they need within this time
  * of their start. */
 #define KNOWN_MS    100
@@ -233,10 +236,17 @@
   return find_follower (tb) < ENTRIES;
 }
 
-/* All others follow the versions through the reader. */
+/* Ends all watches of versions, by an object that announces none, and returns whether all
+ * but the reader then watch the reader. */
 static bool
 only_the_reader_watches_versions (Testbed *tb)
 {
+  static unsigned count;
+  char *spec = g_strdup_printf ("\"nothing %u\"", ++count);
+
+  CHECK (testbed_put (tb, "versions", "none", spec));
+  g_free (spec);
+  g_usleep (WATCHES_SENT_MS * US_PER_MS);
   return recorded (tb->store, "watches.versions") == 1;
 }
 
@@ -246,12 +256,12 @@
   int reader;
 
   CHECK (eventually (follower_exists, tb));
-  CHECK (eventually (only_the_reader_watches_versions, tb));
   reader = tb->entry_process[1 - find_follower (tb)].pid;
   keep_first_server_old (tb);
+  CHECK (eventually (only_the_reader_watches_versions, tb));
   kill (reader, SIGSTOP);
   announce_next (tb);
-  sleep_until (newest_ms + LATE_MS);
+  sleep_until (newest_ms + READER_PAUSE_MS);
   kill (reader, SIGCONT);
   check_streams_after (tb, limit_ms (tb));
   bring_up_to_date (tb);
