Event 1011 names the identity of the request that broke off

Cause: the log of the incident could not tell two crashes under one request from crashes under two: 1011 named neither path, caller nor body, and request ids are new each time. No decision depends on it yet. Ruled out: the service (routes move) and the query.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -377,6 +377,7 @@
           DL_UINT ("status", attempt->status),
           DL_UINT ("after_ms", dl_clock_ms () - attempt->sent_ms),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_TEXT ("identity", r->identity.text),
           DL_TEXT ("parts", parts_text (attempt, &r->incoming.parts)));
   direct_quarantine_broken_off (r, attempt->upstream);
 }
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -166,6 +166,19 @@
   return false;
 }
 
+static void
+set_identity (Request *r)
+{
+  const char *caller = r->organisation != NULL ? r->organisation->name : r->incoming.key;
+
+  r->identity = dl_request_id (&(DlRequestIdentity){
+      .host = r->incoming.host,
+      .path = r->incoming.path,
+      .caller = caller != NULL ? dl_str (caller) : (DlStr){ 0 },
+      .body = dl_http_request_body (r->http),
+  });
+}
+
 static void
 set_deadline (Request *r)
 {
@@ -214,6 +227,7 @@
     }
   r->service = direct_service_get (r->owner, service);
   direct_limits_note_request (r->service, r->arrived_ms);
+  set_identity (r);
   if (direct_quarantine_admit (r))
     direct_dispatch_request (r);
 }
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -68,6 +68,7 @@
   Requests *owner;
   DlHttpRequest *http;
   DlCallerRequest incoming;
+  DlPartId identity;      /* of the whole request; set at its admission */
   DirectMessage *routing; /* the table in effect at its arrival */
   const DlRouteEntry *route;
   const DlOrganisation *organisation; /* NULL on open routes */
--- a/lib/kernel/crypt.c
+++ b/lib/kernel/crypt.c
@@ -16,6 +16,25 @@
   return digest;
 }
 
+DlDigest
+dl_digest_of_strings (const DlStr *strings, size_t count)
+{
+  crypto_generichash_state state;
+  DlDigest digest;
+
+  crypto_generichash_init (&state, NULL, 0, sizeof digest.bytes);
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t length = GUINT64_TO_LE (strings[i].length);
+
+      crypto_generichash_update (&state, (const uint8_t *)&length, sizeof length);
+      crypto_generichash_update (&state, (const uint8_t *)strings[i].data,
+                                 strings[i].length);
+    }
+  crypto_generichash_final (&state, digest.bytes, sizeof digest.bytes);
+  return digest;
+}
+
 bool
 dl_digest_equal (const DlDigest *a, const DlDigest *b)
 {
--- a/lib/kernel/crypt.h
+++ b/lib/kernel/crypt.h
@@ -22,6 +22,9 @@
 
 /* Returns the digest of DATA. */
 DlDigest dl_digest (DlStr data);
+/* Returns the digest of COUNT strings and their lengths: other strings that are the same
+ * when joined have another one. */
+DlDigest dl_digest_of_strings (const DlStr *strings, size_t count);
 /* Not in constant time; for secrets use dl_secret_equal. */
 bool dl_digest_equal (const DlDigest *a, const DlDigest *b);
 /* A zero digest stands for "none". */
--- a/lib/policy/prompt_parts.h
+++ b/lib/policy/prompt_parts.h
@@ -26,8 +26,19 @@
   DlPartId ids[DL_PROMPT_PARTS_MAX];
 } DlPromptParts;
 
+/* What makes two requests the same, whoever receives them and whatever their ids are. */
+typedef struct
+{
+  DlStr host;
+  DlStr path;   /* as sent, without the query */
+  DlStr caller; /* name of the organisation, or the key; empty for neither */
+  DlStr body;
+} DlRequestIdentity;
+
 /* Returns the id for TEXT. */
 DlPartId dl_part_id (DlStr text);
+/* Returns the id of whole requests with IDENTITY, which no part of a prompt has. */
+DlPartId dl_request_id (const DlRequestIdentity *identity);
 /* Adds the id for TEXT, unless there are too many or TEXT is empty. */
 void dl_prompt_parts_add (DlPromptParts *parts, DlStr text);
 
