--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -357,7 +357,7 @@
 }
 
 static char *
-parts_text (const void *context, const DlPromptParts *parts)
+parts_text (const void *context, const DlSignatures *parts)
 {
   char *text = talloc_strdup (context, "");
 
@@ -378,7 +378,7 @@
           DL_UINT ("after_ms", dl_clock_ms () - attempt->sent_ms),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
           DL_TEXT ("identity", r->identity.text),
-          DL_TEXT ("parts", parts_text (attempt, &r->incoming.parts)));
+          DL_TEXT ("parts", parts_text (attempt, &r->incoming.signatures)));
   direct_quarantine_broken_off (r, attempt->upstream);
 }
 
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -21,22 +21,22 @@
 /* Types of messages between the tasks. */
 typedef enum
 {
-  DIRECT_ROUTING,            /* a new routing table */
-  DIRECT_UPSTREAM,           /* an upstream was listed, or its list entry changed */
-  DIRECT_UPSTREAM_REMOVED,   /* an upstream is no longer listed */
-  DIRECT_ENGINE,             /* a stager reported its engine's status */
-  DIRECT_TARGET_VERSION,     /* the store has a new target version */
-  DIRECT_VERSION_FLOOR,      /* another entry has a higher version floor */
-  DIRECT_ROUTING_SYNCED,     /* time as of which the routing table is current */
-  DIRECT_ENTRIES,            /* the entries that accept requests */
-  DIRECT_NO_TARGET,          /* the store was read and has no target version */
-  DIRECT_HOLDER,             /* another node reported which chunks it has */
-  DIRECT_NODE_REMOVED,       /* another node is no longer registered */
-  DIRECT_HOLDINGS,           /* the chunks that this entry has */
-  DIRECT_PART_RECORDS,       /* what this entry knows of suspected prompt parts */
-  DIRECT_PEER_PART_RECORDS,  /* what another entry knows of them */
-  DIRECT_LIMIT_RECORDS,      /* what this entry knows of the limits of upstreams */
-  DIRECT_PEER_LIMIT_RECORDS, /* what another entry knows of them */
+  DIRECT_ROUTING,                /* a new routing table */
+  DIRECT_UPSTREAM,               /* an upstream was listed, or its list entry changed */
+  DIRECT_UPSTREAM_REMOVED,       /* an upstream is no longer listed */
+  DIRECT_ENGINE,                 /* a stager reported its engine's status */
+  DIRECT_TARGET_VERSION,         /* the store has a new target version */
+  DIRECT_VERSION_FLOOR,          /* another entry has a higher version floor */
+  DIRECT_ROUTING_SYNCED,         /* time as of which the routing table is current */
+  DIRECT_ENTRIES,                /* the entries that accept requests */
+  DIRECT_NO_TARGET,              /* the store was read and has no target version */
+  DIRECT_HOLDER,                 /* another node reported which chunks it has */
+  DIRECT_NODE_REMOVED,           /* another node is no longer registered */
+  DIRECT_HOLDINGS,               /* the chunks that this entry has */
+  DIRECT_SIGNATURE_RECORDS,      /* what this entry knows of suspected prompt parts */
+  DIRECT_PEER_SIGNATURE_RECORDS, /* what another entry knows of them */
+  DIRECT_LIMIT_RECORDS,          /* what this entry knows of the limits of upstreams */
+  DIRECT_PEER_LIMIT_RECORDS,     /* what another entry knows of them */
 } DirectMessageType;
 
 /* Status of an engine, as reported by the stager on its host. */
@@ -72,7 +72,7 @@
     } version;
     DlHolder holder;
     DlHoldings holdings;
-    DlPartRecords *part_records;
+    DlSignatureRecords *signature_records;
     DlLimitRecords *limit_records;
     const char *removed_node;   /* its name */
     uint64_t floor;             /* lowest version that may start a request */
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -31,11 +31,11 @@
 /* -------- what changes the records -------- */
 
 static void
-log_quarantined (const Requests *requests, const DlPartId *id, const char *source)
+log_quarantined (const Requests *requests, const DlSignature *id, const char *source)
 {
   uint64_t now_ms = dl_clock_ms ();
-  DlPromptParts part = { .count = 1, .ids = { *id } };
-  const DlPartRecord *r = dl_quarantine_find (requests->quarantine, &part);
+  DlSignatures part = { .count = 1, .ids = { *id } };
+  const DlSignatureRecord *r = dl_quarantine_find (requests->quarantine, &part);
 
   dl_metric_add (&metric_quarantined, 1);
   dl_log (DL_EVENT_PART_QUARANTINED, DL_TEXT ("part", id->text),
@@ -63,7 +63,8 @@
 
   if (!r->service_entry->has_engine)
     return;
-  dl_quarantine_served (r->owner->quarantine, &r->incoming.parts, dl_clock_ms (), &news);
+  dl_quarantine_served (r->owner->quarantine, &r->incoming.signatures, dl_clock_ms (),
+                        &news);
   handle_news (r->owner, &news, r->incoming.id);
 }
 
@@ -72,13 +73,13 @@
 {
   /* A load aborts what runs. */
   if (r->service_entry->has_engine && !upstream->loading)
-    dl_quarantine_broken_off (r->owner->quarantine, &r->incoming.parts,
+    dl_quarantine_broken_off (r->owner->quarantine, &r->incoming.signatures,
                               direct_upstream_key (upstream), r->is_trial,
                               dl_clock_ms ());
 }
 
 void
-direct_quarantine_merge (Requests *requests, const DlPartRecords *records)
+direct_quarantine_merge (Requests *requests, const DlSignatureRecords *records)
 {
   DlQuarantineNews news;
 
@@ -89,7 +90,7 @@
 /* -------- requests -------- */
 
 static const char *
-refusal_reason (Request *r, const DlPartId *part)
+refusal_reason (Request *r, const DlSignature *part)
 {
   return talloc_asprintf (r, "upstreams crash on part %s of its prompt", part->text);
 }
@@ -97,11 +98,11 @@
 bool
 direct_quarantine_admit (Request *r)
 {
-  const DlPartId *part = NULL;
+  const DlSignature *part = NULL;
   uint64_t retry_ms = 0;
 
-  switch (dl_quarantine_admit (r->owner->quarantine, &r->incoming.parts, dl_clock_ms (),
-                               &part, &retry_ms))
+  switch (dl_quarantine_admit (r->owner->quarantine, &r->incoming.signatures,
+                               dl_clock_ms (), &part, &retry_ms))
     {
     case DL_QUARANTINE_ALLOW:
       return true;
@@ -123,7 +124,7 @@
 bool
 direct_quarantine_holds (const Request *r)
 {
-  return dl_quarantine_find (r->owner->quarantine, &r->incoming.parts) != NULL;
+  return dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures) != NULL;
 }
 
 /* Ends a request with a part that was quarantined after its arrival, unless its upstream
@@ -131,8 +132,8 @@
 static void
 end_if_held (Request *r, uint64_t now_ms)
 {
-  const DlPartRecord *held
-      = dl_quarantine_find (r->owner->quarantine, &r->incoming.parts);
+  const DlSignatureRecord *held
+      = dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures);
 
   if (held == NULL || r->is_trial
       || (r->attempt != NULL && direct_attempt_has_started (r->attempt)))
@@ -163,11 +164,11 @@
 static void
 publish_records (Requests *requests, bool is_urgent, uint64_t now_ms)
 {
-  DirectMessage *message = direct_message_new (DIRECT_PART_RECORDS);
+  DirectMessage *message = direct_message_new (DIRECT_SIGNATURE_RECORDS);
 
-  message->part_records = talloc_zero (message, DlPartRecords);
-  dl_quarantine_export (requests->quarantine, now_ms, message->part_records);
-  message->part_records->is_urgent = is_urgent;
+  message->signature_records = talloc_zero (message, DlSignatureRecords);
+  dl_quarantine_export (requests->quarantine, now_ms, message->signature_records);
+  message->signature_records->is_urgent = is_urgent;
   dl_kernel_publish (dl_task_kernel (requests->task), message);
 }
 
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -171,7 +171,7 @@
 {
   const char *caller = r->organisation != NULL ? r->organisation->name : r->incoming.key;
 
-  r->identity = dl_request_id (&(DlRequestIdentity){
+  r->identity = dl_request_signature (&(DlRequestIdentity){
       .host = r->incoming.host,
       .path = r->incoming.path,
       .caller = caller != NULL ? dl_str (caller) : (DlStr){ 0 },
@@ -357,8 +357,8 @@
       direct_quarantine_set_entries (requests, m);
       direct_limits_set_entries (requests->limits, m);
       break;
-    case DIRECT_PEER_PART_RECORDS:
-      direct_quarantine_merge (requests, m->part_records);
+    case DIRECT_PEER_SIGNATURE_RECORDS:
+      direct_quarantine_merge (requests, m->signature_records);
       break;
     case DIRECT_PEER_LIMIT_RECORDS:
       direct_limits_merge (requests->limits, m->limit_records);
@@ -367,7 +367,7 @@
     case DIRECT_HOLDER:
     case DIRECT_NODE_REMOVED:
     case DIRECT_HOLDINGS:
-    case DIRECT_PART_RECORDS:
+    case DIRECT_SIGNATURE_RECORDS:
     case DIRECT_LIMIT_RECORDS:
       break;
     }
@@ -497,7 +497,7 @@
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
                    | MESSAGE (DIRECT_TARGET_VERSION) | MESSAGE (DIRECT_ROUTING_SYNCED)
                    | MESSAGE (DIRECT_VERSION_FLOOR) | MESSAGE (DIRECT_ENTRIES)
-                   | MESSAGE (DIRECT_PEER_PART_RECORDS)
+                   | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
                    | MESSAGE (DIRECT_PEER_LIMIT_RECORDS),
   .start = start,
   .handle = handle,
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -68,7 +68,7 @@
   Requests *owner;
   DlHttpRequest *http;
   DlCallerRequest incoming;
-  DlPartId identity;      /* of the whole request; set at its admission */
+  DlSignature identity;   /* of the whole request; set at its admission */
   DirectMessage *routing; /* the table in effect at its arrival */
   const DlRouteEntry *route;
   const DlOrganisation *organisation; /* NULL on open routes */
@@ -242,7 +242,7 @@
 /* UPSTREAM broke off the request. */
 void direct_quarantine_broken_off (Request *request, const DirectUpstream *upstream);
 /* Merges what another entry told of prompt parts. */
-void direct_quarantine_merge (Requests *requests, const DlPartRecords *records);
+void direct_quarantine_merge (Requests *requests, const DlSignatureRecords *records);
 /* Ends the requests that are in progress with parts that were quarantined, and publishes
  * changed records.  To be called with every sweep. */
 void direct_quarantine_tick (Requests *requests, uint64_t now_ms);
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -15,7 +15,7 @@
 #include "node/limit_record.h"
 #include "node/metrics_page.h"
 #include "node/object_watch.h"
-#include "node/part_record.h"
+#include "node/signature_record.h"
 #include "node/peers.h"
 #include "node/version_watch.h"
 #include "platform.h"
@@ -67,7 +67,8 @@
   DlVersionWatch *versions;
   DlVersionFloor floor;            /* reported to other entries */
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
-  DirectMessage *part_records_message;  /* the last DIRECT_PART_RECORDS; NULL before */
+  DirectMessage
+      *signature_records_message; /* the last DIRECT_SIGNATURE_RECORDS; NULL before */
   DirectMessage *limit_records_message; /* the last DIRECT_LIMIT_RECORDS; NULL before */
   bool status_changed;                  /* and not sent yet */
   bool ready;
@@ -172,15 +173,15 @@
 /* -------- other nodes -------- */
 
 static void
-publish_part_records (State *state, const Daisyloft__Wire__NodeStatus *status)
+publish_signature_records (State *state, const Daisyloft__Wire__NodeStatus *status)
 {
   DirectMessage *message;
 
-  if (status->n_part_record == 0)
+  if (status->n_signature_record == 0)
     return;
-  message = direct_message_new (DIRECT_PEER_PART_RECORDS);
-  message->part_records = talloc_zero (message, DlPartRecords);
-  dl_part_records_from_status (status, dl_clock_ms (), message->part_records);
+  message = direct_message_new (DIRECT_PEER_SIGNATURE_RECORDS);
+  message->signature_records = talloc_zero (message, DlSignatureRecords);
+  dl_signature_records_from_status (status, dl_clock_ms (), message->signature_records);
   dl_kernel_publish (state->kernel, message);
 }
 
@@ -248,7 +249,7 @@
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
       publish_holder (state, peer, status);
-      publish_part_records (state, status);
+      publish_signature_records (state, status);
       publish_limit_records (state, peer, status);
     }
   if (engine == NULL)
@@ -298,13 +299,14 @@
 }
 
 static void
-add_part_records (const State *state,
-                  const void *context,
-                  Daisyloft__Wire__NodeStatus *status)
+add_signature_records (const State *state,
+                       const void *context,
+                       Daisyloft__Wire__NodeStatus *status)
 {
-  if (state->part_records_message != NULL)
-    dl_part_records_to_status (context, state->part_records_message->part_records,
-                               DL_PEER_STATUS_MAX_BYTES, dl_clock_ms (), status);
+  if (state->signature_records_message != NULL)
+    dl_signature_records_to_status (context,
+                                    state->signature_records_message->signature_records,
+                                    DL_PEER_STATUS_MAX_BYTES, dl_clock_ms (), status);
 }
 
 /* Sends this entry's status to a node that is not registered here yet: a stager learns at
@@ -322,7 +324,7 @@
   if (role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
       add_limit_records (state, context, &status);
-      add_part_records (state, context, &status);
+      add_signature_records (state, context, &status);
     }
   dl_peers_reply (state->peers, &status);
   talloc_free (context);
@@ -343,7 +345,7 @@
   status.routing_version = direct_routing_table_highest (state->routing_table);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
   add_limit_records (state, context, &status);
-  add_part_records (state, context, &status);
+  add_signature_records (state, context, &status);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
   talloc_free (context);
   state->status_changed = false;
@@ -484,9 +486,9 @@
 
   if (head->type == DIRECT_HOLDINGS)
     keep_message (state, &state->holdings_message, head, true);
-  else if (head->type == DIRECT_PART_RECORDS)
-    keep_message (state, &state->part_records_message, head,
-                  ((const DirectMessage *)head)->part_records->is_urgent);
+  else if (head->type == DIRECT_SIGNATURE_RECORDS)
+    keep_message (state, &state->signature_records_message, head,
+                  ((const DirectMessage *)head)->signature_records->is_urgent);
   else
     keep_message (state, &state->limit_records_message, head,
                   limits_differ (state, (const DirectMessage *)head));
@@ -497,8 +499,8 @@
 {
   if (state->holdings_message != NULL)
     dl_message_unref (state->holdings_message);
-  if (state->part_records_message != NULL)
-    dl_message_unref (state->part_records_message);
+  if (state->signature_records_message != NULL)
+    dl_message_unref (state->signature_records_message);
   if (state->limit_records_message != NULL)
     dl_message_unref (state->limit_records_message);
   return 0;
@@ -649,7 +651,8 @@
 static DlPlugin state_plugin = {
   .name = "state",
   .order = 30,
-  .subscriptions = UINT64_C (1) << DIRECT_HOLDINGS | UINT64_C (1) << DIRECT_PART_RECORDS
+  .subscriptions = UINT64_C (1) << DIRECT_HOLDINGS
+                   | UINT64_C (1) << DIRECT_SIGNATURE_RECORDS
                    | UINT64_C (1) << DIRECT_LIMIT_RECORDS,
   .start = start,
   .handle = handle,
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -150,8 +150,8 @@
     case DIRECT_ROUTING_SYNCED:
     case DIRECT_ENTRIES:
     case DIRECT_HOLDINGS:
-    case DIRECT_PART_RECORDS:
-    case DIRECT_PEER_PART_RECORDS:
+    case DIRECT_SIGNATURE_RECORDS:
+    case DIRECT_PEER_SIGNATURE_RECORDS:
     case DIRECT_LIMIT_RECORDS:
     case DIRECT_PEER_LIMIT_RECORDS:
       break;
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -97,94 +97,94 @@
   assert(message->base.descriptor == &daisyloft__wire__limit_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   daisyloft__wire__part_record__init
-                     (Daisyloft__Wire__PartRecord         *message)
+void   daisyloft__wire__signature_record__init
+                     (Daisyloft__Wire__SignatureRecord         *message)
 {
-  static const Daisyloft__Wire__PartRecord init_value = DAISYLOFT__WIRE__PART_RECORD__INIT;
+  static const Daisyloft__Wire__SignatureRecord init_value = DAISYLOFT__WIRE__SIGNATURE_RECORD__INIT;
   *message = init_value;
 }
-size_t daisyloft__wire__part_record__get_packed_size
-                     (const Daisyloft__Wire__PartRecord *message)
+size_t daisyloft__wire__signature_record__get_packed_size
+                     (const Daisyloft__Wire__SignatureRecord *message)
 {
-  assert(message->base.descriptor == &daisyloft__wire__part_record__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_record__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t daisyloft__wire__part_record__pack
-                     (const Daisyloft__Wire__PartRecord *message,
+size_t daisyloft__wire__signature_record__pack
+                     (const Daisyloft__Wire__SignatureRecord *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &daisyloft__wire__part_record__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_record__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t daisyloft__wire__part_record__pack_to_buffer
-                     (const Daisyloft__Wire__PartRecord *message,
+size_t daisyloft__wire__signature_record__pack_to_buffer
+                     (const Daisyloft__Wire__SignatureRecord *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &daisyloft__wire__part_record__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_record__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Daisyloft__Wire__PartRecord *
-       daisyloft__wire__part_record__unpack
+Daisyloft__Wire__SignatureRecord *
+       daisyloft__wire__signature_record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Daisyloft__Wire__PartRecord *)
-     protobuf_c_message_unpack (&daisyloft__wire__part_record__descriptor,
+  return (Daisyloft__Wire__SignatureRecord *)
+     protobuf_c_message_unpack (&daisyloft__wire__signature_record__descriptor,
                                 allocator, len, data);
 }
-void   daisyloft__wire__part_record__free_unpacked
-                     (Daisyloft__Wire__PartRecord *message,
+void   daisyloft__wire__signature_record__free_unpacked
+                     (Daisyloft__Wire__SignatureRecord *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &daisyloft__wire__part_record__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   daisyloft__wire__part_crash__init
-                     (Daisyloft__Wire__PartCrash         *message)
+void   daisyloft__wire__signature_crash__init
+                     (Daisyloft__Wire__SignatureCrash         *message)
 {
-  static const Daisyloft__Wire__PartCrash init_value = DAISYLOFT__WIRE__PART_CRASH__INIT;
+  static const Daisyloft__Wire__SignatureCrash init_value = DAISYLOFT__WIRE__SIGNATURE_CRASH__INIT;
   *message = init_value;
 }
-size_t daisyloft__wire__part_crash__get_packed_size
-                     (const Daisyloft__Wire__PartCrash *message)
+size_t daisyloft__wire__signature_crash__get_packed_size
+                     (const Daisyloft__Wire__SignatureCrash *message)
 {
-  assert(message->base.descriptor == &daisyloft__wire__part_crash__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_crash__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t daisyloft__wire__part_crash__pack
-                     (const Daisyloft__Wire__PartCrash *message,
+size_t daisyloft__wire__signature_crash__pack
+                     (const Daisyloft__Wire__SignatureCrash *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &daisyloft__wire__part_crash__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_crash__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t daisyloft__wire__part_crash__pack_to_buffer
-                     (const Daisyloft__Wire__PartCrash *message,
+size_t daisyloft__wire__signature_crash__pack_to_buffer
+                     (const Daisyloft__Wire__SignatureCrash *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &daisyloft__wire__part_crash__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_crash__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Daisyloft__Wire__PartCrash *
-       daisyloft__wire__part_crash__unpack
+Daisyloft__Wire__SignatureCrash *
+       daisyloft__wire__signature_crash__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Daisyloft__Wire__PartCrash *)
-     protobuf_c_message_unpack (&daisyloft__wire__part_crash__descriptor,
+  return (Daisyloft__Wire__SignatureCrash *)
+     protobuf_c_message_unpack (&daisyloft__wire__signature_crash__descriptor,
                                 allocator, len, data);
 }
-void   daisyloft__wire__part_crash__free_unpacked
-                     (Daisyloft__Wire__PartCrash *message,
+void   daisyloft__wire__signature_crash__free_unpacked
+                     (Daisyloft__Wire__SignatureCrash *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &daisyloft__wire__part_crash__descriptor);
+  assert(message->base.descriptor == &daisyloft__wire__signature_crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   daisyloft__wire__engine_status__init
@@ -1615,13 +1615,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "part_record",
+    "signature_record",
     11,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Daisyloft__Wire__NodeStatus, n_part_record),
-    offsetof(Daisyloft__Wire__NodeStatus, part_record),
-    &daisyloft__wire__part_record__descriptor,
+    offsetof(Daisyloft__Wire__NodeStatus, n_signature_record),
+    offsetof(Daisyloft__Wire__NodeStatus, signature_record),
+    &daisyloft__wire__signature_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1647,10 +1647,10 @@
   0,   /* field[0] = name */
   7,   /* field[7] = named */
   2,   /* field[2] = number */
-  10,   /* field[10] = part_record */
   4,   /* field[4] = ready */
   3,   /* field[3] = role */
   9,   /* field[9] = routing_version */
+  10,   /* field[10] = signature_record */
   8,   /* field[8] = version_floor */
 };
 static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
@@ -1776,7 +1776,7 @@
   (ProtobufCMessageInit) daisyloft__wire__limit_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__part_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor daisyloft__wire__signature_record__field_descriptors[9] =
 {
   {
     "id",
@@ -1784,7 +1784,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, id),
+    offsetof(Daisyloft__Wire__SignatureRecord, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1795,9 +1795,9 @@
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Daisyloft__Wire__PartRecord, n_crash),
-    offsetof(Daisyloft__Wire__PartRecord, crash),
-    &daisyloft__wire__part_crash__descriptor,
+    offsetof(Daisyloft__Wire__SignatureRecord, n_crash),
+    offsetof(Daisyloft__Wire__SignatureRecord, crash),
+    &daisyloft__wire__signature_crash__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1808,7 +1808,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, served),
+    offsetof(Daisyloft__Wire__SignatureRecord, served),
     NULL,
     NULL,
     0,             /* flags */
@@ -1820,7 +1820,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, served_age_ms),
+    offsetof(Daisyloft__Wire__SignatureRecord, served_age_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1832,7 +1832,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, quarantined),
+    offsetof(Daisyloft__Wire__SignatureRecord, quarantined),
     NULL,
     NULL,
     0,             /* flags */
@@ -1844,7 +1844,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, hold_ms),
+    offsetof(Daisyloft__Wire__SignatureRecord, hold_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1856,7 +1856,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, level),
+    offsetof(Daisyloft__Wire__SignatureRecord, level),
     NULL,
     NULL,
     0,             /* flags */
@@ -1868,7 +1868,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, served_count),
+    offsetof(Daisyloft__Wire__SignatureRecord, served_count),
     NULL,
     NULL,
     0,             /* flags */
@@ -1880,14 +1880,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartRecord, broken_count),
+    offsetof(Daisyloft__Wire__SignatureRecord, broken_count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned daisyloft__wire__part_record__field_indices_by_name[] = {
+static const unsigned daisyloft__wire__signature_record__field_indices_by_name[] = {
   8,   /* field[8] = broken_count */
   1,   /* field[1] = crash */
   5,   /* field[5] = hold_ms */
@@ -1898,27 +1898,27 @@
   3,   /* field[3] = served_age_ms */
   7,   /* field[7] = served_count */
 };
-static const ProtobufCIntRange daisyloft__wire__part_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisyloft__wire__signature_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 9 }
 };
-const ProtobufCMessageDescriptor daisyloft__wire__part_record__descriptor =
+const ProtobufCMessageDescriptor daisyloft__wire__signature_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "daisyloft.wire.PartRecord",
-  "PartRecord",
-  "Daisyloft__Wire__PartRecord",
+  "daisyloft.wire.SignatureRecord",
+  "SignatureRecord",
+  "Daisyloft__Wire__SignatureRecord",
   "daisyloft.wire",
-  sizeof(Daisyloft__Wire__PartRecord),
+  sizeof(Daisyloft__Wire__SignatureRecord),
   9,
-  daisyloft__wire__part_record__field_descriptors,
-  daisyloft__wire__part_record__field_indices_by_name,
-  1,  daisyloft__wire__part_record__number_ranges,
-  (ProtobufCMessageInit) daisyloft__wire__part_record__init,
+  daisyloft__wire__signature_record__field_descriptors,
+  daisyloft__wire__signature_record__field_indices_by_name,
+  1,  daisyloft__wire__signature_record__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__signature_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__part_crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor daisyloft__wire__signature_crash__field_descriptors[2] =
 {
   {
     "upstream",
@@ -1926,7 +1926,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartCrash, upstream),
+    offsetof(Daisyloft__Wire__SignatureCrash, upstream),
     NULL,
     NULL,
     0,             /* flags */
@@ -1938,35 +1938,35 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Daisyloft__Wire__PartCrash, age_ms),
+    offsetof(Daisyloft__Wire__SignatureCrash, age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned daisyloft__wire__part_crash__field_indices_by_name[] = {
+static const unsigned daisyloft__wire__signature_crash__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   0,   /* field[0] = upstream */
 };
-static const ProtobufCIntRange daisyloft__wire__part_crash__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisyloft__wire__signature_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor daisyloft__wire__part_crash__descriptor =
+const ProtobufCMessageDescriptor daisyloft__wire__signature_crash__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "daisyloft.wire.PartCrash",
-  "PartCrash",
-  "Daisyloft__Wire__PartCrash",
+  "daisyloft.wire.SignatureCrash",
+  "SignatureCrash",
+  "Daisyloft__Wire__SignatureCrash",
   "daisyloft.wire",
-  sizeof(Daisyloft__Wire__PartCrash),
+  sizeof(Daisyloft__Wire__SignatureCrash),
   2,
-  daisyloft__wire__part_crash__field_descriptors,
-  daisyloft__wire__part_crash__field_indices_by_name,
-  1,  daisyloft__wire__part_crash__number_ranges,
-  (ProtobufCMessageInit) daisyloft__wire__part_crash__init,
+  daisyloft__wire__signature_crash__field_descriptors,
+  daisyloft__wire__signature_crash__field_indices_by_name,
+  1,  daisyloft__wire__signature_crash__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__signature_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor daisyloft__wire__engine_status__field_descriptors[9] =
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -17,8 +17,8 @@
 
 typedef struct Daisyloft__Wire__NodeStatus Daisyloft__Wire__NodeStatus;
 typedef struct Daisyloft__Wire__LimitRecord Daisyloft__Wire__LimitRecord;
-typedef struct Daisyloft__Wire__PartRecord Daisyloft__Wire__PartRecord;
-typedef struct Daisyloft__Wire__PartCrash Daisyloft__Wire__PartCrash;
+typedef struct Daisyloft__Wire__SignatureRecord Daisyloft__Wire__SignatureRecord;
+typedef struct Daisyloft__Wire__SignatureCrash Daisyloft__Wire__SignatureCrash;
 typedef struct Daisyloft__Wire__EngineStatus Daisyloft__Wire__EngineStatus;
 typedef struct Daisyloft__Wire__Holding Daisyloft__Wire__Holding;
 typedef struct Daisyloft__Wire__Named Daisyloft__Wire__Named;
@@ -170,8 +170,8 @@
    * highest version of the routing table known; 0: none
    */
   uint64_t routing_version;
-  size_t n_part_record;
-  Daisyloft__Wire__PartRecord **part_record;
+  size_t n_signature_record;
+  Daisyloft__Wire__SignatureRecord **signature_record;
   size_t n_limit_record;
   Daisyloft__Wire__LimitRecord **limit_record;
 };
@@ -213,12 +213,12 @@
 /*
  * What an entry knows of a prompt part that was in crashes of upstreams.
  */
-struct  Daisyloft__Wire__PartRecord
+struct  Daisyloft__Wire__SignatureRecord
 {
   ProtobufCMessage base;
   char *id;
   size_t n_crash;
-  Daisyloft__Wire__PartCrash **crash;
+  Daisyloft__Wire__SignatureCrash **crash;
   /*
    * a request with it was served
    */
@@ -248,12 +248,12 @@
    */
   uint32_t broken_count;
 };
-#define DAISYLOFT__WIRE__PART_RECORD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__part_record__descriptor) \
+#define DAISYLOFT__WIRE__SIGNATURE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__signature_record__descriptor) \
     , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
-struct  Daisyloft__Wire__PartCrash
+struct  Daisyloft__Wire__SignatureCrash
 {
   ProtobufCMessage base;
   /*
@@ -262,8 +262,8 @@
   uint64_t upstream;
   uint32_t age_ms;
 };
-#define DAISYLOFT__WIRE__PART_CRASH__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__part_crash__descriptor) \
+#define DAISYLOFT__WIRE__SIGNATURE_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__signature_crash__descriptor) \
     , 0, 0 }
 
 
@@ -930,43 +930,43 @@
 void   daisyloft__wire__limit_record__free_unpacked
                      (Daisyloft__Wire__LimitRecord *message,
                       ProtobufCAllocator *allocator);
-/* Daisyloft__Wire__PartRecord methods */
-void   daisyloft__wire__part_record__init
-                     (Daisyloft__Wire__PartRecord         *message);
-size_t daisyloft__wire__part_record__get_packed_size
-                     (const Daisyloft__Wire__PartRecord   *message);
-size_t daisyloft__wire__part_record__pack
-                     (const Daisyloft__Wire__PartRecord   *message,
+/* Daisyloft__Wire__SignatureRecord methods */
+void   daisyloft__wire__signature_record__init
+                     (Daisyloft__Wire__SignatureRecord         *message);
+size_t daisyloft__wire__signature_record__get_packed_size
+                     (const Daisyloft__Wire__SignatureRecord   *message);
+size_t daisyloft__wire__signature_record__pack
+                     (const Daisyloft__Wire__SignatureRecord   *message,
                       uint8_t             *out);
-size_t daisyloft__wire__part_record__pack_to_buffer
-                     (const Daisyloft__Wire__PartRecord   *message,
+size_t daisyloft__wire__signature_record__pack_to_buffer
+                     (const Daisyloft__Wire__SignatureRecord   *message,
                       ProtobufCBuffer     *buffer);
-Daisyloft__Wire__PartRecord *
-       daisyloft__wire__part_record__unpack
+Daisyloft__Wire__SignatureRecord *
+       daisyloft__wire__signature_record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   daisyloft__wire__part_record__free_unpacked
-                     (Daisyloft__Wire__PartRecord *message,
+void   daisyloft__wire__signature_record__free_unpacked
+                     (Daisyloft__Wire__SignatureRecord *message,
                       ProtobufCAllocator *allocator);
-/* Daisyloft__Wire__PartCrash methods */
-void   daisyloft__wire__part_crash__init
-                     (Daisyloft__Wire__PartCrash         *message);
-size_t daisyloft__wire__part_crash__get_packed_size
-                     (const Daisyloft__Wire__PartCrash   *message);
-size_t daisyloft__wire__part_crash__pack
-                     (const Daisyloft__Wire__PartCrash   *message,
+/* Daisyloft__Wire__SignatureCrash methods */
+void   daisyloft__wire__signature_crash__init
+                     (Daisyloft__Wire__SignatureCrash         *message);
+size_t daisyloft__wire__signature_crash__get_packed_size
+                     (const Daisyloft__Wire__SignatureCrash   *message);
+size_t daisyloft__wire__signature_crash__pack
+                     (const Daisyloft__Wire__SignatureCrash   *message,
                       uint8_t             *out);
-size_t daisyloft__wire__part_crash__pack_to_buffer
-                     (const Daisyloft__Wire__PartCrash   *message,
+size_t daisyloft__wire__signature_crash__pack_to_buffer
+                     (const Daisyloft__Wire__SignatureCrash   *message,
                       ProtobufCBuffer     *buffer);
-Daisyloft__Wire__PartCrash *
-       daisyloft__wire__part_crash__unpack
+Daisyloft__Wire__SignatureCrash *
+       daisyloft__wire__signature_crash__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   daisyloft__wire__part_crash__free_unpacked
-                     (Daisyloft__Wire__PartCrash *message,
+void   daisyloft__wire__signature_crash__free_unpacked
+                     (Daisyloft__Wire__SignatureCrash *message,
                       ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__EngineStatus methods */
 void   daisyloft__wire__engine_status__init
@@ -1527,11 +1527,11 @@
 typedef void (*Daisyloft__Wire__LimitRecord_Closure)
                  (const Daisyloft__Wire__LimitRecord *message,
                   void *closure_data);
-typedef void (*Daisyloft__Wire__PartRecord_Closure)
-                 (const Daisyloft__Wire__PartRecord *message,
+typedef void (*Daisyloft__Wire__SignatureRecord_Closure)
+                 (const Daisyloft__Wire__SignatureRecord *message,
                   void *closure_data);
-typedef void (*Daisyloft__Wire__PartCrash_Closure)
-                 (const Daisyloft__Wire__PartCrash *message,
+typedef void (*Daisyloft__Wire__SignatureCrash_Closure)
+                 (const Daisyloft__Wire__SignatureCrash *message,
                   void *closure_data);
 typedef void (*Daisyloft__Wire__EngineStatus_Closure)
                  (const Daisyloft__Wire__EngineStatus *message,
@@ -1633,8 +1633,8 @@
 extern const ProtobufCEnumDescriptor    daisyloft__wire__end_reason__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__limit_record__descriptor;
-extern const ProtobufCMessageDescriptor daisyloft__wire__part_record__descriptor;
-extern const ProtobufCMessageDescriptor daisyloft__wire__part_crash__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__signature_record__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__signature_crash__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__engine_status__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__holding__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__named__descriptor;
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -9,7 +9,7 @@
 
 #include "kernel/http_server.h"
 #include "kernel/str.h"
-#include "policy/prompt_parts.h"
+#include "policy/signature.h"
 
 /* A caller's request; strings belong to the HTTP request. */
 typedef struct
@@ -21,8 +21,8 @@
   uint64_t remaining_ms;  /* time that the caller will still wait; 0 when unknown */
   uint64_t last_event_id; /* last event of a stream that the caller has; 0 for none */
   uint64_t prompt_tokens;
-  DlPromptParts parts; /* of its prompt; none when it has no prompt */
-  size_t header_bytes; /* size of all headers */
+  DlSignatures signatures; /* of its prompt; none when it has no prompt */
+  size_t header_bytes;     /* size of all headers */
 } DlCallerRequest;
 
 /* What is added to the caller's headers for one attempt. */
--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -22,8 +22,8 @@
 /* No trials at the start of a turn, when another entry may take it for its own. */
 #define TURN_GUARD_MS 150
 
-/* News of one request has room for all of its parts. */
-G_STATIC_ASSERT (DL_PROMPT_PARTS_MAX <= DL_PART_RECORDS_MAX);
+/* News of one request has room for all of its signatures. */
+G_STATIC_ASSERT (DL_SIGNATURES_MAX <= DL_SIGNATURE_RECORDS_MAX);
 
 static void
 record_free (gpointer data)
@@ -57,14 +57,14 @@
   q->entries = MAX (entries, 1);
 }
 
-static DlPartRecord *
-get_record (DlQuarantine *q, const DlPartId *id)
+static DlSignatureRecord *
+get_record (DlQuarantine *q, const DlSignature *id)
 {
-  DlPartRecord *r = g_hash_table_lookup (q->records, id->text);
+  DlSignatureRecord *r = g_hash_table_lookup (q->records, id->text);
 
   if (r != NULL)
     return r;
-  r = talloc_zero (q, DlPartRecord);
+  r = talloc_zero (q, DlSignatureRecord);
   g_assert (r != NULL);
   r->id = *id;
   g_hash_table_insert (q->records, r->id.text, r);
@@ -73,7 +73,7 @@
 
 /* Returns false for a crash that is known. */
 static bool
-add_crash (DlQuarantine *q, DlPartRecord *r, DlPartCrash crash)
+add_crash (DlQuarantine *q, DlSignatureRecord *r, DlSignatureCrash crash)
 {
   if (!quarantine_add_crash (r, crash))
     return false;
@@ -83,7 +83,7 @@
 
 /* True when the part was in several crashes lately, and not served since the last one. */
 static bool
-is_suspected (const DlPartRecord *r, uint64_t now_ms)
+is_suspected (const DlSignatureRecord *r, uint64_t now_ms)
 {
   return quarantine_count_crashes (r) > 0 && r->crash_count >= SUSPECT_CRASHES
          && now_ms <= r->crashes[r->crash_count - SUSPECT_CRASHES].at_ms + SUSPECT_MS;
@@ -91,7 +91,7 @@
 
 /* What this entry saw of the part is told to the others, at once and again. */
 static void
-tell (DlQuarantine *q, DlPartRecord *r, uint64_t now_ms)
+tell (DlQuarantine *q, DlSignatureRecord *r, uint64_t now_ms)
 {
   r->tell_until_ms = now_ms + TELL_MS;
   q->changed = true;
@@ -100,7 +100,7 @@
 /* Releases the part if that is due, and notes it. */
 static void
 release_if_served (DlQuarantine *q,
-                   DlPartRecord *r,
+                   DlSignatureRecord *r,
                    uint64_t now_ms,
                    DlQuarantineNews *news)
 {
@@ -114,15 +114,15 @@
 
 void
 dl_quarantine_served (DlQuarantine *q,
-                      const DlPromptParts *parts,
+                      const DlSignatures *signatures,
                       uint64_t now_ms,
                       DlQuarantineNews *news)
 {
   *news = (DlQuarantineNews){ 0 };
   quarantine_count_served (&q->served, now_ms);
-  for (size_t i = 0; i < parts->count; i++)
+  for (size_t i = 0; i < signatures->count; i++)
     {
-      DlPartRecord *r = get_record (q, &parts->ids[i]);
+      DlSignatureRecord *r = get_record (q, &signatures->ids[i]);
 
       if (r->hold_ms != 0 || is_suspected (r, now_ms))
         tell (q, r, now_ms);
@@ -135,18 +135,18 @@
 
 void
 dl_quarantine_broken_off (DlQuarantine *q,
-                          const DlPromptParts *parts,
+                          const DlSignatures *signatures,
                           uint64_t upstream,
                           bool is_trial,
                           uint64_t now_ms)
 {
   quarantine_note_break (q, upstream, now_ms);
-  for (size_t i = 0; i < parts->count; i++)
+  for (size_t i = 0; i < signatures->count; i++)
     {
-      DlPartRecord *r = get_record (q, &parts->ids[i]);
+      DlSignatureRecord *r = get_record (q, &signatures->ids[i]);
 
       r->broken_count++;
-      if (!add_crash (q, r, (DlPartCrash){ .upstream = upstream, .at_ms = now_ms }))
+      if (!add_crash (q, r, (DlSignatureCrash){ .upstream = upstream, .at_ms = now_ms }))
         continue;
       tell (q, r, now_ms);
       if (r->hold_ms != 0)
@@ -156,14 +156,15 @@
 
 /* -------- new requests -------- */
 
-const DlPartRecord *
-dl_quarantine_find (const DlQuarantine *q, const DlPromptParts *parts)
+const DlSignatureRecord *
+dl_quarantine_find (const DlQuarantine *q, const DlSignatures *signatures)
 {
-  const DlPartRecord *found = NULL;
+  const DlSignatureRecord *found = NULL;
 
-  for (size_t i = 0; i < parts->count; i++)
+  for (size_t i = 0; i < signatures->count; i++)
     {
-      const DlPartRecord *r = g_hash_table_lookup (q->records, parts->ids[i].text);
+      const DlSignatureRecord *r
+          = g_hash_table_lookup (q->records, signatures->ids[i].text);
 
       if (r != NULL && r->hold_ms != 0 && (found == NULL || r->hold_ms > found->hold_ms))
         found = r;
@@ -173,7 +174,7 @@
 
 /* Whether this entry may make the trial of a part whose hold is over. */
 static bool
-has_turn (const DlQuarantine *q, const DlPartRecord *r, uint64_t now_ms)
+has_turn (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
 {
   uint64_t since_ms = now_ms - r->hold_ms;
   unsigned turns = MIN (q->entries, TURNS_MAX);
@@ -186,11 +187,11 @@
 }
 
 static void
-begin_trial (DlQuarantine *q, const DlPromptParts *parts, uint64_t now_ms)
+begin_trial (DlQuarantine *q, const DlSignatures *signatures, uint64_t now_ms)
 {
-  for (size_t i = 0; i < parts->count; i++)
+  for (size_t i = 0; i < signatures->count; i++)
     {
-      DlPartRecord *r = g_hash_table_lookup (q->records, parts->ids[i].text);
+      DlSignatureRecord *r = g_hash_table_lookup (q->records, signatures->ids[i].text);
 
       if (r != NULL && r->hold_ms != 0)
         {
@@ -202,19 +203,19 @@
 
 DlQuarantineDecision
 dl_quarantine_admit (DlQuarantine *q,
-                     const DlPromptParts *parts,
+                     const DlSignatures *signatures,
                      uint64_t now_ms,
-                     const DlPartId **part,
+                     const DlSignature **part,
                      uint64_t *retry_ms)
 {
-  const DlPartRecord *r = dl_quarantine_find (q, parts);
+  const DlSignatureRecord *r = dl_quarantine_find (q, signatures);
 
   if (r == NULL)
     return DL_QUARANTINE_ALLOW;
   *part = &r->id;
   if (now_ms >= r->hold_ms && has_turn (q, r, now_ms))
     {
-      begin_trial (q, parts, now_ms);
+      begin_trial (q, signatures, now_ms);
       return DL_QUARANTINE_TRIAL;
     }
   *retry_ms = r->hold_ms > now_ms ? r->hold_ms - now_ms : DL_QUARANTINE_TURN_MS;
@@ -224,7 +225,7 @@
 /* -------- other entries -------- */
 
 static void
-merge_record (DlQuarantine *q, DlPartRecord *r, const DlPartRecord *told)
+merge_record (DlQuarantine *q, DlSignatureRecord *r, const DlSignatureRecord *told)
 {
   for (size_t i = 0; i < told->crash_count; i++)
     add_crash (q, r, told->crashes[i]);
@@ -237,14 +238,14 @@
 
 void
 dl_quarantine_merge (DlQuarantine *q,
-                     const DlPartRecords *records,
+                     const DlSignatureRecords *records,
                      uint64_t now_ms,
                      DlQuarantineNews *news)
 {
   *news = (DlQuarantineNews){ 0 };
   for (size_t i = 0; i < records->count; i++)
     {
-      DlPartRecord *r = get_record (q, &records->items[i].id);
+      DlSignatureRecord *r = get_record (q, &records->items[i].id);
       bool was_held = r->hold_ms != 0;
 
       merge_record (q, r, &records->items[i]);
@@ -259,21 +260,22 @@
 }
 
 static bool
-is_recent_news (const DlPartRecord *r, uint64_t now_ms)
+is_recent_news (const DlSignatureRecord *r, uint64_t now_ms)
 {
   return r->hold_ms != 0 || (r->changed_ms != 0 && now_ms <= r->changed_ms + NEWS_MS);
 }
 
-/* Quarantined parts are told as long as they are, so that a new entry learns of them. */
+/* Quarantined signatures are told as long as they are, so that a new entry learns of
+ * them. */
 static bool
-is_worth_telling (const DlPartRecord *r, uint64_t now_ms)
+is_worth_telling (const DlSignatureRecord *r, uint64_t now_ms)
 {
   return r->hold_ms != 0 || now_ms <= r->tell_until_ms;
 }
 
 /* Leaves out what all but a new entry know. */
-static DlPartRecord
-shortened (DlPartRecord r, uint64_t now_ms)
+static DlSignatureRecord
+shortened (DlSignatureRecord r, uint64_t now_ms)
 {
   if (now_ms <= r.tell_until_ms || r.crash_count == 0)
     return r;
@@ -284,7 +286,7 @@
 
 typedef struct
 {
-  const DlPartRecord *record;
+  const DlSignatureRecord *record;
   bool news;
 } Ranked;
 
@@ -306,7 +308,7 @@
 }
 
 void
-dl_quarantine_export (const DlQuarantine *q, uint64_t now_ms, DlPartRecords *records)
+dl_quarantine_export (const DlQuarantine *q, uint64_t now_ms, DlSignatureRecords *records)
 {
   g_autoptr (GArray) ranked = g_array_new (FALSE, FALSE, sizeof (Ranked));
   GHashTableIter iter;
@@ -321,7 +323,7 @@
         g_array_append_val (ranked, r);
     }
   g_array_sort (ranked, compare_ranked);
-  records->count = MIN (ranked->len, DL_PART_RECORDS_MAX);
+  records->count = MIN (ranked->len, DL_SIGNATURE_RECORDS_MAX);
   for (guint i = 0; i < records->count; i++)
     records->items[i] = shortened (*g_array_index (ranked, Ranked, i).record, now_ms);
 }
@@ -338,7 +340,7 @@
 /* -------- forgetting -------- */
 
 static void
-drop_old_crashes (DlPartRecord *r, uint64_t now_ms)
+drop_old_crashes (DlSignatureRecord *r, uint64_t now_ms)
 {
   size_t kept = 0;
 
@@ -350,7 +352,7 @@
 
 /* Returns true when nothing of the record matters any more. */
 static bool
-expire_record (DlPartRecord *r, uint64_t now_ms)
+expire_record (DlSignatureRecord *r, uint64_t now_ms)
 {
   if (r->hold_ms != 0)
     return now_ms > r->hold_ms + FORGET_HELD_MS;
@@ -367,7 +369,7 @@
   g_hash_table_iter_init (&iter, q->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      DlPartRecord *r = value;
+      DlSignatureRecord *r = value;
 
       if (expire_record (r, now_ms))
         g_hash_table_iter_remove (&iter);
--- a/lib/policy/quarantine.h
+++ b/lib/policy/quarantine.h
@@ -15,8 +15,8 @@
  * crashes, one request is a trial: the part is released if that is served, and held
  * three times as long if its upstream crashes.
  *
- * Entries tell each other what they saw of suspected parts, as the crashes of one part
- * are seen by different entries, and which parts are quarantined.  What one was told is
+ * Entries tell each other what they saw of suspected ones, as the crashes of one part
+ * are seen by different entries, and which are quarantined.  What one was told is
  * not told on.  Merging records is idempotent and does not depend on their order.
  *
  * Pure: times are milliseconds given by the caller.
@@ -27,12 +27,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "policy/prompt_parts.h"
+#include "policy/signature.h"
 
 /* Crashes of one part that are remembered. */
-#define DL_PART_CRASHES_MAX 16
+#define DL_SIGNATURE_CRASHES_MAX 16
 /* Records that entries tell each other at once. */
-#define DL_PART_RECORDS_MAX 16
+#define DL_SIGNATURE_RECORDS_MAX 16
 /* A trial without an outcome for this long may be followed by another. */
 #define DL_QUARANTINE_TRIAL_MS 3000
 /* From this level on, entries take turns with trials, so that two do not make one at the
@@ -50,7 +50,7 @@
 {
   uint64_t upstream; /* identifies the instance */
   uint64_t at_ms;
-} DlPartCrash;
+} DlSignatureCrash;
 
 /* Requests that were served in a period and the one before. */
 typedef struct
@@ -63,7 +63,7 @@
 /* What is known of one part. */
 typedef struct
 {
-  DlPartId id;
+  DlSignature id;
   uint64_t served_ms; /* when a request with it was last served; 0: not known */
   unsigned level;     /* of the quarantine: each one holds three times as long */
   uint64_t hold_ms; /* quarantined, with a trial from this time on; 0: not quarantined */
@@ -71,19 +71,19 @@
   unsigned served_count; /* requests with it that were served, up to a maximum */
   unsigned broken_count; /* requests with it that broke off */
   size_t crash_count;
-  DlPartCrash crashes[DL_PART_CRASHES_MAX];
+  DlSignatureCrash crashes[DL_SIGNATURE_CRASHES_MAX];
   /* Other entries are not told of the rest. */
   DlServedCount served_lately;
   uint64_t tell_until_ms; /* of what this entry saw, others are told until then */
-} DlPartRecord;
+} DlSignatureRecord;
 
 /* Records that one entry tells others. */
 typedef struct
 {
   bool is_urgent; /* something that this entry saw is told for the first time */
   size_t count;
-  DlPartRecord items[DL_PART_RECORDS_MAX];
-} DlPartRecords;
+  DlSignatureRecord items[DL_SIGNATURE_RECORDS_MAX];
+} DlSignatureRecords;
 
 /* What to do with a request. */
 typedef enum
@@ -98,11 +98,11 @@
 {
   size_t quarantined_count;
   size_t released_count;
-  DlPartId quarantined[DL_PART_RECORDS_MAX];
-  DlPartId released[DL_PART_RECORDS_MAX];
+  DlSignature quarantined[DL_SIGNATURE_RECORDS_MAX];
+  DlSignature released[DL_SIGNATURE_RECORDS_MAX];
 } DlQuarantineNews;
 
-/* Records of all parts and of how requests fare. */
+/* Records of all signatures and of how requests fare. */
 typedef struct DlQuarantine DlQuarantine;
 
 /* Returns an empty one, a talloc child of CONTEXT. */
@@ -112,40 +112,40 @@
 void dl_quarantine_set_turns (DlQuarantine *quarantine, int position, unsigned entries);
 /* A request with PARTS was served completely, which may release some of them. */
 void dl_quarantine_served (DlQuarantine *quarantine,
-                           const DlPromptParts *parts,
+                           const DlSignatures *signatures,
                            uint64_t now_ms,
                            DlQuarantineNews *news);
 /* UPSTREAM broke off a request with PARTS, as it does when it crashes; IS_TRIAL: the
  * request was a trial. */
 void dl_quarantine_broken_off (DlQuarantine *quarantine,
-                               const DlPromptParts *parts,
+                               const DlSignatures *signatures,
                                uint64_t upstream,
                                bool is_trial,
                                uint64_t now_ms);
-/* Quarantines the parts against which the evidence suffices.  To be called several times
- * a second. */
+/* Quarantines the signatures against which the evidence suffices.  To be called several
+ * times a second. */
 void
 dl_quarantine_judge (DlQuarantine *quarantine, uint64_t now_ms, DlQuarantineNews *news);
-/* Merges what another entry told, which may quarantine or release parts. */
+/* Merges what another entry told, which may quarantine or release signatures. */
 void dl_quarantine_merge (DlQuarantine *quarantine,
-                          const DlPartRecords *records,
+                          const DlSignatureRecords *records,
                           uint64_t now_ms,
                           DlQuarantineNews *news);
 /* Decides on a new request with PARTS.  For a refused one *PART is its quarantined part
  * and *RETRY_MS the time until a trial may be made.  After DL_QUARANTINE_TRIAL the
  * request is taken for the trial. */
 DlQuarantineDecision dl_quarantine_admit (DlQuarantine *quarantine,
-                                          const DlPromptParts *parts,
+                                          const DlSignatures *signatures,
                                           uint64_t now_ms,
-                                          const DlPartId **part,
+                                          const DlSignature **part,
                                           uint64_t *retry_ms);
 /* The quarantined part among PARTS, or NULL; the one with the latest hold. */
-const DlPartRecord *dl_quarantine_find (const DlQuarantine *quarantine,
-                                        const DlPromptParts *parts);
+const DlSignatureRecord *dl_quarantine_find (const DlQuarantine *quarantine,
+                                             const DlSignatures *signatures);
 /* Writes the records that other entries should know, the most important ones first. */
 void dl_quarantine_export (const DlQuarantine *quarantine,
                            uint64_t now_ms,
-                           DlPartRecords *records);
+                           DlSignatureRecords *records);
 /* True once after this entry saw what others should be told at once. */
 bool dl_quarantine_take_changed (DlQuarantine *quarantine);
 /* Forgets what is too old to matter.  To be called about every second. */
--- a/lib/policy/quarantine_judge.c
+++ b/lib/policy/quarantine_judge.c
@@ -71,19 +71,19 @@
 /* -------- crashes of a part -------- */
 
 bool
-quarantine_add_crash (DlPartRecord *r, DlPartCrash crash)
+quarantine_add_crash (DlSignatureRecord *r, DlSignatureCrash crash)
 {
   size_t at;
 
   for (size_t i = 0; i < r->crash_count; i++)
     {
-      DlPartCrash *c = &r->crashes[i];
+      DlSignatureCrash *c = &r->crashes[i];
 
       if (c->upstream == crash.upstream && c->at_ms <= crash.at_ms + SAME_CRASH_MS
           && crash.at_ms <= c->at_ms + SAME_CRASH_MS)
         return false;
     }
-  if (r->crash_count == DL_PART_CRASHES_MAX)
+  if (r->crash_count == DL_SIGNATURE_CRASHES_MAX)
     {
       if (crash.at_ms <= r->crashes[0].at_ms)
         return false;
@@ -97,7 +97,7 @@
 }
 
 unsigned
-quarantine_count_crashes (const DlPartRecord *r)
+quarantine_count_crashes (const DlSignatureRecord *r)
 {
   unsigned count = 0;
 
@@ -107,13 +107,13 @@
 }
 
 uint64_t
-quarantine_newest_crash_ms (const DlPartRecord *r)
+quarantine_newest_crash_ms (const DlSignatureRecord *r)
 {
   return r->crash_count > 0 ? r->crashes[r->crash_count - 1].at_ms : 0;
 }
 
 static bool
-was_in_crash (const DlPartRecord *r, uint64_t upstream)
+was_in_crash (const DlSignatureRecord *r, uint64_t upstream)
 {
   for (size_t i = 0; i < r->crash_count; i++)
     if (r->crashes[i].upstream == upstream)
@@ -125,7 +125,7 @@
 
 /* True for a crash after which no request with the part was served. */
 static bool
-counts (const DlPartRecord *r, const DlPartCrash *c, uint64_t now_ms)
+counts (const DlSignatureRecord *r, const DlSignatureCrash *c, uint64_t now_ms)
 {
   return c->at_ms > r->served_ms && now_ms >= c->at_ms + DL_QUARANTINE_SETTLE_MS
          && now_ms <= c->at_ms + DL_QUARANTINE_EVIDENCE_MS;
@@ -134,7 +134,7 @@
 /* The logarithm of the odds by which one crash speaks against the part: how improbable it
  * is that a request without the part breaks off at an upstream that had none with it. */
 static double
-evidence_per_crash (const DlQuarantine *q, const DlPartRecord *r, uint64_t now_ms)
+evidence_per_crash (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
 {
   double broken = PRIOR_BROKEN;
   unsigned all = served_lately (q->served, now_ms);
@@ -154,14 +154,16 @@
 
 /* The evidence that it takes.  That a part was served before speaks for it. */
 static double
-evidence_needed (const DlPartRecord *r)
+evidence_needed (const DlSignatureRecord *r)
 {
   return log (ODDS_QUARANTINED * (1 + r->served_count)) - ROUNDING;
 }
 
 /* True when another part that is quarantined now was in the crash. */
 static bool
-is_explained (const DlQuarantine *q, const DlPartRecord *r, const DlPartCrash *c)
+is_explained (const DlQuarantine *q,
+              const DlSignatureRecord *r,
+              const DlSignatureCrash *c)
 {
   GHashTableIter iter;
   gpointer value;
@@ -169,7 +171,7 @@
   g_hash_table_iter_init (&iter, q->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const DlPartRecord *other = value;
+      const DlSignatureRecord *other = value;
 
       if (other != r && other->hold_ms != 0 && was_in_crash (other, c->upstream))
         return true;
@@ -181,7 +183,7 @@
  * those that a quarantined part explains. */
 static unsigned
 count_episodes (const DlQuarantine *q,
-                const DlPartRecord *r,
+                const DlSignatureRecord *r,
                 bool unexplained,
                 uint64_t now_ms)
 {
@@ -190,7 +192,7 @@
 
   for (size_t i = 0; i < r->crash_count; i++)
     {
-      const DlPartCrash *c = &r->crashes[i];
+      const DlSignatureCrash *c = &r->crashes[i];
 
       if (!counts (r, c, now_ms) || (unexplained && is_explained (q, r, c)))
         continue;
@@ -203,7 +205,7 @@
 }
 
 static bool
-is_guilty (const DlQuarantine *q, const DlPartRecord *r, uint64_t now_ms)
+is_guilty (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
 {
   double each = evidence_per_crash (q, r, now_ms);
   double needed = evidence_needed (r);
@@ -232,14 +234,14 @@
 }
 
 void
-quarantine_extend_hold (DlPartRecord *r, bool is_trial, uint64_t now_ms)
+quarantine_extend_hold (DlSignatureRecord *r, bool is_trial, uint64_t now_ms)
 {
   r->level = MAX (r->level + is_trial, level_of_crashes (quarantine_count_crashes (r)));
   r->hold_ms = MAX (r->hold_ms, now_ms + hold_duration_ms (r->level));
 }
 
 static void
-hold (DlPartRecord *r)
+hold (DlSignatureRecord *r)
 {
   r->level = level_of_crashes (quarantine_count_crashes (r));
   r->hold_ms = quarantine_newest_crash_ms (r) + hold_duration_ms (r->level);
@@ -249,7 +251,7 @@
 
 /* True when A is more likely than B to be the cause of crashes that both were in. */
 static bool
-is_more_specific (const DlPartRecord *a, const DlPartRecord *b)
+is_more_specific (const DlSignatureRecord *a, const DlSignatureRecord *b)
 {
   if (a->served_count != b->served_count)
     return a->served_count < b->served_count;
@@ -259,17 +261,17 @@
 }
 
 /* The part that is to be quarantined next; NULL for none. */
-static DlPartRecord *
+static DlSignatureRecord *
 find_guilty (const DlQuarantine *q, uint64_t now_ms)
 {
-  DlPartRecord *found = NULL;
+  DlSignatureRecord *found = NULL;
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, q->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      DlPartRecord *r = value;
+      DlSignatureRecord *r = value;
 
       if (r->crash_count >= LEVEL_CRASHES_MIN && r->hold_ms == 0
           && is_guilty (q, r, now_ms) && (found == NULL || is_more_specific (r, found)))
@@ -281,12 +283,12 @@
 void
 dl_quarantine_judge (DlQuarantine *q, uint64_t now_ms, DlQuarantineNews *news)
 {
-  DlPartRecord *guilty;
+  DlSignatureRecord *guilty;
 
   *news = (DlQuarantineNews){ 0 };
   if (now_ms > q->crashed_ms + DL_QUARANTINE_EVIDENCE_MS)
     return;
-  while (news->quarantined_count < DL_PART_RECORDS_MAX
+  while (news->quarantined_count < DL_SIGNATURE_RECORDS_MAX
          && (guilty = find_guilty (q, now_ms)) != NULL)
     {
       hold (guilty);
@@ -297,7 +299,7 @@
 }
 
 bool
-quarantine_release_served (DlPartRecord *r)
+quarantine_release_served (DlSignatureRecord *r)
 {
   bool was_held = r->hold_ms != 0;
 
--- a/lib/policy/prompt_parts.c
+++ b/lib/policy/signature.c
@@ -1,4 +1,4 @@
-#include "policy/prompt_parts.h"
+#include "policy/signature.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -10,10 +10,10 @@
 
 #define WHOLE_PREFIX '=' /* of the ids of whole requests */
 
-DlPartId
-dl_part_id (DlStr text)
+DlSignature
+dl_part_signature (DlStr text)
 {
-  DlPartId id = { "" };
+  DlSignature id = { "" };
 
   if (text.length < sizeof id.text && (text.length == 0 || text.data[0] != WHOLE_PREFIX))
     memcpy (id.text, text.data, text.length);
@@ -23,14 +23,14 @@
   return id;
 }
 
-DlPartId
-dl_request_id (const DlRequestIdentity *identity)
+DlSignature
+dl_request_signature (const DlRequestIdentity *identity)
 {
   const DlStr strings[]
       = { identity->host, identity->path, identity->caller, identity->body };
   DlDigest digest = dl_digest_of_strings (strings, G_N_ELEMENTS (strings));
   char hex[DL_DIGEST_HEX_BYTES];
-  DlPartId id = { "" };
+  DlSignature id = { "" };
 
   dl_digest_to_hex (&digest, hex);
   snprintf (id.text, sizeof id.text, "%c%.*s", WHOLE_PREFIX, (int)sizeof id.text - 2,
@@ -39,8 +39,8 @@
 }
 
 void
-dl_prompt_parts_add (DlPromptParts *parts, DlStr text)
+dl_signatures_add_part (DlSignatures *signatures, DlStr text)
 {
-  if (text.length > 0 && parts->count < DL_PROMPT_PARTS_MAX)
-    parts->ids[parts->count++] = dl_part_id (text);
+  if (text.length > 0 && signatures->count < DL_SIGNATURES_MAX)
+    signatures->ids[signatures->count++] = dl_part_signature (text);
 }
--- /dev/null
+++ b/lib/policy/signature.h
@@ -0,0 +1,49 @@
+/*
+ * Signatures of a request: what it may have in common with other requests.
+ *
+ * One is of the whole request: the same again has the same one, whoever receives it and
+ * whatever its request id is.  The others are the parts of its prompt that other requests
+ * may have too.  A prompt is made of parts in order, each with an id; the last one
+ * belongs to the request itself or to its session and has no signature.
+ */
+#ifndef DL_SIGNATURE_H
+#define DL_SIGNATURE_H
+
+#include "kernel/str.h"
+
+#define DL_SIGNATURE_BYTES 33 /* with the terminating NUL */
+/* Further parts of a longer prompt are ignored. */
+#define DL_SIGNATURES_MAX 16
+
+/* One signature as text. */
+typedef struct
+{
+  char text[DL_SIGNATURE_BYTES];
+} DlSignature;
+
+/* Signatures of one request; those of parts in their order. */
+typedef struct
+{
+  size_t count;
+  DlSignature ids[DL_SIGNATURES_MAX];
+} DlSignatures;
+
+/* What makes two requests the same. */
+typedef struct
+{
+  DlStr host;
+  DlStr path;   /* as sent, without the query */
+  DlStr caller; /* name of the organisation, or the key; empty for neither */
+  DlStr body;
+} DlRequestIdentity;
+
+/* Returns the signature of the part with the id TEXT: the id itself, or a digest of one
+ * that is too long. */
+DlSignature dl_part_signature (DlStr text);
+/* Returns the signature of whole requests with IDENTITY, which no part has. */
+DlSignature dl_request_signature (const DlRequestIdentity *identity);
+/* Adds the signature of the part with the id TEXT, unless there are too many or TEXT is
+ * empty. */
+void dl_signatures_add_part (DlSignatures *signatures, DlStr text);
+
+#endif
--- a/regress/unit/quarantine_driver.h
+++ b/regress/unit/quarantine_driver.h
@@ -2,11 +2,11 @@
 #ifndef QUARANTINE_DRIVER_H
 #define QUARANTINE_DRIVER_H
 
-#include "policy/prompt_parts.h"
+#include "policy/signature.h"
 #include "policy/quarantine.h"
 
 /* The parts of a prompt. */
-DlPromptParts quarantine_parts (const char *first, const char *second);
+DlSignatures quarantine_parts (const char *first, const char *second);
 /* Merges the records of FROM into TO through a packed status. */
 void quarantine_tell (DlQuarantine *from,
                       DlQuarantine *to,
--- a/regress/unit/test_quarantine.c
+++ b/regress/unit/test_quarantine.c
@@ -13,7 +13,7 @@
 static void
 serve (DlQuarantine *q, const char *first, const char *second, uint64_t now_ms)
 {
-  DlPromptParts parts = quarantine_parts (first, second);
+  DlSignatures parts = quarantine_parts (first, second);
   DlQuarantineNews news;
 
   dl_quarantine_served (q, &parts, now_ms, &news);
@@ -26,7 +26,7 @@
            uint64_t upstream,
            uint64_t now_ms)
 {
-  DlPromptParts parts = quarantine_parts (first, second);
+  DlSignatures parts = quarantine_parts (first, second);
   DlQuarantineNews news;
 
   dl_quarantine_broken_off (q, &parts, upstream, false, now_ms);
@@ -37,7 +37,7 @@
 static bool
 is_held (const DlQuarantine *q, const char *part)
 {
-  DlPromptParts parts = quarantine_parts (part, "");
+  DlSignatures parts = quarantine_parts (part, "");
 
   return dl_quarantine_find (q, &parts) != NULL;
 }
@@ -45,8 +45,8 @@
 static DlQuarantineDecision
 admit (DlQuarantine *q, const char *part, uint64_t now_ms)
 {
-  DlPromptParts parts = quarantine_parts (part, "");
-  const DlPartId *found;
+  DlSignatures parts = quarantine_parts (part, "");
+  const DlSignature *found;
   uint64_t retry_ms;
 
   return dl_quarantine_admit (q, &parts, now_ms, &found, &retry_ms);
@@ -241,7 +241,7 @@
 static void
 trial_crashes (DlQuarantine *q, uint64_t upstream, uint64_t now_ms)
 {
-  DlPromptParts parts = quarantine_parts ("first", "bad");
+  DlSignatures parts = quarantine_parts ("first", "bad");
 
   dl_quarantine_broken_off (q, &parts, upstream, true, now_ms);
 }
--- a/regress/unit/test_quarantine_fleet.c
+++ b/regress/unit/test_quarantine_fleet.c
@@ -35,7 +35,7 @@
   unsigned entry;
   unsigned upstream;
   uint64_t began_ms;
-  DlPromptParts parts;
+  DlSignatures parts;
 } RunningRequest;
 
 typedef struct
@@ -92,7 +92,7 @@
   RunningRequest r = { .used = true, .is_poison = is_poison, .began_ms = f->now_ms };
   int upstream = fleet_pick (f);
   DlQuarantineDecision decision;
-  const DlPartId *part;
+  const DlSignature *part;
   uint64_t retry_ms;
 
   g_snprintf (first, sizeof first, "first-%d",
