--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -182,6 +182,7 @@
   { "undelimited", { undelimited_tests }, .with_proxies = true },
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
+  { "whole-requests", { whole_request_tests } },
   { "limit", { limit_tests } },
   { "era", { era_tests }, .revoke_ms = ERA_REVOKE_MS },
 };
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -201,6 +201,8 @@
 
 /* Prompt parts that crash the upstreams that process them. */
 extern const TestFunc quarantine_tests[];
+/* Whole requests that do. */
+extern const TestFunc whole_request_tests[];
 /* Upstreams that name a limit of requests a second for all entries together. */
 extern const TestFunc limit_tests[];
 /* Planned stops of entries. */
--- a/regress/direct/quarantine.c
+++ b/regress/direct/quarantine.c
@@ -1,6 +1,6 @@
 /*
- * Tests of prompt parts that crash the upstreams that process them.  What reached an
- * upstream is read from its own records.
+ * Tests of prompt parts, and of whole requests, that crash the upstreams that process
+ * them.  What reached an upstream is read from its own records.
  */
 #include <glib.h>
 #include <signal.h>
@@ -216,6 +216,180 @@
     }
 }
 
+/* -------- whole requests -------- */
+
+/* Stated by the users of a request that crashes servers: after this many crashes, at most
+ * SENT_MAX more are sent later than STABLE_WINDOW_MS. */
+#define WHOLE_CRASHES  3
+#define WHOLE_PAUSE_US 400000 /* between probes, so that trials become due */
+#define PLAIN_SERVER   (SERVERS - 1)
+
+/* The bad request's body; each test has one of its own, as entries remember. */
+static unsigned bad_body = 1000;
+static char body_text[64];
+
+static uint64_t
+recorded_by_all (Testbed *tb, const char *name)
+{
+  return recorded_by_models (tb, name) + recorded (tb->server[PLAIN_SERVER], name);
+}
+
+static void
+set_crash_body (Testbed *tb, unsigned body)
+{
+  set_fault_on_both (tb, "crash_body", body);
+  CHECK (set_fault (tb->server[PLAIN_SERVER], "crash_body", body));
+}
+
+static Response
+send_body (Testbed *tb, unsigned entry, const char *target, const char *body)
+{
+  Call c = default_call (tb, target, "whole");
+
+  c.address = tb->entry[entry];
+  c.body = body;
+  return call (&c);
+}
+
+/* Sends the bad request; returns how often it reached a server.  When it did not, it must
+ * have been refused with a time to come back. */
+static uint64_t
+send_bad_request (Testbed *tb, unsigned entry, const char *target)
+{
+  uint64_t before = recorded_by_all (tb, "poisoned_whole");
+  Response r = send_body (tb, entry, target, body_text);
+  uint64_t sent = recorded_by_all (tb, "poisoned_whole") - before;
+  char *retry = response_header (&r, "Retry-After");
+
+  CHECK (sent > 0 || (r.status == 503 && retry != NULL));
+  g_free (retry);
+  response_free (&r);
+  return sent;
+}
+
+static bool
+plain_is_served (Testbed *tb)
+{
+  bool served = true;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      Response r = send_body (tb, i, "/p/sound", NULL);
+
+      served = served && r.status == 200;
+      response_free (&r);
+    }
+  return served;
+}
+
+/* Lists all servers that crashed as new instances and waits until they are used. */
+static void
+replace_all (Testbed *tb, uint64_t seen[SERVERS])
+{
+  const char *plain = tb->server[PLAIN_SERVER];
+  uint64_t crashes = recorded (plain, "crashes");
+
+  if (recorded_by_models (tb, "crashes") != seen[0] + seen[1])
+    replace_crashed (tb, seen);
+  if (crashes == seen[PLAIN_SERVER])
+    return;
+  for (unsigned i = 0; i < DOWN_POLLS_MAX && recorded (plain, "down") != 0; i++)
+    g_usleep (DOWN_POLL_US);
+  CHECK (testbed_restart_server (tb, PLAIN_SERVER));
+  CHECK (set_fault (plain, "born", tb->server_started[PLAIN_SERVER]));
+  seen[PLAIN_SERVER] = crashes;
+  CHECK (eventually (plain_is_served, tb));
+}
+
+static void
+read_all_crashes (Testbed *tb, uint64_t seen[SERVERS])
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    seen[i] = recorded (tb->server[i], "crashes");
+}
+
+/* Sends the bad request to one entry after the other until it has crashed servers
+ * WHOLE_CRASHES times or is refused. */
+static void
+crash_by_request (Testbed *tb, const char *target)
+{
+  uint64_t seen[SERVERS];
+  uint64_t before = recorded_by_all (tb, "crashes_whole");
+
+  g_snprintf (body_text, sizeof body_text, "crash %u x", ++bad_body);
+  set_crash_body (tb, bad_body);
+  read_all_crashes (tb, seen);
+  for (unsigned i = 0;
+       i < POISON_MAX && recorded_by_all (tb, "crashes_whole") < before + WHOLE_CRASHES;
+       i++)
+    {
+      if (send_bad_request (tb, i % ENTRIES, target) == 0)
+        return;
+      replace_all (tb, seen);
+    }
+}
+
+/* How often the bad request reaches servers in PROBES, from the time on at which the
+ * users count. */
+static uint64_t
+probe_bad_request (Testbed *tb, const char *target, unsigned first_entry)
+{
+  uint64_t seen[SERVERS];
+  uint64_t sent = 0;
+
+  g_usleep (STABLE_WINDOW_MS * 1000);
+  read_all_crashes (tb, seen);
+  for (unsigned i = 0; i < PROBES; i++)
+    {
+      sent += send_bad_request (tb, first_entry + i % (ENTRIES - first_entry), target);
+      replace_all (tb, seen);
+      g_usleep (WHOLE_PAUSE_US);
+    }
+  return sent;
+}
+
+static void
+check_bad_request (Testbed *tb, const char *target)
+{
+  Response r;
+
+  crash_by_request (tb, target);
+  CHECK (probe_bad_request (tb, target, 0) <= SENT_MAX);
+  r = send_body (tb, 0, target, "another body");
+  CHECK (r.status == 200);
+  response_free (&r);
+  set_crash_body (tb, 0);
+}
+
+static void
+test_request_that_crashed_three_servers_was_sent_on (Testbed *tb)
+{
+  check_bad_request (tb, "/r/whole");
+}
+
+static void
+test_stream_that_crashed_three_servers_was_sent_on (Testbed *tb)
+{
+  check_bad_request (tb, "/s/whole");
+}
+
+static void
+test_request_that_crashed_plain_servers_was_sent_on (Testbed *tb)
+{
+  check_bad_request (tb, "/p/whole");
+}
+
+static void
+test_entry_that_has_just_started_sent_the_request (Testbed *tb)
+{
+  crash_by_request (tb, "/r/whole");
+  process_end (&tb->entry_process[1], SIGKILL);
+  CHECK (process_start (&tb->entry_process[1]));
+  CHECK (eventually (second_entry_is_ready, tb));
+  CHECK (probe_bad_request (tb, "/r/whole", 1) <= SENT_MAX);
+  set_crash_body (tb, 0);
+}
+
 const TestFunc quarantine_tests[] = {
   test_part_that_crashed_five_upstreams_was_sent_on,
   test_entry_that_has_just_started_sent_the_part,
@@ -224,3 +398,11 @@
   test_popular_part_was_refused_after_losses_of_all_upstreams,
   NULL,
 };
+
+const TestFunc whole_request_tests[] = {
+  test_request_that_crashed_three_servers_was_sent_on,
+  test_stream_that_crashed_three_servers_was_sent_on,
+  test_request_that_crashed_plain_servers_was_sent_on,
+  test_entry_that_has_just_started_sent_the_request,
+  NULL,
+};
--- a/regress/unit/quarantine_driver.c
+++ b/regress/unit/quarantine_driver.c
@@ -18,23 +18,63 @@
   return parts;
 }
 
+DlSignatures
+quarantine_whole (const char *body)
+{
+  DlRequestIdentity identity = {
+    .host = DL_STR_LITERAL ("x.example"),
+    .path = DL_STR_LITERAL ("/a"),
+    .caller = DL_STR_LITERAL ("org"),
+    .body = dl_str (body),
+  };
+
+  return (DlSignatures){ .count = 1, .ids = { dl_request_signature (&identity) } };
+}
+
+GBytes *
+quarantine_pack (const DlQuarantine *from, uint64_t now_ms)
+{
+  void *context = talloc_new (NULL);
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  DlSignatureRecords records;
+  uint8_t bytes[RECORDS_MAX_BYTES];
+  size_t length;
+
+  dl_quarantine_export (from, now_ms, &records);
+  dl_signature_records_to_status (context, &records, RECORDS_MAX_BYTES, now_ms, &status);
+  length = daisyloft__wire__node_status__get_packed_size (&status);
+  CU_ASSERT_TRUE_FATAL (length <= sizeof bytes);
+  daisyloft__wire__node_status__pack (&status, bytes);
+  talloc_free (context);
+  return g_bytes_new (bytes, length);
+}
+
+void
+quarantine_unpack (DlQuarantine *to, GBytes *packed, uint64_t now_ms)
+{
+  size_t length;
+  const uint8_t *bytes = g_bytes_get_data (packed, &length);
+  Daisyloft__Wire__NodeStatus *status
+      = daisyloft__wire__node_status__unpack (NULL, length, bytes);
+  DlSignatureRecords records;
+  DlQuarantineNews news;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (status);
+  dl_signature_records_from_status (status, now_ms, &records);
+  dl_quarantine_merge (to, &records, now_ms, &news);
+  daisyloft__wire__node_status__free_unpacked (status, NULL);
+}
+
 void
 quarantine_tell (DlQuarantine *from,
                  DlQuarantine *to,
                  uint64_t sent_ms,
                  uint64_t received_ms)
 {
-  void *context = talloc_new (NULL);
-  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  DlSignatureRecords records;
+  GBytes *packed = quarantine_pack (from, sent_ms);
   DlQuarantineNews news;
 
-  dl_quarantine_export (from, sent_ms, &records);
-  dl_signature_records_to_status (context, &records, RECORDS_MAX_BYTES, sent_ms, &status);
-  CU_ASSERT_TRUE (daisyloft__wire__node_status__get_packed_size (&status)
-                  <= RECORDS_MAX_BYTES);
-  dl_signature_records_from_status (&status, received_ms, &records);
-  dl_quarantine_merge (to, &records, received_ms, &news);
+  quarantine_unpack (to, packed, received_ms);
   dl_quarantine_judge (to, received_ms + DL_QUARANTINE_SETTLE_MS, &news);
-  talloc_free (context);
+  g_bytes_unref (packed);
 }
--- a/regress/unit/quarantine_driver.h
+++ b/regress/unit/quarantine_driver.h
@@ -2,12 +2,20 @@
 #ifndef QUARANTINE_DRIVER_H
 #define QUARANTINE_DRIVER_H
 
-#include "policy/signature.h"
+#include <glib.h>
+
 #include "policy/quarantine.h"
+#include "policy/signature.h"
 
 /* The parts of a prompt. */
 DlSignatures quarantine_parts (const char *first, const char *second);
-/* Merges the records of FROM into TO through a packed status. */
+/* A request without a prompt that differs from others in its body. */
+DlSignatures quarantine_whole (const char *body);
+/* The records of FROM as they travel at NOW_MS. */
+GBytes *quarantine_pack (const DlQuarantine *from, uint64_t now_ms);
+/* Merges records that quarantine_pack returned. */
+void quarantine_unpack (DlQuarantine *to, GBytes *packed, uint64_t now_ms);
+/* Merges the records of FROM into TO and judges. */
 void quarantine_tell (DlQuarantine *from,
                       DlQuarantine *to,
                       uint64_t sent_ms,
