A whole request under which upstreams crash is quarantined

Cause: the quarantine knew parts of prompts only, at services with engines only; a request without a prompt had no count of its crashes anywhere. Ruled out: that the entries knew and did not tell (no record existed), and that trials went on for ever (there was nothing to try). Both would have followed, and are guarded against.

Change: the whole request is one more signature of each request, at all services. Never served as far as the entries remember, it is held after three crashes, however others fare; crashes at one moment count once only if upstreams without it were lost then too. At most two trials are sent by all entries together, by turns from the first on and never sent again; after them it is held until it has not come for an hour. Not sent again by the entry once two upstreams crashed under it. Entries that served a suspect answer those who suspect it.

Event names of 1030 to 1032 and one metric say signature now, numbers as before.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -356,13 +356,24 @@
     direct_quarantine_served (attempt->request);
 }
 
+/* The same for a response that is no success.  One without the upstream's seal may be of
+ * something before it. */
+static void
+note_answered (Attempt *attempt)
+{
+  if (attempt->head.is_delimited && attempt->head.has_seal)
+    direct_quarantine_answered (attempt->request);
+}
+
 static char *
-parts_text (const void *context, const DlSignatures *parts)
+parts_text (const void *context, const DlSignatures *signatures)
 {
   char *text = talloc_strdup (context, "");
 
-  for (size_t i = 0; i < parts->count; i++)
-    text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "", parts->ids[i].text);
+  for (size_t i = 0; i < signatures->count; i++)
+    if (!dl_signature_is_whole (&signatures->ids[i]))
+      text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "",
+                                     signatures->ids[i].text);
   return text;
 }
 
@@ -451,6 +462,8 @@
       finish_broken (attempt);
       return;
     }
+  if (!is_success (attempt))
+    note_answered (attempt);
   if (reserve_retry_of_error (attempt))
     {
       finish_and_retry (attempt, error_outcome (attempt));
@@ -542,6 +555,7 @@
   r->attempt = attempt;
   r->attempt_count++;
   note_sent (r, upstream, now_ms);
+  direct_quarantine_sent (r);
   direct_upstream_sent (upstream, attempt->prompt_tokens, now_ms);
   talloc_set_destructor (attempt, attempt_destroy);
   dl_metric_add (&metric_attempts, 1);
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -362,22 +362,12 @@
   dl_retry_return (&r->service->budget);
 }
 
-/* A request with a quarantined part is sent no more, except for a trial that has not run.
- */
-static bool
-is_held (const Request *r, DirectAttemptFailure failure)
-{
-  bool has_run = failure == DIRECT_FAILURE_BROKEN || failure == DIRECT_FAILURE_STALLED;
-
-  return direct_quarantine_holds (r) && (has_run || !r->is_trial);
-}
-
 bool
 direct_dispatch_reserve_retry (Request *r, DirectAttemptFailure failure)
 {
   bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= DL_ATTEMPT_MIN_MS;
 
-  if (!has_time || is_held (r, failure))
+  if (!has_time || !direct_quarantine_allows_retry (r, failure))
     return false;
   switch (failure)
     {
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -1,6 +1,6 @@
 /*
- * Refuses requests with prompt parts that crash upstreams, and reports to the policy how
- * requests end.
+ * Refuses requests that crash upstreams, known by a part of their prompt or as a whole,
+ * and reports to the policy how requests end.
  */
 #include <glib.h>
 #include <string.h>
@@ -10,23 +10,26 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "policy/availability.h"
+#include "policy/rendezvous.h"
 #include "requests.h"
 
 #define EXPIRE_MS          400 /* also until the others are told no more of the past */
 #define STATUS_BAD_GATEWAY 502
+/* Distinguishes the kinds of single services from DL_QUARANTINE_FARE_PARTS. */
+#define FARE_SERVICE_BIT 2u
 
 DL_METRIC (metric_quarantined,
            DL_METRIC_COUNTER,
-           "daisy_direct_parts_quarantined_total",
-           "Prompt parts quarantined because upstreams crash on them.")
+           "daisy_direct_quarantined_total",
+           "Prompt parts and whole requests quarantined because upstreams crash on them.")
 DL_METRIC (metric_refused,
            DL_METRIC_COUNTER,
            "daisy_direct_quarantine_refused_total",
-           "Requests refused for a quarantined prompt part.")
+           "Requests refused for a quarantined prompt part, or as a whole.")
 DL_METRIC (metric_trials,
            DL_METRIC_COUNTER,
            "daisy_direct_quarantine_trials_total",
-           "Requests sent as the trial of a quarantined prompt part.")
+           "Requests sent as the trial of a quarantined prompt part or whole request.")
 
 /* -------- what changes the records -------- */
 
@@ -34,11 +37,11 @@
 log_quarantined (const Requests *requests, const DlSignature *id, const char *source)
 {
   uint64_t now_ms = dl_clock_ms ();
-  DlSignatures part = { .count = 1, .ids = { *id } };
-  const DlSignatureRecord *r = dl_quarantine_find (requests->quarantine, &part);
+  DlSignatures only = { .count = 1, .ids = { *id } };
+  const DlSignatureRecord *r = dl_quarantine_find (requests->quarantine, &only);
 
   dl_metric_add (&metric_quarantined, 1);
-  dl_log (DL_EVENT_PART_QUARANTINED, DL_TEXT ("part", id->text),
+  dl_log (DL_EVENT_SIGNATURE_QUARANTINED, DL_TEXT ("signature", id->text),
           DL_TEXT ("source", source), DL_UINT ("crashes", r->crash_count),
           DL_UINT ("served", r->served_count), DL_UINT ("broken", r->broken_count),
           DL_UINT ("hold_ms", r->hold_ms > now_ms ? r->hold_ms - now_ms : 0));
@@ -51,73 +54,92 @@
   for (size_t i = 0; i < news->quarantined_count; i++)
     log_quarantined (requests, &news->quarantined[i], source);
   for (size_t i = 0; i < news->released_count; i++)
-    dl_log (DL_EVENT_PART_RELEASED, DL_TEXT ("part", news->released[i].text),
+    dl_log (DL_EVENT_SIGNATURE_RELEASED, DL_TEXT ("signature", news->released[i].text),
             DL_TEXT ("source", source));
   requests->quarantine_grew = requests->quarantine_grew || news->quarantined_count > 0;
 }
 
-void
-direct_quarantine_served (Request *r)
+/* The kind of requests that fare like R. */
+static uint64_t
+fare_of (const Request *r)
+{
+  if (r->service_entry->has_engine)
+    return DL_QUARANTINE_FARE_PARTS;
+  return dl_rendezvous_score (dl_str (r->service->name), DL_STR_LITERAL ("fare"))
+         | FARE_SERVICE_BIT;
+}
+
+static void
+report_served (Request *r, const DlSignatures *signatures)
 {
+  DlFate fate = { .signatures = signatures, .fare = fare_of (r) };
   DlQuarantineNews news;
 
-  if (!r->service_entry->has_engine)
-    return;
-  dl_quarantine_served (r->owner->quarantine, &r->incoming.signatures, dl_clock_ms (),
-                        &news);
+  dl_quarantine_served (r->owner->quarantine, &fate, dl_clock_ms (), &news);
   handle_news (r->owner, &news, r->incoming.id);
 }
 
 void
-direct_quarantine_broken_off (Request *r, const DirectUpstream *upstream)
+direct_quarantine_served (Request *r)
 {
-  /* A load aborts what runs. */
-  if (r->service_entry->has_engine && !upstream->loading)
-    dl_quarantine_broken_off (r->owner->quarantine, &r->incoming.signatures,
-                              direct_upstream_key (upstream), r->is_trial,
-                              dl_clock_ms ());
+  report_served (r, &r->incoming.signatures);
 }
 
 void
-direct_quarantine_merge (Requests *requests, const DlSignatureRecords *records)
+direct_quarantine_answered (Request *r)
 {
-  DlQuarantineNews news;
+  DlSignatures whole = { .count = 1, .ids = { r->identity } };
 
-  dl_quarantine_merge (requests->quarantine, records, dl_clock_ms (), &news);
-  handle_news (requests, &news, "another entry");
+  report_served (r, &whole);
+}
+
+void
+direct_quarantine_broken_off (Request *r, const DirectUpstream *upstream)
+{
+  DlFate fate = {
+    .signatures = &r->incoming.signatures,
+    .fare = fare_of (r),
+    .upstream = direct_upstream_key (upstream),
+    .is_trial = r->is_trial,
+  };
+
+  if (!upstream->loading) /* a load aborts what runs */
+    dl_quarantine_broken_off (r->owner->quarantine, &fate, dl_clock_ms ());
 }
 
 /* -------- requests -------- */
 
 static const char *
-refusal_reason (Request *r, const DlSignature *part)
+refusal_reason (Request *r, const DlSignature *signature)
 {
-  return talloc_asprintf (r, "upstreams crash on part %s of its prompt", part->text);
+  if (dl_signature_is_whole (signature))
+    return "upstreams crash on this request";
+  return talloc_asprintf (r, "upstreams crash on part %s of its prompt", signature->text);
 }
 
 bool
 direct_quarantine_admit (Request *r)
 {
-  const DlSignature *part = NULL;
+  const DlSignature *found = NULL;
   uint64_t retry_ms = 0;
 
   switch (dl_quarantine_admit (r->owner->quarantine, &r->incoming.signatures,
-                               dl_clock_ms (), &part, &retry_ms))
+                               dl_clock_ms (), &found, &retry_ms))
     {
     case DL_QUARANTINE_ALLOW:
       return true;
     case DL_QUARANTINE_TRIAL:
       r->is_trial = true;
       dl_metric_add (&metric_trials, 1);
-      dl_log (DL_EVENT_PART_TRIAL, DL_TEXT ("request", r->incoming.id),
-              DL_TEXT ("part", part->text));
+      dl_log (DL_EVENT_SIGNATURE_TRIAL, DL_TEXT ("request", r->incoming.id),
+              DL_TEXT ("signature", found->text));
       return true;
     case DL_QUARANTINE_REFUSE:
       break;
     }
   dl_metric_add (&metric_refused, 1);
   direct_request_refuse (r, dl_availability_retry_ms (retry_ms, dl_random_uint64 ()),
-                         refusal_reason (r, part));
+                         refusal_reason (r, found));
   return false;
 }
 
@@ -127,8 +149,31 @@
   return dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures) != NULL;
 }
 
-/* Ends a request with a part that was quarantined after its arrival, unless its upstream
- * has begun to respond. */
+void
+direct_quarantine_sent (Request *r)
+{
+  if (!r->is_trial || r->trial_sent)
+    return;
+  r->trial_sent = true;
+  dl_quarantine_trial_sent (r->owner->quarantine, &r->incoming.signatures,
+                            dl_clock_ms ());
+}
+
+bool
+direct_quarantine_allows_retry (const Request *r, DirectAttemptFailure failure)
+{
+  DlQuarantineFailure kind = DL_QUARANTINE_MAY_HAVE_RUN;
+
+  if (failure == DIRECT_FAILURE_CONNECT)
+    kind = DL_QUARANTINE_NOT_SENT;
+  else if (failure == DIRECT_FAILURE_NOT_RUN)
+    kind = DL_QUARANTINE_NOT_RUN;
+  return dl_quarantine_allows_retry (r->owner->quarantine, &r->incoming.signatures,
+                                     r->is_trial, kind);
+}
+
+/* Ends a request that was quarantined after its arrival, unless its upstream has begun to
+ * respond. */
 static void
 end_if_held (Request *r, uint64_t now_ms)
 {
@@ -159,8 +204,28 @@
     }
 }
 
+static void
+end_newly_held_requests (Requests *requests, uint64_t now_ms)
+{
+  if (!requests->quarantine_grew)
+    return;
+  requests->quarantine_grew = false;
+  end_held_requests (requests, now_ms);
+}
+
 /* -------- the other entries -------- */
 
+void
+direct_quarantine_merge (Requests *requests, const DlSignatureRecords *records)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  DlQuarantineNews news;
+
+  dl_quarantine_merge (requests->quarantine, records, now_ms, &news);
+  handle_news (requests, &news, "another entry");
+  end_newly_held_requests (requests, now_ms);
+}
+
 static void
 publish_records (Requests *requests, bool is_urgent, uint64_t now_ms)
 {
@@ -179,11 +244,7 @@
 
   dl_quarantine_judge (requests->quarantine, now_ms, &news);
   handle_news (requests, &news, "own judgement");
-  if (requests->quarantine_grew)
-    {
-      requests->quarantine_grew = false;
-      end_held_requests (requests, now_ms);
-    }
+  end_newly_held_requests (requests, now_ms);
   if (dl_quarantine_take_changed (requests->quarantine))
     publish_records (requests, true, now_ms);
   if (now_ms < requests->quarantine_expired_ms + EXPIRE_MS)
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -177,6 +177,9 @@
       .caller = caller != NULL ? dl_str (caller) : (DlStr){ 0 },
       .body = dl_http_request_body (r->http),
   });
+  if (!r->service_entry->has_engine)
+    r->incoming.signatures.count = 0; /* only engines process prompts */
+  dl_signatures_add_whole (&r->incoming.signatures, r->identity);
 }
 
 static void
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -55,7 +55,7 @@
   uint64_t stop_resumed_ms; /* end of the last pause of this process in it; 0 for none */
   DirectLimits *limits;
   DlQuarantine *quarantine;
-  bool quarantine_grew;           /* a part was quarantined since the last tick */
+  bool quarantine_grew;           /* a signature was quarantined since the last tick */
   uint64_t quarantine_expired_ms; /* when its old records were last removed */
   uint64_t checked_ms;            /* last check of silent upstreams; 0 before the first */
   uint64_t resumed_ms;            /* end of the last pause of this process; 0 for none */
@@ -79,7 +79,8 @@
   unsigned attempt_count;    /* attempts so far, except those that could not connect */
   unsigned connect_failures; /* attempts that could not connect */
   bool waiting;              /* in the service's queue */
-  bool is_trial;             /* of a quarantined part of its prompt */
+  bool is_trial;             /* of a quarantined signature */
+  bool trial_sent;           /* to an upstream */
   bool retry_reserved;       /* a retry of the budget was spent and not sent yet */
   bool may_have_run; /* an upstream may have executed it; it must not be refused then */
   bool head_sent;    /* the head of a streamed response was sent to the caller */
@@ -232,19 +233,26 @@
 
 /* -------- quarantine.c -------- */
 
-/* Returns true when the request may be sent.  Otherwise a part of its prompt is
+/* Returns true when the request may be sent.  Otherwise one of its signatures is
  * quarantined, and it was refused. */
 bool direct_quarantine_admit (Request *request);
-/* True when a part of the request's prompt is quarantined. */
+/* True when one of the request's signatures is quarantined. */
 bool direct_quarantine_holds (const Request *request);
+/* True unless what is known of its signatures forbids to send the request again. */
+bool direct_quarantine_allows_retry (const Request *request,
+                                     DirectAttemptFailure failure);
+/* The request is sent to an upstream. */
+void direct_quarantine_sent (Request *request);
 /* The request was served completely. */
 void direct_quarantine_served (Request *request);
+/* An upstream ran the request to its end, but without success. */
+void direct_quarantine_answered (Request *request);
 /* UPSTREAM broke off the request. */
 void direct_quarantine_broken_off (Request *request, const DirectUpstream *upstream);
-/* Merges what another entry told of prompt parts. */
+/* Merges what another entry told of signatures. */
 void direct_quarantine_merge (Requests *requests, const DlSignatureRecords *records);
-/* Ends the requests that are in progress with parts that were quarantined, and publishes
- * changed records.  To be called with every sweep. */
+/* Ends the requests that are in progress and were quarantined, and publishes changed
+ * records.  To be called with every sweep. */
 void direct_quarantine_tick (Requests *requests, uint64_t now_ms);
 /* Adopts the entries of MESSAGE, which is DIRECT_ENTRIES, for the turns of trials. */
 void direct_quarantine_set_entries (Requests *requests, const DirectMessage *message);
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1776,7 +1776,7 @@
   (ProtobufCMessageInit) daisyloft__wire__limit_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__signature_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor daisyloft__wire__signature_record__field_descriptors[11] =
 {
   {
     "id",
@@ -1886,9 +1886,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trials",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__SignatureRecord, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "came_age_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__SignatureRecord, came_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__signature_record__field_indices_by_name[] = {
   8,   /* field[8] = broken_count */
+  10,   /* field[10] = came_age_ms */
   1,   /* field[1] = crash */
   5,   /* field[5] = hold_ms */
   0,   /* field[0] = id */
@@ -1897,11 +1922,12 @@
   2,   /* field[2] = served */
   3,   /* field[3] = served_age_ms */
   7,   /* field[7] = served_count */
+  9,   /* field[9] = trials */
 };
 static const ProtobufCIntRange daisyloft__wire__signature_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__signature_record__descriptor =
 {
@@ -1911,7 +1937,7 @@
   "Daisyloft__Wire__SignatureRecord",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__SignatureRecord),
-  9,
+  11,
   daisyloft__wire__signature_record__field_descriptors,
   daisyloft__wire__signature_record__field_indices_by_name,
   1,  daisyloft__wire__signature_record__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -211,7 +211,7 @@
 
 
 /*
- * What an entry knows of a prompt part that was in crashes of upstreams.
+ * What an entry knows of a signature of requests that was in crashes of upstreams.
  */
 struct  Daisyloft__Wire__SignatureRecord
 {
@@ -247,10 +247,18 @@
    * requests with it that broke off
    */
   uint32_t broken_count;
+  /*
+   * of a whole request that were sent in this quarantine
+   */
+  uint32_t trials;
+  /*
+   * time since a quarantined whole request came
+   */
+  uint64_t came_age_ms;
 };
 #define DAISYLOFT__WIRE__SIGNATURE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__signature_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Daisyloft__Wire__SignatureCrash
--- a/lib/node/signature_record.c
+++ b/lib/node/signature_record.c
@@ -6,7 +6,7 @@
 
 #include "node/peers.h"
 
-/* The newest crashes of a part are told; the others know the rest from before. */
+/* The newest crashes of a signature are told; the others know the rest from before. */
 #define TOLD_CRASHES_MAX 8
 
 /* The time AGE_MS ago; 1 at the earliest, as 0 stands for "never". */
@@ -35,6 +35,8 @@
   wire->level = record->level;
   wire->served_count = record->served_count;
   wire->broken_count = record->broken_count;
+  wire->trials = record->trials;
+  wire->came_age_ms = record->came_ms != 0 ? now_ms - record->came_ms : 0;
   wire->hold_ms = record->hold_ms > now_ms ? record->hold_ms - now_ms : 0;
   wire->crash = talloc_array (wire, Daisyloft__Wire__SignatureCrash *, TOLD_CRASHES_MAX);
   wire->n_crash = record->crash_count - first;
@@ -71,12 +73,15 @@
                   uint64_t now_ms,
                   DlSignatureRecord *record)
 {
-  *record = (DlSignatureRecord){ .id = dl_part_signature (dl_str (wire->id)) };
+  *record = (DlSignatureRecord){ .id = dl_signature_from_text (dl_str (wire->id)) };
   if (wire->served)
     record->served_ms = time_of_age (wire->served_age_ms, now_ms);
   record->level = wire->level;
   record->served_count = wire->served_count;
   record->broken_count = wire->broken_count;
+  record->trials = wire->trials;
+  if (wire->came_age_ms != 0)
+    record->came_ms = time_of_age (wire->came_age_ms, now_ms);
   if (wire->quarantined)
     record->hold_ms = now_ms + MIN (wire->hold_ms, DL_QUARANTINE_HOLD_MAX_MS);
   for (size_t i = 0; i < MIN (wire->n_crash, DL_SIGNATURE_CRASHES_MAX); i++)
--- a/lib/node/signature_record.h
+++ b/lib/node/signature_record.h
@@ -1,5 +1,5 @@
 /*
- * Records of prompt parts in the status that entries send each other.
+ * Records of signatures in the status that entries send each other.
  *
  * Times travel as ages, as the nodes have no common clock.
  */
--- a/lib/policy/quarantine_judge.c
+++ b/lib/policy/quarantine_judge.c
@@ -53,18 +53,61 @@
   return count.now + count.before;
 }
 
+/* The count of FARE, or that which was used longest ago, emptied. */
+static QuarantineFare *
+get_fare (DlQuarantine *q, uint64_t fare)
+{
+  QuarantineFare *oldest = &q->fares[0];
+
+  for (size_t i = 0; i < QUARANTINE_FARES_MAX; i++)
+    {
+      if (q->fares[i].fare == fare)
+        return &q->fares[i];
+      if (q->fares[i].served.period_ms < oldest->served.period_ms)
+        oldest = &q->fares[i];
+    }
+  *oldest = (QuarantineFare){ .fare = fare };
+  return oldest;
+}
+
+void
+quarantine_count_fare (DlQuarantine *q, uint64_t fare, uint64_t now_ms)
+{
+  quarantine_count_served (&get_fare (q, fare)->served, now_ms);
+}
+
+/* Requests of the kind FARE that were served lately. */
+static unsigned
+fare_served_lately (const DlQuarantine *q, uint64_t fare, uint64_t now_ms)
+{
+  for (size_t i = 0; i < QUARANTINE_FARES_MAX; i++)
+    if (q->fares[i].fare == fare)
+      return served_lately (q->fares[i].served, now_ms);
+  return 0;
+}
+
+static uint64_t
+fare_of (const DlSignatureRecord *r)
+{
+  return dl_signature_is_whole (&r->id) ? r->fare : DL_QUARANTINE_FARE_PARTS;
+}
+
 void
-quarantine_note_break (DlQuarantine *q, uint64_t upstream, uint64_t now_ms)
+quarantine_note_break (DlQuarantine *q, const DlFate *fate, uint64_t now_ms)
 {
   for (size_t i = 0; i < QUARANTINE_BREAKS_MAX; i++)
-    if (q->breaks[i].requests > 0 && q->breaks[i].upstream == upstream
+    if (q->breaks[i].requests > 0 && q->breaks[i].upstream == fate->upstream
         && now_ms <= q->breaks[i].at_ms + SAME_CRASH_MS)
       {
         q->breaks[i].requests++;
         return;
       }
-  q->breaks[q->next_break]
-      = (QuarantineBreak){ .upstream = upstream, .at_ms = now_ms, .requests = 1 };
+  q->breaks[q->next_break] = (QuarantineBreak){
+    .upstream = fate->upstream,
+    .fare = fate->fare,
+    .at_ms = now_ms,
+    .requests = 1,
+  };
   q->next_break = (q->next_break + 1) % QUARANTINE_BREAKS_MAX;
 }
 
@@ -123,12 +166,17 @@
 
 /* -------- evidence -------- */
 
-/* True for a crash after which no request with the part was served. */
+/* True for a settled crash after which no request with the signature was served. */
 static bool
 counts (const DlSignatureRecord *r, const DlSignatureCrash *c, uint64_t now_ms)
 {
-  return c->at_ms > r->served_ms && now_ms >= c->at_ms + DL_QUARANTINE_SETTLE_MS
-         && now_ms <= c->at_ms + DL_QUARANTINE_EVIDENCE_MS;
+  bool is_whole = dl_signature_is_whole (&r->id);
+  uint64_t settle_ms = is_whole ? DL_QUARANTINE_WHOLE_SETTLE_MS : DL_QUARANTINE_SETTLE_MS;
+  uint64_t evidence_ms
+      = is_whole ? DL_QUARANTINE_WHOLE_EVIDENCE_MS : DL_QUARANTINE_EVIDENCE_MS;
+
+  return c->at_ms > r->served_ms && now_ms >= c->at_ms + settle_ms
+         && now_ms <= c->at_ms + evidence_ms;
 }
 
 /* The logarithm of the odds by which one crash speaks against the part: how improbable it
@@ -137,7 +185,8 @@
 evidence_per_crash (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
 {
   double broken = PRIOR_BROKEN;
-  unsigned all = served_lately (q->served, now_ms);
+  uint64_t fare = fare_of (r);
+  unsigned all = fare_served_lately (q, fare, now_ms);
   unsigned own = served_lately (r->served_lately, now_ms);
   double served = PRIOR_SERVED + (all > own ? all - own : 0);
 
@@ -145,7 +194,7 @@
     {
       const QuarantineBreak *b = &q->breaks[i];
 
-      if (b->requests > 0 && now_ms <= b->at_ms + 2 * PERIOD_MS
+      if (b->requests > 0 && b->fare == fare && now_ms <= b->at_ms + 2 * PERIOD_MS
           && !was_in_crash (r, b->upstream))
         broken += b->requests;
     }
@@ -159,7 +208,8 @@
   return log (ODDS_QUARANTINED * (1 + r->served_count)) - ROUNDING;
 }
 
-/* True when another part that is quarantined now was in the crash. */
+/* True when another part that is quarantined now was in the crash.  A whole request
+ * explains none: one of several with a bad part may be quarantined before the part. */
 static bool
 is_explained (const DlQuarantine *q,
               const DlSignatureRecord *r,
@@ -173,7 +223,8 @@
     {
       const DlSignatureRecord *other = value;
 
-      if (other != r && other->hold_ms != 0 && was_in_crash (other, c->upstream))
+      if (other != r && other->hold_ms != 0 && !dl_signature_is_whole (&other->id)
+          && was_in_crash (other, c->upstream))
         return true;
     }
   return false;
@@ -204,8 +255,66 @@
   return episodes;
 }
 
+/* Crashes of a whole request that count.  Those at the same moment are taken as one if
+ * they may have a common cause. */
+static unsigned
+count_whole_crashes (const DlSignatureRecord *r, uint64_t now_ms)
+{
+  unsigned count = 0;
+  uint64_t start_ms = 0;
+
+  for (size_t i = 0; i < r->crash_count; i++)
+    {
+      const DlSignatureCrash *c = &r->crashes[i];
+
+      if (!counts (r, c, now_ms))
+        continue;
+      if (count > 0 && c->is_shared && c->at_ms < start_ms + EPISODE_MS)
+        continue;
+      start_ms = c->at_ms;
+      count++;
+    }
+  return count;
+}
+
+/* True when an upstream without the signature was lost at the time of the crash. */
 static bool
-is_guilty (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
+is_shared (const DlQuarantine *q, const DlSignatureRecord *r, const DlSignatureCrash *c)
+{
+  for (size_t i = 0; i < QUARANTINE_BREAKS_MAX; i++)
+    {
+      const QuarantineBreak *b = &q->breaks[i];
+
+      if (b->requests > 0 && b->at_ms < c->at_ms + EPISODE_MS
+          && c->at_ms < b->at_ms + EPISODE_MS && !was_in_crash (r, b->upstream))
+        return true;
+    }
+  return false;
+}
+
+/* Notes which new crashes of whole requests may have a common cause. */
+static void
+mark_shared_crashes (DlQuarantine *q, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, q->records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DlSignatureRecord *r = value;
+
+      if (r->crash_count < 2 || !dl_signature_is_whole (&r->id))
+        continue;
+      for (size_t i = 0; i < r->crash_count; i++)
+        if (now_ms <= r->crashes[i].at_ms + SAME_CRASH_MS)
+          r->crashes[i].is_shared
+              = r->crashes[i].is_shared || is_shared (q, r, &r->crashes[i]);
+    }
+}
+
+static bool
+has_evidence (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
 {
   double each = evidence_per_crash (q, r, now_ms);
   double needed = evidence_needed (r);
@@ -214,6 +323,14 @@
          && count_episodes (q, r, true, now_ms) * each >= needed;
 }
 
+static bool
+is_guilty (const DlQuarantine *q, const DlSignatureRecord *r, uint64_t now_ms)
+{
+  if (dl_signature_is_whole (&r->id) && r->served_count == 0)
+    return count_whole_crashes (r, now_ms) >= LEVEL_CRASHES_MIN;
+  return has_evidence (q, r, now_ms);
+}
+
 /* -------- the hold -------- */
 
 static uint64_t
@@ -288,6 +405,7 @@
   *news = (DlQuarantineNews){ 0 };
   if (now_ms > q->crashed_ms + DL_QUARANTINE_EVIDENCE_MS)
     return;
+  mark_shared_crashes (q, now_ms);
   while (news->quarantined_count < DL_SIGNATURE_RECORDS_MAX
          && (guilty = find_guilty (q, now_ms)) != NULL)
     {
@@ -307,5 +425,6 @@
     return false;
   r->hold_ms = 0;
   r->level = 0;
+  r->trials = 0;
   return was_held;
 }
--- a/lib/policy/signature.c
+++ b/lib/policy/signature.c
@@ -8,7 +8,8 @@
 #include "kernel/crypt.h"
 #include "policy/rendezvous.h"
 
-#define WHOLE_PREFIX '=' /* of the ids of whole requests */
+#define WHOLE_PREFIX '=' /* of the signatures of whole requests */
+#define KEY_DIGITS   16  /* hexadecimal ones of 64 bits */
 
 DlSignature
 dl_part_signature (DlStr text)
@@ -38,9 +39,43 @@
   return id;
 }
 
+DlSignature
+dl_signature_from_text (DlStr text)
+{
+  DlSignature id = { "" };
+
+  if (text.length < sizeof id.text)
+    memcpy (id.text, text.data, text.length);
+  return id;
+}
+
+bool
+dl_signature_is_whole (const DlSignature *signature)
+{
+  return signature->text[0] == WHOLE_PREFIX;
+}
+
+uint64_t
+dl_signature_key (const DlSignature *signature)
+{
+  char hex[KEY_DIGITS + 1];
+  uint64_t key;
+
+  g_strlcpy (hex, signature->text + 1, sizeof hex);
+  key = g_ascii_strtoull (hex, NULL, 16);
+  return key != 0 ? key : 1;
+}
+
+void
+dl_signatures_add_whole (DlSignatures *signatures, DlSignature whole)
+{
+  g_assert (signatures->count < DL_SIGNATURES_MAX);
+  signatures->ids[signatures->count++] = whole;
+}
+
 void
 dl_signatures_add_part (DlSignatures *signatures, DlStr text)
 {
-  if (text.length > 0 && signatures->count < DL_SIGNATURES_MAX)
+  if (text.length > 0 && signatures->count < DL_SIGNATURE_PARTS_MAX)
     signatures->ids[signatures->count++] = dl_part_signature (text);
 }
--- a/lib/policy/signature.h
+++ b/lib/policy/signature.h
@@ -9,11 +9,14 @@
 #ifndef DL_SIGNATURE_H
 #define DL_SIGNATURE_H
 
+#include <stdbool.h>
+
 #include "kernel/str.h"
 
 #define DL_SIGNATURE_BYTES 33 /* with the terminating NUL */
 /* Further parts of a longer prompt are ignored. */
-#define DL_SIGNATURES_MAX 16
+#define DL_SIGNATURE_PARTS_MAX 16
+#define DL_SIGNATURES_MAX      (DL_SIGNATURE_PARTS_MAX + 1)
 
 /* One signature as text. */
 typedef struct
@@ -21,7 +24,7 @@
   char text[DL_SIGNATURE_BYTES];
 } DlSignature;
 
-/* Signatures of one request; those of parts in their order. */
+/* Signatures of one request; those of parts in their order, then that of the whole. */
 typedef struct
 {
   size_t count;
@@ -42,6 +45,15 @@
 DlSignature dl_part_signature (DlStr text);
 /* Returns the signature of whole requests with IDENTITY, which no part has. */
 DlSignature dl_request_signature (const DlRequestIdentity *identity);
+/* Returns the signature with TEXT as another node wrote it; an empty one when TEXT is too
+ * long. */
+DlSignature dl_signature_from_text (DlStr text);
+/* True for the signature of whole requests. */
+bool dl_signature_is_whole (const DlSignature *signature);
+/* 64 bits of the signature of whole requests; never 0. */
+uint64_t dl_signature_key (const DlSignature *signature);
+/* Adds the signature of whole requests.  To be called once, after all parts. */
+void dl_signatures_add_whole (DlSignatures *signatures, DlSignature whole);
 /* Adds the signature of the part with the id TEXT, unless there are too many or TEXT is
  * empty. */
 void dl_signatures_add_part (DlSignatures *signatures, DlStr text);
--- a/regress/unit/quarantine_driver.c
+++ b/regress/unit/quarantine_driver.c
@@ -31,6 +31,34 @@
   return (DlSignatures){ .count = 1, .ids = { dl_request_signature (&identity) } };
 }
 
+void
+quarantine_serve (DlQuarantine *q,
+                  const DlSignatures *signatures,
+                  uint64_t now_ms,
+                  DlQuarantineNews *news)
+{
+  DlFate fate = { .signatures = signatures, .fare = DL_QUARANTINE_FARE_PARTS };
+
+  dl_quarantine_served (q, &fate, now_ms, news);
+}
+
+void
+quarantine_break_off (DlQuarantine *q,
+                      const DlSignatures *signatures,
+                      uint64_t upstream,
+                      bool is_trial,
+                      uint64_t now_ms)
+{
+  DlFate fate = {
+    .signatures = signatures,
+    .fare = DL_QUARANTINE_FARE_PARTS,
+    .upstream = upstream,
+    .is_trial = is_trial,
+  };
+
+  dl_quarantine_broken_off (q, &fate, now_ms);
+}
+
 GBytes *
 quarantine_pack (const DlQuarantine *from, uint64_t now_ms)
 {
--- a/regress/unit/quarantine_driver.h
+++ b/regress/unit/quarantine_driver.h
@@ -11,6 +11,17 @@
 DlSignatures quarantine_parts (const char *first, const char *second);
 /* A request without a prompt that differs from others in its body. */
 DlSignatures quarantine_whole (const char *body);
+/* A request at a service with engines was served. */
+void quarantine_serve (DlQuarantine *q,
+                       const DlSignatures *signatures,
+                       uint64_t now_ms,
+                       DlQuarantineNews *news);
+/* UPSTREAM broke off a request at a service with engines. */
+void quarantine_break_off (DlQuarantine *q,
+                           const DlSignatures *signatures,
+                           uint64_t upstream,
+                           bool is_trial,
+                           uint64_t now_ms);
 /* The records of FROM as they travel at NOW_MS. */
 GBytes *quarantine_pack (const DlQuarantine *from, uint64_t now_ms);
 /* Merges records that quarantine_pack returned. */
--- a/regress/unit/test_quarantine.c
+++ b/regress/unit/test_quarantine.c
@@ -16,7 +16,7 @@
   DlSignatures parts = quarantine_parts (first, second);
   DlQuarantineNews news;
 
-  dl_quarantine_served (q, &parts, now_ms, &news);
+  quarantine_serve (q, &parts, now_ms, &news);
 }
 
 static bool
@@ -29,7 +29,7 @@
   DlSignatures parts = quarantine_parts (first, second);
   DlQuarantineNews news;
 
-  dl_quarantine_broken_off (q, &parts, upstream, false, now_ms);
+  quarantine_break_off (q, &parts, upstream, false, now_ms);
   dl_quarantine_judge (q, now_ms + DL_QUARANTINE_SETTLE_MS, &news);
   return news.quarantined_count > 0;
 }
@@ -243,7 +243,7 @@
 {
   DlSignatures parts = quarantine_parts ("first", "bad");
 
-  dl_quarantine_broken_off (q, &parts, upstream, true, now_ms);
+  quarantine_break_off (q, &parts, upstream, true, now_ms);
 }
 
 /* Requests that were on their way when the part was quarantined do not add to the hold.
--- a/regress/unit/test_quarantine_fleet.c
+++ b/regress/unit/test_quarantine_fleet.c
@@ -65,8 +65,8 @@
       if (!r->used || r->upstream != upstream)
         continue;
       r->used = false;
-      dl_quarantine_broken_off (f->entries[r->entry], &r->parts, f->instance[upstream],
-                                r->is_trial, f->now_ms);
+      quarantine_break_off (f->entries[r->entry], &r->parts, f->instance[upstream],
+                            r->is_trial, f->now_ms);
     }
   f->instance[upstream] = ++f->instances;
 }
@@ -141,7 +141,7 @@
       else if (f->now_ms >= r->began_ms + REQUEST_MS)
         {
           r->used = false;
-          dl_quarantine_served (f->entries[r->entry], &r->parts, f->now_ms, &news);
+          quarantine_serve (f->entries[r->entry], &r->parts, f->now_ms, &news);
         }
     }
 }
--- a/regress/unit/test_quarantine_whole.c
+++ b/regress/unit/test_quarantine_whole.c
@@ -87,7 +87,8 @@
 fleet_may_retry (Fleet *f, const RunningRequest *r)
 {
   return r->attempts < ATTEMPTS_MAX
-         && dl_quarantine_find (f->entry[r->entry], &r->signatures) == NULL;
+         && dl_quarantine_allows_retry (f->entry[r->entry], &r->signatures, r->is_trial,
+                                        DL_QUARANTINE_MAY_HAVE_RUN);
 }
 
 static void
@@ -108,8 +109,8 @@
     {
       RunningRequest r = g_array_index (broken, RunningRequest, i);
 
-      dl_quarantine_broken_off (f->entry[r.entry], &r.signatures, instance, r.is_trial,
-                                f->now_ms);
+      quarantine_break_off (f->entry[r.entry], &r.signatures, instance, r.is_trial,
+                            f->now_ms);
       if (fleet_may_retry (f, &r))
         fleet_attempt (f, r);
     }
@@ -137,6 +138,8 @@
   r.upstream = (unsigned)upstream;
   r.attempts++;
   r.sent_ms = f->now_ms;
+  if (r.is_trial)
+    dl_quarantine_trial_sent (f->entry[r.entry], &r.signatures, f->now_ms);
   r.ends_ms = f->now_ms + (uint64_t)g_rand_int_range (f->random, 20, 150);
   for (unsigned i = 0; i < RUNNING_MAX; i++)
     if (!f->running[i].used)
@@ -210,7 +213,7 @@
           continue;
         }
       r->used = false;
-      dl_quarantine_served (f->entry[r->entry], &r->signatures, f->now_ms, &news);
+      quarantine_serve (f->entry[r->entry], &r->signatures, f->now_ms, &news);
     }
 }
 
