--- a/lib/policy/quarantine_exchange.c
+++ b/lib/policy/quarantine_exchange.c
@@ -9,7 +9,7 @@
 /* Quarantined whole requests are told in groups, one a GROUP_MS, as there may be many,
  * and for a long time. */
 #define GROUP_MS      1000
-#define GROUPS_MIN    3
+#define GROUPS_MIN    2
 #define GROUP_RECORDS 8
 
 /* -------- what others told -------- */
