--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -366,20 +366,12 @@
   return failure != DIRECT_FAILURE_CONNECT && failure != DIRECT_FAILURE_NOT_RUN;
 }
 
-/* A request with a quarantined part is sent no more, except for a trial that has not run.
- */
-static bool
-is_held (const Request *r, DirectAttemptFailure failure)
-{
-  return direct_quarantine_holds (r) && (may_have_run (failure) || !r->is_trial);
-}
-
 bool
 direct_dispatch_reserve_retry (Request *r, DirectAttemptFailure failure)
 {
   bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= DL_ATTEMPT_MIN_MS;
 
-  if (!has_time || is_held (r, failure))
+  if (!has_time || !direct_quarantine_allows_retry (r, failure))
     return false;
   switch (failure)
     {
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -166,6 +166,22 @@
   return false;
 }
 
+static void
+set_identity (Request *r)
+{
+  const char *caller = r->organisation != NULL ? r->organisation->name : r->incoming.key;
+
+  r->identity = dl_request_signature (&(DlRequestIdentity){
+      .host = r->incoming.host,
+      .path = r->incoming.path,
+      .caller = caller != NULL ? dl_str (caller) : (DlStr){ 0 },
+      .body = dl_http_request_body (r->http),
+  });
+  if (!r->service_entry->has_engine)
+    r->incoming.signatures.count = 0; /* only engines process prompts */
+  dl_signatures_add_whole (&r->incoming.signatures, r->identity);
+}
+
 static void
 set_deadline (Request *r)
 {
@@ -214,6 +230,7 @@
     }
   r->service = direct_service_get (r->owner, service);
   direct_limits_note_request (r->service, r->arrived_ms);
+  set_identity (r);
   if (direct_quarantine_admit (r))
     direct_dispatch_request (r);
 }
@@ -340,8 +357,8 @@
       direct_quarantine_set_entries (requests, m);
       direct_limits_set_entries (requests->limits, m);
       break;
-    case DIRECT_PEER_PART_RECORDS:
-      direct_quarantine_merge (requests, m->part_records);
+    case DIRECT_PEER_SIGNATURE_RECORDS:
+      direct_quarantine_merge (requests, m->signature_records);
       break;
     case DIRECT_PEER_LIMIT_RECORDS:
       direct_limits_merge (requests->limits, m->limit_records);
@@ -351,7 +368,7 @@
     case DIRECT_HOLDER:
     case DIRECT_NODE_REMOVED:
     case DIRECT_HOLDINGS:
-    case DIRECT_PART_RECORDS:
+    case DIRECT_SIGNATURE_RECORDS:
     case DIRECT_LIMIT_RECORDS:
       break;
     }
@@ -477,7 +494,7 @@
   .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_UPSTREAM)
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
                    | MESSAGE (DIRECT_ROUTING_SYNCED) | MESSAGE (DIRECT_VERSION_FLOOR)
-                   | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_PART_RECORDS)
+                   | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
                    | MESSAGE (DIRECT_PEER_LIMIT_RECORDS),
   .start = start,
   .handle = handle,
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -30,6 +30,7 @@
   uint64_t next; /* id of the next event */
   bool cut;      /* breaks off in the middle of its third event */
   bool poisoned; /* crashes the server when it begins to write */
+  bool whole;    /* does so by its body */
   bool pauses;   /* falls silent before event PAUSE_BEFORE, then goes on */
   DlTimer *timer;
 } Stream;
@@ -40,6 +41,13 @@
   DlHttpRequest *request;
 } QueuedStream;
 
+/* A response to a request that is no stream, which is due later. */
+typedef struct
+{
+  DlHttpRequest *request;
+  bool poisoned; /* crashes the server instead */
+} PlainRun;
+
 /* Streams that start from FROM_MS on must have at least VERSION. */
 typedef struct
 {
@@ -75,9 +83,10 @@
 static uint64_t others;           /* running requests of others that it reports */
 static uint64_t limit_millis;     /* limit that its responses name; 0: none */
 static uint64_t crash_part;       /* id of the prompt part that crashes it; 0: none */
-static uint64_t crash_streams;    /* the next N streams crash it when they begin */
-static uint64_t crash_ms = 200;   /* how long it is down after a crash */
-static uint64_t queue_ms;         /* how long a stream waits before it starts */
+static uint64_t crash_body;     /* bodies that begin with "crash N " crash it; 0: none */
+static uint64_t crash_streams;  /* the next N streams crash it when they begin */
+static uint64_t crash_ms = 200; /* how long it is down after a crash */
+static uint64_t queue_ms;       /* how long a stream waits before it starts */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
 static uint64_t due_version;
@@ -90,6 +99,7 @@
 static uint64_t running;
 static GList *streams;      /* of Stream that are being sent */
 static GList *queued;       /* of QueuedStream */
+static GList *plain_runs;   /* of PlainRun */
 static GArray *due;         /* of VersionLimit */
 static uint64_t last_due;   /* the last DUE_VERSION that was added to DUE */
 static uint64_t up_from_ms; /* end of the time that it is down after a crash */
@@ -98,7 +108,9 @@
 static GArray *limited_ms;      /* arrivals of the last LIMIT_WINDOW_MS since */
 static uint64_t limited_most;   /* most of them at once */
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
-static uint64_t received; /* requests, also those that were refused */
+static uint64_t crashes_whole;  /* of CRASHES, those by such a body */
+static uint64_t poisoned_whole; /* requests received whose body crashes it */
+static uint64_t received;       /* requests, also those that were refused */
 static uint64_t events_sent;
 static uint64_t cancelled;       /* streams whose caller disconnected */
 static uint64_t mixed;           /* loads accepted with missing or wrong chunks */
@@ -107,7 +119,7 @@
 static uint64_t dropped;         /* queued streams whose connection closed */
 static uint64_t outdated_starts; /* streams that started on a version older than due */
 static GHashTable *runs;         /* request id to how often it ran */
-static char *last_outdated;      /* id of the last of OUTDATED_STARTS */
+static json_object *outdated;    /* ids of OUTDATED_STARTS to time and version */
 static char *last_target;
 static char *last_organisation;
 static char *last_body;
@@ -141,6 +153,7 @@
   { "event_bytes", &event_bytes },
   { "crash_part", &crash_part },
   { "crash_ms", &crash_ms },
+  { "crash_body", &crash_body },
   { "limit_millis", &limit_millis },
   { "crash_streams", &crash_streams },
   { "queue_ms", &queue_ms },
@@ -157,6 +170,7 @@
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   limited_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   due = g_array_new (FALSE, FALSE, sizeof (VersionLimit));
+  outdated = json_object_new_object ();
 }
 
 static void
@@ -425,12 +439,25 @@
   dl_http_abort (request);
 }
 
+/* Closes the connection of a request that runs without a stream. */
+static void
+cut_plain_run (PlainRun *run)
+{
+  DlHttpRequest *request = run->request;
+
+  dl_http_request_on_closed (request, NULL, NULL);
+  plain_runs = g_list_remove (plain_runs, run);
+  talloc_free (run);
+  dl_http_abort (request);
+}
+
 /* All requests in progress end, and none is taken for CRASH_MS. */
 static void
 crash (void)
 {
   GList *cut_off = g_list_copy (streams);
   GList *not_started = g_list_copy (queued);
+  GList *plain = g_list_copy (plain_runs);
 
   crashes++;
   up_from_ms = dl_clock_ms () + crash_ms;
@@ -446,6 +473,9 @@
   for (GList *at = not_started; at != NULL; at = at->next)
     drop_queued (at->data);
   g_list_free (not_started);
+  for (GList *at = plain; at != NULL; at = at->next)
+    cut_plain_run (at->data);
+  g_list_free (plain);
 }
 
 static void
@@ -457,6 +487,7 @@
 
   if (s->poisoned)
     {
+      crashes_whole += s->whole;
       crash ();
       return;
     }
@@ -507,6 +538,17 @@
   return g_str_has_prefix (dl_http_request_path (request), STREAM_PREFIX);
 }
 
+static void
+record_outdated (DlHttpRequest *request)
+{
+  json_object *start = json_object_new_object ();
+
+  outdated_starts++;
+  standin_json_set_uint (start, "at_ms", dl_clock_ms ());
+  standin_json_set_uint (start, "version", version);
+  json_object_object_add (outdated, header (request, "X-Request-Id"), start);
+}
+
 /* Counts a stream that starts on a version that should have been replaced by now. */
 static void
 count_outdated (DlHttpRequest *request)
@@ -517,12 +559,23 @@
 
       if (dl_clock_ms () < limit->from_ms || version >= limit->version)
         continue;
-      outdated_starts++;
-      set_text (&last_outdated, header (request, "X-Request-Id"));
+      record_outdated (request);
       return;
     }
 }
 
+static bool
+has_crash_body (DlHttpRequest *request)
+{
+  DlStr body = dl_http_request_body (request);
+  char start[NAME_BYTES];
+
+  if (crash_body == 0 || body.length == 0)
+    return false;
+  g_snprintf (start, sizeof start, "crash %" PRIu64 " ", crash_body);
+  return body.length >= strlen (start) && memcmp (body.data, start, strlen (start)) == 0;
+}
+
 static void
 start_stream (DlHttpRequest *request)
 {
@@ -535,7 +588,9 @@
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
   s->pauses = standin_count_down (&pauses);
-  s->poisoned = has_crash_part (request) || standin_count_down (&crash_streams);
+  s->whole = has_crash_body (request);
+  s->poisoned
+      = has_crash_part (request) || s->whole || standin_count_down (&crash_streams);
   streams = g_list_prepend (streams, s);
   dl_http_request_on_closed (request, on_stream_closed, s);
   dl_http_stream_begin (request, 200, "text/event-stream",
@@ -591,10 +646,40 @@
 }
 
 static void
-on_answer_due (DlTimer *timer, void *data)
+on_plain_closed (DlHttpRequest *request, bool answered, void *data)
 {
-  talloc_free (timer);
-  reply_done (data);
+  plain_runs = g_list_remove (plain_runs, data);
+}
+
+static void
+on_plain_due (DlTimer *timer, void *data)
+{
+  PlainRun *run = data;
+  DlHttpRequest *request = run->request;
+
+  if (run->poisoned)
+    {
+      crashes_whole++;
+      crash ();
+      return;
+    }
+  dl_http_request_on_closed (request, NULL, NULL);
+  plain_runs = g_list_remove (plain_runs, run);
+  talloc_free (run);
+  reply_done (request);
+}
+
+/* Responds after MS, or crashes then. */
+static void
+start_plain (DlHttpRequest *request, uint64_t ms)
+{
+  PlainRun *run = talloc_zero (request, PlainRun);
+
+  run->request = request;
+  run->poisoned = has_crash_body (request);
+  plain_runs = g_list_prepend (plain_runs, run);
+  dl_http_request_on_closed (request, on_plain_closed, run);
+  dl_timer_subscribe (task, run, run->poisoned ? event_ms : ms, 0, on_plain_due, run);
 }
 
 /* True for a while after a crash, as long as it takes an engine to load its weights. */
@@ -614,8 +699,10 @@
     dl_http_abort (request);
   else if (is_stream (request))
     start_stream (request);
-  else if (answer_ms > 0 && strstr (dl_http_request_path (request), LONG_PART) != NULL)
-    dl_timer_subscribe (task, request, answer_ms, 0, on_answer_due, request);
+  else if (has_crash_body (request)
+           || (answer_ms > 0
+               && strstr (dl_http_request_path (request), LONG_PART) != NULL))
+    start_plain (request, answer_ms);
   else
     reply_done (request);
 }
@@ -679,6 +766,7 @@
   const char *path = dl_http_request_path (request);
 
   poisoned += has_crash_part (request);
+  poisoned_whole += has_crash_body (request);
   if (dl_clock_ms () < up_from_ms)
     {
       received += !g_str_has_prefix (path, "/-/");
@@ -718,12 +806,14 @@
   standin_json_set_uint (records, "queued", g_list_length (queued));
   standin_json_set_uint (records, "dropped", dropped);
   standin_json_set_uint (records, "outdated_starts", outdated_starts);
-  standin_json_set_text (records, "outdated", last_outdated != NULL ? last_outdated : "");
+  json_object_object_add (records, "outdated", json_object_get (outdated));
   standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "crashes", crashes);
   standin_json_set_uint (records, "down", dl_clock_ms () < up_from_ms);
   standin_json_set_uint (records, "limited_most", limited_most);
   standin_json_set_uint (records, "poisoned", poisoned);
+  standin_json_set_uint (records, "poisoned_whole", poisoned_whole);
+  standin_json_set_uint (records, "crashes_whole", crashes_whole);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
--- a/regress/unit/test_quarantine_fleet.c
+++ b/regress/unit/test_quarantine_fleet.c
@@ -35,7 +35,7 @@
   unsigned entry;
   unsigned upstream;
   uint64_t began_ms;
-  DlPromptParts parts;
+  DlSignatures parts;
 } RunningRequest;
 
 typedef struct
@@ -65,8 +65,8 @@
       if (!r->used || r->upstream != upstream)
         continue;
       r->used = false;
-      dl_quarantine_broken_off (f->entries[r->entry], &r->parts, f->instance[upstream],
-                                r->is_trial, f->now_ms);
+      quarantine_break_off (f->entries[r->entry], &r->parts, f->instance[upstream],
+                            r->is_trial, f->now_ms);
     }
   f->instance[upstream] = ++f->instances;
 }
@@ -92,7 +92,7 @@
   RunningRequest r = { .used = true, .is_poison = is_poison, .began_ms = f->now_ms };
   int upstream = fleet_pick (f);
   DlQuarantineDecision decision;
-  const DlPartId *part;
+  const DlSignature *part;
   uint64_t retry_ms;
 
   g_snprintf (first, sizeof first, "first-%d",
@@ -141,7 +141,7 @@
       else if (f->now_ms >= r->began_ms + REQUEST_MS)
         {
           r->used = false;
-          dl_quarantine_served (f->entries[r->entry], &r->parts, f->now_ms, &news);
+          quarantine_serve (f->entries[r->entry], &r->parts, f->now_ms, &news);
         }
     }
 }
