Tests of VERSION: a stager is stopped only once the entries know that its server is up

For the entries the server stayed in loading for as long as the stager was stopped; both streams were refused, as no upstream took requests (1000: upstreams 2, loading 2), and never waited anywhere. A fault of the test: its precondition was the server's version. Now each entry must have sent requests to both servers first.

--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -11,7 +11,7 @@
 
 #define US_PER_MS 1000
 #define EVENTS    10
-#define EARNERS   6 /* requests that earn the retries of a test */
+#define EARNERS   8 /* requests that earn the retries of a test */
 #define OTHERS    8 /* requests of others: more than a server has slots */
 /* Before this long before its limit a version is not required of upstreams yet. */
 #define SENT_BEFORE_MS 1600
@@ -75,12 +75,34 @@
   return true;
 }
 
-/* The first server keeps its version from now on, as no stager loads another. */
+/* Sends requests that earn retries; true if the entry sent some to each server. */
+static bool
+entry_uses_both_servers (Testbed *tb, unsigned entry)
+{
+  uint64_t before[MODEL_SERVERS];
+  bool all = true;
+
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    before[i] = recorded (tb->server[i], "received");
+  for (unsigned n = 0; n < EARNERS; n++)
+    status_with_key (tb, entry, "key1");
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    all = all && recorded (tb->server[i], "received") > before[i];
+  return all;
+}
+
+static bool
+both_servers_are_used (Testbed *tb)
+{
+  return entry_uses_both_servers (tb, 0) && entry_uses_both_servers (tb, 1);
+}
+
+/* The first server keeps its version from now on, as no stager loads another.  Before
+ * that, the entries must have heard from its stager that it is up. */
 static void
 keep_first_server_old (Testbed *tb)
 {
-  for (unsigned i = 0; i < EARNERS; i++)
-    CHECK (status_with_key (tb, i % ENTRIES, "key1") == 200);
+  CHECK (eventually (both_servers_are_used, tb));
   kill (tb->stager_process[0].pid, SIGSTOP);
 }
 
