--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -227,22 +227,22 @@
   CHECK (!is_there || served > 0);
 }
 
-/* Two announcements, COUNT entries being paused from before the first to after the
- * second. */
+/* Two announcements, from before the first of which to after the second the processes
+ * PAUSED are stopped; the list ends with NULL. */
 static void
-check_paused_entries (Testbed *tb, unsigned count)
+check_paused (Testbed *tb, const Process *const *paused)
 {
   uint64_t first_limit_ms;
 
   keep_first_server_old (tb);
-  for (unsigned i = 0; i < count; i++)
-    kill (tb->entry_process[i].pid, SIGSTOP);
+  for (const Process *const *p = paused; *p != NULL; p++)
+    kill ((*p)->pid, SIGSTOP);
   announce_next (tb);
   first_limit_ms = limit_ms (tb);
   sleep_until (newest_ms + LATE_MS);
   announce_next (tb);
-  for (unsigned i = 0; i < count; i++)
-    kill (tb->entry_process[i].pid, SIGCONT);
+  for (const Process *const *p = paused; *p != NULL; p++)
+    kill ((*p)->pid, SIGCONT);
   check_streams_after (tb, newest - 1, first_limit_ms);
   bring_up_to_date (tb);
 }
@@ -250,13 +250,19 @@
 static void
 test_entry_paused_at_two_announcements_missed_a_limit (Testbed *tb)
 {
-  check_paused_entries (tb, 1);
+  const Process *const paused[] = { &tb->entry_process[0], NULL };
+
+  check_paused (tb, paused);
 }
 
+/* The other stager is stopped already. */
 static void
-test_all_entries_paused_at_two_announcements_missed_a_limit (Testbed *tb)
+test_all_nodes_paused_at_two_announcements_missed_a_limit (Testbed *tb)
 {
-  check_paused_entries (tb, ENTRIES);
+  const Process *const paused[]
+      = { &tb->entry_process[0], &tb->entry_process[1], &tb->stager_process[1], NULL };
+
+  check_paused (tb, paused);
 }
 
 static bool
@@ -300,7 +306,7 @@
   test_waiting_request_started_after_the_limit,
   test_waiting_request_started_after_the_limit_of_a_skipped_version,
   test_reader_paused_at_an_announcement_made_it_late,
-  test_all_entries_paused_at_two_announcements_missed_a_limit,
+  test_all_nodes_paused_at_two_announcements_missed_a_limit,
   test_entry_paused_at_two_announcements_missed_a_limit,
   NULL,
 };
