--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -11,7 +11,7 @@
 
 #define US_PER_MS 1000
 #define EVENTS    10
-#define EARNERS   6 /* requests that earn the retries of a test */
+#define EARNERS   8 /* requests that earn the retries of a test */
 #define OTHERS    8 /* requests of others: more than a server has slots */
 /* Before this long before its limit a version is not required of upstreams yet. */
 #define SENT_BEFORE_MS 1600
@@ -75,12 +75,34 @@
   return true;
 }
 
-/* The first server keeps its version from now on, as no stager loads another. */
+/* Sends requests that earn retries; true if the entry sent some to each server. */
+static bool
+entry_uses_both_servers (Testbed *tb, unsigned entry)
+{
+  uint64_t before[MODEL_SERVERS];
+  bool all = true;
+
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    before[i] = recorded (tb->server[i], "received");
+  for (unsigned n = 0; n < EARNERS; n++)
+    status_with_key (tb, entry, "key1");
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    all = all && recorded (tb->server[i], "received") > before[i];
+  return all;
+}
+
+static bool
+both_servers_are_used (Testbed *tb)
+{
+  return entry_uses_both_servers (tb, 0) && entry_uses_both_servers (tb, 1);
+}
+
+/* The first server keeps its version from now on, as no stager loads another.  Before
+ * that, the entries must have heard from its stager that it is up. */
 static void
 keep_first_server_old (Testbed *tb)
 {
-  for (unsigned i = 0; i < EARNERS; i++)
-    CHECK (status_with_key (tb, i % ENTRIES, "key1") == 200);
+  CHECK (eventually (both_servers_are_used, tb));
   kill (tb->stager_process[0].pid, SIGSTOP);
 }
 
@@ -175,59 +197,72 @@
 
 /* -------- entries that learn late -------- */
 
-/* Sends streams to both entries from just after DUE_MS, the limit of a version that the
- * first server does not have, until a newer version is required anyway. */
+/* Sends streams to both entries from just after DUE_MS, the limit of VERSION, which the
+ * first server does not have, until a newer version is required anyway.  If the other
+ * server has the version, some must be served. */
 static void
-check_streams_after (Testbed *tb, uint64_t due_ms)
+check_streams_after (Testbed *tb, uint64_t version, uint64_t due_ms)
 {
-  sleep_until (due_ms + PROBE_AFTER_MS);
+  bool is_there;
+  unsigned served = 0;
+
   set_fault_on_both (tb, "events", 1);
+  sleep_until (due_ms + PROBE_AFTER_MS);
+  is_there = recorded (tb->server[1], "version") >= version;
   for (unsigned n = 0; dl_clock_ms () < due_ms + PROBE_UNTIL_MS; n++)
     {
-      char *id = g_strdup_printf ("probe-%" G_GUINT64_FORMAT "-%u", newest, n);
+      char *id = g_strdup_printf ("probe-%" G_GUINT64_FORMAT "-%u", version, n);
       Call c = default_call (tb, "/s/x", id);
       Response r;
 
       c.address = tb->entry[n % ENTRIES];
       r = call (&c);
       CHECK (r.status == 200 || (r.status == 503 && runs_of (tb, id) == 0));
+      served += r.status == 200;
       response_free (&r);
       g_free (id);
     }
   set_fault_on_both (tb, "events", EVENTS);
   CHECK (recorded_by_models (tb, "outdated_starts") == 0);
+  CHECK (!is_there || served > 0);
 }
 
-/* Two announcements, COUNT entries being paused from before the first to after the
- * second. */
+/* Two announcements, from before the first of which to after the second the processes
+ * PAUSED are stopped; the list ends with NULL. */
 static void
-check_paused_entries (Testbed *tb, unsigned count)
+check_paused (Testbed *tb, const Process *const *paused)
 {
   uint64_t first_limit_ms;
 
   keep_first_server_old (tb);
-  for (unsigned i = 0; i < count; i++)
-    kill (tb->entry_process[i].pid, SIGSTOP);
+  for (const Process *const *p = paused; *p != NULL; p++)
+    kill ((*p)->pid, SIGSTOP);
   announce_next (tb);
   first_limit_ms = limit_ms (tb);
   sleep_until (newest_ms + LATE_MS);
   announce_next (tb);
-  for (unsigned i = 0; i < count; i++)
-    kill (tb->entry_process[i].pid, SIGCONT);
-  check_streams_after (tb, first_limit_ms);
+  for (const Process *const *p = paused; *p != NULL; p++)
+    kill ((*p)->pid, SIGCONT);
+  check_streams_after (tb, newest - 1, first_limit_ms);
   bring_up_to_date (tb);
 }
 
 static void
 test_entry_paused_at_two_announcements_missed_a_limit (Testbed *tb)
 {
-  check_paused_entries (tb, 1);
+  const Process *const paused[] = { &tb->entry_process[0], NULL };
+
+  check_paused (tb, paused);
 }
 
+/* The other stager is stopped already. */
 static void
-test_all_entries_paused_at_two_announcements_missed_a_limit (Testbed *tb)
+test_all_nodes_paused_at_two_announcements_missed_a_limit (Testbed *tb)
 {
-  check_paused_entries (tb, ENTRIES);
+  const Process *const paused[]
+      = { &tb->entry_process[0], &tb->entry_process[1], &tb->stager_process[1], NULL };
+
+  check_paused (tb, paused);
 }
 
 static bool
@@ -263,7 +298,7 @@
   announce_next (tb);
   sleep_until (newest_ms + READER_PAUSE_MS);
   kill (reader, SIGCONT);
-  check_streams_after (tb, limit_ms (tb));
+  check_streams_after (tb, newest, limit_ms (tb));
   bring_up_to_date (tb);
 }
 
@@ -271,7 +306,7 @@
   test_waiting_request_started_after_the_limit,
   test_waiting_request_started_after_the_limit_of_a_skipped_version,
   test_reader_paused_at_an_announcement_made_it_late,
-  test_all_entries_paused_at_two_announcements_missed_a_limit,
+  test_all_nodes_paused_at_two_announcements_missed_a_limit,
   test_entry_paused_at_two_announcements_missed_a_limit,
   NULL,
 };
@@ -296,7 +331,7 @@
   for (unsigned i = 0; i < count; i++)
     CHECK (process_start (&tb->entry_process[i]));
   CHECK (dl_clock_ms () + IN_TOUCH_MS < first_limit_ms);
-  check_streams_after (tb, first_limit_ms);
+  check_streams_after (tb, newest - 1, first_limit_ms);
   bring_up_to_date (tb);
 }
 
