What is held is kept in the store, for entries that all start anew

Cause: entries learn from each other what is held; when all of them are killed at the same moment, nobody knows. Change: one small object a held whole request, of a kind of its own, read by list and watch through the readers as other kinds are. An entry that starts holds what the store keeps, unless it knows that the request was served. What is forgotten after long is now logged as released (1031).

The cost in calls to the store was not measured.

--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -35,8 +35,10 @@
   DIRECT_HOLDINGS,               /* the chunks that this entry has */
   DIRECT_SIGNATURE_RECORDS,      /* what this entry knows of suspected prompt parts */
   DIRECT_PEER_SIGNATURE_RECORDS, /* what another entry knows of them */
-  DIRECT_LIMIT_RECORDS,          /* what this entry knows of the limits of upstreams */
-  DIRECT_PEER_LIMIT_RECORDS,     /* what another entry knows of them */
+  DIRECT_HELD_CHANGED,       /* a whole request was quarantined, tried or released here */
+  DIRECT_HELD_KEPT,          /* the store keeps that a whole request is quarantined */
+  DIRECT_LIMIT_RECORDS,      /* what this entry knows of the limits of upstreams */
+  DIRECT_PEER_LIMIT_RECORDS, /* what another entry knows of them */
 } DirectMessageType;
 
 /* Status of an engine, as reported by the stager on its host. */
@@ -74,6 +76,12 @@
     DlHoldings holdings;
     DlSignatureRecords *signature_records;
     DlLimitRecords *limit_records;
+    struct
+    {
+      DlSignature id;
+      bool is_held;
+      unsigned trials; /* that were sent */
+    } held;
     const char *removed_node;   /* its name */
     uint64_t floor;             /* lowest version that may start a request */
     uint64_t routing_synced_ms; /* dl_clock_ms */
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -47,15 +47,38 @@
           DL_UINT ("hold_ms", r->hold_ms > now_ms ? r->hold_ms - now_ms : 0));
 }
 
+/* Tells the task that writes to the store. */
+static void
+publish_held (Requests *requests, const DlSignature *id, bool is_held)
+{
+  DlSignatures only = { .count = 1, .ids = { *id } };
+  const DlSignatureRecord *r = dl_quarantine_find (requests->quarantine, &only);
+  DirectMessage *message;
+
+  if (!dl_signature_is_whole (id))
+    return;
+  message = direct_message_new (DIRECT_HELD_CHANGED);
+  message->held.id = *id;
+  message->held.is_held = is_held;
+  message->held.trials = r != NULL ? r->trials : 0;
+  dl_kernel_publish (dl_task_kernel (requests->task), message);
+}
+
 /* Logs what SOURCE, the id of a request or another entry, has changed. */
 static void
 handle_news (Requests *requests, const DlQuarantineNews *news, const char *source)
 {
   for (size_t i = 0; i < news->quarantined_count; i++)
-    log_quarantined (requests, &news->quarantined[i], source);
+    {
+      log_quarantined (requests, &news->quarantined[i], source);
+      publish_held (requests, &news->quarantined[i], true);
+    }
   for (size_t i = 0; i < news->released_count; i++)
-    dl_log (DL_EVENT_SIGNATURE_RELEASED, DL_TEXT ("signature", news->released[i].text),
-            DL_TEXT ("source", source));
+    {
+      dl_log (DL_EVENT_SIGNATURE_RELEASED, DL_TEXT ("signature", news->released[i].text),
+              DL_TEXT ("source", source));
+      publish_held (requests, &news->released[i], false);
+    }
   requests->quarantine_grew = requests->quarantine_grew || news->quarantined_count > 0;
 }
 
@@ -149,6 +172,16 @@
   return dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures) != NULL;
 }
 
+/* Tells of a trial if it is one of the whole request. */
+static void
+publish_trial (Request *r)
+{
+  DlSignatures whole = { .count = 1, .ids = { r->identity } };
+
+  if (dl_quarantine_find (r->owner->quarantine, &whole) != NULL)
+    publish_held (r->owner, &r->identity, true);
+}
+
 void
 direct_quarantine_sent (Request *r)
 {
@@ -157,6 +190,7 @@
   r->trial_sent = true;
   dl_quarantine_trial_sent (r->owner->quarantine, &r->incoming.signatures,
                             dl_clock_ms ());
+  publish_trial (r);
 }
 
 bool
@@ -237,6 +271,19 @@
   dl_kernel_publish (dl_task_kernel (requests->task), message);
 }
 
+void
+direct_quarantine_restore (Requests *requests, const DlSignature *id, unsigned trials)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  DlQuarantineNews news;
+
+  if (!dl_signature_is_whole (id))
+    return;
+  dl_quarantine_restore (requests->quarantine, id, trials, now_ms, &news);
+  handle_news (requests, &news, "the store");
+  end_newly_held_requests (requests, now_ms);
+}
+
 void
 direct_quarantine_tick (Requests *requests, uint64_t now_ms)
 {
@@ -250,7 +297,8 @@
   if (now_ms < requests->quarantine_expired_ms + EXPIRE_MS)
     return;
   requests->quarantine_expired_ms = now_ms;
-  dl_quarantine_expire (requests->quarantine, now_ms);
+  dl_quarantine_expire (requests->quarantine, now_ms, &news);
+  handle_news (requests, &news, "time");
   publish_records (requests, false, now_ms);
 }
 
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -366,6 +366,10 @@
     case DIRECT_PEER_LIMIT_RECORDS:
       direct_limits_merge (requests->limits, m->limit_records);
       break;
+    case DIRECT_HELD_KEPT:
+      direct_quarantine_restore (requests, &m->held.id, m->held.trials);
+      break;
+    case DIRECT_HELD_CHANGED:
     case DIRECT_NO_TARGET:
     case DIRECT_HOLDER:
     case DIRECT_NODE_REMOVED:
@@ -501,7 +505,7 @@
                    | MESSAGE (DIRECT_TARGET_VERSION) | MESSAGE (DIRECT_ROUTING_SYNCED)
                    | MESSAGE (DIRECT_VERSION_FLOOR) | MESSAGE (DIRECT_ENTRIES)
                    | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
-                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS),
+                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT),
   .start = start,
   .handle = handle,
   .drain = drain,
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -251,6 +251,10 @@
 void direct_quarantine_broken_off (Request *request, const DirectUpstream *upstream);
 /* Merges what another entry told of signatures. */
 void direct_quarantine_merge (Requests *requests, const DlSignatureRecords *records);
+/* The store keeps that the whole request with the signature ID was quarantined, and sent
+ * as a trial TRIALS times. */
+void
+direct_quarantine_restore (Requests *requests, const DlSignature *id, unsigned trials);
 /* Ends the requests that are in progress and were quarantined, and publishes changed
  * records.  To be called with every sweep. */
 void direct_quarantine_tick (Requests *requests, uint64_t now_ms);
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "daisydirectd.h"
+#include "held_requests.h"
 #include "routing_table.h"
 #include "upstream_list.h"
 #include "kernel/error.h"
@@ -64,6 +65,7 @@
   DlRelaySource *source;
   DlObjectRelay *relay;
   DirectRoutingTable *routing_table;
+  DirectHeldRequests *held_requests;
   DlVersionWatch *versions;
   DlVersionFloor floor;            /* reported to other entries */
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
@@ -484,7 +486,9 @@
 {
   State *state = dl_task_state (task);
 
-  if (head->type == DIRECT_HOLDINGS)
+  if (head->type == DIRECT_HELD_CHANGED)
+    direct_held_requests_change (state->held_requests, (const DirectMessage *)head);
+  else if (head->type == DIRECT_HOLDINGS)
     keep_message (state, &state->holdings_message, head, true);
   else if (head->type == DIRECT_SIGNATURE_RECORDS)
     keep_message (state, &state->signature_records_message, head,
@@ -521,6 +525,8 @@
                             RELAYED_AGE_MAX_MS (VERSIONS_WAIT_MS));
   dl_object_relay_add_kind (state->relay, platform_kind_nodes,
                             RELAYED_AGE_MAX_MS (DL_PEERS_READER_WAIT_MS));
+  dl_object_relay_add_kind (state->relay, platform_kind_held,
+                            RELAYED_AGE_MAX_MS (DIRECT_HELD_WAIT_MS));
 }
 
 static void
@@ -560,6 +566,10 @@
                                                     .relist_spread_ms = RELIST_SPREAD_MS,
                                                     .data = state,
                                                 });
+  state->held_requests
+      = direct_held_requests_new (state->task, state, state->store,
+                                  &(DirectHeldOptions){ .source = state->source,
+                                                        .relay = state->relay });
   state->versions = dl_version_watch_new (state->task, state,
                                           &(DlVersionWatchOptions){
                                               .store = state->store,
@@ -651,9 +661,9 @@
 static DlPlugin state_plugin = {
   .name = "state",
   .order = 30,
-  .subscriptions = UINT64_C (1) << DIRECT_HOLDINGS
-                   | UINT64_C (1) << DIRECT_SIGNATURE_RECORDS
-                   | UINT64_C (1) << DIRECT_LIMIT_RECORDS,
+  .subscriptions
+  = UINT64_C (1) << DIRECT_HOLDINGS | UINT64_C (1) << DIRECT_SIGNATURE_RECORDS
+    | UINT64_C (1) << DIRECT_LIMIT_RECORDS | UINT64_C (1) << DIRECT_HELD_CHANGED,
   .start = start,
   .handle = handle,
   .drain = drain,
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -152,6 +152,8 @@
     case DIRECT_HOLDINGS:
     case DIRECT_SIGNATURE_RECORDS:
     case DIRECT_PEER_SIGNATURE_RECORDS:
+    case DIRECT_HELD_CHANGED:
+    case DIRECT_HELD_KEPT:
     case DIRECT_LIMIT_RECORDS:
     case DIRECT_PEER_LIMIT_RECORDS:
       break;
--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -458,11 +458,12 @@
 }
 
 void
-dl_quarantine_expire (DlQuarantine *q, uint64_t now_ms)
+dl_quarantine_expire (DlQuarantine *q, uint64_t now_ms, DlQuarantineNews *news)
 {
   GHashTableIter iter;
   gpointer value;
 
+  *news = (DlQuarantineNews){ 0 };
   g_hash_table_iter_init (&iter, q->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -470,6 +471,10 @@
 
       if (!expire_record (r, now_ms))
         continue;
+      if (r->hold_ms != 0 && news->released_count == DL_SIGNATURE_RECORDS_MAX)
+        continue; /* the next time */
+      if (r->hold_ms != 0)
+        news->released[news->released_count++] = r->id;
       q->whole_count -= dl_signature_is_whole (&r->id);
       g_hash_table_iter_remove (&iter);
     }
--- a/lib/policy/quarantine.h
+++ b/lib/policy/quarantine.h
@@ -173,6 +173,13 @@
                           const DlSignatureRecords *records,
                           uint64_t now_ms,
                           DlQuarantineNews *news);
+/* A whole request was quarantined and sent as a trial TRIALS times before this process
+ * started.  It is held, unless this entry knows more of it. */
+void dl_quarantine_restore (DlQuarantine *quarantine,
+                            const DlSignature *whole,
+                            unsigned trials,
+                            uint64_t now_ms,
+                            DlQuarantineNews *news);
 /* Decides on a new request.  For a refused one *FOUND is its quarantined signature and
  * *RETRY_MS the time until a trial may be made.  After DL_QUARANTINE_TRIAL the request is
  * taken for the trial, and dl_quarantine_trial_sent is to be called. */
@@ -201,8 +208,10 @@
                            DlSignatureRecords *records);
 /* True once after this entry saw what others should be told at once. */
 bool dl_quarantine_take_changed (DlQuarantine *quarantine);
-/* Forgets what is too old to matter.  To be called about every second. */
-void dl_quarantine_expire (DlQuarantine *quarantine, uint64_t now_ms);
+/* Forgets what is too old to matter, which releases signatures that have not come for
+ * long.  To be called about every second. */
+void
+dl_quarantine_expire (DlQuarantine *quarantine, uint64_t now_ms, DlQuarantineNews *news);
 /* How many records are kept. */
 size_t dl_quarantine_record_count (const DlQuarantine *quarantine);
 
--- a/lib/policy/quarantine_exchange.c
+++ b/lib/policy/quarantine_exchange.c
@@ -84,6 +84,28 @@
     }
 }
 
+void
+dl_quarantine_restore (DlQuarantine *q,
+                       const DlSignature *whole,
+                       unsigned trials,
+                       uint64_t now_ms,
+                       DlQuarantineNews *news)
+{
+  DlSignatureRecord *r = quarantine_get_record (q, whole, now_ms);
+
+  *news = (DlQuarantineNews){ 0 };
+  if (r->served_count > 0)
+    return;
+  r->trials = MAX (r->trials, trials);
+  r->came_ms = MAX (r->came_ms, now_ms);
+  if (r->hold_ms != 0)
+    return;
+  quarantine_note_crash (q, r, (DlSignatureCrash){ .at_ms = now_ms });
+  r->hold_ms = now_ms + DL_QUARANTINE_TRIAL_MS;
+  r->changed_ms = now_ms;
+  news->quarantined[news->quarantined_count++] = r->id;
+}
+
 /* -------- what others are told -------- */
 
 /* A record that may be told. */
--- a/regress/direct/quarantine.c
+++ b/regress/direct/quarantine.c
@@ -221,7 +221,8 @@
 /* Stated by the users of a request that crashes servers: after this many crashes, at most
  * SENT_MAX more are sent later than STABLE_WINDOW_MS. */
 #define WHOLE_CRASHES  3
-#define WHOLE_PAUSE_US 400000 /* between probes, so that trials become due */
+#define WHOLE_PAUSE_US 400000  /* between probes, so that trials become due */
+#define KEPT_US        6000000 /* within which the store has been told what is held */
 #define PLAIN_SERVER   (SERVERS - 1)
 
 /* The bad request's body; each test has one of its own, as entries remember. */
@@ -390,6 +391,26 @@
   set_crash_body (tb, 0);
 }
 
+static bool
+both_entries_are_ready (Testbed *tb)
+{
+  return entry_is_ready (tb, 0) && entry_is_ready (tb, 1);
+}
+
+static void
+test_entries_that_all_started_anew_sent_the_request (Testbed *tb)
+{
+  crash_by_request (tb, "/r/whole");
+  g_usleep (KEPT_US);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    process_end (&tb->entry_process[i], SIGKILL);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    CHECK (process_start (&tb->entry_process[i]));
+  CHECK (eventually (both_entries_are_ready, tb));
+  CHECK (probe_bad_request (tb, "/r/whole", 0) <= SENT_MAX);
+  set_crash_body (tb, 0);
+}
+
 const TestFunc quarantine_tests[] = {
   test_part_that_crashed_five_upstreams_was_sent_on,
   test_entry_that_has_just_started_sent_the_part,
@@ -404,5 +425,6 @@
   test_stream_that_crashed_three_servers_was_sent_on,
   test_request_that_crashed_plain_servers_was_sent_on,
   test_entry_that_has_just_started_sent_the_request,
+  test_entries_that_all_started_anew_sent_the_request,
   NULL,
 };
--- a/regress/unit/quarantine_driver.c
+++ b/regress/unit/quarantine_driver.c
@@ -59,6 +59,14 @@
   dl_quarantine_broken_off (q, &fate, now_ms);
 }
 
+void
+quarantine_expire (DlQuarantine *q, uint64_t now_ms)
+{
+  DlQuarantineNews news;
+
+  dl_quarantine_expire (q, now_ms, &news);
+}
+
 GBytes *
 quarantine_pack (const DlQuarantine *from, uint64_t now_ms)
 {
--- a/regress/unit/quarantine_driver.h
+++ b/regress/unit/quarantine_driver.h
@@ -22,6 +22,8 @@
                            uint64_t upstream,
                            bool is_trial,
                            uint64_t now_ms);
+/* Forgets what is too old to matter. */
+void quarantine_expire (DlQuarantine *q, uint64_t now_ms);
 /* The records of FROM as they travel at NOW_MS. */
 GBytes *quarantine_pack (const DlQuarantine *from, uint64_t now_ms);
 /* Merges records that quarantine_pack returned. */
--- a/regress/unit/test_quarantine.c
+++ b/regress/unit/test_quarantine.c
@@ -100,7 +100,7 @@
 
       for (unsigned n = 0; n < 50; n++)
         serve (q, "other", "", now_ms - 100);
-      dl_quarantine_expire (q, now_ms - 100);
+      quarantine_expire (q, now_ms - 100);
       break_off (q, "first", "bad", 1 + i, now_ms);
       serve (q, "first", "", now_ms + 500);
     }
--- a/regress/unit/test_quarantine_fleet.c
+++ b/regress/unit/test_quarantine_fleet.c
@@ -218,7 +218,7 @@
         }
       if (f->now_ms % 1000 == 0)
         for (unsigned i = 0; i < ENTRIES; i++)
-          dl_quarantine_expire (f->entries[i], f->now_ms);
+          quarantine_expire (f->entries[i], f->now_ms);
     }
 }
 
--- a/regress/unit/test_quarantine_request.c
+++ b/regress/unit/test_quarantine_request.c
@@ -211,7 +211,7 @@
           sent++;
           trial_sent (q, "bad", now_ms);
         }
-      dl_quarantine_expire (q, now_ms);
+      quarantine_expire (q, now_ms);
     }
   CU_ASSERT_EQUAL (sent, DL_QUARANTINE_TRIALS_MAX);
   talloc_free (q);
@@ -287,9 +287,9 @@
   for (unsigned i = 0; i < 10; i++, now_ms += HOUR_MS - 1000)
     {
       CU_ASSERT_EQUAL (admit (q, "bad", now_ms), DL_QUARANTINE_REFUSE);
-      dl_quarantine_expire (q, now_ms);
+      quarantine_expire (q, now_ms);
     }
-  dl_quarantine_expire (q, now_ms + HOUR_MS + DL_QUARANTINE_HOLD_MAX_MS);
+  quarantine_expire (q, now_ms + HOUR_MS + DL_QUARANTINE_HOLD_MAX_MS);
   CU_ASSERT_EQUAL (dl_quarantine_record_count (q), 0);
   talloc_free (q);
 }
@@ -320,6 +320,41 @@
   talloc_free (b);
 }
 
+static void
+restore (DlQuarantine *q, const char *body, unsigned trials, uint64_t now_ms)
+{
+  DlSignatures whole = quarantine_whole (body);
+  DlQuarantineNews news;
+
+  dl_quarantine_restore (q, &whole.ids[0], trials, now_ms, &news);
+}
+
+static void
+test_request_that_the_store_keeps_was_sent (void)
+{
+  DlQuarantine *q = dl_quarantine_new (NULL);
+
+  dl_quarantine_set_turns (q, 0, 1);
+  restore (q, "bad", DL_QUARANTINE_TRIALS_MAX - 1, START_MS);
+  CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 100), DL_QUARANTINE_REFUSE);
+  CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 10000), DL_QUARANTINE_TRIAL);
+  trial_sent (q, "bad", START_MS + 10000);
+  restore (q, "bad", DL_QUARANTINE_TRIALS_MAX - 1, START_MS + 10100);
+  CU_ASSERT_EQUAL (admit (q, "bad", START_MS + 60000), DL_QUARANTINE_REFUSE);
+  talloc_free (q);
+}
+
+static void
+test_word_from_the_store_held_a_request_that_was_served (void)
+{
+  DlQuarantine *q = dl_quarantine_new (NULL);
+
+  serve (q, "sound", START_MS);
+  restore (q, "sound", 0, START_MS + 100);
+  CU_ASSERT_FALSE (is_held (q, "sound"));
+  talloc_free (q);
+}
+
 static void
 test_records_of_whole_requests_filled_the_memory (void)
 {
@@ -336,7 +371,7 @@
       else
         serve (q, body, now_ms);
       if (i % 1000 == 0)
-        dl_quarantine_expire (q, now_ms);
+        quarantine_expire (q, now_ms);
     }
   CU_ASSERT_TRUE (dl_quarantine_record_count (q) <= DL_QUARANTINE_WHOLE_MAX);
   CU_ASSERT_TRUE (is_held (q, "bad"));
@@ -461,6 +496,9 @@
   { "served trial", test_served_trial_did_not_release_the_request },
   { "request that comes on", test_request_that_came_on_was_forgotten },
   { "many held, new entry", test_new_entry_did_not_learn_all_that_is_held },
+  { "kept by the store", test_request_that_the_store_keeps_was_sent },
+  { "kept by the store, and served",
+    test_word_from_the_store_held_a_request_that_was_served },
   { "memory", test_records_of_whole_requests_filled_the_memory },
   { "served lately", test_served_request_was_not_remembered },
   { "served long ago", test_served_request_was_remembered_for_ever },
--- a/regress/unit/test_quarantine_whole.c
+++ b/regress/unit/test_quarantine_whole.c
@@ -276,7 +276,7 @@
           || (f->now_ms / SWEEP_MS + i) % (STATUS_MS / SWEEP_MS) == 0)
         fleet_tell (f, i);
       if (f->now_ms % 400 == 0)
-        dl_quarantine_expire (f->entry[i], f->now_ms);
+        quarantine_expire (f->entry[i], f->now_ms);
     }
 }
 
