--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -363,6 +363,10 @@
     case DIRECT_PEER_LIMIT_RECORDS:
       direct_limits_merge (requests->limits, m->limit_records);
       break;
+    case DIRECT_HELD_KEPT:
+      direct_quarantine_restore (requests, &m->held.id, m->held.trials);
+      break;
+    case DIRECT_HELD_CHANGED:
     case DIRECT_TARGET_VERSION:
     case DIRECT_NO_TARGET:
     case DIRECT_HOLDER:
@@ -495,7 +499,7 @@
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
                    | MESSAGE (DIRECT_ROUTING_SYNCED) | MESSAGE (DIRECT_VERSION_FLOOR)
                    | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
-                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS),
+                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT),
   .start = start,
   .handle = handle,
   .drain = drain,
