Stand-in of servers: streams that wait, and starts on versions that are too old

VERSION: the stand-in started each stream on arrival, so no test could show a request that was sent in time and began too late. Knob queue_ms: a stream waits without a response head, on the version the server has when it starts; a pinned version is checked on arrival; one whose connection closes while it waits is dropped (noticed within 100 ms, the poll of the HTTP server). Knobs due_in_ms and due_version add a limit; record outdated_starts counts streams that start on an older version, `outdated` is the id of the last one. Records queued and dropped, and waiting in the report. A crash ends waiting streams without a response.

--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -34,6 +34,19 @@
   DlTimer *timer;
 } Stream;
 
+/* A stream that has not started yet, as the server is busy. */
+typedef struct
+{
+  DlHttpRequest *request;
+} QueuedStream;
+
+/* Streams that start from FROM_MS on must have at least VERSION. */
+typedef struct
+{
+  uint64_t version;
+  uint64_t from_ms;
+} VersionLimit;
+
 static uint64_t instance = 1; /* its instance id is "i-N" */
 static uint64_t version = 1;  /* of the weights that it serves; 0: none */
 static uint64_t events = EVENTS_DEFAULT;
@@ -64,6 +77,11 @@
 static uint64_t crash_part;       /* id of the prompt part that crashes it; 0: none */
 static uint64_t crash_streams;    /* the next N streams crash it when they begin */
 static uint64_t crash_ms = 200;   /* how long it is down after a crash */
+static uint64_t queue_ms;         /* how long a stream waits before it starts */
+/* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
+ * removes all of them. */
+static uint64_t due_version;
+static uint64_t due_in_ms;
 
 static DlTask *task;
 static GHashTable *staged; /* index of a chunk to its bytes */
@@ -71,6 +89,9 @@
 static uint64_t load_commands;
 static uint64_t running;
 static GList *streams;      /* of Stream that are being sent */
+static GList *queued;       /* of QueuedStream */
+static GArray *due;         /* of VersionLimit */
+static uint64_t last_due;   /* the last DUE_VERSION that was added to DUE */
 static uint64_t up_from_ms; /* end of the time that it is down after a crash */
 static uint64_t crashes;
 static uint64_t limit_named_ms; /* when a response first named the limit; 0: none did */
@@ -79,11 +100,14 @@
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
 static uint64_t received; /* requests, also those that were refused */
 static uint64_t events_sent;
-static uint64_t cancelled;     /* streams whose caller disconnected */
-static uint64_t mixed;         /* loads accepted with missing or wrong chunks */
-static uint64_t keys_seen;     /* requests that carried a caller's key */
-static uint64_t wrong_version; /* requests refused as they expected another version */
-static GHashTable *runs;       /* request id to how often it ran */
+static uint64_t cancelled;       /* streams whose caller disconnected */
+static uint64_t mixed;           /* loads accepted with missing or wrong chunks */
+static uint64_t keys_seen;       /* requests that carried a caller's key */
+static uint64_t wrong_version;   /* requests refused as they expected another version */
+static uint64_t dropped;         /* queued streams whose connection closed */
+static uint64_t outdated_starts; /* streams that started on a version older than due */
+static GHashTable *runs;         /* request id to how often it ran */
+static char *last_outdated;      /* id of the last of OUTDATED_STARTS */
 static char *last_target;
 static char *last_organisation;
 static char *last_body;
@@ -119,6 +143,9 @@
   { "crash_ms", &crash_ms },
   { "limit_millis", &limit_millis },
   { "crash_streams", &crash_streams },
+  { "queue_ms", &queue_ms },
+  { "due_version", &due_version },
+  { "due_in_ms", &due_in_ms },
   { 0 },
 };
 
@@ -129,6 +156,21 @@
   staged = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   limited_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  due = g_array_new (FALSE, FALSE, sizeof (VersionLimit));
+}
+
+static void
+server_changed (void)
+{
+  VersionLimit limit = { .version = due_version, .from_ms = dl_clock_ms () + due_in_ms };
+
+  if (due_version == last_due)
+    return;
+  last_due = due_version;
+  if (due_version == 0)
+    g_array_set_size (due, 0);
+  else
+    g_array_append_val (due, limit);
 }
 
 static const char *
@@ -262,7 +304,7 @@
   json_object_object_add (report, "busy", json_object_new_boolean (loading));
   standin_json_set_uint (report, "sequence", load_commands);
   standin_json_set_uint (report, "running", running + others);
-  standin_json_set_uint (report, "waiting", 0);
+  standin_json_set_uint (report, "waiting", g_list_length (queued));
   standin_json_set_uint (report, "born", born > 0 ? born : instance);
   dl_http_reply (request, 200, "application/json",
                  dl_str (json_object_to_json_string_ext (report, JSON_C_TO_STRING_PLAIN)),
@@ -371,11 +413,24 @@
   s->timer = dl_timer_subscribe (task, s, first_ms, event_ms, on_event, s);
 }
 
+/* Closes the connection of a stream that has not started. */
+static void
+drop_queued (QueuedStream *q)
+{
+  DlHttpRequest *request = q->request;
+
+  dl_http_request_on_closed (request, NULL, NULL);
+  queued = g_list_remove (queued, q);
+  talloc_free (q);
+  dl_http_abort (request);
+}
+
 /* All requests in progress end, and none is taken for CRASH_MS. */
 static void
 crash (void)
 {
   GList *cut_off = g_list_copy (streams);
+  GList *not_started = g_list_copy (queued);
 
   crashes++;
   up_from_ms = dl_clock_ms () + crash_ms;
@@ -388,6 +443,9 @@
       dl_http_stream_end (s->request, false);
     }
   g_list_free (cut_off);
+  for (GList *at = not_started; at != NULL; at = at->next)
+    drop_queued (at->data);
+  g_list_free (not_started);
 }
 
 static void
@@ -443,6 +501,28 @@
   return false;
 }
 
+static bool
+is_stream (DlHttpRequest *request)
+{
+  return g_str_has_prefix (dl_http_request_path (request), STREAM_PREFIX);
+}
+
+/* Counts a stream that starts on a version that should have been replaced by now. */
+static void
+count_outdated (DlHttpRequest *request)
+{
+  for (guint i = 0; i < due->len; i++)
+    {
+      const VersionLimit *limit = &g_array_index (due, VersionLimit, i);
+
+      if (dl_clock_ms () < limit->from_ms || version >= limit->version)
+        continue;
+      outdated_starts++;
+      set_text (&last_outdated, header (request, "X-Request-Id"));
+      return;
+    }
+}
+
 static void
 start_stream (DlHttpRequest *request)
 {
@@ -450,6 +530,7 @@
   ResponseHeaders headers;
 
   running++;
+  count_outdated (request);
   s->request = request;
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
@@ -523,6 +604,52 @@
   return up_from_ms != 0 && dl_clock_ms () < up_from_ms + START_MS;
 }
 
+static void
+run_now (DlHttpRequest *request)
+{
+  record_run (request);
+  if (standin_count_down (&silent))
+    return;
+  if (standin_count_down (&lose))
+    dl_http_abort (request);
+  else if (is_stream (request))
+    start_stream (request);
+  else if (answer_ms > 0 && strstr (dl_http_request_path (request), LONG_PART) != NULL)
+    dl_timer_subscribe (task, request, answer_ms, 0, on_answer_due, request);
+  else
+    reply_done (request);
+}
+
+static void
+on_queued_closed (DlHttpRequest *request, bool answered, void *data)
+{
+  queued = g_list_remove (queued, data);
+  dropped++;
+}
+
+static void
+on_queue_passed (DlTimer *timer, void *data)
+{
+  QueuedStream *q = data;
+  DlHttpRequest *request = q->request;
+
+  dl_http_request_on_closed (request, NULL, NULL);
+  queued = g_list_remove (queued, q);
+  talloc_free (q);
+  run_now (request);
+}
+
+static void
+queue_stream (DlHttpRequest *request)
+{
+  QueuedStream *q = talloc_zero (request, QueuedStream);
+
+  q->request = request;
+  queued = g_list_prepend (queued, q);
+  dl_http_request_on_closed (request, on_queued_closed, q);
+  dl_timer_subscribe (task, q, queue_ms, 0, on_queue_passed, q);
+}
+
 static void
 run_request (DlHttpRequest *request)
 {
@@ -540,17 +667,10 @@
       refuse (request, 503);
       return;
     }
-  record_run (request);
-  if (standin_count_down (&silent))
-    return;
-  if (standin_count_down (&lose))
-    dl_http_abort (request);
-  else if (g_str_has_prefix (dl_http_request_path (request), STREAM_PREFIX))
-    start_stream (request);
-  else if (answer_ms > 0 && strstr (dl_http_request_path (request), LONG_PART) != NULL)
-    dl_timer_subscribe (task, request, answer_ms, 0, on_answer_due, request);
+  if (queue_ms > 0 && is_stream (request))
+    queue_stream (request);
   else
-    reply_done (request);
+    run_now (request);
 }
 
 static void
@@ -595,6 +715,10 @@
   standin_json_set_uint (records, "orders", load_commands);
   standin_json_set_uint (records, "mixed", mixed);
   standin_json_set_uint (records, "running", running);
+  standin_json_set_uint (records, "queued", g_list_length (queued));
+  standin_json_set_uint (records, "dropped", dropped);
+  standin_json_set_uint (records, "outdated_starts", outdated_starts);
+  standin_json_set_text (records, "outdated", last_outdated != NULL ? last_outdated : "");
   standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "crashes", crashes);
   standin_json_set_uint (records, "down", dl_clock_ms () < up_from_ms);
@@ -614,6 +738,7 @@
   .name = "server",
   .knobs = server_knobs,
   .start = server_start,
+  .changed = server_changed,
   .handle = server_handle,
   .records = server_records,
 };
