Stand-in of servers: one whole request crashes it

Knob crash_body (N): a request of any route whose body begins with "crash N " crashes the server one event after it began to run; record poisoned_whole counts its arrivals, also those that were refused. Responses of long paths that are not due yet now end with a crash, as streams do: the connection closes without a response (closed, not reset: the HTTP server has no call for a reset).

--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -40,6 +40,13 @@
   DlHttpRequest *request;
 } QueuedStream;
 
+/* A response to a request that is no stream, which is due later. */
+typedef struct
+{
+  DlHttpRequest *request;
+  bool poisoned; /* crashes the server instead */
+} PlainRun;
+
 /* Streams that start from FROM_MS on must have at least VERSION. */
 typedef struct
 {
@@ -75,9 +82,10 @@
 static uint64_t others;           /* running requests of others that it reports */
 static uint64_t limit_millis;     /* limit that its responses name; 0: none */
 static uint64_t crash_part;       /* id of the prompt part that crashes it; 0: none */
-static uint64_t crash_streams;    /* the next N streams crash it when they begin */
-static uint64_t crash_ms = 200;   /* how long it is down after a crash */
-static uint64_t queue_ms;         /* how long a stream waits before it starts */
+static uint64_t crash_body;     /* bodies that begin with "crash N " crash it; 0: none */
+static uint64_t crash_streams;  /* the next N streams crash it when they begin */
+static uint64_t crash_ms = 200; /* how long it is down after a crash */
+static uint64_t queue_ms;       /* how long a stream waits before it starts */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
 static uint64_t due_version;
@@ -90,6 +98,7 @@
 static uint64_t running;
 static GList *streams;      /* of Stream that are being sent */
 static GList *queued;       /* of QueuedStream */
+static GList *plain_runs;   /* of PlainRun */
 static GArray *due;         /* of VersionLimit */
 static uint64_t last_due;   /* the last DUE_VERSION that was added to DUE */
 static uint64_t up_from_ms; /* end of the time that it is down after a crash */
@@ -98,7 +107,8 @@
 static GArray *limited_ms;      /* arrivals of the last LIMIT_WINDOW_MS since */
 static uint64_t limited_most;   /* most of them at once */
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
-static uint64_t received; /* requests, also those that were refused */
+static uint64_t poisoned_whole; /* requests received whose body crashes it */
+static uint64_t received;       /* requests, also those that were refused */
 static uint64_t events_sent;
 static uint64_t cancelled;       /* streams whose caller disconnected */
 static uint64_t mixed;           /* loads accepted with missing or wrong chunks */
@@ -141,6 +151,7 @@
   { "event_bytes", &event_bytes },
   { "crash_part", &crash_part },
   { "crash_ms", &crash_ms },
+  { "crash_body", &crash_body },
   { "limit_millis", &limit_millis },
   { "crash_streams", &crash_streams },
   { "queue_ms", &queue_ms },
@@ -425,12 +436,25 @@
   dl_http_abort (request);
 }
 
+/* Closes the connection of a request that runs without a stream. */
+static void
+cut_plain_run (PlainRun *run)
+{
+  DlHttpRequest *request = run->request;
+
+  dl_http_request_on_closed (request, NULL, NULL);
+  plain_runs = g_list_remove (plain_runs, run);
+  talloc_free (run);
+  dl_http_abort (request);
+}
+
 /* All requests in progress end, and none is taken for CRASH_MS. */
 static void
 crash (void)
 {
   GList *cut_off = g_list_copy (streams);
   GList *not_started = g_list_copy (queued);
+  GList *plain = g_list_copy (plain_runs);
 
   crashes++;
   up_from_ms = dl_clock_ms () + crash_ms;
@@ -446,6 +470,9 @@
   for (GList *at = not_started; at != NULL; at = at->next)
     drop_queued (at->data);
   g_list_free (not_started);
+  for (GList *at = plain; at != NULL; at = at->next)
+    cut_plain_run (at->data);
+  g_list_free (plain);
 }
 
 static void
@@ -523,6 +550,18 @@
     }
 }
 
+static bool
+has_crash_body (DlHttpRequest *request)
+{
+  DlStr body = dl_http_request_body (request);
+  char start[NAME_BYTES];
+
+  if (crash_body == 0 || body.length == 0)
+    return false;
+  g_snprintf (start, sizeof start, "crash %" PRIu64 " ", crash_body);
+  return body.length >= strlen (start) && memcmp (body.data, start, strlen (start)) == 0;
+}
+
 static void
 start_stream (DlHttpRequest *request)
 {
@@ -535,7 +574,8 @@
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
   s->pauses = standin_count_down (&pauses);
-  s->poisoned = has_crash_part (request) || standin_count_down (&crash_streams);
+  s->poisoned = has_crash_part (request) || has_crash_body (request)
+                || standin_count_down (&crash_streams);
   streams = g_list_prepend (streams, s);
   dl_http_request_on_closed (request, on_stream_closed, s);
   dl_http_stream_begin (request, 200, "text/event-stream",
@@ -591,10 +631,39 @@
 }
 
 static void
-on_answer_due (DlTimer *timer, void *data)
+on_plain_closed (DlHttpRequest *request, bool answered, void *data)
 {
-  talloc_free (timer);
-  reply_done (data);
+  plain_runs = g_list_remove (plain_runs, data);
+}
+
+static void
+on_plain_due (DlTimer *timer, void *data)
+{
+  PlainRun *run = data;
+  DlHttpRequest *request = run->request;
+
+  if (run->poisoned)
+    {
+      crash ();
+      return;
+    }
+  dl_http_request_on_closed (request, NULL, NULL);
+  plain_runs = g_list_remove (plain_runs, run);
+  talloc_free (run);
+  reply_done (request);
+}
+
+/* Responds after MS, or crashes then. */
+static void
+start_plain (DlHttpRequest *request, uint64_t ms)
+{
+  PlainRun *run = talloc_zero (request, PlainRun);
+
+  run->request = request;
+  run->poisoned = has_crash_body (request);
+  plain_runs = g_list_prepend (plain_runs, run);
+  dl_http_request_on_closed (request, on_plain_closed, run);
+  dl_timer_subscribe (task, run, run->poisoned ? event_ms : ms, 0, on_plain_due, run);
 }
 
 /* True for a while after a crash, as long as it takes an engine to load its weights. */
@@ -614,8 +683,10 @@
     dl_http_abort (request);
   else if (is_stream (request))
     start_stream (request);
-  else if (answer_ms > 0 && strstr (dl_http_request_path (request), LONG_PART) != NULL)
-    dl_timer_subscribe (task, request, answer_ms, 0, on_answer_due, request);
+  else if (has_crash_body (request)
+           || (answer_ms > 0
+               && strstr (dl_http_request_path (request), LONG_PART) != NULL))
+    start_plain (request, answer_ms);
   else
     reply_done (request);
 }
@@ -679,6 +750,7 @@
   const char *path = dl_http_request_path (request);
 
   poisoned += has_crash_part (request);
+  poisoned_whole += has_crash_body (request);
   if (dl_clock_ms () < up_from_ms)
     {
       received += !g_str_has_prefix (path, "/-/");
@@ -724,6 +796,7 @@
   standin_json_set_uint (records, "down", dl_clock_ms () < up_from_ms);
   standin_json_set_uint (records, "limited_most", limited_most);
   standin_json_set_uint (records, "poisoned", poisoned);
+  standin_json_set_uint (records, "poisoned_whole", poisoned_whole);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
