Stand-in of servers: which streams started on versions that are too old

VERSION: the record `outdated` was the id of the last one only; a soak needs every one of them, when it started and on which version, to leave out entries that were disturbed. It is now an object of ids. Tried by hand with two starts after a limit.

--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -117,7 +117,7 @@
 static uint64_t dropped;         /* queued streams whose connection closed */
 static uint64_t outdated_starts; /* streams that started on a version older than due */
 static GHashTable *runs;         /* request id to how often it ran */
-static char *last_outdated;      /* id of the last of OUTDATED_STARTS */
+static json_object *outdated;    /* ids of OUTDATED_STARTS to time and version */
 static char *last_target;
 static char *last_organisation;
 static char *last_body;
@@ -168,6 +168,7 @@
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   limited_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   due = g_array_new (FALSE, FALSE, sizeof (VersionLimit));
+  outdated = json_object_new_object ();
 }
 
 static void
@@ -534,6 +535,17 @@
   return g_str_has_prefix (dl_http_request_path (request), STREAM_PREFIX);
 }
 
+static void
+record_outdated (DlHttpRequest *request)
+{
+  json_object *start = json_object_new_object ();
+
+  outdated_starts++;
+  standin_json_set_uint (start, "at_ms", dl_clock_ms ());
+  standin_json_set_uint (start, "version", version);
+  json_object_object_add (outdated, header (request, "X-Request-Id"), start);
+}
+
 /* Counts a stream that starts on a version that should have been replaced by now. */
 static void
 count_outdated (DlHttpRequest *request)
@@ -544,8 +556,7 @@
 
       if (dl_clock_ms () < limit->from_ms || version >= limit->version)
         continue;
-      outdated_starts++;
-      set_text (&last_outdated, header (request, "X-Request-Id"));
+      record_outdated (request);
       return;
     }
 }
@@ -790,7 +801,7 @@
   standin_json_set_uint (records, "queued", g_list_length (queued));
   standin_json_set_uint (records, "dropped", dropped);
   standin_json_set_uint (records, "outdated_starts", outdated_starts);
-  standin_json_set_text (records, "outdated", last_outdated != NULL ? last_outdated : "");
+  json_object_object_add (records, "outdated", json_object_get (outdated));
   standin_json_set_uint (records, "events_sent", events_sent);
   standin_json_set_uint (records, "crashes", crashes);
   standin_json_set_uint (records, "down", dl_clock_ms () < up_from_ms);
