--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -30,6 +30,7 @@
   uint64_t next; /* id of the next event */
   bool cut;      /* breaks off in the middle of its third event */
   bool poisoned; /* crashes the server when it begins to write */
+  bool whole;    /* does so by its body */
   bool pauses;   /* falls silent before event PAUSE_BEFORE, then goes on */
   DlTimer *timer;
 } Stream;
@@ -107,6 +108,7 @@
 static GArray *limited_ms;      /* arrivals of the last LIMIT_WINDOW_MS since */
 static uint64_t limited_most;   /* most of them at once */
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
+static uint64_t crashes_whole;  /* of CRASHES, those by such a body */
 static uint64_t poisoned_whole; /* requests received whose body crashes it */
 static uint64_t received;       /* requests, also those that were refused */
 static uint64_t events_sent;
@@ -485,6 +487,7 @@
 
   if (s->poisoned)
     {
+      crashes_whole += s->whole;
       crash ();
       return;
     }
@@ -585,8 +588,9 @@
   s->next = g_ascii_strtoull (header (request, "Last-Event-Id"), NULL, 10) + 1;
   s->cut = standin_count_down (s->next == 1 ? &cut : &cut_resumed);
   s->pauses = standin_count_down (&pauses);
-  s->poisoned = has_crash_part (request) || has_crash_body (request)
-                || standin_count_down (&crash_streams);
+  s->whole = has_crash_body (request);
+  s->poisoned
+      = has_crash_part (request) || s->whole || standin_count_down (&crash_streams);
   streams = g_list_prepend (streams, s);
   dl_http_request_on_closed (request, on_stream_closed, s);
   dl_http_stream_begin (request, 200, "text/event-stream",
@@ -655,6 +659,7 @@
 
   if (run->poisoned)
     {
+      crashes_whole++;
       crash ();
       return;
     }
@@ -808,6 +813,7 @@
   standin_json_set_uint (records, "limited_most", limited_most);
   standin_json_set_uint (records, "poisoned", poisoned);
   standin_json_set_uint (records, "poisoned_whole", poisoned_whole);
+  standin_json_set_uint (records, "crashes_whole", crashes_whole);
   standin_json_set_uint (records, "cancelled", cancelled);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
