Soak: versions named in quick series while streams wait at their servers

VERSION: the soak named versions, but its servers started each stream at once, so that no stream could start on a version whose time was over. A phase of about 16 s: 2 to 6 versions in two overlapping series, servers that let streams wait up to 3 s, in most phases chunks that come spoilt so that servers keep their weights up to their limits, entries and stagers paused and (in half of the phases) killed, in a third the store cut off from all while the first names come. Each start on a version whose limit is over is a fault if its entry was undisturbed for 3 s; a limit counts from the end of the last cut. A server is listed with 16 slots in the phase.

--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -20,6 +20,7 @@
 #define MODEL_SERVERS     (SERVERS - 1)
 #define ENTRIES           2
 #define REVOKE_DEFAULT_MS 3000
+#define SLOTS_DEFAULT     4
 
 /* Stated by the users of a server that names a limit of MILLIS thousandths of a request a
  * second: at most one and a half times what that allows in four seconds, and five. */
@@ -65,6 +66,7 @@
   Process stager_process[SERVERS - 1];
   uint64_t config_version;
   uint64_t server_started[SERVERS]; /* start time of the instance that is listed */
+  unsigned slots;                   /* of each server, as listed; 0: SLOTS_DEFAULT */
   unsigned revoke_ms; /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
 } Testbed;
 
--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -10,8 +10,9 @@
  * only by suspending the nodes.
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
- * request that ran must be answered, model servers that are silent for a while, a prompt
- * part that crashes them, limits of requests, and a loss of power.
+ * request that ran must be answered, model servers that are silent for a while, versions
+ * that are named while streams wait, a prompt part that crashes the servers, limits of
+ * requests, and a loss of power.
  */
 #include "soak.h"
 
@@ -148,7 +149,7 @@
 
 /* The phases in which nothing happens that a fault explains. */
 static void
-run_strict_phases (Soak *soak, unsigned seconds)
+run_strict_phases (Soak *soak, uint32_t seed, unsigned seconds)
 {
   SoakKept kept;
 
@@ -163,6 +164,7 @@
   soak_silence_servers (soak);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
+  soak_name_versions (soak, seed);
   soak_poison_servers (soak);
   soak_limit_servers (soak);
   soak_cut_power (soak);
@@ -204,7 +206,7 @@
   for (unsigned i = 0; i < SOAK_CALLERS; i++)
     g_thread_join (threads[i]);
   soak_end_limits (limits);
-  run_strict_phases (&soak, seconds);
+  run_strict_phases (&soak, seed, seconds);
   check_recovery (&soak);
   check_requests (&soak);
   if (soak.complete == 0)
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -5,9 +5,9 @@
  * and makes changes, soak.c starts both and afterwards checks all responses against the
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
- * silent under the same callers, soak_poison.c crashes them by a prompt part,
- * soak_limit.c lets them limit their requests, and soak_power.c cuts the power of all
- * hosts.
+ * silent under the same callers, soak_version.c names versions while streams wait at the
+ * servers, soak_poison.c crashes them by a prompt part, soak_limit.c lets them limit
+ * their requests, and soak_power.c cuts the power of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -172,6 +172,12 @@
  * be complete all the same. */
 void soak_silence_servers (Soak *soak);
 
+/* -------- soak_version.c -------- */
+
+/* Names versions in quick series while servers let streams wait and processes are paused
+ * and killed; no stream may start on a version whose time is over. */
+void soak_name_versions (Soak *soak, uint32_t seed);
+
 /* -------- soak_poison.c -------- */
 
 /* Requests with one prompt part crash the model servers, until entries refuse them; sound
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -238,10 +238,10 @@
 {
   char *name = g_strdup_printf ("i-%u", index + 1);
   char *spec = g_strdup_printf (
-      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"d1\",\"slots\":4,"
+      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"d1\",\"slots\":%u,"
       "\"state\":\"%s\",\"born\":%" PRIu64 ",\"models\":[%s]}",
-      index < SERVERS - 1 ? "m" : "p", tb->via_server[index], state,
-      tb->server_started[index],
+      index < SERVERS - 1 ? "m" : "p", tb->via_server[index],
+      tb->slots > 0 ? tb->slots : SLOTS_DEFAULT, state, tb->server_started[index],
       index < SERVERS - 1 ? "{\"name\":\"big\",\"version\":1}" : "");
   bool done = testbed_put (tb, "servers", name, spec);
 
