Soak: one whole request that crashes whatever runs it

A phase of 20 s: one request (path, caller, body; plain, a stream, or of the service without engines) comes from three callers at random entries, beside sound ones: a request and a stream that are the same from all callers, and bodies of their own on the bad one's path. For 9 s servers crash for other reasons too, both at once or one after the other, and one entry at a time is killed and started again. Later than STABLE_WINDOW_MS after the third crash by the request at most SENT_MAX more may reach servers, to the end of the phase; in its last 4 s, when nothing else happens, each kind of sound requests must be served at least every second time.

--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -11,8 +11,8 @@
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
  * request that ran must be answered, model servers that are silent for a while, versions
- * that are named while streams wait, a prompt part that crashes the servers, limits of
- * requests, and a loss of power.
+ * that are named while streams wait, a prompt part and a whole request that crash the
+ * servers, limits of requests, and a loss of power.
  */
 #include "soak.h"
 
@@ -166,6 +166,7 @@
   soak_set_event_ms (soak, SOAK_EVENT_MS);
   soak_name_versions (soak, seed);
   soak_poison_servers (soak);
+  soak_poison_whole (soak, seed);
   soak_limit_servers (soak);
   soak_cut_power (soak);
 }
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -6,8 +6,9 @@
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
  * silent under the same callers, soak_version.c names versions while streams wait at the
- * servers, soak_poison.c crashes them by a prompt part, soak_limit.c lets them limit
- * their requests, and soak_power.c cuts the power of all hosts.
+ * servers, soak_poison.c crashes them by a prompt part, soak_poison_whole.c by a whole
+ * request, soak_limit.c lets them limit their requests, and soak_power.c cuts the power
+ * of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -184,6 +185,12 @@
  * ones must go on being served, and the part once it is sound. */
 void soak_poison_servers (Soak *soak);
 
+/* -------- soak_poison_whole.c -------- */
+
+/* One whole request crashes whatever runs it and comes again and again; it must be
+ * refused in time and for good, and sound ones must go on being served. */
+void soak_poison_whole (Soak *soak, uint32_t seed);
+
 /* -------- soak_limit.c -------- */
 
 typedef struct SoakLimits SoakLimits;
