--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -147,7 +147,8 @@
   json_object_put (plain);
 }
 
-/* The phases in which nothing happens that a fault explains. */
+/* The phases in which nothing happens that a fault explains.  Two of the long ones are
+ * played by seeds in turns, so that CI takes a few minutes. */
 static void
 run_strict_phases (Soak *soak, uint32_t seed, unsigned seconds)
 {
@@ -164,9 +165,11 @@
   soak_silence_servers (soak);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
-  soak_name_versions (soak, seed);
+  if (seed % 2 == 0)
+    soak_name_versions (soak, seed);
   soak_poison_servers (soak);
-  soak_poison_whole (soak, seed);
+  if (seed % 2 != 0)
+    soak_poison_whole (soak, seed);
   soak_limit_servers (soak);
   soak_cut_power (soak);
 }
--- a/regress/direct/soak_poison_whole.c
+++ b/regress/direct/soak_poison_whole.c
@@ -15,8 +15,8 @@
 #define SOUND_CALLERS    8
 #define CALLERS          (BAD_CALLERS + SOUND_CALLERS)
 #define USUAL_MS         2000 /* before the fault */
-#define OTHERS_MS        9000 /* other faults happen for so long, from then on */
-#define QUIET_MS         9000 /* and then none; what is served counts in the last COUNTED_MS */
+#define OTHERS_MS        7000 /* other faults happen for so long, from then on */
+#define QUIET_MS         7000 /* and then none; what is served counts in the last COUNTED_MS */
 #define COUNTED_MS       4000
 #define BAD_PAUSE_MIN_MS 20
 #define BAD_PAUSE_MAX_MS 400
