--- a/regress/direct/soak_version.c
+++ b/regress/direct/soak_version.c
@@ -196,8 +196,7 @@
   if (now_ms () < v->queue_ms[server])
     return;
   if (g_rand_int_range (v->random, 0, 6) > 0)
-    queue_ms = (uint64_t)MAX (random_ms (v, QUEUE_MIN_MS, QUEUE_MAX_MS),
-                              random_ms (v, QUEUE_MIN_MS, QUEUE_MAX_MS));
+    queue_ms = (uint64_t)random_ms (v, QUEUE_MIN_MS, QUEUE_MAX_MS);
   set_fault (v->soak->testbed->server[server], "queue_ms", queue_ms);
   v->queue_ms[server] = now_ms () + random_ms (v, QUEUE_GAP_MIN_MS, QUEUE_GAP_MAX_MS);
 }
