Stand-in of servers: a crash beside a stream that has ended, but is still being sent, ended it

Cause: crash() ended every stream in its list, and one stays there until its connection has taken the last byte; ending it twice failed an assertion of the HTTP server, and the stand-in was gone for good (servers that "crash" are back after a while). Tried by hand with a slow reader of a large stream beside a crash: aborted before (status 134), stays up with the change.

--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -465,6 +465,8 @@
     {
       Stream *s = at->data;
 
+      if (s->timer == NULL)
+        continue; /* has ended and is being sent */
       s->cut = true;
       TALLOC_FREE (s->timer);
       dl_http_stream_end (s->request, false);
