Stand-in of servers: a crash at once, whatever runs

BUDGET: crash_streams crashes a server when the next stream begins, so that streams look guilty; a crash for other reasons needs a knob that no request triggers. Tried by hand: crash_now cuts a stream in its middle, once; another knob set after it crashes nothing.

--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -85,6 +85,7 @@
 static uint64_t crash_part;       /* id of the prompt part that crashes it; 0: none */
 static uint64_t crash_body;     /* bodies that begin with "crash N " crash it; 0: none */
 static uint64_t crash_streams;  /* the next N streams crash it when they begin */
+static uint64_t crash_now;      /* set to 1: it crashes at once, whatever it runs */
 static uint64_t crash_ms = 200; /* how long it is down after a crash */
 static uint64_t queue_ms;       /* how long a stream waits before it starts */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
@@ -156,6 +157,7 @@
   { "crash_body", &crash_body },
   { "limit_millis", &limit_millis },
   { "crash_streams", &crash_streams },
+  { "crash_now", &crash_now },
   { "queue_ms", &queue_ms },
   { "due_version", &due_version },
   { "due_in_ms", &due_in_ms },
@@ -173,20 +175,6 @@
   outdated = json_object_new_object ();
 }
 
-static void
-server_changed (void)
-{
-  VersionLimit limit = { .version = due_version, .from_ms = dl_clock_ms () + due_in_ms };
-
-  if (due_version == last_due)
-    return;
-  last_due = due_version;
-  if (due_version == 0)
-    g_array_set_size (due, 0);
-  else
-    g_array_append_val (due, limit);
-}
-
 static const char *
 header (DlHttpRequest *request, const char *name)
 {
@@ -762,6 +750,22 @@
     run_now (request);
 }
 
+static void
+server_changed (void)
+{
+  VersionLimit limit = { .version = due_version, .from_ms = dl_clock_ms () + due_in_ms };
+
+  if (standin_count_down (&crash_now))
+    crash ();
+  if (due_version == last_due)
+    return;
+  last_due = due_version;
+  if (due_version == 0)
+    g_array_set_size (due, 0);
+  else
+    g_array_append_val (due, limit);
+}
+
 static void
 server_handle (DlHttpRequest *request)
 {
