--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -10,8 +10,9 @@
  * only by suspending the nodes.
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
- * request that ran must be answered, model servers that are silent for a while, a prompt
- * part that crashes them, limits of requests, and a loss of power.
+ * request that ran must be answered, model servers that are silent for a while, versions
+ * that are named while streams wait, a prompt part and a whole request that crash the
+ * servers, limits of requests, and a loss of power.
  */
 #include "soak.h"
 
@@ -146,9 +147,10 @@
   json_object_put (plain);
 }
 
-/* The phases in which nothing happens that a fault explains. */
+/* The phases in which nothing happens that a fault explains.  Two of the long ones are
+ * played by seeds in turns, so that CI takes a few minutes. */
 static void
-run_strict_phases (Soak *soak, unsigned seconds)
+run_strict_phases (Soak *soak, uint32_t seed, unsigned seconds)
 {
   SoakKept kept;
 
@@ -163,7 +165,11 @@
   soak_silence_servers (soak);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
+  if (seed % 2 == 0)
+    soak_name_versions (soak, seed);
   soak_poison_servers (soak);
+  if (seed % 2 != 0)
+    soak_poison_whole (soak, seed);
   soak_limit_servers (soak);
   soak_cut_power (soak);
 }
@@ -204,7 +210,7 @@
   for (unsigned i = 0; i < SOAK_CALLERS; i++)
     g_thread_join (threads[i]);
   soak_end_limits (limits);
-  run_strict_phases (&soak, seconds);
+  run_strict_phases (&soak, seed, seconds);
   check_recovery (&soak);
   check_requests (&soak);
   if (soak.complete == 0)
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -5,9 +5,10 @@
  * and makes changes, soak.c starts both and afterwards checks all responses against the
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
- * silent under the same callers, soak_poison.c crashes them by a prompt part,
- * soak_limit.c lets them limit their requests, and soak_power.c cuts the power of all
- * hosts.
+ * silent under the same callers, soak_version.c names versions while streams wait at the
+ * servers, soak_poison.c crashes them by a prompt part, soak_poison_whole.c by a whole
+ * request, soak_limit.c lets them limit their requests, and soak_power.c cuts the power
+ * of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -172,12 +173,24 @@
  * be complete all the same. */
 void soak_silence_servers (Soak *soak);
 
+/* -------- soak_version.c -------- */
+
+/* Names versions in quick series while servers let streams wait and processes are paused
+ * and killed; no stream may start on a version whose time is over. */
+void soak_name_versions (Soak *soak, uint32_t seed);
+
 /* -------- soak_poison.c -------- */
 
 /* Requests with one prompt part crash the model servers, until entries refuse them; sound
  * ones must go on being served, and the part once it is sound. */
 void soak_poison_servers (Soak *soak);
 
+/* -------- soak_poison_whole.c -------- */
+
+/* One whole request crashes whatever runs it and comes again and again; it must be
+ * refused in time and for good, and sound ones must go on being served. */
+void soak_poison_whole (Soak *soak, uint32_t seed);
+
 /* -------- soak_limit.c -------- */
 
 typedef struct SoakLimits SoakLimits;
