Test (red) of the paused reader: the reader is the entry that answers the others now

find_follower tells who has ever answered another node, and both entries may have: in a trial of a further case on the fix it named the follower, whose pause proves nothing. The test now ends all watches of versions and takes the entry that answered others then, if only one did and nobody else watches the store.

--- a/regress/direct/changes.c
+++ b/regress/direct/changes.c
@@ -4,7 +4,6 @@
  */
 #include <glib.h>
 #include <signal.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -197,6 +196,18 @@
     close (fds[i]);
 }
 
+/* Index of the entry that reads the other one in place of the store; ENTRIES for none. */
+static unsigned
+find_follower (Testbed *tb)
+{
+  unsigned follower = ENTRIES;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    if (relay_answers (tb, i) > 0)
+      follower = 1 - i;
+  return follower;
+}
+
 static bool
 follower_exists (Testbed *tb)
 {
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -9,7 +9,6 @@
 
 #include <curl/curl.h>
 #include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 
 static unsigned failures;
@@ -121,22 +120,17 @@
     CHECK (set_fault (tb->server[i], knob, value));
 }
 
-unsigned
-find_follower (Testbed *tb)
+uint64_t
+relay_answers (const Testbed *tb, unsigned entry)
 {
-  unsigned follower = ENTRIES;
-
-  for (unsigned i = 0; i < ENTRIES; i++)
-    {
-      Response r = call (&(Call){ .address = tb->metrics[i], .target = "/metrics" });
-      const char *line = strstr (r.body, "\ndaisy_node_relay_answers_total ");
+  Response r = call (&(Call){ .address = tb->metrics[entry], .target = "/metrics" });
+  const char *line
+      = r.body != NULL ? strstr (r.body, "\ndaisy_node_relay_answers_total ") : NULL;
+  uint64_t answers
+      = line != NULL ? g_ascii_strtoull (strchr (line + 1, ' '), NULL, 10) : 0;
 
-      /* Entry I has answered reads of the other one. */
-      if (line != NULL && atoi (strchr (line + 1, ' ')) > 0)
-        follower = 1 - i;
-      response_free (&r);
-    }
-  return follower;
+  response_free (&r);
+  return answers;
 }
 
 char *
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -182,8 +182,8 @@
 /* Sets a knob of both model servers. */
 void set_fault_on_both (Testbed *testbed, const char *knob, uint64_t value);
 
-/* Index of the entry that reads the other one in place of the store; ENTRIES for none. */
-unsigned find_follower (Testbed *testbed);
+/* How often the entry has answered nodes that read it in place of the store. */
+uint64_t relay_answers (const Testbed *testbed, unsigned entry);
 /* How often the servers ran request ID, by their records. */
 uint64_t runs_of (Testbed *testbed, const char *id);
 /* Events FIRST to LAST as a server sends them, for g_free. */
--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -265,39 +265,41 @@
   check_paused (tb, paused);
 }
 
-static bool
-follower_exists (Testbed *tb)
-{
-  return find_follower (tb) < ENTRIES;
-}
+static unsigned reader; /* index of the entry that reads the store for all others */
 
-/* Ends all watches of versions, by an object that announces none, and returns whether all
- * but the reader then watch the reader. */
+/* Ends all watches of versions, by an object that announces none.  If only one entry
+ * answered others then, and nobody else watches the store now, it is the reader. */
 static bool
 only_the_reader_watches_versions (Testbed *tb)
 {
   static unsigned count;
+  uint64_t before[ENTRIES];
+  unsigned readers = 0;
   char *spec = g_strdup_printf ("\"nothing %u\"", ++count);
 
+  for (unsigned i = 0; i < ENTRIES; i++)
+    before[i] = relay_answers (tb, i);
   CHECK (testbed_put (tb, "versions", "none", spec));
   g_free (spec);
   g_usleep (WATCHES_SENT_MS * US_PER_MS);
-  return recorded (tb->store, "watches.versions") == 1;
+  for (unsigned i = 0; i < ENTRIES; i++)
+    if (relay_answers (tb, i) > before[i])
+      {
+        reader = i;
+        readers++;
+      }
+  return readers == 1 && recorded (tb->store, "watches.versions") == 1;
 }
 
 static void
 test_reader_paused_at_an_announcement_made_it_late (Testbed *tb)
 {
-  int reader;
-
-  CHECK (eventually (follower_exists, tb));
-  reader = tb->entry_process[1 - find_follower (tb)].pid;
   keep_first_server_old (tb);
   CHECK (eventually (only_the_reader_watches_versions, tb));
-  kill (reader, SIGSTOP);
+  kill (tb->entry_process[reader].pid, SIGSTOP);
   announce_next (tb);
   sleep_until (newest_ms + READER_PAUSE_MS);
-  kill (reader, SIGCONT);
+  kill (tb->entry_process[reader].pid, SIGCONT);
   check_streams_after (tb, newest, limit_ms (tb));
   bring_up_to_date (tb);
 }
