--- a/lib/node/version_watch.c
+++ b/lib/node/version_watch.c
@@ -168,6 +168,20 @@
                                });
 }
 
+/* Counts the target's age by what is known of its announcement; returns true when that
+ * changed it. */
+static bool
+refine_target (DlVersionWatch *watch, uint64_t now_ms)
+{
+  DlTargetVersion *t = &watch->target;
+  uint64_t start_ms = dl_version_floor_start_ms (&watch->floor, t->version, now_ms);
+
+  if (t->model == NULL || t->observed || start_ms == 0 || start_ms == t->announced_ms)
+    return false;
+  t->announced_ms = start_ms;
+  return true;
+}
+
 void
 dl_version_watch_receive (DlVersionWatch *watch,
                           const Daisyloft__Wire__NodeStatus *status,
@@ -187,6 +201,8 @@
     }
   if (changed)
     notify_floor (watch);
+  if (refine_target (watch, now_ms))
+    notify (watch, "announcements");
 }
 
 /* What is only known from another node is not passed on, unless that node observed it:
--- a/lib/policy/version_floor.c
+++ b/lib/policy/version_floor.c
@@ -83,6 +83,15 @@
   return true;
 }
 
+static const DlAnnouncement *
+find (const DlVersionFloor *floor, uint64_t version)
+{
+  for (unsigned i = 0; i < floor->count; i++)
+    if (floor->versions[i].version == version)
+      return &floor->versions[i];
+  return NULL;
+}
+
 /* The time from which the version's limit counts. */
 static uint64_t
 limit_start_ms (const DlAnnouncement *a, uint64_t now_ms)
@@ -93,6 +102,14 @@
   return a->announced_ms;
 }
 
+uint64_t
+dl_version_floor_start_ms (const DlVersionFloor *floor, uint64_t version, uint64_t now_ms)
+{
+  const DlAnnouncement *a = find (floor, version);
+
+  return a != NULL ? limit_start_ms (a, now_ms) : 0;
+}
+
 /* The newest version, of those whose announcements are known at least as well as LEAST,
  * whose limit is over LEAD_MS from now. */
 static uint64_t
@@ -134,10 +151,9 @@
 static bool
 is_observed (const DlVersionFloor *floor, uint64_t version)
 {
-  for (unsigned i = 0; i < floor->count; i++)
-    if (floor->versions[i].version == version)
-      return floor->versions[i].source == DL_ANNOUNCED_OBSERVED;
-  return false;
+  const DlAnnouncement *a = find (floor, version);
+
+  return a != NULL && a->source == DL_ANNOUNCED_OBSERVED;
 }
 
 uint64_t
--- a/lib/policy/version_floor.h
+++ b/lib/policy/version_floor.h
@@ -65,6 +65,11 @@
 bool dl_version_floor_announced (DlVersionFloor *floor,
                                  uint64_t version,
                                  uint64_t announced_ms);
+/* Returns the time from which the limit of VERSION counts, as known at NOW_MS; 0 when its
+ * announcement is not known. */
+uint64_t dl_version_floor_start_ms (const DlVersionFloor *floor,
+                                    uint64_t version,
+                                    uint64_t now_ms);
 /* Records that another node has its floor at VERSION; the floor never falls.  Returns
  * true when this raised the highest floor reported. */
 bool dl_version_floor_raise (DlVersionFloor *floor, uint64_t version);
--- a/regress/unit/test_version_floor.c
+++ b/regress/unit/test_version_floor.c
@@ -42,6 +42,11 @@
   uint64_t earliest_ms = FOUND_MS - BEFORE_MS;
 
   CU_ASSERT_TRUE (add (&floor, 2, DL_ANNOUNCED_BETWEEN, earliest_ms, FOUND_MS));
+  CU_ASSERT_EQUAL (dl_version_floor_start_ms (&floor, 1, FOUND_MS), 0);
+  CU_ASSERT_EQUAL (dl_version_floor_start_ms (&floor, 2, FOUND_MS), FOUND_MS);
+  CU_ASSERT_EQUAL (dl_version_floor_start_ms (&floor, 2,
+                                              FOUND_MS + DL_VERSION_FLOOR_SETTLE_MS),
+                   earliest_ms);
   CU_ASSERT_EQUAL (floor_at (&floor, earliest_ms + floor_after_ms - 1), 0);
   CU_ASSERT_EQUAL (floor_at (&floor, earliest_ms + floor_after_ms), 2);
 }
