Soak, whole request: entries that all start anew, and sound ones against what is usual

Cause: three faults of the phase itself. A stand-in that ended by itself was not noticed: it is a fault now, and the logs of servers are printed with the others. New: in half of the phases all entries end at once when the request has been held for a while.

--- a/regress/direct/soak_poison_whole.c
+++ b/regress/direct/soak_poison_whole.c
@@ -12,15 +12,15 @@
 
 #define CRASHES_WHOLE    3 /* stated by the users: after these, SENT_MAX more at most */
 #define BAD_CALLERS      3
-#define SOUND_CALLERS    8
+#define SOUND_CALLERS    4
 #define CALLERS          (BAD_CALLERS + SOUND_CALLERS)
-#define USUAL_MS         2000 /* before the fault */
+#define USUAL_MS         3000 /* before the fault; what is served then is what is usual */
 #define OTHERS_MS        7000 /* other faults happen for so long, from then on */
 #define QUIET_MS         7000 /* and then none; what is served counts in the last COUNTED_MS */
 #define COUNTED_MS       4000
 #define BAD_PAUSE_MIN_MS 20
 #define BAD_PAUSE_MAX_MS 400
-#define SOUND_PAUSE_MS   40
+#define SOUND_PAUSE_MS   100
 #define CRASH_MIN_MS     100 /* how long a server is down after a crash */
 #define CRASH_MAX_MS     1200
 #define CRASH_GAP_MIN_MS 800
@@ -50,6 +50,15 @@
   SOUND_KINDS,
 } SoundKind;
 
+/* The times in which sound requests count; the last one is not counted. */
+typedef enum
+{
+  SOUND_USUAL,
+  SOUND_AFTERWARDS,
+  SOUND_BETWEEN,
+  SOUND_PERIODS,
+} SoundPeriod;
+
 static const char *const sound_names[SOUND_KINDS]
     = { "the same request", "the same stream", "requests of their own" };
 
@@ -70,11 +79,11 @@
   gint64 kill_ms;
   gint64 back_ms; /* when the entry that was killed starts; 0: none was */
   unsigned killed;
-  gint bad;     /* atomic: the bad request comes */
-  gint counted; /* atomic: sound requests count */
-  gint stop;    /* atomic */
+  gint bad;    /* atomic: the bad request comes */
+  gint period; /* atomic: SoundPeriod in which sound requests count */
+  gint stop;   /* atomic */
   GMutex lock;
-  SoundCount sound[SOUND_KINDS]; /* guarded by LOCK */
+  SoundCount sound[SOUND_PERIODS][SOUND_KINDS]; /* guarded by LOCK */
 } WholePoison;
 
 static uint64_t
@@ -136,7 +145,7 @@
 {
   WholePoison *p = caller->poison;
   SoundKind kind = (SoundKind)g_rand_int_range (random, 0, SOUND_KINDS);
-  bool counts = g_atomic_int_get (&p->counted);
+  int period = g_atomic_int_get (&p->period);
   char *id = g_strdup_printf ("sound%u-%u", caller->number, n);
   char *own = g_strdup_printf ("sound %u-%u", caller->number, n);
   char *parts = g_strdup_printf ("X-Prompt-Prefix: f1:40,a%d:100,e:10",
@@ -149,8 +158,8 @@
   c.once = true;
   r = call (&c);
   g_mutex_lock (&p->lock);
-  p->sound[kind].sent += counts;
-  p->sound[kind].served += counts && r.status == 200 && r.complete;
+  p->sound[period][kind].sent++;
+  p->sound[period][kind].served += r.status == 200 && r.complete;
   g_mutex_unlock (&p->lock);
   response_free (&r);
   g_free (parts);
@@ -228,19 +237,19 @@
   if (p->second_ms != 0 && soak_now_ms () >= p->second_ms)
     {
       p->second_ms = 0;
-      set_fault (tb->server[1], "crash_streams", 1);
+      set_fault (tb->server[1], "crash_now", 1);
     }
   if (!may_begin || soak_now_ms () < p->crash_ms)
     return;
   p->crash_ms = random_due (p, CRASH_GAP_MIN_MS, CRASH_GAP_MAX_MS);
   p->second_ms = g_rand_boolean (p->random) ? soak_now_ms () + IN_A_ROW_MS : 0;
   soak_log_event (p->soak, "whole: others crash servers, in a row:", p->second_ms != 0);
-  set_fault (tb->server[0], "crash_streams", 1);
+  set_fault (tb->server[0], "crash_now", 1);
   if (p->second_ms == 0)
-    set_fault (tb->server[1], "crash_streams", 1);
+    set_fault (tb->server[1], "crash_now", 1);
 }
 
-/* One entry at a time: what both know would be lost with both. */
+/* One entry at a time, until the request has been held for a while. */
 static void
 advance_kills (WholePoison *p, bool may_begin)
 {
@@ -261,6 +270,24 @@
   process_end (&entries[p->killed], SIGKILL);
 }
 
+/* In half of the phases both entries end at once, when the request has been held for a
+ * while, and start anew. */
+static void
+restart_entries (WholePoison *p)
+{
+  Process *entries = p->soak->testbed->entry_process;
+
+  if (p->window_ms == 0 || p->back_ms != 0 || g_rand_boolean (p->random))
+    return;
+  soak_log_event (p->soak, "whole: kill of all entries", ENTRIES);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    kill (entries[i].pid, SIGKILL);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    process_end (&entries[i], SIGKILL);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    process_start (&entries[i]);
+}
+
 /* -------- checks -------- */
 
 static void
@@ -282,6 +309,26 @@
   p->before = recorded_by_all (p->soak, "poisoned_whole");
 }
 
+/* Stated by the users: sound requests must be served at least half as often as without
+ * the fault. */
+static void
+check_sound (WholePoison *p, SoundKind kind)
+{
+  const SoundCount *usual = &p->sound[SOUND_USUAL][kind];
+  const SoundCount *after = &p->sound[SOUND_AFTERWARDS][kind];
+
+  if (usual->served == 0)
+    soak_report_violation (p->soak, sound_names[kind], "was not served before the fault");
+  if (2 * after->served * usual->sent >= usual->served * after->sent && after->sent > 0)
+    return;
+  soak_log_event (p->soak, "whole: sound ones sent:", after->sent);
+  soak_log_event (p->soak, "whole: sound ones served:", after->served);
+  soak_log_event (p->soak, "whole: sound ones sent before:", usual->sent);
+  soak_log_event (p->soak, "whole: sound ones served before:", usual->served);
+  soak_report_violation (p->soak, sound_names[kind],
+                         "was refused beside a request that crashes servers");
+}
+
 static void
 check_phase (WholePoison *p)
 {
@@ -294,26 +341,29 @@
                              "went on sending a request that crashes servers");
     }
   for (unsigned i = 0; i < SOUND_KINDS; i++)
-    {
-      const SoundCount *c = &p->sound[i];
-
-      if (c->served * 2 >= c->sent && c->sent > 0)
-        continue;
-      soak_log_event (p->soak, "whole: sound ones served:", c->served);
-      soak_log_event (p->soak, "whole: sound ones sent:", c->sent);
-      soak_report_violation (p->soak, sound_names[i],
-                             "was refused beside a request that crashes servers");
-    }
+    check_sound (p, (SoundKind)i);
 }
 
 /* -------- running -------- */
 
+static void
+check_processes (WholePoison *p)
+{
+  Testbed *tb = p->soak->testbed;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    soak_check_process (p->soak, &tb->entry_process[i]);
+  for (unsigned i = 0; i < SERVERS; i++)
+    soak_check_process (p->soak, &tb->server_process[i]);
+}
+
 static void
 play (WholePoison *p)
 {
   gint64 begin_ms = soak_now_ms () + USUAL_MS;
   gint64 quiet_ms = begin_ms + OTHERS_MS;
   gint64 end_ms = quiet_ms + QUIET_MS;
+  bool quiet = false;
 
   p->crash_ms = begin_ms;
   p->kill_ms = begin_ms + g_rand_int_range (p->random, 0, KILL_GAP_MAX_MS);
@@ -322,13 +372,17 @@
       bool others = now_ms >= begin_ms && now_ms < quiet_ms;
 
       g_atomic_int_set (&p->bad, now_ms >= begin_ms);
-      g_atomic_int_set (&p->counted, now_ms >= end_ms - COUNTED_MS);
+      g_atomic_int_set (&p->period, now_ms < begin_ms               ? SOUND_USUAL
+                                    : now_ms >= end_ms - COUNTED_MS ? SOUND_AFTERWARDS
+                                                                    : SOUND_BETWEEN);
       advance_crashes (p, others);
       advance_kills (p, others);
-      if (now_ms >= quiet_ms)
-        set_on_all (p->soak, "crash_streams", 0);
-      for (unsigned i = 0; i < ENTRIES; i++)
-        soak_check_process (p->soak, &p->soak->testbed->entry_process[i]);
+      if (now_ms >= quiet_ms && !quiet)
+        {
+          quiet = true;
+          restart_entries (p);
+        }
+      check_processes (p);
       note_progress (p);
       g_usleep (SOAK_POLL_US);
     }
--- a/regress/direct/soak_version.c
+++ b/regress/direct/soak_version.c
@@ -402,6 +402,8 @@
         advance_queue (v, i);
       for (unsigned i = 0; i < VICTIMS; i++)
         advance_victim (v, &v->victims[i]);
+      for (unsigned i = 0; i < SERVERS; i++)
+        soak_check_process (v->soak, &v->soak->testbed->server_process[i]);
       g_usleep (SOAK_POLL_US);
     }
   for (unsigned i = 0; i < VICTIMS; i++)
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -475,7 +475,7 @@
     process_free (&tb->stager_process[i], failed);
   for (unsigned i = 0; i < SERVERS; i++)
     {
-      process_free (&tb->server_process[i], false);
+      process_free (&tb->server_process[i], failed);
       g_free (tb->server[i]);
       g_free (tb->via_server[i]);
     }
