Ages of records that are told are never below zero

Cause: what is told travels by age; an age computed for a time to come wrapped, and the crash was read as one at the beginning of time, which counts against a part that was never served. Ruled out: that whole requests were held (none was). In the programs the clock is monotonic, and no such time is known.

--- a/lib/node/signature_record.c
+++ b/lib/node/signature_record.c
@@ -16,6 +16,13 @@
   return now_ms > age_ms ? now_ms - age_ms : 1;
 }
 
+/* How long ago AT_MS was; 0 for a time to come. */
+static uint64_t
+age_of_time (uint64_t at_ms, uint64_t now_ms)
+{
+  return now_ms > at_ms ? now_ms - at_ms : 0;
+}
+
 static Daisyloft__Wire__SignatureRecord *
 record_to_wire (const void *context, const DlSignatureRecord *record, uint64_t now_ms)
 {
@@ -30,13 +37,14 @@
   daisyloft__wire__signature_record__init (wire);
   wire->id = talloc_strdup (wire, record->id.text);
   wire->served = record->served_ms != 0;
-  wire->served_age_ms = wire->served ? now_ms - record->served_ms : 0;
+  wire->served_age_ms = wire->served ? age_of_time (record->served_ms, now_ms) : 0;
   wire->quarantined = record->hold_ms != 0;
   wire->level = record->level;
   wire->served_count = record->served_count;
   wire->broken_count = record->broken_count;
   wire->trials = record->trials;
-  wire->came_age_ms = record->came_ms != 0 ? now_ms - record->came_ms : 0;
+  wire->came_age_ms
+      = record->came_ms != 0 ? 1 + age_of_time (record->came_ms, now_ms) : 0;
   wire->hold_ms = record->hold_ms > now_ms ? record->hold_ms - now_ms : 0;
   wire->crash = talloc_array (wire, Daisyloft__Wire__SignatureCrash *, TOLD_CRASHES_MAX);
   wire->n_crash = record->crash_count - first;
@@ -46,7 +54,7 @@
 
       daisyloft__wire__signature_crash__init (&crashes[i]);
       crashes[i].upstream = crash->upstream;
-      crashes[i].age_ms = (uint32_t)(now_ms - crash->at_ms);
+      crashes[i].age_ms = (uint32_t)age_of_time (crash->at_ms, now_ms);
       wire->crash[i] = &crashes[i];
     }
   return wire;
--- a/regress/unit/test_quarantine_fleet.c
+++ b/regress/unit/test_quarantine_fleet.c
@@ -26,6 +26,7 @@
 #define DOWN_MS     4000
 #define RUNNING_MAX 2000
 #define FIRST_PARTS 60
+#define BODIES      50 /* of sound requests, and of bad ones */
 
 typedef struct
 {
@@ -89,6 +90,8 @@
 fleet_send (Fleet *f, bool is_poison)
 {
   char first[16];
+  char body[32];
+  DlSignatures whole;
   RunningRequest r = { .used = true, .is_poison = is_poison, .began_ms = f->now_ms };
   int upstream = fleet_pick (f);
   DlQuarantineDecision decision;
@@ -98,6 +101,10 @@
   g_snprintf (first, sizeof first, "first-%d",
               g_rand_int_range (f->random, 0, FIRST_PARTS));
   r.parts = quarantine_parts (first, is_poison ? "bad" : "");
+  g_snprintf (body, sizeof body, "%s %d", is_poison ? "bad" : "sound",
+              g_rand_int_range (f->random, 0, BODIES));
+  whole = quarantine_whole (body);
+  dl_signatures_add_whole (&r.parts, whole.ids[0]);
   r.entry = (unsigned)g_rand_int_range (f->random, 0, ENTRIES);
   f->sound += !is_poison;
   decision
