--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -480,7 +480,8 @@
   Attempt *attempt = data;
   bool responded = result->status != 0 && !attempt->aborted;
 
-  if (result->sent && result->error < 0 && !attempt->aborted)
+  /* One that sends what is no response does not crash. */
+  if (result->sent && result->error == DL_ERR_CLOSED && !attempt->aborted)
     note_broken_off (attempt);
   if (!responded && !result->sent)
     finish_failed (attempt, DIRECT_ATTEMPT_UNREACHABLE, DIRECT_FAILURE_CONNECT);
