Only a connection that its peer ended counts as broken off; versions are watched for 1.5 s

The client now tells whether the peer ended the connection. - Connections to a store that sends one byte at a time stayed open for 4.06 s, over the test's 4 s (two of two): the watch of versions waits for 2 s and its time-out is 2 s longer. It now waits for 1.5 s, as the one of upstreams does.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -481,7 +481,7 @@
   bool responded = result->status != 0 && !attempt->aborted;
 
   /* One that sends what is no response does not crash. */
-  if (result->sent && result->error == DL_ERR_CLOSED && !attempt->aborted)
+  if (result->sent && result->broken_off && !attempt->aborted)
     note_broken_off (attempt);
   if (!responded && !result->sent)
     finish_failed (attempt, DIRECT_ATTEMPT_UNREACHABLE, DIRECT_FAILURE_CONNECT);
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -27,7 +27,7 @@
 #define ROUTING_CHECKS_PER_MAX_AGE 4
 #define UPSTREAMS_WAIT_MS          1500
 #define UPSTREAMS_PAUSE_MS         600
-#define VERSIONS_WAIT_MS           2000
+#define VERSIONS_WAIT_MS           1500
 #define ROUTING_RETRY_MS           400
 /* Wait and pause of the watches of a reader: an entry that reads the store for others. */
 #define READER_WAIT_MS  500
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -314,6 +314,20 @@
     }
 }
 
+/* True when the peer ended the connection, and not this side for what it received. */
+static bool
+is_broken_off (DlHttpCall *call, CURLcode code)
+{
+  long os_errno = 0;
+
+  if (call->error != 0)
+    return false;
+  curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &os_errno);
+  /* libcurl reports invalid chunks as errors of receiving, too. */
+  return code == CURLE_PARTIAL_FILE || code == CURLE_GOT_NOTHING
+         || code == CURLE_SEND_ERROR || (code == CURLE_RECV_ERROR && os_errno != 0);
+}
+
 static void
 call_done (DlHttpCall *call, CURLcode code)
 {
@@ -333,6 +347,7 @@
     call_report_head (call);
   result.status = (unsigned)status;
   result.sent = request_bytes > 0;
+  result.broken_off = is_broken_off (call, code);
   result.body = dl_buffer_view (call->body);
   if (!call->freed_in_callback)
     call->options.on_done (call, &result, call->options.data);
