Version watch: an observed announcement is added by the function that there is for it

Read-through: dl_version_floor_announced was called by tests only, and the one place that has an observed time wrote its record out.

--- a/lib/node/version_watch.c
+++ b/lib/node/version_watch.c
@@ -157,15 +157,16 @@
 static bool
 add_target (DlVersionWatch *watch, uint64_t now_ms)
 {
-  return dl_version_floor_add (&watch->floor,
-                               &(DlAnnouncement){
-                                   .version = watch->target.version,
-                                   .source = watch->target.observed
-                                                 ? DL_ANNOUNCED_OBSERVED
-                                                 : DL_ANNOUNCED_GUESSED,
-                                   .announced_ms = watch->target.announced_ms,
-                                   .found_ms = now_ms,
-                               });
+  const DlTargetVersion *t = &watch->target;
+
+  if (t->observed)
+    return dl_version_floor_announced (&watch->floor, t->version, t->announced_ms);
+  return dl_version_floor_add (&watch->floor, &(DlAnnouncement){
+                                                  .version = t->version,
+                                                  .source = DL_ANNOUNCED_GUESSED,
+                                                  .announced_ms = t->announced_ms,
+                                                  .found_ms = now_ms,
+                                              });
 }
 
 /* Counts the target's age by what is known of its announcement; returns true when that
