Signatures: how one of a whole request is written is known to signature.c alone

Read-through: the file that keeps held requests in the store cut off the prefix and put it back by itself, and quarantine.c made a list of one signature in two places to look it up.

--- a/daisydirectd/held_requests.c
+++ b/daisydirectd/held_requests.c
@@ -40,20 +40,11 @@
 
 /* -------- the requests -------- */
 
-/* The name of the object: the signature without its prefix, which names must not have. */
+/* The name of the object. */
 static const char *
 object_name (const Held *h)
 {
-  return h->id.text + 1;
-}
-
-static DlSignature
-signature_of_name (const char *name)
-{
-  char text[DL_SIGNATURE_BYTES];
-
-  g_snprintf (text, sizeof text, "=%s", name);
-  return dl_signature_from_text (dl_str (text));
+  return dl_signature_digest (&h->id);
 }
 
 static void
@@ -65,7 +56,7 @@
 static Held *
 get_held (DirectHeldRequests *held, DlSignature id)
 {
-  Held *h = g_hash_table_lookup (held->requests, id.text + 1);
+  Held *h = g_hash_table_lookup (held->requests, dl_signature_digest (&id));
 
   if (h != NULL)
     return h;
@@ -227,7 +218,7 @@
       on_object_deleted (held, object->name);
       return;
     }
-  h = get_held (held, signature_of_name (object->name));
+  h = get_held (held, dl_signature_of_digest (object->name));
   h->revision = object->revision;
   h->kept = read_trials (object->value);
   h->trials = MAX (h->trials, h->kept);
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -33,12 +33,20 @@
 
 /* -------- what changes the records -------- */
 
+/* The record of the signature ID, or NULL when it is not quarantined. */
+static const DlSignatureRecord *
+find_quarantined (const Requests *requests, const DlSignature *id)
+{
+  DlSignatures only = { .count = 1, .ids = { *id } };
+
+  return dl_quarantine_find (requests->quarantine, &only);
+}
+
 static void
 log_quarantined (const Requests *requests, const DlSignature *id, const char *source)
 {
   uint64_t now_ms = dl_clock_ms ();
-  DlSignatures only = { .count = 1, .ids = { *id } };
-  const DlSignatureRecord *r = dl_quarantine_find (requests->quarantine, &only);
+  const DlSignatureRecord *r = find_quarantined (requests, id);
 
   dl_metric_add (&metric_quarantined, 1);
   dl_log (DL_EVENT_SIGNATURE_QUARANTINED, DL_TEXT ("signature", id->text),
@@ -51,8 +59,7 @@
 static void
 publish_held (Requests *requests, const DlSignature *id, bool is_held)
 {
-  DlSignatures only = { .count = 1, .ids = { *id } };
-  const DlSignatureRecord *r = dl_quarantine_find (requests->quarantine, &only);
+  const DlSignatureRecord *r = find_quarantined (requests, id);
   DirectMessage *message;
 
   if (!dl_signature_is_whole (id))
--- a/lib/policy/signature.c
+++ b/lib/policy/signature.c
@@ -55,13 +55,28 @@
   return signature->text[0] == WHOLE_PREFIX;
 }
 
+const char *
+dl_signature_digest (const DlSignature *signature)
+{
+  return signature->text + 1;
+}
+
+DlSignature
+dl_signature_of_digest (const char *digest)
+{
+  char text[DL_SIGNATURE_BYTES];
+
+  g_snprintf (text, sizeof text, "%c%s", WHOLE_PREFIX, digest);
+  return dl_signature_from_text (dl_str (text));
+}
+
 uint64_t
 dl_signature_key (const DlSignature *signature)
 {
   char hex[KEY_DIGITS + 1];
   uint64_t key;
 
-  g_strlcpy (hex, signature->text + 1, sizeof hex);
+  g_strlcpy (hex, dl_signature_digest (signature), sizeof hex);
   key = g_ascii_strtoull (hex, NULL, 16);
   return key != 0 ? key : 1;
 }
--- a/lib/policy/signature.h
+++ b/lib/policy/signature.h
@@ -50,6 +50,11 @@
 DlSignature dl_signature_from_text (DlStr text);
 /* True for the signature of whole requests. */
 bool dl_signature_is_whole (const DlSignature *signature);
+/* The digest in the signature of whole requests, in hexadecimal; part of SIGNATURE. */
+const char *dl_signature_digest (const DlSignature *signature);
+/* Returns the signature of whole requests with DIGEST, of which it holds no more than
+ * those of requests have. */
+DlSignature dl_signature_of_digest (const char *digest);
 /* 64 bits of the signature of whole requests; never 0. */
 uint64_t dl_signature_key (const DlSignature *signature);
 /* Adds the signature of whole requests.  To be called once, after all parts. */
