Soak and stand-in server: kept callers, and requests cut without a response, stand once

Read-through: two phases of the soak had the same loop of a caller that keeps its connection, with the same pauses and the same order of random numbers; the stand-in cut queued streams and plain requests by the same steps. Checks and bounds are as they were.

--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -13,6 +13,8 @@
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
 
+#include <curl/curl.h>
+
 #include "direct.h"
 
 #define SOAK_CALLERS 6
@@ -146,6 +148,20 @@
 
 /* -------- soak_kept.c -------- */
 
+/* A caller that keeps its connection to an entry until that is gone. */
+typedef struct
+{
+  unsigned number;
+  uint32_t seed;
+  gint *stop; /* atomic */
+  /* Sends request N to ENTRY; returns false if it got no response. */
+  bool (*send) (void *data, GRand *random, CURL *curl, unsigned entry, unsigned n);
+  void *data;
+} SoakKeptCalls;
+
+/* Sends requests until the stop. */
+void soak_keep_calling (const SoakKeptCalls *calls);
+
 #define SOAK_KEPT_CALLERS 10
 
 typedef struct
--- a/regress/direct/soak_kept.c
+++ b/regress/direct/soak_kept.c
@@ -1,5 +1,4 @@
 /* Callers of the soak that keep using their connections until the process is gone. */
-#include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
 
@@ -44,11 +43,12 @@
                                      : strcmp (r->body, "done") == 0;
 }
 
-/* Sends a request to ENTRY and returns false if it got no response. */
 static bool
-call_entry (SoakCaller *caller, GRand *random, CURL *curl, unsigned entry, char *id)
+call_entry (void *data, GRand *random, CURL *curl, unsigned entry, unsigned n)
 {
+  const SoakCaller *caller = data;
   Soak *soak = caller->soak;
+  char *id = g_strdup_printf ("k%08x-%u", caller->seed, n);
   const KeptTarget *t
       = &kept_targets[g_rand_int_range (random, 0, G_N_ELEMENTS (kept_targets))];
   SentRequest *req = g_new0 (SentRequest, 1);
@@ -81,18 +81,16 @@
   return req->status != 0;
 }
 
-static gpointer
-run_kept_caller (gpointer data)
+void
+soak_keep_calling (const SoakKeptCalls *calls)
 {
-  SoakCaller *caller = data;
-  GRand *random = g_rand_new_with_seed (caller->seed);
+  GRand *random = g_rand_new_with_seed (calls->seed);
   CURL *curl = curl_easy_init ();
-  unsigned entry = caller->number % ENTRIES;
+  unsigned entry = calls->number % ENTRIES;
 
-  for (unsigned n = 0; !g_atomic_int_get (&caller->soak->kept_stop); n++)
+  for (unsigned n = 0; !g_atomic_int_get (calls->stop); n++)
     {
-      char *id = g_strdup_printf ("k%08x-%u", caller->seed, n);
-      bool answered = call_entry (caller, random, curl, entry, id);
+      bool answered = calls->send (calls->data, random, curl, entry, n);
 
       if (!answered)
         entry = (unsigned)g_rand_int_range (random, 0, ENTRIES);
@@ -100,6 +98,20 @@
     }
   curl_easy_cleanup (curl);
   g_rand_free (random);
+}
+
+static gpointer
+run_kept_caller (gpointer data)
+{
+  SoakCaller *caller = data;
+
+  soak_keep_calling (&(SoakKeptCalls){
+      .number = caller->number,
+      .seed = caller->seed,
+      .stop = &caller->soak->kept_stop,
+      .send = call_entry,
+      .data = caller,
+  });
   return NULL;
 }
 
--- a/regress/direct/soak_version.c
+++ b/regress/direct/soak_version.c
@@ -4,7 +4,6 @@
  * killed, and all are cut off from the store.  No stream may start on a version whose
  * time is over.
  */
-#include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
@@ -14,8 +13,6 @@
 
 #define SLOTS             16 /* of each server, so that many streams wait */
 #define CALLERS           24
-#define CALL_PAUSE_US     20000
-#define GONE_PAUSE_US     50000
 #define DEADLINE_MS       6000
 #define DEADLINE_SHORT_MS 3500
 #define LIMIT_MS          8000 /* equals version_ms in the nodes' settings */
@@ -114,8 +111,9 @@
 } VersionCaller;
 
 static bool
-call_entry (VersionCaller *caller, GRand *random, CURL *curl, unsigned entry, unsigned n)
+call_entry (void *data, GRand *random, CURL *curl, unsigned entry, unsigned n)
 {
+  const VersionCaller *caller = data;
   Versions *v = caller->versions;
   bool slow = g_rand_boolean (random);
   char *id = g_strdup_printf ("ve%u-%u-%u", entry, caller->number, n);
@@ -137,25 +135,18 @@
   return answered;
 }
 
-/* Keeps its connection to an entry until that is gone. */
 static gpointer
 run_caller (gpointer data)
 {
   VersionCaller *caller = data;
-  GRand *random = g_rand_new_with_seed (caller->seed);
-  CURL *curl = curl_easy_init ();
-  unsigned entry = caller->number % ENTRIES;
 
-  for (unsigned n = 0; !g_atomic_int_get (&caller->versions->stop); n++)
-    {
-      bool answered = call_entry (caller, random, curl, entry, n);
-
-      if (!answered)
-        entry = (unsigned)g_rand_int_range (random, 0, ENTRIES);
-      g_usleep (answered ? CALL_PAUSE_US : GONE_PAUSE_US);
-    }
-  curl_easy_cleanup (curl);
-  g_rand_free (random);
+  soak_keep_calling (&(SoakKeptCalls){
+      .number = caller->number,
+      .seed = caller->seed,
+      .stop = &caller->versions->stop,
+      .send = call_entry,
+      .data = caller,
+  });
   return NULL;
 }
 
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -415,28 +415,31 @@
   s->timer = dl_timer_subscribe (task, s, first_ms, event_ms, on_event, s);
 }
 
+/* Closes the connection of REQUEST without a response, and frees STATE, what is kept of
+ * it.
+ */
+static void
+cut_unanswered (DlHttpRequest *request, void *state)
+{
+  dl_http_request_on_closed (request, NULL, NULL);
+  talloc_free (state);
+  dl_http_abort (request);
+}
+
 /* Closes the connection of a stream that has not started. */
 static void
 drop_queued (QueuedStream *q)
 {
-  DlHttpRequest *request = q->request;
-
-  dl_http_request_on_closed (request, NULL, NULL);
   queued = g_list_remove (queued, q);
-  talloc_free (q);
-  dl_http_abort (request);
+  cut_unanswered (q->request, q);
 }
 
 /* Closes the connection of a request that runs without a stream. */
 static void
 cut_plain_run (PlainRun *run)
 {
-  DlHttpRequest *request = run->request;
-
-  dl_http_request_on_closed (request, NULL, NULL);
   plain_runs = g_list_remove (plain_runs, run);
-  talloc_free (run);
-  dl_http_abort (request);
+  cut_unanswered (run->request, run);
 }
 
 /* All requests in progress end, and none is taken for CRASH_MS. */
