Weights: what an announcement costs no longer grows with the number of hosts

Cause: perf of the large site showed 40% of an entry's time in choose_peer and 38% in has_holder while weights are brought: each event went through all peers for each missing chunk, up to four times, and each new peer ranked all chunks anew over all peers. Ruled out: doing it less often.

Change: holders of each chunk are listed by group (hub or leaf, this region or another) and change with the holder; ranks are counted up and down as peers come and go, from hashes that are computed once; an announcement that says nothing new only renews the holder's time; holders are expired four times a second; when the manifest is asked for is computed when holders come or go.

--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -448,6 +448,14 @@
 
 /* -------- the task -------- */
 
+/* True when a change of what another node holds may be what the current step waits for.
+ */
+static bool
+waits_for_chunks (const Weights *w)
+{
+  return w->phase == PHASE_RECOVER || w->phase == PHASE_FETCH || w->next != NULL;
+}
+
 static void
 handle (DlTask *task, const DlMessage *head)
 {
@@ -467,6 +475,8 @@
       break;
     case STAGE_HOLDER:
       dl_chunk_cache_set_holder (w->cache, &m->holder);
+      if (!waits_for_chunks (w))
+        return;
       break;
     case STAGE_NODE_REMOVED:
       dl_chunk_cache_remove_holder (w->cache, m->removed_node);
--- a/lib/node/chunk_cache.c
+++ b/lib/node/chunk_cache.c
@@ -7,6 +7,8 @@
 
 /* A holder that did not advertise itself for this long is removed. */
 #define HOLDER_TIMEOUT_MS 3000
+/* Holders are checked for that this often. */
+#define EXPIRE_EVERY_MS 250
 
 /* -------- holders -------- */
 
@@ -40,8 +42,15 @@
 void
 dl_chunk_cache_set_holder (DlChunkCache *cache, const DlHolder *holder)
 {
-  DlKnownHolder *h = talloc_zero (cache, DlKnownHolder);
+  DlKnownHolder *h = g_hash_table_lookup (cache->holders, holder->name);
 
+  if (h != NULL && dl_holder_equal (&h->holder, holder))
+    {
+      h->set_ms = dl_clock_ms ();
+      return;
+    }
+  cache->holders_changes += h == NULL;
+  h = talloc_zero (cache, DlKnownHolder);
   g_assert (h != NULL);
   h->holder = dl_holder_copy (h, holder);
   h->set_ms = dl_clock_ms ();
@@ -61,6 +70,7 @@
 void
 dl_chunk_cache_remove_holder (DlChunkCache *cache, const char *name)
 {
+  cache->holders_changes++;
   remove_holder_from_plans (cache, name);
   g_hash_table_remove (cache->holders, name);
 }
@@ -72,6 +82,9 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (now_ms - cache->expired_ms < EXPIRE_EVERY_MS)
+    return;
+  cache->expired_ms = now_ms;
   g_hash_table_iter_init (&iter, cache->holders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -81,6 +94,7 @@
         continue;
       remove_holder_from_plans (cache, h->holder.name);
       g_hash_table_iter_remove (&iter);
+      cache->holders_changes++;
     }
 }
 
--- a/lib/node/chunk_cache.h
+++ b/lib/node/chunk_cache.h
@@ -26,10 +26,12 @@
   uint64_t progress_ms;  /* when the manifest or a chunk last arrived; before that, when
                           * the bundle was opened */
   uint64_t manifest_requested_ms; /* when the manifest was last requested; 0 for never */
-  unsigned count;                 /* of chunks; 0 until the manifest has arrived */
-  const char **digests;           /* SHA-256 of each chunk, in hexadecimal */
-  DlStr *chunks;                  /* verified bytes; empty while missing */
-  DlFetchPlan *plan;              /* NULL until the manifest has arrived */
+  DlManifestTimes manifest_times; /* of the requests to the origin */
+  unsigned manifest_times_of; /* for which changes of the holders they were computed */
+  unsigned count;             /* of chunks; 0 until the manifest has arrived */
+  const char **digests;       /* SHA-256 of each chunk, in hexadecimal */
+  DlStr *chunks;              /* verified bytes; empty while missing */
+  DlFetchPlan *plan;          /* NULL until the manifest has arrived */
   struct DlBundle *next;
 } DlBundle;
 
@@ -85,7 +87,7 @@
 void dl_chunk_cache_set_holder (DlChunkCache *cache, const DlHolder *holder);
 /* Removes the holder NAME, if it is known. */
 void dl_chunk_cache_remove_holder (DlChunkCache *cache, const char *name);
-/* Removes holders that have not been set for 3 s. */
+/* Removes holders that have not been set for 3 s; may be called at each tick. */
 void dl_chunk_cache_expire_holders (DlChunkCache *cache);
 /* Calls FUNC for each holder. */
 void dl_chunk_cache_foreach_holder (const DlChunkCache *cache,
--- a/lib/node/chunk_cache_fetch.c
+++ b/lib/node/chunk_cache_fetch.c
@@ -197,18 +197,19 @@
     g_ptr_array_add (found->names, (gpointer)holder->name);
 }
 
-/* True when this host may request the manifest from the origin; the hosts do so one after
- * another. */
-static bool
-is_turn_for_origin (const DlBundle *b, uint64_t now_ms)
+/* Computes when this host requests the manifest from the origin, unless no holder was
+ * added or removed since it was computed last. */
+static void
+update_manifest_times (DlBundle *b)
 {
   g_autoptr (GPtrArray) names = g_ptr_array_new ();
   bool is_hub = b->cache->options.is_hub;
   HolderNames found = { .is_hub = is_hub, .names = names, .has_hubs = is_hub };
   DlManifestSchedule schedule;
 
-  if (b->cache->origin == NULL)
-    return false;
+  if (b->manifest_times_of == b->cache->holders_changes
+      && b->manifest_times.interval_ms > 0)
+    return;
   dl_chunk_cache_foreach_holder (b->cache, collect_holder_name, &found);
   schedule = (DlManifestSchedule){
     .host = b->cache->options.settings->name,
@@ -219,9 +220,24 @@
     .model = b->model,
     .version = b->version,
   };
+  b->manifest_times = (DlManifestTimes){
+    .first_delay_ms = dl_manifest_first_delay_ms (&schedule),
+    .interval_ms = dl_manifest_interval_ms (&schedule),
+  };
+  b->manifest_times_of = b->cache->holders_changes;
+}
+
+/* True when this host may request the manifest from the origin; the hosts do so one after
+ * another. */
+static bool
+is_turn_for_origin (DlBundle *b, uint64_t now_ms)
+{
+  if (b->cache->origin == NULL)
+    return false;
+  update_manifest_times (b);
   if (b->manifest_requested_ms != 0)
-    return now_ms - b->manifest_requested_ms >= dl_manifest_interval_ms (&schedule);
-  return now_ms - b->progress_ms >= dl_manifest_first_delay_ms (&schedule);
+    return now_ms - b->manifest_requested_ms >= b->manifest_times.interval_ms;
+  return now_ms - b->progress_ms >= b->manifest_times.first_delay_ms;
 }
 
 void
--- a/lib/node/chunk_cache_private.h
+++ b/lib/node/chunk_cache_private.h
@@ -25,6 +25,8 @@
   char *origin;             /* NULL until known */
   uint64_t origin_chunk_us; /* as in DlWeightSource */
   GHashTable *holders;      /* name to DlKnownHolder */
+  unsigned holders_changes; /* how often a holder was added or removed */
+  uint64_t expired_ms;      /* when holders were last checked for their timeout */
   DlBundle *bundles;        /* list of the open bundles */
   bool changed;             /* see dl_chunk_cache_clear_changed */
   GQueue upload_queue;      /* of DlHttpRequest: requests for chunks, not yet answered */
--- a/lib/node/holding.c
+++ b/lib/node/holding.c
@@ -72,6 +72,27 @@
   return copy;
 }
 
+static bool
+are_holdings_equal (const DlHoldings *a, const DlHoldings *b)
+{
+  if (a->count != b->count)
+    return false;
+  for (size_t i = 0; i < a->count; i++)
+    if (a->items[i].version != b->items[i].version
+        || strcmp (a->items[i].model, b->items[i].model) != 0
+        || !dl_str_equal (a->items[i].chunks, b->items[i].chunks))
+      return false;
+  return true;
+}
+
+bool
+dl_holder_equal (const DlHolder *a, const DlHolder *b)
+{
+  return a->is_hub == b->is_hub && strcmp (a->name, b->name) == 0
+         && strcmp (a->region, b->region) == 0 && strcmp (a->address, b->address) == 0
+         && are_holdings_equal (&a->holdings, &b->holdings);
+}
+
 DlHolder
 dl_holder_from_status (const void *context,
                        const DlPeer *peer,
--- a/lib/node/holding.h
+++ b/lib/node/holding.h
@@ -57,6 +57,8 @@
                                               const char *service);
 /* Copies HOLDER; the copy's strings and bytes are talloc children of CONTEXT. */
 DlHolder dl_holder_copy (const void *context, const DlHolder *holder);
+/* True when both are the same node and hold the same chunks. */
+bool dl_holder_equal (const DlHolder *a, const DlHolder *b);
 /* Reads what PEER advertises in STATUS; the result's strings and bytes are talloc
  * children of CONTEXT. */
 DlHolder dl_holder_from_status (const void *context,
--- a/lib/policy/fetch_plan.c
+++ b/lib/policy/fetch_plan.c
@@ -8,16 +8,22 @@
 
 #define BITS_PER_BYTE 8
 
+/* Peers are grouped by what a fetch prefers: hubs over leaves, the same region over
+ * others.  A group's index is the sum of these flags. */
+enum
+{
+  GROUP_HUB = 1,
+  GROUP_SAME_REGION = 2,
+  GROUPS = 4,
+};
+
 typedef struct Peer
 {
   char *host;
-  char *region;
-  bool same_region; /* as this host */
-  bool is_hub;
+  unsigned group;       /* sum of the GROUP flags that hold for it */
   uint8_t *holds;       /* bitmap of its chunks */
   unsigned fetching;    /* fetches from it in progress */
   uint64_t retry_at_ms; /* not used as a source before */
-  struct Peer *next;
 } Peer;
 
 typedef enum
@@ -30,7 +36,10 @@
 typedef struct
 {
   ChunkState state;
-  Peer *peer; /* source of the fetch; NULL for the origin */
+  Peer *peer;                 /* source of the fetch; NULL for the origin */
+  GPtrArray *holders[GROUPS]; /* the peers that have it; NULL for none so far */
+  uint64_t key;               /* of its ranks, see dl_rendezvous_key */
+  uint64_t own_score;         /* of this host */
   /* Rank of this host for the chunk among the hosts of its kind, and among those of its
    * region; 0 is first. */
   unsigned rank;
@@ -39,17 +48,15 @@
 
 struct DlFetchPlan
 {
-  char *host;
   char *region;
-  char *key; /* model and version, hashed for the ranks */
   unsigned count;
   bool is_hub;
   uint64_t started_ms;
   uint64_t origin_chunk_us;
   Chunk *chunks;
   uint8_t *bitmap;
-  bool ranked; /* the chunks' ranks are up to date with the peers */
-  Peer *peers;
+  GHashTable *peers;             /* name to Peer */
+  unsigned group_counts[GROUPS]; /* of peers */
   unsigned fetching;
   unsigned fetching_origin;
   uint64_t origin_retry_at_ms;
@@ -80,16 +87,40 @@
     bitmap[index / BITS_PER_BYTE] &= (uint8_t)~mask;
 }
 
+static int
+plan_destroy (DlFetchPlan *plan)
+{
+  g_hash_table_destroy (plan->peers);
+  for (unsigned i = 0; i < plan->count; i++)
+    for (unsigned g = 0; g < GROUPS; g++)
+      if (plan->chunks[i].holders[g] != NULL)
+        g_ptr_array_free (plan->chunks[i].holders[g], TRUE);
+  return 0;
+}
+
+static void
+init_ranks (DlFetchPlan *plan, const DlFetchPlanOptions *options)
+{
+  uint64_t own = dl_rendezvous_key (dl_str (options->host));
+
+  for (unsigned i = 0; i < plan->count; i++)
+    {
+      Chunk *c = &plan->chunks[i];
+      g_autofree char *key = g_strdup_printf ("%s:%" G_GUINT64_FORMAT ":%u",
+                                              options->model, options->version, i);
+
+      c->key = dl_rendezvous_key (dl_str (key));
+      c->own_score = dl_rendezvous_score_of (c->key, own);
+    }
+}
+
 DlFetchPlan *
 dl_fetch_plan_new (const void *context, const DlFetchPlanOptions *options)
 {
   DlFetchPlan *plan = talloc_zero (context, DlFetchPlan);
 
   g_assert (plan != NULL && options->chunks > 0);
-  plan->host = talloc_strdup (plan, options->host);
   plan->region = talloc_strdup (plan, options->region);
-  plan->key
-      = talloc_asprintf (plan, "%s:%" G_GUINT64_FORMAT, options->model, options->version);
   plan->count = options->chunks;
   plan->is_hub = options->is_hub;
   plan->missing = options->chunks;
@@ -97,39 +128,84 @@
   plan->origin_chunk_us = options->origin_chunk_us;
   plan->chunks = talloc_zero_array (plan, Chunk, options->chunks);
   plan->bitmap = talloc_zero_array (plan, uint8_t, bitmap_bytes (plan));
+  plan->peers = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (plan, plan_destroy);
+  init_ranks (plan, options);
   return plan;
 }
 
+/* Adds DIFFERENCE, 1 or -1, to the rank of this host for each chunk for which PEER, a
+ * host of its kind, ranks before it. */
+static void
+count_in_ranks (DlFetchPlan *plan, const Peer *peer, int difference)
+{
+  uint64_t name = dl_rendezvous_key (dl_str (peer->host));
+
+  if (((peer->group & GROUP_HUB) != 0) != plan->is_hub)
+    return;
+  for (unsigned i = 0; i < plan->count; i++)
+    {
+      Chunk *c = &plan->chunks[i];
+
+      if (dl_rendezvous_score_of (c->key, name) <= c->own_score)
+        continue;
+      c->rank += (unsigned)difference;
+      if ((peer->group & GROUP_SAME_REGION) != 0)
+        c->region_rank += (unsigned)difference;
+    }
+}
+
 static Peer *
-find_peer (const DlFetchPlan *plan, const char *host)
+add_peer (DlFetchPlan *plan, const char *host, const char *region, bool is_hub)
+{
+  Peer *p = talloc_zero (plan, Peer);
+
+  p->host = talloc_strdup (p, host);
+  p->group = is_hub ? GROUP_HUB : 0;
+  if (strcmp (region, plan->region) == 0)
+    p->group |= GROUP_SAME_REGION;
+  p->holds = talloc_zero_array (p, uint8_t, bitmap_bytes (plan));
+  g_hash_table_insert (plan->peers, p->host, p);
+  plan->group_counts[p->group]++;
+  count_in_ranks (plan, p, 1);
+  return p;
+}
+
+static void
+set_holds (DlFetchPlan *plan, Peer *p, unsigned index, bool holds)
 {
-  for (Peer *p = plan->peers; p != NULL; p = p->next)
-    if (strcmp (p->host, host) == 0)
-      return p;
-  return NULL;
+  GPtrArray **holders = &plan->chunks[index].holders[p->group];
+
+  if (has_bit (p->holds, index) == holds)
+    return;
+  set_bit (p->holds, index, holds);
+  if (*holders == NULL)
+    *holders = g_ptr_array_new ();
+  if (holds)
+    g_ptr_array_add (*holders, p);
+  else
+    g_ptr_array_remove_fast (*holders, p);
 }
 
 void
 dl_fetch_plan_set_peer (
     DlFetchPlan *plan, const char *host, const char *region, bool is_hub, DlStr holds)
 {
-  Peer *p = find_peer (plan, host);
+  Peer *p = g_hash_table_lookup (plan->peers, host);
+  const uint8_t *bytes = (const uint8_t *)holds.data;
 
   if (p == NULL)
+    p = add_peer (plan, host, region, is_hub);
+  for (size_t n = 0; n < bitmap_bytes (plan); n++)
     {
-      p = talloc_zero (plan, Peer);
-      p->host = talloc_strdup (p, host);
-      p->region = talloc_strdup (p, region);
-      p->same_region = strcmp (region, plan->region) == 0;
-      p->is_hub = is_hub;
-      p->holds = talloc_zero_array (p, uint8_t, bitmap_bytes (plan));
-      p->next = plan->peers;
-      plan->peers = p;
-      plan->ranked = false;
+      uint8_t byte = n < holds.length ? bytes[n] : 0;
+
+      if (byte == p->holds[n])
+        continue;
+      for (unsigned bit = 0; bit < BITS_PER_BYTE; bit++)
+        if (n * BITS_PER_BYTE + bit < plan->count)
+          set_holds (plan, p, (unsigned)n * BITS_PER_BYTE + bit, (byte >> bit & 1) != 0);
     }
-  memset (p->holds, 0, bitmap_bytes (plan));
-  if (holds.length > 0)
-    memcpy (p->holds, holds.data, MIN (holds.length, bitmap_bytes (plan)));
 }
 
 static void
@@ -151,20 +227,20 @@
 void
 dl_fetch_plan_remove_peer (DlFetchPlan *plan, const char *host)
 {
-  for (Peer **at = &plan->peers; *at != NULL; at = &(*at)->next)
-    {
-      Peer *p = *at;
+  Peer *p = g_hash_table_lookup (plan->peers, host);
 
-      if (strcmp (p->host, host) != 0)
-        continue;
-      for (unsigned i = 0; i < plan->count; i++)
-        if (plan->chunks[i].peer == p)
-          fetch_ended (plan, i);
-      *at = p->next;
-      talloc_free (p);
-      plan->ranked = false;
-      return;
+  if (p == NULL)
+    return;
+  for (unsigned i = 0; i < plan->count; i++)
+    {
+      if (plan->chunks[i].peer == p)
+        fetch_ended (plan, i);
+      set_holds (plan, p, i, false);
     }
+  count_in_ranks (plan, p, -1);
+  plan->group_counts[p->group]--;
+  g_hash_table_remove (plan->peers, host);
+  talloc_free (p);
 }
 
 void
@@ -208,35 +284,6 @@
   fetch_ended (plan, index);
 }
 
-static void
-rank_chunk (DlFetchPlan *plan, unsigned index)
-{
-  Chunk *c = &plan->chunks[index];
-  g_autofree char *key = g_strdup_printf ("%s:%u", plan->key, index);
-  uint64_t own = dl_rendezvous_score (dl_str (key), dl_str (plan->host));
-
-  c->rank = 0;
-  c->region_rank = 0;
-  for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    {
-      if (p->is_hub != plan->is_hub
-          || dl_rendezvous_score (dl_str (key), dl_str (p->host)) <= own)
-        continue;
-      c->rank++;
-      c->region_rank += p->same_region;
-    }
-}
-
-static void
-rank_chunks (DlFetchPlan *plan)
-{
-  if (plan->ranked)
-    return;
-  for (unsigned i = 0; i < plan->count; i++)
-    rank_chunk (plan, i);
-  plan->ranked = true;
-}
-
 /* Which peers to consider. */
 typedef struct
 {
@@ -245,20 +292,39 @@
 } PeerFilter;
 
 static bool
-matches (const Peer *p, PeerFilter filter)
+matches (unsigned group, PeerFilter filter)
 {
-  return (p->same_region || !filter.same_region_only) && (p->is_hub || !filter.hubs_only);
+  return ((group & GROUP_SAME_REGION) != 0 || !filter.same_region_only)
+         && ((group & GROUP_HUB) != 0 || !filter.hubs_only);
 }
 
 static bool
-is_usable (const Peer *p, unsigned index, uint64_t now_ms)
+is_usable (const Peer *p, uint64_t now_ms)
 {
-  return has_bit (p->holds, index) && p->fetching < DL_FETCH_PARALLEL_PEER
-         && now_ms >= p->retry_at_ms;
+  return p->fetching < DL_FETCH_PARALLEL_PEER && now_ms >= p->retry_at_ms;
 }
 
-/* The usable peer that has the chunk and the fewest fetches in progress, at random among
- * equals; NULL when there is none. */
+/* Returns the usable one of HOLDERS with the fewest fetches in progress, or BEST if that
+ * has no more; of equals the first from a random place on. */
+static Peer *
+choose_holder (const GPtrArray *holders, Peer *best, uint64_t now_ms, uint64_t random)
+{
+  for (guint n = 0; n < holders->len; n++)
+    {
+      Peer *p = g_ptr_array_index (holders, (n + random % holders->len) % holders->len);
+
+      if (!is_usable (p, now_ms))
+        continue;
+      if (p->fetching == 0)
+        return p;
+      if (best == NULL || p->fetching < best->fetching)
+        best = p;
+    }
+  return best;
+}
+
+/* The usable peer that has the chunk and the fewest fetches in progress; NULL when there
+ * is none. */
 static Peer *
 choose_peer (const DlFetchPlan *plan,
              unsigned index,
@@ -267,18 +333,16 @@
              uint64_t random)
 {
   Peer *best = NULL;
-  unsigned equals = 0;
 
-  for (Peer *p = plan->peers; p != NULL; p = p->next)
+  for (unsigned n = 0; n < GROUPS; n++)
     {
-      if (!matches (p, filter) || !is_usable (p, index, now_ms))
-        continue;
-      if (best == NULL || p->fetching < best->fetching)
-        equals = 0;
-      else if (p->fetching > best->fetching)
-        continue;
-      if (random % ++equals == 0)
-        best = p;
+      unsigned g = (unsigned)((n + random) % GROUPS);
+      const GPtrArray *holders = plan->chunks[index].holders[g];
+
+      if (holders != NULL && matches (g, filter))
+        best = choose_holder (holders, best, now_ms, random / GROUPS);
+      if (best != NULL && best->fetching == 0)
+        return best;
     }
   return best;
 }
@@ -286,8 +350,8 @@
 static bool
 has_hub (const DlFetchPlan *plan, PeerFilter filter)
 {
-  for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    if (p->is_hub && matches (p, filter))
+  for (unsigned g = 0; g < GROUPS; g++)
+    if ((g & GROUP_HUB) != 0 && matches (g, filter) && plan->group_counts[g] > 0)
       return true;
   return false;
 }
@@ -295,8 +359,10 @@
 static bool
 has_holder (const DlFetchPlan *plan, unsigned index, PeerFilter filter)
 {
-  for (const Peer *p = plan->peers; p != NULL; p = p->next)
-    if (matches (p, filter) && has_bit (p->holds, index))
+  const Chunk *c = &plan->chunks[index];
+
+  for (unsigned g = 0; g < GROUPS; g++)
+    if (matches (g, filter) && c->holders[g] != NULL && c->holders[g]->len > 0)
       return true;
   return false;
 }
@@ -407,7 +473,6 @@
 
   if (plan->fetching >= limit || plan->missing == plan->fetching)
     return false;
-  rank_chunks (plan);
   /* Chunks that others wait for come first. */
   if (!find_fetch (plan, true, now_ms, random, &fetch->index, &source)
       && !find_fetch (plan, false, now_ms, random, &fetch->index, &source))
--- a/lib/policy/fetch_plan.h
+++ b/lib/policy/fetch_plan.h
@@ -94,6 +94,13 @@
   uint64_t version;
 } DlManifestSchedule;
 
+/* The two times below; the interval is never 0. */
+typedef struct
+{
+  uint64_t first_delay_ms;
+  uint64_t interval_ms;
+} DlManifestTimes;
+
 /* Time from when this host learned of the version to its first request. */
 uint64_t dl_manifest_first_delay_ms (const DlManifestSchedule *schedule);
 /* Interval of its further requests, which bounds the rate of all hosts together. */
--- a/lib/policy/rendezvous.c
+++ b/lib/policy/rendezvous.c
@@ -7,18 +7,26 @@
 static const unsigned char hash_key[crypto_shorthash_KEYBYTES] = "daisyloft-rank1";
 
 uint64_t
-dl_rendezvous_score (DlStr key, DlStr candidate)
+dl_rendezvous_key (DlStr text)
 {
-  unsigned char key_hash[crypto_shorthash_BYTES];
-  unsigned char pair[crypto_shorthash_BYTES * 2];
   unsigned char out[crypto_shorthash_BYTES];
-  uint64_t score;
+  uint64_t hash;
+
+  crypto_shorthash (out, (const unsigned char *)text.data, text.length, hash_key);
+  memcpy (&hash, out, sizeof hash);
+  return hash;
+}
+
+uint64_t
+dl_rendezvous_score_of (uint64_t key, uint64_t candidate)
+{
+  uint64_t pair[] = { key, candidate };
 
-  crypto_shorthash (key_hash, (const unsigned char *)key.data, key.length, hash_key);
-  memcpy (pair, key_hash, sizeof key_hash);
-  crypto_shorthash (pair + sizeof key_hash, (const unsigned char *)candidate.data,
-                    candidate.length, hash_key);
-  crypto_shorthash (out, pair, sizeof pair, hash_key);
-  memcpy (&score, out, sizeof score);
-  return score;
+  return dl_rendezvous_key (dl_str_bytes (pair, sizeof pair));
+}
+
+uint64_t
+dl_rendezvous_score (DlStr key, DlStr candidate)
+{
+  return dl_rendezvous_score_of (dl_rendezvous_key (key), dl_rendezvous_key (candidate));
 }
--- a/regress/unit/test_fetch_plan.c
+++ b/regress/unit/test_fetch_plan.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 #include <talloc.h>
+#include <time.h>
 
 #include "policy/fetch_plan.h"
 #include "unit.h"
@@ -271,6 +272,88 @@
   talloc_free (plan);
 }
 
+/* -------- cost by the number of hosts -------- */
+
+#define COST_EVENTS 2000
+#define COST_RUNS   5
+/* Hosts that are compared, and how much dearer an event may be among the more numerous:
+ * as the logarithm of their number, doubled. */
+#define COST_FEW_HOSTS  100
+#define COST_MANY_HOSTS 1500
+#define COST_RATIO_MAX  3.2
+
+static int64_t
+processor_ns (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (int64_t)t.tv_sec * 1000000000 + t.tv_nsec;
+}
+
+/* Processor time of COST_EVENTS announcements of hosts, each with the choice of what to
+ * fetch next: a leaf among HOST_COUNT others of which a tenth are hubs. */
+static int64_t
+event_cost_ns (unsigned hosts_known)
+{
+  DlFetchPlan *plan = dl_fetch_plan_new (NULL, &(DlFetchPlanOptions){
+                                                   .host = "self",
+                                                   .region = "region-0",
+                                                   .model = "m",
+                                                   .version = 2,
+                                                   .chunks = CHUNKS,
+                                                   .started_ms = 1,
+                                                   .origin_chunk_us = 27000,
+                                               });
+  uint8_t bits[BITMAP_BYTES] = { 0 };
+  char name[16];
+  char region[16];
+  int64_t started_ns = 0;
+
+  for (unsigned n = 0; n < hosts_known + COST_EVENTS; n++)
+    {
+      unsigned host = n % hosts_known;
+      DlFetch fetch;
+
+      if (n == hosts_known)
+        started_ns = processor_ns ();
+      g_snprintf (name, sizeof name, "host-%u", host);
+      g_snprintf (region, sizeof region, "region-%u", host % 5);
+      bits[n / hosts_known % BITMAP_BYTES] |= (uint8_t)(1u << (host % 8));
+      dl_fetch_plan_set_peer (plan, name, region, host % 10 == 0,
+                              dl_str_bytes (bits, sizeof bits));
+      if (n >= hosts_known && dl_fetch_plan_next (plan, 100, n, &fetch))
+        dl_fetch_plan_failed (plan, fetch.index, 1, 50);
+    }
+  started_ns = processor_ns () - started_ns;
+  talloc_free (plan);
+  return started_ns;
+}
+
+static int64_t
+least_event_cost_ns (unsigned hosts_known)
+{
+  int64_t least_ns = INT64_MAX;
+
+  for (unsigned i = 0; i < COST_RUNS; i++)
+    least_ns = MIN (least_ns, event_cost_ns (hosts_known));
+  return least_ns;
+}
+
+/* What an announcement of another host costs hardly depends on how many hosts there are:
+ * each of hundreds is announced several times a second. */
+static void
+test_cost_of_an_event (void)
+{
+  double ratio = (double)least_event_cost_ns (COST_MANY_HOSTS)
+                 / (double)least_event_cost_ns (COST_FEW_HOSTS);
+
+  if (ratio > COST_RATIO_MAX)
+    g_print ("an event costs %.1f times as much among %d hosts as among %d\n", ratio,
+             COST_MANY_HOSTS, COST_FEW_HOSTS);
+  CU_ASSERT (ratio <= COST_RATIO_MAX);
+}
+
 /* -------- the manifest -------- */
 
 #define HOSTS_OF_KIND_MAX 64
@@ -342,6 +425,7 @@
 
 static const CU_TestInfo tests[] = {
   { "schedule of manifest requests", test_manifest_schedule },
+  { "cost of an event by the number of hosts", test_cost_of_an_event },
   { "simulation of many hosts", test_scenarios },
   { "a lost chunk", test_lost_chunk_is_fetched_again },
   CU_TEST_INFO_NULL,
