--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -40,6 +40,7 @@
   DIRECT_HELD_KEPT,          /* the store keeps that a whole request is quarantined */
   DIRECT_LIMIT_RECORDS,      /* what this entry knows of the limits of upstreams */
   DIRECT_PEER_LIMIT_RECORDS, /* what another entry knows of them */
+  DIRECT_HUB,                /* whether this entry fetches weights for others */
 } DirectMessageType;
 
 /* Status of an engine, as reported by the stager on its host. */
@@ -75,6 +76,7 @@
     } version;
     DlHolder holder;
     DlHoldings holdings;
+    bool is_hub;
     DlSignatureRecords *signature_records;
     DlLimitRecords *limit_records;
     struct
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -371,6 +371,7 @@
     case DIRECT_NO_TARGET:
     case DIRECT_HOLDER:
     case DIRECT_NODE_REMOVED:
+    case DIRECT_HUB:
     case DIRECT_HOLDINGS:
     case DIRECT_SIGNATURE_RECORDS:
     case DIRECT_LIMIT_RECORDS:
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -44,7 +44,12 @@
 #define VERSIONS_SPREAD_MS 1200
 #define TICK_MS            250
 #define STATUS_EVERY_TICKS 2
-#define STATUS_CHANGED_MS  40 /* a changed status is sent within this time */
+/* The same in a large fleet; a lost status leaves time for another (DL_PEER_TIMEOUT_MS).
+ */
+#define STATUS_EVERY_TICKS_LARGE 3
+#define STATUS_CHANGED_MS        40 /* a changed status is sent within this time */
+/* In a large fleet the chunks that a hub holds are told at most this often. */
+#define HOLDINGS_LARGE_MS 160
 
 DL_METRIC (metric_ready,
            DL_METRIC_GAUGE,
@@ -71,7 +76,10 @@
       *signature_records_message; /* the last DIRECT_SIGNATURE_RECORDS; NULL before */
   DirectMessage *limit_records_message; /* the last DIRECT_LIMIT_RECORDS; NULL before */
   bool status_changed;                  /* and not sent yet */
+  bool holdings_changed;                /* likewise */
+  uint64_t holdings_sent_ms;            /* when holdings were last told */
   bool ready;
+  bool is_hub; /* this entry fetches weights for others */
   unsigned ticks;
 } State;
 
@@ -223,8 +231,11 @@
                 const DlPeer *peer,
                 const Daisyloft__Wire__NodeStatus *status)
 {
-  DirectMessage *message = direct_message_new (DIRECT_HOLDER);
+  DirectMessage *message;
 
+  if (!peer->is_hub)
+    return;
+  message = direct_message_new (DIRECT_HOLDER);
   message->holder = dl_holder_from_status (message, peer, status);
   dl_kernel_publish (state->kernel, message);
 }
@@ -281,11 +292,19 @@
          && dl_clock_ms () - proven_ms < direct_routing_max_age_ms (state->settings);
 }
 
+/* Whether stagers need to hear from this entry. */
+static bool
+serves_stagers (const State *state)
+{
+  return state->is_hub || dl_peers_is_relay (state->peers);
+}
+
 static void
 add_holdings (const State *state,
               const void *context,
               Daisyloft__Wire__NodeStatus *status)
 {
+  status->not_hub = !state->is_hub;
   if (state->holdings_message != NULL)
     dl_holdings_to_status (context, &state->holdings_message->holdings, status);
 }
@@ -319,8 +338,11 @@
 {
   State *state = data;
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  void *context = talloc_new (state);
+  void *context;
 
+  if (role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT && !serves_stagers (state))
+    return;
+  context = talloc_new (state);
   status.ready = state->ready;
   add_holdings (state, context, &status);
   if (role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
@@ -332,8 +354,10 @@
   talloc_free (context);
 }
 
+/* Sends this entry's status to the entries that REACH says, and to the stagers that fetch
+ * chunks here or read the store through here. */
 static void
-send_status (State *state)
+send_status (State *state, DlPeersReach reach)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   void *context = talloc_new (state);
@@ -342,12 +366,27 @@
   add_holdings (state, context, &status);
   dl_version_watch_to_status (state->versions, context, &status);
   status.routing_version = direct_routing_table_highest (state->routing_table);
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, true);
+  if (serves_stagers (state))
+    dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
+                   DL_PEERS_REGION);
   add_limit_records (state, context, &status);
   add_signature_records (state, context, &status);
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, false);
+  /* Records are not passed on by relays. */
+  if (status.n_limit_record > 0 || status.n_signature_record > 0)
+    reach = DL_PEERS_ALL;
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, reach);
   talloc_free (context);
-  state->status_changed = false;
+  if (reach != DL_PEERS_REGION)
+    state->status_changed = false;
+  state->holdings_changed = false;
+  state->holdings_sent_ms = dl_clock_ms ();
+}
+
+/* Sends it to the entries of the region, and to the others where no relay does so. */
+static void
+send_usual_status (State *state)
+{
+  send_status (state, dl_peers_is_large (state->peers) ? DL_PEERS_REGION : DL_PEERS_ALL);
 }
 
 typedef struct
@@ -417,7 +456,7 @@
               DL_UINT ("routing_age_ms",
                        dl_clock_ms ()
                            - direct_routing_table_proven_ms (state->routing_table)));
-      send_status (state);
+      send_usual_status (state);
     }
   publish_entries (state);
 }
@@ -430,7 +469,27 @@
   State *state = data;
 
   if (state->status_changed)
-    send_status (state);
+    send_status (state, DL_PEERS_ALL);
+  else if (state->holdings_changed && !dl_peers_is_large (state->peers))
+    send_status (state, DL_PEERS_ALL);
+  else if (state->holdings_changed
+           && dl_clock_ms () - state->holdings_sent_ms >= HOLDINGS_LARGE_MS)
+    send_status (state, DL_PEERS_HUBS);
+}
+
+static void
+refresh_hub (State *state)
+{
+  bool is_hub = dl_peers_is_hub (state->peers, state->is_hub);
+  DirectMessage *message;
+
+  if (is_hub == state->is_hub)
+    return;
+  state->is_hub = is_hub;
+  dl_log (DL_EVENT_HUB, DL_TEXT ("hub", is_hub ? "yes" : "no"));
+  message = direct_message_new (DIRECT_HUB);
+  message->is_hub = is_hub;
+  dl_kernel_publish (state->kernel, message);
 }
 
 /* Adopts the proof of the routing table when the time that it was withheld for is over.
@@ -449,12 +508,15 @@
 on_tick (DlTimer *timer, void *data)
 {
   State *state = data;
+  unsigned every
+      = dl_peers_is_large (state->peers) ? STATUS_EVERY_TICKS_LARGE : STATUS_EVERY_TICKS;
 
   direct_upstream_list_expire (state->upstream_list);
   check_routing_proof (state);
   refresh_readiness (state);
-  if (++state->ticks % STATUS_EVERY_TICKS == 0)
-    send_status (state);
+  refresh_hub (state);
+  if (++state->ticks % every == 0)
+    send_usual_status (state);
 }
 
 /* -------- the task -------- */
@@ -486,7 +548,10 @@
   if (head->type == DIRECT_HELD_CHANGED)
     direct_held_requests_change (state->held_requests, (const DirectMessage *)head);
   else if (head->type == DIRECT_HOLDINGS)
-    keep_message (state, &state->holdings_message, head, true);
+    {
+      keep_message (state, &state->holdings_message, head, false);
+      state->holdings_changed = true;
+    }
   else if (head->type == DIRECT_SIGNATURE_RECORDS)
     keep_message (state, &state->signature_records_message, head,
                   ((const DirectMessage *)head)->signature_records->is_urgent);
@@ -597,6 +662,7 @@
   state->task = task;
   state->kernel = dl_task_kernel (task);
   state->settings = direct_settings (task);
+  state->is_hub = true;
   state->routing_table = direct_routing_table_new (state->kernel, state);
   state->upstream_list = direct_upstream_list_new (state->kernel, state);
   talloc_set_destructor (state, state_destroy);
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -8,11 +8,9 @@
 #include "kernel/crypt.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "policy/fanout.h"
 #include "policy/rendezvous.h"
 
-/* This many entries of other regions count as one where request slots are shared, because
- * they have upstreams closer to them. */
-#define OTHER_REGION_DIVISOR 4
 /* A stager's report is preferred to the load given in a response for this long. */
 #define STAGER_REPORT_PREFERRED_MS 400
 /* Failures counted when an upstream cannot be connected to: enough to eject it at once.
@@ -184,6 +182,19 @@
   return u;
 }
 
+static bool
+is_large (const DirectUpstreams *upstreams)
+{
+  return direct_upstreams_entry_count (upstreams) > DL_FANOUT_SMALL_ENTRIES_MAX;
+}
+
+/* Reports of plain services' load are in their own responses. */
+static void
+set_is_relayed (DirectUpstream *u)
+{
+  u->load.is_relayed = u->has_engine && !u->same_data_center && is_large (u->owner);
+}
+
 void
 direct_upstreams_set (DirectUpstreams *upstreams,
                       const DlUpstreamEntry *entry,
@@ -198,6 +209,7 @@
   if (entry->leaving)
     dl_availability_leave (&u->availability);
   u->has_engine = u->has_engine || entry->model != NULL;
+  set_is_relayed (u);
   set_slots (u, entry->slots);
   if (u->stager_report_ms == 0)
     u->version = entry->version;
@@ -213,17 +225,16 @@
   free_forgotten (upstreams, now_ms);
 }
 
-/* Number of entries among which the free request slots of U are divided.  For an upstream
- * in this entry's data centre, entries of other regions count less: they mostly use
- * upstreams that are closer to them. */
+/* Number of entries among which the free request slots of U are divided. */
 static unsigned
 sharing_entries (const DirectUpstream *u)
 {
   const DirectUpstreams *all = u->owner;
 
-  return u->same_data_center ? all->same_region_entry_count
-                                   + all->other_region_entry_count / OTHER_REGION_DIVISOR
-                             : direct_upstreams_entry_count (all);
+  if (!u->same_data_center)
+    return direct_upstreams_entry_count (all);
+  return dl_balance_sharing_entries (all->same_region_entry_count,
+                                     all->other_region_entry_count, is_large (all));
 }
 
 void
@@ -263,6 +274,8 @@
 {
   upstreams->same_region_entry_count = MAX (same_region, 1);
   upstreams->other_region_entry_count = other_region;
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    set_is_relayed (u);
 }
 
 unsigned
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -1,6 +1,7 @@
 /*
  * Task "weights": fetches new weights once and serves their chunks to the stagers of the
- * entry's region and to entries of other regions.
+ * entry's region and to entries of other regions.  In a large fleet only the hubs do so
+ * (policy/fanout.h).
  */
 #include <string.h>
 #include <talloc.h>
@@ -20,6 +21,7 @@
 {
   DlTask *task;
   DlChunkCache *cache;
+  bool is_hub;             /* fetches weights; otherwise others do so for the region */
   char *default_model;     /* fetched when there is no target version; NULL until known */
   bool no_target;          /* the store was read and has no target version */
   DlBundle *older;         /* previous target version; NULL for none */
@@ -31,6 +33,8 @@
 static void
 run (Weights *w)
 {
+  if (!w->is_hub)
+    return;
   if (w->newest == NULL && w->no_target && w->default_model != NULL)
     w->newest = dl_bundle_open (w->cache, w->default_model, 0, dl_clock_ms ());
   if (w->older != NULL)
@@ -143,6 +147,9 @@
     case DIRECT_NODE_REMOVED:
       dl_chunk_cache_remove_holder (w->cache, m->removed_node);
       break;
+    case DIRECT_HUB:
+      w->is_hub = m->is_hub;
+      break;
     case DIRECT_UPSTREAM:
     case DIRECT_UPSTREAM_REMOVED:
     case DIRECT_ENGINE:
@@ -169,6 +176,7 @@
   dl_task_set_state (task, w);
   w->task = task;
   w->older_limit_ms = direct_settings (task)->version_ms;
+  w->is_hub = true;
   dl_timer_subscribe (task, w, TICK_MS, TICK_MS, on_tick, w);
   return dl_chunk_cache_new (task, w,
                              &(DlChunkCacheOptions){
@@ -189,7 +197,7 @@
   .order = 25,
   .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_TARGET_VERSION)
                    | MESSAGE (DIRECT_NO_TARGET) | MESSAGE (DIRECT_HOLDER)
-                   | MESSAGE (DIRECT_NODE_REMOVED),
+                   | MESSAGE (DIRECT_NODE_REMOVED) | MESSAGE (DIRECT_HUB),
   .start = start,
   .handle = handle,
 };
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -30,6 +30,12 @@
 #define ENTRIES_EVERY_MS 500
 /* A change of the load goes to entries of other regions at most this often. */
 #define OTHER_ENTRIES_MIN_MS 300
+/* In a large fleet the load is told at most this often. */
+#define RELAYS_MIN_MS 90
+/* Interval of the status to the stagers of the region in a large fleet, without and with
+ * changes of the holdings. */
+#define STAGERS_LARGE_EVERY_MS         1200
+#define STAGERS_CHANGED_LARGE_EVERY_MS 600
 /* Interval of the status to all stagers, without and with changes of the holdings. */
 #define STAGERS_EVERY_MS         900
 #define STAGERS_CHANGED_EVERY_MS 300
@@ -119,6 +125,8 @@
   StageMessage *message;
 
   dl_version_watch_receive (state->versions, status, peer->name);
+  if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY && !peer->is_hub)
+    return;
   message = stage_message_new (STAGE_HOLDER);
   message->holder = dl_holder_from_status (message, peer, status);
   dl_kernel_publish (state->kernel, message);
@@ -143,7 +151,7 @@
 }
 
 static void
-send_to_entries (State *state, bool same_region, uint64_t now_ms)
+send_to_entries (State *state, DlPeersReach reach, uint64_t now_ms)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   Daisyloft__Wire__EngineStatus engine = state->engine;
@@ -154,14 +162,42 @@
   status.ready = state->engine_known && !engine.loading;
   if (state->engine_known)
     status.engine = &engine;
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, same_region);
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, reach);
   talloc_free (context);
   state->engine_changed = false;
   state->entries_sent_ms = now_ms;
-  if (!same_region)
+  if (reach == DL_PEERS_ALL)
     state->all_entries_sent_ms = now_ms;
 }
 
+/* What entries must know at once.  In a large fleet relays tell those of other regions,
+ * if there are any. */
+static void
+send_to_entries_at_once (State *state)
+{
+  bool have_relays
+      = dl_peers_is_large (state->peers) && dl_peers_has_entry (state->peers);
+
+  send_to_entries (state, have_relays ? DL_PEERS_REGION : DL_PEERS_ALL, dl_clock_ms ());
+}
+
+/* While no entry of this region is alive, those of other regions are told as well. */
+static void
+send_to_relays_if_due (State *state, uint64_t now_ms)
+{
+  bool is_due = now_ms - state->entries_sent_ms >= ENTRIES_EVERY_MS;
+
+  if (!dl_peers_has_entry (state->peers))
+    {
+      if (is_due)
+        send_to_entries (state, DL_PEERS_ALL, now_ms);
+      return;
+    }
+  if (is_due
+      || (state->engine_changed && now_ms - state->entries_sent_ms >= RELAYS_MIN_MS))
+    send_to_entries (state, DL_PEERS_RELAYS, now_ms);
+}
+
 /* Entries of other regions send few requests here, so they get the load less often. */
 static void
 send_to_entries_if_due (State *state, uint64_t now_ms)
@@ -172,11 +208,14 @@
 
   if (state->engine_changed || all_due
       || now_ms - state->entries_sent_ms >= ENTRIES_EVERY_MS)
-    send_to_entries (state, all_sent_ago_ms < OTHER_ENTRIES_MIN_MS, now_ms);
+    send_to_entries (state,
+                     all_sent_ago_ms < OTHER_ENTRIES_MIN_MS ? DL_PEERS_REGION
+                                                            : DL_PEERS_ALL,
+                     now_ms);
 }
 
 static void
-send_to_stagers (State *state, bool same_region)
+send_to_stagers (State *state, DlPeersReach reach)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   void *context = talloc_new (state);
@@ -184,33 +223,61 @@
   status.ready = true;
   if (state->weights_message != NULL)
     dl_holdings_to_status (context, &state->weights_message->weights.holdings, &status);
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, same_region);
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, reach);
   talloc_free (context);
 }
 
+/* In a large fleet stagers fetch from each other only within their region, and hardly
+ * ever, as its hubs have everything. */
 static void
-on_tick (DlTimer *timer, void *data)
+send_to_region_if_due (State *state, uint64_t now_ms)
+{
+  uint64_t interval_ms
+      = state->holdings_changed ? STAGERS_CHANGED_LARGE_EVERY_MS : STAGERS_LARGE_EVERY_MS;
+
+  if (now_ms - state->stagers_sent_ms < interval_ms)
+    return;
+  send_to_stagers (state, DL_PEERS_REGION);
+  state->holdings_changed = false;
+  state->stagers_sent_ms = now_ms;
+}
+
+static void
+send_to_stagers_if_due (State *state, uint64_t now_ms)
 {
-  State *state = data;
-  uint64_t now_ms = dl_clock_ms ();
   uint64_t all_interval_ms
       = state->holdings_changed ? STAGERS_CHANGED_EVERY_MS : STAGERS_EVERY_MS;
 
-  send_to_entries_if_due (state, now_ms);
   if (now_ms - state->all_stagers_sent_ms >= all_interval_ms)
     {
-      send_to_stagers (state, false);
+      send_to_stagers (state, DL_PEERS_ALL);
       state->holdings_changed = false;
       state->all_stagers_sent_ms = now_ms;
       state->stagers_sent_ms = now_ms;
     }
   else if (state->holdings_changed && now_ms - state->stagers_sent_ms >= TICK_MS)
     {
-      send_to_stagers (state, true);
+      send_to_stagers (state, DL_PEERS_REGION);
       state->stagers_sent_ms = now_ms;
     }
 }
 
+static void
+on_tick (DlTimer *timer, void *data)
+{
+  State *state = data;
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (dl_peers_is_large (state->peers))
+    {
+      send_to_relays_if_due (state, now_ms);
+      send_to_region_if_due (state, now_ms);
+      return;
+    }
+  send_to_entries_if_due (state, now_ms);
+  send_to_stagers_if_due (state, now_ms);
+}
+
 /* -------- messages from the other tasks -------- */
 
 static void
@@ -229,7 +296,7 @@
   state->engine_known = true;
   if (before.loading != e->loading || before.version != e->version
       || before.leaving != e->leaving)
-    send_to_entries (state, false, dl_clock_ms ());
+    send_to_entries_at_once (state);
   else if (before.running != e->running || before.waiting != e->waiting)
     state->engine_changed = true;
 }
@@ -256,7 +323,7 @@
   state->weights_message = dl_message_ref ((void *)message);
   state->holdings_changed = state->holdings_changed || message->weights.changed;
   if (is_loading (state) != was_loading)
-    send_to_entries (state, false, dl_clock_ms ());
+    send_to_entries_at_once (state);
 }
 
 static void
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1537,7 +1537,7 @@
   assert(message->base.descriptor == &daisyloft__wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[13] =
+static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[15] =
 {
   {
     "name",
@@ -1695,6 +1695,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_hub",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, not_hub),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relayed",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Daisyloft__Wire__NodeStatus, n_relayed),
+    offsetof(Daisyloft__Wire__NodeStatus, relayed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__node_status__field_indices_by_name[] = {
   12,   /* field[12] = announcement */
@@ -1704,8 +1728,10 @@
   11,   /* field[11] = limit_record */
   0,   /* field[0] = name */
   7,   /* field[7] = named */
+  13,   /* field[13] = not_hub */
   2,   /* field[2] = number */
   4,   /* field[4] = ready */
+  14,   /* field[14] = relayed */
   3,   /* field[3] = role */
   9,   /* field[9] = routing_version */
   10,   /* field[10] = signature_record */
@@ -1714,7 +1740,7 @@
 static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor =
 {
@@ -1724,7 +1750,7 @@
   "Daisyloft__Wire__NodeStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__NodeStatus),
-  13,
+  15,
   daisyloft__wire__node_status__field_descriptors,
   daisyloft__wire__node_status__field_indices_by_name,
   1,  daisyloft__wire__node_status__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -180,10 +180,19 @@
    */
   size_t n_announcement;
   Daisyloft__Wire__Announcement **announcement;
+  /*
+   * an entry that fetches no weights for others
+   */
+  protobuf_c_boolean not_hub;
+  /*
+   * packed statuses of other nodes, passed on by an entry
+   */
+  size_t n_relayed;
+  ProtobufCBinaryData *relayed;
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/lib/node/holding.c
+++ b/lib/node/holding.c
@@ -102,7 +102,7 @@
     .name = peer->name,
     .region = peer->region,
     .address = peer->address,
-    .is_hub = peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY,
+    .is_hub = peer->is_hub,
   };
 
   for (size_t i = 0; i < MIN (status->n_holding, DL_HOLDINGS_MAX); i++)
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -45,6 +45,11 @@
       .type = DL_SETTING_BOOL,
       .offset = offsetof (DlNodeSettings, json_logs),
   },
+  {
+      .key = "bootstrap",
+      .type = DL_SETTING_BOOL,
+      .offset = offsetof (DlNodeSettings, bootstrap),
+  },
   {
       .key = "revoke_ms",
       .type = DL_SETTING_UINT,
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -28,6 +28,7 @@
   const char *engine;    /* stager: "IP:PORT" of the engine on its host */
   const char *service;   /* stager: the engine's service */
   bool json_logs;
+  bool bootstrap;      /* the whole system starts for the first time */
   uint64_t revoke_ms;  /* a revoked key is refused everywhere after this long */
   uint64_t version_ms; /* an announced version is in effect everywhere after this long */
   double grace_s;      /* time from the signal to stop until the process is killed */
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -8,6 +8,8 @@
 #include "kernel/log.h"
 
 #define RETRY_FIRST_MS 150
+/* While a reader is waited for, it is looked for this often. */
+#define READER_POLL_MS 50
 /* Pause after a watch that returned no object in the first half of its wait. */
 #define EARLY_PAUSE_MS 100
 /* A watch that is sent this long after the store's answer to the one before has no gap.
@@ -57,7 +59,9 @@
   uint64_t number;
 } Request;
 
+static void start_list (DlObjectWatch *watch);
 static void send_list (DlObjectWatch *watch);
+static void continue_watch (DlObjectWatch *watch);
 static void send_watch (DlObjectWatch *watch);
 
 /* -------- the known objects -------- */
@@ -211,9 +215,9 @@
   DlObjectWatch *watch = data;
 
   if (watch->synced_ms == 0 || watch->listed != NULL)
-    send_list (watch);
+    start_list (watch);
   else
-    send_watch (watch);
+    continue_watch (watch);
 }
 
 static void
@@ -319,7 +323,7 @@
     dl_object_relay_set_listed (watch->options.relay, watch->options.kind,
                                 watch->revision);
   set_synced (watch, age_ms);
-  send_watch (watch);
+  continue_watch (watch);
 }
 
 static void
@@ -376,6 +380,31 @@
                         on_list, request_new (watch));
 }
 
+/* True when the next request has to wait for a reader; it is tried again soon then. */
+static bool
+wait_for_reader (DlObjectWatch *watch)
+{
+  if (watch->options.source == NULL || watch->is_relisting
+      || !dl_relay_source_must_wait (watch->options.source))
+    return false;
+  run_after (watch, READER_POLL_MS);
+  return true;
+}
+
+static void
+start_list (DlObjectWatch *watch)
+{
+  if (watch->synced_ms != 0 || !wait_for_reader (watch))
+    send_list (watch);
+}
+
+static void
+continue_watch (DlObjectWatch *watch)
+{
+  if (!wait_for_reader (watch))
+    send_watch (watch);
+}
+
 /* The wait of the next watch. */
 static uint64_t
 wait_ms (const DlObjectWatch *watch)
@@ -446,7 +475,7 @@
   if (next_ms > 0)
     run_after (watch, next_ms);
   else
-    send_watch (watch);
+    continue_watch (watch);
 }
 
 static void
@@ -519,7 +548,10 @@
   watch->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (watch, watch_destroy);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
-  send_list (watch);
+  if (options->first_delay_ms > 0)
+    run_after (watch, options->first_delay_ms);
+  else
+    start_list (watch);
   return watch;
 }
 
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -24,8 +24,9 @@
 /* What to follow, and whom to notify. */
 typedef struct
 {
-  const char *kind;  /* of the objects */
-  uint64_t wait_ms;  /* longest time that one watch request waits */
+  const char *kind;        /* of the objects */
+  uint64_t wait_ms;        /* longest time that one watch request waits */
+  uint64_t first_delay_ms; /* before the first list */
   uint64_t pause_ms; /* between an event and the next watch request, to batch events */
   uint64_t retry_max_ms; /* longest backoff while the store cannot be reached */
   /* OBJECT appeared, changed or was deleted; its value is NULL when deleted. */
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -1,4 +1,4 @@
-#include "node/peers.h"
+#include "node/peers_private.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -14,14 +14,16 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "node/object_watch.h"
+#include "node/status_relay.h"
 
-#define DATAGRAM_MAX_BYTES 1400
 #define READS_AT_ONCE      64 /* so that datagrams do not block the event loop */
 #define WATCH_WAIT_MS      20000
 #define WATCH_PAUSE_MS     2000
 #define READER_PAUSE_MS    500
 #define WATCH_RETRY_MAX_MS 2000
 #define REGISTER_RETRY_MS  700
+/* While the whole system starts, nodes are listed when most have registered. */
+#define BOOTSTRAP_DELAY_MS 500
 /* After the store came back from an older copy, nodes list its objects, and those that
  * are not registered any more write their own, spread over this time. */
 #define RELIST_SPREAD_MS   1200
@@ -39,35 +41,6 @@
            "daisy_node_datagrams_refused_total",
            "Datagrams dropped: malformed, out of order or from an unregistered sender.")
 
-typedef struct Node
-{
-  DlPeer peer; /* first: a Node pointer also serves as a DlPeer */
-  DlPeers *owner;
-  struct sockaddr_in at; /* peer.address, parsed */
-  json_object *value;    /* of its object in the store */
-  uint64_t revision;     /* of that object; 0 while an older copy of the store lacks it */
-  uint64_t incarnation;  /* of its last datagram */
-  uint64_t number;       /* sequence number of its last datagram */
-  uint64_t seen_ms;      /* when it was registered or last sent a datagram */
-} Node;
-
-struct DlPeers
-{
-  DlTask *task;
-  DlPeersOptions options;
-  int fd;
-  ev_io watcher;
-  struct ev_loop *loop;
-  GHashTable *nodes; /* name to Node */
-  DlObjectWatch *watch;
-  DlTimer *register_timer;
-  bool is_relisting;    /* the list from an older copy of the store is in progress */
-  bool is_listed;       /* that list shows this node's object as it would write it */
-  uint64_t number;      /* sequence number of the last datagram */
-  uint64_t incarnation; /* of this process */
-  const struct sockaddr_in *unknown_sender; /* sender, while on_unknown_node runs */
-};
-
 /* -------- registration -------- */
 
 static void register_self (DlPeers *peers, uint64_t revision);
@@ -192,15 +165,28 @@
   p->address = member_text (node, object->value, "address");
   p->listen = member_text (node, object->value, "listen");
   p->relay = member_text (node, object->value, "relay");
+  p->is_hub = p->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
+  node->rank
+      = p->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY ? dl_fanout_rank (p->name) : 0;
   node->revision = object->revision;
   return p->region != NULL && p->data_center != NULL && p->address != NULL
          && dl_address_parse (dl_str (p->address), &node->at) == 0
          && (p->role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY || p->listen != NULL);
 }
 
+/* Counts NODE, which is registered (DIFFERENCE 1) or no longer (-1). */
+static void
+count_entry (DlPeers *peers, const Node *node, int difference)
+{
+  if (node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
+    peers->entry_count += (unsigned)difference;
+}
+
 static int
 node_destroy (Node *node)
 {
+  if (node->owner != NULL)
+    count_entry (node->owner, node, -1);
   if (node->owner != NULL && node->owner->options.on_removed != NULL)
     node->owner->options.on_removed (&node->peer, node->owner->options.data);
   json_object_put (node->value);
@@ -271,6 +257,7 @@
       return;
     }
   node->owner = peers;
+  count_entry (peers, node, 1);
   node->value = json_object_get (object->value);
   node->seen_ms = dl_clock_ms ();
   talloc_set_destructor (node, node_destroy);
@@ -364,29 +351,173 @@
     }
 }
 
+/* -------- the entries of a region -------- */
+
+static bool
+is_in_region (const Node *node, const char *region)
+{
+  return strcmp (node->peer.region, region) == 0;
+}
+
+bool
+dl_peers_is_large (const DlPeers *peers)
+{
+  return peers->entry_count > DL_FANOUT_SMALL_ENTRIES_MAX;
+}
+
+/* The registered entries of REGION and, in the same order, how policy/fanout.h sees
+ * them. */
+typedef struct
+{
+  GPtrArray *nodes;   /* of Node */
+  GArray *candidates; /* of DlFanoutEntry */
+} RegionEntries;
+
+static RegionEntries
+list_entries (const DlPeers *peers, const char *region)
+{
+  RegionEntries list = {
+    .nodes = g_ptr_array_new (),
+    .candidates = g_array_new (FALSE, FALSE, sizeof (DlFanoutEntry)),
+  };
+  uint64_t now_ms = dl_clock_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Node *node = value;
+      DlFanoutEntry e = {
+        .rank = node->rank,
+        .alive = dl_peer_is_alive (&node->peer, now_ms),
+        .ready = node->peer.ready,
+      };
+
+      if (node->peer.role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
+          || !is_in_region (node, region))
+        continue;
+      g_ptr_array_add (list.nodes, node);
+      g_array_append_val (list.candidates, e);
+    }
+  return list;
+}
+
+static void
+free_entries (RegionEntries *list)
+{
+  g_ptr_array_free (list->nodes, TRUE);
+  g_array_free (list->candidates, TRUE);
+}
+
+size_t
+dl_peers_choose_relays (const DlPeers *peers,
+                        const char *region,
+                        const Node *relays[DL_FANOUT_RELAYS])
+{
+  RegionEntries list = list_entries (peers, region);
+  size_t chosen[DL_FANOUT_RELAYS];
+  size_t count = dl_fanout_choose ((const DlFanoutEntry *)list.candidates->data,
+                                   list.candidates->len, DL_FANOUT_RELAYS, chosen);
+
+  for (size_t i = 0; i < count; i++)
+    relays[i] = g_ptr_array_index (list.nodes, chosen[i]);
+  free_entries (&list);
+  return count;
+}
+
+size_t
+dl_peers_position (const DlPeers *peers)
+{
+  RegionEntries list = list_entries (peers, peers->options.settings->region);
+  size_t before = dl_fanout_before ((const DlFanoutEntry *)list.candidates->data,
+                                    list.candidates->len,
+                                    dl_fanout_rank (peers->options.settings->name));
+
+  free_entries (&list);
+  return before;
+}
+
+size_t
+dl_peers_position_registered (const DlPeers *peers)
+{
+  uint64_t own = dl_fanout_rank (peers->options.settings->name);
+  size_t before = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Node *node = value;
+
+      before += node->rank > own && is_in_region (node, peers->options.settings->region);
+    }
+  return before;
+}
+
+bool
+dl_peers_are_listed (const DlPeers *peers)
+{
+  return peers->watch != NULL && dl_object_watch_synced_ms (peers->watch) > 0;
+}
+
+bool
+dl_peers_is_hub (const DlPeers *peers, bool was)
+{
+  return !dl_peers_is_large (peers) || dl_fanout_is_hub (dl_peers_position (peers), was);
+}
+
+bool
+dl_peers_is_relay (const DlPeers *peers)
+{
+  return dl_peers_position (peers) < DL_FANOUT_RELAYS;
+}
+
+bool
+dl_peers_has_entry (const DlPeers *peers)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Node *node = value;
+
+      if (node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
+          && is_in_region (node, peers->options.settings->region)
+          && dl_peer_is_alive (&node->peer, now_ms))
+        return true;
+    }
+  return false;
+}
+
 /* -------- datagrams -------- */
 
-/* Fills in STATUS and packs it into BYTES, of DATAGRAM_MAX_BYTES.  Returns its length. */
-static size_t
-pack_status (DlPeers *peers, Daisyloft__Wire__NodeStatus *status, uint8_t *bytes)
+size_t
+dl_peers_pack (const DlPeers *peers,
+               Daisyloft__Wire__NodeStatus *status,
+               uint64_t number,
+               uint8_t *bytes)
 {
   size_t length;
 
   status->name = (char *)peers->options.settings->name;
   status->incarnation = peers->incarnation;
-  status->number = ++peers->number;
+  status->number = number;
   status->role = peers->options.role;
   length = daisyloft__wire__node_status__get_packed_size (status);
   g_assert (length <= DATAGRAM_MAX_BYTES);
   return daisyloft__wire__node_status__pack (status, bytes);
 }
 
-/* Errors are ignored: a datagram that cannot be sent is like one that is lost. */
-static void
-send_to (const DlPeers *peers,
-         const struct sockaddr_in *at,
-         const uint8_t *bytes,
-         size_t length)
+void
+dl_peers_send_to (const DlPeers *peers,
+                  const struct sockaddr_in *at,
+                  const uint8_t *bytes,
+                  size_t length)
 {
   (void)sendto (peers->fd, bytes, length, MSG_DONTWAIT, (const struct sockaddr *)at,
                 sizeof *at);
@@ -400,39 +531,140 @@
   size_t length;
 
   g_assert (peers->unknown_sender != NULL);
-  length = pack_status (peers, status, bytes);
-  send_to (peers, peers->unknown_sender, bytes, length);
+  length = dl_peers_pack (peers, status, ++peers->number, bytes);
+  dl_peers_send_to (peers, peers->unknown_sender, bytes, length);
+}
+
+static bool
+is_reached (const DlPeers *peers, const Node *node, DlPeersReach reach)
+{
+  switch (reach)
+    {
+    case DL_PEERS_ALL:
+      return true;
+    case DL_PEERS_HUBS:
+      return node->peer.is_hub;
+    case DL_PEERS_REGION:
+    case DL_PEERS_RELAYS:
+      break;
+    }
+  return is_in_region (node, peers->options.settings->region);
+}
+
+static void
+send_to_relays (const DlPeers *peers, const uint8_t *bytes, size_t length)
+{
+  const Node *relays[DL_FANOUT_RELAYS];
+  size_t count = dl_peers_choose_relays (peers, peers->options.settings->region, relays);
+
+  for (size_t i = 0; i < count; i++)
+    dl_peers_send_to (peers, &relays[i]->at, bytes, length);
 }
 
 void
 dl_peers_send (DlPeers *peers,
                Daisyloft__Wire__NodeStatus *status,
                Daisyloft__Wire__Role role,
-               bool same_region)
+               DlPeersReach reach)
 {
   uint8_t bytes[DATAGRAM_MAX_BYTES];
-  size_t length;
+  size_t length = dl_peers_pack (peers, status, ++peers->number, bytes);
   GHashTableIter iter;
   gpointer value;
 
-  length = pack_status (peers, status, bytes);
+  peers->is_ready = status->ready;
+  if (peers->relay != NULL && role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
+    dl_status_relay_sent (peers->relay, status);
+  /* Until an entry is heard, any may be the one that is up. */
+  if (reach == DL_PEERS_RELAYS && dl_peers_is_large (peers) && dl_peers_has_entry (peers))
+    {
+      send_to_relays (peers, bytes, length);
+      return;
+    }
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Node *node = value;
 
-      if (node->peer.role != role
-          || (same_region
-              && strcmp (node->peer.region, peers->options.settings->region) != 0))
-        continue;
-      send_to (peers, &node->at, bytes, length);
+      if (node->peer.role == role && is_reached (peers, node, reach))
+        dl_peers_send_to (peers, &node->at, bytes, length);
     }
 }
 
+/* A status of an incarnation that has been replaced may arrive late, by a relay. */
 static bool
 is_newer (const Node *node, const Daisyloft__Wire__NodeStatus *status)
 {
-  return status->incarnation != node->incarnation || status->number > node->number;
+  if (status->incarnation == node->incarnation)
+    return status->number > node->number;
+  return status->incarnation != node->previous_incarnation;
+}
+
+static void
+note_heard (Node *node, bool ready)
+{
+  node->peer.received_ms = dl_clock_ms ();
+  node->seen_ms = node->peer.received_ms;
+  node->peer.ready = ready;
+}
+
+static void
+note_status (Node *node, const Daisyloft__Wire__NodeStatus *status)
+{
+  if (status->incarnation != node->incarnation)
+    node->previous_incarnation = node->incarnation;
+  node->incarnation = status->incarnation;
+  node->number = status->number;
+  note_heard (node, status->ready);
+}
+
+static void
+accept_own_status (DlPeers *peers, Node *node, const Daisyloft__Wire__NodeStatus *status)
+{
+  node->peer.is_hub
+      = node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY && !status->not_hub;
+  peers->options.on_status (&node->peer, status, peers->options.data);
+}
+
+/* Takes what RELAY, an entry, passes on of another node. */
+static void
+accept_relayed (DlPeers *peers, const Node *relay, const ProtobufCBinaryData *packed)
+{
+  Daisyloft__Wire__NodeStatus *status
+      = daisyloft__wire__node_status__unpack (NULL, packed->len, packed->data);
+  Node *node;
+
+  if (status == NULL)
+    {
+      dl_metric_add (&metric_refused, 1);
+      return;
+    }
+  node = g_hash_table_lookup (peers->nodes, status->name);
+  if (node != NULL && is_newer (node, status))
+    {
+      note_status (node, status);
+      accept_own_status (peers, node, status);
+      if (peers->relay != NULL)
+        dl_status_relay_passed_on (peers->relay, relay, node, packed);
+    }
+  else if (node != NULL && node->number == status->number && peers->relay != NULL)
+    dl_status_relay_passed_on (peers->relay, relay, node, NULL);
+  daisyloft__wire__node_status__free_unpacked (status, NULL);
+}
+
+/* Takes a batch of other nodes' statuses.  Each has a number of its own. */
+static void
+accept_batch (DlPeers *peers, Node *relay, const Daisyloft__Wire__NodeStatus *batch)
+{
+  if (relay->peer.role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
+      || batch->incarnation == relay->previous_incarnation)
+    {
+      dl_metric_add (&metric_refused, 1);
+      return;
+    }
+  note_heard (relay, batch->ready);
+  for (size_t i = 0; i < batch->n_relayed; i++)
+    accept_relayed (peers, relay, &batch->relayed[i]);
 }
 
 static void
@@ -441,8 +673,9 @@
                const struct sockaddr_in *from)
 {
   Node *node = g_hash_table_lookup (peers->nodes, status->name);
+  bool is_batch = status->n_relayed > 0;
 
-  if (node == NULL && peers->options.on_unknown_node != NULL)
+  if (node == NULL && peers->options.on_unknown_node != NULL && !is_batch)
     {
       peers->unknown_sender = from;
       peers->options.on_unknown_node (status->role, peers->options.data);
@@ -450,17 +683,20 @@
       return;
     }
   if (node == NULL || node->at.sin_addr.s_addr != from->sin_addr.s_addr
-      || !is_newer (node, status))
+      || (!is_batch && !is_newer (node, status)))
     {
       dl_metric_add (&metric_refused, 1);
       return;
     }
-  node->incarnation = status->incarnation;
-  node->number = status->number;
-  node->peer.received_ms = dl_clock_ms ();
-  node->seen_ms = node->peer.received_ms;
-  node->peer.ready = status->ready;
-  peers->options.on_status (&node->peer, status, peers->options.data);
+  if (is_batch)
+    {
+      accept_batch (peers, node, status);
+      return;
+    }
+  note_status (node, status);
+  accept_own_status (peers, node, status);
+  if (peers->relay != NULL)
+    dl_status_relay_received (peers->relay, node, status);
 }
 
 static void
@@ -546,27 +782,35 @@
   peers->loop = dl_kernel_loop (dl_task_kernel (task));
   peers->incarnation = dl_kernel_incarnation (dl_task_kernel (task));
   peers->nodes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_node);
+  if (options->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
+    {
+      peers->entry_count = 1;
+      peers->relay = dl_status_relay_new (task, peers);
+    }
   ev_io_init (&peers->watcher, on_readable, fd, EV_READ);
   peers->watcher.data = peers;
   ev_io_start (peers->loop, &peers->watcher);
   talloc_set_destructor (peers, peers_destroy);
   register_self (peers, 0);
-  peers->watch = dl_object_watch_new (task, peers, options->store,
-                                      &(DlObjectWatchOptions){
-                                          .kind = options->kind,
-                                          .wait_ms = WATCH_WAIT_MS,
-                                          .reader_wait_ms = DL_PEERS_READER_WAIT_MS,
-                                          .reader_pause_ms = READER_PAUSE_MS,
-                                          .source = options->source,
-                                          .relay = options->relay,
-                                          .pause_ms = WATCH_PAUSE_MS,
-                                          .retry_max_ms = WATCH_RETRY_MAX_MS,
-                                          .relist_spread_ms = RELIST_SPREAD_MS,
-                                          .on_object = on_object,
-                                          .on_new_era = on_new_era,
-                                          .on_synced = on_synced,
-                                          .data = peers,
-                                      });
+  peers->watch
+      = dl_object_watch_new (task, peers, options->store,
+                             &(DlObjectWatchOptions){
+                                 .kind = options->kind,
+                                 .first_delay_ms
+                                 = options->settings->bootstrap ? BOOTSTRAP_DELAY_MS : 0,
+                                 .wait_ms = WATCH_WAIT_MS,
+                                 .reader_wait_ms = DL_PEERS_READER_WAIT_MS,
+                                 .reader_pause_ms = READER_PAUSE_MS,
+                                 .source = options->source,
+                                 .relay = options->relay,
+                                 .pause_ms = WATCH_PAUSE_MS,
+                                 .retry_max_ms = WATCH_RETRY_MAX_MS,
+                                 .relist_spread_ms = RELIST_SPREAD_MS,
+                                 .on_object = on_object,
+                                 .on_new_era = on_new_era,
+                                 .on_synced = on_synced,
+                                 .data = peers,
+                             });
   if (options->source != NULL)
     dl_relay_source_set_peers (options->source, peers);
   dl_timer_subscribe (task, peers, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, on_expiry_check,
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -44,8 +44,19 @@
   const char *relay;    /* entry: "IP:PORT" of its DlObjectRelay; may be NULL */
   uint64_t received_ms; /* when its last datagram arrived; 0 for never */
   bool ready;           /* according to its last datagram */
+  bool is_hub;          /* entry: it fetches weights for others, as far as is known */
 } DlPeer;
 
+/* To which nodes of a role a status goes.  In a small fleet (policy/fanout.h) all nodes
+ * of the region stand for the relays, and no entry is left out as a hub. */
+typedef enum
+{
+  DL_PEERS_ALL,
+  DL_PEERS_REGION, /* those of this node's region */
+  DL_PEERS_HUBS,   /* entries of all regions that are hubs */
+  DL_PEERS_RELAYS, /* entries of this region that pass it on to all entries */
+} DlPeersReach;
+
 /* What this node registers, and whom to notify. */
 typedef struct
 {
@@ -75,12 +86,26 @@
                   const void *owner,
                   const DlPeersOptions *options,
                   DlPeers **peers);
-/* Sets the name, incarnation, number and role of STATUS and sends it to all nodes of
- * ROLE; SAME_REGION: only to those of this node's region. */
+/* Sets the name, incarnation, number and role of STATUS and sends it to the nodes of ROLE
+ * that REACH says. */
 void dl_peers_send (DlPeers *peers,
                     Daisyloft__Wire__NodeStatus *status,
                     Daisyloft__Wire__Role role,
-                    bool same_region);
+                    DlPeersReach reach);
+/* True when the fleet is large (policy/fanout.h). */
+bool dl_peers_is_large (const DlPeers *peers);
+/* Whether this entry is one of its region's hubs; in a small fleet every entry is.  WAS:
+ * it has been one. */
+bool dl_peers_is_hub (const DlPeers *peers, bool was);
+/* Whether this entry is one of its region's relays. */
+bool dl_peers_is_relay (const DlPeers *peers);
+/* True once the registered nodes have been read from the store. */
+bool dl_peers_are_listed (const DlPeers *peers);
+/* Number of registered entries of this entry's region that rank before it, alive or not.
+ */
+size_t dl_peers_position_registered (const DlPeers *peers);
+/* True when an entry of this node's region is alive. */
+bool dl_peers_has_entry (const DlPeers *peers);
 /* Does the same, but sends to the node that on_unknown_node is called for.  May only be
  * called from there. */
 void dl_peers_reply (DlPeers *peers, Daisyloft__Wire__NodeStatus *status);
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -25,6 +25,7 @@
   GHashTable *clients;    /* relay address to DlObjectClient */
   DlObjectClient *chosen; /* last choice; NULL before the first */
   DlReaderHealth *reader_health;
+  uint64_t wait_until_ms; /* see dl_relay_source_must_wait */
 };
 
 /* Entries of this node's region that may be asked: their names and relay addresses. */
@@ -95,6 +96,22 @@
   return client;
 }
 
+bool
+dl_relay_source_must_wait (const DlRelaySource *source)
+{
+  unsigned others;
+
+  if (source->peers == NULL || dl_clock_ms () >= source->wait_until_ms)
+    return false;
+  if (!dl_peers_are_listed (source->peers))
+    return true;
+  if (!dl_peers_is_large (source->peers)
+      || (source->is_entry
+          && dl_peers_position_registered (source->peers) < DL_READER_START_FIRST))
+    return false;
+  return choose_relay (source, &others) == NULL;
+}
+
 DlObjectClient *
 dl_relay_source_choose (DlRelaySource *source, bool *is_reader)
 {
@@ -172,6 +189,8 @@
   source->settings = settings;
   source->era = era;
   source->is_entry = is_entry;
+  source->wait_until_ms = dl_clock_ms () + DL_READER_START_WAIT_MS
+                          + dl_random_uint64 () % DL_READER_START_SPREAD_MS;
   source->clients = g_hash_table_new (g_str_hash, g_str_equal);
   source->reader_health = dl_reader_health_new (source, is_entry);
   talloc_set_destructor (source, source_destroy);
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -26,6 +26,9 @@
 /* Sets the peers, among which the readers are chosen; they are created after the source.
  */
 void dl_relay_source_set_peers (DlRelaySource *source, const struct DlPeers *peers);
+/* True while this node, which has just started in a large fleet, should wait for a reader
+ * instead of reading the store. */
+bool dl_relay_source_must_wait (const DlRelaySource *source);
 /* Returns the reader to ask, owned by SOURCE; NULL to ask the store.  *IS_READER is
  * set to whether this entry reads the store for other nodes. */
 DlObjectClient *dl_relay_source_choose (DlRelaySource *source, bool *is_reader);
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -11,6 +11,9 @@
 /* A prompt of usual length being processed delays the next first event about as much as
  * this many requests. */
 #define PROMPT_PENALTY 1.5
+/* This many entries of other regions count as one where request slots are shared. */
+#define OTHER_REGION_DIVISOR       4
+#define OTHER_REGION_DIVISOR_LARGE 20
 
 unsigned
 dl_balance_usable_slots (unsigned slots)
@@ -20,6 +23,14 @@
   return MAX (slots - headroom, 1);
 }
 
+unsigned
+dl_balance_sharing_entries (unsigned same_region, unsigned other_region, bool is_large)
+{
+  unsigned divisor = is_large ? OTHER_REGION_DIVISOR_LARGE : OTHER_REGION_DIVISOR;
+
+  return MAX (same_region + other_region / divisor, 1);
+}
+
 void
 dl_balance_report (DlUpstreamLoad *load,
                    unsigned reported,
@@ -71,8 +82,10 @@
 static bool
 has_recent_report (const DlUpstreamLoad *load, uint64_t now_ms)
 {
-  return load->reported_ms != 0
-         && now_ms <= load->reported_ms + DL_BALANCE_REPORT_MAX_AGE_MS;
+  uint64_t max_age_ms
+      = load->is_relayed ? DL_BALANCE_RELAYED_MAX_AGE_MS : DL_BALANCE_REPORT_MAX_AGE_MS;
+
+  return load->reported_ms != 0 && now_ms <= load->reported_ms + max_age_ms;
 }
 
 double
@@ -91,6 +104,8 @@
 {
   if (has_recent_report (load, now_ms))
     return load->sent_since < load->share + load->ended_since;
+  if (load->is_relayed)
+    return false;
   return dl_balance_estimate (load, entries, now_ms) < (double)MAX (load->capacity, 1);
 }
 
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -24,6 +24,8 @@
 
 /* A load report older than this is ignored. */
 #define DL_BALANCE_REPORT_MAX_AGE_MS 700
+/* The same of an upstream whose reports are passed on by relays of two regions. */
+#define DL_BALANCE_RELAYED_MAX_AGE_MS 1500
 /* Upstreams with a free request slot that are compared, sampled at random. */
 #define DL_BALANCE_SAMPLE 4
 
@@ -44,6 +46,7 @@
 typedef struct
 {
   unsigned capacity;      /* requests that run at once */
+  bool is_relayed;        /* its reports come from another region, by relays */
   unsigned reported;      /* requests running and queued there, by its last report */
   uint64_t reported_ms;   /* when the report was received; 0: never */
   unsigned share;         /* free request slots of the report that this entry may take */
@@ -73,11 +76,20 @@
                        bool started,
                        bool failed);
 
+/* Number of entries among which the free request slots of an upstream are divided: those
+ * of its region, and a part of those of other regions, which mostly use upstreams that
+ * are closer to them.  In a large fleet (IS_LARGE) relays tell these its load seldom, so
+ * that they take even fewer. */
+unsigned
+dl_balance_sharing_entries (unsigned same_region, unsigned other_region, bool is_large);
+
 /* Estimate of the requests at the upstream now.  Without a recent report, each of the
  * ENTRIES that send requests is assumed to have as many there as this one. */
 double
 dl_balance_estimate (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms);
-/* True when one more request would find a free request slot. */
+/* True when one more request would find a free request slot.  Without a recent report
+ * there is none at an upstream whose reports are relayed: hundreds of entries may take it
+ * for idle. */
 bool dl_balance_has_room (const DlUpstreamLoad *load, unsigned entries, uint64_t now_ms);
 
 /* An upstream that may take the request. */
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -3,17 +3,9 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "policy/fanout.h"
 #include "policy/rendezvous.h"
 
-/* Hash key of the ranking; the same on every node. */
-#define READERS_KEY "readers"
-
-static uint64_t
-rank_score (const char *name)
-{
-  return dl_rendezvous_score (dl_str (READERS_KEY), dl_str (name));
-}
-
 /* Scores of the region's entries; higher scores rank first. */
 typedef struct
 {
@@ -28,9 +20,9 @@
   Scores s = { .query = q, .others = g_new (uint64_t, MAX (q->other_count, 1)) };
 
   if (q->is_entry)
-    s.self = rank_score (q->self);
+    s.self = dl_fanout_rank (q->self);
   for (size_t i = 0; i < q->other_count; i++)
-    s.others[i] = rank_score (q->others[i]);
+    s.others[i] = dl_fanout_rank (q->others[i]);
   return s;
 }
 
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -20,7 +20,7 @@
 #include <stdint.h>
 
 /* There is one reader for each so many entries, rounded up. */
-#define DL_ENTRIES_PER_READER 10
+#define DL_ENTRIES_PER_READER 30
 
 /* A node, and the entries of its region. */
 typedef struct
@@ -35,6 +35,14 @@
  * the store itself: it is a reader, or the region has no entry. */
 int dl_readers_choose (const DlReadersQuery *query);
 
+/* In a large fleet (policy/fanout.h) a node that has just started waits so long for a
+ * reader, and for a random part of the spread after it, before it reads the store itself:
+ * when all start at once, only the first in rank should read it. */
+#define DL_READER_START_WAIT_MS   1500
+#define DL_READER_START_SPREAD_MS 1500
+/* Entries of a region that read the store without such a wait. */
+#define DL_READER_START_FIRST 2
+
 /* A reader that failed is not asked again for this long; another one is. */
 #define DL_READER_AVOID_MS 4000
 /* A reader that responded, but whose copy is too old, is asked again after this time: it
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -65,8 +65,33 @@
       .reported_ms = NOW_MS - DL_BALANCE_REPORT_MAX_AGE_MS - 1 },
     0,
     true },
+  { "a relayed report counts for longer",
+    { .capacity = CAPACITY,
+      .is_relayed = true,
+      .reported = 4,
+      .share = 1,
+      .reported_ms = NOW_MS - DL_BALANCE_REPORT_MAX_AGE_MS - 1 },
+    4,
+    true },
+  { "nothing is sent where relays tell no load",
+    { .capacity = CAPACITY,
+      .is_relayed = true,
+      .reported = 4,
+      .reported_ms = NOW_MS - DL_BALANCE_RELAYED_MAX_AGE_MS - 1 },
+    0,
+    false },
 };
 
+/* Entries of other regions count less, in a large fleet even less, and one at least
+ * shares. */
+static void
+test_sharing_entries (void)
+{
+  CU_ASSERT_EQUAL (dl_balance_sharing_entries (3, 5, false), 4);
+  CU_ASSERT_EQUAL (dl_balance_sharing_entries (30, 119, true), 35);
+  CU_ASSERT_EQUAL (dl_balance_sharing_entries (0, 3, false), 1);
+}
+
 static void
 test_estimates (void)
 {
@@ -489,6 +514,7 @@
 }
 
 static const CU_TestInfo tests[] = {
+  { "entries that share an upstream", test_sharing_entries },
   { "estimates of load", test_estimates },
   { "choices", test_choices },
   { "slots that are left free", test_usable_slots },
