Large fleets: a node that starts reads one page of nodes, then asks a reader

Cause: 4,893 calls to the store by second 5, 16 a node; a debugging build showed that each node listed five kinds and seven pages of nodes before it knew a reader.

Change: objects of nodes are named by region, entries first, so that one page shows a node the readers of its region; it waits up to 3 s for one, but for the two entries that rank first. While the whole system starts, that page is read after half a second (setting bootstrap). Entries that are up but not ready may be asked while none is ready.

--- a/lib/node/metrics_page.c
+++ b/lib/node/metrics_page.c
@@ -6,8 +6,8 @@
 #include "kernel/http_server.h"
 #include "kernel/metrics.h"
 
-/* Enough for operators, and for the watches of five kinds of objects of each entry, and of
- * three of each stager, of a region of DL_ENTRIES_PER_READER entries and twice as many
+/* Enough for operators, and for the watches of five kinds of objects of each entry, and
+ * of three of each stager, of a region of DL_ENTRIES_PER_READER entries and twice as many
  * stagers. */
 #define CONNECTIONS      512
 #define HEADER_BYTES     (4u << 10)
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -37,6 +37,7 @@
   uint64_t sent_ms; /* when the request in progress was sent; of a list, the first page */
   uint64_t synced_ms;    /* 0 before the first list is complete */
   uint64_t retry_ms;     /* backoff; 0 while requests succeed */
+  bool has_preview;      /* the preview was read, or failed, or is not wanted */
   bool is_refreshing;    /* the next watch request does not wait */
   bool lost;             /* the store did not answer last time */
   bool after_outage;     /* the same, until what it shows now has been handled */
@@ -59,6 +60,7 @@
   uint64_t number;
 } Request;
 
+static void send_preview (DlObjectWatch *watch);
 static void start_list (DlObjectWatch *watch);
 static void send_list (DlObjectWatch *watch);
 static void continue_watch (DlObjectWatch *watch);
@@ -214,7 +216,9 @@
 {
   DlObjectWatch *watch = data;
 
-  if (watch->synced_ms == 0 || watch->listed != NULL)
+  if (!watch->has_preview)
+    send_preview (watch);
+  else if (watch->synced_ms == 0 || watch->listed != NULL)
     start_list (watch);
   else
     continue_watch (watch);
@@ -391,6 +395,28 @@
   return true;
 }
 
+static void
+on_preview (const DlObjectResult *result, void *data)
+{
+  Request *request = data;
+  DlObjectWatch *watch = request->watch;
+
+  if (!request_end (request))
+    return;
+  watch->has_preview = true;
+  set_contact (watch, MIN (result->error, 0));
+  for (size_t i = 0; i < result->count; i++)
+    apply_object (watch, &result->objects[i]);
+  start_list (watch);
+}
+
+static void
+send_preview (DlObjectWatch *watch)
+{
+  dl_object_list_after (watch->client, watch, watch->options.kind,
+                        watch->options.preview_after, on_preview, request_new (watch));
+}
+
 static void
 start_list (DlObjectWatch *watch)
 {
@@ -548,10 +574,11 @@
   watch->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (watch, watch_destroy);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
+  watch->has_preview = options->preview_after == NULL;
   if (options->first_delay_ms > 0)
     run_after (watch, options->first_delay_ms);
   else
-    start_list (watch);
+    on_timer (NULL, watch);
   return watch;
 }
 
@@ -572,6 +599,12 @@
   return watch->synced_ms;
 }
 
+bool
+dl_object_watch_has_preview (const DlObjectWatch *watch)
+{
+  return watch->has_preview;
+}
+
 bool
 dl_object_watch_is_current (const DlObjectWatch *watch)
 {
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -26,7 +26,10 @@
 {
   const char *kind;        /* of the objects */
   uint64_t wait_ms;        /* longest time that one watch request waits */
-  uint64_t first_delay_ms; /* before the first list */
+  uint64_t first_delay_ms; /* before the first request */
+  /* Before the first list one page of the objects whose names come after this is read
+   * from the store, to learn which readers there are; NULL: it is not. */
+  const char *preview_after;
   uint64_t pause_ms; /* between an event and the next watch request, to batch events */
   uint64_t retry_max_ms; /* longest backoff while the store cannot be reached */
   /* OBJECT appeared, changed or was deleted; its value is NULL when deleted. */
@@ -65,6 +68,8 @@
 /* Time (dl_clock_ms) as of which the known objects are current; 0 before the first list
  * is complete. */
 uint64_t dl_object_watch_synced_ms (const DlObjectWatch *watch);
+/* True once the preview has been read, if one is, or could not be. */
+bool dl_object_watch_has_preview (const DlObjectWatch *watch);
 /* True unless a list is in progress, so that the known objects may be incomplete. */
 bool dl_object_watch_is_current (const DlObjectWatch *watch);
 /* True when the response that is being handled came from the store itself, without a gap
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -51,6 +51,7 @@
   const DlNodeSettings *s = peers->options.settings;
   json_object *object = json_object_new_object ();
 
+  json_object_object_add (object, "name", json_object_new_string (s->name));
   json_object_object_add (object, "role", json_object_new_int ((int)peers->options.role));
   json_object_object_add (object, "region", json_object_new_string (s->region));
   json_object_object_add (object, "data_center", json_object_new_string (s->data_center));
@@ -120,8 +121,8 @@
   if (result->error == 0)
     dl_log (DL_EVENT_NODE_REGISTERED, DL_UINT ("revision", result->revision));
   else if (result->error == DL_ERR_CONFLICT || result->error == DL_ERR_UNKNOWN)
-    dl_object_get (peers->options.store, peers, peers->options.kind,
-                   peers->options.settings->name, on_existing, peers);
+    dl_object_get (peers->options.store, peers, peers->options.kind, peers->object_name,
+                   on_existing, peers);
   else
     register_later (peers);
 }
@@ -131,8 +132,8 @@
 {
   json_object *object = own_object (peers);
 
-  dl_object_put (peers->options.store, peers, peers->options.kind,
-                 peers->options.settings->name, revision, object, on_registered, peers);
+  dl_object_put (peers->options.store, peers, peers->options.kind, peers->object_name,
+                 revision, object, on_registered, peers);
   json_object_put (object);
 }
 
@@ -158,7 +159,10 @@
   if (!json_object_is_type (object->value, json_type_object)
       || !json_object_object_get_ex (object->value, "role", &role))
     return false;
-  p->name = talloc_strdup (node, object->name);
+  node->object_name = talloc_strdup (node, object->name);
+  p->name = member_text (node, object->value, "name");
+  if (p->name == NULL)
+    p->name = node->object_name;
   p->role = (Daisyloft__Wire__Role)json_object_get_int (role);
   p->region = member_text (node, object->value, "region");
   p->data_center = member_text (node, object->value, "data_center");
@@ -201,29 +205,42 @@
     register_again (peers);
 }
 
+static Node *
+find_by_object (const DlPeers *peers, const char *object_name)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strcmp (((const Node *)value)->object_name, object_name) == 0)
+      return value;
+  return NULL;
+}
+
 /* A node that an older copy of the store lacks registers again.  It is kept until then,
  * and deleted if it is not heard for long. */
 static void
-on_node_deleted (DlPeers *peers, const char *name)
+on_node_deleted (DlPeers *peers, const char *object_name)
 {
-  Node *node = g_hash_table_lookup (peers->nodes, name);
+  Node *node = find_by_object (peers, object_name);
 
   if (node == NULL)
     return;
   if (!peers->is_relisting)
     {
-      g_hash_table_remove (peers->nodes, name);
+      g_hash_table_remove (peers->nodes, node->peer.name);
       return;
     }
   node->revision = 0;
-  dl_log (DL_EVENT_NODE_KEPT, DL_TEXT ("node", name));
+  dl_log (DL_EVENT_NODE_KEPT, DL_TEXT ("node", node->peer.name));
 }
 
 /* True when OBJECT says of its node what is known already. */
 static bool
 is_known_node (DlPeers *peers, const DlObject *object)
 {
-  Node *node = g_hash_table_lookup (peers->nodes, object->name);
+  Node *node = find_by_object (peers, object->name);
 
   if (node == NULL || json_object_equal (node->value, object->value) == 0)
     return false;
@@ -237,7 +254,7 @@
   DlPeers *peers = data;
   Node *node;
 
-  if (strcmp (object->name, peers->options.settings->name) == 0)
+  if (strcmp (object->name, peers->object_name) == 0)
     {
       on_own_object (peers, object);
       return;
@@ -313,8 +330,8 @@
       if (peers->options.role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY || peers->is_relisting)
         continue;
       dl_log (DL_EVENT_NODE_FORGOTTEN, DL_TEXT ("node", node->peer.name));
-      dl_object_delete (peers->options.store, peers, peers->options.kind, node->peer.name,
-                        node->revision, ignore_result, peers);
+      dl_object_delete (peers->options.store, peers, peers->options.kind,
+                        node->object_name, node->revision, ignore_result, peers);
     }
 }
 
@@ -457,9 +474,9 @@
 }
 
 bool
-dl_peers_are_listed (const DlPeers *peers)
+dl_peers_are_known (const DlPeers *peers)
 {
-  return peers->watch != NULL && dl_object_watch_synced_ms (peers->watch) > 0;
+  return peers->watch != NULL && dl_object_watch_has_preview (peers->watch);
 }
 
 bool
@@ -763,6 +780,19 @@
   talloc_free (data);
 }
 
+/* Objects are named so that those of a region are listed together, its entries first: one
+ * page of the list shows a node that starts which readers its region has. */
+static void
+name_object (DlPeers *peers)
+{
+  const DlNodeSettings *s = peers->options.settings;
+  bool is_entry = peers->options.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
+
+  peers->preview_after = talloc_asprintf (peers, "%s.", s->region);
+  peers->object_name = talloc_asprintf (peers, "%s%d.%s", peers->preview_after,
+                                        is_entry ? 0 : 1, s->name);
+}
+
 int
 dl_peers_new (DlTask *task,
               const void *owner,
@@ -781,6 +811,7 @@
   peers->fd = fd;
   peers->loop = dl_kernel_loop (dl_task_kernel (task));
   peers->incarnation = dl_kernel_incarnation (dl_task_kernel (task));
+  name_object (peers);
   peers->nodes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_node);
   if (options->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
@@ -796,6 +827,7 @@
       = dl_object_watch_new (task, peers, options->store,
                              &(DlObjectWatchOptions){
                                  .kind = options->kind,
+                                 .preview_after = peers->preview_after,
                                  .first_delay_ms
                                  = options->settings->bootstrap ? BOOTSTRAP_DELAY_MS : 0,
                                  .wait_ms = WATCH_WAIT_MS,
--- a/lib/node/peers_private.h
+++ b/lib/node/peers_private.h
@@ -29,6 +29,7 @@
 {
   DlPeer peer; /* first: a Node pointer also serves as a DlPeer */
   DlPeers *owner;
+  char *object_name;     /* in the store */
   struct sockaddr_in at; /* peer.address, parsed */
   json_object *value;    /* of its object in the store */
   uint64_t revision;     /* of that object; 0 while an older copy of the store lacks it */
@@ -50,6 +51,8 @@
   GHashTable *nodes;           /* name to Node */
   unsigned entry_count;        /* registered entries, this node included if it is one */
   struct DlStatusRelay *relay; /* NULL on a stager */
+  char *object_name;           /* of this node in the store */
+  char *preview_after;         /* its first part, that of all nodes of this region */
   DlObjectWatch *watch;
   DlTimer *register_timer;
   bool is_relisting;    /* the list from an older copy of the store is in progress */
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -32,6 +32,7 @@
 typedef struct
 {
   const DlRelaySource *source;
+  bool may_be_unready; /* whether to add those that do not accept requests */
   GPtrArray *names;
   GPtrArray *relays;
 } Candidates;
@@ -41,7 +42,7 @@
 {
   Candidates *candidates = data;
 
-  if (!peer->ready || peer->relay == NULL
+  if ((!peer->ready && !candidates->may_be_unready) || peer->relay == NULL
       || !dl_reader_health_may_ask (candidates->source->reader_health, peer->relay,
                                     dl_clock_ms ())
       || strcmp (peer->region, candidates->source->settings->region) != 0)
@@ -65,6 +66,13 @@
 
   dl_peers_foreach_alive (source->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, add_candidate,
                           &candidates);
+  if (candidates.names->len == 0 && dl_peers_is_large (source->peers))
+    {
+      /* As when all start at once. */
+      candidates.may_be_unready = true;
+      dl_peers_foreach_alive (source->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY,
+                              add_candidate, &candidates);
+    }
   chosen = dl_readers_choose (&(DlReadersQuery){
       .self = source->settings->name,
       .is_entry = source->is_entry,
@@ -96,6 +104,14 @@
   return client;
 }
 
+/* True for an entry that reads the store at once when its large fleet starts. */
+static bool
+is_first_to_read (const DlRelaySource *source)
+{
+  return source->is_entry && dl_peers_is_large (source->peers)
+         && dl_peers_position_registered (source->peers) < DL_READER_START_FIRST;
+}
+
 bool
 dl_relay_source_must_wait (const DlRelaySource *source)
 {
@@ -103,11 +119,9 @@
 
   if (source->peers == NULL || dl_clock_ms () >= source->wait_until_ms)
     return false;
-  if (!dl_peers_are_listed (source->peers))
+  if (!dl_peers_are_known (source->peers))
     return true;
-  if (!dl_peers_is_large (source->peers)
-      || (source->is_entry
-          && dl_peers_position_registered (source->peers) < DL_READER_START_FIRST))
+  if (!dl_peers_is_large (source->peers) || is_first_to_read (source))
     return false;
   return choose_relay (source, &others) == NULL;
 }
@@ -123,7 +137,8 @@
   if (source->peers == NULL)
     return NULL;
   relay = choose_relay (source, &others);
-  *is_reader = source->is_entry && relay == NULL && others > 0;
+  *is_reader
+      = source->is_entry && relay == NULL && (others > 0 || is_first_to_read (source));
   if (relay == NULL
       || dl_reader_health_must_use_store (source->reader_health, dl_clock_ms ()))
     return NULL;
