--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -193,6 +193,7 @@
   { "stop", { stop_tests } },
   { "reader", { reader_tests } },
   { "leaving", { leaving_tests } },
+  { "fleet", { fleet_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "undelimited", { undelimited_tests }, .with_proxies = true },
--- a/regress/direct/era.c
+++ b/regress/direct/era.c
@@ -246,7 +246,8 @@
 static void
 delete_nodes (Testbed *tb)
 {
-  static const char *const names[] = { "entry-1", "entry-2", "stager-1", "stager-2" };
+  static const char *const names[]
+      = { "r1.0.entry-1", "r1.0.entry-2", "r1.1.stager-1", "r1.1.stager-2" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     CHECK (testbed_delete (tb, "daisyloft-nodes", names[i]));
--- /dev/null
+++ b/regress/direct/fleet.c
@@ -0,0 +1,347 @@
+/*
+ * Tests of a large fleet: the test itself plays further entries in two regions, which are
+ * registered in the store and exchange statuses with the real entries and stagers.
+ *
+ * The names of the played entries are chosen so that the real ones, of region r1, are
+ * that region's relays.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "direct.h"
+#include "kernel/address.h"
+#include "kernel/wire.pb-c.h"
+#include "policy/fanout.h"
+
+#define FIRST_HOST     60 /* last number of the first played entry's address */
+#define NODE_PORT      "7700"
+#define PORT           "8001"
+#define STATUS_MS      400
+#define STEP_MS        20
+#define SETTLE_MS      4000
+#define WATCH_MS       3000
+#define DATAGRAM_BYTES 1400
+
+/* Entries that are played: half of them in each region, together with the real ones more
+ * than a small fleet has. */
+#define PLAYED (DL_FANOUT_SMALL_ENTRIES_MAX + 4)
+
+typedef struct
+{
+  char name[24];
+  const char *region;
+  char *address;
+  char *listen;
+  int fd;
+  bool silent; /* sends nothing itself */
+  uint64_t number;
+  /* Since the counts were last cleared. */
+  unsigned direct_entries; /* statuses of real entries, from themselves */
+  unsigned direct_stagers;
+  unsigned relayed;         /* of the first stager, passed on */
+  unsigned relayed_twice;   /* that had been received before */
+  uint64_t last_relayed;    /* its number */
+  unsigned relayed_entries; /* of real entries, passed on */
+  unsigned batches;
+} Played;
+
+static Played played[PLAYED];
+
+static uint64_t
+least_real_rank (void)
+{
+  return MIN (dl_fanout_rank ("entry-1"), dl_fanout_rank ("entry-2"));
+}
+
+/* Gives each a name that ranks behind the real entries. */
+static void
+choose_names (void)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < PLAYED; i++)
+    do
+      g_snprintf (played[i].name, sizeof played[i].name, "played-%u", n++);
+    while (dl_fanout_rank (played[i].name) >= least_real_rank ());
+}
+
+static int
+open_socket (const char *address)
+{
+  struct sockaddr_in at;
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+  if (fd < 0 || dl_address_parse (dl_str (address), &at) < 0
+      || bind (fd, (const struct sockaddr *)&at, sizeof at) < 0)
+    return -1;
+  return fd;
+}
+
+static bool
+register_played (Testbed *tb, const Played *p)
+{
+  g_autofree char *object = g_strdup_printf ("%s.0.%s", p->region, p->name);
+  g_autofree char *spec = g_strdup_printf (
+      "{\"name\":\"%s\",\"role\":%d,\"region\":\"%s\",\"data_center\":\"%s\","
+      "\"address\":\"%s\",\"listen\":\"%s\"}",
+      p->name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, p->region, p->region, p->address,
+      p->listen);
+
+  return testbed_put (tb, "daisyloft-nodes", object, spec);
+}
+
+static void
+set_up (Testbed *tb)
+{
+  choose_names ();
+  for (unsigned i = 0; i < PLAYED; i++)
+    {
+      Played *p = &played[i];
+
+      p->region = i % 2 == 0 ? "r1" : "r2";
+      p->address = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, FIRST_HOST + i);
+      p->listen = g_strdup_printf ("%s.%u:" PORT, tb->subnet, FIRST_HOST + i);
+      p->fd = open_socket (p->address);
+      CHECK (p->fd >= 0);
+      CHECK (register_played (tb, p));
+    }
+}
+
+/* -------- sending -------- */
+
+static void
+send_packed (const Played *p,
+             const Testbed *tb,
+             unsigned host,
+             const Daisyloft__Wire__NodeStatus *status)
+{
+  g_autofree char *address = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, host);
+  uint8_t bytes[DATAGRAM_BYTES];
+  struct sockaddr_in at;
+
+  CHECK (dl_address_parse (dl_str (address), &at) == 0);
+  (void)sendto (p->fd, bytes, daisyloft__wire__node_status__pack (status, bytes), 0,
+                (const struct sockaddr *)&at, sizeof at);
+}
+
+static Daisyloft__Wire__NodeStatus
+status_of (Played *p)
+{
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+
+  status.name = p->name;
+  status.incarnation = 77;
+  status.number = ++p->number;
+  status.role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
+  status.ready = true;
+  status.not_hub = true;
+  return status;
+}
+
+/* Sends the status of P to the real entries and stagers, as one of their region would. */
+static void
+send_status (const Testbed *tb, Played *p)
+{
+  static const unsigned hosts[] = { 21, 22, 11, 12 };
+  Daisyloft__Wire__NodeStatus status = status_of (p);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hosts); i++)
+    send_packed (p, tb, hosts[i], &status);
+}
+
+/* -------- receiving -------- */
+
+static void
+count_relayed (Played *p, const ProtobufCBinaryData *packed)
+{
+  Daisyloft__Wire__NodeStatus *status
+      = daisyloft__wire__node_status__unpack (NULL, packed->len, packed->data);
+
+  CHECK (status != NULL);
+  if (status == NULL)
+    return;
+  CHECK (status->named == NULL && status->n_announcement == 0);
+  if (strcmp (status->name, "stager-1") == 0)
+    {
+      p->relayed_twice += status->number == p->last_relayed;
+      p->relayed += status->number > p->last_relayed;
+      p->last_relayed = MAX (p->last_relayed, status->number);
+      CHECK (status->engine != NULL);
+    }
+  p->relayed_entries += strncmp (status->name, "entry-", strlen ("entry-")) == 0;
+  daisyloft__wire__node_status__free_unpacked (status, NULL);
+}
+
+static void
+count_datagram (Played *p, const Daisyloft__Wire__NodeStatus *status)
+{
+  if (status->n_relayed > 0)
+    {
+      p->batches++;
+      for (size_t i = 0; i < status->n_relayed; i++)
+        count_relayed (p, &status->relayed[i]);
+    }
+  else if (status->role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT)
+    p->direct_stagers++;
+  else
+    p->direct_entries++;
+}
+
+static void
+receive_all (Played *p)
+{
+  uint8_t bytes[DATAGRAM_BYTES];
+  ssize_t n;
+
+  while ((n = recv (p->fd, bytes, sizeof bytes, 0)) > 0)
+    {
+      Daisyloft__Wire__NodeStatus *status
+          = daisyloft__wire__node_status__unpack (NULL, (size_t)n, bytes);
+
+      CHECK (status != NULL);
+      if (status == NULL)
+        continue;
+      count_datagram (p, status);
+      daisyloft__wire__node_status__free_unpacked (status, NULL);
+    }
+}
+
+/* Plays all entries for so long. */
+static void
+play (const Testbed *tb, unsigned duration_ms)
+{
+  for (unsigned ms = 0; ms < duration_ms; ms += STEP_MS)
+    {
+      for (unsigned i = 0; i < PLAYED; i++)
+        {
+          if (ms % STATUS_MS == 0 && !played[i].silent)
+            send_status (tb, &played[i]);
+          receive_all (&played[i]);
+        }
+      g_usleep (STEP_MS * 1000);
+    }
+}
+
+static void
+clear_counts (void)
+{
+  for (unsigned i = 0; i < PLAYED; i++)
+    {
+      Played *p = &played[i];
+
+      p->direct_entries = 0;
+      p->direct_stagers = 0;
+      p->relayed = 0;
+      p->relayed_twice = 0;
+      p->relayed_entries = 0;
+      p->batches = 0;
+    }
+}
+
+static bool
+is_in (const Played *p, const char *region)
+{
+  return strcmp (p->region, region) == 0;
+}
+
+/* -------- the tests -------- */
+
+/* Stagers send their load to the relays of their region, here the real entries, which
+ * pass it on; of two relays one. */
+static void
+test_loads_are_passed_on (Testbed *tb)
+{
+  set_up (tb);
+  play (tb, SETTLE_MS);
+  clear_counts ();
+  play (tb, WATCH_MS);
+  for (unsigned i = 0; i < PLAYED; i++)
+    {
+      const Played *p = &played[i];
+
+      CHECK (p->direct_stagers == 0);
+      if (!is_in (p, "r1"))
+        continue;
+      CHECK (p->relayed >= 3);
+      CHECK (p->relayed_twice <= p->relayed / 2);
+    }
+}
+
+/* Entries send their own status to those of their region, and relays pass it on to a
+ * relay of each other region. */
+static void
+test_entries_are_told_by_region (Testbed *tb)
+{
+  unsigned relays = 0;
+
+  for (unsigned i = 0; i < PLAYED; i++)
+    {
+      const Played *p = &played[i];
+
+      CHECK ((p->direct_entries > 0) == is_in (p, "r1"));
+      if (is_in (p, "r1") || p->batches == 0)
+        continue;
+      relays++;
+      CHECK (p->relayed >= 3 && p->relayed_entries >= 3);
+    }
+  CHECK (relays >= 1 && relays <= DL_FANOUT_RELAYS);
+}
+
+static bool
+directory_lists (const Testbed *tb, const char *listen)
+{
+  Response r = call (&(Call){ .address = tb->directory[0],
+                              .target = "/-/resolve?name=h&region=r2&zone=r2" });
+  bool listed = r.status == 200 && strstr (r.body, listen) != NULL;
+
+  response_free (&r);
+  return listed;
+}
+
+/* Sends entry-1 a batch from P with the status of OTHER, and with what is no status. */
+static void
+send_batch (const Testbed *tb, Played *p, Played *other)
+{
+  Daisyloft__Wire__NodeStatus status = status_of (other);
+  Daisyloft__Wire__NodeStatus batch = status_of (p);
+  uint8_t bytes[DATAGRAM_BYTES];
+  uint8_t garbage[] = { 0xff, 0xff, 0xff, 0xff, 0x07 };
+  ProtobufCBinaryData items[] = {
+    { .data = garbage, .len = sizeof garbage },
+    { .data = bytes, .len = daisyloft__wire__node_status__pack (&status, bytes) },
+    { .data = NULL, .len = 0 },
+  };
+
+  batch.number = 0;
+  batch.relayed = items;
+  batch.n_relayed = G_N_ELEMENTS (items);
+  send_packed (p, tb, 21, &batch);
+}
+
+/* A node of another region is known as up only by what a relay passes on; one that is not
+ * passed on any more is left out soon.  Malformed statuses do no harm. */
+static void
+test_other_regions_are_heard_by_relays (Testbed *tb)
+{
+  Played *relay = &played[1];
+  Played *other = &played[3];
+
+  other->silent = true;
+  play (tb, SETTLE_MS);
+  CHECK (!directory_lists (tb, other->listen));
+  send_batch (tb, relay, other);
+  play (tb, STATUS_MS);
+  CHECK (directory_lists (tb, other->listen));
+  play (tb, SETTLE_MS);
+  CHECK (!directory_lists (tb, other->listen));
+  CHECK (requests_are_served (tb));
+}
+
+const TestFunc fleet_tests[] = {
+  test_loads_are_passed_on,
+  test_entries_are_told_by_region,
+  test_other_regions_are_heard_by_relays,
+  NULL,
+};
