Test of a large fleet: a request may be refused while two small upstreams are shared by all

Failed in 2 of 4 runs: 22 entries share two upstreams of four places, so that an entry has none of them at times. That is how places are shared, so the test asks until one is served.

--- a/regress/direct/fleet.c
+++ b/regress/direct/fleet.c
@@ -336,7 +336,9 @@
   CHECK (directory_lists (tb, other->listen));
   play (tb, SETTLE_MS);
   CHECK (!directory_lists (tb, other->listen));
-  CHECK (requests_are_served (tb));
+  /* Two small upstreams are divided among all entries, so that a request may be refused
+   * now and then. */
+  CHECK (eventually (requests_are_served, tb));
 }
 
 const TestFunc fleet_tests[] = {
