--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "daisydirectd.h"
+#include "entry_list.h"
 #include "held_requests.h"
 #include "routing_table.h"
 #include "upstream_list.h"
@@ -389,60 +390,6 @@
   send_status (state, dl_peers_is_large (state->peers) ? DL_PEERS_REGION : DL_PEERS_ALL);
 }
 
-typedef struct
-{
-  const DlNodeSettings *settings;
-  DirectMessage *message;
-  GPtrArray *same_region;
-  GPtrArray *other_region;
-} EntryCollection;
-
-static void
-collect_entry (const DlPeer *peer, void *data)
-{
-  EntryCollection *c = data;
-  bool same_region = strcmp (peer->region, c->settings->region) == 0;
-
-  if (peer->ready)
-    g_ptr_array_add (same_region ? c->same_region : c->other_region,
-                     talloc_strdup (c->message, peer->listen));
-}
-
-static const char **
-copy_pointers (const void *context, GPtrArray *array)
-{
-  const char **copy = talloc_array (context, const char *, array->len + 1);
-
-  if (array->len > 0)
-    memcpy (copy, array->pdata, array->len * sizeof *copy);
-  return copy;
-}
-
-static void
-publish_entries (State *state)
-{
-  DirectMessage *message = direct_message_new (DIRECT_ENTRIES);
-  EntryCollection c = {
-    .settings = state->settings,
-    .message = message,
-    .same_region = g_ptr_array_new (),
-    .other_region = g_ptr_array_new (),
-  };
-
-  if (state->ready)
-    g_ptr_array_add (c.same_region, (gpointer)state->settings->listen);
-  dl_peers_foreach_alive (state->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, collect_entry,
-                          &c);
-  message->entries.same_region = copy_pointers (message, c.same_region);
-  message->entries.same_region_count = c.same_region->len;
-  message->entries.other_region = copy_pointers (message, c.other_region);
-  message->entries.other_region_count = c.other_region->len;
-  message->entries.is_ready = state->ready;
-  g_ptr_array_free (c.same_region, TRUE);
-  g_ptr_array_free (c.other_region, TRUE);
-  dl_kernel_publish (state->kernel, message);
-}
-
 static void
 refresh_readiness (State *state)
 {
@@ -458,7 +405,7 @@
                            - direct_routing_table_proven_ms (state->routing_table)));
       send_usual_status (state);
     }
-  publish_entries (state);
+  direct_publish_entries (state->kernel, state->settings, state->peers, state->ready);
 }
 
 /* Reports new chunks soon, so that other nodes can fetch them from here, and suspected
--- a/lib/node/peers_private.h
+++ b/lib/node/peers_private.h
@@ -1,6 +1,7 @@
 /*
- * Declarations shared by peers.c, which knows the other nodes, and status_relay.c, which
- * passes their statuses on.
+ * Declarations shared by the files that know the other nodes: peers.c registers this node
+ * and follows the others' registrations, peers_region.c tells the entries of a region,
+ * peers_datagrams.c exchanges statuses, and status_relay.c passes them on.
  */
 #ifndef DL_PEERS_PRIVATE_H
 #define DL_PEERS_PRIVATE_H
@@ -63,6 +64,9 @@
   const struct sockaddr_in *unknown_sender; /* sender, while on_unknown_node runs */
 };
 
+bool dl_peers_is_in_region (const Node *node, const char *region);
+/* Reads the datagrams that have arrived. */
+void dl_peers_on_readable (struct ev_loop *loop, ev_io *watcher, int events);
 /* Fills in the sender of STATUS and its NUMBER, 0 for a batch of other nodes' statuses,
  * and packs it into BYTES, of DATAGRAM_MAX_BYTES.  Returns its length. */
 size_t dl_peers_pack (const DlPeers *peers,
--- a/lib/node/status_relay.c
+++ b/lib/node/status_relay.c
@@ -41,7 +41,7 @@
 static bool
 is_in_own_region (const DlPeers *peers, const Node *node)
 {
-  return strcmp (node->peer.region, peers->options.settings->region) == 0;
+  return dl_peers_is_in_region (node, peers->options.settings->region);
 }
 
 /* Keeps BYTES in R, whose memory is a talloc child of OWNER. */
