An earlier refusal that a server writes once more is no answer to the request sent now

Report of other operators: clients were told 'not run' for requests that a server had run or was running. Cause here: a status or header that says 'not run' was believed whatever request it named; only successes were checked for their id. New test regress/direct/crossed.c (group crossed): the server runs the request and answers by an earlier refusal (503, 429, 421; with the earlier id or none). A refusal counts only if it echoes the request's id, or the caller gave none; the stand-in's true refusals echo it now, as the platform's do. Ruled out: a refusal with the new request's id, for a request that runs, cannot be told from a true one.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -89,6 +89,15 @@
   return attempt->head.is_mismatched || (is_success (attempt) && !attempt->head.has_seal);
 }
 
+/* True when the upstream says that it did not run this request.  A faulty upstream may
+ * write an earlier refusal once more, which says nothing about the request that is sent
+ * now: that may be running. */
+static bool
+was_not_run (const Attempt *attempt)
+{
+  return attempt->head.not_run && attempt->head.names_request;
+}
+
 /* Reports the attempt's end to its upstream, once. */
 static void
 release_upstream (Attempt *attempt, DirectAttemptOutcome outcome)
@@ -247,7 +256,7 @@
 finish_broken (Attempt *attempt)
 {
   finish_failed (attempt, error_outcome (attempt),
-                 attempt->head.not_run ? DIRECT_FAILURE_NOT_RUN : DIRECT_FAILURE_BROKEN);
+                 was_not_run (attempt) ? DIRECT_FAILURE_NOT_RUN : DIRECT_FAILURE_BROKEN);
 }
 
 static void
@@ -315,9 +324,9 @@
 {
   size_t before = attempt->body_bytes;
 
-  if (attempt->head.not_run)
+  if (was_not_run (attempt))
     abort_attempt (attempt, NULL);
-  else if (is_unusable (attempt))
+  else if (is_unusable (attempt) || attempt->head.not_run)
     abort_attempt (attempt, "a success without seal, or for another request");
   else if (!has_room (attempt, bytes.length)
            || dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -39,6 +39,7 @@
 typedef struct
 {
   bool not_run;       /* the upstream reports that it did not run the request */
+  bool names_request; /* has the request's id, or the request has none */
   bool is_mismatched; /* has another request's id, or is content-encoded */
   bool has_seal;      /* carries the upstream's seal of its response */
   bool is_delimited;  /* has a length or chunks; otherwise it ends with its connection */
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -194,6 +194,7 @@
   { "reader", { reader_tests } },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
+  { "crossed", { crossed_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "undelimited", { undelimited_tests }, .with_proxies = true },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -229,6 +229,8 @@
 extern const TestFunc version_tests[];
 /* The same after entries have started, whose limit must be as on the users' platform. */
 extern const TestFunc version_start_tests[];
+/* Responses that do not belong where they arrive. */
+extern const TestFunc crossed_tests[];
 /* A fleet of many entries, which pass statuses on. */
 extern const TestFunc fleet_tests[];
 /* A store that returns from an older copy. */
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -88,6 +88,11 @@
 static uint64_t crash_now;      /* set to 1: it crashes at once, whatever it runs */
 static uint64_t crash_ms = 200; /* how long it is down after a crash */
 static uint64_t queue_ms;       /* how long a stream waits before it starts */
+static uint64_t old_refusals; /* the next N are run, and an earlier refusal sent again */
+static uint64_t refusal_status = 503; /* of those */
+static uint64_t refusal_nameless;     /* they have no request's id */
+static uint64_t error_resumed; /* status of the response to each stream that resumes; 0 */
+static uint64_t error_sealed;  /* these have the seal */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
 static uint64_t due_version;
@@ -161,6 +166,11 @@
   { "queue_ms", &queue_ms },
   { "due_version", &due_version },
   { "due_in_ms", &due_in_ms },
+  { "old_refusals", &old_refusals },
+  { "refusal_status", &refusal_status },
+  { "refusal_nameless", &refusal_nameless },
+  { "error_resumed", &error_resumed },
+  { "error_sealed", &error_sealed },
   { 0 },
 };
 
@@ -591,14 +601,17 @@
   schedule_events (s, event_ms);
 }
 
+/* Refuses with STATUS; ID is the request id that the response has, NULL for none. */
 static void
-refuse (DlHttpRequest *request, unsigned status)
+refuse_as (DlHttpRequest *request, unsigned status, const char *id)
 {
   char seconds[NAME_BYTES];
   char limit[NAME_BYTES];
-  DlHttpHeader headers[5] = { { 0 } };
+  DlHttpHeader headers[6] = { { 0 } };
   size_t count = 0;
 
+  if (id != NULL)
+    headers[count++] = (DlHttpHeader){ .name = "X-Request-Id", .value = id };
   if (!unmarked)
     headers[count++] = (DlHttpHeader){ .name = "X-Not-Executed", .value = "1" };
   if (leaving)
@@ -613,6 +626,27 @@
   dl_http_reply (request, status, NULL, DL_STR_LITERAL (""), headers);
 }
 
+static void
+refuse (DlHttpRequest *request, unsigned status)
+{
+  refuse_as (request, status, header (request, "X-Request-Id"));
+}
+
+/* Answers a stream that resumes with an error, or with a success that is no stream. */
+static void
+reply_error_resumed (DlHttpRequest *request)
+{
+  char seal[NAME_BYTES];
+  const DlHttpHeader headers[]
+      = { { .name = "X-Request-Id", .value = header (request, "X-Request-Id") },
+          { .name = error_sealed ? "X-Response-Seal" : NULL, .value = seal },
+          { 0 } };
+
+  g_snprintf (seal, sizeof seal, "seal-of-i-%" PRIu64, instance);
+  dl_http_reply (request, (unsigned)error_resumed, "text/plain",
+                 DL_STR_LITERAL ("id: 4\ndata: error text\n\n"), headers);
+}
+
 static bool
 expectation_fails (DlHttpRequest *request)
 {
@@ -688,6 +722,16 @@
   record_run (request);
   if (standin_count_down (&silent))
     return;
+  if (standin_count_down (&old_refusals))
+    {
+      refuse_as (request, (unsigned)refusal_status, refusal_nameless ? NULL : "earlier");
+      return;
+    }
+  if (error_resumed != 0 && dl_http_request_header (request, "Last-Event-Id") != NULL)
+    {
+      reply_error_resumed (request);
+      return;
+    }
   if (standin_count_down (&lose))
     dl_http_abort (request);
   else if (is_stream (request))
