Quarantine: a held whole request without a prompt explains crashes of parts

A whole request explained no crash of a part, as it may be one of several with that part; that reason does not hold for one without parts. Records say so now, and tell it (wire field partless). Ruled out: whole requests with a prompt explaining too (one of several with a bad part would clear it).

--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -1924,7 +1924,7 @@
   (ProtobufCMessageInit) daisyloft__wire__limit_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__signature_record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor daisyloft__wire__signature_record__field_descriptors[12] =
 {
   {
     "id",
@@ -2058,6 +2058,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "partless",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__SignatureRecord, partless),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__signature_record__field_indices_by_name[] = {
   8,   /* field[8] = broken_count */
@@ -2066,6 +2078,7 @@
   5,   /* field[5] = hold_ms */
   0,   /* field[0] = id */
   6,   /* field[6] = level */
+  11,   /* field[11] = partless */
   4,   /* field[4] = quarantined */
   2,   /* field[2] = served */
   3,   /* field[3] = served_age_ms */
@@ -2075,7 +2088,7 @@
 static const ProtobufCIntRange daisyloft__wire__signature_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__signature_record__descriptor =
 {
@@ -2085,7 +2098,7 @@
   "Daisyloft__Wire__SignatureRecord",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__SignatureRecord),
-  11,
+  12,
   daisyloft__wire__signature_record__field_descriptors,
   daisyloft__wire__signature_record__field_indices_by_name,
   1,  daisyloft__wire__signature_record__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -284,6 +284,10 @@
    * of a whole request that were sent in this quarantine
    */
   uint32_t trials;
+  /*
+   * a whole request whose prompt has no shared parts
+   */
+  protobuf_c_boolean partless;
   /*
    * time since a quarantined whole request came
    */
@@ -291,7 +295,7 @@
 };
 #define DAISYLOFT__WIRE__SIGNATURE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__signature_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Daisyloft__Wire__SignatureCrash
--- a/lib/node/signature_record.c
+++ b/lib/node/signature_record.c
@@ -43,6 +43,7 @@
   wire->served_count = record->served_count;
   wire->broken_count = record->broken_count;
   wire->trials = record->trials;
+  wire->partless = record->is_partless;
   wire->came_age_ms
       = record->came_ms != 0 ? 1 + age_of_time (record->came_ms, now_ms) : 0;
   wire->hold_ms = record->hold_ms > now_ms ? record->hold_ms - now_ms : 0;
@@ -88,6 +89,7 @@
   record->served_count = wire->served_count;
   record->broken_count = wire->broken_count;
   record->trials = wire->trials;
+  record->is_partless = wire->partless;
   if (wire->came_age_ms != 0)
     record->came_ms = time_of_age (wire->came_age_ms, now_ms);
   if (wire->quarantined)
--- a/lib/policy/quarantine.c
+++ b/lib/policy/quarantine.c
@@ -236,6 +236,7 @@
       DlSignatureCrash crash = { .upstream = fate->upstream, .at_ms = now_ms };
 
       r->fare = fate->fare;
+      r->is_partless = fate->signatures->count == 1;
       r->broken_count++;
       if (!quarantine_note_crash (q, r, crash))
         continue;
--- a/lib/policy/quarantine.h
+++ b/lib/policy/quarantine.h
@@ -90,6 +90,7 @@
   unsigned level;     /* of the quarantine: each one holds three times as long */
   uint64_t hold_ms; /* quarantined, with a trial from this time on; 0: not quarantined */
   unsigned trials;  /* of a whole request that were sent in this quarantine */
+  bool is_partless; /* a whole request whose prompt has no shared parts */
   uint64_t came_ms; /* when a quarantined whole request last came; 0: not known */
   uint64_t changed_ms;   /* when it was last quarantined or released; 0: never */
   unsigned served_count; /* requests with it that were served, up to a maximum */
--- a/lib/policy/quarantine_exchange.c
+++ b/lib/policy/quarantine_exchange.c
@@ -21,6 +21,7 @@
     quarantine_note_crash (q, r, told->crashes[i]);
   r->served_ms = MAX (r->served_ms, told->served_ms);
   r->hold_ms = MAX (r->hold_ms, told->hold_ms);
+  r->is_partless = r->is_partless || told->is_partless;
   r->level = MAX (r->level, told->level);
   if (told->hold_ms != 0)
     r->trials = MAX (r->trials, told->trials);
--- a/lib/policy/quarantine_judge.c
+++ b/lib/policy/quarantine_judge.c
@@ -208,8 +208,17 @@
   return log (ODDS_QUARANTINED * (1 + r->served_count)) - ROUNDING;
 }
 
-/* True when another signature that is quarantined now was in the crash.  A whole request
- * explains no crash of a part: it may be one of several with that part. */
+/* Whether crashes in which OTHER was, which is quarantined, may be laid to it instead of
+ * R.  A whole request whose prompt has parts explains no crash of a part: it may be one
+ * of several with that part. */
+static bool
+explains (const DlSignatureRecord *other, const DlSignatureRecord *r)
+{
+  return !dl_signature_is_whole (&other->id) || dl_signature_is_whole (&r->id)
+         || other->is_partless;
+}
+
+/* True when another signature that is quarantined now was in the crash. */
 static bool
 is_explained (const DlQuarantine *q,
               const DlSignatureRecord *r,
@@ -223,8 +232,7 @@
     {
       const DlSignatureRecord *other = value;
 
-      if (other != r && other->hold_ms != 0
-          && (!dl_signature_is_whole (&other->id) || dl_signature_is_whole (&r->id))
+      if (other != r && other->hold_ms != 0 && explains (other, r)
           && was_in_crash (other, c->upstream))
         return true;
     }
--- a/regress/unit/test_quarantine_request.c
+++ b/regress/unit/test_quarantine_request.c
@@ -164,6 +164,40 @@
   talloc_free (q);
 }
 
+/* Streams that share a part break off with a held request that has no prompt; another
+ * entry told of it. */
+static void
+test_shared_part_was_held_for_crashes_of_a_held_request (void)
+{
+  DlQuarantine *teller = dl_quarantine_new (NULL);
+  DlQuarantine *q = dl_quarantine_new (NULL);
+  DlSignatures stream = quarantine_parts ("shared", "own");
+  DlQuarantineNews news;
+  uint64_t now_ms = START_MS;
+
+  for (unsigned i = 0; i < 3; i++)
+    crash (teller, "bad", 100 + i, now_ms += 1000);
+  judge (teller, now_ms);
+  quarantine_tell (teller, q, now_ms + 500, now_ms + 510);
+  CU_ASSERT_TRUE (is_held (q, "bad"));
+  for (unsigned i = 0; i < 200; i++)
+    {
+      DlSignatures other = quarantine_parts ("other", "own");
+
+      quarantine_serve (q, &other, now_ms + 600, &news);
+    }
+  for (unsigned i = 0; i < 5; i++)
+    {
+      now_ms += 1000;
+      crash (q, "bad", 200 + i, now_ms);
+      quarantine_break_off (q, &stream, 200 + i, false, now_ms);
+      judge (q, now_ms);
+    }
+  CU_ASSERT_PTR_NULL (dl_quarantine_find (q, &stream));
+  talloc_free (q);
+  talloc_free (teller);
+}
+
 static void
 test_request_that_others_served_was_held (void)
 {
@@ -506,6 +540,7 @@
   { "upstreams lost together", test_request_at_upstreams_lost_together_was_held },
   { "served before", test_request_served_before_its_crashes_was_held },
   { "crashes of a held request", test_sound_request_was_held_for_crashes_of_a_held_one },
+  { "shared part", test_shared_part_was_held_for_crashes_of_a_held_request },
   { "served by others", test_request_that_others_served_was_held },
   { "retry after two crashes", test_request_was_sent_again_after_two_crashes },
   { "trial sent again", test_trial_was_sent_again },
