--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -415,9 +415,8 @@
 {
   State *state = data;
 
-  if (state->status_changed)
-    send_status (state, DL_PEERS_ALL);
-  else if (state->holdings_changed && !dl_peers_is_large (state->peers))
+  if (state->status_changed
+      || (state->holdings_changed && !dl_peers_is_large (state->peers)))
     send_status (state, DL_PEERS_ALL);
   else if (state->holdings_changed
            && dl_clock_ms () - state->holdings_sent_ms >= HOLDINGS_LARGE_MS)
