Large fleets: what all entries must know at once goes to all, a few in a row and then at a pace

Change: an entry of a large fleet sends five such statuses in a row, then one in 5 ms an entry (0.75 s at 149); others go to the region. A lone crash is told as fast as before. Small fleets: as before. Ruled out: records passed on by relays (their ages and order matter to judging); a longer interval for all (a lone crash must be known within 150 ms). Unit test 'statuses to all entries'.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -21,6 +21,7 @@
 #include "node/peers.h"
 #include "node/version_watch.h"
 #include "platform.h"
+#include "policy/fanout.h"
 
 #define STORE_TIMEOUT_MS 900
 /* The routing table is checked this many times within its maximum age, so that the
@@ -79,6 +80,7 @@
   bool status_changed;                  /* and not sent yet */
   bool holdings_changed;                /* likewise */
   uint64_t holdings_sent_ms;            /* when holdings were last told */
+  DlFanoutBurst burst;                  /* of statuses to all entries */
   bool ready;
   bool is_hub; /* this entry fetches weights for others */
   unsigned ticks;
@@ -355,6 +357,13 @@
   talloc_free (context);
 }
 
+static bool
+may_tell_all (State *state)
+{
+  return dl_fanout_may_tell_all (&state->burst, dl_peers_entry_count (state->peers),
+                                 dl_clock_ms ());
+}
+
 /* Sends this entry's status to the entries that REACH says, and to the stagers that fetch
  * chunks here or read the store through here. */
 static void
@@ -373,7 +382,9 @@
   add_limit_records (state, context, &status);
   add_signature_records (state, context, &status);
   /* Records are not passed on by relays. */
-  if (status.n_limit_record > 0 || status.n_signature_record > 0)
+  if (reach == DL_PEERS_REGION
+      && (status.n_limit_record > 0 || status.n_signature_record > 0)
+      && may_tell_all (state))
     reach = DL_PEERS_ALL;
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, reach);
   talloc_free (context);
@@ -415,8 +426,9 @@
 {
   State *state = data;
 
-  if (state->status_changed
-      || (state->holdings_changed && !dl_peers_is_large (state->peers)))
+  if ((state->status_changed
+       || (state->holdings_changed && !dl_peers_is_large (state->peers)))
+      && may_tell_all (state))
     send_status (state, DL_PEERS_ALL);
   else if (state->holdings_changed
            && dl_clock_ms () - state->holdings_sent_ms >= HOLDINGS_LARGE_MS)
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -94,6 +94,8 @@
                     DlPeersReach reach);
 /* True when the fleet is large (policy/fanout.h). */
 bool dl_peers_is_large (const DlPeers *peers);
+/* Number of registered entries, this node included if it is one. */
+unsigned dl_peers_entry_count (const DlPeers *peers);
 /* Whether this entry is one of its region's hubs; in a small fleet every entry is.  WAS:
  * it has been one. */
 bool dl_peers_is_hub (const DlPeers *peers, bool was);
--- a/lib/node/peers_region.c
+++ b/lib/node/peers_region.c
@@ -11,6 +11,12 @@
   return strcmp (node->peer.region, region) == 0;
 }
 
+unsigned
+dl_peers_entry_count (const DlPeers *peers)
+{
+  return peers->entry_count;
+}
+
 bool
 dl_peers_is_large (const DlPeers *peers)
 {
--- a/lib/policy/fanout.c
+++ b/lib/policy/fanout.c
@@ -101,3 +101,25 @@
 {
   return before < (was ? DL_FANOUT_HUBS_KEPT : DL_FANOUT_HUBS);
 }
+
+bool
+dl_fanout_may_tell_all (DlFanoutBurst *burst, unsigned entries, uint64_t now_ms)
+{
+  uint64_t interval_ms = (uint64_t)entries * DL_FANOUT_MS_AN_ENTRY;
+  uint64_t freed;
+
+  if (entries <= DL_FANOUT_SMALL_ENTRIES_MAX)
+    return true;
+  freed = (now_ms - burst->freed_ms) / interval_ms;
+  if (freed >= burst->used)
+    *burst = (DlFanoutBurst){ .freed_ms = now_ms };
+  else
+    {
+      burst->used -= (unsigned)freed;
+      burst->freed_ms += freed * interval_ms;
+    }
+  if (burst->used >= DL_FANOUT_BURST)
+    return false;
+  burst->used++;
+  return true;
+}
--- a/lib/policy/fanout.h
+++ b/lib/policy/fanout.h
@@ -42,6 +42,21 @@
   bool ready;    /* it accepts requests */
 } DlFanoutEntry;
 
+/* Of statuses that all entries must have at once, as they tell of a crash, an entry of a
+ * large fleet may send so many in a row.  After that it sends one in this time for each
+ * entry: when many upstreams break off at once, all entries have something to tell. */
+#define DL_FANOUT_BURST       5
+#define DL_FANOUT_MS_AN_ENTRY 5
+/* What is left of that; zero at the start. */
+typedef struct
+{
+  unsigned used;     /* of DL_FANOUT_BURST */
+  uint64_t freed_ms; /* since when time counts that frees one */
+} DlFanoutBurst;
+
+/* Whether a status may go to all ENTRIES now; then it counts as sent. */
+bool dl_fanout_may_tell_all (DlFanoutBurst *burst, unsigned entries, uint64_t now_ms);
+
 /* Rank of the entry NAME. */
 uint64_t dl_fanout_rank (const char *name);
 /* Stores in CHOSEN the indexes of the WANTED entries that rank first, best first, and
--- a/regress/unit/test_fanout.c
+++ b/regress/unit/test_fanout.c
@@ -88,9 +88,34 @@
   CU_ASSERT_FALSE (dl_fanout_is_hub (DL_FANOUT_HUBS_KEPT, true));
 }
 
+/* A few statuses go to all at once; then the entry keeps to the pace, however long. */
+static void
+test_statuses_to_all (void)
+{
+  DlFanoutBurst burst = { 0 };
+  const unsigned entries = 149;
+  const uint64_t interval_ms = entries * DL_FANOUT_MS_AN_ENTRY;
+  unsigned sent = 0;
+
+  for (unsigned i = 0; i < DL_FANOUT_BURST; i++)
+    CU_ASSERT_TRUE (dl_fanout_may_tell_all (&burst, entries, 100000 + i));
+  CU_ASSERT_FALSE (dl_fanout_may_tell_all (&burst, entries, 100010));
+  for (uint64_t ms = 0; ms < 100 * interval_ms; ms += 40)
+    sent += dl_fanout_may_tell_all (&burst, entries, 100010 + ms);
+  CU_ASSERT (sent >= 98 && sent <= 100);
+  CU_ASSERT_FALSE (
+      dl_fanout_may_tell_all (&burst, entries, 100010 + 100 * interval_ms - 40));
+  /* After a quiet time the burst is whole again. */
+  for (unsigned i = 0; i < DL_FANOUT_BURST; i++)
+    CU_ASSERT_TRUE (dl_fanout_may_tell_all (&burst, entries, 100000 + 200 * interval_ms));
+  for (unsigned i = 0; i < 100; i++)
+    CU_ASSERT_TRUE (dl_fanout_may_tell_all (&burst, DL_FANOUT_SMALL_ENTRIES_MAX, 200000));
+}
+
 static const CU_TestInfo tests[] = {
   { "choice of relays", test_choice },
   { "hubs", test_hubs },
+  { "statuses to all entries", test_statuses_to_all },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("fanout", tests)
