Malformed messages at each socket: whole exchanges, changed at random by a seed

Group malformed (regress/direct/malformed.c, mutate.c): callers', directory, readiness, peers' and chunk requests; recorded datagrams of real nodes from a registered address; objects of the store; and, by the proxies' new mode, what the store, the servers and the origin answer while versions are announced. After each no process has ended by itself and requests are served.

Not looked at: daisyentryd and daisyslotd.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -196,6 +196,7 @@
   { "fleet", { fleet_tests } },
   { "crossed", { crossed_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
+  { "malformed", { malformed_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "undelimited", { undelimited_tests }, .with_proxies = true },
   { "silence", { silence_tests } },
--- a/regress/direct/proxy.c
+++ b/regress/direct/proxy.c
@@ -12,10 +12,13 @@
 #include <unistd.h>
 
 #include "kernel/address.h"
+#include "mutate.h"
 
 #define POLL_MS      5
 #define BUFFER_BYTES 16384
 #define BACKLOG      64
+/* Of a buffer, so that what is changed has room to grow. */
+#define MUTABLE_BYTES (BUFFER_BYTES / 2)
 
 /* One direction of a connection. */
 typedef struct
@@ -46,6 +49,8 @@
   gint reset_due;    /* flag, atomic */
   gint stall_due;    /* flag, atomic */
   gint stop;         /* flag, atomic */
+  gint seed;         /* for RAND, atomic; 0: it has been taken */
+  GRand *rand;       /* used by the thread only */
   GPtrArray *active; /* of Connection; used by the thread only */
 };
 
@@ -122,30 +127,48 @@
   return error == EAGAIN || error == EINTR || error == ENOTCONN || error == EINPROGRESS;
 }
 
-/* Fills the buffer if it is empty.  Returns false when the connection failed. */
+/* Changes the bytes that were read, as far as the buffer has room. */
+static void
+mutate_direction (Direction *d, GRand *rand)
+{
+  g_autoptr (GByteArray) bytes = g_byte_array_new ();
+
+  if (g_rand_int_range (rand, 0, PROXY_MUTATE_ONE_IN) != 0)
+    return;
+  g_byte_array_append (bytes, (const guint8 *)d->bytes, (guint)d->length);
+  mutate (rand, bytes);
+  d->length = MIN (bytes->len, sizeof d->bytes);
+  if (d->length > 0)
+    memcpy (d->bytes, bytes->data, d->length);
+}
+
+/* Fills the buffer if it is empty; RAND, if any, changes what was read.  Returns false
+ * when the connection failed. */
 static bool
-read_direction (Direction *d, ProxyMode mode)
+read_direction (Direction *d, ProxyMode mode, GRand *rand)
 {
   ssize_t n;
 
   if (d->length > 0 || d->eof)
     return true;
-  n = recv (d->from, d->bytes, sizeof d->bytes, 0);
+  n = recv (d->from, d->bytes, rand != NULL ? MUTABLE_BYTES : sizeof d->bytes, 0);
   if (n < 0)
     return is_transient (errno);
   d->eof = n == 0;
   d->length = (size_t)n;
+  if (rand != NULL)
+    mutate_direction (d, rand);
   d->due_us = g_get_monotonic_time () + (mode == PROXY_DELAY ? PROXY_DELAY_MS * 1000 : 0);
   return true;
 }
 
 /* Reads and writes what is possible now.  Returns false when the connection failed. */
 static bool
-relay_direction (Direction *d, ProxyMode mode)
+relay_direction (Direction *d, ProxyMode mode, GRand *rand)
 {
   ssize_t n;
 
-  if (!read_direction (d, mode))
+  if (!read_direction (d, mode, rand))
     return false;
   if (d->length > 0 && g_get_monotonic_time () >= d->due_us)
     {
@@ -165,15 +188,16 @@
 
 /* Returns false when the connection is over and is to be closed. */
 static bool
-relay_connection (Connection *c, ProxyMode mode)
+relay_connection (Connection *c, ProxyMode mode, GRand *rand)
 {
+  GRand *down_rand = mode == PROXY_MUTATE ? rand : NULL;
   bool up = mode != PROXY_CUT_UP && mode != PROXY_CUT_BOTH;
   bool down = mode != PROXY_CUT_DOWN && mode != PROXY_CUT_BOTH;
 
   if (c->stalled)
     return true;
-  if ((up && !relay_direction (&c->up, mode))
-      || (down && !relay_direction (&c->down, mode)))
+  if ((up && !relay_direction (&c->up, mode, NULL))
+      || (down && !relay_direction (&c->down, mode, down_rand)))
     {
       set_reset_on_close (c->up.from);
       set_reset_on_close (c->up.to);
@@ -187,6 +211,10 @@
 {
   ProxyMode mode = (ProxyMode)g_atomic_int_get (&p->mode);
 
+  gint seed = (gint)g_atomic_int_and ((guint *)&p->seed, 0);
+
+  if (seed != 0)
+    g_rand_set_seed (p->rand, (guint32)seed);
   if (g_atomic_int_and ((guint *)&p->reset_due, 0) || mode == PROXY_REFUSE)
     reset_all (p);
   if (g_atomic_int_and ((guint *)&p->stall_due, 0))
@@ -194,7 +222,7 @@
       ((Connection *)g_ptr_array_index (p->active, i))->stalled = true;
   accept_new (p, mode);
   for (guint i = p->active->len; i-- > 0;)
-    if (!relay_connection (g_ptr_array_index (p->active, i), mode))
+    if (!relay_connection (g_ptr_array_index (p->active, i), mode, p->rand))
       g_ptr_array_remove_index_fast (p->active, i);
 }
 
@@ -258,6 +286,7 @@
       return NULL;
     }
   p->active = g_ptr_array_new_with_free_func (connection_free);
+  p->rand = g_rand_new_with_seed (1);
   p->endless = endless_peer_new (&p->target);
   p->thread = g_thread_new ("proxy", run, p);
   return p;
@@ -269,6 +298,12 @@
   g_atomic_int_set (&proxy->mode, (gint)mode);
 }
 
+void
+proxy_seed (Proxy *proxy, uint32_t seed)
+{
+  g_atomic_int_set (&proxy->seed, (gint)seed);
+}
+
 EndlessPeer *
 proxy_endless_peer (Proxy *proxy)
 {
@@ -297,5 +332,6 @@
   g_ptr_array_free (proxy->active, TRUE);
   close (proxy->listener);
   endless_peer_free (proxy->endless);
+  g_rand_free (proxy->rand);
   g_free (proxy);
 }
--- a/regress/direct/proxy.h
+++ b/regress/direct/proxy.h
@@ -5,6 +5,8 @@
 #ifndef DIRECT_PROXY_H
 #define DIRECT_PROXY_H
 
+#include <stdint.h>
+
 #include "endless.h"
 
 typedef struct Proxy Proxy;
@@ -19,14 +21,18 @@
   PROXY_REFUSE,  /* resets open and new connections */
   PROXY_MODES,   /* number of the modes above, among which the soak chooses */
   PROXY_ENDLESS, /* its endless peer serves new connections */
+  PROXY_MUTATE,  /* changes one in PROXY_MUTATE_ONE_IN reads from the target */
 } ProxyMode;
 
-#define PROXY_DELAY_MS 150
+#define PROXY_DELAY_MS      150
+#define PROXY_MUTATE_ONE_IN 4
 
 /* Starts a thread that forwards connections to LISTEN ("IP:PORT") to TARGET.  Returns
  * NULL and prints an error when it cannot listen. */
 Proxy *proxy_new (const char *listen, const char *target);
 void proxy_set_mode (Proxy *proxy, ProxyMode mode);
+/* Chooses what PROXY_MUTATE changes from now on. */
+void proxy_seed (Proxy *proxy, uint32_t seed);
 /* The peer that serves connections in mode PROXY_ENDLESS. */
 EndlessPeer *proxy_endless_peer (Proxy *proxy);
 /* Resets the open connections. */
