Stager: pauses after the engine failed to stage a chunk, or to return one

Cause: a failed call to the staging area led to the next one at once, four at a time, for as long as the engine was down or refused. Ruled out: chunks fetched from busy hubs (a stager asks few, and keeps those connections), connections of callers (counted at their own end).

Change: lib/policy/backoff, 50 ms after the first failure and twice as long after each further one, up to 400 ms; event 1109 tells each pause. 404 in answer to a read is no failure.

--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -16,9 +16,14 @@
 #define STATUS_OK         200
 #define STATUS_NO_CONTENT 204
 #define STATUS_CREATED    201
+#define STATUS_NOT_FOUND  404
 /* A load command without a response may still be accepted for this long. */
 #define LOAD_UNKNOWN_HOLD_MS 1500
 
+/* Pauses after the engine failed to stage a chunk, or to return one: it may be down, or
+ * refuse for long. */
+static const DlBackoffBounds failure_pauses = { .first_ms = 50, .max_ms = 400 };
+
 typedef struct
 {
   Staging *staging;
@@ -49,6 +54,22 @@
   };
 }
 
+/* Ends the call; it failed unless the engine gave a proper answer to it. */
+static void
+end_call (StageCall *c, const DlHttpResult *result, bool failed)
+{
+  Staging *s = c->staging;
+
+  s->calls--;
+  if (!failed)
+    dl_backoff_succeeded (&s->failures);
+  else if (dl_backoff_failed (&s->failures, &failure_pauses, dl_clock_ms ()))
+    dl_log (DL_EVENT_STAGE_WRITE_FAILED, DL_TEXT ("engine", s->owner->settings->engine),
+            DL_UINT ("chunk", c->index), DL_UINT ("status", result->status),
+            DL_ERRNO (result->error), DL_UINT ("pause_ms", s->failures.pause_ms));
+  talloc_free (c);
+}
+
 /* -------- writing -------- */
 
 static void
@@ -61,8 +82,7 @@
                   || result->status == STATUS_NO_CONTENT);
 
   s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
-  s->calls--;
-  talloc_free (c);
+  end_call (c, result, !done);
   weights_run (s->owner);
 }
 
@@ -71,8 +91,9 @@
 {
   Weights *w = s->owner;
   const DlBundle *b = s->bundle;
+  uint64_t now_ms = dl_clock_ms ();
 
-  if (dl_clock_ms () < w->staging_blocked_until_ms)
+  if (now_ms < w->staging_blocked_until_ms || !dl_backoff_allows (&s->failures, now_ms))
     return;
   for (unsigned i = 0; i < b->count && s->calls < STAGE_CALLS_MAX; i++)
     {
@@ -98,18 +119,17 @@
   Staging *s = c->staging;
   DlBundle *b = s->bundle;
   unsigned index = c->index;
+  bool returned = result->error == 0 && result->status == STATUS_OK;
 
   s->copies[index].state = STAGED_ABSENT;
-  if (result->error == 0 && result->status == STATUS_OK
-      && dl_bundle_verify_chunk (b, index, result->body))
+  if (returned && dl_bundle_verify_chunk (b, index, result->body))
     {
       s->copies[index].state = STAGED_VERIFIED;
       s->copies[index].verified_ms = dl_clock_ms ();
       if (b->chunks[index].length == 0)
         dl_bundle_add_chunk (b, index, result->body);
     }
-  s->calls--;
-  talloc_free (c);
+  end_call (c, result, !returned && result->status != STATUS_NOT_FOUND);
   weights_run (s->owner);
 }
 
@@ -130,6 +150,7 @@
 stage_verify (Staging *s, uint64_t since_ms)
 {
   const Weights *w = s->owner;
+  bool may_call = dl_backoff_allows (&s->failures, dl_clock_ms ());
   unsigned verified = 0;
 
   for (unsigned i = 0; i < s->bundle->count; i++)
@@ -139,7 +160,7 @@
       DlHttpCallOptions options;
 
       verified += is_verified (copy, since_ms);
-      if (s->calls >= STAGE_CALLS_MAX || !needs_read_back (copy, since_ms))
+      if (!may_call || s->calls >= STAGE_CALLS_MAX || !needs_read_back (copy, since_ms))
         continue;
       copy->state = STAGED_READING;
       c = stage_call_new (s, i);
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -9,6 +9,7 @@
 
 #include "daisystaged.h"
 #include "node/chunk_cache.h"
+#include "policy/backoff.h"
 
 typedef struct Weights Weights;
 typedef struct Staging Staging;
@@ -39,6 +40,7 @@
                             * that of an earlier version that the engine never served */
   StagedCopy *copies;      /* of each chunk; NULL until the manifest has arrived */
   unsigned calls;          /* requests to the staging area in progress */
+  DlBackoff failures;      /* of these */
 };
 
 /* Progress of the current version. */
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -194,6 +194,7 @@
   { "reader", { reader_tests } },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
+  { "staging", { staging_tests } },
   { "crossed", { crossed_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
   { "malformed", { malformed_tests }, .with_proxies = true },
--- /dev/null
+++ b/regress/direct/staging.c
@@ -0,0 +1,47 @@
+/* Tests of stagers whose engine takes no chunks. */
+#include <glib.h>
+
+#include "direct.h"
+
+#define NEW_VERSION 2
+#define WATCH_US    2000000
+/* In that time: control is to cost no more than a few hundredths of a core. */
+#define PUTS_MAX 60
+
+static bool
+chunks_are_offered (Testbed *tb)
+{
+  return recorded (tb->server[0], "stage_puts") > 0;
+}
+
+static bool
+servers_have_new_version (Testbed *tb)
+{
+  return recorded (tb->server[0], "version") == NEW_VERSION
+         && recorded (tb->server[1], "version") == NEW_VERSION;
+}
+
+/* A chunk that the engine refused is staged again after a pause, and not at once for as
+ * long as the engine refuses; once it takes chunks, the version is loaded. */
+static void
+test_refused_chunks_are_staged_again_after_a_pause (Testbed *tb)
+{
+  uint64_t before;
+  uint64_t puts;
+
+  set_fault_on_both (tb, "stage_refused", 1);
+  CHECK (testbed_announce_version (tb, NEW_VERSION));
+  CHECK (eventually (chunks_are_offered, tb));
+  before = recorded (tb->server[0], "stage_puts");
+  g_usleep (WATCH_US);
+  puts = recorded (tb->server[0], "stage_puts") - before;
+  if (puts > PUTS_MAX)
+    g_print ("%" G_GUINT64_FORMAT " chunks offered in vain\n", puts);
+  CHECK (puts <= PUTS_MAX);
+  set_fault_on_both (tb, "stage_refused", 0);
+  CHECK (eventually (servers_have_new_version, tb));
+  CHECK (recorded_by_models (tb, "mixed") == 0);
+}
+
+const TestFunc staging_tests[]
+    = { test_refused_chunks_are_staged_again_after_a_pause, NULL };
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -93,6 +93,7 @@
 static uint64_t refusal_nameless;     /* they have no request's id */
 static uint64_t error_resumed; /* status of the response to each stream that resumes; 0 */
 static uint64_t error_sealed;  /* these have the seal */
+static uint64_t stage_refused; /* 1: no chunk can be staged */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
 static uint64_t due_version;
@@ -116,6 +117,7 @@
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
 static uint64_t crashes_whole;  /* of CRASHES, those by such a body */
 static uint64_t poisoned_whole; /* requests received whose body crashes it */
+static uint64_t stage_puts;     /* chunks that were to be staged */
 static uint64_t received;       /* requests, also those that were refused */
 static uint64_t events_sent;
 static uint64_t cancelled;       /* streams whose caller disconnected */
@@ -171,6 +173,7 @@
   { "refusal_nameless", &refusal_nameless },
   { "error_resumed", &error_resumed },
   { "error_sealed", &error_sealed },
+  { "stage_refused", &stage_refused },
   { 0 },
 };
 
@@ -215,6 +218,12 @@
 {
   DlStr body = dl_http_request_body (request);
 
+  stage_puts++;
+  if (stage_refused)
+    {
+      dl_http_reply_error (request, 503, 0, "nothing can be staged now");
+      return;
+    }
   if (body.length != WEIGHTS_CHUNK_BYTES || query_num (request) >= WEIGHTS_CHUNKS)
     {
       dl_http_reply_error (request, 400, 0, "no chunk");
@@ -868,6 +877,7 @@
   standin_json_set_uint (records, "poisoned_whole", poisoned_whole);
   standin_json_set_uint (records, "crashes_whole", crashes_whole);
   standin_json_set_uint (records, "cancelled", cancelled);
+  standin_json_set_uint (records, "stage_puts", stage_puts);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
   standin_json_set_text (records, "target", last_target != NULL ? last_target : "");
