Tests of responses that come more than once, or before the one that is due

Not played: bytes before the request is sent, which this side cannot tell from bytes right after it.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -195,6 +195,7 @@
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
+  { "copied", { copied_tests }, .with_proxies = true },
   { "crossed", { crossed_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
   { "malformed", { malformed_tests }, .with_proxies = true },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -231,6 +231,8 @@
 extern const TestFunc version_start_tests[];
 /* Responses that do not belong where they arrive. */
 extern const TestFunc crossed_tests[];
+/* Responses that come more than once; needs proxies. */
+extern const TestFunc copied_tests[];
 /* Stagers whose engine takes no chunks. */
 extern const TestFunc staging_tests[];
 /* Malformed messages at each socket; needs proxies. */
