One piece for backoffs, large fleets and entries of a region; a refusal's check where the others are

No behaviour is meant to change.

- attempt.c: a refusal without the request's id was a special case at two callers; is_unusable says it now, where the responses that belong to another request are told.
- Doubling pauses stood six times with lib/policy/backoff: dl_backoff_next_ms serves object watches, the loader, daisyentryd's upstreams, a slot's relay links and its sources.
- "More entries than a small fleet has" stood three times: dl_fanout_is_large.
"An entry of this region" and "of this node's region" stood five times: dl_peers_is_entry_of, dl_peers_is_in_own_region.
- Each object of a node from the store was looked for by going through all nodes, so a list cost the square of the fleet: a table by the object's name.
Worked out, not measured.
Where two nodes have named the same object, the newest is found now; before, either.
- A destructor's checks for a node without owner were dead; an empty section heading is gone; event 1109, which tells of reads as well, is STAGE_CALL_FAILED.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -81,21 +81,22 @@
          && !attempt->head.is_mismatched;
 }
 
-/* True for a response that must not be forwarded: it does not belong to the request, or
- * it reports success without the upstream's seal. */
+/* True when the upstream says that it did not run this request. */
 static bool
-is_unusable (const Attempt *attempt)
+was_not_run (const Attempt *attempt)
 {
-  return attempt->head.is_mismatched || (is_success (attempt) && !attempt->head.has_seal);
+  return attempt->head.not_run && attempt->head.names_request;
 }
 
-/* True when the upstream says that it did not run this request.  A faulty upstream may
- * write an earlier refusal once more, which says nothing about the request that is sent
- * now: that may be running. */
+/* True for a response that must not be forwarded: it does not belong to the request, or
+ * it reports success without the upstream's seal.  A refusal without the request's id may
+ * be an earlier one that a faulty upstream writes once more: the request that is sent now
+ * may be running. */
 static bool
-was_not_run (const Attempt *attempt)
+is_unusable (const Attempt *attempt)
 {
-  return attempt->head.not_run && attempt->head.names_request;
+  return attempt->head.is_mismatched || (is_success (attempt) && !attempt->head.has_seal)
+         || (attempt->head.not_run && !attempt->head.names_request);
 }
 
 /* Reports the attempt's end to its upstream, once. */
@@ -326,7 +327,7 @@
 
   if (was_not_run (attempt))
     abort_attempt (attempt, NULL);
-  else if (is_unusable (attempt) || attempt->head.not_run)
+  else if (is_unusable (attempt))
     abort_attempt (attempt, "a success without seal, or for another request");
   else if (!has_room (attempt, bytes.length)
            || dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
@@ -467,7 +468,7 @@
 {
   bool broken = result->error < 0 || is_unusable (attempt) || attempt->request->head_sent;
 
-  if (attempt->head.not_run || broken)
+  if (was_not_run (attempt) || broken)
     {
       finish_broken (attempt);
       return;
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -185,7 +185,7 @@
 static bool
 is_large (const DirectUpstreams *upstreams)
 {
-  return direct_upstreams_entry_count (upstreams) > DL_FANOUT_SMALL_ENTRIES_MAX;
+  return dl_fanout_is_large (direct_upstreams_entry_count (upstreams));
 }
 
 /* Reports of plain services' load are in their own responses. */
--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -14,6 +14,7 @@
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "policy/backoff.h"
 #include "policy/rendezvous.h"
 
 #define NEAREST_SLOTS_MAX      24 /* connections for each service */
@@ -23,6 +24,9 @@
 #define MS_PER_S               1000.0
 #define FREE_INTERVAL_MS       1000
 
+static const DlBackoffBounds backoff_bounds
+    = { .first_ms = BACKOFF_MIN_MS, .max_ms = BACKOFF_MAX_MS };
+
 DL_METRIC (metric_connected,
            DL_METRIC_GAUGE,
            "daisy_entry_upstreams_connected",
@@ -199,7 +203,7 @@
       = dl_timer_subscribe (u->upstreams->task, u,
                             u->backoff_ms + dl_random_uint64 () % u->backoff_ms, 0,
                             on_reconnect, u);
-  u->backoff_ms = MIN (u->backoff_ms * 2, BACKOFF_MAX_MS);
+  u->backoff_ms = dl_backoff_next_ms (u->backoff_ms, &backoff_bounds);
 }
 
 static void
--- a/daisyslotd/relays.c
+++ b/daisyslotd/relays.c
@@ -13,6 +13,7 @@
 #include "daisyslotd.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "policy/backoff.h"
 #include "policy/loader.h"
 #include "status.h"
 
@@ -25,6 +26,9 @@
 #define DRAIN_CHECK_MS         100
 #define LINKS_MAX              (DL_RELAYS + 1) /* the relays and one seed */
 
+static const DlBackoffBounds backoff_bounds
+    = { .first_ms = BACKOFF_MIN_MS, .max_ms = BACKOFF_MAX_MS };
+
 /* A connection to one address, opened again after it closes. */
 typedef struct
 {
@@ -351,7 +355,7 @@
       link->conn = NULL;
       link->targets_hash = 0;
       link->connect_at_ms = dl_clock_ms () + link->backoff_ms + jitter;
-      link->backoff_ms = MIN (link->backoff_ms * 2, BACKOFF_MAX_MS);
+      link->backoff_ms = dl_backoff_next_ms (link->backoff_ms, &backoff_bounds);
     }
   talloc_free (conn);
   update_contact (r);
--- a/daisyslotd/transfer_source.c
+++ b/daisyslotd/transfer_source.c
@@ -8,6 +8,7 @@
 
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "policy/backoff.h"
 
 #define SOURCES                2 /* the origin and the weight store */
 #define STALL_CHECK_MS         250
@@ -21,6 +22,9 @@
 #define HTTP_UNAVAILABLE       503
 #define MS_PER_S               1000
 
+static const DlBackoffBounds backoff_bounds
+    = { .first_ms = BACKOFF_MIN_MS, .max_ms = BACKOFF_MAX_MS };
+
 /* The origin or the weight store. */
 typedef struct
 {
@@ -121,7 +125,7 @@
 
   if (delay == 0)
     {
-      source->backoff_ms = CLAMP (source->backoff_ms * 2, BACKOFF_MIN_MS, BACKOFF_MAX_MS);
+      source->backoff_ms = dl_backoff_next_ms (source->backoff_ms, &backoff_bounds);
       delay = source->backoff_ms;
     }
   delay += dl_random_uint64 () % (delay / 2 + 1);
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -64,7 +64,7 @@
   if (!failed)
     dl_backoff_succeeded (&s->failures);
   else if (dl_backoff_failed (&s->failures, &failure_pauses, dl_clock_ms ()))
-    dl_log (DL_EVENT_STAGE_WRITE_FAILED, DL_TEXT ("engine", s->owner->settings->engine),
+    dl_log (DL_EVENT_STAGE_CALL_FAILED, DL_TEXT ("engine", s->owner->settings->engine),
             DL_UINT ("chunk", c->index), DL_UINT ("status", result->status),
             DL_ERRNO (result->error), DL_UINT ("pause_ms", s->failures.pause_ms));
   talloc_free (c);
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -6,6 +6,7 @@
 #include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "policy/backoff.h"
 
 #define RETRY_FIRST_MS 150
 /* While a reader is waited for, it is looked for this often. */
@@ -236,12 +237,13 @@
 static void
 retry_later (DlObjectWatch *watch, const DlObjectResult *result)
 {
-  uint64_t doubled = MAX (watch->retry_ms * 2, RETRY_FIRST_MS);
+  const DlBackoffBounds bounds
+      = { .first_ms = RETRY_FIRST_MS, .max_ms = watch->options.retry_max_ms };
 
   set_contact (watch, result->error);
   watch->after_outage = watch->after_outage || !was_paused (watch);
   watch->answered_ms = 0;
-  watch->retry_ms = MIN (doubled, watch->options.retry_max_ms);
+  watch->retry_ms = dl_backoff_next_ms (watch->retry_ms, &bounds);
   run_after (watch,
              watch->retry_ms / 2 + dl_random_uint64 () % (watch->retry_ms / 2 + 1));
 }
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -176,10 +176,13 @@
 static int
 node_destroy (Node *node)
 {
-  if (node->owner != NULL)
-    count_entry (node->owner, node, -1);
-  if (node->owner != NULL && node->owner->options.on_removed != NULL)
-    node->owner->options.on_removed (&node->peer, node->owner->options.data);
+  DlPeers *peers = node->owner;
+
+  if (g_hash_table_lookup (peers->by_object, node->object_name) == node)
+    g_hash_table_remove (peers->by_object, node->object_name);
+  count_entry (peers, node, -1);
+  if (peers->options.on_removed != NULL)
+    peers->options.on_removed (&node->peer, peers->options.data);
   json_object_put (node->value);
   return 0;
 }
@@ -192,25 +195,12 @@
     register_again (peers);
 }
 
-static Node *
-find_by_object (const DlPeers *peers, const char *object_name)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, peers->nodes);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (strcmp (((const Node *)value)->object_name, object_name) == 0)
-      return value;
-  return NULL;
-}
-
 /* A node that an older copy of the store lacks registers again.  It is kept until then,
  * and deleted if it is not heard for long. */
 static void
 on_node_deleted (DlPeers *peers, const char *object_name)
 {
-  Node *node = find_by_object (peers, object_name);
+  Node *node = g_hash_table_lookup (peers->by_object, object_name);
 
   if (node == NULL)
     return;
@@ -227,7 +217,7 @@
 static bool
 is_known_node (DlPeers *peers, const DlObject *object)
 {
-  Node *node = find_by_object (peers, object->name);
+  Node *node = g_hash_table_lookup (peers->by_object, object->name);
 
   if (node == NULL || json_object_equal (node->value, object->value) == 0)
     return false;
@@ -266,6 +256,7 @@
   node->seen_ms = dl_clock_ms ();
   talloc_set_destructor (node, node_destroy);
   g_hash_table_replace (peers->nodes, (gpointer)node->peer.name, node);
+  g_hash_table_replace (peers->by_object, node->object_name, node);
 }
 
 static void
@@ -385,6 +376,7 @@
   close (peers->fd);
   peers->options.on_removed = NULL;
   g_hash_table_destroy (peers->nodes);
+  g_hash_table_destroy (peers->by_object);
   return 0;
 }
 
@@ -427,6 +419,7 @@
   peers->incarnation = dl_kernel_incarnation (dl_task_kernel (task));
   name_object (peers);
   peers->nodes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_node);
+  peers->by_object = g_hash_table_new (g_str_hash, g_str_equal);
   if (options->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
       peers->entry_count = 1;
--- a/lib/node/peers_datagrams.c
+++ b/lib/node/peers_datagrams.c
@@ -19,8 +19,6 @@
            "daisy_node_datagrams_refused_total",
            "Datagrams dropped: malformed, out of order or from an unregistered sender.")
 
-/* -------- registration -------- */
-
 /* -------- sending -------- */
 
 size_t
@@ -75,7 +73,7 @@
     case DL_PEERS_RELAYS:
       break;
     }
-  return dl_peers_is_in_region (node, peers->options.settings->region);
+  return dl_peers_is_in_own_region (peers, node);
 }
 
 static void
--- a/lib/node/peers_private.h
+++ b/lib/node/peers_private.h
@@ -50,6 +50,7 @@
   ev_io watcher;
   struct ev_loop *loop;
   GHashTable *nodes;           /* name to Node */
+  GHashTable *by_object;       /* name of the object in the store to the same Node */
   unsigned entry_count;        /* registered entries, this node included if it is one */
   struct DlStatusRelay *relay; /* NULL on a stager */
   char *object_name;           /* of this node in the store */
@@ -64,7 +65,10 @@
   const struct sockaddr_in *unknown_sender; /* sender, while on_unknown_node runs */
 };
 
-bool dl_peers_is_in_region (const Node *node, const char *region);
+/* Whether NODE is of this node's region. */
+bool dl_peers_is_in_own_region (const DlPeers *peers, const Node *node);
+/* Whether NODE is an entry of REGION. */
+bool dl_peers_is_entry_of (const Node *node, const char *region);
 /* Reads the datagrams that have arrived. */
 void dl_peers_on_readable (struct ev_loop *loop, ev_io *watcher, int events);
 /* Fills in the sender of STATUS and its NUMBER, 0 for a batch of other nodes' statuses,
--- a/lib/node/peers_region.c
+++ b/lib/node/peers_region.c
@@ -6,9 +6,16 @@
 #include "node/peers_private.h"
 
 bool
-dl_peers_is_in_region (const Node *node, const char *region)
+dl_peers_is_in_own_region (const DlPeers *peers, const Node *node)
 {
-  return strcmp (node->peer.region, region) == 0;
+  return strcmp (node->peer.region, peers->options.settings->region) == 0;
+}
+
+bool
+dl_peers_is_entry_of (const Node *node, const char *region)
+{
+  return node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
+         && strcmp (node->peer.region, region) == 0;
 }
 
 unsigned
@@ -20,7 +27,7 @@
 bool
 dl_peers_is_large (const DlPeers *peers)
 {
-  return peers->entry_count > DL_FANOUT_SMALL_ENTRIES_MAX;
+  return dl_fanout_is_large (peers->entry_count);
 }
 
 /* The registered entries of REGION and, in the same order, how policy/fanout.h sees
@@ -52,8 +59,7 @@
         .ready = node->peer.ready,
       };
 
-      if (node->peer.role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
-          || !dl_peers_is_in_region (node, region))
+      if (!dl_peers_is_entry_of (node, region))
         continue;
       g_ptr_array_add (list.nodes, node);
       g_array_append_val (list.candidates, e);
@@ -109,8 +115,7 @@
     {
       const Node *node = value;
 
-      before += node->rank > own
-                && dl_peers_is_in_region (node, peers->options.settings->region);
+      before += node->rank > own && dl_peers_is_in_own_region (peers, node);
     }
   return before;
 }
@@ -145,8 +150,7 @@
     {
       const Node *node = value;
 
-      if (node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
-          && dl_peers_is_in_region (node, peers->options.settings->region)
+      if (dl_peers_is_entry_of (node, peers->options.settings->region)
           && dl_peer_is_alive (&node->peer, now_ms))
         return true;
     }
--- a/lib/node/status_relay.c
+++ b/lib/node/status_relay.c
@@ -38,12 +38,6 @@
   size_t bytes;
 } Batch;
 
-static bool
-is_in_own_region (const DlPeers *peers, const Node *node)
-{
-  return dl_peers_is_in_region (node, peers->options.settings->region);
-}
-
 /* Keeps BYTES in R, whose memory is a talloc child of OWNER. */
 static void
 set_bytes (const void *owner, DlRelayedStatus *r, const uint8_t *bytes, size_t length)
@@ -92,7 +86,7 @@
   DlPeers *peers = relay->peers;
   bool is_stager = node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT;
 
-  if (!dl_peers_is_large (peers) || !is_in_own_region (peers, node))
+  if (!dl_peers_is_large (peers) || !dl_peers_is_in_own_region (peers, node))
     return;
   if (!is_stager && !relay->is_relay)
     return;
@@ -108,9 +102,9 @@
                            Node *node,
                            const ProtobufCBinaryData *packed)
 {
-  bool is_own = is_in_own_region (relay->peers, node);
+  bool is_own = dl_peers_is_in_own_region (relay->peers, node);
 
-  if (is_in_own_region (relay->peers, from))
+  if (dl_peers_is_in_own_region (relay->peers, from))
     {
       /* The other relay of this region has passed it on. */
       node->relayed.to_region = false;
@@ -209,8 +203,7 @@
     {
       const Node *node = value;
 
-      if (node->peer.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
-          && is_in_own_region (peers, node))
+      if (dl_peers_is_entry_of (node, peers->options.settings->region))
         g_ptr_array_add (nodes, value);
     }
   return nodes;
@@ -232,7 +225,7 @@
       const Node *node = value;
       size_t count;
 
-      if (is_in_own_region (peers, node)
+      if (dl_peers_is_in_own_region (peers, node)
           || !g_hash_table_add (regions, (gpointer)node->peer.region))
         continue;
       count = dl_peers_choose_relays (peers, node->peer.region, relays);
--- a/lib/policy/backoff.c
+++ b/lib/policy/backoff.c
@@ -2,6 +2,14 @@
 
 #include <glib.h>
 
+uint64_t
+dl_backoff_next_ms (uint64_t last_ms, const DlBackoffBounds *bounds)
+{
+  uint64_t doubled = MAX (last_ms * 2, bounds->first_ms);
+
+  return MIN (doubled, bounds->max_ms);
+}
+
 bool
 dl_backoff_allows (const DlBackoff *backoff, uint64_t now_ms)
 {
@@ -13,9 +21,7 @@
 {
   if (!dl_backoff_allows (backoff, now_ms))
     return false;
-  backoff->pause_ms = backoff->pause_ms == 0
-                          ? bounds->first_ms
-                          : MIN (backoff->pause_ms * 2, bounds->max_ms);
+  backoff->pause_ms = dl_backoff_next_ms (backoff->pause_ms, bounds);
   backoff->until_ms = now_ms + backoff->pause_ms;
   return true;
 }
--- a/lib/policy/backoff.h
+++ b/lib/policy/backoff.h
@@ -24,6 +24,8 @@
   uint64_t until_ms; /* no call before then */
 } DlBackoff;
 
+/* The pause after one of LAST_MS; 0 for none before. */
+uint64_t dl_backoff_next_ms (uint64_t last_ms, const DlBackoffBounds *bounds);
 bool dl_backoff_allows (const DlBackoff *backoff, uint64_t now_ms);
 /* A call failed.  Further ones that were in progress then count once.  Returns true when
  * this began a pause. */
--- a/lib/policy/fanout.c
+++ b/lib/policy/fanout.c
@@ -12,6 +12,12 @@
   return dl_rendezvous_score (dl_str (RANK_KEY), dl_str (name));
 }
 
+bool
+dl_fanout_is_large (unsigned entries)
+{
+  return entries > DL_FANOUT_SMALL_ENTRIES_MAX;
+}
+
 /* Which entries may be chosen, from the best kind to any. */
 typedef enum
 {
@@ -108,7 +114,7 @@
   uint64_t interval_ms = (uint64_t)entries * DL_FANOUT_MS_AN_ENTRY;
   uint64_t freed;
 
-  if (entries <= DL_FANOUT_SMALL_ENTRIES_MAX)
+  if (!dl_fanout_is_large (entries))
     return true;
   freed = (now_ms - burst->freed_ms) / interval_ms;
   if (freed >= burst->used)
--- a/lib/policy/fanout.h
+++ b/lib/policy/fanout.h
@@ -26,6 +26,7 @@
 
 /* A fleet with more entries than this is large. */
 #define DL_FANOUT_SMALL_ENTRIES_MAX 16
+bool dl_fanout_is_large (unsigned entries);
 /* Relays of a region. */
 #define DL_FANOUT_RELAYS 2
 /* Hubs of a region: enough that their links carry a copy to each of some 40 upstream
--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -1,10 +1,14 @@
 #include "policy/loader.h"
 
 #include "kernel/error.h"
+#include "policy/backoff.h"
 
 #define COMMAND_TIMEOUT_MS 10000
 #define RETRY_MIN_MS       250
 #define RETRY_MAX_MS       8000
+
+static const DlBackoffBounds backoff_bounds
+    = { .first_ms = RETRY_MIN_MS, .max_ms = RETRY_MAX_MS };
 /* Enough for the task that accepts requests to leave the rotation. */
 #define DRAIN_MIN_MS 100
 
@@ -34,7 +38,7 @@
 {
   l->failure = failure;
   l->retry_at_ms = now_ms + l->retry_ms;
-  l->retry_ms = l->retry_ms * 2 < RETRY_MAX_MS ? l->retry_ms * 2 : RETRY_MAX_MS;
+  l->retry_ms = dl_backoff_next_ms (l->retry_ms, &backoff_bounds);
   set_phase (l, DL_LOADER_IDLE, now_ms);
 }
 
