--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -11,6 +11,8 @@
 #include <glib.h>
 #include <string.h>
 
+#define BUDGET_TRIES 4 /* requests that earn more than one retry */
+
 static unsigned failures;
 static unsigned checks;
 
@@ -61,6 +63,19 @@
   return true;
 }
 
+void
+earn_retries (Testbed *tb)
+{
+  for (unsigned i = 0; i < BUDGET_TRIES; i++)
+    {
+      Call c = default_call (tb, "/r/x", "earn");
+      Response r = call (&c);
+
+      CHECK (r.status == 200);
+      response_free (&r);
+    }
+}
+
 uint64_t
 runs_of (Testbed *tb, const char *id)
 {
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -16,9 +16,13 @@
 /* Starts the line that the runner writes to a process's log before each start. */
 #define PROCESS_LOG_MARK "--- "
 
-#define SERVERS            3 /* two model servers and, last, a plain service */
-#define MODEL_SERVERS      (SERVERS - 1)
-#define ENTRIES            2
+#define SERVERS       3 /* two model servers and, last, a plain service */
+#define MODEL_SERVERS (SERVERS - 1)
+#define ENTRIES       2
+/* Indexes of the proxies: before the store, the origin and the first server. */
+#define PROXY_STORE        0
+#define PROXY_ORIGIN       1
+#define PROXY_SERVERS      2
 #define REVOKE_DEFAULT_MS  3000
 #define VERSION_DEFAULT_MS 8000
 #define SLOTS_DEFAULT      4
@@ -170,6 +174,8 @@
 int status_with_key (const Testbed *testbed, unsigned entry, const char *key);
 /* True when both entries serve a safe request. */
 bool requests_are_served (Testbed *testbed);
+/* Has the first entry earn at least one retry. */
+void earn_retries (Testbed *testbed);
 /* Sends a stream to the entry at ADDRESS, with MIDDLE among the parts of its prompt; the
  * first part is shared by all such streams, the last one belongs to the request.  The
  * caller frees *ID and the response. */
--- a/regress/direct/endless.c
+++ b/regress/direct/endless.c
@@ -8,9 +8,6 @@
 
 #include "direct.h"
 
-#define PROXY_STORE   0
-#define PROXY_ORIGIN  1
-#define PROXY_SERVERS 2
 #define TRIES         150
 #define PAUSE_US      50000
 #define GROWTH_MAX_KB 4096 /* of a process's memory while one peer answers so */
--- a/regress/direct/fleet.c
+++ b/regress/direct/fleet.c
@@ -5,24 +5,20 @@
  * The names of the played entries are chosen so that the real ones, of region r1, are
  * that region's relays.
  */
-#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "direct.h"
-#include "kernel/address.h"
 #include "kernel/wire.pb-c.h"
+#include "played.h"
 #include "policy/fanout.h"
 
-#define FIRST_HOST     60 /* last number of the first played entry's address */
-#define NODE_PORT      "7700"
-#define PORT           "8001"
-#define STATUS_MS      400
-#define STEP_MS        20
-#define SETTLE_MS      4000
-#define WATCH_MS       3000
-#define DATAGRAM_BYTES 1400
+#define FIRST_HOST 60 /* last number of the first played entry's address */
+#define PORT       "8001"
+#define STATUS_MS  400
+#define STEP_MS    20
+#define SETTLE_MS  4000
+#define WATCH_MS   3000
 
 /* Entries that are played: half of them in each region, together with the real ones more
  * than a small fleet has. */
@@ -67,31 +63,6 @@
     while (dl_fanout_rank (played[i].name) >= least_real_rank ());
 }
 
-static int
-open_socket (const char *address)
-{
-  struct sockaddr_in at;
-  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-  if (fd < 0 || dl_address_parse (dl_str (address), &at) < 0
-      || bind (fd, (const struct sockaddr *)&at, sizeof at) < 0)
-    return -1;
-  return fd;
-}
-
-static bool
-register_played (Testbed *tb, const Played *p)
-{
-  g_autofree char *object = g_strdup_printf ("%s.0.%s", p->region, p->name);
-  g_autofree char *spec = g_strdup_printf (
-      "{\"name\":\"%s\",\"role\":%d,\"region\":\"%s\",\"data_center\":\"%s\","
-      "\"address\":\"%s\",\"listen\":\"%s\"}",
-      p->name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, p->region, p->region, p->address,
-      p->listen);
-
-  return testbed_put (tb, "daisyloft-nodes", object, spec);
-}
-
 static void
 set_up (Testbed *tb)
 {
@@ -101,11 +72,12 @@
       Played *p = &played[i];
 
       p->region = i % 2 == 0 ? "r1" : "r2";
-      p->address = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, FIRST_HOST + i);
+      p->address
+          = g_strdup_printf ("%s.%u:" PLAYED_NODE_PORT, tb->subnet, FIRST_HOST + i);
       p->listen = g_strdup_printf ("%s.%u:" PORT, tb->subnet, FIRST_HOST + i);
-      p->fd = open_socket (p->address);
+      p->fd = played_socket (p->address);
       CHECK (p->fd >= 0);
-      CHECK (register_played (tb, p));
+      CHECK (played_register (tb, p->name, p->region, p->address, p->listen));
     }
 }
 
@@ -117,13 +89,10 @@
              unsigned host,
              const Daisyloft__Wire__NodeStatus *status)
 {
-  g_autofree char *address = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, host);
-  uint8_t bytes[DATAGRAM_BYTES];
-  struct sockaddr_in at;
+  uint8_t bytes[PLAYED_DATAGRAM_BYTES];
 
-  CHECK (dl_address_parse (dl_str (address), &at) == 0);
-  (void)sendto (p->fd, bytes, daisyloft__wire__node_status__pack (status, bytes), 0,
-                (const struct sockaddr *)&at, sizeof at);
+  played_send (tb, p->fd, host, bytes,
+               daisyloft__wire__node_status__pack (status, bytes));
 }
 
 static Daisyloft__Wire__NodeStatus
@@ -192,7 +161,7 @@
 static void
 receive_all (Played *p)
 {
-  uint8_t bytes[DATAGRAM_BYTES];
+  uint8_t bytes[PLAYED_DATAGRAM_BYTES];
   ssize_t n;
 
   while ((n = recv (p->fd, bytes, sizeof bytes, 0)) > 0)
@@ -306,7 +275,7 @@
 {
   Daisyloft__Wire__NodeStatus status = status_of (other);
   Daisyloft__Wire__NodeStatus batch = status_of (p);
-  uint8_t bytes[DATAGRAM_BYTES];
+  uint8_t bytes[PLAYED_DATAGRAM_BYTES];
   uint8_t garbage[] = { 0xff, 0xff, 0xff, 0xff, 0x07 };
   ProtobufCBinaryData items[] = {
     { .data = garbage, .len = sizeof garbage },
--- a/regress/direct/malformed.c
+++ b/regress/direct/malformed.c
@@ -8,7 +8,6 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <signal.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -16,25 +15,27 @@
 
 #include "direct.h"
 #include "kernel/address.h"
-#include "kernel/wire.pb-c.h"
 #include "mutate.h"
-
-#define REQUESTS         500 /* of a round, as are the next three */
-#define DATAGRAMS        1500
-#define OBJECTS          120
-#define ANSWERED         60 /* requests sent while answers are malformed */
-#define READ_WAIT_US     20000
-#define RECORD_US        1500000
-#define RECORDED_MAX     64
-#define DATAGRAM_BYTES   1400
-#define PLAYED_HOST      60
-#define CACHED_HOST      11 /* of the first stager */
-#define NODE_PORT        "7700"
-#define SETTLE_US        300000
-#define PIECES_ONE_IN    3
-#define FETCHED_EVERY    20
-#define OBJECT_PAUSE_US  20000
-#define DATAGRAM_TARGETS 4
+#include "played.h"
+
+#define REQUESTS           500 /* of a round, as are the next three */
+#define DATAGRAMS          1500
+#define OBJECTS            120
+#define ANSWERED           60 /* requests sent while answers are malformed */
+#define READ_WAIT_US       20000
+#define RECORD_US          1500000
+#define RECORDED_MAX       64
+#define ANSWER_BYTES       1400 /* of which are read */
+#define DATAGRAMS_IN_A_ROW 64
+#define PLAYED_NAME        "played"
+#define PLAYED_REGION      "r1"
+#define PLAYED_HOST        60
+#define CACHED_HOST        11 /* of the first stager */
+#define SETTLE_US          300000
+#define PIECES_ONE_IN      3
+#define FETCHED_EVERY      20
+#define PAUSE_US           20000
+#define DATAGRAM_TARGETS   4
 
 static GRand *rand_source;
 static unsigned rounds;
@@ -166,7 +167,7 @@
 static void
 send_bytes (const char *address, const GByteArray *bytes)
 {
-  char answer[DATAGRAM_BYTES];
+  char answer[ANSWER_BYTES];
   guint first = bytes->len > 1 && below (PIECES_ONE_IN) == 0 ? below (bytes->len) : 0;
   int fd = connect_to (address);
 
@@ -181,7 +182,8 @@
 static void
 test_requests (Testbed *tb)
 {
-  g_autofree char *cache = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, CACHED_HOST);
+  g_autofree char *cache
+      = g_strdup_printf ("%s.%u:" PLAYED_NODE_PORT, tb->subnet, CACHED_HOST);
   const RequestTarget targets[] = {
     { tb->entry[0], caller_requests, G_N_ELEMENTS (caller_requests) },
     { tb->directory[0], directory_requests, G_N_ELEMENTS (directory_requests) },
@@ -210,33 +212,19 @@
   GPtrArray *recorded; /* of GBytes: datagrams of the real nodes */
 } PlayedNode;
 
-static int
-open_datagram_socket (const char *address)
-{
-  struct sockaddr_in at;
-  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-  CHECK (dl_address_parse (dl_str (address), &at) == 0);
-  CHECK (bind (fd, (const struct sockaddr *)&at, sizeof at) == 0);
-  return fd;
-}
-
 /* Registers an entry whose datagrams the real nodes accept, and records theirs. */
 static void
 record_datagrams (Testbed *tb, PlayedNode *node)
 {
   g_autofree char *address
-      = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, PLAYED_HOST);
-  g_autofree char *spec = g_strdup_printf (
-      "{\"name\":\"played\",\"role\":%d,\"region\":\"r1\",\"data_center\":\"d1\","
-      "\"address\":\"%s\",\"listen\":\"%s\"}",
-      (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, address, address);
-  uint8_t bytes[DATAGRAM_BYTES];
+      = g_strdup_printf ("%s.%u:" PLAYED_NODE_PORT, tb->subnet, PLAYED_HOST);
+  uint8_t bytes[PLAYED_DATAGRAM_BYTES];
   ssize_t n;
 
-  node->fd = open_datagram_socket (address);
+  node->fd = played_socket (address);
+  CHECK (node->fd >= 0);
   node->recorded = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  CHECK (testbed_put (tb, "daisyloft-nodes", "r1.0.played", spec));
+  CHECK (played_register (tb, PLAYED_NAME, PLAYED_REGION, address, address));
   g_usleep (RECORD_US);
   while (node->recorded->len < RECORDED_MAX
          && (n = recv (node->fd, bytes, sizeof bytes, 0)) > 0)
@@ -251,29 +239,25 @@
   GBytes *recorded = g_ptr_array_index (node->recorded, below (node->recorded->len));
   g_autoptr (GByteArray) bytes
       = mutated (g_bytes_get_data (recorded, NULL), g_bytes_get_size (recorded));
-  g_autofree char *address
-      = g_strdup_printf ("%s.%u:" NODE_PORT, tb->subnet, hosts[below (DATAGRAM_TARGETS)]);
-  struct sockaddr_in at;
 
-  CHECK (dl_address_parse (dl_str (address), &at) == 0);
-  (void)sendto (node->fd, bytes->data, bytes->len, 0, (const struct sockaddr *)&at,
-                sizeof at);
+  played_send (tb, node->fd, hosts[below (DATAGRAM_TARGETS)], bytes->data, bytes->len);
 }
 
 static void
 test_datagrams (Testbed *tb)
 {
   PlayedNode node;
+  g_autofree char *object = played_object (PLAYED_REGION, PLAYED_NAME);
 
   record_datagrams (tb, &node);
   for (unsigned i = 0; i < DATAGRAMS * rounds && node.recorded->len > 0; i++)
     {
       send_mutated_datagram (tb, &node);
-      if (i % RECORDED_MAX == 0)
-        g_usleep (OBJECT_PAUSE_US);
+      if (i % DATAGRAMS_IN_A_ROW == 0)
+        g_usleep (PAUSE_US);
     }
   check_all_run (tb);
-  CHECK (testbed_delete (tb, "daisyloft-nodes", "r1.0.played"));
+  CHECK (testbed_delete (tb, "daisyloft-nodes", object));
   close (node.fd);
   g_ptr_array_free (node.recorded, TRUE);
   start_anew (tb);
@@ -332,7 +316,7 @@
   for (unsigned i = 0; i < OBJECTS * rounds; i++)
     {
       put_mutated (tb, &object_cases[below (G_N_ELEMENTS (object_cases))]);
-      g_usleep (OBJECT_PAUSE_US);
+      g_usleep (PAUSE_US);
     }
   check_all_run (tb);
   (void)testbed_delete (tb, "servers", "odd");
--- /dev/null
+++ b/regress/direct/played.c
@@ -0,0 +1,53 @@
+#include "played.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sys/socket.h>
+
+#include "kernel/address.h"
+#include "kernel/wire.pb-c.h"
+
+int
+played_socket (const char *address)
+{
+  struct sockaddr_in at;
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+  if (fd < 0 || dl_address_parse (dl_str (address), &at) < 0
+      || bind (fd, (const struct sockaddr *)&at, sizeof at) < 0)
+    return -1;
+  return fd;
+}
+
+void
+played_send (const Testbed *tb, int fd, unsigned host, const void *bytes, size_t length)
+{
+  g_autofree char *address
+      = g_strdup_printf ("%s.%u:" PLAYED_NODE_PORT, tb->subnet, host);
+  struct sockaddr_in at;
+
+  CHECK (dl_address_parse (dl_str (address), &at) == 0);
+  (void)sendto (fd, bytes, length, 0, (const struct sockaddr *)&at, sizeof at);
+}
+
+char *
+played_object (const char *region, const char *name)
+{
+  return g_strdup_printf ("%s.0.%s", region, name);
+}
+
+bool
+played_register (Testbed *tb,
+                 const char *name,
+                 const char *region,
+                 const char *address,
+                 const char *listen_at)
+{
+  g_autofree char *object = played_object (region, name);
+  g_autofree char *spec = g_strdup_printf (
+      "{\"name\":\"%s\",\"role\":%d,\"region\":\"%s\",\"data_center\":\"%s\","
+      "\"address\":\"%s\",\"listen\":\"%s\"}",
+      name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, region, region, address, listen_at);
+
+  return testbed_put (tb, "daisyloft-nodes", object, spec);
+}
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -17,7 +17,6 @@
 #define READ_LATE_MS   2600
 #define ENDLESS_MS     20000
 #define PLACE_WAIT_US  300000
-#define BUDGET_TRIES   4 /* requests that earn more than one retry */
 
 /* -------- what the first entry knows -------- */
 
@@ -96,19 +95,6 @@
   CHECK (eventually (second_takes_requests, tb));
 }
 
-static void
-earn_retries (Testbed *tb)
-{
-  for (unsigned i = 0; i < BUDGET_TRIES; i++)
-    {
-      Call c = default_call (tb, "/r/x", "earn");
-      Response r = call (&c);
-
-      CHECK (r.status == 200);
-      response_free (&r);
-    }
-}
-
 /* -------- silence -------- */
 
 /* Makes the servers' next streams fall silent before event BEFORE for MS. */
