Logs: what had arrived as a stop ended, and what time a request had left

The timeline's hypotheses could not be told apart: an entry said 101 and 102, and nothing of what its callers had sent meanwhile; a stream that ran out of time and one that its upstream broke off had the same 1001.

Now 110 tells whether connections waited unaccepted as the listening socket closed, 111 on how many connections something had arrived unread as the process ended, or a request had begun (http_connections.c, which asks the sockets: libmicrohttpd does not tell); 1001 and 1011 say what time the request had left, 1011 also what the upstream was given.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -53,6 +53,7 @@
   DlResponseHead head;
   unsigned status;
   uint64_t sent_ms;
+  uint64_t given_ms;     /* time that the upstream was given for the request */
   uint64_t progress_ms;  /* when it last made progress; the start time before that */
   uint64_t sent_version; /* of the upstream's weights then; 0 for none */
   uint64_t prompt_tokens;
@@ -393,11 +394,14 @@
 note_broken_off (Attempt *attempt)
 {
   Request *r = attempt->request;
+  uint64_t now_ms = dl_clock_ms ();
 
   dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", attempt->upstream->id),
           DL_UINT ("status", attempt->status),
-          DL_UINT ("after_ms", dl_clock_ms () - attempt->sent_ms),
+          DL_UINT ("after_ms", now_ms - attempt->sent_ms),
+          DL_UINT ("given_ms", attempt->given_ms),
+          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
           DL_TEXT ("identity", r->identity.text),
           DL_TEXT ("parts", parts_text (attempt, &r->incoming.signatures)));
@@ -561,6 +565,7 @@
   attempt->request = r;
   attempt->upstream = upstream;
   attempt->sent_ms = now_ms;
+  attempt->given_ms = direct_request_remaining_ms (r, now_ms);
   attempt->progress_ms = now_ms;
   attempt->sent_version = upstream->version;
   attempt->prompt_tokens = r->incoming.prompt_tokens;
@@ -582,7 +587,7 @@
           .headers = platform_forward_headers (
               attempt, r->http,
               &(DlForwardOptions){
-                  .remaining_ms = direct_request_remaining_ms (r, now_ms),
+                  .remaining_ms = attempt->given_ms,
                   .organisation = r->organisation != NULL ? r->organisation->name : NULL,
                   .upstream = upstream->id,
                   .version = pinned_version (r, upstream, now_ms),
--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -106,6 +106,7 @@
           DL_TEXT ("cause", cause), DL_TEXT ("route", r->route->name),
           DL_TEXT ("upstream", upstream), DL_UINT ("status", r->head_sent ? 0 : status),
           DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms),
+          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())),
           DL_UINT ("sent", r->attempt_count),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
           DL_UINT ("upstream_requests", r->estimate.requests),
--- /dev/null
+++ b/lib/kernel/http_connections.c
@@ -0,0 +1,138 @@
+#include "kernel/http_connections.h"
+
+#include <glib.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdint.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+/* One connection; a talloc child of the set. */
+typedef struct Connection
+{
+  int fd;
+  uint64_t marked_bytes; /* read before dl_http_connections_mark */
+  struct Connection *next;
+  struct Connection **link; /* the pointer to this one */
+} Connection;
+
+struct DlHttpConnections
+{
+  Connection *first;
+  bool marked;
+};
+
+DlHttpConnections *
+dl_http_connections_new (const void *owner)
+{
+  DlHttpConnections *c = talloc_zero (owner, DlHttpConnections);
+
+  g_assert (c != NULL);
+  return c;
+}
+
+static Connection *
+connection_opened (DlHttpConnections *connections, struct MHD_Connection *mhd)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+  Connection *c = talloc_zero (connections, Connection);
+
+  g_assert (c != NULL && info != NULL);
+  c->fd = info->connect_fd;
+  c->next = connections->first;
+  if (c->next != NULL)
+    c->next->link = &c->next;
+  c->link = &connections->first;
+  connections->first = c;
+  return c;
+}
+
+static void
+connection_closed (Connection *c)
+{
+  *c->link = c->next;
+  if (c->next != NULL)
+    c->next->link = c->link;
+  talloc_free (c);
+}
+
+void
+dl_http_connections_notify (void *data,
+                            struct MHD_Connection *connection,
+                            void **socket_context,
+                            enum MHD_ConnectionNotificationCode code)
+{
+  switch (code)
+    {
+    case MHD_CONNECTION_NOTIFY_STARTED:
+      *socket_context = connection_opened (data, connection);
+      break;
+    case MHD_CONNECTION_NOTIFY_CLOSED:
+      connection_closed (*socket_context);
+      *socket_context = NULL;
+      break;
+    }
+}
+
+static bool
+has_unread (const Connection *c)
+{
+  char byte;
+
+  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static unsigned
+unread_bytes (const Connection *c)
+{
+  int n = 0;
+
+  return ioctl (c->fd, FIONREAD, &n) == 0 && n > 0 ? (unsigned)n : 0;
+}
+
+/* Bytes that were read on the connection; 0 where the system does not tell. */
+static uint64_t
+read_bytes (const Connection *c)
+{
+  struct tcp_info info = { 0 };
+  socklen_t length = sizeof info;
+  unsigned unread = unread_bytes (c);
+
+  if (getsockopt (c->fd, IPPROTO_TCP, TCP_INFO, &info, &length) < 0
+      || info.tcpi_bytes_received < unread)
+    return 0;
+  return info.tcpi_bytes_received - unread;
+}
+
+void
+dl_http_connections_mark (DlHttpConnections *connections)
+{
+  connections->marked = true;
+  for (Connection *c = connections->first; c != NULL; c = c->next)
+    c->marked_bytes = read_bytes (c);
+}
+
+DlHttpConnectionCounts
+dl_http_connections_count (const DlHttpConnections *connections)
+{
+  DlHttpConnectionCounts counts = { 0 };
+
+  for (const Connection *c = connections->first; c != NULL; c = c->next)
+    {
+      counts.open++;
+      counts.unread += has_unread (c);
+      counts.begun += connections->marked && read_bytes (c) > c->marked_bytes;
+    }
+  return counts;
+}
+
+bool
+dl_http_connections_waiting (int fd)
+{
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+
+  return poll (&p, 1, 0) > 0;
+}
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -11,6 +11,7 @@
 
 #include "kernel/address.h"
 #include "kernel/error.h"
+#include "kernel/http_connections.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -37,6 +38,7 @@
   DlTask *task;
   struct ev_loop *loop;
   struct MHD_Daemon *daemon;
+  uint16_t port;
   DlHttpLimits limits;
   DlHttpHandler handler;
   void *data;
@@ -48,6 +50,7 @@
   bool keepalive_disabled; /* responses carry "Connection: close" */
   unsigned active_requests;
   GHashTable *suspended; /* set of DlHttpRequest */
+  DlHttpConnections *connections;
   DlTimer *caller_check;
 };
 
@@ -576,6 +579,7 @@
 dl_http_server_disable_keepalive (DlHttpServer *server)
 {
   server->keepalive_disabled = true;
+  dl_http_connections_mark (server->connections);
 }
 
 void
@@ -587,8 +591,11 @@
     return;
   server->quiesced = true;
   fd = MHD_quiesce_daemon (server->daemon);
-  if (fd != MHD_INVALID_SOCKET)
-    close (fd);
+  if (fd == MHD_INVALID_SOCKET)
+    return;
+  dl_log (DL_EVENT_LISTENER_CLOSED, DL_UINT ("port", server->port),
+          DL_TEXT ("unaccepted", dl_http_connections_waiting (fd) ? "yes" : "no"));
+  close (fd);
 }
 
 unsigned
@@ -597,11 +604,26 @@
   return server->active_requests;
 }
 
+/* Tells what callers lose as the process ends. */
+static void
+log_connections (const DlHttpServer *server)
+{
+  DlHttpConnectionCounts counts = dl_http_connections_count (server->connections);
+
+  if (counts.open == 0 || !dl_kernel_stopping (dl_task_kernel (server->task)))
+    return;
+  dl_log (DL_EVENT_CONNECTIONS_CLOSED, DL_UINT ("port", server->port),
+          DL_UINT ("connections", counts.open), DL_UINT ("unread", counts.unread),
+          DL_UINT ("begun", server->active_requests > 0 ? 0 : counts.begun),
+          DL_UINT ("requests", server->active_requests));
+}
+
 static int
 server_destroy (DlHttpServer *server)
 {
   GList *requests = g_hash_table_get_keys (server->suspended);
 
+  log_connections (server);
   /* MHD_stop_daemon requires that no connection is suspended. */
   for (GList *l = requests; l != NULL; l = l->next)
     request_resume (l->data);
@@ -633,16 +655,19 @@
   g_assert (server != NULL);
   server->task = task;
   server->loop = dl_kernel_loop (dl_task_kernel (task));
+  server->port = ntohs (at.sin_port);
   server->limits = *limits;
+  server->connections = dl_http_connections_new (server);
   server->handler = handler;
   server->data = data;
   errno = 0;
   server->daemon
-      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs (at.sin_port),
-                          NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR, &at,
+      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, server->port, NULL,
+                          NULL, on_access, server, MHD_OPTION_SOCK_ADDR, &at,
                           MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-                          MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
-                          MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+                          MHD_OPTION_NOTIFY_CONNECTION, dl_http_connections_notify,
+                          server->connections, MHD_OPTION_CONNECTION_LIMIT,
+                          limits->max_connections, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
                           limits->max_connections_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
                           limits->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                           (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
