LOST: a process ends only when nothing has arrived, not when nothing was in progress

What callers saw: a request that reached a stopping entry at its end, or on a connection that it had not accepted yet, had its connection closed without a byte.

Cause: 'drained' was a mark that a task set once, from what it had read by then, and the kernel left its loop at the last mark. libev calls what became pending last first, so the check, a timer, ran before the sockets of the same iteration: what had come meanwhile was never read. Unaccepted connections were dropped with the listening socket, half a first line was no request, and what a task read after its mark, while another task still drained, was cut. The class: a decision on state that is older than the decision.

Change: the kernel decides between two runs of the loop, with no message under way, and asks each task then (DlPlugin.is_idle). A task with an HTTP server reads what has arrived and says no while a request is in progress, unread or half read; a server accepts what waits before it closes its listening socket; at the end of a stop's time what is unread is refused. daisyentryd does the same, and closes kept connections with their next response, as daisydirectd does.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -462,6 +462,14 @@
                       requests);
 }
 
+static bool
+is_idle (DlTask *task)
+{
+  const Requests *requests = dl_task_state (task);
+
+  return dl_http_server_is_idle (requests->server);
+}
+
 static void
 abandon (DlTask *task)
 {
@@ -505,6 +513,7 @@
   .handle = handle,
   .drain = drain,
   .abandon = abandon,
+  .is_idle = is_idle,
   .dump = dump,
 };
 DL_PLUGIN_REGISTER (requests_plugin)
--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -404,12 +404,21 @@
   CallersTask *t = dl_task_state (task);
 
   t->stopping = true;
+  dl_http_server_disable_keepalive (t->server);
   dl_http_server_quiesce (t->server);
   dl_log (DL_EVENT_CALLERS_DRAINING,
           DL_UINT ("requests", dl_http_server_active_requests (t->server)));
   dl_timer_subscribe (task, t, DRAIN_CHECK_MS, DRAIN_CHECK_MS, on_drain_check, t);
 }
 
+static bool
+callers_is_idle (DlTask *task)
+{
+  const CallersTask *t = dl_task_state (task);
+
+  return dl_http_server_is_idle (t->server) && t->active_claims == 0;
+}
+
 /* Ends each attempt as if its upstream had been lost, so that its caller gets a final
  * response. */
 static void
@@ -596,6 +605,7 @@
   .handle = callers_handle,
   .drain = callers_drain,
   .abandon = callers_abandon,
+  .is_idle = callers_is_idle,
   .dump = callers_dump,
 };
 DL_PLUGIN_REGISTER (callers_plugin)
--- a/daisyentryd/operators.c
+++ b/daisyentryd/operators.c
@@ -358,10 +358,19 @@
   Operators *o = dl_task_state (task);
 
   o->draining = true;
+  dl_http_server_disable_keepalive (o->server);
   dl_http_server_quiesce (o->server);
   dl_timer_subscribe (task, o, 1, DRAIN_CHECK_MS, check_drained, o);
 }
 
+static bool
+operators_is_idle (DlTask *task)
+{
+  const Operators *o = dl_task_state (task);
+
+  return dl_http_server_is_idle (o->server) && o->commands == 0;
+}
+
 void
 operators_command_ended (Operators *operators)
 {
@@ -397,6 +406,7 @@
   .start = operators_start,
   .handle = operators_handle,
   .drain = operators_drain,
+  .is_idle = operators_is_idle,
   .dump = operators_dump,
 };
 DL_PLUGIN_REGISTER (operators_plugin)
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -16,6 +16,7 @@
 #include "kernel/metrics.h"
 
 #define STREAM_BLOCK_BYTES      (32u * 1024)
+#define LISTEN_BACKLOG          512 /* connections */
 #define CALLER_CHECK_MS         100
 #define MILLISECONDS_PER_SECOND 1000.0
 #define CONNECTION_EXTRA_BYTES  (32u * 1024) /* libmicrohttpd's own use per connection */
@@ -582,6 +583,16 @@
   dl_http_connections_mark (server->connections);
 }
 
+/* libmicrohttpd accepts a few at a time. */
+static void
+accept_waiting (DlHttpServer *server)
+{
+  int fd = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+
+  for (int i = 0; i < LISTEN_BACKLOG && dl_http_connections_waiting (fd); i++)
+    server_run (server);
+}
+
 void
 dl_http_server_quiesce (DlHttpServer *server)
 {
@@ -590,6 +601,7 @@
   if (server->quiesced)
     return;
   server->quiesced = true;
+  accept_waiting (server);
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd == MHD_INVALID_SOCKET)
     return;
@@ -598,6 +610,18 @@
   close (fd);
 }
 
+bool
+dl_http_server_is_idle (DlHttpServer *server)
+{
+  DlHttpConnectionCounts counts;
+
+  server_run (server);
+  if (server->active_requests > 0)
+    return false;
+  counts = dl_http_connections_count (server->connections);
+  return counts.unread == 0 && counts.begun == 0;
+}
+
 unsigned
 dl_http_server_active_requests (const DlHttpServer *server)
 {
@@ -661,19 +685,17 @@
   server->handler = handler;
   server->data = data;
   errno = 0;
-  server->daemon
-      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, server->port, NULL,
-                          NULL, on_access, server, MHD_OPTION_SOCK_ADDR, &at,
-                          MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-                          MHD_OPTION_NOTIFY_CONNECTION, dl_http_connections_notify,
-                          server->connections, MHD_OPTION_CONNECTION_LIMIT,
-                          limits->max_connections, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
-                          limits->max_connections_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
-                          limits->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                          (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
-                          MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
-                          MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-                          MHD_OPTION_LISTEN_BACKLOG_SIZE, 512u, MHD_OPTION_END);
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, server->port, NULL, NULL, on_access,
+      server, MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_NOTIFY_CONNECTION, dl_http_connections_notify,
+      server->connections, MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
+      MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits->max_connections_per_ip,
+      MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
+      MHD_OPTION_URI_LOG_CALLBACK, on_target, server, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+      1u, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG, MHD_OPTION_END);
   if (server->daemon == NULL)
     {
       error = errno != 0 ? -errno : -EADDRINUSE;
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -56,10 +56,13 @@
                         DlHttpHandler handler,
                         void *data,
                         DlHttpServer **server);
-/* Stops accepting connections; requests in progress continue. */
+/* Stops accepting connections, after those that wait; requests in progress continue. */
 void dl_http_server_quiesce (DlHttpServer *server);
 /* From now on each response carries "Connection: close" and closes its connection. */
 void dl_http_server_disable_keepalive (DlHttpServer *server);
+/* Reads what has arrived.  Returns true if no request is in progress or has begun to
+ * arrive. */
+bool dl_http_server_is_idle (DlHttpServer *server);
 /* Returns the number of requests whose response has not been sent in full. */
 unsigned dl_http_server_active_requests (const DlHttpServer *server);
 
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -19,6 +19,8 @@
 #define NANOSECONDS_PER_US      1000
 #define MICROSECONDS_PER_MS     1000
 #define MILLISECONDS_PER_SECOND 1000.0
+/* At the end of a shutdown's time: one to read a request, one to send its refusal. */
+#define FINAL_READS 2
 /* The event loop runs at least this often. */
 #define HEARTBEAT_MS 100
 /* A process whose event loop did not run for this long was paused. */
@@ -114,6 +116,8 @@
   return clock_ns (CLOCK_REALTIME) / NANOSECONDS_PER_MS;
 }
 
+static void end_when_idle (DlKernel *kernel);
+
 /* -------- messages -------- */
 
 void *
@@ -187,6 +191,7 @@
   DlKernel *kernel = watcher->data;
 
   deliver_messages (kernel);
+  end_when_idle (kernel);
   if (g_queue_is_empty (&kernel->mailbox))
     ev_idle_stop (loop, &kernel->idle);
   else
@@ -247,12 +252,44 @@
 
 /* -------- shutdown -------- */
 
-static void
-stop_when_drained (DlKernel *kernel)
+static bool
+have_tasks_drained (const DlKernel *kernel)
 {
-  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+  for (const DlTask *t = kernel->tasks; t != NULL; t = t->next)
     if (!t->drained)
-      return;
+      return false;
+  return true;
+}
+
+/* Asks every task, so that each reads what has arrived for it. */
+static bool
+are_tasks_idle (DlKernel *kernel)
+{
+  bool idle = true;
+
+  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
+    if (t->plugin->is_idle != NULL && t->started && !t->plugin->is_idle (t))
+      idle = false;
+  return idle;
+}
+
+/* Ends the process once nothing is in progress.  What has arrived is handled before: a
+ * task may have drained long ago, or in the same run of the loop in which a caller's
+ * request came. */
+static void
+end_when_idle (DlKernel *kernel)
+{
+  if (kernel->stopping && have_tasks_drained (kernel)
+      && g_queue_is_empty (&kernel->mailbox) && are_tasks_idle (kernel))
+    ev_break (kernel->loop, EVBREAK_ALL);
+}
+
+/* Ends the process as its time is over; what has arrived unread is refused first. */
+static void
+end_now (DlKernel *kernel)
+{
+  for (int i = 0; i < FINAL_READS && !are_tasks_idle (kernel); i++)
+    ;
   ev_break (kernel->loop, EVBREAK_ALL);
 }
 
@@ -287,7 +324,7 @@
   DlKernel *kernel = watcher->data;
 
   if (kernel->abandoned)
-    ev_break (loop, EVBREAK_ALL);
+    end_now (kernel);
   else
     abandon_work (kernel);
 }
@@ -308,16 +345,13 @@
       else
         t->drained = true;
     }
-  stop_when_drained (kernel);
 }
 
 void
 dl_task_drained (DlTask *task)
 {
-  if (task->drained || !task->kernel->stopping)
-    return;
-  task->drained = true;
-  stop_when_drained (task->kernel);
+  if (task->kernel->stopping)
+    task->drained = true;
 }
 
 static void
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -52,11 +52,16 @@
   /* Handles a message that was posted to the task.  May be NULL. */
   void (*handle) (DlTask *task, const DlMessage *message);
   /* A graceful shutdown began.  The task calls dl_task_drained once it has nothing in
-   * progress.  NULL: the shutdown does not wait for this task. */
+   * progress; it goes on until all tasks have.  NULL: the shutdown does not wait for this
+   * task. */
   void (*drain) (DlTask *task);
   /* The shutdown's time is over.  The task ends what is still in progress and sends its
    * final responses, for which it has DL_STOP_FINAL_MS.  May be NULL. */
   void (*abandon) (DlTask *task);
+  /* Asked once all tasks have drained, before the process ends, and again until each task
+   * is idle.  Reads what has arrived for the task; returns true if it has nothing in
+   * progress.  NULL: the task is always idle. */
+  bool (*is_idle) (DlTask *task);
   /* SIGHUP arrived: the settings file may have changed.  May be NULL. */
   void (*reload) (DlTask *task);
   /* Returns the task's state for the dump; the result belongs to the kernel.  May be
--- a/regress/unit/test_stop.c
+++ b/regress/unit/test_stop.c
@@ -140,11 +140,18 @@
   dl_task_drained (task);
 }
 
+static bool
+stop_is_idle (DlTask *task)
+{
+  return stop.running == CASE_NONE || dl_http_server_is_idle (stop.server);
+}
+
 static DlPlugin stop_plugin = {
   .name = "stop",
   .order = 1,
   .start = stop_start,
   .drain = stop_drain,
+  .is_idle = stop_is_idle,
 };
 DL_PLUGIN_REGISTER (stop_plugin)
 
