Kernel: signals that come as a process is on its way out wait

Cause: since a kernel stops its watchers as it ends, and libev restores a signal's default action then; a second SIGTERM, which the scenario runner sends, ended the process. Now the kernel's signals are blocked before the watchers stop, and unblocked as one starts.

--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -484,6 +484,20 @@
   g_ptr_array_free (tasks, TRUE);
 }
 
+/* Signals that come while no kernel runs wait, so that none ends the process on its way
+ * out. */
+static void
+block_signals (bool block)
+{
+  static const int signals[] = { SIGTERM, SIGINT, SIGHUP, SIGUSR1 };
+  sigset_t set;
+
+  sigemptyset (&set);
+  for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
+    sigaddset (&set, signals[i]);
+  g_assert (sigprocmask (block ? SIG_BLOCK : SIG_UNBLOCK, &set, NULL) == 0);
+}
+
 static void
 start_watchers (DlKernel *kernel)
 {
@@ -491,6 +505,7 @@
   start_signal (kernel, &kernel->sigint, SIGINT, on_stop_signal);
   start_signal (kernel, &kernel->sighup, SIGHUP, on_reload_signal);
   start_signal (kernel, &kernel->sigusr1, SIGUSR1, on_dump_signal);
+  block_signals (false);
   ev_init (&kernel->drain_timer, on_drain_timer);
   kernel->drain_timer.data = kernel;
   ev_prepare_init (&kernel->prepare, on_prepare);
@@ -503,6 +518,7 @@
 static void
 stop_watchers (DlKernel *kernel)
 {
+  block_signals (true);
   ev_signal_stop (kernel->loop, &kernel->sigterm);
   ev_signal_stop (kernel->loop, &kernel->sigint);
   ev_signal_stop (kernel->loop, &kernel->sighup);
