Kernel: a task that drained and got work again abandons it with an answer

What callers saw: since a request that is read after its task had drained keeps the process; one that outlasts the stop was closed without a byte at its end. Cause: abandon was asked only of tasks that had not drained. Change: each task is asked.

--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -313,7 +313,7 @@
   kernel->abandoned = true;
   dl_log (DL_EVENT_DRAIN_TIMEOUT);
   for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
-    if (!t->drained && t->plugin->abandon != NULL)
+    if (t->started && t->plugin->abandon != NULL)
       t->plugin->abandon (t);
   restart_drain_timer (kernel, kernel->drain_ms - working_ms (kernel));
 }
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -55,8 +55,9 @@
    * progress; it goes on until all tasks have.  NULL: the shutdown does not wait for this
    * task. */
   void (*drain) (DlTask *task);
-  /* The shutdown's time is over.  The task ends what is still in progress and sends its
-   * final responses, for which it has DL_STOP_FINAL_MS.  May be NULL. */
+  /* The shutdown's time is over.  The task ends what is still in progress, also if it has
+   * drained, and sends its final responses, for which it has DL_STOP_FINAL_MS.  May be
+   * NULL. */
   void (*abandon) (DlTask *task);
   /* Asked once all tasks have drained, before the process ends, and again until each task
    * is idle.  Reads what has arrived for the task; returns true if it has nothing in
--- a/regress/unit/test_stop.c
+++ b/regress/unit/test_stop.c
@@ -28,6 +28,7 @@
   CASE_UNACCEPTED,
   CASE_HALF_LINE,
   CASE_OTHER_TASK,
+  CASE_OUTLASTS,
 } StopCase;
 
 typedef struct
@@ -36,7 +37,8 @@
   DlTask *task;
   DlHttpServer *server;
   struct sockaddr_in at;
-  int caller; /* its socket */
+  int caller;             /* its socket */
+  DlHttpRequest *pending; /* to "/never"; NULL for none */
 } Stop;
 
 static Stop stop;
@@ -69,6 +71,8 @@
 {
   if (strcmp (dl_http_request_path (request), "/slow") == 0)
     dl_timer_subscribe (stop.task, request, SLOW_REPLY_MS, 0, on_slow_reply, request);
+  else if (strcmp (dl_http_request_path (request), "/never") == 0)
+    stop.pending = request;
   else
     dl_http_reply (request, 200, NULL, DL_STR_LITERAL ("done"), NULL);
 }
@@ -136,6 +140,9 @@
     case CASE_OTHER_TASK:
       send_text ("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
       break;
+    case CASE_OUTLASTS:
+      send_text ("GET /never HTTP/1.1\r\nHost: a\r\n\r\n");
+      break;
     }
   dl_task_drained (task);
 }
@@ -146,11 +153,19 @@
   return stop.running == CASE_NONE || dl_http_server_is_idle (stop.server);
 }
 
+static void
+stop_abandon (DlTask *task)
+{
+  if (stop.pending != NULL)
+    dl_http_reply (stop.pending, 200, NULL, DL_STR_LITERAL ("abandoned"), NULL);
+}
+
 static DlPlugin stop_plugin = {
   .name = "stop",
   .order = 1,
   .start = stop_start,
   .drain = stop_drain,
+  .abandon = stop_abandon,
   .is_idle = stop_is_idle,
 };
 DL_PLUGIN_REGISTER (stop_plugin)
@@ -240,6 +255,12 @@
   check_answered (CASE_OTHER_TASK, "late");
 }
 
+static void
+test_request_read_after_its_task_drained_is_abandoned_with_an_answer (void)
+{
+  check_answered (CASE_OUTLASTS, "abandoned");
+}
+
 static const CU_TestInfo stop_tests[] = {
   { "a request that arrives as the process ends is answered",
     test_request_that_arrives_as_a_process_ends_is_answered },
@@ -249,6 +270,8 @@
     test_request_whose_first_line_is_half_read_is_answered },
   { "a request read while another task drains is answered",
     test_request_read_while_another_task_drains_is_answered },
+  { "a request read after its task drained is abandoned with an answer",
+    test_request_read_after_its_task_drained_is_abandoned_with_an_answer },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("stop", stop_tests)
