--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -1,4 +1,4 @@
-#include "kernel/http_server.h"
+#include "kernel/http_server_private.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -11,7 +11,6 @@
 
 #include "kernel/address.h"
 #include "kernel/error.h"
-#include "kernel/http_connections.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -34,53 +33,6 @@
            "daisy_http_callers_gone_total",
            "HTTP callers that disconnected before the response had been sent in full.")
 
-struct DlHttpServer
-{
-  DlTask *task;
-  struct ev_loop *loop;
-  struct MHD_Daemon *daemon;
-  uint16_t port;
-  DlHttpLimits limits;
-  DlHttpHandler handler;
-  void *data;
-  ev_io watcher;
-  ev_timer timeout;
-  ev_prepare prepare;
-  bool need_run; /* a connection was resumed since the last MHD_run */
-  bool quiesced;
-  bool keepalive_disabled; /* responses carry "Connection: close" */
-  unsigned active_requests;
-  GHashTable *suspended; /* set of DlHttpRequest */
-  DlHttpConnections *connections;
-  DlTimer *caller_check;
-};
-
-struct DlHttpRequest
-{
-  DlHttpServer *server;
-  struct MHD_Connection *connection;
-  char *target; /* as received */
-  char *method; /* NULL until the headers have been read */
-  char *path;
-  DlBuffer *body;
-  bool too_large;
-  bool handled; /* the handler has been called */
-  bool in_handler;
-  bool suspended;
-  bool has_response;        /* a reply or a stream was begun */
-  bool discard_output;      /* the caller has disconnected: further output is discarded */
-  bool caller_disconnected; /* set by on_caller_check */
-  struct MHD_Response *response;
-  unsigned status;
-  DlBuffer *stream; /* bytes not sent yet; NULL for a reply in one piece */
-  bool stream_ended;
-  bool stream_complete;
-  DlHttpConsumedFunc on_consumed;
-  void *consumed_data;
-  DlHttpClosedFunc on_closed;
-  void *closed_data;
-};
-
 /* -------- suspending and resuming -------- */
 
 static void
@@ -296,102 +248,6 @@
 
 /* -------- receiving -------- */
 
-const char *
-dl_http_request_method (const DlHttpRequest *request)
-{
-  return request->method;
-}
-
-const char *
-dl_http_request_target (const DlHttpRequest *request)
-{
-  return request->target;
-}
-
-const char *
-dl_http_request_path (const DlHttpRequest *request)
-{
-  return request->path;
-}
-
-DlStr
-dl_http_request_body (const DlHttpRequest *request)
-{
-  return dl_buffer_view (request->body);
-}
-
-const char *
-dl_http_request_header (const DlHttpRequest *request, const char *name)
-{
-  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
-}
-
-const char *
-dl_http_request_query (const DlHttpRequest *request, const char *name)
-{
-  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
-}
-
-static enum MHD_Result
-append_argument (void *data, enum MHD_ValueKind kind, const char *key, const char *value)
-{
-  GString *query = data;
-
-  if (query->len > 0)
-    g_string_append_c (query, '&');
-  g_string_append_uri_escaped (query, key, NULL, FALSE);
-  if (value == NULL)
-    return MHD_YES;
-  g_string_append_c (query, '=');
-  g_string_append_uri_escaped (query, value, NULL, FALSE);
-  return MHD_YES;
-}
-
-char *
-dl_http_request_query_string (const DlHttpRequest *request, const void *context)
-{
-  GString *query = g_string_new (NULL);
-  char *copy;
-
-  MHD_get_connection_values (request->connection, MHD_GET_ARGUMENT_KIND, append_argument,
-                             query);
-  copy = talloc_strdup (context, query->str);
-  g_string_free (query, TRUE);
-  return copy;
-}
-
-void
-dl_http_request_on_closed (DlHttpRequest *request, DlHttpClosedFunc func, void *data)
-{
-  request->on_closed = func;
-  request->closed_data = data;
-}
-
-typedef struct
-{
-  DlHttpHeaderFunc func;
-  void *data;
-} HeaderVisit;
-
-static enum MHD_Result
-visit_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-  const HeaderVisit *visit = data;
-
-  visit->func (name, value != NULL ? value : "", visit->data);
-  return MHD_YES;
-}
-
-void
-dl_http_request_each_header (const DlHttpRequest *request,
-                             DlHttpHeaderFunc func,
-                             void *data)
-{
-  HeaderVisit visit = { .func = func, .data = data };
-
-  MHD_get_connection_values (request->connection, MHD_HEADER_KIND, visit_header, &visit);
-}
-
 /* Called when the request line has been read; libmicrohttpd passes the raw target only
  * here. */
 static void *
--- /dev/null
+++ b/lib/kernel/http_server_private.h
@@ -0,0 +1,61 @@
+/*
+ * Internal types of the HTTP server: http_server.c runs it and sends responses,
+ * http_request.c reads requests.
+ */
+#ifndef DL_HTTP_SERVER_PRIVATE_H
+#define DL_HTTP_SERVER_PRIVATE_H
+
+#include <glib.h>
+#include <microhttpd.h>
+
+#include "kernel/http_connections.h"
+#include "kernel/http_server.h"
+
+struct DlHttpServer
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  uint16_t port;
+  DlHttpLimits limits;
+  DlHttpHandler handler;
+  void *data;
+  ev_io watcher;
+  ev_timer timeout;
+  ev_prepare prepare;
+  bool need_run; /* a connection was resumed since the last MHD_run */
+  bool quiesced;
+  bool keepalive_disabled; /* responses carry "Connection: close" */
+  unsigned active_requests;
+  GHashTable *suspended; /* set of DlHttpRequest */
+  DlHttpConnections *connections;
+  DlTimer *caller_check;
+};
+
+struct DlHttpRequest
+{
+  DlHttpServer *server;
+  struct MHD_Connection *connection;
+  char *target; /* as received */
+  char *method; /* NULL until the headers have been read */
+  char *path;
+  DlBuffer *body;
+  bool too_large;
+  bool handled; /* the handler has been called */
+  bool in_handler;
+  bool suspended;
+  bool has_response;        /* a reply or a stream was begun */
+  bool discard_output;      /* the caller has disconnected: further output is discarded */
+  bool caller_disconnected; /* set by on_caller_check */
+  struct MHD_Response *response;
+  unsigned status;
+  DlBuffer *stream; /* bytes not sent yet; NULL for a reply in one piece */
+  bool stream_ended;
+  bool stream_complete;
+  DlHttpConsumedFunc on_consumed;
+  void *consumed_data;
+  DlHttpClosedFunc on_closed;
+  void *closed_data;
+};
+
+#endif
