A head cut short by the end of the connection is no response

What callers saw: a server stopped in the middle of its response's head and closed. Callers got 200 with an empty body, framed as whole, and 204, 400, 500 or 'it has not run' as the line said.

Cause: libcurl (7.88) takes a head that ends with its connection for a whole one when at least one line came and no length was announced, and reports CURLE_OK. Nothing here asked whether the blank line had come. A reset, a length that was announced, and chunks are noticed by libcurl.

Ruled out: a response with a whole head and no length, which ends with its connection: that is a response (group undelimited, unchanged).

Change: the HTTP client notes the blank line of the last head (interim responses and trailers apart). Without it a call ends as one without an answer: DL_ERR_CLOSED, broken off, status 0. That holds for all users of the client: store, readers, origin, engines. A 404 cut short would have been read as an empty list.

answers.c: each case on the unsafe route has a body of its own. With one body for all, the fifth case was refused as a request that crashes upstreams, and the server under test never reached. Equally strict: the check that the server answered so stands.

--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -50,6 +50,7 @@
   size_t framing_bytes; /* received since the last byte of the head or the body */
   int error;            /* why the response was given up; 0: it was not */
   DlTimer *give_up;
+  bool head_complete; /* of the last response; interim ones have heads, too */
   bool head_reported;
   bool paused;
   bool in_callback;
@@ -166,6 +167,31 @@
     dl_http_call_report_invalid (call, what);
 }
 
+/* True for the first line of a response, and false for those of trailers. */
+static bool
+is_status_line (const DlHttpCall *call, DlStr line)
+{
+  return !call->head_reported && dl_str_has_prefix (line, DL_STR_LITERAL ("HTTP/"));
+}
+
+static bool
+is_blank (DlStr line)
+{
+  return dl_str_equal (line, DL_STR_LITERAL ("\r\n"))
+         || dl_str_equal (line, DL_STR_LITERAL ("\n"));
+}
+
+/* libcurl takes a head that ends with its connection for a whole one, so its end is
+ * looked for here. */
+static void
+note_head_line (DlHttpCall *call, DlStr line)
+{
+  if (is_status_line (call, line))
+    call->head_complete = false;
+  else if (is_blank (line))
+    call->head_complete = true;
+}
+
 static size_t
 on_header (char *data, size_t size, size_t n, void *user)
 {
@@ -173,6 +199,7 @@
   size_t limit = call->options.max_head_bytes > 0 ? call->options.max_head_bytes
                                                   : HEAD_DEFAULT_MAX_BYTES;
 
+  note_head_line (call, dl_str_bytes (data, size * n));
   call->framing_bytes = 0;
   call->head_bytes += size * n;
   call->head_lines++;
@@ -335,12 +362,15 @@
   long request_bytes = 0;
   DlHttpResult result = { 0 };
 
+  if (code == CURLE_OK && !call->head_complete)
+    code = CURLE_GOT_NOTHING;
   if (code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY)
     call_note_invalid (call, DL_ERR_MALFORMED, "bytes that are not HTTP");
   else if (code == CURLE_OUT_OF_MEMORY) /* over libcurl's own limit of 100 KiB */
     call_note_invalid (call, DL_ERR_TOO_LARGE, "a line of the head without end");
   result.error = curl_error (code, call);
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (call->head_complete)
+    curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   call->in_callback = true;
   if (!call->freed_in_callback && code == CURLE_OK)
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -23,7 +23,7 @@
 typedef struct
 {
   int error;       /* 0 when a complete response arrived, whatever its status */
-  unsigned status; /* 0 when no status line arrived */
+  unsigned status; /* 0 when no whole head arrived */
   bool sent;       /* false: no byte of the request left this process */
   bool broken_off; /* the peer closed or reset the connection; ERROR is DL_ERR_CLOSED */
   DlStr body;      /* empty when on_data is set; valid during the callback */
--- a/regress/direct/answers.c
+++ b/regress/direct/answers.c
@@ -49,7 +49,8 @@
   Call options = default_call (tb, c->target, id);
   Response r;
 
-  options.body = strcmp (c->target, ANSWER_UNSAFE) == 0 ? "x" : NULL;
+  /* A request that is sent again and again as it breaks connections would be refused. */
+  options.body = strcmp (c->target, ANSWER_UNSAFE) == 0 ? id : NULL;
   set_servers (tb, &(EndlessAnswer){ .head = c->bytes,
                                      .reset = c->reset,
                                      .path = c->target,
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -216,6 +216,7 @@
   { "malformed", { malformed_tests }, .with_proxies = true },
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "undelimited", { undelimited_tests }, .with_proxies = true },
+  { "heads", { head_tests }, .with_proxies = true },
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
   { "whole-requests", { whole_request_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -228,6 +228,8 @@
 extern const TestFunc endless_peer_tests[];
 /* Responses that end with their connection; needs proxies. */
 extern const TestFunc undelimited_tests[];
+/* Responses whose connection ends within the head; needs proxies. */
+extern const TestFunc head_tests[];
 /* Upstreams that fall silent; the first two tests need processes that were just started.
  */
 extern const TestFunc silence_tests[];
