A deeply nested object no longer makes the whole list unreadable

What callers saw: another writer left one entry among the servers' that is nested more than 29 levels deep. No later change of the list was followed: servers that had left stayed in use, new ones were not used, for as long as the entry stood there.

Cause: a store's answer was parsed as one text, and json-c gives up at 32 levels. Each watch and each list with that entry failed as malformed and was tried again.

Ruled out by the same test, one at a time through a watch (the sound ones held before, too): specs that are null, a number, a text, a list or empty; ports 0, 65536, 99999, -1, of 23 digits and twice; slots 0, -1, 2^32, 2^63, 2^64, 1e400, NaN and -Infinity; states that are not named or no text; bytes that are no UTF-8, half a surrogate pair, NUL and control characters; names with spaces, quotes, backslashes, &, #, %, line ends and bytes that are no UTF-8. No process ended by itself.

An entry whose spec lacks its fields then is malformed (911), and the others hold.

Tests: group entries of regress/direct; the stand-in of the store hands 'raw_bytes' out as they are.

--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "kernel/error.h"
+#include "kernel/json_text.h"
 #include "kernel/metrics.h"
 
 #define NAME_MAX_BYTES  128
@@ -244,12 +245,8 @@
     result.error = status_error (response->status);
   if (result.error == 0)
     {
-      struct json_tokener *tokener = json_tokener_new ();
-
-      body = json_tokener_parse_ex (tokener, response->body.data,
-                                    (int)response->body.length);
-      json_tokener_free (tokener);
-      result.error = body != NULL && json_object_is_type (body, json_type_object)
+      body = dl_json_text_parse_object (response->body);
+      result.error = body != NULL
                          ? call->protocol->decode (http, &call->request, body, &result)
                          : DL_ERR_MALFORMED;
       if (result.error < 0 && is_write (call->request.action))
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -217,6 +217,7 @@
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "undelimited", { undelimited_tests }, .with_proxies = true },
   { "heads", { head_tests }, .with_proxies = true },
+  { "entries", { entry_tests } },
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
   { "whole-requests", { whole_request_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -230,6 +230,8 @@
 extern const TestFunc undelimited_tests[];
 /* Responses whose connection ends within the head; needs proxies. */
 extern const TestFunc head_tests[];
+/* Odd objects in the store. */
+extern const TestFunc entry_tests[];
 /* Upstreams that fall silent; the first two tests need processes that were just started.
  */
 extern const TestFunc silence_tests[];
--- a/regress/standin/objects.c
+++ b/regress/standin/objects.c
@@ -90,9 +90,11 @@
 {
   char *number = g_strdup_printf ("%" PRIu64, era);
   const DlHttpHeader headers[] = { { "Store-Era", number }, { 0 } };
+  size_t length;
+  const char *text
+      = json_object_to_json_string_length (object, JSON_C_TO_STRING_PLAIN, &length);
 
-  dl_http_reply (request, status, "application/json",
-                 dl_str (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN)),
+  dl_http_reply (request, status, "application/json", dl_str_bytes (text, length),
                  era != 0 ? headers : NULL);
   json_object_put (object);
   g_free (number);
@@ -294,6 +296,37 @@
     }
 }
 
+/* Prints the text that is OBJECT's user data as it is. */
+static int
+print_raw (json_object *object, struct printbuf *out, int level, int flags)
+{
+  json_object *text = json_object_get_userdata (object);
+
+  return printbuf_memappend (out, json_object_get_string (text),
+                             json_object_get_string_len (text));
+}
+
+static void
+release_raw (json_object *object, void *text)
+{
+  json_object_put (text);
+}
+
+/* Returns SPEC, or what is sent as the text of its member "raw_bytes" says, which need
+ * not be valid. */
+static json_object *
+spec_new (json_object *spec)
+{
+  json_object *text;
+  json_object *raw;
+
+  if (!json_object_object_get_ex (spec, "raw_bytes", &text))
+    return json_object_get (spec);
+  raw = json_object_new_object ();
+  json_object_set_serializer (raw, print_raw, json_object_get (text), release_raw);
+  return raw;
+}
+
 static json_object *
 object_new (const char *name, uint64_t created, json_object *spec)
 {
@@ -305,7 +338,7 @@
   standin_json_set_uint (metadata, "revision", revision);
   standin_json_set_uint (metadata, "created", created != 0 ? created : revision);
   json_object_object_add (object, "metadata", metadata);
-  json_object_object_add (object, "spec", json_object_get (spec));
+  json_object_object_add (object, "spec", spec_new (spec));
   return object;
 }
 
--- a/regress/unit/test_platform.c
+++ b/regress/unit/test_platform.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "kernel/error.h"
+#include "kernel/json_text.h"
 #include "platform.h"
 #include "unit.h"
 
@@ -17,6 +18,81 @@
   return object;
 }
 
+/* -------- JSON texts -------- */
+
+#define TEXT_OF(text)     \
+  {                       \
+    text, sizeof text - 1 \
+  }
+
+/* Lists in which one item is odd; the item after it is 7. */
+static const struct
+{
+  const char *name;
+  DlStr text;
+} odd_texts[] = {
+  { "nothing odd", TEXT_OF ("{\"items\":[1,7]}") },
+  { "a NUL byte in a string", TEXT_OF ("{\"items\":[\"a\0b\",7]}") },
+  { "NUL bytes between values", TEXT_OF ("{\"items\":[1\0,\0 7]}") },
+  { "bytes that are not UTF-8", TEXT_OF ("{\"items\":[\"\xff\xc0\x80\",7]}") },
+  { "half a surrogate pair", TEXT_OF ("{\"items\":[\"\\ud800\",7]}") },
+  { "brackets and quotes in a string", TEXT_OF ("{\"items\":[\"[[{\\\"]\\\\\",7]}") },
+  { "numbers out of range",
+    TEXT_OF ("{\"items\":[[1e400,-1e400,99999999999999999999],7]}") },
+  { "no numbers", TEXT_OF ("{\"items\":[[NaN,Infinity,-Infinity],7]}") },
+};
+
+static int
+second_item (DlStr text)
+{
+  json_object *object = dl_json_text_parse_object (text);
+  json_object *items = object != NULL ? json_object_object_get (object, "items") : NULL;
+  int item = items != NULL && json_object_array_length (items) == 2
+                 ? json_object_get_int (json_object_array_get_idx (items, 1))
+                 : -1;
+
+  json_object_put (object);
+  return item;
+}
+
+static void
+test_odd_value_made_text_unreadable (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_texts); i++)
+    if (second_item (odd_texts[i].text) != 7)
+      CU_FAIL (odd_texts[i].name);
+}
+
+static void
+test_nested_value_made_text_unreadable (void)
+{
+  static const unsigned depths[]
+      = { 1, DL_JSON_DEPTH_MAX - 2, DL_JSON_DEPTH_MAX - 1, 32, 33, 1000, 1000000 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
+    {
+      GString *text = g_string_new ("{\"items\":[");
+
+      for (unsigned k = 0; k < depths[i]; k++)
+        g_string_append (text, k % 2 == 0 ? "[" : "{\"]\\\"\":");
+      g_string_append (text, "\"}\"");
+      for (unsigned k = depths[i]; k > 0; k--)
+        g_string_append (text, k % 2 == 1 ? "]" : "}");
+      g_string_append (text, ",7]}");
+      CU_ASSERT_EQUAL (second_item (dl_str_bytes (text->str, text->len)), 7);
+      g_string_free (text, TRUE);
+    }
+}
+
+static void
+test_text_that_is_no_object (void)
+{
+  CU_ASSERT_PTR_NULL (dl_json_text_parse_object (DL_STR_LITERAL ("")));
+  CU_ASSERT_PTR_NULL (dl_json_text_parse_object (DL_STR_LITERAL ("[1]")));
+  CU_ASSERT_PTR_NULL (dl_json_text_parse_object (DL_STR_LITERAL ("{\"items\":[1")));
+  CU_ASSERT_PTR_NULL (dl_json_text_parse_object (DL_STR_LITERAL ("]]}}")));
+}
+
 /* -------- the store -------- */
 
 typedef struct
@@ -341,6 +417,9 @@
 }
 
 static const CU_TestInfo tests[] = {
+  { "an odd value made a text unreadable", test_odd_value_made_text_unreadable },
+  { "a nested value made a text unreadable", test_nested_value_made_text_unreadable },
+  { "texts that are no object", test_text_that_is_no_object },
   { "requests to the store", test_store_requests },
   { "responses of the store", test_store_responses },
   { "routing tables", test_routing },
