--- a/regress/direct/entries.c
+++ b/regress/direct/entries.c
@@ -3,17 +3,19 @@
  * ones hold, changes of them are followed, and no process ends by itself.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
 
 #include "direct.h"
 
 /* Changes are followed within this time. */
-#define FOLLOW_MS   3000
-#define POLL_MS     50
-#define PLAIN       (SERVERS - 1)
-#define REJECTED_MS 300 /* deadline of requests that no server may be there for */
-#define ODD_ADDRESS "127.0.0.1:1"
+#define FOLLOW_MS    3000
+#define POLL_MS      50
+#define PAGE_OBJECTS 2 /* on a page of a list, so that odd names end pages */
+#define PLAIN        (SERVERS - 1)
+#define REJECTED_MS  300 /* deadline of requests that no server may be there for */
+#define ODD_ADDRESS  "127.0.0.1:1"
 #define FIELDS(slots, state, address)                                       \
   "{\"backend\":\"m\",\"zone\":\"d1\",\"slots\":" slots ",\"state\":" state \
   ",\"address\":" address ",\"born\":5}"
@@ -191,7 +193,50 @@
     }
 }
 
+static void
+restart_all (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    process_end (&tb->entry_process[i], SIGKILL);
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    process_end (&tb->stager_process[i], SIGKILL);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    CHECK (process_start (&tb->entry_process[i]));
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    CHECK (process_start (&tb->stager_process[i]));
+}
+
+static void
+test_odd_entries_hid_others_from_processes_that_start (Testbed *tb)
+{
+  CHECK (set_fault (tb->store, "page", PAGE_OBJECTS));
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_objects); i++)
+    CHECK (put_odd (tb, "servers", &odd_objects[i]));
+  restart_all (tb);
+  CHECK (eventually (requests_are_served, tb));
+  check_all_hold (tb, "all odd entries in the list");
+}
+
+static void
+test_odd_objects_of_other_kinds_hid_others (Testbed *tb)
+{
+  static const char *const kinds[]
+      = { "config", "versions", "daisyloft-nodes", "daisyloft-held" };
+
+  for (size_t k = 0; k < G_N_ELEMENTS (kinds); k++)
+    for (size_t i = 0; i < G_N_ELEMENTS (odd_objects); i++)
+      CHECK (put_odd (tb, kinds[k], &odd_objects[i]));
+  check_all_hold (tb, "odd objects of all kinds");
+  CHECK (testbed_configure (tb, true));
+  restart_all (tb);
+  CHECK (eventually (requests_are_served, tb));
+  CHECK (status_with_key (tb, 0, "key2") == 401);
+  check_all_hold (tb, "odd objects of all kinds, listed");
+}
+
 const TestFunc entry_tests[] = {
   test_odd_entry_hid_later_changes_of_others,
+  test_odd_entries_hid_others_from_processes_that_start,
+  test_odd_objects_of_other_kinds_hid_others,
   NULL,
 };
