A reader hands on objects with any name and without a value

What callers saw: beside an odd entry of another writer, processes gave up every entry that reads the store for them (916, 'malformed') and all went to the store itself.

Cause: the copy that a reader hands out had names as they are, so a quote or a line end in one made the whole answer no JSON; and a value that is null made its reader's whole list malformed, though it only says that this one object has no members.

Change: names are kept as JSON in the copy; an object with the value null is an object.

--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -81,10 +81,12 @@
   return talloc_strdup (context, json_object_get_string (value));
 }
 
+/* The value may be null, which has no type and no members. */
 static int
 read_object (const void *context, json_object *from, DlObject *object)
 {
   json_object *deleted;
+  bool has_value;
 
   *object = (DlObject){
     .kind = get_text (context, from, "kind"),
@@ -94,9 +96,9 @@
   };
   if (json_object_object_get_ex (from, "deleted", &deleted))
     object->deleted = json_object_get_boolean (deleted);
-  json_object_object_get_ex (from, "value", &object->value);
+  has_value = json_object_object_get_ex (from, "value", &object->value) != 0;
   if (object->kind == NULL || object->name == NULL || object->revision == 0
-      || (!object->deleted && object->value == NULL))
+      || (!object->deleted && !has_value))
     return DL_ERR_MALFORMED;
   return 0;
 }
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -28,6 +28,7 @@
 typedef struct
 {
   uint64_t revision;
+  char *name; /* as JSON */
   char *text; /* its value as JSON; NULL for a tombstone */
 } Record;
 
@@ -67,8 +68,28 @@
 static void
 free_record (gpointer data)
 {
-  g_free (((Record *)data)->text);
-  g_free (data);
+  Record *r = data;
+
+  g_free (r->name);
+  g_free (r->text);
+  g_free (r);
+}
+
+/* JSON may be NULL, for null. */
+static char *
+json_text (json_object *json)
+{
+  return g_strdup (json_object_to_json_string_ext (json, JSON_C_TO_STRING_PLAIN));
+}
+
+static char *
+json_text_of_name (const char *name)
+{
+  json_object *json = json_object_new_string (name);
+  char *text = json_text (json);
+
+  json_object_put (json);
+  return text;
 }
 
 static Kind *
@@ -89,10 +110,10 @@
 /* -------- responses -------- */
 
 static void
-put_record (DlBuffer *body, const Kind *k, const char *name, const Record *r, bool first)
+put_record (DlBuffer *body, const Kind *k, const Record *r, bool first)
 {
-  dl_buffer_printf (body, "%s{\"kind\":\"%s\",\"name\":\"%s\",\"revision\":%" PRIu64 ",",
-                    first ? "" : ",", k->name, name, r->revision);
+  dl_buffer_printf (body, "%s{\"kind\":\"%s\",\"name\":%s,\"revision\":%" PRIu64 ",",
+                    first ? "" : ",", k->name, r->name, r->revision);
   if (r->text == NULL)
     dl_buffer_printf (body, "\"deleted\":true}");
   else
@@ -110,7 +131,6 @@
   DlBuffer *body = dl_buffer_new (http, 0);
   bool first = true;
   GHashTableIter iter;
-  gpointer name;
   gpointer value;
 
   dl_buffer_printf (body,
@@ -118,13 +138,13 @@
                     ",\"objects\":[",
                     k->era, k->revision, dl_clock_ms () - k->synced_ms);
   g_hash_table_iter_init (&iter, k->records);
-  while (g_hash_table_iter_next (&iter, &name, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Record *r = value;
 
       if (r->revision <= after || (r->text == NULL && !is_watch))
         continue;
-      put_record (body, k, name, r, first);
+      put_record (body, k, r, first);
       first = false;
     }
   dl_buffer_printf (body, "]}");
@@ -303,12 +323,12 @@
     k->tombstones--;
   r = g_new0 (Record, 1);
   r->revision = object->revision;
+  r->name = json_text_of_name (object->name);
   k->newest = MAX (k->newest, object->revision);
   if (object->deleted)
     k->tombstones++;
   else
-    r->text = g_strdup (
-        json_object_to_json_string_ext (object->value, JSON_C_TO_STRING_PLAIN));
+    r->text = json_text (object->value);
   g_hash_table_replace (k->records, g_strdup (object->name), r);
 }
 
--- a/regress/direct/entries.c
+++ b/regress/direct/entries.c
@@ -206,6 +206,48 @@
     CHECK (process_start (&tb->stager_process[i]));
 }
 
+/* True if the copy of the servers that entry INDEX gives out is JSON. */
+static bool
+copy_is_readable (const Testbed *tb, unsigned index)
+{
+  Response r = call (
+      &(Call){ .address = tb->metrics[index], .target = "/v1/objects?kinds=servers" });
+  json_object *body = r.status == 200 ? json_tokener_parse (r.body) : NULL;
+  json_object *objects = body != NULL ? json_object_object_get (body, "objects") : NULL;
+  bool whole = objects != NULL
+               && json_object_array_length (objects) >= G_N_ELEMENTS (odd_objects);
+
+  json_object_put (body);
+  response_free (&r);
+  return whole;
+}
+
+static bool
+copies_are_readable (Testbed *tb)
+{
+  return copy_is_readable (tb, 0) || copy_is_readable (tb, 1);
+}
+
+/* True if PROCESS has given up a reader as what it sent could not be parsed. */
+static bool
+has_malformed_copy (const Process *process)
+{
+  g_autofree char *text = NULL;
+
+  return g_file_get_contents (process->log, &text, NULL, NULL)
+         && strstr (text, "\"error\":\"malformed") != NULL;
+}
+
+static void
+test_odd_entries_spoiled_the_copy_of_a_reader (Testbed *tb)
+{
+  CHECK (eventually (copies_are_readable, tb));
+  for (unsigned i = 0; i < ENTRIES; i++)
+    CHECK (!has_malformed_copy (&tb->entry_process[i]));
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    CHECK (!has_malformed_copy (&tb->stager_process[i]));
+}
+
 static void
 test_odd_entries_hid_others_from_processes_that_start (Testbed *tb)
 {
@@ -237,6 +279,7 @@
 const TestFunc entry_tests[] = {
   test_odd_entry_hid_later_changes_of_others,
   test_odd_entries_hid_others_from_processes_that_start,
+  test_odd_entries_spoiled_the_copy_of_a_reader,
   test_odd_objects_of_other_kinds_hid_others,
   NULL,
 };
