--- a/regress/unit/test_platform.c
+++ b/regress/unit/test_platform.c
@@ -301,6 +301,71 @@
   { "[]", DL_ERR_MALFORMED, false, 0 },
 };
 
+/* Entries of other writers, which name no upstream. */
+static const struct
+{
+  const char *id; /* NULL for "i-1" */
+  const char *backend;
+  const char *address;
+  const char *slots;
+  const char *state;
+} odd_entries[] = {
+  { NULL, "\"m\"", "\"1.2.3.4:0\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:65536\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:99999999999999999999999\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:-1\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5:5\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"0.0.0.0:5\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\\u0000\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "null", "4", "\"ready\"" },
+  { NULL, "\"\"", "\"1.2.3.4:5\"", "4", "\"ready\"" },
+  { NULL, "7", "\"1.2.3.4:5\"", "4", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "0", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "-1", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "4.5", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "\"4\"", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "1000001", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "4294967295", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "4294967300", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "9223372036854775807", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "18446744073709551616", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "1e400", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "NaN", "\"ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "4", "\"Ready\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "4", "\"ready\\u0000\"" },
+  { NULL, "\"m\"", "\"1.2.3.4:5\"", "4", "\"\"" },
+  { "", "\"m\"", "\"1.2.3.4:5\"", "4", "\"ready\"" },
+  { "i 1", "\"m\"", "\"1.2.3.4:5\"", "4", "\"ready\"" },
+  { "i-1\r\nX-Tenant-Id: other", "\"m\"", "\"1.2.3.4:5\"", "4", "\"ready\"" },
+  { "i-1\xff", "\"m\"", "\"1.2.3.4:5\"", "4", "\"ready\"" },
+};
+
+static void
+test_odd_entry_was_taken_for_upstream (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_entries); i++)
+    {
+      void *context = talloc_new (NULL);
+      const char *id = odd_entries[i].id != NULL ? odd_entries[i].id : "i-1";
+      json_object *value = parse (talloc_asprintf (
+          context,
+          "{\"backend\":%s,\"address\":%s,\"zone\":\"z\",\"slots\":%s,\"state\":%s}",
+          odd_entries[i].backend, odd_entries[i].address, odd_entries[i].slots,
+          odd_entries[i].state));
+      DlUpstreamEntry entry;
+
+      if (platform_read_upstream (context, id, value, &entry) != DL_ERR_MALFORMED)
+        {
+          g_print ("entry %" G_GSIZE_FORMAT ": %s\n", i,
+                   json_object_to_json_string (value));
+          CU_FAIL ("an odd entry was accepted");
+        }
+      json_object_put (value);
+      talloc_free (context);
+    }
+}
+
 static void
 test_upstream_entries (void)
 {
@@ -433,6 +498,7 @@
   { "routing tables", test_routing },
   { "malformed routing tables", test_malformed_routing },
   { "list entries of upstreams", test_upstream_entries },
+  { "an odd entry was taken for an upstream", test_odd_entry_was_taken_for_upstream },
   { "reports of engines", test_engine_reports },
   { "outcomes of load commands", test_load_outcomes },
   { "manifests", test_manifests },
