LOST: a request that runs out of time is no failure of its upstream

What callers saw: the upstream ends a run at the end of the time that it was given, often before the entry's own check (every 40 ms) does. The caller of a whole request got 502 'the upstream broke off or failed' in place of 504; and this counted: the upstream was ejected after a few of them, and the whole request, or a part of its prompt, was held as one that crashes upstreams. Then sound requests with the same part were refused.

Cause: attempt.c knew no end but the upstream's failure. Both sides count the same time.

Ruled out: a second attempt in the last moment (under 100 ms left, none is sent). daisyentryd gives its upstreams no time, so that no run there ends by it.

Such an end is 'its time ran out': 504, or the stream is cut with that cause; neutral for the circuit breaker; not logged as 1011 and no evidence for the quarantine. What breaks off before still counts, as does what is no valid response.

Evidence: new group 'time' of regress/direct, with a stand-in that ends runs 8 ms before the end of their time.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -12,6 +12,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "platform.h"
+#include "policy/time_limit.h"
 #include "requests.h"
 
 #define CONNECT_TIMEOUT_MS 350
@@ -100,6 +101,16 @@
          || (attempt->head.not_run && !attempt->head.names_request);
 }
 
+/* True when the upstream ended the run as the time that it was given was over. */
+static bool
+is_time_over (const Attempt *attempt)
+{
+  DlAttemptTime time = { .given_ms = attempt->given_ms,
+                         .elapsed_ms = dl_clock_ms () - attempt->sent_ms };
+
+  return !attempt->aborted && dl_time_limit_reached (&time);
+}
+
 /* Reports the attempt's end to its upstream, once. */
 static void
 release_upstream (Attempt *attempt, DirectAttemptOutcome outcome)
@@ -245,12 +256,19 @@
     set_paused (r->attempt, false);
 }
 
-/* How an error response counts for the upstream.  One that asks for a hold-off is no
- * fault of it, and gets the hold-off instead of an open circuit breaker. */
+/* How an error response, or none, counts for the upstream.  One that asks for a hold-off
+ * is no fault of it, and gets the hold-off instead of an open circuit breaker. */
 static DirectAttemptOutcome
 error_outcome (const Attempt *attempt)
 {
-  return attempt->head.hold_off_ms > 0 ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED;
+  return attempt->head.hold_off_ms > 0 || is_time_over (attempt) ? DIRECT_ATTEMPT_NEUTRAL
+                                                                 : DIRECT_ATTEMPT_FAILED;
+}
+
+static DirectAttemptFailure
+broken_failure (const Attempt *attempt)
+{
+  return is_time_over (attempt) ? DIRECT_FAILURE_TIME_OVER : DIRECT_FAILURE_BROKEN;
 }
 
 /* Ends an attempt without a response that can be used. */
@@ -258,7 +276,8 @@
 finish_broken (Attempt *attempt)
 {
   finish_failed (attempt, error_outcome (attempt),
-                 was_not_run (attempt) ? DIRECT_FAILURE_NOT_RUN : DIRECT_FAILURE_BROKEN);
+                 was_not_run (attempt) ? DIRECT_FAILURE_NOT_RUN
+                                       : broken_failure (attempt));
 }
 
 static void
@@ -396,6 +415,8 @@
   Request *r = attempt->request;
   uint64_t now_ms = dl_clock_ms ();
 
+  if (is_time_over (attempt))
+    return;
   dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", attempt->upstream->id),
           DL_UINT ("status", attempt->status),
@@ -410,8 +431,7 @@
 
 /* True when the stream ended before its proper end: inside an event, or, when only the
  * end of the connection marks the end, without any.  REST receives what follows the last
- * event.
- */
+ * event. */
 static bool
 is_cut_off (const Attempt *attempt, const DlHttpResult *result, DlBuffer *rest)
 {
@@ -430,7 +450,7 @@
     {
       if (result->error == 0)
         note_broken_off (attempt);
-      finish_failed (attempt, DIRECT_ATTEMPT_FAILED, DIRECT_FAILURE_BROKEN);
+      finish_failed (attempt, error_outcome (attempt), broken_failure (attempt));
       return;
     }
   if (!r->head_sent)
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -20,8 +20,9 @@
 /* Attempts of a request that may fail to connect before it is refused or fails. */
 #define CONNECT_FAILURES_MAX 3
 /* Retry-After of requests refused because no upstream serves the service. */
-#define NO_UPSTREAM_RETRY_MS 900
-#define STATUS_BAD_GATEWAY   502
+#define NO_UPSTREAM_RETRY_MS   900
+#define STATUS_BAD_GATEWAY     502
+#define STATUS_GATEWAY_TIMEOUT 504
 
 DL_METRIC (metric_waited,
            DL_METRIC_HISTOGRAM,
@@ -380,6 +381,7 @@
     case DIRECT_FAILURE_NOT_RUN:
       break;
     case DIRECT_FAILURE_BROKEN:
+    case DIRECT_FAILURE_TIME_OVER:
     case DIRECT_FAILURE_STALLED:
     case DIRECT_FAILURE_OUTDATED:
       if (!dl_routing_may_retry (r->route))
@@ -406,6 +408,8 @@
       return "the upstream did not run it";
     case DIRECT_FAILURE_BROKEN:
       return "the upstream broke off or failed";
+    case DIRECT_FAILURE_TIME_OVER:
+      return "its time ran out";
     case DIRECT_FAILURE_STALLED:
       return "the upstream was silent";
     case DIRECT_FAILURE_OUTDATED:
@@ -471,7 +475,10 @@
       return;
     }
   note_failure (r, failure, upstream);
-  refuse_or_fail (r, failure_text (failure), retry_ms (r));
+  if (failure == DIRECT_FAILURE_TIME_OVER)
+    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, failure_text (failure));
+  else
+    refuse_or_fail (r, failure_text (failure), retry_ms (r));
 }
 
 void
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -168,11 +168,12 @@
 /* Why an attempt ended without a response for the caller. */
 typedef enum
 {
-  DIRECT_FAILURE_CONNECT,  /* no connection; nothing was sent */
-  DIRECT_FAILURE_NOT_RUN,  /* the upstream says that it did not execute the request */
-  DIRECT_FAILURE_BROKEN,   /* no complete, usable response; may have run */
-  DIRECT_FAILURE_STALLED,  /* no progress for too long; may have run */
-  DIRECT_FAILURE_OUTDATED, /* withdrawn before it started on outdated weights; may run */
+  DIRECT_FAILURE_CONNECT,   /* no connection; nothing was sent */
+  DIRECT_FAILURE_NOT_RUN,   /* the upstream says that it did not execute the request */
+  DIRECT_FAILURE_BROKEN,    /* no complete, usable response; may have run */
+  DIRECT_FAILURE_TIME_OVER, /* the same, at the end of the time that it was given */
+  DIRECT_FAILURE_STALLED,   /* no progress for too long; may have run */
+  DIRECT_FAILURE_OUTDATED,  /* withdrawn before it started on outdated weights; may run */
 } DirectAttemptFailure;
 
 /* Returns true when the request may be retried after FAILURE.  The retry is then taken
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -206,6 +206,7 @@
 static const TestGroup groups[] = {
   { "cases", { request_tests, explain_tests, change_tests } },
   { "stop", { stop_tests } },
+  { "time", { time_tests } },
   { "reader", { reader_tests } },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -221,6 +221,8 @@
 extern const TestFunc limit_tests[];
 /* Planned stops of entries. */
 extern const TestFunc stop_tests[];
+/* Requests that run out of time. */
+extern const TestFunc time_tests[];
 /* Entries that read the store for others. */
 extern const TestFunc reader_tests[];
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -94,6 +94,7 @@
 static uint64_t error_resumed; /* status of the response to each stream that resumes; 0 */
 static uint64_t error_sealed;  /* these have the seal */
 static uint64_t stage_refused; /* 1: no chunk can be staged */
+static uint64_t end_early_ms; /* runs end that long before the end of their time; 0: no */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
 static uint64_t due_version;
@@ -174,6 +175,7 @@
   { "error_resumed", &error_resumed },
   { "error_sealed", &error_sealed },
   { "stage_refused", &stage_refused },
+  { "end_early_ms", &end_early_ms },
   { 0 },
 };
 
@@ -461,6 +463,15 @@
   cut_unanswered (run->request, run);
 }
 
+/* Closes the connection of a stream that is being sent. */
+static void
+cut_stream (Stream *s)
+{
+  s->cut = true;
+  TALLOC_FREE (s->timer);
+  dl_http_stream_end (s->request, false);
+}
+
 /* All requests in progress end, and none is taken for CRASH_MS. */
 static void
 crash (void)
@@ -477,9 +488,7 @@
 
       if (s->timer == NULL)
         continue; /* has ended and is being sent */
-      s->cut = true;
-      TALLOC_FREE (s->timer);
-      dl_http_stream_end (s->request, false);
+      cut_stream (s);
     }
   g_list_free (cut_off);
   for (GList *at = not_started; at != NULL; at = at->next)
@@ -490,6 +499,32 @@
   g_list_free (plain);
 }
 
+static void
+on_stream_time_over (DlTimer *timer, void *data)
+{
+  Stream *s = data;
+
+  if (s->timer != NULL)
+    cut_stream (s);
+}
+
+static void
+on_plain_time_over (DlTimer *timer, void *data)
+{
+  cut_plain_run (data);
+}
+
+/* Has ON_OVER end the run STATE of REQUEST just before the end of the time it was given.
+ */
+static void
+limit_run (DlHttpRequest *request, void *state, DlTimerFunc on_over)
+{
+  uint64_t given_ms = g_ascii_strtoull (header (request, "X-Deadline-Ms"), NULL, 10);
+
+  if (end_early_ms > 0 && given_ms > end_early_ms)
+    dl_timer_subscribe (task, state, given_ms - end_early_ms, 0, on_over, state);
+}
+
 static void
 on_event (DlTimer *timer, void *data)
 {
@@ -605,6 +640,7 @@
       = has_crash_part (request) || s->whole || standin_count_down (&crash_streams);
   streams = g_list_prepend (streams, s);
   dl_http_request_on_closed (request, on_stream_closed, s);
+  limit_run (request, s, on_stream_time_over);
   dl_http_stream_begin (request, 200, "text/event-stream",
                         response_headers (request, &headers));
   schedule_events (s, event_ms);
@@ -715,6 +751,7 @@
   run->poisoned = has_crash_body (request);
   plain_runs = g_list_prepend (plain_runs, run);
   dl_http_request_on_closed (request, on_plain_closed, run);
+  limit_run (request, run, on_plain_time_over);
   dl_timer_subscribe (task, run, run->poisoned ? event_ms : ms, 0, on_plain_due, run);
 }
 
