Test: connections that nobody accepted as an entry's listening socket closes are answered

Cause: the connection waited in the queue of the listening socket, as the entry got little processor time; the check that closes the socket 3.2 s after SIGTERM is a timer, which ran before the sockets of its run of the loop. Ruled out: a pause (the check waits 100 ms after one; the test holds the entry up for 120 ms at a time, and 200 count), the end of the process (5.7 s after SIGTERM in that log).

The test holds the entry up in pieces from 2.95 s to 3.6 s after SIGTERM while callers connect and send (regress/direct/raw_call.c writes requests to sockets).

--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 
 #include "direct.h"
+#include "raw_call.h"
 
 #define SLOW_EVENT_MS    550 /* a stream of ten events then lasts 5.5 s */
 #define DEFAULT_EVENT_MS 20
@@ -14,6 +15,13 @@
 #define SIGNAL_PAUSE_MS  300
 #define US_PER_MS        1000
 #define MS_PER_S         1000
+/* An entry that is held up in pieces shorter than what counts as a pause. */
+#define HELD_MS      120
+#define RUNNING_MS   30
+#define HELD_FROM_MS 2950
+#define HELD_TO_MS   3600 /* later than the listening socket closes */
+#define HELD_CALLS   30
+#define ANSWER_MS    5000
 
 static const char *awaited_id;
 
@@ -155,11 +163,74 @@
   restart_first_entry (tb);
 }
 
+static bool
+is_answered (Testbed *tb, const RawCall *c)
+{
+  const Response *r = &c->response;
+
+  if (r->status == 200)
+    return r->complete;
+  return r->status == 503 && r->complete && runs_of (tb, c->id) == 0;
+}
+
+/* Opens a connection to the first entry and sends a request; false when refused. */
+static bool
+connect_and_send (Testbed *tb, RawCall *c, unsigned number)
+{
+  char *text;
+
+  if (!raw_call_open (c, tb->entry[0]))
+    return false;
+  c->id = g_strdup_printf ("crosses-%u", number);
+  text = raw_call_text (c, number % 2 == 0 ? "/r/x" : "/o/x", LATE_MS,
+                        number % 2 == 0 ? NULL : "x");
+  CHECK (raw_call_send (c, text, strlen (text)));
+  g_free (text);
+  return true;
+}
+
+/* Guards against the reset of a connection that waits unaccepted (soak, seed 50015). */
+static void
+test_connection_unaccepted_as_the_listener_closes_is_answered (Testbed *tb)
+{
+  pid_t pid = tb->entry_process[0].pid;
+  RawCall calls[HELD_CALLS] = { 0 };
+  gint64 began_us = g_get_monotonic_time ();
+  unsigned n = 0;
+  unsigned cut = 0;
+
+  kill (pid, SIGTERM);
+  g_usleep (HELD_FROM_MS * US_PER_MS);
+  while (n < HELD_CALLS
+         && g_get_monotonic_time () < began_us + (gint64)HELD_TO_MS * US_PER_MS)
+    {
+      kill (pid, SIGSTOP);
+      for (unsigned i = 0; i < 2 && n < HELD_CALLS; i++)
+        n += connect_and_send (tb, &calls[n], n);
+      g_usleep (HELD_MS * US_PER_MS);
+      kill (pid, SIGCONT);
+      g_usleep (RUNNING_MS * US_PER_MS);
+    }
+  CHECK (n > 0);
+  for (unsigned i = 0; i < HELD_CALLS; i++)
+    {
+      if (i < n)
+        {
+          raw_call_end (&calls[i], ANSWER_MS, false);
+          cut += !is_answered (tb, &calls[i]);
+        }
+      raw_call_free (&calls[i]);
+    }
+  CHECK (cut == 0);
+  restart_first_entry (tb);
+}
+
 const TestFunc stop_tests[] = {
   test_stream_late_in_a_stop_is_not_cut,
   test_second_sigterm_cuts_nothing,
   test_request_that_outlasts_a_stop_is_answered,
   test_kept_connections_lose_no_request,
   test_request_read_after_a_pause_in_a_stop_is_answered,
+  test_connection_unaccepted_as_the_listener_closes_is_answered,
   NULL,
 };
