Test: the caller of test_kept_connections_lose_no_request sends each request once

The check could not see what it guards against: libcurl sends a request again by itself when a reused connection ends without a response, so a lost request was hidden by its second try.

Now each is sent once, and the check is stricter in three points: a response that is incomplete counts if the request ran (as before) or if the caller waited over 200 ms for it; a complete one must be a success, or a refusal of what ran nowhere; and one request at most, which crosses the closing of the listening socket, may be sent without a response. That one is true of any TCP server: the caller's handshake is over before anything can tell that the socket is being closed.

--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -115,6 +115,7 @@
 {
   int status;    /* 0: no response */
   bool complete; /* received up to its proper end */
+  bool sent;     /* the request was; known when it is sent once */
   char *body;    /* BODY and HEADERS are freed by response_free */
   char *headers;
 } Response;
@@ -221,6 +222,8 @@
 extern const TestFunc limit_tests[];
 /* Planned stops of entries. */
 extern const TestFunc stop_tests[];
+/* Requests at several moments of one. */
+extern const TestFunc stop_moment_tests[];
 /* Requests that run out of time. */
 extern const TestFunc time_tests[];
 /* Entries that read the store for others. */
--- a/regress/direct/http.c
+++ b/regress/direct/http.c
@@ -134,6 +134,7 @@
   return (Response){
     .status = (int)status,
     .complete = code == CURLE_OK,
+    .sent = sent,
     .body = g_string_free (body, FALSE),
     .headers = g_string_free (head, FALSE),
   };
--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -13,6 +13,7 @@
 #define LATE_MS          2900
 #define LONG_DEADLINE_MS 20000
 #define SIGNAL_PAUSE_MS  300
+#define CROSSING_MS      200
 #define US_PER_MS        1000
 #define MS_PER_S         1000
 /* An entry that is held up in pieces shorter than what counts as a pause. */
@@ -115,32 +116,46 @@
   restart_first_entry (tb);
 }
 
-/* Sends requests on kept connections until the process is gone; each that ran must have
- * been answered. */
+/* True if a request that was sent once is lost: it ran and was not answered, or it waited
+ * for an answer that did not come.  One that crosses the closing of the listening socket
+ * has its connection reset at once. */
+static bool
+is_lost (Testbed *tb, const char *id, const Response *r, gint64 took_us)
+{
+  if (r->complete)
+    return r->status != 200 && (r->status != 503 || runs_of (tb, id) > 0);
+  return runs_of (tb, id) > 0 || (r->sent && took_us > CROSSING_MS * US_PER_MS);
+}
+
+/* Sends requests on kept connections until the process is gone. */
 static void
 test_kept_connections_lose_no_request (Testbed *tb)
 {
   CURL *curl = curl_easy_init ();
   int64_t end_us = g_get_monotonic_time () + 10 * MS_PER_S * US_PER_MS;
   unsigned lost = 0;
+  unsigned unanswered = 0;
 
   kill (tb->entry_process[0].pid, SIGTERM);
   for (unsigned i = 0; g_get_monotonic_time () < end_us; i++)
     {
       char *id = g_strdup_printf ("kept-%u", i);
       Call c = default_call (tb, "/r/x", id);
+      gint64 sent_us = g_get_monotonic_time ();
       Response r;
 
       c.curl = curl;
+      c.once = true;
       r = call (&c);
-      if (!r.complete && runs_of (tb, id) > 0)
-        lost++;
+      lost += is_lost (tb, id, &r, g_get_monotonic_time () - sent_us);
+      unanswered += r.sent && r.status == 0;
       if (r.status == 0)
         g_usleep (10 * US_PER_MS);
       response_free (&r);
       g_free (id);
     }
   CHECK (lost == 0);
+  CHECK (unanswered <= 1); /* the one that crosses the closing */
   curl_easy_cleanup (curl);
   restart_first_entry (tb);
 }
