daisydirectd: questions for entries and readiness that arrive as it ends are answered

What callers saw: a question for the list of entries, or whether the entry is ready, on a connection that was not accepted as the process ended, had its connection reset.

Now the process ends only when nothing waits there either, unaccepted or unread, and from SIGTERM on each answer closes its connection. Pollers do not hold the process: a moment without an unanswered question is enough, and the grace ends it anyway.

--- a/daisydirectd/directory.c
+++ b/daisydirectd/directory.c
@@ -152,11 +152,34 @@
                 &directory->readiness);
 }
 
+/* Answers until the process ends.  Callers close their connections, so that a kept one
+ * has no unanswered question then. */
+static void
+drain (DlTask *task)
+{
+  const Directory *directory = dl_task_state (task);
+
+  dl_http_server_disable_keepalive (directory->resolver);
+  dl_http_server_disable_keepalive (directory->readiness);
+  dl_task_drained (task);
+}
+
+static bool
+is_idle (DlTask *task)
+{
+  const Directory *directory = dl_task_state (task);
+  bool resolver_idle = dl_http_server_is_idle (directory->resolver);
+
+  return dl_http_server_is_idle (directory->readiness) && resolver_idle;
+}
+
 static DlPlugin directory_plugin = {
   .name = "directory",
   .order = 20,
   .subscriptions = UINT64_C (1) << DIRECT_ENTRIES,
   .start = start,
   .handle = handle,
+  .drain = drain,
+  .is_idle = is_idle,
 };
 DL_PLUGIN_REGISTER (directory_plugin)
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -471,6 +471,8 @@
 {
   DlHttpConnectionCounts counts;
 
+  if (!server->quiesced)
+    accept_waiting (server);
   server_run (server);
   if (server->active_requests > 0)
     return false;
--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -178,6 +178,14 @@
   restart_first_entry (tb);
 }
 
+/* A request to the first entry that crosses the closing of a listening socket. */
+typedef struct
+{
+  const char *address;
+  const char *target;
+  const char *body;
+} Crossing;
+
 static bool
 is_answered (Testbed *tb, const RawCall *c)
 {
@@ -188,26 +196,27 @@
   return r->status == 503 && r->complete && runs_of (tb, c->id) == 0;
 }
 
-/* Opens a connection to the first entry and sends a request; false when refused. */
+/* Opens a connection and sends a request; false when refused. */
 static bool
-connect_and_send (Testbed *tb, RawCall *c, unsigned number)
+connect_and_send (RawCall *c, const Crossing *crossing, unsigned number)
 {
   char *text;
 
-  if (!raw_call_open (c, tb->entry[0]))
+  if (!raw_call_open (c, crossing->address))
     return false;
   c->id = g_strdup_printf ("crosses-%u", number);
-  text = raw_call_text (c, number % 2 == 0 ? "/r/x" : "/o/x", LATE_MS,
-                        number % 2 == 0 ? NULL : "x");
+  text = raw_call_text (c, crossing->target, LATE_MS, crossing->body);
   CHECK (raw_call_send (c, text, strlen (text)));
   g_free (text);
   return true;
 }
 
-/* Guards against the reset of a connection that waits unaccepted (soak, seed 50015). */
+/* Stops the first entry, which is held up in short pieces while callers connect to it,
+ * and checks that each gets an answer. */
 static void
-test_connection_unaccepted_as_the_listener_closes_is_answered (Testbed *tb)
+check_crossings (Testbed *tb, const Crossing crossings[2])
 {
+  static unsigned number;
   pid_t pid = tb->entry_process[0].pid;
   RawCall calls[HELD_CALLS] = { 0 };
   gint64 began_us = g_get_monotonic_time ();
@@ -221,25 +230,43 @@
     {
       kill (pid, SIGSTOP);
       for (unsigned i = 0; i < 2 && n < HELD_CALLS; i++)
-        n += connect_and_send (tb, &calls[n], n);
+        n += connect_and_send (&calls[n], &crossings[i], ++number);
       g_usleep (HELD_MS * US_PER_MS);
       kill (pid, SIGCONT);
       g_usleep (RUNNING_MS * US_PER_MS);
     }
   CHECK (n > 0);
-  for (unsigned i = 0; i < HELD_CALLS; i++)
+  for (unsigned i = 0; i < n; i++)
     {
-      if (i < n)
-        {
-          raw_call_end (&calls[i], ANSWER_MS, false);
-          cut += !is_answered (tb, &calls[i]);
-        }
+      raw_call_end (&calls[i], ANSWER_MS, false);
+      cut += !is_answered (tb, &calls[i]);
       raw_call_free (&calls[i]);
     }
   CHECK (cut == 0);
   restart_first_entry (tb);
 }
 
+/* Guards against the reset of a connection that waits unaccepted (soak, seed 50015). */
+static void
+test_connection_unaccepted_as_the_listener_closes_is_answered (Testbed *tb)
+{
+  const Crossing crossings[]
+      = { { tb->entry[0], "/r/x", NULL }, { tb->entry[0], "/o/x", "x" } };
+
+  check_crossings (tb, crossings);
+}
+
+/* The same for callers who ask for the list of entries, or whether the entry is ready. */
+static void
+test_questions_as_an_entry_ends_are_answered (Testbed *tb)
+{
+  const Crossing crossings[]
+      = { { tb->directory[0], "/-/resolve?name=x.example&region=r1&zone=d1", NULL },
+          { tb->ready[0], "/-/readyz", NULL } };
+
+  check_crossings (tb, crossings);
+}
+
 const TestFunc stop_tests[] = {
   test_stream_late_in_a_stop_is_not_cut,
   test_second_sigterm_cuts_nothing,
@@ -247,5 +274,6 @@
   test_kept_connections_lose_no_request,
   test_request_read_after_a_pause_in_a_stop_is_answered,
   test_connection_unaccepted_as_the_listener_closes_is_answered,
+  test_questions_as_an_entry_ends_are_answered,
   NULL,
 };
