--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -571,6 +571,7 @@
   client->multi = curl_multi_init ();
   client->calls = g_hash_table_new (NULL, NULL);
   ev_timer_init (&client->timeout, on_curl_timeout, 0.0, 0.0);
+  ev_set_priority (&client->timeout, DL_TIMER_PRIORITY);
   client->timeout.data = client;
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -507,6 +507,7 @@
   start_signal (kernel, &kernel->sigusr1, SIGUSR1, on_dump_signal);
   block_signals (false);
   ev_init (&kernel->drain_timer, on_drain_timer);
+  ev_set_priority (&kernel->drain_timer, DL_TIMER_PRIORITY);
   kernel->drain_timer.data = kernel;
   ev_prepare_init (&kernel->prepare, on_prepare);
   kernel->prepare.data = kernel;
@@ -675,6 +676,7 @@
   timer->data = data;
   ev_timer_init (&timer->watcher, on_timer, (double)first_ms / MILLISECONDS_PER_SECOND,
                  (double)repeat_ms / MILLISECONDS_PER_SECOND);
+  ev_set_priority (&timer->watcher, DL_TIMER_PRIORITY);
   timer->watcher.data = timer;
   ev_timer_start (timer->loop, &timer->watcher);
   talloc_set_destructor (timer, timer_destroy);
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -38,6 +38,10 @@
 /* Drops a reference; the last one frees the message. */
 void dl_message_unref (void *message);
 
+/* Priority of timers in the event loop: below that of sockets, so that what has arrived
+ * is handled before a timer decides that it did not come. */
+#define DL_TIMER_PRIORITY EV_MINPRI
+
 /* Time at the end of a graceful shutdown for sending the last responses. */
 #define DL_STOP_FINAL_MS 200
 
--- a/regress/unit/test_stop.c
+++ b/regress/unit/test_stop.c
@@ -19,6 +19,7 @@
 #define SLOW_REPLY_MS 150 /* time that the server takes for "/slow" */
 #define OTHER_TASK_MS 50  /* time that the other task takes to drain */
 #define REST_MS       100 /* after which a caller sends the rest of its first line */
+#define DUE_MS        20  /* of a timer that is due together with a request */
 #define DRAIN_MS      3000
 
 typedef enum
@@ -29,6 +30,7 @@
   CASE_HALF_LINE,
   CASE_OTHER_TASK,
   CASE_OUTLASTS,
+  CASE_TIMER_DUE,
 } StopCase;
 
 typedef struct
@@ -39,6 +41,7 @@
   struct sockaddr_in at;
   int caller;             /* its socket */
   DlHttpRequest *pending; /* to "/never"; NULL for none */
+  bool handled;           /* a request was */
 } Stop;
 
 static Stop stop;
@@ -69,6 +72,7 @@
 static void
 on_request (DlHttpRequest *request, void *data)
 {
+  stop.handled = true;
   if (strcmp (dl_http_request_path (request), "/slow") == 0)
     dl_timer_subscribe (stop.task, request, SLOW_REPLY_MS, 0, on_slow_reply, request);
   else if (strcmp (dl_http_request_path (request), "/never") == 0)
@@ -77,9 +81,23 @@
     dl_http_reply (request, 200, NULL, DL_STR_LITERAL ("done"), NULL);
 }
 
+static void
+on_due (DlTimer *timer, void *data)
+{
+  CU_ASSERT_TRUE (stop.handled);
+  dl_kernel_stop (dl_task_kernel (stop.task));
+}
+
 static void
 on_settled (DlTimer *timer, void *data)
 {
+  if (stop.running == CASE_TIMER_DUE)
+    {
+      send_text ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+      dl_timer_subscribe (stop.task, dl_task_state (stop.task), DUE_MS, 0, on_due, NULL);
+      g_usleep (2 * DUE_MS * 1000);
+      return;
+    }
   dl_kernel_stop (dl_task_kernel (stop.task));
 }
 
@@ -124,6 +142,7 @@
   switch (stop.running)
     {
     case CASE_NONE:
+    case CASE_TIMER_DUE:
       break;
     case CASE_UNREAD:
       send_text ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -261,6 +280,12 @@
   check_answered (CASE_OUTLASTS, "abandoned");
 }
 
+static void
+test_request_that_arrived_before_a_timer_was_due_is_handled_first (void)
+{
+  check_answered (CASE_TIMER_DUE, "done");
+}
+
 static const CU_TestInfo stop_tests[] = {
   { "a request that arrives as the process ends is answered",
     test_request_that_arrives_as_a_process_ends_is_answered },
@@ -272,6 +297,8 @@
     test_request_read_while_another_task_drains_is_answered },
   { "a request read after its task drained is abandoned with an answer",
     test_request_read_after_its_task_drained_is_abandoned_with_an_answer },
+  { "a request that arrived before a timer was due is handled first",
+    test_request_that_arrived_before_a_timer_was_due_is_handled_first },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("stop", stop_tests)
