--- a/regress/direct/malformed.c
+++ b/regress/direct/malformed.c
@@ -35,6 +35,7 @@
 #define PIECES_ONE_IN      3
 #define FETCHED_EVERY      20
 #define PAUSE_US           20000
+#define ODD_DISCONNECT_MS  6000
 #define DATAGRAM_TARGETS   4
 
 static GRand *rand_source;
@@ -204,6 +205,54 @@
   CHECK (eventually (requests_are_served, tb));
 }
 
+/* Headers of callers' requests whose values are out of range, or no values. */
+static const char *const odd_headers[] = {
+  "X-Deadline-Ms: 0",
+  "X-Deadline-Ms: -1",
+  "X-Deadline-Ms: 18446744073709551615",
+  "X-Deadline-Ms: 99999999999999999999999999",
+  "X-Deadline-Ms: 1e30",
+  "X-Deadline-Ms: x",
+  "X-Token-Usage: -1,-1",
+  "X-Token-Usage: 18446744073709551615,18446744073709551615",
+  "X-Token-Usage: ,",
+  "X-Prompt-Prefix: ,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,",
+  "X-Prompt-Prefix: :,:,:",
+  "X-Prompt-Prefix: a:18446744073709551616,b:-1",
+  "X-Prompt-Prefix: "
+  "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef:1,b:1",
+  "Last-Event-Id: 18446744073709551615",
+  "Last-Event-Id: -1",
+  "X-Length-Hint: 1e400",
+  "Connection: X-Request-Id, Host, Authorization, close",
+  "Range: bytes=0-1",
+  "Expect: 200-ok",
+};
+
+/* Each odd header on a route of each kind. */
+static void
+test_odd_header_values (Testbed *tb)
+{
+  static const char *const paths[] = { "/r/x", "/s/x", "/o/x", "/p/x" };
+  Response r;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_headers); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (paths); k++)
+      {
+        g_autofree char *id = g_strdup_printf ("odd-%" G_GSIZE_FORMAT, i);
+        Call c = default_call (tb, paths[k], id);
+
+        c.header = odd_headers[i];
+        c.deadline_ms = 0;
+        c.disconnect_ms = ODD_DISCONNECT_MS;
+        r = call (&c);
+        check (r.status != 0, "the request was answered", odd_headers[i], __LINE__);
+        response_free (&r);
+      }
+  check_all_run (tb);
+  CHECK (eventually (requests_are_served, tb));
+}
+
 /* -------- datagrams -------- */
 
 typedef struct
@@ -384,4 +433,5 @@
 }
 
 const TestFunc malformed_tests[]
-    = { begin, test_requests, test_datagrams, test_objects, test_answers, end, NULL };
+    = { begin,        test_odd_header_values, test_requests, test_datagrams,
+        test_objects, test_answers,           end,           NULL };
