A version of a model with a long name no longer ends every process

What callers saw: an odd object of kind versions in the store, whose model's name does not fit a datagram, ended all entries and stagers, again after each start: no request was answered.

Cause: nodes tell each other the target version with its model's name, and a status longer than a datagram (1,400 bytes) was an assertion. The name came from the store, or from a datagram of another node, of any length.

Ruled out: the other assertions in what daisydirectd and daisystaged read: a retry that was reserved in the same run (dispatch.c), a second response to a request (http_server.c), memory.

Tests: names of 0, 129, 1000, 1400 and 5000 bytes beside a sound version, in group entries.

--- a/lib/node/peers_datagrams.c
+++ b/lib/node/peers_datagrams.c
@@ -21,6 +21,14 @@
 
 /* -------- sending -------- */
 
+/* Leaves out what holds texts of any length; the rest is bounded by its senders. */
+static void
+drop_texts (Daisyloft__Wire__NodeStatus *status)
+{
+  status->named = NULL;
+  status->n_holding = 0;
+}
+
 size_t
 dl_peers_pack (const DlPeers *peers,
                Daisyloft__Wire__NodeStatus *status,
@@ -34,6 +42,11 @@
   status->number = number;
   status->role = peers->options.role;
   length = daisyloft__wire__node_status__get_packed_size (status);
+  if (length > DATAGRAM_MAX_BYTES)
+    {
+      drop_texts (status);
+      length = daisyloft__wire__node_status__get_packed_size (status);
+    }
   g_assert (length <= DATAGRAM_MAX_BYTES);
   return daisyloft__wire__node_status__pack (status, bytes);
 }
--- a/lib/node/target_version.c
+++ b/lib/node/target_version.c
@@ -6,6 +6,8 @@
 
 #include "policy/version_floor.h"
 
+#define MODEL_MAX_BYTES 128
+
 DlTargetDiscovery
 dl_target_version_discovery (const DlObjectWatch *watch)
 {
@@ -17,6 +19,16 @@
                                                  : DL_TARGET_LATE;
 }
 
+bool
+dl_model_name_is_valid (const char *name)
+{
+  size_t length = 0;
+
+  while (g_ascii_isgraph (name[length]))
+    length++;
+  return name[length] == '\0' && length > 0 && length <= MODEL_MAX_BYTES;
+}
+
 /* The time AGE_MS before NOW_MS; 1 when that is before the clock's start. */
 static uint64_t
 time_before (uint64_t now_ms, uint64_t age_ms)
--- a/lib/node/target_version.h
+++ b/lib/node/target_version.h
@@ -61,4 +61,8 @@
                                 Daisyloft__Wire__Named *wire,
                                 uint64_t now_ms);
 
+/* True for the name of a model: printable ASCII without spaces, short enough for a
+ * datagram. */
+bool dl_model_name_is_valid (const char *name);
+
 #endif
--- a/lib/node/version_watch.c
+++ b/lib/node/version_watch.c
@@ -194,7 +194,7 @@
   if (now_ms < dl_kernel_resumed_ms (watch->kernel) + READ_AFTER_PAUSE_MS)
     return;
   changed = receive_announcements (watch, status, now_ms);
-  if (status->named != NULL
+  if (status->named != NULL && dl_model_name_is_valid (status->named->model)
       && dl_target_version_from_node (watch, &watch->target, status->named, now_ms))
     {
       changed |= add_target (watch, now_ms);
--- a/regress/direct/entries.c
+++ b/regress/direct/entries.c
@@ -276,7 +276,25 @@
   check_all_hold (tb, "odd objects of all kinds, listed");
 }
 
+/* Versions of models whose names are too long for a datagram, or no names. */
+static void
+test_odd_model_of_version_ended_processes (Testbed *tb)
+{
+  static const unsigned lengths[] = { 0, 129, 1000, 1400, 5000 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      g_autofree char *model = g_strnfill (lengths[i], 'm');
+      g_autofree char *spec = g_strdup_printf ("{\"model\":\"%s\",\"version\":1}", model);
+
+      CHECK (testbed_put (tb, "versions", "odd", spec));
+      check_all_hold (tb, "the model of a version");
+    }
+  CHECK (testbed_delete (tb, "versions", "odd"));
+}
+
 const TestFunc entry_tests[] = {
+  test_odd_model_of_version_ended_processes,
   test_odd_entry_hid_later_changes_of_others,
   test_odd_entries_hid_others_from_processes_that_start,
   test_odd_entries_spoiled_the_copy_of_a_reader,
--- a/regress/direct/malformed.c
+++ b/regress/direct/malformed.c
@@ -219,8 +219,7 @@
   "X-Prompt-Prefix: ,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,,",
   "X-Prompt-Prefix: :,:,:",
   "X-Prompt-Prefix: a:18446744073709551616,b:-1",
-  "X-Prompt-Prefix: "
-  "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef:1,b:1",
+  "X-Prompt-Prefix: 0123456789abcdef0123456789abcdef0123456789abcdef:1,b:1",
   "Last-Event-Id: 18446744073709551615",
   "Last-Event-Id: -1",
   "X-Length-Hint: 1e400",
