Tests: a configuration that comes while requests run takes no answer from them

Found: no such case; no logic changes. A request keeps the table of its arrival (a reference), so that nothing it uses is freed.

Decided: it also keeps the timeout of its arrival, both ways. A shorter one must not cut what was begun under the longer one.

Evidence: new group 'config' of regress/direct. A stream, an unsafe and a safe request run while the timeout grows, shrinks, the route moves, is split or removed, the key goes, the body limit falls, or 2,000 routes come: each gets its answer, and ran once. Ended by the timeout of their arrival: 504 twice, and the stream cut. Later requests have the new one. Not shown: a failure with the mechanism broken.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -208,6 +208,7 @@
   { "stop", { stop_tests, stop_moment_tests } },
   { "stop-moments", { stop_moment_tests } },
   { "time", { time_tests } },
+  { "config", { config_tests } },
   { "reader", { reader_tests } },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -226,6 +226,8 @@
 extern const TestFunc stop_moment_tests[];
 /* Requests that run out of time. */
 extern const TestFunc time_tests[];
+/* Configurations that come while requests run. */
+extern const TestFunc config_tests[];
 /* Entries that read the store for others. */
 extern const TestFunc reader_tests[];
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
