--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -182,7 +182,7 @@
   dl_signatures_add_whole (&r->incoming.signatures, r->identity);
 }
 
-/* A later table changes it no more: upstreams are given this time, and stop at its end. */
+/* A later table does not change it: upstreams were given this time, and stop then. */
 static void
 set_deadline (Request *r)
 {
