daisyentryd: a keyed call whose claim is not written when a stop's time is over gets its answer

Cause: at the end of a stop's time only attempts at upstreams were ended, and a call that waits for its claim has none.

Change: such a call is closed (dl_claim_close): its caller gets 503, not run, and that is true, as a closed claim dispatches nothing; one that is confirmed later is recorded as not run.

Open: a stream that waits between two attempts at that moment.

--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -445,6 +445,7 @@
       dl_message_unref (m);
     }
   g_list_free_full (ids, g_free);
+  caller_claims_abandon (t);
 }
 
 /* -------- the task -------- */
@@ -575,6 +576,7 @@
   t->settings = entry_settings (task);
   t->in_contact = true;
   g_queue_init (&t->expiries);
+  g_queue_init (&t->claims);
   t->objects = dl_object_client_new (task, t, t->settings->platform,
                                      t->settings->platform_timeout_ms);
   t->organisations = g_hash_table_new (g_str_hash, g_str_equal);
--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -50,6 +50,7 @@
   bool abandoned;         /* the time of the stop is over: no attempt is started */
   GQueue expiries;        /* of ClaimExpiry, in the order of their times */
   unsigned active_claims; /* calls in progress and outcomes being recorded */
+  GQueue claims;          /* of CallerClaim: these */
   uint64_t next_id;
 } CallersTask;
 
@@ -133,6 +134,9 @@
 void caller_claim_start (CallersTask *callers,
                          DlHttpRequest *http,
                          const ParsedRequest *parsed);
+/* Ends each call that has not been dispatched with its final response; its claim, if it
+ * is confirmed later, is recorded as not run. */
+void caller_claims_abandon (CallersTask *callers);
 
 /* Schedules the deletion of the claim NAME, whose outcome was recorded at REVISION. */
 void callers_schedule_expiry (CallersTask *callers, const char *name, uint64_t revision);
--- a/daisyentryd/callers_claim.c
+++ b/daisyentryd/callers_claim.c
@@ -62,6 +62,7 @@
   bool response_too_long;
   json_object *recorded; /* value of the claim object as last read */
   DlTimer *backoff_timer;
+  GList link; /* in the callers' list */
 };
 
 static void step_claim (CallerClaim *c, const DlClaimEvent *event);
@@ -476,6 +477,7 @@
     callers_cancel_attempt (c->callers, &c->attempt);
   json_object_put (c->recorded);
   c->callers->active_claims--;
+  g_queue_unlink (&c->callers->claims, &c->link);
   return 0;
 }
 
@@ -499,7 +501,24 @@
                  dl_str (parsed->key), c->name);
   dl_claim_init (&c->claim, dl_random_name (c), &body);
   callers->active_claims++;
+  c->link.data = c;
+  g_queue_push_tail_link (&callers->claims, &c->link);
   talloc_set_destructor (c, claim_destroy);
   dl_http_request_on_closed (http, on_caller_closed, c);
   step_claim (c, &start);
 }
+
+void
+caller_claims_abandon (CallersTask *callers)
+{
+  for (GList *l = callers->claims.head; l != NULL; l = l->next)
+    {
+      CallerClaim *c = l->data;
+
+      if (c->claim.dispatched)
+        continue;
+      dl_claim_close (&c->claim);
+      refuse (c, HTTP_UNAVAILABLE, CALLERS_NOT_RUN, NOT_RUN_RETRY_MS,
+              "this entry ended before the call was claimed");
+    }
+}
--- a/lib/policy/claim.c
+++ b/lib/policy/claim.c
@@ -73,6 +73,12 @@
   g_strlcpy (claim->nonce, nonce, sizeof claim->nonce);
 }
 
+void
+dl_claim_close (DlClaim *claim)
+{
+  claim->closed = true;
+}
+
 static uint64_t
 backoff_ms (unsigned tries)
 {
@@ -117,7 +123,7 @@
 retry_later (DlClaim *c, uint64_t now_ms, DlClaimPhase phase)
 {
   c->tries++;
-  if (c->tries >= DL_CLAIM_STORE_TRIES
+  if (c->closed || c->tries >= DL_CLAIM_STORE_TRIES
       || (c->dispatch_by_ms > 0 && now_ms >= c->dispatch_by_ms))
     return finish (c, DL_CLAIM_ACT_REPLY_NOT_RUN);
   c->phase = phase;
@@ -142,7 +148,7 @@
 {
   c->revision = revision;
   c->tries = 0;
-  if (now_ms >= c->dispatch_by_ms)
+  if (c->closed || now_ms >= c->dispatch_by_ms)
     {
       c->fenced = true;
       c->outcome = DL_CLAIM_NOT_RUN;
@@ -177,7 +183,7 @@
     case DL_CLAIM_NOT_RUN:
       break;
     }
-  if (++c->tries >= DL_CLAIM_STORE_TRIES)
+  if (c->closed || ++c->tries >= DL_CLAIM_STORE_TRIES)
     return finish (c, DL_CLAIM_ACT_REPLY_NOT_RUN);
   /* An earlier write over another revision certainly failed, so the deadline restarts. */
   if (c->replaces_revision != r->revision)
--- a/lib/policy/claim.h
+++ b/lib/policy/claim.h
@@ -146,12 +146,16 @@
   DlClaimState outcome;
   bool dispatched;
   bool fenced; /* the claim was confirmed after the deadline: recorded as not run */
+  bool closed; /* nothing is dispatched any more */
 } DlClaim;
 
 /* Stores the name of the claim's object in NAME, DL_DIGEST_HEX_BYTES long. */
 void dl_claim_name (DlStr organisation, DlStr service, DlStr key, char *name);
 /* Digest that identifies the call: requests with the same key must have the same one. */
 DlDigest dl_claim_body_digest (DlStr method, DlStr path, DlStr body);
+/* From now on the attempt dispatches nothing: it ends as not run, unless it has
+ * dispatched the call before. */
+void dl_claim_close (DlClaim *claim);
 /* Starts an attempt.  NONCE is unique to it. */
 void dl_claim_init (DlClaim *claim, const char *nonce, const DlDigest *body);
 /* Handles EVENT; returns the action to take next. */
--- a/regress/unit/test_claim.c
+++ b/regress/unit/test_claim.c
@@ -410,10 +410,32 @@
   unit_assert_text (a, b);
 }
 
+/* Guards against a call that is dispatched after its caller was told that it did not run.
+ */
+static void
+test_closed_claims_dispatch_nothing (void)
+{
+  const DlDigest body = { 0 };
+  DlClaim claim;
+  DlClaimAction action;
+
+  dl_claim_init (&claim, "n", &body);
+  action
+      = dl_claim_step (&claim, &(DlClaimEvent){ .type = DL_CLAIM_EV_START, .now_ms = 1 });
+  CU_ASSERT_EQUAL (action.type, DL_CLAIM_ACT_CREATE);
+  dl_claim_close (&claim);
+  action = dl_claim_step (&claim, &(DlClaimEvent){ .type = DL_CLAIM_EV_WRITTEN,
+                                                   .now_ms = 2,
+                                                   .revision = 7 });
+  CU_ASSERT_EQUAL (action.type, DL_CLAIM_ACT_RECORD);
+  CU_ASSERT_EQUAL (action.outcome, DL_CLAIM_NOT_RUN);
+}
+
 static const CU_TestInfo claim_tests[] = {
   { "seeded schedules", test_schedules },
   { "repeated keys", test_repeats },
   { "object names", test_names },
+  { "a closed claim dispatches nothing", test_closed_claims_dispatch_nothing },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("claim", claim_tests)
