Red test: a caller who comes late in a stop is refused the connection

What callers saw: an entry that stops with requests in progress closes its listening socket 3.2 s after SIGTERM and works on for up to 4.4 s.

--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -11,6 +11,7 @@
 #define SLOW_EVENT_MS    550 /* a stream of ten events then lasts 5.5 s */
 #define DEFAULT_EVENT_MS 20
 #define LATE_MS          2900
+#define VERY_LATE_MS     4000
 #define LONG_DEADLINE_MS 20000
 #define SIGNAL_PAUSE_MS  300
 #define CROSSING_MS      200
@@ -267,6 +268,31 @@
   check_crossings (tb, crossings);
 }
 
+/* Guards against connections that are refused or cut while the entry still works. */
+static void
+test_caller_late_in_a_stop_gets_a_response (Testbed *tb)
+{
+  Call slow = slow_stream (tb, "outlives-1");
+  Call c = default_call (tb, "/r/x", "very-late-1");
+  Background b;
+  Response r;
+
+  set_fault_on_both (tb, "event_ms", SLOW_EVENT_MS);
+  background_start (&b, &slow);
+  wait_until_it_runs (tb, "outlives-1");
+  kill (tb->entry_process[0].pid, SIGTERM);
+  g_usleep (VERY_LATE_MS * US_PER_MS);
+  r = call (&c);
+  CHECK (r.complete && (r.status == 200 || r.status == 503));
+  response_free (&r);
+  background_join (&b);
+  CHECK (b.response.status == 200 && b.response.complete
+         && has_events (b.response.body, 1, 10));
+  response_free (&b.response);
+  set_fault_on_both (tb, "event_ms", DEFAULT_EVENT_MS);
+  restart_first_entry (tb);
+}
+
 const TestFunc stop_tests[] = {
   test_stream_late_in_a_stop_is_not_cut,
   test_second_sigterm_cuts_nothing,
@@ -275,5 +301,6 @@
   test_request_read_after_a_pause_in_a_stop_is_answered,
   test_connection_unaccepted_as_the_listener_closes_is_answered,
   test_questions_as_an_entry_ends_are_answered,
+  test_caller_late_in_a_stop_gets_a_response,
   NULL,
 };
