LOST: an entry that still works on requests accepts connections until they have ended

Cause: the listening socket was closed 3.2 s after SIGTERM, while requests in progress kept the entry alive until 3.2 to 7.1 s after it. Callers without a fresh list came on; where all entries stop at once there is no list at all. A handshake that crosses the closing ends as a request without an answer. Ruled out: bytes that were not read. Change: the socket closes when no request is in progress, 3.2 s after SIGTERM at the earliest, or when what is still in progress is abandoned. What cannot be finished is refused, as before. Conclusion: handshakes that cross the closing are fewer, not gone.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -22,7 +22,7 @@
 #define BODY_BYTES_MAX            (8u << 20)
 #define IDLE_TIMEOUT_S            120
 /* New connections are still accepted for this long after a graceful shutdown began, until
- * callers have learnt of it. */
+ * callers have learnt of it, and while requests are in progress. */
 #define STOP_LISTEN_MS 3200
 #define STOP_CHECK_MS  100
 /* Retry-After of requests refused because the routing table is missing, too old to check
@@ -435,8 +435,9 @@
                              on_request, requests, &requests->server);
 }
 
-/* Exits once nothing is in progress.  What arrived during a pause of this process is
- * accepted and read first. */
+/* Exits once nothing is in progress.  Until then callers that have not learnt of the
+ * shutdown get a response.  What arrived during a pause of this process is accepted and
+ * read first. */
 static void
 on_stop_check (DlTimer *timer, void *data)
 {
@@ -445,7 +446,8 @@
   uint64_t resumed_ms = dl_kernel_resumed_ms (dl_task_kernel (requests->task));
 
   if (now_ms < requests->stop_began_ms + STOP_LISTEN_MS
-      || now_ms < resumed_ms + STOP_CHECK_MS)
+      || now_ms < resumed_ms + STOP_CHECK_MS
+      || dl_http_server_active_requests (requests->server) > 0)
     return;
   dl_http_server_quiesce (requests->server);
   if (dl_http_server_active_requests (requests->server) == 0)
@@ -476,6 +478,7 @@
 {
   Requests *requests = dl_task_state (task);
 
+  dl_http_server_quiesce (requests->server);
   while (requests->first != NULL)
     {
       log_abandoned (requests->first);
