--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -60,8 +60,9 @@
 void dl_http_server_quiesce (DlHttpServer *server);
 /* From now on each response carries "Connection: close" and closes its connection. */
 void dl_http_server_disable_keepalive (DlHttpServer *server);
-/* Reads what has arrived.  Returns true if no request is in progress or has begun to
- * arrive. */
+/* Accepts and reads what has arrived, and calls the handler for it.  Returns true if no
+ * request is in progress or has begun to arrive; the part of a request's first line is
+ * only seen after dl_http_server_disable_keepalive. */
 bool dl_http_server_is_idle (DlHttpServer *server);
 /* Returns the number of requests whose response has not been sent in full. */
 unsigned dl_http_server_active_requests (const DlHttpServer *server);
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -56,8 +56,8 @@
   /* Handles a message that was posted to the task.  May be NULL. */
   void (*handle) (DlTask *task, const DlMessage *message);
   /* A graceful shutdown began.  The task calls dl_task_drained once it has nothing in
-   * progress; it goes on until all tasks have.  NULL: the shutdown does not wait for this
-   * task. */
+   * progress, and goes on until the process ends.  NULL: the shutdown does not wait for
+   * this task. */
   void (*drain) (DlTask *task);
   /* The shutdown's time is over.  The task ends what is still in progress, also if it has
    * drained, and sends its final responses, for which it has DL_STOP_FINAL_MS.  May be
