--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Builds what the scripts of the cases start besides the programs of the deploy file: the
+# stand-ins, the project's own among them, and the clients.  Run after the deploy file's
+# build, from any folder.
+set -eu
+cd "$(dirname "$0")/.."
+make -j8 lib platform BUILD=fast
+standin=../../regress/standin
+build () {
+	make -j8 -C review/common BUILD=fast PROG="$1" SRCS="$2"
+}
+build review-standin "origin.c $standin/standin.c $standin/objects.c $standin/server.c $standin/weights.c"
+for case in manifest_case era_case lost_key_case memory_case; do
+	build "review-$case" "$case.c bed.c ../../regress/direct/http.c"
+done
