--- a/review/common/bed.c
+++ b/review/common/bed.c
@@ -34,6 +34,8 @@
 #define STANDIN_PROGRAM "build/fast/bin/review-standin"
 
 const char *bed_plain_kind = "server";
+bool bed_with_proxy;
+bool bed_with_second_service;
 static GMutex record_lock;
 static Bed *running_bed;
 
@@ -275,40 +277,69 @@
   return done;
 }
 
-static const char routes_spec[]
-    = "{\"name\":\"stream\",\"hostname\":\"x.example\",\"path_prefix\":\"/s/\","
-      "\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,"
-      "\"target_gap_ms\":400,\"priority\":1,\"backend\":\"m\",\"max_attempts\":2,"
-      "\"public\":false,\"sticky\":true,\"resumable\":true},"
-      "{\"name\":\"booking\",\"hostname\":\"x.example\",\"path_prefix\":\"/o/\","
-      "\"kind\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":200,"
-      "\"priority\":2,\"backend\":\"p\",\"max_attempts\":1,\"public\":false},"
-      "{\"name\":\"look-up\",\"hostname\":\"x.example\",\"path_prefix\":\"/r/\","
-      "\"kind\":\"safe\",\"timeout_ms\":2000,\"target_latency_ms\":200,"
-      "\"priority\":2,\"backend\":\"p\",\"max_attempts\":2,\"public\":false}";
+/* With the service of the route "/o/". */
+#define ROUTES_FORMAT                                                          \
+  "{\"name\":\"stream\",\"hostname\":\"x.example\",\"path_prefix\":\"/s/\","   \
+  "\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,"      \
+  "\"target_gap_ms\":400,\"priority\":1,\"backend\":\"m\",\"max_attempts\":2," \
+  "\"public\":false,\"sticky\":true,\"resumable\":true},"                      \
+  "{\"name\":\"booking\",\"hostname\":\"x.example\",\"path_prefix\":\"/o/\","  \
+  "\"kind\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":200,"         \
+  "\"priority\":2,\"backend\":\"%s\",\"max_attempts\":1,\"public\":false},"    \
+  "{\"name\":\"look-up\",\"hostname\":\"x.example\",\"path_prefix\":\"/r/\","  \
+  "\"kind\":\"safe\",\"timeout_ms\":2000,\"target_latency_ms\":200,"           \
+  "\"priority\":2,\"backend\":\"p\",\"max_attempts\":2,\"public\":false}"
 
 static const char services_spec[]
     = "{\"name\":\"m\",\"engine\":{\"layers\":4,\"chunks\":16,\"chunk_bytes\":4096,"
       "\"models\":[{\"name\":\"big\"}],\"usual\":{\"prompt\":100,\"answer\":10}}},"
-      "{\"name\":\"p\"}";
+      "{\"name\":\"p\"},{\"name\":\"q\"}";
 
-bool
-bed_configure (Bed *bed, bool with_key2)
+static const char new_route_spec[]
+    = ",{\"name\":\"new\",\"hostname\":\"x.example\",\"path_prefix\":\"/n/\","
+      "\"kind\":\"safe\",\"timeout_ms\":2000,\"target_latency_ms\":200,"
+      "\"priority\":2,\"backend\":\"p\",\"max_attempts\":2,\"public\":false}";
+
+static bool
+write_config (Bed *bed, bool with_changes, bool with_key2)
 {
+  char *routes = g_strdup_printf (ROUTES_FORMAT "%s", with_changes ? "q" : "p",
+                                  with_changes ? new_route_spec : "");
   char *spec = g_strdup_printf (
       "{\"version\":%" PRIu64 ",\"routes\":[%s],\"services\":[%s,{\"name\":\"w\","
       "\"origin\":\"%s\",\"link_mbps\":9.9,\"max_connections\":48}],"
       "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
       "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]}]}",
-      ++bed->config_version, routes_spec, services_spec, bed->origin,
+      ++bed->config_version, routes, services_spec, bed->origin,
       with_key2 ? ",\"key2\"" : "");
   bool done = bed_put (bed, "config", "main", spec);
 
   g_free (spec);
+  g_free (routes);
   return done;
 }
 
+bool
+bed_configure (Bed *bed, bool with_key2)
+{
+  return write_config (bed, false, with_key2);
+}
+
+bool
+bed_change_routes (Bed *bed)
+{
+  return write_config (bed, true, true);
+}
+
+static const char *
+service_of (unsigned server)
+{
+  if (server < BED_MODEL_SERVERS)
+    return "m";
+  return bed_with_second_service && server == BED_SERVERS - 1 ? "q" : "p";
+}
+
 bool
 bed_list_server (Bed *bed, unsigned i)
 {
@@ -317,7 +348,7 @@
       "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"d1\",\"version\":\"1\","
       "\"slots\":%d,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,"
       "\"born\":%u,\"models\":[%s]}",
-      i < BED_MODEL_SERVERS ? "m" : "p", bed->server[i], SERVER_SLOTS, i + 1,
+      service_of (i), bed->server[i], SERVER_SLOTS, i + 1,
       i < BED_MODEL_SERVERS ? "{\"name\":\"big\",\"version\":1,\"adapters\":[]}" : "");
   bool done = bed_put (bed, "servers", name, spec);
 
@@ -336,7 +367,7 @@
       "{\"name\":\"%s\",\"region\":\"r1\",\"data_center\":\"d1\","
       "\"address\":\"%s.%u:%d\",\"metrics\":\"%s.%u:%d\",\"store\":\"%s\",%s,"
       "\"version_ms\":%d,\"grace_s\":8,\"bootstrap\":true,\"json_logs\":true}",
-      name, subnet, host, NODE_PORT, subnet, host, NODE_PORT + 15, bed->store, more,
+      name, subnet, host, NODE_PORT, subnet, host, NODE_PORT + 15, bed->via_store, more,
       BED_VERSION_MS);
 }
 
@@ -397,6 +428,12 @@
   if (bed->folder == NULL || bed->record == NULL)
     exit (BED_UNABLE);
   bed->store = g_strdup_printf ("%s.1:%d", subnet, PORT);
+  bed->via_store = g_strdup (bed->store);
+  if (bed_with_proxy)
+    {
+      bed->via_store = g_strdup_printf ("%s.3:%d", subnet, PORT);
+      bed->proxy = proxy_new (bed->via_store, bed->store);
+    }
   bed->origin = g_strdup_printf ("%s.2:%d", subnet, PORT);
   set_standin (bed, &bed->store_process, "objects", bed->store, NULL);
   set_standin (bed, &bed->origin_process, "origin", bed->origin, NULL);
--- a/review/common/bed.h
+++ b/review/common/bed.h
@@ -30,6 +30,8 @@
   char *folder; /* temporary */
   FILE *record;
   char *store;
+  char *via_store; /* where the system reaches it: a proxy, if one was asked for */
+  Proxy *proxy;    /* NULL for none */
   char *origin;
   char *server[BED_SERVERS];
   char *entry[BED_ENTRIES];
@@ -42,6 +44,10 @@
   uint64_t config_version;
 } Bed;
 
+/* Lists the last plain server under service "q" instead of "p"; set before bed_start. */
+extern bool bed_with_second_service;
+/* Puts a proxy before the store; set before bed_start. */
+extern bool bed_with_proxy;
 /* Kind of the stand-ins that are plain servers; set before bed_start. */
 extern const char *bed_plain_kind;
 
@@ -67,6 +73,9 @@
 bool bed_put (Bed *bed, const char *kind, const char *name, const char *spec);
 /* Writes the next version of the configuration, with or without key "key2". */
 bool bed_configure (Bed *bed, bool with_key2);
+/* Writes the next version, which moves the route "/o/" to service "q" and adds a route
+ * "/n/" to service "p". */
+bool bed_change_routes (Bed *bed);
 bool bed_list_server (Bed *bed, unsigned index);
 
 /* How often the servers ran request ID, by their records. */
