--- a/review/common/bed.c
+++ b/review/common/bed.c
@@ -27,13 +27,13 @@
 #define SECOND_MS       1000
 #define SERVER_SLOTS    16
 #define NANOS_PER_MS    1000000
+#define PROCESSES       (BED_ENTRIES + BED_MODEL_SERVERS + BED_SERVERS + 2)
 #define ENV_PROGRAMS    "REVIEW_PROGRAMS"
 #define ENV_STANDIN     "REVIEW_STANDIN"
 #define ENV_RECORD      "REVIEW_RECORD"
 #define PROGRAMS_FOLDER "target/fast/bin"
 #define STANDIN_PROGRAM "build/fast/bin/review-standin"
 
-const char *bed_plain_kind = "server";
 bool bed_with_proxy;
 bool bed_with_second_service;
 static GMutex record_lock;
@@ -171,7 +171,7 @@
   set_process (bed, p, name, argv);
 }
 
-/* The processes one after the other; NULL after the last. */
+/* The processes one after the other, PROCESSES of them. */
 static Process *
 each_process (Bed *bed, unsigned i)
 {
@@ -184,8 +184,6 @@
   if (i < BED_SERVERS)
     return &bed->server_process[i];
   i -= BED_SERVERS;
-  if (i > 1)
-    return NULL;
   return i == 0 ? &bed->origin_process : &bed->store_process;
 }
 
@@ -213,7 +211,7 @@
 {
   const char *to = getenv ("REVIEW_LOGS");
 
-  for (unsigned i = 0; to != NULL && each_process (bed, i) != NULL; i++)
+  for (unsigned i = 0; to != NULL && i < PROCESSES; i++)
     {
       const Process *p = each_process (bed, i);
       char *path = g_strdup_printf ("%s/%s.log", to, p->name);
@@ -230,7 +228,7 @@
 void
 bed_finish (Bed *bed, int status)
 {
-  for (unsigned i = 0; each_process (bed, i) != NULL; i++)
+  for (unsigned i = 0; i < PROCESSES; i++)
     bed_process_kill (each_process (bed, i));
   keep_logs (bed);
   remove_folder (bed);
@@ -244,7 +242,7 @@
 {
   g_usleep (RUN_MAX_S * SECOND_MS * MICROS_PER_MS);
   g_printerr ("the case takes too long\n");
-  for (unsigned i = 0; each_process (running_bed, i) != NULL; i++)
+  for (unsigned i = 0; i < PROCESSES; i++)
     bed_process_signal (each_process (running_bed, i), SIGKILL);
   _exit (BED_UNABLE);
   return NULL;
@@ -398,8 +396,7 @@
   char *knob = g_strdup_printf ("--set=instance=%u", i + 1);
 
   bed->server[i] = g_strdup_printf ("%s.%u:%d", subnet, 11 + i, PORT);
-  set_standin (bed, &bed->server_process[i],
-               i < BED_MODEL_SERVERS ? "server" : bed_plain_kind, bed->server[i], knob);
+  set_standin (bed, &bed->server_process[i], "server", bed->server[i], knob);
   g_free (knob);
 }
 
--- a/review/common/bed.h
+++ b/review/common/bed.h
@@ -48,9 +48,6 @@
 extern bool bed_with_second_service;
 /* Puts a proxy before the store; set before bed_start. */
 extern bool bed_with_proxy;
-/* Kind of the stand-ins that are plain servers; set before bed_start. */
-extern const char *bed_plain_kind;
-
 /* Starts all processes and waits until the entries are ready and serve.  Ends this
  * program with BED_UNABLE when that fails. */
 Bed *bed_start (void);
