--- a/review/common/manifest_case.c
+++ b/review/common/manifest_case.c
@@ -12,6 +12,7 @@
 #define DOWN_MS    1400
 #define JUDGED_MS  12000
 #define QUARTER    4
+#define SPOILT     2 /* answers */
 
 static void
 kill_all (Bed *bed)
@@ -59,7 +60,7 @@
     {
       kill_all (bed);
       if (g_strcmp0 (getenv ("SPOIL"), "0") != 0)
-        done = done && set_fault (bed->origin, "spoil", 1);
+        done = done && set_fault (bed->origin, "spoil", SPOILT);
       bed_sleep_until (fault_ms + DOWN_MS);
       done = start_all (bed) && done;
     }
@@ -70,8 +71,11 @@
   outcomes = bed_clients_stop (clients);
   bed_count (outcomes, began_ms, fault_ms, &sent_before, &served_before);
   bed_count (outcomes, back_ms + BED_RECOVERY_MS, UINT64_MAX, &sent, &served);
-  bed_record (bed, "origin: %" PRIu64 " answers, %" PRIu64 " of them spoilt",
-              recorded (bed->origin, "answers"), recorded (bed->origin, "spoilt"));
+  bed_record (bed,
+              "origin: %" PRIu64 " answers, %" PRIu64 " of them manifests, %" PRIu64
+              " spoilt",
+              recorded (bed->origin, "answers"), recorded (bed->origin, "manifests"),
+              recorded (bed->origin, "spoilt"));
   for (unsigned i = 0; i < BED_MODEL_SERVERS; i++)
     bed_record (bed, "server i-%u holds version %" PRIu64 " after %" PRIu64 " orders",
                 i + 1, recorded (bed->server[i], "version"),
