--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-REVIEW_RECORD="$here/record.txt" exec build/fast/bin/review-manifest_case
+REVIEW_RECORD="$here/record.txt" exec build/fast/bin/review-foreign_case
--- a/review/build.sh
+++ b/review/build.sh
@@ -11,6 +11,6 @@
 	make -j8 -C review/common BUILD=fast PROG="$1" SRCS="$2"
 }
 build review-standin "origin.c $standin/standin.c $standin/objects.c $standin/server.c $standin/weights.c"
-for case in silent_case lost_key_case manifest_case left_case era_case; do
+for case in silent_case lost_key_case foreign_case manifest_case left_case; do
 	build "review-$case" "$case.c bed.c $direct/http.c $direct/proxy.c $direct/mutate.c $direct/endless_peer.c"
 done
