--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -62,6 +62,7 @@
   bool kept;            /* though its upstream was silent for long */
   bool failure_counted; /* that silence was, for the upstream's circuit breaker */
   bool ended;           /* its end was reported to the upstream */
+  bool pinned;          /* the upstream was to refuse it with other weights */
   bool paused;          /* by this entry, as its caller reads slowly */
   bool aborted;         /* further bytes are dropped; ABORT_TIMER ends the attempt */
   DlTimer *abort_timer;
@@ -90,6 +91,14 @@
   return attempt->head.not_run && attempt->head.names_request;
 }
 
+/* True when the upstream at the address says that it is another one than was named. */
+static bool
+is_misdirected (const Attempt *attempt)
+{
+  return attempt->status == STATUS_MISDIRECTED && attempt->head.names_request
+         && !attempt->pinned;
+}
+
 /* True for a response that must not be forwarded: it does not belong to the request, or
  * it reports success without the upstream's seal.  A refusal without the request's id may
  * be an earlier one that a faulty upstream writes once more: the request that is sent now
@@ -179,6 +188,8 @@
   attempt->progress_ms = dl_clock_ms ();
   platform_read_response_head (call, status, attempt->request->incoming.id,
                                &attempt->head);
+  if (is_success (attempt) && attempt->head.has_seal && attempt->head.names_request)
+    direct_upstream_responded (attempt->upstream, attempt->sent_ms);
   if (attempt->head.leaving)
     direct_upstream_announced_leaving (attempt->upstream);
   if (attempt->head.hold_off_ms > 0)
@@ -261,6 +272,8 @@
 static DirectAttemptOutcome
 error_outcome (const Attempt *attempt)
 {
+  if (is_misdirected (attempt))
+    return DIRECT_ATTEMPT_UNREACHABLE;
   return attempt->head.hold_off_ms > 0 || is_time_over (attempt) ? DIRECT_ATTEMPT_NEUTRAL
                                                                  : DIRECT_ATTEMPT_FAILED;
 }
@@ -578,6 +591,7 @@
 {
   Attempt *attempt = talloc_zero (r, Attempt);
   uint64_t now_ms = dl_clock_ms ();
+  uint64_t version;
   char *url;
 
   g_assert (attempt != NULL && r->attempt == NULL);
@@ -598,6 +612,8 @@
   talloc_set_destructor (attempt, attempt_destroy);
   dl_metric_add (&metric_attempts, 1);
   url = talloc_asprintf (attempt, "http://%s/", upstream->address);
+  version = pinned_version (r, upstream, now_ms);
+  attempt->pinned = version > 0;
   attempt->call = dl_http_call (
       r->owner->client, attempt,
       &(DlHttpCallOptions){
@@ -610,7 +626,7 @@
                   .remaining_ms = attempt->given_ms,
                   .organisation = r->organisation != NULL ? r->organisation->name : NULL,
                   .upstream = upstream->id,
-                  .version = pinned_version (r, upstream, now_ms),
+                  .version = version,
                   .last_event_id = stream_position (r),
               }),
           .body = dl_http_request_body (r->http),
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -31,6 +31,11 @@
            "daisy_direct_hold_offs_total",
            "Hold-offs that upstreams asked for when they shed a request.")
 
+DL_METRIC (metric_contested,
+           DL_METRIC_COUNTER,
+           "daisy_direct_contested_addresses_total",
+           "Upstreams that were listed at the address of another listed one.")
+
 struct DirectUpstreams
 {
   const DlNodeSettings *settings;
@@ -82,14 +87,6 @@
   talloc_free (u);
 }
 
-static void
-mark_removed (DirectUpstream *u, uint64_t now_ms)
-{
-  u->removed = true;
-  u->removed_ms = now_ms;
-  free_when_unused (u, now_ms);
-}
-
 static void
 free_forgotten (DirectUpstreams *upstreams, uint64_t now_ms)
 {
@@ -102,22 +99,79 @@
     }
 }
 
-/* Only one upstream can run at an address: when a new one is listed there, the others
- * have ended. */
+/* -------- claims to addresses -------- */
+
+static bool
+is_rival (const DirectUpstream *u, const DirectUpstream *other)
+{
+  return other != u && !other->removed && strcmp (other->address, u->address) == 0;
+}
+
 static void
-remove_others_at (DirectUpstreams *upstreams,
-                  const char *id,
-                  const char *address,
-                  uint64_t now_ms)
+set_displaced (DirectUpstream *u, const DirectUpstream *by)
 {
-  DirectUpstream *next;
+  bool displaced = dl_availability_is_displaced (&u->claim, &by->claim);
 
-  for (DirectUpstream *u = upstreams->first; u != NULL; u = next)
-    {
-      next = u->next;
-      if (!u->removed && strcmp (u->address, address) == 0 && strcmp (u->id, id) != 0)
-        mark_removed (u, now_ms);
-    }
+  if (displaced && !u->displaced)
+    dl_log (DL_EVENT_DIRECT_UPSTREAM_DISPLACED, DL_TEXT ("upstream", u->id),
+            DL_TEXT ("service", u->service), DL_TEXT ("address", u->address),
+            DL_TEXT ("responded", by->id));
+  u->displaced = displaced;
+}
+
+/* U was listed with its address, to which others may have a claim. */
+static void
+claim_address (DirectUpstream *u, uint64_t now_ms)
+{
+  u->claim = (DlAddressClaim){ .listed_ms = now_ms };
+  u->contested = false;
+  u->displaced = false;
+  for (DirectUpstream *other = u->owner->first; other != NULL; other = other->next)
+    if (is_rival (u, other))
+      {
+        u->contested = true;
+        other->contested = true;
+        dl_metric_add (&metric_contested, 1);
+        dl_log (DL_EVENT_DIRECT_UPSTREAM_CONTESTED, DL_TEXT ("upstream", u->id),
+                DL_TEXT ("service", u->service), DL_TEXT ("address", u->address),
+                DL_TEXT ("other", other->id), DL_TEXT ("other_service", other->service));
+      }
+}
+
+void
+direct_upstream_responded (DirectUpstream *u, uint64_t sent_ms)
+{
+  u->claim.responded_ms = MAX (u->claim.responded_ms, sent_ms);
+  if (!u->contested || u->removed)
+    return;
+  for (DirectUpstream *other = u->owner->first; other != NULL; other = other->next)
+    if (is_rival (u, other))
+      {
+        set_displaced (other, u);
+        set_displaced (u, other);
+      }
+}
+
+/* U has no claim any more; which of its rivals is there is open again. */
+static void
+release_address (const DirectUpstream *u)
+{
+  if (!u->contested)
+    return;
+  for (DirectUpstream *other = u->owner->first; other != NULL; other = other->next)
+    if (is_rival (u, other))
+      other->displaced = false;
+}
+
+/* -------- listing -------- */
+
+static void
+mark_removed (DirectUpstream *u, uint64_t now_ms)
+{
+  release_address (u);
+  u->removed = true;
+  u->removed_ms = now_ms;
+  free_when_unused (u, now_ms);
 }
 
 static void
@@ -173,11 +227,8 @@
       mark_removed (u, now_ms);
       u = NULL;
     }
-  if (u == NULL || u->removed)
-    remove_others_at (upstreams, entry->id, entry->address, now_ms);
   if (u == NULL)
     u = add (upstreams, entry->id);
-  u->removed = false;
   u->started_ms = MAX (u->started_ms, entry->started_ms);
   return u;
 }
@@ -201,9 +252,13 @@
                       uint64_t now_ms)
 {
   DirectUpstream *u = listed_instance (upstreams, entry, now_ms);
+  bool claims = u->removed || u->address == NULL || strcmp (u->address, entry->address);
 
+  u->removed = false;
   set_text (u, &u->service, entry->service);
   set_text (u, &u->address, entry->address);
+  if (claims)
+    claim_address (u, now_ms);
   u->same_data_center
       = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
   if (entry->leaving)
@@ -244,7 +299,10 @@
 {
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     {
-      if (u->removed || strcmp (u->address, engine->address) != 0)
+      bool is_same = dl_availability_is_same_instance (u->started_ms, engine->started_ms);
+
+      if (u->removed || strcmp (u->address, engine->address) != 0
+          || (u->contested && (u->displaced || !is_same)))
         continue;
       u->has_engine = true;
       set_slots (u, u->slots);
@@ -252,12 +310,10 @@
       u->version = engine->version;
       u->stager_report_ms = now_ms;
       u->load.pace = engine->pace;
-      if (engine->leaving
-          && dl_availability_is_same_instance (u->started_ms, engine->started_ms))
+      if (engine->leaving && is_same)
         direct_upstream_announced_leaving (u);
       dl_balance_report (&u->load, engine->running + engine->waiting, sharing_entries (u),
                          dl_random_uint64 (), now_ms);
-      return;
     }
 }
 
@@ -337,7 +393,7 @@
 {
   uint64_t required;
 
-  if (u->removed || u->availability.leaving
+  if (u->removed || u->displaced || u->availability.leaving
       || strcmp (u->service, query->service->name) != 0)
     return false;
   if (!query->service->has_engine)
@@ -451,6 +507,7 @@
         continue;
       count.listed++;
       count.loading += u->loading;
+      count.displaced += u->displaced;
       count.ejected += !dl_breaker_allows (&u->breaker, now_ms);
       count.held_off += dl_availability_hold_ms (&u->availability, now_ms) > 0;
       count.outdated += u->has_engine && u->version < required;
@@ -588,6 +645,7 @@
       json_object_object_add (o, "leaving",
                               json_object_new_boolean (u->availability.leaving));
       json_object_object_add (o, "gone", json_object_new_boolean (u->removed));
+      json_object_object_add (o, "displaced", json_object_new_boolean (u->displaced));
       json_object_object_add (o, "loading", json_object_new_boolean (u->loading));
       json_object_object_add (o, "version", json_object_new_uint64 (u->version));
       json_object_object_add (o, "own", json_object_new_int ((int)u->load.in_flight));
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -28,6 +28,9 @@
   GHashTable *idle_entries;    /* address of an entry to when it told that it has no
                                 * requests for the service */
   DlAvailability availability; /* as it announced in responses or in the list */
+  DlAddressClaim claim;        /* to its address */
+  bool contested;              /* another listed upstream has claimed the same address */
+  bool displaced;              /* another upstream responds at its address */
   bool removed;                /* no longer listed */
   uint64_t removed_ms;         /* when it was removed from the list */
   bool has_engine;             /* according to its list entry or its stager */
@@ -54,7 +57,7 @@
 void
 direct_upstreams_remove (DirectUpstreams *upstreams, const char *id, uint64_t now_ms);
 /* Updates the upstream at the engine's address, if there is one, from its stager's
- * report. */
+ * report; all of them, when the start times do not tell several apart. */
 void direct_upstreams_update_engine (DirectUpstreams *upstreams,
                                      const DirectEngineStatus *engine,
                                      uint64_t now_ms);
@@ -122,11 +125,12 @@
  * reasons not to use it. */
 typedef struct
 {
-  unsigned listed;   /* listed and not leaving */
-  unsigned loading;  /* of these, down or loading weights */
-  unsigned ejected;  /* of these, with an open circuit breaker */
-  unsigned outdated; /* of these, with weights too old to start a request */
-  unsigned held_off; /* of these, in a hold-off that they asked for */
+  unsigned listed;    /* listed and not leaving */
+  unsigned loading;   /* of these, down or loading weights */
+  unsigned ejected;   /* of these, with an open circuit breaker */
+  unsigned outdated;  /* of these, with weights too old to start a request */
+  unsigned displaced; /* of these, with another upstream at their address */
+  unsigned held_off;  /* of these, in a hold-off that they asked for */
 } DirectUpstreamCount;
 
 DirectUpstreamCount direct_upstreams_count (const DirectUpstreams *upstreams,
@@ -139,13 +143,18 @@
 /* The response of an attempt has begun. */
 void direct_upstream_started (DirectUpstream *upstream, uint64_t prompt_tokens);
 
+/* The upstream, by name, responded to a request sent at SENT_MS: no other one runs at its
+ * address. */
+void direct_upstream_responded (DirectUpstream *upstream, uint64_t sent_ms);
+
 /* How an attempt counts for its upstream's circuit breaker and failure rate. */
 typedef enum
 {
   DIRECT_ATTEMPT_SERVED,
-  DIRECT_ATTEMPT_FAILED,      /* by the upstream's fault */
-  DIRECT_ATTEMPT_UNREACHABLE, /* could not connect; ejects the upstream at once */
-  DIRECT_ATTEMPT_NEUTRAL,     /* allows no conclusion about the upstream */
+  DIRECT_ATTEMPT_FAILED, /* by the upstream's fault */
+  /* Could not connect, or another upstream is at its address; ejects it at once. */
+  DIRECT_ATTEMPT_UNREACHABLE,
+  DIRECT_ATTEMPT_NEUTRAL, /* allows no conclusion about the upstream */
 } DirectAttemptOutcome;
 
 /* An attempt ended; STARTED: direct_upstream_started was called for it.  Frees the
--- a/lib/policy/availability.c
+++ b/lib/policy/availability.c
@@ -56,3 +56,10 @@
 {
   return a_ms == 0 || b_ms == 0 || a_ms == b_ms;
 }
+
+bool
+dl_availability_is_displaced (const DlAddressClaim *claim, const DlAddressClaim *rival)
+{
+  return rival->responded_ms > claim->listed_ms
+         && rival->responded_ms > claim->responded_ms;
+}
--- a/lib/policy/availability.h
+++ b/lib/policy/availability.h
@@ -10,6 +10,11 @@
  * shows it as ready again.  One that starts again under the same id is another instance,
  * of which nothing is known yet.
  *
+ * Several listed upstreams may claim one address: that of an ended upstream is assigned
+ * again while its entry still stands, and another writer's entry may name any address.
+ * Every request names the instance that it is for, so a response tells which one is
+ * there.
+ *
  * Pure: times are milliseconds given by the caller.
  */
 #ifndef DL_AVAILABILITY_H
@@ -52,4 +57,17 @@
 /* True when two start times may be those of the same instance; 0 when unknown. */
 bool dl_availability_is_same_instance (uint64_t a_ms, uint64_t b_ms);
 
+/* A listed upstream's claim to its address. */
+typedef struct
+{
+  uint64_t listed_ms;    /* when the instance was listed with the address */
+  uint64_t responded_ms; /* latest sending of a request that it responded to; 0: none */
+} DlAddressClaim;
+
+/* True when RIVAL, another claim to the same address, shows that CLAIM does not hold: its
+ * upstream responded to a request that was sent after CLAIM was listed, and the upstream
+ * of CLAIM to none later. */
+bool dl_availability_is_displaced (const DlAddressClaim *claim,
+                                   const DlAddressClaim *rival);
+
 #endif
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -221,6 +221,7 @@
   { "undelimited", { undelimited_tests }, .with_proxies = true },
   { "heads", { head_tests }, .with_proxies = true },
   { "entries", { entry_tests } },
+  { "claimed", { claimed_tests } },
   { "silence", { silence_tests } },
   { "quarantine", { quarantine_tests } },
   { "whole-requests", { whole_request_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -239,6 +239,8 @@
 extern const TestFunc head_tests[];
 /* Odd objects in the store. */
 extern const TestFunc entry_tests[];
+/* List entries at the address of another upstream. */
+extern const TestFunc claimed_tests[];
 /* Upstreams that fall silent; the first two tests need processes that were just started.
  */
 extern const TestFunc silence_tests[];
--- a/regress/unit/test_availability.c
+++ b/regress/unit/test_availability.c
@@ -88,11 +88,48 @@
     }
 }
 
+typedef struct
+{
+  DlAddressClaim claim;
+  DlAddressClaim rival;
+  bool is_displaced;
+} ClaimCase;
+
+static const ClaimCase claim_cases[] = {
+  /* Neither has responded: which of them is there is not known. */
+  { { 5, 0 }, { 9, 0 }, false },
+  { { 9, 0 }, { 5, 0 }, false },
+  /* The rival responded, but before the other one was listed. */
+  { { 9, 0 }, { 5, 8 }, false },
+  { { 9, 0 }, { 5, 9 }, false },
+  /* And after it. */
+  { { 9, 0 }, { 5, 10 }, true },
+  { { 5, 8 }, { 9, 10 }, true },
+  /* The other one responded later. */
+  { { 9, 11 }, { 5, 10 }, false },
+  { { 5, 10 }, { 9, 10 }, false },
+};
+
+static void
+test_claims_to_one_address (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (claim_cases); i++)
+    {
+      const ClaimCase *c = &claim_cases[i];
+
+      CU_ASSERT_EQUAL (dl_availability_is_displaced (&c->claim, &c->rival),
+                       c->is_displaced);
+      CU_ASSERT_FALSE (dl_availability_is_displaced (&c->claim, &c->rival)
+                       && dl_availability_is_displaced (&c->rival, &c->claim));
+    }
+}
+
 static const CU_TestInfo tests[] = {
   { "leaving", test_leaving },
   { "hold-off", test_hold_off },
   { "retry after a hold-off", test_retry_after_hold_off },
   { "instances", test_instances },
+  { "claims to one address", test_claims_to_one_address },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("availability", tests)
