--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -29,6 +29,9 @@
   DlStr body;      /* empty when on_data is set; valid during the callback */
 } DlHttpResult;
 
+/* The end of a call. */
+typedef void (*DlHttpDone) (DlHttpCall *call, const DlHttpResult *result, void *data);
+
 /* What to call and how.  dl_http_call copies the strings, the headers and the body. */
 typedef struct
 {
@@ -49,7 +52,7 @@
   /* A part of the body has arrived.  When NULL, the body is collected for on_done. */
   void (*on_data) (DlHttpCall *call, DlStr bytes, void *data);
   /* The call has ended; it is freed after this returns.  Must not be NULL. */
-  void (*on_done) (DlHttpCall *call, const DlHttpResult *result, void *data);
+  DlHttpDone on_done;
   void *data;
 } DlHttpCallOptions;
 
--- a/lib/node/chunk_cache.c
+++ b/lib/node/chunk_cache.c
@@ -119,6 +119,7 @@
   talloc_free (cache->origin);
   cache->origin = talloc_strdup (cache, source->origin);
   cache->origin_chunk_us = source->origin_chunk_us;
+  cache->chunk_count = source->chunks;
 }
 
 DlHoldings
@@ -250,14 +251,24 @@
   return bundle->plan != NULL && dl_fetch_plan_missing (bundle->plan) == 0;
 }
 
-bool
-dl_bundle_verify_chunk (const DlBundle *bundle, unsigned index, DlStr bytes)
+char *
+dl_chunk_digest (const void *context, DlStr bytes)
 {
   g_autofree char *digest
       = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *)bytes.data,
                                      bytes.length);
 
-  return g_ascii_strcasecmp (digest, bundle->digests[index]) == 0;
+  return talloc_strdup (context, digest);
+}
+
+bool
+dl_bundle_verify_chunk (const DlBundle *bundle, unsigned index, DlStr bytes)
+{
+  char *digest = dl_chunk_digest (bundle, bytes);
+  bool matches = g_ascii_strcasecmp (digest, bundle->digests[index]) == 0;
+
+  talloc_free (digest);
+  return matches;
 }
 
 void
--- a/lib/node/chunk_cache.h
+++ b/lib/node/chunk_cache.h
@@ -21,11 +21,13 @@
 {
   DlChunkCache *cache;
   char *model;
-  uint64_t version;      /* 0: the newest at the origin, until it is known */
-  uint64_t announced_ms; /* when the version was announced, dl_clock_ms */
-  uint64_t progress_ms;  /* when the manifest or a chunk last arrived; before that, when
-                          * the bundle was opened */
+  uint64_t version;             /* 0: the newest at the origin, until it is known */
+  uint64_t unconfirmed_version; /* that, by one response of the origin; 0 for none */
+  uint64_t announced_ms;        /* when the version was announced, dl_clock_ms */
+  uint64_t progress_ms; /* when the manifest or a chunk last arrived; before that, when
+                         * the bundle was opened */
   uint64_t manifest_requested_ms; /* when the manifest was last requested; 0 for never */
+  uint64_t manifest_checked_ms;   /* the same for one more, as a chunk did not match */
   DlManifestTimes manifest_times; /* of the requests to the origin */
   unsigned manifest_times_of; /* for which changes of the holders they were computed */
   unsigned count;             /* of chunks; 0 until the manifest has arrived */
--- a/lib/node/chunk_cache_private.h
+++ b/lib/node/chunk_cache_private.h
@@ -1,6 +1,7 @@
 /*
  * Declarations shared by the chunk cache's files: chunk_cache.c stores chunks,
- * chunk_cache_fetch.c fetches them and chunk_cache_serve.c serves them.
+ * chunk_cache_manifest.c fetches manifests, chunk_cache_fetch.c chunks, and
+ * chunk_cache_serve.c serves both.
  */
 #ifndef DL_CHUNK_CACHE_PRIVATE_H
 #define DL_CHUNK_CACHE_PRIVATE_H
@@ -9,6 +10,9 @@
 
 #include "node/chunk_cache.h"
 
+#define DL_CHUNK_CONNECT_TIMEOUT_MS 500
+#define DL_CHUNK_STATUS_OK          200
+
 /* A holder, as it last advertised itself. */
 typedef struct
 {
@@ -23,7 +27,8 @@
   DlHttpClient *client;
   DlHttpServer *server;
   char *origin;             /* NULL until known */
-  uint64_t origin_chunk_us; /* as in DlWeightSource */
+  uint64_t origin_chunk_us; /* this and the next as in DlWeightSource */
+  unsigned chunk_count;
   GHashTable *holders;      /* name to DlKnownHolder */
   unsigned holders_changes; /* how often a holder was added or removed */
   uint64_t expired_ms;      /* when holders were last checked for their timeout */
@@ -40,6 +45,15 @@
 /* Requests the manifest, unless the last request is too recent or no node may be asked
  * now. */
 void dl_bundle_fetch_manifest (DlBundle *bundle);
+/* Chunk INDEX came from PEER, NULL for the origin, as BYTES, which do not match the
+ * manifest: asks that source for its manifest, unless a manifest was asked for shortly
+ * before, and adopts it for the missing chunks when it lists the digest of BYTES. */
+void dl_bundle_check_manifest (DlBundle *bundle,
+                               unsigned index,
+                               DlStr bytes,
+                               const char *peer);
+/* The digest of BYTES, as in a manifest; a talloc child of CONTEXT. */
+char *dl_chunk_digest (const void *context, DlStr bytes);
 /* Starts all fetches of chunks that the plan allows now. */
 void dl_bundle_fetch_chunks (DlBundle *bundle);
 /* Starts the server for other nodes.  Returns 0 or a negative error. */
--- a/lib/node/holding.c
+++ b/lib/node/holding.c
@@ -32,6 +32,7 @@
     return source;
   source.model = engines->engine.model;
   source.layers = engines->engine.layers;
+  source.chunks = engines->engine.chunks;
   for (size_t i = 0; i < routing->service_count; i++)
     if (routing->services[i].origin != NULL)
       {
--- a/lib/node/holding.h
+++ b/lib/node/holding.h
@@ -49,6 +49,7 @@
   uint64_t origin_chunk_us; /* time that its link takes for one chunk; 0: not known */
   const char *model;        /* that the engines serve; NULL when not known */
   unsigned layers;          /* of complete weights; 0 when not known */
+  unsigned chunks;          /* of one version; 0 when not known */
 } DlWeightSource;
 
 /* Reads from ROUTING the source of weights for the engines of SERVICE, or of the first
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -213,6 +213,7 @@
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
+  { "manifests", { manifest_tests } },
   { "copied", { copied_tests }, .with_proxies = true },
   { "crossed", { crossed_tests } },
   { "endless", { endless_tests }, .with_proxies = true },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -254,6 +254,8 @@
 extern const TestFunc copied_tests[];
 /* Stagers whose engine takes no chunks. */
 extern const TestFunc staging_tests[];
+/* Manifests that the origin spoils. */
+extern const TestFunc manifest_tests[];
 /* Malformed messages at each socket; needs proxies. */
 extern const TestFunc malformed_tests[];
 /* A fleet of many entries, which pass statuses on. */
--- a/regress/standin/weights.c
+++ b/regress/standin/weights.c
@@ -16,10 +16,14 @@
 static uint64_t corrupt;    /* the next N chunks are served with a wrong byte */
 static uint64_t drawn;      /* bytes of chunks that were served */
 static uint64_t manifests;  /* manifests that were served */
+static uint64_t spoil;      /* the next N manifests are spoilt */
+static uint64_t spoil_what; /* what of them: a WeightsSpoilt */
 
 static const StandinKnob weights_knobs[] = {
   { "newest", &newest },
   { "corrupt", &corrupt },
+  { "spoil", &spoil },
+  { "spoil_what", &spoil_what },
   { 0 },
 };
 
@@ -47,28 +51,61 @@
   return version != NULL ? g_ascii_strtoull (version, NULL, 10) : newest;
 }
 
+/* The digest of chunk INDEX, or one with a digit that is wrong, or without its last. */
+static json_object *
+digest_of (uint64_t version, unsigned index, bool is_wrong, bool is_short)
+{
+  char bytes[WEIGHTS_CHUNK_BYTES];
+  g_autofree char *digest = NULL;
+
+  weights_fill (version, index, bytes);
+  digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)bytes, sizeof bytes);
+  if (is_wrong)
+    digest[0] = digest[0] == '0' ? '1' : '0';
+  if (is_short)
+    digest[strlen (digest) - 1] = '\0';
+  return json_object_new_string (digest);
+}
+
+static unsigned
+digest_count (WeightsSpoilt spoilt)
+{
+  switch (spoilt)
+    {
+    case WEIGHTS_ONE_LESS:
+      return WEIGHTS_CHUNKS - 1;
+    case WEIGHTS_ONE_MORE:
+      return WEIGHTS_CHUNKS + 1;
+    default:
+      return WEIGHTS_CHUNKS;
+    }
+}
+
 static void
 reply_manifest (DlHttpRequest *request, uint64_t version)
 {
   json_object *manifest = json_object_new_object ();
   json_object *digests = json_object_new_array ();
+  WeightsSpoilt spoilt
+      = standin_count_down (&spoil) ? (WeightsSpoilt)spoil_what : WEIGHTS_SOUND;
+  const char *model = spoilt == WEIGHTS_OTHER_MODEL ? "bog" : WEIGHTS_MODEL;
 
   manifests++;
-  for (unsigned i = 0; i < WEIGHTS_CHUNKS; i++)
+  for (unsigned i = 0; i < digest_count (spoilt); i++)
     {
-      char bytes[WEIGHTS_CHUNK_BYTES];
-      char *digest;
-
-      weights_fill (version, i, bytes);
-      digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)bytes,
-                                            sizeof bytes);
-      json_object_array_add (digests, json_object_new_string (digest));
-      g_free (digest);
+      bool is_wrong = spoilt == WEIGHTS_ALL_DIGESTS
+                      || (spoilt == WEIGHTS_ONE_DIGEST && i == WEIGHTS_SPOILT_CHUNK);
+      bool is_short = spoilt == WEIGHTS_SHORT_DIGEST && i == WEIGHTS_SPOILT_CHUNK;
+
+      json_object_array_add (digests, digest_of (version, i, is_wrong, is_short));
     }
-  standin_json_set_text (manifest, "model", WEIGHTS_MODEL);
-  standin_json_set_uint (manifest, "version", version);
-  standin_json_set_uint (manifest, "chunk_bytes", WEIGHTS_CHUNK_BYTES);
-  standin_json_set_uint (manifest, "layers", WEIGHTS_LAYERS);
+  standin_json_set_text (manifest, "model", model);
+  standin_json_set_uint (manifest, "version",
+                         version + (spoilt == WEIGHTS_OTHER_VERSION));
+  standin_json_set_uint (manifest, "chunk_bytes",
+                         WEIGHTS_CHUNK_BYTES / (spoilt == WEIGHTS_SIZES ? 2 : 1));
+  standin_json_set_uint (manifest, "layers",
+                         WEIGHTS_LAYERS / (spoilt == WEIGHTS_SIZES ? 2 : 1));
   json_object_object_add (manifest, "digests", digests);
   dl_http_reply_json (request, 200, manifest);
 }
--- a/regress/standin/weights.h
+++ b/regress/standin/weights.h
@@ -20,4 +20,21 @@
 /* True if BYTES is this chunk. */
 bool weights_is_chunk (uint64_t version, unsigned index, DlStr bytes);
 
+/* What is wrong in a manifest that the origin spoils, for its knob "spoil_what". */
+typedef enum
+{
+  WEIGHTS_SOUND,
+  WEIGHTS_ONE_DIGEST, /* that of WEIGHTS_SPOILT_CHUNK */
+  WEIGHTS_ALL_DIGESTS,
+  WEIGHTS_SHORT_DIGEST,
+  WEIGHTS_ONE_LESS, /* digest */
+  WEIGHTS_ONE_MORE,
+  WEIGHTS_SIZES, /* of a chunk, and the number of layers */
+  WEIGHTS_OTHER_MODEL,
+  WEIGHTS_OTHER_VERSION,
+  WEIGHTS_SPOILT_KINDS,
+} WeightsSpoilt;
+
+#define WEIGHTS_SPOILT_CHUNK 5
+
 #endif
