--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -18,6 +18,8 @@
 #define FRAMING_MAX_BYTES          (32u << 10)
 #define CONNECT_DEFAULT_TIMEOUT_MS 2000
 #define IDLE_CONNECTIONS_MAX       256
+#define IDLE_DEFAULT_MAX_S         118L   /* libcurl's own */
+#define MILLISECONDS               1000u  /* in a second */
 #define RECEIVE_BUFFER_BYTES       8192L  /* receive buffer of each call */
 #define UPLOAD_BUFFER_BYTES        16384L /* libcurl's minimum */
 #define MILLISECONDS_PER_SECOND    1000.0
@@ -33,7 +35,9 @@
   struct ev_loop *loop;
   CURLM *multi;
   ev_timer timeout;
-  GHashTable *calls; /* set of DlHttpCall */
+  GHashTable *calls;      /* set of DlHttpCall */
+  uint64_t distrusted_ms; /* kept connections without a response since are not used; 0:
+                           * all are */
 };
 
 struct DlHttpCall
@@ -44,7 +48,8 @@
   DlBuffer *request_body;
   DlBuffer *body;
   DlHttpCallOptions options;
-  char *id;             /* as in the options */
+  char *id; /* as in the options */
+  uint64_t started_ms;
   size_t head_bytes;    /* of the heads and trailers so far */
   unsigned head_lines;  /* the same in lines */
   size_t framing_bytes; /* received since the last byte of the head or the body */
@@ -355,6 +360,12 @@
          || code == CURLE_SEND_ERROR || (code == CURLE_RECV_ERROR && os_errno != 0);
 }
 
+void
+dl_http_client_distrust (DlHttpClient *client, uint64_t since_ms)
+{
+  client->distrusted_ms = MAX (client->distrusted_ms, since_ms);
+}
+
 static void
 call_done (DlHttpCall *call, CURLcode code)
 {
@@ -369,6 +380,8 @@
   else if (code == CURLE_OUT_OF_MEMORY) /* over libcurl's own limit of 100 KiB */
     call_note_invalid (call, DL_ERR_TOO_LARGE, "a line of the head without end");
   result.error = curl_error (code, call);
+  if (code == CURLE_OPERATION_TIMEDOUT && call->head_bytes == 0)
+    dl_http_client_distrust (call->client, call->started_ms);
   if (call->head_complete)
     curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
@@ -445,11 +458,35 @@
       curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
       curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
     }
-  if (o->single_use)
-    {
-      curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+}
+
+/* Longest time in seconds for which a kept connection may have been idle to be used, or
+ * -1 when none may be used.  libcurl counts whole seconds. */
+static long
+max_idle_s (const DlHttpCall *call)
+{
+  const DlHttpCallOptions *o = &call->options;
+  uint64_t distrusted_ms = call->client->distrusted_ms;
+  long idle_s = o->max_idle_s > 0 ? (long)o->max_idle_s : IDLE_DEFAULT_MAX_S;
+
+  if (o->single_use || o->new_connection)
+    return -1;
+  if (distrusted_ms == 0)
+    return idle_s;
+  return MIN (idle_s, (long)((call->started_ms - distrusted_ms) / MILLISECONDS) - 1);
+}
+
+static void
+call_set_connection (DlHttpCall *call)
+{
+  long idle_s = max_idle_s (call);
+
+  if (idle_s < 0)
+    curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  else
+    curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, idle_s);
+  if (call->options.single_use)
+    curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
 DlHttpCall *
@@ -460,6 +497,7 @@
   g_assert (call != NULL && options->on_done != NULL);
   call->client = client;
   call->options = *options;
+  call->started_ms = dl_clock_ms ();
   call->id = talloc_strdup (call, options->id);
   call->request_body = dl_buffer_new (call, 0);
   dl_buffer_append (call->request_body, options->body.data, options->body.length);
@@ -490,6 +528,7 @@
     curl_easy_setopt (call->easy, CURLOPT_REQUEST_TARGET, options->target);
   call_set_method (call);
   call_set_limits (call);
+  call_set_connection (call);
   talloc_set_destructor (call, call_destroy);
   g_hash_table_add (client->calls, call);
   curl_multi_add_handle (client->multi, call->easy);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -41,11 +41,14 @@
   const char *const *headers; /* "Name: value" strings, NULL-terminated; may be NULL */
   DlStr body;
   uint64_t connect_timeout_ms;
-  uint64_t timeout_ms;           /* for the whole call; 0 for none */
-  size_t max_body_bytes;         /* of a body that is collected; 0 for 1 MiB */
-  size_t max_head_bytes;         /* of all heads and trailers; 0 for 32 KiB */
-  const char *id;                /* of the request, for logs; NULL for none */
-  bool single_use;               /* must not be sent twice */
+  uint64_t timeout_ms;   /* for the whole call; 0 for none */
+  size_t max_body_bytes; /* of a body that is collected; 0 for 1 MiB */
+  size_t max_head_bytes; /* of all heads and trailers; 0 for 32 KiB */
+  const char *id;        /* of the request, for logs; NULL for none */
+  bool single_use;       /* must not be sent twice */
+  bool new_connection;   /* sent on a new one, which is kept afterwards */
+  unsigned
+      max_idle_s; /* a kept connection that was idle for longer is not used; 0: any */
   unsigned receive_buffer_bytes; /* limits the data in flight to us; 0: system default */
   /* The status line and the headers have arrived. */
   void (*on_head) (DlHttpCall *call, unsigned status, void *data);
@@ -58,6 +61,10 @@
 
 /* The client is a talloc child of OWNER; freeing it ends its calls without callbacks. */
 DlHttpClient *dl_http_client_new (DlTask *task, const void *owner);
+/* A request sent at SINCE_MS, by dl_clock_ms, has had no response: kept connections that
+ * have not carried one since are not used any more, as they may be silent, too.  The
+ * client notes this by itself when a call times out without a byte of a response. */
+void dl_http_client_distrust (DlHttpClient *client, uint64_t since_ms);
 /* Starts a call.  It is a talloc child of OWNER; freeing it cancels it without a
  * callback. */
 DlHttpCall *
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -12,6 +12,8 @@
 #define NAME_MAX_BYTES  128
 #define LIST_MAX_BYTES  (64u << 20)
 #define WATCH_MARGIN_MS 2000
+/* A connection that was idle for longer may have gone silent. */
+#define IDLE_MAX_S 1
 
 DL_METRIC (metric_calls,
            DL_METRIC_COUNTER,
@@ -364,6 +366,8 @@
           .max_body_bytes = client->max_body_bytes,
           /* A conditional write sent twice would conflict with its own first attempt. */
           .single_use = is_write (request->action),
+          .new_connection = request->new_connection,
+          .max_idle_s = IDLE_MAX_S,
           .on_head = on_call_head,
           .on_done = on_call_done,
           .data = call,
@@ -390,6 +394,12 @@
   client->era = era;
 }
 
+void
+dl_object_client_distrust (DlObjectClient *client, uint64_t since_ms)
+{
+  dl_http_client_distrust (client->http, since_ms);
+}
+
 void
 dl_object_client_set_watch_margin (DlObjectClient *client, uint64_t margin_ms)
 {
@@ -528,3 +538,21 @@
               },
               func, data);
 }
+
+void
+dl_object_watch_anew (DlObjectClient *client,
+                      const void *owner,
+                      const char *kinds,
+                      uint64_t after,
+                      DlObjectFunc func,
+                      void *data)
+{
+  start_call (client, owner,
+              &(DlObjectRequest){
+                  .action = DL_OBJECT_WATCH,
+                  .kinds = kinds,
+                  .revision = after,
+                  .new_connection = true,
+              },
+              func, data);
+}
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -83,13 +83,14 @@
 typedef struct
 {
   DlObjectAction action;
-  const char *kinds;  /* one kind, or a comma-separated list for LIST and WATCH */
-  const char *name;   /* NULL for LIST and WATCH */
-  const char *after;  /* LIST: only names after this one; NULL for all */
-  uint64_t revision;  /* PUT, DELETE: expected (0: none exists); WATCH: changes after */
-  uint64_t wait_ms;   /* WATCH: how long to wait for a change */
-  json_object *value; /* PUT */
-  uint64_t era;       /* newest that was known when the call was sent */
+  const char *kinds;   /* one kind, or a comma-separated list for LIST and WATCH */
+  const char *name;    /* NULL for LIST and WATCH */
+  const char *after;   /* LIST: only names after this one; NULL for all */
+  uint64_t revision;   /* PUT, DELETE: expected (0: none exists); WATCH: changes after */
+  uint64_t wait_ms;    /* WATCH: how long to wait for a change */
+  json_object *value;  /* PUT */
+  uint64_t era;        /* newest that was known when the call was sent */
+  bool new_connection; /* sent on a connection of its own */
 } DlObjectRequest;
 
 /* A call encoded as HTTP. */
@@ -135,6 +136,9 @@
                                                     const char *address,
                                                     uint64_t timeout_ms,
                                                     const DlObjectProtocol *protocol);
+/* A request that was sent at SINCE_MS has had no response though a later one has: kept
+ * connections are used again only if they have carried a response since. */
+void dl_object_client_distrust (DlObjectClient *client, uint64_t since_ms);
 /* The "IP:PORT" that the client calls; lives as long as the client. */
 const char *dl_object_client_address (const DlObjectClient *client);
 /* The era that the client compares responses with.  A response from an earlier one fails
@@ -195,6 +199,13 @@
                       uint64_t wait_ms,
                       DlObjectFunc func,
                       void *data);
+/* The same without a wait, on a new connection. */
+void dl_object_watch_anew (DlObjectClient *client,
+                           const void *owner,
+                           const char *kinds,
+                           uint64_t after,
+                           DlObjectFunc func,
+                           void *data);
 
 /*
  * Searches among COUNT objects sorted by kind, then name.
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -6,7 +6,9 @@
 #include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 #include "policy/backoff.h"
+#include "policy/hedge.h"
 
 #define RETRY_FIRST_MS 150
 /* While a reader is waited for, it is looked for this often. */
@@ -24,6 +26,12 @@
  * wait that the reader itself uses; hence a watch at a reader waits this much longer. */
 #define RELAY_WAIT_SLACK_MS 100
 
+DL_METRIC (
+    metric_second,
+    DL_METRIC_COUNTER,
+    "daisy_object_second_watches_total",
+    "Watches that were sent once more, on a new connection, for want of a response.")
+
 struct DlObjectWatch
 {
   DlTask *task;
@@ -47,18 +55,23 @@
   bool via_relay;        /* the request in progress goes to a reader */
   bool is_reader;        /* this process reads the store for others */
   DlObjectClient *server; /* that the request in progress was sent to */
-  uint64_t number;   /* of the last request; the responses to earlier ones are ignored */
-  bool is_relisting; /* the list in progress is the first of a new era */
-  uint64_t era;      /* of the store when the revisions were read */
+  uint64_t number; /* of the last request; the responses to earlier ones are ignored */
+  struct Request *first;  /* watch in progress, also without a wait; NULL for none */
+  struct Request *second; /* the same once more, on a new connection; NULL for none */
+  DlTimer *second_timer;  /* when it is sent */
+  DlHedge hedge;
+  bool is_relisting;        /* the list in progress is the first of a new era */
+  uint64_t era;             /* of the store when the revisions were read */
   uint64_t revision_before; /* the last one known of the era before */
   DlTimer *timer;
 };
 
-/* A request to a server. */
-typedef struct
+/* A request to a server; its call is a talloc child of it. */
+typedef struct Request
 {
   DlObjectWatch *watch;
   uint64_t number;
+  uint64_t sent_ms;
 } Request;
 
 static void send_preview (DlObjectWatch *watch);
@@ -167,12 +180,13 @@
 /* -------- requests -------- */
 
 static Request *
-request_new (DlObjectWatch *watch)
+request_new (DlObjectWatch *watch, uint64_t number)
 {
   Request *request = talloc_zero (watch, Request);
 
   request->watch = watch;
-  request->number = ++watch->number;
+  request->number = number;
+  request->sent_ms = dl_clock_ms ();
   return request;
 }
 
@@ -383,7 +397,7 @@
       choose_list_server (watch);
     }
   dl_object_list_after (watch->server, watch, watch->options.kind, watch->list_after,
-                        on_list, request_new (watch));
+                        on_list, request_new (watch, ++watch->number));
 }
 
 /* True when the next request has to wait for a reader; it is tried again soon then. */
@@ -416,7 +430,8 @@
 send_preview (DlObjectWatch *watch)
 {
   dl_object_list_after (watch->client, watch, watch->options.kind,
-                        watch->options.preview_after, on_preview, request_new (watch));
+                        watch->options.preview_after, on_preview,
+                        request_new (watch, ++watch->number));
 }
 
 static void
@@ -466,32 +481,12 @@
   return lasted_ms < watch->sent_wait_ms / 2 ? EARLY_PAUSE_MS : 0;
 }
 
+/* The response to a watch can be used. */
 static void
-on_watch (const DlObjectResult *result, void *data)
+apply_watch (DlObjectWatch *watch, const DlObjectResult *result)
 {
-  Request *request = data;
-  DlObjectWatch *watch = request->watch;
   uint64_t next_ms;
 
-  if (!request_end (request))
-    return;
-  note_unchanged (watch);
-  if (result->error == DL_ERR_GONE)
-    {
-      restart_list (watch);
-      send_list (watch);
-      return;
-    }
-  if (result->error < 0 && watch->via_relay)
-    {
-      retry_without_relay (watch, result);
-      return;
-    }
-  if (result->error < 0)
-    {
-      retry_later (watch, result);
-      return;
-    }
   set_contact (watch, 0);
   for (size_t i = 0; i < result->count; i++)
     apply_object (watch, &result->objects[i]);
@@ -506,15 +501,113 @@
     continue_watch (watch);
 }
 
+static void
+end_watch (DlObjectWatch *watch, const DlObjectResult *result)
+{
+  note_unchanged (watch);
+  if (result->error == DL_ERR_GONE)
+    {
+      restart_list (watch);
+      send_list (watch);
+    }
+  else if (result->error < 0 && watch->via_relay)
+    retry_without_relay (watch, result);
+  else if (result->error < 0)
+    retry_later (watch, result);
+  else
+    apply_watch (watch, result);
+}
+
+/* Ends the first and the second request, whichever are in progress. */
+static void
+cancel_watch (DlObjectWatch *watch)
+{
+  TALLOC_FREE (watch->second_timer);
+  TALLOC_FREE (watch->first);
+  TALLOC_FREE (watch->second);
+}
+
+/* The second request was responded to while the first was not: its connection is silent,
+ * and so may be others that were open then. */
+static void
+note_silent_connection (DlObjectWatch *watch)
+{
+  const Request *first = watch->first;
+
+  dl_hedge_second_responded (&watch->hedge);
+  dl_object_client_distrust (watch->server, first->sent_ms);
+  dl_log (DL_EVENT_CONNECTION_SILENT,
+          DL_TEXT ("server", dl_object_client_address (watch->server)),
+          DL_TEXT ("kind", watch->options.kind), DL_UINT ("wait_ms", watch->sent_wait_ms),
+          DL_UINT ("after_ms", dl_clock_ms () - first->sent_ms));
+}
+
+static void
+note_first_response (DlObjectWatch *watch)
+{
+  uint64_t due_ms = watch->first->sent_ms + watch->sent_wait_ms;
+  uint64_t now_ms = dl_clock_ms ();
+
+  dl_hedge_first_responded (&watch->hedge, now_ms > due_ms ? now_ms - due_ms : 0);
+}
+
+/* One of the two requests has ended.  A failure counts when the other one has ended, too.
+ */
+static void
+on_watch (const DlObjectResult *result, void *data)
+{
+  Request *request = data;
+  DlObjectWatch *watch = request->watch;
+  bool is_first = request == watch->first;
+  bool other_goes_on = is_first ? watch->second != NULL : watch->first != NULL;
+  bool is_usable = result->error == 0 || result->error == DL_ERR_GONE;
+
+  if (request->number != watch->number)
+    return;
+  if (!is_usable && other_goes_on)
+    {
+      TALLOC_FREE (*(is_first ? &watch->first : &watch->second));
+      return;
+    }
+  if (is_usable && is_first)
+    note_first_response (watch);
+  else if (is_usable && other_goes_on)
+    note_silent_connection (watch);
+  watch->sent_ms = request->sent_ms;
+  cancel_watch (watch);
+  end_watch (watch, result);
+}
+
+static void
+on_second_due (DlTimer *timer, void *data)
+{
+  DlObjectWatch *watch = data;
+
+  TALLOC_FREE (watch->second_timer);
+  if (watch->first == NULL || watch->first->number != watch->number)
+    return;
+  dl_metric_add (&metric_second, 1);
+  watch->second = request_new (watch, watch->number);
+  dl_object_watch_anew (watch->server, watch->second, watch->options.kind,
+                        watch->revision, on_watch, watch->second);
+}
+
 static void
 send_watch (DlObjectWatch *watch)
 {
+  cancel_watch (watch);
   choose_server (watch);
   watch->sent_ms = dl_clock_ms ();
   watch->sent_wait_ms = wait_ms (watch);
   watch->is_refreshing = false;
-  dl_object_watch (watch->server, watch, watch->options.kind, watch->revision,
-                   watch->sent_wait_ms, on_watch, request_new (watch));
+  watch->first = request_new (watch, ++watch->number);
+  if (!watch->via_relay)
+    watch->second_timer
+        = dl_timer_subscribe (watch->task, watch,
+                              watch->sent_wait_ms + dl_hedge_delay_ms (&watch->hedge), 0,
+                              on_second_due, watch);
+  dl_object_watch (watch->server, watch->first, watch->options.kind, watch->revision,
+                   watch->sent_wait_ms, on_watch, watch->first);
 }
 
 /* -------- eras -------- */
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -256,6 +256,8 @@
 extern const TestFunc staging_tests[];
 /* Manifests that the origin spoils. */
 extern const TestFunc manifest_tests[];
+/* Open connections that go silent; needs proxies. */
+extern const TestFunc silent_store_tests[];
 /* Malformed messages at each socket; needs proxies. */
 extern const TestFunc malformed_tests[];
 /* A fleet of many entries, which pass statuses on. */
--- /dev/null
+++ b/regress/direct/silent_store.c
@@ -0,0 +1,157 @@
+/*
+ * Tests of open connections that go silent for good while new ones work: a configuration
+ * is in force in time all the same.  And of a slow store, which is not taken for silent.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "direct.h"
+
+/* Stated by the users: a configuration is in force this long after its acknowledgement,
+ * by entries whose connections have not failed for the stable window. */
+#define APPLY_MS 2000
+#define POLL_US  20000
+#define AGAIN_US 700000
+#define CALM_US  2500000
+#define SLOW_MS  600
+#define WATCH_US 4000000
+#define DENIED   401
+#define SERVED   200
+#define FIRST    0
+/* Each of an entry's kinds of objects may be asked for once more before the store is
+ * known to be slow. */
+#define SECOND_WATCHES_MAX 8
+
+static uint64_t
+now_ms (void)
+{
+  return (uint64_t)g_get_monotonic_time () / 1000;
+}
+
+static void
+stall (Testbed *tb, unsigned first, unsigned count)
+{
+  for (unsigned i = first; i < first + count; i++)
+    proxy_stall (g_ptr_array_index (tb->proxies, i));
+}
+
+static bool
+follow (const Testbed *tb, unsigned entry, int status, uint64_t until_ms)
+{
+  while (now_ms () < until_ms)
+    {
+      if (status_with_key (tb, entry, "key2") == status)
+        return true;
+      g_usleep (POLL_US);
+    }
+  return false;
+}
+
+static bool
+key2_is_served (Testbed *tb)
+{
+  return status_with_key (tb, 0, "key2") == SERVED
+         && status_with_key (tb, 1, "key2") == SERVED;
+}
+
+/* Takes a key away just after COUNT proxies from FIRST on were stalled at SILENT_MS. */
+static void
+check_revoked (Testbed *tb, unsigned entries, uint64_t silent_ms, const char *what)
+{
+  uint64_t until_ms;
+
+  CHECK (testbed_configure (tb, true));
+  until_ms = MAX (now_ms () + APPLY_MS, silent_ms + STABLE_WINDOW_MS);
+  for (unsigned i = 0; i < entries; i++)
+    check (follow (tb, i, DENIED, until_ms), "the configuration is in force in time",
+           what, __LINE__);
+}
+
+static void
+play (Testbed *tb, unsigned count, unsigned times, const char *what)
+{
+  uint64_t silent_ms = 0;
+
+  CHECK (testbed_configure (tb, false));
+  CHECK (eventually (key2_is_served, tb));
+  g_usleep (CALM_US);
+  for (unsigned n = 0; n < times; n++)
+    {
+      if (n > 0)
+        g_usleep (AGAIN_US);
+      silent_ms = now_ms ();
+      stall (tb, PROXY_STORE, count);
+    }
+  check_revoked (tb, ENTRIES, silent_ms, what);
+}
+
+static void
+test_silent_connections_to_the_store_delayed_a_configuration (Testbed *tb)
+{
+  play (tb, 1, 1, "the store");
+  play (tb, 1, 3, "the store, three times");
+}
+
+static void
+test_all_connections_are_silent_at_once (Testbed *tb)
+{
+  play (tb, tb->proxies->len, 1, "all");
+  play (tb, tb->proxies->len, 3, "all, three times");
+  CHECK (eventually (requests_are_served, tb));
+}
+
+static bool
+first_serves_key2 (Testbed *tb)
+{
+  return status_with_key (tb, FIRST, "key2") == SERVED;
+}
+
+/* Nobody else can tell it what is new. */
+static void
+test_entry_alone_in_its_region (Testbed *tb)
+{
+  uint64_t silent_ms;
+
+  process_end (&tb->entry_process[1], SIGKILL);
+  CHECK (testbed_configure (tb, false));
+  CHECK (eventually (first_serves_key2, tb));
+  g_usleep (CALM_US * 2);
+  silent_ms = now_ms ();
+  stall (tb, PROXY_STORE, 1);
+  check_revoked (tb, 1, silent_ms, "alone");
+  CHECK (process_start (&tb->entry_process[1]));
+  CHECK (eventually (requests_are_served, tb));
+}
+
+static uint64_t
+second_watches (const Testbed *tb)
+{
+  Response r = call (&(Call){ .address = tb->metrics[FIRST], .target = "/metrics" });
+  const char *line
+      = r.body != NULL ? strstr (r.body, "\ndaisy_object_second_watches_total ") : NULL;
+  uint64_t count = line != NULL ? g_ascii_strtoull (strchr (line + 1, ' '), NULL, 10) : 0;
+
+  response_free (&r);
+  return count;
+}
+
+static void
+test_slow_store_is_not_asked_twice (Testbed *tb)
+{
+  uint64_t before = second_watches (tb);
+
+  CHECK (set_fault (tb->store, "delay_ms", SLOW_MS));
+  g_usleep (WATCH_US);
+  CHECK (second_watches (tb) - before <= SECOND_WATCHES_MAX);
+  CHECK (requests_are_served (tb));
+  CHECK (set_fault (tb->store, "delay_ms", 0));
+}
+
+const TestFunc silent_store_tests[] = {
+  test_silent_connections_to_the_store_delayed_a_configuration,
+  test_all_connections_are_silent_at_once,
+  test_entry_alone_in_its_region,
+  test_slow_store_is_not_asked_twice,
+  NULL,
+};
