--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -50,6 +50,7 @@
   bool abandoned;         /* the time of the stop is over: no attempt is started */
   GQueue expiries;        /* of ClaimExpiry, in the order of their times */
   unsigned active_claims; /* calls in progress and outcomes being recorded */
+  size_t held_bytes;      /* of responses to claimed calls */
   GQueue claims;          /* of CallerClaim: these */
   uint64_t next_id;
 } CallersTask;
--- a/daisyentryd/callers_claim.c
+++ b/daisyentryd/callers_claim.c
@@ -22,11 +22,16 @@
 #define IN_PROGRESS_RETRY_MS 1000
 #define NOT_RUN_RETRY_MS     2000
 #define UNKNOWN_RETRY_MS     0 /* no Retry-After: does not invite a retry */
-#define HTTP_CONFLICT        409
-#define HTTP_UNPROCESSABLE   422
-#define HTTP_BAD_GATEWAY     502
-#define HTTP_UNAVAILABLE     503
-#define HTTP_GATEWAY_TIMEOUT 504
+/* A longer one is given up. */
+#define RESPONSE_HELD_MAX_BYTES (4u << 20)
+/* With more than this held for all calls, each may hold only its share. */
+#define RESPONSES_HELD_MAX_BYTES (32u << 20)
+#define RESPONSE_SHARE_BYTES     (64u << 10)
+#define HTTP_CONFLICT            409
+#define HTTP_UNPROCESSABLE       422
+#define HTTP_BAD_GATEWAY         502
+#define HTTP_UNAVAILABLE         503
+#define HTTP_GATEWAY_TIMEOUT     504
 
 DL_METRIC (metric_dispatched,
            DL_METRIC_COUNTER,
@@ -45,6 +50,11 @@
            "daisy_entry_claims_unresolved_total",
            "Claimed calls whose outcome could not be recorded.")
 
+DL_METRIC (metric_too_long,
+           DL_METRIC_COUNTER,
+           "daisy_entry_claims_too_long_total",
+           "Claimed calls whose response was given up as too long.")
+
 /* One call under its claim; freed when the claim's state machine finishes. */
 struct CallerClaim
 {
@@ -268,6 +278,49 @@
   step_claim (c, &event);
 }
 
+static bool
+has_room (const CallerClaim *c, size_t extra)
+{
+  size_t length = c->response->length + extra;
+
+  return length <= RESPONSE_SHARE_BYTES
+         || (length <= RESPONSE_HELD_MAX_BYTES
+             && c->callers->held_bytes + extra <= RESPONSES_HELD_MAX_BYTES);
+}
+
+/* The call has run, but its response is too long to be held: its outcome is unknown to
+ * the caller, as after a response that was lost. */
+static void
+give_up_response (CallerClaim *c)
+{
+  DlClaimEvent event = make_event (DL_CLAIM_EV_ENDED);
+
+  dl_metric_add (&metric_too_long, 1);
+  dl_log (DL_EVENT_CLAIM_RESPONSE_TOO_LONG, DL_TEXT ("service", c->parsed->service->name),
+          DL_TEXT ("path", c->parsed->path), DL_UINT ("bytes", c->response->length),
+          DL_UINT ("all_bytes", c->callers->held_bytes));
+  callers_cancel_attempt (c->callers, &c->attempt);
+  c->attempt_active = false;
+  event.outcome = DL_CLAIM_UNKNOWN;
+  refuse (c, HTTP_GATEWAY_TIMEOUT, CALLERS_UNKNOWN, UNKNOWN_RETRY_MS,
+          "the response of the call is too long");
+  step_claim (c, &event);
+}
+
+static void
+hold_response (CallerClaim *c, DlStr data)
+{
+  if (!has_room (c, data.length))
+    {
+      give_up_response (c);
+      return;
+    }
+  c->callers->held_bytes += data.length;
+  dl_buffer_append (c->response, data.data, data.length);
+  c->response_too_long = c->response->length > RESPONSE_MAX_BYTES;
+  callers_grant_credit (c->callers, &c->attempt, data.length);
+}
+
 static void
 on_response (const EntryMessage *m, void *data)
 {
@@ -280,10 +333,7 @@
       c->content_type = talloc_strdup (c, m->response.content_type);
       break;
     case ENTRY_RESPONSE_DATA:
-      if (c->response->length + m->response.data.length > RESPONSE_MAX_BYTES)
-        c->response_too_long = true;
-      dl_buffer_append (c->response, m->response.data.data, m->response.data.length);
-      callers_grant_credit (c->callers, &c->attempt, m->response.data.length);
+      hold_response (c, m->response.data);
       break;
     case ENTRY_RESPONSE_END:
       call_ended (c, m);
@@ -476,6 +526,7 @@
   if (c->attempt_active)
     callers_cancel_attempt (c->callers, &c->attempt);
   json_object_put (c->recorded);
+  c->callers->held_bytes -= c->response->length;
   c->callers->active_claims--;
   g_queue_unlink (&c->callers->claims, &c->link);
   return 0;
--- a/regress/direct/endless.c
+++ b/regress/direct/endless.c
@@ -521,6 +521,87 @@
     play_peer (tb, &peer_cases[i], 2 + i);
 }
 
+/* -------- many at once -------- */
+
+#define MANY 100
+/* What the users' machines give a process. */
+#define MEMORY_MAX_KB (260u * 1024)
+
+static const EndlessCase many_cases[] = {
+  { "many: header lines", UNSAFE, { OK_HEAD, "X-More: a\r\n" } },
+  { "many: one header line", UNSAFE, { OK_HEAD "X-More: ", BYTES } },
+  { "many: interim heads", UNSAFE, { "", "HTTP/1.1 102 A\r\n\r\n" } },
+  { "many: body", UNSAFE, { OK_HEAD "\r\n", BYTES } },
+  { "many: body in chunks", SAFE, { CHUNKED, "8\r\nabcdefgh\r\n" } },
+  { "many: a chunk's extension", UNSAFE, { CHUNKED "4;", BYTES } },
+  { "many: trailers", UNSAFE, { CHUNKED "0\r\n", "X-More: a\r\n" } },
+  { "many: one line", STREAMED, { STREAM, BYTES } },
+  { "many: no HTTP", STREAMED, { "", BYTES } },
+};
+
+/* Returns the requests' ids, which the caller frees after their end. */
+static GPtrArray *
+start_many (const Testbed *tb, const EndlessCase *c, Background requests[MANY])
+{
+  static unsigned n;
+  GPtrArray *ids = g_ptr_array_new_with_free_func (g_free);
+
+  for (unsigned i = 0; i < MANY; i++)
+    {
+      char *id = g_strdup_printf ("many-%u", ++n);
+      Call options = default_call (tb, c->target, id);
+
+      options.body = strcmp (c->target, UNSAFE) == 0 ? "x" : NULL;
+      g_ptr_array_add (ids, id);
+      background_start (&requests[i], &options);
+    }
+  return ids;
+}
+
+/* Many answers without end at once: the entry goes on within its memory, and what is
+ * asked for beside them is answered. */
+static void
+play_many (Testbed *tb, const EndlessCase *c)
+{
+  int pid = tb->entry_process[0].pid;
+  g_autoptr (GPtrArray) ids = NULL;
+  Background requests[MANY];
+  uint64_t peak_kb;
+
+  reset_peak (pid);
+  set_servers (tb, c, NULL);
+  ids = start_many (tb, c, requests);
+  for (unsigned i = 0; i < MANY; i++)
+    {
+      background_join (&requests[i]);
+      check_case (c, requests[i].response.status != 200 || !requests[i].response.complete,
+                  "no answer looks whole");
+      response_free (&requests[i].response);
+    }
+  peak_kb = read_peak_kb (pid);
+  reset_servers (tb);
+  g_print ("endless: %-32s entry: %" G_GUINT64_FORMAT " kB at most\n", c->name, peak_kb);
+  check_case (c, peak_kb > 0 && peak_kb <= MEMORY_MAX_KB, "the entry has its memory");
+  check_case (c, eventually (is_served_again, tb), "requests are served again");
+}
+
+static void
+test_many_answers_without_end_at_once (Testbed *tb)
+{
+  tb->slots = MANY;
+  for (unsigned i = 0; i < SERVERS; i++)
+    CHECK (testbed_restart_server (tb, i)
+           && set_fault (tb->server[i], "born", tb->server_started[i]));
+  CHECK (eventually (is_served_again, tb));
+  for (size_t i = 0; i < G_N_ELEMENTS (many_cases); i++)
+    play_many (tb, &many_cases[i]);
+}
+
 /* The first one needs upstreams that are not ejected for what they sent before. */
-const TestFunc endless_tests[] = { test_served_elsewhere, test_upstreams, NULL };
+const TestFunc endless_tests[] = {
+  test_served_elsewhere,
+  test_upstreams,
+  test_many_answers_without_end_at_once,
+  NULL,
+};
 const TestFunc endless_peer_tests[] = { test_other_peers, NULL };
--- a/regress/standin/service.c
+++ b/regress/standin/service.c
@@ -11,12 +11,14 @@
 #include "standin.h"
 
 #define KEY_MAX_BYTES 128
+#define BLOCK_BYTES   65536
 #define RETRY_MS      1000
 
 static uint64_t run_ms;       /* time from the start of a run to its response */
 static uint64_t close_before; /* the next N are not run; the connection is closed */
 static uint64_t close_after;  /* the next N are run, then the connection is closed */
 static uint64_t hang_after;   /* the next N are run without a response ever */
+static uint64_t endless;      /* the next N are run, and their response never ends */
 static uint64_t capacity;     /* requests that may run at once; 0: no limit */
 
 static DlTask *task;
@@ -26,9 +28,13 @@
 static uint64_t refused;
 
 static const StandinKnob service_knobs[] = {
-  { "run_ms", &run_ms },           { "close_before", &close_before },
-  { "close_after", &close_after }, { "hang_after", &hang_after },
-  { "capacity", &capacity },       { 0 },
+  { "run_ms", &run_ms },
+  { "close_before", &close_before },
+  { "close_after", &close_after },
+  { "hang_after", &hang_after },
+  { "capacity", &capacity },
+  { "endless", &endless },
+  { 0 },
 };
 
 typedef struct
@@ -53,6 +59,23 @@
   return 0;
 }
 
+static void
+write_block (DlHttpRequest *request, size_t consumed, void *data)
+{
+  static const char block[BLOCK_BYTES];
+
+  if (dl_http_stream_queued (request) < BLOCK_BYTES)
+    dl_http_stream_write (request, dl_str_bytes (block, sizeof block));
+}
+
+static void
+reply_without_end (DlHttpRequest *request)
+{
+  dl_http_stream_begin (request, 200, "application/octet-stream", NULL);
+  dl_http_stream_on_consumed (request, write_block, NULL);
+  write_block (request, 0, NULL);
+}
+
 static void
 reply (Run *run)
 {
@@ -66,6 +89,11 @@
     }
   if (standin_count_down (&hang_after))
     return;
+  if (standin_count_down (&endless))
+    {
+      reply_without_end (request);
+      return;
+    }
   body = json_object_new_object ();
   standin_json_set_text (body, "key", run->key);
   standin_json_set_text (body, "path", dl_http_request_path (request));
