Fetches of chunks end when the body exceeds the chunk (report of endless bytes)

Seen: an origin that answers without end holds a fetch of daisyslotd for good; bytes over the chunk's size were dropped and counted as progress, so that the rollout stood still.

Change: such a fetch ends with "too large", from the event loop, and the next source or a later try follows.

--- a/daisyslotd/transfer_source.c
+++ b/daisyslotd/transfer_source.c
@@ -53,6 +53,7 @@
   DlDigest digest;
   uint64_t retry_after_ms; /* from the response; 0: none */
   DlBuffer *body;
+  DlTimer *overflow;    /* ends the fetch, as the body is too long; NULL: it is not */
   unsigned idle_checks; /* since data last arrived */
 } Fetch;
 
@@ -201,14 +202,24 @@
   talloc_free (fetch);
 }
 
+static void
+on_overflow (DlTimer *timer, void *data)
+{
+  end_fetch (data, DL_ERR_TOO_LARGE);
+}
+
+/* A body that is too long is given up from the event loop, as the HTTP library allows no
+ * new call from its data callback. */
 static void
 on_data (DlHttpCall *call, DlStr bytes, void *data)
 {
   Fetch *fetch = data;
 
   fetch->idle_checks = 0;
-  /* Data beyond max_bytes is dropped; the digest decides about the rest. */
-  dl_buffer_append (fetch->body, bytes.data, bytes.length);
+  if (fetch->overflow == NULL
+      && dl_buffer_append (fetch->body, bytes.data, bytes.length) < 0)
+    fetch->overflow
+        = dl_timer_subscribe (fetch->sources->task, fetch, 0, 0, on_overflow, fetch);
 }
 
 static void
--- a/regress/standin/origin.c
+++ b/regress/standin/origin.c
@@ -37,7 +37,10 @@
 static uint64_t corrupt;          /* the next N responses have a wrong byte */
 static uint64_t stall; /* the next N responses stop in the middle and stay open */
 
+static uint64_t endless; /* the next N responses never end */
+
 static GHashTable *blobs;
+static GQueue endless_requests = G_QUEUE_INIT; /* of DlHttpRequest */
 static GQueue transfers = G_QUEUE_INIT; /* of Transfer, in order of their next slices */
 static StandinBucket link_bucket;
 static uint64_t total_bytes;
@@ -49,6 +52,7 @@
   { "max_transfers", &max_transfers },
   { "corrupt", &corrupt },
   { "stall", &stall },
+  { "endless", &endless },
   { 0 },
 };
 
@@ -98,9 +102,25 @@
   return length;
 }
 
+static void
+on_endless_closed (DlHttpRequest *request, bool answered, void *data)
+{
+  g_queue_remove (&endless_requests, request);
+}
+
+static void
+write_endless (gpointer request, gpointer data)
+{
+  static const char slice[SLICE_BYTES];
+
+  if (dl_http_stream_queued (request) < SLICE_BYTES)
+    dl_http_stream_write (request, dl_str_bytes (slice, sizeof slice));
+}
+
 static void
 on_tick (DlTimer *timer, void *data)
 {
+  g_queue_foreach (&endless_requests, write_endless, NULL);
   standin_bucket_fill (&link_bucket, rate_bytes_per_s);
   while (transfers.length > 0 && (rate_bytes_per_s == 0 || link_bucket.tokens >= 1))
     {
@@ -158,6 +178,13 @@
       dl_http_reply_error (request, 503, RETRY_MS, "too many transfers");
       return;
     }
+  if (standin_count_down (&endless))
+    {
+      dl_http_stream_begin (request, 200, "application/octet-stream", NULL);
+      dl_http_request_on_closed (request, on_endless_closed, NULL);
+      g_queue_push_tail (&endless_requests, request);
+      return;
+    }
   transfer = talloc_zero (request, Transfer);
   transfer->request = request;
   transfer->blob = blob;
