--- a/regress/direct/silent_store.c
+++ b/regress/direct/silent_store.c
@@ -1,12 +1,15 @@
 /*
- * Tests of open connections that go silent for good while new ones work: a configuration
- * is in force in time all the same.  And of a slow store, which is not taken for silent.
+ * Tests of open connections to the store, between entries, and to all others that go
+ * silent for good while new ones work: a configuration is in force in time all the same.
+ * And of a slow store, which is not taken for silent.
  */
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
 
 #include "direct.h"
+#include "kernel/wire.pb-c.h"
+#include "played.h"
 
 /* Stated by the users: a configuration is in force this long after its acknowledgement,
  * by entries whose connections have not failed for the stable window. */
@@ -101,6 +104,86 @@
   CHECK (eventually (requests_are_served, tb));
 }
 
+/* -------- between entries -------- */
+
+#define REGION           "r1"
+#define DATA_CENTER      "d1"
+#define RELAY_PROXY_HOST 151
+#define RELAY_PROXY_PORT 8001
+#define ENTRY_HOST       21
+#define ENTRY_NODE_PORT  7700
+
+/* Registers entry INDEX with the address VIA for those that read the store through it. */
+static bool
+register_relay (Testbed *tb, unsigned index, const char *via)
+{
+  g_autofree char *name = g_strdup_printf ("entry-%u", index + 1);
+  g_autofree char *object = g_strdup_printf ("%s.0.%s", DATA_CENTER, name);
+  g_autofree char *spec
+      = g_strdup_printf ("{\"name\":\"%s\",\"role\":%d,\"region\":\"" REGION
+                         "\",\"data_center\":"
+                         "\"" DATA_CENTER "\",\"address\":\"%s.%u:%u\",\"listen\":\"%s\","
+                         "\"relay\":\"%s\"}",
+                         name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, tb->subnet,
+                         ENTRY_HOST + index, ENTRY_NODE_PORT, tb->entry[index], via);
+
+  return testbed_put (tb, "daisyloft-nodes", object, spec);
+}
+
+/* True if one of the entries reads the store through a proxy. */
+static bool
+relay_is_proxied (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      g_autofree char *text = NULL;
+      g_autofree char *reader
+          = g_strdup_printf ("\"reader\":\"%s.%u:", tb->subnet, RELAY_PROXY_HOST + i);
+
+      for (unsigned j = 0; j < ENTRIES; j++)
+        {
+          g_free (text);
+          text = NULL;
+          if (g_file_get_contents (tb->entry_process[j].log, &text, NULL, NULL)
+              && strstr (text, reader) != NULL)
+            return true;
+        }
+    }
+  return false;
+}
+
+/* An entry that reads the store through another one turns to the store in time. */
+static void
+test_connections_between_entries_are_silent (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      g_autofree char *via = g_strdup_printf ("%s.%u:%u", tb->subnet,
+                                              RELAY_PROXY_HOST + i, RELAY_PROXY_PORT);
+      Proxy *proxy = proxy_new (via, tb->metrics[i]);
+
+      CHECK (proxy != NULL && register_relay (tb, i, via));
+      if (proxy != NULL)
+        g_ptr_array_add (tb->proxies, proxy);
+    }
+  CHECK (eventually (relay_is_proxied, tb));
+  for (unsigned i = 0; i < 2; i++)
+    {
+      uint64_t silent_ms;
+
+      CHECK (testbed_configure (tb, false));
+      CHECK (eventually (key2_is_served, tb));
+      g_usleep (CALM_US);
+      silent_ms = now_ms ();
+      /* Those between the entries; the second time all. */
+      stall (tb, i == 0 ? tb->proxies->len - ENTRIES : 0,
+             i == 0 ? ENTRIES : tb->proxies->len);
+      check_revoked (tb, ENTRIES, silent_ms, "between entries");
+    }
+}
+
+/* -------- alone -------- */
+
 static bool
 first_serves_key2 (Testbed *tb)
 {
@@ -151,6 +234,7 @@
 const TestFunc silent_store_tests[] = {
   test_silent_connections_to_the_store_delayed_a_configuration,
   test_all_connections_are_silent_at_once,
+  test_connections_between_entries_are_silent,
   test_entry_alone_in_its_region,
   test_slow_store_is_not_asked_twice,
   NULL,
