--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -526,6 +526,8 @@
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   if (options->target != NULL)
     curl_easy_setopt (call->easy, CURLOPT_REQUEST_TARGET, options->target);
+  if (options->accepts_gzip)
+    curl_easy_setopt (call->easy, CURLOPT_ACCEPT_ENCODING, "gzip");
   call_set_method (call);
   call_set_limits (call);
   call_set_connection (call);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -46,6 +46,8 @@
   size_t max_head_bytes; /* of all heads and trailers; 0 for 32 KiB */
   const char *id;        /* of the request, for logs; NULL for none */
   bool single_use;       /* must not be sent twice */
+  bool accepts_gzip;     /* the body may be sent compressed; on_data and on_done
+                          * get it as it was before */
   bool new_connection;   /* sent on a new one, which is kept afterwards */
   unsigned
       max_idle_s; /* a kept connection that was idle for longer is not used; 0: any */
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -233,6 +233,36 @@
     result->error = DL_ERR_GONE;
 }
 
+static void
+read_number_header (DlHttpCall *http, const char *name, uint64_t *value)
+{
+  const char *text = dl_http_call_header (http, name);
+  uint64_t number;
+
+  if (text != NULL && dl_str_to_uint64 (dl_str (text), &number) == 0)
+    *value = number;
+}
+
+/* Decodes a successful response.  Returns 0 or DL_ERR_MALFORMED. */
+static int
+decode_response (const ObjectCall *call,
+                 DlHttpCall *http,
+                 json_object *body,
+                 DlObjectResult *result)
+{
+  if (body == NULL)
+    return DL_ERR_MALFORMED;
+  if (call->protocol->decode (http, &call->request, body, result) < 0)
+    return DL_ERR_MALFORMED;
+  if (call->protocol->accepts_gzip)
+    {
+      read_number_header (http, DL_OBJECT_REVISION_HEADER, &result->revision);
+      read_number_header (http, DL_OBJECT_ERA_HEADER, &result->era);
+      read_number_header (http, DL_OBJECT_AGE_HEADER, &result->age_ms);
+    }
+  return 0;
+}
+
 static void
 on_call_done (DlHttpCall *http, const DlHttpResult *response, void *data)
 {
@@ -250,9 +280,7 @@
   if (result.error == 0)
     {
       body = dl_json_text_parse_object (response->body);
-      result.error = body != NULL
-                         ? call->protocol->decode (http, &call->request, body, &result)
-                         : DL_ERR_MALFORMED;
+      result.error = decode_response (call, http, body, &result);
       if (result.error < 0 && is_write (call->request.action))
         result.error = DL_ERR_UNKNOWN;
     }
@@ -318,7 +346,7 @@
 }
 
 static const DlObjectProtocol native_protocol
-    = { .encode = native_encode, .decode = native_decode };
+    = { .encode = native_encode, .decode = native_decode, .accepts_gzip = true };
 
 static uint64_t
 call_timeout_ms (const DlObjectClient *client, const DlObjectRequest *request)
@@ -366,6 +394,7 @@
           .max_body_bytes = client->max_body_bytes,
           /* A conditional write sent twice would conflict with its own first attempt. */
           .single_use = is_write (request->action),
+          .accepts_gzip = client->protocol->accepts_gzip,
           .new_connection = request->new_connection,
           .max_idle_s = IDLE_MAX_S,
           .on_head = on_call_head,
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -79,6 +79,13 @@
   DL_OBJECT_WATCH,
 } DlObjectAction;
 
+/* Headers of the project's own object API, in place of members of the body of the same
+ * meaning.  A response with them is the same for all clients, so that it is compressed
+ * once. */
+#define DL_OBJECT_REVISION_HEADER "Object-Revision"
+#define DL_OBJECT_ERA_HEADER      "Object-Era"
+#define DL_OBJECT_AGE_HEADER      "Object-Age-Ms"
+
 /* A call, before it is encoded. */
 typedef struct
 {
@@ -119,6 +126,8 @@
                  DlObjectResult *result);
   /* Response header with the era's number; NULL when it is in the body. */
   const char *era_header;
+  /* Responses may be compressed, and have the headers above. */
+  bool accepts_gzip;
 } DlObjectProtocol;
 
 /* RESULT is valid only during the call; parts can be kept with json_object_get and
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "kernel/gzip.h"
 #include "kernel/metrics.h"
 
 /* Interval of the check for watches that are due. */
@@ -16,6 +17,10 @@
 #define STATUS_BAD_REQUEST 400
 #define STATUS_GONE        410
 #define STATUS_UNAVAILABLE 503
+/* A shorter body is not compressed. */
+#define PACKED_MIN_BYTES 4096
+/* Characters of a number. */
+#define NUMBER_MAX 24
 /* In place of a revision: requests no objects. */
 #define AFTER_ALL UINT64_MAX
 
@@ -24,6 +29,11 @@
            "daisy_node_relay_answers_total",
            "Lists and watches of other nodes that were answered in place of the store.")
 
+DL_METRIC (metric_packed,
+           DL_METRIC_COUNTER,
+           "daisy_node_relay_packed_total",
+           "Of these, those whose objects were sent compressed.")
+
 /* The current state of one object, or a tombstone for a deleted one. */
 typedef struct
 {
@@ -44,6 +54,16 @@
   uint64_t known_sync_ms; /* sync time when the request arrived */
 } PendingWatch;
 
+/* The objects that changed from one revision on up to another, as a compressed body. */
+typedef struct
+{
+  uint64_t first; /* lowest revision of those that are in it */
+  uint64_t last;  /* highest one of the kind */
+  uint64_t era;
+  bool is_watch;
+  DlStr bytes; /* empty for none */
+} PackedBody;
+
 typedef struct Kind
 {
   char *name;
@@ -57,6 +77,7 @@
   unsigned tombstones; /* number in records */
   GHashTable *records; /* name to Record */
   GList *pending;
+  PackedBody packed; /* the one that was sent last */
   struct Kind *next;
 } Kind;
 
@@ -124,34 +145,141 @@
     }
 }
 
-/* Sends the objects that changed after AFTER; deletions only for a watch. */
+static bool
+is_included (const Record *r, uint64_t after, bool is_watch)
+{
+  return r->revision > after && (r->text != NULL || is_watch);
+}
+
+/* Appends the objects that changed after AFTER, deletions only for a watch. */
 static void
-send_objects (Kind *k, DlHttpRequest *http, uint64_t after, bool is_watch)
+put_records (DlBuffer *body, const Kind *k, uint64_t after, bool is_watch)
 {
-  DlBuffer *body = dl_buffer_new (http, 0);
   bool first = true;
   GHashTableIter iter;
   gpointer value;
 
-  dl_buffer_printf (body,
-                    "{\"era\":%" PRIu64 ",\"revision\":%" PRIu64 ",\"age_ms\":%" PRIu64
-                    ",\"objects\":[",
-                    k->era, k->revision, dl_clock_ms () - k->synced_ms);
+  dl_buffer_printf (body, "\"objects\":[");
+  g_hash_table_iter_init (&iter, k->records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_included (value, after, is_watch))
+      {
+        put_record (body, k, value, first);
+        first = false;
+      }
+  dl_buffer_printf (body, "]}");
+}
+
+/* Lowest revision of the objects that changed after AFTER; 0 when their body would be too
+ * short to be compressed. */
+static uint64_t
+first_to_pack (const Kind *k, uint64_t after, bool is_watch)
+{
+  uint64_t first = UINT64_MAX;
+  size_t bytes = 0;
+  GHashTableIter iter;
+  gpointer value;
+
   g_hash_table_iter_init (&iter, k->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Record *r = value;
 
-      if (r->revision <= after || (r->text == NULL && !is_watch))
+      if (!is_included (r, after, is_watch))
         continue;
-      put_record (body, k, r, first);
-      first = false;
+      first = MIN (first, r->revision);
+      bytes += strlen (r->name) + (r->text != NULL ? strlen (r->text) : 0);
     }
-  dl_buffer_printf (body, "]}");
-  dl_metric_add (&metric_responses, 1);
+  return bytes >= PACKED_MIN_BYTES ? first : 0;
+}
+
+/* Compresses the objects that changed after AFTER, unless that was done last. */
+static DlStr
+pack (Kind *k, uint64_t after, bool is_watch)
+{
+  uint64_t first = first_to_pack (k, after, is_watch);
+  PackedBody *p = &k->packed;
+  DlBuffer *body;
+
+  if (first == 0)
+    return DL_STR_LITERAL ("");
+  if (p->bytes.length > 0 && p->first == first && p->last == k->newest && p->era == k->era
+      && p->is_watch == is_watch)
+    return p->bytes;
+  body = dl_buffer_new (k, 0);
+  dl_buffer_printf (body, "{");
+  put_records (body, k, after, is_watch);
+  talloc_free ((void *)p->bytes.data);
+  *p = (PackedBody){
+    .first = first,
+    .last = k->newest,
+    .era = k->era,
+    .is_watch = is_watch,
+    .bytes = dl_gzip (k, dl_buffer_view (body)),
+  };
+  if (p->bytes.length == 0)
+    p->bytes.data = NULL;
+  talloc_free (body);
+  return p->bytes;
+}
+
+static bool
+accepts_gzip (const DlHttpRequest *http)
+{
+  const char *encodings = dl_http_request_header (http, "Accept-Encoding");
+
+  return encodings != NULL && strstr (encodings, "gzip") != NULL;
+}
+
+static void
+send_packed (const Kind *k, DlHttpRequest *http, DlStr packed)
+{
+  char revision[NUMBER_MAX];
+  char era[NUMBER_MAX];
+  char age_ms[NUMBER_MAX];
+  const DlHttpHeader headers[] = {
+    { .name = "Content-Encoding", .value = "gzip" },
+    { .name = DL_OBJECT_REVISION_HEADER, .value = revision },
+    { .name = DL_OBJECT_ERA_HEADER, .value = era },
+    { .name = DL_OBJECT_AGE_HEADER, .value = age_ms },
+    { 0 },
+  };
+
+  g_snprintf (revision, sizeof revision, "%" PRIu64, k->revision);
+  g_snprintf (era, sizeof era, "%" PRIu64, k->era);
+  g_snprintf (age_ms, sizeof age_ms, "%" PRIu64, dl_clock_ms () - k->synced_ms);
+  dl_http_reply (http, STATUS_OK, "application/json", packed, headers);
+}
+
+static void
+send_plain (const Kind *k, DlHttpRequest *http, uint64_t after, bool is_watch)
+{
+  DlBuffer *body = dl_buffer_new (http, 0);
+
+  dl_buffer_printf (body,
+                    "{\"era\":%" PRIu64 ",\"revision\":%" PRIu64 ",\"age_ms\":%" PRIu64
+                    ",",
+                    k->era, k->revision, dl_clock_ms () - k->synced_ms);
+  put_records (body, k, after, is_watch);
   dl_http_reply (http, STATUS_OK, "application/json", dl_buffer_view (body), NULL);
 }
 
+/* Sends the objects that changed after AFTER; deletions only for a watch. */
+static void
+send_objects (Kind *k, DlHttpRequest *http, uint64_t after, bool is_watch)
+{
+  DlStr packed = DL_STR_LITERAL ("");
+
+  if (accepts_gzip (http))
+    packed = pack (k, after, is_watch);
+  dl_metric_add (&metric_responses, 1);
+  dl_metric_add (&metric_packed, packed.length > 0);
+  if (packed.length > 0)
+    send_packed (k, http, packed);
+  else
+    send_plain (k, http, after, is_watch);
+}
+
 static void
 refuse_stale (DlHttpRequest *http)
 {
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -71,9 +71,10 @@
   Process stager_process[SERVERS - 1];
   uint64_t config_version;
   uint64_t server_started[SERVERS]; /* start time of the instance that is listed */
-  unsigned slots;                   /* of each server, as listed; 0: SLOTS_DEFAULT */
-  unsigned revoke_ms;  /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
-  unsigned version_ms; /* within which a version is in effect; 0: VERSION_DEFAULT_MS */
+  unsigned more_routes; /* in the configuration, beside those that tests use */
+  unsigned slots;       /* of each server, as listed; 0: SLOTS_DEFAULT */
+  unsigned revoke_ms;   /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
+  unsigned version_ms;  /* within which a version is in effect; 0: VERSION_DEFAULT_MS */
 } Testbed;
 
 /* -------- testbed.c -------- */
--- a/regress/direct/reader.c
+++ b/regress/direct/reader.c
@@ -70,7 +70,67 @@
   CHECK (watch_status (tb, watched_revision) == GONE);
 }
 
+/* A region of the users' large site: one reader, with this link, for so many nodes; a
+ * configuration is in force everywhere within the time, half of which is for the link. */
+#define LINK_BYTES_PER_S (40 * 1000 * 1000 / 8)
+#define REGION_NODES     61
+#define LINK_MS          2000
+#define MANY_ROUTES      1651
+#define ROUTING_TARGET   "/v1/objects?kinds=config"
+#define NEW_ROUTE        "/many/1650/x"
+
+static bool
+new_route_is_known (Testbed *tb)
+{
+  bool known = true;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      Call c = default_call (tb, NEW_ROUTE, "many");
+      Response r;
+
+      c.address = tb->entry[i];
+      r = call (&c);
+      known = known && r.status == 200;
+      response_free (&r);
+    }
+  return known;
+}
+
+/* Bytes of the table as the entry INDEX gives it out to a node; 0 when it does not. */
+static uint64_t
+table_bytes (const Testbed *tb, unsigned index)
+{
+  Response r = call (&(Call){ .address = tb->metrics[index],
+                              .target = ROUTING_TARGET,
+                              .header = "Accept-Encoding: gzip" });
+  g_autofree char *length = response_header (&r, "Content-Length");
+  uint64_t bytes
+      = r.status == 200 && length != NULL ? g_ascii_strtoull (length, NULL, 10) : 0;
+
+  response_free (&r);
+  return bytes;
+}
+
+/* The table is sent to every node of the region over one link, where a key that is taken
+ * away waited for the routes that were added. */
+static void
+test_large_table_held_up_the_link_of_its_reader (Testbed *tb)
+{
+  uint64_t bytes;
+
+  tb->more_routes = MANY_ROUTES;
+  CHECK (testbed_configure (tb, false));
+  CHECK (eventually (new_route_is_known, tb));
+  bytes = MAX (table_bytes (tb, 0), table_bytes (tb, 1));
+  g_print ("a table of %u routes: %" G_GUINT64_FORMAT " bytes to a node\n", MANY_ROUTES,
+           bytes);
+  CHECK (bytes > 0);
+  CHECK (bytes * REGION_NODES <= (uint64_t)LINK_BYTES_PER_S * LINK_MS / 1000);
+}
+
 const TestFunc reader_tests[] = {
+  test_large_table_held_up_the_link_of_its_reader,
   test_reader_that_has_just_started_knows_no_removals,
   NULL,
 };
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -197,6 +197,23 @@
       "\"models\":[{\"name\":\"big\"}],\"usual\":{\"prompt\":100,\"answer\":10}}},"
       "{\"name\":\"p\"}";
 
+static void
+append_more_routes (const Testbed *tb, GString *spec)
+{
+  for (unsigned i = 0; i < tb->more_routes; i++)
+    {
+      /* Random, so that a table does not compress better than that of the users. */
+      uint32_t name = g_random_int ();
+
+      g_string_append_printf (spec,
+                              ",{\"name\":\"%08x-%u\",\"hostname\":\"x.example\","
+                              "\"path_prefix\":\"/many/%u/\",\"kind\":\"safe\","
+                              "\"timeout_ms\":%u,\"target_latency_ms\":400,"
+                              "\"backend\":\"m\",\"max_attempts\":2}",
+                              name, i, i, TIMEOUT_DEFAULT_MS);
+    }
+}
+
 static void
 append_routes (GString *spec)
 {
@@ -223,6 +240,7 @@
   g_string_append_printf (spec, "{\"version\":%" PRIu64 ",\"routes\":[",
                           ++tb->config_version);
   append_routes (spec);
+  append_more_routes (tb, spec);
   g_string_append_printf (spec,
                           "],\"services\":[%s,{\"name\":\"w\",\"origin\":\"%s\","
                           "\"link_mbps\":10}],"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Static checks: clang-tidy over the sources, mandoc over the manual pages.
 set -eu
-pkgs="libprotobuf-c libmicrohttpd libcurl glib-2.0 json-c talloc libedit libsodium"
+pkgs="libprotobuf-c libmicrohttpd libcurl glib-2.0 json-c talloc libedit libsodium zlib"
 # shellcheck disable=SC2046,SC2086
 git ls-files -co --exclude-standard '*.c' | grep -v '\.pb-c\.' |
 	xargs -P "$(nproc)" -n 4 sh -c 'clang-tidy --quiet "$@" -- -std=gnu11 -D_GNU_SOURCE \
