--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -252,7 +252,8 @@
                       uint64_t now_ms)
 {
   DirectUpstream *u = listed_instance (upstreams, entry, now_ms);
-  bool claims = u->removed || u->address == NULL || strcmp (u->address, entry->address);
+  bool claims
+      = u->removed || u->address == NULL || strcmp (u->address, entry->address) != 0;
 
   u->removed = false;
   set_text (u, &u->service, entry->service);
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -549,6 +549,17 @@
               func, data);
 }
 
+static void
+start_watch (DlObjectClient *client,
+             const void *owner,
+             DlObjectRequest request,
+             DlObjectFunc func,
+             void *data)
+{
+  request.action = DL_OBJECT_WATCH;
+  start_call (client, owner, &request, func, data);
+}
+
 void
 dl_object_watch (DlObjectClient *client,
                  const void *owner,
@@ -558,14 +569,9 @@
                  DlObjectFunc func,
                  void *data)
 {
-  start_call (client, owner,
-              &(DlObjectRequest){
-                  .action = DL_OBJECT_WATCH,
-                  .kinds = kinds,
-                  .revision = after,
-                  .wait_ms = wait_ms,
-              },
-              func, data);
+  start_watch (client, owner,
+               (DlObjectRequest){ .kinds = kinds, .revision = after, .wait_ms = wait_ms },
+               func, data);
 }
 
 void
@@ -576,12 +582,8 @@
                       DlObjectFunc func,
                       void *data)
 {
-  start_call (client, owner,
-              &(DlObjectRequest){
-                  .action = DL_OBJECT_WATCH,
-                  .kinds = kinds,
-                  .revision = after,
-                  .new_connection = true,
-              },
-              func, data);
+  start_watch (client, owner,
+               (DlObjectRequest){
+                   .kinds = kinds, .revision = after, .new_connection = true },
+               func, data);
 }
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -7,9 +7,9 @@
  * again in the second half of the watch's wait, or at the end of the wait.  A copy that
  * was synced too long ago is not served: status 503 tells the client to ask the store.
  *
- * To a client that accepts gzip the objects are sent compressed, and the numbers beside them
- * in headers (kernel/object_client.h), so that one compressed body serves all nodes that
- * miss the same changes.
+ * To a client that accepts gzip the objects are sent compressed, and the numbers beside
+ * them in headers (kernel/object_client.h), so that one compressed body serves all nodes
+ * that miss the same changes.
  *
  * A response also carries "era", that of the store when the copy was read
  * (kernel/object_era.h).  A client that knows a newer one is refused with 503, and one
--- a/regress/direct/endless.c
+++ b/regress/direct/endless.c
@@ -564,7 +564,7 @@
 play_many (Testbed *tb, const EndlessCase *c)
 {
   int pid = tb->entry_process[0].pid;
-  g_autoptr (GPtrArray) ids = NULL;
+  GPtrArray *ids;
   Background requests[MANY];
   uint64_t peak_kb;
 
@@ -578,6 +578,7 @@
                   "no answer looks whole");
       response_free (&requests[i].response);
     }
+  g_ptr_array_free (ids, TRUE);
   peak_kb = read_peak_kb (pid);
   reset_servers (tb);
   g_print ("endless: %-32s entry: %" G_GUINT64_FORMAT " kB at most\n", c->name, peak_kb);
