--- a/regress/direct/silent_store.c
+++ b/regress/direct/silent_store.c
@@ -58,7 +58,8 @@
          && status_with_key (tb, 1, "key2") == SERVED;
 }
 
-/* Takes a key away just after COUNT proxies from FIRST on were stalled at SILENT_MS. */
+/* Takes a key away just after connections went silent at SILENT_MS, and checks that the
+ * first ENTRIES entries refuse it in time. */
 static void
 check_revoked (Testbed *tb, unsigned entries, uint64_t silent_ms, const char *what)
 {
@@ -71,6 +72,8 @@
            what, __LINE__);
 }
 
+/* Stalls the first COUNT proxies, that before the store among them, TIMES times in a row,
+ * then takes a key away. */
 static void
 play (Testbed *tb, unsigned count, unsigned times, const char *what)
 {
