--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -28,6 +28,7 @@
 {
   Staging *staging;
   unsigned index;
+  uint64_t sent_ms;
 } StageCall;
 
 static StageCall *
@@ -37,6 +38,7 @@
 
   c->staging = s;
   c->index = index;
+  c->sent_ms = dl_clock_ms ();
   s->calls++;
   return c;
 }
@@ -82,6 +84,7 @@
                   || result->status == STATUS_NO_CONTENT);
 
   s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
+  s->lost_writes += result->error != 0 && result->sent;
   end_call (c, result, !done);
   weights_run (s->owner);
 }
@@ -126,6 +129,7 @@
     {
       s->copies[index].state = STAGED_VERIFIED;
       s->copies[index].verified_ms = dl_clock_ms ();
+      s->copies[index].read_ms = c->sent_ms;
       if (b->chunks[index].length == 0)
         dl_bundle_add_chunk (b, index, result->body);
     }
@@ -194,25 +198,55 @@
   return "";
 }
 
+/* When the oldest read was sent by which the chunks were verified. */
+static uint64_t
+oldest_read_ms (const Staging *s)
+{
+  uint64_t oldest_ms = UINT64_MAX;
+
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    oldest_ms = MIN (oldest_ms, s->copies[i].read_ms);
+  return oldest_ms;
+}
+
+void
+stage_check_accepted (Weights *w, uint64_t loads)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (loads <= w->engine.loads || !w->command_pending)
+    return;
+  w->command_pending = false;
+  dl_log (DL_EVENT_STAGE_ORDERED_LATE, DL_TEXT ("engine", w->settings->engine),
+          DL_UINT ("loads", loads), DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
+          DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
+}
+
 static void
 on_load_response (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
   Weights *w = data;
   const DlBundle *b = w->staging != NULL ? w->staging->bundle : NULL;
   DlLoadOutcome outcome = platform_read_load_outcome (result);
+  uint64_t now_ms = dl_clock_ms ();
 
+  w->command_pending = outcome == DL_LOAD_UNKNOWN;
   w->staging_blocked_until_ms
       = outcome == DL_LOAD_UNKNOWN ? dl_clock_ms () + LOAD_UNKNOWN_HOLD_MS : 0;
   if (outcome == DL_LOAD_ACCEPTED || outcome == DL_LOAD_ALREADY_IN_EFFECT)
     dl_log (DL_EVENT_STAGE_ORDERED, DL_TEXT ("engine", w->settings->engine),
             DL_UINT ("version", b != NULL ? b->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
-            DL_UINT ("named_ms_ago", b != NULL ? dl_clock_ms () - b->announced_ms : 0));
+            DL_UINT ("named_ms_ago", b != NULL ? now_ms - b->announced_ms : 0),
+            DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
+            DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
   else
     dl_log (DL_EVENT_STAGE_ORDER_REFUSED, DL_TEXT ("engine", w->settings->engine),
             DL_UINT ("version", b != NULL ? b->version : 0),
             DL_TEXT ("outcome", outcome_text (outcome)),
-            DL_UINT ("status", result->status));
+            DL_UINT ("status", result->status),
+            DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
+            DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
   if (w->phase == PHASE_LOAD_COMMAND)
     weights_set_phase (w, PHASE_LOADING);
   weights_run (w);
@@ -222,8 +256,18 @@
 stage_send_load (Staging *s, bool preempt)
 {
   Weights *w = s->owner;
+  uint64_t now_ms = dl_clock_ms ();
 
-  w->staging_blocked_until_ms = dl_clock_ms () + LOAD_TIMEOUT_MS + LOAD_UNKNOWN_HOLD_MS;
+  w->command_ms = now_ms;
+  w->proof_ms = oldest_read_ms (s);
+  dl_log (DL_EVENT_STAGE_ORDER_SENT, DL_TEXT ("engine", w->settings->engine),
+          DL_UINT ("version", s->bundle->version),
+          DL_TEXT ("mode", preempt ? "cut off what runs" : "after what runs"),
+          DL_UINT ("loads", w->engine.loads),
+          DL_UINT ("report_age_ms", now_ms - w->report_ms),
+          DL_UINT ("proof_age_ms", now_ms - w->proof_ms),
+          DL_UINT ("lost_writes", s->lost_writes));
+  w->staging_blocked_until_ms = now_ms + LOAD_TIMEOUT_MS + LOAD_UNKNOWN_HOLD_MS;
   weights_set_phase (w, PHASE_LOAD_COMMAND);
   platform_call_load (w->client, w, w->settings->engine, s->bundle->model,
                       s->bundle->version, preempt,
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -164,7 +164,10 @@
     for (unsigned i = 0; i < s->bundle->count; i++)
       if (s->copies[i].state == STAGED_VERIFIED)
         s->copies[i].state = STAGED_WRITTEN;
+  if (w->engine_known && report->started_ms == w->engine.started_ms)
+    stage_check_accepted (w, report->loads);
   w->engine_known = true;
+  w->report_ms = dl_clock_ms ();
   w->engine = *report;
   w->engine.model = NULL; /* freed with the message */
 }
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -29,6 +29,7 @@
 {
   StagedState state;
   uint64_t verified_ms; /* when it was last verified */
+  uint64_t read_ms;     /* when the read that verified it was sent */
 } StagedCopy;
 
 /* The version that is being loaded into the engine. */
@@ -40,6 +41,7 @@
                             * that of an earlier version that the engine never served */
   StagedCopy *copies;      /* of each chunk; NULL until the manifest has arrived */
   unsigned calls;          /* requests to the staging area in progress */
+  unsigned lost_writes;    /* that ended without a response, and may still land */
   DlBackoff failures;      /* of these */
 };
 
@@ -75,6 +77,10 @@
                                       * still begin */
   bool engine_known;                 /* a report arrived, and the engine is responsive */
   DlEngineReport engine;             /* last report, without its strings */
+  uint64_t report_ms;                /* when that report arrived */
+  uint64_t command_ms;  /* when the last load command was sent; 0 for never */
+  uint64_t proof_ms;    /* when the oldest read that it rested on was sent */
+  bool command_pending; /* it has had no usable response, and may still be accepted */
   bool announced_loading;            /* entries were asked to send no new requests */
   bool chunks_dropped;               /* the current version's chunks were freed */
 };
@@ -94,6 +100,9 @@
 /* Reads back chunks that were not verified since SINCE_MS, a few at a time.  Returns true
  * when all have been. */
 bool stage_verify (Staging *staging, uint64_t since_ms);
+/* A report shows that the engine accepted LOADS commands so far: logs a command that was
+ * accepted after it had been given up. */
+void stage_check_accepted (Weights *weights, uint64_t loads);
 /* Sends the load command; PREEMPT: running requests are cut off. */
 void stage_send_load (Staging *staging, bool preempt);
 
