--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -78,11 +78,11 @@
   bool engine_known;                 /* a report arrived, and the engine is responsive */
   DlEngineReport engine;             /* last report, without its strings */
   uint64_t report_ms;                /* when that report arrived */
-  uint64_t command_ms;  /* when the last load command was sent; 0 for never */
-  uint64_t proof_ms;    /* when the oldest read that it rested on was sent */
-  bool command_pending; /* it has had no usable response, and may still be accepted */
-  bool announced_loading;            /* entries were asked to send no new requests */
-  bool chunks_dropped;               /* the current version's chunks were freed */
+  uint64_t command_ms;    /* when the last load command was sent; 0 for never */
+  uint64_t proof_ms;      /* when the oldest read that it rested on was sent */
+  bool command_pending;   /* it has had no usable response, and may still be accepted */
+  bool announced_loading; /* entries were asked to send no new requests */
+  bool chunks_dropped;    /* the current version's chunks were freed */
 };
 
 /* -------- weights.c -------- */
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -213,6 +213,7 @@
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
+  { "taken", { taken_tests } },
   { "manifests", { manifest_tests } },
   { "silent-store",
     { silent_store_tests },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -255,6 +255,8 @@
 extern const TestFunc copied_tests[];
 /* Stagers whose engine takes no chunks. */
 extern const TestFunc staging_tests[];
+/* Weights that engines take. */
+extern const TestFunc taken_tests[];
 /* Manifests that the origin spoils. */
 extern const TestFunc manifest_tests[];
 /* Open connections that go silent; needs proxies. */
--- /dev/null
+++ b/regress/direct/taken.c
@@ -0,0 +1,200 @@
+/*
+ * Tests of the weights that engines take: no request may run on weights of which a chunk
+ * had been bad for more than 3 s, missing or of another version as the engine took it.
+ * Whether it was is read from the engines' own records.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "direct.h"
+#include "kernel/kernel.h"
+
+#define US_PER_MS 1000
+/* Longer than a chunk may have been bad, and than stagers wait for a response. */
+#define LATE_MS 4500
+/* Four of these and the next two make the engine take chunks 3.2 s after the first read,
+ * though no call is late by itself. */
+#define READ_LATE_MS    580
+#define COMMAND_LATE_MS 950
+/* Callers go on for so long after the engine has taken weights. */
+#define CALLS_MS     1500
+#define CALL_GAP_MS  20
+#define CALLERS      6
+#define ALL_CHUNKS   16
+#define CHUNKS_FIRST 4 /* read at once */
+
+static uint64_t newest = 1;
+
+/* -------- callers -------- */
+
+typedef struct
+{
+  const Testbed *testbed;
+  unsigned number;
+  gint *stop; /* atomic */
+} StreamCaller;
+
+static gpointer
+send_streams (void *data)
+{
+  const StreamCaller *caller = data;
+
+  for (unsigned n = 0; g_atomic_int_get (caller->stop) == 0; n++)
+    {
+      char *id = g_strdup_printf ("taken-%u-%" G_GUINT64_FORMAT "-%u", caller->number,
+                                  dl_clock_ms (), n);
+      Call c = default_call (caller->testbed, "/s/x", id);
+      Response r;
+
+      c.address = caller->testbed->entry[caller->number % ENTRIES];
+      r = call (&c);
+      response_free (&r);
+      g_free (id);
+      g_usleep (CALL_GAP_MS * US_PER_MS);
+    }
+  return NULL;
+}
+
+/* Waits until CONDITION holds while callers send streams, and a while longer. */
+static bool
+eventually_under_callers (Testbed *tb, bool (*condition) (Testbed *testbed))
+{
+  gint stop = 0;
+  StreamCaller callers[CALLERS];
+  GThread *threads[CALLERS];
+  bool holds;
+
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (StreamCaller){ .testbed = tb, .number = i, .stop = &stop };
+      threads[i] = g_thread_new ("streams", send_streams, &callers[i]);
+    }
+  holds = eventually (condition, tb);
+  g_usleep (CALLS_MS * US_PER_MS);
+  g_atomic_int_set (&stop, 1);
+  for (unsigned i = 0; i < CALLERS; i++)
+    g_thread_join (threads[i]);
+  return holds;
+}
+
+/* -------- conditions -------- */
+
+static bool
+both_serve_newest (Testbed *tb)
+{
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    if (recorded (tb->server[i], "version") != newest)
+      return false;
+  return requests_are_served (tb);
+}
+
+static uint64_t commands_before;
+
+static bool
+first_has_taken_weights (Testbed *tb)
+{
+  return recorded (tb->server[0], "orders") > commands_before;
+}
+
+static uint64_t received_before;
+
+static bool
+first_server_is_used (Testbed *tb)
+{
+  return recorded (tb->server[0], "received") > received_before;
+}
+
+/* The first server starts again under its id and has lost its weights. */
+static void
+lose_weights (Testbed *tb)
+{
+  commands_before = recorded (tb->server[0], "orders");
+  CHECK (set_fault (tb->server[0], "lose_weights", 1));
+  CHECK (testbed_restart_server (tb, 0));
+  CHECK (set_fault (tb->server[0], "born", tb->server_started[0]));
+}
+
+/* The first server has its weights, gets requests again, and none ran on spoilt ones. */
+static void
+check_taken (Testbed *tb)
+{
+  CHECK (eventually_under_callers (tb, first_has_taken_weights));
+  CHECK (eventually_under_callers (tb, both_serve_newest));
+  received_before = recorded (tb->server[0], "received");
+  CHECK (eventually_under_callers (tb, first_server_is_used));
+  CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
+  CHECK (recorded (tb->server[0], "version") == newest);
+}
+
+/* -------- the tests -------- */
+
+/* The engine's process stands still before it reads the command, and a chunk turns bad.
+ */
+static void
+test_command_taken_late_by_a_stalled_engine (Testbed *tb)
+{
+  CHECK (eventually (both_serve_newest, tb));
+  CHECK (set_fault (tb->server[0], "rot_at_command", 1));
+  CHECK (set_fault (tb->server[0], "command_stall_ms", LATE_MS));
+  lose_weights (tb);
+  check_taken (tb);
+}
+
+/* The same for a command that waits in an engine that goes on otherwise. */
+static void
+test_command_taken_late_after_its_sender_gave_it_up (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "rot_at_command", ALL_CHUNKS));
+  CHECK (set_fault (tb->server[0], "command_late_ms", LATE_MS));
+  lose_weights (tb);
+  check_taken (tb);
+}
+
+/* Each call is in time, but together they take longer than a proof is good for. */
+static void
+test_proofs_grew_too_old_before_the_command_was_taken (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "read_late_ms", READ_LATE_MS));
+  lose_weights (tb);
+  CHECK (set_fault (tb->server[0], "rot_after_read", CHUNKS_FIRST));
+  CHECK (set_fault (tb->server[0], "command_late_ms", COMMAND_LATE_MS));
+  CHECK (eventually_under_callers (tb, first_has_taken_weights));
+  CHECK (set_fault (tb->server[0], "read_late_ms", 0));
+  check_taken (tb);
+}
+
+/* A write of the version before, given up by the stager, lands over the newer chunk. */
+static void
+test_late_write_of_an_older_version_was_taken (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "write_at_command", 1));
+  CHECK (testbed_announce_version (tb, ++newest));
+  CHECK (eventually_under_callers (tb, both_serve_newest));
+  CHECK (testbed_announce_version (tb, ++newest));
+  commands_before = recorded (tb->server[0], "orders");
+  check_taken (tb);
+}
+
+/* The stager starts again while a command of it waits at the engine, and stages the next
+ * version over the one that is to be loaded. */
+static void
+test_command_of_a_stager_that_ended_took_another_version (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "command_late_ms", LATE_MS));
+  lose_weights (tb);
+  g_usleep (1000 * US_PER_MS);
+  process_end (&tb->stager_process[0], SIGKILL);
+  CHECK (testbed_announce_version (tb, ++newest));
+  CHECK (process_start (&tb->stager_process[0]));
+  check_taken (tb);
+}
+
+const TestFunc taken_tests[] = {
+  test_command_taken_late_by_a_stalled_engine,
+  test_command_taken_late_after_its_sender_gave_it_up,
+  test_proofs_grew_too_old_before_the_command_was_taken,
+  test_late_write_of_an_older_version_was_taken,
+  test_command_of_a_stager_that_ended_took_another_version,
+  NULL,
+};
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -1,13 +1,13 @@
 /*
  * The stand-in of a server of the users' platform: it runs requests and sends streams of
- * events, and as a model server has chunks staged and accepts load commands.  It records
- * which requests ran.
+ * events.  It records which requests ran.
  */
 #include <glib.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "staged.h"
 #include "standin.h"
 #include "weights.h"
 
@@ -15,7 +15,6 @@
 #define LONG_PART       "/long/" /* of paths whose response takes ANSWER_MS */
 #define EVENTS_DEFAULT  10
 #define EVENT_MS        20
-#define LOAD_MS         100
 #define START_MS        800
 #define MS_PER_S        1000.0
 #define NAME_BYTES      32
@@ -56,7 +55,6 @@
 } VersionLimit;
 
 static uint64_t instance = 1; /* its instance id is "i-N" */
-static uint64_t version = 1;  /* of the weights that it serves; 0: none */
 static uint64_t events = EVENTS_DEFAULT;
 static uint64_t event_ms = EVENT_MS;
 static uint64_t answer_ms;    /* how long a request of a LONG_PART path runs */
@@ -69,7 +67,6 @@
 static uint64_t foreign;      /* the next N responses have another request's id */
 static uint64_t unsealed;     /* the next N responses lack the seal */
 static uint64_t silent;       /* the next N are run without a response ever */
-static uint64_t rot;          /* the next N reads of staged chunks corrupt the chunk */
 static uint64_t slots = 16;
 static uint64_t born;           /* start time in its report; 0: the number of INSTANCE */
 static uint64_t leaving;        /* responses to requests say that it leaves */
@@ -93,7 +90,7 @@
 static uint64_t refusal_nameless;     /* they have no request's id */
 static uint64_t error_resumed; /* status of the response to each stream that resumes; 0 */
 static uint64_t error_sealed;  /* these have the seal */
-static uint64_t stage_refused; /* 1: no chunk can be staged */
+static uint64_t lose_weights;  /* set to 1: it has started again without weights */
 static uint64_t end_early_ms; /* runs end that long before the end of their time; 0: no */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
@@ -101,9 +98,6 @@
 static uint64_t due_in_ms;
 
 static DlTask *task;
-static GHashTable *staged; /* index of a chunk to its bytes */
-static bool loading;
-static uint64_t load_commands;
 static uint64_t running;
 static GList *streams;      /* of Stream that are being sent */
 static GList *queued;       /* of QueuedStream */
@@ -118,11 +112,9 @@
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
 static uint64_t crashes_whole;  /* of CRASHES, those by such a body */
 static uint64_t poisoned_whole; /* requests received whose body crashes it */
-static uint64_t stage_puts;     /* chunks that were to be staged */
 static uint64_t received;       /* requests, also those that were refused */
 static uint64_t events_sent;
 static uint64_t cancelled;       /* streams whose caller disconnected */
-static uint64_t mixed;           /* loads accepted with missing or wrong chunks */
 static uint64_t keys_seen;       /* requests that carried a caller's key */
 static uint64_t wrong_version;   /* requests refused as they expected another version */
 static uint64_t dropped;         /* queued streams whose connection closed */
@@ -135,7 +127,7 @@
 
 static const StandinKnob server_knobs[] = {
   { "instance", &instance },
-  { "version", &version },
+  { "version", &staged_version },
   { "events", &events },
   { "event_ms", &event_ms },
   { "answer_ms", &answer_ms },
@@ -146,7 +138,7 @@
   { "foreign", &foreign },
   { "unsealed", &unsealed },
   { "silent", &silent },
-  { "rot", &rot },
+  { "rot", &staged_rot },
   { "slots", &slots },
   { "cut_resumed", &cut_resumed },
   { "born", &born },
@@ -174,7 +166,14 @@
   { "refusal_nameless", &refusal_nameless },
   { "error_resumed", &error_resumed },
   { "error_sealed", &error_sealed },
-  { "stage_refused", &stage_refused },
+  { "stage_refused", &staged_refused },
+  { "rot_after_read", &staged_rot_after_read },
+  { "rot_at_command", &staged_rot_at_command },
+  { "read_late_ms", &staged_read_late_ms },
+  { "command_late_ms", &staged_command_late_ms },
+  { "command_stall_ms", &staged_command_stall_ms },
+  { "write_at_command", &staged_write_at_command },
+  { "lose_weights", &lose_weights },
   { "end_early_ms", &end_early_ms },
   { 0 },
 };
@@ -183,7 +182,7 @@
 server_start (DlTask *standin)
 {
   task = standin;
-  staged = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  staged_start (standin);
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   limited_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   due = g_array_new (FALSE, FALSE, sizeof (VersionLimit));
@@ -205,101 +204,7 @@
   *member = g_strdup (text);
 }
 
-/* -------- staging and load commands -------- */
-
-static unsigned
-query_num (DlHttpRequest *request)
-{
-  const char *num = dl_http_request_query (request, "num");
-
-  return num != NULL ? (unsigned)g_ascii_strtoull (num, NULL, 10) : WEIGHTS_CHUNKS;
-}
-
-static void
-stage_put (DlHttpRequest *request)
-{
-  DlStr body = dl_http_request_body (request);
-
-  stage_puts++;
-  if (stage_refused)
-    {
-      dl_http_reply_error (request, 503, 0, "nothing can be staged now");
-      return;
-    }
-  if (body.length != WEIGHTS_CHUNK_BYTES || query_num (request) >= WEIGHTS_CHUNKS)
-    {
-      dl_http_reply_error (request, 400, 0, "no chunk");
-      return;
-    }
-  g_hash_table_replace (staged, GUINT_TO_POINTER (query_num (request)),
-                        g_memdup2 (body.data, body.length));
-  standin_reply_status (request, 200);
-}
-
-static void
-stage_get (DlHttpRequest *request)
-{
-  char *bytes = g_hash_table_lookup (staged, GUINT_TO_POINTER (query_num (request)));
-
-  if (bytes == NULL)
-    {
-      dl_http_reply_error (request, 404, 0, "not staged");
-      return;
-    }
-  if (standin_count_down (&rot))
-    bytes[1] ^= 1;
-  dl_http_reply (request, 200, "application/octet-stream",
-                 dl_str_bytes (bytes, WEIGHTS_CHUNK_BYTES), NULL);
-}
-
-static bool
-staged_is_complete (uint64_t of)
-{
-  for (unsigned i = 0; i < WEIGHTS_CHUNKS; i++)
-    {
-      const char *bytes = g_hash_table_lookup (staged, GUINT_TO_POINTER (i));
-
-      if (bytes == NULL
-          || !weights_is_chunk (of, i, dl_str_bytes (bytes, WEIGHTS_CHUNK_BYTES)))
-        return false;
-    }
-  return true;
-}
-
-static void
-on_loaded (DlTimer *timer, void *data)
-{
-  talloc_free (timer);
-  loading = false;
-  version = (uint64_t)GPOINTER_TO_SIZE (data);
-}
-
-static void
-handle_load_command (DlHttpRequest *request)
-{
-  json_object *body = standin_body (request);
-  uint64_t target;
-
-  if (body == NULL)
-    return;
-  target = standin_json_uint (body, "version");
-  if (strcmp (standin_json_text (body, "operation"), "start") != 0)
-    standin_reply_status (request, 400);
-  else if (loading)
-    standin_reply_status (request, 409);
-  else if (target == version)
-    standin_reply_status (request, 200);
-  else
-    {
-      load_commands++;
-      mixed += !staged_is_complete (target);
-      loading = true;
-      dl_timer_subscribe (task, task, LOAD_MS, 0, on_loaded,
-                          GSIZE_TO_POINTER ((gsize)target));
-      standin_reply_status (request, 202);
-    }
-  json_object_put (body);
-}
+/* -------- reports -------- */
 
 static void
 reply_report (DlHttpRequest *request)
@@ -311,21 +216,21 @@
   const DlHttpHeader headers[]
       = { { report_leaving ? "Server-Leaving" : NULL, "1" }, { 0 } };
 
-  if (version > 0)
+  if (staged_version > 0)
     {
       standin_json_set_text (model, "name", WEIGHTS_MODEL);
-      standin_json_set_uint (model, "version", version);
+      standin_json_set_uint (model, "version", staged_version);
       json_object_array_add (models, json_object_get (model));
       standin_json_set_uint (layers, "from", 0);
       standin_json_set_uint (layers, "target", WEIGHTS_LAYERS);
-      standin_json_set_uint (layers, "version", version);
+      standin_json_set_uint (layers, "version", staged_version);
       json_object_object_add (report, "layers", json_object_get (layers));
     }
   json_object_put (model);
   json_object_put (layers);
   json_object_object_add (report, "models", models);
-  json_object_object_add (report, "busy", json_object_new_boolean (loading));
-  standin_json_set_uint (report, "sequence", load_commands);
+  json_object_object_add (report, "busy", json_object_new_boolean (staged_is_loading ()));
+  standin_json_set_uint (report, "sequence", staged_commands ());
   standin_json_set_uint (report, "running", running + others);
   standin_json_set_uint (report, "waiting", g_list_length (queued));
   standin_json_set_uint (report, "born", born > 0 ? born : instance);
@@ -386,7 +291,7 @@
              standin_count_down (&foreign) ? "another" : header (request, "X-Request-Id"),
              sizeof h->id);
   g_snprintf (h->seal, sizeof h->seal, "seal-of-i-%" PRIu64, instance);
-  g_snprintf (h->versions, sizeof h->versions, "%" PRIu64, version);
+  g_snprintf (h->versions, sizeof h->versions, "%" PRIu64, staged_version);
   h->headers[count++] = (DlHttpHeader){ .name = "X-Request-Id", .value = h->id };
   h->headers[count++]
       = (DlHttpHeader){ .name = "X-Weight-Versions", .value = h->versions };
@@ -592,7 +497,7 @@
 
   outdated_starts++;
   standin_json_set_uint (start, "at_ms", dl_clock_ms ());
-  standin_json_set_uint (start, "version", version);
+  standin_json_set_uint (start, "version", staged_version);
   json_object_object_add (outdated, header (request, "X-Request-Id"), start);
 }
 
@@ -604,7 +509,7 @@
     {
       const VersionLimit *limit = &g_array_index (due, VersionLimit, i);
 
-      if (dl_clock_ms () < limit->from_ms || version >= limit->version)
+      if (dl_clock_ms () < limit->from_ms || staged_version >= limit->version)
         continue;
       record_outdated (request);
       return;
@@ -700,7 +605,7 @@
   char own[NAME_BYTES];
 
   g_snprintf (own, sizeof own, "i-%" PRIu64, instance);
-  if (weights != NULL && g_ascii_strtoull (weights, NULL, 10) != version)
+  if (weights != NULL && g_ascii_strtoull (weights, NULL, 10) != staged_version)
     {
       wrong_version++;
       return true;
@@ -766,6 +671,7 @@
 run_now (DlHttpRequest *request)
 {
   record_run (request);
+  staged_count_run ();
   if (standin_count_down (&silent))
     return;
   if (standin_count_down (&old_refusals))
@@ -830,7 +736,7 @@
       refuse (request, 421);
       return;
     }
-  if (loading || is_starting () || standin_count_down (&shed)
+  if (staged_is_loading () || is_starting () || standin_count_down (&shed)
       || (dl_http_request_header (request, "Last-Event-Id") != NULL
           && standin_count_down (&shed_resumed)))
     {
@@ -850,6 +756,8 @@
 
   if (standin_count_down (&crash_now))
     crash ();
+  if (standin_count_down (&lose_weights))
+    staged_lose_weights ();
   if (due_version == last_due)
     return;
   last_due = due_version;
@@ -873,13 +781,7 @@
     }
   else if (strcmp (path, "/-/report") == 0)
     reply_report (request);
-  else if (strcmp (path, "/-/order") == 0)
-    handle_load_command (request);
-  else if (g_str_has_prefix (path, "/-/stage-put/"))
-    stage_put (request);
-  else if (g_str_has_prefix (path, "/-/stage-get/"))
-    stage_get (request);
-  else
+  else if (!staged_handle (request))
     run_request (request);
 }
 
@@ -898,9 +800,7 @@
   json_object_object_add (records, "runs", ran);
   standin_json_set_uint (records, "ran", g_hash_table_size (runs));
   standin_json_set_uint (records, "received", received);
-  standin_json_set_uint (records, "version", version);
-  standin_json_set_uint (records, "orders", load_commands);
-  standin_json_set_uint (records, "mixed", mixed);
+  staged_record (records);
   standin_json_set_uint (records, "running", running);
   standin_json_set_uint (records, "queued", g_list_length (queued));
   standin_json_set_uint (records, "dropped", dropped);
@@ -914,7 +814,6 @@
   standin_json_set_uint (records, "poisoned_whole", poisoned_whole);
   standin_json_set_uint (records, "crashes_whole", crashes_whole);
   standin_json_set_uint (records, "cancelled", cancelled);
-  standin_json_set_uint (records, "stage_puts", stage_puts);
   standin_json_set_uint (records, "keys_seen", keys_seen);
   standin_json_set_uint (records, "wrong_version", wrong_version);
   standin_json_set_text (records, "target", last_target != NULL ? last_target : "");
