WHOLE: weights count as sound only when what is staged was read back after the engine took it

What callers saw: thousands of answers made with a layer of which a chunk had been bad for more than 3 s as the engine took it, after an engine had lost its weights and was loaded again.

Cause: a stager took "this chunk is good" for true at the moment at which the engine accepts the load command. It does not know that moment. A command that is given up after 1 s may be accepted whenever the engine reads it, also after its stager has ended and another one stages another version; a write may land as late; and the allowed ages added up to 3.8 s. Nothing looked at the weights afterwards. Class of fault: a decision on a view that is older than the decision, with an effect whose moment is not bounded.

Change: staged chunks do not heal, so those that are read back sound after the acceptance, with nothing written since the command was sent, were sound when they were taken (lib/policy/load_proof.h). Until then entries send the engine nothing. If a chunk is bad, or the engine accepted a command of which it is not known when it was sent while chunks were written, the engine is told to give its weights up (an empty range of layers), and loads again. Each command names the count of commands that the engine has accepted, so that of all that are under way at most one is accepted. A proof counts from the sending of its read; 1,800 ms and the 1,000 ms of the command stay below 3 s. A command is sent only to an engine that answers its reports. A stager that starts does not know what its predecessor's commands did: it says so, and entries go on only if they were told before that this very load was sound. A restarted engine's chunks are read back also when they are not in memory (they were fetched again).

--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -48,6 +48,8 @@
 {
   const char *address; /* "IP:PORT" of the engine */
   bool is_serving;     /* false while it is down or loads new weights */
+  bool unchecked;      /* as in dl_sound_load_told, and the next */
+  uint64_t loads;
   unsigned running;    /* requests */
   unsigned waiting;    /* requests */
   double pace;         /* as in DlUpstreamLoad */
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -274,6 +274,8 @@
   message->engine = (DirectEngineStatus){
     .address = talloc_strdup (message, engine->address),
     .is_serving = !engine->loading,
+    .unchecked = engine->unchecked,
+    .loads = engine->loads,
     .running = engine->running,
     .waiting = engine->waiting,
     .pace = engine->pace,
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -301,13 +301,16 @@
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     {
       bool is_same = dl_availability_is_same_instance (u->started_ms, engine->started_ms);
+      bool is_sound;
 
       if (u->removed || strcmp (u->address, engine->address) != 0
           || (u->contested && (u->displaced || !is_same)))
         continue;
       u->has_engine = true;
       set_slots (u, u->slots);
-      u->loading = !engine->is_serving;
+      is_sound = dl_sound_load_told (&u->sound_load, engine->started_ms, engine->loads,
+                                     engine->unchecked);
+      u->loading = !engine->is_serving || !is_sound;
       u->version = engine->version;
       u->stager_report_ms = now_ms;
       u->load.pace = engine->pace;
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -10,6 +10,7 @@
 #include "policy/availability.h"
 #include "policy/balance.h"
 #include "policy/breaker.h"
+#include "policy/load_proof.h"
 #include "policy/rate_limit.h"
 #include "policy/routing.h"
 
@@ -34,7 +35,9 @@
   bool removed;                /* no longer listed */
   uint64_t removed_ms;         /* when it was removed from the list */
   bool has_engine;             /* according to its list entry or its stager */
-  bool loading;                /* down or loading weights, according to its stager */
+  bool loading;                /* down, loading weights, or not known to have sound ones,
+                                * according to its stager */
+  DlSoundLoad sound_load;      /* its last load that its stager knew to be sound */
   uint64_t version;            /* of the weights that it serves; 0 for none */
   unsigned slots;              /* request slots */
   uint64_t stager_report_ms;   /* when its stager last reported on it; 0 for never */
--- a/daisystaged/daisystaged.h
+++ b/daisystaged/daisystaged.h
@@ -27,6 +27,15 @@
   STAGE_WEIGHTS,       /* this node's chunks, and whether its engine is to load */
 } StageMessageType;
 
+/* Whether entries may send requests to the engine. */
+typedef struct
+{
+  bool out_of_use;     /* it is being drained or loads, or its weights are spoilt */
+  bool sound;          /* it has sound weights, if the next two are those of its report */
+  uint64_t started_ms; /* wall clock at its start */
+  uint64_t loads;      /* commands accepted since */
+} StageEngineUse;
+
 /* A message between the tasks.  The type in HEAD determines which member of the union is
  * set.  What the members point to is a talloc child of the message. */
 typedef struct
@@ -46,7 +55,7 @@
     DlEngineReport report;
     struct
     {
-      bool loading; /* the engine is being drained or loads; entries send no requests */
+      StageEngineUse use;
       bool changed; /* the chunks changed since the last message */
       DlHoldings holdings;
     } weights;
--- a/daisystaged/engine.c
+++ b/daisystaged/engine.c
@@ -23,9 +23,10 @@
   DlTask *task;
   DlHttpClient *client;
   const char *address;
-  unsigned layers; /* of complete weights; 0 until known */
-  bool loading;    /* as in StageMessage */
-  unsigned misses; /* reports missed in a row */
+  unsigned layers;   /* of complete weights; 0 until known */
+  bool loading;      /* as in StageMessage */
+  unsigned misses;   /* reports missed in a row */
+  uint64_t asked_ms; /* when the last report was asked for */
   bool unresponsive;
   DlTimer *timer;
 } Engine;
@@ -76,6 +77,7 @@
              == 0)
     {
       message->report.leaving = platform_is_leaving (call);
+      message->report.asked_ms = engine->asked_ms;
       engine->misses = 0;
       set_unresponsive (engine, false);
       dl_kernel_publish (dl_task_kernel (engine->task), message);
@@ -91,6 +93,7 @@
 static void
 request_report (Engine *engine)
 {
+  engine->asked_ms = dl_clock_ms ();
   platform_call_report (engine->client, engine, engine->address,
                         &(DlHttpCallOptions){
                             .connect_timeout_ms = REPORT_TIMEOUT_MS,
@@ -111,7 +114,7 @@
   if (head->type == STAGE_SOURCE)
     engine->layers = message->source.layers;
   else
-    engine->loading = message->weights.loading;
+    engine->loading = message->weights.use.out_of_use;
 }
 
 static int
--- /dev/null
+++ b/daisystaged/load.c
@@ -0,0 +1,318 @@
+/*
+ * Sends load commands to the engine, and proves that what it took was sound.
+ *
+ * policy/load_proof.h decides what the proof is.
+ */
+#include <glib.h>
+#include <talloc.h>
+
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "platform.h"
+#include "weights.h"
+
+#define COMMAND_TIMEOUT_MS 1000
+/* A command without a response may still be accepted; staging waits for this long. */
+#define UNKNOWN_HOLD_MS 1500
+/* So what a command that is answered has made the engine take is within the rules. */
+G_STATIC_ASSERT (DL_LOAD_PROOF_MAX_AGE_MS + COMMAND_TIMEOUT_MS < DL_LOAD_SPOILT_MAX_MS);
+/* The engine has answered a report that was asked for within this time. */
+#define REPORT_MAX_AGE_MS 500
+
+static const DlBackoffBounds unload_pauses = { .first_ms = 200, .max_ms = 2000 };
+
+/* -------- reports -------- */
+
+static void
+log_accepted_late (const Weights *w, uint64_t now_ms)
+{
+  dl_log (DL_EVENT_STAGE_ORDERED_LATE, DL_TEXT ("engine", w->settings->engine),
+          DL_UINT ("loads", w->proof.loads),
+          DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
+          DL_UINT ("proof_age_ms", now_ms - w->proof_ms),
+          DL_TEXT ("weights",
+                   w->proof.state == DL_WEIGHTS_SPOILT ? "spoilt" : "unchecked"));
+}
+
+static void
+mark_unverified (Staging *s)
+{
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_VERIFIED)
+      s->copies[i].state = STAGED_WRITTEN;
+}
+
+void
+load_handle_report (Weights *w, const DlEngineReport *report)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  DlProofChange change
+      = dl_load_proof_report (&w->proof, &(DlProofReport){
+                                             .started_ms = report->started_ms,
+                                             .loads = report->loads,
+                                             .has_weights = report->has_weights,
+                                             .busy = report->busy,
+                                             .now_ms = now_ms,
+                                         });
+
+  w->engine_known = true;
+  w->engine = *report;
+  w->engine.model = NULL; /* freed with the message */
+  switch (change)
+    {
+    case DL_PROOF_UNCHANGED:
+      break;
+    case DL_PROOF_NEW_ENGINE:
+      /* When its host lost power, staged chunks may be lost, too. */
+      if (w->staging != NULL && w->staging->copies != NULL)
+        mark_unverified (w->staging);
+      w->checking = false;
+      break;
+    case DL_PROOF_ACCEPTED_LATE:
+      log_accepted_late (w, now_ms);
+      w->checking = false;
+      break;
+    }
+}
+
+/* -------- checking what the engine took -------- */
+
+bool
+load_is_checked_here (const Weights *w)
+{
+  const DlBundle *b = w->staging != NULL ? w->staging->bundle : NULL;
+
+  return b != NULL && b->version > 0 && w->engine_known
+         && (w->engine.busy || w->engine.version == b->version);
+}
+
+/* Chunks that were read before the engine took them prove nothing. */
+static void
+begin_check (Weights *w)
+{
+  Staging *s = w->staging;
+
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_ABSENT || s->copies[i].state == STAGED_VERIFIED)
+      s->copies[i].state = STAGED_WRITTEN;
+  w->checking = true;
+}
+
+/* The index of a chunk that is not staged as it should be; -1: none is known to be. */
+static int
+find_bad (const Staging *s)
+{
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_ABSENT)
+      return (int)i;
+  return -1;
+}
+
+static void
+end_check (Weights *w, int bad)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  w->checking = false;
+  dl_load_proof_checked (&w->proof, bad < 0);
+  if (bad < 0)
+    dl_log (DL_EVENT_STAGE_TAKEN_SOUND, DL_TEXT ("engine", w->settings->engine),
+            DL_UINT ("version", w->staging->bundle->version),
+            DL_UINT ("loads", w->proof.loads),
+            DL_UINT ("accepted_ms_ago", now_ms - w->proof.accepted_ms));
+  else
+    dl_log (DL_EVENT_STAGE_TAKEN_SPOILT, DL_TEXT ("engine", w->settings->engine),
+            DL_UINT ("version", w->staging->bundle->version),
+            DL_UINT ("loads", w->proof.loads), DL_INT ("chunk", bad),
+            DL_UINT ("accepted_ms_ago", now_ms - w->proof.accepted_ms));
+}
+
+void
+load_check (Weights *w)
+{
+  Staging *s = w->staging;
+  bool all_sound;
+  int bad;
+
+  if (w->proof.state != DL_WEIGHTS_UNCHECKED || !load_is_checked_here (w)
+      || s->copies == NULL)
+    return;
+  if (!w->checking)
+    begin_check (w);
+  all_sound = stage_verify (s, w->proof.accepted_ms);
+  bad = find_bad (s);
+  if (all_sound || bad >= 0)
+    end_check (w, bad);
+}
+
+/* -------- commands -------- */
+
+static const char *
+outcome_text (DlLoadOutcome outcome)
+{
+  switch (outcome)
+    {
+    case DL_LOAD_ACCEPTED:
+      return "begun";
+    case DL_LOAD_ALREADY_IN_EFFECT:
+      return "already in effect";
+    case DL_LOAD_CONFLICT:
+      return "not possible in the engine's state";
+    case DL_LOAD_FENCED:
+      return "fenced: older than a command already seen";
+    case DL_LOAD_INVALID:
+      return "invalid";
+    case DL_LOAD_UNKNOWN:
+      return "no usable response";
+    }
+  return "";
+}
+
+static void
+take_in_outcome (Weights *w, DlLoadOutcome outcome, bool unloads)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  w->staging_blocked_until_ms = 0;
+  switch (outcome)
+    {
+    case DL_LOAD_ACCEPTED:
+      dl_load_proof_accepted (&w->proof, unloads, now_ms);
+      w->checking = false;
+      break;
+    case DL_LOAD_UNKNOWN:
+      dl_load_proof_given_up (&w->proof);
+      w->staging_blocked_until_ms = now_ms + UNKNOWN_HOLD_MS;
+      break;
+    case DL_LOAD_ALREADY_IN_EFFECT:
+    case DL_LOAD_CONFLICT:
+    case DL_LOAD_FENCED:
+    case DL_LOAD_INVALID:
+      dl_load_proof_refused (&w->proof);
+      break;
+    }
+}
+
+static void
+log_outcome (const Weights *w, const DlHttpResult *result, DlLoadOutcome outcome)
+{
+  const DlBundle *b = w->staging != NULL ? w->staging->bundle : NULL;
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (outcome == DL_LOAD_ACCEPTED || outcome == DL_LOAD_ALREADY_IN_EFFECT)
+    dl_log (DL_EVENT_STAGE_ORDERED, DL_TEXT ("engine", w->settings->engine),
+            DL_UINT ("version", b != NULL ? b->version : 0),
+            DL_TEXT ("outcome", outcome_text (outcome)),
+            DL_UINT ("named_ms_ago", b != NULL ? now_ms - b->announced_ms : 0),
+            DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
+            DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
+  else
+    dl_log (DL_EVENT_STAGE_ORDER_REFUSED, DL_TEXT ("engine", w->settings->engine),
+            DL_UINT ("version", b != NULL ? b->version : 0),
+            DL_TEXT ("outcome", outcome_text (outcome)),
+            DL_UINT ("status", result->status),
+            DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
+            DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
+}
+
+static void
+on_load_response (DlHttpCall *call, const DlHttpResult *result, void *data)
+{
+  Weights *w = data;
+  DlLoadOutcome outcome = platform_read_load_outcome (result);
+
+  log_outcome (w, result, outcome);
+  take_in_outcome (w, outcome, false);
+  if (w->phase == PHASE_LOAD_COMMAND)
+    weights_set_phase (w, PHASE_LOADING);
+  weights_run (w);
+}
+
+static void
+on_unload_response (DlHttpCall *call, const DlHttpResult *result, void *data)
+{
+  Weights *w = data;
+  DlLoadOutcome outcome = platform_read_load_outcome (result);
+
+  log_outcome (w, result, outcome);
+  take_in_outcome (w, outcome, true);
+  if (outcome == DL_LOAD_ACCEPTED)
+    dl_backoff_succeeded (&w->unloads);
+  else
+    dl_backoff_failed (&w->unloads, &unload_pauses, dl_clock_ms ());
+  weights_run (w);
+}
+
+/* When the oldest read was sent by which the chunks were verified. */
+static uint64_t
+oldest_read_ms (const Staging *s)
+{
+  uint64_t oldest_ms = UINT64_MAX;
+
+  for (unsigned i = 0; i < s->bundle->count; i++)
+    oldest_ms = MIN (oldest_ms, s->copies[i].read_ms);
+  return oldest_ms;
+}
+
+static bool
+engine_responds (const Weights *w, uint64_t now_ms)
+{
+  return w->engine_known && now_ms - w->engine.asked_ms <= REPORT_MAX_AGE_MS;
+}
+
+static void
+send_command (Weights *w,
+              bool preempt,
+              bool unload,
+              void (*on_done) (DlHttpCall *call, const DlHttpResult *result, void *data))
+{
+  const DlBundle *b = w->staging->bundle;
+  uint64_t now_ms = dl_clock_ms ();
+
+  w->command_ms = now_ms;
+  w->proof_ms = unload ? now_ms : oldest_read_ms (w->staging);
+  dl_log (DL_EVENT_STAGE_ORDER_SENT, DL_TEXT ("engine", w->settings->engine),
+          DL_UINT ("version", b->version), DL_TEXT ("what", unload ? "unload" : "load"),
+          DL_TEXT ("mode", preempt ? "cut off what runs" : "after what runs"),
+          DL_UINT ("loads", w->proof.loads),
+          DL_UINT ("report_age_ms", now_ms - w->engine.asked_ms),
+          DL_UINT ("proof_age_ms", now_ms - w->proof_ms),
+          DL_UINT ("pending", w->proof.pending),
+          DL_UINT ("write_lost", w->proof.write_lost));
+  dl_load_proof_command_sent (&w->proof);
+  platform_call_load (w->client, w, w->settings->engine,
+                      &(DlLoadCommand){
+                          .model = b->model,
+                          .version = b->version,
+                          .loads = w->proof.loads,
+                          .preempt = preempt,
+                          .unload = unload,
+                      },
+                      &(DlHttpCallOptions){
+                          .connect_timeout_ms = COMMAND_TIMEOUT_MS,
+                          .timeout_ms = COMMAND_TIMEOUT_MS,
+                          .single_use = true,
+                          .on_done = on_done,
+                          .data = w,
+                      });
+}
+
+void
+load_send_command (Weights *w, bool preempt)
+{
+  if (!engine_responds (w, dl_clock_ms ()))
+    return;
+  weights_set_phase (w, PHASE_LOAD_COMMAND);
+  send_command (w, preempt, false, on_load_response);
+}
+
+void
+load_send_unload (Weights *w)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (w->proof.awaited || !engine_responds (w, now_ms)
+      || !dl_backoff_allows (&w->unloads, now_ms))
+    return;
+  send_command (w, true, true, on_unload_response);
+}
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -1,5 +1,5 @@
 /*
- * Writes and verifies the engine's staging area, and sends the load command.
+ * Writes and verifies the engine's staging area.
  */
 #include <glib.h>
 #include <talloc.h>
@@ -10,15 +10,12 @@
 #include "weights.h"
 
 #define STAGE_TIMEOUT_MS  1000
-#define LOAD_TIMEOUT_MS   1000
 #define STAGE_CALLS_MAX   4
 #define CHUNK_MAX_BYTES   (1u << 20)
 #define STATUS_OK         200
 #define STATUS_NO_CONTENT 204
 #define STATUS_CREATED    201
 #define STATUS_NOT_FOUND  404
-/* A load command without a response may still be accepted for this long. */
-#define LOAD_UNKNOWN_HOLD_MS 1500
 
 /* Pauses after the engine failed to stage a chunk, or to return one: it may be down, or
  * refuse for long. */
@@ -84,7 +81,8 @@
                   || result->status == STATUS_NO_CONTENT);
 
   s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
-  s->lost_writes += result->error != 0 && result->sent;
+  if (result->error != 0 && result->sent)
+    dl_load_proof_write_lost (&s->owner->proof);
   end_call (c, result, !done);
   weights_run (s->owner);
 }
@@ -96,7 +94,8 @@
   const DlBundle *b = s->bundle;
   uint64_t now_ms = dl_clock_ms ();
 
-  if (now_ms < w->staging_blocked_until_ms || !dl_backoff_allows (&s->failures, now_ms))
+  if (now_ms < w->staging_blocked_until_ms || !dl_backoff_allows (&s->failures, now_ms)
+      || !dl_load_proof_may_write (&w->proof, load_is_checked_here (w)))
     return;
   for (unsigned i = 0; i < b->count && s->calls < STAGE_CALLS_MAX; i++)
     {
@@ -106,6 +105,7 @@
       if (s->copies[i].state != STAGED_ABSENT || b->chunks[i].length == 0)
         continue;
       s->copies[i].state = STAGED_WRITING;
+      dl_load_proof_write_sent (&w->proof);
       c = stage_call_new (s, i);
       options = stage_options (c, on_written);
       platform_call_stage_put (w->client, s, w->settings->engine, b->model, i,
@@ -123,31 +123,32 @@
   DlBundle *b = s->bundle;
   unsigned index = c->index;
   bool returned = result->error == 0 && result->status == STATUS_OK;
+  bool failed = !returned && result->status != STATUS_NOT_FOUND;
 
-  s->copies[index].state = STAGED_ABSENT;
+  /* A check must not take a read that failed for a bad chunk. */
+  s->copies[index].state = failed && s->owner->checking ? STAGED_WRITTEN : STAGED_ABSENT;
   if (returned && dl_bundle_verify_chunk (b, index, result->body))
     {
       s->copies[index].state = STAGED_VERIFIED;
-      s->copies[index].verified_ms = dl_clock_ms ();
       s->copies[index].read_ms = c->sent_ms;
       if (b->chunks[index].length == 0)
         dl_bundle_add_chunk (b, index, result->body);
     }
-  end_call (c, result, !returned && result->status != STATUS_NOT_FOUND);
+  end_call (c, result, failed);
   weights_run (s->owner);
 }
 
 static bool
 is_verified (const StagedCopy *copy, uint64_t since_ms)
 {
-  return copy->state == STAGED_VERIFIED && copy->verified_ms >= since_ms;
+  return copy->state == STAGED_VERIFIED && copy->read_ms >= since_ms;
 }
 
 static bool
 needs_read_back (const StagedCopy *copy, uint64_t since_ms)
 {
   return copy->state == STAGED_WRITTEN
-         || (copy->state == STAGED_VERIFIED && copy->verified_ms < since_ms);
+         || (copy->state == STAGED_VERIFIED && copy->read_ms < since_ms);
 }
 
 bool
@@ -174,108 +175,3 @@
     }
   return verified == s->bundle->count;
 }
-
-/* -------- the load command -------- */
-
-static const char *
-outcome_text (DlLoadOutcome outcome)
-{
-  switch (outcome)
-    {
-    case DL_LOAD_ACCEPTED:
-      return "begun";
-    case DL_LOAD_ALREADY_IN_EFFECT:
-      return "already in effect";
-    case DL_LOAD_CONFLICT:
-      return "not possible in the engine's state";
-    case DL_LOAD_FENCED:
-      return "fenced: older than a command already seen";
-    case DL_LOAD_INVALID:
-      return "invalid";
-    case DL_LOAD_UNKNOWN:
-      return "no usable response";
-    }
-  return "";
-}
-
-/* When the oldest read was sent by which the chunks were verified. */
-static uint64_t
-oldest_read_ms (const Staging *s)
-{
-  uint64_t oldest_ms = UINT64_MAX;
-
-  for (unsigned i = 0; i < s->bundle->count; i++)
-    oldest_ms = MIN (oldest_ms, s->copies[i].read_ms);
-  return oldest_ms;
-}
-
-void
-stage_check_accepted (Weights *w, uint64_t loads)
-{
-  uint64_t now_ms = dl_clock_ms ();
-
-  if (loads <= w->engine.loads || !w->command_pending)
-    return;
-  w->command_pending = false;
-  dl_log (DL_EVENT_STAGE_ORDERED_LATE, DL_TEXT ("engine", w->settings->engine),
-          DL_UINT ("loads", loads), DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
-          DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
-}
-
-static void
-on_load_response (DlHttpCall *call, const DlHttpResult *result, void *data)
-{
-  Weights *w = data;
-  const DlBundle *b = w->staging != NULL ? w->staging->bundle : NULL;
-  DlLoadOutcome outcome = platform_read_load_outcome (result);
-  uint64_t now_ms = dl_clock_ms ();
-
-  w->command_pending = outcome == DL_LOAD_UNKNOWN;
-  w->staging_blocked_until_ms
-      = outcome == DL_LOAD_UNKNOWN ? dl_clock_ms () + LOAD_UNKNOWN_HOLD_MS : 0;
-  if (outcome == DL_LOAD_ACCEPTED || outcome == DL_LOAD_ALREADY_IN_EFFECT)
-    dl_log (DL_EVENT_STAGE_ORDERED, DL_TEXT ("engine", w->settings->engine),
-            DL_UINT ("version", b != NULL ? b->version : 0),
-            DL_TEXT ("outcome", outcome_text (outcome)),
-            DL_UINT ("named_ms_ago", b != NULL ? now_ms - b->announced_ms : 0),
-            DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
-            DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
-  else
-    dl_log (DL_EVENT_STAGE_ORDER_REFUSED, DL_TEXT ("engine", w->settings->engine),
-            DL_UINT ("version", b != NULL ? b->version : 0),
-            DL_TEXT ("outcome", outcome_text (outcome)),
-            DL_UINT ("status", result->status),
-            DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
-            DL_UINT ("proof_age_ms", now_ms - w->proof_ms));
-  if (w->phase == PHASE_LOAD_COMMAND)
-    weights_set_phase (w, PHASE_LOADING);
-  weights_run (w);
-}
-
-void
-stage_send_load (Staging *s, bool preempt)
-{
-  Weights *w = s->owner;
-  uint64_t now_ms = dl_clock_ms ();
-
-  w->command_ms = now_ms;
-  w->proof_ms = oldest_read_ms (s);
-  dl_log (DL_EVENT_STAGE_ORDER_SENT, DL_TEXT ("engine", w->settings->engine),
-          DL_UINT ("version", s->bundle->version),
-          DL_TEXT ("mode", preempt ? "cut off what runs" : "after what runs"),
-          DL_UINT ("loads", w->engine.loads),
-          DL_UINT ("report_age_ms", now_ms - w->report_ms),
-          DL_UINT ("proof_age_ms", now_ms - w->proof_ms),
-          DL_UINT ("lost_writes", s->lost_writes));
-  w->staging_blocked_until_ms = now_ms + LOAD_TIMEOUT_MS + LOAD_UNKNOWN_HOLD_MS;
-  weights_set_phase (w, PHASE_LOAD_COMMAND);
-  platform_call_load (w->client, w, w->settings->engine, s->bundle->model,
-                      s->bundle->version, preempt,
-                      &(DlHttpCallOptions){
-                          .connect_timeout_ms = LOAD_TIMEOUT_MS,
-                          .timeout_ms = LOAD_TIMEOUT_MS,
-                          .single_use = true,
-                          .on_done = on_load_response,
-                          .data = w,
-                      });
-}
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -147,7 +147,18 @@
 static bool
 is_loading (const State *state)
 {
-  return state->weights_message != NULL && state->weights_message->weights.loading;
+  return state->weights_message != NULL && state->weights_message->weights.use.out_of_use;
+}
+
+/* True if the engine, as last reported, is known to have sound weights. */
+static bool
+has_sound_weights (const State *state)
+{
+  const Daisyloft__Wire__EngineStatus *e = &state->engine;
+  const StageMessage *m = state->weights_message;
+
+  return m != NULL && m->weights.use.sound && m->weights.use.started_ms == e->started_ms
+         && m->weights.use.loads == e->loads;
 }
 
 static void
@@ -159,6 +170,7 @@
 
   dl_version_watch_to_status (state->versions, context, &status);
   engine.loading = engine.loading || is_loading (state);
+  engine.unchecked = !has_sound_weights (state);
   status.ready = state->engine_known && !engine.loading;
   if (state->engine_known)
     status.engine = &engine;
@@ -293,9 +305,10 @@
   e->version = report->version;
   e->leaving = report->leaving;
   e->started_ms = report->started_ms;
+  e->loads = report->loads;
   state->engine_known = true;
   if (before.loading != e->loading || before.version != e->version
-      || before.leaving != e->leaving)
+      || before.leaving != e->leaving || before.loads != e->loads)
     send_to_entries_at_once (state);
   else if (before.running != e->running || before.waiting != e->waiting)
     state->engine_changed = true;
@@ -317,12 +330,13 @@
 handle_weights (State *state, const StageMessage *message)
 {
   bool was_loading = is_loading (state);
+  bool was_sound = has_sound_weights (state);
 
   if (state->weights_message != NULL)
     dl_message_unref (state->weights_message);
   state->weights_message = dl_message_ref ((void *)message);
   state->holdings_changed = state->holdings_changed || message->weights.changed;
-  if (is_loading (state) != was_loading)
+  if (is_loading (state) != was_loading || has_sound_weights (state) != was_sound)
     send_to_entries_at_once (state);
 }
 
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -17,8 +17,6 @@
 /* An incomplete version of which nothing arrived for this long is replaced by a newer
  * one. */
 #define STALLED_MS 1500
-/* A chunk verified longer ago than this is verified again before a load command. */
-#define VERIFIED_MAX_AGE_MS 1800
 /* A load command that has no effect is retried after this. */
 #define LOAD_RETRY_MS 700
 /* Time before the load command in which entries learn to send no new requests. */
@@ -36,25 +34,38 @@
 
 /* -------- messages to the other tasks -------- */
 
+static StageEngineUse
+engine_use (const Weights *w)
+{
+  return (StageEngineUse){
+    .out_of_use = w->out_of_use || w->proof.state == DL_WEIGHTS_SPOILT,
+    .sound = w->proof.known && w->proof.state == DL_WEIGHTS_SOUND,
+    .started_ms = w->proof.started_ms,
+    .loads = w->proof.loads,
+  };
+}
+
 static void
 publish_status (Weights *w, bool changed)
 {
   StageMessage *m = stage_message_new (STAGE_WEIGHTS);
   DlHolder own = { .holdings = dl_chunk_cache_holdings (w->cache) };
 
-  m->weights.loading = w->announced_loading;
+  w->told = engine_use (w);
+  m->weights.use = w->told;
   m->weights.changed = changed;
   m->weights.holdings = dl_holder_copy (m, &own).holdings;
   dl_kernel_publish (dl_task_kernel (w->task), m);
 }
 
 static void
-set_loading (Weights *w, bool loading)
+publish_use_if_changed (Weights *w)
 {
-  if (w->announced_loading == loading)
-    return;
-  w->announced_loading = loading;
-  publish_status (w, false);
+  StageEngineUse use = engine_use (w);
+
+  if (use.out_of_use != w->told.out_of_use || use.sound != w->told.sound
+      || use.started_ms != w->told.started_ms || use.loads != w->told.loads)
+    publish_status (w, false);
 }
 
 /* -------- which version to load -------- */
@@ -84,7 +95,8 @@
   w->staging->bundle = b;
   w->staging->limit_start_ms = limit_start_ms;
   talloc_set_destructor (w->staging, staging_destroy);
-  set_loading (w, false);
+  w->out_of_use = false;
+  w->checking = false;
   weights_set_phase (w, w->recovered ? PHASE_FETCH : PHASE_RECOVER);
 }
 
@@ -153,25 +165,6 @@
   w->default_model = talloc_strdup (w, m->source.model);
 }
 
-static void
-handle_report (Weights *w, const DlEngineReport *report)
-{
-  Staging *s = w->staging;
-
-  if (w->engine_known && report->started_ms != w->engine.started_ms && s != NULL
-      && s->copies != NULL)
-    /* The engine restarted.  When its host lost power, staged chunks may be lost too. */
-    for (unsigned i = 0; i < s->bundle->count; i++)
-      if (s->copies[i].state == STAGED_VERIFIED)
-        s->copies[i].state = STAGED_WRITTEN;
-  if (w->engine_known && report->started_ms == w->engine.started_ms)
-    stage_check_accepted (w, report->loads);
-  w->engine_known = true;
-  w->report_ms = dl_clock_ms ();
-  w->engine = *report;
-  w->engine.model = NULL; /* freed with the message */
-}
-
 /* -------- steps -------- */
 
 static void
@@ -196,7 +189,7 @@
     .version = w->staging->bundle->version,
     .announced_ms = w->staging->limit_start_ms,
     .limit_ms = w->settings->version_ms,
-    .is_unloaded = w->engine.version == 0,
+    .is_unloaded = w->engine.version == 0 || w->proof.state == DL_WEIGHTS_SPOILT,
   };
   return dl_clock_ms () >= dl_reload_start_ms (&schedule);
 }
@@ -259,7 +252,8 @@
 needs_recovery (const Staging *s)
 {
   for (unsigned i = 0; i < s->bundle->count; i++)
-    if (s->copies[i].state == STAGED_VERIFIED && s->bundle->chunks[i].length == 0)
+    if ((s->copies[i].state == STAGED_VERIFIED || s->copies[i].state == STAGED_WRITTEN)
+        && s->bundle->chunks[i].length == 0)
       return true;
   return false;
 }
@@ -296,14 +290,15 @@
 run_wait (Weights *w)
 {
   stage_write (w->staging);
-  if (is_served (w, w->staging->bundle))
+  if (is_served (w, w->staging->bundle) && w->proof.state == DL_WEIGHTS_SOUND)
     {
       weights_set_phase (w, PHASE_DONE);
       return;
     }
   if (!w->engine_known || w->engine.busy || !is_turn (w))
     return;
-  set_loading (w, true);
+  w->out_of_use = true;
+  publish_use_if_changed (w);
   weights_set_phase (w, PHASE_DRAIN);
 }
 
@@ -311,15 +306,14 @@
 run_drain (Weights *w)
 {
   uint64_t now_ms = dl_clock_ms ();
-  uint64_t oldest_ms = now_ms > VERIFIED_MAX_AGE_MS ? now_ms - VERIFIED_MAX_AGE_MS : 0;
   bool verified;
 
   stage_write (w->staging);
   /* The host may have lost power since the last check, and staged chunks with it. */
-  verified = stage_verify (w->staging, MAX (oldest_ms, w->phase_ms));
+  verified = stage_verify (w->staging, dl_load_proof_reads_from_ms (w->phase_ms, now_ms));
   if (verified && now_ms >= w->phase_ms + DRAIN_NOTICE_MS
       && dl_reload_is_drained (w->phase_ms, w->engine.running, now_ms))
-    stage_send_load (w->staging, w->engine.running > 0);
+    load_send_command (w, w->engine.running > 0);
 }
 
 static void
@@ -327,18 +321,30 @@
 {
   const DlBundle *b = w->staging->bundle;
 
-  if (is_served (w, b) && !w->engine.busy)
+  load_check (w);
+  if (is_served (w, b) && !w->engine.busy && w->proof.state == DL_WEIGHTS_SOUND)
     {
       dl_log (DL_EVENT_STAGE_IN_FORCE, DL_TEXT ("engine", w->settings->engine),
               DL_UINT ("version", b->version),
               DL_UINT ("named_ms_ago", dl_clock_ms () - b->announced_ms));
-      set_loading (w, false);
+      w->out_of_use = false;
       weights_set_phase (w, PHASE_DONE);
     }
-  else if (!w->engine.busy && dl_clock_ms () - w->phase_ms >= LOAD_RETRY_MS)
+  else if (!w->engine.busy && !is_served (w, b)
+           && dl_clock_ms () - w->phase_ms >= LOAD_RETRY_MS)
     weights_set_phase (w, PHASE_DRAIN);
 }
 
+/* Once the engine has no weights any more, the sound chunks are staged and loaded. */
+static void
+run_unload (Weights *w)
+{
+  if (w->proof.state == DL_WEIGHTS_SOUND)
+    weights_set_phase (w, PHASE_FETCH);
+  else if (!w->engine.busy)
+    load_send_unload (w);
+}
+
 /* Begins again when the engine has restarted without weights.  Otherwise frees the chunks
  * after a while: the staging area and the hubs have them as well. */
 static void
@@ -353,6 +359,21 @@
     }
 }
 
+/* Leaves the current phase when the engine is found to have weights that are spoilt, or
+ * that are to be checked. */
+static void
+act_on_proof (Weights *w)
+{
+  if (w->staging == NULL || w->proof.awaited || !is_served (w, w->staging->bundle))
+    return;
+  if (w->proof.state == DL_WEIGHTS_SPOILT && w->phase != PHASE_UNLOAD)
+    weights_set_phase (w, PHASE_UNLOAD);
+  else if (w->proof.state == DL_WEIGHTS_UNCHECKED && load_is_checked_here (w)
+           && (w->phase == PHASE_WAIT || w->phase == PHASE_DRAIN
+               || w->phase == PHASE_DONE))
+    weights_set_phase (w, PHASE_LOADING);
+}
+
 static void
 run_current (Weights *w)
 {
@@ -378,6 +399,9 @@
     case PHASE_LOADING:
       run_loading (w);
       break;
+    case PHASE_UNLOAD:
+      run_unload (w);
+      break;
     case PHASE_DONE:
       run_done (w);
       break;
@@ -428,8 +452,10 @@
 void
 weights_run (Weights *w)
 {
+  act_on_proof (w);
   run_current (w);
   run_next (w);
+  publish_use_if_changed (w);
 }
 
 static void
@@ -485,7 +511,7 @@
       dl_chunk_cache_remove_holder (w->cache, m->removed_node);
       break;
     case STAGE_ENGINE_REPORT:
-      handle_report (w, &m->report);
+      load_handle_report (w, &m->report);
       break;
     case STAGE_ENGINE_SILENT:
       w->engine_known = false;
@@ -524,7 +550,7 @@
   static const char *const phases[] = {
     [PHASE_IDLE] = "idle",    [PHASE_RECOVER] = "recover", [PHASE_FETCH] = "fetch",
     [PHASE_WAIT] = "wait",    [PHASE_DRAIN] = "empty",     [PHASE_LOAD_COMMAND] = "order",
-    [PHASE_LOADING] = "load", [PHASE_DONE] = "done",
+    [PHASE_LOADING] = "load", [PHASE_UNLOAD] = "unload",   [PHASE_DONE] = "done",
   };
   const Weights *w = dl_task_state (task);
   json_object *object = json_object_new_object ();
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -1,8 +1,8 @@
 /*
  * Declarations shared by the files of task "weights".
  *
- * weights.c decides the next step, stage.c writes chunks to the engine's staging area,
- * verifies them there and sends the load command.
+ * weights.c decides the next step, stage.c writes chunks to the engine's staging area and
+ * verifies them there, load.c sends commands to the engine and checks what it took.
  */
 #ifndef STAGE_WEIGHTS_H
 #define STAGE_WEIGHTS_H
@@ -10,6 +10,7 @@
 #include "daisystaged.h"
 #include "node/chunk_cache.h"
 #include "policy/backoff.h"
+#include "policy/load_proof.h"
 
 typedef struct Weights Weights;
 typedef struct Staging Staging;
@@ -28,8 +29,7 @@
 typedef struct
 {
   StagedState state;
-  uint64_t verified_ms; /* when it was last verified */
-  uint64_t read_ms;     /* when the read that verified it was sent */
+  uint64_t read_ms; /* when the read that verified it last was sent */
 } StagedCopy;
 
 /* The version that is being loaded into the engine. */
@@ -41,7 +41,6 @@
                             * that of an earlier version that the engine never served */
   StagedCopy *copies;      /* of each chunk; NULL until the manifest has arrived */
   unsigned calls;          /* requests to the staging area in progress */
-  unsigned lost_writes;    /* that ended without a response, and may still land */
   DlBackoff failures;      /* of these */
 };
 
@@ -54,8 +53,9 @@
   PHASE_WAIT,         /* complete; waiting for this engine's turn */
   PHASE_DRAIN,        /* the engine gets no new requests; verifying what is staged */
   PHASE_LOAD_COMMAND, /* the load command was sent */
-  PHASE_LOADING,      /* the engine is loading, or did not respond */
-  PHASE_DONE,         /* the engine serves it */
+  PHASE_LOADING, /* the engine is loading, or did not respond; checking what it took */
+  PHASE_UNLOAD,  /* the engine took spoilt weights and is to give them up */
+  PHASE_DONE,    /* the engine serves it */
 } Phase;
 
 /* State of the task. */
@@ -77,12 +77,14 @@
                                       * still begin */
   bool engine_known;                 /* a report arrived, and the engine is responsive */
   DlEngineReport engine;             /* last report, without its strings */
-  uint64_t report_ms;                /* when that report arrived */
-  uint64_t command_ms;    /* when the last load command was sent; 0 for never */
-  uint64_t proof_ms;      /* when the oldest read that it rested on was sent */
-  bool command_pending;   /* it has had no usable response, and may still be accepted */
-  bool announced_loading; /* entries were asked to send no new requests */
-  bool chunks_dropped;    /* the current version's chunks were freed */
+  DlLoadProof proof;                 /* of the weights that the engine took */
+  bool checking;                     /* chunks are being read back to prove that */
+  uint64_t command_ms;               /* when the last command was sent; 0 for never */
+  uint64_t proof_ms;                 /* when the oldest read that it rested on was sent */
+  DlBackoff unloads;                 /* of commands to give up spoilt weights */
+  bool out_of_use;                   /* the engine is drained for a load, or loads */
+  StageEngineUse told;               /* what was published last */
+  bool chunks_dropped;               /* the current version's chunks were freed */
 };
 
 /* -------- weights.c -------- */
@@ -94,16 +96,26 @@
 
 /* -------- stage.c -------- */
 
-/* Writes chunks that are in memory and not staged yet, a few at a time; none while a load
- * command may still be accepted. */
+/* Writes chunks that are in memory and not staged yet, a few at a time; none while that
+ * could hide what the engine took. */
 void stage_write (Staging *staging);
-/* Reads back chunks that were not verified since SINCE_MS, a few at a time.  Returns true
- * when all have been. */
+/* Reads back chunks whose last verifying read was sent before SINCE_MS, a few at a time.
+ * Returns true when all have been verified since. */
 bool stage_verify (Staging *staging, uint64_t since_ms);
-/* A report shows that the engine accepted LOADS commands so far: logs a command that was
- * accepted after it had been given up. */
-void stage_check_accepted (Weights *weights, uint64_t loads);
-/* Sends the load command; PREEMPT: running requests are cut off. */
-void stage_send_load (Staging *staging, bool preempt);
+
+/* -------- load.c -------- */
+
+/* Takes in a report of the engine. */
+void load_handle_report (Weights *weights, const DlEngineReport *report);
+/* True when what is staged is to show which weights the engine took: it has, or is
+ * loading, the version that is current here. */
+bool load_is_checked_here (const Weights *weights);
+/* Reads back what is staged to prove the weights that the engine took. */
+void load_check (Weights *weights);
+/* Sends the load command if the engine responds.  PREEMPT: running requests are cut off.
+ */
+void load_send_command (Weights *weights, bool preempt);
+/* Commands the engine to give up its weights, unless it just failed to. */
+void load_send_unload (Weights *weights);
 
 #endif
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -2156,7 +2156,7 @@
   (ProtobufCMessageInit) daisyloft__wire__signature_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__engine_status__field_descriptors[9] =
+static const ProtobufCFieldDescriptor daisyloft__wire__engine_status__field_descriptors[11] =
 {
   {
     "address",
@@ -2266,22 +2266,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unchecked",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__EngineStatus, unchecked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__engine_status__field_indices_by_name[] = {
   0,   /* field[0] = address */
   7,   /* field[7] = leaving */
   3,   /* field[3] = loading */
+  9,   /* field[9] = loads */
   5,   /* field[5] = model */
   4,   /* field[4] = pace */
   1,   /* field[1] = running */
   8,   /* field[8] = started_ms */
+  10,   /* field[10] = unchecked */
   6,   /* field[6] = version */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange daisyloft__wire__engine_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__engine_status__descriptor =
 {
@@ -2291,7 +2317,7 @@
   "Daisyloft__Wire__EngineStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__EngineStatus),
-  9,
+  11,
   daisyloft__wire__engine_status__field_descriptors,
   daisyloft__wire__engine_status__field_indices_by_name,
   1,  daisyloft__wire__engine_status__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -345,10 +345,18 @@
    * wall clock at its start; 0: unknown
    */
   uint64_t started_ms;
+  /*
+   * load commands accepted since
+   */
+  uint64_t loads;
+  /*
+   * it is not known whether these loaded sound weights
+   */
+  protobuf_c_boolean unchecked;
 };
 #define DAISYLOFT__WIRE__ENGINE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__engine_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/node/upstream_entry.h
+++ b/lib/node/upstream_entry.h
@@ -27,6 +27,7 @@
 {
   const char *model; /* NULL without weights */
   uint64_t version;  /* of the complete weights that it serves; 0 for none */
+  bool has_weights;  /* of any version, complete or not */
   bool busy;         /* a load command is in progress */
   uint64_t loads;    /* load commands accepted since its start */
   unsigned running;  /* requests */
@@ -34,8 +35,19 @@
   double pace; /* duration of work relative to normal; over 1 is slower; 0 when unknown */
   uint64_t started_ms; /* wall clock at its start; 0 when unknown */
   bool leaving;        /* takes no new requests any more */
+  uint64_t asked_ms;   /* when it was asked for; set by the caller */
 } DlEngineReport;
 
+/* A command to an engine to load the staged weights, or to give up those that it has. */
+typedef struct
+{
+  const char *model;
+  uint64_t version;
+  uint64_t loads; /* refused unless the engine has accepted so many commands */
+  bool preempt;   /* requests that run there are aborted */
+  bool unload;
+} DlLoadCommand;
+
 /* How an engine answered a load command. */
 typedef enum
 {
