WHOLE: a check needs the version of what the engine took; unknown writes of a predecessor

Found while reading the fix once more, before it was merged: while an engine is busy, a check read back the current version's chunks although a command of an ended stager, for another version, could be what it was busy with; it checks now only its own, accepted command, or once the engine reports its version. A stager that starts does not know of its predecessor's lost writes either, so that a command accepted without a response then counts as spoilt. An engine with a newer version than the one named, unchecked, would have been taken back to the older one. A second unload was sent before a report showed the first.

--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -67,10 +67,12 @@
       if (w->staging != NULL && w->staging->copies != NULL)
         mark_unverified (w->staging);
       w->checking = false;
+      w->taken_version = 0;
       break;
     case DL_PROOF_ACCEPTED_LATE:
       log_accepted_late (w, now_ms);
       w->checking = false;
+      w->taken_version = 0;
       break;
     }
 }
@@ -78,12 +80,19 @@
 /* -------- checking what the engine took -------- */
 
 bool
-load_is_checked_here (const Weights *w)
+load_can_check (const Weights *w)
 {
-  const DlBundle *b = w->staging != NULL ? w->staging->bundle : NULL;
+  uint64_t version = w->staging->bundle->version;
+
+  if (version == 0 || !w->engine_known)
+    return false;
+  return w->engine.busy ? w->taken_version == version : w->engine.version == version;
+}
 
-  return b != NULL && b->version > 0 && w->engine_known
-         && (w->engine.busy || w->engine.version == b->version);
+bool
+load_allows_writes (const Weights *w)
+{
+  return dl_load_proof_may_write (&w->proof, w->engine.busy || load_can_check (w));
 }
 
 /* Chunks that were read before the engine took them prove nothing. */
@@ -134,8 +143,7 @@
   bool all_sound;
   int bad;
 
-  if (w->proof.state != DL_WEIGHTS_UNCHECKED || !load_is_checked_here (w)
-      || s->copies == NULL)
+  if (w->proof.state != DL_WEIGHTS_UNCHECKED || !load_can_check (w) || s->copies == NULL)
     return;
   if (!w->checking)
     begin_check (w);
@@ -168,8 +176,9 @@
   return "";
 }
 
+/* VERSION: 0 if the command was to give up the weights. */
 static void
-take_in_outcome (Weights *w, DlLoadOutcome outcome, bool unloads)
+take_in_outcome (Weights *w, DlLoadOutcome outcome, uint64_t version)
 {
   uint64_t now_ms = dl_clock_ms ();
 
@@ -177,7 +186,8 @@
   switch (outcome)
     {
     case DL_LOAD_ACCEPTED:
-      dl_load_proof_accepted (&w->proof, unloads, now_ms);
+      dl_load_proof_accepted (&w->proof, version == 0, now_ms);
+      w->taken_version = version;
       w->checking = false;
       break;
     case DL_LOAD_UNKNOWN:
@@ -222,7 +232,7 @@
   DlLoadOutcome outcome = platform_read_load_outcome (result);
 
   log_outcome (w, result, outcome);
-  take_in_outcome (w, outcome, false);
+  take_in_outcome (w, outcome, w->staging->bundle->version);
   if (w->phase == PHASE_LOAD_COMMAND)
     weights_set_phase (w, PHASE_LOADING);
   weights_run (w);
@@ -235,7 +245,7 @@
   DlLoadOutcome outcome = platform_read_load_outcome (result);
 
   log_outcome (w, result, outcome);
-  take_in_outcome (w, outcome, true);
+  take_in_outcome (w, outcome, 0);
   if (outcome == DL_LOAD_ACCEPTED)
     dl_backoff_succeeded (&w->unloads);
   else
@@ -254,10 +264,12 @@
   return oldest_ms;
 }
 
+/* True if the engine answers, and its last report includes its last command. */
 static bool
 engine_responds (const Weights *w, uint64_t now_ms)
 {
-  return w->engine_known && now_ms - w->engine.asked_ms <= REPORT_MAX_AGE_MS;
+  return w->engine_known && now_ms - w->engine.asked_ms <= REPORT_MAX_AGE_MS
+         && w->engine.loads == w->proof.loads;
 }
 
 static void
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -95,7 +95,7 @@
   uint64_t now_ms = dl_clock_ms ();
 
   if (now_ms < w->staging_blocked_until_ms || !dl_backoff_allows (&s->failures, now_ms)
-      || !dl_load_proof_may_write (&w->proof, load_is_checked_here (w)))
+      || !load_allows_writes (w))
     return;
   for (unsigned i = 0; i < b->count && s->calls < STAGE_CALLS_MAX; i++)
     {
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -290,9 +290,10 @@
 run_wait (Weights *w)
 {
   stage_write (w->staging);
-  if (is_served (w, w->staging->bundle) && w->proof.state == DL_WEIGHTS_SOUND)
+  if (is_served (w, w->staging->bundle))
     {
-      weights_set_phase (w, PHASE_DONE);
+      if (w->proof.state == DL_WEIGHTS_SOUND || !load_can_check (w))
+        weights_set_phase (w, PHASE_DONE);
       return;
     }
   if (!w->engine_known || w->engine.busy || !is_turn (w))
@@ -322,7 +323,8 @@
   const DlBundle *b = w->staging->bundle;
 
   load_check (w);
-  if (is_served (w, b) && !w->engine.busy && w->proof.state == DL_WEIGHTS_SOUND)
+  if (is_served (w, b) && !w->engine.busy
+      && (w->proof.state == DL_WEIGHTS_SOUND || !load_can_check (w)))
     {
       dl_log (DL_EVENT_STAGE_IN_FORCE, DL_TEXT ("engine", w->settings->engine),
               DL_UINT ("version", b->version),
@@ -368,7 +370,7 @@
     return;
   if (w->proof.state == DL_WEIGHTS_SPOILT && w->phase != PHASE_UNLOAD)
     weights_set_phase (w, PHASE_UNLOAD);
-  else if (w->proof.state == DL_WEIGHTS_UNCHECKED && load_is_checked_here (w)
+  else if (w->proof.state == DL_WEIGHTS_UNCHECKED && load_can_check (w)
            && (w->phase == PHASE_WAIT || w->phase == PHASE_DRAIN
                || w->phase == PHASE_DONE))
     weights_set_phase (w, PHASE_LOADING);
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -80,11 +80,12 @@
   DlLoadProof proof;                 /* of the weights that the engine took */
   bool checking;                     /* chunks are being read back to prove that */
   uint64_t command_ms;               /* when the last command was sent; 0 for never */
-  uint64_t proof_ms;                 /* when the oldest read that it rested on was sent */
-  DlBackoff unloads;                 /* of commands to give up spoilt weights */
-  bool out_of_use;                   /* the engine is drained for a load, or loads */
-  StageEngineUse told;               /* what was published last */
-  bool chunks_dropped;               /* the current version's chunks were freed */
+  uint64_t taken_version; /* of the last command that had the response "accepted" */
+  uint64_t proof_ms;      /* when the oldest read that it rested on was sent */
+  DlBackoff unloads;      /* of commands to give up spoilt weights */
+  bool out_of_use;        /* the engine is drained for a load, or loads */
+  StageEngineUse told;    /* what was published last */
+  bool chunks_dropped;    /* the current version's chunks were freed */
 };
 
 /* -------- weights.c -------- */
@@ -107,9 +108,11 @@
 
 /* Takes in a report of the engine. */
 void load_handle_report (Weights *weights, const DlEngineReport *report);
-/* True when what is staged is to show which weights the engine took: it has, or is
- * loading, the version that is current here. */
-bool load_is_checked_here (const Weights *weights);
+/* True when what is staged can show whether the engine took sound weights: they are known
+ * to be of the version that is current here. */
+bool load_can_check (const Weights *weights);
+/* False while a chunk that is written could hide what the engine took. */
+bool load_allows_writes (const Weights *weights);
 /* Reads back what is staged to prove the weights that the engine took. */
 void load_check (Weights *weights);
 /* Sends the load command if the engine responds.  PREEMPT: running requests are cut off.
--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -21,12 +21,14 @@
 }
 
 /* A command that was given up may have been sent to the engine that has started since.  A
- * stager that has just started does not know what its predecessor sent. */
+ * stager that has just started does not know which commands and writes of its predecessor
+ * are under way. */
 static void
 set_engine (DlLoadProof *p, const DlProofReport *r)
 {
   bool is_pending = !p->known || (p->pending && p->loads == r->loads);
 
+  p->write_lost = !p->known;
   p->known = true;
   p->started_ms = r->started_ms;
   p->loads = r->loads;
--- a/regress/standin/staged.c
+++ b/regress/standin/staged.c
@@ -51,6 +51,7 @@
 static GHashTable *late_writes; /* the same, of those that land as a command arrives */
 static uint64_t late_version;   /* it must be for this version or a newer one */
 static bool loading;
+static uint64_t stalled_ms;      /* by which timers of this run of the loop are early */
 static bool is_spoilt;           /* the weights that the server has */
 static uint64_t commands;        /* accepted */
 static uint64_t first_command;   /* COMMANDS at the last start of the server */
@@ -251,7 +252,7 @@
     }
   take (c->version);
   loading = true;
-  dl_timer_subscribe (task, task, LOAD_MS, 0, on_loaded,
+  dl_timer_subscribe (task, task, LOAD_MS + stalled_ms, 0, on_loaded,
                       GSIZE_TO_POINTER ((gsize)c->version));
   return 202;
 }
@@ -337,12 +338,14 @@
   if (staged_command_stall_ms > 0)
     {
       g_usleep (staged_command_stall_ms * US_PER_MS);
+      stalled_ms = staged_command_stall_ms;
       staged_command_stall_ms = 0;
     }
   staged_command_late_ms = 0;
   if (late_ms == 0)
     {
       finish_command (c);
+      stalled_ms = 0;
       return;
     }
   dl_http_request_on_closed (request, on_command_closed, c);
