--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -8,6 +8,7 @@
 
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 #include "platform.h"
 #include "weights.h"
 
@@ -19,6 +20,19 @@
 /* The engine has answered a report that was asked for within this time. */
 #define REPORT_MAX_AGE_MS 500
 
+DL_METRIC (metric_late,
+           DL_METRIC_COUNTER,
+           "daisy_stage_commands_late_total",
+           "Load commands that the engine accepted after they had been given up.")
+DL_METRIC (metric_sound,
+           DL_METRIC_COUNTER,
+           "daisy_stage_taken_sound_total",
+           "Loads of weights that were proven to be sound.")
+DL_METRIC (metric_spoilt,
+           DL_METRIC_COUNTER,
+           "daisy_stage_taken_spoilt_total",
+           "Loads of weights that may hold a bad chunk.")
+
 static const DlBackoffBounds unload_pauses = { .first_ms = 200, .max_ms = 2000 };
 
 /* -------- reports -------- */
@@ -26,6 +40,9 @@
 static void
 log_accepted_late (const Weights *w, uint64_t now_ms)
 {
+  dl_metric_add (&metric_late, 1);
+  if (w->proof.state == DL_WEIGHTS_SPOILT)
+    dl_metric_add (&metric_spoilt, 1);
   dl_log (DL_EVENT_STAGE_ORDERED_LATE, DL_TEXT ("engine", w->settings->engine),
           DL_UINT ("loads", w->proof.loads),
           DL_UINT ("sent_ms_ago", now_ms - w->command_ms),
@@ -124,6 +141,7 @@
 
   w->checking = false;
   dl_load_proof_checked (&w->proof, bad < 0);
+  dl_metric_add (bad < 0 ? &metric_sound : &metric_spoilt, 1);
   if (bad < 0)
     dl_log (DL_EVENT_STAGE_TAKEN_SOUND, DL_TEXT ("engine", w->settings->engine),
             DL_UINT ("version", w->staging->bundle->version),
