--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -51,14 +51,6 @@
                    w->proof.state == DL_WEIGHTS_SPOILT ? "spoilt" : "unchecked"));
 }
 
-static void
-mark_unverified (Staging *s)
-{
-  for (unsigned i = 0; i < s->bundle->count; i++)
-    if (s->copies[i].state == STAGED_VERIFIED)
-      s->copies[i].state = STAGED_WRITTEN;
-}
-
 void
 load_handle_report (Weights *w, const DlEngineReport *report)
 {
@@ -69,6 +61,7 @@
                                              .loads = report->loads,
                                              .has_weights = report->has_weights,
                                              .busy = report->busy,
+                                             .asked_ms = report->asked_ms,
                                              .now_ms = now_ms,
                                          });
 
@@ -82,7 +75,7 @@
     case DL_PROOF_NEW_ENGINE:
       /* When its host lost power, staged chunks may be lost, too. */
       if (w->staging != NULL && w->staging->copies != NULL)
-        mark_unverified (w->staging);
+        weights_mark_unverified (w->staging);
       w->checking = false;
       w->taken_version = 0;
       break;
@@ -106,10 +99,17 @@
   return w->engine.busy ? w->taken_version == version : w->engine.version == version;
 }
 
+bool
+load_cannot_check (const Weights *w)
+{
+  return w->engine_known && w->engine.loads == w->proof.loads && !w->engine.busy
+         && w->engine.version != w->staging->bundle->version;
+}
+
 bool
 load_allows_writes (const Weights *w)
 {
-  return dl_load_proof_may_write (&w->proof, w->engine.busy || load_can_check (w));
+  return dl_load_proof_may_write (&w->proof, load_cannot_check (w));
 }
 
 /* Chunks that were read before the engine took them prove nothing. */
@@ -204,7 +204,7 @@
   switch (outcome)
     {
     case DL_LOAD_ACCEPTED:
-      dl_load_proof_accepted (&w->proof, version == 0, now_ms);
+      dl_load_proof_accepted (&w->proof, version == 0, w->proof_ms, now_ms);
       w->taken_version = version;
       w->checking = false;
       break;
@@ -309,7 +309,7 @@
           DL_UINT ("proof_age_ms", now_ms - w->proof_ms),
           DL_UINT ("pending", w->proof.pending),
           DL_UINT ("write_lost", w->proof.write_lost));
-  dl_load_proof_command_sent (&w->proof);
+  dl_load_proof_command_sent (&w->proof, now_ms);
   platform_call_load (w->client, w, w->settings->engine,
                       &(DlLoadCommand){
                           .model = b->model,
@@ -330,7 +330,7 @@
 void
 load_send_command (Weights *w, bool preempt)
 {
-  if (!engine_responds (w, dl_clock_ms ()))
+  if (w->proof.awaited || !engine_responds (w, dl_clock_ms ()))
     return;
   weights_set_phase (w, PHASE_LOAD_COMMAND);
   send_command (w, preempt, false, on_load_response);
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -9,13 +9,15 @@
 #include "platform.h"
 #include "weights.h"
 
-#define STAGE_TIMEOUT_MS  1000
-#define STAGE_CALLS_MAX   4
-#define CHUNK_MAX_BYTES   (1u << 20)
-#define STATUS_OK         200
-#define STATUS_NO_CONTENT 204
-#define STATUS_CREATED    201
-#define STATUS_NOT_FOUND  404
+#define STAGE_TIMEOUT_MS 1000
+#define STAGE_CALLS_MAX  4
+/* At an engine that takes too long to return all chunks for a proof of them. */
+#define STAGE_CALLS_SLOW_MAX 16
+#define CHUNK_MAX_BYTES      (1u << 20)
+#define STATUS_OK            200
+#define STATUS_NO_CONTENT    204
+#define STATUS_CREATED       201
+#define STATUS_NOT_FOUND     404
 
 /* Pauses after the engine failed to stage a chunk, or to return one: it may be down, or
  * refuse for long. */
@@ -82,7 +84,7 @@
 
   s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
   if (result->error != 0 && result->sent)
-    dl_load_proof_write_lost (&s->owner->proof);
+    dl_load_proof_write_lost (&s->owner->proof, c->sent_ms);
   end_call (c, result, !done);
   weights_run (s->owner);
 }
@@ -151,6 +153,16 @@
          || (copy->state == STAGED_VERIFIED && copy->read_ms < since_ms);
 }
 
+/* How many reads may be in progress. */
+static unsigned
+reads_max (const Weights *w)
+{
+  bool is_slow = w->phase == PHASE_DRAIN
+                 && dl_clock_ms () - w->phase_ms > DL_LOAD_PROOF_MAX_AGE_MS;
+
+  return is_slow ? STAGE_CALLS_SLOW_MAX : STAGE_CALLS_MAX;
+}
+
 bool
 stage_verify (Staging *s, uint64_t since_ms)
 {
@@ -165,7 +177,7 @@
       DlHttpCallOptions options;
 
       verified += is_verified (copy, since_ms);
-      if (!may_call || s->calls >= STAGE_CALLS_MAX || !needs_read_back (copy, since_ms))
+      if (!may_call || s->calls >= reads_max (w) || !needs_read_back (copy, since_ms))
         continue;
       copy->state = STAGED_READING;
       c = stage_call_new (s, i);
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -80,6 +80,10 @@
 static int
 staging_destroy (Staging *s)
 {
+  /* Writes that are cancelled may land. */
+  for (unsigned i = 0; s->copies != NULL && i < s->bundle->count; i++)
+    if (s->copies[i].state == STAGED_WRITING)
+      dl_load_proof_write_lost (&s->owner->proof, dl_clock_ms ());
   dl_bundle_close (s->bundle);
   return 0;
 }
@@ -258,8 +262,8 @@
   return false;
 }
 
-static void
-mark_unverified (Staging *s)
+void
+weights_mark_unverified (Staging *s)
 {
   for (unsigned i = 0; i < s->bundle->count; i++)
     if (s->copies[i].state == STAGED_VERIFIED)
@@ -276,7 +280,7 @@
     }
   if (needs_recovery (w->staging))
     {
-      mark_unverified (w->staging);
+      weights_mark_unverified (w->staging);
       weights_set_phase (w, PHASE_RECOVER);
       return;
     }
@@ -333,6 +337,7 @@
       weights_set_phase (w, PHASE_DONE);
     }
   else if (!w->engine.busy && !is_served (w, b)
+           && (w->proof.state != DL_WEIGHTS_UNCHECKED || load_cannot_check (w))
            && dl_clock_ms () - w->phase_ms >= LOAD_RETRY_MS)
     weights_set_phase (w, PHASE_DRAIN);
 }
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -92,6 +92,8 @@
 
 /* Sets the phase, which begins now. */
 void weights_set_phase (Weights *weights, Phase phase);
+/* What was read back is to be read once more. */
+void weights_mark_unverified (Staging *staging);
 /* Takes the next steps, as far as they are possible now. */
 void weights_run (Weights *weights);
 
@@ -111,6 +113,9 @@
 /* True when what is staged can show whether the engine took sound weights: they are known
  * to be of the version that is current here. */
 bool load_can_check (const Weights *weights);
+/* True when it is known that it cannot: they are of another version, or there are none.
+ */
+bool load_cannot_check (const Weights *weights);
 /* False while a chunk that is written could hide what the engine took. */
 bool load_allows_writes (const Weights *weights);
 /* Reads back what is staged to prove the weights that the engine took. */
--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -5,49 +5,85 @@
 uint64_t
 dl_load_proof_reads_from_ms (uint64_t draining_ms, uint64_t now_ms)
 {
-  if (now_ms >= draining_ms + DL_LOAD_SLOW_ENGINE_MS
-      || now_ms <= draining_ms + DL_LOAD_PROOF_MAX_AGE_MS)
+  if (now_ms <= draining_ms + DL_LOAD_PROOF_MAX_AGE_MS)
     return draining_ms;
   return now_ms - DL_LOAD_PROOF_MAX_AGE_MS;
 }
 
-/* The count of accepted commands is LOADS from now on. */
-static void
-set_loads (DlLoadProof *p, uint64_t loads)
+/* -------- reports -------- */
+
+/* True when what was sent at SENT_MS may have gone to the engine that has just started in
+ * place of the known one. */
+static bool
+may_reach_new_engine (const DlLoadProof *p, uint64_t sent_ms)
 {
-  p->loads = loads;
-  p->pending = false;
-  p->overwritten = false;
+  return sent_ms > p->asked_ms;
 }
 
-/* A command that was given up may have been sent to the engine that has started since.  A
- * stager that has just started does not know which commands and writes of its predecessor
- * are under way. */
-static void
-set_engine (DlLoadProof *p, const DlProofReport *r)
+static DlWeightsState
+state_after_loads (bool is_unknown)
 {
-  bool is_pending = !p->known || (p->pending && p->loads == r->loads);
+  return is_unknown ? DL_WEIGHTS_SPOILT : DL_WEIGHTS_UNCHECKED;
+}
 
-  p->write_lost = !p->known;
+static void
+set_report (DlLoadProof *p, const DlProofReport *r)
+{
   p->known = true;
   p->started_ms = r->started_ms;
   p->loads = r->loads;
+  p->asked_ms = r->asked_ms;
+}
+
+/* The first report to a stager, which does not know what its predecessor has under way.
+ * Weights that no command loaded were given to the engine as it started. */
+static void
+set_first_engine (DlLoadProof *p, const DlProofReport *r)
+{
+  set_report (p, r);
   p->accepted_ms = r->now_ms;
-  p->pending = is_pending;
-  p->overwritten = is_pending && p->overwritten;
-  /* Weights that no command loaded were given to the engine as it started. */
-  p->state = r->loads > 0 && (r->has_weights || r->busy) ? DL_WEIGHTS_UNCHECKED
+  p->pending = true;
+  p->write_lost = true;
+  p->lost_ms = r->now_ms;
+  p->state = r->loads > 0 && (r->has_weights || r->busy)
+                 ? state_after_loads (p->overwritten)
+                 : DL_WEIGHTS_SOUND;
+}
+
+static void
+set_new_engine (DlLoadProof *p, const DlProofReport *r)
+{
+  bool may_have_command
+      = (p->pending || p->awaited) && may_reach_new_engine (p, p->command_ms);
+  bool may_have_write = p->write_lost && may_reach_new_engine (p, p->lost_ms);
+  bool overwritten = may_have_write || (may_have_command && p->overwritten);
+
+  set_report (p, r);
+  p->accepted_ms = r->now_ms;
+  p->write_lost = may_have_write;
+  p->pending = may_have_command && r->loads == p->command_loads;
+  p->overwritten = p->pending && overwritten;
+  p->state = r->loads > 0 && (r->has_weights || r->busy) ? state_after_loads (overwritten)
                                                          : DL_WEIGHTS_SOUND;
 }
 
 static void
 accept_unseen (DlLoadProof *p, const DlProofReport *r)
 {
-  bool is_unknown = p->overwritten || p->write_lost;
-
-  set_loads (p, r->loads);
+  p->loads = r->loads;
   p->accepted_ms = r->now_ms;
-  p->state = is_unknown ? DL_WEIGHTS_SPOILT : DL_WEIGHTS_UNCHECKED;
+  p->state = state_after_loads (p->overwritten || p->write_lost);
+  p->pending = false;
+  p->overwritten = false;
+}
+
+/* An engine of which the start time is unknown, or repeated, has started again when its
+ * count is lower than it was before the report was asked for. */
+static bool
+is_new_engine (const DlLoadProof *p, const DlProofReport *r)
+{
+  return r->started_ms != p->started_ms
+         || (r->loads < p->loads && r->asked_ms > p->accepted_ms);
 }
 
 DlProofChange
@@ -55,13 +91,19 @@
 {
   DlProofChange change = DL_PROOF_UNCHANGED;
 
-  if (!p->known || r->started_ms != p->started_ms)
+  if (!p->known)
     {
-      set_engine (p, r);
+      set_first_engine (p, r);
+      return DL_PROOF_NEW_ENGINE;
+    }
+  if (is_new_engine (p, r))
+    {
+      set_new_engine (p, r);
       return DL_PROOF_NEW_ENGINE;
     }
   if (r->loads < p->loads)
     return DL_PROOF_UNCHANGED;
+  p->asked_ms = r->asked_ms;
   if (r->loads > p->loads)
     {
       accept_unseen (p, r);
@@ -72,23 +114,36 @@
   return change;
 }
 
+/* -------- commands -------- */
+
 void
-dl_load_proof_command_sent (DlLoadProof *p)
+dl_load_proof_command_sent (DlLoadProof *p, uint64_t now_ms)
 {
   p->awaited = true;
-  p->awaited_loads = p->loads;
-  p->awaited_started_ms = p->started_ms;
+  p->command_ms = now_ms;
+  p->command_loads = p->loads;
+  p->command_started_ms = p->started_ms;
 }
 
 void
-dl_load_proof_accepted (DlLoadProof *p, bool unloads, uint64_t now_ms)
+dl_load_proof_accepted (DlLoadProof *p, bool unloads, uint64_t proof_ms, uint64_t now_ms)
 {
+  if (p->started_ms != p->command_started_ms)
+    {
+      /* Of the engine before or of the new one. */
+      dl_load_proof_given_up (p);
+      return;
+    }
   p->awaited = false;
-  /* A report may have told first: of this command, of one more, or of a new engine. */
-  if (p->loads > p->awaited_loads + 1 || p->started_ms != p->awaited_started_ms)
+  /* A report may have told first; when it tells of one more, that is another's. */
+  if (p->loads > p->command_loads + 1)
     return;
-  set_loads (p, p->awaited_loads + 1);
+  p->loads = p->command_loads + 1;
   p->accepted_ms = now_ms;
+  p->pending = false;
+  /* Within that time a bad chunk may be taken, whether it has been mended since or not.
+   */
+  p->overwritten = p->write_lost && now_ms - proof_ms > DL_LOAD_SPOILT_MAX_MS;
   if (!unloads)
     p->state = DL_WEIGHTS_UNCHECKED;
 }
@@ -103,34 +158,41 @@
 dl_load_proof_given_up (DlLoadProof *p)
 {
   p->awaited = false;
-  p->pending = p->pending || p->awaited_loads == p->loads;
+  p->pending = p->pending || p->command_loads == p->loads;
 }
 
+/* -------- writes and the check -------- */
+
 bool
-dl_load_proof_may_write (const DlLoadProof *p, bool is_checked)
+dl_load_proof_may_write (const DlLoadProof *p, bool other_version)
 {
-  return !p->awaited && !(is_checked && p->state == DL_WEIGHTS_UNCHECKED);
+  return p->known && !p->awaited && (p->state != DL_WEIGHTS_UNCHECKED || other_version);
 }
 
 void
 dl_load_proof_write_sent (DlLoadProof *p)
 {
-  p->overwritten = p->overwritten || p->pending;
+  g_assert (!p->awaited);
+  p->overwritten
+      = p->overwritten || p->pending || !p->known || p->state == DL_WEIGHTS_UNCHECKED;
 }
 
 void
-dl_load_proof_write_lost (DlLoadProof *p)
+dl_load_proof_write_lost (DlLoadProof *p, uint64_t sent_ms)
 {
   p->write_lost = true;
+  p->lost_ms = MAX (p->lost_ms, sent_ms);
 }
 
 void
 dl_load_proof_checked (DlLoadProof *p, bool is_sound)
 {
   if (p->state == DL_WEIGHTS_UNCHECKED)
-    p->state = is_sound ? DL_WEIGHTS_SOUND : DL_WEIGHTS_SPOILT;
+    p->state = is_sound && !p->overwritten ? DL_WEIGHTS_SOUND : DL_WEIGHTS_SPOILT;
 }
 
+/* -------- what entries remember -------- */
+
 bool
 dl_sound_load_told (DlSoundLoad *sound,
                     uint64_t started_ms,
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -4,16 +4,19 @@
  * An engine takes what is staged at the moment at which it accepts a load command, and
  * checks nothing.  A staged chunk may turn bad at any time, and that moment is not known:
  * a command may be accepted long after its sender has given it up, or ended, and so may a
- * write land.  But staged chunks do not heal.  Those that are read back sound after the
- * command was accepted were sound as they were taken, if nothing was written in between.
- * So weights count as sound only after this check; before, entries send no requests.
+ * write land.  But only a write mends a staged chunk.  Those that are read back sound
+ * after the command was accepted were sound as they were taken, if nothing can have been
+ * written since.  So weights count as sound only after this check; before, entries send
+ * no requests.
  *
  * The engine counts the commands that it accepts, and each command names the count that
  * it expects.  So of several commands for one count at most one is accepted, and none
- * once the count has moved on.  A command with the response "accepted" is that one, and
- * nothing is written while a response is awaited.  If the count moves on without such a
- * response, the command may be any that was sent for it, also by a stager that has
- * ended: writes since then make what it took unknown.
+ * once the count has moved on.  A command with the response "accepted" is that one.  If
+ * the count moves on without such a response, the command may be any that was sent for
+ * it, also by a stager that has ended.
+ *
+ * What was sent before an engine answered a report that was asked for later went to that
+ * engine, and is gone when another one has started in its place.
  *
  * No I/O: times are milliseconds passed in by the caller.
  */
@@ -46,6 +49,7 @@
   uint64_t loads;      /* commands that it has accepted since */
   bool has_weights;    /* also while it loads others */
   bool busy;           /* with a command */
+  uint64_t asked_ms;   /* when the report was asked for */
   uint64_t now_ms;
 } DlProofReport;
 
@@ -54,24 +58,25 @@
 {
   DlWeightsState state;
   bool known;          /* the engine has reported */
-  uint64_t started_ms; /* as in its report */
+  uint64_t started_ms; /* as in its report, and the next two */
   uint64_t loads;
+  uint64_t asked_ms;
   uint64_t accepted_ms;   /* only reads sent from then on show what the engine took */
   bool awaited;           /* a command was sent, and its response may come */
-  uint64_t awaited_loads; /* the count that it names */
-  uint64_t awaited_started_ms; /* the engine that was known as it was sent */
-  bool pending;                /* a command for LOADS was given up, or may be another's */
-  bool overwritten;            /* chunks were written since the first such command */
-  bool write_lost;             /* a write without a response may still land */
+  bool pending;           /* a command was given up, or may be another stager's */
+  uint64_t command_ms;    /* when the last command was sent */
+  uint64_t command_loads; /* the count that it names */
+  uint64_t command_started_ms; /* the engine that was known then */
+  bool overwritten; /* chunks may have been written since the engine may have accepted the
+                     * command that loaded its weights, or a pending one */
+  bool write_lost;  /* a write without a response may still land */
+  uint64_t lost_ms; /* when the last such write was sent */
 } DlLoadProof;
 
 /* By its users' rules an engine may take a chunk that turned bad within this time. */
 #define DL_LOAD_SPOILT_MAX_MS 3000
 /* A load command rests on reads of all chunks that were sent within this time. */
 #define DL_LOAD_PROOF_MAX_AGE_MS 1800
-/* An engine whose chunks cannot all be read within that time gets the command all the
- * same, after it was drained for this long: the check afterwards shows what it took. */
-#define DL_LOAD_SLOW_ENGINE_MS 3000
 
 /* For an engine that is being drained since DRAINING_MS: the time from which on reads of
  * its staged chunks must have been sent to allow the load command. */
@@ -80,20 +85,24 @@
 /* Takes in a report; one that is older than what is known is ignored. */
 DlProofChange dl_load_proof_report (DlLoadProof *proof, const DlProofReport *report);
 /* A command is sent that names the count PROOF->loads. */
-void dl_load_proof_command_sent (DlLoadProof *proof);
-/* The response to it: the engine has accepted it.  UNLOADS: it gives up its weights. */
-void dl_load_proof_accepted (DlLoadProof *proof, bool unloads, uint64_t now_ms);
+void dl_load_proof_command_sent (DlLoadProof *proof, uint64_t now_ms);
+/* The response to it: the engine has accepted it.  UNLOADS: it gives up its weights;
+ * otherwise PROOF_MS is when the oldest read was sent that showed the chunks sound. */
+void dl_load_proof_accepted (DlLoadProof *proof,
+                             bool unloads,
+                             uint64_t proof_ms,
+                             uint64_t now_ms);
 /* The response: the engine has refused it. */
 void dl_load_proof_refused (DlLoadProof *proof);
 /* No usable response came: it may still be accepted. */
 void dl_load_proof_given_up (DlLoadProof *proof);
-/* Chunks may be written now; IS_CHECKED: what is staged is needed to show what the engine
- * took. */
-bool dl_load_proof_may_write (const DlLoadProof *proof, bool is_checked);
-/* A chunk is written. */
+/* True when chunks may be written.  OTHER_VERSION: the engine is known to have weights of
+ * another version, so that what is staged cannot show what it took. */
+bool dl_load_proof_may_write (const DlLoadProof *proof, bool other_version);
+/* A chunk is written, which was allowed. */
 void dl_load_proof_write_sent (DlLoadProof *proof);
-/* A write ended without a response. */
-void dl_load_proof_write_lost (DlLoadProof *proof);
+/* A write that was sent at SENT_MS ended without a response. */
+void dl_load_proof_write_lost (DlLoadProof *proof, uint64_t sent_ms);
 /* All chunks were read back since ACCEPTED_MS and are sound, or one is not. */
 void dl_load_proof_checked (DlLoadProof *proof, bool is_sound);
 
