--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -18,11 +18,16 @@
 #define READ_LATE_MS    580
 #define COMMAND_LATE_MS 950
 /* Callers go on for so long after the engine has taken weights. */
-#define CALLS_MS     1500
-#define CALL_GAP_MS  20
-#define CALLERS      6
-#define ALL_CHUNKS   16
-#define CHUNKS_FIRST 4 /* read at once */
+#define CALLS_MS    1500
+#define CALL_GAP_MS 20
+#define CALLERS     6
+/* Reports fail for so long, and longer than a stager takes to start and fetch. */
+#define SILENT_MS      2500
+#define SILENT_LONG_MS 5000
+/* By then the stager has sent its command. */
+#define COMMAND_SENT_MS 1500
+#define ALL_CHUNKS      16
+#define CHUNKS_FIRST    4 /* read at once */
 
 static uint64_t newest = 1;
 
@@ -190,11 +195,41 @@
   check_taken (tb);
 }
 
+/* A stalled engine takes the command late, and its reports fail for a while: the stager
+ * must not take the chunk that it has mended meanwhile for the one that was taken. */
+static void
+test_bad_chunk_was_mended_before_the_check (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "rot_at_command", 1));
+  CHECK (set_fault (tb->server[0], "command_stall_ms", LATE_MS));
+  CHECK (set_fault (tb->server[0], "reports_fail_ms", SILENT_MS));
+  lose_weights (tb);
+  check_taken (tb);
+}
+
+/* The same for a stager that starts while they fail, after its predecessor's command was
+ * taken late. */
+static void
+test_bad_chunk_was_mended_by_a_stager_without_reports (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "rot_at_command", 1));
+  CHECK (set_fault (tb->server[0], "command_late_ms", LATE_MS));
+  CHECK (set_fault (tb->server[0], "reports_fail_ms", SILENT_LONG_MS));
+  lose_weights (tb);
+  g_usleep (COMMAND_SENT_MS * US_PER_MS);
+  process_end (&tb->stager_process[0], SIGKILL);
+  CHECK (eventually_under_callers (tb, first_has_taken_weights));
+  CHECK (process_start (&tb->stager_process[0]));
+  check_taken (tb);
+}
+
 const TestFunc taken_tests[] = {
   test_command_taken_late_by_a_stalled_engine,
   test_command_taken_late_after_its_sender_gave_it_up,
   test_proofs_grew_too_old_before_the_command_was_taken,
   test_late_write_of_an_older_version_was_taken,
   test_command_of_a_stager_that_ended_took_another_version,
+  test_bad_chunk_was_mended_before_the_check,
+  test_bad_chunk_was_mended_by_a_stager_without_reports,
   NULL,
 };
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -173,6 +173,7 @@
   { "command_late_ms", &staged_command_late_ms },
   { "command_stall_ms", &staged_command_stall_ms },
   { "write_at_command", &staged_write_at_command },
+  { "reports_fail_ms", &staged_reports_fail_ms },
   { "lose_weights", &lose_weights },
   { "end_early_ms", &end_early_ms },
   { 0 },
@@ -779,6 +780,8 @@
       received += !g_str_has_prefix (path, "/-/");
       dl_http_abort (request);
     }
+  else if (strcmp (path, "/-/report") == 0 && staged_reports_fail ())
+    dl_http_reply_error (request, 503, 0, "no report now");
   else if (strcmp (path, "/-/report") == 0)
     reply_report (request);
   else if (!staged_handle (request))
--- a/regress/standin/staged.c
+++ b/regress/standin/staged.c
@@ -45,11 +45,13 @@
 uint64_t staged_command_late_ms;
 uint64_t staged_command_stall_ms;
 uint64_t staged_write_at_command;
+uint64_t staged_reports_fail_ms;
 
 static DlTask *task;
 static GHashTable *staged;      /* index of a chunk to its Copy */
 static GHashTable *late_writes; /* the same, of those that land as a command arrives */
 static uint64_t late_version;   /* it must be for this version or a newer one */
+static uint64_t fail_until_ms;  /* reports do until then */
 static bool loading;
 static uint64_t stalled_ms;      /* by which timers of this run of the loop are early */
 static bool is_spoilt;           /* the weights that the server has */
@@ -96,6 +98,22 @@
   spoilt_runs += is_spoilt;
 }
 
+bool
+staged_reports_fail (void)
+{
+  return dl_clock_ms () < fail_until_ms;
+}
+
+static void
+begin_failing_reports (void)
+{
+  if (staged_reports_fail_ms == 0)
+    return;
+  fail_until_ms = dl_clock_ms () + staged_reports_fail_ms;
+  staged_reports_fail_ms = 0;
+  staged_read_late_ms = 0;
+}
+
 /* -------- staging -------- */
 
 static unsigned
@@ -251,6 +269,7 @@
       return 202;
     }
   take (c->version);
+  begin_failing_reports ();
   loading = true;
   dl_timer_subscribe (task, task, LOAD_MS + stalled_ms, 0, on_loaded,
                       GSIZE_TO_POINTER ((gsize)c->version));
--- a/regress/standin/staged.h
+++ b/regress/standin/staged.h
@@ -28,6 +28,12 @@
                                           * as the command for the version after theirs
                                           * arrives */
 
+extern uint64_t
+    staged_reports_fail_ms; /* reports fail for so long after the next command
+                             * that is accepted, and reads are no longer late */
+
+/* Reports fail now. */
+bool staged_reports_fail (void);
 /* Handles the calls that stage and load; false for any other. */
 bool staged_handle (DlHttpRequest *request);
 void staged_start (DlTask *standin);
