Entries: one function decides how much of a response may be collected

Purpose: the room for collected responses (64 KiB a share, 32 MiB for all) was decided in daisydirectd/attempt.c and in daisyentryd/callers_claim.c, with the same figures written twice.

No change of behaviour.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -12,14 +12,12 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "platform.h"
+#include "policy/response_room.h"
 #include "policy/time_limit.h"
 #include "requests.h"
 
 #define CONNECT_TIMEOUT_MS 350
 #define RESPONSE_MAX_BYTES (512u << 10)
-/* With more than this collected by all attempts, each may collect only its share. */
-#define RESPONSES_MAX_BYTES      (32u << 20)
-#define RESPONSE_SHARE_MAX_BYTES (64u << 10)
 /* A response that is no stream makes progress when this many more bytes have arrived. */
 #define PROGRESS_BYTES (4u << 10)
 /* With more bytes than this queued for a slow caller, the upstream's stream is paused. */
@@ -344,25 +342,22 @@
     set_paused (attempt, true);
 }
 
-/* False when the attempt would collect more than it may. */
-static bool
-has_room (const Attempt *attempt, size_t extra)
-{
-  return attempt->body_bytes + extra <= RESPONSE_SHARE_MAX_BYTES
-         || attempt->request->owner->collected_bytes + extra <= RESPONSES_MAX_BYTES;
-}
-
 /* Collects a response that is no stream.  One that will not be forwarded is not. */
 static void
 collect (Attempt *attempt, DlStr bytes)
 {
   size_t before = attempt->body_bytes;
+  const DlResponseRoom room = {
+    .held_bytes = before,
+    .max_bytes = RESPONSE_MAX_BYTES,
+    .all_bytes = attempt->request->owner->collected_bytes,
+  };
 
   if (was_not_run (attempt))
     abort_attempt (attempt, NULL);
   else if (is_unusable (attempt))
     abort_attempt (attempt, "a success without seal, or for another request");
-  else if (!has_room (attempt, bytes.length)
+  else if (!dl_response_room_has (&room, bytes.length)
            || dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
     abort_attempt (attempt, "a body over the limit");
   else
@@ -409,18 +404,6 @@
     direct_quarantine_answered (attempt->request);
 }
 
-static char *
-parts_text (const void *context, const DlSignatures *signatures)
-{
-  char *text = talloc_strdup (context, "");
-
-  for (size_t i = 0; i < signatures->count; i++)
-    if (!dl_signature_is_whole (&signatures->ids[i]))
-      text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "",
-                                     signatures->ids[i].text);
-  return text;
-}
-
 /* The upstream closed the connection, or lost it, before the response was complete. */
 static void
 note_broken_off (Attempt *attempt)
@@ -438,7 +421,7 @@
           DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
           DL_TEXT ("identity", r->identity.text),
-          DL_TEXT ("parts", parts_text (attempt, &r->incoming.signatures)));
+          DL_TEXT ("parts", dl_signatures_parts_text (attempt, &r->incoming.signatures)));
   direct_quarantine_broken_off (r, attempt->upstream);
 }
 
--- a/daisyentryd/callers_claim.c
+++ b/daisyentryd/callers_claim.c
@@ -17,6 +17,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "policy/claim.h"
+#include "policy/response_room.h"
 
 #define RESPONSE_MAX_BYTES   (512u << 10) /* to record; the platform's limit is 1 MiB */
 #define IN_PROGRESS_RETRY_MS 1000
@@ -24,14 +25,11 @@
 #define UNKNOWN_RETRY_MS     0 /* no Retry-After: does not invite a retry */
 /* A longer one is given up. */
 #define RESPONSE_HELD_MAX_BYTES (4u << 20)
-/* With more than this held for all calls, each may hold only its share. */
-#define RESPONSES_HELD_MAX_BYTES (32u << 20)
-#define RESPONSE_SHARE_BYTES     (64u << 10)
-#define HTTP_CONFLICT            409
-#define HTTP_UNPROCESSABLE       422
-#define HTTP_BAD_GATEWAY         502
-#define HTTP_UNAVAILABLE         503
-#define HTTP_GATEWAY_TIMEOUT     504
+#define HTTP_CONFLICT           409
+#define HTTP_UNPROCESSABLE      422
+#define HTTP_BAD_GATEWAY        502
+#define HTTP_UNAVAILABLE        503
+#define HTTP_GATEWAY_TIMEOUT    504
 
 DL_METRIC (metric_dispatched,
            DL_METRIC_COUNTER,
@@ -278,16 +276,6 @@
   step_claim (c, &event);
 }
 
-static bool
-has_room (const CallerClaim *c, size_t extra)
-{
-  size_t length = c->response->length + extra;
-
-  return length <= RESPONSE_SHARE_BYTES
-         || (length <= RESPONSE_HELD_MAX_BYTES
-             && c->callers->held_bytes + extra <= RESPONSES_HELD_MAX_BYTES);
-}
-
 /* The call has run, but its response is too long to be held: its outcome is unknown to
  * the caller, as after a response that was lost. */
 static void
@@ -310,7 +298,13 @@
 static void
 hold_response (CallerClaim *c, DlStr data)
 {
-  if (!has_room (c, data.length))
+  const DlResponseRoom room = {
+    .held_bytes = c->response->length,
+    .max_bytes = RESPONSE_HELD_MAX_BYTES,
+    .all_bytes = c->callers->held_bytes,
+  };
+
+  if (!dl_response_room_has (&room, data.length))
     {
       give_up_response (c);
       return;
--- a/lib/policy/signature.c
+++ b/lib/policy/signature.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "kernel/crypt.h"
 #include "policy/rendezvous.h"
@@ -94,3 +95,15 @@
   if (text.length > 0 && signatures->count < DL_SIGNATURE_PARTS_MAX)
     signatures->ids[signatures->count++] = dl_part_signature (text);
 }
+
+char *
+dl_signatures_parts_text (const void *context, const DlSignatures *signatures)
+{
+  char *text = talloc_strdup (context, "");
+
+  for (size_t i = 0; i < signatures->count; i++)
+    if (!dl_signature_is_whole (&signatures->ids[i]))
+      text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "",
+                                     signatures->ids[i].text);
+  return text;
+}
--- a/lib/policy/signature.h
+++ b/lib/policy/signature.h
@@ -62,5 +62,7 @@
 /* Adds the signature of the part with the id TEXT, unless there are too many or TEXT is
  * empty. */
 void dl_signatures_add_part (DlSignatures *signatures, DlStr text);
+/* Returns the signatures of parts, separated by commas, a talloc child of CONTEXT. */
+char *dl_signatures_parts_text (const void *context, const DlSignatures *signatures);
 
 #endif
