Object watch: the watch of two requests is a module of its own

Purpose: object_watch.c (726 lines) held two jobs, following a kind of objects and sending a watch once more on a new connection, and kept the time of sending beside that of its requests.

Change: lib/node/hedged_watch.h sends the two requests and tells when the one that was answered was sent; object_watch.c has 647 lines. Requests that are given up are ignored and cancelled when the next watch is sent, as before. No change of behaviour intended: sent_ms is now that of the watch that was last answered, and it is read only while an answer is handled.

--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -6,9 +6,8 @@
 #include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "kernel/metrics.h"
+#include "node/hedged_watch.h"
 #include "policy/backoff.h"
-#include "policy/hedge.h"
 
 #define RETRY_FIRST_MS 150
 /* While a reader is waited for, it is looked for this often. */
@@ -26,12 +25,6 @@
  * wait that the reader itself uses; hence a watch at a reader waits this much longer. */
 #define RELAY_WAIT_SLACK_MS 100
 
-DL_METRIC (
-    metric_second,
-    DL_METRIC_COUNTER,
-    "daisy_object_second_watches_total",
-    "Watches that were sent once more, on a new connection, for want of a response.")
-
 struct DlObjectWatch
 {
   DlTask *task;
@@ -43,7 +36,7 @@
   uint64_t list_revision; /* of the first page of the list in progress */
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
-  uint64_t sent_ms; /* when the request in progress was sent; of a list, the first page */
+  uint64_t sent_ms; /* of the watch that was last answered, or of the list's first page */
   uint64_t synced_ms;    /* 0 before the first list is complete */
   uint64_t retry_ms;     /* backoff; 0 while requests succeed */
   bool has_preview;      /* the preview was read, or failed, or is not wanted */
@@ -55,23 +48,19 @@
   bool via_relay;        /* the request in progress goes to a reader */
   bool is_reader;        /* this process reads the store for others */
   DlObjectClient *server; /* that the request in progress was sent to */
-  uint64_t number; /* of the last request; the responses to earlier ones are ignored */
-  struct Request *first;  /* watch in progress, also without a wait; NULL for none */
-  struct Request *second; /* the same once more, on a new connection; NULL for none */
-  DlTimer *second_timer;  /* when it is sent */
-  DlHedge hedge;
-  bool is_relisting;        /* the list in progress is the first of a new era */
-  uint64_t era;             /* of the store when the revisions were read */
+  uint64_t number;       /* of the last list; the responses to earlier ones are ignored */
+  DlHedgedWatch *hedged; /* sends the watches, also those without a wait */
+  bool is_relisting;     /* the list in progress is the first of a new era */
+  uint64_t era;          /* of the store when the revisions were read */
   uint64_t revision_before; /* the last one known of the era before */
   DlTimer *timer;
 };
 
-/* A request to a server; its call is a talloc child of it. */
-typedef struct Request
+/* A request for a list, or for the preview. */
+typedef struct
 {
   DlObjectWatch *watch;
   uint64_t number;
-  uint64_t sent_ms;
 } Request;
 
 static void send_preview (DlObjectWatch *watch);
@@ -180,13 +169,12 @@
 /* -------- requests -------- */
 
 static Request *
-request_new (DlObjectWatch *watch, uint64_t number)
+request_new (DlObjectWatch *watch)
 {
   Request *request = talloc_zero (watch, Request);
 
   request->watch = watch;
-  request->number = number;
-  request->sent_ms = dl_clock_ms ();
+  request->number = ++watch->number;
   return request;
 }
 
@@ -200,6 +188,14 @@
   return is_wanted;
 }
 
+/* The responses to the requests in progress are not wanted any more. */
+static void
+give_up_requests (DlObjectWatch *watch)
+{
+  watch->number++;
+  dl_hedged_watch_ignore (watch->hedged);
+}
+
 /* True for a request to the store itself that followed its last answer without a gap. */
 static bool
 follows_the_store (const DlObjectWatch *watch)
@@ -397,7 +393,7 @@
       choose_list_server (watch);
     }
   dl_object_list_after (watch->server, watch, watch->options.kind, watch->list_after,
-                        on_list, request_new (watch, ++watch->number));
+                        on_list, request_new (watch));
 }
 
 /* True when the next request has to wait for a reader; it is tried again soon then. */
@@ -430,8 +426,7 @@
 send_preview (DlObjectWatch *watch)
 {
   dl_object_list_after (watch->client, watch, watch->options.kind,
-                        watch->options.preview_after, on_preview,
-                        request_new (watch, ++watch->number));
+                        watch->options.preview_after, on_preview, request_new (watch));
 }
 
 static void
@@ -502,8 +497,11 @@
 }
 
 static void
-end_watch (DlObjectWatch *watch, const DlObjectResult *result)
+on_watch (const DlObjectResult *result, uint64_t sent_ms, void *data)
 {
+  DlObjectWatch *watch = data;
+
+  watch->sent_ms = sent_ms;
   note_unchanged (watch);
   if (result->error == DL_ERR_GONE)
     {
@@ -518,96 +516,19 @@
     apply_watch (watch, result);
 }
 
-/* Ends the first and the second request, whichever are in progress. */
-static void
-cancel_watch (DlObjectWatch *watch)
-{
-  TALLOC_FREE (watch->second_timer);
-  TALLOC_FREE (watch->first);
-  TALLOC_FREE (watch->second);
-}
-
-/* The second request was responded to while the first was not: its connection is silent,
- * and so may be others that were open then. */
-static void
-note_silent_connection (DlObjectWatch *watch)
-{
-  const Request *first = watch->first;
-
-  dl_hedge_second_responded (&watch->hedge);
-  dl_object_client_distrust (watch->server, first->sent_ms);
-  dl_log (DL_EVENT_CONNECTION_SILENT,
-          DL_TEXT ("server", dl_object_client_address (watch->server)),
-          DL_TEXT ("kind", watch->options.kind), DL_UINT ("wait_ms", watch->sent_wait_ms),
-          DL_UINT ("after_ms", dl_clock_ms () - first->sent_ms));
-}
-
-static void
-note_first_response (DlObjectWatch *watch)
-{
-  uint64_t due_ms = watch->first->sent_ms + watch->sent_wait_ms;
-  uint64_t now_ms = dl_clock_ms ();
-
-  dl_hedge_first_responded (&watch->hedge, now_ms > due_ms ? now_ms - due_ms : 0);
-}
-
-/* One of the two requests has ended.  A failure counts when the other one has ended, too.
- */
-static void
-on_watch (const DlObjectResult *result, void *data)
-{
-  Request *request = data;
-  DlObjectWatch *watch = request->watch;
-  bool is_first = request == watch->first;
-  bool other_goes_on = is_first ? watch->second != NULL : watch->first != NULL;
-  bool is_usable = result->error == 0 || result->error == DL_ERR_GONE;
-
-  if (request->number != watch->number)
-    return;
-  if (!is_usable && other_goes_on)
-    {
-      TALLOC_FREE (*(is_first ? &watch->first : &watch->second));
-      return;
-    }
-  if (is_usable && is_first)
-    note_first_response (watch);
-  else if (is_usable && other_goes_on)
-    note_silent_connection (watch);
-  watch->sent_ms = request->sent_ms;
-  cancel_watch (watch);
-  end_watch (watch, result);
-}
-
-static void
-on_second_due (DlTimer *timer, void *data)
-{
-  DlObjectWatch *watch = data;
-
-  TALLOC_FREE (watch->second_timer);
-  if (watch->first == NULL || watch->first->number != watch->number)
-    return;
-  dl_metric_add (&metric_second, 1);
-  watch->second = request_new (watch, watch->number);
-  dl_object_watch_anew (watch->server, watch->second, watch->options.kind,
-                        watch->revision, on_watch, watch->second);
-}
-
 static void
 send_watch (DlObjectWatch *watch)
 {
-  cancel_watch (watch);
   choose_server (watch);
-  watch->sent_ms = dl_clock_ms ();
   watch->sent_wait_ms = wait_ms (watch);
   watch->is_refreshing = false;
-  watch->first = request_new (watch, ++watch->number);
-  if (!watch->via_relay)
-    watch->second_timer
-        = dl_timer_subscribe (watch->task, watch,
-                              watch->sent_wait_ms + dl_hedge_delay_ms (&watch->hedge), 0,
-                              on_second_due, watch);
-  dl_object_watch (watch->server, watch->first, watch->options.kind, watch->revision,
-                   watch->sent_wait_ms, on_watch, watch->first);
+  dl_hedged_watch_send (watch->hedged, &(DlWatchRequest){
+                                           .server = watch->server,
+                                           .kind = watch->options.kind,
+                                           .revision = watch->revision,
+                                           .wait_ms = watch->sent_wait_ms,
+                                           .is_hedged = !watch->via_relay,
+                                       });
 }
 
 /* -------- eras -------- */
@@ -630,7 +551,7 @@
   DlObjectWatch *watch = data;
   uint64_t spread_ms = watch->options.relist_spread_ms;
 
-  watch->number++;
+  give_up_requests (watch);
   void_revisions (watch);
   restart_list (watch);
   if (!watch->is_relisting)
@@ -667,6 +588,7 @@
   watch->client = client;
   watch->options = *options;
   watch->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  watch->hedged = dl_hedged_watch_new (task, watch, on_watch, watch);
   talloc_set_destructor (watch, watch_destroy);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
   watch->has_preview = options->preview_after == NULL;
@@ -682,8 +604,7 @@
 {
   if (!dl_object_watch_is_current (watch) || watch->retry_ms != 0)
     return;
-  /* The request in progress is given up. */
-  watch->number++;
+  give_up_requests (watch);
   watch->is_refreshing = true;
   run_after (watch, 0);
 }
