HTTP server: one call at a stop in place of two

Purpose: callers.c and operators.c of daisyentryd end keep-alive and accepting as a pair.

Change: dl_http_server_drain does both, in the same order. daisydirectd keeps the two apart: its requests go on being accepted for a time, its directory until the process ends. The plug-ins' is_idle stay, as each adds something else to the server's (claims, commands, a second server).

--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -404,8 +404,7 @@
   CallersTask *t = dl_task_state (task);
 
   t->stopping = true;
-  dl_http_server_disable_keepalive (t->server);
-  dl_http_server_quiesce (t->server);
+  dl_http_server_drain (t->server);
   dl_log (DL_EVENT_CALLERS_DRAINING,
           DL_UINT ("requests", dl_http_server_active_requests (t->server)));
   dl_timer_subscribe (task, t, DRAIN_CHECK_MS, DRAIN_CHECK_MS, on_drain_check, t);
--- a/daisyentryd/operators.c
+++ b/daisyentryd/operators.c
@@ -358,8 +358,7 @@
   Operators *o = dl_task_state (task);
 
   o->draining = true;
-  dl_http_server_disable_keepalive (o->server);
-  dl_http_server_quiesce (o->server);
+  dl_http_server_drain (o->server);
   dl_timer_subscribe (task, o, 1, DRAIN_CHECK_MS, check_drained, o);
 }
 
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -466,6 +466,13 @@
   close (fd);
 }
 
+void
+dl_http_server_drain (DlHttpServer *server)
+{
+  dl_http_server_disable_keepalive (server);
+  dl_http_server_quiesce (server);
+}
+
 bool
 dl_http_server_is_idle (DlHttpServer *server)
 {
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -60,6 +60,8 @@
 void dl_http_server_quiesce (DlHttpServer *server);
 /* From now on each response carries "Connection: close" and closes its connection. */
 void dl_http_server_disable_keepalive (DlHttpServer *server);
+/* Both: from now on the server only ends what callers have begun. */
+void dl_http_server_drain (DlHttpServer *server);
 /* Accepts and reads what has arrived, and calls the handler for it.  Returns true if no
  * request is in progress or has begun to arrive; the part of a request's first line is
  * only seen after dl_http_server_disable_keepalive. */
