--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -63,6 +63,7 @@
   bool pinned;          /* the upstream was to refuse it with other weights */
   bool paused;          /* by this entry, as its caller reads slowly */
   bool aborted;         /* further bytes are dropped; ABORT_TIMER ends the attempt */
+  bool time_over;       /* it ended with the time that its upstream was given */
   DlTimer *abort_timer;
   DlBuffer *body;    /* of a response that is no stream */
   size_t body_bytes; /* of it, counted in the owner's collected_bytes */
@@ -108,7 +109,7 @@
          || (attempt->head.not_run && !attempt->head.names_request);
 }
 
-/* True when the upstream ended the run as the time that it was given was over. */
+/* True when an end now is that of the time that the upstream was given. */
 static bool
 is_time_over (const Attempt *attempt)
 {
@@ -272,14 +273,14 @@
 {
   if (is_misdirected (attempt))
     return DIRECT_ATTEMPT_UNREACHABLE;
-  return attempt->head.hold_off_ms > 0 || is_time_over (attempt) ? DIRECT_ATTEMPT_NEUTRAL
-                                                                 : DIRECT_ATTEMPT_FAILED;
+  return attempt->head.hold_off_ms > 0 || attempt->time_over ? DIRECT_ATTEMPT_NEUTRAL
+                                                             : DIRECT_ATTEMPT_FAILED;
 }
 
 static DirectAttemptFailure
 broken_failure (const Attempt *attempt)
 {
-  return is_time_over (attempt) ? DIRECT_FAILURE_TIME_OVER : DIRECT_FAILURE_BROKEN;
+  return attempt->time_over ? DIRECT_FAILURE_TIME_OVER : DIRECT_FAILURE_BROKEN;
 }
 
 /* Ends an attempt without a response that can be used. */
@@ -347,11 +348,9 @@
 collect (Attempt *attempt, DlStr bytes)
 {
   size_t before = attempt->body_bytes;
-  const DlResponseRoom room = {
-    .held_bytes = before,
-    .max_bytes = RESPONSE_MAX_BYTES,
-    .all_bytes = attempt->request->owner->collected_bytes,
-  };
+  const DlResponseRoom room = { .held_bytes = before,
+                                .max_bytes = RESPONSE_MAX_BYTES,
+                                .all_bytes = attempt->request->owner->collected_bytes };
 
   if (was_not_run (attempt))
     abort_attempt (attempt, NULL);
@@ -411,7 +410,7 @@
   Request *r = attempt->request;
   uint64_t now_ms = dl_clock_ms ();
 
-  if (is_time_over (attempt))
+  if (attempt->time_over)
     return;
   dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", attempt->upstream->id),
@@ -510,6 +509,7 @@
   Attempt *attempt = data;
   bool responded = result->status != 0 && !attempt->aborted;
 
+  attempt->time_over = is_time_over (attempt);
   /* One that sends what is no response does not crash. */
   if (result->sent && result->broken_off && !attempt->aborted)
     note_broken_off (attempt);
