Direct tests: all nodes end and start by one function each, as does waiting for a version

Purpose: era.c, manifests.c, entries.c, changes.c and malformed.c each killed and started all entries and stagers by code of their own; changes.c, manifests.c, version.c and staging.c each waited for a version in the model servers; stopping.c had the slow stream of a stop twice.

Change: end_nodes, start_nodes and version_is_loaded in direct.c; begin_stop_during_stream and end_stop_during_stream in stopping.c.

--- a/regress/direct/changes.c
+++ b/regress/direct/changes.c
@@ -74,19 +74,12 @@
 
 static uint64_t expected_version;
 
-static bool
-servers_have_version (Testbed *tb)
-{
-  return recorded (tb->server[0], "version") == expected_version
-         && recorded (tb->server[1], "version") == expected_version;
-}
-
 static void
 roll_out_version (Testbed *tb, uint64_t version)
 {
   expected_version = version;
   CHECK (testbed_announce_version (tb, version));
-  CHECK (eventually (servers_have_version, tb));
+  CHECK (version_is_loaded (tb, expected_version));
   CHECK (recorded (tb->server[0], "mixed") == 0);
   CHECK (recorded (tb->server[1], "mixed") == 0);
 }
@@ -122,7 +115,7 @@
 {
   process_end (&tb->server_process[0], SIGKILL);
   CHECK (process_start (&tb->server_process[0]));
-  CHECK (eventually (servers_have_version, tb));
+  CHECK (version_is_loaded (tb, expected_version));
   CHECK (recorded (tb->server[0], "mixed") == 0);
 }
 
@@ -293,14 +286,8 @@
 static void
 test_all_killed (Testbed *tb)
 {
-  for (unsigned i = 0; i < ENTRIES; i++)
-    process_end (&tb->entry_process[i], SIGKILL);
-  for (unsigned i = 0; i < SERVERS - 1; i++)
-    process_end (&tb->stager_process[i], SIGKILL);
-  for (unsigned i = 0; i < ENTRIES; i++)
-    CHECK (process_start (&tb->entry_process[i]));
-  for (unsigned i = 0; i < SERVERS - 1; i++)
-    CHECK (process_start (&tb->stager_process[i]));
+  end_nodes (tb);
+  start_nodes (tb);
   CHECK (eventually (requests_are_served, tb));
   CHECK (key2_is_unknown (tb));
   roll_out_version (tb, 6);
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -9,6 +9,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #define BUDGET_TRIES 4 /* requests that earn more than one retry */
@@ -63,6 +64,42 @@
   return true;
 }
 
+void
+end_nodes (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    process_end (&tb->entry_process[i], SIGKILL);
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    process_end (&tb->stager_process[i], SIGKILL);
+}
+
+void
+start_nodes (Testbed *tb)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    CHECK (process_start (&tb->entry_process[i]));
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    CHECK (process_start (&tb->stager_process[i]));
+}
+
+static uint64_t awaited_version;
+
+static bool
+models_have_version (Testbed *tb)
+{
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    if (recorded (tb->server[i], "version") != awaited_version)
+      return false;
+  return true;
+}
+
+bool
+version_is_loaded (Testbed *tb, uint64_t version)
+{
+  awaited_version = version;
+  return eventually (models_have_version, tb);
+}
+
 void
 earn_retries (Testbed *tb)
 {
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -176,6 +176,12 @@
 int status_with_key (const Testbed *testbed, unsigned entry, const char *key);
 /* True when both entries serve a safe request. */
 bool requests_are_served (Testbed *testbed);
+/* Kills all entries and stagers. */
+void end_nodes (Testbed *testbed);
+/* Starts all of them again. */
+void start_nodes (Testbed *testbed);
+/* Waits until VERSION is loaded in all model servers; false when it is not in time. */
+bool version_is_loaded (Testbed *testbed, uint64_t version);
 /* Has the first entry earn at least one retry. */
 void earn_retries (Testbed *testbed);
 /* Sends a stream to the entry at ADDRESS, with MIDDLE among the parts of its prompt; the
--- a/regress/direct/entries.c
+++ b/regress/direct/entries.c
@@ -3,7 +3,6 @@
  * ones hold, changes of them are followed, and no process ends by itself.
  */
 #include <glib.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -193,19 +192,6 @@
     }
 }
 
-static void
-restart_all (Testbed *tb)
-{
-  for (unsigned i = 0; i < ENTRIES; i++)
-    process_end (&tb->entry_process[i], SIGKILL);
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    process_end (&tb->stager_process[i], SIGKILL);
-  for (unsigned i = 0; i < ENTRIES; i++)
-    CHECK (process_start (&tb->entry_process[i]));
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    CHECK (process_start (&tb->stager_process[i]));
-}
-
 /* True if the copy of the servers that entry INDEX gives out is JSON. */
 static bool
 copy_is_readable (const Testbed *tb, unsigned index)
@@ -254,7 +240,8 @@
   CHECK (set_fault (tb->store, "page", PAGE_OBJECTS));
   for (size_t i = 0; i < G_N_ELEMENTS (odd_objects); i++)
     CHECK (put_odd (tb, "servers", &odd_objects[i]));
-  restart_all (tb);
+  end_nodes (tb);
+  start_nodes (tb);
   CHECK (eventually (requests_are_served, tb));
   check_all_hold (tb, "all odd entries in the list");
 }
@@ -270,7 +257,8 @@
       CHECK (put_odd (tb, kinds[k], &odd_objects[i]));
   check_all_hold (tb, "odd objects of all kinds");
   CHECK (testbed_configure (tb, true));
-  restart_all (tb);
+  end_nodes (tb);
+  start_nodes (tb);
   CHECK (eventually (requests_are_served, tb));
   CHECK (status_with_key (tb, 0, "key2") == 401);
   check_all_hold (tb, "odd objects of all kinds, listed");
--- a/regress/direct/era.c
+++ b/regress/direct/era.c
@@ -225,24 +225,6 @@
   return count_nodes (tb) == ENTRIES + SERVERS - 1;
 }
 
-static void
-end_nodes (Testbed *tb)
-{
-  for (unsigned i = 0; i < ENTRIES; i++)
-    process_end (&tb->entry_process[i], SIGKILL);
-  for (unsigned i = 0; i < SERVERS - 1; i++)
-    process_end (&tb->stager_process[i], SIGKILL);
-}
-
-static void
-start_nodes (Testbed *tb)
-{
-  for (unsigned i = 0; i < ENTRIES; i++)
-    CHECK (process_start (&tb->entry_process[i]));
-  for (unsigned i = 0; i < SERVERS - 1; i++)
-    CHECK (process_start (&tb->stager_process[i]));
-}
-
 static void
 delete_nodes (Testbed *tb)
 {
--- a/regress/direct/malformed.c
+++ b/regress/direct/malformed.c
@@ -7,7 +7,6 @@
  */
 #include <arpa/inet.h>
 #include <glib.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -94,17 +93,11 @@
 static void
 start_anew (Testbed *tb)
 {
-  for (unsigned i = 0; i < ENTRIES; i++)
-    process_end (&tb->entry_process[i], SIGKILL);
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    process_end (&tb->stager_process[i], SIGKILL);
+  end_nodes (tb);
   CHECK (testbed_configure (tb, false));
   for (unsigned i = 0; i < SERVERS; i++)
     CHECK (testbed_restart_server (tb, i));
-  for (unsigned i = 0; i < ENTRIES; i++)
-    CHECK (process_start (&tb->entry_process[i]));
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    CHECK (process_start (&tb->stager_process[i]));
+  start_nodes (tb);
   CHECK (eventually (requests_are_served, tb));
 }
 
--- a/regress/direct/manifests.c
+++ b/regress/direct/manifests.c
@@ -29,15 +29,6 @@
 
 static uint64_t expected_version;
 
-static bool
-servers_have_version (Testbed *tb)
-{
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    if (recorded (tb->server[i], "version") != expected_version)
-      return false;
-  return true;
-}
-
 static void
 spoil (Testbed *tb, WeightsSpoilt what)
 {
@@ -48,28 +39,11 @@
 static void
 check_loaded (Testbed *tb, const char *what)
 {
-  check (eventually (servers_have_version, tb), "the version is loaded", what, __LINE__);
+  check (version_is_loaded (tb, expected_version), "the version is loaded", what,
+         __LINE__);
   check (recorded_by_models (tb, "mixed") == 0, "from sound chunks", what, __LINE__);
 }
 
-static void
-end_nodes (Testbed *tb)
-{
-  for (unsigned i = 0; i < ENTRIES; i++)
-    process_end (&tb->entry_process[i], SIGKILL);
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    process_end (&tb->stager_process[i], SIGKILL);
-}
-
-static void
-start_nodes (Testbed *tb)
-{
-  for (unsigned i = 0; i < ENTRIES; i++)
-    CHECK (process_start (&tb->entry_process[i]));
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    CHECK (process_start (&tb->stager_process[i]));
-}
-
 /* No version was announced: the newest at the origin is loaded into servers that hold
  * none. */
 static void
--- a/regress/direct/staging.c
+++ b/regress/direct/staging.c
@@ -14,13 +14,6 @@
   return recorded (tb->server[0], "stage_puts") > 0;
 }
 
-static bool
-servers_have_new_version (Testbed *tb)
-{
-  return recorded (tb->server[0], "version") == NEW_VERSION
-         && recorded (tb->server[1], "version") == NEW_VERSION;
-}
-
 /* A chunk that the engine refused is staged again after a pause, and not at once for as
  * long as the engine refuses; once it takes chunks, the version is loaded. */
 static void
@@ -39,7 +32,7 @@
     g_print ("%" G_GUINT64_FORMAT " chunks offered in vain\n", puts);
   CHECK (puts <= PUTS_MAX);
   set_fault_on_both (tb, "stage_refused", 0);
-  CHECK (eventually (servers_have_new_version, tb));
+  CHECK (version_is_loaded (tb, NEW_VERSION));
   CHECK (recorded_by_models (tb, "mixed") == 0);
 }
 
--- a/regress/direct/stopping.c
+++ b/regress/direct/stopping.c
@@ -78,26 +78,41 @@
   restart_first_entry (tb);
 }
 
+/* Stops the first entry while it forwards the slow stream ID. */
 static void
-test_second_sigterm_cuts_nothing (Testbed *tb)
+begin_stop_during_stream (Testbed *tb, Background *b, const char *id)
 {
-  Call c = slow_stream (tb, "twice-1");
-  Background b;
+  Call c = slow_stream (tb, id);
 
   set_fault_on_both (tb, "event_ms", SLOW_EVENT_MS);
-  background_start (&b, &c);
-  wait_until_it_runs (tb, "twice-1");
+  background_start (b, &c);
+  wait_until_it_runs (tb, id);
   kill (tb->entry_process[0].pid, SIGTERM);
-  g_usleep (SIGNAL_PAUSE_MS * US_PER_MS);
-  kill (tb->entry_process[0].pid, SIGTERM);
-  background_join (&b);
-  CHECK (b.response.status == 200 && b.response.complete
-         && has_events (b.response.body, 1, 10));
-  response_free (&b.response);
+}
+
+/* Checks that the stream comes to its end, and starts the entry again. */
+static void
+end_stop_during_stream (Testbed *tb, Background *b)
+{
+  background_join (b);
+  CHECK (b->response.status == 200 && b->response.complete
+         && has_events (b->response.body, 1, 10));
+  response_free (&b->response);
   set_fault_on_both (tb, "event_ms", DEFAULT_EVENT_MS);
   restart_first_entry (tb);
 }
 
+static void
+test_second_sigterm_cuts_nothing (Testbed *tb)
+{
+  Background b;
+
+  begin_stop_during_stream (tb, &b, "twice-1");
+  g_usleep (SIGNAL_PAUSE_MS * US_PER_MS);
+  kill (tb->entry_process[0].pid, SIGTERM);
+  end_stop_during_stream (tb, &b);
+}
+
 static void
 test_request_that_outlasts_a_stop_is_answered (Testbed *tb)
 {
@@ -272,25 +287,16 @@
 static void
 test_caller_late_in_a_stop_gets_a_response (Testbed *tb)
 {
-  Call slow = slow_stream (tb, "outlives-1");
   Call c = default_call (tb, "/r/x", "very-late-1");
   Background b;
   Response r;
 
-  set_fault_on_both (tb, "event_ms", SLOW_EVENT_MS);
-  background_start (&b, &slow);
-  wait_until_it_runs (tb, "outlives-1");
-  kill (tb->entry_process[0].pid, SIGTERM);
+  begin_stop_during_stream (tb, &b, "outlives-1");
   g_usleep (VERY_LATE_MS * US_PER_MS);
   r = call (&c);
   CHECK (r.complete && (r.status == 200 || r.status == 503));
   response_free (&r);
-  background_join (&b);
-  CHECK (b.response.status == 200 && b.response.complete
-         && has_events (b.response.body, 1, 10));
-  response_free (&b.response);
-  set_fault_on_both (tb, "event_ms", DEFAULT_EVENT_MS);
-  restart_first_entry (tb);
+  end_stop_during_stream (tb, &b);
 }
 
 const TestFunc stop_tests[] = {
--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -66,15 +66,6 @@
     }
 }
 
-static bool
-servers_have_newest (Testbed *tb)
-{
-  for (unsigned i = 0; i < MODEL_SERVERS; i++)
-    if (recorded (tb->server[i], "version") != newest)
-      return false;
-  return true;
-}
-
 /* Sends requests that earn retries; true if the entry sent some to each server. */
 static bool
 entry_uses_both_servers (Testbed *tb, unsigned entry)
@@ -112,7 +103,7 @@
   set_fault_on_both (tb, "queue_ms", 0);
   set_fault_on_both (tb, "others", 0);
   kill (tb->stager_process[0].pid, SIGCONT);
-  CHECK (eventually (servers_have_newest, tb));
+  CHECK (version_is_loaded (tb, newest));
   CHECK (eventually (requests_are_served, tb));
 }
 
