Relay status: wire messages become JSON in a file of their own

Purpose: relay_status.c (747 lines) held the table of reports and the general encoding of a message as JSON.

Change: a pure move to daisyentryd/wire_json.h; relay_status.c has 663 lines.

--- a/daisyentryd/relay_status.c
+++ b/daisyentryd/relay_status.c
@@ -11,11 +11,11 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "relay.h"
+#include "wire_json.h"
 
 /* Slots report every 2 s.  One that has not reported for this long is marked lost, and an
  * entry is removed. */
@@ -99,90 +99,6 @@
 
 /* -------- rows as JSON -------- */
 
-static json_object *
-enum_to_json (const ProtobufCFieldDescriptor *field, int value)
-{
-  const ProtobufCEnumValue *v
-      = protobuf_c_enum_descriptor_get_value (field->descriptor, value);
-  const char *name = v != NULL ? strchr (v->name, '_') : NULL;
-  char *lower = g_ascii_strdown (name != NULL ? name + 1 : "", -1);
-  json_object *json = json_object_new_string (lower);
-
-  g_free (lower);
-  return json;
-}
-
-static json_object *
-bytes_to_json (const ProtobufCBinaryData *bytes)
-{
-  char hex[DL_DIGEST_HEX_BYTES] = "";
-  DlDigest digest;
-
-  if (dl_digest_from_bytes (DL_BYTES_STR (*bytes), &digest) == 0)
-    dl_digest_to_hex (&digest, hex);
-  return json_object_new_string (hex);
-}
-
-static json_object *
-field_to_json (const ProtobufCMessage *message, const ProtobufCFieldDescriptor *field)
-{
-  const void *at = (const char *)message + field->offset;
-
-  switch (field->type)
-    {
-    case PROTOBUF_C_TYPE_STRING:
-      return json_object_new_string (*(char *const *)at);
-    case PROTOBUF_C_TYPE_BYTES:
-      return bytes_to_json (at);
-    case PROTOBUF_C_TYPE_ENUM:
-      return enum_to_json (field, *(const int *)at);
-    case PROTOBUF_C_TYPE_BOOL:
-      return json_object_new_boolean (*(const protobuf_c_boolean *)at);
-    case PROTOBUF_C_TYPE_UINT32:
-      return json_object_new_uint64 (*(const uint32_t *)at);
-    case PROTOBUF_C_TYPE_UINT64:
-      return json_object_new_uint64 (*(const uint64_t *)at);
-    default:
-      return NULL;
-    }
-}
-
-/* Returns false for fields with the default value, which most have.  They are omitted. */
-static bool
-has_value (const ProtobufCMessage *message, const ProtobufCFieldDescriptor *field)
-{
-  const void *at = (const char *)message + field->offset;
-
-  switch (field->type)
-    {
-    case PROTOBUF_C_TYPE_STRING:
-      return (*(char *const *)at)[0] != '\0';
-    case PROTOBUF_C_TYPE_BYTES:
-      return ((const ProtobufCBinaryData *)at)->len > 0;
-    case PROTOBUF_C_TYPE_BOOL:
-      return *(const protobuf_c_boolean *)at;
-    case PROTOBUF_C_TYPE_UINT32:
-      return *(const uint32_t *)at != 0;
-    case PROTOBUF_C_TYPE_UINT64:
-      return *(const uint64_t *)at != 0;
-    default:
-      return true;
-    }
-}
-
-static json_object *
-message_to_json (const ProtobufCMessage *message)
-{
-  const ProtobufCMessageDescriptor *d = message->descriptor;
-  json_object *row = json_object_new_object ();
-
-  for (unsigned i = 0; i < d->n_fields; i++)
-    if (has_value (message, &d->fields[i]))
-      json_object_object_add (row, d->fields[i].name,
-                              field_to_json (message, &d->fields[i]));
-  return row;
-}
-
 static json_object *
 slot_row_to_json (const SlotRow *row)
 {
@@ -193,7 +109,7 @@
   empty.service = row->service;
   empty.region = row->region;
   empty.data_center = row->data_center;
-  json = message_to_json (row->status != NULL ? &row->status->base : &empty.base);
+  json = wire_json_new (row->status != NULL ? &row->status->base : &empty.base);
   json_object_object_add (json, "lost", json_object_new_boolean (row->lost));
   return json;
 }
@@ -236,7 +152,7 @@
   status.data_center = (char *)settings->data_center;
   status.settings_revision = relay->fleet != NULL ? relay->fleet->fleet.revision : 0;
   status.leaving = relay->leaving;
-  return message_to_json (&status.base);
+  return wire_json_new (&status.base);
 }
 
 static json_object *
@@ -252,7 +168,7 @@
   g_hash_table_iter_init (&iter, w->table->entries);
   while (g_hash_table_iter_next (&iter, NULL, &row))
     if (strcmp (((EntryRow *)row)->status->data_center, w->data_center) == 0)
-      json_object_array_add (list, message_to_json (&((EntryRow *)row)->status->base));
+      json_object_array_add (list, wire_json_new (&((EntryRow *)row)->status->base));
   return list;
 }
 
