Frames: accepting connections is a file of its own

Purpose: frame.c (846 lines) held the connections and the listener.

Change: a pure move of the listener to lib/kernel/frame_listener.c, with the types in frame_private.h; frame.c has 678 lines.

--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -1,4 +1,4 @@
-#include "kernel/frame.h"
+#include "kernel/frame_private.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -16,15 +16,12 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
-#include "kernel/frame_auth.h"
 
-#define HEADER_BYTES          DL_FRAME_HEADER_BYTES
-#define READ_CHUNK_BYTES      (256u * 1024)
-#define PING_INTERVAL_MS      1000
-#define HANDSHAKE_TIMEOUT_MS  5000
-#define QUEUE_MAX_BYTES       (64u << 20)
-#define LISTEN_BACKLOG        512
-#define ACCEPTS_PER_ITERATION 64
+#define HEADER_BYTES         DL_FRAME_HEADER_BYTES
+#define READ_CHUNK_BYTES     (256u * 1024)
+#define PING_INTERVAL_MS     1000
+#define HANDSHAKE_TIMEOUT_MS 5000
+#define QUEUE_MAX_BYTES      (64u << 20)
 
 DL_METRIC (metric_sent,
            DL_METRIC_COUNTER,
@@ -39,58 +36,6 @@
            "daisy_frame_connections",
            "Framed connections open or being opened.")
 
-typedef enum
-{
-  CONN_CONNECTING,
-  CONN_AWAIT_CHALLENGE, /* connecting side */
-  CONN_AWAIT_WELCOME,   /* connecting side */
-  CONN_AWAIT_HELLO,     /* accepting side */
-  CONN_OPEN,
-  CONN_CLOSED,
-} ConnState;
-
-struct DlConn
-{
-  DlTask *task;
-  struct ev_loop *loop;
-  int fd;
-  ConnState state;
-  bool paused;
-  bool detached; /* not read until a handler is set */
-  bool *freed;   /* set to true when a callback frees the connection; or NULL */
-  const DlIdentity *identity;
-  Daisyloft__Wire__Purpose purpose;
-  DlPeer peer;
-  uint8_t nonce[DL_NONCE_BYTES];
-  DlFrameAuth out_auth;
-  DlFrameAuth in_auth;
-  DlListener *listener; /* NULL on the connecting side, or when the listener was freed */
-  DlConnHandler handler;
-  void *data;
-  DlBuffer *in;
-  DlBuffer *out;
-  size_t low_water;
-  bool above_low_water;
-  uint64_t last_read_ms;
-  uint64_t last_write_ms;
-  DlTimer *timer;
-  ev_io reader;
-  ev_io writer;
-};
-
-struct DlListener
-{
-  DlTask *task;
-  struct ev_loop *loop;
-  int fd;
-  ev_io watcher;
-  const DlIdentity *identity;
-  unsigned max_connections;
-  GHashTable *connections; /* set of DlConn: all accepted ones that are open */
-  DlAcceptFunc on_accept;
-  void *data;
-};
-
 static void conn_fail (DlConn *conn, int error);
 
 /* -------- creating and closing connections -------- */
@@ -169,8 +114,8 @@
     }
 }
 
-static DlConn *
-conn_new (DlTask *task, const void *owner, int fd, const DlIdentity *identity)
+DlConn *
+dl_conn_new (DlTask *task, const void *owner, int fd, const DlIdentity *identity)
 {
   DlConn *conn = talloc_zero (owner, DlConn);
   int one = 1;
@@ -359,8 +304,8 @@
   g_free (to_initiator);
 }
 
-static void
-send_challenge (DlConn *conn)
+void
+dl_conn_send_challenge (DlConn *conn)
 {
   Daisyloft__Wire__Challenge challenge = DAISYLOFT__WIRE__CHALLENGE__INIT;
   DlEnvelope envelope = DL_ENVELOPE (CHALLENGE, challenge, &challenge);
@@ -662,7 +607,7 @@
 {
   struct sockaddr_in to;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  DlConn *conn = conn_new (task, owner, fd, identity);
+  DlConn *conn = dl_conn_new (task, owner, fd, identity);
 
   conn->purpose = purpose;
   conn->handler = *handler;
@@ -731,116 +676,3 @@
 {
   conn->low_water = bytes;
 }
-
-/* -------- listening -------- */
-
-static int
-accept_one (DlListener *listener)
-{
-  int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  DlConn *conn;
-
-  if (fd < 0)
-    return -errno;
-  if (g_hash_table_size (listener->connections) >= listener->max_connections)
-    {
-      dl_log (DL_EVENT_CONNECTION_LIMIT,
-              DL_UINT ("max_connections", listener->max_connections));
-      close (fd);
-      return 0;
-    }
-  conn = conn_new (listener->task, listener, fd, listener->identity);
-  conn->listener = listener;
-  g_hash_table_add (listener->connections, conn);
-  conn->state = CONN_AWAIT_HELLO;
-  ev_io_start (conn->loop, &conn->reader);
-  send_challenge (conn);
-  return 0;
-}
-
-static void
-on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
-{
-  for (int i = 0; i < ACCEPTS_PER_ITERATION; i++)
-    {
-      int error = accept_one (watcher->data);
-
-      if (error == -EAGAIN || error == -EINTR || error == -ECONNABORTED)
-        return;
-      if (error < 0)
-        {
-          dl_log (DL_EVENT_ACCEPT_FAILED, DL_ERRNO (error));
-          return;
-        }
-    }
-}
-
-void
-dl_listener_close (DlListener *listener)
-{
-  if (listener->fd < 0)
-    return;
-  ev_io_stop (listener->loop, &listener->watcher);
-  close (listener->fd);
-  listener->fd = -1;
-}
-
-static int
-listener_destroy (DlListener *listener)
-{
-  GHashTableIter iter;
-  gpointer conn;
-
-  dl_listener_close (listener);
-  g_hash_table_iter_init (&iter, listener->connections);
-  while (g_hash_table_iter_next (&iter, &conn, NULL))
-    ((DlConn *)conn)->listener = NULL;
-  g_hash_table_destroy (listener->connections);
-  return 0;
-}
-
-int
-dl_listener_new (DlTask *task,
-                 const void *owner,
-                 DlStr address,
-                 const DlIdentity *identity,
-                 unsigned max_connections,
-                 DlAcceptFunc on_accept,
-                 void *data,
-                 DlListener **listener)
-{
-  struct sockaddr_in at;
-  int one = 1;
-  int error = dl_address_parse (address, &at);
-  int fd;
-  DlListener *l;
-
-  if (error < 0)
-    return error;
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    return -errno;
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (bind (fd, (struct sockaddr *)&at, sizeof at) < 0 || listen (fd, LISTEN_BACKLOG) < 0)
-    {
-      error = -errno;
-      close (fd);
-      return error;
-    }
-  l = talloc_zero (owner, DlListener);
-  g_assert (l != NULL);
-  l->task = task;
-  l->loop = dl_kernel_loop (dl_task_kernel (task));
-  l->fd = fd;
-  l->identity = identity;
-  l->max_connections = max_connections;
-  l->connections = g_hash_table_new (NULL, NULL);
-  l->on_accept = on_accept;
-  l->data = data;
-  ev_io_init (&l->watcher, on_acceptable, fd, EV_READ);
-  l->watcher.data = l;
-  ev_io_start (l->loop, &l->watcher);
-  talloc_set_destructor (l, listener_destroy);
-  *listener = l;
-  return 0;
-}
--- /dev/null
+++ b/lib/kernel/frame_private.h
@@ -0,0 +1,72 @@
+/*
+ * Internal types of framed connections: frame.c sends and receives on them,
+ * frame_listener.c accepts them.
+ */
+#ifndef DL_FRAME_PRIVATE_H
+#define DL_FRAME_PRIVATE_H
+
+#include <glib.h>
+
+#include "kernel/crypt.h"
+#include "kernel/frame.h"
+#include "kernel/frame_auth.h"
+
+/* How far a connection has come. */
+typedef enum
+{
+  CONN_CONNECTING,
+  CONN_AWAIT_CHALLENGE, /* connecting side */
+  CONN_AWAIT_WELCOME,   /* connecting side */
+  CONN_AWAIT_HELLO,     /* accepting side */
+  CONN_OPEN,
+  CONN_CLOSED,
+} ConnState;
+
+struct DlConn
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  int fd;
+  ConnState state;
+  bool paused;
+  bool detached; /* not read until a handler is set */
+  bool *freed;   /* set to true when a callback frees the connection; or NULL */
+  const DlIdentity *identity;
+  Daisyloft__Wire__Purpose purpose;
+  DlPeer peer;
+  uint8_t nonce[DL_NONCE_BYTES];
+  DlFrameAuth out_auth;
+  DlFrameAuth in_auth;
+  DlListener *listener; /* NULL on the connecting side, or when the listener was freed */
+  DlConnHandler handler;
+  void *data;
+  DlBuffer *in;
+  DlBuffer *out;
+  size_t low_water;
+  bool above_low_water;
+  uint64_t last_read_ms;
+  uint64_t last_write_ms;
+  DlTimer *timer;
+  ev_io reader;
+  ev_io writer;
+};
+
+struct DlListener
+{
+  DlTask *task;
+  struct ev_loop *loop;
+  int fd;
+  ev_io watcher;
+  const DlIdentity *identity;
+  unsigned max_connections;
+  GHashTable *connections; /* set of DlConn: all accepted ones that are open */
+  DlAcceptFunc on_accept;
+  void *data;
+};
+
+/* Creates a connection on socket FD, a talloc child of OWNER, which is not read yet. */
+DlConn *dl_conn_new (DlTask *task, const void *owner, int fd, const DlIdentity *identity);
+/* Begins the handshake with a peer that has connected. */
+void dl_conn_send_challenge (DlConn *conn);
+
+#endif
