--- a/daisyentryd/operators.h
+++ b/daisyentryd/operators.h
@@ -1,6 +1,6 @@
 /*
- * The operators' HTTP listener: declarations shared by operators.c and
- * operators_command.c.
+ * The operators' HTTP listener: declarations shared by operators.c,
+ * operators_command.c and operators_expiry.c.
  */
 #ifndef OPERATORS_H
 #define OPERATORS_H
@@ -39,6 +39,9 @@
 bool operators_source_at (Operators *operators, uint64_t revision, DlQuerySource *source);
 /* Responds to REQUEST with status 400, the error and its byte position. */
 void operators_reply_syntax_error (DlHttpRequest *request, const DlSyntaxError *error);
+/* Deletes a few expired outcomes and ended drains.  To be called with each command, so
+ * that these objects are deleted about as fast as commands create them. */
+void operators_expire_objects (Operators *operators);
 /* Decrements the number of commands in progress. */
 void operators_command_ended (Operators *operators);
 
--- a/daisyentryd/operators_command.c
+++ b/daisyentryd/operators_command.c
@@ -29,13 +29,11 @@
 #define RETRY_MS           100
 /* A command that has not ended after this many platform timeouts is abandoned: it is
  * reported as not run, or as unknown if it may have had an effect. */
-#define DEADLINE_TIMEOUTS       3
-#define OUTCOME_KEEP_MS         (UINT64_C (24) * 3600 * 1000) /* of outcomes and ended drains */
-#define EXPIRED_PER_COMMAND_MAX 4                             /* objects of each kind */
-#define PENDING                 "pending"
-#define HTTP_OK                 200
-#define HTTP_BAD_REQUEST        400
-#define HTTP_UNAVAILABLE        503
+#define DEADLINE_TIMEOUTS 3
+#define PENDING           "pending"
+#define HTTP_OK           200
+#define HTTP_BAD_REQUEST  400
+#define HTTP_UNAVAILABLE  503
 
 DL_METRIC (metric_applied,
            DL_METRIC_COUNTER,
@@ -516,54 +514,6 @@
   dl_object_list (c->operators->client, c, dl_plan_kinds (c->statement), on_objects, c);
 }
 
-/* -------- expiry of recorded outcomes -------- */
-
-static void
-on_expired_deleted (const DlObjectResult *result, void *data)
-{
-}
-
-static bool
-is_expired (const DlObject *object, uint64_t now_ms)
-{
-  const char *state = dl_json_text (object->value, "state");
-
-  if (strcmp (object->kind, ENTRY_KIND_DRAIN) == 0
-      && strcmp (state, DL_DRAIN_IN_SERVICE) != 0)
-    return false;
-  return dl_json_uint (object->value, "at_ms") + OUTCOME_KEEP_MS < now_ms;
-}
-
-static void
-expire_kind (Operators *o, const EntrySnapshot *snapshot, const char *kind)
-{
-  uint64_t now_ms = dl_wall_clock_ms ();
-  unsigned expired = 0;
-  size_t count;
-  const DlObject *objects = entry_snapshot_kind (snapshot, kind, &count);
-
-  for (size_t i = 0; i < count && expired < EXPIRED_PER_COMMAND_MAX; i++)
-    if (is_expired (&objects[i], now_ms))
-      {
-        dl_object_delete (o->client, o, kind, objects[i].name, objects[i].revision,
-                          on_expired_deleted, NULL);
-        expired++;
-      }
-}
-
-/* Deletes a few expired outcomes and ended drains.  It runs with each command, so that
- * these objects are deleted about as fast as commands create them. */
-static void
-expire_objects (Operators *o)
-{
-  const EntryMessage *newest = g_queue_peek_head (o->snapshots);
-
-  if (newest == NULL)
-    return;
-  expire_kind (o, newest->snapshot.snapshot, ENTRY_KIND_COMMAND);
-  expire_kind (o, newest->snapshot.snapshot, ENTRY_KIND_DRAIN);
-}
-
 /* -------- requests -------- */
 
 static void
@@ -657,7 +607,7 @@
     return;
   dl_log (DL_EVENT_COMMAND_BEGUN, DL_TEXT ("id", c->id), DL_TEXT ("by", c->by),
           DL_TEXT ("command", c->text));
-  expire_objects (o);
+  operators_expire_objects (o);
   create_intent (c);
 }
 
