--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -12,14 +12,12 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "platform.h"
+#include "policy/response_room.h"
 #include "policy/time_limit.h"
 #include "requests.h"
 
 #define CONNECT_TIMEOUT_MS 350
 #define RESPONSE_MAX_BYTES (512u << 10)
-/* With more than this collected by all attempts, each may collect only its share. */
-#define RESPONSES_MAX_BYTES      (32u << 20)
-#define RESPONSE_SHARE_MAX_BYTES (64u << 10)
 /* A response that is no stream makes progress when this many more bytes have arrived. */
 #define PROGRESS_BYTES (4u << 10)
 /* With more bytes than this queued for a slow caller, the upstream's stream is paused. */
@@ -65,6 +63,7 @@
   bool pinned;          /* the upstream was to refuse it with other weights */
   bool paused;          /* by this entry, as its caller reads slowly */
   bool aborted;         /* further bytes are dropped; ABORT_TIMER ends the attempt */
+  bool time_over;       /* it ended with the time that its upstream was given */
   DlTimer *abort_timer;
   DlBuffer *body;    /* of a response that is no stream */
   size_t body_bytes; /* of it, counted in the owner's collected_bytes */
@@ -110,7 +109,7 @@
          || (attempt->head.not_run && !attempt->head.names_request);
 }
 
-/* True when the upstream ended the run as the time that it was given was over. */
+/* True when an end now is that of the time that the upstream was given. */
 static bool
 is_time_over (const Attempt *attempt)
 {
@@ -274,14 +273,14 @@
 {
   if (is_misdirected (attempt))
     return DIRECT_ATTEMPT_UNREACHABLE;
-  return attempt->head.hold_off_ms > 0 || is_time_over (attempt) ? DIRECT_ATTEMPT_NEUTRAL
-                                                                 : DIRECT_ATTEMPT_FAILED;
+  return attempt->head.hold_off_ms > 0 || attempt->time_over ? DIRECT_ATTEMPT_NEUTRAL
+                                                             : DIRECT_ATTEMPT_FAILED;
 }
 
 static DirectAttemptFailure
 broken_failure (const Attempt *attempt)
 {
-  return is_time_over (attempt) ? DIRECT_FAILURE_TIME_OVER : DIRECT_FAILURE_BROKEN;
+  return attempt->time_over ? DIRECT_FAILURE_TIME_OVER : DIRECT_FAILURE_BROKEN;
 }
 
 /* Ends an attempt without a response that can be used. */
@@ -344,25 +343,20 @@
     set_paused (attempt, true);
 }
 
-/* False when the attempt would collect more than it may. */
-static bool
-has_room (const Attempt *attempt, size_t extra)
-{
-  return attempt->body_bytes + extra <= RESPONSE_SHARE_MAX_BYTES
-         || attempt->request->owner->collected_bytes + extra <= RESPONSES_MAX_BYTES;
-}
-
 /* Collects a response that is no stream.  One that will not be forwarded is not. */
 static void
 collect (Attempt *attempt, DlStr bytes)
 {
   size_t before = attempt->body_bytes;
+  const DlResponseRoom room = { .held_bytes = before,
+                                .max_bytes = RESPONSE_MAX_BYTES,
+                                .all_bytes = attempt->request->owner->collected_bytes };
 
   if (was_not_run (attempt))
     abort_attempt (attempt, NULL);
   else if (is_unusable (attempt))
     abort_attempt (attempt, "a success without seal, or for another request");
-  else if (!has_room (attempt, bytes.length)
+  else if (!dl_response_room_has (&room, bytes.length)
            || dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
     abort_attempt (attempt, "a body over the limit");
   else
@@ -409,18 +403,6 @@
     direct_quarantine_answered (attempt->request);
 }
 
-static char *
-parts_text (const void *context, const DlSignatures *signatures)
-{
-  char *text = talloc_strdup (context, "");
-
-  for (size_t i = 0; i < signatures->count; i++)
-    if (!dl_signature_is_whole (&signatures->ids[i]))
-      text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "",
-                                     signatures->ids[i].text);
-  return text;
-}
-
 /* The upstream closed the connection, or lost it, before the response was complete. */
 static void
 note_broken_off (Attempt *attempt)
@@ -428,7 +410,7 @@
   Request *r = attempt->request;
   uint64_t now_ms = dl_clock_ms ();
 
-  if (is_time_over (attempt))
+  if (attempt->time_over)
     return;
   dl_log (DL_EVENT_ATTEMPT_BROKEN_OFF, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", attempt->upstream->id),
@@ -438,7 +420,7 @@
           DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
           DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
           DL_TEXT ("identity", r->identity.text),
-          DL_TEXT ("parts", parts_text (attempt, &r->incoming.signatures)));
+          DL_TEXT ("parts", dl_signatures_parts_text (attempt, &r->incoming.signatures)));
   direct_quarantine_broken_off (r, attempt->upstream);
 }
 
@@ -527,6 +509,7 @@
   Attempt *attempt = data;
   bool responded = result->status != 0 && !attempt->aborted;
 
+  attempt->time_over = is_time_over (attempt);
   /* One that sends what is no response does not crash. */
   if (result->sent && result->broken_off && !attempt->aborted)
     note_broken_off (attempt);
