Slots: no request runs on an engine while a load command may still be carried out

What callers saw: answers from mixed weights, complete and with status 200, when an engine began to load after its slot had given the load command up (accepted 202 and begun late, or read late from the socket of a process that stood still), above all while the rollout was paused.

Cause: a command without effect for 10 s counted as dead, and the slot returned to the rotation with the old version; a directive that returned to the served version ended the load at once. An engine may carry a command out at any moment.

Why it works: a command that was not refused is pending until the engine serves the version that it named, and the slot accepts no requests meanwhile. It sends the command of the present directive again, without a grant, as it serves nobody; an accepted command replaces those before it, as engines handle them in order, one without a response does not. A load ends when the engine serves the version of its own command, also when the directive has gone on (before: 10 s out of rotation and a failure that was none).

Changed test: "lost command" asserted that the slot accepts requests after a refused command although the one before it had been accepted and might still be carried out, which is the fault. It now asserts the opposite there, and acceptance once the version is served; a refused command alone is in a test of its own.

--- a/daisyslotd/engine.c
+++ b/daisyslotd/engine.c
@@ -372,6 +372,8 @@
   json_object_object_add (dump, "serving", json_object_new_string (serving));
   json_object_object_add (dump, "phase",
                           json_object_new_string (phases[e->loader.phase]));
+  json_object_object_add (dump, "order_pending",
+                          json_object_new_boolean (e->loader.pending));
   json_object_object_add (dump, "accepting", json_object_new_boolean (e->accepting));
   json_object_object_add (dump, "running", json_object_new_int64 (e->running));
   json_object_object_add (dump, "queued", json_object_new_int64 (e->queued));
--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -74,11 +74,12 @@
 static bool
 may_load (const DlLoader *l, const DlLoaderFacts *f)
 {
-  bool serves_nothing = dl_digest_is_zero (&f->serving);
+  /* A slot that is out of rotation anyway needs no grant. */
+  bool is_out = dl_digest_is_zero (&f->serving) || l->pending;
 
   /* Fence 0: no entry has steered the rollout under a lease yet. */
   return f->has_directive && f->fence > 0 && f->wanted && f->complete && f->in_contact
-         && !f->stopping && f->engine_reachable && (f->may_load || serves_nothing)
+         && !f->stopping && f->engine_reachable && (f->may_load || is_out)
          && f->contact_since_ms >= l->resumed_ms && predecessor_has_stopped (l, f)
          && f->engine_fence <= f->fence;
 }
@@ -114,6 +115,11 @@
 static DlLoaderAction
 step_loading (DlLoader *l, const DlLoaderFacts *f)
 {
+  if (!l->pending)
+    {
+      succeed (l, f->now_ms);
+      return DL_LOADER_NOTHING;
+    }
   if (f->now_ms - l->since_ms <= l->command_timeout_ms)
     return DL_LOADER_NOTHING;
   if (dl_digest_equal (&f->loading, &l->version))
@@ -123,13 +129,22 @@
   return DL_LOADER_NOTHING;
 }
 
+static void
+update_pending (DlLoader *l, const DlLoaderFacts *f)
+{
+  if (l->phase != DL_LOADER_SENDING && f->engine_reachable
+      && dl_digest_equal (&f->serving, &l->pending_version))
+    l->pending = false;
+}
+
 DlLoaderAction
 dl_loader_step (DlLoader *loader, const DlLoaderFacts *f)
 {
   if (f->now_ms - loader->stepped_ms > DL_LOADER_PAUSE_MS)
     loader->resumed_ms = f->now_ms;
   loader->stepped_ms = f->now_ms;
-  if (f->engine_reachable && f->has_directive
+  update_pending (loader, f);
+  if (!loader->pending && f->engine_reachable && f->has_directive
       && dl_digest_equal (&f->serving, &f->version) && loader->phase != DL_LOADER_SENDING)
     {
       if (loader->phase != DL_LOADER_IDLE || loader->failure != NULL)
@@ -150,13 +165,26 @@
   return DL_LOADER_NOTHING;
 }
 
+/* The engine accepted the command, or may have.  Only a command that it accepted is known
+ * to replace the pending ones. */
+static void
+set_pending (DlLoader *l, bool accepted)
+{
+  if (accepted || !l->pending)
+    l->pending_version = l->version;
+  l->pending = true;
+}
+
 void
 dl_loader_command_done (DlLoader *loader, uint64_t now_ms, int error)
 {
   if (loader->phase != DL_LOADER_SENDING)
     return;
   if (error == 0 || error == DL_ERR_UNKNOWN)
-    set_phase (loader, DL_LOADER_LOADING, now_ms);
+    {
+      set_pending (loader, error == 0);
+      set_phase (loader, DL_LOADER_LOADING, now_ms);
+    }
   else if (error == DL_ERR_FENCED)
     fail (loader, now_ms, "the engine has seen a newer fencing number");
   else
@@ -170,5 +198,6 @@
                         || (f->contact_since_ms > 0
                             && f->now_ms - f->contact_since_ms < DL_LOADER_CONTACT_MS);
 
-  return loader->phase == DL_LOADER_IDLE && recent_contact && !f->stopping;
+  return loader->phase == DL_LOADER_IDLE && !loader->pending && recent_contact
+         && !f->stopping;
 }
--- a/lib/policy/loader.h
+++ b/lib/policy/loader.h
@@ -7,6 +7,12 @@
  * refuse a command, lose it, or carry it out late, and some engines ignore fencing
  * tokens.  So a command is sent only under a directive in effect, while in contact with a
  * relay, and not before a predecessor on the same host has stopped sending commands.
+ *
+ * A command that was not refused is pending, however long, until the engine serves the
+ * version that it named: the engine may begin to load at any moment, and what it then
+ * generates for running requests comes from partial weights.  So the slot stays out of
+ * rotation while a command is pending.  An engine handles commands in the order in which
+ * it reads them, so that an accepted command replaces the pending ones before it.
  */
 #ifndef DL_LOADER_H
 #define DL_LOADER_H
@@ -64,8 +70,10 @@
   uint64_t stepped_ms; /* last dl_loader_step */
   uint64_t resumed_ms; /* end of the last pause of the process; 0: none */
   DlLoaderPhase phase;
-  DlDigest version;  /* being loaded */
-  uint64_t since_ms; /* start of the phase */
+  DlDigest version;         /* being loaded */
+  bool pending;             /* the engine may still carry out a command */
+  DlDigest pending_version; /* that this command named */
+  uint64_t since_ms;        /* start of the phase */
   uint64_t retry_at_ms;
   uint64_t retry_ms;   /* current backoff */
   const char *failure; /* static text; NULL: none */
--- a/regress/unit/test_loader.c
+++ b/regress/unit/test_loader.c
@@ -208,11 +208,106 @@
   CU_ASSERT_EQUAL (run_steps (&loader, &facts, 4000), 1);
   dl_loader_command_done (&loader, facts.now_ms, DL_ERR_UNAVAILABLE);
   CU_ASSERT_PTR_NOT_NULL (loader.failure);
-  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+  /* The first command may still be carried out. */
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
   facts.serving = new_version;
   run_steps (&loader, &facts, 500);
   CU_ASSERT_PTR_NULL (loader.failure);
   CU_ASSERT_EQUAL (loader.phase, DL_LOADER_IDLE);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+static void
+test_refused_command_is_not_pending (void)
+{
+  static const int refusals[] = { DL_ERR_UNAVAILABLE, DL_ERR_FENCED };
+
+  for (size_t i = 0; i < sizeof refusals / sizeof refusals[0]; i++)
+    {
+      DlLoader loader;
+      DlLoaderFacts facts = ready_facts (LATER_MS);
+
+      init_loader (&loader);
+      CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+      dl_loader_command_done (&loader, facts.now_ms, refusals[i]);
+      CU_ASSERT_PTR_NOT_NULL (loader.failure);
+      CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+    }
+}
+
+/* Commands for the new version, of which the first has RESPONSE, while the rollout is
+ * paused: the engine serves the old one and may begin to load at any time. */
+static void
+check_pending (int response)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (LATER_MS);
+
+  init_loader (&loader);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, response);
+  facts.wanted = false;
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 60000), 0);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.loading = new_version;
+  facts.serving = (DlDigest){ 0 };
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.loading = (DlDigest){ 0 };
+  facts.serving = new_version;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+static void
+test_out_of_rotation_while_a_command_is_pending (void)
+{
+  check_pending (0);
+  check_pending (DL_ERR_UNKNOWN);
+}
+
+/* The directive returns to the version that the engine serves while a command for another
+ * one is pending: only an accepted command replaces that one, and needs no grant. */
+static void
+test_directive_returns_while_a_command_is_pending (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (LATER_MS);
+
+  init_loader (&loader);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, DL_ERR_UNKNOWN);
+  facts.version = old_version;
+  facts.may_load = false;
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 9000), 0);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 4000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, DL_ERR_UNKNOWN);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 9000), 0);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 4000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, 0);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 0);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+/* The directive goes on to another version during a load: the load has ended when the
+ * engine serves the version that its command named. */
+static void
+test_load_ends_with_the_commanded_version (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (LATER_MS);
+
+  init_loader (&loader);
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, 0);
+  facts.version = (DlDigest){ .bytes = { 3 } };
+  facts.may_load = false;
+  facts.serving = new_version;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_PTR_NULL (loader.failure);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
 }
 
 static void
@@ -236,6 +331,11 @@
   { "fresh engine", test_fresh_engine_is_loaded_at_once },
   { "pause", test_no_command_after_a_pause },
   { "lost command", test_lost_command_is_repeated },
+  { "refused command", test_refused_command_is_not_pending },
+  { "pending command", test_out_of_rotation_while_a_command_is_pending },
+  { "pending command, directive returns",
+    test_directive_returns_while_a_command_is_pending },
+  { "load ends", test_load_ends_with_the_commanded_version },
   { "called off", test_called_off_while_draining },
   CU_TEST_INFO_NULL,
 };
