Slots: a new slot takes no requests while a command of its predecessor may be carried out

What callers saw: answers from mixed weights, complete and with status 200, when a slot was killed with a load command under way and its engine began to load after the next slot had joined the rotation.

Cause: a new slot waited for the guard time before it sent commands, as its predecessor may still send some, but took requests at once; what was under way it did not know.

Why it works: for the guard time the slot is out of rotation, unless its engine was seen without weights and commands since the slot started. A grant that it learns of in that time counts as a pending command, also after it, until the engine serves that version or accepted another command.

Not covered: a command whose grant was withdrawn (paused, failed) before the new slot heard of it and that is carried out after the guard time.

--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -59,16 +59,21 @@
   loader->retry_at_ms = 0;
 }
 
-/* True when no predecessor on this host can still send commands: its guard time has
- * passed, or the engine has no weights and has seen no fence, so that it never had a
+/* True when the engine has no weights and has seen no fence, so that it never had a
  * command. */
 static bool
-predecessor_has_stopped (const DlLoader *l, const DlLoaderFacts *f)
+is_fresh (const DlLoaderFacts *f)
 {
-  bool is_fresh = f->engine_fence == 0 && dl_digest_is_zero (&f->serving)
-                  && dl_digest_is_zero (&f->loading);
+  return f->engine_reachable && f->engine_fence == 0 && dl_digest_is_zero (&f->serving)
+         && dl_digest_is_zero (&f->loading);
+}
 
-  return is_fresh || f->now_ms - l->started_ms >= l->guard_ms;
+/* True when no predecessor on this host can still send commands: its guard time has
+ * passed, or there was none since the engine started. */
+static bool
+predecessor_has_stopped (const DlLoader *l, const DlLoaderFacts *f)
+{
+  return l->engine_was_fresh || is_fresh (f) || f->now_ms - l->started_ms >= l->guard_ms;
 }
 
 static bool
@@ -129,6 +134,18 @@
   return DL_LOADER_NOTHING;
 }
 
+/* Under a grant that was given before this slot started, its predecessor may have sent a
+ * command. */
+static void
+update_predecessor (DlLoader *l, const DlLoaderFacts *f)
+{
+  l->engine_was_fresh = l->engine_was_fresh || is_fresh (f);
+  if (predecessor_has_stopped (l, f) || !f->has_directive || !f->may_load)
+    return;
+  l->pending = true;
+  l->pending_version = f->version;
+}
+
 static void
 update_pending (DlLoader *l, const DlLoaderFacts *f)
 {
@@ -143,6 +160,7 @@
   if (f->now_ms - loader->stepped_ms > DL_LOADER_PAUSE_MS)
     loader->resumed_ms = f->now_ms;
   loader->stepped_ms = f->now_ms;
+  update_predecessor (loader, f);
   update_pending (loader, f);
   if (!loader->pending && f->engine_reachable && f->has_directive
       && dl_digest_equal (&f->serving, &f->version) && loader->phase != DL_LOADER_SENDING)
@@ -198,6 +216,6 @@
                         || (f->contact_since_ms > 0
                             && f->now_ms - f->contact_since_ms < DL_LOADER_CONTACT_MS);
 
-  return loader->phase == DL_LOADER_IDLE && !loader->pending && recent_contact
-         && !f->stopping;
+  return loader->phase == DL_LOADER_IDLE && !loader->pending
+         && predecessor_has_stopped (loader, f) && recent_contact && !f->stopping;
 }
--- a/lib/policy/loader.h
+++ b/lib/policy/loader.h
@@ -13,6 +13,11 @@
  * generates for running requests comes from partial weights.  So the slot stays out of
  * rotation while a command is pending.  An engine handles commands in the order in which
  * it reads them, so that an accepted command replaces the pending ones before it.
+ *
+ * A slot that starts on a host whose engine has weights does not know what its
+ * predecessor has sent or may still send.  It stays out of rotation for the guard time,
+ * and a grant that it learns of meanwhile means that a command of its predecessor is
+ * pending.
  */
 #ifndef DL_LOADER_H
 #define DL_LOADER_H
@@ -71,6 +76,7 @@
   uint64_t resumed_ms; /* end of the last pause of the process; 0: none */
   DlLoaderPhase phase;
   DlDigest version;         /* being loaded */
+  bool engine_was_fresh;    /* it had no command before this slot started */
   bool pending;             /* the engine may still carry out a command */
   DlDigest pending_version; /* that this command named */
   uint64_t since_ms;        /* start of the phase */
--- a/regress/unit/test_loader.c
+++ b/regress/unit/test_loader.c
@@ -325,10 +325,70 @@
   CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
 }
 
+/* A slot starts on a host that was granted a load: its predecessor may have sent the
+ * command, which the engine may carry out at any time, also after the guard time. */
+static void
+test_command_of_predecessor_is_pending (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.complete = false;
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, GUARD_MS + 60000), 0);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.may_load = false; /* paused */
+  run_steps (&loader, &facts, 1000);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.serving = new_version;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+/* Without a grant there is nothing pending after the guard time, in which a predecessor
+ * may still send a command. */
+static void
+test_no_requests_in_the_guard_time (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.complete = false;
+  facts.may_load = false;
+  run_steps (&loader, &facts, GUARD_MS - 500);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  run_steps (&loader, &facts, 1000);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+  facts.may_load = true;
+  run_steps (&loader, &facts, 1000);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+/* An engine that had no weights as the slot started had no commands of another one. */
+static void
+test_fresh_engine_serves_at_once (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.serving = (DlDigest){ 0 };
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, 0);
+  facts.serving = new_version;
+  facts.engine_fence = facts.fence;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
 static const CU_TestInfo loader_tests[] = {
   { "command cases", test_command_cases },
   { "predecessor", test_new_slot_waits_for_predecessor },
   { "fresh engine", test_fresh_engine_is_loaded_at_once },
+  { "predecessor's command", test_command_of_predecessor_is_pending },
+  { "guard time", test_no_requests_in_the_guard_time },
+  { "fresh engine serves", test_fresh_engine_serves_at_once },
   { "pause", test_no_command_after_a_pause },
   { "lost command", test_lost_command_is_repeated },
   { "refused command", test_refused_command_is_not_pending },
