--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -59,26 +59,32 @@
   loader->retry_at_ms = 0;
 }
 
-/* True when no predecessor on this host can still send commands: its guard time has
- * passed, or the engine has no weights and has seen no fence, so that it never had a
+/* True when the engine has no weights and has seen no fence, so that it never had a
  * command. */
 static bool
-predecessor_has_stopped (const DlLoader *l, const DlLoaderFacts *f)
+is_fresh (const DlLoaderFacts *f)
 {
-  bool is_fresh = f->engine_fence == 0 && dl_digest_is_zero (&f->serving)
-                  && dl_digest_is_zero (&f->loading);
+  return f->engine_reachable && f->engine_fence == 0 && dl_digest_is_zero (&f->serving)
+         && dl_digest_is_zero (&f->loading);
+}
 
-  return is_fresh || f->now_ms - l->started_ms >= l->guard_ms;
+/* True when no predecessor on this host can still send commands: its guard time has
+ * passed, or there was none since the engine started. */
+static bool
+predecessor_has_stopped (const DlLoader *l, const DlLoaderFacts *f)
+{
+  return l->engine_was_fresh || is_fresh (f) || f->now_ms - l->started_ms >= l->guard_ms;
 }
 
 static bool
 may_load (const DlLoader *l, const DlLoaderFacts *f)
 {
-  bool serves_nothing = dl_digest_is_zero (&f->serving);
+  /* A slot that is out of rotation anyway needs no grant. */
+  bool is_out = dl_digest_is_zero (&f->serving) || l->pending;
 
   /* Fence 0: no entry has steered the rollout under a lease yet. */
   return f->has_directive && f->fence > 0 && f->wanted && f->complete && f->in_contact
-         && !f->stopping && f->engine_reachable && (f->may_load || serves_nothing)
+         && !f->stopping && f->engine_reachable && (f->may_load || is_out)
          && f->contact_since_ms >= l->resumed_ms && predecessor_has_stopped (l, f)
          && f->engine_fence <= f->fence;
 }
@@ -114,6 +120,11 @@
 static DlLoaderAction
 step_loading (DlLoader *l, const DlLoaderFacts *f)
 {
+  if (!l->pending)
+    {
+      succeed (l, f->now_ms);
+      return DL_LOADER_NOTHING;
+    }
   if (f->now_ms - l->since_ms <= l->command_timeout_ms)
     return DL_LOADER_NOTHING;
   if (dl_digest_equal (&f->loading, &l->version))
@@ -123,13 +134,35 @@
   return DL_LOADER_NOTHING;
 }
 
+/* Under a grant that was given before this slot started, its predecessor may have sent a
+ * command. */
+static void
+update_predecessor (DlLoader *l, const DlLoaderFacts *f)
+{
+  l->engine_was_fresh = l->engine_was_fresh || is_fresh (f);
+  if (predecessor_has_stopped (l, f) || !f->has_directive || !f->may_load)
+    return;
+  l->pending = true;
+  l->pending_version = f->version;
+}
+
+static void
+update_pending (DlLoader *l, const DlLoaderFacts *f)
+{
+  if (l->phase != DL_LOADER_SENDING && f->engine_reachable
+      && dl_digest_equal (&f->serving, &l->pending_version))
+    l->pending = false;
+}
+
 DlLoaderAction
 dl_loader_step (DlLoader *loader, const DlLoaderFacts *f)
 {
   if (f->now_ms - loader->stepped_ms > DL_LOADER_PAUSE_MS)
     loader->resumed_ms = f->now_ms;
   loader->stepped_ms = f->now_ms;
-  if (f->engine_reachable && f->has_directive
+  update_predecessor (loader, f);
+  update_pending (loader, f);
+  if (!loader->pending && f->engine_reachable && f->has_directive
       && dl_digest_equal (&f->serving, &f->version) && loader->phase != DL_LOADER_SENDING)
     {
       if (loader->phase != DL_LOADER_IDLE || loader->failure != NULL)
@@ -150,13 +183,26 @@
   return DL_LOADER_NOTHING;
 }
 
+/* The engine accepted the command, or may have.  Only a command that it accepted is known
+ * to replace the pending ones. */
+static void
+set_pending (DlLoader *l, bool accepted)
+{
+  if (accepted || !l->pending)
+    l->pending_version = l->version;
+  l->pending = true;
+}
+
 void
 dl_loader_command_done (DlLoader *loader, uint64_t now_ms, int error)
 {
   if (loader->phase != DL_LOADER_SENDING)
     return;
   if (error == 0 || error == DL_ERR_UNKNOWN)
-    set_phase (loader, DL_LOADER_LOADING, now_ms);
+    {
+      set_pending (loader, error == 0);
+      set_phase (loader, DL_LOADER_LOADING, now_ms);
+    }
   else if (error == DL_ERR_FENCED)
     fail (loader, now_ms, "the engine has seen a newer fencing number");
   else
@@ -170,5 +216,6 @@
                         || (f->contact_since_ms > 0
                             && f->now_ms - f->contact_since_ms < DL_LOADER_CONTACT_MS);
 
-  return loader->phase == DL_LOADER_IDLE && recent_contact && !f->stopping;
+  return loader->phase == DL_LOADER_IDLE && !loader->pending
+         && predecessor_has_stopped (loader, f) && recent_contact && !f->stopping;
 }
