WHOLE: no writes between the response to a load command and the report that shows it

Cause: after "accepted", the last report may still be from before: not busy, an older version. So load_allows_writes let chunks be written although what is staged was needed to show what the engine took; when no report came for 700 ms, or the engine counted as silent, a chunk that had been bad was written sound, and then checked.

What the stager's own, accepted command loaded is now known to be of the current version, whatever the last report says; writes stay held also while the engine is silent; and a check that is due is begun again from a drain also before the engine serves the version, so that nothing waits for it for ever.

--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -79,20 +79,28 @@
 
 /* -------- checking what the engine took -------- */
 
-bool
-load_can_check (const Weights *w)
+/* True when what the engine took is known to be of the current version.  The last report
+ * may be older than the acceptance. */
+static bool
+took_current (const Weights *w)
 {
   uint64_t version = w->staging->bundle->version;
 
-  if (version == 0 || !w->engine_known)
-    return false;
-  return w->engine.busy ? w->taken_version == version : w->engine.version == version;
+  return version > 0
+         && (w->taken_version == version
+             || (!w->engine.busy && w->engine.version == version));
+}
+
+bool
+load_can_check (const Weights *w)
+{
+  return w->engine_known && took_current (w);
 }
 
 bool
 load_allows_writes (const Weights *w)
 {
-  return dl_load_proof_may_write (&w->proof, w->engine.busy || load_can_check (w));
+  return dl_load_proof_may_write (&w->proof, w->engine.busy || took_current (w));
 }
 
 /* Chunks that were read before the engine took them prove nothing. */
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -366,9 +366,10 @@
 static void
 act_on_proof (Weights *w)
 {
-  if (w->staging == NULL || w->proof.awaited || !is_served (w, w->staging->bundle))
+  if (w->staging == NULL || w->proof.awaited)
     return;
-  if (w->proof.state == DL_WEIGHTS_SPOILT && w->phase != PHASE_UNLOAD)
+  if (w->proof.state == DL_WEIGHTS_SPOILT && is_served (w, w->staging->bundle)
+      && w->phase != PHASE_UNLOAD)
     weights_set_phase (w, PHASE_UNLOAD);
   else if (w->proof.state == DL_WEIGHTS_UNCHECKED && load_can_check (w)
            && (w->phase == PHASE_WAIT || w->phase == PHASE_DRAIN
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -384,13 +384,18 @@
   return s->engine_known && s->engine_version >= s->version;
 }
 
+/* Also while the last report is older than the acceptance. */
+static bool
+took_current (const Stager *s)
+{
+  return s->taken_version == s->version
+         || (!s->engine.busy && s->engine_version == s->version);
+}
+
 static bool
 can_check (const Stager *s)
 {
-  if (!s->engine_known)
-    return false;
-  return s->engine.busy ? s->taken_version == s->version
-                        : s->engine_version == s->version;
+  return s->engine_known && took_current (s);
 }
 
 static void
@@ -399,7 +404,7 @@
   Stager *s = &w->stager;
 
   if (w->now_ms < s->blocked_until_ms
-      || !dl_load_proof_may_write (&s->proof, s->engine.busy || can_check (s)))
+      || !dl_load_proof_may_write (&s->proof, s->engine.busy || took_current (s)))
     return;
   for (unsigned i = 0; i < CHUNKS && s->calls < STAGE_CALLS_MAX; i++)
     {
@@ -576,9 +581,9 @@
 {
   Stager *s = &w->stager;
 
-  if (s->proof.awaited || !is_served (s))
+  if (s->proof.awaited)
     return;
-  if (s->proof.state == DL_WEIGHTS_SPOILT && s->phase != PHASE_UNLOAD)
+  if (s->proof.state == DL_WEIGHTS_SPOILT && is_served (s) && s->phase != PHASE_UNLOAD)
     set_phase (w, PHASE_UNLOAD);
   else if (s->proof.state == DL_WEIGHTS_UNCHECKED && can_check (s)
            && (s->phase == PHASE_WAIT || s->phase == PHASE_DRAIN
