WHOLE: a stager writes no chunk before the engine's first report

Cause: until its first report a stager does not know that the engine took, by a command of a predecessor, what it finds bad and writes anew; the check then read back the new chunk. Found by the random test. Smallest schedule: a stager sends a load command and is killed; a chunk turns bad; the engine accepts the command; the next stager reads the chunk back as bad and writes it before the first report; the report: count 1, unchecked; the check: sound.

dl_load_proof_may_write is false until a report came (table test).

--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -109,7 +109,7 @@
 bool
 dl_load_proof_may_write (const DlLoadProof *p, bool is_checked)
 {
-  return !p->awaited && !(is_checked && p->state == DL_WEIGHTS_UNCHECKED);
+  return p->known && !p->awaited && !(is_checked && p->state == DL_WEIGHTS_UNCHECKED);
 }
 
 void
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -87,7 +87,8 @@
 void dl_load_proof_refused (DlLoadProof *proof);
 /* No usable response came: it may still be accepted. */
 void dl_load_proof_given_up (DlLoadProof *proof);
-/* Chunks may be written now; IS_CHECKED: what is staged is needed to show what the engine
+/* Chunks may be written now: not before the first report, as the engine may have taken
+ * what they would replace.  IS_CHECKED: what is staged is needed to show what the engine
  * took. */
 bool dl_load_proof_may_write (const DlLoadProof *proof, bool is_checked);
 /* A chunk is written. */
--- a/regress/unit/test_load_proof.c
+++ b/regress/unit/test_load_proof.c
@@ -401,6 +401,7 @@
 {
   DlLoadProof proof = { 0 };
 
+  CU_ASSERT (!dl_load_proof_may_write (&proof, false));
   dl_load_proof_report (&proof, &(DlProofReport){ .started_ms = START_1, .now_ms = 1 });
   CU_ASSERT (dl_load_proof_may_write (&proof, true));
   dl_load_proof_command_sent (&proof);
