WHOLE: what was sent before an engine is known to have started again may have gone to the new one

Cause: the first report of an engine that started again took weights that a command had loaded as unchecked, and forgot writes without a response, as if all had gone to the process before. Between its start and that report it may have accepted a command that was given up, and chunks may have been written since; a write given up then may land in it later. Found by reading, not by the random schedules.

--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -52,6 +52,7 @@
                                              .loads = report->loads,
                                              .has_weights = report->has_weights,
                                              .busy = report->busy,
+                                             .asked_ms = report->asked_ms,
                                              .now_ms = now_ms,
                                          });
 
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -82,7 +82,7 @@
 
   s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
   if (result->error != 0 && result->sent)
-    dl_load_proof_write_lost (&s->owner->proof);
+    dl_load_proof_write_lost (&s->owner->proof, c->sent_ms);
   end_call (c, result, !done);
   weights_run (s->owner);
 }
--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -20,15 +20,17 @@
   p->overwritten = false;
 }
 
-/* A command that was given up may have been sent to the engine that has started since.  A
- * stager that has just started does not know which commands and writes of its predecessor
- * are under way. */
+/* What was sent since the last report of the engine before, commands and writes, may have
+ * gone to the one that has started since.  A stager that has just started does not know
+ * which commands and writes of its predecessor are under way. */
 static void
 set_engine (DlLoadProof *p, const DlProofReport *r)
 {
   bool is_pending = !p->known || (p->pending && p->loads == r->loads);
+  bool is_lost = p->write_lost && p->lost_sent_ms >= p->asked_ms;
+  bool is_unknown = p->known && (p->overwritten || is_lost);
 
-  p->write_lost = !p->known;
+  p->write_lost = !p->known || is_lost;
   p->known = true;
   p->started_ms = r->started_ms;
   p->loads = r->loads;
@@ -36,8 +38,10 @@
   p->pending = is_pending;
   p->overwritten = is_pending && p->overwritten;
   /* Weights that no command loaded were given to the engine as it started. */
-  p->state = r->loads > 0 && (r->has_weights || r->busy) ? DL_WEIGHTS_UNCHECKED
-                                                         : DL_WEIGHTS_SOUND;
+  if (r->loads == 0 || (!r->has_weights && !r->busy))
+    p->state = DL_WEIGHTS_SOUND;
+  else
+    p->state = is_unknown ? DL_WEIGHTS_SPOILT : DL_WEIGHTS_UNCHECKED;
 }
 
 static void
@@ -58,8 +62,10 @@
   if (!p->known || r->started_ms != p->started_ms)
     {
       set_engine (p, r);
+      p->asked_ms = r->asked_ms;
       return DL_PROOF_NEW_ENGINE;
     }
+  p->asked_ms = MAX (p->asked_ms, r->asked_ms);
   if (r->loads < p->loads)
     return DL_PROOF_UNCHANGED;
   if (r->loads > p->loads)
@@ -119,8 +125,9 @@
 }
 
 void
-dl_load_proof_write_lost (DlLoadProof *p)
+dl_load_proof_write_lost (DlLoadProof *p, uint64_t sent_ms)
 {
+  p->lost_sent_ms = MAX (p->lost_sent_ms, sent_ms);
   p->write_lost = true;
 }
 
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -46,6 +46,7 @@
   uint64_t loads;      /* commands that it has accepted since */
   bool has_weights;    /* also while it loads others */
   bool busy;           /* with a command */
+  uint64_t asked_ms;   /* when it was asked for */
   uint64_t now_ms;
 } DlProofReport;
 
@@ -56,6 +57,7 @@
   bool known;          /* the engine has reported */
   uint64_t started_ms; /* as in its report */
   uint64_t loads;
+  uint64_t asked_ms;      /* for its last report: until then this engine was there */
   uint64_t accepted_ms;   /* only reads sent from then on show what the engine took */
   bool awaited;           /* a command was sent, and its response may come */
   uint64_t awaited_loads; /* the count that it names */
@@ -63,6 +65,7 @@
   bool pending;                /* a command for LOADS was given up, or may be another's */
   bool overwritten;            /* chunks were written since the first such command */
   bool write_lost;             /* a write without a response may still land */
+  uint64_t lost_sent_ms;       /* when the last such write was sent */
 } DlLoadProof;
 
 /* By its users' rules an engine may take a chunk that turned bad within this time. */
@@ -93,8 +96,8 @@
 bool dl_load_proof_may_write (const DlLoadProof *proof, bool is_checked);
 /* A chunk is written. */
 void dl_load_proof_write_sent (DlLoadProof *proof);
-/* A write ended without a response. */
-void dl_load_proof_write_lost (DlLoadProof *proof);
+/* A write that was sent at SENT_MS ended without a response. */
+void dl_load_proof_write_lost (DlLoadProof *proof, uint64_t sent_ms);
 /* All chunks were read back since ACCEPTED_MS and are sound, or one is not. */
 void dl_load_proof_checked (DlLoadProof *proof, bool is_sound);
 
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -662,6 +662,7 @@
   DlProofReport report = c->report;
   DlProofChange change;
 
+  report.asked_ms = c->sent_ms;
   report.now_ms = w->now_ms;
   change = dl_load_proof_report (&s->proof, &report);
   s->engine_known = true;
@@ -734,7 +735,7 @@
       if (!responded)
         {
           say (w, "stager gives write %u up", c->number);
-          dl_load_proof_write_lost (&s->proof);
+          dl_load_proof_write_lost (&s->proof, c->sent_ms);
         }
       break;
     case CALL_LOAD:
