--- a/regress/unit/main.c
+++ b/regress/unit/main.c
@@ -1,4 +1,5 @@
-/* Runs all suites.  Exits 0 if every test passed, 1 if one failed, 2 on other errors. */
+/* Runs the suite that its argument names, or all but those that run alone.  Exits 0 if
+ * every test passed, 1 if one failed, 2 on other errors. */
 #include <CUnit/Basic.h>
 #include <sodium.h>
 #include <stdbool.h>
@@ -38,6 +39,12 @@
   return seed;
 }
 
+static bool
+is_to_run (const UnitSuite *suite, const char *named)
+{
+  return named != NULL ? strcmp (suite->name, named) == 0 : !suite->alone;
+}
+
 static int
 add_suite (const UnitSuite *suite)
 {
@@ -54,16 +61,19 @@
 int
 main (int argc, char **argv)
 {
+  const char *named = argc > 1 ? argv[1] : NULL;
   unsigned failures;
 
   if (sodium_init () < 0 || CU_initialize_registry () != CUE_SUCCESS)
     return 2;
   for (const UnitSuite *s = suites; s != NULL; s = s->next)
-    if (add_suite (s) < 0)
+    if (is_to_run (s, named) && add_suite (s) < 0)
       {
         fprintf (stderr, "unit: %s: %s\n", s->name, CU_get_error_msg ());
         return 2;
       }
+  if (CU_get_registry ()->uiNumberOfSuites == 0)
+    return 2;
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
