Unit test of reports: an engine has weights of any version, complete or not

platform_read_report's has_weights decides whether the load proof looks at an engine's weights; it had no test. Six reports, with and without models, complete and not. The load command's body is not tested here: test_platform.c makes no calls, which need a network.

--- a/regress/unit/test_platform.c
+++ b/regress/unit/test_platform.c
@@ -410,6 +410,42 @@
   talloc_free (context);
 }
 
+/* Reports of weights of any version, complete or not. */
+static void
+test_reports_of_weights (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool has_weights;
+    uint64_t version;
+  } cases[] = {
+    { "{\"models\":[{\"name\":\"b\",\"version\":2}]}", true, 2 },
+    { "{\"models\":[{\"name\":\"b\",\"version\":2}],\"layers\":{\"from\":4,\"target\":16,"
+      "\"version\":3}}",
+      true, 0 },
+    { "{\"models\":[{\"name\":\"b\",\"version\":2}],\"layers\":{\"from\":0,\"target\":8,"
+      "\"version\":3}}",
+      true, 0 },
+    { "{\"models\":[],\"busy\":true}", false, 0 },
+    { "{\"models\":[]}", false, 0 },
+    { "{}", false, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      void *context = talloc_new (NULL);
+      DlEngineReport report;
+
+      CU_ASSERT_EQUAL (platform_read_report (context, dl_str (cases[i].text), 16,
+                                             &report),
+                       0);
+      CU_ASSERT_EQUAL (report.has_weights, cases[i].has_weights);
+      CU_ASSERT_EQUAL (report.version, cases[i].version);
+      talloc_free (context);
+    }
+}
+
 static void
 test_load_outcomes (void)
 {
@@ -500,6 +536,7 @@
   { "list entries of upstreams", test_upstream_entries },
   { "an odd entry was taken for an upstream", test_odd_entry_was_taken_for_upstream },
   { "reports of engines", test_engine_reports },
+  { "reports of weights", test_reports_of_weights },
   { "outcomes of load commands", test_load_outcomes },
   { "manifests", test_manifests },
   { "when to retry", test_retry_after },
