Test of the load command's body: the count that it names, and the empty range of an unload

Purpose: the proof rests on both, and test_platform.c cannot see them, as it makes no calls. The stand-in keeps the last body of each kind; group taken compares them after the test in which an engine gives spoilt weights up. Not seen to fail yet.

--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -190,8 +190,53 @@
   check_taken (tb);
 }
 
+/* -------- the bodies of commands -------- */
+
+/* The body of the last command that the first server recorded as MEMBER. */
+static json_object *
+recorded_body (Testbed *tb, const char *member)
+{
+  json_object *records = fetch_records (tb->server[0]);
+  const char *text = json_object_get_string (json_object_object_get (records, member));
+  json_object *body = text != NULL ? json_tokener_parse (text) : NULL;
+
+  json_object_put (records);
+  return body;
+}
+
+static bool
+has_number (json_object *body, const char *member, uint64_t number)
+{
+  json_object *value;
+
+  return json_object_object_get_ex (body, member, &value)
+         && json_object_is_type (value, json_type_int)
+         && json_object_get_uint64 (value) == number;
+}
+
+/* The first server took a bad chunk in the test before, gave it up and loaded again. */
+static void
+test_command_named_no_count_or_a_range_to_load (Testbed *tb)
+{
+  uint64_t accepted = recorded (tb->server[0], "orders") - commands_before;
+  json_object *load = recorded_body (tb, "load_body");
+  json_object *unload = recorded_body (tb, "unload_body");
+
+  CHECK (accepted >= 3);
+  CHECK (has_number (load, "version", newest));
+  CHECK (has_number (load, "precondition", accepted - 1));
+  CHECK (json_object_object_get (load, "from") == NULL);
+  CHECK (json_object_object_get (load, "target") == NULL);
+  CHECK (has_number (unload, "precondition", accepted - 2));
+  CHECK (has_number (unload, "from", 0));
+  CHECK (has_number (unload, "target", 0));
+  json_object_put (load);
+  json_object_put (unload);
+}
+
 const TestFunc taken_tests[] = {
   test_command_taken_late_by_a_stalled_engine,
+  test_command_named_no_count_or_a_range_to_load,
   test_command_taken_late_after_its_sender_gave_it_up,
   test_proofs_grew_too_old_before_the_command_was_taken,
   test_late_write_of_an_older_version_was_taken,
--- a/regress/standin/staged.c
+++ b/regress/standin/staged.c
@@ -53,6 +53,8 @@
 static bool loading;
 static uint64_t stalled_ms;      /* by which timers of this run of the loop are early */
 static bool is_spoilt;           /* the weights that the server has */
+static char *load_body;          /* of the last command to load; NULL: none */
+static char *unload_body;        /* of the last one to unload */
 static uint64_t commands;        /* accepted */
 static uint64_t first_command;   /* COMMANDS at the last start of the server */
 static uint64_t put_calls;       /* chunks that were to be staged */
@@ -282,6 +284,15 @@
   ((Command *)data)->request = NULL;
 }
 
+static void
+keep_body (json_object *body, bool unloads)
+{
+  char **kept = unloads ? &unload_body : &load_body;
+
+  g_free (*kept);
+  *kept = g_strdup (json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN));
+}
+
 static Command *
 read_command (DlHttpRequest *request)
 {
@@ -300,6 +311,7 @@
                     : NO_SEQUENCE;
   c->unloads = json_object_object_get_ex (body, "target", &target)
                && json_object_get_uint64 (target) == 0;
+  keep_body (body, c->unloads);
   json_object_put (body);
   return c;
 }
@@ -373,6 +385,8 @@
 void
 staged_record (json_object *records)
 {
+  standin_json_set_text (records, "load_body", load_body != NULL ? load_body : "");
+  standin_json_set_text (records, "unload_body", unload_body != NULL ? unload_body : "");
   standin_json_set_uint (records, "version", staged_version);
   standin_json_set_uint (records, "orders", commands);
   standin_json_set_uint (records, "mixed", mixed);
