--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -5,9 +5,7 @@
 uint64_t
 dl_load_proof_reads_from_ms (uint64_t draining_ms, uint64_t now_ms)
 {
-  if (now_ms <= draining_ms + DL_LOAD_PROOF_MAX_AGE_MS)
-    return draining_ms;
-  return now_ms - DL_LOAD_PROOF_MAX_AGE_MS;
+  return now_ms - (now_ms - draining_ms) % DL_LOAD_PROOF_MAX_AGE_MS;
 }
 
 /* -------- reports -------- */
@@ -166,7 +164,7 @@
 bool
 dl_load_proof_may_write (const DlLoadProof *p, bool other_version)
 {
-  return p->known && !p->awaited && (p->state != DL_WEIGHTS_UNCHECKED || other_version);
+  return p->known && !p->awaited && (p->state == DL_WEIGHTS_SOUND || other_version);
 }
 
 void
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -79,7 +79,9 @@
 #define DL_LOAD_PROOF_MAX_AGE_MS 1800
 
 /* For an engine that is being drained since DRAINING_MS: the time from which on reads of
- * its staged chunks must have been sent to allow the load command. */
+ * its staged chunks must have been sent to allow the load command.  When it returns them
+ * too slowly all are read again from then on: chunks that are read again one by one would
+ * never all be fresh at once. */
 uint64_t dl_load_proof_reads_from_ms (uint64_t draining_ms, uint64_t now_ms);
 
 /* Takes in a report; one that is older than what is known is ignored. */
@@ -96,8 +98,9 @@
 void dl_load_proof_refused (DlLoadProof *proof);
 /* No usable response came: it may still be accepted. */
 void dl_load_proof_given_up (DlLoadProof *proof);
-/* True when chunks may be written.  OTHER_VERSION: the engine is known to have weights of
- * another version, so that what is staged cannot show what it took. */
+/* True when chunks may be written: they are evidence, for the next stager as well, until
+ * the weights are known to be sound or were given up.  OTHER_VERSION: the engine is known
+ * to have weights of another version, so that what is staged cannot show what it took. */
 bool dl_load_proof_may_write (const DlLoadProof *proof, bool other_version);
 /* A chunk is written, which was allowed. */
 void dl_load_proof_write_sent (DlLoadProof *proof);
