Test of a stager that is killed beside an engine with proven weights: it costs callers nothing

Purpose: a new stager does not know the weights to be sound until it has read them back. Entries that were told before must go on sending there, and one that starts meanwhile must not send before the check has ended. Reads 900 ms late make the check slow.

--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -234,6 +234,100 @@
   json_object_put (unload);
 }
 
+/* -------- a stager that starts again -------- */
+
+#define CHECK_STREAMS 3 /* sent at once while the stager checks */
+/* Shorter than stagers wait; the check takes four times as long. */
+#define CHECK_LATE_MS 900
+#define TAKEN_SOUND   "\"event\":1113,"
+
+/* The first stager has proven the weights sound since its last start. */
+static bool
+weights_are_proven (Testbed *tb)
+{
+  char *text = NULL;
+  const char *start;
+  bool proven;
+
+  if (!g_file_get_contents (tb->stager_process[0].log, &text, NULL, NULL))
+    return false;
+  start = g_strrstr (text, "\n" PROCESS_LOG_MARK);
+  proven = strstr (start != NULL ? start : text, TAKEN_SOUND) != NULL;
+  g_free (text);
+  return proven;
+}
+
+static bool
+second_entry_is_ready (Testbed *tb)
+{
+  Response r = call (&(Call){ .address = tb->ready[1], .target = "/-/readyz" });
+  bool ready = r.status == 200;
+
+  response_free (&r);
+  return ready;
+}
+
+/* Streams that the first server received of those sent through ENTRY; all are served. */
+static uint64_t
+streams_to_first_server (Testbed *tb, unsigned entry)
+{
+  uint64_t before = recorded (tb->server[0], "received");
+  Background streams[CHECK_STREAMS];
+  char *ids[CHECK_STREAMS];
+  bool all_served = true;
+
+  for (unsigned i = 0; i < CHECK_STREAMS; i++)
+    {
+      Call c;
+
+      ids[i] = g_strdup_printf ("again-%u-%" G_GUINT64_FORMAT "-%u", entry,
+                                dl_clock_ms (), i);
+      c = default_call (tb, "/s/x", ids[i]);
+      c.address = tb->entry[entry];
+      background_start (&streams[i], &c);
+    }
+  for (unsigned i = 0; i < CHECK_STREAMS; i++)
+    {
+      background_join (&streams[i]);
+      all_served = all_served && streams[i].response.status == 200
+                   && streams[i].response.complete;
+      response_free (&streams[i].response);
+      g_free (ids[i]);
+    }
+  CHECK (all_served);
+  return recorded (tb->server[0], "received") - before;
+}
+
+static bool
+second_entry_uses_first_server (Testbed *tb)
+{
+  return streams_to_first_server (tb, 1) > 0;
+}
+
+/* An entry that was told goes on; one that starts meanwhile waits for the check. */
+static void
+test_restarted_stager_kept_callers_from_sound_weights (Testbed *tb)
+{
+  lose_weights (tb);
+  check_taken (tb);
+  CHECK (eventually (weights_are_proven, tb));
+  CHECK (streams_to_first_server (tb, 0) > 0);
+  CHECK (set_fault (tb->server[0], "read_late_ms", CHECK_LATE_MS));
+  process_end (&tb->entry_process[1], SIGKILL);
+  process_end (&tb->stager_process[0], SIGKILL);
+  CHECK (process_start (&tb->stager_process[0]));
+  CHECK (process_start (&tb->entry_process[1]));
+  CHECK (eventually (second_entry_is_ready, tb));
+  CHECK (streams_to_first_server (tb, 1) == 0);
+  CHECK (!weights_are_proven (tb));
+  CHECK (streams_to_first_server (tb, 0) > 0);
+  CHECK (!weights_are_proven (tb));
+  CHECK (eventually (weights_are_proven, tb));
+  CHECK (set_fault (tb->server[0], "read_late_ms", 0));
+  CHECK (eventually (second_entry_uses_first_server, tb));
+  CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
+}
+
 const TestFunc taken_tests[] = {
   test_command_taken_late_by_a_stalled_engine,
   test_command_named_no_count_or_a_range_to_load,
@@ -241,5 +335,6 @@
   test_proofs_grew_too_old_before_the_command_was_taken,
   test_late_write_of_an_older_version_was_taken,
   test_command_of_a_stager_that_ended_took_another_version,
+  test_restarted_stager_kept_callers_from_sound_weights,
   NULL,
 };
