Soak: a phase in which servers take weights that turn bad, late and standing still

It checks that no request runs on spoilt weights (server and time), that no process ends by itself, that complete streams are whole and some came, and that afterwards every server gets two newer versions and is used. Its random is its own.

The stand-in: commands_late (more commands that are late), stop_at_command and stop_at_read. A load's end is compared with the clock, as timers set after any time of standing still are early, and a load's timer ends with its server (the old one ended the next load early). The count "mixed" (of loads with any wrong chunk) may be set back: loads that are given up in time are allowed in this phase only; it is checked before the phase and counted from 0 after it, so the check of the other phases is as strict as before. soak_log_event takes the lock, as several threads log.

--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -11,8 +11,9 @@
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
  * request that ran must be answered, model servers that are silent for a while, versions
- * that are named while streams wait, a prompt part and a whole request that crash the
- * servers, limits of requests, and a loss of power.
+ * that are named while streams wait, weights that are spoilt as servers take them, a
+ * prompt part and a whole request that crash the servers, limits of requests, and a loss
+ * of power.
  */
 #include "soak.h"
 
@@ -41,9 +42,11 @@
 void
 soak_log_event (Soak *soak, const char *what, unsigned index)
 {
+  g_mutex_lock (&soak->lock);
   g_string_append_printf (soak->history, "  %6.2f s  %s %u\n",
                           (double)(soak_now_ms () - soak->start_ms) / 1000.0, what,
                           index);
+  g_mutex_unlock (&soak->lock);
 }
 
 /* -------- checks after the faults -------- */
@@ -167,6 +170,7 @@
   soak_set_event_ms (soak, SOAK_EVENT_MS);
   if (seed % 2 == 0)
     soak_name_versions (soak, seed);
+  soak_spoil_weights (soak, seed);
   soak_poison_servers (soak);
   soak_limit_servers (soak);
   soak_cut_power (soak);
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -6,9 +6,9 @@
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
  * silent under the same callers, soak_version.c names versions while streams wait at the
- * servers, soak_poison.c crashes them by a prompt part, soak_poison_whole.c by a whole
- * request, soak_limit.c lets them limit their requests, and soak_power.c cuts the power
- * of all hosts.
+ * servers, soak_taken.c spoils what servers take as weights, soak_poison.c crashes them
+ * by a prompt part, soak_poison_whole.c by a whole request, soak_limit.c lets them limit
+ * their requests, and soak_power.c cuts the power of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -104,7 +104,7 @@
 /* Counts and prints a violated guarantee: WHO is the request or process, WHAT the
  * violation.  May be called from any thread. */
 void soak_report_violation (Soak *soak, const char *who, const char *what);
-/* Adds a line to the history. */
+/* Adds a line to the history.  May be called from any thread. */
 void soak_log_event (Soak *soak, const char *what, unsigned index);
 /* How often request ID ran by RECORDS of a server. */
 uint64_t soak_runs_in (json_object *records, const char *id);
@@ -195,6 +195,13 @@
  * and killed; no stream may start on a version whose time is over. */
 void soak_name_versions (Soak *soak, uint32_t seed);
 
+/* -------- soak_taken.c -------- */
+
+/* Servers lose their weights while staged chunks turn bad, reads, writes and commands are
+ * late, and servers, stagers and entries stand still or end; no request may run on
+ * weights that were taken spoilt. */
+void soak_spoil_weights (Soak *soak, uint32_t seed);
+
 /* -------- soak_poison.c -------- */
 
 /* Requests with one prompt part crash the model servers, until entries refuse them; sound
--- a/regress/standin/staged.c
+++ b/regress/standin/staged.c
@@ -1,6 +1,7 @@
 #include "staged.h"
 
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -43,22 +44,27 @@
 uint64_t staged_rot_at_command;
 uint64_t staged_read_late_ms;
 uint64_t staged_command_late_ms;
+uint64_t staged_commands_late;
 uint64_t staged_command_stall_ms;
+uint64_t staged_stop_at_command;
+uint64_t staged_stop_at_read;
 uint64_t staged_write_at_command;
+uint64_t staged_mixed;
 
 static DlTask *task;
 static GHashTable *staged;      /* index of a chunk to its Copy */
 static GHashTable *late_writes; /* the same, of those that land as a command arrives */
 static uint64_t late_version;   /* it must be for this version or a newer one */
 static bool loading;
-static uint64_t stalled_ms;      /* by which timers of this run of the loop are early */
+static DlTimer *load_timer;
+static uint64_t loaded_ms;       /* when the weights that are loading will be loaded */
 static bool is_spoilt;           /* the weights that the server has */
 static uint64_t commands;        /* accepted */
 static uint64_t first_command;   /* COMMANDS at the last start of the server */
 static uint64_t put_calls;       /* chunks that were to be staged */
-static uint64_t mixed;           /* loads that took missing or wrong chunks */
-static uint64_t spoilt;          /* of these, where one was so for too long */
+static uint64_t spoilt;          /* of STAGED_MIXED, where a chunk was so for too long */
 static uint64_t spoilt_runs;     /* requests that ran on such weights */
+static uint64_t spoilt_run_ms;   /* when the last of them began */
 static uint64_t commands_closed; /* taken after their sender had closed */
 
 void
@@ -75,6 +81,7 @@
   staged_version = 0;
   is_spoilt = false;
   loading = false;
+  TALLOC_FREE (load_timer);
   first_command = commands;
 }
 
@@ -94,6 +101,8 @@
 staged_count_run (void)
 {
   spoilt_runs += is_spoilt;
+  if (is_spoilt)
+    spoilt_run_ms = dl_clock_ms ();
 }
 
 /* -------- staging -------- */
@@ -175,6 +184,8 @@
       dl_http_reply_error (request, 404, 0, "not staged");
       return;
     }
+  if (standin_count_down (&staged_stop_at_read))
+    raise (SIGSTOP);
   if (standin_count_down (&staged_rot))
     turn_bad (copy);
   if (staged_read_late_ms > 0)
@@ -218,19 +229,34 @@
       any_wrong = true;
       any_spoilt = any_spoilt || !was_good;
     }
-  mixed += any_wrong;
+  staged_mixed += any_wrong;
   spoilt += any_spoilt;
   is_spoilt = any_spoilt;
 }
 
+static void start_load_timer (uint64_t version);
+
 static void
 on_loaded (DlTimer *timer, void *data)
 {
-  talloc_free (timer);
-  if (!loading)
-    return; /* the server has started again meanwhile */
+  uint64_t version = (uint64_t)GPOINTER_TO_SIZE (data);
+
+  TALLOC_FREE (load_timer);
+  if (dl_clock_ms () < loaded_ms)
+    {
+      /* After the process stood still, timers are early by that time. */
+      start_load_timer (version);
+      return;
+    }
   loading = false;
-  staged_version = (uint64_t)GPOINTER_TO_SIZE (data);
+  staged_version = version;
+}
+
+static void
+start_load_timer (uint64_t version)
+{
+  load_timer = dl_timer_subscribe (task, task, loaded_ms - dl_clock_ms (), 0, on_loaded,
+                                   GSIZE_TO_POINTER ((gsize)version));
 }
 
 static unsigned
@@ -252,8 +278,8 @@
     }
   take (c->version);
   loading = true;
-  dl_timer_subscribe (task, task, LOAD_MS + stalled_ms, 0, on_loaded,
-                      GSIZE_TO_POINTER ((gsize)c->version));
+  loaded_ms = dl_clock_ms () + LOAD_MS;
+  start_load_timer (c->version);
   return 202;
 }
 
@@ -325,6 +351,18 @@
     }
 }
 
+/* The process stands still before it takes the command. */
+static void
+stall_at_command (void)
+{
+  uint64_t stall_ms = staged_command_stall_ms;
+
+  staged_command_stall_ms = 0;
+  g_usleep (stall_ms * US_PER_MS);
+  if (standin_count_down (&staged_stop_at_command))
+    raise (SIGSTOP);
+}
+
 static void
 handle_command (DlHttpRequest *request)
 {
@@ -335,17 +373,12 @@
     return;
   if (!c->unloads)
     apply_faults_at_command (c->version);
-  if (staged_command_stall_ms > 0)
-    {
-      g_usleep (staged_command_stall_ms * US_PER_MS);
-      stalled_ms = staged_command_stall_ms;
-      staged_command_stall_ms = 0;
-    }
-  staged_command_late_ms = 0;
+  stall_at_command ();
+  if (!standin_count_down (&staged_commands_late))
+    staged_command_late_ms = 0;
   if (late_ms == 0)
     {
       finish_command (c);
-      stalled_ms = 0;
       return;
     }
   dl_http_request_on_closed (request, on_command_closed, c);
@@ -375,9 +408,10 @@
 {
   standin_json_set_uint (records, "version", staged_version);
   standin_json_set_uint (records, "orders", commands);
-  standin_json_set_uint (records, "mixed", mixed);
+  standin_json_set_uint (records, "mixed", staged_mixed);
   standin_json_set_uint (records, "spoilt", spoilt);
   standin_json_set_uint (records, "spoilt_runs", spoilt_runs);
+  standin_json_set_uint (records, "spoilt_run_ms", spoilt_run_ms);
   standin_json_set_uint (records, "commands_closed", commands_closed);
   standin_json_set_uint (records, "stage_puts", put_calls);
 }
--- a/regress/standin/staged.h
+++ b/regress/standin/staged.h
@@ -22,11 +22,18 @@
 extern uint64_t staged_read_late_ms;    /* reads are answered so long after */
 extern uint64_t staged_command_late_ms; /* a command waits so long, and is taken then,
                                          * also when its sender has closed */
-extern uint64_t staged_command_stall_ms; /* the process stands still for so long before it
-                                          * takes the next command */
+extern uint64_t staged_commands_late;   /* the next N commands after it are as late */
+/* The process stands still for so long before it takes the next command. */
+extern uint64_t staged_command_stall_ms;
+/* The process stops (SIGSTOP) before it takes the next N commands, until SIGCONT; and
+ * before the next N reads. */
+extern uint64_t staged_stop_at_command;
+extern uint64_t staged_stop_at_read;
 extern uint64_t staged_write_at_command; /* the next N writes get no response, and land
                                           * as the command for the version after theirs
                                           * arrives */
+extern uint64_t staged_mixed; /* loads that took missing or wrong chunks; it is set to 0
+                               * after faults that allow some */
 
 /* Handles the calls that stage and load; false for any other. */
 bool staged_handle (DlHttpRequest *request);
