--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "staged.h"
 #include "standin.h"
 #include "weights.h"
 
