--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -251,6 +251,7 @@
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
   { "taken", { taken_tests } },
+  { "taken-unknown", { taken_unknown_tests } },
   { "manifests", { manifest_tests } },
   { "silent-store",
     { silent_store_tests },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -263,6 +263,8 @@
 extern const TestFunc staging_tests[];
 /* Weights that engines take. */
 extern const TestFunc taken_tests[];
+/* Weights of which no stager has told. */
+extern const TestFunc taken_unknown_tests[];
 /* Manifests that the origin spoils. */
 extern const TestFunc manifest_tests[];
 /* Open connections that go silent; needs proxies. */
--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -361,6 +361,32 @@
   CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
 }
 
+/* Entries that start while no stager runs know the engine from the store's list alone,
+ * which does not tell that its stager ended before the weights that it took were checked.
+ */
+static void
+test_entry_without_word_of_a_stager_used_unchecked_weights (Testbed *tb)
+{
+  CHECK (eventually (both_serve_newest, tb));
+  CHECK (set_fault (tb->server[0], "rot_at_command", ALL_CHUNKS));
+  CHECK (set_fault (tb->server[0], "command_late_ms", LATE_MS));
+  lose_weights (tb);
+  g_usleep (COMMAND_SENT_MS * US_PER_MS);
+  process_end (&tb->stager_process[0], SIGKILL);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    process_end (&tb->entry_process[i], SIGKILL);
+  CHECK (eventually (first_has_taken_weights, tb));
+  for (unsigned i = 0; i < ENTRIES; i++)
+    CHECK (process_start (&tb->entry_process[i]));
+  CHECK (eventually_under_callers (tb, requests_are_served));
+  CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
+  CHECK (process_start (&tb->stager_process[0]));
+  check_taken (tb);
+}
+
+const TestFunc taken_unknown_tests[]
+    = { test_entry_without_word_of_a_stager_used_unchecked_weights, NULL };
+
 const TestFunc taken_tests[] = {
   test_command_taken_late_by_a_stalled_engine,
   test_command_named_no_count_or_a_range_to_load,
