--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -134,6 +134,8 @@
   return -1;
 }
 
+/* BAD as from find_bad.  Weights may count as spoilt without a bad chunk, as one may have
+ * been mended. */
 static void
 end_check (Weights *w, int bad)
 {
@@ -141,17 +143,20 @@
 
   w->checking = false;
   dl_load_proof_checked (&w->proof, bad < 0);
-  dl_metric_add (bad < 0 ? &metric_sound : &metric_spoilt, 1);
-  if (bad < 0)
-    dl_log (DL_EVENT_STAGE_TAKEN_SOUND, DL_TEXT ("engine", w->settings->engine),
-            DL_UINT ("version", w->staging->bundle->version),
-            DL_UINT ("loads", w->proof.loads),
-            DL_UINT ("accepted_ms_ago", now_ms - w->proof.accepted_ms));
-  else
-    dl_log (DL_EVENT_STAGE_TAKEN_SPOILT, DL_TEXT ("engine", w->settings->engine),
-            DL_UINT ("version", w->staging->bundle->version),
-            DL_UINT ("loads", w->proof.loads), DL_INT ("chunk", bad),
-            DL_UINT ("accepted_ms_ago", now_ms - w->proof.accepted_ms));
+  if (w->proof.state == DL_WEIGHTS_SOUND)
+    {
+      dl_metric_add (&metric_sound, 1);
+      dl_log (DL_EVENT_STAGE_TAKEN_SOUND, DL_TEXT ("engine", w->settings->engine),
+              DL_UINT ("version", w->staging->bundle->version),
+              DL_UINT ("loads", w->proof.loads),
+              DL_UINT ("accepted_ms_ago", now_ms - w->proof.accepted_ms));
+      return;
+    }
+  dl_metric_add (&metric_spoilt, 1);
+  dl_log (DL_EVENT_STAGE_TAKEN_SPOILT, DL_TEXT ("engine", w->settings->engine),
+          DL_UINT ("version", w->staging->bundle->version),
+          DL_UINT ("loads", w->proof.loads), DL_INT ("chunk", bad),
+          DL_UINT ("accepted_ms_ago", now_ms - w->proof.accepted_ms));
 }
 
 void
