Logs: each request that ends without its whole response, whoever closed its connection; how late a stop began

112 names such a request by its caller's id, with the cause and how far it was; 113 a connection that is closed unread; 101 tells for how long the signal may have been pending (late_ms); 111 the time since the last look at the connections; 1004 what ended the connection. Two counters: responses that ended incomplete other than by their caller, and those of them that had been sent to an upstream. No logic changed.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -46,6 +46,11 @@
            DL_METRIC_COUNTER,
            "daisy_direct_cancelled_total",
            "Requests whose caller disconnected.")
+DL_METRIC (metric_cut,
+           DL_METRIC_COUNTER,
+           "daisy_direct_cut_after_sent_total",
+           "Requests that were sent to an upstream and ended without their whole "
+           "response, but by their caller.")
 DL_METRIC (metric_duration,
            DL_METRIC_HISTOGRAM,
            "daisy_direct_request_ms",
@@ -100,11 +105,15 @@
 {
   Request *r = data;
   Service *service = r->service;
+  DlHttpEnd end = dl_http_request_end (http);
 
+  if (!completed && end != DL_HTTP_CALLER_LEFT && r->attempt_count > 0)
+    dl_metric_add (&metric_cut, 1);
   if (r->link == NULL)
     return;
   dl_metric_add (&metric_cancelled, 1);
   dl_log (DL_EVENT_REQUEST_CANCELLED, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("cause", dl_http_end_text (end)),
           DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms),
           DL_UINT ("sent", r->attempt_count));
   direct_request_release (r);
@@ -419,6 +428,7 @@
     .max_header_bytes = HEADER_BYTES_MAX,
     .idle_timeout_s = IDLE_TIMEOUT_S,
   };
+  int error;
 
   dl_task_set_state (task, requests);
   requests->task = task;
@@ -431,8 +441,11 @@
   talloc_set_destructor (requests, requests_destroy);
   dl_timer_subscribe (task, requests, SWEEP_MS, SWEEP_MS, on_sweep, requests);
   dl_timer_subscribe (task, requests, SUMMARY_MS, SUMMARY_MS, on_summary, requests);
-  return dl_http_server_new (task, requests, dl_str (requests->settings->listen), &limits,
-                             on_request, requests, &requests->server);
+  error = dl_http_server_new (task, requests, dl_str (requests->settings->listen),
+                              &limits, on_request, requests, &requests->server);
+  if (error == 0)
+    dl_http_server_set_id_header (requests->server, platform_request_id_header);
+  return error;
 }
 
 /* Exits once nothing is in progress.  Until then callers that have not learnt of the
--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -4,11 +4,12 @@
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <poll.h>
-#include <stdint.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
+#include "kernel/log.h"
+
 /* One connection; a talloc child of the set. */
 typedef struct Connection
 {
@@ -21,15 +22,17 @@
 struct DlHttpConnections
 {
   Connection *first;
+  uint16_t port;
   bool marked;
 };
 
 DlHttpConnections *
-dl_http_connections_new (const void *owner)
+dl_http_connections_new (const void *owner, uint16_t port)
 {
   DlHttpConnections *c = talloc_zero (owner, DlHttpConnections);
 
   g_assert (c != NULL);
+  c->port = port;
   return c;
 }
 
@@ -50,9 +53,31 @@
   return c;
 }
 
+static bool
+has_unread (const Connection *c)
+{
+  char byte;
+
+  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static unsigned
+unread_bytes (const Connection *c)
+{
+  int n = 0;
+
+  return ioctl (c->fd, FIONREAD, &n) == 0 && n > 0 ? (unsigned)n : 0;
+}
+
+/* Called before its socket is closed. */
 static void
-connection_closed (Connection *c)
+connection_closed (DlHttpConnections *connections, Connection *c)
 {
+  unsigned unread = unread_bytes (c);
+
+  if (unread > 0)
+    dl_log (DL_EVENT_CONNECTION_UNREAD, DL_UINT ("port", connections->port),
+            DL_UINT ("bytes", unread));
   *c->link = c->next;
   if (c->next != NULL)
     c->next->link = c->link;
@@ -71,28 +96,12 @@
       *socket_context = connection_opened (data, connection);
       break;
     case MHD_CONNECTION_NOTIFY_CLOSED:
-      connection_closed (*socket_context);
+      connection_closed (data, *socket_context);
       *socket_context = NULL;
       break;
     }
 }
 
-static bool
-has_unread (const Connection *c)
-{
-  char byte;
-
-  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-static unsigned
-unread_bytes (const Connection *c)
-{
-  int n = 0;
-
-  return ioctl (c->fd, FIONREAD, &n) == 0 && n > 0 ? (unsigned)n : 0;
-}
-
 /* Bytes that were read on the connection; 0 where the system does not tell. */
 static uint64_t
 read_bytes (const Connection *c)
--- a/lib/kernel/http_connections.h
+++ b/lib/kernel/http_connections.h
@@ -10,6 +10,7 @@
 
 #include <microhttpd.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 typedef struct DlHttpConnections DlHttpConnections;
 
@@ -21,8 +22,8 @@
   unsigned begun;  /* with the part of a first line; see dl_http_connections_mark */
 } DlHttpConnectionCounts;
 
-/* Returns an empty set, a talloc child of OWNER. */
-DlHttpConnections *dl_http_connections_new (const void *owner);
+/* Returns an empty set for a server at PORT, a talloc child of OWNER. */
+DlHttpConnections *dl_http_connections_new (const void *owner, uint16_t port);
 /* For MHD_OPTION_NOTIFY_CONNECTION, with the set as its data. */
 void dl_http_connections_notify (void *data,
                                  struct MHD_Connection *connection,
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -170,6 +170,7 @@
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
+  request->aborted = true;
   if (info != NULL)
     shutdown (info->connect_fd, SHUT_RDWR);
   dl_http_reply (request, MHD_HTTP_REQUEST_TIMEOUT, NULL, DL_STR_LITERAL (""), NULL);
@@ -260,6 +261,7 @@
   r->server = server;
   r->connection = connection;
   r->target = talloc_strdup (r, target);
+  r->begun_ms = dl_clock_ms ();
   server->active_requests++;
   dl_metric_add (&metric_requests, 1);
   dl_metric_add (&metric_active, 1);
@@ -338,9 +340,11 @@
   if (r == NULL)
     return;
   *state = NULL;
-  completed = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !r->caller_disconnected;
+  r->end = dl_http_request_ended_by (r, code);
+  completed = r->end == DL_HTTP_COMPLETED;
   if (!completed)
     dl_metric_add (&metric_disconnected, 1);
+  dl_http_request_report_end (r);
   g_hash_table_remove (server->suspended, r);
   if (r->on_closed != NULL)
     r->on_closed (r, completed, r->closed_data);
@@ -356,20 +360,6 @@
  * disconnected while their request waits.  Such a connection is resumed, and
  * libmicrohttpd closes it.
  */
-static bool
-is_caller_disconnected (DlHttpRequest *r)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  ssize_t n;
-
-  if (info == NULL)
-    return false;
-  n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 static void
 on_caller_check (DlTimer *timer, void *data)
 {
@@ -380,7 +370,8 @@
     {
       DlHttpRequest *r = l->data;
 
-      if (!g_hash_table_contains (server->suspended, r) || !is_caller_disconnected (r))
+      if (!g_hash_table_contains (server->suspended, r)
+          || !dl_http_request_is_caller_gone (r))
         continue;
       r->caller_disconnected = true;
       if (!r->has_response)
@@ -432,6 +423,12 @@
     server_run (server);
 }
 
+void
+dl_http_server_set_id_header (DlHttpServer *server, const char *name)
+{
+  server->id_header = name;
+}
+
 void
 dl_http_server_disable_keepalive (DlHttpServer *server)
 {
@@ -478,6 +475,7 @@
 {
   DlHttpConnectionCounts counts;
 
+  server->looked_ms = dl_clock_ms ();
   if (!server->quiesced)
     accept_waiting (server);
   server_run (server);
@@ -504,7 +502,9 @@
   dl_log (DL_EVENT_CONNECTIONS_CLOSED, DL_UINT ("port", server->port),
           DL_UINT ("connections", counts.open), DL_UINT ("unread", counts.unread),
           DL_UINT ("begun", server->active_requests > 0 ? 0 : counts.begun),
-          DL_UINT ("requests", server->active_requests));
+          DL_UINT ("requests", server->active_requests),
+          DL_UINT ("since_look_ms",
+                   server->looked_ms != 0 ? dl_clock_ms () - server->looked_ms : 0));
 }
 
 static int
@@ -546,7 +546,7 @@
   server->loop = dl_kernel_loop (dl_task_kernel (task));
   server->port = ntohs (at.sin_port);
   server->limits = *limits;
-  server->connections = dl_http_connections_new (server);
+  server->connections = dl_http_connections_new (server, server->port);
   server->handler = handler;
   server->data = data;
   errno = 0;
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -56,6 +56,9 @@
                         DlHttpHandler handler,
                         void *data,
                         DlHttpServer **server);
+/* Names the header with the caller's id of a request, which is logged; NAME is
+ * borrowed. */
+void dl_http_server_set_id_header (DlHttpServer *server, const char *name);
 /* Stops accepting connections, after those that wait; requests in progress continue. */
 void dl_http_server_quiesce (DlHttpServer *server);
 /* From now on each response carries "Connection: close" and closes its connection. */
@@ -89,6 +92,21 @@
                                   DlHttpHeaderFunc func,
                                   void *data);
 
+/* Why a request has ended. */
+typedef enum
+{
+  DL_HTTP_COMPLETED,    /* its response was sent in full */
+  DL_HTTP_CALLER_LEFT,  /* the caller closed or reset its connection before */
+  DL_HTTP_CUT,          /* the handler ended the response before its end */
+  DL_HTTP_WRITE_FAILED, /* the response could not be written or built */
+  DL_HTTP_TIMED_OUT,    /* nothing went over the connection for too long */
+  DL_HTTP_SERVER_ENDED, /* the process ended */
+} DlHttpEnd;
+
+/* Why the request has ended, in words; valid in a DlHttpClosedFunc. */
+DlHttpEnd dl_http_request_end (const DlHttpRequest *request);
+const char *dl_http_end_text (DlHttpEnd end);
+
 /* Called when the request has ended for any reason, just before it is freed.  COMPLETED
  * is false when the caller disconnected or the server stopped before the response had
  * been sent in full. */
--- a/lib/kernel/http_server_private.h
+++ b/lib/kernel/http_server_private.h
@@ -29,6 +29,8 @@
   unsigned active_requests;
   GHashTable *suspended; /* set of DlHttpRequest */
   DlHttpConnections *connections;
+  const char *id_header; /* NULL for none */
+  uint64_t looked_ms;    /* last time at which all connections were read; 0 before */
   DlTimer *caller_check;
 };
 
@@ -47,6 +49,7 @@
   bool has_response;        /* a reply or a stream was begun */
   bool discard_output;      /* the caller has disconnected: further output is discarded */
   bool caller_disconnected; /* set by on_caller_check */
+  bool aborted;             /* by dl_http_abort */
   struct MHD_Response *response;
   unsigned status;
   DlBuffer *stream; /* bytes not sent yet; NULL for a reply in one piece */
@@ -56,6 +59,17 @@
   void *consumed_data;
   DlHttpClosedFunc on_closed;
   void *closed_data;
+  uint64_t begun_ms; /* when its first line was read */
+  DlHttpEnd end;     /* set as it ends */
 };
 
+/* Why REQUEST ends, by what libmicrohttpd says. */
+DlHttpEnd dl_http_request_ended_by (const DlHttpRequest *request,
+                                    enum MHD_RequestTerminationCode code);
+/* True when the caller of REQUEST has closed or reset its connection. */
+bool dl_http_request_is_caller_gone (const DlHttpRequest *request);
+/* Counts and logs REQUEST, which has ended, if its response was not sent in full and its
+ * handler is not the one to tell. */
+void dl_http_request_report_end (const DlHttpRequest *request);
+
 #endif
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -52,10 +52,12 @@
   uint64_t drain_ms;
   DlTask *tasks; /* in the order of starting */
   GQueue mailbox;
+  uint64_t created_ms;
   bool stopping;
   uint64_t stop_began_ms; /* 0 while running */
   bool abandoned;         /* the shutdown's time is over; only last responses are sent */
   uint64_t looped_ms;     /* last run of the event loop; 0 before the first */
+  uint64_t looked_ms;     /* the run before it: signals that are handled now came later */
   uint64_t paused_ms;     /* start of the last pause; 0 for none */
   uint64_t resumed_ms;    /* its end */
   ev_prepare prepare;
@@ -218,6 +220,7 @@
       kernel->resumed_ms = now_ms;
       dl_log (DL_EVENT_RESUMED, DL_UINT ("paused_ms", now_ms - kernel->looped_ms));
     }
+  kernel->looked_ms = kernel->looped_ms;
   kernel->looped_ms = now_ms;
 }
 
@@ -329,14 +332,14 @@
     abandon_work (kernel);
 }
 
-void
-dl_kernel_stop (DlKernel *kernel)
+static void
+begin_stop (DlKernel *kernel, uint64_t late_ms)
 {
   if (kernel->stopping)
     return;
   kernel->stopping = true;
   kernel->stop_began_ms = dl_clock_ms ();
-  dl_log (DL_EVENT_STOPPING);
+  dl_log (DL_EVENT_STOPPING, DL_UINT ("late_ms", late_ms));
   restart_drain_timer (kernel, working_ms (kernel));
   for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
     {
@@ -347,6 +350,21 @@
     }
 }
 
+void
+dl_kernel_stop (DlKernel *kernel)
+{
+  begin_stop (kernel, 0);
+}
+
+/* Time for which a signal that is handled now may have been pending. */
+static uint64_t
+signal_late_ms (const DlKernel *kernel)
+{
+  uint64_t since_ms = kernel->looked_ms != 0 ? kernel->looked_ms : kernel->created_ms;
+
+  return dl_clock_ms () - since_ms;
+}
+
 void
 dl_task_drained (DlTask *task)
 {
@@ -361,7 +379,7 @@
 
   if (!kernel->stopping)
     {
-      dl_kernel_stop (kernel);
+      begin_stop (kernel, signal_late_ms (kernel));
       return;
     }
   dl_log (DL_EVENT_STOP_SIGNAL_REPEATED, DL_INT ("signal", watcher->signum),
@@ -407,6 +425,7 @@
   kernel->name = talloc_strdup (kernel, name);
   kernel->settings = settings;
   kernel->drain_ms = DRAIN_DEFAULT_MS;
+  kernel->created_ms = dl_clock_ms ();
   randombytes_buf (&kernel->incarnation, sizeof kernel->incarnation);
   g_queue_init (&kernel->mailbox);
   return kernel;
