Red tests: requests lost as a process stands still in its end, and around its start

On's logic: - unit ends: a kernel with three kept connections stands still for 300 ms before each of the 42 system calls of its end in turn (regress/unit/slices.c counts them), callers send a request each meanwhile and judge as the rule does.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -242,6 +242,8 @@
 
 static const TestGroup groups[] = {
   { "cases", { request_tests, explain_tests, change_tests } },
+  { "start", { start_tests } },
+  { "ends", { end_tests } },
   { "stop", { stop_tests, stop_moment_tests } },
   { "stop-moments", { stop_moment_tests } },
   { "time", { time_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -227,6 +227,10 @@
 extern const TestFunc whole_request_tests[];
 /* Upstreams that name a limit of requests a second for all entries together. */
 extern const TestFunc limit_tests[];
+/* Starts of entries. */
+extern const TestFunc start_tests[];
+/* What entries handle late as they stood still. */
+extern const TestFunc end_tests[];
 /* Planned stops of entries. */
 extern const TestFunc stop_tests[];
 /* Requests at several moments of one. */
--- /dev/null
+++ b/regress/unit/slices.c
@@ -0,0 +1,105 @@
+#include "slices.h"
+
+#include <dlfcn.h>
+#include <glib.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <sys/epoll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define US_PER_MS 1000
+
+static _Thread_local bool counting;
+static _Thread_local uint64_t count;
+static _Thread_local uint64_t slice_at;
+static _Thread_local unsigned slice_ms;
+static _Thread_local void (*slice_func) (void);
+
+void
+slices_begin (uint64_t at, unsigned ms, void (*on_slice) (void))
+{
+  counting = true;
+  count = 0;
+  slice_at = at;
+  slice_ms = ms;
+  slice_func = on_slice;
+}
+
+uint64_t
+slices_end (void)
+{
+  counting = false;
+  return count;
+}
+
+void
+slices_step (void)
+{
+  if (!counting || ++count != slice_at)
+    return;
+  slice_func ();
+  g_usleep ((gulong)slice_ms * US_PER_MS);
+}
+
+/* Defines NAME, which counts a step and makes the call. */
+#define INTERCEPT(type, name, parameters, arguments)        \
+  type name parameters                                      \
+  {                                                         \
+    static type (*real) parameters;                         \
+                                                            \
+    if (real == NULL)                                       \
+      real = (type (*) parameters)dlsym (RTLD_NEXT, #name); \
+    slices_step ();                                         \
+    return real arguments;                                  \
+  }
+
+INTERCEPT (ssize_t,
+           recv,
+           (int fd, void *buffer, size_t length, int flags),
+           (fd, buffer, length, flags))
+INTERCEPT (ssize_t,
+           send,
+           (int fd, const void *buffer, size_t length, int flags),
+           (fd, buffer, length, flags))
+INTERCEPT (ssize_t,
+           sendmsg,
+           (int fd, const struct msghdr *message, int flags),
+           (fd, message, flags))
+INTERCEPT (int,
+           accept4,
+           (int fd, struct sockaddr *address, socklen_t *length, int flags),
+           (fd, address, length, flags))
+INTERCEPT (int, close, (int fd), (fd))
+INTERCEPT (int, shutdown, (int fd, int how), (fd, how))
+INTERCEPT (int,
+           getsockopt,
+           (int fd, int level, int name, void *value, socklen_t *length),
+           (fd, level, name, value, length))
+INTERCEPT (int, poll, (struct pollfd * fds, nfds_t n, int timeout), (fds, n, timeout))
+INTERCEPT (int,
+           epoll_ctl,
+           (int epoll, int operation, int fd, struct epoll_event *event),
+           (epoll, operation, fd, event))
+INTERCEPT (int,
+           epoll_wait,
+           (int epoll, struct epoll_event *events, int n, int timeout),
+           (epoll, events, n, timeout))
+
+int
+ioctl (int fd, unsigned long request, ...)
+{
+  static int (*real) (int, unsigned long, ...);
+  va_list arguments;
+  void *argument;
+
+  if (real == NULL)
+    real = (int (*) (int, unsigned long, ...))dlsym (RTLD_NEXT, "ioctl");
+  va_start (arguments, request);
+  argument = va_arg (arguments, void *);
+  va_end (arguments);
+  slices_step ();
+  return real (fd, request, argument);
+}
