Servers close callers' connections right after their last look, output first, before anything else ends

What callers saw: a whole request on a kept connection, then the end of the connection, without a response, more than 200 ms later. The class: check, then act, with unbounded time between.

Now the kernel asks all servers to close while the loop still runs. A connection without a request in progress on which nothing has arrived gets a 408, the end of its output, and is read for 200 ms or until its caller's end (RFC 9110 15.5.9, RFC 9112 9.6). A request that crosses the close has an answer that is true wherever the process stands still: between the look and the 408 too. What arrived is served first, and the end begins anew. Connections that libmicrohttpd closes are read on in the same way, as a close with unread bytes takes responses back. The listening socket is emptied until the moment in which it closes. When the time is over, the connections are told and ended before the tasks are freed.

Weighed: closing idle connections over the whole stop. A bare end of output in place of the 408: still check, then act, for a few microseconds a connection; a slice there loses a request. Not closed: a connection that is made between the last accept and the close of the listening socket.

--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -8,12 +8,16 @@
 #include <sys/socket.h>
 #include <talloc.h>
 
+#include "kernel/http_linger.h"
 #include "kernel/log.h"
 
 /* One connection; a talloc child of the set. */
 typedef struct Connection
 {
   int fd;
+  struct MHD_Connection *mhd;
+  bool in_request; /* one is in progress */
+  bool closed;     /* by dl_http_connections_close; suspended until the server ends */
   uint64_t marked_bytes; /* read before dl_http_connections_mark */
   struct Connection *next;
   struct Connection **link; /* the pointer to this one */
@@ -22,16 +26,18 @@
 struct DlHttpConnections
 {
   Connection *first;
+  DlHttpLinger *linger;
   uint16_t port;
   bool marked;
 };
 
 DlHttpConnections *
-dl_http_connections_new (const void *owner, uint16_t port)
+dl_http_connections_new (DlTask *task, const void *owner, uint16_t port)
 {
   DlHttpConnections *c = talloc_zero (owner, DlHttpConnections);
 
   g_assert (c != NULL);
+  c->linger = dl_http_linger_new (task, c);
   c->port = port;
   return c;
 }
@@ -45,6 +51,7 @@
 
   g_assert (c != NULL && info != NULL);
   c->fd = info->connect_fd;
+  c->mhd = mhd;
   c->next = connections->first;
   if (c->next != NULL)
     c->next->link = &c->next;
@@ -53,12 +60,25 @@
   return c;
 }
 
-static bool
-has_unread (const Connection *c)
+/* The answer to a request that crosses the close of an idle connection (RFC 9110, section
+ * 15.5.9).  It says that the request was not run. */
+static const char close_response[] = "HTTP/1.1 408 Request Timeout\r\n"
+                                     "Connection: close\r\n"
+                                     "Content-Length: 0\r\n\r\n";
+
+/* Reads nothing; returns the result of recv: 0 once the caller has closed. */
+static ssize_t
+peek (const Connection *c)
 {
   char byte;
 
-  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+static bool
+has_unread (const Connection *c)
+{
+  return peek (c) > 0;
 }
 
 static unsigned
@@ -73,11 +93,13 @@
 static void
 connection_closed (DlHttpConnections *connections, Connection *c)
 {
-  unsigned unread = unread_bytes (c);
+  ssize_t unread = c->closed ? 0 : peek (c);
 
   if (unread > 0)
     dl_log (DL_EVENT_CONNECTION_UNREAD, DL_UINT ("port", connections->port),
-            DL_UINT ("bytes", unread));
+            DL_UINT ("bytes", unread_bytes (c)));
+  if (unread != 0)
+    dl_http_linger_add (connections->linger, c->fd);
   *c->link = c->next;
   if (c->next != NULL)
     c->next->link = c->link;
@@ -124,6 +146,64 @@
     c->marked_bytes = read_bytes (c);
 }
 
+/* -------- requests, and the close -------- */
+
+static Connection *
+connection_of (struct MHD_Connection *mhd)
+{
+  return MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context;
+}
+
+void
+dl_http_connections_request_begun (struct MHD_Connection *connection)
+{
+  connection_of (connection)->in_request = true;
+}
+
+void
+dl_http_connections_request_ended (struct MHD_Connection *connection)
+{
+  connection_of (connection)->in_request = false;
+}
+
+static bool
+has_arrived (const DlHttpConnections *connections, const Connection *c)
+{
+  return has_unread (c) || (connections->marked && read_bytes (c) > c->marked_bytes);
+}
+
+static void
+close_output (DlHttpConnections *connections, Connection *c)
+{
+  send (c->fd, close_response, sizeof close_response - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+  dl_http_linger_add (connections->linger, c->fd);
+  MHD_suspend_connection (c->mhd);
+  c->closed = true;
+}
+
+unsigned
+dl_http_connections_close (DlHttpConnections *connections, bool all)
+{
+  unsigned open = 0;
+
+  for (Connection *c = connections->first; c != NULL; c = c->next)
+    {
+      if (!c->closed && !c->in_request && (all || !has_arrived (connections, c)))
+        close_output (connections, c);
+      open += !c->closed && !c->in_request;
+    }
+  return open + dl_http_linger_count (connections->linger);
+}
+
+void
+dl_http_connections_release (DlHttpConnections *connections)
+{
+  for (Connection *c = connections->first; c != NULL; c = c->next)
+    if (c->closed)
+      MHD_resume_connection (c->mhd);
+}
+
 DlHttpConnectionCounts
 dl_http_connections_count (const DlHttpConnections *connections)
 {
@@ -131,6 +211,8 @@
 
   for (const Connection *c = connections->first; c != NULL; c = c->next)
     {
+      if (c->closed)
+        continue;
       counts.open++;
       counts.unread += has_unread (c);
       counts.begun += connections->marked && read_bytes (c) > c->marked_bytes;
--- a/lib/kernel/http_connections.h
+++ b/lib/kernel/http_connections.h
@@ -12,6 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "kernel/kernel.h"
+
 typedef struct DlHttpConnections DlHttpConnections;
 
 /* Connections, by what has arrived on them. */
@@ -22,8 +24,9 @@
   unsigned begun;  /* with the part of a first line; see dl_http_connections_mark */
 } DlHttpConnectionCounts;
 
-/* Returns an empty set for a server at PORT, a talloc child of OWNER. */
-DlHttpConnections *dl_http_connections_new (const void *owner, uint16_t port);
+/* Returns an empty set for a server of TASK at PORT, a talloc child of OWNER. */
+DlHttpConnections *
+dl_http_connections_new (DlTask *task, const void *owner, uint16_t port);
 /* For MHD_OPTION_NOTIFY_CONNECTION, with the set as its data. */
 void dl_http_connections_notify (void *data,
                                  struct MHD_Connection *connection,
@@ -32,6 +35,19 @@
 /* From now on, what is read on a connection without a request in progress is the part of
  * a first line. */
 void dl_http_connections_mark (DlHttpConnections *connections);
+/* A request has begun, or ended, on CONNECTION. */
+void dl_http_connections_request_begun (struct MHD_Connection *connection);
+void dl_http_connections_request_ended (struct MHD_Connection *connection);
+/* Tells the callers of all connections without a request in progress, and on which
+ * nothing has arrived, that no request was run, and closes them; each in the moment in
+ * which it is found so.  A request that crosses the close has this for its response. With
+ * ALL, what has arrived is no reason to keep a connection: none of it will be read.  Only
+ * to be called while libmicrohttpd does not run.  Returns the number of connections that
+ * are still to be closed: lingering ones count, those with a request in progress do not.
+ */
+unsigned dl_http_connections_close (DlHttpConnections *connections, bool all);
+/* Hands the closed connections back to libmicrohttpd, which can then end. */
+void dl_http_connections_release (DlHttpConnections *connections);
 /* Counts the connections.  "begun" is only meaningful after dl_http_connections_mark and
  * while no request is in progress. */
 DlHttpConnectionCounts dl_http_connections_count (const DlHttpConnections *connections);
--- /dev/null
+++ b/lib/kernel/http_linger.h
@@ -0,0 +1,26 @@
+/*
+ * Lingering close of an HTTP server's connections (RFC 9112, section 9.6).
+ *
+ * A socket that is closed with unread bytes resets its connection, and the caller may
+ * lose a response that it has not read yet.  So the output ends first; what still arrives
+ * is read and dropped until the caller ends its own.
+ */
+#ifndef DL_HTTP_LINGER_H
+#define DL_HTTP_LINGER_H
+
+#include "kernel/kernel.h"
+
+typedef struct DlHttpLinger DlHttpLinger;
+
+/* Returns an empty set of sockets, a talloc child of OWNER.  Its end closes all sockets,
+ * after reading what has arrived. */
+DlHttpLinger *dl_http_linger_new (DlTask *task, const void *owner);
+/* Ends the output of the socket FD, and closes it once its caller has, at the latest
+ * after DL_HTTP_LINGER_MS.  FD itself stays the caller's. */
+void dl_http_linger_add (DlHttpLinger *linger, int fd);
+/* Number of sockets that are not closed yet. */
+unsigned dl_http_linger_count (const DlHttpLinger *linger);
+
+#define DL_HTTP_LINGER_MS 200
+
+#endif
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "kernel/address.h"
 #include "kernel/error.h"
@@ -263,6 +264,7 @@
   r->target = talloc_strdup (r, target);
   r->begun_ms = dl_clock_ms ();
   server->active_requests++;
+  dl_http_connections_request_begun (connection);
   dl_metric_add (&metric_requests, 1);
   dl_metric_add (&metric_active, 1);
   return r;
@@ -340,6 +342,7 @@
   if (r == NULL)
     return;
   *state = NULL;
+  dl_http_connections_request_ended (connection);
   r->end = dl_http_request_ended_by (r, code);
   completed = r->end == DL_HTTP_COMPLETED;
   if (!completed)
@@ -446,10 +449,31 @@
     server_run (server);
 }
 
+/* Accepts what waits at the listening socket FD, which libmicrohttpd has left. */
+static unsigned
+accept_last (DlHttpServer *server, int fd)
+{
+  unsigned count = 0;
+  struct sockaddr_in caller;
+  socklen_t length = sizeof caller;
+  int accepted;
+
+  while ((accepted = accept4 (fd, (struct sockaddr *)&caller, &length,
+                              SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      MHD_add_connection (server->daemon, accepted, (struct sockaddr *)&caller, length);
+      length = sizeof caller;
+      count++;
+    }
+  return count;
+}
+
 void
 dl_http_server_quiesce (DlHttpServer *server)
 {
   MHD_socket fd;
+  unsigned last;
 
   if (server->quiesced)
     return;
@@ -458,9 +482,10 @@
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd == MHD_INVALID_SOCKET)
     return;
-  dl_log (DL_EVENT_LISTENER_CLOSED, DL_UINT ("port", server->port),
-          DL_TEXT ("unaccepted", dl_http_connections_waiting (fd) ? "yes" : "no"));
+  last = accept_last (server, fd);
   close (fd);
+  dl_log (DL_EVENT_LISTENER_CLOSED, DL_UINT ("port", server->port),
+          DL_UINT ("accepted_last", last));
 }
 
 void
@@ -485,6 +510,20 @@
   return counts.unread == 0 && counts.begun == 0;
 }
 
+/* The end of the process: see DlEndFunc. */
+static bool
+server_end (bool now, void *data)
+{
+  DlHttpServer *server = data;
+
+  dl_http_server_quiesce (server);
+  if (!server->keepalive_disabled)
+    dl_http_server_disable_keepalive (server);
+  server_run (server);
+  server->looked_ms = dl_clock_ms ();
+  return dl_http_connections_close (server->connections, now) == 0;
+}
+
 unsigned
 dl_http_server_active_requests (const DlHttpServer *server)
 {
@@ -513,6 +552,7 @@
   GList *requests = g_hash_table_get_keys (server->suspended);
 
   log_connections (server);
+  dl_http_connections_release (server->connections);
   /* MHD_stop_daemon requires that no connection is suspended. */
   for (GList *l = requests; l != NULL; l = l->next)
     request_resume (l->data);
@@ -546,7 +586,7 @@
   server->loop = dl_kernel_loop (dl_task_kernel (task));
   server->port = ntohs (at.sin_port);
   server->limits = *limits;
-  server->connections = dl_http_connections_new (server, server->port);
+  server->connections = dl_http_connections_new (task, server, server->port);
   server->handler = handler;
   server->data = data;
   errno = 0;
@@ -580,6 +620,7 @@
   ev_prepare_start (server->loop, &server->prepare);
   server->caller_check = dl_timer_subscribe (task, server, CALLER_CHECK_MS,
                                              CALLER_CHECK_MS, on_caller_check, server);
+  dl_kernel_on_end (dl_task_kernel (task), server, server_end, server);
   talloc_set_destructor (server, server_destroy);
   *result = server;
   return 0;
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -42,6 +42,15 @@
   DlMessage *message;
 } Delivery;
 
+/* A part of the end of the process; a talloc child of its owner. */
+typedef struct End
+{
+  DlEndFunc func;
+  void *data;
+  struct End *next;
+  struct End **link; /* the pointer to this one */
+} End;
+
 struct DlKernel
 {
   struct ev_loop *loop;
@@ -52,6 +61,7 @@
   uint64_t drain_ms;
   DlTask *tasks; /* in the order of starting */
   GQueue mailbox;
+  End *ends;
   uint64_t created_ms;
   bool stopping;
   uint64_t stop_began_ms; /* 0 while running */
@@ -276,14 +286,49 @@
   return idle;
 }
 
-/* Ends the process once nothing is in progress.  What has arrived is handled before: a
- * task may have drained long ago, or in the same run of the loop in which a caller's
- * request came. */
+static int
+end_destroy (End *e)
+{
+  *e->link = e->next;
+  if (e->next != NULL)
+    e->next->link = e->link;
+  return 0;
+}
+
+void
+dl_kernel_on_end (DlKernel *kernel, const void *owner, DlEndFunc func, void *data)
+{
+  End *e = talloc_zero (owner, End);
+
+  g_assert (e != NULL);
+  *e = (End){ .func = func, .data = data, .next = kernel->ends, .link = &kernel->ends };
+  if (e->next != NULL)
+    e->next->link = &e->next;
+  kernel->ends = e;
+  talloc_set_destructor (e, end_destroy);
+}
+
+/* Returns true once all connections are closed. */
+static bool
+close_connections (DlKernel *kernel, bool now)
+{
+  bool closed = true;
+
+  for (End *e = kernel->ends; e != NULL; e = e->next)
+    if (!e->func (now, e->data))
+      closed = false;
+  return closed;
+}
+
+/* Ends the process once nothing is in progress and callers' connections are closed.  What
+ * has arrived is handled before: a task may have drained long ago, or in the same run of
+ * the loop in which a caller's request came. */
 static void
 end_when_idle (DlKernel *kernel)
 {
-  if (kernel->stopping && have_tasks_drained (kernel)
-      && g_queue_is_empty (&kernel->mailbox) && are_tasks_idle (kernel))
+  if (kernel->stopping && have_tasks_drained (kernel) && are_tasks_idle (kernel)
+      && g_queue_is_empty (&kernel->mailbox) && close_connections (kernel, false)
+      && g_queue_is_empty (&kernel->mailbox))
     ev_break (kernel->loop, EVBREAK_ALL);
 }
 
@@ -293,6 +338,7 @@
 {
   for (int i = 0; i < FINAL_READS && !are_tasks_idle (kernel); i++)
     ;
+  close_connections (kernel, true);
   ev_break (kernel->loop, EVBREAK_ALL);
 }
 
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -85,6 +85,13 @@
     dl_plugin_register (&(plugin));                                  \
   }
 
+/* Part of the end of a process.  Called once nothing is in progress, and again until it
+ * returns true: it has closed its connections.  With NOW the time is over: what can be
+ * closed is closed at once, and the result is not used. */
+typedef bool (*DlEndFunc) (bool now, void *data);
+/* Has FUNC called at the end of the process, as long as OWNER, a talloc block, lives. */
+void dl_kernel_on_end (DlKernel *kernel, const void *owner, DlEndFunc func, void *data);
+
 /* Creates the kernel of a process.  NAME is the instance's name; SETTINGS, the program's
  * settings structure, is borrowed for dl_kernel_settings.  Free it with talloc_free. */
 DlKernel *dl_kernel_new (const char *program, const char *name, const void *settings);
--- a/regress/unit/test_ends.c
+++ b/regress/unit/test_ends.c
@@ -166,6 +166,7 @@
 {
   if (g_atomic_int_get (&ends.warm) < CALLERS || dl_kernel_stopping (data))
     return;
+  talloc_free (timer);
   slices_begin (ends.slice_at, SLICE_MS, on_slice);
   dl_kernel_stop (data);
 }
