Logs: callers that leave while their request waits have their handler's line, not 112 as well

The check for callers that left gives such a request a response before it ends it, so that it looked like one that was not delivered.

--- a/lib/kernel/http_request_end.c
+++ b/lib/kernel/http_request_end.c
@@ -111,7 +111,7 @@
     return;
   if (r->end != DL_HTTP_CALLER_LEFT)
     dl_metric_add (&metric_incomplete, 1);
-  else if (is_in_progress (r) && r->on_closed != NULL)
+  else if ((r->caller_disconnected || is_in_progress (r)) && r->on_closed != NULL)
     return;
   if (server->id_header != NULL && r->method != NULL)
     id = dl_http_request_header (r, server->id_header);
