A stop's time counts from when its signal may have come

The class: check, then act, with unbounded time between.

The time now counts from the run of the loop before the last: a signal that is handled now came later. The last responses keep their 200 ms however late the stop is. Price: up to 200 ms of the stop's time where the loop is idle.

--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -64,12 +64,14 @@
   End *ends;
   uint64_t created_ms;
   bool stopping;
-  uint64_t stop_began_ms; /* 0 while running */
-  bool abandoned;         /* the shutdown's time is over; only last responses are sent */
-  uint64_t looped_ms;     /* last run of the event loop; 0 before the first */
-  uint64_t looked_ms;     /* the run before it: signals that are handled now came later */
-  uint64_t paused_ms;     /* start of the last pause; 0 for none */
-  uint64_t resumed_ms;    /* its end */
+  uint64_t stop_began_ms;  /* or earlier; 0 while running */
+  bool abandoned;          /* the shutdown's time is over; only last responses are sent */
+  uint64_t looped_ms;      /* last run of the event loop; 0 before the first */
+  uint64_t last_looped_ms; /* the run before it */
+  uint64_t looked_ms;      /* the one before that: what is handled now came later, also a
+                              signal      that interrupted the wait of the last run */
+  uint64_t paused_ms;      /* start of the last pause; 0 for none */
+  uint64_t resumed_ms;     /* its end */
   ev_prepare prepare;
   ev_check check;
   ev_timer heartbeat;
@@ -230,7 +232,8 @@
       kernel->resumed_ms = now_ms;
       dl_log (DL_EVENT_RESUMED, DL_UINT ("paused_ms", now_ms - kernel->looped_ms));
     }
-  kernel->looked_ms = kernel->looped_ms;
+  kernel->looked_ms = kernel->last_looped_ms;
+  kernel->last_looped_ms = kernel->looped_ms;
   kernel->looped_ms = now_ms;
 }
 
@@ -349,6 +352,16 @@
   return kernel->drain_ms - MIN (kernel->drain_ms / 2, DL_STOP_FINAL_MS);
 }
 
+/* Time until the shutdown is AFTER_MS old. */
+static uint64_t
+remaining_ms (const DlKernel *kernel, uint64_t after_ms)
+{
+  uint64_t due_ms = kernel->stop_began_ms + after_ms;
+  uint64_t now_ms = dl_clock_ms ();
+
+  return due_ms > now_ms ? due_ms - now_ms : 0;
+}
+
 static void
 restart_drain_timer (DlKernel *kernel, uint64_t after_ms)
 {
@@ -364,7 +377,8 @@
   for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
     if (t->started && t->plugin->abandon != NULL)
       t->plugin->abandon (t);
-  restart_drain_timer (kernel, kernel->drain_ms - working_ms (kernel));
+  restart_drain_timer (kernel, MAX (remaining_ms (kernel, kernel->drain_ms),
+                                    kernel->drain_ms - working_ms (kernel)));
 }
 
 static void
@@ -378,15 +392,17 @@
     abandon_work (kernel);
 }
 
+/* LATE_MS: the stop may have been asked for so long ago.  Its time counts from then, as
+ * the supervisor's does. */
 static void
 begin_stop (DlKernel *kernel, uint64_t late_ms)
 {
   if (kernel->stopping)
     return;
   kernel->stopping = true;
-  kernel->stop_began_ms = dl_clock_ms ();
+  kernel->stop_began_ms = dl_clock_ms () - late_ms;
   dl_log (DL_EVENT_STOPPING, DL_UINT ("late_ms", late_ms));
-  restart_drain_timer (kernel, working_ms (kernel));
+  restart_drain_timer (kernel, remaining_ms (kernel, working_ms (kernel)));
   for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
     {
       if (t->plugin->drain != NULL)
