A request's time counts from when it arrived, not from when it was read

What callers saw: an answer or a refusal later than their own time, by as long as the entry stood still; upstreams were given time that the caller no longer had, and a stop decided by a deadline that was too late.

The system tells how long ago the last bytes of a connection arrived (TCP_INFO), whether they were accepted and read or not. One call a request. A request whose time is over when it is read is refused at once: it has not run.

Tried and dropped: no earlier than two runs of the loop ago. A new connection is accepted in one run and read in the next, so the bound hid the pause.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -226,6 +226,11 @@
   if (!check_limits (r) || !check_key (r))
     return;
   set_deadline (r);
+  if (direct_request_remaining_ms (r, dl_clock_ms ()) == 0)
+    {
+      direct_request_refuse (r, STALE_RETRY_MS, "its time ran out before it was read");
+      return;
+    }
   if (outlasts_stop (r))
     {
       direct_request_refuse (r, STOPPING_RETRY_MS, "this entry is stopping");
@@ -255,7 +260,7 @@
   dl_metric_add (&metric_requests, 1);
   r->owner = requests;
   r->http = http;
-  r->arrived_ms = dl_clock_ms ();
+  r->arrived_ms = dl_http_request_arrived_ms (http);
   platform_read_request (http, &r->incoming);
   link_request (requests, r);
   talloc_set_destructor (r, request_destroy);
--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -124,18 +124,26 @@
     }
 }
 
+/* What the system tells of the connection; all 0 where it does not. */
+static struct tcp_info
+get_tcp_info (const Connection *c)
+{
+  struct tcp_info info = { 0 };
+  socklen_t length = sizeof info;
+
+  if (getsockopt (c->fd, IPPROTO_TCP, TCP_INFO, &info, &length) < 0)
+    return (struct tcp_info){ 0 };
+  return info;
+}
+
 /* Bytes that were read on the connection; 0 where the system does not tell. */
 static uint64_t
 read_bytes (const Connection *c)
 {
-  struct tcp_info info = { 0 };
-  socklen_t length = sizeof info;
   unsigned unread = unread_bytes (c);
+  uint64_t received = get_tcp_info (c).tcpi_bytes_received;
 
-  if (getsockopt (c->fd, IPPROTO_TCP, TCP_INFO, &info, &length) < 0
-      || info.tcpi_bytes_received < unread)
-    return 0;
-  return info.tcpi_bytes_received - unread;
+  return received < unread ? 0 : received - unread;
 }
 
 void
@@ -155,6 +163,12 @@
       ->socket_context;
 }
 
+uint64_t
+dl_http_connections_quiet_ms (struct MHD_Connection *connection)
+{
+  return get_tcp_info (connection_of (connection)).tcpi_last_data_recv;
+}
+
 void
 dl_http_connections_request_begun (struct MHD_Connection *connection)
 {
--- a/lib/kernel/http_connections.h
+++ b/lib/kernel/http_connections.h
@@ -35,6 +35,9 @@
 /* From now on, what is read on a connection without a request in progress is the part of
  * a first line. */
 void dl_http_connections_mark (DlHttpConnections *connections);
+/* Time since the last bytes of CONNECTION arrived, read or not; 0 where the system does
+ * not tell. */
+uint64_t dl_http_connections_quiet_ms (struct MHD_Connection *connection);
 /* A request has begun, or ended, on CONNECTION. */
 void dl_http_connections_request_begun (struct MHD_Connection *connection);
 void dl_http_connections_request_ended (struct MHD_Connection *connection);
--- a/lib/kernel/http_request.c
+++ b/lib/kernel/http_request.c
@@ -5,6 +5,12 @@
 
 #include "kernel/http_server_private.h"
 
+uint64_t
+dl_http_request_arrived_ms (const DlHttpRequest *request)
+{
+  return request->arrived_ms;
+}
+
 const char *
 dl_http_request_method (const DlHttpRequest *request)
 {
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -316,6 +316,7 @@
   if (!r->handled)
     {
       r->handled = true;
+      r->arrived_ms = dl_clock_ms () - dl_http_connections_quiet_ms (connection);
       if (r->too_large)
         dl_http_reply_error (r, MHD_HTTP_CONTENT_TOO_LARGE, 0,
                              "the body is longer than %zu bytes",
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -72,6 +72,9 @@
 /* Returns the number of requests whose response has not been sent in full. */
 unsigned dl_http_server_active_requests (const DlHttpServer *server);
 
+/* When the request had arrived (dl_clock_ms), which is before it is handled if this
+ * process stood still. */
+uint64_t dl_http_request_arrived_ms (const DlHttpRequest *request);
 const char *dl_http_request_method (const DlHttpRequest *request);
 /* The path and query as received, without decoding escapes. */
 const char *dl_http_request_target (const DlHttpRequest *request);
--- a/lib/kernel/http_server_private.h
+++ b/lib/kernel/http_server_private.h
@@ -59,8 +59,9 @@
   void *consumed_data;
   DlHttpClosedFunc on_closed;
   void *closed_data;
-  uint64_t begun_ms; /* when its first line was read */
-  DlHttpEnd end;     /* set as it ends */
+  uint64_t begun_ms;   /* when its first line was read */
+  uint64_t arrived_ms; /* when its last byte came */
+  DlHttpEnd end;       /* set as it ends */
 };
 
 /* Why REQUEST ends, by what libmicrohttpd says. */
