Signals wait from the first instruction of a process until its loop handles them

Signals are held before the constructors of the libraries run; the kernel lets them through once its handlers are there. A signal that comes while the system's loader still runs is beyond the program.

Group start: SIGHUP while the settings are read ended the entry, now it starts and reloads; SIGTERM then is a planned stop with status 0.

--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -566,7 +566,7 @@
 }
 
 /* Signals that come while no kernel runs wait, so that none ends the process on its way
- * out. */
+ * in or out. */
 static void
 block_signals (bool block)
 {
@@ -579,6 +579,12 @@
   g_assert (sigprocmask (block ? SIG_BLOCK : SIG_UNBLOCK, &set, NULL) == 0);
 }
 
+void
+dl_kernel_hold_signals (void)
+{
+  block_signals (true);
+}
+
 static void
 start_watchers (DlKernel *kernel)
 {
@@ -612,12 +618,27 @@
   ev_timer_stop (kernel->loop, &kernel->heartbeat);
 }
 
+/* True if the process was told to stop before it has begun. */
+static bool
+is_stop_pending (void)
+{
+  sigset_t pending;
+
+  g_assert (sigpending (&pending) == 0);
+  return sigismember (&pending, SIGTERM) == 1 || sigismember (&pending, SIGINT) == 1;
+}
+
 int
 dl_kernel_run (DlKernel *kernel)
 {
   int error;
 
   signal (SIGPIPE, SIG_IGN);
+  if (is_stop_pending ())
+    {
+      dl_log (DL_EVENT_STOPPED_BEFORE_START);
+      return 0;
+    }
   ev_now_update (kernel->loop);
   start_watchers (kernel);
   error = start_tasks (kernel);
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -92,6 +92,10 @@
 /* Has FUNC called at the end of the process, as long as OWNER, a talloc block, lives. */
 void dl_kernel_on_end (DlKernel *kernel, const void *owner, DlEndFunc func, void *data);
 
+/* Makes the signals that a kernel handles wait from now on, until dl_kernel_run handles
+ * them. */
+void dl_kernel_hold_signals (void);
+
 /* Creates the kernel of a process.  NAME is the instance's name; SETTINGS, the program's
  * settings structure, is borrowed for dl_kernel_settings.  Free it with talloc_free. */
 DlKernel *dl_kernel_new (const char *program, const char *name, const void *settings);
--- a/lib/kernel/program.c
+++ b/lib/kernel/program.c
@@ -8,6 +8,18 @@
 #include "kernel/kernel.h"
 #include "kernel/log.h"
 
+/* Runs before the libraries' constructors: a signal that came in them, as SIGHUP to all
+ * processes beside a restart, would end the process. */
+static void
+hold_signals_early (int argc, char **argv, char **environment)
+{
+  dl_kernel_hold_signals ();
+}
+
+static void (*const hold_signals) (int, char **, char **)
+    __attribute__ ((section (".preinit_array"), used))
+    = hold_signals_early;
+
 /* Returns 0 to continue, -1 to exit with success, or the exit status of a usage error.
  * *PATH is unchanged without -f; otherwise the caller frees it with g_free(). */
 static int
