Servers listen without SO_REUSEPORT: a second process takes no connections from the first

What callers saw: new connections that were reset while an entry served, beside a process that was started on the same addresses, as a successor is while its predecessor stops. Cause: libmicrohttpd's option for reusing a listening address sets SO_REUSEPORT, so the second process opened the callers', the directory's and the readiness port without an error, got a share of new connections, and ended only at the framed port.

All listening sockets are opened by one function, which the framed listener had of its own; the second process ends at the first port with address in use (105).

--- a/lib/kernel/frame_listener.c
+++ b/lib/kernel/frame_listener.c
@@ -7,6 +7,7 @@
 #include "kernel/address.h"
 #include "kernel/error.h"
 #include "kernel/frame_private.h"
+#include "kernel/listen.h"
 #include "kernel/log.h"
 
 #define LISTEN_BACKLOG        512
@@ -88,23 +89,15 @@
                  DlListener **listener)
 {
   struct sockaddr_in at;
-  int one = 1;
   int error = dl_address_parse (address, &at);
   int fd;
   DlListener *l;
 
   if (error < 0)
     return error;
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  fd = dl_listen (&at, LISTEN_BACKLOG);
   if (fd < 0)
-    return -errno;
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (bind (fd, (struct sockaddr *)&at, sizeof at) < 0 || listen (fd, LISTEN_BACKLOG) < 0)
-    {
-      error = -errno;
-      close (fd);
-      return error;
-    }
+    return fd;
   l = talloc_zero (owner, DlListener);
   g_assert (l != NULL);
   l->task = task;
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -12,6 +12,7 @@
 
 #include "kernel/address.h"
 #include "kernel/error.h"
+#include "kernel/listen.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -578,9 +579,13 @@
   struct sockaddr_in at;
   int error = dl_address_parse (address, &at);
   DlHttpServer *server;
+  int fd;
 
   if (error < 0)
     return error;
+  fd = dl_listen (&at, LISTEN_BACKLOG);
+  if (fd < 0)
+    return fd;
   server = talloc_zero (owner, DlHttpServer);
   g_assert (server != NULL);
   server->task = task;
@@ -590,23 +595,22 @@
   server->connections = dl_http_connections_new (task, server, server->port);
   server->handler = handler;
   server->data = data;
-  errno = 0;
-  server->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, server->port, NULL, NULL, on_access,
-      server, MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      server, MHD_OPTION_NOTIFY_CONNECTION, dl_http_connections_notify,
-      server->connections, MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
-      MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits->max_connections_per_ip,
-      MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
-      MHD_OPTION_URI_LOG_CALLBACK, on_target, server, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-      1u, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG, MHD_OPTION_END);
+  server->daemon
+      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, server->port, NULL,
+                          NULL, on_access, server, MHD_OPTION_LISTEN_SOCKET, fd,
+                          MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+                          MHD_OPTION_NOTIFY_CONNECTION, dl_http_connections_notify,
+                          server->connections, MHD_OPTION_CONNECTION_LIMIT,
+                          limits->max_connections, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+                          limits->max_connections_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
+                          limits->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                          (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
+                          MHD_OPTION_URI_LOG_CALLBACK, on_target, server, MHD_OPTION_END);
   if (server->daemon == NULL)
     {
-      error = errno != 0 ? -errno : -EADDRINUSE;
+      close (fd);
       talloc_free (server);
-      return error;
+      return -ENOMEM;
     }
   server->suspended = g_hash_table_new (NULL, NULL);
   ev_io_init (&server->watcher, on_daemon_event,
