--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -453,9 +453,9 @@
   return error;
 }
 
-/* Exits once nothing is in progress.  Until then callers that have not learnt of the
- * shutdown get a response.  What arrived during a pause of this process is accepted and
- * read first. */
+/* Lets the process end once nothing is in progress.  Until then callers that have not
+ * learnt of the shutdown get a response.  What arrived during a pause of this process is
+ * accepted and read first. */
 static void
 on_stop_check (DlTimer *timer, void *data)
 {
@@ -467,9 +467,7 @@
       || now_ms < resumed_ms + STOP_CHECK_MS
       || dl_http_server_active_requests (requests->server) > 0)
     return;
-  dl_http_server_quiesce (requests->server);
-  if (dl_http_server_active_requests (requests->server) == 0)
-    dl_task_drained (requests->task);
+  dl_task_drained (requests->task);
 }
 
 static void
--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -210,6 +210,12 @@
   return open + dl_http_linger_count (connections->linger);
 }
 
+unsigned
+dl_http_connections_lingering (const DlHttpConnections *connections)
+{
+  return dl_http_linger_count (connections->linger);
+}
+
 void
 dl_http_connections_release (DlHttpConnections *connections)
 {
--- a/lib/kernel/http_connections.h
+++ b/lib/kernel/http_connections.h
@@ -49,6 +49,9 @@
  * are still to be closed: lingering ones count, those with a request in progress do not.
  */
 unsigned dl_http_connections_close (DlHttpConnections *connections, bool all);
+/* Number of connections whose output has ended and whose callers have not ended theirs.
+ */
+unsigned dl_http_connections_lingering (const DlHttpConnections *connections);
 /* Hands the closed connections back to libmicrohttpd, which can then end. */
 void dl_http_connections_release (DlHttpConnections *connections);
 /* Counts the connections.  "begun" is only meaningful after dl_http_connections_mark and
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -12,6 +12,7 @@
 
 #include "kernel/address.h"
 #include "kernel/error.h"
+#include "kernel/http_linger.h"
 #include "kernel/listen.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -512,20 +513,51 @@
   return counts.unread == 0 && counts.begun == 0;
 }
 
-/* The end of the process: see DlEndFunc. */
+/* Returns false until the callers of kept connections have ended them, or have had the
+ * time to. */
 static bool
-server_end (bool now, void *data)
+end_kept_connections (DlHttpServer *server)
 {
-  DlHttpServer *server = data;
+  uint64_t now_ms = dl_clock_ms ();
 
-  dl_http_server_quiesce (server);
   if (!server->keepalive_disabled)
     dl_http_server_disable_keepalive (server);
+  if (server->ending_ms == 0)
+    {
+      server->ending_ms = now_ms;
+      dl_http_connections_close (server->connections, false);
+    }
+  return now_ms >= server->ending_ms + DL_HTTP_LINGER_MS
+         || dl_http_connections_lingering (server->connections) == 0;
+}
+
+static bool
+end_all_connections (DlHttpServer *server, bool now)
+{
+  dl_http_server_quiesce (server);
   server_run (server);
-  server->looked_ms = dl_clock_ms ();
   return dl_http_connections_close (server->connections, now) == 0;
 }
 
+/* The end of the process: see DlEndFunc. */
+static bool
+server_end (DlEndStep step, void *data)
+{
+  DlHttpServer *server = data;
+
+  server->looked_ms = dl_clock_ms ();
+  switch (step)
+    {
+    case DL_END_KEPT:
+      return end_kept_connections (server);
+    case DL_END_ALL:
+      return end_all_connections (server, false);
+    case DL_END_NOW:
+      return end_all_connections (server, true);
+    }
+  g_assert_not_reached ();
+}
+
 unsigned
 dl_http_server_active_requests (const DlHttpServer *server)
 {
--- a/lib/kernel/http_server_private.h
+++ b/lib/kernel/http_server_private.h
@@ -30,6 +30,7 @@
   GHashTable *suspended; /* set of DlHttpRequest */
   DlHttpConnections *connections;
   const char *id_header; /* NULL for none */
+  uint64_t ending_ms;    /* when the end of the process began to close connections */
   uint64_t looked_ms;    /* last time at which all connections were read; 0 before */
   DlTimer *caller_check;
 };
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -62,6 +62,7 @@
   DlTask *tasks; /* in the order of starting */
   GQueue mailbox;
   End *ends;
+  DlEndStep end_step;
   uint64_t created_ms;
   bool stopping;
   uint64_t stop_began_ms;  /* or earlier; 0 while running */
@@ -311,16 +312,25 @@
   talloc_set_destructor (e, end_destroy);
 }
 
-/* Returns true once all connections are closed. */
+/* Returns true once all parts have done STEP. */
 static bool
-close_connections (DlKernel *kernel, bool now)
+take_end_step (DlKernel *kernel, DlEndStep step)
 {
-  bool closed = true;
+  bool done = true;
 
   for (End *e = kernel->ends; e != NULL; e = e->next)
-    if (!e->func (now, e->data))
-      closed = false;
-  return closed;
+    if (!e->func (step, e->data))
+      done = false;
+  return done;
+}
+
+/* Returns true once all connections are closed. */
+static bool
+close_connections (DlKernel *kernel)
+{
+  if (kernel->end_step == DL_END_KEPT && take_end_step (kernel, DL_END_KEPT))
+    kernel->end_step = DL_END_ALL;
+  return kernel->end_step == DL_END_ALL && take_end_step (kernel, DL_END_ALL);
 }
 
 /* Ends the process once nothing is in progress and callers' connections are closed.  What
@@ -330,7 +340,7 @@
 end_when_idle (DlKernel *kernel)
 {
   if (kernel->stopping && have_tasks_drained (kernel) && are_tasks_idle (kernel)
-      && g_queue_is_empty (&kernel->mailbox) && close_connections (kernel, false)
+      && g_queue_is_empty (&kernel->mailbox) && close_connections (kernel)
       && g_queue_is_empty (&kernel->mailbox))
     ev_break (kernel->loop, EVBREAK_ALL);
 }
@@ -341,7 +351,7 @@
 {
   for (int i = 0; i < FINAL_READS && !are_tasks_idle (kernel); i++)
     ;
-  close_connections (kernel, true);
+  take_end_step (kernel, DL_END_NOW);
   ev_break (kernel->loop, EVBREAK_ALL);
 }
 
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -85,10 +85,17 @@
     dl_plugin_register (&(plugin));                                  \
   }
 
-/* Part of the end of a process.  Called once nothing is in progress, and again until it
- * returns true: it has closed its connections.  With NOW the time is over: what can be
- * closed is closed at once, and the result is not used. */
-typedef bool (*DlEndFunc) (bool now, void *data);
+/* Steps of the end of a process, in order; DL_END_NOW alone when its time is over. */
+typedef enum
+{
+  DL_END_KEPT, /* kept connections are closed, new ones still accepted */
+  DL_END_ALL,  /* nothing is accepted any more, and all connections are closed */
+  DL_END_NOW,  /* what can be closed is closed at once */
+} DlEndStep;
+
+/* Part of the end of a process.  Called while nothing is in progress, and again until all
+ * parts have returned true: STEP is done.  The result of DL_END_NOW is not used. */
+typedef bool (*DlEndFunc) (DlEndStep step, void *data);
 /* Has FUNC called at the end of the process, as long as OWNER, a talloc block, lives. */
 void dl_kernel_on_end (DlKernel *kernel, const void *owner, DlEndFunc func, void *data);
 
