--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -1,94 +1,29 @@
-#include "kernel/kernel.h"
-
 #include <glib.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
-#include <time.h>
 
 #include "kernel/error.h"
+#include "kernel/kernel_private.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
-#define DRAIN_DEFAULT_MS        30000
-#define MESSAGES_PER_ITERATION  256
-#define MESSAGE_TYPES           64
-#define NANOSECONDS_PER_MS      1000000
-#define NANOSECONDS_PER_US      1000
-#define MICROSECONDS_PER_MS     1000
-#define MILLISECONDS_PER_SECOND 1000.0
-/* At the end of a shutdown's time: one to read a request, one to send its refusal. */
-#define FINAL_READS 2
+#define DRAIN_DEFAULT_MS       30000
+#define MESSAGES_PER_ITERATION 256
+#define MESSAGE_TYPES          64
 /* The event loop runs at least this often. */
 #define HEARTBEAT_MS 100
 /* A process whose event loop did not run for this long was paused. */
 #define PAUSE_MIN_MS 200
 
-struct DlTask
-{
-  DlKernel *kernel;
-  const DlPlugin *plugin;
-  void *state;
-  bool started;
-  bool drained;
-  DlTask *next;
-};
-
 typedef struct
 {
   DlTask *task;
   DlMessage *message;
 } Delivery;
 
-/* A part of the end of the process; a talloc child of its owner. */
-typedef struct End
-{
-  DlEndFunc func;
-  void *data;
-  struct End *next;
-  struct End **link; /* the pointer to this one */
-} End;
-
-struct DlKernel
-{
-  struct ev_loop *loop;
-  char *name;
-  char *program;
-  const void *settings;
-  uint64_t incarnation;
-  uint64_t drain_ms;
-  DlTask *tasks; /* in the order of starting */
-  GQueue mailbox;
-  End *ends;
-  DlEndStep end_step;
-  uint64_t created_ms;
-  bool stopping;
-  uint64_t stop_began_ms;  /* or earlier; 0 while running */
-  bool abandoned;          /* the shutdown's time is over; only last responses are sent */
-  uint64_t looped_ms;      /* last run of the event loop; 0 before the first */
-  uint64_t last_looped_ms; /* the run before it */
-  uint64_t looked_ms;      /* the one before that: what is handled now came later, also a
-                              signal      that interrupted the wait of the last run */
-  uint64_t paused_ms;      /* start of the last pause; 0 for none */
-  uint64_t resumed_ms;     /* its end */
-  ev_prepare prepare;
-  ev_check check;
-  ev_timer heartbeat;
-  ev_idle idle;
-  ev_signal sigterm, sigint, sighup, sigusr1;
-  ev_timer drain_timer;
-};
-
-struct DlTimer
-{
-  ev_timer watcher;
-  struct ev_loop *loop;
-  DlTimerFunc func;
-  void *data;
-};
-
 static DlPlugin *registered_plugins;
 
 void
@@ -102,37 +37,6 @@
   *at = plugin;
 }
 
-/* -------- clocks -------- */
-
-static uint64_t
-clock_ns (clockid_t id)
-{
-  struct timespec ts;
-
-  g_assert (clock_gettime (id, &ts) == 0);
-  return (uint64_t)ts.tv_sec * 1000 * NANOSECONDS_PER_MS + (uint64_t)ts.tv_nsec;
-}
-
-uint64_t
-dl_clock_ms (void)
-{
-  return clock_ns (CLOCK_BOOTTIME) / NANOSECONDS_PER_MS;
-}
-
-uint64_t
-dl_clock_us (void)
-{
-  return clock_ns (CLOCK_BOOTTIME) / NANOSECONDS_PER_US;
-}
-
-uint64_t
-dl_wall_clock_ms (void)
-{
-  return clock_ns (CLOCK_REALTIME) / NANOSECONDS_PER_MS;
-}
-
-static void end_when_idle (DlKernel *kernel);
-
 /* -------- messages -------- */
 
 void *
@@ -206,7 +110,7 @@
   DlKernel *kernel = watcher->data;
 
   deliver_messages (kernel);
-  end_when_idle (kernel);
+  dl_kernel_end_when_idle (kernel);
   if (g_queue_is_empty (&kernel->mailbox))
     ev_idle_stop (loop, &kernel->idle);
   else
@@ -250,8 +154,7 @@
   ev_set_priority (&kernel->check, EV_MAXPRI);
   kernel->check.data = kernel;
   ev_check_start (kernel->loop, &kernel->check);
-  ev_timer_init (&kernel->heartbeat, on_heartbeat, 0.0,
-                 HEARTBEAT_MS / MILLISECONDS_PER_SECOND);
+  ev_timer_init (&kernel->heartbeat, on_heartbeat, 0.0, HEARTBEAT_MS / DL_MS_PER_S);
   ev_timer_again (kernel->loop, &kernel->heartbeat);
 }
 
@@ -267,200 +170,6 @@
   return kernel->paused_ms;
 }
 
-/* -------- shutdown -------- */
-
-static bool
-have_tasks_drained (const DlKernel *kernel)
-{
-  for (const DlTask *t = kernel->tasks; t != NULL; t = t->next)
-    if (!t->drained)
-      return false;
-  return true;
-}
-
-/* Asks every task, so that each reads what has arrived for it. */
-static bool
-are_tasks_idle (DlKernel *kernel)
-{
-  bool idle = true;
-
-  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
-    if (t->plugin->is_idle != NULL && t->started && !t->plugin->is_idle (t))
-      idle = false;
-  return idle;
-}
-
-static int
-end_destroy (End *e)
-{
-  *e->link = e->next;
-  if (e->next != NULL)
-    e->next->link = e->link;
-  return 0;
-}
-
-void
-dl_kernel_on_end (DlKernel *kernel, const void *owner, DlEndFunc func, void *data)
-{
-  End *e = talloc_zero (owner, End);
-
-  g_assert (e != NULL);
-  *e = (End){ .func = func, .data = data, .next = kernel->ends, .link = &kernel->ends };
-  if (e->next != NULL)
-    e->next->link = &e->next;
-  kernel->ends = e;
-  talloc_set_destructor (e, end_destroy);
-}
-
-/* Returns true once all parts have done STEP. */
-static bool
-take_end_step (DlKernel *kernel, DlEndStep step)
-{
-  bool done = true;
-
-  for (End *e = kernel->ends; e != NULL; e = e->next)
-    if (!e->func (step, e->data))
-      done = false;
-  return done;
-}
-
-/* Returns true once all connections are closed. */
-static bool
-close_connections (DlKernel *kernel)
-{
-  if (kernel->end_step == DL_END_KEPT && take_end_step (kernel, DL_END_KEPT))
-    kernel->end_step = DL_END_ALL;
-  return kernel->end_step == DL_END_ALL && take_end_step (kernel, DL_END_ALL);
-}
-
-/* Ends the process once nothing is in progress and callers' connections are closed.  What
- * has arrived is handled before: a task may have drained long ago, or in the same run of
- * the loop in which a caller's request came. */
-static void
-end_when_idle (DlKernel *kernel)
-{
-  if (kernel->stopping && have_tasks_drained (kernel) && are_tasks_idle (kernel)
-      && g_queue_is_empty (&kernel->mailbox) && close_connections (kernel)
-      && g_queue_is_empty (&kernel->mailbox))
-    ev_break (kernel->loop, EVBREAK_ALL);
-}
-
-/* Ends the process as its time is over; what has arrived unread is refused first. */
-static void
-end_now (DlKernel *kernel)
-{
-  for (int i = 0; i < FINAL_READS && !are_tasks_idle (kernel); i++)
-    ;
-  take_end_step (kernel, DL_END_NOW);
-  ev_break (kernel->loop, EVBREAK_ALL);
-}
-
-/* Time from the start of a shutdown until what is still in progress is abandoned. */
-static uint64_t
-working_ms (const DlKernel *kernel)
-{
-  return kernel->drain_ms - MIN (kernel->drain_ms / 2, DL_STOP_FINAL_MS);
-}
-
-/* Time until the shutdown is AFTER_MS old. */
-static uint64_t
-remaining_ms (const DlKernel *kernel, uint64_t after_ms)
-{
-  uint64_t due_ms = kernel->stop_began_ms + after_ms;
-  uint64_t now_ms = dl_clock_ms ();
-
-  return due_ms > now_ms ? due_ms - now_ms : 0;
-}
-
-static void
-restart_drain_timer (DlKernel *kernel, uint64_t after_ms)
-{
-  ev_timer_set (&kernel->drain_timer, (double)after_ms / MILLISECONDS_PER_SECOND, 0.0);
-  ev_timer_start (kernel->loop, &kernel->drain_timer);
-}
-
-static void
-abandon_work (DlKernel *kernel)
-{
-  kernel->abandoned = true;
-  dl_log (DL_EVENT_DRAIN_TIMEOUT);
-  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
-    if (t->started && t->plugin->abandon != NULL)
-      t->plugin->abandon (t);
-  restart_drain_timer (kernel, MAX (remaining_ms (kernel, kernel->drain_ms),
-                                    kernel->drain_ms - working_ms (kernel)));
-}
-
-static void
-on_drain_timer (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  DlKernel *kernel = watcher->data;
-
-  if (kernel->abandoned)
-    end_now (kernel);
-  else
-    abandon_work (kernel);
-}
-
-/* LATE_MS: the stop may have been asked for so long ago.  Its time counts from then, as
- * the supervisor's does. */
-static void
-begin_stop (DlKernel *kernel, uint64_t late_ms)
-{
-  if (kernel->stopping)
-    return;
-  kernel->stopping = true;
-  kernel->stop_began_ms = dl_clock_ms () - late_ms;
-  dl_log (DL_EVENT_STOPPING, DL_UINT ("late_ms", late_ms));
-  restart_drain_timer (kernel, remaining_ms (kernel, working_ms (kernel)));
-  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
-    {
-      if (t->plugin->drain != NULL)
-        t->plugin->drain (t);
-      else
-        t->drained = true;
-    }
-}
-
-void
-dl_kernel_stop (DlKernel *kernel)
-{
-  begin_stop (kernel, 0);
-}
-
-/* Time for which a signal that is handled now may have been pending. */
-static uint64_t
-signal_late_ms (const DlKernel *kernel)
-{
-  uint64_t since_ms = kernel->looked_ms != 0 ? kernel->looked_ms : kernel->created_ms;
-
-  return dl_clock_ms () - since_ms;
-}
-
-void
-dl_task_drained (DlTask *task)
-{
-  if (task->kernel->stopping)
-    task->drained = true;
-}
-
-static void
-on_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
-{
-  DlKernel *kernel = watcher->data;
-
-  if (!kernel->stopping)
-    {
-      begin_stop (kernel, signal_late_ms (kernel));
-      return;
-    }
-  dl_log (DL_EVENT_STOP_SIGNAL_REPEATED, DL_INT ("signal", watcher->signum),
-          DL_UINT ("stopping_ms", dl_clock_ms () - kernel->stop_began_ms));
-  /* Supervisors may repeat SIGTERM; only a person at a terminal asks twice on purpose. */
-  if (watcher->signum == SIGINT)
-    ev_break (loop, EVBREAK_ALL);
-}
-
 static void
 on_dump_signal (struct ev_loop *loop, ev_signal *watcher, int events)
 {
@@ -598,14 +307,12 @@
 static void
 start_watchers (DlKernel *kernel)
 {
-  start_signal (kernel, &kernel->sigterm, SIGTERM, on_stop_signal);
-  start_signal (kernel, &kernel->sigint, SIGINT, on_stop_signal);
+  start_signal (kernel, &kernel->sigterm, SIGTERM, dl_kernel_on_stop_signal);
+  start_signal (kernel, &kernel->sigint, SIGINT, dl_kernel_on_stop_signal);
   start_signal (kernel, &kernel->sighup, SIGHUP, on_reload_signal);
   start_signal (kernel, &kernel->sigusr1, SIGUSR1, on_dump_signal);
   block_signals (false);
-  ev_init (&kernel->drain_timer, on_drain_timer);
-  ev_set_priority (&kernel->drain_timer, DL_TIMER_PRIORITY);
-  kernel->drain_timer.data = kernel;
+  dl_kernel_init_stop (kernel);
   ev_prepare_init (&kernel->prepare, on_prepare);
   kernel->prepare.data = kernel;
   ev_prepare_start (kernel->loop, &kernel->prepare);
@@ -665,24 +372,6 @@
   return error;
 }
 
-void
-dl_kernel_set_drain_ms (DlKernel *kernel, uint64_t drain_ms)
-{
-  kernel->drain_ms = drain_ms;
-}
-
-uint64_t
-dl_kernel_abandon_ms (const DlKernel *kernel)
-{
-  return kernel->stopping ? kernel->stop_began_ms + working_ms (kernel) : 0;
-}
-
-bool
-dl_kernel_stopping (const DlKernel *kernel)
-{
-  return kernel->stopping;
-}
-
 struct ev_loop *
 dl_kernel_loop (DlKernel *kernel)
 {
@@ -754,53 +443,3 @@
 {
   return task->state;
 }
-
-/* -------- timers -------- */
-
-static int
-timer_destroy (DlTimer *timer)
-{
-  ev_timer_stop (timer->loop, &timer->watcher);
-  return 0;
-}
-
-static void
-on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  DlTimer *timer = watcher->data;
-
-  timer->func (timer, timer->data);
-}
-
-DlTimer *
-dl_timer_subscribe (DlTask *task,
-                    const void *owner,
-                    uint64_t first_ms,
-                    uint64_t repeat_ms,
-                    DlTimerFunc func,
-                    void *data)
-{
-  DlTimer *timer = talloc_zero (owner, DlTimer);
-
-  g_assert (timer != NULL);
-  timer->loop = task->kernel->loop;
-  timer->func = func;
-  timer->data = data;
-  ev_timer_init (&timer->watcher, on_timer, (double)first_ms / MILLISECONDS_PER_SECOND,
-                 (double)repeat_ms / MILLISECONDS_PER_SECOND);
-  ev_set_priority (&timer->watcher, DL_TIMER_PRIORITY);
-  timer->watcher.data = timer;
-  ev_timer_start (timer->loop, &timer->watcher);
-  talloc_set_destructor (timer, timer_destroy);
-  return timer;
-}
-
-void
-dl_timer_restart (DlTimer *timer, uint64_t first_ms)
-{
-  double repeat = timer->watcher.repeat;
-
-  ev_timer_stop (timer->loop, &timer->watcher);
-  ev_timer_set (&timer->watcher, (double)first_ms / MILLISECONDS_PER_SECOND, repeat);
-  ev_timer_start (timer->loop, &timer->watcher);
-}
