--- a/regress/direct/starting.c
+++ b/regress/direct/starting.c
@@ -1,9 +1,11 @@
 /* Tests of the start of an entry: signals that come in it, and a second process. */
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -131,9 +133,74 @@
   CHECK (cut == 0);
 }
 
+/* -------- a start that fails after the callers' port is open -------- */
+
+#define ENTRY_HOST      21
+#define ENTRY_NODE_PORT 7700
+
+/* Holds the datagram address of the first entry, as a predecessor does until its end. */
+static int
+hold_node_address (const Testbed *tb)
+{
+  char *host = g_strdup_printf ("%s.%u", tb->subnet, ENTRY_HOST);
+  struct sockaddr_in at
+      = { .sin_family = AF_INET, .sin_port = g_htons (ENTRY_NODE_PORT) };
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  CHECK (inet_pton (AF_INET, host, &at.sin_addr) == 1);
+  CHECK (bind (fd, (const struct sockaddr *)&at, sizeof at) == 0);
+  g_free (host);
+  return fd;
+}
+
+/* Sends requests to the first entry until PID has ended; returns how many had a
+ * connection and no response. */
+static unsigned
+requests_cut_until_end (Testbed *tb, int pid)
+{
+  unsigned cut = 0;
+  int status = 0;
+
+  while (waitpid (pid, &status, WNOHANG) == 0)
+    {
+      Call c = default_call (tb, "/r/x", "start");
+      Response r;
+
+      c.once = true;
+      r = call (&c);
+      cut += r.status == 0 && r.sent;
+      response_free (&r);
+    }
+  CHECK (WIFEXITED (status) && WEXITSTATUS (status) != 0);
+  return cut;
+}
+
+static void
+test_start_that_fails_takes_no_connection (Testbed *tb)
+{
+  unsigned cut = 0;
+  int held;
+
+  CHECK (process_end (&tb->entry_process[0], SIGKILL) != -1);
+  held = hold_node_address (tb);
+  for (int i = 0; i < SUCCESSORS; i++)
+    {
+      Process second = tb->entry_process[0];
+
+      CHECK (process_start (&second));
+      cut += requests_cut_until_end (tb, second.pid);
+    }
+  close (held);
+  g_print ("cut by %d starts that fail: %u\n", SUCCESSORS, cut);
+  CHECK (cut == 0);
+  CHECK (process_start (&tb->entry_process[0]));
+  CHECK (eventually (requests_are_served, tb));
+}
+
 const TestFunc start_tests[] = {
   test_sighup_while_an_entry_starts_does_not_end_it,
   test_sigterm_while_an_entry_starts_is_a_planned_stop,
   test_second_process_takes_no_connection,
+  test_start_that_fails_takes_no_connection,
   NULL,
 };
