No connection is completed between the last accept and the close of a listening socket

The socket drops further attempts to connect (a filter for SYN segments) before the last accept; what was completed before is accepted and answered. A caller that connects in those microseconds connects again by itself, a second later, or is refused then. Not tried: handshakes that are half done over a slow link.

--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -478,6 +478,7 @@
 {
   MHD_socket fd;
   unsigned last;
+  int error;
 
   if (server->quiesced)
     return;
@@ -486,10 +487,12 @@
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd == MHD_INVALID_SOCKET)
     return;
+  error = dl_listen_stop (fd);
   last = accept_last (server, fd);
   close (fd);
   dl_log (DL_EVENT_LISTENER_CLOSED, DL_UINT ("port", server->port),
-          DL_UINT ("accepted_last", last));
+          DL_UINT ("accepted_last", last),
+          DL_TEXT ("dropped_new", error == 0 ? "yes" : "no"));
 }
 
 void
--- a/lib/kernel/listen.c
+++ b/lib/kernel/listen.c
@@ -1,9 +1,15 @@
 #include "kernel/listen.h"
 
 #include <errno.h>
+#include <linux/filter.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define TCP_FLAGS_OFFSET offsetof (struct tcphdr, th_flags)
+
 /* SO_REUSEADDR allows the address of connections that ended a while ago.  SO_REUSEPORT
  * would share it with another process, and new connections with it. */
 int
@@ -23,3 +29,21 @@
   close (fd);
   return error;
 }
+
+/* A socket filter sees the segment from its TCP header on. */
+int
+dl_listen_stop (int fd)
+{
+  struct sock_filter drop_syn[] = {
+    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+    BPF_JUMP (BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+    BPF_STMT (BPF_RET | BPF_K, 0),
+    BPF_STMT (BPF_RET | BPF_K, UINT32_MAX),
+  };
+  struct sock_fprog program
+      = { .len = sizeof drop_syn / sizeof *drop_syn, .filter = drop_syn };
+
+  if (setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) < 0)
+    return -errno;
+  return 0;
+}
--- a/lib/kernel/listen.h
+++ b/lib/kernel/listen.h
@@ -8,5 +8,9 @@
  * other process can listen there meanwhile.  Returns its descriptor, or a negative error:
  * -EADDRINUSE while another one does. */
 int dl_listen (const struct sockaddr_in *at, int backlog);
+/* Makes the system drop further attempts to connect to the listening socket FD, so that
+ * none succeeds between the last accept and the close.  Best effort: 0 or a negative
+ * error. */
+int dl_listen_stop (int fd);
 
 #endif
