--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -318,8 +318,9 @@
   if (!r->handled)
     {
       r->handled = true;
-      r->arrived_ms = dl_clock_ms () - dl_http_connections_quiet_ms (connection);
       dl_http_connections_request_handled (connection);
+      r->arrived_ms = dl_http_connections_quiet_ms (connection);
+      r->arrived_ms = dl_clock_ms () - r->arrived_ms;
       if (r->too_large)
         dl_http_reply_error (r, MHD_HTTP_CONTENT_TOO_LARGE, 0,
                              "the body is longer than %zu bytes",
