Servers end unused connections themselves: a request that comes in a pause is no reason to lose it

Found by the reviewer (unit ends-crossed, third case): what callers saw was a whole request on a kept connection, then its end, without a response, no stop near. libmicrohttpd closes a connection whose idle timeout has passed before it looks at what came on it, so a process that stands still across the timeout loses the request: at an entry, on connections that were not used for 120 s.

The server ends connections on which no request was in progress for the timeout as it does at its end: look, 408, the end of the output, lingering; libmicrohttpd gets them back with the end of their input, to free them. Its own timeout is twice as long and remains for requests that stall.

--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -14,11 +14,14 @@
 /* One connection; a talloc child of the set. */
 typedef struct Connection
 {
+  DlHttpConnections *set;
   int fd;
   struct MHD_Connection *mhd;
-  bool in_request; /* one is in progress */
-  bool handled;    /* its handler has been called */
-  bool closed;     /* by dl_http_connections_close; suspended until the server ends */
+  bool in_request;       /* one is in progress */
+  bool handled;          /* its handler has been called */
+  bool closed;           /* its output has ended; suspended */
+  bool released;         /* handed back to libmicrohttpd after that */
+  uint64_t unused_ms;    /* since when no request is in progress */
   uint64_t marked_bytes; /* read before dl_http_connections_mark */
   struct Connection *next;
   struct Connection **link; /* the pointer to this one */
@@ -26,6 +29,8 @@
 
 struct DlHttpConnections
 {
+  DlHttpWakeFunc wake;
+  void *owner;
   Connection *first;
   DlHttpLinger *linger;
   uint16_t port;
@@ -33,13 +38,15 @@
 };
 
 DlHttpConnections *
-dl_http_connections_new (DlTask *task, const void *owner, uint16_t port)
+dl_http_connections_new (DlTask *task, void *owner, uint16_t port, DlHttpWakeFunc wake)
 {
   DlHttpConnections *c = talloc_zero (owner, DlHttpConnections);
 
   g_assert (c != NULL);
   c->linger = dl_http_linger_new (task, c);
+  c->owner = owner;
   c->port = port;
+  c->wake = wake;
   return c;
 }
 
@@ -51,6 +58,8 @@
   Connection *c = talloc_zero (connections, Connection);
 
   g_assert (c != NULL && info != NULL);
+  c->set = connections;
+  c->unused_ms = dl_clock_ms ();
   c->fd = info->connect_fd;
   c->mhd = mhd;
   c->next = connections->first;
@@ -100,7 +109,7 @@
     dl_log (DL_EVENT_CONNECTION_UNREAD, DL_UINT ("port", connections->port),
             DL_UINT ("bytes", unread_bytes (c)));
   if (unread != 0)
-    dl_http_linger_add (connections->linger, c->fd);
+    dl_http_linger_add (connections->linger, c->fd, NULL, NULL);
   *c->link = c->next;
   if (c->next != NULL)
     c->next->link = c->link;
@@ -188,7 +197,16 @@
 void
 dl_http_connections_request_ended (struct MHD_Connection *connection)
 {
-  connection_of (connection)->in_request = false;
+  Connection *c = connection_of (connection);
+
+  c->in_request = false;
+  c->unused_ms = dl_clock_ms ();
+}
+
+bool
+dl_http_connections_is_closed (struct MHD_Connection *connection)
+{
+  return connection_of (connection)->closed;
 }
 
 static bool
@@ -208,12 +226,33 @@
 }
 
 static void
-close_output (DlHttpConnections *connections, Connection *c)
+release (Connection *c)
+{
+  if (c->released)
+    return;
+  c->released = true;
+  MHD_resume_connection (c->mhd);
+}
+
+/* Has libmicrohttpd find the end of the connection's input, and free it. */
+static void
+on_lingered (void *data)
+{
+  Connection *c = data;
+
+  shutdown (c->fd, SHUT_RD);
+  release (c);
+  c->set->wake (c->set->owner);
+}
+
+static void
+close_output (Connection *c)
 {
   send (c->fd, close_response, sizeof close_response - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
-  dl_http_linger_add (connections->linger, c->fd);
-  MHD_suspend_connection (c->mhd);
   c->closed = true;
+  MHD_suspend_connection (c->mhd);
+  if (!dl_http_linger_add (c->set->linger, c->fd, on_lingered, c))
+    on_lingered (c);
 }
 
 unsigned
@@ -224,12 +263,23 @@
   for (Connection *c = connections->first; c != NULL; c = c->next)
     {
       if (!c->closed && may_close (connections, c, all))
-        close_output (connections, c);
+        close_output (c);
       open += !c->closed && !c->in_request;
     }
   return open + dl_http_linger_count (connections->linger);
 }
 
+void
+dl_http_connections_close_unused (DlHttpConnections *connections, uint64_t timeout_ms)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  for (Connection *c = connections->first; c != NULL; c = c->next)
+    if (!c->closed && !c->in_request && now_ms >= c->unused_ms + timeout_ms
+        && !has_unread (c))
+      close_output (c);
+}
+
 unsigned
 dl_http_connections_lingering (const DlHttpConnections *connections)
 {
@@ -241,7 +291,7 @@
 {
   for (Connection *c = connections->first; c != NULL; c = c->next)
     if (c->closed)
-      MHD_resume_connection (c->mhd);
+      release (c);
 }
 
 DlHttpConnectionCounts
--- a/lib/kernel/http_connections.h
+++ b/lib/kernel/http_connections.h
@@ -24,9 +24,12 @@
   unsigned begun;  /* with the part of a first line; see dl_http_connections_mark */
 } DlHttpConnectionCounts;
 
-/* Returns an empty set for a server of TASK at PORT, a talloc child of OWNER. */
+/* Called when libmicrohttpd has something to do for a connection. */
+typedef void (*DlHttpWakeFunc) (void *data);
+/* Returns an empty set for a server of TASK at PORT, a talloc child of OWNER.  WAKE is
+ * called with OWNER. */
 DlHttpConnections *
-dl_http_connections_new (DlTask *task, const void *owner, uint16_t port);
+dl_http_connections_new (DlTask *task, void *owner, uint16_t port, DlHttpWakeFunc wake);
 /* For MHD_OPTION_NOTIFY_CONNECTION, with the set as its data. */
 void dl_http_connections_notify (void *data,
                                  struct MHD_Connection *connection,
@@ -54,6 +57,12 @@
 /* Number of connections whose output has ended and whose callers have not ended theirs.
  */
 unsigned dl_http_connections_lingering (const DlHttpConnections *connections);
+/* Closes, in the same way, the connections on which no request was in progress for
+ * TIMEOUT_MS.  These are freed once their callers have closed them too. */
+void dl_http_connections_close_unused (DlHttpConnections *connections,
+                                       uint64_t timeout_ms);
+/* True for a connection that was closed so: what is read on it is not to be handled. */
+bool dl_http_connections_is_closed (struct MHD_Connection *connection);
 /* Hands the closed connections back to libmicrohttpd, which can then end. */
 void dl_http_connections_release (DlHttpConnections *connections);
 /* Counts the connections.  "begun" is only meaningful after dl_http_connections_mark and
--- a/lib/kernel/http_linger.c
+++ b/lib/kernel/http_linger.c
@@ -16,6 +16,8 @@
   DlHttpLinger *linger;
   int fd;
   ev_io reader;
+  DlHttpLingerFunc func;
+  void *data;
 } Socket;
 
 struct DlHttpLinger
@@ -48,19 +50,30 @@
   return 0;
 }
 
+static void
+finish (Socket *s)
+{
+  DlHttpLingerFunc func = s->func;
+  void *data = s->data;
+
+  talloc_free (s);
+  if (func != NULL)
+    func (data);
+}
+
 static void
 on_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
   Socket *s = watcher->data;
 
   if (!drop_arrived (s->fd))
-    talloc_free (s);
+    finish (s);
 }
 
 static void
 on_time_over (DlTimer *timer, void *data)
 {
-  talloc_free (data);
+  finish (data);
 }
 
 DlHttpLinger *
@@ -74,28 +87,31 @@
   return linger;
 }
 
-void
-dl_http_linger_add (DlHttpLinger *linger, int fd)
+bool
+dl_http_linger_add (DlHttpLinger *linger, int fd, DlHttpLingerFunc func, void *data)
 {
   int copy;
   Socket *s;
 
   shutdown (fd, SHUT_WR);
   if (linger->count >= SOCKETS_MAX)
-    return;
+    return false;
   copy = fcntl (fd, F_DUPFD_CLOEXEC, 0);
   if (copy < 0)
-    return;
+    return false;
   s = talloc_zero (linger, Socket);
   g_assert (s != NULL);
   s->linger = linger;
   s->fd = copy;
+  s->func = func;
+  s->data = data;
   ev_io_init (&s->reader, on_readable, copy, EV_READ);
   s->reader.data = s;
   ev_io_start (linger->loop, &s->reader);
   dl_timer_subscribe (linger->task, s, DL_HTTP_LINGER_MS, 0, on_time_over, s);
   linger->count++;
   talloc_set_destructor (s, socket_destroy);
+  return true;
 }
 
 unsigned
--- a/lib/kernel/http_linger.h
+++ b/lib/kernel/http_linger.h
@@ -8,6 +8,8 @@
 #ifndef DL_HTTP_LINGER_H
 #define DL_HTTP_LINGER_H
 
+#include <stdbool.h>
+
 #include "kernel/kernel.h"
 
 typedef struct DlHttpLinger DlHttpLinger;
@@ -15,9 +17,12 @@
 /* Returns an empty set of sockets, a talloc child of OWNER.  Its end closes all sockets,
  * after reading what has arrived. */
 DlHttpLinger *dl_http_linger_new (DlTask *task, const void *owner);
-/* Ends the output of the socket FD, and closes it once its caller has, at the latest
- * after DL_HTTP_LINGER_MS.  FD itself stays the caller's. */
-void dl_http_linger_add (DlHttpLinger *linger, int fd);
+/* Called when a socket of the set was closed, but not at the end of the set. */
+typedef void (*DlHttpLingerFunc) (void *data);
+/* Ends the output of the socket FD, and reads it until its caller has ended its own, at
+ * the latest for DL_HTTP_LINGER_MS; then calls FUNC, unless it is NULL.  FD itself stays
+ * the caller's.  Returns false if it cannot; FUNC is not called then. */
+bool dl_http_linger_add (DlHttpLinger *linger, int fd, DlHttpLingerFunc func, void *data);
 /* Number of sockets that are not closed yet. */
 unsigned dl_http_linger_count (const DlHttpLinger *linger);
 
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -17,9 +17,14 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
-#define STREAM_BLOCK_BYTES      (32u * 1024)
-#define LISTEN_BACKLOG          512 /* connections */
-#define CALLER_CHECK_MS         100
+#define STREAM_BLOCK_BYTES (32u * 1024)
+#define LISTEN_BACKLOG     512 /* connections */
+#define CALLER_CHECK_MS    100
+/* A connection that nothing goes over while a request is in progress is closed after so
+ * many idle timeouts. */
+#define STALLED_TIMEOUTS        2
+#define CHECKS_PER_IDLE_TIMEOUT 4
+#define MS_PER_S                1000
 #define MILLISECONDS_PER_SECOND 1000.0
 #define CONNECTION_EXTRA_BYTES  (32u * 1024) /* libmicrohttpd's own use per connection */
 
@@ -48,6 +53,20 @@
   MHD_suspend_connection (r->connection);
 }
 
+/* Has libmicrohttpd run soon.  Messages are delivered just before the loop blocks,
+ * possibly after on_daemon_prepare has run.  An expired timer makes the loop run this
+ * server again without blocking. */
+static void
+server_wake (void *data)
+{
+  DlHttpServer *server = data;
+
+  server->need_run = true;
+  ev_timer_stop (server->loop, &server->timeout);
+  ev_timer_set (&server->timeout, 0.0, 0.0);
+  ev_timer_start (server->loop, &server->timeout);
+}
+
 static void
 request_resume (DlHttpRequest *r)
 {
@@ -55,14 +74,8 @@
     return;
   r->suspended = false;
   g_hash_table_remove (r->server->suspended, r);
-  r->server->need_run = true;
   MHD_resume_connection (r->connection);
-  /* Messages are delivered just before the loop blocks, possibly after on_daemon_prepare
-   * has run.  An expired timer makes the loop run this server
-   * again without blocking. */
-  ev_timer_stop (r->server->loop, &r->server->timeout);
-  ev_timer_set (&r->server->timeout, 0.0, 0.0);
-  ev_timer_start (r->server->loop, &r->server->timeout);
+  server_wake (r->server);
 }
 
 /* -------- sending responses -------- */
@@ -303,6 +316,8 @@
   DlHttpServer *server = data;
   DlHttpRequest *r = *state;
 
+  if (dl_http_connections_is_closed (connection))
+    return MHD_NO;
   if (r->method == NULL)
     {
       request_begin (r, path, method);
@@ -410,6 +425,18 @@
     }
 }
 
+/* libmicrohttpd's own idle timeout closes a connection also if a request came on it
+ * while the process stood still. */
+static void
+on_idle_check (DlTimer *timer, void *data)
+{
+  DlHttpServer *server = data;
+
+  server_run (server);
+  dl_http_connections_close_unused (server->connections,
+                                    server->limits.idle_timeout_s * MS_PER_S);
+}
+
 static void
 on_daemon_event (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -631,7 +658,7 @@
   server->loop = dl_kernel_loop (dl_task_kernel (task));
   server->port = ntohs (at.sin_port);
   server->limits = *limits;
-  server->connections = dl_http_connections_new (task, server, server->port);
+  server->connections = dl_http_connections_new (task, server, server->port, server_wake);
   server->handler = handler;
   server->data = data;
   server->daemon
@@ -642,7 +669,8 @@
                           server->connections, MHD_OPTION_CONNECTION_LIMIT,
                           limits->max_connections, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
                           limits->max_connections_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
-                          limits->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                          limits->idle_timeout_s * STALLED_TIMEOUTS,
+                          MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                           (size_t)(limits->max_header_bytes + CONNECTION_EXTRA_BYTES),
                           MHD_OPTION_URI_LOG_CALLBACK, on_target, server, MHD_OPTION_END);
   if (server->daemon == NULL)
@@ -664,6 +692,12 @@
   ev_prepare_start (server->loop, &server->prepare);
   server->caller_check = dl_timer_subscribe (task, server, CALLER_CHECK_MS,
                                              CALLER_CHECK_MS, on_caller_check, server);
+  if (limits->idle_timeout_s > 0)
+    {
+      uint64_t check_ms = limits->idle_timeout_s * MS_PER_S / CHECKS_PER_IDLE_TIMEOUT;
+
+      dl_timer_subscribe (task, server, check_ms, check_ms, on_idle_check, server);
+    }
   dl_kernel_on_end (dl_task_kernel (task), server, server_end, server);
   talloc_set_destructor (server, server_destroy);
   *result = server;
