Programs take callers' connections only once all their tasks have started

A plug-in opens its servers in a step of its own (DlPlugin.open), after all have started, the callers' port last.

--- a/daisydirectd/directory.c
+++ b/daisydirectd/directory.c
@@ -138,14 +138,20 @@
 start (DlTask *task)
 {
   Directory *directory = talloc_zero (NULL, Directory);
-  int error;
 
   dl_task_set_state (task, directory);
   directory->kernel = dl_task_kernel (task);
   directory->settings = direct_settings (task);
   talloc_set_destructor (directory, directory_destroy);
-  error = serve (task, directory, directory->settings->directory, on_resolve_request,
-                 &directory->resolver);
+  return 0;
+}
+
+static int
+open_servers (DlTask *task)
+{
+  Directory *directory = dl_task_state (task);
+  int error = serve (task, directory, directory->settings->directory, on_resolve_request,
+                     &directory->resolver);
   if (error < 0)
     return error;
   return serve (task, directory, directory->settings->ready, on_ready_request,
@@ -178,6 +184,7 @@
   .order = 20,
   .subscriptions = UINT64_C (1) << DIRECT_ENTRIES,
   .start = start,
+  .open = open_servers,
   .handle = handle,
   .drain = drain,
   .is_idle = is_idle,
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -426,14 +426,6 @@
 start (DlTask *task)
 {
   Requests *requests = talloc_zero (NULL, Requests);
-  DlHttpLimits limits = {
-    .max_connections = CONNECTIONS_MAX,
-    .max_keepalive_connections = KEEPALIVE_CONNECTIONS_MAX,
-    .max_body_bytes = BODY_BYTES_MAX,
-    .max_header_bytes = HEADER_BYTES_MAX,
-    .idle_timeout_s = IDLE_TIMEOUT_S,
-  };
-  int error;
 
   dl_task_set_state (task, requests);
   requests->task = task;
@@ -446,8 +438,23 @@
   talloc_set_destructor (requests, requests_destroy);
   dl_timer_subscribe (task, requests, SWEEP_MS, SWEEP_MS, on_sweep, requests);
   dl_timer_subscribe (task, requests, SUMMARY_MS, SUMMARY_MS, on_summary, requests);
-  error = dl_http_server_new (task, requests, dl_str (requests->settings->listen),
-                              &limits, on_request, requests, &requests->server);
+  return 0;
+}
+
+static int
+open_server (DlTask *task)
+{
+  Requests *requests = dl_task_state (task);
+  DlHttpLimits limits = {
+    .max_connections = CONNECTIONS_MAX,
+    .max_keepalive_connections = KEEPALIVE_CONNECTIONS_MAX,
+    .max_body_bytes = BODY_BYTES_MAX,
+    .max_header_bytes = HEADER_BYTES_MAX,
+    .idle_timeout_s = IDLE_TIMEOUT_S,
+  };
+  int error = dl_http_server_new (task, requests, dl_str (requests->settings->listen),
+                                  &limits, on_request, requests, &requests->server);
+
   if (error == 0)
     dl_http_server_set_id_header (requests->server, platform_request_id_header);
   return error;
@@ -530,6 +537,7 @@
                    | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
                    | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT),
   .start = start,
+  .open = open_server,
   .handle = handle,
   .drain = drain,
   .abandon = abandon,
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -212,10 +212,47 @@
   return kernel;
 }
 
+static int
+start_task (DlTask *task)
+{
+  int error = task->plugin->start != NULL ? task->plugin->start (task) : 0;
+
+  task->started = error == 0;
+  return error;
+}
+
+static int
+open_task (DlTask *task)
+{
+  return task->plugin->open != NULL ? task->plugin->open (task) : 0;
+}
+
+/* Calls FUNC for TASK; logs its error. */
+static int
+begin_task (DlTask *task, int (*func) (DlTask *task))
+{
+  int error = func (task);
+
+  if (error < 0)
+    dl_log (DL_EVENT_START_FAILED, DL_TEXT ("plugin", task->plugin->name),
+            DL_ERRNO (error));
+  return error;
+}
+
+/* The last started first. */
+static int
+open_tasks (DlTask *first)
+{
+  int error = first->next != NULL ? open_tasks (first->next) : 0;
+
+  return error < 0 ? error : begin_task (first, open_task);
+}
+
 static int
 start_tasks (DlKernel *kernel)
 {
   DlTask **end = &kernel->tasks;
+  int error = 0;
 
   for (const DlPlugin *p = registered_plugins; p != NULL; p = p->next)
     {
@@ -227,19 +264,11 @@
       *end = task;
       end = &task->next;
     }
-  for (DlTask *t = kernel->tasks; t != NULL; t = t->next)
-    {
-      int error = t->plugin->start != NULL ? t->plugin->start (t) : 0;
-
-      if (error < 0)
-        {
-          dl_log (DL_EVENT_START_FAILED, DL_TEXT ("plugin", t->plugin->name),
-                  DL_ERRNO (error));
-          return error;
-        }
-      t->started = true;
-    }
-  return 0;
+  for (DlTask *t = kernel->tasks; t != NULL && error == 0; t = t->next)
+    error = begin_task (t, start_task);
+  if (error == 0 && kernel->tasks != NULL)
+    error = open_tasks (kernel->tasks);
+  return error;
 }
 
 static void
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -53,6 +53,10 @@
   uint64_t subscriptions; /* bit T set: receives published messages of type T */
   /* Starts the task.  Returns 0 or a negative error, which ends the program. */
   int (*start) (DlTask *task);
+  /* Begins to serve callers, after all tasks have started, those of lower order last: a
+   * process whose start fails takes no connections.  Returns 0 or a negative error, which
+   * ends the program.  May be NULL. */
+  int (*open) (DlTask *task);
   /* Handles a message that was posted to the task.  May be NULL. */
   void (*handle) (DlTask *task, const DlMessage *message);
   /* A graceful shutdown began.  The task calls dl_task_drained once it has nothing in
