A caller that ends its output is not promised that its request has not run

The check for callers that left answers every suspended request, whatever its handler has done with it.

A test of our own did not show the fault and was not kept: the caller's connection closed without a response in it.

--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -398,7 +398,7 @@
         continue;
       r->caller_disconnected = true;
       if (!r->has_response)
-        dl_http_reply_error (r, MHD_HTTP_REQUEST_TIMEOUT, 0, "the caller went away");
+        dl_http_reply_error (r, MHD_HTTP_BAD_GATEWAY, 0, "the caller went away");
       else if (!r->stream_ended)
         dl_http_stream_end (r, false);
       else
