Store calls: 408 says that a request was not run

Found by the reviewer: an entry that closes an unused connection answers a read of another node that crosses the close with 408, which counted as an unknown outcome; the node can go elsewhere at once. Read, not measured.

--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -166,6 +166,7 @@
       return DL_ERR_GONE;
     case 429:
       return DL_ERR_RATE_LIMITED;
+    case 408: /* the request crossed the close of its connection; it was not run */
     case 503:
       return DL_ERR_UNAVAILABLE;
     default:
