Test programs that stand still between two of their system calls

Only a kernel in the unit test could stand still before a step of its end; the real programs could be stopped only at moments of the test's clock. daisydirectd-slices and daisystaged-slices are linked from the programs' own objects and the intercepted calls, which the unit test now takes from the same archive. The environment of one process says from where to count, before which call it stands still and for how long, and where it reports the slice and its number of calls. Nothing is preloaded or traced, and the programs themselves are as before.

Ruled out: a second compilation of slices.c for each program (two copies), LD_PRELOAD and ptrace (not allowed in tests here).

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 OUT	?= build
 DIRECT	:= daisydirectd daisystaged
 PROGS	:= daisyentryd daisyslotd daisyctl daisybench $(DIRECT)
-TESTS	:= regress/standin regress/scenario regress/direct regress/unit
+TESTS	:= regress/standin regress/scenario regress/direct regress/slices regress/unit
 DIRS	:= $(foreach d,$(PROGS) $(TESTS),$(if $(wildcard $(d)/*.c),$(d)))
 SOURCES	:= $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.')
 
@@ -22,6 +22,9 @@
 platform:
 	$(MAKE) -C platform BUILD=$(BUILD) OUT=$(OUT)
 
+regress/slices: $(DIRECT)
+regress/unit: regress/slices
+
 $(DIRS): lib platform
 	$(MAKE) -C $@ BUILD=$(BUILD) OUT=$(OUT)
 
--- a/regress/unit/slices.c
+++ b/regress/slices/slices.c
@@ -1,8 +1,10 @@
 #include "slices.h"
 
 #include <dlfcn.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <sys/epoll.h>
@@ -12,6 +14,7 @@
 
 #define US_PER_MS 1000
 
+static bool called; /* by the first thread, before there are others */
 static _Thread_local bool counting;
 static _Thread_local uint64_t count;
 static _Thread_local uint64_t slice_at;
@@ -35,9 +38,30 @@
   return count;
 }
 
+uint64_t
+slices_count (void)
+{
+  return count;
+}
+
+__attribute__ ((weak)) void
+slices_on_first_call (void)
+{
+}
+
+__attribute__ ((weak)) void
+slices_on_output (const char *bytes, size_t length)
+{
+}
+
 void
 slices_step (void)
 {
+  if (!called)
+    {
+      called = true;
+      slices_on_first_call ();
+    }
   if (!counting || ++count != slice_at)
     return;
   slice_func ();
@@ -72,6 +96,26 @@
            accept4,
            (int fd, struct sockaddr *address, socklen_t *length, int flags),
            (fd, address, length, flags))
+INTERCEPT (ssize_t, read, (int fd, void *buffer, size_t length), (fd, buffer, length))
+INTERCEPT (int, socket, (int domain, int type, int protocol), (domain, type, protocol))
+INTERCEPT (int,
+           bind,
+           (int fd, const struct sockaddr *address, socklen_t length),
+           (fd, address, length))
+INTERCEPT (int, listen, (int fd, int backlog), (fd, backlog))
+INTERCEPT (int,
+           connect,
+           (int fd, const struct sockaddr *address, socklen_t length),
+           (fd, address, length))
+INTERCEPT (int,
+           setsockopt,
+           (int fd, int level, int name, const void *value, socklen_t length),
+           (fd, level, name, value, length))
+INTERCEPT (int,
+           sigprocmask,
+           (int how, const sigset_t *set, sigset_t *before),
+           (how, set, before))
+INTERCEPT (int, epoll_create1, (int flags), (flags))
 INTERCEPT (int, close, (int fd), (fd))
 INTERCEPT (int, shutdown, (int fd, int how), (fd, how))
 INTERCEPT (int,
@@ -103,3 +147,38 @@
   slices_step ();
   return real (fd, request, argument);
 }
+
+ssize_t
+write (int fd, const void *bytes, size_t length)
+{
+  static ssize_t (*real) (int, const void *, size_t);
+  ssize_t written;
+
+  if (real == NULL)
+    real = (ssize_t (*) (int, const void *, size_t))dlsym (RTLD_NEXT, "write");
+  slices_step ();
+  written = real (fd, bytes, length);
+  if (fd == STDOUT_FILENO)
+    slices_on_output (bytes, length);
+  return written;
+}
+
+/* Defines NAME, one of the names of open, which counts a step and makes the call. */
+#define INTERCEPT_OPEN(name)                                             \
+  int name (const char *path, int flags, ...)                            \
+  {                                                                      \
+    static int (*real) (const char *, int, ...);                         \
+    va_list arguments;                                                   \
+    mode_t mode;                                                         \
+                                                                         \
+    if (real == NULL)                                                    \
+      real = (int (*) (const char *, int, ...))dlsym (RTLD_NEXT, #name); \
+    va_start (arguments, flags);                                         \
+    mode = (flags & O_CREAT) != 0 ? va_arg (arguments, mode_t) : 0;      \
+    va_end (arguments);                                                  \
+    slices_step ();                                                      \
+    return real (path, flags, mode);                                     \
+  }
+
+INTERCEPT_OPEN (open)
+INTERCEPT_OPEN (open64)
