Test of entries that stand still at a step of their end or start; new connections that cross the close are known red

Group end-steps: both entries are stopped; one stands still for 300 ms before a seeded step of the whole stop, the other before one of the last, counted from 3,150 ms (kept connections are closed at 3,200 ms). Kept connections that were idle send a request each in the slice, two have one in progress, two send theirs as kept connections are closed. A request is lost as the users' rule says: it ran and has no complete response, or ended without one later than 200 ms after its last byte, or 408, 429 or 503 were untrue. Then SIGHUP and SIGTERM come while an entry stands still in its start: it must serve, or end with status 0.

Group new-steps, a check of its own as it is red: new connections in the slice. What waits between the last accept and the close is reset by the close.

Ruled out: counting back from the end (the number of steps of a stop varies, 690 to 840).

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -244,6 +244,8 @@
   { "cases", { request_tests, explain_tests, change_tests } },
   { "start", { start_tests } },
   { "ends", { end_tests } },
+  { "end-steps", { end_step_tests } },
+  { "new-steps", { new_step_tests } },
   { "stop", { stop_tests, stop_moment_tests } },
   { "stop-moments", { stop_moment_tests } },
   { "time", { time_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -231,6 +231,10 @@
 extern const TestFunc start_tests[];
 /* What entries handle late as they stood still. */
 extern const TestFunc end_tests[];
+/* Entries that stand still before a step of their end or start, and the callers of kept
+ * connections; the same for new connections. */
+extern const TestFunc end_step_tests[];
+extern const TestFunc new_step_tests[];
 /* Planned stops of entries. */
 extern const TestFunc stop_tests[];
 /* Requests at several moments of one. */
--- a/regress/slices/process_slices.c
+++ b/regress/slices/process_slices.c
@@ -17,10 +17,11 @@
 
 #include "slices.h"
 
-#define DECIMAL    10
-#define LINE_BYTES 64
+#define DECIMAL   10
+#define US_PER_MS 1000
 
 static bool begun;
+static gint64 from_us; /* when the line came, or the first call; 0 before */
 
 /* Writes a line to the file of SLICE_REPORT, by streams, whose calls are not counted. */
 static void
@@ -40,12 +41,6 @@
   errno = error;
 }
 
-static void
-on_slice (void)
-{
-  report ("slice\n");
-}
-
 static uint64_t
 number (const char *name)
 {
@@ -54,6 +49,18 @@
   return text != NULL ? g_ascii_strtoull (text, NULL, DECIMAL) : 0;
 }
 
+static gint64
+now_ms (void)
+{
+  return (g_get_monotonic_time () - from_us) / US_PER_MS;
+}
+
+static void
+on_slice (void)
+{
+  report ("slice before %s, %" PRId64 " ms\n", slices_call (), now_ms ());
+}
+
 static void
 begin (void)
 {
@@ -62,9 +69,14 @@
 }
 
 void
-slices_on_first_call (void)
+slices_before_call (void)
 {
-  if (g_getenv ("SLICE_FROM") == NULL)
+  /* There is no environment before the constructors of the libraries. */
+  if (begun || environ == NULL)
+    return;
+  if (from_us == 0 && g_getenv ("SLICE_FROM") == NULL)
+    from_us = g_get_monotonic_time ();
+  if (from_us != 0 && now_ms () >= (gint64)number ("SLICE_AFTER"))
     begin ();
 }
 
@@ -73,12 +85,12 @@
 {
   const char *from = g_getenv ("SLICE_FROM");
 
-  if (!begun && from != NULL && memmem (bytes, length, from, strlen (from)) != NULL)
-    begin ();
+  if (from_us == 0 && from != NULL && memmem (bytes, length, from, strlen (from)) != NULL)
+    from_us = g_get_monotonic_time ();
 }
 
 static void __attribute__ ((destructor)) report_count (void)
 {
   if (begun)
-    report ("calls %" PRIu64 "\n", slices_end ());
+    report ("calls %" PRIu64 ", %" PRId64 " ms\n", slices_end (), now_ms ());
 }
--- a/regress/slices/slices.c
+++ b/regress/slices/slices.c
@@ -14,8 +14,8 @@
 
 #define US_PER_MS 1000
 
-static bool called; /* by the first thread, before there are others */
 static _Thread_local bool counting;
+static _Thread_local const char *call = "";
 static _Thread_local uint64_t count;
 static _Thread_local uint64_t slice_at;
 static _Thread_local unsigned slice_ms;
@@ -38,36 +38,39 @@
   return count;
 }
 
-uint64_t
-slices_count (void)
+__attribute__ ((weak)) void
+slices_before_call (void)
 {
-  return count;
 }
 
 __attribute__ ((weak)) void
-slices_on_first_call (void)
+slices_on_output (const char *bytes, size_t length)
 {
 }
 
-__attribute__ ((weak)) void
-slices_on_output (const char *bytes, size_t length)
+const char *
+slices_call (void)
 {
+  return call;
 }
 
-void
-slices_step (void)
+static void
+step (const char *name)
 {
-  if (!called)
-    {
-      called = true;
-      slices_on_first_call ();
-    }
+  slices_before_call ();
+  call = name;
   if (!counting || ++count != slice_at)
     return;
   slice_func ();
   g_usleep ((gulong)slice_ms * US_PER_MS);
 }
 
+void
+slices_step (void)
+{
+  step ("");
+}
+
 /* Defines NAME, which counts a step and makes the call. */
 #define INTERCEPT(type, name, parameters, arguments)        \
   type name parameters                                      \
@@ -76,7 +79,7 @@
                                                             \
     if (real == NULL)                                       \
       real = (type (*) parameters)dlsym (RTLD_NEXT, #name); \
-    slices_step ();                                         \
+    step (#name);                                           \
     return real arguments;                                  \
   }
 
@@ -144,7 +147,7 @@
   va_start (arguments, request);
   argument = va_arg (arguments, void *);
   va_end (arguments);
-  slices_step ();
+  step ("ioctl");
   return real (fd, request, argument);
 }
 
@@ -156,7 +159,7 @@
 
   if (real == NULL)
     real = (ssize_t (*) (int, const void *, size_t))dlsym (RTLD_NEXT, "write");
-  slices_step ();
+  step ("write");
   written = real (fd, bytes, length);
   if (fd == STDOUT_FILENO)
     slices_on_output (bytes, length);
@@ -176,7 +179,7 @@
     va_start (arguments, flags);                                         \
     mode = (flags & O_CREAT) != 0 ? va_arg (arguments, mode_t) : 0;      \
     va_end (arguments);                                                  \
-    slices_step ();                                                      \
+    step (#name);                                                        \
     return real (path, flags, mode);                                     \
   }
 
--- a/regress/slices/slices.h
+++ b/regress/slices/slices.h
@@ -13,14 +13,13 @@
 /* Counts this thread's calls from now on.  Before call AT, counted from 1, ON_SLICE is
  * called and the thread sleeps for MS; 0: before none. */
 void slices_begin (uint64_t at, unsigned ms, void (*on_slice) (void));
-/* The calls counted so far on this thread. */
-uint64_t slices_count (void);
+/* The name of the last call; "" for a step that is none. */
+const char *slices_call (void);
 /* Counts a step that is no system call. */
 void slices_step (void);
-/* Called once, before the first call of the process, and with the bytes that it writes to
- * standard output, after they were written; both do nothing in a program that has none of
- * its own. */
-void slices_on_first_call (void);
+/* Called before each call, and with the bytes written to standard output, after they were
+ * written; both do nothing in a program that has none of its own. */
+void slices_before_call (void);
 void slices_on_output (const char *bytes, size_t length);
 /* Stops counting; returns the number of calls. */
 uint64_t slices_end (void);
