Framed connections end in order: requests that cross a slot's end are known not to have run

What callers saw: 504 "outcome unknown" for a keyed call, sent to a slot as that slot stopped, although no slot had read it; and for requests that may not be sent twice in general. Cause, the class of LOST: the slot ended at the mark that it has nothing in progress, from what it had read before; a request that had arrived unread, or was on its way, met a closed socket, and the entry could not tell it from one that ran. Frames still queued were dropped, and close with unread bytes sent a reset. Ruled out: refusing by status alone, as the entry learns it one way of the link later; waiting a fixed time before the end.

Change: a part of the end of the process for each framed connection (DL_END_ALL): it handles what has arrived (a stopping slot refuses requests), sends a Closing, after which it handles nothing, and stays until its output is written and its peer has closed; 4 s without a byte from the peer, or the end of the stop's time, end it before. The peer's on_closed gets DL_ERR_ENDED, and an entry ends the streams that have no response as not run. No Closing where a frame was dropped because the queue was full, or where the stop's time is over: what is in progress then is still "may have run". The listener closes in the same step. The kernel's list of parts may change while they are called. The slot's requests task says whether it is idle.

Conclusion: what a slot never ran is repeated elsewhere instead of recorded as unknown.

--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "policy/backoff.h"
@@ -174,7 +175,7 @@
 }
 
 static void
-upstream_disconnect (Upstream *u)
+upstream_disconnect (Upstream *u, int error)
 {
   bool was_open = u->open;
 
@@ -185,7 +186,7 @@
   if (!was_open)
     return;
   dl_metric_add (&metric_connected, -1);
-  upstream_fail_streams (u);
+  upstream_fail_streams (u, error);
   publish_status (u, NULL);
 }
 
@@ -196,7 +197,7 @@
 
   if (u->open)
     dl_log (DL_EVENT_UPSTREAM_DOWN, DL_TEXT ("upstream", u->name), DL_ERRNO (error));
-  upstream_disconnect (u);
+  upstream_disconnect (u, error);
   if (!u->selected)
     return;
   u->reconnect_timer
@@ -238,7 +239,7 @@
 static void
 upstream_free (Upstream *u)
 {
-  upstream_disconnect (u);
+  upstream_disconnect (u, DL_ERR_CLOSED);
   g_hash_table_remove (u->upstreams->upstreams, u->name);
   talloc_free (u);
 }
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -89,7 +89,8 @@
 /* Handles a frame of a stream that arrived from UPSTREAM. */
 void
 upstream_stream_frame (Upstream *upstream, const DlEnvelope *envelope, DlStr payload);
-/* Ends all streams of the upstream, whose connection was closed. */
-void upstream_fail_streams (Upstream *upstream);
+/* Ends all streams of the upstream, whose connection was closed with ERROR.  After
+ * DL_ERR_ENDED those without a response certainly were not run. */
+void upstream_fail_streams (Upstream *upstream, int error);
 
 #endif
--- a/daisyentryd/upstreams_stream.c
+++ b/daisyentryd/upstreams_stream.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "policy/admit.h"
@@ -589,8 +590,18 @@
     }
 }
 
+/* Returns the end of a stream whose connection was closed with ERROR. */
+static Daisyloft__Wire__EndReason
+lost_reason (const UpstreamStream *s, int error)
+{
+  if (s->head_received)
+    return DAISYLOFT__WIRE__END_REASON__END_CUT_OFF;
+  return error == DL_ERR_ENDED ? DAISYLOFT__WIRE__END_REASON__END_NOT_RUN
+                               : DAISYLOFT__WIRE__END_REASON__END_UNKNOWN;
+}
+
 void
-upstream_fail_streams (Upstream *upstream)
+upstream_fail_streams (Upstream *upstream, int error)
 {
   GList *streams = g_hash_table_get_values (upstream->upstreams->streams);
 
@@ -601,10 +612,8 @@
       if (s->upstream != upstream)
         continue;
       dl_metric_add (&metric_lost, 1);
-      stream_end (s,
-                  s->head_received ? DAISYLOFT__WIRE__END_REASON__END_CUT_OFF
-                                   : DAISYLOFT__WIRE__END_REASON__END_UNKNOWN,
-                  0, "the connection to the upstream was lost");
+      stream_end (s, lost_reason (s, error), 0,
+                  "the connection to the upstream was lost");
     }
   g_list_free (streams);
 }
--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -265,6 +265,14 @@
   check_drained (t);
 }
 
+static bool
+requests_is_idle (DlTask *task)
+{
+  const RequestsTask *t = dl_task_state (task);
+
+  return t->running == 0;
+}
+
 /* -------- connections -------- */
 
 static void
@@ -476,6 +484,7 @@
   .start = requests_start,
   .handle = requests_handle,
   .drain = requests_drain,
+  .is_idle = requests_is_idle,
   .dump = requests_dump,
 };
 DL_PLUGIN_REGISTER (requests_plugin)
--- a/lib/kernel/error.c
+++ b/lib/kernel/error.c
@@ -33,6 +33,8 @@
       return "fenced by a newer command";
     case DL_ERR_CLOSED:
       return "connection closed";
+    case DL_ERR_ENDED:
+      return "the peer's process ended";
     default:
       return strerror (-error);
     }
--- a/lib/kernel/error.h
+++ b/lib/kernel/error.h
@@ -25,6 +25,7 @@
   DL_ERR_DIGEST = -1010,       /* content does not match its digest */
   DL_ERR_FENCED = -1011,       /* the fencing token is older than one already seen */
   DL_ERR_CLOSED = -1012,       /* the peer closed the connection */
+  DL_ERR_ENDED = -1013, /* so, as its process ends: it has answered all that it read */
 } DlError;
 
 /* Returns a static description of ERROR, which is 0 or negative. */
--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -97,10 +97,15 @@
 {
   DlConn *conn = data;
   uint64_t now = dl_clock_ms ();
-  uint64_t limit = conn->state == CONN_OPEN ? DL_FRAME_IDLE_MS : HANDSHAKE_TIMEOUT_MS;
+  uint64_t limit = conn->state >= CONN_OPEN ? DL_FRAME_IDLE_MS : HANDSHAKE_TIMEOUT_MS;
 
   if (!conn->paused && now - conn->last_read_ms > limit)
     {
+      if (conn->state == CONN_ENDING)
+        {
+          conn_release (conn);
+          return;
+        }
       conn_fail (conn, -ETIMEDOUT);
       return;
     }
@@ -136,14 +141,15 @@
   ev_io_init (&conn->writer, on_writable, fd, EV_WRITE);
   conn->writer.data = conn;
   dl_metric_add (&metric_open, 1);
+  dl_kernel_on_end (dl_task_kernel (task), conn, dl_conn_end, conn);
   talloc_set_destructor (conn, conn_destroy);
   return conn;
 }
 
 /* -------- sending -------- */
 
-static int
-conn_flush (DlConn *conn)
+int
+dl_conn_flush (DlConn *conn)
 {
   while (conn->out->length > 0)
     {
@@ -198,8 +204,10 @@
       ev_io_start (loop, &conn->reader);
       return;
     }
-  error = conn_flush (conn);
-  if (error < 0)
+  error = dl_conn_flush (conn);
+  if (conn->state == CONN_ENDING)
+    dl_conn_end_output (conn);
+  else if (error < 0)
     conn_fail (conn, error);
   else
     conn_notify_writable (conn);
@@ -243,12 +251,15 @@
   uint8_t *packed = size <= sizeof small ? small : g_malloc (size);
   int error;
 
-  if (conn->state == CONN_CLOSED || conn->state == CONN_CONNECTING)
+  if (conn->state >= CONN_ENDING || conn->state == CONN_CONNECTING)
     error = DL_ERR_CLOSED;
   else if (size > DL_FRAME_ENVELOPE_MAX_BYTES
            || payload.length > DL_FRAME_PAYLOAD_MAX_BYTES
            || conn->out->length + HEADER_BYTES + size + payload.length > QUEUE_MAX_BYTES)
-    error = DL_ERR_TOO_LARGE;
+    {
+      conn->incomplete = true;
+      error = DL_ERR_TOO_LARGE;
+    }
   else
     {
       protobuf_c_message_pack (&envelope->base, packed);
@@ -427,11 +438,14 @@
         conn_hand_over (conn);
       return error;
     case CONN_OPEN:
+      if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_CLOSING)
+        return DL_ERR_ENDED;
       if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_PING
           && conn->handler.on_frame != NULL)
         conn->handler.on_frame (conn, envelope, payload, conn->data);
       return 0;
     case CONN_CONNECTING:
+    case CONN_ENDING:
     case CONN_CLOSED:
       return 0;
     }
@@ -519,8 +533,8 @@
   return 0;
 }
 
-static int
-conn_read (DlConn *conn)
+int
+dl_conn_read (DlConn *conn)
 {
   static uint8_t chunk[READ_CHUNK_BYTES];
   ssize_t n = recv (conn->fd, chunk, sizeof chunk, 0);
@@ -538,8 +552,8 @@
 }
 
 /* Parses, and detects whether a callback frees the connection meanwhile. */
-static void
-conn_parse_guarded (DlConn *conn)
+void
+dl_conn_parse (DlConn *conn)
 {
   bool freed = false;
   bool *outer = conn->freed;
@@ -562,12 +576,18 @@
 on_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
   DlConn *conn = watcher->data;
-  int n = conn_read (conn);
+  int n;
 
+  if (conn->state == CONN_ENDING)
+    {
+      dl_conn_drop_arrived (conn);
+      return;
+    }
+  n = dl_conn_read (conn);
   if (n < 0)
     conn_fail (conn, n);
   else
-    conn_parse_guarded (conn);
+    dl_conn_parse (conn);
 }
 
 void
--- a/lib/kernel/frame.h
+++ b/lib/kernel/frame.h
@@ -16,6 +16,10 @@
  * A side that has sent nothing for a second sends a Ping.  A connection on which nothing
  * arrives for DL_FRAME_IDLE_MS is closed with -ETIMEDOUT, unless reading is paused; this
  * detects a frozen peer or a broken link.
+ *
+ * At the end of a process each open connection handles what has arrived, sends a Closing,
+ * and drops what arrives after it, until all is written and the peer has closed its side.
+ * The peer's on_closed gets DL_ERR_ENDED: what had no answer before was not handled.
  */
 #ifndef DL_FRAME_H
 #define DL_FRAME_H
--- a/lib/kernel/frame_listener.c
+++ b/lib/kernel/frame_listener.c
@@ -54,6 +54,15 @@
     }
 }
 
+/* See DlEndFunc. */
+static bool
+listener_end (DlEndStep step, void *data)
+{
+  if (step != DL_END_KEPT)
+    dl_listener_close (data);
+  return true;
+}
+
 void
 dl_listener_close (DlListener *listener)
 {
@@ -111,6 +120,7 @@
   ev_io_init (&l->watcher, on_acceptable, fd, EV_READ);
   l->watcher.data = l;
   ev_io_start (l->loop, &l->watcher);
+  dl_kernel_on_end (dl_task_kernel (task), l, listener_end, l);
   talloc_set_destructor (l, listener_destroy);
   *listener = l;
   return 0;
--- a/lib/kernel/frame_private.h
+++ b/lib/kernel/frame_private.h
@@ -19,6 +19,7 @@
   CONN_AWAIT_WELCOME,   /* connecting side */
   CONN_AWAIT_HELLO,     /* accepting side */
   CONN_OPEN,
+  CONN_ENDING, /* a Closing was sent: output is written, input dropped */
   CONN_CLOSED,
 } ConnState;
 
@@ -29,8 +30,9 @@
   int fd;
   ConnState state;
   bool paused;
-  bool detached; /* not read until a handler is set */
-  bool *freed;   /* set to true when a callback frees the connection; or NULL */
+  bool detached;   /* not read until a handler is set */
+  bool incomplete; /* a frame did not fit into the queue, so that no Closing is sent */
+  bool *freed;     /* set to true when a callback frees the connection; or NULL */
   const DlIdentity *identity;
   Daisyloft__Wire__Purpose purpose;
   DlPeer peer;
@@ -66,6 +68,19 @@
 
 /* Creates a connection on socket FD, a talloc child of OWNER, which is not read yet. */
 DlConn *dl_conn_new (DlTask *task, const void *owner, int fd, const DlIdentity *identity);
+/* Reads once.  Returns the number of bytes, 0 when nothing has arrived, or a negative
+ * error. */
+int dl_conn_read (DlConn *conn);
+/* Handles the complete frames that were read.  May close or free the connection. */
+void dl_conn_parse (DlConn *conn);
+/* Writes what the socket takes now; returns 0 or a negative error. */
+int dl_conn_flush (DlConn *conn);
+/* Part of the end of the process; DATA is the connection. */
+bool dl_conn_end (DlEndStep step, void *data);
+/* Drops what has arrived on a connection that ends, and closes it once its peer has. */
+void dl_conn_drop_arrived (DlConn *conn);
+/* Ends the output of a connection that ends, once all is written. */
+void dl_conn_end_output (DlConn *conn);
 /* Begins the handshake with a peer that has connected. */
 void dl_conn_send_challenge (DlConn *conn);
 
--- a/lib/kernel/kernel_private.h
+++ b/lib/kernel/kernel_private.h
@@ -28,6 +28,7 @@
   void *data;
   struct DlEnd *next;
   struct DlEnd **link; /* the pointer to this one */
+  DlKernel *kernel;
 } DlEnd;
 
 struct DlKernel
@@ -41,6 +42,7 @@
   DlTask *tasks; /* in the order of starting */
   GQueue mailbox;
   DlEnd *ends;
+  DlEnd *next_end; /* that the shutdown calls next */
   DlEndStep end_step;
   uint64_t created_ms;
   bool stopping;
--- a/lib/kernel/kernel_stop.c
+++ b/lib/kernel/kernel_stop.c
@@ -32,6 +32,8 @@
 static int
 end_destroy (DlEnd *e)
 {
+  if (e->kernel->next_end == e)
+    e->kernel->next_end = e->next;
   *e->link = e->next;
   if (e->next != NULL)
     e->next->link = e->link;
@@ -44,7 +46,11 @@
   DlEnd *e = talloc_zero (owner, DlEnd);
 
   g_assert (e != NULL);
-  *e = (DlEnd){ .func = func, .data = data, .next = kernel->ends, .link = &kernel->ends };
+  *e = (DlEnd){ .func = func,
+                .data = data,
+                .next = kernel->ends,
+                .link = &kernel->ends,
+                .kernel = kernel };
   if (e->next != NULL)
     e->next->link = &e->next;
   kernel->ends = e;
@@ -57,9 +63,12 @@
 {
   bool done = true;
 
-  for (DlEnd *e = kernel->ends; e != NULL; e = e->next)
-    if (!e->func (step, e->data))
-      done = false;
+  for (DlEnd *e = kernel->ends; e != NULL; e = kernel->next_end)
+    {
+      kernel->next_end = e->next; /* FUNC may free any part */
+      if (!e->func (step, e->data))
+        done = false;
+    }
   return done;
 }
 
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &daisyloft__wire__ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisyloft__wire__closing__init
+                     (Daisyloft__Wire__Closing         *message)
+{
+  static const Daisyloft__Wire__Closing init_value = DAISYLOFT__WIRE__CLOSING__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__closing__get_packed_size
+                     (const Daisyloft__Wire__Closing *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__closing__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__closing__pack
+                     (const Daisyloft__Wire__Closing *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__closing__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__closing__pack_to_buffer
+                     (const Daisyloft__Wire__Closing *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__closing__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__Closing *
+       daisyloft__wire__closing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__Closing *)
+     protobuf_c_message_unpack (&daisyloft__wire__closing__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__closing__free_unpacked
+                     (Daisyloft__Wire__Closing *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__closing__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__member__init
                      (Daisyloft__Wire__Member         *message)
 {
@@ -2714,6 +2759,24 @@
   (ProtobufCMessageInit) daisyloft__wire__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define daisyloft__wire__closing__field_descriptors NULL
+#define daisyloft__wire__closing__field_indices_by_name NULL
+#define daisyloft__wire__closing__number_ranges NULL
+const ProtobufCMessageDescriptor daisyloft__wire__closing__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.Closing",
+  "Closing",
+  "Daisyloft__Wire__Closing",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__Closing),
+  0,
+  daisyloft__wire__closing__field_descriptors,
+  daisyloft__wire__closing__field_indices_by_name,
+  0,  daisyloft__wire__closing__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__closing__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__member__field_descriptors[8] =
 {
   {
@@ -4434,7 +4497,7 @@
   (ProtobufCMessageInit) daisyloft__wire__chunk_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__envelope__field_descriptors[25] =
+static const ProtobufCFieldDescriptor daisyloft__wire__envelope__field_descriptors[26] =
 {
   {
     "stream",
@@ -4688,6 +4751,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closing",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisyloft__Wire__Envelope, body_case),
+    offsetof(Daisyloft__Wire__Envelope, closing),
+    &daisyloft__wire__closing__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "freshness",
     40,
@@ -4738,21 +4813,22 @@
   },
 };
 static const unsigned daisyloft__wire__envelope__field_indices_by_name[] = {
-  24,   /* field[24] = cache_events */
+  25,   /* field[25] = cache_events */
   1,   /* field[1] = challenge */
   20,   /* field[20] = chunk_cancel */
   18,   /* field[18] = chunk_data */
   16,   /* field[16] = chunk_have */
   19,   /* field[19] = chunk_refuse */
   17,   /* field[17] = chunk_want */
+  21,   /* field[21] = closing */
   7,   /* field[7] = directive */
   9,   /* field[9] = entry_status */
   6,   /* field[6] = fleet_settings */
-  21,   /* field[21] = freshness */
+  22,   /* field[22] = freshness */
   2,   /* field[2] = hello */
   5,   /* field[5] = members */
-  23,   /* field[23] = objects */
-  22,   /* field[22] = objects_want */
+  24,   /* field[24] = objects */
+  23,   /* field[23] = objects_want */
   4,   /* field[4] = ping */
   15,   /* field[15] = request_cancel */
   10,   /* field[10] = request_open */
@@ -4767,8 +4843,8 @@
 static const ProtobufCIntRange daisyloft__wire__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 40, 21 },
-  { 0, 25 }
+  { 40, 22 },
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__envelope__descriptor =
 {
@@ -4778,7 +4854,7 @@
   "Daisyloft__Wire__Envelope",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Envelope),
-  25,
+  26,
   daisyloft__wire__envelope__field_descriptors,
   daisyloft__wire__envelope__field_indices_by_name,
   2,  daisyloft__wire__envelope__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Daisyloft__Wire__Hello Daisyloft__Wire__Hello;
 typedef struct Daisyloft__Wire__Welcome Daisyloft__Wire__Welcome;
 typedef struct Daisyloft__Wire__Ping Daisyloft__Wire__Ping;
+typedef struct Daisyloft__Wire__Closing Daisyloft__Wire__Closing;
 typedef struct Daisyloft__Wire__Member Daisyloft__Wire__Member;
 typedef struct Daisyloft__Wire__Members Daisyloft__Wire__Members;
 typedef struct Daisyloft__Wire__FleetSettings Daisyloft__Wire__FleetSettings;
@@ -463,6 +464,19 @@
      }
 
 
+/*
+ * Last frame of a side whose process ends.  It has answered every request that it read
+ * before, and handles nothing that it reads after it.
+ */
+struct  Daisyloft__Wire__Closing
+{
+  ProtobufCMessage base;
+};
+#define DAISYLOFT__WIRE__CLOSING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__closing__descriptor) \
+     }
+
+
 struct  Daisyloft__Wire__Member
 {
   ProtobufCMessage base;
@@ -901,6 +915,7 @@
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_DATA = 19,
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_REFUSE = 20,
   DAISYLOFT__WIRE__ENVELOPE__BODY_CHUNK_CANCEL = 21,
+  DAISYLOFT__WIRE__ENVELOPE__BODY_CLOSING = 22,
   DAISYLOFT__WIRE__ENVELOPE__BODY_FRESHNESS = 40,
   DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS_WANT = 41,
   DAISYLOFT__WIRE__ENVELOPE__BODY_OBJECTS = 42,
@@ -934,6 +949,7 @@
     Daisyloft__Wire__ChunkData *chunk_data;
     Daisyloft__Wire__ChunkRefuse *chunk_refuse;
     Daisyloft__Wire__ChunkCancel *chunk_cancel;
+    Daisyloft__Wire__Closing *closing;
     Daisyloft__Wire__Freshness *freshness;
     Daisyloft__Wire__ObjectsWant *objects_want;
     Daisyloft__Wire__Objects *objects;
@@ -1173,6 +1189,25 @@
 void   daisyloft__wire__ping__free_unpacked
                      (Daisyloft__Wire__Ping *message,
                       ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__Closing methods */
+void   daisyloft__wire__closing__init
+                     (Daisyloft__Wire__Closing         *message);
+size_t daisyloft__wire__closing__get_packed_size
+                     (const Daisyloft__Wire__Closing   *message);
+size_t daisyloft__wire__closing__pack
+                     (const Daisyloft__Wire__Closing   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__closing__pack_to_buffer
+                     (const Daisyloft__Wire__Closing   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__Closing *
+       daisyloft__wire__closing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__closing__free_unpacked
+                     (Daisyloft__Wire__Closing *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__Member methods */
 void   daisyloft__wire__member__init
                      (Daisyloft__Wire__Member         *message);
@@ -1629,6 +1664,9 @@
 typedef void (*Daisyloft__Wire__Ping_Closure)
                  (const Daisyloft__Wire__Ping *message,
                   void *closure_data);
+typedef void (*Daisyloft__Wire__Closing_Closure)
+                 (const Daisyloft__Wire__Closing *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__Member_Closure)
                  (const Daisyloft__Wire__Member *message,
                   void *closure_data);
@@ -1718,6 +1756,7 @@
 extern const ProtobufCMessageDescriptor daisyloft__wire__hello__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__welcome__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__ping__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__closing__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__member__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__members__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__fleet_settings__descriptor;
