--- a/lib/kernel/frame_private.h
+++ b/lib/kernel/frame_private.h
@@ -83,5 +83,9 @@
 void dl_conn_end_output (DlConn *conn);
 /* Begins the handshake with a peer that has connected. */
 void dl_conn_send_challenge (DlConn *conn);
+/* Handle the peer's first frame, on the connecting and on the accepting side.  Return 0
+ * or a negative error. */
+int dl_conn_handle_challenge (DlConn *conn, const DlEnvelope *envelope);
+int dl_conn_handle_hello (DlConn *conn, const DlEnvelope *envelope);
 
 #endif
