Framed connections whose write fails are read to their end before they are closed

What callers saw: a stream cut, or a request of unknown outcome, whose end had arrived: the upstream's process answered, closed its side, and the entry's next write (credit, another request) failed before its end was read. Cause: a failed write closed the connection at once, with what had arrived unread: on a connection that waits for its task, or with more than one read of bytes. Ruled out: reading in the handler of the write, which calls back into owners that are sending. Change: a failed write drops the queue, refuses further frames (DL_ERR_CLOSED, as on a closed connection) and shuts the socket down in both directions; the reader handles what has arrived and closes at the end. The owner gets the error of the write, unless what arrived tells more (DL_ERR_ENDED).

Conclusion: whether a peer still reads says nothing of what it had sent.

--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -77,6 +77,8 @@
 {
   bool has_handler = conn->handler.on_closed != NULL;
 
+  if (error == DL_ERR_CLOSED && conn->write_error != 0)
+    error = conn->write_error;
   if (conn->state == CONN_CLOSED)
     return;
   dl_log (DL_EVENT_CONNECTION_CLOSED, DL_TEXT ("peer", conn->peer.name),
@@ -195,6 +197,17 @@
     conn->handler.on_writable (conn, conn->data);
 }
 
+/* Ends both directions of the socket, so that its reader comes to the end of what has
+ * arrived and closes the connection. */
+static void
+on_write_failed (DlConn *conn, int error)
+{
+  conn->write_error = error;
+  dl_buffer_clear (conn->out);
+  ev_io_stop (conn->loop, &conn->writer);
+  shutdown (conn->fd, SHUT_RDWR);
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -220,7 +233,7 @@
   if (conn->state == CONN_ENDING)
     dl_conn_end_output (conn);
   else if (error < 0)
-    dl_conn_fail (conn, error);
+    on_write_failed (conn, error);
   else
     conn_notify_writable (conn);
 }
@@ -263,7 +276,8 @@
   uint8_t *packed = size <= sizeof small ? small : g_malloc (size);
   int error;
 
-  if (conn->state >= CONN_ENDING || conn->state == CONN_CONNECTING)
+  if (conn->state >= CONN_ENDING || conn->state == CONN_CONNECTING
+      || conn->write_error != 0)
     error = DL_ERR_CLOSED;
   else if (size > DL_FRAME_ENVELOPE_MAX_BYTES
            || payload.length > DL_FRAME_PAYLOAD_MAX_BYTES
--- a/lib/kernel/frame_private.h
+++ b/lib/kernel/frame_private.h
@@ -31,6 +31,7 @@
   ConnState state;
   bool paused;
   bool detached;   /* not read until a handler is set */
+  int write_error; /* nothing can be sent any more; what has arrived is still read */
   bool incomplete; /* a frame did not fit into the queue, so that no Closing is sent */
   bool *freed;     /* set to true when a callback frees the connection; or NULL */
   const DlIdentity *identity;
--- a/regress/unit/test_frames.c
+++ b/regress/unit/test_frames.c
@@ -21,6 +21,7 @@
 {
   CASE_NONE, /* other tests run */
   CASE_STANDS_STILL,
+  CASE_WRITE_FAILS,
 } FrameCase;
 
 typedef struct
@@ -98,7 +99,7 @@
 on_open (DlConn *conn, void *data)
 {
   dl_conn_detach (conn);
-  if (++frames.open_count < DIALLERS)
+  if (++frames.open_count < (frames.running == CASE_STANDS_STILL ? DIALLERS : 1))
     dial_next ();
   else
     next_step ();
@@ -146,10 +147,40 @@
     after_step (on_stand_still);
 }
 
+static void
+on_resume (DlTimer *timer, void *data)
+{
+  resume_all ();
+  after_step (on_stop);
+}
+
+/* The peer has reset the connection, so that this write fails. */
+static void
+on_write_again (DlTimer *timer, void *data)
+{
+  send_frame (frames.dialled[0]);
+  after_step (on_resume);
+}
+
+static void
+on_write (DlTimer *timer, void *data)
+{
+  dl_conn_close (frames.accepted[0]);
+  send_frame (frames.dialled[0]);
+  after_step (on_write_again);
+}
+
+static void
+on_send (DlTimer *timer, void *data)
+{
+  send_frame (frames.accepted[0]);
+  after_step (on_write);
+}
+
 static void
 next_step (void)
 {
-  after_step (on_send_next);
+  after_step (frames.running == CASE_STANDS_STILL ? on_send_next : on_send);
 }
 
 /* -------- the task -------- */
@@ -213,9 +244,19 @@
   CU_ASSERT_EQUAL (frames.frames, DIALLERS);
 }
 
+static void
+test_frames_that_arrived_before_a_write_failed_are_handled (void)
+{
+  run (CASE_WRITE_FAILS);
+  CU_ASSERT_EQUAL (frames.frames, 1);
+  CU_ASSERT_EQUAL (frames.closed, 1);
+}
+
 static const CU_TestInfo tests[] = {
   { "frames that arrived as a process stood still are handled",
     test_frames_that_arrived_as_a_process_stood_still_are_handled },
+  { "frames that arrived before a write failed are handled",
+    test_frames_that_arrived_before_a_write_failed_are_handled },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("frames", tests)
