Entries end streams that wait for their next attempt when a stop's time is over

What callers saw: a stream that broke as its slots were lost, whose connection then closed without the last line, as its entry's stop ran out of time. Cause: the end of the stop's time ended the attempts that it found; a stream between two attempts (up to 600 ms) has none, so it was passed over, and began another attempt afterwards, in the time for last responses. Ruled out: ending it when its timer expires, as that may be after the process. Change: the callers task keeps a list of its requests, and ends those that wait for an attempt with the rest.

Conclusion: what is in progress is counted by requests, not by their attempts.

--- a/daisyentryd/callers.c
+++ b/daisyentryd/callers.c
@@ -418,8 +418,8 @@
   return dl_http_server_is_idle (t->server) && t->active_claims == 0;
 }
 
-/* Ends each attempt as if its upstream had been lost, so that its caller gets a final
- * response. */
+/* Ends each attempt as if its upstream had been lost, and each request that waits for its
+ * next one, so that their callers get a final response. */
 static void
 callers_abandon (DlTask *task)
 {
@@ -444,6 +444,7 @@
       dl_message_unref (m);
     }
   g_list_free_full (ids, g_free);
+  caller_requests_abandon (t);
   caller_claims_abandon (t);
 }
 
@@ -576,6 +577,7 @@
   t->in_contact = true;
   g_queue_init (&t->expiries);
   g_queue_init (&t->claims);
+  g_queue_init (&t->requests);
   t->objects = dl_object_client_new (task, t, t->settings->platform,
                                      t->settings->platform_timeout_ms);
   t->organisations = g_hash_table_new (g_str_hash, g_str_equal);
--- a/daisyentryd/callers.h
+++ b/daisyentryd/callers.h
@@ -52,6 +52,7 @@
   unsigned active_claims; /* calls in progress and outcomes being recorded */
   size_t held_bytes;      /* of responses to claimed calls */
   GQueue claims;          /* of CallerClaim: these */
+  GQueue requests;        /* of CallerRequest: in progress */
   uint64_t next_id;
 } CallersTask;
 
@@ -138,6 +139,8 @@
 /* Ends each call that has not been dispatched with its final response; its claim, if it
  * is confirmed later, is recorded as not run. */
 void caller_claims_abandon (CallersTask *callers);
+/* Ends each request that waits for its next attempt: its stream is cut off. */
+void caller_requests_abandon (CallersTask *callers);
 
 /* Schedules the deletion of the claim NAME, whose outcome was recorded at REVISION. */
 void callers_schedule_expiry (CallersTask *callers, const char *name, uint64_t revision);
--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -58,16 +58,17 @@
   bool attempt_active;
   unsigned attempt_count;
   unsigned resume_count;
-  char *avoid;       /* upstream of the last failed attempt */
-  DlDigest version;  /* that the response comes from; set by the first head */
-  bool may_have_run; /* in an attempt that has ended */
-  bool head_sent;    /* the response to the caller has begun */
-  bool streaming;    /* the current attempt streams the JSON lines of a model */
-  DlResume *resume;  /* NULL: the response is passed on as it is */
-  DlBuffer *out;     /* lines to write to the caller; scratch */
-  size_t received;   /* bytes of the current attempt */
-  size_t credited;   /* of those, bytes that credit was granted for */
-  DlTimer *backoff_timer;
+  char *avoid;            /* upstream of the last failed attempt */
+  DlDigest version;       /* that the response comes from; set by the first head */
+  bool may_have_run;      /* in an attempt that has ended */
+  bool head_sent;         /* the response to the caller has begun */
+  bool streaming;         /* the current attempt streams the JSON lines of a model */
+  DlResume *resume;       /* NULL: the response is passed on as it is */
+  DlBuffer *out;          /* lines to write to the caller; scratch */
+  size_t received;        /* bytes of the current attempt */
+  size_t credited;        /* of those, bytes that credit was granted for */
+  DlTimer *backoff_timer; /* NULL unless it waits for its next attempt */
+  GList link;             /* in the task's requests */
 };
 
 static void start_attempt (CallerRequest *r);
@@ -77,6 +78,7 @@
 static int
 request_destroy (CallerRequest *r)
 {
+  g_queue_unlink (&r->callers->requests, &r->link);
   if (r->http != NULL)
     {
       dl_http_request_on_closed (r->http, NULL, NULL);
@@ -347,9 +349,26 @@
   r->http = http;
   r->parsed = callers_copy_request (r, parsed);
   r->out = dl_buffer_new (r, 0);
+  r->link.data = r;
+  g_queue_push_tail_link (&callers->requests, &r->link);
   talloc_set_destructor (r, request_destroy);
   dl_http_request_on_closed (http, on_caller_closed, r);
   dl_retry_first_attempt (callers_retry_budget (callers, parsed->service->name),
                           callers_retry_percent (callers));
   start_attempt (r);
 }
+
+void
+caller_requests_abandon (CallersTask *callers)
+{
+  GList *next;
+
+  for (GList *l = callers->requests.head; l != NULL; l = next)
+    {
+      CallerRequest *r = l->data;
+
+      next = l->next;
+      if (r->backoff_timer != NULL)
+        cut_off (r, "this entry ended before it");
+    }
+}
