Requests in progress go on at a slot whose name the host list shows at another address

What callers saw: beside planned replacement, as the list gave a slot's name to another host or service, all calls in progress at the old one ended at once: 504 with an unknown outcome for keyed calls, streams resumed or cut. Cause: the entry freed the upstream, and its connection with it, though the old process still worked and answered. Ruled out: waiting with the new address until the old one has no requests, which keeps new requests from the new host. Change: such an upstream leaves the table by name and stays with its connection until its requests have ended; it takes no new ones, and its status and cache events no longer count for the name.

Conclusion: the list says where new requests go, not that old ones have ended.

--- a/daisyentryd/upstreams.c
+++ b/daisyentryd/upstreams.c
@@ -104,6 +104,8 @@
   DlDigest version = { 0 };
   bool accepted_before = u->accepts;
 
+  if (u->moved)
+    return;
   dl_digest_from_bytes (DL_BYTES_STR (status->serving_version), &version);
   if (!dl_digest_equal (&version, &u->version) || status->incarnation != u->incarnation)
     dl_prefix_drop_upstream (u->upstreams->prefixes, u->hash);
@@ -126,6 +128,8 @@
 {
   DlPrefixIndex *prefixes = u->upstreams->prefixes;
 
+  if (u->moved)
+    return;
   for (size_t i = 0; i < events->n_cached; i++)
     dl_prefix_add (prefixes, events->cached[i], u->hash, dl_clock_ms ());
   for (size_t i = 0; i < events->n_dropped; i++)
@@ -187,7 +191,8 @@
     return;
   dl_metric_add (&metric_connected, -1);
   upstream_fail_streams (u, error);
-  publish_status (u, NULL);
+  if (!u->moved)
+    publish_status (u, NULL);
 }
 
 static void
@@ -240,10 +245,31 @@
 upstream_free (Upstream *u)
 {
   upstream_disconnect (u, DL_ERR_CLOSED);
-  g_hash_table_remove (u->upstreams->upstreams, u->name);
+  if (u->moved)
+    g_hash_table_remove (u->upstreams->moved, u);
+  else
+    g_hash_table_remove (u->upstreams->upstreams, u->name);
   talloc_free (u);
 }
 
+/* The name of the upstream now belongs to another host or service.  Its requests in
+ * progress go on. */
+static void
+upstream_move (Upstream *u)
+{
+  if (u->in_flight == 0)
+    {
+      upstream_free (u);
+      return;
+    }
+  g_hash_table_remove (u->upstreams->upstreams, u->name);
+  g_hash_table_add (u->upstreams->moved, u);
+  u->moved = true;
+  u->selected = false;
+  if (u->open)
+    publish_status (u, NULL);
+}
+
 /* A slot with the keys that it is sorted by. */
 typedef struct
 {
@@ -300,7 +326,7 @@
       && (strcmp (u->address, r->member->address) != 0
           || strcmp (u->service, r->member->service) != 0))
     {
-      upstream_free (u); /* the name now belongs to another host or service */
+      upstream_move (u);
       u = NULL;
     }
   if (u == NULL)
@@ -333,7 +359,8 @@
 static void
 free_deselected (UpstreamsTask *t)
 {
-  GList *all = g_hash_table_get_values (t->upstreams);
+  GList *all = g_list_concat (g_hash_table_get_values (t->upstreams),
+                              g_hash_table_get_keys (t->moved));
 
   for (GList *l = all; l != NULL; l = l->next)
     {
@@ -481,6 +508,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &upstream))
     json_object_object_add (list, ((Upstream *)upstream)->name, dump_upstream (upstream));
   json_object_object_add (dump, "upstreams", list);
+  json_object_object_add (dump, "moved",
+                          json_object_new_int64 (g_hash_table_size (t->moved)));
   json_object_object_add (dump, "streams",
                           json_object_new_int64 (g_hash_table_size (t->streams)));
   json_object_object_add (dump, "prefixes",
@@ -505,6 +534,7 @@
     dl_message_unref ((void *)t->snapshot);
   g_hash_table_destroy (t->streams);
   g_hash_table_destroy (t->upstreams);
+  g_hash_table_destroy (t->moved);
   g_hash_table_destroy (t->services);
   return 0;
 }
@@ -518,6 +548,7 @@
   t->task = task;
   t->settings = entry_settings (task);
   t->upstreams = g_hash_table_new (g_str_hash, g_str_equal);
+  t->moved = g_hash_table_new (NULL, NULL);
   t->services = g_hash_table_new (g_str_hash, g_str_equal);
   t->streams = g_hash_table_new (g_int64_hash, g_int64_equal);
   t->prefixes = dl_prefix_new (t);
--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -42,6 +42,7 @@
   DlTask *task;
   const EntrySettings *settings;
   GHashTable *upstreams;       /* by name, of Upstream */
+  GHashTable *moved;           /* set of Upstream: whose name now belongs to another */
   GHashTable *services;        /* by name, of UpstreamService */
   GHashTable *streams;         /* by uint64_t id, of UpstreamStream */
   const EntryMessage *members; /* last MEMBERS; NULL before the first */
@@ -61,6 +62,7 @@
   DlDistance distance;
   bool selected;       /* in the subset that this entry connects to */
   bool listed_leaving; /* by the host list, which lags */
+  bool moved;          /* only its requests in progress count */
   bool drained;        /* by operators */
   DlConn *conn;        /* NULL while waiting to reconnect */
   bool open;
