--- a/lib/kernel/frame.h
+++ b/lib/kernel/frame.h
@@ -18,7 +18,8 @@
  * detects a frozen peer or a broken link.
  *
  * At the end of a process each open connection handles what has arrived, sends a Closing,
- * and drops what arrives after it, until all is written and the peer has closed its side.
+ * and drops what arrives after it, until all is written and the peer has closed its side,
+ * or the peer has been silent for DL_FRAME_IDLE_MS.
  * The peer's on_closed gets DL_ERR_ENDED: what had no answer before was not handled.
  */
 #ifndef DL_FRAME_H
