--- a/daisyentryd/upstreams.h
+++ b/daisyentryd/upstreams.h
@@ -42,6 +42,7 @@
   DlTask *task;
   const EntrySettings *settings;
   GHashTable *upstreams;       /* by name, of Upstream */
+  GHashTable *moved;           /* set of Upstream: whose name now belongs to another */
   GHashTable *services;        /* by name, of UpstreamService */
   GHashTable *streams;         /* by uint64_t id, of UpstreamStream */
   const EntryMessage *members; /* last MEMBERS; NULL before the first */
@@ -61,6 +62,7 @@
   DlDistance distance;
   bool selected;       /* in the subset that this entry connects to */
   bool listed_leaving; /* by the host list, which lags */
+  bool moved;          /* only its requests in progress count */
   bool drained;        /* by operators */
   DlConn *conn;        /* NULL while waiting to reconnect */
   bool open;
@@ -89,7 +91,8 @@
 /* Handles a frame of a stream that arrived from UPSTREAM. */
 void
 upstream_stream_frame (Upstream *upstream, const DlEnvelope *envelope, DlStr payload);
-/* Ends all streams of the upstream, whose connection was closed. */
-void upstream_fail_streams (Upstream *upstream);
+/* Ends all streams of the upstream, whose connection was closed with ERROR.  After
+ * DL_ERR_ENDED those without a response certainly were not run. */
+void upstream_fail_streams (Upstream *upstream, int error);
 
 #endif
--- a/lib/kernel/frame.c
+++ b/lib/kernel/frame.c
@@ -22,6 +22,7 @@
 #define PING_INTERVAL_MS     1000
 #define HANDSHAKE_TIMEOUT_MS 5000
 #define QUEUE_MAX_BYTES      (64u << 20)
+#define ARRIVED_READS_MAX    (QUEUE_MAX_BYTES / READ_CHUNK_BYTES)
 
 DL_METRIC (metric_sent,
            DL_METRIC_COUNTER,
@@ -36,8 +37,6 @@
            "daisy_frame_connections",
            "Framed connections open or being opened.")
 
-static void conn_fail (DlConn *conn, int error);
-
 /* -------- creating and closing connections -------- */
 
 static void
@@ -73,11 +72,13 @@
   conn_release (conn);
 }
 
-static void
-conn_fail (DlConn *conn, int error)
+void
+dl_conn_fail (DlConn *conn, int error)
 {
   bool has_handler = conn->handler.on_closed != NULL;
 
+  if (error == DL_ERR_CLOSED && conn->write_error != 0)
+    error = conn->write_error;
   if (conn->state == CONN_CLOSED)
     return;
   dl_log (DL_EVENT_CONNECTION_CLOSED, DL_TEXT ("peer", conn->peer.name),
@@ -92,19 +93,37 @@
 static void on_readable (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable (struct ev_loop *loop, ev_io *watcher, int events);
 
+/* True if nothing was read for longer than a live peer is silent. */
+static bool
+is_silent (const DlConn *conn)
+{
+  uint64_t limit = conn->state >= CONN_OPEN ? DL_FRAME_IDLE_MS : HANDSHAKE_TIMEOUT_MS;
+
+  return !conn->paused && dl_clock_ms () - conn->last_read_ms > limit;
+}
+
+/* Closes the connection, unless something has arrived: the process may have stood still,
+ * and libev may not have come to this socket since. */
+static void
+on_silent (DlConn *conn)
+{
+  if (conn->state == CONN_ENDING)
+    conn_release (conn);
+  else if (dl_conn_handle_arrived (conn) && is_silent (conn))
+    dl_conn_fail (conn, -ETIMEDOUT);
+}
+
 static void
 on_conn_timer (DlTimer *timer, void *data)
 {
   DlConn *conn = data;
-  uint64_t now = dl_clock_ms ();
-  uint64_t limit = conn->state == CONN_OPEN ? DL_FRAME_IDLE_MS : HANDSHAKE_TIMEOUT_MS;
 
-  if (!conn->paused && now - conn->last_read_ms > limit)
+  if (is_silent (conn))
     {
-      conn_fail (conn, -ETIMEDOUT);
+      on_silent (conn);
       return;
     }
-  if (conn->state == CONN_OPEN && now - conn->last_write_ms >= PING_INTERVAL_MS
+  if (conn->state == CONN_OPEN && dl_clock_ms () - conn->last_write_ms >= PING_INTERVAL_MS
       && conn->out->length == 0)
     {
       Daisyloft__Wire__Ping ping = DAISYLOFT__WIRE__PING__INIT;
@@ -136,14 +155,15 @@
   ev_io_init (&conn->writer, on_writable, fd, EV_WRITE);
   conn->writer.data = conn;
   dl_metric_add (&metric_open, 1);
+  dl_kernel_on_end (dl_task_kernel (task), conn, dl_conn_end, conn);
   talloc_set_destructor (conn, conn_destroy);
   return conn;
 }
 
 /* -------- sending -------- */
 
-static int
-conn_flush (DlConn *conn)
+int
+dl_conn_flush (DlConn *conn)
 {
   while (conn->out->length > 0)
     {
@@ -177,6 +197,17 @@
     conn->handler.on_writable (conn, conn->data);
 }
 
+/* Ends both directions of the socket, so that its reader comes to the end of what has
+ * arrived and closes the connection. */
+static void
+on_write_failed (DlConn *conn, int error)
+{
+  conn->write_error = error;
+  dl_buffer_clear (conn->out);
+  ev_io_stop (conn->loop, &conn->writer);
+  shutdown (conn->fd, SHUT_RDWR);
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -190,7 +221,7 @@
       getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &error, &length);
       if (error != 0)
         {
-          conn_fail (conn, -error);
+          dl_conn_fail (conn, -error);
           return;
         }
       conn->state = CONN_AWAIT_CHALLENGE;
@@ -198,9 +229,11 @@
       ev_io_start (loop, &conn->reader);
       return;
     }
-  error = conn_flush (conn);
-  if (error < 0)
-    conn_fail (conn, error);
+  error = dl_conn_flush (conn);
+  if (conn->state == CONN_ENDING)
+    dl_conn_end_output (conn);
+  else if (error < 0)
+    on_write_failed (conn, error);
   else
     conn_notify_writable (conn);
 }
@@ -243,12 +276,16 @@
   uint8_t *packed = size <= sizeof small ? small : g_malloc (size);
   int error;
 
-  if (conn->state == CONN_CLOSED || conn->state == CONN_CONNECTING)
+  if (conn->state >= CONN_ENDING || conn->state == CONN_CONNECTING
+      || conn->write_error != 0)
     error = DL_ERR_CLOSED;
   else if (size > DL_FRAME_ENVELOPE_MAX_BYTES
            || payload.length > DL_FRAME_PAYLOAD_MAX_BYTES
            || conn->out->length + HEADER_BYTES + size + payload.length > QUEUE_MAX_BYTES)
-    error = DL_ERR_TOO_LARGE;
+    {
+      conn->incomplete = true;
+      error = DL_ERR_TOO_LARGE;
+    }
   else
     {
       protobuf_c_message_pack (&envelope->base, packed);
@@ -267,116 +304,6 @@
 
 /* -------- handshake -------- */
 
-static DlDigest
-hello_mac (const DlIdentity *identity,
-           const uint8_t *nonce,
-           const char *name,
-           int purpose)
-{
-  char *text = g_strdup_printf ("%d:%s", purpose, name);
-  GString *data = g_string_new_len ((const char *)nonce, DL_NONCE_BYTES);
-  DlDigest mac;
-
-  g_string_append (data, text);
-  mac = dl_mac (dl_str (identity->key), dl_str_bytes (data->str, data->len));
-  g_string_free (data, TRUE);
-  g_free (text);
-  return mac;
-}
-
-/* Sets the keys that authenticate the two directions of this connection from here on. */
-static void
-set_auth_keys (DlConn *conn,
-               const uint8_t *nonce,
-               const char *initiator,
-               bool is_initiator)
-{
-  DlStr key = dl_str (conn->identity->key);
-  DlStr salt = dl_str_bytes (nonce, DL_NONCE_BYTES);
-  char *from_initiator = g_strdup_printf ("from-dialler:%s", initiator);
-  char *to_initiator = g_strdup_printf ("to-dialler:%s", initiator);
-
-  dl_frame_auth_set_key (&conn->out_auth, key, salt,
-                         is_initiator ? from_initiator : to_initiator);
-  dl_frame_auth_set_key (&conn->in_auth, key, salt,
-                         is_initiator ? to_initiator : from_initiator);
-  g_free (from_initiator);
-  g_free (to_initiator);
-}
-
-void
-dl_conn_send_challenge (DlConn *conn)
-{
-  Daisyloft__Wire__Challenge challenge = DAISYLOFT__WIRE__CHALLENGE__INIT;
-  DlEnvelope envelope = DL_ENVELOPE (CHALLENGE, challenge, &challenge);
-
-  dl_random_bytes (conn->nonce, sizeof conn->nonce);
-  challenge.protocol = DL_FRAME_PROTOCOL;
-  challenge.nonce = DL_BYTES (dl_str_bytes (conn->nonce, sizeof conn->nonce));
-  dl_conn_send (conn, &envelope, dl_str_bytes (NULL, 0));
-}
-
-static int
-handle_challenge (DlConn *conn, const DlEnvelope *envelope)
-{
-  const DlIdentity *id = conn->identity;
-  Daisyloft__Wire__Hello hello = DAISYLOFT__WIRE__HELLO__INIT;
-  DlEnvelope reply = DL_ENVELOPE (HELLO, hello, &hello);
-  DlDigest mac;
-  int error;
-
-  if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_CHALLENGE
-      || envelope->challenge->protocol != DL_FRAME_PROTOCOL
-      || envelope->challenge->nonce.len != DL_NONCE_BYTES)
-    return DL_ERR_MALFORMED;
-  mac = hello_mac (id, envelope->challenge->nonce.data, id->name, (int)conn->purpose);
-  hello.name = (char *)id->name;
-  hello.role = id->role;
-  hello.purpose = conn->purpose;
-  hello.region = (char *)id->region;
-  hello.data_center = (char *)id->data_center;
-  hello.address = (char *)id->address;
-  hello.incarnation = id->incarnation;
-  hello.mac = DL_BYTES (dl_str_bytes (mac.bytes, sizeof mac.bytes));
-  conn->state = CONN_AWAIT_WELCOME;
-  error = dl_conn_send (conn, &reply, dl_str_bytes (NULL, 0));
-  set_auth_keys (conn, envelope->challenge->nonce.data, id->name, true);
-  return error;
-}
-
-static int
-handle_hello (DlConn *conn, const DlEnvelope *envelope)
-{
-  const Daisyloft__Wire__Hello *hello = envelope->hello;
-  Daisyloft__Wire__Welcome welcome = DAISYLOFT__WIRE__WELCOME__INIT;
-  DlEnvelope reply = DL_ENVELOPE (WELCOME, welcome, &welcome);
-  DlDigest mac;
-
-  if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_HELLO)
-    return DL_ERR_MALFORMED;
-  mac = hello_mac (conn->identity, conn->nonce, hello->name, (int)hello->purpose);
-  if (!dl_secret_equal (dl_str_bytes (mac.bytes, sizeof mac.bytes),
-                        DL_BYTES_STR (hello->mac)))
-    {
-      dl_log (DL_EVENT_CONNECTION_REFUSED, DL_TEXT ("peer", hello->name));
-      return DL_ERR_UNAUTHORIZED;
-    }
-  conn->peer = (DlPeer){
-    .name = talloc_strdup (conn, hello->name),
-    .role = hello->role,
-    .purpose = hello->purpose,
-    .region = talloc_strdup (conn, hello->region),
-    .data_center = talloc_strdup (conn, hello->data_center),
-    .address = talloc_strdup (conn, hello->address),
-    .incarnation = hello->incarnation,
-  };
-  conn->state = CONN_OPEN;
-  set_auth_keys (conn, conn->nonce, hello->name, false);
-  welcome.name = (char *)conn->identity->name;
-  welcome.incarnation = conn->identity->incarnation;
-  return dl_conn_send (conn, &reply, dl_str_bytes (NULL, 0));
-}
-
 /* Passes an accepted connection to the listener's owner; frees it if the owner does not
  * take it over. */
 static void
@@ -418,20 +345,23 @@
   switch (conn->state)
     {
     case CONN_AWAIT_CHALLENGE:
-      return handle_challenge (conn, envelope);
+      return dl_conn_handle_challenge (conn, envelope);
     case CONN_AWAIT_WELCOME:
       return handle_welcome (conn, envelope);
     case CONN_AWAIT_HELLO:
-      error = handle_hello (conn, envelope);
+      error = dl_conn_handle_hello (conn, envelope);
       if (error == 0)
         conn_hand_over (conn);
       return error;
     case CONN_OPEN:
+      if (envelope->body_case == DAISYLOFT__WIRE__ENVELOPE__BODY_CLOSING)
+        return DL_ERR_ENDED;
       if (envelope->body_case != DAISYLOFT__WIRE__ENVELOPE__BODY_PING
           && conn->handler.on_frame != NULL)
         conn->handler.on_frame (conn, envelope, payload, conn->data);
       return 0;
     case CONN_CONNECTING:
+    case CONN_ENDING:
     case CONN_CLOSED:
       return 0;
     }
@@ -519,8 +449,8 @@
   return 0;
 }
 
-static int
-conn_read (DlConn *conn)
+int
+dl_conn_read (DlConn *conn)
 {
   static uint8_t chunk[READ_CHUNK_BYTES];
   ssize_t n = recv (conn->fd, chunk, sizeof chunk, 0);
@@ -538,8 +468,8 @@
 }
 
 /* Parses, and detects whether a callback frees the connection meanwhile. */
-static void
-conn_parse_guarded (DlConn *conn)
+void
+dl_conn_parse (DlConn *conn)
 {
   bool freed = false;
   bool *outer = conn->freed;
@@ -555,19 +485,51 @@
     }
   conn->freed = outer;
   if (error < 0)
-    conn_fail (conn, error);
+    dl_conn_fail (conn, error);
+}
+
+bool
+dl_conn_handle_arrived (DlConn *conn)
+{
+  bool freed = false;
+  unsigned reads = 0;
+  int n;
+
+  g_assert (conn->freed == NULL);
+  do
+    {
+      n = dl_conn_read (conn);
+      if (n < 0)
+        {
+          dl_conn_fail (conn, n);
+          return false;
+        }
+      conn->freed = &freed;
+      dl_conn_parse (conn);
+      if (freed)
+        return false;
+      conn->freed = NULL;
+    }
+  while (n > 0 && ++reads < ARRIVED_READS_MAX && conn->state != CONN_CLOSED);
+  return conn->state != CONN_CLOSED;
 }
 
 static void
 on_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
   DlConn *conn = watcher->data;
-  int n = conn_read (conn);
+  int n;
 
+  if (conn->state == CONN_ENDING)
+    {
+      dl_conn_drop_arrived (conn);
+      return;
+    }
+  n = dl_conn_read (conn);
   if (n < 0)
-    conn_fail (conn, n);
+    dl_conn_fail (conn, n);
   else
-    conn_parse_guarded (conn);
+    dl_conn_parse (conn);
 }
 
 void
@@ -593,7 +555,7 @@
 static void
 on_connect_failed (DlTimer *timer, void *data)
 {
-  conn_fail (data, DL_ERR_UNAVAILABLE);
+  dl_conn_fail (data, DL_ERR_UNAVAILABLE);
 }
 
 DlConn *
