Soak: planned work on entries that run in slices, under callers that count from a request's last byte

The soak played planned work on entries that had a core each, so the short time between the last look at the sockets and the close never grew past 200 ms.

The phase, about 11 s: SIGTERM in series, at both entries, repeated; SIGHUP, also from 2 ms after a start; configurations; a second process on the same addresses, which may serve once the first has ended. What ran must be answered in full, a refusal must not have run, no connection may end without a response later than 200 ms after the last byte, each stop ends with status 0 in its 8 s, a second process with an error.

The old programs' own window before their handlers is seen by group start, not here.

--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -10,10 +10,10 @@
  * only by suspending the nodes.
  *
  * After the faults, phases with stricter checks follow: planned work alone, in which each
- * request that ran must be answered, model servers that are silent for a while, versions
- * that are named while streams wait, weights that are spoilt as servers take them, a
- * prompt part and a whole request that crash the servers, limits of requests, and a loss
- * of power.
+ * request that ran must be answered, model servers that are silent for a while, planned
+ * work on entries that run in slices, versions that are named while streams wait, weights
+ * that are spoilt as servers take them, a prompt part and a whole request that crash the
+ * servers, limits of requests, and a loss of power.
  */
 #include "soak.h"
 
@@ -168,6 +168,9 @@
   soak_silence_servers (soak);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
+  soak_slice_entries (soak);
+  if (!eventually (entries_serve, soak->testbed))
+    soak_report_violation (soak, "entries", "do not serve after the slices");
   if (seed % 2 == 0)
     soak_name_versions (soak, seed);
   soak_spoil_weights (soak, seed);
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -5,10 +5,12 @@
  * and makes changes, soak.c starts both and afterwards checks all responses against the
  * records of the stand-ins.  Then come phases with stricter checks: soak_planned.c does
  * only planned work, under the callers of soak_kept.c, soak_silence.c makes servers
- * silent under the same callers, soak_version.c names versions while streams wait at the
- * servers, soak_taken.c spoils what servers take as weights, soak_poison.c crashes them
- * by a prompt part, soak_poison_whole.c by a whole request, soak_limit.c lets them limit
- * their requests, and soak_power.c cuts the power of all hosts.
+ * silent under the same callers, soak_slices.c does planned work on entries that stand
+ * still again and again, under the callers of soak_slices_calls.c, soak_version.c names
+ * versions while streams wait at the servers, soak_taken.c spoils what servers take as
+ * weights, soak_poison.c crashes them by a prompt part, soak_poison_whole.c by a whole
+ * request, soak_limit.c lets them limit their requests, and soak_power.c cuts the power
+ * of all hosts.
  */
 #ifndef DIRECT_SOAK_H
 #define DIRECT_SOAK_H
@@ -226,6 +228,21 @@
 /* All servers name limits, which the entries together must keep. */
 void soak_limit_servers (Soak *soak);
 
+/* -------- soak_slices.c -------- */
+
+/* Planned work alone, on entries that run in slices; no request that ran, or waited for
+ * long, may end without its whole response. */
+void soak_slice_entries (Soak *soak);
+
+/* -------- soak_slices_calls.c -------- */
+
+typedef struct SoakSlicedCalls SoakSlicedCalls;
+
+/* Starts callers that keep their connections to an entry until its process is gone. */
+SoakSlicedCalls *soak_start_sliced_calls (Soak *soak);
+/* Ends the callers and checks each of their requests against the servers' records. */
+void soak_end_sliced_calls (SoakSlicedCalls *calls);
+
 /* -------- soak_power.c -------- */
 
 /* Kills entries, stagers and model servers at once beside a write to the store, starts
