Directives tell of a grant also after the rollout was paused or has ended

Callers saw answers from mixed weights: slots are killed with load commands under way, the rollout is paused before the next slots hear of their grants, and the engines begin to load after the guard time, while these slots serve.

Cause: may_load said two things, that the host is in the wave and that it may load now. A pause took both away, so that a new slot heard of no grant and did not wait for its predecessor's order. The wave itself survives a pause and the end of a rollout.

Change: the directive has 'granted' (in the wave, in any state of the rollout) beside may_load; a new slot counts it as an order of its predecessor, pending. Without it a new slot on a host of a rollout that was called off would serve in the same way.

So what only a predecessor may have sent ends when the engine turns out never to have had a command.

Price: a slot (not its host) that is replaced while a rollout that was called off still has its host in the wave serves nothing until the engine carries the order out, or until the next rollout. That was so for slots that had heard of the grant. Not covered: a predecessor's load that counted as failed leaves the wave, so that in a pause the next slot hears of no grant (read).

--- a/daisyentryd/directive.c
+++ b/daisyentryd/directive.c
@@ -138,12 +138,6 @@
   return fleet != NULL && fleet->weigh == DL_WEIGH_ORIGIN_BYTES;
 }
 
-static bool
-may_load (const DlRollout *r, const char *host)
-{
-  return r->state == DL_ROLLOUT_LOADING && dl_names_contains (&r->wave, host);
-}
-
 static void
 fill_directive (const void *context,
                 const DlRollout *r,
@@ -163,19 +157,20 @@
   if (dl_digest_from_hex (dl_str (r->version), &out->version) == 0)
     d->version = DL_BYTES (dl_str_bytes (out->version.bytes, DL_DIGEST_BYTES));
   d->manifest_bytes = details->manifest_bytes;
-  d->may_load = may_load (r, host);
+  d->granted = dl_names_contains (&r->wave, host);
+  d->may_load = d->granted && r->state == DL_ROLLOUT_LOADING;
   d->weigh_origin_bytes = weighs_origin_bytes (r, fleet);
   d->home_region = fleet != NULL ? (char *)fleet->home_region : "";
   d->n_targets = r->targets.count;
   d->targets = r->targets.names;
   d->targets_hash = r->targets.count > 0 ? details->targets_hash : 0;
-  out->key
-      = talloc_asprintf (context,
-                         "%s %s %d %" PRIu64 " %d %d %s %" PRIu64 " %" PRIx64 " %" PRIu64,
-                         r->name, r->version, (int)d->state, r->fence, d->may_load,
-                         d->weigh_origin_bytes, d->home_region,
-                         record != NULL ? record->since : 0, details->targets_hash,
-                         details->manifest_bytes);
+  out->key = talloc_asprintf (context,
+                              "%s %s %d %" PRIu64 " %d %d %d %s %" PRIu64 " %" PRIx64
+                              " %" PRIu64,
+                              r->name, r->version, (int)d->state, r->fence, d->may_load,
+                              d->granted, d->weigh_origin_bytes, d->home_region,
+                              record != NULL ? record->since : 0, details->targets_hash,
+                              details->manifest_bytes);
 }
 
 static void
--- a/daisyslotd/daisyslotd.h
+++ b/daisyslotd/daisyslotd.h
@@ -79,6 +79,7 @@
   DlDigest version; /* to load; also the digest of its manifest */
   uint64_t manifest_bytes;
   bool may_load;           /* this host may load the version now */
+  bool granted;            /* it may, or might before the rollout was paused or ended */
   bool weigh_origin_bytes; /* minimise bytes from the origin, rather than time */
   char *home_region;       /* region of the origin */
   size_t target_count;
--- a/daisyslotd/engine.c
+++ b/daisyslotd/engine.c
@@ -312,6 +312,7 @@
   if (d->may_load && !e->facts.may_load)
     dl_loader_reset_backoff (&e->loader);
   e->facts.may_load = d->may_load;
+  e->facts.granted = d->granted;
   e->facts.wanted = directive_is_wanted (d);
 }
 
--- a/daisyslotd/relays.c
+++ b/daisyslotd/relays.c
@@ -195,6 +195,7 @@
   d->state = wire->state;
   d->manifest_bytes = wire->manifest_bytes;
   d->may_load = wire->may_load;
+  d->granted = wire->granted || wire->may_load;
   d->weigh_origin_bytes = wire->weigh_origin_bytes;
   d->home_region = talloc_strdup (d, wire->home_region);
   if (wire->targets_hash != 0)
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -2945,7 +2945,7 @@
   (ProtobufCMessageInit) daisyloft__wire__fleet_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisyloft__wire__directive__field_descriptors[12] =
+static const ProtobufCFieldDescriptor daisyloft__wire__directive__field_descriptors[13] =
 {
   {
     "rollout",
@@ -3091,9 +3091,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "granted",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__Directive, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__directive__field_indices_by_name[] = {
   3,   /* field[3] = fence */
+  12,   /* field[12] = granted */
   9,   /* field[9] = home_region */
   6,   /* field[6] = manifest_bytes */
   7,   /* field[7] = may_load */
@@ -3109,7 +3122,7 @@
 static const ProtobufCIntRange daisyloft__wire__directive__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__directive__descriptor =
 {
@@ -3119,7 +3132,7 @@
   "Daisyloft__Wire__Directive",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__Directive),
-  12,
+  13,
   daisyloft__wire__directive__field_descriptors,
   daisyloft__wire__directive__field_indices_by_name,
   1,  daisyloft__wire__directive__number_ranges,
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -570,10 +570,15 @@
    * hash of the list; 0 for an empty list
    */
   uint64_t targets_hash;
+  /*
+   * The slot is in the wave, in any state of the rollout: it, or one before it on its
+   * host, may have been told that it may load.
+   */
+  protobuf_c_boolean granted;
 };
 #define DAISYLOFT__WIRE__DIRECTIVE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__directive__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_UNSPECIFIED, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, DAISYLOFT__WIRE__ROLLOUT_STATE__ROLLOUT_UNSPECIFIED, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
 
 
 /*
--- a/lib/policy/loader.c
+++ b/lib/policy/loader.c
@@ -135,14 +135,20 @@
 }
 
 /* Under a grant that was given before this slot started, its predecessor may have sent a
- * command. */
+ * command, unless the engine, whose state may arrive after the grant, never had one. */
 static void
 update_predecessor (DlLoader *l, const DlLoaderFacts *f)
 {
   l->engine_was_fresh = l->engine_was_fresh || is_fresh (f);
-  if (predecessor_has_stopped (l, f) || !f->has_directive || !f->may_load)
+  if (is_fresh (f) && l->predecessors)
+    {
+      l->pending = false;
+      l->predecessors = false;
+    }
+  if (predecessor_has_stopped (l, f) || !f->has_directive || !f->granted)
     return;
   l->pending = true;
+  l->predecessors = true;
   l->pending_version = f->version;
 }
 
@@ -191,6 +197,7 @@
   if (accepted || !l->pending)
     l->pending_version = l->version;
   l->pending = true;
+  l->predecessors = false;
 }
 
 void
--- a/lib/policy/loader.h
+++ b/lib/policy/loader.h
@@ -17,7 +17,7 @@
  * A slot that starts on a host whose engine has weights does not know what its
  * predecessor has sent or may still send.  It stays out of rotation for the guard time,
  * and a grant that it learns of meanwhile means that a command of its predecessor is
- * pending.
+ * pending, also when the rollout has been paused or has ended since.
  */
 #ifndef DL_LOADER_H
 #define DL_LOADER_H
@@ -46,6 +46,7 @@
   bool has_directive;
   bool wanted;      /* the directive's rollout is distributing, loading or complete */
   bool may_load;    /* the rollout lets this host load now */
+  bool granted;     /* it has let it, and may have been paused or ended since */
   DlDigest version; /* of the directive */
   uint64_t fence;   /* of the directive */
   bool complete;    /* the version is complete and verified on this host */
@@ -79,6 +80,7 @@
   bool engine_was_fresh;    /* it had no command before this slot started */
   bool pending;             /* the engine may still carry out a command */
   DlDigest pending_version; /* that this command named */
+  bool predecessors;        /* only a predecessor may have sent it */
   uint64_t since_ms;        /* start of the phase */
   uint64_t retry_at_ms;
   uint64_t retry_ms;   /* current backoff */
--- a/regress/unit/test_loader.c
+++ b/regress/unit/test_loader.c
@@ -24,6 +24,7 @@
     .has_directive = true,
     .wanted = true,
     .may_load = true,
+    .granted = true,
     .version = new_version,
     .fence = 3,
     .complete = true,
@@ -345,6 +346,47 @@
   CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
 }
 
+/* The rollout was paused, or called off, before the slot started: what its predecessor
+ * sent under the grant is pending all the same. */
+static void
+test_command_under_a_withdrawn_grant_is_pending (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.may_load = false;
+  facts.wanted = false;
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, GUARD_MS + 60000), 0);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.wanted = true; /* resumed */
+  CU_ASSERT_EQUAL (run_steps (&loader, &facts, 1000), 1);
+  dl_loader_command_done (&loader, facts.now_ms, 0);
+  facts.serving = new_version;
+  run_steps (&loader, &facts, 500);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
+/* A host that was replaced after its rollout was called off: its engine never had a
+ * command, which the slot learns after the grant. */
+static void
+test_withdrawn_grant_of_a_fresh_engine_is_not_pending (void)
+{
+  DlLoader loader;
+  DlLoaderFacts facts = ready_facts (START_MS);
+
+  dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
+  facts.may_load = false;
+  facts.wanted = false;
+  facts.engine_reachable = false;
+  facts.serving = (DlDigest){ 0 };
+  run_steps (&loader, &facts, GUARD_MS + 1000);
+  CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
+  facts.engine_reachable = true;
+  run_steps (&loader, &facts, 1000);
+  CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
+}
+
 /* Without a grant there is nothing pending after the guard time, in which a predecessor
  * may still send a command. */
 static void
@@ -356,11 +398,13 @@
   dl_loader_init (&loader, START_MS, GUARD_MS, DRAIN_MS);
   facts.complete = false;
   facts.may_load = false;
+  facts.granted = false;
   run_steps (&loader, &facts, GUARD_MS - 500);
   CU_ASSERT_FALSE (dl_loader_accepts (&loader, &facts));
   run_steps (&loader, &facts, 1000);
   CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
   facts.may_load = true;
+  facts.granted = true;
   run_steps (&loader, &facts, 1000);
   CU_ASSERT_TRUE (dl_loader_accepts (&loader, &facts));
 }
@@ -387,6 +431,9 @@
   { "predecessor", test_new_slot_waits_for_predecessor },
   { "fresh engine", test_fresh_engine_is_loaded_at_once },
   { "predecessor's command", test_command_of_predecessor_is_pending },
+  { "withdrawn grant", test_command_under_a_withdrawn_grant_is_pending },
+  { "withdrawn grant, fresh engine",
+    test_withdrawn_grant_of_a_fresh_engine_is_not_pending },
   { "guard time", test_no_requests_in_the_guard_time },
   { "fresh engine serves", test_fresh_engine_serves_at_once },
   { "pause", test_no_command_after_a_pause },
