A staged chunk whose read failed outside of recovery is read again, not written

An engine that is slow or stands still got needless writes, and loads that it accepted late then counted as spoilt.

Change: such a chunk stays as it was, and is read again after the pause for failures. In recovery it still counts as absent, so that the chunks are fetched meanwhile. Price: an engine that takes chunks and never returns one is not written to again; it cannot be proven either.

Ruled out: keeping it in recovery as well, as the chunks are fetched only after it.

Unit 'loads' modelled recovery as if it kept the chunk too. The model is now as the code, and stricter: more is written.

--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -126,9 +126,11 @@
   unsigned index = c->index;
   bool returned = result->error == 0 && result->status == STATUS_OK;
   bool failed = !returned && result->status != STATUS_NOT_FOUND;
+  /* A read that failed does not show that the chunk is bad.  Recovery ends all the same,
+   * so that the chunks are fetched meanwhile. */
+  bool keeps = failed && (s->owner->checking || s->owner->phase != PHASE_RECOVER);
 
-  /* A check must not take a read that failed for a bad chunk. */
-  s->copies[index].state = failed && s->owner->checking ? STAGED_WRITTEN : STAGED_ABSENT;
+  s->copies[index].state = keeps ? STAGED_WRITTEN : STAGED_ABSENT;
   if (returned && dl_bundle_verify_chunk (b, index, result->body))
     {
       s->copies[index].state = STAGED_VERIFIED;
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -733,7 +733,9 @@
       break;
     case CALL_READ:
       s->calls--;
-      copy->state = !responded ? COPY_WRITTEN : COPY_ABSENT;
+      copy->state = !responded && (s->checking || s->phase != PHASE_RECOVER)
+                        ? COPY_WRITTEN
+                        : COPY_ABSENT;
       if (responded && c->version == s->version)
         *copy = (Copy){ .state = COPY_VERIFIED, .read_ms = c->sent_ms };
       break;
