Stagers: what is known of the engine's version has names that say so

load_can_check and load_cannot_check looked like one question and its opposite; both are false while the engine's version is not known. They are load_engine_has_current and load_engine_has_other now, in the model of unit 'loads' as well. No logic changed.

staging_blocked_until_ms stays: dl_load_proof_may_write allows writes to an engine without weights whose command was given up, and each would make that command's load count as spoilt.

--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -90,7 +90,7 @@
 /* -------- checking what the engine took -------- */
 
 bool
-load_can_check (const Weights *w)
+load_engine_has_current (const Weights *w)
 {
   uint64_t version = w->staging->bundle->version;
 
@@ -100,7 +100,7 @@
 }
 
 bool
-load_cannot_check (const Weights *w)
+load_engine_has_other (const Weights *w)
 {
   return w->engine_known && w->engine.loads == w->proof.loads && !w->engine.busy
          && w->engine.version != w->staging->bundle->version;
@@ -109,7 +109,7 @@
 bool
 load_allows_writes (const Weights *w)
 {
-  return dl_load_proof_may_write (&w->proof, load_cannot_check (w));
+  return dl_load_proof_may_write (&w->proof, load_engine_has_other (w));
 }
 
 /* Chunks that were read before the engine took them prove nothing. */
@@ -166,7 +166,8 @@
   bool all_sound;
   int bad;
 
-  if (w->proof.state != DL_WEIGHTS_UNCHECKED || !load_can_check (w) || s->copies == NULL)
+  if (w->proof.state != DL_WEIGHTS_UNCHECKED || !load_engine_has_current (w)
+      || s->copies == NULL)
     return;
   if (!w->checking)
     begin_check (w);
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -296,7 +296,7 @@
   stage_write (w->staging);
   if (is_served (w, w->staging->bundle))
     {
-      if (w->proof.state == DL_WEIGHTS_SOUND || !load_can_check (w))
+      if (w->proof.state == DL_WEIGHTS_SOUND || !load_engine_has_current (w))
         weights_set_phase (w, PHASE_DONE);
       return;
     }
@@ -328,7 +328,7 @@
 
   load_check (w);
   if (is_served (w, b) && !w->engine.busy
-      && (w->proof.state == DL_WEIGHTS_SOUND || !load_can_check (w)))
+      && (w->proof.state == DL_WEIGHTS_SOUND || !load_engine_has_current (w)))
     {
       dl_log (DL_EVENT_STAGE_IN_FORCE, DL_TEXT ("engine", w->settings->engine),
               DL_UINT ("version", b->version),
@@ -337,7 +337,7 @@
       weights_set_phase (w, PHASE_DONE);
     }
   else if (!w->engine.busy && !is_served (w, b)
-           && (w->proof.state != DL_WEIGHTS_UNCHECKED || load_cannot_check (w))
+           && (w->proof.state != DL_WEIGHTS_UNCHECKED || load_engine_has_other (w))
            && dl_clock_ms () - w->phase_ms >= LOAD_RETRY_MS)
     weights_set_phase (w, PHASE_DRAIN);
 }
@@ -376,7 +376,7 @@
   if (w->proof.state == DL_WEIGHTS_SPOILT && is_served (w, w->staging->bundle)
       && w->phase != PHASE_UNLOAD)
     weights_set_phase (w, PHASE_UNLOAD);
-  else if (w->proof.state == DL_WEIGHTS_UNCHECKED && load_can_check (w)
+  else if (w->proof.state == DL_WEIGHTS_UNCHECKED && load_engine_has_current (w)
            && (w->phase == PHASE_WAIT || w->phase == PHASE_DRAIN
                || w->phase == PHASE_DONE))
     weights_set_phase (w, PHASE_LOADING);
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -110,12 +110,12 @@
 
 /* Takes in a report of the engine. */
 void load_handle_report (Weights *weights, const DlEngineReport *report);
-/* True when what is staged can show whether the engine took sound weights: they are known
- * to be of the version that is current here. */
-bool load_can_check (const Weights *weights);
-/* True when it is known that it cannot: they are of another version, or there are none.
- */
-bool load_cannot_check (const Weights *weights);
+/* True when the weights that the engine has, or loads, are known to be of the version
+ * that is current here, so that what is staged can show whether they are sound. */
+bool load_engine_has_current (const Weights *weights);
+/* True when they are known to be of another version, or there are none.  Both are false
+ * while it is not known. */
+bool load_engine_has_other (const Weights *weights);
 /* False while a chunk that is written could hide what the engine took. */
 bool load_allows_writes (const Weights *weights);
 /* Reads back what is staged to prove the weights that the engine took. */
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -392,14 +392,14 @@
 }
 
 static bool
-cannot_check (const Stager *s)
+engine_has_other (const Stager *s)
 {
   return s->engine_known && s->engine.loads == s->proof.loads && !s->engine.busy
          && s->engine_version != s->version;
 }
 
 static bool
-can_check (const Stager *s)
+engine_has_current (const Stager *s)
 {
   return s->engine_known && took_current (s);
 }
@@ -410,7 +410,7 @@
   Stager *s = &w->stager;
 
   if (w->now_ms < s->blocked_until_ms
-      || !dl_load_proof_may_write (&s->proof, cannot_check (s)))
+      || !dl_load_proof_may_write (&s->proof, engine_has_other (s)))
     return;
   for (unsigned i = 0; i < CHUNKS && s->calls < STAGE_CALLS_MAX; i++)
     {
@@ -475,7 +475,7 @@
   bool all_sound;
   bool any_bad = false;
 
-  if (s->proof.state != DL_WEIGHTS_UNCHECKED || !can_check (s))
+  if (s->proof.state != DL_WEIGHTS_UNCHECKED || !engine_has_current (s))
     return;
   if (!s->checking)
     begin_check (s);
@@ -526,7 +526,7 @@
       if (s->engine_known && !s->engine.busy)
         set_phase (w, PHASE_DRAIN);
     }
-  else if (s->proof.state == DL_WEIGHTS_SOUND || !can_check (s))
+  else if (s->proof.state == DL_WEIGHTS_SOUND || !engine_has_current (s))
     set_phase (w, PHASE_DONE);
 }
 
@@ -551,10 +551,10 @@
 
   check (w);
   if (is_served (s) && !s->engine.busy
-      && (s->proof.state == DL_WEIGHTS_SOUND || !can_check (s)))
+      && (s->proof.state == DL_WEIGHTS_SOUND || !engine_has_current (s)))
     set_phase (w, PHASE_DONE);
   else if (!s->engine.busy && !is_served (s)
-           && (s->proof.state != DL_WEIGHTS_UNCHECKED || cannot_check (s))
+           && (s->proof.state != DL_WEIGHTS_UNCHECKED || engine_has_other (s))
            && w->now_ms - s->phase_ms >= LOAD_RETRY_MS)
     set_phase (w, PHASE_DRAIN);
 }
@@ -593,7 +593,7 @@
     return;
   if (s->proof.state == DL_WEIGHTS_SPOILT && is_served (s) && s->phase != PHASE_UNLOAD)
     set_phase (w, PHASE_UNLOAD);
-  else if (s->proof.state == DL_WEIGHTS_UNCHECKED && can_check (s)
+  else if (s->proof.state == DL_WEIGHTS_UNCHECKED && engine_has_current (s)
            && (s->phase == PHASE_WAIT || s->phase == PHASE_DRAIN
                || s->phase == PHASE_DONE))
     set_phase (w, PHASE_LOADING);
