--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -18,7 +18,6 @@
 #include "kernel/metrics.h"
 
 #define STREAM_BLOCK_BYTES (32u * 1024)
-#define LISTEN_BACKLOG     512 /* connections */
 #define CALLER_CHECK_MS    100
 /* A connection that nothing goes over while a request is in progress is closed after so
  * many idle timeouts. */
@@ -410,8 +409,8 @@
 
 /* -------- libmicrohttpd on the event loop -------- */
 
-static void
-server_run (DlHttpServer *server)
+void
+dl_http_server_run (DlHttpServer *server)
 {
   MHD_UNSIGNED_LONG_LONG timeout_ms;
 
@@ -432,7 +431,7 @@
 {
   DlHttpServer *server = data;
 
-  server_run (server);
+  dl_http_server_run (server);
   dl_http_connections_close_unused (server->connections,
                                     server->limits.idle_timeout_s * MS_PER_S);
 }
@@ -440,13 +439,13 @@
 static void
 on_daemon_event (struct ev_loop *loop, ev_io *watcher, int events)
 {
-  server_run (watcher->data);
+  dl_http_server_run (watcher->data);
 }
 
 static void
 on_daemon_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
 {
-  server_run (watcher->data);
+  dl_http_server_run (watcher->data);
 }
 
 static void
@@ -455,7 +454,7 @@
   DlHttpServer *server = watcher->data;
 
   if (server->need_run)
-    server_run (server);
+    dl_http_server_run (server);
 }
 
 void
@@ -471,155 +470,18 @@
   dl_http_connections_mark (server->connections);
 }
 
-/* libmicrohttpd accepts a few at a time. */
-static void
-accept_waiting (DlHttpServer *server)
-{
-  int fd = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
-
-  for (int i = 0; i < LISTEN_BACKLOG && dl_http_connections_waiting (fd); i++)
-    server_run (server);
-}
-
-/* Accepts what waits at the listening socket FD, which libmicrohttpd has left. */
-static unsigned
-accept_last (DlHttpServer *server, int fd)
-{
-  unsigned count = 0;
-  struct sockaddr_in caller;
-  socklen_t length = sizeof caller;
-  int accepted;
-
-  while ((accepted = accept4 (fd, (struct sockaddr *)&caller, &length,
-                              SOCK_NONBLOCK | SOCK_CLOEXEC))
-         >= 0)
-    {
-      MHD_add_connection (server->daemon, accepted, (struct sockaddr *)&caller, length);
-      length = sizeof caller;
-      count++;
-    }
-  return count;
-}
-
-void
-dl_http_server_quiesce (DlHttpServer *server)
-{
-  MHD_socket fd;
-  unsigned last;
-  int error;
-
-  if (server->quiesced)
-    return;
-  server->quiesced = true;
-  accept_waiting (server);
-  fd = MHD_quiesce_daemon (server->daemon);
-  if (fd == MHD_INVALID_SOCKET)
-    return;
-  error = dl_listen_stop (fd);
-  last = accept_last (server, fd);
-  close (fd);
-  dl_log (DL_EVENT_LISTENER_CLOSED, DL_UINT ("port", server->port),
-          DL_UINT ("accepted_last", last),
-          DL_TEXT ("dropped_new", error == 0 ? "yes" : "no"));
-}
-
-void
-dl_http_server_drain (DlHttpServer *server)
-{
-  dl_http_server_disable_keepalive (server);
-  dl_http_server_quiesce (server);
-}
-
-bool
-dl_http_server_is_idle (DlHttpServer *server)
-{
-  DlHttpConnectionCounts counts;
-
-  server->looked_ms = dl_clock_ms ();
-  if (!server->quiesced)
-    accept_waiting (server);
-  server_run (server);
-  if (server->active_requests > 0)
-    return false;
-  counts = dl_http_connections_count (server->connections);
-  return counts.unread == 0 && counts.begun == 0;
-}
-
-/* Returns false until the callers of kept connections have ended them, or have had the
- * time to. */
-static bool
-end_kept_connections (DlHttpServer *server)
-{
-  uint64_t now_ms = dl_clock_ms ();
-
-  if (!server->keepalive_disabled)
-    dl_http_server_disable_keepalive (server);
-  if (server->ending_ms == 0)
-    {
-      server->ending_ms = now_ms;
-      dl_http_connections_close (server->connections, false);
-    }
-  return now_ms >= server->ending_ms + DL_HTTP_LINGER_MS
-         || dl_http_connections_lingering (server->connections) == 0;
-}
-
-static bool
-end_all_connections (DlHttpServer *server, bool now)
-{
-  dl_http_server_quiesce (server);
-  server_run (server);
-  if (now)
-    server_run (server); /* what the first run has read is answered */
-  return dl_http_connections_close (server->connections, now) == 0;
-}
-
-/* The end of the process: see DlEndFunc. */
-static bool
-server_end (DlEndStep step, void *data)
-{
-  DlHttpServer *server = data;
-
-  server->looked_ms = dl_clock_ms ();
-  switch (step)
-    {
-    case DL_END_KEPT:
-      return end_kept_connections (server);
-    case DL_END_ALL:
-      return end_all_connections (server, false);
-    case DL_END_NOW:
-      return end_all_connections (server, true);
-    }
-  g_assert_not_reached ();
-}
-
 unsigned
 dl_http_server_active_requests (const DlHttpServer *server)
 {
   return server->active_requests;
 }
 
-/* Tells what callers lose as the process ends. */
-static void
-log_connections (const DlHttpServer *server)
-{
-  DlHttpConnectionCounts counts = dl_http_connections_count (server->connections);
-
-  if (counts.open == 0 || !dl_kernel_stopping (dl_task_kernel (server->task)))
-    return;
-  dl_log (DL_EVENT_CONNECTIONS_CLOSED, DL_UINT ("port", server->port),
-          DL_UINT ("connections", counts.open), DL_UINT ("unread", counts.unread),
-          DL_UINT ("begun", server->active_requests > 0 ? 0 : counts.begun),
-          DL_UINT ("requests", server->active_requests),
-          DL_UINT ("since_look_ms",
-                   server->looked_ms != 0 ? dl_clock_ms () - server->looked_ms : 0));
-}
-
 static int
 server_destroy (DlHttpServer *server)
 {
   GList *requests = g_hash_table_get_keys (server->suspended);
 
-  log_connections (server);
+  dl_http_server_log_open (server);
   dl_http_connections_release (server->connections);
   /* MHD_stop_daemon requires that no connection is suspended. */
   for (GList *l = requests; l != NULL; l = l->next)
@@ -649,7 +511,7 @@
 
   if (error < 0)
     return error;
-  fd = dl_listen (&at, LISTEN_BACKLOG);
+  fd = dl_listen (&at, DL_HTTP_LISTEN_BACKLOG);
   if (fd < 0)
     return fd;
   server = talloc_zero (owner, DlHttpServer);
@@ -698,7 +560,7 @@
 
       dl_timer_subscribe (task, server, check_ms, check_ms, on_idle_check, server);
     }
-  dl_kernel_on_end (dl_task_kernel (task), server, server_end, server);
+  dl_kernel_on_end (dl_task_kernel (task), server, dl_http_server_end, server);
   talloc_set_destructor (server, server_destroy);
   *result = server;
   return 0;
--- a/lib/kernel/http_server_private.h
+++ b/lib/kernel/http_server_private.h
@@ -1,6 +1,7 @@
 /*
  * Internal types of the HTTP server: http_server.c runs it and sends responses,
- * http_request.c reads requests.
+ * http_server_end.c ends it, http_request.c reads requests, http_request_end.c tells how
+ * they end.
  */
 #ifndef DL_HTTP_SERVER_PRIVATE_H
 #define DL_HTTP_SERVER_PRIVATE_H
@@ -11,6 +12,8 @@
 #include "kernel/http_connections.h"
 #include "kernel/http_server.h"
 
+#define DL_HTTP_LISTEN_BACKLOG 512 /* connections */
+
 struct DlHttpServer
 {
   DlTask *task;
@@ -65,6 +68,13 @@
   DlHttpEnd end;       /* set as it ends */
 };
 
+/* Has libmicrohttpd handle what has arrived and what is due. */
+void dl_http_server_run (DlHttpServer *server);
+/* The server's part in the end of the process, a DlEndFunc. */
+bool dl_http_server_end (DlEndStep step, void *server);
+/* Tells what callers lose as the process ends. */
+void dl_http_server_log_open (const DlHttpServer *server);
+
 /* Why REQUEST ends, by what libmicrohttpd says. */
 DlHttpEnd dl_http_request_ended_by (const DlHttpRequest *request,
                                     enum MHD_RequestTerminationCode code);
