Soak in slices: a second process begins once the entry has surely started

The second process, which is not sliced, was begun 160 ms after the entry's start, took its addresses first, and the entry ended with 105.

A second process now begins only after the entry's 100, and at the latest a second after its SIGTERM; it is checked as strictly as before. One that takes over from an entry that has ended is still played.

--- a/regress/direct/soak_slices.c
+++ b/regress/direct/soak_slices.c
@@ -55,11 +55,12 @@
   Process *process;
   unsigned index;
   EntryState state;
-  gint64 next_ms; /* the next step: SIGTERM, a further signal, or the start */
-  gint64 stop_ms; /* the first SIGTERM */
-  gint late;      /* atomic; it has stopped for LATE_STOP_MS */
-  gint64 hup_ms;  /* SIGHUP from then on, while it starts; 0: none */
-  Process second; /* on the same addresses */
+  gint64 next_ms;     /* the next step: SIGTERM, a further signal, or the start */
+  gint64 stop_ms;     /* the first SIGTERM */
+  gint late;          /* atomic; it has stopped for LATE_STOP_MS */
+  gint64 hup_ms;      /* SIGHUP from then on, while it starts; 0: none */
+  bool has_addresses; /* it has surely started; else unknown */
+  Process second;     /* on the same addresses */
   gint64 second_hup_ms;
   /* The rest is the slices' thread's. */
   bool stands;
@@ -223,6 +224,7 @@
 start_entry (Slices *s, SlicedEntry *e)
 {
   soak_log_event (s->soak, "slices: start", e->index);
+  e->has_addresses = false;
   g_atomic_int_set (&e->late, 0);
   g_mutex_lock (&s->lock);
   process_start (e->process);
@@ -297,14 +299,18 @@
 
 /* -------- second processes -------- */
 
+/* Not before the entry has its addresses: a second process could take them first. */
 static bool
-may_start_second (const SlicedEntry *e)
+may_start_second (SlicedEntry *e)
 {
-  if (e->second.pid > 0)
+  bool runs
+      = e->state == ENTRY_RUNS
+        || (e->state == ENTRY_STOPS && soak_now_ms () < e->stop_ms + SECOND_AFTER_MAX_MS);
+
+  if (!runs || e->second.pid > 0)
     return false;
-  return e->state == ENTRY_RUNS
-         || (e->state == ENTRY_STOPS
-             && soak_now_ms () < e->stop_ms + SECOND_AFTER_MAX_MS);
+  e->has_addresses = e->has_addresses || soak_has_started (e->process);
+  return e->has_addresses;
 }
 
 static void
@@ -349,6 +355,7 @@
   if (!soak_has_started (&e->second))
     return;
   soak_log_event (s->soak, "slices: the second process serves", e->index);
+  e->has_addresses = true;
   g_mutex_lock (&s->lock);
   e->process->pid = e->second.pid;
   e->second.pid = 0;
