--- a/regress/direct/end_steps.c
+++ b/regress/direct/end_steps.c
@@ -23,8 +23,8 @@
 #define US_PER_MS       1000
 #define SEED_DEFAULT    44
 #define PLAYS_DEFAULT   3 /* ends of each entry */
-#define NEW_PLAYS       2
-#define NEW_FIRST       21 /* the listening socket for callers closes about there */
+#define NEW_PLAYS       3
+#define NEW_FIRST       1
 #define START_PLAYS     6
 #define SLICE_MS        300
 #define LOSS_SLACK_MS   200  /* stated by the users */
@@ -47,21 +47,21 @@
 {
   const char *from;  /* text of the line that the process logs before; NULL: its start */
   unsigned after_ms; /* and so much later */
+  const char *call;  /* the only calls that count; NULL: all do */
 } Span;
 
 enum
 {
   WHOLE_STOP,
   LAST_CLOSES,   /* of kept connections, up to the end of the process */
-  LAST_LISTENER, /* from the close of the first listening socket; that for callers is last
-                  */
+  LAST_LISTENER, /* the same, but closes alone: those of listening sockets come first */
   SPANS
 };
 
 static const Span spans[SPANS] = {
   [WHOLE_STOP] = { "\"event\":101,", 0 },
   [LAST_CLOSES] = { "\"event\":101,", LAST_MS },
-  [LAST_LISTENER] = { "\"event\":110,", 0 },
+  [LAST_LISTENER] = { "\"event\":101,", LAST_MS, "close" },
 };
 
 /* An entry that stands still once. */
@@ -120,6 +120,10 @@
     g_setenv ("SLICE_FROM", s->span.from, TRUE);
   else
     g_unsetenv ("SLICE_FROM");
+  if (s->span.call != NULL)
+    g_setenv ("SLICE_CALL", s->span.call, TRUE);
+  else
+    g_unsetenv ("SLICE_CALL");
   g_setenv ("SLICE_AFTER", after, TRUE);
   g_setenv ("SLICE_AT", at, TRUE);
   g_setenv ("SLICE_MS", ms, TRUE);
@@ -511,6 +515,7 @@
            "%u requests, %u lost\n",
            seed, plays * ENTRIES, counted[0], counted[1], sliced, sent, lost);
   CHECK (lost == 0);
+  CHECK (sent > 0);
   CHECK (sliced >= plays); /* half of them at least */
   g_rand_free (rand);
   restart_entries (tb);
--- a/regress/slices/process_slices.c
+++ b/regress/slices/process_slices.c
@@ -65,6 +65,7 @@
 begin (void)
 {
   begun = true;
+  slices_count_only (g_getenv ("SLICE_CALL"));
   slices_begin (number ("SLICE_AT"), (unsigned)number ("SLICE_MS"), on_slice);
 }
 
--- a/regress/slices/slices.c
+++ b/regress/slices/slices.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <poll.h>
 #include <signal.h>
+#include <string.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <sys/epoll.h>
@@ -16,6 +17,8 @@
 
 static _Thread_local bool counting;
 static _Thread_local const char *call = "";
+static _Thread_local const char
+    *counted; /* the name of the calls that count; NULL: all */
 static _Thread_local uint64_t count;
 static _Thread_local uint64_t slice_at;
 static _Thread_local unsigned slice_ms;
@@ -48,6 +51,12 @@
 {
 }
 
+void
+slices_count_only (const char *name)
+{
+  counted = name;
+}
+
 const char *
 slices_call (void)
 {
@@ -59,7 +68,8 @@
 {
   slices_before_call ();
   call = name;
-  if (!counting || ++count != slice_at)
+  if (!counting || (counted != NULL && strcmp (counted, name) != 0)
+      || ++count != slice_at)
     return;
   slice_func ();
   g_usleep ((gulong)slice_ms * US_PER_MS);
--- a/regress/slices/slices.h
+++ b/regress/slices/slices.h
@@ -13,6 +13,8 @@
 /* Counts this thread's calls from now on.  Before call AT, counted from 1, ON_SLICE is
  * called and the thread sleeps for MS; 0: before none. */
 void slices_begin (uint64_t at, unsigned ms, void (*on_slice) (void));
+/* Counts the calls NAME alone on this thread; NULL: all. */
+void slices_count_only (const char *name);
 /* The name of the last call; "" for a step that is none. */
 const char *slices_call (void);
 /* Counts a step that is no system call. */
