Test of new connections in a slice: one of the entries stands still while it surely listens

By hand, 12 plays of closes alone sent 8 requests (24 in another run): before most closes the socket is closed already, so that the check that requests were sent could fail by chance. One entry now goes through the closes, the other through the first steps from 3,150 ms on, at which it listens.

--- a/regress/direct/end_steps.c
+++ b/regress/direct/end_steps.c
@@ -23,7 +23,7 @@
 #define US_PER_MS       1000
 #define SEED_DEFAULT    44
 #define PLAYS_DEFAULT   3 /* ends of each entry */
-#define NEW_PLAYS       3
+#define NEW_PLAYS       4
 #define NEW_FIRST       1
 #define START_PLAYS     6
 #define SLICE_MS        300
@@ -504,8 +504,10 @@
           };
         }
       if (in_order > 0 && second == LAST_LISTENER)
-        for (unsigned k = 0; k < ENTRIES; k++)
-          steps[k] = (Step){ second, in_order + (uint64_t)i * ENTRIES + k };
+        {
+          steps[0] = (Step){ second, in_order + i };
+          steps[1] = (Step){ first, in_order + i }; /* the entry surely listens */
+        }
       play_end (tb, &play, callers, steps);
       sent += play.sent;
       lost += play.lost;
