--- a/regress/unit/test_ends.c
+++ b/regress/unit/test_ends.c
@@ -15,7 +15,7 @@
 #include "kernel/http_server.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
-#include "slices.h"
+#include "../slices/slices.h"
 #include "unit.h"
 
 #define CALLERS  3
