explain: a failed request's outcome is its failure, also where 112 follows it

Seen in the full run of the tests (group cases, test_broken_stream, 1 of 158 checks): the line that a response was not sent in full comes after the line of the failure, and was taken for the outcome.

--- a/lib/query/explain.c
+++ b/lib/query/explain.c
@@ -354,6 +354,17 @@
                     explain->id, explain->dropped);
 }
 
+/* True if LINE tells the outcome rather than LAST, the line of the request before it.
+ * That a failed request ended without its whole response follows from its failure. */
+static bool
+is_outcome (const Line *line, const Line *last)
+{
+  return line->is_request
+         && !(last != NULL
+              && dl_json_uint (line->event, "event") == DL_EVENT_RESPONSE_INCOMPLETE
+              && dl_json_uint (last->event, "event") == DL_EVENT_REQUEST_FAILED);
+}
+
 bool
 dl_explain_write (DlExplain *explain, DlBuffer *out)
 {
@@ -371,7 +382,7 @@
       const Line *line = &g_array_index (explain->lines, Line, i);
 
       write_line (explain, line, out);
-      if (line->is_request)
+      if (is_outcome (line, last))
         last = line;
     }
   dl_buffer_printf (out, "outcome: %s\n",
