--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -245,6 +245,7 @@
   c->set->wake (c->set->owner);
 }
 
+/* Where the response cannot be sent, the end of the output tells the caller. */
 static void
 close_output (Connection *c)
 {
