HTTP server: one look for callers that have gone; no second constant, no unused includes

Found in reading the whole change once more: http_request_end.c had a peek at the socket of its own beside that of http_connections.c, and http_server.c two constants for the milliseconds of a second.

--- a/lib/kernel/http_connections.c
+++ b/lib/kernel/http_connections.c
@@ -1,5 +1,6 @@
 #include "kernel/http_connections.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -173,6 +174,14 @@
       ->socket_context;
 }
 
+bool
+dl_http_connections_is_caller_gone (struct MHD_Connection *connection)
+{
+  ssize_t n = peek (connection_of (connection));
+
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 uint64_t
 dl_http_connections_quiet_ms (struct MHD_Connection *connection)
 {
--- a/lib/kernel/http_connections.h
+++ b/lib/kernel/http_connections.h
@@ -38,6 +38,8 @@
 /* From now on, what is read on a connection without a request in progress is the part of
  * a first line. */
 void dl_http_connections_mark (DlHttpConnections *connections);
+/* True when the caller of CONNECTION has closed or reset it. */
+bool dl_http_connections_is_caller_gone (struct MHD_Connection *connection);
 /* Time since the last bytes of CONNECTION arrived, read or not; 0 where the system does
  * not tell. */
 uint64_t dl_http_connections_quiet_ms (struct MHD_Connection *connection);
--- a/lib/kernel/http_request_end.c
+++ b/lib/kernel/http_request_end.c
@@ -1,8 +1,6 @@
 /* Why requests end, and the log line of each that ends without its whole response. */
-#include <errno.h>
 #include <glib.h>
 #include <microhttpd.h>
-#include <sys/socket.h>
 
 #include "kernel/http_server_private.h"
 #include "kernel/log.h"
@@ -40,26 +38,13 @@
   g_assert_not_reached ();
 }
 
-bool
-dl_http_request_is_caller_gone (const DlHttpRequest *r)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  ssize_t n;
-
-  if (info == NULL)
-    return false;
-  n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 static DlHttpEnd
 failed_response (const DlHttpRequest *r)
 {
   if (r->aborted || (r->stream_ended && !r->stream_complete))
     return DL_HTTP_CUT;
-  return dl_http_request_is_caller_gone (r) ? DL_HTTP_CALLER_LEFT : DL_HTTP_WRITE_FAILED;
+  return dl_http_connections_is_caller_gone (r->connection) ? DL_HTTP_CALLER_LEFT
+                                                            : DL_HTTP_WRITE_FAILED;
 }
 
 DlHttpEnd
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -12,7 +12,6 @@
 
 #include "kernel/address.h"
 #include "kernel/error.h"
-#include "kernel/http_linger.h"
 #include "kernel/listen.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -24,7 +23,6 @@
 #define STALLED_TIMEOUTS        2
 #define CHECKS_PER_IDLE_TIMEOUT 4
 #define MS_PER_S                1000
-#define MILLISECONDS_PER_SECOND 1000.0
 #define CONNECTION_EXTRA_BYTES  (32u * 1024) /* libmicrohttpd's own use per connection */
 
 DL_METRIC (metric_requests,
@@ -393,7 +391,7 @@
       DlHttpRequest *r = l->data;
 
       if (!g_hash_table_contains (server->suspended, r)
-          || !dl_http_request_is_caller_gone (r))
+          || !dl_http_connections_is_caller_gone (r->connection))
         continue;
       r->caller_disconnected = true;
       if (!r->has_response)
@@ -419,7 +417,7 @@
   ev_timer_stop (server->loop, &server->timeout);
   if (MHD_get_timeout (server->daemon, &timeout_ms) == MHD_YES)
     {
-      ev_timer_set (&server->timeout, (double)timeout_ms / MILLISECONDS_PER_SECOND, 0.0);
+      ev_timer_set (&server->timeout, (double)timeout_ms / MS_PER_S, 0.0);
       ev_timer_start (server->loop, &server->timeout);
     }
 }
--- a/lib/kernel/http_server_end.c
+++ b/lib/kernel/http_server_end.c
@@ -1,5 +1,4 @@
 /* How a server ends: its listening socket, its connections, and the process. */
-#include <errno.h>
 #include <glib.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
--- a/lib/kernel/http_server_private.h
+++ b/lib/kernel/http_server_private.h
@@ -78,8 +78,6 @@
 /* Why REQUEST ends, by what libmicrohttpd says. */
 DlHttpEnd dl_http_request_ended_by (const DlHttpRequest *request,
                                     enum MHD_RequestTerminationCode code);
-/* True when the caller of REQUEST has closed or reset its connection. */
-bool dl_http_request_is_caller_gone (const DlHttpRequest *request);
 /* Counts and logs REQUEST, which has ended, if its response was not sent in full and its
  * handler is not the one to tell. */
 void dl_http_request_report_end (const DlHttpRequest *request);
