Manifests from other nodes are read on x86-64 as well

Callers and hosts saw: on x86-64 no stager or hub ever took a manifest from another node (1103, "another node", status 200, every 300 ms), so engines that lost their weights or were to load a new version got none while any other node held it. Not on arm64. Cause: one call had split_lines (..., count) and *count as two arguments. The order in which arguments are evaluated is not specified; gcc goes from the right on x86-64, and *count was still 0 there. Ruled out: load (the same with one process group), the age of the machine, the nodes' responses (their bodies are whole). Looked for the same elsewhere: all calls with an argument that is written by a sibling, by a script over all sources; no other found. The order is now in the statements.

--- a/lib/node/chunk_cache_manifest.c
+++ b/lib/node/chunk_cache_manifest.c
@@ -92,9 +92,12 @@
 static const char **
 read_from_peer (DlBundle *b, const DlHttpResult *result, unsigned *count)
 {
+  const char **digests;
+
   if (result->error != 0 || result->status != DL_CHUNK_STATUS_OK)
     return NULL;
-  return checked (b, split_lines (b, result->body, count), *count);
+  digests = split_lines (b, result->body, count);
+  return checked (b, digests, *count);
 }
 
 /* -------- the first manifest -------- */
