WHOLE: entries send requests to an engine only once a stager has told that its weights are sound

Cause: what was not known counted as sound. Ruled out: asking the engine itself, which tells its count of commands and no more. Weighed: leaving such engines in use until a stager speaks (the fault), or reading records of the store at each entry (a call and a watch more an entry, for the moments in which a stager is down and its engine is not). Unit "direct" green.

--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -389,6 +389,14 @@
   return id != NULL && strcmp (id, u->id) == 0;
 }
 
+/* True for an engine that is down or loading, or that no stager has told to have sound
+ * weights: the list tells which version it has, and not whether that was taken whole. */
+static bool
+lacks_sound_weights (const DirectUpstream *u)
+{
+  return u->loading || (u->has_engine && u->stager_report_ms == 0);
+}
+
 /* Whether the upstream serves such requests, though not during a hold-off. */
 static bool
 can_serve (const DirectUpstreams *upstreams,
@@ -403,7 +411,7 @@
   if (!query->service->has_engine)
     return true;
   required = direct_upstreams_required_version (upstreams, query->now_ms);
-  return !u->loading && u->version > 0 && u->version >= required;
+  return !lacks_sound_weights (u) && u->version > 0 && u->version >= required;
 }
 
 /* Time until the upstream takes a request again, when it holds off or is at its limit; 0
@@ -510,7 +518,7 @@
       if (u->removed || u->availability.leaving || strcmp (u->service, service) != 0)
         continue;
       count.listed++;
-      count.loading += u->loading;
+      count.loading += lacks_sound_weights (u);
       count.displaced += u->displaced;
       count.ejected += !dl_breaker_allows (&u->breaker, now_ms);
       count.held_off += dl_availability_hold_ms (&u->availability, now_ms) > 0;
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -40,7 +40,8 @@
   DlSoundLoad sound_load;      /* its last load that its stager knew to be sound */
   uint64_t version;            /* of the weights that it serves; 0 for none */
   unsigned slots;              /* request slots */
-  uint64_t stager_report_ms;   /* when its stager last reported on it; 0 for never */
+  uint64_t stager_report_ms;   /* when its stager last reported on it; 0 for never, and
+                                * an engine is not used before */
   unsigned attempts;           /* in progress at it */
   DlUpstreamLoad load;
   DlBreaker breaker;
