WHOLE: no version is staged while a write of another one may still land

Cause: a write that had timed out was closed and forgotten, and the next version was written beside it. Ruled out: a longer timeout (nothing bounds a process that stands still), counting such loads as spoilt (the engine would stay out of use for good). A write that gets no response in time is now kept open until the engine has answered or closed, 10 s at most, also when its version is replaced; its chunk is written again meanwhile. Another version is staged only when none is open. The driver had one condition that was stricter than its words: a command counted as answered in time only within the call's timeout of 1 s. It also counts cancelled writes as lost, as the stager does.

--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -109,7 +109,8 @@
 bool
 load_allows_writes (const Weights *w)
 {
-  return dl_load_proof_may_write (&w->proof, load_engine_has_other (w));
+  return dl_load_proof_may_write (&w->proof, w->staging->bundle->version,
+                                  load_engine_has_other (w));
 }
 
 /* Chunks that were read before the engine took them prove nothing. */
--- a/daisystaged/stage.c
+++ b/daisystaged/stage.c
@@ -1,6 +1,7 @@
 /*
  * Writes and verifies the engine's staging area.
  */
+#include <errno.h>
 #include <glib.h>
 #include <talloc.h>
 
@@ -11,6 +12,10 @@
 
 #define STAGE_TIMEOUT_MS 1000
 #define STAGE_CALLS_MAX  4
+/* A write without a response stays open for this long, as it may land as long as its
+ * connection lives. */
+#define WRITE_OPEN_MAX_MS 10000
+#define WRITES_OPEN_MAX   16
 /* At an engine that takes too long to return all chunks for a proof of them. */
 #define STAGE_CALLS_SLOW_MAX 16
 #define CHUNK_MAX_BYTES      (1u << 20)
@@ -43,7 +48,7 @@
 }
 
 static DlHttpCallOptions
-stage_options (StageCall *c,
+stage_options (void *data,
                void (*on_done) (DlHttpCall *call, const DlHttpResult *result, void *data))
 {
   return (DlHttpCallOptions){
@@ -51,7 +56,7 @@
     .timeout_ms = STAGE_TIMEOUT_MS,
     .max_body_bytes = CHUNK_MAX_BYTES,
     .on_done = on_done,
-    .data = c,
+    .data = data,
   };
 }
 
@@ -73,20 +78,101 @@
 
 /* -------- writing -------- */
 
+/* A write that is open.  A child of the task's state, as it may outlive its staging. */
+struct StageWrite
+{
+  Weights *owner;
+  StageCall *call; /* NULL once it was given up */
+  uint64_t sent_ms;
+  DlTimer *timer; /* until it is given up */
+  StageWrite *next;
+};
+
+static int
+write_destroy (StageWrite *write)
+{
+  StageWrite **at = &write->owner->writes;
+
+  while (*at != write)
+    at = &(*at)->next;
+  *at = write->next;
+  dl_load_proof_write_ended (&write->owner->proof);
+  return 0;
+}
+
+/* It may still land. */
+static void
+write_give_up (StageWrite *write)
+{
+  StageCall *c = write->call;
+
+  write->call = NULL;
+  talloc_free (write->timer);
+  c->staging->copies[c->index].state = STAGED_ABSENT;
+  dl_load_proof_write_lost (&write->owner->proof, write->sent_ms);
+  end_call (c, &(DlHttpResult){ .error = -ETIMEDOUT }, true);
+}
+
+static void
+on_write_late (DlTimer *timer, void *data)
+{
+  StageWrite *write = data;
+
+  write_give_up (write);
+  weights_run (write->owner);
+}
+
+void
+stage_give_up_writes (Staging *s)
+{
+  for (StageWrite *write = s->owner->writes; write != NULL; write = write->next)
+    if (write->call != NULL && write->call->staging == s)
+      write_give_up (write);
+}
+
 static void
 on_written (DlHttpCall *call, const DlHttpResult *result, void *data)
 {
-  StageCall *c = data;
-  Staging *s = c->staging;
+  StageWrite *write = data;
+  Weights *w = write->owner;
+  StageCall *c = write->call;
   bool done = result->error == 0
               && (result->status == STATUS_OK || result->status == STATUS_CREATED
                   || result->status == STATUS_NO_CONTENT);
 
-  s->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
-  if (result->error != 0 && result->sent)
-    dl_load_proof_write_lost (&s->owner->proof, c->sent_ms);
-  end_call (c, result, !done);
-  weights_run (s->owner);
+  if (c != NULL)
+    {
+      c->staging->copies[c->index].state = done ? STAGED_WRITTEN : STAGED_ABSENT;
+      if (result->error != 0 && result->sent)
+        dl_load_proof_write_lost (&w->proof, write->sent_ms);
+      end_call (c, result, !done);
+    }
+  talloc_free (write);
+  weights_run (w);
+}
+
+static void
+write_chunk (Staging *s, unsigned index)
+{
+  Weights *w = s->owner;
+  const DlBundle *b = s->bundle;
+  StageWrite *write = talloc_zero (w, StageWrite);
+  DlHttpCallOptions options;
+
+  s->copies[index].state = STAGED_WRITING;
+  dl_load_proof_write_sent (&w->proof, b->version);
+  write->owner = w;
+  write->call = stage_call_new (s, index);
+  write->sent_ms = write->call->sent_ms;
+  write->timer
+      = dl_timer_subscribe (w->task, write, STAGE_TIMEOUT_MS, 0, on_write_late, write);
+  write->next = w->writes;
+  w->writes = write;
+  talloc_set_destructor (write, write_destroy);
+  options = stage_options (write, on_written);
+  options.timeout_ms = WRITE_OPEN_MAX_MS;
+  platform_call_stage_put (w->client, w, w->settings->engine, b->model, index,
+                           b->chunks[index], &options);
 }
 
 void
@@ -99,20 +185,11 @@
   if (now_ms < w->staging_blocked_until_ms || !dl_backoff_allows (&s->failures, now_ms)
       || !load_allows_writes (w))
     return;
-  for (unsigned i = 0; i < b->count && s->calls < STAGE_CALLS_MAX; i++)
-    {
-      StageCall *c;
-      DlHttpCallOptions options;
-
-      if (s->copies[i].state != STAGED_ABSENT || b->chunks[i].length == 0)
-        continue;
-      s->copies[i].state = STAGED_WRITING;
-      dl_load_proof_write_sent (&w->proof);
-      c = stage_call_new (s, i);
-      options = stage_options (c, on_written);
-      platform_call_stage_put (w->client, s, w->settings->engine, b->model, i,
-                               b->chunks[i], &options);
-    }
+  for (unsigned i = 0; i < b->count && s->calls < STAGE_CALLS_MAX
+                       && w->proof.open_writes < WRITES_OPEN_MAX;
+       i++)
+    if (s->copies[i].state == STAGED_ABSENT && b->chunks[i].length > 0)
+      write_chunk (s, i);
 }
 
 /* -------- reading back -------- */
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -80,10 +80,7 @@
 static int
 staging_destroy (Staging *s)
 {
-  /* Writes that are cancelled may land. */
-  for (unsigned i = 0; s->copies != NULL && i < s->bundle->count; i++)
-    if (s->copies[i].state == STAGED_WRITING)
-      dl_load_proof_write_lost (&s->owner->proof, dl_clock_ms ());
+  stage_give_up_writes (s);
   dl_bundle_close (s->bundle);
   return 0;
 }
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -14,6 +14,7 @@
 
 typedef struct Weights Weights;
 typedef struct Staging Staging;
+typedef struct StageWrite StageWrite;
 
 /* State of one chunk's copy in the staging area, as far as it is known. */
 typedef enum
@@ -68,6 +69,7 @@
   char *default_model; /* to load when there is no target; NULL until known */
   bool no_target;      /* the store was read and has no target version */
   Staging *staging;    /* of the current version; NULL for none */
+  StageWrite *writes;  /* that are open; NULL for none */
   DlBundle *next;      /* a newer version, which is only fetched; NULL for none */
   uint64_t next_limit_start_ms; /* as in Staging */
   bool recovered;               /* the staging area has been read back since the start */
@@ -102,6 +104,10 @@
 /* Writes chunks that are in memory and not staged yet, a few at a time; none while that
  * could hide what the engine took. */
 void stage_write (Staging *staging);
+/* Writes of STAGING that have had no response stay open, and do not count for it any
+ * more.
+ */
+void stage_give_up_writes (Staging *staging);
 /* Reads back chunks whose last verifying read was sent before SINCE_MS, a few at a time.
  * Returns true when all have been verified since. */
 bool stage_verify (Staging *staging, uint64_t since_ms);
--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -162,19 +162,29 @@
 /* -------- writes and the check -------- */
 
 bool
-dl_load_proof_may_write (const DlLoadProof *p, bool other_version)
+dl_load_proof_may_write (const DlLoadProof *p, uint64_t version, bool other_version)
 {
-  return p->known && !p->awaited && (p->state == DL_WEIGHTS_SOUND || other_version);
+  return p->known && !p->awaited && (p->state == DL_WEIGHTS_SOUND || other_version)
+         && (p->open_writes == 0 || p->open_version == version);
 }
 
 void
-dl_load_proof_write_sent (DlLoadProof *p)
+dl_load_proof_write_sent (DlLoadProof *p, uint64_t version)
 {
   g_assert (!p->awaited);
+  p->open_writes++;
+  p->open_version = version;
   p->overwritten
       = p->overwritten || p->pending || !p->known || p->state == DL_WEIGHTS_UNCHECKED;
 }
 
+void
+dl_load_proof_write_ended (DlLoadProof *p)
+{
+  g_assert (p->open_writes > 0);
+  p->open_writes--;
+}
+
 void
 dl_load_proof_write_lost (DlLoadProof *p, uint64_t sent_ms)
 {
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -18,6 +18,10 @@
  * What was sent before an engine answered a report that was asked for later went to that
  * engine, and is gone when another one has started in its place.
  *
+ * Two writes under way could spoil a chunk before the acceptance and mend it after it.
+ * So a version is staged only when no write of another one is open: it was sent, and
+ * neither its response nor the end of its connection has been seen.
+ *
  * No I/O: times are milliseconds passed in by the caller.
  */
 #ifndef DL_LOAD_PROOF_H
@@ -53,6 +57,14 @@
   uint64_t now_ms;
 } DlProofReport;
 
+/* A load that was known to be sound, as it is remembered or recorded.  Starts zeroed. */
+typedef struct
+{
+  bool known;
+  uint64_t started_ms; /* as in DlProofReport, and the next */
+  uint64_t loads;
+} DlSoundLoad;
+
 /* Starts zeroed. */
 typedef struct
 {
@@ -71,6 +83,8 @@
                      * command that loaded its weights, or a pending one */
   bool write_lost;  /* a write without a response may still land */
   uint64_t lost_ms; /* when the last such write was sent */
+  unsigned open_writes;  /* of OPEN_VERSION */
+  uint64_t open_version; /* undefined without any */
 } DlLoadProof;
 
 /* By its users' rules an engine may take a chunk that turned bad within this time. */
@@ -98,25 +112,20 @@
 void dl_load_proof_refused (DlLoadProof *proof);
 /* No usable response came: it may still be accepted. */
 void dl_load_proof_given_up (DlLoadProof *proof);
-/* True when chunks may be written: they are evidence, for the next stager as well, until
- * the weights are known to be sound or were given up.  OTHER_VERSION: the engine is known
- * to have weights of another version, so that what is staged cannot show what it took. */
-bool dl_load_proof_may_write (const DlLoadProof *proof, bool other_version);
-/* A chunk is written, which was allowed. */
-void dl_load_proof_write_sent (DlLoadProof *proof);
-/* A write that was sent at SENT_MS ended without a response. */
+/* True when chunks of VERSION may be written: they are evidence until the weights are
+ * known to be sound or were given up.  OTHER_VERSION: the engine is known to have weights
+ * of another version, so that what is staged cannot show what it took. */
+bool
+dl_load_proof_may_write (const DlLoadProof *proof, uint64_t version, bool other_version);
+/* A chunk of VERSION is written, which was allowed. */
+void dl_load_proof_write_sent (DlLoadProof *proof, uint64_t version);
+/* Such a write has had its response, or its connection has ended. */
+void dl_load_proof_write_ended (DlLoadProof *proof);
+/* A write that was sent at SENT_MS has had no response in time, or none at all. */
 void dl_load_proof_write_lost (DlLoadProof *proof, uint64_t sent_ms);
 /* All chunks were read back since ACCEPTED_MS and are sound, or one is not. */
 void dl_load_proof_checked (DlLoadProof *proof, bool is_sound);
 
-/* A load that was known to be sound, as an entry remembers it.  Starts zeroed. */
-typedef struct
-{
-  bool known;
-  uint64_t started_ms;
-  uint64_t loads;
-} DlSoundLoad;
-
 /* A stager has told of its engine, which started at STARTED_MS and has accepted LOADS
  * commands; UNCHECKED: it does not know whether the weights are sound, as it has just
  * started, for one.  True if they are, by this or by what was told before. */
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -25,6 +25,7 @@
 #define LATE_MAX_MS       9000
 #define LOAD_MAX_MS       1500
 #define FREEZE_MAX_MS     6000
+#define WRITE_OPEN_MAX_MS 10000
 #define PER_THOUSAND      1000
 #define NEVER_MS          UINT64_MAX
 
@@ -69,6 +70,8 @@
   bool has_sender;  /* the stager waits for the response */
   bool landed;      /* at the engine */
   bool answered_no; /* refused, or already in effect */
+  bool broken;      /* its connection has ended */
+  bool given_up;    /* a write: the stager no longer counts on it, but keeps it open */
   uint64_t sent_ms;
   uint64_t land_ms;
   uint64_t response_ms;
@@ -146,7 +149,7 @@
   unsigned kill;
   unsigned announce;
   unsigned call_number;
-  unsigned answered; /* number of the last load with a response in time */
+  unsigned answered; /* the last load whose response came while its proof was good */
   uint64_t proven_start;
   uint64_t proven_loads;
   Engine engine;
@@ -291,6 +294,7 @@
       {
         w->calls[i].land_ms = NEVER_MS;
         w->calls[i].response_ms = NEVER_MS;
+        w->calls[i].broken = true;
       }
   e->started_ms = w->now_ms;
   e->loads = 0;
@@ -410,7 +414,7 @@
   Stager *s = &w->stager;
 
   if (w->now_ms < s->blocked_until_ms
-      || !dl_load_proof_may_write (&s->proof, engine_has_other (s)))
+      || !dl_load_proof_may_write (&s->proof, s->version, engine_has_other (s)))
     return;
   for (unsigned i = 0; i < CHUNKS && s->calls < STAGE_CALLS_MAX; i++)
     {
@@ -419,7 +423,7 @@
       if (s->copies[i].state != COPY_ABSENT)
         continue;
       s->copies[i].state = COPY_WRITING;
-      dl_load_proof_write_sent (&s->proof);
+      dl_load_proof_write_sent (&s->proof, s->version);
       s->calls++;
       c = call_new (w, CALL_WRITE);
       c->chunk = i;
@@ -599,15 +603,29 @@
     set_phase (w, PHASE_LOADING);
 }
 
-/* The calls of the version before are cancelled; they may have been sent. */
+static void
+give_write_up (World *w, Call *c)
+{
+  say (w, "stager gives write %u up", c->number);
+  c->given_up = true;
+  dl_load_proof_write_lost (&w->stager.proof, c->sent_ms);
+}
+
+/* The reads of the version before are cancelled.  Its writes stay open. */
 static void
 promote (World *w)
 {
   Stager *s = &w->stager;
 
   for (unsigned i = 0; i < CALLS_MAX; i++)
-    if (w->calls[i].type == CALL_READ || w->calls[i].type == CALL_WRITE)
-      w->calls[i].has_sender = false;
+    {
+      Call *c = &w->calls[i];
+
+      if (c->type == CALL_READ)
+        c->has_sender = false;
+      else if (c->type == CALL_WRITE && c->has_sender && !c->given_up)
+        give_write_up (w, c);
+    }
   memset (s->copies, 0, sizeof s->copies);
   s->calls = 0;
   s->version = w->newest;
@@ -714,7 +732,7 @@
       dl_load_proof_accepted (&s->proof, unload, c->proof_ms, w->now_ms);
       s->taken_version = unload ? 0 : c->version;
       s->checking = false;
-      if (w->now_ms - c->sent_ms <= CALL_TIMEOUT_MS)
+      if (w->now_ms - c->proof_ms <= DL_LOAD_SPOILT_MAX_MS)
         w->answered = c->number;
     }
   if (s->phase == PHASE_LOAD_COMMAND)
@@ -740,13 +758,13 @@
         *copy = (Copy){ .state = COPY_VERIFIED, .read_ms = c->sent_ms };
       break;
     case CALL_WRITE:
+      dl_load_proof_write_ended (&s->proof);
+      if (c->given_up)
+        break;
       s->calls--;
       copy->state = responded ? COPY_WRITTEN : COPY_ABSENT;
       if (!responded)
-        {
-          say (w, "stager gives write %u up", c->number);
-          dl_load_proof_write_lost (&s->proof, c->sent_ms);
-        }
+        dl_load_proof_write_lost (&s->proof, c->sent_ms);
       break;
     case CALL_LOAD:
     case CALL_UNLOAD:
@@ -763,14 +781,43 @@
     }
 }
 
+static uint64_t
+call_timeout_ms (const Call *c)
+{
+  switch (c->type)
+    {
+    case CALL_REPORT:
+      return REPORT_TIMEOUT_MS;
+    case CALL_WRITE:
+      return WRITE_OPEN_MAX_MS;
+    default:
+      return CALL_TIMEOUT_MS;
+    }
+}
+
+/* The chunk of a late write is written once more, though the write stays open. */
+static void
+give_up_late_write (World *w, Call *c)
+{
+  Stager *s = &w->stager;
+
+  if (c->type != CALL_WRITE || !c->has_sender || c->given_up
+      || w->now_ms < c->sent_ms + CALL_TIMEOUT_MS)
+    return;
+  s->calls--;
+  s->copies[c->chunk].state = COPY_ABSENT;
+  give_write_up (w, c);
+}
+
 /* A stager that stood still may find the response as well as its own timer. */
 static void
 step_call (World *w, Call *c)
 {
-  uint64_t timeout_ms = c->type == CALL_REPORT ? REPORT_TIMEOUT_MS : CALL_TIMEOUT_MS;
-  bool is_late = w->now_ms >= c->sent_ms + timeout_ms;
+  bool is_late = c->broken || w->now_ms >= c->sent_ms + call_timeout_ms (c);
   bool responded = c->landed && w->now_ms >= c->response_ms;
 
+  if (!responded)
+    give_up_late_write (w, c);
   if (c->has_sender && (responded || is_late))
     {
       Call done = *c;
--- a/regress/unit/test_load_proof.c
+++ b/regress/unit/test_load_proof.c
@@ -423,7 +423,7 @@
       dl_load_proof_given_up (proof);
       break;
     case EV_WRITE:
-      dl_load_proof_write_sent (proof);
+      dl_load_proof_write_sent (proof, 1);
       break;
     case EV_WRITE_LOST:
       dl_load_proof_write_lost (proof, now_ms - 1);
@@ -461,22 +461,44 @@
 {
   DlLoadProof proof = { 0 };
 
-  CU_ASSERT (!dl_load_proof_may_write (&proof, false));
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 1, false));
   dl_load_proof_report (&proof, &(DlProofReport){ .started_ms = START_1, .now_ms = 1 });
-  CU_ASSERT (dl_load_proof_may_write (&proof, true));
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, true));
   dl_load_proof_command_sent (&proof, 1);
-  CU_ASSERT (!dl_load_proof_may_write (&proof, false));
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 1, false));
   dl_load_proof_given_up (&proof);
-  CU_ASSERT (dl_load_proof_may_write (&proof, true));
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, true));
   dl_load_proof_command_sent (&proof, 1);
   dl_load_proof_refused (&proof);
-  CU_ASSERT (dl_load_proof_may_write (&proof, true));
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, true));
   dl_load_proof_command_sent (&proof, 1);
   dl_load_proof_accepted (&proof, false, 1, 2);
-  CU_ASSERT (!dl_load_proof_may_write (&proof, false));
-  CU_ASSERT (dl_load_proof_may_write (&proof, true));
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 1, false));
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, true));
   dl_load_proof_checked (&proof, true);
-  CU_ASSERT (dl_load_proof_may_write (&proof, true));
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, true));
+}
+
+/* A late write may land over a chunk of a newer version after that was proven. */
+static void
+test_versions_are_not_staged_at_once (void)
+{
+  DlLoadProof proof = { 0 };
+
+  dl_load_proof_report (&proof, &(DlProofReport){ .started_ms = START_1, .now_ms = 1 });
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, false));
+  dl_load_proof_write_sent (&proof, 1);
+  dl_load_proof_write_sent (&proof, 1);
+  dl_load_proof_write_lost (&proof, 1);
+  CU_ASSERT (dl_load_proof_may_write (&proof, 1, false));
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 2, false));
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 2, true));
+  dl_load_proof_write_ended (&proof);
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 2, false));
+  dl_load_proof_write_ended (&proof);
+  CU_ASSERT (dl_load_proof_may_write (&proof, 2, false));
+  dl_load_proof_write_sent (&proof, 2);
+  CU_ASSERT (!dl_load_proof_may_write (&proof, 1, false));
 }
 
 #define DRAINING_MS 10000
@@ -575,6 +597,7 @@
 static const CU_TestInfo tests[] = {
   { "transitions", test_transitions },
   { "writes that could hide what was taken", test_writes_are_held_back },
+  { "two versions are not staged at once", test_versions_are_not_staged_at_once },
   { "age of the reads before a command", test_age_of_reads },
   { "an entry remembers a sound load", test_entry_remembers_sound_load },
   CU_TEST_INFO_NULL,
