WHOLE: a stager that starts goes by the record of the last sound load, and loads all else again

Cause: a successor checked by reads what only the predecessor could know. Ruled out: forbidding writes while a command is pending (a lost command would block an engine without weights for good; and a predecessor's predecessor is not known either), longer waits, the record in the node's registration (all nodes follow each change). Now a proven load is recorded in the store (daisyloft-loads: the engine's start and its count). A new stager reads that: what the record names, and what no command loaded, is sound; all else is given up and loaded again, as it counts as spoilt. Until it has read the record it says that it does not know, and entries that were told of this very load go on. A stager that stops ends its check and writes the record first. Entries delete records of hosts that are gone. The test of a restarted stager waited for its check, which it no longer makes; it now withholds the record in its place, and also asks that nothing is loaded again.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -14,6 +14,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "node/load_record.h"
 #include "node/limit_record.h"
 #include "node/metrics_page.h"
 #include "node/object_watch.h"
@@ -253,6 +254,17 @@
   dl_kernel_publish (state->kernel, message);
 }
 
+/* One entry of the region deletes what a stager that is gone had recorded. */
+static void
+on_node_expired (const DlPeer *peer, void *data)
+{
+  State *state = data;
+
+  if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT
+      && dl_peers_position_registered (state->peers) == 0)
+    dl_load_record_delete (state->store, state, platform_kind_loads, peer->name);
+}
+
 static void
 on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
 {
@@ -642,6 +654,7 @@
                             .on_status = on_status,
                             .on_unknown_node = on_unknown_node,
                             .on_removed = on_node_removed,
+                            .on_expired = on_node_expired,
                             .data = state,
                         },
                         &state->peers);
--- a/daisystaged/daisystaged.h
+++ b/daisystaged/daisystaged.h
@@ -13,6 +13,7 @@
 #include "node/holding.h"
 #include "node/node.h"
 #include "node/upstream_entry.h"
+#include "policy/load_proof.h"
 
 /* Types of messages between the tasks. */
 typedef enum
@@ -25,6 +26,7 @@
   STAGE_ENGINE_REPORT, /* a report of the engine */
   STAGE_ENGINE_SILENT, /* the engine is unresponsive */
   STAGE_WEIGHTS,       /* this node's chunks, and whether its engine is to load */
+  STAGE_RECORD,        /* the last load that was known to be sound, as the store has it */
 } StageMessageType;
 
 /* Whether entries may send requests to the engine. */
@@ -53,6 +55,7 @@
     DlHolder holder;
     const char *removed_node; /* its name */
     DlEngineReport report;
+    DlSoundLoad record;
     struct
     {
       StageEngineUse use;
--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -337,7 +337,7 @@
 void
 load_send_command (Weights *w, bool preempt)
 {
-  if (w->proof.awaited || !engine_responds (w, dl_clock_ms ()))
+  if (w->draining || w->proof.awaited || !engine_responds (w, dl_clock_ms ()))
     return;
   weights_set_phase (w, PHASE_LOAD_COMMAND);
   send_command (w, preempt, false, on_load_response);
@@ -348,7 +348,7 @@
 {
   uint64_t now_ms = dl_clock_ms ();
 
-  if (w->proof.awaited || !engine_responds (w, now_ms)
+  if (w->draining || w->proof.awaited || !engine_responds (w, now_ms)
       || !dl_backoff_allows (&w->unloads, now_ms))
     return;
   send_command (w, true, true, on_unload_response);
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -13,6 +13,7 @@
 #include "node/version_watch.h"
 #include "platform.h"
 #include "policy/routing.h"
+#include "record.h"
 
 #define STORE_TIMEOUT_MS 900
 #define ROUTING_WAIT_MS  25000
@@ -47,6 +48,7 @@
   const DlNodeSettings *settings;
   DlPeers *peers;
   DlVersionWatch *versions;
+  StageRecord *record;
   uint64_t routing_version; /* of the newest routing table; 0 before the first */
   Daisyloft__Wire__EngineStatus engine; /* for the status to entries */
   bool engine_known;
@@ -326,6 +328,16 @@
   e->waiting = 0;
 }
 
+/* Weights that no command loaded need no record. */
+static void
+record_sound_load (State *state, const StageEngineUse *use)
+{
+  if (use->sound && use->loads > 0 && use->started_ms != 0)
+    stage_record_set (state->record, &(DlSoundLoad){ .known = true,
+                                                     .started_ms = use->started_ms,
+                                                     .loads = use->loads });
+}
+
 static void
 handle_weights (State *state, const StageMessage *message)
 {
@@ -336,6 +348,7 @@
     dl_message_unref (state->weights_message);
   state->weights_message = dl_message_ref ((void *)message);
   state->holdings_changed = state->holdings_changed || message->weights.changed;
+  record_sound_load (state, &message->weights.use);
   if (is_loading (state) != was_loading || has_sound_weights (state) != was_sound)
     send_to_entries_at_once (state);
 }
@@ -362,6 +375,7 @@
     case STAGE_NO_TARGET:
     case STAGE_HOLDER:
     case STAGE_NODE_REMOVED:
+    case STAGE_RECORD:
       break;
     }
 }
@@ -447,10 +461,20 @@
   if (error < 0)
     return error;
   start_watches (state, store, source);
+  state->record = stage_record_new (task, state, state->settings, store);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
   return 0;
 }
 
+/* A stager that ends leaves the record of what it has proven. */
+static bool
+is_idle (DlTask *task)
+{
+  const State *state = dl_task_state (task);
+
+  return stage_record_may_end (state->record);
+}
+
 static DlPlugin state_plugin = {
   .name = "state",
   .order = 10,
@@ -458,5 +482,6 @@
                    | UINT64_C (1) << STAGE_ENGINE_SILENT | UINT64_C (1) << STAGE_WEIGHTS,
   .start = start,
   .handle = handle,
+  .is_idle = is_idle,
 };
 DL_PLUGIN_REGISTER (state_plugin)
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -454,6 +454,18 @@
     dl_bundle_start_fetches (w->next);
 }
 
+/* A stop waits until it is known whether what the engine has taken is sound. */
+static void
+end_drain_if_proven (Weights *w)
+{
+  bool is_checking = w->proof.state == DL_WEIGHTS_UNCHECKED && w->phase == PHASE_LOADING;
+
+  if (!w->draining || w->drained || w->proof.awaited || is_checking)
+    return;
+  w->drained = true;
+  dl_task_drained (w->task);
+}
+
 void
 weights_run (Weights *w)
 {
@@ -461,6 +473,7 @@
   run_current (w);
   run_next (w);
   publish_use_if_changed (w);
+  end_drain_if_proven (w);
 }
 
 static void
@@ -521,6 +534,9 @@
     case STAGE_ENGINE_SILENT:
       w->engine_known = false;
       break;
+    case STAGE_RECORD:
+      dl_load_proof_recorded (&w->proof, &m->record);
+      break;
     case STAGE_WEIGHTS:
       break;
     }
@@ -549,6 +565,15 @@
                              &w->cache);
 }
 
+static void
+drain (DlTask *task)
+{
+  Weights *w = dl_task_state (task);
+
+  w->draining = true;
+  weights_run (w);
+}
+
 static json_object *
 dump (DlTask *task)
 {
@@ -582,9 +607,10 @@
   .subscriptions = MESSAGE (STAGE_SOURCE) | MESSAGE (STAGE_TARGET)
                    | MESSAGE (STAGE_NO_TARGET) | MESSAGE (STAGE_HOLDER)
                    | MESSAGE (STAGE_NODE_REMOVED) | MESSAGE (STAGE_ENGINE_REPORT)
-                   | MESSAGE (STAGE_ENGINE_SILENT),
+                   | MESSAGE (STAGE_ENGINE_SILENT) | MESSAGE (STAGE_RECORD),
   .start = start,
   .handle = handle,
+  .drain = drain,
   .dump = dump,
 };
 DL_PLUGIN_REGISTER (weights_plugin)
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -310,6 +310,8 @@
       dl_log (DL_EVENT_NODE_FORGOTTEN, DL_TEXT ("node", node->peer.name));
       dl_object_delete (peers->options.store, peers, peers->options.kind,
                         node->object_name, node->revision, ignore_result, peers);
+      if (peers->options.on_expired != NULL)
+        peers->options.on_expired (&node->peer, peers->options.data);
     }
 }
 
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -76,6 +76,8 @@
   /* PEER's registration was deleted or replaced; PEER is freed after the call.  May be
    * NULL. */
   void (*on_removed) (const DlPeer *peer, void *data);
+  /* PEER, which has timed out, is deleted from the store.  May be NULL. */
+  void (*on_expired) (const DlPeer *peer, void *data);
   void *data;
 } DlPeersOptions;
 
--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -8,6 +8,32 @@
   return now_ms - (now_ms - draining_ms) % DL_LOAD_PROOF_MAX_AGE_MS;
 }
 
+/* -------- the record -------- */
+
+static bool
+is_load (const DlSoundLoad *sound, uint64_t started_ms, uint64_t loads)
+{
+  return sound->known && sound->started_ms == started_ms && sound->loads == loads;
+}
+
+/* An engine whose start time is unknown cannot be told from the one before it. */
+static DlWeightsState
+state_by_record (const DlLoadProof *p)
+{
+  bool is_sound = p->started_ms != 0 && is_load (&p->record, p->started_ms, p->loads);
+
+  return is_sound ? DL_WEIGHTS_SOUND : DL_WEIGHTS_SPOILT;
+}
+
+void
+dl_load_proof_recorded (DlLoadProof *p, const DlSoundLoad *record)
+{
+  p->record_read = true;
+  p->record = *record;
+  if (p->state == DL_WEIGHTS_UNKNOWN)
+    p->state = state_by_record (p);
+}
+
 /* -------- reports -------- */
 
 /* True when what was sent at SENT_MS may have gone to the engine that has just started in
@@ -39,13 +65,15 @@
 set_first_engine (DlLoadProof *p, const DlProofReport *r)
 {
   set_report (p, r);
+  p->first_ms = r->now_ms;
   p->accepted_ms = r->now_ms;
   p->pending = true;
   p->write_lost = true;
   p->lost_ms = r->now_ms;
-  p->state = r->loads > 0 && (r->has_weights || r->busy)
-                 ? state_after_loads (p->overwritten)
-                 : DL_WEIGHTS_SOUND;
+  if (r->loads == 0 || (!r->has_weights && !r->busy))
+    p->state = DL_WEIGHTS_SOUND;
+  else
+    p->state = p->record_read ? state_by_record (p) : DL_WEIGHTS_UNKNOWN;
 }
 
 static void
@@ -59,6 +87,7 @@
   set_report (p, r);
   p->accepted_ms = r->now_ms;
   p->write_lost = may_have_write;
+  p->own_write_lost = p->own_write_lost && may_have_write;
   p->pending = may_have_command && r->loads == p->command_loads;
   p->overwritten = p->pending && overwritten;
   p->state = r->loads > 0 && (r->has_weights || r->busy) ? state_after_loads (overwritten)
@@ -123,6 +152,14 @@
   p->command_started_ms = p->started_ms;
 }
 
+/* True when a write of a predecessor, of another version, may have spoilt a chunk before
+ * the acceptance that a late one of this stager has mended since. */
+static bool
+may_be_mended (const DlLoadProof *p, uint64_t now_ms)
+{
+  return p->own_write_lost && now_ms - p->first_ms < DL_LOAD_PREDECESSOR_WRITES_MS;
+}
+
 void
 dl_load_proof_accepted (DlLoadProof *p, bool unloads, uint64_t proof_ms, uint64_t now_ms)
 {
@@ -141,7 +178,8 @@
   p->pending = false;
   /* Within that time a bad chunk may be taken, whether it has been mended since or not.
    */
-  p->overwritten = p->write_lost && now_ms - proof_ms > DL_LOAD_SPOILT_MAX_MS;
+  p->overwritten = may_be_mended (p, now_ms)
+                   || (p->write_lost && now_ms - proof_ms > DL_LOAD_SPOILT_MAX_MS);
   if (!unloads)
     p->state = DL_WEIGHTS_UNCHECKED;
 }
@@ -189,6 +227,7 @@
 dl_load_proof_write_lost (DlLoadProof *p, uint64_t sent_ms)
 {
   p->write_lost = true;
+  p->own_write_lost = true;
   p->lost_ms = MAX (p->lost_ms, sent_ms);
 }
 
@@ -209,5 +248,5 @@
 {
   if (!unchecked)
     *sound = (DlSoundLoad){ .known = true, .started_ms = started_ms, .loads = loads };
-  return sound->known && sound->started_ms == started_ms && sound->loads == loads;
+  return is_load (sound, started_ms, loads);
 }
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -18,9 +18,14 @@
  * What was sent before an engine answered a report that was asked for later went to that
  * engine, and is gone when another one has started in its place.
  *
+ * A stager that starts cannot tell by reads whether weights that the engine has already
+ * are sound: its predecessor may have mended what they were taken from.  It goes by the
+ * record, kept outside, of the last load that a stager of this host knew to be sound.
+ *
  * Two writes under way could spoil a chunk before the acceptance and mend it after it.
  * So a version is staged only when no write of another one is open: it was sent, and
- * neither its response nor the end of its connection has been seen.
+ * neither its response nor the end of its connection has been seen.  Writes of a
+ * predecessor count as open for a while.
  *
  * No I/O: times are milliseconds passed in by the caller.
  */
@@ -35,6 +40,7 @@
 {
   DL_WEIGHTS_SOUND,     /* or there are none */
   DL_WEIGHTS_UNCHECKED, /* what is staged is to be read back */
+  DL_WEIGHTS_UNKNOWN,   /* the engine had them before; the record is to be read */
   DL_WEIGHTS_SPOILT,    /* they may hold a bad chunk: not to be used */
 } DlWeightsState;
 
@@ -83,12 +89,19 @@
                      * command that loaded its weights, or a pending one */
   bool write_lost;  /* a write without a response may still land */
   uint64_t lost_ms; /* when the last such write was sent */
+  bool own_write_lost;   /* one of this stager's is among these */
+  uint64_t first_ms;     /* when the engine first reported to this stager */
   unsigned open_writes;  /* of OPEN_VERSION */
   uint64_t open_version; /* undefined without any */
+  bool record_read;      /* the next is what the record says */
+  DlSoundLoad record;
 } DlLoadProof;
 
 /* By its users' rules an engine may take a chunk that turned bad within this time. */
 #define DL_LOAD_SPOILT_MAX_MS 3000
+/* A write of a stager that has ended may land within this time after its successor began.
+ */
+#define DL_LOAD_PREDECESSOR_WRITES_MS 10000
 /* A load command rests on reads of all chunks that were sent within this time. */
 #define DL_LOAD_PROOF_MAX_AGE_MS 1800
 
@@ -98,6 +111,8 @@
  * never all be fresh at once. */
 uint64_t dl_load_proof_reads_from_ms (uint64_t draining_ms, uint64_t now_ms);
 
+/* The record was read: RECORD is not known when there is none. */
+void dl_load_proof_recorded (DlLoadProof *proof, const DlSoundLoad *record);
 /* Takes in a report; one that is older than what is known is ignored. */
 DlProofChange dl_load_proof_report (DlLoadProof *proof, const DlProofReport *report);
 /* A command is sent that names the count PROOF->loads. */
--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -223,6 +223,21 @@
   check_taken (tb);
 }
 
+/* A stager ends while its command is taken late, and a write of it lands after that. */
+static void
+test_stager_took_a_mended_chunk_for_what_its_predecessor_loaded (Testbed *tb)
+{
+  CHECK (set_fault (tb->server[0], "rot_at_command", 1));
+  CHECK (set_fault (tb->server[0], "command_late_ms", LATE_MS));
+  lose_weights (tb);
+  g_usleep (COMMAND_SENT_MS * US_PER_MS);
+  process_end (&tb->stager_process[0], SIGKILL);
+  CHECK (eventually_under_callers (tb, first_has_taken_weights));
+  CHECK (set_fault (tb->server[0], "mend", 1));
+  CHECK (process_start (&tb->stager_process[0]));
+  check_taken (tb);
+}
+
 /* -------- the bodies of commands -------- */
 
 /* The body of the last command that the first server recorded as MEMBER. */
@@ -269,25 +284,51 @@
 
 /* -------- a stager that starts again -------- */
 
-#define CHECK_STREAMS 3 /* sent at once while the stager checks */
-/* Shorter than stagers wait; the check takes four times as long. */
-#define CHECK_LATE_MS 900
+#define CHECK_STREAMS 3 /* sent at once while the stager has no record */
 #define TAKEN_SOUND   "\"event\":1113,"
+#define RECORD_READ   "\"event\":1115,"
 
-/* The first stager has proven the weights sound since its last start. */
+/* The first stager has logged EVENT since its last start. */
 static bool
-weights_are_proven (Testbed *tb)
+has_logged (Testbed *tb, const char *event)
 {
   char *text = NULL;
   const char *start;
-  bool proven;
+  bool found;
 
   if (!g_file_get_contents (tb->stager_process[0].log, &text, NULL, NULL))
     return false;
   start = g_strrstr (text, "\n" PROCESS_LOG_MARK);
-  proven = strstr (start != NULL ? start : text, TAKEN_SOUND) != NULL;
+  found = strstr (start != NULL ? start : text, event) != NULL;
   g_free (text);
-  return proven;
+  return found;
+}
+
+static bool
+weights_are_proven (Testbed *tb)
+{
+  return has_logged (tb, TAKEN_SOUND);
+}
+
+static bool
+record_is_read (Testbed *tb)
+{
+  return has_logged (tb, RECORD_READ);
+}
+
+/* The store has the record of the first server's last load. */
+static bool
+load_is_recorded (Testbed *tb)
+{
+  Response r = call (
+      &(Call){ .address = tb->store, .target = "/-/objects/daisyloft-loads/stager-1" });
+  char *started
+      = g_strdup_printf ("\"started_ms\":%" G_GUINT64_FORMAT ",", tb->server_started[0]);
+  bool found = r.status == 200 && strstr (r.body, started) != NULL;
+
+  response_free (&r);
+  g_free (started);
+  return found;
 }
 
 static bool
@@ -337,27 +378,33 @@
   return streams_to_first_server (tb, 1) > 0;
 }
 
-/* An entry that was told goes on; one that starts meanwhile waits for the check. */
+/* An entry that was told goes on; one that starts meanwhile waits until the stager has
+ * read the record. */
 static void
 test_restarted_stager_kept_callers_from_sound_weights (Testbed *tb)
 {
+  uint64_t commands;
+
   lose_weights (tb);
   check_taken (tb);
   CHECK (eventually (weights_are_proven, tb));
+  CHECK (eventually (load_is_recorded, tb));
   CHECK (streams_to_first_server (tb, 0) > 0);
-  CHECK (set_fault (tb->server[0], "read_late_ms", CHECK_LATE_MS));
+  commands = recorded (tb->server[0], "orders");
+  CHECK (set_fault (tb->store, "gets_fail", 1));
   process_end (&tb->entry_process[1], SIGKILL);
   process_end (&tb->stager_process[0], SIGKILL);
   CHECK (process_start (&tb->stager_process[0]));
   CHECK (process_start (&tb->entry_process[1]));
   CHECK (eventually (second_entry_is_ready, tb));
   CHECK (streams_to_first_server (tb, 1) == 0);
-  CHECK (!weights_are_proven (tb));
+  CHECK (!record_is_read (tb));
   CHECK (streams_to_first_server (tb, 0) > 0);
-  CHECK (!weights_are_proven (tb));
-  CHECK (eventually (weights_are_proven, tb));
-  CHECK (set_fault (tb->server[0], "read_late_ms", 0));
+  CHECK (!record_is_read (tb));
+  CHECK (set_fault (tb->store, "gets_fail", 0));
+  CHECK (eventually (record_is_read, tb));
   CHECK (eventually (second_entry_uses_first_server, tb));
+  CHECK (recorded (tb->server[0], "orders") == commands);
   CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
 }
 
@@ -396,6 +443,7 @@
   test_command_of_a_stager_that_ended_took_another_version,
   test_bad_chunk_was_mended_before_the_check,
   test_bad_chunk_was_mended_by_a_stager_without_reports,
+  test_stager_took_a_mended_chunk_for_what_its_predecessor_loaded,
   test_restarted_stager_kept_callers_from_sound_weights,
   NULL,
 };
--- a/regress/standin/objects.c
+++ b/regress/standin/objects.c
@@ -35,6 +35,7 @@
 static uint64_t era = 1;     /* sent in every response; 0: in none */
 static uint64_t snapshot;    /* 1: takes a copy */
 static uint64_t restore;     /* 1: goes back to the copy */
+static uint64_t gets_fail;   /* 1: objects cannot be read one by one */
 static uint64_t skip;        /* the next N revisions are given to changes of no object */
 
 static uint64_t revision = 100;
@@ -66,6 +67,7 @@
   { "era", &era },
   { "snapshot", &snapshot },
   { "restore", &restore },
+  { "gets_fail", &gets_fail },
   { "skip", &skip },
   { 0 },
 };
@@ -481,6 +483,8 @@
   parts = g_strsplit (path + strlen (PREFIX), "/", 2);
   if (write)
     handle_write (request, parts[0], parts[1] != NULL ? parts[1] : "");
+  else if (parts[1] != NULL && gets_fail != 0)
+    reply_error (request, 503, "objects cannot be read one by one");
   else if (parts[1] != NULL)
     {
       json_object *current = g_tree_lookup (objects, path + strlen (PREFIX));
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -90,6 +90,7 @@
 static uint64_t error_resumed; /* status of the response to each stream that resumes; 0 */
 static uint64_t error_sealed;  /* these have the seal */
 static uint64_t lose_weights;  /* set to 1: it has started again without weights */
+static uint64_t mend;          /* 1: staged chunks that turned bad are sound again */
 static uint64_t end_early_ms; /* runs end that long before the end of their time; 0: no */
 /* Each setting of DUE_VERSION adds a limit, DUE_IN_MS (set before) from then on; 0
  * removes all of them. */
@@ -178,6 +179,7 @@
   { "reports_fail_ms", &staged_reports_fail_ms },
   { "mixed", &staged_mixed },
   { "lose_weights", &lose_weights },
+  { "mend", &mend },
   { "end_early_ms", &end_early_ms },
   { 0 },
 };
@@ -762,6 +764,8 @@
     crash ();
   if (standin_count_down (&lose_weights))
     staged_lose_weights ();
+  if (standin_count_down (&mend))
+    staged_mend ();
   if (due_version == last_due)
     return;
   last_due = due_version;
--- a/regress/standin/weights.c
+++ b/regress/standin/weights.c
@@ -316,6 +316,24 @@
   copy->bad_ms = dl_clock_ms ();
 }
 
+void
+staged_mend (void)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, staged);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Copy *copy = value;
+
+      if (copy->bad_ms == 0)
+        continue;
+      copy->bytes[1] ^= 1;
+      copy->bad_ms = 0;
+    }
+}
+
 static void
 put (DlHttpRequest *request)
 {
--- a/regress/standin/weights.h
+++ b/regress/standin/weights.h
@@ -80,6 +80,8 @@
 void staged_start (DlTask *standin);
 /* The server has started again: it has no weights, and what is staged is kept. */
 void staged_lose_weights (void);
+/* The staged chunks that turned bad are sound again: a late write has landed. */
+void staged_mend (void);
 /* The server is loading weights and takes no requests. */
 bool staged_is_loading (void);
 /* Commands accepted since the server started. */
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -26,6 +26,7 @@
 #define LOAD_MAX_MS       1500
 #define FREEZE_MAX_MS     6000
 #define WRITE_OPEN_MAX_MS 10000
+#define STORE_MAX_MS      400
 #define PER_THOUSAND      1000
 #define NEVER_MS          UINT64_MAX
 
@@ -130,8 +131,18 @@
   bool checking;
   uint64_t taken_version;
   uint64_t frozen_until_ms;
+  uint64_t record_read_ms; /* when it has the record */
+  DlSoundLoad recorded;    /* the record, as far as it knows */
 } Stager;
 
+/* The record of the last sound load in the store, and a write of it under way. */
+typedef struct
+{
+  DlSoundLoad record;
+  DlSoundLoad written;
+  uint64_t write_ms; /* when it lands; 0: none is under way */
+} Store;
+
 typedef struct
 {
   LoadDriverOptions options;
@@ -154,6 +165,7 @@
   uint64_t proven_loads;
   Engine engine;
   Stager stager;
+  Store store;
   Call calls[CALLS_MAX];
 } World;
 
@@ -707,6 +719,7 @@
        change == DL_PROOF_NEW_ENGINE ? "an engine" : "an acceptance", report.loads,
        s->proof.state == DL_WEIGHTS_SPOILT      ? "spoilt"
        : s->proof.state == DL_WEIGHTS_UNCHECKED ? "unchecked"
+       : s->proof.state == DL_WEIGHTS_UNKNOWN   ? "unknown"
                                                 : "sound");
 }
 
@@ -833,11 +846,61 @@
 {
   for (unsigned i = 0; i < CALLS_MAX; i++)
     w->calls[i].has_sender = false;
-  w->stager = (Stager){ .version = w->newest };
+  w->stager = (Stager){
+    .version = w->newest,
+    .record_read_ms = w->now_ms + random_below (w, STORE_MAX_MS),
+  };
   set_phase (w, PHASE_RECOVER);
   say (w, "a stager starts, version %" G_GUINT64_FORMAT, w->newest);
 }
 
+/* -------- the store -------- */
+
+/* The store may come back from an older copy, here from one without the record. */
+static void
+step_store (World *w)
+{
+  Store *store = &w->store;
+
+  if (store->write_ms != 0 && w->now_ms >= store->write_ms)
+    {
+      store->record = store->written;
+      store->write_ms = 0;
+    }
+  if (chance (w, 1) && chance (w, w->lost))
+    store->record = (DlSoundLoad){ 0 };
+}
+
+static void
+read_record (World *w)
+{
+  Stager *s = &w->stager;
+
+  if (s->proof.record_read || w->now_ms < s->record_read_ms)
+    return;
+  s->recorded = w->store.record;
+  dl_load_proof_recorded (&s->proof, &s->recorded);
+  say (w, "stager reads the record: count %" G_GUINT64_FORMAT, s->recorded.loads);
+}
+
+/* A write that lands after its sender has ended holds as well. */
+static void
+write_record (World *w)
+{
+  Stager *s = &w->stager;
+  const DlLoadProof *p = &s->proof;
+
+  if (!p->record_read || !p->known || p->state != DL_WEIGHTS_SOUND || p->loads == 0
+      || w->store.write_ms != 0
+      || (s->recorded.known && s->recorded.started_ms == p->started_ms
+          && s->recorded.loads == p->loads))
+    return;
+  s->recorded
+      = (DlSoundLoad){ .known = true, .started_ms = p->started_ms, .loads = p->loads };
+  w->store.written = s->recorded;
+  w->store.write_ms = w->now_ms + 1 + random_below (w, STORE_MAX_MS);
+}
+
 static void
 step_stager (World *w)
 {
@@ -857,7 +920,9 @@
   for (unsigned i = 0; i < CALLS_MAX; i++)
     if (w->calls[i].type != CALL_NONE)
       step_call (w, &w->calls[i]);
+  read_record (w);
   run_stager (w);
+  write_record (w);
 }
 
 /* -------- the property -------- */
@@ -918,6 +983,7 @@
       if (chance (&w, w.announce))
         w.newest++;
       step_engine (&w);
+      step_store (&w);
       step_stager (&w);
       for (unsigned i = 0; i < CALLS_MAX; i++)
         call_free_if_done (&w.calls[i]);
