Stagers reply to entries that have just started, which ask all of them

Ruled out: readiness that waits for all stagers (one that is down would keep the entry from serving). An entry that starts sends its status to all stagers for 2 s, and a stager replies with its engine's to an entry that it does not know yet, as entries do among themselves.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -6,23 +6,16 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "daisydirectd.h"
 #include "entry_list.h"
-#include "held_requests.h"
-#include "routing_table.h"
-#include "upstream_list.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "node/load_record.h"
 #include "node/limit_record.h"
 #include "node/metrics_page.h"
-#include "node/object_watch.h"
 #include "node/signature_record.h"
-#include "node/peers.h"
-#include "node/version_watch.h"
 #include "platform.h"
-#include "policy/fanout.h"
+#include "state_private.h"
 
 #define STORE_TIMEOUT_MS 900
 /* The routing table is checked this many times within its maximum age, so that the
@@ -51,42 +44,12 @@
  */
 #define STATUS_EVERY_TICKS_LARGE 3
 #define STATUS_CHANGED_MS        40 /* a changed status is sent within this time */
-/* In a large fleet the chunks that a hub holds are told at most this often. */
-#define HOLDINGS_LARGE_MS 160
 
 DL_METRIC (metric_ready,
            DL_METRIC_GAUGE,
            "daisy_direct_ready",
            "1 while the entry is ready, else 0.")
 
-typedef struct
-{
-  DlTask *task;
-  DlKernel *kernel;
-  const DlNodeSettings *settings;
-  DlObjectClient *store;
-  DlObjectWatch *routing_watch;
-  DlObjectWatch *upstreams_watch;
-  DlPeers *peers;
-  DirectUpstreamList *upstream_list;
-  DlRelaySource *source;
-  DlObjectRelay *relay;
-  DirectRoutingTable *routing_table;
-  DirectHeldRequests *held_requests;
-  DlVersionWatch *versions;
-  DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
-  DirectMessage
-      *signature_records_message; /* the last DIRECT_SIGNATURE_RECORDS; NULL before */
-  DirectMessage *limit_records_message; /* the last DIRECT_LIMIT_RECORDS; NULL before */
-  bool status_changed;                  /* and not sent yet */
-  bool holdings_changed;                /* likewise */
-  uint64_t holdings_sent_ms;            /* when holdings were last told */
-  DlFanoutBurst burst;                  /* of statuses to all entries */
-  bool ready;
-  bool is_hub; /* this entry fetches weights for others */
-  unsigned ticks;
-} State;
-
 /* -------- routing -------- */
 
 static void
@@ -309,112 +272,6 @@
          && dl_clock_ms () - proven_ms < direct_routing_max_age_ms (state->settings);
 }
 
-/* Whether stagers need to hear from this entry. */
-static bool
-serves_stagers (const State *state)
-{
-  return state->is_hub || dl_peers_is_relay (state->peers);
-}
-
-static void
-add_holdings (const State *state,
-              const void *context,
-              Daisyloft__Wire__NodeStatus *status)
-{
-  status->not_hub = !state->is_hub;
-  if (state->holdings_message != NULL)
-    dl_holdings_to_status (context, &state->holdings_message->holdings, status);
-}
-
-static void
-add_limit_records (const State *state,
-                   const void *context,
-                   Daisyloft__Wire__NodeStatus *status)
-{
-  if (state->limit_records_message != NULL)
-    dl_limit_records_to_status (context, state->limit_records_message->limit_records,
-                                DL_PEER_STATUS_MAX_BYTES, dl_clock_ms (), status);
-}
-
-static void
-add_signature_records (const State *state,
-                       const void *context,
-                       Daisyloft__Wire__NodeStatus *status)
-{
-  if (state->signature_records_message != NULL)
-    dl_signature_records_to_status (context,
-                                    state->signature_records_message->signature_records,
-                                    DL_PEER_STATUS_MAX_BYTES, dl_clock_ms (), status);
-}
-
-/* Sends this entry's status to a node that is not registered here yet: a stager learns at
- * once which chunks it can fetch from here, an entry which prompt parts crash upstreams.
- */
-static void
-on_unknown_node (Daisyloft__Wire__Role role, void *data)
-{
-  State *state = data;
-  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  void *context;
-
-  if (role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT && !serves_stagers (state))
-    return;
-  context = talloc_new (state);
-  status.ready = state->ready;
-  add_holdings (state, context, &status);
-  if (role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
-    {
-      add_limit_records (state, context, &status);
-      add_signature_records (state, context, &status);
-    }
-  dl_peers_reply (state->peers, &status);
-  talloc_free (context);
-}
-
-static bool
-may_tell_all (State *state)
-{
-  return dl_fanout_may_tell_all (&state->burst, dl_peers_entry_count (state->peers),
-                                 dl_clock_ms ());
-}
-
-/* Sends this entry's status to the entries that REACH says, and to the stagers that fetch
- * chunks here or read the store through here. */
-static void
-send_status (State *state, DlPeersReach reach)
-{
-  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  void *context = talloc_new (state);
-
-  status.ready = state->ready;
-  add_holdings (state, context, &status);
-  dl_version_watch_to_status (state->versions, context, &status);
-  status.routing_version = direct_routing_table_highest (state->routing_table);
-  if (serves_stagers (state))
-    dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
-                   DL_PEERS_REGION);
-  add_limit_records (state, context, &status);
-  add_signature_records (state, context, &status);
-  /* Records are not passed on by relays. */
-  if (reach == DL_PEERS_REGION
-      && (status.n_limit_record > 0 || status.n_signature_record > 0)
-      && may_tell_all (state))
-    reach = DL_PEERS_ALL;
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, reach);
-  talloc_free (context);
-  if (reach != DL_PEERS_REGION)
-    state->status_changed = false;
-  state->holdings_changed = false;
-  state->holdings_sent_ms = dl_clock_ms ();
-}
-
-/* Sends it to the entries of the region, and to the others where no relay does so. */
-static void
-send_usual_status (State *state)
-{
-  send_status (state, dl_peers_is_large (state->peers) ? DL_PEERS_REGION : DL_PEERS_ALL);
-}
-
 static void
 refresh_readiness (State *state)
 {
@@ -428,27 +285,11 @@
               DL_UINT ("routing_age_ms",
                        dl_clock_ms ()
                            - direct_routing_table_proven_ms (state->routing_table)));
-      send_usual_status (state);
+      status_send_usual (state);
     }
   direct_publish_entries (state->kernel, state->settings, state->peers, state->ready);
 }
 
-/* Reports new chunks soon, so that other nodes can fetch them from here, and suspected
- * prompt parts. */
-static void
-on_status_tick (DlTimer *timer, void *data)
-{
-  State *state = data;
-
-  if ((state->status_changed
-       || (state->holdings_changed && !dl_peers_is_large (state->peers)))
-      && may_tell_all (state))
-    send_status (state, DL_PEERS_ALL);
-  else if (state->holdings_changed
-           && dl_clock_ms () - state->holdings_sent_ms >= HOLDINGS_LARGE_MS)
-    send_status (state, DL_PEERS_HUBS);
-}
-
 static void
 refresh_hub (State *state)
 {
@@ -487,8 +328,9 @@
   check_routing_proof (state);
   refresh_readiness (state);
   refresh_hub (state);
+  status_ask_stagers (state);
   if (++state->ticks % every == 0)
-    send_usual_status (state);
+    status_send_usual (state);
 }
 
 /* -------- the task -------- */
@@ -632,6 +474,7 @@
 
   dl_task_set_state (task, state);
   state->task = task;
+  state->started_ms = dl_clock_ms ();
   state->kernel = dl_task_kernel (task);
   state->settings = direct_settings (task);
   state->is_hub = true;
@@ -652,7 +495,7 @@
                             .source = state->source,
                             .relay = state->relay,
                             .on_status = on_status,
-                            .on_unknown_node = on_unknown_node,
+                            .on_unknown_node = status_on_unknown_node,
                             .on_removed = on_node_removed,
                             .on_expired = on_node_expired,
                             .data = state,
@@ -665,7 +508,7 @@
     return error;
   start_watches (state);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
-  dl_timer_subscribe (task, state, STATUS_CHANGED_MS, STATUS_CHANGED_MS, on_status_tick,
+  dl_timer_subscribe (task, state, STATUS_CHANGED_MS, STATUS_CHANGED_MS, status_on_tick,
                       state);
   return 0;
 }
--- /dev/null
+++ b/daisydirectd/state_private.h
@@ -0,0 +1,65 @@
+/*
+ * Declarations shared by the files of task "state".
+ *
+ * state.c watches the store and the other nodes, status.c reports this entry's status to
+ * the other nodes.
+ */
+#ifndef DIRECT_STATE_PRIVATE_H
+#define DIRECT_STATE_PRIVATE_H
+
+#include "daisydirectd.h"
+#include "held_requests.h"
+#include "node/object_relay.h"
+#include "node/object_watch.h"
+#include "node/peers.h"
+#include "node/relay_source.h"
+#include "node/version_watch.h"
+#include "policy/fanout.h"
+#include "routing_table.h"
+#include "upstream_list.h"
+
+typedef struct
+{
+  DlTask *task;
+  DlKernel *kernel;
+  const DlNodeSettings *settings;
+  DlObjectClient *store;
+  DlObjectWatch *routing_watch;
+  DlObjectWatch *upstreams_watch;
+  DlPeers *peers;
+  DirectUpstreamList *upstream_list;
+  DlRelaySource *source;
+  DlObjectRelay *relay;
+  DirectRoutingTable *routing_table;
+  DirectHeldRequests *held_requests;
+  DlVersionWatch *versions;
+  DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
+  DirectMessage
+      *signature_records_message; /* the last DIRECT_SIGNATURE_RECORDS; NULL before */
+  DirectMessage *limit_records_message; /* the last DIRECT_LIMIT_RECORDS; NULL before */
+  bool status_changed;                  /* and not sent yet */
+  bool holdings_changed;                /* likewise */
+  uint64_t holdings_sent_ms;            /* when holdings were last told */
+  DlFanoutBurst burst;                  /* of statuses to all entries */
+  bool ready;
+  bool is_hub; /* this entry fetches weights for others */
+  unsigned ticks;
+  uint64_t started_ms;
+} State;
+
+/* -------- status.c -------- */
+
+/* Sends the status to the entries of the region, and to the others where no relay does
+ * so. */
+void status_send_usual (State *state);
+/* Sends it to all stagers while this entry has just started: each replies with its
+ * engine's, and the entry uses no engine before. */
+void status_ask_stagers (State *state);
+/* Sends it to a node that is not registered here yet: a stager learns at once which
+ * chunks it can fetch from here, an entry which prompt parts crash upstreams. */
+void status_on_unknown_node (Daisyloft__Wire__Role role, void *data);
+/* Timer function: reports new chunks soon, so that other nodes can fetch them from here,
+ * and suspected prompt parts. */
+void status_on_tick (DlTimer *timer, void *data);
+
+#endif
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -163,19 +163,48 @@
          && m->weights.use.loads == e->loads;
 }
 
+/* Sets what entries are to know.  STATUS refers to ENGINE, and to talloc children of
+ * CONTEXT. */
+static void
+fill_status_for_entries (const State *state,
+                         const void *context,
+                         Daisyloft__Wire__NodeStatus *status,
+                         Daisyloft__Wire__EngineStatus *engine)
+{
+  dl_version_watch_to_status (state->versions, context, status);
+  *engine = state->engine;
+  engine->loading = engine->loading || is_loading (state);
+  engine->unchecked = !has_sound_weights (state);
+  status->ready = state->engine_known && !engine->loading;
+  if (state->engine_known)
+    status->engine = engine;
+}
+
+/* An entry that has just started uses the engine only once it has been told of it. */
+static void
+on_unknown_node (Daisyloft__Wire__Role role, void *data)
+{
+  State *state = data;
+  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__EngineStatus engine;
+  void *context;
+
+  if (role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
+    return;
+  context = talloc_new (state);
+  fill_status_for_entries (state, context, &status, &engine);
+  dl_peers_reply (state->peers, &status);
+  talloc_free (context);
+}
+
 static void
 send_to_entries (State *state, DlPeersReach reach, uint64_t now_ms)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-  Daisyloft__Wire__EngineStatus engine = state->engine;
+  Daisyloft__Wire__EngineStatus engine;
   void *context = talloc_new (state);
 
-  dl_version_watch_to_status (state->versions, context, &status);
-  engine.loading = engine.loading || is_loading (state);
-  engine.unchecked = !has_sound_weights (state);
-  status.ready = state->engine_known && !engine.loading;
-  if (state->engine_known)
-    status.engine = &engine;
+  fill_status_for_entries (state, context, &status, &engine);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, reach);
   talloc_free (context);
   state->engine_changed = false;
@@ -451,6 +480,7 @@
                             .kind = platform_kind_nodes,
                             .source = source,
                             .on_status = on_status,
+                            .on_unknown_node = on_unknown_node,
                             .on_removed = on_removed,
                             .data = state,
                         },
--- a/regress/direct/starting.c
+++ b/regress/direct/starting.c
@@ -197,10 +197,39 @@
   CHECK (eventually (requests_are_served, tb));
 }
 
+static bool
+first_entry_is_ready (Testbed *tb)
+{
+  Response r = call (&(Call){ .address = tb->ready[0], .target = "/-/readyz" });
+  bool ready = r.status == 200;
+
+  response_free (&r);
+  return ready;
+}
+
+/* An entry uses an engine once its stager has told of it. */
+static void
+test_ready_entry_knew_of_no_engine (Testbed *tb)
+{
+  for (int i = 0; i < SUCCESSORS; i++)
+    {
+      Call c = default_call (tb, "/s/x", "ready");
+      Response r;
+
+      process_end (&tb->entry_process[0], SIGKILL);
+      CHECK (process_start (&tb->entry_process[0]));
+      CHECK (eventually (first_entry_is_ready, tb));
+      r = call (&c);
+      CHECK (r.status == 200 && r.complete);
+      response_free (&r);
+    }
+}
+
 const TestFunc start_tests[] = {
   test_sighup_while_an_entry_starts_does_not_end_it,
   test_sigterm_while_an_entry_starts_is_a_planned_stop,
   test_second_process_takes_no_connection,
   test_start_that_fails_takes_no_connection,
+  test_ready_entry_knew_of_no_engine,
   NULL,
 };
