Entries that start read the registrations of stagers that they do not know yet

Callers saw refusals (1000, all engines "loading") for over 2 s after all nodes had started together: an entry had listed the nodes before a stager registered, takes no datagram of an unregistered node, and read the next changes 2 s later. Ruled out: taking what unregistered nodes say (anybody could say it); a shorter pause of the watch (two calls a second for each node, always). For 10 s after its start an entry that gets a stager's datagram without knowing the stager reads the registrations at once, twice a second at most.

--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -417,6 +417,7 @@
   peers->task = task;
   peers->options = *options;
   peers->fd = fd;
+  peers->created_ms = dl_clock_ms ();
   peers->loop = dl_kernel_loop (dl_task_kernel (task));
   peers->incarnation = dl_kernel_incarnation (dl_task_kernel (task));
   name_object (peers);
--- a/lib/node/peers_datagrams.c
+++ b/lib/node/peers_datagrams.c
@@ -9,6 +9,10 @@
 
 /* Datagrams that are read in a row, so that they do not block the event loop. */
 #define READS_AT_ONCE 64
+/* So long after its start an entry reads the registrations of unknown stagers at once,
+ * this often at most. */
+#define STARTING_MS            10000
+#define REGISTRATIONS_EVERY_MS 500
 
 DL_METRIC (metric_sent,
            DL_METRIC_COUNTER,
@@ -207,6 +211,21 @@
     accept_relayed (peers, relay, &batch->relayed[i]);
 }
 
+/* A stager that this entry does not know yet has something to tell: while all nodes start
+ * together, its registration is read before the next watch is due. */
+static void
+read_registrations (DlPeers *peers)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (peers->options.role != DAISYLOFT__WIRE__ROLE__ROLE_ENTRY
+      || now_ms - peers->created_ms > STARTING_MS
+      || now_ms - peers->registrations_read_ms < REGISTRATIONS_EVERY_MS)
+    return;
+  peers->registrations_read_ms = now_ms;
+  dl_object_watch_refresh (peers->watch);
+}
+
 static void
 accept_status (DlPeers *peers,
                const Daisyloft__Wire__NodeStatus *status,
@@ -215,6 +234,8 @@
   Node *node = g_hash_table_lookup (peers->nodes, status->name);
   bool is_batch = status->n_relayed > 0;
 
+  if (node == NULL && status->role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT)
+    read_registrations (peers);
   if (node == NULL && peers->options.on_unknown_node != NULL && !is_batch)
     {
       peers->unknown_sender = from;
--- a/lib/node/peers_private.h
+++ b/lib/node/peers_private.h
@@ -49,8 +49,10 @@
   int fd;
   ev_io watcher;
   struct ev_loop *loop;
-  GHashTable *nodes;           /* name to Node */
-  GHashTable *by_object;       /* name of the object in the store to the same Node */
+  GHashTable *nodes;     /* name to Node */
+  GHashTable *by_object; /* name of the object in the store to the same Node */
+  uint64_t created_ms;
+  uint64_t registrations_read_ms; /* when an unknown node last led to that; 0: never */
   unsigned entry_count;        /* registered entries, this node included if it is one */
   struct DlStatusRelay *relay; /* NULL on a stager */
   char *object_name;           /* of this node in the store */
