A sender that never stops no longer holds the loop as its connection ends

Cause: the lingering close of HTTP connections, and framed connections that have sent their Closing, dropped what had arrived until nothing more came, so that a peer that sends as fast as it is read held the whole loop, also in the last look before a close.

Ruled out: a time limit for a call, which would depend on the machine's load; a limit of what has arrived by FIONREAD alone, as a socket's buffer may be 32 MiB.

Change: a run of the loop drops at most 64 KiB of an HTTP connection and 256 KiB of a framed one, as much as an open one reads. The watchers are level-triggered, so the rest comes in the next runs. The last look of an HTTP connection drops at most 8 MiB. Framed connections that were still ending when a stop's time was over had no last look, but had been read in full by the last run; they get one of at most 8 MiB, so that the smaller runs take no Closing from a peer.

Measured: unit "lingering close" and "frames", with a sender that sends again before each read. What had arrived from a sender that stopped (a full Unix socket) is still dropped whole in the last look.

--- a/lib/kernel/frame_end.c
+++ b/lib/kernel/frame_end.c
@@ -11,6 +11,9 @@
 #include "kernel/error.h"
 #include "kernel/frame_private.h"
 
+#define DROP_READS      1  /* in a run of the loop; the rest in the next ones */
+#define DROP_READS_LAST 32 /* before a close: 8 MiB, as no run comes after it */
+
 static void
 send_closing (DlConn *conn)
 {
@@ -28,8 +31,9 @@
     shutdown (conn->fd, SHUT_WR);
 }
 
-void
-dl_conn_drop_arrived (DlConn *conn)
+/* Reads at most READS times; returns the last result of dl_conn_read. */
+static int
+drop_arrived (DlConn *conn, unsigned reads)
 {
   int n;
 
@@ -38,8 +42,14 @@
       n = dl_conn_read (conn);
       dl_buffer_consume (conn->in, conn->in->length);
     }
-  while (n > 0);
-  if (n < 0)
+  while (n > 0 && --reads > 0);
+  return n;
+}
+
+void
+dl_conn_drop_arrived (DlConn *conn)
+{
+  if (drop_arrived (conn, DROP_READS) < 0)
     dl_conn_close (conn);
 }
 
@@ -62,6 +72,8 @@
     return;
   if (conn->state >= CONN_OPEN && dl_conn_flush (conn) == 0)
     dl_conn_end_output (conn);
+  if (conn->state == CONN_ENDING)
+    drop_arrived (conn, DROP_READS_LAST);
   dl_conn_close (conn);
 }
 
--- a/lib/kernel/frame_private.h
+++ b/lib/kernel/frame_private.h
@@ -83,7 +83,8 @@
 int dl_conn_flush (DlConn *conn);
 /* Part of the end of the process; DATA is the connection. */
 bool dl_conn_end (DlEndStep step, void *data);
-/* Drops what has arrived on a connection that ends, and closes it once its peer has. */
+/* Drops some of what has arrived on a connection that ends, and closes it once its peer
+ * has. */
 void dl_conn_drop_arrived (DlConn *conn);
 /* Ends the output of a connection that ends, once all is written. */
 void dl_conn_end_output (DlConn *conn);
--- a/lib/kernel/http_linger.c
+++ b/lib/kernel/http_linger.c
@@ -7,8 +7,10 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#define DROP_BYTES  4096
-#define SOCKETS_MAX 512 /* further ones are closed at once */
+#define DROP_BYTES      16384
+#define DROP_READS      4   /* in a run of the loop; the rest in the next ones */
+#define DROP_READS_LAST 512 /* before a close: 8 MiB, as no run comes after it */
+#define SOCKETS_MAX     512 /* further ones are closed at once */
 
 /* A socket whose output has ended; a talloc child of the set. */
 typedef struct
@@ -27,24 +29,25 @@
   unsigned count;
 };
 
-/* Reads and drops what has arrived; returns false once nothing more can. */
+/* Reads and drops what has arrived, at most READS times; returns false once nothing more
+ * can. */
 static bool
-drop_arrived (int fd)
+drop_arrived (int fd, unsigned reads)
 {
   char bytes[DROP_BYTES];
   ssize_t n;
 
   do
     n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
-  while (n > 0 || (n < 0 && errno == EINTR));
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  while ((n > 0 || (n < 0 && errno == EINTR)) && --reads > 0);
+  return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
 }
 
 static int
 socket_destroy (Socket *s)
 {
   ev_io_stop (s->linger->loop, &s->reader);
-  drop_arrived (s->fd);
+  drop_arrived (s->fd, DROP_READS_LAST);
   close (s->fd);
   s->linger->count--;
   return 0;
@@ -66,7 +69,7 @@
 {
   Socket *s = watcher->data;
 
-  if (!drop_arrived (s->fd))
+  if (!drop_arrived (s->fd, DROP_READS))
     finish (s);
 }
 
--- a/regress/unit/test_frames.c
+++ b/regress/unit/test_frames.c
@@ -1,13 +1,15 @@
 /*
- * Tests that framed connections handle what has arrived before they are closed.  Both
- * ends are in one process, each test runs a kernel of its own.
+ * Tests that framed connections handle what has arrived before they are closed, and that
+ * a peer that never stops sending does not hold the loop.  Both ends are in one process,
+ * each test runs a kernel of its own.
  */
 #include <glib.h>
 #include <stdio.h>
 #include <talloc.h>
 #include <unistd.h>
 
-#include "kernel/frame.h"
+#include "endless.h"
+#include "kernel/frame_private.h"
 #include "kernel/log.h"
 #include "unit.h"
 
@@ -16,12 +18,16 @@
 #define STANDING_MS (DL_FRAME_IDLE_MS + 500)
 #define US_PER_MS   1000
 #define DRAIN_MS    3000
+/* Of one connection, in a run of the loop: what an open one reads. */
+#define RUN_MAX_BYTES  (256u * 1024)
+#define LAST_MAX_BYTES (8u << 20) /* as its process ends */
 
 typedef enum
 {
   CASE_NONE, /* other tests run */
   CASE_STANDS_STILL,
   CASE_WRITE_FAILS,
+  CASE_ENDLESS,
 } FrameCase;
 
 typedef struct
@@ -35,8 +41,11 @@
   DlConn *dialled[DIALLERS];
   unsigned accepted_count;
   unsigned open_count;
-  unsigned frames; /* that the dialling sides received */
-  unsigned closed; /* dialling sides that were closed */
+  unsigned frames;   /* that the dialling sides received */
+  unsigned closed;   /* dialling sides that were closed */
+  DlConn *ending;    /* its peer never stops sending */
+  size_t run_bytes;  /* read of it when a timer that was due was served */
+  size_t last_bytes; /* read of another one as it was closed */
 } Frames;
 
 static Frames frames;
@@ -183,6 +192,40 @@
   after_step (frames.running == CASE_STANDS_STILL ? on_send_next : on_send);
 }
 
+/* -------- a connection that ends, and a peer that never stops -------- */
+
+static void
+on_endless_timer (DlTimer *timer, void *data)
+{
+  frames.run_bytes = endless_read_bytes ();
+  CU_ASSERT_FALSE (dl_conn_end (DL_END_ALL, frames.ending));
+  endless_end ();
+  dl_kernel_stop (data);
+}
+
+static void
+endless_connect (DlTask *task)
+{
+  frames.ending
+      = dl_conn_new (task, dl_task_state (task), endless_begin (), &frames.identity);
+  frames.ending->state = CONN_ENDING;
+  ev_io_start (frames.ending->loop, &frames.ending->reader);
+}
+
+static int
+endless_start (DlTask *task)
+{
+  dl_task_set_state (task, talloc_new (NULL));
+  endless_connect (task);
+  CU_ASSERT_TRUE (dl_conn_end (DL_END_NOW, frames.ending));
+  frames.last_bytes = endless_read_bytes ();
+  endless_end ();
+  endless_connect (task);
+  dl_timer_subscribe (task, dl_task_state (task), 0, 0, on_endless_timer,
+                      dl_task_kernel (task));
+  return 0;
+}
+
 /* -------- the task -------- */
 
 static int
@@ -193,6 +236,8 @@
 
   if (frames.running == CASE_NONE)
     return 0;
+  if (frames.running == CASE_ENDLESS)
+    return endless_start (task);
   frames.task = task;
   frames.identity = (DlIdentity){
     .name = "frames",
@@ -252,11 +297,23 @@
   CU_ASSERT_EQUAL (frames.closed, 1);
 }
 
+static void
+test_peer_that_never_stops_holds_nothing (void)
+{
+  run (CASE_ENDLESS);
+  CU_ASSERT_TRUE (frames.run_bytes > 0);
+  CU_ASSERT_TRUE (frames.run_bytes <= RUN_MAX_BYTES);
+  CU_ASSERT_TRUE (frames.last_bytes > 0);
+  CU_ASSERT_TRUE (frames.last_bytes <= LAST_MAX_BYTES);
+}
+
 static const CU_TestInfo tests[] = {
   { "frames that arrived as a process stood still are handled",
     test_frames_that_arrived_as_a_process_stood_still_are_handled },
   { "frames that arrived before a write failed are handled",
     test_frames_that_arrived_before_a_write_failed_are_handled },
+  { "a peer that never stops sending to a connection that ends holds nothing else",
+    test_peer_that_never_stops_holds_nothing },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("frames", tests)
--- a/regress/unit/test_linger.c
+++ b/regress/unit/test_linger.c
@@ -1,7 +1,8 @@
 /*
  * Tests what callers read of a response when more of their bytes arrive than its server
  * reads before it closes the connection.  Each must get the whole response and an orderly
- * end, and nothing that came after the close may be run.
+ * end, and nothing that came after the close may be run.  A caller that never stops
+ * sending may not hold the loop.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -12,6 +13,8 @@
 #include <talloc.h>
 #include <unistd.h>
 
+#include "endless.h"
+#include "kernel/http_linger.h"
 #include "kernel/http_server.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
@@ -30,6 +33,9 @@
 #define WAIT_S          5
 #define CHECK_MS        5
 #define DRAIN_MS        1000
+/* Of one connection, in a run of the loop: what an open framed one reads. */
+#define RUN_MAX_BYTES  (256u * 1024)
+#define LAST_MAX_BYTES (8u << 20) /* at the end of the set */
 
 typedef struct
 {
@@ -232,6 +238,71 @@
 static DlPlugin linger_plugin = { .name = "linger", .order = 5, .start = linger_start };
 DL_PLUGIN_REGISTER (linger_plugin)
 
+/* -------- a caller that never stops -------- */
+
+typedef struct
+{
+  bool running; /* otherwise other tests run */
+  DlHttpLinger *set;
+  size_t run_bytes;     /* read when a timer that was due was served */
+  size_t last_bytes;    /* read as a set ended */
+  size_t unread_bytes;  /* that had arrived before the end of another set */
+  size_t arrived_bytes; /* those of them that its end read */
+} EndlessCaller;
+
+static EndlessCaller endless_caller;
+
+static void
+end_set (size_t *bytes)
+{
+  size_t before = endless_read_bytes ();
+
+  TALLOC_FREE (endless_caller.set);
+  *bytes = endless_read_bytes () - before;
+}
+
+static void
+on_endless_timer (DlTimer *timer, void *data)
+{
+  endless_caller.run_bytes = endless_read_bytes ();
+  endless_end ();
+  dl_kernel_stop (data);
+}
+
+static void
+endless_add (DlTask *task)
+{
+  int fd = endless_begin ();
+
+  endless_caller.set = dl_http_linger_new (task, dl_task_state (task));
+  CU_ASSERT_TRUE (dl_http_linger_add (endless_caller.set, fd, NULL, NULL));
+  close (fd);
+}
+
+static int
+endless_start (DlTask *task)
+{
+  dl_task_set_state (task, talloc_new (NULL));
+  if (!endless_caller.running)
+    return 0;
+  endless_add (task);
+  endless_stop ();
+  endless_caller.unread_bytes = endless_unread_bytes ();
+  end_set (&endless_caller.arrived_bytes);
+  endless_end ();
+  endless_add (task);
+  end_set (&endless_caller.last_bytes);
+  endless_end ();
+  endless_add (task);
+  dl_timer_subscribe (task, dl_task_state (task), 0, 0, on_endless_timer,
+                      dl_task_kernel (task));
+  return 0;
+}
+
+static DlPlugin endless_plugin
+    = { .name = "linger-endless", .order = 6, .start = endless_start };
+DL_PLUGIN_REGISTER (endless_plugin)
+
 /* -------- the tests -------- */
 
 /* Runs a server and CALLER; returns the number of requests that were handled. */
@@ -278,6 +349,25 @@
   CU_ASSERT_EQUAL (play (call_with_long_head), 0);
 }
 
+static void
+test_caller_that_never_stops_holds_nothing (void)
+{
+  DlKernel *kernel;
+
+  endless_caller = (EndlessCaller){ .running = true };
+  dl_log_open ("unit", "unit", true);
+  kernel = dl_kernel_new ("unit", "unit", NULL);
+  CU_ASSERT_EQUAL (dl_kernel_run (kernel), 0);
+  talloc_free (kernel);
+  endless_caller.running = false;
+  CU_ASSERT_TRUE (endless_caller.unread_bytes > 0);
+  CU_ASSERT_EQUAL (endless_caller.arrived_bytes, endless_caller.unread_bytes);
+  CU_ASSERT_TRUE (endless_caller.run_bytes > 0);
+  CU_ASSERT_TRUE (endless_caller.run_bytes <= RUN_MAX_BYTES);
+  CU_ASSERT_TRUE (endless_caller.last_bytes > 0);
+  CU_ASSERT_TRUE (endless_caller.last_bytes <= LAST_MAX_BYTES);
+}
+
 static const CU_TestInfo linger_tests[] = {
   { "a request that crosses the close takes no response away",
     test_request_that_crosses_the_close_takes_no_response_away },
@@ -285,6 +375,8 @@
     test_pipelined_request_takes_no_response_away },
   { "a head that is too long is refused in full",
     test_refused_head_is_answered_before_the_close },
+  { "a caller that never stops sending holds nothing else",
+    test_caller_that_never_stops_holds_nothing },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("lingering close", linger_tests)
