WHOLE: the record of sound loads names none that is still to come, and is written again when it was lost

Cause: the record was written once and taken for good. Now no command is sent while the record names a load of this start beyond the engine's count; it is overwritten first. When the node's own registration was deleted, the record is read again and written if it is missing; an answer that was under way as a new era began no longer counts as current. Ruled out: reading it every minute (10 calls a second at 600 servers).

--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -297,6 +297,13 @@
          && w->engine.loads == w->proof.loads;
 }
 
+static bool
+may_send_command (const Weights *w)
+{
+  return !w->draining && !w->proof.awaited && dl_load_proof_may_command (&w->proof)
+         && engine_responds (w, dl_clock_ms ());
+}
+
 static void
 send_command (Weights *w,
               bool preempt,
@@ -337,7 +344,7 @@
 void
 load_send_command (Weights *w, bool preempt)
 {
-  if (w->draining || w->proof.awaited || !engine_responds (w, dl_clock_ms ()))
+  if (!may_send_command (w))
     return;
   weights_set_phase (w, PHASE_LOAD_COMMAND);
   send_command (w, preempt, false, on_load_response);
@@ -346,10 +353,7 @@
 void
 load_send_unload (Weights *w)
 {
-  uint64_t now_ms = dl_clock_ms ();
-
-  if (w->draining || w->proof.awaited || !engine_responds (w, now_ms)
-      || !dl_backoff_allows (&w->unloads, now_ms))
+  if (!may_send_command (w) || !dl_backoff_allows (&w->unloads, dl_clock_ms ()))
     return;
   send_command (w, true, true, on_unload_response);
 }
--- a/daisystaged/record.c
+++ b/daisystaged/record.c
@@ -11,6 +11,10 @@
 #include "platform.h"
 #include "policy/backoff.h"
 
+/* What may have been lost is read again after the first time and a part of the second. */
+#define CHECK_FIRST_MS  2000
+#define CHECK_SPREAD_MS 2000
+
 static const DlBackoffBounds failure_pauses = { .first_ms = 200, .max_ms = 4000 };
 
 struct StageRecord
@@ -71,17 +75,18 @@
 static void
 publish (StageRecord *record)
 {
-  StageMessage *message;
+  StageMessage *message = stage_message_new (STAGE_RECORD);
 
-  if (record->is_published)
-    return;
-  record->is_published = true;
-  message = stage_message_new (STAGE_RECORD);
   message->record = record->stored;
+  dl_kernel_publish (dl_task_kernel (record->task), message);
+}
+
+static void
+log_read (const StageRecord *record)
+{
   dl_log (DL_EVENT_STAGE_RECORD_READ, DL_UINT ("started_ms", record->stored.started_ms),
           DL_UINT ("loads", record->stored.loads),
           DL_UINT ("revision", record->revision));
-  dl_kernel_publish (dl_task_kernel (record->task), message);
 }
 
 static void
@@ -97,10 +102,13 @@
       return;
     }
   dl_backoff_succeeded (&record->failures);
-  record->is_current = true;
+  record->is_current = !record->waiting;
   record->revision = is_found ? result->objects[0].revision : 0;
   record->stored
       = is_found ? dl_load_record_read (result->objects[0].value) : (DlSoundLoad){ 0 };
+  if (!record->is_published)
+    log_read (record);
+  record->is_published = true;
   publish (record);
   run (record);
 }
@@ -121,6 +129,7 @@
   dl_backoff_succeeded (&record->failures);
   record->revision = result->revision;
   record->stored = record->written;
+  publish (record);
   run (record);
 }
 
@@ -159,6 +168,12 @@
                    record);
 }
 
+const DlSoundLoad *
+stage_record_stored (const StageRecord *record)
+{
+  return &record->stored;
+}
+
 bool
 stage_record_may_end (const StageRecord *record)
 {
@@ -172,11 +187,17 @@
   run (record);
 }
 
+void
+stage_record_check (StageRecord *record)
+{
+  read_later (record, CHECK_FIRST_MS + dl_random_uint64 () % CHECK_SPREAD_MS);
+}
+
 /* The store may have come back from an older copy.  No call may be started here. */
 static void
 on_new_era (void *data)
 {
-  read_later (data, 1 + dl_random_uint64 () % failure_pauses.max_ms);
+  stage_record_check (data);
 }
 
 StageRecord *
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -144,6 +144,15 @@
   dl_kernel_publish (state->kernel, message);
 }
 
+/* Entries take this host for gone, and delete its record as well. */
+static void
+on_own_deleted (void *data)
+{
+  State *state = data;
+
+  stage_record_check (state->record);
+}
+
 /* -------- sending the status -------- */
 
 static bool
@@ -357,11 +366,16 @@
   e->waiting = 0;
 }
 
-/* Weights that no command loaded need no record. */
+/* Weights that no command loaded need no record, unless there is one of a load that the
+ * engine has yet to accept. */
 static void
 record_sound_load (State *state, const StageEngineUse *use)
 {
-  if (use->sound && use->loads > 0 && use->started_ms != 0)
+  const DlSoundLoad *stored = stage_record_stored (state->record);
+  bool is_ahead = stored->known && stored->started_ms == use->started_ms
+                  && stored->loads > use->loads;
+
+  if (use->sound && use->started_ms != 0 && (use->loads > 0 || is_ahead))
     stage_record_set (state->record, &(DlSoundLoad){ .known = true,
                                                      .started_ms = use->started_ms,
                                                      .loads = use->loads });
@@ -482,6 +496,7 @@
                             .on_status = on_status,
                             .on_unknown_node = on_unknown_node,
                             .on_removed = on_removed,
+                            .on_own_deleted = on_own_deleted,
                             .data = state,
                         },
                         &state->peers);
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -191,8 +191,11 @@
 on_own_object (DlPeers *peers, const DlObject *object)
 {
   peers->is_listed = !object->deleted && is_own_object (peers, object->value);
-  if (object->deleted && !peers->is_relisting)
-    register_again (peers);
+  if (!object->deleted || peers->is_relisting)
+    return;
+  register_again (peers);
+  if (peers->options.on_own_deleted != NULL)
+    peers->options.on_own_deleted (peers->options.data);
 }
 
 /* A node that an older copy of the store lacks registers again.  It is kept until then,
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -70,12 +70,15 @@
   void (*on_status) (const DlPeer *peer,
                      const Daisyloft__Wire__NodeStatus *status,
                      void *data);
-  /* A datagram came from a node of ROLE that is not known here; dl_peers_reply may be
-   * called to send it this node's status.  May be NULL. */
+  /* A datagram came from a node of ROLE that is not known here, or, at a stager, that has
+   * started again; dl_peers_reply may be called to send it this node's status.  May be
+   * NULL. */
   void (*on_unknown_node) (Daisyloft__Wire__Role role, void *data);
   /* PEER's registration was deleted or replaced; PEER is freed after the call.  May be
    * NULL. */
   void (*on_removed) (const DlPeer *peer, void *data);
+  /* This node's own registration was deleted; it registers again.  May be NULL. */
+  void (*on_own_deleted) (void *data);
   /* PEER, which has timed out, is deleted from the store.  May be NULL. */
   void (*on_expired) (const DlPeer *peer, void *data);
   void *data;
--- a/lib/policy/load_proof.c
+++ b/lib/policy/load_proof.c
@@ -34,6 +34,13 @@
     p->state = state_by_record (p);
 }
 
+bool
+dl_load_proof_may_command (const DlLoadProof *p)
+{
+  return !p->record.known || p->record.started_ms != p->started_ms
+         || p->record.loads <= p->loads;
+}
+
 /* -------- reports -------- */
 
 /* True when what was sent at SENT_MS may have gone to the engine that has just started in
--- a/lib/policy/load_proof.h
+++ b/lib/policy/load_proof.h
@@ -111,8 +111,11 @@
  * never all be fresh at once. */
 uint64_t dl_load_proof_reads_from_ms (uint64_t draining_ms, uint64_t now_ms);
 
-/* The record was read: RECORD is not known when there is none. */
+/* The record was read or has changed: RECORD is not known when there is none. */
 void dl_load_proof_recorded (DlLoadProof *proof, const DlSoundLoad *record);
+/* False while the record names a load that the engine could still accept: one that has
+ * started again with the start time that it had counts anew. */
+bool dl_load_proof_may_command (const DlLoadProof *proof);
 /* Takes in a report; one that is older than what is known is ignored. */
 DlProofChange dl_load_proof_report (DlLoadProof *proof, const DlProofReport *report);
 /* A command is sent that names the count PROOF->loads. */
--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -408,6 +408,121 @@
   CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
 }
 
+#define SETTLES_MS    4000
+#define STAGER_OBJECT "r1.1.stager-1"
+
+/* Proves a load of the first server, and returns when the store has its record. */
+static uint64_t
+load_and_record (Testbed *tb)
+{
+  lose_weights (tb);
+  check_taken (tb);
+  CHECK (eventually (weights_are_proven, tb));
+  CHECK (eventually (load_is_recorded, tb));
+  return recorded (tb->server[0], "orders");
+}
+
+static void
+check_restart_loads_nothing (Testbed *tb, uint64_t commands)
+{
+  process_end (&tb->stager_process[0], SIGTERM);
+  CHECK (process_start (&tb->stager_process[0]));
+  CHECK (eventually (record_is_read, tb));
+  g_usleep (SETTLES_MS * US_PER_MS);
+  CHECK (recorded (tb->server[0], "orders") == commands);
+  CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
+}
+
+/* Entries take the host for gone and delete its registration and its record, though the
+ * stager runs. */
+static void
+test_record_that_was_deleted_with_its_node_was_not_written_again (Testbed *tb)
+{
+  uint64_t commands = load_and_record (tb);
+
+  CHECK (testbed_delete (tb, "daisyloft-nodes", STAGER_OBJECT));
+  CHECK (testbed_delete (tb, "daisyloft-loads", "stager-1"));
+  CHECK (!load_is_recorded (tb));
+  CHECK (eventually (load_is_recorded, tb));
+  check_restart_loads_nothing (tb, commands);
+}
+
+/* The engine starts again with the start time that it had, and takes a bad chunk by a
+ * command of a stager that has ended: the count is that of the recorded load. */
+static void
+test_record_of_an_engine_whose_start_time_repeats (Testbed *tb)
+{
+  load_and_record (tb);
+  commands_before = recorded (tb->server[0], "orders");
+  CHECK (set_fault (tb->server[0], "rot_at_command", 1));
+  CHECK (set_fault (tb->server[0], "command_late_ms", LATE_MS));
+  CHECK (set_fault (tb->server[0], "lose_weights", 1));
+  g_usleep (COMMAND_SENT_MS * US_PER_MS);
+  process_end (&tb->stager_process[0], SIGKILL);
+  CHECK (eventually_under_callers (tb, first_has_taken_weights));
+  CHECK (process_start (&tb->stager_process[0]));
+  CHECK (eventually (record_is_read, tb));
+  CHECK (eventually_under_callers (tb, both_serve_newest));
+  CHECK (recorded_by_models (tb, "spoilt_runs") == 0);
+}
+
+/* -------- engines that wait for a write which never ends -------- */
+
+#define SUPERSEDED_MS  300
+#define OBSERVED       60
+#define OBSERVE_MS     250
+#define OUT_OF_USE_MAX 4000
+
+static unsigned longest_gap_ms;
+
+/* Watches for how long at most the first server gets no streams. */
+static bool
+observe_first_server (Testbed *tb)
+{
+  uint64_t before = recorded (tb->server[0], "received");
+  unsigned gap_ms = 0;
+
+  longest_gap_ms = 0;
+  for (unsigned i = 0; i < OBSERVED; i++)
+    {
+      uint64_t now;
+
+      g_usleep (OBSERVE_MS * US_PER_MS);
+      now = recorded (tb->server[0], "received");
+      gap_ms = now == before ? gap_ms + OBSERVE_MS : 0;
+      longest_gap_ms = MAX (longest_gap_ms, gap_ms);
+      before = now;
+    }
+  return true;
+}
+
+/* Announces two versions, the second one soon after the first one. */
+static unsigned
+gap_of_two_versions (Testbed *tb)
+{
+  CHECK (testbed_announce_version (tb, ++newest));
+  g_usleep (SUPERSEDED_MS * US_PER_MS);
+  CHECK (testbed_announce_version (tb, ++newest));
+  CHECK (eventually_under_callers (tb, observe_first_server));
+  CHECK (eventually (both_serve_newest, tb));
+  return longest_gap_ms;
+}
+
+/* A write of the first of two versions has no response and stays open: the engine, which
+ * has sound weights, is not drained for the second one while nothing of it can be staged.
+ */
+static void
+test_engine_is_in_use_while_a_write_is_open (Testbed *tb)
+{
+  unsigned usual_ms = gap_of_two_versions (tb);
+  unsigned open_ms;
+
+  CHECK (set_fault (tb->server[0], "write_at_command", 1));
+  open_ms = gap_of_two_versions (tb);
+  g_print ("out of use: %u ms, with an open write %u ms\n", usual_ms, open_ms);
+  CHECK (open_ms <= OUT_OF_USE_MAX);
+}
+
 /* Entries that start while no stager runs know the engine from the store's list alone,
  * which does not tell that its stager ended before the weights that it took were checked.
  */
@@ -445,5 +560,8 @@
   test_bad_chunk_was_mended_by_a_stager_without_reports,
   test_stager_took_a_mended_chunk_for_what_its_predecessor_loaded,
   test_restarted_stager_kept_callers_from_sound_weights,
+  test_record_that_was_deleted_with_its_node_was_not_written_again,
+  test_record_of_an_engine_whose_start_time_repeats,
+  test_engine_is_in_use_while_a_write_is_open,
   NULL,
 };
--- a/regress/unit/load_driver.c
+++ b/regress/unit/load_driver.c
@@ -141,6 +141,7 @@
   DlSoundLoad record;
   DlSoundLoad written;
   uint64_t write_ms; /* when it lands; 0: none is under way */
+  bool has_sender;
 } Store;
 
 typedef struct
@@ -511,7 +512,8 @@
 {
   const Stager *s = &w->stager;
 
-  return s->engine_known && w->now_ms - s->asked_ms <= REPORT_MAX_AGE_MS
+  return s->engine_known && dl_load_proof_may_command (&s->proof)
+         && w->now_ms - s->asked_ms <= REPORT_MAX_AGE_MS
          && s->engine.loads == s->proof.loads;
 }
 
@@ -846,6 +848,7 @@
 {
   for (unsigned i = 0; i < CALLS_MAX; i++)
     w->calls[i].has_sender = false;
+  w->store.has_sender = false;
   w->stager = (Stager){
     .version = w->newest,
     .record_read_ms = w->now_ms + random_below (w, STORE_MAX_MS),
@@ -856,6 +859,13 @@
 
 /* -------- the store -------- */
 
+static void
+set_recorded (World *w, const DlSoundLoad *record)
+{
+  w->stager.recorded = *record;
+  dl_load_proof_recorded (&w->stager.proof, record);
+}
+
 /* The store may come back from an older copy, here from one without the record. */
 static void
 step_store (World *w)
@@ -866,6 +876,8 @@
     {
       store->record = store->written;
       store->write_ms = 0;
+      if (store->has_sender)
+        set_recorded (w, &store->written);
     }
   if (chance (w, 1) && chance (w, w->lost))
     store->record = (DlSoundLoad){ 0 };
@@ -878,8 +890,7 @@
 
   if (s->proof.record_read || w->now_ms < s->record_read_ms)
     return;
-  s->recorded = w->store.record;
-  dl_load_proof_recorded (&s->proof, &s->recorded);
+  set_recorded (w, &w->store.record);
   say (w, "stager reads the record: count %" G_GUINT64_FORMAT, s->recorded.loads);
 }
 
@@ -890,14 +901,15 @@
   Stager *s = &w->stager;
   const DlLoadProof *p = &s->proof;
 
-  if (!p->record_read || !p->known || p->state != DL_WEIGHTS_SOUND || p->loads == 0
-      || w->store.write_ms != 0
-      || (s->recorded.known && s->recorded.started_ms == p->started_ms
-          && s->recorded.loads == p->loads))
+  bool is_same_engine = s->recorded.known && s->recorded.started_ms == p->started_ms;
+
+  if (!p->record_read || !p->known || p->state != DL_WEIGHTS_SOUND
+      || w->store.write_ms != 0 || (is_same_engine && s->recorded.loads == p->loads)
+      || (!is_same_engine && p->loads == 0))
     return;
-  s->recorded
+  w->store.written
       = (DlSoundLoad){ .known = true, .started_ms = p->started_ms, .loads = p->loads };
-  w->store.written = s->recorded;
+  w->store.has_sender = true;
   w->store.write_ms = w->now_ms + 1 + random_below (w, STORE_MAX_MS);
 }
 
--- a/regress/unit/test_load_proof.c
+++ b/regress/unit/test_load_proof.c
@@ -588,6 +588,25 @@
   CU_ASSERT (!dl_load_proof_may_write (&proof, 1, false));
 }
 
+/* The record names a load that an engine which counts anew has yet to accept. */
+static void
+test_commands_wait_for_the_record (void)
+{
+  DlLoadProof proof = { 0 };
+  DlSoundLoad record = { .known = true, .started_ms = START_1, .loads = 1 };
+
+  dl_load_proof_report (&proof, &(DlProofReport){ .started_ms = START_1, .now_ms = 1 });
+  CU_ASSERT (dl_load_proof_may_command (&proof));
+  dl_load_proof_recorded (&proof, &record);
+  CU_ASSERT (!dl_load_proof_may_command (&proof));
+  record.loads = 0;
+  dl_load_proof_recorded (&proof, &record);
+  CU_ASSERT (dl_load_proof_may_command (&proof));
+  record = (DlSoundLoad){ .known = true, .started_ms = START_2, .loads = 1 };
+  dl_load_proof_recorded (&proof, &record);
+  CU_ASSERT (dl_load_proof_may_command (&proof));
+}
+
 #define DRAINING_MS 10000
 
 static void
@@ -685,6 +704,7 @@
   { "transitions", test_transitions },
   { "writes that could hide what was taken", test_writes_are_held_back },
   { "two versions are not staged at once", test_versions_are_not_staged_at_once },
+  { "commands wait for the record", test_commands_wait_for_the_record },
   { "age of the reads before a command", test_age_of_reads },
   { "an entry remembers a sound load", test_entry_remembers_sound_load },
   CU_TEST_INFO_NULL,
