Stagers reply to entries that have started again, not only to unknown ones

Stagers now reply to a new incarnation as well. Entries ask once a second for 2.5 s from when they know the registrations, in a large fleet only their region. There is no loop: the reply's receiver has heard of the sender before.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -474,7 +474,6 @@
 
   dl_task_set_state (task, state);
   state->task = task;
-  state->started_ms = dl_clock_ms ();
   state->kernel = dl_task_kernel (task);
   state->settings = direct_settings (task);
   state->is_hub = true;
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -44,7 +44,8 @@
   bool ready;
   bool is_hub; /* this entry fetches weights for others */
   unsigned ticks;
-  uint64_t started_ms;
+  uint64_t asked_ms;     /* when stagers were last asked; 0 for never */
+  uint64_t asks_from_ms; /* when they were first asked; 0 for never */
 } State;
 
 /* -------- status.c -------- */
@@ -52,8 +53,8 @@
 /* Sends the status to the entries of the region, and to the others where no relay does
  * so. */
 void status_send_usual (State *state);
-/* Sends it to all stagers while this entry has just started: each replies with its
- * engine's, and the entry uses no engine before. */
+/* Sends it to the stagers a few times after the start: each replies with its engine's,
+ * and the entry uses no engine before. */
 void status_ask_stagers (State *state);
 /* Sends it to a node that is not registered here yet: a stager learns at once which
  * chunks it can fetch from here, an entry which prompt parts crash upstreams. */
--- a/daisydirectd/status.c
+++ b/daisydirectd/status.c
@@ -9,8 +9,9 @@
 
 /* In a large fleet the chunks that a hub holds are told at most this often. */
 #define HOLDINGS_LARGE_MS 160
-/* Stagers are asked for so long after the start. */
-#define ASKS_FOR_MS 2000
+/* Stagers are asked this often, and for so long after their registrations were read. */
+#define ASKS_EVERY_MS 1000
+#define ASKS_FOR_MS   2500
 
 /* Whether stagers need to hear from this entry. */
 static bool
@@ -118,12 +119,20 @@
 status_ask_stagers (State *state)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  uint64_t now_ms = dl_clock_ms ();
 
-  if (dl_clock_ms () - state->started_ms > ASKS_FOR_MS)
+  if (!dl_peers_are_known (state->peers))
     return;
+  if (state->asks_from_ms == 0)
+    state->asks_from_ms = now_ms;
+  if (now_ms - state->asks_from_ms > ASKS_FOR_MS
+      || now_ms - state->asked_ms < ASKS_EVERY_MS)
+    return;
+  state->asked_ms = now_ms;
   status.ready = state->ready;
   status.not_hub = !state->is_hub;
-  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT, DL_PEERS_ALL);
+  dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
+                 dl_peers_is_large (state->peers) ? DL_PEERS_REGION : DL_PEERS_ALL);
 }
 
 void
--- a/lib/node/peers_datagrams.c
+++ b/lib/node/peers_datagrams.c
@@ -226,6 +226,16 @@
   dl_object_watch_refresh (peers->watch);
 }
 
+static void
+report_unknown (DlPeers *peers,
+                Daisyloft__Wire__Role role,
+                const struct sockaddr_in *from)
+{
+  peers->unknown_sender = from;
+  peers->options.on_unknown_node (role, peers->options.data);
+  peers->unknown_sender = NULL;
+}
+
 static void
 accept_status (DlPeers *peers,
                const Daisyloft__Wire__NodeStatus *status,
@@ -233,14 +243,13 @@
 {
   Node *node = g_hash_table_lookup (peers->nodes, status->name);
   bool is_batch = status->n_relayed > 0;
+  bool has_restarted;
 
   if (node == NULL && status->role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT)
     read_registrations (peers);
   if (node == NULL && peers->options.on_unknown_node != NULL && !is_batch)
     {
-      peers->unknown_sender = from;
-      peers->options.on_unknown_node (status->role, peers->options.data);
-      peers->unknown_sender = NULL;
+      report_unknown (peers, status->role, from);
       return;
     }
   if (node == NULL || node->at.sin_addr.s_addr != from->sin_addr.s_addr
@@ -254,8 +263,12 @@
       accept_batch (peers, node, status);
       return;
     }
+  has_restarted = status->incarnation != node->incarnation;
   note_status (node, status);
   accept_own_status (peers, node, status);
+  if (has_restarted && peers->options.role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT
+      && peers->options.on_unknown_node != NULL)
+    report_unknown (peers, status->role, from);
   if (peers->relay != NULL)
     dl_status_relay_received (peers->relay, node, status);
 }
