Lingering closes: as many as a process can have connections

LOST, found by the reviewer (read): beyond 512 lingering sockets connections were closed at once, so that at the end of an entry with more kept connections (600 are kept, 1,500 accepted) a request that crosses the close could lose its 408 to a reset. Not seen red.

--- a/lib/kernel/http_linger.c
+++ b/lib/kernel/http_linger.c
@@ -10,7 +10,8 @@
 #define DROP_BYTES      16384
 #define DROP_READS      4   /* in a run of the loop; the rest in the next ones */
 #define DROP_READS_LAST 512 /* before a close: 8 MiB, as no run comes after it */
-#define SOCKETS_MAX     512 /* further ones are closed at once */
+/* Above the limits of all servers of a process; further ones are closed at once. */
+#define SOCKETS_MAX 4096
 
 /* A socket whose output has ended; a talloc child of the set. */
 typedef struct
