Failed checks are printed again after the logs, of which the last lines are printed

The last 60 lines of each log are printed (LOG_PRINTED_LINES). A sanitizer's report that stands before them is printed from its beginning, at most as many lines, so that nothing that names a fault is lost by the cut. The names of failed checks, and violations of a soak, stand once more after the logs, as the last lines.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -10,12 +10,44 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
+#include <stdarg.h>
 #include <string.h>
 
 #define BUDGET_TRIES 4 /* requests that earn more than one retry */
 
 static unsigned failures;
 static unsigned checks;
+static GMutex failure_lock;
+static GString *failure_lines; /* what print_failure has printed; NULL: nothing */
+
+void
+print_failure (const char *format, ...)
+{
+  va_list arguments;
+  char *line;
+
+  va_start (arguments, format);
+  line = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  g_mutex_lock (&failure_lock);
+  if (failure_lines == NULL)
+    failure_lines = g_string_new (NULL);
+  g_string_append_printf (failure_lines, "%s\n", line);
+  g_print ("%s\n", line);
+  g_mutex_unlock (&failure_lock);
+  g_free (line);
+}
+
+/* The logs that were printed since hide the failures, so that these are printed again. */
+static void
+print_failures_again (void)
+{
+  if (failure_lines == NULL)
+    return;
+  g_print ("---- failures\n%s", failure_lines->str);
+  g_string_free (failure_lines, TRUE);
+  failure_lines = NULL;
+}
 
 void
 check (bool passed, const char *text, const char *where, int line)
@@ -24,7 +56,7 @@
   if (passed)
     return;
   failures++;
-  g_print ("direct: %s:%d: check failed: %s\n", where, line, text);
+  print_failure ("direct: %s:%d: check failed: %s", where, line, text);
 }
 
 Call
@@ -305,6 +337,7 @@
     run_until_failure (&testbed, group->tests[i]);
   testbed_stop (&testbed, failures > 0);
   g_print ("direct %s: %u checks, %u failed\n", group->name, checks, failures);
+  print_failures_again ();
 }
 
 static void
@@ -319,6 +352,7 @@
   failures += violations;
   testbed_stop (&testbed, violations > 0);
   g_print ("soak: seed %u: %u violations\n", seed, violations);
+  print_failures_again ();
 }
 
 int
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -82,8 +82,9 @@
 /* Starts all processes and waits until both entries are ready.  WITH_PROXIES puts a proxy
  * before each stand-in and entry.  Returns false on failure. */
 bool testbed_start (Testbed *testbed, const char *bin, bool with_proxies);
-/* Ends all processes and removes their files; when FAILED, prints the logs of the entries
- * and stagers first. */
+/* Ends all processes and removes their files; when FAILED, prints the last lines of the
+ * logs of the entries, stagers and servers first, and the beginning of a sanitizer's
+ * report that stands before them. */
 void testbed_stop (Testbed *testbed, bool failed);
 bool process_start (Process *process);
 /* Sends SIGNUM and waits for the end, up to 20 s; returns the wait status, or -1 when the
@@ -166,6 +167,8 @@
 
 /* -------- direct.c -------- */
 
+/* Prints a line about a failure, at once and again after the logs of the processes. */
+void print_failure (const char *format, ...) G_GNUC_PRINTF (1, 2);
 /* Counts a check; one that failed is printed and fails the run. */
 void check (bool passed, const char *text, const char *where, int line);
 #define CHECK(condition) check ((condition), #condition, __func__, __LINE__)
--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -35,7 +35,7 @@
 {
   g_mutex_lock (&soak->lock);
   soak->violations++;
-  g_print ("soak: %s: %s\n", who, what);
+  print_failure ("soak: %s: %s", who, what);
   g_mutex_unlock (&soak->lock);
 }
 
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -20,6 +20,9 @@
 #define SUBNET_COUNT       63
 #define OCTETS             250
 #define TIMEOUT_DEFAULT_MS 4000 /* of a route */
+/* Lines of a process's log, or of a sanitizer's report in it, that are printed after a
+ * failure: CI cuts longer output. */
+#define LOG_PRINTED_LINES 60
 
 /* -------- processes -------- */
 
@@ -469,15 +472,71 @@
   return done && eventually (entries_are_ready, tb);
 }
 
+/* The beginning of the last LOG_PRINTED_LINES lines of TEXT. */
+static const char *
+last_lines (const char *text)
+{
+  const char *at = text + strlen (text);
+  unsigned lines = 0;
+
+  /* The newline that ends the last line begins no further one. */
+  for (; at > text; at--)
+    if (at[-1] == '\n' && *at != '\0' && ++lines == LOG_PRINTED_LINES)
+      break;
+  return at;
+}
+
+/* Where the first report of a sanitizer in TEXT begins; NULL without one. */
+static const char *
+find_report (const char *text)
+{
+  const char *error = strstr (text, "==ERROR");
+
+  return error != NULL ? error : strstr (text, "runtime error:");
+}
+
+/* Prints the lines from FROM up to END, at most LOG_PRINTED_LINES. */
 static void
-process_free (Process *p, bool failed)
+print_lines (const char *from, const char *end)
+{
+  const char *at = from;
+
+  for (unsigned i = 0; i < LOG_PRINTED_LINES && at < end; i++)
+    {
+      const char *newline = memchr (at, '\n', (size_t)(end - at));
+
+      at = newline != NULL ? newline + 1 : end;
+    }
+  g_print ("%.*s%s", (int)(at - from), from, at > from && at[-1] != '\n' ? "\n" : "");
+}
+
+static void
+print_log (const Process *p)
 {
   char *text = NULL;
+  const char *tail;
+  const char *report;
+
+  if (!g_file_get_contents (p->log, &text, NULL, NULL))
+    return;
+  tail = last_lines (text);
+  report = find_report (text);
+  if (report != NULL && report < tail)
+    {
+      g_print ("---- sanitizer's report of %s\n", p->name);
+      print_lines (report, tail);
+    }
+  g_print ("---- %s log of %s\n", tail > text ? "end of the" : "whole", p->name);
+  print_lines (tail, tail + strlen (tail));
+  g_free (text);
+}
 
+static void
+process_free (Process *p, bool failed)
+{
   process_end (p, SIGKILL);
-  if (failed && g_file_get_contents (p->log, &text, NULL, NULL))
-    g_print ("---- log of %s\n%s", p->name, text);
-  g_free (text);
+  if (failed)
+    print_log (p);
   unlink (p->log);
   if (p->argv[1] != NULL && strcmp (p->argv[1], "-f") == 0)
     unlink (p->argv[2]);
