Entries are ready once they have heard of all engines, or after 3 s

Cause: readiness asked for a routing table and a list, not for what it takes to serve since. A stager that is down does not keep an entry from serving for long: 3 s, and only before it has been ready for the first time.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -43,7 +43,9 @@
 /* The same in a large fleet; a lost status leaves time for another (DL_PEER_TIMEOUT_MS).
  */
 #define STATUS_EVERY_TICKS_LARGE 3
-#define STATUS_CHANGED_MS        40 /* a changed status is sent within this time */
+/* After its start an entry waits this long for the word of all stagers. */
+#define ENGINES_AWAITED_MS 3000
+#define STATUS_CHANGED_MS  40 /* a changed status is sent within this time */
 
 DL_METRIC (metric_ready,
            DL_METRIC_GAUGE,
@@ -245,6 +247,8 @@
     }
   if (engine == NULL)
     return;
+  if (!state->has_been_ready)
+    direct_upstream_list_heard (state->upstream_list, engine->address);
   message = direct_message_new (DIRECT_ENGINE);
   message->engine = (DirectEngineStatus){
     .address = talloc_strdup (message, engine->address),
@@ -261,6 +265,15 @@
   dl_kernel_publish (state->kernel, message);
 }
 
+/* True while an entry that has just started could not use an engine, as it has not heard
+ * of it.  A stager that is down does not keep it from serving for long. */
+static bool
+awaits_engines (const State *state)
+{
+  return !state->has_been_ready && dl_clock_ms () - state->started_ms < ENGINES_AWAITED_MS
+         && direct_upstream_list_has_unheard (state->upstream_list);
+}
+
 static bool
 is_ready (const State *state)
 {
@@ -269,6 +282,7 @@
   return !dl_kernel_stopping (state->kernel)
          && direct_routing_table_version (state->routing_table) > 0
          && dl_object_watch_synced_ms (state->upstreams_watch) > 0
+         && !awaits_engines (state)
          && dl_clock_ms () - proven_ms < direct_routing_max_age_ms (state->settings);
 }
 
@@ -280,6 +294,7 @@
   if (ready != state->ready)
     {
       state->ready = ready;
+      state->has_been_ready = true;
       dl_metric_set (&metric_ready, ready);
       dl_log (DL_EVENT_READINESS, DL_TEXT ("ready", ready ? "yes" : "no"),
               DL_UINT ("routing_age_ms",
@@ -474,6 +489,7 @@
 
   dl_task_set_state (task, state);
   state->task = task;
+  state->started_ms = dl_clock_ms ();
   state->kernel = dl_task_kernel (task);
   state->settings = direct_settings (task);
   state->is_hub = true;
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -42,6 +42,8 @@
   uint64_t holdings_sent_ms;            /* when holdings were last told */
   DlFanoutBurst burst;                  /* of statuses to all entries */
   bool ready;
+  bool has_been_ready;
+  uint64_t started_ms;
   bool is_hub; /* this entry fetches weights for others */
   unsigned ticks;
   uint64_t asked_ms;     /* when stagers were last asked; 0 for never */
--- a/daisydirectd/upstream_list.c
+++ b/daisydirectd/upstream_list.c
@@ -12,6 +12,7 @@
 typedef struct
 {
   char *id;
+  char *engine; /* its address; NULL without weights */
   bool leaving;
   uint64_t started_ms;    /* of the upstream; 0 when unknown */
   uint64_t keep_until_ms; /* 0 while listed, else when it is removed */
@@ -38,6 +39,7 @@
   GHashTable *upstreams; /* id to ListedUpstream */
   GHashTable *removed;   /* id to RemovedUpstream */
   GHashTable *outdated;  /* id to OutdatedEntry */
+  GHashTable *heard;     /* addresses of engines of which stagers have told */
   DlOutage outage;
 };
 
@@ -125,6 +127,35 @@
     dl_log (DL_EVENT_DIRECT_UPSTREAM_LEAVING, DL_TEXT ("upstream", entry->id),
             DL_UINT ("revision", revision));
   listed->leaving = entry->leaving;
+  talloc_free (listed->engine);
+  listed->engine = entry->version > 0 ? talloc_strdup (listed, entry->address) : NULL;
+}
+
+/* -------- engines of which stagers have told -------- */
+
+void
+direct_upstream_list_heard (DirectUpstreamList *list, const char *address)
+{
+  if (!g_hash_table_contains (list->heard, address))
+    g_hash_table_add (list->heard, g_strdup (address));
+}
+
+bool
+direct_upstream_list_has_unheard (const DirectUpstreamList *list)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, list->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const ListedUpstream *listed = value;
+
+      if (listed->engine != NULL && !listed->leaving
+          && !g_hash_table_contains (list->heard, listed->engine))
+        return true;
+    }
+  return false;
 }
 
 /* -------- entries in an older copy of the store -------- */
@@ -318,6 +349,7 @@
   g_hash_table_destroy (list->upstreams);
   g_hash_table_destroy (list->removed);
   g_hash_table_destroy (list->outdated);
+  g_hash_table_destroy (list->heard);
   return 0;
 }
 
@@ -331,6 +363,7 @@
   list->upstreams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_block);
   list->removed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_block);
   list->outdated = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_block);
+  list->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (list, list_destroy);
   return list;
 }
