Nodes do not fetch chunks on connections that their peers are about to close

Cause: since a node writes 408 and ends its output on connections without a request for 20 s; libcurl takes a connection with unread bytes as alive, sends the next fetch on it and reads the old 408 as its response, whereupon the peer is avoided for 700 ms. Whoever fetches from a node now uses no connection that was idle for 15 s.

--- a/lib/node/chunk_cache_fetch.c
+++ b/lib/node/chunk_cache_fetch.c
@@ -89,6 +89,7 @@
     .connect_timeout_ms = DL_CHUNK_CONNECT_TIMEOUT_MS,
     .timeout_ms = next->peer != NULL ? PEER_TIMEOUT_MS : ORIGIN_TIMEOUT_MS,
     .max_body_bytes = CHUNK_MAX_BYTES,
+    .max_idle_s = DL_CHUNK_CLIENT_IDLE_S,
     .receive_buffer_bytes = cache->options.is_hub ? 0 : RECEIVE_BUFFER_BYTES,
     .on_done = on_chunk,
     .data = fetch,
--- a/lib/node/chunk_cache_manifest.c
+++ b/lib/node/chunk_cache_manifest.c
@@ -213,6 +213,7 @@
                     .connect_timeout_ms = DL_CHUNK_CONNECT_TIMEOUT_MS,
                     .timeout_ms = MANIFEST_TIMEOUT_MS,
                     .max_body_bytes = MANIFEST_MAX_BYTES,
+                    .max_idle_s = DL_CHUNK_CLIENT_IDLE_S,
                     .on_done = on_done,
                     .data = data,
                 });
--- a/lib/node/chunk_cache_private.h
+++ b/lib/node/chunk_cache_private.h
@@ -11,7 +11,12 @@
 #include "node/chunk_cache.h"
 
 #define DL_CHUNK_CONNECT_TIMEOUT_MS 500
-#define DL_CHUNK_STATUS_OK          200
+/* Nodes close connections on which they have served chunks after this time without a
+ * request, with a response that a late request would take for its own.  Those who fetch
+ * do not use such a connection for as long. */
+#define DL_CHUNK_SERVER_IDLE_S 20
+#define DL_CHUNK_CLIENT_IDLE_S 15
+#define DL_CHUNK_STATUS_OK     200
 
 /* A holder, as it last advertised itself. */
 typedef struct
--- a/lib/node/chunk_cache_serve.c
+++ b/lib/node/chunk_cache_serve.c
@@ -15,7 +15,6 @@
 #define UPLOAD_QUEUE_MAX    4
 #define UPLOAD_CONNECTIONS  200
 #define UPLOAD_HEADER_BYTES (2u << 10)
-#define UPLOAD_IDLE_S       20
 #define STATUS_OK           200
 #define STATUS_NOT_FOUND    404
 #define STATUS_UNAVAILABLE  503
@@ -137,7 +136,7 @@
 
   limits.max_connections = UPLOAD_CONNECTIONS;
   limits.max_header_bytes = UPLOAD_HEADER_BYTES;
-  limits.idle_timeout_s = UPLOAD_IDLE_S;
+  limits.idle_timeout_s = DL_CHUNK_SERVER_IDLE_S;
   g_queue_init (&cache->upload_queue);
   return dl_http_server_new (cache->task, cache,
                              dl_str (cache->options.settings->address), &limits,
