Test of a restarted stager: an entry that was told is asked until it uses the first server

It is now asked again for a while; the entry that was not told is asked for eight streams in place of two, none of which may go there.

--- a/regress/direct/taken.c
+++ b/regress/direct/taken.c
@@ -285,6 +285,7 @@
 /* -------- a stager that starts again -------- */
 
 #define CHECK_STREAMS 2 /* an entry's share of the places of one server */
+#define CHECK_ROUNDS  4
 #define TAKEN_SOUND   "\"event\":1113,"
 #define RECORD_READ   "\"event\":1115,"
 
@@ -372,12 +373,29 @@
   return recorded (tb->server[0], "received") - before;
 }
 
+static bool
+first_entry_uses_first_server (Testbed *tb)
+{
+  return streams_to_first_server (tb, 0) > 0;
+}
+
 static bool
 second_entry_uses_first_server (Testbed *tb)
 {
   return streams_to_first_server (tb, 1) > 0;
 }
 
+/* Enough streams that some would go to the first server if it were in use. */
+static bool
+second_entry_leaves_first_server_out (Testbed *tb)
+{
+  uint64_t streams = 0;
+
+  for (unsigned i = 0; i < CHECK_ROUNDS; i++)
+    streams += streams_to_first_server (tb, 1);
+  return streams == 0;
+}
+
 /* An entry that was told goes on; one that starts meanwhile waits until the stager has
  * read the record. */
 static void
@@ -389,7 +407,7 @@
   check_taken (tb);
   CHECK (eventually (weights_are_proven, tb));
   CHECK (eventually (load_is_recorded, tb));
-  CHECK (streams_to_first_server (tb, 0) > 0);
+  CHECK (eventually (first_entry_uses_first_server, tb));
   commands = recorded (tb->server[0], "orders");
   CHECK (set_fault (tb->store, "gets_fail", 1));
   process_end (&tb->entry_process[1], SIGKILL);
@@ -397,9 +415,9 @@
   CHECK (process_start (&tb->stager_process[0]));
   CHECK (process_start (&tb->entry_process[1]));
   CHECK (eventually (second_entry_is_ready, tb));
-  CHECK (streams_to_first_server (tb, 1) == 0);
+  CHECK (second_entry_leaves_first_server_out (tb));
   CHECK (!record_is_read (tb));
-  CHECK (streams_to_first_server (tb, 0) > 0);
+  CHECK (eventually (first_entry_uses_first_server, tb));
   CHECK (!record_is_read (tb));
   CHECK (set_fault (tb->store, "gets_fail", 0));
   CHECK (eventually (record_is_read, tb));
