--- a/regress/scenario/load.c
+++ b/regress/scenario/load.c
@@ -1,15 +1,12 @@
 /*
  * Live callers in the background.  Each asks an entry for an address, sends its request
- * there and checks that the response is complete and belongs to the request.
+ * there and has the response checked.
  */
+#include "load.h"
+
 #include <inttypes.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "kernel/crypt.h"
-#include "scenario.h"
-
 #define RESPONSE_TIMEOUT_MS 60000
 #define ADDRESS_TIMEOUT_MS  2000
 #define ADDRESS_ATTEMPTS    12
@@ -17,258 +14,8 @@
 #define TOKENS_DEFAULT      20
 #define RATE_DEFAULT        10
 #define PREFIX_BYTES        256
-#define TEXT_HEX_BYTES      16
-#define MICROSECONDS_PER_MS 1000.0
 #define ITERATION_MS        20
 
-typedef struct
-{
-  const char *name;
-  double value;
-} Counter;
-
-/* Counters that checks and figures read, in the order of counter_names. */
-enum
-{
-  SENT,
-  ANSWERED,
-  REFUSED,   /* error response with outcome "not_run" */
-  REJECTED,  /* any other error response below 500 */
-  UNCERTAIN, /* outcome "unknown", or 500 and above without "not_run" */
-  CUT_OFF,   /* the stream says that it was cut off */
-  BROKEN,    /* the connection broke before the response was complete */
-  LOST,      /* the response seemed complete and was not, or timed out */
-  MIXED,     /* text that the version in X-Version does not produce */
-  CROSSED,   /* the response to another request */
-  CHANGED,   /* a second response to one idempotency key differs */
-  UNSERVED,  /* no entry could be reached */
-  COUNTERS,
-};
-
-static const char *const counter_names[COUNTERS] = {
-  "sent",   "answered", "refused", "rejected", "uncertain", "cut_off",
-  "broken", "lost",     "mixed",   "crossed",  "changed",   "unserved",
-};
-
-/* A stream of requests at a constant rate. */
-struct Load
-{
-  Scenario *scenario;
-  char *name;
-  char *service;
-  char *method; /* of calls to a plain service; NULL: model requests */
-  char *path;
-  char *organisation;
-  char *priority;
-  uint64_t rate_per_s;
-  uint64_t tokens;
-  uint64_t prefixes; /* number of prefixes that prompts begin with; 0: no prefix */
-  uint64_t racing;   /* copies of each request sent at the same time */
-  uint64_t retries;  /* maximum number for a keyed request that was not answered */
-  bool keyed;
-  uint64_t left;    /* requests still to start; UINT64_MAX: until stopped */
-  uint64_t next_us; /* when to start the next request */
-  uint64_t number;  /* of the latest request */
-  bool stopped;
-  char **addresses; /* from an entry; NULL: none */
-  uint64_t keep_until_ms;
-  GPtrArray *open; /* of Request */
-  double counters[COUNTERS];
-  GArray *first_ms; /* of double: time to the first byte of answered requests */
-  GArray *total_ms; /* of double: time to the end of answered requests */
-};
-
-/* A request in progress, with its attempts and retries. */
-typedef struct
-{
-  Load *load;
-  char *tag; /* racing copies share it; also the idempotency key of a keyed load */
-  char *body;
-  char *prompt;
-  char *address; /* where the request went */
-  HttpCall *call;
-  unsigned attempts; /* to get an address and connect */
-  unsigned retries;  /* of the whole request */
-  bool addressed;
-  uint64_t backoff_until_ms; /* 0: not waiting for a retry */
-} Request;
-
-/* -------- outcomes -------- */
-
-static Outcomes *
-outcomes_get (Scenario *s, const char *tag)
-{
-  Outcomes *outcomes = g_hash_table_lookup (s->outcomes, tag);
-
-  if (outcomes == NULL)
-    {
-      outcomes = g_new0 (Outcomes, 1);
-      g_hash_table_insert (s->outcomes, g_strdup (tag), outcomes);
-    }
-  return outcomes;
-}
-
-static void
-count_outcome (Request *r, int counter)
-{
-  Outcomes *outcomes = outcomes_get (r->load->scenario, r->tag);
-
-  r->load->counters[counter]++;
-  outcomes->non_idempotent = r->load->keyed;
-  switch (counter)
-    {
-    case SENT:
-      outcomes->sent++;
-      break;
-    case ANSWERED:
-      outcomes->answered++;
-      break;
-    case REFUSED:
-      outcomes->not_run++;
-      break;
-    case UNCERTAIN:
-    case CUT_OFF:
-    case BROKEN:
-    case LOST:
-    case MIXED:
-    case CROSSED:
-      outcomes->uncertain++;
-      break;
-    default:
-      break;
-    }
-}
-
-/* -------- checking responses -------- */
-
-static const char *
-json_text (json_object *object, const char *key)
-{
-  json_object *value;
-
-  return json_object_object_get_ex (object, key, &value) ? json_object_get_string (value)
-                                                         : "";
-}
-
-/* Whether TEXT is what an engine with the weights VERSION produces as token INDEX. */
-static bool
-token_is_right (const char *text, const char *version, const char *prompt, uint64_t index)
-{
-  DlDigest digest = dl_digest (dl_str (prompt));
-  char hex[DL_DIGEST_HEX_BYTES];
-  char line[256];
-
-  dl_digest_to_hex (&digest, hex);
-  g_snprintf (line, sizeof line, "%s\n%s\n%" PRIu64, version, hex, index);
-  digest = dl_digest (dl_str (line));
-  dl_digest_to_hex (&digest, hex);
-  return strlen (text) == TEXT_HEX_BYTES && strncmp (text, hex, TEXT_HEX_BYTES) == 0;
-}
-
-/* Classifies the lines of a stream whose transfer was complete. */
-static int
-classify_lines (Request *r, const char *version, char **lines)
-{
-  uint64_t next = 0;
-  bool done = false;
-  int outcome = -1;
-
-  for (unsigned i = 0; lines[i] != NULL && outcome < 0; i++)
-    {
-      json_object *line = *lines[i] != '\0' ? json_tokener_parse (lines[i]) : NULL;
-      json_object *value;
-
-      if (line == NULL)
-        continue;
-      if (json_object_object_get_ex (line, "cut_off", NULL))
-        outcome = CUT_OFF;
-      else if (json_object_object_get_ex (line, "done", NULL))
-        done = true;
-      else if (done || !json_object_object_get_ex (line, "token", &value)
-               || json_object_get_uint64 (value) != next)
-        outcome = LOST;
-      else if (!token_is_right (json_text (line, "text"), version, r->prompt, next))
-        outcome = MIXED;
-      next++;
-      json_object_put (line);
-    }
-  if (outcome >= 0)
-    return outcome;
-  return done && next == r->load->tokens + 1 ? ANSWERED : LOST;
-}
-
-static int
-classify_stream (Request *r)
-{
-  const char *version = http_header (r->call, "X-Version");
-  char **lines;
-  int outcome;
-
-  if (version == NULL)
-    return LOST;
-  lines = g_strsplit (r->call->body->str, "\n", -1);
-  outcome = classify_lines (r, version, lines);
-  g_strfreev (lines);
-  return outcome;
-}
-
-static int
-classify_plain (Request *r)
-{
-  json_object *response = json_tokener_parse (r->call->body->str);
-  Outcomes *outcomes = outcomes_get (r->load->scenario, r->tag);
-  int outcome = ANSWERED;
-
-  if (response == NULL)
-    return LOST;
-  if (strcmp (json_text (response, "key"), r->tag) != 0)
-    outcome = CROSSED;
-  else if (outcomes->response == NULL)
-    outcomes->response = g_strdup (r->call->body->str);
-  else if (r->load->keyed && strcmp (outcomes->response, r->call->body->str) != 0)
-    outcome = CHANGED;
-  json_object_put (response);
-  return outcome;
-}
-
-static int
-classify_error (Request *r)
-{
-  json_object *body = json_tokener_parse (r->call->body->str);
-  const char *reported = body != NULL ? json_text (body, "outcome") : "";
-  int outcome = REJECTED;
-
-  if (strcmp (reported, "not_run") == 0)
-    outcome = REFUSED;
-  else if (r->call->status >= 500 || strcmp (reported, "unknown") == 0)
-    outcome = UNCERTAIN;
-  json_object_put (body);
-  return outcome;
-}
-
-static int
-classify (Request *r)
-{
-  if (r->call->code == CURLE_OPERATION_TIMEDOUT)
-    return LOST;
-  if (r->call->code != CURLE_OK)
-    return BROKEN;
-  if (r->call->status != 200)
-    return classify_error (r);
-  return r->load->method != NULL ? classify_plain (r) : classify_stream (r);
-}
-
-static void
-record_times (Request *r)
-{
-  const HttpCall *c = r->call;
-  double first = (double)(c->first_byte_us - c->started_us) / MICROSECONDS_PER_MS;
-  double total = (double)(c->done_us - c->started_us) / MICROSECONDS_PER_MS;
-
-  g_array_append_val (r->load->first_ms, first);
-  g_array_append_val (r->load->total_ms, total);
-}
-
 /* -------- making requests -------- */
 
 static void request_start (Request *r);
@@ -288,13 +35,13 @@
 }
 
 static void
-request_end (Request *r, int outcome)
+request_end (Request *r, LoadCounter outcome)
 {
   Load *load = r->load;
 
-  count_outcome (r, outcome);
+  load_count (r, outcome);
   if (outcome == ANSWERED)
-    record_times (r);
+    load_record_times (r);
   if (load->keyed && outcome != ANSWERED && outcome != REJECTED
       && r->retries < load->retries)
     {
@@ -331,18 +78,18 @@
 on_response (HttpCall *call, void *data)
 {
   Request *r = data;
-  int outcome;
+  LoadCounter outcome;
 
   if (call->code == CURLE_COULDNT_CONNECT)
     {
       r->load->counters[SENT]--; /* no connection, so it was not sent */
-      outcomes_get (r->load->scenario, r->tag)->sent--;
+      load_outcomes (r->load->scenario, r->tag)->sent--;
       request_retry (r);
       return;
     }
-  outcome = classify (r);
+  outcome = load_classify (r);
   if (outcome != ANSWERED && outcome != REFUSED && outcome != CUT_OFF)
-    g_print ("%s: %s from %s: curl %d, status %ld: %.300s\n", counter_names[outcome],
+    g_print ("%s: %s from %s: curl %d, status %ld: %.300s\n", load_counter_names[outcome],
              r->tag, r->address, (int)call->code, call->status, call->body->str);
   request_end (r, outcome);
 }
@@ -369,7 +116,7 @@
                                                 r->address, load->service)
                              : g_strdup_printf ("http://%s/v1/services/%s/call%s",
                                                 r->address, load->service, load->path);
-  count_outcome (r, SENT);
+  load_count (r, SENT);
   r->call = http_start (load->scenario, load->method != NULL ? load->method : "POST", url,
                         headers, r->body, strlen (r->body), RESPONSE_TIMEOUT_MS,
                         on_response, r);
@@ -551,94 +298,7 @@
   return limit;
 }
 
-/* -------- counters -------- */
-
-static Load *
-load_find (Scenario *s, const char *name)
-{
-  for (unsigned i = 0; i < s->loads->len; i++)
-    {
-      Load *load = g_ptr_array_index (s->loads, i);
-
-      if (strcmp (load->name, name) == 0)
-        return load;
-    }
-  return NULL;
-}
-
-static gint
-compare_doubles (gconstpointer a, gconstpointer b)
-{
-  double x = *(const double *)a;
-  double y = *(const double *)b;
-
-  return x < y ? -1 : x > y;
-}
-
-static double
-percentile (GArray *values, unsigned percent)
-{
-  if (values->len == 0)
-    return 0;
-  g_array_sort (values, compare_doubles);
-  return g_array_index (values, double,
-                        MIN (values->len - 1, values->len * percent / 100));
-}
-
-bool
-load_counter (Scenario *s, const char *name, const char *counter, double *value)
-{
-  Load *load = load_find (s, name);
-  uint64_t percent = 0;
-
-  if (load == NULL)
-    return false;
-  for (unsigned i = 0; i < COUNTERS; i++)
-    if (strcmp (counter_names[i], counter) == 0)
-      {
-        *value = load->counters[i];
-        return true;
-      }
-  if (strcmp (counter, "open") == 0)
-    *value = load->open->len;
-  else if (g_str_has_prefix (counter, "first_p")
-           && scn_parse_uint (counter + strlen ("first_p"), &percent))
-    *value = percentile (load->first_ms, (unsigned)percent);
-  else if (g_str_has_prefix (counter, "total_p")
-           && scn_parse_uint (counter + strlen ("total_p"), &percent))
-    *value = percentile (load->total_ms, (unsigned)percent);
-  else
-    return false;
-  return true;
-}
-
-double
-load_sum (Scenario *s, const char *counter)
-{
-  double sum = 0;
-  double value;
-
-  for (unsigned i = 0; i < s->loads->len; i++)
-    if (load_counter (s, ((Load *)g_ptr_array_index (s->loads, i))->name, counter,
-                      &value))
-      sum += value;
-  return sum;
-}
-
-void
-load_print (Scenario *s)
-{
-  for (unsigned i = 0; i < s->loads->len; i++)
-    {
-      const Load *load = g_ptr_array_index (s->loads, i);
-
-      printf ("load %s:", load->name);
-      for (unsigned j = 0; j < COUNTERS; j++)
-        if (load->counters[j] > 0)
-          printf (" %s=%.0f", counter_names[j], load->counters[j]);
-      printf (" open=%u\n", load->open->len);
-    }
-}
+/* -------- the statement -------- */
 
 void
 load_free (gpointer data)
@@ -658,8 +318,6 @@
   g_free (load);
 }
 
-/* -------- the statement -------- */
-
 /* load stop NAME: starts no more requests and waits for those that are open. */
 static bool
 load_stop (Scenario *s, const char *name)
--- a/regress/scenario/process.c
+++ b/regress/scenario/process.c
@@ -15,7 +15,6 @@
 #include "scenario.h"
 
 #define FLEET_KEY       "scenario-fleet-key-0123456789"
-#define OPERATOR_KEY    "scenario-operator-key-0123456789"
 #define LOG_TAIL_BYTES  12000 /* maximum printed from each log */
 #define DUMP_ITERATIONS 50
 #define HOSTS_PER_NET   250
@@ -255,7 +254,7 @@
     {
       add_text (o, "callers_listen", p->http);
       add_text (o, "operators_listen", p->operators);
-      add_text (o, "operator_key", OPERATOR_KEY);
+      add_text (o, "operator_key", SCN_OPERATOR_KEY);
       add_target_address (s, o, p, "platform", "platform");
     }
   else
--- a/regress/scenario/scenario.h
+++ b/regress/scenario/scenario.h
@@ -20,6 +20,8 @@
 
 /* Time limit for a process to listen, or to exit after a signal. */
 #define SCN_READY_MS 15000
+/* Key of the operators in every scenario. */
+#define SCN_OPERATOR_KEY "scenario-operator-key-0123456789"
 
 typedef struct Load Load;
 typedef struct Relay Relay;
@@ -128,6 +130,33 @@
 bool scn_parse_time (Scenario *s, const char *text, uint64_t *ms);
 /* Adds "KEY=VALUE" to OBJECT; a VALUE that is not JSON becomes a string. */
 bool scn_parse_member (Scenario *s, json_object *object, const char *text);
+/* Adds COUNT such words. */
+bool scn_parse_members (Scenario *s, json_object *object, char **words, unsigned count);
+
+/* -------- run.c -------- */
+
+/* Runs the statements of a file.  Returns false when one has failed. */
+bool scn_run_file (Scenario *s, const char *path);
+
+/* -------- declare.c -------- */
+
+/* Returns a list in the fleet settings, which own it; adds it when it is missing. */
+json_object *fleet_list (Scenario *s, const char *key);
+bool statement_region (Scenario *s, char **words, unsigned count);
+bool statement_service (Scenario *s, char **words, unsigned count);
+bool statement_organisation (Scenario *s, char **words, unsigned count);
+bool statement_defaults (Scenario *s, char **words, unsigned count);
+bool statement_entry (Scenario *s, char **words, unsigned count);
+bool statement_slot (Scenario *s, char **words, unsigned count);
+bool statement_many (Scenario *s, char **words, unsigned count);
+bool statement_store (Scenario *s, char **words, unsigned count);
+bool statement_relays (Scenario *s, char **words, unsigned count);
+
+/* -------- control.c -------- */
+
+bool statement_start (Scenario *s, char **words, unsigned count);
+bool statement_signal (Scenario *s, char **words, unsigned count);
+bool statement_fault (Scenario *s, char **words, unsigned count);
 
 /* -------- http.c -------- */
 
@@ -266,8 +295,14 @@
 bool statement_check (Scenario *s, char **words, unsigned count);
 bool statement_save (Scenario *s, char **words, unsigned count);
 bool statement_figure (Scenario *s, char **words, unsigned count);
+
+/* -------- call.c -------- */
+
 bool statement_call (Scenario *s, char **words, unsigned count);
 bool statement_ctl (Scenario *s, char **words, unsigned count);
+
+/* -------- operand.c, whose other functions are in operand.h -------- */
+
 /* Returns the value at PATH, which is keys and indices with dots between them, or NULL.
  * OBJECT keeps the reference. */
 json_object *json_at (json_object *object, const char *path);
