The soak's times of events that are due are drawn by one function

Cause: random_due stood in soak_planned.c, soak_slices.c and, with a lower bound, in soak_poison_whole.c. Ruled out: a function for each bound, as the first two draw from 0.

soak_random_due_ms in soak.c draws all; each phase keeps its generator and its order, so that seeds stay the same.

--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -30,6 +30,12 @@
   return g_get_monotonic_time () / 1000;
 }
 
+gint64
+soak_random_due_ms (GRand *random, gint32 least_ms, gint32 most_ms)
+{
+  return soak_now_ms () + g_rand_int_range (random, least_ms, most_ms);
+}
+
 void
 soak_report_violation (Soak *soak, const char *who, const char *what)
 {
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -103,6 +103,8 @@
 
 /* Monotonic time. */
 gint64 soak_now_ms (void);
+/* A random time from LEAST_MS up to before MOST_MS from now. */
+gint64 soak_random_due_ms (GRand *random, gint32 least_ms, gint32 most_ms);
 /* Counts and prints a violated guarantee: WHO is the request or process, WHAT the
  * violation.  May be called from any thread. */
 void soak_report_violation (Soak *soak, const char *who, const char *what);
--- a/regress/direct/soak_planned.c
+++ b/regress/direct/soak_planned.c
@@ -32,12 +32,6 @@
   gint64 next_ms;
 } PlannedEntry;
 
-static gint64
-random_due (Soak *soak, gint32 max_ms)
-{
-  return soak_now_ms () + g_rand_int_range (soak->random, 0, max_ms);
-}
-
 /* -------- stops of entries -------- */
 
 static void
@@ -57,7 +51,7 @@
   soak_log_event (soak, "planned: SIGTERM", index);
   soak_stop_entry (soak, index);
   e->state = ENTRY_STOPS;
-  e->next_ms = random_due (soak, SIGNAL_GAP_MAX_MS);
+  e->next_ms = soak_random_due_ms (soak->random, 0, SIGNAL_GAP_MAX_MS);
 }
 
 static void
@@ -72,13 +66,13 @@
       soak_log_event (soak, "planned: has ended", index);
       soak_check_exit (soak, index, status);
       e->state = ENTRY_ENDED;
-      e->next_ms = random_due (soak, START_GAP_MAX_MS);
+      e->next_ms = soak_random_due_ms (soak->random, 0, START_GAP_MAX_MS);
     }
   else if (soak_now_ms () >= e->next_ms)
     {
       soak_log_event (soak, "planned: SIGTERM again", index);
       kill (p->pid, SIGTERM);
-      e->next_ms = random_due (soak, SIGNAL_GAP_MAX_MS);
+      e->next_ms = soak_random_due_ms (soak->random, 0, SIGNAL_GAP_MAX_MS);
     }
 }
 
@@ -102,7 +96,7 @@
       soak_log_event (soak, "planned: start", index);
       process_start (&soak->testbed->entry_process[index]);
       e->state = ENTRY_RUNS;
-      e->next_ms = random_due (soak, STOP_GAP_MAX_MS);
+      e->next_ms = soak_random_due_ms (soak->random, 0, STOP_GAP_MAX_MS);
       break;
     }
 }
@@ -171,12 +165,12 @@
 {
   PlannedEntry entries[ENTRIES] = { 0 };
   gint64 end = soak_now_ms () + (gint64)seconds * 1000;
-  gint64 change_ms = random_due (soak, CHANGE_GAP_MAX_MS);
+  gint64 change_ms = soak_random_due_ms (soak->random, 0, CHANGE_GAP_MAX_MS);
   gint64 durations_ms = 0;
   bool active = true;
 
   for (unsigned i = 0; i < ENTRIES; i++)
-    entries[i].next_ms = random_due (soak, STOP_GAP_MAX_MS);
+    entries[i].next_ms = soak_random_due_ms (soak->random, 0, STOP_GAP_MAX_MS);
   while (active)
     {
       bool in_time = soak_now_ms () < end;
@@ -197,7 +191,7 @@
       if (in_time && soak_now_ms () >= change_ms)
         {
           make_change (soak);
-          change_ms = random_due (soak, CHANGE_GAP_MAX_MS);
+          change_ms = soak_random_due_ms (soak->random, 0, CHANGE_GAP_MAX_MS);
         }
       g_usleep (PLAN_POLL_US);
     }
--- a/regress/direct/soak_poison_whole.c
+++ b/regress/direct/soak_poison_whole.c
@@ -100,12 +100,6 @@
     set_fault (soak->testbed->server[i], knob, value);
 }
 
-static gint64
-random_due (WholePoison *p, gint32 least_ms, gint32 most_ms)
-{
-  return soak_now_ms () + g_rand_int_range (p->random, least_ms, most_ms);
-}
-
 /* -------- callers -------- */
 
 typedef struct
@@ -241,7 +235,7 @@
     }
   if (!may_begin || soak_now_ms () < p->crash_ms)
     return;
-  p->crash_ms = random_due (p, CRASH_GAP_MIN_MS, CRASH_GAP_MAX_MS);
+  p->crash_ms = soak_random_due_ms (p->random, CRASH_GAP_MIN_MS, CRASH_GAP_MAX_MS);
   p->second_ms = g_rand_boolean (p->random) ? soak_now_ms () + IN_A_ROW_MS : 0;
   soak_log_event (p->soak, "whole: others crash servers, in a row:", p->second_ms != 0);
   set_fault (tb->server[0], "crash_now", 1);
@@ -259,13 +253,13 @@
     {
       process_start (&entries[p->killed]);
       p->back_ms = 0;
-      p->kill_ms = random_due (p, KILL_GAP_MIN_MS, KILL_GAP_MAX_MS);
+      p->kill_ms = soak_random_due_ms (p->random, KILL_GAP_MIN_MS, KILL_GAP_MAX_MS);
       soak_log_event (p->soak, "whole: start of entry", p->killed);
     }
   if (p->back_ms != 0 || !may_begin || soak_now_ms () < p->kill_ms)
     return;
   p->killed = (unsigned)g_rand_int_range (p->random, 0, ENTRIES);
-  p->back_ms = random_due (p, AWAY_MIN_MS, AWAY_MAX_MS);
+  p->back_ms = soak_random_due_ms (p->random, AWAY_MIN_MS, AWAY_MAX_MS);
   soak_log_event (p->soak, "whole: kill of entry", p->killed);
   process_end (&entries[p->killed], SIGKILL);
 }
--- a/regress/direct/soak_slices.c
+++ b/regress/direct/soak_slices.c
@@ -79,12 +79,6 @@
   gint stop;         /* atomic; of the slices' thread */
 } Slices;
 
-static gint64
-random_due (Soak *soak, gint32 max_ms)
-{
-  return soak_now_ms () + g_rand_int_range (soak->random, 0, max_ms);
-}
-
 /* -------- slices -------- */
 
 static gint64
@@ -230,8 +224,8 @@
   process_start (e->process);
   g_mutex_unlock (&s->lock);
   e->state = ENTRY_RUNS;
-  e->next_ms = random_due (s->soak, STOP_GAP_MAX_MS);
-  e->hup_ms = random_due (s->soak, START_SIGNALS_MS) + START_SIGNAL_MS;
+  e->next_ms = soak_random_due_ms (s->soak->random, 0, STOP_GAP_MAX_MS);
+  e->hup_ms = soak_random_due_ms (s->soak->random, 0, START_SIGNALS_MS) + START_SIGNAL_MS;
 }
 
 static void
@@ -241,7 +235,7 @@
   if (violation != NULL)
     soak_report_violation (s->soak, e->process->name, violation);
   e->state = ENTRY_ENDED;
-  e->next_ms = random_due (s->soak, START_GAP_MAX_MS);
+  e->next_ms = soak_random_due_ms (s->soak->random, 0, START_GAP_MAX_MS);
 }
 
 /* A running entry; it is stopped only if MAY_STOP. */
@@ -265,7 +259,7 @@
       send_signal (s, e, SIGTERM, "slices: SIGTERM");
       e->state = ENTRY_STOPS;
       e->stop_ms = now_ms;
-      e->next_ms = random_due (s->soak, SIGNAL_GAP_MAX_MS);
+      e->next_ms = soak_random_due_ms (s->soak->random, 0, SIGNAL_GAP_MAX_MS);
     }
 }
 
@@ -293,7 +287,7 @@
         send_signal (s, e, SIGTERM, "slices: SIGTERM again");
       else
         send_signal (s, e, SIGHUP, "slices: SIGHUP in the stop");
-      e->next_ms = random_due (s->soak, SIGNAL_GAP_MAX_MS);
+      e->next_ms = soak_random_due_ms (s->soak->random, 0, SIGNAL_GAP_MAX_MS);
     }
 }
 
@@ -321,7 +315,8 @@
   soak_log_event (s->soak, "slices: second process", e->index);
   e->second = *e->process;
   process_start (&e->second);
-  e->second_hup_ms = random_due (s->soak, START_SIGNALS_MS) + START_SIGNAL_MS;
+  e->second_hup_ms
+      = soak_random_due_ms (s->soak->random, 0, START_SIGNALS_MS) + START_SIGNAL_MS;
 }
 
 /* A second process ends by itself, with an error, where its addresses are in use. */
@@ -361,7 +356,7 @@
   e->second.pid = 0;
   g_mutex_unlock (&s->lock);
   e->state = ENTRY_RUNS;
-  e->next_ms = random_due (s->soak, STOP_GAP_MAX_MS);
+  e->next_ms = soak_random_due_ms (s->soak->random, 0, STOP_GAP_MAX_MS);
   e->hup_ms = 0;
   g_atomic_int_set (&e->late, 0);
 }
@@ -455,7 +450,7 @@
       if (in_time && soak_now_ms () >= change_ms)
         {
           make_change (s);
-          change_ms = random_due (s->soak, CHANGE_GAP_MAX_MS);
+          change_ms = soak_random_due_ms (s->soak->random, 0, CHANGE_GAP_MAX_MS);
         }
       if (active && soak_now_ms () >= end_ms + REST_MS)
         {
@@ -479,7 +474,7 @@
     s.entries[i] = (SlicedEntry){
       .process = &soak->testbed->entry_process[i],
       .index = i,
-      .next_ms = random_due (soak, STOP_GAP_MAX_MS),
+      .next_ms = soak_random_due_ms (soak->random, 0, STOP_GAP_MAX_MS),
       .watch = { .fd = -1 },
     };
   thread = g_thread_new ("slices", run_slices, &s);
