A kind of request in tests of stops is one type

Cause: the type of the table of kinds of calls stood in soak_slices_calls.c and in stop_moments.c. Ruled out: one table, as each has targets and deadlines of its own.

RawKind in raw_call.h replaces both.

--- a/regress/direct/raw_call.h
+++ b/regress/direct/raw_call.h
@@ -17,6 +17,14 @@
   Response response; /* valid after raw_call_end */
 } RawCall;
 
+/* A kind of request. */
+typedef struct
+{
+  const char *target;
+  const char *body; /* NULL for none */
+  unsigned deadline_ms;
+} RawKind;
+
 /* Opens a connection to ADDRESS; false when it is refused. */
 bool raw_call_open (RawCall *call, const char *address);
 /* Writes the head of a request to TARGET with a valid key, and BODY, NULL for none. */
--- a/regress/direct/soak_slices_calls.c
+++ b/regress/direct/soak_slices_calls.c
@@ -23,14 +23,7 @@
 #define LOSS_SLACK_MS 200
 #define EVENTS        10
 
-typedef struct
-{
-  const char *target;
-  const char *body;
-  unsigned deadline_ms;
-} Kind;
-
-static const Kind kinds[] = {
+static const RawKind kinds[] = {
   { "/r/x", NULL, 1500 },      { "/r/x", NULL, 3000 },      { "/p/x", NULL, 3000 },
   { "/o/x", "x", 3000 },       { "/o/long/x", "x", 3500 },  { "/o/long/x", "x", 6000 },
   { "/s/slow/x", NULL, 3500 }, { "/s/slow/x", NULL, 6000 },
@@ -40,7 +33,7 @@
 typedef struct
 {
   char *id;
-  const Kind *kind;
+  const RawKind *kind;
   unsigned entry;
   unsigned number; /* on its connection, from 0 */
   gint64 sent_ms;
@@ -70,7 +63,7 @@
 /* -------- sending -------- */
 
 static bool
-is_right (const Kind *kind, const Response *r)
+is_right (const RawKind *kind, const Response *r)
 {
   return g_str_has_prefix (kind->target, "/s/") ? has_events (r->body, 1, EVENTS)
                                                 : strcmp (r->body, "done") == 0;
@@ -88,7 +81,7 @@
 }
 
 static void
-note_call (Caller *caller, const RawCall *c, const Kind *kind, unsigned number)
+note_call (Caller *caller, const RawCall *c, const RawKind *kind, unsigned number)
 {
   const Response *r = &c->response;
   SlicedCall call = {
@@ -110,7 +103,8 @@
 static bool
 send_request (Caller *caller, RawCall *c, unsigned number)
 {
-  const Kind *kind = &kinds[g_rand_int_range (caller->random, 0, G_N_ELEMENTS (kinds))];
+  const RawKind *kind
+      = &kinds[g_rand_int_range (caller->random, 0, G_N_ELEMENTS (kinds))];
   char *text;
   bool kept = false;
 
--- a/regress/direct/stop_moments.c
+++ b/regress/direct/stop_moments.c
@@ -30,15 +30,7 @@
 #define FIRST_LINE_PART_BYTES 8
 #define HEAD_PART_BYTES       40
 
-/* A kind of request. */
-typedef struct
-{
-  const char *target;
-  const char *body;
-  unsigned deadline_ms;
-} Kind;
-
-static const Kind kinds[] = {
+static const RawKind kinds[] = {
   { "/r/x", NULL, SOON_MS },      { "/o/x", "x", SOON_MS },   { "/o/long/x", "x", 3000 },
   { "/s/slow/x", NULL, 3000 },    { "/o/long/x", "x", 8000 }, { "/s/slow/x", NULL, 6000 },
   { "/o/long/x", "x", GRACE_MS }, /* its deadline is that of the stop, or later */
@@ -48,7 +40,7 @@
 /* One request of a stop. */
 typedef struct
 {
-  const Kind *kind;
+  const RawKind *kind;
   const char *address;
   gint64 began_us; /* the stop */
   unsigned at_ms;
@@ -324,7 +316,7 @@
 {
   static const struct
   {
-    const Kind *kind;
+    const RawKind *kind;
     size_t first_bytes;
   } cases[] = {
     { &kinds[0], FIRST_LINE_PART_BYTES },
