The soak's streams on kept connections are sent by one function

Cause: soak_taken.c and soak_version.c sent streams in the same words. Ruled out: their victims as well, which share only the calls to pause and end a process: soak_version.c advances all from one loop and notes when entries were away, soak_taken.c plays each in a thread and stops entries by SIGTERM.

soak_call_stream in soak_kept.c sends them, with the same deadlines (3.5 s, slow 6 s).

--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -165,6 +165,9 @@
 
 /* Sends requests until the stop. */
 void soak_keep_calling (const SoakKeptCalls *calls);
+/* Sends the stream ID to ENTRY, a slow one or not by RANDOM, as part of kept calls. */
+Response soak_call_stream (
+    const Soak *soak, GRand *random, CURL *curl, unsigned entry, const char *id);
 
 #define SOAK_KEPT_CALLERS 10
 
--- a/regress/direct/soak_kept.c
+++ b/regress/direct/soak_kept.c
@@ -100,6 +100,21 @@
   g_rand_free (random);
 }
 
+Response
+soak_call_stream (
+    const Soak *soak, GRand *random, CURL *curl, unsigned entry, const char *id)
+{
+  bool slow = g_rand_boolean (random);
+  Call c = default_call (soak->testbed, slow ? "/s/slow/x" : "/s/x", id);
+
+  c.address = soak->testbed->entry[entry];
+  c.deadline_ms = slow ? STREAM_DEADLINE_MS : SHORT_DEADLINE_MS;
+  c.disconnect_ms = c.deadline_ms;
+  c.curl = curl;
+  c.once = true;
+  return call (&c);
+}
+
 static gpointer
 run_kept_caller (gpointer data)
 {
--- a/regress/direct/soak_taken.c
+++ b/regress/direct/soak_taken.c
@@ -18,8 +18,6 @@
 #define PHASE_MS           13000
 #define CALLERS            10
 #define STREAM_EVENTS      10 /* of a whole stream */
-#define DEADLINE_MS        3500
-#define DEADLINE_SLOW_MS   6000
 #define ALL_CHUNKS         16
 #define STILL_MIN_MS       100
 #define STILL_MAX_MS       5000 /* servers stand still for up to this */
@@ -123,19 +121,10 @@
 call_entry (void *data, GRand *random, CURL *curl, unsigned entry, unsigned n)
 {
   const Actor *caller = data;
-  bool slow = g_rand_boolean (random);
   char *id = g_strdup_printf ("w%u-%u", caller->index, n);
-  Call c = default_call (caller->phase->soak->testbed, slow ? "/s/slow/x" : "/s/x", id);
-  Response r;
-  bool answered;
-
-  c.address = caller->phase->soak->testbed->entry[entry];
-  c.deadline_ms = slow ? DEADLINE_SLOW_MS : DEADLINE_MS;
-  c.disconnect_ms = c.deadline_ms;
-  c.curl = curl;
-  c.once = true;
-  r = call (&c);
-  answered = r.status != 0;
+  Response r = soak_call_stream (caller->phase->soak, random, curl, entry, id);
+  bool answered = r.status != 0;
+
   check_response (caller->phase, id, &r);
   response_free (&r);
   g_free (id);
--- a/regress/direct/soak_version.c
+++ b/regress/direct/soak_version.c
@@ -11,34 +11,32 @@
 #include "kernel/kernel.h"
 #include "soak.h"
 
-#define SLOTS             16 /* of each server, so that many streams wait */
-#define CALLERS           24
-#define DEADLINE_MS       6000
-#define DEADLINE_SHORT_MS 3500
-#define LIMIT_MS          8000 /* equals version_ms in the nodes' settings */
-#define UNDISTURBED_MS    3000 /* an entry is held to its limits so long after a fault */
-#define SERIES_GAP_MS     3000 /* between the first names of two series */
-#define SERIES_MS         2000
-#define SERIES            2
-#define SERIES_MAX        3
-#define CUT_MIN_MS        100
-#define CUT_MAX_MS        1200
-#define CUT_GAP_MAX_MS    1500
-#define CUT_ONE_IN        3 /* so many phases has cuts */
-#define CUTS_MAX          2
-#define AFTER_MS          2500 /* goes on so long after the last limit */
-#define QUEUE_MIN_MS      1000
-#define QUEUE_MAX_MS      3000
-#define QUEUE_GAP_MIN_MS  200
-#define QUEUE_GAP_MAX_MS  1200
-#define FAULT_MIN_MS      100
-#define FAULT_MAX_MS      1500
-#define FAULT_GAP_MIN_MS  2000
-#define FAULT_GAP_MAX_MS  14000
-#define SPOILT_CHUNKS     1000000 /* more than there are */
-#define FREE_ONE_IN       4       /* so many phases has sound chunks */
-#define STORE_PROXY       0
-#define ID_ENTRY          2 /* where in an id the entry's number is: "ve0-3-17" */
+#define SLOTS            16 /* of each server, so that many streams wait */
+#define CALLERS          24
+#define LIMIT_MS         8000 /* equals version_ms in the nodes' settings */
+#define UNDISTURBED_MS   3000 /* an entry is held to its limits so long after a fault */
+#define SERIES_GAP_MS    3000 /* between the first names of two series */
+#define SERIES_MS        2000
+#define SERIES           2
+#define SERIES_MAX       3
+#define CUT_MIN_MS       100
+#define CUT_MAX_MS       1200
+#define CUT_GAP_MAX_MS   1500
+#define CUT_ONE_IN       3 /* so many phases has cuts */
+#define CUTS_MAX         2
+#define AFTER_MS         2500 /* goes on so long after the last limit */
+#define QUEUE_MIN_MS     1000
+#define QUEUE_MAX_MS     3000
+#define QUEUE_GAP_MIN_MS 200
+#define QUEUE_GAP_MAX_MS 1200
+#define FAULT_MIN_MS     100
+#define FAULT_MAX_MS     1500
+#define FAULT_GAP_MIN_MS 2000
+#define FAULT_GAP_MAX_MS 14000
+#define SPOILT_CHUNKS    1000000 /* more than there are */
+#define FREE_ONE_IN      4       /* so many phases has sound chunks */
+#define STORE_PROXY      0
+#define ID_ENTRY         2 /* where in an id the entry's number is: "ve0-3-17" */
 
 /* A version and when the store had acknowledged it. */
 typedef struct
@@ -115,19 +113,10 @@
 {
   const VersionCaller *caller = data;
   Versions *v = caller->versions;
-  bool slow = g_rand_boolean (random);
   char *id = g_strdup_printf ("ve%u-%u-%u", entry, caller->number, n);
-  Call c = default_call (v->soak->testbed, slow ? "/s/slow/x" : "/s/x", id);
-  Response r;
-  bool answered;
-
-  c.address = v->soak->testbed->entry[entry];
-  c.deadline_ms = slow ? DEADLINE_MS : DEADLINE_SHORT_MS;
-  c.disconnect_ms = c.deadline_ms;
-  c.curl = curl;
-  c.once = true;
-  r = call (&c);
-  answered = r.status != 0;
+  Response r = soak_call_stream (v->soak, random, curl, entry, id);
+  bool answered = r.status != 0;
+
   if (r.status == 200 && r.complete)
     g_atomic_int_inc (&v->complete);
   response_free (&r);
