Servers of unit tests on loopback are started by one function

Cause: test_ends.c, test_ends_crossed.c, test_linger.c and test_stop.c each looked for a free port and started a server there.

loopback_server_new in loopback.c does both. test_stop.c no longer leaves a socket open while other tests run.

--- a/regress/unit/test_ends.c
+++ b/regress/unit/test_ends.c
@@ -3,7 +3,6 @@
  * before one of them, and callers send a request each on their kept connections
  * meanwhile.  Each must be answered in full, or not be run and told so at once.
  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -16,6 +15,7 @@
 #include "kernel/kernel.h"
 #include "kernel/log.h"
 #include "../slices/slices.h"
+#include "loopback.h"
 #include "unit.h"
 
 #define CALLERS  3
@@ -174,25 +174,14 @@
 static int
 ends_start (DlTask *task)
 {
-  struct sockaddr_in at = { .sin_family = AF_INET };
-  socklen_t length = sizeof at;
+  struct sockaddr_in at;
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
-  char address[32];
-  int fd;
 
   dl_task_set_state (task, talloc_new (NULL));
   if (!ends.running)
     return 0;
-  fd = socket (AF_INET, SOCK_STREAM, 0);
   ends.task = task;
-  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert (bind (fd, (struct sockaddr *)&at, sizeof at) == 0);
-  getsockname (fd, (struct sockaddr *)&at, &length);
-  close (fd);
-  g_snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (at.sin_port));
-  CU_ASSERT_EQUAL (dl_http_server_new (task, dl_task_state (task), dl_str (address),
-                                       &limits, on_request, NULL, &ends.server),
-                   0);
+  ends.server = loopback_server_new (task, &limits, on_request, &at);
   for (unsigned i = 0; i < CALLERS; i++)
     {
       ends.callers[i] = (Caller){ .number = i, .at = at };
--- a/regress/unit/test_ends_crossed.c
+++ b/regress/unit/test_ends_crossed.c
@@ -4,7 +4,6 @@
  * Each whole request must be answered in full, or its connection refused or ended at
  * once.
  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -17,6 +16,7 @@
 #include "kernel/kernel.h"
 #include "kernel/log.h"
 #include "../slices/slices.h"
+#include "loopback.h"
 #include "unit.h"
 
 #define SLICE_MS 300
@@ -203,26 +203,14 @@
 static int
 crossed_start (DlTask *task)
 {
-  socklen_t length = sizeof crossed.at;
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
-  char address[32];
-  int fd;
 
   dl_task_set_state (task, talloc_new (NULL));
   if (crossed.cross == CROSS_NONE)
     return 0;
   if (crossed.cross == CROSS_IDLE)
     limits.idle_timeout_s = IDLE_TIMEOUT_S;
-  crossed.at = (struct sockaddr_in){ .sin_family = AF_INET };
-  crossed.at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  fd = socket (AF_INET, SOCK_STREAM, 0);
-  g_assert (bind (fd, (struct sockaddr *)&crossed.at, sizeof crossed.at) == 0);
-  getsockname (fd, (struct sockaddr *)&crossed.at, &length);
-  close (fd);
-  g_snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (crossed.at.sin_port));
-  CU_ASSERT_EQUAL (dl_http_server_new (task, dl_task_state (task), dl_str (address),
-                                       &limits, on_request, NULL, &crossed.server),
-                   0);
+  crossed.server = loopback_server_new (task, &limits, on_request, &crossed.at);
   dl_kernel_on_end (dl_task_kernel (task), dl_task_state (task), on_end, NULL);
   crossed.caller = g_thread_new ("caller", caller_run, NULL);
   dl_timer_subscribe (task, dl_task_state (task), SETTLE_MS, SETTLE_MS, on_ready_check,
--- a/regress/unit/test_linger.c
+++ b/regress/unit/test_linger.c
@@ -3,7 +3,6 @@
  * reads before it closes the connection.  Each must get the whole response and an orderly
  * end, and nothing that came after the close may be run.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
 #include <stdio.h>
@@ -15,6 +14,7 @@
 #include "kernel/http_server.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
+#include "loopback.h"
 #include "unit.h"
 
 #define BODY_BYTES     (256u * 1024) /* more than a caller's socket takes */
@@ -203,25 +203,13 @@
 static int
 linger_start (DlTask *task)
 {
-  socklen_t length = sizeof linger.at;
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
   DlHttpServer *server;
-  char address[32];
-  int fd;
 
   dl_task_set_state (task, talloc_new (NULL));
   if (!linger.running)
     return 0;
-  fd = socket (AF_INET, SOCK_STREAM, 0);
-  linger.at = (struct sockaddr_in){ .sin_family = AF_INET };
-  linger.at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert (bind (fd, (struct sockaddr *)&linger.at, sizeof linger.at) == 0);
-  getsockname (fd, (struct sockaddr *)&linger.at, &length);
-  close (fd);
-  g_snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (linger.at.sin_port));
-  CU_ASSERT_EQUAL (dl_http_server_new (task, dl_task_state (task), dl_str (address),
-                                       &limits, on_request, NULL, &server),
-                   0);
+  server = loopback_server_new (task, &limits, on_request, &linger.at);
   dl_http_server_disable_keepalive (server);
   linger.thread = g_thread_new ("caller", linger.caller, NULL);
   dl_timer_subscribe (task, dl_task_state (task), CHECK_MS, CHECK_MS, on_check,
--- a/regress/unit/test_stop.c
+++ b/regress/unit/test_stop.c
@@ -2,7 +2,6 @@
  * Tests the end of a graceful shutdown: what callers send while the last task says that
  * it has nothing in progress.  Each test runs a kernel of its own.
  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -13,6 +12,7 @@
 #include "kernel/http_server.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
+#include "loopback.h"
 #include "unit.h"
 
 #define SETTLE_MS     50  /* until a connection was accepted */
@@ -104,24 +104,13 @@
 static int
 stop_start (DlTask *task)
 {
-  socklen_t length = sizeof stop.at;
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
-  char address[32];
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   dl_task_set_state (task, talloc_new (NULL));
   if (stop.running == CASE_NONE)
     return 0;
   stop.task = task;
-  stop.at = (struct sockaddr_in){ .sin_family = AF_INET };
-  stop.at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert (bind (fd, (struct sockaddr *)&stop.at, sizeof stop.at) == 0);
-  getsockname (fd, (struct sockaddr *)&stop.at, &length);
-  close (fd);
-  g_snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (stop.at.sin_port));
-  CU_ASSERT_EQUAL (dl_http_server_new (task, dl_task_state (task), dl_str (address),
-                                       &limits, on_request, NULL, &stop.server),
-                   0);
+  stop.server = loopback_server_new (task, &limits, on_request, &stop.at);
   if (stop.running != CASE_UNACCEPTED)
     connect_caller ();
   dl_timer_subscribe (task, dl_task_state (task), SETTLE_MS, 0, on_settled, NULL);
