Revert "A status of the engine that was there before says nothing of its successor"

Where the two disagree an engine must not stay out of use. The window that closed is until the stager's next status, and was only read.

--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -293,14 +293,6 @@
                                      all->other_region_entry_count, is_large (all));
 }
 
-/* True when ENGINE is what was at the address before U started there. */
-static bool
-is_of_predecessor (const DirectUpstream *u, const DirectEngineStatus *engine)
-{
-  return engine->started_ms != 0
-         && dl_availability_is_new_instance (engine->started_ms, u->started_ms);
-}
-
 void
 direct_upstreams_update_engine (DirectUpstreams *upstreams,
                                 const DirectEngineStatus *engine,
@@ -312,8 +304,7 @@
       bool is_sound;
 
       if (u->removed || strcmp (u->address, engine->address) != 0
-          || (u->contested && (u->displaced || !is_same))
-          || is_of_predecessor (u, engine))
+          || (u->contested && (u->displaced || !is_same)))
         continue;
       u->has_engine = true;
       set_slots (u, u->slots);
