--- a/daisydirectd/status.c
+++ b/daisydirectd/status.c
@@ -120,6 +120,7 @@
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
   uint64_t now_ms = dl_clock_ms ();
+  void *context;
 
   if (!dl_peers_are_known (state->peers))
     return;
@@ -129,10 +130,12 @@
       || now_ms - state->asked_ms < ASKS_EVERY_MS)
     return;
   state->asked_ms = now_ms;
+  context = talloc_new (state);
   status.ready = state->ready;
-  status.not_hub = !state->is_hub;
+  add_holdings (state, context, &status);
   dl_peers_send (state->peers, &status, DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
                  dl_peers_is_large (state->peers) ? DL_PEERS_REGION : DL_PEERS_ALL);
+  talloc_free (context);
 }
 
 void
