--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -43,7 +43,7 @@
   DlFanoutBurst burst;                  /* of statuses to all entries */
   bool ready;
   bool has_been_ready;
-  uint64_t started_ms;
+  uint64_t started_ms; /* of this task */
   bool is_hub; /* this entry fetches weights for others */
   unsigned ticks;
   uint64_t asked_ms;     /* when stagers were last asked; 0 for never */
--- a/daisystaged/record.h
+++ b/daisystaged/record.h
@@ -12,8 +12,7 @@
 typedef struct StageRecord StageRecord;
 
 /* Reads the record, which is published as STAGE_RECORD when it was read, and when it has
- * been written.  Returns a
- * talloc child of OWNER; SETTINGS and STORE are not copied. */
+ * been written.  Returns a talloc child of OWNER; SETTINGS and STORE are not copied. */
 StageRecord *stage_record_new (DlTask *task,
                                const void *owner,
                                const DlNodeSettings *settings,
