--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -44,7 +44,7 @@
   bool ready;
   bool has_been_ready;
   uint64_t started_ms; /* of this task */
-  bool is_hub; /* this entry fetches weights for others */
+  bool is_hub;         /* this entry fetches weights for others */
   unsigned ticks;
   uint64_t asked_ms;     /* when stagers were last asked; 0 for never */
   uint64_t asks_from_ms; /* when they were first asked; 0 for never */
