--- a/daisydirectd/daisydirectd.c
+++ b/daisydirectd/daisydirectd.c
@@ -23,6 +23,12 @@
   return dl_message_new ((int)type, sizeof (DirectMessage));
 }
 
+const char *
+direct_origin_text (const DlObjectOrigin *origin)
+{
+  return origin->reader != NULL ? origin->reader : "the store";
+}
+
 uint64_t
 direct_routing_max_age_ms (const DlNodeSettings *s)
 {
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -14,6 +14,7 @@
 #include "node/holding.h"
 #include "node/limit_record.h"
 #include "node/node.h"
+#include "node/object_watch.h"
 #include "node/upstream_entry.h"
 #include "policy/quarantine.h"
 #include "policy/routing.h"
@@ -28,7 +29,7 @@
   DIRECT_ENGINE,                 /* a stager reported its engine's status */
   DIRECT_TARGET_VERSION,         /* the store has a new target version */
   DIRECT_VERSION_FLOOR,          /* more is known of the announcements of versions */
-  DIRECT_ROUTING_SYNCED,         /* time as of which the routing table is current */
+  DIRECT_ROUTING_PROOF,          /* the routing table was proved to be the newest */
   DIRECT_ENTRIES,                /* the entries that accept requests */
   DIRECT_NO_TARGET,              /* the store was read and has no target version */
   DIRECT_HOLDER,                 /* another node reported which chunks it has */
@@ -58,6 +59,14 @@
   uint64_t started_ms; /* wall clock at its start; 0 when unknown */
 } DirectEngineStatus;
 
+/* As of when the routing table in effect is known to be the newest, and by which answer.
+ */
+typedef struct
+{
+  uint64_t proven_ms;    /* dl_clock_ms; 0 for never */
+  DlObjectOrigin origin; /* of that answer */
+} DirectRoutingProof;
+
 /* A message between the tasks.  The type in HEAD determines which member of the union is
  * set.  What the members point to is a talloc child of the message or lives as long as
  * the process. */
@@ -89,7 +98,7 @@
     } held;
     const char *removed_node; /* its name */
     DlVersionFloor floor;
-    uint64_t routing_synced_ms; /* dl_clock_ms */
+    DirectRoutingProof routing_proof;
     struct
     {
       /* Addresses for requests: of entries in this entry's region, itself included when
@@ -107,6 +116,8 @@
 DirectMessage *direct_message_new (DirectMessageType type);
 /* Returns the settings, which live as long as the process. */
 const DlNodeSettings *direct_settings (DlTask *task);
+/* Name of ORIGIN in the log. */
+const char *direct_origin_text (const DlObjectOrigin *origin);
 /* Age from which a routing table may no longer be used to check API keys. */
 uint64_t direct_routing_max_age_ms (const DlNodeSettings *settings);
 
--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -89,7 +89,7 @@
   dl_log (DL_EVENT_REQUEST_DENIED, DL_TEXT ("request", r->incoming.id),
           DL_UINT ("status", status), DL_TEXT ("reason", reason),
           DL_UINT ("routing", r->routing->routing->version),
-          DL_UINT ("routing_age_ms", dl_clock_ms () - r->owner->routing_synced_ms));
+          DL_UINT ("routing_age_ms", dl_clock_ms () - r->owner->routing_proof.proven_ms));
   direct_request_release (r);
   platform_reply_error (r->http, status, 0, reason);
 }
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -132,8 +132,8 @@
 static bool
 is_stale (const Requests *requests)
 {
-  return requests->routing_synced_ms == 0
-         || dl_clock_ms () - requests->routing_synced_ms
+  return requests->routing_proof.proven_ms == 0
+         || dl_clock_ms () - requests->routing_proof.proven_ms
                 >= direct_routing_max_age_ms (requests->settings);
 }
 
@@ -211,6 +211,20 @@
   return abandon_ms != 0 && r->deadline_ms > abandon_ms;
 }
 
+/* Logs a request that is accepted by a table which may have been replaced. */
+static void
+note_old_table (const Request *r)
+{
+  const DirectRoutingProof *proof = &r->owner->routing_proof;
+  uint64_t age_ms = dl_clock_ms () - proof->proven_ms;
+
+  if (age_ms >= r->owner->settings->apply_ms)
+    dl_log (DL_EVENT_REQUEST_OLD_TABLE, DL_TEXT ("request", r->incoming.id),
+            DL_UINT ("routing", r->routing->routing->version), DL_UINT ("age_ms", age_ms),
+            DL_TEXT ("reader", direct_origin_text (&proof->origin)),
+            DL_UINT ("reader_age_ms", proof->origin.reader_age_ms));
+}
+
 static void
 admit (Request *r)
 {
@@ -243,6 +257,7 @@
       direct_request_refuse (r, STALE_RETRY_MS, "the route names no known service");
       return;
     }
+  note_old_table (r);
   r->service = direct_service_get (r->owner, service);
   direct_limits_note_request (r->service, r->arrived_ms);
   set_identity (r);
@@ -332,7 +347,7 @@
           DL_INT ("denied", counts.denied), DL_INT ("cancelled", metric_cancelled.value),
           DL_UINT ("running", dl_http_server_active_requests (requests->server)),
           DL_UINT ("entries", direct_upstreams_entry_count (requests->upstreams)),
-          DL_UINT ("routing_age_ms", dl_clock_ms () - requests->routing_synced_ms));
+          DL_UINT ("routing_age_ms", dl_clock_ms () - requests->routing_proof.proven_ms));
 }
 
 /* -------- the task -------- */
@@ -363,8 +378,8 @@
     case DIRECT_VERSION_FLOOR:
       direct_upstreams_set_floor (requests->upstreams, &m->floor);
       break;
-    case DIRECT_ROUTING_SYNCED:
-      requests->routing_synced_ms = m->routing_synced_ms;
+    case DIRECT_ROUTING_PROOF:
+      requests->routing_proof = m->routing_proof;
       break;
     case DIRECT_ENTRIES:
       direct_dispatch_set_entries (requests, (unsigned)m->entries.same_region_count,
@@ -533,7 +548,7 @@
   .order = 10,
   .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_UPSTREAM)
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
-                   | MESSAGE (DIRECT_ROUTING_SYNCED) | MESSAGE (DIRECT_VERSION_FLOOR)
+                   | MESSAGE (DIRECT_ROUTING_PROOF) | MESSAGE (DIRECT_VERSION_FLOOR)
                    | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
                    | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT),
   .start = start,
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -44,8 +44,8 @@
   const DlNodeSettings *settings;
   DlHttpServer *server;
   DlHttpClient *client;
-  DirectMessage *routing;     /* the table in effect; NULL before the first */
-  uint64_t routing_synced_ms; /* when it was last known to be current; 0 for never */
+  DirectMessage *routing;           /* the table in effect; NULL before the first */
+  DirectRoutingProof routing_proof; /* when it was last known to be the newest */
   DirectUpstreams *upstreams;
   GHashTable *services;   /* name to Service */
   Request *first;         /* list of all requests in progress */
--- a/daisydirectd/routing_table.c
+++ b/daisydirectd/routing_table.c
@@ -21,22 +21,30 @@
   uint64_t version;   /* in effect; 0 before the first table */
   uint64_t synced_ms; /* time of the store's state that was last shown; 0 for never */
   DlRoutingProof proof;
+  DirectRoutingProof proven; /* the last proof that counts */
 };
 
 static void
-publish_table (DirectRoutingTable *table, DirectMessage *message, uint64_t revision)
+publish_table (DirectRoutingTable *table,
+               DirectMessage *message,
+               uint64_t revision,
+               const DlObjectOrigin *origin)
 {
   const DlRouting *routing = message->routing;
 
   table->version = routing->version;
   dl_log (DL_EVENT_ROUTING_APPLIED, DL_UINT ("version", routing->version),
           DL_UINT ("revision", revision), DL_UINT ("routes", routing->route_count),
-          DL_UINT ("organisations", routing->organisation_count));
+          DL_UINT ("organisations", routing->organisation_count),
+          DL_TEXT ("reader", direct_origin_text (origin)),
+          DL_UINT ("reader_age_ms", origin->reader_age_ms));
   dl_kernel_publish (table->kernel, message);
 }
 
 void
-direct_routing_table_update (DirectRoutingTable *table, const DlObject *object)
+direct_routing_table_update (DirectRoutingTable *table,
+                             const DlObject *object,
+                             const DlObjectOrigin *origin)
 {
   DirectMessage *message;
   DlRouting *routing;
@@ -63,7 +71,7 @@
       return;
     }
   message->routing = routing;
-  publish_table (table, message, object->revision);
+  publish_table (table, message, object->revision, origin);
 }
 
 void
@@ -75,10 +83,10 @@
 static void
 publish_proof (const DirectRoutingTable *table)
 {
-  DirectMessage *message = direct_message_new (DIRECT_ROUTING_SYNCED);
+  DirectMessage *message = direct_message_new (DIRECT_ROUTING_PROOF);
 
   dl_metric_observe_us (&metric_age, (dl_clock_ms () - table->proof.proven_ms) * 1000);
-  message->routing_synced_ms = table->proof.proven_ms;
+  message->routing_proof = table->proven;
   dl_kernel_publish (table->kernel, message);
 }
 
@@ -93,17 +101,24 @@
 }
 
 void
-direct_routing_table_synced (DirectRoutingTable *table, uint64_t synced_ms, uint64_t era)
+direct_routing_table_synced (DirectRoutingTable *table,
+                             uint64_t synced_ms,
+                             const DlObjectOrigin *origin,
+                             uint64_t era)
 {
-  uint64_t proven_ms = table->proof.proven_ms;
 
   if (table->synced_ms == 0 && era != 0)
     dl_routing_proof_started (&table->proof, table->started_ms);
   table->synced_ms = synced_ms;
   log_behind (&table->proof);
   dl_routing_proof_synced (&table->proof, synced_ms, dl_clock_ms ());
-  if (table->proof.proven_ms != proven_ms)
-    publish_proof (table);
+  if (table->proof.proven_ms == table->proven.proven_ms)
+    return;
+  table->proven = (DirectRoutingProof){
+    .proven_ms = table->proof.proven_ms,
+    .origin = *origin,
+  };
+  publish_proof (table);
 }
 
 bool
@@ -130,6 +145,12 @@
   return table->proof.highest_version;
 }
 
+const DirectRoutingProof *
+direct_routing_table_proof (const DirectRoutingTable *table)
+{
+  return &table->proven;
+}
+
 uint64_t
 direct_routing_table_proven_ms (const DirectRoutingTable *table)
 {
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -52,23 +52,39 @@
            "daisy_direct_ready",
            "1 while the entry is ready, else 0.")
 
+/* A proof of the routing table is old after this part of the time that a change may take.
+ */
+#define OLD_PROOF_PERCENT 75
+#define PERCENT           100
+
 /* -------- routing -------- */
 
+/* WATCH shows the store's state at a new time. */
+static void
+note_heard (State *state, const DlObjectWatch *watch)
+{
+  state->own_heard_ms = MAX (state->own_heard_ms, dl_object_watch_synced_ms (watch));
+  dl_store_heard (&state->heard, state->own_heard_ms);
+}
+
 static void
 on_routing (const DlObject *object, void *data)
 {
   State *state = data;
+  DlObjectOrigin origin = dl_object_watch_origin (state->routing_watch);
 
-  direct_routing_table_update (state->routing_table, object);
+  direct_routing_table_update (state->routing_table, object, &origin);
 }
 
 static void
 on_routing_synced (void *data)
 {
   State *state = data;
+  DlObjectOrigin origin = dl_object_watch_origin (state->routing_watch);
 
+  note_heard (state, state->routing_watch);
   direct_routing_table_synced (state->routing_table,
-                               dl_object_watch_synced_ms (state->routing_watch),
+                               dl_object_watch_synced_ms (state->routing_watch), &origin,
                                dl_object_era_current (
                                    dl_object_client_era (state->store)));
 }
@@ -105,6 +121,7 @@
 {
   State *state = data;
 
+  note_heard (state, state->upstreams_watch);
   direct_upstream_list_synced (state->upstream_list);
 }
 
@@ -230,6 +247,17 @@
     dl_load_record_delete (state->store, state, platform_kind_loads, peer->name);
 }
 
+/* The age is that when the status was sent, so that the time is taken as too late by the
+ * datagram's delay. */
+static void
+receive_heard (State *state, const Daisyloft__Wire__NodeStatus *status)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (status->store_heard != NULL && status->store_heard->age_ms < now_ms)
+    dl_store_heard (&state->heard, now_ms - status->store_heard->age_ms);
+}
+
 static void
 on_status (const DlPeer *peer, const Daisyloft__Wire__NodeStatus *status, void *data)
 {
@@ -241,6 +269,7 @@
   direct_routing_table_told (state->routing_table, status->routing_version);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
+      receive_heard (state, status);
       publish_holder (state, peer, status);
       publish_signature_records (state, status);
       publish_limit_records (state, peer, status);
@@ -320,6 +349,36 @@
   dl_kernel_publish (state->kernel, message);
 }
 
+/* Logs that the proof of the routing table has become old, and that it was renewed. */
+static void
+watch_routing_proof (State *state)
+{
+  const DirectRoutingProof *proof = direct_routing_table_proof (state->routing_table);
+  uint64_t now_ms = dl_clock_ms ();
+  bool is_old = proof->proven_ms != 0
+                && now_ms - proof->proven_ms
+                       >= state->settings->apply_ms * OLD_PROOF_PERCENT / PERCENT;
+
+  if (is_old && !state->is_proof_old)
+    {
+      state->old_proven_ms = proof->proven_ms;
+      dl_log (DL_EVENT_ROUTING_PROOF_OLD,
+              DL_UINT ("version", direct_routing_table_version (state->routing_table)),
+              DL_UINT ("age_ms", now_ms - proof->proven_ms),
+              DL_TEXT ("reader", direct_origin_text (&proof->origin)),
+              DL_UINT ("reader_age_ms", proof->origin.reader_age_ms),
+              DL_UINT ("heard_ms_ago", now_ms - MIN (state->heard.last_ms, now_ms)),
+              DL_UINT ("heard_for_ms", dl_store_heard_for_ms (&state->heard, now_ms)));
+    }
+  else if (!is_old && state->is_proof_old)
+    dl_log (DL_EVENT_ROUTING_PROOF_RENEWED,
+            DL_UINT ("version", direct_routing_table_version (state->routing_table)),
+            DL_UINT ("age_ms", proof->proven_ms - state->old_proven_ms),
+            DL_TEXT ("reader", direct_origin_text (&proof->origin)),
+            DL_UINT ("reader_age_ms", proof->origin.reader_age_ms));
+  state->is_proof_old = is_old;
+}
+
 /* Adopts the proof of the routing table when the time that it was withheld for is over.
  */
 static void
@@ -341,6 +400,7 @@
 
   direct_upstream_list_expire (state->upstream_list);
   check_routing_proof (state);
+  watch_routing_proof (state);
   refresh_readiness (state);
   refresh_hub (state);
   status_ask_stagers (state);
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -15,6 +15,7 @@
 #include "node/relay_source.h"
 #include "node/version_watch.h"
 #include "policy/fanout.h"
+#include "policy/store_heard.h"
 #include "routing_table.h"
 #include "upstream_list.h"
 
@@ -31,6 +32,10 @@
   DlRelaySource *source;
   DlObjectRelay *relay;
   DirectRoutingTable *routing_table;
+  DlStoreHeard heard;     /* by any entry */
+  uint64_t own_heard_ms;  /* by this one */
+  bool is_proof_old;      /* and that was logged */
+  uint64_t old_proven_ms; /* if so, the time of that proof */
   DirectHeldRequests *held_requests;
   DlVersionWatch *versions;
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
--- a/daisydirectd/status.c
+++ b/daisydirectd/status.c
@@ -85,9 +85,15 @@
 send_status (State *state, DlPeersReach reach)
 {
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__StoreHeard heard = DAISYLOFT__WIRE__STORE_HEARD__INIT;
   void *context = talloc_new (state);
 
   status.ready = state->ready;
+  if (state->own_heard_ms > 0)
+    {
+      heard.age_ms = dl_clock_ms () - state->own_heard_ms;
+      status.store_heard = &heard;
+    }
   add_holdings (state, context, &status);
   dl_version_watch_to_status (state->versions, context, &status);
   status.routing_version = direct_routing_table_highest (state->routing_table);
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -154,7 +154,7 @@
     case DIRECT_UPSTREAM_REMOVED:
     case DIRECT_ENGINE:
     case DIRECT_VERSION_FLOOR:
-    case DIRECT_ROUTING_SYNCED:
+    case DIRECT_ROUTING_PROOF:
     case DIRECT_ENTRIES:
     case DIRECT_HOLDINGS:
     case DIRECT_SIGNATURE_RECORDS:
--- a/lib/kernel/wire.pb-c.c
+++ b/lib/kernel/wire.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &daisyloft__wire__node_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisyloft__wire__store_heard__init
+                     (Daisyloft__Wire__StoreHeard         *message)
+{
+  static const Daisyloft__Wire__StoreHeard init_value = DAISYLOFT__WIRE__STORE_HEARD__INIT;
+  *message = init_value;
+}
+size_t daisyloft__wire__store_heard__get_packed_size
+                     (const Daisyloft__Wire__StoreHeard *message)
+{
+  assert(message->base.descriptor == &daisyloft__wire__store_heard__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisyloft__wire__store_heard__pack
+                     (const Daisyloft__Wire__StoreHeard *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisyloft__wire__store_heard__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisyloft__wire__store_heard__pack_to_buffer
+                     (const Daisyloft__Wire__StoreHeard *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisyloft__wire__store_heard__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisyloft__Wire__StoreHeard *
+       daisyloft__wire__store_heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisyloft__Wire__StoreHeard *)
+     protobuf_c_message_unpack (&daisyloft__wire__store_heard__descriptor,
+                                allocator, len, data);
+}
+void   daisyloft__wire__store_heard__free_unpacked
+                     (Daisyloft__Wire__StoreHeard *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisyloft__wire__store_heard__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisyloft__wire__announcement__init
                      (Daisyloft__Wire__Announcement         *message)
 {
@@ -1582,7 +1627,7 @@
   assert(message->base.descriptor == &daisyloft__wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[15] =
+static const ProtobufCFieldDescriptor daisyloft__wire__node_status__field_descriptors[16] =
 {
   {
     "name",
@@ -1764,6 +1809,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_heard",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__NodeStatus, store_heard),
+    &daisyloft__wire__store_heard__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisyloft__wire__node_status__field_indices_by_name[] = {
   12,   /* field[12] = announcement */
@@ -1780,12 +1837,13 @@
   3,   /* field[3] = role */
   9,   /* field[9] = routing_version */
   10,   /* field[10] = signature_record */
+  15,   /* field[15] = store_heard */
   8,   /* field[8] = version_floor */
 };
 static const ProtobufCIntRange daisyloft__wire__node_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor =
 {
@@ -1795,13 +1853,51 @@
   "Daisyloft__Wire__NodeStatus",
   "daisyloft.wire",
   sizeof(Daisyloft__Wire__NodeStatus),
-  15,
+  16,
   daisyloft__wire__node_status__field_descriptors,
   daisyloft__wire__node_status__field_indices_by_name,
   1,  daisyloft__wire__node_status__number_ranges,
   (ProtobufCMessageInit) daisyloft__wire__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisyloft__wire__store_heard__field_descriptors[1] =
+{
+  {
+    "age_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisyloft__Wire__StoreHeard, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisyloft__wire__store_heard__field_indices_by_name[] = {
+  0,   /* field[0] = age_ms */
+};
+static const ProtobufCIntRange daisyloft__wire__store_heard__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor daisyloft__wire__store_heard__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisyloft.wire.StoreHeard",
+  "StoreHeard",
+  "Daisyloft__Wire__StoreHeard",
+  "daisyloft.wire",
+  sizeof(Daisyloft__Wire__StoreHeard),
+  1,
+  daisyloft__wire__store_heard__field_descriptors,
+  daisyloft__wire__store_heard__field_indices_by_name,
+  1,  daisyloft__wire__store_heard__number_ranges,
+  (ProtobufCMessageInit) daisyloft__wire__store_heard__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisyloft__wire__announcement__field_descriptors[3] =
 {
   {
--- a/lib/kernel/wire.pb-c.h
+++ b/lib/kernel/wire.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Daisyloft__Wire__NodeStatus Daisyloft__Wire__NodeStatus;
+typedef struct Daisyloft__Wire__StoreHeard Daisyloft__Wire__StoreHeard;
 typedef struct Daisyloft__Wire__Announcement Daisyloft__Wire__Announcement;
 typedef struct Daisyloft__Wire__LimitRecord Daisyloft__Wire__LimitRecord;
 typedef struct Daisyloft__Wire__SignatureRecord Daisyloft__Wire__SignatureRecord;
@@ -190,10 +191,30 @@
    */
   size_t n_relayed;
   ProtobufCBinaryData *relayed;
+  /*
+   * by an entry; absent before it heard the store
+   */
+  Daisyloft__Wire__StoreHeard *store_heard;
 };
 #define DAISYLOFT__WIRE__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__node_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, DAISYLOFT__WIRE__ROLE__ROLE_UNSPECIFIED, 0, NULL, 0,NULL, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL }
+
+
+/*
+ * When an entry last heard the store, itself or through another entry.
+ */
+struct  Daisyloft__Wire__StoreHeard
+{
+  ProtobufCMessage base;
+  /*
+   * time since the store was asked for its last answer
+   */
+  uint64_t age_ms;
+};
+#define DAISYLOFT__WIRE__STORE_HEARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisyloft__wire__store_heard__descriptor) \
+    , 0 }
 
 
 /*
@@ -985,6 +1006,25 @@
 void   daisyloft__wire__node_status__free_unpacked
                      (Daisyloft__Wire__NodeStatus *message,
                       ProtobufCAllocator *allocator);
+/* Daisyloft__Wire__StoreHeard methods */
+void   daisyloft__wire__store_heard__init
+                     (Daisyloft__Wire__StoreHeard         *message);
+size_t daisyloft__wire__store_heard__get_packed_size
+                     (const Daisyloft__Wire__StoreHeard   *message);
+size_t daisyloft__wire__store_heard__pack
+                     (const Daisyloft__Wire__StoreHeard   *message,
+                      uint8_t             *out);
+size_t daisyloft__wire__store_heard__pack_to_buffer
+                     (const Daisyloft__Wire__StoreHeard   *message,
+                      ProtobufCBuffer     *buffer);
+Daisyloft__Wire__StoreHeard *
+       daisyloft__wire__store_heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisyloft__wire__store_heard__free_unpacked
+                     (Daisyloft__Wire__StoreHeard *message,
+                      ProtobufCAllocator *allocator);
 /* Daisyloft__Wire__Announcement methods */
 void   daisyloft__wire__announcement__init
                      (Daisyloft__Wire__Announcement         *message);
@@ -1636,6 +1676,9 @@
 typedef void (*Daisyloft__Wire__NodeStatus_Closure)
                  (const Daisyloft__Wire__NodeStatus *message,
                   void *closure_data);
+typedef void (*Daisyloft__Wire__StoreHeard_Closure)
+                 (const Daisyloft__Wire__StoreHeard *message,
+                  void *closure_data);
 typedef void (*Daisyloft__Wire__Announcement_Closure)
                  (const Daisyloft__Wire__Announcement *message,
                   void *closure_data);
@@ -1750,6 +1793,7 @@
 extern const ProtobufCEnumDescriptor    daisyloft__wire__slot_state__descriptor;
 extern const ProtobufCEnumDescriptor    daisyloft__wire__end_reason__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__node_status__descriptor;
+extern const ProtobufCMessageDescriptor daisyloft__wire__store_heard__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__announcement__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__limit_record__descriptor;
 extern const ProtobufCMessageDescriptor daisyloft__wire__signature_record__descriptor;
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -8,6 +8,7 @@
 #define STOP_RESERVE_MS    400
 #define HOUR_MS            3600000
 #define REVOKE_DEFAULT_MS  5000
+#define APPLY_DEFAULT_MS   2000
 #define VERSION_DEFAULT_MS 8000
 #define GRACE_DEFAULT_S    8
 #define TTL_DEFAULT_S      2
@@ -58,6 +59,14 @@
       .maximum = HOUR_MS,
       .fallback = REVOKE_DEFAULT_MS,
   },
+  {
+      .key = "apply_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, apply_ms),
+      .minimum = MS_PER_S,
+      .maximum = HOUR_MS,
+      .fallback = APPLY_DEFAULT_MS,
+  },
   {
       .key = "version_ms",
       .type = DL_SETTING_UINT,
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -30,6 +30,8 @@
   bool json_logs;
   bool bootstrap;      /* the whole system starts for the first time */
   uint64_t revoke_ms;  /* a revoked key is refused everywhere after this long */
+  uint64_t apply_ms;   /* a change of the routing table or of the upstreams that the store
+                          accepts is in effect everywhere after this long */
   uint64_t version_ms; /* an announced version is in effect everywhere after this long */
   double grace_s;      /* time from the signal to stop until the process is killed */
   uint64_t drain_ms;   /* grace_s less a reserve; set by dl_node_settings_check */
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -48,6 +48,7 @@
   bool via_relay;        /* the request in progress goes to a reader */
   bool is_reader;        /* this process reads the store for others */
   DlObjectClient *server; /* that the request in progress was sent to */
+  DlObjectOrigin origin;  /* of the last answer */
   uint64_t number;       /* of the last list; the responses to earlier ones are ignored */
   DlHedgedWatch *hedged; /* sends the watches, also those without a wait */
   bool is_relisting;     /* the list in progress is the first of a new era */
@@ -150,6 +151,18 @@
     watch->options.on_contact (error, watch->options.data);
 }
 
+/* The request in progress was answered, by a reader AGE_MS after that had last heard the
+ * store. */
+static void
+note_origin (DlObjectWatch *watch, uint64_t age_ms)
+{
+  const char *server = dl_object_client_address (watch->server);
+
+  watch->origin = watch->via_relay
+                      ? (DlObjectOrigin){ .reader = server, .reader_age_ms = age_ms }
+                      : (DlObjectOrigin){ 0 };
+}
+
 /* The known objects were current AGE_MS before the request was sent, or later. */
 static void
 set_synced (DlObjectWatch *watch, uint64_t age_ms)
@@ -363,6 +376,7 @@
       return;
     }
   set_contact (watch, 0);
+  note_origin (watch, result->age_ms);
   /* The watch starts from the first page's revision, so it shows what changes while later
    * pages are read. */
   if (watch->list_after == NULL)
@@ -483,6 +497,7 @@
   uint64_t next_ms;
 
   set_contact (watch, 0);
+  note_origin (watch, result->age_ms);
   for (size_t i = 0; i < result->count; i++)
     apply_object (watch, &result->objects[i]);
   watch->revision = MAX (watch->revision, result->revision);
@@ -615,6 +630,12 @@
   return watch->synced_ms;
 }
 
+DlObjectOrigin
+dl_object_watch_origin (const DlObjectWatch *watch)
+{
+  return watch->origin;
+}
+
 bool
 dl_object_watch_has_preview (const DlObjectWatch *watch)
 {
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -68,6 +68,16 @@
 /* Time (dl_clock_ms) as of which the known objects are current; 0 before the first list
  * is complete. */
 uint64_t dl_object_watch_synced_ms (const DlObjectWatch *watch);
+/* Where an answer came from. */
+typedef struct
+{
+  const char *reader; /* its address; NULL for the store itself */
+  uint64_t
+      reader_age_ms; /* when it answered, it had last heard the store so long before */
+} DlObjectOrigin;
+
+/* Origin of the last answer; that of the present one in on_object and on_synced. */
+DlObjectOrigin dl_object_watch_origin (const DlObjectWatch *watch);
 /* True once the preview has been read, if one is, or could not be. */
 bool dl_object_watch_has_preview (const DlObjectWatch *watch);
 /* True unless a list is in progress, so that the known objects may be incomplete. */
