--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -283,6 +283,7 @@
   { "time", { time_tests } },
   { "config", { config_tests } },
   { "reader", { reader_tests } },
+  { "stale-readers", { stale_reader_tests }, .revoke_ms = ERA_REVOKE_MS },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -250,6 +250,9 @@
 extern const TestFunc config_tests[];
 /* Entries that read the store for others. */
 extern const TestFunc reader_tests[];
+/* Entries whose readers' copies are all too old; the time within which a revoked key is
+ * refused must be as on the users' platform. */
+extern const TestFunc stale_reader_tests[];
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
 extern const TestFunc endless_tests[];
 extern const TestFunc endless_peer_tests[];
--- a/regress/direct/fleet.c
+++ b/regress/direct/fleet.c
@@ -77,7 +77,10 @@
       p->listen = g_strdup_printf ("%s.%u:" PORT, tb->subnet, FIRST_HOST + i);
       p->fd = played_socket (p->address);
       CHECK (p->fd >= 0);
-      CHECK (played_register (tb, p->name, p->region, p->address, p->listen));
+      CHECK (played_register (tb, &(PlayedEntry){ .name = p->name,
+                                                  .region = p->region,
+                                                  .address = p->address,
+                                                  .listen = p->listen }));
     }
 }
 
--- a/regress/direct/malformed.c
+++ b/regress/direct/malformed.c
@@ -265,7 +265,10 @@
   node->fd = played_socket (address);
   CHECK (node->fd >= 0);
   node->recorded = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  CHECK (played_register (tb, PLAYED_NAME, PLAYED_REGION, address, address));
+  CHECK (played_register (tb, &(PlayedEntry){ .name = PLAYED_NAME,
+                                              .region = PLAYED_REGION,
+                                              .address = address,
+                                              .listen = address }));
   g_usleep (RECORD_US);
   while (node->recorded->len < RECORDED_MAX
          && (n = recv (node->fd, bytes, sizeof bytes, 0)) > 0)
--- a/regress/direct/played.c
+++ b/regress/direct/played.c
@@ -37,17 +37,17 @@
 }
 
 bool
-played_register (Testbed *tb,
-                 const char *name,
-                 const char *region,
-                 const char *address,
-                 const char *listen_at)
+played_register (Testbed *tb, const PlayedEntry *entry)
 {
-  g_autofree char *object = played_object (region, name);
+  g_autofree char *object = played_object (entry->region, entry->name);
+  g_autofree char *relay = entry->relay != NULL
+                               ? g_strdup_printf (",\"relay\":\"%s\"", entry->relay)
+                               : g_strdup ("");
   g_autofree char *spec = g_strdup_printf (
       "{\"name\":\"%s\",\"role\":%d,\"region\":\"%s\",\"data_center\":\"%s\","
-      "\"address\":\"%s\",\"listen\":\"%s\"}",
-      name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, region, region, address, listen_at);
+      "\"address\":\"%s\",\"listen\":\"%s\"%s}",
+      entry->name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, entry->region, entry->region,
+      entry->address, entry->listen, relay);
 
   return testbed_put (tb, "daisyloft-nodes", object, spec);
 }
--- a/regress/direct/played.h
+++ b/regress/direct/played.h
@@ -14,12 +14,17 @@
     const Testbed *testbed, int fd, unsigned host, const void *bytes, size_t length);
 /* Name of the store's object of the entry NAME of REGION, for g_free. */
 char *played_object (const char *region, const char *name);
-/* Registers the entry, whose data centre has its region's name, with the ADDRESS of its
- * datagrams and LISTEN for callers. */
-bool played_register (Testbed *testbed,
-                      const char *name,
-                      const char *region,
-                      const char *address,
-                      const char *listen);
+/* What the store says of an entry, whose data centre has its region's name. */
+typedef struct
+{
+  const char *name;
+  const char *region;
+  const char *address; /* of its datagrams */
+  const char *listen;  /* for callers */
+  const char *relay;   /* for nodes that read the store through it; NULL for none */
+} PlayedEntry;
+
+/* Registers ENTRY in the store. */
+bool played_register (Testbed *testbed, const PlayedEntry *entry);
 
 #endif
