Known red: an entry that the store does not answer serves longer than a configuration may take

Beside it stands the opposite, green before and to stay so: an outage that nobody hears the store in ends no service at that bound.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -284,6 +284,7 @@
   { "config", { config_tests } },
   { "reader", { reader_tests } },
   { "stale-readers", { stale_reader_tests }, .revoke_ms = ERA_REVOKE_MS },
+  { "proof-bound", { proof_bound_tests }, .revoke_ms = ERA_REVOKE_MS },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -253,6 +253,8 @@
 /* Entries whose readers' copies are all too old; the time within which a revoked key is
  * refused must be as on the users' platform. */
 extern const TestFunc stale_reader_tests[];
+/* Until when entries serve by an old proof; the same holds. */
+extern const TestFunc proof_bound_tests[];
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
 extern const TestFunc endless_tests[];
 extern const TestFunc endless_peer_tests[];
--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -1,11 +1,13 @@
 /*
- * Tests of entries whose readers' copies are all too old while the store is well.
+ * Tests of entries that do not learn that their routing table is the newest: their
+ * readers' copies are all too old, or the store answers others only.
  *
  * The test plays the readers: entries of the region that rank before the real ones, send
  * their status and refuse, as a reader with an old copy does, whatever they are asked.
  */
 #include <glib.h>
 #include <poll.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,8 +30,14 @@
 #define PAUSE_MS      100
 #define REVOCATIONS   3
 #define REQUEST_BYTES 4096
+/* Of each server, so that each entry's share is more than one place. */
+#define SLOTS 64
 /* Stated by the users: a configuration is in force within this time. */
 #define APPLY_MS 2000
+/* A revoked key is refused after ERA_REVOKE_MS, less the reserve of an entry. */
+#define REVOKED_MS 4500
+/* In an outage an entry serves by a proof that may be an interval of checks old. */
+#define OUTAGE_SERVED_MS 2900
 
 #define REFUSAL                                                      \
   "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n" \
@@ -50,7 +58,9 @@
 static Reader readers[READERS];
 static const Testbed *played_testbed;
 static GThread *thread;
-static int stopping; /* atomic */
+/* Atomic. */
+static int stopping;
+static int hear_store; /* they tell that the store answers them */
 
 static int
 listen_at (const char *address)
@@ -72,6 +82,7 @@
 {
   static const unsigned hosts[] = { 21, 22, 11, 12 };
   Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__StoreHeard heard = DAISYLOFT__WIRE__STORE_HEARD__INIT;
   uint8_t bytes[PLAYED_DATAGRAM_BYTES];
   size_t length;
 
@@ -81,6 +92,8 @@
   status.role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
   status.ready = true;
   status.not_hub = true;
+  if (g_atomic_int_get (&hear_store))
+    status.store_heard = &heard;
   length = daisyloft__wire__node_status__pack (&status, bytes);
   for (size_t i = 0; i < G_N_ELEMENTS (hosts); i++)
     played_send (played_testbed, r->datagrams, hosts[i], bytes, length);
@@ -143,9 +156,13 @@
     while (dl_fanout_rank (readers[i].name) <= real);
 }
 
+/* ARE_ASKED: nodes may read the store through them. */
 static void
-start_readers (Testbed *tb)
+start_readers (Testbed *tb, bool are_asked)
 {
+  tb->slots = SLOTS;
+  for (unsigned i = 0; i < SERVERS; i++)
+    CHECK (testbed_list_server (tb, i, "ready"));
   choose_names ();
   for (unsigned i = 0; i < READERS; i++)
     {
@@ -158,11 +175,12 @@
       r->datagrams = played_socket (r->address);
       r->listener = listen_at (r->relay);
       CHECK (r->datagrams >= 0 && r->listener >= 0);
-      CHECK (played_register (tb, &(PlayedEntry){ .name = r->name,
-                                                  .region = "r1",
-                                                  .address = r->address,
-                                                  .listen = r->listen,
-                                                  .relay = r->relay }));
+      CHECK (
+          played_register (tb, &(PlayedEntry){ .name = r->name,
+                                               .region = "r1",
+                                               .address = r->address,
+                                               .listen = r->listen,
+                                               .relay = are_asked ? r->relay : NULL }));
     }
   played_testbed = tb;
   thread = g_thread_new ("readers", play, NULL);
@@ -170,7 +188,7 @@
 }
 
 static void
-stop_readers (Testbed *tb)
+stop_readers (Testbed *tb, bool were_asked)
 {
   unsigned asked = 0;
 
@@ -186,7 +204,7 @@
       asked += readers[i].asked;
     }
   g_print ("readers whose copy is too old refused %u requests\n", asked);
-  CHECK (asked > 0);
+  CHECK ((asked > 0) == were_asked);
 }
 
 /* Callers with a valid key are served all the while. */
@@ -195,7 +213,7 @@
 {
   unsigned refused = 0;
 
-  start_readers (tb);
+  start_readers (tb, true);
   for (unsigned ms = 0; ms < WATCHED_MS; ms += PAUSE_MS)
     {
       for (unsigned i = 0; i < ENTRIES; i++)
@@ -223,7 +241,80 @@
       for (unsigned i = 0; i < ENTRIES; i++)
         CHECK (status_with_key (tb, i, "key2") == 200);
     }
-  stop_readers (tb);
+  stop_readers (tb, true);
+}
+
+static gint64
+ms_since (gint64 begin_us)
+{
+  return (g_get_monotonic_time () - begin_us) / 1000;
+}
+
+/* Requests with a valid key that are served between FROM_MS and TO_MS after BEGIN_US, and
+ * *REFUSED of them that are not. */
+static unsigned
+count_served (
+    Testbed *tb, gint64 begin_us, gint64 from_ms, gint64 to_ms, unsigned *refused)
+{
+  unsigned served = 0;
+
+  *refused = 0;
+  while (ms_since (begin_us) < to_ms)
+    {
+      if (ms_since (begin_us) >= from_ms)
+        for (unsigned i = 0; i < ENTRIES; i++)
+          {
+            bool is_served = status_with_key (tb, i, "key1") == 200;
+
+            served += is_served;
+            *refused += !is_served;
+          }
+      g_usleep (POLL_MS * 1000);
+    }
+  return served;
+}
+
+/* The store does not answer the entries, but others, who hear that its table may have
+ * been replaced. */
+static void
+test_entry_cut_off_served_longer_than_a_configuration_may_take (Testbed *tb)
+{
+  unsigned refused;
+  unsigned served;
+  gint64 begin_us;
+
+  start_readers (tb, false);
+  g_atomic_int_set (&hear_store, 1);
+  g_usleep (2 * APPLY_MS * 1000);
+  CHECK (eventually (requests_are_served, tb));
+  begin_us = g_get_monotonic_time ();
+  kill (tb->store_process.pid, SIGSTOP);
+  served = count_served (tb, begin_us, APPLY_MS, REVOKED_MS, &refused);
+  g_print ("while others hear the store: %u served, %u refused\n", served, refused);
+  CHECK (served == 0 && refused > 0);
+  kill (tb->store_process.pid, SIGCONT);
+  CHECK (eventually (requests_are_served, tb));
+}
+
+/* Nobody hears the store: the table cannot have been replaced in time for anyone. */
+static void
+test_outage_of_the_store_ended_service_at_the_bound_of_a_configuration (Testbed *tb)
+{
+  unsigned refused;
+  unsigned served;
+  gint64 begin_us;
+
+  g_atomic_int_set (&hear_store, 0);
+  g_usleep (APPLY_MS * 1000);
+  CHECK (eventually (requests_are_served, tb));
+  begin_us = g_get_monotonic_time ();
+  kill (tb->store_process.pid, SIGSTOP);
+  served = count_served (tb, begin_us, 0, OUTAGE_SERVED_MS, &refused);
+  g_print ("in an outage of the store: %u served, %u refused\n", served, refused);
+  CHECK (served > 0 && refused == 0);
+  kill (tb->store_process.pid, SIGCONT);
+  CHECK (eventually (requests_are_served, tb));
+  stop_readers (tb, false);
 }
 
 const TestFunc stale_reader_tests[] = {
@@ -231,3 +322,9 @@
   test_revoked_key_outlived_the_bound_of_a_configuration,
   NULL,
 };
+
+const TestFunc proof_bound_tests[] = {
+  test_entry_cut_off_served_longer_than_a_configuration_may_take,
+  test_outage_of_the_store_ended_service_at_the_bound_of_a_configuration,
+  NULL,
+};
