An entry whose readers are behind reads the store itself, by the age of its copy

Callers saw a revoked key accepted 4.1 to 4.4 s after its revocation at entries in touch. Cause: what an entry did about readers that answer "too old" was counted, not timed. Each was avoided for 1 s and the next asked after 150 or 500 ms; that one asks the first itself, so that its copy is as old. In a region of more than some seven entries nobody but the first ever turned to the store, and no age of the own copy changed that. A reader that was behind for one kind of objects was avoided for all five, which used up the region's entries the faster, and a success of one kind reset the count of all. After a call that the store does not answer the entry asks readers for 1.5 s and a part of 1.5 s by rank, so that not all call at the end of an outage. What is too old counts by kind. The table is checked four times within apply_ms where that is shorter than the time for a revoked key. Ruled out: a count that leads to the store, as the count depends on how many entries there are and on the backoffs.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -54,7 +54,7 @@
 
 /* A proof of the routing table is old after this part of the time that a change may take.
  */
-#define OLD_PROOF_PERCENT 75
+#define OLD_PROOF_PERCENT 85
 #define PERCENT           100
 
 /* -------- routing -------- */
@@ -487,10 +487,13 @@
       = dl_object_watch_new (state->task, state, state->store,
                              &(DlObjectWatchOptions){
                                  .kind = platform_kind_routing,
-                                 .wait_ms = direct_routing_max_age_ms (state->settings)
-                                            / ROUTING_CHECKS_PER_MAX_AGE,
+                                 .wait_ms
+                                 = MIN (state->settings->apply_ms,
+                                        direct_routing_max_age_ms (state->settings))
+                                   / ROUTING_CHECKS_PER_MAX_AGE,
                                  .reader_wait_ms = READER_WAIT_MS,
                                  .source = state->source,
+                                 .apply_ms = state->settings->apply_ms,
                                  .relay = state->relay,
                                  .retry_max_ms = ROUTING_RETRY_MS,
                                  .on_object = on_routing,
@@ -506,6 +509,7 @@
                                                     .wait_ms = UPSTREAMS_WAIT_MS,
                                                     .reader_wait_ms = READER_WAIT_MS,
                                                     .source = state->source,
+                                                    .apply_ms = state->settings->apply_ms,
                                                     .relay = state->relay,
                                                     .pause_ms = UPSTREAMS_PAUSE_MS,
                                                     .reader_pause_ms = READER_PAUSE_MS,
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -55,6 +55,8 @@
   uint64_t era;          /* of the store when the revisions were read */
   uint64_t revision_before; /* the last one known of the era before */
   DlTimer *timer;
+  DlTimer *direct_timer; /* when the store is asked in the place of a reader that does not
+                            answer; NULL for none */
 };
 
 /* A request for a list, or for the preview. */
@@ -206,6 +208,7 @@
 give_up_requests (DlObjectWatch *watch)
 {
   watch->number++;
+  TALLOC_FREE (watch->direct_timer);
   dl_hedged_watch_ignore (watch->hedged);
 }
 
@@ -257,6 +260,38 @@
     dl_timer_restart (watch->timer, delay_ms);
 }
 
+static DlRelayWant
+want (const DlObjectWatch *watch)
+{
+  return (DlRelayWant){
+    .kind = watch->options.kind,
+    .synced_ms = watch->synced_ms,
+    .apply_ms = watch->options.apply_ms,
+  };
+}
+
+/* Time until the store is asked whatever the readers answer; UINT64_MAX for never. */
+static uint64_t
+direct_delay_ms (const DlObjectWatch *watch)
+{
+  DlRelayWant wanted = want (watch);
+  uint64_t direct_ms = dl_relay_source_direct_ms (watch->options.source, &wanted);
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (direct_ms == UINT64_MAX)
+    return UINT64_MAX;
+  return direct_ms > now_ms ? direct_ms - now_ms : 0;
+}
+
+static void
+report_store_failure (DlObjectWatch *watch)
+{
+  DlRelayWant wanted = want (watch);
+
+  if (watch->options.source != NULL)
+    dl_relay_source_report_store_failure (watch->options.source, &wanted);
+}
+
 static void
 retry_later (DlObjectWatch *watch, const DlObjectResult *result)
 {
@@ -264,6 +299,7 @@
       = { .first_ms = RETRY_FIRST_MS, .max_ms = watch->options.retry_max_ms };
 
   set_contact (watch, result->error);
+  report_store_failure (watch);
   watch->after_outage = watch->after_outage || !was_paused (watch);
   watch->answered_ms = 0;
   watch->retry_ms = dl_backoff_next_ms (watch->retry_ms, &bounds);
@@ -286,23 +322,25 @@
 retry_without_relay (DlObjectWatch *watch, const DlObjectResult *result)
 {
   bool is_stale = result->responded && result->error == DL_ERR_UNAVAILABLE;
+  uint64_t backoff_ms
+      = dl_relay_source_report_failure (watch->options.source, watch->server,
+                                        &(DlReaderFailure){ .kind = watch->options.kind,
+                                                            .error = result->error,
+                                                            .is_stale = is_stale });
 
   watch->answered_ms = 0;
-  run_after (watch, dl_relay_source_report_failure (watch->options.source, watch->server,
-                                                    &(DlReaderFailure){
-                                                        .kind = watch->options.kind,
-                                                        .error = result->error,
-                                                        .is_stale = is_stale }));
+  run_after (watch, MIN (backoff_ms, direct_delay_ms (watch)));
 }
 
 /* Chooses between the store and a reader for the next watch. */
 static void
 choose_server (DlObjectWatch *watch)
 {
+  DlRelayWant wanted = want (watch);
   DlObjectClient *relay = NULL;
 
   if (watch->options.source != NULL)
-    relay = dl_relay_source_choose (watch->options.source, &watch->is_reader);
+    relay = dl_relay_source_choose (watch->options.source, &wanted, &watch->is_reader);
   watch->via_relay = relay != NULL;
   watch->server = relay != NULL ? relay : watch->client;
 }
@@ -415,7 +453,7 @@
 wait_for_reader (DlObjectWatch *watch)
 {
   if (watch->options.source == NULL || watch->is_relisting
-      || !dl_relay_source_must_wait (watch->options.source))
+      || !dl_relay_source_must_wait (watch->options.source, watch->options.kind))
     return false;
   run_after (watch, READER_POLL_MS);
   return true;
@@ -465,6 +503,8 @@
 
   if (watch->is_refreshing)
     return 0;
+  if (!watch->via_relay && o->source != NULL && direct_delay_ms (watch) == 0)
+    return 0;
   if (watch->via_relay)
     return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
   return watch->is_reader ? o->reader_wait_ms : o->wait_ms;
@@ -503,7 +543,7 @@
   watch->revision = MAX (watch->revision, result->revision);
   set_synced (watch, result->age_ms);
   if (watch->via_relay)
-    dl_relay_source_report_success (watch->options.source);
+    dl_relay_source_report_success (watch->options.source, watch->options.kind);
   next_ms = next_pause_ms (watch, result->count);
   if (next_ms > 0)
     run_after (watch, next_ms);
@@ -516,6 +556,7 @@
 {
   DlObjectWatch *watch = data;
 
+  TALLOC_FREE (watch->direct_timer);
   watch->sent_ms = sent_ms;
   note_unchanged (watch);
   if (result->error == DL_ERR_GONE)
@@ -531,12 +572,37 @@
     apply_watch (watch, result);
 }
 
+/* The reader has not answered while the copy became too old: as if it had said so. */
+static void
+on_direct (DlTimer *timer, void *data)
+{
+  DlObjectWatch *watch = data;
+
+  TALLOC_FREE (watch->direct_timer);
+  dl_hedged_watch_ignore (watch->hedged);
+  retry_without_relay (watch, &(DlObjectResult){ .error = DL_ERR_UNAVAILABLE,
+                                                 .responded = true });
+}
+
+/* Sets the time up to which the reader may answer the watch that is sent to it. */
+static void
+limit_reader (DlObjectWatch *watch)
+{
+  uint64_t delay_ms = watch->via_relay ? direct_delay_ms (watch) : UINT64_MAX;
+
+  TALLOC_FREE (watch->direct_timer);
+  if (delay_ms != UINT64_MAX)
+    watch->direct_timer
+        = dl_timer_subscribe (watch->task, watch, delay_ms, 0, on_direct, watch);
+}
+
 static void
 send_watch (DlObjectWatch *watch)
 {
   choose_server (watch);
   watch->sent_wait_ms = wait_ms (watch);
   watch->is_refreshing = false;
+  limit_reader (watch);
   dl_hedged_watch_send (watch->hedged, &(DlWatchRequest){
                                            .server = watch->server,
                                            .kind = watch->options.kind,
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -47,6 +47,9 @@
    * to other nodes.  Either may be NULL. */
   DlRelaySource *source;
   DlObjectRelay *relay;
+  /* Time within which a change takes effect at this node, for which SOURCE turns to the
+   * store when no reader is current; 0: any. */
+  uint64_t apply_ms;
   /* In place of wait_ms and pause_ms while other nodes ask this process. */
   uint64_t reader_wait_ms;
   uint64_t reader_pause_ms;
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -32,6 +32,7 @@
 typedef struct
 {
   const DlRelaySource *source;
+  const char *kind;    /* of the objects that are wanted */
   bool may_be_unready; /* whether to add those that do not accept requests */
   GPtrArray *names;
   GPtrArray *relays;
@@ -44,20 +45,22 @@
 
   if ((!peer->ready && !candidates->may_be_unready) || peer->relay == NULL
       || !dl_reader_health_may_ask (candidates->source->reader_health, peer->relay,
-                                    dl_clock_ms ())
+                                    candidates->kind, dl_clock_ms ())
       || strcmp (peer->region, candidates->source->settings->region) != 0)
     return;
   g_ptr_array_add (candidates->names, (gpointer)peer->name);
   g_ptr_array_add (candidates->relays, (gpointer)peer->relay);
 }
 
-/* Returns the relay address of the entry to ask, which is valid until the event loop runs
- * again; NULL for the store.  *OTHERS is set to how many may be asked. */
+/* Returns the relay address of the entry to ask for objects of KIND, which is valid until
+ * the event loop runs again; NULL for the store.  *OTHERS is set to how many may be
+ * asked. */
 static const char *
-choose_relay (const DlRelaySource *source, unsigned *others)
+choose_relay (const DlRelaySource *source, const char *kind, unsigned *others)
 {
   Candidates candidates = {
     .source = source,
+    .kind = kind,
     .names = g_ptr_array_new (),
     .relays = g_ptr_array_new (),
   };
@@ -113,7 +116,7 @@
 }
 
 bool
-dl_relay_source_must_wait (const DlRelaySource *source)
+dl_relay_source_must_wait (const DlRelaySource *source, const char *kind)
 {
   unsigned others;
 
@@ -123,11 +126,33 @@
     return true;
   if (!dl_peers_is_large (source->peers) || is_first_to_read (source))
     return false;
-  return choose_relay (source, &others) == NULL;
+  return choose_relay (source, kind, &others) == NULL;
+}
+
+static DlReaderCopy
+copy_of (const DlRelaySource *source, const DlRelayWant *want)
+{
+  return (DlReaderCopy){
+    .kind = want->kind,
+    .synced_ms = want->synced_ms,
+    .apply_ms = want->apply_ms,
+    .position = dl_peers_position_registered (source->peers),
+  };
+}
+
+uint64_t
+dl_relay_source_direct_ms (const DlRelaySource *source, const DlRelayWant *want)
+{
+  DlReaderCopy copy;
+
+  if (source->peers == NULL)
+    return UINT64_MAX;
+  copy = copy_of (source, want);
+  return dl_reader_health_direct_ms (source->reader_health, &copy);
 }
 
 DlObjectClient *
-dl_relay_source_choose (DlRelaySource *source, bool *is_reader)
+dl_relay_source_choose (DlRelaySource *source, const DlRelayWant *want, bool *is_reader)
 {
   DlObjectClient *client;
   const char *relay;
@@ -136,11 +161,12 @@
   *is_reader = false;
   if (source->peers == NULL)
     return NULL;
-  relay = choose_relay (source, &others);
+  relay = choose_relay (source, want->kind, &others);
   *is_reader
       = source->is_entry && relay == NULL && (others > 0 || is_first_to_read (source));
   if (relay == NULL
-      || dl_reader_health_must_use_store (source->reader_health, dl_clock_ms ()))
+      || dl_reader_health_must_use_store (source->reader_health, dl_clock_ms ())
+      || dl_clock_ms () >= dl_relay_source_direct_ms (source, want))
     return NULL;
   client = get_client (source, relay);
   if (client != source->chosen)
@@ -158,8 +184,8 @@
   bool is_new;
   uint64_t backoff_ms
       = failure->is_stale
-            ? dl_reader_health_stale (source->reader_health, relay, dl_clock_ms (),
-                                      &is_new)
+            ? dl_reader_health_stale (source->reader_health, relay, failure->kind,
+                                      dl_clock_ms (), &is_new)
             : dl_reader_health_failed (source->reader_health, relay, dl_random_uint64 (),
                                        dl_clock_ms (), &is_new);
 
@@ -172,9 +198,20 @@
 }
 
 void
-dl_relay_source_report_success (DlRelaySource *source)
+dl_relay_source_report_success (DlRelaySource *source, const char *kind)
+{
+  dl_reader_health_succeeded (source->reader_health, kind);
+}
+
+void
+dl_relay_source_report_store_failure (DlRelaySource *source, const DlRelayWant *want)
 {
-  dl_reader_health_succeeded (source->reader_health);
+  DlReaderCopy copy;
+
+  if (source->peers == NULL)
+    return;
+  copy = copy_of (source, want);
+  dl_reader_health_store_failed (source->reader_health, &copy, dl_clock_ms ());
 }
 
 void
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -26,12 +26,24 @@
 /* Sets the peers, among which the readers are chosen; they are created after the source.
  */
 void dl_relay_source_set_peers (DlRelaySource *source, const struct DlPeers *peers);
+/* What a node wants to read, and how current its copy is. */
+typedef struct
+{
+  const char *kind;   /* of the objects */
+  uint64_t synced_ms; /* the copy was current then; 0: there is none */
+  uint64_t apply_ms;  /* time within which a change takes effect; 0: any */
+} DlRelayWant;
+
 /* True while this node, which has just started in a large fleet, should wait for a reader
- * instead of reading the store. */
-bool dl_relay_source_must_wait (const DlRelaySource *source);
+ * of KIND instead of reading the store. */
+bool dl_relay_source_must_wait (const DlRelaySource *source, const char *kind);
+/* Time (dl_clock_ms) from which this entry reads the store itself for WANT, whatever the
+ * readers answer; UINT64_MAX for never. */
+uint64_t dl_relay_source_direct_ms (const DlRelaySource *source, const DlRelayWant *want);
 /* Returns the reader to ask, owned by SOURCE; NULL to ask the store.  *IS_READER is
  * set to whether this entry reads the store for other nodes. */
-DlObjectClient *dl_relay_source_choose (DlRelaySource *source, bool *is_reader);
+DlObjectClient *
+dl_relay_source_choose (DlRelaySource *source, const DlRelayWant *want, bool *is_reader);
 
 /* Why a reader was of no use. */
 typedef struct
@@ -46,7 +58,10 @@
 uint64_t dl_relay_source_report_failure (DlRelaySource *source,
                                          const DlObjectClient *reader,
                                          const DlReaderFailure *failure);
-/* The reader that was chosen answered. */
-void dl_relay_source_report_success (DlRelaySource *source);
+/* The reader that was chosen answered with objects of KIND. */
+void dl_relay_source_report_success (DlRelaySource *source, const char *kind);
+/* The store did not answer a request for WANT. */
+void dl_relay_source_report_store_failure (DlRelaySource *source,
+                                           const DlRelayWant *want);
 
 #endif
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -78,19 +78,43 @@
 
 /* -------- readers that failed -------- */
 
+/* Readers whose copies of one kind of objects are too old. */
+typedef struct
+{
+  GHashTable *avoided;   /* reader's name to the time until which it is not asked */
+  unsigned stale;        /* consecutive */
+  uint64_t direct_at_ms; /* the store did not answer: it is not read before; 0: it did */
+} KindHealth;
+
 struct DlReaderHealth
 {
   bool is_entry;
-  GHashTable *avoided; /* reader's name to the time until which it is not asked */
+  GHashTable *avoided; /* as in KindHealth, for all kinds */
+  GHashTable *kinds;   /* name to KindHealth */
   unsigned failures;   /* consecutive */
-  unsigned stale;      /* consecutive, of copies that are too old */
   uint64_t store_until_ms;
 };
 
+static GHashTable *
+avoided_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+kind_free (gpointer data)
+{
+  KindHealth *kind = data;
+
+  g_hash_table_destroy (kind->avoided);
+  g_free (kind);
+}
+
 static int
 health_destroy (DlReaderHealth *health)
 {
   g_hash_table_destroy (health->avoided);
+  g_hash_table_destroy (health->kinds);
   return 0;
 }
 
@@ -101,19 +125,43 @@
 
   g_assert (health != NULL);
   health->is_entry = is_entry;
-  health->avoided = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  health->avoided = avoided_new ();
+  health->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, kind_free);
   talloc_set_destructor (health, health_destroy);
   return health;
 }
 
+static KindHealth *
+get_kind (DlReaderHealth *health, const char *name)
+{
+  KindHealth *kind = g_hash_table_lookup (health->kinds, name);
+
+  if (kind != NULL)
+    return kind;
+  kind = g_new0 (KindHealth, 1);
+  kind->avoided = avoided_new ();
+  g_hash_table_insert (health->kinds, g_strdup (name), kind);
+  return kind;
+}
+
+static bool
+is_avoided (GHashTable *avoided, const char *reader, uint64_t now_ms)
+{
+  const uint64_t *until_ms = g_hash_table_lookup (avoided, reader);
+
+  return until_ms != NULL && now_ms < *until_ms;
+}
+
 bool
 dl_reader_health_may_ask (const DlReaderHealth *health,
                           const char *reader,
+                          const char *kind,
                           uint64_t now_ms)
 {
-  const uint64_t *until_ms = g_hash_table_lookup (health->avoided, reader);
+  const KindHealth *of_kind = g_hash_table_lookup (health->kinds, kind);
 
-  return until_ms == NULL || now_ms >= *until_ms;
+  return !is_avoided (health->avoided, reader, now_ms)
+         && (of_kind == NULL || !is_avoided (of_kind->avoided, reader, now_ms));
 }
 
 bool
@@ -124,15 +172,15 @@
 
 /* Returns false when the reader was being avoided already. */
 static bool
-avoid (DlReaderHealth *health, const char *reader, uint64_t avoid_ms, uint64_t now_ms)
+avoid (GHashTable *avoided, const char *reader, uint64_t avoid_ms, uint64_t now_ms)
 {
   uint64_t *until_ms;
 
-  if (!dl_reader_health_may_ask (health, reader, now_ms))
+  if (is_avoided (avoided, reader, now_ms))
     return false;
   until_ms = g_new (uint64_t, 1);
   *until_ms = now_ms + avoid_ms;
-  g_hash_table_replace (health->avoided, g_strdup (reader), until_ms);
+  g_hash_table_replace (avoided, g_strdup (reader), until_ms);
   return true;
 }
 
@@ -143,7 +191,7 @@
                          uint64_t now_ms,
                          bool *is_new)
 {
-  *is_new = avoid (health, reader, DL_READER_AVOID_MS, now_ms);
+  *is_new = avoid (health->avoided, reader, DL_READER_AVOID_MS, now_ms);
   health->failures += *is_new;
   if (!health->is_entry)
     return DL_READER_NODE_BACKOFF_MS;
@@ -160,20 +208,60 @@
 uint64_t
 dl_reader_health_stale (DlReaderHealth *health,
                         const char *reader,
+                        const char *kind,
                         uint64_t now_ms,
                         bool *is_new)
 {
-  *is_new = avoid (health, reader, DL_READER_STALE_AVOID_MS, now_ms);
-  health->stale += *is_new;
+  KindHealth *of_kind = get_kind (health, kind);
+
+  *is_new = avoid (of_kind->avoided, reader, DL_READER_STALE_AVOID_MS, now_ms);
+  of_kind->stale += *is_new;
   if (!health->is_entry)
     return DL_READER_NODE_BACKOFF_MS;
-  return health->stale < DL_READER_FAILURES_MAX ? DL_READER_BACKOFF_MS
-                                                : DL_READER_STALE_BACKOFF_MS;
+  return of_kind->stale < DL_READER_FAILURES_MAX ? DL_READER_BACKOFF_MS
+                                                 : DL_READER_STALE_BACKOFF_MS;
 }
 
 void
-dl_reader_health_succeeded (DlReaderHealth *health)
+dl_reader_health_succeeded (DlReaderHealth *health, const char *kind)
 {
+  KindHealth *of_kind = get_kind (health, kind);
+
   health->failures = 0;
-  health->stale = 0;
+  of_kind->stale = 0;
+  of_kind->direct_at_ms = 0;
+}
+
+/* -------- reading the store without a reader -------- */
+
+#define PERCENT 100
+
+/* The part of SPREAD after which it is the turn of the entry at POSITION. */
+static uint64_t
+turn (uint64_t spread, size_t position)
+{
+  return spread * (position % DL_ENTRIES_PER_READER) / DL_ENTRIES_PER_READER;
+}
+
+uint64_t
+dl_reader_health_direct_ms (const DlReaderHealth *health, const DlReaderCopy *copy)
+{
+  const KindHealth *of_kind = g_hash_table_lookup (health->kinds, copy->kind);
+  uint64_t age_ms = copy->apply_ms * DL_READER_DIRECT_PERCENT / PERCENT;
+  uint64_t spread_ms = copy->apply_ms * DL_READER_DIRECT_SPREAD_PERCENT / PERCENT;
+
+  if (!health->is_entry || copy->synced_ms == 0 || copy->apply_ms == 0)
+    return UINT64_MAX;
+  age_ms += turn (spread_ms, copy->position);
+  return MAX (copy->synced_ms + age_ms, of_kind != NULL ? of_kind->direct_at_ms : 0);
+}
+
+void
+dl_reader_health_store_failed (DlReaderHealth *health,
+                               const DlReaderCopy *copy,
+                               uint64_t now_ms)
+{
+  get_kind (health, copy->kind)->direct_at_ms
+      = now_ms + DL_READER_DIRECT_RETRY_MS
+        + turn (DL_READER_DIRECT_SPREAD_MS, copy->position);
 }
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -10,6 +10,12 @@
  * that briefly disagree on which entries are up only cost an extra call to the store or
  * to each other.
  *
+ * A reader may be behind the store, and then so are the nodes that ask it.  An entry's
+ * copy has a bound, the time within which a change takes effect.  When most of that is
+ * over, the entry reads the store itself, whatever the readers say.  The entries of a
+ * region do so one after the other, by rank, so that those behind find a fresh copy at
+ * those before them.
+ *
  * No I/O: times are milliseconds passed in by the caller.
  */
 #ifndef DL_READERS_H
@@ -45,8 +51,8 @@
 
 /* A reader that failed is not asked again for this long; another one is. */
 #define DL_READER_AVOID_MS 4000
-/* A reader that responded, but whose copy is too old, is asked again after this time: it
- * waits for the store as this node would. */
+/* A reader that responded, but whose copy is too old, is asked again for the same kind of
+ * objects after this time: it waits for the store as this node would. */
 #define DL_READER_STALE_AVOID_MS 1000
 /* Backoff after DL_READER_FAILURES_MAX such in a row: then the store may be out of reach,
  * and the nodes of a region should not ask each other all the time. */
@@ -61,6 +67,23 @@
 #define DL_READER_JITTER_MS 1200
 /* Backoff of nodes that are not entries, which can wait longer. */
 #define DL_READER_NODE_BACKOFF_MS 2000
+/* Part of the time for a change after which the first entry of a region reads the store
+ * itself; DL_ENTRIES_PER_READER of them do within the spread. */
+#define DL_READER_DIRECT_PERCENT        70
+#define DL_READER_DIRECT_SPREAD_PERCENT 10
+/* An entry that the store did not answer asks readers for this long, and a part of the
+ * spread by its rank, so that not all read it at the end of an outage. */
+#define DL_READER_DIRECT_RETRY_MS  1500
+#define DL_READER_DIRECT_SPREAD_MS 1500
+
+/* An entry's copy of the objects of one kind. */
+typedef struct
+{
+  const char *kind;
+  uint64_t synced_ms; /* it was current then; 0: there is none */
+  uint64_t apply_ms;  /* time within which a change takes effect; 0: any */
+  size_t position;    /* entries of the region that rank before this one */
+} DlReaderCopy;
 
 /* Records which readers failed recently. */
 typedef struct DlReaderHealth DlReaderHealth;
@@ -75,18 +98,29 @@
                                   uint64_t random,
                                   uint64_t now_ms,
                                   bool *is_new);
-/* Records that READER responded that its copy is too old; otherwise as the above.  This
- * is no reason to turn to the store, whose link may be what delays the reader. */
+/* Records that READER's copy of the objects of KIND is too old; otherwise as the above.
+ * This alone is no reason to turn to the store, whose link may be what delays the reader:
+ * see dl_reader_health_direct_ms. */
 uint64_t dl_reader_health_stale (DlReaderHealth *health,
                                  const char *reader,
+                                 const char *kind,
                                  uint64_t now_ms,
                                  bool *is_new);
-/* Records that a reader responded, which ends a run of consecutive failures. */
-void dl_reader_health_succeeded (DlReaderHealth *health);
-/* True when READER is not being avoided. */
+/* Records that a reader gave out objects of KIND, which ends a run of consecutive
+ * failures. */
+void dl_reader_health_succeeded (DlReaderHealth *health, const char *kind);
+/* True when READER is not being avoided for objects of KIND. */
 bool dl_reader_health_may_ask (const DlReaderHealth *health,
                                const char *reader,
+                               const char *kind,
                                uint64_t now_ms);
+/* Time from which this entry reads the store itself for COPY; UINT64_MAX for never. */
+uint64_t dl_reader_health_direct_ms (const DlReaderHealth *health,
+                                     const DlReaderCopy *copy);
+/* Records that the store did not answer this entry, which wanted to renew COPY. */
+void dl_reader_health_store_failed (DlReaderHealth *health,
+                                    const DlReaderCopy *copy,
+                                    uint64_t now_ms);
 /* True when an entry must ask the store instead of any reader. */
 bool dl_reader_health_must_use_store (const DlReaderHealth *health, uint64_t now_ms);
 
