An entry that hears that the store answers others serves no longer than a change may take

An entry served by a table until its proof was revoke_ms - 500 old, 4.5 s, whatever the time for a configuration; requests without a key by a table of any age. So an entry whose own reads failed, or came late, ran in touch what a change forbade 2.0, 3.0 or 4.0 s before. Whether the store is away is told by the others: statuses of entries say when they last heard it. While it has answered some entry without a gap of 1.5 s for apply_ms and 500 ms more, an entry whose proof is apply_ms old refuses every request (503, with a time to come back) and is not ready. In an outage, and for that time after it, the bound for keys holds as before: to refuse at the nearer bound then would end all service while the table can hardly be replaced. Ruled out: the nearer bound at all times, which would refuse 2.5 s more of each outage on the first sites.

--- a/daisydirectd/daisydirectd.c
+++ b/daisydirectd/daisydirectd.c
@@ -35,6 +35,21 @@
   return s->revoke_ms - STALE_RESERVE_MS;
 }
 
+DlRoutingTrust
+direct_routing_trust (const DlNodeSettings *s,
+                      uint64_t proven_ms,
+                      const DlStoreHeard *heard)
+{
+  const DlRoutingTrustQuery query = {
+    .proven_ms = proven_ms,
+    .heard = heard,
+    .apply_ms = s->apply_ms,
+    .keys_max_age_ms = direct_routing_max_age_ms (s),
+  };
+
+  return dl_routing_trust (&query, dl_clock_ms ());
+}
+
 static int
 check_settings (const void *context, char **error)
 {
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -18,6 +18,7 @@
 #include "node/upstream_entry.h"
 #include "policy/quarantine.h"
 #include "policy/routing.h"
+#include "policy/routing_trust.h"
 #include "policy/version_floor.h"
 
 /* Types of messages between the tasks. */
@@ -30,6 +31,7 @@
   DIRECT_TARGET_VERSION,         /* the store has a new target version */
   DIRECT_VERSION_FLOOR,          /* more is known of the announcements of versions */
   DIRECT_ROUTING_PROOF,          /* the routing table was proved to be the newest */
+  DIRECT_STORE_HEARD,            /* when any entry heard the store */
   DIRECT_ENTRIES,                /* the entries that accept requests */
   DIRECT_NO_TARGET,              /* the store was read and has no target version */
   DIRECT_HOLDER,                 /* another node reported which chunks it has */
@@ -99,6 +101,7 @@
     const char *removed_node; /* its name */
     DlVersionFloor floor;
     DirectRoutingProof routing_proof;
+    DlStoreHeard store_heard;
     struct
     {
       /* Addresses for requests: of entries in this entry's region, itself included when
@@ -118,6 +121,11 @@
 const DlNodeSettings *direct_settings (DlTask *task);
 /* Name of ORIGIN in the log. */
 const char *direct_origin_text (const DlObjectOrigin *origin);
+/* Whether requests may be served by a table that was last proved to be the newest at
+ * PROVEN_MS (0: never), when HEARD is known of the store. */
+DlRoutingTrust direct_routing_trust (const DlNodeSettings *settings,
+                                     uint64_t proven_ms,
+                                     const DlStoreHeard *heard);
 /* Age from which a routing table may no longer be used to check API keys. */
 uint64_t direct_routing_max_age_ms (const DlNodeSettings *settings);
 
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -129,12 +129,11 @@
 
 /* -------- admission -------- */
 
-static bool
-is_stale (const Requests *requests)
+static DlRoutingTrust
+trust (const Requests *requests)
 {
-  return requests->routing_proof.proven_ms == 0
-         || dl_clock_ms () - requests->routing_proof.proven_ms
-                >= direct_routing_max_age_ms (requests->settings);
+  return direct_routing_trust (requests->settings, requests->routing_proof.proven_ms,
+                               &requests->store_heard);
 }
 
 /* Checks the sizes of the request; returns false after it was rejected. */
@@ -162,7 +161,7 @@
 
   if (!routing->has_organisations || r->route->open)
     return true;
-  if (is_stale (r->owner))
+  if (trust (r->owner) != DL_ROUTING_TRUSTED)
     {
       direct_request_refuse (r, STALE_RETRY_MS, "no fresh word whether its key holds");
       return false;
@@ -231,6 +230,11 @@
   const DlRouting *routing = r->routing->routing;
   const char *service;
 
+  if (trust (r->owner) == DL_ROUTING_OVERDUE)
+    {
+      direct_request_refuse (r, STALE_RETRY_MS, "the routing table may be replaced");
+      return;
+    }
   r->route = dl_routing_match (routing, r->incoming.host, r->incoming.path);
   if (r->route == NULL)
     {
@@ -381,6 +385,9 @@
     case DIRECT_ROUTING_PROOF:
       requests->routing_proof = m->routing_proof;
       break;
+    case DIRECT_STORE_HEARD:
+      requests->store_heard = m->store_heard;
+      break;
     case DIRECT_ENTRIES:
       direct_dispatch_set_entries (requests, (unsigned)m->entries.same_region_count,
                                    (unsigned)m->entries.other_region_count);
@@ -548,8 +555,9 @@
   .order = 10,
   .subscriptions = MESSAGE (DIRECT_ROUTING) | MESSAGE (DIRECT_UPSTREAM)
                    | MESSAGE (DIRECT_UPSTREAM_REMOVED) | MESSAGE (DIRECT_ENGINE)
-                   | MESSAGE (DIRECT_ROUTING_PROOF) | MESSAGE (DIRECT_VERSION_FLOOR)
-                   | MESSAGE (DIRECT_ENTRIES) | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
+                   | MESSAGE (DIRECT_ROUTING_PROOF) | MESSAGE (DIRECT_STORE_HEARD)
+                   | MESSAGE (DIRECT_VERSION_FLOOR) | MESSAGE (DIRECT_ENTRIES)
+                   | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
                    | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT),
   .start = start,
   .open = open_server,
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -46,6 +46,7 @@
   DlHttpClient *client;
   DirectMessage *routing;           /* the table in effect; NULL before the first */
   DirectRoutingProof routing_proof; /* when it was last known to be the newest */
+  DlStoreHeard store_heard;         /* when any entry heard the store */
   DirectUpstreams *upstreams;
   GHashTable *services;   /* name to Service */
   Request *first;         /* list of all requests in progress */
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -94,6 +94,7 @@
 {
   State *state = data;
 
+  dl_store_heard_returned (&state->heard, dl_clock_ms ());
   direct_routing_table_store_returned (state->routing_table);
 }
 
@@ -312,7 +313,8 @@
          && direct_routing_table_version (state->routing_table) > 0
          && dl_object_watch_synced_ms (state->upstreams_watch) > 0
          && !awaits_engines (state)
-         && dl_clock_ms () - proven_ms < direct_routing_max_age_ms (state->settings);
+         && direct_routing_trust (state->settings, proven_ms, &state->heard)
+                == DL_ROUTING_TRUSTED;
 }
 
 static void
@@ -379,6 +381,16 @@
   state->is_proof_old = is_old;
 }
 
+/* Tells the task of requests when the store was heard. */
+static void
+publish_heard (State *state)
+{
+  DirectMessage *message = direct_message_new (DIRECT_STORE_HEARD);
+
+  message->store_heard = state->heard;
+  dl_kernel_publish (state->kernel, message);
+}
+
 /* Adopts the proof of the routing table when the time that it was withheld for is over.
  */
 static void
@@ -401,6 +413,7 @@
   direct_upstream_list_expire (state->upstream_list);
   check_routing_proof (state);
   watch_routing_proof (state);
+  publish_heard (state);
   refresh_readiness (state);
   refresh_hub (state);
   status_ask_stagers (state);
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -155,6 +155,7 @@
     case DIRECT_ENGINE:
     case DIRECT_VERSION_FLOOR:
     case DIRECT_ROUTING_PROOF:
+    case DIRECT_STORE_HEARD:
     case DIRECT_ENTRIES:
     case DIRECT_HOLDINGS:
     case DIRECT_SIGNATURE_RECORDS:
--- /dev/null
+++ b/lib/policy/routing_trust.h
@@ -0,0 +1,42 @@
+/*
+ * Whether requests may be served by the routing table in effect, by the age of its proof.
+ *
+ * Two times bound that age.  A revoked key is refused everywhere after a longer one, also
+ * by an entry that nothing reaches: from then on requests with keys are refused.  A
+ * change that the store accepted is in effect after a shorter one at every entry that can
+ * reach the store.  An entry whose own reads fail, but which hears that the store answers
+ * others, must not serve anybody beyond the shorter time, since the table may have been
+ * replaced.
+ *
+ * While no entry hears the store the table can hardly be replaced, and to refuse then
+ * would end all service at once.  A change that was accepted after the end of an outage
+ * is overdue only when the shorter time has passed since that end.
+ *
+ * No I/O: times are milliseconds passed in by the caller.
+ */
+#ifndef DL_ROUTING_TRUST_H
+#define DL_ROUTING_TRUST_H
+
+#include "policy/store_heard.h"
+
+/* Entries hear within this time that the store answers again. */
+#define DL_ROUTING_SETTLE_MS 500
+
+typedef enum
+{
+  DL_ROUTING_TRUSTED,
+  DL_ROUTING_KEYS_UNPROVEN, /* a key may have been revoked */
+  DL_ROUTING_OVERDUE,       /* any part may have been replaced */
+} DlRoutingTrust;
+
+typedef struct
+{
+  uint64_t proven_ms;        /* the table was the newest then; 0: not known to be */
+  const DlStoreHeard *heard; /* by any entry */
+  uint64_t apply_ms;         /* the shorter bound */
+  uint64_t keys_max_age_ms;  /* the longer one */
+} DlRoutingTrustQuery;
+
+DlRoutingTrust dl_routing_trust (const DlRoutingTrustQuery *query, uint64_t now_ms);
+
+#endif
--- a/lib/policy/store_heard.c
+++ b/lib/policy/store_heard.c
@@ -10,6 +10,12 @@
   heard->last_ms = heard_ms;
 }
 
+void
+dl_store_heard_returned (DlStoreHeard *heard, uint64_t now_ms)
+{
+  heard->since_ms = now_ms;
+}
+
 uint64_t
 dl_store_heard_for_ms (const DlStoreHeard *heard, uint64_t now_ms)
 {
--- a/lib/policy/store_heard.h
+++ b/lib/policy/store_heard.h
@@ -24,6 +24,8 @@
 
 /* The store answered a request that was sent at HEARD_MS. */
 void dl_store_heard (DlStoreHeard *heard, uint64_t heard_ms);
+/* The store came back from an older copy: an outage has just ended, however short. */
+void dl_store_heard_returned (DlStoreHeard *heard, uint64_t now_ms);
 /* For how long the store has answered without a gap; 0 while it counts as away. */
 uint64_t dl_store_heard_for_ms (const DlStoreHeard *heard, uint64_t now_ms);
 
--- a/regress/unit/test_store_heard.c
+++ b/regress/unit/test_store_heard.c
@@ -36,10 +36,23 @@
   CU_ASSERT_EQUAL (dl_store_heard_for_ms (&heard, back_ms + 700), 700);
 }
 
+static void
+test_return_from_an_older_copy_begins_a_new_span (void)
+{
+  DlStoreHeard heard = { 0 };
+
+  dl_store_heard (&heard, START_MS);
+  dl_store_heard_returned (&heard, START_MS + 200);
+  dl_store_heard (&heard, START_MS + 300);
+  CU_ASSERT_EQUAL (dl_store_heard_for_ms (&heard, START_MS + 900), 700);
+}
+
 static const CU_TestInfo tests[] = {
   { "a store never heard counts as away", test_store_never_heard_counts_as_away },
   { "answers without a gap", test_answers_without_a_gap },
   { "a gap begins a new span", test_gap_begins_a_new_span },
+  { "a return from an older copy begins a new span",
+    test_return_from_an_older_copy_begins_a_new_span },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("store heard", tests)
