A response whose first line tells no status is no answer

Callers got 600, 700 and 999 as answers, with and without the seal, on safe and unsafe routes; also 101, which no request asks for, and 200 from a line without the space behind it or with two before it. 000, 042, 099, 1000, -20 and 2x0 were refused, but by libcurl's own reading, which another release may change. The client of all programs reads the first line itself now: "HTTP/", a version, a space, three digits from 100 to 599 but not 101, and a space or the end. Anything else ends the call as malformed, so that the store's, stagers' and other entries' answers are judged alike; at an upstream it counts as an attempt that may have run: 502, or another upstream where that is allowed.

--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -12,6 +12,11 @@
 #include "kernel/metrics.h"
 
 #define BODY_DEFAULT_MAX_BYTES (1u << 20)
+/* Statuses that a response may have. */
+#define STATUS_DIGITS          3
+#define STATUS_MIN             100
+#define STATUS_MAX             599
+#define STATUS_SWITCHING       101
 #define HEAD_DEFAULT_MAX_BYTES (32u << 10)
 #define HEAD_MAX_LINES         256u
 /* Bytes of chunk lengths and extensions with no body byte in between. */
@@ -179,6 +184,26 @@
   return !call->head_reported && dl_str_has_prefix (line, DL_STR_LITERAL ("HTTP/"));
 }
 
+/* True when LINE, the first one of a response, tells a status that a response may have:
+ * "HTTP/", a version, a space, three digits from 100 to 599, and a space or the end.  101
+ * is none, as no request asks for another protocol. */
+static bool
+has_status (DlStr line)
+{
+  size_t at = strlen ("HTTP/");
+  unsigned status = 0;
+  size_t digits = 0;
+
+  while (at < line.length && line.data[at] != ' ')
+    at++;
+  for (at++; at < line.length && g_ascii_isdigit (line.data[at]); at++, digits++)
+    status = status * 10 + (unsigned)g_ascii_digit_value (line.data[at]);
+  if (digits != STATUS_DIGITS
+      || (at < line.length && strchr (" \r\n", line.data[at]) == NULL))
+    return false;
+  return status >= STATUS_MIN && status <= STATUS_MAX && status != STATUS_SWITCHING;
+}
+
 static bool
 is_blank (DlStr line)
 {
@@ -201,10 +226,16 @@
 on_header (char *data, size_t size, size_t n, void *user)
 {
   DlHttpCall *call = user;
+  DlStr line = dl_str_bytes (data, size * n);
   size_t limit = call->options.max_head_bytes > 0 ? call->options.max_head_bytes
                                                   : HEAD_DEFAULT_MAX_BYTES;
 
-  note_head_line (call, dl_str_bytes (data, size * n));
+  note_head_line (call, line);
+  if (is_status_line (call, line) && !has_status (line))
+    {
+      call_note_invalid (call, DL_ERR_MALFORMED, "a status that is none");
+      return CURL_WRITEFUNC_ERROR;
+    }
   call->framing_bytes = 0;
   call->head_bytes += size * n;
   call->head_lines++;
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -8,7 +8,8 @@
  * A peer may send bytes that are no response, without end.  The call then ends with
  * DL_ERR_MALFORMED or DL_ERR_TOO_LARGE, and its connection is closed, as soon as its
  * heads and trailers, the framing of its chunks, or the body that it collects exceed
- * their limits.
+ * their limits.  It ends with DL_ERR_MALFORMED as well when the first line tells no
+ * status from 100 to 599, or 101: libcurl takes other numbers, too.
  */
 #ifndef DL_HTTP_CLIENT_H
 #define DL_HTTP_CLIENT_H
--- a/regress/direct/heads.c
+++ b/regress/direct/heads.c
@@ -1,5 +1,5 @@
 /*
- * Tests of responses whose connection ends within the head.
+ * Tests of responses whose connection ends within the head, or whose status is none.
  */
 #include <glib.h>
 
@@ -72,7 +72,42 @@
                                              .status = routes[k].status });
 }
 
+/* Each with the whole head and body of an answer. */
+static const char *const status_lines[] = {
+  "HTTP/1.1 000",           "HTTP/1.1 000 No",  "HTTP/1.1 042 No",  "HTTP/1.1 099 No",
+  "HTTP/1.1 99 No",         "HTTP/1.1 600 No",  "HTTP/1.1 999 No",  "HTTP/1.1 1000 No",
+  "HTTP/1.1 2x0 OK",        "HTTP/1.1 -20 OK",  "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK",
+  "HTTP/1.1 200OK",         "HTTP/1.1  200 OK", "HTTP/1.1",         "HTTP/1.1 ",
+  "HTTP/1.1 101 Switching", "HTTP/1.0 600 No",  "HTTP/1.1 700",     "HTTP/1.1 20 OK",
+};
+static const char *const status_heads[] = {
+  OWN_ID SEAL TEXT "Content-Length: 4\r\n\r\nelse",
+  OWN_ID TEXT "Content-Length: 4\r\n\r\nelse",
+  OWN_ID SEAL TEXT "Transfer-Encoding: chunked\r\n\r\n4\r\nelse\r\n0\r\n\r\n",
+  OWN_ID SEAL EVENTS "Transfer-Encoding: chunked\r\n\r\n1a\r\nid: 1\ndata: of another "
+                     "one\n\n\r\n0\r\n\r\n",
+};
+
+static void
+test_status_that_is_none_was_forwarded_as_an_answer (Testbed *tb)
+{
+  earn_retries (tb);
+  for (size_t i = 0; i < G_N_ELEMENTS (status_lines); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (status_heads); j++)
+      for (size_t k = 0; k < G_N_ELEMENTS (routes); k++)
+        {
+          g_autofree char *bytes
+              = g_strdup_printf ("%s\r\n%s", status_lines[i], status_heads[j]);
+
+          answer_case_play (tb, &(AnswerCase){ .name = status_lines[i],
+                                               .target = routes[k].target,
+                                               .bytes = bytes,
+                                               .status = routes[k].status });
+        }
+}
+
 const TestFunc head_tests[] = {
+  test_status_that_is_none_was_forwarded_as_an_answer,
   test_head_cut_short_was_forwarded_as_whole_response,
   NULL,
 };
