The known objects of a watch are a module of their own

Which objects are known at which revisions, and what a list has shown, is known_objects now; the watch keeps when to ask whom. No change of behaviour.

--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -7,6 +7,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "node/hedged_watch.h"
+#include "node/known_objects.h"
 #include "policy/backoff.h"
 
 #define RETRY_FIRST_MS 150
@@ -30,9 +31,8 @@
   DlTask *task;
   DlObjectClient *client; /* of the store */
   DlObjectWatchOptions options;
-  GHashTable *revisions; /* object name to its revision, stored as a pointer */
-  GHashTable *listed; /* names that the list in progress has shown; NULL while watching */
-  char *list_after;   /* name after which the next page starts; NULL at the first */
+  DlKnownObjects *known;
+  char *list_after;       /* name after which the next page starts; NULL at the first */
   uint64_t list_revision; /* of the first page of the list in progress */
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
@@ -72,73 +72,16 @@
 static void continue_watch (DlObjectWatch *watch);
 static void send_watch (DlObjectWatch *watch);
 
-/* -------- the known objects -------- */
-
-static uint64_t
-known_revision (const DlObjectWatch *watch, const char *name)
-{
-  return (uint64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (watch->revisions, name));
-}
-
 static void
-notify (DlObjectWatch *watch, const DlObject *object)
+on_object (const DlObject *object, void *data)
 {
+  DlObjectWatch *watch = data;
+
   if (watch->options.relay != NULL)
     dl_object_relay_update (watch->options.relay, object);
   watch->options.on_object (object, watch->options.data);
 }
 
-static void
-notify_deleted (DlObjectWatch *watch, const char *name, uint64_t revision)
-{
-  DlObject object = {
-    .kind = (char *)watch->options.kind,
-    .name = (char *)name,
-    .revision = revision,
-    .deleted = true,
-  };
-
-  notify (watch, &object);
-}
-
-static void
-apply_object (DlObjectWatch *watch, const DlObject *object)
-{
-  if (object->revision <= known_revision (watch, object->name))
-    return;
-  if (object->deleted)
-    {
-      if (g_hash_table_remove (watch->revisions, object->name))
-        notify_deleted (watch, object->name, object->revision);
-      return;
-    }
-  g_hash_table_insert (watch->revisions, g_strdup (object->name),
-                       GSIZE_TO_POINTER ((gsize)object->revision));
-  notify (watch, object);
-}
-
-/* Deletes the objects that a complete list did not show; returns their number. */
-static unsigned
-drop_unlisted (DlObjectWatch *watch)
-{
-  GHashTableIter iter;
-  gpointer name;
-  unsigned dropped = 0;
-
-  g_hash_table_iter_init (&iter, watch->revisions);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
-    if (!g_hash_table_contains (watch->listed, name))
-      {
-        char *copy = g_strdup (name);
-
-        g_hash_table_iter_remove (&iter);
-        notify_deleted (watch, copy, watch->list_revision);
-        g_free (copy);
-        dropped++;
-      }
-  return dropped;
-}
-
 static void
 set_contact (DlObjectWatch *watch, int error)
 {
@@ -245,7 +188,7 @@
 
   if (!watch->has_preview)
     send_preview (watch);
-  else if (watch->synced_ms == 0 || watch->listed != NULL)
+  else if (watch->synced_ms == 0 || dl_known_objects_is_listing (watch->known))
     start_list (watch);
   else
     continue_watch (watch);
@@ -310,9 +253,7 @@
 static void
 restart_list (DlObjectWatch *watch)
 {
-  if (watch->listed != NULL)
-    g_hash_table_destroy (watch->listed);
-  watch->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dl_known_objects_begin_list (watch->known);
   TALLOC_FREE (watch->list_after);
 }
 
@@ -377,13 +318,11 @@
 static void
 end_list (DlObjectWatch *watch, uint64_t age_ms)
 {
-  unsigned unlisted = drop_unlisted (watch);
+  unsigned unlisted = dl_known_objects_end_list (watch->known, watch->list_revision);
 
   if (watch->is_relisting)
     end_relisting (watch, unlisted);
   watch->era = dl_object_era_current (dl_object_client_era (watch->client));
-  g_hash_table_destroy (watch->listed);
-  watch->listed = NULL;
   TALLOC_FREE (watch->list_after);
   watch->revision = watch->list_revision;
   if (watch->options.relay != NULL)
@@ -420,10 +359,7 @@
   if (watch->list_after == NULL)
     watch->list_revision = result->revision;
   for (size_t i = 0; i < result->count; i++)
-    {
-      g_hash_table_add (watch->listed, g_strdup (result->objects[i].name));
-      apply_object (watch, &result->objects[i]);
-    }
+    dl_known_objects_list (watch->known, &result->objects[i]);
   if (!result->more || result->count == 0)
     {
       end_list (watch, result->age_ms);
@@ -437,7 +373,7 @@
 static void
 send_list (DlObjectWatch *watch)
 {
-  if (watch->listed == NULL)
+  if (!dl_known_objects_is_listing (watch->known))
     restart_list (watch);
   if (watch->list_after == NULL)
     {
@@ -470,7 +406,7 @@
   watch->has_preview = true;
   set_contact (watch, MIN (result->error, 0));
   for (size_t i = 0; i < result->count; i++)
-    apply_object (watch, &result->objects[i]);
+    dl_known_objects_apply (watch->known, &result->objects[i]);
   start_list (watch);
 }
 
@@ -539,7 +475,7 @@
   set_contact (watch, 0);
   note_origin (watch, result->age_ms);
   for (size_t i = 0; i < result->count; i++)
-    apply_object (watch, &result->objects[i]);
+    dl_known_objects_apply (watch->known, &result->objects[i]);
   watch->revision = MAX (watch->revision, result->revision);
   set_synced (watch, result->age_ms);
   if (watch->via_relay)
@@ -614,17 +550,6 @@
 
 /* -------- eras -------- */
 
-/* Voids the known revisions, but not the names, which the next list is compared with. */
-static void
-void_revisions (DlObjectWatch *watch)
-{
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, watch->revisions);
-  while (g_hash_table_iter_next (&iter, NULL, NULL))
-    g_hash_table_iter_replace (&iter, NULL);
-}
-
 /* Gives up the request in progress and lists the objects again. */
 static void
 on_new_era (void *data)
@@ -633,7 +558,7 @@
   uint64_t spread_ms = watch->options.relist_spread_ms;
 
   give_up_requests (watch);
-  void_revisions (watch);
+  dl_known_objects_void_revisions (watch->known);
   restart_list (watch);
   if (!watch->is_relisting)
     watch->revision_before = watch->revision;
@@ -647,15 +572,6 @@
   run_after (watch, spread_ms > 0 ? dl_random_uint64 () % spread_ms : 0);
 }
 
-static int
-watch_destroy (DlObjectWatch *watch)
-{
-  g_hash_table_destroy (watch->revisions);
-  if (watch->listed != NULL)
-    g_hash_table_destroy (watch->listed);
-  return 0;
-}
-
 DlObjectWatch *
 dl_object_watch_new (DlTask *task,
                      const void *owner,
@@ -668,9 +584,8 @@
   watch->task = task;
   watch->client = client;
   watch->options = *options;
-  watch->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  watch->known = dl_known_objects_new (watch, options->kind, on_object, watch);
   watch->hedged = dl_hedged_watch_new (task, watch, on_watch, watch);
-  talloc_set_destructor (watch, watch_destroy);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
   watch->has_preview = options->preview_after == NULL;
   if (options->first_delay_ms > 0)
@@ -711,7 +626,7 @@
 bool
 dl_object_watch_is_current (const DlObjectWatch *watch)
 {
-  return watch->synced_ms != 0 && watch->listed == NULL;
+  return watch->synced_ms != 0 && !dl_known_objects_is_listing (watch->known);
 }
 
 bool
