--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -29,6 +29,14 @@
     .offset = offsetof (DlNodeSettings, member), .fallback = (default_value), \
   }
 
+/* A time in milliseconds, of at least a second. */
+#define DURATION(member, default_value)                               \
+  {                                                                   \
+    .key = #member, .type = DL_SETTING_UINT,                          \
+    .offset = offsetof (DlNodeSettings, member), .minimum = MS_PER_S, \
+    .maximum = HOUR_MS, .fallback = (default_value),                  \
+  }
+
 const DlSettingSpec dl_node_specs[] = {
   TEXT (name, true),
   TEXT (region, true),
@@ -51,30 +59,9 @@
       .type = DL_SETTING_BOOL,
       .offset = offsetof (DlNodeSettings, bootstrap),
   },
-  {
-      .key = "revoke_ms",
-      .type = DL_SETTING_UINT,
-      .offset = offsetof (DlNodeSettings, revoke_ms),
-      .minimum = MS_PER_S,
-      .maximum = HOUR_MS,
-      .fallback = REVOKE_DEFAULT_MS,
-  },
-  {
-      .key = "apply_ms",
-      .type = DL_SETTING_UINT,
-      .offset = offsetof (DlNodeSettings, apply_ms),
-      .minimum = MS_PER_S,
-      .maximum = HOUR_MS,
-      .fallback = APPLY_DEFAULT_MS,
-  },
-  {
-      .key = "version_ms",
-      .type = DL_SETTING_UINT,
-      .offset = offsetof (DlNodeSettings, version_ms),
-      .minimum = MS_PER_S,
-      .maximum = HOUR_MS,
-      .fallback = VERSION_DEFAULT_MS,
-  },
+  DURATION (revoke_ms, REVOKE_DEFAULT_MS),
+  DURATION (apply_ms, APPLY_DEFAULT_MS),
+  DURATION (version_ms, VERSION_DEFAULT_MS),
   NUMBER (grace_s, GRACE_DEFAULT_S),
   NUMBER (retry_ratio, 0),
   NUMBER (retry_slack, 0),
