--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -31,8 +31,11 @@
 #define REVOCATIONS   3
 #define REQUEST_BYTES 4096
 /* Of each server, so that each entry's share is more than one place. */
-#define SLOTS 64
-/* Stated by the users: a configuration is in force within this time. */
+#define SLOTS   64
+#define LEAVING 0 /* the server that leaves */
+#define BURST   10
+/* Stated by the users: a configuration is in force, and a server that leaves gets nothing
+ * more, within this time. */
 #define APPLY_MS 2000
 /* A revoked key is refused after ERA_REVOKE_MS, less the reserve of an entry. */
 #define REVOKED_MS 4500
@@ -241,6 +244,28 @@
       for (unsigned i = 0; i < ENTRIES; i++)
         CHECK (status_with_key (tb, i, "key2") == 200);
     }
+}
+
+/* Requests that the server LEAVING receives of those that are sent to all entries. */
+static uint64_t
+received_of_burst (Testbed *tb)
+{
+  uint64_t before = recorded (tb->server[LEAVING], "received");
+
+  for (unsigned n = 0; n < BURST; n++)
+    for (unsigned i = 0; i < ENTRIES; i++)
+      CHECK (status_with_key (tb, i, "key1") == 200);
+  return recorded (tb->server[LEAVING], "received") - before;
+}
+
+static void
+test_server_that_leaves_got_requests_after_the_bound (Testbed *tb)
+{
+  CHECK (received_of_burst (tb) > 0);
+  CHECK (testbed_list_server (tb, LEAVING, "draining"));
+  g_usleep (APPLY_MS * 1000);
+  CHECK (received_of_burst (tb) == 0);
+  CHECK (testbed_list_server (tb, LEAVING, "ready"));
   stop_readers (tb, true);
 }
 
@@ -320,6 +345,7 @@
 const TestFunc stale_reader_tests[] = {
   test_readers_with_old_copies_kept_an_entry_from_the_store,
   test_revoked_key_outlived_the_bound_of_a_configuration,
+  test_server_that_leaves_got_requests_after_the_bound,
   NULL,
 };
 
