Entries of a region that read the store themselves do so further apart

A table of 1,651 routes takes some 60 ms on a link of 27 Mbit/s, uncompressed as the store sends it; with turns of 10 ms for thirty entries of a region they would all have asked for it before the first had it. Turns are 15 % of the time for a change now, 20 ms on the large site. Unit readers: the oldest copy leaves 200 ms for the call, stated as such; regions of 1 to 60 entries green.

--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -70,7 +70,7 @@
 /* Part of the time for a change after which the first entry of a region reads the store
  * itself; DL_ENTRIES_PER_READER of them do within the spread. */
 #define DL_READER_DIRECT_PERCENT        70
-#define DL_READER_DIRECT_SPREAD_PERCENT 10
+#define DL_READER_DIRECT_SPREAD_PERCENT 15
 /* An entry that the store did not answer asks readers for this long, and a part of the
  * spread by its rank, so that not all read it at the end of an outage. */
 #define DL_READER_DIRECT_RETRY_MS  1500
