The beginning of an outage does not count as a store that answers others only

Cause: as an outage begins, another entry's last proof may be some 0.5 s younger than one's own; 2.0 s after the own proof that answer was still within the 1.5 s for which the store counts as heard.

--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -210,14 +210,17 @@
   return abandon_ms != 0 && r->deadline_ms > abandon_ms;
 }
 
-/* Logs a request that is accepted by a table which may have been replaced. */
+/* Logs a request that is accepted by a table which may have been replaced, unless that is
+ * for an outage of the store. */
 static void
 note_old_table (const Request *r)
 {
   const DirectRoutingProof *proof = &r->owner->routing_proof;
-  uint64_t age_ms = dl_clock_ms () - proof->proven_ms;
+  uint64_t now_ms = dl_clock_ms ();
+  uint64_t age_ms = now_ms - proof->proven_ms;
 
-  if (age_ms >= r->owner->settings->apply_ms)
+  if (age_ms >= r->owner->settings->apply_ms
+      && dl_store_heard_for_ms (&r->owner->store_heard, now_ms) > 0)
     dl_log (DL_EVENT_REQUEST_OLD_TABLE, DL_TEXT ("request", r->incoming.id),
             DL_UINT ("routing", r->routing->routing->version), DL_UINT ("age_ms", age_ms),
             DL_TEXT ("reader", direct_origin_text (&proof->origin)),
--- a/lib/policy/routing_trust.h
+++ b/lib/policy/routing_trust.h
@@ -21,6 +21,10 @@
 
 /* Entries hear within this time that the store answers again. */
 #define DL_ROUTING_SETTLE_MS 500
+/* An answer to another entry tells that this one's reads fail when it is younger than the
+ * proof by this part of the shorter time; while all reads succeed, proofs of entries
+ * differ by less, and so they do at the beginning of an outage. */
+#define DL_ROUTING_AHEAD_PERCENT 60
 
 typedef enum
 {
