Tests that play entries share their names and statuses

Group fleet and group stale-readers chose names by rank and filled and sent the same status; played.c does that for both. Sockets that listen are opened by dl_listen.

--- a/regress/direct/fleet.c
+++ b/regress/direct/fleet.c
@@ -26,7 +26,7 @@
 
 typedef struct
 {
-  char name[24];
+  char name[PLAYED_NAME_BYTES];
   const char *region;
   char *address;
   char *listen;
@@ -45,32 +45,16 @@
 
 static Played played[PLAYED];
 
-static uint64_t
-least_real_rank (void)
-{
-  return MIN (dl_fanout_rank ("entry-1"), dl_fanout_rank ("entry-2"));
-}
-
-/* Gives each a name that ranks behind the real entries. */
 static void
-choose_names (void)
+set_up (Testbed *tb)
 {
   unsigned n = 0;
 
-  for (unsigned i = 0; i < PLAYED; i++)
-    do
-      g_snprintf (played[i].name, sizeof played[i].name, "played-%u", n++);
-    while (dl_fanout_rank (played[i].name) >= least_real_rank ());
-}
-
-static void
-set_up (Testbed *tb)
-{
-  choose_names ();
   for (unsigned i = 0; i < PLAYED; i++)
     {
       Played *p = &played[i];
 
+      played_choose_name (p->name, &n, false);
       p->region = i % 2 == 0 ? "r1" : "r2";
       p->address
           = g_strdup_printf ("%s.%u:" PLAYED_NODE_PORT, tb->subnet, FIRST_HOST + i);
@@ -101,26 +85,7 @@
 static Daisyloft__Wire__NodeStatus
 status_of (Played *p)
 {
-  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
-
-  status.name = p->name;
-  status.incarnation = 77;
-  status.number = ++p->number;
-  status.role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
-  status.ready = true;
-  status.not_hub = true;
-  return status;
-}
-
-/* Sends the status of P to the real entries and stagers, as one of their region would. */
-static void
-send_status (const Testbed *tb, Played *p)
-{
-  static const unsigned hosts[] = { 21, 22, 11, 12 };
-  Daisyloft__Wire__NodeStatus status = status_of (p);
-
-  for (size_t i = 0; i < G_N_ELEMENTS (hosts); i++)
-    send_packed (p, tb, hosts[i], &status);
+  return played_status (p->name, ++p->number);
 }
 
 /* -------- receiving -------- */
@@ -189,7 +154,11 @@
       for (unsigned i = 0; i < PLAYED; i++)
         {
           if (ms % STATUS_MS == 0 && !played[i].silent)
-            send_status (tb, &played[i]);
+            {
+              Daisyloft__Wire__NodeStatus status = status_of (&played[i]);
+
+              played_tell_region (tb, played[i].fd, &status);
+            }
           receive_all (&played[i]);
         }
       g_usleep (STEP_MS * 1000);
--- a/regress/direct/played.h
+++ b/regress/direct/played.h
@@ -3,6 +3,7 @@
 #define DIRECT_PLAYED_H
 
 #include "direct.h"
+#include "kernel/wire.pb-c.h"
 
 #define PLAYED_NODE_PORT      "7700"
 #define PLAYED_DATAGRAM_BYTES 1400
@@ -12,6 +13,17 @@
 /* Sends LENGTH bytes to the node whose address ends with HOST. */
 void played_send (
     const Testbed *testbed, int fd, unsigned host, const void *bytes, size_t length);
+/* The status of the ready entry NAME, borrowed, which fetches no weights for others;
+ * NUMBER rises with each that is sent. */
+Daisyloft__Wire__NodeStatus played_status (char *name, uint64_t number);
+/* Sends STATUS to the real entries and stagers, as an entry of their region would. */
+void played_tell_region (const Testbed *testbed,
+                         int fd,
+                         const Daisyloft__Wire__NodeStatus *status);
+#define PLAYED_NAME_BYTES 24
+/* Fills NAME with the next one after *N that ranks before both real entries, or behind
+ * both of them. */
+void played_choose_name (char name[PLAYED_NAME_BYTES], unsigned *n, bool ranks_before);
 /* Name of the store's object of the entry NAME of REGION, for g_free. */
 char *played_object (const char *region, const char *name);
 /* What the store says of an entry, whose data centre has its region's name. */
--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -14,7 +14,7 @@
 
 #include "direct.h"
 #include "kernel/address.h"
-#include "kernel/wire.pb-c.h"
+#include "kernel/listen.h"
 #include "played.h"
 #include "policy/fanout.h"
 
@@ -48,7 +48,7 @@
 
 typedef struct
 {
-  char name[24];
+  char name[PLAYED_NAME_BYTES];
   char *address; /* of its datagrams */
   char *relay;   /* where it refuses */
   char *listen;
@@ -69,37 +69,19 @@
 listen_at (const char *address)
 {
   struct sockaddr_in at;
-  int on = 1;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-  if (fd < 0 || dl_address_parse (dl_str (address), &at) < 0
-      || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0
-      || bind (fd, (const struct sockaddr *)&at, sizeof at) < 0
-      || listen (fd, SOMAXCONN) < 0)
-    return -1;
-  return fd;
+
+  return dl_address_parse (dl_str (address), &at) == 0 ? dl_listen (&at, SOMAXCONN) : -1;
 }
 
 static void
 send_status (Reader *r)
 {
-  static const unsigned hosts[] = { 21, 22, 11, 12 };
-  Daisyloft__Wire__NodeStatus status = DAISYLOFT__WIRE__NODE_STATUS__INIT;
+  Daisyloft__Wire__NodeStatus status = played_status (r->name, ++r->number);
   Daisyloft__Wire__StoreHeard heard = DAISYLOFT__WIRE__STORE_HEARD__INIT;
-  uint8_t bytes[PLAYED_DATAGRAM_BYTES];
-  size_t length;
-
-  status.name = r->name;
-  status.incarnation = 77;
-  status.number = ++r->number;
-  status.role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
-  status.ready = true;
-  status.not_hub = true;
+
   if (g_atomic_int_get (&hear_store))
     status.store_heard = &heard;
-  length = daisyloft__wire__node_status__pack (&status, bytes);
-  for (size_t i = 0; i < G_N_ELEMENTS (hosts); i++)
-    played_send (played_testbed, r->datagrams, hosts[i], bytes, length);
+  played_tell_region (played_testbed, r->datagrams, &status);
 }
 
 /* Refuses the request of the next connection, if there is one. */
@@ -146,32 +128,21 @@
   return NULL;
 }
 
-/* Gives each a name that ranks before the real entries. */
-static void
-choose_names (void)
-{
-  uint64_t real = MAX (dl_fanout_rank ("entry-1"), dl_fanout_rank ("entry-2"));
-  unsigned n = 0;
-
-  for (unsigned i = 0; i < READERS; i++)
-    do
-      g_snprintf (readers[i].name, sizeof readers[i].name, "reader-%u", n++);
-    while (dl_fanout_rank (readers[i].name) <= real);
-}
-
 /* ARE_ASKED: nodes may read the store through them. */
 static void
 start_readers (Testbed *tb, bool are_asked)
 {
+  unsigned n = 0;
+
   tb->slots = SLOTS;
   for (unsigned i = 0; i < SERVERS; i++)
     CHECK (testbed_list_server (tb, i, "ready"));
-  choose_names ();
   for (unsigned i = 0; i < READERS; i++)
     {
       Reader *r = &readers[i];
       unsigned host = FIRST_HOST + i;
 
+      played_choose_name (r->name, &n, true);
       r->address = g_strdup_printf ("%s.%u:" PLAYED_NODE_PORT, tb->subnet, host);
       r->relay = g_strdup_printf ("%s.%u:" RELAY_PORT, tb->subnet, host);
       r->listen = g_strdup_printf ("%s.%u:" LISTEN_PORT, tb->subnet, host);
