--- a/daisydirectd/routing_table.c
+++ b/daisydirectd/routing_table.c
@@ -106,7 +106,6 @@
                              const DlObjectOrigin *origin,
                              uint64_t era)
 {
-
   if (table->synced_ms == 0 && era != 0)
     dl_routing_proof_started (&table->proof, table->started_ms);
   table->synced_ms = synced_ms;
