--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -67,12 +67,13 @@
 #define DL_READER_JITTER_MS 1200
 /* Backoff of nodes that are not entries, which can wait longer. */
 #define DL_READER_NODE_BACKOFF_MS 2000
-/* Part of the time for a change after which the first entry of a region reads the store
- * itself; DL_ENTRIES_PER_READER of them do within the spread. */
+/* An entry reads the store itself when the age of its copy is this part of the time for a
+ * change: the first entry of a region then, and the others in turn over the spread, which
+ * is a further part and has DL_ENTRIES_PER_READER turns. */
 #define DL_READER_DIRECT_PERCENT        70
 #define DL_READER_DIRECT_SPREAD_PERCENT 15
-/* An entry that the store did not answer asks readers for this long, and a part of the
- * spread by its rank, so that not all read it at the end of an outage. */
+/* An entry that the store did not answer asks only readers for this long, and for a part
+ * of the spread by its turn, so that not all read the store as an outage ends. */
 #define DL_READER_DIRECT_RETRY_MS  1500
 #define DL_READER_DIRECT_SPREAD_MS 1500
 
