Confined requests, evacuations and bounds on cold upstreams

Cause: a route or an organisation may be confined to regions, operators may evacuate a data centre, and a cold upstream takes a bounded number of requests a second from all entries. Entries knew none of these.

Change: upstreams are chosen only in regions that route and organisation both allow, and not in evacuated data centres; requests that wait for such an upstream do not hold up others. The directory names entries at home. Evacuations are watched by entries and stagers, which send no load command meanwhile. An entry serves nothing until it has read them. Requests to a cold upstream are shared among the first registered entries of its region; an upstream counts as cold by its list entry or response, and after a restart of its engine or the end of an evacuation. All of it is off without the settings evacuate_ms, cold_overage and cold_slack, or a list of regions.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -198,6 +198,9 @@
   if (!attempt->head.is_mismatched && status != STATUS_MISDIRECTED)
     direct_limits_heard (attempt->request->owner->limits, attempt->upstream,
                          &attempt->head, attempt->sent_ms);
+  if (attempt->head.has_cold && !attempt->head.is_mismatched)
+    direct_upstream_told_cold (attempt->upstream, attempt->head.cold_ms,
+                               attempt->progress_ms);
   if (attempt->head.has_load)
     direct_upstream_update_load (attempt->upstream,
                                  attempt->head.running + attempt->head.waiting,
--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -33,6 +33,9 @@
   DIRECT_ROUTING_PROOF,          /* the routing table was proved to be the newest */
   DIRECT_STORE_HEARD,            /* when any entry heard the store */
   DIRECT_ENTRIES,                /* the entries that accept requests */
+  DIRECT_REGISTERED,             /* the entries that are registered, alive or not */
+  DIRECT_EVACUATION,             /* the evacuation of a data centre began or ended */
+  DIRECT_EVACUATIONS_KNOWN,      /* all evacuations have been told once */
   DIRECT_NO_TARGET,              /* the store was read and has no target version */
   DIRECT_HOLDER,                 /* another node reported which chunks it has */
   DIRECT_NODE_REMOVED,           /* another node is no longer registered */
@@ -69,6 +72,13 @@
   DlObjectOrigin origin; /* of that answer */
 } DirectRoutingProof;
 
+/* An entry that is registered in the store. */
+typedef struct
+{
+  const char *name;
+  const char *region;
+} DirectRegisteredEntry;
+
 /* A message between the tasks.  The type in HEAD determines which member of the union is
  * set.  What the members point to is a talloc child of the message or lives as long as
  * the process. */
@@ -103,12 +113,23 @@
     DirectRoutingProof routing_proof;
     DlStoreHeard store_heard;
     struct
+    {
+      const char *data_center;
+      bool is_evacuated;
+    } evacuation;
+    struct
+    {
+      const DirectRegisteredEntry *items; /* the first one is this entry */
+      size_t count;
+    } registered;
+    struct
     {
       /* Addresses for requests: of entries in this entry's region, itself included when
        * it is ready, and of entries in other regions. */
       const char **same_region;
       size_t same_region_count;
       const char **other_region;
+      const char **other_region_names; /* the region of each of these */
       size_t other_region_count;
       bool is_ready; /* whether this entry is ready */
     } entries;
--- a/daisydirectd/directory.c
+++ b/daisydirectd/directory.c
@@ -35,6 +35,7 @@
   const DlNodeSettings *settings;
   DlKernel *kernel;
   DirectMessage *entries; /* the last DIRECT_ENTRIES; NULL before the first */
+  DirectMessage *routing; /* the table in effect; NULL before the first */
   DlHttpServer *resolver;
   DlHttpServer *readiness;
 } Directory;
@@ -46,12 +47,53 @@
     g_ptr_array_add (to, (gpointer)addresses[i]);
 }
 
-/* Appends the addresses for a caller in REGION, NULL if unknown: those of this entry's
- * region, then those of other regions when the caller is in another one or there are too
- * few. */
+/* A caller's question. */
+typedef struct
+{
+  DlStr host;         /* empty if unknown */
+  const char *region; /* of the caller; NULL if unknown */
+} Question;
+
+/* True when an entry in REGION may be told: it is in the caller's region, or the requests
+ * of all routes of the host may be handled there. */
+static bool
+may_tell (const Directory *directory, const Question *question, const char *region)
+{
+  if (question->region != NULL && strcmp (question->region, region) == 0)
+    return true;
+  return dl_routing_host_allows (directory->routing->routing, question->host, region);
+}
+
+/* The same as below for a host with routes that are confined to some regions. */
+static void
+choose_allowed (const Directory *directory, const Question *question, GPtrArray *to)
+{
+  const DirectMessage *m = directory->entries;
+  const char *own = directory->settings->region;
+  bool same_region = question->region == NULL || strcmp (question->region, own) == 0;
+
+  if (may_tell (directory, question, own))
+    add_addresses (to, m->entries.same_region, m->entries.same_region_count);
+  if (same_region && to->len >= REGION_ENTRIES_MIN)
+    return;
+  for (size_t i = 0; i < m->entries.other_region_count; i++)
+    if (may_tell (directory, question, m->entries.other_region_names[i]))
+      add_addresses (to, &m->entries.other_region[i], 1);
+}
+
+static bool
+is_confined (const Directory *directory, const Question *question)
+{
+  return directory->routing != NULL
+         && dl_routing_host_is_confined (directory->routing->routing, question->host);
+}
+
+/* Appends the addresses for a caller: those of this entry's region, then those of other
+ * regions when the caller is in another one or there are too few. */
 static void
-choose_addresses (const Directory *directory, const char *region, GPtrArray *to)
+choose_addresses (const Directory *directory, const Question *question, GPtrArray *to)
 {
+  const char *region = question->region;
   const DirectMessage *m = directory->entries;
   bool same_region = region == NULL || strcmp (region, directory->settings->region) == 0;
 
@@ -64,19 +106,24 @@
 on_resolve_request (DlHttpRequest *http, void *data)
 {
   const Directory *directory = data;
-  const char *region;
+  const char *host;
   const char *data_center;
+  Question question;
   GPtrArray *addresses;
 
-  if (!platform_read_resolve_request (http, &region, &data_center))
+  if (!platform_read_resolve_request (http, &host, &question.region, &data_center))
     {
       platform_reply_error (http, NOT_FOUND, 0, "no such question");
       return;
     }
   dl_metric_add (&metric_resolve_requests, 1);
   addresses = g_ptr_array_new ();
-  if (directory->entries != NULL)
-    choose_addresses (directory, region, addresses);
+  question.host = dl_str (host);
+  if (directory->entries != NULL && is_confined (directory, &question))
+    choose_allowed (directory, &question, addresses);
+  /* Without one, any entry can still pass the request on to a region that is allowed. */
+  if (directory->entries != NULL && addresses->len == 0)
+    choose_addresses (directory, &question, addresses);
   if (addresses->len == 0)
     platform_reply_error (http, UNAVAILABLE, 0, "no entry is known to be ready");
   else
@@ -105,9 +152,12 @@
 {
   Directory *directory = dl_task_state (task);
 
-  if (directory->entries != NULL)
-    dl_message_unref (directory->entries);
-  directory->entries = dl_message_ref ((void *)head);
+  DirectMessage **kept
+      = head->type == DIRECT_ROUTING ? &directory->routing : &directory->entries;
+
+  if (*kept != NULL)
+    dl_message_unref (*kept);
+  *kept = dl_message_ref ((void *)head);
 }
 
 static int
@@ -115,6 +165,8 @@
 {
   if (directory->entries != NULL)
     dl_message_unref (directory->entries);
+  if (directory->routing != NULL)
+    dl_message_unref (directory->routing);
   return 0;
 }
 
@@ -182,7 +234,7 @@
 static DlPlugin directory_plugin = {
   .name = "directory",
   .order = 20,
-  .subscriptions = UINT64_C (1) << DIRECT_ENTRIES,
+  .subscriptions = UINT64_C (1) << DIRECT_ENTRIES | UINT64_C (1) << DIRECT_ROUTING,
   .start = start,
   .open = open_servers,
   .handle = handle,
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -103,6 +103,16 @@
   return (uint64_t)(requests->settings->retry_ratio * RETRY_RATIO_SHARE * PERCENT);
 }
 
+/* The regions that bind the request. */
+static DlHomes
+homes (const Request *r)
+{
+  return (DlHomes){
+    .route = &r->route->regions,
+    .organisation = r->organisation != NULL ? &r->organisation->regions : NULL,
+  };
+}
+
 /* True while the request waits for another upstream than the one that failed it. */
 static bool
 is_selective (const Request *r, uint64_t now_ms)
@@ -110,6 +120,21 @@
   return r->failed_ms != 0 && now_ms < r->failed_ms + DL_BALANCE_AVOID_MS;
 }
 
+static bool
+is_confined (const Request *r)
+{
+  DlHomes h = homes (r);
+
+  return dl_homes_are_confined (&h);
+}
+
+/* True when the request would not take the next free place at any upstream. */
+static bool
+is_choosy (const Request *r, uint64_t now_ms)
+{
+  return is_selective (r, now_ms) || is_confined (r);
+}
+
 /* What an upstream for the request must be like, in place of the one with the id
  * REPLACED, which has it; NULL for none. */
 static DirectUpstreamQuery
@@ -119,6 +144,7 @@
 
   return (DirectUpstreamQuery){
     .service = r->service_entry,
+    .homes = homes (r),
     .avoid_upstream = r->avoid_upstream,
     .replaced_upstream = replaced,
     .wait_for_others = is_selective (r, now_ms),
@@ -194,6 +220,11 @@
   if (hold_ms (r) > 0)
     refuse_or_fail (r, "all upstreams of the service hold off or are at their limit",
                     retry_ms (r));
+  else if (is_confined (r))
+    refuse_or_fail (r,
+                    "no upstream takes requests in a region that its route and its "
+                    "organisation allow",
+                    NO_UPSTREAM_RETRY_MS);
   else
     refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
 }
@@ -249,15 +280,17 @@
     refuse_or_fail_without_upstream (r);
 }
 
-/* True while a queued request would take the next free place at any upstream. */
+/* True while a queued request would take any place that R could. */
 static bool
-is_place_claimed (const Service *service)
+is_place_claimed (const Request *r)
 {
   uint64_t now_ms = dl_clock_ms ();
-  const Request *r = NULL;
+  const Request *queued = NULL;
 
-  while ((r = dl_wait_queue_after (service->queue, r)) != NULL)
-    if (!is_selective (r, now_ms))
+  while ((queued = dl_wait_queue_after (r->service->queue, queued)) != NULL)
+    if (!is_choosy (queued, now_ms)
+        || (!is_selective (queued, now_ms) && queued->route == r->route
+            && queued->organisation == r->organisation))
       return true;
   return false;
 }
@@ -269,7 +302,7 @@
   DirectUpstream *upstream = NULL;
 
   /* Queued requests go first, except before retries. */
-  if (r->attempt_count > 0 || !is_place_claimed (r->service))
+  if (r->attempt_count > 0 || !is_place_claimed (r))
     upstream = choose (r, NULL, &error);
   else
     error = -EBUSY;
@@ -302,7 +335,7 @@
       int error;
       DirectUpstream *upstream = choose (r, NULL, &error);
 
-      if (upstream == NULL && error == -EBUSY && !is_selective (r, dl_clock_ms ()))
+      if (upstream == NULL && error == -EBUSY && !is_choosy (r, dl_clock_ms ()))
         return;
       /* Those behind it may use what it avoids; and an upstream may come back while its
        * caller waits. */
--- a/daisydirectd/entry_list.h
+++ b/daisydirectd/entry_list.h
@@ -13,5 +13,9 @@
                              const DlNodeSettings *settings,
                              const DlPeers *peers,
                              bool ready);
+/* Publishes DIRECT_REGISTERED: this entry, and those among PEERS that are registered. */
+void direct_publish_registered (DlKernel *kernel,
+                                const DlNodeSettings *settings,
+                                const DlPeers *peers);
 
 #endif
--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -75,8 +75,8 @@
           DL_UINT ("expected_wait_ms", expected_wait_ms (r)),
           DL_UINT ("upstreams", count.listed), DL_UINT ("loading", count.loading),
           DL_UINT ("ejected", count.ejected), DL_UINT ("old_weights", count.outdated),
-          DL_UINT ("held_off", count.held_off), DL_UINT ("displaced", count.displaced),
-          DL_UINT ("retry_ms", retry_ms),
+          DL_UINT ("held_off", count.held_off), DL_UINT ("evacuated", count.evacuated),
+          DL_UINT ("displaced", count.displaced), DL_UINT ("retry_ms", retry_ms),
           DL_UINT ("routing", r->routing != NULL ? r->routing->routing->version : 0));
   direct_request_release (r);
   platform_reply_error (r->http, STATUS_UNAVAILABLE, retry_ms, reason);
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -238,6 +238,12 @@
       direct_request_refuse (r, STALE_RETRY_MS, "the routing table may be replaced");
       return;
     }
+  if (direct_upstreams_may_be_evacuated (r->owner->upstreams))
+    {
+      direct_request_refuse (r, STALE_RETRY_MS,
+                             "it is not known which data centres are evacuated");
+      return;
+    }
   r->route = dl_routing_match (routing, r->incoming.host, r->incoming.path);
   if (r->route == NULL)
     {
@@ -385,6 +391,16 @@
     case DIRECT_VERSION_FLOOR:
       direct_upstreams_set_floor (requests->upstreams, &m->floor);
       break;
+    case DIRECT_EVACUATION:
+      direct_upstreams_set_evacuated (requests->upstreams, m->evacuation.data_center,
+                                      m->evacuation.is_evacuated, dl_clock_ms ());
+      break;
+    case DIRECT_EVACUATIONS_KNOWN:
+      direct_upstreams_evacuations_known (requests->upstreams);
+      break;
+    case DIRECT_REGISTERED:
+      direct_upstreams_set_registered (requests->upstreams, (DirectMessage *)m);
+      break;
     case DIRECT_ROUTING_PROOF:
       requests->routing_proof = m->routing_proof;
       break;
@@ -561,7 +577,9 @@
                    | MESSAGE (DIRECT_ROUTING_PROOF) | MESSAGE (DIRECT_STORE_HEARD)
                    | MESSAGE (DIRECT_VERSION_FLOOR) | MESSAGE (DIRECT_ENTRIES)
                    | MESSAGE (DIRECT_PEER_SIGNATURE_RECORDS)
-                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT),
+                   | MESSAGE (DIRECT_PEER_LIMIT_RECORDS) | MESSAGE (DIRECT_HELD_KEPT)
+                   | MESSAGE (DIRECT_EVACUATION) | MESSAGE (DIRECT_EVACUATIONS_KNOWN)
+                   | MESSAGE (DIRECT_REGISTERED),
   .start = start,
   .open = open_server,
   .handle = handle,
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -24,6 +24,7 @@
 #define UPSTREAMS_WAIT_MS          1500
 #define UPSTREAMS_PAUSE_MS         600
 #define VERSIONS_WAIT_MS           1500
+#define EVACUATIONS_WAIT_MS        2000
 #define ROUTING_RETRY_MS           400
 /* Wait and pause of the watches of a reader: an entry that reads the store for others. */
 #define READER_WAIT_MS  500
@@ -182,6 +183,34 @@
   dl_kernel_publish (state->kernel, direct_message_new (DIRECT_NO_TARGET));
 }
 
+/* -------- evacuations -------- */
+
+static void
+on_evacuation (const char *data_center, bool is_evacuated, void *data)
+{
+  State *state = data;
+  DirectMessage *message = direct_message_new (DIRECT_EVACUATION);
+
+  message->evacuation.data_center = talloc_strdup (message, data_center);
+  message->evacuation.is_evacuated = is_evacuated;
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_evacuations_known (void *data)
+{
+  State *state = data;
+
+  dl_kernel_publish (state->kernel, direct_message_new (DIRECT_EVACUATIONS_KNOWN));
+}
+
+/* True when nothing can be sent to an evacuated data centre for want of knowing of it. */
+static bool
+knows_evacuations (const State *state)
+{
+  return state->evacuations == NULL || dl_evacuation_watch_is_known (state->evacuations);
+}
+
 /* -------- other nodes -------- */
 
 static void
@@ -312,7 +341,7 @@
   return !dl_kernel_stopping (state->kernel)
          && direct_routing_table_version (state->routing_table) > 0
          && dl_object_watch_synced_ms (state->upstreams_watch) > 0
-         && !awaits_engines (state)
+         && !awaits_engines (state) && knows_evacuations (state)
          && direct_routing_trust (state->settings, proven_ms, &state->heard)
                 == DL_ROUTING_TRUSTED;
 }
@@ -334,6 +363,8 @@
       status_send_usual (state);
     }
   direct_publish_entries (state->kernel, state->settings, state->peers, state->ready);
+  if (dl_node_has_cold_bound (state->settings) && dl_peers_are_known (state->peers))
+    direct_publish_registered (state->kernel, state->settings, state->peers);
 }
 
 static void
@@ -491,6 +522,30 @@
                             RELAYED_AGE_MAX_MS (DL_PEERS_READER_WAIT_MS));
   dl_object_relay_add_kind (state->relay, platform_kind_held,
                             RELAYED_AGE_MAX_MS (DIRECT_HELD_WAIT_MS));
+  if (state->settings->evacuate_ms > 0)
+    dl_object_relay_add_kind (state->relay, platform_kind_evacuations,
+                              RELAYED_AGE_MAX_MS (EVACUATIONS_WAIT_MS));
+}
+
+static void
+watch_evacuations (State *state)
+{
+  state->evacuations
+      = dl_evacuation_watch_new (state->task, state,
+                                 &(DlEvacuationWatchOptions){
+                                     .store = state->store,
+                                     .kind = platform_kind_evacuations,
+                                     .wait_ms = EVACUATIONS_WAIT_MS,
+                                     .reader_wait_ms = EVACUATIONS_WAIT_MS,
+                                     .apply_ms = state->settings->evacuate_ms,
+                                     .source = state->source,
+                                     .relay = state->relay,
+                                     .retry_max_ms = RETRY_MS,
+                                     .relist_spread_ms = RELIST_SPREAD_MS,
+                                     .on_change = on_evacuation,
+                                     .on_known = on_evacuations_known,
+                                     .data = state,
+                                 });
 }
 
 static void
@@ -599,6 +654,8 @@
   if (error < 0)
     return error;
   start_watches (state);
+  if (state->settings->evacuate_ms > 0)
+    watch_evacuations (state);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
   dl_timer_subscribe (task, state, STATUS_CHANGED_MS, STATUS_CHANGED_MS, status_on_tick,
                       state);
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -9,6 +9,7 @@
 
 #include "daisydirectd.h"
 #include "held_requests.h"
+#include "node/evacuation_watch.h"
 #include "node/object_relay.h"
 #include "node/object_watch.h"
 #include "node/peers.h"
@@ -38,6 +39,7 @@
   uint64_t old_proven_ms; /* if so, the time of that proof */
   DirectHeldRequests *held_requests;
   DlVersionWatch *versions;
+  DlEvacuationWatch *evacuations;  /* NULL: data centres are not evacuated here */
   DirectMessage *holdings_message; /* the last DIRECT_HOLDINGS; NULL before the first */
   DirectMessage
       *signature_records_message; /* the last DIRECT_SIGNATURE_RECORDS; NULL before */
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -36,6 +36,11 @@
            "daisy_direct_contested_addresses_total",
            "Upstreams that were listed at the address of another listed one.")
 
+DL_METRIC (metric_cold,
+           DL_METRIC_COUNTER,
+           "daisy_direct_cold_starts_total",
+           "Times that an upstream was or may have become cold.")
+
 struct DirectUpstreams
 {
   const DlNodeSettings *settings;
@@ -43,8 +48,20 @@
   unsigned same_region_entry_count; /* that accept requests, this one included */
   unsigned other_region_entry_count;
   DlVersionFloor floor;
+  DlEvacuations *evacuations;
+  bool evacuations_known;
+  uint64_t started_ms;
+  DirectMessage *registered; /* the last DIRECT_REGISTERED; NULL before the first */
 };
 
+static int
+upstreams_destroy (DirectUpstreams *upstreams)
+{
+  if (upstreams->registered != NULL)
+    dl_message_unref (upstreams->registered);
+  return 0;
+}
+
 DirectUpstreams *
 direct_upstreams_new (const void *context, const DlNodeSettings *settings)
 {
@@ -53,6 +70,9 @@
   g_assert (upstreams != NULL);
   upstreams->settings = settings;
   upstreams->same_region_entry_count = 1;
+  upstreams->started_ms = dl_clock_ms ();
+  upstreams->evacuations = dl_evacuations_new (upstreams);
+  talloc_set_destructor (upstreams, upstreams_destroy);
   return upstreams;
 }
 
@@ -183,6 +203,35 @@
   *member = talloc_strdup (u, text);
 }
 
+/* Logs that U is or may be cold, where that bounds what it gets. */
+static void
+log_cold (const DirectUpstream *u, const char *source, uint64_t remaining_ms)
+{
+  if (!dl_node_has_cold_bound (u->owner->settings))
+    return;
+  dl_metric_add (&metric_cold, 1);
+  dl_log (DL_EVENT_DIRECT_UPSTREAM_COLD, DL_TEXT ("upstream", u->id),
+          DL_TEXT ("source", source), DL_UINT ("cold_ms", remaining_ms),
+          DL_UINT ("own_requests", u->load.in_flight));
+}
+
+static void
+suspect_cold (DirectUpstream *u, uint64_t now_ms)
+{
+  dl_cold_start_suspected (&u->cold, now_ms);
+  log_cold (u, "inferred", 0);
+}
+
+void
+direct_upstream_told_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
+{
+  bool was_told = u->cold.until_ms > now_ms;
+
+  dl_cold_start_told (&u->cold, remaining_ms, now_ms);
+  if (remaining_ms > 0 && !was_told)
+    log_cold (u, "upstream", remaining_ms);
+}
+
 static void
 set_slots (DirectUpstream *u, unsigned slots)
 {
@@ -260,8 +309,14 @@
   set_text (u, &u->address, entry->address);
   if (claims)
     claim_address (u, now_ms);
+  set_text (u, &u->data_center, entry->data_center);
+  u->region = dl_node_region_of (upstreams->settings, entry->data_center);
   u->same_data_center
       = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
+  if (entry->has_cold)
+    direct_upstream_told_cold (u, entry->cold_ms, now_ms);
+  else if (claims)
+    suspect_cold (u, now_ms);
   if (entry->leaving)
     dl_availability_leave (&u->availability);
   u->has_engine = u->has_engine || entry->model != NULL;
@@ -293,6 +348,16 @@
                                      all->other_region_entry_count, is_large (all));
 }
 
+/* The engine may have restarted before the list shows that, and is cold then. */
+static void
+note_engine_start (DirectUpstream *u, uint64_t started_ms, uint64_t now_ms)
+{
+  if (started_ms != 0 && started_ms != u->engine_started_ms
+      && !dl_availability_is_same_instance (u->started_ms, started_ms))
+    suspect_cold (u, now_ms);
+  u->engine_started_ms = started_ms;
+}
+
 void
 direct_upstreams_update_engine (DirectUpstreams *upstreams,
                                 const DirectEngineStatus *engine,
@@ -307,6 +372,7 @@
           || (u->contested && (u->displaced || !is_same)))
         continue;
       u->has_engine = true;
+      note_engine_start (u, engine->started_ms, now_ms);
       set_slots (u, u->slots);
       is_sound = dl_sound_load_told (&u->sound_load, engine->started_ms, engine->loads,
                                      engine->unchecked);
@@ -321,6 +387,46 @@
     }
 }
 
+void
+direct_upstreams_set_evacuated (DirectUpstreams *upstreams,
+                                const char *data_center,
+                                bool is_evacuated,
+                                uint64_t now_ms)
+{
+  if (is_evacuated)
+    {
+      dl_evacuations_begin (upstreams->evacuations, data_center);
+      return;
+    }
+  if (!dl_evacuations_end (upstreams->evacuations, data_center, now_ms))
+    return;
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    if (u->data_center != NULL && strcmp (u->data_center, data_center) == 0)
+      suspect_cold (u, now_ms);
+}
+
+void
+direct_upstreams_evacuations_known (DirectUpstreams *upstreams)
+{
+  upstreams->evacuations_known = true;
+}
+
+bool
+direct_upstreams_may_be_evacuated (const DirectUpstreams *upstreams)
+{
+  return upstreams->settings->evacuate_ms > 0 && !upstreams->evacuations_known;
+}
+
+void
+direct_upstreams_set_registered (DirectUpstreams *upstreams, DirectMessage *message)
+{
+  if (upstreams->registered != NULL)
+    dl_message_unref (upstreams->registered);
+  upstreams->registered = dl_message_ref (message);
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    u->has_cold_share = false;
+}
+
 void
 direct_upstreams_set_floor (DirectUpstreams *upstreams, const DlVersionFloor *floor)
 {
@@ -406,7 +512,9 @@
   uint64_t required;
 
   if (u->removed || u->displaced || u->availability.leaving
-      || strcmp (u->service, query->service->name) != 0)
+      || strcmp (u->service, query->service->name) != 0
+      || dl_evacuations_include (upstreams->evacuations, u->data_center)
+      || !dl_homes_allow (&query->homes, u->region))
     return false;
   if (!query->service->has_engine)
     return true;
@@ -414,13 +522,94 @@
   return !lacks_sound_weights (u) && u->version > 0 && u->version >= required;
 }
 
+/* Whether an entry takes part in the shares of a cold upstream: one of its region, or any
+ * when that has none. */
+static GArray *
+scores_of_sharing (const DirectUpstream *u, bool same_region, size_t *self)
+{
+  const DirectMessage *m = u->owner->registered;
+  GArray *scores = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  uint64_t key = direct_upstream_key (u);
+
+  *self = SIZE_MAX;
+  for (size_t i = 0; i < m->registered.count; i++)
+    {
+      const DirectRegisteredEntry *e = &m->registered.items[i];
+      uint64_t score
+          = dl_rendezvous_score (dl_str_bytes (&key, sizeof key), dl_str (e->name));
+
+      if (same_region && (u->region == NULL || strcmp (e->region, u->region) != 0))
+        continue;
+      if (i == 0)
+        *self = scores->len;
+      g_array_append_val (scores, score);
+    }
+  return scores;
+}
+
+/* This entry's share of the requests that U gets while it is cold. */
+static DlColdShare
+compute_cold_share (const DirectUpstream *u, const DlColdTraits *traits)
+{
+  const DirectUpstreams *all = u->owner;
+  DlColdBound bound
+      = { .overage = all->settings->cold_overage, .slack = all->settings->cold_slack };
+  DlColdShare share = { 0 };
+  GArray *scores;
+  size_t self;
+
+  scores = scores_of_sharing (u, true, &self);
+  if (scores->len == 0)
+    {
+      g_array_free (scores, TRUE);
+      scores = scores_of_sharing (u, false, &self);
+    }
+  if (self != SIZE_MAX)
+    share = dl_cold_share ((const uint64_t *)scores->data, scores->len, self, traits,
+                           &bound);
+  g_array_free (scores, TRUE);
+  return share;
+}
+
+/* The same, computed once for each set of registered entries. */
+static DlColdShare
+cold_share (DirectUpstream *u, const DlColdTraits *traits, uint64_t now_ms)
+{
+  const DirectUpstreams *all = u->owner;
+
+  if (all->registered == NULL || now_ms < all->started_ms + DL_COLD_JOIN_MS)
+    return (DlColdShare){ 0 };
+  if (!u->has_cold_share)
+    u->cold_share = compute_cold_share (u, traits);
+  u->has_cold_share = true;
+  return u->cold_share;
+}
+
+/* Time until this entry may send U a request, as far as U is cold; 0 when it is not. */
+static uint64_t
+cold_wait_ms (DirectUpstream *u, const DlServiceEntry *service, uint64_t now_ms)
+{
+  if (dl_cold_start_remaining_ms (&u->cold, &service->cold, now_ms) == 0)
+    return 0;
+  return dl_cold_start_wait_ms (&u->cold, &service->cold,
+                                cold_share (u, &service->cold, now_ms), now_ms);
+}
+
+/* Time until the rates that bind it let this entry send U a request. */
+static uint64_t
+rate_wait_ms (DirectUpstream *u, const DirectUpstreamQuery *query)
+{
+  return MAX (dl_rate_limit_wait_ms (&u->limit, query->now_ms),
+              cold_wait_ms (u, query->service, query->now_ms));
+}
+
 /* Time until the upstream takes a request again, when it holds off or is at its limit; 0
  * when it is worth to wait for it. */
 static uint64_t
-closed_ms (const DirectUpstream *u, uint64_t now_ms)
+closed_ms (DirectUpstream *u, const DirectUpstreamQuery *query)
 {
-  uint64_t hold_ms = dl_availability_hold_ms (&u->availability, now_ms);
-  uint64_t limit_ms = dl_rate_limit_wait_ms (&u->limit, now_ms);
+  uint64_t hold_ms = dl_availability_hold_ms (&u->availability, query->now_ms);
+  uint64_t limit_ms = rate_wait_ms (u, query);
 
   return MAX (hold_ms, limit_ms > LIMIT_QUEUE_MS ? limit_ms : 0);
 }
@@ -447,7 +636,7 @@
   int chosen;
 
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
-    if (can_serve (upstreams, u, query) && closed_ms (u, query->now_ms) == 0)
+    if (can_serve (upstreams, u, query) && closed_ms (u, query) == 0)
       {
         DlBalanceCandidate c = {
           .load = &u->load,
@@ -455,7 +644,7 @@
           .allowed = dl_breaker_allows (&u->breaker, query->now_ms),
           .avoided = is_upstream (u, query->avoid_upstream),
           .replaced = is_upstream (u, query->replaced_upstream),
-          .paced = dl_rate_limit_wait_ms (&u->limit, query->now_ms) > 0,
+          .paced = rate_wait_ms (u, query) > 0,
         };
 
         g_array_append_val (candidates, c);
@@ -485,9 +674,9 @@
 {
   uint64_t first_ms = UINT64_MAX;
 
-  for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+  for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     if (can_serve (upstreams, u, query))
-      first_ms = MIN (first_ms, closed_ms (u, query->now_ms));
+      first_ms = MIN (first_ms, closed_ms (u, query));
   return first_ms != UINT64_MAX ? first_ms : 0;
 }
 
@@ -523,6 +712,7 @@
       count.ejected += !dl_breaker_allows (&u->breaker, now_ms);
       count.held_off += dl_availability_hold_ms (&u->availability, now_ms) > 0;
       count.outdated += u->has_engine && u->version < required;
+      count.evacuated += dl_evacuations_include (upstreams->evacuations, u->data_center);
     }
   return count;
 }
@@ -534,6 +724,7 @@
 {
   u->attempts++;
   dl_rate_limit_sent (&u->limit, now_ms);
+  dl_cold_start_sent (&u->cold, now_ms);
   dl_balance_sent (&u->load, prompt_tokens);
   dl_breaker_sent (&u->breaker, now_ms);
 }
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -10,6 +10,8 @@
 #include "policy/availability.h"
 #include "policy/balance.h"
 #include "policy/breaker.h"
+#include "policy/cold_start.h"
+#include "policy/evacuation.h"
 #include "policy/load_proof.h"
 #include "policy/rate_limit.h"
 #include "policy/routing.h"
@@ -23,9 +25,15 @@
   char *id;
   char *service;
   char *address;
-  bool same_data_center;       /* as this entry */
-  uint64_t started_ms;         /* wall clock at its start; 0 when unknown */
-  DlRateLimit limit;           /* of requests that it takes from all entries */
+  char *data_center;
+  const char *region;    /* of the data centre; NULL if unknown */
+  bool same_data_center; /* as this entry */
+  uint64_t started_ms;   /* wall clock at its start; 0 when unknown */
+  DlRateLimit limit;     /* of requests that it takes from all entries */
+  DlColdStart cold;
+  DlColdShare cold_share; /* this entry's, if the next says so */
+  bool has_cold_share;
+  uint64_t engine_started_ms;  /* as its stager last told; 0 for never */
   GHashTable *idle_entries;    /* address of an entry to when it told that it has no
                                 * requests for the service */
   DlAvailability availability; /* as it announced in responses or in the list */
@@ -65,6 +73,18 @@
 void direct_upstreams_update_engine (DirectUpstreams *upstreams,
                                      const DirectEngineStatus *engine,
                                      uint64_t now_ms);
+/* The evacuation of DATA_CENTER began, or ended. */
+void direct_upstreams_set_evacuated (DirectUpstreams *upstreams,
+                                     const char *data_center,
+                                     bool is_evacuated,
+                                     uint64_t now_ms);
+/* All evacuations are known. */
+void direct_upstreams_evacuations_known (DirectUpstreams *upstreams);
+/* True when it may be that a data centre is evacuated which is not known to be. */
+bool direct_upstreams_may_be_evacuated (const DirectUpstreams *upstreams);
+/* Adopts the registered entries, for the shares of cold upstreams; MESSAGE is
+ * DIRECT_REGISTERED and is referred to until the next call. */
+void direct_upstreams_set_registered (DirectUpstreams *upstreams, DirectMessage *message);
 /* Adopts FLOOR: what is known of the announcements of versions. */
 void direct_upstreams_set_floor (DirectUpstreams *upstreams, const DlVersionFloor *floor);
 /* Sets how many entries accept requests, in this entry's region, itself included, and in
@@ -86,6 +106,7 @@
 typedef struct
 {
   const DlServiceEntry *service;
+  DlHomes homes; /* that bind the request */
   /* Id of an upstream at which the request failed, chosen only if no other has a free
    * request slot; NULL for none. */
   const char *avoid_upstream;
@@ -135,6 +156,7 @@
   unsigned outdated;  /* of these, with weights too old to start a request */
   unsigned displaced; /* of these, with another upstream at their address */
   unsigned held_off;  /* of these, in a hold-off that they asked for */
+  unsigned evacuated; /* of these, in a data centre that is evacuated */
 } DirectUpstreamCount;
 
 DirectUpstreamCount direct_upstreams_count (const DirectUpstreams *upstreams,
@@ -181,6 +203,10 @@
 void direct_upstream_silent (DirectUpstream *upstream, uint64_t now_ms);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
+/* A response of the upstream said that it is cold for REMAINING_MS; 0: it is not. */
+void direct_upstream_told_cold (DirectUpstream *upstream,
+                                uint64_t remaining_ms,
+                                uint64_t now_ms);
 /* A response of the upstream carried its load: REQUESTS running or queued, SLOTS, 0 when
  * not given.  Ignored when its stager reported lately. */
 void direct_upstream_update_load (DirectUpstream *upstream,
--- a/daisydirectd/weights.c
+++ b/daisydirectd/weights.c
@@ -157,6 +157,9 @@
     case DIRECT_ROUTING_PROOF:
     case DIRECT_STORE_HEARD:
     case DIRECT_ENTRIES:
+    case DIRECT_REGISTERED:
+    case DIRECT_EVACUATION:
+    case DIRECT_EVACUATIONS_KNOWN:
     case DIRECT_HOLDINGS:
     case DIRECT_SIGNATURE_RECORDS:
     case DIRECT_PEER_SIGNATURE_RECORDS:
--- a/daisystaged/daisystaged.h
+++ b/daisystaged/daisystaged.h
@@ -26,6 +26,7 @@
   STAGE_ENGINE_REPORT, /* a report of the engine */
   STAGE_ENGINE_SILENT, /* the engine is unresponsive */
   STAGE_WEIGHTS,       /* this node's chunks, and whether its engine is to load */
+  STAGE_EVACUATION,    /* whether this data centre is evacuated */
   STAGE_RECORD,        /* the last load that was known to be sound, as the store has it */
 } StageMessageType;
 
@@ -56,6 +57,7 @@
     const char *removed_node; /* its name */
     DlEngineReport report;
     DlSoundLoad record;
+    bool is_evacuated;
     struct
     {
       StageEngineUse use;
--- a/daisystaged/load.c
+++ b/daisystaged/load.c
@@ -300,8 +300,8 @@
 static bool
 may_send_command (const Weights *w)
 {
-  return !w->draining && !w->proof.awaited && dl_load_proof_may_command (&w->proof)
-         && engine_responds (w, dl_clock_ms ());
+  return !w->draining && !w->is_evacuated && !w->proof.awaited
+         && dl_load_proof_may_command (&w->proof) && engine_responds (w, dl_clock_ms ());
 }
 
 static void
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -7,6 +7,7 @@
 
 #include "daisystaged.h"
 #include "kernel/log.h"
+#include "node/evacuation_watch.h"
 #include "node/metrics_page.h"
 #include "node/object_watch.h"
 #include "node/peers.h"
@@ -48,6 +49,8 @@
   const DlNodeSettings *settings;
   DlPeers *peers;
   DlVersionWatch *versions;
+  DlEvacuationWatch *evacuations; /* NULL: data centres are not evacuated here */
+  bool is_evacuated;              /* this one */
   StageRecord *record;
   uint64_t routing_version; /* of the newest routing table; 0 before the first */
   Daisyloft__Wire__EngineStatus engine; /* for the status to entries */
@@ -118,6 +121,33 @@
   dl_kernel_publish (state->kernel, stage_message_new (STAGE_NO_TARGET));
 }
 
+static void
+publish_evacuation (const State *state)
+{
+  StageMessage *message = stage_message_new (STAGE_EVACUATION);
+
+  message->is_evacuated = state->is_evacuated;
+  dl_kernel_publish (state->kernel, message);
+}
+
+static void
+on_evacuation (const char *data_center, bool is_evacuated, void *data)
+{
+  State *state = data;
+
+  if (strcmp (data_center, state->settings->data_center) != 0)
+    return;
+  state->is_evacuated = is_evacuated;
+  if (dl_evacuation_watch_is_known (state->evacuations))
+    publish_evacuation (state);
+}
+
+static void
+on_evacuations_known (void *data)
+{
+  publish_evacuation (data);
+}
+
 /* -------- other nodes -------- */
 
 static void
@@ -419,6 +449,7 @@
     case STAGE_HOLDER:
     case STAGE_NODE_REMOVED:
     case STAGE_RECORD:
+    case STAGE_EVACUATION:
       break;
     }
 }
@@ -466,6 +497,24 @@
                                           });
 }
 
+static void
+watch_evacuations (State *state, DlObjectClient *store, DlRelaySource *source)
+{
+  state->evacuations = dl_evacuation_watch_new (state->task, state,
+                                                &(DlEvacuationWatchOptions){
+                                                    .store = store,
+                                                    .kind = platform_kind_evacuations,
+                                                    .wait_ms = VERSIONS_WAIT_MS,
+                                                    .reader_wait_ms = RELAY_WAIT_MS,
+                                                    .source = source,
+                                                    .retry_max_ms = RETRY_MAX_MS,
+                                                    .relist_spread_ms = RELIST_SPREAD_MS,
+                                                    .on_change = on_evacuation,
+                                                    .on_known = on_evacuations_known,
+                                                    .data = state,
+                                                });
+}
+
 static int
 start (DlTask *task)
 {
@@ -506,6 +555,8 @@
   if (error < 0)
     return error;
   start_watches (state, store, source);
+  if (state->settings->evacuate_ms > 0)
+    watch_evacuations (state, store, source);
   state->record = stage_record_new (task, state, state->settings, store);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
   return 0;
--- a/daisystaged/weights.c
+++ b/daisystaged/weights.c
@@ -310,7 +310,8 @@
         weights_set_phase (w, PHASE_DONE);
       return;
     }
-  if (!w->engine_known || w->engine.busy || !is_turn (w) || cannot_be_staged (w))
+  if (!w->engine_known || w->engine.busy || w->is_evacuated || !is_turn (w)
+      || cannot_be_staged (w))
     return;
   w->out_of_use = true;
   publish_use_if_changed (w);
@@ -550,6 +551,9 @@
     case STAGE_RECORD:
       dl_load_proof_recorded (&w->proof, &m->record);
       break;
+    case STAGE_EVACUATION:
+      w->is_evacuated = m->is_evacuated;
+      break;
     case STAGE_WEIGHTS:
       break;
     }
@@ -564,6 +568,7 @@
   dl_task_set_state (task, w);
   w->task = task;
   w->settings = stage_settings (task);
+  w->is_evacuated = w->settings->evacuate_ms > 0;
   w->client = dl_http_client_new (task, w);
   weights_set_phase (w, PHASE_IDLE);
   dl_timer_subscribe (task, w, TICK_MS, TICK_MS, on_tick, w);
@@ -620,7 +625,8 @@
   .subscriptions = MESSAGE (STAGE_SOURCE) | MESSAGE (STAGE_TARGET)
                    | MESSAGE (STAGE_NO_TARGET) | MESSAGE (STAGE_HOLDER)
                    | MESSAGE (STAGE_NODE_REMOVED) | MESSAGE (STAGE_ENGINE_REPORT)
-                   | MESSAGE (STAGE_ENGINE_SILENT) | MESSAGE (STAGE_RECORD),
+                   | MESSAGE (STAGE_ENGINE_SILENT) | MESSAGE (STAGE_RECORD)
+                   | MESSAGE (STAGE_EVACUATION),
   .start = start,
   .handle = handle,
   .drain = drain,
--- a/daisystaged/weights.h
+++ b/daisystaged/weights.h
@@ -88,7 +88,8 @@
   bool out_of_use;        /* the engine is drained for a load, or loads */
   StageEngineUse told;    /* what was published last */
   bool chunks_dropped;    /* the current version's chunks were freed */
-  bool draining;          /* a stop began: no more commands are sent */
+  bool is_evacuated; /* this data centre is, or it is not known: no commands are sent */
+  bool draining;     /* a stop began: no more commands are sent */
   bool drained;
 };
 
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -49,6 +49,8 @@
   bool has_limit;       /* it names how many requests it takes */
   double limit_per_s;   /* requests a second, from all entries together */
   uint64_t hold_off_ms; /* it sheds requests and wants none for this long; 0 for none */
+  bool has_cold;        /* it says for how long it is cold */
+  uint64_t cold_ms;     /* time for which it is; 0: it is not */
   bool has_load;        /* the next three members are set */
   unsigned running;     /* requests */
   unsigned waiting;     /* requests */
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include <errno.h>
+#include <string.h>
 #include <talloc.h>
 
 #define MS_PER_S 1000
@@ -12,6 +13,7 @@
 #define VERSION_DEFAULT_MS 8000
 #define GRACE_DEFAULT_S    8
 #define TTL_DEFAULT_S      2
+#define OVERAGE_DEFAULT    1
 
 #define TEXT(member, is_required)                                           \
   {                                                                         \
@@ -66,9 +68,53 @@
   NUMBER (retry_ratio, 0),
   NUMBER (retry_slack, 0),
   NUMBER (directory_ttl_s, TTL_DEFAULT_S),
+  {
+      .key = "data_centers",
+      .type = DL_SETTING_STRINGS,
+      .offset = offsetof (DlNodeSettings, data_centers),
+  },
+  DURATION (evacuate_ms, 0),
+  NUMBER (cold_overage, OVERAGE_DEFAULT),
+  NUMBER (cold_slack, 0),
   { 0 },
 };
 
+const char *
+dl_node_region_of (const DlNodeSettings *settings, const char *data_center)
+{
+  size_t length = strlen (data_center);
+
+  for (size_t i = 0; i < settings->data_centers.count; i++)
+    {
+      const char *item = ((const char **)settings->data_centers.items)[i];
+
+      if (strncmp (item, data_center, length) == 0 && item[length] == '=')
+        return item + length + 1;
+    }
+  return strcmp (data_center, settings->data_center) == 0 ? settings->region : NULL;
+}
+
+bool
+dl_node_has_cold_bound (const DlNodeSettings *settings)
+{
+  return settings->cold_overage > 1 || settings->cold_slack > 0;
+}
+
+/* Each data centre is given as "NAME=REGION". */
+static bool
+are_data_centers_valid (const DlNodeSettings *settings)
+{
+  for (size_t i = 0; i < settings->data_centers.count; i++)
+    {
+      const char *item = ((const char **)settings->data_centers.items)[i];
+      const char *equals = strchr (item, '=');
+
+      if (equals == NULL || equals == item || equals[1] == '\0')
+        return false;
+    }
+  return true;
+}
+
 int
 dl_node_settings_check (const void *context,
                         DlNodeSettings *settings,
@@ -80,6 +126,16 @@
   settings->drain_ms = grace_ms > 2 * STOP_RESERVE_MS
                            ? (uint64_t)grace_ms - STOP_RESERVE_MS
                            : (uint64_t)(grace_ms / 2);
+  if (!are_data_centers_valid (settings))
+    {
+      *error = talloc_strdup (context, "data_centers: each is NAME=REGION");
+      return -EINVAL;
+    }
+  if (settings->cold_overage < 1)
+    {
+      *error = talloc_strdup (context, "cold_overage: at least 1");
+      return -EINVAL;
+    }
   if (is_entry
       && (settings->listen == NULL || settings->ready == NULL
           || settings->directory == NULL))
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -38,11 +38,22 @@
   double retry_ratio;  /* retries per request that all entries together may send */
   double retry_slack;  /* retries that can accumulate, of all entries together */
   double directory_ttl_s; /* time for which callers may cache the directory's response */
+  DlSettingList data_centers; /* of const char *, "NAME=REGION" */
+  uint64_t evacuate_ms; /* an evacuated data centre's upstreams get nothing new after this
+                           long; 0: data centres are not evacuated */
+  double cold_overage;  /* as in DlColdBound */
+  double cold_slack;    /* likewise; requests */
 } DlNodeSettings;
 
 /* Describes DlNodeSettings to the settings reader. */
 extern const DlSettingSpec dl_node_specs[];
 
+/* The region of DATA_CENTER; NULL when it is not known.  It belongs to SETTINGS. */
+const char *dl_node_region_of (const DlNodeSettings *settings, const char *data_center);
+
+/* True when what cold upstreams get is bounded. */
+bool dl_node_has_cold_bound (const DlNodeSettings *settings);
+
 /* Checks that the keys which an entry or a stager needs are set, and computes drain_ms.
  * Returns 0, or -EINVAL with *ERROR, a talloc child of CONTEXT. */
 int dl_node_settings_check (const void *context,
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -351,6 +351,25 @@
     }
 }
 
+void
+dl_peers_foreach_registered (const DlPeers *peers,
+                             Daisyloft__Wire__Role role,
+                             void (*func) (const DlPeer *peer, void *data),
+                             void *data)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DlPeer *p = value;
+
+      if (p->role == role)
+        func (p, data);
+    }
+}
+
 /* -------- creating and freeing -------- */
 
 static int
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -126,6 +126,11 @@
                              Daisyloft__Wire__Role role,
                              void (*func) (const DlPeer *peer, void *data),
                              void *data);
+/* Calls FUNC for each registered node of ROLE, alive or not, but this node. */
+void dl_peers_foreach_registered (const DlPeers *peers,
+                                  Daisyloft__Wire__Role role,
+                                  void (*func) (const DlPeer *peer, void *data),
+                                  void *data);
 /* True when the last datagram of PEER is at most DL_PEER_TIMEOUT_MS old. */
 bool dl_peer_is_alive (const DlPeer *peer, uint64_t now_ms);
 
--- a/lib/node/upstream_entry.h
+++ b/lib/node/upstream_entry.h
@@ -20,6 +20,8 @@
   uint64_t started_ms; /* wall clock at its start; 0 when unknown */
   const char *model;   /* NULL without weights */
   uint64_t version;    /* of the complete weights that it serves; 0 for none */
+  bool has_cold;       /* it says for how long it is cold */
+  uint64_t cold_ms;    /* time for which it is; 0: it is not */
 } DlUpstreamEntry;
 
 /* What an engine reports of itself. */
--- a/lib/policy/routing.c
+++ b/lib/policy/routing.c
@@ -63,6 +63,28 @@
   return best;
 }
 
+bool
+dl_routing_host_allows (const DlRouting *routing, DlStr host, const char *region)
+{
+  host = without_port (host);
+  for (size_t i = 0; i < routing->route_count; i++)
+    if (same_host (routing->routes[i].host, host)
+        && !dl_regions_allow (&routing->routes[i].regions, region))
+      return false;
+  return true;
+}
+
+bool
+dl_routing_host_is_confined (const DlRouting *routing, DlStr host)
+{
+  host = without_port (host);
+  for (size_t i = 0; i < routing->route_count; i++)
+    if (routing->routes[i].regions.is_confined
+        && same_host (routing->routes[i].host, host))
+      return true;
+  return false;
+}
+
 const DlOrganisation *
 dl_routing_key_owner (const DlRouting *routing, const char *key)
 {
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -13,6 +13,8 @@
 #include <stdint.h>
 
 #include "kernel/str.h"
+#include "policy/cold_start.h"
+#include "policy/regions.h"
 
 /* Whether requests of a route may be retried. */
 typedef enum
@@ -45,6 +47,7 @@
   unsigned attempts_max;  /* upstreams that one request may be sent to */
   DlRouteTarget *targets;
   size_t target_count;
+  DlRegions regions; /* in which its requests may be handled */
 } DlRouteEntry;
 
 /* What a model engine serves, and how its weights are distributed. */
@@ -65,6 +68,7 @@
   DlEngineTraits engine;
   const char *origin; /* "IP:PORT" when the service serves weights, else NULL */
   double origin_mbps; /* rate of its link; 0: unknown */
+  DlColdTraits cold;  /* of its upstreams */
 } DlServiceEntry;
 
 /* An organisation that sends requests. */
@@ -73,6 +77,7 @@
   const char *name;
   bool has_priority;
   unsigned priority; /* takes precedence over the route's */
+  DlRegions regions; /* in which its requests may be handled */
 } DlOrganisation;
 
 /* Limits on what callers may send. */
@@ -108,6 +113,10 @@
 const DlRouteEntry *dl_routing_match (const DlRouting *routing, DlStr host, DlStr path);
 /* Returns the organisation that KEY belongs to, or NULL. */
 const DlOrganisation *dl_routing_key_owner (const DlRouting *routing, const char *key);
+/* True when every confined route of HOST allows REGION; also when HOST has none. */
+bool dl_routing_host_allows (const DlRouting *routing, DlStr host, const char *region);
+/* True when HOST has a confined route. */
+bool dl_routing_host_is_confined (const DlRouting *routing, DlStr host);
 /* Returns the service called NAME, or NULL. */
 const DlServiceEntry *dl_routing_service (const DlRouting *routing, const char *name);
 /* Picks one of the route's services by weight, using RANDOM; NULL when the weights add up
