Tests of callers that hold a process's memory; red

Cause: 256 connections with bodies of 1 MiB that stop one byte short of their end, or are far too long, grow an entry from 36 to 313, 316 and 317 MB in the sanitized build (large chunks within the limit, chunks of 16 bytes, over the limit without announcement); bound: the 101 MB that an idle entry leaves of the smallest host's 112. The bodies announced too long and those at the ready, directory, metrics and chunk addresses failed the same check.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -308,6 +308,7 @@
   { "quarantine", { quarantine_tests } },
   { "whole-requests", { whole_request_tests } },
   { "limit", { limit_tests } },
+  { "crowd", { crowd_tests } },
   { "version",
     { version_tests },
     .revoke_ms = ERA_REVOKE_MS,
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -20,12 +20,13 @@
 #define MODEL_SERVERS (SERVERS - 1)
 #define ENTRIES       2
 /* Indexes of the proxies: before the store, the origin and the first server. */
-#define PROXY_STORE        0
-#define PROXY_ORIGIN       1
-#define PROXY_SERVERS      2
-#define REVOKE_DEFAULT_MS  3000
-#define VERSION_DEFAULT_MS 8000
-#define SLOTS_DEFAULT      4
+#define PROXY_STORE              0
+#define PROXY_ORIGIN             1
+#define PROXY_SERVERS            2
+#define REVOKE_DEFAULT_MS        3000
+#define VERSION_DEFAULT_MS       8000
+#define SLOTS_DEFAULT            4
+#define BODY_LIMIT_DEFAULT_BYTES 100000
 
 /* Stated by the users of a server that names a limit of MILLIS thousandths of a request a
  * second: at most one and a half times what that allows in four seconds, and five. */
@@ -60,10 +61,12 @@
   char *via_origin;
   char *via_server[SERVERS];
   char *via_entry[ENTRIES];
-  GPtrArray *proxies;       /* of Proxy; NULL without proxies */
-  char *ready[ENTRIES];     /* where it answers readiness checks */
-  char *directory[ENTRIES]; /* where it lists the entries to use */
-  char *metrics[ENTRIES];   /* where it serves metrics, and other entries */
+  GPtrArray *proxies;        /* of Proxy; NULL without proxies */
+  char *ready[ENTRIES];      /* where it answers readiness checks */
+  char *directory[ENTRIES];  /* where it lists the entries to use */
+  char *metrics[ENTRIES];    /* where it serves metrics, and other entries */
+  char *entry_node[ENTRIES]; /* where it serves chunks to other nodes */
+  char *stager_node[MODEL_SERVERS];
   Process store_process;
   Process origin_process;
   Process server_process[SERVERS];
@@ -74,7 +77,8 @@
   unsigned more_routes; /* in the configuration, beside those that tests use */
   unsigned slots;       /* of each server, as listed; 0: SLOTS_DEFAULT */
   unsigned revoke_ms;   /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
-  unsigned version_ms;  /* within which a version is in effect; 0: VERSION_DEFAULT_MS */
+  unsigned body_limit_bytes; /* of a request, in the configuration; 0: the usual one */
+  unsigned version_ms; /* within which a version is in effect; 0: VERSION_DEFAULT_MS */
 } Testbed;
 
 /* -------- testbed.c -------- */
@@ -230,6 +234,8 @@
 extern const TestFunc whole_request_tests[];
 /* Upstreams that name a limit of requests a second for all entries together. */
 extern const TestFunc limit_tests[];
+/* Callers that hold a process's memory. */
+extern const TestFunc crowd_tests[];
 /* Starts of entries. */
 extern const TestFunc start_tests[];
 /* What entries handle late as they stood still. */
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -248,9 +248,12 @@
                           "],\"services\":[%s,{\"name\":\"w\",\"origin\":\"%s\","
                           "\"link_mbps\":10}],"
                           "\"limits\":{\"max_header_bytes\":8192,"
-                          "\"max_body_bytes\":100000},"
+                          "\"max_body_bytes\":%u},"
                           "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]}]}",
-                          services_spec, tb->via_origin, without_key ? "" : ",\"key2\"");
+                          services_spec, tb->via_origin,
+                          tb->body_limit_bytes > 0 ? tb->body_limit_bytes
+                                                   : BODY_LIMIT_DEFAULT_BYTES,
+                          without_key ? "" : ",\"key2\"");
   done = testbed_put (tb, "config", "main", spec->str);
   g_string_free (spec, TRUE);
   return done;
@@ -353,6 +356,7 @@
   tb->ready[i] = address (tb, host, PORT + 1);
   tb->directory[i] = address (tb, host, PORT + 2);
   tb->metrics[i] = address (tb, host, PORT + 3);
+  tb->entry_node[i] = address (tb, host, NODE_PORT);
   more = g_strdup_printf ("\"listen\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\","
                           "\"metrics\":\"%s\",\"retry_ratio\":1.0,\"retry_slack\":50",
                           tb->entry[i], tb->ready[i], tb->directory[i], tb->metrics[i]);
@@ -386,6 +390,8 @@
   char *more = g_strdup_printf ("\"engine\":\"%s\",\"service\":\"m\"", tb->via_server[i]);
   char *settings = node_settings (tb, name, 11 + i, more);
 
+  tb->stager_node[i] = address (tb, 11 + i, NODE_PORT);
+
   process_set (tb, &tb->stager_process[i], name,
                program_argv (tb, "daisystaged", name, settings));
   g_free (settings);
@@ -555,10 +561,14 @@
       g_free (tb->ready[i]);
       g_free (tb->directory[i]);
       g_free (tb->metrics[i]);
+      g_free (tb->entry_node[i]);
       g_free (tb->via_entry[i]);
     }
   for (unsigned i = 0; i < SERVERS - 1; i++)
-    process_free (&tb->stager_process[i], failed);
+    {
+      process_free (&tb->stager_process[i], failed);
+      g_free (tb->stager_node[i]);
+    }
   for (unsigned i = 0; i < SERVERS; i++)
     {
       process_free (&tb->server_process[i], failed);
