Bounds on what arriving requests hold

Cause: nothing bounded the sum of the bodies that a process holds, a body over the configuration's limit was kept up to 8 MiB until it had arrived whole, and a request that stopped short stayed for as long as its caller did.

Change: the bodies of all requests of a server are bounded together (held_bodies_bytes, 15% of memory_mb), but for small ones; what does not fit is read, not kept, and refused with 503 as not run. A body over the limit of the configuration is dropped at once, refused with 413 when it ends soon after, and its connection is closed otherwise. A request of which nothing arrives for stall_ms, or that has not arrived whole after arrival_ms, loses its connection; sooner while nearly all connections or bytes are in use. The number of connections follows from memory_mb. Servers that expect no bodies keep 16 KiB.

Ruled out: an answer before the whole body was read, which libmicrohttpd gives only before the first byte of it.

--- a/daisydirectd/directory.c
+++ b/daisydirectd/directory.c
@@ -179,6 +179,7 @@
 {
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
 
+  limits.max_body_bytes = DL_HTTP_NO_BODY_BYTES;
   limits.max_connections = CONNECTIONS_MAX;
   limits.max_header_bytes = HEADER_BYTES_MAX;
   limits.idle_timeout_s = IDLE_TIMEOUT_S;
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -13,9 +13,8 @@
 #include "platform.h"
 
 /* Interval of the check of queues, deadlines and silent upstreams. */
-#define SWEEP_MS        40
-#define SUMMARY_MS      5000
-#define CONNECTIONS_MAX 1500
+#define SWEEP_MS   40
+#define SUMMARY_MS 5000
 /* With more connections than this, they are closed after each response. */
 #define KEEPALIVE_CONNECTIONS_MAX 600
 #define HEADER_BYTES_MAX          (20u << 10)
@@ -365,6 +364,17 @@
 
 /* -------- the task -------- */
 
+/* A body that the table does not allow is not kept while it arrives. */
+static void
+adopt_limits (const Requests *requests)
+{
+  uint64_t bytes = requests->routing->routing->limits.body_bytes_max;
+
+  if (requests->server != NULL)
+    dl_http_server_set_max_body (requests->server, bytes > 0 ? MIN (bytes, BODY_BYTES_MAX)
+                                                             : BODY_BYTES_MAX);
+}
+
 static void
 handle (DlTask *task, const DlMessage *head)
 {
@@ -377,6 +387,7 @@
       if (requests->routing != NULL)
         dl_message_unref (requests->routing);
       requests->routing = dl_message_ref ((void *)m);
+      adopt_limits (requests);
       break;
     case DIRECT_UPSTREAM:
       direct_upstreams_set (requests->upstreams, &m->upstream, dl_clock_ms ());
@@ -487,7 +498,10 @@
 {
   Requests *requests = dl_task_state (task);
   DlHttpLimits limits = {
-    .max_connections = CONNECTIONS_MAX,
+    .max_connections = (unsigned)requests->settings->connections_max,
+    .max_held_bytes = requests->settings->held_bodies_bytes,
+    .stall_ms = requests->settings->stall_ms,
+    .arrival_ms = requests->settings->arrival_ms,
     .max_keepalive_connections = KEEPALIVE_CONNECTIONS_MAX,
     .max_body_bytes = BODY_BYTES_MAX,
     .max_header_bytes = HEADER_BYTES_MAX,
@@ -496,9 +510,12 @@
   int error = dl_http_server_new (task, requests, dl_str (requests->settings->listen),
                                   &limits, on_request, requests, &requests->server);
 
-  if (error == 0)
-    dl_http_server_set_id_header (requests->server, platform_request_id_header);
-  return error;
+  if (error < 0)
+    return error;
+  dl_http_server_set_id_header (requests->server, platform_request_id_header);
+  if (requests->routing != NULL)
+    adopt_limits (requests);
+  return 0;
 }
 
 /* Lets the process end once nothing is in progress.  Until then callers that have not
--- a/daisyslotd/transfer_blobs.c
+++ b/daisyslotd/transfer_blobs.c
@@ -53,6 +53,7 @@
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
   DlHttpServer *server;
 
+  limits.max_body_bytes = DL_HTTP_NO_BODY_BYTES;
   limits.max_connections = CONNECTIONS_MAX;
   return dl_http_server_new (task, owner, address, &limits, on_blob_request,
                              (void *)store, &server);
--- a/lib/kernel/http_request_end.c
+++ b/lib/kernel/http_request_end.c
@@ -52,6 +52,8 @@
 {
   if (r->caller_disconnected)
     return DL_HTTP_CALLER_LEFT;
+  if (r->stalled)
+    return DL_HTTP_TIMED_OUT;
   switch (code)
     {
     case MHD_REQUEST_TERMINATED_COMPLETED_OK:
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -23,6 +23,7 @@
 #define STALLED_TIMEOUTS        2
 #define CHECKS_PER_IDLE_TIMEOUT 4
 #define MS_PER_S                1000
+#define STALL_CHECK_MS          500
 #define CONNECTION_EXTRA_BYTES  (32u * 1024) /* libmicrohttpd's own use per connection */
 
 DL_METRIC (metric_requests,
@@ -275,6 +276,7 @@
   r->connection = connection;
   r->target = talloc_strdup (r, target);
   r->begun_ms = dl_clock_ms ();
+  g_hash_table_add (server->arriving, r);
   server->active_requests++;
   dl_http_connections_request_begun (connection);
   dl_metric_add (&metric_requests, 1);
@@ -322,22 +324,19 @@
     }
   if (*upload_size > 0)
     {
-      if (dl_buffer_append (r->body, upload, *upload_size) < 0)
-        r->too_large = true;
+      size_t length = *upload_size;
+
       *upload_size = 0;
-      return MHD_YES;
+      return dl_http_body_receive (r, upload, length) ? MHD_YES : MHD_NO;
     }
   if (!r->handled)
     {
       r->handled = true;
+      g_hash_table_remove (server->arriving, r);
       dl_http_connections_request_handled (connection);
       r->arrived_ms = dl_http_connections_quiet_ms (connection);
       r->arrived_ms = dl_clock_ms () - r->arrived_ms;
-      if (r->too_large)
-        dl_http_reply_error (r, MHD_HTTP_CONTENT_TOO_LARGE, 0,
-                             "the body is longer than %zu bytes",
-                             server->limits.max_body_bytes);
-      else
+      if (!dl_http_body_refuse (r))
         server->handler (r, server->data);
     }
   if (r->has_response && r->response != NULL)
@@ -366,6 +365,8 @@
     dl_metric_add (&metric_disconnected, 1);
   dl_http_request_report_end (r);
   g_hash_table_remove (server->suspended, r);
+  g_hash_table_remove (server->arriving, r);
+  dl_http_body_release (r);
   if (r->on_closed != NULL)
     r->on_closed (r, completed, r->closed_data);
   if (r->response != NULL)
@@ -434,6 +435,12 @@
                                     server->limits.idle_timeout_s * MS_PER_S);
 }
 
+static void
+on_stall_check (DlTimer *timer, void *data)
+{
+  dl_http_body_end_stalled (data);
+}
+
 static void
 on_daemon_event (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -468,6 +475,12 @@
   dl_http_connections_mark (server->connections);
 }
 
+void
+dl_http_server_set_max_body (DlHttpServer *server, size_t bytes)
+{
+  server->limits.max_body_bytes = bytes;
+}
+
 unsigned
 dl_http_server_active_requests (const DlHttpServer *server)
 {
@@ -490,9 +503,25 @@
   ev_prepare_stop (server->loop, &server->prepare);
   MHD_stop_daemon (server->daemon);
   g_hash_table_destroy (server->suspended);
+  g_hash_table_destroy (server->arriving);
   return 0;
 }
 
+/* LIMITS with the defaults in place of what is 0. */
+static DlHttpLimits
+with_defaults (const DlHttpLimits *limits)
+{
+  DlHttpLimits l = *limits;
+
+  if (l.max_held_bytes == 0)
+    l.max_held_bytes = DL_HTTP_HELD_BYTES_DEFAULT;
+  if (l.stall_ms == 0)
+    l.stall_ms = DL_HTTP_STALL_DEFAULT_MS;
+  if (l.arrival_ms == 0)
+    l.arrival_ms = DL_HTTP_ARRIVAL_DEFAULT_MS;
+  return l;
+}
+
 int
 dl_http_server_new (DlTask *task,
                     const void *owner,
@@ -517,7 +546,8 @@
   server->task = task;
   server->loop = dl_kernel_loop (dl_task_kernel (task));
   server->port = ntohs (at.sin_port);
-  server->limits = *limits;
+  server->limits = with_defaults (limits);
+  server->held.max = server->limits.max_held_bytes;
   server->connections = dl_http_connections_new (task, server, server->port, server_wake);
   server->handler = handler;
   server->data = data;
@@ -540,6 +570,7 @@
       return -ENOMEM;
     }
   server->suspended = g_hash_table_new (NULL, NULL);
+  server->arriving = g_hash_table_new (NULL, NULL);
   ev_io_init (&server->watcher, on_daemon_event,
               MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd,
               EV_READ);
@@ -552,6 +583,8 @@
   ev_prepare_start (server->loop, &server->prepare);
   server->caller_check = dl_timer_subscribe (task, server, CALLER_CHECK_MS,
                                              CALLER_CHECK_MS, on_caller_check, server);
+  dl_timer_subscribe (task, server, STALL_CHECK_MS, STALL_CHECK_MS, on_stall_check,
+                      server);
   if (limits->idle_timeout_s > 0)
     {
       uint64_t check_ms = limits->idle_timeout_s * MS_PER_S / CHECKS_PER_IDLE_TIMEOUT;
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -26,8 +26,23 @@
   size_t max_body_bytes;   /* longer bodies are refused with status 413 */
   size_t max_header_bytes; /* longer headers are refused by libmicrohttpd */
   unsigned idle_timeout_s; /* of a connection on which nothing arrives */
+  /* Of the next three, 0 stands for the default. */
+  size_t max_held_bytes; /* of the bodies of all requests that arrive or wait */
+  uint64_t stall_ms;     /* a request of which nothing arrives for so long is ended */
+  uint64_t arrival_ms;   /* and one that has not arrived whole after so long */
 } DlHttpLimits;
 
+#define DL_HTTP_HELD_BYTES_DEFAULT ((size_t)32 << 20)
+#define DL_HTTP_STALL_DEFAULT_MS   10000
+#define DL_HTTP_ARRIVAL_DEFAULT_MS 60000
+/* While nearly all connections or nearly all of MAX_HELD_BYTES are in use, a request is
+ * ended when nothing of it arrives for this long, and a connection without a request when
+ * it has been idle for the other. */
+#define DL_HTTP_PRESSURE_STALL_MS 3500
+#define DL_HTTP_PRESSURE_IDLE_MS  3500
+/* For servers whose requests have no bodies. */
+#define DL_HTTP_NO_BODY_BYTES ((size_t)16 << 10)
+
 #define DL_HTTP_LIMITS_DEFAULT      \
   ((DlHttpLimits){                  \
       .max_connections = 1000,      \
@@ -59,6 +74,8 @@
 /* Names the header with the caller's id of a request, which is logged; NAME is
  * borrowed. */
 void dl_http_server_set_id_header (DlHttpServer *server, const char *name);
+/* Sets the longest body of requests that begin from now on. */
+void dl_http_server_set_max_body (DlHttpServer *server, size_t bytes);
 /* Stops accepting connections, after those that wait; requests in progress continue. */
 void dl_http_server_quiesce (DlHttpServer *server);
 /* From now on each response carries "Connection: close" and closes its connection. */
--- a/lib/kernel/http_server_private.h
+++ b/lib/kernel/http_server_private.h
@@ -11,6 +11,7 @@
 
 #include "kernel/http_connections.h"
 #include "kernel/http_server.h"
+#include "policy/held_bytes.h"
 
 #define DL_HTTP_LISTEN_BACKLOG 512 /* connections */
 
@@ -31,6 +32,8 @@
   bool keepalive_disabled; /* responses carry "Connection: close" */
   unsigned active_requests;
   GHashTable *suspended; /* set of DlHttpRequest */
+  GHashTable *arriving;  /* set of DlHttpRequest that have not arrived whole */
+  DlHeldBytes held;      /* by bodies */
   DlHttpConnections *connections;
   const char *id_header; /* NULL for none */
   uint64_t ending_ms;    /* when the end of the process began to close connections */
@@ -38,6 +41,14 @@
   DlTimer *caller_check;
 };
 
+/* What is done with a body as it arrives. */
+typedef enum
+{
+  DL_HTTP_BODY_KEPT,
+  DL_HTTP_BODY_TOO_LARGE, /* dropped: over the limit of one body */
+  DL_HTTP_BODY_NO_ROOM,   /* dropped: over that of all together */
+} DlHttpBodyState;
+
 struct DlHttpRequest
 {
   DlHttpServer *server;
@@ -46,8 +57,10 @@
   char *method; /* NULL until the headers have been read */
   char *path;
   DlBuffer *body;
-  bool too_large;
-  bool handled; /* the handler has been called */
+  DlHttpBodyState body_state;
+  size_t dropped_bytes; /* that were read after the body was dropped */
+  bool stalled;         /* its connection was closed, as it did not go on arriving */
+  bool handled;         /* the handler has been called */
   bool in_handler;
   bool suspended;
   bool has_response;        /* a reply or a stream was begun */
@@ -75,6 +88,15 @@
 /* Tells what callers lose as the process ends. */
 void dl_http_server_log_open (const DlHttpServer *server);
 
+/* Takes in LENGTH bytes of a body.  Returns false when the connection is to be closed. */
+bool dl_http_body_receive (DlHttpRequest *request, const char *bytes, size_t length);
+/* Refuses a request that has arrived, but whose body was not kept; false when it was. */
+bool dl_http_body_refuse (DlHttpRequest *request);
+/* REQUEST ends: what its body holds does not count any more. */
+void dl_http_body_release (DlHttpRequest *request);
+/* Closes the connections of requests that do not go on arriving. */
+void dl_http_body_end_stalled (DlHttpServer *server);
+
 /* Why REQUEST ends, by what libmicrohttpd says. */
 DlHttpEnd dl_http_request_ended_by (const DlHttpRequest *request,
                                     enum MHD_RequestTerminationCode code);
--- a/lib/kernel/str.c
+++ b/lib/kernel/str.c
@@ -100,24 +100,34 @@
   return buffer;
 }
 
+size_t
+dl_buffer_capacity_for (const DlBuffer *buffer, size_t length)
+{
+  size_t capacity = MAX (buffer->capacity, BUFFER_INITIAL_BYTES);
+  size_t need;
+
+  g_assert (!__builtin_add_overflow (buffer->length, length, &need));
+  if (need <= buffer->capacity)
+    return buffer->capacity;
+  while (capacity < need)
+    g_assert (!__builtin_mul_overflow (capacity, 2, &capacity));
+  return capacity;
+}
+
 /* Makes room for EXTRA bytes after the contents: first by moving the contents to the
  * start of the memory, then by enlarging it. */
 static void
 buffer_reserve (DlBuffer *buffer, size_t extra)
 {
-  size_t need;
-  size_t capacity = MAX (buffer->capacity, BUFFER_INITIAL_BYTES);
+  size_t capacity = dl_buffer_capacity_for (buffer, extra);
 
   if (buffer->start > 0 && buffer->start + buffer->length + extra > buffer->capacity)
     {
       memmove (buffer->data, buffer->data + buffer->start, buffer->length);
       buffer->start = 0;
     }
-  g_assert (!__builtin_add_overflow (buffer->start + buffer->length, extra, &need));
-  if (need <= buffer->capacity)
+  if (capacity == buffer->capacity)
     return;
-  while (capacity < need)
-    g_assert (!__builtin_mul_overflow (capacity, 2, &capacity));
   buffer->data = talloc_realloc (buffer, buffer->data, uint8_t, capacity);
   g_assert (buffer->data != NULL);
   buffer->capacity = capacity;
@@ -169,6 +179,15 @@
   buffer->length = 0;
 }
 
+void
+dl_buffer_reset (DlBuffer *buffer)
+{
+  dl_buffer_clear (buffer);
+  talloc_free (buffer->data);
+  buffer->data = NULL;
+  buffer->capacity = 0;
+}
+
 DlStr
 dl_buffer_view (const DlBuffer *buffer)
 {
--- a/lib/kernel/str.h
+++ b/lib/kernel/str.h
@@ -60,6 +60,10 @@
 void dl_buffer_consume (DlBuffer *buffer, size_t length);
 /* Removes all bytes. */
 void dl_buffer_clear (DlBuffer *buffer);
+/* Removes all bytes and frees their memory. */
+void dl_buffer_reset (DlBuffer *buffer);
+/* The capacity that the buffer will have once LENGTH more bytes have been appended. */
+size_t dl_buffer_capacity_for (const DlBuffer *buffer, size_t length);
 /* A view of the contents; invalid once the buffer changes. */
 DlStr dl_buffer_view (const DlBuffer *buffer);
 
--- a/lib/node/chunk_cache_serve.c
+++ b/lib/node/chunk_cache_serve.c
@@ -134,6 +134,7 @@
 {
   DlHttpLimits limits = DL_HTTP_LIMITS_DEFAULT;
 
+  limits.max_body_bytes = DL_HTTP_NO_BODY_BYTES;
   limits.max_connections = UPLOAD_CONNECTIONS;
   limits.max_header_bytes = UPLOAD_HEADER_BYTES;
   limits.idle_timeout_s = DL_CHUNK_SERVER_IDLE_S;
--- a/lib/node/metrics_page.c
+++ b/lib/node/metrics_page.c
@@ -56,6 +56,7 @@
   page = talloc_zero (owner, Page);
   page->task = task;
   page->relay = relay;
+  limits.max_body_bytes = DL_HTTP_NO_BODY_BYTES;
   limits.max_connections = CONNECTIONS;
   limits.max_header_bytes = HEADER_BYTES;
   limits.idle_timeout_s = IDLE_TIMEOUT_S;
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -1,9 +1,12 @@
 #include "node/node.h"
 
 #include <errno.h>
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "kernel/http_server.h"
+
 #define MS_PER_S 1000
 /* Part of the grace time that is kept for exiting after the drain. */
 #define STOP_RESERVE_MS    400
@@ -14,6 +17,13 @@
 #define GRACE_DEFAULT_S    8
 #define TTL_DEFAULT_S      2
 #define OVERAGE_DEFAULT    1
+#define BYTES_PER_MB       (1024.0 * 1024.0)
+/* Of the host's memory, the part for the bodies of requests, each of which is copied once
+ * as it is sent on, and that for connections. */
+#define HELD_BODIES_SHARE     0.15
+#define CONNECTIONS_SHARE     0.3
+#define CONNECTION_BYTES      (52.0 * 1024.0) /* at most, without a body */
+#define HELD_BODIES_MAX_BYTES (UINT64_C (4) << 30)
 
 #define TEXT(member, is_required)                                           \
   {                                                                         \
@@ -76,6 +86,35 @@
   DURATION (evacuate_ms, 0),
   NUMBER (cold_overage, OVERAGE_DEFAULT),
   NUMBER (cold_slack, 0),
+  NUMBER (memory_mb, 0),
+  {
+      .key = "held_bodies_bytes",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, held_bodies_bytes),
+      .maximum = HELD_BODIES_MAX_BYTES,
+  },
+  {
+      .key = "connections_max",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, connections_max),
+      .maximum = DL_NODE_CONNECTIONS_MAX,
+  },
+  {
+      .key = "stall_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, stall_ms),
+      .minimum = MS_PER_S,
+      .maximum = HOUR_MS,
+      .fallback = DL_HTTP_STALL_DEFAULT_MS,
+  },
+  {
+      .key = "arrival_ms",
+      .type = DL_SETTING_UINT,
+      .offset = offsetof (DlNodeSettings, arrival_ms),
+      .minimum = MS_PER_S,
+      .maximum = HOUR_MS,
+      .fallback = DL_HTTP_ARRIVAL_DEFAULT_MS,
+  },
   { 0 },
 };
 
@@ -100,6 +139,23 @@
   return settings->cold_overage > 1 || settings->cold_slack > 0;
 }
 
+/* Sets the limits on what callers hold that the settings leave open. */
+static void
+set_caller_limits (DlNodeSettings *s)
+{
+  double memory_bytes = s->memory_mb * BYTES_PER_MB;
+
+  if (s->held_bodies_bytes == 0)
+    s->held_bodies_bytes = memory_bytes > 0 ? (uint64_t)(memory_bytes * HELD_BODIES_SHARE)
+                                            : DL_HTTP_HELD_BYTES_DEFAULT;
+  if (s->connections_max == 0)
+    s->connections_max = DL_NODE_CONNECTIONS_MAX;
+  if (memory_bytes > 0)
+    s->connections_max
+        = MIN (s->connections_max,
+               (uint64_t)(memory_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES) + 1);
+}
+
 /* Each data centre is given as "NAME=REGION". */
 static bool
 are_data_centers_valid (const DlNodeSettings *settings)
@@ -126,6 +182,7 @@
   settings->drain_ms = grace_ms > 2 * STOP_RESERVE_MS
                            ? (uint64_t)grace_ms - STOP_RESERVE_MS
                            : (uint64_t)(grace_ms / 2);
+  set_caller_limits (settings);
   if (!are_data_centers_valid (settings))
     {
       *error = talloc_strdup (context, "data_centers: each is NAME=REGION");
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -13,6 +13,9 @@
 /* Largest response of the store or of a node that reads it: four times a full page. */
 #define DL_NODE_LIST_MAX_BYTES (4u << 20)
 
+/* Callers' connections that an entry accepts at most. */
+#define DL_NODE_CONNECTIONS_MAX 1500
+
 /* Settings of one entry or stager. */
 typedef struct
 {
@@ -43,6 +46,12 @@
                            long; 0: data centres are not evacuated */
   double cold_overage;  /* as in DlColdBound */
   double cold_slack;    /* likewise; requests */
+  double memory_mb;     /* of the host, for this process; 0: not known */
+  /* Of an entry, as in DlHttpLimits; set by dl_node_settings_check when they are 0. */
+  uint64_t held_bodies_bytes;
+  uint64_t connections_max;
+  uint64_t stall_ms;
+  uint64_t arrival_ms;
 } DlNodeSettings;
 
 /* Describes DlNodeSettings to the settings reader. */
