Requests of a service are served by urgency, and uneven upstreams by their moment

Change: where the routes to a service differ in priority, more urgent requests go first, and are refused only by the number of those that go before them. A priority of which a much smaller part is sent on than of a more urgent one counts as the most urgent, so that none is starved. Engines are told the order of requests: by urgency, and where upstreams are uneven, shorter prompts first.

Measured: unit tests only so far.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -12,6 +12,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "platform.h"
+#include "policy/engine_order.h"
 #include "policy/response_room.h"
 #include "policy/time_limit.h"
 #include "requests.h"
@@ -201,6 +202,9 @@
   if (attempt->head.has_cold && !attempt->head.is_mismatched)
     direct_upstream_told_cold (attempt->upstream, attempt->head.cold_ms,
                                attempt->progress_ms);
+  if (attempt->head.has_load && !attempt->head.is_mismatched)
+    direct_upstream_told_pace (attempt->upstream, attempt->head.pace_percent,
+                               attempt->progress_ms);
   if (attempt->head.has_load)
     direct_upstream_update_load (attempt->upstream,
                                  attempt->head.running + attempt->head.waiting,
@@ -561,6 +565,22 @@
   return upstream->version;
 }
 
+/* Sets the request's place in the order in which its engine admits requests. */
+static void
+set_order (const Request *r, DlForwardOptions *forward)
+{
+  DlEngineOrder order = {
+    .by_rank = dl_route_is_ranked (r->route),
+    .rank = direct_request_rank (r),
+    .by_size = direct_upstreams_are_uneven (r->owner->upstreams, r->service_entry),
+    .prompt_tokens = r->incoming.prompt_tokens,
+    .usual_prompt_tokens = r->service_entry->engine.usual_prompt_tokens,
+  };
+
+  forward->has_order = r->service_entry->has_engine && dl_engine_order_applies (&order);
+  forward->order = dl_engine_order_place (&order);
+}
+
 static void
 note_sent (Request *r, const DirectUpstream *upstream, uint64_t now_ms)
 {
@@ -578,6 +598,7 @@
   Attempt *attempt = talloc_zero (r, Attempt);
   uint64_t now_ms = dl_clock_ms ();
   uint64_t version;
+  DlForwardOptions forward;
   char *url;
 
   g_assert (attempt != NULL && r->attempt == NULL);
@@ -600,30 +621,30 @@
   url = talloc_asprintf (attempt, "http://%s/", upstream->address);
   version = pinned_version (r, upstream, now_ms);
   attempt->pinned = version > 0;
-  attempt->call = dl_http_call (
-      r->owner->client, attempt,
-      &(DlHttpCallOptions){
-          .method = dl_http_request_method (r->http),
-          .url = url,
-          .target = dl_http_request_target (r->http),
-          .headers = platform_forward_headers (
-              attempt, r->http,
-              &(DlForwardOptions){
-                  .remaining_ms = attempt->given_ms,
-                  .organisation = r->organisation != NULL ? r->organisation->name : NULL,
-                  .upstream = upstream->id,
-                  .version = version,
-                  .last_event_id = stream_position (r),
-              }),
-          .body = dl_http_request_body (r->http),
-          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-          .single_use = true,
-          .id = r->incoming.id,
-          .on_head = on_head,
-          .on_data = on_data,
-          .on_done = on_done,
-          .data = attempt,
-      });
+  forward = (DlForwardOptions){
+    .remaining_ms = attempt->given_ms,
+    .organisation = r->organisation != NULL ? r->organisation->name : NULL,
+    .upstream = upstream->id,
+    .version = version,
+    .last_event_id = stream_position (r),
+  };
+  set_order (r, &forward);
+  attempt->call = dl_http_call (r->owner->client, attempt,
+                                &(DlHttpCallOptions){
+                                    .method = dl_http_request_method (r->http),
+                                    .url = url,
+                                    .target = dl_http_request_target (r->http),
+                                    .headers = platform_forward_headers (attempt, r->http,
+                                                                         &forward),
+                                    .body = dl_http_request_body (r->http),
+                                    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                    .single_use = true,
+                                    .id = r->incoming.id,
+                                    .on_head = on_head,
+                                    .on_data = on_data,
+                                    .on_done = on_done,
+                                    .data = attempt,
+                                });
 }
 
 void
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -175,6 +175,8 @@
 {
   uint64_t now_ms = dl_clock_ms ();
 
+  if (r->attempt_count == 0)
+    dl_wait_queue_sent (r->service->queue, direct_request_rank (r), now_ms);
   if (r->attempt_count == 0)
     dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
   r->retry_reserved = false;
@@ -193,16 +195,37 @@
     direct_request_refuse (r, retry_ms, reason);
 }
 
+/* An organisation's priority takes precedence over the route's. */
 static unsigned
 priority (const Request *r)
 {
-  if (r->attempt_count > 0)
-    return 0; /* a retry: its caller has waited already */
   if (r->organisation != NULL && r->organisation->has_priority)
     return r->organisation->priority;
   return r->route->priority;
 }
 
+unsigned
+direct_request_rank (const Request *r)
+{
+  return dl_route_rank (r->route, priority (r));
+}
+
+/* What the place of the request in its service's queue depends on. */
+static DlWaitClass
+wait_class (const Request *r)
+{
+  bool is_ranked = dl_route_is_ranked (r->route);
+
+  return (DlWaitClass){
+    .is_ranked = is_ranked,
+    /* The caller of a retry has waited already. */
+    .priority = r->attempt_count > 0 ? 0
+                : is_ranked          ? direct_request_rank (r)
+                                     : priority (r),
+    .target_ms = r->route->target_ms,
+  };
+}
+
 static uint64_t
 retry_ms (const Request *r)
 {
@@ -232,9 +255,9 @@
 static void
 enqueue (Request *r)
 {
-  if (dl_wait_queue_push (r->service->queue, r, priority (r), r->route->target_ms,
-                          dl_clock_ms ())
-      == DL_WAIT_QUEUED)
+  DlWaitClass class = wait_class (r);
+
+  if (dl_wait_queue_push (r->service->queue, r, &class, dl_clock_ms ()) == DL_WAIT_QUEUED)
     r->waiting = true;
   else
     refuse_or_fail (r, "all places are taken and the queue is long", retry_ms (r));
@@ -301,6 +324,8 @@
   int error;
   DirectUpstream *upstream = NULL;
 
+  if (r->attempt_count == 0)
+    dl_wait_queue_arrived (r->service->queue, direct_request_rank (r), dl_clock_ms ());
   /* Queued requests go first, except before retries. */
   if (r->attempt_count > 0 || !is_place_claimed (r))
     upstream = choose (r, NULL, &error);
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -380,6 +380,7 @@
       u->version = engine->version;
       u->stager_report_ms = now_ms;
       u->load.pace = engine->pace;
+      u->load.waiting = engine->waiting;
       if (engine->leaving && is_same)
         direct_upstream_announced_leaving (u);
       dl_balance_report (&u->load, engine->running + engine->waiting, sharing_entries (u),
@@ -633,6 +634,7 @@
 {
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (DlBalanceCandidate));
   g_autoptr (GPtrArray) candidate_upstreams = g_ptr_array_new ();
+  bool is_uneven = direct_upstreams_are_uneven (upstreams, query->service);
   int chosen;
 
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
@@ -642,6 +644,9 @@
           .load = &u->load,
           .same_data_center = u->same_data_center,
           .allowed = dl_breaker_allows (&u->breaker, query->now_ms),
+          .machine_pace
+          = u->has_engine ? 1 : dl_machine_pace_at (&u->machine_pace, query->now_ms),
+          .is_uneven = is_uneven,
           .avoided = is_upstream (u, query->avoid_upstream),
           .replaced = is_upstream (u, query->replaced_upstream),
           .paced = rate_wait_ms (u, query) > 0,
@@ -830,6 +835,25 @@
                      now_ms);
 }
 
+void
+direct_upstream_told_pace (DirectUpstream *u, unsigned percent, uint64_t now_ms)
+{
+  dl_machine_pace_told (&u->machine_pace, percent, now_ms);
+}
+
+bool
+direct_upstreams_are_uneven (const DirectUpstreams *upstreams,
+                             const DlServiceEntry *service)
+{
+  if (service->cold.per_s > 0)
+    return true;
+  for (const DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
+    if (!u->removed && dl_machine_pace_is_told (&u->machine_pace)
+        && strcmp (u->service, service->name) == 0)
+      return true;
+  return false;
+}
+
 json_object *
 direct_upstreams_dump (const DirectUpstreams *upstreams)
 {
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -13,6 +13,7 @@
 #include "policy/cold_start.h"
 #include "policy/evacuation.h"
 #include "policy/load_proof.h"
+#include "policy/machine_pace.h"
 #include "policy/rate_limit.h"
 #include "policy/routing.h"
 
@@ -30,6 +31,7 @@
   bool same_data_center; /* as this entry */
   uint64_t started_ms;   /* wall clock at its start; 0 when unknown */
   DlRateLimit limit;     /* of requests that it takes from all entries */
+  DlMachinePace machine_pace;
   DlColdStart cold;
   DlColdShare cold_share; /* this entry's, if the next says so */
   bool has_cold_share;
@@ -213,6 +215,13 @@
                                   unsigned requests,
                                   unsigned slots,
                                   uint64_t now_ms);
+/* A response of the upstream said how long work takes on its machine. */
+void
+direct_upstream_told_pace (DirectUpstream *upstream, unsigned percent, uint64_t now_ms);
+/* True when the upstreams of SERVICE differ from moment to moment: they may be cold, or
+ * tell the pace of their machines. */
+bool direct_upstreams_are_uneven (const DirectUpstreams *upstreams,
+                                  const DlServiceEntry *service);
 /* Returns all upstreams as a JSON array; the caller owns it. */
 json_object *direct_upstreams_dump (const DirectUpstreams *upstreams);
 
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -32,6 +32,8 @@
   const char *organisation; /* NULL: none; only then is the caller's key passed on */
   const char *upstream;     /* id of the only one that may run it; NULL for any */
   uint64_t version;         /* version of the weights that must run it; 0 for any */
+  bool has_order;           /* the upstream is told the next */
+  unsigned order;           /* as dl_engine_order_place */
   uint64_t last_event_id; /* resume the stream after this event; 0: as the caller asked */
 } DlForwardOptions;
 
@@ -55,6 +57,8 @@
   unsigned running;     /* requests */
   unsigned waiting;     /* requests */
   unsigned slots;       /* requests that it runs at once */
+  unsigned
+      pace_percent; /* time that work takes on its machine; 100: usual; 0: not given */
 } DlResponseHead;
 
 #endif
--- a/lib/policy/routing.c
+++ b/lib/policy/routing.c
@@ -27,6 +27,46 @@
   g_hash_table_insert (routing->keys, (gpointer)key, owner);
 }
 
+static unsigned
+known_priority (unsigned priority)
+{
+  return MIN (priority, DL_ROUTE_PRIORITY_MAX);
+}
+
+void
+dl_routing_rank_routes (DlRouting *routing)
+{
+  g_autoptr (GHashTable) services = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (size_t i = 0; i < routing->route_count; i++)
+    for (size_t t = 0; t < routing->routes[i].target_count; t++)
+      {
+        const char *service = routing->routes[i].targets[t].service;
+        guint set = GPOINTER_TO_UINT (g_hash_table_lookup (services, service));
+
+        set |= 1u << known_priority (routing->routes[i].priority);
+        g_hash_table_insert (services, (gpointer)service, GUINT_TO_POINTER (set));
+      }
+  for (size_t i = 0; i < routing->route_count; i++)
+    for (size_t t = 0; t < routing->routes[i].target_count; t++)
+      routing->routes[i].priorities |= (uint16_t)GPOINTER_TO_UINT (
+          g_hash_table_lookup (services, routing->routes[i].targets[t].service));
+}
+
+bool
+dl_route_is_ranked (const DlRouteEntry *route)
+{
+  return __builtin_popcount (route->priorities) > 1;
+}
+
+unsigned
+dl_route_rank (const DlRouteEntry *route, unsigned priority)
+{
+  unsigned lower = (1u << known_priority (priority)) - 1;
+
+  return (unsigned)__builtin_popcount (route->priorities & lower);
+}
+
 static DlStr
 without_port (DlStr host)
 {
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -48,8 +48,14 @@
   DlRouteTarget *targets;
   size_t target_count;
   DlRegions regions; /* in which its requests may be handled */
+  /* Set of the priorities of all routes to its services, by dl_routing_rank_routes: bit N
+   * stands for priority N. */
+  uint16_t priorities;
 } DlRouteEntry;
 
+/* Higher priorities of routes count as this one. */
+#define DL_ROUTE_PRIORITY_MAX 9
+
 /* What a model engine serves, and how its weights are distributed. */
 typedef struct
 {
@@ -108,6 +114,13 @@
 /* Maps KEY to OWNER; both must live as long as the table. */
 void dl_routing_add_key (DlRouting *routing, const char *key, DlOrganisation *owner);
 
+/* Sets the priorities of all routes; to be called once the table is complete. */
+void dl_routing_rank_routes (DlRouting *routing);
+/* True when the routes to the services of ROUTE differ in priority. */
+bool dl_route_is_ranked (const DlRouteEntry *route);
+/* Rank of PRIORITY among them; 0: the most urgent. */
+unsigned dl_route_rank (const DlRouteEntry *route, unsigned priority);
+
 /* Returns the route of HOST with the longest prefix of PATH, or NULL.  A port in HOST is
  * ignored; host names compare without regard to case. */
 const DlRouteEntry *dl_routing_match (const DlRouting *routing, DlStr host, DlStr path);
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -22,6 +22,7 @@
   unsigned dispatched;      /* in the current window */
   unsigned dispatched_last; /* in the window before it */
   unsigned responses;       /* in the current window */
+  DlPriorityShare share;
 };
 
 static int
@@ -64,15 +65,22 @@
          / MAX (now_ms - queue->window_ms, RESPONSES_MIN_MS);
 }
 
-uint64_t
-dl_wait_queue_expected_ms (const DlWaitQueue *queue, uint64_t now_ms)
+/* Time in which COUNT items are expected to leave. */
+static uint64_t
+expected_ms (const DlWaitQueue *queue, uint64_t count, uint64_t now_ms)
 {
   uint64_t rate = MAX (MAX (queue->dispatched, queue->dispatched_last), 1);
 
   /* After a quiet time, the dispatches of a whole window are not known yet. */
   if (queue->dispatched_last == 0)
     rate = MAX (rate, response_rate (queue, now_ms));
-  return queue->items.length * (uint64_t)DL_WAIT_RATE_WINDOW_MS / rate;
+  return count * (uint64_t)DL_WAIT_RATE_WINDOW_MS / rate;
+}
+
+uint64_t
+dl_wait_queue_expected_ms (const DlWaitQueue *queue, uint64_t now_ms)
+{
+  return expected_ms (queue, queue->items.length, now_ms);
 }
 
 static gint
@@ -86,27 +94,88 @@
   return x->order_ms <= y->order_ms ? -1 : 1;
 }
 
+static uint64_t
+order_ms (const DlWaitQueue *queue, const DlWaitClass *class, uint64_t now_ms)
+{
+  unsigned priority = MIN (class->priority, DL_WAIT_PRIORITY_MAX);
+
+  if (!class->is_ranked)
+    return now_ms + priority * DL_WAIT_PRIORITY_MS;
+  if (dl_priority_share_is_behind (&queue->share, priority))
+    return now_ms;
+  return now_ms + priority * DL_WAIT_RANK_MS;
+}
+
+/* Number of items that go before one that is to be put at ORDER_MS. */
+static uint64_t
+count_before (const DlWaitQueue *queue, uint64_t order)
+{
+  uint64_t count = 0;
+
+  for (const GList *l = queue->items.head; l != NULL; l = l->next)
+    {
+      const WaitingItem *w = l->data;
+
+      count += w->begun || w->order_ms <= order;
+    }
+  return count;
+}
+
+/* Ends the wait of those behind ITEM that cannot be served in their time any more. */
+static void
+expire_overtaken (DlWaitQueue *queue, const WaitingItem *item, uint64_t now_ms)
+{
+  uint64_t before = 0;
+  bool is_behind = false;
+
+  for (const GList *l = queue->items.head; l != NULL; l = l->next, before++)
+    {
+      WaitingItem *w = l->data;
+
+      if (is_behind && !w->begun
+          && now_ms + expected_ms (queue, before, now_ms) > w->expires_ms)
+        w->expires_ms = now_ms;
+      is_behind = is_behind || w == item;
+    }
+}
+
 DlWaitDecision
 dl_wait_queue_push (DlWaitQueue *queue,
                     void *item,
-                    unsigned priority,
-                    uint64_t target_ms,
+                    const DlWaitClass *class,
                     uint64_t now_ms)
 {
-  uint64_t max_wait_ms = target_ms / DL_WAIT_TARGET_DIVISOR;
+  uint64_t max_wait_ms = class->target_ms / DL_WAIT_TARGET_DIVISOR;
+  uint64_t order = order_ms (queue, class, now_ms);
+  uint64_t before;
   WaitingItem *w;
 
   advance_window (queue, now_ms);
-  if (dl_wait_queue_expected_ms (queue, now_ms) > max_wait_ms)
+  before = class->is_ranked ? count_before (queue, order) : queue->items.length;
+  if (expected_ms (queue, before, now_ms) > max_wait_ms)
     return DL_WAIT_REFUSED;
   w = g_new0 (WaitingItem, 1);
   w->item = item;
-  w->order_ms = now_ms + MIN (priority, DL_WAIT_PRIORITY_MAX) * DL_WAIT_PRIORITY_MS;
+  w->order_ms = order;
   w->expires_ms = now_ms + max_wait_ms;
   g_queue_insert_sorted (&queue->items, w, compare_order, NULL);
+  if (class->is_ranked)
+    expire_overtaken (queue, w, now_ms);
   return DL_WAIT_QUEUED;
 }
 
+void
+dl_wait_queue_arrived (DlWaitQueue *queue, unsigned rank, uint64_t now_ms)
+{
+  dl_priority_share_arrived (&queue->share, rank, now_ms);
+}
+
+void
+dl_wait_queue_sent (DlWaitQueue *queue, unsigned rank, uint64_t now_ms)
+{
+  dl_priority_share_sent (&queue->share, rank, now_ms);
+}
+
 void
 dl_wait_queue_push_begun (DlWaitQueue *queue,
                           void *item,
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -14,6 +14,10 @@
  * A request that may have run cannot be refused any more: it waits for as long as its
  * caller does, before all others.
  *
+ * Where the routes to a service differ in priority, a request is refused by the number of
+ * those that go before it, and one that others are put before is refused as soon as it
+ * cannot be served in its time any more.
+ *
  * Requests wait in order of arrival.  A more urgent priority counts as an earlier
  * arrival, but only by a bounded time, so that no organisation is starved.
  *
@@ -26,10 +30,16 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "policy/priority_share.h"
+
 /* A request may wait for the latency target divided by this. */
 #define DL_WAIT_TARGET_DIVISOR 5
 /* Each step of priority counts as an arrival later by this time. */
 #define DL_WAIT_PRIORITY_MS 20
+/* The same where the routes to the service differ in priority: longer than a request
+ * waits, so that more urgent ones go first.  One whose priority gets less than its share
+ * (priority_share.h) goes as if it were of the most urgent one. */
+#define DL_WAIT_RANK_MS 400
 /* Higher numbers count as this priority. */
 #define DL_WAIT_PRIORITY_MAX 9
 /* Time over which the dispatch rate is measured. */
@@ -50,12 +60,18 @@
   DL_WAIT_REFUSED,
 } DlWaitDecision;
 
-/* Queues ITEM, which must not be queued already, or refuses it.  ITEM is borrowed.
- * PRIORITY 0 is the most urgent; TARGET_MS is the request's latency target. */
+/* What the place of an item depends on. */
+typedef struct
+{
+  bool is_ranked;     /* the routes to the service differ in priority */
+  unsigned priority;  /* 0: the most urgent; if ranked, a rank among these routes */
+  uint64_t target_ms; /* latency target */
+} DlWaitClass;
+
+/* Queues ITEM, which must not be queued already, or refuses it.  ITEM is borrowed. */
 DlWaitDecision dl_wait_queue_push (DlWaitQueue *queue,
                                    void *item,
-                                   unsigned priority,
-                                   uint64_t target_ms,
+                                   const DlWaitClass *class,
                                    uint64_t now_ms);
 /* Queues ITEM, which may have run, until EXPIRES_MS, after others of this kind and before
  * all items that were pushed by dl_wait_queue_push. */
@@ -70,6 +86,10 @@
 void dl_wait_queue_remove (DlWaitQueue *queue, void *item);
 /* Removes and returns an item whose waiting time is over; NULL when there is none. */
 void *dl_wait_queue_expired (DlWaitQueue *queue, uint64_t now_ms);
+/* A request of RANK arrived at the service, and was sent on for the first time; both also
+ * when it is never queued. */
+void dl_wait_queue_arrived (DlWaitQueue *queue, unsigned rank, uint64_t now_ms);
+void dl_wait_queue_sent (DlWaitQueue *queue, unsigned rank, uint64_t now_ms);
 /* Counts a request that was sent to an upstream in the dispatch rate. */
 void dl_wait_queue_dispatched (DlWaitQueue *queue, uint64_t now_ms);
 /* Counts a response by which an upstream's request slot became free. */
--- a/regress/unit/test_balance.c
+++ b/regress/unit/test_balance.c
@@ -84,6 +84,18 @@
 
 /* Entries of other regions count less, in a large fleet even less, and one at least
  * shares. */
+static DlWaitDecision
+push (DlWaitQueue *queue,
+      void *item,
+      unsigned priority,
+      uint64_t target_ms,
+      uint64_t now_ms)
+{
+  DlWaitClass class = { .priority = priority, .target_ms = target_ms };
+
+  return dl_wait_queue_push (queue, item, &class, now_ms);
+}
+
 static void
 test_sharing_entries (void)
 {
@@ -217,11 +229,11 @@
   const uint64_t patience_ms = 3000 / DL_WAIT_TARGET_DIVISOR;
   int first, second, urgent;
 
-  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &first, 2, 3000, 1000), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (push (queue, &first, 2, 3000, 1000), DL_WAIT_QUEUED);
   for (uint64_t i = 0; i < 50; i++)
     dl_wait_queue_dispatched (queue, 1000);
-  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &second, 2, 3000, 1005), DL_WAIT_QUEUED);
-  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 3000, 1010), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (push (queue, &second, 2, 3000, 1005), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (push (queue, &urgent, 0, 3000, 1010), DL_WAIT_QUEUED);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &urgent);
   dl_wait_queue_remove (queue, &urgent);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &first);
@@ -243,7 +255,7 @@
     if (i % 10 == 0)
       dl_wait_queue_dispatched (queue, 2000 + i * 10);
   for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
-    queued += dl_wait_queue_push (queue, &items[i], 1, 2000, 3000) == DL_WAIT_QUEUED;
+    queued += push (queue, &items[i], 1, 2000, 3000) == DL_WAIT_QUEUED;
   /* A fifth of the target is 400 ms, in which four slots become free. */
   CU_ASSERT (queued >= 4 && queued <= 6);
   CU_ASSERT (dl_wait_queue_retry_ms (queue, 0, 3000) >= DL_WAIT_RETRY_MIN_MS);
@@ -270,9 +282,8 @@
     }
   for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
     {
-      CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &items[i], 1, 400, quiet_ms + 120),
-                       DL_WAIT_QUEUED);
-      CU_ASSERT_EQUAL (dl_wait_queue_push (filled, &items[i], 1, 400, quiet_ms + 120),
+      CU_ASSERT_EQUAL (push (queue, &items[i], 1, 400, quiet_ms + 120), DL_WAIT_QUEUED);
+      CU_ASSERT_EQUAL (push (filled, &items[i], 1, 400, quiet_ms + 120),
                        i == 0 ? DL_WAIT_QUEUED : DL_WAIT_REFUSED);
     }
   /* A fifth of the target is 80 ms, in which four slots become free. */
@@ -289,8 +300,8 @@
   DlWaitQueue *queue = dl_wait_queue_new (NULL);
   int fresh, urgent, lost, lost_later;
 
-  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &fresh, 1, 400, 1000), DL_WAIT_QUEUED);
-  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &urgent, 0, 400, 1000), DL_WAIT_REFUSED);
+  CU_ASSERT_EQUAL (push (queue, &fresh, 1, 400, 1000), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (push (queue, &urgent, 0, 400, 1000), DL_WAIT_REFUSED);
   dl_wait_queue_push_begun (queue, &lost, 4000, 1010);
   dl_wait_queue_push_begun (queue, &lost_later, 3000, 1020);
   CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &lost);
@@ -397,8 +408,7 @@
   if (dl_wait_queue_length (sim->entries[entry].queue) == 0
       && dispatch (sim, entry, now_ms))
     return;
-  if (dl_wait_queue_push (sim->entries[entry].queue, at, 1, TARGET_MS, now_ms)
-      == DL_WAIT_REFUSED)
+  if (push (sim->entries[entry].queue, at, 1, TARGET_MS, now_ms) == DL_WAIT_REFUSED)
     sim->refused++;
 }
 
