Urgency by organisation, then by route; evacuations are first read from readers

An organisation's priority now goes first, and that of the route decides among equals. Engines are told two sizes of prompts.

Tried and left out: requests that wait at an engine counted as prompts to be read.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -176,7 +176,7 @@
   uint64_t now_ms = dl_clock_ms ();
 
   if (r->attempt_count == 0)
-    dl_wait_queue_sent (r->service->queue, direct_request_rank (r), now_ms);
+    dl_wait_queue_sent (r->service->queue, dl_route_rank (r->route), now_ms);
   if (r->attempt_count == 0)
     dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
   r->retry_reserved = false;
@@ -204,24 +204,20 @@
   return r->route->priority;
 }
 
-unsigned
-direct_request_rank (const Request *r)
-{
-  return dl_route_rank (r->route, priority (r));
-}
-
 /* What the place of the request in its service's queue depends on. */
 static DlWaitClass
 wait_class (const Request *r)
 {
   bool is_ranked = dl_route_is_ranked (r->route);
+  unsigned place = is_ranked
+                       ? dl_routing_rank (r->routing->routing, r->route, r->organisation)
+                       : priority (r);
 
   return (DlWaitClass){
     .is_ranked = is_ranked,
     /* The caller of a retry has waited already. */
-    .priority = r->attempt_count > 0 ? 0
-                : is_ranked          ? direct_request_rank (r)
-                                     : priority (r),
+    .priority = r->attempt_count > 0 ? 0 : place,
+    .route_rank = dl_route_rank (r->route),
     .target_ms = r->route->target_ms,
   };
 }
@@ -325,7 +321,7 @@
   DirectUpstream *upstream = NULL;
 
   if (r->attempt_count == 0)
-    dl_wait_queue_arrived (r->service->queue, direct_request_rank (r), dl_clock_ms ());
+    dl_wait_queue_arrived (r->service->queue, dl_route_rank (r->route), dl_clock_ms ());
   /* Queued requests go first, except before retries. */
   if (r->attempt_count > 0 || !is_place_claimed (r))
     upstream = choose (r, NULL, &error);
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -104,10 +104,6 @@
 /* Time left until the request's deadline; 0 when it has passed. */
 uint64_t direct_request_remaining_ms (const Request *request, uint64_t now_ms);
 
-/* Rank of the request's priority among those of the routes to its service; 0: the most
- * urgent. */
-unsigned direct_request_rank (const Request *request);
-
 /* -------- outcome.c -------- */
 
 /* Each of the next five functions releases the request and sends its final response;
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "entry_list.h"
+#include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -24,8 +25,14 @@
 #define UPSTREAMS_WAIT_MS          1500
 #define UPSTREAMS_PAUSE_MS         600
 #define VERSIONS_WAIT_MS           1500
-#define EVACUATIONS_WAIT_MS        2000
-#define ROUTING_RETRY_MS           400
+/* An entry whose copy has reached 70% of evacuate_ms asks the store itself, so a copy's
+ * age, which may reach two waits, must stay below that. */
+#define EVACUATIONS_WAIT_MS 1000
+/* An entry that starts reads the evacuations when it knows who reads the store for it;
+ * when the whole system starts, entries do so one after the other. */
+#define EVACUATIONS_FIRST_MS  200
+#define EVACUATIONS_SPREAD_MS 3000
+#define ROUTING_RETRY_MS      400
 /* Wait and pause of the watches of a reader: an entry that reads the store for others. */
 #define READER_WAIT_MS  500
 #define READER_PAUSE_MS 200
@@ -527,6 +534,13 @@
                               RELAYED_AGE_MAX_MS (EVACUATIONS_WAIT_MS));
 }
 
+static uint64_t
+first_evacuations_ms (const State *state)
+{
+  return EVACUATIONS_FIRST_MS
+         + (state->settings->bootstrap ? dl_random_uint64 () % EVACUATIONS_SPREAD_MS : 0);
+}
+
 static void
 watch_evacuations (State *state)
 {
@@ -538,6 +552,7 @@
                                      .wait_ms = EVACUATIONS_WAIT_MS,
                                      .reader_wait_ms = EVACUATIONS_WAIT_MS,
                                      .apply_ms = state->settings->evacuate_ms,
+                                     .first_delay_ms = first_evacuations_ms (state),
                                      .source = state->source,
                                      .relay = state->relay,
                                      .retry_max_ms = RETRY_MS,
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -380,7 +380,6 @@
       u->version = engine->version;
       u->stager_report_ms = now_ms;
       u->load.pace = engine->pace;
-      u->load.waiting = engine->waiting;
       if (engine->leaving && is_same)
         direct_upstream_announced_leaving (u);
       dl_balance_report (&u->load, engine->running + engine->waiting, sharing_entries (u),
@@ -634,7 +633,6 @@
 {
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (DlBalanceCandidate));
   g_autoptr (GPtrArray) candidate_upstreams = g_ptr_array_new ();
-  bool is_uneven = direct_upstreams_are_uneven (upstreams, query->service);
   int chosen;
 
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
@@ -646,7 +644,6 @@
           .allowed = dl_breaker_allows (&u->breaker, query->now_ms),
           .machine_pace
           = u->has_engine ? 1 : dl_machine_pace_at (&u->machine_pace, query->now_ms),
-          .is_uneven = is_uneven,
           .avoided = is_upstream (u, query->avoid_upstream),
           .replaced = is_upstream (u, query->replaced_upstream),
           .paced = rate_wait_ms (u, query) > 0,
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -24,6 +24,10 @@
 /* Wait of a watch that is sent to a reader instead of the store. */
 #define RELAY_WAIT_MS 5000
 #define RETRY_MAX_MS  1500
+/* Evacuations are read when entries have read them; the second holds while the whole
+ * system starts. */
+#define EVACUATIONS_FIRST_MS     1000
+#define EVACUATIONS_BOOTSTRAP_MS 4500
 /* When the store came back from an older copy, stagers list its objects again within this
  * time. */
 #define RELIST_SPREAD_MS 1500
@@ -500,19 +504,23 @@
 static void
 watch_evacuations (State *state, DlObjectClient *store, DlRelaySource *source)
 {
-  state->evacuations = dl_evacuation_watch_new (state->task, state,
-                                                &(DlEvacuationWatchOptions){
-                                                    .store = store,
-                                                    .kind = platform_kind_evacuations,
-                                                    .wait_ms = VERSIONS_WAIT_MS,
-                                                    .reader_wait_ms = RELAY_WAIT_MS,
-                                                    .source = source,
-                                                    .retry_max_ms = RETRY_MAX_MS,
-                                                    .relist_spread_ms = RELIST_SPREAD_MS,
-                                                    .on_change = on_evacuation,
-                                                    .on_known = on_evacuations_known,
-                                                    .data = state,
-                                                });
+  state->evacuations
+      = dl_evacuation_watch_new (state->task, state,
+                                 &(DlEvacuationWatchOptions){
+                                     .store = store,
+                                     .kind = platform_kind_evacuations,
+                                     .first_delay_ms = state->settings->bootstrap
+                                                           ? EVACUATIONS_BOOTSTRAP_MS
+                                                           : EVACUATIONS_FIRST_MS,
+                                     .wait_ms = VERSIONS_WAIT_MS,
+                                     .reader_wait_ms = RELAY_WAIT_MS,
+                                     .source = source,
+                                     .retry_max_ms = RETRY_MAX_MS,
+                                     .relist_spread_ms = RELIST_SPREAD_MS,
+                                     .on_change = on_evacuation,
+                                     .on_known = on_evacuations_known,
+                                     .data = state,
+                                 });
 }
 
 static int
--- a/lib/node/evacuation_watch.h
+++ b/lib/node/evacuation_watch.h
@@ -17,9 +17,10 @@
 {
   DlObjectClient *store;
   const char *kind;
-  uint64_t wait_ms; /* as in DlObjectWatchOptions, and the next five */
+  uint64_t wait_ms; /* as in DlObjectWatchOptions, and the next six */
   uint64_t reader_wait_ms;
   uint64_t apply_ms;
+  uint64_t first_delay_ms;
   DlRelaySource *source;
   DlObjectRelay *relay;
   uint64_t retry_max_ms;
--- a/lib/policy/balance.c
+++ b/lib/policy/balance.c
@@ -119,9 +119,6 @@
 
   if (query->usual_prompt_tokens > 0)
     requests += PROMPT_PENALTY * (double)l->prompt_tokens / query->usual_prompt_tokens;
-  /* Requests of other entries that have not begun have prompts to be read as well. */
-  if (c->is_uneven)
-    requests += PROMPT_PENALTY * l->waiting;
   if (!c->same_data_center)
     requests += OTHER_DATA_CENTER_PENALTY;
   requests += FAILURE_PENALTY * l->failure_rate;
--- a/lib/policy/balance.h
+++ b/lib/policy/balance.h
@@ -48,7 +48,6 @@
   unsigned capacity;      /* requests that run at once */
   bool is_relayed;        /* its reports come from another region, by relays */
   unsigned reported;      /* requests running and queued there, by its last report */
-  unsigned waiting;       /* of these, those that have not begun */
   uint64_t reported_ms;   /* when the report was received; 0: never */
   unsigned share;         /* free request slots of the report that this entry may take */
   unsigned in_flight;     /* this entry's requests there now */
@@ -102,7 +101,6 @@
   bool avoided;          /* it failed this request before */
   bool replaced;         /* it holds this request now; never chosen */
   double machine_pace;   /* as dl_machine_pace_at; 0: as usual */
-  bool is_uneven;        /* its service's upstreams differ from moment to moment */
   bool paced;            /* it takes its next request soon, but none now */
 } DlBalanceCandidate;
 
--- a/lib/policy/engine_order.c
+++ b/lib/policy/engine_order.c
@@ -2,17 +2,18 @@
 
 #include <glib.h>
 
-/* Sizes that are told apart: up to the usual prompt, up to twice that, and longer. */
-#define SIZES 3
+/* Sizes that are told apart: prompts up to this many times the usual one, and longer
+ * ones.
+ */
+#define SIZES       2
+#define SHORT_TIMES 1.5
 
 static unsigned
 size_class (const DlEngineOrder *o)
 {
   if (!o->by_size || o->usual_prompt_tokens == 0)
     return 0;
-  if (o->prompt_tokens <= o->usual_prompt_tokens)
-    return 0;
-  return o->prompt_tokens <= 2 * o->usual_prompt_tokens ? 1 : SIZES - 1;
+  return (double)o->prompt_tokens > SHORT_TIMES * (double)o->usual_prompt_tokens;
 }
 
 bool
--- a/lib/policy/engine_order.h
+++ b/lib/policy/engine_order.h
@@ -22,7 +22,7 @@
 typedef struct
 {
   bool by_rank;  /* the service's routes differ in priority */
-  unsigned rank; /* of the request's priority among these; 0: most urgent */
+  unsigned rank; /* of the request, by dl_routing_rank; 0: most urgent */
   bool by_size;  /* the service's upstreams are uneven */
   uint64_t prompt_tokens;
   uint64_t usual_prompt_tokens; /* mean of the service; 0: not known */
--- a/lib/policy/routing.c
+++ b/lib/policy/routing.c
@@ -47,6 +47,10 @@
         set |= 1u << known_priority (routing->routes[i].priority);
         g_hash_table_insert (services, (gpointer)service, GUINT_TO_POINTER (set));
       }
+  for (size_t i = 0; i < routing->organisation_count; i++)
+    if (routing->organisations[i].has_priority)
+      routing->organisation_priorities
+          |= (uint16_t)(1u << known_priority (routing->organisations[i].priority));
   for (size_t i = 0; i < routing->route_count; i++)
     for (size_t t = 0; t < routing->routes[i].target_count; t++)
       routing->routes[i].priorities |= (uint16_t)GPOINTER_TO_UINT (
@@ -59,12 +63,32 @@
   return __builtin_popcount (route->priorities) > 1;
 }
 
-unsigned
-dl_route_rank (const DlRouteEntry *route, unsigned priority)
+/* Number of priorities in SET that are more urgent than PRIORITY. */
+static unsigned
+rank_in (unsigned set, unsigned priority)
 {
   unsigned lower = (1u << known_priority (priority)) - 1;
 
-  return (unsigned)__builtin_popcount (route->priorities & lower);
+  return (unsigned)__builtin_popcount (set & lower);
+}
+
+unsigned
+dl_route_rank (const DlRouteEntry *route)
+{
+  return rank_in (route->priorities, route->priority);
+}
+
+unsigned
+dl_routing_rank (const DlRouting *routing,
+                 const DlRouteEntry *route,
+                 const DlOrganisation *organisation)
+{
+  unsigned routes = MAX ((unsigned)__builtin_popcount (route->priorities), 1);
+  unsigned before = (unsigned)__builtin_popcount (routing->organisation_priorities);
+
+  if (organisation != NULL && organisation->has_priority)
+    before = rank_in (routing->organisation_priorities, organisation->priority);
+  return before * routes + dl_route_rank (route);
 }
 
 static DlStr
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -104,8 +104,9 @@
   size_t service_count;
   DlOrganisation *organisations;
   size_t organisation_count;
-  bool has_organisations; /* requests on routes that are not open need a key */
-  GHashTable *keys;       /* key text to DlOrganisation; owned by the table */
+  uint16_t organisation_priorities; /* set of them, as in DlRouteEntry */
+  bool has_organisations;           /* requests on routes that are not open need a key */
+  GHashTable *keys;                 /* key text to DlOrganisation; owned by the table */
 } DlRouting;
 
 /* Returns an empty table, a talloc child of CONTEXT; freeing it frees its own children.
@@ -114,12 +115,17 @@
 /* Maps KEY to OWNER; both must live as long as the table. */
 void dl_routing_add_key (DlRouting *routing, const char *key, DlOrganisation *owner);
 
-/* Sets the priorities of all routes; to be called once the table is complete. */
+/* Sets the sets of priorities; to be called once the table is complete. */
 void dl_routing_rank_routes (DlRouting *routing);
 /* True when the routes to the services of ROUTE differ in priority. */
 bool dl_route_is_ranked (const DlRouteEntry *route);
-/* Rank of PRIORITY among them; 0: the most urgent. */
-unsigned dl_route_rank (const DlRouteEntry *route, unsigned priority);
+/* Rank of the route's priority among them; 0: the most urgent. */
+unsigned dl_route_rank (const DlRouteEntry *route);
+/* Rank of a request: an organisation's priority takes precedence, and among organisations
+ * of the same priority that of the route decides.  ORGANISATION may be NULL. */
+unsigned dl_routing_rank (const DlRouting *routing,
+                          const DlRouteEntry *route,
+                          const DlOrganisation *organisation);
 
 /* Returns the route of HOST with the longest prefix of PATH, or NULL.  A port in HOST is
  * ignored; host names compare without regard to case. */
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -101,7 +101,7 @@
 
   if (!class->is_ranked)
     return now_ms + priority * DL_WAIT_PRIORITY_MS;
-  if (dl_priority_share_is_behind (&queue->share, priority))
+  if (dl_priority_share_is_behind (&queue->share, class->route_rank))
     return now_ms;
   return now_ms + priority * DL_WAIT_RANK_MS;
 }
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -63,9 +63,10 @@
 /* What the place of an item depends on. */
 typedef struct
 {
-  bool is_ranked;     /* the routes to the service differ in priority */
-  unsigned priority;  /* 0: the most urgent; if ranked, a rank among these routes */
-  uint64_t target_ms; /* latency target */
+  bool is_ranked;      /* the routes to the service differ in priority */
+  unsigned priority;   /* 0: the most urgent; if ranked, the request's rank */
+  unsigned route_rank; /* rank of its route, whose share is kept; if ranked */
+  uint64_t target_ms;  /* latency target */
 } DlWaitClass;
 
 /* Queues ITEM, which must not be queued already, or refuses it.  ITEM is borrowed. */
--- a/regress/direct/crowd.c
+++ b/regress/direct/crowd.c
@@ -238,6 +238,24 @@
   g_string_free (text, TRUE);
 }
 
+/* True once a process that has just started listens at ADDRESS. */
+static bool
+is_listening (const char *address)
+{
+  RawCall call;
+  bool opened = false;
+
+  for (unsigned i = 0; i < SETTLE_TRIES && !opened; i++)
+    {
+      opened = raw_call_open (&call, address);
+      if (opened)
+        close (call.fd);
+      else
+        g_usleep (SETTLE_POLL_US);
+    }
+  return opened;
+}
+
 /* The peak of a process counts from its start. */
 static void
 restart (Testbed *tb, Process *process)
@@ -311,6 +329,7 @@
 test_stager_held_bodies (Testbed *tb)
 {
   restart (tb, &tb->stager_process[0]);
+  CHECK (is_listening (tb->stager_node[0]));
   play_crowd (tb, &tb->stager_process[0], tb->stager_node[0], CROWD_CHUNKED, LARGE_CHUNK);
 }
 
