--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -45,8 +45,6 @@
   json_object_object_add (object, "address", json_object_new_string (s->address));
   if (s->listen != NULL)
     json_object_object_add (object, "listen", json_object_new_string (s->listen));
-  if (s->listen != NULL && s->link_mbps > 0)
-    json_object_object_add (object, "link_mbps", json_object_new_double (s->link_mbps));
   if (s->listen != NULL && s->metrics != NULL)
     json_object_object_add (object, "relay", json_object_new_string (s->metrics));
   return object;
@@ -139,18 +137,6 @@
   return talloc_strdup (context, json_object_get_string (member));
 }
 
-static double
-member_number (json_object *value, const char *key)
-{
-  json_object *member;
-
-  if (!json_object_object_get_ex (value, key, &member)
-      || (!json_object_is_type (member, json_type_double)
-          && !json_object_is_type (member, json_type_int)))
-    return 0;
-  return json_object_get_double (member);
-}
-
 static bool
 parse_node (Node *node, const DlObject *object)
 {
@@ -170,7 +156,6 @@
   p->address = member_text (node, object->value, "address");
   p->listen = member_text (node, object->value, "listen");
   p->relay = member_text (node, object->value, "relay");
-  p->link_mbps = member_number (object->value, "link_mbps");
   p->is_hub = p->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
   node->rank
       = p->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY ? dl_fanout_rank (p->name) : 0;
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -43,7 +43,6 @@
   const char *listen;   /* entry: "IP:PORT" for callers' requests */
   const char *relay;    /* entry: "IP:PORT" of its DlObjectRelay; may be NULL */
   uint64_t received_ms; /* when its last datagram arrived; 0 for never */
-  double link_mbps;     /* entry: rate of its link; 0: not known */
   bool ready;           /* according to its last datagram */
   bool is_hub;          /* entry: it fetches weights for others, as far as is known */
 } DlPeer;
--- a/lib/node/peers_region.c
+++ b/lib/node/peers_region.c
@@ -57,7 +57,6 @@
         .rank = node->rank,
         .alive = dl_peer_is_alive (&node->peer, now_ms),
         .ready = node->peer.ready,
-        .link_mbps = node->peer.link_mbps,
       };
 
       if (!dl_peers_is_entry_of (node, region))
@@ -127,25 +126,10 @@
   return peers->watch != NULL && dl_object_watch_has_preview (peers->watch);
 }
 
-/* Links of the entries of this region that rank as hubs before this one. */
-static size_t
-links_before (const DlPeers *peers)
-{
-  const DlNodeSettings *s = peers->options.settings;
-  RegionEntries list = list_entries (peers, s->region);
-  size_t before = dl_fanout_links_before ((const DlFanoutEntry *)list.candidates->data,
-                                          list.candidates->len,
-                                          dl_fanout_hub_rank (dl_fanout_rank (s->name),
-                                                              s->link_mbps));
-
-  free_entries (&list);
-  return before;
-}
-
 bool
 dl_peers_is_hub (const DlPeers *peers, bool was)
 {
-  return !dl_peers_is_large (peers) || dl_fanout_is_hub (links_before (peers), was);
+  return !dl_peers_is_large (peers) || dl_fanout_is_hub (dl_peers_position (peers), was);
 }
 
 bool
--- a/lib/policy/fanout.c
+++ b/lib/policy/fanout.c
@@ -5,9 +5,6 @@
 /* Hash key of the ranking; the same on every node.  Readers (policy/readers.h) are ranked
  * by it as well, so that nodes which only hear from hubs and relays ask true readers. */
 #define RANK_KEY "readers"
-/* Bits of a hub rank that are those of the entry's rank. */
-#define HUB_RANK_BITS     60
-#define UINT64_WIDTH_BITS 64
 
 uint64_t
 dl_fanout_rank (const char *name)
@@ -105,36 +102,6 @@
   return before;
 }
 
-static unsigned
-links_of (double link_mbps)
-{
-  double links = link_mbps / DL_FANOUT_LINK_MBPS;
-
-  if (!(links > 1))
-    return 1;
-  return links < DL_FANOUT_LINKS_MAX ? (unsigned)links : DL_FANOUT_LINKS_MAX;
-}
-
-uint64_t
-dl_fanout_hub_rank (uint64_t rank, double link_mbps)
-{
-  return (uint64_t)links_of (link_mbps) << HUB_RANK_BITS
-         | rank >> (UINT64_WIDTH_BITS - HUB_RANK_BITS);
-}
-
-size_t
-dl_fanout_links_before (const DlFanoutEntry *entries, size_t count, uint64_t own)
-{
-  Kind kind = has_kind (entries, count, KIND_ALIVE) ? KIND_ALIVE : KIND_ANY;
-  size_t before = 0;
-
-  for (size_t i = 0; i < count; i++)
-    if (is_of_kind (&entries[i], kind)
-        && dl_fanout_hub_rank (entries[i].rank, entries[i].link_mbps) > own)
-      before += links_of (entries[i].link_mbps);
-  return before;
-}
-
 bool
 dl_fanout_is_hub (size_t before, bool was)
 {
--- a/lib/policy/fanout.h
+++ b/lib/policy/fanout.h
@@ -29,23 +29,18 @@
 bool dl_fanout_is_large (unsigned entries);
 /* Relays of a region. */
 #define DL_FANOUT_RELAYS 2
-/* A link of an entry counts as one for each time that it is this fast, at least as one,
- * and at most as DL_FANOUT_LINKS_MAX, so that a region has more than one hub. */
-#define DL_FANOUT_LINK_MBPS 40.0
-#define DL_FANOUT_LINKS_MAX 5
-/* Links of the hubs of a region: enough that they carry a copy to each of some 40
- * upstream hosts within seconds. */
+/* Hubs of a region: enough that their links carry a copy to each of some 40 upstream
+ * hosts within seconds. */
 #define DL_FANOUT_HUBS 8
-/* A hub remains one until those that rank before it have so many. */
+/* A hub remains one until so many others rank before it. */
 #define DL_FANOUT_HUBS_KEPT 12
 
 /* An entry of one region. */
 typedef struct
 {
-  uint64_t rank;    /* dl_fanout_rank of its name; higher ranks first */
-  bool alive;       /* a status of it was received lately */
-  bool ready;       /* it accepts requests */
-  double link_mbps; /* of its link; 0: not known */
+  uint64_t rank; /* dl_fanout_rank of its name; higher ranks first */
+  bool alive;    /* a status of it was received lately */
+  bool ready;    /* it accepts requests */
 } DlFanoutEntry;
 
 /* Of statuses that all entries must have at once, as they tell of a crash, an entry of a
@@ -75,14 +70,8 @@
 /* Number of entries that rank before one of rank OWN: of those alive, or of all when none
  * is alive. */
 size_t dl_fanout_before (const DlFanoutEntry *entries, size_t count, uint64_t own);
-/* Rank as a hub of an entry whose rank is RANK: those with faster links first, which
- * carry chunks beside their live requests more easily. */
-uint64_t dl_fanout_hub_rank (uint64_t rank, double link_mbps);
-/* Number of links of the entries that rank before one of hub rank OWN: of those alive, or
- * of all when none is alive. */
-size_t dl_fanout_links_before (const DlFanoutEntry *entries, size_t count, uint64_t own);
-/* Whether an entry of its region is a hub, when those that rank before it have BEFORE
- * links and it WAS one. */
+/* Whether an entry of its region is a hub, when BEFORE others rank before it and it WAS
+ * one. */
 bool dl_fanout_is_hub (size_t before, bool was);
 
 #endif
