--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -86,7 +86,6 @@
   DURATION (evacuate_ms, 0),
   NUMBER (cold_overage, OVERAGE_DEFAULT),
   NUMBER (cold_slack, 0),
-  NUMBER (link_mbps, 0),
   NUMBER (memory_mb, 0),
   {
       .key = "held_bodies_bytes",
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -46,7 +46,6 @@
                            long; 0: data centres are not evacuated */
   double cold_overage;  /* as in DlColdBound */
   double cold_slack;    /* likewise; requests */
-  double link_mbps;     /* of the host's link; 0: not known */
   double memory_mb;     /* of the host, for this process; 0: not known */
   /* Of an entry, as in DlHttpLimits; set by dl_node_settings_check when they are 0. */
   uint64_t held_bodies_bytes;
