Callers return late when no upstream has the weights that are due

Callers were told to return after 0.9 s, into the same outage, and have no further try.

Change: where upstreams are uneven, they are told the longest time that they wait, a third of what they have left, less a spread.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -232,6 +232,20 @@
   return dl_wait_queue_retry_ms (r->service->queue, dl_random_uint64 (), dl_clock_ms ());
 }
 
+/* True when no upstream of the service has weights that are new enough, which lasts for
+ * seconds.  Uneven upstreams come back one by one, and slowly. */
+static bool
+lacks_due_weights (const Request *r)
+{
+  DirectUpstreamCount count
+      = direct_upstreams_count (r->owner->upstreams, r->service_entry->name,
+                                dl_clock_ms ());
+
+  return r->service_entry->has_engine && count.listed > 0
+         && count.outdated == count.listed
+         && direct_upstreams_are_uneven (r->owner->upstreams, r->service_entry);
+}
+
 /* Sends the final response of a request that no upstream of its service takes. */
 static void
 refuse_or_fail_without_upstream (Request *r)
@@ -244,6 +258,11 @@
                     "no upstream takes requests in a region that its route and its "
                     "organisation allow",
                     NO_UPSTREAM_RETRY_MS);
+  else if (lacks_due_weights (r))
+    refuse_or_fail (
+        r, "no upstream of the service has the weights that are due",
+        dl_availability_return_ms (direct_request_remaining_ms (r, dl_clock_ms ()),
+                                   dl_random_uint64 ()));
   else
     refuse_or_fail (r, "no upstream of the service takes requests", NO_UPSTREAM_RETRY_MS);
 }
--- a/lib/policy/availability.c
+++ b/lib/policy/availability.c
@@ -2,7 +2,12 @@
 
 #include <glib.h>
 
-#define RETRY_SPREAD_MS 300
+/* Part of the longest time that a caller waits, for what the way back takes, and the part
+ * of that over which callers are spread. */
+#define RETURN_PERCENT        95
+#define RETURN_SPREAD_DIVISOR 3
+#define PERCENT               100
+#define RETRY_SPREAD_MS       300
 
 bool
 dl_availability_leave (DlAvailability *availability)
@@ -45,6 +50,14 @@
   return hold_ms + random % RETRY_SPREAD_MS;
 }
 
+uint64_t
+dl_availability_return_ms (uint64_t remaining_ms, uint64_t random)
+{
+  uint64_t latest_ms = remaining_ms / DL_RETURN_DIVISOR * RETURN_PERCENT / PERCENT;
+
+  return latest_ms - random % (latest_ms / RETURN_SPREAD_DIVISOR + 1);
+}
+
 bool
 dl_availability_is_new_instance (uint64_t known_ms, uint64_t listed_ms)
 {
--- a/lib/policy/availability.h
+++ b/lib/policy/availability.h
@@ -50,6 +50,13 @@
  * them for HOLD_MS more.  RANDOM spreads the callers. */
 uint64_t dl_availability_retry_ms (uint64_t hold_ms, uint64_t random);
 
+/* A caller waits as it is told for up to this part of the time that it has left. */
+#define DL_RETURN_DIVISOR 3
+/* Retry-After of a request that no upstream can serve for seconds to come, whose caller
+ * will wait for REMAINING_MS more: as late as it still returns, since most that return
+ * sooner would be refused again.  RANDOM spreads the callers. */
+uint64_t dl_availability_return_ms (uint64_t remaining_ms, uint64_t random);
+
 /* True when the list entry of an upstream, started at LISTED_MS, is of a later instance
  * than the known one, started at KNOWN_MS; both by the wall clock of the upstream, 0 when
  * unknown.  An earlier start is that of an outdated entry. */
--- a/regress/unit/test_overload.c
+++ b/regress/unit/test_overload.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "policy/availability.h"
 #include "policy/engine_order.h"
 #include "policy/held_bytes.h"
 #include "policy/machine_pace.h"
@@ -189,6 +190,22 @@
   CU_ASSERT_DOUBLE_EQUAL (dl_machine_pace_at (&pace, START_MS), 20, 0.001);
 }
 
+/* -------- when callers return -------- */
+
+/* Guards against callers who are told to return into the same outage, or later than they
+ * do. */
+static void
+test_return_time (void)
+{
+  for (uint64_t random = 0; random < 5000; random += 7)
+    {
+      uint64_t ms = dl_availability_return_ms (6000, random);
+
+      CU_ASSERT (ms < 2000 && ms >= 1200);
+    }
+  CU_ASSERT_EQUAL (dl_availability_return_ms (0, 5), 0);
+}
+
 /* -------- what requests hold -------- */
 
 static void
@@ -214,6 +231,7 @@
   { "less urgent requests", test_less_urgent_requests_are_not_starved },
   { "the order at engines", test_engine_order },
   { "the pace of machines", test_machine_pace },
+  { "when callers return", test_return_time },
   { "what requests hold", test_held_bytes },
   CU_TEST_INFO_NULL,
 };
