A list entry does not end the cold time that a response gave

Cause: cold_remaining_ms of a list entry and X-Cold-Ms of a response set the same time. A list entry is read up to a watch later than it was written, so that one with 0 could cancel a newer response of an upstream that has become cold, and the entry filled it. Change: the two times are kept apart; a response replaces both, a list entry only what list entries said. Result: unit test of both orders in suite confinement.

--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -222,16 +222,32 @@
   log_cold (u, "inferred", 0);
 }
 
+static bool
+is_told_cold (const DirectUpstream *u, uint64_t now_ms)
+{
+  return MAX (u->cold.until_ms, u->cold.listed_until_ms) > now_ms;
+}
+
 void
 direct_upstream_told_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
 {
-  bool was_told = u->cold.until_ms > now_ms;
+  bool was_told = is_told_cold (u, now_ms);
 
   dl_cold_start_told (&u->cold, remaining_ms, now_ms);
   if (remaining_ms > 0 && !was_told)
     log_cold (u, "upstream", remaining_ms);
 }
 
+static void
+listed_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
+{
+  bool was_told = is_told_cold (u, now_ms);
+
+  dl_cold_start_listed (&u->cold, remaining_ms, now_ms);
+  if (remaining_ms > 0 && !was_told)
+    log_cold (u, "upstream", remaining_ms);
+}
+
 static void
 set_slots (DirectUpstream *u, unsigned slots)
 {
@@ -314,7 +330,7 @@
   u->same_data_center
       = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
   if (entry->has_cold)
-    direct_upstream_told_cold (u, entry->cold_ms, now_ms);
+    listed_cold (u, entry->cold_ms, now_ms);
   else if (claims)
     suspect_cold (u, now_ms);
   if (entry->leaving)
--- a/lib/policy/cold_start.c
+++ b/lib/policy/cold_start.c
@@ -8,6 +8,13 @@
 dl_cold_start_told (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms)
 {
   cold->until_ms = now_ms + remaining_ms;
+  cold->listed_until_ms = 0;
+}
+
+void
+dl_cold_start_listed (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms)
+{
+  cold->listed_until_ms = now_ms + remaining_ms;
 }
 
 void
@@ -27,7 +34,7 @@
                             const DlColdTraits *traits,
                             uint64_t now_ms)
 {
-  uint64_t until_ms = cold->until_ms;
+  uint64_t until_ms = MAX (cold->until_ms, cold->listed_until_ms);
 
   if (traits->per_s <= 0)
     return 0;
--- a/lib/policy/cold_start.h
+++ b/lib/policy/cold_start.h
@@ -54,13 +54,17 @@
 /* One upstream, as one entry knows it.  Starts zeroed: not cold. */
 typedef struct
 {
-  uint64_t until_ms;     /* end of the time for which it said that it is cold */
-  uint64_t suspected_ms; /* it may have become cold then; 0: no reason to think so */
-  uint64_t sent_ms;      /* when this entry last sent it a request; 0: never */
+  uint64_t until_ms;        /* end of the time for which a response said that it is cold */
+  uint64_t listed_until_ms; /* the same by its list entry, if read after that response */
+  uint64_t suspected_ms;    /* it may have become cold then; 0: no reason to think so */
+  uint64_t sent_ms;         /* when this entry last sent it a request; 0: never */
 } DlColdStart;
 
-/* The upstream, by its list entry or a response, is cold for REMAINING_MS from now. */
+/* By a response of the upstream it is cold for REMAINING_MS from now. */
 void dl_cold_start_told (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms);
+/* The same by its list entry, which may be older than the last response: it does not end
+ * the time that a response gave. */
+void dl_cold_start_listed (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms);
 /* The upstream may have become cold at NOW_MS, and does not say for how long. */
 void dl_cold_start_suspected (DlColdStart *cold, uint64_t now_ms);
 /* A request was sent to it. */
--- a/regress/unit/test_confinement.c
+++ b/regress/unit/test_confinement.c
@@ -92,6 +92,26 @@
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 3000), 0);
 }
 
+/* Guards against a list entry that was written before a response and read after it: the
+ * upstream, which has become cold meanwhile, would be filled at once. */
+static void
+test_cold_list_is_older (void)
+{
+  DlColdStart cold = { 0 };
+
+  dl_cold_start_listed (&cold, 3000, START_MS);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS), 3000);
+  dl_cold_start_listed (&cold, 0, START_MS + 100);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 100), 0);
+  dl_cold_start_told (&cold, 3000, START_MS + 200);
+  dl_cold_start_listed (&cold, 0, START_MS + 300);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 300), 2900);
+  dl_cold_start_listed (&cold, 5000, START_MS + 400);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 400), 5000);
+  dl_cold_start_told (&cold, 0, START_MS + 500);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 500), 0);
+}
+
 /* Without a share, an upstream is left alone until it is not cold any more. */
 static void
 test_cold_without_share (void)
@@ -200,6 +220,7 @@
   { "regions of route and organisation", test_regions },
   { "evacuations", test_evacuations },
   { "how long an upstream is cold", test_cold_time },
+  { "a list entry that is older than a response", test_cold_list_is_older },
   { "a cold upstream without a share", test_cold_without_share },
   { "shares of a cold upstream add up", test_cold_shares_add_up },
   CU_TEST_INFO_NULL,
