Shares of a cold upstream do not depend on its start

Cause: entries ranked themselves by a hash that included the upstream's start time. After a restart, entries that have read the new list entry and those that have not ranked differently, so that up to twice as many entries as intended could hold a share just then.

--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -538,21 +538,20 @@
   return !lacks_sound_weights (u) && u->version > 0 && u->version >= required;
 }
 
-/* Whether an entry takes part in the shares of a cold upstream: one of its region, or any
- * when that has none. */
+/* The scores of the registered entries for U, those of its region only or all; *SELF is
+ * the index of this entry's, or SIZE_MAX.  They depend on names alone: entries learn at
+ * different times that an upstream has restarted, and must rank alike meanwhile. */
 static GArray *
 scores_of_sharing (const DirectUpstream *u, bool same_region, size_t *self)
 {
   const DirectMessage *m = u->owner->registered;
   GArray *scores = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  uint64_t key = direct_upstream_key (u);
 
   *self = SIZE_MAX;
   for (size_t i = 0; i < m->registered.count; i++)
     {
       const DirectRegisteredEntry *e = &m->registered.items[i];
-      uint64_t score
-          = dl_rendezvous_score (dl_str_bytes (&key, sizeof key), dl_str (e->name));
+      uint64_t score = dl_rendezvous_score (dl_str (u->id), dl_str (e->name));
 
       if (same_region && (u->region == NULL || strcmp (e->region, u->region) != 0))
         continue;
@@ -563,7 +562,8 @@
   return scores;
 }
 
-/* This entry's share of the requests that U gets while it is cold. */
+/* This entry's share of the requests that U gets while it is cold.  The entries of its
+ * region share them, or all entries when that has none. */
 static DlColdShare
 compute_cold_share (const DirectUpstream *u, const DlColdTraits *traits)
 {
