Shares of a cold upstream wait for the whole list of nodes

Cause: the registered entries were published as soon as the preview of this region's nodes was read, or had failed. An entry that knew only a part of the others, or none, took a larger share than it has, and for an upstream of a region of which it knew no entry yet it took one although it has none. While the store is slow, or the whole system starts, this lasts beyond the 3 s after the start. Change: DIRECT_REGISTERED is published once all registered nodes were read. The path needs sockets and a store; there is no unit test of it.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -370,7 +370,7 @@
       status_send_usual (state);
     }
   direct_publish_entries (state->kernel, state->settings, state->peers, state->ready);
-  if (dl_node_has_cold_bound (state->settings) && dl_peers_are_known (state->peers))
+  if (dl_node_has_cold_bound (state->settings) && dl_peers_are_listed (state->peers))
     direct_publish_registered (state->kernel, state->settings, state->peers);
 }
 
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -108,6 +108,8 @@
 bool dl_peers_is_relay (const DlPeers *peers);
 /* True once it was read which entries this node's region has. */
 bool dl_peers_are_known (const DlPeers *peers);
+/* True once all registered nodes were read; before, only some of them are known. */
+bool dl_peers_are_listed (const DlPeers *peers);
 /* Number of registered entries of this entry's region that rank before it, alive or not.
  */
 size_t dl_peers_position_registered (const DlPeers *peers);
--- a/lib/node/peers_region.c
+++ b/lib/node/peers_region.c
@@ -126,6 +126,12 @@
   return peers->watch != NULL && dl_object_watch_has_preview (peers->watch);
 }
 
+bool
+dl_peers_are_listed (const DlPeers *peers)
+{
+  return peers->watch != NULL && dl_object_watch_synced_ms (peers->watch) > 0;
+}
+
 bool
 dl_peers_is_hub (const DlPeers *peers, bool was)
 {
