Cold upstreams are not closed where the settings name no bound

Cause: without cold_overage and cold_slack the registered entries are not published, so no entry holds a share, and a service with cold_per_s was refused by all entries for as long as its upstreams were cold: 3 s after each start of an entry or upstream. Change: without these settings cold upstreams are treated as others, as daisyloft-node.json(5) says. Result: builds and unit tests pass; the path needs sockets, there is no unit test of it.

--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -601,11 +601,13 @@
   return u->cold_share;
 }
 
-/* Time until this entry may send U a request, as far as U is cold; 0 when it is not. */
+/* Time until this entry may send U a request, as far as U is cold; 0 when it is not, and
+ * where the settings name no bound: the registered entries are not published then. */
 static uint64_t
 cold_wait_ms (DirectUpstream *u, const DlServiceEntry *service, uint64_t now_ms)
 {
-  if (dl_cold_start_remaining_ms (&u->cold, &service->cold, now_ms) == 0)
+  if (!dl_node_has_cold_bound (u->owner->settings)
+      || dl_cold_start_remaining_ms (&u->cold, &service->cold, now_ms) == 0)
     return 0;
   return dl_cold_start_wait_ms (&u->cold, &service->cold,
                                 cold_share (u, &service->cold, now_ms), now_ms);
