Confined requests without a home are refused at once behind a queue, too

Cause: while another request of the service was queued, a confined request was queued without a look at the upstreams. The queue is served up to the first request that finds no place, so one whose regions have no upstream waited until its time in the queue was over. Change: a confined request that would be queued for that reason is refused when no upstream that it may use takes requests.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -333,11 +333,21 @@
   return false;
 }
 
+/* The upstream for a request while a queued one claims the next place: none.  *ERROR is
+ * -EBUSY, or tells that a confined request has no upstream to wait for. */
+static DirectUpstream *
+choose_behind_queue (const Request *r, int *error)
+{
+  if (!is_confined (r) || choose (r, NULL, error) != NULL)
+    *error = -EBUSY;
+  return NULL;
+}
+
 void
 direct_dispatch_request (Request *r)
 {
   int error;
-  DirectUpstream *upstream = NULL;
+  DirectUpstream *upstream;
 
   if (r->attempt_count == 0)
     dl_wait_queue_arrived (r->service->queue, dl_route_rank (r->route), dl_clock_ms ());
@@ -345,7 +355,7 @@
   if (r->attempt_count > 0 || !is_place_claimed (r))
     upstream = choose (r, NULL, &error);
   else
-    error = -EBUSY;
+    upstream = choose_behind_queue (r, &error);
   if (upstream != NULL)
     send_to (r, upstream);
   else
