List entries may give the cold time as a decimal number

Cause: cold_remaining_ms was read only when it was an integer, unlike X-Cold-Ms. A decimal number was ignored, so that a cold upstream counted as warm; a negative one counted as 0, which told that the upstream is not cold.

--- a/lib/policy/cold_start.h
+++ b/lib/policy/cold_start.h
@@ -54,7 +54,7 @@
 /* One upstream, as one entry knows it.  Starts zeroed: not cold. */
 typedef struct
 {
-  uint64_t until_ms;        /* end of the time for which a response said that it is cold */
+  uint64_t until_ms; /* end of the time for which a response said that it is cold */
   uint64_t listed_until_ms; /* the same by its list entry, if read after that response */
   uint64_t suspected_ms;    /* it may have become cold then; 0: no reason to think so */
   uint64_t sent_ms;         /* when this entry last sent it a request; 0: never */
--- a/regress/unit/test_platform.c
+++ b/regress/unit/test_platform.c
@@ -269,6 +269,55 @@
     }
 }
 
+/* Guards against a confinement that is lost for the form of the list. */
+static void
+test_allowed_regions (void)
+{
+  static const struct
+  {
+    const char *list;
+    bool is_confined;
+    bool allows_north;
+  } cases[] = {
+    { "[]", false, true },
+    { "[\"north\",\"south\"]", true, true },
+    { "[\"south\"]", true, false },
+    { "[\"North\"]", true, false },
+    { "[7]", true, false },
+    { "[7,\"north\"]", true, true },
+    { "[[\"north\"]]", true, false },
+    { "\"north\"", true, false },
+    { "{}", true, false },
+    { "false", true, false },
+    { "0", true, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      void *context = talloc_new (NULL);
+      json_object *value = parse (talloc_asprintf (
+          context,
+          "{\"version\":1,\"routes\":[{\"hostname\":\"a\",\"path_prefix\":\"/\","
+          "\"kind\":\"unsafe\",\"backend\":\"m\",\"allowed_regions\":%s}],"
+          "\"services\":[{\"name\":\"m\"}],"
+          "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"allowed_regions\":%s}]}",
+          cases[i].list, cases[i].list));
+      DlRouting *routing = NULL;
+      const char *error = NULL;
+
+      CU_ASSERT_EQUAL_FATAL (platform_read_routing (context, value, &routing, &error), 0);
+      CU_ASSERT_EQUAL_FATAL (routing->route_count, 1);
+      CU_ASSERT_EQUAL_FATAL (routing->organisation_count, 1);
+      CU_ASSERT_EQUAL (routing->routes[0].regions.is_confined, cases[i].is_confined);
+      CU_ASSERT_EQUAL (dl_regions_allow (&routing->routes[0].regions, "north"),
+                       cases[i].allows_north);
+      CU_ASSERT_EQUAL (dl_regions_allow (&routing->organisations[0].regions, "north"),
+                       cases[i].allows_north);
+      json_object_put (value);
+      talloc_free (context);
+    }
+}
+
 /* -------- upstreams -------- */
 
 typedef struct
@@ -387,6 +436,40 @@
     }
 }
 
+/* Guards against a cold upstream that is taken for a warm one for the form of the number:
+ * it would be filled at once. */
+static void
+test_cold_time_in_entries (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool has_cold;
+    uint64_t cold_ms;
+  } cases[] = {
+    { "2500", true, 2500 },        { "2499.2", true, 2500 }, { "0", true, 0 },
+    { "1e400", true, 3600000 },    { "-1", false, 0 },       { "-0.5", false, 0 },
+    { "\"2500\"", false, 0 },      { "null", false, 0 },     { "[2500]", false, 0 },
+    { "99999999", true, 3600000 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      void *context = talloc_new (NULL);
+      json_object *value = parse (talloc_asprintf (context,
+                                                   ENTRY_HEAD "\"state\":\"ready\","
+                                                              "\"cold_remaining_ms\":%s}",
+                                                   cases[i].text));
+      DlUpstreamEntry entry;
+
+      CU_ASSERT_EQUAL (platform_read_upstream (context, "i-1", value, &entry), 0);
+      CU_ASSERT_EQUAL (entry.has_cold, cases[i].has_cold);
+      CU_ASSERT_EQUAL (entry.cold_ms, cases[i].cold_ms);
+      json_object_put (value);
+      talloc_free (context);
+    }
+}
+
 static void
 test_engine_reports (void)
 {
@@ -533,8 +616,10 @@
   { "responses of the store", test_store_responses },
   { "routing tables", test_routing },
   { "malformed routing tables", test_malformed_routing },
+  { "lists of allowed regions", test_allowed_regions },
   { "list entries of upstreams", test_upstream_entries },
   { "an odd entry was taken for an upstream", test_odd_entry_was_taken_for_upstream },
+  { "cold time in list entries", test_cold_time_in_entries },
   { "reports of engines", test_engine_reports },
   { "reports of weights", test_reports_of_weights },
   { "outcomes of load commands", test_load_outcomes },
