A directory question without a host passes no null pointer on

Cause: dl_routing_host_is_confined and dl_routing_host_allows searched an unnamed host for a port by memchr with a null pointer, which is undefined; the check build ended the entry, and any caller of the directory can ask without a name. Change: both return at once for an empty host, as dl_routing_match does. Result: the new test in suite platform stopped with a runtime error before, and passes.

--- a/lib/policy/routing.c
+++ b/lib/policy/routing.c
@@ -130,6 +130,8 @@
 bool
 dl_routing_host_allows (const DlRouting *routing, DlStr host, const char *region)
 {
+  if (host.length == 0)
+    return true;
   host = without_port (host);
   for (size_t i = 0; i < routing->route_count; i++)
     if (same_host (routing->routes[i].host, host)
@@ -141,6 +143,8 @@
 bool
 dl_routing_host_is_confined (const DlRouting *routing, DlStr host)
 {
+  if (host.length == 0)
+    return false;
   host = without_port (host);
   for (size_t i = 0; i < routing->route_count; i++)
     if (routing->routes[i].regions.is_confined
--- a/regress/unit/test_platform.c
+++ b/regress/unit/test_platform.c
@@ -318,6 +318,37 @@
     }
 }
 
+/* Guards against a directory that passes a null pointer on for a question without a host,
+ * which is undefined, and against one that is taken for a confined host. */
+static void
+test_host_regions (void)
+{
+  void *context = talloc_new (NULL);
+  json_object *value
+      = parse ("{\"version\":1,\"routes\":["
+               "{\"hostname\":\"\",\"path_prefix\":\"/\",\"kind\":\"unsafe\","
+               "\"backend\":\"m\",\"allowed_regions\":[\"south\"]},"
+               "{\"hostname\":\"a\",\"path_prefix\":\"/\",\"kind\":\"unsafe\","
+               "\"backend\":\"m\",\"allowed_regions\":[\"north\",\"south\"]},"
+               "{\"hostname\":\"a\",\"path_prefix\":\"/x\",\"kind\":\"unsafe\","
+               "\"backend\":\"m\",\"allowed_regions\":[\"south\"]},"
+               "{\"hostname\":\"b\",\"path_prefix\":\"/\",\"kind\":\"unsafe\","
+               "\"backend\":\"m\"}],\"services\":[{\"name\":\"m\"}]}");
+  DlRouting *routing = NULL;
+  const char *error = NULL;
+
+  CU_ASSERT_EQUAL_FATAL (platform_read_routing (context, value, &routing, &error), 0);
+  CU_ASSERT_FALSE (dl_routing_host_is_confined (routing, dl_str (NULL)));
+  CU_ASSERT_TRUE (dl_routing_host_allows (routing, dl_str (NULL), "north"));
+  CU_ASSERT_TRUE (dl_routing_host_is_confined (routing, dl_str ("A:80")));
+  CU_ASSERT_TRUE (dl_routing_host_allows (routing, dl_str ("A:80"), "south"));
+  CU_ASSERT_FALSE (dl_routing_host_allows (routing, dl_str ("A:80"), "north"));
+  CU_ASSERT_FALSE (dl_routing_host_is_confined (routing, dl_str ("b")));
+  CU_ASSERT_TRUE (dl_routing_host_allows (routing, dl_str ("b"), "east"));
+  json_object_put (value);
+  talloc_free (context);
+}
+
 /* -------- upstreams -------- */
 
 typedef struct
@@ -617,6 +648,7 @@
   { "routing tables", test_routing },
   { "malformed routing tables", test_malformed_routing },
   { "lists of allowed regions", test_allowed_regions },
+  { "regions of hosts", test_host_regions },
   { "list entries of upstreams", test_upstream_entries },
   { "an odd entry was taken for an upstream", test_odd_entry_was_taken_for_upstream },
   { "cold time in list entries", test_cold_time_in_entries },
