An overtaken response does not end the cold time

Cause: any response with X-Cold-Ms replaced what was known. One that left the upstream before it became cold and arrived after one that told so cancelled it, and the entry filled the upstream. Change: a response shortens the time only if its request was sent after the last response arrived.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -200,7 +200,7 @@
     direct_limits_heard (attempt->request->owner->limits, attempt->upstream,
                          &attempt->head, attempt->sent_ms);
   if (attempt->head.has_cold && !attempt->head.is_mismatched)
-    direct_upstream_told_cold (attempt->upstream, attempt->head.cold_ms,
+    direct_upstream_told_cold (attempt->upstream, attempt->head.cold_ms, attempt->sent_ms,
                                attempt->progress_ms);
   if (attempt->head.has_load && !attempt->head.is_mismatched)
     direct_upstream_told_pace (attempt->upstream, attempt->head.pace_percent,
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -229,11 +229,14 @@
 }
 
 void
-direct_upstream_told_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
+direct_upstream_told_cold (DirectUpstream *u,
+                           uint64_t remaining_ms,
+                           uint64_t sent_ms,
+                           uint64_t now_ms)
 {
   bool was_told = is_told_cold (u, now_ms);
 
-  dl_cold_start_told (&u->cold, remaining_ms, now_ms);
+  dl_cold_start_told (&u->cold, remaining_ms, sent_ms, now_ms);
   if (remaining_ms > 0 && !was_told)
     log_cold (u, "upstream", remaining_ms);
 }
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -205,9 +205,11 @@
 void direct_upstream_silent (DirectUpstream *upstream, uint64_t now_ms);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
-/* A response of the upstream said that it is cold for REMAINING_MS; 0: it is not. */
+/* The response to a request of SENT_MS said that the upstream is cold for REMAINING_MS;
+ * 0: it is not. */
 void direct_upstream_told_cold (DirectUpstream *upstream,
                                 uint64_t remaining_ms,
+                                uint64_t sent_ms,
                                 uint64_t now_ms);
 /* A response of the upstream carried its load: REQUESTS running or queued, SLOTS, 0 when
  * not given.  Ignored when its stager reported lately. */
--- a/lib/policy/cold_start.c
+++ b/lib/policy/cold_start.c
@@ -5,9 +5,17 @@
 #define MS_PER_S 1000.0
 
 void
-dl_cold_start_told (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms)
+dl_cold_start_told (DlColdStart *cold,
+                    uint64_t remaining_ms,
+                    uint64_t sent_ms,
+                    uint64_t now_ms)
 {
-  cold->until_ms = now_ms + remaining_ms;
+  uint64_t until_ms = now_ms + remaining_ms;
+
+  if (sent_ms < cold->told_ms && until_ms < cold->until_ms)
+    return;
+  cold->told_ms = now_ms;
+  cold->until_ms = until_ms;
   cold->listed_until_ms = 0;
 }
 
--- a/lib/policy/cold_start.h
+++ b/lib/policy/cold_start.h
@@ -56,12 +56,18 @@
 {
   uint64_t until_ms; /* end of the time for which a response said that it is cold */
   uint64_t listed_until_ms; /* the same by its list entry, if read after that response */
+  uint64_t told_ms;         /* when that response arrived; 0: none has */
   uint64_t suspected_ms;    /* it may have become cold then; 0: no reason to think so */
   uint64_t sent_ms;         /* when this entry last sent it a request; 0: never */
 } DlColdStart;
 
-/* By a response of the upstream it is cold for REMAINING_MS from now. */
-void dl_cold_start_told (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms);
+/* By the response to a request of SENT_MS the upstream is cold for REMAINING_MS from now.
+ * Responses may arrive in another order than they were sent in: one to a request from
+ * before the last response does not shorten the time. */
+void dl_cold_start_told (DlColdStart *cold,
+                         uint64_t remaining_ms,
+                         uint64_t sent_ms,
+                         uint64_t now_ms);
 /* The same by its list entry, which may be older than the last response: it does not end
  * the time that a response gave. */
 void dl_cold_start_listed (DlColdStart *cold, uint64_t remaining_ms, uint64_t now_ms);
--- a/regress/unit/test_confinement.c
+++ b/regress/unit/test_confinement.c
@@ -86,9 +86,9 @@
   dl_cold_start_suspected (&cold, START_MS);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 1000), 2000);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &never, START_MS), 0);
-  dl_cold_start_told (&cold, 5000, START_MS);
+  dl_cold_start_told (&cold, 5000, START_MS, START_MS);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 1000), 4000);
-  dl_cold_start_told (&cold, 0, START_MS + 3000);
+  dl_cold_start_told (&cold, 0, START_MS + 3000, START_MS + 3000);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 3000), 0);
 }
 
@@ -103,15 +103,33 @@
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS), 3000);
   dl_cold_start_listed (&cold, 0, START_MS + 100);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 100), 0);
-  dl_cold_start_told (&cold, 3000, START_MS + 200);
+  dl_cold_start_told (&cold, 3000, START_MS + 200, START_MS + 200);
   dl_cold_start_listed (&cold, 0, START_MS + 300);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 300), 2900);
   dl_cold_start_listed (&cold, 5000, START_MS + 400);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 400), 5000);
-  dl_cold_start_told (&cold, 0, START_MS + 500);
+  dl_cold_start_told (&cold, 0, START_MS + 500, START_MS + 500);
   CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 500), 0);
 }
 
+/* Guards against a response that left the upstream before it became cold and arrives
+ * after one that tells so. */
+static void
+test_cold_responses_overtake (void)
+{
+  DlColdStart cold = { 0 };
+
+  dl_cold_start_told (&cold, 0, START_MS, START_MS + 50);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 50), 0);
+  dl_cold_start_told (&cold, 3000, START_MS + 60, START_MS + 100);
+  dl_cold_start_told (&cold, 0, START_MS + 90, START_MS + 200);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 200), 2900);
+  dl_cold_start_told (&cold, 4000, START_MS + 90, START_MS + 300);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 300), 4000);
+  dl_cold_start_told (&cold, 0, START_MS + 300, START_MS + 400);
+  CU_ASSERT_EQUAL (dl_cold_start_remaining_ms (&cold, &traits, START_MS + 400), 0);
+}
+
 /* Without a share, an upstream is left alone until it is not cold any more. */
 static void
 test_cold_without_share (void)
@@ -221,6 +239,7 @@
   { "evacuations", test_evacuations },
   { "how long an upstream is cold", test_cold_time },
   { "a list entry that is older than a response", test_cold_list_is_older },
+  { "responses that overtake each other", test_cold_responses_overtake },
   { "a cold upstream without a share", test_cold_without_share },
   { "shares of a cold upstream add up", test_cold_shares_add_up },
   CU_TEST_INFO_NULL,
