--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -222,12 +222,31 @@
   log_cold (u, "inferred", 0);
 }
 
+static bool
+is_told_cold (const DirectUpstream *u, uint64_t now_ms)
+{
+  return MAX (u->cold.until_ms, u->cold.listed_until_ms) > now_ms;
+}
+
 void
-direct_upstream_told_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
+direct_upstream_told_cold (DirectUpstream *u,
+                           uint64_t remaining_ms,
+                           uint64_t sent_ms,
+                           uint64_t now_ms)
+{
+  bool was_told = is_told_cold (u, now_ms);
+
+  dl_cold_start_told (&u->cold, remaining_ms, sent_ms, now_ms);
+  if (remaining_ms > 0 && !was_told)
+    log_cold (u, "upstream", remaining_ms);
+}
+
+static void
+listed_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
 {
-  bool was_told = u->cold.until_ms > now_ms;
+  bool was_told = is_told_cold (u, now_ms);
 
-  dl_cold_start_told (&u->cold, remaining_ms, now_ms);
+  dl_cold_start_listed (&u->cold, remaining_ms, now_ms);
   if (remaining_ms > 0 && !was_told)
     log_cold (u, "upstream", remaining_ms);
 }
@@ -314,7 +333,7 @@
   u->same_data_center
       = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
   if (entry->has_cold)
-    direct_upstream_told_cold (u, entry->cold_ms, now_ms);
+    listed_cold (u, entry->cold_ms, now_ms);
   else if (claims)
     suspect_cold (u, now_ms);
   if (entry->leaving)
@@ -522,21 +541,20 @@
   return !lacks_sound_weights (u) && u->version > 0 && u->version >= required;
 }
 
-/* Whether an entry takes part in the shares of a cold upstream: one of its region, or any
- * when that has none. */
+/* The scores of the registered entries for U, those of its region only or all; *SELF is
+ * the index of this entry's, or SIZE_MAX.  They depend on names alone: entries learn at
+ * different times that an upstream has restarted, and must rank alike meanwhile. */
 static GArray *
 scores_of_sharing (const DirectUpstream *u, bool same_region, size_t *self)
 {
   const DirectMessage *m = u->owner->registered;
   GArray *scores = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  uint64_t key = direct_upstream_key (u);
 
   *self = SIZE_MAX;
   for (size_t i = 0; i < m->registered.count; i++)
     {
       const DirectRegisteredEntry *e = &m->registered.items[i];
-      uint64_t score
-          = dl_rendezvous_score (dl_str_bytes (&key, sizeof key), dl_str (e->name));
+      uint64_t score = dl_rendezvous_score (dl_str (u->id), dl_str (e->name));
 
       if (same_region && (u->region == NULL || strcmp (e->region, u->region) != 0))
         continue;
@@ -547,7 +565,8 @@
   return scores;
 }
 
-/* This entry's share of the requests that U gets while it is cold. */
+/* This entry's share of the requests that U gets while it is cold.  The entries of its
+ * region share them, or all entries when that has none. */
 static DlColdShare
 compute_cold_share (const DirectUpstream *u, const DlColdTraits *traits)
 {
@@ -585,7 +604,8 @@
   return u->cold_share;
 }
 
-/* Time until this entry may send U a request, as far as U is cold; 0 when it is not. */
+/* Time until this entry may send U a request, as far as U is cold; 0 when it is not, and
+ * where the settings name no bound: the registered entries are not published then. */
 static uint64_t
 cold_wait_ms (DirectUpstream *u, const DlServiceEntry *service, uint64_t now_ms)
 {
