--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -7,7 +7,6 @@
 #include <talloc.h>
 
 #include "entry_list.h"
-#include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -25,14 +24,7 @@
 #define UPSTREAMS_WAIT_MS          1500
 #define UPSTREAMS_PAUSE_MS         600
 #define VERSIONS_WAIT_MS           1500
-/* An entry whose copy has reached 70% of evacuate_ms asks the store itself, so a copy's
- * age, which may reach two waits, must stay below that. */
-#define EVACUATIONS_WAIT_MS 1000
-/* An entry that starts reads the evacuations when it knows who reads the store for it;
- * when the whole system starts, entries do so one after the other. */
-#define EVACUATIONS_FIRST_MS  200
-#define EVACUATIONS_SPREAD_MS 3000
-#define ROUTING_RETRY_MS      400
+#define ROUTING_RETRY_MS           400
 /* Wait and pause of the watches of a reader: an entry that reads the store for others. */
 #define READER_WAIT_MS  500
 #define READER_PAUSE_MS 200
@@ -190,34 +182,6 @@
   dl_kernel_publish (state->kernel, direct_message_new (DIRECT_NO_TARGET));
 }
 
-/* -------- evacuations -------- */
-
-static void
-on_evacuation (const char *data_center, bool is_evacuated, void *data)
-{
-  State *state = data;
-  DirectMessage *message = direct_message_new (DIRECT_EVACUATION);
-
-  message->evacuation.data_center = talloc_strdup (message, data_center);
-  message->evacuation.is_evacuated = is_evacuated;
-  dl_kernel_publish (state->kernel, message);
-}
-
-static void
-on_evacuations_known (void *data)
-{
-  State *state = data;
-
-  dl_kernel_publish (state->kernel, direct_message_new (DIRECT_EVACUATIONS_KNOWN));
-}
-
-/* True when nothing can be sent to an evacuated data centre for want of knowing of it. */
-static bool
-knows_evacuations (const State *state)
-{
-  return state->evacuations == NULL || dl_evacuation_watch_is_known (state->evacuations);
-}
-
 /* -------- other nodes -------- */
 
 static void
@@ -348,7 +312,7 @@
   return !dl_kernel_stopping (state->kernel)
          && direct_routing_table_version (state->routing_table) > 0
          && dl_object_watch_synced_ms (state->upstreams_watch) > 0
-         && !awaits_engines (state) && knows_evacuations (state)
+         && !awaits_engines (state) && state_knows_evacuations (state)
          && direct_routing_trust (state->settings, proven_ms, &state->heard)
                 == DL_ROUTING_TRUSTED;
 }
@@ -529,38 +493,6 @@
                             RELAYED_AGE_MAX_MS (DL_PEERS_READER_WAIT_MS));
   dl_object_relay_add_kind (state->relay, platform_kind_held,
                             RELAYED_AGE_MAX_MS (DIRECT_HELD_WAIT_MS));
-  if (state->settings->evacuate_ms > 0)
-    dl_object_relay_add_kind (state->relay, platform_kind_evacuations,
-                              RELAYED_AGE_MAX_MS (EVACUATIONS_WAIT_MS));
-}
-
-static uint64_t
-first_evacuations_ms (const State *state)
-{
-  return EVACUATIONS_FIRST_MS
-         + (state->settings->bootstrap ? dl_random_uint64 () % EVACUATIONS_SPREAD_MS : 0);
-}
-
-static void
-watch_evacuations (State *state)
-{
-  state->evacuations
-      = dl_evacuation_watch_new (state->task, state,
-                                 &(DlEvacuationWatchOptions){
-                                     .store = state->store,
-                                     .kind = platform_kind_evacuations,
-                                     .wait_ms = EVACUATIONS_WAIT_MS,
-                                     .reader_wait_ms = EVACUATIONS_WAIT_MS,
-                                     .apply_ms = state->settings->evacuate_ms,
-                                     .first_delay_ms = first_evacuations_ms (state),
-                                     .source = state->source,
-                                     .relay = state->relay,
-                                     .retry_max_ms = RETRY_MS,
-                                     .relist_spread_ms = RELIST_SPREAD_MS,
-                                     .on_change = on_evacuation,
-                                     .on_known = on_evacuations_known,
-                                     .data = state,
-                                 });
 }
 
 static void
@@ -669,8 +601,7 @@
   if (error < 0)
     return error;
   start_watches (state);
-  if (state->settings->evacuate_ms > 0)
-    watch_evacuations (state);
+  state_watch_evacuations (state);
   dl_timer_subscribe (task, state, TICK_MS, TICK_MS, on_tick, state);
   dl_timer_subscribe (task, state, STATUS_CHANGED_MS, STATUS_CHANGED_MS, status_on_tick,
                       state);
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -1,7 +1,8 @@
 /*
  * Declarations shared by the files of task "state".
  *
- * state.c watches the store and the other nodes, status.c reports this entry's status to
+ * state.c watches the store and the other nodes, evacuations.c follows the evacuations of
+ * data centres, status.c reports this entry's status to
  * the other nodes.
  */
 #ifndef DIRECT_STATE_PRIVATE_H
@@ -57,6 +58,13 @@
   uint64_t asks_from_ms; /* when they were first asked; 0 for never */
 } State;
 
+/* -------- evacuations.c -------- */
+
+/* Starts to follow the evacuations, if the settings ask for it. */
+void state_watch_evacuations (State *state);
+/* False while a data centre may be evacuated without this entry's knowledge. */
+bool state_knows_evacuations (const State *state);
+
 /* -------- status.c -------- */
 
 /* Sends the status to the entries of the region, and to the others where no relay does
