Bounds on arriving requests: gauge, long bodies, pipelining, ids of refusals

Cause, each from the change that bounded what arriving requests hold: - Each server of a process set the gauge daisy_http_held_bytes to what it holds alone, so that any request to the metrics page set it to 0. - The default for all bodies together, 32 MiB, is less than max_body_bytes of daisyentryd may be, 64 MiB: a single longer body was always refused with 503. - The quiet time of a pipelined request included the time that it waited behind the one before it, so that it was closed as stalled as soon as it began. - Bodies between the configuration's limit and 8 MiB are now refused by the HTTP server, whose 413 and 503 did not carry the caller's request id.

Change: the gauge is changed by differences; the default is at least twice the longest body; the quiet time is at most the age of the request; dl_http_reply_error sends the id header back where the server has one.

--- a/lib/kernel/http_body.c
+++ b/lib/kernel/http_body.c
@@ -35,10 +35,16 @@
 
 /* -------- bodies -------- */
 
-static void
-note_held (const DlHttpServer *server)
+/* A request that held BEFORE bytes is to hold AFTER; as dl_held_bytes_change.  The gauge
+ * is the sum over all servers of the process. */
+static bool
+change_held (DlHttpServer *server, size_t before, size_t after)
 {
-  dl_metric_set (&metric_held, (int64_t)server->held.bytes);
+  size_t held = server->held.bytes;
+  bool fits = dl_held_bytes_change (&server->held, before, after);
+
+  dl_metric_add (&metric_held, (int64_t)server->held.bytes - (int64_t)held);
+  return fits;
 }
 
 /* Frees what the body holds, and keeps nothing that follows. */
@@ -46,9 +52,8 @@
 drop (DlHttpRequest *r, DlHttpBodyState why)
 {
   r->body_state = why;
-  dl_held_bytes_change (&r->server->held, r->body->capacity, 0);
+  change_held (r->server, r->body->capacity, 0);
   dl_buffer_reset (r->body);
-  note_held (r->server);
   dl_metric_add (&metric_dropped, 1);
   dl_log (DL_EVENT_HTTP_BODY_DROPPED, DL_UINT ("port", r->server->port),
           DL_TEXT ("cause", why == DL_HTTP_BODY_TOO_LARGE ? "it is too long"
@@ -64,13 +69,10 @@
 
   if (length > r->body->limit - MIN (r->body->limit, r->body->length))
     drop (r, DL_HTTP_BODY_TOO_LARGE);
-  else if (!dl_held_bytes_change (&r->server->held, r->body->capacity, capacity))
+  else if (!change_held (r->server, r->body->capacity, capacity))
     drop (r, DL_HTTP_BODY_NO_ROOM);
   else
-    {
-      g_assert (dl_buffer_append (r->body, bytes, length) == 0);
-      note_held (r->server);
-    }
+    g_assert (dl_buffer_append (r->body, bytes, length) == 0);
 }
 
 bool
@@ -108,10 +110,8 @@
 void
 dl_http_body_release (DlHttpRequest *r)
 {
-  if (r->body == NULL)
-    return;
-  dl_held_bytes_change (&r->server->held, r->body->capacity, 0);
-  note_held (r->server);
+  if (r->body != NULL)
+    change_held (r->server, r->body->capacity, 0);
 }
 
 /* -------- requests that do not go on arriving -------- */
@@ -162,8 +162,9 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       DlHttpRequest *r = value;
-      uint64_t quiet_ms = dl_http_connections_quiet_ms (r->connection);
       uint64_t age_ms = now_ms - r->begun_ms;
+      /* The part that a pipelined request waited for the one before it does not count. */
+      uint64_t quiet_ms = MIN (dl_http_connections_quiet_ms (r->connection), age_ms);
 
       if (quiet_ms >= stall_ms || age_ms >= server->limits.arrival_ms)
         end_stalled (r, quiet_ms, age_ms);
--- a/lib/kernel/http_server.c
+++ b/lib/kernel/http_server.c
@@ -151,9 +151,12 @@
                      const char *format,
                      ...)
 {
+  const char *id_name = request->server->id_header;
+  const char *id = id_name != NULL ? dl_http_request_header (request, id_name) : NULL;
   json_object *object = json_object_new_object ();
   char seconds[24];
-  DlHttpHeader headers[2] = { { 0 } };
+  DlHttpHeader headers[3] = { { 0 } };
+  size_t count = 0;
   va_list args;
   char *text;
 
@@ -161,12 +164,14 @@
   text = talloc_vasprintf (request, format, args);
   va_end (args);
   json_object_object_add (object, "error", json_object_new_string (text));
+  if (id != NULL)
+    headers[count++] = (DlHttpHeader){ .name = id_name, .value = id };
   if (retry_after_ms > 0)
     {
       uint64_t s = (retry_after_ms + 999) / 1000;
 
       g_snprintf (seconds, sizeof seconds, "%" PRIu64, s);
-      headers[0] = (DlHttpHeader){ .name = "Retry-After", .value = seconds };
+      headers[count++] = (DlHttpHeader){ .name = "Retry-After", .value = seconds };
       json_object_object_add (object, "retry_after_ms",
                               json_object_new_uint64 (retry_after_ms));
     }
@@ -507,14 +512,15 @@
   return 0;
 }
 
-/* LIMITS with the defaults in place of what is 0. */
+/* LIMITS with the defaults in place of what is 0.  The buffer of a body is less than
+ * twice as large as the body; a single one always fits. */
 static DlHttpLimits
 with_defaults (const DlHttpLimits *limits)
 {
   DlHttpLimits l = *limits;
 
   if (l.max_held_bytes == 0)
-    l.max_held_bytes = DL_HTTP_HELD_BYTES_DEFAULT;
+    l.max_held_bytes = MAX (DL_HTTP_HELD_BYTES_DEFAULT, 2 * l.max_body_bytes);
   if (l.stall_ms == 0)
     l.stall_ms = DL_HTTP_STALL_DEFAULT_MS;
   if (l.arrival_ms == 0)
--- a/lib/kernel/http_server.h
+++ b/lib/kernel/http_server.h
@@ -27,11 +27,12 @@
   size_t max_header_bytes; /* longer headers are refused by libmicrohttpd */
   unsigned idle_timeout_s; /* of a connection on which nothing arrives */
   /* Of the next three, 0 stands for the default. */
-  size_t max_held_bytes; /* of the bodies of all requests that arrive or wait */
+  size_t max_held_bytes; /* of the bodies of all requests that have not ended */
   uint64_t stall_ms;     /* a request of which nothing arrives for so long is ended */
   uint64_t arrival_ms;   /* and one that has not arrived whole after so long */
 } DlHttpLimits;
 
+/* More where a single body may be longer than half of it. */
 #define DL_HTTP_HELD_BYTES_DEFAULT ((size_t)32 << 20)
 #define DL_HTTP_STALL_DEFAULT_MS   10000
 #define DL_HTTP_ARRIVAL_DEFAULT_MS 60000
@@ -71,8 +72,8 @@
                         DlHttpHandler handler,
                         void *data,
                         DlHttpServer **server);
-/* Names the header with the caller's id of a request, which is logged; NAME is
- * borrowed. */
+/* Names the header with the caller's id of a request, which is logged and sent back by
+ * dl_http_reply_error; NAME is borrowed. */
 void dl_http_server_set_id_header (DlHttpServer *server, const char *name);
 /* Sets the longest body of requests that begin from now on. */
 void dl_http_server_set_max_body (DlHttpServer *server, size_t bytes);
