Ranks are those of the service, not of all services of a route

Cause: a route with several targets took the priorities of all routes to any of them. Where one target's routes differ and another's do not, its requests were ranked at both: at the second they went behind requests of the same priority by up to 400 ms a rank, and engines there got an order that nothing asked for.

Change: the set of priorities is kept with the service, and requests are ranked by the service that was picked. The test's ranks change as it has a further route; what it checked is still checked.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -570,8 +570,9 @@
 set_order (const Request *r, DlForwardOptions *forward)
 {
   DlEngineOrder order = {
-    .by_rank = dl_route_is_ranked (r->route),
-    .rank = dl_routing_rank (r->routing->routing, r->route, r->organisation),
+    .by_rank = dl_service_is_ranked (r->service_entry),
+    .rank
+    = dl_routing_rank (r->routing->routing, r->service_entry, r->route, r->organisation),
     .by_size = direct_upstreams_are_uneven (r->owner->upstreams, r->service_entry),
     .prompt_tokens = r->incoming.prompt_tokens,
     .usual_prompt_tokens = r->service_entry->engine.usual_prompt_tokens,
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -176,7 +176,8 @@
   uint64_t now_ms = dl_clock_ms ();
 
   if (r->attempt_count == 0)
-    dl_wait_queue_sent (r->service->queue, dl_route_rank (r->route), now_ms);
+    dl_wait_queue_sent (r->service->queue, dl_service_rank (r->service_entry, r->route),
+                        now_ms);
   if (r->attempt_count == 0)
     dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
   r->retry_reserved = false;
@@ -208,16 +209,16 @@
 static DlWaitClass
 wait_class (const Request *r)
 {
-  bool is_ranked = dl_route_is_ranked (r->route);
-  unsigned place = is_ranked
-                       ? dl_routing_rank (r->routing->routing, r->route, r->organisation)
-                       : priority (r);
+  bool is_ranked = dl_service_is_ranked (r->service_entry);
+  unsigned place = is_ranked ? dl_routing_rank (r->routing->routing, r->service_entry,
+                                                r->route, r->organisation)
+                             : priority (r);
 
   return (DlWaitClass){
     .is_ranked = is_ranked,
     /* The caller of a retry has waited already. */
     .priority = r->attempt_count > 0 ? 0 : place,
-    .route_rank = dl_route_rank (r->route),
+    .route_rank = dl_service_rank (r->service_entry, r->route),
     .target_ms = r->route->target_ms,
   };
 }
@@ -340,7 +341,8 @@
   DirectUpstream *upstream = NULL;
 
   if (r->attempt_count == 0)
-    dl_wait_queue_arrived (r->service->queue, dl_route_rank (r->route), dl_clock_ms ());
+    dl_wait_queue_arrived (r->service->queue,
+                           dl_service_rank (r->service_entry, r->route), dl_clock_ms ());
   /* Queued requests go first, except before retries. */
   if (r->attempt_count > 0 || !is_place_claimed (r))
     upstream = choose (r, NULL, &error);
--- a/lib/policy/routing.c
+++ b/lib/policy/routing.c
@@ -38,29 +38,30 @@
 {
   g_autoptr (GHashTable) services = g_hash_table_new (g_str_hash, g_str_equal);
 
+  for (size_t i = 0; i < routing->service_count; i++)
+    if (!g_hash_table_contains (services, routing->services[i].name))
+      g_hash_table_insert (services, (gpointer)routing->services[i].name,
+                           &routing->services[i]);
   for (size_t i = 0; i < routing->route_count; i++)
     for (size_t t = 0; t < routing->routes[i].target_count; t++)
       {
-        const char *service = routing->routes[i].targets[t].service;
-        guint set = GPOINTER_TO_UINT (g_hash_table_lookup (services, service));
+        DlServiceEntry *service
+            = g_hash_table_lookup (services, routing->routes[i].targets[t].service);
 
-        set |= 1u << known_priority (routing->routes[i].priority);
-        g_hash_table_insert (services, (gpointer)service, GUINT_TO_POINTER (set));
+        if (service != NULL)
+          service->priorities
+              |= (uint16_t)(1u << known_priority (routing->routes[i].priority));
       }
   for (size_t i = 0; i < routing->organisation_count; i++)
     if (routing->organisations[i].has_priority)
       routing->organisation_priorities
           |= (uint16_t)(1u << known_priority (routing->organisations[i].priority));
-  for (size_t i = 0; i < routing->route_count; i++)
-    for (size_t t = 0; t < routing->routes[i].target_count; t++)
-      routing->routes[i].priorities |= (uint16_t)GPOINTER_TO_UINT (
-          g_hash_table_lookup (services, routing->routes[i].targets[t].service));
 }
 
 bool
-dl_route_is_ranked (const DlRouteEntry *route)
+dl_service_is_ranked (const DlServiceEntry *service)
 {
-  return __builtin_popcount (route->priorities) > 1;
+  return __builtin_popcount (service->priorities) > 1;
 }
 
 /* Number of priorities in SET that are more urgent than PRIORITY. */
@@ -73,22 +74,23 @@
 }
 
 unsigned
-dl_route_rank (const DlRouteEntry *route)
+dl_service_rank (const DlServiceEntry *service, const DlRouteEntry *route)
 {
-  return rank_in (route->priorities, route->priority);
+  return rank_in (service->priorities, route->priority);
 }
 
 unsigned
 dl_routing_rank (const DlRouting *routing,
+                 const DlServiceEntry *service,
                  const DlRouteEntry *route,
                  const DlOrganisation *organisation)
 {
-  unsigned routes = MAX ((unsigned)__builtin_popcount (route->priorities), 1);
+  unsigned routes = MAX ((unsigned)__builtin_popcount (service->priorities), 1);
   unsigned before = (unsigned)__builtin_popcount (routing->organisation_priorities);
 
   if (organisation != NULL && organisation->has_priority)
     before = rank_in (routing->organisation_priorities, organisation->priority);
-  return before * routes + dl_route_rank (route);
+  return before * routes + dl_service_rank (service, route);
 }
 
 static DlStr
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -48,9 +48,6 @@
   DlRouteTarget *targets;
   size_t target_count;
   DlRegions regions; /* in which its requests may be handled */
-  /* Set of the priorities of all routes to its services, by dl_routing_rank_routes: bit N
-   * stands for priority N. */
-  uint16_t priorities;
 } DlRouteEntry;
 
 /* Higher priorities of routes count as this one. */
@@ -75,6 +72,9 @@
   const char *origin; /* "IP:PORT" when the service serves weights, else NULL */
   double origin_mbps; /* rate of its link; 0: unknown */
   DlColdTraits cold;  /* of its upstreams */
+  /* Set of the priorities of all routes to it, by dl_routing_rank_routes: bit N stands
+   * for priority N. */
+  uint16_t priorities;
 } DlServiceEntry;
 
 /* An organisation that sends requests. */
@@ -104,7 +104,7 @@
   size_t service_count;
   DlOrganisation *organisations;
   size_t organisation_count;
-  uint16_t organisation_priorities; /* set of them, as in DlRouteEntry */
+  uint16_t organisation_priorities; /* set of them, as in DlServiceEntry */
   bool has_organisations;           /* requests on routes that are not open need a key */
   GHashTable *keys;                 /* key text to DlOrganisation; owned by the table */
 } DlRouting;
@@ -117,13 +117,15 @@
 
 /* Sets the sets of priorities; to be called once the table is complete. */
 void dl_routing_rank_routes (DlRouting *routing);
-/* True when the routes to the services of ROUTE differ in priority. */
-bool dl_route_is_ranked (const DlRouteEntry *route);
+/* True when the routes to SERVICE differ in priority. */
+bool dl_service_is_ranked (const DlServiceEntry *service);
 /* Rank of the route's priority among them; 0: the most urgent. */
-unsigned dl_route_rank (const DlRouteEntry *route);
-/* Rank of a request: an organisation's priority takes precedence, and among organisations
- * of the same priority that of the route decides.  ORGANISATION may be NULL. */
+unsigned dl_service_rank (const DlServiceEntry *service, const DlRouteEntry *route);
+/* Rank of a request for SERVICE: an organisation's priority takes precedence, and among
+ * organisations of the same priority that of the route decides.  ORGANISATION may be
+ * NULL. */
 unsigned dl_routing_rank (const DlRouting *routing,
+                          const DlServiceEntry *service,
                           const DlRouteEntry *route,
                           const DlOrganisation *organisation);
 
--- a/regress/unit/test_overload.c
+++ b/regress/unit/test_overload.c
@@ -21,6 +21,8 @@
   DlRouting *routing = dl_routing_new (NULL);
   DlRouteTarget to_a[] = { { "a", 1 } };
   DlRouteTarget to_b[] = { { "b", 1 } };
+  DlRouteTarget to_both[] = { { "a", 1 }, { "b", 1 } };
+  DlServiceEntry services[] = { { .name = "a" }, { .name = "b" } };
   DlOrganisation organisations[] = {
     { .has_priority = true, .priority = 0 },
     { .has_priority = true, .priority = 1 },
@@ -30,23 +32,32 @@
     { .priority = 2, .targets = to_a, .target_count = 1 },
     { .priority = 0, .targets = to_a, .target_count = 1 },
     { .priority = 3, .targets = to_b, .target_count = 1 },
+    { .priority = 3, .targets = to_both, .target_count = 2 },
   };
+  const DlServiceEntry *a = &services[0];
+  const DlServiceEntry *b = &services[1];
 
+  routing->services = services;
+  routing->service_count = G_N_ELEMENTS (services);
   routing->organisations = organisations;
   routing->organisation_count = G_N_ELEMENTS (organisations);
   routing->routes = routes;
   routing->route_count = G_N_ELEMENTS (routes);
   dl_routing_rank_routes (routing);
-  CU_ASSERT_TRUE (dl_route_is_ranked (&routes[0]));
-  CU_ASSERT_EQUAL (dl_route_rank (&routes[0]), 1);
-  CU_ASSERT_EQUAL (dl_route_rank (&routes[1]), 0);
+  CU_ASSERT_TRUE (dl_service_is_ranked (a));
+  CU_ASSERT_EQUAL (dl_service_rank (a, &routes[0]), 1);
+  CU_ASSERT_EQUAL (dl_service_rank (a, &routes[1]), 0);
+  CU_ASSERT_EQUAL (dl_service_rank (a, &routes[3]), 2);
   /* The organisation first, then the route. */
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[1], &organisations[0]), 0);
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[0], &organisations[0]), 1);
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[1], &organisations[1]), 2);
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[1], &organisations[2]), 4);
-  CU_ASSERT_FALSE (dl_route_is_ranked (&routes[2]));
-  CU_ASSERT_EQUAL (dl_route_rank (&routes[2]), 0);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[1], &organisations[0]), 0);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[0], &organisations[0]), 1);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[1], &organisations[1]), 3);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[1], &organisations[2]), 6);
+  /* Guards against a service whose routes agree being ranked, as one of them also leads
+   * to a service whose routes differ. */
+  CU_ASSERT_FALSE (dl_service_is_ranked (b));
+  CU_ASSERT_EQUAL (dl_service_rank (b, &routes[2]), 0);
+  CU_ASSERT_EQUAL (dl_service_rank (b, &routes[3]), 0);
   talloc_free (routing);
 }
 
