Refused requests do not count as being before others in a ranked queue

Cause: a more urgent request ends the wait of those behind it that cannot be served in time any more.

Change: items whose time is over are not counted. Queues without ranks are unchanged.

--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -106,9 +106,10 @@
   return now_ms + priority * DL_WAIT_RANK_MS;
 }
 
-/* Number of items that go before one that is to be put at ORDER_MS. */
+/* Number of items that go before one that is to be put at ORDER_MS, without those whose
+ * time is over. */
 static uint64_t
-count_before (const DlWaitQueue *queue, uint64_t order)
+count_before (const DlWaitQueue *queue, uint64_t order, uint64_t now_ms)
 {
   uint64_t count = 0;
 
@@ -116,7 +117,7 @@
     {
       const WaitingItem *w = l->data;
 
-      count += w->begun || w->order_ms <= order;
+      count += w->expires_ms > now_ms && (w->begun || w->order_ms <= order);
     }
   return count;
 }
@@ -128,7 +129,7 @@
   uint64_t before = 0;
   bool is_behind = false;
 
-  for (const GList *l = queue->items.head; l != NULL; l = l->next, before++)
+  for (const GList *l = queue->items.head; l != NULL; l = l->next)
     {
       WaitingItem *w = l->data;
 
@@ -136,6 +137,7 @@
           && now_ms + expected_ms (queue, before, now_ms) > w->expires_ms)
         w->expires_ms = now_ms;
       is_behind = is_behind || w == item;
+      before += w->expires_ms > now_ms;
     }
 }
 
@@ -151,7 +153,7 @@
   WaitingItem *w;
 
   advance_window (queue, now_ms);
-  before = class->is_ranked ? count_before (queue, order) : queue->items.length;
+  before = class->is_ranked ? count_before (queue, order, now_ms) : queue->items.length;
   if (expected_ms (queue, before, now_ms) > max_wait_ms)
     return DL_WAIT_REFUSED;
   w = g_new0 (WaitingItem, 1);
--- a/regress/unit/test_overload.c
+++ b/regress/unit/test_overload.c
@@ -155,6 +155,32 @@
   g_rand_free (random);
 }
 
+/* Guards against a request that is refused for those before it that are refused
+ * themselves: a more urgent one is put before two that have too little time left, and one
+ * behind these that has enough. */
+static void
+test_refused_requests_do_not_delay_others (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  const DlWaitClass late = { .is_ranked = true, .priority = 1, .target_ms = 400 };
+  const DlWaitClass urgent = { .is_ranked = true, .target_ms = 400 };
+  const uint64_t later_ms = START_MS + 60;
+  int items[5], first;
+
+  for (unsigned i = 0; i < DL_WAIT_RATE_WINDOW_MS / 20; i++)
+    dl_wait_queue_dispatched (queue, START_MS);
+  for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
+    CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &items[i], &late,
+                                         i < 3 ? START_MS : later_ms),
+                     DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &first, &urgent, later_ms), DL_WAIT_QUEUED);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &first);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, later_ms), &items[1]);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, later_ms), &items[2]);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, later_ms));
+  talloc_free (queue);
+}
+
 /* -------- the order at engines -------- */
 
 static void
@@ -240,6 +266,7 @@
   { "ranks of routes", test_ranks_of_routes },
   { "urgent requests", test_urgent_requests_are_served_as_often },
   { "less urgent requests", test_less_urgent_requests_are_not_starved },
+  { "refused requests", test_refused_requests_do_not_delay_others },
   { "the order at engines", test_engine_order },
   { "the pace of machines", test_machine_pace },
   { "when callers return", test_return_time },
