--- a/lib/kernel/http_body.c
+++ b/lib/kernel/http_body.c
@@ -35,17 +35,16 @@
 
 /* -------- bodies -------- */
 
-/* Changes what a body holds.  Returns false when the limit does not allow that.  The
- * metric is the sum over all servers of the process. */
+/* A request that held BEFORE bytes is to hold AFTER; as dl_held_bytes_change.  The gauge
+ * is the sum over all servers of the process. */
 static bool
 change_held (DlHttpServer *server, size_t before, size_t after)
 {
-  size_t bytes = server->held.bytes;
+  size_t held = server->held.bytes;
+  bool fits = dl_held_bytes_change (&server->held, before, after);
 
-  if (!dl_held_bytes_change (&server->held, before, after))
-    return false;
-  dl_metric_add (&metric_held, (int64_t)server->held.bytes - (int64_t)bytes);
-  return true;
+  dl_metric_add (&metric_held, (int64_t)server->held.bytes - (int64_t)held);
+  return fits;
 }
 
 /* Frees what the body holds, and keeps nothing that follows. */
@@ -163,8 +162,9 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       DlHttpRequest *r = value;
-      uint64_t quiet_ms = dl_http_connections_quiet_ms (r->connection);
       uint64_t age_ms = now_ms - r->begun_ms;
+      /* The part that a pipelined request waited for the one before it does not count. */
+      uint64_t quiet_ms = MIN (dl_http_connections_quiet_ms (r->connection), age_ms);
 
       if (quiet_ms >= stall_ms || age_ms >= server->limits.arrival_ms)
         end_stalled (r, quiet_ms, age_ms);
--- a/regress/unit/test_overload.c
+++ b/regress/unit/test_overload.c
@@ -21,6 +21,8 @@
   DlRouting *routing = dl_routing_new (NULL);
   DlRouteTarget to_a[] = { { "a", 1 } };
   DlRouteTarget to_b[] = { { "b", 1 } };
+  DlRouteTarget to_both[] = { { "a", 1 }, { "b", 1 } };
+  DlServiceEntry services[] = { { .name = "a" }, { .name = "b" } };
   DlOrganisation organisations[] = {
     { .has_priority = true, .priority = 0 },
     { .has_priority = true, .priority = 1 },
@@ -30,23 +32,32 @@
     { .priority = 2, .targets = to_a, .target_count = 1 },
     { .priority = 0, .targets = to_a, .target_count = 1 },
     { .priority = 3, .targets = to_b, .target_count = 1 },
+    { .priority = 3, .targets = to_both, .target_count = 2 },
   };
+  const DlServiceEntry *a = &services[0];
+  const DlServiceEntry *b = &services[1];
 
+  routing->services = services;
+  routing->service_count = G_N_ELEMENTS (services);
   routing->organisations = organisations;
   routing->organisation_count = G_N_ELEMENTS (organisations);
   routing->routes = routes;
   routing->route_count = G_N_ELEMENTS (routes);
   dl_routing_rank_routes (routing);
-  CU_ASSERT_TRUE (dl_route_is_ranked (&routes[0]));
-  CU_ASSERT_EQUAL (dl_route_rank (&routes[0]), 1);
-  CU_ASSERT_EQUAL (dl_route_rank (&routes[1]), 0);
+  CU_ASSERT_TRUE (dl_service_is_ranked (a));
+  CU_ASSERT_EQUAL (dl_service_rank (a, &routes[0]), 1);
+  CU_ASSERT_EQUAL (dl_service_rank (a, &routes[1]), 0);
+  CU_ASSERT_EQUAL (dl_service_rank (a, &routes[3]), 2);
   /* The organisation first, then the route. */
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[1], &organisations[0]), 0);
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[0], &organisations[0]), 1);
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[1], &organisations[1]), 2);
-  CU_ASSERT_EQUAL (dl_routing_rank (routing, &routes[1], &organisations[2]), 4);
-  CU_ASSERT_FALSE (dl_route_is_ranked (&routes[2]));
-  CU_ASSERT_EQUAL (dl_route_rank (&routes[2]), 0);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[1], &organisations[0]), 0);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[0], &organisations[0]), 1);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[1], &organisations[1]), 3);
+  CU_ASSERT_EQUAL (dl_routing_rank (routing, a, &routes[1], &organisations[2]), 6);
+  /* Guards against a service whose routes agree being ranked, as one of them also leads
+   * to a service whose routes differ. */
+  CU_ASSERT_FALSE (dl_service_is_ranked (b));
+  CU_ASSERT_EQUAL (dl_service_rank (b, &routes[2]), 0);
+  CU_ASSERT_EQUAL (dl_service_rank (b, &routes[3]), 0);
   talloc_free (routing);
 }
 
@@ -144,6 +155,32 @@
   g_rand_free (random);
 }
 
+/* Guards against a request that is refused for those before it that are refused
+ * themselves: a more urgent one is put before two that have too little time left, and one
+ * behind these that has enough. */
+static void
+test_refused_requests_do_not_delay_others (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  const DlWaitClass late = { .is_ranked = true, .priority = 1, .target_ms = 400 };
+  const DlWaitClass urgent = { .is_ranked = true, .target_ms = 400 };
+  const uint64_t later_ms = START_MS + 60;
+  int items[5], first;
+
+  for (unsigned i = 0; i < DL_WAIT_RATE_WINDOW_MS / 20; i++)
+    dl_wait_queue_dispatched (queue, START_MS);
+  for (unsigned i = 0; i < G_N_ELEMENTS (items); i++)
+    CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &items[i], &late,
+                                         i < 3 ? START_MS : later_ms),
+                     DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &first, &urgent, later_ms), DL_WAIT_QUEUED);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &first);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, later_ms), &items[1]);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_expired (queue, later_ms), &items[2]);
+  CU_ASSERT_PTR_NULL (dl_wait_queue_expired (queue, later_ms));
+  talloc_free (queue);
+}
+
 /* -------- the order at engines -------- */
 
 static void
@@ -229,6 +266,7 @@
   { "ranks of routes", test_ranks_of_routes },
   { "urgent requests", test_urgent_requests_are_served_as_often },
   { "less urgent requests", test_less_urgent_requests_are_not_starved },
+  { "refused requests", test_refused_requests_do_not_delay_others },
   { "the order at engines", test_engine_order },
   { "the pace of machines", test_machine_pace },
   { "when callers return", test_return_time },
