Parts of upstreams.c and attempt.c are modules of their own

upstreams_claims.c decides which upstream is at an address, upstreams_cold.c bounds what cold ones get, forward.c builds what is sent with a request.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -12,7 +12,6 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "platform.h"
-#include "policy/engine_order.h"
 #include "policy/response_room.h"
 #include "policy/time_limit.h"
 #include "requests.h"
@@ -532,16 +531,6 @@
 
 /* -------- starting and cancelling -------- */
 
-/* Id of the event after which the attempt resumes the stream; 0 when the request is sent
- * with the position that the caller gave. */
-static uint64_t
-stream_position (const Request *r)
-{
-  if (r->events != NULL && r->events->last_id > r->incoming.last_event_id)
-    return r->events->last_id;
-  return 0;
-}
-
 /* Sets up the event stream for an attempt on a route of streams. */
 static void
 prepare_events (Request *r)
@@ -554,34 +543,6 @@
     dl_event_stream_restart (r->events);
 }
 
-/* Version that the upstream must still serve when the request arrives; 0 for any.  It is
- * given while a version floor applies, so that no request starts on older weights. */
-static uint64_t
-pinned_version (const Request *r, const DirectUpstream *upstream, uint64_t now_ms)
-{
-  if (!r->service_entry->has_engine
-      || direct_upstreams_required_version (r->owner->upstreams, now_ms) == 0)
-    return 0;
-  return upstream->version;
-}
-
-/* Sets the request's place in the order in which its engine admits requests. */
-static void
-set_order (const Request *r, DlForwardOptions *forward)
-{
-  DlEngineOrder order = {
-    .by_rank = dl_service_is_ranked (r->service_entry),
-    .rank
-    = dl_routing_rank (r->routing->routing, r->service_entry, r->route, r->organisation),
-    .by_size = direct_upstreams_are_uneven (r->owner->upstreams, r->service_entry),
-    .prompt_tokens = r->incoming.prompt_tokens,
-    .usual_prompt_tokens = r->service_entry->engine.usual_prompt_tokens,
-  };
-
-  forward->has_order = r->service_entry->has_engine && dl_engine_order_applies (&order);
-  forward->order = dl_engine_order_place (&order);
-}
-
 static void
 note_sent (Request *r, const DirectUpstream *upstream, uint64_t now_ms)
 {
@@ -598,7 +559,6 @@
 {
   Attempt *attempt = talloc_zero (r, Attempt);
   uint64_t now_ms = dl_clock_ms ();
-  uint64_t version;
   DlForwardOptions forward;
   char *url;
 
@@ -620,16 +580,8 @@
   talloc_set_destructor (attempt, attempt_destroy);
   dl_metric_add (&metric_attempts, 1);
   url = talloc_asprintf (attempt, "http://%s/", upstream->address);
-  version = pinned_version (r, upstream, now_ms);
-  attempt->pinned = version > 0;
-  forward = (DlForwardOptions){
-    .remaining_ms = attempt->given_ms,
-    .organisation = r->organisation != NULL ? r->organisation->name : NULL,
-    .upstream = upstream->id,
-    .version = version,
-    .last_event_id = stream_position (r),
-  };
-  set_order (r, &forward);
+  forward = direct_forward_options (r, upstream, now_ms);
+  attempt->pinned = forward.version > 0;
   attempt->call = dl_http_call (r->owner->client, attempt,
                                 &(DlHttpCallOptions){
                                     .method = dl_http_request_method (r->http),
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -228,6 +228,14 @@
 /* The upstream that the request was sent to. */
 const DirectUpstream *direct_attempt_upstream (const Attempt *attempt);
 
+/* -------- forward.c -------- */
+
+/* What an attempt at UPSTREAM that starts at NOW_MS sends besides the caller's headers.
+ */
+DlForwardOptions direct_forward_options (const Request *request,
+                                         const DirectUpstream *upstream,
+                                         uint64_t now_ms);
+
 /* -------- limits.c -------- */
 
 /* Returns the sharing of limits, a talloc child of REQUESTS. */
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -1,4 +1,4 @@
-#include "upstreams.h"
+#include "upstreams_private.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -31,29 +31,6 @@
            "daisy_direct_hold_offs_total",
            "Hold-offs that upstreams asked for when they shed a request.")
 
-DL_METRIC (metric_contested,
-           DL_METRIC_COUNTER,
-           "daisy_direct_contested_addresses_total",
-           "Upstreams that were listed at the address of another listed one.")
-
-DL_METRIC (metric_cold,
-           DL_METRIC_COUNTER,
-           "daisy_direct_cold_starts_total",
-           "Times that an upstream was or may have become cold.")
-
-struct DirectUpstreams
-{
-  const DlNodeSettings *settings;
-  DirectUpstream *first;
-  unsigned same_region_entry_count; /* that accept requests, this one included */
-  unsigned other_region_entry_count;
-  DlVersionFloor floor;
-  DlEvacuations *evacuations;
-  bool evacuations_known;
-  uint64_t started_ms;
-  DirectMessage *registered; /* the last DIRECT_REGISTERED; NULL before the first */
-};
-
 static int
 upstreams_destroy (DirectUpstreams *upstreams)
 {
@@ -119,76 +96,12 @@
     }
 }
 
-/* -------- claims to addresses -------- */
-
-static bool
-is_rival (const DirectUpstream *u, const DirectUpstream *other)
-{
-  return other != u && !other->removed && strcmp (other->address, u->address) == 0;
-}
-
-static void
-set_displaced (DirectUpstream *u, const DirectUpstream *by)
-{
-  bool displaced = dl_availability_is_displaced (&u->claim, &by->claim);
-
-  if (displaced && !u->displaced)
-    dl_log (DL_EVENT_DIRECT_UPSTREAM_DISPLACED, DL_TEXT ("upstream", u->id),
-            DL_TEXT ("service", u->service), DL_TEXT ("address", u->address),
-            DL_TEXT ("responded", by->id));
-  u->displaced = displaced;
-}
-
-/* U was listed with its address, to which others may have a claim. */
-static void
-claim_address (DirectUpstream *u, uint64_t now_ms)
-{
-  u->claim = (DlAddressClaim){ .listed_ms = now_ms };
-  u->contested = false;
-  u->displaced = false;
-  for (DirectUpstream *other = u->owner->first; other != NULL; other = other->next)
-    if (is_rival (u, other))
-      {
-        u->contested = true;
-        other->contested = true;
-        dl_metric_add (&metric_contested, 1);
-        dl_log (DL_EVENT_DIRECT_UPSTREAM_CONTESTED, DL_TEXT ("upstream", u->id),
-                DL_TEXT ("service", u->service), DL_TEXT ("address", u->address),
-                DL_TEXT ("other", other->id), DL_TEXT ("other_service", other->service));
-      }
-}
-
-void
-direct_upstream_responded (DirectUpstream *u, uint64_t sent_ms)
-{
-  u->claim.responded_ms = MAX (u->claim.responded_ms, sent_ms);
-  if (!u->contested || u->removed)
-    return;
-  for (DirectUpstream *other = u->owner->first; other != NULL; other = other->next)
-    if (is_rival (u, other))
-      {
-        set_displaced (other, u);
-        set_displaced (u, other);
-      }
-}
-
-/* U has no claim any more; which of its rivals is there is open again. */
-static void
-release_address (const DirectUpstream *u)
-{
-  if (!u->contested)
-    return;
-  for (DirectUpstream *other = u->owner->first; other != NULL; other = other->next)
-    if (is_rival (u, other))
-      other->displaced = false;
-}
-
 /* -------- listing -------- */
 
 static void
 mark_removed (DirectUpstream *u, uint64_t now_ms)
 {
-  release_address (u);
+  direct_upstream_release_address (u);
   u->removed = true;
   u->removed_ms = now_ms;
   free_when_unused (u, now_ms);
@@ -203,54 +116,6 @@
   *member = talloc_strdup (u, text);
 }
 
-/* Logs that U is or may be cold, where that bounds what it gets. */
-static void
-log_cold (const DirectUpstream *u, const char *source, uint64_t remaining_ms)
-{
-  if (!dl_node_has_cold_bound (u->owner->settings))
-    return;
-  dl_metric_add (&metric_cold, 1);
-  dl_log (DL_EVENT_DIRECT_UPSTREAM_COLD, DL_TEXT ("upstream", u->id),
-          DL_TEXT ("source", source), DL_UINT ("cold_ms", remaining_ms),
-          DL_UINT ("own_requests", u->load.in_flight));
-}
-
-static void
-suspect_cold (DirectUpstream *u, uint64_t now_ms)
-{
-  dl_cold_start_suspected (&u->cold, now_ms);
-  log_cold (u, "inferred", 0);
-}
-
-static bool
-is_told_cold (const DirectUpstream *u, uint64_t now_ms)
-{
-  return MAX (u->cold.until_ms, u->cold.listed_until_ms) > now_ms;
-}
-
-void
-direct_upstream_told_cold (DirectUpstream *u,
-                           uint64_t remaining_ms,
-                           uint64_t sent_ms,
-                           uint64_t now_ms)
-{
-  bool was_told = is_told_cold (u, now_ms);
-
-  dl_cold_start_told (&u->cold, remaining_ms, sent_ms, now_ms);
-  if (remaining_ms > 0 && !was_told)
-    log_cold (u, "upstream", remaining_ms);
-}
-
-static void
-listed_cold (DirectUpstream *u, uint64_t remaining_ms, uint64_t now_ms)
-{
-  bool was_told = is_told_cold (u, now_ms);
-
-  dl_cold_start_listed (&u->cold, remaining_ms, now_ms);
-  if (remaining_ms > 0 && !was_told)
-    log_cold (u, "upstream", remaining_ms);
-}
-
 static void
 set_slots (DirectUpstream *u, unsigned slots)
 {
@@ -327,15 +192,15 @@
   set_text (u, &u->service, entry->service);
   set_text (u, &u->address, entry->address);
   if (claims)
-    claim_address (u, now_ms);
+    direct_upstream_claim_address (u, now_ms);
   set_text (u, &u->data_center, entry->data_center);
   u->region = dl_node_region_of (upstreams->settings, entry->data_center);
   u->same_data_center
       = strcmp (entry->data_center, upstreams->settings->data_center) == 0;
   if (entry->has_cold)
-    listed_cold (u, entry->cold_ms, now_ms);
+    direct_upstream_listed_cold (u, entry->cold_ms, now_ms);
   else if (claims)
-    suspect_cold (u, now_ms);
+    direct_upstream_suspect_cold (u, now_ms);
   if (entry->leaving)
     dl_availability_leave (&u->availability);
   u->has_engine = u->has_engine || entry->model != NULL;
@@ -367,16 +232,6 @@
                                      all->other_region_entry_count, is_large (all));
 }
 
-/* The engine may have restarted before the list shows that, and is cold then. */
-static void
-note_engine_start (DirectUpstream *u, uint64_t started_ms, uint64_t now_ms)
-{
-  if (started_ms != 0 && started_ms != u->engine_started_ms
-      && !dl_availability_is_same_instance (u->started_ms, started_ms))
-    suspect_cold (u, now_ms);
-  u->engine_started_ms = started_ms;
-}
-
 void
 direct_upstreams_update_engine (DirectUpstreams *upstreams,
                                 const DirectEngineStatus *engine,
@@ -391,7 +246,7 @@
           || (u->contested && (u->displaced || !is_same)))
         continue;
       u->has_engine = true;
-      note_engine_start (u, engine->started_ms, now_ms);
+      direct_upstream_note_engine_start (u, engine->started_ms, now_ms);
       set_slots (u, u->slots);
       is_sound = dl_sound_load_told (&u->sound_load, engine->started_ms, engine->loads,
                                      engine->unchecked);
@@ -421,7 +276,7 @@
     return;
   for (DirectUpstream *u = upstreams->first; u != NULL; u = u->next)
     if (u->data_center != NULL && strcmp (u->data_center, data_center) == 0)
-      suspect_cold (u, now_ms);
+      direct_upstream_suspect_cold (u, now_ms);
 }
 
 void
@@ -541,87 +396,12 @@
   return !lacks_sound_weights (u) && u->version > 0 && u->version >= required;
 }
 
-/* The scores of the registered entries for U, those of its region only or all; *SELF is
- * the index of this entry's, or SIZE_MAX.  They depend on names alone: entries learn at
- * different times that an upstream has restarted, and must rank alike meanwhile. */
-static GArray *
-scores_of_sharing (const DirectUpstream *u, bool same_region, size_t *self)
-{
-  const DirectMessage *m = u->owner->registered;
-  GArray *scores = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-
-  *self = SIZE_MAX;
-  for (size_t i = 0; i < m->registered.count; i++)
-    {
-      const DirectRegisteredEntry *e = &m->registered.items[i];
-      uint64_t score = dl_rendezvous_score (dl_str (u->id), dl_str (e->name));
-
-      if (same_region && (u->region == NULL || strcmp (e->region, u->region) != 0))
-        continue;
-      if (i == 0)
-        *self = scores->len;
-      g_array_append_val (scores, score);
-    }
-  return scores;
-}
-
-/* This entry's share of the requests that U gets while it is cold.  The entries of its
- * region share them, or all entries when that has none. */
-static DlColdShare
-compute_cold_share (const DirectUpstream *u, const DlColdTraits *traits)
-{
-  const DirectUpstreams *all = u->owner;
-  DlColdBound bound
-      = { .overage = all->settings->cold_overage, .slack = all->settings->cold_slack };
-  DlColdShare share = { 0 };
-  GArray *scores;
-  size_t self;
-
-  scores = scores_of_sharing (u, true, &self);
-  if (scores->len == 0)
-    {
-      g_array_free (scores, TRUE);
-      scores = scores_of_sharing (u, false, &self);
-    }
-  if (self != SIZE_MAX)
-    share = dl_cold_share ((const uint64_t *)scores->data, scores->len, self, traits,
-                           &bound);
-  g_array_free (scores, TRUE);
-  return share;
-}
-
-/* The same, computed once for each set of registered entries. */
-static DlColdShare
-cold_share (DirectUpstream *u, const DlColdTraits *traits, uint64_t now_ms)
-{
-  const DirectUpstreams *all = u->owner;
-
-  if (all->registered == NULL || now_ms < all->started_ms + DL_COLD_JOIN_MS)
-    return (DlColdShare){ 0 };
-  if (!u->has_cold_share)
-    u->cold_share = compute_cold_share (u, traits);
-  u->has_cold_share = true;
-  return u->cold_share;
-}
-
-/* Time until this entry may send U a request, as far as U is cold; 0 when it is not, and
- * where the settings name no bound: the registered entries are not published then. */
-static uint64_t
-cold_wait_ms (DirectUpstream *u, const DlServiceEntry *service, uint64_t now_ms)
-{
-  if (!dl_node_has_cold_bound (u->owner->settings)
-      || dl_cold_start_remaining_ms (&u->cold, &service->cold, now_ms) == 0)
-    return 0;
-  return dl_cold_start_wait_ms (&u->cold, &service->cold,
-                                cold_share (u, &service->cold, now_ms), now_ms);
-}
-
 /* Time until the rates that bind it let this entry send U a request. */
 static uint64_t
 rate_wait_ms (DirectUpstream *u, const DirectUpstreamQuery *query)
 {
   return MAX (dl_rate_limit_wait_ms (&u->limit, query->now_ms),
-              cold_wait_ms (u, query->service, query->now_ms));
+              direct_upstream_cold_wait_ms (u, query->service, query->now_ms));
 }
 
 /* Time until the upstream takes a request again, when it holds off or is at its limit; 0
