Ranks above 9 keep their order in a service's queue

Cause: a rank is that of the organisation's priority times the number of route priorities, plus that of the route, but was cut to 9 as priorities are. With three priorities of organisations and four of routes, the routes of organisations without a priority were served in order of arrival.

--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -97,13 +97,11 @@
 static uint64_t
 order_ms (const DlWaitQueue *queue, const DlWaitClass *class, uint64_t now_ms)
 {
-  unsigned priority = MIN (class->priority, DL_WAIT_PRIORITY_MAX);
-
   if (!class->is_ranked)
-    return now_ms + priority * DL_WAIT_PRIORITY_MS;
+    return now_ms + MIN (class->priority, DL_WAIT_PRIORITY_MAX) * DL_WAIT_PRIORITY_MS;
   if (dl_priority_share_is_behind (&queue->share, class->route_rank))
     return now_ms;
-  return now_ms + priority * DL_WAIT_RANK_MS;
+  return now_ms + (uint64_t) class->priority * DL_WAIT_RANK_MS;
 }
 
 /* Number of items that go before one that is to be put at ORDER_MS, without those whose
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -40,7 +40,7 @@
  * waits, so that more urgent ones go first.  One whose priority gets less than its share
  * (priority_share.h) goes as if it were of the most urgent one. */
 #define DL_WAIT_RANK_MS 400
-/* Higher numbers count as this priority. */
+/* Higher numbers count as this priority, except for ranks. */
 #define DL_WAIT_PRIORITY_MAX 9
 /* Time over which the dispatch rate is measured. */
 #define DL_WAIT_RATE_WINDOW_MS 1000
--- a/regress/unit/test_overload.c
+++ b/regress/unit/test_overload.c
@@ -181,6 +181,24 @@
   talloc_free (queue);
 }
 
+/* Guards against ranks above the highest priority being treated alike: three priorities
+ * of organisations and four of routes make twelve ranks. */
+static void
+test_high_ranks_are_told_apart (void)
+{
+  DlWaitQueue *queue = dl_wait_queue_new (NULL);
+  const DlWaitClass last = { .is_ranked = true, .priority = 11, .target_ms = 1000 };
+  const DlWaitClass other = { .is_ranked = true, .priority = 10, .target_ms = 1000 };
+  int first, second;
+
+  for (unsigned i = 0; i < DL_WAIT_RATE_WINDOW_MS / 20; i++)
+    dl_wait_queue_dispatched (queue, START_MS);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &second, &last, START_MS), DL_WAIT_QUEUED);
+  CU_ASSERT_EQUAL (dl_wait_queue_push (queue, &first, &other, START_MS), DL_WAIT_QUEUED);
+  CU_ASSERT_PTR_EQUAL (dl_wait_queue_after (queue, NULL), &first);
+  talloc_free (queue);
+}
+
 /* -------- the order at engines -------- */
 
 static void
@@ -267,6 +285,7 @@
   { "urgent requests", test_urgent_requests_are_served_as_often },
   { "less urgent requests", test_less_urgent_requests_are_not_starved },
   { "refused requests", test_refused_requests_do_not_delay_others },
+  { "high ranks", test_high_ranks_are_told_apart },
   { "the order at engines", test_engine_order },
   { "the pace of machines", test_machine_pace },
   { "when callers return", test_return_time },
