Tests of confined requests, evacuations and cold upstreams

The group places runs the second model server and its stager in another data centre and region. The stand-in records the most requests in one second.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -205,16 +205,22 @@
 }
 
 uint64_t
-relay_answers (const Testbed *tb, unsigned entry)
+metric_value (const Testbed *tb, unsigned entry, const char *name)
 {
   Response r = call (&(Call){ .address = tb->metrics[entry], .target = "/metrics" });
-  const char *line
-      = r.body != NULL ? strstr (r.body, "\ndaisy_node_relay_answers_total ") : NULL;
-  uint64_t answers
-      = line != NULL ? g_ascii_strtoull (strchr (line + 1, ' '), NULL, 10) : 0;
+  char *start = g_strdup_printf ("\n%s ", name);
+  const char *line = r.body != NULL ? strstr (r.body, start) : NULL;
+  uint64_t value = line != NULL ? g_ascii_strtoull (line + strlen (start), NULL, 10) : 0;
 
+  g_free (start);
   response_free (&r);
-  return answers;
+  return value;
+}
+
+uint64_t
+relay_answers (const Testbed *tb, unsigned entry)
+{
+  return metric_value (tb, entry, "daisy_node_relay_answers_total");
 }
 
 char *
@@ -270,6 +276,7 @@
   bool with_proxies;
   unsigned revoke_ms; /* this and the next as in Testbed */
   unsigned version_ms;
+  bool places; /* as in Testbed */
 } TestGroup;
 
 static const TestGroup groups[] = {
@@ -308,6 +315,7 @@
   { "quarantine", { quarantine_tests } },
   { "whole-requests", { whole_request_tests } },
   { "limit", { limit_tests } },
+  { "places", { place_tests }, .places = true },
   { "crowd", { crowd_tests } },
   { "version",
     { version_tests },
@@ -329,7 +337,9 @@
 static void
 run_group (const char *bin, const TestGroup *group)
 {
-  Testbed testbed = { .revoke_ms = group->revoke_ms, .version_ms = group->version_ms };
+  Testbed testbed = { .revoke_ms = group->revoke_ms,
+                      .version_ms = group->version_ms,
+                      .places = group->places };
 
   /* Freed memory that a sanitizer keeps would hide what a process holds. */
   if (group->with_proxies)
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -28,6 +28,15 @@
 #define SLOTS_DEFAULT            4
 #define BODY_LIMIT_DEFAULT_BYTES 100000
 
+/* With Testbed.places: the model server in "d2" of "r2", what a cold model server
+ * tolerates, and the two settings of entries that add to it, as text.  All entries
+ * together send it at most COLD_MAX requests in any second. */
+#define SERVER_OUTSIDE 1
+#define COLD_PER_S     18
+#define COLD_OVERAGE   "1.5"
+#define COLD_SLACK     "5"
+#define COLD_MAX       (COLD_PER_S * 3 / 2 + 5)
+
 /* Stated by the users of a server that names a limit of MILLIS thousandths of a request a
  * second: at most one and a half times what that allows in four seconds, and five. */
 #define LIMITED_MAX(millis) ((millis)*4 * 3 / 2 / 1000 + 5)
@@ -79,6 +88,15 @@
   unsigned revoke_ms;   /* within which a revoked key is refused; 0: REVOKE_DEFAULT_MS */
   unsigned body_limit_bytes; /* of a request, in the configuration; 0: the usual one */
   unsigned version_ms; /* within which a version is in effect; 0: VERSION_DEFAULT_MS */
+  /* The second model server and its stager are in "d2" of "r2", all else in "d1" of "r1";
+   * evacuations and cold upstreams are enabled, and there are two further routes to the
+   * model servers, "/h/" and the public "/m/". */
+  bool places;
+  /* With it: "allowed_regions" of "/h/" and of the organisation, JSON or NULL for none.
+   */
+  const char *route_regions;
+  const char *organisation_regions;
+  uint64_t cold_ms[SERVERS]; /* for which a server is listed as cold */
 } Testbed;
 
 /* -------- testbed.c -------- */
@@ -205,6 +223,8 @@
 /* Sets a knob of both model servers. */
 void set_fault_on_both (Testbed *testbed, const char *knob, uint64_t value);
 
+/* The metric NAME of an entry; 0 when absent. */
+uint64_t metric_value (const Testbed *testbed, unsigned entry, const char *name);
 /* How often the entry has answered nodes that read it in place of the store. */
 uint64_t relay_answers (const Testbed *testbed, unsigned entry);
 /* How often the servers ran request ID, by their records. */
@@ -234,6 +254,9 @@
 extern const TestFunc whole_request_tests[];
 /* Upstreams that name a limit of requests a second for all entries together. */
 extern const TestFunc limit_tests[];
+/* Requests confined to regions, evacuated data centres and cold upstreams; the testbed
+ * must have places. */
+extern const TestFunc place_tests[];
 /* Callers that hold a process's memory. */
 extern const TestFunc crowd_tests[];
 /* Starts of entries. */
--- a/regress/direct/testbed.c
+++ b/regress/direct/testbed.c
@@ -195,8 +195,15 @@
   { "long", "/o/long/", "unsafe", "\"backend\":\"p\",\"max_attempts\":1", 20000 },
 };
 
-static const char services_spec[]
-    = "{\"name\":\"m\",\"engine\":{\"layers\":4,\"chunks\":16,\"chunk_bytes\":4096,"
+/* The same with PLACES; the list of the route "confined" is ROUTE_REGIONS. */
+static const RouteSpec places_route_specs[] = {
+  { "confined", "/h/", "safe", "\"backend\":\"m\",\"max_attempts\":2" },
+  { "open-models", "/m/", "safe", "\"backend\":\"m\",\"public\":true" },
+};
+
+/* %s: further members of service "m". */
+static const char services_format[]
+    = "{\"name\":\"m\",%s\"engine\":{\"layers\":4,\"chunks\":16,\"chunk_bytes\":4096,"
       "\"models\":[{\"name\":\"big\"}],\"usual\":{\"prompt\":100,\"answer\":10}}},"
       "{\"name\":\"p\"}";
 
@@ -217,21 +224,40 @@
     }
 }
 
+/* Appends a route, after COMMA; REGIONS is its list of them, NULL for none. */
 static void
-append_routes (GString *spec)
+append_route (GString *spec, const RouteSpec *r, const char *comma, const char *regions)
+{
+  g_string_append_printf (spec,
+                          "%s{\"name\":\"%s\",\"hostname\":\"x.example\","
+                          "\"path_prefix\":\"%s\",\"kind\":\"%s\","
+                          "\"timeout_ms\":%u,\"target_latency_ms\":400,%s%s%s}",
+                          comma, r->name, r->prefix, r->kind,
+                          r->timeout_ms > 0 ? r->timeout_ms : TIMEOUT_DEFAULT_MS, r->more,
+                          regions != NULL ? ",\"allowed_regions\":" : "",
+                          regions != NULL ? regions : "");
+}
+
+static void
+append_routes (const Testbed *tb, GString *spec)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (route_specs); i++)
-    {
-      const RouteSpec *r = &route_specs[i];
+    append_route (spec, &route_specs[i], i > 0 ? "," : "", NULL);
+  if (!tb->places)
+    return;
+  append_route (spec, &places_route_specs[0], ",", tb->route_regions);
+  append_route (spec, &places_route_specs[1], ",", NULL);
+}
 
-      g_string_append_printf (spec,
-                              "%s{\"name\":\"%s\",\"hostname\":\"x.example\","
-                              "\"path_prefix\":\"%s\",\"kind\":\"%s\","
-                              "\"timeout_ms\":%u,\"target_latency_ms\":400,%s}",
-                              i > 0 ? "," : "", r->name, r->prefix, r->kind,
-                              r->timeout_ms > 0 ? r->timeout_ms : TIMEOUT_DEFAULT_MS,
-                              r->more);
-    }
+static void
+append_services (const Testbed *tb, GString *spec)
+{
+  char *cold = tb->places ? g_strdup_printf ("\"cold_start_s\":3.0,\"cold_per_s\":%u,",
+                                             COLD_PER_S)
+                          : g_strdup ("");
+
+  g_string_append_printf (spec, services_format, cold);
+  g_free (cold);
 }
 
 bool
@@ -242,35 +268,51 @@
 
   g_string_append_printf (spec, "{\"version\":%" PRIu64 ",\"routes\":[",
                           ++tb->config_version);
-  append_routes (spec);
+  append_routes (tb, spec);
   append_more_routes (tb, spec);
-  g_string_append_printf (spec,
-                          "],\"services\":[%s,{\"name\":\"w\",\"origin\":\"%s\","
-                          "\"link_mbps\":10}],"
-                          "\"limits\":{\"max_header_bytes\":8192,"
-                          "\"max_body_bytes\":%u},"
-                          "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]}]}",
-                          services_spec, tb->via_origin,
-                          tb->body_limit_bytes > 0 ? tb->body_limit_bytes
-                                                   : BODY_LIMIT_DEFAULT_BYTES,
-                          without_key ? "" : ",\"key2\"");
+  g_string_append (spec, "],\"services\":[");
+  append_services (tb, spec);
+  g_string_append_printf (
+      spec,
+      ",{\"name\":\"w\",\"origin\":\"%s\","
+      "\"link_mbps\":10}],"
+      "\"limits\":{\"max_header_bytes\":8192,"
+      "\"max_body_bytes\":%u},"
+      "\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"key1\"%s]%s%s}]}",
+      tb->via_origin,
+      tb->body_limit_bytes > 0 ? tb->body_limit_bytes : BODY_LIMIT_DEFAULT_BYTES,
+      without_key ? "" : ",\"key2\"",
+      tb->organisation_regions != NULL ? ",\"allowed_regions\":" : "",
+      tb->organisation_regions != NULL ? tb->organisation_regions : "");
   done = testbed_put (tb, "config", "main", spec->str);
   g_string_free (spec, TRUE);
   return done;
 }
 
+/* True for the model server that PLACES puts in "d2" of "r2". */
+static bool
+is_outside (const Testbed *tb, unsigned index)
+{
+  return tb->places && index == SERVER_OUTSIDE;
+}
+
 bool
 testbed_list_server (Testbed *tb, unsigned index, const char *state)
 {
   char *name = g_strdup_printf ("i-%u", index + 1);
+  char *cold = tb->places ? g_strdup_printf (",\"cold_remaining_ms\":%" PRIu64,
+                                             tb->cold_ms[index])
+                          : g_strdup ("");
   char *spec = g_strdup_printf (
-      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"d1\",\"slots\":%u,"
-      "\"state\":\"%s\",\"born\":%" PRIu64 ",\"models\":[%s]}",
+      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":%u,"
+      "\"state\":\"%s\",\"born\":%" PRIu64 ",\"models\":[%s]%s}",
       index < SERVERS - 1 ? "m" : "p", tb->via_server[index],
-      tb->slots > 0 ? tb->slots : SLOTS_DEFAULT, state, tb->server_started[index],
-      index < SERVERS - 1 ? "{\"name\":\"big\",\"version\":1}" : "");
+      is_outside (tb, index) ? "d2" : "d1", tb->slots > 0 ? tb->slots : SLOTS_DEFAULT,
+      state, tb->server_started[index],
+      index < SERVERS - 1 ? "{\"name\":\"big\",\"version\":1}" : "", cold);
   bool done = testbed_put (tb, "servers", name, spec);
 
+  g_free (cold);
   g_free (name);
   g_free (spec);
   return done;
@@ -332,17 +374,29 @@
   return tb->version_ms != 0 ? tb->version_ms : VERSION_DEFAULT_MS;
 }
 
+/* PLACE is the region and the data centre, as members of the settings. */
 static char *
-node_settings (const Testbed *tb, const char *name, unsigned host, const char *more)
+node_settings (const Testbed *tb,
+               const char *name,
+               const char *place,
+               unsigned host,
+               const char *more)
 {
-  return g_strdup_printf ("{\"name\":\"%s\",\"region\":\"r1\",\"data_center\":\"d1\","
+  return g_strdup_printf ("{\"name\":\"%s\",%s,"
                           "\"address\":\"%s.%u:%u\",\"store\":\"%s\",\"revoke_ms\":%u,"
                           "\"version_ms\":%u,\"grace_s\":8,%s,\"json_logs\":true}",
-                          name, tb->subnet, host, NODE_PORT, tb->via_store,
+                          name, place, tb->subnet, host, NODE_PORT, tb->via_store,
                           tb->revoke_ms != 0 ? tb->revoke_ms : REVOKE_DEFAULT_MS,
                           testbed_version_ms (tb), more);
 }
 
+static const char place_inside[] = "\"region\":\"r1\",\"data_center\":\"d1\"";
+static const char place_outside[] = "\"region\":\"r2\",\"data_center\":\"d2\"";
+static const char evacuate_setting[] = ",\"evacuate_ms\":5000";
+static const char entry_places_settings[]
+    = ",\"data_centers\":[\"d1=r1\",\"d2=r2\"],\"cold_overage\":" COLD_OVERAGE
+      ",\"cold_slack\":" COLD_SLACK;
+
 static void
 setup_entry (Testbed *tb, unsigned i)
 {
@@ -358,9 +412,11 @@
   tb->metrics[i] = address (tb, host, PORT + 3);
   tb->entry_node[i] = address (tb, host, NODE_PORT);
   more = g_strdup_printf ("\"listen\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\","
-                          "\"metrics\":\"%s\",\"retry_ratio\":1.0,\"retry_slack\":50",
-                          tb->entry[i], tb->ready[i], tb->directory[i], tb->metrics[i]);
-  settings = node_settings (tb, name, host, more);
+                          "\"metrics\":\"%s\",\"retry_ratio\":1.0,\"retry_slack\":50%s%s",
+                          tb->entry[i], tb->ready[i], tb->directory[i], tb->metrics[i],
+                          tb->places ? entry_places_settings : "",
+                          tb->places ? evacuate_setting : "");
+  settings = node_settings (tb, name, place_inside, host, more);
   process_set (tb, &tb->entry_process[i], name,
                program_argv (tb, "daisydirectd", name, settings));
   g_free (settings);
@@ -387,8 +443,11 @@
 setup_stager (Testbed *tb, unsigned i)
 {
   char *name = g_strdup_printf ("stager-%u", i + 1);
-  char *more = g_strdup_printf ("\"engine\":\"%s\",\"service\":\"m\"", tb->via_server[i]);
-  char *settings = node_settings (tb, name, 11 + i, more);
+  char *more = g_strdup_printf ("\"engine\":\"%s\",\"service\":\"m\"%s",
+                                tb->via_server[i], tb->places ? evacuate_setting : "");
+  char *settings
+      = node_settings (tb, name, is_outside (tb, i) ? place_outside : place_inside,
+                       11 + i, more);
 
   tb->stager_node[i] = address (tb, 11 + i, NODE_PORT);
 
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -20,6 +20,7 @@
 #define MILLIS_PER_UNIT 1000.0
 #define LIMIT_AFTER_MS  3000
 #define LIMIT_WINDOW_MS 4000
+#define SECOND_MS       1000
 
 /* A stream of events that is being sent. */
 typedef struct
@@ -109,6 +110,9 @@
 static uint64_t limit_named_ms; /* when a response first named the limit; 0: none did */
 static GArray *limited_ms;      /* arrivals of the last LIMIT_WINDOW_MS since */
 static uint64_t limited_most;   /* most of them at once */
+static uint64_t recount_second; /* set to 1: SECOND_MOST begins anew */
+static GArray *second_ms;       /* arrivals of the last second that did not get 421 */
+static uint64_t second_most;    /* most of them at once */
 static uint64_t poisoned; /* requests received that have the prompt part CRASH_PART */
 static uint64_t crashes_whole;  /* of CRASHES, those by such a body */
 static uint64_t poisoned_whole; /* requests received whose body crashes it */
@@ -156,6 +160,7 @@
   { "crash_ms", &crash_ms },
   { "crash_body", &crash_body },
   { "limit_millis", &limit_millis },
+  { "recount_second", &recount_second },
   { "crash_streams", &crash_streams },
   { "crash_now", &crash_now },
   { "queue_ms", &queue_ms },
@@ -191,6 +196,7 @@
   staged_start (standin);
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   limited_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  second_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   due = g_array_new (FALSE, FALSE, sizeof (VersionLimit));
   outdated = json_object_new_object ();
 }
@@ -288,6 +294,18 @@
   limited_most = MAX (limited_most, limited_ms->len);
 }
 
+/* Counts a request towards the most that came within one second. */
+static void
+count_second (void)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  g_array_append_val (second_ms, now_ms);
+  while (g_array_index (second_ms, uint64_t, 0) + SECOND_MS <= now_ms)
+    g_array_remove_index (second_ms, 0);
+  second_most = MAX (second_most, second_ms->len);
+}
+
 static const DlHttpHeader *
 response_headers (DlHttpRequest *request, ResponseHeaders *h)
 {
@@ -742,6 +760,7 @@
       refuse (request, 421);
       return;
     }
+  count_second ();
   if (staged_is_loading () || is_starting () || standin_count_down (&shed)
       || (dl_http_request_header (request, "Last-Event-Id") != NULL
           && standin_count_down (&shed_resumed)))
@@ -764,6 +783,11 @@
     crash ();
   if (standin_count_down (&lose_weights))
     staged_lose_weights ();
+  if (standin_count_down (&recount_second))
+    {
+      second_most = 0;
+      g_array_set_size (second_ms, 0);
+    }
   if (standin_count_down (&mend))
     staged_mend ();
   if (due_version == last_due)
@@ -820,6 +844,7 @@
   standin_json_set_uint (records, "crashes", crashes);
   standin_json_set_uint (records, "down", dl_clock_ms () < up_from_ms);
   standin_json_set_uint (records, "limited_most", limited_most);
+  standin_json_set_uint (records, "second_most", second_most);
   standin_json_set_uint (records, "poisoned", poisoned);
   standin_json_set_uint (records, "poisoned_whole", poisoned_whole);
   standin_json_set_uint (records, "crashes_whole", crashes_whole);
