--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -170,14 +170,23 @@
   return direct_upstreams_hold_ms (r->owner->upstreams, &query);
 }
 
+/* Rank of the request at its service; 0 where requests are not ranked. */
+static unsigned
+rank (const Request *r)
+{
+  if (!dl_service_is_ranked (r->service_entry))
+    return 0;
+  return dl_routing_rank (r->routing->routing, r->service_entry, r->route,
+                          r->organisation);
+}
+
 static void
 send_to (Request *r, DirectUpstream *upstream)
 {
   uint64_t now_ms = dl_clock_ms ();
 
   if (r->attempt_count == 0)
-    dl_wait_queue_sent (r->service->queue, dl_service_rank (r->service_entry, r->route),
-                        now_ms);
+    dl_wait_queue_sent (r->service->queue, rank (r), now_ms);
   if (r->attempt_count == 0)
     dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
   r->retry_reserved = false;
@@ -210,15 +219,13 @@
 wait_class (const Request *r)
 {
   bool is_ranked = dl_service_is_ranked (r->service_entry);
-  unsigned place = is_ranked ? dl_routing_rank (r->routing->routing, r->service_entry,
-                                                r->route, r->organisation)
-                             : priority (r);
+  unsigned place = is_ranked ? rank (r) : priority (r);
 
   return (DlWaitClass){
     .is_ranked = is_ranked,
     /* The caller of a retry has waited already. */
     .priority = r->attempt_count > 0 ? 0 : place,
-    .route_rank = dl_service_rank (r->service_entry, r->route),
+    .rank = rank (r),
     .target_ms = r->route->target_ms,
   };
 }
@@ -351,8 +358,7 @@
   DirectUpstream *upstream;
 
   if (r->attempt_count == 0)
-    dl_wait_queue_arrived (r->service->queue,
-                           dl_service_rank (r->service_entry, r->route), dl_clock_ms ());
+    dl_wait_queue_arrived (r->service->queue, rank (r), dl_clock_ms ());
   /* Queued requests go first, except before retries. */
   if (r->attempt_count > 0 || !is_place_claimed (r))
     upstream = choose (r, NULL, &error);
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -15,8 +15,11 @@
 /* Interval of the check of queues, deadlines and silent upstreams. */
 #define SWEEP_MS   40
 #define SUMMARY_MS 5000
-/* With more connections than this, they are closed after each response. */
+/* With more connections than this, or than this part of those that are accepted, they are
+ * closed after each response, before idle ones are closed for want of room. */
 #define KEEPALIVE_CONNECTIONS_MAX 600
+#define KEEPALIVE_PERCENT         80
+#define PERCENT                   100
 #define HEADER_BYTES_MAX          (20u << 10)
 #define BODY_BYTES_MAX            (8u << 20)
 #define IDLE_TIMEOUT_S            120
@@ -502,7 +505,9 @@
     .max_held_bytes = requests->settings->held_bodies_bytes,
     .stall_ms = requests->settings->stall_ms,
     .arrival_ms = requests->settings->arrival_ms,
-    .max_keepalive_connections = KEEPALIVE_CONNECTIONS_MAX,
+    .max_keepalive_connections
+    = MIN (KEEPALIVE_CONNECTIONS_MAX,
+           (unsigned)requests->settings->connections_max * KEEPALIVE_PERCENT / PERCENT),
     .max_body_bytes = BODY_BYTES_MAX,
     .max_header_bytes = HEADER_BYTES_MAX,
     .idle_timeout_s = IDLE_TIMEOUT_S,
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -20,9 +20,11 @@
 #define BYTES_PER_MB       (1024.0 * 1024.0)
 /* Of the host's memory, the part for the bodies of requests, each of which is copied once
  * as it is sent on, and that for connections. */
-#define HELD_BODIES_SHARE     0.15
-#define CONNECTIONS_SHARE     0.3
-#define CONNECTION_BYTES      (52.0 * 1024.0) /* at most, without a body */
+#define HELD_BODIES_SHARE 0.15
+#define CONNECTIONS_SHARE 0.3
+#define CONNECTION_BYTES  (52.0 * 1024.0) /* at most, without a body */
+/* Twice the longest body, whose buffer may be that large. */
+#define HELD_BODIES_MIN_BYTES (UINT64_C (16) << 20)
 #define HELD_BODIES_MAX_BYTES (UINT64_C (4) << 30)
 
 #define TEXT(member, is_required)                                           \
@@ -91,6 +93,7 @@
       .key = "held_bodies_bytes",
       .type = DL_SETTING_UINT,
       .offset = offsetof (DlNodeSettings, held_bodies_bytes),
+      .minimum = HELD_BODIES_MIN_BYTES,
       .maximum = HELD_BODIES_MAX_BYTES,
   },
   {
@@ -146,8 +149,10 @@
   double memory_bytes = s->memory_mb * BYTES_PER_MB;
 
   if (s->held_bodies_bytes == 0)
-    s->held_bodies_bytes = memory_bytes > 0 ? (uint64_t)(memory_bytes * HELD_BODIES_SHARE)
-                                            : DL_HTTP_HELD_BYTES_DEFAULT;
+    s->held_bodies_bytes
+        = memory_bytes > 0
+              ? MAX ((uint64_t)(memory_bytes * HELD_BODIES_SHARE), HELD_BODIES_MIN_BYTES)
+              : DL_HTTP_HELD_BYTES_DEFAULT;
   if (s->connections_max == 0)
     s->connections_max = DL_NODE_CONNECTIONS_MAX;
   if (memory_bytes > 0)
--- a/lib/policy/wait_queue.c
+++ b/lib/policy/wait_queue.c
@@ -99,7 +99,7 @@
 {
   if (!class->is_ranked)
     return now_ms + MIN (class->priority, DL_WAIT_PRIORITY_MAX) * DL_WAIT_PRIORITY_MS;
-  if (dl_priority_share_is_behind (&queue->share, class->route_rank))
+  if (dl_priority_share_is_behind (&queue->share, class->rank))
     return now_ms;
   return now_ms + (uint64_t) class->priority * DL_WAIT_RANK_MS;
 }
--- a/lib/policy/wait_queue.h
+++ b/lib/policy/wait_queue.h
@@ -37,8 +37,9 @@
 /* Each step of priority counts as an arrival later by this time. */
 #define DL_WAIT_PRIORITY_MS 20
 /* The same where the routes to the service differ in priority: longer than a request
- * waits, so that more urgent ones go first.  One whose priority gets less than its share
- * (priority_share.h) goes as if it were of the most urgent one. */
+ * of a target of up to 2 s waits, so that more urgent ones go first.  One whose priority
+ * gets less than its share (priority_share.h) goes as if it were of the most urgent one.
+ */
 #define DL_WAIT_RANK_MS 400
 /* Higher numbers count as this priority, except for ranks. */
 #define DL_WAIT_PRIORITY_MAX 9
@@ -63,10 +64,10 @@
 /* What the place of an item depends on. */
 typedef struct
 {
-  bool is_ranked;      /* the routes to the service differ in priority */
-  unsigned priority;   /* 0: the most urgent; if ranked, the request's rank */
-  unsigned route_rank; /* rank of its route, whose share is kept; if ranked */
-  uint64_t target_ms;  /* latency target */
+  bool is_ranked;     /* the routes to the service differ in priority */
+  unsigned priority;  /* 0: the most urgent; if ranked, the request's rank */
+  unsigned rank;      /* the same, but for a retry: that of which the share is kept */
+  uint64_t target_ms; /* latency target */
 } DlWaitClass;
 
 /* Queues ITEM, which must not be queued already, or refuses it.  ITEM is borrowed. */
--- a/regress/unit/test_overload.c
+++ b/regress/unit/test_overload.c
@@ -97,7 +97,7 @@
           {
             DlWaitClass class = { .is_ranked = true,
                                   .priority = rank,
-                                  .route_rank = rank,
+                                  .rank = rank,
                                   .target_ms = target_ms[rank] };
 
             a = talloc (queue, Arrival);
