daisycheck: check a routing configuration before it is sent

A configuration that the entries cannot use was only noticed once it was in force: the parser leaves out entries silently, the last organisation with a key gets it, and a route to a missing service answers with errors.

daisycheck reads the configuration with the parsers of the product and prints errors, entries without effect, and differences from the one in force. The decisions are in lib/policy/config_check.c. Two parsers tell more than before, without a change for their other users: platform_read_routing_faults lists what platform_read_routing leaves out and which organisations share a key, and dl_json_parse_with_place gives the place of an error.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BUILD	?= check
 OUT	?= build
 DIRECT	:= daisydirectd daisystaged
-PROGS	:= daisyentryd daisyslotd daisyctl daisybench $(DIRECT)
+PROGS	:= daisyentryd daisyslotd daisyctl daisybench daisycheck $(DIRECT)
 TESTS	:= regress/standin regress/scenario regress/direct regress/slices regress/unit
 DIRS	:= $(foreach d,$(PROGS) $(TESTS),$(if $(wildcard $(d)/*.c),$(d)))
 SOURCES	:= $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.')
--- a/lib/kernel/settings.c
+++ b/lib/kernel/settings.c
@@ -46,9 +46,10 @@
 /* -------- parsing JSON -------- */
 
 /* json-c silently keeps the last of several equal keys, so the text is searched for them,
- * with GLib's scanner as the lexer.  Returns a copy of the first duplicate, or NULL. */
+ * with GLib's scanner as the lexer.  Returns a copy of the first duplicate, with its
+ * *LINE, or NULL. */
 static char *
-find_duplicate_key (DlStr text)
+find_duplicate_key (DlStr text, size_t *line)
 {
   static const GScannerConfig config = {
     .cset_skip_characters = " \t\r\n",
@@ -85,7 +86,10 @@
       else if (token == ':' && last_string != NULL && depth > 0)
         {
           if (g_hash_table_contains (keys[depth], last_string))
-            duplicate = g_strdup (last_string);
+            {
+              duplicate = g_strdup (last_string);
+              *line = scanner->line;
+            }
           else
             g_hash_table_add (keys[depth], g_strdup (last_string));
         }
@@ -127,20 +131,48 @@
   return copy;
 }
 
+static DlJsonPlace
+place_at (DlStr text, size_t offset)
+{
+  DlJsonPlace place = { .line = 1, .column = 1 };
+
+  for (size_t i = 0; i < offset && i < text.length; i++)
+    if (text.data[i] == '\n')
+      place = (DlJsonPlace){ .line = place.line + 1, .column = 1 };
+    else
+      place.column++;
+  return place;
+}
+
 int
 dl_json_parse (const void *context,
                const char *source,
                DlStr text,
                json_object **object,
                char **error)
+{
+  DlJsonPlace place;
+
+  return dl_json_parse_with_place (context, source, text, object, &place, error);
+}
+
+int
+dl_json_parse_with_place (const void *context,
+                          const char *source,
+                          DlStr text,
+                          json_object **object,
+                          DlJsonPlace *place,
+                          char **error)
 {
   Reader reader = { .context = context, .source = source, .error = error };
   json_tokener *tokener;
   enum json_tokener_error parse_error;
   char *text_copy;
   char *duplicate;
+  size_t end;
 
   *object = NULL;
+  *place = (DlJsonPlace){ 0 };
   if (text.length > SETTINGS_MAX_BYTES)
     return reader_fail (&reader, NULL, "longer than %u bytes", SETTINGS_MAX_BYTES);
   if (text.length == 0 || memchr (text.data, '\0', text.length) != NULL)
@@ -150,9 +182,10 @@
   /* The parser needs the terminating NUL to recognise the end of the text. */
   *object = json_tokener_parse_ex (tokener, text_copy, (int)text.length + 1);
   parse_error = json_tokener_get_error (tokener);
+  end = json_tokener_get_parse_end (tokener);
   if (parse_error == json_tokener_success)
-    for (size_t i = json_tokener_get_parse_end (tokener); i < text.length; i++)
-      if (!g_ascii_isspace (text_copy[i]))
+    for (; end < text.length; end++)
+      if (!g_ascii_isspace (text_copy[end]))
         {
           parse_error = json_tokener_error_parse_unexpected;
           break;
@@ -162,11 +195,12 @@
     {
       json_object_put (*object);
       *object = NULL;
+      *place = place_at (text, end);
       g_free (text_copy);
       return reader_fail (&reader, NULL, "not JSON: %s",
                           json_tokener_error_desc (parse_error));
     }
-  duplicate = find_duplicate_key (dl_str (text_copy));
+  duplicate = find_duplicate_key (dl_str (text_copy), &place->line);
   g_free (text_copy);
   if (duplicate != NULL)
     {
--- a/lib/kernel/settings.h
+++ b/lib/kernel/settings.h
@@ -76,4 +76,19 @@
                    json_object **object,
                    char **error);
 
+/* Where a text violates the syntax; both count from 1. */
+typedef struct
+{
+  size_t line;   /* 0: unknown */
+  size_t column; /* in bytes; 0: unknown */
+} DlJsonPlace;
+
+/* Does the same as dl_json_parse, and sets *PLACE to the place of the error. */
+int dl_json_parse_with_place (const void *context,
+                              const char *source,
+                              DlStr text,
+                              json_object **object,
+                              DlJsonPlace *place,
+                              char **error);
+
 #endif
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -109,6 +109,38 @@
   GHashTable *keys;                 /* key text to DlOrganisation; owned by the table */
 } DlRouting;
 
+/* The parts of a table. */
+typedef enum
+{
+  DL_ROUTING_TABLE, /* the table itself */
+  DL_ROUTING_ROUTE,
+  DL_ROUTING_SERVICE,
+  DL_ROUTING_ORGANISATION,
+} DlRoutingPart;
+
+/* Something in a configuration that its table does not show. */
+typedef struct
+{
+  DlRoutingPart part;
+  size_t position;  /* in the list of the part, from 1; 0: the list itself */
+  const char *name; /* NULL when unknown */
+  /* Of an organisation with a key of another one, that one; NULL: the entry was left
+   * out. */
+  const char *key_sharer;
+  const char *reason; /* why it was left out; a static text */
+} DlRoutingFault;
+
+/* The faults found in a configuration.  A zeroed list is empty. */
+typedef struct
+{
+  DlRoutingFault *items; /* a talloc array; at most DL_ROUTING_FAULTS_MAX */
+  size_t listed;         /* length of ITEMS */
+  size_t count;          /* number of all faults */
+} DlRoutingFaults;
+
+/* Bounds the memory for a configuration that consists of faults. */
+#define DL_ROUTING_FAULTS_MAX 1000
+
 /* Returns an empty table, a talloc child of CONTEXT; freeing it frees its own children.
  */
 DlRouting *dl_routing_new (const void *context);
