Log what a starting entry awaits, and lists that fail with their bytes and time

Change: event 933 for each list that failed (kind, server, after_ms, bytes), event 934 for what keeps an entry from being ready. Readiness is a file of its own, taken out of state.c. No decision changes.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -9,7 +9,6 @@
 #include "entry_list.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "kernel/metrics.h"
 #include "node/load_record.h"
 #include "node/limit_record.h"
 #include "node/metrics_page.h"
@@ -43,14 +42,7 @@
 /* The same in a large fleet; a lost status leaves time for another (DL_PEER_TIMEOUT_MS).
  */
 #define STATUS_EVERY_TICKS_LARGE 3
-/* After its start an entry waits this long for the word of all stagers. */
-#define ENGINES_AWAITED_MS 3000
-#define STATUS_CHANGED_MS  40 /* a changed status is sent within this time */
-
-DL_METRIC (metric_ready,
-           DL_METRIC_GAUGE,
-           "daisy_direct_ready",
-           "1 while the entry is ready, else 0.")
+#define STATUS_CHANGED_MS        40 /* a changed status is sent within this time */
 
 /* A proof of the routing table is old after this part of the time that a change may take.
  */
@@ -295,49 +287,6 @@
   dl_kernel_publish (state->kernel, message);
 }
 
-/* True while an entry that has just started could not use an engine, as it has not heard
- * of it.  A stager that is down does not keep it from serving for long. */
-static bool
-awaits_engines (const State *state)
-{
-  return !state->has_been_ready && dl_clock_ms () - state->started_ms < ENGINES_AWAITED_MS
-         && direct_upstream_list_has_unheard (state->upstream_list);
-}
-
-static bool
-is_ready (const State *state)
-{
-  uint64_t proven_ms = direct_routing_table_proven_ms (state->routing_table);
-
-  return !dl_kernel_stopping (state->kernel)
-         && direct_routing_table_version (state->routing_table) > 0
-         && dl_object_watch_synced_ms (state->upstreams_watch) > 0
-         && !awaits_engines (state) && state_knows_evacuations (state)
-         && direct_routing_trust (state->settings, proven_ms, &state->heard)
-                == DL_ROUTING_TRUSTED;
-}
-
-static void
-refresh_readiness (State *state)
-{
-  bool ready = is_ready (state);
-
-  if (ready != state->ready)
-    {
-      state->ready = ready;
-      state->has_been_ready = true;
-      dl_metric_set (&metric_ready, ready);
-      dl_log (DL_EVENT_READINESS, DL_TEXT ("ready", ready ? "yes" : "no"),
-              DL_UINT ("routing_age_ms",
-                       dl_clock_ms ()
-                           - direct_routing_table_proven_ms (state->routing_table)));
-      status_send_usual (state);
-    }
-  direct_publish_entries (state->kernel, state->settings, state->peers, state->ready);
-  if (dl_node_has_cold_bound (state->settings) && dl_peers_are_listed (state->peers))
-    direct_publish_registered (state->kernel, state->settings, state->peers);
-}
-
 static void
 refresh_hub (State *state)
 {
@@ -416,7 +365,7 @@
   check_routing_proof (state);
   watch_routing_proof (state);
   publish_heard (state);
-  refresh_readiness (state);
+  state_refresh_readiness (state);
   refresh_hub (state);
   status_ask_stagers (state);
   if (++state->ticks % every == 0)
@@ -611,7 +560,7 @@
 static void
 drain (DlTask *task)
 {
-  refresh_readiness (dl_task_state (task));
+  state_refresh_readiness (dl_task_state (task));
   dl_task_drained (task);
 }
 
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -2,8 +2,8 @@
  * Declarations shared by the files of task "state".
  *
  * state.c watches the store and the other nodes, evacuations.c follows the evacuations of
- * data centres, status.c reports this entry's status to
- * the other nodes.
+ * data centres, readiness.c decides whether this entry is ready, status.c reports this
+ * entry's status to the other nodes.
  */
 #ifndef DIRECT_STATE_PRIVATE_H
 #define DIRECT_STATE_PRIVATE_H
@@ -51,6 +51,7 @@
   DlFanoutBurst burst;                  /* of statuses to all entries */
   bool ready;
   bool has_been_ready;
+  const char *awaited; /* what it waits for to be ready, as logged; NULL for nothing */
   uint64_t started_ms; /* of this task */
   bool is_hub;         /* this entry fetches weights for others */
   unsigned ticks;
@@ -65,6 +66,11 @@
 /* False while a data centre may be evacuated without this entry's knowledge. */
 bool state_knows_evacuations (const State *state);
 
+/* -------- readiness.c -------- */
+
+/* Determines anew whether this entry is ready, and publishes the entries to use. */
+void state_refresh_readiness (State *state);
+
 /* -------- status.c -------- */
 
 /* Sends the status to the entries of the region, and to the others where no relay does
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -402,6 +402,7 @@
 {
   long status = 0;
   long request_bytes = 0;
+  curl_off_t received_bytes = 0;
   DlHttpResult result = { 0 };
 
   if (code == CURLE_OK && !call->head_complete)
@@ -416,11 +417,13 @@
   if (call->head_complete)
     curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &received_bytes);
   call->in_callback = true;
   if (!call->freed_in_callback && code == CURLE_OK)
     call_report_head (call);
   result.status = (unsigned)status;
   result.sent = request_bytes > 0;
+  result.received_bytes = (uint64_t)received_bytes;
   result.broken_off = is_broken_off (call, code);
   result.body = dl_buffer_view (call->body);
   if (!call->freed_in_callback)
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -28,6 +28,7 @@
   bool sent;       /* false: no byte of the request left this process */
   bool broken_off; /* the peer closed or reset the connection; ERROR is DL_ERR_CLOSED */
   DlStr body;      /* empty when on_data is set; valid during the callback */
+  uint64_t received_bytes; /* of the body, as it was sent */
 } DlHttpResult;
 
 /* The end of a call. */
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -271,6 +271,7 @@
   DlObjectResult result = {
     .responded = response->error == 0,
     .retry_after_ms = call->retry_after_ms,
+    .received_bytes = response->received_bytes,
   };
   json_object *body = NULL;
 
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -63,6 +63,8 @@
 typedef struct
 {
   DlObjectWatch *watch;
+  DlObjectClient *server;
+  uint64_t sent_ms;
   uint64_t number;
 } Request;
 
@@ -127,21 +129,39 @@
 /* -------- requests -------- */
 
 static Request *
-request_new (DlObjectWatch *watch)
+request_new (DlObjectWatch *watch, DlObjectClient *server)
 {
   Request *request = talloc_zero (watch, Request);
 
   request->watch = watch;
+  request->server = server;
+  request->sent_ms = dl_clock_ms ();
   request->number = ++watch->number;
   return request;
 }
 
-/* Frees REQUEST, which has ended, and returns whether its response is still wanted. */
+static void
+log_failure (const Request *request, const DlObjectResult *result)
+{
+  const DlObjectWatch *watch = request->watch;
+  bool is_reader = request->server != watch->client;
+
+  dl_log (DL_EVENT_READ_FAILED, DL_TEXT ("kind", watch->options.kind),
+          DL_TEXT ("server",
+                   is_reader ? dl_object_client_address (request->server) : "store"),
+          DL_UINT ("after_ms", dl_clock_ms () - request->sent_ms),
+          DL_UINT ("bytes", result->received_bytes), DL_ERRNO (result->error));
+}
+
+/* Frees REQUEST, which has ended with RESULT, and returns whether its response is still
+ * wanted. */
 static bool
-request_end (Request *request)
+request_end (Request *request, const DlObjectResult *result)
 {
   bool is_wanted = request->number == request->watch->number;
 
+  if (is_wanted && result->error < 0 && result->error != DL_ERR_NOT_FOUND)
+    log_failure (request, result);
   talloc_free (request);
   return is_wanted;
 }
@@ -338,7 +358,7 @@
   Request *request = data;
   DlObjectWatch *watch = request->watch;
 
-  if (!request_end (request))
+  if (!request_end (request, result))
     return;
   if (result->error < 0 && watch->via_relay)
     {
@@ -381,7 +401,7 @@
       choose_list_server (watch);
     }
   dl_object_list_after (watch->server, watch, watch->options.kind, watch->list_after,
-                        on_list, request_new (watch));
+                        on_list, request_new (watch, watch->server));
 }
 
 /* True when the next request has to wait for a reader; it is tried again soon then. */
@@ -401,7 +421,7 @@
   Request *request = data;
   DlObjectWatch *watch = request->watch;
 
-  if (!request_end (request))
+  if (!request_end (request, result))
     return;
   watch->has_preview = true;
   set_contact (watch, MIN (result->error, 0));
@@ -414,7 +434,8 @@
 send_preview (DlObjectWatch *watch)
 {
   dl_object_list_after (watch->client, watch, watch->options.kind,
-                        watch->options.preview_after, on_preview, request_new (watch));
+                        watch->options.preview_after, on_preview,
+                        request_new (watch, watch->client));
 }
 
 static void
