A list that keeps arriving is not cut off after 900 ms

What callers saw: after all hosts of a far region lost power, entries there had no list of upstreams for as long as the link was slow.

Cause: a call for a list had 900 ms in all.

Ruled out: a longer limit for the whole call. It would be as long for a server that is silent, and some link would still be slower.

Change: the limit of a list, and of a watch's response, holds for its first byte and then for each pause; a response that keeps arriving may take 20 s. The proxy of regress/direct can bound what all connections carry together.

--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -60,7 +60,9 @@
   size_t framing_bytes; /* received since the last byte of the head or the body */
   int error;            /* why the response was given up; 0: it was not */
   DlTimer *give_up;
-  bool head_complete; /* of the last response; interim ones have heads, too */
+  uint64_t arrived_ms; /* last part of the response; 0: nothing yet */
+  DlTimer *stalled;    /* when the call is checked for progress; NULL without stall_ms */
+  bool head_complete;  /* of the last response; interim ones have heads, too */
   bool head_reported;
   bool paused;
   bool in_callback;
@@ -150,6 +152,39 @@
   return 0;
 }
 
+/* -------- progress -------- */
+
+static void call_done (DlHttpCall *call, CURLcode code);
+
+static void
+note_arrival (DlHttpCall *call)
+{
+  call->arrived_ms = dl_clock_ms ();
+}
+
+/* Time by which something has to arrive. */
+static uint64_t
+stall_due_ms (const DlHttpCall *call)
+{
+  const DlHttpCallOptions *o = &call->options;
+
+  return call->arrived_ms == 0 ? call->started_ms + o->timeout_ms
+                               : call->arrived_ms + o->stall_ms;
+}
+
+static void
+on_stall_check (DlTimer *timer, void *data)
+{
+  DlHttpCall *call = data;
+  uint64_t due_ms = stall_due_ms (call);
+  uint64_t now_ms = dl_clock_ms ();
+
+  if (now_ms < due_ms)
+    dl_timer_restart (timer, due_ms - now_ms);
+  else
+    call_done (call, CURLE_OPERATION_TIMEDOUT);
+}
+
 /* -------- limits -------- */
 
 void
@@ -230,6 +265,7 @@
   size_t limit = call->options.max_head_bytes > 0 ? call->options.max_head_bytes
                                                   : HEAD_DEFAULT_MAX_BYTES;
 
+  note_arrival (call);
   note_head_line (call, line);
   if (is_status_line (call, line) && !has_status (line))
     {
@@ -245,8 +281,6 @@
   return CURL_WRITEFUNC_ERROR;
 }
 
-static void call_done (DlHttpCall *call, CURLcode code);
-
 static void
 on_give_up (DlTimer *timer, void *data)
 {
@@ -288,6 +322,7 @@
 static size_t
 call_receive (DlHttpCall *call, DlStr bytes)
 {
+  note_arrival (call);
   call->framing_bytes = 0;
   call_report_head (call);
   if (call->freed_in_callback)
@@ -486,7 +521,12 @@
       = o->connect_timeout_ms > 0 ? o->connect_timeout_ms : CONNECT_DEFAULT_TIMEOUT_MS;
 
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
-  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
+                    o->stall_ms > 0 ? (long)DL_HTTP_PROGRESS_MAX_MS
+                                    : (long)o->timeout_ms);
+  if (o->stall_ms > 0)
+    call->stalled = dl_timer_subscribe (call->client->task, call, o->timeout_ms, 0,
+                                        on_stall_check, call);
   if (o->receive_buffer_bytes > 0)
     {
       curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -20,6 +20,9 @@
 typedef struct DlHttpClient DlHttpClient;
 typedef struct DlHttpCall DlHttpCall;
 
+/* Longest time of a call whose response keeps arriving (stall_ms). */
+#define DL_HTTP_PROGRESS_MAX_MS 20000
+
 /* The outcome of a call. */
 typedef struct
 {
@@ -44,6 +47,9 @@
   DlStr body;
   uint64_t connect_timeout_ms;
   uint64_t timeout_ms;   /* for the whole call; 0 for none */
+  uint64_t stall_ms;     /* above 0: once the response has begun to arrive, the call times
+                          * out when nothing more has arrived for so long, or after
+                          * DL_HTTP_PROGRESS_MAX_MS, in place of after TIMEOUT_MS */
   size_t max_body_bytes; /* of a body that is collected; 0 for 1 MiB */
   size_t max_head_bytes; /* of all heads and trailers; 0 for 32 KiB */
   const char *id;        /* of the request, for logs; NULL for none */
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -350,6 +350,13 @@
 static const DlObjectProtocol native_protocol
     = { .encode = native_encode, .decode = native_decode, .accepts_gzip = true };
 
+/* True for a call whose response may be long. */
+static bool
+is_listing (DlObjectAction action)
+{
+  return action == DL_OBJECT_LIST || action == DL_OBJECT_WATCH;
+}
+
 static uint64_t
 call_timeout_ms (const DlObjectClient *client, const DlObjectRequest *request)
 {
@@ -393,6 +400,7 @@
           .headers = headers,
           .body = body,
           .timeout_ms = call_timeout_ms (client, request),
+          .stall_ms = is_listing (request->action) ? client->timeout_ms : 0,
           .max_body_bytes = client->max_body_bytes,
           /* A conditional write sent twice would conflict with its own first attempt. */
           .single_use = is_write (request->action),
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -135,7 +135,9 @@
  * talloc_steal. */
 typedef void (*DlObjectFunc) (const DlObjectResult *result, void *data);
 
-/* Creates a client of the platform at ADDRESS ("IP:PORT"), a talloc child of OWNER. */
+/* Creates a client of the platform at ADDRESS ("IP:PORT"), a talloc child of OWNER.  A
+ * call times out after TIMEOUT_MS; a list, and the response to a watch, when nothing more
+ * of it has arrived for so long. */
 DlObjectClient *dl_object_client_new (DlTask *task,
                                       const void *owner,
                                       const char *address,
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -316,6 +316,8 @@
 extern const TestFunc manifest_tests[];
 /* Open connections that go silent; needs proxies. */
 extern const TestFunc silent_store_tests[];
+/* Nodes that start behind a narrow link; needs proxies. */
+extern const TestFunc narrow_link_tests[];
 /* Malformed messages at each socket; needs proxies. */
 extern const TestFunc malformed_tests[];
 /* A fleet of many entries, which pass statuses on. */
@@ -323,6 +325,16 @@
 /* A store that returns from an older copy. */
 extern const TestFunc era_tests[];
 
+/* -------- narrow_link.c -------- */
+
+/* Bounds what comes from the store, and has it list so many upstreams that a node takes
+ * longer to read them than the store may stay silent.  Needs proxies. */
+void narrow_link_begin (Testbed *testbed);
+/* Removes the bound. */
+void narrow_link_end (Testbed *testbed);
+/* True when both entries serve within the time that a recovery may take. */
+bool narrow_link_recovers (Testbed *testbed);
+
 /* -------- soak.c -------- */
 
 /* Injects random, overlapping faults for SECONDS while callers send requests, then checks
--- /dev/null
+++ b/regress/direct/narrow_link.c
@@ -0,0 +1,73 @@
+/*
+ * Tests of nodes that start behind a narrow link to the store.
+ */
+#include "direct.h"
+
+#define STORE_PAGE 1000 /* objects on a page of the store's lists */
+/* Upstreams of a service that no route names. */
+#define FURTHER_UPSTREAMS 600
+/* The list of upstreams takes longer on this link than a call that brings nothing may
+ * take. */
+#define LINK_BYTES_PER_S 100000
+/* Stated by the users: service is back within this time after the hosts are. */
+#define RECOVERY_MS 15000
+#define POLL_MS     50
+
+static void
+list_further_upstreams (Testbed *tb)
+{
+  for (unsigned i = 0; i < FURTHER_UPSTREAMS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("other-%u", i);
+      g_autofree char *spec = g_strdup_printf (
+          "{\"backend\":\"other\",\"address\":\"%s.%u:%u\",\"zone\":\"d1\","
+          "\"version\":\"a release with a long name\",\"slots\":4,"
+          "\"state\":\"ready\",\"sequence\":%u,\"born\":1,\"models\":[]}",
+          tb->subnet, 100 + i % 100, 9000 + i, i);
+
+      CHECK (testbed_put (tb, "servers", name, spec));
+    }
+}
+
+bool
+narrow_link_recovers (Testbed *tb)
+{
+  gint64 end_us = g_get_monotonic_time () + RECOVERY_MS * G_TIME_SPAN_MILLISECOND;
+
+  while (!requests_are_served (tb))
+    {
+      if (g_get_monotonic_time () > end_us)
+        return false;
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  return true;
+}
+
+void
+narrow_link_begin (Testbed *tb)
+{
+  CHECK (set_fault (tb->store, "page", STORE_PAGE));
+  list_further_upstreams (tb);
+  proxy_set_rate (g_ptr_array_index (tb->proxies, PROXY_STORE), LINK_BYTES_PER_S);
+}
+
+void
+narrow_link_end (Testbed *tb)
+{
+  proxy_set_rate (g_ptr_array_index (tb->proxies, PROXY_STORE), 0);
+}
+
+static void
+test_list_that_took_longer_than_a_silent_call_began_again_without_end (Testbed *tb)
+{
+  end_nodes (tb);
+  narrow_link_begin (tb);
+  start_nodes (tb);
+  CHECK (narrow_link_recovers (tb));
+  narrow_link_end (tb);
+}
+
+const TestFunc narrow_link_tests[] = {
+  test_list_that_took_longer_than_a_silent_call_began_again_without_end,
+  NULL,
+};
--- a/regress/direct/proxy.c
+++ b/regress/direct/proxy.c
@@ -17,6 +17,8 @@
 #define POLL_MS      5
 #define BUFFER_BYTES 16384
 #define BACKLOG      64
+/* A narrow link forwards at most what it carries in this part of a second at once. */
+#define ALLOWANCES_PER_S 20
 /* Of a buffer, so that what is changed has room to grow. */
 #define MUTABLE_BYTES (BUFFER_BYTES / 2)
 
@@ -49,6 +51,9 @@
   gint reset_due;    /* flag, atomic */
   gint stall_due;    /* flag, atomic */
   gint stop;         /* flag, atomic */
+  gint rate;         /* bytes a second from the target, atomic; 0: no bound */
+  size_t allowance;  /* bytes that may pass by RATE now; used by the thread only */
+  gint64 allowed_us; /* when it was last added to */
   gint seed;         /* for RAND, atomic; 0: it has been taken */
   GRand *rand;       /* used by the thread only */
   GPtrArray *active; /* of Connection; used by the thread only */
@@ -162,19 +167,24 @@
   return true;
 }
 
-/* Reads and writes what is possible now.  Returns false when the connection failed. */
+/* Reads and writes what is possible now, of the latter at most *ALLOWANCE bytes, which is
+ * lowered; NULL for any number.  Returns false when the connection failed. */
 static bool
-relay_direction (Direction *d, ProxyMode mode, GRand *rand)
+relay_direction (Direction *d, ProxyMode mode, GRand *rand, size_t *allowance)
 {
+  size_t sendable;
   ssize_t n;
 
   if (!read_direction (d, mode, rand))
     return false;
-  if (d->length > 0 && g_get_monotonic_time () >= d->due_us)
+  sendable = allowance != NULL ? MIN (d->length, *allowance) : d->length;
+  if (sendable > 0 && g_get_monotonic_time () >= d->due_us)
     {
-      n = send (d->to, d->bytes, d->length, MSG_NOSIGNAL);
+      n = send (d->to, d->bytes, sendable, MSG_NOSIGNAL);
       if (n < 0)
         return is_transient (errno);
+      if (allowance != NULL)
+        *allowance -= (size_t)n;
       memmove (d->bytes, d->bytes + n, d->length - (size_t)n);
       d->length -= (size_t)n;
     }
@@ -186,9 +196,10 @@
   return true;
 }
 
-/* Returns false when the connection is over and is to be closed. */
+/* Returns false when the connection is over and is to be closed.  ALLOWANCE, as in
+ * relay_direction, bounds what comes from the target. */
 static bool
-relay_connection (Connection *c, ProxyMode mode, GRand *rand)
+relay_connection (Connection *c, ProxyMode mode, GRand *rand, size_t *allowance)
 {
   GRand *down_rand = mode == PROXY_MUTATE ? rand : NULL;
   bool up = mode != PROXY_CUT_UP && mode != PROXY_CUT_BOTH;
@@ -196,8 +207,8 @@
 
   if (c->stalled)
     return true;
-  if ((up && !relay_direction (&c->up, mode, NULL))
-      || (down && !relay_direction (&c->down, mode, down_rand)))
+  if ((up && !relay_direction (&c->up, mode, NULL, NULL))
+      || (down && !relay_direction (&c->down, mode, down_rand, allowance)))
     {
       set_reset_on_close (c->up.from);
       set_reset_on_close (c->up.to);
@@ -206,6 +217,38 @@
   return !(c->up.eof_sent && c->down.eof_sent);
 }
 
+/* Adds to the allowance what the rate allows for the time since the last call. */
+static void
+add_allowance (Proxy *p, gint rate)
+{
+  gint64 now_us = g_get_monotonic_time ();
+
+  p->allowance += (size_t)((now_us - p->allowed_us) * rate / G_USEC_PER_SEC);
+  p->allowance = MIN (p->allowance, (size_t)rate / ALLOWANCES_PER_S);
+  p->allowed_us = now_us;
+}
+
+/* Each connection in turn gets an equal part of what a narrow link still carries. */
+static void
+relay_connections (Proxy *p, ProxyMode mode)
+{
+  gint rate = g_atomic_int_get (&p->rate);
+  guint count = p->active->len;
+
+  if (rate > 0)
+    add_allowance (p, rate);
+  for (guint i = p->active->len; i-- > 0;)
+    {
+      size_t part = p->allowance / MAX (count, 1);
+      size_t left = part;
+
+      if (!relay_connection (g_ptr_array_index (p->active, i), mode, p->rand,
+                             rate > 0 ? &left : NULL))
+        g_ptr_array_remove_index_fast (p->active, i);
+      p->allowance -= rate > 0 ? part - left : 0;
+    }
+}
+
 static void
 relay_all (Proxy *p)
 {
@@ -221,9 +264,7 @@
     for (guint i = 0; i < p->active->len; i++)
       ((Connection *)g_ptr_array_index (p->active, i))->stalled = true;
   accept_new (p, mode);
-  for (guint i = p->active->len; i-- > 0;)
-    if (!relay_connection (g_ptr_array_index (p->active, i), mode, p->rand))
-      g_ptr_array_remove_index_fast (p->active, i);
+  relay_connections (p, mode);
 }
 
 /* Sleeps until input may have arrived, but at most POLL_MS, as the mode may change and
@@ -239,7 +280,8 @@
   for (guint i = 0; i < p->active->len; i++)
     {
       const Connection *c = g_ptr_array_index (p->active, i);
-      bool paused = c->stalled || g_atomic_int_get (&p->mode) != PROXY_PASS;
+      bool paused = c->stalled || g_atomic_int_get (&p->mode) != PROXY_PASS
+                    || g_atomic_int_get (&p->rate) > 0;
 
       fds[1 + 2 * i] = (struct pollfd){ .fd = c->up.from, .events = POLLIN };
       fds[2 + 2 * i] = (struct pollfd){ .fd = c->up.to, .events = POLLIN };
@@ -298,6 +340,12 @@
   g_atomic_int_set (&proxy->mode, (gint)mode);
 }
 
+void
+proxy_set_rate (Proxy *proxy, unsigned bytes_per_s)
+{
+  g_atomic_int_set (&proxy->rate, (gint)bytes_per_s);
+}
+
 void
 proxy_seed (Proxy *proxy, uint32_t seed)
 {
--- a/regress/direct/proxy.h
+++ b/regress/direct/proxy.h
@@ -31,6 +31,9 @@
  * NULL and prints an error when it cannot listen. */
 Proxy *proxy_new (const char *listen, const char *target);
 void proxy_set_mode (Proxy *proxy, ProxyMode mode);
+/* Bounds what all connections together forward from the target, as a narrow link would;
+ * 0: no bound.  It works in mode PROXY_PASS. */
+void proxy_set_rate (Proxy *proxy, unsigned bytes_per_s);
 /* Chooses what PROXY_MUTATE changes from now on. */
 void proxy_seed (Proxy *proxy, uint32_t seed);
 /* The peer that serves connections in mode PROXY_ENDLESS. */
