Entries without a copy of a list read the store in turn, or wait at one that does

A reader that had nothing yet, or that was itself waiting, said the same as one that had lost the store: its copy is too old. So the entries of a region asked each other in a circle; the class is a fallback that goes by time and count and not by progress.

Change: an entry without a copy has its turn at the store by rank, 1.5 s after it started and 0.5 s later for each rank. A reader that is reading a list from the store lets askers wait for it up to 1 s and then says so (Object-Reading), which puts off their turns; one whose own call has failed does not say so until something has arrived again.

--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -44,6 +44,7 @@
   DlObjectFunc func;
   void *data;
   uint64_t retry_after_ms;
+  bool is_reading;     /* the response says so */
   DlObjectEra *era;    /* that of the client */
   uint64_t header_era; /* from the header that the protocol names */
   bool has_header_era;
@@ -208,6 +209,7 @@
 
   if (retry_after != NULL && dl_str_to_uint64 (dl_str (retry_after), &seconds) == 0)
     call->retry_after_ms = seconds * 1000;
+  call->is_reading = dl_http_call_header (http, DL_OBJECT_READING_HEADER) != NULL;
   read_era_header (call, http);
 }
 
@@ -272,6 +274,7 @@
     .responded = response->error == 0,
     .retry_after_ms = call->retry_after_ms,
     .received_bytes = response->received_bytes,
+    .is_reading = call->is_reading,
   };
   json_object *body = NULL;
 
@@ -306,6 +309,15 @@
   return talloc_asprintf (context, "&era=%" PRIu64, request->era);
 }
 
+/* The same for the wait of a list. */
+static const char *
+wait_parameter (const void *context, const DlObjectRequest *request)
+{
+  if (request->wait_ms == 0)
+    return "";
+  return talloc_asprintf (context, "&wait_ms=%" PRIu64, request->wait_ms);
+}
+
 static void
 native_encode (const void *context,
                const char *address,
@@ -316,8 +328,9 @@
     {
     case DL_OBJECT_LIST:
       http->method = "GET";
-      http->url = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s%s", address,
-                                   request->kinds, era_parameter (context, request));
+      http->url = talloc_asprintf (context, "http://%s/v1/objects?kinds=%s%s%s", address,
+                                   request->kinds, era_parameter (context, request),
+                                   wait_parameter (context, request));
       return;
     case DL_OBJECT_WATCH:
       http->method = "GET";
@@ -360,8 +373,8 @@
 static uint64_t
 call_timeout_ms (const DlObjectClient *client, const DlObjectRequest *request)
 {
-  return request->action == DL_OBJECT_WATCH ? request->wait_ms + client->margin_ms
-                                            : client->timeout_ms;
+  return request->wait_ms
+         + (request->action == DL_OBJECT_WATCH ? client->margin_ms : client->timeout_ms);
 }
 
 static void
@@ -535,6 +548,21 @@
               func, data);
 }
 
+void
+dl_object_list_page (DlObjectClient *client,
+                     const void *owner,
+                     const DlObjectPage *page,
+                     DlObjectFunc func,
+                     void *data)
+{
+  start_call (client, owner,
+              &(DlObjectRequest){ .action = DL_OBJECT_LIST,
+                                  .kinds = page->kinds,
+                                  .after = page->after,
+                                  .wait_ms = page->wait_ms },
+              func, data);
+}
+
 void
 dl_object_list (DlObjectClient *client,
                 const void *owner,
@@ -542,21 +570,7 @@
                 DlObjectFunc func,
                 void *data)
 {
-  dl_object_list_after (client, owner, kinds, NULL, func, data);
-}
-
-void
-dl_object_list_after (DlObjectClient *client,
-                      const void *owner,
-                      const char *kinds,
-                      const char *after,
-                      DlObjectFunc func,
-                      void *data)
-{
-  start_call (client, owner,
-              &(DlObjectRequest){
-                  .action = DL_OBJECT_LIST, .kinds = kinds, .after = after },
-              func, data);
+  dl_object_list_page (client, owner, &(DlObjectPage){ .kinds = kinds }, func, data);
 }
 
 static void
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -22,7 +22,8 @@
  *
  * A process that relays the platform's objects adds "era" to the responses to lists and
  * watches, and such a request may carry "era=N" (kernel/object_era.h).  Without it the
- * era is 0.
+ * era is 0.  A list may carry "wait_ms=N" there; a refusal with the header
+ * "Object-Reading" says that the process is reading the objects from the platform.
  *
  * 429 and 503 carry Retry-After.  Revisions increase across the whole store; "created" is
  * the revision that created the object.
@@ -63,7 +64,8 @@
   uint64_t created;
   size_t count;
   DlObject *objects;
-  bool more; /* the list continues after its last object */
+  bool more;       /* the list continues after its last object */
+  bool is_reading; /* refused by a process that is reading the objects */
   /* When another process responds in place of the platform: how long ago this was the
    * platform's newest state.  0 from the platform itself. */
   uint64_t age_ms;
@@ -86,16 +88,19 @@
 #define DL_OBJECT_REVISION_HEADER "Object-Revision"
 #define DL_OBJECT_ERA_HEADER      "Object-Era"
 #define DL_OBJECT_AGE_HEADER      "Object-Age-Ms"
+/* Of the refusal of a list: the objects are being read. */
+#define DL_OBJECT_READING_HEADER "Object-Reading"
 
 /* A call, before it is encoded. */
 typedef struct
 {
   DlObjectAction action;
-  const char *kinds;   /* one kind, or a comma-separated list for LIST and WATCH */
-  const char *name;    /* NULL for LIST and WATCH */
-  const char *after;   /* LIST: only names after this one; NULL for all */
-  uint64_t revision;   /* PUT, DELETE: expected (0: none exists); WATCH: changes after */
-  uint64_t wait_ms;    /* WATCH: how long to wait for a change */
+  const char *kinds; /* one kind, or a comma-separated list for LIST and WATCH */
+  const char *name;  /* NULL for LIST and WATCH */
+  const char *after; /* LIST: only names after this one; NULL for all */
+  uint64_t revision; /* PUT, DELETE: expected (0: none exists); WATCH: changes after */
+  uint64_t wait_ms;  /* WATCH: how long to wait for a change; LIST: for the objects, which
+                      * a process that relays them may only just be reading */
   json_object *value;  /* PUT */
   uint64_t era;        /* newest that was known when the call was sent */
   bool new_connection; /* sent on a connection of its own */
@@ -196,13 +201,21 @@
                      const char *kinds,
                      DlObjectFunc func,
                      void *data);
-/* Continues a list whose result had MORE set; AFTER is the name of its last object. */
-void dl_object_list_after (DlObjectClient *client,
-                           const void *owner,
-                           const char *kinds,
-                           const char *after,
-                           DlObjectFunc func,
-                           void *data);
+/* A page of a list. */
+typedef struct
+{
+  const char *kinds; /* comma-separated */
+  const char *after; /* name of the last object of the page before, whose result had MORE
+                      * set; NULL for the first page */
+  uint64_t wait_ms;  /* that the response may take longer than usual to begin; a process
+                      * that relays the objects waits for them meanwhile */
+} DlObjectPage;
+/* Lists the objects of PAGE, whose strings are borrowed until this returns. */
+void dl_object_list_page (DlObjectClient *client,
+                          const void *owner,
+                          const DlObjectPage *page,
+                          DlObjectFunc func,
+                          void *data);
 /* Waits up to WAIT_MS for objects of KINDS that changed after the revision AFTER. */
 void dl_object_watch (DlObjectClient *client,
                       const void *owner,
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -42,17 +42,18 @@
   char *text; /* its value as JSON; NULL for a tombstone */
 } Record;
 
-/* A watch request that waits for a change. */
-typedef struct PendingWatch
+/* A watch that waits for a change, or a list that waits for the objects. */
+typedef struct PendingRead
 {
   struct Kind *kind;
   DlHttpRequest *http;
-  uint64_t era;           /* that the client knows */
+  bool is_watch;
+  uint64_t era;           /* that the client knows; list: 0 for none */
   uint64_t after;         /* revision after which changes are requested */
   uint64_t until_ms;      /* end of the wait */
   uint64_t early_ms;      /* from then on a newer sync ends the wait */
   uint64_t known_sync_ms; /* sync time when the request arrived */
-} PendingWatch;
+} PendingRead;
 
 /* The objects that changed from one revision on up to another, as a compressed body. */
 typedef struct
@@ -70,6 +71,7 @@
   uint64_t max_age_ms;
   uint64_t era;        /* of the store when the copy was read */
   bool is_relisting;   /* a new era has begun, whose objects are not known yet */
+  bool is_reading;     /* from the store, which responds */
   uint64_t revision;   /* all changes up to it are known; 0 before the first sync */
   uint64_t synced_ms;  /* when that was current; 0 while the store does not answer */
   uint64_t newest;     /* revision of the last change */
@@ -281,9 +283,25 @@
 }
 
 static void
-refuse_stale (DlHttpRequest *http)
+refuse_stale (const Kind *k, DlHttpRequest *http)
+{
+  const DlHttpHeader headers[] = {
+    { .name = DL_OBJECT_READING_HEADER, .value = "yes" },
+    { 0 },
+  };
+
+  if (k->is_reading)
+    dl_http_reply (http, STATUS_UNAVAILABLE, "text/plain",
+                   DL_STR_LITERAL ("the objects are being read"), headers);
+  else
+    dl_http_reply_error (http, STATUS_UNAVAILABLE, 0, "no fresh proof; ask the store");
+}
+
+/* Sends all objects to a client that knows ERA; none if it knows an older one. */
+static void
+send_list (Kind *k, DlHttpRequest *http, uint64_t era)
 {
-  dl_http_reply_error (http, STATUS_UNAVAILABLE, 0, "no fresh proof; ask the store");
+  send_objects (k, http, era != 0 && era < k->era ? AFTER_ALL : 0, false);
 }
 
 /* -------- waiting -------- */
@@ -291,28 +309,32 @@
 static void
 on_closed (DlHttpRequest *http, bool answered, void *data)
 {
-  PendingWatch *w = data;
+  PendingRead *w = data;
 
   w->kind->pending = g_list_remove (w->kind->pending, w);
 }
 
 /* Answers the request; W is freed with it. */
 static void
-complete (PendingWatch *w, uint64_t now_ms)
+complete (PendingRead *w, uint64_t now_ms)
 {
   Kind *k = w->kind;
 
   k->pending = g_list_remove (k->pending, w);
   dl_http_request_on_closed (w->http, NULL, NULL);
-  if (is_fresh (k, now_ms))
+  if (!is_fresh (k, now_ms) || (!w->is_watch && w->era > k->era))
+    refuse_stale (k, w->http);
+  else if (w->is_watch)
     send_objects (k, w->http, w->era == k->era ? w->after : AFTER_ALL, true);
   else
-    refuse_stale (w->http);
+    send_list (k, w->http, w->era);
 }
 
 static bool
-is_due (const PendingWatch *w, uint64_t now_ms)
+is_due (const PendingRead *w, uint64_t now_ms)
 {
+  if (!w->is_watch)
+    return now_ms >= w->until_ms || !w->kind->is_reading;
   if (w->kind->is_relisting)
     return now_ms >= w->until_ms;
   return w->era != w->kind->era || now_ms >= w->until_ms || !is_fresh (w->kind, now_ms)
@@ -350,13 +372,28 @@
   return text != NULL ? strtoull (text, NULL, 10) : 0;
 }
 
+static PendingRead *
+pending_new (Kind *k, DlHttpRequest *http, uint64_t era, uint64_t wait_ms)
+{
+  uint64_t now_ms = dl_clock_ms ();
+  PendingRead *w = talloc_zero (http, PendingRead);
+
+  w->kind = k;
+  w->http = http;
+  w->era = era;
+  w->until_ms = now_ms + wait_ms;
+  w->early_ms = now_ms + wait_ms / 2;
+  w->known_sync_ms = k->synced_ms;
+  k->pending = g_list_append (k->pending, w);
+  dl_http_request_on_closed (http, on_closed, w);
+  return w;
+}
+
 static void
 handle_watch (Kind *k, DlHttpRequest *http, uint64_t era)
 {
-  uint64_t now_ms = dl_clock_ms ();
   uint64_t after = query_uint (http, "after");
-  uint64_t wait_ms = query_uint (http, "wait_ms");
-  PendingWatch *w;
+  PendingRead *w;
 
   if (after < k->dropped)
     {
@@ -368,16 +405,9 @@
       send_objects (k, http, after, true);
       return;
     }
-  w = talloc_zero (http, PendingWatch);
-  w->kind = k;
-  w->http = http;
-  w->era = era;
+  w = pending_new (k, http, era, query_uint (http, "wait_ms"));
+  w->is_watch = true;
   w->after = after;
-  w->until_ms = now_ms + wait_ms;
-  w->early_ms = now_ms + wait_ms / 2;
-  w->known_sync_ms = k->synced_ms;
-  k->pending = g_list_append (k->pending, w);
-  dl_http_request_on_closed (http, on_closed, w);
 }
 
 /* A watch also waits while the objects of a new era are being listed. */
@@ -387,12 +417,14 @@
   uint64_t era = query_uint (http, "era");
   bool can_serve = is_fresh (k, dl_clock_ms ()) || (is_watch && k->is_relisting);
 
-  if (!can_serve || era > k->era)
-    refuse_stale (http);
+  if (!can_serve && !is_watch && k->is_reading)
+    pending_new (k, http, era, query_uint (http, "wait_ms"));
+  else if (!can_serve || era > k->era)
+    refuse_stale (k, http);
   else if (is_watch)
     handle_watch (k, http, era != 0 ? era : k->era);
   else
-    send_objects (k, http, era != 0 && era < k->era ? AFTER_ALL : 0, false);
+    send_list (k, http, era);
 }
 
 bool
@@ -496,12 +528,23 @@
   g_assert (k != NULL);
   k->era = era;
   k->is_relisting = false;
+  k->is_reading = false;
   k->revision = revision;
   k->synced_ms = synced_ms;
   drop_old_tombstones (k);
   complete_due (k, dl_clock_ms ());
 }
 
+void
+dl_object_relay_set_reading (DlObjectRelay *relay, const char *kind, bool is_reading)
+{
+  Kind *k = find_kind (relay, kind);
+
+  g_assert (k != NULL);
+  k->is_reading = is_reading;
+  complete_due (k, dl_clock_ms ());
+}
+
 void
 dl_object_relay_set_unreachable (DlObjectRelay *relay, const char *kind)
 {
@@ -517,7 +560,7 @@
 {
   /* The requests outlive the kind. */
   for (GList *l = k->pending; l != NULL; l = l->next)
-    dl_http_request_on_closed (((PendingWatch *)l->data)->http, NULL, NULL);
+    dl_http_request_on_closed (((PendingRead *)l->data)->http, NULL, NULL);
   g_list_free (k->pending);
   g_hash_table_destroy (k->records);
   return 0;
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -6,6 +6,8 @@
  * sync time).  A watch is answered when an object changes, when the copy has been synced
  * again in the second half of the watch's wait, or at the end of the wait.  A copy that
  * was synced too long ago is not served: status 503 tells the client to ask the store.
+ * While the objects are being read for the first time, a list waits as long as its client
+ * allows.
  *
  * To a client that accepts gzip the objects are sent compressed, and the numbers beside
  * them in headers (kernel/object_client.h), so that one compressed body serves all nodes
@@ -45,6 +47,10 @@
                                  uint64_t era,
                                  uint64_t revision,
                                  uint64_t synced_ms);
+/* Whether the objects of KIND, of which there is no copy, are being read from the store,
+ * and keep arriving. */
+void
+dl_object_relay_set_reading (DlObjectRelay *relay, const char *kind, bool is_reading);
 /* The store does not answer: refuses KIND until the next sync, so that clients ask the
  * store themselves. */
 void dl_object_relay_set_unreachable (DlObjectRelay *relay, const char *kind);
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -13,6 +13,8 @@
 #define RETRY_FIRST_MS 150
 /* While a reader is waited for, it is looked for this often. */
 #define READER_POLL_MS 50
+/* A list waits so long at a reader that is reading the objects itself. */
+#define LIST_WAIT_MS 1000
 /* Pause after a watch that returned no object in the first half of its wait. */
 #define EARLY_PAUSE_MS 100
 /* A watch that is sent this long after the store's answer to the one before has no gap.
@@ -34,6 +36,7 @@
   DlKnownObjects *known;
   char *list_after;       /* name after which the next page starts; NULL at the first */
   uint64_t list_revision; /* of the first page of the list in progress */
+  bool list_failed;       /* the last call for a list at the store did */
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
   uint64_t sent_ms; /* of the watch that was last answered, or of the list's first page */
@@ -352,6 +355,29 @@
   continue_watch (watch);
 }
 
+/* Tells other nodes whether it is worth to wait for the copy of this one. */
+static void
+set_list_failed (DlObjectWatch *watch, bool failed)
+{
+  watch->list_failed = failed;
+  if (watch->options.relay != NULL && watch->synced_ms == 0)
+    dl_object_relay_set_reading (watch->options.relay, watch->options.kind,
+                                 !failed && !watch->via_relay);
+}
+
+/* The reader that was asked for the list has none, or does not answer. */
+static void
+retry_list_at_reader (DlObjectWatch *watch, const DlObjectResult *result)
+{
+  if (!result->is_reading)
+    {
+      retry_without_relay (watch, result);
+      return;
+    }
+  dl_relay_source_report_reading (watch->options.source, watch->options.kind);
+  run_after (watch, READER_POLL_MS);
+}
+
 static void
 on_list (const DlObjectResult *result, void *data)
 {
@@ -363,15 +389,17 @@
   if (result->error < 0 && watch->via_relay)
     {
       restart_list (watch);
-      retry_without_relay (watch, result);
+      retry_list_at_reader (watch, result);
       return;
     }
   if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
     {
       restart_list (watch);
+      set_list_failed (watch, true);
       retry_later (watch, result);
       return;
     }
+  set_list_failed (watch, false);
   set_contact (watch, 0);
   note_origin (watch, result->age_ms);
   /* The watch starts from the first page's revision, so it shows what changes while later
@@ -399,17 +427,25 @@
     {
       watch->sent_ms = dl_clock_ms ();
       choose_list_server (watch);
+      set_list_failed (watch, watch->list_failed);
     }
-  dl_object_list_after (watch->server, watch, watch->options.kind, watch->list_after,
-                        on_list, request_new (watch, watch->server));
+  dl_object_list_page (watch->server, watch,
+                       &(DlObjectPage){
+                           .kinds = watch->options.kind,
+                           .after = watch->list_after,
+                           .wait_ms = watch->via_relay ? LIST_WAIT_MS : 0,
+                       },
+                       on_list, request_new (watch, watch->server));
 }
 
 /* True when the next request has to wait for a reader; it is tried again soon then. */
 static bool
 wait_for_reader (DlObjectWatch *watch)
 {
+  DlRelayWant wanted = want (watch);
+
   if (watch->options.source == NULL || watch->is_relisting
-      || !dl_relay_source_must_wait (watch->options.source, watch->options.kind))
+      || !dl_relay_source_must_wait (watch->options.source, &wanted))
     return false;
   run_after (watch, READER_POLL_MS);
   return true;
@@ -433,9 +469,12 @@
 static void
 send_preview (DlObjectWatch *watch)
 {
-  dl_object_list_after (watch->client, watch, watch->options.kind,
-                        watch->options.preview_after, on_preview,
-                        request_new (watch, watch->client));
+  dl_object_list_page (watch->client, watch,
+                       &(DlObjectPage){
+                           .kinds = watch->options.kind,
+                           .after = watch->options.preview_after,
+                       },
+                       on_preview, request_new (watch, watch->client));
 }
 
 static void
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -25,6 +25,7 @@
   GHashTable *clients;    /* relay address to DlObjectClient */
   DlObjectClient *chosen; /* last choice; NULL before the first */
   DlReaderHealth *reader_health;
+  uint64_t started_ms;
   uint64_t wait_until_ms; /* see dl_relay_source_must_wait */
 };
 
@@ -115,26 +116,13 @@
          && dl_peers_position_registered (source->peers) < DL_READER_START_FIRST;
 }
 
-bool
-dl_relay_source_must_wait (const DlRelaySource *source, const char *kind)
-{
-  unsigned others;
-
-  if (source->peers == NULL || dl_clock_ms () >= source->wait_until_ms)
-    return false;
-  if (!dl_peers_are_known (source->peers))
-    return true;
-  if (!dl_peers_is_large (source->peers) || is_first_to_read (source))
-    return false;
-  return choose_relay (source, kind, &others) == NULL;
-}
-
 static DlReaderCopy
 copy_of (const DlRelaySource *source, const DlRelayWant *want)
 {
   return (DlReaderCopy){
     .kind = want->kind,
     .synced_ms = want->synced_ms,
+    .wanted_ms = source->started_ms,
     .apply_ms = want->apply_ms,
     .position = dl_peers_position_registered (source->peers),
   };
@@ -151,6 +139,31 @@
   return dl_reader_health_direct_ms (source->reader_health, &copy);
 }
 
+/* Time until which this node waits for a reader instead of reading the store. */
+static uint64_t
+wait_until_ms (const DlRelaySource *source, const DlRelayWant *want)
+{
+  if (source->is_entry && want->synced_ms == 0)
+    return dl_relay_source_direct_ms (source, want);
+  return source->wait_until_ms;
+}
+
+bool
+dl_relay_source_must_wait (const DlRelaySource *source, const DlRelayWant *want)
+{
+  unsigned others;
+
+  if (source->peers == NULL)
+    return false;
+  if (dl_clock_ms () >= wait_until_ms (source, want))
+    return false;
+  if (!dl_peers_are_known (source->peers))
+    return true;
+  if (!dl_peers_is_large (source->peers) || is_first_to_read (source))
+    return false;
+  return choose_relay (source, want->kind, &others) == NULL;
+}
+
 DlObjectClient *
 dl_relay_source_choose (DlRelaySource *source, const DlRelayWant *want, bool *is_reader)
 {
@@ -197,6 +210,12 @@
   return backoff_ms;
 }
 
+void
+dl_relay_source_report_reading (DlRelaySource *source, const char *kind)
+{
+  dl_reader_health_reading (source->reader_health, kind, dl_clock_ms ());
+}
+
 void
 dl_relay_source_report_success (DlRelaySource *source, const char *kind)
 {
@@ -241,7 +260,8 @@
   source->settings = settings;
   source->era = era;
   source->is_entry = is_entry;
-  source->wait_until_ms = dl_clock_ms () + DL_READER_START_WAIT_MS
+  source->started_ms = dl_clock_ms ();
+  source->wait_until_ms = source->started_ms + DL_READER_START_WAIT_MS
                           + dl_random_uint64 () % DL_READER_START_SPREAD_MS;
   source->clients = g_hash_table_new (g_str_hash, g_str_equal);
   source->reader_health = dl_reader_health_new (source, is_entry);
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -35,8 +35,8 @@
 } DlRelayWant;
 
 /* True while this node, which has just started in a large fleet, should wait for a reader
- * of KIND instead of reading the store. */
-bool dl_relay_source_must_wait (const DlRelaySource *source, const char *kind);
+ * for WANT instead of reading the store. */
+bool dl_relay_source_must_wait (const DlRelaySource *source, const DlRelayWant *want);
 /* Time (dl_clock_ms) from which this entry reads the store itself for WANT, whatever the
  * readers answer; UINT64_MAX for never. */
 uint64_t dl_relay_source_direct_ms (const DlRelaySource *source, const DlRelayWant *want);
@@ -58,6 +58,8 @@
 uint64_t dl_relay_source_report_failure (DlRelaySource *source,
                                          const DlObjectClient *reader,
                                          const DlReaderFailure *failure);
+/* The reader that was chosen has none of the objects of KIND yet, but is reading them. */
+void dl_relay_source_report_reading (DlRelaySource *source, const char *kind);
 /* The reader that was chosen answered with objects of KIND. */
 void dl_relay_source_report_success (DlRelaySource *source, const char *kind);
 /* The store did not answer a request for WANT. */
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -84,6 +84,7 @@
   GHashTable *avoided;   /* reader's name to the time until which it is not asked */
   unsigned stale;        /* consecutive */
   uint64_t direct_at_ms; /* the store did not answer: it is not read before; 0: it did */
+  uint64_t reading_ms;   /* a reader was last seen to read them; 0: none was */
 } KindHealth;
 
 struct DlReaderHealth
@@ -243,17 +244,50 @@
   return spread * (position % DL_ENTRIES_PER_READER) / DL_ENTRIES_PER_READER;
 }
 
+/* Time from which an entry that has no copy reads the store itself. */
+static uint64_t
+first_direct_ms (const KindHealth *of_kind, const DlReaderCopy *copy)
+{
+  uint64_t since_ms = MAX (copy->wanted_ms, of_kind->reading_ms);
+  size_t place = copy->position % DL_ENTRIES_PER_READER;
+
+  return since_ms + DL_READER_FIRST_WAIT_MS + place * DL_READER_FIRST_STEP_MS;
+}
+
+/* The same for one that has a copy. */
+static uint64_t
+renewal_ms (const DlReaderCopy *copy)
+{
+  uint64_t age_ms = copy->apply_ms * DL_READER_DIRECT_PERCENT / PERCENT;
+  uint64_t spread_ms = copy->apply_ms * DL_READER_DIRECT_SPREAD_PERCENT / PERCENT;
+
+  if (copy->apply_ms == 0)
+    return UINT64_MAX;
+  return copy->synced_ms + age_ms + turn (spread_ms, copy->position);
+}
+
 uint64_t
 dl_reader_health_direct_ms (const DlReaderHealth *health, const DlReaderCopy *copy)
 {
+  static const KindHealth unknown;
   const KindHealth *of_kind = g_hash_table_lookup (health->kinds, copy->kind);
-  uint64_t age_ms = copy->apply_ms * DL_READER_DIRECT_PERCENT / PERCENT;
-  uint64_t spread_ms = copy->apply_ms * DL_READER_DIRECT_SPREAD_PERCENT / PERCENT;
 
-  if (!health->is_entry || copy->synced_ms == 0 || copy->apply_ms == 0)
+  if (!health->is_entry)
     return UINT64_MAX;
-  age_ms += turn (spread_ms, copy->position);
-  return MAX (copy->synced_ms + age_ms, of_kind != NULL ? of_kind->direct_at_ms : 0);
+  if (of_kind == NULL)
+    of_kind = &unknown;
+  return MAX (copy->synced_ms == 0 ? first_direct_ms (of_kind, copy) : renewal_ms (copy),
+              of_kind->direct_at_ms);
+}
+
+void
+dl_reader_health_reading (DlReaderHealth *health, const char *kind, uint64_t now_ms)
+{
+  KindHealth *of_kind = get_kind (health, kind);
+
+  health->failures = 0;
+  of_kind->stale = 0;
+  of_kind->reading_ms = now_ms;
 }
 
 void
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -16,6 +16,10 @@
  * region do so one after the other, by rank, so that those behind find a fresh copy at
  * those before them.
  *
+ * An entry that has just started has no copy.  It waits for as long as a reader makes
+ * progress with one.  When none has for a while, the entries read the store themselves,
+ * by rank as well, but with longer pauses, since whole lists are long.
+ *
  * No I/O: times are milliseconds passed in by the caller.
  */
 #ifndef DL_READERS_H
@@ -48,6 +52,10 @@
 #define DL_READER_START_SPREAD_MS 1500
 /* Entries of a region that read the store without such a wait. */
 #define DL_READER_START_FIRST 2
+/* An entry that has no copy yet reads the store itself when no reader has been seen to
+ * read the objects for this long, and the entries after the first each so much later. */
+#define DL_READER_FIRST_WAIT_MS 1500
+#define DL_READER_FIRST_STEP_MS 500
 
 /* A reader that failed is not asked again for this long; another one is. */
 #define DL_READER_AVOID_MS 4000
@@ -82,6 +90,7 @@
 {
   const char *kind;
   uint64_t synced_ms; /* it was current then; 0: there is none */
+  uint64_t wanted_ms; /* since when it is wanted, if there is none */
   uint64_t apply_ms;  /* time within which a change takes effect; 0: any */
   size_t position;    /* entries of the region that rank before this one */
 } DlReaderCopy;
@@ -107,6 +116,8 @@
                                  const char *kind,
                                  uint64_t now_ms,
                                  bool *is_new);
+/* Records that a reader has no copy of the objects of KIND yet, but is reading them. */
+void dl_reader_health_reading (DlReaderHealth *health, const char *kind, uint64_t now_ms);
 /* Records that a reader gave out objects of KIND, which ends a run of consecutive
  * failures. */
 void dl_reader_health_succeeded (DlReaderHealth *health, const char *kind);
--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -37,6 +37,8 @@
 /* Stated by the users: a configuration is in force, and a server that leaves gets nothing
  * more, within this time. */
 #define APPLY_MS 2000
+/* Until entries that start read lists. */
+#define LISTING_MS 700
 /* A revoked key is refused after ERA_REVOKE_MS, less the reserve of an entry. */
 #define REVOKED_MS 4500
 /* In an outage an entry serves by a proof that may be an interval of checks old. */
@@ -198,6 +200,21 @@
   CHECK (refused == 0);
 }
 
+/* The lists that the entries read as they start are cut off, so that they ask the
+ * readers.
+ */
+static void
+test_entry_that_started_asked_only_readers_without_a_copy (Testbed *tb)
+{
+  end_nodes (tb);
+  narrow_link_begin (tb);
+  start_nodes (tb);
+  g_usleep (LISTING_MS * G_TIME_SPAN_MILLISECOND);
+  proxy_reset (g_ptr_array_index (tb->proxies, PROXY_STORE));
+  CHECK (narrow_link_recovers (tb));
+  narrow_link_end (tb);
+}
+
 static void
 test_revoked_key_outlived_the_bound_of_a_configuration (Testbed *tb)
 {
@@ -315,6 +332,7 @@
 
 const TestFunc stale_reader_tests[] = {
   test_readers_with_old_copies_kept_an_entry_from_the_store,
+  test_entry_that_started_asked_only_readers_without_a_copy,
   test_revoked_key_outlived_the_bound_of_a_configuration,
   test_server_that_leaves_got_requests_after_the_bound,
   NULL,
