Nodes learn their region's entries from a short list, and read nothing before

Cause: to learn which entries its region has, each node that starts read one page of the list of all nodes, up to 500 of them, some 150 kB in the region that sorts first. 70 nodes ask for it at the same moment on a link of 30 Mbit/s, and give up after 900 ms. A node that did not get it took its fleet for a small one and read all lists from the store itself, and began again every 900 ms; what the store had sent by then filled the link for the calls that followed (hypothesis 1). The class is congestion collapse: work is done, sent and thrown away.

Ruled out: a smaller page (the store has no such parameter); names that sort a region last (only one region can be last).

Change: entries also register in a kind of objects of their region's own, some 30 objects. Nodes read that list, again until it is there, and no other before it. A region of eight entries or more counts as one where many start. What registers an object, deletes one and logs a failed list are modules of their own, taken out of peers.c, load_record.c and object_watch.c.

--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -9,9 +9,9 @@
 #include "entry_list.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "node/load_record.h"
 #include "node/limit_record.h"
 #include "node/metrics_page.h"
+#include "node/record_deletion.h"
 #include "node/signature_record.h"
 #include "platform.h"
 #include "state_private.h"
@@ -237,7 +237,7 @@
 
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_SLOT
       && dl_peers_position_registered (state->peers) == 0)
-    dl_load_record_delete (state->store, state, platform_kind_loads, peer->name);
+    dl_record_delete (state->store, state, platform_kind_loads, peer->name);
 }
 
 /* The age is that when the status was sent, so that the time is taken as too late by the
@@ -535,6 +535,8 @@
                             .role = DAISYLOFT__WIRE__ROLE__ROLE_ENTRY,
                             .store = state->store,
                             .kind = platform_kind_nodes,
+                            .entries_kind
+                            = platform_kind_of_entries (state, state->settings->region),
                             .source = state->source,
                             .relay = state->relay,
                             .on_status = on_status,
--- a/daisystaged/state.c
+++ b/daisystaged/state.c
@@ -549,6 +549,8 @@
                             .role = DAISYLOFT__WIRE__ROLE__ROLE_SLOT,
                             .store = store,
                             .kind = platform_kind_nodes,
+                            .entries_kind
+                            = platform_kind_of_entries (state, state->settings->region),
                             .source = source,
                             .on_status = on_status,
                             .on_unknown_node = on_unknown_node,
--- a/lib/node/load_record.h
+++ b/lib/node/load_record.h
@@ -5,17 +5,12 @@
 #ifndef DL_LOAD_RECORD_H
 #define DL_LOAD_RECORD_H
 
-#include "kernel/object_client.h"
+#include <json-c/json.h>
+
 #include "policy/load_proof.h"
 
 /* Reads an object's VALUE; not known if it is no record. */
 DlSoundLoad dl_load_record_read (json_object *value);
 /* Returns the value of the object for LOAD, to be released. */
 json_object *dl_load_record_value (const DlSoundLoad *load);
-/* Deletes the record of node NAME, which is gone; a failure leaves it. */
-void dl_load_record_delete (DlObjectClient *store,
-                            const void *owner,
-                            const char *kind,
-                            const char *name);
-
 #endif
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -8,6 +8,7 @@
 #include "kernel/log.h"
 #include "node/hedged_watch.h"
 #include "node/known_objects.h"
+#include "node/read_log.h"
 #include "policy/backoff.h"
 
 #define RETRY_FIRST_MS 150
@@ -42,7 +43,6 @@
   uint64_t sent_ms; /* of the watch that was last answered, or of the list's first page */
   uint64_t synced_ms;    /* 0 before the first list is complete */
   uint64_t retry_ms;     /* backoff; 0 while requests succeed */
-  bool has_preview;      /* the preview was read, or failed, or is not wanted */
   bool is_refreshing;    /* the next watch request does not wait */
   bool lost;             /* the store did not answer last time */
   bool after_outage;     /* the same, until what it shows now has been handled */
@@ -62,7 +62,7 @@
                             answer; NULL for none */
 };
 
-/* A request for a list, or for the preview. */
+/* A request for a list. */
 typedef struct
 {
   DlObjectWatch *watch;
@@ -71,7 +71,6 @@
   uint64_t number;
 } Request;
 
-static void send_preview (DlObjectWatch *watch);
 static void start_list (DlObjectWatch *watch);
 static void send_list (DlObjectWatch *watch);
 static void continue_watch (DlObjectWatch *watch);
@@ -149,11 +148,9 @@
   const DlObjectWatch *watch = request->watch;
   bool is_reader = request->server != watch->client;
 
-  dl_log (DL_EVENT_READ_FAILED, DL_TEXT ("kind", watch->options.kind),
-          DL_TEXT ("server",
-                   is_reader ? dl_object_client_address (request->server) : "store"),
-          DL_UINT ("after_ms", dl_clock_ms () - request->sent_ms),
-          DL_UINT ("bytes", result->received_bytes), DL_ERRNO (result->error));
+  dl_read_log_failure (watch->options.kind,
+                       is_reader ? dl_object_client_address (request->server) : NULL,
+                       request->sent_ms, result);
 }
 
 /* Frees REQUEST, which has ended with RESULT, and returns whether its response is still
@@ -209,9 +206,7 @@
 {
   DlObjectWatch *watch = data;
 
-  if (!watch->has_preview)
-    send_preview (watch);
-  else if (watch->synced_ms == 0 || dl_known_objects_is_listing (watch->known))
+  if (watch->synced_ms == 0 || dl_known_objects_is_listing (watch->known))
     start_list (watch);
   else
     continue_watch (watch);
@@ -451,32 +446,6 @@
   return true;
 }
 
-static void
-on_preview (const DlObjectResult *result, void *data)
-{
-  Request *request = data;
-  DlObjectWatch *watch = request->watch;
-
-  if (!request_end (request, result))
-    return;
-  watch->has_preview = true;
-  set_contact (watch, MIN (result->error, 0));
-  for (size_t i = 0; i < result->count; i++)
-    dl_known_objects_apply (watch->known, &result->objects[i]);
-  start_list (watch);
-}
-
-static void
-send_preview (DlObjectWatch *watch)
-{
-  dl_object_list_page (watch->client, watch,
-                       &(DlObjectPage){
-                           .kinds = watch->options.kind,
-                           .after = watch->options.preview_after,
-                       },
-                       on_preview, request_new (watch, watch->client));
-}
-
 static void
 start_list (DlObjectWatch *watch)
 {
@@ -647,7 +616,6 @@
   watch->known = dl_known_objects_new (watch, options->kind, on_object, watch);
   watch->hedged = dl_hedged_watch_new (task, watch, on_watch, watch);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
-  watch->has_preview = options->preview_after == NULL;
   if (options->first_delay_ms > 0)
     run_after (watch, options->first_delay_ms);
   else
@@ -677,12 +645,6 @@
   return watch->origin;
 }
 
-bool
-dl_object_watch_has_preview (const DlObjectWatch *watch)
-{
-  return watch->has_preview;
-}
-
 bool
 dl_object_watch_is_current (const DlObjectWatch *watch)
 {
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -27,9 +27,6 @@
   const char *kind;        /* of the objects */
   uint64_t wait_ms;        /* longest time that one watch request waits */
   uint64_t first_delay_ms; /* before the first request */
-  /* Before the first list one page of the objects whose names come after this is read
-   * from the store, to learn which readers there are; NULL: it is not. */
-  const char *preview_after;
   uint64_t pause_ms; /* between an event and the next watch request, to batch events */
   uint64_t retry_max_ms; /* longest backoff while the store cannot be reached */
   /* OBJECT appeared, changed or was deleted; its value is NULL when deleted. */
@@ -81,8 +78,6 @@
 
 /* Origin of the last answer; that of the present one in on_object and on_synced. */
 DlObjectOrigin dl_object_watch_origin (const DlObjectWatch *watch);
-/* True once the preview has been read, if one is, or could not be. */
-bool dl_object_watch_has_preview (const DlObjectWatch *watch);
 /* True unless a list is in progress, so that the known objects may be incomplete. */
 bool dl_object_watch_is_current (const DlObjectWatch *watch);
 /* True when the response that is being handled came from the store itself, without a gap
--- a/lib/node/peers.c
+++ b/lib/node/peers.c
@@ -12,14 +12,13 @@
 #include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "node/object_watch.h"
+#include "node/record_deletion.h"
 #include "node/status_relay.h"
 
 #define WATCH_WAIT_MS      20000
 #define WATCH_PAUSE_MS     2000
 #define READER_PAUSE_MS    500
 #define WATCH_RETRY_MAX_MS 2000
-#define REGISTER_RETRY_MS  700
 /* While the whole system starts, nodes are listed when most have registered. */
 #define BOOTSTRAP_DELAY_MS 500
 /* After the store came back from an older copy, nodes list its objects, and those that
@@ -30,8 +29,6 @@
 #define EXPIRY_MS       60000
 #define EXPIRY_CHECK_MS 20000
 
-static void register_self (DlPeers *peers, uint64_t revision);
-
 static json_object *
 own_object (const DlPeers *peers)
 {
@@ -50,78 +47,36 @@
   return object;
 }
 
-static void
-on_register_timer (DlTimer *timer, void *data)
-{
-  register_self (data, 0);
-}
-
-static void
-register_after (DlPeers *peers, uint64_t delay_ms)
-{
-  if (peers->register_timer == NULL)
-    peers->register_timer
-        = dl_timer_subscribe (peers->task, peers, delay_ms, 0, on_register_timer, peers);
-  else
-    dl_timer_restart (peers->register_timer, delay_ms);
-}
-
-static void
-register_later (DlPeers *peers)
-{
-  register_after (peers, REGISTER_RETRY_MS);
-}
-
-/* This node's object is gone from the store, as many others may be. */
+/* This node's objects are gone from the store, as those of many others may be. */
 static void
 register_again (DlPeers *peers)
 {
-  register_after (peers, 1 + dl_random_uint64 () % REGISTER_SPREAD_MS);
-}
-
-static bool
-is_own_object (const DlPeers *peers, json_object *value)
-{
-  json_object *own = own_object (peers);
-  bool equal = value != NULL && json_object_equal (own, value) != 0;
+  uint64_t delay_ms = 1 + dl_random_uint64 () % REGISTER_SPREAD_MS;
 
-  json_object_put (own);
-  return equal;
+  dl_registration_renew (peers->registration, delay_ms);
+  if (peers->entry_registration != NULL)
+    dl_registration_renew (peers->entry_registration, delay_ms);
 }
 
-static void
-on_existing (const DlObjectResult *result, void *data)
+static DlRegistration *
+register_as (DlPeers *peers, const char *kind, json_object *value)
 {
-  DlPeers *peers = data;
-
-  if (result->error < 0 || result->count == 0)
-    register_later (peers);
-  else if (!is_own_object (peers, result->objects[0].value))
-    register_self (peers, result->objects[0].revision);
+  return dl_registration_new (peers->task, peers,
+                              &(DlRegistrationOptions){ .store = peers->options.store,
+                                                        .kind = kind,
+                                                        .name = peers->object_name,
+                                                        .value = value });
 }
 
 static void
-on_registered (const DlObjectResult *result, void *data)
+register_self (DlPeers *peers)
 {
-  DlPeers *peers = data;
+  json_object *value = own_object (peers);
 
-  if (result->error == 0)
-    dl_log (DL_EVENT_NODE_REGISTERED, DL_UINT ("revision", result->revision));
-  else if (result->error == DL_ERR_CONFLICT || result->error == DL_ERR_UNKNOWN)
-    dl_object_get (peers->options.store, peers, peers->options.kind, peers->object_name,
-                   on_existing, peers);
-  else
-    register_later (peers);
-}
-
-static void
-register_self (DlPeers *peers, uint64_t revision)
-{
-  json_object *object = own_object (peers);
-
-  dl_object_put (peers->options.store, peers, peers->options.kind, peers->object_name,
-                 revision, object, on_registered, peers);
-  json_object_put (object);
+  peers->registration = register_as (peers, peers->options.kind, value);
+  if (peers->options.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
+    peers->entry_registration = register_as (peers, peers->options.entries_kind, value);
+  json_object_put (value);
 }
 
 /* -------- the other nodes -------- */
@@ -190,7 +145,8 @@
 static void
 on_own_object (DlPeers *peers, const DlObject *object)
 {
-  peers->is_listed = !object->deleted && is_own_object (peers, object->value);
+  peers->is_listed
+      = !object->deleted && dl_registration_is_equal (peers->registration, object->value);
   if (!object->deleted || peers->is_relisting)
     return;
   register_again (peers);
@@ -262,6 +218,17 @@
   g_hash_table_replace (peers->by_object, node->object_name, node);
 }
 
+/* The list of all nodes is not known yet.  The object is one of another kind, so that its
+ * revision is not that of the node's object. */
+static void
+on_region_entry (const DlObject *object, void *data)
+{
+  DlObject entry = *object;
+
+  entry.revision = 0;
+  on_object (&entry, data);
+}
+
 static void
 on_new_era (void *data)
 {
@@ -286,6 +253,18 @@
 {
 }
 
+/* NODE has timed out.  If it is an entry of this region, one of the others there deletes
+ * it from the region's list. */
+static void
+forget_entry (DlPeers *peers, const Node *node)
+{
+  if (peers->entry_registration != NULL && !peers->is_relisting
+      && dl_peers_is_entry_of (node, peers->options.settings->region)
+      && dl_peers_position_registered (peers) == 0)
+    dl_record_delete (peers->options.store, peers, peers->options.entries_kind,
+                      node->object_name);
+}
+
 /* Deletes the objects of nodes that have timed out, and the nodes without one.  Several
  * entries may delete one object, so results are ignored. */
 static void
@@ -303,6 +282,7 @@
 
       if (now_ms - node->seen_ms < EXPIRY_MS)
         continue;
+      forget_entry (peers, node);
       if (node->revision == 0)
         {
           g_hash_table_iter_remove (&iter);
@@ -410,17 +390,28 @@
   talloc_free (data);
 }
 
-/* Objects are named so that those of a region are listed together, its entries first: one
- * page of the list shows a node that starts which readers its region has. */
 static void
 name_object (DlPeers *peers)
 {
   const DlNodeSettings *s = peers->options.settings;
   bool is_entry = peers->options.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
 
-  peers->preview_after = talloc_asprintf (peers, "%s.", s->region);
-  peers->object_name = talloc_asprintf (peers, "%s%d.%s", peers->preview_after,
-                                        is_entry ? 0 : 1, s->name);
+  peers->object_name
+      = talloc_asprintf (peers, "%s.%d.%s", s->region, is_entry ? 0 : 1, s->name);
+}
+
+static void
+read_region_entries (DlPeers *peers)
+{
+  peers->region_entries = dl_region_entries_new (
+      peers->task, peers,
+      &(DlRegionEntriesOptions){
+          .store = peers->options.store,
+          .kind = peers->options.entries_kind,
+          .first_delay_ms = peers->options.settings->bootstrap ? BOOTSTRAP_DELAY_MS : 0,
+          .on_entry = on_region_entry,
+          .data = peers,
+      });
 }
 
 int
@@ -454,12 +445,14 @@
   peers->watcher.data = peers;
   ev_io_start (peers->loop, &peers->watcher);
   talloc_set_destructor (peers, peers_destroy);
-  register_self (peers, 0);
+  register_self (peers);
+  read_region_entries (peers);
+  if (options->source != NULL)
+    dl_relay_source_set_peers (options->source, peers);
   peers->watch
       = dl_object_watch_new (task, peers, options->store,
                              &(DlObjectWatchOptions){
                                  .kind = options->kind,
-                                 .preview_after = peers->preview_after,
                                  .first_delay_ms
                                  = options->settings->bootstrap ? BOOTSTRAP_DELAY_MS : 0,
                                  .wait_ms = WATCH_WAIT_MS,
@@ -475,8 +468,6 @@
                                  .on_synced = on_synced,
                                  .data = peers,
                              });
-  if (options->source != NULL)
-    dl_relay_source_set_peers (options->source, peers);
   dl_timer_subscribe (task, peers, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, on_expiry_check,
                       peers);
   *result = peers;
--- a/lib/node/peers.h
+++ b/lib/node/peers.h
@@ -2,7 +2,8 @@
  * The other direct entries and stagers: their registrations and latest status.
  *
  * Each process registers itself when it starts, by an object of kind "nodes" with its
- * role and address, and watches the objects of the others.  Processes then send each
+ * role and address, and watches the objects of the others.  Until it has read these, it
+ * knows the entries of its region (node/region_entries.h).  Processes then send each
  * other their status in datagrams.  A lost datagram is replaced by the next, and
  * decisions use only recent ones.  A datagram is accepted only when its node is
  * registered at the sender's IP address.
@@ -63,9 +64,10 @@
   const DlNodeSettings *settings;
   Daisyloft__Wire__Role role; /* of this node */
   DlObjectClient *store;
-  const char *kind;      /* of the objects in the store */
-  DlRelaySource *source; /* as in DlObjectWatchOptions; dl_peers_new sets its peers */
-  DlObjectRelay *relay;  /* as in DlObjectWatchOptions */
+  const char *kind;         /* of the objects in the store */
+  const char *entries_kind; /* the same of this region's entries; node/region_entries.h */
+  DlRelaySource *source;    /* as in DlObjectWatchOptions; dl_peers_new sets its peers */
+  DlObjectRelay *relay;     /* as in DlObjectWatchOptions */
   /* A datagram was accepted; STATUS is freed after the call. */
   void (*on_status) (const DlPeer *peer,
                      const Daisyloft__Wire__NodeStatus *status,
@@ -106,6 +108,8 @@
 bool dl_peers_is_hub (const DlPeers *peers, bool was);
 /* Whether this entry is one of its region's relays. */
 bool dl_peers_is_relay (const DlPeers *peers);
+/* Number of registered entries of this node's region, this node included if it is one. */
+unsigned dl_peers_region_entry_count (const DlPeers *peers);
 /* True once it was read which entries this node's region has. */
 bool dl_peers_are_known (const DlPeers *peers);
 /* True once all registered nodes were read; before, only some of them are known. */
--- a/lib/node/peers_private.h
+++ b/lib/node/peers_private.h
@@ -11,6 +11,8 @@
 
 #include "node/object_watch.h"
 #include "node/peers.h"
+#include "node/region_entries.h"
+#include "node/registration.h"
 #include "policy/fanout.h"
 
 #define DATAGRAM_MAX_BYTES 1400
@@ -56,9 +58,10 @@
   unsigned entry_count;        /* registered entries, this node included if it is one */
   struct DlStatusRelay *relay; /* NULL on a stager */
   char *object_name;           /* of this node in the store */
-  char *preview_after;         /* its first part, that of all nodes of this region */
+  DlRegistration *registration;
+  DlRegistration *entry_registration; /* in the list of the region; NULL on a stager */
+  DlRegionEntries *region_entries;
   DlObjectWatch *watch;
-  DlTimer *register_timer;
   bool is_relisting;    /* the list from an older copy of the store is in progress */
   bool is_listed;       /* that list shows this node's object as it would write it */
   uint64_t number;      /* sequence number of the last datagram */
--- a/lib/node/peers_region.c
+++ b/lib/node/peers_region.c
@@ -24,6 +24,19 @@
   return peers->entry_count;
 }
 
+unsigned
+dl_peers_region_entry_count (const DlPeers *peers)
+{
+  unsigned count = peers->options.role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += dl_peers_is_entry_of (value, peers->options.settings->region);
+  return count;
+}
+
 bool
 dl_peers_is_large (const DlPeers *peers)
 {
@@ -123,7 +136,8 @@
 bool
 dl_peers_are_known (const DlPeers *peers)
 {
-  return peers->watch != NULL && dl_object_watch_has_preview (peers->watch);
+  return peers->region_entries != NULL
+         && dl_region_entries_are_known (peers->region_entries);
 }
 
 bool
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -53,6 +53,15 @@
   g_ptr_array_add (candidates->relays, (gpointer)peer->relay);
 }
 
+/* True when the nodes of the region that may start together are too many for each to read
+ * the store. */
+static bool
+starts_among_many (const DlRelaySource *source)
+{
+  return dl_peers_is_large (source->peers)
+         || dl_peers_region_entry_count (source->peers) >= DL_READER_START_MANY;
+}
+
 /* Returns the relay address of the entry to ask for objects of KIND, which is valid until
  * the event loop runs again; NULL for the store.  *OTHERS is set to how many may be
  * asked. */
@@ -70,7 +79,7 @@
 
   dl_peers_foreach_alive (source->peers, DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, add_candidate,
                           &candidates);
-  if (candidates.names->len == 0 && dl_peers_is_large (source->peers))
+  if (candidates.names->len == 0 && starts_among_many (source))
     {
       /* As when all start at once. */
       candidates.may_be_unready = true;
@@ -108,11 +117,11 @@
   return client;
 }
 
-/* True for an entry that reads the store at once when its large fleet starts. */
+/* True for an entry that reads the store at once when many start. */
 static bool
 is_first_to_read (const DlRelaySource *source)
 {
-  return source->is_entry && dl_peers_is_large (source->peers)
+  return source->is_entry && starts_among_many (source)
          && dl_peers_position_registered (source->peers) < DL_READER_START_FIRST;
 }
 
@@ -155,11 +164,10 @@
 
   if (source->peers == NULL)
     return false;
-  if (dl_clock_ms () >= wait_until_ms (source, want))
-    return false;
   if (!dl_peers_are_known (source->peers))
     return true;
-  if (!dl_peers_is_large (source->peers) || is_first_to_read (source))
+  if (!starts_among_many (source) || is_first_to_read (source)
+      || dl_clock_ms () >= wait_until_ms (source, want))
     return false;
   return choose_relay (source, want->kind, &others) == NULL;
 }
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -34,8 +34,10 @@
   uint64_t apply_ms;  /* time within which a change takes effect; 0: any */
 } DlRelayWant;
 
-/* True while this node, which has just started in a large fleet, should wait for a reader
- * for WANT instead of reading the store. */
+/* True while this node, which has just started, should wait until it knows its region's
+ * entries or, among many, until it can ask a reader for WANT, instead of reading the
+ * store.
+ */
 bool dl_relay_source_must_wait (const DlRelaySource *source, const DlRelayWant *want);
 /* Time (dl_clock_ms) from which this entry reads the store itself for WANT, whatever the
  * readers answer; UINT64_MAX for never. */
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -45,9 +45,11 @@
  * the store itself: it is a reader, or the region has no entry. */
 int dl_readers_choose (const DlReadersQuery *query);
 
-/* In a large fleet (policy/fanout.h) a node that has just started waits so long for a
- * reader, and for a random part of the spread after it, before it reads the store itself:
- * when all start at once, only the first in rank should read it. */
+/* A region with at least so many entries has many nodes that may start together. */
+#define DL_READER_START_MANY 8
+/* There, and in a large fleet (policy/fanout.h), a node that has just started waits so
+ * long for a reader, and for a random part of the spread after it, before it reads the
+ * store itself: when all start at once, only the first in rank should read it. */
 #define DL_READER_START_WAIT_MS   1500
 #define DL_READER_START_SPREAD_MS 1500
 /* Entries of a region that read the store without such a wait. */
--- a/regress/direct/played.c
+++ b/regress/direct/played.c
@@ -92,5 +92,8 @@
       entry->name, (int)DAISYLOFT__WIRE__ROLE__ROLE_ENTRY, entry->region, entry->region,
       entry->address, entry->listen, relay);
 
-  return testbed_put (tb, "daisyloft-nodes", object, spec);
+  g_autofree char *entries = g_strdup_printf ("daisyloft-entries-%s", entry->region);
+
+  return testbed_put (tb, "daisyloft-nodes", object, spec)
+         && testbed_put (tb, entries, object, spec);
 }
--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -37,6 +37,8 @@
 /* Stated by the users: a configuration is in force, and a server that leaves gets nothing
  * more, within this time. */
 #define APPLY_MS 2000
+/* Longer than a call to the store that brings nothing. */
+#define SILENT_MS 1500
 /* Until entries that start read lists. */
 #define LISTING_MS 700
 /* A revoked key is refused after ERA_REVOKE_MS, less the reserve of an entry. */
@@ -215,6 +217,23 @@
   narrow_link_end (tb);
 }
 
+/* The store's answers do not reach the entry until it has given up its first calls. */
+static void
+test_entry_that_did_not_learn_its_region_in_time_read_everything_itself (Testbed *tb)
+{
+  Proxy *link = g_ptr_array_index (tb->proxies, PROXY_STORE);
+  uint64_t lists = recorded (tb->store, "lists.servers");
+
+  process_end (&tb->entry_process[0], SIGKILL);
+  proxy_set_mode (link, PROXY_CUT_DOWN);
+  CHECK (process_start (&tb->entry_process[0]));
+  g_usleep (SILENT_MS * G_TIME_SPAN_MILLISECOND);
+  proxy_set_mode (link, PROXY_PASS);
+  g_usleep (ASKED_MS * G_TIME_SPAN_MILLISECOND);
+  CHECK (recorded (tb->store, "lists.servers") == lists);
+  CHECK (narrow_link_recovers (tb));
+}
+
 static void
 test_revoked_key_outlived_the_bound_of_a_configuration (Testbed *tb)
 {
@@ -333,6 +352,7 @@
 const TestFunc stale_reader_tests[] = {
   test_readers_with_old_copies_kept_an_entry_from_the_store,
   test_entry_that_started_asked_only_readers_without_a_copy,
+  test_entry_that_did_not_learn_its_region_in_time_read_everything_itself,
   test_revoked_key_outlived_the_bound_of_a_configuration,
   test_server_that_leaves_got_requests_after_the_bound,
   NULL,
--- a/regress/standin/objects.c
+++ b/regress/standin/objects.c
@@ -47,6 +47,7 @@
 static StandinBucket read_bucket;
 static uint64_t reads;
 static uint64_t writes;
+static GHashTable *lists; /* kind to the number of lists of it, stored as a pointer */
 
 /* The state to which the store can go back. */
 static struct
@@ -269,7 +270,9 @@
     .items = json_object_new_array (),
   };
   json_object *response = json_object_new_object ();
+  gsize count = GPOINTER_TO_SIZE (g_hash_table_lookup (lists, kind));
 
+  g_hash_table_replace (lists, g_strdup (kind), GSIZE_TO_POINTER (count + 1));
   g_tree_foreach (objects, list_object, &listing);
   json_object_object_add (response, "items", listing.items);
   json_object_object_add (response, "has_more", json_object_new_boolean (listing.more));
@@ -586,12 +589,27 @@
   return counts;
 }
 
+static json_object *
+count_lists (void)
+{
+  json_object *counts = json_object_new_object ();
+  GHashTableIter iter;
+  gpointer kind;
+  gpointer count;
+
+  g_hash_table_iter_init (&iter, lists);
+  while (g_hash_table_iter_next (&iter, &kind, &count))
+    standin_json_set_uint (counts, kind, GPOINTER_TO_SIZE (count));
+  return counts;
+}
+
 static json_object *
 objects_records (void)
 {
   json_object *records = json_object_new_object ();
 
   json_object_object_add (records, "watches", count_watches ());
+  json_object_object_add (records, "lists", count_lists ());
   standin_json_set_uint (records, "revision", revision);
   standin_json_set_uint (records, "reads", reads);
   standin_json_set_uint (records, "writes", writes);
@@ -602,6 +620,7 @@
 objects_start (DlTask *task)
 {
   objects = g_tree_new_full (compare_keys, NULL, g_free, release_json);
+  lists = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dl_timer_subscribe (task, task, CHECK_MS, CHECK_MS, on_check, NULL);
 }
 
