A list that brought nothing in time may take longer the next time

Cause: behind a queue longer than the time limit every response comes too late, whatever is asked. It takes its time on the link all the same, so that calls which are given up and repeated keep the queue long (the same class, congestion collapse).

Ruled out: a longer limit from the start.

An error that comes at once changes nothing. The proxy of regress/direct can play a queue.

--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -10,6 +10,7 @@
 #include "node/known_objects.h"
 #include "node/read_log.h"
 #include "policy/backoff.h"
+#include "policy/list_wait.h"
 
 #define RETRY_FIRST_MS 150
 /* While a reader is waited for, it is looked for this often. */
@@ -38,6 +39,7 @@
   char *list_after;       /* name after which the next page starts; NULL at the first */
   uint64_t list_revision; /* of the first page of the list in progress */
   bool list_failed;       /* the last call for a list at the store did */
+  uint64_t list_wait_ms;  /* of the next one, see policy/list_wait.h */
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
   uint64_t sent_ms; /* of the watch that was last answered, or of the list's first page */
@@ -342,6 +344,7 @@
     end_relisting (watch, unlisted);
   watch->era = dl_object_era_current (dl_object_client_era (watch->client));
   TALLOC_FREE (watch->list_after);
+  watch->list_wait_ms = 0;
   watch->revision = watch->list_revision;
   if (watch->options.relay != NULL)
     dl_object_relay_set_listed (watch->options.relay, watch->options.kind,
@@ -391,6 +394,9 @@
     {
       restart_list (watch);
       set_list_failed (watch, true);
+      watch->list_wait_ms
+          = dl_list_wait_next_ms (watch->list_wait_ms,
+                                  result->timed_out && result->received_bytes == 0);
       retry_later (watch, result);
       return;
     }
@@ -428,7 +434,8 @@
                        &(DlObjectPage){
                            .kinds = watch->options.kind,
                            .after = watch->list_after,
-                           .wait_ms = watch->via_relay ? LIST_WAIT_MS : 0,
+                           .wait_ms
+                           = watch->via_relay ? LIST_WAIT_MS : watch->list_wait_ms,
                        },
                        on_list, request_new (watch, watch->server));
 }
--- a/lib/node/region_entries.c
+++ b/lib/node/region_entries.c
@@ -7,6 +7,7 @@
 #include "kernel/error.h"
 #include "node/read_log.h"
 #include "policy/backoff.h"
+#include "policy/list_wait.h"
 
 #define RETRY_FIRST_MS 150
 #define RETRY_MAX_MS   1000
@@ -19,6 +20,7 @@
   bool are_known;
   uint64_t sent_ms;  /* of the request in progress */
   uint64_t retry_ms; /* last pause; 0: the last request succeeded */
+  uint64_t wait_ms;  /* of the next request, see policy/list_wait.h */
   DlTimer *timer;
 };
 
@@ -47,6 +49,8 @@
 
   dl_read_log_failure (e->options.kind, NULL, e->sent_ms, result);
   e->retry_ms = dl_backoff_next_ms (e->retry_ms, &bounds);
+  e->wait_ms = dl_list_wait_next_ms (e->wait_ms,
+                                     result->timed_out && result->received_bytes == 0);
   run_after (e, e->retry_ms / 2 + dl_random_uint64 () % (e->retry_ms / 2 + 1));
 }
 
@@ -76,7 +80,9 @@
 {
   e->sent_ms = dl_clock_ms ();
   dl_object_list_page (e->options.store, e,
-                       &(DlObjectPage){ .kinds = e->options.kind, .after = e->after },
+                       &(DlObjectPage){ .kinds = e->options.kind,
+                                        .after = e->after,
+                                        .wait_ms = e->wait_ms },
                        on_list, e);
 }
 
--- a/regress/direct/narrow_link.c
+++ b/regress/direct/narrow_link.c
@@ -12,6 +12,8 @@
 /* Stated by the users: service is back within this time after the hosts are. */
 #define RECOVERY_MS 15000
 #define POLL_MS     50
+/* Longer than the first call for a list may wait for a byte. */
+#define QUEUE_MS 1200
 
 static void
 list_further_upstreams (Testbed *tb)
@@ -67,7 +69,21 @@
   narrow_link_end (tb);
 }
 
+/* Each call that is given up before its response is there is answered in vain. */
+static void
+test_calls_behind_a_full_queue_were_given_up_without_end (Testbed *tb)
+{
+  Proxy *link = g_ptr_array_index (tb->proxies, PROXY_STORE);
+
+  end_nodes (tb);
+  proxy_set_queue (link, QUEUE_MS);
+  start_nodes (tb);
+  CHECK (narrow_link_recovers (tb));
+  proxy_set_queue (link, 0);
+}
+
 const TestFunc narrow_link_tests[] = {
+  test_calls_behind_a_full_queue_were_given_up_without_end,
   test_list_that_took_longer_than_a_silent_call_began_again_without_end,
   NULL,
 };
--- a/regress/direct/proxy.c
+++ b/regress/direct/proxy.c
@@ -52,6 +52,7 @@
   gint stall_due;    /* flag, atomic */
   gint stop;         /* flag, atomic */
   gint rate;         /* bytes a second from the target, atomic; 0: no bound */
+  gint queue_ms;     /* by which bytes from the target are late, atomic */
   size_t allowance;  /* bytes that may pass by RATE now; used by the thread only */
   gint64 allowed_us; /* when it was last added to */
   gint seed;         /* for RAND, atomic; 0: it has been taken */
@@ -147,11 +148,19 @@
     memcpy (d->bytes, bytes->data, d->length);
 }
 
-/* Fills the buffer if it is empty; RAND, if any, changes what was read.  Returns false
- * when the connection failed. */
+/* What befalls bytes on their way. */
+typedef struct
+{
+  unsigned delay_ms;
+  GRand *rand;       /* chooses what is changed; NULL: nothing is */
+  size_t *allowance; /* bytes that may still pass, which is lowered; NULL: any number */
+} Passage;
+
+/* Fills the buffer if it is empty.  Returns false when the connection failed. */
 static bool
-read_direction (Direction *d, ProxyMode mode, GRand *rand)
+read_direction (Direction *d, const Passage *passage)
 {
+  GRand *rand = passage->rand;
   ssize_t n;
 
   if (d->length > 0 || d->eof)
@@ -163,19 +172,20 @@
   d->length = (size_t)n;
   if (rand != NULL)
     mutate_direction (d, rand);
-  d->due_us = g_get_monotonic_time () + (mode == PROXY_DELAY ? PROXY_DELAY_MS * 1000 : 0);
+  d->due_us
+      = g_get_monotonic_time () + passage->delay_ms * (gint64)G_TIME_SPAN_MILLISECOND;
   return true;
 }
 
-/* Reads and writes what is possible now, of the latter at most *ALLOWANCE bytes, which is
- * lowered; NULL for any number.  Returns false when the connection failed. */
+/* Reads and writes what is possible now.  Returns false when the connection failed. */
 static bool
-relay_direction (Direction *d, ProxyMode mode, GRand *rand, size_t *allowance)
+relay_direction (Direction *d, const Passage *passage)
 {
+  size_t *allowance = passage->allowance;
   size_t sendable;
   ssize_t n;
 
-  if (!read_direction (d, mode, rand))
+  if (!read_direction (d, passage))
     return false;
   sendable = allowance != NULL ? MIN (d->length, *allowance) : d->length;
   if (sendable > 0 && g_get_monotonic_time () >= d->due_us)
@@ -196,19 +206,19 @@
   return true;
 }
 
-/* Returns false when the connection is over and is to be closed.  ALLOWANCE, as in
- * relay_direction, bounds what comes from the target. */
+/* Returns false when the connection is over and is to be closed.  DOWN_PASSAGE is that of
+ * bytes from the target. */
 static bool
-relay_connection (Connection *c, ProxyMode mode, GRand *rand, size_t *allowance)
+relay_connection (Connection *c, ProxyMode mode, const Passage *down_passage)
 {
-  GRand *down_rand = mode == PROXY_MUTATE ? rand : NULL;
+  const Passage up_passage = { .delay_ms = mode == PROXY_DELAY ? PROXY_DELAY_MS : 0 };
   bool up = mode != PROXY_CUT_UP && mode != PROXY_CUT_BOTH;
   bool down = mode != PROXY_CUT_DOWN && mode != PROXY_CUT_BOTH;
 
   if (c->stalled)
     return true;
-  if ((up && !relay_direction (&c->up, mode, NULL, NULL))
-      || (down && !relay_direction (&c->down, mode, down_rand, allowance)))
+  if ((up && !relay_direction (&c->up, &up_passage))
+      || (down && !relay_direction (&c->down, down_passage)))
     {
       set_reset_on_close (c->up.from);
       set_reset_on_close (c->up.to);
@@ -241,9 +251,14 @@
     {
       size_t part = p->allowance / MAX (count, 1);
       size_t left = part;
-
-      if (!relay_connection (g_ptr_array_index (p->active, i), mode, p->rand,
-                             rate > 0 ? &left : NULL))
+      const Passage down = {
+        .delay_ms = (unsigned)g_atomic_int_get (&p->queue_ms)
+                    + (mode == PROXY_DELAY ? PROXY_DELAY_MS : 0),
+        .rand = mode == PROXY_MUTATE ? p->rand : NULL,
+        .allowance = rate > 0 ? &left : NULL,
+      };
+
+      if (!relay_connection (g_ptr_array_index (p->active, i), mode, &down))
         g_ptr_array_remove_index_fast (p->active, i);
       p->allowance -= rate > 0 ? part - left : 0;
     }
@@ -281,7 +296,8 @@
     {
       const Connection *c = g_ptr_array_index (p->active, i);
       bool paused = c->stalled || g_atomic_int_get (&p->mode) != PROXY_PASS
-                    || g_atomic_int_get (&p->rate) > 0;
+                    || g_atomic_int_get (&p->rate) > 0
+                    || g_atomic_int_get (&p->queue_ms) > 0;
 
       fds[1 + 2 * i] = (struct pollfd){ .fd = c->up.from, .events = POLLIN };
       fds[2 + 2 * i] = (struct pollfd){ .fd = c->up.to, .events = POLLIN };
@@ -346,6 +362,12 @@
   g_atomic_int_set (&proxy->rate, (gint)bytes_per_s);
 }
 
+void
+proxy_set_queue (Proxy *proxy, unsigned delay_ms)
+{
+  g_atomic_int_set (&proxy->queue_ms, (gint)delay_ms);
+}
+
 void
 proxy_seed (Proxy *proxy, uint32_t seed)
 {
--- a/regress/direct/proxy.h
+++ b/regress/direct/proxy.h
@@ -34,6 +34,9 @@
 /* Bounds what all connections together forward from the target, as a narrow link would;
  * 0: no bound.  It works in mode PROXY_PASS. */
 void proxy_set_rate (Proxy *proxy, unsigned bytes_per_s);
+/* What comes from the target arrives so much later, as behind a full queue; 0: at once.
+ */
+void proxy_set_queue (Proxy *proxy, unsigned delay_ms);
 /* Chooses what PROXY_MUTATE changes from now on. */
 void proxy_seed (Proxy *proxy, uint32_t seed);
 /* The peer that serves connections in mode PROXY_ENDLESS. */
