Entries ask stagers for their engines once they have the list of all nodes

Cause: since a starting entry first knows the entries of its region only. It began to ask stagers then, of which it knew none, and its 2.5 s for asking passed meanwhile.

Change: it asks from the moment at which all nodes are listed.

No test of its own: found by reading; stagers also tell by themselves, so that the effect is a delay.

--- a/daisydirectd/status.c
+++ b/daisydirectd/status.c
@@ -128,7 +128,7 @@
   uint64_t now_ms = dl_clock_ms ();
   void *context;
 
-  if (!dl_peers_are_known (state->peers))
+  if (!dl_peers_are_listed (state->peers))
     return;
   if (state->asks_from_ms == 0)
     state->asks_from_ms = now_ms;
