A starting entry does not wait for engines that are gone for good

What callers saw: after a loss of power entries that have the routing table and the list of upstreams are not ready for some two seconds more, in every region.

Cause: an entry waits for the word of all listed engines, or 3 s. After a loss of power, or beside a release, some of the listed are gone for good, so that it always waits the 3 s.

--- a/daisydirectd/readiness.c
+++ b/daisydirectd/readiness.c
@@ -6,23 +6,26 @@
 #include "entry_list.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "policy/engines_wait.h"
 #include "state_private.h"
 
-/* After its start an entry waits this long for the word of all stagers. */
-#define ENGINES_AWAITED_MS 3000
-
 DL_METRIC (metric_ready,
            DL_METRIC_GAUGE,
            "daisy_direct_ready",
            "1 while the entry is ready, else 0.")
 
 /* True while an entry that has just started could not use an engine, as it has not heard
- * of it.  A stager that is down does not keep it from serving for long. */
+ * of it. */
 static bool
 awaits_engines (const State *state)
 {
-  return !state->has_been_ready && dl_clock_ms () - state->started_ms < ENGINES_AWAITED_MS
-         && direct_upstream_list_has_unheard (state->upstream_list);
+  const DlEnginesHeard heard = {
+    .started_ms = state->started_ms,
+    .heard_ms = state->engine_heard_ms,
+    .has_unheard = direct_upstream_list_has_unheard (state->upstream_list),
+  };
+
+  return !state->has_been_ready && dl_engines_are_awaited (&heard, dl_clock_ms ());
 }
 
 /* What this entry waits for before it is ready; NULL when it is. */
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -269,8 +269,9 @@
     }
   if (engine == NULL)
     return;
-  if (!state->has_been_ready)
-    direct_upstream_list_heard (state->upstream_list, engine->address);
+  if (!state->has_been_ready
+      && direct_upstream_list_heard (state->upstream_list, engine->address))
+    state->engine_heard_ms = dl_clock_ms ();
   message = direct_message_new (DIRECT_ENGINE);
   message->engine = (DirectEngineStatus){
     .address = talloc_strdup (message, engine->address),
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -53,7 +53,8 @@
   bool has_been_ready;
   const char *awaited; /* what it waits for to be ready, as logged; NULL for nothing */
   uint64_t started_ms; /* of this task */
-  bool is_hub;         /* this entry fetches weights for others */
+  uint64_t engine_heard_ms; /* when a stager last told of a further engine; 0 for never */
+  bool is_hub;              /* this entry fetches weights for others */
   unsigned ticks;
   uint64_t asked_ms;     /* when stagers were last asked; 0 for never */
   uint64_t asks_from_ms; /* when they were first asked; 0 for never */
--- a/daisydirectd/upstream_list.c
+++ b/daisydirectd/upstream_list.c
@@ -133,11 +133,10 @@
 
 /* -------- engines of which stagers have told -------- */
 
-void
+bool
 direct_upstream_list_heard (DirectUpstreamList *list, const char *address)
 {
-  if (!g_hash_table_contains (list->heard, address))
-    g_hash_table_add (list->heard, g_strdup (address));
+  return g_hash_table_add (list->heard, g_strdup (address)) != FALSE;
 }
 
 bool
--- a/daisydirectd/upstream_list.h
+++ b/daisydirectd/upstream_list.h
@@ -30,8 +30,9 @@
 /* Removes the upstreams that were kept and are not listed again in time, and adopts the
  * entries that were not used for too long. */
 void direct_upstream_list_expire (DirectUpstreamList *list);
-/* A stager has told of the engine at ADDRESS. */
-void direct_upstream_list_heard (DirectUpstreamList *list, const char *address);
+/* A stager has told of the engine at ADDRESS.  Returns false when one has done so before.
+ */
+bool direct_upstream_list_heard (DirectUpstreamList *list, const char *address);
 /* True when an upstream is listed with weights of which no stager has told yet. */
 bool direct_upstream_list_has_unheard (const DirectUpstreamList *list);
 /* Number of upstreams, including those that are kept for a while. */
