Turns at the store count from when a node knows its region's entries

Cause: the waits for a reader counted from the start of the process.

Change: both waits count from the moment at which the entries of the region are known.

No test of its own: the unit test of turns gives the time.

--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -25,7 +25,7 @@
   GHashTable *clients;    /* relay address to DlObjectClient */
   DlObjectClient *chosen; /* last choice; NULL before the first */
   DlReaderHealth *reader_health;
-  uint64_t started_ms;
+  uint64_t known_ms;      /* when the entries of the region were known; 0: not yet */
   uint64_t wait_until_ms; /* see dl_relay_source_must_wait */
 };
 
@@ -131,7 +131,7 @@
   return (DlReaderCopy){
     .kind = want->kind,
     .synced_ms = want->synced_ms,
-    .wanted_ms = source->started_ms,
+    .wanted_ms = source->known_ms,
     .apply_ms = want->apply_ms,
     .position = dl_peers_position_registered (source->peers),
   };
@@ -157,8 +157,19 @@
   return source->wait_until_ms;
 }
 
+/* The waits for a reader begin when it is known whom to ask. */
+static void
+note_known (DlRelaySource *source)
+{
+  if (source->known_ms != 0)
+    return;
+  source->known_ms = dl_clock_ms ();
+  source->wait_until_ms = source->known_ms + DL_READER_START_WAIT_MS
+                          + dl_random_uint64 () % DL_READER_START_SPREAD_MS;
+}
+
 bool
-dl_relay_source_must_wait (const DlRelaySource *source, const DlRelayWant *want)
+dl_relay_source_must_wait (DlRelaySource *source, const DlRelayWant *want)
 {
   unsigned others;
 
@@ -166,6 +177,7 @@
     return false;
   if (!dl_peers_are_known (source->peers))
     return true;
+  note_known (source);
   if (!starts_among_many (source) || is_first_to_read (source)
       || dl_clock_ms () >= wait_until_ms (source, want))
     return false;
@@ -268,9 +280,6 @@
   source->settings = settings;
   source->era = era;
   source->is_entry = is_entry;
-  source->started_ms = dl_clock_ms ();
-  source->wait_until_ms = source->started_ms + DL_READER_START_WAIT_MS
-                          + dl_random_uint64 () % DL_READER_START_SPREAD_MS;
   source->clients = g_hash_table_new (g_str_hash, g_str_equal);
   source->reader_health = dl_reader_health_new (source, is_entry);
   talloc_set_destructor (source, source_destroy);
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -38,7 +38,7 @@
  * entries or, among many, until it can ask a reader for WANT, instead of reading the
  * store.
  */
-bool dl_relay_source_must_wait (const DlRelaySource *source, const DlRelayWant *want);
+bool dl_relay_source_must_wait (DlRelaySource *source, const DlRelayWant *want);
 /* Time (dl_clock_ms) from which this entry reads the store itself for WANT, whatever the
  * readers answer; UINT64_MAX for never. */
 uint64_t dl_relay_source_direct_ms (const DlRelaySource *source, const DlRelayWant *want);
