A list that a reader has is not read from the store when the reader is ahead

Cause: a reader that has listed the objects later than the asker last heard of them says that it no longer knows the changes in between (410). The asker then listed them again, from the store, as only a first list could be read from a reader.

Ruled out: reading any later list from a reader. Its copy may be older than what is known, so that the list shows what was deleted and lacks what is new.

Change: 410 from a reader proves that its copy is newer, so that its list is read; one at a lower revision than the known one is refused all the same. If that list cannot be had, what is known stays and is watched elsewhere.

--- a/lib/node/known_objects.c
+++ b/lib/node/known_objects.c
@@ -74,10 +74,17 @@
 }
 
 void
-dl_known_objects_begin_list (DlKnownObjects *known)
+dl_known_objects_abandon_list (DlKnownObjects *known)
 {
   if (known->listed != NULL)
     g_hash_table_destroy (known->listed);
+  known->listed = NULL;
+}
+
+void
+dl_known_objects_begin_list (DlKnownObjects *known)
+{
+  dl_known_objects_abandon_list (known);
   known->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
@@ -112,8 +119,7 @@
         g_free (copy);
         dropped++;
       }
-  g_hash_table_destroy (known->listed);
-  known->listed = NULL;
+  dl_known_objects_abandon_list (known);
   return dropped;
 }
 
--- a/lib/node/known_objects.h
+++ b/lib/node/known_objects.h
@@ -24,6 +24,8 @@
 void dl_known_objects_apply (DlKnownObjects *known, const DlObject *object);
 /* A list begins; one in progress is given up. */
 void dl_known_objects_begin_list (DlKnownObjects *known);
+/* Gives up the list in progress, if there is one; what it has shown stays known. */
+void dl_known_objects_abandon_list (DlKnownObjects *known);
 /* True while a list is in progress. */
 bool dl_known_objects_is_listing (const DlKnownObjects *known);
 /* The list in progress shows OBJECT, which is applied. */
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -39,6 +39,7 @@
   char *list_after;       /* name after which the next page starts; NULL at the first */
   uint64_t list_revision; /* of the first page of the list in progress */
   bool list_failed;       /* the last call for a list at the store did */
+  bool reader_is_ahead;   /* a reader no longer knows the changes since this revision */
   uint64_t list_wait_ms;  /* of the next one, see policy/list_wait.h */
   uint64_t revision;      /* all changes up to it are known */
   uint64_t sent_wait_ms;  /* wait of the watch request in progress */
@@ -306,12 +307,17 @@
   watch->server = relay != NULL ? relay : watch->client;
 }
 
-/* Chooses between them for a list.  Only the first list may be read from a reader: its
- * copy may be older than what is known here, so that a later list would show deleted
- * objects and lack new ones. */
+/* Chooses between them for a list.  A reader's copy may be older than what is known here,
+ * so that its list would show deleted objects and lack new ones.  So a list may be read
+ * from a reader only if it is the first one, or if that reader is ahead. */
 static void
 choose_list_server (DlObjectWatch *watch)
 {
+  bool is_reader_ahead = watch->reader_is_ahead;
+
+  watch->reader_is_ahead = false;
+  if (is_reader_ahead && !watch->is_relisting)
+    return;
   if (watch->synced_ms == 0 && !watch->is_relisting)
     {
       choose_server (watch);
@@ -363,13 +369,27 @@
                                  !failed && !watch->via_relay);
 }
 
-/* The reader that was asked for the list has none, or does not answer. */
+/* What is known already is watched elsewhere from where it was; a first list begins anew.
+ */
+static void
+give_up_reader_list (DlObjectWatch *watch)
+{
+  if (watch->synced_ms != 0)
+    dl_known_objects_abandon_list (watch->known);
+  else
+    restart_list (watch);
+}
+
+/* The reader that was asked for the list does not answer, or has none, or one that is
+ * older than what is known here. */
 static void
 retry_list_at_reader (DlObjectWatch *watch, const DlObjectResult *result)
 {
+  const DlObjectResult too_old = { .error = DL_ERR_UNAVAILABLE, .responded = true };
+
   if (!result->is_reading)
     {
-      retry_without_relay (watch, result);
+      retry_without_relay (watch, result->error < 0 ? result : &too_old);
       return;
     }
   dl_relay_source_report_reading (watch->options.source, watch->options.kind);
@@ -384,9 +404,9 @@
 
   if (!request_end (request, result))
     return;
-  if (result->error < 0 && watch->via_relay)
+  if (watch->via_relay && (result->error < 0 || result->revision < watch->revision))
     {
-      restart_list (watch);
+      give_up_reader_list (watch);
       retry_list_at_reader (watch, result);
       return;
     }
@@ -533,6 +553,7 @@
   note_unchanged (watch);
   if (result->error == DL_ERR_GONE)
     {
+      watch->reader_is_ahead = watch->via_relay && result->responded;
       restart_list (watch);
       send_list (watch);
     }
--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -50,6 +50,10 @@
   "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n" \
   "Content-Length: 3\r\nConnection: close\r\n\r\nold"
 
+#define HISTORY_GONE                                  \
+  "HTTP/1.1 410 Gone\r\nContent-Type: text/plain\r\n" \
+  "Content-Length: 4\r\nConnection: close\r\n\r\ngone"
+
 typedef struct
 {
   char name[PLAYED_NAME_BYTES];
@@ -68,6 +72,7 @@
 /* Atomic. */
 static int stopping;
 static int hear_store; /* they tell that the store answers them */
+static int are_ahead;  /* they have a copy, but do not know what changed before */
 
 static int
 listen_at (const char *address)
@@ -88,21 +93,56 @@
   played_tell_region (played_testbed, r->datagrams, &status);
 }
 
-/* Refuses the request of the next connection, if there is one. */
+/* The list that REQUEST asks for, as the second entry gives it out, for g_free; NULL when
+ * it asks for none. */
+static char *
+list_of_second_entry (const char *request)
+{
+  const char *target = strchr (request, '/');
+  const char *end = target != NULL ? strchr (target, ' ') : NULL;
+  g_autofree char *copy = end != NULL ? g_strndup (target, end - target) : NULL;
+  char *text = NULL;
+  Response r;
+
+  if (copy == NULL || !g_str_has_prefix (copy, "/v1/objects"))
+    return NULL;
+  r = call (&(Call){ .address = played_testbed->metrics[1], .target = copy });
+  if (r.status == 200)
+    text = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                            "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                            strlen (r.body), r.body);
+  response_free (&r);
+  return text;
+}
+
+/* Responds to the request of the next connection, if there is one. */
 static void
-refuse_next (Reader *r)
+respond_next (Reader *r)
 {
+  g_autofree char *list = NULL;
+  const char *response = REFUSAL;
   char request[REQUEST_BYTES];
+  ssize_t length;
   struct pollfd readable = { .events = POLLIN };
   int fd = accept4 (r->listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
 
   if (fd < 0)
     return;
   readable.fd = fd;
-  if (poll (&readable, 1, STATUS_MS) > 0 && recv (fd, request, sizeof request, 0) > 0)
+  if (poll (&readable, 1, STATUS_MS) > 0
+      && (length = recv (fd, request, sizeof request - 1, 0)) > 0)
     {
+      request[length] = '\0';
       r->asked++;
-      (void)send (fd, REFUSAL, strlen (REFUSAL), MSG_NOSIGNAL);
+      if (g_atomic_int_get (&are_ahead))
+        {
+          list = list_of_second_entry (request);
+          if (list != NULL)
+            response = list;
+          else if (strstr (request, "/v1/watch") != NULL)
+            response = HISTORY_GONE;
+        }
+      (void)send (fd, response, strlen (response), MSG_NOSIGNAL);
     }
   close (fd);
 }
@@ -127,7 +167,7 @@
         continue;
       for (unsigned i = 0; i < READERS; i++)
         if (listeners[i].revents != 0)
-          refuse_next (&readers[i]);
+          respond_next (&readers[i]);
     }
   return NULL;
 }
@@ -234,6 +274,21 @@
   CHECK (narrow_link_recovers (tb));
 }
 
+static void
+test_list_that_a_reader_has_was_read_from_the_store (Testbed *tb)
+{
+  uint64_t lists = recorded (tb->store, "lists.servers");
+
+  g_atomic_int_set (&are_ahead, 1);
+  for (unsigned ms = 0; ms < WATCHED_MS; ms += PAUSE_MS)
+    {
+      CHECK (status_with_key (tb, 0, "key1") == 200);
+      g_usleep (PAUSE_MS * 1000);
+    }
+  g_atomic_int_set (&are_ahead, 0);
+  CHECK (recorded (tb->store, "lists.servers") <= lists);
+}
+
 static void
 test_revoked_key_outlived_the_bound_of_a_configuration (Testbed *tb)
 {
@@ -353,6 +408,7 @@
   test_readers_with_old_copies_kept_an_entry_from_the_store,
   test_entry_that_started_asked_only_readers_without_a_copy,
   test_entry_that_did_not_learn_its_region_in_time_read_everything_itself,
+  test_list_that_a_reader_has_was_read_from_the_store,
   test_revoked_key_outlived_the_bound_of_a_configuration,
   test_server_that_leaves_got_requests_after_the_bound,
   NULL,
