--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -359,7 +359,7 @@
   continue_watch (watch);
 }
 
-/* Tells other nodes whether it is worth to wait for the copy of this one. */
+/* Tells the relay whether a first copy is being read, so that other nodes wait for it. */
 static void
 set_list_failed (DlObjectWatch *watch, bool failed)
 {
@@ -369,8 +369,8 @@
                                  !failed && !watch->via_relay);
 }
 
-/* What is known already is watched elsewhere from where it was; a first list begins anew.
- */
+/* The list at a reader ends without a result.  What is known stays, and is watched from
+ * its revision on; a first list begins anew. */
 static void
 give_up_reader_list (DlObjectWatch *watch)
 {
--- a/regress/direct/proxy.c
+++ b/regress/direct/proxy.c
@@ -148,7 +148,7 @@
     memcpy (d->bytes, bytes->data, d->length);
 }
 
-/* What befalls bytes on their way. */
+/* How the bytes of one direction are passed on. */
 typedef struct
 {
   unsigned delay_ms;
--- a/regress/unit/test_readers.c
+++ b/regress/unit/test_readers.c
@@ -348,7 +348,7 @@
 #define STARTED_MS 1000
 #define READ_MS    2500
 #define ASK_MS     1000 /* entries ask a reader again after so long */
-#define DEAF       2    /* entries that rank first, which the store does not answer */
+#define UNANSWERED 2    /* entries that rank first, which the store does not answer */
 
 typedef struct
 {
@@ -366,7 +366,7 @@
     dl_reader_health_reading (health, KIND, now_ms);
   if (s->reading_ms != 0 && now_ms >= s->reading_ms + READ_MS)
     s->entry.copy.synced_ms = now_ms;
-  else if (s->reading_ms == 0 && i >= DEAF
+  else if (s->reading_ms == 0 && i >= UNANSWERED
            && now_ms >= dl_reader_health_direct_ms (health, &s->entry.copy))
     s->reading_ms = now_ms;
 }
@@ -399,7 +399,7 @@
   talloc_free (context);
 }
 
-/* A stager has no turn; the entries do not all fall silent. */
+/* A stager has no turn at the store. */
 static void
 test_stager_without_a_copy_is_left_to_readers (void)
 {
