--- a/daisydirectd/held_requests.c
+++ b/daisydirectd/held_requests.c
@@ -77,10 +77,7 @@
 {
   uint64_t delay_ms = 1 + dl_random_uint64 () % WRITE_SPREAD_MS;
 
-  if (h->timer == NULL)
-    h->timer = dl_timer_subscribe (h->owner->task, h, delay_ms, 0, on_timer, h);
-  else
-    dl_timer_restart (h->timer, delay_ms);
+  dl_timer_set (&h->timer, h->owner->task, h, delay_ms, on_timer, h);
 }
 
 static bool
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -159,7 +159,8 @@
 static void
 note_arrival (DlHttpCall *call)
 {
-  call->arrived_ms = dl_clock_ms ();
+  if (call->stalled != NULL)
+    call->arrived_ms = dl_clock_ms ();
 }
 
 /* Time by which something has to arrive. */
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -175,5 +175,13 @@
                              void *data);
 /* Restarts the timer with a new first delay, also when it has expired already. */
 void dl_timer_restart (DlTimer *timer, uint64_t first_ms);
+/* Has FUNC called once, after DELAY_MS and not earlier: restarts *TIMER, or starts it
+ * when it is NULL. */
+void dl_timer_set (DlTimer **timer,
+                   DlTask *task,
+                   const void *owner,
+                   uint64_t delay_ms,
+                   DlTimerFunc func,
+                   void *data);
 
 #endif
--- a/lib/kernel/kernel_time.c
+++ b/lib/kernel/kernel_time.c
@@ -94,3 +94,17 @@
   ev_timer_set (&timer->watcher, (double)first_ms / DL_MS_PER_S, repeat);
   ev_timer_start (timer->loop, &timer->watcher);
 }
+
+void
+dl_timer_set (DlTimer **timer,
+              DlTask *task,
+              const void *owner,
+              uint64_t delay_ms,
+              DlTimerFunc func,
+              void *data)
+{
+  if (*timer == NULL)
+    *timer = dl_timer_subscribe (task, owner, delay_ms, 0, func, data);
+  else
+    dl_timer_restart (*timer, delay_ms);
+}
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -273,7 +273,7 @@
   DlObjectResult result = {
     .responded = response->error == 0,
     .retry_after_ms = call->retry_after_ms,
-    .timed_out = response->error == -ETIMEDOUT,
+    .is_late = response->error == -ETIMEDOUT && response->received_bytes == 0,
     .received_bytes = response->received_bytes,
     .is_reading = call->is_reading,
   };
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -58,7 +58,7 @@
    * to find out), DL_ERR_GONE or DL_ERR_MALFORMED */
   int error;
   bool responded;          /* the server did, if only with an error */
-  bool timed_out;          /* with no response, or not all of it */
+  bool is_late;            /* it timed out without a byte of the response's body */
   uint64_t received_bytes; /* of the response, as it was sent */
   uint64_t retry_after_ms; /* from Retry-After; 0 when absent */
   uint64_t revision;       /* of the written object, or of the list or watch */
--- a/lib/node/load_record.h
+++ b/lib/node/load_record.h
@@ -13,4 +13,5 @@
 DlSoundLoad dl_load_record_read (json_object *value);
 /* Returns the value of the object for LOAD, to be released. */
 json_object *dl_load_record_value (const DlSoundLoad *load);
+
 #endif
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -69,7 +69,6 @@
 typedef struct
 {
   DlObjectWatch *watch;
-  DlObjectClient *server;
   uint64_t sent_ms;
   uint64_t number;
 } Request;
@@ -134,12 +133,11 @@
 /* -------- requests -------- */
 
 static Request *
-request_new (DlObjectWatch *watch, DlObjectClient *server)
+request_new (DlObjectWatch *watch)
 {
   Request *request = talloc_zero (watch, Request);
 
   request->watch = watch;
-  request->server = server;
   request->sent_ms = dl_clock_ms ();
   request->number = ++watch->number;
   return request;
@@ -149,11 +147,9 @@
 log_failure (const Request *request, const DlObjectResult *result)
 {
   const DlObjectWatch *watch = request->watch;
-  bool is_reader = request->server != watch->client;
+  const char *reader = watch->via_relay ? dl_object_client_address (watch->server) : NULL;
 
-  dl_read_log_failure (watch->options.kind,
-                       is_reader ? dl_object_client_address (request->server) : NULL,
-                       request->sent_ms, result);
+  dl_read_log_failure (watch->options.kind, reader, request->sent_ms, result);
 }
 
 /* Frees REQUEST, which has ended with RESULT, and returns whether its response is still
@@ -218,10 +214,7 @@
 static void
 run_after (DlObjectWatch *watch, uint64_t delay_ms)
 {
-  if (watch->timer == NULL)
-    watch->timer = dl_timer_subscribe (watch->task, watch, delay_ms, 0, on_timer, watch);
-  else
-    dl_timer_restart (watch->timer, delay_ms);
+  dl_timer_set (&watch->timer, watch->task, watch, delay_ms, on_timer, watch);
 }
 
 static DlRelayWant
@@ -267,8 +260,7 @@
   watch->after_outage = watch->after_outage || !was_paused (watch);
   watch->answered_ms = 0;
   watch->retry_ms = dl_backoff_next_ms (watch->retry_ms, &bounds);
-  run_after (watch,
-             watch->retry_ms / 2 + dl_random_uint64 () % (watch->retry_ms / 2 + 1));
+  run_after (watch, dl_backoff_spread_ms (watch->retry_ms, dl_random_uint64 ()));
 }
 
 static void
@@ -361,12 +353,11 @@
 
 /* Tells the relay whether a first copy is being read, so that other nodes wait for it. */
 static void
-set_list_failed (DlObjectWatch *watch, bool failed)
+tell_reading (DlObjectWatch *watch)
 {
-  watch->list_failed = failed;
   if (watch->options.relay != NULL && watch->synced_ms == 0)
     dl_object_relay_set_reading (watch->options.relay, watch->options.kind,
-                                 !failed && !watch->via_relay);
+                                 !watch->list_failed && !watch->via_relay);
 }
 
 /* The list at a reader ends without a result.  What is known stays, and is watched from
@@ -413,14 +404,14 @@
   if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
     {
       restart_list (watch);
-      set_list_failed (watch, true);
-      watch->list_wait_ms
-          = dl_list_wait_next_ms (watch->list_wait_ms,
-                                  result->timed_out && result->received_bytes == 0);
+      watch->list_failed = true;
+      tell_reading (watch);
+      watch->list_wait_ms = dl_list_wait_next_ms (watch->list_wait_ms, result->is_late);
       retry_later (watch, result);
       return;
     }
-  set_list_failed (watch, false);
+  watch->list_failed = false;
+  tell_reading (watch);
   set_contact (watch, 0);
   note_origin (watch, result->age_ms);
   /* The watch starts from the first page's revision, so it shows what changes while later
@@ -448,7 +439,7 @@
     {
       watch->sent_ms = dl_clock_ms ();
       choose_list_server (watch);
-      set_list_failed (watch, watch->list_failed);
+      tell_reading (watch);
     }
   dl_object_list_page (watch->server, watch,
                        &(DlObjectPage){
@@ -457,7 +448,7 @@
                            .wait_ms
                            = watch->via_relay ? LIST_WAIT_MS : watch->list_wait_ms,
                        },
-                       on_list, request_new (watch, watch->server));
+                       on_list, request_new (watch));
 }
 
 /* True when the next request has to wait for a reader; it is tried again soon then. */
--- a/lib/node/region_entries.c
+++ b/lib/node/region_entries.c
@@ -35,10 +35,7 @@
 static void
 run_after (DlRegionEntries *e, uint64_t delay_ms)
 {
-  if (e->timer == NULL)
-    e->timer = dl_timer_subscribe (e->task, e, delay_ms, 0, on_timer, e);
-  else
-    dl_timer_restart (e->timer, delay_ms);
+  dl_timer_set (&e->timer, e->task, e, delay_ms, on_timer, e);
 }
 
 static void
@@ -49,9 +46,8 @@
 
   dl_read_log_failure (e->options.kind, NULL, e->sent_ms, result);
   e->retry_ms = dl_backoff_next_ms (e->retry_ms, &bounds);
-  e->wait_ms = dl_list_wait_next_ms (e->wait_ms,
-                                     result->timed_out && result->received_bytes == 0);
-  run_after (e, e->retry_ms / 2 + dl_random_uint64 () % (e->retry_ms / 2 + 1));
+  e->wait_ms = dl_list_wait_next_ms (e->wait_ms, result->is_late);
+  run_after (e, dl_backoff_spread_ms (e->retry_ms, dl_random_uint64 ()));
 }
 
 static void
--- a/lib/node/registration.c
+++ b/lib/node/registration.c
@@ -26,10 +26,7 @@
 void
 dl_registration_renew (DlRegistration *r, uint64_t delay_ms)
 {
-  if (r->timer == NULL)
-    r->timer = dl_timer_subscribe (r->task, r, delay_ms, 0, on_timer, r);
-  else
-    dl_timer_restart (r->timer, delay_ms);
+  dl_timer_set (&r->timer, r->task, r, delay_ms, on_timer, r);
 }
 
 bool
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -142,7 +142,7 @@
 {
   DlReaderCopy copy;
 
-  if (source->peers == NULL)
+  if (source->peers == NULL || !source->is_entry)
     return UINT64_MAX;
   copy = copy_of (source, want);
   return dl_reader_health_direct_ms (source->reader_health, &copy);
--- a/lib/policy/backoff.c
+++ b/lib/policy/backoff.c
@@ -10,6 +10,12 @@
   return MIN (doubled, bounds->max_ms);
 }
 
+uint64_t
+dl_backoff_spread_ms (uint64_t pause_ms, uint64_t random)
+{
+  return pause_ms / 2 + random % (pause_ms / 2 + 1);
+}
+
 bool
 dl_backoff_allows (const DlBackoff *backoff, uint64_t now_ms)
 {
--- a/lib/policy/backoff.h
+++ b/lib/policy/backoff.h
@@ -26,6 +26,9 @@
 
 /* The pause after one of LAST_MS; 0 for none before. */
 uint64_t dl_backoff_next_ms (uint64_t last_ms, const DlBackoffBounds *bounds);
+/* Half of PAUSE_MS, and a part of the other half by RANDOM: callers that failed together
+ * do not come back together. */
+uint64_t dl_backoff_spread_ms (uint64_t pause_ms, uint64_t random);
 bool dl_backoff_allows (const DlBackoff *backoff, uint64_t now_ms);
 /* A call failed.  Further ones that were in progress then count once.  Returns true when
  * this began a pause. */
--- a/regress/direct/stale_readers.c
+++ b/regress/direct/stale_readers.c
@@ -242,8 +242,7 @@
   CHECK (refused == 0);
 }
 
-/* The lists that the entries read as they start are cut off, so that they ask the
- * readers.
+/* The lists that the entries read as they start are cut off, so that readers are asked.
  */
 static void
 test_entry_that_started_asked_only_readers_without_a_copy (Testbed *tb)
