Log failed watches, second watches and who proved a denying table

- 933 is written for watches that had no whole response, too: server, time and the bytes that had come.
Refusals by a reader remain with 916.
- 935, new: a watch is sent once more, and how much of the first had come.
- 1005 names the reader that proved the table, and that reader's age.
- 929 names the entry that the store was last heard from.

No decision changes. Run: unit, events, format, lint.

--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -85,11 +85,15 @@
 void
 direct_request_deny (Request *r, unsigned status, const char *reason)
 {
+  const DirectRoutingProof *proof = &r->owner->routing_proof;
+
   dl_metric_add (&metric_denied, 1);
   dl_log (DL_EVENT_REQUEST_DENIED, DL_TEXT ("request", r->incoming.id),
           DL_UINT ("status", status), DL_TEXT ("reason", reason),
           DL_UINT ("routing", r->routing->routing->version),
-          DL_UINT ("routing_age_ms", dl_clock_ms () - r->owner->routing_proof.proven_ms));
+          DL_UINT ("routing_age_ms", dl_clock_ms () - proof->proven_ms),
+          DL_TEXT ("reader", direct_origin_text (&proof->origin)),
+          DL_UINT ("reader_age_ms", proof->origin.reader_age_ms));
   direct_request_release (r);
   platform_reply_error (r->http, status, 0, reason);
 }
--- a/daisydirectd/state.c
+++ b/daisydirectd/state.c
@@ -51,12 +51,23 @@
 
 /* -------- routing -------- */
 
+/* The store answered a request that ENTRY sent at HEARD_MS. */
+static void
+note_heard (State *state, uint64_t heard_ms, const char *entry)
+{
+  if (heard_ms <= state->heard.last_ms)
+    return;
+  dl_store_heard (&state->heard, heard_ms);
+  talloc_free ((void *)state->heard_by);
+  state->heard_by = talloc_strdup (state, entry);
+}
+
 /* WATCH shows the store's state at a new time. */
 static void
-note_heard (State *state, const DlObjectWatch *watch)
+note_heard_here (State *state, const DlObjectWatch *watch)
 {
   state->own_heard_ms = MAX (state->own_heard_ms, dl_object_watch_synced_ms (watch));
-  dl_store_heard (&state->heard, state->own_heard_ms);
+  note_heard (state, state->own_heard_ms, state->settings->name);
 }
 
 static void
@@ -74,7 +85,7 @@
   State *state = data;
   DlObjectOrigin origin = dl_object_watch_origin (state->routing_watch);
 
-  note_heard (state, state->routing_watch);
+  note_heard_here (state, state->routing_watch);
   direct_routing_table_synced (state->routing_table,
                                dl_object_watch_synced_ms (state->routing_watch), &origin,
                                dl_object_era_current (
@@ -114,7 +125,7 @@
 {
   State *state = data;
 
-  note_heard (state, state->upstreams_watch);
+  note_heard_here (state, state->upstreams_watch);
   direct_upstream_list_synced (state->upstream_list);
 }
 
@@ -243,12 +254,14 @@
 /* The age is that when the status was sent, so that the time is taken as too late by the
  * datagram's delay. */
 static void
-receive_heard (State *state, const Daisyloft__Wire__NodeStatus *status)
+receive_heard (State *state,
+               const DlPeer *peer,
+               const Daisyloft__Wire__NodeStatus *status)
 {
   uint64_t now_ms = dl_clock_ms ();
 
   if (status->store_heard != NULL && status->store_heard->age_ms < now_ms)
-    dl_store_heard (&state->heard, now_ms - status->store_heard->age_ms);
+    note_heard (state, now_ms - status->store_heard->age_ms, peer->name);
 }
 
 static void
@@ -262,7 +275,7 @@
   direct_routing_table_told (state->routing_table, status->routing_version);
   if (peer->role == DAISYLOFT__WIRE__ROLE__ROLE_ENTRY)
     {
-      receive_heard (state, status);
+      receive_heard (state, peer, status);
       publish_holder (state, peer, status);
       publish_signature_records (state, status);
       publish_limit_records (state, peer, status);
@@ -322,7 +335,8 @@
               DL_TEXT ("reader", direct_origin_text (&proof->origin)),
               DL_UINT ("reader_age_ms", proof->origin.reader_age_ms),
               DL_UINT ("heard_ms_ago", now_ms - MIN (state->heard.last_ms, now_ms)),
-              DL_UINT ("heard_for_ms", dl_store_heard_for_ms (&state->heard, now_ms)));
+              DL_UINT ("heard_for_ms", dl_store_heard_for_ms (&state->heard, now_ms)),
+              DL_TEXT ("heard_by", state->heard_by != NULL ? state->heard_by : ""));
     }
   else if (!is_old && state->is_proof_old)
     dl_log (DL_EVENT_ROUTING_PROOF_RENEWED,
--- a/daisydirectd/state_private.h
+++ b/daisydirectd/state_private.h
@@ -36,6 +36,7 @@
   DirectRoutingTable *routing_table;
   DlStoreHeard heard;     /* by any entry */
   uint64_t own_heard_ms;  /* by this one */
+  const char *heard_by;   /* name of the entry that HEARD is from; NULL for none */
   bool is_proof_old;      /* and that was logged */
   uint64_t old_proven_ms; /* if so, the time of that proof */
   DirectHeldRequests *held_requests;
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -438,7 +438,6 @@
 {
   long status = 0;
   long request_bytes = 0;
-  curl_off_t received_bytes = 0;
   DlHttpResult result = { 0 };
 
   if (code == CURLE_OK && !call->head_complete)
@@ -453,13 +452,12 @@
   if (call->head_complete)
     curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &received_bytes);
   call->in_callback = true;
   if (!call->freed_in_callback && code == CURLE_OK)
     call_report_head (call);
   result.status = (unsigned)status;
   result.sent = request_bytes > 0;
-  result.received_bytes = (uint64_t)received_bytes;
+  result.received_bytes = dl_http_call_received_bytes (call);
   result.broken_off = is_broken_off (call, code);
   result.body = dl_buffer_view (call->body);
   if (!call->freed_in_callback)
@@ -612,6 +610,15 @@
   return call;
 }
 
+uint64_t
+dl_http_call_received_bytes (DlHttpCall *call)
+{
+  curl_off_t bytes = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &bytes);
+  return (uint64_t)bytes;
+}
+
 const char *
 dl_http_call_header (DlHttpCall *call, const char *name)
 {
--- a/lib/kernel/object_client.c
+++ b/lib/kernel/object_client.c
@@ -378,7 +378,7 @@
          + (request->action == DL_OBJECT_WATCH ? client->margin_ms : client->timeout_ms);
 }
 
-static void
+static DlHttpCall *
 start_call (DlObjectClient *client,
             const void *owner,
             DlObjectRequest *request,
@@ -427,6 +427,7 @@
       });
   json_object_put (encoded.body);
   talloc_steal (http, call);
+  return http;
 }
 
 const char *
@@ -574,7 +575,7 @@
   dl_object_list_page (client, owner, &(DlObjectPage){ .kinds = kinds }, func, data);
 }
 
-static void
+static DlHttpCall *
 start_watch (DlObjectClient *client,
              const void *owner,
              DlObjectRequest request,
@@ -582,10 +583,10 @@
              void *data)
 {
   request.action = DL_OBJECT_WATCH;
-  start_call (client, owner, &request, func, data);
+  return start_call (client, owner, &request, func, data);
 }
 
-void
+DlHttpCall *
 dl_object_watch (DlObjectClient *client,
                  const void *owner,
                  const char *kinds,
@@ -594,12 +595,13 @@
                  DlObjectFunc func,
                  void *data)
 {
-  start_watch (client, owner,
-               (DlObjectRequest){ .kinds = kinds, .revision = after, .wait_ms = wait_ms },
-               func, data);
+  return start_watch (client, owner,
+                      (DlObjectRequest){
+                          .kinds = kinds, .revision = after, .wait_ms = wait_ms },
+                      func, data);
 }
 
-void
+DlHttpCall *
 dl_object_watch_anew (DlObjectClient *client,
                       const void *owner,
                       const char *kinds,
@@ -607,8 +609,8 @@
                       DlObjectFunc func,
                       void *data)
 {
-  start_watch (client, owner,
-               (DlObjectRequest){
-                   .kinds = kinds, .revision = after, .new_connection = true },
-               func, data);
+  return start_watch (client, owner,
+                      (DlObjectRequest){
+                          .kinds = kinds, .revision = after, .new_connection = true },
+                      func, data);
 }
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -217,21 +217,22 @@
                           const DlObjectPage *page,
                           DlObjectFunc func,
                           void *data);
-/* Waits up to WAIT_MS for objects of KINDS that changed after the revision AFTER. */
-void dl_object_watch (DlObjectClient *client,
-                      const void *owner,
-                      const char *kinds,
-                      uint64_t after,
-                      uint64_t wait_ms,
-                      DlObjectFunc func,
-                      void *data);
+/* Waits up to WAIT_MS for objects of KINDS that changed after the revision AFTER. Returns
+ * the call, for dl_http_call_received_bytes until FUNC is called. */
+DlHttpCall *dl_object_watch (DlObjectClient *client,
+                             const void *owner,
+                             const char *kinds,
+                             uint64_t after,
+                             uint64_t wait_ms,
+                             DlObjectFunc func,
+                             void *data);
 /* The same without a wait, on a new connection. */
-void dl_object_watch_anew (DlObjectClient *client,
-                           const void *owner,
-                           const char *kinds,
-                           uint64_t after,
-                           DlObjectFunc func,
-                           void *data);
+DlHttpCall *dl_object_watch_anew (DlObjectClient *client,
+                                  const void *owner,
+                                  const char *kinds,
+                                  uint64_t after,
+                                  DlObjectFunc func,
+                                  void *data);
 
 /*
  * Searches among COUNT objects sorted by kind, then name.
--- a/lib/node/hedged_watch.c
+++ b/lib/node/hedged_watch.c
@@ -18,6 +18,7 @@
 typedef struct
 {
   DlHedgedWatch *watch;
+  DlHttpCall *call;
   uint64_t sent_ms;
 } Attempt;
 
@@ -105,6 +106,19 @@
   watch->func (result, sent_ms, watch->data);
 }
 
+static void
+log_second (const DlHedgedWatch *watch)
+{
+  const DlWatchRequest *request = &watch->request;
+  const Attempt *first = watch->first;
+
+  dl_log (DL_EVENT_WATCH_REPEATED,
+          DL_TEXT ("server", dl_object_client_address (request->server)),
+          DL_TEXT ("kind", request->kind), DL_UINT ("wait_ms", request->wait_ms),
+          DL_UINT ("after_ms", dl_clock_ms () - first->sent_ms),
+          DL_UINT ("bytes", dl_http_call_received_bytes (first->call)));
+}
+
 static void
 on_second_due (DlTimer *timer, void *data)
 {
@@ -115,9 +129,11 @@
   if (watch->first == NULL || watch->is_ignored)
     return;
   dl_metric_add (&metric_second, 1);
+  log_second (watch);
   watch->second = attempt_new (watch);
-  dl_object_watch_anew (request->server, watch->second, request->kind, request->revision,
-                        on_response, watch->second);
+  watch->second->call
+      = dl_object_watch_anew (request->server, watch->second, request->kind,
+                              request->revision, on_response, watch->second);
 }
 
 DlHedgedWatch *
@@ -144,8 +160,9 @@
         = dl_timer_subscribe (watch->task, watch,
                               request->wait_ms + dl_hedge_delay_ms (&watch->hedge), 0,
                               on_second_due, watch);
-  dl_object_watch (request->server, watch->first, request->kind, request->revision,
-                   request->wait_ms, on_response, watch->first);
+  watch->first->call
+      = dl_object_watch (request->server, watch->first, request->kind, request->revision,
+                         request->wait_ms, on_response, watch->first);
 }
 
 void
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -144,12 +144,18 @@
 }
 
 static void
-log_failure (const Request *request, const DlObjectResult *result)
+log_failure (const DlObjectWatch *watch,
+             DlObjectAction action,
+             uint64_t sent_ms,
+             const DlObjectResult *result)
 {
-  const DlObjectWatch *watch = request->watch;
   const char *reader = watch->via_relay ? dl_object_client_address (watch->server) : NULL;
 
-  dl_read_log_failure (watch->options.kind, reader, request->sent_ms, result);
+  dl_read_log_failure (&(DlFailedRead){ .action = action,
+                                        .kind = watch->options.kind,
+                                        .reader = reader,
+                                        .sent_ms = sent_ms },
+                       result);
 }
 
 /* Frees REQUEST, which has ended with RESULT, and returns whether its response is still
@@ -160,7 +166,7 @@
   bool is_wanted = request->number == request->watch->number;
 
   if (is_wanted && result->error < 0 && result->error != DL_ERR_NOT_FOUND)
-    log_failure (request, result);
+    log_failure (request->watch, DL_OBJECT_LIST, request->sent_ms, result);
   talloc_free (request);
   return is_wanted;
 }
@@ -542,6 +548,8 @@
   TALLOC_FREE (watch->direct_timer);
   watch->sent_ms = sent_ms;
   note_unchanged (watch);
+  if (result->error < 0 && !result->responded)
+    log_failure (watch, DL_OBJECT_WATCH, sent_ms, result);
   if (result->error == DL_ERR_GONE)
     {
       watch->reader_is_ahead = watch->via_relay && result->responded;
--- a/lib/node/region_entries.c
+++ b/lib/node/region_entries.c
@@ -44,7 +44,10 @@
   static const DlBackoffBounds bounds
       = { .first_ms = RETRY_FIRST_MS, .max_ms = RETRY_MAX_MS };
 
-  dl_read_log_failure (e->options.kind, NULL, e->sent_ms, result);
+  dl_read_log_failure (&(DlFailedRead){ .action = DL_OBJECT_LIST,
+                                        .kind = e->options.kind,
+                                        .sent_ms = e->sent_ms },
+                       result);
   e->retry_ms = dl_backoff_next_ms (e->retry_ms, &bounds);
   e->wait_ms = dl_list_wait_next_ms (e->wait_ms, result->is_late);
   run_after (e, dl_backoff_spread_ms (e->retry_ms, dl_random_uint64 ()));
