A request is denied only by a routing table that is known to be the newest

Cause: a denial went through the check that bounds service. That one lets an old table serve while no entry hears the store, as the alternative is no service; a denial by it gains nobody anything.

Tests, red before: group denials, a path without a route and an unknown key heard 404 and 401 in an outage of the store, and from entries that know from another one's status that a newer version exists.

Change: a decision of its own (dl_routing_may_deny): the proof is younger than apply_ms, and no node has told of a newer version. Otherwise 503 with a time to come back. By the first part a version that was acknowledged before the bound is in the table. Nothing asks the store for it, so that requests for what never was allowed cost nothing there.

Ruled out: a request that waits for the next proof; it would hold callers, and while the store is away it would wait in vain.

--- a/daisydirectd/daisydirectd.h
+++ b/daisydirectd/daisydirectd.h
@@ -68,8 +68,9 @@
  */
 typedef struct
 {
-  uint64_t proven_ms;    /* dl_clock_ms; 0 for never */
-  DlObjectOrigin origin; /* of that answer */
+  uint64_t proven_ms;      /* dl_clock_ms; 0 for never */
+  DlObjectOrigin origin;   /* of that answer */
+  uint64_t newest_version; /* the highest known here or to another node */
 } DirectRoutingProof;
 
 /* An entry that is registered in the store. */
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -138,6 +138,25 @@
                                &requests->store_heard);
 }
 
+/* Rejects a request that the routing table does not allow, or refuses it when another
+ * table may allow it. */
+static void
+reject (Request *r, unsigned status, const char *reason)
+{
+  const Requests *requests = r->owner;
+  const DlRoutingDenialQuery query = {
+    .version = r->routing->routing->version,
+    .newest_version = requests->routing_proof.newest_version,
+    .proven_ms = requests->routing_proof.proven_ms,
+    .apply_ms = requests->settings->apply_ms,
+  };
+
+  if (dl_routing_may_deny (&query, dl_clock_ms ()))
+    direct_request_deny (r, status, reason);
+  else
+    direct_request_refuse (r, STALE_RETRY_MS, "a newer routing table may allow it");
+}
+
 /* Checks the sizes of the request; returns false after it was rejected. */
 static bool
 check_limits (Request *r)
@@ -145,10 +164,10 @@
   const DlCallerLimits *limits = &r->routing->routing->limits;
 
   if (limits->header_bytes_max > 0 && r->incoming.header_bytes > limits->header_bytes_max)
-    direct_request_deny (r, STATUS_HEADER_TOO_LARGE, "the headers are too large");
+    reject (r, STATUS_HEADER_TOO_LARGE, "the headers are too large");
   else if (limits->body_bytes_max > 0
            && dl_http_request_body (r->http).length > limits->body_bytes_max)
-    direct_request_deny (r, STATUS_TOO_LARGE, "the body is too large");
+    reject (r, STATUS_TOO_LARGE, "the body is too large");
   else
     return true;
   return false;
@@ -172,7 +191,7 @@
     r->organisation = dl_routing_key_owner (routing, r->incoming.key);
   if (r->organisation != NULL)
     return true;
-  direct_request_deny (r, STATUS_UNAUTHORIZED, "unknown key");
+  reject (r, STATUS_UNAUTHORIZED, "unknown key");
   return false;
 }
 
@@ -249,7 +268,7 @@
   r->route = dl_routing_match (routing, r->incoming.host, r->incoming.path);
   if (r->route == NULL)
     {
-      direct_request_deny (r, STATUS_NOT_FOUND, "no such route");
+      reject (r, STATUS_NOT_FOUND, "no such route");
       return;
     }
   if (!check_limits (r) || !check_key (r))
--- a/daisydirectd/routing_table.c
+++ b/daisydirectd/routing_table.c
@@ -85,7 +85,6 @@
 {
   DirectMessage *message = direct_message_new (DIRECT_ROUTING_PROOF);
 
-  dl_metric_observe_us (&metric_age, (dl_clock_ms () - table->proof.proven_ms) * 1000);
   message->routing_proof = table->proven;
   dl_kernel_publish (table->kernel, message);
 }
@@ -116,7 +115,9 @@
   table->proven = (DirectRoutingProof){
     .proven_ms = table->proof.proven_ms,
     .origin = *origin,
+    .newest_version = table->proof.highest_version,
   };
+  dl_metric_observe_us (&metric_age, (dl_clock_ms () - table->proof.proven_ms) * 1000);
   publish_proof (table);
 }
 
@@ -130,6 +131,10 @@
 direct_routing_table_told (DirectRoutingTable *table, uint64_t version)
 {
   dl_routing_proof_told (&table->proof, version);
+  if (table->proof.highest_version == table->proven.newest_version)
+    return;
+  table->proven.newest_version = table->proof.highest_version;
+  publish_proof (table);
 }
 
 uint64_t
--- a/lib/policy/routing_trust.c
+++ b/lib/policy/routing_trust.c
@@ -24,3 +24,10 @@
     return DL_ROUTING_KEYS_UNPROVEN;
   return DL_ROUTING_TRUSTED;
 }
+
+bool
+dl_routing_may_deny (const DlRoutingDenialQuery *q, uint64_t now_ms)
+{
+  return q->proven_ms != 0 && now_ms - q->proven_ms < q->apply_ms
+         && q->version >= q->newest_version;
+}
--- a/lib/policy/routing_trust.h
+++ b/lib/policy/routing_trust.h
@@ -43,4 +43,20 @@
 
 DlRoutingTrust dl_routing_trust (const DlRoutingTrustQuery *query, uint64_t now_ms);
 
+/* What is known of the table by which a request would be denied. */
+typedef struct
+{
+  uint64_t version;
+  uint64_t newest_version; /* the highest known here or to another node */
+  uint64_t proven_ms;      /* as in DlRoutingTrustQuery */
+  uint64_t apply_ms;
+} DlRoutingDenialQuery;
+
+/* True when a request that the table does not allow may be told so, which its caller
+ * takes for final; otherwise it is refused for a while.  This answers the requests for
+ * what a change has added that has not arrived here.  Service goes on by an old table
+ * while no entry hears the store, since the alternative is none; a denial by it gains
+ * nobody anything. */
+bool dl_routing_may_deny (const DlRoutingDenialQuery *query, uint64_t now_ms);
+
 #endif
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -295,6 +295,7 @@
     .with_proxies = true,
     .revoke_ms = ERA_REVOKE_MS },
   { "proof-bound", { proof_bound_tests }, .revoke_ms = ERA_REVOKE_MS },
+  { "denials", { denial_tests }, .revoke_ms = ERA_REVOKE_MS },
   { "leaving", { leaving_tests } },
   { "fleet", { fleet_tests } },
   { "staging", { staging_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -284,6 +284,7 @@
 extern const TestFunc stale_reader_tests[];
 /* Until when entries serve by an old proof; the same holds. */
 extern const TestFunc proof_bound_tests[];
+extern const TestFunc denial_tests[];
 /* Upstreams, and other peers, whose bytes never end; both need proxies. */
 extern const TestFunc endless_tests[];
 extern const TestFunc endless_peer_tests[];
--- a/regress/unit/test_routing_trust.c
+++ b/regress/unit/test_routing_trust.c
@@ -71,9 +71,50 @@
     }
 }
 
+/* Versions of the table in effect, and of the newest one that any node has. */
+typedef struct
+{
+  const char *name;
+  uint64_t proof_age_ms; /* NEVER: none */
+  uint64_t version;
+  uint64_t newest_version;
+  bool may_deny;
+} DenialCase;
+
+static const DenialCase denial_cases[] = {
+  { "a fresh proof", 100, 7, 7, true },
+  { "just below the bound", APPLY_MS - 1, 7, 7, true },
+  { "at the bound", APPLY_MS, 7, 7, false },
+  { "in a long outage", KEYS_MAX_AGE_MS, 7, 7, false },
+  { "no proof after a start", NEVER, 7, 7, false },
+  { "a fresh proof, but another node has a newer table", 100, 7, 8, false },
+  { "no other node has told of a table", 100, 7, 0, true },
+};
+
+static void
+test_request_is_denied_only_by_a_table_that_is_known_to_be_the_newest (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (denial_cases); i++)
+    {
+      const DenialCase *c = &denial_cases[i];
+      bool may_deny = dl_routing_may_deny (
+          &(DlRoutingDenialQuery){ .version = c->version,
+                                   .newest_version = c->newest_version,
+                                   .proven_ms = time_of (c->proof_age_ms),
+                                   .apply_ms = APPLY_MS },
+          NOW_MS);
+
+      if (may_deny != c->may_deny)
+        g_print ("%s: %d\n", c->name, (int)may_deny);
+      CU_ASSERT_EQUAL (may_deny, c->may_deny);
+    }
+}
+
 static const CU_TestInfo tests[] = {
   { "an old proof is bounded by the nearer time while others hear the store",
     test_old_proof_is_bounded_by_the_nearer_time_while_others_hear_the_store },
+  { "a request is denied only by a table that is known to be the newest",
+    test_request_is_denied_only_by_a_table_that_is_known_to_be_the_newest },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("routing trust", tests)
