A watch is not sent again while its response is arriving

Cause: a watch without a whole response after 400 ms is sent once more, on a new connection, to find out whether the old one is silent. A response that is arriving counted as none, so that a table which takes longer on the link was sent twice to each node that asked.

Change: no second request once a part of the first response has arrived. If that stops, the call ends by its limit for pauses.

Ruled out: a longer delay before the second request; a silent connection would be found out later, and a larger table would be sent twice all the same.

--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -457,7 +457,7 @@
     call_report_head (call);
   result.status = (unsigned)status;
   result.sent = request_bytes > 0;
-  result.received_bytes = dl_http_call_received_bytes (call);
+  result.received_bytes = dl_http_call_progress (call).bytes;
   result.broken_off = is_broken_off (call, code);
   result.body = dl_buffer_view (call->body);
   if (!call->freed_in_callback)
@@ -610,13 +610,13 @@
   return call;
 }
 
-uint64_t
-dl_http_call_received_bytes (DlHttpCall *call)
+DlHttpProgress
+dl_http_call_progress (const DlHttpCall *call)
 {
   curl_off_t bytes = 0;
 
   curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &bytes);
-  return (uint64_t)bytes;
+  return (DlHttpProgress){ .bytes = (uint64_t)bytes, .arrived_ms = call->arrived_ms };
 }
 
 const char *
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -79,8 +79,15 @@
  * callback. */
 DlHttpCall *
 dl_http_call (DlHttpClient *client, const void *owner, const DlHttpCallOptions *options);
-/* Bytes of the response's body that have arrived so far, as they were sent. */
-uint64_t dl_http_call_received_bytes (DlHttpCall *call);
+/* What has arrived of a response so far. */
+typedef struct
+{
+  uint64_t bytes;      /* of the body, as it was sent */
+  uint64_t arrived_ms; /* when the last part of it or of its head did, dl_clock_ms; 0:
+                        * nothing yet, or the call has no stall_ms */
+} DlHttpProgress;
+
+DlHttpProgress dl_http_call_progress (const DlHttpCall *call);
 /* Returns the value of a response header, or NULL when it is absent.  To be called in or
  * after on_head; the result lives as long as the call. */
 const char *dl_http_call_header (DlHttpCall *call, const char *name);
--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -218,7 +218,7 @@
                           DlObjectFunc func,
                           void *data);
 /* Waits up to WAIT_MS for objects of KINDS that changed after the revision AFTER. Returns
- * the call, for dl_http_call_received_bytes until FUNC is called. */
+ * the call, for dl_http_call_progress until FUNC is called. */
 DlHttpCall *dl_object_watch (DlObjectClient *client,
                              const void *owner,
                              const char *kinds,
--- a/lib/node/hedged_watch.c
+++ b/lib/node/hedged_watch.c
@@ -106,6 +106,13 @@
   watch->func (result, sent_ms, watch->data);
 }
 
+/* True when the response is arriving.  If it stops, the call ends by its own limit. */
+static bool
+has_begun (const Attempt *attempt)
+{
+  return dl_http_call_progress (attempt->call).arrived_ms != 0;
+}
+
 static void
 log_second (const DlHedgedWatch *watch)
 {
@@ -116,7 +123,7 @@
           DL_TEXT ("server", dl_object_client_address (request->server)),
           DL_TEXT ("kind", request->kind), DL_UINT ("wait_ms", request->wait_ms),
           DL_UINT ("after_ms", dl_clock_ms () - first->sent_ms),
-          DL_UINT ("bytes", dl_http_call_received_bytes (first->call)));
+          DL_UINT ("bytes", dl_http_call_progress (first->call).bytes));
 }
 
 static void
@@ -126,7 +133,7 @@
   const DlWatchRequest *request = &watch->request;
 
   TALLOC_FREE (watch->second_timer);
-  if (watch->first == NULL || watch->is_ignored)
+  if (watch->first == NULL || watch->is_ignored || has_begun (watch->first))
     return;
   dl_metric_add (&metric_second, 1);
   log_second (watch);
--- a/lib/node/hedged_watch.h
+++ b/lib/node/hedged_watch.h
@@ -1,6 +1,6 @@
 /*
  * One watch at a time, of which the request is sent once more, on a new connection, when
- * it has had no response (policy/hedge.h).
+ * nothing of a response has arrived (policy/hedge.h).
  *
  * The first usable response ends both requests.  A failure counts when the other request
  * has ended, too.  When the second request is responded to and the first is not, the
--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -217,6 +217,16 @@
   return value;
 }
 
+uint64_t
+second_watches (const Testbed *tb)
+{
+  uint64_t watches = 0;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    watches += metric_value (tb, i, "daisy_object_second_watches_total");
+  return watches;
+}
+
 uint64_t
 relay_answers (const Testbed *tb, unsigned entry)
 {
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -225,6 +225,8 @@
 
 /* The metric NAME of an entry; 0 when absent. */
 uint64_t metric_value (const Testbed *testbed, unsigned entry, const char *name);
+/* Watches that the entries have sent once more, on new connections. */
+uint64_t second_watches (const Testbed *testbed);
 /* How often the entry has answered nodes that read it in place of the store. */
 uint64_t relay_answers (const Testbed *testbed, unsigned entry);
 /* How often the servers ran request ID, by their records. */
--- a/regress/direct/narrow_link.c
+++ b/regress/direct/narrow_link.c
@@ -1,6 +1,8 @@
 /*
  * Tests of nodes that start behind a narrow link to the store.
  */
+#include <string.h>
+
 #include "direct.h"
 
 #define STORE_PAGE 1000 /* objects on a page of the store's lists */
@@ -15,6 +17,26 @@
 /* Longer than the first call for a list may wait for a byte. */
 #define QUEUE_MS 1200
 
+/* Stated by the users: a configuration is in force within this time. */
+#define APPLY_MS     2000
+#define DENIED       401
+#define MILLISECONDS 1000
+#define LARGE_ROUTES 2000
+/* A table takes so long on the link: longer than until a watch is sent once more. */
+#define LONGER_THAN_A_HEDGE_MS 700
+
+/* Bytes of the table, as the store sends it. */
+static uint64_t
+table_bytes (const Testbed *tb)
+{
+  Response r = call (&(Call){ .address = tb->store, .target = "/-/objects/config/main" });
+  uint64_t bytes = r.status == 200 ? strlen (r.body) : 0;
+
+  CHECK (bytes > 0);
+  response_free (&r);
+  return bytes;
+}
+
 static void
 list_further_upstreams (Testbed *tb)
 {
@@ -82,7 +104,54 @@
   proxy_set_queue (link, 0);
 }
 
+/* -------- a large routing table -------- */
+
+/* What is seen when a table must be in force. */
+typedef struct
+{
+  uint64_t copies; /* that the store has sent */
+  bool in_force;   /* at both entries */
+} Replaced;
+
+/* Takes key2 away by a table that takes TABLE_MS on the link. */
+static Replaced
+replace_large_table (Testbed *tb, unsigned table_ms)
+{
+  Proxy *link = g_ptr_array_index (tb->proxies, PROXY_STORE);
+  Replaced result = { .in_force = true };
+  uint64_t before;
+  uint64_t bytes;
+
+  tb->more_routes = LARGE_ROUTES;
+  CHECK (testbed_configure (tb, false));
+  CHECK (eventually (requests_are_served, tb));
+  g_usleep (APPLY_MS * G_TIME_SPAN_MILLISECOND);
+  before = recorded (tb->store, "changes.config");
+  bytes = table_bytes (tb);
+  proxy_set_rate (link, (unsigned)(bytes * MILLISECONDS / table_ms));
+  CHECK (testbed_configure (tb, true));
+  g_usleep (APPLY_MS * G_TIME_SPAN_MILLISECOND);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    result.in_force = result.in_force && status_with_key (tb, i, "key2") == DENIED;
+  result.copies = recorded (tb->store, "changes.config") - before;
+  proxy_set_rate (link, 0);
+  g_print ("a table of %" G_GUINT64_FORMAT
+           " bytes takes %u ms; in force: %s, copies: %" G_GUINT64_FORMAT "\n",
+           bytes, table_ms, result.in_force ? "yes" : "no", result.copies);
+  return result;
+}
+
+static void
+test_watch_was_sent_again_while_its_response_was_arriving (Testbed *tb)
+{
+  uint64_t before = second_watches (tb);
+
+  replace_large_table (tb, LONGER_THAN_A_HEDGE_MS);
+  CHECK (second_watches (tb) == before);
+}
+
 const TestFunc narrow_link_tests[] = {
+  test_watch_was_sent_again_while_its_response_was_arriving,
   test_calls_behind_a_full_queue_were_given_up_without_end,
   test_list_that_took_longer_than_a_silent_call_began_again_without_end,
   NULL,
--- a/regress/direct/silent_store.c
+++ b/regress/direct/silent_store.c
@@ -210,18 +210,6 @@
   CHECK (eventually (requests_are_served, tb));
 }
 
-static uint64_t
-second_watches (const Testbed *tb)
-{
-  Response r = call (&(Call){ .address = tb->metrics[FIRST], .target = "/metrics" });
-  const char *line
-      = r.body != NULL ? strstr (r.body, "\ndaisy_object_second_watches_total ") : NULL;
-  uint64_t count = line != NULL ? g_ascii_strtoull (strchr (line + 1, ' '), NULL, 10) : 0;
-
-  response_free (&r);
-  return count;
-}
-
 static void
 test_slow_store_is_not_asked_twice (Testbed *tb)
 {
--- a/regress/standin/objects.c
+++ b/regress/standin/objects.c
@@ -47,7 +47,10 @@
 static StandinBucket read_bucket;
 static uint64_t reads;
 static uint64_t writes;
-static GHashTable *lists; /* kind to the number of lists of it, stored as a pointer */
+/* Kind to the number of lists of it, and of watches of it that were answered with a
+ * change; stored as pointers. */
+static GHashTable *lists;
+static GHashTable *changes;
 
 /* The state to which the store can go back. */
 static struct
@@ -130,6 +133,14 @@
   return standin_json_uint (json_object_object_get (object, "metadata"), "revision");
 }
 
+static void
+count (GHashTable *counts, const char *kind)
+{
+  gsize n = GPOINTER_TO_SIZE (g_hash_table_lookup (counts, kind));
+
+  g_hash_table_replace (counts, g_strdup (kind), GSIZE_TO_POINTER (n + 1));
+}
+
 static json_object *
 events_after (const char *kind, uint64_t after)
 {
@@ -175,6 +186,8 @@
       json_object_put (events);
       return false;
     }
+  if (json_object_array_length (events) > 0)
+    count (changes, w->kind);
   reply_events (w->request, events);
   return true;
 }
@@ -270,9 +283,8 @@
     .items = json_object_new_array (),
   };
   json_object *response = json_object_new_object ();
-  gsize count = GPOINTER_TO_SIZE (g_hash_table_lookup (lists, kind));
 
-  g_hash_table_replace (lists, g_strdup (kind), GSIZE_TO_POINTER (count + 1));
+  count (lists, kind);
   g_tree_foreach (objects, list_object, &listing);
   json_object_object_add (response, "items", listing.items);
   json_object_object_add (response, "has_more", json_object_new_boolean (listing.more));
@@ -590,17 +602,17 @@
 }
 
 static json_object *
-count_lists (void)
+counts_as_json (GHashTable *counts)
 {
-  json_object *counts = json_object_new_object ();
+  json_object *object = json_object_new_object ();
   GHashTableIter iter;
   gpointer kind;
-  gpointer count;
+  gpointer n;
 
-  g_hash_table_iter_init (&iter, lists);
-  while (g_hash_table_iter_next (&iter, &kind, &count))
-    standin_json_set_uint (counts, kind, GPOINTER_TO_SIZE (count));
-  return counts;
+  g_hash_table_iter_init (&iter, counts);
+  while (g_hash_table_iter_next (&iter, &kind, &n))
+    standin_json_set_uint (object, kind, GPOINTER_TO_SIZE (n));
+  return object;
 }
 
 static json_object *
@@ -609,7 +621,8 @@
   json_object *records = json_object_new_object ();
 
   json_object_object_add (records, "watches", count_watches ());
-  json_object_object_add (records, "lists", count_lists ());
+  json_object_object_add (records, "lists", counts_as_json (lists));
+  json_object_object_add (records, "changes", counts_as_json (changes));
   standin_json_set_uint (records, "revision", revision);
   standin_json_set_uint (records, "reads", reads);
   standin_json_set_uint (records, "writes", writes);
@@ -621,6 +634,7 @@
 {
   objects = g_tree_new_full (compare_keys, NULL, g_free, release_json);
   lists = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  changes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dl_timer_subscribe (task, task, CHECK_MS, CHECK_MS, on_check, NULL);
 }
 
