narrow-link: the large table comes last, as the queue of the proxy delays each read

The tests behind it start nodes anew, and through a queue of 1.2 s for each read a table of 331 kB does not arrive within the time of that test. No check changes.

--- a/regress/direct/narrow_link.c
+++ b/regress/direct/narrow_link.c
@@ -151,8 +151,8 @@
 }
 
 const TestFunc narrow_link_tests[] = {
-  test_watch_was_sent_again_while_its_response_was_arriving,
   test_calls_behind_a_full_queue_were_given_up_without_end,
   test_list_that_took_longer_than_a_silent_call_began_again_without_end,
+  test_watch_was_sent_again_while_its_response_was_arriving,
   NULL,
 };
