The age of a relayed copy does not include the time for which a watch waited

Cause: a reader told how old its copy was when it answered; the asker counts that age from when it sent the watch. A watch that had waited 500 ms at the reader made a copy that was renewed meanwhile 500 ms older than it was. An entry that asks a reader held its table for 0.5 to 1.4 s old in calm times, and where the bound is 2,000 ms it read the store itself every few seconds.

Change: the age is told as of the arrival of the request; 0 when the copy was renewed since. It stays a lower bound of how current the copy is: the request arrived after it was sent. Old and new nodes can be mixed.

Ruled out: counting from the answer's arrival; the way back would not count.

--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -67,8 +67,8 @@
   DlObject *objects;
   bool more;       /* the list continues after its last object */
   bool is_reading; /* refused by a process that is reading the objects */
-  /* When another process responds in place of the platform: how long ago this was the
-   * platform's newest state.  0 from the platform itself. */
+  /* When another process responds in place of the platform: how long before the request
+   * this was the platform's newest state.  0 from the platform itself. */
   uint64_t age_ms;
   uint64_t era; /* of the store when it responded; 0 when not told */
 } DlObjectResult;
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -132,6 +132,17 @@
 
 /* -------- responses -------- */
 
+/* How long before HTTP arrived the copy was current; 0 when it was renewed since.  The
+ * client counts the age from when it sent the request, so that the time for which a watch
+ * waited here is not part of it. */
+static uint64_t
+age_ms (const Kind *k, const DlHttpRequest *http)
+{
+  uint64_t arrived_ms = dl_http_request_arrived_ms (http);
+
+  return arrived_ms > k->synced_ms ? arrived_ms - k->synced_ms : 0;
+}
+
 static void
 put_record (DlBuffer *body, const Kind *k, const Record *r, bool first)
 {
@@ -238,18 +249,18 @@
 {
   char revision[NUMBER_MAX];
   char era[NUMBER_MAX];
-  char age_ms[NUMBER_MAX];
+  char age[NUMBER_MAX];
   const DlHttpHeader headers[] = {
     { .name = "Content-Encoding", .value = "gzip" },
     { .name = DL_OBJECT_REVISION_HEADER, .value = revision },
     { .name = DL_OBJECT_ERA_HEADER, .value = era },
-    { .name = DL_OBJECT_AGE_HEADER, .value = age_ms },
+    { .name = DL_OBJECT_AGE_HEADER, .value = age },
     { 0 },
   };
 
   g_snprintf (revision, sizeof revision, "%" PRIu64, k->revision);
   g_snprintf (era, sizeof era, "%" PRIu64, k->era);
-  g_snprintf (age_ms, sizeof age_ms, "%" PRIu64, dl_clock_ms () - k->synced_ms);
+  g_snprintf (age, sizeof age, "%" PRIu64, age_ms (k, http));
   dl_http_reply (http, STATUS_OK, "application/json", packed, headers);
 }
 
@@ -261,7 +272,7 @@
   dl_buffer_printf (body,
                     "{\"era\":%" PRIu64 ",\"revision\":%" PRIu64 ",\"age_ms\":%" PRIu64
                     ",",
-                    k->era, k->revision, dl_clock_ms () - k->synced_ms);
+                    k->era, k->revision, age_ms (k, http));
   put_records (body, k, after, is_watch);
   dl_http_reply (http, STATUS_OK, "application/json", dl_buffer_view (body), NULL);
 }
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -2,12 +2,12 @@
  * Serves this entry's copy of the store's objects to other entries and stagers.
  *
  * Implements the list and watch of the project's own object API (kernel/object_client.h).
- * A response carries "age_ms": how long ago the copy was last known to be current (its
- * sync time).  A watch is answered when an object changes, when the copy has been synced
- * again in the second half of the watch's wait, or at the end of the wait.  A copy that
- * was synced too long ago is not served: status 503 tells the client to ask the store.
- * While the objects are being read for the first time, a list waits as long as its client
- * allows.
+ * A response carries "age_ms": how long before its request arrived the copy was last
+ * known to be current (its sync time).  A watch is answered when an object changes, when
+ * the copy has been synced again in the second half of the watch's wait, or at the end of
+ * the wait.  A copy that was synced too long ago is not served: status 503 tells the
+ * client to ask the store. While the objects are being read for the first time, a list
+ * waits as long as its client allows.
  *
  * To a client that accepts gzip the objects are sent compressed, and the numbers beside
  * them in headers (kernel/object_client.h), so that one compressed body serves all nodes
--- a/regress/direct/reader.c
+++ b/regress/direct/reader.c
@@ -1,4 +1,5 @@
 /* Tests of entries that read the store for others: what their copy claims to know. */
+#include <limits.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <signal.h>
@@ -129,7 +130,50 @@
   CHECK (bytes * REGION_NODES <= (uint64_t)LINK_BYTES_PER_S * LINK_MS / 1000);
 }
 
+/* -------- the age of a copy -------- */
+
+/* A reader of the store waits so long there. */
+#define READER_WAIT_MS 500
+#define WATCHES        4
+
+/* Age that the entry INDEX tells in its response to a watch, which it answers when its
+ * copy was renewed; UINT64_MAX without one. */
+static uint64_t
+watched_age_ms (const Testbed *tb, unsigned index)
+{
+  g_autofree char *target = g_strdup_printf ("/v1/watch?kinds=config&after=%d&wait_ms=%d",
+                                             INT_MAX, 2 * READER_WAIT_MS);
+  Response r = call (&(Call){ .address = tb->metrics[index], .target = target });
+  json_object *body = r.status == 200 ? json_tokener_parse (r.body) : NULL;
+  json_object *age = body != NULL ? json_object_object_get (body, "age_ms") : NULL;
+  uint64_t age_ms = age != NULL ? json_object_get_uint64 (age) : UINT64_MAX;
+
+  json_object_put (body);
+  response_free (&r);
+  return age_ms;
+}
+
+/* Each watch but the first arrives as the copy has just been renewed. */
+static void
+test_age_of_a_copy_included_the_time_for_which_a_watch_had_waited (Testbed *tb)
+{
+  uint64_t youngest_ms = UINT64_MAX;
+
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      uint64_t oldest_ms = 0;
+
+      watched_age_ms (tb, i);
+      for (unsigned n = 0; n < WATCHES; n++)
+        oldest_ms = MAX (oldest_ms, watched_age_ms (tb, i));
+      youngest_ms = MIN (youngest_ms, oldest_ms);
+    }
+  g_print ("highest age at the reader: %" G_GUINT64_FORMAT " ms\n", youngest_ms);
+  CHECK (youngest_ms < READER_WAIT_MS / 2);
+}
+
 const TestFunc reader_tests[] = {
+  test_age_of_a_copy_included_the_time_for_which_a_watch_had_waited,
   test_large_table_held_up_the_link_of_its_reader,
   test_reader_that_has_just_started_knows_no_removals,
   NULL,
