Entries wait for a reader that is receiving a newer copy

A reader that is receiving a table is refused as too old from the moment on at which its old copy is; its askers go on to the next entry, which reads the store as well, and from 70 % of the time for a change on every entry does, within 450 ms. 20 copies of 0.75 MB fill a link of 25 Mbit/s for 5 s, in which none is whole, and 1.5 to 3 s later the same begins again.

Test in group narrow-link, red before: a table of 0.33 MB crossed the link twice for two entries; now once, and in force within 2 s.

Change: the relay knows how the watch that renews its copy goes on (policy/read_progress): its response may begin 500 ms after it is due, and its parts may be 900 ms apart. While it does, watches wait, at most 150 ms without a fresh copy, and responses say so; askers stay, and read the store themselves only when that was not seen for 800 ms, and 300 ms later for each rank. Who takes a reader's place asks the store at once, without a wait, on a new connection and without a second request.

--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -66,7 +66,7 @@
   size_t count;
   DlObject *objects;
   bool more;       /* the list continues after its last object */
-  bool is_reading; /* refused by a process that is reading the objects */
+  bool is_reading; /* from a process that is reading the objects, or newer ones */
   /* When another process responds in place of the platform: how long before the request
    * this was the platform's newest state.  0 from the platform itself. */
   uint64_t age_ms;
@@ -89,7 +89,9 @@
 #define DL_OBJECT_REVISION_HEADER "Object-Revision"
 #define DL_OBJECT_ERA_HEADER      "Object-Era"
 #define DL_OBJECT_AGE_HEADER      "Object-Age-Ms"
-/* Of the refusal of a list: the objects are being read. */
+/* Of a refusal: the objects are being read.  Of another response: newer ones are
+ * arriving.
+ */
 #define DL_OBJECT_READING_HEADER "Object-Reading"
 
 /* A call, before it is encoded. */
--- a/lib/node/hedged_watch.c
+++ b/lib/node/hedged_watch.c
@@ -29,6 +29,7 @@
   void *data;
   DlWatchRequest request; /* the one in progress */
   bool is_ignored;        /* its response is not wanted */
+  uint64_t due_ms;        /* end of its wait */
   Attempt *first;         /* NULL for none */
   Attempt *second;        /* the same once more, on a new connection; NULL for none */
   DlTimer *second_timer;  /* when it is sent */
@@ -106,11 +107,18 @@
   watch->func (result, sent_ms, watch->data);
 }
 
+/* When the last part of the response arrived; 0 for none. */
+static uint64_t
+arrived_ms (const Attempt *attempt)
+{
+  return attempt != NULL ? dl_http_call_progress (attempt->call).arrived_ms : 0;
+}
+
 /* True when the response is arriving.  If it stops, the call ends by its own limit. */
 static bool
 has_begun (const Attempt *attempt)
 {
-  return dl_http_call_progress (attempt->call).arrived_ms != 0;
+  return arrived_ms (attempt) != 0;
 }
 
 static void
@@ -126,11 +134,19 @@
           DL_UINT ("bytes", dl_http_call_progress (first->call).bytes));
 }
 
+static DlHttpCall *
+send_anew (const DlHedgedWatch *watch, Attempt *attempt)
+{
+  const DlWatchRequest *request = &watch->request;
+
+  return dl_object_watch_anew (request->server, attempt, request->kind, request->revision,
+                               on_response, attempt);
+}
+
 static void
 on_second_due (DlTimer *timer, void *data)
 {
   DlHedgedWatch *watch = data;
-  const DlWatchRequest *request = &watch->request;
 
   TALLOC_FREE (watch->second_timer);
   if (watch->first == NULL || watch->is_ignored || has_begun (watch->first))
@@ -138,9 +154,7 @@
   dl_metric_add (&metric_second, 1);
   log_second (watch);
   watch->second = attempt_new (watch);
-  watch->second->call
-      = dl_object_watch_anew (request->server, watch->second, request->kind,
-                              request->revision, on_response, watch->second);
+  watch->second->call = send_anew (watch, watch->second);
 }
 
 DlHedgedWatch *
@@ -161,15 +175,19 @@
   cancel (watch);
   watch->request = *request;
   watch->is_ignored = false;
+  watch->due_ms = dl_clock_ms () + request->wait_ms;
   watch->first = attempt_new (watch);
   if (request->is_hedged)
     watch->second_timer
         = dl_timer_subscribe (watch->task, watch,
                               request->wait_ms + dl_hedge_delay_ms (&watch->hedge), 0,
                               on_second_due, watch);
-  watch->first->call
-      = dl_object_watch (request->server, watch->first, request->kind, request->revision,
-                         request->wait_ms, on_response, watch->first);
+  if (request->is_anew)
+    watch->first->call = send_anew (watch, watch->first);
+  else
+    watch->first->call = dl_object_watch (request->server, watch->first, request->kind,
+                                          request->revision, request->wait_ms,
+                                          on_response, watch->first);
 }
 
 void
@@ -177,3 +195,14 @@
 {
   watch->is_ignored = true;
 }
+
+DlReadProgress
+dl_hedged_watch_progress (const DlHedgedWatch *watch)
+{
+  if (watch->is_ignored || (watch->first == NULL && watch->second == NULL))
+    return (DlReadProgress){ 0 };
+  return (DlReadProgress){
+    .due_ms = watch->due_ms,
+    .arrived_ms = MAX (arrived_ms (watch->first), arrived_ms (watch->second)),
+  };
+}
--- a/lib/node/hedged_watch.h
+++ b/lib/node/hedged_watch.h
@@ -10,6 +10,7 @@
 #define DL_HEDGED_WATCH_H
 
 #include "kernel/object_client.h"
+#include "policy/read_progress.h"
 
 typedef struct DlHedgedWatch DlHedgedWatch;
 
@@ -21,6 +22,7 @@
   uint64_t revision; /* changes after it are wanted */
   uint64_t wait_ms;  /* how long the server waits for one */
   bool is_hedged;    /* false: there is no second request */
+  bool is_anew;      /* without a wait, on a new connection */
 } DlWatchRequest;
 
 /* Both requests have ended; RESULT responds to the one that was sent at SENT_MS. */
@@ -33,6 +35,8 @@
 dl_hedged_watch_new (DlTask *task, const void *owner, DlHedgedWatchFunc func, void *data);
 /* Sends REQUEST; cancels what is in progress. */
 void dl_hedged_watch_send (DlHedgedWatch *watch, const DlWatchRequest *request);
+/* Progress of the watch in progress; zeroed when there is none. */
+DlReadProgress dl_hedged_watch_progress (const DlHedgedWatch *watch);
 /* The response to the watch in progress, if one is, is not wanted any more.  Its requests
  * are cancelled when the next one is sent. */
 void dl_hedged_watch_ignore (DlHedgedWatch *watch);
--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -19,6 +19,9 @@
 #define STATUS_UNAVAILABLE 503
 /* A shorter body is not compressed. */
 #define PACKED_MIN_BYTES 4096
+/* A watch for which there is no fresh copy waits at most so long for the one that is
+ * being read, so that its client learns that it is. */
+#define RENEWAL_HOLD_MS 150
 /* Characters of a number. */
 #define NUMBER_MAX 24
 /* In place of a revision: requests no objects. */
@@ -69,9 +72,11 @@
 {
   char *name;
   uint64_t max_age_ms;
-  uint64_t era;        /* of the store when the copy was read */
-  bool is_relisting;   /* a new era has begun, whose objects are not known yet */
-  bool is_reading;     /* from the store, which responds */
+  uint64_t era;      /* of the store when the copy was read */
+  bool is_relisting; /* a new era has begun, whose objects are not known yet */
+  bool is_reading;   /* from the store, which responds */
+  DlObjectRelayProgress progress; /* of the renewal; NULL when it is not told */
+  void *progress_data;
   uint64_t revision;   /* all changes up to it are known; 0 before the first sync */
   uint64_t synced_ms;  /* when that was current; 0 while the store does not answer */
   uint64_t newest;     /* revision of the last change */
@@ -130,6 +135,30 @@
   return k->revision > 0 && now_ms - k->synced_ms <= k->max_age_ms;
 }
 
+static DlReadProgress
+renewal (const Kind *k)
+{
+  return k->progress != NULL ? k->progress (k->progress_data) : (DlReadProgress){ 0 };
+}
+
+/* True when nodes that need a fresh copy should wait for the one that is being read. */
+static bool
+is_renewing (const Kind *k, uint64_t now_ms)
+{
+  DlReadProgress progress = renewal (k);
+
+  return dl_read_progresses (&progress, now_ms);
+}
+
+/* True when the response that renews the copy is arriving. */
+static bool
+is_arriving (const Kind *k)
+{
+  DlReadProgress progress = renewal (k);
+
+  return dl_read_is_arriving (&progress, dl_clock_ms ());
+}
+
 /* -------- responses -------- */
 
 /* How long before HTTP arrived the copy was current; 0 when it was renewed since.  The
@@ -143,6 +172,9 @@
   return arrived_ms > k->synced_ms ? arrived_ms - k->synced_ms : 0;
 }
 
+static const DlHttpHeader reading_header
+    = { .name = DL_OBJECT_READING_HEADER, .value = "yes" };
+
 static void
 put_record (DlBuffer *body, const Kind *k, const Record *r, bool first)
 {
@@ -255,6 +287,7 @@
     { .name = DL_OBJECT_REVISION_HEADER, .value = revision },
     { .name = DL_OBJECT_ERA_HEADER, .value = era },
     { .name = DL_OBJECT_AGE_HEADER, .value = age },
+    is_arriving (k) ? reading_header : (DlHttpHeader){ 0 },
     { 0 },
   };
 
@@ -268,13 +301,15 @@
 send_plain (const Kind *k, DlHttpRequest *http, uint64_t after, bool is_watch)
 {
   DlBuffer *body = dl_buffer_new (http, 0);
+  const DlHttpHeader headers[] = { reading_header, { 0 } };
 
   dl_buffer_printf (body,
                     "{\"era\":%" PRIu64 ",\"revision\":%" PRIu64 ",\"age_ms\":%" PRIu64
                     ",",
                     k->era, k->revision, age_ms (k, http));
   put_records (body, k, after, is_watch);
-  dl_http_reply (http, STATUS_OK, "application/json", dl_buffer_view (body), NULL);
+  dl_http_reply (http, STATUS_OK, "application/json", dl_buffer_view (body),
+                 is_arriving (k) ? headers : NULL);
 }
 
 /* Sends the objects that changed after AFTER; deletions only for a watch. */
@@ -296,12 +331,9 @@
 static void
 refuse_stale (const Kind *k, DlHttpRequest *http)
 {
-  const DlHttpHeader headers[] = {
-    { .name = DL_OBJECT_READING_HEADER, .value = "yes" },
-    { 0 },
-  };
+  const DlHttpHeader headers[] = { reading_header, { 0 } };
 
-  if (k->is_reading)
+  if (k->is_reading || is_renewing (k, dl_clock_ms ()))
     dl_http_reply (http, STATUS_UNAVAILABLE, "text/plain",
                    DL_STR_LITERAL ("the objects are being read"), headers);
   else
@@ -348,7 +380,9 @@
     return now_ms >= w->until_ms || !w->kind->is_reading;
   if (w->kind->is_relisting)
     return now_ms >= w->until_ms;
-  return w->era != w->kind->era || now_ms >= w->until_ms || !is_fresh (w->kind, now_ms)
+  if (!is_fresh (w->kind, now_ms))
+    return now_ms >= w->until_ms || !is_renewing (w->kind, now_ms);
+  return w->era != w->kind->era || now_ms >= w->until_ms
          || (w->kind->synced_ms > w->known_sync_ms && now_ms >= w->early_ms)
          || w->kind->newest > w->after;
 }
@@ -400,11 +434,19 @@
   return w;
 }
 
+static void
+hold_watch (Kind *k, DlHttpRequest *http, uint64_t era, uint64_t wait_ms)
+{
+  PendingRead *w = pending_new (k, http, era, wait_ms);
+
+  w->is_watch = true;
+  w->after = query_uint (http, "after");
+}
+
 static void
 handle_watch (Kind *k, DlHttpRequest *http, uint64_t era)
 {
   uint64_t after = query_uint (http, "after");
-  PendingRead *w;
 
   if (after < k->dropped)
     {
@@ -416,9 +458,7 @@
       send_objects (k, http, after, true);
       return;
     }
-  w = pending_new (k, http, era, query_uint (http, "wait_ms"));
-  w->is_watch = true;
-  w->after = after;
+  hold_watch (k, http, era, query_uint (http, "wait_ms"));
 }
 
 /* A watch also waits while the objects of a new era are being listed. */
@@ -430,6 +470,8 @@
 
   if (!can_serve && !is_watch && k->is_reading)
     pending_new (k, http, era, query_uint (http, "wait_ms"));
+  else if (!can_serve && is_watch && era <= k->era && is_renewing (k, dl_clock_ms ()))
+    hold_watch (k, http, era != 0 ? era : k->era, RENEWAL_HOLD_MS);
   else if (!can_serve || era > k->era)
     refuse_stale (k, http);
   else if (is_watch)
@@ -556,6 +598,19 @@
   complete_due (k, dl_clock_ms ());
 }
 
+void
+dl_object_relay_set_progress (DlObjectRelay *relay,
+                              const char *kind,
+                              DlObjectRelayProgress func,
+                              void *data)
+{
+  Kind *k = find_kind (relay, kind);
+
+  g_assert (k != NULL);
+  k->progress = func;
+  k->progress_data = data;
+}
+
 void
 dl_object_relay_set_unreachable (DlObjectRelay *relay, const char *kind)
 {
--- a/lib/node/object_relay.h
+++ b/lib/node/object_relay.h
@@ -7,7 +7,9 @@
  * the copy has been synced again in the second half of the watch's wait, or at the end of
  * the wait.  A copy that was synced too long ago is not served: status 503 tells the
  * client to ask the store. While the objects are being read for the first time, a list
- * waits as long as its client allows.
+ * waits as long as its client allows.  While a newer copy is being read
+ * (policy/read_progress.h), so does a watch, and the responses say so, so that the
+ * clients wait for it instead of asking the store.
  *
  * To a client that accepts gzip the objects are sent compressed, and the numbers beside
  * them in headers (kernel/object_client.h), so that one compressed body serves all nodes
@@ -23,6 +25,7 @@
 
 #include "kernel/http_server.h"
 #include "kernel/object_client.h"
+#include "policy/read_progress.h"
 
 typedef struct DlObjectRelay DlObjectRelay;
 
@@ -51,6 +54,12 @@
  * and keep arriving. */
 void
 dl_object_relay_set_reading (DlObjectRelay *relay, const char *kind, bool is_reading);
+/* The progress of the read that renews the copy of KIND is told by FUNC. */
+typedef DlReadProgress (*DlObjectRelayProgress) (void *data);
+void dl_object_relay_set_progress (DlObjectRelay *relay,
+                                   const char *kind,
+                                   DlObjectRelayProgress func,
+                                   void *data);
 /* The store does not answer: refuses KIND until the next sync, so that clients ask the
  * store themselves. */
 void dl_object_relay_set_unreachable (DlObjectRelay *relay, const char *kind);
--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -53,6 +53,7 @@
   uint64_t answered_ms;  /* last answer of the store itself; 0: failed, or was a reader */
   bool via_relay;        /* the request in progress goes to a reader */
   bool is_reader;        /* this process reads the store for others */
+  bool is_behind;        /* the last reader's copy was too old */
   DlObjectClient *server; /* that the request in progress was sent to */
   DlObjectOrigin origin;  /* of the last answer */
   uint64_t number;       /* of the last list; the responses to earlier ones are ignored */
@@ -119,6 +120,7 @@
 set_synced (DlObjectWatch *watch, uint64_t age_ms)
 {
   watch->after_outage = false;
+  watch->is_behind = false;
   watch->answered_ms = watch->via_relay ? 0 : dl_clock_ms ();
   if (watch->sent_ms > age_ms)
     watch->synced_ms = MAX (watch->synced_ms, watch->sent_ms - age_ms);
@@ -289,6 +291,7 @@
                                                             .is_stale = is_stale });
 
   watch->answered_ms = 0;
+  watch->is_behind = watch->is_behind || is_stale;
   run_after (watch, MIN (backoff_ms, direct_delay_ms (watch)));
 }
 
@@ -377,6 +380,13 @@
     restart_list (watch);
 }
 
+/* The reader that was asked is reading the objects itself. */
+static void
+report_reading (DlObjectWatch *watch)
+{
+  dl_relay_source_report_reading (watch->options.source, watch->options.kind);
+}
+
 /* The reader that was asked for the list does not answer, or has none, or one that is
  * older than what is known here. */
 static void
@@ -389,7 +399,7 @@
       retry_without_relay (watch, result->error < 0 ? result : &too_old);
       return;
     }
-  dl_relay_source_report_reading (watch->options.source, watch->options.kind);
+  report_reading (watch);
   run_after (watch, READER_POLL_MS);
 }
 
@@ -484,15 +494,21 @@
     send_watch (watch);
 }
 
+/* True when this entry reads the store because the readers' copies are too old. */
+static bool
+replaces_reader (const DlObjectWatch *watch)
+{
+  return !watch->via_relay && watch->options.source != NULL
+         && (watch->is_behind || direct_delay_ms (watch) == 0);
+}
+
 /* The wait of the next watch. */
 static uint64_t
 wait_ms (const DlObjectWatch *watch)
 {
   const DlObjectWatchOptions *o = &watch->options;
 
-  if (watch->is_refreshing)
-    return 0;
-  if (!watch->via_relay && o->source != NULL && direct_delay_ms (watch) == 0)
+  if (watch->is_refreshing || replaces_reader (watch))
     return 0;
   if (watch->via_relay)
     return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
@@ -533,6 +549,8 @@
   set_synced (watch, result->age_ms);
   if (watch->via_relay)
     dl_relay_source_report_success (watch->options.source, watch->options.kind);
+  if (result->is_reading)
+    report_reading (watch);
   next_ms = next_pause_ms (watch, result->count);
   if (next_ms > 0)
     run_after (watch, next_ms);
@@ -540,6 +558,19 @@
     continue_watch (watch);
 }
 
+/* The watch at a reader failed. */
+static void
+retry_watch_at_reader (DlObjectWatch *watch, const DlObjectResult *result)
+{
+  if (!result->is_reading)
+    {
+      retry_without_relay (watch, result);
+      return;
+    }
+  report_reading (watch);
+  run_after (watch, READER_POLL_MS);
+}
+
 static void
 on_watch (const DlObjectResult *result, uint64_t sent_ms, void *data)
 {
@@ -557,7 +588,7 @@
       send_list (watch);
     }
   else if (result->error < 0 && watch->via_relay)
-    retry_without_relay (watch, result);
+    retry_watch_at_reader (watch, result);
   else if (result->error < 0)
     retry_later (watch, result);
   else
@@ -595,13 +626,15 @@
   watch->sent_wait_ms = wait_ms (watch);
   watch->is_refreshing = false;
   limit_reader (watch);
-  dl_hedged_watch_send (watch->hedged, &(DlWatchRequest){
-                                           .server = watch->server,
-                                           .kind = watch->options.kind,
-                                           .revision = watch->revision,
-                                           .wait_ms = watch->sent_wait_ms,
-                                           .is_hedged = !watch->via_relay,
-                                       });
+  dl_hedged_watch_send (watch->hedged,
+                        &(DlWatchRequest){
+                            .server = watch->server,
+                            .kind = watch->options.kind,
+                            .revision = watch->revision,
+                            .wait_ms = watch->sent_wait_ms,
+                            .is_hedged = !watch->via_relay && !replaces_reader (watch),
+                            .is_anew = replaces_reader (watch),
+                        });
 }
 
 /* -------- eras -------- */
@@ -628,6 +661,17 @@
   run_after (watch, spread_ms > 0 ? dl_random_uint64 () % spread_ms : 0);
 }
 
+/* The progress of a watch at the store itself, for the relay. */
+static DlReadProgress
+progress (void *data)
+{
+  const DlObjectWatch *watch = data;
+
+  if (watch->via_relay)
+    return (DlReadProgress){ 0 };
+  return dl_hedged_watch_progress (watch->hedged);
+}
+
 DlObjectWatch *
 dl_object_watch_new (DlTask *task,
                      const void *owner,
@@ -642,6 +686,8 @@
   watch->options = *options;
   watch->known = dl_known_objects_new (watch, options->kind, on_object, watch);
   watch->hedged = dl_hedged_watch_new (task, watch, on_watch, watch);
+  if (options->relay != NULL)
+    dl_object_relay_set_progress (options->relay, options->kind, progress, watch);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
   if (options->first_delay_ms > 0)
     run_after (watch, options->first_delay_ms);
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -254,16 +254,29 @@
   return since_ms + DL_READER_FIRST_WAIT_MS + place * DL_READER_FIRST_STEP_MS;
 }
 
-/* The same for one that has a copy. */
+/* Time up to which a reader that is receiving a newer copy is waited for. */
 static uint64_t
-renewal_ms (const DlReaderCopy *copy)
+awaited_ms (const KindHealth *of_kind, const DlReaderCopy *copy)
+{
+  size_t place = copy->position % DL_ENTRIES_PER_READER;
+
+  if (of_kind->reading_ms == 0)
+    return 0;
+  return of_kind->reading_ms + DL_READER_RENEWAL_WAIT_MS
+         + place * DL_READER_RENEWAL_STEP_MS;
+}
+
+/* The same as first_direct_ms for an entry that has a copy. */
+static uint64_t
+renewal_ms (const KindHealth *of_kind, const DlReaderCopy *copy)
 {
   uint64_t age_ms = copy->apply_ms * DL_READER_DIRECT_PERCENT / PERCENT;
   uint64_t spread_ms = copy->apply_ms * DL_READER_DIRECT_SPREAD_PERCENT / PERCENT;
 
   if (copy->apply_ms == 0)
     return UINT64_MAX;
-  return copy->synced_ms + age_ms + turn (spread_ms, copy->position);
+  return MAX (copy->synced_ms + age_ms + turn (spread_ms, copy->position),
+              awaited_ms (of_kind, copy));
 }
 
 uint64_t
@@ -276,7 +289,8 @@
     return UINT64_MAX;
   if (of_kind == NULL)
     of_kind = &unknown;
-  return MAX (copy->synced_ms == 0 ? first_direct_ms (of_kind, copy) : renewal_ms (copy),
+  return MAX (copy->synced_ms == 0 ? first_direct_ms (of_kind, copy)
+                                   : renewal_ms (of_kind, copy),
               of_kind->direct_at_ms);
 }
 
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -12,9 +12,10 @@
  *
  * A reader may be behind the store, and then so are the nodes that ask it.  An entry's
  * copy has a bound, the time within which a change takes effect.  When most of that is
- * over, the entry reads the store itself, whatever the readers say.  The entries of a
- * region do so one after the other, by rank, so that those behind find a fresh copy at
- * those before them.
+ * over, the entry reads the store itself, unless a reader is receiving a newer copy: the
+ * same read by every entry of the region would fill the link that delays the reader.  The
+ * entries of a region do so one after the other, by rank, so that those behind find a
+ * fresh copy at those before them.
  *
  * An entry that has just started has no copy.  It waits for as long as a reader makes
  * progress with one.  When none has for a while, the entries read the store themselves,
@@ -82,6 +83,10 @@
  * is a further part and has DL_ENTRIES_PER_READER turns. */
 #define DL_READER_DIRECT_PERCENT        70
 #define DL_READER_DIRECT_SPREAD_PERCENT 15
+/* Since a reader was last seen to receive a newer copy, the first entry waits for at
+ * least this long, and the entries after it each so much longer. */
+#define DL_READER_RENEWAL_WAIT_MS 800
+#define DL_READER_RENEWAL_STEP_MS 300
 /* An entry that the store did not answer asks only readers for this long, and for a part
  * of the spread by its turn, so that not all read the store as an outage ends. */
 #define DL_READER_DIRECT_RETRY_MS  1500
@@ -118,7 +123,8 @@
                                  const char *kind,
                                  uint64_t now_ms,
                                  bool *is_new);
-/* Records that a reader has no copy of the objects of KIND yet, but is reading them. */
+/* Records that a reader is reading the objects of KIND: it has no copy yet, or an old
+ * one. */
 void dl_reader_health_reading (DlReaderHealth *health, const char *kind, uint64_t now_ms);
 /* Records that a reader gave out objects of KIND, which ends a run of consecutive
  * failures. */
--- a/regress/direct/narrow_link.c
+++ b/regress/direct/narrow_link.c
@@ -23,7 +23,9 @@
 #define MILLISECONDS 1000
 #define LARGE_ROUTES 2000
 /* A table takes so long on the link: longer than until a watch is sent once more. */
-#define LONGER_THAN_A_HEDGE_MS 700
+#define LONGER_THAN_A_HEDGE_MS 400
+/* The same, and longer than until an entry reads the store itself. */
+#define LONGER_THAN_A_TURN_MS 500
 
 /* Bytes of the table, as the store sends it. */
 static uint64_t
@@ -150,9 +152,24 @@
   CHECK (second_watches (tb) == before);
 }
 
+static void
+test_entry_read_the_store_while_its_reader_was_receiving_the_table (Testbed *tb)
+{
+  static const unsigned table_ms[] = { LONGER_THAN_A_HEDGE_MS, LONGER_THAN_A_TURN_MS };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (table_ms); i++)
+    {
+      Replaced replaced = replace_large_table (tb, table_ms[i]);
+
+      CHECK (replaced.copies == 1);
+      CHECK (replaced.in_force);
+    }
+}
+
 const TestFunc narrow_link_tests[] = {
   test_calls_behind_a_full_queue_were_given_up_without_end,
   test_list_that_took_longer_than_a_silent_call_began_again_without_end,
   test_watch_was_sent_again_while_its_response_was_arriving,
+  test_entry_read_the_store_while_its_reader_was_receiving_the_table,
   NULL,
 };
--- a/regress/unit/test_readers.c
+++ b/regress/unit/test_readers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "policy/read_progress.h"
 #include "policy/readers.h"
 #include "unit.h"
 
@@ -309,6 +310,57 @@
     }
 }
 
+/* A copy that a reader is receiving is waited for, at first by all entries. */
+static void
+test_reader_that_receives_a_newer_copy_is_waited_for (void)
+{
+  DlReaderHealth *health = dl_reader_health_new (NULL, true);
+  DlReaderCopy copy = { .kind = KIND, .synced_ms = NOW_MS, .apply_ms = 3000 };
+  uint64_t due_ms = dl_reader_health_direct_ms (health, &copy);
+
+  dl_reader_health_reading (health, KIND, due_ms - 100);
+  CU_ASSERT (dl_reader_health_direct_ms (health, &copy) > due_ms);
+  dl_reader_health_reading (health, KIND, due_ms + 1000);
+  CU_ASSERT (dl_reader_health_direct_ms (health, &copy) > due_ms + 1000);
+  copy.position = 1;
+  CU_ASSERT_EQUAL (dl_reader_health_direct_ms (health, &copy),
+                   due_ms + 1000 + DL_READER_RENEWAL_WAIT_MS + DL_READER_RENEWAL_STEP_MS);
+  copy.apply_ms = 0;
+  CU_ASSERT_EQUAL (dl_reader_health_direct_ms (health, &copy), UINT64_MAX);
+  talloc_free (health);
+}
+
+/* -------- progress of a read -------- */
+
+typedef struct
+{
+  const char *name;
+  DlReadProgress progress;
+  bool progresses;
+  bool is_arriving;
+} ProgressCase;
+
+static const ProgressCase progress_cases[] = {
+  { "no read", { 0 }, false, false },
+  { "not due", { .due_ms = NOW_MS + 100 }, true, false },
+  { "just late", { .due_ms = NOW_MS - DL_READ_BEGIN_MS + 1 }, true, false },
+  { "nothing has come", { .due_ms = NOW_MS - DL_READ_BEGIN_MS }, false, false },
+  { "arriving", { NOW_MS - 4000, NOW_MS - DL_READ_PAUSE_MS + 1 }, true, true },
+  { "stopped", { NOW_MS - 4000, NOW_MS - DL_READ_PAUSE_MS }, false, false },
+};
+
+static void
+test_read_progresses_while_its_response_is_due_or_arrives (void)
+{
+  for (size_t i = 0; i < sizeof progress_cases / sizeof *progress_cases; i++)
+    {
+      const ProgressCase *c = &progress_cases[i];
+
+      CU_ASSERT_EQUAL (dl_read_progresses (&c->progress, NOW_MS), c->progresses);
+      CU_ASSERT_EQUAL (dl_read_is_arriving (&c->progress, NOW_MS), c->is_arriving);
+    }
+}
+
 static void
 test_store_that_does_not_answer_is_left_alone (void)
 {
@@ -430,6 +482,10 @@
   { "kinds count apart", test_kinds_count_apart },
   { "old copies of readers do not let a copy grow old",
     test_readers_with_old_copies_do_not_let_a_copy_grow_old },
+  { "a reader that receives a newer copy is waited for",
+    test_reader_that_receives_a_newer_copy_is_waited_for },
+  { "a read progresses while its response is due or arrives",
+    test_read_progresses_while_its_response_is_due_or_arrives },
   { "a store that does not answer is left alone",
     test_store_that_does_not_answer_is_left_alone },
   { "a copy without a bound is left to readers",
