The reading of lists is a file of its own; a watch decides once whether it replaces a reader

No behaviour changes: whether a watch takes a reader's place was determined three times for one request, and is once now. The age of an answer's origin is described as of the request, as it is told since the change of ages.

--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -1,4 +1,4 @@
-#include "node/object_watch.h"
+#include "node/object_watch_private.h"
 
 #include <glib.h>
 #include <talloc.h>
@@ -6,17 +6,10 @@
 #include "kernel/crypt.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "node/hedged_watch.h"
-#include "node/known_objects.h"
 #include "node/read_log.h"
 #include "policy/backoff.h"
-#include "policy/list_wait.h"
 
 #define RETRY_FIRST_MS 150
-/* While a reader is waited for, it is looked for this often. */
-#define READER_POLL_MS 50
-/* A list waits so long at a reader that is reading the objects itself. */
-#define LIST_WAIT_MS 1000
 /* Pause after a watch that returned no object in the first half of its wait. */
 #define EARLY_PAUSE_MS 100
 /* A watch that is sent this long after the store's answer to the one before has no gap.
@@ -30,53 +23,7 @@
  * wait that the reader itself uses; hence a watch at a reader waits this much longer. */
 #define RELAY_WAIT_SLACK_MS 100
 
-struct DlObjectWatch
-{
-  DlTask *task;
-  DlObjectClient *client; /* of the store */
-  DlObjectWatchOptions options;
-  DlKnownObjects *known;
-  char *list_after;       /* name after which the next page starts; NULL at the first */
-  uint64_t list_revision; /* of the first page of the list in progress */
-  bool list_failed;       /* the last call for a list at the store did */
-  bool reader_is_ahead;   /* a reader no longer knows the changes since this revision */
-  uint64_t list_wait_ms;  /* of the next one, see policy/list_wait.h */
-  uint64_t revision;      /* all changes up to it are known */
-  uint64_t sent_wait_ms;  /* wait of the watch request in progress */
-  uint64_t sent_ms; /* of the watch that was last answered, or of the list's first page */
-  uint64_t synced_ms;    /* 0 before the first list is complete */
-  uint64_t retry_ms;     /* backoff; 0 while requests succeed */
-  bool is_refreshing;    /* the next watch request does not wait */
-  bool lost;             /* the store did not answer last time */
-  bool after_outage;     /* the same, until what it shows now has been handled */
-  uint64_t unchanged_ms; /* the store had no news before this, see note_unchanged */
-  uint64_t answered_ms;  /* last answer of the store itself; 0: failed, or was a reader */
-  bool via_relay;        /* the request in progress goes to a reader */
-  bool is_reader;        /* this process reads the store for others */
-  bool is_behind;        /* the last reader's copy was too old */
-  DlObjectClient *server; /* that the request in progress was sent to */
-  DlObjectOrigin origin;  /* of the last answer */
-  uint64_t number;       /* of the last list; the responses to earlier ones are ignored */
-  DlHedgedWatch *hedged; /* sends the watches, also those without a wait */
-  bool is_relisting;     /* the list in progress is the first of a new era */
-  uint64_t era;          /* of the store when the revisions were read */
-  uint64_t revision_before; /* the last one known of the era before */
-  DlTimer *timer;
-  DlTimer *direct_timer; /* when the store is asked in the place of a reader that does not
-                            answer; NULL for none */
-};
-
-/* A request for a list. */
-typedef struct
-{
-  DlObjectWatch *watch;
-  uint64_t sent_ms;
-  uint64_t number;
-} Request;
-
 static void start_list (DlObjectWatch *watch);
-static void send_list (DlObjectWatch *watch);
-static void continue_watch (DlObjectWatch *watch);
 static void send_watch (DlObjectWatch *watch);
 
 static void
@@ -89,8 +36,8 @@
   watch->options.on_object (object, watch->options.data);
 }
 
-static void
-set_contact (DlObjectWatch *watch, int error)
+void
+dl_object_watch_set_contact (DlObjectWatch *watch, int error)
 {
   bool lost = error < 0;
 
@@ -103,10 +50,10 @@
     watch->options.on_contact (error, watch->options.data);
 }
 
-/* The request in progress was answered, by a reader AGE_MS after that had last heard the
- * store. */
-static void
-note_origin (DlObjectWatch *watch, uint64_t age_ms)
+/* The request in progress was answered; if by a reader, that had last heard the store
+ * AGE_MS before it was asked. */
+void
+dl_object_watch_note_origin (DlObjectWatch *watch, uint64_t age_ms)
 {
   const char *server = dl_object_client_address (watch->server);
 
@@ -116,8 +63,8 @@
 }
 
 /* The known objects were current AGE_MS before the request was sent, or later. */
-static void
-set_synced (DlObjectWatch *watch, uint64_t age_ms)
+void
+dl_object_watch_set_synced (DlObjectWatch *watch, uint64_t age_ms)
 {
   watch->after_outage = false;
   watch->is_behind = false;
@@ -134,22 +81,11 @@
 
 /* -------- requests -------- */
 
-static Request *
-request_new (DlObjectWatch *watch)
-{
-  Request *request = talloc_zero (watch, Request);
-
-  request->watch = watch;
-  request->sent_ms = dl_clock_ms ();
-  request->number = ++watch->number;
-  return request;
-}
-
-static void
-log_failure (const DlObjectWatch *watch,
-             DlObjectAction action,
-             uint64_t sent_ms,
-             const DlObjectResult *result)
+void
+dl_object_watch_log_failure (const DlObjectWatch *watch,
+                             DlObjectAction action,
+                             uint64_t sent_ms,
+                             const DlObjectResult *result)
 {
   const char *reader = watch->via_relay ? dl_object_client_address (watch->server) : NULL;
 
@@ -160,19 +96,6 @@
                        result);
 }
 
-/* Frees REQUEST, which has ended with RESULT, and returns whether its response is still
- * wanted. */
-static bool
-request_end (Request *request, const DlObjectResult *result)
-{
-  bool is_wanted = request->number == request->watch->number;
-
-  if (is_wanted && result->error < 0 && result->error != DL_ERR_NOT_FOUND)
-    log_failure (request->watch, DL_OBJECT_LIST, request->sent_ms, result);
-  talloc_free (request);
-  return is_wanted;
-}
-
 /* The responses to the requests in progress are not wanted any more. */
 static void
 give_up_requests (DlObjectWatch *watch)
@@ -216,11 +139,11 @@
   if (watch->synced_ms == 0 || dl_known_objects_is_listing (watch->known))
     start_list (watch);
   else
-    continue_watch (watch);
+    dl_object_watch_continue_watch (watch);
 }
 
-static void
-run_after (DlObjectWatch *watch, uint64_t delay_ms)
+void
+dl_object_watch_run_after (DlObjectWatch *watch, uint64_t delay_ms)
 {
   dl_timer_set (&watch->timer, watch->task, watch, delay_ms, on_timer, watch);
 }
@@ -257,31 +180,32 @@
     dl_relay_source_report_store_failure (watch->options.source, &wanted);
 }
 
-static void
-retry_later (DlObjectWatch *watch, const DlObjectResult *result)
+void
+dl_object_watch_retry_later (DlObjectWatch *watch, const DlObjectResult *result)
 {
   const DlBackoffBounds bounds
       = { .first_ms = RETRY_FIRST_MS, .max_ms = watch->options.retry_max_ms };
 
-  set_contact (watch, result->error);
+  dl_object_watch_set_contact (watch, result->error);
   report_store_failure (watch);
   watch->after_outage = watch->after_outage || !was_paused (watch);
   watch->answered_ms = 0;
   watch->retry_ms = dl_backoff_next_ms (watch->retry_ms, &bounds);
-  run_after (watch, dl_backoff_spread_ms (watch->retry_ms, dl_random_uint64 ()));
+  dl_object_watch_run_after (watch,
+                             dl_backoff_spread_ms (watch->retry_ms, dl_random_uint64 ()));
 }
 
-static void
-restart_list (DlObjectWatch *watch)
+/* The reader that was asked is reading the objects itself. */
+void
+dl_object_watch_report_reading (DlObjectWatch *watch)
 {
-  dl_known_objects_begin_list (watch->known);
-  TALLOC_FREE (watch->list_after);
+  dl_relay_source_report_reading (watch->options.source, watch->options.kind);
 }
 
 /* The reader does not answer, or its copy is stale: reports that and tries again later,
  * with another reader or the store. */
-static void
-retry_without_relay (DlObjectWatch *watch, const DlObjectResult *result)
+void
+dl_object_watch_retry_without_relay (DlObjectWatch *watch, const DlObjectResult *result)
 {
   bool is_stale = result->responded && result->error == DL_ERR_UNAVAILABLE;
   uint64_t backoff_ms
@@ -292,12 +216,12 @@
 
   watch->answered_ms = 0;
   watch->is_behind = watch->is_behind || is_stale;
-  run_after (watch, MIN (backoff_ms, direct_delay_ms (watch)));
+  dl_object_watch_run_after (watch, MIN (backoff_ms, direct_delay_ms (watch)));
 }
 
 /* Chooses between the store and a reader for the next watch. */
-static void
-choose_server (DlObjectWatch *watch)
+void
+dl_object_watch_choose_server (DlObjectWatch *watch)
 {
   DlRelayWant wanted = want (watch);
   DlObjectClient *relay = NULL;
@@ -308,165 +232,6 @@
   watch->server = relay != NULL ? relay : watch->client;
 }
 
-/* Chooses between them for a list.  A reader's copy may be older than what is known here,
- * so that its list would show deleted objects and lack new ones.  So a list may be read
- * from a reader only if it is the first one, or if that reader is ahead. */
-static void
-choose_list_server (DlObjectWatch *watch)
-{
-  bool is_reader_ahead = watch->reader_is_ahead;
-
-  watch->reader_is_ahead = false;
-  if (is_reader_ahead && !watch->is_relisting)
-    return;
-  if (watch->synced_ms == 0 && !watch->is_relisting)
-    {
-      choose_server (watch);
-      return;
-    }
-  watch->via_relay = false;
-  watch->server = watch->client;
-}
-
-/* The list in the new era is complete; UNLISTED objects of the era before are not in it.
- */
-static void
-end_relisting (DlObjectWatch *watch, unsigned unlisted)
-{
-  uint64_t era = dl_object_era_current (dl_object_client_era (watch->client));
-
-  dl_log (DL_EVENT_STORE_ERA, DL_TEXT ("kind", watch->options.kind),
-          DL_UINT ("era_before", watch->era), DL_UINT ("era", era),
-          DL_UINT ("revision_before", watch->revision_before),
-          DL_UINT ("revision", watch->list_revision), DL_UINT ("unlisted", unlisted));
-  watch->is_relisting = false;
-}
-
-static void
-end_list (DlObjectWatch *watch, uint64_t age_ms)
-{
-  unsigned unlisted = dl_known_objects_end_list (watch->known, watch->list_revision);
-
-  if (watch->is_relisting)
-    end_relisting (watch, unlisted);
-  watch->era = dl_object_era_current (dl_object_client_era (watch->client));
-  TALLOC_FREE (watch->list_after);
-  watch->list_wait_ms = 0;
-  watch->revision = watch->list_revision;
-  if (watch->options.relay != NULL)
-    dl_object_relay_set_listed (watch->options.relay, watch->options.kind,
-                                watch->revision);
-  set_synced (watch, age_ms);
-  continue_watch (watch);
-}
-
-/* Tells the relay whether a first copy is being read, so that other nodes wait for it. */
-static void
-tell_reading (DlObjectWatch *watch)
-{
-  if (watch->options.relay != NULL && watch->synced_ms == 0)
-    dl_object_relay_set_reading (watch->options.relay, watch->options.kind,
-                                 !watch->list_failed && !watch->via_relay);
-}
-
-/* The list at a reader ends without a result.  What is known stays, and is watched from
- * its revision on; a first list begins anew. */
-static void
-give_up_reader_list (DlObjectWatch *watch)
-{
-  if (watch->synced_ms != 0)
-    dl_known_objects_abandon_list (watch->known);
-  else
-    restart_list (watch);
-}
-
-/* The reader that was asked is reading the objects itself. */
-static void
-report_reading (DlObjectWatch *watch)
-{
-  dl_relay_source_report_reading (watch->options.source, watch->options.kind);
-}
-
-/* The reader that was asked for the list does not answer, or has none, or one that is
- * older than what is known here. */
-static void
-retry_list_at_reader (DlObjectWatch *watch, const DlObjectResult *result)
-{
-  const DlObjectResult too_old = { .error = DL_ERR_UNAVAILABLE, .responded = true };
-
-  if (!result->is_reading)
-    {
-      retry_without_relay (watch, result->error < 0 ? result : &too_old);
-      return;
-    }
-  report_reading (watch);
-  run_after (watch, READER_POLL_MS);
-}
-
-static void
-on_list (const DlObjectResult *result, void *data)
-{
-  Request *request = data;
-  DlObjectWatch *watch = request->watch;
-
-  if (!request_end (request, result))
-    return;
-  if (watch->via_relay && (result->error < 0 || result->revision < watch->revision))
-    {
-      give_up_reader_list (watch);
-      retry_list_at_reader (watch, result);
-      return;
-    }
-  if (result->error < 0 && result->error != DL_ERR_NOT_FOUND)
-    {
-      restart_list (watch);
-      watch->list_failed = true;
-      tell_reading (watch);
-      watch->list_wait_ms = dl_list_wait_next_ms (watch->list_wait_ms, result->is_late);
-      retry_later (watch, result);
-      return;
-    }
-  watch->list_failed = false;
-  tell_reading (watch);
-  set_contact (watch, 0);
-  note_origin (watch, result->age_ms);
-  /* The watch starts from the first page's revision, so it shows what changes while later
-   * pages are read. */
-  if (watch->list_after == NULL)
-    watch->list_revision = result->revision;
-  for (size_t i = 0; i < result->count; i++)
-    dl_known_objects_list (watch->known, &result->objects[i]);
-  if (!result->more || result->count == 0)
-    {
-      end_list (watch, result->age_ms);
-      return;
-    }
-  TALLOC_FREE (watch->list_after);
-  watch->list_after = talloc_strdup (watch, result->objects[result->count - 1].name);
-  send_list (watch);
-}
-
-static void
-send_list (DlObjectWatch *watch)
-{
-  if (!dl_known_objects_is_listing (watch->known))
-    restart_list (watch);
-  if (watch->list_after == NULL)
-    {
-      watch->sent_ms = dl_clock_ms ();
-      choose_list_server (watch);
-      tell_reading (watch);
-    }
-  dl_object_list_page (watch->server, watch,
-                       &(DlObjectPage){
-                           .kinds = watch->options.kind,
-                           .after = watch->list_after,
-                           .wait_ms
-                           = watch->via_relay ? LIST_WAIT_MS : watch->list_wait_ms,
-                       },
-                       on_list, request_new (watch));
-}
-
 /* True when the next request has to wait for a reader; it is tried again soon then. */
 static bool
 wait_for_reader (DlObjectWatch *watch)
@@ -476,7 +241,7 @@
   if (watch->options.source == NULL || watch->is_relisting
       || !dl_relay_source_must_wait (watch->options.source, &wanted))
     return false;
-  run_after (watch, READER_POLL_MS);
+  dl_object_watch_run_after (watch, DL_OBJECT_WATCH_POLL_MS);
   return true;
 }
 
@@ -484,17 +249,19 @@
 start_list (DlObjectWatch *watch)
 {
   if (watch->synced_ms != 0 || !wait_for_reader (watch))
-    send_list (watch);
+    dl_object_watch_send_list (watch);
 }
 
-static void
-continue_watch (DlObjectWatch *watch)
+void
+dl_object_watch_continue_watch (DlObjectWatch *watch)
 {
   if (!wait_for_reader (watch))
     send_watch (watch);
 }
 
-/* True when this entry reads the store because the readers' copies are too old. */
+/* True when this entry reads the store because the readers' copies are too old.  It asks
+ * at once and on a new connection, so that no second request is needed to find out
+ * whether an old one is silent. */
 static bool
 replaces_reader (const DlObjectWatch *watch)
 {
@@ -502,13 +269,13 @@
          && (watch->is_behind || direct_delay_ms (watch) == 0);
 }
 
-/* The wait of the next watch. */
+/* The wait of the next watch, unless the entry replaces a reader. */
 static uint64_t
 wait_ms (const DlObjectWatch *watch)
 {
   const DlObjectWatchOptions *o = &watch->options;
 
-  if (watch->is_refreshing || replaces_reader (watch))
+  if (watch->is_refreshing)
     return 0;
   if (watch->via_relay)
     return o->reader_wait_ms + RELAY_WAIT_SLACK_MS;
@@ -541,21 +308,21 @@
 {
   uint64_t next_ms;
 
-  set_contact (watch, 0);
-  note_origin (watch, result->age_ms);
+  dl_object_watch_set_contact (watch, 0);
+  dl_object_watch_note_origin (watch, result->age_ms);
   for (size_t i = 0; i < result->count; i++)
     dl_known_objects_apply (watch->known, &result->objects[i]);
   watch->revision = MAX (watch->revision, result->revision);
-  set_synced (watch, result->age_ms);
+  dl_object_watch_set_synced (watch, result->age_ms);
   if (watch->via_relay)
     dl_relay_source_report_success (watch->options.source, watch->options.kind);
   if (result->is_reading)
-    report_reading (watch);
+    dl_object_watch_report_reading (watch);
   next_ms = next_pause_ms (watch, result->count);
   if (next_ms > 0)
-    run_after (watch, next_ms);
+    dl_object_watch_run_after (watch, next_ms);
   else
-    continue_watch (watch);
+    dl_object_watch_continue_watch (watch);
 }
 
 /* The watch at a reader failed. */
@@ -564,11 +331,11 @@
 {
   if (!result->is_reading)
     {
-      retry_without_relay (watch, result);
+      dl_object_watch_retry_without_relay (watch, result);
       return;
     }
-  report_reading (watch);
-  run_after (watch, READER_POLL_MS);
+  dl_object_watch_report_reading (watch);
+  dl_object_watch_run_after (watch, DL_OBJECT_WATCH_POLL_MS);
 }
 
 static void
@@ -580,17 +347,17 @@
   watch->sent_ms = sent_ms;
   note_unchanged (watch);
   if (result->error < 0 && !result->responded)
-    log_failure (watch, DL_OBJECT_WATCH, sent_ms, result);
+    dl_object_watch_log_failure (watch, DL_OBJECT_WATCH, sent_ms, result);
   if (result->error == DL_ERR_GONE)
     {
       watch->reader_is_ahead = watch->via_relay && result->responded;
-      restart_list (watch);
-      send_list (watch);
+      dl_object_watch_restart_list (watch);
+      dl_object_watch_send_list (watch);
     }
   else if (result->error < 0 && watch->via_relay)
     retry_watch_at_reader (watch, result);
   else if (result->error < 0)
-    retry_later (watch, result);
+    dl_object_watch_retry_later (watch, result);
   else
     apply_watch (watch, result);
 }
@@ -603,8 +370,9 @@
 
   TALLOC_FREE (watch->direct_timer);
   dl_hedged_watch_ignore (watch->hedged);
-  retry_without_relay (watch, &(DlObjectResult){ .error = DL_ERR_UNAVAILABLE,
-                                                 .responded = true });
+  dl_object_watch_retry_without_relay (watch,
+                                       &(DlObjectResult){ .error = DL_ERR_UNAVAILABLE,
+                                                          .responded = true });
 }
 
 /* Sets the time up to which the reader may answer the watch that is sent to it. */
@@ -622,19 +390,21 @@
 static void
 send_watch (DlObjectWatch *watch)
 {
-  choose_server (watch);
-  watch->sent_wait_ms = wait_ms (watch);
+  bool replaces;
+
+  dl_object_watch_choose_server (watch);
+  replaces = replaces_reader (watch);
+  watch->sent_wait_ms = replaces ? 0 : wait_ms (watch);
   watch->is_refreshing = false;
   limit_reader (watch);
-  dl_hedged_watch_send (watch->hedged,
-                        &(DlWatchRequest){
-                            .server = watch->server,
-                            .kind = watch->options.kind,
-                            .revision = watch->revision,
-                            .wait_ms = watch->sent_wait_ms,
-                            .is_hedged = !watch->via_relay && !replaces_reader (watch),
-                            .is_anew = replaces_reader (watch),
-                        });
+  dl_hedged_watch_send (watch->hedged, &(DlWatchRequest){
+                                           .server = watch->server,
+                                           .kind = watch->options.kind,
+                                           .revision = watch->revision,
+                                           .wait_ms = watch->sent_wait_ms,
+                                           .is_hedged = !watch->via_relay && !replaces,
+                                           .is_anew = replaces,
+                                       });
 }
 
 /* -------- eras -------- */
@@ -648,7 +418,7 @@
 
   give_up_requests (watch);
   dl_known_objects_void_revisions (watch->known);
-  restart_list (watch);
+  dl_object_watch_restart_list (watch);
   if (!watch->is_relisting)
     watch->revision_before = watch->revision;
   watch->is_relisting = true;
@@ -658,7 +428,7 @@
                                    dl_object_client_era (watch->client)));
   if (watch->options.on_new_era != NULL)
     watch->options.on_new_era (watch->options.data);
-  run_after (watch, spread_ms > 0 ? dl_random_uint64 () % spread_ms : 0);
+  dl_object_watch_run_after (watch, spread_ms > 0 ? dl_random_uint64 () % spread_ms : 0);
 }
 
 /* The progress of a watch at the store itself, for the relay. */
@@ -690,7 +460,7 @@
     dl_object_relay_set_progress (options->relay, options->kind, progress, watch);
   dl_object_era_subscribe (dl_object_client_era (client), watch, on_new_era, watch);
   if (options->first_delay_ms > 0)
-    run_after (watch, options->first_delay_ms);
+    dl_object_watch_run_after (watch, options->first_delay_ms);
   else
     on_timer (NULL, watch);
   return watch;
@@ -703,7 +473,7 @@
     return;
   give_up_requests (watch);
   watch->is_refreshing = true;
-  run_after (watch, 0);
+  dl_object_watch_run_after (watch, 0);
 }
 
 uint64_t
--- a/lib/node/object_watch.h
+++ b/lib/node/object_watch.h
@@ -71,9 +71,8 @@
 /* Where an answer came from. */
 typedef struct
 {
-  const char *reader; /* its address; NULL for the store itself */
-  uint64_t
-      reader_age_ms; /* when it answered, it had last heard the store so long before */
+  const char *reader;     /* its address; NULL for the store itself */
+  uint64_t reader_age_ms; /* it had last heard the store so long before it was asked */
 } DlObjectOrigin;
 
 /* Origin of the last answer; that of the present one in on_object and on_synced. */
