A watch from a forgotten revision is told so while the reader is receiving a copy, too

Found in a reading of the change that lets watches wait for a reader without a fresh copy: they skipped the check for deletions that the reader has forgotten, so that the asker would have kept deleted objects. The check comes first again, for both.

--- a/lib/node/object_relay.c
+++ b/lib/node/object_relay.c
@@ -434,31 +434,26 @@
   return w;
 }
 
+/* Responds to a watch, or lets it wait for up to WAIT_MS. */
 static void
-hold_watch (Kind *k, DlHttpRequest *http, uint64_t era, uint64_t wait_ms)
-{
-  PendingRead *w = pending_new (k, http, era, wait_ms);
-
-  w->is_watch = true;
-  w->after = query_uint (http, "after");
-}
-
-static void
-handle_watch (Kind *k, DlHttpRequest *http, uint64_t era)
+handle_watch (Kind *k, DlHttpRequest *http, uint64_t era, uint64_t wait_ms)
 {
   uint64_t after = query_uint (http, "after");
+  PendingRead *w;
 
   if (after < k->dropped)
     {
       dl_http_reply_error (http, STATUS_GONE, 0, "deletions since then are forgotten");
       return;
     }
-  if (k->newest > after && era == k->era)
+  if (k->newest > after && era == k->era && is_fresh (k, dl_clock_ms ()))
     {
       send_objects (k, http, after, true);
       return;
     }
-  hold_watch (k, http, era, query_uint (http, "wait_ms"));
+  w = pending_new (k, http, era, wait_ms);
+  w->is_watch = true;
+  w->after = after;
 }
 
 /* A watch also waits while the objects of a new era are being listed. */
@@ -471,11 +466,11 @@
   if (!can_serve && !is_watch && k->is_reading)
     pending_new (k, http, era, query_uint (http, "wait_ms"));
   else if (!can_serve && is_watch && era <= k->era && is_renewing (k, dl_clock_ms ()))
-    hold_watch (k, http, era != 0 ? era : k->era, RENEWAL_HOLD_MS);
+    handle_watch (k, http, era != 0 ? era : k->era, RENEWAL_HOLD_MS);
   else if (!can_serve || era > k->era)
     refuse_stale (k, http);
   else if (is_watch)
-    handle_watch (k, http, era != 0 ? era : k->era);
+    handle_watch (k, http, era != 0 ? era : k->era, query_uint (http, "wait_ms"));
   else
     send_list (k, http, era);
 }
