A stager does not poll a reader that is receiving a copy

By computation 400 stagers of a region that follow three kinds send 6,000 requests a second to the reader that is busy.

Change: the backoff comes from policy/readers, by the kind of node: 50 ms for entries, of which there are at most 30 a reader, and 2 s for others, as before.

--- a/lib/node/object_watch.c
+++ b/lib/node/object_watch.c
@@ -196,10 +196,10 @@
 }
 
 /* The reader that was asked is reading the objects itself. */
-void
+uint64_t
 dl_object_watch_report_reading (DlObjectWatch *watch)
 {
-  dl_relay_source_report_reading (watch->options.source, watch->options.kind);
+  return dl_relay_source_report_reading (watch->options.source, watch->options.kind);
 }
 
 /* The reader does not answer, or its copy is stale: reports that and tries again later,
@@ -334,8 +334,7 @@
       dl_object_watch_retry_without_relay (watch, result);
       return;
     }
-  dl_object_watch_report_reading (watch);
-  dl_object_watch_run_after (watch, DL_OBJECT_WATCH_POLL_MS);
+  dl_object_watch_run_after (watch, dl_object_watch_report_reading (watch));
 }
 
 static void
--- a/lib/node/object_watch_private.h
+++ b/lib/node/object_watch_private.h
@@ -70,8 +70,9 @@
 /* The reader does not answer, or its copy is stale: tries another one, or the store. */
 void dl_object_watch_retry_without_relay (DlObjectWatch *watch,
                                           const DlObjectResult *result);
-/* The reader that was asked is reading the objects itself. */
-void dl_object_watch_report_reading (DlObjectWatch *watch);
+/* The reader that was asked is reading the objects itself.  Returns the backoff before
+ * the next watch. */
+uint64_t dl_object_watch_report_reading (DlObjectWatch *watch);
 /* Chooses between the store and a reader for the next request. */
 void dl_object_watch_choose_server (DlObjectWatch *watch);
 /* Sends the next watch. */
--- a/lib/node/relay_source.c
+++ b/lib/node/relay_source.c
@@ -230,10 +230,10 @@
   return backoff_ms;
 }
 
-void
+uint64_t
 dl_relay_source_report_reading (DlRelaySource *source, const char *kind)
 {
-  dl_reader_health_reading (source->reader_health, kind, dl_clock_ms ());
+  return dl_reader_health_reading (source->reader_health, kind, dl_clock_ms ());
 }
 
 void
--- a/lib/node/relay_source.h
+++ b/lib/node/relay_source.h
@@ -60,8 +60,9 @@
 uint64_t dl_relay_source_report_failure (DlRelaySource *source,
                                          const DlObjectClient *reader,
                                          const DlReaderFailure *failure);
-/* The reader that was chosen has none of the objects of KIND yet, but is reading them. */
-void dl_relay_source_report_reading (DlRelaySource *source, const char *kind);
+/* The reader that was chosen has no fresh objects of KIND, but is reading them.  Returns
+ * the backoff before it is asked again, in milliseconds. */
+uint64_t dl_relay_source_report_reading (DlRelaySource *source, const char *kind);
 /* The reader that was chosen answered with objects of KIND. */
 void dl_relay_source_report_success (DlRelaySource *source, const char *kind);
 /* The store did not answer a request for WANT. */
--- a/lib/policy/readers.c
+++ b/lib/policy/readers.c
@@ -294,7 +294,7 @@
               of_kind->direct_at_ms);
 }
 
-void
+uint64_t
 dl_reader_health_reading (DlReaderHealth *health, const char *kind, uint64_t now_ms)
 {
   KindHealth *of_kind = get_kind (health, kind);
@@ -302,6 +302,7 @@
   health->failures = 0;
   of_kind->stale = 0;
   of_kind->reading_ms = now_ms;
+  return health->is_entry ? DL_READER_READING_BACKOFF_MS : DL_READER_NODE_BACKOFF_MS;
 }
 
 void
--- a/lib/policy/readers.h
+++ b/lib/policy/readers.h
@@ -76,6 +76,8 @@
 /* Entries that switch to the store spread their calls over this time: a link too slow
  * for one of them cannot serve all of them at once. */
 #define DL_READER_JITTER_MS 1200
+/* Backoff of an entry whose reader is reading the objects. */
+#define DL_READER_READING_BACKOFF_MS 50
 /* Backoff of nodes that are not entries, which can wait longer. */
 #define DL_READER_NODE_BACKOFF_MS 2000
 /* An entry reads the store itself when the age of its copy is this part of the time for a
@@ -124,8 +126,9 @@
                                  uint64_t now_ms,
                                  bool *is_new);
 /* Records that a reader is reading the objects of KIND: it has no copy yet, or an old
- * one. */
-void dl_reader_health_reading (DlReaderHealth *health, const char *kind, uint64_t now_ms);
+ * one.  Returns the backoff in milliseconds before the next call. */
+uint64_t
+dl_reader_health_reading (DlReaderHealth *health, const char *kind, uint64_t now_ms);
 /* Records that a reader gave out objects of KIND, which ends a run of consecutive
  * failures. */
 void dl_reader_health_succeeded (DlReaderHealth *health, const char *kind);
--- a/regress/unit/test_readers.c
+++ b/regress/unit/test_readers.c
@@ -330,6 +330,21 @@
   talloc_free (health);
 }
 
+/* A region has more stagers than a reader can answer every few milliseconds. */
+static void
+test_stager_polled_a_reader_that_was_receiving_a_copy (void)
+{
+  DlReaderHealth *entry = dl_reader_health_new (NULL, true);
+  DlReaderHealth *stager = dl_reader_health_new (NULL, false);
+
+  CU_ASSERT_EQUAL (dl_reader_health_reading (entry, KIND, NOW_MS),
+                   DL_READER_READING_BACKOFF_MS);
+  CU_ASSERT_EQUAL (dl_reader_health_reading (stager, KIND, NOW_MS),
+                   DL_READER_NODE_BACKOFF_MS);
+  talloc_free (entry);
+  talloc_free (stager);
+}
+
 /* -------- progress of a read -------- */
 
 typedef struct
@@ -484,6 +499,8 @@
     test_readers_with_old_copies_do_not_let_a_copy_grow_old },
   { "a reader that receives a newer copy is waited for",
     test_reader_that_receives_a_newer_copy_is_waited_for },
+  { "a stager does not poll a reader that is receiving a copy",
+    test_stager_polled_a_reader_that_was_receiving_a_copy },
   { "a read progresses while its response is due or arrives",
     test_read_progresses_while_its_response_is_due_or_arrives },
   { "a store that does not answer is left alone",
