--- a/lib/kernel/object_client.h
+++ b/lib/kernel/object_client.h
@@ -89,9 +89,7 @@
 #define DL_OBJECT_REVISION_HEADER "Object-Revision"
 #define DL_OBJECT_ERA_HEADER      "Object-Era"
 #define DL_OBJECT_AGE_HEADER      "Object-Age-Ms"
-/* Of a refusal: the objects are being read.  Of another response: newer ones are
- * arriving.
- */
+/* Of a refusal: the objects are being read.  Of another response: newer ones arrive. */
 #define DL_OBJECT_READING_HEADER "Object-Reading"
 
 /* A call, before it is encoded. */
@@ -219,8 +217,8 @@
                           const DlObjectPage *page,
                           DlObjectFunc func,
                           void *data);
-/* Waits up to WAIT_MS for objects of KINDS that changed after the revision AFTER. Returns
- * the call, for dl_http_call_progress until FUNC is called. */
+/* Waits up to WAIT_MS for objects of KINDS that changed after the revision AFTER.
+ * Returns the call, for dl_http_call_progress until FUNC is called. */
 DlHttpCall *dl_object_watch (DlObjectClient *client,
                              const void *owner,
                              const char *kinds,
--- a/regress/direct/denials.c
+++ b/regress/direct/denials.c
@@ -10,8 +10,8 @@
 
 /* Stated by the users: a configuration is in force within this time. */
 #define APPLY_MS 2000
-/* A table is proved again within this time of the store's return. */
-#define RETURN_MS   1500
+/* An entry that was registered is known to the others within this time. */
+#define KNOWN_MS    1500
 #define OUTAGE_MS   3500
 #define POLL_MS     50
 #define REFUSED     503
@@ -36,24 +36,27 @@
   return status;
 }
 
+/* True when both entries respond so to a path without a route and to an unknown key. */
 static bool
-all_deny (Testbed *tb)
+all_respond (const Testbed *tb, int path_status, int key_status)
 {
   for (unsigned i = 0; i < ENTRIES; i++)
-    if (status_without_route (tb, i) != DENIED_PATH
-        || status_with_key (tb, i, "wrong") != DENIED_KEY)
+    if (status_without_route (tb, i) != path_status
+        || status_with_key (tb, i, "wrong") != key_status)
       return false;
   return true;
 }
 
+static bool
+all_deny (Testbed *tb)
+{
+  return all_respond (tb, DENIED_PATH, DENIED_KEY);
+}
+
 static bool
 all_refuse (Testbed *tb)
 {
-  for (unsigned i = 0; i < ENTRIES; i++)
-    if (status_without_route (tb, i) != REFUSED
-        || status_with_key (tb, i, "wrong") != REFUSED)
-      return false;
-  return true;
+  return all_respond (tb, REFUSED, REFUSED);
 }
 
 static void
@@ -119,7 +122,7 @@
 
   CHECK (eventually (all_deny, tb));
   register_played (tb);
-  g_usleep (RETURN_MS * G_TIME_SPAN_MILLISECOND);
+  g_usleep (KNOWN_MS * G_TIME_SPAN_MILLISECOND);
   tell_version (tb, tb->config_version + 1);
   CHECK (all_refuse (tb));
   CHECK (requests_are_served (tb));
