Log why a begun stream was cut, in a line that the log's bound keeps

What was missing: none of the hypotheses on the cut streams could be told from the logs. 1001 and 112 share the rate limit with refusals, so that in a burst they are dropped; 1001 named the last upstream alone.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -22,6 +22,8 @@
 #define PROGRESS_BYTES (4u << 10)
 /* With more bytes than this queued for a slow caller, the upstream's stream is paused. */
 #define STREAM_QUEUED_MAX_BYTES (256u << 10)
+/* In the history of a request: its attempt ended with the response. */
+#define SERVED_TEXT             "its response was forwarded"
 #define STATUS_OK               200
 #define STATUS_MULTIPLE_CHOICES 300
 #define STATUS_MISDIRECTED      421
@@ -51,6 +53,8 @@
   DlHttpCall *call;
   DlResponseHead head;
   unsigned status;
+  size_t number;          /* in the request's history */
+  uint64_t events_before; /* of the request, when it was sent */
   uint64_t sent_ms;
   uint64_t given_ms;     /* time that the upstream was given for the request */
   uint64_t progress_ms;  /* when it last made progress; the start time before that */
@@ -140,12 +144,47 @@
   return 0;
 }
 
-/* Ends and frees the attempt; the request is left without one. */
+/* Whole events of this attempt so far. */
+static uint64_t
+count_events (const Attempt *attempt)
+{
+  const DlEventStream *events = attempt->request->events;
+
+  return events != NULL ? events->events - attempt->events_before : 0;
+}
+
+/* Notes the state of the attempt in the request's history; END: why it ended, NULL while
+ * it is in progress. */
 static void
-finish (Attempt *attempt, DirectAttemptOutcome outcome)
+note_state (const Attempt *attempt, const char *end)
+{
+  uint64_t now_ms = dl_clock_ms ();
+
+  dl_attempt_history_set (
+      &attempt->request->history, attempt->number,
+      &(DlAttemptState){
+          .status = attempt->status,
+          .events = count_events (attempt),
+          .heard_ms = attempt->progress_ms,
+          .is_reported_up = direct_upstream_is_reported_up (attempt->upstream, now_ms),
+          .end = end,
+          .ended_ms = now_ms,
+      });
+}
+
+void
+direct_attempt_note_state (const Attempt *attempt)
+{
+  note_state (attempt, NULL);
+}
+
+/* Ends and frees the attempt for the reason END; the request is left without one. */
+static void
+finish (Attempt *attempt, DirectAttemptOutcome outcome, const char *end)
 {
   Request *r = attempt->request;
 
+  note_state (attempt, end);
   release_upstream (attempt, outcome);
   r->attempt = NULL;
   talloc_free (attempt);
@@ -160,7 +199,7 @@
   Request *r = attempt->request;
   char *id = talloc_strdup (r, attempt->upstream->id);
 
-  finish (attempt, outcome);
+  finish (attempt, outcome, direct_failure_text (failure));
   direct_dispatch_attempt_failed (r, failure, id);
 }
 
@@ -171,7 +210,7 @@
   Request *r = attempt->request;
   char *id = talloc_strdup (r, attempt->upstream->id);
 
-  finish (attempt, outcome);
+  finish (attempt, outcome, direct_failure_text (DIRECT_FAILURE_BROKEN));
   direct_dispatch_retry (r, DIRECT_FAILURE_BROKEN, id);
   direct_dispatch_run_queue (r->service);
 }
@@ -459,7 +498,7 @@
   if (rest->length > 0)
     dl_http_stream_write (r->http, dl_buffer_view (rest));
   note_served (attempt);
-  finish (attempt, DIRECT_ATTEMPT_SERVED);
+  finish (attempt, DIRECT_ATTEMPT_SERVED, SERVED_TEXT);
   direct_request_end_stream (r);
 }
 
@@ -483,8 +522,9 @@
 
   if (is_success (attempt))
     note_served (attempt);
-  finish (attempt, status >= STATUS_SERVER_ERROR ? error_outcome (attempt)
-                                                 : DIRECT_ATTEMPT_SERVED);
+  finish (attempt,
+          status >= STATUS_SERVER_ERROR ? error_outcome (attempt) : DIRECT_ATTEMPT_SERVED,
+          SERVED_TEXT);
   direct_request_reply (r, status, type, dl_buffer_view (body), headers);
 }
 
@@ -572,6 +612,8 @@
   attempt->sent_version = upstream->version;
   attempt->prompt_tokens = r->incoming.prompt_tokens;
   attempt->body = dl_buffer_new (attempt, RESPONSE_MAX_BYTES);
+  attempt->number = dl_attempt_history_add (&r->history, upstream->id, now_ms);
+  attempt->events_before = r->events != NULL ? r->events->events : 0;
   r->attempt = attempt;
   r->attempt_count++;
   note_sent (r, upstream, now_ms);
@@ -601,9 +643,9 @@
 }
 
 void
-direct_attempt_cancel (Attempt *attempt, DirectAttemptOutcome outcome)
+direct_attempt_cancel (Attempt *attempt, DirectAttemptOutcome outcome, const char *reason)
 {
-  finish (attempt, outcome);
+  finish (attempt, outcome, reason);
 }
 
 DlSilence
@@ -643,7 +685,8 @@
 direct_attempt_leave (Attempt *attempt)
 {
   finish (attempt,
-          attempt->failure_counted ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED);
+          attempt->failure_counted ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED,
+          direct_failure_text (DIRECT_FAILURE_STALLED));
 }
 
 bool
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -488,8 +488,8 @@
   return false;
 }
 
-static const char *
-failure_text (DirectAttemptFailure failure)
+const char *
+direct_failure_text (DirectAttemptFailure failure)
 {
   switch (failure)
     {
@@ -516,7 +516,7 @@
                  (const DlField[]){
                      DL_TEXT ("request", r->incoming.id),
                      DL_TEXT ("upstream", upstream),
-                     DL_TEXT ("cause", failure_text (failure)),
+                     DL_TEXT ("cause", direct_failure_text (failure)),
                      DL_UINT ("sent", r->attempt_count),
                      DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
                      DL_UINT ("upstream_requests", r->estimate.requests),
@@ -567,9 +567,9 @@
     }
   note_failure (r, failure, upstream);
   if (failure == DIRECT_FAILURE_TIME_OVER)
-    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, failure_text (failure));
+    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, direct_failure_text (failure));
   else
-    refuse_or_fail (r, failure_text (failure), retry_ms (r));
+    refuse_or_fail (r, direct_failure_text (failure), retry_ms (r));
 }
 
 void
--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -100,22 +100,61 @@
 
 /* -------- failed after being sent -------- */
 
-void
-direct_request_fail (Request *r, unsigned status, const char *cause)
+/* What became of the request's attempts, a talloc child of it. */
+static char *
+attempts_text (Request *r)
+{
+  if (r->attempt != NULL)
+    direct_attempt_note_state (r->attempt);
+  return dl_attempt_history_text (r, &r->history, r->arrived_ms);
+}
+
+/* Time since this process began to stop; 0 while it does not. */
+static uint64_t
+stopping_for_ms (const Request *r)
+{
+  uint64_t began_ms = r->owner->stop_began_ms;
+
+  return began_ms != 0 ? dl_clock_ms () - began_ms : 0;
+}
+
+/* Logs the end of the request without its whole response.  Of a stream that is cut before
+ * its time ran out nothing but this line tells why. */
+static void
+log_failure (Request *r, unsigned status, const char *cause)
 {
   const char *upstream
       = r->attempt != NULL ? direct_attempt_upstream (r->attempt)->id : r->avoid_upstream;
+  uint64_t now_ms = dl_clock_ms ();
+  uint64_t remaining_ms = direct_request_remaining_ms (r, now_ms);
+  const DlField fields[] = {
+    DL_TEXT ("request", r->incoming.id),
+    DL_TEXT ("cause", cause),
+    DL_TEXT ("route", r->route->name),
+    DL_TEXT ("upstream", upstream),
+    DL_UINT ("status", r->head_sent ? 0 : status),
+    DL_UINT ("age_ms", now_ms - r->arrived_ms),
+    DL_UINT ("remaining_ms", remaining_ms),
+    DL_UINT ("stopping_for_ms", stopping_for_ms (r)),
+    DL_UINT ("sent", r->attempt_count),
+    DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+    DL_UINT ("upstream_requests", r->estimate.requests),
+    DL_INT ("report_age_ms", r->estimate.report_age_ms),
+    DL_TEXT ("attempts", attempts_text (r)),
+    { .key = 0 },
+  };
 
+  if (r->head_sent && remaining_ms > 0)
+    dl_log_kept_fields (DL_EVENT_REQUEST_FAILED, fields);
+  else
+    dl_log_fields (DL_EVENT_REQUEST_FAILED, fields);
+}
+
+void
+direct_request_fail (Request *r, unsigned status, const char *cause)
+{
   dl_metric_add (&metric_failed, 1);
-  dl_log (DL_EVENT_REQUEST_FAILED, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("cause", cause), DL_TEXT ("route", r->route->name),
-          DL_TEXT ("upstream", upstream), DL_UINT ("status", r->head_sent ? 0 : status),
-          DL_UINT ("age_ms", dl_clock_ms () - r->arrived_ms),
-          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())),
-          DL_UINT ("sent", r->attempt_count),
-          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
-          DL_UINT ("upstream_requests", r->estimate.requests),
-          DL_INT ("report_age_ms", r->estimate.report_age_ms));
+  log_failure (r, status, cause);
   direct_request_release (r);
   if (r->head_sent)
     dl_http_stream_end (r->http, false);
--- a/daisydirectd/outdated.c
+++ b/daisydirectd/outdated.c
@@ -34,7 +34,8 @@
           DL_UINT ("version_required", required),
           DL_UINT ("after_ms", now_ms - r->last_sent_ms),
           DL_UINT ("sent", r->attempt_count));
-  direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL);
+  direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL,
+                         direct_failure_text (DIRECT_FAILURE_OUTDATED));
 }
 
 void
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -87,7 +87,7 @@
   direct_dispatch_dequeue (r);
   direct_dispatch_return_retry (r);
   if (r->attempt != NULL)
-    direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL);
+    direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL, "the request ended");
   if (r->link != NULL)
     dl_metric_observe_us (&metric_duration, (dl_clock_ms () - r->arrived_ms) * 1000);
   unlink_request (r);
@@ -473,13 +473,14 @@
 {
   uint64_t now_ms = dl_clock_ms ();
 
-  dl_log (DL_EVENT_REQUEST_ABANDONED, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("route", r->route != NULL ? r->route->name : ""),
-          DL_UINT ("age_ms", now_ms - r->arrived_ms),
-          DL_INT ("after_stop_ms", (int64_t)(r->arrived_ms - r->owner->stop_began_ms)),
-          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
-          DL_UINT ("sent", r->attempt_count),
-          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
+  dl_log_kept (DL_EVENT_REQUEST_ABANDONED, DL_TEXT ("request", r->incoming.id),
+               DL_TEXT ("route", r->route != NULL ? r->route->name : ""),
+               DL_UINT ("age_ms", now_ms - r->arrived_ms),
+               DL_INT ("after_stop_ms",
+                       (int64_t)(r->arrived_ms - r->owner->stop_began_ms)),
+               DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
+               DL_UINT ("sent", r->attempt_count),
+               DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
 }
 
 static int
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -12,6 +12,7 @@
 #include "kernel/http_client.h"
 #include "kernel/http_server.h"
 #include "node/caller_request.h"
+#include "policy/attempt_history.h"
 #include "policy/event_stream.h"
 #include "policy/patience.h"
 #include "policy/quarantine.h"
@@ -90,6 +91,7 @@
   uint64_t first_event_ms;     /* of the first event or the whole response; 0 before */
   uint64_t last_event_ms;      /* of the last event; 0 before */
   uint64_t gap_max_ms;         /* longest gap between events */
+  DlAttemptHistory history;    /* of its attempts */
   DlEventStream *events;       /* of a streamed response; NULL before the first attempt */
   Attempt *attempt;            /* the attempt in progress; NULL for none */
   Request *next;
@@ -177,6 +179,8 @@
   DIRECT_FAILURE_OUTDATED,  /* withdrawn before it started on outdated weights; may run */
 } DirectAttemptFailure;
 
+/* What FAILURE means, for logs and callers; a static string. */
+const char *direct_failure_text (DirectAttemptFailure failure);
 /* Returns true when the request may be retried after FAILURE.  The retry is then taken
  * from the service's retry budget, unless the failed attempt could not connect. */
 bool direct_dispatch_reserve_retry (Request *request, DirectAttemptFailure failure);
@@ -207,8 +211,12 @@
 /* Sends the request to UPSTREAM.  It must have no attempt in progress. */
 void direct_attempt_start (Request *request, DirectUpstream *upstream);
 /* Ends the attempt and frees it; the caller is sent nothing.  OUTCOME is counted for the
- * upstream. */
-void direct_attempt_cancel (Attempt *attempt, DirectAttemptOutcome outcome);
+ * upstream; REASON, a static string, goes into the request's history. */
+void direct_attempt_cancel (Attempt *attempt,
+                            DirectAttemptOutcome outcome,
+                            const char *reason);
+/* Notes the present state of the attempt in the request's history. */
+void direct_attempt_note_state (const Attempt *attempt);
 /* Facts for the decision whether the attempt's upstream has been silent for too long. */
 DlSilence direct_attempt_silence (const Attempt *attempt, uint64_t now_ms);
 /* Notes that the attempt is kept though its upstream is silent; false when that was noted
--- a/lib/kernel/http_request_end.c
+++ b/lib/kernel/http_request_end.c
@@ -88,6 +88,28 @@
   return r->has_response ? "response" : "handling";
 }
 
+/* Logs that the request ID ended without its whole response.  If its caller left or its
+ * handler cut the response, other lines tell why. */
+static void
+log_incomplete (const DlHttpRequest *r, const char *id)
+{
+  bool is_told = r->end == DL_HTTP_CALLER_LEFT || r->end == DL_HTTP_CUT;
+  const DlField fields[] = {
+    DL_TEXT ("request", id != NULL ? id : ""),
+    DL_TEXT ("cause", dl_http_end_text (r->end)),
+    DL_UINT ("port", r->server->port),
+    DL_TEXT ("stage", stage_text (r)),
+    DL_UINT ("status", r->status),
+    DL_UINT ("age_ms", dl_clock_ms () - r->begun_ms),
+    { .key = 0 },
+  };
+
+  if (is_told)
+    dl_log_fields (DL_EVENT_RESPONSE_INCOMPLETE, fields);
+  else
+    dl_log_kept_fields (DL_EVENT_RESPONSE_INCOMPLETE, fields);
+}
+
 void
 dl_http_request_report_end (const DlHttpRequest *r)
 {
@@ -102,8 +124,5 @@
     return;
   if (server->id_header != NULL && r->method != NULL)
     id = dl_http_request_header (r, server->id_header);
-  dl_log (DL_EVENT_RESPONSE_INCOMPLETE, DL_TEXT ("request", id != NULL ? id : ""),
-          DL_TEXT ("cause", dl_http_end_text (r->end)), DL_UINT ("port", server->port),
-          DL_TEXT ("stage", stage_text (r)), DL_UINT ("status", r->status),
-          DL_UINT ("age_ms", dl_clock_ms () - r->begun_ms));
+  log_incomplete (r, id);
 }
--- a/lib/kernel/log.c
+++ b/lib/kernel/log.c
@@ -203,10 +203,13 @@
   return written;
 }
 
-static bool
-is_about_request (const DlField *fields)
+/* Events about a single request have its id as their first field. */
+static DlLogClass
+class_of (const DlField *fields)
 {
-  return fields[0].key != NULL && strcmp (fields[0].key, "request") == 0;
+  bool is_request = fields[0].key != NULL && strcmp (fields[0].key, "request") == 0;
+
+  return is_request ? DL_LOG_REQUEST : DL_LOG_STATE;
 }
 
 /* Reports how many lines were dropped; the report is not subject to the rate limit. */
@@ -223,11 +226,11 @@
 
 /* Lines over the rate limit are dropped before they are formatted. */
 static void
-log_to_stdout (DlEvent event, const DlField *fields)
+log_to_stdout (DlEvent event, DlLogClass class, const DlField *fields)
 {
   uint64_t now_ms = dl_clock_ms ();
 
-  if (!dl_log_rate_take (&log_state.rate, is_about_request (fields), now_ms))
+  if (!dl_log_rate_take (&log_state.rate, class, now_ms))
     {
       dl_metric_add (&metric_dropped, 1);
       dl_log_rate_drop (&log_state.rate, 1, now_ms);
@@ -253,15 +256,27 @@
   g_free (line);
 }
 
-void
-dl_log_fields (DlEvent event, const DlField *fields)
+static void
+log_event (DlEvent event, DlLogClass class, const DlField *fields)
 {
   const EventInfo *info = event_info (event);
 
   if (info->level == G_LOG_LEVEL_DEBUG && !log_state.debug)
     return;
   if (log_state.to_stdout)
-    log_to_stdout (event, fields);
+    log_to_stdout (event, class, fields);
   else
     log_to_glib (info, fields);
 }
+
+void
+dl_log_fields (DlEvent event, const DlField *fields)
+{
+  log_event (event, class_of (fields), fields);
+}
+
+void
+dl_log_kept_fields (DlEvent event, const DlField *fields)
+{
+  log_event (event, DL_LOG_KEPT, fields);
+}
--- a/lib/kernel/log.h
+++ b/lib/kernel/log.h
@@ -59,8 +59,15 @@
 #define dl_log(event, ...) \
   dl_log_fields ((event), (const DlField[]){ __VA_ARGS__ __VA_OPT__ (, ){ .key = 0 } })
 
+/* The same for a line without which nothing tells why a request ended as it did: the rate
+ * limit has a reserve for such lines. */
+#define dl_log_kept(event, ...) \
+  dl_log_kept_fields ((event),  \
+                      (const DlField[]){ __VA_ARGS__ __VA_OPT__ (, ){ .key = 0 } })
+
 /* FIELDS ends with a NULL key. */
 void dl_log_fields (DlEvent event, const DlField *fields);
+void dl_log_kept_fields (DlEvent event, const DlField *fields);
 
 /* Makes later events go to standard output, which is set to non-blocking.  Lines beyond
  * the rate limit, and lines that the output does not accept, are dropped; their number is
--- a/regress/direct/explained.c
+++ b/regress/direct/explained.c
@@ -1,10 +1,15 @@
 /* Tests of "daisyctl explain" on requests that failed in a known way. */
+#include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
 
 #include "direct.h"
 
 #define ARGS_MAX (4 + ENTRIES + SERVERS)
+/* Requests are denied, with a line each, for long before and during a stream. */
+#define FLOOD_BEFORE_MS 600
+#define FLOOD_MS        1500
+#define CUT_EVENT_MS    100
 
 /* The output of "daisyctl explain ID" over the logs of all entries and stagers, for
  * g_free. */
@@ -112,6 +117,53 @@
   response_free (&r);
 }
 
+/* Has the first entry log more lines about requests than its limit allows, for MS. */
+static void
+flood_log (Testbed *tb, gint64 ms)
+{
+  gint64 end_us = g_get_monotonic_time () + ms * G_TIME_SPAN_MILLISECOND;
+  CURL *curl = curl_easy_init ();
+
+  while (g_get_monotonic_time () < end_us)
+    {
+      Call c = default_call (tb, "/none/x", "flood");
+      Response r;
+
+      c.curl = curl;
+      r = call (&c);
+      response_free (&r);
+    }
+  curl_easy_cleanup (curl);
+}
+
+/* The line that tells why a stream was cut is not dropped with others. */
+static void
+test_cut_stream_in_a_burst_of_lines (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "why-cut-in-burst");
+  Background b;
+  char *text;
+
+  set_fault_on_both (tb, "cut", 1);
+  set_fault_on_both (tb, "cut_resumed", 1);
+  set_fault_on_both (tb, "event_ms", CUT_EVENT_MS);
+  flood_log (tb, FLOOD_BEFORE_MS);
+  background_start (&b, &c);
+  flood_log (tb, FLOOD_MS);
+  background_join (&b);
+  set_fault_on_both (tb, "event_ms", 20);
+  set_fault_on_both (tb, "cut", 0);
+  set_fault_on_both (tb, "cut_resumed", 0);
+  text = explain (tb, c.id);
+  CHECK (b.response.status == 200 && !b.response.complete);
+  CHECK (g_str_has_suffix (text, "outcome: request failed after it was sent\n"));
+  CHECK (strstr (text, "attempts=i-") != NULL);
+  CHECK (strstr (text, "status 200, 2 events") != NULL);
+  CHECK (strstr (text, "the upstream broke off or failed; i-") != NULL);
+  g_free (text);
+  response_free (&b.response);
+}
+
 static void
 test_late_stream (Testbed *tb)
 {
@@ -143,5 +195,7 @@
 }
 
 const TestFunc explain_tests[] = {
-  test_unknown_request, test_single_faults, test_broken_stream, test_late_stream, NULL,
+  test_unknown_request, test_single_faults,
+  test_broken_stream,   test_cut_stream_in_a_burst_of_lines,
+  test_late_stream,     NULL,
 };
