Red: a sound run is closed for a replacement that refuses, fails, is slow or away

Callers see: a begun stream whose upstream is silent for a while and would go on is cut, with time left, around a stop and at any other time; a safe request gets 502.

Group replacement: the first server falls silent for 2.4 s after three events, the second is free by its last report.

What the first entry knows of the second server moves from silence.c into a file of its own; its reader of metrics was the second one.

--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -330,6 +330,7 @@
   { "entries", { entry_tests } },
   { "claimed", { claimed_tests } },
   { "silence", { silence_tests } },
+  { "replacement", { replacement_tests } },
   { "quarantine", { quarantine_tests } },
   { "whole-requests", { whole_request_tests } },
   { "limit", { limit_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -238,6 +238,20 @@
 /* True if the stand-in at ADDRESS has recorded TEXT as MEMBER. */
 bool has_recorded_text (const char *address, const char *member, const char *text);
 
+/* -------- second_server.c -------- */
+
+/* MEMBER of the listed instance of the upstream ID, as the first entry knows it, as a
+ * number. */
+uint64_t upstream_number (const Testbed *testbed, const char *id, const char *member);
+/* True when the first entry knows that the second model server leaves. */
+bool second_is_leaving (Testbed *testbed);
+/* True when it knows it to be free and staying. */
+bool second_takes_requests (Testbed *testbed);
+/* Has the second model server report more requests of others than it has slots, or none,
+ * and waits until the first entry knows. */
+void fill_second (Testbed *testbed);
+void free_second (Testbed *testbed);
+
 /* -------- the tests, each list in the file of its name -------- */
 
 typedef void (*TestFunc) (Testbed *testbed);
@@ -301,6 +315,8 @@
 /* Upstreams that fall silent; the first two tests need processes that were just started.
  */
 extern const TestFunc silence_tests[];
+/* Upstreams that replace a silent one. */
+extern const TestFunc replacement_tests[];
 /* Requests that start on weights which should have been replaced. */
 extern const TestFunc version_tests[];
 /* The same after entries have started, whose limit must be as on the users' platform. */
--- /dev/null
+++ b/regress/direct/replacement.c
@@ -0,0 +1,213 @@
+/*
+ * Tests of the upstream that is to replace a silent one: the silent one is sound and goes
+ * on, and the replacement refuses, cannot be connected to, fails, breaks off or is slow.
+ */
+#include <glib.h>
+#include <signal.h>
+
+#include "direct.h"
+
+#define EVENTS     10
+#define BEFORE     4    /* the first server falls silent before this event */
+#define SILENCE_MS 2400 /* over four latency targets, within the deadline */
+#define ENDLESS_MS 20000
+#define QUEUE_MS   8000
+#define REFUSALS   20   /* more than an entry may cause */
+#define LEAVE_MS   2000 /* the caller leaves in the silence, after four targets */
+#define CANCELS_US 500000
+
+static uint64_t awaited_events;
+
+static bool
+first_sent_awaited (Testbed *tb)
+{
+  return recorded (tb->server[0], "events_sent") >= awaited_events;
+}
+
+/* Starts call C at the first server, whose stream falls silent for SILENCE_MS, and
+ * returns once it has sent the events before; the second server is free then. */
+static void
+start_silent_stream (Testbed *tb, Background *b, const Call *c, uint64_t silence_ms)
+{
+  earn_retries (tb);
+  earn_retries (tb);
+  fill_second (tb);
+  CHECK (set_fault (tb->server[0], "pause_before", BEFORE));
+  CHECK (set_fault (tb->server[0], "pause_ms", silence_ms));
+  CHECK (set_fault (tb->server[0], "pauses", 1));
+  awaited_events = recorded (tb->server[0], "events_sent") + BEFORE - 1;
+  background_start (b, c);
+  CHECK (eventually (first_sent_awaited, tb));
+  free_second (tb);
+}
+
+/* Waits for the response, which must be all events of the one run at the first server. */
+static void
+check_whole_from_first (Testbed *tb, Background *b)
+{
+  background_join (b);
+  CHECK (b->response.status == 200 && b->response.complete);
+  CHECK (has_events (b->response.body, 1, EVENTS));
+  response_free (&b->response);
+}
+
+static uint64_t
+replacements (const Testbed *tb)
+{
+  return metric_value (tb, 0, "daisy_direct_silent_replacements_total");
+}
+
+static void
+test_silent_stream_outlasts_replacement_that_refuses (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-refuses");
+  Background b;
+  uint64_t received = recorded (tb->server[1], "received");
+
+  CHECK (set_fault (tb->server[1], "shed_resumed", REFUSALS));
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  check_whole_from_first (tb, &b);
+  CHECK (set_fault (tb->server[1], "shed_resumed", 0));
+  CHECK (recorded (tb->server[1], "received") > received);
+  CHECK (runs_of (tb, c.id) == 1);
+}
+
+static void
+test_silent_stream_outlasts_replacement_that_fails (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-fails");
+  Background b;
+
+  CHECK (set_fault (tb->server[1], "error_resumed", 500));
+  CHECK (set_fault (tb->server[1], "error_sealed", 1));
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  check_whole_from_first (tb, &b);
+  CHECK (set_fault (tb->server[1], "error_resumed", 0));
+  CHECK (set_fault (tb->server[1], "error_sealed", 0));
+  CHECK (runs_of (tb, c.id) == 2);
+}
+
+/* The stream of the replacement ends in the middle of its first event. */
+static void
+test_silent_stream_outlasts_replacement_that_breaks_off (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-breaks-off");
+  Background b;
+
+  CHECK (set_fault (tb->server[1], "cut_resumed", REFUSALS));
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  check_whole_from_first (tb, &b);
+  CHECK (set_fault (tb->server[1], "cut_resumed", 0));
+  CHECK (runs_of (tb, c.id) == 2);
+}
+
+static void
+test_silent_stream_outlasts_replacement_that_is_slow (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-slow");
+  Background b;
+  uint64_t dropped = recorded (tb->server[1], "dropped");
+
+  CHECK (set_fault (tb->server[1], "queue_ms", QUEUE_MS));
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  check_whole_from_first (tb, &b);
+  CHECK (runs_of (tb, c.id) == 1);
+  g_usleep (CANCELS_US);
+  CHECK (recorded (tb->server[1], "dropped") == dropped + 1);
+  CHECK (set_fault (tb->server[1], "queue_ms", 0));
+}
+
+static bool
+first_serves (Testbed *tb)
+{
+  return status_with_key (tb, 0, "key1") == 200;
+}
+
+/* The stager of the second server stands still, so that nothing tells of its end. */
+static void
+test_silent_stream_outlasts_replacement_without_connection (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-unreachable");
+  Background b;
+
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  kill (tb->stager_process[1].pid, SIGSTOP);
+  process_end (&tb->server_process[1], SIGKILL);
+  check_whole_from_first (tb, &b);
+  CHECK (runs_of (tb, c.id) == 1);
+  kill (tb->stager_process[1].pid, SIGCONT);
+  CHECK (process_start (&tb->server_process[1]));
+  CHECK (eventually (first_serves, tb));
+}
+
+static void
+test_silent_stream_outlasts_refusal_while_its_entry_stops (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-refuses-stop");
+  Background b;
+
+  CHECK (set_fault (tb->server[1], "shed_resumed", REFUSALS));
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  CHECK (process_end (&tb->entry_process[0], SIGTERM) == 0);
+  check_whole_from_first (tb, &b);
+  CHECK (set_fault (tb->server[1], "shed_resumed", 0));
+  CHECK (runs_of (tb, c.id) == 1);
+  CHECK (process_start (&tb->entry_process[0]));
+  CHECK (eventually (requests_are_served, tb));
+}
+
+/* A safe request at a server that takes long; the replacement refuses it. */
+static void
+test_silent_request_outlasts_replacement_that_refuses (Testbed *tb)
+{
+  Call c = default_call (tb, "/r/long/x", "safe-replacement-refuses");
+  Background b;
+
+  earn_retries (tb);
+  earn_retries (tb);
+  fill_second (tb);
+  CHECK (set_fault (tb->server[0], "answer_ms", SILENCE_MS));
+  CHECK (set_fault (tb->server[1], "shed", REFUSALS));
+  background_start (&b, &c);
+  free_second (tb);
+  background_join (&b);
+  CHECK (b.response.status == 200);
+  response_free (&b.response);
+  CHECK (set_fault (tb->server[0], "answer_ms", 0));
+  CHECK (set_fault (tb->server[1], "shed", 0));
+  CHECK (runs_of (tb, c.id) == 1);
+}
+
+/* Both servers have the request when its caller leaves. */
+static void
+test_caller_that_leaves_cancels_both (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "leaves-both");
+  Background b;
+  uint64_t cancelled = recorded (tb->server[0], "cancelled");
+  uint64_t dropped = recorded (tb->server[1], "dropped");
+  uint64_t before = replacements (tb);
+
+  CHECK (set_fault (tb->server[1], "queue_ms", QUEUE_MS));
+  c.disconnect_ms = LEAVE_MS;
+  start_silent_stream (tb, &b, &c, ENDLESS_MS);
+  background_join (&b);
+  response_free (&b.response);
+  CHECK (replacements (tb) == before + 1);
+  g_usleep (CANCELS_US);
+  CHECK (recorded (tb->server[0], "cancelled") == cancelled + 1);
+  CHECK (recorded (tb->server[1], "dropped") == dropped + 1);
+  CHECK (set_fault (tb->server[1], "queue_ms", 0));
+}
+
+const TestFunc replacement_tests[] = {
+  test_silent_stream_outlasts_replacement_that_refuses,
+  test_silent_stream_outlasts_replacement_that_fails,
+  test_silent_stream_outlasts_replacement_that_breaks_off,
+  test_silent_stream_outlasts_replacement_that_is_slow,
+  test_silent_stream_outlasts_refusal_while_its_entry_stops,
+  test_silent_request_outlasts_replacement_that_refuses,
+  test_caller_that_leaves_cancels_both,
+  test_silent_stream_outlasts_replacement_without_connection,
+  NULL,
+};
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -6,7 +6,6 @@
 #include "direct.h"
 
 #define EVENTS         10
-#define OTHERS         8    /* requests of others: more than a server has slots */
 #define SILENCE_MS     2000 /* over four latency targets, within the deadline */
 #define LARGE_EVENT    60000
 #define LARGE_EVENTS   125
@@ -18,83 +17,6 @@
 #define ENDLESS_MS     20000
 #define PLACE_WAIT_US  300000
 
-/* -------- what the first entry knows -------- */
-
-static json_object *
-fetch_dump (const Testbed *tb)
-{
-  Response r = call (&(Call){ .address = tb->metrics[0], .target = "/dump" });
-  json_object *dump = r.status == 200 ? json_tokener_parse (r.body) : NULL;
-
-  response_free (&r);
-  return dump;
-}
-
-static uint64_t
-metric (const Testbed *tb, const char *name)
-{
-  json_object *dump = fetch_dump (tb);
-  json_object *metrics = json_object_object_get (dump, "metrics");
-  uint64_t value = json_object_get_uint64 (json_object_object_get (metrics, name));
-
-  json_object_put (dump);
-  return value;
-}
-
-/* MEMBER of the listed instance of the upstream ID, as a number. */
-static uint64_t
-upstream_number (const Testbed *tb, const char *id, const char *member)
-{
-  json_object *dump = fetch_dump (tb);
-  json_object *tasks = json_object_object_get (dump, "tasks");
-  json_object *list
-      = json_object_object_get (json_object_object_get (tasks, "requests"), "upstreams");
-  uint64_t value = 0;
-
-  for (size_t i = 0; list != NULL && i < json_object_array_length (list); i++)
-    {
-      json_object *u = json_object_array_get_idx (list, i);
-
-      if (strcmp (json_object_get_string (json_object_object_get (u, "id")), id) == 0
-          && !json_object_get_boolean (json_object_object_get (u, "gone")))
-        value = json_object_get_uint64 (json_object_object_get (u, member));
-    }
-  json_object_put (dump);
-  return value;
-}
-
-static bool
-second_is_full (Testbed *tb)
-{
-  return upstream_number (tb, "i-2", "reported") >= OTHERS;
-}
-
-static bool
-second_is_leaving (Testbed *tb)
-{
-  return upstream_number (tb, "i-2", "leaving") == 1;
-}
-
-static bool
-second_takes_requests (Testbed *tb)
-{
-  return !second_is_leaving (tb) && !second_is_full (tb);
-}
-
-static void
-fill_second (Testbed *tb)
-{
-  CHECK (set_fault (tb->server[1], "others", OTHERS));
-  CHECK (eventually (second_is_full, tb));
-}
-
-static void
-free_second (Testbed *tb)
-{
-  CHECK (set_fault (tb->server[1], "others", 0));
-  CHECK (eventually (second_takes_requests, tb));
-}
-
 /* -------- silence -------- */
 
 /* Makes the servers' next streams fall silent before event BEFORE for MS. */
@@ -204,7 +126,7 @@
 static bool
 has_kept_a_silent_one (Testbed *tb)
 {
-  return metric (tb, "daisy_direct_silent_kept_total") > 0;
+  return metric_value (tb, 0, "daisy_direct_silent_kept_total") > 0;
 }
 
 static void
@@ -212,7 +134,7 @@
 {
   Call c = default_call (tb, "/s/x", "silent-resumed");
   Background b;
-  uint64_t left = metric (tb, "daisy_direct_silent_left_total");
+  uint64_t left = metric_value (tb, 0, "daisy_direct_silent_left_total");
 
   earn_retries (tb);
   fill_second (tb);
@@ -222,7 +144,7 @@
   CHECK (eventually (has_kept_a_silent_one, tb));
   free_second (tb);
   check_resumed (tb, &b);
-  CHECK (metric (tb, "daisy_direct_silent_left_total") == left + 1);
+  CHECK (metric_value (tb, 0, "daisy_direct_silent_left_total") == left + 1);
 }
 
 static uint64_t awaited_running;
@@ -270,7 +192,7 @@
 static bool
 waits_as_awaited (Testbed *tb)
 {
-  return metric (tb, "daisy_direct_begun_queued_total") >= awaited_waits;
+  return metric_value (tb, 0, "daisy_direct_begun_queued_total") >= awaited_waits;
 }
 
 static uint64_t awaited_events;
@@ -303,7 +225,7 @@
   fill_second (tb);
   CHECK (set_fault (tb->server[0], "cut", 1));
   CHECK (set_fault (tb->server[0], "shed_resumed", 1));
-  awaited_waits = metric (tb, "daisy_direct_begun_queued_total") + 1;
+  awaited_waits = metric_value (tb, 0, "daisy_direct_begun_queued_total") + 1;
   background_start (&b, &c);
   CHECK (eventually (waits_as_awaited, tb));
   free_second (tb);
@@ -378,7 +300,7 @@
 static bool
 a_lost_stream_waits (Testbed *tb)
 {
-  return metric (tb, "daisy_direct_begun_queued_total") > begun_queued;
+  return metric_value (tb, 0, "daisy_direct_begun_queued_total") > begun_queued;
 }
 
 static void
@@ -391,7 +313,7 @@
 
   earn_retries (tb);
   fill_second (tb);
-  begun_queued = metric (tb, "daisy_direct_begun_queued_total");
+  begun_queued = metric_value (tb, 0, "daisy_direct_begun_queued_total");
   CHECK (set_fault (tb->server[0], "cut", 1));
   background_start (&b, &lost);
   CHECK (eventually (a_lost_stream_waits, tb));
