A request has a list of attempts, and each attempt its own position in the stream

No behaviour changes. The position of a stream, up to now that of the one parser that all attempts of a request shared, is the request's last_event_id; each attempt parses its own response from there. What follows needs two attempts of a request at the same time.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -12,6 +12,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "platform.h"
+#include "policy/event_stream.h"
 #include "policy/response_room.h"
 #include "policy/time_limit.h"
 #include "requests.h"
@@ -49,12 +50,13 @@
 struct Attempt
 {
   Request *request;
+  Attempt *next;  /* of the request, sent before */
+  Attempt **link; /* pointer to this attempt in the request's list */
   DirectUpstream *upstream;
   DlHttpCall *call;
   DlResponseHead head;
   unsigned status;
-  size_t number;          /* in the request's history */
-  uint64_t events_before; /* of the request, when it was sent */
+  size_t number; /* in the request's history */
   uint64_t sent_ms;
   uint64_t given_ms;     /* time that the upstream was given for the request */
   uint64_t progress_ms;  /* when it last made progress; the start time before that */
@@ -69,8 +71,9 @@
   bool aborted;         /* further bytes are dropped; ABORT_TIMER ends the attempt */
   bool time_over;       /* it ended with the time that its upstream was given */
   DlTimer *abort_timer;
-  DlBuffer *body;    /* of a response that is no stream */
-  size_t body_bytes; /* of it, counted in the owner's collected_bytes */
+  DlEventStream *events; /* of a streamed response; NULL on routes without */
+  DlBuffer *body;        /* of a response that is no stream */
+  size_t body_bytes;     /* of it, counted in the owner's collected_bytes */
 };
 
 static bool
@@ -82,9 +85,8 @@
 static bool
 is_stream (const Attempt *attempt)
 {
-  return attempt->request->events != NULL && attempt->head.is_event_stream
-         && is_success (attempt) && attempt->head.has_seal
-         && !attempt->head.is_mismatched;
+  return attempt->events != NULL && attempt->head.is_event_stream && is_success (attempt)
+         && attempt->head.has_seal && !attempt->head.is_mismatched;
 }
 
 /* True when the upstream says that it did not run this request. */
@@ -144,15 +146,6 @@
   return 0;
 }
 
-/* Whole events of this attempt so far. */
-static uint64_t
-count_events (const Attempt *attempt)
-{
-  const DlEventStream *events = attempt->request->events;
-
-  return events != NULL ? events->events - attempt->events_before : 0;
-}
-
 /* Notes the state of the attempt in the request's history; END: why it ended, NULL while
  * it is in progress. */
 static void
@@ -164,7 +157,7 @@
       &attempt->request->history, attempt->number,
       &(DlAttemptState){
           .status = attempt->status,
-          .events = count_events (attempt),
+          .events = attempt->events != NULL ? attempt->events->events : 0,
           .heard_ms = attempt->progress_ms,
           .is_reported_up = direct_upstream_is_reported_up (attempt->upstream, now_ms),
           .end = end,
@@ -178,15 +171,31 @@
   note_state (attempt, NULL);
 }
 
-/* Ends and frees the attempt for the reason END; the request is left without one. */
 static void
-finish (Attempt *attempt, DirectAttemptOutcome outcome, const char *end)
+link_attempt (Request *r, Attempt *attempt)
 {
-  Request *r = attempt->request;
+  attempt->next = r->attempts;
+  if (attempt->next != NULL)
+    attempt->next->link = &attempt->next;
+  attempt->link = &r->attempts;
+  r->attempts = attempt;
+}
+
+static void
+unlink_attempt (Attempt *attempt)
+{
+  *attempt->link = attempt->next;
+  if (attempt->next != NULL)
+    attempt->next->link = attempt->link;
+}
 
+/* Ends and frees the attempt for the reason END. */
+static void
+finish (Attempt *attempt, DirectAttemptOutcome outcome, const char *end)
+{
   note_state (attempt, end);
   release_upstream (attempt, outcome);
-  r->attempt = NULL;
+  unlink_attempt (attempt);
   talloc_free (attempt);
 }
 
@@ -307,8 +316,10 @@
 {
   Request *r = data;
 
-  if (r->attempt != NULL && dl_http_stream_queued (http) < STREAM_QUEUED_MAX_BYTES)
-    set_paused (r->attempt, false);
+  if (dl_http_stream_queued (http) >= STREAM_QUEUED_MAX_BYTES)
+    return;
+  for (Attempt *attempt = r->attempts; attempt != NULL; attempt = attempt->next)
+    set_paused (attempt, false);
 }
 
 /* How an error response, or none, counts for the upstream.  One that asks for a hold-off
@@ -363,7 +374,7 @@
   Request *r = attempt->request;
   uint64_t now_ms = dl_clock_ms ();
   DlBuffer *out = dl_buffer_new (attempt, 0);
-  int error = dl_event_stream_feed (r->events, bytes, out);
+  int error = dl_event_stream_feed (attempt->events, bytes, out);
 
   if (out->length > 0)
     {
@@ -378,6 +389,7 @@
           dl_http_stream_on_consumed (r->http, on_stream_consumed, r);
         }
       dl_http_stream_write (r->http, dl_buffer_view (out));
+      r->last_event_id = attempt->events->last_id;
       direct_request_record_event (r, now_ms);
     }
   talloc_free (out);
@@ -463,7 +475,7 @@
           DL_UINT ("after_ms", now_ms - attempt->sent_ms),
           DL_UINT ("given_ms", attempt->given_ms),
           DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
-          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_UINT ("last_event", r->last_event_id),
           DL_TEXT ("identity", r->identity.text),
           DL_TEXT ("parts", dl_signatures_parts_text (attempt, &r->incoming.signatures)));
   direct_quarantine_broken_off (r, attempt->upstream);
@@ -475,7 +487,7 @@
 static bool
 is_cut_off (const Attempt *attempt, const DlHttpResult *result, DlBuffer *rest)
 {
-  if (result->error < 0 || dl_event_stream_finish (attempt->request->events, rest) < 0)
+  if (result->error < 0 || dl_event_stream_finish (attempt->events, rest) < 0)
     return true;
   return !attempt->head.is_delimited && !attempt->started;
 }
@@ -571,18 +583,6 @@
 
 /* -------- starting and cancelling -------- */
 
-/* Sets up the event stream for an attempt on a route of streams. */
-static void
-prepare_events (Request *r)
-{
-  if (r->route->kind != DL_ROUTE_STREAM)
-    return;
-  if (r->events == NULL)
-    r->events = dl_event_stream_new (r, r->incoming.last_event_id);
-  else
-    dl_event_stream_restart (r->events);
-}
-
 static void
 note_sent (Request *r, const DirectUpstream *upstream, uint64_t now_ms)
 {
@@ -602,8 +602,7 @@
   DlForwardOptions forward;
   char *url;
 
-  g_assert (attempt != NULL && r->attempt == NULL);
-  prepare_events (r);
+  g_assert (attempt != NULL);
   attempt->request = r;
   attempt->upstream = upstream;
   attempt->sent_ms = now_ms;
@@ -613,8 +612,9 @@
   attempt->prompt_tokens = r->incoming.prompt_tokens;
   attempt->body = dl_buffer_new (attempt, RESPONSE_MAX_BYTES);
   attempt->number = dl_attempt_history_add (&r->history, upstream->id, now_ms);
-  attempt->events_before = r->events != NULL ? r->events->events : 0;
-  r->attempt = attempt;
+  if (r->route->kind == DL_ROUTE_STREAM)
+    attempt->events = dl_event_stream_new (attempt, r->last_event_id);
+  link_attempt (r, attempt);
   r->attempt_count++;
   note_sent (r, upstream, now_ms);
   direct_quarantine_sent (r);
@@ -642,6 +642,12 @@
                                 });
 }
 
+Attempt *
+direct_attempt_next (const Attempt *attempt)
+{
+  return attempt->next;
+}
+
 void
 direct_attempt_cancel (Attempt *attempt, DirectAttemptOutcome outcome, const char *reason)
 {
@@ -698,7 +704,7 @@
 bool
 direct_attempt_may_wait (const Attempt *attempt)
 {
-  bool has_head = attempt->request->events == NULL && attempt->status != 0;
+  bool has_head = attempt->events == NULL && attempt->status != 0;
 
   return !attempt->started && !has_head;
 }
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -309,7 +309,7 @@
   dl_metric_add (&metric_begun_queued, 1);
   dl_log (DL_EVENT_REQUEST_WAITS, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", r->avoid_upstream), DL_UINT ("sent", r->attempt_count),
-          DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+          DL_UINT ("last_event", r->last_event_id),
           DL_UINT ("waiting", dl_wait_queue_length (r->service->queue)),
           DL_UINT ("for_ms", until_ms - now_ms));
 }
@@ -513,15 +513,14 @@
 log_retry (const Request *r, DirectAttemptFailure failure, const char *upstream)
 {
   dl_log_fields (r->head_sent ? DL_EVENT_REQUEST_RESUMED : DL_EVENT_REQUEST_RETRIED,
-                 (const DlField[]){
-                     DL_TEXT ("request", r->incoming.id),
-                     DL_TEXT ("upstream", upstream),
-                     DL_TEXT ("cause", direct_failure_text (failure)),
-                     DL_UINT ("sent", r->attempt_count),
-                     DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
-                     DL_UINT ("upstream_requests", r->estimate.requests),
-                     DL_INT ("report_age_ms", r->estimate.report_age_ms),
-                     { .key = 0 } });
+                 (const DlField[]){ DL_TEXT ("request", r->incoming.id),
+                                    DL_TEXT ("upstream", upstream),
+                                    DL_TEXT ("cause", direct_failure_text (failure)),
+                                    DL_UINT ("sent", r->attempt_count),
+                                    DL_UINT ("last_event", r->last_event_id),
+                                    DL_UINT ("upstream_requests", r->estimate.requests),
+                                    DL_INT ("report_age_ms", r->estimate.report_age_ms),
+                                    { .key = 0 } });
 }
 
 static void
@@ -588,11 +587,11 @@
 static void
 keep_silent (Request *r, uint64_t silent_ms, DlSilenceDecision decision)
 {
-  if (!direct_attempt_note_kept (r->attempt, decision != DL_SILENCE_KEEP_ROUTE))
+  if (!direct_attempt_note_kept (r->attempts, decision != DL_SILENCE_KEEP_ROUTE))
     return;
   dl_metric_add (&metric_silent_kept, 1);
   dl_log (DL_EVENT_SILENT_UPSTREAM_KEPT, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("upstream", direct_attempt_upstream (r->attempt)->id),
+          DL_TEXT ("upstream", direct_attempt_upstream (r->attempts)->id),
           DL_UINT ("silent_ms", silent_ms),
           DL_TEXT ("reason", dl_silence_kept_text (decision)),
           DL_UINT ("sent", r->attempt_count),
@@ -602,7 +601,7 @@
 static void
 leave_silent (Request *r, uint64_t silent_ms, DirectUpstream *next)
 {
-  char *id = talloc_strdup (r, direct_attempt_upstream (r->attempt)->id);
+  char *id = talloc_strdup (r, direct_attempt_upstream (r->attempts)->id);
   bool spent = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
 
   g_assert (spent);
@@ -610,7 +609,7 @@
   dl_log (DL_EVENT_SILENT_UPSTREAM_LEFT, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", id), DL_UINT ("silent_ms", silent_ms),
           DL_TEXT ("next", next->id));
-  direct_attempt_leave (r->attempt);
+  direct_attempt_leave (r->attempts);
   note_retry (r, DIRECT_FAILURE_STALLED, id);
   send_to (r, next);
 }
@@ -620,7 +619,7 @@
 static void
 check_silence (Request *r, uint64_t now_ms)
 {
-  DlSilence silence = direct_attempt_silence (r->attempt, now_ms);
+  DlSilence silence = direct_attempt_silence (r->attempts, now_ms);
   DlSilenceDecision decision;
   DirectUpstream *next = NULL;
   int error;
@@ -630,7 +629,7 @@
   if (decision == DL_SILENCE_WITHIN_LIMIT)
     return;
   if (decision == DL_SILENCE_REPLACE)
-    next = choose (r, direct_attempt_upstream (r->attempt)->id, &error);
+    next = choose (r, direct_attempt_upstream (r->attempts)->id, &error);
   if (next != NULL)
     leave_silent (r, silence.silent_ms, next);
   else
@@ -643,6 +642,6 @@
   uint64_t now_ms = dl_clock_ms ();
 
   for (Request *r = service->owner->first; r != NULL; r = r->next)
-    if (r->service == service && r->attempt != NULL)
+    if (r->service == service && r->attempts != NULL)
       check_silence (r, now_ms);
 }
--- a/daisydirectd/forward.c
+++ b/daisydirectd/forward.c
@@ -9,9 +9,7 @@
 static uint64_t
 stream_position (const Request *r)
 {
-  if (r->events != NULL && r->events->last_id > r->incoming.last_event_id)
-    return r->events->last_id;
-  return 0;
+  return r->last_event_id > r->incoming.last_event_id ? r->last_event_id : 0;
 }
 
 /* Version that the upstream must still serve when the request arrives; 0 for any.  It is
--- a/daisydirectd/outcome.c
+++ b/daisydirectd/outcome.c
@@ -104,8 +104,8 @@
 static char *
 attempts_text (Request *r)
 {
-  if (r->attempt != NULL)
-    direct_attempt_note_state (r->attempt);
+  for (Attempt *a = r->attempts; a != NULL; a = direct_attempt_next (a))
+    direct_attempt_note_state (a);
   return dl_attempt_history_text (r, &r->history, r->arrived_ms);
 }
 
@@ -123,8 +123,8 @@
 static void
 log_failure (Request *r, unsigned status, const char *cause)
 {
-  const char *upstream
-      = r->attempt != NULL ? direct_attempt_upstream (r->attempt)->id : r->avoid_upstream;
+  const char *upstream = r->attempts != NULL ? direct_attempt_upstream (r->attempts)->id
+                                             : r->avoid_upstream;
   uint64_t now_ms = dl_clock_ms ();
   uint64_t remaining_ms = direct_request_remaining_ms (r, now_ms);
   const DlField fields[] = {
@@ -137,7 +137,7 @@
     DL_UINT ("remaining_ms", remaining_ms),
     DL_UINT ("stopping_for_ms", stopping_for_ms (r)),
     DL_UINT ("sent", r->attempt_count),
-    DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0),
+    DL_UINT ("last_event", r->last_event_id),
     DL_UINT ("upstream_requests", r->estimate.requests),
     DL_INT ("report_age_ms", r->estimate.report_age_ms),
     DL_TEXT ("attempts", attempts_text (r)),
--- a/daisydirectd/outdated.c
+++ b/daisydirectd/outdated.c
@@ -18,9 +18,9 @@
 static bool
 is_outdated (const Request *r, uint64_t required)
 {
-  return r->attempt != NULL && r->service_entry->has_engine
-         && direct_attempt_may_wait (r->attempt)
-         && direct_attempt_version (r->attempt) < required;
+  return r->attempts != NULL && r->service_entry->has_engine
+         && direct_attempt_may_wait (r->attempts)
+         && direct_attempt_version (r->attempts) < required;
 }
 
 /* Closes the attempt; the request is left without one, and avoids its upstream. */
@@ -30,11 +30,11 @@
   dl_metric_add (&metric_withdrawn, 1);
   dl_log (DL_EVENT_REQUEST_WITHDRAWN, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", r->last_upstream),
-          DL_UINT ("version", direct_attempt_version (r->attempt)),
+          DL_UINT ("version", direct_attempt_version (r->attempts)),
           DL_UINT ("version_required", required),
           DL_UINT ("after_ms", now_ms - r->last_sent_ms),
           DL_UINT ("sent", r->attempt_count));
-  direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL,
+  direct_attempt_cancel (r->attempts, DIRECT_ATTEMPT_NEUTRAL,
                          direct_failure_text (DIRECT_FAILURE_OUTDATED));
 }
 
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -222,10 +222,10 @@
       = dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures);
 
   if (held == NULL || r->is_trial
-      || (r->attempt != NULL && direct_attempt_has_started (r->attempt)))
+      || (r->attempts != NULL && direct_attempt_has_started (r->attempts)))
     return;
   dl_metric_add (&metric_refused, 1);
-  if (r->attempt == NULL && !r->may_have_run)
+  if (r->attempts == NULL && !r->may_have_run)
     direct_request_refuse (r, held->hold_ms > now_ms ? held->hold_ms - now_ms : 0,
                            refusal_reason (r, &held->id));
   else
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -86,8 +86,8 @@
 {
   direct_dispatch_dequeue (r);
   direct_dispatch_return_retry (r);
-  if (r->attempt != NULL)
-    direct_attempt_cancel (r->attempt, DIRECT_ATTEMPT_NEUTRAL, "the request ended");
+  while (r->attempts != NULL)
+    direct_attempt_cancel (r->attempts, DIRECT_ATTEMPT_NEUTRAL, "the request ended");
   if (r->link != NULL)
     dl_metric_observe_us (&metric_duration, (dl_clock_ms () - r->arrived_ms) * 1000);
   unlink_request (r);
@@ -274,6 +274,8 @@
   if (!check_limits (r) || !check_key (r))
     return;
   set_deadline (r);
+  if (r->route->kind == DL_ROUTE_STREAM)
+    r->last_event_id = r->incoming.last_event_id;
   if (direct_request_remaining_ms (r, dl_clock_ms ()) == 0)
     {
       direct_request_refuse (r, STALE_RETRY_MS, "its time ran out before it was read");
@@ -341,7 +343,7 @@
 static void
 abandon_request (Request *r)
 {
-  if (r->attempt == NULL && !r->may_have_run)
+  if (r->attempts == NULL && !r->may_have_run)
     direct_request_refuse (r, STOPPING_RETRY_MS, "this entry ended before it was run");
   else
     direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, "this entry ended before it");
@@ -480,7 +482,7 @@
                        (int64_t)(r->arrived_ms - r->owner->stop_began_ms)),
                DL_UINT ("remaining_ms", direct_request_remaining_ms (r, now_ms)),
                DL_UINT ("sent", r->attempt_count),
-               DL_UINT ("last_event", r->events != NULL ? r->events->last_id : 0));
+               DL_UINT ("last_event", r->last_event_id));
 }
 
 static int
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -13,7 +13,6 @@
 #include "kernel/http_server.h"
 #include "node/caller_request.h"
 #include "policy/attempt_history.h"
-#include "policy/event_stream.h"
 #include "policy/patience.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
@@ -90,10 +89,10 @@
   uint64_t last_sent_ms;       /* start of the last attempt; 0 before */
   uint64_t first_event_ms;     /* of the first event or the whole response; 0 before */
   uint64_t last_event_ms;      /* of the last event; 0 before */
+  uint64_t last_event_id;      /* of the last event that its caller has; 0: none */
   uint64_t gap_max_ms;         /* longest gap between events */
   DlAttemptHistory history;    /* of its attempts */
-  DlEventStream *events;       /* of a streamed response; NULL before the first attempt */
-  Attempt *attempt;            /* the attempt in progress; NULL for none */
+  Attempt *attempts;           /* list of those in progress, the last one sent first */
   Request *next;
   Request **link; /* pointer to this request in the owner's list; NULL when not in it */
 };
@@ -208,8 +207,11 @@
 
 /* -------- attempt.c -------- */
 
-/* Sends the request to UPSTREAM.  It must have no attempt in progress. */
+/* Sends the request to UPSTREAM, beside its attempts in progress. */
 void direct_attempt_start (Request *request, DirectUpstream *upstream);
+/* The attempt of the same request that was sent before ATTEMPT and is in progress; NULL
+ * for none. */
+Attempt *direct_attempt_next (const Attempt *attempt);
 /* Ends the attempt and frees it; the caller is sent nothing.  OUTCOME is counted for the
  * upstream; REASON, a static string, goes into the request's history. */
 void direct_attempt_cancel (Attempt *attempt,
