One decision what becomes of a request whose attempt ends

What a path that ends an attempt may do was decided in dispatch.c by failure, in quarantine.c by the attempt's state and in outdated.c by another state. Now lib/policy/ending.h decides, a pure function over the cause, the attempt, the request's other attempts, counts, time and budget; endings.c carries it out, and silence.c is a file of its own (dispatch.c 648 to 436 lines).

No behaviour is meant to change, but for one case: a response that is no stream and whose head has arrived is not ended by a quarantine any more (its upstream has begun to respond, as the comment said).

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -199,29 +199,18 @@
   talloc_free (attempt);
 }
 
-/* Ends the attempt and retries the request, or sends its final response. */
+/* Ends the attempt for CAUSE; the request goes on with its others, is sent again, or gets
+ * its final response. */
 static void
-finish_failed (Attempt *attempt,
-               DirectAttemptOutcome outcome,
-               DirectAttemptFailure failure)
+finish_failed (Attempt *attempt, DirectAttemptOutcome outcome, DlEndCause cause)
 {
   Request *r = attempt->request;
+  Service *service = r->service;
   char *id = talloc_strdup (r, attempt->upstream->id);
 
-  finish (attempt, outcome, direct_failure_text (failure));
-  direct_dispatch_attempt_failed (r, failure, id);
-}
-
-/* Ends the attempt and retries the request; the retry has been reserved before. */
-static void
-finish_and_retry (Attempt *attempt, DirectAttemptOutcome outcome)
-{
-  Request *r = attempt->request;
-  char *id = talloc_strdup (r, attempt->upstream->id);
-
-  finish (attempt, outcome, direct_failure_text (DIRECT_FAILURE_BROKEN));
-  direct_dispatch_retry (r, DIRECT_FAILURE_BROKEN, id);
-  direct_dispatch_run_queue (r->service);
+  finish (attempt, outcome, dl_end_cause_text (cause));
+  direct_ending_handle (r, cause, id);
+  direct_dispatch_run_queue (service);
 }
 
 /* -------- receiving the response -------- */
@@ -333,10 +322,10 @@
                                                              : DIRECT_ATTEMPT_FAILED;
 }
 
-static DirectAttemptFailure
-broken_failure (const Attempt *attempt)
+static DlEndCause
+broken_cause (const Attempt *attempt)
 {
-  return attempt->time_over ? DIRECT_FAILURE_TIME_OVER : DIRECT_FAILURE_BROKEN;
+  return attempt->time_over ? DL_END_TIME_OVER : DL_END_BROKEN;
 }
 
 /* Ends an attempt without a response that can be used. */
@@ -344,8 +333,7 @@
 finish_broken (Attempt *attempt)
 {
   finish_failed (attempt, error_outcome (attempt),
-                 was_not_run (attempt) ? DIRECT_FAILURE_NOT_RUN
-                                       : broken_failure (attempt));
+                 was_not_run (attempt) ? DL_END_NOT_RUN : broken_cause (attempt));
 }
 
 static void
@@ -502,7 +490,7 @@
     {
       if (result->error == 0)
         note_broken_off (attempt);
-      finish_failed (attempt, error_outcome (attempt), broken_failure (attempt));
+      finish_failed (attempt, error_outcome (attempt), broken_cause (attempt));
       return;
     }
   if (!r->head_sent)
@@ -514,13 +502,12 @@
   direct_request_end_stream (r);
 }
 
-/* True for an error response that is to be retried instead of forwarded; the retry is
- * then reserved. */
+/* True for an error response that is not forwarded, as the request goes on without it. */
 static bool
-reserve_retry_of_error (const Attempt *attempt)
+is_superseded_error (const Attempt *attempt)
 {
   return attempt->status >= STATUS_SERVER_ERROR
-         && direct_dispatch_reserve_retry (attempt->request, DIRECT_FAILURE_BROKEN);
+         && direct_ending_decide (attempt, DL_END_BROKEN) != DL_END_REQUEST;
 }
 
 static void
@@ -552,9 +539,9 @@
     }
   if (!is_success (attempt))
     note_answered (attempt);
-  if (reserve_retry_of_error (attempt))
+  if (is_superseded_error (attempt))
     {
-      finish_and_retry (attempt, error_outcome (attempt));
+      finish_failed (attempt, error_outcome (attempt), DL_END_BROKEN);
       return;
     }
   note_started (attempt, dl_clock_ms ());
@@ -572,7 +559,7 @@
   if (result->sent && result->broken_off && !attempt->aborted)
     note_broken_off (attempt);
   if (!responded && !result->sent)
-    finish_failed (attempt, DIRECT_ATTEMPT_UNREACHABLE, DIRECT_FAILURE_CONNECT);
+    finish_failed (attempt, DIRECT_ATTEMPT_UNREACHABLE, DL_END_NOT_SENT);
   else if (!responded)
     finish_broken (attempt);
   else if (is_stream (attempt))
@@ -642,6 +629,12 @@
                                 });
 }
 
+Request *
+direct_attempt_request (const Attempt *attempt)
+{
+  return attempt->request;
+}
+
 Attempt *
 direct_attempt_next (const Attempt *attempt)
 {
@@ -692,13 +685,7 @@
 {
   finish (attempt,
           attempt->failure_counted ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED,
-          direct_failure_text (DIRECT_FAILURE_STALLED));
-}
-
-bool
-direct_attempt_has_started (const Attempt *attempt)
-{
-  return attempt->started;
+          dl_end_cause_text (DL_END_SILENT));
 }
 
 bool
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -1,6 +1,5 @@
 /*
- * Assigning requests to upstreams: at once, after a wait in the service's queue, or again
- * after a failed attempt.
+ * Assigning requests to upstreams: at once, or after a wait in the service's queue.
  */
 #include <errno.h>
 #include <glib.h>
@@ -17,37 +16,18 @@
  * each other's retries; the margin keeps them together within the configured limits. */
 #define RETRY_RATIO_SHARE 0.85
 #define RETRY_SLACK_SHARE 0.75
-/* Attempts of a request that may fail to connect before it is refused or fails. */
-#define CONNECT_FAILURES_MAX 3
 /* Retry-After of requests refused because no upstream serves the service. */
-#define NO_UPSTREAM_RETRY_MS   900
-#define STATUS_BAD_GATEWAY     502
-#define STATUS_GATEWAY_TIMEOUT 504
+#define NO_UPSTREAM_RETRY_MS 900
+#define STATUS_BAD_GATEWAY   502
 
 DL_METRIC (metric_waited,
            DL_METRIC_HISTOGRAM,
            "daisy_direct_queue_ms",
            "Time that requests waited at the entry for a free request slot.")
-DL_METRIC (metric_retries,
-           DL_METRIC_COUNTER,
-           "daisy_direct_repeats_total",
-           "Retries of requests.")
-DL_METRIC (metric_budget_empty,
-           DL_METRIC_COUNTER,
-           "daisy_direct_repeats_denied_total",
-           "Retries that the retry budget did not allow.")
 DL_METRIC (metric_begun_queued,
            DL_METRIC_COUNTER,
            "daisy_direct_begun_queued_total",
            "Requests that may have run and waited for another upstream.")
-DL_METRIC (metric_silent_kept,
-           DL_METRIC_COUNTER,
-           "daisy_direct_silent_kept_total",
-           "Attempts kept at a silent upstream for want of a replacement.")
-DL_METRIC (metric_silent_left,
-           DL_METRIC_COUNTER,
-           "daisy_direct_silent_left_total",
-           "Attempts at a silent upstream that were replaced.")
 
 /* This entry's share of the retry slack of all entries, the cap of its retry budgets, in
  * units of 1 / DL_RETRY_SCALE of a retry. */
@@ -97,8 +77,8 @@
     }
 }
 
-static uint64_t
-retry_percent (const Requests *requests)
+uint64_t
+direct_dispatch_retry_percent (const Requests *requests)
 {
   return (uint64_t)(requests->settings->retry_ratio * RETRY_RATIO_SHARE * PERCENT);
 }
@@ -135,8 +115,8 @@
   return is_selective (r, now_ms) || is_confined (r);
 }
 
-/* What an upstream for the request must be like, in place of the one with the id
- * REPLACED, which has it; NULL for none. */
+/* What an upstream for the request must be like, beside the one with the id REPLACED,
+ * which has it; NULL for none. */
 static DirectUpstreamQuery
 upstream_query (const Request *r, const char *replaced)
 {
@@ -153,13 +133,22 @@
 }
 
 static DirectUpstream *
-choose (const Request *r, const char *replaced, int *error)
+choose (const Request *r, int *error)
 {
-  DirectUpstreamQuery query = upstream_query (r, replaced);
+  DirectUpstreamQuery query = upstream_query (r, NULL);
 
   return direct_upstreams_choose (r->owner->upstreams, &query, error);
 }
 
+DirectUpstream *
+direct_dispatch_choose_beside (const Request *r, const char *upstream)
+{
+  DirectUpstreamQuery query = upstream_query (r, upstream);
+  int error;
+
+  return direct_upstreams_choose (r->owner->upstreams, &query, &error);
+}
+
 /* Time until an upstream of the request's service takes requests again, when all of them
  * hold off; 0 when that is not the case. */
 static uint64_t
@@ -180,15 +169,16 @@
                           r->organisation);
 }
 
-static void
-send_to (Request *r, DirectUpstream *upstream)
+void
+direct_dispatch_send (Request *r, DirectUpstream *upstream)
 {
   uint64_t now_ms = dl_clock_ms ();
 
   if (r->attempt_count == 0)
     dl_wait_queue_sent (r->service->queue, rank (r), now_ms);
   if (r->attempt_count == 0)
-    dl_retry_first_attempt (&r->service->budget, retry_percent (r->owner));
+    dl_retry_first_attempt (&r->service->budget,
+                            direct_dispatch_retry_percent (r->owner));
   r->retry_reserved = false;
   dl_wait_queue_dispatched (r->service->queue, now_ms);
   dl_metric_observe_us (&metric_waited, (now_ms - r->arrived_ms) * 1000);
@@ -254,6 +244,12 @@
          && direct_upstreams_are_uneven (r->owner->upstreams, r->service_entry);
 }
 
+void
+direct_dispatch_refuse_or_fail (Request *r, const char *reason)
+{
+  refuse_or_fail (r, reason, retry_ms (r));
+}
+
 /* Sends the final response of a request that no upstream of its service takes. */
 static void
 refuse_or_fail_without_upstream (Request *r)
@@ -346,7 +342,7 @@
 static DirectUpstream *
 choose_behind_queue (const Request *r, int *error)
 {
-  if (!is_confined (r) || choose (r, NULL, error) != NULL)
+  if (!is_confined (r) || choose (r, error) != NULL)
     *error = -EBUSY;
   return NULL;
 }
@@ -361,11 +357,11 @@
     dl_wait_queue_arrived (r->service->queue, rank (r), dl_clock_ms ());
   /* Queued requests go first, except before retries. */
   if (r->attempt_count > 0 || !is_place_claimed (r))
-    upstream = choose (r, NULL, &error);
+    upstream = choose (r, &error);
   else
     upstream = choose_behind_queue (r, &error);
   if (upstream != NULL)
-    send_to (r, upstream);
+    direct_dispatch_send (r, upstream);
   else
     wait_or_end (r, error);
 }
@@ -379,19 +375,17 @@
   r->waiting = false;
 }
 
-static void replace_silent (Service *service);
-
 void
 direct_dispatch_run_queue (Service *service)
 {
   Request *r;
   Request *passed = NULL; /* the last one that waits on while others are served */
 
-  replace_silent (service); /* first: their callers have waited longest */
+  direct_silence_check (service); /* first: their callers have waited longest */
   while ((r = dl_wait_queue_after (service->queue, passed)) != NULL)
     {
       int error;
-      DirectUpstream *upstream = choose (r, NULL, &error);
+      DirectUpstream *upstream = choose (r, &error);
 
       if (upstream == NULL && error == -EBUSY && !is_choosy (r, dl_clock_ms ()))
         return;
@@ -404,7 +398,7 @@
         }
       direct_dispatch_dequeue (r);
       if (upstream != NULL)
-        send_to (r, upstream);
+        direct_dispatch_send (r, upstream);
       else
         refuse_or_fail_without_upstream (r);
     }
@@ -436,212 +430,7 @@
       while ((r = dl_wait_queue_expired (s->queue, now_ms)) != NULL)
         {
           r->waiting = false;
-          refuse_or_fail (r, "no place came free in time", retry_ms (r));
+          direct_dispatch_refuse_or_fail (r, dl_end_cause_text (DL_END_WAITED));
         }
     }
 }
-
-/* -------- retries -------- */
-
-void
-direct_dispatch_return_retry (Request *r)
-{
-  if (!r->retry_reserved)
-    return;
-  r->retry_reserved = false;
-  dl_retry_return (&r->service->budget);
-}
-
-static bool
-may_have_run (DirectAttemptFailure failure)
-{
-  return failure != DIRECT_FAILURE_CONNECT && failure != DIRECT_FAILURE_NOT_RUN;
-}
-
-bool
-direct_dispatch_reserve_retry (Request *r, DirectAttemptFailure failure)
-{
-  bool has_time = direct_request_remaining_ms (r, dl_clock_ms ()) >= DL_ATTEMPT_MIN_MS;
-
-  if (!has_time || !direct_quarantine_allows_retry (r, failure))
-    return false;
-  switch (failure)
-    {
-    case DIRECT_FAILURE_CONNECT:
-      return r->connect_failures < CONNECT_FAILURES_MAX;
-    case DIRECT_FAILURE_NOT_RUN:
-      break;
-    case DIRECT_FAILURE_BROKEN:
-    case DIRECT_FAILURE_TIME_OVER:
-    case DIRECT_FAILURE_STALLED:
-    case DIRECT_FAILURE_OUTDATED:
-      if (!dl_routing_may_retry (r->route))
-        return false;
-      break;
-    }
-  if (r->attempt_count >= r->route->attempts_max)
-    return false;
-  r->retry_reserved = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
-  if (r->retry_reserved)
-    return true;
-  dl_metric_add (&metric_budget_empty, 1);
-  return false;
-}
-
-const char *
-direct_failure_text (DirectAttemptFailure failure)
-{
-  switch (failure)
-    {
-    case DIRECT_FAILURE_CONNECT:
-      return "the upstream could not be connected to";
-    case DIRECT_FAILURE_NOT_RUN:
-      return "the upstream did not run it";
-    case DIRECT_FAILURE_BROKEN:
-      return "the upstream broke off or failed";
-    case DIRECT_FAILURE_TIME_OVER:
-      return "its time ran out";
-    case DIRECT_FAILURE_STALLED:
-      return "the upstream was silent";
-    case DIRECT_FAILURE_OUTDATED:
-      return "it had not started when the upstream's weights became too old";
-    }
-  return "";
-}
-
-static void
-log_retry (const Request *r, DirectAttemptFailure failure, const char *upstream)
-{
-  dl_log_fields (r->head_sent ? DL_EVENT_REQUEST_RESUMED : DL_EVENT_REQUEST_RETRIED,
-                 (const DlField[]){ DL_TEXT ("request", r->incoming.id),
-                                    DL_TEXT ("upstream", upstream),
-                                    DL_TEXT ("cause", direct_failure_text (failure)),
-                                    DL_UINT ("sent", r->attempt_count),
-                                    DL_UINT ("last_event", r->last_event_id),
-                                    DL_UINT ("upstream_requests", r->estimate.requests),
-                                    DL_INT ("report_age_ms", r->estimate.report_age_ms),
-                                    { .key = 0 } });
-}
-
-static void
-note_failure (Request *r, DirectAttemptFailure failure, const char *upstream)
-{
-  if (failure == DIRECT_FAILURE_CONNECT)
-    {
-      r->attempt_count--;
-      r->connect_failures++;
-      r->retry_reserved = r->attempt_count > 0; /* what could not be sent was a retry */
-    }
-  if (may_have_run (failure))
-    r->may_have_run = true;
-  r->failed_ms = dl_clock_ms ();
-  talloc_free (r->avoid_upstream);
-  r->avoid_upstream = talloc_strdup (r, upstream);
-}
-
-static void
-note_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
-{
-  note_failure (r, failure, upstream);
-  log_retry (r, failure, upstream);
-  dl_metric_add (&metric_retries, 1);
-}
-
-void
-direct_dispatch_retry (Request *r, DirectAttemptFailure failure, const char *upstream)
-{
-  note_retry (r, failure, upstream);
-  direct_dispatch_request (r);
-}
-
-void
-direct_dispatch_retry_or_end (Request *r,
-                              DirectAttemptFailure failure,
-                              const char *upstream)
-{
-  if (direct_dispatch_reserve_retry (r, failure))
-    {
-      direct_dispatch_retry (r, failure, upstream);
-      return;
-    }
-  note_failure (r, failure, upstream);
-  if (failure == DIRECT_FAILURE_TIME_OVER)
-    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, direct_failure_text (failure));
-  else
-    refuse_or_fail (r, direct_failure_text (failure), retry_ms (r));
-}
-
-void
-direct_dispatch_attempt_failed (Request *r,
-                                DirectAttemptFailure failure,
-                                const char *upstream)
-{
-  Service *service = r->service;
-
-  direct_dispatch_retry_or_end (r, failure, upstream);
-  direct_dispatch_run_queue (service);
-}
-
-/* -------- silent upstreams -------- */
-
-static void
-keep_silent (Request *r, uint64_t silent_ms, DlSilenceDecision decision)
-{
-  if (!direct_attempt_note_kept (r->attempts, decision != DL_SILENCE_KEEP_ROUTE))
-    return;
-  dl_metric_add (&metric_silent_kept, 1);
-  dl_log (DL_EVENT_SILENT_UPSTREAM_KEPT, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("upstream", direct_attempt_upstream (r->attempts)->id),
-          DL_UINT ("silent_ms", silent_ms),
-          DL_TEXT ("reason", dl_silence_kept_text (decision)),
-          DL_UINT ("sent", r->attempt_count),
-          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())));
-}
-
-static void
-leave_silent (Request *r, uint64_t silent_ms, DirectUpstream *next)
-{
-  char *id = talloc_strdup (r, direct_attempt_upstream (r->attempts)->id);
-  bool spent = dl_retry_spend (&r->service->budget, retry_percent (r->owner));
-
-  g_assert (spent);
-  dl_metric_add (&metric_silent_left, 1);
-  dl_log (DL_EVENT_SILENT_UPSTREAM_LEFT, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("upstream", id), DL_UINT ("silent_ms", silent_ms),
-          DL_TEXT ("next", next->id));
-  direct_attempt_leave (r->attempts);
-  note_retry (r, DIRECT_FAILURE_STALLED, id);
-  send_to (r, next);
-}
-
-/* Sends the request to another upstream if its own has been silent for long and the
- * replacement is certain; otherwise keeps the attempt. */
-static void
-check_silence (Request *r, uint64_t now_ms)
-{
-  DlSilence silence = direct_attempt_silence (r->attempts, now_ms);
-  DlSilenceDecision decision;
-  DirectUpstream *next = NULL;
-  int error;
-
-  silence.has_budget = dl_retry_allows (&r->service->budget, retry_percent (r->owner));
-  decision = dl_silence_decide (&silence);
-  if (decision == DL_SILENCE_WITHIN_LIMIT)
-    return;
-  if (decision == DL_SILENCE_REPLACE)
-    next = choose (r, direct_attempt_upstream (r->attempts)->id, &error);
-  if (next != NULL)
-    leave_silent (r, silence.silent_ms, next);
-  else
-    keep_silent (r, silence.silent_ms, decision);
-}
-
-static void
-replace_silent (Service *service)
-{
-  uint64_t now_ms = dl_clock_ms ();
-
-  for (Request *r = service->owner->first; r != NULL; r = r->next)
-    if (r->service == service && r->attempts != NULL)
-      check_silence (r, now_ms);
-}
--- a/daisydirectd/outdated.c
+++ b/daisydirectd/outdated.c
@@ -35,7 +35,7 @@
           DL_UINT ("after_ms", now_ms - r->last_sent_ms),
           DL_UINT ("sent", r->attempt_count));
   direct_attempt_cancel (r->attempts, DIRECT_ATTEMPT_NEUTRAL,
-                         direct_failure_text (DIRECT_FAILURE_OUTDATED));
+                         dl_end_cause_text (DL_END_OUTDATED));
 }
 
 void
@@ -55,6 +55,6 @@
     {
       Request *r = g_ptr_array_index (withdrawn, i - 1);
 
-      direct_dispatch_retry_or_end (r, DIRECT_FAILURE_OUTDATED, r->last_upstream);
+      direct_ending_handle (r, DL_END_OUTDATED, r->last_upstream);
     }
 }
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -201,13 +201,13 @@
 }
 
 bool
-direct_quarantine_allows_retry (const Request *r, DirectAttemptFailure failure)
+direct_quarantine_allows_retry (const Request *r, DlEndCause cause)
 {
   DlQuarantineFailure kind = DL_QUARANTINE_MAY_HAVE_RUN;
 
-  if (failure == DIRECT_FAILURE_CONNECT)
+  if (cause == DL_END_NOT_SENT)
     kind = DL_QUARANTINE_NOT_SENT;
-  else if (failure == DIRECT_FAILURE_NOT_RUN)
+  else if (cause == DL_END_NOT_RUN)
     kind = DL_QUARANTINE_NOT_RUN;
   return dl_quarantine_allows_retry (r->owner->quarantine, &r->incoming.signatures,
                                      r->is_trial, kind);
@@ -222,7 +222,8 @@
       = dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures);
 
   if (held == NULL || r->is_trial
-      || (r->attempts != NULL && direct_attempt_has_started (r->attempts)))
+      || (r->attempts != NULL
+          && direct_ending_decide (r->attempts, DL_END_QUARANTINED) == DL_END_KEEP))
     return;
   dl_metric_add (&metric_refused, 1);
   if (r->attempts == NULL && !r->may_have_run)
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -85,7 +85,7 @@
 direct_request_release (Request *r)
 {
   direct_dispatch_dequeue (r);
-  direct_dispatch_return_retry (r);
+  direct_ending_return_retry (r);
   while (r->attempts != NULL)
     direct_attempt_cancel (r->attempts, DIRECT_ATTEMPT_NEUTRAL, "the request ended");
   if (r->link != NULL)
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -1,9 +1,11 @@
 /*
  * Internal interfaces of the task "requests".
  *
- * requests.c admits callers' requests, dispatch.c assigns them to upstreams, queues or
- * retries them, attempt.c sends a request to one upstream, outdated.c withdraws it when
- * that upstream's weights become too old, and outcome.c sends the final response.
+ * requests.c admits callers' requests, dispatch.c assigns them to upstreams or queues
+ * them, attempt.c sends a request to one upstream, silence.c replaces one that falls
+ * silent, outdated.c withdraws a request when its upstream's weights become too old,
+ * endings.c decides what becomes of a request whose attempt ends, and outcome.c sends the
+ * final response.
  */
 #ifndef DIRECT_REQUESTS_H
 #define DIRECT_REQUESTS_H
@@ -13,6 +15,7 @@
 #include "kernel/http_server.h"
 #include "node/caller_request.h"
 #include "policy/attempt_history.h"
+#include "policy/ending.h"
 #include "policy/patience.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
@@ -157,8 +160,6 @@
 void direct_dispatch_run_queues (Requests *requests);
 /* Removes the request from its service's queue, if it is queued. */
 void direct_dispatch_dequeue (Request *request);
-/* Returns the request's retry to the budget, if it has one that was not sent. */
-void direct_dispatch_return_retry (Request *request);
 /* Refuses or fails requests that have been queued for too long. */
 void direct_dispatch_expire (Requests *requests, uint64_t now_ms);
 /* Sets how many entries accept requests, in this entry's region, itself included, and in
@@ -167,36 +168,40 @@
                                   unsigned same_region,
                                   unsigned other_region);
 
-/* Why an attempt ended without a response for the caller. */
-typedef enum
-{
-  DIRECT_FAILURE_CONNECT,   /* no connection; nothing was sent */
-  DIRECT_FAILURE_NOT_RUN,   /* the upstream says that it did not execute the request */
-  DIRECT_FAILURE_BROKEN,    /* no complete, usable response; may have run */
-  DIRECT_FAILURE_TIME_OVER, /* the same, at the end of the time that it was given */
-  DIRECT_FAILURE_STALLED,   /* no progress for too long; may have run */
-  DIRECT_FAILURE_OUTDATED,  /* withdrawn before it started on outdated weights; may run */
-} DirectAttemptFailure;
+/* Sends the request to UPSTREAM, beside its attempts in progress. */
+void direct_dispatch_send (Request *request, DirectUpstream *upstream);
+/* Returns an upstream that the request may be sent to while UPSTREAM, an id, has it; NULL
+ * for none. */
+DirectUpstream *direct_dispatch_choose_beside (const Request *request,
+                                               const char *upstream);
+/* Percentage of a retry that the first attempt of a request earns. */
+uint64_t direct_dispatch_retry_percent (const Requests *requests);
+/* Sends the final response of a request that gets no further attempt: refuses it, or
+ * fails it when it may have run. */
+void direct_dispatch_refuse_or_fail (Request *request, const char *reason);
+
+/* -------- endings.c -------- */
+
+/* What becomes of the request of ATTEMPT, which is in progress, if it ends for CAUSE; as
+ * things are now. */
+DlEndDecision direct_ending_decide (const Attempt *attempt, DlEndCause cause);
+/* An attempt of the request at UPSTREAM has ended for CAUSE: the request goes on with its
+ * others, is sent again, or gets its final response. */
+void direct_ending_handle (Request *request, DlEndCause cause, const char *upstream);
+/* Notes in the request that its attempt at UPSTREAM has ended for CAUSE. */
+void direct_ending_note (Request *request, DlEndCause cause, const char *upstream);
+/* Logs and counts that the request, which UPSTREAM had, is sent again for CAUSE. */
+void
+direct_ending_log_retry (const Request *request, DlEndCause cause, const char *upstream);
+/* Returns the request's retry to the budget, if it has one that was not sent. */
+void direct_ending_return_retry (Request *request);
+/* How often the request was sent. */
+DlAttemptCounts direct_ending_counts (const Request *request);
+
+/* -------- silence.c -------- */
 
-/* What FAILURE means, for logs and callers; a static string. */
-const char *direct_failure_text (DirectAttemptFailure failure);
-/* Returns true when the request may be retried after FAILURE.  The retry is then taken
- * from the service's retry budget, unless the failed attempt could not connect. */
-bool direct_dispatch_reserve_retry (Request *request, DirectAttemptFailure failure);
-/* Retries the request after its attempt at UPSTREAM failed; only after
- * direct_dispatch_reserve_retry returned true. */
-void direct_dispatch_retry (Request *request,
-                            DirectAttemptFailure failure,
-                            const char *upstream);
-/* Retries the request after its attempt at UPSTREAM failed, or sends its final response
- * when it may not be retried. */
-void direct_dispatch_retry_or_end (Request *request,
-                                   DirectAttemptFailure failure,
-                                   const char *upstream);
-/* The same, and then sends queued requests. */
-void direct_dispatch_attempt_failed (Request *request,
-                                     DirectAttemptFailure failure,
-                                     const char *upstream);
+/* Looks for replacements of upstreams that have been silent for long. */
+void direct_silence_check (Service *service);
 
 /* -------- outdated.c -------- */
 
@@ -209,6 +214,8 @@
 
 /* Sends the request to UPSTREAM, beside its attempts in progress. */
 void direct_attempt_start (Request *request, DirectUpstream *upstream);
+/* The request that the attempt is of. */
+Request *direct_attempt_request (const Attempt *attempt);
 /* The attempt of the same request that was sent before ATTEMPT and is in progress; NULL
  * for none. */
 Attempt *direct_attempt_next (const Attempt *attempt);
@@ -227,8 +234,6 @@
 bool direct_attempt_note_kept (Attempt *attempt, bool counts);
 /* Ends and frees the attempt at a silent upstream; the caller is sent nothing. */
 void direct_attempt_leave (Attempt *attempt);
-/* True when a whole event, or the whole response, has arrived. */
-bool direct_attempt_has_started (const Attempt *attempt);
 /* Version of the weights that the attempt would start on: the last one that the upstream
  * served, as it has none while it loads others. */
 uint64_t direct_attempt_version (const Attempt *attempt);
@@ -273,8 +278,7 @@
 /* True when one of the request's signatures is quarantined. */
 bool direct_quarantine_holds (const Request *request);
 /* True unless what is known of its signatures forbids to send the request again. */
-bool direct_quarantine_allows_retry (const Request *request,
-                                     DirectAttemptFailure failure);
+bool direct_quarantine_allows_retry (const Request *request, DlEndCause cause);
 /* The request is sent to an upstream. */
 void direct_quarantine_sent (Request *request);
 /* The request was served completely. */
