A silent upstream keeps its request while a replacement begins

Cause: leave_silent closed the attempt at a silent upstream before the replacement had responded, as a report of some hundred milliseconds ago said that it had a free place. With attempts_max 2 any failure of the replacement, also a refusal, then ended the request. Class: a run that may be sound is given up on a belief.

Ruled out: a longer limit of silence only makes it rarer; to leave only where the report is newer than the last word of the silent one does not help against a refusal, as the reports of both are of the same age.

Change: the request is sent to the replacement as well and stays at both. The first to complete an event, or a response, is forwarded; the others drop out at once and are cancelled from the event loop. The replacement spends a retry of the budget and an attempt, as before. An upstream that is overtaken in its silence counts as failed, also if it had been kept for a while.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -51,7 +51,7 @@
 {
   Request *request;
   Attempt *next;  /* of the request, sent before */
-  Attempt **link; /* pointer to this attempt in the request's list */
+  Attempt **link; /* pointer to this attempt in the request's list; NULL when not in it */
   DirectUpstream *upstream;
   DlHttpCall *call;
   DlResponseHead head;
@@ -64,7 +64,9 @@
   uint64_t prompt_tokens;
   bool started;         /* a whole event or a whole response arrived */
   bool kept;            /* though its upstream was silent for long */
+  bool is_silent;       /* a replacement was started */
   bool failure_counted; /* that silence was, for the upstream's circuit breaker */
+  bool overtaken;       /* another one goes on; ABORT_TIMER ends this one */
   bool ended;           /* its end was reported to the upstream */
   bool pinned;          /* the upstream was to refuse it with other weights */
   bool paused;          /* by this entry, as its caller reads slowly */
@@ -184,9 +186,12 @@
 static void
 unlink_attempt (Attempt *attempt)
 {
+  if (attempt->link == NULL)
+    return;
   *attempt->link = attempt->next;
   if (attempt->next != NULL)
     attempt->next->link = attempt->link;
+  attempt->link = NULL;
 }
 
 /* Ends and frees the attempt for the reason END. */
@@ -277,6 +282,49 @@
   dl_metric_observe_us (&metric_first_event, (now_ms - attempt->sent_ms) * 1000);
 }
 
+static void
+on_overtaken (DlTimer *timer, void *data)
+{
+  Attempt *attempt = data;
+
+  finish (attempt,
+          attempt->failure_counted ? DIRECT_ATTEMPT_SILENT : DIRECT_ATTEMPT_NEUTRAL,
+          dl_end_cause_text (DL_END_OVERTAKEN));
+}
+
+/* WINNER goes on first.  The attempt is none of its request's any more; it is ended from
+ * the event loop, as the HTTP library cancels no call from its data callback. */
+static void
+overtake (Attempt *attempt, const Attempt *winner)
+{
+  direct_silence_overtaken (winner, attempt);
+  attempt->overtaken = true;
+  unlink_attempt (attempt);
+  talloc_free (attempt->abort_timer);
+  attempt->abort_timer = dl_timer_subscribe (attempt->request->owner->task, attempt, 0, 0,
+                                             on_overtaken, attempt);
+}
+
+/* The response is forwarded from this attempt; the others of its request end. */
+static void
+take_lead (Attempt *attempt)
+{
+  Request *r = attempt->request;
+  Attempt *next;
+
+  r->may_have_run = true;
+  for (Attempt *other = r->attempts; other != NULL; other = next)
+    {
+      next = other->next;
+      if (other != attempt)
+        overtake (other, attempt);
+    }
+  if (strcmp (r->last_upstream, attempt->upstream->id) == 0)
+    return;
+  talloc_free (r->last_upstream);
+  r->last_upstream = talloc_strdup (r, attempt->upstream->id);
+}
+
 static void
 begin_reply (Attempt *attempt)
 {
@@ -370,7 +418,7 @@
         dl_metric_observe_us (&metric_gap, (now_ms - attempt->progress_ms) * 1000);
       attempt->progress_ms = now_ms;
       note_started (attempt, now_ms);
-      r->may_have_run = true;
+      take_lead (attempt);
       if (!r->head_sent)
         {
           begin_reply (attempt);
@@ -418,7 +466,7 @@
 {
   Attempt *attempt = data;
 
-  if (attempt->aborted)
+  if (attempt->aborted || attempt->overtaken)
     return;
   if (is_stream (attempt))
     {
@@ -493,6 +541,7 @@
       finish_failed (attempt, error_outcome (attempt), broken_cause (attempt));
       return;
     }
+  take_lead (attempt);
   if (!r->head_sent)
     begin_reply (attempt);
   if (rest->length > 0)
@@ -519,6 +568,7 @@
   DlBuffer *body = talloc_steal (r, attempt->body);
   unsigned status = attempt->status;
 
+  take_lead (attempt);
   if (is_success (attempt))
     note_served (attempt);
   finish (attempt,
@@ -554,6 +604,8 @@
   Attempt *attempt = data;
   bool responded = result->status != 0 && !attempt->aborted;
 
+  if (attempt->overtaken)
+    return; /* it is about to be ended */
   attempt->time_over = is_time_over (attempt);
   /* One that sends what is no response does not crash. */
   if (result->sent && result->broken_off && !attempt->aborted)
@@ -647,6 +699,15 @@
   finish (attempt, outcome, reason);
 }
 
+/* True when a further attempt may be started beside those in progress. */
+static bool
+may_start_further (const Request *r)
+{
+  DlAttemptCounts counts = direct_ending_counts (r);
+
+  return dl_attempts_left (&counts) && counts.not_sent < DL_NOT_SENT_MAX;
+}
+
 DlSilence
 direct_attempt_silence (const Attempt *attempt, uint64_t now_ms)
 {
@@ -663,29 +724,41 @@
     .reported_up = direct_upstream_is_reported_up (attempt->upstream, now_ms),
     .remaining_ms = direct_request_remaining_ms (r, now_ms),
     .may_retry = dl_routing_may_retry (route) && !direct_quarantine_holds (r),
-    .attempts = r->attempt_count,
-    .attempts_max = route->attempts_max,
+    .has_attempts = may_start_further (r),
   };
 }
 
+static void
+count_silence (Attempt *attempt)
+{
+  if (attempt->failure_counted)
+    return;
+  attempt->failure_counted = true;
+  direct_upstream_silent (attempt->upstream, dl_clock_ms ());
+}
+
 bool
 direct_attempt_note_kept (Attempt *attempt, bool counts)
 {
   if (attempt->kept)
     return false;
   attempt->kept = true;
-  attempt->failure_counted = counts;
   if (counts)
-    direct_upstream_silent (attempt->upstream, dl_clock_ms ());
+    count_silence (attempt);
   return true;
 }
 
 void
-direct_attempt_leave (Attempt *attempt)
+direct_attempt_note_silent (Attempt *attempt)
 {
-  finish (attempt,
-          attempt->failure_counted ? DIRECT_ATTEMPT_NEUTRAL : DIRECT_ATTEMPT_FAILED,
-          dl_end_cause_text (DL_END_SILENT));
+  attempt->is_silent = true;
+  count_silence (attempt);
+}
+
+bool
+direct_attempt_is_silent (const Attempt *attempt)
+{
+  return attempt->is_silent;
 }
 
 bool
@@ -696,6 +769,12 @@
   return !attempt->started && !has_head;
 }
 
+uint64_t
+direct_attempt_sent_ms (const Attempt *attempt)
+{
+  return attempt->sent_ms;
+}
+
 uint64_t
 direct_attempt_version (const Attempt *attempt)
 {
--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -115,10 +115,10 @@
   return is_selective (r, now_ms) || is_confined (r);
 }
 
-/* What an upstream for the request must be like, beside the one with the id REPLACED,
- * which has it; NULL for none. */
+/* What an upstream for the request must be like, beside HOLDERS, which have it; NULL for
+ * none. */
 static DirectUpstreamQuery
-upstream_query (const Request *r, const char *replaced)
+upstream_query (const Request *r, const char *const *holders)
 {
   uint64_t now_ms = dl_clock_ms ();
 
@@ -126,7 +126,7 @@
     .service = r->service_entry,
     .homes = homes (r),
     .avoid_upstream = r->avoid_upstream,
-    .replaced_upstream = replaced,
+    .holders = holders,
     .wait_for_others = is_selective (r, now_ms),
     .now_ms = now_ms,
   };
@@ -141,11 +141,16 @@
 }
 
 DirectUpstream *
-direct_dispatch_choose_beside (const Request *r, const char *upstream)
+direct_dispatch_choose_further (const Request *r)
 {
-  DirectUpstreamQuery query = upstream_query (r, upstream);
+  g_autoptr (GPtrArray) holders = g_ptr_array_new ();
+  DirectUpstreamQuery query;
   int error;
 
+  for (const Attempt *a = r->attempts; a != NULL; a = direct_attempt_next (a))
+    g_ptr_array_add (holders, direct_attempt_upstream (a)->id);
+  g_ptr_array_add (holders, NULL);
+  query = upstream_query (r, (const char *const *)holders->pdata);
   return direct_upstreams_choose (r->owner->upstreams, &query, &error);
 }
 
--- a/daisydirectd/endings.c
+++ b/daisydirectd/endings.c
@@ -105,8 +105,9 @@
   return cause != DL_END_NOT_SENT && cause != DL_END_NOT_RUN;
 }
 
-void
-direct_ending_note (Request *r, DlEndCause cause, const char *upstream)
+/* Notes that the attempt at UPSTREAM has ended. */
+static void
+note_end (Request *r, DlEndCause cause, const char *upstream)
 {
   if (cause == DL_END_NOT_SENT)
     {
@@ -140,7 +141,7 @@
 retry (Request *r, DlEndCause cause, const char *upstream)
 {
   reserve_retry (r, cause);
-  direct_ending_note (r, cause, upstream);
+  note_end (r, cause, upstream);
   direct_ending_log_retry (r, cause, upstream);
   direct_dispatch_request (r);
 }
@@ -148,7 +149,7 @@
 static void
 end_request (Request *r, DlEndCause cause, const char *upstream)
 {
-  direct_ending_note (r, cause, upstream);
+  note_end (r, cause, upstream);
   if (cause == DL_END_TIME_OVER)
     direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, dl_end_cause_text (cause));
   else
@@ -159,8 +160,13 @@
 static void
 leave (Request *r, DlEndCause cause, const char *upstream)
 {
-  direct_ending_note (r, cause, upstream);
+  note_end (r, cause, upstream);
   direct_ending_return_retry (r);
+  dl_log (DL_EVENT_ATTEMPT_ENDED_BESIDE, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", upstream), DL_TEXT ("cause", dl_end_cause_text (cause)),
+          DL_TEXT ("stays_at", direct_attempt_upstream (r->attempts)->id),
+          DL_UINT ("sent", r->attempt_count), DL_UINT ("last_event", r->last_event_id),
+          DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())));
 }
 
 void
--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -213,7 +213,32 @@
                                      r->is_trial, kind);
 }
 
-/* Ends a request that was quarantined after its arrival, unless its upstream has begun to
+/* Ends the attempts of a quarantined request that have not started.  Returns true if one
+ * goes on. */
+static bool
+goes_on_though_held (Request *r)
+{
+  Attempt *next;
+
+  for (Attempt *attempt = r->attempts; attempt != NULL; attempt = next)
+    {
+      DlEndDecision decision = direct_ending_decide (attempt, DL_END_QUARANTINED);
+      char *id;
+
+      next = direct_attempt_next (attempt);
+      if (decision == DL_END_KEEP)
+        return true;
+      if (decision != DL_END_LEAVE)
+        continue;
+      id = talloc_strdup (r, direct_attempt_upstream (attempt)->id);
+      direct_attempt_cancel (attempt, DIRECT_ATTEMPT_NEUTRAL,
+                             dl_end_cause_text (DL_END_QUARANTINED));
+      direct_ending_handle (r, DL_END_QUARANTINED, id);
+    }
+  return false;
+}
+
+/* Ends a request that was quarantined after its arrival, unless an upstream has begun to
  * respond. */
 static void
 end_if_held (Request *r, uint64_t now_ms)
@@ -221,9 +246,7 @@
   const DlSignatureRecord *held
       = dl_quarantine_find (r->owner->quarantine, &r->incoming.signatures);
 
-  if (held == NULL || r->is_trial
-      || (r->attempts != NULL
-          && direct_ending_decide (r->attempts, DL_END_QUARANTINED) == DL_END_KEEP))
+  if (held == NULL || r->is_trial || goes_on_though_held (r))
     return;
   dl_metric_add (&metric_refused, 1);
   if (r->attempts == NULL && !r->may_have_run)
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -170,10 +170,9 @@
 
 /* Sends the request to UPSTREAM, beside its attempts in progress. */
 void direct_dispatch_send (Request *request, DirectUpstream *upstream);
-/* Returns an upstream that the request may be sent to while UPSTREAM, an id, has it; NULL
- * for none. */
-DirectUpstream *direct_dispatch_choose_beside (const Request *request,
-                                               const char *upstream);
+/* Returns an upstream that the request may be sent to beside its attempts in progress;
+ * NULL for none. */
+DirectUpstream *direct_dispatch_choose_further (const Request *request);
 /* Percentage of a retry that the first attempt of a request earns. */
 uint64_t direct_dispatch_retry_percent (const Requests *requests);
 /* Sends the final response of a request that gets no further attempt: refuses it, or
@@ -188,8 +187,6 @@
 /* An attempt of the request at UPSTREAM has ended for CAUSE: the request goes on with its
  * others, is sent again, or gets its final response. */
 void direct_ending_handle (Request *request, DlEndCause cause, const char *upstream);
-/* Notes in the request that its attempt at UPSTREAM has ended for CAUSE. */
-void direct_ending_note (Request *request, DlEndCause cause, const char *upstream);
 /* Logs and counts that the request, which UPSTREAM had, is sent again for CAUSE. */
 void
 direct_ending_log_retry (const Request *request, DlEndCause cause, const char *upstream);
@@ -202,6 +199,9 @@
 
 /* Looks for replacements of upstreams that have been silent for long. */
 void direct_silence_check (Service *service);
+/* WINNER goes on first, and LOSER, of the same request, will be cancelled; logs which of
+ * them was the silent one. */
+void direct_silence_overtaken (const Attempt *winner, const Attempt *loser);
 
 /* -------- outdated.c -------- */
 
@@ -232,11 +232,16 @@
  * before.  The silence counts as a failure of the upstream if COUNTS, so that it gets no
  * further requests while it holds this one. */
 bool direct_attempt_note_kept (Attempt *attempt, bool counts);
-/* Ends and frees the attempt at a silent upstream; the caller is sent nothing. */
-void direct_attempt_leave (Attempt *attempt);
+/* Notes that a replacement of the attempt's upstream is started, as it is silent, which
+ * counts as a failure of the upstream. */
+void direct_attempt_note_silent (Attempt *attempt);
+/* True for an attempt whose upstream a replacement was started for. */
+bool direct_attempt_is_silent (const Attempt *attempt);
 /* Version of the weights that the attempt would start on: the last one that the upstream
  * served, as it has none while it loads others. */
 uint64_t direct_attempt_version (const Attempt *attempt);
+/* When the attempt was sent. */
+uint64_t direct_attempt_sent_ms (const Attempt *attempt);
 /* True while the request may still wait in its upstream's queue: no event has arrived,
  * nor, on routes without streams, the head of a response. */
 bool direct_attempt_may_wait (const Attempt *attempt);
--- a/daisydirectd/silence.c
+++ b/daisydirectd/silence.c
@@ -1,5 +1,9 @@
 /*
- * Attempts whose upstreams fall silent.
+ * Replaces upstreams that fall silent.
+ *
+ * The request is sent to another upstream as well, and the silent one keeps it: that
+ * another has a free place is known from reports only, and the silent one may be sound.
+ * The attempt that goes on first stays, the others are cancelled.
  */
 #include <glib.h>
 #include <talloc.h>
@@ -12,10 +16,14 @@
            DL_METRIC_COUNTER,
            "daisy_direct_silent_kept_total",
            "Attempts kept at a silent upstream for want of a replacement.")
+DL_METRIC (metric_replacements,
+           DL_METRIC_COUNTER,
+           "daisy_direct_silent_replacements_total",
+           "Attempts started beside one at a silent upstream.")
 DL_METRIC (metric_silent_left,
            DL_METRIC_COUNTER,
            "daisy_direct_silent_left_total",
-           "Attempts at a silent upstream that were replaced.")
+           "Attempts at a silent upstream that a replacement overtook.")
 
 static void
 keep_silent (Request *r, uint64_t silent_ms, DlSilenceDecision decision)
@@ -31,26 +39,24 @@
           DL_UINT ("remaining_ms", direct_request_remaining_ms (r, dl_clock_ms ())));
 }
 
+/* Sends the request to NEXT as well. */
 static void
-leave_silent (Request *r, uint64_t silent_ms, DirectUpstream *next)
+start_replacement (Request *r, uint64_t silent_ms, DirectUpstream *next)
 {
-  char *id = talloc_strdup (r, direct_attempt_upstream (r->attempts)->id);
   bool spent
       = dl_retry_spend (&r->service->budget, direct_dispatch_retry_percent (r->owner));
 
   g_assert (spent);
-  dl_metric_add (&metric_silent_left, 1);
-  dl_log (DL_EVENT_SILENT_UPSTREAM_LEFT, DL_TEXT ("request", r->incoming.id),
-          DL_TEXT ("upstream", id), DL_UINT ("silent_ms", silent_ms),
-          DL_TEXT ("next", next->id));
-  direct_attempt_leave (r->attempts);
-  direct_ending_note (r, DL_END_SILENT, id);
-  direct_ending_log_retry (r, DL_END_SILENT, id);
+  dl_metric_add (&metric_replacements, 1);
+  dl_log (DL_EVENT_SILENT_UPSTREAM_REPLACED, DL_TEXT ("request", r->incoming.id),
+          DL_TEXT ("upstream", direct_attempt_upstream (r->attempts)->id),
+          DL_UINT ("silent_ms", silent_ms), DL_TEXT ("next", next->id));
+  direct_attempt_note_silent (r->attempts);
   direct_dispatch_send (r, next);
 }
 
-/* Sends the request to another upstream if its own has been silent for long and the
- * replacement is certain; otherwise keeps the attempt. */
+/* Sends the request to another upstream, too, if the last one that it was sent to has
+ * been silent for long and another one seems free. */
 static void
 check_request (Request *r, uint64_t now_ms)
 {
@@ -64,9 +70,9 @@
   if (decision == DL_SILENCE_WITHIN_LIMIT)
     return;
   if (decision == DL_SILENCE_REPLACE)
-    next = direct_dispatch_choose_beside (r, direct_attempt_upstream (r->attempts)->id);
+    next = direct_dispatch_choose_further (r);
   if (next != NULL)
-    leave_silent (r, silence.silent_ms, next);
+    start_replacement (r, silence.silent_ms, next);
   else
     keep_silent (r, silence.silent_ms, decision);
 }
@@ -80,3 +86,20 @@
     if (r->service == service && r->attempts != NULL)
       check_request (r, now_ms);
 }
+
+void
+direct_silence_overtaken (const Attempt *winner, const Attempt *loser)
+{
+  const Request *r = direct_attempt_request (winner);
+  const char *lost = direct_attempt_upstream (loser)->id;
+
+  if (!direct_attempt_is_silent (loser))
+    {
+      dl_log (DL_EVENT_SILENT_UPSTREAM_WENT_ON, DL_TEXT ("request", r->incoming.id),
+              DL_TEXT ("upstream", direct_attempt_upstream (winner)->id),
+              DL_TEXT ("replacement", lost), DL_UINT ("sent", r->attempt_count));
+      return;
+    }
+  dl_metric_add (&metric_silent_left, 1);
+  direct_ending_log_retry (r, DL_END_SILENT, lost);
+}
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -369,6 +369,12 @@
   return id != NULL && strcmp (id, u->id) == 0;
 }
 
+static bool
+is_holder (const DirectUpstream *u, const char *const *holders)
+{
+  return holders != NULL && g_strv_contains (holders, u->id);
+}
+
 /* True for an engine that is down or loading, or that no stager has told to have sound
  * weights: the list tells which version it has, and not whether that was taken whole. */
 static bool
@@ -446,14 +452,14 @@
           .machine_pace
           = u->has_engine ? 1 : dl_machine_pace_at (&u->machine_pace, query->now_ms),
           .avoided = is_upstream (u, query->avoid_upstream),
-          .replaced = is_upstream (u, query->replaced_upstream),
+          .replaced = is_holder (u, query->holders),
           .paced = rate_wait_ms (u, query) > 0,
         };
 
         g_array_append_val (candidates, c);
         g_ptr_array_add (candidate_upstreams, u);
       }
-  if (query->replaced_upstream == NULL)
+  if (query->holders == NULL)
     allow_all_if_all_ejected (candidates);
   chosen
       = dl_balance_choose ((const DlBalanceCandidate *)candidates->data, candidates->len,
@@ -561,7 +567,8 @@
 
   if (u->loading && outcome == DIRECT_ATTEMPT_FAILED)
     outcome = DIRECT_ATTEMPT_NEUTRAL; /* aborted because the engine loads weights */
-  failed = outcome == DIRECT_ATTEMPT_FAILED || outcome == DIRECT_ATTEMPT_UNREACHABLE;
+  failed = outcome == DIRECT_ATTEMPT_FAILED || outcome == DIRECT_ATTEMPT_UNREACHABLE
+           || outcome == DIRECT_ATTEMPT_SILENT;
 
   dl_balance_ended (&u->load, prompt_tokens, started, failed);
   switch (outcome)
@@ -575,6 +582,7 @@
     case DIRECT_ATTEMPT_UNREACHABLE:
       note_failures (u, UNREACHABLE_FAILURES, now_ms);
       break;
+    case DIRECT_ATTEMPT_SILENT:
     case DIRECT_ATTEMPT_NEUTRAL:
       dl_breaker_neutral (&u->breaker, now_ms);
       break;
--- a/daisydirectd/upstreams.h
+++ b/daisydirectd/upstreams.h
@@ -113,9 +113,10 @@
    * request slot; NULL for none. */
   const char *avoid_upstream;
   bool wait_for_others; /* or even then, unless no other may get requests at all */
-  /* Id of an upstream that holds the request and is to be replaced: neither it nor one
-   * with an open circuit breaker is chosen.  NULL for none. */
-  const char *replaced_upstream;
+  /* Ids of the upstreams that have the request, which is to be sent to one more, NULL at
+   * the end: neither they nor one with an open circuit breaker is chosen.  NULL for none.
+   */
+  const char *const *holders;
   uint64_t now_ms;
 } DirectUpstreamQuery;
 
@@ -182,6 +183,9 @@
   DIRECT_ATTEMPT_FAILED, /* by the upstream's fault */
   /* Could not connect, or another upstream is at its address; ejects it at once. */
   DIRECT_ATTEMPT_UNREACHABLE,
+  /* Another one overtook it while the upstream was silent, which was told by
+   * direct_upstream_silent. */
+  DIRECT_ATTEMPT_SILENT,
   DIRECT_ATTEMPT_NEUTRAL, /* allows no conclusion about the upstream */
 } DirectAttemptOutcome;
 
@@ -200,8 +204,8 @@
 void direct_upstream_asked_hold_off (DirectUpstream *upstream,
                                      uint64_t duration_ms,
                                      uint64_t now_ms);
-/* An attempt is kept though the upstream has been silent for long, which counts as a
- * failure for its circuit breaker. */
+/* The upstream of an attempt has been silent for long, which counts as a failure for its
+ * circuit breaker. */
 void direct_upstream_silent (DirectUpstream *upstream, uint64_t now_ms);
 /* True when a recent report of its stager says that the upstream serves requests. */
 bool direct_upstream_is_reported_up (const DirectUpstream *upstream, uint64_t now_ms);
--- a/lib/policy/silence.c
+++ b/lib/policy/silence.c
@@ -15,7 +15,7 @@
 {
   if (s->silent_ms <= limit_ms (s))
     return DL_SILENCE_WITHIN_LIMIT;
-  if (!s->may_retry || s->attempts >= s->attempts_max)
+  if (!s->may_retry || !s->has_attempts)
     return DL_SILENCE_KEEP_ROUTE;
   if (s->remaining_ms < DL_ATTEMPT_MIN_MS)
     return DL_SILENCE_KEEP_TIME;
--- a/lib/policy/silence.h
+++ b/lib/policy/silence.h
@@ -1,10 +1,10 @@
 /*
- * When the attempt at a silent upstream is given up for one at another.
+ * When a request whose upstream is silent is sent to another as well.
  *
- * A sound upstream may send nothing for a second or more and then go on, and so may a
- * dead one that never will.  An entry cannot tell them apart.  While the caller waits, an
- * attempt that may still succeed is worth more than none: it is given up only for a
- * replacement that is certain, and otherwise kept until the request's deadline.
+ * A sound upstream may send nothing for a second or more and then go on, and a dead one
+ * sends nothing either.  An entry cannot tell them apart, nor can it be sure that a
+ * replacement takes the request.  So the attempt at the silent one goes on beside the
+ * other, until one of them makes progress.
  *
  * Pure functions: no clock, no sockets.
  */
@@ -32,25 +32,25 @@
   bool reported_up;      /* a recent report says that the upstream serves requests */
   uint64_t remaining_ms; /* until the request's deadline */
   bool may_retry;        /* the route allows that the request runs again */
-  unsigned attempts;     /* so far, this one included */
-  unsigned attempts_max;
-  bool has_budget; /* the retry budget grants a retry */
+  bool has_attempts;     /* the route allows one attempt more */
+  bool has_budget;       /* the retry budget grants a retry */
 } DlSilence;
 
 /* What is done with the attempt. */
 typedef enum
 {
   DL_SILENCE_WITHIN_LIMIT,
-  /* Kept: the route allows no other, there is no time for one, or no budget. */
+  /* The only attempt: the route allows no other, there is no time for one, or no budget.
+   */
   DL_SILENCE_KEEP_ROUTE,
   DL_SILENCE_KEEP_TIME,
   DL_SILENCE_KEEP_BUDGET,
-  /* Replaced if another upstream has a free place now, else kept. */
+  /* Sent to another upstream as well, if one has a free place now. */
   DL_SILENCE_REPLACE,
 } DlSilenceDecision;
 
 DlSilenceDecision dl_silence_decide (const DlSilence *silence);
-/* Why an attempt is kept after DECISION, for logs. */
+/* Why an attempt stays the only one after DECISION, for logs. */
 const char *dl_silence_kept_text (DlSilenceDecision decision);
 
 #endif
--- a/regress/unit/test_silence.c
+++ b/regress/unit/test_silence.c
@@ -14,9 +14,9 @@
 } SilenceCase;
 
 /* A replacement may be looked for. */
-#define MAY_RETRY                                                           \
-  .target_ms = 400, .remaining_ms = 2000, .may_retry = true, .attempts = 1, \
-  .attempts_max = 2, .has_budget = true
+#define MAY_RETRY                                                                  \
+  .target_ms = 400, .remaining_ms = 2000, .may_retry = true, .has_attempts = true, \
+  .has_budget = true
 
 static const SilenceCase cases[] = {
   { "just started", { MAY_RETRY, .silent_ms = 0 }, DL_SILENCE_WITHIN_LIMIT },
@@ -35,8 +35,7 @@
     { .silent_ms = 900,
       .target_ms = 400,
       .remaining_ms = 2000,
-      .attempts = 1,
-      .attempts_max = 2,
+      .has_attempts = true,
       .has_budget = true },
     DL_SILENCE_KEEP_ROUTE },
   { "attempts used up",
@@ -44,8 +43,7 @@
       .target_ms = 400,
       .remaining_ms = 2000,
       .may_retry = true,
-      .attempts = 2,
-      .attempts_max = 2,
+      .has_attempts = false,
       .has_budget = true },
     DL_SILENCE_KEEP_ROUTE },
   { "no time left",
@@ -53,8 +51,7 @@
       .target_ms = 400,
       .remaining_ms = DL_ATTEMPT_MIN_MS - 1,
       .may_retry = true,
-      .attempts = 1,
-      .attempts_max = 2,
+      .has_attempts = true,
       .has_budget = true },
     DL_SILENCE_KEEP_TIME },
   { "budget empty",
@@ -62,8 +59,7 @@
       .target_ms = 400,
       .remaining_ms = 2000,
       .may_retry = true,
-      .attempts = 1,
-      .attempts_max = 2 },
+      .has_attempts = true },
     DL_SILENCE_KEEP_BUDGET },
 };
 
