Test: a silent stream outlasts a replacement that is withdrawn for old weights

Read in the issue's material, now run: the replacement of a silent upstream waits there as new weights become due, and is withdrawn. The stand-in can let only streams wait that resume (queue_resumed_ms).

--- a/regress/direct/version.c
+++ b/regress/direct/version.c
@@ -34,6 +34,13 @@
 #define PROBE_AFTER_MS 30
 #define PROBE_UNTIL_MS 450
 
+/* A stream is sent so long before a limit and is silent until after it; its replacement
+ * is started while the version is not required yet. */
+#define SILENT_BEFORE_MS 2700
+#define SILENCE_MS       3000
+#define AFTER_SILENCE_MS 900
+#define QUEUE_MS         8000
+
 static uint64_t newest = 1; /* version announced */
 static uint64_t newest_ms;  /* when it was */
 
@@ -186,6 +193,40 @@
   bring_up_to_date (tb);
 }
 
+/* A stream falls silent on weights that become too old, and its replacement has not
+ * started when they do. */
+static void
+test_silent_stream_outlasts_withdrawn_replacement (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-withdrawn");
+  Background b;
+  uint64_t withdrawn;
+
+  CHECK (eventually (both_servers_are_used, tb));
+  earn_retries (tb);
+  for (unsigned i = 0; i < MODEL_SERVERS; i++)
+    kill (tb->stager_process[i].pid, SIGSTOP);
+  withdrawn = metric_value (tb, 0, "daisy_direct_withdrawn_total");
+  set_fault_on_both (tb, "pause_before", 4);
+  set_fault_on_both (tb, "pause_ms", SILENCE_MS);
+  set_fault_on_both (tb, "pauses", 1);
+  set_fault_on_both (tb, "queue_resumed_ms", QUEUE_MS);
+  announce_next (tb);
+  sleep_until (limit_ms (tb) - SILENT_BEFORE_MS);
+  c.deadline_ms = SILENCE_MS + AFTER_SILENCE_MS;
+  background_start (&b, &c);
+  background_join (&b);
+  CHECK (metric_value (tb, 0, "daisy_direct_withdrawn_total") == withdrawn + 1);
+  CHECK (b.response.status == 200 && b.response.complete);
+  CHECK (has_events (b.response.body, 1, EVENTS));
+  CHECK (runs_of (tb, c.id) == 1 && recorded_by_models (tb, "outdated_starts") == 0);
+  response_free (&b.response);
+  set_fault_on_both (tb, "queue_resumed_ms", 0);
+  set_fault_on_both (tb, "pauses", 0);
+  kill (tb->stager_process[1].pid, SIGCONT);
+  bring_up_to_date (tb);
+}
+
 /* -------- entries that learn late -------- */
 
 /* Sends streams to both entries from just after DUE_MS, the limit of VERSION, which the
@@ -298,6 +339,7 @@
 const TestFunc version_tests[] = {
   test_waiting_request_started_after_the_limit,
   test_waiting_request_started_after_the_limit_of_a_skipped_version,
+  test_silent_stream_outlasts_withdrawn_replacement,
   test_reader_paused_at_an_announcement_made_it_late,
   test_all_nodes_paused_at_two_announcements_missed_a_limit,
   test_entry_paused_at_two_announcements_missed_a_limit,
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -85,6 +85,7 @@
 static uint64_t crash_now;      /* set to 1: it crashes at once, whatever it runs */
 static uint64_t crash_ms = 200; /* how long it is down after a crash */
 static uint64_t queue_ms;       /* how long a stream waits before it starts */
+static uint64_t queue_resumed_ms; /* the same for streams that resume after an event */
 static uint64_t old_refusals; /* the next N are run, and an earlier refusal sent again */
 static uint64_t refusal_status = 503; /* of those */
 static uint64_t refusal_nameless;     /* they have no request's id */
@@ -164,6 +165,7 @@
   { "crash_streams", &crash_streams },
   { "crash_now", &crash_now },
   { "queue_ms", &queue_ms },
+  { "queue_resumed_ms", &queue_resumed_ms },
   { "due_version", &due_version },
   { "due_in_ms", &due_in_ms },
   { "old_refusals", &old_refusals },
@@ -739,20 +741,28 @@
   run_now (request);
 }
 
+static bool
+is_resumed (DlHttpRequest *request)
+{
+  return dl_http_request_header (request, "Last-Event-Id") != NULL;
+}
+
 static void
-queue_stream (DlHttpRequest *request)
+queue_stream (DlHttpRequest *request, uint64_t wait_ms)
 {
   QueuedStream *q = talloc_zero (request, QueuedStream);
 
   q->request = request;
   queued = g_list_prepend (queued, q);
   dl_http_request_on_closed (request, on_queued_closed, q);
-  dl_timer_subscribe (task, q, queue_ms, 0, on_queue_passed, q);
+  dl_timer_subscribe (task, q, wait_ms, 0, on_queue_passed, q);
 }
 
 static void
 run_request (DlHttpRequest *request)
 {
+  uint64_t wait_ms = is_resumed (request) ? queue_resumed_ms : 0;
+
   received++;
   count_limited ();
   if (expectation_fails (request))
@@ -762,14 +772,14 @@
     }
   count_second ();
   if (staged_is_loading () || is_starting () || standin_count_down (&shed)
-      || (dl_http_request_header (request, "Last-Event-Id") != NULL
-          && standin_count_down (&shed_resumed)))
+      || (is_resumed (request) && standin_count_down (&shed_resumed)))
     {
       refuse (request, 503);
       return;
     }
-  if (queue_ms > 0 && is_stream (request))
-    queue_stream (request);
+  wait_ms = MAX (wait_ms, queue_ms);
+  if (wait_ms > 0 && is_stream (request))
+    queue_stream (request, wait_ms);
   else
     run_now (request);
 }
