Refusals do not use up the attempts of a stream that its caller has a part of

What callers saw: a stream whose upstream broke off was cut as the next one refused it (503, not run), though it had time and a third had a place.

Cause: each sending counted as one of attempts_max (2), also one that ran nowhere. The rule on attempts counts servers that ran the request; what a refusal costs is a retry of the budget, which it still does. Up to three may refuse; a request of which its caller has nothing is refused truthfully as before, and counts as before.

Ruled out: not to count refusals for all requests: under load every refused request would spend the budget at a third server.

The tests of replacements now clear what earlier ones left at the breakers: one was red beside four other groups, as its second server was ejected after three failures.

--- a/daisydirectd/endings.c
+++ b/daisydirectd/endings.c
@@ -35,6 +35,8 @@
 {
   return (DlAttemptCounts){
     .sent = r->attempt_count,
+    .not_run = r->not_run_count,
+    .is_partial = r->head_sent,
     .not_sent = r->connect_failures,
     .max = r->route->attempts_max,
   };
@@ -115,6 +117,8 @@
       r->connect_failures++;
       r->retry_reserved = r->attempt_count > 0; /* what could not be sent was a retry */
     }
+  if (cause == DL_END_NOT_RUN || cause == DL_END_OUTDATED)
+    r->not_run_count++;
   if (may_have_run (cause))
     r->may_have_run = true;
   r->failed_ms = dl_clock_ms ();
--- a/lib/policy/routing.h
+++ b/lib/policy/routing.h
@@ -44,7 +44,7 @@
   uint64_t target_ms;  /* latency target: to the first event, or the complete response */
   uint64_t target_gap_ms; /* target for the gap between events; 0: none */
   unsigned priority;      /* 0 is the most urgent */
-  unsigned attempts_max;  /* upstreams that one request may be sent to */
+  unsigned attempts_max;  /* upstreams that may get one request (policy/ending.h) */
   DlRouteTarget *targets;
   size_t target_count;
   DlRegions regions; /* in which its requests may be handled */
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -238,19 +238,18 @@
 /* True if the stand-in at ADDRESS has recorded TEXT as MEMBER. */
 bool has_recorded_text (const char *address, const char *member, const char *text);
 
-/* -------- second_server.c -------- */
+/* -------- server_load.c -------- */
 
 /* MEMBER of the listed instance of the upstream ID, as the first entry knows it, as a
  * number. */
 uint64_t upstream_number (const Testbed *testbed, const char *id, const char *member);
-/* True when the first entry knows that the second model server leaves. */
-bool second_is_leaving (Testbed *testbed);
-/* True when it knows it to be free and staying. */
-bool second_takes_requests (Testbed *testbed);
-/* Has the second model server report more requests of others than it has slots, or none,
- * and waits until the first entry knows. */
-void fill_second (Testbed *testbed);
-void free_second (Testbed *testbed);
+/* Waits until the first entry knows that model server INDEX is free and does not leave.
+ */
+bool server_takes_requests (Testbed *testbed, unsigned index);
+/* Has model server INDEX report more requests of others than it has slots, or none, and
+ * waits until the first entry knows. */
+void fill_server (Testbed *testbed, unsigned index);
+void free_server (Testbed *testbed, unsigned index);
 
 /* -------- the tests, each list in the file of its name -------- */
 
--- a/regress/direct/replacement.c
+++ b/regress/direct/replacement.c
@@ -13,6 +13,7 @@
 #define ENDLESS_MS 20000
 #define QUEUE_MS   8000
 #define REFUSALS   20   /* more than an entry may cause */
+#define RETRIES    3    /* at two upstreams that refuse, and at the last one */
 #define LEAVE_MS   2000 /* the caller leaves in the silence, after four targets */
 #define CANCELS_US 500000
 
@@ -24,21 +25,40 @@
   return recorded (tb->server[0], "events_sent") >= awaited_events;
 }
 
+static bool
+first_entry_serves (Testbed *tb)
+{
+  return status_with_key (tb, 0, "key1") == 200;
+}
+
+/* Has the first entry earn retries by requests that first the second and then the first
+ * server serves, so that no failure of an earlier test counts against them.  The second
+ * one is full then. */
+static void
+prepare (Testbed *tb)
+{
+  fill_server (tb, 0);
+  CHECK (eventually (first_entry_serves, tb));
+  for (unsigned i = 0; i < RETRIES; i++)
+    earn_retries (tb);
+  free_server (tb, 0);
+  fill_server (tb, 1);
+  CHECK (eventually (first_entry_serves, tb));
+}
+
 /* Starts call C at the first server, whose stream falls silent for SILENCE_MS, and
  * returns once it has sent the events before; the second server is free then. */
 static void
 start_silent_stream (Testbed *tb, Background *b, const Call *c, uint64_t silence_ms)
 {
-  earn_retries (tb);
-  earn_retries (tb);
-  fill_second (tb);
+  prepare (tb);
   CHECK (set_fault (tb->server[0], "pause_before", BEFORE));
   CHECK (set_fault (tb->server[0], "pause_ms", silence_ms));
   CHECK (set_fault (tb->server[0], "pauses", 1));
   awaited_events = recorded (tb->server[0], "events_sent") + BEFORE - 1;
   background_start (b, c);
   CHECK (eventually (first_sent_awaited, tb));
-  free_second (tb);
+  free_server (tb, 1);
 }
 
 /* Waits for the response, which must be all events of the one run at the first server. */
@@ -117,10 +137,24 @@
   CHECK (set_fault (tb->server[1], "queue_ms", 0));
 }
 
-static bool
-first_serves (Testbed *tb)
+/* Its upstream breaks it off, and both refuse it once before it goes on. */
+static void
+test_lost_stream_outlasts_refusals (Testbed *tb)
 {
-  return status_with_key (tb, 0, "key1") == 200;
+  Call c = default_call (tb, "/s/x", "lost-refused");
+  Response r;
+
+  prepare (tb);
+  free_server (tb, 1);
+  set_fault_on_both (tb, "cut", 1);
+  set_fault_on_both (tb, "shed_resumed", 1);
+  r = call (&c);
+  set_fault_on_both (tb, "cut", 0);
+  set_fault_on_both (tb, "shed_resumed", 0);
+  CHECK (r.status == 200 && r.complete);
+  CHECK (has_events (r.body, 1, EVENTS));
+  CHECK (runs_of (tb, c.id) == 2);
+  response_free (&r);
 }
 
 /* The stager of the second server stands still, so that nothing tells of its end. */
@@ -137,7 +171,7 @@
   CHECK (runs_of (tb, c.id) == 1);
   kill (tb->stager_process[1].pid, SIGCONT);
   CHECK (process_start (&tb->server_process[1]));
-  CHECK (eventually (first_serves, tb));
+  CHECK (eventually (first_entry_serves, tb));
 }
 
 static void
@@ -163,13 +197,11 @@
   Call c = default_call (tb, "/r/long/x", "safe-replacement-refuses");
   Background b;
 
-  earn_retries (tb);
-  earn_retries (tb);
-  fill_second (tb);
+  prepare (tb);
   CHECK (set_fault (tb->server[0], "answer_ms", SILENCE_MS));
   CHECK (set_fault (tb->server[1], "shed", REFUSALS));
   background_start (&b, &c);
-  free_second (tb);
+  free_server (tb, 1);
   background_join (&b);
   CHECK (b.response.status == 200);
   response_free (&b.response);
@@ -208,6 +240,7 @@
   test_silent_stream_outlasts_refusal_while_its_entry_stops,
   test_silent_request_outlasts_replacement_that_refuses,
   test_caller_that_leaves_cancels_both,
+  test_lost_stream_outlasts_refusals,
   test_silent_stream_outlasts_replacement_without_connection,
   NULL,
 };
--- a/regress/direct/second_server.c
+++ b/regress/direct/server_load.c
@@ -1,4 +1,4 @@
-/* What the first entry knows of the model servers, and whether the second one is free. */
+/* What the first entry knows of the model servers, and which of them are full. */
 #include <glib.h>
 #include <string.h>
 
@@ -37,34 +37,48 @@
   return value;
 }
 
+static unsigned awaited; /* index of the server that a test waits for */
+
+static uint64_t
+awaited_number (const Testbed *tb, const char *member)
+{
+  char *id = g_strdup_printf ("i-%u", awaited + 1);
+  uint64_t value = upstream_number (tb, id, member);
+
+  g_free (id);
+  return value;
+}
+
 static bool
-second_is_full (Testbed *tb)
+is_full (Testbed *tb)
 {
-  return upstream_number (tb, "i-2", "reported") >= OTHERS;
+  return awaited_number (tb, "reported") >= OTHERS;
 }
 
-bool
-second_is_leaving (Testbed *tb)
+static bool
+takes_requests (Testbed *tb)
 {
-  return upstream_number (tb, "i-2", "leaving") == 1;
+  return awaited_number (tb, "leaving") == 0 && !is_full (tb);
 }
 
 bool
-second_takes_requests (Testbed *tb)
+server_takes_requests (Testbed *tb, unsigned index)
 {
-  return !second_is_leaving (tb) && !second_is_full (tb);
+  awaited = index;
+  return eventually (takes_requests, tb);
 }
 
 void
-fill_second (Testbed *tb)
+fill_server (Testbed *tb, unsigned index)
 {
-  CHECK (set_fault (tb->server[1], "others", OTHERS));
-  CHECK (eventually (second_is_full, tb));
+  CHECK (set_fault (tb->server[index], "others", OTHERS));
+  awaited = index;
+  CHECK (eventually (is_full, tb));
 }
 
 void
-free_second (Testbed *tb)
+free_server (Testbed *tb, unsigned index)
 {
-  CHECK (set_fault (tb->server[1], "others", 0));
-  CHECK (eventually (second_takes_requests, tb));
+  CHECK (set_fault (tb->server[index], "others", 0));
+  CHECK (server_takes_requests (tb, index));
 }
--- a/regress/direct/silence.c
+++ b/regress/direct/silence.c
@@ -19,6 +19,12 @@
 
 /* -------- silence -------- */
 
+static bool
+second_is_leaving (Testbed *tb)
+{
+  return upstream_number (tb, "i-2", "leaving") == 1;
+}
+
 /* Makes the servers' next streams fall silent before event BEFORE for MS. */
 static void
 set_pause (Testbed *tb, uint64_t before, uint64_t ms)
@@ -68,9 +74,9 @@
   Call c = default_call (tb, "/s/x", "silent-full");
 
   earn_retries (tb);
-  fill_second (tb);
+  fill_server (tb, 1);
   check_outlasts_silence (tb, &c, 4);
-  free_second (tb);
+  free_server (tb, 1);
 }
 
 static void
@@ -83,7 +89,7 @@
   CHECK (eventually (second_is_leaving, tb));
   check_outlasts_silence (tb, &c, 4);
   CHECK (testbed_restart_server (tb, 1));
-  CHECK (eventually (second_takes_requests, tb));
+  CHECK (server_takes_requests (tb, 1));
 }
 
 /* The events are larger than what the entry and the sockets hold for the caller. */
@@ -137,12 +143,12 @@
   uint64_t left = metric_value (tb, 0, "daisy_direct_silent_left_total");
 
   earn_retries (tb);
-  fill_second (tb);
+  fill_server (tb, 1);
   set_pause (tb, 4, ENDLESS_MS);
   CHECK (set_fault (tb->server[1], "pauses", 0));
   background_start (&b, &c);
   CHECK (eventually (has_kept_a_silent_one, tb));
-  free_second (tb);
+  free_server (tb, 1);
   check_resumed (tb, &b);
   CHECK (metric_value (tb, 0, "daisy_direct_silent_left_total") == left + 1);
 }
@@ -169,7 +175,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
     earn_retries (tb);
-  fill_second (tb);
+  fill_server (tb, 1);
   set_pause (tb, 4, ENDLESS_MS);
   CHECK (set_fault (tb->server[0], "pauses", G_N_ELEMENTS (ids)));
   CHECK (set_fault (tb->server[1], "pauses", 0));
@@ -182,7 +188,7 @@
       CHECK (eventually (first_runs_awaited, tb));
     }
   CHECK (eventually (has_ejected_the_first, tb));
-  free_second (tb);
+  free_server (tb, 1);
   for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
     check_resumed (tb, &b[i]);
 }
@@ -222,13 +228,13 @@
   Background b;
 
   earn_retries (tb);
-  fill_second (tb);
+  fill_server (tb, 1);
   CHECK (set_fault (tb->server[0], "cut", 1));
   CHECK (set_fault (tb->server[0], "shed_resumed", 1));
   awaited_waits = metric_value (tb, 0, "daisy_direct_begun_queued_total") + 1;
   background_start (&b, &c);
   CHECK (eventually (waits_as_awaited, tb));
-  free_second (tb);
+  free_server (tb, 1);
   check_resumed (tb, &b);
   CHECK (set_fault (tb->server[0], "shed_resumed", 0));
 }
@@ -253,7 +259,7 @@
   Background b;
 
   earn_retries (tb);
-  fill_second (tb);
+  fill_server (tb, 1);
   set_pause (tb, 4, ENDLESS_MS);
   awaited_events = recorded (tb->server[0], "events_sent") + 3;
   background_start (&b, &c);
@@ -262,15 +268,15 @@
   process_end (&tb->server_process[0], SIGKILL);
   CHECK (eventually (has_ejected_the_first, tb));
   g_usleep (PLACE_WAIT_US);
-  free_second (tb);
+  free_server (tb, 1);
   background_join (&b);
   CHECK (b.response.status == 200 && b.response.complete);
   CHECK (has_events (b.response.body, 1, EVENTS));
   response_free (&b.response);
   CHECK (process_start (&tb->server_process[0]) && eventually (first_responds, tb));
-  fill_second (tb);
+  fill_server (tb, 1);
   CHECK (eventually (first_serves, tb));
-  free_second (tb);
+  free_server (tb, 1);
 }
 
 static void
@@ -312,7 +318,7 @@
   Response r;
 
   earn_retries (tb);
-  fill_second (tb);
+  fill_server (tb, 1);
   begun_queued = metric_value (tb, 0, "daisy_direct_begun_queued_total");
   CHECK (set_fault (tb->server[0], "cut", 1));
   background_start (&b, &lost);
@@ -320,7 +326,7 @@
   r = call (&other);
   CHECK (r.status == 200);
   response_free (&r);
-  free_second (tb);
+  free_server (tb, 1);
   background_join (&b);
   response_free (&b.response);
 }
