--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -2,10 +2,11 @@
  * Internal interfaces of the task "requests".
  *
  * requests.c admits callers' requests, dispatch.c assigns them to upstreams or queues
- * them, attempt.c sends a request to one upstream, silence.c replaces one that falls
- * silent, outdated.c withdraws a request when its upstream's weights become too old,
- * endings.c decides what becomes of a request whose attempt ends, and outcome.c sends the
- * final response.
+ * them, attempt.c sends a request to one upstream and attempt_response.c receives its
+ * response (attempt_private.h), silence.c replaces an upstream that falls silent,
+ * outdated.c withdraws a request when its upstream's weights become too old, endings.c
+ * decides what becomes of a request whose attempt ends, and outcome.c sends the final
+ * response.
  */
 #ifndef DIRECT_REQUESTS_H
 #define DIRECT_REQUESTS_H
