--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -49,13 +49,15 @@
 
 "$bin/unit"
 verdict unit $?
-ls regress/*-check.sh | grep -v "^$alone\$" | run_files "$check_jobs" sh "$bin"
+for t in regress/*-check.sh; do
+	[ "$t" = "$alone" ] || echo "$t"
+done | run_files "$check_jobs" sh "$bin"
 echo "$alone" | run_files 1 sh "$bin"
 for t in regress/*-check.sh; do
 	cat "$logs/$(basename "$t").log"
 	verdict "$(basename "$t" .sh)" "$(status_of "$t")"
 done
-ls regress/scenarios/*.scn | run_files "$jobs" "$bin/scenario --bin $bin" ""
+printf '%s\n' regress/scenarios/*.scn | run_files "$jobs" "$bin/scenario --bin $bin" ""
 for f in regress/scenarios/*.scn; do
 	status=$(status_of "$f")
 	[ "$status" -eq 0 ] || cat "$logs/$(basename "$f").log"
