--- a/regress/direct/replacement.c
+++ b/regress/direct/replacement.c
@@ -77,64 +77,53 @@
   return metric_value (tb, 0, "daisy_direct_silent_replacements_total");
 }
 
+/* The stream ID falls silent and goes on; KNOB is set to VALUE at the second server,
+ * which is to replace the first.  RUNS: how often it ran then. */
 static void
-test_silent_stream_outlasts_replacement_that_refuses (Testbed *tb)
+check_outlasts (
+    Testbed *tb, const char *id, const char *knob, uint64_t value, uint64_t runs)
 {
-  Call c = default_call (tb, "/s/x", "replacement-refuses");
+  Call c = default_call (tb, "/s/x", id);
   Background b;
-  uint64_t received = recorded (tb->server[1], "received");
+  uint64_t before = replacements (tb);
 
-  CHECK (set_fault (tb->server[1], "shed_resumed", REFUSALS));
+  CHECK (set_fault (tb->server[1], knob, value));
   start_silent_stream (tb, &b, &c, SILENCE_MS);
   check_whole_from_first (tb, &b);
-  CHECK (set_fault (tb->server[1], "shed_resumed", 0));
-  CHECK (recorded (tb->server[1], "received") > received);
-  CHECK (runs_of (tb, c.id) == 1);
+  CHECK (set_fault (tb->server[1], knob, 0));
+  CHECK (replacements (tb) > before);
+  CHECK (runs_of (tb, id) == runs);
 }
 
 static void
-test_silent_stream_outlasts_replacement_that_fails (Testbed *tb)
+test_silent_stream_outlasts_replacement_that_refuses (Testbed *tb)
 {
-  Call c = default_call (tb, "/s/x", "replacement-fails");
-  Background b;
+  check_outlasts (tb, "replacement-refuses", "shed_resumed", REFUSALS, 1);
+}
 
-  CHECK (set_fault (tb->server[1], "error_resumed", 500));
+static void
+test_silent_stream_outlasts_replacement_that_fails (Testbed *tb)
+{
   CHECK (set_fault (tb->server[1], "error_sealed", 1));
-  start_silent_stream (tb, &b, &c, SILENCE_MS);
-  check_whole_from_first (tb, &b);
-  CHECK (set_fault (tb->server[1], "error_resumed", 0));
+  check_outlasts (tb, "replacement-fails", "error_resumed", 500, 2);
   CHECK (set_fault (tb->server[1], "error_sealed", 0));
-  CHECK (runs_of (tb, c.id) == 2);
 }
 
 /* The stream of the replacement ends in the middle of its first event. */
 static void
 test_silent_stream_outlasts_replacement_that_breaks_off (Testbed *tb)
 {
-  Call c = default_call (tb, "/s/x", "replacement-breaks-off");
-  Background b;
-
-  CHECK (set_fault (tb->server[1], "cut_resumed", REFUSALS));
-  start_silent_stream (tb, &b, &c, SILENCE_MS);
-  check_whole_from_first (tb, &b);
-  CHECK (set_fault (tb->server[1], "cut_resumed", 0));
-  CHECK (runs_of (tb, c.id) == 2);
+  check_outlasts (tb, "replacement-breaks-off", "cut_resumed", REFUSALS, 2);
 }
 
 static void
 test_silent_stream_outlasts_replacement_that_is_slow (Testbed *tb)
 {
-  Call c = default_call (tb, "/s/x", "replacement-slow");
-  Background b;
   uint64_t dropped = recorded (tb->server[1], "dropped");
 
-  CHECK (set_fault (tb->server[1], "queue_ms", QUEUE_MS));
-  start_silent_stream (tb, &b, &c, SILENCE_MS);
-  check_whole_from_first (tb, &b);
-  CHECK (runs_of (tb, c.id) == 1);
+  check_outlasts (tb, "replacement-slow", "queue_ms", QUEUE_MS, 1);
   g_usleep (CANCELS_US);
   CHECK (recorded (tb->server[1], "dropped") == dropped + 1);
-  CHECK (set_fault (tb->server[1], "queue_ms", 0));
 }
 
 /* Its upstream breaks it off, and both refuse it once before it goes on. */
