--- a/regress/direct/replacement.c
+++ b/regress/direct/replacement.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 
 #include "direct.h"
+#include "policy/signature.h"
 
 #define EVENTS     10
 #define BEFORE     4    /* the first server falls silent before this event */
@@ -126,6 +127,37 @@
   CHECK (recorded (tb->server[1], "dropped") == dropped + 1);
 }
 
+static uint64_t awaited_replacements;
+
+static bool
+is_replaced (Testbed *tb)
+{
+  return replacements (tb) >= awaited_replacements;
+}
+
+/* The request is quarantined, as the store tells, while its replacement waits. */
+static void
+test_silent_stream_outlasts_quarantine_of_its_replacement (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/held", "replacement-quarantined");
+  DlSignature signature = dl_request_signature (&(DlRequestIdentity){
+      .host = dl_str (c.host), .path = dl_str (c.target), .caller = dl_str ("org") });
+  const char *name = dl_signature_digest (&signature);
+  uint64_t dropped = recorded (tb->server[1], "dropped");
+  Background b;
+
+  CHECK (set_fault (tb->server[1], "queue_ms", QUEUE_MS));
+  awaited_replacements = replacements (tb) + 1;
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  CHECK (eventually (is_replaced, tb));
+  CHECK (testbed_put (tb, "daisyloft-held", name, "{\"trials\":0}"));
+  check_whole_from_first (tb, &b);
+  CHECK (recorded (tb->server[1], "dropped") == dropped + 1);
+  CHECK (metric_value (tb, 0, "daisy_direct_quarantined_total") > 0);
+  CHECK (runs_of (tb, c.id) == 1);
+  CHECK (set_fault (tb->server[1], "queue_ms", 0));
+}
+
 /* Its upstream breaks it off, and both refuse it once before it goes on. */
 static void
 test_lost_stream_outlasts_refusals (Testbed *tb)
@@ -228,6 +260,7 @@
   test_silent_stream_outlasts_replacement_that_is_slow,
   test_silent_stream_outlasts_refusal_while_its_entry_stops,
   test_silent_request_outlasts_replacement_that_refuses,
+  test_silent_stream_outlasts_quarantine_of_its_replacement,
   test_caller_that_leaves_cancels_both,
   test_lost_stream_outlasts_refusals,
   test_silent_stream_outlasts_replacement_without_connection,
