--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -435,7 +435,8 @@
       while ((r = dl_wait_queue_expired (s->queue, now_ms)) != NULL)
         {
           r->waiting = false;
-          direct_dispatch_refuse_or_fail (r, dl_end_cause_text (DL_END_WAITED));
+          if (direct_ending_ends_request (r, DL_END_WAITED))
+            direct_dispatch_refuse_or_fail (r, dl_end_cause_text (DL_END_WAITED));
         }
     }
 }
--- a/daisydirectd/endings.c
+++ b/daisydirectd/endings.c
@@ -68,6 +68,14 @@
   return dl_end_decide (&e);
 }
 
+bool
+direct_ending_ends_request (const Request *r, DlEndCause cause)
+{
+  DlEnding e = ending_of (r, NULL, cause);
+
+  return dl_end_decide (&e) == DL_END_REQUEST;
+}
+
 /* Counts a retry that only the budget does not allow. */
 static void
 note_empty_budget (const DlEnding *ending)
--- a/daisydirectd/requests.c
+++ b/daisydirectd/requests.c
@@ -346,7 +346,7 @@
   if (r->attempts == NULL && !r->may_have_run)
     direct_request_refuse (r, STOPPING_RETRY_MS, "this entry ended before it was run");
   else
-    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, "this entry ended before it");
+    direct_request_fail (r, STATUS_GATEWAY_TIMEOUT, dl_end_cause_text (DL_END_STOPPED));
 }
 
 static void
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -186,6 +186,8 @@
 /* What becomes of the request of ATTEMPT, which is in progress, if it ends for CAUSE; as
  * things are now. */
 DlEndDecision direct_ending_decide (const Attempt *attempt, DlEndCause cause);
+/* True when CAUSE, which is none of an attempt, ends the request. */
+bool direct_ending_ends_request (const Request *request, DlEndCause cause);
 /* An attempt of the request at UPSTREAM has ended for CAUSE: the request goes on with its
  * others, is sent again, or gets its final response. */
 void direct_ending_handle (Request *request, DlEndCause cause, const char *upstream);
