Which of two attempts was the silent one follows from their order

In reading: with three attempts the middle one was logged as overtaken in its silence also where the first went on. An upstream that begins to load while it is silent counts as neutral again when it is overtaken, as when it failed.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -216,8 +216,8 @@
   };
 }
 
-static void
-count_silence (Attempt *attempt)
+void
+direct_attempt_count_silence (Attempt *attempt)
 {
   if (attempt->failure_counted)
     return;
@@ -232,23 +232,10 @@
     return false;
   attempt->kept = true;
   if (counts)
-    count_silence (attempt);
+    direct_attempt_count_silence (attempt);
   return true;
 }
 
-void
-direct_attempt_note_silent (Attempt *attempt)
-{
-  attempt->is_silent = true;
-  count_silence (attempt);
-}
-
-bool
-direct_attempt_is_silent (const Attempt *attempt)
-{
-  return attempt->is_silent;
-}
-
 bool
 direct_attempt_may_wait (const Attempt *attempt)
 {
--- a/daisydirectd/attempt_private.h
+++ b/daisydirectd/attempt_private.h
@@ -32,7 +32,6 @@
   uint64_t prompt_tokens;
   bool started;         /* a whole event or a whole response arrived */
   bool kept;            /* though its upstream was silent for long */
-  bool is_silent;       /* a replacement was started */
   bool failure_counted; /* that silence was, for the upstream's circuit breaker */
   bool overtaken;       /* another one goes on; ABORT_TIMER ends this one */
   bool ended;           /* its end was reported to the upstream */
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -236,11 +236,9 @@
  * before.  The silence counts as a failure of the upstream if COUNTS, so that it gets no
  * further requests while it holds this one. */
 bool direct_attempt_note_kept (Attempt *attempt, bool counts);
-/* Notes that a replacement of the attempt's upstream is started, as it is silent, which
- * counts as a failure of the upstream. */
-void direct_attempt_note_silent (Attempt *attempt);
-/* True for an attempt whose upstream a replacement was started for. */
-bool direct_attempt_is_silent (const Attempt *attempt);
+/* A replacement is started, as the attempt's upstream is silent, which counts as a
+ * failure of the upstream, once. */
+void direct_attempt_count_silence (Attempt *attempt);
 /* Version of the weights that the attempt would start on: the last one that the upstream
  * served, as it has none while it loads others. */
 uint64_t direct_attempt_version (const Attempt *attempt);
--- a/daisydirectd/silence.c
+++ b/daisydirectd/silence.c
@@ -51,7 +51,7 @@
   dl_log (DL_EVENT_SILENT_UPSTREAM_REPLACED, DL_TEXT ("request", r->incoming.id),
           DL_TEXT ("upstream", direct_attempt_upstream (r->attempts)->id),
           DL_UINT ("silent_ms", silent_ms), DL_TEXT ("next", next->id));
-  direct_attempt_note_silent (r->attempts);
+  direct_attempt_count_silence (r->attempts);
   direct_dispatch_send (r, next);
 }
 
@@ -93,7 +93,7 @@
   const Request *r = direct_attempt_request (winner);
   const char *lost = direct_attempt_upstream (loser)->id;
 
-  if (!direct_attempt_is_silent (loser))
+  if (direct_attempt_sent_ms (loser) > direct_attempt_sent_ms (winner))
     {
       dl_log (DL_EVENT_SILENT_UPSTREAM_WENT_ON, DL_TEXT ("request", r->incoming.id),
               DL_TEXT ("upstream", direct_attempt_upstream (winner)->id),
--- a/daisydirectd/upstreams.c
+++ b/daisydirectd/upstreams.c
@@ -565,7 +565,8 @@
 {
   bool failed;
 
-  if (u->loading && outcome == DIRECT_ATTEMPT_FAILED)
+  if (u->loading
+      && (outcome == DIRECT_ATTEMPT_FAILED || outcome == DIRECT_ATTEMPT_SILENT))
     outcome = DIRECT_ATTEMPT_NEUTRAL; /* aborted because the engine loads weights */
   failed = outcome == DIRECT_ATTEMPT_FAILED || outcome == DIRECT_ATTEMPT_UNREACHABLE
            || outcome == DIRECT_ATTEMPT_SILENT;
