--- a/regress/direct/soak.c
+++ b/regress/direct/soak.c
@@ -167,10 +167,10 @@
   g_usleep (SETTLE_US);
   if (!eventually (entries_serve, soak->testbed))
     soak_report_violation (soak, "entries", "do not serve after the faults");
-  soak_start_kept (soak, &kept);
+  soak_start_kept (soak, &kept, 0);
   soak_plan_work (soak, seconds);
   soak_end_kept (soak, &kept);
-  soak_start_kept (soak, &kept);
+  soak_start_kept (soak, &kept, SOAK_SILENCE_STREAM_CALLERS);
   soak_silence_servers (soak);
   soak_end_kept (soak, &kept);
   soak_set_event_ms (soak, SOAK_EVENT_MS);
--- a/regress/direct/soak.h
+++ b/regress/direct/soak.h
@@ -145,6 +145,7 @@
   Soak *soak;
   unsigned number;
   uint32_t seed;
+  bool sends_streams; /* of a kept caller: nothing else */
 } SoakCaller;
 
 /* Thread function; CALLER is a SoakCaller.  Sends requests until the soak's stop. */
@@ -177,8 +178,9 @@
   GThread *threads[SOAK_KEPT_CALLERS];
 } SoakKept;
 
-/* Starts callers that keep their connections to an entry until its process is gone. */
-void soak_start_kept (Soak *soak, SoakKept *kept);
+/* Starts callers that keep their connections to an entry until its process is gone;
+ * STREAM_CALLERS of them send streams only. */
+void soak_start_kept (Soak *soak, SoakKept *kept, unsigned stream_callers);
 /* Ends the callers and checks each of their requests against the servers' records: one
  * that ran must have been answered, a refused one must not have run, and a response whose
  * head came must be complete unless its time ran out. */
@@ -192,12 +194,17 @@
 
 /* -------- soak_silence.c -------- */
 
+/* Kept callers that send streams only while servers are silent. */
+#define SOAK_SILENCE_STREAM_CALLERS 5
 /* Model servers are silent for a while and go on, one after the other; their streams must
  * be complete all the same. */
 void soak_silence_servers (Soak *soak);
 
 /* -------- soak_version.c -------- */
 
+/* Lists the model servers with so many slots; 0: as usual. */
+void soak_list_models (Soak *soak, unsigned slots);
+
 /* Names versions in quick series while servers let streams wait and processes are paused
  * and killed; no stream may start on a version whose time is over. */
 void soak_name_versions (Soak *soak, uint32_t seed);
--- a/regress/direct/soak_kept.c
+++ b/regress/direct/soak_kept.c
@@ -23,6 +23,8 @@
   unsigned deadline_ms;
 } KeptTarget;
 
+#define STREAM_TARGETS 2 /* the first ones */
+
 static const KeptTarget kept_targets[] = {
   { REQUEST_STREAM, "/s/slow/x", STREAM_DEADLINE_MS },
   { REQUEST_STREAM, "/s/slow/x", STREAM_DEADLINE_MS },
@@ -49,8 +51,8 @@
   const SoakCaller *caller = data;
   Soak *soak = caller->soak;
   char *id = g_strdup_printf ("k%08x-%u", caller->seed, n);
-  const KeptTarget *t
-      = &kept_targets[g_rand_int_range (random, 0, G_N_ELEMENTS (kept_targets))];
+  const KeptTarget *t = &kept_targets[g_rand_int_range (
+      random, 0, caller->sends_streams ? STREAM_TARGETS : G_N_ELEMENTS (kept_targets))];
   SentRequest *req = g_new0 (SentRequest, 1);
   Call c = default_call (soak->testbed, t->target, id);
   Response r;
@@ -131,12 +133,13 @@
 }
 
 void
-soak_start_kept (Soak *soak, SoakKept *kept)
+soak_start_kept (Soak *soak, SoakKept *kept, unsigned stream_callers)
 {
   g_atomic_int_set (&soak->kept_stop, 0);
   for (unsigned i = 0; i < SOAK_KEPT_CALLERS; i++)
     {
-      kept->callers[i] = (SoakCaller){ soak, i, g_rand_int (soak->random) };
+      kept->callers[i]
+          = (SoakCaller){ soak, i, g_rand_int (soak->random), i < stream_callers };
       kept->threads[i] = g_thread_new ("kept", run_kept_caller, &kept->callers[i]);
     }
 }
--- a/regress/direct/soak_version.c
+++ b/regress/direct/soak_version.c
@@ -425,8 +425,8 @@
     g_thread_join (threads[i]);
 }
 
-static void
-list_models (Soak *soak, unsigned slots)
+void
+soak_list_models (Soak *soak, unsigned slots)
 {
   soak->testbed->slots = slots;
   for (unsigned i = 0; i < MODEL_SERVERS; i++)
@@ -448,14 +448,14 @@
   plan_names (&v);
   plan_victims (&v);
   set_on_models (soak, "due_in_ms", LIMIT_MS);
-  list_models (soak, SLOTS);
+  soak_list_models (soak, SLOTS);
   hold_weights (&v);
   play_under_callers (&v);
   for (unsigned i = 0; i < MODEL_SERVERS; i++)
     check_server (&v, i);
   if (v.complete == 0)
     soak_report_violation (soak, "entries", "served no stream beside new versions");
-  list_models (soak, 0);
+  soak_list_models (soak, 0);
   set_fault (soak->testbed->origin, "corrupt", 0);
   set_on_models (soak, "queue_ms", 0);
   set_on_models (soak, "due_version", 0);
