--- a/regress/direct/soak_silence.c
+++ b/regress/direct/soak_silence.c
@@ -38,7 +38,8 @@
   set_fault (address, "queue_resumed_ms", fault == REPLACEMENT_WAITS ? QUEUE_MS : 0);
 }
 
-/* Waits for the end of an entry that was told to stop, and starts it again. */
+/* Waits for the end of an entry that was told to stop, and starts it again.  It serves
+ * before the next silence, as a signal during its start ends it at once. */
 static void
 restart_entry (Soak *soak, unsigned entry)
 {
@@ -48,6 +49,8 @@
     soak_report_violation (soak, p->name, "did not end in its time, or failed");
   process_start (p);
   soak_log_event (soak, "silence: started again, entry", entry);
+  if (!eventually (requests_are_served, soak->testbed))
+    soak_report_violation (soak, p->name, "does not serve after its start");
 }
 
 /* RANDOM is of its own, so that the other phases of a seed stay the same. */
