The line about a cut stream tells what became of an attempt that was overtaken

Found by the review: an attempt that another one overtook was taken from its request without its state, so that 1001, if the winner broke off in the same run of the loop, told of it "status 0, 0 events, in progress": that it had never answered, which is the very question the line is for. Its state is noted as it leaves the list.

--- a/daisydirectd/attempt.c
+++ b/daisydirectd/attempt.c
@@ -75,10 +75,11 @@
 }
 
 void
-direct_attempt_unlink (Attempt *attempt)
+direct_attempt_unlink (Attempt *attempt, const char *end)
 {
   if (attempt->link == NULL)
     return;
+  note_state (attempt, end);
   *attempt->link = attempt->next;
   if (attempt->next != NULL)
     attempt->next->link = attempt->link;
@@ -88,9 +89,8 @@
 void
 direct_attempt_finish (Attempt *attempt, DirectAttemptOutcome outcome, const char *end)
 {
-  note_state (attempt, end);
+  direct_attempt_unlink (attempt, end);
   release_upstream (attempt, outcome);
-  direct_attempt_unlink (attempt);
   talloc_free (attempt);
 }
 
--- a/daisydirectd/attempt_private.h
+++ b/daisydirectd/attempt_private.h
@@ -55,8 +55,8 @@
 void direct_attempt_finish_failed (Attempt *attempt,
                                    DirectAttemptOutcome outcome,
                                    DlEndCause cause);
-/* Takes the attempt from those of its request. */
-void direct_attempt_unlink (Attempt *attempt);
+/* Takes the attempt from those of its request, for the reason END, a static string. */
+void direct_attempt_unlink (Attempt *attempt, const char *end);
 
 /* -------- attempt_response.c: callbacks of the attempt's call -------- */
 
--- a/daisydirectd/attempt_response.c
+++ b/daisydirectd/attempt_response.c
@@ -167,7 +167,7 @@
 {
   direct_silence_overtaken (winner, attempt);
   attempt->overtaken = true;
-  direct_attempt_unlink (attempt);
+  direct_attempt_unlink (attempt, dl_end_cause_text (DL_END_OVERTAKEN));
   talloc_free (attempt->abort_timer);
   attempt->abort_timer = dl_timer_subscribe (attempt->request->owner->task, attempt, 0, 0,
                                              on_overtaken, attempt);
