Refusals while another run goes on do not end a stream when that breaks off

Cause: after a refusal the check of silent upstreams runs at once, and with two upstreams the one that has just refused counts as the only other one, so that its half second of rest does not hold. And the bound on refusals bound also an end that is no refusal. Now an upstream that has just refused or failed a request gets it beside others only after that time, and refusals bound only each other.

--- a/daisydirectd/dispatch.c
+++ b/daisydirectd/dispatch.c
@@ -149,6 +149,9 @@
 
   for (const Attempt *a = r->attempts; a != NULL; a = direct_attempt_next (a))
     g_ptr_array_add (holders, direct_attempt_upstream (a)->id);
+  /* One that has just refused or failed it is not asked again at once. */
+  if (is_selective (r, dl_clock_ms ()))
+    g_ptr_array_add (holders, r->avoid_upstream);
   g_ptr_array_add (holders, NULL);
   query = upstream_query (r, (const char *const *)holders->pdata);
   return direct_upstreams_choose (r->owner->upstreams, &query, &error);
--- a/lib/policy/ending.c
+++ b/lib/policy/ending.c
@@ -2,36 +2,47 @@
 
 #include "policy/silence.h"
 
+/* True when the route allows one upstream more, however many refused. */
+static bool
+has_runs_left (const DlAttemptCounts *c)
+{
+  return c->sent - (c->is_partial ? c->not_run : 0) < c->max;
+}
+
 bool
 dl_attempts_left (const DlAttemptCounts *c)
 {
-  if (!c->is_partial)
-    return c->sent < c->max;
-  return c->sent - c->not_run < c->max && c->not_run < DL_NOT_RUN_MAX;
+  return has_runs_left (c) && (!c->is_partial || c->not_run < DL_NOT_RUN_MAX);
+}
+
+static bool
+was_not_run (const DlEnding *e)
+{
+  return e->cause == DL_END_NOT_RUN || e->cause == DL_END_OUTDATED;
 }
 
-/* The counts after the attempt has ended. */
-static DlAttemptCounts
-counts_after (const DlEnding *e)
+/* True when the request may be sent to one upstream more after the attempt.  Refusals
+ * bound only each other: they do not end a stream whose run breaks off. */
+static bool
+has_attempts_after (const DlEnding *e)
 {
   DlAttemptCounts counts = e->counts;
 
-  if (e->cause == DL_END_NOT_RUN || e->cause == DL_END_OUTDATED)
-    counts.not_run++;
-  return counts;
+  if (!was_not_run (e))
+    return has_runs_left (&counts);
+  counts.not_run++;
+  return dl_attempts_left (&counts);
 }
 
 static bool
 may_retry (const DlEnding *e)
 {
-  DlAttemptCounts counts = counts_after (e);
-
   if (e->remaining_ms < DL_ATTEMPT_MIN_MS || e->is_forbidden)
     return false;
   switch (e->cause)
     {
     case DL_END_NOT_SENT:
-      return counts.not_sent < DL_NOT_SENT_MAX;
+      return e->counts.not_sent < DL_NOT_SENT_MAX;
     case DL_END_NOT_RUN:
       break;
     case DL_END_BROKEN:
@@ -47,7 +58,7 @@
     case DL_END_STOPPED:
       return false;
     }
-  return dl_attempts_left (&counts) && e->has_budget;
+  return has_attempts_after (e) && e->has_budget;
 }
 
 DlEndDecision
--- a/lib/policy/silence.c
+++ b/lib/policy/silence.c
@@ -32,7 +32,7 @@
     case DL_SILENCE_WITHIN_LIMIT:
       return "it is not silent for long";
     case DL_SILENCE_KEEP_ROUTE:
-      return "the route allows no further attempt";
+      return "the route allows no further attempt, or too many were refused";
     case DL_SILENCE_KEEP_TIME:
       return "no time is left for another attempt";
     case DL_SILENCE_KEEP_BUDGET:
--- a/regress/direct/replacement.c
+++ b/regress/direct/replacement.c
@@ -4,19 +4,24 @@
  */
 #include <glib.h>
 #include <signal.h>
+#include <string.h>
 
 #include "direct.h"
 #include "policy/signature.h"
 
-#define EVENTS     10
-#define BEFORE     4    /* the first server falls silent before this event */
-#define SILENCE_MS 2400 /* over four latency targets, within the deadline */
-#define ENDLESS_MS 20000
-#define QUEUE_MS   8000
-#define REFUSALS   20   /* more than an entry may cause */
-#define RETRIES    3    /* at two upstreams that refuse, and at the last one */
-#define LEAVE_MS   2000 /* the caller leaves in the silence, after four targets */
-#define CANCELS_US 500000
+#define EVENTS         10
+#define BEFORE         4    /* the first server falls silent before this event */
+#define SILENCE_MS     2400 /* over four latency targets, within the deadline */
+#define ENDLESS_MS     20000
+#define QUEUE_MS       8000
+#define REFUSALS       20 /* more than an entry may cause */
+#define QUEUE_SHORT_MS 300
+#define STANDSTILL_US  600000 /* of the entry, beyond the short queue */
+#define REFUSING_US    100000
+#define CUT_DEFAULT    3    /* id of the event in which the stand-in breaks off */
+#define RETRIES        3    /* at two upstreams that refuse, and at the last one */
+#define LEAVE_MS       2000 /* the caller leaves in the silence, after four targets */
+#define CANCELS_US     500000
 
 static uint64_t awaited_events;
 
@@ -253,7 +258,87 @@
   CHECK (set_fault (tb->server[1], "queue_ms", 0));
 }
 
+/* The line of event 1001 of the request ID in the first entry's log, for g_free. */
+static char *
+failure_line (Testbed *tb, const char *id)
+{
+  char *log = NULL;
+  char *found = NULL;
+  char **lines;
+
+  CHECK (g_file_get_contents (tb->entry_process[0].log, &log, NULL, NULL));
+  lines = g_strsplit (log, "\n", -1);
+  for (unsigned i = 0; lines[i] != NULL; i++)
+    if (strstr (lines[i], "\"event\":1001,") != NULL && strstr (lines[i], id) != NULL)
+      {
+        g_free (found);
+        found = g_strdup (lines[i]);
+      }
+  g_strfreev (lines);
+  g_free (log);
+  return found != NULL ? found : g_strdup ("");
+}
+
+/* The replacement sends an event and breaks off while its entry stands still, so that the
+ * entry reads both at once: the line tells what became of the first attempt. */
+static void
+test_line_tells_of_overtaken_attempt (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "replacement-cut-at-once");
+  Background b;
+  char *line;
+
+  CHECK (set_fault (tb->server[1], "queue_resumed_ms", QUEUE_SHORT_MS));
+  CHECK (set_fault (tb->server[1], "cut_resumed", 1));
+  CHECK (set_fault (tb->server[1], "cut_before", BEFORE + 1));
+  awaited_replacements = replacements (tb) + 1;
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  CHECK (eventually (is_replaced, tb));
+  kill (tb->entry_process[0].pid, SIGSTOP);
+  g_usleep (STANDSTILL_US);
+  kill (tb->entry_process[0].pid, SIGCONT);
+  background_join (&b);
+  CHECK (!b.response.complete);
+  line = failure_line (tb, c.id);
+  CHECK (strstr (line, "i-1 sent 0 ms, status 200, 3 events") != NULL);
+  CHECK (strstr (line, "another upstream went on first") != NULL);
+  g_free (line);
+  response_free (&b.response);
+  CHECK (set_fault (tb->server[1], "queue_resumed_ms", 0));
+  CHECK (set_fault (tb->server[1], "cut_resumed", 0));
+  CHECK (set_fault (tb->server[1], "cut_before", CUT_DEFAULT));
+}
+
+/* The second server refuses the stream for 100 ms while the first is silent, and has a
+ * place long before the first breaks off. */
+static void
+test_stream_outlasts_refusals_before_its_end (Testbed *tb)
+{
+  Call c = default_call (tb, "/s/x", "refused-then-lost");
+  Background b;
+  uint64_t before = replacements (tb);
+
+  CHECK (set_fault (tb->server[0], "cut", 1));
+  CHECK (set_fault (tb->server[0], "cut_before", BEFORE));
+  CHECK (set_fault (tb->server[1], "shed_resumed", REFUSALS));
+  awaited_replacements = before + 1;
+  start_silent_stream (tb, &b, &c, SILENCE_MS);
+  CHECK (eventually (is_replaced, tb));
+  g_usleep (REFUSING_US);
+  CHECK (set_fault (tb->server[1], "shed_resumed", 0));
+  background_join (&b);
+  CHECK (replacements (tb) - before < 3); /* not one after the other, all at once */
+  CHECK (b.response.status == 200 && b.response.complete);
+  CHECK (has_events (b.response.body, 1, EVENTS));
+  response_free (&b.response);
+  CHECK (set_fault (tb->server[0], "cut", 0));
+  CHECK (set_fault (tb->server[0], "cut_before", CUT_DEFAULT));
+  CHECK (set_fault (tb->server[1], "shed_resumed", 0));
+}
+
 const TestFunc replacement_tests[] = {
+  test_stream_outlasts_refusals_before_its_end,
+  test_line_tells_of_overtaken_attempt,
   test_silent_stream_outlasts_replacement_that_refuses,
   test_silent_stream_outlasts_replacement_that_fails,
   test_silent_stream_outlasts_replacement_that_breaks_off,
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -57,16 +57,17 @@
 static uint64_t instance = 1; /* its instance id is "i-N" */
 static uint64_t events = EVENTS_DEFAULT;
 static uint64_t event_ms = EVENT_MS;
-static uint64_t answer_ms;    /* how long a request of a LONG_PART path runs */
-static uint64_t shed;         /* the next N requests are refused and not run */
-static uint64_t fail;         /* the next N requests get the response 500 */
-static uint64_t lose;         /* the next N are run, then the connection is closed */
-static uint64_t cut;          /* the next N streams break off in the middle of an event */
-static uint64_t cut_resumed;  /* the same for streams that resume after an event */
-static uint64_t shed_resumed; /* the next N streams that resume are refused, not run */
-static uint64_t foreign;      /* the next N responses have another request's id */
-static uint64_t unsealed;     /* the next N responses lack the seal */
-static uint64_t silent;       /* the next N are run without a response ever */
+static uint64_t answer_ms; /* how long a request of a LONG_PART path runs */
+static uint64_t shed;      /* the next N requests are refused and not run */
+static uint64_t fail;      /* the next N requests get the response 500 */
+static uint64_t lose;      /* the next N are run, then the connection is closed */
+static uint64_t cut;       /* the next N streams break off in the middle of an event */
+static uint64_t cut_before = 3; /* id of the event in which they do, or a later one */
+static uint64_t cut_resumed;    /* the same for streams that resume after an event */
+static uint64_t shed_resumed;   /* the next N streams that resume are refused, not run */
+static uint64_t foreign;        /* the next N responses have another request's id */
+static uint64_t unsealed;       /* the next N responses lack the seal */
+static uint64_t silent;         /* the next N are run without a response ever */
 static uint64_t slots = 16;
 static uint64_t born;           /* start time in its report; 0: the number of INSTANCE */
 static uint64_t leaving;        /* responses to requests say that it leaves */
@@ -140,6 +141,7 @@
   { "fail", &fail },
   { "lose", &lose },
   { "cut", &cut },
+  { "cut_before", &cut_before },
   { "foreign", &foreign },
   { "unsealed", &unsealed },
   { "silent", &silent },
@@ -479,7 +481,7 @@
   event = g_strdup_printf ("id: %" PRIu64 "\ndata: event %" PRIu64 "%s\n\n", s->next,
                            s->next, filler);
   g_free (filler);
-  if (s->cut && s->next >= 3)
+  if (s->cut && s->next >= cut_before)
     {
       dl_http_stream_write (s->request, dl_str_bytes (event, strlen (event) / 2));
       dl_http_stream_end (s->request, false);
