A withdrawn replacement counts as an attempt while another run goes on

Found by the review: a withdrawal counted as not run, while the same function notes that it may run. On its demonstration (not kept) a server that stands still ran the withdrawn attempt as it woke, so that a stream could have run at more servers than its route allows. Now it counts as not run only where the stream would be cut otherwise.

--- a/daisydirectd/endings.c
+++ b/daisydirectd/endings.c
@@ -125,8 +125,6 @@
       r->connect_failures++;
       r->retry_reserved = r->attempt_count > 0; /* what could not be sent was a retry */
     }
-  if (cause == DL_END_NOT_RUN || cause == DL_END_OUTDATED)
-    r->not_run_count++;
   if (may_have_run (cause))
     r->may_have_run = true;
   r->failed_ms = dl_clock_ms ();
@@ -153,6 +151,8 @@
 retry (Request *r, DlEndCause cause, const char *upstream)
 {
   reserve_retry (r, cause);
+  if (cause == DL_END_NOT_RUN || cause == DL_END_OUTDATED)
+    r->not_run_count++;
   note_end (r, cause, upstream);
   direct_ending_log_retry (r, cause, upstream);
   direct_dispatch_request (r);
@@ -168,10 +168,13 @@
     direct_dispatch_refuse_or_fail (r, dl_end_cause_text (cause));
 }
 
-/* The request goes on with its other attempts. */
+/* The request goes on with its other attempts.  One that is withdrawn counts as run: its
+ * upstream may begin it before it learns of that. */
 static void
 leave (Request *r, DlEndCause cause, const char *upstream)
 {
+  if (cause == DL_END_NOT_RUN)
+    r->not_run_count++;
   note_end (r, cause, upstream);
   direct_ending_return_retry (r);
   dl_log (DL_EVENT_ATTEMPT_ENDED_BESIDE, DL_TEXT ("request", r->incoming.id),
--- a/daisydirectd/requests.h
+++ b/daisydirectd/requests.h
@@ -78,7 +78,7 @@
   uint64_t arrived_ms;
   uint64_t deadline_ms;      /* latest time of the final response */
   unsigned attempt_count;    /* attempts so far, except those that could not connect */
-  unsigned not_run_count;    /* of these, refused, or withdrawn before they started */
+  unsigned not_run_count;    /* of these, those that count as not run (endings.c) */
   unsigned connect_failures; /* attempts that could not connect */
   bool waiting;              /* in the service's queue */
   bool is_trial;             /* of a quarantined signature */
