A quarantine looks at all attempts of a request

Read by the review: for a response that is no stream, an attempt whose head had come hid an earlier one without a head, which stayed at its upstream though the request is held.

--- a/daisydirectd/quarantine.c
+++ b/daisydirectd/quarantine.c
@@ -218,6 +218,7 @@
 static bool
 goes_on_though_held (Request *r)
 {
+  bool goes_on = false;
   Attempt *next;
 
   for (Attempt *attempt = r->attempts; attempt != NULL; attempt = next)
@@ -226,8 +227,7 @@
       char *id;
 
       next = direct_attempt_next (attempt);
-      if (decision == DL_END_KEEP)
-        return true;
+      goes_on = goes_on || decision == DL_END_KEEP;
       if (decision != DL_END_LEAVE)
         continue;
       id = talloc_strdup (r, direct_attempt_upstream (attempt)->id);
@@ -235,7 +235,7 @@
                              dl_end_cause_text (DL_END_QUARANTINED));
       direct_ending_handle (r, DL_END_QUARANTINED, id);
     }
-  return false;
+  return goes_on;
 }
 
 /* Ends a request that was quarantined after its arrival, unless an upstream has begun to
