Entries: refusals do not use up the attempts of a stream whose caller has a part

A stream whose upstream fell silent was cut 1.4 s later when the others were full: each refusal counted as one of the four attempts, although it ran nowhere and a refusal is no answer any more for a caller that has a part. Such attempts now only make it wait, for up to 10 s, the longest time to come back that slots name to refused callers.

--- a/daisyentryd/callers_request.c
+++ b/daisyentryd/callers_request.c
@@ -16,8 +16,6 @@
 #include "policy/resume.h"
 
 #define ATTEMPTS_MAX         3 /* of a request whose response has not begun */
-#define RESUMES_MAX          4 /* of one response */
-#define RESUME_BACKOFF_MS    150
 #define CREDIT_MIN_BYTES     (DL_STREAM_WINDOW_BYTES / 4)
 #define HTTP_OK              200
 #define HTTP_UNAVAILABLE     503
@@ -57,7 +55,6 @@
   CallerAttempt attempt;
   bool attempt_active;
   unsigned attempt_count;
-  unsigned resume_count;
   char *avoid;            /* upstream of the last failed attempt */
   DlDigest version;       /* that the response comes from; set by the first head */
   bool may_have_run;      /* in an attempt that has ended */
@@ -201,23 +198,23 @@
   start_attempt (r);
 }
 
-/* Handles a response that broke after it had begun. */
+/* Handles a response that broke after it had begun.  IS_NOT_RUN: the last attempt to
+ * take it on ran nowhere. */
 static void
-resume_or_cut_off (CallerRequest *r, const char *reason)
+resume_or_cut_off (CallerRequest *r, bool is_not_run, const char *reason)
 {
-  if (r->resume == NULL || r->resume_count >= RESUMES_MAX || r->callers->abandoned)
+  uint64_t delay_ms;
+
+  if (r->resume == NULL || r->callers->abandoned
+      || !dl_resume_attempt_ended (r->resume, is_not_run, dl_clock_ms (), &delay_ms))
     {
       cut_off (r, reason);
       return;
     }
-  r->resume_count++;
   dl_metric_add (&metric_resumes, 1);
   dl_resume_restart (r->resume);
-  /* The first time at once; later with a backoff that lets upstreams recover. */
   r->backoff_timer
-      = dl_timer_subscribe (r->callers->task, r,
-                            r->resume_count > 1 ? RESUME_BACKOFF_MS * r->resume_count : 0,
-                            0, on_backoff_over, r);
+      = dl_timer_subscribe (r->callers->task, r, delay_ms, 0, on_backoff_over, r);
 }
 
 static void
@@ -229,7 +226,7 @@
   else if (!r->streaming || !dl_digest_equal (&m->response.version, &r->version))
     {
       abandon_attempt (r);
-      resume_or_cut_off (r, "the upstream did not take the stream on");
+      resume_or_cut_off (r, false, "the upstream did not take the stream on");
     }
 }
 
@@ -249,7 +246,7 @@
       if (state == DL_RESUME_BROKEN)
         {
           abandon_attempt (r);
-          resume_or_cut_off (r, "the upstream's stream was malformed");
+          resume_or_cut_off (r, false, "the upstream's stream was malformed");
           return;
         }
     }
@@ -278,9 +275,10 @@
 handle_end (CallerRequest *r, const EntryMessage *m)
 {
   bool complete = m->response.reason == DAISYLOFT__WIRE__END_REASON__END_COMPLETE;
+  bool not_run = m->response.reason == DAISYLOFT__WIRE__END_REASON__END_NOT_RUN;
 
   r->attempt_active = false;
-  if (m->response.reason != DAISYLOFT__WIRE__END_REASON__END_NOT_RUN)
+  if (!not_run)
     r->may_have_run = true;
   if (m->response.upstream != NULL)
     {
@@ -290,8 +288,9 @@
   if (r->head_sent && is_complete (r, complete))
     complete_response (r);
   else if (r->head_sent)
-    resume_or_cut_off (r, complete ? "the upstream's stream ended early"
-                                   : m->response.detail);
+    resume_or_cut_off (r, not_run,
+                       complete ? "the upstream's stream ended early"
+                                : m->response.detail);
   else if (reserve_retry (r, m))
     {
       dl_metric_add (&metric_retries, 1);
--- a/lib/policy/resume.c
+++ b/lib/policy/resume.c
@@ -24,6 +24,36 @@
     resume->state = DL_RESUME_MORE;
 }
 
+static void
+count_attempt (DlResume *resume, bool is_not_run, uint64_t now_ms)
+{
+  if (!is_not_run)
+    {
+      resume->attempts++;
+      resume->refusals = 0;
+    }
+  else if (resume->refusals++ == 0)
+    resume->refused_ms = now_ms;
+}
+
+bool
+dl_resume_attempt_ended (DlResume *resume,
+                         bool is_not_run,
+                         uint64_t now_ms,
+                         uint64_t *delay_ms)
+{
+  unsigned failures;
+
+  count_attempt (resume, is_not_run, now_ms);
+  if (is_not_run ? now_ms - resume->refused_ms >= DL_RESUME_WAIT_MS
+                 : resume->attempts > DL_RESUME_ATTEMPTS_MAX)
+    return false;
+  /* The first time at once; later with a backoff that lets upstreams recover. */
+  failures = MIN (resume->attempts + resume->refusals, DL_RESUME_ATTEMPTS_MAX);
+  *delay_ms = failures > 1 ? (uint64_t)DL_RESUME_BACKOFF_MS * failures : 0;
+  return true;
+}
+
 static json_object *
 parse_line (DlStr line)
 {
--- a/regress/unit/test_resume.c
+++ b/regress/unit/test_resume.c
@@ -129,10 +129,39 @@
   talloc_free (context);
 }
 
+static void
+test_refusals (void)
+{
+  void *context = talloc_new (NULL);
+  DlResume *resume = dl_resume_new (context, 0);
+  uint64_t delay_ms = 1;
+
+  CU_ASSERT (dl_resume_attempt_ended (resume, false, 1000, &delay_ms));
+  CU_ASSERT_EQUAL (delay_ms, 0);
+  for (uint64_t now = 2000; now < 2000 + DL_RESUME_WAIT_MS; now += 100)
+    {
+      CU_ASSERT (dl_resume_attempt_ended (resume, true, now, &delay_ms));
+      CU_ASSERT (delay_ms > 0
+                 && delay_ms <= DL_RESUME_BACKOFF_MS * DL_RESUME_ATTEMPTS_MAX);
+    }
+  CU_ASSERT (
+      !dl_resume_attempt_ended (resume, true, 2000 + DL_RESUME_WAIT_MS, &delay_ms));
+
+  /* Attempts that ran count, whatever was refused between them. */
+  for (unsigned i = 1; i < DL_RESUME_ATTEMPTS_MAX; i++)
+    {
+      CU_ASSERT (dl_resume_attempt_ended (resume, false, 20000 * i, &delay_ms));
+      CU_ASSERT (dl_resume_attempt_ended (resume, true, 20000 * i + 10000, &delay_ms));
+    }
+  CU_ASSERT (!dl_resume_attempt_ended (resume, false, 90000, &delay_ms));
+  talloc_free (context);
+}
+
 static const CU_TestInfo resume_tests[] = {
   { "cut streams", test_schedules },
   { "lines", test_feeds },
   { "line without an end", test_endless_line },
+  { "refusals", test_refusals },
   CU_TEST_INFO_NULL,
 };
 UNIT_SUITE ("resume", resume_tests)
