Slots: an engine that only does not tell its state goes on with its requests

Three failed polls of an engine's state, 750 ms when they fail at once, ended every request that ran there, also streams that sent a token each 20 ms. A failed poll is a belief about the engine; what it sends is none. Requests now end when polls fail and nothing has come from the engine for 5 s, the time after which a silent stream is ended anyway.

--- a/daisyslotd/requests.c
+++ b/daisyslotd/requests.c
@@ -348,14 +348,14 @@
   GList *streams = g_hash_table_get_values (peer->streams);
 
   for (GList *l = streams; l != NULL; l = l->next)
-    slot_request_abort (l->data);
+    slot_request_abort_if_silent (l->data);
   g_list_free (streams);
 }
 
 /* An unreachable engine would hold its streams open.  Ending them lets the entries resume
- * them at other upstreams. */
+ * them at other upstreams.  One that only does not tell its state goes on with them. */
 static void
-abort_all_requests (RequestsTask *t)
+abort_silent_requests (RequestsTask *t)
 {
   GHashTableIter iter;
   gpointer peer;
@@ -365,12 +365,6 @@
     abort_peer_requests (peer);
 }
 
-static bool
-became_unreachable (const SlotMessage *before, const SlotMessage *now)
-{
-  return before != NULL && before->engine.reachable && !now->engine.reachable;
-}
-
 static void
 replace_message (const SlotMessage **kept, const SlotMessage *message)
 {
@@ -398,10 +392,11 @@
       replace_message (&t->fleet, message);
       break;
     case SLOT_MSG_ENGINE:
-      if (became_unreachable (t->engine, message))
-        abort_all_requests (t);
       if (!message->engine.reachable)
-        t->last_cache_event = 0; /* a restarted engine counts from the start again */
+        {
+          abort_silent_requests (t);
+          t->last_cache_event = 0; /* a restarted engine counts from the start again */
+        }
       replace_message (&t->engine, message);
       if (t->status == NULL)
         send_status_to_all (t);
--- a/daisyslotd/requests.h
+++ b/daisyslotd/requests.h
@@ -38,6 +38,7 @@
   const SlotMessage *status; /* last STATUS, referenced; NULL before the first */
   const SlotMessage *fleet;
   const SlotMessage *engine;
+  uint64_t received_us;        /* when any part of a response last came */
   uint64_t last_cache_event;   /* number of the last one read from the engine */
   DlHttpCall *cache_poll;      /* NULL between polls */
   unsigned running;            /* including requests whose entry has disconnected */
@@ -71,9 +72,10 @@
  * be sent twice runs to its end. */
 void slot_request_detach (SlotRequest *request);
 
-/* Ends the request because the engine does not respond: as cut off if the response had
- * begun, as unknown otherwise. */
-void slot_request_abort (SlotRequest *request);
+/* The engine does not respond to polls of its state.  Ends the request, unless it was
+ * sent, or any part of a response came from the engine, a short time ago: as cut off if
+ * the response had begun, as unknown otherwise. */
+void slot_request_abort_if_silent (SlotRequest *request);
 
 /* Returns the usage of ORGANISATION, which lives as long as the task. */
 OrganisationUsage *requests_usage (RequestsTask *requests, const char *organisation);
--- a/daisyslotd/requests_stream.c
+++ b/daisyslotd/requests_stream.c
@@ -22,6 +22,7 @@
 #define HTTP_CONFLICT           409
 #define HTTP_TOO_MANY_REQUESTS  429
 #define HTTP_UNAVAILABLE        503
+#define MICROSECONDS_PER_MS     1000
 #define SMOOTHING               8 /* a new sample has weight 1 / SMOOTHING */
 
 DL_METRIC (metric_first_byte,
@@ -191,9 +192,12 @@
 }
 
 void
-slot_request_abort (SlotRequest *request)
+slot_request_abort_if_silent (SlotRequest *request)
 {
-  end_interrupted (request, "the engine does not answer");
+  uint64_t since_us = MAX (request->started_us, request->requests->received_us);
+
+  if (dl_clock_us () - since_us >= (uint64_t)STALL_TIMEOUT_MS * MICROSECONDS_PER_MS)
+    end_interrupted (request, "the engine does not answer");
 }
 
 static void
@@ -206,6 +210,7 @@
   const char *retry_after = dl_http_call_header (call, "Retry-After");
   uint64_t seconds;
 
+  r->requests->received_us = dl_clock_us ();
   if (is_refusal (r, status))
     {
       r->head_refused = true;
@@ -236,6 +241,7 @@
   Daisyloft__Wire__ResponseData message = DAISYLOFT__WIRE__RESPONSE_DATA__INIT;
   DlEnvelope envelope = DL_ENVELOPE (RESPONSE_DATA, response_data, &message);
 
+  r->requests->received_us = dl_clock_us ();
   if (r->head_refused)
     return;
   send_frame (r, &envelope, bytes);
