Tests: streams of another request declare the length of their chunk

The streamed rows of group heads (status_heads) and one of group copied declared a chunk of 0x1a bytes for 28 (0x1c). They were refused for their chunk, whatever the status or the request's id, so that they showed nothing of these.

--- a/regress/direct/copied.c
+++ b/regress/direct/copied.c
@@ -12,7 +12,7 @@
 #define ELSE          "Content-Length: 4\r\n\r\nelse"
 #define CHUNKED_ELSE  "Transfer-Encoding: chunked\r\n\r\n4\r\nelse\r\n0\r\n\r\n"
 #define STREAM        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-#define FOREIGN_EVENT "1a\r\nid: 1\ndata: of another one\n\n\r\n"
+#define FOREIGN_EVENT "1c\r\nid: 1\ndata: of another one\n\n\r\n"
 #define LAST_CHUNK    "0\r\n\r\n"
 
 static const AnswerCase cases[] = {
--- a/regress/direct/heads.c
+++ b/regress/direct/heads.c
@@ -84,7 +84,7 @@
   OWN_ID SEAL TEXT "Content-Length: 4\r\n\r\nelse",
   OWN_ID TEXT "Content-Length: 4\r\n\r\nelse",
   OWN_ID SEAL TEXT "Transfer-Encoding: chunked\r\n\r\n4\r\nelse\r\n0\r\n\r\n",
-  OWN_ID SEAL EVENTS "Transfer-Encoding: chunked\r\n\r\n1a\r\nid: 1\ndata: of another "
+  OWN_ID SEAL EVENTS "Transfer-Encoding: chunked\r\n\r\n1c\r\nid: 1\ndata: of another "
                      "one\n\n\r\n0\r\n\r\n",
 };
 
