Malformed chunks and trailers, and bytes after the end, make a response none

What callers saw: a chunk of the size "4x" was taken for one of 4 bytes; a trailer with a blank or a control byte in its name was no fault; a response whose length was smaller than its body ("Content-Length: 2" before "done", or 0) was a complete one, its body cut.

Cause: as before, libcurl's reading was believed. It skips what follows the digits of a chunk's size, and drops what lies on the connection after the end that a length tells.

What has arrived beyond the end is judged by its first bytes: another response, which belongs to no request, leaves the one before as it is; anything else makes it a failure. daisydirectd and daisyslotd believe no refusal and no hold-off of a response that turns out to be none.

A test is replaced: four cases of group endless wanted a complete response that other bytes follow to be passed on. Such bytes cannot be told from the rest of a body whose length was spoilt, and a body that is cut breaks a rule, while a failure promises nothing. Bytes that come after the response was read are not seen, as before.

--- a/daisydirectd/attempt_response.c
+++ b/daisydirectd/attempt_response.c
@@ -365,6 +365,15 @@
     direct_quarantine_answered (attempt->request);
 }
 
+/* What is no response says nothing of the request, nor when to send the next one. */
+static void
+distrust_head (Attempt *attempt)
+{
+  attempt->head.not_run = false;
+  attempt->head.names_request = false;
+  attempt->head.hold_off_ms = 0;
+}
+
 /* The upstream closed the connection, or lost it, before the response was complete. */
 static void
 note_broken_off (Attempt *attempt)
@@ -478,6 +487,8 @@
   if (attempt->overtaken)
     return; /* it is about to be ended */
   attempt->time_over = is_time_over (attempt);
+  if (result->error == DL_ERR_MALFORMED)
+    distrust_head (attempt);
   /* One that sends what is no response does not crash. */
   if (result->sent && result->broken_off && !attempt->aborted)
     note_broken_off (attempt);
--- a/daisyslotd/requests_stream.c
+++ b/daisyslotd/requests_stream.c
@@ -255,10 +255,17 @@
     }
 }
 
+/* True when the engine refused the request.  What is no response says nothing of it. */
+static bool
+was_refused (const SlotRequest *r, const DlHttpResult *result)
+{
+  return r->head_refused && result->error != DL_ERR_MALFORMED;
+}
+
 static Daisyloft__Wire__EndReason
 end_reason (const SlotRequest *r, const DlHttpResult *result)
 {
-  if (r->head_refused)
+  if (was_refused (r, result))
     return DAISYLOFT__WIRE__END_REASON__END_NOT_RUN;
   if (result->error == 0)
     return DAISYLOFT__WIRE__END_REASON__END_COMPLETE;
@@ -274,7 +281,7 @@
   SlotRequest *r = data;
   const char *detail = "";
 
-  if (r->head_refused)
+  if (was_refused (r, result))
     detail = "the engine refused the request";
   else if (result->error != 0)
     detail = dl_strerror (result->error);
--- a/lib/kernel/http_client.c
+++ b/lib/kernel/http_client.c
@@ -8,7 +8,7 @@
 #include <talloc.h>
 
 #include "kernel/error.h"
-#include "kernel/http_head.h"
+#include "kernel/http_check.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -54,7 +54,7 @@
   size_t head_bytes;    /* of the heads and trailers so far */
   unsigned head_lines;  /* the same in lines */
   size_t framing_bytes; /* received since the last byte of the head or the body */
-  DlHttpHead head;      /* of the response */
+  DlHttpCheck check;    /* of the response */
   int error;            /* why the response was given up; 0: it was not */
   DlTimer *give_up;
   uint64_t arrived_ms; /* last part of the response; 0: nothing yet */
@@ -89,6 +89,21 @@
   check_done (client);
 }
 
+/* Notes which socket the call of EASY uses.  libcurl also closes other ones from it. */
+static void
+note_socket (CURL *easy, curl_socket_t fd, int what)
+{
+  DlHttpCall *call = NULL;
+
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+  if (call == NULL)
+    return;
+  if (what != CURL_POLL_REMOVE)
+    call->check.fd = fd;
+  else if (call->check.fd == fd)
+    call->check.fd = DL_HTTP_NO_SOCKET;
+}
+
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
 {
@@ -96,6 +111,7 @@
   SocketWatch *watch = socket_data;
   int events = 0;
 
+  note_socket (easy, fd, what);
   if (what == CURL_POLL_REMOVE)
     {
       if (watch != NULL)
@@ -219,14 +235,6 @@
   return true;
 }
 
-/* True when a whole head has arrived that can be believed.  libcurl takes one that ends
- * with its connection for whole, too. */
-static bool
-has_head (const DlHttpCall *call)
-{
-  return dl_http_head_is_complete (&call->head);
-}
-
 static size_t
 on_header (char *data, size_t size, size_t n, void *user)
 {
@@ -236,8 +244,7 @@
                                                   : HEAD_DEFAULT_MAX_BYTES;
 
   note_arrival (call);
-  if (!has_head (call)
-      && call_note_fault (call, dl_http_head_add_line (&call->head, line)))
+  if (call_note_fault (call, dl_http_check_line (&call->check, line)))
     return CURL_WRITEFUNC_ERROR;
   call->framing_bytes = 0;
   call->head_bytes += size * n;
@@ -254,20 +261,41 @@
   call_done (data, CURLE_RECV_ERROR);
 }
 
-/* libcurl reports body bytes here before it removes the framing of chunks.  It accepts no
- * error from this callback, so the call is ended from the loop. */
+/* Ends a call from the loop, where libcurl accepts no error from a callback. */
+static void
+call_give_up (DlHttpCall *call)
+{
+  if (call->give_up == NULL)
+    call->give_up = dl_timer_subscribe (call->client->task, call, 0, 0, on_give_up, call);
+}
+
+/* Bytes of the body, as received. */
+static void
+call_note_received (DlHttpCall *call, DlStr bytes)
+{
+  call->framing_bytes += bytes.length;
+  if (call_note_fault (call, dl_http_check_received (&call->check, bytes)))
+    call_give_up (call);
+  else if (call->framing_bytes > FRAMING_MAX_BYTES && call->error == 0)
+    {
+      call_note_invalid (call, DL_ERR_MALFORMED, "chunk framing without end");
+      call_give_up (call);
+    }
+}
+
+/* libcurl reports body bytes here before it removes the framing of chunks. */
 static int
 on_debug (CURL *easy, curl_infotype type, char *data, size_t length, void *user)
 {
   DlHttpCall *call = user;
+  DlStr bytes = dl_str_bytes (data, length);
 
-  if (type != CURLINFO_DATA_IN || call->freed_in_callback)
-    return 0;
-  call->framing_bytes += length;
-  if (call->framing_bytes <= FRAMING_MAX_BYTES || call->error != 0)
+  if (call->freed_in_callback)
     return 0;
-  call_note_invalid (call, DL_ERR_MALFORMED, "chunk framing without end");
-  call->give_up = dl_timer_subscribe (call->client->task, call, 0, 0, on_give_up, call);
+  if (type == CURLINFO_DATA_IN)
+    call_note_received (call, bytes);
+  else if (type == CURLINFO_TEXT)
+    call_note_fault (call, dl_http_check_note (&call->check, bytes));
   return 0;
 }
 
@@ -291,6 +319,8 @@
 {
   note_arrival (call);
   call->framing_bytes = 0;
+  if (call->error != 0)
+    return CURL_WRITEFUNC_ERROR;
   call_report_head (call);
   if (call->freed_in_callback)
     return CURL_WRITEFUNC_ERROR;
@@ -399,6 +429,23 @@
   client->distrusted_ms = MAX (client->distrusted_ms, since_ms);
 }
 
+/* True when a whole head has arrived that can be believed. */
+static bool
+has_head (const DlHttpCall *call)
+{
+  return dl_http_head_is_complete (&call->check.head);
+}
+
+/* libcurl takes a response for complete: also one whose head ends with its connection. */
+static CURLcode
+check_complete (DlHttpCall *call)
+{
+  if (!has_head (call))
+    return CURLE_GOT_NOTHING;
+  call_note_fault (call, dl_http_check_end (&call->check));
+  return call->error == 0 ? CURLE_OK : CURLE_RECV_ERROR;
+}
+
 static void
 call_done (DlHttpCall *call, CURLcode code)
 {
@@ -406,8 +453,8 @@
   long request_bytes = 0;
   DlHttpResult result = { 0 };
 
-  if (code == CURLE_OK && !has_head (call))
-    code = CURLE_GOT_NOTHING;
+  if (code == CURLE_OK)
+    code = check_complete (call);
   if (code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY)
     call_note_invalid (call, DL_ERR_MALFORMED, "bytes that are not HTTP");
   else if (code == CURLE_OUT_OF_MEMORY) /* over libcurl's own limit of 100 KiB */
@@ -537,6 +584,7 @@
   call->client = client;
   call->options = *options;
   call->started_ms = dl_clock_ms ();
+  call->check = dl_http_check_begin ();
   call->id = talloc_strdup (call, options->id);
   call->request_body = dl_buffer_new (call, 0);
   dl_buffer_append (call->request_body, options->body.data, options->body.length);
--- a/lib/kernel/http_client.h
+++ b/lib/kernel/http_client.h
@@ -8,8 +8,9 @@
  * A peer may send bytes that are no response, without end.  The call then ends with
  * DL_ERR_MALFORMED or DL_ERR_TOO_LARGE, and its connection is closed, as soon as its
  * heads and trailers, the framing of its chunks, or the body that it collects exceed
- * their limits.  It ends with DL_ERR_MALFORMED as well at the first line of a head that
- * kernel/http_head.h finds a fault in, and on_head is not called for that head.
+ * their limits.  It ends with DL_ERR_MALFORMED as well at the first line, chunk or rest
+ * that kernel/http_check.h finds a fault in.  on_head is not called for a head that has
+ * one; one that shows later makes the whole response unusable, its head included.
  */
 #ifndef DL_HTTP_CLIENT_H
 #define DL_HTTP_CLIENT_H
--- a/lib/kernel/http_head.c
+++ b/lib/kernel/http_head.c
@@ -38,6 +38,10 @@
       return "an unknown transfer coding";
     case DL_HTTP_FAULT_LENGTH_AND_CODING:
       return "both a length and a transfer coding";
+    case DL_HTTP_FAULT_CHUNK:
+      return "malformed chunks";
+    case DL_HTTP_FAULT_SURPLUS:
+      return "bytes after its end";
     }
   g_assert_not_reached ();
 }
--- a/lib/kernel/http_head.h
+++ b/lib/kernel/http_head.h
@@ -26,6 +26,8 @@
   DL_HTTP_FAULT_LENGTH,      /* Content-Length is no number, or tells several */
   DL_HTTP_FAULT_CODING,      /* Transfer-Encoding is not "chunked", once */
   DL_HTTP_FAULT_LENGTH_AND_CODING, /* both */
+  DL_HTTP_FAULT_CHUNK,             /* the framing of a chunk */
+  DL_HTTP_FAULT_SURPLUS,           /* bytes after the end that the head tells */
 } DlHttpFault;
 
 /* The line of a response that is expected next. */
--- a/regress/direct/endless.c
+++ b/regress/direct/endless.c
@@ -25,6 +25,7 @@
 #define WHOLE    OK_HEAD "Content-Length: 4\r\n\r\ndone"
 #define EVENTS_WHOLE \
   OK_HEAD "Content-Type: text/event-stream\r\nContent-Length: 4\r\n\r\ndone"
+#define OTHER    "HTTP/1.1 200 OK\r\nX-More: "
 #define BYTES    "abcdefghijklmnopqrstuvwxyz012345"
 #define UNSAFE   "/o/x"
 #define SAFE     "/r/x"
@@ -36,7 +37,7 @@
   const char *target;
   EndlessAnswer answer;
   uint64_t closed_ms; /* bound of the time that a connection is open */
-  bool served;        /* the answer is whole, and only then come more bytes */
+  bool served;        /* the answer is whole, and only then comes more */
 } EndlessCase;
 
 static const EndlessCase cases[] = {
@@ -100,10 +101,28 @@
   { "a chunk's length", UNSAFE, { CHUNKED, "0" }, CLOSED_MS, false },
   { "trailers", UNSAFE, { CHUNKED "0\r\n", "X-More: a\r\n" }, CLOSED_MS, false },
   { "one trailer", UNSAFE, { CHUNKED "0\r\nX-More: ", BYTES }, CLOSED_MS, false },
-  { "more after an answer", UNSAFE, { WHOLE, BYTES }, CLOSED_MS, true },
-  { "more after an answer", SAFE, { WHOLE, BYTES }, CLOSED_MS, true },
-  { "events where none are due", UNSAFE, { EVENTS_WHOLE, BYTES }, CLOSED_MS, true },
-  { "more after an answer, slowly", UNSAFE, { WHOLE, BYTES, true }, CLOSED_MS, true },
+  /* another answer after a whole one, which belongs to no request */
+  { "another answer after one", UNSAFE, { WHOLE OTHER, BYTES }, CLOSED_MS, true },
+  { "another answer after one", SAFE, { WHOLE OTHER, BYTES }, CLOSED_MS, true },
+  { "another answer after events",
+    UNSAFE,
+    { EVENTS_WHOLE OTHER, BYTES },
+    CLOSED_MS,
+    true },
+  { "another answer after one, slowly",
+    UNSAFE,
+    { WHOLE OTHER, BYTES, true },
+    CLOSED_MS,
+    true },
+  /* more than a body's length, which may be wrong then */
+  { "more than its length", UNSAFE, { WHOLE "a", BYTES }, CLOSED_MS, false },
+  { "more than its length", SAFE, { WHOLE "a", BYTES }, CLOSED_MS, false },
+  { "events over their length", UNSAFE, { EVENTS_WHOLE "a", BYTES }, CLOSED_MS, false },
+  { "more than its length, slowly",
+    UNSAFE,
+    { WHOLE "a", BYTES, true },
+    CLOSED_MS,
+    false },
 };
 
 /* -------- what it costs a process -------- */
--- a/regress/direct/spoilt.c
+++ b/regress/direct/spoilt.c
@@ -1,6 +1,7 @@
 /*
- * Tests of whole responses that a line of their head makes none.  What a server says so
- * reaches no caller, and is no promise that a request did not run.
+ * Tests of whole responses that something makes no response: a line of the head, a length
+ * that is not the body's, a chunk, a trailer.  What a server says so reaches no caller,
+ * and is no promise that a request did not run.
  */
 #include <glib.h>
 #include <string.h>
@@ -86,6 +87,9 @@
   { "Content-Length: 3\r\n" GOOD_LENGTH },
   { GOOD_LENGTH "\r\nContent-Length: " LENGTH "x" },
   { "Content-Length: " LENGTH "x\r\n" GOOD_LENGTH },
+  { "Content-Length: 2" },
+  { "Content-Length: 1" },
+  { "Content-Length: 0" },
   { "Content-Length: x" },
   { "Content-Length: -" LENGTH },
   { "Content-Length:" },
@@ -168,6 +172,42 @@
       }
 }
 
+/* -------- chunks and trailers -------- */
+
+typedef struct
+{
+  const char *length; /* of the first chunk */
+  const char *last;   /* the last chunk, and what follows */
+} Chunks;
+
+static const Chunks chunk_cases[] = {
+  { LENGTH "x", LAST_CHUNK },           { LENGTH " 4", LAST_CHUNK },
+  { LENGTH "g;a=b", LAST_CHUNK },       { LENGTH, "0x\r\n\r\n" },
+  { LENGTH, "0\r\nX A: b\r\n\r\n" },    { LENGTH, "0\r\nX-A : b\r\n\r\n" },
+  { LENGTH, "0\r\nX\001A: b\r\n\r\n" }, { LENGTH, "0\r\nno colon\r\n\r\n" },
+  { LENGTH, LAST_CHUNK "else" },
+};
+
+static void
+test_response_with_spoilt_chunk_was_forwarded (Testbed *tb)
+{
+  earn_retries (tb);
+  for (size_t i = 0; i < G_N_ELEMENTS (chunk_cases); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (routes); k++)
+      {
+        const Chunks *c = &chunk_cases[i];
+        g_autofree char *length = replace (c->length, LENGTH, routes[k].chunk_length);
+        g_autofree char *bytes
+            = g_strconcat (STATUS OWN, routes[k].type, CHUNKED END, length, "\r\n",
+                           routes[k].body, "\r\n", c->last, NULL);
+
+        answer_case_play (tb, &(AnswerCase){ .name = c->last,
+                                             .target = routes[k].target,
+                                             .bytes = bytes,
+                                             .status = routes[k].status });
+      }
+}
+
 /* -------- what a spoilt response says -------- */
 
 static const char *const errors[] = {
@@ -177,10 +217,8 @@
   "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n" OWN,
 };
 static const char *const spoilt_ends[] = {
-  "Content-Length: " LENGTH "x",
-  "X A: b\r\n" GOOD_LENGTH,
-  "X\001A: b\r\n" GOOD_LENGTH,
-  ": 4\r\n" GOOD_LENGTH,
+  "Content-Length: " LENGTH "x", "Content-Length: 2",         "Content-Length: 0",
+  "X A: b\r\n" GOOD_LENGTH,      "X\001A: b\r\n" GOOD_LENGTH, ": 4\r\n" GOOD_LENGTH,
 };
 
 static void
@@ -236,6 +274,7 @@
   test_response_with_spoilt_length_was_forwarded,
   test_response_with_spoilt_line_was_forwarded,
   test_response_with_spoilt_start_was_forwarded,
+  test_response_with_spoilt_chunk_was_forwarded,
   test_spoilt_error_was_forwarded_or_promised_that_it_was_not_run,
   test_sound_response_was_refused,
   NULL,
--- a/regress/unit/test_responses.c
+++ b/regress/unit/test_responses.c
@@ -62,6 +62,32 @@
   LINE (STATUS "X\0A: b", 0),
   LINE (STATUS "X-A: b\0c", 0),
   LINE (STATUS "Content-Length: 4\0", 0),
+  /* bytes after the end of the body */
+  { { TEXT (STATUS "Content-Length: 4\r\n\r\n"), TEXT ("done") }, 200, false },
+  { { TEXT (STATUS "Content-Length: 2\r\n\r\ndone") }, 200, true },
+  { { TEXT (STATUS "Content-Length: 2\r\n\r\n"), TEXT ("done") }, 200, true },
+  { { TEXT (STATUS "Content-Length: 2\r\n\r\nd"), TEXT ("one") }, 200, true },
+  { { TEXT (STATUS "Content-Length: 0\r\n\r\ndone") }, 200, true },
+  { { TEXT (STATUS "Content-Length: 0\r\n\r\n") }, 200, false },
+  { { TEXT ("HTTP/1.1 204 No Content\r\n\r\ndone") }, 204, true },
+  { { TEXT ("HTTP/1.1 204 No Content\r\n\r\n") }, 204, false },
+  { { TEXT (STATUS "Content-Length: 4\r\n\r\n"), TEXT ("done" STATUS) }, 200, false },
+  /* chunks */
+  { { TEXT (STATUS "Transfer-Encoding: chunked\r\n\r\n"),
+      TEXT ("4\r\ndone\r\n0\r\nA: b\r\n\r\n") },
+    200,
+    false },
+  { { TEXT (STATUS "Transfer-Encoding: chunked\r\n\r\n4\r\ndo"),
+      TEXT ("ne\r\n0\r\n\r\nelse") },
+    200,
+    true },
+  { { TEXT (STATUS "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"),
+      TEXT ("0x\r\n\r\n") },
+    200,
+    true },
+  { { TEXT (STATUS "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"), TEXT ("0\r\n\n") },
+    200,
+    true },
 };
 
 static struct
