A response that names two requests belongs to none

What callers saw: a response with their request's id and, in a second line, another one reached them as theirs.

Cause: the first X-Request-Id was read, and no other.

--- a/regress/direct/spoilt.c
+++ b/regress/direct/spoilt.c
@@ -236,6 +236,26 @@
         }
 }
 
+static const char *const id_lines[] = {
+  OWN "X-Request-Id: other\r\n",
+  "X-Request-Id: other\r\n" OWN,
+  OWN "x-request-id: other\r\n",
+};
+
+static void
+test_response_that_names_two_requests_was_forwarded (Testbed *tb)
+{
+  earn_retries (tb);
+  for (size_t i = 0; i < G_N_ELEMENTS (id_lines); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (routes); k++)
+      {
+        g_autofree char *head
+            = g_strconcat (STATUS, id_lines[i], routes[k].type, GOOD_LENGTH, NULL);
+
+        play (tb, &routes[k], id_lines[i], head, false);
+      }
+}
+
 /* -------- unusual, but sound -------- */
 
 static const char *const sound_ends[] = {
@@ -276,6 +296,7 @@
   test_response_with_spoilt_start_was_forwarded,
   test_response_with_spoilt_chunk_was_forwarded,
   test_spoilt_error_was_forwarded_or_promised_that_it_was_not_run,
+  test_response_that_names_two_requests_was_forwarded,
   test_sound_response_was_refused,
   NULL,
 };
