A refusal is believed, and passed on, only if the upstream states it

Read, and then played: X-Not-Executed counted with any value, also "0", and the caller of an unsafe route was told that its request had not run. Where the field had been refused alone, the upstream's 503 would still have been passed on, which promises the same.

Change: the field counts with the value that the users' examples have, 1. A 408, 429 or 503 without it is not passed on: it promises callers what the upstream does not state, and is a failure of it. Safe requests go on elsewhere, others get 502. 421 is none of these: the instance that was named did not run the request.

--- a/daisydirectd/attempt_response.c
+++ b/daisydirectd/attempt_response.c
@@ -64,14 +64,16 @@
          && !attempt->pinned;
 }
 
-/* True for a response that must not be forwarded: it does not belong to the request, or
- * it reports success without the upstream's seal.  A refusal without the request's id may
- * be an earlier one that a faulty upstream writes once more: the request that is sent now
- * may be running. */
+/* True for a response that must not be forwarded: it does not belong to the request, it
+ * reports success without the upstream's seal, or it promises callers by its status what
+ * the upstream does not state.  A refusal without the request's id may be an earlier one
+ * that a faulty upstream writes once more: the request that is sent now may be running.
+ */
 static bool
 is_unusable (const Attempt *attempt)
 {
-  return attempt->head.is_mismatched || (is_success (attempt) && !attempt->head.has_seal)
+  return attempt->head.is_mismatched || attempt->head.is_unstated_refusal
+         || (is_success (attempt) && !attempt->head.has_seal)
          || (attempt->head.not_run && !attempt->head.names_request);
 }
 
@@ -317,7 +319,7 @@
   if (was_not_run (attempt))
     abort_attempt (attempt, NULL);
   else if (is_unusable (attempt))
-    abort_attempt (attempt, "a success without seal, or for another request");
+    abort_attempt (attempt, "no response that may be forwarded to this request's caller");
   else if (!dl_response_room_has (&room, bytes.length)
            || dl_buffer_append (attempt->body, bytes.data, bytes.length) < 0)
     abort_attempt (attempt, "a body over the limit");
--- a/lib/node/caller_request.h
+++ b/lib/node/caller_request.h
@@ -40,11 +40,13 @@
 /* The head of an upstream's response. */
 typedef struct
 {
-  bool not_run;       /* the upstream reports that it did not run the request */
-  bool names_request; /* has the request's id, or the request has none */
-  bool is_mismatched; /* has another request's id, or is content-encoded */
-  bool has_seal;      /* carries the upstream's seal of its response */
-  bool is_delimited;  /* has a length or chunks; otherwise it ends with its connection */
+  bool not_run;             /* the upstream reports that it did not run the request */
+  bool names_request;       /* has the request's id, or the request has none */
+  bool is_mismatched;       /* has another request's id, or is content-encoded */
+  bool is_unstated_refusal; /* its status promises callers that the request did not run,
+                             * and the upstream does not state it */
+  bool has_seal;            /* carries the upstream's seal of its response */
+  bool is_delimited; /* has a length or chunks; otherwise it ends with its connection */
   bool is_event_stream;
   uint64_t version;     /* of the weights that the request runs on; 0 when not given */
   bool leaving;         /* the upstream announces that it leaves */
--- a/regress/direct/spoilt.c
+++ b/regress/direct/spoilt.c
@@ -236,6 +236,24 @@
         }
 }
 
+/* Not the value that says that the request was not run. */
+static const char *const flag_values[] = { "", "0", "false", "11", "1 1", "1, 0" };
+
+static void
+test_flag_with_another_value_promised_that_it_was_not_run (Testbed *tb)
+{
+  earn_retries (tb);
+  for (size_t i = 0; i < G_N_ELEMENTS (flag_values); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (routes); k++)
+      {
+        g_autofree char *head = g_strdup_printf (
+            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: %s\r\n%s" GOOD_LENGTH,
+            flag_values[i], "X-Request-Id: %s\r\n");
+
+        play (tb, &routes[k], flag_values[i], head, false);
+      }
+}
+
 static const char *const id_lines[] = {
   OWN "X-Request-Id: other\r\n",
   "X-Request-Id: other\r\n" OWN,
@@ -296,6 +314,7 @@
   test_response_with_spoilt_start_was_forwarded,
   test_response_with_spoilt_chunk_was_forwarded,
   test_spoilt_error_was_forwarded_or_promised_that_it_was_not_run,
+  test_flag_with_another_value_promised_that_it_was_not_run,
   test_response_that_names_two_requests_was_forwarded,
   test_sound_response_was_refused,
   NULL,
