--- a/regress/direct/direct.c
+++ b/regress/direct/direct.c
@@ -327,7 +327,7 @@
   { "endless-peers", { endless_peer_tests }, .with_proxies = true },
   { "undelimited", { undelimited_tests }, .with_proxies = true },
   { "heads", { head_tests }, .with_proxies = true },
-  { "spoilt", { spoilt_tests }, .with_proxies = true },
+  { "spoilt", { spoilt_tests, operator_call_tests }, .with_proxies = true },
   { "entries", { entry_tests } },
   { "claimed", { claimed_tests } },
   { "silence", { silence_tests } },
--- a/regress/direct/direct.h
+++ b/regress/direct/direct.h
@@ -325,6 +325,7 @@
 /* Responses that come more than once; needs proxies. */
 extern const TestFunc copied_tests[];
 extern const TestFunc spoilt_tests[];
+extern const TestFunc operator_call_tests[];
 /* Stagers whose engine takes no chunks. */
 extern const TestFunc staging_tests[];
 /* Weights that engines take. */
